--- /dev/null
+++ b/src/briarseam/__init__.py
@@ -0,0 +1,1 @@
+"""briarseam: a serving system for prompts that return after long gaps."""
