--- /dev/null
+++ b/src/briarseam/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: who may run now, and who is refused at once."""
--- /dev/null
+++ b/src/briarseam/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: one stream of atomic changes, the same fold everywhere."""
--- /dev/null
+++ b/src/briarseam/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform: log, instance list and weight store."""
--- /dev/null
+++ b/src/briarseam/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated msgpack streams between briarseam's own processes."""
--- /dev/null
+++ b/src/briarseam/wire/client.py
@@ -0,0 +1,158 @@
+"""The calling side: a pool of authenticated connections to one process."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+from briarseam.wire import codec
+from briarseam.wire import connection as connections
+
+CONNECT_TIMEOUT_S = 2.0
+DEFAULT_MAX_IDLE = 32
+
+
+class NotSentError(connections.WireError):
+    """The message was certainly never received: no connection."""
+
+
+class CallLostError(connections.WireError):
+    """The message went out but its reply did not come back."""
+
+
+def connect(
+    address: str,
+    me: connections.Identity,
+    key: bytes,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+) -> connections.Connection:
+    """Return an authenticated connection.
+
+    Raises
+    ------
+    NotSentError
+        When no connection could be opened.
+    """
+    try:
+        sock = socket.create_connection(
+            connections.parse_address(address), timeout_s
+        )
+    except (OSError, ValueError) as error:
+        raise NotSentError(f"cannot connect to {address}: {error}") from error
+    connection = connections.Connection(sock)
+    try:
+        connections.greet(connection, me, key)
+    except connections.WireError as error:
+        connection.close()
+        raise NotSentError(f"hello with {address}: {error}") from error
+    return connection
+
+
+class Client:
+    """Calls to one process, one connection per call under way.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` of the server.
+    me
+        This process.
+    key
+        The shared key.
+    max_idle
+        Connections kept open between calls.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        me: connections.Identity,
+        key: bytes,
+        max_idle: int = DEFAULT_MAX_IDLE,
+    ) -> None:
+        self.address = address
+        self.me = me
+        self.key = key
+        self.max_idle = max_idle
+        self.idle: list[connections.Connection] = []
+        self.lock = threading.Lock()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def call(self, request: codec.Message, timeout_s: float) -> codec.Message:
+        """Send ``request`` and return the reply.
+
+        Parameters
+        ----------
+        request
+            A registered message.
+        timeout_s
+            Bound on the wait for the reply, in seconds.
+
+        Raises
+        ------
+        NotSentError
+            When the server certainly did not get the message.
+        CallLostError
+            When it may have got it.
+        """
+        connection = self.take()
+        connection.set_timeout(timeout_s)
+        sent = connection.bytes_sent
+        received = connection.bytes_received
+        try:
+            connection.send(request)
+            reply = connection.receive()
+        except codec.CodecError as error:
+            self.give_back(connection)
+            raise NotSentError(str(error)) from error
+        except connections.WireError as error:
+            connection.close()
+            raise CallLostError(f"{self.address}: {error}") from error
+        with self.lock:
+            self.bytes_sent += connection.bytes_sent - sent
+            self.bytes_received += connection.bytes_received - received
+        self.give_back(connection)
+        return reply
+
+    def take(self) -> connections.Connection:
+        """Return an idle connection that is still open, or a new one."""
+        while True:
+            with self.lock:
+                candidate = self.idle.pop() if self.idle else None
+            if candidate is None:
+                return connect(self.address, self.me, self.key)
+            if is_open(candidate):
+                return candidate
+            candidate.close()
+
+    def give_back(self, connection: connections.Connection) -> None:
+        """Keep a connection for the next call."""
+        with self.lock:
+            if len(self.idle) < self.max_idle:
+                self.idle.append(connection)
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self.lock:
+            idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.close()
+
+
+def is_open(connection: connections.Connection) -> bool:
+    """Tell whether an idle connection has not been closed or cut.
+
+    Between calls the server sends nothing, so anything to read is the end
+    of the stream.
+    """
+    try:
+        connection.sock.settimeout(0)
+        connection.sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/src/briarseam/wire/connection.py
@@ -0,0 +1,233 @@
+"""One authenticated connection: framing and the hello that opens it.
+
+Both sides prove that they hold the shared key before any message is
+handled.  The server sends a nonce, the client answers with its own nonce,
+its role and name and a MAC over all of them, and the server returns a MAC
+under a different label, so neither answer can be reflected.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import hashlib
+import hmac
+import secrets
+import socket
+import typing
+
+from briarseam.wire import codec
+
+NONCE_BYTES = 16
+HELLO_TIMEOUT_S = 5.0
+# A frame before authentication can only be a hello; the cap keeps a
+# stranger from making us buffer megabytes.
+MAX_HELLO_BYTES = 1024
+
+
+class WireError(Exception):
+    """The connection is unusable: cut, timed out, or not authentic."""
+
+
+class WireTimeoutError(WireError):
+    """No whole frame arrived in time."""
+
+
+@codec.message("challenge")
+@dataclasses.dataclass(frozen=True)
+class Challenge:
+    """The server's first frame."""
+
+    version: int
+    nonce: bytes
+
+
+@codec.message("hello")
+@dataclasses.dataclass(frozen=True)
+class Hello:
+    """The client's answer to the challenge."""
+
+    version: int
+    role: str
+    name: str
+    nonce: bytes
+    mac: bytes
+
+
+@codec.message("welcome")
+@dataclasses.dataclass(frozen=True)
+class Welcome:
+    """The server's proof that it holds the key too."""
+
+    name: str
+    mac: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """Who is at one end of a connection.
+
+    Attributes
+    ----------
+    role
+        ``"agent"``, ``"entry"`` or ``"operator"``.
+    name
+        The instance's or process's name.
+    """
+
+    role: str
+    name: str
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    Raises
+    ------
+    ValueError
+        When the port is missing or no number.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Connection:
+    """Frames over one connected socket.
+
+    Not safe for several threads: whoever holds the connection is its only
+    reader and writer.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = sock
+        self.peer = Identity(role="", name="")
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def send(self, value: codec.Message) -> None:
+        """Send one message; raise :class:`WireError` when it cannot."""
+        frame = codec.encode(value)
+        try:
+            self.sock.sendall(frame)
+        except TimeoutError as error:
+            raise WireTimeoutError("send timed out") from error
+        except OSError as error:
+            raise WireError(f"send failed: {error}") from error
+        self.bytes_sent += len(frame)
+
+    def receive(self, max_bytes: int = codec.MAX_FRAME_BYTES) -> codec.Message:
+        """Return the next message; raise :class:`WireError` at the end."""
+        (length,) = codec.LENGTH.unpack(self.read_exactly(codec.LENGTH.size))
+        if length > max_bytes:
+            raise WireError(f"frame of {length} bytes is too large")
+        payload = self.read_exactly(length)
+        self.bytes_received += codec.LENGTH.size + length
+        try:
+            return codec.decode(payload)
+        except codec.CodecError as error:
+            raise WireError(str(error)) from error
+
+    def read_exactly(self, count: int) -> bytes:
+        """Return ``count`` bytes or raise :class:`WireError`."""
+        buffer = bytearray(count)
+        view = memoryview(buffer)
+        have = 0
+        while have < count:
+            try:
+                got = self.sock.recv_into(view[have:])
+            except TimeoutError as error:
+                raise WireTimeoutError("receive timed out") from error
+            except OSError as error:
+                raise WireError(f"receive failed: {error}") from error
+            if got == 0:
+                raise WireError("closed by the other side")
+            have += got
+        return bytes(buffer)
+
+    def set_timeout(self, seconds: float | None) -> None:
+        """Bound each following send and receive."""
+        with contextlib.suppress(OSError):
+            self.sock.settimeout(seconds)
+
+    def close(self) -> None:
+        """Close the socket so that a reader in another thread wakes."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
+
+def proof(key: bytes, label: str, *parts: bytes | str) -> bytes:
+    """Return the MAC of a hello's parts under ``label``."""
+    mac = hmac.new(key, label.encode(), hashlib.sha256)
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        # The length in front keeps two different splits of the same bytes
+        # from having the same MAC.
+        mac.update(codec.LENGTH.pack(len(data)) + data)
+    return mac.digest()
+
+
+def greet(connection: Connection, me: Identity, key: bytes) -> None:
+    """Open a connection from the client's side.
+
+    Raises
+    ------
+    WireError
+        When the other side does not hold the key or speaks another
+        version.
+    """
+    connection.set_timeout(HELLO_TIMEOUT_S)
+    challenge = expect(connection, Challenge)
+    check_version(challenge.version)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    mac = proof(key, "client", challenge.nonce, nonce, me.role, me.name)
+    connection.send(
+        Hello(codec.WIRE_VERSION, me.role, me.name, nonce, mac),
+    )
+    welcome = expect(connection, Welcome)
+    expected = proof(key, "server", nonce, challenge.nonce, welcome.name)
+    if not hmac.compare_digest(expected, welcome.mac):
+        raise WireError("the server does not hold the shared key")
+    connection.peer = Identity(role="agent", name=welcome.name)
+
+
+def admit(connection: Connection, me: Identity, key: bytes) -> None:
+    """Open a connection from the server's side.
+
+    Raises
+    ------
+    WireError
+        When the other side does not hold the key or speaks another
+        version.
+    """
+    connection.set_timeout(HELLO_TIMEOUT_S)
+    challenge = secrets.token_bytes(NONCE_BYTES)
+    connection.send(Challenge(codec.WIRE_VERSION, challenge))
+    hello = expect(connection, Hello)
+    check_version(hello.version)
+    expected = proof(
+        key, "client", challenge, hello.nonce, hello.role, hello.name
+    )
+    if not hmac.compare_digest(expected, hello.mac):
+        raise WireError("the client does not hold the shared key")
+    mac = proof(key, "server", hello.nonce, challenge, me.name)
+    connection.send(Welcome(me.name, mac))
+    connection.peer = Identity(role=hello.role, name=hello.name)
+
+
+MessageType = typing.TypeVar("MessageType")
+
+
+def expect(connection: Connection, kind: type[MessageType]) -> MessageType:
+    """Return the next message if it is of ``kind``, else raise."""
+    value = connection.receive(MAX_HELLO_BYTES)
+    if not isinstance(value, kind):
+        raise WireError(f"expected {kind.__name__} in the hello")
+    return value
+
+
+def check_version(version: int) -> None:
+    """Raise :class:`WireError` unless the version is ours."""
+    if version != codec.WIRE_VERSION:
+        raise WireError(f"wire version {version} is not understood")
--- /dev/null
+++ b/src/briarseam/wire/server.py
@@ -0,0 +1,136 @@
+"""The serving side: one thread per connection, written straight down."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import threading
+import typing
+
+import structlog
+
+from briarseam.wire import codec
+from briarseam.wire import connection as connections
+
+BACKLOG = 512
+ACCEPT_POLL_S = 0.2
+Handler = typing.Callable[[connections.Identity, typing.Any], codec.Message]
+log = structlog.get_logger("briarseam.wire")
+
+
+@dataclasses.dataclass
+class Router:
+    """Which function answers which message.
+
+    A handler takes the peer's identity and the message and returns the
+    reply.  It runs in the connection's own thread and may wait.
+    """
+
+    handlers: dict[type, Handler] = dataclasses.field(default_factory=dict)
+
+    def on(self, kind: type, handler: Handler) -> None:
+        """Let ``handler`` answer messages of class ``kind``."""
+        if kind in self.handlers:
+            raise ValueError(f"{kind.__name__} has a handler")
+        self.handlers[kind] = handler
+
+    def answer(
+        self, peer: connections.Identity, request: codec.Message
+    ) -> codec.Message:
+        """Return the reply to ``request``, ``Failed`` on an error."""
+        handler = self.handlers.get(type(request))
+        if handler is None:
+            name = type(request).__name__
+            return codec.Failed("unhandled", f"{name} is not handled here")
+        try:
+            return handler(peer, request)
+        except Exception as error:
+            log.exception("handler_failed", message=type(request).__name__)
+            return codec.Failed("error", f"{type(error).__name__}: {error}")
+
+
+class Server:
+    """Accepts authenticated connections and answers their messages.
+
+    Parameters
+    ----------
+    listen
+        ``ip:port``; port 0 takes any free one.
+    me
+        This process.
+    key
+        The shared key.
+    router
+        The handlers.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        me: connections.Identity,
+        key: bytes,
+        router: Router,
+    ) -> None:
+        self.me = me
+        self.key = key
+        self.router = router
+        self.stopping = threading.Event()
+        self.open: set[connections.Connection] = set()
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(
+            connections.parse_address(listen), backlog=BACKLOG
+        )
+        self.listener.settimeout(ACCEPT_POLL_S)
+        host, port = self.listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self.thread = threading.Thread(
+            target=self.accept, name="wire-accept", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin accepting."""
+        self.thread.start()
+
+    def accept(self) -> None:
+        """Accept until stopped; a thread per connection."""
+        while not self.stopping.is_set():
+            try:
+                sock, _ = self.listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            threading.Thread(
+                target=self.serve,
+                args=(connections.Connection(sock),),
+                name="wire-connection",
+                daemon=True,
+            ).start()
+
+    def serve(self, connection: connections.Connection) -> None:
+        """Answer one connection's messages until it ends."""
+        with self.lock:
+            self.open.add(connection)
+        try:
+            connections.admit(connection, self.me, self.key)
+            connection.set_timeout(None)
+            while not self.stopping.is_set():
+                request = connection.receive()
+                connection.send(self.router.answer(connection.peer, request))
+        except (connections.WireError, codec.CodecError):
+            # The caller sees its connection end and settles the call as
+            # lost; there is nobody else to tell.
+            pass
+        finally:
+            connection.close()
+            with self.lock:
+                self.open.discard(connection)
+
+    def stop(self) -> None:
+        """Stop accepting and end all connections."""
+        self.stopping.set()
+        self.listener.close()
+        with self.lock:
+            still_open = list(self.open)
+        for connection in still_open:
+            connection.close()
