--- a/src/briarseam/admission/messages.py
+++ b/src/briarseam/admission/messages.py
@@ -12,7 +12,7 @@
 @codec.message("admit")
 @dataclasses.dataclass(frozen=True)
 class Admit:
-    """May this prompt run, and where?
+    """Ask whether a prompt may run, and where.
 
     Attributes
     ----------
@@ -67,7 +67,7 @@
 @codec.message("admit-call")
 @dataclasses.dataclass(frozen=True)
 class AdmitCall:
-    """May this call to a plain service run, and where?
+    """Ask whether a call to a plain service may run, and where.
 
     Attributes
     ----------
@@ -245,7 +245,7 @@
 @codec.message("locate")
 @dataclasses.dataclass(frozen=True)
 class Locate:
-    """Where does the answer with this id run?"""
+    """Ask where the answer with this id runs."""
 
     token_digest: str
     answer_id: str
