--- /dev/null
+++ b/src/briarseam/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of all processes, in causal order, from bounded memory."""
--- /dev/null
+++ b/src/briarseam/timeline/event.py
@@ -0,0 +1,89 @@
+"""What the time line is made of."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.timeline import clock
+
+Scalar = str | int | float | bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One thing that happened in one process.
+
+    Attributes
+    ----------
+    clock
+        Hybrid logical stamp, see :mod:`briarseam.timeline.clock`; strictly
+        increasing within a process, so it also names the event there.
+    process
+        Name of the process.
+    kind
+        What happened, one word with dashes, such as ``"granted"``.
+    request
+        Run id or other id of the request; empty when about none.
+    path
+        Path in the configuration tree; empty when about none.
+    endpoint
+        The endpoint; empty when about none.
+    organisation
+        The organisation; empty when about none.
+    fields
+        Ids and counts besides; never words of a prompt or an answer.
+    """
+
+    clock: int
+    process: str
+    kind: str
+    request: str = ""
+    path: str = ""
+    endpoint: str = ""
+    organisation: str = ""
+    fields: dict[str, Scalar] = dataclasses.field(default_factory=dict)
+
+    @property
+    def time(self) -> str:
+        """The wall part of the stamp, UTC."""
+        return clock.iso_of(self.clock)
+
+
+@dataclasses.dataclass(frozen=True)
+class Filter:
+    """Which events are asked for; an empty word asks for all.
+
+    Attributes
+    ----------
+    request, path, endpoint
+        As in :class:`Event`.  Several are joined by "and".  A path also
+        stands for all paths below it.
+    after
+        Only events stamped later than this.
+    """
+
+    request: str = ""
+    path: str = ""
+    endpoint: str = ""
+    after: int = 0
+
+    def matches(self, event: Event) -> bool:
+        """Tell whether ``event`` is asked for."""
+        return (
+            event.clock > self.after
+            and self.request in ("", event.request)
+            and self.endpoint in ("", event.endpoint)
+            and (not self.path or is_under(event.path, self.path))
+        )
+
+
+def is_under(path: str, parent: str) -> bool:
+    """Tell whether ``path`` is ``parent`` or a path below it."""
+    stem = parent.rstrip("/")
+    return path == stem or path.startswith(stem + "/")
+
+
+def described(fields: typing.Mapping[str, Scalar]) -> str:
+    """Return fields as ``name=value`` words in the order given."""
+    return " ".join(f"{name}={value}" for name, value in fields.items())
--- /dev/null
+++ b/tests/timeline/test_ring.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from briarseam.timeline import event as events
+from briarseam.timeline import ring as rings
+
+
+def test_events_come_back_in_order_with_their_fields():
+    # What a process notes is what an operator later sees, oldest first.
+    ring = rings.Ring("agent-1")
+    ring.note("admitted", request="r1", organisation="o1", tokens=1200)
+    ring.note("granted", request="r1", endpoint="e1", wait_ms=2.5, hit=True)
+    first, second = ring.since()
+    assert first.process == "agent-1"
+    assert first.fields == {"tokens": 1200}
+    assert second.fields == {"wait_ms": 2.5, "hit": True}
+    assert first.clock < second.clock
+    assert ring.since(first.clock) == (second,)
+
+
+@pytest.mark.parametrize(
+    ("wanted", "kinds"),
+    [
+        pytest.param({"request": "r1"}, ["a", "c"], id="request"),
+        pytest.param({"endpoint": "e1"}, ["b", "c"], id="endpoint"),
+        pytest.param({"path": "models/m1"}, ["d"], id="path"),
+        pytest.param({"path": "models"}, ["d", "e"], id="subtree"),
+        pytest.param({"path": "models/m"}, [], id="not a prefix of a name"),
+        pytest.param(
+            {"request": "r1", "endpoint": "e1"}, ["c"], id="both at once"
+        ),
+        pytest.param({}, ["a", "b", "c", "d", "e"], id="all"),
+    ],
+)
+def test_selection(wanted, kinds):
+    # An operator asks by request, path or endpoint.
+    ring = rings.Ring("p")
+    ring.note("a", request="r1")
+    ring.note("b", endpoint="e1")
+    ring.note("c", request="r1", endpoint="e1")
+    ring.note("d", path="models/m1")
+    ring.note("e", path="models/m10")
+    assert [event.kind for event in ring.select(**wanted)] == kinds
+
+
+def test_oldest_go_first_and_the_loss_is_told():
+    # A busy process overwrites its oldest events; the reader must be able
+    # to tell a quiet time from a forgotten one.
+    ring = rings.Ring("p", capacity=3)
+    for number in range(5):
+        ring.note("tick", number=number)
+    found = ring.selected(events.Filter())
+    assert [event.fields["number"] for event in found.events] == [2, 3, 4]
+    assert found.dropped == 2
+    assert found.oldest == found.events[0].clock
+
+
+def test_memory_is_bounded_in_bytes_whatever_is_noted():
+    # Long ids and many fields may not grow the process past its bound.
+    ring = rings.Ring("p", capacity=10_000, max_bytes=50_000)
+    wide = {f"field{n}": "x" * 90 for n in range(40)}
+    for _ in range(500):
+        ring.note("wide", request="r" * 5000, **wide)
+    assert ring.bytes <= 50_000
+    held = sum(len(one) + rings.OVERHEAD_BYTES for one in ring.packed)
+    assert held == ring.bytes
+    assert ring.dropped > 0
+
+
+@pytest.mark.parametrize(
+    ("value", "shown"),
+    [
+        pytest.param("the cold store was at 9 C", "text:25", id="prompt"),
+        pytest.param("line\nline", "text:9", id="lines"),
+        pytest.param("x" * 200, "text:200", id="long"),
+        pytest.param("run-0a1b", "run-0a1b", id="id"),
+        pytest.param(b"secret", "bytes", id="bytes"),
+        pytest.param(["secret"], "list", id="list"),
+        pytest.param(None, "NoneType", id="none"),
+        pytest.param(10**30, rings.MAX_COUNT, id="huge count"),
+    ],
+)
+def test_words_of_a_prompt_are_never_kept(value, shown):
+    # A handler notes an error text that quotes a prompt.  Operators of
+    # other teams read the time line, so only its length may show.
+    ring = rings.Ring("p")
+    ring.note("failed", detail=value)
+    assert ring.since()[0].fields == {"detail": shown}
+
+
+def test_threads_note_at_once_without_loss_or_disorder():
+    # One ring serves every connection thread of a process.
+    ring = rings.Ring("p", capacity=10_000)
+
+    def work(name: str) -> None:
+        for number in range(500):
+            ring.note("tick", request=name, number=number)
+
+    threads = [
+        threading.Thread(target=work, args=(f"r{n}",)) for n in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    stamps = [event.clock for event in ring.since()]
+    assert len(stamps) == 2000
+    assert stamps == sorted(set(stamps))
