--- /dev/null
+++ b/src/briarseam/testing/http_server.py
@@ -0,0 +1,279 @@
+"""A small HTTP/1.1 server on cheroot for the stand-ins.
+
+Cheroot's own pool has a fixed number of threads, so long streams beyond it
+would hold up every other call; here each connection in work has a thread.
+Stopping cuts every open connection, as the death of a process does.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import logging
+import queue
+import socket
+import threading
+import time
+import typing
+import weakref
+
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+
+from briarseam.testing import http_messages
+
+LISTEN_BACKLOG = 1024
+IDLE_TIMEOUT_S = 120
+STOP_POLL_S = 0.01
+STOP_TIMEOUT_S = 5
+
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    507: "Insufficient Storage",
+}
+
+
+class ConnectionThreads:
+    """One thread for each connection in work; idle threads are used again.
+
+    Cheroot's server takes it in place of its own pool.
+
+    Parameters
+    ----------
+    server
+        The server that gets connections back between requests.
+
+    Attributes
+    ----------
+    min
+        Threads at the start, as cheroot asks.
+    free
+        Threads that wait for a connection, less the connections that wait.
+    """
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.min = 0
+        self.lock = threading.Lock()
+        self.free = 0
+        self.threads: list[threading.Thread] = []
+        self.waiting: queue.SimpleQueue[Connection | None] = (
+            queue.SimpleQueue()
+        )
+
+    def start(self) -> None:
+        """Start; threads come with the connections."""
+
+    def put(self, connection: Connection) -> None:
+        """Hand over a connection with a request to read.
+
+        Parameters
+        ----------
+        connection
+            The connection.
+        """
+        with self.lock:
+            self.free -= 1
+            if self.free < 0:
+                thread = threading.Thread(target=self.work, daemon=True)
+                self.threads.append(thread)
+                thread.start()
+        self.waiting.put(connection)
+
+    def work(self) -> None:
+        """Serve connections until told to end; the body of each thread."""
+        while True:
+            with self.lock:
+                self.free += 1
+            connection = self.waiting.get()
+            if connection is None:
+                return
+            self.serve(connection)
+
+    def serve(self, connection: Connection) -> None:
+        """Serve one request.
+
+        Parameters
+        ----------
+        connection
+            The connection that it comes on.
+        """
+        try:
+            keep = connection.communicate()  # type: ignore[no-untyped-call]
+        except ConnectionError:
+            keep = False
+        if not keep:
+            connection.close()
+            return
+        try:
+            self.server.put_conn(connection)
+        except ValueError:
+            # The server stopped meanwhile and its selector is closed.
+            connection.close()
+
+    def stop(self, timeout_s: float) -> None:
+        """End the threads.
+
+        Parameters
+        ----------
+        timeout_s
+            Longest wait in seconds for all of them.
+        """
+        deadline = time.monotonic() + timeout_s
+        threads = list(self.threads)
+        for _ in threads:
+            self.waiting.put(None)
+        for thread in threads:
+            thread.join(max(0.0, deadline - time.monotonic()))
+
+
+class Connection(cheroot_server.HTTPConnection):
+    """A connection that the server can find again to cut it."""
+
+    def __init__(
+        self, server: Server, *args: typing.Any, **kwargs: typing.Any
+    ) -> None:
+        super().__init__(server, *args, **kwargs)
+        server.open_connections.add(self)
+
+
+class Gateway(wsgi.Gateway_10):
+    """WSGI with the request itself in the environment, for the streams."""
+
+    def get_environ(self) -> typing.Any:
+        """Return the WSGI environment.
+
+        Returns
+        -------
+        dict[str, typing.Any]
+            The environment with ``briarseam.request`` added.
+        """
+        environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ["briarseam.request"] = self.req
+        return environ
+
+
+class Server(wsgi.Server):
+    """Cheroot's WSGI server with a thread a connection and a prompt stop.
+
+    Parameters
+    ----------
+    listen
+        IP address and port; port 0 takes any free one.
+    answer
+        Called for each request, on its connection's thread.
+    """
+
+    ConnectionClass = Connection
+    keep_alive_conn_limit: typing.Any = None
+
+    def __init__(
+        self,
+        listen: tuple[str, int],
+        answer: collections.abc.Callable[
+            [http_messages.Request], http_messages.Response
+        ],
+    ) -> None:
+        super().__init__(
+            listen,
+            self.application,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+            shutdown_timeout=STOP_TIMEOUT_S,
+        )
+        self.answer = answer
+        self.gateway = Gateway
+        self.requests = ConnectionThreads(self)
+        self.open_connections: weakref.WeakSet[Connection] = weakref.WeakSet()
+        self.logger = logging.getLogger(__name__)
+
+    def application(
+        self,
+        environ: dict[str, typing.Any],
+        start_response: collections.abc.Callable[..., typing.Any],
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer one request; the WSGI application.
+
+        Parameters
+        ----------
+        environ
+            The WSGI environment.
+        start_response
+            Takes status line and headers.
+
+        Returns
+        -------
+        collections.abc.Iterable[bytes]
+            The body.
+        """
+        response = self.answer(http_messages.read_request(environ))
+        headers = [("Content-Type", response.content_type)]
+        headers.extend(response.headers)
+        if isinstance(response.body, bytes) and response.status != 204:
+            headers.append(("Content-Length", str(len(response.body))))
+        reason = REASONS.get(response.status, "Unknown")
+        start_response(f"{response.status} {reason}", headers)
+        if isinstance(response.body, bytes):
+            return [response.body]
+        # A run that waits for a slot has been accepted; without this the
+        # caller would see that only with its first token.
+        environ["briarseam.request"].ensure_headers_sent()
+        return response.body
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Pass cheroot's messages on to the standard logging.
+
+        Parameters
+        ----------
+        msg
+            The message.
+        level
+            Its level.
+        traceback
+            Whether the present exception belongs to it.
+        """
+        self.logger.log(level, msg, exc_info=traceback)
+
+    def stop(self) -> None:
+        """Stop at once, cutting every open connection."""
+        stopper = threading.Thread(target=super().stop, daemon=True)
+        address = self.bind_addr
+        stopper.start()
+        while stopper.is_alive():
+            self.cut_connections()
+            wake(address)
+            stopper.join(STOP_POLL_S)
+
+    def cut_connections(self) -> None:
+        """Shut every open connection down in both directions."""
+        for connection in list(self.open_connections):
+            try:
+                connection.socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+
+def wake(address: tuple[str, int]) -> None:
+    """Connect once, so that the thread that accepts looks around.
+
+    Parameters
+    ----------
+    address
+        IP address and port that the server listens on.
+    """
+    try:
+        socket.create_connection(address, timeout=STOP_POLL_S).close()
+    except OSError:
+        return
