--- /dev/null
+++ b/src/briarseam/settings/__init__.py
@@ -0,0 +1,42 @@
+"""Settings of one instance: an INI file, checked, as data classes.
+
+``load`` reads a file; ``Settings.explain`` tells each value's source.
+"""
+
+from __future__ import annotations
+
+from briarseam.settings.address import Address as Address
+from briarseam.settings.address import parse as parse_address
+from briarseam.settings.errors import SettingsError as SettingsError
+from briarseam.settings.loading import Overriding as Overriding
+from briarseam.settings.loading import load as load
+from briarseam.settings.model import Explained as Explained
+from briarseam.settings.model import Settings as Settings
+from briarseam.settings.secret import Secret as Secret
+from briarseam.settings.sections import Agent as Agent
+from briarseam.settings.sections import Claims as Claims
+from briarseam.settings.sections import Entry as Entry
+from briarseam.settings.sections import Instance as Instance
+from briarseam.settings.sections import Limits as Limits
+from briarseam.settings.sections import Logging as Logging
+from briarseam.settings.sections import Platform as Platform
+from briarseam.settings.sections import Team as Team
+
+__all__ = [
+    "Address",
+    "Agent",
+    "Claims",
+    "Entry",
+    "Explained",
+    "Instance",
+    "Limits",
+    "Logging",
+    "Overriding",
+    "Platform",
+    "Secret",
+    "Settings",
+    "SettingsError",
+    "Team",
+    "load",
+    "parse_address",
+]
--- /dev/null
+++ b/src/briarseam/settings/loading.py
@@ -0,0 +1,311 @@
+"""Loading a settings file: every key known, every value checked."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import types
+import typing
+
+from briarseam.settings import convert
+from briarseam.settings import errors
+from briarseam.settings import ini
+from briarseam.settings import model
+from briarseam.settings import secret
+from briarseam.settings import sections
+
+if typing.TYPE_CHECKING:
+    import _typeshed
+
+SECTION_TYPES = {
+    "instance": sections.Instance,
+    "agent": sections.Agent,
+    "entry": sections.Entry,
+    "platform": sections.Platform,
+    "claims": sections.Claims,
+    "logging": sections.Logging,
+    "limits": sections.Limits,
+}
+TEAM_PREFIX = "team "
+NOTHING_FIXED: typing.Mapping[str, str] = types.MappingProxyType({})
+
+Made = typing.TypeVar("Made", bound="_typeshed.DataclassInstance")
+Sources = dict[tuple[str, str], model.Source]
+
+
+@dataclasses.dataclass(frozen=True)
+class Overriding:
+    """A value from the command line, which goes before the file's.
+
+    Attributes
+    ----------
+    section
+        Section, without brackets.
+    key
+        Key in the section.
+    text
+        The value, as it would be written in the file.
+    """
+
+    section: str
+    key: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Loader:
+    """One reading of one file.
+
+    Attributes
+    ----------
+    path
+        The settings file.
+    written
+        Its sections as written.
+    overrides
+        Values from the command line.
+    sources
+        Where each value came from; filled section by section.
+    """
+
+    path: str
+    written: dict[str, ini.Section]
+    overrides: tuple[Overriding, ...]
+    sources: Sources
+
+    def section(
+        self,
+        name: str,
+        kind: type[Made],
+        fixed: typing.Mapping[str, str] = NOTHING_FIXED,
+    ) -> Made:
+        """Return one section, checked.
+
+        Parameters
+        ----------
+        name
+            Section in the file.
+        kind
+            Data class of the section.
+        fixed
+            Values of fields that are not keys of the file.
+        """
+        hints = typing.get_type_hints(kind, include_extras=True)
+        keys = [
+            field
+            for field in dataclasses.fields(kind)
+            if field.name not in fixed
+        ]
+        self.refuse_unknown_keys(name, [field.name for field in keys])
+        values: dict[str, typing.Any] = dict(fixed)
+        for field in keys:
+            found = self.value(name, field, hints[field.name])
+            if found is not dataclasses.MISSING:
+                values[field.name] = found
+        return kind(**values)
+
+    def refuse_unknown_keys(self, name: str, known: list[str]) -> None:
+        """Raise for a key, in the file or overriding, that is not known."""
+        expected = f"one of the keys {', '.join(known)}"
+        for key, entry in self.entries(name).items():
+            if key not in known:
+                raise self.error(name, key, expected, line=entry.line)
+        for override in self.overrides:
+            if override.section == name and override.key not in known:
+                raise self.error(name, override.key, expected)
+
+    def entries(self, name: str) -> dict[str, ini.Entry]:
+        """Return the values of a section as written."""
+        if name in self.written:
+            return self.written[name].entries
+        return {}
+
+    def value(
+        self, section: str, field: dataclasses.Field[typing.Any], kind: object
+    ) -> object:
+        """Return a field's value, or ``MISSING`` for its default."""
+        key = field.name
+        for override in self.overrides:
+            if (override.section, override.key) == (section, key):
+                self.sources[section, key] = model.Override()
+                return self.converted(section, key, kind, override.text, None)
+        entry = self.entries(section).get(key)
+        if entry is not None:
+            self.sources[section, key] = model.FileLine(self.path, entry.line)
+            return self.converted(section, key, kind, entry.text, entry.line)
+        if field.default is dataclasses.MISSING:
+            raise self.missing(section, key, convert.expected(key, kind))
+        self.sources[section, key] = model.Default()
+        return dataclasses.MISSING
+
+    def converted(
+        self,
+        section: str,
+        key: str,
+        kind: object,
+        text: str,
+        line: int | None,
+    ) -> model.Value:
+        """Return a value of its type, or raise with its place."""
+        try:
+            return convert.value(key, kind, text)
+        except ValueError as error:
+            hidden = convert.is_secret(kind)
+            got = "a shorter one" if hidden else repr(text)
+            raise self.error(
+                section, key, str(error), got=got, line=line
+            ) from error
+
+    def missing(
+        self, section: str, key: str, expected: str
+    ) -> errors.SettingsError:
+        """Return the error for a key that must be there."""
+        line = self.written[section].line if section in self.written else None
+        return self.error(section, key, expected, got="nothing", line=line)
+
+    def error(
+        self,
+        section: str,
+        key: str,
+        expected: str,
+        *,
+        got: str = "",
+        line: int | None = None,
+    ) -> errors.SettingsError:
+        """Return an error of this file."""
+        return errors.SettingsError(
+            self.path, section, key, expected, got=got, line=line
+        )
+
+    def invalid(
+        self, section: str, key: str, expected: str, value: object
+    ) -> errors.SettingsError:
+        """Return the error for a value that clashes with another."""
+        line = None
+        match self.sources.get((section, key)):
+            case model.FileLine(line=number):
+                line = number
+        return self.error(
+            section, key, expected, got=repr(str(value)), line=line
+        )
+
+
+def load(
+    path: str, overrides: typing.Sequence[Overriding] = ()
+) -> model.Settings:
+    """Return the settings of a file.
+
+    Parameters
+    ----------
+    path
+        An INI file.
+    overrides
+        Values that go before those of the file.
+
+    Raises
+    ------
+    SettingsError
+        If anything in it is unknown, missing or bad; nothing is guessed.
+    """
+    loader = Loader(path, ini.read(path), tuple(overrides), {})
+    refuse_unknown_sections(loader)
+    return model.Settings(
+        path=path,
+        instance=load_instance(loader),
+        agent=load_agent(loader),
+        entry=loader.section("entry", sections.Entry),
+        platform=loader.section("platform", sections.Platform),
+        claims=loader.section("claims", sections.Claims),
+        logging=loader.section("logging", sections.Logging),
+        limits=loader.section("limits", sections.Limits),
+        teams=load_teams(loader),
+        sources=loader.sources,
+    )
+
+
+def refuse_unknown_sections(loader: Loader) -> None:
+    """Raise for a section, in the file or overriding, that is not known."""
+    expected = f"one of [{'], ['.join(SECTION_TYPES)}], [team NAME]"
+    for section in loader.written.values():
+        known = section.name in SECTION_TYPES
+        if not known and not section.name.startswith(TEAM_PREFIX):
+            raise loader.error(section.name, "", expected, line=section.line)
+    for override in loader.overrides:
+        known = override.section in SECTION_TYPES
+        if not known and override.section not in loader.written:
+            raise loader.error(override.section, "", expected)
+
+
+def load_instance(loader: Loader) -> sections.Instance:
+    """Return ``[instance]``; its cell is its zone unless set."""
+    instance = loader.section("instance", sections.Instance)
+    if not instance.entry_addresses:
+        raise loader.invalid(
+            "instance", "entry_addresses", "at least one address", ""
+        )
+    return dataclasses.replace(instance, cell=instance.cell or instance.zone)
+
+
+def load_agent(loader: Loader) -> sections.Agent:
+    """Return ``[agent]`` with its shared key, its times in order."""
+    agent = loader.section("agent", sections.Agent)
+    if agent.suspect_after_ms <= agent.heartbeat_interval_ms:
+        raise loader.invalid(
+            "agent",
+            "suspect_after_ms",
+            "more than heartbeat_interval_ms",
+            agent.suspect_after_ms,
+        )
+    if agent.stale_after_ms < agent.suspect_after_ms:
+        raise loader.invalid(
+            "agent",
+            "stale_after_ms",
+            "at least suspect_after_ms",
+            agent.stale_after_ms,
+        )
+    if bool(agent.shared_key) == bool(agent.shared_key_file):
+        raise loader.error(
+            "agent", "shared_key or shared_key_file", "exactly one of the two"
+        )
+    if agent.shared_key:
+        return agent
+    return dataclasses.replace(agent, shared_key=read_key(loader, agent))
+
+
+def read_key(loader: Loader, agent: sections.Agent) -> secret.Secret:
+    """Return the shared key that a file beside the settings holds."""
+    place = pathlib.Path(loader.path).parent / agent.shared_key_file
+    try:
+        return secret.parse(place.read_bytes())
+    except (OSError, ValueError) as error:
+        raise loader.invalid(
+            "agent",
+            "shared_key_file",
+            f"a readable file with {secret.EXPECTED}",
+            agent.shared_key_file,
+        ) from error
+
+
+def load_teams(loader: Loader) -> tuple[sections.Team, ...]:
+    """Return the teams, in the order of the file."""
+    teams = []
+    for name in loader.written:
+        if name.startswith(TEAM_PREFIX):
+            teams.append(load_team(loader, name))
+    return tuple(teams)
+
+
+def load_team(loader: Loader, section: str) -> sections.Team:
+    """Return one ``[team NAME]``."""
+    name = section.removeprefix(TEAM_PREFIX)
+    line = loader.written[section].line
+    try:
+        convert.checked(name, sections.Name)
+    except ValueError as error:
+        raise loader.error(
+            section, "", f"a team name: {error}", line=line
+        ) from error
+    team = loader.section(section, sections.Team, {"name": name})
+    if not team.paths:
+        raise loader.invalid(section, "paths", "at least one path", "")
+    return team
--- /dev/null
+++ b/tests/settings/conftest.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import pytest
+
+VALID = """\
+[instance]
+name = cph-1
+zone = cph-hall-a
+region = dk-east
+agent_address = 127.0.0.1:7001
+entry_addresses = 127.0.0.1:8001, 127.0.0.1:8002
+
+[agent]
+listen = 127.0.0.1:7001
+shared_key = 0123456789abcdef
+heartbeat_interval_ms = 250ms
+
+[entry]
+listen = 127.0.0.1:8001
+agent = 127.0.0.1:7001
+max_body_bytes = 64KiB
+
+[platform]
+log = 127.0.0.1:9001
+instances = 127.0.0.1:9002
+weights = 127.0.0.1:9003
+
+[team night-desk]
+key = fedcba9876543210
+paths = models
+  organisations/kitchen
+"""
+
+Write = typing.Callable[[str], str]
+
+
+@pytest.fixture
+def valid() -> str:
+    return VALID
+
+
+@pytest.fixture
+def write(tmp_path: pathlib.Path) -> Write:
+    def write_file(text: str) -> str:
+        path = tmp_path / "cph-1.ini"
+        path.write_text(text)
+        return str(path)
+
+    return write_file
