--- a/src/briarseam/cache/pieces.py
+++ b/src/briarseam/cache/pieces.py
@@ -67,7 +67,7 @@
         Digest ``i`` names the prefix of ``i + 1`` pieces.
     """
     digests = []
-    digest = salt.encode()
+    digest = start_of(salt)
     for end in range(PIECE_TOKENS, len(tokens) + 1, PIECE_TOKENS):
         text = " ".join(tokens[end - PIECE_TOKENS : end])
         hasher = hashlib.blake2b(digest, digest_size=DIGEST_BYTES)
@@ -77,6 +77,27 @@
     return digests
 
 
+def start_of(salt: str) -> bytes:
+    """Return what the first digest of a chain continues.
+
+    Parameters
+    ----------
+    salt
+        Keeps prefixes apart that must not match.
+
+    Returns
+    -------
+    bytes
+        A digest of the salt, empty without one.
+    """
+    # Without a fixed length, salt "a" with the prompt "bc" would continue
+    # to the same digest as salt "ab" with "c": one organisation's prompt
+    # would match another's cache.
+    if not salt:
+        return b""
+    return hashlib.blake2b(salt.encode(), digest_size=DIGEST_BYTES).digest()
+
+
 def salt_of(organisation: str, adapter: str | None = None) -> str:
     """Return the salt under which a run's prefixes are named.
 
--- a/src/briarseam/testing/engine_kv.py
+++ b/src/briarseam/testing/engine_kv.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
-import hashlib
 import struct
 
 import msgspec
 import urllib3
 
 from briarseam.cache import pieces
+from briarseam.testing import checksums
 from briarseam.testing import engine_cache
+from briarseam.testing import http_messages
 
 MAGIC = b"BSKV1"
 HEADER_LENGTH = struct.Struct(">I")
-CHECKSUM_BYTES = 16
 STORE_TIMEOUT = urllib3.Timeout(connect=2, read=30)
 
 
@@ -86,23 +86,6 @@
     """The store did not do what was asked."""
 
 
-def checksum_of(content: bytes) -> str:
-    """Return the checksum of a block.
-
-    Parameters
-    ----------
-    content
-        Its bytes.
-
-    Returns
-    -------
-    str
-        Hexadecimal digits.
-    """
-    digest = hashlib.blake2b(content, digest_size=CHECKSUM_BYTES)
-    return digest.hexdigest()
-
-
 def encode_block(prefix: engine_cache.Prefix, bytes_per_token: int) -> bytes:
     """Build the block of a piece.
 
@@ -192,13 +175,13 @@
         if not self.cache.contains(prefix):
             return None
         block = encode_block(prefix, bytes_per_token)
-        checksum = checksum_of(block)
+        checksum = checksums.checksum_of(block)
         try:
             answer = self.pool.request(
                 "PUT",
                 f"http://{request.store}/blocks/{request.block}",
                 body=block,
-                headers={"X-Checksum": checksum},
+                headers={http_messages.CHECKSUM_HEADER: checksum},
             )
         except urllib3.exceptions.HTTPError as error:
             raise StoreError(f"store unreachable: {error}") from error
@@ -290,7 +273,7 @@
     StoreError
         When checksum or header don't fit.
     """
-    if checksum_of(block) != wanted.checksum:
+    if checksums.checksum_of(block) != wanted.checksum:
         raise StoreError("checksum")
     if decode_header(block) != Header(*engine_cache.named(prefix)):
         raise StoreError("header")
--- a/src/briarseam/testing/http_messages.py
+++ b/src/briarseam/testing/http_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 JSON_TYPE = "application/json"
+CHECKSUM_HEADER = "X-Checksum"
 BYTES_TYPE = "application/octet-stream"
 SSE_TYPE = "text/event-stream"
 
--- a/src/briarseam/testing/rates.py
+++ b/src/briarseam/testing/rates.py
@@ -68,7 +68,9 @@
         stopping
             Ends the wait early.
         """
-        while size > 0 and bytes_per_s and not stopping.is_set():
+        if not bytes_per_s:
+            return
+        while size > 0 and not stopping.is_set():
             part = min(size, TRANSFER_BYTES)
             done_at = self.reserve(part / bytes_per_s)
             stopping.wait(max(0.0, done_at - time.monotonic()))
