Derive salted prefix names from the plain chain

Cause: an entry sends the chain digests of a prompt with its Admit, before the agent has worked out the organisation and its salt; the salt stood at the front of the chain, so an agent could not name the engine's prefixes for an export or import. Ruled out: sending the prompt to the agent (the agent handles no prompt bytes), a second message after the grant. Change: the salt is hashed over each plain digest instead. Conclusion: an agent maps the plain chain by pieces.salted.

--- a/src/briarseam/cache/pieces.py
+++ b/src/briarseam/cache/pieces.py
@@ -15,6 +15,9 @@
 DIGEST_BYTES = 16
 """Length of a chain digest."""
 
+SALTED = b"salted"
+"""Keeps salted names apart from the digests of a chain."""
+
 
 def split(prompt: str) -> list[str]:
     """Cut a prompt into its tokens.
@@ -67,35 +70,40 @@
         Digest ``i`` names the prefix of ``i + 1`` pieces.
     """
     digests = []
-    digest = start_of(salt)
+    digest = b""
     for end in range(PIECE_TOKENS, len(tokens) + 1, PIECE_TOKENS):
         text = " ".join(tokens[end - PIECE_TOKENS : end])
         hasher = hashlib.blake2b(digest, digest_size=DIGEST_BYTES)
         hasher.update(text.encode())
         digest = hasher.digest()
         digests.append(digest)
-    return digests
+    return [salted(digest, salt) for digest in digests]
+
 
+def salted(digest: bytes, salt: str) -> bytes:
+    """Return the digest by which an engine names a prefix under a salt.
 
-def start_of(salt: str) -> bytes:
-    """Return what the first digest of a chain continues.
+    An entry cuts the prompt before anyone has told it the salt, so the
+    salt goes over each plain digest and not into the chain.
 
     Parameters
     ----------
+    digest
+        Chain digest without a salt, of fixed length, so no two splits
+        into digest and salt have the same bytes.
     salt
-        Keeps prefixes apart that must not match.
+        Keeps prefixes apart that must not match; empty for none.
 
     Returns
     -------
     bytes
-        A digest of the salt, empty without one.
+        The digest itself when there is no salt.
     """
-    # Without a fixed length, salt "a" with the prompt "bc" would continue
-    # to the same digest as salt "ab" with "c": one organisation's prompt
-    # would match another's cache.
     if not salt:
-        return b""
-    return hashlib.blake2b(salt.encode(), digest_size=DIGEST_BYTES).digest()
+        return digest
+    hasher = hashlib.blake2b(digest, digest_size=DIGEST_BYTES, person=SALTED)
+    hasher.update(salt.encode())
+    return hasher.digest()
 
 
 def salt_of(organisation: str, adapter: str | None = None) -> str:
