--- /dev/null
+++ b/src/briarseam/cache/names.py
@@ -0,0 +1,204 @@
+"""Names of kept blocks: what keeps organisations and versions apart.
+
+The key of a piece is a keyed hash over organisation, model, adapter, weight
+version and the piece's chain digest, so a block of another organisation or
+of another version has another key and can't match.  A block's name in the
+store is its key with a nonce that is never used again, so a name never
+comes to mean other bytes.  The name also carries the group (one session of
+one organisation), the variant (model, adapter and version) and the depth,
+each hashed, from which an agent that has lost its index rebuilds it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import hashlib
+import hmac
+import secrets
+import struct
+import typing
+
+ORGANISATION_BYTES = 4
+SESSION_BYTES = 8
+GROUP_BYTES = ORGANISATION_BYTES + SESSION_BYTES
+VARIANT_BYTES = 4
+KEY_BYTES = 16
+NONCE_BYTES = 12
+TAG_BYTES = 6
+CACHED_KEYS = 4096
+DEPTH = struct.Struct("!H")
+MAX_DEPTH = 65535
+LENGTH = struct.Struct("!I")
+
+
+@dataclasses.dataclass(frozen=True)
+class BlockName:
+    """A block's name, taken apart.
+
+    Attributes
+    ----------
+    group
+        Hash of organisation and session, ``GROUP_BYTES`` long.
+    variant
+        Hash of model, adapter and weight version.
+    depth
+        Pieces in front of this one.
+    key
+        What a prompt's piece has to match, without the nonce.
+    nonce
+        Tells copies of one piece apart; never used again.
+    """
+
+    group: bytes
+    variant: bytes
+    depth: int
+    key: bytes
+    nonce: bytes
+
+
+def joined(parts: typing.Iterable[str]) -> bytes:
+    """Return the parts with their lengths.
+
+    The length in front keeps two different splits of the same text from
+    having the same bytes.
+    """
+    data = [part.encode() for part in parts]
+    return b"".join(LENGTH.pack(len(part)) + part for part in data)
+
+
+class Names:
+    """Makes and reads names under one secret.
+
+    Parameters
+    ----------
+    secret
+        Shared by all agents; whoever lacks it can neither make nor match
+        a name.
+    """
+
+    def __init__(self, secret: bytes) -> None:
+        self.secret = hashlib.blake2b(secret, digest_size=32).digest()
+        self.variant_key = functools.lru_cache(CACHED_KEYS)(self.derive_key)
+        self.variant = functools.lru_cache(CACHED_KEYS)(self.derive_variant)
+        self.organisation = functools.lru_cache(CACHED_KEYS)(
+            self.derive_organisation
+        )
+
+    def digest(self, label: bytes, data: bytes, size: int) -> bytes:
+        """Return a keyed hash for one use."""
+        return hashlib.blake2b(
+            data, digest_size=size, key=self.secret, person=label
+        ).digest()
+
+    def derive_key(
+        self, organisation: str, model: str, adapter: str, version: str
+    ) -> bytes:
+        """Return the secret under which a variant's pieces are named."""
+        data = joined((organisation, model, adapter, version))
+        return self.digest(b"pieces", data, 32)
+
+    def derive_variant(self, model: str, adapter: str, version: str) -> bytes:
+        """Return the hash of what a block was computed with."""
+        data = joined((model, adapter, version))
+        return self.digest(b"variant", data, VARIANT_BYTES)
+
+    def derive_organisation(self, organisation: str) -> bytes:
+        """Return the hash of an organisation."""
+        data = organisation.encode()
+        return self.digest(b"organisation", data, ORGANISATION_BYTES)
+
+    def group(self, organisation: str, session: str) -> bytes:
+        """Return the hash of an organisation and one of its sessions."""
+        data = joined((organisation, session))
+        session_hash = self.digest(b"session", data, SESSION_BYTES)
+        return self.organisation(organisation) + session_hash
+
+    def salt(self, organisation: str) -> str:
+        """Return the cache salt an engine is given for an organisation."""
+        return self.digest(b"salt", organisation.encode(), 16).hex()
+
+    def keys(
+        self,
+        organisation: str,
+        model: str,
+        adapter: str,
+        version: str,
+        chain: typing.Sequence[bytes],
+    ) -> typing.Iterator[bytes]:
+        """Yield the key of each piece of a chain, worked out when asked.
+
+        Guard: a hit across organisations or versions.  It would show as
+        another organisation's text, or as tokens that the weights don't
+        give.  Both are part of the hash's key, so no index and no store
+        holds a block under a key that such a request asks for.
+        """
+        secret = self.variant_key(organisation, model, adapter, version)
+        for digest in chain:
+            yield hashlib.blake2b(
+                digest, digest_size=KEY_BYTES, key=secret
+            ).digest()
+
+    def fresh(
+        self, group: bytes, variant: bytes, depth: int, key: bytes
+    ) -> BlockName:
+        """Return a name that has never been used."""
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        return BlockName(group, variant, depth, key, nonce)
+
+    def pack(self, name: BlockName) -> bytes:
+        """Return a name's bytes without its tag."""
+        depth = DEPTH.pack(min(name.depth, MAX_DEPTH))
+        return name.group + name.variant + depth + name.key + name.nonce
+
+    def text(self, packed: bytes) -> str:
+        """Return the name as the store has it."""
+        tag = self.digest(b"tag", packed, TAG_BYTES)
+        return (
+            packed[:-NONCE_BYTES].hex()
+            + "-"
+            + (packed[-NONCE_BYTES:] + tag).hex()
+        )
+
+    def parse(self, text: str) -> bytes | None:
+        """Return the packed name, ``None`` when it isn't one of ours.
+
+        Guard: a store may hold blocks of others.  Taken for ours they
+        would be deleted when the store fills.  The tag is keyed, so only
+        names made with our secret pass.
+        """
+        front, _, back = text.partition("-")
+        try:
+            data = bytes.fromhex(front + back)
+        except ValueError:
+            return None
+        packed, tag = data[:-TAG_BYTES], data[-TAG_BYTES:]
+        if len(packed) != PACKED_BYTES:
+            return None
+        expected = self.digest(b"tag", packed, TAG_BYTES)
+        return packed if hmac.compare_digest(tag, expected) else None
+
+
+PACKED_BYTES = (
+    GROUP_BYTES + VARIANT_BYTES + DEPTH.size + KEY_BYTES + NONCE_BYTES
+)
+VARIANT_AT = GROUP_BYTES
+DEPTH_AT = VARIANT_AT + VARIANT_BYTES
+KEY_AT = DEPTH_AT + DEPTH.size
+NONCE_AT = KEY_AT + KEY_BYTES
+
+
+def unpack(packed: bytes) -> BlockName:
+    """Return the parts of a packed name."""
+    return BlockName(
+        group=packed[:VARIANT_AT],
+        variant=packed[VARIANT_AT:DEPTH_AT],
+        depth=DEPTH.unpack_from(packed, DEPTH_AT)[0],
+        key=packed[KEY_AT:NONCE_AT],
+        nonce=packed[NONCE_AT:],
+    )
+
+
+def group_prefix(group: bytes) -> str:
+    """Return what the names of a group's blocks begin with."""
+    return group.hex()
--- /dev/null
+++ b/src/briarseam/cache/retention.py
@@ -0,0 +1,294 @@
+"""What a kept group is worth: its chance to return, per byte and second.
+
+A group belongs to a class: its organisation, its length and whether it has
+returned before.  For each class the ages at which groups returned, and at
+which they were given up without returning, are counted in bins that double
+in width.  From these counts follows the density of hits that keeping a
+group of a given age will bring per second of the space it takes.  Groups
+whose density is lowest are freed first.
+"""
+
+from __future__ import annotations
+
+import array
+import collections
+import dataclasses
+import enum
+import math
+import random
+import threading
+import typing
+
+AGE_BINS = 25
+MAX_USES = 2
+MAX_CLASS_EVENTS = 4000.0
+DECAY = 0.5
+PRIOR_EVENTS = 8.0
+SAMPLE = 64
+
+
+class Policy(enum.StrEnum):
+    """How victims are chosen."""
+
+    VALUE = "value"
+    LRU = "lru"
+
+
+@dataclasses.dataclass(frozen=True)
+class GroupClass:
+    """Groups that are expected to return alike.
+
+    Attributes
+    ----------
+    organisation
+        Its hash.
+    length
+        Binary logarithm of the number of pieces.
+    uses
+        1 for a group never wanted again so far, ``MAX_USES`` for others.
+    """
+
+    organisation: bytes
+    length: int
+    uses: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """What is known of a group when a victim is looked for.
+
+    Attributes
+    ----------
+    group
+        Its hash.
+    kind
+        Its class.
+    age_s
+        Seconds since it was last wanted.
+    cost_per_byte
+        Seconds of prefill that a kept byte saves.
+    """
+
+    group: bytes
+    kind: GroupClass
+    age_s: float
+    cost_per_byte: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """A group that may return.
+
+    Attributes
+    ----------
+    kind
+        Its class.
+    since
+        When it was last wanted.
+    """
+
+    kind: GroupClass
+    since: float
+
+
+def class_of(organisation: bytes, pieces: int, uses: int) -> GroupClass:
+    """Return the class of a group."""
+    length = max(pieces, 1).bit_length()
+    return GroupClass(organisation, length, min(uses, MAX_USES))
+
+
+def age_bin(age_s: float) -> int:
+    """Return the bin of an age; bin ``b`` begins at ``2**b - 1`` seconds."""
+    return min(int(math.log2(max(age_s, 0.0) + 1.0)), AGE_BINS - 1)
+
+
+def bin_middle(index: int) -> float:
+    """Return the age in seconds in the middle of a bin."""
+    return float(1.5 * 2.0**index - 1.0)
+
+
+MIDDLES = [bin_middle(index) for index in range(AGE_BINS)]
+
+
+class Ages:
+    """Counts of the ages at which groups of one class ended a wait."""
+
+    def __init__(self) -> None:
+        self.returned = array.array("f", [0.0] * AGE_BINS)
+        self.given_up = array.array("f", [0.0] * AGE_BINS)
+        self.total = 0.0
+        self.densities: list[float] | None = None
+
+    def note(self, age_s: float, returned: bool) -> None:
+        """Count one end of a wait."""
+        counts = self.returned if returned else self.given_up
+        counts[age_bin(age_s)] += 1.0
+        self.total += 1.0
+        self.densities = None
+        if self.total > MAX_CLASS_EVENTS:
+            self.fade()
+
+    def fade(self) -> None:
+        """Let old counts weigh less, so that a change is learned."""
+        for index in range(AGE_BINS):
+            self.returned[index] *= DECAY
+            self.given_up[index] *= DECAY
+        self.total *= DECAY
+
+    def density(self, age_s: float) -> float:
+        """Return hits per second of keeping a group of this age."""
+        if self.densities is None:
+            self.densities = self.work_out()
+        return self.densities[age_bin(age_s)]
+
+    def work_out(self) -> list[float]:
+        """Return the density for each bin.
+
+        For bin ``a``: the hits at ages of ``a`` and above, by the time
+        that groups which reach ``a`` stay until they return or are given
+        up.
+        """
+        densities = []
+        for start in range(AGE_BINS):
+            hits = 0.0
+            stay_s = 0.0
+            for index in range(start, AGE_BINS):
+                returned = self.returned[index]
+                ended = returned + self.given_up[index]
+                hits += returned
+                stay_s += ended * max(
+                    MIDDLES[index] - MIDDLES[start], MIDDLES[start] / 3, 0.5
+                )
+            densities.append(hits / stay_s if stay_s > 0.0 else 0.0)
+        return densities
+
+
+class ReturnModel:
+    """Learns how groups return.
+
+    Groups that were freed are remembered for a while, without their
+    blocks: were they forgotten, returns later than the space lasts could
+    never be learned.
+
+    Parameters
+    ----------
+    max_waiting
+        Most groups remembered.
+    max_classes
+        Most classes counted apart.
+    """
+
+    def __init__(
+        self, max_waiting: int = 20000, max_classes: int = 4096
+    ) -> None:
+        self.max_waiting = max_waiting
+        self.max_classes = max_classes
+        self.lock = threading.Lock()
+        self.everything = Ages()
+        self.classes: dict[GroupClass, Ages] = {}
+        self.waiting: collections.OrderedDict[bytes, Waiting] = (
+            collections.OrderedDict()
+        )
+
+    def wanted(self, group: bytes, pieces: int, now: float) -> None:
+        """Note that a group was wanted, for the first time or again.
+
+        Parameters
+        ----------
+        group
+            Its hash.
+        pieces
+            Its length now.
+        now
+            Seconds.
+        """
+        organisation = group[:4]
+        with self.lock:
+            before = self.waiting.pop(group, None)
+            uses = 1
+            if before is not None:
+                self.note(before.kind, now - before.since, returned=True)
+                uses = before.kind.uses + 1
+            kind = class_of(organisation, pieces, uses)
+            self.waiting[group] = Waiting(kind, now)
+            while len(self.waiting) > self.max_waiting:
+                _, old = self.waiting.popitem(last=False)
+                self.note(old.kind, now - old.since, returned=False)
+
+    def note(self, kind: GroupClass, age_s: float, returned: bool) -> None:
+        """Count one end of a wait, for the class and over all."""
+        self.everything.note(age_s, returned)
+        ages = self.classes.get(kind)
+        if ages is None:
+            if len(self.classes) >= self.max_classes:
+                return
+            ages = self.classes[kind] = Ages()
+        ages.note(age_s, returned)
+
+    def density(self, kind: GroupClass, age_s: float) -> float:
+        """Return hits per second of keeping such a group.
+
+        A class seen seldom leans on what all groups do.
+        """
+        with self.lock:
+            common = self.everything.density(age_s)
+            ages = self.classes.get(kind)
+            if ages is None:
+                return common
+            weight = ages.total / (ages.total + PRIOR_EVENTS)
+            return weight * ages.density(age_s) + (1.0 - weight) * common
+
+    def kind(self, group: bytes, pieces: int) -> GroupClass:
+        """Return the class of a group, by what is remembered of it."""
+        with self.lock:
+            known = self.waiting.get(group)
+        if known is not None:
+            return known.kind
+        return class_of(group[:4], pieces, 1)
+
+
+class Ranker:
+    """Puts candidates in order of being freed.
+
+    Parameters
+    ----------
+    model
+        What is known of returns.
+    policy
+        How to choose.
+    """
+
+    def __init__(self, model: ReturnModel, policy: Policy) -> None:
+        self.model = model
+        self.policy = policy
+
+    def worth(self, candidate: Candidate) -> float:
+        """Return what keeping a group is worth; the lowest goes first."""
+        match self.policy:
+            case Policy.LRU:
+                return -candidate.age_s
+            case Policy.VALUE:
+                density = self.model.density(candidate.kind, candidate.age_s)
+                return density * candidate.cost_per_byte
+
+    def victim(
+        self, candidates: typing.Iterable[Candidate]
+    ) -> Candidate | None:
+        """Return the candidate to free first.
+
+        Groups of equal worth go by age, the oldest first.
+        """
+        return min(
+            candidates,
+            key=lambda candidate: (self.worth(candidate), -candidate.age_s),
+            default=None,
+        )
+
+
+def sampled(
+    groups: typing.Sequence[bytes], chance: random.Random
+) -> list[bytes]:
+    """Return a bounded random part of the groups."""
+    if len(groups) <= SAMPLE:
+        return list(groups)
+    return [groups[chance.randrange(len(groups))] for _ in range(SAMPLE)]
--- /dev/null
+++ b/src/briarseam/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the endpoints: model engines, plain services, stores."""
