--- /dev/null
+++ b/src/briarseam/configuration/peers.py
@@ -0,0 +1,148 @@
+"""Configuration from other agents, asked for over the wire."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import xxhash
+
+from briarseam.configuration import messages
+from briarseam.configuration import snapshots
+from briarseam.wire import client as clients
+from briarseam.wire import connection as connections
+
+if typing.TYPE_CHECKING:
+    from briarseam.configuration import fold as folds
+
+READERS_PER_CELL = 2
+ANSWER_TIMEOUT_S = 1.5
+MAX_PARTS = 4096
+
+Members = typing.Callable[[], typing.Mapping[str, str]]
+
+
+class PeerError(Exception):
+    """The peer gave no usable answer."""
+
+
+def rank(name: str) -> int:
+    """Return where a member stands in the order of readers."""
+    return xxhash.xxh64_intdigest(f"configuration-reader/{name}".encode())
+
+
+def ranked(names: typing.Iterable[str]) -> list[str]:
+    """Return the names, those that read the log first."""
+    return sorted(names, key=rank)
+
+
+@dataclasses.dataclass
+class Peers:
+    """Asks peers; keeps one client for each address.
+
+    Attributes
+    ----------
+    me
+        This process.
+    key
+        The agents' shared key.
+    members
+        Gives the live members of the cell, wire address by name.
+    """
+
+    me: connections.Identity
+    key: bytes
+    members: Members
+    pool: dict[str, clients.Client] = dataclasses.field(default_factory=dict)
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+    def addresses(self) -> dict[str, str]:
+        """Return the other members' addresses by name."""
+        members = dict(self.members())
+        members.pop(self.me.name, None)
+        return members
+
+    def readers(self) -> list[str]:
+        """Return the names of those that read the log for the cell.
+
+        Members may differ for a moment over who that is.  Then some more or
+        fewer read the log, and those that hear nothing turn to it
+        themselves; nothing else depends on it.
+        """
+        names = {*self.addresses(), self.me.name}
+        return ranked(names)[:READERS_PER_CELL]
+
+    def fetch_records(
+        self, address: str, after: int, wait_ms: int
+    ) -> messages.Records:
+        """Return a peer's records past ``after``.
+
+        Raises
+        ------
+        PeerError
+            When it gave no usable answer.
+        """
+        request = messages.FetchRecords(after, wait_ms)
+        timeout_s = wait_ms / 1000 + ANSWER_TIMEOUT_S
+        reply = self.call(address, request, timeout_s)
+        if not isinstance(reply, messages.Records):
+            raise PeerError(f"{address} answered {reply}")
+        return reply
+
+    def fetch_state(self, address: str) -> folds.Fold:
+        """Return a peer's whole state.
+
+        Raises
+        ------
+        PeerError
+            When it has none or it changed too often meanwhile.
+        """
+        found: list[messages.State] = []
+        for _ in range(MAX_PARTS):
+            request = messages.FetchState(len(found))
+            reply = self.call(address, request, ANSWER_TIMEOUT_S)
+            if not isinstance(reply, messages.State) or not reply.ready:
+                raise PeerError(f"{address} has no state")
+            if found and reply.offset != found[0].offset:
+                # It moved on between two parts: begin again.
+                found = []
+                continue
+            found.append(reply)
+            if len(found) == reply.parts:
+                return join_parts(found)
+        raise PeerError(f"{address} gave no whole state")
+
+    def call(
+        self, address: str, request: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        """Return the reply of the peer at ``address``."""
+        try:
+            return self.client(address).call(request, timeout_s)
+        except connections.WireError as error:
+            raise PeerError(str(error)) from error
+
+    def client(self, address: str) -> clients.Client:
+        """Return the client for ``address``."""
+        with self.lock:
+            if address not in self.pool:
+                self.pool[address] = clients.Client(
+                    address, self.me, self.key, max_idle=1
+                )
+            return self.pool[address]
+
+    def close(self) -> None:
+        """Close all connections."""
+        with self.lock:
+            for client in self.pool.values():
+                client.close()
+            self.pool.clear()
+
+
+def join_parts(parts: typing.Sequence[messages.State]) -> folds.Fold:
+    """Return the fold of a state's parts."""
+    data = b"".join(part.data for part in parts)
+    try:
+        return snapshots.unpack_state(data, parts[0].offset, parts[0].digest)
+    except snapshots.SnapshotError as error:
+        raise PeerError(str(error)) from error
--- /dev/null
+++ b/src/briarseam/configuration/reader.py
@@ -0,0 +1,340 @@
+"""An agent's reader: the configuration in force here, and how current.
+
+Two agents of a cell follow the log; the others put long polls to those two
+and get each record as it arrives.  An agent that learns nothing from them
+turns to the log itself, then to any other peer.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import threading
+import typing
+
+import structlog
+
+from briarseam.configuration import answering
+from briarseam.configuration import loading
+from briarseam.configuration import peers as peer_calls
+from briarseam.configuration import records
+from briarseam.configuration import snapshots
+from briarseam.configuration import snapshotting
+from briarseam.configuration import state as states
+from briarseam.platform import log as logs
+
+if typing.TYPE_CHECKING:
+    from briarseam.configuration import messages
+    from briarseam.configuration import schema
+    from briarseam.configuration import teams as team_types
+    from briarseam.wire import connection as connections
+    from briarseam.wire import server
+
+# A peer's proof older than this is no news: ask someone else too.
+FRESH_S = 4.0
+MIN_PAUSE_S = 0.1
+MAX_PAUSE_S = 2.0
+OTHERS_ASKED = 3
+# Above any offset: an answer to it carries the peer's offset and no data.
+BEYOND = 1 << 62
+log = structlog.get_logger("briarseam.configuration")
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How a reader works.
+
+    Attributes
+    ----------
+    log_wait_ms
+        Length of one long poll at the log.
+    peer_wait_ms
+        Length of one long poll at a reading peer.
+    everyone_reads
+        Every agent follows the log; for comparison by measurement.
+    snapshots
+        When snapshots are due.
+    """
+
+    log_wait_ms: int = 1000
+    peer_wait_ms: int = 500
+    everyone_reads: bool = False
+    snapshots: snapshotting.Options = snapshotting.Options()
+
+
+class ConfigurationReader:
+    """Holds the configuration in force at this agent.
+
+    Parameters
+    ----------
+    client
+        The log.
+    teams
+        Whose changes are believed.
+    me
+        This process.
+    key
+        The agents' shared key.
+    members
+        Gives the live members of the cell, wire address by name; with or
+        without this agent.
+    options
+        How it works.
+    """
+
+    def __init__(
+        self,
+        client: logs.LogClient,
+        teams: team_types.Teams,
+        me: connections.Identity,
+        key: bytes,
+        members: peer_calls.Members = dict,
+        options: Options | None = None,
+    ) -> None:
+        self.client = client
+        self.teams = teams
+        self.options = options or Options()
+        self.counters = states.Counters()
+        self.tree = states.SharedTree(teams, self.counters)
+        self.peers = peer_calls.Peers(me, key, members)
+        self.snapshot_key = snapshots.derive_key(key)
+        self.snapshotter = snapshotting.Snapshotter(
+            client,
+            self.tree,
+            self.snapshot_key,
+            self.reader_rank,
+            self.options.snapshots,
+        )
+        self.answering = answering.Answering(
+            self.tree, self.ready, self.proof_age_ms
+        )
+        self.proof_at = -math.inf
+        self.contact_at = -math.inf
+        self.history_lost = False
+        self.hints: dict[str, int] = {}
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run, name="configuration", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to load and to follow."""
+        self.thread.start()
+        self.snapshotter.start()
+
+    def stop(self) -> None:
+        """Stop after the poll under way."""
+        self.stopping.set()
+        self.snapshotter.stop()
+        self.peers.close()
+
+    def register(self, router: server.Router) -> None:
+        """Answer peers' messages on ``router``."""
+        self.answering.register(router)
+
+    def view(self) -> schema.View:
+        """Return the typed tree in force here."""
+        return self.tree.view
+
+    def offset(self) -> int:
+        """Return the offset of the last record in force here."""
+        return self.tree.view.offset
+
+    def ready(self) -> bool:
+        """Tell whether there is a tree; before that, no new work."""
+        return self.tree.loaded
+
+    def staleness_s(self) -> float:
+        """Return for how long this agent has heard neither log nor peer.
+
+        An agent over the limit refuses new work as not run: it may be cut
+        off from changes that everybody else follows.  Hearing a peer that
+        is not ahead counts too, or an outage of the log, during which
+        nothing can be published, would end all service.
+        """
+        if not self.ready():
+            return math.inf
+        heard_at = max(self.proof_at, self.contact_at)
+        return max(0.0, states.now_s() - heard_at)
+
+    def log_age_s(self) -> float:
+        """Return the age of the last proof that this is the log's end."""
+        return max(0.0, states.now_s() - self.proof_at)
+
+    def proof_age_ms(self) -> int:
+        """Return :meth:`log_age_s` in ms, -1 for never."""
+        age_s = self.log_age_s()
+        return -1 if math.isinf(age_s) else int(age_s * 1000)
+
+    def note_peer_offset(self, name: str, offset: int) -> None:
+        """Take note of the offset in a peer's heartbeat."""
+        self.hints[name] = offset
+
+    def reader_rank(self) -> int | None:
+        """Return this agent's place among the log's readers, else None."""
+        if self.options.everyone_reads:
+            return 0
+        readers = self.peers.readers()
+        name = self.peers.me.name
+        return readers.index(name) if name in readers else None
+
+    def run(self) -> None:
+        """Load, then follow until stopped."""
+        pause_s = MIN_PAUSE_S
+        while not self.stopping.is_set():
+            if self.round():
+                pause_s = MIN_PAUSE_S
+                continue
+            self.stopping.wait(pause_s)
+            pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+    def round(self) -> bool:
+        """Ask once for what is new; tell whether that brought proof."""
+        if self.tree.fold.stopped is not None:
+            return False
+        if not self.ready():
+            return self.load()
+        before = self.offset()
+        proved = self.ask_sources()
+        if self.offset() == before:
+            self.follow_hints()
+        return proved
+
+    def ask_sources(self) -> bool:
+        """Ask the sources in turn until one proves to be current."""
+        asked: set[str] = set()
+        if self.reader_rank() is None:
+            for name in self.reading_peers():
+                wait_ms = 0 if asked else self.options.peer_wait_ms
+                asked.add(name)
+                if self.follow_peer(name, wait_ms):
+                    return True
+            if self.follow_log(0):
+                return True
+        elif self.follow_log(self.options.log_wait_ms):
+            return True
+        others = [name for name in self.peers.addresses() if name not in asked]
+        return any(
+            [self.follow_peer(name, 0) for name in others[:OTHERS_ASKED]]
+        )
+
+    def reading_peers(self) -> list[str]:
+        """Return the reading peers, half of the cell's one order each."""
+        names = self.peers.readers()
+        odd = peer_calls.rank(self.peers.me.name) % 2
+        return names[::-1] if odd else names
+
+    def follow_hints(self) -> None:
+        """Ask a peer whose heartbeat told of a higher offset."""
+        for name, offset in list(self.hints.items()):
+            if offset > self.offset():
+                self.follow_peer(name, 0)
+
+    def follow_log(self, wait_ms: int) -> bool:
+        """Read the log once; tell whether this agent is current with it."""
+        sent_at = states.now_s()
+        offset = self.offset()
+        try:
+            batch = self.client.read(records.STREAM, offset, wait_ms)
+            loading.check_batch(batch, offset)
+        except logs.LogUnavailableError:
+            return False
+        except loading.HistoryLostError as error:
+            self.note_history_lost(error)
+            return self.load()
+        finally:
+            self.counters.log_reads += 1
+        data = [record.data for record in batch.records]
+        self.counters.log_bytes += sum(map(len, data))
+        self.tree.extend(offset + 1, data)
+        if self.offset() + 1 >= batch.next:
+            self.note_proof(sent_at)
+            return True
+        return bool(data) and self.tree.fold.stopped is None
+
+    def follow_peer(self, name: str, wait_ms: int) -> bool:
+        """Ask a peer once; tell whether it has recent proof."""
+        address = self.peers.addresses().get(name)
+        if address is None:
+            self.hints.pop(name, None)
+            return False
+        sent_at = states.now_s()
+        offset = self.offset()
+        self.counters.peer_reads += 1
+        try:
+            reply = self.peers.fetch_records(address, offset, wait_ms)
+            if reply.ready and not reply.retained:
+                self.counters.state_fetches += 1
+                self.tree.replace(self.peers.fetch_state(address))
+        except peer_calls.PeerError:
+            return False
+        return self.take_reply(reply, sent_at, offset)
+
+    def take_reply(
+        self, reply: messages.Records, sent_at: float, asked: int
+    ) -> bool:
+        """Fold in a peer's records; tell whether it has recent proof."""
+        if not reply.ready:
+            return False
+        self.counters.peer_bytes += sum(map(len, reply.data))
+        self.tree.extend(asked + 1, reply.data)
+        self.tree.differs(reply.offset, reply.digest)
+        if self.offset() < reply.offset:
+            return bool(reply.data)
+        # Counted from when the question was sent: an agent that was frozen
+        # and finds an old answer in its socket must not think it current.
+        self.contact_at = max(self.contact_at, sent_at)
+        if reply.proof_age_ms < 0:
+            return False
+        age_s = reply.proof_age_ms / 1000
+        if self.offset() == reply.offset:
+            self.note_proof(sent_at - age_s)
+        return age_s <= FRESH_S
+
+    def load(self) -> bool:
+        """Take the tree from the log, else from the peers."""
+        started_at = states.now_s()
+        try:
+            fold = loading.load(self.client, self.teams, self.snapshot_key)
+        except logs.LogUnavailableError:
+            return self.load_from_peers()
+        except loading.HistoryLostError as error:
+            self.note_history_lost(error)
+            return self.load_from_peers()
+        self.tree.replace(fold)
+        if fold.stopped is None and self.offset() == fold.offset:
+            self.history_lost = False
+            self.note_proof(started_at)
+        return True
+
+    def load_from_peers(self) -> bool:
+        """Take the highest state among the peers."""
+        started_at = states.now_s()
+        offsets: dict[str, int] = {}
+        for address in self.peers.addresses().values():
+            try:
+                reply = self.peers.fetch_records(address, BEYOND, 0)
+            except peer_calls.PeerError:
+                continue
+            if reply.ready:
+                offsets[address] = reply.offset
+        for address in sorted(offsets, key=offsets.__getitem__, reverse=True):
+            try:
+                fold = self.peers.fetch_state(address)
+            except peer_calls.PeerError:
+                continue
+            if self.tree.replace(fold):
+                self.contact_at = max(self.contact_at, started_at)
+            return True
+        return False
+
+    def note_proof(self, at_s: float) -> None:
+        """Note that this was the log's end at ``at_s``."""
+        self.proof_at = max(self.proof_at, at_s)
+
+    def note_history_lost(self, error: loading.HistoryLostError) -> None:
+        """Count lost history; a line when it begins."""
+        self.counters.history_lost += 1
+        if not self.history_lost:
+            log.error("configuration_history_lost", detail=str(error))
+        self.history_lost = True
--- /dev/null
+++ b/src/briarseam/configuration/records.py
@@ -0,0 +1,185 @@
+"""Change records of the stream ``configuration``.
+
+A record is the msgpack array ``[v, author, body, proof]``.  The body is
+opaque bytes (for version 1: zlib over msgpack) and the proof is an HMAC by
+the author's team over the other three.  This envelope is the same for every
+version, so that each release can tell an authentic record of a version it
+does not know from a forged one.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+import typing
+import zlib
+
+import msgpack
+
+STREAM = "configuration"
+VERSION = 1
+ID_BYTES = 16
+MAX_RECORD_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
+LABEL = b"briarseam configuration change"
+
+Value = typing.Any
+
+
+class RecordError(ValueError):
+    """Bytes that are not a record, or a body that is not a change."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One atomic change of several paths.
+
+    Attributes
+    ----------
+    id
+        Random, 16 bytes in hex; doubles are known by it.
+    author
+        Name of the team.
+    operator
+        Who gave the command, for the history only.
+    base
+        Offset of the tree that the change was planned on.
+    expects
+        Revision that each path must still have; 0 means absent.  Every
+        path set must be among them.
+    sets
+        New value by path; ``None`` deletes.
+    """
+
+    id: str
+    author: str
+    operator: str
+    base: int
+    expects: typing.Mapping[str, int]
+    sets: typing.Mapping[str, Value]
+
+
+@dataclasses.dataclass(frozen=True)
+class Envelope:
+    """A record as it stands in the log, not yet believed."""
+
+    version: int
+    author: str
+    body: bytes
+    proof: bytes
+
+    def signed_bytes(self) -> bytes:
+        """Return what the proof is over."""
+        parts = [LABEL, self.version, self.author, self.body]
+        return typing.cast("bytes", msgpack.packb(parts))
+
+
+def new_id() -> str:
+    """Return a fresh change id."""
+    return secrets.token_hex(ID_BYTES)
+
+
+def encode(
+    change: Change, sign: typing.Callable[[str, bytes], bytes]
+) -> bytes:
+    """Return the record of ``change``.
+
+    Parameters
+    ----------
+    change
+        What to publish.
+    sign
+        Makes the proof, see :meth:`teams.Teams.sign`.
+
+    Raises
+    ------
+    RecordError
+        When the record is larger than the log takes.
+    """
+    fields = {
+        "id": change.id,
+        "operator": change.operator,
+        "base": change.base,
+        "expects": dict(change.expects),
+        "sets": dict(change.sets),
+    }
+    body = zlib.compress(msgpack.packb(fields))
+    unsigned = Envelope(VERSION, change.author, body, b"")
+    proof = sign(change.author, unsigned.signed_bytes())
+    data = msgpack.packb([VERSION, change.author, body, proof])
+    if len(data) > MAX_RECORD_BYTES:
+        raise RecordError(
+            f"the change is {len(data)} bytes, the log takes"
+            f" {MAX_RECORD_BYTES}: apply it in parts"
+        )
+    return typing.cast("bytes", data)
+
+
+def open_envelope(data: bytes) -> Envelope:
+    """Return the envelope of a record.
+
+    Raises
+    ------
+    RecordError
+        When the bytes are no record.
+    """
+    try:
+        version, author, body, proof = msgpack.unpackb(data, raw=False)
+    except (ValueError, TypeError) as error:
+        raise RecordError(f"not a record: {error}") from error
+    typed = (
+        isinstance(version, int)
+        and isinstance(author, str)
+        and isinstance(body, bytes)
+        and isinstance(proof, bytes)
+    )
+    if not typed:
+        raise RecordError("not a record: a part has the wrong type")
+    return Envelope(version, author, body, proof)
+
+
+def decode_body(envelope: Envelope) -> Change:
+    """Return the change in a version 1 envelope.
+
+    The checks are part of version 1 and must never change: a release that
+    took another view of a body would fold another tree.
+
+    Raises
+    ------
+    RecordError
+        When the body is no change.
+    """
+    try:
+        inflater = zlib.decompressobj()
+        packed = inflater.decompress(envelope.body, MAX_BODY_BYTES)
+        fields = msgpack.unpackb(packed, raw=False)
+        change = Change(
+            id=fields["id"],
+            author=envelope.author,
+            operator=fields["operator"],
+            base=fields["base"],
+            expects=fields["expects"],
+            sets=fields["sets"],
+        )
+    except (ValueError, TypeError, KeyError, zlib.error) as error:
+        raise RecordError(f"not a change: {error}") from error
+    check_types(change)
+    return change
+
+
+def check_types(change: Change) -> None:
+    """Raise :class:`RecordError` unless every field has its type."""
+    if not isinstance(change.id, str) or not change.id:
+        raise RecordError("the id is not a string")
+    if not isinstance(change.base, int):
+        raise RecordError("the base is not an offset")
+    if not isinstance(change.expects, dict):
+        raise RecordError("expects is not an object")
+    if not isinstance(change.sets, dict):
+        raise RecordError("sets is not an object")
+    for path, revision in change.expects.items():
+        if not isinstance(path, str) or not isinstance(revision, int):
+            raise RecordError("an expected revision is malformed")
+    for path in change.sets:
+        if path not in change.expects:
+            raise RecordError(f"{path} is set without an expected revision")
--- /dev/null
+++ b/src/briarseam/configuration/snapshotting.py
@@ -0,0 +1,175 @@
+"""Writes snapshots and checks those of others."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import threading
+import time
+import typing
+
+import structlog
+
+from briarseam.configuration import snapshots
+from briarseam.platform import log as logs
+
+if typing.TYPE_CHECKING:
+    from briarseam.configuration import state as states
+
+DAY_S = 86400.0
+log = structlog.get_logger("briarseam.configuration")
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """When snapshots are due.
+
+    Attributes
+    ----------
+    every_records
+        After this many records since the last one.
+    max_age_s
+        When the last one is older: a quarter of the log's retention leaves
+        three more tries' worth of time.
+    backoff_s
+        The reader of rank n waits n to n + 1 times this, so that as a rule
+        one of all readers writes.
+    check_s
+        Time between two looks at the stream.
+    """
+
+    every_records: int = 2000
+    max_age_s: float = DAY_S / 4
+    backoff_s: float = 5.0
+    check_s: float = 2.0
+
+
+class Snapshotter:
+    """A thread that keeps a recent whole snapshot on the log.
+
+    Parameters
+    ----------
+    client
+        The log.
+    tree
+        What this agent holds.
+    key
+        Key of the snapshots.
+    rank
+        This agent's place among the log's readers; ``None`` when it is not
+        one, then it does nothing.
+    options
+        When snapshots are due.
+    """
+
+    def __init__(
+        self,
+        client: logs.LogClient,
+        tree: states.SharedTree,
+        key: bytes,
+        rank: typing.Callable[[], int | None],
+        options: Options,
+    ) -> None:
+        self.client = client
+        self.tree = tree
+        self.key = key
+        self.rank = rank
+        self.options = options
+        self.assembler = snapshots.Assembler(key)
+        self.last: snapshots.Snapshot | None = None
+        self.after: int | None = None
+        self.due_at: float | None = None
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run, name="configuration-snapshots", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to look."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop after the look under way."""
+        self.stopping.set()
+
+    def run(self) -> None:
+        """Look, and write when due, until stopped."""
+        while not self.stopping.wait(self.options.check_s):
+            rank = self.rank()
+            if rank is None or not self.tree.loaded:
+                self.due_at = None
+                continue
+            try:
+                self.look()
+                self.write_when_due(rank)
+            except logs.LogUnavailableError:
+                self.due_at = None
+
+    def look(self) -> None:
+        """Read what was written since the last look."""
+        if self.after is None:
+            self.last, self.after = snapshots.newest_whole(
+                self.client, self.key
+            )
+            if self.last is not None:
+                self.tree.differs(self.last.through, self.last.digest)
+        while True:
+            batch = self.client.read(snapshots.STREAM, self.after)
+            for record in batch.records:
+                self.after = record.offset
+                whole = self.assembler.add(record)
+                if whole is not None:
+                    self.take(whole)
+            if self.after + 1 >= batch.next:
+                return
+
+    def take(self, whole: snapshots.Snapshot) -> None:
+        """Take note of a whole snapshot and check it."""
+        self.tree.counters.snapshots_read += 1
+        self.tree.differs(whole.through, whole.digest)
+        if self.last is None or whole.through >= self.last.through:
+            self.last = whole
+
+    def is_due(self) -> bool:
+        """Tell whether a new snapshot is wanted."""
+        offset = self.tree.view.offset
+        if self.tree.fold.stopped is not None or offset == 0:
+            return False
+        if self.last is None:
+            return True
+        age_s = time.time() - self.last.time_ms / 1000
+        behind = offset - self.last.through
+        return (
+            behind >= self.options.every_records
+            or age_s >= self.options.max_age_s
+        )
+
+    def write_when_due(self, rank: int) -> None:
+        """Write once a due snapshot was not written by others."""
+        if not self.is_due():
+            self.due_at = None
+            return
+        now = time.monotonic()
+        if self.due_at is None:
+            backoff_s = self.options.backoff_s
+            self.due_at = now + (rank + random.random()) * backoff_s
+        if now < self.due_at:
+            return
+        self.due_at = None
+        self.write()
+
+    def write(self) -> None:
+        """Append all chunks; give up at the first that fails.
+
+        The chunks before it then complete nothing and are passed over by
+        readers, and a later try writes a new snapshot.
+        """
+        with self.tree.changed:
+            chunks = snapshots.make_chunks(self.tree.fold)
+        for chunk in chunks:
+            data = snapshots.encode_chunk(chunk, self.key)
+            outcome = self.client.append(snapshots.STREAM, data)
+            if not isinstance(outcome, logs.Appended):
+                return
+        self.tree.counters.snapshots_written += 1
+        log.info("snapshot_written", through=chunks[0].through)
--- /dev/null
+++ b/src/briarseam/configuration/teams.py
@@ -0,0 +1,111 @@
+"""Who may set which paths, and the keys that prove it."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import hashlib
+import hmac
+import typing
+
+ANY = "*"
+
+
+class TeamsError(ValueError):
+    """Two teams hold the same subtree, or a team has no name."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Team:
+    """One team and its subtree.
+
+    Attributes
+    ----------
+    name
+        Its name, the author of its changes.
+    keys
+        Secret keys; the first signs, all of them verify, so that a key can
+        be replaced without making older records invalid.
+    prefixes
+        Paths it holds: ``models`` or ``models/draft`` with everything
+        below, or ``endpoints/draft-*`` for names that begin so.
+    """
+
+    name: str
+    keys: tuple[bytes, ...]
+    prefixes: tuple[str, ...]
+
+
+def prefix_covers(prefix: str, path: str) -> bool:
+    """Tell whether ``path`` lies under ``prefix``."""
+    if prefix.endswith(ANY):
+        return path.startswith(prefix[: -len(ANY)])
+    whole = prefix.rstrip("/")
+    return path == whole or path.startswith(whole + "/")
+
+
+@dataclasses.dataclass(frozen=True)
+class Teams:
+    """All teams of a deployment; the same in every agent's settings.
+
+    Attributes
+    ----------
+    members
+        The teams.
+    assume_valid
+        Take records of teams whose key is not known here as authentic.
+        Only for an operator's command, which holds its own key alone: the
+        agents check every proof, whatever the command believed.
+    """
+
+    members: tuple[Team, ...] = ()
+    assume_valid: bool = False
+
+    def __post_init__(self) -> None:
+        prefixes: set[str] = set()
+        for team in self.members:
+            if not team.name:
+                raise TeamsError("a team has no name")
+            for prefix in team.prefixes:
+                if prefix in prefixes:
+                    raise TeamsError(f"two teams hold {prefix}")
+                prefixes.add(prefix)
+
+    @functools.cached_property
+    def by_name(self) -> typing.Mapping[str, Team]:
+        """The teams by name."""
+        return {team.name: team for team in self.members}
+
+    def owner(self, path: str) -> str | None:
+        """Return the team that holds ``path``: the longest prefix wins."""
+        best = ""
+        name = None
+        for team in self.members:
+            for prefix in team.prefixes:
+                if prefix_covers(prefix, path) and len(prefix) > len(best):
+                    best = prefix
+                    name = team.name
+        return name
+
+    def sign(self, author: str, data: bytes) -> bytes:
+        """Return the proof of ``data`` by ``author``'s first key.
+
+        Raises
+        ------
+        TeamsError
+            When this process does not hold the author's key.
+        """
+        team = self.by_name.get(author)
+        if team is None or not team.keys:
+            raise TeamsError(f"no key of team {author} in the settings")
+        return hmac.digest(team.keys[0], data, hashlib.sha256)
+
+    def verifies(self, author: str, data: bytes, proof: bytes) -> bool:
+        """Tell whether ``proof`` shows that ``author`` wrote ``data``."""
+        team = self.by_name.get(author)
+        if team is None or not team.keys:
+            return self.assume_valid
+        return any(
+            hmac.compare_digest(hmac.digest(key, data, hashlib.sha256), proof)
+            for key in team.keys
+        )
