--- a/src/briarseam/configuration/teams.py
+++ b/src/briarseam/configuration/teams.py
@@ -8,6 +8,9 @@
 import hmac
 import typing
 
+if typing.TYPE_CHECKING:
+    from briarseam.settings import sections
+
 ANY = "*"
 
 
@@ -109,3 +112,19 @@
             hmac.compare_digest(hmac.digest(key, data, hashlib.sha256), proof)
             for key in team.keys
         )
+
+
+def from_settings(teams: typing.Iterable[sections.Team]) -> Teams:
+    """Return the teams of a settings file.
+
+    Raises
+    ------
+    TeamsError
+        When two of them hold the same subtree.
+    """
+    return Teams(
+        tuple(
+            Team(team.name, (team.key.value,), tuple(team.paths))
+            for team in teams
+        )
+    )
