Add the command line's frame and the settings check

Cause: each subcommand is to register its own options, and an agent must not load the entry's HTTP server.

The registry names modules and imports only the chosen one. Ruled out: importing all of them for one parser, which loads every library everywhere.

--- /dev/null
+++ b/src/briarseam/command/__init__.py
@@ -0,0 +1,111 @@
+"""The subcommands; each module registers its own options.
+
+A command module offers ``add_options(parser)`` and ``execute(args) -> int``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import importlib
+import typing
+
+import briarseam
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+
+@dataclasses.dataclass(frozen=True)
+class Command:
+    """One subcommand.
+
+    Attributes
+    ----------
+    name
+        Word on the command line.
+    module
+        Module that registers its options and executes it.
+    summary
+        What it does, for the list of subcommands.
+    """
+
+    name: str
+    module: str
+    summary: str
+
+
+# Modules are named and not imported here: an agent must not pay the memory
+# of the entry's HTTP server, nor a lookup the time to load the bench.
+COMMANDS = (
+    Command(
+        "settings",
+        "briarseam.command.settings",
+        "check a settings file, show each value and its source",
+    ),
+)
+
+
+class Module(typing.Protocol):
+    """What every command module offers."""
+
+    def add_options(self, parser: argparse.ArgumentParser) -> None:
+        """Add the options of the subcommand to its parser."""
+
+    def execute(self, args: argparse.Namespace) -> int:
+        """Run the subcommand and return its exit status."""
+
+
+def execute(arguments: collections.abc.Sequence[str]) -> int:
+    """Run the subcommand that the arguments name.
+
+    Raises
+    ------
+    SystemExit
+        If the arguments are malformed (status 2) or ask for help (0).
+    """
+    chosen = find(arguments)
+    parser = build_parser(chosen)
+    args = parser.parse_args(arguments)
+    if chosen is None:
+        parser.error("name a subcommand")
+    return load(chosen).execute(args)
+
+
+def find(arguments: collections.abc.Sequence[str]) -> Command | None:
+    """Return the subcommand that the first argument names."""
+    for command in COMMANDS:
+        if arguments and arguments[0] == command.name:
+            return command
+    return None
+
+
+def load(command: Command) -> Module:
+    """Return the module of a subcommand."""
+    return typing.cast("Module", importlib.import_module(command.module))
+
+
+def build_parser(chosen: Command | None) -> argparse.ArgumentParser:
+    """Return the parser, with the options of only the chosen subcommand."""
+    parser = argparse.ArgumentParser(
+        prog="briarseam",
+        description=briarseam.__doc__,
+        allow_abbrev=False,
+    )
+    subparsers = parser.add_subparsers(metavar="SUBCOMMAND")
+    for command in COMMANDS:
+        subparser = subparsers.add_parser(
+            command.name,
+            help=command.summary,
+            description=sentence(command.summary),
+            formatter_class=argparse.ArgumentDefaultsHelpFormatter,
+            allow_abbrev=False,
+        )
+        if command is chosen:
+            load(command).add_options(subparser)
+    return parser
+
+
+def sentence(summary: str) -> str:
+    """Return a summary as a sentence."""
+    return f"{summary[0].upper()}{summary[1:]}."
--- a/tests/settings/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
+import os
 import pathlib
+import subprocess
+import sys
 import typing
 
 import pytest
@@ -34,6 +37,7 @@
   organisations/kitchen
 """
 
+SOURCE = pathlib.Path(__file__).parent.parent / "src"
 Write = typing.Callable[[str], str]
 
 
@@ -50,3 +54,26 @@
         return str(path)
 
     return write_file
+
+
+@pytest.fixture
+def start_python() -> typing.Iterator[typing.Callable[..., subprocess.Popen]]:
+    """Start interpreters that see the package; end them with the test."""
+    started: list[subprocess.Popen] = []
+    environment = {**os.environ, "PYTHONPATH": str(SOURCE)}
+    environment.pop("PYTHONUNBUFFERED", None)
+
+    def start(*arguments: str) -> subprocess.Popen:
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env=environment,
+        )
+        started.append(process)
+        return process
+
+    yield start
+    for process in started:
+        with process:
+            process.kill()
