--- /dev/null
+++ b/src/briarseam/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Lookup: which entry addresses a caller should use."""
--- /dev/null
+++ b/src/briarseam/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: which agents of the cell are alive, leaving or gone."""
--- /dev/null
+++ b/src/briarseam/membership/cells.py
@@ -0,0 +1,37 @@
+"""How a zone's agents are cut into cells."""
+
+from __future__ import annotations
+
+import typing
+
+import xxhash
+
+PartsOf = typing.Callable[[str], int]
+
+
+def one_part(zone: str) -> int:
+    """Return 1: the whole zone is one cell."""
+    del zone
+    return 1
+
+
+def cell_of(name: str, zone: str, parts: int) -> str:
+    """Return the cell of an agent as ``ZONE/PART``.
+
+    Parameters
+    ----------
+    name
+        The instance's name.
+    zone
+        Its availability zone.
+    parts
+        Number of cells in the zone.  With one part more, only about one
+        agent in ``parts + 1`` changes its cell.
+    """
+    best = max(range(parts), key=lambda part: weight(name, part))
+    return f"{zone}/{best}"
+
+
+def weight(name: str, part: int) -> int:
+    """Return the rendezvous weight of a part for an agent."""
+    return xxhash.xxh64_intdigest(f"{name}\0{part}".encode())
--- /dev/null
+++ b/src/briarseam/membership/messages.py
@@ -0,0 +1,118 @@
+"""Messages between agents about who is there."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from briarseam.wire import codec
+
+
+@codec.message("about")
+@dataclasses.dataclass(frozen=True)
+class About:
+    """What an agent says of itself; changes seldom.
+
+    Attributes
+    ----------
+    name, zone, address, entries
+        As its settings name it.
+    incarnation
+        Higher after each start of the process.
+    leaving
+        Whether it will soon be gone and takes no new sessions.
+    """
+
+    name: str
+    zone: str
+    address: str
+    entries: tuple[str, ...]
+    incarnation: int
+    leaving: bool
+
+
+@codec.message("heartbeat")
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """An agent tells a peer that it lives.
+
+    Attributes
+    ----------
+    name, incarnation
+        Who it is.
+    digest
+        Of the peers it knows to be there.
+    about
+        Only on a new connection, after a change and now and then.
+    sections
+        The sections that changed since the last heartbeat.
+    """
+
+    name: str
+    incarnation: int
+    digest: int
+    about: About | None = None
+    sections: dict[str, bytes] = dataclasses.field(default_factory=dict)
+
+
+@codec.message("heartbeat-reply")
+@dataclasses.dataclass(frozen=True)
+class HeartbeatReply:
+    """The peer's answer to a heartbeat.
+
+    Attributes
+    ----------
+    name, incarnation, digest
+        Of the peer.
+    known
+        Whether the peer has the sender's ``about``.
+    superseded
+        Whether the peer hears a later start of the same instance.
+    about
+        Of the peer, when the heartbeat carried one.
+    """
+
+    name: str
+    incarnation: int
+    digest: int
+    known: bool = True
+    superseded: bool = False
+    about: About | None = None
+
+
+@codec.message("peers-asked")
+@dataclasses.dataclass(frozen=True)
+class PeersAsked:
+    """Ask which agents of the cell a peer hears."""
+
+
+@codec.message("peers")
+@dataclasses.dataclass(frozen=True)
+class Peers:
+    """The agents of the cell that the answering one hears, with itself."""
+
+    members: tuple[About, ...]
+
+
+@codec.message("heard-asked")
+@dataclasses.dataclass(frozen=True)
+class HeardAsked:
+    """Ask whether a peer still hears the named agent."""
+
+    name: str
+
+
+@codec.message("heard")
+@dataclasses.dataclass(frozen=True)
+class Heard:
+    """How long ago the answering agent heard the named one.
+
+    Attributes
+    ----------
+    silent_s
+        Seconds; ``None`` when it never did.
+    incarnation
+        Of the named agent when it was heard.
+    """
+
+    silent_s: float | None
+    incarnation: int
--- /dev/null
+++ b/src/briarseam/membership/service.py
@@ -0,0 +1,409 @@
+"""Membership: heartbeats within the cell and what they tell."""
+
+from __future__ import annotations
+
+import threading
+import time
+import typing
+
+import structlog
+
+from briarseam.membership import cells
+from briarseam.membership import messages
+from briarseam.membership import peer as peers
+from briarseam.membership import sections
+from briarseam.membership import state
+from briarseam.membership import suspicion
+from briarseam.membership import table as tables
+from briarseam.platform import instances as platform
+from briarseam.wire import client as clients
+from briarseam.wire import connection as connections
+
+if typing.TYPE_CHECKING:
+    from briarseam.wire import codec
+    from briarseam.wire import server
+
+HEARTBEAT_INTERVAL_S = 1.0
+SUSPECT_AFTER_S = 3.0
+LIST_INTERVAL_S = 2.0
+TICKS_PER_INTERVAL = 4
+log = structlog.get_logger("briarseam.membership")
+
+
+class UnknownMemberError(connections.WireError):
+    """No member has this name."""
+
+
+class Membership:
+    """The view that an agent has of its cell.
+
+    Parameters
+    ----------
+    me
+        This agent.
+    instances
+        The platform's instance list.
+    key
+        The shared key of the wire.
+    seeds
+        Agent addresses to ask while the list shows no peer.
+    parts_of
+        Number of cells that configuration gives a zone.
+    heartbeat_interval_s
+        Seconds between heartbeats to one peer.
+    suspect_after_s
+        Silence after which a member becomes suspect, and after which this
+        agent's own view is no longer fresh.
+    list_interval_s
+        Seconds between reads of the instance list.
+    clock
+        Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        me: state.Me,
+        instances: platform.InstanceSource,
+        key: bytes,
+        seeds: tuple[str, ...] = (),
+        parts_of: cells.PartsOf = cells.one_part,
+        heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
+        suspect_after_s: float = SUSPECT_AFTER_S,
+        list_interval_s: float = LIST_INTERVAL_S,
+        clock: tables.Clock = time.monotonic,
+    ) -> None:
+        self.settings = me
+        self.instances = instances
+        self.key = key
+        self.seeds = seeds
+        self.heartbeat_interval_s = heartbeat_interval_s
+        self.suspect_after_s = suspect_after_s
+        self.reply_timeout_s = suspect_after_s / 2
+        self.list_interval_s = list_interval_s
+        self.clock = clock
+        self.identity = connections.Identity("agent", me.name)
+        self.incarnation = state.new_incarnation()
+        self.entry_addresses = me.entry_addresses
+        self.leaving = False
+        self.superseded = False
+        self.round_at: float | None = None
+        self.tick_at: float | None = None
+        self.table = tables.Table(me, parts_of, suspect_after_s, clock)
+        self.sections = sections.Sections()
+        self.peers: dict[str, peers.Peer] = {}
+        self.clients: dict[str, clients.Client] = {}
+        self.lock = threading.Lock()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.listing: tuple[platform.Instance, ...] = ()
+        self.stopping = threading.Event()
+        self.digest = 0
+        self.snapshot: tuple[state.Member, ...] = ()
+        self.review()
+
+    # What the other slices ask.
+
+    @property
+    def me(self) -> state.Member:
+        """Return this agent as a member."""
+        return state.Member(
+            name=self.settings.name,
+            zone=self.settings.zone,
+            cell=self.table.my_cell(),
+            agent_address=self.settings.agent_address,
+            entry_addresses=self.entry_addresses,
+            state=state.MemberState.LEAVING
+            if self.leaving
+            else state.MemberState.ALIVE,
+            incarnation=self.incarnation,
+        )
+
+    def members(self) -> tuple[state.Member, ...]:
+        """Return this cell's members that are not gone, with this agent."""
+        return self.snapshot
+
+    def live(self, include_leaving: bool = False) -> tuple[state.Member, ...]:
+        """Return the members that are alive, on request leaving ones too."""
+        wanted = {state.MemberState.ALIVE}
+        if include_leaving:
+            wanted.add(state.MemberState.LEAVING)
+        return tuple(
+            member for member in self.snapshot if member.state in wanted
+        )
+
+    def fresh(self) -> bool:
+        """Tell whether this agent's view is recent.
+
+        A process that was frozen finds its old view on waking, with dead
+        members still alive in it.  The view counts only when a heartbeat
+        that this agent sent within ``suspect_after_s`` was answered; the
+        time is worked out at the call, so no thread has to run first.
+        """
+        now = self.clock()
+        if self.superseded or self.tick_at is None:
+            return False
+        if now - self.tick_at > self.suspect_after_s:
+            return False
+        if not self.peers:
+            return True
+        return (
+            self.round_at is not None
+            and now - self.round_at <= self.suspect_after_s
+        )
+
+    def announce_leaving(self) -> None:
+        """Tell all peers now that this agent will be gone soon."""
+        if self.leaving:
+            return
+        self.leaving = True
+        log.info("leaving", name=self.settings.name)
+        self.tell_at_once()
+
+    def set_entries(self, addresses: tuple[str, ...]) -> None:
+        """Set the entry addresses that callers may use; tell the peers."""
+        if addresses == self.entry_addresses:
+            return
+        self.entry_addresses = addresses
+        self.tell_at_once()
+
+    def add_section(
+        self, name: str, provide: sections.Provide, consume: sections.Consume
+    ) -> None:
+        """Let content of another slice ride on the heartbeats.
+
+        Parameters
+        ----------
+        name
+            Unique over all slices.
+        provide
+            Returns this agent's content; called for each heartbeat.
+        consume
+            Called with a member's name and content when it changed, and
+            now and then when it did not.
+        """
+        self.sections.add(sections.Section(name, provide, consume))
+
+    def client(self, name: str) -> clients.Client:
+        """Return the client for calls to a member.
+
+        Raises
+        ------
+        UnknownMemberError
+            When no member has this name.
+        """
+        address = self.address_of(name)
+        with self.lock:
+            found = self.clients.get(name)
+            if found is None or found.address != address:
+                found = clients.Client(address, self.identity, self.key)
+                self.clients[name] = found
+            return found
+
+    def register(self, router: server.Router) -> None:
+        """Answer the other agents' messages."""
+        router.on(messages.Heartbeat, self.on_heartbeat)
+        router.on(messages.PeersAsked, self.on_peers_asked)
+        router.on(messages.HeardAsked, self.on_heard_asked)
+
+    def start(self) -> None:
+        """Start the threads."""
+        for target in (self.watch, self.read_list, self.confirm):
+            threading.Thread(
+                target=target,
+                name=f"membership-{target.__name__}",
+                daemon=True,
+            ).start()
+
+    def stop(self) -> None:
+        """Stop the threads and close the connections."""
+        self.stopping.set()
+        for peer in list(self.peers.values()):
+            peer.stop()
+        with self.lock:
+            for client in self.clients.values():
+                client.close()
+
+    # Handlers, each in its connection's own thread.
+
+    def on_heartbeat(
+        self, peer: connections.Identity, beat: messages.Heartbeat
+    ) -> messages.HeartbeatReply:
+        """Take in a peer's heartbeat."""
+        del peer
+        now = self.clock()
+        known, superseded = True, False
+        if beat.name == self.settings.name:
+            superseded = beat.incarnation < self.incarnation
+        elif beat.about is not None:
+            superseded = not self.table.take_about(beat.about, now)
+            self.review()
+        else:
+            known = self.note_beat(beat, now)
+        if known and not superseded:
+            self.keep_sections(beat)
+        return messages.HeartbeatReply(
+            name=self.settings.name,
+            incarnation=self.incarnation,
+            digest=self.digest,
+            known=known,
+            superseded=superseded,
+            about=None if beat.about is None else self.about(),
+        )
+
+    def note_beat(self, beat: messages.Heartbeat, now: float) -> bool:
+        """Note a short heartbeat; false when its sender is not known."""
+        with self.table.lock:
+            found = self.table.records.get(beat.name)
+            if found is None or found.incarnation != beat.incarnation:
+                return False
+            self.table.note_heard(found, now)
+            return True
+
+    def keep_sections(self, beat: messages.Heartbeat) -> None:
+        """Keep and hand on the sections of a heartbeat."""
+        if not beat.sections:
+            return
+        with self.table.lock:
+            found = self.table.records.get(beat.name)
+            if found is None:
+                return
+            found.sections.update(beat.sections)
+        self.sections.consume(beat.name, beat.sections)
+
+    def on_peers_asked(
+        self, peer: connections.Identity, asked: messages.PeersAsked
+    ) -> messages.Peers:
+        """Answer with the agents heard here."""
+        del peer, asked
+        return messages.Peers((*self.table.abouts(), self.about()))
+
+    def on_heard_asked(
+        self, peer: connections.Identity, asked: messages.HeardAsked
+    ) -> messages.Heard:
+        """Answer how long ago an agent was heard here."""
+        del peer
+        with self.table.lock:
+            found = self.table.records.get(asked.name)
+            if found is None or found.heard_at is None:
+                return messages.Heard(None, 0)
+            silent_s = found.silent_s(self.clock())
+            return messages.Heard(silent_s, found.incarnation)
+
+    # What the peers' threads use.
+
+    def about(self) -> messages.About:
+        """Return what this agent says of itself."""
+        return messages.About(
+            name=self.settings.name,
+            zone=self.settings.zone,
+            address=self.settings.agent_address,
+            entries=self.entry_addresses,
+            incarnation=self.incarnation,
+            leaving=self.leaving,
+        )
+
+    def address_of(self, name: str) -> str:
+        """Return a member's address or raise :class:`UnknownMemberError`."""
+        with self.table.lock:
+            found = self.table.records.get(name)
+            if found is None:
+                raise UnknownMemberError(f"no member {name}")
+            return found.agent_address
+
+    def take_reply(
+        self, reply: messages.HeartbeatReply, sent_at: float
+    ) -> None:
+        """Take in the reply to a heartbeat sent at ``sent_at``."""
+        self.superseded = reply.superseded
+        if reply.about is not None:
+            self.table.take_about(reply.about, sent_at)
+        with self.table.lock:
+            found = self.table.records.get(reply.name)
+            if found is not None and found.incarnation == reply.incarnation:
+                self.table.note_heard(found, sent_at)
+        if self.round_at is None or sent_at > self.round_at:
+            self.round_at = sent_at
+
+    def take_peers(self, answer: messages.Peers) -> None:
+        """Take in whom a peer hears."""
+        for about in answer.members:
+            self.table.take_hearsay(about)
+
+    def count_bytes(self, connection: connections.Connection) -> None:
+        """Add a closed connection's bytes to the totals."""
+        with self.lock:
+            self.bytes_sent += connection.bytes_sent
+            self.bytes_received += connection.bytes_received
+
+    # Threads.
+
+    def watch(self) -> None:
+        """Review the table and keep one thread per peer."""
+        pause_s = self.heartbeat_interval_s / TICKS_PER_INTERVAL
+        while not self.stopping.is_set():
+            self.review()
+            self.match_peers()
+            self.stopping.wait(pause_s)
+
+    def review(self) -> None:
+        """Judge each member's silence anew and renew the snapshot."""
+        with self.table.lock:
+            suspicion.review(self.table)
+            self.tick_at = self.clock()
+            self.digest = self.table.digest(self.incarnation)
+            self.snapshot = (self.me, *self.table.members())
+
+    def match_peers(self) -> None:
+        """Start a thread for each new peer; stop those of forgotten ones."""
+        with self.table.lock:
+            wanted = set(self.table.records)
+        for name in wanted - set(self.peers):
+            peer = peers.Peer(name, self)
+            self.peers[name] = peer
+            peer.start()
+        for name in set(self.peers) - wanted:
+            self.peers.pop(name).stop()
+
+    def tell_at_once(self) -> None:
+        """Send the next heartbeats now."""
+        self.review()
+        for peer in list(self.peers.values()):
+            peer.wake.set()
+
+    def read_list(self) -> None:
+        """Read the instance list each interval."""
+        while not self.stopping.is_set():
+            try:
+                listing = self.instances.read()
+            except platform.InstanceListUnavailableError as error:
+                log.debug("instance_list_unavailable", detail=str(error))
+            else:
+                self.listing = listing.instances
+                self.table.take_listing(listing.instances)
+            self.stopping.wait(self.list_interval_s)
+
+    def confirm(self) -> None:
+        """Ask others about suspects; ask seeds while no peer is heard."""
+        while not self.stopping.is_set():
+            suspicion.confirm(self.table, self.ask)
+            self.ask_seeds()
+            self.stopping.wait(self.heartbeat_interval_s)
+
+    def ask(self, name: str, request: codec.Message) -> codec.Message:
+        """Call a member and return its reply."""
+        return self.client(name).call(request, self.reply_timeout_s)
+
+    def ask_seeds(self) -> None:
+        """Learn of peers from the seeds while no peer is heard."""
+        if len(self.snapshot) > 1:
+            return
+        for address in self.seeds:
+            if address == self.settings.agent_address:
+                continue
+            seed = clients.Client(address, self.identity, self.key, 0)
+            try:
+                reply = seed.call(messages.PeersAsked(), self.reply_timeout_s)
+            except connections.WireError:
+                continue
+            if isinstance(reply, messages.Peers):
+                self.take_peers(reply)
--- /dev/null
+++ b/tests/membership/conftest.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import typing
+
+import pytest
+from tests.membership import nodes as helpers
+
+from briarseam.membership import service
+from briarseam.membership import state
+from briarseam.wire import connection as connections
+from briarseam.wire import server
+
+
+@pytest.fixture
+def listing() -> helpers.FakeList:
+    return helpers.FakeList()
+
+
+@pytest.fixture
+def start(
+    listing: helpers.FakeList,
+) -> typing.Iterator[typing.Callable[..., helpers.Node]]:
+    nodes: list[helpers.Node] = []
+
+    def start_node(
+        name: str,
+        zone: str = "rumoi",
+        listed: bool = True,
+        seeds: tuple[str, ...] = (),
+        **options: typing.Any,
+    ) -> helpers.Node:
+        router = helpers.CuttableRouter()
+        listener = server.Server(
+            "127.0.0.1:0",
+            connections.Identity("agent", name),
+            helpers.KEY,
+            router,
+        )
+        me = state.Me(name, zone, listener.address, (f"entry-of-{name}",))
+        options.setdefault("heartbeat_interval_s", helpers.INTERVAL_S)
+        options.setdefault("suspect_after_s", helpers.SUSPECT_AFTER_S)
+        options.setdefault("list_interval_s", helpers.INTERVAL_S)
+        membership = service.Membership(
+            me, listing, helpers.KEY, seeds=seeds, **options
+        )
+        membership.register(router)
+        listener.start()
+        membership.start()
+        if listed:
+            listing.put(name, listener.address, zone)
+        node = helpers.Node(membership, listener, router.cut)
+        nodes.append(node)
+        return node
+
+    yield start_node
+    for node in nodes:
+        node.stop()
--- /dev/null
+++ b/tests/membership/nodes.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.membership import messages
+from briarseam.membership import service
+from briarseam.membership import state
+from briarseam.platform import instances
+from briarseam.wire import connection as connections
+from briarseam.wire import server
+
+KEY = b"membership-tests"
+INTERVAL_S = 0.05
+SUSPECT_AFTER_S = 0.6
+
+
+class FakeList:
+    """An instance list in memory; the test edits ``rows``."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, instances.Instance] = {}
+        self.available = True
+
+    def read(self) -> instances.Listing:
+        if not self.available:
+            raise instances.InstanceListUnavailableError("outage")
+        return instances.Listing(tuple(self.rows.values()), 0)
+
+    def put(
+        self,
+        name: str,
+        address: str,
+        zone: str = "rumoi",
+        state: str = "live",
+    ) -> None:
+        listed = instances.ListedState(state)
+        self.rows[name] = instances.Instance(
+            name, "agent", address, zone, listed
+        )
+
+
+class PausableClock:
+    """A clock that a test sets forward, as a freeze would."""
+
+    def __init__(self, clock: typing.Callable[[], float]) -> None:
+        self.clock = clock
+        self.skipped_s = 0.0
+
+    def __call__(self) -> float:
+        return self.clock() + self.skipped_s
+
+
+@dataclasses.dataclass
+class Node:
+    """One agent's membership behind its own server."""
+
+    membership: service.Membership
+    server: server.Server
+    cut: set[str] = dataclasses.field(default_factory=set)
+
+    def names(self) -> set[str]:
+        return {member.name for member in self.membership.live()}
+
+    def state_of(self, name: str) -> state.MemberState | None:
+        for member in self.membership.members():
+            if member.name == name:
+                return member.state
+        return None
+
+    def stop(self) -> None:
+        self.membership.stop()
+        self.server.stop()
+
+
+class CuttableRouter(server.Router):
+    """A router that hangs up on peers the test has cut off."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cut: set[str] = set()
+
+    def answer(self, peer: connections.Identity, request: object) -> object:
+        if peer.name in self.cut:
+            raise connections.WireError("cut by the test")
+        return super().answer(peer, request)
+
+
+def cut_between(one: Node, other: Node) -> None:
+    """Cut the path between two nodes in both directions."""
+    one.cut.add(other.membership.settings.name)
+    other.cut.add(one.membership.settings.name)
+
+
+def join(*nodes: Node) -> None:
+    """Heal all cuts."""
+    for node in nodes:
+        node.cut.clear()
+
+
+def heartbeat_of(node: Node) -> messages.Heartbeat:
+    """Return a whole heartbeat of a node."""
+    membership = node.membership
+    return messages.Heartbeat(
+        name=membership.settings.name,
+        incarnation=membership.incarnation,
+        digest=membership.digest,
+        about=membership.about(),
+    )
--- /dev/null
+++ b/tests/membership/test_service.py
@@ -0,0 +1,220 @@
+from __future__ import annotations
+
+import time
+import typing
+
+from briarseam.testing import waiting
+import pytest
+from tests.membership import nodes as helpers
+
+from briarseam.membership import service
+from briarseam.membership import state
+
+ALIVE = state.MemberState.ALIVE
+LEAVING = state.MemberState.LEAVING
+SUSPECT = state.MemberState.SUSPECT
+Start = typing.Callable[..., helpers.Node]
+
+
+def start_all(start: Start, *names: str) -> list[helpers.Node]:
+    """Start nodes and wait until each hears all."""
+    nodes = [start(name) for name in names]
+    waiting.until(lambda: all(node.names() == set(names) for node in nodes))
+    return nodes
+
+
+def test_listed_agents_hear_each_other(start: Start) -> None:
+    """Three agents start and are on the list: each serves its callers
+    knowing the other two, with their entry addresses.
+    """
+    nodes = start_all(start, "a", "b", "c")
+    entries = {
+        address
+        for member in nodes[0].membership.members()
+        for address in member.entry_addresses
+    }
+    assert entries == {"entry-of-a", "entry-of-b", "entry-of-c"}
+    assert all(node.membership.fresh() for node in nodes)
+
+
+def test_unlisted_agent_is_heard_through_a_seed(start: Start) -> None:
+    """A new agent is not on the lagging list yet.  It asks a seed, and
+    the agents that the seed never told of it still hear it.
+    """
+    nodes = start_all(start, "a", "b")
+    seed = nodes[0].membership.settings.agent_address
+    new = start("c", listed=False, seeds=(seed,))
+    everyone = {"a", "b", "c"}
+    waiting.until(
+        lambda: all(node.names() == everyone for node in [*nodes, new])
+    )
+
+
+def test_leaving_is_known_at_once(start: Start) -> None:
+    """An operator stops an agent: its peers stop naming it to callers
+    before the next heartbeat is due, though the list still shows it live.
+    """
+    a, b = start_all(start, "a", "b")
+    for node in (a, b):
+        node.membership.heartbeat_interval_s = 60.0
+        node.membership.table.suspect_after_s = 60.0
+    b.membership.announce_leaving()
+    waiting.until(lambda: a.names() == {"a"}, timeout_s=10)
+    assert a.state_of("b") is LEAVING
+    assert b.membership.me.state is LEAVING
+
+
+def test_listed_as_leaving_is_not_live(
+    start: Start, listing: helpers.FakeList
+) -> None:
+    """The platform marks an instance as leaving before the agent there
+    hears of it: callers are no longer sent to it.
+    """
+    a, b = start_all(start, "a", "b")
+    listing.put("b", b.membership.settings.agent_address, state="leaving")
+    waiting.until(lambda: a.names() == {"a"})
+    assert a.state_of("b") is LEAVING
+
+
+def test_dead_agent_is_gone_though_listed(start: Start) -> None:
+    """An agent is killed; the lagging list goes on showing it.  Its peers
+    find it silent, ask each other, and drop it.
+    """
+    a, b, c = start_all(start, "a", "b", "c")
+    c.stop()
+    waiting.until(lambda: a.state_of("c") is None, timeout_s=10)
+    waiting.until(lambda: b.state_of("c") is None, timeout_s=10)
+    assert a.names() == b.names() == {"a", "b"}
+
+
+def test_cut_between_two_keeps_both_members(start: Start) -> None:
+    """The path between two agents is cut while both reach a third.  Each
+    suspects the other, asks the third, and does not call it gone.
+    """
+    a, b, c = start_all(start, "a", "b", "c")
+    helpers.cut_between(a, b)
+    waiting.until(lambda: a.state_of("b") is SUSPECT, timeout_s=10)
+    record = a.membership.table.records["b"]
+    waiting.until(lambda: record.vouched_at is not None, timeout_s=10)
+    assert a.state_of("b") is SUSPECT
+    assert c.names() == {"a", "b", "c"}
+    helpers.join(a, b)
+    waiting.until(lambda: a.names() == {"a", "b", "c"}, timeout_s=10)
+
+
+def test_restarted_agent_is_a_new_one(start: Start) -> None:
+    """An agent is replaced under the same name and another address while
+    the list still shows the old address: its peers hear the new one.
+    """
+    a, b = start_all(start, "a", "b")
+    old = b.membership.incarnation
+    a.membership.table.records["b"].sections["load"] = b"old"
+    b.stop()
+    seed = a.membership.settings.agent_address
+    new = start("b", listed=False, seeds=(seed,))
+    assert new.membership.incarnation > old
+    record = a.membership.table.records["b"]
+    waiting.until(
+        lambda: record.incarnation == new.membership.incarnation,
+        timeout_s=10,
+    )
+    waiting.until(lambda: a.names() == {"a", "b"}, timeout_s=10)
+    assert record.sections == {}
+
+
+def test_superseded_agent_is_not_fresh(start: Start) -> None:
+    """A frozen agent was replaced and wakes beside its replacement.  It
+    is told so by its peers and stops counting its view as current.
+    """
+    a, new = start_all(start, "a", "b")
+    a_address = a.membership.settings.agent_address
+    old = start("b", listed=False, seeds=(a_address,))
+    old.membership.incarnation = new.membership.incarnation - 1
+    waiting.until(lambda: old.membership.superseded)
+    assert not old.membership.fresh()
+    record = a.membership.table.records["b"]
+    assert record.incarnation == new.membership.incarnation
+
+
+def test_frozen_agent_is_not_fresh_on_waking(start: Start) -> None:
+    """An agent is frozen for a minute.  In its first moment awake its view
+    still shows dead peers alive; it must not count until a peer answered.
+    """
+    clock = helpers.PausableClock(time.monotonic)
+    a = start("a", clock=clock)
+    b = start("b")
+    waiting.until(lambda: a.names() == b.names() == {"a", "b"})
+    assert a.membership.fresh()
+    b.cut.add("a")
+    clock.skipped_s += 60
+    assert not a.membership.fresh()
+    b.cut.clear()
+    waiting.until(a.membership.fresh, timeout_s=10)
+
+
+def test_reply_read_after_a_freeze_is_old(start: Start) -> None:
+    """A frozen agent finds a reply in its socket on waking.  The reply
+    shows that the peer lived when it was asked, not now.
+    """
+    clock = helpers.PausableClock(time.monotonic)
+    a = start("a", clock=clock)
+    b = start("b")
+    waiting.until(lambda: a.names() == b.names() == {"a", "b"})
+    asked_at = clock()
+    clock.skipped_s += 60
+    reply = b.membership.on_heartbeat(
+        a.membership.identity,
+        helpers.heartbeat_of(a),
+    )
+    a.membership.round_at = None
+    a.membership.take_reply(reply, asked_at)
+    assert a.membership.round_at == pytest.approx(asked_at)
+
+
+def test_sections_ride_on_heartbeats(start: Start) -> None:
+    """A slice shares a number with the cell; peers get each change, and
+    one slice's fault does not make the member look dead.
+    """
+    a, b = start_all(start, "a", "b")
+    got: dict[str, bytes] = {}
+    content = {"value": b"1"}
+
+    def fail(member: str, data: bytes) -> None:
+        raise ValueError(member)
+
+    b.membership.add_section("bad", lambda: b"x", fail)
+    a.membership.add_section("bad", lambda: b"y", fail)
+    b.membership.add_section("load", lambda: content["value"], got.__setitem__)
+    a.membership.add_section("load", lambda: b"", got.__setitem__)
+    waiting.until(lambda: got.get("b") == b"1")
+    content["value"] = b"2"
+    waiting.until(lambda: got.get("b") == b"2")
+    sections = a.membership.table.records["b"].sections
+    assert sections["load"] == b"2"
+    assert a.names() == {"a", "b"}
+
+
+def test_client_reaches_a_member_by_name(start: Start) -> None:
+    """A slice calls a peer by name, wherever it runs now."""
+    a, b = start_all(start, "a", "b")
+    assert a.membership.client("b").address == b.server.address
+    with pytest.raises(service.UnknownMemberError):
+        a.membership.client("z")
+
+
+def test_half_of_the_agents_replaced_at_once(
+    start: Start, listing: helpers.FakeList
+) -> None:
+    """The platform replaces half of a cell in one go.  The rest drop the
+    old and hear the new, though no new one knows more than the list.
+    """
+    nodes = start_all(start, "a", "b", "c", "d")
+    for node in nodes[2:]:
+        node.stop()
+        del listing.rows[node.membership.settings.name]
+    new = [start("e"), start("f")]
+    everyone = {"a", "b", "e", "f"}
+    waiting.until(
+        lambda: all(node.names() == everyone for node in [*nodes[:2], *new]),
+        timeout_s=10,
+    )
