--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -3,12 +3,12 @@
 import typing
 
 import pytest
-from tests.membership import nodes as helpers
 
 from briarseam.membership import service
 from briarseam.membership import state
 from briarseam.wire import connection as connections
 from briarseam.wire import server
+from tests.membership import nodes as helpers
 
 
 @pytest.fixture
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -3,12 +3,12 @@
 import time
 import typing
 
-from briarseam.testing import waiting
 import pytest
-from tests.membership import nodes as helpers
 
 from briarseam.membership import service
 from briarseam.membership import state
+from briarseam.testing import waiting
+from tests.membership import nodes as helpers
 
 ALIVE = state.MemberState.ALIVE
 LEAVING = state.MemberState.LEAVING
