--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -34,7 +34,8 @@
         for address in member.entry_addresses
     }
     assert entries == {"entry-of-a", "entry-of-b", "entry-of-c"}
-    assert all(node.membership.fresh() for node in nodes)
+    for node in nodes:
+        waiting.until(node.membership.fresh)
 
 
 def test_unlisted_agent_is_heard_through_a_seed(start: Start) -> None:
@@ -144,7 +145,7 @@
     a = start("a", clock=clock)
     b = start("b")
     waiting.until(lambda: a.names() == b.names() == {"a", "b"})
-    assert a.membership.fresh()
+    waiting.until(a.membership.fresh)
     b.cut.add("a")
     clock.skipped_s += 60
     assert not a.membership.fresh()
