--- a/src/briarseam/configuration/reader.py
+++ b/src/briarseam/configuration/reader.py
@@ -302,7 +302,9 @@
             self.note_history_lost(error)
             return self.load_from_peers()
         self.tree.replace(fold)
-        if fold.stopped is None and self.offset() == fold.offset:
+        if self.offset() != fold.offset:
+            return False
+        if fold.stopped is None:
             self.history_lost = False
             self.note_proof(started_at)
         return True
--- a/src/briarseam/configuration/schema.py
+++ b/src/briarseam/configuration/schema.py
@@ -337,8 +337,21 @@
         }
 
 
+def parse_lenient(path: str, raw: typing.Any) -> Value:
+    """Return the value of ``path``, passing over fields not known.
+
+    Raises
+    ------
+    SchemaError
+        When it does not fit.
+    """
+    return parse_value(path, raw, strict=False)
+
+
 def build_view(
-    offset: int, tree: typing.Mapping[str, typing.Any]
+    offset: int,
+    tree: typing.Mapping[str, typing.Any],
+    parse: typing.Callable[[str, typing.Any], Value] = parse_lenient,
 ) -> tuple[View, tuple[SchemaError, ...]]:
     """Return the typed view of a folded tree and what did not fit.
 
@@ -348,6 +361,8 @@
         Offset of the last record in the tree.
     tree
         Raw values by path.
+    parse
+        Gives the typed value of a path.
 
     Returns
     -------
@@ -362,7 +377,7 @@
     errors: list[SchemaError] = []
     for path, raw in tree.items():
         try:
-            value = parse_value(path, raw, strict=False)
+            value = parse(path, raw)
         except SchemaError as error:
             errors.append(error)
             continue
--- a/src/briarseam/configuration/state.py
+++ b/src/briarseam/configuration/state.py
@@ -12,6 +12,7 @@
 
 from briarseam.configuration import fold as folds
 from briarseam.configuration import schema
+from briarseam.configuration import views
 
 if typing.TYPE_CHECKING:
     from briarseam.configuration import teams as team_types
@@ -66,11 +67,13 @@
         self.teams = teams
         self.counters = counters
         self.fold = folds.Fold()
+        self.views = views.ViewBuilder()
         self.view = schema.View()
         self.loaded = False
         self.recent: collections.deque[bytes] = collections.deque()
         self.recent_bytes = 0
         self.digests: dict[int, str] = {}
+        self.mismatch_at = 0
         self.changed = threading.Condition()
 
     def replace(self, fold: folds.Fold) -> bool:
@@ -138,7 +141,7 @@
 
     def publish(self) -> None:
         """Make the new tree visible; the lock is held."""
-        self.view, errors = schema.build_view(
+        self.view, errors = self.views.build(
             self.fold.offset, self.fold.values()
         )
         self.counters.values_not_understood = len(errors)
@@ -185,6 +188,9 @@
             own = self.digests.get(offset)
         if own is None or own == digest:
             return False
+        if offset == self.mismatch_at:
+            return True
+        self.mismatch_at = offset
         self.counters.digest_mismatches += 1
         log.error("digest_mismatch", offset=offset, own=own, other=digest)
         return True
--- /dev/null
+++ b/tests/configuration/test_reader.py
@@ -0,0 +1,245 @@
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import pytest
+from tests.configuration import helpers
+
+from briarseam.configuration import fold as folds
+from briarseam.configuration import messages
+from briarseam.configuration import peers
+from briarseam.configuration import records
+from briarseam.configuration import snapshots
+from briarseam.configuration import state as states
+from briarseam.configuration import teams as team_types
+from briarseam.testing import waiting
+
+NAMES = ("a", "b", "c", "d", "e")
+MODEL = {"version": "1"}
+
+
+def wait_for_offset(cluster, offset):
+    waiting.until(lambda: cluster.offsets() == {offset}, what=f"{offset}")
+
+
+def start(cluster, names=NAMES):
+    for name in names:
+        cluster.add(name)
+    waiting.until(
+        lambda: all(a.reader.ready() for a in cluster.agents.values())
+    )
+
+
+def set_model(cluster, name="m", **fields):
+    return cluster.append(
+        helpers.change({f"models/{name}": MODEL | fields}, base=0)
+    )
+
+
+def test_a_change_reaches_agents_that_never_read_the_log(cluster):
+    # Two of the cell read the log, the others ask those two: a change is
+    # in force at all, with few reads at the log.
+    start(cluster)
+    reads = {n: a.reader.counters.log_reads for n, a in cluster.agents.items()}
+    for number in range(5):
+        wait_for_offset(cluster, set_model(cluster, f"m{number}"))
+    readers_now = peers.ranked(NAMES)[:2]
+    for name, agent in cluster.agents.items():
+        assert len(agent.reader.view().models) == 5
+        if name not in readers_now:
+            assert agent.reader.counters.log_reads - reads[name] <= 1
+
+
+def test_agents_whose_readers_die_go_on_by_themselves(cluster):
+    # Both agents that read the log are killed while the member list still
+    # names them: the others must not wait for it.
+    start(cluster)
+    for name in peers.ranked(NAMES)[:2]:
+        agent = cluster.agents[name]
+        agent.reader.stopping.set()
+        agent.server.stop()
+    offset = set_model(cluster)
+    others = [cluster.agents[name] for name in peers.ranked(NAMES)[2:]]
+    waiting.until(lambda: {a.reader.offset() for a in others} == {offset})
+
+
+def test_an_agent_starts_from_the_highest_peer_while_the_log_is_down(cluster):
+    # The log is down when an instance is replaced.  The new one takes the
+    # highest state among its peers, though one of them lags behind.
+    start(cluster, ["a", "b"])
+    set_model(cluster, "one")
+    wait_for_offset(cluster, 1)
+    lagging = cluster.agents["a"]
+    lagging.reader.stopping.set()
+    lagging.reader.thread.join()
+    set_model(cluster, "two")
+    ahead = cluster.agents["b"].reader
+    waiting.until(lambda: ahead.offset() == 2)
+    cluster.log.set(outage=True)
+    late = cluster.add("c").reader
+    waiting.until(late.ready)
+    assert late.offset() == 2
+    assert late.view().models.keys() == {"one", "two"}
+    assert late.tree.fold.digest == ahead.tree.fold.digest
+
+
+def test_a_new_agent_without_log_or_ready_peer_takes_no_work(cluster):
+    # Every instance is replaced while the log is down.  Nobody knows the
+    # configuration, so nobody may act as if it were empty.
+    set_model(cluster)
+    cluster.log.set(outage=True)
+    fresh = [cluster.add(name).reader for name in "ab"]
+    waiting.until(lambda: all(r.counters.peer_reads >= 0 for r in fresh))
+    waiting.until(lambda: not fresh[0].load_from_peers())
+    assert [r.ready() for r in fresh] == [False, False]
+    assert fresh[0].staleness_s() == math.inf
+    cluster.log.set(outage=False)
+    waiting.until(lambda: all(r.offset() == 1 for r in fresh))
+
+
+def test_an_agent_never_goes_back_to_an_earlier_offset(cluster):
+    # A peer with an older state, or a log that came back without its last
+    # records, must not take a change in force back.
+    start(cluster, ["a"])
+    set_model(cluster)
+    set_model(cluster, "second")
+    reader = cluster.agents["a"].reader
+    waiting.until(lambda: reader.offset() == 2)
+    older = folds.Fold()
+    older.offset = 1
+    assert not reader.tree.replace(older)
+    stream = cluster.log.stream(records.STREAM)
+    with stream.changed:
+        stream.records.clear()
+        stream.next_offset = 1
+    waiting.until(lambda: reader.counters.history_lost > 0)
+    assert reader.offset() == 2
+    assert reader.view().models.keys() == {"m", "second"}
+    assert reader.log_age_s() >= 0
+
+
+def test_a_new_agent_starts_from_a_snapshot_once_records_are_gone(cluster):
+    # The log's retention passes the first changes.  An instance replaced
+    # after that finds them in a snapshot and the rest in the tail.
+    cluster.add(
+        "a",
+        options=dataclasses.replace(
+            helpers.FAST,
+            snapshots=dataclasses.replace(
+                helpers.FAST.snapshots, every_records=2
+            ),
+        ),
+    )
+    for number in range(4):
+        set_model(cluster, f"m{number}")
+    first = cluster.agents["a"].reader
+    waiting.until(
+        lambda: (
+            first.snapshotter.last
+            and first.snapshotter.last.through >= 3
+            and first.offset() == 4
+        )
+    )
+    stream = cluster.log.stream(records.STREAM)
+    with stream.changed:
+        del stream.records[:3]
+    cluster.remove("a")
+    late = cluster.add("b").reader
+    waiting.until(late.ready)
+    assert late.offset() == 4
+    assert len(late.view().models) == 4
+    assert late.tree.fold.digest == first.tree.fold.digest
+
+
+@pytest.mark.parametrize("damage", ["forged", "half-written"])
+def test_a_snapshot_that_is_not_whole_and_authentic_is_passed_over(
+    cluster, damage, monkeypatch
+):
+    # A writer dies between two chunks, or somebody who can only append to
+    # the log writes a snapshot of a tree of his own.
+    set_model(cluster)
+    fold = folds.Fold()
+    fold.put("models/evil", 9, MODEL)
+    fold.offset = 9
+    monkeypatch.setattr(snapshots, "CHUNK_BYTES", 8)
+    chunks = snapshots.make_chunks(fold)
+    key = snapshots.derive_key(helpers.KEY)
+    if damage == "half-written":
+        chunks = chunks[:-1]
+    else:
+        key = b"guess"
+    for chunk in chunks:
+        cluster.client().append(
+            snapshots.STREAM, snapshots.encode_chunk(chunk, key)
+        )
+    reader = cluster.add("a").reader
+    waiting.until(reader.ready)
+    assert reader.offset() == 1
+    assert reader.view().models.keys() == {"m"}
+
+
+def test_a_fold_that_differs_is_an_alarm_and_ours_is_kept(cluster):
+    # One instance was given other teams' keys, so it takes a change for
+    # forged that all others take.  Someone must be told.
+    start(cluster, ["a", "b"])
+    others = team_types.Teams(
+        (team_types.Team("drafts", (b"other",), ("models",)),)
+    )
+    odd = cluster.agents["a"].reader
+    odd.tree.teams = others
+    set_model(cluster)
+    wait_for_offset(cluster, 1)
+    both = [agent.reader for agent in cluster.agents.values()]
+    for one in both:
+        waiting.until(
+            lambda one=one: (
+                [one.follow_peer(name, 0) for name in "ab"]
+                and one.counters.digest_mismatches == 1
+            )
+        )
+    assert odd.view().models.keys() == set()
+    assert cluster.agents["b"].reader.view().models.keys() == {"m"}
+
+
+def test_a_log_outage_alone_does_not_make_agents_stale(cluster):
+    # The log is down for long.  Nothing can be published meanwhile, and
+    # agents that hear one another go on serving; one alone does not.
+    start(cluster, ["a", "b", "c"])
+    cluster.log.set(outage=True)
+    one = cluster.agents["a"].reader
+    waiting.until(lambda: one.log_age_s() > 1.0)
+    waiting.until(lambda: one.staleness_s() < 0.5)
+    for name in "bc":
+        cluster.remove(name)
+    waiting.until(lambda: one.staleness_s() > 1.0)
+
+
+def test_a_late_answer_does_not_show_that_a_woken_agent_is_current(cluster):
+    # An agent is frozen with a question under way.  On waking it finds an
+    # answer that was true before; it must count from its question.
+    reader = cluster.add("a").reader
+    waiting.until(reader.ready)
+    reader.stopping.set()
+    reader.thread.join()
+    reader.proof_at = reader.contact_at = -math.inf
+    answer = messages.Records(
+        True, reader.offset(), reader.tree.fold.digest, 0, True
+    )
+    asked_at = states.now_s() - 60
+    reader.take_reply(answer, asked_at, reader.offset())
+    assert reader.staleness_s() >= 60
+
+
+def test_a_heartbeat_of_a_higher_offset_is_followed(cluster):
+    # Both readers of the cell are cut off from the log, but some peer is
+    # not; its heartbeats carry a higher offset.
+    start(cluster, ["a", "b", "c"])
+    last = peers.ranked("abc")[2]
+    for name in peers.ranked("abc")[:2]:
+        cluster.agents[name].reader.client.address = "127.0.0.1:1"
+    offset = set_model(cluster)
+    waiting.until(lambda: cluster.agents[last].reader.offset() == offset)
+    for agent in cluster.agents.values():
+        agent.reader.note_peer_offset(last, offset)
+    wait_for_offset(cluster, offset)
