Serve a prompt from end to end: entry, agent, engine

Cause: the slices need a whole path to be wired into. Change: the CherryPy application with the frozen caller interface and strict framing, problem documents with a verdict, the relay (re-run before the first token, resume, continuation under the same version), thin admission and routing, the composition of both daemons, agent/entry/where/status subcommands, a caller and an in-process deployment for tests. Found on the way: cheroot's reader that drops underscore headers fails on bytes, so ours refuses them; urllib3 pools want a path, not a URL; an empty adapter must go out as null. Ruled out: a fixed 200 before the first token, since a refusal after it would have no status; the response starts with the first token. Not there yet: claims, deadlines, limits, kept cache, orders.

--- /dev/null
+++ b/src/briarseam/admission/service.py
@@ -0,0 +1,308 @@
+"""Admitting requests: who asks, may it run, where."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import secrets
+import time
+import typing
+
+from briarseam import verdict
+from briarseam.admission import messages
+from briarseam.admission import state
+from briarseam.answers import answer_id
+from briarseam.configuration import schema
+from briarseam.routing import state as routing
+
+if typing.TYPE_CHECKING:
+    from briarseam.wire import connection
+    from briarseam.wire import server
+
+RETRY_AFTER_S = 1.0
+RUN_ID_BYTES = 12
+SALT_BYTES = 16
+Reply = messages.Granted | messages.Replayed | messages.Refused
+Gate = typing.Callable[[], verdict.NotRun | None]
+
+
+class Chooser(typing.Protocol):
+    """What admission needs from routing."""
+
+    def choose_engine(
+        self, ask: routing.PromptAsk
+    ) -> routing.Choice | routing.NoChoice:
+        """Return the engine for a prompt."""
+
+    def choose_service(
+        self, ask: routing.CallAsk
+    ) -> routing.Choice | routing.NoChoice:
+        """Return the endpoint for a call."""
+
+    def note_start(self, endpoint: str) -> None:
+        """Count a run that was granted."""
+
+    def note_end(self, endpoint: str) -> None:
+        """Count a run out."""
+
+
+@dataclasses.dataclass(frozen=True)
+class AdmissionParts:
+    """What admission works with, wired by ``compose``.
+
+    Attributes
+    ----------
+    view
+        Present configuration.
+    gate
+        Returns a refusal while this agent may not admit anything.
+    chooser
+        Routing.
+    key
+        Shared key, for answer ids and cache salts.
+    """
+
+    view: typing.Callable[[], schema.View]
+    gate: Gate
+    chooser: Chooser
+    key: bytes
+
+
+class Admission:
+    """Answers the entries' questions about requests."""
+
+    def __init__(self, parts: AdmissionParts) -> None:
+        self.parts = parts
+        self.runs = state.RunTable()
+
+    def register(self, router: server.Router) -> None:
+        """Answer the entries' messages."""
+        router.on(messages.Admit, answer(self.admit))
+        router.on(messages.AdmitCall, answer(self.admit_call))
+        router.on(messages.RunStarted, answer(self.run_started))
+        router.on(messages.RunEnded, answer(self.run_ended))
+        router.on(messages.Locate, answer(self.locate))
+
+    def admit(self, request: messages.Admit) -> Reply:
+        """Decide about a prompt."""
+        organisation = self.identify(request.token_digest)
+        self.check_model(request.model)
+        choice = self.parts.chooser.choose_engine(
+            routing.PromptAsk(
+                organisation=organisation,
+                session=request.session,
+                model=request.model,
+                chain=request.chain,
+                prompt_tokens=request.prompt_tokens,
+                max_tokens=request.max_tokens,
+                version=self.required_version(request, organisation),
+                excluded=frozenset(request.lost),
+            )
+        )
+        if isinstance(choice, routing.NoChoice):
+            raise verdict.RefusalError(no_endpoint(choice))
+        return self.grant(organisation, request, choice)
+
+    def admit_call(self, request: messages.AdmitCall) -> Reply:
+        """Decide about a service call."""
+        organisation = self.identify(request.token_digest)
+        service = self.parts.view().services.get(request.service)
+        if service is None:
+            raise verdict.RefusalError(
+                verdict.NotRun(
+                    verdict.Reason.UNKNOWN_SERVICE,
+                    f"there is no service {request.service}",
+                )
+            )
+        choice = self.parts.chooser.choose_service(
+            routing.CallAsk(
+                organisation, request.service, frozenset(request.lost)
+            )
+        )
+        if isinstance(choice, routing.NoChoice):
+            raise verdict.RefusalError(no_endpoint(choice))
+        run = self.new_run(organisation, choice)
+        self.start(run)
+        return messages.Granted(
+            run_id=run.run_id,
+            answer_id="",
+            attempt=run.attempt,
+            organisation=organisation,
+            endpoint=choice.endpoint,
+            address=choice.address,
+            timeout_ms=int(service.timeout_ms),
+        )
+
+    def identify(self, token_digest: str) -> str:
+        """Return the organisation of a token, if requests may run now."""
+        refusal = self.parts.gate()
+        if refusal is not None:
+            raise verdict.RefusalError(refusal)
+        organisation = self.parts.view().organisation_of(token_digest)
+        if organisation is None:
+            raise verdict.RefusalError(
+                verdict.NotRun(
+                    verdict.Reason.UNAUTHENTICATED,
+                    "no organisation has this token",
+                )
+            )
+        return organisation
+
+    def check_model(self, model: str) -> None:
+        """Refuse a model that is not configured."""
+        if model not in self.parts.view().models:
+            raise verdict.RefusalError(
+                verdict.NotRun(
+                    verdict.Reason.UNKNOWN_MODEL, f"there is no model {model}"
+                )
+            )
+
+    def required_version(
+        self, request: messages.Admit, organisation: str
+    ) -> str:
+        """Return the version a continuation must keep, else nothing."""
+        if not request.continues:
+            return ""
+        return self.unseal(request.continues, organisation).version
+
+    def grant(
+        self,
+        organisation: str,
+        request: messages.Admit,
+        choice: routing.Choice,
+    ) -> messages.Granted:
+        """Return the grant of a prompt and remember its run."""
+        run = self.new_run(organisation, choice)
+        sealed = answer_id.seal(
+            answer_id.AnswerId(
+                organisation,
+                choice.endpoint,
+                run.run_id,
+                request.model,
+                choice.version,
+            ),
+            self.parts.key,
+        )
+        run = dataclasses.replace(
+            run,
+            model=request.model,
+            chain=request.chain,
+            answer_id=sealed,
+        )
+        self.start(run)
+        limit = self.parts.view().organisations[organisation].priority
+        return messages.Granted(
+            run_id=run.run_id,
+            answer_id=sealed,
+            attempt=run.attempt,
+            organisation=organisation,
+            endpoint=choice.endpoint,
+            address=choice.address,
+            version=choice.version,
+            adapter=choice.adapter,
+            priority=max(limit, request.priority),
+            salt=self.salt(organisation),
+        )
+
+    def new_run(
+        self, organisation: str, choice: routing.Choice
+    ) -> state.Running:
+        """Return a fresh run at the chosen endpoint."""
+        return state.Running(
+            run_id=secrets.token_hex(RUN_ID_BYTES),
+            endpoint=choice.endpoint,
+            organisation=organisation,
+            model="",
+            version=choice.version,
+            adapter=choice.adapter,
+            chain=(),
+            key="",
+            attempt="",
+            answer_id="",
+            granted_at=time.monotonic(),
+        )
+
+    def start(self, run: state.Running) -> None:
+        """Count a run in."""
+        self.runs.add(run)
+        self.parts.chooser.note_start(run.endpoint)
+
+    def run_started(self, message: messages.RunStarted) -> messages.Noted:
+        """Take in that a run's first token has come."""
+        return messages.Noted()
+
+    def run_ended(self, message: messages.RunEnded) -> messages.Noted:
+        """Take in how a run ended; a doubled report changes nothing."""
+        run = self.runs.pop(message.run_id)
+        if run is not None:
+            self.parts.chooser.note_end(run.endpoint)
+        return messages.Noted()
+
+    def locate(self, message: messages.Locate) -> messages.Located:
+        """Return where an answer runs, to its own organisation only."""
+        organisation = self.identify(message.token_digest)
+        found = self.unseal(message.answer_id, organisation)
+        endpoint = self.parts.view().endpoints.get(found.endpoint)
+        if endpoint is None:
+            raise verdict.RefusalError(
+                verdict.Ran(
+                    verdict.Reason.ANSWER_GONE,
+                    "the endpoint of this answer is not configured any more",
+                )
+            )
+        return messages.Located(
+            organisation=organisation,
+            run_id=found.run_id,
+            endpoint=found.endpoint,
+            address=endpoint.address,
+            model=found.model,
+            version=found.version,
+        )
+
+    def unseal(self, token: str, organisation: str) -> answer_id.AnswerId:
+        """Return what an answer id says, to its own organisation only."""
+        try:
+            found = answer_id.unseal(token, self.parts.key)
+        except answer_id.AnswerIdError as error:
+            raise verdict.RefusalError(unknown_answer()) from error
+        if found.organisation != organisation:
+            raise verdict.RefusalError(unknown_answer())
+        return found
+
+    def salt(self, organisation: str) -> str:
+        """Return the cache salt of an organisation at the engines."""
+        digest = hashlib.blake2b(
+            organisation.encode(),
+            key=self.parts.key[: hashlib.blake2b.MAX_KEY_SIZE],
+            digest_size=SALT_BYTES,
+        )
+        return digest.hexdigest()
+
+
+def answer(
+    handle: typing.Callable[[typing.Any], typing.Any],
+) -> server.Handler:
+    """Return a wire handler that sends a refusal as a message."""
+
+    def handler(peer: connection.Identity, request: typing.Any) -> typing.Any:
+        del peer
+        try:
+            return handle(request)
+        except verdict.RefusalError as error:
+            return messages.refused(error.given)
+
+    return handler
+
+
+def no_endpoint(choice: routing.NoChoice) -> verdict.NotRun:
+    """Return the refusal when routing finds nothing."""
+    return verdict.NotRun(
+        verdict.Reason.NO_ENDPOINT, choice.detail, choice.retry_after_s
+    )
+
+
+def unknown_answer() -> verdict.NotRun:
+    """Return the same refusal for a forged id and for another's id."""
+    return verdict.NotRun(
+        verdict.Reason.MALFORMED, "this answer id is not known"
+    )
--- /dev/null
+++ b/src/briarseam/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Answers: relaying, resuming and continuing an engine's stream."""
--- /dev/null
+++ b/src/briarseam/answers/answer_id.py
@@ -0,0 +1,79 @@
+"""Answer ids: authenticated tokens that say where an answer runs.
+
+An answer id carries all that is needed to find the run again, so no
+process keeps a table and any entry can resume any answer.  Its MAC keeps
+a caller from naming another organisation's run.
+"""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import hashlib
+import hmac
+
+import msgpack
+import msgspec
+
+MAC_BYTES = 16
+LABEL = b"answer-id"
+
+
+class AnswerIdError(Exception):
+    """Not an answer id that this system gave out."""
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerId:
+    """What an answer id says.
+
+    Attributes
+    ----------
+    organisation
+        Whose answer it is.
+    endpoint
+        Where it runs.
+    run_id
+        Its name there.
+    model, version
+        What produces it.
+    """
+
+    organisation: str
+    endpoint: str
+    run_id: str
+    model: str
+    version: str
+
+
+def seal(answer: AnswerId, key: bytes) -> str:
+    """Return the token of an answer id, safe in a URL path."""
+    payload = msgpack.packb(dataclasses.astuple(answer))
+    mac = compute_mac(payload, key)
+    return base64.urlsafe_b64encode(mac + payload).rstrip(b"=").decode()
+
+
+def unseal(token: str, key: bytes) -> AnswerId:
+    """Return what a token says.
+
+    Raises
+    ------
+    AnswerIdError
+        When it was not sealed under ``key``.
+    """
+    try:
+        raw = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
+    except ValueError as error:
+        raise AnswerIdError("not an answer id") from error
+    mac, payload = raw[:MAC_BYTES], raw[MAC_BYTES:]
+    if not hmac.compare_digest(mac, compute_mac(payload, key)):
+        raise AnswerIdError("not an answer id of this system")
+    fields = msgspec.convert(msgpack.unpackb(payload), tuple[str, ...])
+    return AnswerId(*fields)
+
+
+def compute_mac(payload: bytes, key: bytes) -> bytes:
+    """Return the MAC of a payload."""
+    mac = hashlib.blake2b(payload, key=key[:64], digest_size=MAC_BYTES)
+    mac.update(LABEL)
+    return mac.digest()
--- /dev/null
+++ b/src/briarseam/answers/calls.py
@@ -0,0 +1,147 @@
+"""One call to a plain service, from grant to answer."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam import verdict
+from briarseam.admission import messages
+from briarseam.endpoints import engine
+from briarseam.endpoints import service
+
+MAX_KEPT_BYTES = 4096
+MS = 1000.0
+SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
+JSON = "application/json"
+
+
+class Agent(typing.Protocol):
+    """What a call needs from the link to the agent."""
+
+    def admit_call(
+        self, request: messages.AdmitCall
+    ) -> messages.Granted | messages.Replayed:
+        """Return a grant or a replay; raise ``verdict.RefusalError``."""
+
+    def report(self, message: typing.Any) -> typing.Any:
+        """Tell the agent how the call went."""
+
+
+class CallRelay:
+    """Makes one call.
+
+    Parameters
+    ----------
+    request
+        The message to the agent.
+    body
+        The caller's JSON.
+    agent
+        Link to the agent.
+    services
+        Adapter to the services.
+    """
+
+    def __init__(
+        self,
+        request: messages.AdmitCall,
+        body: bytes,
+        agent: Agent,
+        services: service.ServiceClient,
+    ) -> None:
+        self.request = request
+        self.body = body
+        self.agent = agent
+        self.services = services
+
+    def run(self) -> service.ServiceAnswer:
+        """Return the service's answer.
+
+        Raises
+        ------
+        verdict.RefusalError
+            With the final verdict.
+        """
+        lost: tuple[str, ...] = ()
+        while True:
+            reply = self.agent.admit_call(
+                dataclasses.replace(self.request, lost=lost)
+            )
+            if isinstance(reply, messages.Replayed):
+                return replayed_answer(reply)
+            answer = self.try_grant(reply)
+            if answer is not None:
+                return answer
+            lost += (reply.endpoint,)
+
+    def try_grant(
+        self, grant: messages.Granted
+    ) -> service.ServiceAnswer | None:
+        """Make a granted call; ``None`` when another may be asked for."""
+        try:
+            answer = self.services.call(
+                grant.address,
+                self.request.call,
+                grant.run_id,
+                self.body,
+                grant.timeout_ms / MS,
+            )
+        except engine.NotSentError:
+            self.end(grant, messages.RunResult.NOT_SENT)
+            return None
+        except engine.LostError as error:
+            self.end(grant, messages.RunResult.LOST_BEFORE_FIRST)
+            if not grant.attempt:
+                return None
+            raise verdict.RefusalError(
+                verdict.MayHaveRun(
+                    verdict.Reason.ENDPOINT_LOST,
+                    "the service's answer was lost; the call may have run",
+                )
+            ) from error
+        if answer.status == HTTP_UNAVAILABLE:
+            # The services' protocol says that 503 starts nothing.
+            self.end(grant, messages.RunResult.REFUSED)
+            return None
+        self.end(grant, messages.RunResult.DONE, answer)
+        return answer
+
+    def end(
+        self,
+        grant: messages.Granted,
+        result: messages.RunResult,
+        answer: service.ServiceAnswer | None = None,
+    ) -> None:
+        """Report the call's end to the agent."""
+        body = answer.body if answer else b""
+        self.agent.report(
+            messages.RunEnded(
+                run_id=grant.run_id,
+                attempt=grant.attempt,
+                endpoint=grant.endpoint,
+                result=result,
+                status=answer.status if answer else 0,
+                body=body[:MAX_KEPT_BYTES] if grant.attempt else b"",
+                whole=len(body) <= MAX_KEPT_BYTES,
+            )
+        )
+
+
+def replayed_answer(replayed: messages.Replayed) -> service.ServiceAnswer:
+    """Return the answer of a call that ran before.
+
+    Raises
+    ------
+    verdict.RefusalError
+        When only a part of it was kept.
+    """
+    if not replayed.whole:
+        raise verdict.RefusalError(
+            verdict.Ran(
+                verdict.Reason.ANSWER_GONE,
+                "the call ran; its answer was too long to be kept",
+            )
+        )
+    return service.ServiceAnswer(replayed.status, replayed.body, JSON)
--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -38,6 +38,26 @@
 # Modules are named and not imported here: an agent must not pay the memory
 # of the entry's HTTP server, nor a lookup the time to load the bench.
 COMMANDS = (
+    Command(
+        "agent",
+        "briarseam.command.agent",
+        "run the deciding daemon of an instance",
+    ),
+    Command(
+        "entry",
+        "briarseam.command.entry",
+        "run the caller-facing daemon of an instance",
+    ),
+    Command(
+        "status",
+        "briarseam.command.status",
+        "show the agents of a cell and the rollouts",
+    ),
+    Command(
+        "where",
+        "briarseam.command.where",
+        "show which entries a session should use",
+    ),
     Command(
         "settings",
         "briarseam.command.settings",
--- /dev/null
+++ b/src/briarseam/command/entry.py
@@ -0,0 +1,31 @@
+"""``briarseam entry``: the caller-facing daemon of an instance."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam import logs
+from briarseam.command import options
+from briarseam.command import signals
+from briarseam.compose import entry as compose
+
+if typing.TYPE_CHECKING:
+    import argparse
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options of the subcommand."""
+    options.add_settings(parser)
+
+
+def execute(args: argparse.Namespace) -> int:
+    """Run the entry until SIGTERM or SIGINT."""
+    settings = options.load_settings(args)
+    logs.set_up(settings.logging, f"entry/{settings.instance.name}")
+    stopped = signals.stop_on_signals()
+    daemon = compose.build_entry(settings)
+    address = daemon.start()
+    print(f"entry {address}", flush=True)
+    stopped.wait()
+    daemon.stop()
+    return 0
--- /dev/null
+++ b/src/briarseam/compose/agent.py
@@ -0,0 +1,195 @@
+"""Composing the agent daemon."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+from briarseam import verdict
+from briarseam.admission import service as admission
+from briarseam.configuration import reader as configuration
+from briarseam.configuration import teams as configuration_teams
+from briarseam.lookup import service as lookup
+from briarseam.membership import service as membership
+from briarseam.membership import state as members
+from briarseam.metrics import registry as metrics
+from briarseam.platform import instances
+from briarseam.platform import log as platform_log
+from briarseam.routing import service as routing
+from briarseam.status import service as status
+from briarseam.timeline import ring as timeline
+from briarseam.wire import connection
+from briarseam.wire import server as wire
+
+if typing.TYPE_CHECKING:
+    from briarseam import settings as settings_module
+
+MS = 1000.0
+RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentDaemon:
+    """The parts of an agent, in the order in which they start."""
+
+    server: wire.Server
+    membership: membership.Membership
+    configuration: configuration.ConfigurationReader
+    admission: admission.Admission
+    registry: metrics.Registry
+    ring: timeline.Ring
+
+    def start(self) -> None:
+        """Start all parts."""
+        self.server.start()
+        self.membership.start()
+        self.configuration.start()
+
+    def stop(self) -> None:
+        """Stop all parts, the last started first."""
+        self.configuration.stop()
+        self.membership.stop()
+        self.server.stop()
+
+
+def shared_key(settings: settings_module.Settings) -> bytes:
+    """Return the key that the system's processes share."""
+    secret = settings.agent.shared_key
+    if secret is None:
+        raise ValueError("settings without a shared key")
+    return secret.value
+
+
+def build_teams(
+    settings: settings_module.Settings,
+) -> configuration_teams.Teams:
+    """Return the teams of the settings."""
+    return configuration_teams.Teams(
+        tuple(
+            configuration_teams.Team(
+                team.name, (team.key.value,), tuple(team.paths)
+            )
+            for team in settings.teams
+        )
+    )
+
+
+def build_membership(
+    settings: settings_module.Settings,
+    parts_of: typing.Callable[[str], int],
+) -> membership.Membership:
+    """Return the membership part of an agent."""
+    return membership.Membership(
+        members.Me(
+            name=settings.instance.name,
+            zone=settings.instance.zone,
+            agent_address=str(settings.instance.agent_address),
+            entry_addresses=tuple(
+                str(address) for address in settings.instance.entry_addresses
+            ),
+        ),
+        instances.InstanceList(str(settings.platform.instances)),
+        shared_key(settings),
+        seeds=tuple(str(seed) for seed in settings.agent.peers_seed),
+        parts_of=parts_of,
+        heartbeat_interval_s=settings.agent.heartbeat_interval_ms / MS,
+        suspect_after_s=settings.agent.suspect_after_ms / MS,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class CurrencyGate:
+    """Refuses new work while this agent cannot show it is current.
+
+    An agent that was cut off or frozen would go on under settings that
+    everybody else has left behind: it would send work to endpoints that
+    are leaving, or for organisations that were removed.  Refusing as not
+    run sends callers to an instance that knows better.
+
+    Attributes
+    ----------
+    reader
+        Configuration of this agent.
+    stale_after_s
+        Longest time without proof of being current.
+    """
+
+    reader: configuration.ConfigurationReader
+    stale_after_s: float
+
+    def __call__(self) -> verdict.NotRun | None:
+        """Return the refusal, or ``None`` while all is well."""
+        stale_s = self.reader.staleness_s()
+        if stale_s <= self.stale_after_s:
+            return None
+        detail = "this instance has no configuration yet"
+        if not math.isinf(stale_s):
+            detail = "this instance may have missed configuration changes"
+        return verdict.NotRun(
+            verdict.Reason.NOT_CURRENT, detail, RETRY_AFTER_S
+        )
+
+
+def build_agent(settings: settings_module.Settings) -> AgentDaemon:
+    """Return an agent, its socket bound and nothing started."""
+    key = shared_key(settings)
+    me = connection.Identity("agent", settings.instance.name)
+    registry = metrics.Registry(settings.limits.max_metric_label_values)
+    ring = timeline.Ring(
+        f"agent/{me.name}", settings.agent.max_timeline_events
+    )
+    log = platform_log.LogClient(
+        str(settings.platform.log), settings.platform.log_timeout_ms / MS
+    )
+    router = wire.Router()
+    reader: configuration.ConfigurationReader
+
+    def parts_of(zone: str) -> int:
+        cell = reader.view().cells.get(zone)
+        return cell.parts if cell else 1
+
+    def addresses() -> dict[str, str]:
+        live = member_service.live()
+        return {member.name: member.agent_address for member in live}
+
+    reader = configuration.ConfigurationReader(
+        log, build_teams(settings), me, key, addresses
+    )
+    member_service = build_membership(settings, parts_of)
+    chooser = routing.Chooser(reader.view, frozenset)
+    gate = CurrencyGate(reader, settings.agent.stale_after_ms / MS)
+    admission_service = admission.Admission(
+        admission.AdmissionParts(
+            view=reader.view, gate=gate, chooser=chooser, key=key
+        )
+    )
+    lookups = lookup.Lookup(
+        member_service.members,
+        lambda digest: reader.view().organisation_of(digest),
+    )
+    states = status.StatusService(
+        member_service,
+        status.Sources(
+            offset=reader.offset,
+            staleness_s=reader.staleness_s,
+            running=lambda: len(admission_service.runs),
+        ),
+    )
+    for part in (
+        reader,
+        member_service,
+        admission_service,
+        lookups,
+        states,
+    ):
+        part.register(router)
+    server = wire.Server(str(settings.agent.listen), me, key, router)
+    return AgentDaemon(
+        server=server,
+        membership=member_service,
+        configuration=reader,
+        admission=admission_service,
+        registry=registry,
+        ring=ring,
+    )
--- /dev/null
+++ b/src/briarseam/compose/entry.py
@@ -0,0 +1,79 @@
+"""Composing the entry daemon."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+from briarseam.compose import agent as compose_agent
+from briarseam.endpoints import engine
+from briarseam.endpoints import service
+from briarseam.entry import agent_link
+from briarseam.entry import app
+from briarseam.entry import inflight
+from briarseam.entry import operators
+from briarseam.entry import server as http
+from briarseam.metrics import registry as metrics
+from briarseam.wire import client as wire
+from briarseam.wire import connection
+
+if typing.TYPE_CHECKING:
+    import cheroot.wsgi
+
+    from briarseam import settings as settings_module
+
+ENGINE_SILENCE_S = 30.0
+AGENT_CONNECTIONS = 64
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryDaemon:
+    """The parts of an entry."""
+
+    server: cheroot.wsgi.Server
+    parts: app.EntryParts
+    agent_client: wire.Client
+
+    def start(self) -> str:
+        """Bind, begin to serve, and return the address."""
+        self.server.prepare()
+        thread = threading.Thread(
+            target=self.server.serve, name="http", daemon=True
+        )
+        thread.start()
+        host, port = self.server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.server.stop()
+        self.agent_client.close()
+
+
+def build_entry(settings: settings_module.Settings) -> EntryDaemon:
+    """Return an entry, nothing bound or started."""
+    me = connection.Identity("entry", settings.instance.name)
+    client = wire.Client(
+        str(settings.entry.agent),
+        me,
+        compose_agent.shared_key(settings),
+        AGENT_CONNECTIONS,
+    )
+    registry = metrics.Registry(settings.limits.max_metric_label_values)
+    teams = {team.name: team.key.value for team in settings.teams}
+    parts = app.EntryParts(
+        agent=agent_link.AgentLink(client),
+        engines=engine.EngineClient(ENGINE_SILENCE_S),
+        services=service.ServiceClient(),
+        in_flight=inflight.InFlight(),
+        teams=operators.Operators(teams),
+        render_metrics=registry.render,
+        max_body_bytes=settings.entry.max_body_bytes,
+    )
+    server = http.build_server(
+        (settings.entry.listen.ip, settings.entry.listen.port),
+        app.build_application(parts),
+        settings.entry.threads,
+    )
+    return EntryDaemon(server, parts, client)
--- /dev/null
+++ b/src/briarseam/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The caller-facing HTTP edge of an entry process."""
--- /dev/null
+++ b/src/briarseam/entry/agent_link.py
@@ -0,0 +1,110 @@
+"""The entry's calls to its agent."""
+
+from __future__ import annotations
+
+import typing
+
+import structlog
+
+from briarseam import verdict
+from briarseam.admission import messages
+from briarseam.wire import client as wire_client
+from briarseam.wire import codec
+from briarseam.wire import connection
+
+ADMIT_SLACK_S = 2.0
+REPORT_TIMEOUT_S = 2.0
+RETRY_AFTER_S = 1.0
+MS = 1000.0
+log = structlog.get_logger("briarseam.entry")
+
+ReplyType = typing.TypeVar("ReplyType")
+
+
+class AgentLink:
+    """Asks the agent, and turns its absence into a clear refusal.
+
+    Parameters
+    ----------
+    client
+        Connections to the agent.
+    """
+
+    def __init__(self, client: wire_client.Client) -> None:
+        self.client = client
+
+    def ask(
+        self,
+        request: codec.Message,
+        kinds: tuple[type[ReplyType], ...],
+        timeout_s: float,
+    ) -> ReplyType:
+        """Return the agent's reply, one of ``kinds``.
+
+        Raises
+        ------
+        verdict.RefusalError
+            When the agent refuses or does not answer.  A grant whose reply
+            is lost was never acted upon, so "not run" holds: only the
+            holder of a grant sends anything to an endpoint.
+        """
+        try:
+            reply = self.client.call(request, timeout_s)
+        except connection.WireError as error:
+            raise self.unavailable(str(error)) from error
+        match reply:
+            case messages.Refused():
+                raise verdict.RefusalError(messages.verdict_of(reply))
+            case codec.Failed(detail=detail):
+                raise self.unavailable(detail)
+        if not isinstance(reply, kinds):
+            raise self.unavailable(f"unexpected {type(reply).__name__}")
+        return reply
+
+    def unavailable(self, detail: str) -> verdict.RefusalError:
+        """Return the refusal for an agent that does not answer."""
+        return verdict.RefusalError(
+            verdict.NotRun(
+                verdict.Reason.AGENT_UNAVAILABLE,
+                f"this instance's agent does not answer: {detail}",
+                RETRY_AFTER_S,
+            )
+        )
+
+    def admit(
+        self, request: messages.Admit
+    ) -> messages.Granted | messages.Replayed:
+        """Return a grant or a replay for a prompt."""
+        return self.ask_grant(request, request.deadline_ms)
+
+    def admit_call(
+        self, request: messages.AdmitCall
+    ) -> messages.Granted | messages.Replayed:
+        """Return a grant or a replay for a service call."""
+        return self.ask_grant(request, request.deadline_ms)
+
+    def ask_grant(
+        self, request: codec.Message, deadline_ms: int
+    ) -> messages.Granted | messages.Replayed:
+        """Return the agent's grant or replay."""
+        kinds: tuple[type[messages.Granted | messages.Replayed], ...] = (
+            messages.Granted,
+            messages.Replayed,
+        )
+        return self.ask(request, kinds, deadline_ms / MS + ADMIT_SLACK_S)
+
+    def locate(self, token_digest: str, answer_id: str) -> messages.Located:
+        """Return where an answer runs."""
+        return self.ask(
+            messages.Locate(token_digest, answer_id),
+            (messages.Located,),
+            REPORT_TIMEOUT_S,
+        )
+
+    def report(self, message: codec.Message) -> codec.Message | None:
+        """Tell the agent something; ``None`` when it is away."""
+        try:
+            return self.client.call(message, REPORT_TIMEOUT_S)
+        except connection.WireError as error:
+            log.debug("report_lost", detail=str(error))
+            return None
--- /dev/null
+++ b/src/briarseam/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which endpoint runs a request."""
--- /dev/null
+++ b/src/briarseam/status/service.py
@@ -0,0 +1,124 @@
+"""Answers operators' question how the agents are."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import math
+import typing
+
+from briarseam.status import messages
+from briarseam.wire import connection as connections
+
+if typing.TYPE_CHECKING:
+    from briarseam.membership import service as membership
+    from briarseam.membership import state as members
+    from briarseam.wire import server
+
+ASK_TIMEOUT_S = 1.0
+MAX_ASKERS = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class Sources:
+    """Where an agent's own row comes from.
+
+    Attributes
+    ----------
+    offset
+        Configuration offset in force.
+    staleness_s
+        Time without proof of being current; infinite for never.
+    running
+        Granted requests that have not ended.
+    rollouts
+        Rollouts this agent leads.
+    """
+
+    offset: typing.Callable[[], int]
+    staleness_s: typing.Callable[[], float]
+    running: typing.Callable[[], int]
+    rollouts: typing.Callable[[], tuple[messages.Rollout, ...]] = tuple
+
+
+class StatusService:
+    """Describes this agent and asks the others.
+
+    Parameters
+    ----------
+    membership
+        The members of the cell.
+    sources
+        Where this agent's own row comes from.
+    """
+
+    def __init__(
+        self, membership: membership.Membership, sources: Sources
+    ) -> None:
+        self.membership = membership
+        self.sources = sources
+
+    def register(self, router: server.Router) -> None:
+        """Answer entries and other agents."""
+        router.on(messages.StatusAsked, self.on_asked)
+
+    def on_asked(
+        self, peer: connections.Identity, asked: messages.StatusAsked
+    ) -> messages.Status:
+        """Answer with this agent's row, on request with all members'."""
+        del peer
+        rows = [self.own()]
+        if asked.all_members:
+            rows += self.others()
+        return messages.Status(tuple(sorted(rows, key=lambda row: row.name)))
+
+    def own(self) -> messages.AgentStatus:
+        """Return this agent's row."""
+        me = self.membership.me
+        stale_s = self.sources.staleness_s()
+        return messages.AgentStatus(
+            name=me.name,
+            zone=me.zone,
+            cell=me.cell,
+            state=me.state.value,
+            configuration_offset=self.sources.offset(),
+            stale_s=-1.0 if math.isinf(stale_s) else round(stale_s, 3),
+            running=self.sources.running(),
+            rollouts=self.sources.rollouts(),
+        )
+
+    def others(self) -> list[messages.AgentStatus]:
+        """Ask the other members, all at once."""
+        name = self.membership.me.name
+        peers = [
+            member
+            for member in self.membership.members()
+            if member.name != name
+        ]
+        if not peers:
+            return []
+        workers = min(MAX_ASKERS, len(peers))
+        with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+            return list(pool.map(self.ask, peers))
+
+    def ask(self, member: members.Member) -> messages.AgentStatus:
+        """Return a member's row, its own word where it answers."""
+        unreached = messages.AgentStatus(
+            name=member.name,
+            zone=member.zone,
+            cell=member.cell,
+            state=member.state.value,
+            age_s=round(member.heard_s_ago, 3),
+            reached=False,
+        )
+        try:
+            reply = self.membership.client(member.name).call(
+                messages.StatusAsked(all_members=False), ASK_TIMEOUT_S
+            )
+        except connections.WireError:
+            return unreached
+        if not isinstance(reply, messages.Status) or not reply.agents:
+            return unreached
+        return dataclasses.replace(
+            reply.agents[0], age_s=round(member.heard_s_ago, 3)
+        )
--- a/src/briarseam/verdict.py
+++ b/src/briarseam/verdict.py
@@ -121,3 +121,17 @@
             return "yes"
         case MayHaveRun():
             return "unknown"
+
+
+class RefusalError(Exception):
+    """Ends a request with a verdict in place of its answer.
+
+    Attributes
+    ----------
+    given
+        The verdict.
+    """
+
+    def __init__(self, given: Verdict) -> None:
+        super().__init__(given.detail)
+        self.given = given
