--- /dev/null
+++ b/src/briarseam/claims/service.py
@@ -0,0 +1,429 @@
+"""Claims: the right to run a non-idempotent request, at most once.
+
+An agent owns some shards (by rank over the live agents) and follows and
+writes only these; for other keys it asks their owner.  Two owners of one
+shard are harmless, since the fold of the stream alone decides.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+import threading
+import typing
+
+from briarseam import verdict
+from briarseam.claims import keys
+from briarseam.claims import messages
+from briarseam.claims import records
+from briarseam.claims import settler as settlers
+from briarseam.claims import shard as shard_module
+from briarseam.claims import writer as writers
+from briarseam.metrics import registry as registries
+from briarseam.platform import log as platform_log
+from briarseam.wire import client as wire_client
+from briarseam.wire import codec
+from briarseam.wire import connection as connections
+from briarseam.wire import server as wire_server
+
+# How many streams the keys are cut into.  No setting: two agents that cut
+# them differently would look for one key in two streams.
+SHARDS = 4
+STREAM_PREFIX = "claims-"
+DEFAULT_WINDOW_S = 3600.0
+DEFAULT_BATCH_MS = 20.0
+DEFAULT_WAIT_S = 2.0
+SETTLE_WAIT_S = 2.0
+REMOTE_SLACK_S = 0.5
+OWNER_LOST_RETRY_S = 1.0
+FLUSH_S = 2.0
+ATTEMPT_BYTES = 16
+
+
+class PeerClient(typing.Protocol):
+    """What asking another agent takes; see ``briarseam.wire.client``."""
+
+    def call(self, request: codec.Message, timeout_s: float) -> codec.Message:
+        """Send a message and return the reply."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Holder:
+    """One start of an agent.
+
+    Attributes
+    ----------
+    name
+        The agent.
+    incarnation
+        Differs for each start of it.
+    """
+
+    name: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How claims work.
+
+    Attributes
+    ----------
+    window_s
+        Greatest age of a key in seconds; less than the log's retention
+        by a margin of at least two minutes.
+    batch_ms
+        Least time between two appends to one stream.
+    wait_s
+        Longest wait for a claim, in seconds.
+    shards
+        Into how many streams the keys are cut; the same everywhere.
+    """
+
+    window_s: float = DEFAULT_WINDOW_S
+    batch_ms: float = DEFAULT_BATCH_MS
+    wait_s: float = DEFAULT_WAIT_S
+    shards: int = SHARDS
+
+
+@dataclasses.dataclass(frozen=True)
+class Peers:
+    """What claims need to know of the other agents.
+
+    Attributes
+    ----------
+    owner_of
+        The agent that owns a shard; ``None`` means this one.
+    client_of
+        A client of another agent; ``None`` when it cannot be reached.
+    is_alive
+        Whether an agent's incarnation (name, incarnation) is still there.
+    """
+
+    owner_of: typing.Callable[[int], str | None]
+    client_of: typing.Callable[[str], PeerClient | None]
+    is_alive: typing.Callable[[str, str], bool]
+
+
+def alone(me: Holder) -> Peers:
+    """Return the view of an agent without peers."""
+    return Peers(
+        lambda shard: None,
+        lambda name: None,
+        lambda name, incarnation: Holder(name, incarnation) == me,
+    )
+
+
+class Claims:
+    """At-most-once claims of one agent.
+
+    Parameters
+    ----------
+    log
+        The log service.
+    me
+        This start of this agent.
+    peers
+        The other agents.
+    options
+        How claims work.
+    metrics
+        Where to count.
+    """
+
+    def __init__(
+        self,
+        log: platform_log.LogClient,
+        me: Holder,
+        peers: Peers,
+        options: Options,
+        metrics: registries.Registry,
+    ) -> None:
+        self.log = log
+        self.me = me
+        self.peers = peers
+        self.options = options
+        self.window = keys.Window(int(options.window_s * 1000))
+        self.lock = threading.Lock()
+        self.shards: dict[int, shard_module.Shard] = {}
+        self.settlers: dict[int, settlers.Settler] = {}
+        self.results = metrics.counters(
+            "claims_total", "Claims by result.", ("result",)
+        )
+        self.waits = metrics.latency("claim_us", "Time that a claim took.")
+        metrics.reading("claim_keys", "Keys in memory.", self.count_keys)
+        metrics.reading(
+            "claim_appends", "Records appended.", self.count_appends
+        )
+        metrics.reading(
+            "claim_settlements_pending",
+            "Ends of attempts not yet in the log.",
+            self.count_pending,
+        )
+        metrics.reading(
+            "claim_streams_halted",
+            "Streams that cannot be trusted.",
+            self.count_halted,
+        )
+
+    def start(self) -> None:
+        """Begin following the shards that this agent owns."""
+        for number in range(self.options.shards):
+            if self.owner(number) is None:
+                self.shard(number)
+
+    def stop(self) -> None:
+        """Hand over pending settlements, then stop."""
+        with self.lock:
+            pending = list(self.settlers.values())
+        for settler in pending:
+            settler.stop(FLUSH_S)
+        for shard in self.followed():
+            shard.stop()
+
+    def register(self, router: wire_server.Router) -> None:
+        """Answer other agents' claims and settlements."""
+        router.on(messages.ClaimRequest, self.on_claim)
+        router.on(messages.SettleRequest, self.on_settle)
+
+    def new_attempt(self) -> str:
+        """Return a fresh attempt name."""
+        return secrets.token_hex(ATTEMPT_BYTES)
+
+    def claim(
+        self,
+        organisation: str,
+        key: str,
+        body_digest: bytes,
+        attempt: str,
+        wait_s: float | None = None,
+    ) -> messages.Result:
+        """Ask for the right to run a key's request.
+
+        Parameters
+        ----------
+        organisation
+            Whose key it is; keys of two organisations never meet.
+        key
+            The caller's idempotency key.
+        body_digest
+            Digest of the request.
+        attempt
+            A fresh attempt, see :meth:`new_attempt`.
+        wait_s
+            Bound on the wait, in seconds.
+
+        Returns
+        -------
+        Result
+            Only ``Won`` allows to send the request; whoever got it must
+            :meth:`settle` the attempt at the end.
+        """
+        parsed = keys.parse(key)
+        if parsed is None:
+            return self.counted(messages.KeyInvalid("not a UUIDv7"))
+        request = messages.ClaimRequest(
+            organisation,
+            parsed.text,
+            attempt,
+            body_digest,
+            self.me.name,
+            self.me.incarnation,
+            self.options.wait_s if wait_s is None else wait_s,
+        )
+        with self.waits.time():
+            result = self.ask(request)
+        if isinstance(result, messages.NotClaimed) and result.dangling:
+            # The claim may yet turn up in the stream and hold the key for
+            # an attempt that is never sent, so its end is recorded too.
+            self.settle(organisation, key, attempt, verdict_not_run())
+        return self.counted(result)
+
+    def settle(
+        self,
+        organisation: str,
+        key: str,
+        attempt: str,
+        end: records.Outcome | verdict.NotRun | verdict.MayHaveRun,
+    ) -> None:
+        """Record how an attempt ended; returns at once.
+
+        Parameters
+        ----------
+        organisation, key, attempt
+            As claimed.
+        end
+            ``Outcome`` when it ran; ``NotRun`` only if the request was
+            never sent; ``MayHaveRun`` when its outcome was lost.
+        """
+        parsed = keys.parse(key)
+        if parsed is None:
+            return
+        name = (organisation, parsed.text, attempt)
+        item: records.Settlement
+        match end:
+            case records.Outcome():
+                item = records.Done(*name, end)
+            case verdict.NotRun():
+                item = records.NotRun(*name)
+            case verdict.MayHaveRun():
+                item = records.Lost(*name)
+        number = self.shard_of(organisation, parsed.text)
+        self.settler(number).add(item)
+
+    def shard_of(self, organisation: str, key: str) -> int:
+        """Return the number of the shard that keeps a key."""
+        return keys.shard_of(organisation, key, self.options.shards)
+
+    def owner(self, number: int) -> str | None:
+        """Return the other agent that owns a shard; ``None`` if we do."""
+        name = self.peers.owner_of(number)
+        return None if name == self.me.name else name
+
+    def ask(self, request: messages.ClaimRequest) -> messages.Result:
+        """Claim at the shard's owner."""
+        number = self.shard_of(request.organisation, request.key)
+        name = self.owner(number)
+        if name is None:
+            return self.claim_here(number, request)
+        client = self.peers.client_of(name)
+        if client is None:
+            return owner_lost(name, dangling=False)
+        try:
+            reply = client.call(request, request.wait_s + REMOTE_SLACK_S)
+        except wire_client.NotSentError:
+            return owner_lost(name, dangling=False)
+        except connections.WireError:
+            # The owner may have got the claim and append it at any time.
+            return owner_lost(name, dangling=True)
+        if isinstance(reply, codec.Failed):
+            return owner_lost(name, dangling=True)
+        return typing.cast("messages.Result", reply)
+
+    def claim_here(
+        self, number: int, request: messages.ClaimRequest
+    ) -> messages.Result:
+        """Claim in a shard that this agent follows."""
+        item = records.Claim(
+            request.organisation,
+            request.key,
+            request.attempt,
+            request.body_digest,
+            request.holder,
+            request.incarnation,
+        )
+        return self.shard(number).claim(item, request.wait_s)
+
+    def deliver(
+        self, number: int, items: typing.Sequence[records.Settlement]
+    ) -> frozenset[str]:
+        """Offer settlements to the shard's owner."""
+        name = self.owner(number)
+        if name is None:
+            return self.shard(number).settle(items, SETTLE_WAIT_S)
+        client = self.peers.client_of(name)
+        if client is None:
+            return frozenset()
+        request = messages.SettleRequest(number, tuple(items), SETTLE_WAIT_S)
+        try:
+            reply = client.call(request, SETTLE_WAIT_S + REMOTE_SLACK_S)
+        except connections.WireError:
+            return frozenset()
+        if not isinstance(reply, messages.SettleReply):
+            return frozenset()
+        return frozenset(reply.attempts)
+
+    def on_claim(
+        self, peer: connections.Identity, request: messages.ClaimRequest
+    ) -> messages.Result:
+        """Answer another agent's claim."""
+        number = self.shard_of(request.organisation, request.key)
+        return self.claim_here(number, request)
+
+    def on_settle(
+        self, peer: connections.Identity, request: messages.SettleRequest
+    ) -> messages.SettleReply:
+        """Answer another agent's settlements."""
+        if not 0 <= request.shard < self.options.shards:
+            return messages.SettleReply(())
+        shard = self.shard(request.shard)
+        confirmed = shard.settle(request.settlements, request.wait_s)
+        return messages.SettleReply(tuple(sorted(confirmed)))
+
+    def shard(self, number: int) -> shard_module.Shard:
+        """Return a shard, beginning to follow it if need be."""
+        with self.lock:
+            shard = self.shards.get(number)
+            if shard is None:
+                shard = self.new_shard(number)
+                self.shards[number] = shard
+                shard.start()
+            return shard
+
+    def new_shard(self, number: int) -> shard_module.Shard:
+        """Return a shard that is not yet followed."""
+        stream = writers.Stream(
+            self.log,
+            f"{STREAM_PREFIX}{number:02d}",
+            self.options.shards,
+            f"{self.me.name}/{self.me.incarnation}",
+        )
+        return shard_module.Shard(
+            stream,
+            self.window,
+            self.options.batch_ms / 1000,
+            self.peers.is_alive,
+        )
+
+    def settler(self, number: int) -> settlers.Settler:
+        """Return a shard's settler, starting it if need be."""
+        with self.lock:
+            settler = self.settlers.get(number)
+            if settler is None:
+                settler = settlers.Settler(number, self.deliver)
+                self.settlers[number] = settler
+                settler.start()
+            return settler
+
+    def counted(self, result: messages.Result) -> messages.Result:
+        """Count a result by its kind."""
+        self.results.labelled(type(result).__name__).add()
+        return result
+
+    def followed(self) -> list[shard_module.Shard]:
+        """Return the shards that this agent follows."""
+        with self.lock:
+            return list(self.shards.values())
+
+    def count_keys(self) -> int:
+        """Return how many keys and void attempts are in memory."""
+        return sum(shard.fold.size() for shard in self.followed())
+
+    def count_appends(self) -> int:
+        """Return how many records were appended."""
+        return sum(shard.writer.appends for shard in self.followed())
+
+    def count_halted(self) -> int:
+        """Return how many streams cannot be trusted."""
+        return sum(bool(shard.halted) for shard in self.followed())
+
+    def count_pending(self) -> int:
+        """Return how many settlements are not yet in the log."""
+        with self.lock:
+            pending = list(self.settlers.values())
+        return sum(len(settler.pending) for settler in pending)
+
+
+def verdict_not_run() -> verdict.NotRun:
+    """Return the end of an attempt that was given up before sending."""
+    return verdict.NotRun(verdict.Reason.LOG_UNAVAILABLE)
+
+
+def owner_lost(name: str, dangling: bool) -> messages.NotClaimed:
+    """Return the answer when a shard's owner did not answer."""
+    return messages.NotClaimed(
+        verdict.Reason.AGENT_UNAVAILABLE,
+        f"agent {name}, which keeps this key, did not answer",
+        OWNER_LOST_RETRY_S,
+        dangling,
+    )
--- /dev/null
+++ b/src/briarseam/claims/settler.py
@@ -0,0 +1,111 @@
+"""Settlements on their way to the log.
+
+How an attempt ended is known to its own agent only, so it is kept and
+offered again until it has been read back from the stream.  Should the agent
+die first, the key stays claimed: a later caller is told that nobody can
+know.
+"""
+
+from __future__ import annotations
+
+import collections
+import threading
+import typing
+
+from briarseam.claims import records
+
+RETRY_S = 0.25
+MAX_RETRY_S = 2.0
+MAX_PENDING = 50_000
+MAX_AT_ONCE = 500
+STOP_JOIN_S = 5.0
+
+# Offers settlements of one shard; returns the attempts read back.
+Deliver = typing.Callable[
+    [int, typing.Sequence[records.Settlement]], frozenset[str]
+]
+
+
+class Settler:
+    """The settlements of one shard.
+
+    Parameters
+    ----------
+    shard
+        Number of the shard.
+    deliver
+        Offers them to the shard's owner and waits.
+    """
+
+    def __init__(self, shard: int, deliver: Deliver) -> None:
+        self.shard = shard
+        self.deliver = deliver
+        self.pending: collections.OrderedDict[str, records.Settlement] = (
+            collections.OrderedDict()
+        )
+        self.changed = threading.Condition()
+        self.stopping = False
+        self.dropped = 0
+        self.thread = threading.Thread(
+            target=self.run, name=f"settle-{shard}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin offering."""
+        self.thread.start()
+
+    def stop(self, flush_s: float) -> None:
+        """Offer what is pending for up to ``flush_s`` seconds, then stop."""
+        with self.changed:
+            self.changed.wait_for(lambda: not self.pending, flush_s)
+            self.stopping = True
+            self.changed.notify_all()
+        self.thread.join(STOP_JOIN_S)
+
+    def add(self, item: records.Settlement) -> None:
+        """Take a settlement; a later one of the same attempt replaces it."""
+        with self.changed:
+            if len(self.pending) >= MAX_PENDING:
+                # Dropping one leaves its key claimed, which is safe.
+                self.pending.popitem(last=False)
+                self.dropped += 1
+            self.pending[item.attempt] = item
+            self.changed.notify_all()
+
+    def run(self) -> None:
+        """Offer until stopped, backing off while nothing is taken."""
+        pause_s = RETRY_S
+        while True:
+            items = self.take()
+            if not items:
+                return
+            confirmed = self.deliver(self.shard, items)
+            self.remove(items, confirmed)
+            if confirmed:
+                pause_s = RETRY_S
+                continue
+            with self.changed:
+                self.changed.wait_for(lambda: self.stopping, pause_s)
+            pause_s = min(2 * pause_s, MAX_RETRY_S)
+
+    def take(self) -> list[records.Settlement]:
+        """Wait for settlements and return some; none once stopped."""
+        with self.changed:
+            self.changed.wait_for(lambda: self.pending or self.stopping)
+            if self.stopping:
+                return []
+            return list(self.pending.values())[:MAX_AT_ONCE]
+
+    def remove(
+        self,
+        items: typing.Sequence[records.Settlement],
+        confirmed: frozenset[str],
+    ) -> None:
+        """Forget what was read back, unless it was replaced meanwhile."""
+        with self.changed:
+            for item in items:
+                if item.attempt not in confirmed:
+                    continue
+                if self.pending.get(item.attempt) is item:
+                    del self.pending[item.attempt]
+            self.changed.notify_all()
--- /dev/null
+++ b/src/briarseam/claims/shard.py
@@ -0,0 +1,396 @@
+"""One claim stream: its fold, its follower, its writer, and who waits.
+
+A claimant is told that it won only after the fold has read its own claim
+back from the stream as the winner.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import structlog
+
+from briarseam import verdict
+from briarseam.claims import fold as folds
+from briarseam.claims import keys
+from briarseam.claims import messages
+from briarseam.claims import records
+from briarseam.claims import writer as writers
+from briarseam.platform import log as platform_log
+
+MAX_ENTRIES = 2_000_000
+MIN_RETRY_S = 0.2
+MAX_RETRY_S = 30.0
+FOLLOW_WAIT_MS = 1000
+CATCH_UP_RECORDS_PER_S = 5000
+log = structlog.get_logger("briarseam.claims")
+
+IsAlive = typing.Callable[[str, str], bool]
+
+
+@dataclasses.dataclass
+class Waiter:
+    """A claimant that waits for its claim to be read back."""
+
+    claim: records.Claim
+    result: messages.Result | None = None
+    decided: threading.Event = dataclasses.field(
+        default_factory=threading.Event
+    )
+
+    def decide(self, result: messages.Result) -> None:
+        """Give the claimant its answer."""
+        self.result = result
+        self.decided.set()
+
+
+@dataclasses.dataclass
+class Confirmation:
+    """Settlements that wait to be read back."""
+
+    open: set[records.Settlement]
+    confirmed: set[records.Settlement] = dataclasses.field(default_factory=set)
+    decided: threading.Event = dataclasses.field(
+        default_factory=threading.Event
+    )
+
+    def close(self, item: records.Settlement, confirmed: bool) -> None:
+        """Note one settlement's end; wake the waiter after the last."""
+        self.open.discard(item)
+        if confirmed:
+            self.confirmed.add(item)
+        if not self.open:
+            self.decided.set()
+
+
+class Shard:
+    """The keys of one claim stream, as one agent follows them.
+
+    Parameters
+    ----------
+    stream
+        The stream and who writes to it.
+    window
+        How long keys are good for.
+    interval_s
+        Least time between two appends, in seconds.
+    is_alive
+        Tells whether an agent's incarnation is still there.  It only
+        chooses between "in progress" and "unknown"; no safety rests on it.
+    """
+
+    def __init__(
+        self,
+        stream: writers.Stream,
+        window: keys.Window,
+        interval_s: float,
+        is_alive: IsAlive,
+    ) -> None:
+        self.stream = stream
+        self.window = window
+        self.is_alive = is_alive
+        self.lock = threading.Lock()
+        self.fold = folds.Fold(window)
+        self.last_offset = 0
+        self.behind = -1
+        self.halted = ""
+        self.claimants: dict[str, Waiter] = {}
+        self.settling: dict[records.Settlement, Confirmation] = {}
+        self.writer = writers.Writer(stream, self, interval_s)
+        self.follower = platform_log.Follower(
+            stream.log, stream.name, 0, self.take_in, FOLLOW_WAIT_MS
+        )
+
+    def start(self) -> None:
+        """Begin reading the window."""
+        self.follower.start()
+        self.writer.start()
+
+    def stop(self) -> None:
+        """Append what is queued and stop."""
+        self.writer.stop()
+        self.follower.stop()
+
+    def position(self) -> int:
+        """Return the last offset read from the stream."""
+        return self.last_offset
+
+    def is_wanted(self, item: records.Item) -> bool:
+        """Tell whether somebody still waits for an item."""
+        with self.lock:
+            if isinstance(item, records.Claim):
+                return item.attempt in self.claimants
+            return item in self.settling
+
+    def is_busy(self) -> bool:
+        """Tell whether anybody waits for this shard."""
+        with self.lock:
+            return bool(self.claimants or self.settling)
+
+    def claim(self, item: records.Claim, wait_s: float) -> messages.Result:
+        """Claim a key and return what the stream says.
+
+        Parameters
+        ----------
+        item
+            The claim; its attempt must be fresh.
+        wait_s
+            Bound on the wait, in seconds.
+        """
+        with self.lock:
+            early = self.early(item)
+            if early is not None:
+                return early
+            waiter = Waiter(item)
+            self.claimants[item.attempt] = waiter
+        self.writer.submit([item])
+        waiter.decided.wait(wait_s)
+        with self.lock:
+            self.claimants.pop(item.attempt, None)
+        if waiter.result is not None:
+            return waiter.result
+        return messages.NotClaimed(
+            verdict.Reason.LOG_UNAVAILABLE,
+            f"the log did not take the claim within {wait_s:g} s",
+            platform_log.DEFAULT_RETRY_AFTER_S,
+            dangling=True,
+        )
+
+    def early(self, item: records.Claim) -> messages.Result | None:
+        """Return the answer that needs no append; ``None`` when free.
+
+        A key that is known to be held is answered from the fold also
+        while the log is away; "not run" would be wrong about it.
+        """
+        if self.behind == 0:
+            known = self.standing(item)
+            if known is not None:
+                return known
+        return self.unready() or self.crowded()
+
+    def settle(
+        self,
+        settlements: typing.Sequence[records.Settlement],
+        wait_s: float,
+    ) -> frozenset[str]:
+        """Record how attempts ended.
+
+        Returns
+        -------
+        frozenset of str
+            The attempts whose settlement was read back.
+        """
+        confirmation = Confirmation(set(settlements))
+        with self.lock:
+            if self.unready() is not None:
+                return frozenset()
+            for item in settlements:
+                self.settling[item] = confirmation
+        self.writer.submit(settlements)
+        confirmation.decided.wait(wait_s)
+        with self.lock:
+            for item in settlements:
+                self.settling.pop(item, None)
+            return frozenset(item.attempt for item in confirmation.confirmed)
+
+    def unready(self) -> messages.NotClaimed | None:
+        """Return the refusal while the window is not known up to now."""
+        if self.halted:
+            return refuse(self.halted, MAX_RETRY_S)
+        if not self.follower.available:
+            return refuse(
+                "the log cannot be reached",
+                platform_log.MAX_RETRY_S,
+                verdict.Reason.LOG_UNAVAILABLE,
+            )
+        if self.behind != 0:
+            return refuse("the claims are being read", self.catch_up_s())
+        return None
+
+    def catch_up_s(self) -> float:
+        """Return about how long reading the window will take yet."""
+        return MIN_RETRY_S + max(self.behind, 0) / CATCH_UP_RECORDS_PER_S
+
+    def crowded(self) -> messages.NotClaimed | None:
+        """Return the refusal while more keys are held than fit.
+
+        Nothing inside the window may be forgotten, so new claims wait
+        until old keys age out.
+        """
+        if self.fold.size() < MAX_ENTRIES:
+            return None
+        oldest_ms = self.fold.by_age[0][0]
+        left_ms = oldest_ms + self.window.length_ms - self.fold.now_ms
+        return refuse(
+            "more keys are held than fit",
+            max(MIN_RETRY_S, left_ms / 1000),
+            verdict.Reason.OVERLOADED,
+        )
+
+    def standing(self, item: records.Claim) -> messages.Result | None:
+        """Return the answer that the fold already has; ``None`` if free."""
+        parsed = keys.parse(item.key)
+        if parsed is not None and self.fold.is_over(parsed.time_ms):
+            return messages.KeyExpired()
+        entry = self.fold.find(item.organisation, item.key)
+        if entry is None:
+            return None
+        if entry.body_digest not in (b"", item.body_digest):
+            return messages.KeyReused()
+        if entry.standing is folds.Standing.FREE:
+            return None
+        return self.held(entry)
+
+    def held(self, entry: folds.Entry) -> messages.Result:
+        """Return the answer about a key that another attempt holds."""
+        if entry.outcome is not None:
+            return messages.Finished(entry.outcome)
+        if entry.standing is folds.Standing.LOST:
+            return messages.Unknown("the first request's answer was lost")
+        if not self.is_alive(entry.holder, entry.incarnation):
+            return messages.Unknown(
+                "the instance that sent the first request is gone"
+            )
+        age_ms = self.fold.now_ms - entry.claimed_ms
+        left_s = (self.fold.run_ms - age_ms) / 1000
+        return messages.InProgress(min(max(left_s, MIN_RETRY_S), MAX_RETRY_S))
+
+    def fail(
+        self,
+        items: typing.Sequence[records.Item],
+        failure: writers.Failure,
+    ) -> None:
+        """Tell those who wait that the items were not appended."""
+        with self.lock:
+            for item in items:
+                if not isinstance(item, records.Claim):
+                    self.close_settlement(item, False)
+                    continue
+                waiter = self.claimants.pop(item.attempt, None)
+                if waiter is not None:
+                    waiter.decide(not_appended(failure))
+
+    def close_settlement(
+        self, item: records.Settlement, confirmed: bool
+    ) -> None:
+        """End the wait for one settlement."""
+        confirmation = self.settling.pop(item, None)
+        if confirmation is not None:
+            confirmation.close(item, confirmed)
+
+    def take_in(self, batch: platform_log.Batch) -> None:
+        """Fold what the follower read."""
+        with self.lock:
+            if self.halted or self.is_rolled_back(batch):
+                return
+            if batch.first > self.last_offset + 1:
+                self.start_over(batch.first)
+            for record in batch.records:
+                self.take_record(record)
+                if self.halted:
+                    return
+            self.behind = max(0, batch.next - 1 - self.last_offset)
+
+    def is_rolled_back(self, batch: platform_log.Batch) -> bool:
+        """Halt when the log lost records that were read before.
+
+        A log that went back would hand out offsets, and so keys, a second
+        time; it shows as a next offset at or below the last one read.
+        """
+        if batch.next > self.last_offset:
+            return False
+        self.halt("the log lost records; claims are refused")
+        return True
+
+    def start_over(self, first: int) -> None:
+        """Begin an empty fold at the first record still retained.
+
+        A reader that was paused longer than the retention has a gap, and
+        a key's claim may lie in it.  What is retained covers every key
+        that is still accepted, so the fold of just that is whole.
+        """
+        if self.last_offset:
+            log.warning("claims_gap", stream=self.stream.name, first=first)
+        clock_ms = self.fold.now_ms
+        self.fold = folds.Fold(self.window)
+        self.fold.advance(clock_ms)
+        self.last_offset = first - 1
+
+    def take_record(self, record: platform_log.Record) -> None:
+        """Fold one record and wake those whose items it holds."""
+        if record.offset <= self.last_offset:
+            return
+        self.last_offset = record.offset
+        self.fold.advance(record.time_ms)
+        try:
+            batch = records.decode(record.data)
+        except records.UnreadableError:
+            return
+        except records.UnknownVersionError as error:
+            self.halt(f"{error}: this release is too old")
+            return
+        if batch.shards != self.stream.shards:
+            # Keys would lie in other streams than where this agent looks,
+            # and be free in both.
+            self.halt(
+                f"claims are cut into {batch.shards} streams, "
+                f"not {self.stream.shards}"
+            )
+            return
+        for item in batch.items:
+            self.take_item(item)
+
+    def take_item(self, item: records.Item) -> None:
+        """Fold one item and wake whoever waits for it."""
+        if not isinstance(item, records.Claim):
+            self.fold.settle(item)
+            self.close_settlement(item, True)
+            return
+        ruling = self.fold.claim(item)
+        waiter = self.claimants.pop(item.attempt, None)
+        if waiter is not None:
+            waiter.decide(self.answer(ruling, item))
+
+    def answer(
+        self, ruling: folds.Ruling, item: records.Claim
+    ) -> messages.Result:
+        """Return what a claimant is told about its ruling."""
+        match ruling:
+            case folds.Ruling.WON:
+                return messages.Won(item.attempt)
+            case folds.Ruling.REUSED:
+                return messages.KeyReused()
+            case folds.Ruling.TOO_OLD:
+                return messages.KeyExpired()
+            case folds.Ruling.FROM_FUTURE:
+                return messages.KeyInvalid("the key's time is in the future")
+            case folds.Ruling.HELD:
+                return self.standing(item) or refuse(
+                    "the attempt was given up", MIN_RETRY_S
+                )
+
+    def halt(self, detail: str) -> None:
+        """Refuse all claims from now on: the stream cannot be trusted."""
+        self.halted = detail
+        log.error("claims_halted", stream=self.stream.name, detail=detail)
+
+
+def refuse(
+    detail: str,
+    retry_after_s: float,
+    reason: verdict.Reason = verdict.Reason.NOT_CURRENT,
+) -> messages.NotClaimed:
+    """Return the answer to a claim that was not even appended."""
+    return messages.NotClaimed(reason, detail, retry_after_s)
+
+
+def not_appended(failure: writers.Failure) -> messages.NotClaimed:
+    """Return the answer to a claim whose append failed."""
+    return messages.NotClaimed(
+        verdict.Reason.LOG_UNAVAILABLE,
+        failure.detail,
+        failure.retry_after_s,
+        failure.dangling,
+    )
--- /dev/null
+++ b/src/briarseam/claims/writer.py
@@ -0,0 +1,239 @@
+"""Group commit: the appends of one claim stream.
+
+While one append is under way, further claims gather; the next append takes
+them all.  An idle stream appends at once, a busy one at most every
+``interval_s``, so the log's few hundred appends a second are kept.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import threading
+import time
+import typing
+
+from briarseam.claims import records
+from briarseam.platform import log as platform_log
+
+MAX_ITEMS = 2000
+# The log takes 1 MiB; an item beyond this starts the next record.
+MAX_BYTES = 768 * 1024
+FIXED_ITEM_BYTES = 192
+SETTLE_READ_MAX = 2000
+STOP_JOIN_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """Why items are not in the stream.
+
+    Attributes
+    ----------
+    detail
+        One sentence.
+    retry_after_s
+        Seconds after which an append may succeed.
+    dangling
+        Whether they may be in the stream all the same, now or later.
+    """
+
+    detail: str
+    retry_after_s: float
+    dangling: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Stream:
+    """What a writer writes to.
+
+    Attributes
+    ----------
+    log
+        The log service.
+    name
+        The stream.
+    shards
+        Into how many streams the keys are cut.
+    writer
+        Agent and incarnation, put in each batch.
+    """
+
+    log: platform_log.LogClient
+    name: str
+    shards: int
+    writer: str
+
+
+class Owner(typing.Protocol):
+    """What a writer needs of its shard."""
+
+    def position(self) -> int:
+        """Return the last offset read from the stream."""
+
+    def is_wanted(self, item: records.Item) -> bool:
+        """Tell whether somebody still waits for an item."""
+
+    def fail(
+        self, items: typing.Sequence[records.Item], failure: Failure
+    ) -> None:
+        """Tell those who wait that the items were not appended."""
+
+
+class Writer:
+    """The thread that appends to one claim stream.
+
+    Parameters
+    ----------
+    stream
+        Where to.
+    owner
+        The shard, which reads the stream back.
+    interval_s
+        Least time between the starts of two appends, in seconds.
+    """
+
+    def __init__(
+        self, stream: Stream, owner: Owner, interval_s: float
+    ) -> None:
+        self.stream = stream
+        self.owner = owner
+        self.interval_s = interval_s
+        self.queue: collections.deque[records.Item] = collections.deque()
+        self.changed = threading.Condition()
+        self.stopping = False
+        self.sequence = 0
+        self.appends = 0
+        self.items = 0
+        self.not_before = 0.0
+        self.thread = threading.Thread(
+            target=self.run, name=f"append-{stream.name}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin appending."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Append what is queued, then stop."""
+        with self.changed:
+            self.stopping = True
+            self.changed.notify_all()
+        self.thread.join(STOP_JOIN_S)
+
+    def submit(self, items: typing.Iterable[records.Item]) -> None:
+        """Queue items for the next append."""
+        with self.changed:
+            self.queue.extend(items)
+            self.changed.notify_all()
+
+    def run(self) -> None:
+        """Append until stopped."""
+        while True:
+            items = self.take()
+            if not items:
+                return
+            self.commit(items)
+
+    def take(self) -> list[records.Item]:
+        """Wait for items and return one record's worth; none at the end."""
+        with self.changed:
+            while not self.queue and not self.stopping:
+                self.changed.wait()
+            while not self.stopping and self.pause_s() > 0:
+                self.changed.wait(self.pause_s())
+            return take_some(self.queue)
+
+    def pause_s(self) -> float:
+        """Return the seconds until the next append may start."""
+        return self.not_before - time.monotonic()
+
+    def commit(self, items: list[records.Item]) -> None:
+        """Append one record and settle what became of it."""
+        self.not_before = time.monotonic() + self.interval_s
+        self.sequence += 1
+        batch = records.Batch(
+            records.VERSION,
+            self.stream.shards,
+            self.stream.writer,
+            self.sequence,
+            tuple(items),
+        )
+        data = records.encode(batch)
+        self.appends += 1
+        self.items += len(items)
+        match self.stream.log.append(self.stream.name, data):
+            case platform_log.Appended():
+                # Nobody is told anything here: only the fold, reading the
+                # stream back, knows whose claim came first.
+                return
+            case platform_log.AppendRefused(detail, retry_after_s, True):
+                self.hold_off(items, retry_after_s)
+            case platform_log.AppendRefused(detail, retry_after_s):
+                self.owner.fail(items, Failure(detail, retry_after_s, False))
+            case platform_log.AppendUnknown(detail):
+                self.settle_unknown(items, data, detail)
+
+    def hold_off(self, items: list[records.Item], seconds: float) -> None:
+        """Put throttled items back, to go with those that gather."""
+        self.not_before = time.monotonic() + seconds
+        self.put_back(items)
+
+    def put_back(self, items: list[records.Item]) -> None:
+        """Queue again, in front, what somebody still waits for."""
+        wanted = [item for item in items if self.owner.is_wanted(item)]
+        with self.changed:
+            self.queue.extendleft(reversed(wanted))
+
+    def settle_unknown(
+        self, items: list[records.Item], data: bytes, detail: str
+    ) -> None:
+        """Read on to learn whether an append took effect.
+
+        The answer to an append can be lost after it took effect.  Found in
+        the stream, its items are settled by the fold.  Not found, they are
+        appended again, which the fold takes as one claim of the same
+        attempt should the first append arrive after all.  With the log
+        unreadable nobody can tell: those who wait are told at once.
+        """
+        try:
+            batch = self.stream.log.read(
+                self.stream.name, self.owner.position(), 0, SETTLE_READ_MAX
+            )
+        except platform_log.LogUnavailableError as error:
+            failure = Failure(
+                f"{detail}; {error}",
+                platform_log.DEFAULT_RETRY_AFTER_S,
+                True,
+            )
+            self.owner.fail(items, failure)
+            return
+        if any(record.data == data for record in batch.records):
+            return
+        self.put_back(items)
+
+
+def take_some(
+    queue: collections.deque[records.Item],
+) -> list[records.Item]:
+    """Take as many items from the queue as fit one record."""
+    items: list[records.Item] = []
+    size = 0
+    while queue and len(items) < MAX_ITEMS:
+        size += item_bytes(queue[0])
+        if items and size > MAX_BYTES:
+            break
+        items.append(queue.popleft())
+    return items
+
+
+def item_bytes(item: records.Item) -> int:
+    """Return an upper bound on an item's size in a record, in bytes."""
+    text = len(item.organisation) + len(item.key) + len(item.attempt)
+    match item:
+        case records.Done():
+            text += len(item.outcome.body) + len(item.outcome.answer_id)
+        case records.Claim():
+            text += len(item.holder) + len(item.incarnation)
+            text += len(item.body_digest)
+    return text + FIXED_ITEM_BYTES
--- a/src/briarseam/platform/log.py
+++ b/src/briarseam/platform/log.py
@@ -17,6 +17,7 @@
 DEFAULT_RETRY_AFTER_S = 1.0
 READ_MAX = 1000
 HTTP_OK = 200
+HTTP_TOO_MANY = 429
 HTTP_REFUSED = frozenset({400, 404, 413, 429})
 log = structlog.get_logger("briarseam.platform")
 
@@ -30,10 +31,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class AppendRefused:
-    """The record is certainly not in the stream and never will be."""
+    """The record is certainly not in the stream and never will be.
+
+    Attributes
+    ----------
+    detail
+        One sentence.
+    retry_after_s
+        Seconds after which an append may succeed.
+    throttled
+        Whether the log only has too many appends just now.
+    """
 
     detail: str
     retry_after_s: float
+    throttled: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,7 +145,8 @@
             return Appended(int(response.json()["offset"]))
         detail = f"the log answered {response.status}"
         if response.status in HTTP_REFUSED:
-            return AppendRefused(detail, retry_after(response))
+            throttled = response.status == HTTP_TOO_MANY
+            return AppendRefused(detail, retry_after(response), throttled)
         return AppendUnknown(detail)
 
     def read(
--- /dev/null
+++ b/tests/claims/test_fold.py
@@ -0,0 +1,224 @@
+from __future__ import annotations
+
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from briarseam.claims import fold as folds
+from briarseam.claims import keys
+from briarseam.claims import records
+
+NOW_MS = 1_800_000_000_000
+WINDOW = keys.Window(3_600_000)
+KEYS = tuple(keys.make(NOW_MS + number) for number in range(2))
+ORGANISATIONS = ("havn", "kyst")
+ATTEMPTS = ("a", "b", "c")
+
+
+def new_fold() -> folds.Fold:
+    fold = folds.Fold(WINDOW)
+    fold.advance(NOW_MS)
+    return fold
+
+
+def claim(
+    attempt: str,
+    key: str = KEYS[0],
+    organisation: str = "havn",
+    body: bytes = b"x",
+) -> records.Claim:
+    return records.Claim(organisation, key, attempt, body, "agent-1", "1")
+
+
+def not_run(attempt: str, key: str = KEYS[0]) -> records.NotRun:
+    return records.NotRun("havn", key, attempt)
+
+
+def done(attempt: str, status: int = 200) -> records.Done:
+    return records.Done("havn", KEYS[0], attempt, records.Outcome(status))
+
+
+def test_first_claim_wins_whoever_wrote_it() -> None:
+    fold = new_fold()
+    assert fold.claim(claim("a")) is folds.Ruling.WON
+    assert fold.claim(claim("b")) is folds.Ruling.HELD
+    assert fold.claim(claim("a")) is folds.Ruling.WON
+
+
+def test_keys_of_two_organisations_never_meet() -> None:
+    fold = new_fold()
+    assert fold.claim(claim("a", organisation="havn")) is folds.Ruling.WON
+    assert fold.claim(claim("b", organisation="kyst")) is folds.Ruling.WON
+
+
+def test_other_body_is_refused_even_after_not_run() -> None:
+    fold = new_fold()
+    fold.claim(claim("a"))
+    fold.settle(not_run("a"))
+    assert fold.claim(claim("b", body=b"y")) is folds.Ruling.REUSED
+    assert fold.claim(claim("c")) is folds.Ruling.WON
+
+
+def test_loser_cannot_free_the_winners_key() -> None:
+    """A caller's booking is made twice.
+
+    Attempt b loses the key to a, and b's agent records that b did not
+    run.  Were that taken for the key, c would win beside a.
+    """
+    fold = new_fold()
+    fold.claim(claim("a"))
+    fold.claim(claim("b"))
+    fold.settle(not_run("b"))
+    assert fold.claim(claim("c")) is folds.Ruling.HELD
+
+
+def test_loser_never_wins_later() -> None:
+    """A key stays taken for good although nothing runs.
+
+    Attempt b loses to a and its caller is answered; a frees the key; then
+    b's claim turns up a second time.  Nobody would ever settle it.
+    """
+    fold = new_fold()
+    fold.claim(claim("a"))
+    fold.claim(claim("b"))
+    fold.settle(not_run("a"))
+    assert fold.claim(claim("b")) is folds.Ruling.HELD
+    assert fold.claim(claim("c")) is folds.Ruling.WON
+
+
+def test_claim_that_arrives_after_its_not_run_is_void() -> None:
+    """The same, when the owner appends the claim only after not_run."""
+    fold = new_fold()
+    fold.settle(not_run("a"))
+    assert fold.claim(claim("a")) is folds.Ruling.HELD
+    assert fold.claim(claim("b")) is folds.Ruling.WON
+
+
+def test_done_is_final() -> None:
+    fold = new_fold()
+    fold.claim(claim("a"))
+    fold.settle(done("a", 201))
+    fold.settle(not_run("a"))
+    fold.settle(done("a", 500))
+    entry = fold.find("havn", KEYS[0])
+    assert entry is not None
+    assert entry.outcome == records.Outcome(201)
+    assert fold.claim(claim("b")) is folds.Ruling.HELD
+
+
+def test_lost_stays_taken_until_its_outcome_turns_up() -> None:
+    fold = new_fold()
+    fold.claim(claim("a"))
+    fold.settle(records.Lost("havn", KEYS[0], "a"))
+    assert fold.claim(claim("b")) is folds.Ruling.HELD
+    fold.settle(done("a"))
+    entry = fold.find("havn", KEYS[0])
+    assert entry is not None
+    assert entry.standing is folds.Standing.DONE
+
+
+def test_forgotten_key_is_refused_ever_after() -> None:
+    """A renewal is filed twice, days apart.
+
+    The key's records leave the fold with its window; a writer that was
+    frozen all that time appends one more claim.  The log's own time of
+    that record shows the key too old, whatever any clock of ours says.
+    """
+    fold = new_fold()
+    fold.claim(claim("a"))
+    fold.settle(done("a"))
+    fold.advance(NOW_MS + WINDOW.length_ms + 1)
+    assert fold.size() == 0
+    fold.advance(NOW_MS)
+    assert fold.claim(claim("b")) is folds.Ruling.TOO_OLD
+    fold.settle(not_run("b"))
+    assert fold.size() == 0
+
+
+def test_key_from_the_future_is_refused() -> None:
+    fold = new_fold()
+    ahead = keys.make(NOW_MS + WINDOW.skew_ms + 1)
+    assert fold.claim(claim("a", key=ahead)) is folds.Ruling.FROM_FUTURE
+    assert fold.size() == 0
+
+
+def test_replay_bodies_are_bounded_but_outcomes_stay() -> None:
+    fold = new_fold()
+    body = bytes(folds.MAX_OUTCOME_BYTES // 2)
+    made = [keys.make(NOW_MS) for _ in range(3)]
+    for number, key in enumerate(made):
+        fold.claim(claim(str(number), key=key))
+        outcome = records.Outcome(200, body)
+        fold.settle(records.Done("havn", key, str(number), outcome))
+    first = fold.find("havn", made[0])
+    assert first is not None
+    assert first.outcome == records.Outcome(200, b"", False)
+    assert fold.outcome_bytes == 2 * len(body)
+
+
+items = strategies.one_of(
+    strategies.builds(
+        claim,
+        strategies.sampled_from(ATTEMPTS),
+        strategies.sampled_from(KEYS),
+        strategies.sampled_from(ORGANISATIONS),
+    ),
+    strategies.builds(
+        not_run,
+        strategies.sampled_from(ATTEMPTS),
+        strategies.sampled_from(KEYS),
+    ),
+    strategies.builds(done, strategies.sampled_from(ATTEMPTS)),
+)
+
+
+@hypothesis.given(strategies.lists(items, max_size=40))
+@hypothesis.settings(max_examples=400, deadline=None)
+def test_any_interleaving_has_one_holder_at_a_time(
+    history: list[records.Item],
+) -> None:
+    """Two agents run one booking.
+
+    Records of several writers come in any order, doubled and late.  An
+    attempt that was read back as the winner counts as running until its
+    own not_run; no second one may win meanwhile, and none wins twice.
+    """
+    fold = new_fold()
+    running: dict[tuple[str, str], str] = {}
+    over: set[tuple[str, str, str]] = set()
+    for item in history:
+        name = (item.organisation, item.key)
+        if isinstance(item, records.Claim):
+            if fold.claim(item) is folds.Ruling.WON:
+                assert running.setdefault(name, item.attempt) == item.attempt
+                assert (*name, item.attempt) not in over
+            continue
+        entry = fold.find(*name)
+        final = entry is not None and entry.standing is folds.Standing.DONE
+        fold.settle(item)
+        if isinstance(item, records.NotRun) and not final:
+            over.add((*name, item.attempt))
+            if running.get(name) == item.attempt:
+                del running[name]
+
+
+@hypothesis.given(strategies.lists(items, max_size=30), strategies.data())
+@hypothesis.settings(max_examples=100, deadline=None)
+def test_appending_a_batch_again_changes_no_holder(
+    history: list[records.Item], data: typing.Any
+) -> None:
+    """A batch whose answer was lost is appended again, any time later."""
+    again = data.draw(strategies.integers(0, max(0, len(history) - 1)))
+    later = data.draw(strategies.integers(again, len(history)))
+    doubled = [*history[:later], *history[again:later], *history[later:]]
+    once, twice = new_fold(), new_fold()
+    for fold, sequence in ((once, history), (twice, doubled)):
+        for item in sequence:
+            if isinstance(item, records.Claim):
+                fold.claim(item)
+            else:
+                fold.settle(item)
+    for name, entry in once.entries.items():
+        if entry.standing is not folds.Standing.FREE:
+            assert twice.entries[name].attempt == entry.attempt
--- /dev/null
+++ b/tests/claims/test_service.py
@@ -0,0 +1,215 @@
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import typing
+
+import pytest
+from tests.claims import fake_log
+
+from briarseam import verdict
+from briarseam.claims import keys
+from briarseam.claims import messages
+from briarseam.claims import records
+from briarseam.claims import service
+from briarseam.metrics import registry
+from briarseam.testing import waiting
+from briarseam.wire import client as wire_client
+from briarseam.wire import connection as connections
+from briarseam.wire import server as wire_server
+
+KEY = b"shared"
+OPTIONS = service.Options(batch_ms=0.0, wait_s=5.0)
+WAIT_S = 5.0
+
+
+@dataclasses.dataclass
+class Agent:
+    """One agent's claims, answering its peers."""
+
+    claims: service.Claims
+    server: wire_server.Server
+
+    def claim(
+        self, key: str, organisation: str = "havn", wait_s: float = WAIT_S
+    ) -> messages.Result:
+        attempt = self.claims.new_attempt()
+        return self.claims.claim(organisation, key, b"x", attempt, wait_s)
+
+
+@dataclasses.dataclass
+class Cell:
+    """Some agents over one log; a test says who owns the shards."""
+
+    log: fake_log.FakeLog
+    stack: contextlib.ExitStack
+    owner: str = "agent-1"
+    agents: dict[str, Agent] = dataclasses.field(default_factory=dict)
+    clients: dict[str, wire_client.Client] = dataclasses.field(
+        default_factory=dict
+    )
+    alive: set[str] = dataclasses.field(default_factory=set)
+
+    def add(self, name: str) -> Agent:
+        me = connections.Identity("agent", name)
+        peers = service.Peers(
+            lambda shard: self.owner,
+            self.clients.get,
+            lambda name, incarnation: name in self.alive,
+        )
+        claims = service.Claims(
+            self.log,
+            service.Holder(name, "1"),
+            peers,
+            OPTIONS,
+            registry.Registry(),
+        )
+        router = wire_server.Router()
+        claims.register(router)
+        server = wire_server.Server("127.0.0.1:0", me, KEY, router)
+        server.start()
+        claims.start()
+        self.clients[name] = wire_client.Client(server.address, me, KEY)
+        self.agents[name] = Agent(claims, server)
+        self.alive.add(name)
+        self.stack.callback(server.stop)
+        self.stack.callback(claims.stop)
+        return self.agents[name]
+
+    def key(self) -> str:
+        return keys.make(self.log.clock_ms)
+
+
+@pytest.fixture
+def cell() -> typing.Iterator[Cell]:
+    with contextlib.ExitStack() as stack:
+        cell = Cell(fake_log.FakeLog(), stack)
+        cell.add("agent-1")
+        cell.add("agent-2")
+        claims = cell.agents["agent-1"].claims
+        waiting.until(
+            lambda: all(s.unready() is None for s in claims.followed())
+        )
+        yield cell
+
+
+@pytest.mark.parametrize(
+    "names",
+    [("agent-1", "agent-2"), ("agent-2", "agent-1")],
+    ids=["owner first", "peer first"],
+)
+def test_key_claimed_at_one_agent_is_taken_at_the_other(
+    cell: Cell, names: tuple[str, str]
+) -> None:
+    key = cell.key()
+    first, second = (cell.agents[name] for name in names)
+    assert isinstance(first.claim(key), messages.Won)
+    assert isinstance(second.claim(key), messages.InProgress)
+    assert isinstance(second.claim(key, "kyst"), messages.Won)
+
+
+def test_only_the_owner_follows_the_streams(cell: Cell) -> None:
+    cell.agents["agent-2"].claim(cell.key())
+    assert cell.agents["agent-2"].claims.followed() == []
+
+
+def test_outcome_settled_at_a_peer_is_replayed(cell: Cell) -> None:
+    key = cell.key()
+    first, second = cell.agents.values()
+    won = second.claim(key)
+    assert isinstance(won, messages.Won)
+    outcome = records.Outcome(201, b"filed")
+    second.claims.settle("havn", key, won.attempt, outcome)
+    again = waiting.until(
+        lambda: (
+            result
+            if isinstance(result := first.claim(key), messages.Finished)
+            else None
+        )
+    )
+    assert again == messages.Finished(outcome)
+
+
+@pytest.mark.parametrize(
+    ("end", "expected"),
+    [
+        (verdict.NotRun(verdict.Reason.NO_ENDPOINT), messages.Won),
+        (verdict.MayHaveRun(verdict.Reason.ENDPOINT_LOST), messages.Unknown),
+    ],
+    ids=["not run", "lost"],
+)
+def test_end_of_an_attempt_decides_the_next(
+    cell: Cell, end: typing.Any, expected: type
+) -> None:
+    key = cell.key()
+    agent = cell.agents["agent-2"]
+    won = agent.claim(key)
+    assert isinstance(won, messages.Won)
+    agent.claims.settle("havn", key, won.attempt, end)
+    waiting.until(lambda: not agent.claims.count_pending())
+    assert type(agent.claim(key)) is expected
+
+
+def test_claim_given_up_is_freed_again(cell: Cell) -> None:
+    """A booking can never be made: its key is taken though nothing ran.
+
+    The log is slow, the caller is told "not run" after the bound, and
+    the claim turns up in the stream afterwards.
+    """
+    key = cell.key()
+    agent = cell.agents["agent-2"]
+    cell.log.fates.append(fake_log.Fate.LATE)
+    cell.log.fates.extend([fake_log.Fate.REFUSED] * 3)
+    given_up = agent.claim(key, wait_s=0.0)
+    assert isinstance(given_up, messages.NotClaimed)
+    waiting.until(lambda: cell.log.late)
+    cell.log.arrive()
+    waiting.until(lambda: not agent.claims.count_pending())
+    assert isinstance(agent.claim(key), messages.Won)
+
+
+def test_owner_that_cannot_be_reached_is_not_run(cell: Cell) -> None:
+    cell.agents["agent-1"].server.stop()
+    result = cell.agents["agent-2"].claim(cell.key())
+    assert isinstance(result, messages.NotClaimed)
+    assert result.retry_after_s > 0
+
+
+def test_ownership_moves_without_a_second_winner(cell: Cell) -> None:
+    """A booking is made twice as an instance joins.
+
+    The shard's owner changes between two tries; the new one has followed
+    nothing yet and must read the window before it answers.
+    """
+    key = cell.key()
+    assert isinstance(cell.agents["agent-1"].claim(key), messages.Won)
+    cell.owner = "agent-2"
+    agent = cell.agents["agent-2"]
+    results = []
+    waiting.until(
+        lambda: (
+            results.append(agent.claim(key))
+            or not isinstance(results[-1], messages.NotClaimed)
+        )
+    )
+    assert isinstance(results[-1], messages.InProgress)
+
+
+def test_holder_gone_gives_unknown_at_another_agent(cell: Cell) -> None:
+    """An agent dies after it was granted a booking."""
+    key = cell.key()
+    assert isinstance(cell.agents["agent-2"].claim(key), messages.Won)
+    cell.alive.discard("agent-2")
+    assert isinstance(cell.agents["agent-1"].claim(key), messages.Unknown)
+
+
+def test_other_body_and_malformed_keys_are_not_run(cell: Cell) -> None:
+    key = cell.key()
+    agent = cell.agents["agent-1"]
+    agent.claim(key)
+    reused = agent.claims.claim("havn", key, b"y", "other")
+    invalid = agent.claims.claim("havn", "booking-1", b"x", "third")
+    for result in (reused, invalid):
+        told = messages.verdict_of(typing.cast("messages.Refusal", result))
+        assert isinstance(told, verdict.NotRun)
+        assert told.retry_after_s is None
--- /dev/null
+++ b/tests/claims/test_shard.py
@@ -0,0 +1,279 @@
+from __future__ import annotations
+
+import concurrent.futures
+import contextlib
+import typing
+
+import pytest
+from tests.claims import fake_log
+
+from briarseam.claims import keys
+from briarseam.claims import messages
+from briarseam.claims import records
+from briarseam.claims import shard as shards
+from briarseam.claims import writer as writers
+from briarseam.testing import waiting
+
+WINDOW = keys.Window(3_600_000)
+ALIVE = "1"
+GONE = "0"
+WAIT_S = 5.0
+
+
+@pytest.fixture
+def log() -> fake_log.FakeLog:
+    return fake_log.FakeLog()
+
+
+@pytest.fixture
+def new_shard(
+    log: fake_log.FakeLog,
+) -> typing.Iterator[typing.Callable[[], shards.Shard]]:
+    with contextlib.ExitStack() as stack:
+
+        def make(cut: int = 1) -> shards.Shard:
+            stream = writers.Stream(log, "claims-00", cut, "agent-1/1")
+            shard = shards.Shard(
+                stream, WINDOW, 0.0, lambda name, life: life == ALIVE
+            )
+            shard.start()
+            stack.callback(shard.stop)
+            return shard
+
+        yield make
+
+
+@pytest.fixture
+def shard(new_shard: typing.Callable[[], shards.Shard]) -> shards.Shard:
+    return ready(new_shard())
+
+
+def ready(shard: shards.Shard) -> shards.Shard:
+    waiting.until(lambda: shard.unready() is None)
+    return shard
+
+
+def claim(
+    log: fake_log.FakeLog,
+    attempt: str,
+    key: str = "",
+    life: str = ALIVE,
+) -> records.Claim:
+    name = key or keys.make(log.clock_ms)
+    return records.Claim("havn", name, attempt, b"x", "agent-1", life)
+
+
+def test_winner_replays_to_the_next(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    first = claim(log, "a")
+    again = claim(log, "b", first.key)
+    assert shard.claim(first, WAIT_S) == messages.Won("a")
+    assert isinstance(shard.claim(again, WAIT_S), messages.InProgress)
+    outcome = records.Outcome(201, b"filed")
+    end = records.Done("havn", first.key, "a", outcome)
+    assert shard.settle([end], WAIT_S) == {"a"}
+    assert shard.claim(again, WAIT_S) == messages.Finished(outcome)
+
+
+def test_holder_that_is_gone_gives_unknown_at_once(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    first = claim(log, "a", life=GONE)
+    shard.claim(first, WAIT_S)
+    again = shard.claim(claim(log, "b", first.key), WAIT_S)
+    assert isinstance(again, messages.Unknown)
+
+
+def test_two_writers_of_one_shard_make_one_winner(
+    new_shard: typing.Callable[[], shards.Shard], log: fake_log.FakeLog
+) -> None:
+    """Two agents both think that they own a shard.
+
+    Each gets the same key at the same moment and appends its claim; the
+    fold of the stream makes one of them the winner for both.
+    """
+    owners = [ready(new_shard()), ready(new_shard())]
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        for number in range(30):
+            key = keys.make(log.clock_ms)
+            results = pool.map(
+                lambda part, key=key, number=number: owners[part % 2].claim(
+                    claim(log, f"{number}-{part}", key), WAIT_S
+                ),
+                range(6),
+            )
+            won = [r for r in results if isinstance(r, messages.Won)]
+            assert len(won) == 1
+
+
+@pytest.mark.parametrize(
+    "fate",
+    [
+        fake_log.Fate.ANSWER_LOST,
+        fake_log.Fate.NEVER_ARRIVED,
+        fake_log.Fate.LATE,
+        fake_log.Fate.DOUBLED,
+        fake_log.Fate.THROTTLED,
+    ],
+    ids=lambda fate: fate.value,
+)
+def test_append_in_doubt_is_settled_by_reading_on(
+    shard: shards.Shard, log: fake_log.FakeLog, fate: fake_log.Fate
+) -> None:
+    """A booking hangs or is made twice when an append goes wrong.
+
+    The append's answer is lost before or after it took effect, or the
+    append turns up late or twice.  The claim is won once all the same.
+    """
+    log.fates.append(fate)
+    first = claim(log, "a")
+    assert shard.claim(first, WAIT_S) == messages.Won("a")
+    log.arrive()
+    again = shard.claim(claim(log, "b", first.key), WAIT_S)
+    assert isinstance(again, messages.InProgress)
+
+
+def test_refused_append_is_not_claimed(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    log.fates.append(fake_log.Fate.REFUSED)
+    result = shard.claim(claim(log, "a"), WAIT_S)
+    assert isinstance(result, messages.NotClaimed)
+    assert not result.dangling
+    assert result.retry_after_s > 0
+
+
+def test_append_in_doubt_with_the_log_away_is_answered_at_once(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    """The log goes down as a claim is appended, and took effect.
+
+    The claimant is told "not run" at once, though its claim holds the
+    key; its not_run, recorded later, frees the key.
+    """
+    first = claim(log, "a")
+    log.fates.append(fake_log.Fate.ANSWER_LOST)
+    with log.changed:
+        log.unreadable = True
+    result = shard.claim(first, 60.0)
+    assert isinstance(result, messages.NotClaimed)
+    assert result.dangling
+    log.unreadable = False
+    ready(shard)
+    waiting.until(lambda: shard.fold.find("havn", first.key))
+    end = records.NotRun("havn", first.key, "a")
+    assert shard.settle([end], WAIT_S) == {"a"}
+    again = claim(log, "b", first.key)
+    assert shard.claim(again, WAIT_S) == messages.Won("b")
+
+
+def test_known_outcome_is_told_while_the_log_is_away(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    """A caller whose booking was made is told that it was not run."""
+    first = claim(log, "a")
+    shard.claim(first, WAIT_S)
+    log.unreadable = True
+    waiting.until(lambda: not shard.follower.available)
+    again = shard.claim(claim(log, "b", first.key), WAIT_S)
+    other = shard.claim(claim(log, "c"), WAIT_S)
+    assert isinstance(again, messages.InProgress)
+    assert isinstance(other, messages.NotClaimed)
+    assert not other.dangling
+
+
+def test_fresh_reader_knows_what_all_others_wrote(
+    new_shard: typing.Callable[[], shards.Shard], log: fake_log.FakeLog
+) -> None:
+    """Every instance is replaced, and a booking is made once more."""
+    first = claim(log, "a", life=GONE)
+    ready(new_shard()).claim(first, WAIT_S)
+    fresh = ready(new_shard())
+    again = fresh.claim(claim(log, "b", first.key), WAIT_S)
+    assert isinstance(again, messages.Unknown)
+
+
+def test_fresh_reader_refuses_until_it_has_read_the_window(
+    new_shard: typing.Callable[[], shards.Shard], log: fake_log.FakeLog
+) -> None:
+    log.unreadable = True
+    fresh = new_shard()
+    refused = fresh.claim(claim(log, "a"), WAIT_S)
+    assert isinstance(refused, messages.NotClaimed)
+    assert log.appended == 0
+
+
+def test_reader_paused_past_the_retention_starts_over(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    """A booking is made twice after an agent was frozen for days.
+
+    While it was frozen another agent claimed the key, and records that it
+    never read were dropped.  Its fold begins again at what is retained.
+    """
+    shard.claim(claim(log, "a"), WAIT_S)
+    log.unreadable = True
+    waiting.until(lambda: not shard.follower.available)
+    taken = claim(log, "b", life=GONE)
+    writer = writers.Writer(shard.stream, shard, 0.0)
+    writer.commit([claim(log, "lost-with-retention")])
+    writer.commit([taken])
+    log.expire(2)
+    log.unreadable = False
+    ready(shard)
+    waiting.until(lambda: shard.last_offset == 3)
+    again = shard.claim(claim(log, "c", taken.key), WAIT_S)
+    assert isinstance(again, messages.Unknown)
+
+
+def test_key_older_than_the_window_is_no_longer_claimed(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    """A caller sends a key again after the log dropped its records."""
+    old = claim(log, "a")
+    shard.claim(old, WAIT_S)
+    log.clock_ms += WINDOW.length_ms + 1
+    result = shard.claim(claim(log, "b"), WAIT_S)
+    assert result == messages.Won("b")
+    again = shard.claim(claim(log, "c", old.key), WAIT_S)
+    assert again == messages.KeyExpired()
+    verdict = messages.verdict_of(messages.KeyExpired())
+    assert type(verdict).__name__ == "MayHaveRun"
+
+
+@pytest.mark.parametrize("case", ["rolled back", "later release", "other cut"])
+def test_stream_that_cannot_be_trusted_halts_claims(
+    new_shard: typing.Callable[..., shards.Shard],
+    log: fake_log.FakeLog,
+    case: str,
+) -> None:
+    """Keys free in this agent's view are taken in another's."""
+    shard = ready(new_shard())
+    shard.claim(claim(log, "a"), WAIT_S)
+    match case:
+        case "rolled back":
+            with log.changed:
+                log.records.clear()
+        case "later release":
+            log.keep(b"\x92\x02\xc0")
+        case "other cut":
+            shard = new_shard(cut=2)
+    waiting.until(lambda: shard.halted)
+    result = shard.claim(claim(log, "b"), WAIT_S)
+    assert isinstance(result, messages.NotClaimed)
+
+
+def test_concurrent_claims_share_appends(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    shard.writer.interval_s = 0.05
+    with concurrent.futures.ThreadPoolExecutor(32) as pool:
+        results = list(
+            pool.map(
+                lambda number: shard.claim(claim(log, str(number)), WAIT_S),
+                range(200),
+            )
+        )
+    assert all(isinstance(result, messages.Won) for result in results)
+    assert shard.writer.appends < 50
