Read a followed stream at once the first time

A fresh reader of an empty stream waited one long poll (1 s) before it knew that it was current; setup of the claims tests fell by that second.

--- a/src/briarseam/platform/log.py
+++ b/src/briarseam/platform/log.py
@@ -252,15 +252,19 @@
     def follow(self) -> None:
         """Read on until stopped; back off while the log is away."""
         pause_s = RETRY_S
+        # The first read doesn't wait, so that the owner of an empty stream
+        # knows at once that it is current.
+        wait_ms = 0
         while not self.stopping.is_set():
             try:
-                batch = self.client.read(self.stream, self.after, self.wait_ms)
+                batch = self.client.read(self.stream, self.after, wait_ms)
             except LogUnavailableError as error:
                 self.note_available(False, str(error))
                 self.stopping.wait(pause_s)
                 pause_s = min(2 * pause_s, MAX_RETRY_S)
                 continue
             pause_s = RETRY_S
+            wait_ms = self.wait_ms
             self.note_available(True, "")
             self.on_batch(batch)
             if batch.records:
