Carry the clock on every frame and test the wire

A frame is now [tag, body, stamp]. Weighed: an optional field in each message (every slice would have to fill it in, and forgetting it would break the order silently) and a second frame per message (twice the system calls). Client, Server and connect take an optional clock; without one the stamp is 0. The clock is attached only after the hello, so a stranger cannot move it.

Faults found while testing, each mended here with its test seen failing before (or with the guard taken out again): - accept() ended for good at the first OSError, such as too many open files, or when no thread could be started; - the hello with a frozen server took up to 5 s whatever the call's timeout, so a final answer was late; - a frame that trickled in could outlast the receive's timeout without end; - a reply that could not be encoded raised KeyError in the connection's thread, or ended the connection, which the caller counts as lost; it is now answered with Failed.

--- a/src/briarseam/wire/client.py
+++ b/src/briarseam/wire/client.py
@@ -25,9 +25,23 @@
     me: connections.Identity,
     key: bytes,
     timeout_s: float = CONNECT_TIMEOUT_S,
+    clock: connections.Clock | None = None,
 ) -> connections.Connection:
     """Return an authenticated connection.
 
+    Parameters
+    ----------
+    address
+        ``ip:port`` of the server.
+    me
+        This process.
+    key
+        The shared key.
+    timeout_s
+        Bound on the connect and on each answer of the hello.
+    clock
+        Stamps the frames after the hello.
+
     Raises
     ------
     NotSentError
@@ -41,10 +55,11 @@
         raise NotSentError(f"cannot connect to {address}: {error}") from error
     connection = connections.Connection(sock)
     try:
-        connections.greet(connection, me, key)
+        connections.greet(connection, me, key, timeout_s)
     except connections.WireError as error:
         connection.close()
         raise NotSentError(f"hello with {address}: {error}") from error
+    connection.clock = clock
     return connection
 
 
@@ -61,6 +76,8 @@
         The shared key.
     max_idle
         Connections kept open between calls.
+    clock
+        Stamps the frames; ``None`` sends them without.
     """
 
     def __init__(
@@ -69,11 +86,13 @@
         me: connections.Identity,
         key: bytes,
         max_idle: int = DEFAULT_MAX_IDLE,
+        clock: connections.Clock | None = None,
     ) -> None:
         self.address = address
         self.me = me
         self.key = key
         self.max_idle = max_idle
+        self.clock = clock
         self.idle: list[connections.Connection] = []
         self.lock = threading.Lock()
         self.bytes_sent = 0
@@ -87,7 +106,8 @@
         request
             A registered message.
         timeout_s
-            Bound on the wait for the reply, in seconds.
+            Bound on the wait for the reply, in seconds; a connection that
+            has to be opened first may take as long again.
 
         Raises
         ------
@@ -96,7 +116,7 @@
         CallLostError
             When it may have got it.
         """
-        connection = self.take()
+        connection = self.take(timeout_s)
         connection.set_timeout(timeout_s)
         sent = connection.bytes_sent
         received = connection.bytes_received
@@ -115,13 +135,20 @@
         self.give_back(connection)
         return reply
 
-    def take(self) -> connections.Connection:
+    def take(
+        self, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> connections.Connection:
         """Return an idle connection that is still open, or a new one."""
+        # A frozen server's kernel still accepts: without the caller's own
+        # bound the hello would hold a call of half a second for seconds.
+        bound_s = min(timeout_s, CONNECT_TIMEOUT_S)
         while True:
             with self.lock:
                 candidate = self.idle.pop() if self.idle else None
             if candidate is None:
-                return connect(self.address, self.me, self.key)
+                return connect(
+                    self.address, self.me, self.key, bound_s, self.clock
+                )
             if is_open(candidate):
                 return candidate
             candidate.close()
--- a/src/briarseam/wire/codec.py
+++ b/src/briarseam/wire/codec.py
@@ -1,9 +1,11 @@
 """Typed messages and their frames.
 
 A frame is a four byte big-endian length followed by the msgpack array
-``[tag, body]``.  The tag names a data class registered with
+``[tag, body, stamp]``.  The tag names a data class registered with
 :func:`message`; the body is validated against that class on arrival, so no
-handler ever sees a field of the wrong type.
+handler ever sees a field of the wrong type.  The stamp is the sender's
+hybrid logical clock, 0 when it has none; it rides on every frame so that
+no message needs a field for it.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 WIRE_VERSION = 1
 LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_STAMP = 2**64 - 1
 
 Message = typing.Any
 MessageType = typing.TypeVar("MessageType")
@@ -30,6 +33,22 @@
     """A frame that is too large, not msgpack, or not a known message."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Frame:
+    """What one frame carries.
+
+    Attributes
+    ----------
+    message
+        A registered message.
+    stamp
+        The sender's clock when it sent; 0 when it has none.
+    """
+
+    message: Message
+    stamp: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Failed:
     """The reply to a message that could not be handled.
@@ -73,23 +92,42 @@
 message("failed")(Failed)
 
 
-def encode(value: Message) -> bytes:
+def encode(value: Message, stamp: int = 0) -> bytes:
     """Return the frame of a registered message.
 
+    Parameters
+    ----------
+    value
+        The message.
+    stamp
+        The sender's clock.
+
     Raises
     ------
     CodecError
-        When the message is larger than ``MAX_FRAME_BYTES``.
+        When the message is larger than ``MAX_FRAME_BYTES`` or holds
+        something that msgpack cannot carry.
     """
-    body = msgspec.to_builtins(value, builtin_types=(bytes,))
-    payload = msgpack.packb([tags[type(value)], body], use_bin_type=True)
+    tag = tags.get(type(value))
+    if tag is None:
+        raise CodecError(f"{type(value).__name__} is no message")
+    try:
+        body = msgspec.to_builtins(value, builtin_types=(bytes,))
+        payload = msgpack.packb([tag, body, stamp], use_bin_type=True)
+    except (OverflowError, TypeError, ValueError) as error:
+        raise CodecError(f"{tag} cannot be encoded: {error}") from error
     if len(payload) > MAX_FRAME_BYTES:
         raise CodecError(f"message of {len(payload)} bytes is too large")
     return LENGTH.pack(len(payload)) + typing.cast("bytes", payload)
 
 
 def decode(payload: bytes) -> Message:
-    """Return the message of a frame's payload.
+    """Return the message of a frame's payload, see :func:`open_frame`."""
+    return open_frame(payload).message
+
+
+def open_frame(payload: bytes) -> Frame:
+    """Return what a frame's payload carries.
 
     Raises
     ------
@@ -97,8 +135,10 @@
         When the payload is not a valid known message.
     """
     try:
-        tag, body = msgpack.unpackb(payload, raw=False)
-        return msgspec.convert(body, registry[tag])
+        tag, body, stamp = msgpack.unpackb(payload, raw=False)
+        if type(stamp) is not int or not 0 <= stamp <= MAX_STAMP:
+            raise ValueError("the stamp is no clock")
+        return Frame(msgspec.convert(body, registry[tag]), stamp)
     except KeyError as error:
         raise CodecError(f"unknown message {error}") from error
     except (ValueError, TypeError, msgspec.ValidationError) as error:
--- a/src/briarseam/wire/connection.py
+++ b/src/briarseam/wire/connection.py
@@ -14,6 +14,7 @@
 import hmac
 import secrets
 import socket
+import time
 import typing
 
 from briarseam.wire import codec
@@ -33,6 +34,18 @@
     """No whole frame arrived in time."""
 
 
+class Clock(typing.Protocol):
+    """What a connection asks of the process's clock."""
+
+    def now(self) -> int:
+        """Return a stamp above all seen before."""
+        ...
+
+    def observe(self, remote: int) -> bool:
+        """Take over the stamp of a frame that came in."""
+        ...
+
+
 @codec.message("challenge")
 @dataclasses.dataclass(frozen=True)
 class Challenge:
@@ -91,23 +104,43 @@
     return host, int(port)
 
 
+class Deadline:
+    """The end of one wait; ``None`` for a wait without an end."""
+
+    def __init__(self, seconds: float | None) -> None:
+        self.at = None if seconds is None else time.monotonic() + seconds
+
+    def left_s(self) -> float | None:
+        """Return the seconds that are left, negative when over."""
+        return None if self.at is None else self.at - time.monotonic()
+
+
 class Connection:
     """Frames over one connected socket.
 
     Not safe for several threads: whoever holds the connection is its only
     reader and writer.
+
+    Attributes
+    ----------
+    clock
+        Stamps what is sent and takes over what comes in.  It is set only
+        after the hello, so a stranger's stamp never moves it.
     """
 
     def __init__(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock = sock
         self.peer = Identity(role="", name="")
+        self.clock: Clock | None = None
+        self.timeout_s: float | None = None
         self.bytes_sent = 0
         self.bytes_received = 0
 
     def send(self, value: codec.Message) -> None:
         """Send one message; raise :class:`WireError` when it cannot."""
-        frame = codec.encode(value)
+        stamp = self.clock.now() if self.clock else 0
+        frame = codec.encode(value, stamp)
         try:
             self.sock.sendall(frame)
         except TimeoutError as error:
@@ -118,22 +151,31 @@
 
     def receive(self, max_bytes: int = codec.MAX_FRAME_BYTES) -> codec.Message:
         """Return the next message; raise :class:`WireError` at the end."""
-        (length,) = codec.LENGTH.unpack(self.read_exactly(codec.LENGTH.size))
+        deadline = Deadline(self.timeout_s)
+        header = self.read_exactly(codec.LENGTH.size, deadline)
+        (length,) = codec.LENGTH.unpack(header)
         if length > max_bytes:
             raise WireError(f"frame of {length} bytes is too large")
-        payload = self.read_exactly(length)
+        payload = self.read_exactly(length, deadline)
         self.bytes_received += codec.LENGTH.size + length
         try:
-            return codec.decode(payload)
+            frame = codec.open_frame(payload)
         except codec.CodecError as error:
             raise WireError(str(error)) from error
+        if self.clock:
+            self.clock.observe(frame.stamp)
+        return frame.message
 
-    def read_exactly(self, count: int) -> bytes:
+    def read_exactly(self, count: int, deadline: Deadline) -> bytes:
         """Return ``count`` bytes or raise :class:`WireError`."""
         buffer = bytearray(count)
         view = memoryview(buffer)
         have = 0
         while have < count:
+            # The socket's own timeout would start anew with each piece: a
+            # frame that trickles in would hold its reader, and a caller's
+            # final answer, far beyond the timeout.
+            self.bound_socket(deadline.left_s())
             try:
                 got = self.sock.recv_into(view[have:])
             except TimeoutError as error:
@@ -145,8 +187,18 @@
             have += got
         return bytes(buffer)
 
+    def bound_socket(self, seconds: float | None) -> None:
+        """Let the next read wait this long, unless time is up already."""
+        if seconds is None:
+            return
+        if seconds <= 0:
+            raise WireTimeoutError("receive timed out")
+        with contextlib.suppress(OSError):
+            self.sock.settimeout(seconds)
+
     def set_timeout(self, seconds: float | None) -> None:
-        """Bound each following send and receive."""
+        """Bound each following send and each whole receive."""
+        self.timeout_s = seconds
         with contextlib.suppress(OSError):
             self.sock.settimeout(seconds)
 
@@ -168,16 +220,32 @@
     return mac.digest()
 
 
-def greet(connection: Connection, me: Identity, key: bytes) -> None:
+def greet(
+    connection: Connection,
+    me: Identity,
+    key: bytes,
+    timeout_s: float = HELLO_TIMEOUT_S,
+) -> None:
     """Open a connection from the client's side.
 
+    Parameters
+    ----------
+    connection
+        Freshly connected.
+    me
+        This process.
+    key
+        The shared key.
+    timeout_s
+        Bound on each of the server's answers.
+
     Raises
     ------
     WireError
         When the other side does not hold the key or speaks another
         version.
     """
-    connection.set_timeout(HELLO_TIMEOUT_S)
+    connection.set_timeout(timeout_s)
     challenge = expect(connection, Challenge)
     check_version(challenge.version)
     nonce = secrets.token_bytes(NONCE_BYTES)
--- a/src/briarseam/wire/server.py
+++ b/src/briarseam/wire/server.py
@@ -62,6 +62,8 @@
         The shared key.
     router
         The handlers.
+    clock
+        Stamps the frames; ``None`` sends them without.
     """
 
     def __init__(
@@ -70,7 +72,9 @@
         me: connections.Identity,
         key: bytes,
         router: Router,
+        clock: connections.Clock | None = None,
     ) -> None:
+        self.clock = clock
         self.me = me
         self.key = key
         self.router = router
@@ -98,14 +102,32 @@
                 sock, _ = self.listener.accept()
             except TimeoutError:
                 continue
-            except OSError:
-                return
+            except OSError as error:
+                if self.stopping.is_set():
+                    return
+                # Out of file descriptors, or a caller that was gone
+                # already: accepting goes on once that has passed.  Giving
+                # up here would leave a process that looks alive and never
+                # takes a connection again.
+                log.warning("accept_failed", detail=str(error))
+                self.stopping.wait(ACCEPT_POLL_S)
+                continue
+            self.begin(sock)
+
+    def begin(self, sock: socket.socket) -> None:
+        """Serve a socket in its own thread."""
+        try:
             threading.Thread(
                 target=self.serve,
                 args=(connections.Connection(sock),),
                 name="wire-connection",
                 daemon=True,
             ).start()
+        except (OSError, RuntimeError) as error:
+            # No thread to be had, or the caller has gone: this connection
+            # ends, those after it must still be accepted.
+            log.warning("connection_failed", detail=str(error))
+            sock.close()
 
     def serve(self, connection: connections.Connection) -> None:
         """Answer one connection's messages until it ends."""
@@ -114,10 +136,12 @@
         try:
             connections.admit(connection, self.me, self.key)
             connection.set_timeout(None)
+            connection.clock = self.clock
             while not self.stopping.is_set():
                 request = connection.receive()
-                connection.send(self.router.answer(connection.peer, request))
-        except (connections.WireError, codec.CodecError):
+                reply = self.router.answer(connection.peer, request)
+                self.reply(connection, reply)
+        except connections.WireError:
             # The caller sees its connection end and settles the call as
             # lost; there is nobody else to tell.
             pass
@@ -126,6 +150,18 @@
             with self.lock:
                 self.open.discard(connection)
 
+    def reply(
+        self, connection: connections.Connection, reply: codec.Message
+    ) -> None:
+        """Send a reply, or say that it cannot be carried."""
+        try:
+            connection.send(reply)
+        except codec.CodecError as error:
+            # Ending the connection instead would make the caller count
+            # the call as lost, that is as one that may have run.
+            log.warning("reply_not_carried", detail=str(error))
+            connection.send(codec.Failed("error", str(error)))
+
     def stop(self) -> None:
         """Stop accepting and end all connections."""
         self.stopping.set()
--- /dev/null
+++ b/tests/wire/conftest.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import socket
+
+import pytest
+from tests.wire import sample
+
+from briarseam.wire import client as clients
+from briarseam.wire import connection as connections
+from briarseam.wire import server as servers
+
+KEY = b"0123456789abcdef"
+
+
+@pytest.fixture
+def key():
+    return KEY
+
+
+@pytest.fixture
+def router():
+    made = servers.Router()
+    made.on(sample.Ask, lambda peer, ask: sample.Told(ask.text, ask.count))
+    return made
+
+
+@pytest.fixture
+def start_server(router):
+    """Start servers that stop at the end of the test."""
+    started = []
+
+    def start(listen="127.0.0.1:0", key=KEY, clock=None, prepare=None):
+        me = connections.Identity("agent", "agent-1")
+        server = servers.Server(listen, me, key, router, clock)
+        if prepare:
+            prepare(server)
+        server.start()
+        started.append(server)
+        return server
+
+    yield start
+    for server in started:
+        server.stop()
+
+
+@pytest.fixture
+def make_client():
+    """Make clients that close at the end of the test."""
+    made = []
+
+    def make(address, key=KEY, **options):
+        me = connections.Identity("entry", "entry-1")
+        client = clients.Client(address, me, key, **options)
+        made.append(client)
+        return client
+
+    yield make
+    for client in made:
+        client.close()
+
+
+@pytest.fixture
+def pair():
+    """Two connected ends: the one that dialled, the one that accepted."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    dialled = socket.create_connection(listener.getsockname())
+    accepted, _ = listener.accept()
+    listener.close()
+    ends = connections.Connection(dialled), connections.Connection(accepted)
+    yield ends
+    for end in ends:
+        end.close()
--- /dev/null
+++ b/tests/wire/test_calls.py
@@ -0,0 +1,290 @@
+from __future__ import annotations
+
+import concurrent.futures
+import socket
+import struct
+import threading
+import time
+
+import pytest
+from tests.wire import sample
+
+from briarseam.timeline import clock as clocks
+from briarseam.wire import client as clients
+from briarseam.wire import codec
+from briarseam.wire import connection as connections
+from briarseam.wire import server as servers
+
+SOON_S = 0.3
+
+
+def test_call_returns_the_reply(start_server, make_client):
+    # One call is one message and its reply.
+    client = make_client(start_server().address)
+    assert client.call(sample.Ask("x", 7), 2.0) == sample.Told("x", 7)
+    assert client.bytes_sent > 0
+    assert client.bytes_received > 0
+
+
+def test_concurrent_calls_each_get_their_own_reply(
+    start_server, make_client, router
+):
+    # Sixteen requests share one client.  Were a connection shared, one
+    # caller would read another's reply.
+    together = threading.Barrier(16, timeout=10)
+
+    def answer(peer, ask):
+        together.wait()
+        return sample.Told(ask.text, ask.count)
+
+    router.handlers[sample.Ask] = answer
+    client = make_client(start_server().address, max_idle=4)
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        asks = [sample.Ask(f"a{n}", n) for n in range(16)]
+        replies = list(pool.map(lambda ask: client.call(ask, 10.0), asks))
+    assert replies == [sample.Told(ask.text, ask.count) for ask in asks]
+    assert len(client.idle) <= 4
+
+
+@pytest.mark.parametrize(
+    ("message", "kind", "detail"),
+    [
+        pytest.param(
+            sample.Unheard("x"), "unhandled", "Unheard", id="no handler"
+        ),
+        pytest.param(sample.Ask("bad"), "error", "bad", id="handler raises"),
+    ],
+)
+def test_message_that_cannot_be_handled_is_answered(
+    start_server, make_client, router, message, kind, detail
+):
+    # A newer entry asks an older agent, or a handler has a fault.  The
+    # caller must hear so instead of waiting for its timeout.
+    def answer(peer, ask):
+        raise RuntimeError(f"cannot answer {ask.text}")
+
+    router.handlers[sample.Ask] = answer
+    client = make_client(start_server().address)
+    reply = client.call(message, 2.0)
+    assert isinstance(reply, codec.Failed)
+    assert reply.kind == kind
+    assert detail in reply.detail
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        pytest.param(None, id="nothing"),
+        pytest.param(
+            sample.Told("x" * codec.MAX_FRAME_BYTES, 0), id="too large"
+        ),
+    ],
+)
+def test_reply_that_cannot_be_carried_is_a_failure(
+    start_server, make_client, router, reply
+):
+    # A handler has a fault in its reply.  The caller must hear that at
+    # once, and not count the call as lost with its connection.
+    router.handlers[sample.Ask] = lambda peer, ask: reply
+    client = make_client(start_server().address)
+    assert isinstance(client.call(sample.Ask("x"), 2.0), codec.Failed)
+    assert len(client.idle) == 1
+
+
+def test_nobody_listening_is_not_sent(make_client):
+    # The agent is down: its entry may promise that nothing ran.
+    with socket.create_server(("127.0.0.1", 0)) as gone:
+        port = gone.getsockname()[1]
+    with pytest.raises(clients.NotSentError):
+        make_client(f"127.0.0.1:{port}").call(sample.Ask("x"), 2.0)
+
+
+def test_message_too_large_is_not_sent(start_server, make_client):
+    # The caller learns that nothing ran, and the connection stays good.
+    client = make_client(start_server().address)
+    huge = sample.Ask("x", blob=b"x" * codec.MAX_FRAME_BYTES)
+    with pytest.raises(clients.NotSentError):
+        client.call(huge, 2.0)
+    assert client.call(sample.Ask("x"), 2.0) == sample.Told("x", 0)
+    assert len(client.idle) == 1
+
+
+def test_reply_that_does_not_come_is_lost(start_server, make_client, router):
+    # The message took effect, its answer did not come in time.  Called
+    # "not sent", a booking would be made twice.
+    took_effect = threading.Event()
+    release = threading.Event()
+
+    def answer(peer, ask):
+        took_effect.set()
+        release.wait(10)
+        return sample.Told("late", 0)
+
+    router.handlers[sample.Ask] = answer
+    client = make_client(start_server().address)
+    with pytest.raises(clients.CallLostError):
+        client.call(sample.Ask("x"), SOON_S)
+    assert took_effect.is_set()
+    # The late reply must not be read as that of the next call.
+    assert client.idle == []
+    router.handlers[sample.Ask] = lambda peer, ask: sample.Told("next", 1)
+    release.set()
+    assert client.call(sample.Ask("y"), 2.0) == sample.Told("next", 1)
+
+
+def test_connection_cut_before_the_reply_is_lost(
+    start_server, make_client, router
+):
+    # The server dies with the message in hand.
+    server = start_server()
+    router.handlers[sample.Ask] = lambda peer, ask: server.stop()
+    with pytest.raises(clients.CallLostError):
+        make_client(server.address).call(sample.Ask("x"), 2.0)
+
+
+def test_connection_closed_between_calls_is_not_used(
+    start_server, make_client
+):
+    # The agent is replaced between two calls.  On the dead connection the
+    # second one would be called lost, though it never left.
+    first = start_server()
+    client = make_client(first.address)
+    client.call(sample.Ask("x"), 2.0)
+    (idle,) = client.idle
+    first.stop()
+    first.thread.join(5)
+    wait_for_end(idle)
+    start_server(listen=first.address)
+    assert client.call(sample.Ask("y"), 2.0) == sample.Told("y", 0)
+
+
+def wait_for_end(connection):
+    """Wait until the other side's close has arrived."""
+    connection.sock.settimeout(5)
+    assert connection.sock.recv(1, socket.MSG_PEEK) == b""
+
+
+def test_frozen_server_does_not_hold_a_call_beyond_its_timeout(make_client):
+    # A frozen process's kernel still accepts, so the connect succeeds and
+    # the hello waits.  An entry that waits seconds for its agent gives its
+    # caller a late final answer instead of one at once.
+    with socket.create_server(("127.0.0.1", 0)) as frozen:
+        host, port = frozen.getsockname()
+        client = make_client(f"{host}:{port}")
+        began = time.monotonic()
+        with pytest.raises(clients.NotSentError):
+            client.call(sample.Ask("x"), SOON_S)
+        assert time.monotonic() - began < connections.HELLO_TIMEOUT_S / 2
+
+
+def test_reply_that_trickles_in_does_not_outlast_the_timeout(pair):
+    # A nearly cut link lets a byte through now and then.  Each byte alone
+    # is in time; the whole frame never is.
+    reader, writer = pair
+    stop = threading.Event()
+
+    def trickle():
+        writer.sock.sendall(struct.pack("!I", 100))
+        for _ in range(100):
+            if stop.wait(SOON_S / 10):
+                return
+            writer.sock.sendall(b"\x00")
+
+    thread = threading.Thread(target=trickle)
+    thread.start()
+    reader.set_timeout(SOON_S)
+    with pytest.raises(connections.WireTimeoutError):
+        reader.receive()
+    stop.set()
+    thread.join()
+
+
+def test_frame_beyond_the_cap_ends_the_connection(start_server, key):
+    # A peer with a fault announces 4 GB.  Only its own connection may
+    # suffer.
+    server = start_server()
+    me = connections.Identity("entry", "entry-1")
+    connection = clients.connect(server.address, me, key)
+    connection.sock.sendall(struct.pack("!I", 2**32 - 1))
+    with pytest.raises(connections.WireError):
+        connection.receive()
+    clients.connect(server.address, me, key).close()
+
+
+def test_unknown_tag_ends_only_that_connection(start_server, key):
+    # A newer release sends a message this one does not know.
+    server = start_server()
+    me = connections.Identity("entry", "entry-1")
+    connection = clients.connect(server.address, me, key)
+    payload = codec.encode(sample.Ask("x")).replace(b"test-ask", b"test-new")
+    connection.sock.sendall(payload)
+    with pytest.raises(connections.WireError):
+        connection.receive()
+    clients.connect(server.address, me, key).close()
+
+
+def test_clocks_follow_the_messages(start_server, make_client):
+    # The agent's wall clock is ten seconds behind the entry's.  Its grant
+    # must still be stamped after the entry's request, and the entry's next
+    # event after the grant.
+    now = time.time_ns()
+    behind = clocks.HybridClock(lambda: now - 10_000_000_000)
+    ahead = clocks.HybridClock(lambda: now)
+    client = make_client(start_server(clock=behind).address, clock=ahead)
+    asked = ahead.now()
+    client.call(sample.Ask("x"), 2.0)
+    assert behind.last > asked
+    assert ahead.now() > behind.last
+
+
+def test_accepting_goes_on_after_a_failed_accept(start_server, make_client):
+    # A burst of connections takes the last file descriptor.  The process
+    # looks alive, yet it never accepted again.
+    failures = [OSError(24, "Too many open files")]
+
+    class Listener:
+        def __init__(self, real):
+            self.real = real
+
+        def accept(self):
+            if failures:
+                raise failures.pop()
+            return self.real.accept()
+
+        def close(self):
+            self.real.close()
+
+    def prepare(server):
+        server.listener = Listener(server.listener)
+
+    client = make_client(start_server(prepare=prepare).address)
+    assert client.call(sample.Ask("x"), 2.0) == sample.Told("x", 0)
+    assert failures == []
+
+
+def test_accepting_goes_on_when_no_thread_can_be_had(
+    start_server, make_client, monkeypatch
+):
+    # The machine is at its limit of threads for a moment.
+    failures = [RuntimeError("can't start new thread")]
+    start = threading.Thread.start
+
+    def start_or_fail(thread):
+        if failures and thread.name == "wire-connection":
+            raise failures.pop()
+        start(thread)
+
+    server = start_server()
+    monkeypatch.setattr(threading.Thread, "start", start_or_fail)
+    client = make_client(server.address)
+    with pytest.raises(clients.NotSentError):
+        client.call(sample.Ask("x"), 5.0)
+    assert client.call(sample.Ask("x"), 5.0) == sample.Told("x", 0)
+
+
+def test_message_has_one_handler():
+    # Two slices answering the same message would shadow each other.
+    router = servers.Router()
+    router.on(sample.Ask, lambda peer, ask: sample.Told("", 0))
+    with pytest.raises(ValueError, match="has a handler"):
+        router.on(sample.Ask, lambda peer, ask: sample.Told("", 0))
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,152 @@
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import msgpack
+import pytest
+from tests.wire import sample
+
+from briarseam.admission import messages as admission
+from briarseam.wire import codec
+
+
+def payload_of(value):
+    return codec.encode(value)[codec.LENGTH.size :]
+
+
+def test_message_and_stamp_survive_the_wire():
+    # A chain digest is bytes, a result an enum, a list of endpoints a
+    # tuple: each must come back as the type its class declares.
+    ended = admission.RunEnded(
+        "r1", "", "e1", admission.RunResult.DONE, body=b"\x00\xff"
+    )
+    frame = codec.encode(ended, stamp=codec.MAX_STAMP)
+    opened = codec.open_frame(frame[codec.LENGTH.size :])
+    assert opened == codec.Frame(ended, codec.MAX_STAMP)
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(b"\xc1", id="not msgpack"),
+        pytest.param(payload_of(sample.Ask("x")) + b"\x00", id="trailing"),
+        pytest.param(payload_of(sample.Ask("x"))[:-1], id="cut short"),
+        pytest.param(msgpack.packb(["nobody", {}, 0]), id="unknown tag"),
+        pytest.param(msgpack.packb([["test-ask"], {}, 0]), id="tag a list"),
+        pytest.param(msgpack.packb(["test-ask", {}, 0]), id="no field"),
+        pytest.param(
+            msgpack.packb(["test-ask", {"text": 7}, 0]), id="wrong type"
+        ),
+        pytest.param(
+            msgpack.packb(["test-ask", {"text": "x"}]), id="no stamp"
+        ),
+        pytest.param(
+            msgpack.packb(["test-ask", {"text": "x"}, -1]),
+            id="negative stamp",
+        ),
+        pytest.param(
+            msgpack.packb(["test-ask", {"text": "x"}, True]), id="bool stamp"
+        ),
+        pytest.param(
+            msgpack.packb(["test-ask", {"text": "x"}, "1"]), id="text stamp"
+        ),
+    ],
+)
+def test_malformed_payload_is_a_codec_error(payload):
+    # A handler must never see a field of a wrong type, and the connection
+    # thread must meet one kind of error only.
+    with pytest.raises(codec.CodecError):
+        codec.decode(payload)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(
+            sample.Ask("x", blob=b"x" * codec.MAX_FRAME_BYTES), id="too large"
+        ),
+        pytest.param(sample.Ask("x", count=2**64), id="integer too wide"),
+        pytest.param(sample.Ask("\ud800"), id="lone surrogate"),
+        pytest.param(sample.Ask(object()), id="no wire type"),
+    ],
+)
+def test_message_that_cannot_be_carried_is_a_codec_error(value):
+    # The caller must learn that nothing was sent.
+    with pytest.raises(codec.CodecError):
+        codec.encode(value)
+
+
+def test_tag_is_given_once():
+    # Two slices that chose the same tag would answer for each other.
+    with pytest.raises(ValueError, match="taken"):
+        codec.message("test-ask")(sample.Unheard)
+
+
+def only_codec_errors(payload):
+    try:
+        codec.decode(payload)
+    except codec.CodecError:
+        return
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+def test_random_bytes_raise_nothing_else(payload):
+    # A stray byte from a broken peer ends one connection, never a thread
+    # with an exception nobody expects.
+    only_codec_errors(payload)
+
+
+anything = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats()
+    | strategies.text(max_size=8)
+    | strategies.binary(max_size=8)
+    | strategies.builds(
+        msgpack.ExtType,
+        strategies.integers(0, 127),
+        strategies.binary(max_size=4),
+    ),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=4
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.given(
+    tag=strategies.sampled_from(sorted(codec.registry)) | anything,
+    body=anything,
+    stamp=anything,
+)
+def test_any_msgpack_raises_nothing_else(tag, body, stamp):
+    # As above, for frames that are msgpack but not what we agreed on.
+    only_codec_errors(msgpack.packb([tag, body, stamp]))
+
+
+@hypothesis.given(
+    strategies.integers(min_value=0), strategies.integers(0, 255)
+)
+def test_one_flipped_byte_raises_nothing_else(place, byte):
+    # As above, for a real message that was damaged on its way.
+    payload = bytearray(payload_of(sample.Ask("hello", 7, b"blob")))
+    payload[place % len(payload)] = byte
+    only_codec_errors(bytes(payload))
+
+
+@hypothesis.given(
+    strategies.text(strategies.characters(exclude_categories=["Cs"])),
+    strategies.integers(-(2**63), 2**64 - 1),
+    strategies.binary(),
+    strategies.integers(0, codec.MAX_STAMP),
+)
+def test_every_message_comes_back_equal(text, count, blob, stamp):
+    # What one process says, the other must hear.
+    ask = sample.Ask(text, count, blob)
+    payload = codec.encode(ask, stamp)[codec.LENGTH.size :]
+    assert codec.open_frame(payload) == codec.Frame(ask, stamp)
