--- a/src/briarseam/timeline/event.py
+++ b/src/briarseam/timeline/event.py
@@ -7,6 +7,8 @@
 
 from briarseam.timeline import clock
 
+REQUEST_FIELDS = ("run", "key")
+
 Scalar = str | int | float | bool
 
 
@@ -56,9 +58,11 @@
 
     Attributes
     ----------
-    request, path, endpoint
-        As in :class:`Event`.  Several are joined by "and".  A path also
-        stands for all paths below it.
+    request
+        A request by its id, its run or its idempotency key.
+    path, endpoint
+        As in :class:`Event`; a path also stands for all paths below it.
+        Several filters are joined by "and".
     after
         Only events stamped later than this.
     """
@@ -72,12 +76,18 @@
         """Tell whether ``event`` is asked for."""
         return (
             event.clock > self.after
-            and self.request in ("", event.request)
+            and (not self.request or self.request in names_of(event))
             and self.endpoint in ("", event.endpoint)
             and (not self.path or is_under(event.path, self.path))
         )
 
 
+def names_of(event: Event) -> tuple[Scalar, ...]:
+    """Return the names under which an event's request is known."""
+    found = [event.fields.get(name, "") for name in REQUEST_FIELDS]
+    return (event.request, *found)
+
+
 def is_under(path: str, parent: str) -> bool:
     """Tell whether ``path`` is ``parent`` or a path below it."""
     stem = parent.rstrip("/")
