Add the kept cache: plans, imports, exports and upkeep of the stores

KeptCache plans what could be imported for a prompt by predicted time over budgeted links, orders imports and background exports between endpoint and store, and keeps each store in order (state, boot, listing, room, deletion). Not wired into admission yet.

The exporter now frees only another name. An engine's refusal for other loaded weights was taken for a dead store; only the store's own faults now are. A full store refused exports at once; they now wait for room up to 60 s.

--- /dev/null
+++ b/src/briarseam/cache/exporting.py
@@ -0,0 +1,305 @@
+"""Exports: engines write pieces to the stores in the background.
+
+One thread per store orders the writes, the chain that saves most prefill
+per byte first, and never faster than the link's budget leaves free.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import threading
+import typing
+
+from briarseam.cache import index as indexes
+from briarseam.cache import names as block_names
+from briarseam.cache import sharing as index_sharing
+from briarseam.cache import sizes as block_sizes
+from briarseam.cache import state
+from briarseam.cache import stores as store_state
+from briarseam.endpoints import engine_kv
+from briarseam.endpoints import store as store_client
+
+MAX_QUEUED = 1000
+MAX_WAIT_S = 60.0
+POLL_S = 0.2
+WAIT_POLL_S = 0.02
+EXPORT_TIMEOUT_S = 30.0
+GUESSED_BLOCK_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True)
+class Piece:
+    """One piece to export.
+
+    Attributes
+    ----------
+    digest
+        As the engine names it.
+    key
+        As the index names it.
+    depth
+        Pieces in front of it.
+    """
+
+    digest: bytes
+    key: bytes
+    depth: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """Pieces of one chain that one engine has.
+
+    Attributes
+    ----------
+    engine
+        ``ip:port``.
+    model, version
+        What they were computed with.
+    group, variant
+        As hashed for their names.
+    pieces
+        In order of the prompt.
+    worth
+        What keeping them is worth per byte.
+    queued_at
+        When they were queued.
+    """
+
+    engine: str
+    model: str
+    version: str
+    group: bytes
+    variant: bytes
+    pieces: tuple[Piece, ...]
+    worth: float
+    queued_at: float
+
+
+class Stop(Exception):
+    """The rest of a job can't be exported now."""
+
+
+class Queue:
+    """Jobs for one store, the worthiest first."""
+
+    def __init__(self) -> None:
+        self.condition = threading.Condition()
+        self.jobs: list[tuple[float, int, Job]] = []
+        self.order = itertools.count()
+
+    def put(self, job: Job) -> Job | None:
+        """Queue a job; return the one dropped for it when full."""
+        with self.condition:
+            entry = (-job.worth, next(self.order), job)
+            heapq.heappush(self.jobs, entry)
+            self.condition.notify()
+            if len(self.jobs) <= MAX_QUEUED:
+                return None
+            last = max(self.jobs)
+            self.jobs.remove(last)
+            heapq.heapify(self.jobs)
+            return last[2]
+
+    def take(self, timeout_s: float) -> Job | None:
+        """Return the worthiest job, ``None`` when there is none."""
+        with self.condition:
+            if not self.jobs:
+                self.condition.wait(timeout_s)
+            return heapq.heappop(self.jobs)[2] if self.jobs else None
+
+
+@dataclasses.dataclass(frozen=True)
+class Tools:
+    """What exporting works with, shared over the stores."""
+
+    index: indexes.BlockIndex
+    names: block_names.Names
+    sizes: block_sizes.Sizes
+    sharing: index_sharing.Sharing
+    stores: store_state.Stores
+    engine: engine_kv.EngineKv
+    client: store_client.StoreClient
+    clock: typing.Callable[[], float]
+    metrics: state.Metrics
+
+
+class Exporter:
+    """Exports to one store.
+
+    Parameters
+    ----------
+    store
+        The store.
+    tools
+        Index, adapters and the like.
+    stopping
+        Set to end it.
+    """
+
+    def __init__(
+        self,
+        store: store_state.Store,
+        tools: Tools,
+        stopping: threading.Event,
+    ) -> None:
+        self.store = store
+        self.tools = tools
+        self.stopping = stopping
+        self.queue = Queue()
+        self.pending: set[bytes] = set()
+        self.lock = threading.Lock()
+        self.thread = threading.Thread(
+            target=self.work, name=f"export-{store.name}", daemon=True
+        )
+
+    def submit(self, job: Job) -> None:
+        """Queue the pieces of a job that are not queued yet."""
+        with self.lock:
+            pieces = tuple(
+                piece for piece in job.pieces if piece.key not in self.pending
+            )
+            if not pieces:
+                return
+            self.pending.update(piece.key for piece in pieces)
+        dropped = self.queue.put(dataclasses.replace(job, pieces=pieces))
+        if dropped is not None:
+            self.tools.metrics.count("exports_dropped", len(dropped.pieces))
+            self.settled(dropped)
+
+    def settled(self, job: Job) -> None:
+        """Let the pieces of a job be queued again."""
+        with self.lock:
+            self.pending.difference_update(piece.key for piece in job.pieces)
+
+    def running(self) -> bool:
+        """Tell whether to go on."""
+        current = self.tools.stores.is_current(self.store)
+        return current and not self.stopping.is_set()
+
+    def work(self) -> None:
+        """Export until stopped."""
+        while self.running():
+            job = self.queue.take(POLL_S)
+            if job is None:
+                continue
+            try:
+                for piece in job.pieces:
+                    self.export(job, piece)
+            except Stop as reason:
+                self.tools.metrics.count(f"exports_{reason}")
+            finally:
+                self.settled(job)
+
+    def export(self, job: Job, piece: Piece) -> None:
+        """Export one piece, confirm it and only then index it."""
+        tools = self.tools
+        known = tools.sizes.expected(job.variant)
+        size = known or GUESSED_BLOCK_BYTES
+        self.wait_for(lambda: self.store.has_room(known or 0), job)
+        self.wait_for(lambda: self.store.link.reserve_idle(size), job)
+        if not self.store.alive:
+            raise Stop("refused")
+        name = tools.names.fresh(
+            job.group, job.variant, piece.depth, piece.key
+        )
+        packed = tools.names.pack(name)
+        boot_id = self.store.boot_id
+        outcome = self.transfer(job, piece, packed, size)
+        match outcome:
+            case engine_kv.NotCached():
+                raise Stop("not_cached")
+            case engine_kv.ExportFailed():
+                self.discard(packed, size, boot_id)
+                raise Stop("failed")
+            case engine_kv.Exported():
+                block = self.confirm(packed, outcome)
+        if block is None:
+            self.discard(packed, size, boot_id)
+            raise Stop("unconfirmed")
+        self.keep(block)
+
+    def wait_for(self, condition: typing.Callable[[], bool], job: Job) -> None:
+        """Wait until the store has room, or its link no import wants it."""
+        while not condition():
+            too_old = self.tools.clock() - job.queued_at > MAX_WAIT_S
+            if too_old or not self.store.alive or not self.running():
+                raise Stop("late")
+            self.stopping.wait(WAIT_POLL_S)
+
+    def transfer(
+        self, job: Job, piece: Piece, packed: bytes, size: int
+    ) -> engine_kv.ExportOutcome:
+        """Let the engine write the piece, and learn the link's rate."""
+        link = self.store.link
+        transfer = link.begin(size)
+        moved = 0
+        try:
+            outcome = self.tools.engine.export(
+                job.engine,
+                job.model,
+                job.version,
+                piece.digest,
+                self.store.address,
+                self.tools.names.text(packed),
+                EXPORT_TIMEOUT_S,
+            )
+            if isinstance(outcome, engine_kv.Exported):
+                moved = outcome.bytes
+            return outcome
+        finally:
+            link.end(transfer, moved)
+
+    def confirm(
+        self, packed: bytes, exported: engine_kv.Exported
+    ) -> state.Block | None:
+        """Return the block if the store holds all of it.
+
+        Guard: a store or engine that dies during the write, or a store
+        that keeps a part and answers as if it were whole.  A request that
+        read it would go on from KV that isn't there.  What the store
+        lists must have the length and the checksum that the engine gave;
+        until then no index knows the block.
+        """
+        text = self.tools.names.text(packed)
+        try:
+            page = self.tools.client.listing(
+                self.store.address, text[:-1], limit=1
+            )
+        except store_client.StoreUnavailableError:
+            return None
+        if not page.blocks or page.blocks[0].name != text:
+            return None
+        found = page.blocks[0]
+        whole = found.bytes == exported.bytes
+        if not whole or found.checksum != exported.checksum:
+            return None
+        checksum = bytes.fromhex(exported.checksum)
+        return state.Block(
+            packed, exported.bytes, checksum, self.store.name, page.boot_id
+        )
+
+    def discard(self, packed: bytes, size: int, boot_id: str) -> None:
+        """Have what may have been written deleted."""
+        block = state.Block(packed, size, b"", self.store.name, boot_id)
+        self.tools.index.free(block, self.tools.clock())
+
+    def keep(self, block: state.Block) -> None:
+        """Index a confirmed block and tell who else keeps the index."""
+        tools = self.tools
+        tools.sizes.learn(block.variant, block.size)
+        mine = tools.sharing.holders(block.group).mine
+        until = tools.sharing.learned_until(mine)
+        self.store.used += block.size
+        added = tools.index.add(block, tools.clock(), until)
+        # Guard: the store's listing shows a block before its writer has
+        # confirmed it, so the sweep may have taken it in already.  Freed
+        # as a second copy it would be lost; only another name is one.
+        if not added and not tools.index.holds(block):
+            tools.index.free(block, tools.clock())
+            return
+        tools.metrics.count("exported_blocks")
+        tools.metrics.count("exported_bytes", block.size)
+        tools.sharing.added(block)
--- a/src/briarseam/cache/index.py
+++ b/src/briarseam/cache/index.py
@@ -14,6 +14,7 @@
 from briarseam.cache import state
 
 GROUP_MAX_BLOCKS = 4096
+FORGOTTEN_PART = 16
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,7 +97,7 @@
         return len(self.by_key)
 
     def prefix(
-        self, keys: typing.Iterable[bytes], now: float
+        self, keys: typing.Iterable[bytes], now: float, own: bytes
     ) -> list[state.Block]:
         """Return the blocks of the longest run of known keys.
 
@@ -106,19 +107,22 @@
             Keys of a prompt's pieces in order.
         now
             Copies of other agents' groups that have run out don't count.
+        own
+            The prompt's group when this agent owns it, else empty.
         """
         found: list[state.Block] = []
         with self.lock:
             for key in keys:
                 block = self.by_key.get(key)
-                if block is None or not self.usable(block, now):
+                if block is None or not self.usable(block, now, own):
                     break
                 found.append(block)
         return found
 
-    def usable(self, block: state.Block, now: float) -> bool:
+    def usable(self, block: state.Block, now: float, own: bytes) -> bool:
         """Tell whether a block's group may be used without asking."""
-        return self.groups[block.group].learned_until > now
+        group = block.group
+        return group == own or self.groups[group].learned_until > now
 
     def add(
         self, block: state.Block, now: float, learned_until: float
@@ -278,6 +282,27 @@
                 known.used_at = now
                 known.uses += 1
 
+    def forget_oldest(self, room: int) -> None:
+        """Make room for some blocks in memory, never in the stores.
+
+        What is forgotten is found again by the next listing, if it is
+        this agent's to keep.
+        """
+        with self.lock:
+            over = len(self) + room - self.max_blocks
+            if over <= 0:
+                return
+            over += self.max_blocks // FORGOTTEN_PART
+            oldest = sorted(
+                self.groups.values(), key=lambda group: group.used_at
+            )
+            for group in oldest:
+                if over <= 0:
+                    return
+                over -= len(group.blocks)
+                for block in list(group.blocks):
+                    self.forget(block)
+
     def drop_boot(self, store: str, boot_id: str) -> list[state.Block]:
         """Forget what a store held before its present boot.
 
--- a/src/briarseam/cache/links.py
+++ b/src/briarseam/cache/links.py
@@ -134,16 +134,28 @@
             self.active.append(transfer)
             return transfer
 
-    def end(self, transfer: Transfer, moved: int) -> None:
-        """Note the end of a transfer of which ``moved`` bytes came."""
+    def end(self, transfer: Transfer, moved: int, cut: bool = False) -> None:
+        """Note the end of a transfer.
+
+        Parameters
+        ----------
+        transfer
+            From :meth:`begin`.
+        moved
+            Bytes that came.
+        cut
+            It was given up, so its size over its time bounds the rate.
+        """
         with self.lock:
             self.integrate()
             self.active.remove(transfer)
             self.bytes += moved
             elapsed = max(self.clock() - transfer.began, MIN_ELAPSED_S)
             sharing = (self.area - transfer.area_before) / elapsed
-            if moved:
-                self.learn(moved * max(sharing, 1.0) / elapsed)
+            size = transfer.size if cut else moved
+            sample = size * max(sharing, 1.0) / elapsed
+            if size and not (cut and sample > self.relaxed()):
+                self.learn(sample)
 
     def integrate(self) -> None:
         """Bring the integral of transfers under way up to now."""
--- a/src/briarseam/cache/names.py
+++ b/src/briarseam/cache/names.py
@@ -30,6 +30,7 @@
 DEPTH = struct.Struct("!H")
 MAX_DEPTH = 65535
 LENGTH = struct.Struct("!I")
+SessionHash = typing.Callable[[str, str], bytes]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,9 +76,15 @@
     secret
         Shared by all agents; whoever lacks it can neither make nor match
         a name.
+    session_hash
+        Hash of organisation and session, ``SESSION_BYTES`` long; by
+        default a keyed one.
     """
 
-    def __init__(self, secret: bytes) -> None:
+    def __init__(
+        self, secret: bytes, session_hash: SessionHash | None = None
+    ) -> None:
+        self.session_hash = session_hash or self.derive_session
         self.secret = hashlib.blake2b(secret, digest_size=32).digest()
         self.variant_key = functools.lru_cache(CACHED_KEYS)(self.derive_key)
         self.variant = functools.lru_cache(CACHED_KEYS)(self.derive_variant)
@@ -108,10 +115,14 @@
         data = organisation.encode()
         return self.digest(b"organisation", data, ORGANISATION_BYTES)
 
+    def derive_session(self, organisation: str, session: str) -> bytes:
+        """Return the hash of a session."""
+        data = joined((organisation, session))
+        return self.digest(b"session", data, SESSION_BYTES)
+
     def group(self, organisation: str, session: str) -> bytes:
         """Return the hash of an organisation and one of its sessions."""
-        data = joined((organisation, session))
-        session_hash = self.digest(b"session", data, SESSION_BYTES)
+        session_hash = self.session_hash(organisation, session)
         return self.organisation(organisation) + session_hash
 
     def salt(self, organisation: str) -> str:
@@ -202,3 +213,9 @@
 def group_prefix(group: bytes) -> str:
     """Return what the names of a group's blocks begin with."""
     return group.hex()
+
+
+def rank(group: bytes, store: str) -> bytes:
+    """Return a store's place for a group; the lowest is its home."""
+    data = group + store.encode()
+    return hashlib.blake2b(data, digest_size=SESSION_BYTES).digest()
--- a/src/briarseam/endpoints/engine_kv.py
+++ b/src/briarseam/endpoints/engine_kv.py
@@ -25,6 +25,7 @@
     MISSING = "missing"
     CORRUPT = "corrupt"
     UNREACHABLE = "unreachable"
+    ENGINE = "engine"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,12 +114,21 @@
 
 
 def fault_of(failure: ImportFailure) -> Fault:
-    """Return the kind of fault that an engine's reason names."""
-    if failure.reason == "missing":
-        return Fault.MISSING
-    if failure.reason in ("checksum", "header"):
-        return Fault.CORRUPT
-    return Fault.UNREACHABLE
+    """Return the kind of fault that an engine's reason names.
+
+    Only what is surely the block's or the store's fault counts as theirs;
+    an engine that has loaded other weights meanwhile says so too.
+    """
+    match failure.reason:
+        case "missing":
+            return Fault.MISSING
+        case "checksum" | "header":
+            return Fault.CORRUPT
+        case "unreachable":
+            return Fault.UNREACHABLE
+        case reason if reason.startswith("status "):
+            return Fault.UNREACHABLE
+    return Fault.ENGINE
 
 
 class EngineKv:
