Ask a claim's holder itself whether it is still there

Heartbeats reach the agents of one cell only, and a caller's second try may come to any zone: the claim names its agent's address and start, and whoever is asked about the key asks that agent, within half a second. A refused connection or another start of the agent gives "unknown" at once.

--- a/src/briarseam/claims/fold.py
+++ b/src/briarseam/claims/fold.py
@@ -59,8 +59,8 @@
         The attempt that holds or held it; empty while free.
     body_digest
         Digest of the first body seen with it; empty before any.
-    holder, incarnation
-        The agent that acts for the attempt.
+    claim
+        The claim that holds the key; it names the holder.
     claimed_ms
         The log's time of the winning claim.
     outcome
@@ -72,8 +72,7 @@
     standing: Standing = Standing.FREE
     attempt: str = ""
     body_digest: bytes = b""
-    holder: str = ""
-    incarnation: str = ""
+    claim: records.Claim | None = None
     claimed_ms: int = 0
     outcome: records.Outcome | None = None
     void: tuple[str, ...] = ()
@@ -163,8 +162,7 @@
         entry.standing = Standing.CLAIMED
         entry.attempt = item.attempt
         entry.body_digest = item.body_digest
-        entry.holder = item.holder
-        entry.incarnation = item.incarnation
+        entry.claim = item
         entry.claimed_ms = self.now_ms
         return Ruling.WON
 
@@ -211,8 +209,7 @@
         if holds:
             entry.standing = Standing.FREE
             entry.attempt = ""
-            entry.holder = ""
-            entry.incarnation = ""
+            entry.claim = None
         self.make_void(entry, item.attempt)
 
     def settle_done(self, entry: Entry, item: records.Done) -> None:
--- a/src/briarseam/claims/messages.py
+++ b/src/briarseam/claims/messages.py
@@ -20,18 +20,13 @@
 
     Attributes
     ----------
-    organisation, key, attempt, body_digest, holder, incarnation
-        As in :class:`briarseam.claims.records.Claim`.
+    claim
+        What to append.
     wait_s
         How long the asker waits, in seconds.
     """
 
-    organisation: str
-    key: str
-    attempt: str
-    body_digest: bytes
-    holder: str
-    incarnation: str
+    claim: records.Claim
     wait_s: float
 
 
@@ -154,6 +149,23 @@
     attempts: tuple[str, ...]
 
 
+@codec.message("claim-holder-asked")
+@dataclasses.dataclass(frozen=True)
+class HolderAsked:
+    """Ask an agent whether it is still the start that made a claim."""
+
+    name: str
+    incarnation: str
+
+
+@codec.message("claim-holder")
+@dataclasses.dataclass(frozen=True)
+class HolderTold:
+    """Whether it is."""
+
+    same: bool
+
+
 def verdict_of(refusal: Refusal) -> verdict.Verdict:
     """Return what a caller is told for a claim that was not won.
 
--- a/src/briarseam/claims/records.py
+++ b/src/briarseam/claims/records.py
@@ -39,8 +39,9 @@
         Random name of the attempt, never used for another.
     body_digest
         Digest of the request, to tell a reused key.
-    holder, incarnation
-        The agent that acts for the attempt, and which start of it.
+    holder, incarnation, address
+        The agent that acts for the attempt, which start of it, and where
+        other agents reach it.
     """
 
     organisation: str
@@ -49,6 +50,7 @@
     body_digest: bytes
     holder: str
     incarnation: str
+    address: str
 
 
 class Done(msgspec.Struct, frozen=True, tag="done", array_like=True):
--- a/src/briarseam/claims/service.py
+++ b/src/briarseam/claims/service.py
@@ -35,6 +35,7 @@
 DEFAULT_WAIT_S = 2.0
 SETTLE_WAIT_S = 2.0
 REMOTE_SLACK_S = 0.5
+HOLDER_TIMEOUT_S = 0.5
 OWNER_LOST_RETRY_S = 1.0
 FLUSH_S = 2.0
 ATTEMPT_BYTES = 16
@@ -57,10 +58,13 @@
         The agent.
     incarnation
         Differs for each start of it.
+    address
+        Where other agents reach it.
     """
 
     name: str
     incarnation: str
+    address: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,30 +92,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Peers:
-    """What claims need to know of the other agents.
+    """How claims reach the other agents.
 
     Attributes
     ----------
     owner_of
-        The agent that owns a shard; ``None`` means this one.
+        Address of the agent that owns a shard; ``None`` means this one.
     client_of
-        A client of another agent; ``None`` when it cannot be reached.
-    is_alive
-        Whether an agent's incarnation (name, incarnation) is still there.
+        Returns a client of the agent at an address.
     """
 
     owner_of: typing.Callable[[int], str | None]
-    client_of: typing.Callable[[str], PeerClient | None]
-    is_alive: typing.Callable[[str, str], bool]
-
-
-def alone(me: Holder) -> Peers:
-    """Return the view of an agent without peers."""
-    return Peers(
-        lambda shard: None,
-        lambda name: None,
-        lambda name, incarnation: Holder(name, incarnation) == me,
-    )
+    client_of: typing.Callable[[str], PeerClient]
 
 
 class Claims:
@@ -185,6 +177,7 @@
         """Answer other agents' claims and settlements."""
         router.on(messages.ClaimRequest, self.on_claim)
         router.on(messages.SettleRequest, self.on_settle)
+        router.on(messages.HolderAsked, self.on_holder_asked)
 
     def new_attempt(self) -> str:
         """Return a fresh attempt name."""
@@ -222,17 +215,19 @@
         parsed = keys.parse(key)
         if parsed is None:
             return self.counted(messages.KeyInvalid("not a UUIDv7"))
-        request = messages.ClaimRequest(
+        item = records.Claim(
             organisation,
             parsed.text,
             attempt,
             body_digest,
             self.me.name,
             self.me.incarnation,
-            self.options.wait_s if wait_s is None else wait_s,
+            self.me.address,
         )
+        if wait_s is None:
+            wait_s = self.options.wait_s
         with self.waits.time():
-            result = self.ask(request)
+            result = self.ask(messages.ClaimRequest(item, wait_s))
         if isinstance(result, messages.NotClaimed) and result.dangling:
             # The claim may yet turn up in the stream and hold the key for
             # an attempt that is never sent, so its end is recorded too.
@@ -276,54 +271,59 @@
         return keys.shard_of(organisation, key, self.options.shards)
 
     def owner(self, number: int) -> str | None:
-        """Return the other agent that owns a shard; ``None`` if we do."""
-        name = self.peers.owner_of(number)
-        return None if name == self.me.name else name
+        """Return the address of another agent that owns a shard."""
+        address = self.peers.owner_of(number)
+        return None if address == self.me.address else address
 
     def ask(self, request: messages.ClaimRequest) -> messages.Result:
         """Claim at the shard's owner."""
-        number = self.shard_of(request.organisation, request.key)
-        name = self.owner(number)
-        if name is None:
+        number = self.shard_of(request.claim.organisation, request.claim.key)
+        address = self.owner(number)
+        if address is None:
             return self.claim_here(number, request)
-        client = self.peers.client_of(name)
-        if client is None:
-            return owner_lost(name, dangling=False)
+        client = self.peers.client_of(address)
         try:
             reply = client.call(request, request.wait_s + REMOTE_SLACK_S)
         except wire_client.NotSentError:
-            return owner_lost(name, dangling=False)
+            return owner_lost(address, dangling=False)
         except connections.WireError:
             # The owner may have got the claim and append it at any time.
-            return owner_lost(name, dangling=True)
+            return owner_lost(address, dangling=True)
         if isinstance(reply, codec.Failed):
-            return owner_lost(name, dangling=True)
+            return owner_lost(address, dangling=True)
         return typing.cast("messages.Result", reply)
 
     def claim_here(
         self, number: int, request: messages.ClaimRequest
     ) -> messages.Result:
         """Claim in a shard that this agent follows."""
-        item = records.Claim(
-            request.organisation,
-            request.key,
-            request.attempt,
-            request.body_digest,
-            request.holder,
-            request.incarnation,
-        )
-        return self.shard(number).claim(item, request.wait_s)
+        return self.shard(number).claim(request.claim, request.wait_s)
+
+    def is_alive(self, claim: records.Claim) -> bool:
+        """Tell whether the agent that made a claim is still there.
+
+        It is asked itself: the heartbeats reach only agents of a cell,
+        and the resend may come to any.
+        """
+        if claim.holder == self.me.name:
+            return claim.incarnation == self.me.incarnation
+        asked = messages.HolderAsked(claim.holder, claim.incarnation)
+        try:
+            reply = self.peers.client_of(claim.address).call(
+                asked, HOLDER_TIMEOUT_S
+            )
+        except connections.WireError:
+            return False
+        return isinstance(reply, messages.HolderTold) and reply.same
 
     def deliver(
         self, number: int, items: typing.Sequence[records.Settlement]
     ) -> frozenset[str]:
         """Offer settlements to the shard's owner."""
-        name = self.owner(number)
-        if name is None:
+        address = self.owner(number)
+        if address is None:
             return self.shard(number).settle(items, SETTLE_WAIT_S)
-        client = self.peers.client_of(name)
-        if client is None:
-            return frozenset()
+        client = self.peers.client_of(address)
         request = messages.SettleRequest(number, tuple(items), SETTLE_WAIT_S)
         try:
             reply = client.call(request, SETTLE_WAIT_S + REMOTE_SLACK_S)
@@ -337,9 +337,18 @@
         self, peer: connections.Identity, request: messages.ClaimRequest
     ) -> messages.Result:
         """Answer another agent's claim."""
-        number = self.shard_of(request.organisation, request.key)
+        number = self.shard_of(request.claim.organisation, request.claim.key)
         return self.claim_here(number, request)
 
+    def on_holder_asked(
+        self, peer: connections.Identity, request: messages.HolderAsked
+    ) -> messages.HolderTold:
+        """Tell whether this is still the start of the agent that is meant."""
+        return messages.HolderTold(
+            request.name == self.me.name
+            and request.incarnation == self.me.incarnation
+        )
+
     def on_settle(
         self, peer: connections.Identity, request: messages.SettleRequest
     ) -> messages.SettleReply:
@@ -372,7 +381,7 @@
             stream,
             self.window,
             self.options.batch_ms / 1000,
-            self.peers.is_alive,
+            self.is_alive,
         )
 
     def settler(self, number: int) -> settlers.Settler:
@@ -419,11 +428,11 @@
     return verdict.NotRun(verdict.Reason.LOG_UNAVAILABLE)
 
 
-def owner_lost(name: str, dangling: bool) -> messages.NotClaimed:
+def owner_lost(address: str, dangling: bool) -> messages.NotClaimed:
     """Return the answer when a shard's owner did not answer."""
     return messages.NotClaimed(
         verdict.Reason.AGENT_UNAVAILABLE,
-        f"agent {name}, which keeps this key, did not answer",
+        f"the agent at {address}, which keeps this key, did not answer",
         OWNER_LOST_RETRY_S,
         dangling,
     )
--- a/src/briarseam/claims/shard.py
+++ b/src/briarseam/claims/shard.py
@@ -27,7 +27,26 @@
 CATCH_UP_RECORDS_PER_S = 5000
 log = structlog.get_logger("briarseam.claims")
 
-IsAlive = typing.Callable[[str, str], bool]
+IsAlive = typing.Callable[[records.Claim], bool]
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """Another attempt holds the key; whether it is alive is to be asked.
+
+    Attributes
+    ----------
+    claim
+        The claim that holds it.
+    retry_after_s
+        When its outcome is expected, in seconds.
+    """
+
+    claim: records.Claim
+    retry_after_s: float
+
+
+Finding = messages.Result | Held
 
 
 @dataclasses.dataclass
@@ -35,12 +54,12 @@
     """A claimant that waits for its claim to be read back."""
 
     claim: records.Claim
-    result: messages.Result | None = None
+    result: Finding | None = None
     decided: threading.Event = dataclasses.field(
         default_factory=threading.Event
     )
 
-    def decide(self, result: messages.Result) -> None:
+    def decide(self, result: Finding) -> None:
         """Give the claimant its answer."""
         self.result = result
         self.decided.set()
@@ -77,7 +96,7 @@
     interval_s
         Least time between two appends, in seconds.
     is_alive
-        Tells whether an agent's incarnation is still there.  It only
+        Tells whether the agent that made a claim is still there.  It only
         chooses between "in progress" and "unknown"; no safety rests on it.
     """
 
@@ -139,6 +158,18 @@
         wait_s
             Bound on the wait, in seconds.
         """
+        finding = self.find(item, wait_s)
+        if not isinstance(finding, Held):
+            return finding
+        # Asking the holder may take a while, so no lock is held here.
+        if self.is_alive(finding.claim):
+            return messages.InProgress(finding.retry_after_s)
+        return messages.Unknown(
+            "the instance that sent the first request is gone"
+        )
+
+    def find(self, item: records.Claim, wait_s: float) -> Finding:
+        """Return what the stream says about a claim."""
         with self.lock:
             early = self.early(item)
             if early is not None:
@@ -158,7 +189,7 @@
             dangling=True,
         )
 
-    def early(self, item: records.Claim) -> messages.Result | None:
+    def early(self, item: records.Claim) -> Finding | None:
         """Return the answer that needs no append; ``None`` when free.
 
         A key that is known to be held is answered from the fold also
@@ -229,7 +260,7 @@
             verdict.Reason.OVERLOADED,
         )
 
-    def standing(self, item: records.Claim) -> messages.Result | None:
+    def standing(self, item: records.Claim) -> Finding | None:
         """Return the answer that the fold already has; ``None`` if free."""
         parsed = keys.parse(item.key)
         if parsed is not None and self.fold.is_over(parsed.time_ms):
@@ -239,23 +270,19 @@
             return None
         if entry.body_digest not in (b"", item.body_digest):
             return messages.KeyReused()
-        if entry.standing is folds.Standing.FREE:
+        if entry.claim is None:
             return None
-        return self.held(entry)
+        return self.held(entry, entry.claim)
 
-    def held(self, entry: folds.Entry) -> messages.Result:
-        """Return the answer about a key that another attempt holds."""
+    def held(self, entry: folds.Entry, claim: records.Claim) -> Finding:
+        """Return what is known about a key that an attempt holds."""
         if entry.outcome is not None:
             return messages.Finished(entry.outcome)
         if entry.standing is folds.Standing.LOST:
             return messages.Unknown("the first request's answer was lost")
-        if not self.is_alive(entry.holder, entry.incarnation):
-            return messages.Unknown(
-                "the instance that sent the first request is gone"
-            )
         age_ms = self.fold.now_ms - entry.claimed_ms
         left_s = (self.fold.run_ms - age_ms) / 1000
-        return messages.InProgress(min(max(left_s, MIN_RETRY_S), MAX_RETRY_S))
+        return Held(claim, min(max(left_s, MIN_RETRY_S), MAX_RETRY_S))
 
     def fail(
         self,
@@ -353,9 +380,7 @@
         if waiter is not None:
             waiter.decide(self.answer(ruling, item))
 
-    def answer(
-        self, ruling: folds.Ruling, item: records.Claim
-    ) -> messages.Result:
+    def answer(self, ruling: folds.Ruling, item: records.Claim) -> Finding:
         """Return what a claimant is told about its ruling."""
         match ruling:
             case folds.Ruling.WON:
--- a/tests/claims/test_fold.py
+++ b/tests/claims/test_fold.py
@@ -28,7 +28,7 @@
     organisation: str = "havn",
     body: bytes = b"x",
 ) -> records.Claim:
-    return records.Claim(organisation, key, attempt, body, "agent-1", "1")
+    return records.Claim(organisation, key, attempt, body, "agent-1", "1", "")
 
 
 def not_run(attempt: str, key: str = KEYS[0]) -> records.NotRun:
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -45,33 +45,26 @@
     stack: contextlib.ExitStack
     owner: str = "agent-1"
     agents: dict[str, Agent] = dataclasses.field(default_factory=dict)
-    clients: dict[str, wire_client.Client] = dataclasses.field(
-        default_factory=dict
-    )
-    alive: set[str] = dataclasses.field(default_factory=set)
 
     def add(self, name: str) -> Agent:
         me = connections.Identity("agent", name)
+        router = wire_server.Router()
+        server = wire_server.Server("127.0.0.1:0", me, KEY, router)
         peers = service.Peers(
-            lambda shard: self.owner,
-            self.clients.get,
-            lambda name, incarnation: name in self.alive,
+            lambda shard: self.agents[self.owner].server.address,
+            lambda address: wire_client.Client(address, me, KEY),
         )
         claims = service.Claims(
             self.log,
-            service.Holder(name, "1"),
+            service.Holder(name, "1", server.address),
             peers,
             OPTIONS,
             registry.Registry(),
         )
-        router = wire_server.Router()
         claims.register(router)
-        server = wire_server.Server("127.0.0.1:0", me, KEY, router)
+        self.agents[name] = Agent(claims, server)
         server.start()
         claims.start()
-        self.clients[name] = wire_client.Client(server.address, me, KEY)
-        self.agents[name] = Agent(claims, server)
-        self.alive.add(name)
         self.stack.callback(server.stop)
         self.stack.callback(claims.stop)
         return self.agents[name]
@@ -199,7 +192,7 @@
     """An agent dies after it was granted a booking."""
     key = cell.key()
     assert isinstance(cell.agents["agent-2"].claim(key), messages.Won)
-    cell.alive.discard("agent-2")
+    cell.agents["agent-2"].server.stop()
     assert isinstance(cell.agents["agent-1"].claim(key), messages.Unknown)
 
 
--- a/tests/claims/test_shard.py
+++ b/tests/claims/test_shard.py
@@ -34,7 +34,7 @@
         def make(cut: int = 1) -> shards.Shard:
             stream = writers.Stream(log, "claims-00", cut, "agent-1/1")
             shard = shards.Shard(
-                stream, WINDOW, 0.0, lambda name, life: life == ALIVE
+                stream, WINDOW, 0.0, lambda claim: claim.incarnation == ALIVE
             )
             shard.start()
             stack.callback(shard.stop)
@@ -60,7 +60,7 @@
     life: str = ALIVE,
 ) -> records.Claim:
     name = key or keys.make(log.clock_ms)
-    return records.Claim("havn", name, attempt, b"x", "agent-1", life)
+    return records.Claim("havn", name, attempt, b"x", "agent-1", life, "")
 
 
 def test_winner_replays_to_the_next(
