--- a/src/briarseam/admission/messages.py
+++ b/src/briarseam/admission/messages.py
@@ -46,6 +46,9 @@
         Tokens of that answer the caller already has.
     lost
         Endpoints that were lost while running this request.
+    attempt
+        Fresh name that the entry gives its try of a request with a key;
+        the same again when the endpoint of a grant did not start it.
     """
 
     token_digest: str
@@ -62,6 +65,7 @@
     continues: str = ""
     passed_on: int = 0
     lost: tuple[str, ...] = ()
+    attempt: str = ""
 
 
 @codec.message("admit-call")
@@ -71,7 +75,7 @@
 
     Attributes
     ----------
-    token_digest, key, body_digest, deadline_ms, lost
+    token_digest, key, body_digest, deadline_ms, lost, attempt
         As in :class:`Admit`; the key is empty for idempotent calls
         without one.
     service, call
@@ -85,6 +89,7 @@
     body_digest: bytes
     deadline_ms: int
     lost: tuple[str, ...] = ()
+    attempt: str = ""
 
 
 @codec.message("granted")
@@ -224,6 +229,8 @@
         What a replay should return, capped by the entry.
     whole
         Whether ``body`` is all of it.
+    organisation, key
+        What the attempt claimed; empty without an attempt.
     """
 
     run_id: str
@@ -234,6 +241,29 @@
     status: int = 200
     body: bytes = b""
     whole: bool = True
+    organisation: str = ""
+    key: str = ""
+
+    def is_final(self) -> bool:
+        """Tell whether this ends an attempt for good."""
+        unsent = (RunResult.NOT_SENT, RunResult.REFUSED)
+        return bool(self.attempt) and self.result not in unsent
+
+
+@codec.message("attempt-abandoned")
+@dataclasses.dataclass(frozen=True)
+class AttemptAbandoned:
+    """The entry got no reply about an attempt and will never send it.
+
+    Attributes
+    ----------
+    token_digest, key, attempt
+        As in the message that was not answered.
+    """
+
+    token_digest: str
+    key: str
+    attempt: str
 
 
 @codec.message("noted")
--- a/src/briarseam/admission/service.py
+++ b/src/briarseam/admission/service.py
@@ -9,6 +9,7 @@
 import typing
 
 from briarseam import verdict
+from briarseam.admission import idempotency
 from briarseam.admission import messages
 from briarseam.admission import state
 from briarseam.answers import answer_id
@@ -20,6 +21,7 @@
     from briarseam.wire import server
 
 RETRY_AFTER_S = 1.0
+MS = 1000.0
 RUN_ID_BYTES = 12
 SALT_BYTES = 16
 Reply = messages.Granted | messages.Replayed | messages.Refused
@@ -60,12 +62,15 @@
         Routing.
     key
         Shared key, for answer ids and cache salts.
+    idempotency
+        Requests with an idempotency key.
     """
 
     view: typing.Callable[[], schema.View]
     gate: Gate
     chooser: Chooser
     key: bytes
+    idempotency: idempotency.Idempotency
 
 
 class Admission:
@@ -77,16 +82,72 @@
 
     def register(self, router: server.Router) -> None:
         """Answer the entries' messages."""
-        router.on(messages.Admit, answer(self.admit))
-        router.on(messages.AdmitCall, answer(self.admit_call))
+        router.on(messages.Admit, answer_entry(self.admit))
+        router.on(messages.AdmitCall, answer_entry(self.admit_call))
         router.on(messages.RunStarted, answer(self.run_started))
         router.on(messages.RunEnded, answer(self.run_ended))
         router.on(messages.Locate, answer(self.locate))
+        router.on(messages.AttemptAbandoned, answer(self.abandoned))
 
-    def admit(self, request: messages.Admit) -> Reply:
-        """Decide about a prompt."""
+    def admit(self, request: messages.Admit, entry: str = "") -> Reply:
+        """Decide about a prompt of an entry."""
         organisation = self.identify(request.token_digest)
         self.check_model(request.model)
+        if not request.key:
+            check_key_needed(not request.idempotent)
+            return self.place(organisation, request)
+        return self.admit_once(
+            self.keyed(organisation, request, entry),
+            idempotency.PROMPT_BOUND_S,
+            lambda: self.place(organisation, request),
+        )
+
+    def admit_once(
+        self,
+        keyed: idempotency.Keyed,
+        bound_s: float,
+        place: typing.Callable[[], messages.Granted],
+    ) -> Reply:
+        """Decide about a request with a key: claim it, then place it."""
+        replayed = self.parts.idempotency.take(keyed, bound_s)
+        if replayed is not None:
+            return replayed
+        try:
+            return place()
+        except verdict.RefusalError as error:
+            if isinstance(error.given, verdict.NotRun):
+                self.parts.idempotency.not_granted(keyed, error.given)
+            raise
+
+    def keyed(
+        self,
+        organisation: str,
+        request: messages.Admit | messages.AdmitCall,
+        entry: str,
+    ) -> idempotency.Keyed:
+        """Return what is claimed for a request."""
+        return idempotency.Keyed(
+            organisation,
+            request.key,
+            request.body_digest,
+            request.attempt,
+            entry,
+        )
+
+    def abandoned(self, message: messages.AttemptAbandoned) -> messages.Noted:
+        """Take in that an entry will never send an attempt."""
+        view = self.parts.view()
+        organisation = view.organisation_of(message.token_digest)
+        if organisation is not None:
+            self.parts.idempotency.abandoned(
+                organisation, message.key, message.attempt
+            )
+        return messages.Noted()
+
+    def place(
+        self, organisation: str, request: messages.Admit
+    ) -> messages.Granted:
+        """Grant a prompt an endpoint."""
         choice = self.parts.chooser.choose_engine(
             routing.PromptAsk(
                 organisation=organisation,
@@ -103,8 +164,10 @@
             raise verdict.RefusalError(no_endpoint(choice))
         return self.grant(organisation, request, choice)
 
-    def admit_call(self, request: messages.AdmitCall) -> Reply:
-        """Decide about a service call."""
+    def admit_call(
+        self, request: messages.AdmitCall, entry: str = ""
+    ) -> Reply:
+        """Decide about a service call of an entry."""
         organisation = self.identify(request.token_digest)
         service = self.parts.view().services.get(request.service)
         if service is None:
@@ -114,6 +177,22 @@
                     f"there is no service {request.service}",
                 )
             )
+        if not request.key:
+            check_key_needed(request.call in service.non_idempotent)
+            return self.place_call(organisation, request, service)
+        return self.admit_once(
+            self.keyed(organisation, request, entry),
+            service.timeout_ms / MS,
+            lambda: self.place_call(organisation, request, service),
+        )
+
+    def place_call(
+        self,
+        organisation: str,
+        request: messages.AdmitCall,
+        service: schema.Service,
+    ) -> messages.Granted:
+        """Grant a service call an endpoint."""
         choice = self.parts.chooser.choose_service(
             routing.CallAsk(
                 organisation, request.service, frozenset(request.lost)
@@ -121,7 +200,7 @@
         )
         if isinstance(choice, routing.NoChoice):
             raise verdict.RefusalError(no_endpoint(choice))
-        run = self.new_run(organisation, choice)
+        run = self.new_run(organisation, choice, request)
         self.start(run)
         return messages.Granted(
             run_id=run.run_id,
@@ -172,7 +251,7 @@
         choice: routing.Choice,
     ) -> messages.Granted:
         """Return the grant of a prompt and remember its run."""
-        run = self.new_run(organisation, choice)
+        run = self.new_run(organisation, choice, request)
         sealed = answer_id.seal(
             answer_id.AnswerId(
                 organisation,
@@ -205,19 +284,27 @@
         )
 
     def new_run(
-        self, organisation: str, choice: routing.Choice
+        self,
+        organisation: str,
+        choice: routing.Choice,
+        request: messages.Admit | messages.AdmitCall,
     ) -> state.Running:
-        """Return a fresh run at the chosen endpoint."""
+        """Return a fresh run at the chosen endpoint.
+
+        An attempt that was claimed names its run, so that an engine,
+        which refuses a run id it has seen, starts it once even if the
+        network should deliver it twice.
+        """
         return state.Running(
-            run_id=secrets.token_hex(RUN_ID_BYTES),
+            run_id=request.attempt or secrets.token_hex(RUN_ID_BYTES),
             endpoint=choice.endpoint,
             organisation=organisation,
             model="",
             version=choice.version,
             adapter=choice.adapter,
             chain=(),
-            key="",
-            attempt="",
+            key=request.key,
+            attempt=request.attempt,
             answer_id="",
             granted_at=time.monotonic(),
         )
@@ -236,6 +323,7 @@
         run = self.runs.pop(message.run_id)
         if run is not None:
             self.parts.chooser.note_end(run.endpoint)
+        self.parts.idempotency.ended(message, run.answer_id if run else "")
         return messages.Noted()
 
     def locate(self, message: messages.Locate) -> messages.Located:
@@ -294,6 +382,30 @@
     return handler
 
 
+def answer_entry(
+    handle: typing.Callable[[typing.Any, str], typing.Any],
+) -> server.Handler:
+    """Return the same for one that needs to know which entry asks."""
+
+    def handler(peer: connection.Identity, request: typing.Any) -> typing.Any:
+        return answer(lambda message: handle(message, peer.name))(
+            peer, request
+        )
+
+    return handler
+
+
+def check_key_needed(needed: bool) -> None:
+    """Refuse a request that may not repeat and has no key."""
+    if needed:
+        raise verdict.RefusalError(
+            verdict.NotRun(
+                verdict.Reason.KEY_INVALID,
+                "this call may not repeat: send an Idempotency-Key, a UUIDv7",
+            )
+        )
+
+
 def no_endpoint(choice: routing.NoChoice) -> verdict.NotRun:
     """Return the refusal when routing finds nothing."""
     return verdict.NotRun(
--- a/src/briarseam/answers/calls.py
+++ b/src/briarseam/answers/calls.py
@@ -7,10 +7,10 @@
 
 from briarseam import verdict
 from briarseam.admission import messages
+from briarseam.answers import attempts
 from briarseam.endpoints import engine
 from briarseam.endpoints import service
 
-MAX_KEPT_BYTES = 4096
 MS = 1000.0
 SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
@@ -51,7 +51,7 @@
         agent: Agent,
         services: service.ServiceClient,
     ) -> None:
-        self.request = request
+        self.request = attempts.named(request)
         self.body = body
         self.agent = agent
         self.services = services
@@ -89,7 +89,7 @@
                 grant.timeout_ms / MS,
             )
         except engine.NotSentError:
-            self.end(grant, messages.RunResult.NOT_SENT)
+            self.end_unsent(grant, messages.RunResult.NOT_SENT)
             return None
         except engine.LostError as error:
             self.end(grant, messages.RunResult.LOST_BEFORE_FIRST)
@@ -103,28 +103,35 @@
             ) from error
         if answer.status == HTTP_UNAVAILABLE:
             # The services' protocol says that 503 starts nothing.
-            self.end(grant, messages.RunResult.REFUSED)
+            self.end_unsent(grant, messages.RunResult.REFUSED)
             return None
         self.end(grant, messages.RunResult.DONE, answer)
         return answer
 
+    def end_unsent(
+        self, grant: messages.Granted, result: messages.RunResult
+    ) -> None:
+        """Report that the endpoint did not start the call."""
+        attempts.check_told(self.request, self.end(grant, result))
+
     def end(
         self,
         grant: messages.Granted,
         result: messages.RunResult,
         answer: service.ServiceAnswer | None = None,
-    ) -> None:
-        """Report the call's end to the agent."""
+    ) -> typing.Any:
+        """Report the call's end to the agent and return its reply."""
         body = answer.body if answer else b""
-        self.agent.report(
+        return self.agent.report(
             messages.RunEnded(
                 run_id=grant.run_id,
                 attempt=grant.attempt,
                 endpoint=grant.endpoint,
                 result=result,
                 status=answer.status if answer else 0,
-                body=body[:MAX_KEPT_BYTES] if grant.attempt else b"",
-                whole=len(body) <= MAX_KEPT_BYTES,
+                body=body if grant.attempt else b"",
+                organisation=grant.organisation,
+                key=self.request.key,
             )
         )
 
--- a/src/briarseam/answers/relay.py
+++ b/src/briarseam/answers/relay.py
@@ -16,6 +16,7 @@
 
 from briarseam import verdict
 from briarseam.admission import messages
+from briarseam.answers import attempts
 from briarseam.endpoints import engine
 from briarseam.endpoints import sse
 
@@ -82,7 +83,7 @@
     def __init__(
         self, ask: Ask, agent: Agent, engines: engine.EngineClient
     ) -> None:
-        self.ask = ask
+        self.ask = dataclasses.replace(ask, admit=attempts.named(ask.admit))
         self.agent = agent
         self.engines = engines
         self.lost: tuple[str, ...] = ()
@@ -114,11 +115,11 @@
             run = Run(grant, stream, iter(stream), [])
             self.await_first(run)
         except engine.NotSentError:
-            self.end(grant, messages.RunResult.NOT_SENT)
+            self.end_unsent(grant, messages.RunResult.NOT_SENT)
             self.lost += (grant.endpoint,)
             return None
         except engine.RefusedError:
-            self.end(grant, messages.RunResult.REFUSED)
+            self.end_unsent(grant, messages.RunResult.REFUSED)
             self.lost += (grant.endpoint,)
             return None
         except engine.LostError as error:
@@ -297,21 +298,30 @@
             organisation=grant.salt,
         )
 
+    def end_unsent(
+        self, grant: messages.Granted, result: messages.RunResult
+    ) -> None:
+        """Report that the endpoint did not start the run."""
+        attempts.check_told(self.ask.admit, self.end(grant, result))
+
     def end(
         self,
         grant: messages.Granted,
         result: messages.RunResult,
         tokens: typing.Sequence[str] = (),
-    ) -> None:
-        """Report a run's end to the agent."""
-        self.agent.report(
+    ) -> typing.Any:
+        """Report a run's end to the agent and return its reply."""
+        body = " ".join(tokens).encode() if grant.attempt else b""
+        return self.agent.report(
             messages.RunEnded(
                 run_id=grant.run_id,
                 attempt=grant.attempt,
                 endpoint=grant.endpoint,
                 result=result,
                 tokens=len(tokens),
-                body=" ".join(tokens).encode() if grant.attempt else b"",
+                body=body,
+                organisation=grant.organisation,
+                key=self.ask.admit.key,
             )
         )
 
--- a/src/briarseam/claims/service.py
+++ b/src/briarseam/claims/service.py
@@ -10,6 +10,7 @@
 import dataclasses
 import secrets
 import threading
+import time
 import typing
 
 from briarseam import verdict
@@ -38,6 +39,9 @@
 HOLDER_TIMEOUT_S = 0.5
 OWNER_LOST_RETRY_S = 1.0
 FLUSH_S = 2.0
+REVIEW_S = 2.0
+# A shard that another agent owns is followed so long after its last use.
+RELEASE_S = 30.0
 ATTEMPT_BYTES = 16
 
 
@@ -137,6 +141,7 @@
         self.options = options
         self.window = keys.Window(int(options.window_s * 1000))
         self.lock = threading.Lock()
+        self.stopping = threading.Event()
         self.shards: dict[int, shard_module.Shard] = {}
         self.settlers: dict[int, settlers.Settler] = {}
         self.results = metrics.counters(
@@ -160,12 +165,36 @@
 
     def start(self) -> None:
         """Begin following the shards that this agent owns."""
-        for number in range(self.options.shards):
-            if self.owner(number) is None:
-                self.shard(number)
+        threading.Thread(target=self.watch, name="claims", daemon=True).start()
+
+    def watch(self) -> None:
+        """Follow what this agent comes to own, release what it does not."""
+        while True:
+            for number in range(self.options.shards):
+                if self.owner(number) is None:
+                    self.shard(number)
+            self.release_unused()
+            if self.stopping.wait(REVIEW_S):
+                return
+
+    def release_unused(self) -> None:
+        """Stop following shards that others own and nobody asks about."""
+        before = time.monotonic() - RELEASE_S
+        with self.lock:
+            unused = [
+                number
+                for number, shard in self.shards.items()
+                if shard.used_at < before and not shard.is_busy()
+            ]
+        for number in unused:
+            if self.owner(number) is not None:
+                with self.lock:
+                    shard = self.shards.pop(number)
+                shard.stop()
 
     def stop(self) -> None:
         """Hand over pending settlements, then stop."""
+        self.stopping.set()
         with self.lock:
             pending = list(self.settlers.values())
         for settler in pending:
@@ -367,6 +396,7 @@
                 shard = self.new_shard(number)
                 self.shards[number] = shard
                 shard.start()
+            shard.used_at = time.monotonic()
             return shard
 
     def new_shard(self, number: int) -> shard_module.Shard:
--- a/src/briarseam/claims/shard.py
+++ b/src/briarseam/claims/shard.py
@@ -115,6 +115,7 @@
         self.last_offset = 0
         self.behind = -1
         self.halted = ""
+        self.used_at = 0.0
         self.claimants: dict[str, Waiter] = {}
         self.settling: dict[records.Settlement, Confirmation] = {}
         self.writer = writers.Writer(stream, self, interval_s)
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -7,7 +7,10 @@
 import typing
 
 from briarseam import verdict
+from briarseam.admission import idempotency
 from briarseam.admission import service as admission
+from briarseam.claims import service as claims_module
+from briarseam.compose import claims as compose_claims
 from briarseam.configuration import reader as configuration
 from briarseam.configuration import teams as configuration_teams
 from briarseam.lookup import service as lookup
@@ -37,6 +40,8 @@
     membership: membership.Membership
     configuration: configuration.ConfigurationReader
     admission: admission.Admission
+    claims: claims_module.Claims
+    idempotency: idempotency.Idempotency
     registry: metrics.Registry
     ring: timeline.Ring
 
@@ -45,9 +50,13 @@
         self.server.start()
         self.membership.start()
         self.configuration.start()
+        self.claims.start()
+        self.idempotency.start()
 
     def stop(self) -> None:
         """Stop all parts, the last started first."""
+        self.idempotency.stop()
+        self.claims.stop()
         self.configuration.stop()
         self.membership.stop()
         self.server.stop()
@@ -158,10 +167,22 @@
     )
     member_service = build_membership(settings, parts_of)
     chooser = routing.Chooser(reader.view, frozenset)
+    claim_service = compose_claims.build_claims(
+        settings,
+        log,
+        member_service,
+        compose_claims.PeerClients(me, key),
+        registry,
+    )
+    once = idempotency.Idempotency(claim_service)
     gate = CurrencyGate(reader, settings.agent.stale_after_ms / MS)
     admission_service = admission.Admission(
         admission.AdmissionParts(
-            view=reader.view, gate=gate, chooser=chooser, key=key
+            view=reader.view,
+            gate=gate,
+            chooser=chooser,
+            key=key,
+            idempotency=once,
         )
     )
     lookups = lookup.Lookup(
@@ -182,14 +203,18 @@
         admission_service,
         lookups,
         states,
+        claim_service,
     ):
         part.register(router)
     server = wire.Server(str(settings.agent.listen), me, key, router)
+    server.on_gone = lambda peer: once.entry_gone(peer.name)
     return AgentDaemon(
         server=server,
         membership=member_service,
         configuration=reader,
         admission=admission_service,
+        claims=claim_service,
+        idempotency=once,
         registry=registry,
         ring=ring,
     )
--- /dev/null
+++ b/src/briarseam/compose/claims.py
@@ -0,0 +1,79 @@
+"""Composing an agent's claims."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+from briarseam.claims import service as claims
+from briarseam.lookup import rank
+from briarseam.wire import client as wire
+
+if typing.TYPE_CHECKING:
+    from briarseam import settings as settings_module
+    from briarseam.membership import service as membership
+    from briarseam.metrics import registry as metrics
+    from briarseam.platform import log as platform_log
+    from briarseam.wire import connection
+
+RANK_KEY = "claims-shard-{}"
+
+
+class PeerClients:
+    """Clients of other agents by address.
+
+    Parameters
+    ----------
+    me
+        This agent.
+    key
+        The shared key.
+    """
+
+    def __init__(self, me: connection.Identity, key: bytes) -> None:
+        self.me = me
+        self.key = key
+        self.lock = threading.Lock()
+        self.clients: dict[str, wire.Client] = {}
+
+    def __call__(self, address: str) -> wire.Client:
+        """Return the client of the agent at an address."""
+        with self.lock:
+            client = self.clients.get(address)
+            if client is None:
+                client = wire.Client(address, self.me, self.key)
+                self.clients[address] = client
+            return client
+
+
+def build_claims(
+    settings: settings_module.Settings,
+    log: platform_log.LogClient,
+    member_service: membership.Membership,
+    clients: PeerClients,
+    registry: metrics.Registry,
+) -> claims.Claims:
+    """Return the claims part of an agent."""
+
+    def owner_of(number: int) -> str | None:
+        ranked = rank.ranked(
+            RANK_KEY.format(number),
+            member_service.live(),
+            lambda member: member.name,
+        )
+        return ranked[0].agent_address if ranked else None
+
+    return claims.Claims(
+        log,
+        claims.Holder(
+            settings.instance.name,
+            str(member_service.incarnation),
+            str(settings.instance.agent_address),
+        ),
+        claims.Peers(owner_of, clients),
+        claims.Options(
+            window_s=settings.claims.window_s,
+            batch_ms=settings.claims.batch_ms,
+        ),
+        registry,
+    )
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import secrets
 import threading
 import typing
 
@@ -13,6 +14,7 @@
 from briarseam.entry import app
 from briarseam.entry import inflight
 from briarseam.entry import operators
+from briarseam.entry import reports as report_queue
 from briarseam.entry import server as http
 from briarseam.metrics import registry as metrics
 from briarseam.wire import client as wire
@@ -25,6 +27,8 @@
 
 ENGINE_SILENCE_S = 30.0
 AGENT_CONNECTIONS = 64
+REPORTS_FLUSH_S = 2.0
+START_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,9 +38,11 @@
     server: cheroot.wsgi.Server
     parts: app.EntryParts
     agent_client: wire.Client
+    reports: report_queue.Reports
 
     def start(self) -> str:
         """Bind, begin to serve, and return the address."""
+        self.reports.start()
         self.server.prepare()
         thread = threading.Thread(
             target=self.server.serve, name="http", daemon=True
@@ -48,12 +54,16 @@
     def stop(self) -> None:
         """Stop serving."""
         self.server.stop()
+        self.reports.stop(REPORTS_FLUSH_S)
         self.agent_client.close()
 
 
 def build_entry(settings: settings_module.Settings) -> EntryDaemon:
     """Return an entry, nothing bound or started."""
-    me = connection.Identity("entry", settings.instance.name)
+    # The agent tells its entry processes apart, and each start of one: what
+    # an entry holds is lost when all connections under its name have ended.
+    start = secrets.token_hex(START_BYTES)
+    me = connection.Identity("entry", f"{settings.instance.name}/{start}")
     client = wire.Client(
         str(settings.entry.agent),
         me,
@@ -62,8 +72,11 @@
     )
     registry = metrics.Registry(settings.limits.max_metric_label_values)
     teams = {team.name: team.key.value for team in settings.teams}
+    reports = report_queue.Reports(
+        client, settings.claims.max_response_bytes
+    )
     parts = app.EntryParts(
-        agent=agent_link.AgentLink(client),
+        agent=agent_link.AgentLink(client, reports),
         engines=engine.EngineClient(ENGINE_SILENCE_S),
         services=service.ServiceClient(),
         in_flight=inflight.InFlight(),
@@ -76,4 +89,4 @@
         app.build_application(parts),
         settings.entry.threads,
     )
-    return EntryDaemon(server, parts, client)
+    return EntryDaemon(server, parts, client, reports)
--- a/src/briarseam/entry/agent_link.py
+++ b/src/briarseam/entry/agent_link.py
@@ -8,6 +8,8 @@
 
 from briarseam import verdict
 from briarseam.admission import messages
+from briarseam.answers import attempts
+from briarseam.entry import reports as report_queue
 from briarseam.wire import client as wire_client
 from briarseam.wire import codec
 from briarseam.wire import connection
@@ -28,10 +30,17 @@
     ----------
     client
         Connections to the agent.
+    reports
+        Reports that it must get.
     """
 
-    def __init__(self, client: wire_client.Client) -> None:
+    def __init__(
+        self,
+        client: wire_client.Client,
+        reports: report_queue.Reports,
+    ) -> None:
         self.client = client
+        self.reports = reports
 
     def ask(
         self,
@@ -84,9 +93,25 @@
         return self.ask_grant(request, request.deadline_ms)
 
     def ask_grant(
+        self, request: messages.Admit | messages.AdmitCall, deadline_ms: int
+    ) -> messages.Granted | messages.Replayed:
+        """Return the agent's grant or replay.
+
+        A grant whose reply is lost leaves its attempt's key claimed though
+        nothing is ever sent; the agent is told so that the key is freed.
+        """
+        try:
+            return self.ask_kinds(request, deadline_ms)
+        except verdict.RefusalError as error:
+            unanswered = error.given.reason is verdict.Reason.AGENT_UNAVAILABLE
+            if request.attempt and (unanswered or request.lost):
+                self.reports.add(attempts.abandonment(request))
+            raise
+
+    def ask_kinds(
         self, request: codec.Message, deadline_ms: int
     ) -> messages.Granted | messages.Replayed:
-        """Return the agent's grant or replay."""
+        """Return the agent's reply if it is a grant or a replay."""
         kinds: tuple[type[messages.Granted | messages.Replayed], ...] = (
             messages.Granted,
             messages.Replayed,
@@ -102,7 +127,15 @@
         )
 
     def report(self, message: codec.Message) -> codec.Message | None:
-        """Tell the agent something; ``None`` when it is away."""
+        """Tell the agent something; ``None`` when it is away.
+
+        How an attempt ended is told until the agent has taken it in, and
+        this returns at once.  That it was not sent is told once only: late,
+        when the attempt may have been granted again, it would be wrong.
+        """
+        if isinstance(message, messages.RunEnded) and message.is_final():
+            self.reports.add_end(message)
+            return messages.Noted()
         try:
             return self.client.call(message, REPORT_TIMEOUT_S)
         except connection.WireError as error:
--- /dev/null
+++ b/src/briarseam/entry/reports.py
@@ -0,0 +1,101 @@
+"""Reports that the agent must get even if it is away for a while.
+
+Only reports that stay true however late they arrive may go this way: how
+an attempt ended for good, or that it is never sent.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import threading
+import typing
+
+from briarseam.wire import connection
+
+if typing.TYPE_CHECKING:
+    from briarseam.admission import messages
+    from briarseam.wire import client as wire_client
+    from briarseam.wire import codec
+
+MAX_PENDING = 10_000
+TIMEOUT_S = 2.0
+RETRY_S = 0.25
+STOP_JOIN_S = 3.0
+
+
+class Reports:
+    """Offers reports to the agent, in order, until it took each.
+
+    Parameters
+    ----------
+    client
+        Connections to the agent.
+    max_body_bytes
+        Largest answer kept for a replay; a longer one is cut.
+    """
+
+    def __init__(
+        self, client: wire_client.Client, max_body_bytes: int
+    ) -> None:
+        self.client = client
+        self.max_body_bytes = max_body_bytes
+        self.pending: collections.deque[codec.Message] = collections.deque(
+            maxlen=MAX_PENDING
+        )
+        self.changed = threading.Condition()
+        self.stopping = False
+        self.thread = threading.Thread(
+            target=self.run, name="reports", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin offering."""
+        self.thread.start()
+
+    def stop(self, flush_s: float) -> None:
+        """Offer what is pending for up to ``flush_s`` seconds, then stop."""
+        with self.changed:
+            self.changed.wait_for(lambda: not self.pending, flush_s)
+            self.stopping = True
+            self.changed.notify_all()
+        if self.thread.is_alive():
+            self.thread.join(STOP_JOIN_S)
+
+    def add_end(self, run: messages.RunEnded) -> None:
+        """Take a report of how an attempt ended; returns at once."""
+        if len(run.body) > self.max_body_bytes:
+            kept = run.body[: self.max_body_bytes]
+            run = dataclasses.replace(run, body=kept, whole=False)
+        self.add(run)
+
+    def add(self, message: codec.Message) -> None:
+        """Take a report; returns at once."""
+        with self.changed:
+            self.pending.append(message)
+            self.changed.notify_all()
+
+    def run(self) -> None:
+        """Offer until stopped."""
+        while True:
+            with self.changed:
+                self.changed.wait_for(lambda: self.pending or self.stopping)
+                if self.stopping:
+                    return
+                message = self.pending[0]
+            if self.offer(message):
+                with self.changed:
+                    if self.pending and self.pending[0] is message:
+                        self.pending.popleft()
+                    self.changed.notify_all()
+                continue
+            with self.changed:
+                self.changed.wait_for(lambda: self.stopping, RETRY_S)
+
+    def offer(self, message: codec.Message) -> bool:
+        """Tell the agent once; tell whether it answered."""
+        try:
+            self.client.call(message, TIMEOUT_S)
+        except connection.WireError:
+            return False
+        return True
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -166,21 +166,19 @@
 
     Attributes
     ----------
-    shards
-        Claim streams; the same on every instance.
     batch_ms
         Time over which claims are gathered into one append.
     window_s
         Age at which an idempotency key is refused; shorter than the log's
         retention.
     max_response_bytes
-        Largest answer kept for callers that repeat a key.
+        Largest answer kept for callers that repeat a key; each lies in a
+        record of the log and in memory.
     """
 
-    shards: typing.Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
     batch_ms: Milliseconds = 20
     window_s: Seconds = 86_400.0
-    max_response_bytes: Bytes = 64 * 2**10
+    max_response_bytes: Bytes = 16 * 2**10
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -31,7 +31,7 @@
         "250",
         f"{path}:11",
     )
-    assert explained["claims", "shards"] == ("8", "default")
+    assert explained["claims", "batch_ms"] == ("20", "default")
     assert explained["entry", "listen"] == ("127.0.0.1:8002", "command line")
     assert explained["team night-desk", "paths"][1] == f"{path}:25"
     shown = repr(loaded) + repr(explained)
@@ -50,16 +50,16 @@
 BAD = {
     "unknown section": (append("[entyr]\n"), "entyr", "", "one of ["),
     "unknown key": (
-        append("[claims]\nshrads = 1\n"),
+        append("[claims]\nbacth_ms = 1\n"),
         "claims",
-        "shrads",
-        "one of the keys shards",
+        "bacth_ms",
+        "one of the keys batch_ms",
     ),
     "indented unknown key": (
-        append("[claims]\n  shrads = 1\n"),
+        append("[claims]\n  bacth_ms = 1\n"),
         "claims",
-        "shrads",
-        "one of the keys shards",
+        "bacth_ms",
+        "one of the keys batch_ms",
     ),
     "bad unit": (
         change("250ms", "250 fortnights"),
@@ -116,9 +116,9 @@
         "got 'loud'",
     ),
     "out of bounds": (
-        append("[claims]\nshards = 0\n"),
+        append("[claims]\nbatch_ms = 0\n"),
         "claims",
-        "shards",
+        "batch_ms",
         ">= 1",
     ),
     "bad name": (
