--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -72,9 +72,7 @@
     )
     registry = metrics.Registry(settings.limits.max_metric_label_values)
     teams = {team.name: team.key.value for team in settings.teams}
-    reports = report_queue.Reports(
-        client, settings.claims.max_response_bytes
-    )
+    reports = report_queue.Reports(client, settings.claims.max_response_bytes)
     parts = app.EntryParts(
         agent=agent_link.AgentLink(client, reports),
         engines=engine.EngineClient(ENGINE_SILENCE_S),
