Run requests with a key at most once, from entry to outcome

A prompt with idempotent=false, a plain service's call that may not repeat and any call with an Idempotency-Key are claimed before they are placed. The entry names the attempt, so that it can end one whose grant it never got; the agent holds the attempts it won until it hears how they ended, and records them as lost when their entry's connections end or its time is over.

Word that an endpoint did not start an attempt is sent once and awaited, never repeated late: after a second grant it would free the key under a running request. All other ends stay true and are offered until taken.

Ruled out: choosing the endpoint before the claim (saves an append, but "no endpoint" would then say "not run" of a key whose request ran); an attempt named by the agent (a lost grant could not be ended).

--- a/src/briarseam/testing/caller.py
+++ b/src/briarseam/testing/caller.py
@@ -4,18 +4,17 @@
 
 import dataclasses
 import json
-import secrets
 import time
 import typing
 
 import urllib3
 
+from briarseam.claims import keys
 from briarseam.endpoints import sse
 
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 65536
 HTTP_OK = 200
-UUID_BITS = 128
 
 
 class CutError(Exception):
@@ -86,15 +85,7 @@
 def new_key(now_s: float | None = None) -> str:
     """Return a fresh UUIDv7 made at ``now_s`` seconds since the epoch."""
     milliseconds = int((time.time() if now_s is None else now_s) * 1000)
-    value = (milliseconds & (1 << 48) - 1) << 80
-    value |= secrets.randbits(80)
-    value &= ~(0xF << 76)
-    value |= 0x7 << 76
-    value &= ~(0x3 << 62)
-    value |= 0x2 << 62
-    text = f"{value:032x}"
-    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
-    return "-".join(parts)
+    return keys.make(milliseconds)
 
 
 class Caller:
--- /dev/null
+++ b/tests/admission/test_idempotency.py
@@ -0,0 +1,132 @@
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import pytest
+
+from briarseam import verdict
+from briarseam.admission import idempotency
+from briarseam.admission import messages
+from briarseam.claims import messages as claims
+from briarseam.claims import records
+
+KEYED = idempotency.Keyed("north", "key", b"x", "a", "entry-1")
+BOUND_S = 5.0
+
+
+@dataclasses.dataclass
+class FakeClaims:
+    result: claims.Result = claims.Won("a")
+    settled: list[typing.Any] = dataclasses.field(default_factory=list)
+    claimed: int = 0
+
+    def claim(self, organisation, key, body_digest, attempt):
+        self.claimed += 1
+        return self.result
+
+    def settle(self, organisation, key, attempt, end):
+        self.settled.append((attempt, end))
+
+    def ends(self) -> list[type]:
+        return [type(end) for _, end in self.settled]
+
+
+@pytest.fixture
+def fake() -> FakeClaims:
+    return FakeClaims()
+
+
+@pytest.fixture
+def clock() -> list[float]:
+    return [100.0]
+
+
+@pytest.fixture
+def once(fake, clock) -> idempotency.Idempotency:
+    return idempotency.Idempotency(fake, lambda: clock[0])
+
+
+def ended(result: messages.RunResult) -> messages.RunEnded:
+    return messages.RunEnded(
+        "a", "a", "service-0", result, organisation="north", key="key"
+    )
+
+
+def test_entry_that_died_leaves_its_attempt_lost(once, fake):
+    """Callers are told "in progress" for good after an entry died."""
+    once.take(KEYED, BOUND_S)
+    once.entry_gone("entry-2")
+    assert fake.settled == []
+    once.entry_gone("entry-1")
+    assert fake.ends() == [verdict.MayHaveRun]
+
+
+def test_entry_that_died_before_sending_frees_the_key(once, fake):
+    once.take(KEYED, BOUND_S)
+    once.ended(ended(messages.RunResult.NOT_SENT), "")
+    once.entry_gone("entry-1")
+    assert fake.ends() == [verdict.NotRun]
+
+
+def test_granted_again_after_not_sent_counts_as_sent(once, fake):
+    """A booking runs twice.
+
+    Its first endpoint could not be reached, the second got it, and then
+    the entry dies: were the attempt still taken for unsent, its key would
+    be freed while the booking is made.
+    """
+    once.take(KEYED, BOUND_S)
+    once.ended(ended(messages.RunResult.NOT_SENT), "")
+    once.take(KEYED, BOUND_S)
+    assert fake.claimed == 1
+    once.entry_gone("entry-1")
+    assert fake.ends() == [verdict.MayHaveRun]
+
+
+def test_attempt_that_may_be_sent_is_not_granted_again(once, fake):
+    once.take(KEYED, BOUND_S)
+    fake.result = claims.InProgress(1.0)
+    with pytest.raises(verdict.RefusalError) as raised:
+        once.take(KEYED, BOUND_S)
+    assert isinstance(raised.value.given, verdict.MayHaveRun)
+
+
+def test_entry_that_is_frozen_leaves_its_attempt_lost(once, fake, clock):
+    once.take(KEYED, BOUND_S)
+    clock[0] += BOUND_S
+    once.lose_overdue(clock[0])
+    assert fake.settled == []
+    clock[0] += idempotency.SLACK_S + 1
+    once.lose_overdue(clock[0])
+    assert fake.ends() == [verdict.MayHaveRun]
+
+
+@pytest.mark.parametrize(
+    ("result", "end"),
+    [
+        (messages.RunResult.DONE, records.Outcome),
+        (messages.RunResult.CANCELLED, records.Outcome),
+        (messages.RunResult.LOST_BEFORE_FIRST, verdict.MayHaveRun),
+        (messages.RunResult.LOST_AFTER_FIRST, verdict.MayHaveRun),
+    ],
+    ids=lambda value: getattr(value, "value", ""),
+)
+def test_end_is_recorded_also_for_a_predecessors_grant(
+    once, fake, result, end
+):
+    """An agent is replaced while a submission runs."""
+    once.ended(ended(result), "")
+    assert fake.ends() == [end]
+
+
+def test_attempt_abandoned_by_its_entry_is_freed(once, fake):
+    once.abandoned("north", "key", "a")
+    assert fake.ends() == [verdict.NotRun]
+
+
+def test_won_attempt_without_endpoint_is_freed(once, fake):
+    once.take(KEYED, BOUND_S)
+    once.not_granted(KEYED, verdict.NotRun(verdict.Reason.NO_ENDPOINT))
+    assert fake.ends() == [verdict.NotRun]
+    assert once.attempts == {}
