Choose engines by predicted time to first token

Cause: the thin chooser took the engine with the fewest own runs and knew nothing of prefixes, load or kept blocks. Change: load reports polled by one agent per engine and shared on heartbeats, corrected by own runs since the report; likely prefixes per engine; import or recompute by predicted time; a score that weighs first token against recomputation; a request predicted to miss its deadline is refused at once with when to return. Ruled out: all agents polling all engines (139 engines a cell at the design size); trusting presence of kept blocks (a slow link would make callers wait).

--- a/src/briarseam/admission/service.py
+++ b/src/briarseam/admission/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import hashlib
 import secrets
 import time
 import typing
@@ -13,17 +12,17 @@
 from briarseam.admission import messages
 from briarseam.admission import state
 from briarseam.answers import answer_id
+from briarseam.cache import state as cache
 from briarseam.configuration import schema
 from briarseam.routing import state as routing
 
 if typing.TYPE_CHECKING:
+    from briarseam.cache import service as kept_cache
     from briarseam.wire import connection
     from briarseam.wire import server
 
-RETRY_AFTER_S = 1.0
-MS = 1000.0
 RUN_ID_BYTES = 12
-SALT_BYTES = 16
+MS = 1000.0
 Reply = messages.Granted | messages.Replayed | messages.Refused
 Gate = typing.Callable[[], verdict.NotRun | None]
 
@@ -41,10 +40,18 @@
     ) -> routing.Choice | routing.NoChoice:
         """Return the endpoint for a call."""
 
-    def note_start(self, endpoint: str) -> None:
-        """Count a run that was granted."""
+    def prepare(
+        self, run_id: str, choice: routing.Choice, max_s: float
+    ) -> cache.Imported:
+        """Import what the choice's plan says, before the run is granted."""
+
+    def note_start(self, run_id: str, choice: routing.Choice) -> None:
+        """Count a run in."""
+
+    def note_first_token(self, run_id: str, cached_tokens: int) -> None:
+        """Learn from a run's first token."""
 
-    def note_end(self, endpoint: str) -> None:
+    def note_end(self, run_id: str, whole: bool) -> None:
         """Count a run out."""
 
 
@@ -60,8 +67,10 @@
         Returns a refusal while this agent may not admit anything.
     chooser
         Routing.
+    kept
+        The kept cache.
     key
-        Shared key, for answer ids and cache salts.
+        Shared key, for answer ids.
     idempotency
         Requests with an idempotency key.
     """
@@ -69,6 +78,7 @@
     view: typing.Callable[[], schema.View]
     gate: Gate
     chooser: Chooser
+    kept: kept_cache.KeptCache
     key: bytes
     idempotency: idempotency.Idempotency
 
@@ -155,13 +165,13 @@
                 model=request.model,
                 chain=request.chain,
                 prompt_tokens=request.prompt_tokens,
-                max_tokens=request.max_tokens,
                 version=self.required_version(request, organisation),
                 excluded=frozenset(request.lost),
             )
         )
         if isinstance(choice, routing.NoChoice):
             raise verdict.RefusalError(no_endpoint(choice))
+        check_deadline(choice, request.deadline_ms / MS)
         return self.grant(organisation, request, choice)
 
     def admit_call(
@@ -201,7 +211,7 @@
         if isinstance(choice, routing.NoChoice):
             raise verdict.RefusalError(no_endpoint(choice))
         run = self.new_run(organisation, choice, request)
-        self.start(run)
+        self.start(run, choice)
         return messages.Granted(
             run_id=run.run_id,
             answer_id="",
@@ -265,10 +275,14 @@
         run = dataclasses.replace(
             run,
             model=request.model,
+            session=request.session,
             chain=request.chain,
             answer_id=sealed,
         )
-        self.start(run)
+        self.start(run, choice)
+        self.parts.chooser.prepare(
+            run.run_id, choice, request.deadline_ms / MS
+        )
         limit = self.parts.view().organisations[organisation].priority
         return messages.Granted(
             run_id=run.run_id,
@@ -280,7 +294,7 @@
             version=choice.version,
             adapter=choice.adapter,
             priority=max(limit, request.priority),
-            salt=self.salt(organisation),
+            salt=self.parts.kept.salt(organisation),
         )
 
     def new_run(
@@ -299,6 +313,7 @@
             run_id=request.attempt or secrets.token_hex(RUN_ID_BYTES),
             endpoint=choice.endpoint,
             organisation=organisation,
+            session="",
             model="",
             version=choice.version,
             adapter=choice.adapter,
@@ -309,23 +324,44 @@
             granted_at=time.monotonic(),
         )
 
-    def start(self, run: state.Running) -> None:
+    def start(self, run: state.Running, choice: routing.Choice) -> None:
         """Count a run in."""
         self.runs.add(run)
-        self.parts.chooser.note_start(run.endpoint)
+        self.parts.chooser.note_start(run.run_id, choice)
 
     def run_started(self, message: messages.RunStarted) -> messages.Noted:
         """Take in that a run's first token has come."""
+        self.parts.chooser.note_first_token(
+            message.run_id, message.cached_tokens
+        )
         return messages.Noted()
 
     def run_ended(self, message: messages.RunEnded) -> messages.Noted:
         """Take in how a run ended; a doubled report changes nothing."""
         run = self.runs.pop(message.run_id)
         if run is not None:
-            self.parts.chooser.note_end(run.endpoint)
+            whole = message.result is messages.RunResult.DONE
+            self.parts.chooser.note_end(run.run_id, whole)
+            if whole:
+                self.keep(run)
         self.parts.idempotency.ended(message, run.answer_id if run else "")
         return messages.Noted()
 
+    def keep(self, run: state.Running) -> None:
+        """Let the kept cache have what a finished run computed."""
+        endpoint = self.parts.view().endpoints.get(run.endpoint)
+        if endpoint is None or not run.chain:
+            return
+        self.parts.kept.after_run(
+            run.organisation,
+            run.model,
+            run.adapter,
+            run.version,
+            run.chain,
+            endpoint.address,
+            run.session,
+        )
+
     def locate(self, message: messages.Locate) -> messages.Located:
         """Return where an answer runs, to its own organisation only."""
         organisation = self.identify(message.token_digest)
@@ -357,15 +393,6 @@
             raise verdict.RefusalError(unknown_answer())
         return found
 
-    def salt(self, organisation: str) -> str:
-        """Return the cache salt of an organisation at the engines."""
-        digest = hashlib.blake2b(
-            organisation.encode(),
-            key=self.parts.key[: hashlib.blake2b.MAX_KEY_SIZE],
-            digest_size=SALT_BYTES,
-        )
-        return digest.hexdigest()
-
 
 def answer(
     handle: typing.Callable[[typing.Any], typing.Any],
@@ -406,6 +433,24 @@
         )
 
 
+def check_deadline(choice: routing.Choice, deadline_s: float) -> None:
+    """Refuse at once what is predicted to come too late.
+
+    Holding it until its deadline would take a place from a request that
+    can still make it, and the caller could not go elsewhere meanwhile.
+    """
+    late_s = choice.first_token_s - deadline_s
+    if late_s <= 0:
+        return
+    raise verdict.RefusalError(
+        verdict.NotRun(
+            verdict.Reason.DEADLINE,
+            f"the first token is expected after {choice.first_token_s:.2f} s",
+            late_s,
+        )
+    )
+
+
 def no_endpoint(choice: routing.NoChoice) -> verdict.NotRun:
     """Return the refusal when routing finds nothing."""
     return verdict.NotRun(
--- a/src/briarseam/admission/state.py
+++ b/src/briarseam/admission/state.py
@@ -14,6 +14,8 @@
     ----------
     run_id, endpoint, organisation
         Which run, where, whose.
+    session
+        The caller's session, may be empty.
     model, version, adapter
         What it uses; empty for service calls.
     chain
@@ -29,6 +31,7 @@
     run_id: str
     endpoint: str
     organisation: str
+    session: str
     model: str
     version: str
     adapter: str
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -9,6 +9,7 @@
 from briarseam import verdict
 from briarseam.admission import idempotency
 from briarseam.admission import service as admission
+from briarseam.cache import service as kept_cache
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
 from briarseam.configuration import reader as configuration
@@ -19,6 +20,8 @@
 from briarseam.metrics import registry as metrics
 from briarseam.platform import instances
 from briarseam.platform import log as platform_log
+from briarseam.routing import ledger as ledgers
+from briarseam.routing import loads
 from briarseam.routing import service as routing
 from briarseam.status import service as status
 from briarseam.timeline import ring as timeline
@@ -42,6 +45,8 @@
     admission: admission.Admission
     claims: claims_module.Claims
     idempotency: idempotency.Idempotency
+    kept: kept_cache.KeptCache
+    loads: loads.Loads
     registry: metrics.Registry
     ring: timeline.Ring
 
@@ -52,9 +57,13 @@
         self.configuration.start()
         self.claims.start()
         self.idempotency.start()
+        self.kept.start()
+        self.loads.start()
 
     def stop(self) -> None:
         """Stop all parts, the last started first."""
+        self.loads.stop()
+        self.kept.stop()
         self.idempotency.stop()
         self.claims.stop()
         self.configuration.stop()
@@ -166,7 +175,6 @@
         log, build_teams(settings), me, key, addresses
     )
     member_service = build_membership(settings, parts_of)
-    chooser = routing.Chooser(reader.view, frozenset)
     claim_service = compose_claims.build_claims(
         settings,
         log,
@@ -175,12 +183,34 @@
         registry,
     )
     once = idempotency.Idempotency(claim_service)
+    kept = kept_cache.KeptCache(reader.view, key)
+    ledger = ledgers.Ledger()
+    engine_loads = loads.Loads(
+        reader.view,
+        me.name,
+        lambda: [member.name for member in member_service.live()],
+        ledger.counts,
+    )
+    member_service.add_section(
+        "loads", engine_loads.provide, engine_loads.consume
+    )
+    chooser = routing.Chooser(
+        routing.ChooserParts(
+            view=reader.view,
+            leaving=frozenset,
+            serves=lambda endpoint, model, version: True,
+            kept=kept,
+            loads=engine_loads,
+            ledger=ledger,
+        )
+    )
     gate = CurrencyGate(reader, settings.agent.stale_after_ms / MS)
     admission_service = admission.Admission(
         admission.AdmissionParts(
             view=reader.view,
             gate=gate,
             chooser=chooser,
+            kept=kept,
             key=key,
             idempotency=once,
         )
@@ -204,6 +234,7 @@
         lookups,
         states,
         claim_service,
+        kept,
     ):
         part.register(router)
     server = wire.Server(str(settings.agent.listen), me, key, router)
@@ -215,6 +246,8 @@
         admission=admission_service,
         claims=claim_service,
         idempotency=once,
+        kept=kept,
+        loads=engine_loads,
         registry=registry,
         ring=ring,
     )
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -219,12 +219,13 @@
                 "a prompt with idempotent=false needs an Idempotency-Key",
             )
         )
+    tokens = pieces.split(body.prompt)
     admit = messages.Admit(
         token_digest=raw.token_digest,
         model=body.model,
         session=body.session,
-        chain=tuple(pieces.chain(body.prompt)),
-        prompt_tokens=len(pieces.split(body.prompt)),
+        chain=tuple(pieces.chain_tokens(tokens)),
+        prompt_tokens=len(tokens),
         max_tokens=body.max_tokens,
         priority=body.priority,
         deadline_ms=body.deadline_ms,
--- /dev/null
+++ b/src/briarseam/routing/loads.py
@@ -0,0 +1,271 @@
+"""Load of the engines: each is polled by one agent, which tells the others.
+
+All agents polling all engines would cost a cell of 32 agents and 139
+engines more bytes than the whole of control may use; so the agent that
+ranks first for an engine polls it, and its reports ride on heartbeats.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+import typing
+
+import msgspec
+import xxhash
+
+from briarseam.cache import pieces
+from briarseam.configuration import schema
+from briarseam.endpoints import engine_load
+
+POLL_S = 0.5
+MAX_LAG_S = 5.0
+FORGET_AFTER_S = 5.0
+MS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """An engine's load as it is known here.
+
+    Attributes
+    ----------
+    busy
+        Runs it had, in slots and waiting.
+    slots
+        Runs at a time.
+    cache_pieces
+        Pieces its prefix cache holds.
+    as_of
+        This agent's monotonic time when that was true, in seconds, as
+        well as can be told.
+    boot_id
+        Differs after each start of the engine.
+    from_here
+        Whether this agent polled it itself.
+    """
+
+    busy: int
+    slots: int
+    cache_pieces: int
+    as_of: float
+    boot_id: str
+    from_here: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class SharedLoad:
+    """One engine's load on a heartbeat; short names, it rides each second."""
+
+    busy: int
+    slots: int
+    cache: int
+    age_ms: int
+    boot: str
+
+
+@dataclasses.dataclass(frozen=True)
+class SharedSection:
+    """What an agent tells of engines.
+
+    Attributes
+    ----------
+    loads
+        Reports of the engines it polls.
+    runs
+        Its own runs under way by engine.
+    """
+
+    loads: dict[str, SharedLoad]
+    runs: dict[str, int]
+
+
+Names = typing.Callable[[], typing.Sequence[str]]
+
+
+class Loads:
+    """Known loads; safe for several threads.
+
+    Parameters
+    ----------
+    view
+        Present configuration.
+    me
+        This agent's name.
+    members
+        Names of the agents that share the polling, this one included.
+    counts
+        This agent's own runs under way by endpoint.
+    clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        view: typing.Callable[[], schema.View],
+        me: str,
+        members: Names,
+        counts: typing.Callable[[], dict[str, int]],
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.view = view
+        self.me = me
+        self.members = members
+        self.counts = counts
+        self.clock = clock
+        self.known: dict[str, Load] = {}
+        self.others_runs: dict[str, OthersRuns] = {}
+        self.pollers: dict[str, Poller] = {}
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.match_pollers, name="loads", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin polling."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self.stopping.set()
+        for poller in list(self.pollers.values()):
+            poller.stopping.set()
+
+    def get(self, endpoint: str) -> Load | None:
+        """Return an engine's load unless it is too old to be of use."""
+        load = self.known.get(endpoint)
+        if load is None or self.clock() - load.as_of > FORGET_AFTER_S:
+            return None
+        return load
+
+    def others(self, endpoint: str) -> int:
+        """Return the runs that other agents have under way there."""
+        oldest = self.clock() - FORGET_AFTER_S
+        return sum(
+            one.runs.get(endpoint, 0)
+            for one in list(self.others_runs.values())
+            if one.heard_at >= oldest
+        )
+
+    def owner(self, endpoint: str) -> str:
+        """Return the agent that polls an engine."""
+        return max(
+            self.members() or [self.me],
+            key=lambda name: xxhash.xxh64_intdigest(
+                f"{endpoint}\0{name}".encode()
+            ),
+        )
+
+    def match_pollers(self) -> None:
+        """Keep one poller for each engine that this agent owns."""
+        while not self.stopping.is_set():
+            wanted = {
+                name: endpoint.address
+                for name, endpoint in self.view().endpoints.items()
+                if endpoint.kind is schema.EndpointKind.ENGINE
+                and self.owner(name) == self.me
+            }
+            for name, poller in list(self.pollers.items()):
+                if wanted.get(name) != poller.address:
+                    self.pollers.pop(name).stopping.set()
+            for name, address in wanted.items():
+                if name not in self.pollers:
+                    self.pollers[name] = Poller(name, address, self)
+                    self.pollers[name].start()
+            self.stopping.wait(POLL_S)
+
+    def provide(self) -> bytes:
+        """Return this agent's section of a heartbeat."""
+        now = self.clock()
+        loads = {
+            name: SharedLoad(
+                busy=load.busy,
+                slots=load.slots,
+                cache=load.cache_pieces,
+                age_ms=int((now - load.as_of) * MS),
+                boot=load.boot_id,
+            )
+            for name, load in list(self.known.items())
+            if load.from_here and now - load.as_of < FORGET_AFTER_S
+        }
+        return msgspec.msgpack.encode(SharedSection(loads, self.counts()))
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Take in another agent's section."""
+        section = msgspec.msgpack.decode(data, type=SharedSection)
+        now = self.clock()
+        self.others_runs[member] = OthersRuns(section.runs, now)
+        for name, shared in section.loads.items():
+            as_of = now - shared.age_ms / MS
+            mine = self.known.get(name)
+            if mine is not None and mine.as_of >= as_of:
+                continue
+            self.known[name] = Load(
+                busy=shared.busy,
+                slots=shared.slots,
+                cache_pieces=shared.cache,
+                as_of=as_of,
+                boot_id=shared.boot,
+                from_here=False,
+            )
+
+
+@dataclasses.dataclass(frozen=True)
+class OthersRuns:
+    """Another agent's runs under way by engine, and when it said so."""
+
+    runs: dict[str, int]
+    heard_at: float
+
+
+class Poller:
+    """A thread that polls one engine.
+
+    Parameters
+    ----------
+    name, address
+        The engine.
+    loads
+        Where reports go.
+    """
+
+    def __init__(self, name: str, address: str, loads: Loads) -> None:
+        self.name = name
+        self.address = address
+        self.loads = loads
+        self.client = engine_load.LoadClient()
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.poll, name=f"load-{name}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin polling."""
+        self.thread.start()
+
+    def poll(self) -> None:
+        """Poll until stopped."""
+        while not self.stopping.wait(POLL_S):
+            try:
+                report = self.client.read(self.address)
+            except engine_load.LoadUnavailableError:
+                # Its last report ages out by itself.
+                continue
+            self.take(report)
+
+    def take(self, report: engine_load.LoadReport) -> None:
+        """Keep a report."""
+        # The age of a report can only be told by comparing two clocks; a
+        # wrong clock would make it look current or ancient, so the age is
+        # bounded, and a prediction that is off costs time and nothing else.
+        lag_s = time.time() - report.time_ms / MS
+        lag_s = min(max(lag_s, 0.0), MAX_LAG_S)
+        self.loads.known[self.name] = Load(
+            busy=report.running + report.queued,
+            slots=report.slots,
+            cache_pieces=report.cache_capacity_tokens // pieces.PIECE_TOKENS,
+            as_of=self.loads.clock() - lag_s,
+            boot_id=report.boot_id,
+            from_here=True,
+        )
--- /dev/null
+++ b/src/briarseam/routing/prefixes.py
@@ -0,0 +1,96 @@
+"""Which prefixes each engine probably has in its own memory.
+
+Knowledge is a guess: an engine evicts without asking, and its events come
+late and with gaps.  A wrong guess costs time, never correctness, since the
+engine itself decides what it computes.
+"""
+
+from __future__ import annotations
+
+import collections
+import threading
+import typing
+
+DEFAULT_CAPACITY_PIECES = 100
+
+
+class EnginePrefixes:
+    """The prefixes of one engine, least recently used first.
+
+    Parameters
+    ----------
+    capacity_pieces
+        Pieces the engine's memory holds.
+    """
+
+    def __init__(self, capacity_pieces: int = DEFAULT_CAPACITY_PIECES) -> None:
+        self.capacity_pieces = capacity_pieces
+        self.order: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
+
+    def leading(self, keys: typing.Sequence[bytes]) -> int:
+        """Return how many of the first keys are known, without a hole."""
+        count = 0
+        for key in keys:
+            if key not in self.order:
+                break
+            count += 1
+        return count
+
+    def use(self, keys: typing.Sequence[bytes]) -> None:
+        """Note that a run has just used or computed these."""
+        for key in keys:
+            self.order[key] = None
+            self.order.move_to_end(key)
+        while len(self.order) > self.capacity_pieces:
+            self.order.popitem(last=False)
+
+    def drop(self, key: bytes) -> None:
+        """Note that a prefix was evicted."""
+        self.order.pop(key, None)
+
+    def truncate(self, keys: typing.Sequence[bytes], known: int) -> None:
+        """Note that an engine had only the first ``known`` keys."""
+        for key in keys[known:]:
+            self.order.pop(key, None)
+
+
+class Prefixes:
+    """The prefixes of all engines; safe for several threads."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, EnginePrefixes] = {}
+        self.lock = threading.Lock()
+
+    def leading(self, endpoint: str, keys: typing.Sequence[bytes]) -> int:
+        """Return how many leading pieces an engine probably has."""
+        with self.lock:
+            known = self.engines.get(endpoint)
+            return known.leading(keys) if known else 0
+
+    def use(
+        self,
+        endpoint: str,
+        keys: typing.Sequence[bytes],
+        capacity_pieces: int | None,
+    ) -> None:
+        """Note a run's pieces at an engine."""
+        with self.lock:
+            known = self.engines.setdefault(endpoint, EnginePrefixes())
+            if capacity_pieces is not None:
+                known.capacity_pieces = capacity_pieces
+            known.use(keys)
+
+    def truncate(
+        self, endpoint: str, keys: typing.Sequence[bytes], known: int
+    ) -> None:
+        """Note that an engine had fewer pieces than was thought."""
+        with self.lock:
+            if endpoint in self.engines:
+                self.engines[endpoint].truncate(keys, known)
+
+    def forget(self, endpoint: str) -> None:
+        """Forget an engine that was started anew."""
+        with self.lock:
+            self.engines.pop(endpoint, None)
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -1,110 +1,330 @@
-"""Choosing an endpoint and learning from how runs start and end."""
+"""Choosing an endpoint, and learning from how runs go."""
 
 from __future__ import annotations
 
+import dataclasses
 import threading
+import time
 import typing
 
 import xxhash
 
+from briarseam.cache import pieces
+from briarseam.cache import state as cache
 from briarseam.configuration import schema
+from briarseam.routing import ledger as ledgers
+from briarseam.routing import loads as load_module
+from briarseam.routing import predict
+from briarseam.routing import prefixes as prefix_module
+from briarseam.routing import rates as rate_module
 from briarseam.routing import state
 
 RETRY_AFTER_S = 1.0
-ViewSource = typing.Callable[[], schema.View]
-EndpointSet = typing.Callable[[], frozenset[str]]
+Clock = typing.Callable[[], float]
 
 
-class Chooser:
-    """Chooses endpoints by the runs this agent has under way there.
+class KeptCache(typing.Protocol):
+    """What routing needs of the kept cache."""
+
+    def plan(
+        self,
+        organisation: str,
+        model: str,
+        adapter: str,
+        version: str,
+        chain: typing.Sequence[bytes],
+        have: int,
+        session: str = "",
+    ) -> cache.Plan:
+        """Return what could be imported for a prompt."""
+
+    def engine_salt(self, organisation: str, adapter: str) -> str:
+        """Return the salt under which an engine names prefixes."""
+
+    def import_to(
+        self, address: str, plan: cache.Plan, max_s: float
+    ) -> cache.Imported:
+        """Let an endpoint import a plan's blocks; wait for it."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ChooserParts:
+    """What the choice works with, wired by ``compose``.
 
-    Parameters
+    Attributes
     ----------
     view
         Present configuration.
     leaving
         Endpoints that are known to leave.
+    serves
+        Whether an endpoint reports a model in a version.
+    kept
+        The kept cache.
+    loads, ledger
+        Load of the engines and own runs under way.
+    clock
+        Monotonic seconds.
     """
 
-    def __init__(self, view: ViewSource, leaving: EndpointSet) -> None:
-        self.view = view
-        self.leaving = leaving
-        self.running: dict[str, int] = {}
+    view: typing.Callable[[], schema.View]
+    leaving: typing.Callable[[], frozenset[str]]
+    serves: typing.Callable[[str, str, str], bool]
+    kept: KeptCache
+    loads: load_module.Loads
+    ledger: ledgers.Ledger
+    clock: Clock = time.monotonic
+
+
+@dataclasses.dataclass
+class Sent:
+    """A run under way, for learning from it."""
+
+    choice: state.Choice
+    at: float
+    imported: int = 0
+    first_seen: bool = False
+
+
+class Chooser:
+    """Chooses by predicted time to first token and work recomputed."""
+
+    def __init__(self, parts: ChooserParts) -> None:
+        self.parts = parts
+        self.prefixes = prefix_module.Prefixes()
+        self.rates = rate_module.Rates()
+        self.predictor = predict.Predictor(
+            parts.loads, parts.ledger, self.prefixes, self.rates
+        )
+        self.sent: dict[str, Sent] = {}
+        self.boots: dict[str, str] = {}
         self.lock = threading.Lock()
 
     def choose_engine(
         self, ask: state.PromptAsk
     ) -> state.Choice | state.NoChoice:
         """Return the engine for a prompt."""
-        view = self.view()
+        view = self.parts.view()
         model = view.models[ask.model]
-        candidates = [
+        version = ask.version or model.version
+        names = self.engines(view, ask, version)
+        if not names:
+            return no_choice(f"no endpoint serves {ask.model} {version}")
+        prompt = self.prompt_of(ask, model, version)
+        predictions = [
+            self.predictor.predict(prompt, name)
+            for name in self.candidates(names, ask, prompt, view.routing)
+        ]
+        best = min(
+            predictions,
+            key=lambda one: self.score(one, ask, view.routing),
+        )
+        return state.Choice(
+            endpoint=best.endpoint,
+            address=view.endpoints[best.endpoint].address,
+            model=ask.model,
+            version=version,
+            adapter=model.adapter,
+            first_token_s=best.first_token_s,
+            wait_s=best.wait_s,
+            prompt_tokens=prompt.tokens,
+            keys=prompt.keys,
+            have=best.have,
+            recompute_pieces=best.recompute_pieces,
+            plan=best.plan,
+        )
+
+    def engines(
+        self, view: schema.View, ask: state.PromptAsk, version: str
+    ) -> list[str]:
+        """Return the engines that may run a prompt."""
+        barred = self.parts.leaving() | ask.excluded
+        return [
             name
             for name, endpoint in view.endpoints.items()
             if endpoint.kind is schema.EndpointKind.ENGINE
             and ask.model in endpoint.models
+            and endpoint.state is schema.EndpointState.SERVING
+            and name not in barred
+            and self.parts.serves(name, ask.model, version)
         ]
-        name = self.pick(candidates, ask.excluded, ask.session)
-        if name is None:
-            return no_choice(f"no endpoint serves {ask.model}")
-        return state.Choice(
-            endpoint=name,
-            address=view.endpoints[name].address,
-            version=ask.version or model.version,
-            adapter=model.adapter,
+
+    def prompt_of(
+        self, ask: state.PromptAsk, model: schema.Model, version: str
+    ) -> predict.Prompt:
+        """Return what predictions need of a prompt."""
+        salt = self.parts.kept.engine_salt(ask.organisation, model.adapter)
+        # An engine's blocks belong to a weight version; the version in the
+        # key keeps a swap from making its old prefixes look useful.
+        suffix = f"\0{ask.model}\0{version}".encode()
+        keys = tuple(
+            pieces.salted(digest, salt) + xxhash.xxh64_digest(suffix)
+            for digest in ask.chain
+        )
+        kept = self.parts.kept.plan(
+            ask.organisation,
+            ask.model,
+            model.adapter,
+            version,
+            ask.chain,
+            0,
+            ask.session,
         )
+        return predict.Prompt(ask.model, keys, ask.prompt_tokens, kept)
+
+    def candidates(
+        self,
+        names: list[str],
+        ask: state.PromptAsk,
+        prompt: predict.Prompt,
+        policy: schema.RoutingPolicy,
+    ) -> list[str]:
+        """Return the engines worth predicting for.
+
+        All of a few; of many, those that have the start of the prompt, the
+        session's own by rendezvous, and the least busy of them.
+        """
+        limit = max(policy.candidates, 1)
+        if len(names) <= limit:
+            return names
+        holders = [
+            name
+            for name in names
+            if prompt.keys and self.prefixes.leading(name, prompt.keys[:1])
+        ]
+        ranked = sorted(names, key=lambda name: affinity(ask, name))
+        wider = ranked[: 2 * limit]
+        wider.sort(key=self.predictor.busy)
+        chosen = dict.fromkeys([*holders[:limit], *ranked[:2], *wider])
+        return list(chosen)[: limit + len(holders[:limit])]
+
+    def score(
+        self,
+        one: predict.Prediction,
+        ask: state.PromptAsk,
+        policy: schema.RoutingPolicy,
+    ) -> tuple[float, int]:
+        """Return how bad a prediction is, with affinity to break ties.
+
+        The weight moves between the two users' measures: 0 minds the time
+        to first token only, 1 the work recomputed as well as the time that
+        it costs others who wait for the same slots.
+        """
+        weight = policy.recompute_weight
+        cost = one.first_token_s + weight * one.recompute_s
+        return round(cost, 3), affinity(ask, one.endpoint)
 
     def choose_service(
         self, ask: state.CallAsk
     ) -> state.Choice | state.NoChoice:
-        """Return the endpoint for a call."""
-        view = self.view()
-        candidates = [
+        """Return the endpoint for a call: the one with least under way."""
+        view = self.parts.view()
+        barred = self.parts.leaving() | ask.excluded
+        names = [
             name
             for name, endpoint in view.endpoints.items()
             if endpoint.kind is schema.EndpointKind.SERVICE
             and ask.service in endpoint.services
+            and endpoint.state is schema.EndpointState.SERVING
+            and name not in barred
         ]
-        name = self.pick(candidates, ask.excluded, "")
-        if name is None:
+        if not names:
             return no_choice(f"no endpoint serves {ask.service}")
+        name = min(
+            names,
+            key=lambda one: (self.predictor.busy(one), tie_break(one)),
+        )
         return state.Choice(name, view.endpoints[name].address)
 
-    def pick(
-        self, names: list[str], excluded: frozenset[str], session: str
-    ) -> str | None:
-        """Return the least used name; a session's own order breaks ties."""
-        view = self.view()
-        leaving = self.leaving() | excluded
-        usable = [
-            name
-            for name in names
-            if name not in leaving
-            and view.endpoints[name].state is schema.EndpointState.SERVING
-        ]
-        if not usable:
-            return None
-        return min(
-            usable,
-            key=lambda name: (
-                self.running.get(name, 0),
-                xxhash.xxh64_intdigest(f"{session}\0{name}".encode()),
-            ),
+    def prepare(
+        self, run_id: str, choice: state.Choice, max_s: float
+    ) -> cache.Imported:
+        """Import what the choice's plan says, before the run is granted."""
+        if not choice.plan.blocks:
+            return cache.Imported()
+        imported = self.parts.kept.import_to(
+            choice.address, choice.plan, max_s
         )
+        with self.lock:
+            sent = self.sent.get(run_id)
+            if sent is not None:
+                sent.imported = imported.pieces
+        return imported
 
-    def note_start(self, endpoint: str) -> None:
-        """Count a run that was granted."""
+    def note_start(self, run_id: str, choice: state.Choice) -> None:
+        """Count a run in."""
+        now = self.parts.clock()
+        self.parts.ledger.start(
+            choice.endpoint,
+            ledgers.Dispatch(run_id, now, choice.recompute_pieces),
+        )
+        with self.lock:
+            self.sent[run_id] = Sent(choice, now)
+        load = self.parts.loads.get(choice.endpoint)
+        if load is not None:
+            self.note_boot(choice.endpoint, load.boot_id)
+        # Counted from the grant on, so that the next request of the same
+        # session, a moment later, follows the first.
+        self.prefixes.use(
+            choice.endpoint, choice.keys, load.cache_pieces if load else None
+        )
+
+    def note_boot(self, endpoint: str, boot_id: str) -> None:
+        """Forget an engine's prefixes when it was started anew."""
+        if self.boots.get(endpoint, boot_id) != boot_id:
+            self.prefixes.forget(endpoint)
+        self.boots[endpoint] = boot_id
+
+    def note_first_token(self, run_id: str, cached_tokens: int) -> None:
+        """Learn from a run's first token."""
         with self.lock:
-            self.running[endpoint] = self.running.get(endpoint, 0) + 1
+            sent = self.sent.get(run_id)
+            if sent is None or sent.first_seen:
+                return
+            sent.first_seen = True
+        choice = sent.choice
+        cached = cached_tokens // pieces.PIECE_TOKENS
+        if cached < choice.have + sent.imported:
+            # The engine had evicted what was thought to be there; it has
+            # computed it anew by now, so nothing is dropped but the belief
+            # that its memory is as large as reported.
+            self.prefixes.use(choice.endpoint, choice.keys, None)
+        if choice.wait_s == 0.0 and not sent.imported:
+            left_tokens = choice.prompt_tokens - cached_tokens
+            took_s = self.parts.clock() - sent.at
+            left = left_tokens / pieces.PIECE_TOKENS
+            self.rates.learn_prefill(choice.model, took_s, left)
 
-    def note_end(self, endpoint: str) -> None:
-        """Count a run out."""
+    def note_end(self, run_id: str, whole: bool) -> None:
+        """Count a run out and learn how long it took."""
+        now = self.parts.clock()
         with self.lock:
-            left = self.running.get(endpoint, 0) - 1
-            if left > 0:
-                self.running[endpoint] = left
-            else:
-                self.running.pop(endpoint, None)
+            sent = self.sent.pop(run_id, None)
+        if sent is None:
+            return
+        choice = sent.choice
+        self.parts.ledger.end(choice.endpoint, run_id, now)
+        if whole and choice.model:
+            took_s = max(now - sent.at - choice.wait_s, 0.001)
+            self.rates.learn_run(choice.model, took_s)
+        elif not sent.first_seen:
+            # It never got to compute anything there.
+            self.prefixes.truncate(choice.endpoint, choice.keys, choice.have)
+
+
+def affinity(ask: state.PromptAsk, endpoint: str) -> int:
+    """Return a session's rank of an endpoint; lowest first.
+
+    A session without a name is ranked by the start of its prompt.
+    """
+    session = ask.session or (ask.chain[0].hex() if ask.chain else "")
+    key = f"{ask.organisation}\0{session}\0{endpoint}"
+    return xxhash.xxh64_intdigest(key.encode())
+
+
+def tie_break(name: str) -> int:
+    """Return a changing order of equals, so that they share the work."""
+    return xxhash.xxh64_intdigest(f"{name}{time.monotonic_ns()}".encode())
 
 
 def no_choice(detail: str) -> state.NoChoice:
--- a/src/briarseam/routing/state.py
+++ b/src/briarseam/routing/state.py
@@ -1,9 +1,11 @@
-"""What routing knows, and what it is asked."""
+"""What routing is asked and what it answers."""
 
 from __future__ import annotations
 
 import dataclasses
 
+from briarseam.cache import state as cache
+
 
 @dataclasses.dataclass(frozen=True)
 class PromptAsk:
@@ -14,11 +16,9 @@
     organisation, session, model
         Whose prompt, of which session, for which model.
     chain
-        Chain digests of the prompt's whole pieces.
+        Plain chain digests of the prompt's whole pieces.
     prompt_tokens
         Length of the prompt.
-    max_tokens
-        Most tokens of the answer.
     version
         Weight version the run must use; empty for the one configured.
     excluded
@@ -30,7 +30,6 @@
     model: str
     chain: tuple[bytes, ...]
     prompt_tokens: int
-    max_tokens: int
     version: str = ""
     excluded: frozenset[str] = frozenset()
 
@@ -60,17 +59,36 @@
     ----------
     endpoint, address
         Which one, and where.
-    version, adapter
-        Weight version and adapter the run must use.
+    model, version, adapter
+        What the run uses there; empty for service calls.
     first_token_s
         Predicted time to first token.
+    wait_s
+        Of it, time until a slot is free.
+    prompt_tokens
+        Length of the prompt.
+    keys
+        Names of the prompt's whole pieces at the engine.
+    have
+        Leading pieces it probably has.
+    recompute_pieces
+        Pieces it is expected to compute.
+    plan
+        What is worth importing first.
     """
 
     endpoint: str
     address: str
+    model: str = ""
     version: str = ""
     adapter: str = ""
     first_token_s: float = 0.0
+    wait_s: float = 0.0
+    prompt_tokens: int = 0
+    keys: tuple[bytes, ...] = ()
+    have: int = 0
+    recompute_pieces: float = 0.0
+    plan: cache.Plan = cache.Plan()
 
 
 @dataclasses.dataclass(frozen=True)
