--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -58,6 +58,11 @@
         "briarseam.command.where",
         "show which entries a session should use",
     ),
+    Command(
+        "config",
+        "briarseam.command.config",
+        "show and change the configuration",
+    ),
     Command(
         "settings",
         "briarseam.command.settings",
--- /dev/null
+++ b/src/briarseam/command/config.py
@@ -0,0 +1,330 @@
+"""``briarseam config``: show and change the configuration on the log."""
+
+from __future__ import annotations
+
+import getpass
+import sys
+import typing
+
+from briarseam.command import config_output
+from briarseam.command import options
+from briarseam.configuration import declarations
+from briarseam.configuration import fold as folds
+from briarseam.configuration import following
+from briarseam.configuration import history
+from briarseam.configuration import loading
+from briarseam.configuration import plans
+from briarseam.configuration import publish
+from briarseam.configuration import records
+from briarseam.configuration import schema
+from briarseam.configuration import snapshots
+from briarseam.configuration import teams as team_types
+from briarseam.platform import log as logs
+
+if typing.TYPE_CHECKING:
+    import argparse
+
+    from briarseam import settings as settings_types
+
+EXIT_ACCEPTED = 0
+EXIT_REJECTED = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNKNOWN = 3
+DEFAULT_WAIT = "30s"
+DEFAULT_SETTLE = "10s"
+HISTORY_SHOWN = 20
+
+
+class Session:
+    """What every action needs: the log, the teams and the options."""
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        self.args = args
+        self.settings: settings_types.Settings = options.load_settings(args)
+        self.teams = team_types.from_settings(self.settings.teams)
+        self.client = logs.LogClient(str(self.settings.platform.log))
+        shared = self.settings.agent.shared_key
+        self.key = snapshots.derive_key(shared.value if shared else b"")
+        self.output = config_output.Output(args)
+
+    def load(self) -> folds.Fold:
+        """Return the tree at the log's end."""
+        return loading.load(self.client, self.teams, self.key)
+
+    def team(self) -> str:
+        """Return the author's team.
+
+        Raises
+        ------
+        DeclarationError
+            When it is not known or there are several to choose from.
+        """
+        names = sorted(self.teams.by_name)
+        chosen = getattr(self.args, "team", None)
+        if chosen is None and len(names) == 1:
+            return names[0]
+        if chosen not in names:
+            known = ", ".join(names) or "none"
+            raise declarations.DeclarationError(
+                "--team", "", f"one of the teams in the settings: {known}"
+            )
+        return str(chosen)
+
+    def entries(self) -> list[str]:
+        """Return the entry addresses to ask for the agents' offsets."""
+        chosen = getattr(self.args, "entry", None)
+        if chosen is not None:
+            return [str(chosen)]
+        return [str(a) for a in self.settings.instance.entry_addresses]
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add the subcommand's actions."""
+    actions = parser.add_subparsers(metavar="ACTION", required=True)
+    add_reading(actions)
+    add_changing(actions)
+
+
+def add_reading(actions: typing.Any) -> None:
+    """Add the actions that only read."""
+    found = add_action(actions, "get", get, "show one path")
+    found.add_argument("path", metavar="PATH")
+    found = add_action(actions, "tree", tree, "show all paths")
+    found.add_argument("prefix", metavar="PREFIX", nargs="?", default="")
+    found = add_action(
+        actions, "diff", diff, "show what apply would change, publish nothing"
+    )
+    found.add_argument("directory", metavar="DIR")
+    add_author(found)
+    add_since(found)
+    found = add_action(actions, "history", show_history, "show past changes")
+    found.add_argument("prefix", metavar="PREFIX", nargs="?", default="")
+    found.add_argument("--last", type=int, default=HISTORY_SHOWN)
+
+
+def add_changing(actions: typing.Any) -> None:
+    """Add the actions that publish."""
+    found = add_action(
+        actions, "apply", apply, "make a team's subtree what DIR declares"
+    )
+    found.add_argument("directory", metavar="DIR")
+    add_since(found)
+    add_publishing(found)
+    found = add_action(actions, "set", set_fields, "set or delete one path")
+    found.add_argument("path", metavar="PATH")
+    found.add_argument("fields", metavar="FIELD=VALUE", nargs="*")
+    found.add_argument("--delete", action="store_true", help="delete PATH")
+    add_publishing(found)
+
+
+def add_action(
+    actions: typing.Any,
+    name: str,
+    action: typing.Callable[[Session], int],
+    summary: str,
+) -> argparse.ArgumentParser:
+    """Add one action with the options that all have."""
+    found: argparse.ArgumentParser = actions.add_parser(
+        name, help=summary, description=summary, allow_abbrev=False
+    )
+    found.set_defaults(action=action)
+    options.add_settings(found)
+    options.add_output(found)
+    return found
+
+
+def add_author(found: argparse.ArgumentParser) -> None:
+    """Add the option for the author's team."""
+    found.add_argument(
+        "--team", help="author; needed when the settings name several"
+    )
+
+
+def add_since(found: argparse.ArgumentParser) -> None:
+    """Add the option for the offset that declarations are based on."""
+    found.add_argument(
+        "--since",
+        type=int,
+        metavar="OFFSET",
+        help="a path set after OFFSET is a conflict, and nothing is applied",
+    )
+
+
+def add_publishing(found: argparse.ArgumentParser) -> None:
+    """Add the options of actions that publish."""
+    add_author(found)
+    found.add_argument(
+        "--operator",
+        default=None,
+        help="name for the history; the login name unless given",
+    )
+    found.add_argument(
+        "--entry",
+        type=options.address,
+        metavar="IP:PORT",
+        help="entry to ask how far a change has come",
+    )
+    found.add_argument(
+        "--timeout",
+        type=options.duration_s,
+        default=DEFAULT_WAIT,
+        help="how long to follow an accepted change (default: %(default)s)",
+    )
+    found.add_argument(
+        "--settle",
+        type=options.duration_s,
+        default=DEFAULT_SETTLE,
+        help="how long to find out what became of it (default: %(default)s)",
+    )
+    found.add_argument(
+        "--no-follow",
+        action="store_true",
+        help="do not wait until every live agent has it",
+    )
+
+
+def execute(args: argparse.Namespace) -> int:
+    """Carry out one action and return its exit status."""
+    action: typing.Callable[[Session], int] = args.action
+    try:
+        return action(Session(args))
+    except (
+        declarations.DeclarationError,
+        records.RecordError,
+        schema.SchemaError,
+        team_types.TeamsError,
+    ) as error:
+        return fail(error, EXIT_BAD_INPUT)
+    except (logs.LogUnavailableError, loading.HistoryLostError) as error:
+        return fail(f"nothing done, the log: {error}", EXIT_REJECTED)
+
+
+def fail(error: object, status: int) -> int:
+    """Print an error and return the exit status."""
+    print(f"briarseam: {error}", file=sys.stderr)
+    return status
+
+
+def get(session: Session) -> int:
+    """Show one path."""
+    path = session.args.path
+    schema.value_type(path)
+    fold = session.load()
+    entry = fold.entries.get(path)
+    if entry is None:
+        return fail(f"{path}: absent at offset {fold.offset}", EXIT_REJECTED)
+    session.output.entry(path, entry, session.teams.owner(path))
+    return EXIT_ACCEPTED
+
+
+def tree(session: Session) -> int:
+    """Show all paths."""
+    fold = session.load()
+    session.output.tree(fold, session.args.prefix, session.teams)
+    return EXIT_ACCEPTED
+
+
+def show_history(session: Session) -> int:
+    """Show past changes."""
+    prefix = session.args.prefix
+    events = [
+        event
+        for event in history.read(session.client, session.teams, session.key)
+        if not prefix or any(path.startswith(prefix) for path in event.sets)
+    ]
+    session.output.history(events[-session.args.last :])
+    return EXIT_ACCEPTED
+
+
+def plan_directory(session: Session, fold: folds.Fold) -> plans.Plan:
+    """Return the plan of a directory of declarations.
+
+    Raises
+    ------
+    DeclarationError
+        When a declaration does not fit; nothing is published then.
+    """
+    declared = declarations.read_directory(session.args.directory)
+    values = {item.path: dict(item.value) for item in declared}
+    places = {item.path: item.place for item in declared}
+    declarations.check_tokens(fold.values() | values, places)
+    for path in values:
+        if session.teams.owner(path) is None:
+            raise declarations.DeclarationError(
+                places[path], path, "a path that some team holds"
+            )
+    return plans.make(
+        fold, session.teams, session.team(), values, session.args.since
+    )
+
+
+def diff(session: Session) -> int:
+    """Show what apply would change."""
+    plan = plan_directory(session, session.load())
+    session.output.plan(plan)
+    return EXIT_REJECTED if plan.conflicts() else EXIT_ACCEPTED
+
+
+def apply(session: Session) -> int:
+    """Make the team's subtree what a directory declares."""
+    fold = session.load()
+    return publish_plan(session, fold, plan_directory(session, fold))
+
+
+def set_fields(session: Session) -> int:
+    """Set or delete one path."""
+    path, fields = session.args.path, session.args.fields
+    if bool(fields) == session.args.delete:
+        raise declarations.DeclarationError(
+            path, "", "either FIELD=VALUE or --delete"
+        )
+    fold = session.load()
+    entry = fold.entries.get(path)
+    after = None
+    if not session.args.delete:
+        after = declarations.merge_fields(
+            path, entry.value if entry else None, fields
+        )
+        declarations.check_tokens(fold.values() | {path: after}, {path: "set"})
+    step = plans.step(fold, path, after, None)
+    steps = (step,) if step else ()
+    plan = plans.Plan(session.team(), fold.offset, steps, (), 0)
+    return publish_plan(session, fold, plan)
+
+
+def publish_plan(session: Session, fold: folds.Fold, plan: plans.Plan) -> int:
+    """Show the plan, publish it as one change and follow that."""
+    session.output.plan(plan)
+    if plan.conflicts():
+        return EXIT_REJECTED
+    if not plan.steps:
+        return EXIT_ACCEPTED
+    operator = session.args.operator or getpass.getuser()
+    publisher = publish.Publisher(
+        session.client, session.teams, fold, session.args.settle
+    )
+    outcome = publisher.apply(plan.change(operator))
+    session.output.outcome(outcome, fold)
+    match outcome:
+        case folds.Accepted(offset):
+            follow(session, plan.team, offset)
+            return EXIT_ACCEPTED
+        case folds.Rejected() | publish.NotAppended():
+            return EXIT_REJECTED
+        case publish.Unknown():
+            return EXIT_UNKNOWN
+
+
+def follow(session: Session, team: str, offset: int) -> None:
+    """Follow an accepted change and show who does not have it yet."""
+    if session.args.no_follow:
+        return
+    token = session.teams.operator_token(team)
+    try:
+        found = following.follow(
+            session.entries(), token, offset, session.args.timeout
+        )
+    except following.StatusUnavailableError as error:
+        session.output.follow_failed(str(error))
+        return
+    session.output.followed(found)
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -79,20 +79,6 @@
     return secret.value
 
 
-def build_teams(
-    settings: settings_module.Settings,
-) -> configuration_teams.Teams:
-    """Return the teams of the settings."""
-    return configuration_teams.Teams(
-        tuple(
-            configuration_teams.Team(
-                team.name, (team.key.value,), tuple(team.paths)
-            )
-            for team in settings.teams
-        )
-    )
-
-
 def build_membership(
     settings: settings_module.Settings,
     parts_of: typing.Callable[[str], int],
@@ -172,7 +158,11 @@
         return {member.name: member.agent_address for member in live}
 
     reader = configuration.ConfigurationReader(
-        log, build_teams(settings), me, key, addresses
+        log,
+        configuration_teams.from_settings(settings.teams),
+        me,
+        key,
+        addresses,
     )
     member_service = build_membership(settings, parts_of)
     claim_service = compose_claims.build_claims(
--- /dev/null
+++ b/src/briarseam/configuration/declarations.py
@@ -0,0 +1,211 @@
+"""Declarations in INI files: a section per path, a key per field."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import typing
+
+import msgspec
+
+from briarseam.configuration import schema
+from briarseam.settings import errors
+from briarseam.settings import ini
+
+SUFFIX = ".ini"
+ORGANISATIONS = "organisations/"
+
+
+class DeclarationError(Exception):
+    """A declaration that cannot be published.
+
+    Attributes
+    ----------
+    place
+        ``file:line``, or the option that it came from.
+    path
+        Path in the tree; empty when the file as a whole is meant.
+    expected
+        What was expected, and what was found.
+    """
+
+    def __init__(self, place: str, path: str, expected: str) -> None:
+        middle = f"{path}: " if path else ""
+        super().__init__(f"{place}: {middle}{expected}")
+        self.place = place
+        self.path = path
+        self.expected = expected
+
+
+@dataclasses.dataclass(frozen=True)
+class Declaration:
+    """One path as declared.
+
+    Attributes
+    ----------
+    path
+        Path in the tree.
+    value
+        The fields that were written, typed.
+    place
+        ``file:line`` of its section.
+    """
+
+    path: str
+    value: typing.Mapping[str, typing.Any]
+    place: str
+
+
+def read_directory(directory: str) -> tuple[Declaration, ...]:
+    """Return the declarations of all INI files below a directory.
+
+    Raises
+    ------
+    DeclarationError
+        With file, line, path, value and what was expected; the first that
+        is found.
+    """
+    root = pathlib.Path(directory)
+    files = sorted(root.rglob(f"*{SUFFIX}"))
+    if not files:
+        raise DeclarationError(directory, "", f"no {SUFFIX} file there")
+    found: dict[str, Declaration] = {}
+    for file in files:
+        for declared in read_file(str(file)):
+            first = found.setdefault(declared.path, declared)
+            if first is not declared:
+                raise DeclarationError(
+                    declared.place,
+                    declared.path,
+                    f"declared before at {first.place}",
+                )
+    return tuple(found.values())
+
+
+def read_file(file: str) -> list[Declaration]:
+    """Return the declarations of one file."""
+    try:
+        sections = ini.read(file)
+    except errors.SettingsError as error:
+        raise DeclarationError(file, "", str(error)) from error
+    return [read_section(file, section) for section in sections.values()]
+
+
+def read_section(file: str, section: ini.Section) -> Declaration:
+    """Return the declaration of one section."""
+    place = f"{file}:{section.line}"
+    try:
+        kind = schema.value_type(section.name)
+    except schema.SchemaError as error:
+        raise DeclarationError(place, section.name, error.expected) from error
+    value = {
+        key: field_value(kind, section.name, f"{file}:{entry.line}", key, text)
+        for key, entry in section.entries.items()
+        for text in [entry.text]
+    }
+    return Declaration(
+        section.name, checked(place, section.name, value), place
+    )
+
+
+def field_value(
+    kind: type, path: str, place: str, key: str, text: str
+) -> typing.Any:
+    """Return one field's value from its text.
+
+    Raises
+    ------
+    DeclarationError
+        When the field is not known or the text does not fit.
+    """
+    hints = typing.get_type_hints(kind, include_extras=True)
+    if key not in hints:
+        fields = ", ".join(hints)
+        raise DeclarationError(
+            place, path, f"unknown field {key}; has {fields}"
+        )
+    raw: typing.Any = text
+    if typing.get_origin(hints[key]) is tuple:
+        raw = [part.strip() for part in text.split(",") if part.strip()]
+    try:
+        typed = msgspec.convert(raw, hints[key], strict=False)
+    except msgspec.ValidationError as error:
+        raise DeclarationError(
+            place, path, f"{key} = {text}: {error}"
+        ) from error
+    return msgspec.to_builtins(typed)
+
+
+def checked(
+    place: str, path: str, value: dict[str, typing.Any]
+) -> dict[str, typing.Any]:
+    """Return a whole value after the schema's check."""
+    try:
+        schema.parse_value(path, value)
+    except schema.SchemaError as error:
+        raise DeclarationError(place, path, error.expected) from error
+    return value
+
+
+def check_tokens(
+    tree: typing.Mapping[str, typing.Any], places: typing.Mapping[str, str]
+) -> None:
+    """Raise when a declared organisation has another one's bearer token.
+
+    Their callers would be taken for one another's.
+
+    Parameters
+    ----------
+    tree
+        Values by path, as they would stand after the change.
+    places
+        Where the declared paths were declared.
+    """
+    owners: dict[str, str] = {}
+    for path in sorted(tree, key=lambda path: path in places):
+        if not path.startswith(ORGANISATIONS):
+            continue
+        digest = tree[path].get("token_digest")
+        other = owners.setdefault(digest, path)
+        if other != path and path in places:
+            raise DeclarationError(
+                places[path], path, f"has the same token_digest as {other}"
+            )
+
+
+def merge_fields(
+    path: str, present: typing.Any, assignments: typing.Sequence[str]
+) -> dict[str, typing.Any]:
+    """Return a path's value after ``FIELD=VALUE`` assignments.
+
+    Parameters
+    ----------
+    path
+        Path in the tree.
+    present
+        Its present value; ``None`` when it is absent.
+    assignments
+        In the form of the INI files; an empty value takes the field out, so
+        that its default counts.
+
+    Raises
+    ------
+    DeclarationError
+        When the outcome does not fit the path.
+    """
+    try:
+        kind = schema.value_type(path)
+    except schema.SchemaError as error:
+        raise DeclarationError(path, "", error.expected) from error
+    value = dict(present or {})
+    for assignment in assignments:
+        key, equals, text = assignment.partition("=")
+        if not equals:
+            raise DeclarationError(
+                path, "", f"expected FIELD=VALUE, got {assignment}"
+            )
+        if text:
+            value[key] = field_value(kind, path, "set", key, text)
+        else:
+            value.pop(key, None)
+    return checked("set", path, value)
--- /dev/null
+++ b/src/briarseam/configuration/history.py
@@ -0,0 +1,95 @@
+"""Who changed what, when, and what came of it."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.configuration import fold as folds
+from briarseam.configuration import loading
+from briarseam.configuration import records
+from briarseam.configuration import snapshots
+
+if typing.TYPE_CHECKING:
+    from briarseam.configuration import teams as team_types
+    from briarseam.platform import log as logs
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One record of the stream, judged.
+
+    Attributes
+    ----------
+    offset
+        Where it stands.
+    time_ms
+        The log's clock, in ms since the epoch.
+    team, operator, id
+        Who wrote it; empty when the record tells nothing that is proved.
+    verdict
+        What came of it.
+    sets
+        Values by path; ``None`` deletes.
+    """
+
+    offset: int
+    time_ms: int
+    team: str
+    operator: str
+    id: str
+    verdict: folds.FoldVerdict
+    sets: typing.Mapping[str, typing.Any]
+
+
+def read(
+    client: logs.LogClient, teams: team_types.Teams, key: bytes
+) -> tuple[Event, ...]:
+    """Return the events that the log still holds and that can be judged.
+
+    Judging begins at the stream's start or, once retention has passed that,
+    at the oldest snapshot that reaches it.
+
+    Raises
+    ------
+    logs.LogUnavailableError
+        When the log cannot be read.
+    loading.HistoryLostError
+        When no snapshot reaches the oldest record.
+    """
+    events: list[Event] = []
+
+    def note(record: logs.Record, verdict: folds.FoldVerdict) -> None:
+        events.append(event(record, verdict))
+
+    loading.read_on(client, oldest_fold(client, key), teams, note)
+    return tuple(events)
+
+
+def oldest_fold(client: logs.LogClient, key: bytes) -> folds.Fold:
+    """Return the earliest fold from which the log can be read on."""
+    first = client.read(records.STREAM, 0, limit=1).first
+    if first == 1:
+        return folds.Fold()
+    oldest = snapshots.oldest_whole(client, key, first - 1)
+    if oldest is None:
+        return folds.Fold()
+    return snapshots.unpack_state(oldest.state, oldest.through, oldest.digest)
+
+
+def event(record: logs.Record, verdict: folds.FoldVerdict) -> Event:
+    """Return a judged record as an event."""
+    change = records.peek(record.data)
+    match verdict:
+        # What a forged record says of its author is nobody's word.
+        case folds.Rejected(reason=folds.RejectReason.NOT_AUTHENTIC):
+            change = None
+    return Event(
+        offset=record.offset,
+        time_ms=record.time_ms,
+        team=change.author if change else "",
+        operator=change.operator if change else "",
+        id=change.id if change else "",
+        verdict=verdict,
+        sets=change.sets if change else {},
+    )
--- a/src/briarseam/configuration/loading.py
+++ b/src/briarseam/configuration/loading.py
@@ -29,7 +29,7 @@
 def load(
     client: logs.LogClient,
     teams: team_types.Teams,
-    key: bytes | None,
+    key: bytes,
     on_record: OnRecord = ignore,
 ) -> folds.Fold:
     """Return the tree at the end of the log.
@@ -41,7 +41,7 @@
     teams
         Whose changes are believed.
     key
-        Key of the snapshots, see :func:`snapshots.decode_chunk`.
+        Key of the snapshots.
     on_record
         Told of each record of the tail with its verdict.
 
@@ -57,7 +57,7 @@
     return fold
 
 
-def from_snapshot(client: logs.LogClient, key: bytes | None) -> folds.Fold:
+def from_snapshot(client: logs.LogClient, key: bytes) -> folds.Fold:
     """Return the fold of the newest whole snapshot, else an empty one."""
     newest, _ = snapshots.newest_whole(client, key)
     if newest is None:
--- a/src/briarseam/configuration/publish.py
+++ b/src/briarseam/configuration/publish.py
@@ -168,7 +168,7 @@
                 f"the record at {verdict.offset} has version"
                 f" {verdict.version}, which this release does not know",
             )
-        found = read_change(record.data)
+        found = records.peek(record.data)
         if found is None or found.id != change.id:
             return None
         match verdict:
@@ -187,11 +187,3 @@
         case folds.Rejected(reason=folds.RejectReason.NOT_AUTHENTIC):
             return None
     return verdict
-
-
-def read_change(data: bytes) -> records.Change | None:
-    """Return the change in a record, ``None`` when there is none."""
-    try:
-        return records.decode_body(records.open_envelope(data))
-    except records.RecordError:
-        return None
--- a/src/briarseam/configuration/records.py
+++ b/src/briarseam/configuration/records.py
@@ -167,6 +167,14 @@
     return change
 
 
+def peek(data: bytes) -> Change | None:
+    """Return the change in a record unproved, ``None`` when there is none."""
+    try:
+        return decode_body(open_envelope(data))
+    except RecordError:
+        return None
+
+
 def check_types(change: Change) -> None:
     """Raise :class:`RecordError` unless every field has its type."""
     if not isinstance(change.id, str) or not change.id:
--- a/src/briarseam/configuration/schema.py
+++ b/src/briarseam/configuration/schema.py
@@ -330,10 +330,20 @@
 
     @functools.cached_property
     def by_token(self) -> typing.Mapping[str, str]:
-        """Organisation names by token digest."""
+        """Organisation names by token digest.
+
+        A digest that two organisations hold names neither: the callers of
+        one would else reach the answers of the other.
+        """
+        names: dict[str, str] = {}
+        doubled: set[str] = set()
+        for name, value in self.organisations.items():
+            if names.setdefault(value.token_digest, name) != name:
+                doubled.add(value.token_digest)
         return {
-            value.token_digest: name
-            for name, value in self.organisations.items()
+            digest: name
+            for digest, name in names.items()
+            if digest not in doubled
         }
 
 
--- a/src/briarseam/configuration/snapshots.py
+++ b/src/briarseam/configuration/snapshots.py
@@ -138,7 +138,7 @@
     return typing.cast("bytes", msgpack.packb([VERSION, body, mac]))
 
 
-def decode_chunk(data: bytes, key: bytes | None) -> Chunk:
+def decode_chunk(data: bytes, key: bytes) -> Chunk:
     """Return the chunk of a record.
 
     Parameters
@@ -146,8 +146,7 @@
     data
         The record.
     key
-        Checks the MAC; ``None`` only in an operator's command that does not
-        hold the agents' key and whose belief binds nobody.
+        Checks the MAC.
 
     Raises
     ------
@@ -158,8 +157,8 @@
         version, body, mac = msgpack.unpackb(data, raw=False)
         if version != VERSION:
             raise SnapshotError(f"snapshot version {version}")
-        expected = hmac.digest(key or b"", LABEL + body, hashlib.sha256)
-        if key is not None and not hmac.compare_digest(expected, mac):
+        expected = hmac.digest(key, LABEL + body, hashlib.sha256)
+        if not hmac.compare_digest(expected, mac):
             raise SnapshotError("the chunk is not authentic")
         return Chunk(*msgpack.unpackb(body, raw=False))
     except SnapshotError:
@@ -171,7 +170,7 @@
 class Assembler:
     """Puts chunks together; gives each snapshot out once, when whole."""
 
-    def __init__(self, key: bytes | None) -> None:
+    def __init__(self, key: bytes) -> None:
         self.key = key
         self.parts: dict[str, dict[int, Chunk]] = {}
         self.times_ms: dict[str, int] = {}
@@ -206,7 +205,7 @@
 
 
 def newest_whole(
-    client: logs.LogClient, key: bytes | None
+    client: logs.LogClient, key: bytes
 ) -> tuple[Snapshot | None, int]:
     """Return the newest whole snapshot and the end of its stream.
 
@@ -230,7 +229,7 @@
 
 
 def newest_after(
-    client: logs.LogClient, key: bytes | None, after: int, end: int
+    client: logs.LogClient, key: bytes, after: int, end: int
 ) -> Snapshot | None:
     """Return the newest whole snapshot in ``(after, end]``."""
     assembler = Assembler(key)
@@ -245,3 +244,26 @@
                 best = whole
         after = batch.records[-1].offset
     return best
+
+
+def oldest_whole(
+    client: logs.LogClient, key: bytes, through: int
+) -> Snapshot | None:
+    """Return the oldest whole snapshot that reaches ``through``.
+
+    Raises
+    ------
+    logs.LogUnavailableError
+        When the log cannot be read.
+    """
+    assembler = Assembler(key)
+    after = 0
+    while True:
+        batch = client.read(STREAM, after, limit=FIRST_WINDOW)
+        if not batch.records:
+            return None
+        for record in batch.records:
+            whole = assembler.add(record)
+            if whole is not None and whole.through >= through:
+                return whole
+        after = batch.records[-1].offset
--- a/src/briarseam/configuration/teams.py
+++ b/src/briarseam/configuration/teams.py
@@ -55,14 +55,9 @@
     ----------
     members
         The teams.
-    assume_valid
-        Take records of teams whose key is not known here as authentic.
-        Only for an operator's command, which holds its own key alone: the
-        agents check every proof, whatever the command believed.
     """
 
     members: tuple[Team, ...] = ()
-    assume_valid: bool = False
 
     def __post_init__(self) -> None:
         prefixes: set[str] = set()
@@ -106,8 +101,8 @@
     def verifies(self, author: str, data: bytes, proof: bytes) -> bool:
         """Tell whether ``proof`` shows that ``author`` wrote ``data``."""
         team = self.by_name.get(author)
-        if team is None or not team.keys:
-            return self.assume_valid
+        if team is None:
+            return False
         return any(
             hmac.compare_digest(hmac.digest(key, data, hashlib.sha256), proof)
             for key in team.keys
