--- a/src/briarseam/command/config.py
+++ b/src/briarseam/command/config.py
@@ -6,6 +6,7 @@
 import sys
 import typing
 
+from briarseam import tokens
 from briarseam.command import config_output
 from briarseam.command import options
 from briarseam.configuration import declarations
@@ -19,6 +20,7 @@
 from briarseam.configuration import schema
 from briarseam.configuration import snapshots
 from briarseam.configuration import teams as team_types
+from briarseam.platform import instances
 from briarseam.platform import log as logs
 
 if typing.TYPE_CHECKING:
@@ -195,8 +197,10 @@
         team_types.TeamsError,
     ) as error:
         return fail(error, EXIT_BAD_INPUT)
-    except (logs.LogUnavailableError, loading.HistoryLostError) as error:
-        return fail(f"nothing done, the log: {error}", EXIT_REJECTED)
+    except logs.LogUnavailableError as error:
+        return fail(f"nothing done: the log is away: {error}", EXIT_REJECTED)
+    except loading.HistoryLostError as error:
+        return fail(f"nothing done: history is lost: {error}", EXIT_REJECTED)
 
 
 def fail(error: object, status: int) -> int:
@@ -262,6 +266,7 @@
     """Show what apply would change."""
     plan = plan_directory(session, session.load())
     session.output.plan(plan)
+    session.output.finish()
     return EXIT_REJECTED if plan.conflicts() else EXIT_ACCEPTED
 
 
@@ -280,6 +285,11 @@
         )
     fold = session.load()
     entry = fold.entries.get(path)
+    author = session.team()
+    if session.teams.owner(path) != author:
+        raise declarations.DeclarationError(
+            path, "", f"a path of team {author}"
+        )
     after = None
     if not session.args.delete:
         after = declarations.merge_fields(
@@ -288,12 +298,20 @@
         declarations.check_tokens(fold.values() | {path: after}, {path: "set"})
     step = plans.step(fold, path, after, None)
     steps = (step,) if step else ()
-    plan = plans.Plan(session.team(), fold.offset, steps, (), 0)
+    plan = plans.Plan(author, fold.offset, steps, (), 0)
     return publish_plan(session, fold, plan)
 
 
 def publish_plan(session: Session, fold: folds.Fold, plan: plans.Plan) -> int:
     """Show the plan, publish it as one change and follow that."""
+    try:
+        return carry_out(session, fold, plan)
+    finally:
+        session.output.finish()
+
+
+def carry_out(session: Session, fold: folds.Fold, plan: plans.Plan) -> int:
+    """Publish a plan, printing each step; return the exit status."""
     session.output.plan(plan)
     if plan.conflicts():
         return EXIT_REJECTED
@@ -319,12 +337,10 @@
     """Follow an accepted change and show who does not have it yet."""
     if session.args.no_follow:
         return
-    token = session.teams.operator_token(team)
-    try:
-        found = following.follow(
-            session.entries(), token, offset, session.args.timeout
-        )
-    except following.StatusUnavailableError as error:
-        session.output.follow_failed(str(error))
-        return
-    session.output.followed(found)
+    key = session.teams.by_name[team].keys[0]
+    follower = following.Follower(
+        session.entries(),
+        instances.InstanceList(str(session.settings.platform.instances)),
+        tokens.operator_token(team, key),
+    )
+    session.output.followed(follower.follow(offset, session.args.timeout))
--- a/src/briarseam/command/config_output.py
+++ b/src/briarseam/command/config_output.py
@@ -61,16 +61,36 @@
     detail: str = ""
 
 
+@dataclasses.dataclass
+class Report:
+    """Everything about one change, as printed in JSON.
+
+    Attributes
+    ----------
+    plan
+        What it changes.
+    outcome
+        What became of it; ``None`` when nothing was published.
+    agents
+        Who has it in force; ``None`` when that was not followed.
+    """
+
+    plan: plans.Plan | None = None
+    outcome: OutcomeRow | None = None
+    agents: following.Following | None = None
+
+
 class Output:
     """Prints in the form that the options ask for.
 
-    With ``--json`` each step is one JSON document of its own, so that a
-    program sees the plan before the outcome and that before the agents.
+    With ``--json`` everything about one change is one document, printed by
+    :meth:`finish`.
     """
 
     def __init__(self, args: argparse.Namespace) -> None:
         self.args = args
         self.as_json = bool(getattr(args, "json", False))
+        self.report = Report()
 
     def say(self, text: str, indent: str = "") -> None:
         """Print one sentence, folded when narrow."""
@@ -106,15 +126,18 @@
             return
         output.print_records(
             self.args,
-            ("path", "offset", "team"),
-            [(row.path, str(row.revision), row.team) for row in rows],
+            ("path", "set"),
+            [
+                (row.path, f"at offset {row.revision}, team {row.team}")
+                for row in rows
+            ],
         )
         self.say(f"{len(rows)} paths at offset {fold.offset}")
 
     def plan(self, plan: plans.Plan) -> None:
         """Print a plan."""
+        self.report.plan = plan
         if self.as_json:
-            output.print_json(plan)
             return
         for step in plan.steps:
             word = " CONFLICT" if step.conflict else ""
@@ -132,8 +155,8 @@
     def outcome(self, outcome: publish.Outcome, fold: folds.Fold) -> None:
         """Print what became of a change."""
         row = outcome_row(outcome, fold)
+        self.report.outcome = row
         if self.as_json:
-            output.print_json(row)
             return
         match outcome:
             case folds.Accepted(offset):
@@ -152,33 +175,27 @@
 
     def followed(self, found: following.Following) -> None:
         """Print who has a change in force."""
+        self.report.agents = found
         if self.as_json:
-            output.print_json(found)
             return
-        count = len(found.reached)
-        if not found.stragglers:
+        waited = f"after {found.waited_s:.1f} s"
+        if found.done():
             self.say(
-                f"in force at all {count} live agents"
-                f" after {found.waited_s:.1f} s"
+                f"in force at all {len(found.reached)} live agents {waited}"
             )
             return
-        self.say(
-            f"in force at {count} agents; not yet, after"
-            f" {found.waited_s:.1f} s:"
-        )
+        self.say(f"in force at {len(found.reached)} agents {waited}, not at:")
         for agent in found.stragglers:
-            self.say(
-                f"{agent.name}: offset {agent.configuration_offset},"
-                f" {agent.state}, heard {agent.age_s:.1f} s ago",
-                "  ",
-            )
-
-    def follow_failed(self, detail: str) -> None:
-        """Print that nobody told who has the change in force."""
+            self.say(straggler_text(agent), "  ")
+        for name in found.unseen:
+            self.say(f"{name}: no entry tells of it", "  ")
+        if not (found.stragglers or found.unseen):
+            self.say("no entry answered", "  ")
+
+    def finish(self) -> None:
+        """Print the whole report when JSON is asked for."""
         if self.as_json:
-            output.print_json(OutcomeRow("not-followed", detail=detail))
-            return
-        self.say(f"accepted, but not followed: {detail}")
+            output.print_json(self.report)
 
     def history(self, events: typing.Sequence[history.Event]) -> None:
         """Print past changes, the oldest first."""
@@ -202,6 +219,16 @@
         )
 
 
+def straggler_text(agent: following.AgentStatus) -> str:
+    """Return how far an agent is that has not reported the change."""
+    if not agent.reached:
+        return f"{agent.name}: {agent.state}, does not answer"
+    return (
+        f"{agent.name}: {agent.state}, still at offset"
+        f" {agent.configuration_offset}"
+    )
+
+
 def summary(plan: plans.Plan) -> str:
     """Return a plan's counts in one line."""
     counts = {action: 0 for action in plans.Action}
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -157,12 +157,24 @@
         live = member_service.live()
         return {member.name: member.agent_address for member in live}
 
+    def strangers() -> dict[str, str]:
+        return {
+            listed.name: listed.address
+            for listed in member_service.listing
+            if listed.role == "agent"
+            and listed.state is instances.ListedState.LIVE
+        }
+
     reader = configuration.ConfigurationReader(
         log,
         configuration_teams.from_settings(settings.teams),
         me,
         key,
         addresses,
+        strangers,
+        configuration.options_for(
+            settings.platform.log_poll_ms, settings.platform.log_retention_s
+        ),
     )
     member_service = build_membership(settings, parts_of)
     claim_service = compose_claims.build_claims(
--- a/src/briarseam/configuration/declarations.py
+++ b/src/briarseam/configuration/declarations.py
@@ -133,7 +133,8 @@
         raise DeclarationError(
             place, path, f"{key} = {text}: {error}"
         ) from error
-    return msgspec.to_builtins(typed)
+    # Through JSON, so that a list is one here as it is when read back.
+    return msgspec.json.decode(msgspec.json.encode(typed))
 
 
 def checked(
--- a/src/briarseam/configuration/following.py
+++ b/src/briarseam/configuration/following.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 import typing
 
 import msgspec
 import urllib3
 
+from briarseam.platform import instances as instance_list
+
 POLL_S = 0.2
 REQUEST_TIMEOUT_S = 2.0
 STATUS_PATH = "/v1/status"
@@ -15,7 +18,8 @@
 NOT_LIVE = frozenset({"leaving", "gone"})
 
 
-class AgentStatus(msgspec.Struct, frozen=True):
+@dataclasses.dataclass(frozen=True)
+class AgentStatus:
     """One agent as an entry's status names it.
 
     Attributes
@@ -27,26 +31,31 @@
     state
         As its peers see it.
     age_s
-        Age of the report.
+        Time since it was heard.
+    reached
+        Whether it answered the entry's question.
     """
 
     name: str
     configuration_offset: int
     state: str
     age_s: float
+    reached: bool = True
 
 
-class Status(msgspec.Struct, frozen=True):
+@dataclasses.dataclass(frozen=True)
+class Status:
     """The part of an entry's status that matters here."""
 
     agents: tuple[AgentStatus, ...]
 
 
 class StatusUnavailableError(Exception):
-    """No entry told the agents' offsets."""
+    """An entry did not tell the agents' offsets."""
 
 
-class Following(msgspec.Struct, frozen=True):
+@dataclasses.dataclass(frozen=True)
+class Following:
     """How far a change has come.
 
     Attributes
@@ -57,6 +66,8 @@
         Live agents that have it in force.
     stragglers
         Live agents that have not reported it.
+    unseen
+        Agents that the instance list calls live and no entry told of.
     waited_s
         How long that was followed.
     """
@@ -64,87 +75,118 @@
     offset: int
     reached: tuple[str, ...]
     stragglers: tuple[AgentStatus, ...]
+    unseen: tuple[str, ...]
     waited_s: float
 
+    def done(self) -> bool:
+        """Tell whether every live agent has the change in force."""
+        return bool(self.reached) and not self.stragglers and not self.unseen
+
+
+class Follower:
+    """Asks entries how far the agents are.
 
-def fetch(
-    addresses: typing.Sequence[str], token: str, pool: urllib3.PoolManager
-) -> Status:
-    """Return the status that the first answering entry gives.
+    An entry tells of its own cell, so entries are asked until every agent
+    that the instance list calls live was told of.
 
-    Raises
-    ------
-    StatusUnavailableError
-        When none gave one.
+    Parameters
+    ----------
+    entries
+        Entry addresses to ask first.
+    instances
+        Names the further entries and the live agents.
+    token
+        Operator token.
     """
-    detail = "no entry address is known"
-    for address in addresses:
+
+    def __init__(
+        self,
+        entries: typing.Sequence[str],
+        instances: instance_list.InstanceSource,
+        token: str,
+    ) -> None:
+        self.entries = entries
+        self.instances = instances
+        self.token = token
+        self.pool = urllib3.PoolManager(retries=False)
+
+    def follow(self, offset: int, timeout_s: float) -> Following:
+        """Ask until every live agent has ``offset`` or time is up."""
+        started = time.monotonic()
+        while True:
+            agents, unseen = self.look()
+            waited_s = time.monotonic() - started
+            found = judge(agents, unseen, offset, waited_s)
+            if found.done() or waited_s >= timeout_s:
+                return found
+            time.sleep(POLL_S)
+
+    def look(self) -> tuple[list[AgentStatus], set[str]]:
+        """Return the agents told of and the names of live ones unseen."""
+        listed = self.listed()
+        wanted = {one.name for one in listed if one.role == "agent"}
+        entries = [one.address for one in listed if one.role == "entry"]
+        agents: dict[str, AgentStatus] = {}
+        for address in dict.fromkeys([*self.entries, *entries]):
+            if agents and wanted <= agents.keys():
+                break
+            try:
+                status = self.fetch(address)
+            except StatusUnavailableError:
+                continue
+            agents.update({agent.name: agent for agent in status.agents})
+        return list(agents.values()), wanted - agents.keys()
+
+    def listed(self) -> list[instance_list.Instance]:
+        """Return the live instances, none while the list is down."""
         try:
-            response = pool.request(
+            rows = self.instances.read().instances
+        except instance_list.InstanceListUnavailableError:
+            return []
+        live = instance_list.ListedState.LIVE
+        return [one for one in rows if one.state is live]
+
+    def fetch(self, address: str) -> Status:
+        """Return the status that an entry gives.
+
+        Raises
+        ------
+        StatusUnavailableError
+            When it gives none.
+        """
+        try:
+            response = self.pool.request(
                 "GET",
                 f"http://{address}{STATUS_PATH}",
-                headers={"Authorization": f"Bearer {token}"},
+                headers={"Authorization": f"Bearer {self.token}"},
                 timeout=REQUEST_TIMEOUT_S,
-                retries=False,
             )
-        except urllib3.exceptions.HTTPError as error:
-            detail = f"{address}: {error}"
-            continue
-        if response.status != HTTP_OK:
-            detail = f"{address} answered {response.status}"
-            continue
-        try:
+            if response.status != HTTP_OK:
+                raise StatusUnavailableError(
+                    f"{address} answered {response.status}"
+                )
             return msgspec.json.decode(response.data, type=Status)
-        except msgspec.MsgspecError as error:
-            detail = f"{address}: {error}"
-    raise StatusUnavailableError(detail)
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+            raise StatusUnavailableError(f"{address}: {error}") from error
 
 
-def judge(status: Status, offset: int, waited_s: float) -> Following:
+def judge(
+    agents: typing.Iterable[AgentStatus],
+    unseen: typing.Iterable[str],
+    offset: int,
+    waited_s: float,
+) -> Following:
     """Return who has reached ``offset``."""
-    live = [agent for agent in status.agents if agent.state not in NOT_LIVE]
+    live = [agent for agent in agents if agent.state not in NOT_LIVE]
     return Following(
         offset=offset,
-        reached=tuple(
-            sorted(
-                agent.name
-                for agent in live
-                if agent.configuration_offset >= offset
-            )
-        ),
-        stragglers=tuple(
-            agent for agent in live if agent.configuration_offset < offset
-        ),
+        reached=tuple(sorted(one.name for one in live if has(one, offset))),
+        stragglers=tuple(one for one in live if not has(one, offset)),
+        unseen=tuple(sorted(unseen)),
         waited_s=round(waited_s, 3),
     )
 
 
-def follow(
-    addresses: typing.Sequence[str],
-    token: str,
-    offset: int,
-    timeout_s: float,
-) -> Following:
-    """Ask until every live agent has reached ``offset`` or time is up.
-
-    Raises
-    ------
-    StatusUnavailableError
-        When no entry gave a status by then.
-    """
-    pool = urllib3.PoolManager()
-    started = time.monotonic()
-    last: Following | None = None
-    while True:
-        waited_s = time.monotonic() - started
-        try:
-            status = fetch(addresses, token, pool)
-            last = judge(status, offset, waited_s)
-        except StatusUnavailableError:
-            if waited_s >= timeout_s and last is None:
-                raise
-        if last is not None and not last.stragglers and last.reached:
-            return last
-        if waited_s >= timeout_s and last is not None:
-            return last
-        time.sleep(POLL_S)
+def has(agent: AgentStatus, offset: int) -> bool:
+    """Tell whether an agent reports to have ``offset`` in force."""
+    return agent.reached and agent.configuration_offset >= offset
--- a/src/briarseam/configuration/peers.py
+++ b/src/briarseam/configuration/peers.py
@@ -49,11 +49,15 @@
         The agents' shared key.
     members
         Gives the live members of the cell, wire address by name.
+    strangers
+        Gives agents of other cells in the same form; asked only when
+        neither the log nor the cell can tell.
     """
 
     me: connections.Identity
     key: bytes
     members: Members
+    strangers: Members = dict
     pool: dict[str, clients.Client] = dataclasses.field(default_factory=dict)
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
@@ -63,6 +67,20 @@
         members.pop(self.me.name, None)
         return members
 
+    def stranger_addresses(self) -> dict[str, str]:
+        """Return agents of other cells, addresses by name."""
+        known = {*self.members(), self.me.name}
+        return {
+            name: address
+            for name, address in self.strangers().items()
+            if name not in known
+        }
+
+    def address_of(self, name: str) -> str | None:
+        """Return an agent's address, ``None`` when it is not known."""
+        found = self.addresses().get(name)
+        return found or self.stranger_addresses().get(name)
+
     def readers(self) -> list[str]:
         """Return the names of those that read the log for the cell.
 
--- a/src/briarseam/configuration/plans.py
+++ b/src/briarseam/configuration/plans.py
@@ -49,8 +49,12 @@
 
     def differences(self) -> tuple[str, ...]:
         """Return one text for each field that differs."""
-        before = self.before or {}
-        after = self.after or {}
+        if self.action is Action.DELETE:
+            return ()
+        after = self.after
+        if self.action is Action.ADD:
+            return tuple(f"{key} = {shown(after[key])}" for key in after)
+        before = self.before
         keys = [*before, *[key for key in after if key not in before]]
         return tuple(
             f"{key}: {shown(before.get(key))} -> {shown(after.get(key))}"
--- a/src/briarseam/configuration/publish.py
+++ b/src/briarseam/configuration/publish.py
@@ -172,7 +172,7 @@
         if found is None or found.id != change.id:
             return None
         match verdict:
-            case folds.Accepted() if found.sets != change.sets:
+            case folds.Accepted() if change.sets and not found.sets:
                 return NotAppended("made void: the log did not answer", 0.0)
             case folds.Accepted() | folds.Rejected():
                 return authentic_or_none(verdict)
--- a/src/briarseam/configuration/reader.py
+++ b/src/briarseam/configuration/reader.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import math
+import random
 import threading
 import typing
 
@@ -62,6 +63,23 @@
     snapshots: snapshotting.Options = snapshotting.Options()
 
 
+def options_for(log_poll_ms: int, log_retention_s: float) -> Options:
+    """Return the options that a platform's log asks for.
+
+    Parameters
+    ----------
+    log_poll_ms
+        Length of one long poll at the log.
+    log_retention_s
+        How long the log keeps a record.
+    """
+    max_age_s = log_retention_s / snapshotting.RENEWALS_PER_RETENTION
+    return Options(
+        log_wait_ms=log_poll_ms,
+        snapshots=snapshotting.Options(max_age_s=max_age_s),
+    )
+
+
 class ConfigurationReader:
     """Holds the configuration in force at this agent.
 
@@ -89,6 +107,7 @@
         me: connections.Identity,
         key: bytes,
         members: peer_calls.Members = dict,
+        strangers: peer_calls.Members = dict,
         options: Options | None = None,
     ) -> None:
         self.client = client
@@ -96,7 +115,7 @@
         self.options = options or Options()
         self.counters = states.Counters()
         self.tree = states.SharedTree(teams, self.counters)
-        self.peers = peer_calls.Peers(me, key, members)
+        self.peers = peer_calls.Peers(me, key, members, strangers)
         self.snapshot_key = snapshots.derive_key(key)
         self.snapshotter = snapshotting.Snapshotter(
             client,
@@ -213,10 +232,14 @@
                 return True
         elif self.follow_log(self.options.log_wait_ms):
             return True
+        return self.ask_others(asked)
+
+    def ask_others(self, asked: set[str]) -> bool:
+        """Ask some others of the cell, then of other cells."""
         others = [name for name in self.peers.addresses() if name not in asked]
-        return any(
-            [self.follow_peer(name, 0) for name in others[:OTHERS_ASKED]]
-        )
+        strangers = list(self.peers.stranger_addresses())
+        names = [*sample(others), *sample(strangers)]
+        return any([self.follow_peer(name, 0) for name in names])
 
     def reading_peers(self) -> list[str]:
         """Return the reading peers, half of the cell's one order each."""
@@ -254,7 +277,7 @@
 
     def follow_peer(self, name: str, wait_ms: int) -> bool:
         """Ask a peer once; tell whether it has recent proof."""
-        address = self.peers.addresses().get(name)
+        address = self.peers.address_of(name)
         if address is None:
             self.hints.pop(name, None)
             return False
@@ -310,10 +333,21 @@
         return True
 
     def load_from_peers(self) -> bool:
-        """Take the highest state among the peers."""
+        """Take the highest state among the cell's peers, else further ones.
+
+        Before the log has been read that is the best to be had: an instance
+        keeps nothing, so what the one that it replaces had seen is not
+        known to it.
+        """
+        cell = list(self.peers.addresses().values())
+        strangers = list(self.peers.stranger_addresses().values())
+        return self.load_highest(cell) or self.load_highest(sample(strangers))
+
+    def load_highest(self, addresses: list[str]) -> bool:
+        """Take the highest state among these; tell whether there was one."""
         started_at = states.now_s()
         offsets: dict[str, int] = {}
-        for address in self.peers.addresses().values():
+        for address in addresses:
             try:
                 reply = self.peers.fetch_records(address, BEYOND, 0)
             except peer_calls.PeerError:
@@ -340,3 +374,8 @@
         if not self.history_lost:
             log.error("configuration_history_lost", detail=str(error))
         self.history_lost = True
+
+
+def sample(items: list[str]) -> list[str]:
+    """Return a few of the items."""
+    return random.sample(items, min(OTHERS_ASKED, len(items)))
--- a/src/briarseam/configuration/snapshotting.py
+++ b/src/briarseam/configuration/snapshotting.py
@@ -17,6 +17,8 @@
     from briarseam.configuration import state as states
 
 DAY_S = 86400.0
+# Leaves three more quarters of the retention for tries that fail.
+RENEWALS_PER_RETENTION = 4
 log = structlog.get_logger("briarseam.configuration")
 
 
@@ -29,8 +31,7 @@
     every_records
         After this many records since the last one.
     max_age_s
-        When the last one is older: a quarter of the log's retention leaves
-        three more tries' worth of time.
+        When the last one is older.
     backoff_s
         The reader of rank n waits n to n + 1 times this, so that as a rule
         one of all readers writes.
@@ -39,7 +40,7 @@
     """
 
     every_records: int = 2000
-    max_age_s: float = DAY_S / 4
+    max_age_s: float = DAY_S / RENEWALS_PER_RETENTION
     backoff_s: float = 5.0
     check_s: float = 2.0
 
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -141,7 +141,11 @@
     log_timeout_ms
         Wait for an answer of the log, beyond the time of a long poll.
     log_poll_ms
-        Length of one long poll.
+        Length of one long poll; an agent's proof of being current is up to
+        about three times as old.
+    log_retention_s
+        How long the log keeps a record, at least; snapshots of the
+        configuration are renewed four times in it.
     instances_timeout_ms
         Wait for an answer of the instance list.
     instances_poll_ms
@@ -154,7 +158,8 @@
     instances: Address
     weights: Address
     log_timeout_ms: Milliseconds = 2000
-    log_poll_ms: Milliseconds = 5000
+    log_poll_ms: Milliseconds = 1000
+    log_retention_s: Seconds = 86_400.0
     instances_timeout_ms: Milliseconds = 2000
     instances_poll_ms: Milliseconds = 1000
     weights_timeout_ms: Milliseconds = 5000
--- a/tests/configuration/helpers.py
+++ b/tests/configuration/helpers.py
@@ -29,7 +29,13 @@
         client = logs.LogClient(address, append_timeout_s=0.5)
         self.name = name
         self.reader = readers.ConfigurationReader(
-            client, cluster.teams, me, KEY, cluster.members, options
+            client,
+            cluster.teams,
+            me,
+            KEY,
+            cluster.members,
+            cluster.strangers,
+            options,
         )
         router = server.Router()
         self.reader.register(router)
@@ -49,6 +55,7 @@
         self.log = log
         self.teams = teams
         self.agents = {}
+        self.strangers = dict
 
     def members(self):
         return {
--- a/tests/configuration/test_publish.py
+++ b/tests/configuration/test_publish.py
@@ -62,3 +62,10 @@
     outcome = publisher.apply(helpers.change({"models/a": {}}))
     kind = publish.NotAppended if down == "gone" else publish.Unknown
     assert isinstance(outcome, kind)
+
+
+def test_an_accepted_change_is_told_so_whatever_its_values_are(cluster):
+    # A declared list came back from the log in another Python type than it
+    # had before.  The operator read "not applied" for a change in force.
+    change = helpers.change({"models/a": {"names": ("x", "y")}})
+    assert cluster.publisher().apply(change) == folds.Accepted(1)
--- a/tests/configuration/test_reader.py
+++ b/tests/configuration/test_reader.py
@@ -243,3 +243,19 @@
     for agent in cluster.agents.values():
         agent.reader.note_peer_offset(last, offset)
     wait_for_offset(cluster, offset)
+
+
+def test_an_agent_alone_in_its_cell_starts_from_another_cell(cluster):
+    # All agents of a small cell are replaced while the log is down; those
+    # of other cells hold the configuration.
+    start(cluster, ["a"])
+    set_model(cluster)
+    wait_for_offset(cluster, 1)
+    cluster.log.set(outage=True)
+    elsewhere = cluster.members()
+    cluster.strangers = lambda: elsewhere
+    far = cluster.agents.pop("a")
+    fresh = cluster.add("b").reader
+    waiting.until(fresh.ready)
+    assert fresh.offset() == 1
+    far.stop()
