Add the graceful shutdown's parts and news of leaving endpoints

A process that stops on SIGTERM refuses callers whom a lookup sent there a moment ago. membership.drain announces, waits until whoever gives out lookups knows, serves until the last lookup has run out and nothing is in flight, and has a bound. An entry says each second that it is there, so a dead entry leaves the lookups though its agent lives.

The list is read as often as its size allows within 4 KB/s.

Found on the way: an agent that woke from a freeze judged everybody by the silence it had slept through and called all gone at once; it now counts silence for that from its waking.

--- /dev/null
+++ b/src/briarseam/membership/drain.py
@@ -0,0 +1,114 @@
+"""The graceful shutdown that both daemons go through."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+import typing
+
+import structlog
+
+TELL_BOUND_S = 3.0
+SPREAD_S = 1.0
+POLL_S = 0.05
+DEFAULT_BOUND_S = 600.0
+log = structlog.get_logger("briarseam.membership")
+
+
+@dataclasses.dataclass(frozen=True)
+class Drained:
+    """Nothing was in flight at the end.
+
+    Attributes
+    ----------
+    waited_s
+        Seconds from the announcement.
+    """
+
+    waited_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CutOff:
+    """The bound, or a second signal, came before the last request's end.
+
+    Attributes
+    ----------
+    waited_s
+        Seconds from the announcement.
+    in_flight
+        Requests that will be cut.
+    """
+
+    waited_s: float
+    in_flight: int
+
+
+Outcome = Drained | CutOff
+
+
+@dataclasses.dataclass(frozen=True)
+class Drain:
+    """What one daemon does between SIGTERM and its exit.
+
+    Callers keep a lookup for its time to live and connect by themselves,
+    so a process that stopped on SIGTERM would refuse or cut callers whom
+    the system itself sent there a moment ago.  It vanishes from the
+    lookups first, serves until the last of them has run out, and then
+    until nothing is in flight.
+
+    Attributes
+    ----------
+    announce
+        Tells the peers, or the agent, that this process is leaving.
+    told
+        Whether all who give out lookups know it.
+    in_flight
+        Requests under way.
+    ttl_s
+        Returns how long callers keep a lookup, in seconds.
+    bound_s
+        Longest drain; what is in flight then is cut off.
+    hurry
+        Whether to give up waiting now, for instance at a second signal.
+    """
+
+    announce: typing.Callable[[], None]
+    told: typing.Callable[[], bool]
+    in_flight: typing.Callable[[], int]
+    ttl_s: typing.Callable[[], float]
+    bound_s: float = DEFAULT_BOUND_S
+    hurry: typing.Callable[[], bool] = lambda: False
+    clock: typing.Callable[[], float] = time.monotonic
+    sleep: typing.Callable[[float], None] = time.sleep
+
+    def run(self) -> Outcome:
+        """Drain; return how it ended."""
+        started = self.clock()
+        log.info("draining", in_flight=self.in_flight())
+        self.announce()
+        self.wait(self.told, started + min(TELL_BOUND_S, self.bound_s))
+        # A peer may have answered a lookup just before it was told, and
+        # news takes a moment to reach other cells.
+        served_until = self.clock() + self.ttl_s() + SPREAD_S
+        end = started + self.bound_s
+        self.wait(lambda: self.clock() >= served_until, end)
+        self.wait(lambda: self.in_flight() == 0, end)
+        return self.outcome(started)
+
+    def wait(self, condition: typing.Callable[[], bool], until: float) -> None:
+        """Wait for a condition until a time, or a hurry."""
+        while not condition():
+            if self.clock() >= until or self.hurry():
+                return
+            self.sleep(POLL_S)
+
+    def outcome(self, started: float) -> Outcome:
+        """Return and log how the drain ended."""
+        waited_s = self.clock() - started
+        left = self.in_flight()
+        if left:
+            log.warning("drain_cut_off", in_flight=left, waited_s=waited_s)
+            return CutOff(waited_s, left)
+        log.info("drained", waited_s=waited_s)
+        return Drained(waited_s)
--- /dev/null
+++ b/src/briarseam/membership/entries.py
@@ -0,0 +1,128 @@
+"""The entry processes of this instance, as its agent sees them."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import structlog
+
+from briarseam.membership import messages
+
+if typing.TYPE_CHECKING:
+    from briarseam.membership import service
+    from briarseam.wire import connection as connections
+    from briarseam.wire import server
+
+EXPIRE_S = 3.0
+REVIEW_S = 0.5
+log = structlog.get_logger("briarseam.membership")
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """The last word from one entry process.
+
+    Attributes
+    ----------
+    state
+        What it said.
+    at
+        Monotonic time in seconds.
+    """
+
+    state: messages.EntryState
+    at: float
+
+
+class LocalEntries:
+    """Keeps the agent's entry addresses to those that serve.
+
+    An entry process that dies would stay in the lookups as long as its
+    agent lives, and callers would meet a closed port.  Each entry says
+    again and again that it is there; one that falls silent is taken out.
+
+    Parameters
+    ----------
+    membership
+        Told which entries serve.
+    ttl_s
+        How long callers keep a lookup.
+    expire_s
+        Silence after which an entry counts as dead.
+    """
+
+    def __init__(
+        self,
+        membership: service.Membership,
+        ttl_s: float,
+        expire_s: float = EXPIRE_S,
+    ) -> None:
+        self.membership = membership
+        self.ttl_s = ttl_s
+        self.expire_s = expire_s
+        self.seen: dict[str, Seen] = {}
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+
+    def register(self, router: server.Router) -> None:
+        """Answer the entry processes' messages."""
+        router.on(messages.EntryHere, self.on_here)
+
+    def start(self) -> None:
+        """Begin looking for silent entries."""
+        threading.Thread(
+            target=self.run, name="local-entries", daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stop looking."""
+        self.stopping.set()
+
+    def run(self) -> None:
+        """Review until stopped."""
+        while not self.stopping.wait(REVIEW_S):
+            self.review()
+
+    def on_here(
+        self, peer: connections.Identity, here: messages.EntryHere
+    ) -> messages.EntryNoted:
+        """Note what an entry says of itself."""
+        del peer
+        with self.lock:
+            before = self.seen.get(here.address)
+            now = self.membership.clock()
+            self.seen[here.address] = Seen(here.state, now)
+        if before is None or before.state is not here.state:
+            log.info("entry_state", entry=here.address, now=here.state)
+        self.review()
+        return messages.EntryNoted(self.membership.told(), self.ttl_s)
+
+    def review(self) -> None:
+        """Drop silent entries; tell the membership which ones serve."""
+        with self.lock:
+            oldest = self.membership.clock() - self.expire_s
+            for address, seen in list(self.seen.items()):
+                gone = seen.state is messages.EntryState.GONE
+                if gone or seen.at < oldest:
+                    del self.seen[address]
+                    log.info("entry_gone", entry=address)
+            serving = tuple(
+                sorted(
+                    address
+                    for address, seen in self.seen.items()
+                    if seen.state is messages.EntryState.SERVING
+                )
+            )
+            # Under the lock, so that a review with an older list never
+            # puts back an entry that has just begun to leave.
+            self.membership.set_entries(serving)
+
+    def leaving(self) -> int:
+        """Return how many entries are leaving and not yet gone."""
+        with self.lock:
+            return sum(
+                seen.state is messages.EntryState.LEAVING
+                for seen in self.seen.values()
+            )
--- /dev/null
+++ b/src/briarseam/membership/listing.py
@@ -0,0 +1,102 @@
+"""Reading the instance list as often as its size allows."""
+
+from __future__ import annotations
+
+import random
+import threading
+import typing
+
+import structlog
+
+from briarseam.platform import instances
+
+INTERVAL_S = 2.0
+BYTES_PER_S = 4000.0
+JITTER = 0.2
+log = structlog.get_logger("briarseam.membership")
+OnListing = typing.Callable[[tuple[instances.Instance, ...]], None]
+
+
+class ListReader:
+    """A thread that reads the list and hands it on.
+
+    The list names every instance, so at full size one read takes hundreds
+    of kilobytes.  The pause grows with the size so that an agent's reads
+    stay within a budget; jitter spreads the reads of a cell's agents, and
+    what one of them learns reaches the others on heartbeats.
+
+    Parameters
+    ----------
+    source
+        The instance list.
+    interval_s
+        Least time between two reads.
+    bytes_per_s
+        Budget of reads.
+    """
+
+    def __init__(
+        self,
+        source: instances.InstanceSource,
+        interval_s: float = INTERVAL_S,
+        bytes_per_s: float = BYTES_PER_S,
+    ) -> None:
+        self.source = source
+        self.interval_s = interval_s
+        self.bytes_per_s = bytes_per_s
+        self.callbacks: tuple[OnListing, ...] = ()
+        self.rows: tuple[instances.Instance, ...] = ()
+        self.available = True
+        self.bytes_read = 0
+        self.stopping = threading.Event()
+
+    def add(self, callback: OnListing) -> None:
+        """Call back with the rows of each read."""
+        self.callbacks = (*self.callbacks, callback)
+
+    def start(self) -> None:
+        """Begin reading."""
+        threading.Thread(
+            target=self.run, name="instance-list", daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stop after the read under way."""
+        self.stopping.set()
+
+    def run(self) -> None:
+        """Read until stopped."""
+        while not self.stopping.is_set():
+            size = self.read_once()
+            self.stopping.wait(self.pause_s(size))
+
+    def read_once(self) -> int:
+        """Read and hand on; return the size, 0 when it failed."""
+        try:
+            listing = self.source.read()
+        except instances.InstanceListUnavailableError as error:
+            self.note_available(False, str(error))
+            return 0
+        self.note_available(True, "")
+        self.rows = listing.instances
+        self.bytes_read += listing.size
+        for callback in self.callbacks:
+            callback(listing.instances)
+        return listing.size
+
+    def pause_s(self, size: int) -> float:
+        """Return the time to the next read."""
+        pause_s = max(self.interval_s, size / self.bytes_per_s)
+        return pause_s * random.uniform(1 - JITTER, 1 + JITTER)
+
+    def note_available(self, available: bool, detail: str) -> None:
+        """Log a change of the list's availability, once."""
+        if available == self.available:
+            return
+        self.available = available
+        log.warning(
+            "instance_list_available"
+            if available
+            else "instance_list_unavailable",
+            detail=detail,
+        )
--- a/src/briarseam/membership/messages.py
+++ b/src/briarseam/membership/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from briarseam.wire import codec
 
@@ -116,3 +117,45 @@
 
     silent_s: float | None
     incarnation: int
+
+
+class EntryState(enum.StrEnum):
+    """What an entry process says of itself."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@codec.message("entry-here")
+@dataclasses.dataclass(frozen=True)
+class EntryHere:
+    """An entry process tells its agent that it lives.
+
+    Attributes
+    ----------
+    address
+        ``ip:port`` where callers reach it.
+    state
+        Whether callers may be sent to it.
+    """
+
+    address: str
+    state: EntryState
+
+
+@codec.message("entry-noted")
+@dataclasses.dataclass(frozen=True)
+class EntryNoted:
+    """The agent's answer to its entry process.
+
+    Attributes
+    ----------
+    told
+        Whether all live peers know the entry's present state.
+    ttl_s
+        How long callers keep a lookup.
+    """
+
+    told: bool
+    ttl_s: float
--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -43,6 +43,7 @@
         self.asked_at = 0.0
         self.asked_digest = 0
         self.failures = 0
+        self.beats = 0
         self.thread = threading.Thread(
             target=self.run, name=f"heartbeat-{name}", daemon=True
         )
@@ -65,6 +66,7 @@
             self.wake.clear()
             try:
                 self.beat()
+                self.beats += 1
                 self.failures = 0
             except connections.WireError:
                 self.failures += 1
@@ -78,8 +80,10 @@
         Jitter keeps the agents' heartbeats from falling into step.
         """
         interval_s = self.membership.heartbeat_interval_s
-        backoff_s = min(interval_s * (1 + self.failures), MAX_BACKOFF_S)
-        return backoff_s * random.uniform(1 - JITTER, 1 + JITTER)
+        backoff_s = min(interval_s * self.failures, MAX_BACKOFF_S)
+        return max(interval_s, backoff_s) * random.uniform(
+            1 - JITTER, 1 + JITTER
+        )
 
     def beat(self) -> None:
         """Send one heartbeat and take in the reply.
--- /dev/null
+++ b/src/briarseam/membership/presence.py
@@ -0,0 +1,94 @@
+"""An entry process tells its agent that it is there."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+import structlog
+
+from briarseam.membership import messages
+from briarseam.wire import connection as connections
+
+if typing.TYPE_CHECKING:
+    from briarseam.wire import client as clients
+
+INTERVAL_S = 1.0
+CALL_TIMEOUT_S = 1.0
+DEFAULT_TTL_S = 5.0
+log = structlog.get_logger("briarseam.membership")
+
+
+class Presence:
+    """Reports this entry to its agent until closed.
+
+    Parameters
+    ----------
+    client
+        Connections to the agent.
+    address
+        ``ip:port`` where callers reach this entry.
+    interval_s
+        Seconds between reports.
+    """
+
+    def __init__(
+        self,
+        client: clients.Client,
+        address: str,
+        interval_s: float = INTERVAL_S,
+    ) -> None:
+        self.client = client
+        self.address = address
+        self.interval_s = interval_s
+        self.state = messages.EntryState.SERVING
+        self.told = False
+        self.ttl_s = DEFAULT_TTL_S
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begin reporting."""
+        threading.Thread(target=self.run, name="presence", daemon=True).start()
+
+    def run(self) -> None:
+        """Report each interval until closed."""
+        while not self.stopping.is_set():
+            self.report()
+            self.stopping.wait(self.interval_s)
+
+    def report(self) -> None:
+        """Tell the agent the present state, and note its answer."""
+        # One report at a time: an earlier "serving" that arrived after a
+        # "leaving" would bring callers back to an entry about to exit.
+        with self.lock:
+            state = self.state
+            try:
+                reply = self.client.call(
+                    messages.EntryHere(self.address, state), CALL_TIMEOUT_S
+                )
+            except connections.WireError as error:
+                log.debug("agent_away", detail=str(error))
+                return
+            if isinstance(reply, messages.EntryNoted):
+                self.ttl_s = reply.ttl_s
+                self.told = reply.told and state is not (
+                    messages.EntryState.SERVING
+                )
+
+    def leave(self) -> None:
+        """Tell the agent that callers must not be sent here any more."""
+        self.state = messages.EntryState.LEAVING
+        self.report()
+
+    def leaving_told(self) -> bool:
+        """Ask again whether all agents know that this entry is leaving."""
+        if not self.told:
+            self.report()
+        return self.told
+
+    def close(self) -> None:
+        """Tell the agent that this entry is gone, and stop reporting."""
+        self.stopping.set()
+        self.state = messages.EntryState.GONE
+        self.report()
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -8,24 +8,25 @@
 
 import structlog
 
+from briarseam.membership import answering
 from briarseam.membership import cells
+from briarseam.membership import listing
 from briarseam.membership import messages
 from briarseam.membership import peer as peers
 from briarseam.membership import sections
 from briarseam.membership import state
 from briarseam.membership import suspicion
 from briarseam.membership import table as tables
-from briarseam.platform import instances as platform
 from briarseam.wire import client as clients
 from briarseam.wire import connection as connections
 
 if typing.TYPE_CHECKING:
+    from briarseam.platform import instances as platform
     from briarseam.wire import codec
     from briarseam.wire import server
 
 HEARTBEAT_INTERVAL_S = 1.0
 SUSPECT_AFTER_S = 3.0
-LIST_INTERVAL_S = 2.0
 TICKS_PER_INTERVAL = 4
 log = structlog.get_logger("briarseam.membership")
 
@@ -55,7 +56,7 @@
         Silence after which a member becomes suspect, and after which this
         agent's own view is no longer fresh.
     list_interval_s
-        Seconds between reads of the instance list.
+        Least seconds between reads of the instance list.
     clock
         Monotonic clock.
     """
@@ -69,17 +70,15 @@
         parts_of: cells.PartsOf = cells.one_part,
         heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
         suspect_after_s: float = SUSPECT_AFTER_S,
-        list_interval_s: float = LIST_INTERVAL_S,
+        list_interval_s: float = listing.INTERVAL_S,
         clock: tables.Clock = time.monotonic,
     ) -> None:
         self.settings = me
-        self.instances = instances
         self.key = key
         self.seeds = seeds
         self.heartbeat_interval_s = heartbeat_interval_s
         self.suspect_after_s = suspect_after_s
         self.reply_timeout_s = suspect_after_s / 2
-        self.list_interval_s = list_interval_s
         self.clock = clock
         self.identity = connections.Identity("agent", me.name)
         self.incarnation = state.new_incarnation()
@@ -89,13 +88,14 @@
         self.round_at: float | None = None
         self.tick_at: float | None = None
         self.table = tables.Table(me, parts_of, suspect_after_s, clock)
+        self.list_reader = listing.ListReader(instances, list_interval_s)
+        self.list_reader.add(self.table.take_listing)
         self.sections = sections.Sections()
         self.peers: dict[str, peers.Peer] = {}
         self.clients: dict[str, clients.Client] = {}
         self.lock = threading.Lock()
         self.bytes_sent = 0
         self.bytes_received = 0
-        self.listing: tuple[platform.Instance, ...] = ()
         self.stopping = threading.Event()
         self.digest = 0
         self.snapshot: tuple[state.Member, ...] = ()
@@ -159,6 +159,20 @@
         log.info("leaving", name=self.settings.name)
         self.tell_at_once()
 
+    def told(self) -> bool:
+        """Tell whether all live peers have what this agent says of itself.
+
+        A stopping instance's last lookups are given out before its peers
+        know that it is leaving; their time to live counts from then on.
+        """
+        about = self.about()
+        live = {member.name for member in self.live(include_leaving=True)}
+        return all(
+            peer.sent_about == about
+            for peer in list(self.peers.values())
+            if peer.name in live
+        )
+
     def set_entries(self, addresses: tuple[str, ...]) -> None:
         """Set the entry addresses that callers may use; tell the peers."""
         if addresses == self.entry_addresses:
@@ -201,13 +215,12 @@
 
     def register(self, router: server.Router) -> None:
         """Answer the other agents' messages."""
-        router.on(messages.Heartbeat, self.on_heartbeat)
-        router.on(messages.PeersAsked, self.on_peers_asked)
-        router.on(messages.HeardAsked, self.on_heard_asked)
+        answering.Answering(self).register(router)
 
     def start(self) -> None:
         """Start the threads."""
-        for target in (self.watch, self.read_list, self.confirm):
+        self.list_reader.start()
+        for target in (self.watch, self.confirm):
             threading.Thread(
                 target=target,
                 name=f"membership-{target.__name__}",
@@ -217,78 +230,13 @@
     def stop(self) -> None:
         """Stop the threads and close the connections."""
         self.stopping.set()
+        self.list_reader.stop()
         for peer in list(self.peers.values()):
             peer.stop()
         with self.lock:
             for client in self.clients.values():
                 client.close()
 
-    # Handlers, each in its connection's own thread.
-
-    def on_heartbeat(
-        self, peer: connections.Identity, beat: messages.Heartbeat
-    ) -> messages.HeartbeatReply:
-        """Take in a peer's heartbeat."""
-        del peer
-        now = self.clock()
-        known, superseded = True, False
-        if beat.name == self.settings.name:
-            superseded = beat.incarnation < self.incarnation
-        elif beat.about is not None:
-            superseded = not self.table.take_about(beat.about, now)
-            self.review()
-        else:
-            known = self.note_beat(beat, now)
-        if known and not superseded:
-            self.keep_sections(beat)
-        return messages.HeartbeatReply(
-            name=self.settings.name,
-            incarnation=self.incarnation,
-            digest=self.digest,
-            known=known,
-            superseded=superseded,
-            about=None if beat.about is None else self.about(),
-        )
-
-    def note_beat(self, beat: messages.Heartbeat, now: float) -> bool:
-        """Note a short heartbeat; false when its sender is not known."""
-        with self.table.lock:
-            found = self.table.records.get(beat.name)
-            if found is None or found.incarnation != beat.incarnation:
-                return False
-            self.table.note_heard(found, now)
-            return True
-
-    def keep_sections(self, beat: messages.Heartbeat) -> None:
-        """Keep and hand on the sections of a heartbeat."""
-        if not beat.sections:
-            return
-        with self.table.lock:
-            found = self.table.records.get(beat.name)
-            if found is None:
-                return
-            found.sections.update(beat.sections)
-        self.sections.consume(beat.name, beat.sections)
-
-    def on_peers_asked(
-        self, peer: connections.Identity, asked: messages.PeersAsked
-    ) -> messages.Peers:
-        """Answer with the agents heard here."""
-        del peer, asked
-        return messages.Peers((*self.table.abouts(), self.about()))
-
-    def on_heard_asked(
-        self, peer: connections.Identity, asked: messages.HeardAsked
-    ) -> messages.Heard:
-        """Answer how long ago an agent was heard here."""
-        del peer
-        with self.table.lock:
-            found = self.table.records.get(asked.name)
-            if found is None or found.heard_at is None:
-                return messages.Heard(None, 0)
-            silent_s = found.silent_s(self.clock())
-            return messages.Heard(silent_s, found.incarnation)
-
     # What the peers' threads use.
 
     def about(self) -> messages.About:
@@ -370,18 +318,6 @@
         for peer in list(self.peers.values()):
             peer.wake.set()
 
-    def read_list(self) -> None:
-        """Read the instance list each interval."""
-        while not self.stopping.is_set():
-            try:
-                listing = self.instances.read()
-            except platform.InstanceListUnavailableError as error:
-                log.debug("instance_list_unavailable", detail=str(error))
-            else:
-                self.listing = listing.instances
-                self.table.take_listing(listing.instances)
-            self.stopping.wait(self.list_interval_s)
-
     def confirm(self) -> None:
         """Ask others about suspects; ask seeds while no peer is heard."""
         while not self.stopping.is_set():
--- a/src/briarseam/membership/suspicion.py
+++ b/src/briarseam/membership/suspicion.py
@@ -24,22 +24,23 @@
     """Set each record's state from its silence."""
     now = table.clock()
     with table.lock:
+        table.note_review(now)
         for found in list(table.records.values()):
-            change(found, judge(found, now, table.suspect_after_s))
+            change(found, judge(found, now, table))
             if forgotten(found, now, table):
                 del table.records[found.name]
                 log.info("peer_forgotten", peer=found.name)
 
 
 def judge(
-    found: state.Record, now: float, suspect_after_s: float
+    found: state.Record, now: float, table: tables.Table
 ) -> state.MemberState:
     """Return the state that a record's silence gives it.
 
     Only :func:`confirm` makes a member gone that has not said that it is
     leaving, since it asks others first.
     """
-    if found.silent_s(now) <= suspect_after_s:
+    if found.silent_s(now) <= table.suspect_after_s:
         if found.leaving():
             return state.MemberState.LEAVING
         return state.MemberState.ALIVE
@@ -47,14 +48,18 @@
         return state.MemberState.GONE
     if found.state is state.MemberState.GONE:
         return state.MemberState.GONE
-    if now - last_sign(found) > FORGET_FACTOR * suspect_after_s:
+    if now - last_sign(found, table) > FORGET_FACTOR * table.suspect_after_s:
         return state.MemberState.GONE
     return state.MemberState.SUSPECT
 
 
-def last_sign(found: state.Record) -> float:
-    """Return when it was last heard, vouched for, or first heard of."""
-    signs = [found.added_at]
+def last_sign(found: state.Record, table: tables.Table) -> float:
+    """Return since when its silence counts against it.
+
+    It was last heard, vouched for or first heard of then, or this process
+    woke from a freeze.
+    """
+    signs = [found.added_at, table.woke_at]
     if found.heard_at is not None:
         signs.append(found.heard_at)
     if found.vouched_at is not None:
@@ -80,7 +85,8 @@
         return True
     if found.listed_address or found.state is not state.MemberState.GONE:
         return False
-    return now - last_sign(found) > FORGET_FACTOR * table.suspect_after_s
+    silent_s = now - last_sign(found, table)
+    return silent_s > FORGET_FACTOR * table.suspect_after_s
 
 
 def confirm(table: tables.Table, ask: Ask) -> None:
@@ -105,7 +111,8 @@
             found
             for found in table.records.values()
             if found.state is state.MemberState.SUSPECT
-            and now - last_sign(found) > GONE_FACTOR * table.suspect_after_s
+            and now - last_sign(found, table)
+            > GONE_FACTOR * table.suspect_after_s
         ]
 
 
--- a/src/briarseam/membership/table.py
+++ b/src/briarseam/membership/table.py
@@ -47,6 +47,8 @@
         self.clock = clock
         self.lock = threading.RLock()
         self.records: dict[str, state.Record] = {}
+        self.reviewed_at = clock()
+        self.woke_at = self.reviewed_at
 
     def cell_of(self, name: str, zone: str) -> str:
         """Return the cell of an agent under the present configuration."""
@@ -149,6 +151,18 @@
             incarnation < found.incarnation and silent_s < self.suspect_after_s
         )
 
+    def note_review(self, now: float) -> None:
+        """Note that the table is being reviewed; find out about a freeze.
+
+        A process that was frozen wakes with everybody silent for as long.
+        Judged by that, all would be gone at once, though it was this
+        process that did not listen.  Silence before the waking therefore
+        makes a member suspect and never gone.
+        """
+        if now - self.reviewed_at > self.suspect_after_s:
+            self.woke_at = now
+        self.reviewed_at = now
+
     def note_heard(self, found: state.Record, heard_at: float) -> None:
         """Move on the time of the last word from a peer, never back."""
         if found.heard_at is None or heard_at > found.heard_at:
--- a/tests/membership/nodes.py
+++ b/tests/membership/nodes.py
@@ -3,7 +3,6 @@
 import dataclasses
 import typing
 
-from briarseam.membership import messages
 from briarseam.membership import service
 from briarseam.membership import state
 from briarseam.platform import instances
@@ -96,14 +95,3 @@
     """Heal all cuts."""
     for node in nodes:
         node.cut.clear()
-
-
-def heartbeat_of(node: Node) -> messages.Heartbeat:
-    """Return a whole heartbeat of a node."""
-    membership = node.membership
-    return messages.Heartbeat(
-        name=membership.settings.name,
-        incarnation=membership.incarnation,
-        digest=membership.digest,
-        about=membership.about(),
-    )
--- /dev/null
+++ b/tests/membership/test_drain.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import dataclasses
+
+from briarseam.membership import drain
+
+TTL_S = 5.0
+
+
+@dataclasses.dataclass
+class Daemon:
+    """A daemon under a clock that moves only when the drain sleeps."""
+
+    told_at: float = 0.0
+    idle_at: float = 0.0
+    hurry_at: float = float("inf")
+    now: float = 0.0
+    announced: int = 0
+
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+    def announce(self) -> None:
+        self.announced += 1
+
+    def drain(self, bound_s: float = 100.0) -> drain.Outcome:
+        return drain.Drain(
+            announce=self.announce,
+            told=lambda: self.now >= self.told_at,
+            in_flight=lambda: int(self.now < self.idle_at),
+            ttl_s=lambda: TTL_S,
+            bound_s=bound_s,
+            hurry=lambda: self.now >= self.hurry_at,
+            clock=lambda: self.now,
+            sleep=self.sleep,
+        ).run()
+
+
+def test_serves_until_the_last_lookup_has_run_out() -> None:
+    """A daemon is stopped while idle.  A caller asked for its address just
+    before a peer heard the news, and still finds it serving.
+    """
+    daemon = Daemon(told_at=2.0)
+    outcome = daemon.drain()
+    assert isinstance(outcome, drain.Drained)
+    assert daemon.announced == 1
+    assert outcome.waited_s >= 2.0 + TTL_S
+
+
+def test_serves_until_nothing_is_in_flight() -> None:
+    """A daemon is stopped while a long answer streams: it is not cut."""
+    outcome = Daemon(idle_at=50.0).drain()
+    assert isinstance(outcome, drain.Drained)
+    assert outcome.waited_s >= 50.0
+
+
+def test_unreachable_peer_does_not_hold_the_stop() -> None:
+    """A peer can't be told since it is cut off: the stop goes on after a
+    bounded wait, and the lookups' time still passes.
+    """
+    outcome = Daemon(told_at=float("inf")).drain()
+    assert isinstance(outcome, drain.Drained)
+    assert outcome.waited_s >= drain.TELL_BOUND_S + TTL_S
+    assert outcome.waited_s < drain.TELL_BOUND_S + TTL_S + 5
+
+
+def test_bound_cuts_off_and_says_how_many() -> None:
+    """A caller never ends its stream: the stop has a bound and reports
+    what it cut.
+    """
+    outcome = Daemon(idle_at=float("inf")).drain(bound_s=20.0)
+    assert isinstance(outcome, drain.CutOff)
+    assert outcome.in_flight == 1
+    assert 20.0 <= outcome.waited_s < 21.0
+
+
+def test_second_signal_ends_the_wait() -> None:
+    """An operator has no time and signals again: the daemon stops now."""
+    outcome = Daemon(idle_at=float("inf"), hurry_at=3.0).drain()
+    assert isinstance(outcome, drain.CutOff)
+    assert outcome.waited_s < 4.0
--- /dev/null
+++ b/tests/membership/test_endpoints.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import typing
+
+import msgspec
+import pytest
+
+from briarseam.configuration import schema
+from briarseam.membership import endpoints
+from briarseam.platform import instances
+from briarseam.testing import waiting
+from tests.membership import nodes as helpers
+
+ENGINE = "127.0.0.1:9001"
+OTHER = "127.0.0.1:9002"
+SERVING = schema.EndpointState.SERVING
+DRAINING = schema.EndpointState.DRAINING
+
+
+def view_of(
+    state: schema.EndpointState = SERVING, offset: int = 1
+) -> schema.View:
+    def endpoint(
+        address: str, state: schema.EndpointState = SERVING
+    ) -> schema.Endpoint:
+        return schema.Endpoint(
+            schema.EndpointKind.ENGINE, address, "rumoi", state=state
+        )
+
+    named = {"one": endpoint(ENGINE, state), "two": endpoint(OTHER)}
+    return schema.View(offset=offset, endpoints=named)
+
+
+def row(
+    state: str, name: str = "one", address: str = ENGINE
+) -> instances.Instance:
+    return instances.Instance(
+        name, "engine", address, "rumoi", instances.ListedState(state)
+    )
+
+
+Start = typing.Callable[..., helpers.Node]
+
+
+@pytest.fixture
+def one_agent(start: Start) -> endpoints.LeavingEndpoints:
+    return endpoints.LeavingEndpoints(start("a").membership, view_of)
+
+
+@pytest.mark.parametrize(
+    "listed",
+    [
+        pytest.param(row("leaving"), id="by name"),
+        pytest.param(row("leaving", "instance-7"), id="by address"),
+    ],
+)
+def test_listed_as_leaving(
+    one_agent: endpoints.LeavingEndpoints, listed: instances.Instance
+) -> None:
+    """The platform will take an engine away and marks it on the list: it
+    gets no new work, under whatever name the list has it.
+    """
+    assert one_agent.leaving_endpoints() == frozenset()
+    one_agent.take_listing((listed, row("live", "two", OTHER)))
+    assert one_agent.leaving_endpoints() == {"one"}
+
+
+def test_leaving_holds_until_listed_live(
+    one_agent: endpoints.LeavingEndpoints,
+) -> None:
+    """A leaving engine drops off the list while it still shuts down, then
+    comes back: it gets work only when the list shows it live.
+    """
+    one_agent.take_listing((row("leaving"),))
+    one_agent.take_listing(())
+    assert one_agent.leaving_endpoints() == {"one"}
+    one_agent.take_listing((row("live"),))
+    assert one_agent.leaving_endpoints() == frozenset()
+
+
+def test_drained_by_configuration(start: Start) -> None:
+    """An operator sets an endpoint to draining: it counts as leaving with
+    the very change, whatever the list says.
+    """
+    views = [view_of()]
+    leaving = endpoints.LeavingEndpoints(
+        start("a").membership, lambda: views[-1]
+    )
+    assert leaving.leaving_endpoints() == frozenset()
+    views.append(view_of(DRAINING, offset=2))
+    assert leaving.leaving_endpoints() == {"one"}
+
+
+def test_agent_that_missed_the_news_hears_it(
+    start: Start, listing: helpers.FakeList
+) -> None:
+    """One agent can't read the list any more, so it never sees that an
+    engine is leaving.  A peer that did tells it, and takes it back later.
+    """
+    a, b = start("a"), start("b")
+    blind = endpoints.LeavingEndpoints(a.membership, view_of)
+    seeing = endpoints.LeavingEndpoints(b.membership, view_of)
+    waiting.until(lambda: a.names() == b.names() == {"a", "b"})
+    a.membership.list_reader.stop()
+    a.membership.list_reader.callbacks = ()
+    listing.rows["one"] = row("leaving")
+    waiting.until(lambda: seeing.leaving_endpoints() == {"one"})
+    waiting.until(lambda: blind.leaving_endpoints() == {"one"})
+    listing.rows["one"] = row("live")
+    waiting.until(lambda: not blind.leaving_endpoints())
+
+
+def test_report_outlives_its_reporter_for_a_while(
+    one_agent: endpoints.LeavingEndpoints,
+) -> None:
+    """The only agent that saw an engine leave dies itself.  Its news holds
+    until others are sure to have read the list, and no longer.
+    """
+    clock = helpers.PausableClock(one_agent.membership.clock)
+    one_agent.membership.clock = clock
+    one_agent.consume(
+        "dead",
+        msgspec.msgpack.encode([{"name": "one", "address": ENGINE}]),
+    )
+    assert one_agent.leaving_endpoints() == {"one"}
+    clock.skipped_s = endpoints.HOLD_S + 1
+    assert one_agent.leaving_endpoints() == frozenset()
--- /dev/null
+++ b/tests/membership/test_entries.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import typing
+
+import pytest
+
+from briarseam.membership import entries
+from briarseam.membership import presence
+from briarseam.testing import waiting
+from briarseam.wire import client
+from briarseam.wire import connection
+from tests.membership import nodes as helpers
+
+ADDRESS = "127.0.0.1:8001"
+TTL_S = 7.0
+Start = typing.Callable[..., helpers.Node]
+
+
+class Instance:
+    """An agent with one entry process."""
+
+    def __init__(self, start: Start, name: str) -> None:
+        self.node = start(name)
+        self.local = entries.LocalEntries(self.node.membership, TTL_S)
+        self.local.register(self.node.server.router)
+        wire = client.Client(
+            self.node.server.address,
+            connection.Identity("entry", name),
+            helpers.KEY,
+        )
+        self.presence = presence.Presence(wire, ADDRESS, interval_s=0.05)
+
+    def addresses(self) -> tuple[str, ...]:
+        return self.node.membership.me.entry_addresses
+
+
+@pytest.fixture
+def instance(start: Start) -> typing.Iterator[Instance]:
+    made = Instance(start, "a")
+    yield made
+    made.presence.close()
+
+
+def test_entry_is_named_from_start_to_leaving(instance: Instance) -> None:
+    """An entry starts and is later stopped by an operator.  Callers are
+    sent to it in between only, and the agent waits until it has gone.
+    """
+    instance.presence.start()
+    waiting.until(lambda: instance.addresses() == (ADDRESS,))
+    instance.presence.leave()
+    assert instance.addresses() == ()
+    assert instance.local.leaving() == 1
+    assert instance.presence.ttl_s == TTL_S
+    instance.presence.close()
+    assert instance.local.leaving() == 0
+
+
+def test_peers_know_before_a_leaving_entry_is_told_so(
+    instance: Instance, start: Start
+) -> None:
+    """A leaving entry may stop only after every agent has ceased to name
+    it: it asks until its agent's peers have the news.
+    """
+    peer = start("b")
+    instance.presence.report()
+    waiting.until(lambda: named_by(peer) == {ADDRESS})
+    peer.cut.add("a")
+    instance.presence.leave()
+    assert not instance.presence.told
+    peer.cut.clear()
+    waiting.until(instance.presence.leaving_told)
+    assert named_by(peer) == set()
+
+
+def named_by(node: helpers.Node) -> set[str]:
+    """Return the addresses that a node names for the agent ``a``."""
+    return {
+        address
+        for member in node.membership.live()
+        if member.name == "a"
+        for address in member.entry_addresses
+    }
+
+
+def test_dead_entry_is_taken_out(instance: Instance) -> None:
+    """An entry process is killed while its agent lives on: callers are not
+    sent to its closed port for long.
+    """
+    clock = helpers.PausableClock(instance.node.membership.clock)
+    instance.node.membership.clock = clock
+    instance.presence.report()
+    assert instance.addresses() == (ADDRESS,)
+    clock.skipped_s = entries.EXPIRE_S + 1
+    instance.local.review()
+    assert instance.addresses() == ()
+    instance.presence.report()
+    assert instance.addresses() == (ADDRESS,)
--- /dev/null
+++ b/tests/membership/test_listing.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.membership import listing
+from briarseam.platform import instances
+from briarseam.testing import instance_list
+from tests.membership import nodes as helpers
+
+
+def test_reads_stay_within_the_budget() -> None:
+    """The list grows to thousands of rows: agents read it less often, so
+    that its size does not eat what a node may spend on control.
+    """
+    reader = listing.ListReader(helpers.FakeList(), 2.0, bytes_per_s=1000)
+    for size, pause_s in ((100, 2.0), (60_000, 60.0)):
+        low, high = 1 - listing.JITTER, 1 + listing.JITTER
+        assert low * pause_s <= reader.pause_s(size) <= high * pause_s
+
+
+def test_outage_keeps_the_last_rows() -> None:
+    """The list is down for a while: what it said before still counts."""
+    source = helpers.FakeList()
+    source.put("a", "127.0.0.1:1")
+    reader = listing.ListReader(source)
+    reader.read_once()
+    source.available = False
+    reader.read_once()
+    assert [row.name for row in reader.rows] == ["a"]
+    assert not reader.available
+
+
+def test_adapter_reads_the_list_over_http() -> None:
+    """The platform's own service shows one leaving agent; in an outage the
+    adapter says so instead of showing an empty list.
+    """
+    service = instance_list.InstanceList()
+    service.start()
+    try:
+        service.put(
+            "a",
+            instance_list.Registration(
+                "agent", "127.0.0.1:1", "rumoi", "leaving"
+            ),
+        )
+        adapter = instances.InstanceList(str(service.address))
+        (row,) = adapter.read().instances
+        assert row.state is instances.ListedState.LEAVING
+    finally:
+        service.stop()
+    with pytest.raises(instances.InstanceListUnavailableError):
+        adapter.read()
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from briarseam.membership import messages
 from briarseam.membership import service
 from briarseam.membership import state
 from briarseam.testing import waiting
+from briarseam.wire import connection
 from tests.membership import nodes as helpers
 
 ALIVE = state.MemberState.ALIVE
@@ -59,6 +61,8 @@
     for node in (a, b):
         node.membership.heartbeat_interval_s = 60.0
         node.membership.table.suspect_after_s = 60.0
+    beats_before = b.membership.peers["a"].beats
+    waiting.until(lambda: b.membership.peers["a"].beats > beats_before)
     b.membership.announce_leaving()
     waiting.until(lambda: a.names() == {"a"}, timeout_s=10)
     assert a.state_of("b") is LEAVING
@@ -149,27 +153,36 @@
     b.cut.add("a")
     clock.skipped_s += 60
     assert not a.membership.fresh()
+    waiting.until(lambda: a.state_of("b") is SUSPECT)
     b.cut.clear()
     waiting.until(a.membership.fresh, timeout_s=10)
+    waiting.until(lambda: a.names() == {"a", "b"})
 
 
 def test_reply_read_after_a_freeze_is_old(start: Start) -> None:
-    """A frozen agent finds a reply in its socket on waking.  The reply
-    shows that the peer lived when it was asked, not now.
+    """An agent is frozen while a reply is on its way to it, and the cell
+    is gone when it wakes.  The reply that it finds in its socket shows
+    that the peer lived when it was asked, not now.
     """
     clock = helpers.PausableClock(time.monotonic)
     a = start("a", clock=clock)
     b = start("b")
     waiting.until(lambda: a.names() == b.names() == {"a", "b"})
-    asked_at = clock()
-    clock.skipped_s += 60
-    reply = b.membership.on_heartbeat(
-        a.membership.identity,
-        helpers.heartbeat_of(a),
-    )
-    a.membership.round_at = None
-    a.membership.take_reply(reply, asked_at)
-    assert a.membership.round_at == pytest.approx(asked_at)
+    handlers = b.server.router.handlers
+    usual = handlers[messages.Heartbeat]
+
+    def answer_before_the_freeze(
+        peer: connection.Identity, beat: messages.Heartbeat
+    ) -> object:
+        reply = usual(peer, beat)
+        clock.skipped_s += 60
+        b.cut.add("a")
+        return reply
+
+    handlers[messages.Heartbeat] = answer_before_the_freeze
+    waiting.until(lambda: a.membership.peers["b"].failures)
+    assert clock.skipped_s == 60
+    assert not a.membership.fresh()
 
 
 def test_sections_ride_on_heartbeats(start: Start) -> None:
