--- /dev/null
+++ b/src/briarseam/cache/planning.py
@@ -0,0 +1,109 @@
+"""Plans: what could be imported for a prompt, and how long it would take."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.cache import exporting
+from briarseam.cache import pieces
+from briarseam.cache import state
+from briarseam.configuration import schema
+
+
+class Planner:
+    """Makes plans from the index and the links.
+
+    Parameters
+    ----------
+    tools
+        Index, stores and the like.
+    view
+        Gives the present configuration.
+    salt
+        Cache salt that engines are given for an organisation.
+    """
+
+    def __init__(
+        self,
+        tools: exporting.Tools,
+        view: typing.Callable[[], schema.View],
+        salt: typing.Callable[[str], str],
+    ) -> None:
+        self.tools = tools
+        self.view = view
+        self.salt = salt
+
+    def plan(self, prompt: state.Prompt, have: int) -> state.Plan:
+        """Return what could be imported behind the first ``have`` pieces."""
+        wanted = prompt.chain[have:]
+        if not wanted or self.view().kept_cache.policy == "off":
+            return state.Plan(prompt.model, prompt.version, have)
+        tools = self.tools
+        group = self.group(prompt)
+        variant = tools.names.variant(
+            prompt.model, prompt.adapter, prompt.version
+        )
+        tools.sharing.ask(group, variant)
+        now = tools.clock()
+        own = group if tools.sharing.holders(group).mine else b""
+        keys = self.keys(prompt, wanted)
+        found = tools.index.prefix(keys, now, own)
+        salt = self.engine_salt(prompt)
+        blocks = tuple(
+            state.Planned(pieces.salted(digest, salt), block)
+            for digest, block in zip(
+                wanted, self.readable(found), strict=False
+            )
+        )
+        until_s = self.predict(blocks)
+        return state.Plan(
+            prompt.model, prompt.version, have, blocks, until_s, now
+        )
+
+    def keys(
+        self, prompt: state.Prompt, chain: typing.Sequence[bytes]
+    ) -> typing.Iterator[bytes]:
+        """Yield the keys of some pieces of a prompt."""
+        return self.tools.names.keys(
+            prompt.organisation,
+            prompt.model,
+            prompt.adapter,
+            prompt.version,
+            chain,
+        )
+
+    def engine_salt(self, prompt: state.Prompt) -> str:
+        """Return the salt under which an engine names a prompt's pieces."""
+        salt = self.salt(prompt.organisation)
+        return pieces.salt_of(salt, prompt.adapter or None)
+
+    def group(self, prompt: state.Prompt) -> bytes:
+        """Return a prompt's group; without a session, its start's."""
+        session = prompt.session or prompt.chain[0].hex()
+        return self.tools.names.group(prompt.organisation, session)
+
+    def readable(
+        self, blocks: typing.Iterable[state.Block]
+    ) -> typing.Iterator[state.Block]:
+        """Yield blocks up to the first whose store is away."""
+        for block in blocks:
+            if not self.tools.stores.readable(block.store, block.boot_id):
+                return
+            yield block
+
+    def predict(
+        self, blocks: typing.Sequence[state.Planned]
+    ) -> tuple[float, ...]:
+        """Return the predicted seconds until each block is in."""
+        before: dict[str, int] = {}
+        spent_s: dict[str, float] = {}
+        until_s = []
+        for planned in blocks:
+            block = planned.block
+            store = self.tools.stores.get(block.store)
+            if store is None:
+                break
+            before[block.store] = before.get(block.store, 0) + block.size
+            spent_s[block.store] = store.link.predict_s(before[block.store])
+            until_s.append(sum(spent_s.values()))
+        return tuple(until_s)
--- /dev/null
+++ b/src/briarseam/cache/saving.py
@@ -0,0 +1,128 @@
+"""Saving: which pieces of a finished run are exported, and where to."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.cache import exporting
+from briarseam.cache import names as block_names
+from briarseam.cache import pieces
+from briarseam.cache import planning
+from briarseam.cache import retention
+from briarseam.cache import state
+from briarseam.configuration import schema
+
+
+class Saver:
+    """Queues exports of what runs leave in their engines.
+
+    Parameters
+    ----------
+    tools
+        Index, stores and the like.
+    view
+        Gives the present configuration.
+    planner
+        Knows keys and groups of prompts.
+    returns
+        What is known of returns.
+    exporters
+        By store.
+    """
+
+    def __init__(
+        self,
+        tools: exporting.Tools,
+        view: typing.Callable[[], schema.View],
+        planner: planning.Planner,
+        returns: retention.ReturnModel,
+        exporters: typing.Mapping[str, exporting.Exporter],
+    ) -> None:
+        self.tools = tools
+        self.view = view
+        self.planner = planner
+        self.returns = returns
+        self.exporters = exporters
+
+    def after_run(self, prompt: state.Prompt, engine: str) -> None:
+        """Queue what is not kept yet of a run's prompt.
+
+        Parameters
+        ----------
+        prompt
+            What ran.
+        engine
+            ``ip:port`` of where it ran.
+        """
+        tools = self.tools
+        policy = self.view().kept_cache
+        length = len(prompt.chain)
+        if policy.policy == "off" or length < max(policy.min_pieces, 1):
+            return
+        now = tools.clock()
+        group = self.planner.group(prompt)
+        self.returns.wanted(group, length, now)
+        tools.index.wanted(group, now)
+        missing = self.missing(prompt)
+        if not missing:
+            return
+        tools.index.forget_oldest(len(missing))
+        variant = tools.names.variant(
+            prompt.model, prompt.adapter, prompt.version
+        )
+        worth = self.returns.density(self.returns.kind(group, length), 0.0)
+        exporter = self.exporter_for(group, variant, worth)
+        if exporter is None:
+            tools.metrics.count("exports_refused", len(missing))
+            return
+        exporter.submit(
+            exporting.Job(
+                engine,
+                prompt.model,
+                prompt.version,
+                group,
+                variant,
+                tuple(missing),
+                worth,
+                now,
+            )
+        )
+
+    def missing(self, prompt: state.Prompt) -> list[exporting.Piece]:
+        """Return the pieces of a prompt that are not kept."""
+        salt = self.planner.engine_salt(prompt)
+        keys = self.planner.keys(prompt, prompt.chain)
+        known = self.tools.index.by_key
+        return [
+            exporting.Piece(pieces.salted(digest, salt), key, depth)
+            for depth, (digest, key) in enumerate(
+                zip(prompt.chain, keys, strict=True)
+            )
+            if key not in known
+        ]
+
+    def exporter_for(
+        self, group: bytes, variant: bytes, worth: float
+    ) -> exporting.Exporter | None:
+        """Return the exporter of the store that a group should lie in."""
+        size = self.tools.sizes.expected(variant) or 0
+        with self.tools.index.lock:
+            known = self.tools.index.groups.get(group)
+            home = known.blocks[0].store if known is not None else ""
+        usable = [
+            store
+            for store in self.tools.stores.writable()
+            if store.bar <= 0.0 or worth >= store.bar
+        ]
+        if not usable:
+            return None
+        chosen = min(
+            usable,
+            key=lambda store: (
+                store.name != home,
+                not store.has_room(size),
+                store.fullness() > self.view().kept_cache.fill,
+                block_names.rank(group, store.name),
+            ),
+        )
+        return self.exporters.get(chosen.name)
--- a/src/briarseam/cache/service.py
+++ b/src/briarseam/cache/service.py
@@ -13,7 +13,11 @@
 from briarseam.cache import keeping
 from briarseam.cache import names as block_names
 from briarseam.cache import pieces
+from briarseam.cache import planning
+from briarseam.cache import prefill
+from briarseam.cache import residents
 from briarseam.cache import retention
+from briarseam.cache import saving
 from briarseam.cache import sharing as index_sharing
 from briarseam.cache import sizes
 from briarseam.cache import state
@@ -25,6 +29,8 @@
 
 MAX_BLOCKS = 20000
 REFRESH_S = 0.5
+RECOMPUTE_BIAS = 4.0
+TOKENS = pieces.PIECE_TOKENS
 
 
 def alone(group: bytes) -> state.Holders:
@@ -49,6 +55,9 @@
         Sends a message to an agent and returns its reply.
     link_share
         Part of each store link's budget that this agent may use.
+    salt
+        Cache salt that engines are given for an organisation; ``None``
+        for the names' own.
     session_hash
         Hash of organisation and session by which ``holders`` ranks, 8
         bytes; ``None`` for one of the names' own.
@@ -61,6 +70,7 @@
     holders: typing.Callable[[bytes], state.Holders] = alone
     call: index_sharing.Call = index_sharing.no_call
     link_share: typing.Callable[[], float] = whole
+    salt: typing.Callable[[str], str] | None = None
     session_hash: block_names.SessionHash | None = None
     clock: typing.Callable[[], float] = time.monotonic
     wall_clock: typing.Callable[[], float] = time.time
@@ -125,8 +135,14 @@
         )
         self.sharing.on_added = self.learn_size
         self.stopping = threading.Event()
-        self.importer = importing.Importer(self.tools, self.stopping)
         self.exporters: dict[str, exporting.Exporter] = {}
+        self.planner = planning.Planner(self.tools, view, self.salt)
+        self.saver = saving.Saver(
+            self.tools, view, self.planner, self.returns, self.exporters
+        )
+        self.importer = importing.Importer(self.tools, self.stopping)
+        self.prefill = prefill.Prefill()
+        self.residents = residents.Residents(view, self.metrics, self.stopping)
         self.keepers: dict[str, keeping.Keeper] = {}
         self.thread = threading.Thread(
             target=self.work, name="kept-cache", daemon=True
@@ -153,7 +169,8 @@
             self.stopping.wait(REFRESH_S)
 
     def refresh(self) -> None:
-        """Take over the configured stores; one thread pair for each."""
+        """Take over the configured stores and engines."""
+        self.residents.refresh()
         for store in self.stores.refresh():
             keeper = self.keeper(store)
             exporter = exporting.Exporter(store, self.tools, self.stopping)
@@ -187,7 +204,8 @@
 
     def salt(self, organisation: str) -> str:
         """Return the cache salt that engines are given."""
-        return self.names.salt(organisation)
+        own = self.ports.salt or self.names.salt
+        return own(organisation)
 
     def plan(
         self,
@@ -218,64 +236,85 @@
             Empty when nothing is kept or keeping is off.  Whether it is
             worth while is the caller's to decide, see ``Plan.best``.
         """
-        wanted = chain[have:]
-        if not wanted or self.view().kept_cache.policy == "off":
-            return state.Plan(model, version, have)
-        group = self.group(organisation, session, chain)
-        self.find(group, self.names.variant(model, adapter, version))
-        keys = self.names.keys(organisation, model, adapter, version, wanted)
-        now = self.clock()
-        own = group if self.ports.holders(group).mine else b""
-        found = self.index.prefix(keys, now, own)
-        salt = self.engine_salt(organisation, adapter)
-        blocks = tuple(
-            state.Planned(pieces.salted(digest, salt), block)
-            for digest, block in zip(
-                wanted, self.readable(found), strict=False
-            )
+        return self.planner.plan(
+            state.Prompt(
+                organisation, session, model, adapter, version, tuple(chain)
+            ),
+            have,
+        )
+
+    def offer(self, prompt: state.Prompt) -> state.Plan:
+        """Return the plan for an endpoint that has nothing of a prompt.
+
+        ``Plan.beyond`` makes of it the plan for one that has some.
+        """
+        return self.planner.plan(prompt, 0)
+
+    def have(self, prompt: state.Prompt, endpoint: str) -> int:
+        """Return how many pieces an endpoint has, as far as is known."""
+        return self.residents.have(
+            endpoint,
+            prompt.model,
+            prompt.version,
+            self.engine_names(prompt),
+        )
+
+    def engine_names(self, prompt: state.Prompt) -> typing.Iterator[bytes]:
+        """Yield the engines' names of a prompt's prefixes."""
+        salt = self.planner.engine_salt(prompt)
+        for digest in prompt.chain:
+            yield pieces.salted(digest, salt)
+
+    def bring(
+        self, prompt: state.Prompt, endpoint: str, address: str, max_s: float
+    ) -> state.Imported:
+        """Import what pays before a run is granted; wait for it.
+
+        Parameters
+        ----------
+        prompt
+            What is going to run.
+        endpoint, address
+            The engine, and its ``ip:port``.
+        max_s
+            Longest time that is of use, in seconds.
+        """
+        plan = self.offer(prompt).beyond(self.have(prompt, endpoint))
+        plan = plan.best(self.saved_s(prompt.model))
+        if plan.predicted_s > max_s:
+            plan = plan.within(max_s)
+        imported = self.import_to(address, plan, max_s)
+        brought = plan.blocks[: imported.pieces]
+        self.residents.add(
+            endpoint,
+            prompt.model,
+            prompt.version,
+            [planned.digest for planned in brought],
         )
-        until_s = self.predict(blocks)
-        return state.Plan(model, version, have, blocks, until_s, now)
-
-    def engine_salt(self, organisation: str, adapter: str) -> str:
-        """Return the salt under which an engine names prefixes."""
-        return pieces.salt_of(self.salt(organisation), adapter or None)
-
-    def group(
-        self, organisation: str, session: str, chain: typing.Sequence[bytes]
-    ) -> bytes:
-        """Return the group of a prompt; without a session, its start's."""
-        return self.names.group(organisation, session or chain[0].hex())
-
-    def find(self, group: bytes, variant: bytes) -> None:
-        """Learn of a group from others when this agent may not know it."""
-        self.sharing.ask(group, variant)
-
-    def readable(
-        self, blocks: typing.Iterable[state.Block]
-    ) -> typing.Iterator[state.Block]:
-        """Yield blocks up to the first whose store is away."""
-        for block in blocks:
-            if not self.stores.readable(block.store, block.boot_id):
-                return
-            yield block
-
-    def predict(
-        self, blocks: typing.Sequence[state.Planned]
-    ) -> tuple[float, ...]:
-        """Return the predicted seconds until each block is in."""
-        before: dict[str, int] = {}
-        spent_s: dict[str, float] = {}
-        until_s = []
-        for planned in blocks:
-            block = planned.block
-            store = self.stores.get(block.store)
-            if store is None:
-                break
-            before[block.store] = before.get(block.store, 0) + block.size
-            spent_s[block.store] = store.link.predict_s(before[block.store])
-            until_s.append(sum(spent_s.values()))
-        return tuple(until_s)
+        return imported
+
+    def saved_s(self, model: str) -> float:
+        """Return what importing a piece is worth, in seconds.
+
+        Who minds the share recomputed more than the time to first token
+        also imports where computing would be faster.
+        """
+        weight = self.view().routing.recompute_weight
+        return self.prefill.piece_s(model) * (1 + RECOMPUTE_BIAS * weight)
+
+    def started(
+        self, prompt: state.Prompt, cached_tokens: int, first_token_s: float
+    ) -> None:
+        """Learn from a run's first token how long pieces take."""
+        computed = len(prompt.chain) - cached_tokens // TOKENS
+        self.prefill.learn(prompt.model, computed, first_token_s)
+
+    def ended(self, prompt: state.Prompt, endpoint: str, address: str) -> None:
+        """Note that a run is over and keep what it left in its engine."""
+        self.residents.add(
+            endpoint, prompt.model, prompt.version, self.engine_names(prompt)
+        )
+        self.saver.after_run(prompt, address)
 
     def import_to(
         self, address: str, plan: state.Plan, max_s: float = keeping.READING_S
@@ -321,78 +360,9 @@
         session
             The caller's session, may be empty.
         """
-        policy = self.view().kept_cache
-        if policy.policy == "off" or len(chain) < max(policy.min_pieces, 1):
-            return
-        now = self.clock()
-        group = self.group(organisation, session, chain)
-        self.returns.wanted(group, len(chain), now)
-        self.index.wanted(group, now)
-        missing = self.missing(organisation, model, adapter, version, chain)
-        if not missing:
-            return
-        self.index.forget_oldest(len(missing))
-        variant = self.names.variant(model, adapter, version)
-        kind = self.returns.kind(group, len(chain))
-        worth = self.returns.density(kind, 0.0)
-        exporter = self.exporter_for(group, variant, worth)
-        if exporter is None:
-            self.metrics.count("exports_refused", len(missing))
-            return
-        job = exporting.Job(
-            endpoint_address,
-            model,
-            version,
-            group,
-            variant,
-            tuple(missing),
-            worth,
-            now,
-        )
-        exporter.submit(job)
-
-    def missing(
-        self,
-        organisation: str,
-        model: str,
-        adapter: str,
-        version: str,
-        chain: typing.Sequence[bytes],
-    ) -> list[exporting.Piece]:
-        """Return the pieces of a chain that are not kept."""
-        salt = self.engine_salt(organisation, adapter)
-        keys = self.names.keys(organisation, model, adapter, version, chain)
-        known = self.index.by_key
-        return [
-            exporting.Piece(pieces.salted(digest, salt), key, depth)
-            for depth, (digest, key) in enumerate(
-                zip(chain, keys, strict=True)
-            )
-            if key not in known
-        ]
-
-    def exporter_for(
-        self, group: bytes, variant: bytes, worth: float
-    ) -> exporting.Exporter | None:
-        """Return the exporter of the store that a group should lie in."""
-        size = self.tools.sizes.expected(variant) or 0
-        with self.index.lock:
-            known = self.index.groups.get(group)
-            home = known.blocks[0].store if known is not None else ""
-        usable = [
-            store
-            for store in self.stores.writable()
-            if store.bar <= 0.0 or worth >= store.bar
-        ]
-        if not usable:
-            return None
-        chosen = min(
-            usable,
-            key=lambda store: (
-                store.name != home,
-                not store.has_room(size),
-                store.fullness() > self.view().kept_cache.fill,
-                block_names.rank(group, store.name),
+        self.saver.after_run(
+            state.Prompt(
+                organisation, session, model, adapter, version, tuple(chain)
             ),
+            endpoint_address,
         )
-        return self.exporters.get(chosen.name)
