--- a/src/briarseam/cache/links.py
+++ b/src/briarseam/cache/links.py
@@ -11,6 +11,7 @@
 SLOWER_GAIN = 0.6
 FASTER_GAIN = 0.3
 RELAX_S = 5.0
+MAX_IDLE_S = 300.0
 MIN_ELAPSED_S = 1e-4
 MIN_AGE_S = 0.05
 LATENCY_S = 0.002
@@ -60,6 +61,7 @@
         self.filled_at = clock()
         self.observed: float | None = None
         self.observed_at = clock()
+        self.best = 0.0
         self.active: list[Transfer] = []
         self.area = 0.0
         self.area_at = clock()
@@ -154,8 +156,9 @@
             sharing = (self.area - transfer.area_before) / elapsed
             size = transfer.size if cut else moved
             sample = size * max(sharing, 1.0) / elapsed
-            if size and not (cut and sample > self.relaxed()):
-                self.learn(sample)
+            known = self.relaxed(transfer.began)
+            if size and not (cut and sample > known):
+                self.learn(sample, known)
 
     def integrate(self) -> None:
         """Bring the integral of transfers under way up to now."""
@@ -163,30 +166,28 @@
         self.area += len(self.active) * (now - self.area_at)
         self.area_at = now
 
-    def learn(self, sample: float) -> None:
+    def learn(self, sample: float, known: float) -> None:
         """Take in one sample of the link's whole rate."""
-        known = self.relaxed()
         gain = SLOWER_GAIN if sample < known else FASTER_GAIN
         if self.observed is None:
             gain = 1.0
         self.observed = known + gain * (sample - known)
         self.observed_at = self.clock()
+        self.best = max(self.best, sample)
 
-    def relaxed(self) -> float:
+    def relaxed(self, at: float) -> float:
         """Return the observed rate, trusted less as it grows old.
 
         Guard: a link that was slow once would be predicted slow for ever,
         since nothing is imported over it that could show otherwise.  The
-        estimate doubles every ``RELAX_S`` seconds without a sample.
+        estimate doubles every ``RELAX_S`` idle seconds without a sample,
+        up to the budget or, without one, the best rate seen.
         """
         if self.observed is None:
             return self.limit or UNKNOWN_RATE
-        ceiling = self.limit or UNKNOWN_RATE
-        idle_s = min(self.clock() - self.observed_at, 60 * RELAX_S)
-        return max(
-            min(self.observed * 2 ** (idle_s / RELAX_S), ceiling),
-            min(self.observed, ceiling),
-        )
+        ceiling = self.limit or self.best
+        idle_s = min(max(at - self.observed_at, 0.0), MAX_IDLE_S)
+        return min(self.observed * 2 ** (idle_s / RELAX_S), ceiling)
 
     def rate(self) -> float:
         """Return the bytes per second to count on now.
@@ -194,10 +195,11 @@
         A transfer that is overdue bounds the rate before it has ended, so
         a link that slows down is noticed by the first transfer on it.
         """
-        rate = self.relaxed()
-        if self.active:
-            oldest = self.active[0]
-            age_s = self.clock() - oldest.began
+        now = self.clock()
+        oldest = self.active[0] if self.active else None
+        rate = self.relaxed(oldest.began if oldest else now)
+        if oldest is not None:
+            age_s = now - oldest.began
             if age_s > MIN_AGE_S:
                 bound = oldest.size * len(self.active) / age_s
                 rate = min(rate, bound)
--- a/src/briarseam/cache/planning.py
+++ b/src/briarseam/cache/planning.py
@@ -20,14 +20,15 @@
     view
         Gives the present configuration.
     salt
-        Cache salt that engines are given for an organisation.
+        Salt under which engines name the prefixes of an organisation and
+        an adapter.
     """
 
     def __init__(
         self,
         tools: exporting.Tools,
         view: typing.Callable[[], schema.View],
-        salt: typing.Callable[[str], str],
+        salt: typing.Callable[[str, str], str],
     ) -> None:
         self.tools = tools
         self.view = view
@@ -74,8 +75,7 @@
 
     def engine_salt(self, prompt: state.Prompt) -> str:
         """Return the salt under which an engine names a prompt's pieces."""
-        salt = self.salt(prompt.organisation)
-        return pieces.salt_of(salt, prompt.adapter or None)
+        return self.salt(prompt.organisation, prompt.adapter)
 
     def group(self, prompt: state.Prompt) -> bytes:
         """Return a prompt's group; without a session, its start's."""
--- a/src/briarseam/cache/service.py
+++ b/src/briarseam/cache/service.py
@@ -14,7 +14,6 @@
 from briarseam.cache import names as block_names
 from briarseam.cache import pieces
 from briarseam.cache import planning
-from briarseam.cache import prefill
 from briarseam.cache import residents
 from briarseam.cache import retention
 from briarseam.cache import saving
@@ -29,8 +28,6 @@
 
 MAX_BLOCKS = 20000
 REFRESH_S = 0.5
-RECOMPUTE_BIAS = 4.0
-TOKENS = pieces.PIECE_TOKENS
 
 
 def alone(group: bytes) -> state.Holders:
@@ -136,12 +133,11 @@
         self.sharing.on_added = self.learn_size
         self.stopping = threading.Event()
         self.exporters: dict[str, exporting.Exporter] = {}
-        self.planner = planning.Planner(self.tools, view, self.salt)
+        self.planner = planning.Planner(self.tools, view, self.engine_salt)
         self.saver = saving.Saver(
             self.tools, view, self.planner, self.returns, self.exporters
         )
         self.importer = importing.Importer(self.tools, self.stopping)
-        self.prefill = prefill.Prefill()
         self.residents = residents.Residents(view, self.metrics, self.stopping)
         self.keepers: dict[str, keeping.Keeper] = {}
         self.thread = threading.Thread(
@@ -207,6 +203,30 @@
         own = self.ports.salt or self.names.salt
         return own(organisation)
 
+    def engine_salt(self, organisation: str, adapter: str) -> str:
+        """Return the salt under which engines name prefixes."""
+        return pieces.salt_of(self.salt(organisation), adapter or None)
+
+    def have(
+        self,
+        endpoint: str,
+        model: str,
+        version: str,
+        digests: typing.Iterable[bytes],
+    ) -> int:
+        """Return how many pieces an engine has by its cache events.
+
+        Parameters
+        ----------
+        endpoint
+            Name of the engine.
+        model, version
+            What the pieces are computed with.
+        digests
+            The engine's names of a chain's prefixes, in order.
+        """
+        return self.residents.have(endpoint, model, version, digests)
+
     def plan(
         self,
         organisation: str,
@@ -243,79 +263,6 @@
             have,
         )
 
-    def offer(self, prompt: state.Prompt) -> state.Plan:
-        """Return the plan for an endpoint that has nothing of a prompt.
-
-        ``Plan.beyond`` makes of it the plan for one that has some.
-        """
-        return self.planner.plan(prompt, 0)
-
-    def have(self, prompt: state.Prompt, endpoint: str) -> int:
-        """Return how many pieces an endpoint has, as far as is known."""
-        return self.residents.have(
-            endpoint,
-            prompt.model,
-            prompt.version,
-            self.engine_names(prompt),
-        )
-
-    def engine_names(self, prompt: state.Prompt) -> typing.Iterator[bytes]:
-        """Yield the engines' names of a prompt's prefixes."""
-        salt = self.planner.engine_salt(prompt)
-        for digest in prompt.chain:
-            yield pieces.salted(digest, salt)
-
-    def bring(
-        self, prompt: state.Prompt, endpoint: str, address: str, max_s: float
-    ) -> state.Imported:
-        """Import what pays before a run is granted; wait for it.
-
-        Parameters
-        ----------
-        prompt
-            What is going to run.
-        endpoint, address
-            The engine, and its ``ip:port``.
-        max_s
-            Longest time that is of use, in seconds.
-        """
-        plan = self.offer(prompt).beyond(self.have(prompt, endpoint))
-        plan = plan.best(self.saved_s(prompt.model))
-        if plan.predicted_s > max_s:
-            plan = plan.within(max_s)
-        imported = self.import_to(address, plan, max_s)
-        brought = plan.blocks[: imported.pieces]
-        self.residents.add(
-            endpoint,
-            prompt.model,
-            prompt.version,
-            [planned.digest for planned in brought],
-        )
-        return imported
-
-    def saved_s(self, model: str) -> float:
-        """Return what importing a piece is worth, in seconds.
-
-        Who minds the share recomputed more than the time to first token
-        also imports where computing would be faster.
-        """
-        weight = self.view().routing.recompute_weight
-        return self.prefill.piece_s(model) * (1 + RECOMPUTE_BIAS * weight)
-
-    def started(
-        self, prompt: state.Prompt, cached_tokens: int, first_token_s: float
-    ) -> None:
-        """Learn from a run's first token how long pieces take."""
-        computed = len(prompt.chain) - cached_tokens // TOKENS
-        self.prefill.learn(prompt.model, computed, first_token_s)
-
-    def ended(self, prompt: state.Prompt, endpoint: str, address: str) -> None:
-        """Note that a run is over and keep what it left in its engine."""
-        self.residents.add(
-            endpoint, prompt.model, prompt.version, self.engine_names(prompt)
-        )
-        self.saver.after_run(prompt, address)
-
     def import_to(
         self, address: str, plan: state.Plan, max_s: float = keeping.READING_S
     ) -> state.Imported:
--- a/src/briarseam/cache/state.py
+++ b/src/briarseam/cache/state.py
@@ -131,32 +131,6 @@
             self, blocks=self.blocks[:count], until_s=self.until_s[:count]
         )
 
-    def beyond(self, have: int) -> Plan:
-        """Return the plan for an endpoint that has more pieces already.
-
-        Parameters
-        ----------
-        have
-            Pieces it has, at least as many as this plan says.
-        """
-        skipped = have - self.have
-        if skipped <= 0:
-            return self
-        spent_s = self.until_s[skipped - 1 : skipped] or (0.0,)
-        return dataclasses.replace(
-            self,
-            have=have,
-            blocks=self.blocks[skipped:],
-            until_s=tuple(
-                until_s - spent_s[0] for until_s in self.until_s[skipped:]
-            ),
-        )
-
-    def within(self, max_s: float) -> Plan:
-        """Return the front part that is predicted to come in time."""
-        in_time = sum(until_s <= max_s for until_s in self.until_s)
-        return self.cut(in_time)
-
     def best(self, prefill_s_per_piece: float) -> Plan:
         """Return the front part that saves most time over recomputing.
 
--- /dev/null
+++ b/tests/cache/test_residents.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from briarseam.cache import residents
+from briarseam.cache import state
+from briarseam.endpoints import engine_events
+from briarseam.testing import engine as engines
+from briarseam.testing import engine_cache
+
+
+@dataclasses.dataclass
+class Clock:
+    now: float = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def engine():
+    with engines.Engine(models={"draft": "v1"}) as started:
+        yield started
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def resident(engine, clock):
+    made = residents.Resident(
+        "engine-0",
+        engine.address,
+        engine_events.EventClient(),
+        state.NoMetrics(),
+        clock,
+    )
+    made.read()
+    return made
+
+
+def digests(count, start=0):
+    return [bytes([start + number]) * 16 for number in range(count)]
+
+
+def hold(engine, names):
+    engine.cache.add(
+        [engine_cache.Prefix("draft", "v1", name) for name in names]
+    )
+
+
+def test_events_tell_what_an_engine_has(engine, resident):
+    """A run leaves two prefixes in the engine; a third follows."""
+    hold(engine, digests(2))
+    resident.read()
+    assert resident.have("draft", "v1", digests(3)) == 2
+
+    hold(engine, digests(3))
+    resident.read()
+
+    assert resident.have("draft", "v1", digests(3)) == 3
+    assert resident.have("draft", "v2", digests(3)) == 0
+
+
+def test_a_lost_removal_is_found_by_the_gap_in_the_numbers(
+    engine, resident, clock
+):
+    """An engine evicts a prefix and the event never comes.
+
+    Believed to be there, the prefix would be recomputed by each run that
+    is sent to it, though it could be imported.
+    """
+    hold(engine, digests(2))
+    resident.read()
+    clock.now += residents.RELOAD_MIN_S
+    engine.set(event_loss=1.0)
+    engine.cache.drop_version("draft", "v1")
+
+    resident.read()
+
+    assert resident.have("draft", "v1", digests(2)) == 0
+
+
+def test_what_is_known_does_not_count_until_a_gap_is_read_up(
+    engine, resident, clock
+):
+    """Gaps come faster than an engine may be listed.
+
+    In between nothing is trusted, and the next allowed listing restores
+    the truth.
+    """
+    hold(engine, digests(2))
+    resident.read()
+    engine.set(event_loss=1.0)
+    hold(engine, digests(1, start=9))
+    resident.read()
+    assert resident.have("draft", "v1", digests(2)) == 0
+
+    clock.now += residents.RELOAD_MIN_S
+    resident.read()
+
+    assert resident.have("draft", "v1", digests(2)) == 2
+
+
+def test_an_engine_that_was_started_anew_has_nothing(engine, resident):
+    """An engine crashes and comes back with an empty cache."""
+    hold(engine, digests(2))
+    resident.read()
+    engine.cache.boot_id = "another"
+    engine.cache.drop_version("draft", "v1")
+
+    resident.read()
+
+    assert resident.have("draft", "v1", digests(2)) == 0
