--- a/src/briarseam/answers/relay.py
+++ b/src/briarseam/answers/relay.py
@@ -63,6 +63,7 @@
     stream: engine.Stream
     pieces: typing.Iterator[engine.Piece]
     tokens: list[str]
+    reused_tokens: int = 0
     resumes: int = 0
     ended: bool = False
 
@@ -143,6 +144,7 @@
         check_run(started.run_id, run.grant.run_id)
         if started.version != run.grant.version:
             raise engine.LostError("the endpoint runs another version")
+        run.reused_tokens = started.cached_tokens
         first = self.next_piece(run)
         run.pieces = prepend(first, run.pieces)
         elapsed_s = time.monotonic() - self.ask.accepted_at
@@ -198,7 +200,7 @@
 
     def relay(self, run: Run) -> typing.Iterator[bytes]:
         """Yield events; mend the stream where that can be done."""
-        yield answer_id_event(run.grant.answer_id)
+        yield begin_event(run)
         while True:
             try:
                 piece = self.next_piece(run)
@@ -206,7 +208,7 @@
                 if not self.mend(run):
                     yield self.give_up(run)
                     return
-                yield answer_id_event(run.grant.answer_id)
+                yield begin_event(run)
                 continue
             match piece:
                 case engine.Token():
@@ -345,6 +347,21 @@
     yield from rest
 
 
+def begin_event(run: Run) -> bytes:
+    """Return the event that names the answer id and what was reused."""
+    return sse.render(
+        sse.Event(
+            "answer",
+            render_json(
+                {
+                    "answer_id": run.grant.answer_id,
+                    "reused_tokens": run.reused_tokens,
+                }
+            ),
+        )
+    )
+
+
 def answer_id_event(answer_id: str) -> bytes:
     """Return the event that names the answer id."""
     return sse.render(
--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -43,6 +43,11 @@
         "briarseam.command.agent",
         "run the deciding daemon of an instance",
     ),
+    Command(
+        "demo",
+        "briarseam.command.demo",
+        "walk through a running deployment",
+    ),
     Command(
         "entry",
         "briarseam.command.entry",
--- a/src/briarseam/testing/caller.py
+++ b/src/briarseam/testing/caller.py
@@ -31,6 +31,8 @@
         HTTP status; 0 when no connection could be opened.
     answer_id
         Newest answer id.
+    reused_tokens
+        Prompt tokens that were not computed again.
     tokens
         Tokens in order.
     done
@@ -49,6 +51,7 @@
 
     status: int = 0
     answer_id: str = ""
+    reused_tokens: int = 0
     tokens: list[str] = dataclasses.field(default_factory=list)
     done: bool = False
     problem: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
@@ -238,6 +241,7 @@
     match event.kind:
         case "answer":
             answer.answer_id = data["answer_id"]
+            answer.reused_tokens = data.get("reused_tokens", 0)
         case "token":
             if int(event.id) != len(answer.tokens):
                 raise sse.TruncatedError("a token is missing or doubled")
--- a/src/briarseam/testing/demo.py
+++ b/src/briarseam/testing/demo.py
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
+import base64
 import dataclasses
 import json
 import time
 import typing
 
+import msgpack
 import urllib3
 
+from briarseam.answers import answer_id
 from briarseam.testing import caller
 from briarseam.testing import words
 
@@ -42,6 +45,8 @@
         A caller's bearer token.
     model, service, call
         What to ask.
+    services
+        Addresses of the plain service's endpoints, to count runs.
     """
 
     entries: tuple[str, ...]
@@ -49,6 +54,7 @@
     model: str
     service: str
     call: str
+    services: tuple[str, ...]
 
     def caller(self, number: int = 0) -> caller.Caller:
         """Return a caller at one of the entries."""
@@ -89,7 +95,19 @@
     ratio = again.first_token_s / first.first_token_s
     say(f"Time to first token: {ratio:.2f} of the first time's.")
     book(demo, say)
-    return again.answer_id
+    return run_id_of(again.answer_id)
+
+
+def run_id_of(sealed: str) -> str:
+    """Return the run that an answer id names, unchecked.
+
+    Callers treat answer ids as opaque; the demo looks inside to show the
+    operators' view of the same run.
+    """
+    padded = sealed + "=" * (-len(sealed) % 4)
+    payload = base64.urlsafe_b64decode(padded)[answer_id.MAC_BYTES :]
+    run_id: str = msgpack.unpackb(payload)[2]
+    return run_id
 
 
 def ask(
@@ -114,6 +132,7 @@
     shown = " ".join(answer.tokens[:SHOWN_TOKENS])
     say(f"  {shown} ... ({len(answer.tokens)} tokens)")
     say(f"  first token after {answer.first_token_s * 1000:.0f} ms")
+    say(f"  {answer.reused_tokens} prompt tokens reused")
 
 
 def book(demo: Demo, say: typing.Callable[[str], None]) -> None:
@@ -126,8 +145,22 @@
         raise DemoError(f"the booking failed: {one} {two}")
     if one.body != two.body:
         raise DemoError("the same key got two answers")
+    runs = sum(count_runs(address, key) for address in demo.services)
+    if runs != 1:
+        raise DemoError(f"the submission ran {runs} times")
     say("A submission with an Idempotency-Key, then the same again:")
-    say(f"  {json.dumps(one.body.get('confirmation'))} both times")
+    say(f"  {json.dumps(one.body.get('confirmation'))} both times, {runs} run")
+
+
+def count_runs(service: str, key: str) -> int:
+    """Return how often a stand-in service ran what a key names."""
+    response = urllib3.request(
+        "GET",
+        f"http://{service}/control/runs",
+        timeout=TIMEOUT_S,
+        retries=False,
+    )
+    return int(response.json()["runs"].get(key, 0))
 
 
 def register(
