--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -160,7 +160,7 @@
     def strangers() -> dict[str, str]:
         return {
             listed.name: listed.address
-            for listed in member_service.listing
+            for listed in member_service.list_reader.rows
             if listed.role == "agent"
             and listed.state is instances.ListedState.LIVE
         }
