Let heartbeats, metrics and time line tell of the configuration

Offsets ride on heartbeats, so an agent whose sources all lag hears of a higher offset and asks its holder. The wiring stands in a module of its own.

--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -12,8 +12,8 @@
 from briarseam.cache import service as kept_cache
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
+from briarseam.compose import configuration as compose_configuration
 from briarseam.configuration import reader as configuration
-from briarseam.configuration import teams as configuration_teams
 from briarseam.lookup import service as lookup
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
@@ -153,30 +153,11 @@
         cell = reader.view().cells.get(zone)
         return cell.parts if cell else 1
 
-    def addresses() -> dict[str, str]:
-        live = member_service.live()
-        return {member.name: member.agent_address for member in live}
-
-    def strangers() -> dict[str, str]:
-        return {
-            listed.name: listed.address
-            for listed in member_service.list_reader.rows
-            if listed.role == "agent"
-            and listed.state is instances.ListedState.LIVE
-        }
-
-    reader = configuration.ConfigurationReader(
-        log,
-        configuration_teams.from_settings(settings.teams),
-        me,
-        key,
-        addresses,
-        strangers,
-        configuration.options_for(
-            settings.platform.log_poll_ms, settings.platform.log_retention_s
-        ),
+    reader = compose_configuration.build_reader(
+        settings, log, me, key, lambda: member_service
     )
     member_service = build_membership(settings, parts_of)
+    compose_configuration.connect(reader, member_service, registry, ring)
     claim_service = compose_claims.build_claims(
         settings,
         log,
--- /dev/null
+++ b/src/briarseam/compose/configuration.py
@@ -0,0 +1,130 @@
+"""Composing an agent's configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import struct
+import typing
+
+from briarseam.configuration import fold as folds
+from briarseam.configuration import reader as readers
+from briarseam.configuration import records
+from briarseam.configuration import state as states
+from briarseam.configuration import teams
+from briarseam.platform import instances
+
+if typing.TYPE_CHECKING:
+    from briarseam import settings as settings_module
+    from briarseam.membership import service as membership
+    from briarseam.metrics import registry as metrics
+    from briarseam.platform import log as platform_log
+    from briarseam.timeline import ring as timeline
+    from briarseam.wire import connection
+
+SECTION = "configuration"
+OFFSET = struct.Struct("!Q")
+AGENT_ROLE = "agent"
+# A first apply sets hundreds of paths; the ring is for more than that.
+PATHS_NOTED = 16
+
+MembershipOf = typing.Callable[[], "membership.Membership"]
+
+
+def build_reader(
+    settings: settings_module.Settings,
+    log: platform_log.LogClient,
+    me: connection.Identity,
+    key: bytes,
+    membership_of: MembershipOf,
+) -> readers.ConfigurationReader:
+    """Return the configuration part of an agent.
+
+    Parameters
+    ----------
+    settings
+        Of this instance.
+    log
+        The log.
+    me
+        This process.
+    key
+        The shared key.
+    membership_of
+        Gives the membership part, which itself needs the configuration.
+    """
+
+    def members() -> dict[str, str]:
+        live = membership_of().live(include_leaving=True)
+        return {member.name: member.agent_address for member in live}
+
+    def strangers() -> dict[str, str]:
+        return {
+            listed.name: listed.address
+            for listed in membership_of().listing
+            if listed.role == AGENT_ROLE
+            and listed.state is instances.ListedState.LIVE
+        }
+
+    return readers.ConfigurationReader(
+        log,
+        teams.from_settings(settings.teams),
+        me,
+        key,
+        members,
+        strangers,
+        readers.options_for(
+            settings.platform.log_poll_ms, settings.platform.log_retention_s
+        ),
+    )
+
+
+def connect(
+    reader: readers.ConfigurationReader,
+    member_service: membership.Membership,
+    registry: metrics.Registry,
+    ring: timeline.Ring,
+) -> None:
+    """Let heartbeats, metrics and time line tell of the configuration."""
+    member_service.add_section(
+        SECTION,
+        lambda: OFFSET.pack(reader.offset()),
+        lambda name, data: reader.note_peer_offset(
+            name, OFFSET.unpack(data)[0]
+        ),
+    )
+    for field in dataclasses.fields(states.Counters):
+        registry.reading(
+            f"configuration_{field.name}",
+            f"Configuration: {field.name.replace('_', ' ')} since start",
+            functools.partial(getattr, reader.counters, field.name),
+        )
+    registry.reading(
+        "configuration_offset",
+        "Offset of the last configuration record in force here",
+        reader.offset,
+    )
+    registry.reading(
+        "configuration_log_age_seconds",
+        "Age of the last proof that this is the log's end",
+        reader.log_age_s,
+    )
+    reader.tree.observe = lambda verdict, data: note(ring, verdict, data)
+
+
+def note(ring: timeline.Ring, verdict: folds.FoldVerdict, data: bytes) -> None:
+    """Note a record's verdict on the time line."""
+    kind = f"configuration-{type(verdict).__name__.lower()}"
+    change = records.peek(data)
+    match verdict:
+        case folds.Rejected(offset, folds.RejectReason.NOT_AUTHENTIC):
+            ring.note(kind, offset=offset, reason=verdict.reason.value)
+        case folds.Rejected(offset, reason, path):
+            ring.note(kind, path=path, offset=offset, reason=reason.value)
+        case folds.Accepted(offset) if change is not None:
+            for path in list(change.sets)[:PATHS_NOTED]:
+                ring.note(
+                    kind, path=path, offset=offset, paths=len(change.sets)
+                )
+        case _:
+            ring.note(kind, offset=verdict.offset)
--- a/src/briarseam/configuration/state.py
+++ b/src/briarseam/configuration/state.py
@@ -19,6 +19,7 @@
 
 RECENT_BYTES = 1024 * 1024
 DIGESTS_KEPT = 1024
+Observe = typing.Callable[[folds.FoldVerdict, bytes], None]
 log = structlog.get_logger("briarseam.configuration")
 
 
@@ -31,6 +32,10 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def pass_over(verdict: folds.FoldVerdict, data: bytes) -> None:
+    """Take no note of a record."""
+
+
 @dataclasses.dataclass
 class Counters:
     """Counts since start; the metrics read them."""
@@ -61,6 +66,11 @@
         Whose changes are believed.
     counters
         Counts verdicts.
+
+    Attributes
+    ----------
+    observe
+        Told of each record followed, with its verdict.
     """
 
     def __init__(self, teams: team_types.Teams, counters: Counters) -> None:
@@ -74,6 +84,7 @@
         self.recent_bytes = 0
         self.digests: dict[int, str] = {}
         self.mismatch_at = 0
+        self.observe: Observe = pass_over
         self.changed = threading.Condition()
 
     def replace(self, fold: folds.Fold) -> bool:
@@ -112,6 +123,7 @@
             return
         verdict = self.fold.apply(offset, record, self.teams)
         self.count(verdict)
+        self.observe(verdict, record)
         if self.fold.stopped is not None:
             return
         self.recent.append(record)
