--- a/src/briarseam/compose/configuration.py
+++ b/src/briarseam/compose/configuration.py
@@ -61,7 +61,7 @@
     def strangers() -> dict[str, str]:
         return {
             listed.name: listed.address
-            for listed in membership_of().listing
+            for listed in membership_of().list_reader.rows
             if listed.role == AGENT_ROLE
             and listed.state is instances.ListedState.LIVE
         }
