Note the events of requests where messages pass

The entry's calls and the agent's handlers each have an observer, so no other slice has to know of the time line. Weighed: note() calls spread over admission, relay and claims (seven places that can be forgotten, in slices that are still moving). A request gets a name at its entry, which goes with it to the agent and to the caller in X-Request-Id; events know a request by this name, by its runs and by its key, and a question finds all of them by any one.

--- a/src/briarseam/admission/messages.py
+++ b/src/briarseam/admission/messages.py
@@ -49,6 +49,9 @@
     attempt
         Fresh name that the entry gives its try of a request with a key;
         the same again when the endpoint of a grant did not start it.
+    request
+        Name of the caller's request on the time line; the same for all
+        its tries.
     """
 
     token_digest: str
@@ -66,6 +69,7 @@
     passed_on: int = 0
     lost: tuple[str, ...] = ()
     attempt: str = ""
+    request: str = ""
 
 
 @codec.message("admit-call")
@@ -75,7 +79,7 @@
 
     Attributes
     ----------
-    token_digest, key, body_digest, deadline_ms, lost, attempt
+    token_digest, key, body_digest, deadline_ms, lost, attempt, request
         As in :class:`Admit`; the key is empty for idempotent calls
         without one.
     service, call
@@ -90,6 +94,7 @@
     deadline_ms: int
     lost: tuple[str, ...] = ()
     attempt: str = ""
+    request: str = ""
 
 
 @codec.message("granted")
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -18,6 +18,7 @@
 from briarseam.cache import pieces
 from briarseam.entry import problems
 from briarseam.entry import requests
+from briarseam.entry import timeline_page
 from briarseam.lookup import messages as lookup_messages
 from briarseam.status import messages as status_messages
 
@@ -185,6 +186,7 @@
             key=raw.key,
             body_digest=raw.body_digest,
             deadline_ms=CALL_DEADLINE_MS,
+            request=requests.name_request(),
         )
         return relay_call(self.parts, request, raw.body)
 
@@ -232,6 +234,7 @@
         idempotent=body.idempotent,
         key="" if body.idempotent else raw.key,
         body_digest=raw.body_digest,
+        request=requests.name_request(),
     )
     return relay.Ask(admit, body.prompt, accepted_at)
 
@@ -296,6 +299,7 @@
     def __init__(self, parts: EntryParts) -> None:
         self.status = Status(parts)
         self.metrics = Metrics(parts)
+        self.timeline = timeline_page.TimelinePage(parts.teams, parts.agent)
         self.where = Where(parts)
         self.answers = Answers(parts)
         self.services = Services(parts)
--- a/src/briarseam/entry/requests.py
+++ b/src/briarseam/entry/requests.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import hashlib
+import secrets
 import typing
 
 import cherrypy
@@ -18,6 +19,8 @@
 MAX_NAME = 200
 DEFAULT_PRIORITY = 5
 BEARER = "Bearer "
+REQUEST_HEADER = "X-Request-Id"
+REQUEST_NAME_BYTES = 8
 
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME)]
 OptionalName = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME)]
@@ -77,6 +80,17 @@
     body_digest: bytes
 
 
+def name_request() -> str:
+    """Name the current request and tell the caller its name.
+
+    The caller quotes it to the operators, who find the request by it on
+    the time line, also when it was refused.
+    """
+    name = secrets.token_hex(REQUEST_NAME_BYTES)
+    cherrypy.response.headers[REQUEST_HEADER] = name
+    return name
+
+
 def check_framing() -> None:
     """Refuse a request whose framing is ambiguous."""
     problem = cherrypy.request.wsgi_environ.get(server.FRAMING_ENVIRON)
--- a/src/briarseam/timeline/event.py
+++ b/src/briarseam/timeline/event.py
@@ -60,6 +60,8 @@
     ----------
     request
         A request by its id, its run or its idempotency key.
+    also
+        Other names of the same request.
     path, endpoint
         As in :class:`Event`; a path also stands for all paths below it.
         Several filters are joined by "and".
@@ -71,16 +73,22 @@
     path: str = ""
     endpoint: str = ""
     after: int = 0
+    also: tuple[str, ...] = ()
 
     def matches(self, event: Event) -> bool:
         """Tell whether ``event`` is asked for."""
         return (
             event.clock > self.after
-            and (not self.request or self.request in names_of(event))
+            and (not self.request or self.is_about(event))
             and self.endpoint in ("", event.endpoint)
             and (not self.path or is_under(event.path, self.path))
         )
 
+    def is_about(self, event: Event) -> bool:
+        """Tell whether an event is about the request asked for."""
+        wanted = (self.request, *self.also)
+        return any(name in wanted for name in names_of(event) if name)
+
 
 def names_of(event: Event) -> tuple[Scalar, ...]:
     """Return the names under which an event's request is known."""
--- a/src/briarseam/timeline/kinds.py
+++ b/src/briarseam/timeline/kinds.py
@@ -17,6 +17,8 @@
     IMPORTED = "imported"
     FIRST_TOKEN = "first-token"
     ENDED = "ended"
+    SETTLED = "settled"
+    ABANDONED = "abandoned"
     RETRIED = "retried"
     CONTINUED = "continued"
     RESUMED = "resumed"
@@ -39,7 +41,9 @@
 
 
 GOOD = frozenset({Kind.GRANTED, Kind.FIRST_TOKEN, Kind.IMPORTED})
-WARNING = frozenset({Kind.RETRIED, Kind.CONTINUED, Kind.RESUMED})
+WARNING = frozenset(
+    {Kind.RETRIED, Kind.CONTINUED, Kind.RESUMED, Kind.ABANDONED}
+)
 GOOD_RESULTS = frozenset({"done"})
 WARNING_RESULTS = frozenset({"cancelled", "not-sent", "refused"})
 
@@ -56,7 +60,7 @@
     """
     if kind == Kind.REFUSED:
         return Tone.BAD
-    if kind == Kind.ENDED:
+    if kind in (Kind.ENDED, Kind.SETTLED):
         return tone_of_result(result)
     if kind in GOOD:
         return Tone.GOOD
--- a/src/briarseam/timeline/service.py
+++ b/src/briarseam/timeline/service.py
@@ -6,6 +6,7 @@
 import dataclasses
 import typing
 
+from briarseam.timeline import event as events
 from briarseam.timeline import feed as feeds
 from briarseam.timeline import merge
 from briarseam.timeline import messages
@@ -21,6 +22,7 @@
 OTHERS_TIMEOUT_S = 2.0
 MAX_ASKERS = 16
 MAX_EVENTS = 20_000
+MAX_ALIASES = 64
 
 PeerNames = typing.Callable[[], "collections.abc.Iterable[str]"]
 AskPeer = typing.Callable[[str, messages.FetchEvents], messages.Events]
@@ -82,21 +84,20 @@
         """Return the events asked for.
 
         An operator may name a request by its run or by its idempotency
-        key, which only some events know.  So when what was found belongs
-        to requests of other names, these are asked for as well.
+        key, and one part of its events knows only the one name, another
+        part only the other.  So all names that the events found first give
+        the request are asked for in a second round.
         """
         limit = max(1, min(fetch.limit, MAX_EVENTS))
         fetch = dataclasses.replace(fetch, limit=limit)
         found = self.collect(fetch)
         if fetch.scope is not messages.Scope.EVERYWHERE:
             return found
-        parts = [found]
-        for request in aliases(found, fetch.filter.request):
-            wanted = dataclasses.replace(fetch.filter, request=request)
-            again = dataclasses.replace(fetch, filter=wanted)
-            part = self.collect(again)
-            parts.append(dataclasses.replace(part, sources=()))
-        return merge.merge(parts, limit)
+        also = aliases(found, fetch.filter.request)
+        if not also:
+            return found
+        wanted = dataclasses.replace(fetch.filter, also=also)
+        return self.collect(dataclasses.replace(fetch, filter=wanted))
 
     def collect(self, fetch: messages.FetchEvents) -> messages.Events:
         """Return the events that match the filter word for word."""
@@ -133,9 +134,13 @@
             return messages.Events((), (source,))
 
 
-def aliases(found: messages.Events, name: str) -> list[str]:
-    """Return the requests behind the events that know ``name``."""
+def aliases(found: messages.Events, name: str) -> tuple[str, ...]:
+    """Return the other names that events give the request ``name``."""
     if not name:
-        return []
-    requests = {event.request for event in found.events}
-    return sorted(requests - {name, ""})
+        return ()
+    names = {
+        str(other)
+        for event in found.events
+        for other in events.names_of(event)
+    }
+    return tuple(sorted(names - {name, ""})[:MAX_ALIASES])
--- a/src/briarseam/wire/client.py
+++ b/src/briarseam/wire/client.py
@@ -78,6 +78,8 @@
         Connections kept open between calls.
     clock
         Stamps the frames; ``None`` sends them without.
+    observer
+        Sees every call and its reply.
     """
 
     def __init__(
@@ -87,7 +89,9 @@
         key: bytes,
         max_idle: int = DEFAULT_MAX_IDLE,
         clock: connections.Clock | None = None,
+        observer: connections.Observer | None = None,
     ) -> None:
+        self.observer = observer
         self.address = address
         self.me = me
         self.key = key
@@ -116,6 +120,22 @@
         CallLostError
             When it may have got it.
         """
+        if self.observer is None:
+            return self.exchange(request, timeout_s)
+        self.observer.asked(request)
+        try:
+            reply = self.exchange(request, timeout_s)
+        except connections.WireError as error:
+            failed = codec.Failed("lost", str(error))
+            self.observer.answered(request, failed)
+            raise
+        self.observer.answered(request, reply)
+        return reply
+
+    def exchange(
+        self, request: codec.Message, timeout_s: float
+    ) -> codec.Message:
+        """Send a request and return its reply, see :meth:`call`."""
         connection = self.take(timeout_s)
         connection.set_timeout(timeout_s)
         sent = connection.bytes_sent
--- a/src/briarseam/wire/connection.py
+++ b/src/briarseam/wire/connection.py
@@ -46,6 +46,16 @@
         ...
 
 
+class Observer(typing.Protocol):
+    """Sees calls go by; must neither wait nor raise."""
+
+    def asked(self, request: codec.Message) -> None:
+        """See a request before it is sent or handled."""
+
+    def answered(self, request: codec.Message, reply: codec.Message) -> None:
+        """See a request's reply; ``Failed`` when none came."""
+
+
 @codec.message("challenge")
 @dataclasses.dataclass(frozen=True)
 class Challenge:
--- a/src/briarseam/wire/server.py
+++ b/src/briarseam/wire/server.py
@@ -25,9 +25,17 @@
 
     A handler takes the peer's identity and the message and returns the
     reply.  It runs in the connection's own thread and may wait.
+
+    Attributes
+    ----------
+    handlers
+        By class of message.
+    observer
+        Sees every message and its reply.
     """
 
     handlers: dict[type, Handler] = dataclasses.field(default_factory=dict)
+    observer: connections.Observer | None = None
 
     def on(self, kind: type, handler: Handler) -> None:
         """Let ``handler`` answer messages of class ``kind``."""
@@ -39,6 +47,17 @@
         self, peer: connections.Identity, request: codec.Message
     ) -> codec.Message:
         """Return the reply to ``request``, ``Failed`` on an error."""
+        if self.observer is None:
+            return self.handle(peer, request)
+        self.observer.asked(request)
+        reply = self.handle(peer, request)
+        self.observer.answered(request, reply)
+        return reply
+
+    def handle(
+        self, peer: connections.Identity, request: codec.Message
+    ) -> codec.Message:
+        """Let the message's handler answer."""
         handler = self.handlers.get(type(request))
         if handler is None:
             name = type(request).__name__
