Wire the time line into agent and entry

Every log line also becomes an event, since a line is written only when a state changes; free text in it shows as its length. The hybrid clock rides on the frames between entries and agents, on heartbeats and on calls about claims. The feed has a connection and a name of its own: the agent takes an entry for gone when the last connection under the entry's name has ended.

Found and mended: note() raised for half a surrogate pair in a path and for a field named kind; a float that JSON lacks would have made the page unreadable. Each has its test.

--- a/src/briarseam/command/entry.py
+++ b/src/briarseam/command/entry.py
@@ -8,6 +8,7 @@
 from briarseam.command import options
 from briarseam.command import signals
 from briarseam.compose import entry as compose
+from briarseam.timeline import lines
 
 if typing.TYPE_CHECKING:
     import argparse
@@ -21,9 +22,13 @@
 def execute(args: argparse.Namespace) -> int:
     """Run the entry until SIGTERM or SIGINT."""
     settings = options.load_settings(args)
-    logs.set_up(settings.logging, f"entry/{settings.instance.name}")
     stopped = signals.stop_on_signals()
     daemon = compose.build_entry(settings)
+    logs.set_up(
+        settings.logging,
+        f"entry/{settings.instance.name}",
+        note=lines.LineNotes(daemon.ring),
+    )
     address = daemon.start()
     print(f"entry {address}", flush=True)
     stopped.wait()
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -13,6 +13,7 @@
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
 from briarseam.compose import configuration as compose_configuration
+from briarseam.compose import timeline as compose_timeline
 from briarseam.configuration import reader as configuration
 from briarseam.lookup import service as lookup
 from briarseam.membership import service as membership
@@ -82,6 +83,7 @@
 def build_membership(
     settings: settings_module.Settings,
     parts_of: typing.Callable[[str], int],
+    stamps: connection.Clock,
 ) -> membership.Membership:
     """Return the membership part of an agent."""
     return membership.Membership(
@@ -99,6 +101,7 @@
         parts_of=parts_of,
         heartbeat_interval_s=settings.agent.heartbeat_interval_ms / MS,
         suspect_after_s=settings.agent.suspect_after_ms / MS,
+        stamps=stamps,
     )
 
 
@@ -140,13 +143,12 @@
     key = shared_key(settings)
     me = connection.Identity("agent", settings.instance.name)
     registry = metrics.Registry(settings.limits.max_metric_label_values)
-    ring = timeline.Ring(
-        f"agent/{me.name}", settings.agent.max_timeline_events
-    )
+    ring = compose_timeline.build_ring(settings, me)
     log = platform_log.LogClient(
         str(settings.platform.log), settings.platform.log_timeout_ms / MS
     )
     router = wire.Router()
+    compose_timeline.watch_agent(router, ring)
     reader: configuration.ConfigurationReader
 
     def parts_of(zone: str) -> int:
@@ -156,13 +158,13 @@
     reader = compose_configuration.build_reader(
         settings, log, me, key, lambda: member_service
     )
-    member_service = build_membership(settings, parts_of)
+    member_service = build_membership(settings, parts_of, ring.clock)
     compose_configuration.connect(reader, member_service, registry, ring)
     claim_service = compose_claims.build_claims(
         settings,
         log,
         member_service,
-        compose_claims.PeerClients(me, key),
+        compose_claims.PeerClients(me, key, ring.clock),
         registry,
     )
     once = idempotency.Idempotency(claim_service)
@@ -210,6 +212,7 @@
             running=lambda: len(admission_service.runs),
         ),
     )
+    events = compose_timeline.build_agent_part(me, key, ring, member_service)
     for part in (
         reader,
         member_service,
@@ -218,9 +221,12 @@
         states,
         claim_service,
         kept,
+        events,
     ):
         part.register(router)
-    server = wire.Server(str(settings.agent.listen), me, key, router)
+    server = wire.Server(
+        str(settings.agent.listen), me, key, router, ring.clock
+    )
     server.on_gone = lambda peer: once.entry_gone(peer.name)
     return AgentDaemon(
         server=server,
--- a/src/briarseam/compose/claims.py
+++ b/src/briarseam/compose/claims.py
@@ -28,11 +28,19 @@
         This agent.
     key
         The shared key.
+    clock
+        Stamps the frames.
     """
 
-    def __init__(self, me: connection.Identity, key: bytes) -> None:
+    def __init__(
+        self,
+        me: connection.Identity,
+        key: bytes,
+        clock: connection.Clock | None = None,
+    ) -> None:
         self.me = me
         self.key = key
+        self.clock = clock
         self.lock = threading.Lock()
         self.clients: dict[str, wire.Client] = {}
 
@@ -41,7 +49,9 @@
         with self.lock:
             client = self.clients.get(address)
             if client is None:
-                client = wire.Client(address, self.me, self.key)
+                client = wire.Client(
+                    address, self.me, self.key, clock=self.clock
+                )
                 self.clients[address] = client
             return client
 
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -8,6 +8,7 @@
 import typing
 
 from briarseam.compose import agent as compose_agent
+from briarseam.compose import timeline as compose_timeline
 from briarseam.endpoints import engine
 from briarseam.endpoints import service
 from briarseam.entry import agent_link
@@ -17,6 +18,7 @@
 from briarseam.entry import reports as report_queue
 from briarseam.entry import server as http
 from briarseam.metrics import registry as metrics
+from briarseam.timeline import requests
 from briarseam.wire import client as wire
 from briarseam.wire import connection
 
@@ -24,6 +26,8 @@
     import cheroot.wsgi
 
     from briarseam import settings as settings_module
+    from briarseam.timeline import feed
+    from briarseam.timeline import ring as rings
 
 ENGINE_SILENCE_S = 30.0
 AGENT_CONNECTIONS = 64
@@ -39,10 +43,13 @@
     parts: app.EntryParts
     agent_client: wire.Client
     reports: report_queue.Reports
+    ring: rings.Ring
+    events: feed.RingFeed
 
     def start(self) -> str:
         """Bind, begin to serve, and return the address."""
         self.reports.start()
+        self.events.start()
         self.server.prepare()
         thread = threading.Thread(
             target=self.server.serve, name="http", daemon=True
@@ -55,6 +62,7 @@
         """Stop serving."""
         self.server.stop()
         self.reports.stop(REPORTS_FLUSH_S)
+        self.events.stop()
         self.agent_client.close()
 
 
@@ -64,11 +72,15 @@
     # an entry holds is lost when all connections under its name have ended.
     start = secrets.token_hex(START_BYTES)
     me = connection.Identity("entry", f"{settings.instance.name}/{start}")
+    key = compose_agent.shared_key(settings)
+    ring = compose_timeline.build_ring(settings, me)
     client = wire.Client(
         str(settings.entry.agent),
         me,
-        compose_agent.shared_key(settings),
+        key,
         AGENT_CONNECTIONS,
+        ring.clock,
+        requests.EntryObserver(ring),
     )
     registry = metrics.Registry(settings.limits.max_metric_label_values)
     teams = {team.name: team.key.value for team in settings.teams}
@@ -87,4 +99,7 @@
         app.build_application(parts),
         settings.entry.threads,
     )
-    return EntryDaemon(server, parts, client, reports)
+    events = compose_timeline.build_entry_part(
+        str(settings.entry.agent), me, key, ring
+    )
+    return EntryDaemon(server, parts, client, reports, ring, events)
--- /dev/null
+++ b/src/briarseam/compose/timeline.py
@@ -0,0 +1,75 @@
+"""Composing the time line's part of each daemon."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.platform import instances
+from briarseam.timeline import feed
+from briarseam.timeline import peers
+from briarseam.timeline import requests
+from briarseam.timeline import ring as rings
+from briarseam.timeline import service
+from briarseam.wire import client as wire
+from briarseam.wire import connection
+
+if typing.TYPE_CHECKING:
+    from briarseam import settings as settings_module
+    from briarseam.membership import service as membership
+    from briarseam.wire import server
+
+AGENT = "agent"
+FEED_SUFFIX = "/timeline"
+
+
+def build_ring(
+    settings: settings_module.Settings, me: connection.Identity
+) -> rings.Ring:
+    """Return a process's ring."""
+    return rings.Ring(
+        f"{me.role}/{me.name}", settings.agent.max_timeline_events
+    )
+
+
+def build_agent_part(
+    me: connection.Identity,
+    key: bytes,
+    ring: rings.Ring,
+    member_service: membership.Membership,
+) -> service.Timeline:
+    """Return an agent's part."""
+
+    def addresses() -> dict[str, str]:
+        """Return the other agents, of this cell and of all others."""
+        found = {
+            listed.name: listed.address
+            for listed in member_service.list_reader.rows
+            if listed.role == AGENT
+            and listed.state is instances.ListedState.LIVE
+        }
+        for member in member_service.members():
+            found[member.name] = member.agent_address
+        found.pop(me.name, None)
+        return found
+
+    asked = peers.Peers(me, key, addresses, ring.clock)
+    return service.Timeline(ring, feed.EntryFeeds(), asked.others())
+
+
+def watch_agent(router: server.Router, ring: rings.Ring) -> None:
+    """Note what an agent decides about requests."""
+    router.observer = requests.AgentObserver(ring)
+
+
+def build_entry_part(
+    agent_address: str, me: connection.Identity, key: bytes, ring: rings.Ring
+) -> feed.RingFeed:
+    """Return an entry's part."""
+    # Another name than that of the entry's calls: the agent takes an entry
+    # for gone when the last connection of its name has ended.
+    name = connection.Identity(me.role, me.name + FEED_SUFFIX)
+
+    def dial() -> connection.Connection:
+        return wire.connect(agent_address, name, key, clock=ring.clock)
+
+    return feed.RingFeed(dial, ring)
--- a/src/briarseam/logs.py
+++ b/src/briarseam/logs.py
@@ -24,6 +24,7 @@
     chosen: settings.Logging,
     process: str,
     stream: typing.TextIO | None = None,
+    note: structlog.types.Processor | None = None,
 ) -> None:
     """Set up the log lines of this process, those of libraries included.
 
@@ -35,12 +36,18 @@
         Name of the process, on every line.
     stream
         Where lines go; standard error unless given.
+    note
+        Sees each of the system's own lines, for the time line.
     """
     target = stream or sys.stderr
     level = logging.getLevelNamesMapping()[chosen.level.upper()]
     shared = shared_processors(process)
     structlog.configure(
-        processors=[*shared, renderer(chosen, target)],
+        processors=[
+            *shared,
+            *([note] if note else []),
+            renderer(chosen, target),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(target),
         cache_logger_on_first_use=False,
--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -126,6 +126,7 @@
             self.membership.identity,
             self.membership.key,
             self.membership.reply_timeout_s,
+            self.membership.stamps,
         )
         return self.connection
 
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -59,6 +59,8 @@
         Least seconds between reads of the instance list.
     clock
         Monotonic clock.
+    stamps
+        The process's hybrid clock, which rides on every frame.
     """
 
     def __init__(
@@ -72,7 +74,9 @@
         suspect_after_s: float = SUSPECT_AFTER_S,
         list_interval_s: float = listing.INTERVAL_S,
         clock: tables.Clock = time.monotonic,
+        stamps: connections.Clock | None = None,
     ) -> None:
+        self.stamps = stamps
         self.settings = me
         self.key = key
         self.seeds = seeds
@@ -209,7 +213,9 @@
         with self.lock:
             found = self.clients.get(name)
             if found is None or found.address != address:
-                found = clients.Client(address, self.identity, self.key)
+                found = clients.Client(
+                    address, self.identity, self.key, clock=self.stamps
+                )
                 self.clients[name] = found
             return found
 
--- a/src/briarseam/timeline/feed.py
+++ b/src/briarseam/timeline/feed.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import threading
 import time
@@ -65,13 +66,6 @@
     """The agent has the events."""
 
 
-class Caller(typing.Protocol):
-    """What the feed needs of its client."""
-
-    def call(self, request: codec.Message, timeout_s: float) -> codec.Message:
-        """Send a message and return the reply."""
-
-
 def answer(ring: rings.Ring, fetch: messages.FetchEvents) -> messages.Events:
     """Return what one ring holds of the events asked for."""
     found = ring.selected(fetch.filter)
@@ -89,8 +83,8 @@
 
     Parameters
     ----------
-    client
-        Calls to the agent.
+    dial
+        Opens a connection to the agent.
     ring
         The entry's events.
     wait_s
@@ -98,11 +92,15 @@
     """
 
     def __init__(
-        self, client: Caller, ring: rings.Ring, wait_s: float = WAIT_S
+        self,
+        dial: typing.Callable[[], connections.Connection],
+        ring: rings.Ring,
+        wait_s: float = WAIT_S,
     ) -> None:
-        self.client = client
+        self.dial = dial
         self.ring = ring
         self.wait_s = wait_s
+        self.connection: connections.Connection | None = None
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name="timeline-feed", daemon=True
@@ -113,32 +111,47 @@
         self.thread.start()
 
     def stop(self) -> None:
-        """Stop after the call under way."""
+        """Stop at once."""
         self.stopping.set()
+        connection = self.connection
+        if connection is not None:
+            connection.close()
 
     def run(self) -> None:
         """Offer until stopped; the agent may come and go."""
         while not self.stopping.is_set():
-            try:
-                understood = self.offer()
-            except connections.WireError:
-                understood = False
-            if not understood:
-                self.stopping.wait(RETRY_S)
-
-    def offer(self) -> bool:
-        """Wait for one question and answer it; tell if understood."""
-        wanted = self.client.call(
-            AwaitFetch(self.ring.process, self.wait_s),
-            self.wait_s + WAIT_SLACK_S,
-        )
+            with contextlib.suppress(connections.WireError):
+                self.offer_until_cut()
+            self.stopping.wait(RETRY_S)
+
+    def offer_until_cut(self) -> None:
+        """Answer questions over one connection while it holds.
+
+        Raises
+        ------
+        WireError
+            When there is no connection, or no more.
+        """
+        self.connection = connection = self.dial()
+        try:
+            while not self.stopping.is_set():
+                self.offer(connection)
+        finally:
+            connection.close()
+
+    def offer(self, connection: connections.Connection) -> None:
+        """Wait for one question and answer it."""
+        connection.set_timeout(self.wait_s + WAIT_SLACK_S)
+        connection.send(AwaitFetch(self.ring.process, self.wait_s))
+        wanted = connection.receive()
         if not isinstance(wanted, FetchWanted):
-            return False
-        if wanted.ticket:
-            found = answer(self.ring, wanted.fetch)
-            handed = HandOver(self.ring.process, wanted.ticket, found)
-            self.client.call(handed, HAND_OVER_TIMEOUT_S)
-        return True
+            raise connections.WireError("the agent takes no feed")
+        if not wanted.ticket:
+            return
+        connection.set_timeout(HAND_OVER_TIMEOUT_S)
+        found = answer(self.ring, wanted.fetch)
+        connection.send(HandOver(self.ring.process, wanted.ticket, found))
+        connection.receive()
 
 
 @dataclasses.dataclass
--- a/src/briarseam/timeline/lines.py
+++ b/src/briarseam/timeline/lines.py
@@ -42,5 +42,5 @@
         }
         for name in ABOUT & fields.keys():
             fields[name] = str(fields[name])
-        self.ring.note(line["event"].replace("_", "-"), **fields)
+        self.ring.note(str(line["event"]).replace("_", "-"), **fields)
         return line
--- a/src/briarseam/timeline/ring.py
+++ b/src/briarseam/timeline/ring.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import sys
 import threading
 import typing
@@ -81,6 +82,7 @@
     def note(
         self,
         kind: str,
+        /,
         *,
         request: str = "",
         path: str = "",
@@ -112,7 +114,13 @@
             fields,
         )
         with self.lock:
-            packed = encoder.encode((self.clock.now(), words))
+            stamp = self.clock.now()
+            try:
+                packed = encoder.encode((stamp, words))
+            except UnicodeEncodeError:
+                # A caller's header may hold half a surrogate pair.  The
+                # request that is noted must not fail of it.
+                packed = encoder.encode((stamp, printable(words)))
             self.packed.append(packed)
             self.bytes += len(packed) + OVERHEAD_BYTES
             while (
@@ -155,6 +163,18 @@
     )
 
 
+def printable(words: typing.Any) -> typing.Any:
+    """Return words that can be encoded, whatever was in them."""
+    *texts, fields = words
+    names = {escaped(name): value for name, value in fields.items()}
+    return (*map(escaped, texts), names)
+
+
+def escaped(text: str) -> str:
+    """Return a text with all but ASCII escaped."""
+    return text.encode("ascii", "backslashreplace").decode()
+
+
 def clean(
     fields: typing.Mapping[str, events.Scalar],
 ) -> dict[str, events.Scalar]:
@@ -183,8 +203,11 @@
         if len(value) <= MAX_WORD and value.isprintable() and " " not in value:
             return str(value)
         return f"text:{len(value)}"
-    if isinstance(value, bool | float):
+    if isinstance(value, bool):
         return value
+    if isinstance(value, float):
+        # JSON has no word for these two, and the page is JSON.
+        return value if math.isfinite(value) else str(value)
     if isinstance(value, int):
         return max(-MAX_COUNT, min(int(value), MAX_COUNT))
     return type(value).__name__
--- a/tests/timeline/conftest.py
+++ b/tests/timeline/conftest.py
@@ -35,6 +35,10 @@
         me = connections.Identity("entry", name)
         return clients.Client(self.server.address, me, KEY)
 
+    def dial(self, name):
+        me = connections.Identity("entry", name)
+        return clients.connect(self.server.address, me, KEY)
+
 
 @pytest.fixture
 def no_others():
@@ -62,7 +66,7 @@
 
     def make(agent, process, wait_s=5.0):
         ring = rings.Ring(process, clock=clocks.HybridClock())
-        started = feed.RingFeed(agent.client(process), ring, wait_s)
+        started = feed.RingFeed(lambda: agent.dial(process), ring, wait_s)
         started.start()
         made.append(started)
         return started
--- a/tests/timeline/test_ring.py
+++ b/tests/timeline/test_ring.py
@@ -80,6 +80,8 @@
         pytest.param(b"secret", "bytes", id="bytes"),
         pytest.param(["secret"], "list", id="list"),
         pytest.param(None, "NoneType", id="none"),
+        pytest.param("\ud800", "text:1", id="half a pair"),
+        pytest.param(float("inf"), "inf", id="infinite"),
         pytest.param(10**30, rings.MAX_COUNT, id="huge count"),
     ],
 )
@@ -91,6 +93,16 @@
     assert ring.since()[0].fields == {"detail": shown}
 
 
+def test_noting_never_fails_whatever_the_words():
+    # A request whose header holds half a surrogate pair, or a log line
+    # with a field named like a parameter, must not fail of being noted.
+    ring = rings.Ring("p")
+    ring.note("\ud800", path="\ud800", **{"\ud800": 1, "kind": 2, "self": 3})
+    (event,) = ring.since()
+    assert event.fields["kind"] == 2
+    assert event.fields["self"] == 3
+
+
 def test_threads_note_at_once_without_loss_or_disorder():
     # One ring serves every connection thread of a process.
     ring = rings.Ring("p", capacity=10_000)
--- a/tests/timeline/test_service.py
+++ b/tests/timeline/test_service.py
@@ -166,7 +166,7 @@
     wait_for_feeds(agent, 1)
     agent.server.stop()
     successor = make_agent("a1")
-    entry.client = successor.client("entry/a1")
+    entry.dial = lambda: successor.dial("entry/a1")
     wait_for_feeds(successor, 1)
     entry.ring.note("accepted")
     assert [event.kind for event in ask(successor).events] == ["accepted"]
