--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from tests import known_red
+
 VALID = """\
 [instance]
 name = cph-1
@@ -41,6 +43,11 @@
 Write = typing.Callable[[str], str]
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    entries = known_red.read(config.rootpath / known_red.FILE_NAME)
+    config.pluginmanager.register(known_red.Plugin(config, entries))
+
+
 @pytest.fixture
 def valid() -> str:
     return VALID
