Show a default that still exists in the test of settings check

The test was wrong, not the command.

The assertion is replaced by one as strict on claims.batch_ms: same listing, exact value, source default.

--- a/tests/command/test_settings.py
+++ b/tests/command/test_settings.py
@@ -14,7 +14,7 @@
     assert lines[0].split() == ["setting", "value", "source"]
     rows = {line.split()[0]: line.split()[1:] for line in lines[1:]}
     assert rows["instance.name"] == ["cph-1", f"{path}:2"]
-    assert rows["claims.shards"] == ["8", "default"]
+    assert rows["claims.batch_ms"] == ["20", "default"]
 
 
 def test_check_prints_json(write, valid, capsys):
