--- a/src/briarseam/admission/idempotency.py
+++ b/src/briarseam/admission/idempotency.py
@@ -21,7 +21,9 @@
 # entry is frozen or forgot it.
 SLACK_S = 10.0
 PROMPT_BOUND_S = 600.0
-SWEEP_S = 1.0
+SWEEP_S = 0.25
+# An entry whose connections were cut opens new ones within this.
+GRACE_S = 1.0
 
 
 class Claims(typing.Protocol):
@@ -87,6 +89,8 @@
     ----------
     claims
         The claims.
+    connected
+        Names of the entry processes that have a connection open.
     clock
         Monotonic seconds.
     """
@@ -94,10 +98,13 @@
     def __init__(
         self,
         claims: Claims,
+        connected: typing.Callable[[], frozenset[str]],
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self.claims = claims
+        self.connected = connected
         self.clock = clock
+        self.missing: dict[str, float] = {}
         self.lock = threading.Lock()
         self.attempts: dict[str, Attempt] = {}
         self.stopping = threading.Event()
@@ -116,11 +123,33 @@
     def watch(self) -> None:
         """Look until stopped."""
         while not self.stopping.wait(SWEEP_S):
-            self.lose_overdue(self.clock())
+            self.review()
 
-    def lose_overdue(self, now: float) -> None:
-        """Give up attempts whose end should have been told by now."""
-        self.lose(lambda attempt: attempt.bound_at < now)
+    def review(self) -> None:
+        """Give up attempts whose end will not be told any more.
+
+        An entry that died after its grant leaves its key claimed by an
+        agent that is alive; callers would be told "in progress" for good.
+        Should the entry live after all, what it reports still counts.
+        """
+        now = self.clock()
+        connected = self.connected()
+        with self.lock:
+            entries = {one.keyed.entry for one in self.attempts.values()}
+        self.missing = {
+            entry: self.missing.get(entry, now)
+            for entry in entries - connected
+        }
+        gone = {
+            entry
+            for entry, since in self.missing.items()
+            if now - since >= GRACE_S
+        }
+        self.lose(
+            lambda attempt: (
+                attempt.keyed.entry in gone or attempt.bound_at < now
+            )
+        )
 
     def take(self, keyed: Keyed, bound_s: float) -> messages.Replayed | None:
         """Win the key for an attempt, or return what ran before.
@@ -230,15 +259,6 @@
             self.attempts.pop(attempt, None)
         self.claims.settle(organisation, key, attempt, end)
 
-    def entry_gone(self, entry: str) -> None:
-        """Give up the attempts of an entry whose connections all ended.
-
-        An entry that died after its grant leaves its key claimed by an
-        agent that is alive; callers would be told "in progress" for good.
-        Should the entry live after all, what it reports still counts.
-        """
-        self.lose(lambda attempt: attempt.keyed.entry == entry)
-
     def lose(self, concerned: typing.Callable[[Attempt], bool]) -> None:
         """Record attempts as lost, or as not run if never sent."""
         with self.lock:
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -150,6 +150,7 @@
     router = wire.Router()
     compose_timeline.watch_agent(router, ring)
     reader: configuration.ConfigurationReader
+    server: wire.Server
 
     def parts_of(zone: str) -> int:
         cell = reader.view().cells.get(zone)
@@ -167,7 +168,7 @@
         compose_claims.PeerClients(me, key, ring.clock),
         registry,
     )
-    once = idempotency.Idempotency(claim_service)
+    once = idempotency.Idempotency(claim_service, lambda: server.connected())
     kept = kept_cache.KeptCache(reader.view, key)
     ledger = ledgers.Ledger()
     engine_loads = loads.Loads(
@@ -227,7 +228,6 @@
     server = wire.Server(
         str(settings.agent.listen), me, key, router, ring.clock
     )
-    server.on_gone = lambda peer: once.entry_gone(peer.name)
     return AgentDaemon(
         server=server,
         membership=member_service,
--- a/src/briarseam/compose/claims.py
+++ b/src/briarseam/compose/claims.py
@@ -16,6 +16,7 @@
     from briarseam.platform import log as platform_log
     from briarseam.wire import connection
 
+MS = 1000.0
 RANK_KEY = "claims-shard-{}"
 
 
@@ -84,6 +85,7 @@
         claims.Options(
             window_s=settings.claims.window_s,
             batch_ms=settings.claims.batch_ms,
+            wait_s=settings.platform.log_timeout_ms / MS,
         ),
         registry,
     )
--- a/src/briarseam/wire/server.py
+++ b/src/briarseam/wire/server.py
@@ -14,7 +14,6 @@
 
 BACKLOG = 512
 ACCEPT_POLL_S = 0.2
-GoneHandler = typing.Callable[[connections.Identity], None]
 Handler = typing.Callable[[connections.Identity, typing.Any], codec.Message]
 log = structlog.get_logger("briarseam.wire")
 
@@ -98,8 +97,6 @@
         self.me = me
         self.key = key
         self.router = router
-        # Called with a peer when the last of its connections has ended.
-        self.on_gone: GoneHandler | None = None
         self.stopping = threading.Event()
         self.open: set[connections.Connection] = set()
         self.lock = threading.Lock()
@@ -169,16 +166,13 @@
             pass
         finally:
             connection.close()
-            self.end(connection)
+            with self.lock:
+                self.open.discard(connection)
 
-    def end(self, connection: connections.Connection) -> None:
-        """Forget a connection; tell when it was its peer's last."""
-        peer = connection.peer
+    def connected(self) -> frozenset[str]:
+        """Return the names of the peers that have a connection open."""
         with self.lock:
-            self.open.discard(connection)
-            others = any(one.peer == peer for one in self.open)
-        if self.on_gone and peer.name and not others:
-            self.on_gone(peer)
+            return frozenset(one.peer.name for one in self.open)
 
     def reply(
         self, connection: connections.Connection, reply: codec.Message
--- a/tests/admission/test_idempotency.py
+++ b/tests/admission/test_idempotency.py
@@ -43,8 +43,26 @@
 
 
 @pytest.fixture
-def once(fake, clock) -> idempotency.Idempotency:
-    return idempotency.Idempotency(fake, lambda: clock[0])
+def connected() -> set[str]:
+    return {"entry-1"}
+
+
+@pytest.fixture
+def once(fake, clock, connected) -> idempotency.Idempotency:
+    return idempotency.Idempotency(
+        fake, lambda: frozenset(connected), lambda: clock[0]
+    )
+
+
+@pytest.fixture
+def lose_entry(once, clock, connected) -> typing.Callable[[], None]:
+    def lose() -> None:
+        connected.clear()
+        once.review()
+        clock[0] += idempotency.GRACE_S
+        once.review()
+
+    return lose
 
 
 def ended(result: messages.RunResult) -> messages.RunEnded:
@@ -53,23 +71,41 @@
     )
 
 
-def test_entry_that_died_leaves_its_attempt_lost(once, fake):
+def test_entry_that_died_leaves_its_attempt_lost(once, fake, lose_entry):
     """Callers are told "in progress" for good after an entry died."""
     once.take(KEYED, BOUND_S)
-    once.entry_gone("entry-2")
+    once.review()
     assert fake.settled == []
-    once.entry_gone("entry-1")
+    lose_entry()
     assert fake.ends() == [verdict.MayHaveRun]
 
 
-def test_entry_that_died_before_sending_frees_the_key(once, fake):
+def test_entry_that_connects_again_keeps_its_attempt(
+    once, fake, clock, connected
+):
+    """A caller is told "unknown" though its submission's entry lives.
+
+    The entry's connections were cut; it opens new ones and reports.
+    """
+    once.take(KEYED, BOUND_S)
+    connected.clear()
+    once.review()
+    connected.add("entry-1")
+    clock[0] += idempotency.GRACE_S
+    once.review()
+    connected.clear()
+    once.review()
+    assert fake.settled == []
+
+
+def test_entry_that_died_before_sending_frees_the_key(once, fake, lose_entry):
     once.take(KEYED, BOUND_S)
     once.ended(ended(messages.RunResult.NOT_SENT), "")
-    once.entry_gone("entry-1")
+    lose_entry()
     assert fake.ends() == [verdict.NotRun]
 
 
-def test_granted_again_after_not_sent_counts_as_sent(once, fake):
+def test_granted_again_after_not_sent_counts_as_sent(once, fake, lose_entry):
     """A booking runs twice.
 
     Its first endpoint could not be reached, the second got it, and then
@@ -80,7 +116,7 @@
     once.ended(ended(messages.RunResult.NOT_SENT), "")
     once.take(KEYED, BOUND_S)
     assert fake.claimed == 1
-    once.entry_gone("entry-1")
+    lose_entry()
     assert fake.ends() == [verdict.MayHaveRun]
 
 
@@ -95,10 +131,10 @@
 def test_entry_that_is_frozen_leaves_its_attempt_lost(once, fake, clock):
     once.take(KEYED, BOUND_S)
     clock[0] += BOUND_S
-    once.lose_overdue(clock[0])
+    once.review()
     assert fake.settled == []
     clock[0] += idempotency.SLACK_S + 1
-    once.lose_overdue(clock[0])
+    once.review()
     assert fake.ends() == [verdict.MayHaveRun]
 
 
