--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -68,6 +68,11 @@
         "briarseam.command.config",
         "show and change the configuration",
     ),
+    Command(
+        "timeline",
+        "briarseam.command.timeline",
+        "show what happened over all processes, in causal order",
+    ),
     Command(
         "settings",
         "briarseam.command.settings",
--- a/src/briarseam/command/http.py
+++ b/src/briarseam/command/http.py
@@ -35,10 +35,13 @@
         ``ip:port``.
     token
         Bearer token.
+    timeout_s
+        Bound on the wait for an answer.
     """
 
     entry: str
     token: str
+    timeout_s: float = TIMEOUT_S
 
     def get(
         self,
@@ -60,7 +63,7 @@
                 url,
                 fields=dict(fields or {}),
                 headers={"Authorization": f"Bearer {self.token}"},
-                timeout=TIMEOUT_S,
+                timeout=self.timeout_s,
                 retries=False,
             )
             if response.status != HTTP_OK:
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -25,7 +25,8 @@
 from briarseam.routing import loads
 from briarseam.routing import service as routing
 from briarseam.status import service as status
-from briarseam.timeline import ring as timeline
+from briarseam.timeline import ring as rings
+from briarseam.timeline import service as timelines
 from briarseam.wire import connection
 from briarseam.wire import server as wire
 
@@ -49,7 +50,8 @@
     kept: kept_cache.KeptCache
     loads: loads.Loads
     registry: metrics.Registry
-    ring: timeline.Ring
+    ring: rings.Ring
+    timeline: timelines.Timeline
 
     def start(self) -> None:
         """Start all parts."""
@@ -239,4 +241,5 @@
         loads=engine_loads,
         registry=registry,
         ring=ring,
+        timeline=events,
     )
--- a/src/briarseam/compose/timeline.py
+++ b/src/briarseam/compose/timeline.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from briarseam.answers import answer_id
 from briarseam.platform import instances
 from briarseam.timeline import feed
 from briarseam.timeline import peers
@@ -53,7 +54,15 @@
         return found
 
     asked = peers.Peers(me, key, addresses, ring.clock)
-    return service.Timeline(ring, feed.EntryFeeds(), asked.others())
+
+    def run_of(name: str) -> str:
+        """Return the run that an answer id names, else nothing."""
+        try:
+            return answer_id.unseal(name, key).run_id
+        except answer_id.AnswerIdError:
+            return ""
+
+    return service.Timeline(ring, feed.EntryFeeds(), asked.others(), run_of)
 
 
 def watch_agent(router: server.Router, ring: rings.Ring) -> None:
--- a/src/briarseam/timeline/event.py
+++ b/src/briarseam/timeline/event.py
@@ -59,7 +59,7 @@
     Attributes
     ----------
     request
-        A request by its id, its run or its idempotency key.
+        A request by its name, its run or its idempotency key.
     also
         Other names of the same request.
     path, endpoint
--- a/src/briarseam/timeline/service.py
+++ b/src/briarseam/timeline/service.py
@@ -25,6 +25,7 @@
 MAX_ALIASES = 64
 
 PeerNames = typing.Callable[[], "collections.abc.Iterable[str]"]
+RunOf = typing.Callable[[str], str]
 AskPeer = typing.Callable[[str, messages.FetchEvents], messages.Events]
 
 
@@ -48,6 +49,12 @@
     ask: AskPeer
 
 
+def no_run(name: str) -> str:
+    """Know no answer ids."""
+    del name
+    return ""
+
+
 class Timeline:
     """Collects events of this process, this instance, or all of them.
 
@@ -59,14 +66,21 @@
         The entry processes of this instance.
     others
         The other agents.
+    run_of
+        Returns the run that an answer id names, empty for anything else.
     """
 
     def __init__(
-        self, ring: rings.Ring, entries: feeds.EntryFeeds, others: Others
+        self,
+        ring: rings.Ring,
+        entries: feeds.EntryFeeds,
+        others: Others,
+        run_of: RunOf = no_run,
     ) -> None:
         self.ring = ring
         self.entries = entries
         self.others = others
+        self.run_of = run_of
 
     def register(self, router: server.Router) -> None:
         """Answer entries, agents and the feeds."""
@@ -83,20 +97,24 @@
     def fetch(self, fetch: messages.FetchEvents) -> messages.Events:
         """Return the events asked for.
 
-        An operator may name a request by its run or by its idempotency
-        key, and one part of its events knows only the one name, another
-        part only the other.  So all names that the events found first give
-        the request are asked for in a second round.
+        An operator may name a request by its run, by its idempotency key
+        or by the id of its answer, and one part of its events knows only
+        the one name, another part only the other.  So all names that the
+        events found first give the request are asked for in a second round.
         """
         limit = max(1, min(fetch.limit, MAX_EVENTS))
-        fetch = dataclasses.replace(fetch, limit=limit)
+        run = self.run_of(fetch.filter.request)
+        named = dataclasses.replace(
+            fetch.filter, request=run or fetch.filter.request
+        )
+        fetch = dataclasses.replace(fetch, filter=named, limit=limit)
         found = self.collect(fetch)
         if fetch.scope is not messages.Scope.EVERYWHERE:
             return found
-        also = aliases(found, fetch.filter.request)
+        also = aliases(found, named.request)
         if not also:
             return found
-        wanted = dataclasses.replace(fetch.filter, also=also)
+        wanted = dataclasses.replace(named, also=also)
         return self.collect(dataclasses.replace(fetch, filter=wanted))
 
     def collect(self, fetch: messages.FetchEvents) -> messages.Events:
--- a/tests/timeline/test_whole.py
+++ b/tests/timeline/test_whole.py
@@ -54,6 +54,14 @@
     assert not [source for source in found.sources if source.error]
 
 
+def test_a_request_is_found_by_its_answer_id(running):
+    # The caller saved only the answer id that its stream began with.
+    answer = running.caller().ask(deployment.prompt_body("by answer"))
+    found = look(running, request=answer.answer_id)
+    assert kinds_of(found)[0] == "accepted"
+    assert found.events[0].request == answer.headers["X-Request-Id"]
+
+
 def test_a_refused_request_is_found_by_its_name(running):
     # A caller was refused and asks why.
     answer = running.caller().ask(deployment.prompt_body("x", model="none"))
