Add briarseam stand-in

One subcommand runs each stand-in as a process for the demo and the matrix. Switches are given as text and converted to their types; an address must be an IP number, as everywhere.

--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -58,6 +58,11 @@
         "briarseam.command.status",
         "show the agents of a cell and the rollouts",
     ),
+    Command(
+        "stand-in",
+        "briarseam.command.stand_in",
+        "run a small stand-in for an outside system",
+    ),
     Command(
         "where",
         "briarseam.command.where",
--- a/src/briarseam/testing/stand_in.py
+++ b/src/briarseam/testing/stand_in.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import ipaddress
 import threading
 import time
 import typing
@@ -17,7 +18,7 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Split ``IP:PORT``.
+    """Split ``IP:PORT``; unlike an address to connect to, port 0 is valid.
 
     Parameters
     ----------
@@ -32,12 +33,14 @@
     Raises
     ------
     ValueError
-        When it has another form.
+        When it has another form or names a host.
     """
     host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"{text!r} is no IP:PORT")
-    return host.strip("[]"), int(port)
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+        return str(ip), int(port)
+    except ValueError as error:
+        raise ValueError(f"expected IP:PORT, got {text!r}") from error
 
 
 class StandIn(typing.Generic[switches.SwitchesType]):
