Note claims and imports, each under its request

What a thread notes while it handles a request belongs to that request, so slices that know no request names need none. Claims and the kept cache are noted by parts that stand between two slices in the composition root.

--- a/src/briarseam/command/agent.py
+++ b/src/briarseam/command/agent.py
@@ -8,6 +8,7 @@
 from briarseam.command import options
 from briarseam.command import signals
 from briarseam.compose import agent as compose
+from briarseam.timeline import kinds
 from briarseam.timeline import lines
 
 if typing.TYPE_CHECKING:
@@ -29,6 +30,7 @@
         f"agent/{settings.instance.name}",
         note=lines.LineNotes(daemon.ring),
     )
+    daemon.ring.note(kinds.Kind.STARTED)
     daemon.start()
     print(f"agent {daemon.server.address}", flush=True)
     stopped.wait()
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -13,6 +13,7 @@
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
 from briarseam.compose import configuration as compose_configuration
+from briarseam.compose import noting
 from briarseam.compose import timeline as compose_timeline
 from briarseam.configuration import reader as configuration
 from briarseam.lookup import service as lookup
@@ -170,7 +171,9 @@
         compose_claims.PeerClients(me, key, ring.clock),
         registry,
     )
-    once = idempotency.Idempotency(claim_service, lambda: server.connected())
+    once = idempotency.Idempotency(
+        noting.NotedClaims(claim_service, ring), lambda: server.connected()
+    )
     kept = kept_cache.KeptCache(reader.view, key)
     ledger = ledgers.Ledger()
     engine_loads = loads.Loads(
@@ -187,7 +190,7 @@
             view=reader.view,
             leaving=frozenset,
             serves=lambda endpoint, model, version: True,
-            kept=kept,
+            kept=noting.NotedKept(kept, ring, compose_timeline.names(reader)),
             loads=engine_loads,
             ledger=ledger,
         )
--- /dev/null
+++ b/src/briarseam/compose/noting.py
@@ -0,0 +1,126 @@
+"""Parts that note on the time line what passes through them.
+
+They stand between two slices, so that neither has to know of the time line.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.admission import idempotency
+from briarseam.cache import state as cache
+from briarseam.claims import messages as claims
+from briarseam.claims import records
+from briarseam.timeline import kinds
+
+if typing.TYPE_CHECKING:
+    from briarseam import verdict
+    from briarseam.routing import service as routing
+    from briarseam.timeline import ring as rings
+
+
+@dataclasses.dataclass(frozen=True)
+class NotedClaims:
+    """Claims that note each key asked for and each end recorded.
+
+    Attributes
+    ----------
+    inner
+        The claims.
+    ring
+        This agent's events.
+    """
+
+    inner: idempotency.Claims
+    ring: rings.Ring
+
+    def claim(
+        self, organisation: str, key: str, body_digest: bytes, attempt: str
+    ) -> claims.Result:
+        """Ask for the right to run a key's request."""
+        result = self.inner.claim(organisation, key, body_digest, attempt)
+        self.ring.note(
+            kinds.Kind.CLAIMED,
+            organisation=organisation,
+            key=key,
+            attempt=attempt,
+            result=word_of(result),
+        )
+        return result
+
+    def settle(
+        self,
+        organisation: str,
+        key: str,
+        attempt: str,
+        end: records.Outcome | verdict.NotRun | verdict.MayHaveRun,
+    ) -> None:
+        """Record how an attempt ended."""
+        self.ring.note(
+            kinds.Kind.CLAIM_ENDED,
+            organisation=organisation,
+            key=key,
+            attempt=attempt,
+            end=word_of(end),
+        )
+        self.inner.settle(organisation, key, attempt, end)
+
+
+@dataclasses.dataclass(frozen=True)
+class NotedKept:
+    """The kept cache as routing uses it; notes each import.
+
+    Attributes
+    ----------
+    inner
+        The kept cache.
+    ring
+        This agent's events.
+    endpoint_at
+        Returns the endpoint at an address, empty when none is.
+    """
+
+    inner: routing.KeptCache
+    ring: rings.Ring
+    endpoint_at: typing.Callable[[str], str]
+
+    def plan(
+        self,
+        organisation: str,
+        model: str,
+        adapter: str,
+        version: str,
+        chain: typing.Sequence[bytes],
+        have: int,
+        session: str = "",
+    ) -> cache.Plan:
+        """Return what could be imported for a prompt."""
+        return self.inner.plan(
+            organisation, model, adapter, version, chain, have, session
+        )
+
+    def engine_salt(self, organisation: str, adapter: str) -> str:
+        """Return the salt under which an engine names prefixes."""
+        return self.inner.engine_salt(organisation, adapter)
+
+    def import_to(
+        self, address: str, plan: cache.Plan, max_s: float
+    ) -> cache.Imported:
+        """Let an endpoint import a plan's blocks; wait for it."""
+        imported = self.inner.import_to(address, plan, max_s)
+        self.ring.note(
+            kinds.Kind.IMPORTED,
+            endpoint=self.endpoint_at(address),
+            version=plan.version,
+            planned=len(plan.blocks),
+            pieces=imported.pieces,
+            bytes=imported.bytes,
+            failed=imported.failed,
+        )
+        return imported
+
+
+def word_of(value: object) -> str:
+    """Return the name of a tagged outcome as a word."""
+    return type(value).__name__.lower()
--- a/src/briarseam/compose/timeline.py
+++ b/src/briarseam/compose/timeline.py
@@ -16,6 +16,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
+    from briarseam.configuration import reader as configuration
     from briarseam.membership import service as membership
     from briarseam.wire import server
 
@@ -65,6 +66,20 @@
     return service.Timeline(ring, feed.EntryFeeds(), asked.others(), run_of)
 
 
+def names(
+    reader: configuration.ConfigurationReader,
+) -> typing.Callable[[str], str]:
+    """Return what gives the name of the endpoint at an address."""
+
+    def endpoint_at(address: str) -> str:
+        for name, endpoint in reader.view().endpoints.items():
+            if endpoint.address == address:
+                return name
+        return ""
+
+    return endpoint_at
+
+
 def watch_agent(router: server.Router, ring: rings.Ring) -> None:
     """Note what an agent decides about requests."""
     router.observer = requests.AgentObserver(ring)
--- a/src/briarseam/timeline/kinds.py
+++ b/src/briarseam/timeline/kinds.py
@@ -11,6 +11,7 @@
     ACCEPTED = "accepted"
     ADMITTING = "admitting"
     CLAIMED = "claimed"
+    CLAIM_ENDED = "claim-ended"
     GRANTED = "granted"
     REFUSED = "refused"
     REPLAYED = "replayed"
--- a/src/briarseam/timeline/requests.py
+++ b/src/briarseam/timeline/requests.py
@@ -178,6 +178,7 @@
         """Note a message before it is handled."""
         match request:
             case messages.Admit() | messages.AdmitCall():
+                self.ring.about(request.request)
                 self.ring.note(
                     Kind.ADMITTING,
                     request=request.request,
@@ -190,11 +191,13 @@
                 )
             case messages.RunEnded():
                 known = self.runs.pop(request.run_id)
+                self.ring.about(known or "")
                 if known is not None:
                     note_end(self.ring, Kind.SETTLED, request, known)
 
     def answered(self, request: codec.Message, reply: codec.Message) -> None:
         """Note the decision about a request."""
+        self.ring.about("")
         match request, reply:
             case messages.Admit() | messages.AdmitCall(), messages.Granted():
                 self.note_grant(request, reply)
--- a/src/briarseam/timeline/ring.py
+++ b/src/briarseam/timeline/ring.py
@@ -78,6 +78,20 @@
         self.bytes = 0
         self.dropped = 0
         self.lock = threading.Lock()
+        self.local = threading.local()
+
+    def about(self, request: str) -> None:
+        """Let what this thread notes be about a request.
+
+        A handler runs in one thread from its message to the reply, so what
+        is noted on the way, by whichever slice, belongs to that request.
+
+        Parameters
+        ----------
+        request
+            Its name; empty for none.
+        """
+        self.local.request = request
 
     def note(
         self,
@@ -105,6 +119,8 @@
         """
         if fields:
             fields = clean(fields)
+        if not request:
+            request = getattr(self.local, "request", "")
         words = (
             kind[:MAX_WORD],
             request[:MAX_WORD],
--- a/tests/timeline/test_requests.py
+++ b/tests/timeline/test_requests.py
@@ -133,3 +133,18 @@
         runs.add(f"run{number}", "r")
     assert list(runs.requests) == ["run7", "run8", "run9"]
     assert runs.pop("run1") is None
+
+
+def test_what_other_slices_note_on_the_way_is_about_the_request(ring):
+    # A claim is made while the agent decides, by a slice that knows no
+    # request names; what the thread does next is not about it any more.
+    observer = requests.AgentObserver(ring)
+    observer.asked(CALL)
+    ring.note("claimed", key="k1")
+    observer.answered(CALL, GRANT)
+    ring.note("member")
+    assert told(ring)[1:] == [
+        ("claimed", "r2"),
+        ("granted", "r2"),
+        ("member", ""),
+    ]
--- a/tests/timeline/test_whole.py
+++ b/tests/timeline/test_whole.py
@@ -4,6 +4,7 @@
 
 from briarseam import tokens
 from briarseam.command import http
+from briarseam.testing import caller
 from briarseam.testing import deployment
 from briarseam.testing import waiting
 from briarseam.testing import words
@@ -91,3 +92,23 @@
     # A mistyped question gets a clear answer.
     with pytest.raises(http.AskError, match="400"):
         look(running, limit="many")
+
+
+def test_a_booking_shows_its_claim_under_the_same_request(running):
+    # A skipper's booking carries a key.  Asked for by that key, the whole
+    # request shows, with the claim that let it run once.
+    key = caller.new_key()
+    result = running.caller().call(
+        deployment.SERVICE, deployment.CALL, {"vessel": 7}, key
+    )
+    assert result.status == 200
+    waiting.until(
+        lambda: "claim-ended" in kinds_of(look(running, request=key))
+    )
+    found = look(running, request=key)
+    kinds = kinds_of(found)
+    assert kinds[:4] == ["accepted", "admitting", "claimed", "granted"]
+    assert {event.request for event in found.events} == {
+        found.events[0].request
+    }
+    assert found.events[2].fields["result"] == "won"
