Keep the abandoned stream in the test of a crashing engine

The test landed red: it dropped the generator of the innocent's stream, which closes the response, so that a second one ends without an error whatever the engine does. Ruled out: the engine, whose cut shows as ProtocolError with one generator kept.

--- a/tests/command/test_stand_in.py
+++ b/tests/command/test_stand_in.py
@@ -66,11 +66,13 @@
     )
     url = f"http://{address}/runs"
     innocent = post_run(url, run_id="a", prompt="x", max_tokens=9999)
-    assert b"start" in next(innocent.stream())
+    received = innocent.stream()
+    assert b"start" in next(received)
     with pytest.raises(urllib3.exceptions.HTTPError):
-        post_run(url, run_id="b", prompt="a boom", max_tokens=1).read()
+        crashing = post_run(url, run_id="b", prompt="a boom", max_tokens=1)
+        list(crashing.stream())
     with pytest.raises(urllib3.exceptions.HTTPError):
-        innocent.read()
+        list(received)
     assert process.wait(10) == 70
 
 
