--- a/src/briarseam/lookup/rank.py
+++ b/src/briarseam/lookup/rank.py
@@ -1,12 +1,14 @@
-"""Rendezvous ranking of cells and members for a session."""
+"""Weighted rendezvous ranking for a session."""
 
 from __future__ import annotations
 
+import math
 import typing
 
 import xxhash
 
 RANK_SALT = "briarseam-rank-1"
+HASH_RANGE = 2.0**64
 Ranked = typing.TypeVar("Ranked")
 
 
@@ -18,15 +20,22 @@
     return f"{RANK_SALT}\0{len(organisation)}\0{organisation}\0{session}"
 
 
-def weight(key: str, name: str) -> int:
-    """Return the rendezvous weight of a name for a key."""
-    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+def score(key: str, name: str, weight: float) -> float:
+    """Return a name's score for a key.
+
+    With ``weight / -ln(u)``, u uniform by hash, each name is the highest
+    for a part of the keys in proportion to its weight, and a change of one
+    weight moves keys only to or from that name.
+    """
+    hashed = xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+    return weight / -math.log((hashed + 0.5) / HASH_RANGE)
 
 
 def ranked(
     key: str,
     items: typing.Iterable[Ranked],
     name_of: typing.Callable[[Ranked], str],
+    weight_of: typing.Callable[[Ranked], float],
 ) -> list[Ranked]:
     """Return the items in the key's order, best first.
 
@@ -40,10 +49,15 @@
     items
         What to rank.
     name_of
-        Name of an item; equal names would tie.
+        Unique name of an item.
+    weight_of
+        Share of the keys that an item should get, relative to others.
     """
     return sorted(
         items,
-        key=lambda item: (weight(key, name_of(item)), name_of(item)),
+        key=lambda item: (
+            score(key, name_of(item), weight_of(item)),
+            name_of(item),
+        ),
         reverse=True,
     )
--- a/src/briarseam/lookup/service.py
+++ b/src/briarseam/lookup/service.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from briarseam.lookup import layout as layouts
 from briarseam.lookup import messages
 from briarseam.lookup import rank
 from briarseam.membership import state
@@ -14,7 +15,6 @@
 
 DEFAULT_TTL_S = 5.0
 CANDIDATES = 4
-USABLE = frozenset({state.MemberState.ALIVE, state.MemberState.SUSPECT})
 Members = typing.Callable[[], typing.Sequence[state.Member]]
 OrganisationOf = typing.Callable[[str], str | None]
 
@@ -46,6 +46,7 @@
         self.organisation_of = organisation_of
         self.ttl_s = ttl_s
         self.candidates = candidates
+        self.present = layouts.build(())
 
     def register(self, router: server.Router) -> None:
         """Answer the entries' messages."""
@@ -65,49 +66,44 @@
         Parameters
         ----------
         organisation
-            The caller's organisation; sessions of two never share a rank.
+            The caller's organisation; its sessions have an order of their
+            own.
         session
             The caller's session name.
         """
         key = rank.session_key(organisation, session)
-        order = self.order(key)
-        # A suspect may well be dead, so callers should try it last; it
-        # stays in the answer since a cut may be ours alone.
-        order.sort(key=lambda member: member.state is not ALIVE)
-        addresses = [entry_of(key, member) for member in order]
-        return messages.Addresses(
-            tuple(addresses[: self.candidates]), self.ttl_s
-        )
+        order = self.layout().order(key, self.candidates)
+        order.sort(key=is_suspect)
+        addresses = tuple(entry_of(key, member) for member in order)
+        return messages.Addresses(addresses, self.ttl_s)
 
     def owner(self, organisation: str, session: str) -> state.Member | None:
         """Return the live member that owns a session, if any."""
         key = rank.session_key(organisation, session)
-        for member in self.order(key):
-            if member.state is ALIVE:
-                return member
-        return None
+        order = self.layout().order(key, self.candidates)
+        return next((m for m in order if not is_suspect(m)), None)
 
-    def order(self, key: str) -> list[state.Member]:
-        """Return usable members: cells by rank, each cell's by rank."""
-        by_cell: dict[str, list[state.Member]] = {}
-        for member in self.members():
-            if member.state in USABLE and member.entry_addresses:
-                by_cell.setdefault(member.cell, []).append(member)
-        order: list[state.Member] = []
-        for cell in rank.ranked(key, by_cell, str):
-            order.extend(rank.ranked(key, by_cell[cell], name_of))
-        return order
+    def layout(self) -> layouts.Layout:
+        """Return the layout of the present members."""
+        members = self.members()
+        present = self.present
+        if present.members is not members:
+            present = layouts.build(members)
+            self.present = present
+        return present
 
 
-ALIVE = state.MemberState.ALIVE
-
-
-def name_of(member: state.Member) -> str:
-    """Return the name that a member is ranked by."""
-    return member.name
+def is_suspect(member: state.Member) -> bool:
+    """Tell whether a member may be dead."""
+    return member.state is state.MemberState.SUSPECT
 
 
 def entry_of(key: str, member: state.Member) -> str:
     """Return the entry address of a member that a session should use."""
-    best = rank.ranked(key, member.entry_addresses, str)
-    return best[0]
+    return rank.ranked(key, member.entry_addresses, str, equal)[0]
+
+
+def equal(address: str) -> float:
+    """Return the same weight for every entry of an instance."""
+    del address
+    return 1.0
--- a/tests/lookup/test_service.py
+++ b/tests/lookup/test_service.py
@@ -117,6 +117,40 @@
     assert firsts(lookup) == firsts(lookup)
 
 
+def test_sessions_spread_by_entry_processes() -> None:
+    """Cells differ in size and instances in entry processes: each process
+    gets the same part of the sessions, not each cell or instance.
+    """
+    members = [
+        member("a", entries=("a:80", "a:81", "a:82")),
+        member("b"),
+        member("c"),
+        member("d", "wakkanai/0"),
+    ]
+    counts = collections.Counter(firsts(lookup_of(*members)))
+    assert len(counts) == 6
+    assert max(counts.values()) < 1.15 * SESSIONS / 6
+    assert min(counts.values()) > 0.85 * SESSIONS / 6
+
+
+def test_answer_reaches_into_other_zones() -> None:
+    """A whole zone goes down with all that its cell offered.  The answer
+    that a caller keeps has addresses of other zones too.
+    """
+    members = [
+        member(f"{zone}{number}", f"{zone}/0")
+        for zone in ("rumoi", "ishikari", "wakkanai")
+        for number in range(5)
+    ]
+    lookup = lookup_of(*members)
+    for number in range(50):
+        given = lookup.where("org", f"s{number}").addresses
+        zones = [address.rstrip("0123456789:") for address in given]
+        assert len(given) == 4
+        assert zones[0] == zones[1]
+        assert len(set(zones)) == 3
+
+
 def test_organisations_have_orders_of_their_own() -> None:
     """Two organisations use the same session names: one's sessions do not
     all land where the other's do.
