--- a/src/briarseam/lookup/service.py
+++ b/src/briarseam/lookup/service.py
@@ -100,10 +100,4 @@
 
 def entry_of(key: str, member: state.Member) -> str:
     """Return the entry address of a member that a session should use."""
-    return rank.ranked(key, member.entry_addresses, str, equal)[0]
-
-
-def equal(address: str) -> float:
-    """Return the same weight for every entry of an instance."""
-    del address
-    return 1.0
+    return rank.ranked(key, member.entry_addresses, str)[0]
