--- a/src/briarseam/timeline/clock.py
+++ b/src/briarseam/timeline/clock.py
@@ -24,11 +24,6 @@
 MAX_STAMP = 2**64 - 1
 
 
-def wall_time_ns() -> int:
-    """Return the wall clock in ns since the epoch."""
-    return time.time_ns()
-
-
 def stamp_of(seconds: float) -> int:
     """Return the lowest stamp of a wall time in s since the epoch."""
     return int(seconds * US_PER_S) << LOGICAL_BITS
@@ -71,7 +66,7 @@
 
     def __init__(
         self,
-        wall_ns: typing.Callable[[], int] = wall_time_ns,
+        wall_ns: typing.Callable[[], int] = time.time_ns,
         max_ahead_s: float = MAX_AHEAD_S,
     ) -> None:
         self.wall_ns = wall_ns
--- a/src/briarseam/timeline/ring.py
+++ b/src/briarseam/timeline/ring.py
@@ -162,6 +162,8 @@
             packed = list(self.packed)
             dropped = self.dropped
         oldest = unpack(packed[0], self.process).clock if packed else 0
+        needles = needles_of(wanted)
+        packed = [one for one in packed if needles.are_in(one)]
         found = (unpack(one, self.process) for one in packed)
         return Selection(
             events=tuple(event for event in found if wanted.matches(event)),
@@ -170,6 +172,42 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class Needles:
+    """What the packed form of an event asked for must have in it.
+
+    Packed words stand as they are in UTF-8, so most events can be passed
+    over without unpacking them.
+
+    Attributes
+    ----------
+    names
+        One of these, when there are any.
+    words
+        All of these.
+    """
+
+    names: tuple[bytes, ...]
+    words: tuple[bytes, ...]
+
+    def are_in(self, packed: bytes) -> bool:
+        """Tell whether an event may be one asked for."""
+        for word in self.words:
+            if word not in packed:
+                return False
+        return not self.names or any(name in packed for name in self.names)
+
+
+def needles_of(wanted: events.Filter) -> Needles:
+    """Return what a filter's events must have in them."""
+    names = (wanted.request, *wanted.also) if wanted.request else ()
+    words = (wanted.path.rstrip("/"), wanted.endpoint)
+    return Needles(
+        tuple(name.encode(errors="replace") for name in names),
+        tuple(word.encode(errors="replace") for word in words if word),
+    )
+
+
 def unpack(packed: bytes, process: str) -> events.Event:
     """Return the event of its packed form."""
     stamp, words = msgspec.msgpack.decode(packed)
@@ -191,20 +229,28 @@
     return text.encode("ascii", "backslashreplace").decode()
 
 
-def clean(
-    fields: typing.Mapping[str, events.Scalar],
-) -> dict[str, events.Scalar]:
-    """Return the fields with everything that is no id or count replaced."""
+def clean(fields: dict[str, events.Scalar]) -> dict[str, events.Scalar]:
+    """Return the fields with everything that is no id or count replaced.
+
+    The dictionary is the caller's own and is changed in place: this runs
+    for each note, and most notes have nothing to replace.
+    """
     if len(fields) > MAX_FIELDS:
         fields = dict(itertools.islice(fields.items(), MAX_FIELDS))
-    return {
-        name[:MAX_WORD]: (
-            value
-            if type(value) is int and -MAX_COUNT < value < MAX_COUNT
-            else clean_value(value)
-        )
-        for name, value in fields.items()
-    }
+    value: typing.Any
+    for name, value in fields.items():
+        kind = type(value)
+        if kind is str and is_word(value):
+            continue
+        if kind is int and -MAX_COUNT < value < MAX_COUNT:
+            continue
+        fields[name] = clean_value(value)
+    return fields
+
+
+def is_word(text: str) -> bool:
+    """Tell whether a text may be an id: short, and without white space."""
+    return len(text) <= MAX_WORD and " " not in text and text.isprintable()
 
 
 def clean_value(value: object) -> events.Scalar:
@@ -216,9 +262,7 @@
     such a value shows as ``text:LENGTH``.
     """
     if isinstance(value, str):
-        if len(value) <= MAX_WORD and value.isprintable() and " " not in value:
-            return str(value)
-        return f"text:{len(value)}"
+        return str(value) if is_word(value) else f"text:{len(value)}"
     if isinstance(value, bool):
         return value
     if isinstance(value, float):
--- a/tests/timeline/test_ring.py
+++ b/tests/timeline/test_ring.py
@@ -2,6 +2,8 @@
 
 import threading
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from briarseam.timeline import event as events
@@ -121,3 +123,37 @@
     stamps = [event.clock for event in ring.since()]
     assert len(stamps) == 2000
     assert stamps == sorted(set(stamps))
+
+
+some_words = strategies.sampled_from(["", "a", "a/b", "ab", "é", "a b", "b"])
+
+
+@hypothesis.given(
+    noted=strategies.lists(
+        strategies.fixed_dictionaries(
+            {
+                "request": some_words,
+                "path": some_words,
+                "endpoint": some_words,
+                "run": some_words,
+            }
+        ),
+        max_size=6,
+    ),
+    wanted=strategies.builds(
+        events.Filter,
+        request=some_words,
+        path=some_words,
+        endpoint=some_words,
+        also=strategies.lists(some_words, max_size=2).map(tuple),
+    ),
+)
+def test_passing_over_packed_events_loses_none(noted, wanted):
+    # Events are searched in their packed form first, for speed.  One that
+    # was passed over wrongly would be missing from the operator's screen.
+    ring = rings.Ring("p")
+    for words in noted:
+        ring.note("x", **words)
+    every = ring.since()
+    found = ring.selected(wanted).events
+    assert found == tuple(one for one in every if wanted.matches(one))
