Bring engines to the wanted weights, adapters and roles

One thread compares what the configuration wants with what the engines report and, while it holds the scope's lease, gives declarative orders: at most max_loading at once, never below the floor of reported serving engines.

One lease covers all models of a scope, not one per model as first drawn: an engine keeps one fencing number, so two models' leases on one engine would refuse each other's orders for ever.

The lease record names the configuration it goes by: an agent that lags behind the configuration would otherwise undo a rollout, and the two would alternate. A lost order gets a new fencing number before the next one.

Endpoints get a role in the configuration.

--- a/src/briarseam/configuration/values.py
+++ b/src/briarseam/configuration/values.py
@@ -106,6 +106,8 @@
         Draining endpoints get no new work.
     link_bytes_per_s
         A store's link budget; 0 means no limit.
+    role
+        Role an engine is ordered to take; empty leaves it as it is.
     """
 
     kind: EndpointKind
@@ -116,6 +118,7 @@
     fencing: bool = False
     state: EndpointState = EndpointState.SERVING
     link_bytes_per_s: NonNegative = 0
+    role: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/leases/fold.py
+++ b/src/briarseam/leases/fold.py
@@ -54,6 +54,8 @@
         Present terms by name.
     touched
         Offset of the last record about each lease, valid or not.
+    bases
+        Newest configuration that a holder of each lease went by.
     """
 
     def __init__(self, start: int = 1) -> None:
@@ -61,6 +63,7 @@
         self.through = start - 1
         self.leases: dict[str, Lease] = {}
         self.touched: dict[str, int] = {}
+        self.bases: dict[str, int] = {}
 
     def take(
         self, offset: int, record: records.LeaseRecord
@@ -122,6 +125,8 @@
             certain=record.seen >= self.start - 1,
         )
         self.leases[record.name] = lease
+        basis = max(record.basis, self.bases.get(record.name, 0))
+        self.bases[record.name] = basis
         return (lease,)
 
     def take_renewal(
--- a/src/briarseam/leases/outcomes.py
+++ b/src/briarseam/leases/outcomes.py
@@ -44,4 +44,17 @@
     retry_after_s: float
 
 
-Outcome = Held | NotHeld | LogDown
+@dataclasses.dataclass(frozen=True)
+class Outdated:
+    """A holder has gone by a newer configuration than the caller has.
+
+    Attributes
+    ----------
+    basis
+        Offset of that configuration.
+    """
+
+    basis: int
+
+
+Outcome = Held | NotHeld | LogDown | Outdated
--- a/src/briarseam/leases/records.py
+++ b/src/briarseam/leases/records.py
@@ -51,6 +51,8 @@
     seen
         Offset up to which the writer had read the stream.  The record is
         void when any other record of the lease lies in between.
+    basis
+        Offset of the configuration that the holder goes by.
     """
 
     record_id: str
@@ -58,6 +60,7 @@
     name: Name
     ttl_ms: TtlMs
     seen: Offset
+    basis: Offset = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/leases/service.py
+++ b/src/briarseam/leases/service.py
@@ -30,6 +30,7 @@
 POLL_MS = 1000
 # The follower returns at least once a poll while the log answers.
 CURRENT_S = 3.0
+NOT_READ_RETRY_S = 0.2
 log = structlog.get_logger("briarseam.leases")
 
 
@@ -130,13 +131,29 @@
                 return ""
             return lease.holder
 
-    def acquire(self, name: str) -> outcomes.Outcome:
-        """Take a lease if it is free; waits for the log's answer."""
+    def acquire(self, name: str, basis: int = 0) -> outcomes.Outcome:
+        """Take a lease if it is free; waits for the log's answer.
+
+        Parameters
+        ----------
+        name
+            The lease.
+        basis
+            Offset of the configuration that its holder will go by.
+        """
         fence = self.holds(name)
         if fence is not None:
             return outcomes.Held(fence)
+        return self.renumber(name, basis)
+
+    def renumber(self, name: str, basis: int = 0) -> outcomes.Outcome:
+        """Take a lease, also one of ours, under a new fencing number.
+
+        Whatever was ordered under the old number and is still on its way
+        is refused afterwards, where numbers are checked.
+        """
         with self.changed:
-            refusal = self.why_not(name)
+            refusal = self.why_not(name, basis)
             if refusal is not None:
                 return refusal
             request = records.Acquire(
@@ -145,18 +162,19 @@
                 name=name,
                 ttl_ms=round(self.ttl_s * 1000),
                 seen=self.fold.through,
+                basis=basis,
             )
             self.sent_s[request.record_id] = self.clock()
         refused = self.append(request)
         if refused is not None:
             return refused
         fence = self.holds(name)
-        if fence is not None:
+        if fence is not None and fence > request.seen:
             return outcomes.Held(fence)
         with self.changed:
-            return self.why_not(name) or outcomes.NotHeld("", 0.0)
+            return self.why_not(name, basis) or outcomes.NotHeld("", 0.0)
 
-    def why_not(self, name: str) -> outcomes.NotHeld | outcomes.LogDown | None:
+    def why_not(self, name: str, basis: int) -> outcomes.Outcome | None:
         """Return why the lease cannot be asked for now, if so."""
         now_s = self.clock()
         if self.newer_release:
@@ -164,9 +182,16 @@
                 "a newer release writes the lease stream", self.ttl_s
             )
         if now_s - self.current_s > CURRENT_S:
-            return outcomes.LogDown("the lease stream is not read", 1.0)
+            return outcomes.LogDown(
+                "the lease stream is not read", NOT_READ_RETRY_S
+            )
         if now_s < self.quiet_until_s:
             return outcomes.NotHeld("", self.quiet_until_s - now_s)
+        # An instance that lags behind the configuration would undo what
+        # another has just done, and the two would alternate for ever.
+        newest = self.fold.bases.get(name, 0)
+        if basis < newest:
+            return outcomes.Outdated(newest)
         lease = self.fold.leases.get(name)
         if lease is None or lease.released or lease.holder == self.holder:
             return None
--- /dev/null
+++ b/src/briarseam/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: weight versions, adapters and roles."""
--- /dev/null
+++ b/src/briarseam/orders/offers.py
@@ -0,0 +1,81 @@
+"""Which version of a model new requests ask for, and of which engine."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.configuration import schema
+from briarseam.orders import goals
+from briarseam.orders import planner
+from briarseam.orders import state
+
+
+def serving_versions(
+    readings: planner.Readings,
+) -> dict[str, dict[str, str]]:
+    """Return the reported versions by engine and model."""
+    return {
+        name: {
+            model: loaded.version
+            for model, loaded in reading.state.models.items()
+            if loaded.version is not None
+        }
+        for name, reading in readings.items()
+    }
+
+
+def offers_of(
+    model: str,
+    wanted: schema.Model,
+    targets: typing.Sequence[goals.Target],
+    readings: planner.Readings,
+    former_adapter: str | None,
+) -> dict[str, state.Offer]:
+    """Return what each engine offers for new requests of a model.
+
+    Until as many engines as the floor report the wanted version, the
+    others go on serving theirs: sending everything to the first engine
+    that is done would overload it.  The same goes for the adapter.
+
+    Parameters
+    ----------
+    model, wanted
+        The model and its configuration.
+    targets
+        Engines that are to serve it.
+    readings
+        Last report by engine.
+    former_adapter
+        Adapter wanted before the present one, if that is known.
+    """
+    enough = max(1, wanted.floor)
+    versions = state.Offer(wanted.version, wanted.adapter)
+    up_to_date: dict[str, state.Offer] = {}
+    behind: dict[str, state.Offer] = {}
+    for target in targets:
+        reading = readings.get(target.name)
+        loaded = reading.state.models.get(model) if reading else None
+        if loaded is None or loaded.version is None:
+            continue
+        adapter = usable_adapter(
+            wanted.adapter, former_adapter, loaded.adapters
+        )
+        if adapter is None:
+            continue
+        offer = state.Offer(loaded.version, adapter)
+        chosen = up_to_date if offer == versions else behind
+        chosen[target.name] = offer
+    if len(up_to_date) >= enough or not behind:
+        return up_to_date
+    return up_to_date | behind
+
+
+def usable_adapter(
+    wanted: str, former: str | None, loaded: tuple[str, ...]
+) -> str | None:
+    """Return the adapter to ask an engine for; ``None`` when none fits."""
+    if not wanted or wanted in loaded:
+        return wanted
+    if former is not None and (not former or former in loaded):
+        return former
+    return None
--- /dev/null
+++ b/src/briarseam/orders/planner.py
@@ -0,0 +1,272 @@
+"""Which orders to give next, from what is wanted and what is reported.
+
+Pure, so that the floor and the loading limit can be checked over any
+states of the engines.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import typing
+
+from briarseam.endpoints import engine_orders
+from briarseam.orders import goals
+from briarseam.orders import state
+
+
+class Wait(enum.StrEnum):
+    """Why an engine that differs gets no order now."""
+
+    FLOOR = "floor"
+    LIMIT = "loading-limit"
+    LOADING = "loading"
+    UNREACHABLE = "unreachable"
+    FENCE_AHEAD = "fence-ahead"
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One order to give.
+
+    Attributes
+    ----------
+    target
+        The engine.
+    order
+        What should be so.
+    lowers
+        Whether an engine that serves stops serving meanwhile.
+    """
+
+    target: goals.Target
+    order: engine_orders.Order
+    lowers: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """An engine that differs and has to wait."""
+
+    target: goals.Target
+    model: str
+    why: Wait
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What to do now and what waits; both empty when all is as wanted."""
+
+    steps: tuple[Step, ...]
+    waiting: tuple[Waiting, ...]
+
+
+Readings = typing.Mapping[str, state.Reading]
+Errands = typing.Mapping[tuple[str, str], state.Errand]
+
+
+class Planner:
+    """Plans one scope once.
+
+    Parameters
+    ----------
+    scope
+        The engines and what is wanted.
+    readings
+        Last report by engine; absent when it does not report.
+    errands
+        Last load given by engine and model.
+    fence
+        Our fencing number; ``None`` when we hold no lease, to see what is
+        left to do.
+    """
+
+    def __init__(
+        self,
+        scope: goals.Scope,
+        readings: Readings,
+        errands: Errands,
+        fence: int | None = None,
+    ) -> None:
+        self.scope = scope
+        self.readings = readings
+        self.errands = errands
+        self.fence = fence
+        self.steps: list[Step] = []
+        self.waiting: list[Waiting] = []
+        self.loading = {
+            target.name for target in scope.targets if self.loads(target)
+        }
+
+    def plan(self) -> Plan:
+        """Return the orders to give now."""
+        for goal in self.scope.goals.values():
+            self.plan_loads(goal)
+            self.plan_adapters(goal)
+        self.plan_roles()
+        return Plan(tuple(self.steps), tuple(self.waiting))
+
+    def standing(self, target: goals.Target, model: str) -> state.Standing:
+        """Return how an engine stands to what is wanted of a model."""
+        return state.standing_of(
+            model,
+            self.scope.goals[model].version,
+            self.readings.get(target.name),
+            self.errands.get((target.name, model)),
+        )
+
+    def loads(self, target: goals.Target) -> bool:
+        """Tell whether an engine loads anything as far as we know."""
+        reading = self.readings.get(target.name)
+        if reading is not None and any(
+            model.loading is not None
+            for model in reading.state.models.values()
+        ):
+            return True
+        return any(
+            self.standing(target, model) in state.COUNTED_LOADING
+            for model in target.models
+        )
+
+    def plan_loads(self, goal: goals.ModelGoal) -> None:
+        """Plan the weight loads of one model."""
+        targets = self.scope.of_model(goal.model)
+        standings = {
+            target.name: self.standing(target, goal.model)
+            for target in targets
+        }
+        serving = [
+            target
+            for target in targets
+            if standings[target.name] in state.COUNTED_SERVING
+        ]
+        for target in targets:
+            match standings[target.name]:
+                case state.Standing.UNREACHABLE:
+                    self.wait(target, goal, Wait.UNREACHABLE)
+                case state.Standing.LOADING:
+                    self.wait(target, goal, Wait.LOADING)
+                case state.Standing.ORDERED:
+                    self.repeat(target, goal)
+                case state.Standing.LOADING_OTHER:
+                    self.load(target, goal, lowers=False)
+                case state.Standing.EMPTY:
+                    self.load_within_limit(target, goal, lowers=False)
+        behind = [
+            target
+            for target in serving
+            if standings[target.name] is state.Standing.OTHER
+        ]
+        self.replace(goal, serving, behind)
+
+    def replace(
+        self,
+        goal: goals.ModelGoal,
+        serving: list[goals.Target],
+        behind: list[goals.Target],
+    ) -> None:
+        """Plan loads on engines that serve another version.
+
+        Engines go first whose zone has most that serve, so that a rollout
+        does not empty a zone.
+        """
+        spare = len(serving) - goal.floor
+        left = collections.Counter(target.zone for target in serving)
+        while behind:
+            target = min(
+                behind, key=lambda target: (-left[target.zone], target.name)
+            )
+            behind.remove(target)
+            # Taking out one more engine would leave fewer than the floor;
+            # it shows as requests refused for want of an endpoint.
+            if spare <= 0:
+                self.wait(target, goal, Wait.FLOOR)
+            elif self.load_within_limit(target, goal, lowers=True):
+                spare -= 1
+                left[target.zone] -= 1
+
+    def load_within_limit(
+        self, target: goals.Target, goal: goals.ModelGoal, lowers: bool
+    ) -> bool:
+        """Plan a load unless too many load already."""
+        # More loads at once than the weight store carries make every one
+        # of them slower.  A second model on a loading engine waits too.
+        if target.name in self.loading:
+            self.wait(target, goal, Wait.LOADING)
+            return False
+        if len(self.loading) >= self.scope.max_loading:
+            self.wait(target, goal, Wait.LIMIT)
+            return False
+        if not self.load(target, goal, lowers):
+            return False
+        self.loading.add(target.name)
+        return True
+
+    def repeat(self, target: goals.Target, goal: goals.ModelGoal) -> None:
+        """Plan an order again whose answer was lost."""
+        errand = self.errands[target.name, goal.model]
+        reading = self.readings[target.name]
+        if errand.settled or reading.asked_s < errand.ended_s:
+            self.wait(target, goal, Wait.LOADING)
+        else:
+            self.load(target, goal, lowers=False)
+
+    def load(
+        self, target: goals.Target, goal: goals.ModelGoal, lowers: bool
+    ) -> bool:
+        """Plan a load; tell whether the engine would take it."""
+        if self.fence_ahead(target):
+            self.wait(target, goal, Wait.FENCE_AHEAD)
+            return False
+        order = engine_orders.Load(
+            goal.model, goal.version, self.scope.weights
+        )
+        self.steps.append(Step(target, order, lowers))
+        return True
+
+    def plan_adapters(self, goal: goals.ModelGoal) -> None:
+        """Plan the adapters of one model."""
+        if not goal.adapter:
+            return
+        for target in self.scope.of_model(goal.model):
+            reading = self.readings.get(target.name)
+            if reading is None:
+                continue
+            known = reading.state.models.get(goal.model)
+            if known is None or goal.adapter in known.adapters:
+                continue
+            if self.fence_ahead(target):
+                self.wait(target, goal, Wait.FENCE_AHEAD)
+                continue
+            order = engine_orders.LoadAdapter(goal.model, goal.adapter)
+            self.steps.append(Step(target, order))
+
+    def plan_roles(self) -> None:
+        """Plan the engines' roles."""
+        for target in self.scope.targets:
+            reading = self.readings.get(target.name)
+            if not target.role or reading is None:
+                continue
+            if reading.state.role != target.role and not self.fence_ahead(
+                target
+            ):
+                order = engine_orders.TakeRole(target.role)
+                self.steps.append(Step(target, order))
+
+    def fence_ahead(self, target: goals.Target) -> bool:
+        """Tell whether the engine has taken a number above ours.
+
+        It would refuse every order.  Asking for the lease again and again
+        would flood the log without ever reaching that number.
+        """
+        reading = self.readings.get(target.name)
+        if reading is None or self.fence is None:
+            return False
+        return reading.state.fencing and reading.state.fence > self.fence
+
+    def wait(
+        self, target: goals.Target, goal: goals.ModelGoal, why: Wait
+    ) -> None:
+        """Note that an engine has to wait."""
+        self.waiting.append(Waiting(target, goal.model, why))
--- /dev/null
+++ b/src/briarseam/orders/pollers.py
@@ -0,0 +1,122 @@
+"""Reading the engines' states: one thread for each engine."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+from briarseam.endpoints import engine_orders
+from briarseam.orders import state
+
+IDLE_INTERVAL_S = 1.0
+BUSY_INTERVAL_S = 0.2
+
+
+class Poller:
+    """The thread that reads one engine's state.
+
+    Parameters
+    ----------
+    name, address
+        Of the engine.
+    engines
+        The adapter.
+    board
+        Takes the reports.
+    clock
+        Seconds.
+    interval_s
+        Returns the present time between two reads.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        engines: engine_orders.EngineOrders,
+        board: state.Board,
+        clock: typing.Callable[[], float],
+        interval_s: typing.Callable[[], float],
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.engines = engines
+        self.board = board
+        self.clock = clock
+        self.interval_s = interval_s
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.poll, name=f"state-{name}", daemon=True
+        )
+
+    def poll(self) -> None:
+        """Read until stopped."""
+        while not self.stopping.is_set():
+            self.read()
+            self.stopping.wait(self.interval_s())
+        self.board.drop(self.name)
+
+    def read(self) -> None:
+        """Read once; forget the engine when it is silent for too long."""
+        asked_s = self.clock()
+        try:
+            found = self.engines.state(self.address)
+        except engine_orders.StateUnavailableError:
+            self.board.drop_older(self.name, asked_s - state.MAX_AGE_S)
+            return
+        if not self.stopping.is_set():
+            self.board.put(self.name, state.Reading(found, asked_s))
+
+
+class Pollers:
+    """Keeps one poller for each engine of the configuration.
+
+    Parameters
+    ----------
+    engines, board, clock
+        As in :class:`Poller`.
+    """
+
+    def __init__(
+        self,
+        engines: engine_orders.EngineOrders,
+        board: state.Board,
+        clock: typing.Callable[[], float],
+    ) -> None:
+        self.engines = engines
+        self.board = board
+        self.clock = clock
+        self.busy = False
+        self.pollers: dict[str, Poller] = {}
+
+    def interval_s(self) -> float:
+        """Return the time between two reads, in seconds."""
+        return BUSY_INTERVAL_S if self.busy else IDLE_INTERVAL_S
+
+    def follow(self, addresses: typing.Mapping[str, str]) -> None:
+        """Poll these engines and no others."""
+        for name, poller in list(self.pollers.items()):
+            if addresses.get(name) != poller.address:
+                poller.stopping.set()
+                del self.pollers[name]
+                self.board.drop(name)
+        for name, address in addresses.items():
+            if name not in self.pollers:
+                self.pollers[name] = self.start(name, address)
+
+    def start(self, name: str, address: str) -> Poller:
+        """Return a new poller, running."""
+        poller = Poller(
+            name,
+            address,
+            self.engines,
+            self.board,
+            self.clock,
+            self.interval_s,
+        )
+        poller.thread.start()
+        return poller
+
+    def stop(self) -> None:
+        """Stop all."""
+        self.follow({})
--- a/tests/leases/test_service.py
+++ b/tests/leases/test_service.py
@@ -184,3 +184,24 @@
     first = log.join("a", clock)
     log.append("leases", b"\xc1junk")
     assert first.acquire(NAME) == outcomes.Held(2)
+
+
+def test_lagging_configuration_gets_no_lease(log, clock):
+    """One agent acts on a change that another has not read yet.
+
+    Were the second to take the lease next, it would undo the change.
+    """
+    first = log.join("a", clock)
+    second = log.join("b", clock)
+    first.acquire(NAME, basis=7)
+    first.release(NAME)
+    assert second.acquire(NAME, basis=6) == outcomes.Outdated(7)
+    assert isinstance(second.acquire(NAME, basis=7), outcomes.Held)
+
+
+def test_new_number_voids_the_old_one(log, clock):
+    first = log.join("a", clock)
+    second = log.join("b", clock)
+    first.acquire(NAME)
+    assert first.renumber(NAME) == outcomes.Held(2)
+    assert isinstance(second.renumber(NAME), outcomes.NotHeld)
--- /dev/null
+++ b/tests/orders/gate.py
@@ -0,0 +1,98 @@
+"""A TCP proxy before an engine that keeps orders back for a while."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import typing
+
+ORDER = b"POST /orders"
+END = b"\r\n\r\n"
+
+
+class Gate:
+    """Passes connections on; holds back the first ``hold`` orders.
+
+    What is held back goes on when the gate opens, also when its sender
+    has long given up.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        hold: int,
+        on_held: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        self.target = address.rpartition(":")[::2]
+        self.hold = hold
+        self.on_held = on_held
+        self.opened = threading.Event()
+        self.lock = threading.Lock()
+        self.held = 0
+        self.late_statuses: list[int] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def __enter__(self) -> Gate:
+        return self
+
+    def __exit__(self, *raised: object) -> None:
+        self.opened.set()
+        self.listener.close()
+
+    def accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                client, _ = self.listener.accept()
+                threading.Thread(
+                    target=self.serve, args=(client,), daemon=True
+                ).start()
+
+    def serve(self, client: socket.socket) -> None:
+        """Pass one connection's requests on, one after the other."""
+        host, port = self.target
+        with contextlib.suppress(OSError), client:
+            server = socket.create_connection((host, int(port)))
+            with server:
+                while request := read_message(client):
+                    late = self.keep_back(request)
+                    server.sendall(request)
+                    answer = read_message(server)
+                    if late:
+                        self.late_statuses.append(int(answer.split()[1]))
+                    client.sendall(answer)
+
+    def keep_back(self, request: bytes) -> bool:
+        """Wait for the gate when this is an order to hold back."""
+        with self.lock:
+            if not request.startswith(ORDER) or self.held >= self.hold:
+                return False
+            self.held += 1
+        self.on_held()
+        self.opened.wait()
+        return True
+
+
+def read_message(sock: socket.socket) -> bytes:
+    """Return one HTTP message with a Content-Length, or none."""
+    data = b""
+    while END not in data:
+        chunk = sock.recv(65536)
+        if not chunk:
+            return b""
+        data += chunk
+    head, _, body = data.partition(END)
+    length = 0
+    for line in head.split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    while len(body) < length:
+        chunk = sock.recv(65536)
+        if not chunk:
+            return b""
+        body += chunk
+        data += chunk
+    return data
--- /dev/null
+++ b/tests/orders/test_goals.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import dataclasses
+
+from briarseam.configuration import schema
+from briarseam.orders import goals
+
+
+def view_of(count: int, floor: int, max_loading: int) -> schema.View:
+    engine = schema.Endpoint(
+        schema.EndpointKind.ENGINE, "127.0.0.1:1", "rumoi", ("draft",)
+    )
+    return schema.View(
+        offset=1,
+        models={"draft": schema.Model("v1", floor=floor)},
+        endpoints={f"worker-{number}": engine for number in range(count)},
+        weights=schema.Weights("127.0.0.1:2", max_loading),
+    )
+
+
+def test_todays_size_is_one_scope_with_exact_limits():
+    [scope] = goals.scopes_of(view_of(6, 4, 2))
+    assert scope.max_loading == 2
+    assert scope.goals["draft"].floor == 4
+    assert len(scope.targets) == 6
+
+
+def test_scopes_of_many_engines_keep_limit_and_floor_in_sum():
+    view = view_of(400, 301, 5)
+    scopes = goals.scopes_of(view)
+    assert len(scopes) == 5
+    assert sum(scope.max_loading for scope in scopes) == 5
+    assert sum(scope.goals["draft"].floor for scope in scopes) >= 301
+    assert sum(len(scope.targets) for scope in scopes) == 400
+    assert all(scope.max_loading for scope in scopes)
+
+
+def test_draining_engines_and_other_endpoints_get_no_orders():
+    view = view_of(2, 1, 2)
+    drained = dataclasses.replace(
+        view.endpoints["worker-0"], state=schema.EndpointState.DRAINING
+    )
+    store = dataclasses.replace(
+        view.endpoints["worker-1"], kind=schema.EndpointKind.STORE
+    )
+    view = dataclasses.replace(
+        view, endpoints={"worker-0": drained, "store": store}
+    )
+    [scope] = goals.scopes_of(view)
+    assert scope.targets == ()
--- /dev/null
+++ b/tests/orders/test_planner.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from briarseam.endpoints import engine_orders
+from briarseam.orders import goals
+from briarseam.orders import planner
+from briarseam.orders import state
+
+MODEL = "draft"
+NAMES = tuple(f"worker-{number}" for number in range(8))
+
+
+def scope_of(floor: int, max_loading: int, names=NAMES) -> goals.Scope:
+    return goals.Scope(
+        lease="engines/1-of-1",
+        targets=tuple(
+            goals.Target(name, "127.0.0.1:1", f"zone-{index % 3}", (MODEL,))
+            for index, name in enumerate(names)
+        ),
+        goals={MODEL: goals.ModelGoal(MODEL, "v2", "", floor)},
+        max_loading=max_loading,
+        weights=None,
+    )
+
+
+VERSIONS = strategies.sampled_from(["v1", "v2", "v3", None])
+READINGS = strategies.one_of(
+    strategies.none(),
+    strategies.builds(
+        lambda version, loading, fence: state.Reading(
+            engine_orders.EngineState(
+                "boot",
+                {MODEL: engine_orders.ModelState(version, loading)},
+                fence,
+                fencing=True,
+            ),
+            10.0,
+        ),
+        VERSIONS,
+        VERSIONS,
+        strategies.sampled_from([0, 0, 0, 99]),
+    ),
+)
+ERRANDS = strategies.one_of(
+    strategies.none(),
+    strategies.builds(
+        state.Errand,
+        strategies.sampled_from(["v1", "v2"]),
+        strategies.sampled_from([5.0, 15.0]),
+        strategies.booleans(),
+    ),
+)
+WORKERS = strategies.lists(
+    strategies.tuples(READINGS, ERRANDS), min_size=8, max_size=8
+)
+
+
+@hypothesis.settings(max_examples=500)
+@hypothesis.given(
+    WORKERS, strategies.integers(0, 8), strategies.integers(1, 8)
+)
+def test_no_plan_breaks_the_floor_or_the_loading_limit(
+    workers, floor, max_loading
+):
+    """Whatever the engines report and whatever was ordered before.
+
+    A plan that takes one engine too many shows as refused requests.
+    """
+    scope = scope_of(floor, max_loading)
+    readings = {
+        name: reading
+        for name, (reading, _) in zip(NAMES, workers, strict=True)
+        if reading
+    }
+    errands = {
+        (name, MODEL): errand
+        for name, (_, errand) in zip(NAMES, workers, strict=True)
+        if errand
+    }
+    plan = planner.Planner(scope, readings, errands, fence=50).plan()
+    standings = {
+        name: state.standing_of(
+            MODEL, "v2", readings.get(name), errands.get((name, MODEL))
+        )
+        for name in NAMES
+    }
+    serving = {n for n, s in standings.items() if s in state.COUNTED_SERVING}
+    loading = {n for n, s in standings.items() if s in state.COUNTED_LOADING}
+    ordered = {step.target.name for step in plan.steps}
+    taken_out = ordered & serving
+    assert not taken_out or len(serving - taken_out) >= floor
+    new = ordered - loading
+    assert not new or len(loading | new) <= max_loading
+    assert taken_out == {s.target.name for s in plan.steps if s.lowers}
+    for name in ordered:
+        assert readings[name].state.fence <= 50
+
+
+def test_rollout_takes_workers_of_different_zones():
+    readings = {
+        name: state.Reading(
+            engine_orders.EngineState(
+                "boot", {MODEL: engine_orders.ModelState("v1")}
+            ),
+            10.0,
+        )
+        for name in NAMES
+    }
+    plan = planner.Planner(scope_of(1, 3), readings, {}, 50).plan()
+    assert {step.target.zone for step in plan.steps} == {
+        "zone-0",
+        "zone-1",
+        "zone-2",
+    }
--- /dev/null
+++ b/tests/orders/test_state.py
@@ -0,0 +1,47 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.endpoints import engine_orders
+from briarseam.orders import state
+
+
+def reading(version, loading=None, asked_s=10.0) -> state.Reading:
+    loaded = engine_orders.ModelState(version, loading)
+    return state.Reading(
+        engine_orders.EngineState("boot", {"draft": loaded}), asked_s
+    )
+
+
+@pytest.mark.parametrize(
+    ("found", "expected"),
+    [
+        (None, state.Standing.UNREACHABLE),
+        (reading(None), state.Standing.EMPTY),
+        (reading("v1"), state.Standing.OTHER),
+        (reading("v1", "v2"), state.Standing.LOADING),
+        (reading("v2", "v3"), state.Standing.LOADING_OTHER),
+        (reading("v2"), state.Standing.SERVING),
+    ],
+    ids=lambda value: str(value) if isinstance(value, str) else "",
+)
+def test_standing_follows_the_report(found, expected):
+    assert state.standing_of("draft", "v2", found, None) is expected
+
+
+def test_report_from_before_an_order_does_not_count():
+    """A poll was under way when the load was ordered.
+
+    Its answer says that the worker serves, just as it stops serving.
+    """
+    errand = state.Errand("v2", ended_s=11.0, settled=True)
+    found = state.standing_of("draft", "v2", reading("v1"), errand)
+    assert found is state.Standing.ORDERED
+
+
+def test_older_report_does_not_replace_a_newer_one():
+    """A slow poll ends after a quick one that was asked for later."""
+    board = state.Board()
+    board.put("worker-1", reading("v2", asked_s=12.0))
+    board.put("worker-1", reading("v1", asked_s=11.0))
+    assert board.get("worker-1") == reading("v2", asked_s=12.0)
