--- a/src/briarseam/testing/ports.py
+++ b/src/briarseam/testing/ports.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import socket
 
+FIRST_PORT = 12_000
+END_PORT = 32_000
+
 
 def free_ports(count: int, ip: str = "127.0.0.1") -> list[int]:
     """Return distinct TCP ports that nothing listens on.
 
-    Another process may take one before it is used; whoever can should bind
-    port 0 instead.
+    They lie below those that the kernel gives to outgoing connections: a
+    port from among these is often taken again before it is used.  Another
+    process may still take one; whoever can should bind port 0 instead.
 
     Parameters
     ----------
@@ -19,12 +24,14 @@
     ip
         IP number they are free on.
     """
+    ports: list[int] = []
     with contextlib.ExitStack() as held:
-        ports = []
-        for _ in range(count):
+        while len(ports) < count:
+            port = random.randrange(FIRST_PORT, END_PORT)
             sock = held.enter_context(socket.socket())
-            sock.bind((ip, 0))
-            ports.append(sock.getsockname()[1])
+            with contextlib.suppress(OSError):
+                sock.bind((ip, port))
+                ports.append(port)
     return ports
 
 
