--- a/src/briarseam/configuration/publish.py
+++ b/src/briarseam/configuration/publish.py
@@ -15,7 +15,9 @@
     from briarseam.configuration import teams as team_types
 
 DEFAULT_SETTLE_S = 10.0
-VOID_AFTER_S = 3.0
+# Part of the time to settle after which a change that did not show is made
+# void; the rest is for that.
+VOID_AFTER_PART = 0.3
 POLL_MS = 250
 RETRY_S = 0.2
 
@@ -62,7 +64,7 @@
         How long to go on finding out what became of a change.
     void_after_s
         How long a change whose append got no answer is looked for before
-        it is made void.
+        it is made void; a part of ``settle_s`` unless given.
     """
 
     def __init__(
@@ -71,13 +73,17 @@
         teams: team_types.Teams,
         fold: folds.Fold,
         settle_s: float = DEFAULT_SETTLE_S,
-        void_after_s: float = VOID_AFTER_S,
+        void_after_s: float | None = None,
     ) -> None:
         self.client = client
         self.teams = teams
         self.fold = fold
         self.settle_s = settle_s
-        self.void_after_s = void_after_s
+        self.void_after_s = (
+            settle_s * VOID_AFTER_PART
+            if void_after_s is None
+            else void_after_s
+        )
 
     def apply(self, change: records.Change) -> Outcome:
         """Publish ``change`` and return what became of it.
