--- a/src/briarseam/cache/residents.py
+++ b/src/briarseam/cache/residents.py
@@ -1,18 +1,16 @@
-"""Which prefixes each engine has in its own memory, by its cache events.
+"""Following which prefixes each engine has in its own memory.
 
-The events come late and some never come.  What is known here is a guess
-that saves imports: the engine itself decides what it reuses.
+Engines publish what they take in and drop as events that come late, and
+some never come.  What is learned is a guess that saves recomputation and
+imports; the engine itself decides what it reuses.
 """
 
 from __future__ import annotations
 
-import collections
 import threading
 import time
 import typing
 
-import structlog
-
 from briarseam.cache import state
 from briarseam.configuration import schema
 from briarseam.endpoints import engine_events
@@ -20,12 +18,24 @@
 POLL_S = 1.0
 IDLE_POLL_S = 4.0
 RELOAD_MIN_S = 2.0
-MAX_PREFIXES = 20000
-log = structlog.get_logger("briarseam.cache")
+MAX_READS_PER_S = 10.0
+
+
+class Sink(typing.Protocol):
+    """Who wants to know what engines have."""
+
+    def added(self, endpoint: str, prefix: engine_events.Prefix) -> None:
+        """Take in that an engine has a prefix."""
+
+    def removed(self, endpoint: str, prefix: engine_events.Prefix) -> None:
+        """Take in that an engine has dropped a prefix."""
+
+    def forget(self, endpoint: str) -> None:
+        """Take in that nothing is known of an engine any more."""
 
 
 class Resident:
-    """The prefixes of one engine.
+    """Follows one engine.
 
     Parameters
     ----------
@@ -33,6 +43,8 @@
         The engine, as configured.
     client
         Reads its events.
+    sink
+        Who wants to know.
     metrics
         Counters.
     clock
@@ -44,21 +56,19 @@
         name: str,
         address: str,
         client: engine_events.EventClient,
+        sink: Sink,
         metrics: state.Metrics,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self.name = name
         self.address = address
         self.client = client
+        self.sink = sink
         self.metrics = metrics
         self.clock = clock
         self.reloaded_at = -RELOAD_MIN_S
         self.boot_id = ""
         self.seq = 0
-        self.lock = threading.Lock()
-        self.prefixes: collections.OrderedDict[engine_events.Prefix, None] = (
-            collections.OrderedDict()
-        )
 
     def read(self) -> bool:
         """Take in new events; tell whether there were any.
@@ -79,9 +89,8 @@
                 self.metrics.count("cache_event_gaps")
             self.reload(page.boot_id)
             return True
-        with self.lock:
-            for event in page.events:
-                self.apply(event)
+        for event in page.events:
+            self.apply(event)
         self.seq = max(self.seq, page.next - 1)
         return bool(page.events)
 
@@ -96,67 +105,43 @@
         The listing is expensive for the engine; until it may be read
         again, nothing counts as known.
         """
-        with self.lock:
-            self.prefixes.clear()
+        self.sink.forget(self.name)
         now = self.clock()
         if boot_id == self.boot_id and now - self.reloaded_at < RELOAD_MIN_S:
             return
         self.reloaded_at = now
         listing = self.client.listing(self.address)
-        with self.lock:
-            for prefix in listing.prefixes[-MAX_PREFIXES:]:
-                self.prefixes[prefix] = None
+        for prefix in listing.prefixes:
+            self.sink.added(self.name, prefix)
         self.boot_id = listing.boot_id
         self.seq = listing.seq
 
     def apply(self, event: engine_events.Event) -> None:
-        """Take in one event; call it under ``lock``."""
+        """Pass on one event."""
         prefix = engine_events.Prefix(event.model, event.version, event.digest)
-        self.prefixes.pop(prefix, None)
         if event.added:
-            self.prefixes[prefix] = None
-            if len(self.prefixes) > MAX_PREFIXES:
-                self.prefixes.popitem(last=False)
+            self.sink.added(self.name, prefix)
+        else:
+            self.sink.removed(self.name, prefix)
 
     def lost(self) -> None:
         """Forget everything: the engine does not answer."""
-        with self.lock:
-            self.prefixes.clear()
+        if self.boot_id:
+            self.sink.forget(self.name)
         self.boot_id = ""
 
-    def add(self, prefixes: typing.Iterable[engine_events.Prefix]) -> None:
-        """Note prefixes that an import or a run has just put there."""
-        with self.lock:
-            for prefix in prefixes:
-                self.prefixes[prefix] = None
-            while len(self.prefixes) > MAX_PREFIXES:
-                self.prefixes.popitem(last=False)
-
-    def have(
-        self, model: str, version: str, digests: typing.Iterable[bytes]
-    ) -> int:
-        """Return how many pieces of a chain, from the first on, are there."""
-        count = 0
-        with self.lock:
-            for digest in digests:
-                prefix = engine_events.Prefix(model, version, digest)
-                if prefix not in self.prefixes:
-                    break
-                count += 1
-        return count
-
 
 class Residents:
-    """The prefixes of all configured engines; one thread for each.
+    """Follows all configured engines; one thread for each.
 
     Parameters
     ----------
     view
         Gives the present configuration.
+    sink
+        Who wants to know.
     metrics
         Counters.
-    stopping
-        Set to end the threads.
     poll_s
         Seconds between reads of an engine's events.
     """
@@ -164,16 +149,34 @@
     def __init__(
         self,
         view: typing.Callable[[], schema.View],
+        sink: Sink,
         metrics: state.Metrics,
-        stopping: threading.Event,
         poll_s: float = POLL_S,
     ) -> None:
         self.view = view
+        self.sink = sink
         self.metrics = metrics
-        self.stopping = stopping
         self.poll_s = poll_s
+        self.stopping = threading.Event()
         self.client = engine_events.EventClient()
         self.by_name: dict[str, Resident] = {}
+        self.thread = threading.Thread(
+            target=self.match, name="cache-events", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self.stopping.set()
+
+    def match(self) -> None:
+        """Keep one thread for each configured engine until stopped."""
+        while not self.stopping.is_set():
+            self.refresh()
+            self.stopping.wait(self.poll_s)
 
     def refresh(self) -> None:
         """Take over the configured engines."""
@@ -187,7 +190,11 @@
         for name, address in wanted.items():
             known = self.by_name.get(name)
             if known is None or known.address != address:
-                self.follow(Resident(name, address, self.client, self.metrics))
+                self.follow(
+                    Resident(
+                        name, address, self.client, self.sink, self.metrics
+                    )
+                )
 
     def follow(self, resident: Resident) -> None:
         """Follow one engine's events in a thread of its own."""
@@ -201,53 +208,20 @@
 
     def work(self, resident: Resident) -> None:
         """Read an engine's events until it is not configured any more."""
+        idle_s = max(IDLE_POLL_S, self.poll_s)
         wait_s = self.poll_s
         while not self.stopping.is_set():
             if self.by_name.get(resident.name) is not resident:
+                self.sink.forget(resident.name)
                 return
             try:
                 busy = resident.read()
             except engine_events.EventsUnavailableError:
                 resident.lost()
                 busy = False
-            idle_s = max(IDLE_POLL_S, self.poll_s)
             wait_s = self.poll_s if busy else min(2 * wait_s, idle_s)
-            self.stopping.wait(wait_s)
+            self.stopping.wait(max(wait_s, self.least_wait_s()))
 
-    def have(
-        self,
-        endpoint: str,
-        model: str,
-        version: str,
-        digests: typing.Iterable[bytes],
-    ) -> int:
-        """Return how many pieces of a chain an engine has, as far as known.
-
-        Parameters
-        ----------
-        endpoint
-            Name of the engine.
-        model, version
-            What the pieces are computed with.
-        digests
-            The engine's names of the chain's prefixes, in order.
-        """
-        resident = self.by_name.get(endpoint)
-        if resident is None:
-            return 0
-        return resident.have(model, version, digests)
-
-    def add(
-        self,
-        endpoint: str,
-        model: str,
-        version: str,
-        digests: typing.Iterable[bytes],
-    ) -> None:
-        """Note prefixes that an engine has just been given."""
-        resident = self.by_name.get(endpoint)
-        if resident is not None:
-            resident.add(
-                engine_events.Prefix(model, version, digest)
-                for digest in digests
-            )
+    def least_wait_s(self) -> float:
+        """Return the wait that keeps all reads together within bounds."""
+        return len(self.by_name) / MAX_READS_PER_S
--- a/src/briarseam/cache/service.py
+++ b/src/briarseam/cache/service.py
@@ -14,7 +14,6 @@
 from briarseam.cache import names as block_names
 from briarseam.cache import pieces
 from briarseam.cache import planning
-from briarseam.cache import residents
 from briarseam.cache import retention
 from briarseam.cache import saving
 from briarseam.cache import sharing as index_sharing
@@ -138,7 +137,6 @@
             self.tools, view, self.planner, self.returns, self.exporters
         )
         self.importer = importing.Importer(self.tools, self.stopping)
-        self.residents = residents.Residents(view, self.metrics, self.stopping)
         self.keepers: dict[str, keeping.Keeper] = {}
         self.thread = threading.Thread(
             target=self.work, name="kept-cache", daemon=True
@@ -165,8 +163,7 @@
             self.stopping.wait(REFRESH_S)
 
     def refresh(self) -> None:
-        """Take over the configured stores and engines."""
-        self.residents.refresh()
+        """Take over the configured stores; one thread pair for each."""
         for store in self.stores.refresh():
             keeper = self.keeper(store)
             exporter = exporting.Exporter(store, self.tools, self.stopping)
@@ -207,26 +204,6 @@
         """Return the salt under which engines name prefixes."""
         return pieces.salt_of(self.salt(organisation), adapter or None)
 
-    def have(
-        self,
-        endpoint: str,
-        model: str,
-        version: str,
-        digests: typing.Iterable[bytes],
-    ) -> int:
-        """Return how many pieces an engine has by its cache events.
-
-        Parameters
-        ----------
-        endpoint
-            Name of the engine.
-        model, version
-            What the pieces are computed with.
-        digests
-            The engine's names of a chain's prefixes, in order.
-        """
-        return self.residents.have(endpoint, model, version, digests)
-
     def plan(
         self,
         organisation: str,
--- a/src/briarseam/lookup/rank.py
+++ b/src/briarseam/lookup/rank.py
@@ -13,11 +13,13 @@
 
 
 def session_key(organisation: str, session: str) -> str:
-    """Return the key by which a session is ranked.
+    """Return the key by which a session is ranked, 16 hex digits.
 
+    A hash, so that it can stand in the names of the session's kept blocks.
     The length in front keeps two different pairs from having one key.
     """
-    return f"{RANK_SALT}\0{len(organisation)}\0{organisation}\0{session}"
+    pair = f"{RANK_SALT}\0{len(organisation)}\0{organisation}\0{session}"
+    return xxhash.xxh3_64_hexdigest(pair.encode())
 
 
 def score(key: str, name: str, weight: float) -> float:
--- a/src/briarseam/routing/prefixes.py
+++ b/src/briarseam/routing/prefixes.py
@@ -11,9 +11,30 @@
 import threading
 import typing
 
+import xxhash
+
+if typing.TYPE_CHECKING:
+    from briarseam.endpoints import engine_events
+
 DEFAULT_CAPACITY_PIECES = 100
 
 
+def key_of(digest: bytes, model: str, version: str) -> bytes:
+    """Return the name of a prefix here.
+
+    An engine's blocks belong to a weight version; the version in the key
+    keeps a swap from making its old prefixes look useful.
+
+    Parameters
+    ----------
+    digest
+        The engine's name of the prefix.
+    model, version
+        What it is computed with.
+    """
+    return digest + xxhash.xxh64_digest(f"\0{model}\0{version}".encode())
+
+
 class EnginePrefixes:
     """The prefixes of one engine, least recently used first.
 
@@ -90,7 +111,19 @@
             if endpoint in self.engines:
                 self.engines[endpoint].truncate(keys, known)
 
+    def added(self, endpoint: str, prefix: engine_events.Prefix) -> None:
+        """Take in an engine's word that it has a prefix."""
+        key = key_of(prefix.digest, prefix.model, prefix.version)
+        self.use(endpoint, (key,), None)
+
+    def removed(self, endpoint: str, prefix: engine_events.Prefix) -> None:
+        """Take in an engine's word that it has dropped a prefix."""
+        key = key_of(prefix.digest, prefix.model, prefix.version)
+        with self.lock:
+            if endpoint in self.engines:
+                self.engines[endpoint].drop(key)
+
     def forget(self, endpoint: str) -> None:
-        """Forget an engine that was started anew."""
+        """Forget an engine that was started anew or is in doubt."""
         with self.lock:
             self.engines.pop(endpoint, None)
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -154,11 +154,10 @@
     ) -> predict.Prompt:
         """Return what predictions need of a prompt."""
         salt = self.parts.kept.engine_salt(ask.organisation, model.adapter)
-        # An engine's blocks belong to a weight version; the version in the
-        # key keeps a swap from making its old prefixes look useful.
-        suffix = f"\0{ask.model}\0{version}".encode()
         keys = tuple(
-            pieces.salted(digest, salt) + xxhash.xxh64_digest(suffix)
+            prefix_module.key_of(
+                pieces.salted(digest, salt), ask.model, version
+            )
             for digest in ask.chain
         )
         kept = self.parts.kept.plan(
--- a/tests/cache/test_residents.py
+++ b/tests/cache/test_residents.py
@@ -30,12 +30,40 @@
     return Clock()
 
 
+class Known:
+    """What the follower has told so far."""
+
+    def __init__(self):
+        self.prefixes = set()
+
+    def added(self, endpoint, prefix):
+        self.prefixes.add(prefix)
+
+    def removed(self, endpoint, prefix):
+        self.prefixes.discard(prefix)
+
+    def forget(self, endpoint):
+        self.prefixes.clear()
+
+    def have(self, model, version, digests):
+        return sum(
+            engine_events.Prefix(model, version, digest) in self.prefixes
+            for digest in digests
+        )
+
+
+@pytest.fixture
+def known():
+    return Known()
+
+
 @pytest.fixture
-def resident(engine, clock):
+def resident(engine, clock, known):
     made = residents.Resident(
         "engine-0",
         engine.address,
         engine_events.EventClient(),
+        known,
         state.NoMetrics(),
         clock,
     )
@@ -53,21 +81,21 @@
     )
 
 
-def test_events_tell_what_an_engine_has(engine, resident):
+def test_events_tell_what_an_engine_has(engine, resident, known):
     """A run leaves two prefixes in the engine; a third follows."""
     hold(engine, digests(2))
     resident.read()
-    assert resident.have("draft", "v1", digests(3)) == 2
+    assert known.have("draft", "v1", digests(3)) == 2
 
     hold(engine, digests(3))
     resident.read()
 
-    assert resident.have("draft", "v1", digests(3)) == 3
-    assert resident.have("draft", "v2", digests(3)) == 0
+    assert known.have("draft", "v1", digests(3)) == 3
+    assert known.have("draft", "v2", digests(3)) == 0
 
 
 def test_a_lost_removal_is_found_by_the_gap_in_the_numbers(
-    engine, resident, clock
+    engine, resident, clock, known
 ):
     """An engine evicts a prefix and the event never comes.
 
@@ -82,11 +110,11 @@
 
     resident.read()
 
-    assert resident.have("draft", "v1", digests(2)) == 0
+    assert known.have("draft", "v1", digests(2)) == 0
 
 
 def test_what_is_known_does_not_count_until_a_gap_is_read_up(
-    engine, resident, clock
+    engine, resident, clock, known
 ):
     """Gaps come faster than an engine may be listed.
 
@@ -98,15 +126,15 @@
     engine.set(event_loss=1.0)
     hold(engine, digests(1, start=9))
     resident.read()
-    assert resident.have("draft", "v1", digests(2)) == 0
+    assert known.have("draft", "v1", digests(2)) == 0
 
     clock.now += residents.RELOAD_MIN_S
     resident.read()
 
-    assert resident.have("draft", "v1", digests(2)) == 2
+    assert known.have("draft", "v1", digests(2)) == 2
 
 
-def test_an_engine_that_was_started_anew_has_nothing(engine, resident):
+def test_an_engine_that_was_started_anew_has_nothing(engine, resident, known):
     """An engine crashes and comes back with an empty cache."""
     hold(engine, digests(2))
     resident.read()
@@ -115,4 +143,4 @@
 
     resident.read()
 
-    assert resident.have("draft", "v1", digests(2)) == 0
+    assert known.have("draft", "v1", digests(2)) == 0
