--- a/src/briarseam/cache/importing.py
+++ b/src/briarseam/cache/importing.py
@@ -85,6 +85,7 @@
             return state.Imported(failed="budget")
         if wait_s > 0:
             self.stopping.wait(wait_s)
+        self.tools.metrics.count("imports")
         transfers = self.begin(plan)
         moved = 0
         whole = False
--- a/src/briarseam/cache/links.py
+++ b/src/briarseam/cache/links.py
@@ -10,11 +10,12 @@
 UNKNOWN_RATE = 1e9
 SLOWER_GAIN = 0.6
 FASTER_GAIN = 0.3
-RELAX_S = 5.0
-MAX_IDLE_S = 300.0
+RELAX_S = 30.0
+MAX_IDLE_S = 1800.0
 MIN_ELAPSED_S = 1e-4
 MIN_AGE_S = 0.05
 LATENCY_S = 0.002
+CUT_PART = 0.25
 
 
 @dataclasses.dataclass
@@ -146,7 +147,8 @@
         moved
             Bytes that came.
         cut
-            It was given up, so its size over its time bounds the rate.
+            It was given up; how much came by then nobody knows, and it is
+            taken for a quarter.
         """
         with self.lock:
             self.integrate()
@@ -154,11 +156,11 @@
             self.bytes += moved
             elapsed = max(self.clock() - transfer.began, MIN_ELAPSED_S)
             sharing = (self.area - transfer.area_before) / elapsed
-            size = transfer.size if cut else moved
+            size = transfer.size * CUT_PART if cut else moved
             sample = size * max(sharing, 1.0) / elapsed
             known = self.relaxed(transfer.began)
             if size and not (cut and sample > known):
-                self.learn(sample, known)
+                self.learn(sample, known, cut)
 
     def integrate(self) -> None:
         """Bring the integral of transfers under way up to now."""
@@ -166,12 +168,16 @@
         self.area += len(self.active) * (now - self.area_at)
         self.area_at = now
 
-    def learn(self, sample: float, known: float) -> None:
-        """Take in one sample of the link's whole rate."""
+    def learn(self, sample: float, known: float, cut: bool) -> None:
+        """Take in one sample of the link's whole rate.
+
+        Rates are averaged by their logarithms: a link may fall to a
+        thousandth, and a plain average would stay near the old rate.
+        """
         gain = SLOWER_GAIN if sample < known else FASTER_GAIN
-        if self.observed is None:
+        if self.observed is None or cut:
             gain = 1.0
-        self.observed = known + gain * (sample - known)
+        self.observed = known ** (1.0 - gain) * sample**gain
         self.observed_at = self.clock()
         self.best = max(self.best, sample)
 
