--- a/src/briarseam/cache/owners.py
+++ b/src/briarseam/cache/owners.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import threading
 import typing
@@ -18,7 +19,7 @@
 from briarseam.cache import state
 
 MAX_REMEMBERED = 8192
-Weight = typing.Callable[[str, str], int]
+Score = typing.Callable[[str, str, float], float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,19 +48,19 @@
     agents
         All agents that are probably alive, this one included; the same
         tuple while nothing changes.
-    weight
-        Rendezvous weight of a name for a key.
+    score
+        Rendezvous score of a name of some weight for a key.
     """
 
     def __init__(
         self,
         me: str,
         agents: typing.Callable[[], tuple[Agent, ...]],
-        weight: Weight,
+        score: Score,
     ) -> None:
         self.me = me
         self.agents = agents
-        self.weight = weight
+        self.score = score
         self.lock = threading.Lock()
         self.known: tuple[Agent, ...] = ()
         self.epoch = 0
@@ -101,13 +102,17 @@
 
     def order(self, key: str, agents: tuple[Agent, ...]) -> list[Agent]:
         """Return agents in a key's order: by cell, then within it."""
-        cells = {one.cell: self.weight(key, one.cell) for one in agents}
+        counts = collections.Counter(one.cell for one in agents)
+        cells = {
+            cell: self.score(key, cell, count)
+            for cell, count in counts.items()
+        }
         return sorted(
             agents,
             key=lambda one: (
                 cells[one.cell],
                 one.cell,
-                self.weight(key, one.name),
+                self.score(key, one.name, 1.0),
                 one.name,
             ),
             reverse=True,
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -9,10 +9,10 @@
 from briarseam import verdict
 from briarseam.admission import idempotency
 from briarseam.admission import service as admission
-from briarseam.cache import service as kept_cache
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
 from briarseam.compose import configuration as compose_configuration
+from briarseam.compose import kept as compose_kept
 from briarseam.compose import noting
 from briarseam.compose import serving
 from briarseam.compose import timeline as compose_timeline
@@ -159,17 +159,25 @@
     )
     member_service = build_membership(settings, parts_of, ring.clock)
     compose_configuration.connect(reader, member_service, registry, ring)
+    clients = compose_claims.PeerClients(me, key, ring.clock)
     claim_service = compose_claims.build_claims(
         settings,
         log,
         member_service,
-        compose_claims.PeerClients(me, key, ring.clock),
+        clients,
         registry,
     )
     once = idempotency.Idempotency(
         noting.NotedClaims(claim_service, ring), lambda: server.connected()
     )
-    kept = kept_cache.KeptCache(reader.view, key)
+    kept = compose_kept.build_kept_cache(
+        reader.view,
+        key,
+        member_service,
+        parts_of,
+        clients,
+        registry,
+    )
     serving_parts = serving.build_serving(
         settings,
         serving.ServingSources(
--- a/src/briarseam/compose/kept.py
+++ b/src/briarseam/compose/kept.py
@@ -99,7 +99,7 @@
         return clients(address).call(request, timeout_s)
 
     ports = kept_cache.Ports(
-        holders=owners.Owners(member_service.me.name, agents, rank.weight),
+        holders=owners.Owners(member_service.me.name, agents, rank.score),
         call=call,
         # Every agent takes an equal part of each link, so that together
         # they never go over its budget without a word between them.
--- a/src/briarseam/compose/serving.py
+++ b/src/briarseam/compose/serving.py
@@ -11,6 +11,7 @@
 from briarseam.admission import placing
 from briarseam.admission import retries
 from briarseam.admission import returns
+from briarseam.cache import residents
 from briarseam.cache import service as kept_cache
 from briarseam.routing import ledger as ledgers
 from briarseam.routing import loads
@@ -33,7 +34,7 @@
     ----------
     placer
         Grants endpoints.
-    dispatcher, loads, kept
+    dispatcher, loads, kept, cache_events
         Its parts with threads.
     """
 
@@ -41,16 +42,19 @@
     dispatcher: dispatch.Dispatcher
     loads: loads.Loads
     kept: kept_cache.KeptCache
+    cache_events: residents.Residents
 
     def start(self) -> None:
         """Start the parts with threads."""
         self.kept.start()
         self.loads.start()
+        self.cache_events.start()
         self.dispatcher.start()
 
     def stop(self) -> None:
         """Stop them; what waits is refused."""
         self.dispatcher.stop()
+        self.cache_events.stop()
         self.loads.stop()
         self.kept.stop()
 
@@ -109,6 +113,9 @@
             ledger=ledger,
         )
     )
+    cache_events = residents.Residents(
+        view, chooser.prefixes, sources.kept.metrics
+    )
     schedule = returns.ReturnSchedule(time.monotonic)
     dispatcher = dispatch.Dispatcher(
         chooser,
@@ -140,4 +147,6 @@
             key=sources.key,
         )
     )
-    return Serving(placer, dispatcher, engine_loads, sources.kept)
+    return Serving(
+        placer, dispatcher, engine_loads, sources.kept, cache_events
+    )
--- a/tests/matrix/test_kept_cache.py
+++ b/tests/matrix/test_kept_cache.py
@@ -32,7 +32,7 @@
 
 
 def kept(running):
-    return running.instances[0].agent.kept
+    return running.instances[0].agent.serving.kept
 
 
 def counted(running, event):
@@ -40,7 +40,8 @@
 
 
 def prefixes(running):
-    known = running.instances[0].agent.admission.parts.chooser.prefixes
+    placer = running.instances[0].agent.serving.placer
+    known = placer.parts.chooser.prefixes
     return sum(len(one.order) for one in known.engines.values())
 
 
