--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -53,7 +53,7 @@
 }
 
 pip_install() {
-    "$root/.venv/bin/python" -m pip install --quiet \
+    "$root/.venv/bin/python" -m pip install -qq \
         --disable-pip-version-check \
         --constraint "$root/constraints.txt" "$@"
 }
--- a/src/briarseam/command/stand_in.py
+++ b/src/briarseam/command/stand_in.py
@@ -7,6 +7,8 @@
 import sys
 import typing
 
+import msgspec
+
 from briarseam.command import signals
 from briarseam.testing import engine
 from briarseam.testing import instance_list
@@ -70,6 +72,15 @@
     parser.add_argument(
         "--role", default="mixed", help="role that an engine has at the start"
     )
+    parser.add_argument(
+        "--instance",
+        dest="instances",
+        metavar="NAME=ROLE,IP:PORT,ZONE",
+        type=pair,
+        action="append",
+        default=argparse.SUPPRESS,
+        help="a row of the instance list at the start; may be repeated",
+    )
     parser.add_argument(
         "--seed",
         type=int,
@@ -101,6 +112,24 @@
     return Pair(name, value)
 
 
+def registration(row: Pair) -> instance_list.Registration:
+    """Return what a row of the instance list says.
+
+    Raises
+    ------
+    ValueError
+        If it is not ``ROLE,IP:PORT,ZONE`` with a known role.
+    """
+    try:
+        role, address, zone = row.value.split(",")
+        return msgspec.convert(
+            {"role": role, "address": address, "zone": zone},
+            instance_list.Registration,
+        )
+    except (ValueError, msgspec.ValidationError) as error:
+        raise ValueError(f"{row.name}={row.value}: {error}") from error
+
+
 def execute(args: argparse.Namespace) -> int:
     """Run the stand-in until SIGTERM or SIGINT."""
     try:
@@ -147,7 +176,10 @@
         case log_service.Switches():
             return log_service.LogService(initial, listen)
         case instance_list.Switches():
-            return instance_list.InstanceList(initial, listen)
+            listed = instance_list.InstanceList(initial, listen)
+            for row in getattr(args, "instances", ()):
+                listed.put(row.name, registration(row))
+            return listed
         case plain_service.Switches():
             return plain_service.PlainService(initial, listen)
         case store.Switches():
--- a/src/briarseam/compose/configuration.py
+++ b/src/briarseam/compose/configuration.py
@@ -12,7 +12,6 @@
 from briarseam.configuration import records
 from briarseam.configuration import state as states
 from briarseam.configuration import teams
-from briarseam.platform import instances
 
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
@@ -59,12 +58,7 @@
         return {member.name: member.agent_address for member in live}
 
     def strangers() -> dict[str, str]:
-        return {
-            listed.name: listed.address
-            for listed in membership_of().list_reader.rows
-            if listed.role == AGENT_ROLE
-            and listed.state is instances.ListedState.LIVE
-        }
+        return membership_of().list_reader.agents()
 
     return readers.ConfigurationReader(
         log,
--- a/src/briarseam/compose/timeline.py
+++ b/src/briarseam/compose/timeline.py
@@ -5,7 +5,6 @@
 import typing
 
 from briarseam.answers import answer_id
-from briarseam.platform import instances
 from briarseam.timeline import feed
 from briarseam.timeline import peers
 from briarseam.timeline import requests
@@ -43,12 +42,7 @@
 
     def addresses() -> dict[str, str]:
         """Return the other agents, of this cell and of all others."""
-        found = {
-            listed.name: listed.address
-            for listed in member_service.list_reader.rows
-            if listed.role == AGENT
-            and listed.state is instances.ListedState.LIVE
-        }
+        found = member_service.list_reader.agents()
         for member in member_service.members():
             found[member.name] = member.agent_address
         found.pop(me.name, None)
--- a/src/briarseam/membership/listing.py
+++ b/src/briarseam/membership/listing.py
@@ -13,6 +13,7 @@
 INTERVAL_S = 2.0
 BYTES_PER_S = 4000.0
 JITTER = 0.2
+AGENT_ROLE = "agent"
 log = structlog.get_logger("briarseam.membership")
 OnListing = typing.Callable[[tuple[instances.Instance, ...]], None]
 
@@ -70,6 +71,15 @@
             size = self.read_once()
             self.stopping.wait(self.pause_s(size))
 
+    def agents(self) -> dict[str, str]:
+        """Return the addresses of the agents listed as live, by name."""
+        return {
+            row.name: row.address
+            for row in self.rows
+            if row.role == AGENT_ROLE
+            and row.state is instances.ListedState.LIVE
+        }
+
     def read_once(self) -> int:
         """Read and hand on; return the size, 0 when it failed."""
         try:
--- a/src/briarseam/status/service.py
+++ b/src/briarseam/status/service.py
@@ -7,12 +7,13 @@
 import math
 import typing
 
+from briarseam.membership import listing
 from briarseam.status import messages
+from briarseam.wire import client as clients
 from briarseam.wire import connection as connections
 
 if typing.TYPE_CHECKING:
     from briarseam.membership import service as membership
-    from briarseam.membership import state as members
     from briarseam.wire import server
 
 ASK_TIMEOUT_S = 1.0
@@ -41,13 +42,29 @@
     rollouts: typing.Callable[[], tuple[messages.Rollout, ...]] = tuple
 
 
+@dataclasses.dataclass(frozen=True)
+class Known:
+    """Another agent, before it is asked.
+
+    Attributes
+    ----------
+    address
+        ``ip:port``.
+    unreached
+        Its row if it does not answer.
+    """
+
+    address: str
+    unreached: messages.AgentStatus
+
+
 class StatusService:
     """Describes this agent and asks the others.
 
     Parameters
     ----------
     membership
-        The members of the cell.
+        The members of the cell, and whom the instance list has elsewhere.
     sources
         Where this agent's own row comes from.
     """
@@ -88,37 +105,54 @@
         )
 
     def others(self) -> list[messages.AgentStatus]:
-        """Ask the other members, all at once."""
-        name = self.membership.me.name
-        peers = [
-            member
-            for member in self.membership.members()
-            if member.name != name
-        ]
-        if not peers:
+        """Ask all other agents, many at a time."""
+        asked = self.known()
+        if not asked:
             return []
-        workers = min(MAX_ASKERS, len(peers))
+        workers = min(MAX_ASKERS, len(asked))
         with concurrent.futures.ThreadPoolExecutor(workers) as pool:
-            return list(pool.map(self.ask, peers))
-
-    def ask(self, member: members.Member) -> messages.AgentStatus:
-        """Return a member's row, its own word where it answers."""
-        unreached = messages.AgentStatus(
-            name=member.name,
-            zone=member.zone,
-            cell=member.cell,
-            state=member.state.value,
-            age_s=round(member.heard_s_ago, 3),
-            reached=False,
+            return list(pool.map(self.ask, asked))
+
+    def known(self) -> list[Known]:
+        """Return the other agents: members, and listed ones elsewhere."""
+        known = {
+            row.name: Known(
+                row.address,
+                messages.AgentStatus(
+                    row.name, row.zone, "", row.state.value, reached=False
+                ),
+            )
+            for row in self.membership.list_reader.rows
+            if row.role == listing.AGENT_ROLE
+        }
+        for member in self.membership.members():
+            known[member.name] = Known(
+                member.agent_address,
+                messages.AgentStatus(
+                    name=member.name,
+                    zone=member.zone,
+                    cell=member.cell,
+                    state=member.state.value,
+                    age_s=round(member.heard_s_ago, 3),
+                    reached=False,
+                ),
+            )
+        known.pop(self.membership.me.name, None)
+        return list(known.values())
+
+    def ask(self, known: Known) -> messages.AgentStatus:
+        """Return an agent's row, its own word where it answers."""
+        client = clients.Client(
+            known.address, self.membership.identity, self.membership.key, 0
         )
         try:
-            reply = self.membership.client(member.name).call(
+            reply = client.call(
                 messages.StatusAsked(all_members=False), ASK_TIMEOUT_S
             )
         except connections.WireError:
-            return unreached
+            return known.unreached
         if not isinstance(reply, messages.Status) or not reply.agents:
-            return unreached
+            return known.unreached
         return dataclasses.replace(
-            reply.agents[0], age_s=round(member.heard_s_ago, 3)
+            reply.agents[0], age_s=known.unreached.age_s
         )
--- a/src/briarseam/testing/caller.py
+++ b/src/briarseam/testing/caller.py
@@ -123,10 +123,11 @@
     ) -> typing.Iterator[str]:
         """Send a prompt; yield tokens while ``answer`` fills."""
         headers = {"Idempotency-Key": key} if key else {}
+        started = time.monotonic()
         response = self.open(
             "POST", "/v1/answers", json.dumps(body).encode(), headers
         )
-        yield from self.follow(response, answer)
+        yield from self.follow(response, answer, started)
 
     def resume(self, answer: Answer) -> Answer:
         """Resume a cut answer; fill it up."""
@@ -134,10 +135,11 @@
         if answer.tokens:
             headers["Last-Event-ID"] = str(len(answer.tokens) - 1)
         answer.cut = False
+        started = time.monotonic()
         response = self.open(
             "GET", f"/v1/answers/{answer.answer_id}", None, headers
         )
-        for _ in self.follow(response, answer):
+        for _ in self.follow(response, answer, started):
             pass
         return answer
 
@@ -145,9 +147,13 @@
         self,
         response: urllib3.BaseHTTPResponse | None,
         answer: Answer,
+        started: float,
     ) -> typing.Iterator[str]:
-        """Yield tokens of a response while ``answer`` fills."""
-        started = time.monotonic()
+        """Yield tokens of a response while ``answer`` fills.
+
+        Times count from ``started``, before the request was sent: an entry
+        holds its status back until the first token is there.
+        """
         if response is None:
             answer.cut = True
             return
--- a/src/briarseam/testing/demo.py
+++ b/src/briarseam/testing/demo.py
@@ -87,8 +87,8 @@
     for number in range(OTHER_PROMPTS):
         other = words.prompt(PROMPT_TOKENS, f"other-{number}")
         ask(demo, other, "kitchen-17")
-    say("The first prompt again, at the other entry:")
-    again = ask(demo, prompt, "kitchen-17", len(demo.entries) - 1)
+    say("The first prompt again:")
+    again = ask(demo, prompt, "kitchen-17")
     say_answer(again, say)
     if again.tokens != first.tokens:
         raise DemoError("the second answer differs from the first")
@@ -139,10 +139,8 @@
     """Book once and again with the same key; one run is due."""
     key = caller.new_key()
     body = {"key": key, "kitchen": "17"}
-    one = demo.caller().call(demo.service, demo.call, body, key)
-    two = demo.caller().call(demo.service, demo.call, body, key)
-    if one.status != HTTP_OK or two.status != HTTP_OK:
-        raise DemoError(f"the booking failed: {one} {two}")
+    one = submit(demo, body, key)
+    two = submit(demo, body, key)
     if one.body != two.body:
         raise DemoError("the same key got two answers")
     runs = sum(count_runs(address, key) for address in demo.services)
@@ -152,6 +150,18 @@
     say(f"  {json.dumps(one.body.get('confirmation'))} both times, {runs} run")
 
 
+def submit(demo: Demo, body: dict[str, str], key: str) -> caller.CallResult:
+    """Return a submission's answer; send it again while told to."""
+    deadline = time.monotonic() + DEADLINE_MS / 1000
+    while True:
+        result = demo.caller().call(demo.service, demo.call, body, key)
+        if result.status == HTTP_OK:
+            return result
+        if "Retry-After" not in result.headers or time.monotonic() > deadline:
+            raise DemoError(f"the submission failed: {result}")
+        time.sleep(RETRY_S)
+
+
 def count_runs(service: str, key: str) -> int:
     """Return how often a stand-in service ran what a key names."""
     response = urllib3.request(
@@ -161,19 +171,3 @@
         retries=False,
     )
     return int(response.json()["runs"].get(key, 0))
-
-
-def register(
-    instance_list: str, rows: typing.Iterable[dict[str, str]]
-) -> None:
-    """Put instances on the stand-in list, as the platform would."""
-    for row in rows:
-        response = urllib3.request(
-            "PUT",
-            f"http://{instance_list}/instances/{row['name']}",
-            body=json.dumps(row).encode(),
-            timeout=TIMEOUT_S,
-            retries=False,
-        )
-        if response.status != HTTP_OK:
-            raise DemoError(f"the list answered {response.status}")
