Give orders from every agent, and route by what engines report

The agent now holds leases and gives orders. A new request names a version that engines report: sessions are spread over the versions by rendezvous, weighted by how many engines have each, until the floor reports the wanted one; before, every request named the wanted version and a rollout would have refused them all until its first load ended.

Each engine's state is polled by one agent, which tells the others on heartbeats; whoever gives orders reads the states itself. Ruled out: every agent polling every engine, whose cost grows with agents times engines.

--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -14,13 +14,16 @@
 from briarseam.compose import configuration as compose_configuration
 from briarseam.compose import kept as compose_kept
 from briarseam.compose import noting
+from briarseam.compose import orders as compose_orders
 from briarseam.compose import serving
 from briarseam.compose import timeline as compose_timeline
 from briarseam.configuration import reader as configuration
+from briarseam.leases import service as lease_module
 from briarseam.lookup import service as lookup
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.metrics import registry as metrics
+from briarseam.orders import service as order_module
 from briarseam.platform import instances
 from briarseam.platform import log as platform_log
 from briarseam.status import service as status
@@ -50,6 +53,8 @@
     registry: metrics.Registry
     ring: rings.Ring
     timeline: timelines.Timeline
+    leases: lease_module.Leases
+    orders: order_module.Orders
 
     def start(self) -> None:
         """Start all parts."""
@@ -58,11 +63,15 @@
         self.configuration.start()
         self.claims.start()
         self.idempotency.start()
+        self.leases.start()
+        self.orders.start()
         self.serving.start()
 
     def stop(self) -> None:
         """Stop all parts, the last started first."""
         self.serving.stop()
+        self.orders.stop()
+        self.leases.stop()
         self.idempotency.stop()
         self.claims.stop()
         self.configuration.stop()
@@ -178,6 +187,10 @@
         clients,
         registry,
     )
+    lease_service = compose_orders.build_leases(settings, log)
+    order_service = compose_orders.build_orders(
+        settings, reader, member_service, lease_service, registry, ring
+    )
     serving_parts = serving.build_serving(
         settings,
         serving.ServingSources(
@@ -188,7 +201,7 @@
                 kept, ring, compose_timeline.names(reader)
             ),
             leaving=frozenset,
-            serves=lambda endpoint, model, version: True,
+            releases=compose_orders.Releases(order_service),
             key=key,
         ),
     )
@@ -212,6 +225,7 @@
             offset=reader.offset,
             staleness_s=reader.staleness_s,
             running=lambda: len(serving_parts.placer.runs),
+            rollouts=lambda: compose_orders.rollouts(order_service),
         ),
     )
     events = compose_timeline.build_agent_part(me, key, ring, member_service)
@@ -223,6 +237,7 @@
         states,
         claim_service,
         kept,
+        order_service,
         events,
     ):
         part.register(router)
@@ -240,4 +255,6 @@
         registry=registry,
         ring=ring,
         timeline=events,
+        leases=lease_service,
+        orders=order_service,
     )
--- a/src/briarseam/compose/serving.py
+++ b/src/briarseam/compose/serving.py
@@ -19,6 +19,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
+    from briarseam.compose import orders as compose_orders
     from briarseam.configuration import schema
     from briarseam.membership import service as membership
 
@@ -75,8 +76,8 @@
         The same as routing sees it, with its imports noted.
     leaving
         Endpoints that are known to leave.
-    serves
-        Whether an endpoint reports a model in a version.
+    releases
+        What engines report, and what requests may name.
     key
         Shared key.
     """
@@ -86,7 +87,7 @@
     kept: kept_cache.KeptCache
     imports: routing.KeptCache
     leaving: typing.Callable[[], frozenset[str]]
-    serves: typing.Callable[[str, str, str], bool]
+    releases: compose_orders.Releases
     key: bytes
 
 
@@ -107,7 +108,8 @@
         routing.ChooserParts(
             view=view,
             leaving=sources.leaving,
-            serves=sources.serves,
+            offers=sources.releases.offers,
+            serves=sources.releases.serves,
             kept=sources.imports,
             loads=engine_loads,
             ledger=ledger,
--- a/src/briarseam/orders/offers.py
+++ b/src/briarseam/orders/offers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from briarseam.configuration import schema
@@ -79,3 +80,8 @@
     if former is not None and (not former or former in loaded):
         return former
     return None
+
+
+def tally(offered: state.Offers) -> dict[state.Offer, int]:
+    """Return how many engines make each offer."""
+    return dict(collections.Counter(offered.values()))
--- a/src/briarseam/orders/pollers.py
+++ b/src/briarseam/orders/pollers.py
@@ -8,6 +8,10 @@
 from briarseam.endpoints import engine_orders
 from briarseam.orders import state
 
+MATCH_S = 1.0
+# Engines of which nobody reports are polled by everybody; were it all of a
+# large deployment at a start, it would be thousands of threads.
+MAX_UNKNOWN = 64
 IDLE_INTERVAL_S = 1.0
 BUSY_INTERVAL_S = 0.2
 
@@ -69,12 +73,18 @@
 
 
 class Pollers:
-    """Keeps one poller for each engine of the configuration.
+    """Keeps the pollers that this process needs.
+
+    Each engine is polled by the member that owns it, which tells the
+    others on its heartbeats; by whoever gives it orders; and by everybody
+    while no member reports it.
 
     Parameters
     ----------
     engines, board, clock
         As in :class:`Poller`.
+    owns
+        Whether this process polls an engine for all members.
     """
 
     def __init__(
@@ -82,17 +92,47 @@
         engines: engine_orders.EngineOrders,
         board: state.Board,
         clock: typing.Callable[[], float],
+        owns: typing.Callable[[str], bool],
     ) -> None:
         self.engines = engines
         self.board = board
         self.clock = clock
+        self.owns = owns
         self.busy = False
+        self.due_s = float("-inf")
         self.pollers: dict[str, Poller] = {}
 
     def interval_s(self) -> float:
         """Return the time between two reads, in seconds."""
         return BUSY_INTERVAL_S if self.busy else IDLE_INTERVAL_S
 
+    def match(
+        self, addresses: typing.Mapping[str, str], ordered: set[str]
+    ) -> None:
+        """Poll what is owned, ordered or not reported; once a second.
+
+        Parameters
+        ----------
+        addresses
+            Of all engines, by name.
+        ordered
+            Engines that this process gives orders to.
+        """
+        now_s = self.clock()
+        if now_s < self.due_s:
+            return
+        self.due_s = now_s + MATCH_S
+        told = self.board.told()
+        unknown = [name for name in addresses if name not in told]
+        wanted = ordered.union(unknown[:MAX_UNKNOWN])
+        self.follow(
+            {
+                name: address
+                for name, address in addresses.items()
+                if name in wanted or self.owns(name)
+            }
+        )
+
     def follow(self, addresses: typing.Mapping[str, str]) -> None:
         """Poll these engines and no others."""
         for name, poller in list(self.pollers.items()):
--- a/src/briarseam/orders/rollout.py
+++ b/src/briarseam/orders/rollout.py
@@ -206,8 +206,9 @@
         show only in reports asked for now.
         """
         fresh: dict[str, state.Reading] = {}
+        known = self.tools.board.all()
         for target in scope.targets:
-            if self.tools.board.get(target.name) is None:
+            if target.name not in known:
                 continue
             asked_s = self.tools.clock()
             try:
@@ -242,8 +243,9 @@
         it out beside those that we take out.  The order repeats what the
         engine has, so it changes nothing.
         """
+        known = self.tools.board.all()
         for target in scope.targets:
-            reading = self.tools.board.get(target.name)
+            reading = known.get(target.name)
             if reading is None or not reading.state.fencing:
                 continue
             order = present_load(scope, target, reading.state)
--- a/src/briarseam/orders/service.py
+++ b/src/briarseam/orders/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 import typing
 
@@ -14,6 +15,7 @@
 from briarseam.orders import offers
 from briarseam.orders import pollers
 from briarseam.orders import rollout
+from briarseam.orders import sharing
 from briarseam.orders import state
 from briarseam.orders import status
 
@@ -26,13 +28,31 @@
 
 TICK_S = 0.2
 NO_OFFERS: state.Offers = {}
+NO_TALLY: typing.Mapping[state.Offer, int] = {}
 log = structlog.get_logger("briarseam.orders")
 
 
-def first_in_line(lease: str) -> int:
-    """Return the first place, for a process that has no others."""
-    del lease
-    return 0
+@dataclasses.dataclass(frozen=True)
+class Peers:
+    """The other processes that could give orders; none by default.
+
+    Attributes
+    ----------
+    precedence
+        Place of this process among those that may take a lease, by name
+        of the lease; 0 first.
+    owns
+        Whether this process polls an engine for all of them.
+    live
+        Names of those whose reports count.
+    """
+
+    precedence: typing.Callable[[str], int] = lambda lease: 0
+    owns: typing.Callable[[str], bool] = lambda engine: True
+    live: typing.Callable[[], typing.Collection[str]] = frozenset
+
+
+NO_PEERS = Peers()
 
 
 class Orders:
@@ -52,9 +72,8 @@
         Where orders are counted.
     note
         Notes an event on the time line.
-    precedence
-        Place of this process among those that may take a lease, by name
-        of the lease; 0 first.
+    peers
+        The other processes that could give orders.
     clock
         Seconds; the leases' clock.
     """
@@ -67,7 +86,7 @@
         engines: engine_orders.EngineOrders,
         metrics: registry.Registry,
         note: rollout.Note,
-        precedence: typing.Callable[[str], int] = first_in_line,
+        peers: Peers = NO_PEERS,
         clock: rollout.Clock = clocks.boot_clock,
     ) -> None:
         self.me = me
@@ -75,14 +94,16 @@
         self.leases = leases
         self.clock = clock
         self.board = state.Board()
-        self.pollers = pollers.Pollers(engines, self.board, clock)
+        self.peers = peers
+        self.pollers = pollers.Pollers(engines, self.board, clock, peers.owns)
+        self.sharing = sharing.Sharing(self.board, clock)
         self.tools = rollout.Tools(
             leases=leases,
             engines=engines,
             board=self.board,
             clock=clock,
             note=note,
-            precedence=precedence,
+            precedence=peers.precedence,
             given=metrics.counters(
                 "orders_given_total",
                 "Orders given to engines, by kind and outcome.",
@@ -103,8 +124,10 @@
         self.scopes: tuple[goals.Scope, ...] = ()
         self.rollouts: dict[str, rollout.Rollout] = {}
         self.former_adapters: dict[str, str] = {}
+        self.readings: dict[str, state.Reading] = {}
         self.versions: dict[str, dict[str, str]] = {}
         self.offered: dict[str, state.Offers] = {}
+        self.tallies: dict[str, dict[state.Offer, int]] = {}
         self.watch = status.Watch()
         self.stopping = threading.Event()
         self.thread = threading.Thread(
@@ -141,6 +164,18 @@
         """
         return self.offered.get(model, NO_OFFERS)
 
+    def tally(self, model: str) -> typing.Mapping[state.Offer, int]:
+        """Return how many engines make each offer for a model."""
+        return self.tallies.get(model, NO_TALLY)
+
+    def serves(self, endpoint: str, model: str, offer: state.Offer) -> bool:
+        """Tell whether an engine reports what a request has to name."""
+        reading = self.readings.get(endpoint)
+        loaded = reading.state.models.get(model) if reading else None
+        if loaded is None or loaded.version != offer.version:
+            return False
+        return not offer.adapter or offer.adapter in loaded.adapters
+
     def run(self) -> None:
         """Compare and order until stopped."""
         while not self.stopping.is_set():
@@ -156,12 +191,14 @@
         view = self.view()
         if view is not self.seen:
             self.take_view(view)
+        self.board.keep_members(self.peers.live())
         self.update_offers()
         busy = False
         for scope in self.scopes:
             work = self.rollouts[scope.lease]
             busy = work.step(scope, view.offset) or busy
         self.pollers.busy = busy
+        self.match_pollers()
         self.update_watch()
 
     def take_view(self, view: schema.View) -> None:
@@ -177,17 +214,23 @@
             or rollout.Rollout(self.tools)
             for scope in self.scopes
         }
-        self.pollers.follow(
-            {
-                target.name: target.address
-                for scope in self.scopes
-                for target in scope.targets
-            }
-        )
+        self.pollers.due_s = float("-inf")
+
+    def match_pollers(self) -> None:
+        """Poll the engines that this process has to know itself."""
+        addresses = {}
+        ordered = set()
+        for scope in self.scopes:
+            leads = self.leases.holds(scope.lease) is not None
+            for target in scope.targets:
+                addresses[target.name] = target.address
+                if leads:
+                    ordered.add(target.name)
+        self.pollers.match(addresses, ordered)
 
     def update_offers(self) -> None:
         """Work out anew what engines offer."""
-        readings = self.board.all()
+        readings = self.readings = self.board.all()
         targets = goals.targets_of(self.seen)
         self.versions = offers.serving_versions(readings)
         self.offered = {
@@ -200,6 +243,10 @@
             )
             for name, model in self.seen.models.items()
         }
+        self.tallies = {
+            name: offers.tally(offered)
+            for name, offered in self.offered.items()
+        }
 
     def update_watch(self) -> None:
         """Note which models have moved."""
@@ -241,6 +288,25 @@
                 )
         return tuple(found)
 
+    def led(self) -> tuple[messages.ModelRollout, ...]:
+        """Return how far the models are that this process answers for.
+
+        Those that it gives orders for, and, first in line, those that
+        nobody gives orders for.
+        """
+        return tuple(
+            model
+            for model in self.status()
+            if model.holder == self.leases.holder
+            or (not model.holder and self.first_in_line())
+        )
+
+    def first_in_line(self) -> bool:
+        """Tell whether this process is first for any lease."""
+        return any(
+            self.peers.precedence(scope.lease) == 0 for scope in self.scopes
+        )
+
     def count_stuck(self) -> float:
         """Return how many models have not moved for long."""
         return sum(model.stuck for model in self.status())
--- a/src/briarseam/orders/state.py
+++ b/src/briarseam/orders/state.py
@@ -107,10 +107,21 @@
 
 
 class Board:
-    """The last report of every engine; safe for several threads."""
+    """The last report of every engine; safe for several threads.
+
+    Attributes
+    ----------
+    readings
+        Reports asked for by this process.
+    shared
+        Reports of other members, by member and engine.
+    changed
+        Set when any report says something new.
+    """
 
     def __init__(self) -> None:
         self.readings: dict[str, Reading] = {}
+        self.shared: dict[str, dict[str, Reading]] = {}
         self.lock = threading.Lock()
         self.changed = threading.Event()
 
@@ -124,6 +135,21 @@
         if known is None or known.state != reading.state:
             self.changed.set()
 
+    def put_shared(self, member: str, readings: dict[str, Reading]) -> None:
+        """Replace what a member reports."""
+        with self.lock:
+            self.shared[member] = readings
+        self.changed.set()
+
+    def keep_members(self, live: typing.Collection[str]) -> None:
+        """Forget what members report that are no longer live."""
+        with self.lock:
+            self.shared = {
+                member: readings
+                for member, readings in self.shared.items()
+                if member in live
+            }
+
     def drop(self, name: str) -> None:
         """Forget an engine that no longer reports."""
         with self.lock:
@@ -137,19 +163,37 @@
         if reading is not None and reading.asked_s < asked_s:
             self.drop(name)
 
-    def get(self, name: str) -> Reading | None:
-        """Return the last report of an engine, if it still reports."""
-        return self.readings.get(name)
+    def own(self) -> dict[str, Reading]:
+        """Return the reports asked for by this process."""
+        with self.lock:
+            return dict(self.readings)
+
+    def told(self) -> set[str]:
+        """Return the engines that other members report."""
+        with self.lock:
+            return {
+                name for readings in self.shared.values() for name in readings
+            }
 
     def all(self) -> dict[str, Reading]:
-        """Return all present reports."""
+        """Return all present reports, our own before others'."""
         with self.lock:
-            return dict(self.readings)
+            found: dict[str, Reading] = {}
+            for readings in self.shared.values():
+                found.update(readings)
+            found.update(self.readings)
+            return found
 
 
 @dataclasses.dataclass(frozen=True)
 class Offer:
-    """What an engine offers for new requests of a model."""
+    """What an engine offers for new requests of a model.
+
+    Attributes
+    ----------
+    version, adapter
+        What the request has to name.
+    """
 
     version: str
     adapter: str
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -12,6 +12,7 @@
 from briarseam.cache import pieces
 from briarseam.cache import state as cache
 from briarseam.configuration import schema
+from briarseam.orders import state as orders
 from briarseam.routing import ledger as ledgers
 from briarseam.routing import loads as load_module
 from briarseam.routing import predict
@@ -57,8 +58,11 @@
         Present configuration.
     leaving
         Endpoints that are known to leave.
+    offers
+        Versions and adapters that new requests of a model may name, best
+        first for a session's key; empty while none is reported.
     serves
-        Whether an endpoint reports a model in a version.
+        Whether an endpoint reports what a request has to name.
     kept
         The kept cache.
     loads, ledger
@@ -69,7 +73,8 @@
 
     view: typing.Callable[[], schema.View]
     leaving: typing.Callable[[], frozenset[str]]
-    serves: typing.Callable[[str, str, str], bool]
+    offers: typing.Callable[[str, str], typing.Sequence[orders.Offer]]
+    serves: typing.Callable[[str, str, orders.Offer], bool]
     kept: KeptCache
     loads: load_module.Loads
     ledger: ledgers.Ledger
@@ -106,11 +111,14 @@
         """Return the engine for a prompt."""
         view = self.parts.view()
         model = view.models[ask.model]
-        version = ask.version or model.version
-        names = self.engines(view, ask, version)
-        if not names:
+        for offer in self.offers(ask, model):
+            names = self.engines(view, ask, offer)
+            if names:
+                break
+        else:
+            version = ask.version or model.version
             return no_choice(f"no endpoint serves {ask.model} {version}")
-        prompt = self.prompt_of(ask, model, version)
+        prompt = self.prompt_of(ask, offer)
         predictions = [
             self.predictor.predict(prompt, name)
             for name in self.candidates(names, ask, prompt, view.routing)
@@ -123,8 +131,8 @@
             endpoint=best.endpoint,
             address=view.endpoints[best.endpoint].address,
             model=ask.model,
-            version=version,
-            adapter=model.adapter,
+            version=offer.version,
+            adapter=offer.adapter,
             first_token_s=best.first_token_s,
             wait_s=best.wait_s,
             prompt_tokens=prompt.tokens,
@@ -134,8 +142,16 @@
             plan=best.plan,
         )
 
+    def offers(
+        self, ask: state.PromptAsk, model: schema.Model
+    ) -> typing.Sequence[orders.Offer]:
+        """Return what a prompt may name, best first."""
+        if ask.version:
+            return (orders.Offer(ask.version, model.adapter),)
+        return self.parts.offers(ask.model, session_of(ask))
+
     def engines(
-        self, view: schema.View, ask: state.PromptAsk, version: str
+        self, view: schema.View, ask: state.PromptAsk, offer: orders.Offer
     ) -> list[str]:
         """Return the engines that may run a prompt."""
         barred = self.parts.leaving() | ask.excluded
@@ -146,25 +162,25 @@
             and ask.model in endpoint.models
             and endpoint.state is schema.EndpointState.SERVING
             and name not in barred
-            and self.parts.serves(name, ask.model, version)
+            and self.parts.serves(name, ask.model, offer)
         ]
 
     def prompt_of(
-        self, ask: state.PromptAsk, model: schema.Model, version: str
+        self, ask: state.PromptAsk, offer: orders.Offer
     ) -> predict.Prompt:
         """Return what predictions need of a prompt."""
-        salt = self.parts.kept.engine_salt(ask.organisation, model.adapter)
+        salt = self.parts.kept.engine_salt(ask.organisation, offer.adapter)
         keys = tuple(
             prefix_module.key_of(
-                pieces.salted(digest, salt), ask.model, version
+                pieces.salted(digest, salt), ask.model, offer.version
             )
             for digest in ask.chain
         )
         kept = self.parts.kept.plan(
             ask.organisation,
             ask.model,
-            model.adapter,
-            version,
+            offer.adapter,
+            offer.version,
             ask.chain,
             0,
             ask.session,
@@ -344,11 +360,16 @@
 
     A session without a name is ranked by the start of its prompt.
     """
-    session = ask.session or (ask.chain[0].hex() if ask.chain else "")
-    key = f"{ask.organisation}\0{session}\0{endpoint}"
+    key = f"{session_of(ask)}\0{endpoint}"
     return xxhash.xxh64_intdigest(key.encode())
 
 
+def session_of(ask: state.PromptAsk) -> str:
+    """Return the key by which a prompt's session is ranked."""
+    session = ask.session or (ask.chain[0].hex() if ask.chain else "")
+    return f"{ask.organisation}\0{session}"
+
+
 def tie_break(name: str) -> int:
     """Return a changing order of equals, so that they share the work."""
     return xxhash.xxh64_intdigest(f"{name}{time.monotonic_ns()}".encode())
--- a/src/briarseam/testing/deployment.py
+++ b/src/briarseam/testing/deployment.py
@@ -307,12 +307,13 @@
         return instance
 
     def is_serving(self) -> bool:
-        """Tell whether every agent has the newest configuration."""
-        offsets = [
-            instance.agent.configuration.offset()
-            for instance in self.instances
-        ]
-        return all(offset >= self.fold.offset for offset in offsets)
+        """Tell whether every agent knows configuration and engines."""
+        agents = [instance.agent for instance in self.instances]
+        return all(
+            agent.configuration.offset() >= self.fold.offset
+            and len(agent.orders.offers(MODEL)) == len(self.engines)
+            for agent in agents
+        )
 
     def caller(
         self, organisation: str = ORGANISATIONS[0], instance: int = 0
--- a/tests/orders/deployment.py
+++ b/tests/orders/deployment.py
@@ -118,7 +118,7 @@
             engines or engine_orders.EngineOrders(CALL_S),
             registry.Registry(),
             events.note,
-            lambda lease: place,
+            orders_service.Peers(precedence=lambda lease: place),
         )
         leases.start()
         orders.start()
--- a/tests/orders/test_state.py
+++ b/tests/orders/test_state.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarseam.endpoints import engine_orders
+from briarseam.orders import sharing
 from briarseam.orders import state
 
 
@@ -44,4 +45,31 @@
     board = state.Board()
     board.put("worker-1", reading("v2", asked_s=12.0))
     board.put("worker-1", reading("v1", asked_s=11.0))
-    assert board.get("worker-1") == reading("v2", asked_s=12.0)
+    assert board.all()["worker-1"] == reading("v2", asked_s=12.0)
+
+
+def test_reports_ride_on_heartbeats_until_their_member_is_gone():
+    here, there = state.Board(), state.Board()
+    there.put("worker-1", reading("v1"))
+    data = sharing.Sharing(there, lambda: 20.0).provide()
+    sharing.Sharing(here, lambda: 20.0).consume("agent-2", data)
+    assert here.all()["worker-1"].state == reading("v1").state
+    here.keep_members({"agent-2"})
+    assert here.all()
+    here.keep_members(set())
+    assert not here.all()
+
+
+def test_report_of_another_member_is_not_younger_than_an_order():
+    """A heartbeat with the report was under way when the load was ordered.
+
+    Counted from its arrival, the worker would seem to serve.
+    """
+    there, here = state.Board(), state.Board()
+    there.put("worker-1", reading("v1", asked_s=10.0))
+    data = sharing.Sharing(there, lambda: 10.0).provide()
+    errand = state.Errand("v2", ended_s=11.0, settled=True)
+    sharing.Sharing(here, lambda: 12.0).consume("agent-2", data)
+    found = here.all()["worker-1"]
+    standing = state.standing_of("draft", "v2", found, errand)
+    assert standing is state.Standing.ORDERED
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -7,6 +7,7 @@
 
 from briarseam.cache import state as cache
 from briarseam.configuration import schema
+from briarseam.orders import state as orders
 from briarseam.routing import ledger as ledgers
 from briarseam.routing import loads
 from briarseam.routing import service
@@ -91,7 +92,8 @@
     parts = service.ChooserParts(
         view=lambda: view,
         leaving=lambda: frozenset(leaving),
-        serves=lambda endpoint, model, version: True,
+        offers=lambda model, session: (orders.Offer("v1", ""),),
+        serves=lambda endpoint, model, offer: True,
         kept=kept,
         loads=known,
         ledger=ledger,
--- /dev/null
+++ b/tests/routing/test_versions.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+import dataclasses
+
+from briarseam.orders import state as orders
+from briarseam.routing import service
+from briarseam.routing import state
+from tests.routing import conftest
+
+NEW = orders.Offer("v2", "")
+OLD = orders.Offer("v1", "")
+
+
+def chooser_of(bench, reported):
+    """Return a chooser in the middle of a rollout."""
+    return service.Chooser(
+        dataclasses.replace(
+            bench.chooser.parts,
+            offers=lambda model, session: (NEW, OLD),
+            serves=lambda endpoint, model, offer: (
+                reported.get(endpoint) == offer
+            ),
+        )
+    )
+
+
+def test_request_names_what_its_engine_reports(bench):
+    chooser = chooser_of(bench, {"engine-1": NEW, "engine-2": OLD})
+    choice = chooser.choose_engine(conftest.ask())
+    assert (choice.endpoint, choice.version) == ("engine-1", "v2")
+
+
+def test_request_takes_the_next_version_when_one_has_no_engine(bench):
+    """The only engine with new weights was lost to this request."""
+    chooser = chooser_of(bench, {"engine-1": NEW, "engine-2": OLD})
+    excluded = frozenset({"engine-1"})
+    choice = chooser.choose_engine(conftest.ask(excluded=excluded))
+    assert (choice.endpoint, choice.version) == ("engine-2", "v1")
+
+
+def test_continuation_keeps_its_version_or_is_refused(bench):
+    """Half an answer came from old weights, which no engine has now."""
+    chooser = chooser_of(bench, {"engine-1": NEW})
+    choice = chooser.choose_engine(conftest.ask(version="v1"))
+    assert isinstance(choice, state.NoChoice)
