--- a/src/briarseam/claims/shard.py
+++ b/src/briarseam/claims/shard.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import threading
+import time
 import typing
 
 import structlog
@@ -24,6 +26,8 @@
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 30.0
 FOLLOW_WAIT_MS = 1000
+# So many arrivals are remembered over one window.
+ARRIVALS_KEPT = 360
 CATCH_UP_RECORDS_PER_S = 5000
 log = structlog.get_logger("briarseam.claims")
 
@@ -49,6 +53,22 @@
 Finding = messages.Result | Held
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A record that this reader saw arrive.
+
+    Attributes
+    ----------
+    offset
+        The record.
+    read_at
+        Monotonic seconds.
+    """
+
+    offset: int
+    read_at: float
+
+
 @dataclasses.dataclass
 class Waiter:
     """A claimant that waits for its claim to be read back."""
@@ -115,6 +135,7 @@
         self.last_offset = 0
         self.behind = -1
         self.halted = ""
+        self.arrivals: collections.deque[Arrival] = collections.deque()
         self.used_at = 0.0
         self.claimants: dict[str, Waiter] = {}
         self.settling: dict[records.Settlement, Confirmation] = {}
@@ -311,14 +332,21 @@
     def take_in(self, batch: platform_log.Batch) -> None:
         """Fold what the follower read."""
         with self.lock:
-            if self.halted or self.is_rolled_back(batch):
+            if self.halted:
+                return
+            if self.is_rolled_back(batch) or self.is_forgetful(batch):
                 return
-            if batch.first > self.last_offset + 1:
-                self.start_over(batch.first)
+            # A reader that was paused longer than the retention has a gap.
+            # What it missed is about keys that are too old by now, as all
+            # that is younger is retained.
+            self.last_offset = max(self.last_offset, batch.first - 1)
+            was_current = self.behind == 0
             for record in batch.records:
                 self.take_record(record)
                 if self.halted:
                     return
+            if was_current and batch.records:
+                self.note_arrival()
             self.behind = max(0, batch.next - 1 - self.last_offset)
 
     def is_rolled_back(self, batch: platform_log.Batch) -> bool:
@@ -332,19 +360,33 @@
         self.halt("the log lost records; claims are refused")
         return True
 
-    def start_over(self, first: int) -> None:
-        """Begin an empty fold at the first record still retained.
+    def is_forgetful(self, batch: platform_log.Batch) -> bool:
+        """Halt when the log drops records that are younger than the window.
 
-        A reader that was paused longer than the retention has a gap, and
-        a key's claim may lie in it.  What is retained covers every key
-        that is still accepted, so the fold of just that is whole.
+        With a retention shorter than the window, a key that is still
+        accepted may have lost its claim and would be free again.  It shows
+        as a record gone that this reader saw arrive less than the window
+        ago, by its own monotonic clock.
         """
-        if self.last_offset:
-            log.warning("claims_gap", stream=self.stream.name, first=first)
-        clock_ms = self.fold.now_ms
-        self.fold = folds.Fold(self.window)
-        self.fold.advance(clock_ms)
-        self.last_offset = first - 1
+        gone_at: float | None = None
+        while self.arrivals and self.arrivals[0].offset < batch.first:
+            gone_at = self.arrivals.popleft().read_at
+        if gone_at is None:
+            return False
+        age_ms = (time.monotonic() - gone_at) * 1000
+        if age_ms >= self.window.length_ms:
+            return False
+        self.halt("the log keeps records for less than [claims] window_s")
+        return True
+
+    def note_arrival(self) -> None:
+        """Remember when the newest record came, now and then."""
+        now = time.monotonic()
+        if self.arrivals:
+            since_s = now - self.arrivals[-1].read_at
+            if since_s < self.window.length_ms / 1000 / ARRIVALS_KEPT:
+                return
+        self.arrivals.append(Arrival(self.last_offset, now))
 
     def take_record(self, record: platform_log.Record) -> None:
         """Fold one record and wake those whose items it holds."""
--- a/tests/claims/test_shard.py
+++ b/tests/claims/test_shard.py
@@ -210,7 +210,7 @@
     """A booking is made twice after an agent was frozen for days.
 
     While it was frozen another agent claimed the key, and records that it
-    never read were dropped.  Its fold begins again at what is retained.
+    never read were dropped.  It goes on at what is retained.
     """
     shard.claim(claim(log, "a"), WAIT_S)
     log.unreadable = True
@@ -220,9 +220,10 @@
     writer.commit([claim(log, "lost-with-retention")])
     writer.commit([taken])
     log.expire(2)
+    shard.arrivals.clear()
     log.unreadable = False
-    ready(shard)
     waiting.until(lambda: shard.last_offset == 3)
+    ready(shard)
     again = shard.claim(claim(log, "c", taken.key), WAIT_S)
     assert isinstance(again, messages.Unknown)
 
@@ -242,7 +243,10 @@
     assert type(verdict).__name__ == "MayHaveRun"
 
 
-@pytest.mark.parametrize("case", ["rolled back", "later release", "other cut"])
+@pytest.mark.parametrize(
+    "case",
+    ["rolled back", "short retention", "later release", "other cut"],
+)
 def test_stream_that_cannot_be_trusted_halts_claims(
     new_shard: typing.Callable[..., shards.Shard],
     log: fake_log.FakeLog,
@@ -255,6 +259,8 @@
         case "rolled back":
             with log.changed:
                 log.records.clear()
+        case "short retention":
+            log.expire(1)
         case "later release":
             log.keep(b"\x92\x02\xc0")
         case "other cut":
