Check the claims' window against the log's retention; split large modules

window_s was 24 h by default, as long as the log's retention: a key near that age could lose its claim and be free again. It is 12 h now, and a file whose window does not end ten minutes before log_retention_s is refused.

A fresh reader's refusal while it reads the window turned out to be no guard of safety (with it removed no test failed: a claim is decided only once all before it was read); it spares the caller the wait. Its test now shows that: removed, the caller hangs.

--- a/bench/claims_throughput.py
+++ b/bench/claims_throughput.py
@@ -20,6 +20,7 @@
 
 from briarseam.claims import keys
 from briarseam.claims import messages
+from briarseam.claims import options
 from briarseam.claims import service
 from briarseam.metrics import registry
 from briarseam.platform import log as platform_log
@@ -80,12 +81,12 @@
         How claims work.
     """
 
-    def __init__(self, name: str, log: str, options: service.Options) -> None:
+    def __init__(self, name: str, log: str, options: options.Options) -> None:
         self.name = name
         self.claims = service.Claims(
             platform_log.LogClient(log),
-            service.Holder("bench", secrets.token_hex(4), "127.0.0.1:1"),
-            service.Peers(lambda number: None, no_client),
+            options.Holder("bench", secrets.token_hex(4), "127.0.0.1:1"),
+            options.Peers(lambda number: None, no_client),
             options,
             registry.Registry(),
         )
@@ -119,7 +120,7 @@
 class ClaimPerRequest(LogWay):
     """One append for each claim, sent by the request's own thread."""
 
-    def __init__(self, name: str, log: str, options: service.Options) -> None:
+    def __init__(self, name: str, log: str, options: options.Options) -> None:
         super().__init__(name, log, options)
         self.alone = [Alone(shard) for shard in self.claims.followed()]
 
@@ -274,14 +275,14 @@
     return rows
 
 
-def alone() -> service.Options:
+def alone() -> options.Options:
     """Return options for one append per claim."""
-    return service.Options(batch_ms=0.0, shards=service.SHARDS)
+    return options.Options(batch_ms=0.0, shards=options.SHARDS)
 
 
-def batched(batch_ms: float) -> service.Options:
+def batched(batch_ms: float) -> options.Options:
     """Return options for group commit."""
-    return service.Options(batch_ms=batch_ms, shards=service.SHARDS)
+    return options.Options(batch_ms=batch_ms, shards=options.SHARDS)
 
 
 def main(out: str) -> None:
@@ -289,7 +290,7 @@
     report = {
         "log": {"appends_per_s": APPENDS_PER_S, "delay_ms": LOG_DELAY_MS},
         "run_s": RUN_S,
-        "shards": service.SHARDS,
+        "shards": options.SHARDS,
         "rows": [dataclasses.asdict(row) for row in bench()],
     }
     pathlib.Path(out).write_text(json.dumps(report, indent=1) + "\n")
--- a/src/briarseam/claims/service.py
+++ b/src/briarseam/claims/service.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import secrets
 import threading
 import time
@@ -16,6 +15,7 @@
 from briarseam import verdict
 from briarseam.claims import keys
 from briarseam.claims import messages
+from briarseam.claims import options as options_module
 from briarseam.claims import records
 from briarseam.claims import settler as settlers
 from briarseam.claims import shard as shard_module
@@ -27,13 +27,7 @@
 from briarseam.wire import connection as connections
 from briarseam.wire import server as wire_server
 
-# How many streams the keys are cut into.  No setting: two agents that cut
-# them differently would look for one key in two streams.
-SHARDS = 4
 STREAM_PREFIX = "claims-"
-DEFAULT_WINDOW_S = 3600.0
-DEFAULT_BATCH_MS = 20.0
-DEFAULT_WAIT_S = 2.0
 SETTLE_WAIT_S = 2.0
 REMOTE_SLACK_S = 0.5
 HOLDER_TIMEOUT_S = 0.5
@@ -45,71 +39,6 @@
 ATTEMPT_BYTES = 16
 
 
-class PeerClient(typing.Protocol):
-    """What asking another agent takes; see ``briarseam.wire.client``."""
-
-    def call(self, request: codec.Message, timeout_s: float) -> codec.Message:
-        """Send a message and return the reply."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Holder:
-    """One start of an agent.
-
-    Attributes
-    ----------
-    name
-        The agent.
-    incarnation
-        Differs for each start of it.
-    address
-        Where other agents reach it.
-    """
-
-    name: str
-    incarnation: str
-    address: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Options:
-    """How claims work.
-
-    Attributes
-    ----------
-    window_s
-        Greatest age of a key in seconds; less than the log's retention
-        by a margin of at least two minutes.
-    batch_ms
-        Least time between two appends to one stream.
-    wait_s
-        Longest wait for a claim, in seconds.
-    shards
-        Into how many streams the keys are cut; the same everywhere.
-    """
-
-    window_s: float = DEFAULT_WINDOW_S
-    batch_ms: float = DEFAULT_BATCH_MS
-    wait_s: float = DEFAULT_WAIT_S
-    shards: int = SHARDS
-
-
-@dataclasses.dataclass(frozen=True)
-class Peers:
-    """How claims reach the other agents.
-
-    Attributes
-    ----------
-    owner_of
-        Address of the agent that owns a shard; ``None`` means this one.
-    client_of
-        Returns a client of the agent at an address.
-    """
-
-    owner_of: typing.Callable[[int], str | None]
-    client_of: typing.Callable[[str], PeerClient]
-
-
 class Claims:
     """At-most-once claims of one agent.
 
@@ -130,9 +59,9 @@
     def __init__(
         self,
         log: platform_log.LogClient,
-        me: Holder,
-        peers: Peers,
-        options: Options,
+        me: options_module.Holder,
+        peers: options_module.Peers,
+        options: options_module.Options,
         metrics: registries.Registry,
     ) -> None:
         self.log = log
--- a/src/briarseam/claims/shard.py
+++ b/src/briarseam/claims/shard.py
@@ -6,10 +6,7 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
 import threading
-import time
 import typing
 
 import structlog
@@ -19,6 +16,8 @@
 from briarseam.claims import keys
 from briarseam.claims import messages
 from briarseam.claims import records
+from briarseam.claims import retention
+from briarseam.claims import waits
 from briarseam.claims import writer as writers
 from briarseam.platform import log as platform_log
 
@@ -26,84 +25,12 @@
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 30.0
 FOLLOW_WAIT_MS = 1000
-# So many arrivals are remembered over one window.
-ARRIVALS_KEPT = 360
 CATCH_UP_RECORDS_PER_S = 5000
 log = structlog.get_logger("briarseam.claims")
 
 IsAlive = typing.Callable[[records.Claim], bool]
 
 
-@dataclasses.dataclass(frozen=True)
-class Held:
-    """Another attempt holds the key; whether it is alive is to be asked.
-
-    Attributes
-    ----------
-    claim
-        The claim that holds it.
-    retry_after_s
-        When its outcome is expected, in seconds.
-    """
-
-    claim: records.Claim
-    retry_after_s: float
-
-
-Finding = messages.Result | Held
-
-
-@dataclasses.dataclass(frozen=True)
-class Arrival:
-    """A record that this reader saw arrive.
-
-    Attributes
-    ----------
-    offset
-        The record.
-    read_at
-        Monotonic seconds.
-    """
-
-    offset: int
-    read_at: float
-
-
-@dataclasses.dataclass
-class Waiter:
-    """A claimant that waits for its claim to be read back."""
-
-    claim: records.Claim
-    result: Finding | None = None
-    decided: threading.Event = dataclasses.field(
-        default_factory=threading.Event
-    )
-
-    def decide(self, result: Finding) -> None:
-        """Give the claimant its answer."""
-        self.result = result
-        self.decided.set()
-
-
-@dataclasses.dataclass
-class Confirmation:
-    """Settlements that wait to be read back."""
-
-    open: set[records.Settlement]
-    confirmed: set[records.Settlement] = dataclasses.field(default_factory=set)
-    decided: threading.Event = dataclasses.field(
-        default_factory=threading.Event
-    )
-
-    def close(self, item: records.Settlement, confirmed: bool) -> None:
-        """Note one settlement's end; wake the waiter after the last."""
-        self.open.discard(item)
-        if confirmed:
-            self.confirmed.add(item)
-        if not self.open:
-            self.decided.set()
-
-
 class Shard:
     """The keys of one claim stream, as one agent follows them.
 
@@ -135,10 +62,10 @@
         self.last_offset = 0
         self.behind = -1
         self.halted = ""
-        self.arrivals: collections.deque[Arrival] = collections.deque()
+        self.retention = retention.RetentionCheck(window.length_ms / 1000)
         self.used_at = 0.0
-        self.claimants: dict[str, Waiter] = {}
-        self.settling: dict[records.Settlement, Confirmation] = {}
+        self.claimants: dict[str, waits.Waiter] = {}
+        self.settling: dict[records.Settlement, waits.Confirmation] = {}
         self.writer = writers.Writer(stream, self, interval_s)
         self.follower = platform_log.Follower(
             stream.log, stream.name, 0, self.take_in, FOLLOW_WAIT_MS
@@ -181,7 +108,7 @@
             Bound on the wait, in seconds.
         """
         finding = self.find(item, wait_s)
-        if not isinstance(finding, Held):
+        if not isinstance(finding, waits.Held):
             return finding
         # Asking the holder may take a while, so no lock is held here.
         if self.is_alive(finding.claim):
@@ -190,13 +117,13 @@
             "the instance that sent the first request is gone"
         )
 
-    def find(self, item: records.Claim, wait_s: float) -> Finding:
+    def find(self, item: records.Claim, wait_s: float) -> waits.Finding:
         """Return what the stream says about a claim."""
         with self.lock:
             early = self.early(item)
             if early is not None:
                 return early
-            waiter = Waiter(item)
+            waiter = waits.Waiter(item)
             self.claimants[item.attempt] = waiter
         self.writer.submit([item])
         waiter.decided.wait(wait_s)
@@ -211,7 +138,7 @@
             dangling=True,
         )
 
-    def early(self, item: records.Claim) -> Finding | None:
+    def early(self, item: records.Claim) -> waits.Finding | None:
         """Return the answer that needs no append; ``None`` when free.
 
         A key that is known to be held is answered from the fold also
@@ -235,7 +162,7 @@
         frozenset of str
             The attempts whose settlement was read back.
         """
-        confirmation = Confirmation(set(settlements))
+        confirmation = waits.Confirmation(set(settlements))
         with self.lock:
             if self.unready() is not None:
                 return frozenset()
@@ -282,7 +209,7 @@
             verdict.Reason.OVERLOADED,
         )
 
-    def standing(self, item: records.Claim) -> Finding | None:
+    def standing(self, item: records.Claim) -> waits.Finding | None:
         """Return the answer that the fold already has; ``None`` if free."""
         parsed = keys.parse(item.key)
         if parsed is not None and self.fold.is_over(parsed.time_ms):
@@ -296,7 +223,7 @@
             return None
         return self.held(entry, entry.claim)
 
-    def held(self, entry: folds.Entry, claim: records.Claim) -> Finding:
+    def held(self, entry: folds.Entry, claim: records.Claim) -> waits.Finding:
         """Return what is known about a key that an attempt holds."""
         if entry.outcome is not None:
             return messages.Finished(entry.outcome)
@@ -304,7 +231,7 @@
             return messages.Unknown("the first request's answer was lost")
         age_ms = self.fold.now_ms - entry.claimed_ms
         left_s = (self.fold.run_ms - age_ms) / 1000
-        return Held(claim, min(max(left_s, MIN_RETRY_S), MAX_RETRY_S))
+        return waits.Held(claim, min(max(left_s, MIN_RETRY_S), MAX_RETRY_S))
 
     def fail(
         self,
@@ -334,7 +261,10 @@
         with self.lock:
             if self.halted:
                 return
-            if self.is_rolled_back(batch) or self.is_forgetful(batch):
+            if self.is_rolled_back(batch):
+                return
+            if self.retention.is_short(batch.first):
+                self.halt("the log keeps records less than [claims] window_s")
                 return
             # A reader that was paused longer than the retention has a gap.
             # What it missed is about keys that are too old by now, as all
@@ -346,7 +276,7 @@
                 if self.halted:
                     return
             if was_current and batch.records:
-                self.note_arrival()
+                self.retention.note_arrival(self.last_offset)
             self.behind = max(0, batch.next - 1 - self.last_offset)
 
     def is_rolled_back(self, batch: platform_log.Batch) -> bool:
@@ -360,34 +290,6 @@
         self.halt("the log lost records; claims are refused")
         return True
 
-    def is_forgetful(self, batch: platform_log.Batch) -> bool:
-        """Halt when the log drops records that are younger than the window.
-
-        With a retention shorter than the window, a key that is still
-        accepted may have lost its claim and would be free again.  It shows
-        as a record gone that this reader saw arrive less than the window
-        ago, by its own monotonic clock.
-        """
-        gone_at: float | None = None
-        while self.arrivals and self.arrivals[0].offset < batch.first:
-            gone_at = self.arrivals.popleft().read_at
-        if gone_at is None:
-            return False
-        age_ms = (time.monotonic() - gone_at) * 1000
-        if age_ms >= self.window.length_ms:
-            return False
-        self.halt("the log keeps records for less than [claims] window_s")
-        return True
-
-    def note_arrival(self) -> None:
-        """Remember when the newest record came, now and then."""
-        now = time.monotonic()
-        if self.arrivals:
-            since_s = now - self.arrivals[-1].read_at
-            if since_s < self.window.length_ms / 1000 / ARRIVALS_KEPT:
-                return
-        self.arrivals.append(Arrival(self.last_offset, now))
-
     def take_record(self, record: platform_log.Record) -> None:
         """Fold one record and wake those whose items it holds."""
         if record.offset <= self.last_offset:
@@ -423,7 +325,9 @@
         if waiter is not None:
             waiter.decide(self.answer(ruling, item))
 
-    def answer(self, ruling: folds.Ruling, item: records.Claim) -> Finding:
+    def answer(
+        self, ruling: folds.Ruling, item: records.Claim
+    ) -> waits.Finding:
         """Return what a claimant is told about its ruling."""
         match ruling:
             case folds.Ruling.WON:
--- a/src/briarseam/compose/claims.py
+++ b/src/briarseam/compose/claims.py
@@ -5,6 +5,7 @@
 import threading
 import typing
 
+from briarseam.claims import options
 from briarseam.claims import service as claims
 from briarseam.lookup import rank
 from briarseam.wire import client as wire
@@ -76,13 +77,13 @@
 
     return claims.Claims(
         log,
-        claims.Holder(
+        options.Holder(
             settings.instance.name,
             str(member_service.incarnation),
             str(settings.instance.agent_address),
         ),
-        claims.Peers(owner_of, clients),
-        claims.Options(
+        options.Peers(owner_of, clients),
+        options.Options(
             window_s=settings.claims.window_s,
             batch_ms=settings.claims.batch_ms,
             wait_s=settings.platform.log_timeout_ms / MS,
--- a/src/briarseam/settings/loading.py
+++ b/src/briarseam/settings/loading.py
@@ -26,6 +26,7 @@
     "logging": sections.Logging,
     "limits": sections.Limits,
 }
+CLAIMS_MARGIN_S = 600.0
 TEAM_PREFIX = "team "
 NOTHING_FIXED: typing.Mapping[str, str] = types.MappingProxyType({})
 
@@ -209,13 +210,14 @@
     """
     loader = Loader(path, ini.read(path), tuple(overrides), {})
     refuse_unknown_sections(loader)
+    platform = loader.section("platform", sections.Platform)
     return model.Settings(
         path=path,
         instance=load_instance(loader),
         agent=load_agent(loader),
         entry=loader.section("entry", sections.Entry),
-        platform=loader.section("platform", sections.Platform),
-        claims=loader.section("claims", sections.Claims),
+        platform=platform,
+        claims=load_claims(loader, platform),
         logging=loader.section("logging", sections.Logging),
         limits=loader.section("limits", sections.Limits),
         teams=load_teams(loader),
@@ -286,6 +288,23 @@
         ) from error
 
 
+def load_claims(
+    loader: Loader, platform: sections.Platform
+) -> sections.Claims:
+    """Return ``[claims]``, its window within the log's retention."""
+    claims = loader.section("claims", sections.Claims)
+    most_s = platform.log_retention_s - CLAIMS_MARGIN_S
+    if claims.window_s > most_s:
+        # A key that outlived the record of its claim would be free again.
+        raise loader.invalid(
+            "claims",
+            "window_s",
+            f"[platform] log_retention_s less {CLAIMS_MARGIN_S:g} at most",
+            claims.window_s,
+        )
+    return claims
+
+
 def load_teams(loader: Loader) -> tuple[sections.Team, ...]:
     """Return the teams, in the order of the file."""
     teams = []
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -174,15 +174,15 @@
     batch_ms
         Time over which claims are gathered into one append.
     window_s
-        Age at which an idempotency key is refused; shorter than the log's
-        retention.
+        Age at which an idempotency key is refused; less than the log's
+        retention by ten minutes at least.
     max_response_bytes
         Largest answer kept for callers that repeat a key; each lies in a
         record of the log and in memory.
     """
 
     batch_ms: Milliseconds = 20
-    window_s: Seconds = 86_400.0
+    window_s: Seconds = 43_200.0
     max_response_bytes: Bytes = 16 * 2**10
 
 
--- a/tests/claims/fake_log.py
+++ b/tests/claims/fake_log.py
@@ -30,6 +30,8 @@
         self.fates: collections.deque[Fate] = collections.deque()
         self.late: list[bytes] = []
         self.unreadable = False
+        self.held = threading.Event()
+        self.held.set()
         self.clock_ms = 1_000_000_000_000
         self.appended = 0
 
@@ -77,6 +79,7 @@
     def read(
         self, stream: str, after: int, wait_ms: int = 0, limit: int = 1000
     ) -> platform_log.Batch:
+        self.held.wait()
         deadline_s = time.monotonic() + wait_ms / 1000
         with self.changed:
             while self.first + len(self.records) <= after + 1:
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -10,6 +10,7 @@
 from briarseam import verdict
 from briarseam.claims import keys
 from briarseam.claims import messages
+from briarseam.claims import options
 from briarseam.claims import records
 from briarseam.claims import service
 from briarseam.metrics import registry
@@ -19,7 +20,7 @@
 from briarseam.wire import server as wire_server
 
 KEY = b"shared"
-OPTIONS = service.Options(batch_ms=0.0, wait_s=5.0)
+OPTIONS = options.Options(batch_ms=0.0, wait_s=5.0)
 WAIT_S = 5.0
 
 
@@ -50,13 +51,13 @@
         me = connections.Identity("agent", name)
         router = wire_server.Router()
         server = wire_server.Server("127.0.0.1:0", me, KEY, router)
-        peers = service.Peers(
+        peers = options.Peers(
             lambda shard: self.agents[self.owner].server.address,
             lambda address: wire_client.Client(address, me, KEY),
         )
         claims = service.Claims(
             self.log,
-            service.Holder(name, "1", server.address),
+            options.Holder(name, "1", server.address),
             peers,
             OPTIONS,
             registry.Registry(),
--- a/tests/claims/test_shard.py
+++ b/tests/claims/test_shard.py
@@ -197,10 +197,13 @@
 def test_fresh_reader_refuses_until_it_has_read_the_window(
     new_shard: typing.Callable[[], shards.Shard], log: fake_log.FakeLog
 ) -> None:
-    log.unreadable = True
+    """A caller hangs while an instance that was just started reads on."""
+    log.held.clear()
     fresh = new_shard()
-    refused = fresh.claim(claim(log, "a"), WAIT_S)
+    refused = fresh.claim(claim(log, "a"), 60.0)
+    log.held.set()
     assert isinstance(refused, messages.NotClaimed)
+    assert refused.retry_after_s > 0
     assert log.appended == 0
 
 
@@ -220,7 +223,7 @@
     writer.commit([claim(log, "lost-with-retention")])
     writer.commit([taken])
     log.expire(2)
-    shard.arrivals.clear()
+    shard.retention.arrivals.clear()
     log.unreadable = False
     waiting.until(lambda: shard.last_offset == 3)
     ready(shard)
--- a/tests/matrix/processes.py
+++ b/tests/matrix/processes.py
@@ -14,7 +14,7 @@
 from tests.matrix import proxy
 
 from briarseam.claims import keys
-from briarseam.claims import service as claims
+from briarseam.claims import options
 from briarseam.compose import claims as compose_claims
 from briarseam.lookup import rank
 from briarseam.testing import caller
@@ -198,7 +198,7 @@
         return all(
             self.submit(number, self.key_of(shard)).status == 200
             for number in range(len(self.machines))
-            for shard in range(claims.SHARDS)
+            for shard in range(options.SHARDS)
         )
 
     def heal(self) -> None:
@@ -237,13 +237,13 @@
         organisation = deployment.ORGANISATIONS[0]
         while True:
             key = caller.new_key()
-            if keys.shard_of(organisation, key, claims.SHARDS) == shard:
+            if keys.shard_of(organisation, key, options.SHARDS) == shard:
                 return key
 
     def key_owned_by(self, number: int) -> str:
         """Return a fresh key whose shard an instance owns."""
         names = [f"instance-{one}" for one in range(len(self.machines))]
-        for shard in range(claims.SHARDS):
+        for shard in range(options.SHARDS):
             ranked = rank.ranked(
                 compose_claims.RANK_KEY.format(shard), names, str
             )
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -145,6 +145,12 @@
         "shared_key_file",
         "a readable file",
     ),
+    "window beyond the retention": (
+        append("[claims]\nwindow_s = 24h\n"),
+        "claims",
+        "window_s",
+        "log_retention_s less 600 at most",
+    ),
     "times out of order": (
         change("250ms", "3s"),
         "agent",
