Break ids on a narrow screen only where they must be

Looked at with the demo's deployment: keys were broken in the middle though they fitted the next line, so they could not be copied off a phone.

--- a/src/briarseam/timeline/render_html.py
+++ b/src/briarseam/timeline/render_html.py
@@ -11,7 +11,6 @@
 
 import dataclasses
 import html
-import textwrap
 import typing
 
 from briarseam.timeline import rows as building
@@ -177,10 +176,8 @@
 
 def wrapped(row: building.Row, columns: int) -> list[str]:
     """Return the words below an event's heading, broken to fit."""
-    lines: list[str] = []
-    for text in (f"{row.time} {row.process}", " ".join(row.about)):
-        lines += textwrap.wrap(text, columns, break_on_hyphens=False)
-    return lines
+    first = building.packed((row.time, row.process), columns)
+    return [*first, *building.packed(row.about, columns)]
 
 
 def dot(row: building.Row, lanes: Lanes, y: float) -> str:
--- a/src/briarseam/timeline/render_text.py
+++ b/src/briarseam/timeline/render_text.py
@@ -14,7 +14,7 @@
 
 NARROW_COLUMNS = 40
 INDENT = "  "
-HANGING = "    "
+HANGING = "  "
 GAP = "  "
 
 
@@ -64,8 +64,10 @@
     lines: list[str] = []
     for row in rows:
         lines += folded(f"{row.time} {row.kind} {row.after}".rstrip(), "")
-        lines += folded(row.process, INDENT)
-        lines += folded(" ".join(row.about), INDENT)
+        words = building.packed(
+            (row.process, *row.about), NARROW_COLUMNS - len(INDENT)
+        )
+        lines += [INDENT + line for line in words]
     return lines
 
 
--- a/src/briarseam/timeline/rows.py
+++ b/src/briarseam/timeline/rows.py
@@ -10,6 +10,8 @@
 from briarseam.timeline import kinds
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from briarseam.timeline import messages
 
 MS = 1000.0
@@ -81,7 +83,11 @@
         ("organisation", event.organisation),
     )
     about = [f"{name}={value}" for name, value in words if value]
-    about += [f"{name}={value}" for name, value in event.fields.items()]
+    about += [
+        f"{name}={value}"
+        for name, value in event.fields.items()
+        if value != ""
+    ]
     return Row(
         time=time_of(event.clock),
         after=f"+{elapsed(previous, event.clock)}" if previous else "",
@@ -92,6 +98,22 @@
     )
 
 
+def packed(words: collections.abc.Iterable[str], columns: int) -> list[str]:
+    """Return words on as few lines as they need.
+
+    A word that does not fit the line begins the next one, so that an id
+    can be copied whole; only one longer than a line is broken.
+    """
+    lines: list[str] = []
+    for word in words:
+        if lines and len(lines[-1]) + 1 + len(word) <= columns:
+            lines[-1] += f" {word}"
+            continue
+        for start in range(0, len(word), columns):
+            lines.append(word[start : start + columns])
+    return lines
+
+
 def time_of(stamp: int) -> str:
     """Return the time of day of a stamp, UTC."""
     return clocks.iso_of(stamp)[11:-1]
--- a/tests/timeline/test_rendering.py
+++ b/tests/timeline/test_rendering.py
@@ -170,3 +170,17 @@
     page = render_html.render(messages.Events((), ()), "request gone")
     assert "no events" in page
     drawing_of(page)
+
+
+@pytest.mark.parametrize(
+    ("words", "lines"),
+    [
+        pytest.param(["a=1", "b=2"], ["a=1 b=2"], id="fit"),
+        pytest.param(["a=1", "b=23456"], ["a=1", "b=23456"], id="next line"),
+        pytest.param(["a=1234567890"], ["a=123456", "7890"], id="too long"),
+        pytest.param([], [], id="none"),
+    ],
+)
+def test_ids_are_broken_only_when_longer_than_a_line(words, lines):
+    # An operator copies a key off the phone's screen.
+    assert rows.packed(words, 8) == lines
