Test the configuration's guards one by one

23 guards were taken out in a scratch copy, each alone; six tests did not notice and were made to: records lost to retention, a state that is not its digest, a state from an agent without one, heartbeats of a higher offset, falling back to the log, doubled answers. The test of falling back had passed since agents were still within the long poll of their start.

--- a/tests/configuration/test_reader.py
+++ b/tests/configuration/test_reader.py
@@ -13,10 +13,16 @@
 from briarseam.configuration import snapshots
 from briarseam.configuration import state as states
 from briarseam.configuration import teams as team_types
+from briarseam.testing import log_service
 from briarseam.testing import waiting
 
 NAMES = ("a", "b", "c", "d", "e")
 MODEL = {"version": "1"}
+EVERYONE = dataclasses.replace(helpers.FAST, everyone_reads=True)
+NO_SNAPSHOTS = dataclasses.replace(
+    helpers.FAST,
+    snapshots=dataclasses.replace(helpers.FAST.snapshots, check_s=600.0),
+)
 
 
 def wait_for_offset(cluster, offset):
@@ -55,10 +61,13 @@
     # Both agents that read the log are killed while the member list still
     # names them: the others must not wait for it.
     start(cluster)
+    wait_for_offset(cluster, set_model(cluster, "first"))
     for name in peers.ranked(NAMES)[:2]:
         agent = cluster.agents[name]
         agent.reader.stopping.set()
         agent.server.stop()
+    for name in peers.ranked(NAMES)[:2]:
+        cluster.agents[name].reader.thread.join()
     offset = set_model(cluster)
     others = [cluster.agents[name] for name in peers.ranked(NAMES)[2:]]
     waiting.until(lambda: {a.reader.offset() for a in others} == {offset})
@@ -232,17 +241,62 @@
 
 
 def test_a_heartbeat_of_a_higher_offset_is_followed(cluster):
-    # Both readers of the cell are cut off from the log, but some peer is
-    # not; its heartbeats carry a higher offset.
-    start(cluster, ["a", "b", "c"])
-    last = peers.ranked("abc")[2]
-    for name in peers.ranked("abc")[:2]:
-        cluster.agents[name].reader.client.address = "127.0.0.1:1"
-    offset = set_model(cluster)
-    waiting.until(lambda: cluster.agents[last].reader.offset() == offset)
-    for agent in cluster.agents.values():
-        agent.reader.note_peer_offset(last, offset)
-    wait_for_offset(cluster, offset)
+    # One agent's replica of the log lags and says that nothing is new; the
+    # heartbeat of another agent carries a higher offset.
+    start(cluster, ["b"])
+    with log_service.LogService() as lagging:
+        late = cluster.add("a", lagging.address, EVERYONE).reader
+        waiting.until(late.ready)
+        offset = set_model(cluster)
+        waiting.until(lambda: cluster.agents["b"].reader.offset() == offset)
+        late.note_peer_offset("b", offset)
+        waiting.until(lambda: late.offset() == offset)
+
+
+def test_records_lost_to_retention_are_not_folded_over(cluster):
+    # An agent is cut off for longer than the log keeps records, and no
+    # snapshot covers what it missed.  Folding on would leave it alone with
+    # a tree that nobody else has.
+    agent = cluster.add("a", options=NO_SNAPSHOTS).reader
+    set_model(cluster, "one")
+    waiting.until(lambda: agent.offset() == 1)
+    agent.client.address, address = "127.0.0.1:1", agent.client.address
+    waiting.until(lambda: agent.log_age_s() > 0.5)
+    set_model(cluster, "two")
+    set_model(cluster, "three")
+    stream = cluster.log.stream(records.STREAM)
+    with stream.changed:
+        del stream.records[:2]
+    agent.client.address = address
+    waiting.until(lambda: agent.counters.history_lost > 0)
+    assert agent.view().models.keys() == {"one"}
+    waiting.until(lambda: agent.staleness_s() > 1.0)
+    fresh = cluster.add("b", options=NO_SNAPSHOTS).reader
+    waiting.until(lambda: fresh.counters.history_lost > 0)
+    assert fresh.offset() in (0, 1)
+
+
+def test_a_doubled_or_late_answer_changes_nothing(cluster):
+    reader = cluster.add("a").reader
+    data = []
+    for name in ("one", "two"):
+        set_model(cluster, name)
+    waiting.until(lambda: reader.offset() == 2)
+    data = list(reader.tree.recent)
+    digest = reader.tree.fold.digest
+    reader.tree.extend(1, data)
+    reader.tree.extend(2, data[1:])
+    reader.tree.extend(9, data)
+    assert reader.tree.fold.digest == digest
+    assert reader.offset() == 2
+
+
+def test_an_agent_without_a_tree_gives_none_away(cluster):
+    cluster.log.set(outage=True)
+    start_name = cluster.add("a").name
+    asker = cluster.add("b").reader
+    with pytest.raises(peers.PeerError):
+        asker.peers.fetch_state(cluster.members()[start_name])
 
 
 def test_an_agent_alone_in_its_cell_starts_from_another_cell(cluster):
--- /dev/null
+++ b/tests/configuration/test_snapshots.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.configuration import fold as folds
+from briarseam.configuration import snapshots
+from briarseam.platform import log as logs
+
+KEY = b"snapshots' key"
+
+
+def fold_through(offset, path="models/a"):
+    fold = folds.Fold()
+    fold.put(path, offset, {"version": "1"})
+    fold.remember_id("id", offset)
+    fold.offset = offset
+    return fold
+
+
+def append(client, fold, key=KEY):
+    for chunk in snapshots.make_chunks(fold):
+        client.append(snapshots.STREAM, snapshots.encode_chunk(chunk, key))
+
+
+@pytest.mark.parametrize("wrong", ["offset", "digest", "bytes"])
+def test_a_state_that_is_not_what_it_says_is_refused(wrong):
+    fold = fold_through(3)
+    state = snapshots.pack_state(fold)
+    with pytest.raises(snapshots.SnapshotError):
+        snapshots.unpack_state(
+            b"x" + state if wrong == "bytes" else state,
+            4 if wrong == "offset" else 3,
+            "0" * 32 if wrong == "digest" else fold.digest,
+        )
+
+
+def test_chunks_of_several_writers_may_lie_between_one_another(
+    log, monkeypatch
+):
+    # Two agents write the same snapshot at once and a third dies part way;
+    # a starting agent must find a whole one however far back it stands.
+    monkeypatch.setattr(snapshots, "CHUNK_BYTES", 32)
+    client = logs.LogClient(log.address)
+    one = snapshots.make_chunks(fold_through(5))
+    two = snapshots.make_chunks(fold_through(5))
+    broken = snapshots.make_chunks(fold_through(9))[:-1]
+    mixed = [chunk for pair in zip(one, two, strict=True) for chunk in pair]
+    for chunk in [*mixed, *broken * 30]:
+        client.append(snapshots.STREAM, snapshots.encode_chunk(chunk, KEY))
+    newest, end = snapshots.newest_whole(client, KEY)
+    assert newest.through == 5
+    assert end == len(mixed) + 30 * len(broken)
+
+
+def test_the_oldest_snapshot_that_reaches_far_enough_is_found(log):
+    client = logs.LogClient(log.address)
+    for offset in (2, 4, 6):
+        append(client, fold_through(offset))
+    assert snapshots.oldest_whole(client, KEY, 3).through == 4
+    assert snapshots.oldest_whole(client, KEY, 7) is None
