Count requests, first tokens and reused prompt work

The scrape page was empty but for the claims: nothing counted requests, and an agent's metrics could not be read at all. They are counted where messages pass, like the events; tokens for each organisation by itself.

--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -23,6 +23,7 @@
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.metrics import registry as metrics
+from briarseam.metrics import service as metrics_service
 from briarseam.orders import service as order_module
 from briarseam.platform import instances
 from briarseam.platform import log as platform_log
@@ -155,7 +156,7 @@
         str(settings.platform.log), settings.platform.log_timeout_ms / MS
     )
     router = wire.Router()
-    compose_timeline.watch_agent(router, ring)
+    compose_timeline.watch_agent(router, ring, registry)
     reader: configuration.ConfigurationReader
     server: wire.Server
 
@@ -239,6 +240,7 @@
         kept,
         order_service,
         events,
+        metrics_service.MetricsService(registry),
     ):
         part.register(router)
     server = wire.Server(
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -83,6 +83,7 @@
         requests.EntryObserver(ring),
     )
     registry = metrics.Registry(settings.limits.max_metric_label_values)
+    compose_timeline.count_events(ring, registry)
     teams = {team.name: team.key.value for team in settings.teams}
     reports = report_queue.Reports(client, settings.claims.max_response_bytes)
     parts = app.EntryParts(
--- a/src/briarseam/compose/timeline.py
+++ b/src/briarseam/compose/timeline.py
@@ -5,6 +5,7 @@
 import typing
 
 from briarseam.answers import answer_id
+from briarseam.metrics import requests as request_metrics
 from briarseam.timeline import feed
 from briarseam.timeline import peers
 from briarseam.timeline import requests
@@ -17,6 +18,7 @@
     from briarseam import settings as settings_module
     from briarseam.configuration import reader as configuration
     from briarseam.membership import service as membership
+    from briarseam.metrics import registry as metrics
     from briarseam.wire import server
 
 AGENT = "agent"
@@ -74,9 +76,42 @@
     return endpoint_at
 
 
-def watch_agent(router: server.Router, ring: rings.Ring) -> None:
-    """Note what an agent decides about requests."""
-    router.observer = requests.AgentObserver(ring)
+def watch_agent(
+    router: server.Router, ring: rings.Ring, registry: metrics.Registry
+) -> None:
+    """Note and count what an agent decides about requests."""
+    router.observer = connection.Observers(
+        (
+            requests.AgentObserver(ring),
+            request_metrics.RequestMetrics(registry),
+        )
+    )
+    count_events(ring, registry)
+
+
+def count_events(ring: rings.Ring, registry: metrics.Registry) -> None:
+    """Let the metrics tell of a process's time line."""
+    role = ring.process.partition("/")[0]
+    registry.reading(
+        f"{role}_timeline_events",
+        "Events held for the time line",
+        lambda: len(ring.packed),
+    )
+    registry.reading(
+        f"{role}_timeline_bytes",
+        "Bytes that these take",
+        lambda: ring.bytes,
+    )
+    registry.reading(
+        f"{role}_timeline_events_dropped",
+        "Events that made room for newer ones since start",
+        lambda: ring.dropped,
+    )
+    registry.reading(
+        f"{role}_clock_stamps_refused",
+        "Clock stamps from other processes that were too far ahead",
+        lambda: ring.clock.refused,
+    )
 
 
 def build_entry_part(
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -20,6 +20,7 @@
 from briarseam.entry import requests
 from briarseam.entry import timeline_page
 from briarseam.lookup import messages as lookup_messages
+from briarseam.metrics import messages as metrics_messages
 from briarseam.status import messages as status_messages
 
 if typing.TYPE_CHECKING:
@@ -279,7 +280,7 @@
 
 
 class Metrics:
-    """``GET /v1/metrics``: this entry's metrics, for operators."""
+    """``GET /v1/metrics``: this instance's metrics, for operators."""
 
     exposed = True
 
@@ -287,10 +288,17 @@
         self.parts = parts
 
     def GET(self) -> bytes:  # noqa: N802
-        """Return the plain scrape page."""
+        """Return the plain scrape page of this entry and its agent.
+
+        Without its agent an entry still shows its own.
+        """
         self.parts.teams.check()
         cherrypy.response.headers["Content-Type"] = PLAIN
-        return self.parts.render_metrics().encode()
+        reply = self.parts.agent.report(metrics_messages.MetricsAsked())
+        text = self.parts.render_metrics()
+        if isinstance(reply, metrics_messages.MetricsText):
+            text += reply.text
+        return text.encode()
 
 
 class Version1:
--- a/src/briarseam/wire/connection.py
+++ b/src/briarseam/wire/connection.py
@@ -56,6 +56,23 @@
         """See a request's reply; ``Failed`` when none came."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Observers:
+    """Several observers as one."""
+
+    members: tuple[Observer, ...]
+
+    def asked(self, request: codec.Message) -> None:
+        """Let each see a request."""
+        for member in self.members:
+            member.asked(request)
+
+    def answered(self, request: codec.Message, reply: codec.Message) -> None:
+        """Let each see a reply."""
+        for member in self.members:
+            member.answered(request, reply)
+
+
 @codec.message("challenge")
 @dataclasses.dataclass(frozen=True)
 class Challenge:
