--- a/bench/claims_throughput.py
+++ b/bench/claims_throughput.py
@@ -77,17 +77,17 @@
         Name of the way.
     log
         The log's address.
-    options
+    given
         How claims work.
     """
 
-    def __init__(self, name: str, log: str, options: options.Options) -> None:
+    def __init__(self, name: str, log: str, given: options.Options) -> None:
         self.name = name
         self.claims = service.Claims(
             platform_log.LogClient(log),
             options.Holder("bench", secrets.token_hex(4), "127.0.0.1:1"),
             options.Peers(lambda number: None, no_client),
-            options,
+            given,
             registry.Registry(),
         )
         self.claims.start()
@@ -120,8 +120,8 @@
 class ClaimPerRequest(LogWay):
     """One append for each claim, sent by the request's own thread."""
 
-    def __init__(self, name: str, log: str, options: options.Options) -> None:
-        super().__init__(name, log, options)
+    def __init__(self, name: str, log: str, given: options.Options) -> None:
+        super().__init__(name, log, given)
         self.alone = [Alone(shard) for shard in self.claims.followed()]
 
     def appends(self) -> int:
@@ -190,7 +190,10 @@
         """Claim a fresh key."""
         key = keys.make(time.time_ns() // 1_000_000)
         attempt = secrets.token_hex(16)
-        reply = self.client.call(HeldClaim(key, attempt), 2.0)
+        try:
+            reply = self.client.call(HeldClaim(key, attempt), 2.0)
+        except connections.WireError:
+            return False
         return bool(reply.won)
 
     def appends(self) -> int:
