Show an operator what the log says about a key

briarseam claim folds the key's stream and names the run id, which is the attempt, so that a person can look for it at the endpoint.

--- /dev/null
+++ b/src/briarseam/claims/inspecting.py
@@ -0,0 +1,124 @@
+"""Reading what the log says about one key, for operators."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import typing
+
+from briarseam.claims import fold as folds
+from briarseam.claims import keys
+from briarseam.claims import options
+from briarseam.claims import records
+from briarseam.platform import log as platform_log
+
+NEVER_SEEN = "never seen"
+TOO_OLD = "too old"
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyReport:
+    """What the log says about a key.
+
+    Attributes
+    ----------
+    organisation, key
+        What was asked.
+    standing
+        ``never seen``, ``too old``, ``free``, ``claimed``, ``lost`` or
+        ``done``.
+    made_at, claimed_at
+        Times by the key itself and by the log, ISO 8601; empty if none.
+    attempt
+        The attempt that holds it; also its run id at the endpoint.
+    instance, incarnation
+        The agent that won it, and which start of it.
+    status
+        HTTP status of its outcome; 0 while there is none.
+    given_up
+        Attempts that certainly did not run.
+    """
+
+    organisation: str
+    key: str
+    standing: str
+    made_at: str
+    claimed_at: str = ""
+    attempt: str = ""
+    instance: str = ""
+    incarnation: str = ""
+    status: int = 0
+    given_up: tuple[str, ...] = ()
+
+
+def inspect(
+    log: platform_log.LogClient,
+    window: keys.Window,
+    organisation: str,
+    key: keys.Key,
+) -> KeyReport:
+    """Return what the log says about a key.
+
+    Raises
+    ------
+    platform_log.LogUnavailableError
+        When it cannot be read.
+    records.UnknownVersionError
+        When a later release wrote to the stream.
+    """
+    number = keys.shard_of(organisation, key.text, options.SHARDS)
+    fold = folds.Fold(window)
+    for record in read_all(log, options.stream_name(number)):
+        fold.advance(record.time_ms)
+        try:
+            batch = records.decode(record.data)
+        except records.UnreadableError:
+            continue
+        for item in batch.items:
+            if isinstance(item, records.Claim):
+                fold.claim(item)
+            else:
+                fold.settle(item)
+    return report(fold, organisation, key)
+
+
+def read_all(
+    log: platform_log.LogClient, stream: str
+) -> typing.Iterator[platform_log.Record]:
+    """Yield what the log has of a stream by now."""
+    after = 0
+    while True:
+        batch = log.read(stream, after)
+        yield from batch.records
+        if not batch.records:
+            return
+        after = batch.records[-1].offset
+
+
+def report(fold: folds.Fold, organisation: str, key: keys.Key) -> KeyReport:
+    """Return what a fold says about a key."""
+    made_at = time_text(key.time_ms)
+    if fold.is_over(key.time_ms):
+        return KeyReport(organisation, key.text, TOO_OLD, made_at)
+    entry = fold.find(organisation, key.text)
+    if entry is None:
+        return KeyReport(organisation, key.text, NEVER_SEEN, made_at)
+    claim = entry.claim
+    return KeyReport(
+        organisation,
+        key.text,
+        entry.standing.value,
+        made_at,
+        claimed_at=time_text(entry.claimed_ms) if claim else "",
+        attempt=entry.attempt,
+        instance=claim.holder if claim else "",
+        incarnation=claim.incarnation if claim else "",
+        status=entry.outcome.status if entry.outcome else 0,
+        given_up=entry.void,
+    )
+
+
+def time_text(time_ms: int) -> str:
+    """Return a time in ms since the epoch as ISO 8601 in UTC."""
+    when = datetime.datetime.fromtimestamp(time_ms / 1000, datetime.UTC)
+    return when.isoformat(timespec="milliseconds")
--- a/src/briarseam/claims/options.py
+++ b/src/briarseam/claims/options.py
@@ -11,11 +11,17 @@
 # How many streams the keys are cut into.  No setting: two agents that cut
 # them differently would look for one key in two streams.
 SHARDS = 4
+STREAM_PREFIX = "claims-"
 DEFAULT_WINDOW_S = 3600.0
 DEFAULT_BATCH_MS = 20.0
 DEFAULT_WAIT_S = 2.0
 
 
+def stream_name(number: int) -> str:
+    """Return the name of a shard's stream."""
+    return f"{STREAM_PREFIX}{number:02d}"
+
+
 class PeerClient(typing.Protocol):
     """What asking another agent takes; see ``briarseam.wire.client``."""
 
--- a/src/briarseam/claims/service.py
+++ b/src/briarseam/claims/service.py
@@ -27,7 +27,6 @@
 from briarseam.wire import connection as connections
 from briarseam.wire import server as wire_server
 
-STREAM_PREFIX = "claims-"
 SETTLE_WAIT_S = 2.0
 REMOTE_SLACK_S = 0.5
 HOLDER_TIMEOUT_S = 0.5
@@ -332,7 +331,7 @@
         """Return a shard that is not yet followed."""
         stream = writers.Stream(
             self.log,
-            f"{STREAM_PREFIX}{number:02d}",
+            options_module.stream_name(number),
             self.options.shards,
             f"{self.me.name}/{self.me.incarnation}",
         )
--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -73,6 +73,11 @@
         "briarseam.command.config",
         "show and change the configuration",
     ),
+    Command(
+        "claim",
+        "briarseam.command.claim",
+        "show what the log says about an idempotency key",
+    ),
     Command(
         "timeline",
         "briarseam.command.timeline",
--- a/src/briarseam/settings/loading.py
+++ b/src/briarseam/settings/loading.py
@@ -210,12 +210,16 @@
     """
     loader = Loader(path, ini.read(path), tuple(overrides), {})
     refuse_unknown_sections(loader)
+    # In the order in which `explain` lists them.
+    instance = load_instance(loader)
+    agent = load_agent(loader)
+    entry = loader.section("entry", sections.Entry)
     platform = loader.section("platform", sections.Platform)
     return model.Settings(
         path=path,
-        instance=load_instance(loader),
-        agent=load_agent(loader),
-        entry=loader.section("entry", sections.Entry),
+        instance=instance,
+        agent=agent,
+        entry=entry,
         platform=platform,
         claims=load_claims(loader, platform),
         logging=loader.section("logging", sections.Logging),
