Let an engine's one thread send its streams; cut calls that a stop wakes

Cause: each token woke the thread of its stream. Ruled out: the cost of making and encoding tokens, which is the same in both.

Now the thread that makes the tokens writes them without waiting, and a stream's own thread takes over only when its socket is full, a switch changes or the run ends. Guards seen failing when removed: a write that waits (the other stream stops), the rest of a token that did not fit (broken stream).

A waiting call that a stop woke could still be answered with 503 before its connection was cut, so that a death looked like a refusal; it is now dropped (seen failing without). A shorter token_s takes hold at once.

--- a/src/briarseam/testing/engine.py
+++ b/src/briarseam/testing/engine.py
@@ -96,16 +96,11 @@
         super().wake()
         self.cache.resize(self.switches.cache_tokens, self.switches.event_loss)
         self.scheduler.wake()
-        if self.stopping.is_set():
-            self.end_streams()
-
-    def end_streams(self) -> None:
-        """End the threads when the engine stops."""
-        self.scheduler.stop()
-        self.weights.stop()
         for run in self.book.kept():
-            with run.changed:
-                run.changed.notify_all()
+            run.wake()
+        if self.stopping.is_set():
+            self.scheduler.stop()
+            self.weights.stop()
 
     def answer_control(self, name: str) -> http_messages.Response:
         """Answer ``GET /control/runs``.
@@ -165,7 +160,7 @@
         """
         match request.path:
             case ("runs", run_id):
-                return self.resume(run_id, request.number("from", 0))
+                return self.resume(run_id, request)
             case ("load",):
                 return http_messages.json_response(200, self.scheduler.load())
             case ("state",):
@@ -193,7 +188,7 @@
         """
         match request.path:
             case ("runs",):
-                return self.post_run(request.body)
+                return self.post_run(request)
             case ("kv", "export"):
                 return self.export(request.body)
             case ("kv", "import"):
@@ -202,20 +197,22 @@
                 return self.order(request.body)
         return stand_in.no_such_call(request)
 
-    def post_run(self, body: bytes) -> http_messages.Response:
+    def post_run(self, call: http_messages.Request) -> http_messages.Response:
         """Start a run and stream it.
 
         Parameters
         ----------
-        body
-            The call's body.
+        call
+            The call.
 
         Returns
         -------
         http_messages.Response
             The stream, or why nothing was started.
         """
-        request = msgspec.json.decode(body, type=engine_messages.RunRequest)
+        request = msgspec.json.decode(
+            call.body, type=engine_messages.RunRequest
+        )
         if self.book.seen(request.run_id):
             return duplicate()
         state = self.weights.model(request.model)
@@ -228,17 +225,19 @@
         if not self.book.add(run):
             return duplicate()
         self.scheduler.submit(run)
-        return self.stream(run, 0)
+        return self.stream(run, 0, call.output)
 
-    def resume(self, run_id: str, offset: int) -> http_messages.Response:
+    def resume(
+        self, run_id: str, call: http_messages.Request
+    ) -> http_messages.Response:
         """Stream a run again.
 
         Parameters
         ----------
         run_id
             Its id.
-        offset
-            First token wanted.
+        call
+            The call, ``from`` the first token wanted.
 
         Returns
         -------
@@ -248,10 +247,13 @@
         run = self.book.find(run_id)
         if run is None:
             return http_messages.problem(404, "no such run")
-        return self.stream(run, offset)
+        return self.stream(run, call.number("from", 0), call.output)
 
     def stream(
-        self, run: engine_runs.Run, offset: int
+        self,
+        run: engine_runs.Run,
+        offset: int,
+        output: http_messages.Output,
     ) -> http_messages.Response:
         """Build the answer that streams a run.
 
@@ -261,14 +263,18 @@
             The run.
         offset
             First token wanted.
+        output
+            The caller's connection.
 
         Returns
         -------
         http_messages.Response
             The stream.
         """
-        batches = run.stream(offset, self.stopping)
-        body = engine_streams.joined(batches, self.present_switches)
+        follower = engine_streams.Follower(
+            run, offset, output, self.present_switches, self.stopping
+        )
+        body = follower.pieces()
         return http_messages.Response(200, body, http_messages.SSE_TYPE)
 
     def cancel(self, run_id: str) -> http_messages.Response:
--- a/src/briarseam/testing/engine_runs.py
+++ b/src/briarseam/testing/engine_runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import collections.abc
+import dataclasses
 import enum
 import threading
 
@@ -12,6 +12,7 @@
 from briarseam.testing import answers
 from briarseam.testing import engine_cache
 from briarseam.testing import engine_messages
+from briarseam.testing import engine_sinks
 from briarseam.testing import http_messages
 
 
@@ -24,6 +25,25 @@
     ENDED = "ended"
 
 
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """How far a run is, for one that follows it.
+
+    Attributes
+    ----------
+    start
+        Data of the ``start`` event; ``None`` while queued.
+    length
+        Tokens of the answer.
+    ended
+        Whether there will be no more.
+    """
+
+    start: engine_messages.Start | None
+    length: int
+    ended: bool
+
+
 class Run:
     """One run.
 
@@ -41,7 +61,8 @@
     length
         Tokens of the answer so far, those of ``prior`` included.
     changed
-        Guards phase, length, start and failure; notified when one changes.
+        Guards phase, length, start, failure and sinks; notified when one
+        changes.
     """
 
     def __init__(
@@ -61,6 +82,7 @@
         self.start: engine_messages.Start | None = None
         self.failure: engine_messages.Failure | None = None
         self.prefill_ends_at = 0.0
+        self.sinks: list[engine_sinks.Sink] = []
 
     def name_pieces(self, words: list[str]) -> list[engine_cache.Prefix]:
         """Name the whole pieces of some tokens under the run's salt.
@@ -129,9 +151,22 @@
         with self.changed:
             if self.length < self.request.max_tokens:
                 self.length += 1
+                self.push(self.length - 1)
             self.changed.notify_all()
             return self.length >= self.request.max_tokens
 
+    def push(self, offset: int) -> None:
+        """Give a token to the sinks; call it under ``changed``.
+
+        Parameters
+        ----------
+        offset
+            The token's place in the answer.
+        """
+        if self.sinks:
+            event = self.token_event(offset)
+            self.sinks = [sink for sink in self.sinks if sink.push(event)]
+
     def end(self, failure: engine_messages.Failure | None = None) -> None:
         """End the run.
 
@@ -143,51 +178,40 @@
         with self.changed:
             self.phase = Phase.ENDED
             self.failure = failure
+            self.release_sinks()
             self.changed.notify_all()
 
-    def stream(
-        self, offset: int, stopping: threading.Event
-    ) -> collections.abc.Iterator[list[bytes]]:
-        """Follow the run.
+    def progress(
+        self, started: bool, offset: int, stopping: threading.Event
+    ) -> Progress:
+        """Wait until there is something for a follower.
 
         Parameters
         ----------
+        started
+            Whether it has had the ``start`` event.
         offset
-            First token wanted; those of ``prior`` are never given.
+            Offset of its next token.
         stopping
-            Cuts the stream.
+            Ends the wait.
 
-        Yields
-        ------
-        list[bytes]
-            Server-sent events that were ready at once.
+        Returns
+        -------
+        Progress
+            How far the run is.
 
         Raises
         ------
         http_messages.Dropped
             When the engine stops.
         """
-        offset = max(offset, len(self.request.prior))
-        started = False
-        while True:
-            with self.changed:
-                while self.nothing_new(started, offset):
-                    if stopping.is_set():
-                        raise http_messages.Dropped
-                    self.changed.wait()
-                length = self.length
-                ended = self.phase is Phase.ENDED
-            ready = []
-            if not started and self.start is not None:
-                ready.append(event("start", self.start))
-                started = True
-            ready.extend(self.token_event(i) for i in range(offset, length))
-            offset = max(offset, length)
-            if ended:
-                ready.append(self.last_event())
-            yield ready
-            if ended:
-                return
+        with self.changed:
+            while self.nothing_new(started, offset):
+                if stopping.is_set():
+                    raise http_messages.Dropped
+                self.changed.wait()
+            ended = self.phase is Phase.ENDED
+            return Progress(self.start, self.length, ended)
 
     def nothing_new(self, started: bool, offset: int) -> bool:
         """Tell whether a follower must wait; call it under ``changed``.
@@ -210,6 +234,51 @@
             return False
         return self.length <= offset
 
+    def attach(self, sink: engine_sinks.Sink, offset: int) -> bool:
+        """Let each new token go to a sink at once.
+
+        Parameters
+        ----------
+        sink
+            Where it goes.
+        offset
+            Offset of the sink's first token.
+
+        Returns
+        -------
+        bool
+            Whether that is the next token; otherwise nothing changed.
+        """
+        with self.changed:
+            if self.phase is not Phase.DECODE or self.length != offset:
+                return False
+            self.sinks.append(sink)
+            return True
+
+    def detach(self, sink: engine_sinks.Sink) -> None:
+        """Stop giving tokens to a sink.
+
+        Parameters
+        ----------
+        sink
+            The sink; may be detached already.
+        """
+        with self.changed:
+            if sink in self.sinks:
+                self.sinks.remove(sink)
+
+    def wake(self) -> None:
+        """Let every follower look around, after a change of switches."""
+        with self.changed:
+            self.release_sinks()
+            self.changed.notify_all()
+
+    def release_sinks(self) -> None:
+        """Give the sinks back; call it under ``changed``."""
+        for sink in self.sinks:
+            sink.released.set()
+        self.sinks.clear()
+
     def token_event(self, offset: int) -> bytes:
         """Encode a ``token`` event.
 
--- a/src/briarseam/testing/engine_scheduler.py
+++ b/src/briarseam/testing/engine_scheduler.py
@@ -103,6 +103,8 @@
     def wake(self) -> None:
         """Look again, after a change of switches."""
         with self.work:
+            step_at = time.monotonic() + self.switches().token_s
+            self.next_step_at = min(self.next_step_at, step_at)
             self.report()
             self.work.notify()
 
--- a/src/briarseam/testing/http_messages.py
+++ b/src/briarseam/testing/http_messages.py
@@ -6,7 +6,6 @@
 import dataclasses
 import errno
 import typing
-import urllib.parse
 
 import msgspec
 
@@ -23,6 +22,19 @@
         super().__init__(errno.ECONNRESET, "dropped by a switch")
 
 
+class Output(typing.Protocol):
+    """The connection that a stream goes out on."""
+
+    def frame(self, content: bytes) -> bytes:
+        """Return bytes as the connection's transfer coding needs them."""
+
+    def send_now(self, framed: bytes) -> int:
+        """Send without waiting and return how many bytes went."""
+
+    def send(self, framed: bytes) -> None:
+        """Send all, waiting as long as it takes."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Request:
     """One call.
@@ -39,6 +51,8 @@
         Header values by lower-case name.
     body
         The whole body.
+    output
+        What the answer goes out on.
     """
 
     method: str
@@ -46,6 +60,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    output: Output
 
     def number(self, name: str, default: int) -> int:
         """Read a whole number from the query.
@@ -146,34 +161,3 @@
         return json_response(status, Problem(error))
     seconds = str(max(1, -int(-retry_after_s // 1)))
     return json_response(status, Problem(error), (("Retry-After", seconds),))
-
-
-def read_request(environ: dict[str, typing.Any]) -> Request:
-    """Read one call from its WSGI environment.
-
-    Parameters
-    ----------
-    environ
-        The WSGI environment.
-
-    Returns
-    -------
-    Request
-        The call with its whole body.
-    """
-    path = environ["REQUEST_URI"].partition("?")[0]
-    segments = tuple(
-        urllib.parse.unquote(part) for part in path.split("/") if part
-    )
-    headers = {
-        name[5:].lower().replace("_", "-"): value
-        for name, value in environ.items()
-        if name.startswith("HTTP_")
-    }
-    return Request(
-        method=environ["REQUEST_METHOD"],
-        path=segments,
-        query=dict(urllib.parse.parse_qsl(environ["QUERY_STRING"])),
-        headers=headers,
-        body=environ["wsgi.input"].read(),
-    )
--- a/src/briarseam/testing/http_server.py
+++ b/src/briarseam/testing/http_server.py
@@ -9,11 +9,13 @@
 
 import collections.abc
 import logging
+import os
 import queue
 import socket
 import threading
 import time
 import typing
+import urllib.parse
 import weakref
 
 from cheroot import server as cheroot_server
@@ -163,6 +165,76 @@
         return environ
 
 
+class Output:
+    """What a request's answer goes out on, past cheroot's own writer.
+
+    Parameters
+    ----------
+    request
+        Cheroot's request; its status line must have been sent.
+    """
+
+    def __init__(self, request: cheroot_server.HTTPRequest) -> None:
+        self.request = request
+
+    def frame(self, content: bytes) -> bytes:
+        """Return bytes as the answer's transfer coding needs them.
+
+        Parameters
+        ----------
+        content
+            Part of the body, not empty.
+
+        Returns
+        -------
+        bytes
+            The part as it is sent.
+        """
+        if not self.request.chunked_write:
+            return content
+        return b"%x\r\n%s\r\n" % (len(content), content)
+
+    def send_now(self, framed: bytes) -> int:
+        """Send without waiting.
+
+        Parameters
+        ----------
+        framed
+            The bytes.
+
+        Returns
+        -------
+        int
+            How many of them the socket took.
+
+        Raises
+        ------
+        OSError
+            When the connection is lost.
+        """
+        # The socket's own send would wait up to its timeout, and with it
+        # every other stream of the thread that sends.
+        try:
+            return os.write(self.request.conn.socket.fileno(), framed)
+        except BlockingIOError:
+            return 0
+
+    def send(self, framed: bytes) -> None:
+        """Send all, waiting as long as it takes.
+
+        Parameters
+        ----------
+        framed
+            The bytes.
+
+        Raises
+        ------
+        OSError
+            When the connection is lost.
+        """
+        self.request.conn.wfile.write(framed)
+
+
 class Server(wsgi.Server):
     """Cheroot's WSGI server with a thread a connection and a prompt stop.
 
@@ -216,7 +288,7 @@
         collections.abc.Iterable[bytes]
             The body.
         """
-        response = self.answer(http_messages.read_request(environ))
+        response = self.answer(read_request(environ))
         headers = [("Content-Type", response.content_type)]
         headers.extend(response.headers)
         if isinstance(response.body, bytes) and response.status != 204:
@@ -277,3 +349,35 @@
         socket.create_connection(address, timeout=STOP_POLL_S).close()
     except OSError:
         return
+
+
+def read_request(environ: dict[str, typing.Any]) -> http_messages.Request:
+    """Read one call from its WSGI environment.
+
+    Parameters
+    ----------
+    environ
+        The WSGI environment.
+
+    Returns
+    -------
+    http_messages.Request
+        The call with its whole body.
+    """
+    path = environ["REQUEST_URI"].partition("?")[0]
+    segments = tuple(
+        urllib.parse.unquote(part) for part in path.split("/") if part
+    )
+    headers = {
+        name[5:].lower().replace("_", "-"): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    return http_messages.Request(
+        method=environ["REQUEST_METHOD"],
+        path=segments,
+        query=dict(urllib.parse.parse_qsl(environ["QUERY_STRING"])),
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+        output=Output(environ["briarseam.request"]),
+    )
--- a/src/briarseam/testing/stand_in.py
+++ b/src/briarseam/testing/stand_in.py
@@ -206,7 +206,7 @@
         Raises
         ------
         http_messages.Dropped
-            When a switch says to give none.
+            When a switch says to give none, or the stand-in stops.
         """
         if request.path[:1] == ("control",):
             return self.respond_control(request)
@@ -218,6 +218,10 @@
             return http_messages.problem(400, str(error))
         if self.switches.delay_ms:
             self.stopping.wait(self.switches.delay_ms / 1000)
+        if self.stopping.is_set():
+            # A waiting call ends early when the stand-in stops; a process
+            # that dies gives no such answer.
+            raise http_messages.Dropped
         if loses_answer(request, response) and self.take("lose_answers"):
             raise http_messages.Dropped
         return response
