--- a/src/briarseam/command/config.py
+++ b/src/briarseam/command/config.py
@@ -110,6 +110,11 @@
         actions, "apply", apply, "make a team's subtree what DIR declares"
     )
     found.add_argument("directory", metavar="DIR")
+    found.add_argument(
+        "--start-over",
+        action="store_true",
+        help="begin with an empty tree where the log has lost its history",
+    )
     add_since(found)
     add_publishing(found)
     found = add_action(actions, "set", set_fields, "set or delete one path")
@@ -272,10 +277,30 @@
 
 def apply(session: Session) -> int:
     """Make the team's subtree what a directory declares."""
+    if session.args.start_over:
+        return start_over(session)
     fold = session.load()
     return publish_plan(session, fold, plan_directory(session, fold))
 
 
+def start_over(session: Session) -> int:
+    """Apply to an empty tree, for a log that has lost its history.
+
+    The change goes first and its snapshot after it: agents then go from no
+    tree to the declared one, and none serves an empty one in between.
+    """
+    try:
+        fold = session.load()
+    except loading.HistoryLostError:
+        fold = loading.start_over(session.client)
+    else:
+        raise declarations.DeclarationError(
+            "--start-over", "", f"the tree is whole at offset {fold.offset}"
+        )
+    plan = plan_directory(session, fold)
+    return publish_plan(session, fold, plan, snapshot=True)
+
+
 def set_fields(session: Session) -> int:
     """Set or delete one path."""
     path, fields = session.args.path, session.args.fields
@@ -302,15 +327,34 @@
     return publish_plan(session, fold, plan)
 
 
-def publish_plan(session: Session, fold: folds.Fold, plan: plans.Plan) -> int:
-    """Show the plan, publish it as one change and follow that."""
+def publish_plan(
+    session: Session,
+    fold: folds.Fold,
+    plan: plans.Plan,
+    snapshot: bool = False,
+) -> int:
+    """Show the plan, publish it as one change and follow that.
+
+    Parameters
+    ----------
+    session
+        Of this command.
+    fold
+        The tree that the plan was made on.
+    plan
+        What to publish.
+    snapshot
+        Whether to write a snapshot once it is accepted.
+    """
     try:
-        return carry_out(session, fold, plan)
+        return carry_out(session, fold, plan, snapshot)
     finally:
         session.output.finish()
 
 
-def carry_out(session: Session, fold: folds.Fold, plan: plans.Plan) -> int:
+def carry_out(
+    session: Session, fold: folds.Fold, plan: plans.Plan, snapshot: bool
+) -> int:
     """Publish a plan, printing each step; return the exit status."""
     session.output.plan(plan)
     if plan.conflicts():
@@ -325,6 +369,10 @@
     session.output.outcome(outcome, fold)
     match outcome:
         case folds.Accepted(offset):
+            if snapshot and not snapshots.write(
+                session.client, snapshots.make_chunks(fold), session.key
+            ):
+                return fail("the snapshot was not written", EXIT_UNKNOWN)
             follow(session, plan.team, offset)
             return EXIT_ACCEPTED
         case folds.Rejected() | publish.NotAppended():
--- a/src/briarseam/configuration/loading.py
+++ b/src/briarseam/configuration/loading.py
@@ -57,6 +57,22 @@
     return fold
 
 
+def start_over(client: logs.LogClient) -> folds.Fold:
+    """Return an empty tree at the end of a log that lost its history.
+
+    Only for an operator who knows that no agent holds a tree any more: all
+    instances were away for longer than the log keeps records.
+
+    Raises
+    ------
+    logs.LogUnavailableError
+        When the log cannot be read.
+    """
+    fold = folds.Fold()
+    fold.offset = client.read(records.STREAM, 0, limit=1).next - 1
+    return fold
+
+
 def from_snapshot(client: logs.LogClient, key: bytes) -> folds.Fold:
     """Return the fold of the newest whole snapshot, else an empty one."""
     newest, _ = snapshots.newest_whole(client, key)
--- a/src/briarseam/configuration/snapshots.py
+++ b/src/briarseam/configuration/snapshots.py
@@ -18,9 +18,7 @@
 import structlog
 
 from briarseam.configuration import fold as folds
-
-if typing.TYPE_CHECKING:
-    from briarseam.platform import log as logs
+from briarseam.platform import log as logs
 
 STREAM = "configuration-snapshots"
 VERSION = 1
@@ -138,6 +136,27 @@
     return typing.cast("bytes", msgpack.packb([VERSION, body, mac]))
 
 
+def write(
+    client: logs.LogClient, chunks: typing.Iterable[Chunk], key: bytes
+) -> bool:
+    """Append a snapshot's chunks; give up at the first that fails.
+
+    The chunks before it then complete nothing and are passed over by
+    readers; a later try writes a new snapshot.
+
+    Returns
+    -------
+    bool
+        Whether the snapshot is whole on the log.
+    """
+    return all(
+        isinstance(
+            client.append(STREAM, encode_chunk(chunk, key)), logs.Appended
+        )
+        for chunk in chunks
+    )
+
+
 def decode_chunk(data: bytes, key: bytes) -> Chunk:
     """Return the chunk of a record.
 
--- a/src/briarseam/configuration/snapshotting.py
+++ b/src/briarseam/configuration/snapshotting.py
@@ -160,17 +160,11 @@
         self.write()
 
     def write(self) -> None:
-        """Append all chunks; give up at the first that fails.
-
-        The chunks before it then complete nothing and are passed over by
-        readers, and a later try writes a new snapshot.
-        """
+        """Write a snapshot of the tree as it is now."""
+        # Packed under the lock, appended without it: an append may take
+        # seconds, and the followers must not wait for it.
         with self.tree.changed:
             chunks = snapshots.make_chunks(self.tree.fold)
-        for chunk in chunks:
-            data = snapshots.encode_chunk(chunk, self.key)
-            outcome = self.client.append(snapshots.STREAM, data)
-            if not isinstance(outcome, logs.Appended):
-                return
-        self.tree.counters.snapshots_written += 1
-        log.info("snapshot_written", through=chunks[0].through)
+        if snapshots.write(self.client, chunks, self.key):
+            self.tree.counters.snapshots_written += 1
+            log.info("snapshot_written", through=chunks[0].through)
--- a/src/briarseam/configuration/teams.py
+++ b/src/briarseam/configuration/teams.py
@@ -119,7 +119,13 @@
     """
     return Teams(
         tuple(
-            Team(team.name, (team.key.value,), tuple(team.paths))
-            for team in teams
+            Team(team.name, keys_of(team), tuple(team.paths)) for team in teams
         )
     )
+
+
+def keys_of(team: sections.Team) -> tuple[bytes, ...]:
+    """Return a team's keys, the one that signs first."""
+    if team.old_key is None:
+        return (team.key.value,)
+    return (team.key.value, team.old_key.value)
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -234,6 +234,8 @@
         Name of the team, from the section's heading.
     key
         Proves that a change of configuration is the team's.
+    old_key
+        Proved it before; kept while the log holds records made with it.
     paths
         Prefixes of the configuration paths that the team owns.
     """
@@ -241,3 +243,4 @@
     name: Name
     key: Secret
     paths: Paths
+    old_key: Secret | None = None
--- a/tests/command/test_config.py
+++ b/tests/command/test_config.py
@@ -9,6 +9,7 @@
 import pytest
 
 from briarseam import run
+from briarseam import settings
 from briarseam import tokens
 from briarseam.configuration import declarations
 from briarseam.configuration import reader as readers
@@ -78,11 +79,11 @@
             )
             .replace("organisations/kitchen", "organisations")
         )
-        settings = write(text)
+        path = write(text)
 
         def execute(action, *arguments):
             status = run.run(
-                ["config", action, "--settings", settings, *arguments]
+                ["config", action, "--settings", path, *arguments]
             )
             return (status, *capsys.readouterr())
 
@@ -312,3 +313,30 @@
     assert report["agents"]["reached"] == ["a", "b"]
     report = json.loads(config("diff", directory, *teams)[1])
     assert report["plan"]["steps"] == []
+
+
+def test_a_tree_is_begun_anew_once_the_log_has_lost_it(config, tree, log):
+    # A whole deployment was off for longer than the log keeps records.  Its
+    # agents have no tree and must not act on an empty one; the operator
+    # applies the declarations again.
+    config("apply", tree(MODEL))
+    stream = log.stream(records.STREAM)
+    with stream.changed:
+        stream.records.clear()
+    assert config("apply", tree(MODEL))[0] == 1
+    status, out, _ = config("apply", tree(MODEL), "--start-over")
+    assert (status, "accepted at offset 2" in out) == (0, True)
+    assert config("apply", tree(MODEL), "--start-over")[0] == 2
+    assert config("get", "models/draft")[0] == 0
+
+
+def test_a_replaced_key_still_proves_older_records(write, valid):
+    # A team's key is replaced while the log holds changes made with the
+    # old one; agents that start later must still believe those.
+    old = team_types.from_settings(settings.load(write(valid)).teams)
+    proof = old.sign("night-desk", b"record")
+    keys = f"key = 0000000000000000\nold_key = {KEY.decode()}"
+    text = valid.replace(f"key = {KEY.decode()}", keys)
+    new = team_types.from_settings(settings.load(write(text)).teams)
+    assert new.verifies("night-desk", b"record", proof)
+    assert new.sign("night-desk", b"record") != proof
