Count what must never happen over random operations and faults

Seen failing with the guard removed, kept as a test: organisation in the key, version in the key, confirmation of writes, size of adopted blocks, check when reading begins, boot of the store, copies that run out.

A session that comes back at another instance finds its index there.

--- a/src/briarseam/cache/exporting.py
+++ b/src/briarseam/cache/exporting.py
@@ -183,15 +183,18 @@
         """Export until stopped."""
         while self.running():
             job = self.queue.take(POLL_S)
-            if job is None:
-                continue
-            try:
-                for piece in job.pieces:
-                    self.export(job, piece)
-            except Stop as reason:
-                self.tools.metrics.count(f"exports_{reason}")
-            finally:
-                self.settled(job)
+            if job is not None:
+                self.carry_out(job)
+
+    def carry_out(self, job: Job) -> None:
+        """Export a job's pieces, as far as that can be done now."""
+        try:
+            for piece in job.pieces:
+                self.export(job, piece)
+        except Stop as reason:
+            self.tools.metrics.count(f"exports_{reason}")
+        finally:
+            self.settled(job)
 
     def export(self, job: Job, piece: Piece) -> None:
         """Export one piece, confirm it and only then index it."""
--- a/src/briarseam/cache/service.py
+++ b/src/briarseam/cache/service.py
@@ -164,13 +164,19 @@
 
     def refresh(self) -> None:
         """Take over the configured stores; one thread pair for each."""
-        for store in self.stores.refresh():
-            keeper = self.keeper(store)
-            exporter = exporting.Exporter(store, self.tools, self.stopping)
-            self.keepers[store.name] = keeper
-            self.exporters[store.name] = exporter
-            keeper.thread.start()
-            exporter.thread.start()
+        for store in self.take_stores():
+            self.keepers[store.name].thread.start()
+            self.exporters[store.name].thread.start()
+
+    def take_stores(self) -> list[store_state.Store]:
+        """Take over the configured stores; return the new ones."""
+        new = self.stores.refresh()
+        for store in new:
+            self.keepers[store.name] = self.keeper(store)
+            self.exporters[store.name] = exporting.Exporter(
+                store, self.tools, self.stopping
+            )
+        return new
 
     def keeper(self, store: store_state.Store) -> keeping.Keeper:
         """Return the keeper of a store, not started."""
--- a/src/briarseam/cache/sharing.py
+++ b/src/briarseam/cache/sharing.py
@@ -251,16 +251,20 @@
     def tell(self) -> None:
         """Send changes until stopped, those for one agent together."""
         while not self.stopping.is_set():
-            for address, change in self.batch().items():
-                try:
-                    self.call(address, change, CHANGE_TIMEOUT_S)
-                except connections.WireError:
-                    self.metrics.count("kept_changes_lost")
+            self.tell_once(POLL_S)
 
-    def batch(self) -> dict[str, messages.KeptChange]:
+    def tell_once(self, timeout_s: float) -> None:
+        """Send the changes that are waiting or come in time."""
+        for address, change in self.batch(timeout_s).items():
+            try:
+                self.call(address, change, CHANGE_TIMEOUT_S)
+            except connections.WireError:
+                self.metrics.count("kept_changes_lost")
+
+    def batch(self, timeout_s: float) -> dict[str, messages.KeptChange]:
         """Return waiting changes by the agent they are for."""
         try:
-            waiting = [self.changes.get(timeout=POLL_S)]
+            waiting = [self.changes.get(timeout=timeout_s)]
         except queue.Empty:
             return {}
         while len(waiting) < MAX_BATCH:
--- /dev/null
+++ b/tests/cache/test_index.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.cache import index as indexes
+from briarseam.cache import names as block_names
+from briarseam.cache import state
+
+NAMES = block_names.Names(b"secret")
+FOREVER = float("inf")
+
+
+def block(depth=0, session="s", store="keep-a", boot_id="boot"):
+    group = NAMES.group("kitchen", session)
+    variant = NAMES.variant("draft", "", "v1")
+    key = bytes([depth]) * block_names.KEY_BYTES
+    name = NAMES.fresh(group, variant, depth, key)
+    return state.Block(NAMES.pack(name), 100, b"c" * 16, store, boot_id)
+
+
+@pytest.fixture
+def index():
+    return indexes.BlockIndex(max_blocks=100)
+
+
+def test_a_block_under_a_reader_is_not_deletable(index):
+    """A store fills while an engine reads a block.
+
+    Deleted now, the engine would meet a gap in the middle of its import.
+    """
+    read = block()
+    index.add(read, 0.0, FOREVER)
+    index.borrow([read], until=10.0)
+    index.free(read, not_before=0.0)
+
+    assert index.deletable("keep-a", now=5.0) == []
+    index.give_back([read])
+    assert index.deletable("keep-a", now=5.0) == [read]
+
+
+def test_a_reader_that_never_ends_does_not_hold_a_block_for_ever(index):
+    """An agent's thread dies in an import; its bound frees the block."""
+    read = block()
+    index.add(read, 0.0, FOREVER)
+    index.borrow([read], until=10.0)
+    index.free(read, not_before=0.0)
+
+    assert index.deletable("keep-a", now=11.0) == [read]
+
+
+def test_a_freed_block_does_not_come_back_by_a_late_message(index):
+    """A peer's message or a listing is late and names a freed block.
+
+    Indexed again, it would be read while it is being deleted.
+    """
+    freed = block()
+    index.add(freed, 0.0, FOREVER)
+    index.free(freed, not_before=5.0)
+
+    assert not index.add(freed, 1.0, FOREVER)
+    assert index.prefix([freed.key], 1.0, b"") == []
+
+
+def test_a_plan_that_was_overtaken_reads_only_what_is_still_there(index):
+    """The second block of a plan is freed before the import begins."""
+    blocks = [block(depth) for depth in range(3)]
+    for each in blocks:
+        index.add(each, 0.0, FOREVER)
+    index.free(blocks[1], not_before=0.0)
+
+    assert index.borrow(blocks, until=10.0) == 1
+    assert index.deletable("keep-a", now=0.0) == [blocks[1]]
+
+
+def test_a_copy_of_another_agents_index_runs_out(index):
+    """The owner may have freed the block since; it waits this long."""
+    copied = block()
+    index.add(copied, 0.0, learned_until=10.0)
+
+    assert index.prefix([copied.key], 9.0, b"") == [copied]
+    assert index.prefix([copied.key], 10.0, b"") == []
+    assert index.prefix([copied.key], 10.0, copied.group) == [copied]
+
+
+def test_what_another_boot_of_a_store_held_is_forgotten(index):
+    """A store is replaced; another store's blocks stay."""
+    old = block(0)
+    new = block(1, boot_id="boot-2")
+    other = block(2, store="keep-b")
+    for each in (old, new, other):
+        index.add(each, 0.0, FOREVER)
+
+    assert index.drop_boot("keep-a", "boot-2") == [old]
+    assert index.stored == {"keep-a": 100, "keep-b": 100}
+
+
+def test_memory_is_bounded_and_the_oldest_group_goes_first(index):
+    """More sessions come than the index may hold in memory."""
+    small = indexes.BlockIndex(max_blocks=32)
+    for number in range(32):
+        small.add(block(number, session=f"s{number}"), number, FOREVER)
+    assert not small.add(block(40, session="new"), 40.0, FOREVER)
+
+    small.forget_oldest(room=1)
+
+    assert small.add(block(40, session="new"), 40.0, FOREVER)
+    assert NAMES.group("kitchen", "s0") not in small.groups
+    assert NAMES.group("kitchen", "s31") in small.groups
--- /dev/null
+++ b/tests/cache/test_random.py
@@ -0,0 +1,360 @@
+"""A seeded run of many operations and faults, without threads.
+
+Two agents share two stores and an engine; every step of their upkeep is
+taken by the test, in an order drawn from the seed, also in the middle of an
+import.  The stores and the test count what must never happen.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+
+from briarseam.cache import exporting
+from briarseam.cache import index as indexes
+from briarseam.cache import keeping
+from briarseam.cache import names as block_names
+from briarseam.cache import service
+from briarseam.cache import sharing
+from briarseam.cache import state
+from briarseam.cache import stores
+from briarseam.configuration import schema
+from briarseam.endpoints import store as store_client
+from briarseam.wire import codec
+from briarseam.wire import connection as connections
+from tests.cache import site as sites
+
+OPERATIONS = 600
+CAPACITY = 80_000
+BLOCK = 4085
+ORGANISATIONS = ("kitchen", "crew", "portal")
+VERSIONS = ("v1", "v2")
+CHAINS = [sites.chain(3, seed) for seed in range(4)]
+
+
+@dataclasses.dataclass
+class Never:
+    """Counts of what must never happen, and of what shows it was tried."""
+
+    half_read: int = 0
+    freed_read: int = 0
+    deleted_under_reader: int = 0
+    other_organisation: int = 0
+    other_version: int = 0
+    stale_boot_read: int = 0
+    imports: int = 0
+    imported: int = 0
+    plans: int = 0
+    faults: int = 0
+
+    def broken(self):
+        return {
+            name: count
+            for name, count in dataclasses.asdict(self).items()
+            if count and name not in ("imports", "imported", "plans", "faults")
+        }
+
+
+class WatchedStore(sites.RecordingStore):
+    """Counts reads of halves and deletions under a reader."""
+
+    def answer(self, request):
+        match request.method, request.path:
+            case "GET", ("blocks", name):
+                found = self.blocks.read(name, 1 << 30)
+                if found and len(found.block.content) < BLOCK:
+                    self.never.half_read += 1
+            case "DELETE", ("blocks", name):
+                if name in self.reading:
+                    self.never.deleted_under_reader += 1
+        return super().answer(request)
+
+
+class World:
+    """Agents, two stores, one engine, one clock, one seed."""
+
+    def __init__(self, seed, agents=2):
+        self.chance = random.Random(seed)
+        self.now = 1000.0
+        self.never = Never()
+        self.reading = []
+        self.depth = 0
+        self.site = sites.Site(("keep-a", "keep-b"), fill=0.8)
+        for store in self.site.stores.values():
+            self.watch(store)
+        self.count = agents
+        self.agents = [self.agent(me) for me in range(agents)]
+
+    def watch(self, store):
+        store.__class__ = WatchedStore
+        store.never = self.never
+        store.reading = self.reading
+        store.set(capacity=CAPACITY)
+
+    def agent(self, me):
+        def holders(group):
+            if self.count == 1:
+                return state.Holders()
+            mine = group[-1] % 2 == me
+            return state.Holders(mine=mine, others=(str(1 - me),), epoch=1)
+
+        def call(address, request, timeout_s):
+            if self.chance.random() < 0.1:
+                raise connections.WireError("lost")
+            other = self.agents[int(address)]
+            payload = codec.encode(request)[codec.LENGTH.size :]
+            message = codec.decode(payload)
+            handlers = {
+                "KeptAsk": other.sharing.answer,
+                "KeptChange": other.sharing.take,
+            }
+            return handlers[type(message).__name__](None, message)
+
+        ports = service.Ports(
+            holders=holders,
+            call=call,
+            clock=lambda: self.now,
+            wall_clock=lambda: self.now,
+        )
+        kept = service.KeptCache(
+            self.site.view, sites.KEY, sites.Counts(), ports
+        )
+        kept.take_stores()
+        for exporter in kept.exporters.values():
+            exporter.wait_for = without_waiting
+        order = kept.tools.engine.import_blocks
+        kept.tools.engine.import_blocks = lambda *given: self.importing(
+            kept, order, *given
+        )
+        return kept
+
+    def importing(self, kept, order, address, request, timeout_s):
+        """Let other things happen before an import's reads."""
+        names = [wanted.block for wanted in request.blocks]
+        dying = {kept.names.text(packed) for packed in kept.index.dying}
+        self.never.freed_read += len(dying.intersection(names))
+        self.reading.extend(names)
+        if self.depth == 0:
+            self.depth += 1
+            for _ in range(self.chance.randrange(4)):
+                self.step()
+            self.depth -= 1
+        try:
+            return order(address, request, timeout_s)
+        finally:
+            for name in names:
+                self.reading.remove(name)
+
+    def step(self):
+        kept = self.chance.choice(self.agents)
+        operation = self.chance.choices(
+            [
+                self.run,
+                self.come_back,
+                self.export,
+                self.keep,
+                self.tell,
+                self.pass_time,
+                self.fault,
+            ],
+            [4, 6, 8, 6, 4, 2, 1],
+        )[0]
+        operation(kept)
+
+    def run(self, kept):
+        chain = self.chance.choice(CHAINS)[: self.chance.randrange(1, 4)]
+        session = f"s{self.chance.randrange(6)}"
+        organisation = self.chance.choice(ORGANISATIONS)
+        version = self.site.models["draft"].version
+        self.site.run(kept, organisation, chain, version, session)
+
+    def come_back(self, kept):
+        organisation = self.chance.choice(ORGANISATIONS)
+        version = self.site.models["draft"].version
+        session = f"s{self.chance.randrange(6)}"
+        chain = self.chance.choice(CHAINS)
+        plan = self.site.plan(
+            kept, organisation, chain, version, session=session
+        )
+        self.never.plans += 1
+        self.check(kept, organisation, version, plan)
+        if self.chance.random() < 0.3:
+            self.keep(self.chance.choice(self.agents))
+        if plan.blocks:
+            self.never.imports += 1
+            done = kept.import_to(self.site.engine.address, plan)
+            self.never.imported += done.pieces
+
+    def check(self, kept, organisation, version, plan):
+        own = kept.names.organisation(organisation)
+        variant = kept.names.variant("draft", "", version)
+        for planned in plan.blocks:
+            block = planned.block
+            self.never.other_organisation += block.group[:4] != own
+            self.never.other_version += block.variant != variant
+            boot = kept.stores.get(block.store).boot_id
+            self.never.stale_boot_read += block.boot_id != boot
+
+    def export(self, kept):
+        for exporter in kept.exporters.values():
+            job = exporter.queue.take(0)
+            if job is not None:
+                exporter.carry_out(job)
+
+    def keep(self, kept):
+        for keeper in kept.keepers.values():
+            try:
+                keeper.step()
+            except store_client.StoreUnavailableError as error:
+                kept.stores.failed(keeper.store, str(error))
+
+    def tell(self, kept):
+        if not kept.sharing.changes.empty():
+            kept.sharing.tell_once(0.01)
+
+    def pass_time(self, kept):
+        longest = 2 if self.depth else 3
+        self.now += self.chance.choice((0.1, 3.0, 12.0)[:longest])
+
+    def fault(self, kept):
+        self.never.faults += 1
+        name = self.chance.choice(list(self.site.stores))
+        store = self.site.stores[name]
+        match self.chance.randrange(7):
+            case 0 | 1:
+                store.set(half_writes=2)
+            case 2:
+                store.set(corrupt_reads=1)
+            case 3:
+                store.boot_id = f"boot-{self.chance.random()}"
+                store.blocks.__init__()
+            case 4:
+                self.agents[self.agents.index(kept)] = self.agent(
+                    self.agents.index(kept)
+                )
+            case 5:
+                self.roll_out()
+            case 6:
+                self.site.forget()
+
+    def roll_out(self):
+        old = self.site.models["draft"].version
+        new = VERSIONS[1 - VERSIONS.index(old)]
+        self.site.models = {"draft": schema.Model(version=new)}
+        weights = self.site.engine.weights
+        present = weights.models["draft"]
+        weights.models["draft"] = dataclasses.replace(present, version=new)
+
+    def go(self, operations):
+        try:
+            for _ in range(operations):
+                self.step()
+        finally:
+            self.site.stop()
+        return self.never
+
+
+def without_waiting(condition, job):
+    if not condition():
+        raise exporting.Stop("late")
+
+
+def whole(self, packed, exported):
+    """Take any export for whole, without looking."""
+    checksum = bytes.fromhex(exported.checksum)
+    return state.Block(
+        packed, exported.bytes, checksum, self.store.name, self.store.boot_id
+    )
+
+
+def adopt_all(self, block, listed):
+    """Adopt whatever is listed."""
+    return self.tools.index.add(block, self.tools.clock(), float("inf"))
+
+
+def one_key(self, organisation, model, adapter, version):
+    return self.digest(b"pieces", version.encode(), 32)
+
+
+def one_version(self, organisation, model, adapter, version):
+    return self.digest(b"pieces", organisation.encode(), 32)
+
+
+def borrow_any(self, blocks, until):
+    return len(blocks)
+
+
+def readable(self, name, boot_id):
+    store = self.by_name.get(name)
+    return store is not None and store.alive
+
+
+@dataclasses.dataclass(frozen=True)
+class Removal:
+    """A guard taken out, and the count that shows it."""
+
+    shown: str
+    patches: tuple
+
+
+INDEX = indexes.BlockIndex
+GUARDS = {
+    "organisation in the key": Removal(
+        "other_organisation", ((block_names.Names, "derive_key", one_key),)
+    ),
+    "version in the key": Removal(
+        "other_version", ((block_names.Names, "derive_key", one_version),)
+    ),
+    "confirmation of writes": Removal(
+        "half_read", ((exporting.Exporter, "confirm", whole),)
+    ),
+    "size of adopted blocks": Removal(
+        "half_read", ((keeping.Keeper, "adopt", adopt_all),)
+    ),
+    "check when reading begins": Removal(
+        "freed_read", ((INDEX, "borrow", borrow_any),)
+    ),
+    "boot of the store": Removal(
+        "stale_boot_read",
+        (
+            (INDEX, "drop_boot", lambda self, store, boot: []),
+            (stores.Stores, "readable", readable),
+        ),
+    ),
+    "copies run out": Removal(
+        "deleted_under_reader",
+        ((sharing.Sharing, "free_wait_s", lambda *given: 0.0),),
+    ),
+}
+
+
+@pytest.mark.parametrize("agents", [1, 2])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_nothing_that_must_never_happen_happens(seed, agents):
+    """Sessions come and go over halves, wrong bytes, restarts, rollouts
+    and full stores.  A caller would see another's text, or wrong tokens.
+    """
+    never = World(seed, agents).go(OPERATIONS)
+
+    assert never.broken() == {}
+    assert never.imported > 20, never
+    assert never.faults > 10, never
+
+
+@pytest.mark.parametrize("removal", GUARDS.values(), ids=GUARDS.keys())
+def test_without_its_guard_it_happens(monkeypatch, removal):
+    """Each guard is taken out in turn; the same run must then fail.
+
+    A guard whose absence nothing shows is not known to hold anything.
+    """
+    for patch in removal.patches:
+        monkeypatch.setattr(*patch)
+    never = Never()
+    for seed in range(1, 13):
+        never = World(seed).go(OPERATIONS)
+        if removal.shown in never.broken():
+            break
+
+    assert removal.shown in never.broken(), never
--- a/tests/matrix/test_kept_cache.py
+++ b/tests/matrix/test_kept_cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+import urllib3
 
 from briarseam.testing import answers
 from briarseam.testing import deployment
@@ -31,8 +32,8 @@
         yield started
 
 
-def kept(running):
-    return running.instances[0].agent.serving.kept
+def kept(running, instance=0):
+    return running.instances[instance].agent.serving.kept
 
 
 def counted(running, event):
@@ -228,3 +229,55 @@
     waiting.until(lambda: prefixes(running) == 0, what="the gap")
 
     assert ask(running, prompt).reused_tokens == LENGTH
+
+
+@pytest.fixture
+def spread(tmp_path):
+    shape = deployment.Shape(instances=2, engines=1, stores=1, zones=2)
+    with deployment.Deployment(tmp_path, shape, SWITCHES) as started:
+        for number in range(2):
+            waiting.until(
+                lambda number=number: kept(started, number).stores.writable()
+            )
+        list_agents(started)
+        yield started
+
+
+def list_agents(running):
+    """Put the agents on the platform's list, and wait until it is read."""
+    for instance in running.instances:
+        mine = instance.settings.instance
+        row = {
+            "name": mine.name,
+            "role": "agent",
+            "address": str(mine.agent_address),
+            "zone": mine.zone,
+            "state": "live",
+        }
+        url = f"http://{running.list.address}/instances/{mine.name}"
+        urllib3.request("PUT", url, json=row)
+    for number in range(len(running.instances)):
+        waiting.until(lambda number=number: both_known(running, number))
+
+
+def both_known(running, number):
+    return len(kept(running, number).ports.holders.agents()) == 2
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_a_session_that_comes_back_elsewhere_is_imported_there(spread, first):
+    """A caller's instance is gone; its session comes to another one.
+
+    That one asks who keeps the session's index, or keeps it itself.
+    """
+    prompt = words.prompt(LENGTH, "history")
+    body = deployment.prompt_body(prompt)
+    spread.caller(instance=first).ask(body)
+    waiting.until(lambda: len(kept(spread, first).index) == PIECES)
+    for engine in spread.engines.values():
+        engine.cache.drop_version(deployment.MODEL, deployment.VERSION)
+    waiting.until(lambda: len(kept(spread, 1 - first).index) == PIECES)
+
+    answer = spread.caller(instance=1 - first).ask(body)
+
+    assert answer.reused_tokens == LENGTH
