--- /dev/null
+++ b/tests/metrics/test_reference.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+import pathlib
+import re
+
+import pytest
+
+from briarseam.testing import deployment
+
+PAGE = (
+    pathlib.Path(__file__).parent.parent.parent
+    / "docs"
+    / "reference"
+    / "metrics.md"
+)
+LISTED = re.compile(r"`([a-z][a-z0-9_]*)`")
+
+
+@pytest.fixture(scope="module")
+def registered(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("deployment")
+    with deployment.Deployment(folder, deployment.Shape()) as running:
+        (instance,) = running.instances
+        registries = (
+            instance.entry.parts.render_metrics.__self__,
+            instance.agent.registry,
+        )
+        return {
+            metric.name
+            for registry in registries
+            for metric in registry.all_metrics()
+        }
+
+
+def test_every_metric_is_on_the_page(registered):
+    # Somebody woken at night looks a name up.
+    assert registered - set(LISTED.findall(PAGE.read_text())) == set()
+
+
+def test_the_page_lists_no_metric_that_is_gone(registered):
+    # A dashboard built from the page would stay empty.
+    rows = [
+        line.split("|")[1]
+        for line in PAGE.read_text().splitlines()
+        if line.startswith("| `")
+    ]
+    listed = {name for row in rows for name in LISTED.findall(row)}
+    assert listed - registered == set()
