Shut entry and agent down gracefully; keep work from leaving endpoints

SIGTERM ended both daemons at once: callers in flight were cut, and callers whom a lookup had sent there met a closed port. Both now drain. Requests are counted around the whole WSGI application: the count after admission missed a body still being read and a caller waiting for its grant. An entry tells its agent that it is there, so the addresses given out are those of live entry processes and no longer those of the settings file. Routing asks which endpoints are leaving.

--- a/src/briarseam/admission/dispatch.py
+++ b/src/briarseam/admission/dispatch.py
@@ -148,6 +148,11 @@
         self.stopping.set()
         self.wake.set()
 
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        with self.lock:
+            return sum(len(queue) for queue in self.queues.values())
+
     def place(self, waiter: Waiter) -> routing.Choice:
         """Return the engine for a prompt, after a wait if need be.
 
--- a/src/briarseam/command/entry.py
+++ b/src/briarseam/command/entry.py
@@ -21,9 +21,9 @@
 
 
 def execute(args: argparse.Namespace) -> int:
-    """Run the entry until SIGTERM or SIGINT."""
+    """Run the entry until SIGTERM or SIGINT, then shut down gracefully."""
     settings = options.load_settings(args)
-    stopped = signals.stop_on_signals()
+    stop = signals.watch()
     daemon = compose.build_entry(settings)
     logs.set_up(
         settings.logging,
@@ -33,6 +33,8 @@
     daemon.ring.note(kinds.Kind.STARTED)
     address = daemon.start()
     print(f"entry {address}", flush=True)
-    stopped.wait()
+    stop.first.wait()
+    daemon.ring.note(kinds.Kind.LEAVING)
+    daemon.drain(stop.second.is_set)
     daemon.stop()
     return 0
--- a/src/briarseam/command/signals.py
+++ b/src/briarseam/command/signals.py
@@ -7,14 +7,37 @@
 import types
 
 
-def stop_on_signals() -> threading.Event:
-    """Return an event that SIGTERM and SIGINT set."""
-    event = threading.Event()
+class StopSignals:
+    """Which of the signals to stop have come.
+
+    Attributes
+    ----------
+    first
+        Set by the first: stop when nothing is in flight.
+    second
+        Set by the second: stop now.
+    """
 
-    def note(number: int, frame: types.FrameType | None) -> None:
+    def __init__(self) -> None:
+        self.first = threading.Event()
+        self.second = threading.Event()
+
+    def note(self, number: int, frame: types.FrameType | None) -> None:
+        """Take in a signal."""
         del number, frame
-        event.set()
+        if self.first.is_set():
+            self.second.set()
+        self.first.set()
+
 
-    signal.signal(signal.SIGTERM, note)
-    signal.signal(signal.SIGINT, note)
-    return event
+def watch() -> StopSignals:
+    """Return what SIGTERM and SIGINT set from now on."""
+    signals = StopSignals()
+    signal.signal(signal.SIGTERM, signals.note)
+    signal.signal(signal.SIGINT, signals.note)
+    return signals
+
+
+def stop_on_signals() -> threading.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    return watch().first
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -20,6 +20,9 @@
 from briarseam.configuration import reader as configuration
 from briarseam.leases import service as lease_module
 from briarseam.lookup import service as lookup
+from briarseam.membership import drain
+from briarseam.membership import endpoints
+from briarseam.membership import entries
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.metrics import registry as metrics
@@ -56,11 +59,14 @@
     timeline: timelines.Timeline
     leases: lease_module.Leases
     orders: order_module.Orders
+    entries: entries.LocalEntries
+    stop_bound_s: float
 
     def start(self) -> None:
         """Start all parts."""
         self.server.start()
         self.membership.start()
+        self.entries.start()
         self.configuration.start()
         self.claims.start()
         self.idempotency.start()
@@ -76,9 +82,42 @@
         self.idempotency.stop()
         self.claims.stop()
         self.configuration.stop()
+        self.entries.stop()
         self.membership.stop()
         self.server.stop()
 
+    def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
+        """Leave the lookups and wait until nothing is in flight.
+
+        Parameters
+        ----------
+        hurry
+            Whether to give up waiting now.
+        """
+        return drain.Drain(
+            announce=self.membership.announce_leaving,
+            told=self.membership.told,
+            in_flight=self.in_flight,
+            ttl_s=lambda: self.entries.ttl_s,
+            bound_s=self.stop_bound_s,
+            hurry=hurry,
+        ).run()
+
+    def in_flight(self) -> int:
+        """Return what would suffer if this agent stopped now.
+
+        These are requests that wait for an endpoint, runs that its entries
+        relay, entries that are shutting down themselves, and outcomes that
+        are not yet in the log: without them a repeated call would be told
+        "unknown" for good.
+        """
+        return (
+            self.serving.dispatcher.waiting()
+            + len(self.serving.placer.runs)
+            + self.entries.leaving()
+            + self.claims.count_pending()
+        )
+
 
 def shared_key(settings: settings_module.Settings) -> bytes:
     """Return the key that the system's processes share."""
@@ -99,9 +138,6 @@
             name=settings.instance.name,
             zone=settings.instance.zone,
             agent_address=str(settings.instance.agent_address),
-            entry_addresses=tuple(
-                str(address) for address in settings.instance.entry_addresses
-            ),
         ),
         instances.InstanceList(str(settings.platform.instances)),
         shared_key(settings),
@@ -192,6 +228,7 @@
     order_service = compose_orders.build_orders(
         settings, reader, member_service, lease_service, registry, ring
     )
+    leaving = endpoints.LeavingEndpoints(member_service, reader.view)
     serving_parts = serving.build_serving(
         settings,
         serving.ServingSources(
@@ -201,7 +238,7 @@
             imports=noting.NotedKept(
                 kept, ring, compose_timeline.names(reader)
             ),
-            leaving=frozenset,
+            leaving=leaving.leaving_endpoints,
             releases=compose_orders.Releases(order_service),
             key=key,
         ),
@@ -219,7 +256,9 @@
     lookups = lookup.Lookup(
         member_service.members,
         lambda digest: reader.view().organisation_of(digest),
+        settings.agent.lookup_ttl_s,
     )
+    local_entries = entries.LocalEntries(member_service, lookups.ttl_s)
     states = status.StatusService(
         member_service,
         status.Sources(
@@ -235,6 +274,7 @@
         member_service,
         admission_service,
         lookups,
+        local_entries,
         states,
         claim_service,
         kept,
@@ -259,4 +299,6 @@
         timeline=events,
         leases=lease_service,
         orders=order_service,
+        entries=local_entries,
+        stop_bound_s=settings.limits.stop_bound_s,
     )
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -17,6 +17,8 @@
 from briarseam.entry import operators
 from briarseam.entry import reports as report_queue
 from briarseam.entry import server as http
+from briarseam.membership import drain
+from briarseam.membership import presence
 from briarseam.metrics import registry as metrics
 from briarseam.timeline import requests
 from briarseam.wire import client as wire
@@ -45,6 +47,8 @@
     reports: report_queue.Reports
     ring: rings.Ring
     events: feed.RingFeed
+    presence: presence.Presence
+    stop_bound_s: float
 
     def start(self) -> str:
         """Bind, begin to serve, and return the address."""
@@ -55,17 +59,50 @@
             target=self.server.serve, name="http", daemon=True
         )
         thread.start()
+        self.presence.start()
         host, port = self.server.bind_addr[:2]
         return f"{host}:{port}"
 
+    def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
+        """Leave the lookups and wait until nothing is in flight.
+
+        Parameters
+        ----------
+        hurry
+            Whether to give up waiting now.
+        """
+        self.parts.in_flight.leaving = True
+        return drain.Drain(
+            announce=self.presence.leave,
+            told=self.presence.leaving_told,
+            in_flight=lambda: self.parts.in_flight.count,
+            ttl_s=lambda: self.presence.ttl_s,
+            bound_s=self.stop_bound_s,
+            hurry=hurry,
+        ).run()
+
     def stop(self) -> None:
-        """Stop serving."""
+        """Stop serving; tell the agent once its reports are all given."""
         self.server.stop()
         self.reports.stop(REPORTS_FLUSH_S)
+        self.presence.close()
         self.events.stop()
         self.agent_client.close()
 
 
+def public_address(settings: settings_module.Settings) -> str:
+    """Return the address by which callers reach this entry process.
+
+    Several entry processes share one settings file but for where they
+    listen; the port tells which of the instance's addresses is whose.
+    """
+    listen = settings.entry.listen
+    for address in settings.instance.entry_addresses:
+        if address.port == listen.port:
+            return str(address)
+    return str(listen)
+
+
 def build_entry(settings: settings_module.Settings) -> EntryDaemon:
     """Return an entry, nothing bound or started."""
     # The agent tells its entry processes apart, and each start of one: what
@@ -103,4 +140,13 @@
     events = compose_timeline.build_entry_part(
         str(settings.entry.agent), me, key, ring
     )
-    return EntryDaemon(server, parts, client, reports, ring, events)
+    return EntryDaemon(
+        server=server,
+        parts=parts,
+        agent_client=client,
+        reports=reports,
+        ring=ring,
+        events=events,
+        presence=presence.Presence(client, public_address(settings)),
+        stop_bound_s=settings.limits.stop_bound_s,
+    )
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -16,6 +16,7 @@
 from briarseam.answers import relay
 from briarseam.answers import resume
 from briarseam.cache import pieces
+from briarseam.entry import inflight
 from briarseam.entry import problems
 from briarseam.entry import requests
 from briarseam.entry import timeline_page
@@ -27,7 +28,6 @@
     from briarseam.endpoints import engine
     from briarseam.endpoints import service
     from briarseam.entry import agent_link
-    from briarseam.entry import inflight
     from briarseam.entry import operators
 
 EVENT_STREAM = "text/event-stream"
@@ -83,24 +83,14 @@
 
 
 def respond_stream(
-    parts: EntryParts, events: typing.Iterator[bytes]
+    events: typing.Iterator[bytes],
 ) -> typing.Iterator[bytes]:
-    """Set up an event stream response; count it until it ends."""
+    """Set up an event stream response."""
     headers = cherrypy.response.headers
     headers["Content-Type"] = EVENT_STREAM
     headers["Cache-Control"] = "no-store"
     cherrypy.response.stream = True
-    return count_stream(parts, events)
-
-
-def count_stream(
-    parts: EntryParts, events: typing.Iterator[bytes]
-) -> typing.Iterator[bytes]:
-    """Yield events; count the request out when they end."""
-    try:
-        yield from events
-    finally:
-        parts.in_flight.leave()
+    return events
 
 
 class Where:
@@ -139,17 +129,11 @@
         body = requests.parse_answer(raw.body)
         ask = build_ask(raw, body, accepted_at)
         running = relay.Relay(ask, self.parts.agent, self.parts.engines)
-        self.parts.in_flight.enter()
-        try:
-            with refusals_as_problems():
-                opened = running.open()
-        except BaseException:
-            self.parts.in_flight.leave()
-            raise
+        with refusals_as_problems():
+            opened = running.open()
         if isinstance(opened, messages.Replayed):
-            self.parts.in_flight.leave()
             return replay_answer(opened)
-        return respond_stream(self.parts, running.events(opened))
+        return respond_stream(running.events(opened))
 
     def GET(  # noqa: N802
         self, answer_id: str = ""
@@ -164,8 +148,7 @@
                 located, answer_id, offset, self.parts.engines
             )
             stream = resumption.open()
-        self.parts.in_flight.enter()
-        return respond_stream(self.parts, resumption.events(stream))
+        return respond_stream(resumption.events(stream))
 
 
 class Services:
@@ -195,15 +178,11 @@
 def relay_call(
     parts: EntryParts, request: messages.AdmitCall, body: bytes
 ) -> bytes:
-    """Run a service call to its end while counted in flight."""
-    parts.in_flight.enter()
-    try:
-        with refusals_as_problems():
-            answer = calls.CallRelay(
-                request, body, parts.agent, parts.services
-            ).run()
-    finally:
-        parts.in_flight.leave()
+    """Run a service call to its end."""
+    with refusals_as_problems():
+        answer = calls.CallRelay(
+            request, body, parts.agent, parts.services
+        ).run()
     cherrypy.response.status = answer.status
     cherrypy.response.headers["Content-Type"] = answer.content_type
     return answer.body
@@ -337,4 +316,4 @@
     # Requests are counted, not logged one by one.
     application.log.screen = False
     application.log.access_log.disabled = True
-    return application
+    return inflight.CountingApplication(application, parts.in_flight)
--- a/src/briarseam/entry/inflight.py
+++ b/src/briarseam/entry/inflight.py
@@ -3,34 +3,110 @@
 from __future__ import annotations
 
 import threading
-import time
+import typing
+
+CLOSE = ("Connection", "close")
 
 
 class InFlight:
-    """How many requests are being answered."""
+    """How many requests are being answered, and whether to take more.
+
+    Attributes
+    ----------
+    count
+        Requests under way.
+    leaving
+        Whether callers are told not to keep their connections.
+    """
 
     def __init__(self) -> None:
         self.count = 0
-        self.condition = threading.Condition()
+        self.leaving = False
+        self.lock = threading.Lock()
 
     def enter(self) -> None:
         """Count a request in."""
-        with self.condition:
+        with self.lock:
             self.count += 1
 
     def leave(self) -> None:
         """Count a request out."""
-        with self.condition:
+        with self.lock:
             self.count -= 1
-            self.condition.notify_all()
-
-    def wait_empty(self, timeout_s: float) -> bool:
-        """Wait until nothing is in flight; tell whether that came."""
-        deadline = time.monotonic() + timeout_s
-        with self.condition:
-            while self.count:
-                left_s = deadline - time.monotonic()
-                if left_s <= 0:
-                    return False
-                self.condition.wait(left_s)
-        return True
+
+
+class CountingApplication:
+    """Counts each request from its headers to the last byte of its answer.
+
+    A planned stop must not cut a request that is reading its body or
+    waiting for a grant either, so the count is taken around the whole
+    application.  While the process is leaving, each answer asks the caller
+    to close its connection: an idle one that were kept open could carry
+    the next request just as the process exits.
+
+    Parameters
+    ----------
+    application
+        WSGI application.
+    in_flight
+        The count.
+    """
+
+    def __init__(
+        self,
+        application: typing.Callable[..., typing.Iterable[bytes]],
+        in_flight: InFlight,
+    ) -> None:
+        self.application = application
+        self.in_flight = in_flight
+
+    def __call__(
+        self,
+        environ: dict[str, typing.Any],
+        start_response: typing.Callable[..., typing.Any],
+    ) -> CountedBody:
+        """Answer one request."""
+
+        def start(
+            status: str,
+            headers: list[tuple[str, str]],
+            *exc_info: typing.Any,
+        ) -> typing.Any:
+            if self.in_flight.leaving:
+                headers = [*headers, CLOSE]
+            return start_response(status, headers, *exc_info)
+
+        self.in_flight.enter()
+        try:
+            body = self.application(environ, start)
+        except BaseException:
+            self.in_flight.leave()
+            raise
+        return CountedBody(body, self.in_flight)
+
+
+class CountedBody:
+    """The body of an answer; the request ends when it is closed."""
+
+    def __init__(
+        self, body: typing.Iterable[bytes], in_flight: InFlight
+    ) -> None:
+        self.body = body
+        self.in_flight = in_flight
+        self.open = True
+
+    def __iter__(self) -> typing.Iterator[bytes]:
+        """Return the chunks."""
+        return iter(self.body)
+
+    def close(self) -> None:
+        """Close the body and count the request out, once."""
+        if not self.open:
+            return
+        self.open = False
+        try:
+            close = getattr(self.body, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self.in_flight.leave()
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -75,6 +75,8 @@
         Time between two heartbeats to a peer.
     suspect_after_ms
         Silence after which a peer gets no new work.
+    lookup_ttl_s
+        Time that callers keep the addresses they were given.
     stale_after_ms
         Time without news from the log or any peer after which new work is
         refused.
@@ -94,6 +96,7 @@
     peers_seed: Addresses = ()
     heartbeat_interval_ms: Milliseconds = 1000
     suspect_after_ms: Milliseconds = 3000
+    lookup_ttl_s: Seconds = 5.0
     stale_after_ms: Milliseconds = 10_000
     max_sessions: Count = 20_000
     max_index_entries: Count = 50_000
@@ -216,12 +219,15 @@
         Requests of one organisation waiting on this instance.
     max_metric_label_values
         Distinct values of one metric label; further ones count as other.
+    stop_bound_s
+        Longest graceful shutdown; what is in flight then is cut off.
     """
 
     max_in_flight: Count = 2000
     max_queued: Count = 1000
     max_queued_per_organisation: Count = 200
     max_metric_label_values: Count = 64
+    stop_bound_s: Seconds = 600.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/testing/deployment.py
+++ b/src/briarseam/testing/deployment.py
@@ -66,6 +66,7 @@
 heartbeat_interval_ms = 100ms
 suspect_after_ms = 1s
 stale_after_ms = 5s
+lookup_ttl_s = 500ms
 
 [entry]
 listen = {entry}
--- a/tests/matrix/processes.py
+++ b/tests/matrix/processes.py
@@ -68,6 +68,12 @@
         if self.process.stdout is not None:
             self.process.stdout.close()
 
+    def stop(self, timeout_s: float = 30.0) -> int:
+        """End it as operators do; return its exit status."""
+        assert self.process is not None
+        self.process.terminate()
+        return self.process.wait(timeout_s)
+
     def freeze(self) -> None:
         """Stop it in its tracks."""
         assert self.process is not None
