--- a/src/briarseam/testing/engine_cache.py
+++ b/src/briarseam/testing/engine_cache.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import dataclasses
+import itertools
 import random
 import threading
 import time
@@ -251,16 +253,34 @@
             not.
         """
         seen_at = time.monotonic() - lag_s
+        rows = []
         with self.lock:
-            old = [event for event in self.events if event.at <= seen_at]
-            following = old[-1].seq + 1 if old else 1
-            rows = [
-                (event.seq, event.kind, *named(event.prefix))
-                for event in old
-                if event.seq > after and not event.lost
-            ]
+            following = min(after, self.seq) + 1
+            for event in self.from_seq(following):
+                if event.at > seen_at:
+                    break
+                following = event.seq + 1
+                if not event.lost:
+                    row = (event.seq, event.kind, *named(event.prefix))
+                    rows.append(row)
         return EventPage(self.boot_id, following, rows)
 
+    def from_seq(self, seq: int) -> collections.abc.Iterator[Event]:
+        """Go through the kept events; call it under ``lock``.
+
+        Parameters
+        ----------
+        seq
+            Number of the first one wanted.
+
+        Returns
+        -------
+        collections.abc.Iterator[Event]
+            The events, oldest first.
+        """
+        first = self.events[0].seq if self.events else seq
+        return itertools.islice(self.events, max(0, seq - first), None)
+
     def listing(self) -> CacheListing:
         """List everything, without lag or loss.
 
--- a/tests/testing/test_engine_cache.py
+++ b/tests/testing/test_engine_cache.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import collections
+
 import pytest
 
 from briarseam.cache import pieces
@@ -121,6 +123,20 @@
     assert cache_events(engine, after=2)["events"] == page["events"][2:]
 
 
+@pytest.mark.parametrize(
+    ("after", "seqs"), [(0, [5, 6]), (4, [5, 6]), (5, [6]), (6, []), (9, [])]
+)
+def test_events_too_old_to_be_kept_show_as_a_gap(after, seqs):
+    """A reader comes back after more events than the engine keeps."""
+    cache = engine_cache.PrefixCache(10_000, "boot")
+    cache.events = collections.deque(maxlen=2)
+    for number in range(6):
+        cache.add([engine_cache.Prefix("m", "v1", bytes([number]))])
+    page = cache.events_after(after, 0)
+    assert [event[0] for event in page.events] == seqs
+    assert page.next == 7
+
+
 def test_events_come_late(make_engine, ask):
     engine = make_engine(event_lag_ms=3_600_000)
     ask(engine, words.prompt(1000))
