Wait for the slot to be taken in the test of cancelling

The queued case failed once under load: it read the queue before the engine's thread had begun the run ahead. Shown by delaying that thread by 50 ms, which fails the old test each time and passes the new one, as do the other engine tests. Ruled out: a lost wake-up, as the thread holds its lock from looking at the queue until it waits.

--- a/tests/testing/test_engine_runs.py
+++ b/tests/testing/test_engine_runs.py
@@ -152,6 +152,7 @@
 def test_cancel_ends_the_stream_with_an_error(make_engine, slots):
     engine = make_engine(slots=slots, token_s=0.01)
     blocker = start(engine, "r0", max_tokens=10_000)
+    waiting.until(lambda: engine.scheduler.load().running == 1)
     cancelled = start(engine, "r1", max_tokens=10_000)
     if slots > 1:
         waiting.until(lambda: engine.book.find("r1").length)
