--- a/src/briarseam/compose/timeline.py
+++ b/src/briarseam/compose/timeline.py
@@ -23,14 +23,18 @@
 
 AGENT = "agent"
 FEED_SUFFIX = "/timeline"
+MAX_BYTES_PER_EVENT = 512
 
 
 def build_ring(
     settings: settings_module.Settings, me: connection.Identity
 ) -> rings.Ring:
     """Return a process's ring."""
+    capacity = settings.agent.max_timeline_events
     return rings.Ring(
-        f"{me.role}/{me.name}", settings.agent.max_timeline_events
+        f"{me.role}/{me.name}",
+        capacity,
+        max_bytes=capacity * MAX_BYTES_PER_EVENT,
     )
 
 
