Keep what is asked for hours later

An operator asks about a lost booking or a change long after thousands of requests that went well have passed; at a few requests a second the newest 5000 events cover minutes. Events about no request, and those of requests that carry a key, lost an endpoint, or ended in anything but 'did not run', now have a quarter of the ring's room to themselves.

The request's name stands in front of the packed event, so a ring can tell whose event makes room without unpacking it.

--- a/bench/timeline_cost.py
+++ b/bench/timeline_cost.py
@@ -118,7 +118,7 @@
         "note_us": dataclasses.asdict(spread(noted)),
         "baseline_note_us": dataclasses.asdict(spread(baseline)),
         "ratio": dataclasses.asdict(spread(ratios)),
-        "accounted_bytes_per_event": round(ring.bytes / len(ring.packed), 1),
+        "accounted_bytes_per_event": round(ring.size_bytes / len(ring), 1),
     }
 
 
--- a/src/briarseam/compose/timeline.py
+++ b/src/briarseam/compose/timeline.py
@@ -99,12 +99,12 @@
     registry.reading(
         f"{role}_timeline_events",
         "Events held for the time line",
-        lambda: len(ring.packed),
+        lambda: len(ring),
     )
     registry.reading(
         f"{role}_timeline_bytes",
         "Bytes that these take",
-        lambda: ring.bytes,
+        lambda: ring.size_bytes,
     )
     registry.reading(
         f"{role}_timeline_events_dropped",
--- a/src/briarseam/timeline/requests.py
+++ b/src/briarseam/timeline/requests.py
@@ -20,6 +20,13 @@
     from briarseam.timeline import ring as rings
 
 MAX_RUNS = 20_000
+NOT_RUN = "no"
+LOST = frozenset(
+    {
+        messages.RunResult.LOST_BEFORE_FIRST,
+        messages.RunResult.LOST_AFTER_FIRST,
+    }
+)
 Kind = kinds.Kind
 Request = messages.Admit | messages.AdmitCall
 
@@ -112,6 +119,7 @@
     def note_prompt(self, ask: messages.Admit) -> None:
         """Note that a prompt was accepted, or is tried again."""
         if ask.continues:
+            self.ring.keep(ask.request)
             self.ring.note(
                 Kind.CONTINUED,
                 request=ask.request,
@@ -121,6 +129,7 @@
         elif ask.lost:
             self.note_retry(ask)
         else:
+            keep_keyed(self.ring, ask)
             self.ring.note(
                 Kind.ACCEPTED,
                 request=ask.request,
@@ -136,6 +145,7 @@
         if ask.lost:
             self.note_retry(ask)
             return
+        keep_keyed(self.ring, ask)
         self.ring.note(
             Kind.ACCEPTED,
             request=ask.request,
@@ -147,6 +157,7 @@
 
     def note_retry(self, ask: Request) -> None:
         """Note that another endpoint is asked for."""
+        self.ring.keep(ask.request)
         self.ring.note(
             Kind.RETRIED,
             request=ask.request,
@@ -179,6 +190,7 @@
         match request:
             case messages.Admit() | messages.AdmitCall():
                 self.ring.about(request.request)
+                keep_keyed(self.ring, request)
                 self.ring.note(
                     Kind.ADMITTING,
                     request=request.request,
@@ -202,6 +214,8 @@
             case messages.Admit() | messages.AdmitCall(), messages.Granted():
                 self.note_grant(request, reply)
             case messages.Admit() | messages.AdmitCall(), messages.Refused():
+                if reply.ran != NOT_RUN:
+                    self.ring.keep(request.request)
                 self.ring.note(
                     Kind.REFUSED,
                     request=request.request,
@@ -239,6 +253,8 @@
     ring: rings.Ring, kind: Kind, ended: messages.RunEnded, request: str
 ) -> None:
     """Note how a run ended."""
+    if ended.result in LOST:
+        ring.keep(request)
     ring.note(
         kind,
         request=request,
@@ -250,6 +266,16 @@
     )
 
 
+def keep_keyed(ring: rings.Ring, ask: Request) -> None:
+    """Keep what happened to a request with a key for longer.
+
+    Hours later somebody asks whether a submission was filed or a booking
+    made, and it must run at most once; there are not many of these.
+    """
+    if ask.key:
+        ring.keep(ask.request)
+
+
 def key_of(ask: Request) -> dict[str, typing.Any]:
     """Return the idempotency key of a request that has one, as a field."""
     return {"key": ask.key} if ask.key else {}
--- a/src/briarseam/timeline/ring.py
+++ b/src/briarseam/timeline/ring.py
@@ -4,26 +4,21 @@
 
 import collections
 import dataclasses
-import itertools
-import math
 import sys
 import threading
-import typing
-
-import msgspec
 
+from briarseam.timeline import cleaning
 from briarseam.timeline import clock as clocks
 from briarseam.timeline import event as events
+from briarseam.timeline import packing
 
 DEFAULT_CAPACITY = 4096
 DEFAULT_MAX_BYTES = 2 * 1024 * 1024
-MAX_WORD = 96
-MAX_FIELDS = 12
-MAX_COUNT = 2**62
+KEPT_PART = 4
+MAX_MARKS = 2048
+MAX_WORD = cleaning.MAX_WORD
 OVERHEAD_BYTES = sys.getsizeof(b"") + 8
 
-encoder = msgspec.msgpack.Encoder()
-
 
 @dataclasses.dataclass(frozen=True)
 class Selection:
@@ -36,7 +31,7 @@
     dropped
         Events, asked for or not, that had to make room since the start.
     oldest
-        Stamp of the oldest event still held; 0 when there is none.
+        From this stamp on every event is held; 0 when there is none.
     """
 
     events: tuple[events.Event, ...]
@@ -44,23 +39,53 @@
     oldest: int
 
 
+class Events:
+    """Packed events, bounded in number and in bytes; the oldest go."""
+
+    def __init__(self, capacity: int, max_bytes: int) -> None:
+        self.capacity = capacity
+        self.max_bytes = max_bytes
+        self.packed: collections.deque[bytes] = collections.deque()
+        self.bytes = 0
+
+    def add(self, packed: bytes) -> None:
+        """Add an event; :meth:`make_room` has to follow."""
+        self.packed.append(packed)
+        self.bytes += len(packed) + OVERHEAD_BYTES
+
+    def make_room(self) -> bytes | None:
+        """Return an event that had to go; ``None`` when all have room."""
+        if len(self.packed) <= self.capacity and self.bytes <= self.max_bytes:
+            return None
+        gone = self.packed.popleft()
+        self.bytes -= len(gone) + OVERHEAD_BYTES
+        return gone
+
+
 class Ring:
     """The newest events of one process; safe for several threads.
 
     Events are kept packed, which makes the bound on bytes exact and holds
     no objects of the callers alive.
 
+    When an event has to make room, it is kept a good while longer if it is
+    about no request (a configuration change, a member, an order) or about
+    one that was marked by :meth:`keep`.  These are few, and they are what
+    is asked for hours later; the many events of requests that went well
+    would flush them out within minutes.
+
     Parameters
     ----------
     process
         Name of the process.
     capacity
-        Most events kept.
+        Most newest events held; a quarter as many are kept longer.
     clock
         The process's clock; the one that its wire connections use, so that
         events and messages are ordered together.
     max_bytes
-        Most bytes of packed events, with the objects' own overhead.
+        Most bytes of the newest events, with the objects' own overhead; a
+        quarter as many of those kept longer.
     """
 
     def __init__(
@@ -71,15 +96,38 @@
         max_bytes: int = DEFAULT_MAX_BYTES,
     ) -> None:
         self.process = process
-        self.capacity = capacity
-        self.max_bytes = max_bytes
         self.clock = clock or clocks.HybridClock()
-        self.packed: collections.deque[bytes] = collections.deque()
-        self.bytes = 0
+        self.recent = Events(capacity, max_bytes)
+        self.kept = Events(capacity // KEPT_PART, max_bytes // KEPT_PART)
+        self.marks: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
         self.dropped = 0
         self.lock = threading.Lock()
         self.local = threading.local()
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes that all events take."""
+        return self.recent.bytes + self.kept.bytes
+
+    def __len__(self) -> int:
+        """Return how many events are held."""
+        return len(self.recent.packed) + len(self.kept.packed)
+
+    def keep(self, request: str) -> None:
+        """Mark a request whose events are to be kept longer.
+
+        Parameters
+        ----------
+        request
+            Its name.  With very many marks the oldest is forgotten.
+        """
+        with self.lock:
+            self.marks[packing.pack_name(request[:MAX_WORD])] = None
+            if len(self.marks) > MAX_MARKS:
+                self.marks.popitem(last=False)
+
     def about(self, request: str) -> None:
         """Let what this thread notes be about a request.
 
@@ -118,32 +166,31 @@
             replaced by its length.
         """
         if fields:
-            fields = clean(fields)
+            fields = cleaning.clean(fields)
         if not request:
             request = getattr(self.local, "request", "")
-        words = (
+        name = packing.pack_name(request[:MAX_WORD])
+        texts = (
             kind[:MAX_WORD],
-            request[:MAX_WORD],
             path[:MAX_WORD],
             endpoint[:MAX_WORD],
             organisation[:MAX_WORD],
-            fields,
         )
         with self.lock:
-            stamp = self.clock.now()
-            try:
-                packed = encoder.encode((stamp, words))
-            except UnicodeEncodeError:
-                # A caller's header may hold half a surrogate pair.  The
-                # request that is noted must not fail of it.
-                packed = encoder.encode((stamp, printable(words)))
-            self.packed.append(packed)
-            self.bytes += len(packed) + OVERHEAD_BYTES
-            while (
-                len(self.packed) > self.capacity or self.bytes > self.max_bytes
-            ):
-                self.bytes -= len(self.packed.popleft()) + OVERHEAD_BYTES
-                self.dropped += 1
+            packed = packing.pack(self.clock.now(), name, texts, fields)
+            self.recent.add(packed)
+            while gone := self.recent.make_room():
+                self.retire(gone)
+
+    def retire(self, packed: bytes) -> None:
+        """Keep an event longer or drop it; the lock is held."""
+        name = packing.name_of(packed)
+        if name and name not in self.marks:
+            self.dropped += 1
+            return
+        self.kept.add(packed)
+        while self.kept.make_room():
+            self.dropped += 1
 
     def since(self, stamp: int = 0) -> tuple[events.Event, ...]:
         """Return the events stamped later than ``stamp``, oldest first."""
@@ -159,115 +206,17 @@
     def selected(self, wanted: events.Filter) -> Selection:
         """Return the events asked for and what the ring no longer has."""
         with self.lock:
-            packed = list(self.packed)
+            recent = list(self.recent.packed)
+            packed = [*self.kept.packed, *recent]
             dropped = self.dropped
-        oldest = unpack(packed[0], self.process).clock if packed else 0
-        needles = needles_of(wanted)
+        oldest = 0
+        if recent:
+            oldest = packing.unpack(recent[0], self.process).clock
+        needles = packing.needles_of(wanted)
         packed = [one for one in packed if needles.are_in(one)]
-        found = (unpack(one, self.process) for one in packed)
+        found = (packing.unpack(one, self.process) for one in packed)
         return Selection(
             events=tuple(event for event in found if wanted.matches(event)),
             dropped=dropped,
             oldest=oldest,
         )
-
-
-@dataclasses.dataclass(frozen=True)
-class Needles:
-    """What the packed form of an event asked for must have in it.
-
-    Packed words stand as they are in UTF-8, so most events can be passed
-    over without unpacking them.
-
-    Attributes
-    ----------
-    names
-        One of these, when there are any.
-    words
-        All of these.
-    """
-
-    names: tuple[bytes, ...]
-    words: tuple[bytes, ...]
-
-    def are_in(self, packed: bytes) -> bool:
-        """Tell whether an event may be one asked for."""
-        for word in self.words:
-            if word not in packed:
-                return False
-        return not self.names or any(name in packed for name in self.names)
-
-
-def needles_of(wanted: events.Filter) -> Needles:
-    """Return what a filter's events must have in them."""
-    names = (wanted.request, *wanted.also) if wanted.request else ()
-    words = (wanted.path.rstrip("/"), wanted.endpoint)
-    return Needles(
-        tuple(name.encode(errors="replace") for name in names),
-        tuple(word.encode(errors="replace") for word in words if word),
-    )
-
-
-def unpack(packed: bytes, process: str) -> events.Event:
-    """Return the event of its packed form."""
-    stamp, words = msgspec.msgpack.decode(packed)
-    kind, request, path, endpoint, organisation, fields = words
-    return events.Event(
-        stamp, process, kind, request, path, endpoint, organisation, fields
-    )
-
-
-def printable(words: typing.Any) -> typing.Any:
-    """Return words that can be encoded, whatever was in them."""
-    *texts, fields = words
-    names = {escaped(name): value for name, value in fields.items()}
-    return (*map(escaped, texts), names)
-
-
-def escaped(text: str) -> str:
-    """Return a text with all but ASCII escaped."""
-    return text.encode("ascii", "backslashreplace").decode()
-
-
-def clean(fields: dict[str, events.Scalar]) -> dict[str, events.Scalar]:
-    """Return the fields with everything that is no id or count replaced.
-
-    The dictionary is the caller's own and is changed in place: this runs
-    for each note, and most notes have nothing to replace.
-    """
-    if len(fields) > MAX_FIELDS:
-        fields = dict(itertools.islice(fields.items(), MAX_FIELDS))
-    value: typing.Any
-    for name, value in fields.items():
-        kind = type(value)
-        if kind is str and is_word(value):
-            continue
-        if kind is int and -MAX_COUNT < value < MAX_COUNT:
-            continue
-        fields[name] = clean_value(value)
-    return fields
-
-
-def is_word(text: str) -> bool:
-    """Tell whether a text may be an id: short, and without white space."""
-    return len(text) <= MAX_WORD and " " not in text and text.isprintable()
-
-
-def clean_value(value: object) -> events.Scalar:
-    """Return an id or count as it is, anything else as its length.
-
-    A time line is read by operators of all teams.  A caller that notes a
-    prompt, an answer or an error text quoting one would show an
-    organisation's words there; ids have no white space and are short, so
-    such a value shows as ``text:LENGTH``.
-    """
-    if isinstance(value, str):
-        return str(value) if is_word(value) else f"text:{len(value)}"
-    if isinstance(value, bool):
-        return value
-    if isinstance(value, float):
-        # JSON has no word for these two, and the page is JSON.
-        return value if math.isfinite(value) else str(value)
-    if isinstance(value, int):
-        return max(-MAX_COUNT, min(int(value), MAX_COUNT))
-    return type(value).__name__
--- a/src/briarseam/timeline/rows.py
+++ b/src/briarseam/timeline/rows.py
@@ -144,7 +144,7 @@
             lines.append(f"{source.process} is missing: {source.error}")
         elif source.dropped and source.oldest > first:
             since = clocks.iso_of(source.oldest)[:-5]
-            lines.append(f"{source.process} only remembers since {since}Z")
+            lines.append(f"{source.process} has all only since {since}Z")
     return tuple(lines)
 
 
