--- a/src/briarseam/compose/orders.py
+++ b/src/briarseam/compose/orders.py
@@ -22,13 +22,16 @@
     from briarseam.timeline import ring as rings
 
 SECTION = "engines"
+MS = 1000.0
 
 
 def build_leases(
     settings: settings_module.Settings, log: platform_log.LogClient
 ) -> leases.Leases:
     """Return the leases of an agent."""
-    return leases.Leases(log, settings.instance.name)
+    return leases.Leases(
+        log, settings.instance.name, settings.agent.lease_ttl_ms / MS
+    )
 
 
 def build_orders(
--- a/src/briarseam/settings/loading.py
+++ b/src/briarseam/settings/loading.py
@@ -28,6 +28,10 @@
 }
 CLAIMS_MARGIN_S = 600.0
 TEAM_PREFIX = "team "
+# Shorter than this an ordinary pause ends a lease; longer than this the
+# records of it are not taken, see ``leases.records``.
+MIN_LEASE_TTL_MS = 1000
+MAX_LEASE_TTL_MS = 60_000
 NOTHING_FIXED: typing.Mapping[str, str] = types.MappingProxyType({})
 
 Made = typing.TypeVar("Made", bound="_typeshed.DataclassInstance")
@@ -269,6 +273,13 @@
             "at least suspect_after_ms",
             agent.stale_after_ms,
         )
+    if not MIN_LEASE_TTL_MS <= agent.lease_ttl_ms <= MAX_LEASE_TTL_MS:
+        raise loader.invalid(
+            "agent",
+            "lease_ttl_ms",
+            f"between {MIN_LEASE_TTL_MS} and {MAX_LEASE_TTL_MS}",
+            agent.lease_ttl_ms,
+        )
     if bool(agent.shared_key) == bool(agent.shared_key_file):
         raise loader.error(
             "agent", "shared_key or shared_key_file", "exactly one of the two"
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -80,6 +80,9 @@
     stale_after_ms
         Time without news from the log or any peer after which new work is
         refused.
+    lease_ttl_ms
+        Time that a lease lasts without renewal; after a holder's loss
+        nobody gives engines orders for that long.
     max_sessions
         Sessions remembered.
     max_index_entries
@@ -98,6 +101,7 @@
     suspect_after_ms: Milliseconds = 3000
     lookup_ttl_s: Seconds = 5.0
     stale_after_ms: Milliseconds = 10_000
+    lease_ttl_ms: Milliseconds = 6000
     max_sessions: Count = 20_000
     max_index_entries: Count = 50_000
     max_timeline_events: Count = 5000
--- a/tests/orders/test_late_orders.py
+++ b/tests/orders/test_late_orders.py
@@ -2,6 +2,7 @@
 
 from tests.orders import gate
 
+from briarseam.endpoints import engine_orders
 from briarseam.testing import waiting
 
 MODEL = "draft"
@@ -83,3 +84,33 @@
     assert not deployment.loading()
     slow.opened.set()
     deployment.until_all("v3", timeout_s=30)
+
+
+def test_waiting_engines_refuse_the_former_holders_orders(deployment):
+    """The former holder's order for one of three workers is still under way.
+
+    Its successor has no worker to spare and only waits; were the order
+    taken now, a worker would go out beside the next one taken out.
+    """
+    deployment.add_engines(3)
+    deployment.want("v2", floor=3)
+    agent = deployment.add_agent()
+    fences = waiting.until(
+        lambda: [
+            event.fields["fence"] for event in agent.events("lease-acquired")
+        ]
+    )
+    waiting.until(
+        lambda: all(
+            one.weights.state().fence == fences[-1]
+            for one in deployment.engines.values()
+        )
+    )
+    late = engine_orders.EngineOrders().give(
+        deployment.addresses["worker-2"],
+        engine_orders.Load(MODEL, "v2", None),
+        "late",
+        fences[-1] - 1,
+    )
+    assert late == engine_orders.Superseded(fences[-1])
+    assert deployment.versions() == ["v1"] * 3
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -157,6 +157,12 @@
         "suspect_after_ms",
         "more than heartbeat_interval_ms",
     ),
+    "lease too short": (
+        change("[agent]", "[agent]\nlease_ttl_ms = 10ms"),
+        "agent",
+        "lease_ttl_ms",
+        "between 1000 and 60000",
+    ),
     "double section": (
         append("[entry]\n"),
         "entry",
