Test a lost reply of a key's owner and a restarted holder

Both guards survived their removal: the entry's own abandonment covered the first, and no case asked the holder's own restarted agent. Each has a test now, seen failing with the guard removed.

--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -38,6 +38,21 @@
         return self.claims.claim(organisation, key, b"x", attempt, wait_s)
 
 
+@dataclasses.dataclass
+class Client:
+    """Calls another agent; loses the reply when the cell says so."""
+
+    cell: Cell
+    client: wire_client.Client
+
+    def call(self, request: typing.Any, timeout_s: float) -> typing.Any:
+        reply = self.client.call(request, timeout_s)
+        if self.cell.lose_replies:
+            self.cell.lose_replies -= 1
+            raise wire_client.CallLostError("cut")
+        return reply
+
+
 @dataclasses.dataclass
 class Cell:
     """Some agents over one log; a test says who owns the shards."""
@@ -45,19 +60,20 @@
     log: fake_log.FakeLog
     stack: contextlib.ExitStack
     owner: str = "agent-1"
+    lose_replies: int = 0
     agents: dict[str, Agent] = dataclasses.field(default_factory=dict)
 
-    def add(self, name: str) -> Agent:
+    def add(self, name: str, incarnation: str = "1") -> Agent:
         me = connections.Identity("agent", name)
         router = wire_server.Router()
         server = wire_server.Server("127.0.0.1:0", me, KEY, router)
         peers = options.Peers(
             lambda shard: self.agents[self.owner].server.address,
-            lambda address: wire_client.Client(address, me, KEY),
+            lambda address: Client(self, wire_client.Client(address, me, KEY)),
         )
         claims = service.Claims(
             self.log,
-            options.Holder(name, "1", server.address),
+            options.Holder(name, incarnation, server.address),
             peers,
             OPTIONS,
             registry.Registry(),
@@ -207,3 +223,34 @@
         told = messages.verdict_of(typing.cast("messages.Refusal", result))
         assert isinstance(told, verdict.NotRun)
         assert told.retry_after_s is None
+
+
+def test_claim_whose_reply_was_lost_is_freed_again(cell: Cell) -> None:
+    """A booking can never be made: its key is taken though nothing ran.
+
+    The shard's owner appended the claim and it won; the word of it was
+    lost on the way to the agent that asked.
+    """
+    key = cell.key()
+    agent = cell.agents["agent-2"]
+    cell.lose_replies = 1
+    assert isinstance(agent.claim(key), messages.NotClaimed)
+    waiting.until(lambda: not agent.claims.count_pending())
+    assert isinstance(agent.claim(key), messages.Won)
+
+
+def test_agent_that_was_started_again_knows_its_old_claims_as_gone(
+    cell: Cell,
+) -> None:
+    """Callers are told "in progress" for good after an agent restarted."""
+    key = cell.key()
+    assert isinstance(cell.agents["agent-1"].claim(key), messages.Won)
+    again = cell.add("agent-1", "2")
+    results = []
+    waiting.until(
+        lambda: (
+            results.append(again.claim(key))
+            or not isinstance(results[-1], messages.NotClaimed)
+        )
+    )
+    assert isinstance(results[-1], messages.Unknown)
