Know the members of other cells by a sparse exchange between cells

Agents heartbeat only their own cell, so a lookup answered in one zone named none of the other zones' entries and sessions were ranked differently in each. The first two agents of a cell exchange summaries with those of other cells, one at random each two beats, and push a change on at once to three; the others ask one of the two when its digest changes. A full mesh of contacts was ruled out: at 60 cells each contact would make 60 calls a round. A cell whose beat stops is lost and its members come last.

A stopping process now waits for three beats beyond the lookups' time to live, for the news to reach other cells.

Guards removed one at a time, each seen failing its test: a late summary taken, lost cells kept alive, a version by the clock alone, a lost cell's member kept before a living one's, beats not taken, the other agents never asking, suspects not last.

The restart test asked for no sections at all after a restart; the new agent now has sections of its own at once, so it asks that the earlier one's is gone.

--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -98,7 +98,7 @@
             announce=self.membership.announce_leaving,
             told=self.membership.told,
             in_flight=self.in_flight,
-            ttl_s=lambda: self.entries.ttl_s,
+            linger_s=lambda: self.entries.linger_s,
             bound_s=self.stop_bound_s,
             hurry=hurry,
         ).run()
@@ -254,11 +254,13 @@
         )
     )
     lookups = lookup.Lookup(
-        member_service.members,
+        member_service.everyone,
         lambda digest: reader.view().organisation_of(digest),
         settings.agent.lookup_ttl_s,
     )
-    local_entries = entries.LocalEntries(member_service, lookups.ttl_s)
+    local_entries = entries.LocalEntries(
+        member_service, lookups.ttl_s + member_service.spread_s
+    )
     states = status.StatusService(
         member_service,
         status.Sources(
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -76,7 +76,7 @@
             announce=self.presence.leave,
             told=self.presence.leaving_told,
             in_flight=lambda: self.parts.in_flight.count,
-            ttl_s=lambda: self.presence.ttl_s,
+            linger_s=lambda: self.presence.linger_s,
             bound_s=self.stop_bound_s,
             hurry=hurry,
         ).run()
--- a/src/briarseam/membership/drain.py
+++ b/src/briarseam/membership/drain.py
@@ -9,7 +9,6 @@
 import structlog
 
 TELL_BOUND_S = 3.0
-SPREAD_S = 1.0
 POLL_S = 0.05
 DEFAULT_BOUND_S = 600.0
 log = structlog.get_logger("briarseam.membership")
@@ -65,8 +64,10 @@
         Whether all who give out lookups know it.
     in_flight
         Requests under way.
-    ttl_s
-        Returns how long callers keep a lookup, in seconds.
+    linger_s
+        Returns for how many seconds callers may still come that a lookup
+        sends here: its time to live, and the time that news takes to reach
+        other cells.
     bound_s
         Longest drain; what is in flight then is cut off.
     hurry
@@ -76,7 +77,7 @@
     announce: typing.Callable[[], None]
     told: typing.Callable[[], bool]
     in_flight: typing.Callable[[], int]
-    ttl_s: typing.Callable[[], float]
+    linger_s: typing.Callable[[], float]
     bound_s: float = DEFAULT_BOUND_S
     hurry: typing.Callable[[], bool] = lambda: False
     clock: typing.Callable[[], float] = time.monotonic
@@ -88,9 +89,8 @@
         log.info("draining", in_flight=self.in_flight())
         self.announce()
         self.wait(self.told, started + min(TELL_BOUND_S, self.bound_s))
-        # A peer may have answered a lookup just before it was told, and
-        # news takes a moment to reach other cells.
-        served_until = self.clock() + self.ttl_s() + SPREAD_S
+        # A peer may have answered a lookup just before it was told.
+        served_until = self.clock() + self.linger_s()
         end = started + self.bound_s
         self.wait(lambda: self.clock() >= served_until, end)
         self.wait(lambda: self.in_flight() == 0, end)
--- a/src/briarseam/membership/entries.py
+++ b/src/briarseam/membership/entries.py
@@ -47,8 +47,9 @@
     ----------
     membership
         Told which entries serve.
-    ttl_s
-        How long callers keep a lookup.
+    linger_s
+        For how long callers may come to an entry after all know that it
+        is leaving.
     expire_s
         Silence after which an entry counts as dead.
     """
@@ -56,11 +57,11 @@
     def __init__(
         self,
         membership: service.Membership,
-        ttl_s: float,
+        linger_s: float,
         expire_s: float = EXPIRE_S,
     ) -> None:
         self.membership = membership
-        self.ttl_s = ttl_s
+        self.linger_s = linger_s
         self.expire_s = expire_s
         self.seen: dict[str, Seen] = {}
         self.lock = threading.Lock()
@@ -97,7 +98,7 @@
         if before is None or before.state is not here.state:
             log.info("entry_state", entry=here.address, now=here.state)
         self.review()
-        return messages.EntryNoted(self.membership.told(), self.ttl_s)
+        return messages.EntryNoted(self.membership.told(), self.linger_s)
 
     def review(self) -> None:
         """Drop silent entries; tell the membership which ones serve."""
--- a/src/briarseam/membership/messages.py
+++ b/src/briarseam/membership/messages.py
@@ -153,9 +153,84 @@
     ----------
     told
         Whether all live peers know the entry's present state.
-    ttl_s
-        How long callers keep a lookup.
+    linger_s
+        For how long callers may come to an entry after all know that it
+        is leaving.
     """
 
     told: bool
-    ttl_s: float
+    linger_s: float
+
+
+@codec.message("cell-stamp")
+@dataclasses.dataclass(frozen=True)
+class CellStamp:
+    """How new a summary of a cell is.
+
+    Attributes
+    ----------
+    version
+        Higher with each change of the members.
+    beat
+        Higher while the cell lives; milliseconds.
+    """
+
+    version: int
+    beat: int
+
+
+@codec.message("cell-summary")
+@dataclasses.dataclass(frozen=True)
+class CellSummary:
+    """The members of one cell, as one of its agents saw them.
+
+    Attributes
+    ----------
+    cell
+        ``ZONE/PART``.
+    stamp
+        How new it is.
+    members
+        Those that were heard.
+    """
+
+    cell: str
+    stamp: CellStamp
+    members: tuple[About, ...]
+
+
+@codec.message("cells-asked")
+@dataclasses.dataclass(frozen=True)
+class CellsAsked:
+    """Ask for what the sender does not know of other cells.
+
+    Attributes
+    ----------
+    stamps
+        What the sender has, by cell.
+    news
+        Summaries that the sender passes on.
+    """
+
+    stamps: dict[str, CellStamp]
+    news: tuple[CellSummary, ...]
+
+
+@codec.message("cells-news")
+@dataclasses.dataclass(frozen=True)
+class CellsNews:
+    """What the answering agent has that is newer.
+
+    Attributes
+    ----------
+    summaries
+        Of cells whose members changed.
+    stamps
+        Of cells that only went on living.
+    lost
+        Cells that seem to have died or to be cut off.
+    """
+
+    summaries: tuple[CellSummary, ...]
+    stamps: dict[str, CellStamp]
+    lost: tuple[str, ...]
--- a/src/briarseam/membership/presence.py
+++ b/src/briarseam/membership/presence.py
@@ -15,7 +15,7 @@
 
 INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 1.0
-DEFAULT_TTL_S = 5.0
+DEFAULT_LINGER_S = 8.0
 log = structlog.get_logger("briarseam.membership")
 
 
@@ -43,7 +43,7 @@
         self.interval_s = interval_s
         self.state = messages.EntryState.SERVING
         self.told = False
-        self.ttl_s = DEFAULT_TTL_S
+        self.linger_s = DEFAULT_LINGER_S
         self.lock = threading.Lock()
         self.stopping = threading.Event()
 
@@ -71,7 +71,7 @@
                 log.debug("agent_away", detail=str(error))
                 return
             if isinstance(reply, messages.EntryNoted):
-                self.ttl_s = reply.ttl_s
+                self.linger_s = reply.linger_s
                 self.told = reply.told and state is not (
                     messages.EntryState.SERVING
                 )
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -10,6 +10,7 @@
 
 from briarseam.membership import answering
 from briarseam.membership import cells
+from briarseam.membership import gossip
 from briarseam.membership import listing
 from briarseam.membership import messages
 from briarseam.membership import peer as peers
@@ -17,6 +18,7 @@
 from briarseam.membership import state
 from briarseam.membership import suspicion
 from briarseam.membership import table as tables
+from briarseam.membership import view as views
 from briarseam.wire import client as clients
 from briarseam.wire import connection as connections
 
@@ -28,6 +30,8 @@
 HEARTBEAT_INTERVAL_S = 1.0
 SUSPECT_AFTER_S = 3.0
 TICKS_PER_INTERVAL = 4
+GOSSIP_BEATS = 2
+SPREAD_BEATS = 3
 log = structlog.get_logger("briarseam.membership")
 
 
@@ -83,6 +87,9 @@
         self.heartbeat_interval_s = heartbeat_interval_s
         self.suspect_after_s = suspect_after_s
         self.reply_timeout_s = suspect_after_s / 2
+        # A change is pushed from cell to cell within a beat or less, and
+        # the agents there ask for it after the next; one spare.
+        self.spread_s = SPREAD_BEATS * heartbeat_interval_s
         self.clock = clock
         self.identity = connections.Identity("agent", me.name)
         self.incarnation = state.new_incarnation()
@@ -103,6 +110,8 @@
         self.stopping = threading.Event()
         self.digest = 0
         self.snapshot: tuple[state.Member, ...] = ()
+        self.wide = views.View()
+        self.gossip = gossip.Gossip(self, GOSSIP_BEATS * heartbeat_interval_s)
         self.review()
 
     # What the other slices ask.
@@ -126,6 +135,14 @@
         """Return this cell's members that are not gone, with this agent."""
         return self.snapshot
 
+    def everyone(self) -> tuple[state.Member, ...]:
+        """Return the members of all cells, those of this one first.
+
+        The same tuple is returned as long as nothing but the time since
+        they were heard has changed.
+        """
+        return self.wide.members
+
     def live(self, include_leaving: bool = False) -> tuple[state.Member, ...]:
         """Return the members that are alive, on request leaving ones too."""
         wanted = {state.MemberState.ALIVE}
@@ -222,10 +239,12 @@
     def register(self, router: server.Router) -> None:
         """Answer the other agents' messages."""
         answering.Answering(self).register(router)
+        self.gossip.register(router)
 
     def start(self) -> None:
         """Start the threads."""
         self.list_reader.start()
+        self.gossip.start()
         for target in (self.watch, self.confirm):
             threading.Thread(
                 target=target,
@@ -237,6 +256,7 @@
         """Stop the threads and close the connections."""
         self.stopping.set()
         self.list_reader.stop()
+        self.gossip.stop()
         for peer in list(self.peers.values()):
             peer.stop()
         with self.lock:
@@ -306,6 +326,12 @@
             self.tick_at = self.clock()
             self.digest = self.table.digest(self.incarnation)
             self.snapshot = (self.me, *self.table.members())
+            others = self.gossip.directory.members(self.table.my_cell())
+            wide = views.renew(self.wide, self.snapshot, others)
+            changed = wide is not self.wide
+            self.wide = wide
+        if changed:
+            self.gossip.wake.set()
 
     def match_peers(self) -> None:
         """Start a thread for each new peer; stop those of forgotten ones."""
--- a/src/briarseam/membership/table.py
+++ b/src/briarseam/membership/table.py
@@ -190,7 +190,7 @@
                     address=found.agent_address,
                     entries=found.entry_addresses,
                     incarnation=found.incarnation,
-                    leaving=found.told_leaving,
+                    leaving=found.leaving(),
                 )
                 for found in self.records.values()
                 if found.state
--- a/tests/lookup/test_service.py
+++ b/tests/lookup/test_service.py
@@ -93,6 +93,19 @@
     assert lookup.owner("org", "s") == member("a")
 
 
+def test_suspect_comes_after_other_zones_too() -> None:
+    """The session's own zone has one silent instance besides a live one:
+    an instance of another zone is the better second try.
+    """
+    lookup = lookup_of(
+        member("a"), member("b", now=SUSPECT), member("c", "wakkanai/0")
+    )
+    for number in range(50):
+        addresses = lookup.where("org", f"s{number}").addresses
+        assert set(addresses[:2]) == {"a:80", "c:80"}
+        assert addresses[2] == "b:80"
+
+
 def test_other_cells_follow_the_sessions_own() -> None:
     """A session's own cell is down for the caller: the same answer holds
     addresses of another zone to go on with.
--- a/tests/membership/test_drain.py
+++ b/tests/membership/test_drain.py
@@ -4,7 +4,7 @@
 
 from briarseam.membership import drain
 
-TTL_S = 5.0
+LINGER_S = 5.0
 
 
 @dataclasses.dataclass
@@ -28,7 +28,7 @@
             announce=self.announce,
             told=lambda: self.now >= self.told_at,
             in_flight=lambda: int(self.now < self.idle_at),
-            ttl_s=lambda: TTL_S,
+            linger_s=lambda: LINGER_S,
             bound_s=bound_s,
             hurry=lambda: self.now >= self.hurry_at,
             clock=lambda: self.now,
@@ -44,7 +44,7 @@
     outcome = daemon.drain()
     assert isinstance(outcome, drain.Drained)
     assert daemon.announced == 1
-    assert outcome.waited_s >= 2.0 + TTL_S
+    assert outcome.waited_s >= 2.0 + LINGER_S
 
 
 def test_serves_until_nothing_is_in_flight() -> None:
@@ -60,8 +60,8 @@
     """
     outcome = Daemon(told_at=float("inf")).drain()
     assert isinstance(outcome, drain.Drained)
-    assert outcome.waited_s >= drain.TELL_BOUND_S + TTL_S
-    assert outcome.waited_s < drain.TELL_BOUND_S + TTL_S + 5
+    assert outcome.waited_s >= drain.TELL_BOUND_S + LINGER_S
+    assert outcome.waited_s < drain.TELL_BOUND_S + LINGER_S + 5
 
 
 def test_bound_cuts_off_and_says_how_many() -> None:
--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -12,7 +12,7 @@
 from tests.membership import nodes as helpers
 
 ADDRESS = "127.0.0.1:8001"
-TTL_S = 7.0
+LINGER_S = 7.0
 Start = typing.Callable[..., helpers.Node]
 
 
@@ -21,7 +21,7 @@
 
     def __init__(self, start: Start, name: str) -> None:
         self.node = start(name)
-        self.local = entries.LocalEntries(self.node.membership, TTL_S)
+        self.local = entries.LocalEntries(self.node.membership, LINGER_S)
         self.local.register(self.node.server.router)
         wire = client.Client(
             self.node.server.address,
@@ -50,7 +50,7 @@
     instance.presence.leave()
     assert instance.addresses() == ()
     assert instance.local.leaving() == 1
-    assert instance.presence.ttl_s == TTL_S
+    assert instance.presence.linger_s == LINGER_S
     instance.presence.close()
     assert instance.local.leaving() == 0
 
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import typing
+
+import pytest
+
+from briarseam.membership import directory
+from briarseam.membership import gossip
+from briarseam.membership import messages
+from briarseam.membership import state
+from briarseam.testing import waiting
+from tests.membership import nodes as helpers
+
+ALIVE = state.MemberState.ALIVE
+SUSPECT = state.MemberState.SUSPECT
+Start = typing.Callable[..., helpers.Node]
+
+
+def everyone(node: helpers.Node) -> dict[str, state.MemberState]:
+    """Return the states of all members that a node knows."""
+    return {member.name: member.state for member in node.membership.everyone()}
+
+
+def start_two_zones(start: Start) -> list[helpers.Node]:
+    """Start two agents in one zone, three in another; wait for all."""
+    nodes = [start(name, "rumoi") for name in ("a", "b")]
+    nodes += [start(name, "ishikari") for name in ("c", "d", "e")]
+    wanted = dict.fromkeys("abcde", ALIVE)
+    waiting.until(lambda: all(everyone(node) == wanted for node in nodes))
+    return nodes
+
+
+def test_agents_know_the_members_of_other_cells(start: Start) -> None:
+    """Agents heartbeat only their own zone's.  A lookup answered in one
+    zone must still name the entries of the others.
+    """
+    nodes = start_two_zones(start)
+    for node in nodes:
+        assert node.names() in ({"a", "b"}, {"c", "d", "e"})
+        entries = {
+            address
+            for member in node.membership.everyone()
+            for address in member.entry_addresses
+        }
+        assert entries == {f"entry-of-{name}" for name in "abcde"}
+
+
+def test_leaving_reaches_other_cells(start: Start) -> None:
+    """An agent is stopped: agents of other zones stop sending callers to
+    it too, within the time that it waits for them.
+    """
+    nodes = start_two_zones(start)
+    nodes[2].membership.announce_leaving()
+    waiting.until(
+        lambda: all(
+            everyone(node)["c"] is state.MemberState.LEAVING for node in nodes
+        )
+    )
+
+
+def test_dead_zone_becomes_suspect(
+    start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A whole zone goes down, so none of its agents is left to say who has
+    gone.  The others send callers there last, not first.
+    """
+    monkeypatch.setattr(directory, "LOST_AFTER_S", 1.0)
+    monkeypatch.setattr(gossip, "BEAT_MS", 100)
+    nodes = start_two_zones(start)
+    for node in nodes[2:]:
+        node.stop()
+    wanted = dict.fromkeys("ab", ALIVE) | dict.fromkeys("cde", SUSPECT)
+    waiting.until(
+        lambda: all(everyone(node) == wanted for node in nodes[:2]),
+        timeout_s=15,
+    )
+
+
+def test_zone_cut_in_parts(start: Start) -> None:
+    """Configuration cuts a zone into two cells: each agent heartbeats only
+    its own, and still knows all.
+    """
+    names = "abcdef"
+    nodes = [start(name, parts_of=lambda zone: 2) for name in names]
+    waiting.until(
+        lambda: all(set(everyone(node)) == set(names) for node in nodes)
+    )
+    for node in nodes:
+        cell = node.membership.me.cell
+        peers = [other.membership.me.cell for other in nodes].count(cell) - 1
+        assert len(node.membership.peers) == peers < len(names) - 1
+
+
+def summary(
+    cell: str, version: int, *names: str, beat: int = 0
+) -> messages.CellSummary:
+    abouts = tuple(
+        messages.About(name, cell, "127.0.0.1:1", (f"{name}:80",), 1, False)
+        for name in names
+    )
+    stamp = messages.CellStamp(version, beat or version)
+    return messages.CellSummary(cell, stamp, abouts)
+
+
+class Clock:
+    now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def test_late_summary_changes_nothing() -> None:
+    """An exchange was held up on its way and brings back a member that
+    has gone since.
+    """
+    known = directory.Directory(Clock())
+    assert known.take([summary("x/0", 2, "a")])
+    assert not known.take([summary("x/0", 1, "a", "b")])
+    assert [member.name for member in known.members("y/0")] == ["a"]
+
+
+def test_silent_cell_is_lost_until_its_beat_rises() -> None:
+    """A cell is cut off and later heard again with the same members."""
+    clock = Clock()
+    known = directory.Directory(clock)
+    known.take([summary("x/0", 1, "a")])
+    before = known.digest()
+    clock.now += directory.LOST_AFTER_S + 1
+    assert [member.state for member in known.members("y/0")] == [SUSPECT]
+    assert known.digest() != before
+    known.take_stamps({"x/0": messages.CellStamp(1, 5)})
+    assert [member.state for member in known.members("y/0")] == [ALIVE]
+    assert known.digest() == before
+
+
+def test_agent_in_two_summaries_counts_once() -> None:
+    """A zone was cut anew: an agent stands in its old cell's last summary
+    and in its new cell's.
+    """
+    clock = Clock()
+    known = directory.Directory(clock)
+    known.take([summary("x/0", 1, "a", "b")])
+    clock.now += directory.LOST_AFTER_S + 1
+    known.take([summary("x/1", 2, "a")])
+    members = {member.name: member for member in known.members("y/0")}
+    assert members["a"].cell == "x/1"
+    assert members["a"].state is ALIVE
+    assert members["b"].state is SUSPECT
+
+
+def test_own_summary_outdoes_one_from_a_faster_clock(start: Start) -> None:
+    """All agents of a cell are replaced, and the new ones' clocks are
+    behind.  What they write must still replace their forerunners'.
+    """
+    node = start("a")
+    future = 2**60
+    node.membership.gossip.stop()
+    known = node.membership.gossip.directory
+    known.take([summary("rumoi/0", future, "old")])
+    node.membership.gossip.write_own()
+    written = known.summary("rumoi/0")
+    assert written.stamp.version > future
+    assert [about.name for about in written.members] == ["a"]
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -124,7 +124,7 @@
         timeout_s=10,
     )
     waiting.until(lambda: a.names() == {"a", "b"}, timeout_s=10)
-    assert record.sections == {}
+    assert "load" not in record.sections
 
 
 def test_superseded_agent_is_not_fresh(start: Start) -> None:
--- /dev/null
+++ b/tests/membership/test_split.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import typing
+
+from briarseam.lookup import service as lookups
+from briarseam.testing import waiting
+from tests.membership import nodes as helpers
+
+Start = typing.Callable[..., helpers.Node]
+SESSIONS = [f"s{number}" for number in range(40)]
+
+
+def firsts(node: helpers.Node) -> set[str]:
+    """Return where a node sends callers first."""
+    lookup = lookups.Lookup(node.membership.everyone, lambda digest: None)
+    return {lookup.where("org", name).addresses[0] for name in SESSIONS}
+
+
+def entries(names: str) -> set[str]:
+    """Return the entry addresses of some nodes."""
+    return {f"entry-of-{name}" for name in names}
+
+
+def test_both_sides_of_a_split_serve_callers(start: Start) -> None:
+    """A switch fails and parts a cell in two; callers reach both sides.
+    Each side goes on answering lookups with the agents that it reaches
+    first, and both are one again when the switch is back.
+    """
+    nodes = {name: start(name) for name in "abcd"}
+    waiting.until(
+        lambda: all(node.names() == set("abcd") for node in nodes.values())
+    )
+    sides = ("ab", "cd")
+    for one in sides[0]:
+        for other in sides[1]:
+            helpers.cut_between(nodes[one], nodes[other])
+    for side in sides:
+        for name in side:
+            waiting.until(
+                lambda name=name, side=side: (
+                    firsts(nodes[name]) == entries(side)
+                ),
+                timeout_s=15,
+            )
+            assert nodes[name].membership.fresh()
+    helpers.join(*nodes.values())
+    waiting.until(
+        lambda: all(
+            firsts(node) == entries("abcd") for node in nodes.values()
+        ),
+        timeout_s=15,
+    )
