--- /dev/null
+++ b/src/briarseam/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments against a running deployment."""
--- /dev/null
+++ b/src/briarseam/bench/workload.py
@@ -0,0 +1,137 @@
+"""Seeded requests: who sends which prompt of which session, and when."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import heapq
+import math
+import random
+import typing
+
+from briarseam.testing import words
+
+if typing.TYPE_CHECKING:
+    from briarseam.bench import experiment
+
+PIECE_TOKENS = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """One request of the workload.
+
+    Attributes
+    ----------
+    at_s
+        When it is sent, from the start.
+    organisation, session
+        Whose.
+    tokens
+        Length of its prompt.
+    returning
+        Whether the session was there before.
+    """
+
+    at_s: float
+    organisation: str
+    session: str
+    tokens: int
+    returning: bool
+
+
+@dataclasses.dataclass
+class Session:
+    """A session and how long its prompt has grown."""
+
+    name: str
+    organisation: str
+    tokens: int
+    seen: bool = False
+
+
+class Generator:
+    """Makes the requests of one arm.
+
+    Parameters
+    ----------
+    workload
+        What callers ask.
+    arm
+        Name of the arm; its sessions have names of their own, so that no
+        arm finds another's kept blocks.
+    """
+
+    def __init__(self, workload: experiment.Workload, arm: str) -> None:
+        self.workload = workload
+        self.arm = arm
+        # Seeded without the arm: all arms send the same at the same times.
+        self.random = random.Random(workload.seed)
+        names = workload.organisations
+        self.weights = [
+            1 / (n + 1) ** workload.skew for n in range(len(names))
+        ]
+
+    def requests(self) -> list[Request]:
+        """Return all requests in order of time."""
+        made: list[Request] = []
+        due: list[tuple[float, int, Session]] = []
+        for number in range(self.workload.sessions):
+            first_at = self.random.uniform(0, self.workload.return_median_s)
+            heapq.heappush(due, (first_at, number, self.new_session(number)))
+        now = 0.0
+        number = self.workload.sessions
+        while True:
+            now += self.random.expovariate(self.workload.rate_per_s)
+            if now > self.workload.duration_s:
+                return made
+            once = self.random.random() < self.workload.once_share
+            if once or due[0][0] > now:
+                number += 1
+                session = self.new_session(number)
+                made.append(self.request(now, session))
+                continue
+            _, tie, session = heapq.heappop(due)
+            made.append(self.request(now, session))
+            gap_s = self.random.lognormvariate(
+                math.log(self.workload.return_median_s),
+                self.workload.return_sigma,
+            )
+            heapq.heappush(due, (now + gap_s, tie, session))
+
+    def new_session(self, number: int) -> Session:
+        """Return a session that has not sent anything."""
+        organisation = self.random.choices(
+            self.workload.organisations, self.weights
+        )[0]
+        pieces = self.random.uniform(
+            self.workload.pieces_min, self.workload.pieces_max
+        )
+        return Session(
+            f"{self.arm}-{number}", organisation, int(pieces * PIECE_TOKENS)
+        )
+
+    def request(self, at_s: float, session: Session) -> Request:
+        """Return a session's next request; its prompt grows after it."""
+        made = Request(
+            at_s,
+            session.organisation,
+            session.name,
+            session.tokens,
+            session.seen,
+        )
+        session.seen = True
+        session.tokens += self.workload.growth_tokens
+        return made
+
+
+@functools.lru_cache(maxsize=4096)
+def session_text(session: str) -> str:
+    """Return a session's whole text; each prompt is the front of it."""
+    return words.prompt(PIECE_TOKENS * 40, session)
+
+
+def prompt_of(request: Request) -> str:
+    """Return a request's prompt."""
+    text = session_text(request.session).split(" ", request.tokens)
+    return " ".join(text[: request.tokens])
