--- a/src/briarseam/bench/experiment.py
+++ b/src/briarseam/bench/experiment.py
@@ -207,7 +207,7 @@
     kind: type[Made],
 ) -> Made:
     """Return a section's data class, its values checked."""
-    known = {field.name for field in dataclasses.fields(kind)}  # type: ignore[arg-type]
+    known = set(typing.get_type_hints(kind))
     unknown = sorted(set(fields) - known)
     if unknown:
         raise ExperimentError(
--- a/src/briarseam/bench/measures.py
+++ b/src/briarseam/bench/measures.py
@@ -16,7 +16,6 @@
 MAX_US = 600_000_000
 DIGITS = 3
 US = 1_000_000
-PERCENTILES = (50.0, 95.0, 99.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,10 +100,13 @@
     count = values.get_total_count()
     if not count:
         return Latency(0, 0.0, 0.0, 0.0, 0.0)
-    percentiles = [
-        values.get_value_at_percentile(one) / 1000 for one in PERCENTILES
-    ]
-    return Latency(count, *percentiles, values.get_max_value() / 1000)
+    return Latency(
+        count=count,
+        p50=values.get_value_at_percentile(50) / 1000,
+        p95=values.get_value_at_percentile(95) / 1000,
+        p99=values.get_value_at_percentile(99) / 1000,
+        max=values.get_max_value() / 1000,
+    )
 
 
 class Recorder:
--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -38,6 +38,11 @@
 # Modules are named and not imported here: an agent must not pay the memory
 # of the entry's HTTP server, nor a lookup the time to load the bench.
 COMMANDS = (
+    Command(
+        "bench",
+        "briarseam.command.bench",
+        "run an experiment on a running deployment",
+    ),
     Command(
         "agent",
         "briarseam.command.agent",
--- a/src/briarseam/configuration/values.py
+++ b/src/briarseam/configuration/values.py
@@ -143,6 +143,8 @@
 
     Attributes
     ----------
+    strategy
+        ``predicted``, or ``round-robin`` as a baseline to measure against.
     recompute_weight
         0 minds only the predicted time to first token, 1 mainly the share
         of prompt work recomputed.
@@ -152,6 +154,7 @@
         Retries allowed as a part of first tries, per organisation.
     """
 
+    strategy: typing.Literal["predicted", "round-robin"] = "predicted"
     recompute_weight: Share = 0.3
     candidates: NonNegative = 8
     retry_budget: Share = 0.1
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -103,6 +103,7 @@
         )
         self.sent: dict[str, Sent] = {}
         self.boots: dict[str, str] = {}
+        self.turn = 0
         self.lock = threading.Lock()
 
     def choose_engine(
@@ -119,6 +120,8 @@
             version = ask.version or model.version
             return no_choice(f"no endpoint serves {ask.model} {version}")
         prompt = self.prompt_of(ask, offer)
+        if view.routing.strategy == "round-robin":
+            names = [self.next_in_turn(names)]
         predictions = [
             self.predictor.predict(prompt, name)
             for name in self.candidates(names, ask, prompt, view.routing)
@@ -150,6 +153,12 @@
             return (orders.Offer(ask.version, model.adapter),)
         return self.parts.offers(ask.model, session_of(ask))
 
+    def next_in_turn(self, names: list[str]) -> str:
+        """Return the next of the engines, one after the other."""
+        with self.lock:
+            self.turn += 1
+            return sorted(names)[self.turn % len(names)]
+
     def engines(
         self, view: schema.View, ask: state.PromptAsk, offer: orders.Offer
     ) -> list[str]:
--- a/src/briarseam/testing/rates.py
+++ b/src/briarseam/testing/rates.py
@@ -48,11 +48,18 @@
 
 
 class Link:
-    """A link whose bytes a second are shared by all transfers over it."""
+    """A link whose bytes a second are shared by all transfers over it.
+
+    Attributes
+    ----------
+    moved
+        Bytes so far.
+    """
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.free_at = 0.0
+        self.moved = 0
 
     def transfer(
         self, size: int, bytes_per_s: float, stopping: threading.Event
@@ -68,6 +75,8 @@
         stopping
             Ends the wait early.
         """
+        with self.lock:
+            self.moved += size
         if not bytes_per_s:
             return
         while size > 0 and not stopping.is_set():
--- a/src/briarseam/testing/store.py
+++ b/src/briarseam/testing/store.py
@@ -93,6 +93,24 @@
         self.link = rates.Link()
         self.disk = rates.Link()
 
+    def answer_control(self, name: str) -> http_messages.Response:
+        """Answer ``GET /control/traffic``.
+
+        Parameters
+        ----------
+        name
+            What is asked for.
+
+        Returns
+        -------
+        http_messages.Response
+            Bytes moved over the link, or 404.
+        """
+        if name == "traffic":
+            moved = {"moved": self.link.moved}
+            return http_messages.json_response(200, moved)
+        return super().answer_control(name)
+
     def answer(self, request: http_messages.Request) -> http_messages.Response:
         """Answer one call.
 
