--- a/scripts/deployment-dk-east.sh
+++ b/scripts/deployment-dk-east.sh
@@ -17,7 +17,7 @@
         # shellcheck disable=SC2086
         start "engine-$n" stand-in engine --listen "127.0.0.1:711$n" \
             --model certificate-draft=2026.11 --seed "$n" \
-            --set cache_tokens=12000 --set prefill_s_per_piece=0.15 \
+            --set cache_tokens="${cache_tokens:-12000}" --set prefill_s_per_piece=0.15 \
             --set load_lag_ms=200 --set event_lag_ms=300 \
             --set event_loss=0.05 ${engine_switches:-}
     done
--- /dev/null
+++ b/tests/bench/test_experiment.py
@@ -0,0 +1,66 @@
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from briarseam.bench import experiment
+from briarseam.bench import workload
+
+ROOT = pathlib.Path(__file__).parents[2]
+FILES = sorted((ROOT / "bench" / "experiments").glob("*.ini"))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_each_committed_experiment_loads(path):
+    """Somebody repeats a figure months later.  The file it came from must
+    still be an experiment.
+    """
+    loaded = experiment.load(str(path))
+    assert loaded.arms
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        pytest.param(("seed = 17", "seed = x"), "seed", id="type"),
+        pytest.param(("seed = 17", "sede = 17"), "sede", id="unknown"),
+        pytest.param(("[arm ", "[leg "), "[arm NAME]", id="no-arm"),
+        pytest.param(("rate_per_s = 11", ""), "rate_per_s", id="missing"),
+    ],
+)
+def test_a_bad_file_says_where_and_what(tmp_path, change, expected):
+    """Somebody mistypes an experiment; the error names the place, before
+    any load is sent.
+    """
+    text = (ROOT / "bench/experiments/dk-east.ini").read_text()
+    path = tmp_path / "bad.ini"
+    path.write_text(text.replace(*change))
+    with pytest.raises(experiment.ExperimentError, match="bad.ini") as error:
+        experiment.load(str(path))
+    assert expected in str(error.value)
+
+
+def test_all_arms_send_the_same_at_the_same_times():
+    """Arms are compared with one another, so each must get the very same
+    requests; only the sessions' names differ.
+    """
+    loaded = experiment.load(str(ROOT / "bench/experiments/dk-east.ini"))
+    one, two = (
+        workload.Generator(loaded.workload, arm).requests()
+        for arm in ("one", "two")
+    )
+    assert [(r.at_s, r.tokens, r.organisation) for r in one] == [
+        (r.at_s, r.tokens, r.organisation) for r in two
+    ]
+    assert {r.session for r in one}.isdisjoint({r.session for r in two})
+
+
+def test_a_returning_prompt_begins_with_the_last_one():
+    """A session returns with a longer history.  Were its text made anew,
+    nothing could ever be reused and the bench would measure noise.
+    """
+    first = workload.Request(0.0, "north", "s-1", 1500, False)
+    later = workload.Request(9.0, "north", "s-1", 1800, True)
+    assert workload.prompt_of(later).startswith(workload.prompt_of(first))
+    assert len(workload.prompt_of(later).split()) == 1800
