Build views from what a change touched; keep raw values packed

The whole view was built anew at each change, and each value was held both raw and parsed. Ruled out: handing out one mapping that changes in place, since requests hold views.

The one that failed last is now asked last. A listener's poll is 1,000 ms instead of 500 ms, to halve what a reading agent serves.

--- a/src/briarseam/configuration/fold.py
+++ b/src/briarseam/configuration/fold.py
@@ -83,12 +83,25 @@
 FoldVerdict = Accepted | Rejected | Duplicate | StoppedUnknownVersion
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
-    """What stands at a path: the offset that set it, and the raw value."""
+    """What stands at a path.
+
+    Attributes
+    ----------
+    revision
+        The offset that set it.
+    packed
+        The raw value in msgpack, a fifth of the size of its objects.
+    """
 
     revision: int
-    value: records.Value
+    packed: bytes
+
+    @property
+    def value(self) -> records.Value:
+        """The raw value."""
+        return msgpack.unpackb(self.packed, raw=False)
 
 
 def item_digest(*parts: typing.Any) -> int:
@@ -111,6 +124,8 @@
         The tree by path.
     seen
         First offset of each id in the window, in order of offset.
+    touched
+        Paths set or deleted since the owner last cleared it.
     stopped
         Set once an unknown version was met; nothing is folded after it.
     """
@@ -119,6 +134,7 @@
         self.offset = 0
         self.entries: dict[str, Entry] = {}
         self.seen: dict[str, int] = {}
+        self.touched: set[str] = set()
         self.stopped: StoppedUnknownVersion | None = None
         self.sum = 0
 
@@ -213,12 +229,20 @@
 
     def put(self, path: str, revision: int, value: records.Value) -> None:
         """Set or, with ``None``, delete one path."""
+        packed = None if value is None else msgpack.packb(value)
+        self.put_packed(path, revision, packed)
+
+    def put_packed(
+        self, path: str, revision: int, packed: bytes | None
+    ) -> None:
+        """Set or, with ``None``, delete one path by its packed value."""
+        self.touched.add(path)
         old = self.entries.pop(path, None)
         if old is not None:
-            self.add(-item_digest(path, old.revision, old.value))
-        if value is not None:
-            self.entries[path] = Entry(revision, value)
-            self.add(item_digest(path, revision, value))
+            self.add(-item_digest(path, old.revision, old.packed))
+        if packed is not None:
+            self.entries[path] = Entry(revision, packed)
+            self.add(item_digest(path, revision, packed))
 
     def remember_id(self, change_id: str, offset: int) -> None:
         """Remember where an id came first."""
@@ -242,7 +266,7 @@
 def dump(fold: Fold) -> bytes:
     """Return the fold's whole state as bytes."""
     entries = [
-        [path, entry.revision, entry.value]
+        [path, entry.revision, entry.packed]
         for path, entry in fold.entries.items()
     ]
     seen = list(fold.seen.items())
@@ -260,8 +284,8 @@
     fold = Fold()
     try:
         offset, entries, seen = msgpack.unpackb(data, raw=False)
-        for path, revision, value in entries:
-            fold.put(path, revision, value)
+        for path, revision, packed in entries:
+            fold.put_packed(path, revision, packed)
         for change_id, first in seen:
             fold.remember_id(change_id, first)
     except TypeError as error:
--- a/src/briarseam/configuration/reader.py
+++ b/src/briarseam/configuration/reader.py
@@ -58,7 +58,7 @@
     """
 
     log_wait_ms: int = 1000
-    peer_wait_ms: int = 500
+    peer_wait_ms: int = 1000
     everyone_reads: bool = False
     snapshots: snapshotting.Options = snapshotting.Options()
 
@@ -131,6 +131,7 @@
         self.contact_at = -math.inf
         self.history_lost = False
         self.hints: dict[str, int] = {}
+        self.avoided = ""
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name="configuration", daemon=True
@@ -228,6 +229,7 @@
                 asked.add(name)
                 if self.follow_peer(name, wait_ms):
                     return True
+                self.avoided = name
             if self.follow_log(0):
                 return True
         elif self.follow_log(self.options.log_wait_ms):
@@ -242,10 +244,15 @@
         return any([self.follow_peer(name, 0) for name in names])
 
     def reading_peers(self) -> list[str]:
-        """Return the reading peers, half of the cell's one order each."""
+        """Return the reading peers, half of the cell's one order each.
+
+        One that gave no answer or no proof goes last: a frozen reader
+        would else cost a timeout at every turn until it is known as gone.
+        """
         names = self.peers.readers()
-        odd = peer_calls.rank(self.peers.me.name) % 2
-        return names[::-1] if odd else names
+        if peer_calls.rank(self.peers.me.name) % 2:
+            names.reverse()
+        return sorted(names, key=lambda name: name == self.avoided)
 
     def follow_hints(self) -> None:
         """Ask a peer whose heartbeat told of a higher offset."""
--- a/src/briarseam/configuration/schema.py
+++ b/src/briarseam/configuration/schema.py
@@ -42,7 +42,7 @@
     "View",
     "Weights",
     "build_view",
-    "parse_lenient",
+    "make_view",
     "parse_value",
     "value_type",
 ]
@@ -191,23 +191,35 @@
         }
 
 
-def parse_lenient(path: str, raw: typing.Any) -> Value:
-    """Return the value of ``path``, passing over fields not known.
+def make_view(
+    offset: int,
+    collections: typing.Mapping[str, typing.Mapping[str, typing.Any]],
+    singles: typing.Mapping[str, typing.Any],
+) -> View:
+    """Return the view of parsed values.
 
-    Raises
-    ------
-    SchemaError
-        When it does not fit.
+    Parameters
+    ----------
+    offset
+        Offset of the last record in the tree.
+    collections
+        Values by kind and name.
+    singles
+        Values by path, of the paths that stand alone.
     """
-    return parse_value(path, raw, strict=False)
+    return View(
+        offset=offset,
+        **collections,
+        routing=singles.get("policies/routing", RoutingPolicy()),
+        kept_cache=singles.get("policies/kept-cache", CachePolicy()),
+        weights=singles.get("platform/weights"),
+    )
 
 
 def build_view(
-    offset: int,
-    tree: typing.Mapping[str, typing.Any],
-    parse: typing.Callable[[str, typing.Any], Value] = parse_lenient,
+    offset: int, tree: typing.Mapping[str, typing.Any]
 ) -> tuple[View, tuple[SchemaError, ...]]:
-    """Return the typed view of a folded tree and what did not fit.
+    """Return the typed view of a whole tree and what did not fit.
 
     Parameters
     ----------
@@ -215,36 +227,21 @@
         Offset of the last record in the tree.
     tree
         Raw values by path.
-    parse
-        Gives the typed value of a path.
-
-    Returns
-    -------
-    View, tuple of SchemaError
-        A value that does not fit is left out of the view and reported;
-        the fold itself never depends on it.
     """
-    collections: dict[str, dict[str, typing.Any]] = {
+    collections: dict[str, dict[str, Value]] = {
         kind: {} for kind in COLLECTIONS
     }
-    singles: dict[str, typing.Any] = {}
+    singles: dict[str, Value] = {}
     errors: list[SchemaError] = []
     for path, raw in tree.items():
+        kind, _, name = path.partition("/")
         try:
-            value = parse(path, raw)
+            value = parse_value(path, raw, strict=False)
         except SchemaError as error:
             errors.append(error)
             continue
         if path in SINGLES:
             singles[path] = value
-            continue
-        kind, _, name = path.partition("/")
-        collections[kind][name] = value
-    view = View(
-        offset=offset,
-        **collections,
-        routing=singles.get("policies/routing", RoutingPolicy()),
-        kept_cache=singles.get("policies/kept-cache", CachePolicy()),
-        weights=singles.get("platform/weights"),
-    )
-    return view, tuple(errors)
+        else:
+            collections[kind][name] = value
+    return make_view(offset, collections, singles), tuple(errors)
--- a/src/briarseam/configuration/state.py
+++ b/src/briarseam/configuration/state.py
@@ -96,6 +96,7 @@
             if self.loaded and fold.offset <= self.fold.offset:
                 return False
             self.fold = fold
+            self.views = views.ViewBuilder()
             self.loaded = True
             self.recent.clear()
             self.recent_bytes = 0
@@ -153,10 +154,11 @@
 
     def publish(self) -> None:
         """Make the new tree visible; the lock is held."""
-        self.view, errors = self.views.build(
-            self.fold.offset, self.fold.values()
+        self.view = self.views.update(
+            self.fold.offset, self.fold.entries, self.fold.touched
         )
-        self.counters.values_not_understood = len(errors)
+        self.fold.touched.clear()
+        self.counters.values_not_understood = len(self.views.errors)
         self.digests[self.fold.offset] = self.fold.digest
         while len(self.digests) > DIGESTS_KEPT:
             del self.digests[next(iter(self.digests))]
--- a/src/briarseam/configuration/values.py
+++ b/src/briarseam/configuration/values.py
@@ -34,7 +34,7 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Organisation:
     """``organisations/NAME``: a customer and its limits.
 
@@ -62,7 +62,7 @@
     cache_share: Share = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Model:
     """``models/NAME``: a model and the weight version to serve.
 
@@ -84,7 +84,7 @@
     max_tokens: NonNegative = 4096
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
     """``endpoints/NAME``: a back end.
 
@@ -121,7 +121,7 @@
     role: str = ""
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """``services/NAME``: a plain service.
 
@@ -137,7 +137,7 @@
     timeout_ms: Positive = 5000
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class RoutingPolicy:
     """``policies/routing``: what the choice of an endpoint minds.
 
@@ -160,7 +160,7 @@
     retry_budget: Share = 0.1
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class CachePolicy:
     """``policies/kept-cache``: what is kept in the stores.
 
@@ -180,14 +180,14 @@
     min_pieces: NonNegative = 1
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Cell:
     """``cells/ZONE``: how many cells a zone's agents are cut into."""
 
     parts: typing.Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Weights:
     """``platform/weights``: where weights are loaded from.
 
--- a/src/briarseam/configuration/views.py
+++ b/src/briarseam/configuration/views.py
@@ -1,61 +1,77 @@
-"""Typed views without parsing again what did not change."""
+"""Typed views of a tree, without parsing again what did not change."""
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
 from briarseam.configuration import schema
 
-SLACK = 2
+if typing.TYPE_CHECKING:
+    from briarseam.configuration import fold as folds
 
 
-@dataclasses.dataclass(frozen=True)
-class Parsed:
-    """The outcome of parsing one raw value."""
-
-    raw: typing.Any
-    outcome: schema.Value | schema.SchemaError
+class ViewBuilder:
+    """Builds the view after each change from the paths that it touched.
 
+    A view is never changed once it is out: a kind that was touched gets a
+    new mapping, the others are shared with the view before.
 
-class ViewBuilder:
-    """Builds views; keeps the parsed values between them."""
+    Attributes
+    ----------
+    view
+        The last view.
+    errors
+        Values that do not fit, by path; they are left out of the view.
+    """
 
     def __init__(self) -> None:
-        self.parsed: dict[str, Parsed] = {}
-
-    def build(
-        self, offset: int, tree: typing.Mapping[str, typing.Any]
-    ) -> tuple[schema.View, tuple[schema.SchemaError, ...]]:
-        """Return the view and errors, as :func:`schema.build_view`."""
-        if len(self.parsed) > SLACK * len(tree):
-            self.parsed.clear()
-        return schema.build_view(offset, tree, self.parse)
-
-    def parse(self, path: str, raw: typing.Any) -> schema.Value:
-        """Return the value of a path, parsed once for each raw object.
-
-        Raises
-        ------
-        SchemaError
-            When it does not fit.
+        self.view = schema.View()
+        self.errors: dict[str, schema.SchemaError] = {}
+        self.values: dict[str, dict[str, schema.Value]] = {
+            kind: {} for kind in schema.COLLECTIONS
+        }
+        self.singles: dict[str, schema.Value] = {}
+
+    def update(
+        self,
+        offset: int,
+        entries: typing.Mapping[str, folds.Entry],
+        touched: typing.Iterable[str],
+    ) -> schema.View:
+        """Return the view at ``offset``.
+
+        Parameters
+        ----------
+        offset
+            Of the last record folded in.
+        entries
+            The tree.
+        touched
+            Paths that may differ from the last view.
         """
-        found = self.parsed.get(path)
-        # By identity: a fold puts a new object in with each change, and the
-        # reference kept here keeps the old one's place from being reused.
-        if found is None or found.raw is not raw:
-            found = Parsed(raw, parse_outcome(path, raw))
-            self.parsed[path] = found
-        if isinstance(found.outcome, schema.SchemaError):
-            raise found.outcome
-        return found.outcome
-
-
-def parse_outcome(
-    path: str, raw: typing.Any
-) -> schema.Value | schema.SchemaError:
-    """Return the parsed value or why there is none."""
-    try:
-        return schema.parse_lenient(path, raw)
-    except schema.SchemaError as error:
-        return error
+        paths = list(touched)
+        for kind in {path.partition("/")[0] for path in paths}:
+            if kind in self.values:
+                self.values[kind] = dict(self.values[kind])
+        for path in paths:
+            self.take(path, entries.get(path))
+        self.view = schema.make_view(offset, self.values, self.singles)
+        return self.view
+
+    def take(self, path: str, entry: folds.Entry | None) -> None:
+        """Take one path's present state."""
+        kind, _, name = path.partition("/")
+        self.errors.pop(path, None)
+        self.singles.pop(path, None)
+        self.values.get(kind, {}).pop(name, None)
+        if entry is None:
+            return
+        try:
+            value = schema.parse_value(path, entry.value, strict=False)
+        except schema.SchemaError as error:
+            self.errors[path] = error
+            return
+        if path in schema.SINGLES:
+            self.singles[path] = value
+        else:
+            self.values[kind][name] = value
--- a/tests/configuration/test_reader.py
+++ b/tests/configuration/test_reader.py
@@ -313,3 +313,23 @@
     waiting.until(fresh.ready)
     assert fresh.offset() == 1
     far.stop()
+
+
+def test_a_frozen_reader_costs_its_listeners_one_timeout_only(cluster):
+    # One of the two that read the log is frozen; it still counts as live
+    # for some seconds.  Agents that listen to it must turn to the other and
+    # stay there, or each change reaches them a timeout late.
+    start(cluster)
+    wait_for_offset(cluster, set_model(cluster, "first"))
+    frozen = peers.ranked(NAMES)[0]
+    cluster.agents[frozen].server.router.handlers[messages.FetchRecords] = (
+        lambda *_: waiting.until(lambda: False, 5)
+    )
+    listeners = [
+        cluster.agents[name].reader for name in peers.ranked(NAMES)[2:]
+    ]
+    waiting.until(
+        lambda: all(
+            reader.reading_peers()[-1] == frozen for reader in listeners
+        )
+    )
--- a/tests/configuration/test_schema.py
+++ b/tests/configuration/test_schema.py
@@ -1,22 +1,28 @@
 from __future__ import annotations
 
-from briarseam.configuration import schema
+from briarseam.configuration import fold as folds
 from briarseam.configuration import views
 
 
+def entries(tree):
+    fold = folds.Fold()
+    for path, value in tree.items():
+        fold.put(path, 1, value)
+    return fold.entries
+
+
 def test_a_token_of_two_organisations_names_neither():
     # Two teams' changes, each valid alone, give two organisations the same
     # bearer token.  Its callers must reach neither's answers.
     same, own = "0" * 32, "1" * 32
-    view, errors = schema.build_view(
-        3,
-        {
-            "organisations/a": {"token_digest": same},
-            "organisations/b": {"token_digest": same},
-            "organisations/c": {"token_digest": own},
-        },
-    )
-    assert not errors
+    tree = {
+        "organisations/a": {"token_digest": same},
+        "organisations/b": {"token_digest": same},
+        "organisations/c": {"token_digest": own},
+    }
+    builder = views.ViewBuilder()
+    view = builder.update(3, entries(tree), tree)
+    assert not builder.errors
     assert view.organisation_of(same) is None
     assert view.organisation_of(own) == "c"
 
@@ -29,11 +35,23 @@
         "models/b": {"version": 2},
         "newer/c": {},
     }
-    view, errors = builder.build(1, tree)
-    assert view.models.keys() == {"a"}
-    assert {error.path for error in errors} == {"models/b", "newer/c"}
-    parsed = view.models["a"]
-    tree["models/b"] = {"version": "2"}
-    view, errors = builder.build(2, tree)
-    assert view.models["a"] is parsed
+    first = builder.update(1, entries(tree), tree)
+    assert first.models.keys() == {"a"}
+    assert builder.errors.keys() == {"models/b", "newer/c"}
+    tree |= {"models/b": {"version": "2"}, "platform/weights": {}}
+    view = builder.update(2, entries(tree), ["models/b"])
+    assert view.models["a"] is first.models["a"]
     assert view.models.keys() == {"a", "b"}
+    assert builder.errors.keys() == {"newer/c"}
+
+
+def test_a_view_that_is_out_does_not_change():
+    # A request holds a view while a change deletes what it looks at.
+    builder = views.ViewBuilder()
+    weights = {"address": "127.0.0.1:1"}
+    tree = {"models/a": {"version": "1"}, "platform/weights": weights}
+    first = builder.update(1, entries(tree), tree)
+    second = builder.update(2, {}, tree)
+    assert first.models.keys() == {"a"}
+    assert first.weights is not None
+    assert (second.models, second.weights) == ({}, None)
--- a/tests/matrix/test_publishing.py
+++ b/tests/matrix/test_publishing.py
@@ -45,6 +45,7 @@
     "freeze": {ACCEPTED, REJECTED},
     "cut": {ACCEPTED, REJECTED},
     "outage": {ACCEPTED, REJECTED},
+    "slow": {ACCEPTED, REJECTED, UNKNOWN},
     "long-outage": {ACCEPTED, REJECTED, UNKNOWN},
     "race": {ACCEPTED, REJECTED},
     "outage-and-kill": {KILLED},
@@ -127,6 +128,11 @@
     def long_outage(self):
         self.outage(pause_s=3.4)
 
+    def slow(self):
+        """Answer later than an append waits, each answer for a while."""
+        self.cluster.log.set(delay_ms=2500)
+        self.after(2.6, lambda: self.cluster.log.set(delay_ms=0))
+
     def race(self):
         rival = change(
             {"models/a": RIVAL["models/a"]}, {"models/a": 1}, base=1
