Test late agents and two operators asking at once

Found by taking the guards out: without the one-question lock of EntryFeeds and without the bound on all peers together every test still passed. Both new tests fail with their guard removed.

--- a/tests/timeline/test_service.py
+++ b/tests/timeline/test_service.py
@@ -9,6 +9,7 @@
 from briarseam.timeline import feed as feeds
 from briarseam.timeline import messages
 from briarseam.timeline import peers
+from briarseam.timeline import service
 from briarseam.wire import connection as connections
 
 EVERYWHERE = messages.FetchEvents(scope=messages.Scope.EVERYWHERE)
@@ -231,3 +232,48 @@
     agent.ring.note("member")
     fetch = messages.FetchEvents(scope=messages.Scope.PROCESS, limit=-1)
     assert len(ask(agent, fetch).events) == 1
+
+
+def test_agents_that_take_too_long_do_not_hold_the_answer(
+    make_agent, monkeypatch
+):
+    # Half of all agents are cut off, and asking them takes its turn after
+    # turn.  The operator must get the rest now, and their names.
+    monkeypatch.setattr(service, "OTHERS_TIMEOUT_S", 0.1)
+    release = threading.Event()
+
+    def slow(name, fetch):
+        release.wait(10)
+        raise service.AskPeerError("came too late")
+
+    agent = make_agent("a1", service.Others(lambda: ["slow"], slow))
+    agent.ring.note("member")
+    reply = ask(agent)
+    release.set()
+    assert errors_of(reply) == {"slow": "did not answer"}
+    assert len(reply.events) == 1
+
+
+def test_second_question_waits_for_the_first():
+    # Two operators ask before the entry has come for either question.  Had
+    # the second taken the first one's place, the first operator would be
+    # told that the entry did not answer.
+    feed = feeds.EntryFeeds()
+    feed.on_await(None, feeds.AwaitFetch("e", 0.0))
+    replies = []
+
+    def collect():
+        replies.extend(feed.collect(messages.FetchEvents(), 5.0))
+
+    askers = [threading.Thread(target=collect) for _ in range(2)]
+    for asker in askers:
+        asker.start()
+    waiting.until(lambda: feed.last_ticket == 2 or feed.collecting.locked())
+    for _ in askers:
+        wanted = feed.on_await(None, feeds.AwaitFetch("e", 2.0))
+        source = messages.Source("e", oldest=wanted.ticket)
+        handed = messages.Events((), (source,))
+        feed.on_hand_over(None, feeds.HandOver("e", wanted.ticket, handed))
+    for asker in askers:
+        asker.join()
+    assert sorted(reply.sources[0].oldest for reply in replies) == [1, 2]
