--- a/tests/matrix/processes.py
+++ b/tests/matrix/processes.py
@@ -128,12 +128,15 @@
         shape = deployment.Shape(instances, engines=1, services=1)
         super().__init__(folder, shape)
         self.to_service = proxy.Proxy()
+        self.to_engine = proxy.Proxy()
         self.machines: list[Instance] = []
 
     def tree(self) -> dict[str, typing.Any]:
         """Return the configuration, the service behind its proxy."""
         self.to_service.target = self.services["service-0"].address
+        self.to_engine.target = self.engines["engine-0"].address
         tree = super().tree()
+        tree["endpoints/engine-0"]["address"] = self.to_engine.address
         tree["endpoints/service-0"]["address"] = self.to_service.address
         tree[f"services/{deployment.SERVICE}"]["timeout_ms"] = 500
         return tree
@@ -197,6 +200,7 @@
             for link in machine.proxies():
                 link.stop()
         self.to_service.stop()
+        self.to_engine.stop()
         super().__exit__(*exc_info)
 
     def is_serving(self) -> bool:
@@ -221,6 +225,7 @@
         """Return all links."""
         return [
             self.to_service,
+            self.to_engine,
             *(link for one in self.machines for link in one.proxies()),
         ]
 
@@ -234,6 +239,19 @@
             deployment.SERVICE, deployment.CALL, {"key": key}, key
         )
 
+    def ask(
+        self, number: int, key: str, silence_s: float = 4.0
+    ) -> caller.Answer:
+        """Send a prompt that may not repeat to an instance's entry."""
+        address = self.machines[number].entry_address
+        token = deployment.token_of(deployment.ORGANISATIONS[0])
+        body = deployment.prompt_body(f"book {key}", idempotent=False)
+        return caller.Caller(address, token, silence_s).ask(body, key)
+
+    def engine_starts(self) -> int:
+        """Return how many runs the engine started in all."""
+        return sum(self.engines["engine-0"].book.counts().values())
+
     def runs(self, key: str) -> int:
         """Return how often a key's call took effect."""
         return self.services["service-0"].runs.get(key, 0)
