Say whose agents were asked when following a change

A trial with three zones read "in force at all 1 live agents": an entry tells of its own cell, and with an empty instance list the other cells' agents were neither asked nor missed. Now it says that only this cell was asked. With the list, entries of other cells are asked until every listed agent was told of, and those that none tells of are named.

--- a/src/briarseam/command/config_output.py
+++ b/src/briarseam/command/config_output.py
@@ -179,12 +179,15 @@
         if self.as_json:
             return
         waited = f"after {found.waited_s:.1f} s"
+        count = len(found.reached)
+        if found.done() and found.listed:
+            self.say(f"in force at all {count} live agents {waited}")
+            return
         if found.done():
-            self.say(
-                f"in force at all {len(found.reached)} live agents {waited}"
-            )
+            self.say(f"in force at the {count} agents of this cell {waited}")
+            self.say("other cells were not asked: none is listed")
             return
-        self.say(f"in force at {len(found.reached)} agents {waited}, not at:")
+        self.say(f"in force at {count} agents {waited}, not at:")
         for agent in found.stragglers:
             self.say(straggler_text(agent), "  ")
         for name in found.unseen:
--- a/src/briarseam/configuration/following.py
+++ b/src/briarseam/configuration/following.py
@@ -68,6 +68,9 @@
         Live agents that have not reported it.
     unseen
         Agents that the instance list calls live and no entry told of.
+    listed
+        Whether the instance list named any agent; if not, these are only
+        the agents of the cells of the entries asked.
     waited_s
         How long that was followed.
     """
@@ -76,6 +79,7 @@
     reached: tuple[str, ...]
     stragglers: tuple[AgentStatus, ...]
     unseen: tuple[str, ...]
+    listed: bool
     waited_s: float
 
     def done(self) -> bool:
@@ -114,15 +118,15 @@
         """Ask until every live agent has ``offset`` or time is up."""
         started = time.monotonic()
         while True:
-            agents, unseen = self.look()
+            wanted, agents = self.look()
             waited_s = time.monotonic() - started
-            found = judge(agents, unseen, offset, waited_s)
+            found = judge(wanted, agents, offset, waited_s)
             if found.done() or waited_s >= timeout_s:
                 return found
             time.sleep(POLL_S)
 
-    def look(self) -> tuple[list[AgentStatus], set[str]]:
-        """Return the agents told of and the names of live ones unseen."""
+    def look(self) -> tuple[set[str], dict[str, AgentStatus]]:
+        """Return the names of listed agents and those told of, by name."""
         listed = self.listed()
         wanted = {one.name for one in listed if one.role == "agent"}
         entries = [one.address for one in listed if one.role == "entry"]
@@ -135,7 +139,7 @@
             except StatusUnavailableError:
                 continue
             agents.update({agent.name: agent for agent in status.agents})
-        return list(agents.values()), wanted - agents.keys()
+        return wanted, agents
 
     def listed(self) -> list[instance_list.Instance]:
         """Return the live instances, none while the list is down."""
@@ -171,18 +175,19 @@
 
 
 def judge(
-    agents: typing.Iterable[AgentStatus],
-    unseen: typing.Iterable[str],
+    wanted: set[str],
+    agents: typing.Mapping[str, AgentStatus],
     offset: int,
     waited_s: float,
 ) -> Following:
     """Return who has reached ``offset``."""
-    live = [agent for agent in agents if agent.state not in NOT_LIVE]
+    live = [one for one in agents.values() if one.state not in NOT_LIVE]
     return Following(
         offset=offset,
         reached=tuple(sorted(one.name for one in live if has(one, offset))),
         stragglers=tuple(one for one in live if not has(one, offset)),
-        unseen=tuple(sorted(unseen)),
+        unseen=tuple(sorted(wanted - agents.keys())),
+        listed=bool(wanted),
         waited_s=round(waited_s, 3),
     )
 
--- a/tests/command/test_config.py
+++ b/tests/command/test_config.py
@@ -70,6 +70,10 @@
 def config(log, entry, valid, write, capsys):
     """Run ``briarseam config`` and return status, output and errors."""
     with instance_list.InstanceList() as instances:
+        for name in ("a", "b"):
+            instances.put(
+                name, instance_list.Registration("agent", "127.0.0.1:1", "z")
+            )
         text = (
             valid.replace("127.0.0.1:9001", log.address)
             .replace("127.0.0.1:9002", instances.address)
@@ -203,6 +207,7 @@
 def test_an_agent_that_lags_is_named(config, tree, entry):
     entry.agents = lambda: [
         row("a", 1),
+        row("b", 1),
         row("slow", 0),
         row("old", 0, "leaving"),
     ]
--- /dev/null
+++ b/tests/configuration/test_following.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.configuration import following
+from briarseam.platform import instances
+
+LIST = (
+    instances.Instance("a", "agent", "127.0.0.1:1", "one"),
+    instances.Instance("b", "agent", "127.0.0.1:2", "two"),
+    instances.Instance("entry-a", "entry", "127.0.0.1:3", "one"),
+    instances.Instance("entry-b", "entry", "127.0.0.1:4", "two"),
+    instances.Instance(
+        "gone",
+        "agent",
+        "127.0.0.1:5",
+        "two",
+        instances.ListedState.LEAVING,
+    ),
+)
+
+
+class Listed:
+    def __init__(self, rows):
+        self.rows = rows
+
+    def read(self):
+        if self.rows is None:
+            raise instances.InstanceListUnavailableError("away")
+        return instances.Listing(self.rows, 0)
+
+
+@pytest.fixture
+def follower(monkeypatch):
+    """A follower whose entries tell of one cell each, or are away."""
+    cells = {
+        "127.0.0.1:3": following.AgentStatus("a", 7, "alive", 0.0),
+        "127.0.0.1:4": following.AgentStatus("b", 6, "alive", 0.0),
+    }
+
+    def fetch(self, address):
+        if address not in cells:
+            raise following.StatusUnavailableError(address)
+        return following.Status((cells[address],))
+
+    monkeypatch.setattr(following.Follower, "fetch", fetch)
+
+    def make(rows=LIST):
+        return following.Follower(["127.0.0.1:3"], Listed(rows), "token")
+
+    make.cells = cells
+    return make
+
+
+def test_agents_of_other_cells_are_asked_for_too(follower):
+    # An entry tells of its own cell.  An operator who reads "in force
+    # everywhere" must not have been told of one zone alone.
+    found = follower().follow(7, timeout_s=0)
+    assert found.reached == ("a",)
+    assert [agent.name for agent in found.stragglers] == ["b"]
+    assert not found.done()
+    assert follower().follow(6, timeout_s=0).done()
+
+
+def test_a_listed_agent_that_no_entry_tells_of_is_named(follower):
+    del follower.cells["127.0.0.1:4"]
+    found = follower().follow(7, timeout_s=0)
+    assert found.unseen == ("b",)
+    assert not found.done()
+
+
+@pytest.mark.parametrize("rows", [None, ()], ids=["away", "empty"])
+def test_without_the_instance_list_only_the_own_cell_is_claimed(
+    follower, rows
+):
+    found = follower(rows).follow(7, timeout_s=0)
+    assert found.reached == ("a",)
+    assert not found.listed
