Tell in the bench what no policy can reuse, and prime sessions

Change: unavoidable shares (exactly, and in whole pieces), cold returns, first token of returning sessions and by organisation; prime = true sends each session once before the clock; points in the file are capped.

--- a/src/briarseam/bench/experiment.py
+++ b/src/briarseam/bench/experiment.py
@@ -57,6 +57,9 @@
         Deadline of the first token.
     resend
         Whether callers that are told to come back do so, once.
+    prime
+        Whether every session is sent once before the clock starts, so that
+        all later requests of it return.
     """
 
     seed: int
@@ -76,6 +79,7 @@
     max_tokens: Count = 24
     deadline_ms: Count = 10_000
     resend: bool = False
+    prime: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/bench/load.py
+++ b/src/briarseam/bench/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent import futures
 import dataclasses
 import threading
 import time
@@ -15,6 +16,9 @@
     from briarseam.bench import measures
 
 DRAIN_S = 30.0
+PRIMERS = 16
+# Engines write to the stores in the background after their runs.
+SETTLE_S = 5.0
 WHERE_PATH = "/v1/where"
 MAX_RESEND_WAIT_S = 60.0
 
@@ -60,7 +64,9 @@
         self.target = target
         self.workload = workload
         self.recorder = recorder
-        self.requests = workloads.Generator(workload, arm).requests()
+        generator = workloads.Generator(workload, arm)
+        self.requests = generator.requests()
+        self.primed = generator.primed
         self.addresses: dict[str, str] = {}
         self.late_s = 0.0
         self.under_way = 0
@@ -85,6 +91,16 @@
             ).start()
         self.drain()
 
+    def prime(self) -> None:
+        """Send every session once, a few at a time, and let it settle."""
+        if not self.primed:
+            return
+        with futures.ThreadPoolExecutor(PRIMERS) as pool:
+            for request in self.primed:
+                prompt = workloads.prompt_of(request)
+                pool.submit(self.ask, request, prompt)
+        time.sleep(SETTLE_S)
+
     def drain(self) -> None:
         """Wait for the answers that are still under way."""
         until = time.monotonic() + DRAIN_S
--- a/src/briarseam/bench/measures.py
+++ b/src/briarseam/bench/measures.py
@@ -49,6 +49,16 @@
         Part of prompt tokens that were computed.
     returning_recomputed_share
         The same of sessions that were there before.
+    unavoidable_share
+        Part of prompt tokens that had never been sent before, so that no
+        policy can reuse them.
+    unavoidable_pieces_share
+        The same when only whole pieces can be kept.
+    returning_unavoidable_pieces_share
+        The same of sessions that were there before.
+    cold_returns
+        Requests of sessions that were there before, all of whose prompt
+        was computed although a piece of it or more had been sent before.
     tokens_per_s
         Tokens received a second.
     refusals
@@ -66,6 +76,10 @@
     reused_tokens: int
     recomputed_share: float
     returning_recomputed_share: float
+    unavoidable_share: float
+    unavoidable_pieces_share: float
+    returning_unavoidable_pieces_share: float
+    cold_returns: int
     tokens_per_s: float
     refusals: dict[str, int]
     by_organisation_p95_ms: dict[str, float]
@@ -129,6 +143,10 @@
         self.reused_tokens = 0
         self.returning_prompt_tokens = 0
         self.returning_reused_tokens = 0
+        self.new_tokens = 0
+        self.unkept_tokens = 0
+        self.returning_unkept_tokens = 0
+        self.cold_returns = 0
 
     def take(self, request: workload.Request, answer: caller.Answer) -> None:
         """Take in one answer."""
@@ -149,6 +167,8 @@
         self.whole += 1
         self.tokens += len(answer.tokens)
         self.prompt_tokens += request.tokens
+        self.new_tokens += request.new_tokens
+        self.unkept_tokens += request.unkept_tokens
         reused = min(answer.reused_tokens, request.tokens)
         self.reused_tokens += reused
         first_us = int(answer.first_token_s * US)
@@ -163,6 +183,9 @@
             self.returning_first.record_value(first_us)
             self.returning_prompt_tokens += request.tokens
             self.returning_reused_tokens += reused
+            self.returning_unkept_tokens += request.unkept_tokens
+            could = request.tokens - request.unkept_tokens
+            self.cold_returns += could > 0 and reused == 0
 
     def summary(self) -> Summary:
         """Return the figures."""
@@ -184,6 +207,15 @@
                     - self.returning_reused_tokens,
                     self.returning_prompt_tokens,
                 ),
+                unavoidable_share=share(self.new_tokens, self.prompt_tokens),
+                unavoidable_pieces_share=share(
+                    self.unkept_tokens, self.prompt_tokens
+                ),
+                returning_unavoidable_pieces_share=share(
+                    self.returning_unkept_tokens,
+                    self.returning_prompt_tokens,
+                ),
+                cold_returns=self.cold_returns,
                 tokens_per_s=round(self.tokens / self.measured_s, 1),
                 refusals=dict(self.refusals),
                 by_organisation_p95_ms={
--- a/src/briarseam/bench/report.py
+++ b/src/briarseam/bench/report.py
@@ -21,6 +21,7 @@
 PLOT_WIDTH_IN = 10
 PLOT_HEIGHT_IN = 3.2
 WINDOW_S = 2.0
+MAX_POINTS = 1500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,11 +65,25 @@
     """Write the results as JSON; return the file."""
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / f"{result.experiment.name}.json"
-    encoded = msgspec.json.encode(result)
-    path.write_bytes(msgspec.json.format(encoded, indent=1) + b"\n")
+    fewer = tuple(
+        dataclasses.replace(arm, points=thin(arm.points))
+        for arm in result.arms
+    )
+    encoded = msgspec.json.encode(dataclasses.replace(result, arms=fewer))
+    path.write_bytes(encoded + b"\n")
     return path
 
 
+def thin(points: tuple[measures.Point, ...]) -> tuple[measures.Point, ...]:
+    """Return at most ``MAX_POINTS``, evenly spread; failures all stay."""
+    step = -(-len(points) // MAX_POINTS) or 1
+    return tuple(
+        point
+        for number, point in enumerate(points)
+        if number % step == 0 or point.outcome != "whole"
+    )
+
+
 def rows(result: Result) -> list[list[str]]:
     """Return the table: a row per figure, a column per arm."""
     figures: dict[str, typing.Callable[[measures.Summary], str]] = {
@@ -76,11 +91,25 @@
         "first token p50 ms": lambda one: f"{one.first_token_ms.p50:.0f}",
         "first token p95 ms": lambda one: f"{one.first_token_ms.p95:.0f}",
         "first token p99 ms": lambda one: f"{one.first_token_ms.p99:.0f}",
+        "returning p50 ms": (
+            lambda one: f"{one.returning_first_token_ms.p50:.0f}"
+        ),
+        "returning p95 ms": (
+            lambda one: f"{one.returning_first_token_ms.p95:.0f}"
+        ),
         "gap p95 ms": lambda one: f"{one.gap_ms.p95:.1f}",
         "recomputed": lambda one: f"{one.recomputed_share:.3f}",
         "recomputed, returning": (
             lambda one: f"{one.returning_recomputed_share:.3f}"
         ),
+        "never sent before": lambda one: f"{one.unavoidable_share:.3f}",
+        "the same, whole pieces": (
+            lambda one: f"{one.unavoidable_pieces_share:.3f}"
+        ),
+        "the same, returning": (
+            lambda one: f"{one.returning_unavoidable_pieces_share:.3f}"
+        ),
+        "cold returns": lambda one: str(one.cold_returns),
         "tokens a second": lambda one: f"{one.tokens_per_s:.0f}",
         "refusals": lambda one: refusal_text(one.refusals),
     }
@@ -88,6 +117,7 @@
         [name, *[show(arm.summary) for arm in result.arms]]
         for name, show in figures.items()
     ]
+    table += organisation_rows(result)
     usages: dict[str, typing.Callable[[ArmResult], str]] = {
         "links MB a second": link_text,
         "agents' core share": lambda arm: share_text(arm, "agent"),
@@ -103,6 +133,16 @@
     return table
 
 
+def organisation_rows(result: Result) -> list[list[str]]:
+    """Return each organisation's 95th percentile of the first token."""
+    by_arm = [arm.summary.by_organisation_p95_ms for arm in result.arms]
+    names = sorted({name for one in by_arm for name in one})
+    return [
+        [f"p95 ms {name}", *[f"{one.get(name, 0.0):.0f}" for one in by_arm]]
+        for name in names
+    ]
+
+
 def refusal_text(refusals: dict[str, int]) -> str:
     """Return refusals by reason."""
     return ", ".join(f"{name} {n}" for name, n in refusals.items()) or "0"
--- a/src/briarseam/bench/workload.py
+++ b/src/briarseam/bench/workload.py
@@ -31,6 +31,8 @@
         Length of its prompt.
     returning
         Whether the session was there before.
+    seen_tokens
+        Of the prompt, what the session had sent before.
     """
 
     at_s: float
@@ -38,6 +40,17 @@
     session: str
     tokens: int
     returning: bool
+    seen_tokens: int = 0
+
+    @property
+    def new_tokens(self) -> int:
+        """Tokens that nobody can have kept, as they were never sent."""
+        return self.tokens - self.seen_tokens
+
+    @property
+    def unkept_tokens(self) -> int:
+        """The same when only whole pieces can be kept."""
+        return self.tokens - self.seen_tokens // PIECE_TOKENS * PIECE_TOKENS
 
 
 @dataclasses.dataclass
@@ -47,7 +60,7 @@
     name: str
     organisation: str
     tokens: int
-    seen: bool = False
+    seen_tokens: int = 0
 
 
 class Generator:
@@ -71,14 +84,18 @@
         self.weights = [
             1 / (n + 1) ** workload.skew for n in range(len(names))
         ]
+        self.primed: list[Request] = []
 
     def requests(self) -> list[Request]:
-        """Return all requests in order of time."""
+        """Return all requests in order of time; fill ``primed``."""
         made: list[Request] = []
         due: list[tuple[float, int, Session]] = []
         for number in range(self.workload.sessions):
             first_at = self.random.uniform(0, self.workload.return_median_s)
-            heapq.heappush(due, (first_at, number, self.new_session(number)))
+            session = self.new_session(number)
+            if self.workload.prime:
+                self.primed.append(self.request(0.0, session))
+            heapq.heappush(due, (first_at, number, session))
         now = 0.0
         number = self.workload.sessions
         while True:
@@ -118,9 +135,10 @@
             session.organisation,
             session.name,
             session.tokens,
-            session.seen,
+            session.seen_tokens > 0,
+            session.seen_tokens,
         )
-        session.seen = True
+        session.seen_tokens = session.tokens
         session.tokens += self.workload.growth_tokens
         return made
 
--- a/src/briarseam/command/bench.py
+++ b/src/briarseam/command/bench.py
@@ -116,6 +116,7 @@
         workload = wanted.workload
         recorder = measures.Recorder(workload.warmup_s, workload.duration_s)
         sending = load.Load(self.target, workload, arm.name, recorder)
+        sending.prime()
         before = links.read(stores)
         started = time.monotonic()
         watch = processes.Watch(self.names)
--- a/tests/bench/test_experiment.py
+++ b/tests/bench/test_experiment.py
@@ -5,6 +5,8 @@
 import pytest
 
 from briarseam.bench import experiment
+from briarseam.bench import measures
+from briarseam.bench import report
 from briarseam.bench import workload
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -64,3 +66,45 @@
     later = workload.Request(9.0, "north", "s-1", 1800, True)
     assert workload.prompt_of(later).startswith(workload.prompt_of(first))
     assert len(workload.prompt_of(later).split()) == 1800
+
+
+def test_priming_sends_each_session_once_before_the_clock():
+    """A bench of returning sessions begins with an empty store.  Were the
+    first prompts of the sessions measured, they would be called recomputed
+    although nobody could have kept them.
+    """
+    loaded = experiment.load(str(ROOT / "bench/experiments/dk-east.ini"))
+    generator = workload.Generator(loaded.workload, "policy")
+    later = generator.requests()
+    primed = {one.session for one in generator.primed}
+    assert len(primed) == loaded.workload.sessions
+    assert all(one.returning for one in later if one.session in primed)
+
+
+@pytest.mark.parametrize(
+    ("seen", "new", "unkept"),
+    [
+        pytest.param(0, 2300, 2300, id="first"),
+        pytest.param(2000, 300, 300, id="whole-pieces"),
+        pytest.param(1900, 400, 1300, id="part-piece"),
+    ],
+)
+def test_what_was_never_sent_cannot_be_reused(seen, new, unkept):
+    """A prompt returns with 300 new words behind a part piece.  Those are
+    computed under any policy; only the rest says how good one is.
+    """
+    request = workload.Request(0.0, "north", "s", 2300, seen > 0, seen)
+    assert (request.new_tokens, request.unkept_tokens) == (new, unkept)
+
+
+def test_the_file_of_results_stays_small_and_keeps_failures():
+    """A long run makes a point for each request; the file in the
+    repository must not grow with it, yet show every refusal.
+    """
+    points = tuple(
+        measures.Point(n, 1.0, "cut" if n == 7 else "whole")
+        for n in range(report.MAX_POINTS * 3)
+    )
+    thinned = report.thin(points)
+    assert len(thinned) <= report.MAX_POINTS + 1
+    assert points[7] in thinned
