Leave failing and silent endpoints alone; outlive errors in dispatch

Cause: an endpoint that refuses everything at once is never busy and drew every request; a frozen one looked idle once its report was too old; a model removed under its waiting callers raised KeyError in the one thread that serves them all, and such an error left a request counted in for ever.

--- a/src/briarseam/admission/dispatch.py
+++ b/src/briarseam/admission/dispatch.py
@@ -12,6 +12,8 @@
 import time
 import typing
 
+import structlog
+
 from briarseam import verdict
 from briarseam.admission import fair_queue
 from briarseam.admission import refusals
@@ -27,6 +29,7 @@
 ENGINE_QUEUE_PART = 0.25
 MIN_COST_S = 0.01
 Outcome = routing.Choice | verdict.NotRun
+log = structlog.get_logger("briarseam.admission")
 
 
 class Engines(typing.Protocol):
@@ -283,10 +286,17 @@
         self, queue: Queue, organisation: str, waiter: Waiter
     ) -> bool:
         """Serve the head of the queue; false when there is no room."""
-        if not self.serve(queue, waiter):
-            return False
-        queue.pop(organisation)
-        return True
+        try:
+            served = self.serve(queue, waiter)
+        except Exception:
+            # Guard: one thread serves all that wait.  An error over one
+            # request would end it, and every other would wait for ever.
+            log.exception("choice_failed", model=waiter.ask.model)
+            waiter.settle(refusals.not_placed())
+            served = True
+        if served:
+            queue.pop(organisation)
+        return served
 
     def refuse_late(self, queue: Queue) -> None:
         """Refuse at once those whose deadline cannot be made any more."""
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -27,6 +27,11 @@
 RUN_ID_BYTES = 12
 MS = 1000.0
 Request = messages.Admit | messages.AdmitCall
+FAILED = (
+    messages.RunResult.NOT_SENT,
+    messages.RunResult.REFUSED,
+    messages.RunResult.LOST_BEFORE_FIRST,
+)
 
 
 class Chooser(dispatch.Engines, typing.Protocol):
@@ -48,7 +53,7 @@
     def note_first_token(self, run_id: str, cached_tokens: int) -> None:
         """Learn from a run's first token."""
 
-    def note_end(self, run_id: str, whole: bool) -> None:
+    def note_end(self, run_id: str, whole: bool, failed: bool = False) -> None:
         """Count a run out."""
 
 
@@ -137,7 +142,9 @@
         )
         try:
             choice = self.parts.dispatcher.place(waiter)
-        except verdict.RefusalError:
+        except Exception:
+            # Whatever it was: a request counted in for ever would shrink
+            # its organisation's limit until the agent is restarted.
             self.parts.limits.leave(organisation)
             raise
         self.parts.chooser.prepare(
@@ -273,7 +280,8 @@
         if run is None:
             return None
         whole = message.result is messages.RunResult.DONE
-        self.parts.chooser.note_end(run.run_id, whole)
+        failed = message.result in FAILED
+        self.parts.chooser.note_end(run.run_id, whole, failed)
         self.parts.limits.leave(run.organisation)
         self.parts.dispatcher.note_end()
         if whole:
--- a/src/briarseam/admission/refusals.py
+++ b/src/briarseam/admission/refusals.py
@@ -6,6 +6,8 @@
 
 from briarseam import verdict
 
+ERROR_RETRY_S = 1.0
+
 if typing.TYPE_CHECKING:
     from briarseam.routing import state as routing
 
@@ -46,6 +48,15 @@
     )
 
 
+def not_placed() -> verdict.NotRun:
+    """Refuse what could not be placed for an error in this agent."""
+    return verdict.NotRun(
+        verdict.Reason.NO_ENDPOINT,
+        "an error kept this instance from choosing an endpoint",
+        ERROR_RETRY_S,
+    )
+
+
 def too_late(first_token_s: float, retry_after_s: float) -> verdict.NotRun:
     """Refuse what would miss its deadline."""
     return verdict.NotRun(
--- /dev/null
+++ b/src/briarseam/routing/candidates.py
@@ -0,0 +1,115 @@
+"""Which engines may run a prompt, and which of them are worth a look."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+import xxhash
+
+from briarseam.configuration import schema
+
+if typing.TYPE_CHECKING:
+    from briarseam.routing import predict
+    from briarseam.routing import prefixes as prefix_module
+    from briarseam.routing import state
+
+Names = tuple[str, ...]
+
+
+class Serving:
+    """Engines of each model, worked out once for each configuration.
+
+    Without it every request would look at every endpoint of every model.
+    """
+
+    def __init__(self) -> None:
+        self.made: tuple[schema.View, dict[str, Names]] | None = None
+
+    def names(self, view: schema.View, model: str) -> Names:
+        """Return the engines that are configured to serve a model."""
+        made = self.made
+        if made is None or made[0] is not view:
+            made = self.made = (view, engines_by_model(view))
+        return made[1].get(model, ())
+
+
+def engines_by_model(view: schema.View) -> dict[str, Names]:
+    """Return the engines in service by model."""
+    found: dict[str, list[str]] = {}
+    for name, endpoint in view.endpoints.items():
+        if endpoint.kind is not schema.EndpointKind.ENGINE:
+            continue
+        if endpoint.state is not schema.EndpointState.SERVING:
+            continue
+        for model in endpoint.models:
+            found.setdefault(model, []).append(name)
+    return {model: tuple(names) for model, names in found.items()}
+
+
+def pick(
+    names: list[str],
+    ask: state.PromptAsk,
+    first_key: bytes,
+    known: prefix_module.Prefixes,
+    busy: typing.Callable[[str], int],
+    limit: int,
+) -> list[str]:
+    """Return the engines worth predicting for.
+
+    All of a few; of many, those that have the start of the prompt, the
+    session's own by rendezvous, and the least busy of the next.
+
+    Parameters
+    ----------
+    names
+        Engines that may run it.
+    ask
+        The prompt.
+    first_key
+        Name of its first piece, empty without one.
+    known
+        What engines have.
+    busy
+        Runs that an engine has.
+    limit
+        How many are few.
+    """
+    if len(names) <= limit:
+        return names
+    holders = known.holding(names, first_key, limit) if first_key else []
+    session = session_of(ask)
+    ranked = sorted(names, key=lambda name: rank(session, name))
+    wider = ranked[: 2 * limit]
+    wider.sort(key=busy)
+    chosen = dict.fromkeys([*holders, *ranked[:2], *wider])
+    return list(chosen)[: limit + len(holders)]
+
+
+def affinity(ask: state.PromptAsk, endpoint: str) -> int:
+    """Return a session's rank of an endpoint; lowest first.
+
+    A session without a name is ranked by the start of its prompt.
+    """
+    return rank(session_of(ask), endpoint)
+
+
+def rank(session: str, endpoint: str) -> int:
+    """Return the rank of an endpoint for a session's key."""
+    return xxhash.xxh64_intdigest(f"{session}\0{endpoint}".encode())
+
+
+def session_of(ask: state.PromptAsk) -> str:
+    """Return the key by which a prompt's session is ranked."""
+    session = ask.session or (ask.chain[0].hex() if ask.chain else "")
+    return f"{ask.organisation}\0{session}"
+
+
+def tie_break(name: str) -> int:
+    """Return a changing order of equals, so that they share the work."""
+    return xxhash.xxh64_intdigest(f"{name}{time.monotonic_ns()}".encode())
+
+
+def total_slots(names: Names, predictor: predict.Predictor) -> int:
+    """Return the slots of engines together, at least one."""
+    return max(sum(predictor.slots(name) for name in names), 1)
--- a/src/briarseam/routing/loads.py
+++ b/src/briarseam/routing/loads.py
@@ -22,6 +22,9 @@
 POLL_S = 0.5
 MAX_LAG_S = 5.0
 FORGET_AFTER_S = 5.0
+# Polls, reports on heartbeats and the engines' own lag together take about
+# two seconds when all is well.
+SILENT_AFTER_S = 3.0
 MS = 1000.0
 
 
@@ -139,6 +142,22 @@
             return None
         return load
 
+    def reporting(self, names: list[str]) -> list[str]:
+        """Return the engines that still report, of those that ever did.
+
+        Guard: a frozen engine takes connections and answers nothing.  Its
+        load would be unknown and thus look idle, and every request that
+        went there would wait for a timeout.  When most are silent at once,
+        the reports are at fault and not the engines; then all stay in.
+        """
+        oldest = self.clock() - SILENT_AFTER_S
+        heard = [
+            name
+            for name in names
+            if (load := self.known.get(name)) is None or load.as_of >= oldest
+        ]
+        return heard if 2 * len(heard) >= len(names) else names
+
     def others(self, endpoint: str) -> int:
         """Return the runs that other agents have under way there."""
         oldest = self.clock() - FORGET_AFTER_S
--- a/src/briarseam/routing/predict.py
+++ b/src/briarseam/routing/predict.py
@@ -117,8 +117,7 @@
 
     def wait_s(self, model: str, endpoint: str) -> float:
         """Return the time until a slot is free, in seconds."""
-        load = self.loads.get(endpoint)
-        slots = load.slots if load else DEFAULT_SLOTS
+        slots = self.slots(endpoint)
         ahead = self.busy(endpoint) - slots + 1
         if ahead <= 0:
             return 0.0
@@ -139,11 +138,14 @@
         changed = self.ledger.change_since(endpoint, load.as_of)
         return max(load.busy + changed, self.ledger.outstanding(endpoint))
 
+    def slots(self, endpoint: str) -> int:
+        """Return an engine's slots, a guess while it is not known."""
+        load = self.loads.get(endpoint)
+        return load.slots if load else DEFAULT_SLOTS
+
     def slots_free(self, endpoint: str) -> int:
         """Return the slots that are probably free."""
-        load = self.loads.get(endpoint)
-        slots = load.slots if load else DEFAULT_SLOTS
-        return slots - self.busy(endpoint)
+        return self.slots(endpoint) - self.busy(endpoint)
 
 
 def follow_on(kept: cache.Plan, have: int) -> cache.Plan:
--- a/src/briarseam/routing/prefixes.py
+++ b/src/briarseam/routing/prefixes.py
@@ -17,6 +17,8 @@
     from briarseam.endpoints import engine_events
 
 DEFAULT_CAPACITY_PIECES = 100
+# Some 200 bytes each; an agent's memory is bounded whatever engines report.
+MAX_PIECES = 40_000
 
 
 def key_of(digest: bytes, model: str, version: str) -> bytes:
@@ -59,12 +61,14 @@
             count += 1
         return count
 
-    def use(self, keys: typing.Sequence[bytes]) -> None:
+    def use(
+        self, keys: typing.Sequence[bytes], at_most: int = MAX_PIECES
+    ) -> None:
         """Note that a run has just used or computed these."""
         for key in keys:
             self.order[key] = None
             self.order.move_to_end(key)
-        while len(self.order) > self.capacity_pieces:
+        while len(self.order) > min(self.capacity_pieces, at_most):
             self.order.popitem(last=False)
 
     def drop(self, key: bytes) -> None:
@@ -90,6 +94,20 @@
             known = self.engines.get(endpoint)
             return known.leading(keys) if known else 0
 
+    def holding(
+        self, endpoints: typing.Sequence[str], key: bytes, limit: int
+    ) -> list[str]:
+        """Return engines that probably have a piece, at most ``limit``."""
+        found: list[str] = []
+        with self.lock:
+            for endpoint in endpoints:
+                known = self.engines.get(endpoint)
+                if known is not None and key in known.order:
+                    found.append(endpoint)
+                    if len(found) == limit:
+                        break
+        return found
+
     def use(
         self,
         endpoint: str,
@@ -101,7 +119,7 @@
             known = self.engines.setdefault(endpoint, EnginePrefixes())
             if capacity_pieces is not None:
                 known.capacity_pieces = capacity_pieces
-            known.use(keys)
+            known.use(keys, MAX_PIECES // len(self.engines))
 
     def truncate(
         self, endpoint: str, keys: typing.Sequence[bytes], known: int
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -7,18 +7,18 @@
 import time
 import typing
 
-import xxhash
-
 from briarseam.cache import pieces
 from briarseam.cache import state as cache
 from briarseam.configuration import schema
 from briarseam.orders import state as orders
+from briarseam.routing import candidates
 from briarseam.routing import ledger as ledgers
 from briarseam.routing import loads as load_module
 from briarseam.routing import predict
 from briarseam.routing import prefixes as prefix_module
 from briarseam.routing import rates as rate_module
 from briarseam.routing import state
+from briarseam.routing import troubles
 
 RETRY_AFTER_S = 1.0
 Clock = typing.Callable[[], float]
@@ -103,6 +103,8 @@
         )
         self.sent: dict[str, Sent] = {}
         self.boots: dict[str, str] = {}
+        self.serving = candidates.Serving()
+        self.troubles = troubles.Troubles(parts.clock)
         self.turn = 0
         self.lock = threading.Lock()
 
@@ -111,7 +113,10 @@
     ) -> state.Choice | state.NoChoice:
         """Return the engine for a prompt."""
         view = self.parts.view()
-        model = view.models[ask.model]
+        model = view.models.get(ask.model)
+        if model is None:
+            # It was configured when the request came, and waited since.
+            return no_choice(f"{ask.model} is not configured any more")
         for offer in self.offers(ask, model):
             names = self.engines(view, ask, offer)
             if names:
@@ -124,7 +129,14 @@
             names = [self.next_in_turn(names)]
         predictions = [
             self.predictor.predict(prompt, name)
-            for name in self.candidates(names, ask, prompt, view.routing)
+            for name in candidates.pick(
+                names,
+                ask,
+                prompt.keys[0] if prompt.keys else b"",
+                self.prefixes,
+                self.predictor.busy,
+                max(view.routing.candidates, 1),
+            )
         ]
         best = min(
             predictions,
@@ -151,7 +163,7 @@
         """Return what a prompt may name, best first."""
         if ask.version:
             return (orders.Offer(ask.version, model.adapter),)
-        return self.parts.offers(ask.model, session_of(ask))
+        return self.parts.offers(ask.model, candidates.session_of(ask))
 
     def next_in_turn(self, names: list[str]) -> str:
         """Return the next of the engines, one after the other."""
@@ -164,15 +176,12 @@
     ) -> list[str]:
         """Return the engines that may run a prompt."""
         barred = self.parts.leaving() | ask.excluded
-        return [
+        names = [
             name
-            for name, endpoint in view.endpoints.items()
-            if endpoint.kind is schema.EndpointKind.ENGINE
-            and ask.model in endpoint.models
-            and endpoint.state is schema.EndpointState.SERVING
-            and name not in barred
-            and self.parts.serves(name, ask.model, offer)
+            for name in self.serving.names(view, ask.model)
+            if name not in barred and self.parts.serves(name, ask.model, offer)
         ]
+        return self.parts.loads.reporting(self.troubles.avoid(names))
 
     def prompt_of(
         self, ask: state.PromptAsk, offer: orders.Offer
@@ -196,32 +205,6 @@
         )
         return predict.Prompt(ask.model, keys, ask.prompt_tokens, kept)
 
-    def candidates(
-        self,
-        names: list[str],
-        ask: state.PromptAsk,
-        prompt: predict.Prompt,
-        policy: schema.RoutingPolicy,
-    ) -> list[str]:
-        """Return the engines worth predicting for.
-
-        All of a few; of many, those that have the start of the prompt, the
-        session's own by rendezvous, and the least busy of them.
-        """
-        limit = max(policy.candidates, 1)
-        if len(names) <= limit:
-            return names
-        holders = [
-            name
-            for name in names
-            if prompt.keys and self.prefixes.leading(name, prompt.keys[:1])
-        ]
-        ranked = sorted(names, key=lambda name: affinity(ask, name))
-        wider = ranked[: 2 * limit]
-        wider.sort(key=self.predictor.busy)
-        chosen = dict.fromkeys([*holders[:limit], *ranked[:2], *wider])
-        return list(chosen)[: limit + len(holders[:limit])]
-
     def score(
         self,
         one: predict.Prediction,
@@ -236,7 +219,7 @@
         """
         weight = policy.recompute_weight
         cost = one.first_token_s + weight * one.recompute_s
-        return round(cost, 3), affinity(ask, one.endpoint)
+        return round(cost, 3), candidates.affinity(ask, one.endpoint)
 
     def choose_service(
         self, ask: state.CallAsk
@@ -255,8 +238,11 @@
         if not names:
             return no_choice(f"no endpoint serves {ask.service}")
         name = min(
-            names,
-            key=lambda one: (self.predictor.busy(one), tie_break(one)),
+            self.troubles.avoid(names),
+            key=lambda one: (
+                self.predictor.busy(one),
+                candidates.tie_break(one),
+            ),
         )
         return state.Choice(name, view.endpoints[name].address)
 
@@ -270,8 +256,7 @@
         part
             What may wait there, as a part of its slots.
         """
-        load = self.parts.loads.get(choice.endpoint)
-        slots = load.slots if load else predict.DEFAULT_SLOTS
+        slots = self.predictor.slots(choice.endpoint)
         free = self.predictor.slots_free(choice.endpoint)
         return free + int(slots * part) > 0
 
@@ -281,12 +266,8 @@
 
     def slots(self, model: str) -> int:
         """Return the slots of all engines of a model, at least one."""
-        total = 0
-        for name, endpoint in self.parts.view().endpoints.items():
-            if model in endpoint.models:
-                load = self.parts.loads.get(name)
-                total += load.slots if load else predict.DEFAULT_SLOTS
-        return max(total, 1)
+        names = self.serving.names(self.parts.view(), model)
+        return candidates.total_slots(names, self.predictor)
 
     def prepare(
         self, run_id: str, choice: state.Choice, max_s: float
@@ -335,6 +316,7 @@
                 return
             sent.first_seen = True
         choice = sent.choice
+        self.troubles.worked(choice.endpoint)
         cached = cached_tokens // pieces.PIECE_TOKENS
         if cached < choice.have + sent.imported:
             # The engine had evicted what was thought to be there; it has
@@ -347,8 +329,18 @@
             left = left_tokens / pieces.PIECE_TOKENS
             self.rates.learn_prefill(choice.model, took_s, left)
 
-    def note_end(self, run_id: str, whole: bool) -> None:
-        """Count a run out and learn how long it took."""
+    def note_end(self, run_id: str, whole: bool, failed: bool = False) -> None:
+        """Count a run out and learn how long it took.
+
+        Parameters
+        ----------
+        run_id
+            The run.
+        whole
+            Whether it gave its whole answer.
+        failed
+            Whether its endpoint failed it before it gave anything.
+        """
         now = self.parts.clock()
         with self.lock:
             sent = self.sent.pop(run_id, None)
@@ -356,6 +348,10 @@
             return
         choice = sent.choice
         self.parts.ledger.end(choice.endpoint, run_id, now)
+        if failed:
+            self.troubles.failed(choice.endpoint)
+        elif whole:
+            self.troubles.worked(choice.endpoint)
         if whole and choice.model:
             took_s = max(now - sent.at - choice.wait_s, 0.001)
             self.rates.learn_run(choice.model, took_s)
@@ -364,26 +360,6 @@
             self.prefixes.truncate(choice.endpoint, choice.keys, choice.have)
 
 
-def affinity(ask: state.PromptAsk, endpoint: str) -> int:
-    """Return a session's rank of an endpoint; lowest first.
-
-    A session without a name is ranked by the start of its prompt.
-    """
-    key = f"{session_of(ask)}\0{endpoint}"
-    return xxhash.xxh64_intdigest(key.encode())
-
-
-def session_of(ask: state.PromptAsk) -> str:
-    """Return the key by which a prompt's session is ranked."""
-    session = ask.session or (ask.chain[0].hex() if ask.chain else "")
-    return f"{ask.organisation}\0{session}"
-
-
-def tie_break(name: str) -> int:
-    """Return a changing order of equals, so that they share the work."""
-    return xxhash.xxh64_intdigest(f"{name}{time.monotonic_ns()}".encode())
-
-
 def no_choice(detail: str) -> state.NoChoice:
     """Return the outcome when nothing can take a request."""
     return state.NoChoice(detail, RETRY_AFTER_S)
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -179,3 +179,29 @@
     waiting.until(
         lambda: done == [verdict.Reason.LEAVING], what="it is refused"
     )
+
+
+def test_an_error_over_one_request_does_not_end_the_service(
+    dispatcher, engines
+):
+    """Two callers wait.  Choosing for the first fails with an error of our
+    own; it is refused, and the second is served when its turn comes.
+    """
+    dispatcher.place(waiter(engines))
+    done = []
+    place_in_thread(dispatcher, waiter(engines, "broken"), done)
+    waiting.until(lambda: queued(dispatcher) == 1, what="one waits")
+    place_in_thread(dispatcher, waiter(engines), done)
+    waiting.until(lambda: queued(dispatcher) == 2, what="two wait")
+    choose = engines.choose_engine
+
+    def choose_or_break(ask):
+        if ask.organisation == "broken":
+            raise KeyError(ask.model)
+        return choose(ask)
+
+    engines.choose_engine = choose_or_break
+    engines.free += 1
+    dispatcher.note_end()
+    waiting.until(lambda: len(done) == 2, what="both are settled")
+    assert done == [verdict.Reason.NO_ENDPOINT, "north"]
