Space the returns of callers who find no endpoint; baselines to show it

Cause: while no engine can be used every refusal said 1 s, so all refused callers came back together. Change: NO_ENDPOINT takes its time from the same schedule as the other refusals (test seen failing before: waits were all 1.0).

--- a/src/briarseam/admission/dispatch.py
+++ b/src/briarseam/admission/dispatch.py
@@ -168,7 +168,7 @@
             queue = self.queue(waiter.ask.model)
             if len(queue) or not self.serve(queue, waiter):
                 self.check_wait(queue, waiter)
-                queue.push(waiter.ask.organisation, waiter.rank, waiter)
+                queue.push(self.lane(waiter.ask), waiter.rank, waiter)
                 self.wake.set()
         waiter.settled.wait()
         match waiter.outcome:
@@ -184,6 +184,14 @@
             self.queues[model] = Queue(self.weight)
         return self.queues[model]
 
+    def lane(self, ask: routing.PromptAsk) -> str:
+        """Return the lane in which a prompt waits.
+
+        Its organisation's; by ``arrival`` there is one without a name.
+        """
+        fair = self.view().routing.queueing == "fair"
+        return ask.organisation if fair else ""
+
     def weight(self, organisation: str) -> float:
         """Return an organisation's weight."""
         found = self.view().organisations.get(organisation)
@@ -193,7 +201,8 @@
         """Settle a waiter if that can be done now; charge for a grant."""
         choice = self.engines.choose_engine(waiter.ask)
         if isinstance(choice, routing.NoChoice):
-            waiter.settle(refusals.no_endpoint(choice))
+            wait_s = self.schedule.assign(choice.retry_after_s)
+            waiter.settle(refusals.no_endpoint(choice.detail, wait_s))
             return True
         waiter.least_s = choice.first_token_s - choice.wait_s
         late_s = self.lateness_s(waiter, choice.first_token_s)
@@ -203,7 +212,7 @@
         if not self.engines.has_room(choice, ENGINE_QUEUE_PART):
             return False
         waiter.start(choice)
-        queue.charge(waiter.ask.organisation, self.cost_s(choice))
+        queue.charge(self.lane(waiter.ask), self.cost_s(choice))
         waiter.settle(choice)
         return True
 
@@ -222,11 +231,11 @@
 
     def check_wait(self, queue: Queue, waiter: Waiter) -> None:
         """Refuse at once what would wait too long, or too many."""
-        organisation = waiter.ask.organisation
-        own = queue.waiting(organisation)
+        lane = self.lane(waiter.ask)
+        own = queue.waiting(lane)
         full = (
             len(queue) >= self.bounds.max_queued
-            or own >= self.bounds.max_queued_per_organisation
+            or (lane and own >= self.bounds.max_queued_per_organisation)
             or self.stopping.is_set()
         )
         wait_s = self.expected_wait_s(queue, waiter)
@@ -244,11 +253,11 @@
         Its organisation is served in the proportion of its weight among
         those that wait, whatever the others have queued.
         """
-        organisation = waiter.ask.organisation
+        lane = self.lane(waiter.ask)
         model = waiter.ask.model
-        active = {*queue.active(), organisation}
-        share = self.weight(organisation) / sum(map(self.weight, active))
-        by_share = (queue.waiting(organisation) + 1) / share
+        active = {*queue.active(), lane}
+        share = self.weight(lane) / sum(map(self.weight, active))
+        by_share = (queue.waiting(lane) + 1) / share
         ahead = min(by_share, len(queue) + 1)
         return ahead * self.engines.run_s(model) / self.engines.slots(model)
 
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -192,7 +192,10 @@
         )
         if isinstance(choice, routing.NoChoice):
             self.parts.limits.leave(organisation)
-            raise verdict.RefusalError(refusals.no_endpoint(choice))
+            wait_s = self.parts.schedule.assign(choice.retry_after_s)
+            raise verdict.RefusalError(
+                refusals.no_endpoint(choice.detail, wait_s)
+            )
         run = self.new_run(organisation, request)
         self.start(run, choice)
         return messages.Granted(
--- a/src/briarseam/admission/refusals.py
+++ b/src/briarseam/admission/refusals.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
-import typing
-
 from briarseam import verdict
 
 ERROR_RETRY_S = 1.0
 
-if typing.TYPE_CHECKING:
-    from briarseam.routing import state as routing
-
 
 def unknown_token() -> verdict.NotRun:
     """Refuse a caller that no organisation knows."""
@@ -41,11 +36,9 @@
     )
 
 
-def no_endpoint(choice: routing.NoChoice) -> verdict.NotRun:
+def no_endpoint(detail: str, retry_after_s: float) -> verdict.NotRun:
     """Refuse what no endpoint can take."""
-    return verdict.NotRun(
-        verdict.Reason.NO_ENDPOINT, choice.detail, choice.retry_after_s
-    )
+    return verdict.NotRun(verdict.Reason.NO_ENDPOINT, detail, retry_after_s)
 
 
 def not_placed() -> verdict.NotRun:
--- a/src/briarseam/admission/returns.py
+++ b/src/briarseam/admission/returns.py
@@ -19,6 +19,7 @@
 RETURN_SHARE = 0.5
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 60.0
+FIXED_S = 1.0
 
 
 class ReturnSchedule:
@@ -28,10 +29,17 @@
     ----------
     clock
         Monotonic seconds.
+    fixed
+        Whether all are told the same instead, to measure against.
     """
 
-    def __init__(self, clock: typing.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: typing.Callable[[], float],
+        fixed: typing.Callable[[], bool] = lambda: False,
+    ) -> None:
         self.clock = clock
+        self.fixed = fixed
         self.rate_per_s = FIRST_RATE_PER_S
         self.last_end: float | None = None
         self.next_at = clock()
@@ -59,6 +67,8 @@
         earliest_s
             No earlier than this.
         """
+        if self.fixed():
+            return FIXED_S
         now = self.clock()
         with self.lock:
             step_s = 1.0 / max(self.rate_per_s * RETURN_SHARE, MIN_RATE_PER_S)
--- a/src/briarseam/bench/experiment.py
+++ b/src/briarseam/bench/experiment.py
@@ -13,6 +13,7 @@
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 FAULT_PREFIX = "fault "
 ARM_PREFIX = "arm "
+WORKLOAD_PREFIX = "workload."
 
 
 class ExperimentError(Exception):
@@ -55,8 +56,13 @@
         Tokens of an answer.
     deadline_ms
         Deadline of the first token.
-    resend
-        Whether callers that are told to come back do so, once.
+    resends
+        How often callers that are told to come back do so at most.
+    burst_organisation
+        Who sends first-time prompts on top of the rest for a while; empty
+        for nobody.
+    burst_at_s, burst_for_s, burst_rate_per_s
+        From when, for how long, and how many a second.
     prime
         Whether every session is sent once before the clock starts, so that
         all later requests of it return.
@@ -78,8 +84,12 @@
     skew: float = 1.0
     max_tokens: Count = 24
     deadline_ms: Count = 10_000
-    resend: bool = False
+    resends: int = 0
     prime: bool = False
+    burst_organisation: str = ""
+    burst_at_s: float = 0.0
+    burst_for_s: float = 0.0
+    burst_rate_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,10 +102,14 @@
         From the heading.
     sets
         Configuration values, ``path.field`` to text.
+    workload
+        What callers ask in this arm: the file's, with what the arm gives as
+        ``workload.FIELD`` instead.
     """
 
     name: str
     sets: dict[str, str]
+    workload: Workload
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,7 +184,7 @@
     fields["organisations"] = [one.strip() for one in names if one.strip()]
     workload = convert(path, "workload", fields, Workload)
     arms = tuple(
-        Arm(heading.removeprefix(ARM_PREFIX), dict(parser[heading]))
+        arm_of(path, heading, dict(parser[heading]), fields)
         for heading in parser.sections()
         if heading.startswith(ARM_PREFIX)
     )
@@ -192,6 +206,27 @@
     return Experiment(name, workload, arms, faults)
 
 
+def arm_of(
+    path: str,
+    heading: str,
+    given: dict[str, str],
+    fields: dict[str, typing.Any],
+) -> Arm:
+    """Return an arm, its own fields of the workload put in."""
+    own = {
+        name.removeprefix(WORKLOAD_PREFIX): text
+        for name, text in given.items()
+        if name.startswith(WORKLOAD_PREFIX)
+    }
+    sets = {
+        name: text
+        for name, text in given.items()
+        if not name.startswith(WORKLOAD_PREFIX)
+    }
+    workload = convert(path, heading, {**fields, **own}, Workload)
+    return Arm(heading.removeprefix(ARM_PREFIX), sets, workload)
+
+
 def section(
     path: str, parser: configparser.RawConfigParser, name: str
 ) -> dict[str, str]:
--- a/src/briarseam/bench/load.py
+++ b/src/briarseam/bench/load.py
@@ -78,6 +78,7 @@
         # sending it, and an open loop must not be slowed by it.
         prompts = [workloads.prompt_of(one) for one in self.requests]
         started = time.monotonic()
+        self.recorder.begin(started)
         for request, prompt in zip(self.requests, prompts, strict=True):
             wait_s = started + request.at_s - time.monotonic()
             if wait_s > 0:
@@ -111,31 +112,25 @@
     def send(self, request: workloads.Request, prompt: str) -> None:
         """Send one request and take in its answer."""
         try:
+            began = time.monotonic()
+            waited_s = 0.0
             answer = self.ask(request, prompt)
-            if self.workload.resend and not answer.done:
-                answer = self.resend(request, prompt, answer)
-            self.recorder.take(request, answer)
+            for _ in range(self.workload.resends):
+                wait_s = return_wait_s(answer)
+                if wait_s is None:
+                    break
+                time.sleep(wait_s)
+                waited_s = time.monotonic() - began
+                answer = self.ask(request, prompt)
+            self.recorder.take(request, answer, waited_s)
         finally:
             with self.condition:
                 self.under_way -= 1
                 self.condition.notify_all()
 
-    def resend(
-        self,
-        request: workloads.Request,
-        prompt: str,
-        refused: caller.Answer,
-    ) -> caller.Answer:
-        """Send once more when told when to return."""
-        retry_after = refused.headers.get("Retry-After")
-        if retry_after is None:
-            return refused
-        exact = refused.problem.get("retry_after_s", float(retry_after))
-        time.sleep(min(float(exact), MAX_RESEND_WAIT_S))
-        return self.ask(request, prompt)
-
     def ask(self, request: workloads.Request, prompt: str) -> caller.Answer:
         """Send a request to its session's entry."""
+        self.recorder.note_try()
         token = self.target.token_of(request.organisation)
         address = self.address_of(request, token)
         body = {
@@ -165,3 +160,12 @@
             return asked
         addresses = response.json().get("addresses") or [asked]
         return str(addresses[0])
+
+
+def return_wait_s(answer: caller.Answer) -> float | None:
+    """Return when a refused caller may come back; ``None`` if never."""
+    retry_after = answer.headers.get("Retry-After")
+    if answer.done or retry_after is None:
+        return None
+    exact = answer.problem.get("retry_after_s", float(retry_after))
+    return min(float(exact), MAX_RESEND_WAIT_S)
--- a/src/briarseam/bench/measures.py
+++ b/src/briarseam/bench/measures.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import threading
+import time
 import typing
 
 from hdrh import histogram
@@ -39,6 +40,8 @@
         Requests sent, and those with whole answers.
     first_token_ms
         From sending to the first token, of whole answers.
+    first_token_in_all_ms
+        The same from a caller's first try, refusals and waits included.
     returning_first_token_ms
         The same of sessions that were there before.
     gap_ms
@@ -63,6 +66,10 @@
         Tokens received a second.
     refusals
         Count by reason and verdict.
+    refused_ms
+        From sending to a refusal.
+    tries_by_second
+        Requests that went out in each second, sent again or not.
     by_organisation_p95_ms
         95th percentile of the first token by organisation.
     """
@@ -70,6 +77,7 @@
     sent: int
     whole: int
     first_token_ms: Latency
+    first_token_in_all_ms: Latency
     returning_first_token_ms: Latency
     gap_ms: Latency
     prompt_tokens: int
@@ -82,6 +90,8 @@
     cold_returns: int
     tokens_per_s: float
     refusals: dict[str, int]
+    refused_ms: Latency
+    tries_by_second: list[int]
     by_organisation_p95_ms: dict[str, float]
 
 
@@ -136,6 +146,10 @@
         self.by_organisation: dict[str, histogram.HdrHistogram] = {}
         self.refusals: collections.Counter[str] = collections.Counter()
         self.points: list[Point] = []
+        self.tries: collections.Counter[int] = collections.Counter()
+        self.first_in_all = new_histogram()
+        self.refused_ms = new_histogram()
+        self.started = 0.0
         self.sent = 0
         self.whole = 0
         self.tokens = 0
@@ -148,8 +162,24 @@
         self.returning_unkept_tokens = 0
         self.cold_returns = 0
 
-    def take(self, request: workload.Request, answer: caller.Answer) -> None:
-        """Take in one answer."""
+    def begin(self, started: float) -> None:
+        """Start the clock of the tries, at a monotonic time."""
+        self.tries.clear()
+        self.started = started
+
+    def note_try(self) -> None:
+        """Count a request that goes out now, first or sent again."""
+        second = int(time.monotonic() - self.started)
+        with self.lock:
+            self.tries[second] += 1
+
+    def take(
+        self,
+        request: workload.Request,
+        answer: caller.Answer,
+        waited_s: float = 0.0,
+    ) -> None:
+        """Take in one answer, and the time before its last try."""
         with self.lock:
             self.points.append(point_of(request, answer))
             if request.at_s < self.warmup_s:
@@ -157,8 +187,11 @@
             self.sent += 1
             if not answer.done:
                 self.refusals[refusal_of(answer)] += 1
+                self.refused_ms.record_value(max(int(answer.head_s * US), 1))
                 return
             self.take_whole(request, answer)
+            in_all_us = int((waited_s + answer.first_token_s) * US)
+            self.first_in_all.record_value(in_all_us)
 
     def take_whole(
         self, request: workload.Request, answer: caller.Answer
@@ -194,6 +227,7 @@
                 sent=self.sent,
                 whole=self.whole,
                 first_token_ms=summarize(self.first),
+                first_token_in_all_ms=summarize(self.first_in_all),
                 returning_first_token_ms=summarize(self.returning_first),
                 gap_ms=summarize(self.gaps),
                 prompt_tokens=self.prompt_tokens,
@@ -218,6 +252,11 @@
                 cold_returns=self.cold_returns,
                 tokens_per_s=round(self.tokens / self.measured_s, 1),
                 refusals=dict(self.refusals),
+                refused_ms=summarize(self.refused_ms),
+                tries_by_second=[
+                    self.tries[second]
+                    for second in range(max(self.tries, default=-1) + 1)
+                ],
                 by_organisation_p95_ms={
                     name: summarize(values).p95
                     for name, values in sorted(self.by_organisation.items())
--- a/src/briarseam/bench/report.py
+++ b/src/briarseam/bench/report.py
@@ -111,6 +111,11 @@
         ),
         "cold returns": lambda one: str(one.cold_returns),
         "tokens a second": lambda one: f"{one.tokens_per_s:.0f}",
+        "in all p95 ms": (lambda one: f"{one.first_token_in_all_ms.p95:.0f}"),
+        "most sent in a second": lambda one: str(
+            max(one.tries_by_second, default=0)
+        ),
+        "refused p95 ms": lambda one: f"{one.refused_ms.p95:.0f}",
         "refusals": lambda one: refusal_text(one.refusals),
     }
     table = [
@@ -224,6 +229,16 @@
         axis.axvspan(
             fault.at_s, fault.at_s + fault.for_s, alpha=0.15, color="grey"
         )
+    tries = axis.twinx()
+    tries.step(
+        range(len(arm.summary.tries_by_second)),
+        arm.summary.tries_by_second,
+        where="post",
+        color="tab:green",
+        alpha=0.6,
+    )
+    tries.set_ylabel("requests sent a second", color="tab:green")
+    tries.set_ylim(bottom=0)
     axis.set_yscale("log")
     axis.set_ylabel("first token, ms")
     axis.set_title(
--- a/src/briarseam/bench/workload.py
+++ b/src/briarseam/bench/workload.py
@@ -101,7 +101,8 @@
         while True:
             now += self.random.expovariate(self.workload.rate_per_s)
             if now > self.workload.duration_s:
-                return made
+                made += self.burst()
+                return sorted(made, key=lambda one: one.at_s)
             once = self.random.random() < self.workload.once_share
             if once or due[0][0] > now:
                 number += 1
@@ -116,6 +117,26 @@
             )
             heapq.heappush(due, (now + gap_s, tie, session))
 
+    def burst(self) -> list[Request]:
+        """Return the requests of the burst, evenly spaced.
+
+        They have no part in the random numbers, so that arms with and
+        without it send the same otherwise.
+        """
+        workload = self.workload
+        count = int(workload.burst_for_s * workload.burst_rate_per_s)
+        tokens = int((workload.pieces_min + workload.pieces_max) * 500)
+        return [
+            Request(
+                workload.burst_at_s + number / workload.burst_rate_per_s,
+                workload.burst_organisation,
+                f"{self.arm}-burst-{number}",
+                tokens,
+                False,
+            )
+            for number in range(count)
+        ]
+
     def new_session(self, number: int) -> Session:
         """Return a session that has not sent anything."""
         organisation = self.random.choices(
--- a/src/briarseam/command/bench.py
+++ b/src/briarseam/command/bench.py
@@ -113,7 +113,7 @@
         """Run one arm."""
         self.await_offset(arms.apply(arm, self.operator))
         stores = links.stores(self.operator)
-        workload = wanted.workload
+        workload = arm.workload
         recorder = measures.Recorder(workload.warmup_s, workload.duration_s)
         sending = load.Load(self.target, workload, arm.name, recorder)
         sending.prime()
--- a/src/briarseam/compose/serving.py
+++ b/src/briarseam/compose/serving.py
@@ -118,7 +118,9 @@
     cache_events = residents.Residents(
         view, chooser.prefixes, sources.kept.metrics
     )
-    schedule = returns.ReturnSchedule(time.monotonic)
+    schedule = returns.ReturnSchedule(
+        time.monotonic, lambda: view().routing.returning == "fixed"
+    )
     dispatcher = dispatch.Dispatcher(
         chooser,
         view,
--- a/src/briarseam/configuration/values.py
+++ b/src/briarseam/configuration/values.py
@@ -152,12 +152,20 @@
         Endpoints looked at per request.
     retry_budget
         Retries allowed as a part of first tries, per organisation.
+    queueing
+        ``fair`` over organisations, or ``arrival`` (priority, then
+        deadline, whoever asks) as a baseline to measure against.
+    returning
+        ``spaced`` gives each refused caller a time of its own to return,
+        ``fixed`` tells all of them 1 s, as a baseline.
     """
 
     strategy: typing.Literal["predicted", "round-robin"] = "predicted"
     recompute_weight: Share = 0.3
     candidates: NonNegative = 8
     retry_budget: Share = 0.1
+    queueing: typing.Literal["fair", "arrival"] = "fair"
+    returning: typing.Literal["spaced", "fixed"] = "spaced"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/briarseam/testing/caller.py
+++ b/src/briarseam/testing/caller.py
@@ -45,6 +45,8 @@
         Seconds until the first token; -1 when none came.
     gaps_s
         Seconds between tokens.
+    head_s
+        Seconds until the response's status.
     cut
         Whether the connection ended before the answer did.
     """
@@ -58,6 +60,7 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     first_token_s: float = -1.0
     gaps_s: list[float] = dataclasses.field(default_factory=list)
+    head_s: float = 0.0
     cut: bool = False
 
     @property
@@ -158,6 +161,7 @@
             answer.cut = True
             return
         answer.status = response.status
+        answer.head_s = time.monotonic() - started
         answer.headers = dict(response.headers)
         try:
             if response.status != HTTP_OK:
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -205,3 +205,43 @@
     dispatcher.note_end()
     waiting.until(lambda: len(done) == 2, what="both are settled")
     assert done == [verdict.Reason.NO_ENDPOINT, "north"]
+
+
+def test_callers_of_a_model_without_an_engine_return_spread_out(
+    dispatcher, engines
+):
+    """All engines are lost for a while and every caller is refused.  Told
+    the same second, all would come back together and make a second peak.
+    """
+    engines.choose_engine = lambda ask: routing.NoChoice("none", 1.0)
+    waits = []
+    for _ in range(10):
+        with pytest.raises(verdict.RefusalError) as refusal:
+            dispatcher.place(waiter(engines))
+        waits.append(refusal.value.given.retry_after_s)
+    assert waits == sorted(waits)
+    assert waits[-1] - waits[0] > 1.0
+
+
+def test_without_fair_queueing_a_burst_comes_first(engines):
+    """The baseline of the fairness figure: one lane in order of priority
+    and deadline.  If it were fair as well, the figure would say nothing.
+    """
+    dispatcher = build(engines)
+    policy = schema.RoutingPolicy(queueing="arrival")
+    dispatcher.view = lambda: schema.View(routing=policy)
+    dispatcher.start()
+    dispatcher.place(waiter(engines, "large"))
+    done = []
+    for number in range(3):
+        place_in_thread(dispatcher, waiter(engines, "large"), done)
+        waiting.until(lambda n=number: queued(dispatcher) == n + 1, what="in")
+    place_in_thread(dispatcher, waiter(engines, "small"), done)
+    waiting.until(lambda: queued(dispatcher) == 4, what="the small waits")
+    for served in range(1, 4):
+        engines.free += 1
+        dispatcher.note_end()
+        waiting.until(lambda n=served: len(done) == n, what="one served")
+    dispatcher.stop()
+    waiting.until(lambda: len(done) == 4, what="the last is refused")
+    assert done[:3] == ["large"] * 3
--- a/tests/bench/test_experiment.py
+++ b/tests/bench/test_experiment.py
@@ -108,3 +108,24 @@
     thinned = report.thin(points)
     assert len(thinned) <= report.MAX_POINTS + 1
     assert points[7] in thinned
+
+
+def test_an_arm_may_change_the_load(tmp_path):
+    """The fairness figure compares a small organisation with and without
+    another's burst.  All else that is sent must be the same in both arms.
+    """
+    text = (ROOT / "bench/experiments/dk-east.ini").read_text()
+    path = tmp_path / "burst.ini"
+    path.write_text(
+        text + "workload.burst_organisation = kommune-tilsyn\n"
+        "workload.burst_at_s = 5\n"
+        "workload.burst_for_s = 2\n"
+        "workload.burst_rate_per_s = 10\n"
+    )
+    calm, burst = experiment.load(str(path)).arms
+    assert not any(name.startswith("workload.") for name in burst.sets)
+    sent = workload.Generator(calm.workload, "x").requests()
+    more = workload.Generator(burst.workload, "x").requests()
+    added = [one for one in more if one not in sent]
+    assert len(more) == len(sent) + 20
+    assert {one.organisation for one in added} == {"kommune-tilsyn"}
