--- /dev/null
+++ b/src/briarseam/admission/condemnation.py
@@ -0,0 +1,294 @@
+"""Which prompts crash endpoints: suspicions, trials and condemnations.
+
+When an endpoint dies, each prompt that it was running is suspect.  A
+suspect is tried once more, alone among suspects; a second endpoint lost
+condemns it.  What is known is a set of items that only grows, so it can be
+taken in any order, twice, from the log and from peers.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import threading
+import typing
+
+import msgspec
+
+FINGERPRINT_BYTES = 16
+ENDPOINTS_LOST = 2
+LASTS_MS = 3_600_000
+TRIAL_BOUND_MS = 120_000
+# Half of the term and the bound again, so that an item told late is not
+# taken for a new one after it was forgotten.
+FORGET_MS = LASTS_MS * 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """A prompt, known by what is the same when a caller sends it again.
+
+    Attributes
+    ----------
+    fingerprint
+        Hex digest over organisation, model and prompt.
+    organisation, model
+        Whose prompt, for which model.
+    """
+
+    fingerprint: str
+    organisation: str
+    model: str
+
+
+def case_of(organisation: str, model: str, prompt_digest: bytes) -> Case:
+    """Return the case of a prompt."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (organisation.encode(), model.encode(), prompt_digest):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return Case(digest.hexdigest(), organisation, model)
+
+
+class Lost(msgspec.Struct, frozen=True, tag="lost", array_like=True):
+    """An endpoint died while it ran a prompt.
+
+    Attributes
+    ----------
+    fingerprint, organisation, model
+        The prompt.
+    endpoint
+        What died.
+    group
+        Run id of the first of the prompt's runs there; however many of
+        them were lost with the endpoint, they count once.
+    time_ms
+        When, by the log's clock as far as it is known.
+    """
+
+    fingerprint: str
+    organisation: str
+    model: str
+    endpoint: str
+    group: str
+    time_ms: int
+
+
+class Trial(msgspec.Struct, frozen=True, tag="trial", array_like=True):
+    """A suspect is being tried once more.
+
+    Attributes
+    ----------
+    fingerprint, organisation, model, endpoint, group, time_ms
+        As in :class:`Lost`.
+    boot_id
+        The endpoint's start at that time, as far as it is known.
+    """
+
+    fingerprint: str
+    organisation: str
+    model: str
+    endpoint: str
+    group: str
+    time_ms: int
+    boot_id: str = ""
+
+
+class TrialEnded(msgspec.Struct, frozen=True, tag="end", array_like=True):
+    """A trial is over."""
+
+    group: str
+    time_ms: int
+
+
+class Cleared(msgspec.Struct, frozen=True, tag="clear", array_like=True):
+    """Losses that do not count any more.
+
+    Attributes
+    ----------
+    fingerprint, organisation
+        The prompt.
+    groups
+        The losses.
+    operator
+        Who lifted it; empty when the prompt finished elsewhere.
+    time_ms
+        When.
+    """
+
+    fingerprint: str
+    organisation: str
+    groups: tuple[str, ...]
+    operator: str
+    time_ms: int
+
+
+Item = Lost | Trial | TrialEnded | Cleared
+
+
+@dataclasses.dataclass(frozen=True)
+class Clear:
+    """Nothing speaks against the prompt."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspect:
+    """One endpoint died with the prompt.
+
+    Attributes
+    ----------
+    groups
+        The losses that count.
+    """
+
+    groups: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Condemned:
+    """As many endpoints as may be lost died with the prompt.
+
+    Attributes
+    ----------
+    losses
+        What died.
+    until_ms
+        When it ends by itself.
+    """
+
+    losses: tuple[Lost, ...]
+    until_ms: int
+
+
+Standing = Clear | Suspect | Condemned
+
+
+class Book:
+    """All that is known; thread-safe.
+
+    Parameters
+    ----------
+    now_ms
+        The log's clock, in ms since the epoch.
+    """
+
+    def __init__(self, now_ms: typing.Callable[[], int]) -> None:
+        self.now_ms = now_ms
+        self.lock = threading.Lock()
+        self.losses: dict[str, dict[str, Lost]] = {}
+        self.cleared: dict[str, Cleared] = {}
+        self.trials: dict[str, Trial] = {}
+        self.ended: dict[str, TrialEnded] = {}
+
+    def merge(self, item: Item) -> bool:
+        """Take an item in; tell whether it was new."""
+        with self.lock:
+            match item:
+                case Lost():
+                    return self.merge_loss(item)
+                case Trial():
+                    return put(self.trials, item.group, item)
+                case TrialEnded():
+                    return put(self.ended, item.group, item)
+                case Cleared():
+                    fresh = [
+                        put(self.cleared, group, item) for group in item.groups
+                    ]
+                    return any(fresh)
+
+    def merge_loss(self, item: Lost) -> bool:
+        """Take a loss in; it ends its group's trial."""
+        losses = self.losses.setdefault(item.fingerprint, {})
+        put(self.ended, item.group, TrialEnded(item.group, item.time_ms))
+        return put(losses, item.group, item)
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return how a prompt stands."""
+        with self.lock:
+            losses = self.counting(fingerprint)
+        if len(losses) >= ENDPOINTS_LOST:
+            return Condemned(tuple(losses), self.until_ms(losses))
+        if losses:
+            return Suspect(tuple(loss.group for loss in losses))
+        return Clear()
+
+    def counting(self, fingerprint: str) -> list[Lost]:
+        """Return a prompt's losses that count; call it under ``lock``."""
+        losses = [
+            loss
+            for group, loss in self.losses.get(fingerprint, {}).items()
+            if group not in self.cleared
+        ]
+        if losses and self.now_ms() >= self.until_ms(losses):
+            return []
+        return losses
+
+    def until_ms(self, losses: typing.Sequence[Lost]) -> int:
+        """Return when losses cease to count: a term after the last."""
+        return max(loss.time_ms for loss in losses) + LASTS_MS
+
+    def condemned(self) -> dict[str, Condemned]:
+        """Return all condemned prompts."""
+        found = {
+            fingerprint: self.standing(fingerprint)
+            for fingerprint in list(self.losses)
+        }
+        return {
+            fingerprint: standing
+            for fingerprint, standing in found.items()
+            if isinstance(standing, Condemned)
+        }
+
+    def running_trials(self) -> list[Trial]:
+        """Return the trials that are under way."""
+        oldest = self.now_ms() - TRIAL_BOUND_MS
+        with self.lock:
+            return [
+                trial
+                for group, trial in self.trials.items()
+                if group not in self.ended and trial.time_ms >= oldest
+            ]
+
+    def recent(self, since_ms: int, limit: int) -> list[Item]:
+        """Return the newest items after a time, at most ``limit``."""
+        with self.lock:
+            items: list[Item] = [
+                loss
+                for losses in self.losses.values()
+                for loss in losses.values()
+            ]
+            items += [*self.trials.values(), *self.ended.values()]
+            items += list(dict.fromkeys(self.cleared.values()))
+        newest = [item for item in items if item.time_ms >= since_ms]
+        newest.sort(key=lambda item: item.time_ms)
+        return newest[-limit:]
+
+    def forget_old(self) -> None:
+        """Drop what can't count any more."""
+        oldest = self.now_ms() - FORGET_MS
+        with self.lock:
+            for fingerprint, losses in list(self.losses.items()):
+                drop_old(losses, oldest)
+                if not losses:
+                    del self.losses[fingerprint]
+            drop_old(self.cleared, oldest)
+            drop_old(self.trials, oldest)
+            drop_old(self.ended, oldest)
+
+
+Kept = typing.TypeVar("Kept", Lost, Trial, TrialEnded, Cleared)
+
+
+def put(items: dict[str, Kept], name: str, item: Kept) -> bool:
+    """Add an item unless it is known; tell whether it was new."""
+    if name in items:
+        return False
+    items[name] = item
+    return True
+
+
+def drop_old(items: dict[str, Kept], oldest_ms: int) -> None:
+    """Drop items from before a time."""
+    for name in [
+        name for name, item in items.items() if item.time_ms < oldest_ms
+    ]:
+        del items[name]
--- /dev/null
+++ b/src/briarseam/admission/condemnation_log.py
@@ -0,0 +1,221 @@
+"""The agent's part of the log stream ``condemnations``."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+import typing
+
+import structlog
+
+from briarseam.admission import condemnation
+from briarseam.admission import condemnation_records as records
+from briarseam.platform import log as platform_log
+
+if typing.TYPE_CHECKING:
+    from briarseam.configuration import teams as teams_module
+
+MAX_ITEMS = 500
+MAX_PENDING = 10_000
+RETRY_S = 0.5
+READY_S = 2.0
+BATCH_S = 0.02
+FORGET_EVERY_S = 60.0
+# What heartbeats repeat: the log may be down for long.
+GOSSIP_MS = 600_000
+GOSSIP_ITEMS = 64
+log = structlog.get_logger("briarseam.admission")
+
+
+@dataclasses.dataclass
+class LogClock:
+    """The log's clock, as this agent knows it from records it read."""
+
+    skew_ms: int | None = None
+
+    def now_ms(self) -> int:
+        """Return the time in ms since the epoch."""
+        return time.time_ns() // 1_000_000 + (self.skew_ms or 0)
+
+    def observe(self, time_ms: int) -> None:
+        """Learn from a record that was appended just now."""
+        skew_ms = time_ms - time.time_ns() // 1_000_000
+        # A record that is read late looks old; the largest is the truest.
+        if self.skew_ms is None or skew_ms > self.skew_ms:
+            self.skew_ms = skew_ms
+
+
+class CondemnationLog:
+    """Follows the stream into the book, and appends what is found here.
+
+    Parameters
+    ----------
+    client
+        The log.
+    key
+        The system's shared key.
+    teams
+        Whose lifts count.
+    book
+        What is known.
+    clock
+        The log's clock.
+    """
+
+    def __init__(
+        self,
+        client: platform_log.LogClient,
+        key: bytes,
+        teams: teams_module.Teams,
+        book: condemnation.Book,
+        clock: LogClock,
+    ) -> None:
+        self.client = client
+        self.key = key
+        self.teams = teams
+        self.book = book
+        self.clock = clock
+        self.pending: list[condemnation.Item] = []
+        self.noted = 0
+        self.written = 0
+        self.changed = threading.Condition()
+        self.stopping = threading.Event()
+        self.caught_up = threading.Event()
+        self.started_at = time.monotonic()
+        self.follower = platform_log.Follower(
+            client, records.STREAM, 0, self.take
+        )
+
+    def start(self) -> None:
+        """Begin following and appending."""
+        self.follower.start()
+        for target in (self.append_on, self.forget_on):
+            threading.Thread(
+                target=target, name="condemnations", daemon=True
+            ).start()
+
+    def stop(self) -> None:
+        """Stop after what is under way."""
+        self.follower.stop()
+        self.stopping.set()
+        with self.changed:
+            self.changed.notify_all()
+
+    def wait_ready(self) -> None:
+        """Wait for the first read, but not long after the start.
+
+        A fresh agent knows of no condemnation; a prompt that comes in its
+        first moments would take down a third endpoint.  While the log is
+        down, peers' heartbeats tell what they know.
+        """
+        left_s = self.started_at + READY_S - time.monotonic()
+        self.caught_up.wait(max(left_s, 0.0))
+
+    def take(self, batch: platform_log.Batch) -> None:
+        """Fold a batch in."""
+        for record in batch.records:
+            if self.caught_up.is_set():
+                self.clock.observe(record.time_ms)
+            try:
+                items = records.decode(record.data, self.key, self.teams)
+            except records.RecordError as error:
+                log.warning(
+                    "condemnation_record_ignored",
+                    offset=record.offset,
+                    detail=str(error),
+                )
+                continue
+            for item in items:
+                self.merge(item)
+        if not batch.records or batch.records[-1].offset >= batch.next - 1:
+            self.caught_up.set()
+
+    def merge(self, item: condemnation.Item) -> None:
+        """Take an item in; a line for what changes a prompt's standing."""
+        if not self.book.merge(item):
+            return
+        match item:
+            case condemnation.Lost(fingerprint=fingerprint):
+                standing = type(self.book.standing(fingerprint)).__name__
+                log.warning(
+                    "endpoint_lost_with_prompt",
+                    prompt=fingerprint,
+                    organisation=item.organisation,
+                    endpoint=item.endpoint,
+                    standing=standing.lower(),
+                )
+            case condemnation.Cleared(operator=operator) if operator:
+                log.warning(
+                    "condemnation_lifted",
+                    prompt=item.fingerprint,
+                    operator=operator,
+                )
+
+    def note(self, item: condemnation.Item) -> None:
+        """Take in what was found here, and have it appended."""
+        self.merge(item)
+        with self.changed:
+            if len(self.pending) < MAX_PENDING:
+                self.pending.append(item)
+                self.noted += 1
+            self.changed.notify_all()
+
+    def wait_written(self, timeout_s: float) -> None:
+        """Wait until what was noted so far is in the log.
+
+        Not while the log is known to be away: what it lacks is in the
+        memories of this agent and its peers only.
+        """
+        if not self.follower.available:
+            return
+        with self.changed:
+            wanted = self.noted
+            self.changed.wait_for(lambda: self.written >= wanted, timeout_s)
+
+    def append_on(self) -> None:
+        """Append what is pending until stopped."""
+        while not self.stopping.is_set():
+            with self.changed:
+                self.changed.wait_for(
+                    lambda: self.pending or self.stopping.is_set()
+                )
+            # Runs that were lost with one endpoint are told of within
+            # moments, and go into one record.
+            self.stopping.wait(BATCH_S)
+            with self.changed:
+                items = self.pending[:MAX_ITEMS]
+            if items and not self.append(items):
+                self.stopping.wait(RETRY_S)
+
+    def append(self, items: list[condemnation.Item]) -> bool:
+        """Append items; tell whether they are in the log.
+
+        One that took effect with its answer lost is appended again: items
+        are known by their names, so doubles change nothing.
+        """
+        data = records.encode(items, self.key)
+        outcome = self.client.append(records.STREAM, data)
+        if not isinstance(outcome, platform_log.Appended):
+            return False
+        with self.changed:
+            del self.pending[: len(items)]
+            self.written += len(items)
+            self.changed.notify_all()
+        return True
+
+    def forget_on(self) -> None:
+        """Drop what is old, until stopped."""
+        while not self.stopping.wait(FORGET_EVERY_S):
+            self.book.forget_old()
+
+    def provide(self) -> bytes:
+        """Return this agent's section of a heartbeat."""
+        since_ms = self.clock.now_ms() - GOSSIP_MS
+        return records.encode_items(self.book.recent(since_ms, GOSSIP_ITEMS))
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Take in another agent's section."""
+        del member
+        for item in records.decode_items(data):
+            self.merge(item)
--- /dev/null
+++ b/src/briarseam/admission/condemnation_records.py
@@ -0,0 +1,108 @@
+"""Records of the log stream ``condemnations``.
+
+A record is the msgpack array ``[version, author, items, proof]``.  Without
+an author the proof is a MAC under the key that the system's processes
+share; with a team as author it is that team's, and clears only prompts of
+organisations that the team holds.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import typing
+
+import msgpack
+import msgspec
+
+from briarseam.admission import condemnation
+
+if typing.TYPE_CHECKING:
+    from briarseam.configuration import teams as teams_module
+
+STREAM = "condemnations"
+VERSION = 1
+LABEL = b"briarseam condemnations"
+Items = list[condemnation.Item]
+
+
+class RecordError(ValueError):
+    """Bytes that are no record, or one that nobody vouches for."""
+
+
+def encode_items(items: typing.Sequence[condemnation.Item]) -> bytes:
+    """Return the bytes of items."""
+    return msgspec.msgpack.encode(list(items))
+
+
+def decode_items(data: bytes) -> Items:
+    """Return the validated items of bytes.
+
+    Raises
+    ------
+    RecordError
+        When they are none.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=Items)
+    except msgspec.DecodeError as error:
+        raise RecordError(f"not items: {error}") from error
+
+
+def signed_bytes(author: str, body: bytes) -> bytes:
+    """Return what a proof is over."""
+    packed = msgpack.packb([LABEL, VERSION, author, body])
+    return typing.cast("bytes", packed)
+
+
+def encode(items: typing.Sequence[condemnation.Item], key: bytes) -> bytes:
+    """Return the system's own record of items."""
+    body = encode_items(items)
+    proof = hmac.digest(key, signed_bytes("", body), hashlib.sha256)
+    return typing.cast("bytes", msgpack.packb([VERSION, "", body, proof]))
+
+
+def encode_lift(
+    cleared: condemnation.Cleared, author: str, teams: teams_module.Teams
+) -> bytes:
+    """Return a team's record that lifts a condemnation."""
+    body = encode_items([cleared])
+    proof = teams.sign(author, signed_bytes(author, body))
+    return typing.cast("bytes", msgpack.packb([VERSION, author, body, proof]))
+
+
+def decode(data: bytes, key: bytes, teams: teams_module.Teams) -> Items:
+    """Return the items of a record that is proved.
+
+    Raises
+    ------
+    RecordError
+        When it is malformed, or its author may not say this.
+    """
+    try:
+        version, author, body, proof = msgpack.unpackb(data, raw=False)
+        if version != VERSION:
+            raise RecordError(f"a record of version {version}")
+        signed = signed_bytes(author, body)
+        if author:
+            proved = teams.verifies(author, signed, proof)
+        else:
+            expected = hmac.digest(key, signed, hashlib.sha256)
+            proved = hmac.compare_digest(expected, proof)
+    except (ValueError, TypeError) as error:
+        raise RecordError(f"not a record: {error}") from error
+    if not proved:
+        raise RecordError("nobody vouches for the record")
+    items = decode_items(body)
+    if author and not all(may_lift(author, item, teams) for item in items):
+        raise RecordError(f"team {author} may not say this")
+    return items
+
+
+def may_lift(
+    author: str, item: condemnation.Item, teams: teams_module.Teams
+) -> bool:
+    """Tell whether a team may append an item: lift for its organisations."""
+    if not isinstance(item, condemnation.Cleared):
+        return False
+    return teams.owner(f"organisations/{item.organisation}") == author
--- a/src/briarseam/admission/dispatch.py
+++ b/src/briarseam/admission/dispatch.py
@@ -209,7 +209,11 @@
         if late_s > 0:
             waiter.settle(self.too_late(choice.first_token_s, late_s))
             return True
-        if not self.engines.has_room(choice, ENGINE_QUEUE_PART):
+        # One that may go to a single engine waits there if need be: at the
+        # head of the queue here it would hold up those for other engines.
+        if not waiter.ask.only and not self.engines.has_room(
+            choice, ENGINE_QUEUE_PART
+        ):
             return False
         waiter.start(choice)
         queue.charge(self.lane(waiter.ask), self.cost_s(choice))
--- a/src/briarseam/admission/messages.py
+++ b/src/briarseam/admission/messages.py
@@ -52,6 +52,8 @@
     request
         Name of the caller's request on the time line; the same for all
         its tries.
+    prompt_digest
+        blake2b-16 of the prompt's tokens; names what crashes endpoints.
     """
 
     token_digest: str
@@ -70,6 +72,7 @@
     lost: tuple[str, ...] = ()
     attempt: str = ""
     request: str = ""
+    prompt_digest: bytes = b""
 
 
 @codec.message("admit-call")
@@ -289,7 +292,15 @@
 @codec.message("located")
 @dataclasses.dataclass(frozen=True)
 class Located:
-    """The run behind an answer id."""
+    """The run behind an answer id.
+
+    Attributes
+    ----------
+    organisation, run_id, endpoint, address, model, version
+        The run, where and of what.
+    generation
+        Number of this resume; -1 when nobody could count it.
+    """
 
     organisation: str
     run_id: str
@@ -297,6 +308,48 @@
     address: str
     model: str
     version: str
+    generation: int = 0
+
+
+@codec.message("resumed")
+@dataclasses.dataclass(frozen=True)
+class Resumed:
+    """Tell an answer's home agent that it is being resumed."""
+
+    run_id: str
+
+
+@codec.message("resume-counted")
+@dataclasses.dataclass(frozen=True)
+class ResumeCounted:
+    """The resume's number; ``None`` when the run was given up before."""
+
+    generation: int | None
+
+
+@codec.message("may-cancel")
+@dataclasses.dataclass(frozen=True)
+class MayCancel:
+    """Ask whether a run may be cancelled as nobody reads its answer.
+
+    Attributes
+    ----------
+    answer_id
+        The answer.
+    generation
+        Of the resume whose caller went away; 0 for the first request.
+    """
+
+    answer_id: str
+    generation: int
+
+
+@codec.message("cancel-answered")
+@dataclasses.dataclass(frozen=True)
+class CancelAnswered:
+    """Whether it may; then it can't be resumed any more."""
+
+    allowed: bool
 
 
 def refused(given: verdict.Verdict) -> Refused:
--- /dev/null
+++ b/src/briarseam/admission/orphans.py
@@ -0,0 +1,108 @@
+"""Granted runs whose entry died: nobody will tell how they ended."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+import typing
+
+from briarseam.admission import messages
+
+SWEEP_S = 0.25
+# An entry whose connections were cut opens new ones within this.
+GRACE_S = 2.0
+# No run is longer: its end was missed.
+BOUND_S = 3600.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """A run, who holds it, and since when (monotonic seconds)."""
+
+    run_id: str
+    endpoint: str
+    entry: str
+    since: float
+
+
+class Orphans:
+    """Ends runs in the place of entries that are gone.
+
+    A run left in the table would count against its organisation's limits
+    and its endpoint's load until the agent is replaced.
+
+    Parameters
+    ----------
+    connected
+        Names of the entry processes that have a connection open.
+    end
+        Takes in how a run ended.
+    clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        connected: typing.Callable[[], frozenset[str]],
+        end: typing.Callable[[messages.RunEnded], typing.Any],
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.connected = connected
+        self.end = end
+        self.clock = clock
+        self.granted: dict[str, Granted] = {}
+        self.missing: dict[str, float] = {}
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begin looking for entries that are gone."""
+        threading.Thread(
+            target=self.watch, name="orphans", daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stop looking."""
+        self.stopping.set()
+
+    def watch(self) -> None:
+        """Look until stopped."""
+        while not self.stopping.wait(SWEEP_S):
+            self.review()
+
+    def note(self, granted: messages.Granted, entry: str) -> None:
+        """Remember whose run it is."""
+        run = Granted(granted.run_id, granted.endpoint, entry, self.clock())
+        with self.lock:
+            self.granted[granted.run_id] = run
+
+    def forget(self, run_id: str) -> None:
+        """Forget a run whose end was told."""
+        with self.lock:
+            self.granted.pop(run_id, None)
+
+    def review(self) -> None:
+        """End the runs of entries that have been gone for a while."""
+        now = self.clock()
+        connected = self.connected()
+        with self.lock:
+            runs = list(self.granted.values())
+        absent = {run.entry for run in runs} - connected
+        self.missing = {
+            entry: self.missing.get(entry, now) for entry in absent
+        }
+        for run in runs:
+            gone_at = self.missing.get(run.entry, now)
+            if now - gone_at >= GRACE_S or now - run.since >= BOUND_S:
+                self.end(ended(run))
+
+
+def ended(run: Granted) -> messages.RunEnded:
+    """Return the report that a gone entry never gave.
+
+    Without an attempt: what becomes of a claim is settled elsewhere.
+    """
+    return messages.RunEnded(
+        run.run_id, "", run.endpoint, messages.RunResult.LOST_AFTER_FIRST
+    )
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -75,6 +75,8 @@
         Limits and retry budgets of organisations; when to return.
     key
         Shared key, for answer ids.
+    home
+        Address of this agent, for answer ids.
     """
 
     view: typing.Callable[[], schema.View]
@@ -85,6 +87,7 @@
     budgets: retries.RetryBudgets
     schedule: returns.ReturnSchedule
     key: bytes
+    home: str = ""
 
 
 class Placer:
@@ -99,6 +102,7 @@
         organisation: str,
         request: messages.Admit,
         version: str,
+        only: str = "",
     ) -> messages.Granted:
         """Grant a prompt an engine.
 
@@ -110,6 +114,8 @@
             What was asked.
         version
             Weight version the run must use; empty for the one configured.
+        only
+            The one engine that may get it; empty for any.
 
         Raises
         ------
@@ -136,6 +142,7 @@
                 prompt_tokens=request.prompt_tokens,
                 version=version,
                 excluded=frozenset(request.lost),
+                only=only,
             ),
             rank=fair_queue.Rank(priority, deadline_at),
             start=lambda choice: self.start(run, choice),
@@ -258,6 +265,7 @@
                 run.run_id,
                 run.model,
                 choice.version,
+                self.parts.home,
             )
             sealed = answer_id.seal(names, self.parts.key)
         self.runs.add(
@@ -291,6 +299,17 @@
             self.keep(run)
         return run
 
+    def withdraw(self, granted: messages.Granted) -> None:
+        """Take a grant back that no entry was told of."""
+        self.ended(
+            messages.RunEnded(
+                granted.run_id,
+                "",
+                granted.endpoint,
+                messages.RunResult.NOT_SENT,
+            )
+        )
+
     def keep(self, run: state.Running) -> None:
         """Let the kept cache have what a finished run computed."""
         endpoint = self.parts.view().endpoints.get(run.endpoint)
--- a/src/briarseam/admission/refusals.py
+++ b/src/briarseam/admission/refusals.py
@@ -102,3 +102,54 @@
         verdict.Reason.ANSWER_GONE,
         "the endpoint of this answer is not configured any more",
     )
+
+
+def version_gone(version: str) -> verdict.Ran:
+    """Refuse to continue an answer whose weight version is not served."""
+    return verdict.Ran(
+        verdict.Reason.VERSION_GONE,
+        f"no endpoint serves weight version {version} any more",
+    )
+
+
+def answer_cancelled() -> verdict.Ran:
+    """Refuse an answer that was given up as nobody read it."""
+    return verdict.Ran(
+        verdict.Reason.ANSWER_GONE,
+        "the answer was cancelled, as its caller was away for too long",
+    )
+
+
+def true_of_key(key: str, given: verdict.Verdict) -> verdict.Verdict:
+    """Return a refusal that is true of a key's request.
+
+    A resend under a key is the same request as the first one.  Whoever
+    cannot consult the key's records cannot say that it did not run: the
+    caller would submit anew under another key, and twice.
+    """
+    if not key or not isinstance(given, verdict.NotRun):
+        return given
+    return verdict.MayHaveRun(
+        given.reason,
+        f"{given.detail}; send the same key again",
+        given.retry_after_s,
+    )
+
+
+def condemned(endpoints: str, retry_after_s: float) -> verdict.NotRun:
+    """Refuse a prompt with which endpoints died."""
+    return verdict.NotRun(
+        verdict.Reason.CONDEMNED,
+        f"endpoints died while they ran this prompt: {endpoints}",
+        retry_after_s,
+    )
+
+
+def suspect_waits(retry_after_s: float) -> verdict.NotRun:
+    """Refuse a prompt that may run at one place only, which is not free."""
+    return verdict.NotRun(
+        verdict.Reason.OVERLOADED,
+        "an endpoint died while it ran this prompt, or it runs already;"
+        " it has to wait its turn",
+        retry_after_s,
+    )
--- a/src/briarseam/admission/service.py
+++ b/src/briarseam/admission/service.py
@@ -6,13 +6,16 @@
 import typing
 
 from briarseam import verdict
+from briarseam.admission import guarded
 from briarseam.admission import idempotency
 from briarseam.admission import messages
+from briarseam.admission import orphans
 from briarseam.admission import placing
 from briarseam.admission import refusals
-from briarseam.answers import answer_id
+from briarseam.answers import locating
 
 if typing.TYPE_CHECKING:
+    from briarseam.admission import crash_guard
     from briarseam.configuration import schema
     from briarseam.wire import connection
     from briarseam.wire import server
@@ -38,6 +41,12 @@
         Shared key, for answer ids.
     idempotency
         Requests with an idempotency key.
+    homes
+        This agent and the others, as homes of answers.
+    guard
+        Keeps crashing prompts from endpoints.
+    connected
+        Names of the entry processes that have a connection open.
     """
 
     view: typing.Callable[[], schema.View]
@@ -45,6 +54,9 @@
     placer: placing.Placer
     key: bytes
     idempotency: idempotency.Idempotency
+    homes: locating.Homes
+    guard: crash_guard.CrashGuard
+    connected: typing.Callable[[], frozenset[str]]
 
 
 class Admission:
@@ -53,20 +65,50 @@
     def __init__(self, parts: AdmissionParts) -> None:
         self.parts = parts
         self.placer = parts.placer
+        self.orphans = orphans.Orphans(parts.connected, self.run_ended)
+        self.locator = locating.Locator(
+            parts.homes,
+            parts.view,
+            parts.key,
+            self.identify,
+            lambda run_id: parts.placer.runs.get(run_id) is not None,
+        )
+
+    def start(self) -> None:
+        """Begin looking for entries that are gone."""
+        self.orphans.start()
+
+    def stop(self) -> None:
+        """Stop looking."""
+        self.orphans.stop()
 
     def register(self, router: server.Router) -> None:
         """Answer the entries' messages."""
-        router.on(messages.Admit, answer_entry(self.admit))
-        router.on(messages.AdmitCall, answer_entry(self.admit_call))
+        router.on(messages.Admit, answer_entry(self.noted(self.admit)))
+        router.on(
+            messages.AdmitCall, answer_entry(self.noted(self.admit_call))
+        )
         router.on(messages.RunStarted, answer(self.run_started))
         router.on(messages.RunEnded, answer(self.run_ended))
-        router.on(messages.Locate, answer(self.locate))
+        self.locator.register(router, answer)
         router.on(messages.AttemptAbandoned, answer(self.abandoned))
 
+    def noted(
+        self, handle: typing.Callable[[typing.Any, str], Reply]
+    ) -> typing.Callable[[typing.Any, str], Reply]:
+        """Return a handler that remembers which entry holds a grant."""
+
+        def handler(request: typing.Any, entry: str) -> Reply:
+            reply = handle(request, entry)
+            if isinstance(reply, messages.Granted):
+                self.orphans.note(reply, entry)
+            return reply
+
+        return handler
+
     def admit(self, request: messages.Admit, entry: str = "") -> Reply:
         """Decide about a prompt of an entry."""
-        organisation = self.identify(request.token_digest)
-        self.check_model(request.model)
+        organisation = self.identify(request.token_digest, request.key)
         if not request.key:
             check_key_needed(not request.idempotent)
             return self.place(organisation, request)
@@ -122,33 +164,64 @@
         self, organisation: str, request: messages.Admit
     ) -> messages.Granted:
         """Grant a prompt an endpoint."""
+        self.check_model(request.model)
         version = self.required_version(request, organisation)
-        return self.placer.place_prompt(organisation, request, version)
+        try:
+            return guarded.place(
+                self.parts.guard, self.placer, organisation, request, version
+            )
+        except verdict.RefusalError as error:
+            self.check_version(request.model, version, error)
+            raise
+
+    def check_version(
+        self, model: str, version: str, error: verdict.RefusalError
+    ) -> None:
+        """Tell a continuation that nobody serves its version any more."""
+        nowhere = error.given.reason is verdict.Reason.NO_ENDPOINT
+        if nowhere and version:
+            present = self.parts.view().models[model].version
+            if version != present:
+                gone = refusals.version_gone(version)
+                raise verdict.RefusalError(gone) from error
 
     def admit_call(
         self, request: messages.AdmitCall, entry: str = ""
     ) -> Reply:
         """Decide about a service call of an entry."""
-        organisation = self.identify(request.token_digest)
-        service = self.parts.view().services.get(request.service)
-        if service is None:
-            raise verdict.RefusalError(
-                refusals.unknown_service(request.service)
-            )
+        organisation = self.identify(request.token_digest, request.key)
         if not request.key:
+            service = self.service_of(request)
             check_key_needed(request.call in service.non_idempotent)
             return self.placer.place_call(organisation, request, service)
+        found = self.parts.view().services.get(request.service)
         return self.admit_once(
             self.keyed(organisation, request, entry),
-            service.timeout_ms / MS,
-            lambda: self.placer.place_call(organisation, request, service),
+            found.timeout_ms / MS if found else idempotency.PROMPT_BOUND_S,
+            lambda: self.placer.place_call(
+                organisation, request, self.service_of(request)
+            ),
         )
 
-    def identify(self, token_digest: str) -> str:
+    def service_of(self, request: messages.AdmitCall) -> schema.Service:
+        """Return the service that is called.
+
+        A request with a key is refused for it only once its key is
+        claimed: an earlier attempt may have run before the service was
+        taken out of the configuration.
+        """
+        service = self.parts.view().services.get(request.service)
+        if service is None:
+            raise verdict.RefusalError(
+                refusals.unknown_service(request.service)
+            )
+        return service
+
+    def identify(self, token_digest: str, key: str = "") -> str:
         """Return the organisation of a token, if requests may run now."""
         refusal = self.parts.gate()
         if refusal is not None:
-            raise verdict.RefusalError(refusal)
+            raise verdict.RefusalError(refusals.true_of_key(key, refusal))
         organisation = self.parts.view().organisation_of(token_digest)
         if organisation is None:
             raise verdict.RefusalError(refusals.unknown_token())
@@ -165,7 +238,7 @@
         """Return the version a continuation must keep, else nothing."""
         if not request.continues:
             return ""
-        return self.unseal(request.continues, organisation).version
+        return self.locator.unseal(request.continues, organisation).version
 
     def run_started(self, message: messages.RunStarted) -> messages.Noted:
         """Take in that a run's first token has come."""
@@ -174,36 +247,12 @@
 
     def run_ended(self, message: messages.RunEnded) -> messages.Noted:
         """Take in how a run ended; a doubled report changes nothing."""
+        self.orphans.forget(message.run_id)
         run = self.placer.ended(message)
+        self.parts.guard.ended(message.run_id, message.result)
         self.parts.idempotency.ended(message, run.answer_id if run else "")
         return messages.Noted()
 
-    def locate(self, message: messages.Locate) -> messages.Located:
-        """Return where an answer runs, to its own organisation only."""
-        organisation = self.identify(message.token_digest)
-        found = self.unseal(message.answer_id, organisation)
-        endpoint = self.parts.view().endpoints.get(found.endpoint)
-        if endpoint is None:
-            raise verdict.RefusalError(refusals.answer_gone())
-        return messages.Located(
-            organisation=organisation,
-            run_id=found.run_id,
-            endpoint=found.endpoint,
-            address=endpoint.address,
-            model=found.model,
-            version=found.version,
-        )
-
-    def unseal(self, token: str, organisation: str) -> answer_id.AnswerId:
-        """Return what an answer id says, to its own organisation only."""
-        try:
-            found = answer_id.unseal(token, self.parts.key)
-        except answer_id.AnswerIdError as error:
-            raise verdict.RefusalError(refusals.unknown_answer()) from error
-        if found.organisation != organisation:
-            raise verdict.RefusalError(refusals.unknown_answer())
-        return found
-
 
 def answer(
     handle: typing.Callable[[typing.Any], typing.Any],
--- /dev/null
+++ b/src/briarseam/admission/trials.py
@@ -0,0 +1,159 @@
+"""Trials of suspects, one at a time for a prompt and for an endpoint.
+
+An innocent prompt that shared two dying endpoints with the guilty one would
+be condemned with it.  So suspects are never tried at one endpoint together:
+an endpoint that dies in a trial tells which of the suspects it was.  One
+agent keeps all trials; an endpoint's death is rare.
+"""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+from briarseam.admission import condemnation
+from briarseam.admission import condemnation_records as records
+from briarseam.admission import crash_messages as messages
+
+CHECK_S = 0.05
+WRITE_S = 0.5
+
+
+class Endpoints(typing.Protocol):
+    """What the keeper needs to know of endpoints."""
+
+    def boot_id(self, endpoint: str) -> str:
+        """Return the start that an endpoint last told; empty if none."""
+
+    def has_died(self, endpoint: str, boot_id: str) -> bool:
+        """Ask an endpoint whether it is still the same start."""
+
+
+class Log(typing.Protocol):
+    """What the keeper needs of the log."""
+
+    def note(self, item: condemnation.Item) -> None:
+        """Take in what was found here, and have it appended."""
+
+    def wait_written(self, timeout_s: float) -> None:
+        """Wait until what was noted so far is in the log."""
+
+
+class Trials:
+    """Grants trials while this agent is their keeper; thread-safe.
+
+    Parameters
+    ----------
+    book
+        What is known.
+    log
+        Takes in items and has them appended to the log.
+    endpoints
+        The endpoints.
+    """
+
+    def __init__(
+        self,
+        book: condemnation.Book,
+        log: Log,
+        endpoints: Endpoints,
+    ) -> None:
+        self.book = book
+        self.log = log
+        self.endpoints = endpoints
+        self.changed = threading.Condition()
+
+    def ask(self, ask: messages.AskTrial) -> messages.TrialAnswered:
+        """Grant a trial, after a wait if need be.
+
+        The trial stands in the log before it begins.  Should it take down
+        its endpoint and all agents be replaced in the same moment, those
+        that come after find it there without an end.
+        """
+        answer = self.await_place(ask)
+        if answer.word is messages.TrialWord.GRANTED:
+            self.log.wait_written(WRITE_S)
+        return answer
+
+    def await_place(self, ask: messages.AskTrial) -> messages.TrialAnswered:
+        """Answer as soon as the prompt's turn has come, or time is up."""
+        left_s = ask.wait_s
+        self.settle(ask.fingerprint)
+        with self.changed:
+            answer = self.answer(ask)
+            while answer.word is messages.TrialWord.BUSY and left_s > 0:
+                self.changed.wait(CHECK_S)
+                left_s -= CHECK_S
+                answer = self.answer(ask)
+            return answer
+
+    def settle(self, fingerprint: str) -> None:
+        """Count a trial's endpoint as lost if it died and nobody said so.
+
+        All agents may be replaced in the moment after a trial took its
+        endpoint down; their trial stands in the log without an end, and
+        would run out into one more.
+        """
+        for trial in self.book.running_trials():
+            if trial.fingerprint != fingerprint:
+                continue
+            if self.endpoints.has_died(trial.endpoint, trial.boot_id):
+                lost = condemnation.Lost(
+                    trial.fingerprint,
+                    trial.organisation,
+                    trial.model,
+                    trial.endpoint,
+                    trial.group,
+                    self.book.now_ms(),
+                )
+                self.log.note(lost)
+
+    def answer(self, ask: messages.AskTrial) -> messages.TrialAnswered:
+        """Answer as things are now; call it under ``changed``."""
+        match self.book.standing(ask.fingerprint):
+            case condemnation.Clear():
+                return messages.TrialAnswered(messages.TrialWord.CLEAR)
+            case condemnation.Condemned(losses):
+                return messages.TrialAnswered(
+                    messages.TrialWord.CONDEMNED,
+                    items=records.encode_items(losses),
+                )
+            case condemnation.Suspect(groups):
+                return self.grant(ask, groups)
+
+    def grant(
+        self, ask: messages.AskTrial, groups: tuple[str, ...]
+    ) -> messages.TrialAnswered:
+        """Grant a trial at the best endpoint that has none."""
+        running = self.book.running_trials()
+        for trial in running:
+            # The answer that granted it was lost.
+            if trial.group == ask.run:
+                return messages.TrialAnswered(
+                    messages.TrialWord.GRANTED, trial.endpoint, groups
+                )
+        taken = {trial.endpoint for trial in running}
+        free = [name for name in ask.endpoints if name not in taken]
+        prompts = {trial.fingerprint for trial in running}
+        if ask.fingerprint in prompts or not free:
+            return messages.TrialAnswered(messages.TrialWord.BUSY)
+        trial = condemnation.Trial(
+            ask.fingerprint,
+            ask.organisation,
+            ask.model,
+            free[0],
+            ask.run,
+            self.book.now_ms(),
+            self.endpoints.boot_id(free[0]),
+        )
+        self.log.note(trial)
+        return messages.TrialAnswered(
+            messages.TrialWord.GRANTED, trial.endpoint, groups
+        )
+
+    def take(self, items: typing.Iterable[condemnation.Item]) -> None:
+        """Take in what another agent found."""
+        with self.changed:
+            for item in items:
+                self.book.merge(item)
+            self.changed.notify_all()
--- a/src/briarseam/answers/answer_id.py
+++ b/src/briarseam/answers/answer_id.py
@@ -37,6 +37,8 @@
         Its name there.
     model, version
         What produces it.
+    home
+        Address of the agent that granted it, which counts its resumes.
     """
 
     organisation: str
@@ -44,6 +46,7 @@
     run_id: str
     model: str
     version: str
+    home: str = ""
 
 
 def seal(answer: AnswerId, key: bytes) -> str:
@@ -69,7 +72,8 @@
     if not hmac.compare_digest(mac, compute_mac(payload, key)):
         raise AnswerIdError("not an answer id of this system")
     fields = msgspec.convert(msgpack.unpackb(payload), tuple[str, ...])
-    return AnswerId(*fields)
+    # A later release may add fields at the end.
+    return AnswerId(*fields[: len(dataclasses.fields(AnswerId))])
 
 
 def compute_mac(payload: bytes, key: bytes) -> bytes:
--- a/src/briarseam/answers/relay.py
+++ b/src/briarseam/answers/relay.py
@@ -12,16 +12,20 @@
 import time
 import typing
 
-import msgspec
-
 from briarseam import verdict
 from briarseam.admission import messages
 from briarseam.answers import attempts
+from briarseam.answers import events
+from briarseam.answers import ordering
 from briarseam.endpoints import engine
-from briarseam.endpoints import sse
 
+# Resumes of one engine's stream without a new token between them.
 MAX_RESUMES = 2
 MS = 1000.0
+RETRY_AFTER_S = 1.0
+# The part of the time left to the deadline that one endpoint may use before
+# its first token; the rest is for another, should it have been lost.
+FIRST_TOKEN_PART = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,11 +40,14 @@
         The prompt's text.
     accepted_at
         Monotonic time of the caller's request, in seconds.
+    prior
+        Tokens that the caller has of an answer it wants continued.
     """
 
     admit: messages.Admit
     prompt: str
     accepted_at: float
+    prior: tuple[str, ...] = ()
 
 
 class Agent(typing.Protocol):
@@ -55,6 +62,13 @@
         """Tell the agent how a run went."""
 
 
+class Keeping(typing.Protocol):
+    """What happens to a run whose caller is gone."""
+
+    def keep(self, relay: Relay, run: Run) -> None:
+        """Take the run over."""
+
+
 @dataclasses.dataclass
 class Run:
     """A granted run and how far its answer has got."""
@@ -63,10 +77,18 @@
     stream: engine.Stream
     pieces: typing.Iterator[engine.Piece]
     tokens: list[str]
+    order: ordering.Ordered
     reused_tokens: int = 0
     resumes: int = 0
     ended: bool = False
 
+    def next_piece(self) -> engine.Token | engine.Done:
+        """Return the next piece; a token counts as had from now on."""
+        piece = self.order.next(self.pieces)
+        if isinstance(piece, engine.Token):
+            self.resumes = 0
+        return piece
+
 
 class Relay:
     """Relays one answer.
@@ -79,15 +101,23 @@
         Link to the agent.
     engines
         Adapter to the engines.
+    keeping
+        Takes over the run when the caller is gone.
     """
 
     def __init__(
-        self, ask: Ask, agent: Agent, engines: engine.EngineClient
+        self,
+        ask: Ask,
+        agent: Agent,
+        engines: engine.EngineClient,
+        keeping: Keeping,
     ) -> None:
         self.ask = dataclasses.replace(ask, admit=attempts.named(ask.admit))
         self.agent = agent
         self.engines = engines
+        self.keeping = keeping
         self.lost: tuple[str, ...] = ()
+        self.may_have_run = False
 
     def open(self) -> Run | messages.Replayed:
         """Return a run whose first piece has arrived, or a replay.
@@ -98,22 +128,52 @@
             With the final verdict.
         """
         while True:
-            reply = self.agent.admit(
-                dataclasses.replace(self.ask.admit, lost=self.lost)
-            )
+            try:
+                reply = self.agent.admit(self.next_ask())
+            except verdict.RefusalError as error:
+                raise verdict.RefusalError(self.true(error.given)) from error
             if isinstance(reply, messages.Replayed):
                 return reply
             run = self.try_grant(reply)
             if run is not None:
                 return run
 
+    def next_ask(self) -> messages.Admit:
+        """Return the message to the agent, with the time that is left."""
+        if not self.lost:
+            return self.ask.admit
+        left_ms = max(int(self.left_s() * MS), 1)
+        return dataclasses.replace(
+            self.ask.admit, lost=self.lost, deadline_ms=left_ms
+        )
+
+    def left_s(self) -> float:
+        """Return the seconds left to the caller's deadline."""
+        elapsed_s = time.monotonic() - self.ask.accepted_at
+        return self.ask.admit.deadline_ms / MS - elapsed_s
+
+    def true(self, given: verdict.Verdict) -> verdict.Verdict:
+        """Return a refusal that is true of all tries together.
+
+        The agent answers for its own grant only.  Told "not run" after an
+        earlier endpoint was lost with the prompt, or after a part of the
+        answer was had, a caller would believe that nothing was computed.
+        """
+        if not isinstance(given, verdict.NotRun):
+            return given
+        kind: type[verdict.Ran | verdict.MayHaveRun]
+        if self.ask.prior:
+            kind = verdict.Ran
+        elif self.may_have_run:
+            kind = verdict.MayHaveRun
+        else:
+            return given
+        return kind(given.reason, given.detail, given.retry_after_s)
+
     def try_grant(self, grant: messages.Granted) -> Run | None:
         """Start a granted run; ``None`` when another may be asked for."""
         try:
-            stream = self.engines.start(
-                grant.address, self.run_request(grant, ())
-            )
-            run = Run(grant, stream, iter(stream), [])
+            run = self.start(grant, list(self.ask.prior))
             self.await_first(run)
         except engine.NotSentError:
             self.end_unsent(grant, messages.RunResult.NOT_SENT)
@@ -126,6 +186,7 @@
         except engine.LostError as error:
             self.end(grant, messages.RunResult.LOST_BEFORE_FIRST)
             self.lost += (grant.endpoint,)
+            self.may_have_run = True
             if not self.ask.admit.idempotent:
                 raise verdict.RefusalError(
                     verdict.MayHaveRun(
@@ -136,17 +197,28 @@
             return None
         return run
 
+    def start(self, grant: messages.Granted, tokens: list[str]) -> Run:
+        """Start a granted run after the tokens that were passed on."""
+        stream = self.engines.start(
+            grant.address,
+            self.run_request(grant, tuple(tokens)),
+            self.left_s() * FIRST_TOKEN_PART,
+        )
+        order = ordering.Ordered(grant.run_id, grant.version, len(tokens))
+        return Run(grant, stream, iter(stream), tokens, order)
+
     def await_first(self, run: Run) -> None:
         """Wait for the first token, or an empty answer's end."""
-        started = next(run.pieces, None)
-        if not isinstance(started, engine.Started):
-            raise engine.LostError("no start of the stream")
-        check_run(started.run_id, run.grant.run_id)
-        if started.version != run.grant.version:
-            raise engine.LostError("the endpoint runs another version")
-        run.reused_tokens = started.cached_tokens
-        first = self.next_piece(run)
+        try:
+            started = run.order.started(run.pieces)
+            run.reused_tokens = started.cached_tokens
+            first = run.next_piece()
+        except engine.LostError:
+            run.stream.close()
+            raise
+        run.order.offset -= isinstance(first, engine.Token)
         run.pieces = prepend(first, run.pieces)
+        run.stream.begun()
         elapsed_s = time.monotonic() - self.ask.accepted_at
         self.agent.report(
             messages.RunStarted(
@@ -156,35 +228,6 @@
             )
         )
 
-    def next_piece(self, run: Run) -> engine.Token | engine.Done:
-        """Return the next new token or the end of the answer.
-
-        Raises
-        ------
-        engine.LostError
-            When the stream ends early, skips, or is another run's.
-        """
-        for piece in run.pieces:
-            match piece:
-                case engine.Started():
-                    check_run(piece.run_id, run.grant.run_id)
-                case engine.Token():
-                    check_run(piece.run_id, run.grant.run_id)
-                    expected = len(run.tokens)
-                    if piece.offset < expected:
-                        continue
-                    if piece.offset > expected:
-                        raise engine.LostError("tokens are missing")
-                    return piece
-                case engine.Done():
-                    check_run(piece.run_id, run.grant.run_id)
-                    if piece.tokens != len(run.tokens):
-                        raise engine.LostError("the answer is not whole")
-                    return piece
-                case engine.Broken():
-                    raise engine.LostError(piece.reason)
-        raise engine.LostError("the stream ended without its end")
-
     def events(self, run: Run) -> typing.Iterator[bytes]:
         """Yield the caller's event stream of a run that has begun.
 
@@ -193,39 +236,52 @@
         try:
             yield from self.relay(run)
         finally:
-            run.stream.close()
-            if not run.ended:
-                run.ended = True
-                self.end(run.grant, messages.RunResult.CANCELLED, run.tokens)
+            if run.ended:
+                run.stream.close()
+            else:
+                self.keeping.keep(self, run)
 
     def relay(self, run: Run) -> typing.Iterator[bytes]:
         """Yield events; mend the stream where that can be done."""
         yield begin_event(run)
         while True:
             try:
-                piece = self.next_piece(run)
+                piece = run.next_piece()
             except engine.LostError:
-                if not self.mend(run):
-                    yield self.give_up(run)
+                given = self.mend(run)
+                if given is not None:
+                    yield events.error_event(given)
                     return
                 yield begin_event(run)
                 continue
             match piece:
                 case engine.Token():
                     run.tokens.append(piece.token)
-                    yield token_event(piece)
+                    yield events.token_event(piece)
                 case engine.Done():
-                    run.ended = True
-                    self.end(run.grant, messages.RunResult.DONE, run.tokens)
-                    yield done_event(piece)
+                    self.finish(run)
+                    yield events.done_event(piece)
                     return
 
-    def mend(self, run: Run) -> bool:
-        """Resume the run, else continue it elsewhere; tell whether."""
+    def finish(self, run: Run) -> None:
+        """Report that the answer is whole."""
+        run.ended = True
+        self.end(run.grant, messages.RunResult.DONE, run.tokens)
+
+    def mend(self, run: Run) -> verdict.Verdict | None:
+        """Resume the run, else continue it; return why neither went."""
         run.stream.close()
         if run.resumes < MAX_RESUMES and self.resume(run):
-            return True
-        return self.ask.admit.idempotent and self.continue_elsewhere(run)
+            return None
+        run.ended = True
+        self.end(run.grant, messages.RunResult.LOST_AFTER_FIRST, run.tokens)
+        if not self.ask.admit.idempotent:
+            return verdict.MayHaveRun(
+                verdict.Reason.ENDPOINT_LOST,
+                "the endpoint was lost and the answer cannot be continued",
+            )
+        self.lost += (run.grant.endpoint,)
+        return self.continue_elsewhere(run)
 
     def resume(self, run: Run) -> bool:
         """Read the engine's stream again from where it broke."""
@@ -240,50 +296,46 @@
         run.pieces = iter(stream)
         return True
 
-    def continue_elsewhere(self, run: Run) -> bool:
-        """Run the rest of the answer at another endpoint."""
-        self.end(run.grant, messages.RunResult.LOST_AFTER_FIRST, run.tokens)
-        run.ended = True
-        self.lost += (run.grant.endpoint,)
-        request = dataclasses.replace(
-            self.ask.admit,
-            lost=self.lost,
-            continues=run.grant.answer_id,
-            passed_on=len(run.tokens),
-        )
+    def continue_elsewhere(self, run: Run) -> verdict.Verdict | None:
+        """Run the rest at another endpoint; return why that cannot be."""
+        while True:
+            request = dataclasses.replace(
+                self.ask.admit,
+                lost=self.lost,
+                continues=run.grant.answer_id,
+                passed_on=len(run.tokens),
+            )
+            try:
+                grant = self.agent.admit(request)
+            except verdict.RefusalError as error:
+                return began(error.given)
+            if not isinstance(grant, messages.Granted):
+                return began(unexpected_replay())
+            if self.adopt(run, grant):
+                return None
+            self.lost += (grant.endpoint,)
+
+    def adopt(self, run: Run, grant: messages.Granted) -> bool:
+        """Let a run go on under a new grant; tell whether it started."""
         try:
-            grant = self.agent.admit(request)
-        except verdict.RefusalError:
+            fresh = self.start(grant, run.tokens)
+        except engine.NotSentError:
+            self.end(grant, messages.RunResult.NOT_SENT)
             return False
-        if not isinstance(grant, messages.Granted):
+        except engine.RefusedError:
+            self.end(grant, messages.RunResult.REFUSED)
             return False
-        try:
-            stream = self.engines.start(
-                grant.address, self.run_request(grant, tuple(run.tokens))
-            )
-        except engine.EngineError:
-            self.end(grant, messages.RunResult.NOT_SENT)
+        except engine.LostError:
+            self.end(grant, messages.RunResult.LOST_BEFORE_FIRST)
             return False
         run.grant = grant
-        run.stream = stream
-        run.pieces = iter(stream)
+        run.stream = fresh.stream
+        run.pieces = fresh.pieces
+        run.order = fresh.order
         run.resumes = 0
         run.ended = False
         return True
 
-    def give_up(self, run: Run) -> bytes:
-        """Report the loss and return the caller's last event."""
-        if not run.ended:
-            run.ended = True
-            self.end(
-                run.grant, messages.RunResult.LOST_AFTER_FIRST, run.tokens
-            )
-        given = verdict.MayHaveRun(
-            verdict.Reason.ENDPOINT_LOST,
-            "the endpoint was lost and the answer cannot be continued",
-        )
-        return error_event(given)
-
     def run_request(
         self, grant: messages.Granted, prior: tuple[str, ...]
     ) -> engine.RunRequest:
@@ -328,17 +380,6 @@
         )
 
 
-def check_run(got: str, expected: str) -> None:
-    """Refuse a piece of another run.
-
-    An answer is matched by its run id, not by the connection it came on:
-    a confused endpoint or proxy that sends another run's pieces would
-    otherwise hand one caller another's answer.
-    """
-    if got != expected:
-        raise engine.LostError("the stream is another run's")
-
-
 def prepend(
     first: engine.Piece, rest: typing.Iterator[engine.Piece]
 ) -> typing.Iterator[engine.Piece]:
@@ -347,83 +388,21 @@
     yield from rest
 
 
-def begin_event(run: Run) -> bytes:
-    """Return the event that names the answer id and what was reused."""
-    return sse.render(
-        sse.Event(
-            "answer",
-            render_json(
-                {
-                    "answer_id": run.grant.answer_id,
-                    "reused_tokens": run.reused_tokens,
-                }
-            ),
-        )
-    )
-
-
-def answer_id_event(answer_id: str) -> bytes:
-    """Return the event that names the answer id."""
-    return sse.render(
-        sse.Event("answer", render_json({"answer_id": answer_id}))
-    )
-
-
-def token_event(piece: engine.Token) -> bytes:
-    """Return the event of one token."""
-    return sse.render(
-        sse.Event(
-            "token", render_json({"token": piece.token}), str(piece.offset)
-        )
-    )
+def began(given: verdict.Verdict) -> verdict.Verdict:
+    """Return a refusal to continue, for an answer that had begun."""
+    retry_after_s = given.retry_after_s
+    if given.reason is not verdict.Reason.VERSION_GONE:
+        retry_after_s = retry_after_s or RETRY_AFTER_S
+    return verdict.Ran(given.reason, given.detail, retry_after_s)
 
 
-def done_event(piece: engine.Done) -> bytes:
-    """Return the last event of a whole answer."""
-    return sse.render(sse.Event("done", render_json({"tokens": piece.tokens})))
-
-
-def error_event(given: verdict.Verdict) -> bytes:
-    """Return the last event of an answer that cannot be finished."""
-    return sse.render(
-        sse.Event(
-            "error",
-            render_json(
-                {
-                    "reason": given.reason.value,
-                    "detail": given.detail,
-                    "ran": verdict.ran_word(given),
-                    "retry_after_s": given.retry_after_s,
-                }
-            ),
-        )
+def unexpected_replay() -> verdict.Verdict:
+    """Return the verdict when a continuation is answered by a replay."""
+    return verdict.Ran(
+        verdict.Reason.OUTCOME_UNKNOWN, "the answer cannot be continued"
     )
 
 
-def render_json(value: typing.Any) -> str:
-    """Return compact JSON on one line."""
-    return msgspec.json.encode(value).decode()
-
-
-def replayed_events(
-    replayed: messages.Replayed,
-) -> typing.Iterator[bytes]:
-    """Yield the events of an answer whose text was kept.
-
-    Raises
-    ------
-    verdict.RefusalError
-        When only a part of it was kept.
-    """
-    if not replayed.whole:
-        raise verdict.RefusalError(
-            verdict.Ran(
-                verdict.Reason.ANSWER_GONE,
-                "the prompt ran; its answer was too long to be kept",
-            )
-        )
-    tokens = replayed.body.decode().split()
-    yield answer_id_event(replayed.answer_id)
-    for offset, token in enumerate(tokens):
-        yield token_event(engine.Token("", offset, token))
-    yield done_event(engine.Done("", len(tokens)))
+def begin_event(run: Run) -> bytes:
+    """Return the event that names the answer id."""
+    return events.begin_event(run.grant.answer_id, run.reused_tokens)
--- a/src/briarseam/answers/resume.py
+++ b/src/briarseam/answers/resume.py
@@ -6,11 +6,21 @@
 
 from briarseam import verdict
 from briarseam.admission import messages
-from briarseam.answers import relay
+from briarseam.answers import events
+from briarseam.answers import ordering
 from briarseam.endpoints import engine
 
 HTTP_NOT_FOUND = 404
 RETRY_AFTER_S = 1.0
+MAX_RESUMES = 2
+CONTINUE = "send the prompt again with Answer-Id to have it continued"
+
+
+class Keeping(typing.Protocol):
+    """What happens to a run whose caller is gone."""
+
+    def keep_resumed(self, resumed: Resumption, stream: engine.Stream) -> None:
+        """Take the run over."""
 
 
 class Resumption:
@@ -26,6 +36,8 @@
         First token the caller does not have.
     engines
         Adapter to the engines.
+    keeping
+        Takes over the run when the caller is gone.
     """
 
     def __init__(
@@ -34,11 +46,15 @@
         answer_id: str,
         offset: int,
         engines: engine.EngineClient,
+        keeping: Keeping,
     ) -> None:
         self.located = located
         self.answer_id = answer_id
-        self.offset = offset
         self.engines = engines
+        self.keeping = keeping
+        self.order = ordering.Ordered(located.run_id, located.version, offset)
+        self.resumes = 0
+        self.ended = False
 
     def open(self) -> engine.Stream:
         """Return the engine's stream.
@@ -50,18 +66,19 @@
         """
         try:
             return self.engines.resume(
-                self.located.address, self.located.run_id, self.offset
+                self.located.address, self.located.run_id, self.order.offset
             )
         except engine.RefusedError as error:
             given = verdict.Ran(
                 verdict.Reason.ANSWER_GONE,
-                "the endpoint does not have this answer any more",
+                f"the endpoint does not have this answer any more; {CONTINUE}",
             )
             raise verdict.RefusalError(given) from error
         except engine.EngineError as error:
             given = verdict.Ran(
                 verdict.Reason.ENDPOINT_LOST,
-                "the endpoint of this answer cannot be reached",
+                "the endpoint of this answer cannot be reached;"
+                f" resume later, or {CONTINUE}",
                 RETRY_AFTER_S,
             )
             raise verdict.RefusalError(given) from error
@@ -69,40 +86,44 @@
     def events(self, stream: engine.Stream) -> typing.Iterator[bytes]:
         """Yield the caller's event stream from the offset on."""
         try:
-            yield relay.answer_id_event(self.answer_id)
-            yield from self.relay(stream)
-        except engine.LostError:
-            yield relay.error_event(
+            yield events.begin_event(self.answer_id, 0)
+            while not self.ended:
+                try:
+                    yield from self.relay(stream)
+                except engine.LostError:
+                    stream.close()
+                    stream = self.reopen()
+        except verdict.RefusalError as error:
+            self.ended = True
+            yield events.error_event(error.given)
+        finally:
+            if self.ended:
+                stream.close()
+            else:
+                self.keeping.keep_resumed(self, stream)
+
+    def reopen(self) -> engine.Stream:
+        """Return the engine's stream anew, a few times without progress."""
+        self.resumes += 1
+        if self.resumes > MAX_RESUMES:
+            raise verdict.RefusalError(
                 verdict.Ran(
                     verdict.Reason.ENDPOINT_LOST,
-                    "the stream broke; resume from the last token",
+                    f"the stream broke; resume later, or {CONTINUE}",
                     RETRY_AFTER_S,
                 )
             )
-        finally:
-            stream.close()
+        return self.open()
 
     def relay(self, stream: engine.Stream) -> typing.Iterator[bytes]:
         """Yield token events in order, then ``done``."""
-        expected = self.offset
-        for piece in stream:
-            match piece:
-                case engine.Started():
-                    relay.check_run(piece.run_id, self.located.run_id)
-                case engine.Token():
-                    relay.check_run(piece.run_id, self.located.run_id)
-                    if piece.offset < expected:
-                        continue
-                    if piece.offset > expected:
-                        raise engine.LostError("tokens are missing")
-                    expected += 1
-                    yield relay.token_event(piece)
-                case engine.Done():
-                    relay.check_run(piece.run_id, self.located.run_id)
-                    if piece.tokens != expected:
-                        raise engine.LostError("the answer is not whole")
-                    yield relay.done_event(piece)
+        pieces = iter(stream)
+        while True:
+            match self.order.next(pieces):
+                case engine.Token() as piece:
+                    self.resumes = 0
+                    yield events.token_event(piece)
+                case engine.Done() as piece:
+                    self.ended = True
+                    yield events.done_event(piece)
                     return
-                case engine.Broken():
-                    raise engine.LostError(piece.reason)
-        raise engine.LostError("the stream ended without its end")
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -9,9 +9,11 @@
 from briarseam import verdict
 from briarseam.admission import idempotency
 from briarseam.admission import service as admission
+from briarseam.answers import locating
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
 from briarseam.compose import configuration as compose_configuration
+from briarseam.compose import crashes
 from briarseam.compose import kept as compose_kept
 from briarseam.compose import noting
 from briarseam.compose import orders as compose_orders
@@ -53,6 +55,7 @@
     admission: admission.Admission
     claims: claims_module.Claims
     idempotency: idempotency.Idempotency
+    crashes: crashes.Crashes
     serving: serving.Serving
     registry: metrics.Registry
     ring: rings.Ring
@@ -72,13 +75,17 @@
         self.idempotency.start()
         self.leases.start()
         self.orders.start()
+        self.crashes.start()
         self.serving.start()
+        self.admission.start()
 
     def stop(self) -> None:
         """Stop all parts, the last started first."""
+        self.admission.stop()
         self.serving.stop()
         self.orders.stop()
         self.leases.stop()
+        self.crashes.stop()
         self.idempotency.stop()
         self.claims.stop()
         self.configuration.stop()
@@ -243,6 +250,14 @@
             key=key,
         ),
     )
+    crash_parts = crashes.build_crashes(
+        settings,
+        key,
+        log,
+        member_service,
+        clients,
+        crashes.Engines(reader.view, serving_parts),
+    )
     gate = CurrencyGate(reader, settings.agent.stale_after_ms / MS)
     admission_service = admission.Admission(
         admission.AdmissionParts(
@@ -251,6 +266,11 @@
             placer=serving_parts.placer,
             key=key,
             idempotency=once,
+            homes=locating.Homes(
+                str(settings.instance.agent_address), clients
+            ),
+            guard=crash_parts.guard,
+            connected=lambda: server.connected(),
         )
     )
     lookups = lookup.Lookup(
@@ -281,6 +301,7 @@
         claim_service,
         kept,
         order_service,
+        crash_parts,
         events,
         metrics_service.MetricsService(registry),
     ):
@@ -295,6 +316,7 @@
         admission=admission_service,
         claims=claim_service,
         idempotency=once,
+        crashes=crash_parts,
         serving=serving_parts,
         registry=registry,
         ring=ring,
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -7,6 +7,7 @@
 import threading
 import typing
 
+from briarseam.answers import keeping
 from briarseam.compose import agent as compose_agent
 from briarseam.compose import timeline as compose_timeline
 from briarseam.endpoints import engine
@@ -31,8 +32,8 @@
     from briarseam.timeline import feed
     from briarseam.timeline import ring as rings
 
-ENGINE_SILENCE_S = 30.0
 AGENT_CONNECTIONS = 64
+MS = 1000.0
 REPORTS_FLUSH_S = 2.0
 START_BYTES = 4
 
@@ -123,9 +124,12 @@
     compose_timeline.count_events(ring, registry)
     teams = {team.name: team.key.value for team in settings.teams}
     reports = report_queue.Reports(client, settings.claims.max_response_bytes)
+    link = agent_link.AgentLink(client, reports)
+    engines = engine.EngineClient(settings.entry.engine_silence_ms / MS)
     parts = app.EntryParts(
-        agent=agent_link.AgentLink(client, reports),
-        engines=engine.EngineClient(ENGINE_SILENCE_S),
+        agent=link,
+        engines=engines,
+        keeping=keeping.Keeping(settings.entry.resume_grace_s, link, engines),
         services=service.ServiceClient(),
         in_flight=inflight.InFlight(),
         teams=operators.Operators(teams),
--- a/src/briarseam/compose/serving.py
+++ b/src/briarseam/compose/serving.py
@@ -35,11 +35,14 @@
     ----------
     placer
         Grants endpoints.
+    chooser
+        Routing.
     dispatcher, loads, kept, cache_events
         Its parts with threads.
     """
 
     placer: placing.Placer
+    chooser: routing.Chooser
     dispatcher: dispatch.Dispatcher
     loads: loads.Loads
     kept: kept_cache.KeptCache
@@ -149,8 +152,9 @@
             budgets=retries.RetryBudgets(lambda: view().routing.retry_budget),
             schedule=schedule,
             key=sources.key,
+            home=str(settings.instance.agent_address),
         )
     )
     return Serving(
-        placer, dispatcher, engine_loads, sources.kept, cache_events
+        placer, chooser, dispatcher, engine_loads, sources.kept, cache_events
     )
--- a/src/briarseam/endpoints/engine.py
+++ b/src/briarseam/endpoints/engine.py
@@ -6,17 +6,25 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import http.client
 import json
 import typing
 
 import msgspec
 import urllib3
+from urllib3 import connection as urllib3_connection
 
 from briarseam.endpoints import sse
 
+if typing.TYPE_CHECKING:
+    import socket
+
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
+# An engine that has a run answers the status line of its stream at once.
+RESUME_TIMEOUT_S = 1.0
 POOL_SIZE = 256
 READ_BYTES = 65536
 HTTP_OK = 200
@@ -134,12 +142,32 @@
     ----------
     response
         Open response whose body is the event stream.
+    sock
+        Its connection's socket.
+    silence_s
+        Longest wait between two pieces once the answer has begun.
     """
 
-    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        sock: socket.socket,
+        silence_s: float,
+    ) -> None:
         self.response = response
+        self.sock = sock
+        self.silence_s = silence_s
         self.events = sse.read(response.stream(READ_BYTES))
 
+    def begun(self) -> None:
+        """Bound the silence from now on.
+
+        A frozen engine keeps its connections open and sends nothing; only
+        this bound tells it from one that computes.
+        """
+        with contextlib.suppress(OSError):
+            self.sock.settimeout(self.silence_s)
+
     def __iter__(self) -> typing.Iterator[Piece]:
         """Yield pieces until the stream ends.
 
@@ -162,6 +190,7 @@
     def close(self) -> None:
         """Drop the connection; the run itself goes on."""
         self.response.close()
+        self.sock.close()
 
 
 def parse_piece(event: sse.Event) -> Piece:
@@ -187,20 +216,30 @@
         # running, and only the caller of this class can settle that.
         self.pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
 
-    def start(self, address: str, run: RunRequest) -> Stream:
+    def start(
+        self, address: str, run: RunRequest, first_s: float = 0.0
+    ) -> Stream:
         """Start a run.
 
+        Parameters
+        ----------
+        address
+            ``ip:port`` of the engine.
+        run
+            What to run.
+        first_s
+            Longest wait for the first token, in seconds; at least the
+            longest silence.
+
         Raises
         ------
         NotSentError, RefusedError, LostError
             See each.
         """
         body = msgspec.json.encode(run)
-        # A kept-alive connection can be closed by the engine just as the
-        # request is written; whether it was read nobody can tell.  A fresh
-        # connection has no such race: it either opens or nothing was sent.
         headers = {"Content-Type": "application/json", "Connection": "close"}
-        return self.open("POST", address, "/runs", body, headers)
+        bound_s = max(first_s, self.silence_s)
+        return self.open("POST", address, "/runs", body, headers, bound_s)
 
     def resume(self, address: str, run_id: str, offset: int) -> Stream:
         """Read a run's stream again from ``offset``.
@@ -211,7 +250,12 @@
             See each.
         """
         path = f"/runs/{run_id}?from={offset}"
-        return self.open("GET", address, path, None, {"Connection": "close"})
+        headers = {"Connection": "close"}
+        stream = self.open(
+            "GET", address, path, None, headers, RESUME_TIMEOUT_S
+        )
+        stream.begun()
+        return stream
 
     def open(
         self,
@@ -220,35 +264,43 @@
         path: str,
         body: bytes | None,
         headers: dict[str, str],
+        bound_s: float,
     ) -> Stream:
         """Send a request and return its event stream."""
         host, _, port = address.rpartition(":")
-        timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=self.silence_s
-        )
-        # One pool per request so that no kept-alive connection is used.
-        pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=1, retries=False, timeout=timeout
+        # A kept-alive connection can be closed by the engine just as the
+        # request is written; whether it was read nobody can tell.  A fresh
+        # connection has no such race: it either opens or nothing was sent.
+        one = urllib3_connection.HTTPConnection(
+            host, int(port), timeout=CONNECT_TIMEOUT_S
         )
         try:
-            response = pool.urlopen(
+            one.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise NotSentError(str(error)) from error
+        sock = one.sock
+        try:
+            sock.settimeout(bound_s)
+            one.timeout = bound_s
+            one.request(
                 method,
                 path,
                 body=body,
                 headers=headers,
-                redirect=False,
                 preload_content=False,
+                decode_content=False,
             )
+            response = one.getresponse()
         except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
         ) as error:
-            raise NotSentError(str(error)) from error
-        except urllib3.exceptions.HTTPError as error:
+            one.close()
             raise LostError(str(error)) from error
         if response.status != HTTP_OK:
             raise refusal(response)
-        return Stream(response)
+        return Stream(response, sock, self.silence_s)
 
     def cancel(self, address: str, run_id: str) -> bool:
         """Cancel a run; tell whether the engine confirmed it."""
--- a/src/briarseam/entry/agent_link.py
+++ b/src/briarseam/entry/agent_link.py
@@ -8,6 +8,7 @@
 
 from briarseam import verdict
 from briarseam.admission import messages
+from briarseam.admission import refusals
 from briarseam.answers import attempts
 from briarseam.entry import reports as report_queue
 from briarseam.wire import client as wire_client
@@ -55,31 +56,22 @@
         verdict.RefusalError
             When the agent refuses or does not answer.  A grant whose reply
             is lost was never acted upon, so "not run" holds: only the
-            holder of a grant sends anything to an endpoint.
+            holder of a grant sends anything to an endpoint.  It does not
+            hold for a key, under which an earlier attempt may have run.
         """
         try:
             reply = self.client.call(request, timeout_s)
         except connection.WireError as error:
-            raise self.unavailable(str(error)) from error
+            raise unavailable(request, str(error)) from error
         match reply:
             case messages.Refused():
                 raise verdict.RefusalError(messages.verdict_of(reply))
             case codec.Failed(detail=detail):
-                raise self.unavailable(detail)
+                raise unavailable(request, detail)
         if not isinstance(reply, kinds):
-            raise self.unavailable(f"unexpected {type(reply).__name__}")
+            raise unavailable(request, f"unexpected {type(reply).__name__}")
         return reply
 
-    def unavailable(self, detail: str) -> verdict.RefusalError:
-        """Return the refusal for an agent that does not answer."""
-        return verdict.RefusalError(
-            verdict.NotRun(
-                verdict.Reason.AGENT_UNAVAILABLE,
-                f"this instance's agent does not answer: {detail}",
-                RETRY_AFTER_S,
-            )
-        )
-
     def admit(
         self, request: messages.Admit
     ) -> messages.Granted | messages.Replayed:
@@ -126,6 +118,18 @@
             REPORT_TIMEOUT_S,
         )
 
+    def may_cancel(self, answer_id: str, generation: int) -> bool:
+        """Tell whether nobody resumed an answer since; no when unsure."""
+        try:
+            reply = self.client.call(
+                messages.MayCancel(answer_id, generation), REPORT_TIMEOUT_S
+            )
+        except connection.WireError:
+            # Nobody can tell whether another entry relays it by now: the
+            # rest of the run is wasted at worst, an answer never cut.
+            return False
+        return isinstance(reply, messages.CancelAnswered) and reply.allowed
+
     def report(self, message: codec.Message) -> codec.Message | None:
         """Tell the agent something; ``None`` when it is away.
 
@@ -141,3 +145,15 @@
         except connection.WireError as error:
             log.debug("report_lost", detail=str(error))
             return None
+
+
+def unavailable(request: codec.Message, detail: str) -> verdict.RefusalError:
+    """Return the refusal for an agent that does not answer."""
+    given: verdict.Verdict = verdict.NotRun(
+        verdict.Reason.AGENT_UNAVAILABLE,
+        f"this instance's agent does not answer: {detail}",
+        RETRY_AFTER_S,
+    )
+    if isinstance(request, messages.Admit | messages.AdmitCall):
+        given = refusals.true_of_key(request.key, given)
+    return verdict.RefusalError(given)
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -13,6 +13,7 @@
 from briarseam import verdict
 from briarseam.admission import messages
 from briarseam.answers import calls
+from briarseam.answers import events as answer_events
 from briarseam.answers import relay
 from briarseam.answers import resume
 from briarseam.cache import pieces
@@ -25,6 +26,7 @@
 from briarseam.status import messages as status_messages
 
 if typing.TYPE_CHECKING:
+    from briarseam.answers import keeping as keeping_module
     from briarseam.endpoints import engine
     from briarseam.endpoints import service
     from briarseam.entry import agent_link
@@ -48,6 +50,8 @@
         Link to the agent.
     engines, services
         Adapters to the endpoints.
+    keeping
+        Runs whose callers are gone.
     in_flight
         Counter for the graceful shutdown.
     teams
@@ -60,6 +64,7 @@
 
     agent: agent_link.AgentLink
     engines: engine.EngineClient
+    keeping: keeping_module.Keeping
     services: service.ServiceClient
     in_flight: inflight.InFlight
     teams: operators.Operators
@@ -128,7 +133,9 @@
         raw = requests.read_raw(self.parts.max_body_bytes)
         body = requests.parse_answer(raw.body)
         ask = build_ask(raw, body, accepted_at)
-        running = relay.Relay(ask, self.parts.agent, self.parts.engines)
+        running = relay.Relay(
+            ask, self.parts.agent, self.parts.engines, self.parts.keeping
+        )
         with refusals_as_problems():
             opened = running.open()
         if isinstance(opened, messages.Replayed):
@@ -141,11 +148,15 @@
         """Resume an answer after ``Last-Event-ID``."""
         requests.check_framing()
         token_digest = requests.read_token()
-        offset = read_last_event_id()
+        offset = requests.read_last_event_id()
         with refusals_as_problems():
             located = self.parts.agent.locate(token_digest, answer_id)
             resumption = resume.Resumption(
-                located, answer_id, offset, self.parts.engines
+                located,
+                answer_id,
+                offset,
+                self.parts.engines,
+                self.parts.keeping,
             )
             stream = resumption.open()
         return respond_stream(resumption.events(stream))
@@ -201,6 +212,7 @@
                 "a prompt with idempotent=false needs an Idempotency-Key",
             )
         )
+    continued = requests.read_continued(body)
     tokens = pieces.split(body.prompt)
     admit = messages.Admit(
         token_digest=raw.token_digest,
@@ -215,24 +227,17 @@
         key="" if body.idempotent else raw.key,
         body_digest=raw.body_digest,
         request=requests.name_request(),
+        prompt_digest=requests.digest_prompt(tokens),
+        continues=continued,
+        passed_on=len(body.prior),
     )
-    return relay.Ask(admit, body.prompt, accepted_at)
-
-
-def read_last_event_id() -> int:
-    """Return the first token offset the caller does not have."""
-    text = cherrypy.request.headers.get("Last-Event-ID", "")
-    if not text:
-        return 0
-    if not text.isdigit():
-        raise problems.malformed("Last-Event-ID is no token offset")
-    return int(text) + 1
+    return relay.Ask(admit, body.prompt, accepted_at, body.prior)
 
 
 def replay_answer(replayed: messages.Replayed) -> bytes:
     """Return the event stream of an answer that was given before."""
     with refusals_as_problems():
-        body = b"".join(relay.replayed_events(replayed))
+        body = b"".join(answer_events.replayed_events(replayed))
     cherrypy.response.headers["Content-Type"] = EVENT_STREAM
     cherrypy.response.headers["Idempotent-Replayed"] = "true"
     return body
--- a/src/briarseam/entry/requests.py
+++ b/src/briarseam/entry/requests.py
@@ -18,7 +18,9 @@
 DIGEST_BYTES = 16
 MAX_NAME = 200
 DEFAULT_PRIORITY = 5
+MAX_PRIOR = 100_000
 BEARER = "Bearer "
+CONTINUES_HEADER = "Answer-Id"
 REQUEST_HEADER = "X-Request-Id"
 REQUEST_NAME_BYTES = 8
 
@@ -45,6 +47,9 @@
         0 high to 9 low.
     idempotent
         Whether the prompt may run again after a failure.
+    prior
+        With the header ``Answer-Id``: the tokens that the caller has of
+        that answer, which is to be continued.
     """
 
     model: Name
@@ -56,6 +61,9 @@
         DEFAULT_PRIORITY
     )
     idempotent: bool = True
+    prior: typing.Annotated[
+        tuple[str, ...], msgspec.Meta(max_length=MAX_PRIOR)
+    ] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,6 +165,12 @@
     return digest.digest()
 
 
+def digest_prompt(tokens: list[str]) -> bytes:
+    """Return what a prompt is known by, whatever its white space."""
+    text = " ".join(tokens).encode()
+    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+
+
 def parse_answer(body: bytes) -> AnswerBody:
     """Return the validated body of ``POST /v1/answers``.
 
@@ -177,3 +191,36 @@
         msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise problems.malformed(str(error)) from error
+
+
+def read_last_event_id() -> int:
+    """Return the first token offset the caller does not have."""
+    text = cherrypy.request.headers.get("Last-Event-ID", "")
+    if not text:
+        return 0
+    if not text.isdigit():
+        raise problems.malformed("Last-Event-ID is no token offset")
+    return int(text) + 1
+
+
+def read_continued(body: AnswerBody) -> str:
+    """Return the id of the answer that a prompt continues, else nothing.
+
+    Raises
+    ------
+    problems.Problem
+        When header and body do not fit together.
+    """
+    answer_id = cherrypy.request.headers.get(CONTINUES_HEADER, "").strip()
+    if bool(answer_id) != bool(body.prior):
+        raise problems.malformed("prior and Answer-Id go together")
+    if not answer_id:
+        return ""
+    if not body.idempotent:
+        raise problems.malformed("only an idempotent prompt is continued")
+    if len(body.prior) >= body.max_tokens:
+        raise problems.malformed("prior has max_tokens tokens already")
+    last = read_last_event_id()
+    if last and last != len(body.prior):
+        raise problems.malformed("Last-Event-ID is not the last of prior")
+    return str(answer_id)
--- a/src/briarseam/entry/server.py
+++ b/src/briarseam/entry/server.py
@@ -20,6 +20,7 @@
         b"Authorization",
         b"Idempotency-Key",
         b"Last-Event-Id",
+        b"Answer-Id",
     }
 )
 
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -179,10 +179,22 @@
         names = [
             name
             for name in self.serving.names(view, ask.model)
-            if name not in barred and self.parts.serves(name, ask.model, offer)
+            if name not in barred
+            and ask.only in ("", name)
+            and self.parts.serves(name, ask.model, offer)
         ]
         return self.parts.loads.reporting(self.troubles.avoid(names))
 
+    def idlest(self, ask: state.PromptAsk) -> list[str]:
+        """Return the engines that may run a prompt, the idlest first."""
+        view = self.parts.view()
+        if ask.model not in view.models:
+            return []
+        names: dict[str, None] = {}
+        for offer in self.offers(ask, view.models[ask.model]):
+            names.update(dict.fromkeys(self.engines(view, ask, offer)))
+        return sorted(names, key=self.predictor.busy)
+
     def prompt_of(
         self, ask: state.PromptAsk, offer: orders.Offer
     ) -> predict.Prompt:
--- a/src/briarseam/routing/state.py
+++ b/src/briarseam/routing/state.py
@@ -23,6 +23,8 @@
         Weight version the run must use; empty for the one configured.
     excluded
         Endpoints that must not get it.
+    only
+        The one endpoint that may get it; empty for any.
     """
 
     organisation: str
@@ -32,6 +34,7 @@
     prompt_tokens: int
     version: str = ""
     excluded: frozenset[str] = frozenset()
+    only: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -124,6 +124,9 @@
         Largest request body accepted.
     resume_grace_s
         Time a run is kept for a caller whose connection broke.
+    engine_silence_ms
+        Silence of an engine between two tokens after which its run counts
+        as lost.
     """
 
     listen: Address
@@ -131,6 +134,7 @@
     threads: Count = 400
     max_body_bytes: Bytes = 2**20
     resume_grace_s: Seconds = 30.0
+    engine_silence_ms: Milliseconds = 5000
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/tests/answers/test_ordering.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.answers import ordering
+from briarseam.endpoints import engine
+
+START = engine.Started("run", "v1")
+DONE = engine.Done("run", 3)
+
+
+def token(offset: int, run: str = "run") -> engine.Token:
+    return engine.Token(run, offset, f"w{offset}")
+
+
+WHOLE = (token(0), token(1), token(2), DONE)
+
+
+def take(*pieces: engine.Piece) -> list[int]:
+    """Take pieces to the end; return the tokens' offsets."""
+    order = ordering.Ordered("run", "v1")
+    offsets = []
+    stream = iter(pieces)
+    while isinstance(piece := order.next(stream), engine.Token):
+        offsets.append(piece.offset)
+    return offsets
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        pytest.param((token(0), token(1), token(2)), id="in order"),
+        pytest.param((token(0), token(0), token(1), token(2)), id="doubled"),
+        pytest.param((token(0), token(1), token(0), token(2)), id="late"),
+    ],
+)
+def test_each_token_is_passed_on_once(pieces):
+    """An engine's stream that was resumed gives some tokens again."""
+    assert take(START, *pieces, DONE) == [0, 1, 2]
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        pytest.param((token(0), token(2), token(1), DONE), id="reordered"),
+        pytest.param((token(0), token(2), DONE), id="missing"),
+        pytest.param((token(0), token(1), DONE), id="truncated"),
+        pytest.param((token(0), token(1), token(2)), id="without its end"),
+        pytest.param((token(0, "other"), DONE), id="foreign token"),
+        pytest.param((engine.Done("other", 0),), id="foreign end"),
+        pytest.param(
+            (engine.Started("other", "v1"), *WHOLE), id="foreign start"
+        ),
+        pytest.param(
+            (engine.Started("run", "v2"), *WHOLE), id="other version"
+        ),
+        pytest.param((engine.Broken("failed"),), id="failed"),
+    ],
+)
+def test_stream_that_cannot_be_the_answer_is_lost(pieces):
+    """A caller takes a part of an answer, or another's, for its own."""
+    with pytest.raises(engine.LostError):
+        take(START, *pieces)
+
+
+def test_token_after_a_gap_is_not_passed_on():
+    """A caller sees a token in the wrong place before the stream ends."""
+    order = ordering.Ordered("run", "v1")
+    stream = iter((START, token(0), token(2)))
+    assert order.next(stream) == token(0)
+    with pytest.raises(engine.LostError, match="missing"):
+        order.next(stream)
--- a/tests/matrix/processes.py
+++ b/tests/matrix/processes.py
@@ -36,10 +36,13 @@
         Subcommand.
     settings
         Path of its settings.
+    overrides
+        Settings that go before the file's, ``section.key=value``.
     """
 
     command: str
     settings: str
+    overrides: tuple[str, ...] = ()
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -52,6 +55,7 @@
                 self.command,
                 "--settings",
                 self.settings,
+                *(f"--set={one}" for one in self.overrides),
             ],
             stdout=subprocess.PIPE,
             env={**os.environ, "PYTHONPATH": str(SOURCE)},
@@ -122,9 +126,17 @@
         Where settings go.
     instances
         How many.
+    overrides
+        Settings of all of them, ``section.key=value``.
     """
 
-    def __init__(self, folder: pathlib.Path, instances: int = 2) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        instances: int = 2,
+        overrides: tuple[str, ...] = (),
+    ) -> None:
+        self.overrides = overrides
         shape = deployment.Shape(instances, engines=1, services=1)
         super().__init__(folder, shape)
         self.to_service = proxy.Proxy()
@@ -180,8 +192,8 @@
             path.write_text(text.replace("[platform]", PLATFORM))
             self.machines.append(
                 Instance(
-                    Daemon("agent", str(path)),
-                    Daemon("entry", str(path)),
+                    Daemon("agent", str(path), self.overrides),
+                    Daemon("entry", str(path), self.overrides),
                     entry,
                     from_entry,
                     from_peers,
