Send heartbeats without what the peer knows already

A heartbeat had eight fields, most of them the same each time. What an agent says of itself is now an introduction; a heartbeat has its incarnation, a digest and changed sections, and its name is the connection's, which was proved in the hello. Sections are asked for once for all peers and not for each.

--- a/src/briarseam/membership/answering.py
+++ b/src/briarseam/membership/answering.py
@@ -27,55 +27,55 @@
 
     def register(self, router: server.Router) -> None:
         """Answer the other agents' messages."""
+        router.on(messages.Introduction, self.on_introduction)
         router.on(messages.Heartbeat, self.on_heartbeat)
         router.on(messages.PeersAsked, self.on_peers_asked)
         router.on(messages.HeardAsked, self.on_heard_asked)
 
-    def on_heartbeat(
-        self, peer: connections.Identity, beat: messages.Heartbeat
-    ) -> messages.HeartbeatReply:
-        """Take in a peer's heartbeat."""
+    def on_introduction(
+        self, peer: connections.Identity, beat: messages.Introduction
+    ) -> messages.Introduced | messages.Superseded:
+        """Take in what a peer says of itself."""
         del peer
         me = self.membership
-        now = me.clock()
-        known, superseded = True, False
-        if beat.name == me.settings.name:
-            superseded = beat.incarnation < me.incarnation
-        elif beat.about is not None:
-            superseded = not self.table.take_about(beat.about, now)
-            me.review()
+        about = beat.about
+        if about.name == me.settings.name:
+            # Only this instance has the name, so one of two starts of it
+            # has been replaced, whichever came first.
+            current = about.incarnation >= me.incarnation
         else:
-            known = self.note_beat(beat, now)
-        if known and not superseded:
-            self.keep_sections(beat)
-        return messages.HeartbeatReply(
-            name=me.settings.name,
-            incarnation=me.incarnation,
-            digest=me.digest,
-            known=known,
-            superseded=superseded,
-            about=None if beat.about is None else me.about(),
-        )
+            current = self.table.take_about(about, me.clock())
+        if not current:
+            return messages.Superseded()
+        me.review()
+        self.keep_sections(about.name, beat.sections)
+        return messages.Introduced(me.about(), me.digest)
 
-    def note_beat(self, beat: messages.Heartbeat, now: float) -> bool:
-        """Note a short heartbeat; false when its sender is not known."""
+    def on_heartbeat(
+        self, peer: connections.Identity, beat: messages.Heartbeat
+    ) -> messages.Alive | messages.UnknownAgent:
+        """Take in that a peer lives."""
+        me = self.membership
         with self.table.lock:
-            found = self.table.records.get(beat.name)
+            found = self.table.records.get(peer.name)
             if found is None or found.incarnation != beat.incarnation:
-                return False
-            self.table.note_heard(found, now)
-            return True
+                return messages.UnknownAgent()
+            self.table.note_heard(found, me.clock())
+        self.keep_sections(peer.name, beat.sections)
+        return messages.Alive(me.incarnation, me.digest)
 
-    def keep_sections(self, beat: messages.Heartbeat) -> None:
+    def keep_sections(
+        self, name: str, content: typing.Mapping[str, bytes]
+    ) -> None:
         """Keep and hand on the sections of a heartbeat."""
-        if not beat.sections:
+        if not content:
             return
         with self.table.lock:
-            found = self.table.records.get(beat.name)
+            found = self.table.records.get(name)
             if found is None:
                 return
-            found.sections.update(beat.sections)
-        self.membership.sections.consume(beat.name, beat.sections)
+            found.sections.update(content)
+        self.membership.sections.consume(name, content)
 
     def on_peers_asked(
         self, peer: connections.Identity, asked: messages.PeersAsked
--- a/src/briarseam/membership/messages.py
+++ b/src/briarseam/membership/messages.py
@@ -31,53 +31,77 @@
     leaving: bool
 
 
-@codec.message("heartbeat")
+@codec.message("introduction")
 @dataclasses.dataclass(frozen=True)
-class Heartbeat:
-    """An agent tells a peer that it lives.
+class Introduction:
+    """An agent tells a peer all about itself, as a heartbeat.
+
+    It is sent on a new connection, after a change and now and then.
 
     Attributes
     ----------
-    name, incarnation
-        Who it is.
+    about
+        What it says of itself.
     digest
         Of the peers it knows to be there.
-    about
-        Only on a new connection, after a change and now and then.
     sections
-        The sections that changed since the last heartbeat.
+        All sections, or those that changed.
     """
 
-    name: str
-    incarnation: int
+    about: About
     digest: int
-    about: About | None = None
-    sections: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    sections: dict[str, bytes]
 
 
-@codec.message("heartbeat-reply")
+@codec.message("heartbeat")
 @dataclasses.dataclass(frozen=True)
-class HeartbeatReply:
-    """The peer's answer to a heartbeat.
+class Heartbeat:
+    """An agent tells a peer that it lives, and nothing that is known.
+
+    Its name is the connection's.  This is most of the traffic within a
+    cell, so it has no field that is not needed each time.
 
     Attributes
     ----------
-    name, incarnation, digest
-        Of the peer.
-    known
-        Whether the peer has the sender's ``about``.
-    superseded
-        Whether the peer hears a later start of the same instance.
-    about
-        Of the peer, when the heartbeat carried one.
+    incarnation, digest
+        As in the introduction before it.
+    sections
+        Those that changed since the last heartbeat.
     """
 
-    name: str
     incarnation: int
     digest: int
-    known: bool = True
-    superseded: bool = False
-    about: About | None = None
+    sections: dict[str, bytes]
+
+
+@codec.message("introduced")
+@dataclasses.dataclass(frozen=True)
+class Introduced:
+    """The peer's answer to an introduction: its own."""
+
+    about: About
+    digest: int
+
+
+@codec.message("alive")
+@dataclasses.dataclass(frozen=True)
+class Alive:
+    """The peer's answer to a heartbeat."""
+
+    incarnation: int
+    digest: int
+
+
+@codec.message("unknown-agent")
+@dataclasses.dataclass(frozen=True)
+class UnknownAgent:
+    """The peer needs an introduction first."""
+
+
+@codec.message("superseded")
+@dataclasses.dataclass(frozen=True)
+class Superseded:
+    """The peer hears a later start of the same instance."""
 
 
 @codec.message("peers-asked")
--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -12,6 +12,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.membership import service
+    from briarseam.wire import codec
 
 FULL_INTERVAL_S = 10.0
 PEERS_INTERVAL_S = 2.0
@@ -101,18 +102,33 @@
         sent_at = self.membership.clock()
         connection.set_timeout(self.membership.reply_timeout_s)
         connection.send(beat)
-        reply = connection.receive()
-        if not isinstance(reply, messages.HeartbeatReply):
-            raise connections.WireError("expected a heartbeat reply")
-        if reply.name != self.name:
-            raise connections.WireError(f"{reply.name} answers here")
+        self.take(connection, beat, connection.receive(), sent_at)
+
+    def take(
+        self,
+        connection: connections.Connection,
+        beat: messages.Introduction | messages.Heartbeat,
+        reply: codec.Message,
+        sent_at: float,
+    ) -> None:
+        """Take in the reply to a heartbeat sent at ``sent_at``."""
         self.sent.update(beat.sections)
-        if beat.about is not None:
+        if isinstance(beat, messages.Introduction):
             self.sent_about = beat.about
-        if not reply.known:
-            self.full_at = 0.0
-        self.membership.take_reply(reply, sent_at)
-        self.learn_peers(connection, reply)
+        match reply:
+            case messages.Introduced(about=about, digest=digest):
+                self.membership.take_about(about, sent_at)
+                self.learn_peers(connection, digest)
+            case messages.Alive(incarnation=incarnation, digest=digest):
+                self.membership.take_alive(self.name, incarnation, sent_at)
+                self.learn_peers(connection, digest)
+            case messages.UnknownAgent():
+                self.full_at = 0.0
+            case messages.Superseded():
+                self.membership.superseded = True
+                self.full_at = 0.0
+            case _:
+                raise connections.WireError("expected a heartbeat's answer")
 
     def connect(self) -> connections.Connection:
         """Return the open connection, or a new one to the present address."""
@@ -128,6 +144,10 @@
             self.membership.reply_timeout_s,
             self.membership.stamps,
         )
+        if self.connection.peer.name != self.name:
+            raise connections.WireError(
+                f"{self.connection.peer.name} answers at {address}"
+            )
         return self.connection
 
     def disconnect(self) -> None:
@@ -138,7 +158,7 @@
             connection.close()
         self.full_at = 0.0
 
-    def compose(self) -> messages.Heartbeat:
+    def compose(self) -> messages.Introduction | messages.Heartbeat:
         """Return the next heartbeat: everything, or only what changed."""
         now = self.membership.clock()
         about = self.membership.about()
@@ -152,22 +172,17 @@
             for name, data in content.items()
             if self.sent.get(name) != data
         }
-        return messages.Heartbeat(
-            name=about.name,
-            incarnation=about.incarnation,
-            digest=self.membership.digest,
-            about=None if about == self.sent_about else about,
-            sections=changed,
-        )
+        digest = self.membership.digest
+        if about != self.sent_about:
+            return messages.Introduction(about, digest, changed)
+        return messages.Heartbeat(about.incarnation, digest, changed)
 
     def learn_peers(
-        self,
-        connection: connections.Connection,
-        reply: messages.HeartbeatReply,
+        self, connection: connections.Connection, digest: int
     ) -> None:
         """Ask the peer whom it hears when its view differs from ours."""
         now = self.membership.clock()
-        if reply.digest in (self.membership.digest, self.asked_digest):
+        if digest in (self.membership.digest, self.asked_digest):
             return
         if now - self.asked_at < PEERS_INTERVAL_S:
             return
@@ -175,5 +190,5 @@
         connection.send(messages.PeersAsked())
         peers = connection.receive()
         if isinstance(peers, messages.Peers):
-            self.asked_digest = reply.digest
+            self.asked_digest = digest
             self.membership.take_peers(peers)
--- a/src/briarseam/membership/sections.py
+++ b/src/briarseam/membership/sections.py
@@ -34,11 +34,26 @@
 
 
 class Sections:
-    """All sections of this agent."""
+    """All sections of this agent.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    keep_s
+        Seconds for which content is kept: each peer's thread asks for it
+        at each heartbeat, and slices need not work it out for each.
+    clock
+        Monotonic clock.
+    """
+
+    def __init__(
+        self, keep_s: float, clock: typing.Callable[[], float]
+    ) -> None:
+        self.keep_s = keep_s
+        self.clock = clock
         self.lock = threading.Lock()
         self.by_name: dict[str, Section] = {}
+        self.kept: dict[str, bytes] = {}
+        self.kept_until = 0.0
 
     def add(self, section: Section) -> None:
         """Add one section; its name must be free."""
@@ -46,12 +61,22 @@
             if section.name in self.by_name:
                 raise ValueError(f"section {section.name!r} is taken")
             self.by_name = {**self.by_name, section.name: section}
+        self.renew()
+
+    def renew(self) -> None:
+        """Ask the slices anew for the next heartbeat."""
+        self.kept_until = 0.0
 
     def content(self) -> dict[str, bytes]:
         """Return this agent's content by section name."""
-        return {
-            name: section.provide() for name, section in self.by_name.items()
-        }
+        now = self.clock()
+        if now >= self.kept_until:
+            self.kept_until = now + self.keep_s
+            self.kept = {
+                name: section.provide()
+                for name, section in self.by_name.items()
+            }
+        return self.kept
 
     def consume(
         self, member: str, content: typing.Mapping[str, bytes]
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -101,7 +101,9 @@
         self.table = tables.Table(me, parts_of, suspect_after_s, clock)
         self.list_reader = listing.ListReader(instances, list_interval_s)
         self.list_reader.add(self.table.take_listing)
-        self.sections = sections.Sections()
+        self.sections = sections.Sections(
+            heartbeat_interval_s / TICKS_PER_INTERVAL, clock
+        )
         self.peers: dict[str, peers.Peer] = {}
         self.clients: dict[str, clients.Client] = {}
         self.lock = threading.Lock()
@@ -284,17 +286,22 @@
                 raise UnknownMemberError(f"no member {name}")
             return found.agent_address
 
-    def take_reply(
-        self, reply: messages.HeartbeatReply, sent_at: float
-    ) -> None:
-        """Take in the reply to a heartbeat sent at ``sent_at``."""
-        self.superseded = reply.superseded
-        if reply.about is not None:
-            self.table.take_about(reply.about, sent_at)
+    def take_about(self, about: messages.About, sent_at: float) -> None:
+        """Take in a peer's answer to an introduction sent at ``sent_at``."""
+        self.table.take_about(about, sent_at)
+        self.note_round(sent_at)
+
+    def take_alive(self, name: str, incarnation: int, sent_at: float) -> None:
+        """Take in a peer's answer to a heartbeat sent at ``sent_at``."""
         with self.table.lock:
-            found = self.table.records.get(reply.name)
-            if found is not None and found.incarnation == reply.incarnation:
+            found = self.table.records.get(name)
+            if found is not None and found.incarnation == incarnation:
                 self.table.note_heard(found, sent_at)
+        self.note_round(sent_at)
+
+    def note_round(self, sent_at: float) -> None:
+        """Note that a heartbeat sent at ``sent_at`` was answered."""
+        self.superseded = False
         if self.round_at is None or sent_at > self.round_at:
             self.round_at = sent_at
 
@@ -346,6 +353,7 @@
 
     def tell_at_once(self) -> None:
         """Send the next heartbeats now."""
+        self.sections.renew()
         self.review()
         for peer in list(self.peers.values()):
             peer.wake.set()
