Rank all members in one go unless zones are cut in parts

Without cells just the leaving one's move, at the cost of a hash for each member. Where zones are cut in parts cells still go first.

--- a/src/briarseam/lookup/layout.py
+++ b/src/briarseam/lookup/layout.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import typing
 
 from briarseam.lookup import rank
 from briarseam.membership import state
 
-# The second of the session's own cell takes over a dead first one's
-# sessions; further addresses lie in other zones, for when a zone is down.
-FROM_OWN_CELL = 2
+# The second takes over the sessions of a dead first one; further addresses
+# lie in other zones, for when a zone is down.
+FROM_TOP = 2
+WHOLE_ZONE = "/0"
 USABLE = frozenset({state.MemberState.ALIVE, state.MemberState.SUSPECT})
 
 
@@ -36,6 +38,10 @@
     suspect: tuple[state.Member, ...]
     weight: int
 
+    def members(self) -> tuple[state.Member, ...]:
+        """Return the usable members."""
+        return (*self.alive, *self.suspect)
+
     def ranked(self, key: str) -> list[state.Member]:
         """Return the members in a session's order, suspects last.
 
@@ -52,6 +58,12 @@
 class Layout:
     """All cells, built once for each snapshot of members.
 
+    Ranking all members in one go gives each its share and moves only the
+    sessions of one that joins or leaves, but costs a hash for each member.
+    Ranking cells first costs few hashes; since a cell's weight follows its
+    members, a join or leave moves about twice as many sessions.  So cells
+    are ranked first only where configuration cuts zones into parts.
+
     Attributes
     ----------
     members
@@ -63,26 +75,51 @@
     members: typing.Sequence[state.Member]
     cells: tuple[Cell, ...]
 
+    @functools.cached_property
+    def together(self) -> Cell | None:
+        """Return all members as one cell, if no zone is cut in parts."""
+        if any(not cell.name.endswith(WHOLE_ZONE) for cell in self.cells):
+            return None
+        everyone = [m for cell in self.cells for m in cell.members()]
+        return build_cell("", everyone) if everyone else None
+
     def order(self, key: str, count: int) -> list[state.Member]:
         """Return up to ``count`` members in a session's order."""
+        if self.together is not None:
+            ranked = self.together.ranked(key)
+            return pick(ranked[:FROM_TOP], ranked[FROM_TOP:], count)
         cells = rank.ranked(key, self.cells, cell_name, cell_weight)
         if not cells:
             return []
         own = cells[0].ranked(key)
-        chosen = own[:FROM_OWN_CELL]
+        rest = own[FROM_TOP:]
         zones = {cells[0].zone}
         for cell in cells[1:]:
-            if len(chosen) >= count:
+            if len(zones) >= count:
                 break
-            if cell.zone not in zones:
+            if cell.zone not in zones or len(rest) < count:
                 zones.add(cell.zone)
-                chosen.append(cell.ranked(key)[0])
-        rest = own[FROM_OWN_CELL:]
-        for cell in cells[1:]:
-            if len(chosen) + len(rest) >= count:
-                break
-            rest += [m for m in cell.ranked(key) if m not in chosen]
-        return [*chosen, *rest][:count]
+                rest += cell.ranked(key)
+        return pick(own[:FROM_TOP], rest, count)
+
+
+def pick(
+    top: list[state.Member], rest: list[state.Member], count: int
+) -> list[state.Member]:
+    """Return the top, then the best of zones not yet there, then others.
+
+    Members of other zones serve callers while a whole zone is down.
+    """
+    zones = {member.zone for member in top}
+    elsewhere: list[state.Member] = []
+    others: list[state.Member] = []
+    for member in rest:
+        if member.zone in zones:
+            others.append(member)
+        else:
+            zones.add(member.zone)
+            elsewhere.append(member)
+    return [*top, *elsewhere, *others][:count]
 
 
 def build(members: typing.Sequence[state.Member]) -> Layout:
