Name an agent's entries only once it can decide

tests/matrix/test_rolling_stop.py[agent] went red when routing began to ask which versions engines report: a restarted agent was in the lookups before it had heard of any engine and refused 45 requests with no-endpoint. Its entries are now named once it has a current configuration and an offer for each model, or after ten seconds; seen failing without.

The test of a superseded start set the number after its threads had begun, so that a peer sometimes heard the later one; it is now given before.

--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -278,8 +278,13 @@
         lambda digest: reader.view().organisation_of(digest),
         settings.agent.lookup_ttl_s,
     )
+
+    def ready() -> bool:
+        models = reader.view().models
+        return gate() is None and all(map(order_service.tally, models))
+
     local_entries = entries.LocalEntries(
-        member_service, lookups.ttl_s + member_service.spread_s
+        member_service, lookups.ttl_s + member_service.spread_s, ready
     )
     states = status.StatusService(
         member_service,
--- a/src/briarseam/membership/entries.py
+++ b/src/briarseam/membership/entries.py
@@ -17,6 +17,7 @@
 
 EXPIRE_S = 3.0
 REVIEW_S = 0.5
+START_BOUND_S = 10.0
 log = structlog.get_logger("briarseam.membership")
 
 
@@ -50,6 +51,11 @@
     linger_s
         For how long callers may come to an entry after all know that it
         is leaving.
+    ready
+        Whether the agent can decide about requests.  Until it first can,
+        or for ``START_BOUND_S``, no entry is named: a fresh agent that has
+        not read the configuration or the endpoints' state would refuse
+        every caller that a lookup sends.
     expire_s
         Silence after which an entry counts as dead.
     """
@@ -58,8 +64,12 @@
         self,
         membership: service.Membership,
         linger_s: float,
+        ready: typing.Callable[[], bool] = lambda: True,
         expire_s: float = EXPIRE_S,
     ) -> None:
+        self.ready = ready
+        self.started_at = membership.clock()
+        self.was_ready = False
         self.membership = membership
         self.linger_s = linger_s
         self.expire_s = expire_s
@@ -102,6 +112,7 @@
 
     def review(self) -> None:
         """Drop silent entries; tell the membership which ones serve."""
+        ready = self.is_ready()
         with self.lock:
             oldest = self.membership.clock() - self.expire_s
             for address, seen in list(self.seen.items()):
@@ -113,13 +124,20 @@
                 sorted(
                     address
                     for address, seen in self.seen.items()
-                    if seen.state is messages.EntryState.SERVING
+                    if seen.state is messages.EntryState.SERVING and ready
                 )
             )
             # Under the lock, so that a review with an older list never
             # puts back an entry that has just begun to leave.
             self.membership.set_entries(serving)
 
+    def is_ready(self) -> bool:
+        """Tell whether the agent has ever been ready, or waited enough."""
+        if not self.was_ready:
+            waited_s = self.membership.clock() - self.started_at
+            self.was_ready = waited_s > START_BOUND_S or self.ready()
+        return self.was_ready
+
     def leaving(self) -> int:
         """Return how many entries are leaving and not yet gone."""
         with self.lock:
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -27,6 +27,7 @@
         zone: str = "rumoi",
         listed: bool = True,
         seeds: tuple[str, ...] = (),
+        incarnation: int | None = None,
         **options: typing.Any,
     ) -> helpers.Node:
         router = helpers.CuttableRouter()
@@ -43,6 +44,8 @@
         membership = service.Membership(
             me, listing, helpers.KEY, seeds=seeds, **options
         )
+        if incarnation is not None:
+            membership.incarnation = incarnation
         membership.register(router)
         listener.start()
         membership.start()
--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -82,6 +82,22 @@
     }
 
 
+def test_entry_of_an_unready_agent_is_not_named(instance: Instance) -> None:
+    """An agent was just started and knows no endpoints yet.  Callers are
+    sent to its entry once it does, or when it has waited enough.
+    """
+    ready: list[bool] = []
+    instance.local.ready = lambda: bool(ready)
+    instance.presence.report()
+    assert instance.addresses() == ()
+    ready.append(True)
+    instance.presence.report()
+    assert instance.addresses() == (ADDRESS,)
+    ready.clear()
+    instance.presence.report()
+    assert instance.addresses() == (ADDRESS,)
+
+
 def test_dead_entry_is_taken_out(instance: Instance) -> None:
     """An entry process is killed while its agent lives on: callers are not
     sent to its closed port for long.
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -133,8 +133,8 @@
     """
     a, new = start_all(start, "a", "b")
     a_address = a.membership.settings.agent_address
-    old = start("b", listed=False, seeds=(a_address,))
-    old.membership.incarnation = new.membership.incarnation - 1
+    earlier = new.membership.incarnation - 1
+    old = start("b", listed=False, seeds=(a_address,), incarnation=earlier)
     waiting.until(lambda: old.membership.superseded)
     assert not old.membership.fresh()
     record = a.membership.table.records["b"]
