--- a/src/briarseam/cache/links.py
+++ b/src/briarseam/cache/links.py
@@ -37,6 +37,26 @@
     area_before: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a transfer must expect.
+
+    Attributes
+    ----------
+    begins_s
+        Seconds until its first byte.
+    rate
+        Bytes per second from then on.
+    """
+
+    begins_s: float
+    rate: float
+
+    def after_s(self, size: int) -> float:
+        """Return the seconds until ``size`` bytes are through."""
+        return self.begins_s + size / self.rate
+
+
 class Link:
     """Token bucket and observed rate of one store's link.
 
@@ -211,8 +231,14 @@
                 rate = min(rate, bound)
         return max(rate, 1.0)
 
-    def predict_s(self, size: int) -> float:
-        """Return the predicted seconds for a transfer asked for now."""
+    def outlook(self) -> Outlook:
+        """Return what a transfer that is asked for now must expect."""
         with self.lock:
+            rate = self.rate()
             waiting = sum(transfer.size for transfer in self.active)
-            return self.wait_s() + LATENCY_S + (size + waiting) / self.rate()
+            begins_s = self.wait_s() + LATENCY_S + waiting / rate
+            return Outlook(begins_s, rate)
+
+    def predict_s(self, size: int) -> float:
+        """Return the predicted seconds for a transfer asked for now."""
+        return self.outlook().after_s(size)
--- a/src/briarseam/cache/planning.py
+++ b/src/briarseam/cache/planning.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from briarseam.cache import exporting
+from briarseam.cache import links
 from briarseam.cache import pieces
 from briarseam.cache import state
 from briarseam.configuration import schema
@@ -94,16 +96,48 @@
     def predict(
         self, blocks: typing.Sequence[state.Planned]
     ) -> tuple[float, ...]:
-        """Return the predicted seconds until each block is in."""
-        before: dict[str, int] = {}
-        spent_s: dict[str, float] = {}
+        """Return the predicted seconds until each block is in.
+
+        An engine fetches in order, so times over several links add up.
+        """
+        lanes: dict[str, Lane] = {}
+        total_s = 0.0
         until_s = []
         for planned in blocks:
             block = planned.block
-            store = self.tools.stores.get(block.store)
-            if store is None:
-                break
-            before[block.store] = before.get(block.store, 0) + block.size
-            spent_s[block.store] = store.link.predict_s(before[block.store])
-            until_s.append(sum(spent_s.values()))
+            lane = lanes.get(block.store)
+            if lane is None:
+                store = self.tools.stores.get(block.store)
+                if store is None:
+                    break
+                lane = lanes[block.store] = Lane(store.link.outlook())
+            total_s += lane.add(block.size)
+            until_s.append(total_s)
         return tuple(until_s)
+
+
+@dataclasses.dataclass(slots=True)
+class Lane:
+    """What a plan moves over one link.
+
+    Attributes
+    ----------
+    outlook
+        What it must expect there.
+    size
+        Bytes so far.
+    spent_s
+        Seconds so far.
+    """
+
+    outlook: links.Outlook
+    size: int = 0
+    spent_s: float = 0.0
+
+    def add(self, size: int) -> float:
+        """Add a block; return the seconds that it takes longer."""
+        self.size += size
+        until_s = self.outlook.after_s(self.size)
+        longer_s = until_s - self.spent_s
+        self.spent_s = until_s
+        return longer_s
--- a/src/briarseam/cache/retention.py
+++ b/src/briarseam/cache/retention.py
@@ -24,7 +24,8 @@
 MAX_CLASS_EVENTS = 4000.0
 DECAY = 0.5
 PRIOR_EVENTS = 8.0
-SAMPLE = 64
+STALE_PART = 0.02
+SAMPLE = 32
 
 
 class Policy(enum.StrEnum):
@@ -117,14 +118,15 @@
         self.returned = array.array("f", [0.0] * AGE_BINS)
         self.given_up = array.array("f", [0.0] * AGE_BINS)
         self.total = 0.0
-        self.densities: list[float] | None = None
+        self.stale = 0.0
+        self.densities: list[float] = []
 
     def note(self, age_s: float, returned: bool) -> None:
         """Count one end of a wait."""
         counts = self.returned if returned else self.given_up
         counts[age_bin(age_s)] += 1.0
         self.total += 1.0
-        self.densities = None
+        self.stale += 1.0
         if self.total > MAX_CLASS_EVENTS:
             self.fade()
 
@@ -137,8 +139,9 @@
 
     def density(self, age_s: float) -> float:
         """Return hits per second of keeping a group of this age."""
-        if self.densities is None:
+        if not self.densities or self.stale > self.total * STALE_PART:
             self.densities = self.work_out()
+            self.stale = 0.0
         return self.densities[age_bin(age_s)]
 
     def work_out(self) -> list[float]:
--- a/src/briarseam/cache/state.py
+++ b/src/briarseam/cache/state.py
@@ -76,8 +76,7 @@
     chain: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(frozen=True)
-class Planned:
+class Planned(typing.NamedTuple):
     """One block of a plan and the chain digest it stands for."""
 
     digest: bytes
