Import again what an engine has only probably

Ruled out by the agents' counters: imports failed or over budget (0), exports dropped or not cached (0), stores full (blocks only grew). Change: an engine surely has only what a run of this agent used there with less than half of its memory used since; the import plan begins behind that. The choice of the engine still goes by what it probably has. Seen failing with the guard removed: the new test.

--- a/src/briarseam/routing/predict.py
+++ b/src/briarseam/routing/predict.py
@@ -57,7 +57,8 @@
     have
         Leading pieces it has.
     plan
-        What is worth importing there.
+        What is worth importing there; it may hold again what the engine
+        has only probably.
     recompute_pieces
         Pieces it must compute.
     first_token_s
@@ -100,8 +101,9 @@
         """Return what a run of ``prompt`` at ``endpoint`` would cost."""
         have = self.prefixes.leading(endpoint, prompt.keys)
         per_piece_s = self.rates.prefill_s_per_piece(prompt.model)
-        plan = follow_on(prompt.kept, have).best(per_piece_s)
-        left = max(prompt.pieces - have - len(plan.blocks), 0.0)
+        sure = self.prefixes.sure(endpoint, prompt.keys)
+        plan = follow_on(prompt.kept, sure).best(per_piece_s)
+        left = max(prompt.pieces - max(have, sure + len(plan.blocks)), 0.0)
         wait_s = self.wait_s(prompt.model, endpoint)
         recompute_s = left * per_piece_s
         return Prediction(
--- a/src/briarseam/routing/prefixes.py
+++ b/src/briarseam/routing/prefixes.py
@@ -17,6 +17,9 @@
     from briarseam.endpoints import engine_events
 
 DEFAULT_CAPACITY_PIECES = 100
+# How much of an engine's memory may have been used anew since a run of ours
+# used a piece, for it to be surely there.  What others use shows late.
+SURE_PART = 0.5
 # Some 200 bytes each; an agent's memory is bounded whatever engines report.
 MAX_PIECES = 40_000
 
@@ -48,7 +51,8 @@
 
     def __init__(self, capacity_pieces: int = DEFAULT_CAPACITY_PIECES) -> None:
         self.capacity_pieces = capacity_pieces
-        self.order: collections.OrderedDict[bytes, None] = (
+        self.used = 0
+        self.order: collections.OrderedDict[bytes, int | None] = (
             collections.OrderedDict()
         )
 
@@ -61,13 +65,43 @@
             count += 1
         return count
 
+    def sure(self, keys: typing.Sequence[bytes]) -> int:
+        """Return how many of the first keys can hardly be evicted yet.
+
+        Guard: an engine evicts at once and says so late, so a prompt that
+        returns just after that is believed to be there.  It shows as a
+        cold return although the stores have all of it.  Only what a run
+        of ours used, with not too much used since, need not be imported.
+        """
+        oldest = self.used - SURE_PART * self.capacity_pieces
+        count = 0
+        for key in keys:
+            used_at = self.order.get(key)
+            if used_at is None or used_at < oldest:
+                break
+            count += 1
+        return count
+
     def use(
         self, keys: typing.Sequence[bytes], at_most: int = MAX_PIECES
     ) -> None:
         """Note that a run has just used or computed these."""
+        self.used += len(keys)
         for key in keys:
-            self.order[key] = None
+            self.order[key] = self.used
             self.order.move_to_end(key)
+        self.evict(at_most)
+
+    def add(self, key: bytes, at_most: int = MAX_PIECES) -> None:
+        """Note that the engine says it has one."""
+        if key in self.order:
+            return
+        self.used += 1
+        self.order[key] = None
+        self.evict(at_most)
+
+    def evict(self, at_most: int) -> None:
+        """Forget what was used longest ago, as far as there is no room."""
         while len(self.order) > min(self.capacity_pieces, at_most):
             self.order.popitem(last=False)
 
@@ -108,6 +142,12 @@
                         break
         return found
 
+    def sure(self, endpoint: str, keys: typing.Sequence[bytes]) -> int:
+        """Return how many leading pieces an engine has almost surely."""
+        with self.lock:
+            known = self.engines.get(endpoint)
+            return known.sure(keys) if known else 0
+
     def use(
         self,
         endpoint: str,
@@ -132,7 +172,9 @@
     def added(self, endpoint: str, prefix: engine_events.Prefix) -> None:
         """Take in an engine's word that it has a prefix."""
         key = key_of(prefix.digest, prefix.model, prefix.version)
-        self.use(endpoint, (key,), None)
+        with self.lock:
+            known = self.engines.setdefault(endpoint, EnginePrefixes())
+            known.add(key, MAX_PIECES // len(self.engines))
 
     def removed(self, endpoint: str, prefix: engine_events.Prefix) -> None:
         """Take in an engine's word that it has dropped a prefix."""
--- a/tests/routing/test_service.py
+++ b/tests/routing/test_service.py
@@ -145,3 +145,25 @@
     )
     bench.chooser.choose_engine(conftest.ask())
     assert len(seen) <= 2 * bench.view.routing.candidates
+
+
+def test_what_an_engine_may_have_evicted_is_imported_all_the_same(bench):
+    """A session returns after other prompts have filled most of its
+    engine's memory.  The engine evicted it a moment ago and its event is
+    not there yet; trusted, the caller would wait for the whole prompt to
+    be computed although the stores have it.
+    """
+    for name in bench.view.endpoints:
+        if name != "engine-0":
+            bench.leaving.add(name)
+    bench.report("engine-0", busy=0)
+    send(bench, conftest.ask("returns"), "one")
+    bench.kept.offered = planned(0.01)
+    soon = bench.chooser.choose_engine(conftest.ask("returns"))
+    assert not soon.plan.blocks
+    for number in range(20):
+        send(bench, conftest.ask(f"other-{number}"), f"other-{number}")
+        bench.chooser.note_end(f"other-{number}", whole=True)
+    later = bench.chooser.choose_engine(conftest.ask("returns"))
+    assert later.have == 4
+    assert len(later.plan.blocks) == 4
