--- /dev/null
+++ b/bench/rollout.py
@@ -0,0 +1,371 @@
+"""How long a rollout takes, what leases cost, and what a comparison costs.
+
+Against stand-ins in the same process:
+
+- a rollout over six engines with one, two and three loading at once, from a
+  weight store that takes two transfers at a time;
+- appends a second of leases, by holders and by leases of each holder;
+- how long nobody gives orders after a holder is lost;
+- processor time of one comparison of wanted and reported, by engines.
+
+    PYTHONPATH=src:. python bench/rollout.py bench/results/rollout.json
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import pathlib
+import statistics
+import sys
+import threading
+import time
+
+from briarseam.configuration import schema
+from briarseam.endpoints import engine_orders
+from briarseam.leases import outcomes
+from briarseam.leases import service as leases_service
+from briarseam.metrics import registry
+from briarseam.orders import goals
+from briarseam.orders import offers
+from briarseam.orders import planner
+from briarseam.orders import service as orders_service
+from briarseam.orders import state
+from briarseam.platform import log as platform_log
+from briarseam.testing import engine
+from briarseam.testing import engine_switches
+from briarseam.testing import log_service
+from briarseam.testing import weight_store
+
+MODEL = "draft"
+ENGINES = 6
+FLOOR = 3
+REPEATS = 3
+LOAD_S = 1.4
+PARTS = 4
+PART_BYTES = 250_000
+STORE_BYTES_PER_S = 4_000_000
+TRANSFERS = 2
+LEASE_RUN_S = 12.0
+LEASE_TTL_S = 6.0
+LOST_TTL_S = 3.0
+COMPARISONS = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutRow:
+    """Rollouts with one bound on loads at once."""
+
+    max_loading: int
+    seconds: list[float]
+    median_s: float
+    of_one_at_a_time: float
+    fewest_serving: int
+    most_loading: int
+    lease_appends: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRow:
+    """Holders that only renew."""
+
+    holders: int
+    leases_each: int
+    appends_per_s: float
+    bytes_per_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LostRow:
+    """A holder that stops without giving its lease back."""
+
+    ttl_s: float
+    seconds_without_holder: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CompareRow:
+    """One comparison of wanted and reported, nothing to do.
+
+    Attributes
+    ----------
+    engines
+        How many.
+    plan_us, offers_us
+        Of one comparison, made when something has changed.
+    idle_tick_us
+        Of one of five ticks a second when nothing has.
+    """
+
+    engines: int
+    plan_us: float
+    offers_us: float
+    idle_tick_us: float
+
+
+class Watch:
+    """Counts engines that serve and that load, by their own state."""
+
+    def __init__(self, engines: list[engine.Engine]) -> None:
+        self.engines = engines
+        self.fewest_serving = len(engines)
+        self.most_loading = 0
+        self.done = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self) -> None:
+        """Look until done."""
+        while not self.done.wait(0.005):
+            found = [one.weights.model(MODEL) for one in self.engines]
+            loading = sum(bool(one and one.loading) for one in found)
+            self.most_loading = max(self.most_loading, loading)
+            serving = len(found) - loading
+            self.fewest_serving = min(self.fewest_serving, serving)
+
+
+def view_of(
+    offset: int, version: str, addresses: list[str], weights: schema.Weights
+) -> schema.View:
+    """Return a configuration that wants one version."""
+    endpoints = {
+        f"worker-{number}": schema.Endpoint(
+            schema.EndpointKind.ENGINE, address, f"zone-{number % 3}", (MODEL,)
+        )
+        for number, address in enumerate(addresses)
+    }
+    return schema.View(
+        offset=offset,
+        models={MODEL: schema.Model(version, floor=FLOOR)},
+        endpoints=endpoints,
+        weights=weights,
+    )
+
+
+def measure_rollouts(max_loading: int, one_s: float | None) -> RolloutRow:
+    """Return the times of rollouts with one bound."""
+    with contextlib.ExitStack() as stack:
+        log = stack.enter_context(log_service.LogService())
+        store = stack.enter_context(
+            weight_store.WeightStore(
+                weight_store.Switches(
+                    parts=PARTS,
+                    part_bytes=PART_BYTES,
+                    bytes_per_s=STORE_BYTES_PER_S,
+                    max_concurrent=TRANSFERS,
+                )
+            )
+        )
+        engines = [
+            stack.enter_context(
+                engine.Engine(
+                    engine_switches.Switches(load_s=LOAD_S),
+                    models={MODEL: "v0"},
+                )
+            )
+            for _ in range(ENGINES)
+        ]
+        addresses = [one.address for one in engines]
+        weights = schema.Weights(store.address, max_loading)
+        views = [view_of(1, "v0", addresses, weights)]
+        leases = leases_service.Leases(
+            platform_log.LogClient(log.address), "bench"
+        )
+        orders = orders_service.Orders(
+            "bench",
+            lambda: views[-1],
+            leases,
+            engine_orders.EngineOrders(),
+            registry.Registry(),
+            lambda *kind, **fields: None,
+        )
+        leases.start()
+        orders.start()
+        stack.callback(leases.stop)
+        stack.callback(orders.stop)
+        wait_until(lambda: orders.offers(MODEL))
+        watch = Watch(engines)
+        seconds = []
+        for number in range(1, REPEATS + 1):
+            version = f"v{number}"
+            began = time.monotonic()
+            views.append(view_of(1 + number, version, addresses, weights))
+            wait_until(lambda wanted=version: served(engines, wanted))
+            seconds.append(time.monotonic() - began)
+            wait_until(lambda: not leases.held())
+        watch.done.set()
+        median_s = statistics.median(seconds)
+        return RolloutRow(
+            max_loading=max_loading,
+            seconds=[round(one, 2) for one in seconds],
+            median_s=round(median_s, 2),
+            of_one_at_a_time=round(median_s / (one_s or median_s), 2),
+            fewest_serving=watch.fewest_serving,
+            most_loading=watch.most_loading,
+            lease_appends=leases.appends,
+        )
+
+
+def served(engines: list[engine.Engine], version: str) -> bool:
+    """Tell whether all engines serve a version."""
+    return all(
+        found is not None and found.version == version and not found.loading
+        for found in (one.weights.model(MODEL) for one in engines)
+    )
+
+
+def wait_until(condition: object, limit_s: float = 120.0) -> None:
+    """Wait for a condition."""
+    assert callable(condition)
+    deadline = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError("the bench waited too long")
+        time.sleep(0.01)
+
+
+def measure_leases(holders: int, leases_each: int) -> LeaseRow:
+    """Return what holding leases costs the log."""
+    with contextlib.ExitStack() as stack:
+        log = stack.enter_context(log_service.LogService())
+        found = []
+        for number in range(holders):
+            leases = leases_service.Leases(
+                platform_log.LogClient(log.address),
+                f"holder-{number}",
+                LEASE_TTL_S,
+            )
+            leases.start()
+            stack.callback(leases.stop)
+            for lease in range(leases_each):
+                name = f"lease-{number}-{lease}"
+                wait_until(
+                    lambda one=leases, wanted=name: isinstance(
+                        one.acquire(wanted), outcomes.Held
+                    )
+                )
+            found.append(leases)
+        stream = log.stream(leases_service.STREAM)
+        began, count = time.monotonic(), len(stream.records)
+        time.sleep(LEASE_RUN_S)
+        took_s = time.monotonic() - began
+        records = stream.records[count:]
+        assert all(len(one.held()) == leases_each for one in found)
+        return LeaseRow(
+            holders,
+            leases_each,
+            round(len(records) / took_s, 2),
+            round(sum(len(one.content) for one in records) / took_s, 1),
+        )
+
+
+def measure_lost() -> LostRow:
+    """Return how long a lease stays with a holder that is gone."""
+    with log_service.LogService() as log:
+        first, second = (
+            leases_service.Leases(
+                platform_log.LogClient(log.address), name, LOST_TTL_S
+            )
+            for name in ("first", "second")
+        )
+        first.start()
+        second.start()
+        wait_until(lambda: isinstance(first.acquire("x"), outcomes.Held))
+        # Lost as a killed process is: no renewal, no release.
+        first.stopping.set()
+        first.follower.stop()
+        began = time.monotonic()
+        wait_until(lambda: isinstance(second.acquire("x"), outcomes.Held))
+        took_s = time.monotonic() - began
+        second.stop()
+        return LostRow(LOST_TTL_S, round(took_s, 2))
+
+
+def measure_compare(count: int) -> CompareRow:
+    """Return the processor time of one comparison, nothing to do."""
+    addresses = ["127.0.0.1:1"] * count
+    weights = schema.Weights("127.0.0.1:1", max(2, count // 64))
+    view = view_of(1, "v1", addresses, weights)
+    loaded = engine_orders.EngineState(
+        "b" * 32, {MODEL: engine_orders.ModelState("v1")}, 1, True
+    )
+    readings = {name: state.Reading(loaded, 0.0) for name in view.endpoints}
+    scopes = goals.scopes_of(view)
+    targets = goals.targets_of(view)
+    rounds = max(5, COMPARISONS * 64 // (64 + count))
+    began = time.thread_time()
+    for _ in range(rounds):
+        for scope in scopes:
+            plan = planner.Planner(scope, readings, {}).plan()
+            assert not plan.steps
+    planned = time.thread_time()
+    for _ in range(rounds):
+        offers.offers_of(MODEL, view.models[MODEL], targets, readings, None)
+    ended = time.thread_time()
+    return CompareRow(
+        count,
+        round((planned - began) / rounds * 1e6, 1),
+        round((ended - planned) / rounds * 1e6, 1),
+        round(measure_idle(view, readings), 1),
+    )
+
+
+def measure_idle(
+    view: schema.View, readings: dict[str, state.Reading]
+) -> float:
+    """Return the processor time of a tick without news, in microseconds."""
+    orders = orders_service.Orders(
+        "bench",
+        lambda: view,
+        leases_service.Leases(platform_log.LogClient("127.0.0.1:1"), "bench"),
+        engine_orders.EngineOrders(),
+        registry.Registry(),
+        lambda *kind, **fields: None,
+        orders_service.Peers(
+            owns=lambda engine: False, live=lambda: ("bench", "other")
+        ),
+    )
+    orders.board.put_shared("other", readings)
+    orders.tick()
+    began = time.thread_time()
+    for _ in range(COMPARISONS):
+        orders.tick()
+    return (time.thread_time() - began) / COMPARISONS * 1e6
+
+
+def main(out: str) -> None:
+    """Measure everything and write a file."""
+    rollouts = [measure_rollouts(1, None)]
+    for bound in (2, 3):
+        rollouts.append(measure_rollouts(bound, rollouts[0].median_s))
+    leases = [
+        measure_leases(holders, each)
+        for holders, each in (
+            (1, 1),
+            (1, 5),
+            (1, 25),
+            (1, 100),
+            (4, 5),
+            (8, 5),
+        )
+    ]
+    rows = {
+        "rollouts": rollouts,
+        "leases": leases,
+        "lost": [measure_lost()],
+        "compare": [measure_compare(count) for count in (6, 64, 512, 4000)],
+    }
+    text = json.dumps(
+        {
+            name: [dataclasses.asdict(row) for row in found]
+            for name, found in rows.items()
+        },
+        indent=1,
+    )
+    pathlib.Path(out).write_text(text + "\n")
+    print(text)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/src/briarseam/compose/orders.py
+++ b/src/briarseam/compose/orders.py
@@ -8,6 +8,7 @@
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases
 from briarseam.lookup import rank
+from briarseam.membership import state as members
 from briarseam.orders import messages
 from briarseam.orders import service as orders
 from briarseam.orders import state
@@ -45,12 +46,18 @@
     """Return the orders part of an agent, wired to the heartbeats."""
     me = settings.instance.name
 
-    def live() -> set[str]:
-        return {member.name for member in member_service.live()}
+    def cell() -> set[str]:
+        return {member.name for member in member_service.live()} | {me}
 
-    def precedence(key: str) -> int:
-        ranked = rank.ranked(key, live() | {me}, str)
-        return ranked.index(me)
+    def everyone() -> set[str]:
+        return {
+            member.name
+            for member in member_service.everyone()
+            if member.state is members.MemberState.ALIVE
+        } | {me}
+
+    def place(key: str, names: set[str]) -> int:
+        return rank.ranked(key, names, str).index(me)
 
     found = orders.Orders(
         me,
@@ -63,9 +70,10 @@
         registry,
         ring.note,
         orders.Peers(
-            precedence=precedence,
-            owns=lambda engine: precedence(engine) == 0,
-            live=live,
+            precedence=lambda lease: place(lease, everyone()),
+            owns=lambda engine: place(engine, cell()) == 0,
+            live=cell,
+            known=everyone,
         ),
     )
     member_service.add_section(
--- a/src/briarseam/orders/pollers.py
+++ b/src/briarseam/orders/pollers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 import typing
 
 from briarseam.endpoints import engine_orders
 from briarseam.orders import state
 
-MATCH_S = 1.0
 # Engines of which nobody reports are polled by everybody; were it all of a
 # large deployment at a start, it would be thousands of threads.
 MAX_UNKNOWN = 64
@@ -72,6 +72,16 @@
             self.board.put(self.name, state.Reading(found, asked_s))
 
 
+@dataclasses.dataclass(frozen=True)
+class Basis:
+    """What the choice of pollers follows from."""
+
+    addresses: typing.Mapping[str, str]
+    ordered: frozenset[str]
+    members: frozenset[str]
+    told: frozenset[str]
+
+
 class Pollers:
     """Keeps the pollers that this process needs.
 
@@ -99,7 +109,7 @@
         self.clock = clock
         self.owns = owns
         self.busy = False
-        self.due_s = float("-inf")
+        self.basis: Basis | None = None
         self.pollers: dict[str, Poller] = {}
 
     def interval_s(self) -> float:
@@ -107,22 +117,30 @@
         return BUSY_INTERVAL_S if self.busy else IDLE_INTERVAL_S
 
     def match(
-        self, addresses: typing.Mapping[str, str], ordered: set[str]
+        self,
+        addresses: typing.Mapping[str, str],
+        ordered: frozenset[str],
+        members: frozenset[str],
     ) -> None:
-        """Poll what is owned, ordered or not reported; once a second.
+        """Poll what is owned, ordered or not reported.
+
+        Ownership is worked out anew only when something that it follows
+        from has changed.
 
         Parameters
         ----------
         addresses
-            Of all engines, by name.
+            Of all engines, by name; replaced as a whole on a change.
         ordered
             Engines that this process gives orders to.
+        members
+            Those that share the polling.
         """
-        now_s = self.clock()
-        if now_s < self.due_s:
+        told = frozenset(self.board.told())
+        basis = Basis(addresses, ordered, members, told)
+        if basis == self.basis:
             return
-        self.due_s = now_s + MATCH_S
-        told = self.board.told()
+        self.basis = basis
         unknown = [name for name in addresses if name not in told]
         wanted = ordered.union(unknown[:MAX_UNKNOWN])
         self.follow(
--- a/src/briarseam/orders/service.py
+++ b/src/briarseam/orders/service.py
@@ -45,11 +45,14 @@
         Whether this process polls an engine for all of them.
     live
         Names of those whose reports count.
+    known
+        Names of all that answer operators.
     """
 
     precedence: typing.Callable[[str], int] = lambda lease: 0
     owns: typing.Callable[[str], bool] = lambda engine: True
     live: typing.Callable[[], typing.Collection[str]] = frozenset
+    known: typing.Callable[[], typing.Collection[str]] = frozenset
 
 
 NO_PEERS = Peers()
@@ -122,6 +125,7 @@
         )
         self.seen = schema.View(offset=-1)
         self.scopes: tuple[goals.Scope, ...] = ()
+        self.addresses: dict[str, str] = {}
         self.rollouts: dict[str, rollout.Rollout] = {}
         self.former_adapters: dict[str, str] = {}
         self.readings: dict[str, state.Reading] = {}
@@ -184,14 +188,22 @@
             except Exception:
                 log.exception("orders_failed")
             self.board.changed.wait(TICK_S)
-            self.board.changed.clear()
 
     def tick(self) -> None:
-        """Take in what changed and give the orders that are due."""
+        """Take in what changed and give the orders that are due.
+
+        Comparing takes time in proportion to the engines, so it is done
+        only when the configuration or a report says something new, or
+        while something is left to do.
+        """
         view = self.view()
+        self.board.keep_members(self.peers.live())
         if view is not self.seen:
             self.take_view(view)
-        self.board.keep_members(self.peers.live())
+        elif not self.board.changed.is_set() and not self.pollers.busy:
+            self.match_pollers()
+            return
+        self.board.changed.clear()
         self.update_offers()
         busy = False
         for scope in self.scopes:
@@ -214,19 +226,23 @@
             or rollout.Rollout(self.tools)
             for scope in self.scopes
         }
-        self.pollers.due_s = float("-inf")
+        self.addresses = {
+            target.name: target.address
+            for scope in self.scopes
+            for target in scope.targets
+        }
 
     def match_pollers(self) -> None:
         """Poll the engines that this process has to know itself."""
-        addresses = {}
-        ordered = set()
-        for scope in self.scopes:
-            leads = self.leases.holds(scope.lease) is not None
-            for target in scope.targets:
-                addresses[target.name] = target.address
-                if leads:
-                    ordered.add(target.name)
-        self.pollers.match(addresses, ordered)
+        ordered = frozenset(
+            target.name
+            for scope in self.scopes
+            if self.leases.holds(scope.lease) is not None
+            for target in scope.targets
+        )
+        self.pollers.match(
+            self.addresses, ordered, frozenset(self.peers.live())
+        )
 
     def update_offers(self) -> None:
         """Work out anew what engines offer."""
@@ -291,14 +307,18 @@
     def led(self) -> tuple[messages.ModelRollout, ...]:
         """Return how far the models are that this process answers for.
 
-        Those that it gives orders for, and, first in line, those that
-        nobody gives orders for.
+        Those that it gives orders for, and, first in line, those that no
+        process it knows gives orders for.
         """
+        known = self.peers.known()
         return tuple(
             model
             for model in self.status()
             if model.holder == self.leases.holder
-            or (not model.holder and self.first_in_line())
+            or (
+                model.holder.partition("/")[0] not in known
+                and self.first_in_line()
+            )
         )
 
     def first_in_line(self) -> bool:
--- a/src/briarseam/orders/state.py
+++ b/src/briarseam/orders/state.py
@@ -106,6 +106,13 @@
     return errand.version not in (state.version, state.loading)
 
 
+def states_of(
+    readings: typing.Mapping[str, Reading],
+) -> dict[str, engine_orders.EngineState]:
+    """Return what was reported, without when."""
+    return {name: reading.state for name, reading in readings.items()}
+
+
 class Board:
     """The last report of every engine; safe for several threads.
 
@@ -138,17 +145,19 @@
     def put_shared(self, member: str, readings: dict[str, Reading]) -> None:
         """Replace what a member reports."""
         with self.lock:
+            known = self.shared.get(member, {})
             self.shared[member] = readings
-        self.changed.set()
+        if states_of(known) != states_of(readings):
+            self.changed.set()
 
     def keep_members(self, live: typing.Collection[str]) -> None:
         """Forget what members report that are no longer live."""
         with self.lock:
-            self.shared = {
-                member: readings
-                for member, readings in self.shared.items()
-                if member in live
-            }
+            gone = self.shared.keys() - live
+            for member in gone:
+                del self.shared[member]
+        if gone:
+            self.changed.set()
 
     def drop(self, name: str) -> None:
         """Forget an engine that no longer reports."""
--- a/tests/leases/test_fold.py
+++ b/tests/leases/test_fold.py
@@ -81,6 +81,7 @@
 )
 
 
+@hypothesis.settings(deadline=None)
 @hypothesis.given(HISTORIES, strategies.integers(1, 12))
 def test_readers_that_are_certain_agree(history, start):
     """A reader that began late never differs from one that knows all."""
@@ -90,6 +91,7 @@
         assert late == whole
 
 
+@hypothesis.settings(deadline=None)
 @hypothesis.given(HISTORIES)
 def test_fencing_numbers_of_a_lease_only_grow(history):
     table = fold.Fold()
--- /dev/null
+++ b/tests/orders/test_serving.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from briarseam.testing import answers
+from briarseam.testing import deployment
+from briarseam.testing import engine_switches
+from briarseam.testing import waiting
+
+MODEL = deployment.MODEL
+TOKENS = 8
+CALLERS = 4
+
+
+class Callers:
+    """Callers that send one prompt after the other."""
+
+    def __init__(self, running: deployment.Deployment) -> None:
+        self.running = running
+        self.stopping = threading.Event()
+        self.got = []
+        self.threads = [
+            threading.Thread(target=self.send, args=(number,))
+            for number in range(CALLERS)
+        ]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *raised):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+    def send(self, number: int) -> None:
+        caller = self.running.caller(instance=number % 2)
+        serial = 0
+        while not self.stopping.is_set():
+            serial += 1
+            prompt = f"caller {number} asks {serial}"
+            body = deployment.prompt_body(prompt, session=f"s-{prompt}")
+            self.got.append((prompt, caller.ask(body)))
+
+    def version_of(self, prompt, answer) -> str:
+        """Return the one version that gave the whole answer."""
+        for version in ("v1", "v2"):
+            if answer.tokens == answers.expected_answer(
+                MODEL, version, prompt, TOKENS
+            ):
+                return version
+        raise AssertionError(f"{prompt}: {answer}")
+
+
+@pytest.fixture
+def running(tmp_path):
+    shape = deployment.Shape(instances=2, engines=4, services=0)
+    switches = engine_switches.Switches(load_s=0.3, token_s=0.002)
+    with deployment.Deployment(tmp_path, shape, switches) as started:
+        yield started
+
+
+def versions(running):
+    return {one.weights.version(MODEL) for one in running.engines.values()}
+
+
+def test_no_request_is_refused_or_mixed_during_a_rollout(running):
+    """Callers ask all the time while four workers get new weights.
+
+    Each gets a whole answer from one version; a worker that changes
+    between the grant and the run refuses it, and it goes elsewhere.
+    """
+    with Callers(running) as callers:
+        waiting.until(lambda: len(callers.got) > 20)
+        running.publish({f"models/{MODEL}": {"version": "v2", "floor": 2}})
+        waiting.until(lambda: versions(running) == {"v2"}, 20)
+        swapped = len(callers.got)
+        waiting.until(lambda: len(callers.got) > swapped + 20)
+    assert [one for _, one in callers.got if not one.done] == []
+    served = [callers.version_of(*one) for one in callers.got]
+    assert served[0] == "v1"
+    assert set(served[-CALLERS:]) == {"v2"}
