Split the config command and shorten the reader

Options and session stand in modules of their own; the highest state among peers is found where peers are asked. The frozen-reader test chose a reader that its listeners asked last anyway, so it passed without the guard; it now freezes the one asked first and fails without it.

--- a/src/briarseam/command/config.py
+++ b/src/briarseam/command/config.py
@@ -7,7 +7,8 @@
 import typing
 
 from briarseam import tokens
-from briarseam.command import config_output
+from briarseam.command import config_options
+from briarseam.command import config_session
 from briarseam.command import options
 from briarseam.configuration import declarations
 from briarseam.configuration import fold as folds
@@ -26,60 +27,14 @@
 if typing.TYPE_CHECKING:
     import argparse
 
-    from briarseam import settings as settings_types
 
 EXIT_ACCEPTED = 0
 EXIT_REJECTED = 1
 EXIT_BAD_INPUT = 2
 EXIT_UNKNOWN = 3
-DEFAULT_WAIT = "30s"
-DEFAULT_SETTLE = "10s"
 HISTORY_SHOWN = 20
 
 
-class Session:
-    """What every action needs: the log, the teams and the options."""
-
-    def __init__(self, args: argparse.Namespace) -> None:
-        self.args = args
-        self.settings: settings_types.Settings = options.load_settings(args)
-        self.teams = team_types.from_settings(self.settings.teams)
-        self.client = logs.LogClient(str(self.settings.platform.log))
-        shared = self.settings.agent.shared_key
-        self.key = snapshots.derive_key(shared.value if shared else b"")
-        self.output = config_output.Output(args)
-
-    def load(self) -> folds.Fold:
-        """Return the tree at the log's end."""
-        return loading.load(self.client, self.teams, self.key)
-
-    def team(self) -> str:
-        """Return the author's team.
-
-        Raises
-        ------
-        DeclarationError
-            When it is not known or there are several to choose from.
-        """
-        names = sorted(self.teams.by_name)
-        chosen = getattr(self.args, "team", None)
-        if chosen is None and len(names) == 1:
-            return names[0]
-        if chosen not in names:
-            known = ", ".join(names) or "none"
-            raise declarations.DeclarationError(
-                "--team", "", f"one of the teams in the settings: {known}"
-            )
-        return str(chosen)
-
-    def entries(self) -> list[str]:
-        """Return the entry addresses to ask for the agents' offsets."""
-        chosen = getattr(self.args, "entry", None)
-        if chosen is not None:
-            return [str(chosen)]
-        return [str(a) for a in self.settings.instance.entry_addresses]
-
-
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the subcommand's actions."""
     actions = parser.add_subparsers(metavar="ACTION", required=True)
@@ -97,8 +52,8 @@
         actions, "diff", diff, "show what apply would change, publish nothing"
     )
     found.add_argument("directory", metavar="DIR")
-    add_author(found)
-    add_since(found)
+    config_options.add_author(found)
+    config_options.add_since(found)
     found = add_action(actions, "history", show_history, "show past changes")
     found.add_argument("prefix", metavar="PREFIX", nargs="?", default="")
     found.add_argument("--last", type=int, default=HISTORY_SHOWN)
@@ -115,19 +70,19 @@
         action="store_true",
         help="begin with an empty tree where the log has lost its history",
     )
-    add_since(found)
-    add_publishing(found)
+    config_options.add_since(found)
+    config_options.add_publishing(found)
     found = add_action(actions, "set", set_fields, "set or delete one path")
     found.add_argument("path", metavar="PATH")
     found.add_argument("fields", metavar="FIELD=VALUE", nargs="*")
     found.add_argument("--delete", action="store_true", help="delete PATH")
-    add_publishing(found)
+    config_options.add_publishing(found)
 
 
 def add_action(
     actions: typing.Any,
     name: str,
-    action: typing.Callable[[Session], int],
+    action: typing.Callable[[config_session.Session], int],
     summary: str,
 ) -> argparse.ArgumentParser:
     """Add one action with the options that all have."""
@@ -140,61 +95,11 @@
     return found
 
 
-def add_author(found: argparse.ArgumentParser) -> None:
-    """Add the option for the author's team."""
-    found.add_argument(
-        "--team", help="author; needed when the settings name several"
-    )
-
-
-def add_since(found: argparse.ArgumentParser) -> None:
-    """Add the option for the offset that declarations are based on."""
-    found.add_argument(
-        "--since",
-        type=int,
-        metavar="OFFSET",
-        help="a path set after OFFSET is a conflict, and nothing is applied",
-    )
-
-
-def add_publishing(found: argparse.ArgumentParser) -> None:
-    """Add the options of actions that publish."""
-    add_author(found)
-    found.add_argument(
-        "--operator",
-        default=None,
-        help="name for the history; the login name unless given",
-    )
-    found.add_argument(
-        "--entry",
-        type=options.address,
-        metavar="IP:PORT",
-        help="entry to ask how far a change has come",
-    )
-    found.add_argument(
-        "--timeout",
-        type=options.duration_s,
-        default=DEFAULT_WAIT,
-        help="how long to follow an accepted change (default: %(default)s)",
-    )
-    found.add_argument(
-        "--settle",
-        type=options.duration_s,
-        default=DEFAULT_SETTLE,
-        help="how long to find out what became of it (default: %(default)s)",
-    )
-    found.add_argument(
-        "--no-follow",
-        action="store_true",
-        help="do not wait until every live agent has it",
-    )
-
-
 def execute(args: argparse.Namespace) -> int:
     """Carry out one action and return its exit status."""
-    action: typing.Callable[[Session], int] = args.action
+    action: typing.Callable[[config_session.Session], int] = args.action
     try:
-        return action(Session(args))
+        return action(config_session.Session(args))
     except (
         declarations.DeclarationError,
         records.RecordError,
@@ -214,7 +119,7 @@
     return status
 
 
-def get(session: Session) -> int:
+def get(session: config_session.Session) -> int:
     """Show one path."""
     path = session.args.path
     schema.value_type(path)
@@ -226,14 +131,14 @@
     return EXIT_ACCEPTED
 
 
-def tree(session: Session) -> int:
+def tree(session: config_session.Session) -> int:
     """Show all paths."""
     fold = session.load()
     session.output.tree(fold, session.args.prefix, session.teams)
     return EXIT_ACCEPTED
 
 
-def show_history(session: Session) -> int:
+def show_history(session: config_session.Session) -> int:
     """Show past changes."""
     prefix = session.args.prefix
     events = [
@@ -245,7 +150,9 @@
     return EXIT_ACCEPTED
 
 
-def plan_directory(session: Session, fold: folds.Fold) -> plans.Plan:
+def plan_directory(
+    session: config_session.Session, fold: folds.Fold
+) -> plans.Plan:
     """Return the plan of a directory of declarations.
 
     Raises
@@ -267,7 +174,7 @@
     )
 
 
-def diff(session: Session) -> int:
+def diff(session: config_session.Session) -> int:
     """Show what apply would change."""
     plan = plan_directory(session, session.load())
     session.output.plan(plan)
@@ -275,7 +182,7 @@
     return EXIT_REJECTED if plan.conflicts() else EXIT_ACCEPTED
 
 
-def apply(session: Session) -> int:
+def apply(session: config_session.Session) -> int:
     """Make the team's subtree what a directory declares."""
     if session.args.start_over:
         return start_over(session)
@@ -283,7 +190,7 @@
     return publish_plan(session, fold, plan_directory(session, fold))
 
 
-def start_over(session: Session) -> int:
+def start_over(session: config_session.Session) -> int:
     """Apply to an empty tree, for a log that has lost its history.
 
     The change goes first and its snapshot after it: agents then go from no
@@ -301,7 +208,7 @@
     return publish_plan(session, fold, plan, snapshot=True)
 
 
-def set_fields(session: Session) -> int:
+def set_fields(session: config_session.Session) -> int:
     """Set or delete one path."""
     path, fields = session.args.path, session.args.fields
     if bool(fields) == session.args.delete:
@@ -328,7 +235,7 @@
 
 
 def publish_plan(
-    session: Session,
+    session: config_session.Session,
     fold: folds.Fold,
     plan: plans.Plan,
     snapshot: bool = False,
@@ -353,7 +260,10 @@
 
 
 def carry_out(
-    session: Session, fold: folds.Fold, plan: plans.Plan, snapshot: bool
+    session: config_session.Session,
+    fold: folds.Fold,
+    plan: plans.Plan,
+    snapshot: bool,
 ) -> int:
     """Publish a plan, printing each step; return the exit status."""
     session.output.plan(plan)
@@ -381,7 +291,7 @@
             return EXIT_UNKNOWN
 
 
-def follow(session: Session, team: str, offset: int) -> None:
+def follow(session: config_session.Session, team: str, offset: int) -> None:
     """Follow an accepted change and show who does not have it yet."""
     if session.args.no_follow:
         return
--- a/src/briarseam/configuration/peers.py
+++ b/src/briarseam/configuration/peers.py
@@ -19,6 +19,8 @@
 READERS_PER_CELL = 2
 ANSWER_TIMEOUT_S = 1.5
 MAX_PARTS = 4096
+# Above any offset: an answer to it carries the peer's offset and no data.
+BEYOND = 1 << 62
 
 Members = typing.Callable[[], typing.Mapping[str, str]]
 
@@ -131,6 +133,29 @@
                 return join_parts(found)
         raise PeerError(f"{address} gave no whole state")
 
+    def highest_state(
+        self, addresses: typing.Iterable[str]
+    ) -> folds.Fold | None:
+        """Return the state of highest offset among these, ``None`` of none.
+
+        One that cannot give its state after all is passed over for the
+        next.
+        """
+        offsets: dict[str, int] = {}
+        for address in addresses:
+            try:
+                reply = self.fetch_records(address, BEYOND, 0)
+            except PeerError:
+                continue
+            if reply.ready:
+                offsets[address] = reply.offset
+        for address in sorted(offsets, key=offsets.__getitem__, reverse=True):
+            try:
+                return self.fetch_state(address)
+            except PeerError:
+                continue
+        return None
+
     def call(
         self, address: str, request: typing.Any, timeout_s: float
     ) -> typing.Any:
--- a/src/briarseam/configuration/reader.py
+++ b/src/briarseam/configuration/reader.py
@@ -36,8 +36,6 @@
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 2.0
 OTHERS_ASKED = 3
-# Above any offset: an answer to it carries the peer's offset and no data.
-BEYOND = 1 << 62
 log = structlog.get_logger("briarseam.configuration")
 
 
@@ -353,23 +351,12 @@
     def load_highest(self, addresses: list[str]) -> bool:
         """Take the highest state among these; tell whether there was one."""
         started_at = states.now_s()
-        offsets: dict[str, int] = {}
-        for address in addresses:
-            try:
-                reply = self.peers.fetch_records(address, BEYOND, 0)
-            except peer_calls.PeerError:
-                continue
-            if reply.ready:
-                offsets[address] = reply.offset
-        for address in sorted(offsets, key=offsets.__getitem__, reverse=True):
-            try:
-                fold = self.peers.fetch_state(address)
-            except peer_calls.PeerError:
-                continue
-            if self.tree.replace(fold):
-                self.contact_at = max(self.contact_at, started_at)
-            return True
-        return False
+        fold = self.peers.highest_state(addresses)
+        if fold is None:
+            return False
+        if self.tree.replace(fold):
+            self.contact_at = max(self.contact_at, started_at)
+        return True
 
     def note_proof(self, at_s: float) -> None:
         """Note that this was the log's end at ``at_s``."""
--- a/tests/configuration/test_reader.py
+++ b/tests/configuration/test_reader.py
@@ -321,15 +321,9 @@
     # stay there, or each change reaches them a timeout late.
     start(cluster)
     wait_for_offset(cluster, set_model(cluster, "first"))
-    frozen = peers.ranked(NAMES)[0]
+    listener = cluster.agents[peers.ranked(NAMES)[-1]].reader
+    frozen = listener.reading_peers()[0]
     cluster.agents[frozen].server.router.handlers[messages.FetchRecords] = (
         lambda *_: waiting.until(lambda: False, 5)
     )
-    listeners = [
-        cluster.agents[name].reader for name in peers.ranked(NAMES)[2:]
-    ]
-    waiting.until(
-        lambda: all(
-            reader.reading_peers()[-1] == frozen for reader in listeners
-        )
-    )
+    waiting.until(lambda: listener.reading_peers()[-1] == frozen)
--- a/tests/matrix/test_configuration_agents.py
+++ b/tests/matrix/test_configuration_agents.py
@@ -11,7 +11,6 @@
 from briarseam.configuration import peers
 from briarseam.configuration import plans
 from briarseam.configuration import publish
-from briarseam.configuration import reader as readers
 from briarseam.configuration import snapshots
 from briarseam.configuration import teams
 from briarseam.platform import log as logs
@@ -59,7 +58,7 @@
 
     def offset(self, number):
         """Return an agent's offset, -1 while it does not answer."""
-        request = messages.FetchRecords(readers.BEYOND)
+        request = messages.FetchRecords(peers.BEYOND)
         try:
             return self.wire[number].call(request, 1.0).offset
         except connections.WireError:
