--- a/tests/cache/test_random.py
+++ b/tests/cache/test_random.py
@@ -74,7 +74,8 @@
 class World:
     """Agents, two stores, one engine, one clock, one seed."""
 
-    def __init__(self, seed, agents=2):
+    def __init__(self, seed, agents=2, all_own=False):
+        self.all_own = all_own
         self.chance = random.Random(seed)
         self.now = 1000.0
         self.never = Never()
@@ -96,7 +97,7 @@
         def holders(group):
             if self.count == 1:
                 return state.Holders()
-            mine = group[-1] % 2 == me
+            mine = self.all_own or group[-1] % 2 == me
             return state.Holders(mine=mine, others=(str(1 - me),), epoch=1)
 
         def call(address, request, timeout_s):
@@ -338,6 +339,20 @@
     assert never.faults > 10, never
 
 
+def test_two_agents_that_both_own_everything_do_no_harm():
+    """The agents disagree on who is alive, and both think they own.
+
+    One deletes what the other still has in its index.  That costs
+    recomputation; it must not bring a half, another's or an old block.
+    """
+    never = World(4, agents=2, all_own=True).go(OPERATIONS)
+
+    broken = never.broken()
+    broken.pop("deleted_under_reader", None)
+    assert broken == {}
+    assert never.imported > 20, never
+
+
 @pytest.mark.parametrize("removal", GUARDS.values(), ids=GUARDS.keys())
 def test_without_its_guard_it_happens(monkeypatch, removal):
     """Each guard is taken out in turn; the same run must then fail.
--- a/tests/cache/test_service.py
+++ b/tests/cache/test_service.py
@@ -258,3 +258,41 @@
     assert not kept.index.holds(block)
     kept.index.writing.discard(block.packed)
     waiting.until(lambda: kept.index.holds(block), what="adoption")
+
+
+def test_a_block_that_is_gone_is_recomputed_and_forgotten(site):
+    """Another agent deleted a block that is still in the index here.
+
+    The engine meets a 404; the pieces in front of it are of use, the
+    block is not planned again, and the store goes on being used.
+    """
+    kept = site.agent()
+    chain = sites.chain(3)
+    plan = site.kept(kept, "kitchen", chain)
+    site.forget()
+    gone = plan.blocks[1].block
+    site.stores["keep-a"].blocks.delete(kept.names.text(gone.packed))
+
+    imported = kept.import_to(site.engine.address, plan)
+
+    assert (imported.pieces, imported.failed) == (1, "missing")
+    assert len(site.plan(kept, "kitchen", chain).blocks) == 1
+    assert kept.stores.writable()
+
+
+def test_a_swap_of_weights_does_not_condemn_a_store(site):
+    """An engine loads other weights between a plan and its import.
+
+    It refuses; taken for the store's fault, all prompts would be computed
+    anew until the store is polled again.
+    """
+    kept = site.agent()
+    chain = sites.chain(2)
+    plan = site.kept(kept, "kitchen", chain)
+
+    swapped = dataclasses.replace(plan, version="v2")
+    imported = kept.import_to(site.engine.address, swapped)
+
+    assert imported.failed
+    assert kept.stores.writable()
+    assert len(site.plan(kept, "kitchen", chain).blocks) == 2
