--- a/src/briarseam/cache/keeping.py
+++ b/src/briarseam/cache/keeping.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 import threading
 import typing
@@ -18,44 +17,17 @@
 
 from briarseam.cache import exporting
 from briarseam.cache import retention
-from briarseam.cache import state
 from briarseam.cache import stores as store_state
+from briarseam.cache import sweeping
 from briarseam.configuration import schema
 from briarseam.endpoints import store as store_client
 
 POLL_S = 1.0
-PAGE = 500
 LOW_WATER = 0.05
-MAX_UNKNOWN = 10000
 READING_S = 10.0
-MS = 1000.0
 log = structlog.get_logger("briarseam.cache")
 
 
-@dataclasses.dataclass
-class Sweep:
-    """One pass over a store's listing.
-
-    Attributes
-    ----------
-    after
-        Last name taken in.
-    unknown
-        This agent's blocks that can't be adopted, as far as seen.
-    seen_before
-        The same from the pass before.
-    passes
-        Passes completed in this boot of the store.
-    """
-
-    after: str = ""
-    unknown: dict[bytes, state.Block] = dataclasses.field(default_factory=dict)
-    seen_before: dict[bytes, state.Block] = dataclasses.field(
-        default_factory=dict
-    )
-    passes: int = 0
-
-
 class Keeper:
     """Keeps one store in order.
 
@@ -73,6 +45,10 @@
         Set to end it.
     wall_clock
         Seconds since the epoch, to tell the age of listed blocks.
+    poll_s
+        Seconds between steps.
+    rest_s
+        Least seconds between two passes over the listing.
     """
 
     def __init__(
@@ -84,15 +60,15 @@
         stopping: threading.Event,
         wall_clock: typing.Callable[[], float],
         poll_s: float = POLL_S,
+        rest_s: float = sweeping.REST_S,
     ) -> None:
         self.store = store
         self.tools = tools
         self.ranker = ranker
         self.view = view
         self.stopping = stopping
-        self.wall_clock = wall_clock
         self.poll_s = poll_s
-        self.sweep = Sweep()
+        self.sweeper = sweeping.Sweeper(store, tools, view, wall_clock, rest_s)
         self.chance = random.Random(store.name)
         self.thread = threading.Thread(
             target=self.work, name=f"keep-{store.name}", daemon=True
@@ -122,7 +98,7 @@
         """
         self.poll()
         self.delete_freed()
-        self.take_page()
+        self.sweeper.take_page()
         self.make_room()
 
     def poll(self) -> None:
@@ -133,7 +109,7 @@
                 self.store.name, answered.boot_id
             )
             self.tools.metrics.count("lost_blocks", len(gone))
-            self.sweep = Sweep()
+            self.sweeper.begin_anew()
 
     def delete_freed(self) -> None:
         """Delete freed blocks that nobody reads any more."""
@@ -145,96 +121,6 @@
             self.store.used = max(self.store.used - block.size, 0)
             self.tools.metrics.count("deleted_blocks")
 
-    def take_page(self) -> None:
-        """Take in the next part of the store's listing."""
-        page = self.tools.client.listing(
-            self.store.address, self.sweep.after, PAGE
-        )
-        if page.boot_id != self.store.boot_id:
-            return
-        for listed in page.blocks:
-            self.take_listed(listed, page.boot_id)
-        if page.more:
-            self.sweep.after = page.blocks[-1].name
-            return
-        self.end_pass()
-
-    def end_pass(self) -> None:
-        """Free what two passes could not adopt, and begin anew.
-
-        A write that is under way when it is listed is whole by the next
-        pass or has failed.
-        """
-        for packed, block in self.sweep.seen_before.items():
-            if packed in self.sweep.unknown and self.is_waste(block):
-                self.tools.index.free(block, self.tools.clock())
-                self.tools.metrics.count("orphans_freed")
-        self.sweep = Sweep(
-            seen_before=self.sweep.unknown, passes=self.sweep.passes + 1
-        )
-
-    def is_waste(self, block: state.Block) -> bool:
-        """Tell whether a block that can't be adopted never will be."""
-        if self.tools.index.holds(block):
-            return False
-        size = self.tools.sizes.expected(block.variant)
-        if size is not None and size != block.size:
-            return True
-        if self.tools.index.by_key.get(block.key) is not None:
-            return True
-        return block.variant not in self.current_variants()
-
-    def current_variants(self) -> set[bytes]:
-        """Return what new requests are computed with."""
-        return {
-            self.tools.names.variant(name, model.adapter, model.version)
-            for name, model in self.view().models.items()
-        }
-
-    def take_listed(self, listed: store_client.Listed, boot_id: str) -> None:
-        """Adopt a listed block if it is this agent's to keep."""
-        packed = self.tools.names.parse(listed.name)
-        if packed is None:
-            return
-        block = state.Block(
-            packed,
-            listed.bytes,
-            bytes.fromhex(listed.checksum),
-            self.store.name,
-            boot_id,
-        )
-        tools = self.tools
-        if not tools.sharing.holders(block.group).mine:
-            return
-        index = tools.index
-        if packed in index.writing or packed in index.dying:
-            return
-        if index.holds(block):
-            return
-        if not self.adopt(block, listed) and (
-            len(self.sweep.unknown) < MAX_UNKNOWN
-        ):
-            self.sweep.unknown[packed] = block
-
-    def adopt(self, block: state.Block, listed: store_client.Listed) -> bool:
-        """Index a listed block if it is certainly whole.
-
-        Guard: a listing also shows blocks that are half written and whose
-        writer is gone.  Only a block of the size that whole blocks of its
-        variant have is taken; its engine still checks its checksum.
-        """
-        tools = self.tools
-        if block.variant not in self.current_variants():
-            return False
-        if tools.sizes.expected(block.variant) != block.size:
-            return False
-        age_s = max(self.wall_clock() - listed.time_ms / MS, 0.0)
-        until = tools.sharing.learned_until(True)
-        adopted = tools.index.add(block, tools.clock() - age_s, until)
-        if adopted:
-            tools.metrics.count("adopted_blocks")
-        return adopted
-
     def make_room(self) -> None:
         """Free what is worth least while the store is too full.
 
@@ -249,7 +135,7 @@
         excess = used - max(fill - LOW_WATER, 0.0) * self.store.capacity
         mine = self.my_bytes()
         need = excess * min(mine / used, 1.0) if used else 0.0
-        need -= self.free_unknown(need)
+        need -= self.sweeper.free_unknown(need)
         groups = self.groups_here() if need > 0 else []
         while need > 0 and groups:
             freed = self.free_one(groups, need)
@@ -268,23 +154,9 @@
 
     def my_bytes(self) -> int:
         """Return the bytes that this agent answers for."""
-        unknown = {**self.sweep.seen_before, **self.sweep.unknown}
-        lost = sum(block.size for block in unknown.values())
+        lost = self.sweeper.unknown_bytes()
         return self.tools.index.stored.get(self.store.name, 0) + lost
 
-    def free_unknown(self, need: float) -> int:
-        """Free blocks that can't be adopted; return their bytes."""
-        freed = 0
-        for packed in list(self.sweep.seen_before):
-            if freed >= need:
-                break
-            block = self.sweep.seen_before.pop(packed)
-            self.sweep.unknown.pop(packed, None)
-            if not self.tools.index.holds(block):
-                self.tools.index.free(block, self.tools.clock())
-                freed += block.size
-        return freed
-
     def groups_here(self) -> list[bytes]:
         """Return groups with blocks here that may have to go."""
         index = self.tools.index
@@ -323,7 +195,7 @@
         model = self.ranker().model
         kind = model.kind(name, len(group.blocks))
         cost = 1.0
-        if group.blocks[-1].variant not in self.current_variants():
+        if group.blocks[-1].variant not in self.sweeper.current_variants():
             cost = 0.0
         return retention.Candidate(name, kind, now - group.used_at, cost)
 
--- a/src/briarseam/cache/service.py
+++ b/src/briarseam/cache/service.py
@@ -20,6 +20,7 @@
 from briarseam.cache import sizes
 from briarseam.cache import state
 from briarseam.cache import stores as store_state
+from briarseam.cache import sweeping
 from briarseam.configuration import schema
 from briarseam.endpoints import engine_kv
 from briarseam.endpoints import store as store_client
@@ -89,6 +90,8 @@
         Most blocks in the index.
     poll_s
         Seconds between looks at a store.
+    rest_s
+        Least seconds between two passes over a store's listing.
     """
 
     def __init__(
@@ -99,12 +102,14 @@
         ports: Ports | None = None,
         max_blocks: int = MAX_BLOCKS,
         poll_s: float = keeping.POLL_S,
+        rest_s: float = sweeping.REST_S,
     ) -> None:
         self.view = view
         self.ports = ports or Ports()
         self.clock = self.ports.clock
         self.metrics = metrics or state.NoMetrics()
         self.poll_s = poll_s
+        self.rest_s = rest_s
         self.names = block_names.Names(key, self.ports.session_hash)
         self.index = indexes.BlockIndex(max_blocks)
         self.returns = retention.ReturnModel()
@@ -188,6 +193,7 @@
             self.stopping,
             self.ports.wall_clock,
             self.poll_s,
+            self.rest_s,
         )
 
     def ranker(self) -> retention.Ranker:
--- a/tests/cache/site.py
+++ b/tests/cache/site.py
@@ -111,7 +111,12 @@
 
     def agent(self, ports=None, **options):
         kept = service.KeptCache(
-            self.view, KEY, Counts(), ports, poll_s=POLL_S, **options
+            self.view,
+            KEY,
+            Counts(),
+            ports,
+            poll_s=POLL_S,
+            **{"rest_s": 0.0, **options},
         )
         self.agents.append(kept)
         kept.start()
--- /dev/null
+++ b/tests/cache/test_keeping.py
@@ -0,0 +1,250 @@
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from briarseam.cache import exporting
+from briarseam.cache import retention
+from briarseam.cache import service
+from briarseam.cache import state
+from briarseam.cache import sweeping
+from briarseam.configuration import schema
+from briarseam.endpoints import store as store_client
+
+SIZE = 1000
+
+
+def chain(session):
+    start = session.encode().ljust(15)
+    return tuple(start + bytes([piece]) for piece in range(5))
+
+
+@dataclasses.dataclass
+class Listings:
+    """A store's client that counts how often it is listed."""
+
+    blocks: tuple = ()
+    count: int = 0
+
+    def listing(self, address, after, limit):
+        self.count += 1
+        return store_client.Page("boot", self.blocks, more=False)
+
+
+class Bench:
+    """One agent with one store, no threads and no network."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.epoch = 1
+        self.organisations = {}
+        self.policy = schema.CachePolicy(policy="lru", fill=0.5)
+        ports = service.Ports(
+            holders=lambda group: state.Holders(epoch=self.epoch),
+            clock=lambda: self.now,
+            wall_clock=lambda: self.now,
+        )
+        self.kept = service.KeptCache(self.view, b"key", ports=ports)
+        self.kept.take_stores()
+        self.store = self.kept.stores.by_name["keep-a"]
+        self.store.alive = True
+        self.store.boot_id = "boot"
+        self.keeper = self.kept.keepers["keep-a"]
+
+    def view(self):
+        endpoint = schema.Endpoint(
+            kind=schema.EndpointKind.STORE, address="127.0.0.1:1", zone="z"
+        )
+        return schema.View(
+            offset=1,
+            endpoints={"keep-a": endpoint},
+            models={"draft": schema.Model(version="v2")},
+            organisations=self.organisations,
+            kept_cache=self.policy,
+        )
+
+    def put(self, organisation, session, version="v2", pieces=5):
+        """Index a session's blocks, a second after the one before."""
+        self.now += 1.0
+        prompt = state.Prompt(
+            organisation, session, "draft", "", version, chain(session)
+        )
+        blocks = self.blocks(prompt)[:pieces]
+        for block in blocks:
+            self.kept.index.add(block, self.now, float("inf"))
+        self.store.used += SIZE * pieces
+        return blocks
+
+    def blocks(self, prompt):
+        names = self.kept.names
+        group = self.kept.planner.group(prompt)
+        variant = names.variant("draft", "", prompt.version)
+        keys = self.kept.planner.keys(prompt, prompt.chain)
+        packed = [
+            names.pack(names.fresh(group, variant, depth, key))
+            for depth, key in enumerate(keys)
+        ]
+        return [
+            state.Block(name, SIZE, b"c" * 16, "keep-a", "boot")
+            for name in packed
+        ]
+
+    def left(self, blocks):
+        return sum(self.kept.index.holds(block) for block in blocks)
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_the_oldest_session_goes_first_and_from_its_end(bench):
+    """A store is over its limit by little.
+
+    The front of a chain is of use without its end, not the other way.
+    """
+    old = bench.put("kitchen", "old")
+    new = bench.put("kitchen", "new")
+    bench.store.capacity = 18 * SIZE
+
+    bench.keeper.make_room()
+
+    assert bench.left(new) == 5
+    assert [bench.kept.index.holds(block) for block in old] == [
+        *[True] * 3,
+        *[False] * 2,
+    ]
+
+
+def test_an_organisation_over_its_share_makes_room_first(bench):
+    """A large organisation fills the store with new sessions.
+
+    A small one's older session must not pay for it.
+    """
+    digest = "0" * 32
+    bench.organisations = {
+        "large": schema.Organisation(digest, cache_share=0.5),
+        "small": schema.Organisation("1" * 32),
+    }
+    small = bench.put("small", "s")
+    large = [bench.put("large", f"l{number}") for number in range(3)]
+    bench.store.capacity = 36 * SIZE
+
+    bench.keeper.make_room()
+
+    assert bench.left(small) == 5
+    assert sum(bench.left(blocks) for blocks in large) < 15
+
+
+def test_blocks_of_a_version_that_is_gone_are_worth_nothing(bench):
+    """After a rollout the store is full of blocks nobody can ask for."""
+    bench.policy = dataclasses.replace(bench.policy, policy="value")
+    for _ in range(50):
+        bench.kept.returns.wanted(b"g" * 12, 5, bench.now)
+        bench.now += 10.0
+    current = bench.put("kitchen", "current")
+    replaced = bench.put("kitchen", "replaced", version="v1")
+    bench.store.capacity = 18 * SIZE
+
+    bench.keeper.make_room()
+
+    assert bench.left(current) == 5
+    assert bench.left(replaced) == 3
+
+
+def test_a_listing_is_not_read_again_and_again(bench):
+    """Many agents share a store with very many blocks.
+
+    Read without a rest, listings alone would take more of the network
+    than control may use.  A change of agents ends the rest.
+    """
+    client = Listings()
+    tools = dataclasses.replace(bench.kept.tools, client=client)
+    sweeper = sweeping.Sweeper(
+        bench.store, tools, bench.view, lambda: bench.now
+    )
+    for _ in range(10):
+        sweeper.take_page()
+        bench.now += 1.0
+    assert client.count == 1
+
+    bench.epoch += 1
+    sweeper.take_page()
+    assert client.count == 2
+    bench.now += sweeping.REST_S
+    sweeper.take_page()
+    assert client.count == 3
+
+
+def test_a_listed_block_is_adopted_as_soon_as_its_size_is_known(bench):
+    """An agent restarts, and its first export comes after the first pass.
+
+    Waiting for the next pass, returns would be computed for minutes.
+    """
+    prompt = state.Prompt("kitchen", "s", "draft", "", "v2", chain("s"))
+    block = bench.blocks(prompt)[0]
+    name = bench.kept.names.text(block.packed)
+    listed = store_client.Listed(name, SIZE, "63" * 16, 900_000.0)
+    tools = dataclasses.replace(bench.kept.tools, client=Listings((listed,)))
+    sweeper = sweeping.Sweeper(
+        bench.store, tools, bench.view, lambda: bench.now
+    )
+    sweeper.take_page()
+    assert not bench.kept.index.holds(block)
+
+    bench.kept.tools.sizes.learn(block.variant, SIZE)
+    sweeper.take_page()
+
+    assert bench.kept.index.holds(block)
+
+
+def test_a_new_session_worth_less_than_what_was_freed_is_not_kept(bench):
+    """Logs that never return must not push histories out of the store."""
+    bench.policy = dataclasses.replace(bench.policy, policy="value")
+    bench.store.capacity = 100 * SIZE
+    bench.store.bar = 1e9
+    prompt = state.Prompt("kitchen", "log", "draft", "", "v2", chain("s"))
+
+    bench.kept.saver.after_run(prompt, "127.0.0.1:1")
+
+    assert bench.kept.exporters["keep-a"].queue.take(0) is None
+
+
+def test_the_chain_that_is_worth_most_is_exported_first():
+    """The link is slow, and a log came before a history."""
+    queue = exporting.Queue()
+    jobs = {
+        worth: exporting.Job("e", "m", "v", b"", b"", (), worth, 0.0)
+        for worth in (0.1, 0.9, 0.5)
+    }
+    for job in jobs.values():
+        queue.put(job)
+
+    assert [queue.take(0).worth for _ in jobs] == [0.9, 0.5, 0.1]
+
+
+def test_value_keeps_what_returns_and_lru_what_came_last():
+    """Histories return after a day; logs never do.
+
+    An older history is worth more than a fresh log.
+    """
+    model = retention.ReturnModel()
+    for number in range(60):
+        group = b"hist" + bytes([number]) * 8
+        model.wanted(group, 40, 0.0)
+        model.wanted(group, 40, 90_000.0)
+        model.wanted(b"logs" + bytes([number]) * 8, 4, 90_000.0)
+    for number in range(60):
+        model.waiting.pop(b"logs" + bytes([number]) * 8)
+        model.note(retention.class_of(b"logs", 4, 1), 500_000.0, False)
+    history = retention.Candidate(
+        b"h", retention.class_of(b"hist", 40, 1), 50_000.0
+    )
+    log = retention.Candidate(b"l", retention.class_of(b"logs", 4, 1), 10.0)
+
+    value = retention.Ranker(model, retention.Policy.VALUE)
+    lru = retention.Ranker(model, retention.Policy.LRU)
+
+    assert value.victim([history, log]) is log
+    assert lru.victim([history, log]) is history
--- a/tests/cache/test_random.py
+++ b/tests/cache/test_random.py
@@ -14,11 +14,11 @@
 
 from briarseam.cache import exporting
 from briarseam.cache import index as indexes
-from briarseam.cache import keeping
 from briarseam.cache import names as block_names
 from briarseam.cache import service
 from briarseam.cache import state
 from briarseam.cache import stores
+from briarseam.cache import sweeping
 from briarseam.configuration import schema
 from briarseam.endpoints import store as store_client
 from briarseam.wire import codec
@@ -119,7 +119,7 @@
             wall_clock=lambda: self.now,
         )
         kept = service.KeptCache(
-            self.site.view, sites.KEY, sites.Counts(), ports
+            self.site.view, sites.KEY, sites.Counts(), ports, rest_s=0.0
         )
         kept.take_stores()
         for exporter in kept.exporters.values():
@@ -269,7 +269,7 @@
     )
 
 
-def adopt_all(self, block, listed):
+def adopt_all(self, block, time_ms):
     """Adopt whatever is listed."""
     return self.tools.index.add(block, self.tools.clock(), float("inf"))
 
@@ -311,7 +311,7 @@
         "half_read", ((exporting.Exporter, "confirm", whole),)
     ),
     "size of adopted blocks": Removal(
-        "half_read", ((keeping.Keeper, "adopt", adopt_all),)
+        "half_read", ((sweeping.Sweeper, "adopt", adopt_all),)
     ),
     "check when reading begins": Removal(
         "freed_read", ((INDEX, "borrow", borrow_any),)
--- a/tests/cache/test_service.py
+++ b/tests/cache/test_service.py
@@ -248,10 +248,10 @@
     block = site.kept(kept, "kitchen", chain).blocks[0].block
     kept.index.writing.add(block.packed)
     kept.index.forget(block)
-    passes = kept.keepers["keep-a"].sweep.passes
+    passes = kept.keepers["keep-a"].sweeper.sweep.passes
 
     waiting.until(
-        lambda: kept.keepers["keep-a"].sweep.passes > passes + 1,
+        lambda: kept.keepers["keep-a"].sweeper.sweep.passes > passes + 1,
         what="two passes",
     )
 
