Count an engine that did not answer as reading; follow 64 engines at most

An import that was given up handed its blocks back while the engine could still be reading them; a full store could delete them under it. Seen failing without the guard. A thread for each engine does not fit thousands of them: the own zone's come first, 64 in all.

--- a/src/briarseam/cache/importing.py
+++ b/src/briarseam/cache/importing.py
@@ -16,6 +16,7 @@
 MIN_IMPORT_S = 0.5
 SLACK = 3.0
 MAX_WAIT_PART = 0.5
+UNANSWERED = "unanswered"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,13 +68,17 @@
         bound_s = min(max(MIN_IMPORT_S, SLACK * plan.predicted_s), max_s)
         bound_s = min(bound_s, keeping.READING_S)
         blocks = [planned.block for planned in plan.blocks]
-        count = self.tools.index.borrow(blocks, self.tools.clock() + bound_s)
-        try:
-            if not count:
-                return state.Imported(failed="freed")
-            return self.carry_out(address, plan.cut(count), bound_s)
-        finally:
+        until = self.tools.clock() + keeping.READING_S
+        count = self.tools.index.borrow(blocks, until)
+        if not count:
+            return state.Imported(failed="freed")
+        imported = self.carry_out(address, plan.cut(count), bound_s)
+        # Guard: an engine that did not answer in time may still be reading.
+        # Given back now, a block could be deleted under it; the reading
+        # ends by its own bound instead.
+        if not imported.failed.startswith(UNANSWERED):
             self.tools.index.give_back(blocks[:count])
+        return imported
 
     def carry_out(
         self, address: str, plan: state.Plan, bound_s: float
@@ -97,7 +102,7 @@
             whole = True
         except engine_kv.EngineKvError as error:
             self.tools.metrics.count("imports_failed")
-            return state.Imported(failed=f"engine: {error}")
+            return state.Imported(failed=f"{UNANSWERED}: {error}")
         finally:
             self.end(transfers, plan, moved, whole)
         return self.settle(plan, answer)
--- a/src/briarseam/cache/index.py
+++ b/src/briarseam/cache/index.py
@@ -222,6 +222,11 @@
     def deletable(self, store: str, now: float) -> list[state.Block]:
         """Return freed blocks of a store that nobody reads any more."""
         with self.lock:
+            self.readings = {
+                packed: reading
+                for packed, reading in self.readings.items()
+                if reading.until > now
+            }
             return [
                 dying.block
                 for dying in self.dying.values()
--- a/src/briarseam/cache/residents.py
+++ b/src/briarseam/cache/residents.py
@@ -19,6 +19,7 @@
 IDLE_POLL_S = 4.0
 RELOAD_MIN_S = 2.0
 MAX_READS_PER_S = 10.0
+MAX_FOLLOWED = 64
 
 
 class Sink(typing.Protocol):
@@ -132,7 +133,10 @@
 
 
 class Residents:
-    """Follows all configured engines; one thread for each.
+    """Follows configured engines, of this zone first; a thread for each.
+
+    Where there are more than ``MAX_FOLLOWED``, nothing is learned of the
+    rest but by the runs that are sent there.
 
     Parameters
     ----------
@@ -142,6 +146,8 @@
         Who wants to know.
     metrics
         Counters.
+    zone
+        This agent's availability zone.
     poll_s
         Seconds between reads of an engine's events.
     """
@@ -151,11 +157,13 @@
         view: typing.Callable[[], schema.View],
         sink: Sink,
         metrics: state.Metrics,
+        zone: str = "",
         poll_s: float = POLL_S,
     ) -> None:
         self.view = view
         self.sink = sink
         self.metrics = metrics
+        self.zone = zone
         self.poll_s = poll_s
         self.stopping = threading.Event()
         self.client = engine_events.EventClient()
@@ -180,11 +188,7 @@
 
     def refresh(self) -> None:
         """Take over the configured engines."""
-        wanted = {
-            name: endpoint.address
-            for name, endpoint in self.view().endpoints.items()
-            if endpoint.kind is schema.EndpointKind.ENGINE
-        }
+        wanted = self.wanted()
         for name in set(self.by_name) - set(wanted):
             del self.by_name[name]
         for name, address in wanted.items():
@@ -196,6 +200,16 @@
                     )
                 )
 
+    def wanted(self) -> dict[str, str]:
+        """Return the addresses of the engines to follow, by name."""
+        engines = [
+            (endpoint.zone != self.zone, name, endpoint.address)
+            for name, endpoint in self.view().endpoints.items()
+            if endpoint.kind is schema.EndpointKind.ENGINE
+        ]
+        followed = sorted(engines)[:MAX_FOLLOWED]
+        return {name: address for _, name, address in followed}
+
     def follow(self, resident: Resident) -> None:
         """Follow one engine's events in a thread of its own."""
         self.by_name[resident.name] = resident
--- a/src/briarseam/compose/serving.py
+++ b/src/briarseam/compose/serving.py
@@ -119,7 +119,7 @@
         )
     )
     cache_events = residents.Residents(
-        view, chooser.prefixes, sources.kept.metrics
+        view, chooser.prefixes, sources.kept.metrics, members.me.zone
     )
     schedule = returns.ReturnSchedule(
         time.monotonic, lambda: view().routing.returning == "fixed"
--- a/tests/cache/test_residents.py
+++ b/tests/cache/test_residents.py
@@ -6,6 +6,7 @@
 
 from briarseam.cache import residents
 from briarseam.cache import state
+from briarseam.configuration import schema
 from briarseam.endpoints import engine_events
 from briarseam.testing import engine as engines
 from briarseam.testing import engine_cache
@@ -144,3 +145,25 @@
     resident.read()
 
     assert known.have("draft", "v1", digests(2)) == 0
+
+
+def test_the_engines_of_the_own_zone_are_followed_first(known):
+    """There are thousands of engines; a thread for each would not fit."""
+    endpoints = {
+        f"engine-{number}": schema.Endpoint(
+            kind=schema.EndpointKind.ENGINE,
+            address="127.0.0.1:1",
+            zone="ours" if number % 50 == 0 else "other",
+        )
+        for number in range(1000)
+    }
+    view = schema.View(offset=1, endpoints=endpoints)
+    following = residents.Residents(
+        lambda: view, known, state.NoMetrics(), "ours"
+    )
+
+    wanted = following.wanted()
+
+    assert len(wanted) == residents.MAX_FOLLOWED
+    ours = {name for name, one in endpoints.items() if one.zone == "ours"}
+    assert ours < set(wanted)
--- a/tests/cache/test_service.py
+++ b/tests/cache/test_service.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from briarseam.cache import keeping
 from briarseam.configuration import schema
 from briarseam.testing import waiting
 from tests.cache import site as sites
@@ -296,3 +297,24 @@
     assert imported.failed
     assert kept.stores.writable()
     assert len(site.plan(kept, "kitchen", chain).blocks) == 2
+
+
+def test_an_engine_that_does_not_answer_may_still_be_reading(site):
+    """An import is given up after its time; the engine reads on.
+
+    The store fills meanwhile.  Deleted at once, the blocks would be gone
+    under the engine.
+    """
+    kept = site.agent()
+    chain = sites.chain(2)
+    plan = site.kept(kept, "kitchen", chain)
+    block = plan.blocks[0].block
+    site.engine.set(delay_ms=5000)
+
+    imported = kept.import_to(site.engine.address, plan, max_s=0.1)
+    kept.index.free(block, kept.clock())
+
+    assert imported.failed.startswith("unanswered")
+    assert kept.index.deletable("keep-a", kept.clock()) == []
+    after = kept.clock() + keeping.READING_S
+    assert kept.index.is_read(block, after) is False
