Cut the orders into smaller modules; prove two faults at once

Of several scopes each is compared by eight processes only, not by all.

New cases: the holder is killed just as the log goes away; a log that was set up anew.

--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -29,6 +29,7 @@
 from briarseam.metrics import registry
 from briarseam.orders import goals
 from briarseam.orders import offers
+from briarseam.orders import peers
 from briarseam.orders import planner
 from briarseam.orders import service as orders_service
 from briarseam.orders import state
@@ -322,7 +323,7 @@
         engine_orders.EngineOrders(),
         registry.Registry(),
         lambda *kind, **fields: None,
-        orders_service.Peers(
+        peers.Peers(
             owns=lambda engine: False, live=lambda: ("bench", "other")
         ),
     )
--- a/src/briarseam/compose/orders.py
+++ b/src/briarseam/compose/orders.py
@@ -10,6 +10,7 @@
 from briarseam.lookup import rank
 from briarseam.membership import state as members
 from briarseam.orders import messages
+from briarseam.orders import peers
 from briarseam.orders import service as orders
 from briarseam.orders import state
 from briarseam.status import messages as status
@@ -69,7 +70,7 @@
         ),
         registry,
         ring.note,
-        orders.Peers(
+        peers.Peers(
             precedence=lambda lease: place(lease, everyone()),
             owns=lambda engine: place(engine, cell()) == 0,
             live=cell,
@@ -124,7 +125,7 @@
             loading=len(model.loading),
             detail=detail_of(model),
         )
-        for model in order_service.led()
+        for model in order_service.reporting.led()
     )
 
 
--- a/src/briarseam/orders/rollout.py
+++ b/src/briarseam/orders/rollout.py
@@ -2,65 +2,15 @@
 
 from __future__ import annotations
 
-import dataclasses
-import typing
-
-import structlog
-
 from briarseam.endpoints import engine_orders
 from briarseam.leases import outcomes
+from briarseam.orders import giver as givers
 from briarseam.orders import goals
 from briarseam.orders import planner
 from briarseam.orders import state
 
-if typing.TYPE_CHECKING:
-    from briarseam.leases import service as leases_service
-    from briarseam.metrics import instruments
-    from briarseam.metrics import labels
-
 STAGGER_S = 0.3
-FIRST_BACKOFF_S = 0.25
-MAX_BACKOFF_S = 10.0
 LOST_RACE_S = 0.1
-log = structlog.get_logger("briarseam.orders")
-
-Clock = typing.Callable[[], float]
-Note = typing.Callable[..., None]
-
-
-@dataclasses.dataclass(frozen=True)
-class Tools:
-    """What every rollout of a process uses.
-
-    Attributes
-    ----------
-    leases, engines, board
-        Fencing numbers, the engines and their reports.
-    clock
-        Seconds; the leases' clock.
-    note
-        Notes an event on the time line.
-    precedence
-        This process's place among those that may take a lease; 0 first.
-    given
-        Counts orders by kind and outcome.
-    """
-
-    leases: leases_service.Leases
-    engines: engine_orders.EngineOrders
-    board: state.Board
-    clock: Clock
-    note: Note
-    precedence: typing.Callable[[str], int]
-    given: labels.Family[instruments.Counter]
-
-
-@dataclasses.dataclass(frozen=True)
-class Backoff:
-    """When an order may be given again."""
-
-    not_before_s: float
-    attempts: int
 
 
 class Rollout:
@@ -72,11 +22,11 @@
         Why no order can be given at all; empty when orders can be.
     waiting
         Engines that had to wait in the last plan.
-    refusals
-        What engines last said against an order, by name.
+    giver
+        Gives the orders and remembers them.
     """
 
-    def __init__(self, tools: Tools) -> None:
+    def __init__(self, tools: givers.Tools) -> None:
         self.tools = tools
         self.scope: goals.Scope | None = None
         self.basis = 0
@@ -84,12 +34,9 @@
         self.renumber = False
         self.differs_since_s: float | None = None
         self.not_before_s = 0.0
-        self.errands: dict[tuple[str, str], state.Errand] = {}
-        self.backoffs: dict[tuple[str, engine_orders.Order], Backoff] = {}
         self.blocked = ""
         self.waiting: tuple[planner.Waiting, ...] = ()
-        self.refusals: dict[str, str] = {}
-        self.serial = 0
+        self.giver = givers.Giver(tools)
 
     def step(self, scope: goals.Scope, basis: int) -> bool:
         """Give the orders that are due.
@@ -108,7 +55,7 @@
         """
         self.take_scope(scope, basis)
         plan = planner.Planner(
-            scope, self.tools.board.all(), self.errands
+            scope, self.tools.board.all(), self.giver.errands
         ).plan()
         if not is_due(plan):
             self.waiting = plan.waiting
@@ -135,8 +82,7 @@
         """
         if scope != self.scope:
             self.renumber = True
-            self.backoffs.clear()
-            self.refusals.clear()
+            self.giver.forget_pauses()
             self.not_before_s = 0.0
         self.scope = scope
         self.basis = basis
@@ -145,9 +91,7 @@
         """Give the lease back when all is as wanted."""
         self.blocked = ""
         self.differs_since_s = None
-        self.errands.clear()
-        self.backoffs.clear()
-        self.refusals.clear()
+        self.giver.forget()
         if self.tools.leases.holds(scope.lease) is not None:
             self.tools.leases.release(scope.lease)
             self.tools.note("rollout-done", path=scope.lease)
@@ -224,17 +168,38 @@
         if not self.seal(scope, fence):
             return
         readings: planner.Readings = self.tools.board.all()
-        plan = planner.Planner(scope, readings, self.errands, fence).plan()
+        plan = planner.Planner(
+            scope, readings, self.giver.errands, fence
+        ).plan()
         if any(step.lowers for step in plan.steps):
             # The floor must count engines that serve now, not those that
             # did at the last poll.
             readings = self.refresh(scope)
-            plan = planner.Planner(scope, readings, self.errands, fence).plan()
+            plan = planner.Planner(
+                scope, readings, self.giver.errands, fence
+            ).plan()
         self.waiting = plan.waiting
         for step in plan.steps:
             if not self.give(scope, step.target, step.order):
                 return
 
+    def give(
+        self,
+        scope: goals.Scope,
+        target: goals.Target,
+        order: engine_orders.Order,
+    ) -> bool:
+        """Give one order; tell whether further ones may follow."""
+        after = self.giver.give(scope.lease, self.fence, target, order)
+        if after is givers.After.GO_ON:
+            return True
+        self.blocked = after.value
+        if after is givers.After.LOST:
+            # The lost order may arrive after a later one of ours; a new
+            # number has it refused where numbers are checked.
+            self.renumber = True
+        return False
+
     def seal(self, scope: goals.Scope, fence: int) -> bool:
         """Make engines that check numbers take ours before all else.
 
@@ -265,100 +230,6 @@
             return
         self.tools.board.put(target.name, state.Reading(found, asked_s))
 
-    def give(
-        self,
-        scope: goals.Scope,
-        target: goals.Target,
-        order: engine_orders.Order,
-    ) -> bool:
-        """Give one order unless it is too early to repeat it.
-
-        Returns
-        -------
-        bool
-            Whether further orders may follow.
-        """
-        now_s = self.tools.clock()
-        backoff = self.backoffs.get((target.name, order))
-        if backoff is not None and now_s < backoff.not_before_s:
-            return True
-        # The lease may have run out since the last order, for instance
-        # while this process was frozen: then a successor gives the orders.
-        fence = self.tools.leases.holds(scope.lease)
-        if fence is None or fence != self.fence:
-            self.blocked = "the lease ran out"
-            return False
-        self.serial += 1
-        outcome = self.tools.engines.give(
-            target.address, order, f"{fence}-{self.serial}", fence
-        )
-        self.backoffs[target.name, order] = longer(backoff, now_s)
-        self.note_given(target, order, fence, outcome)
-        return self.take_outcome(scope, target, order, outcome)
-
-    def take_outcome(
-        self,
-        scope: goals.Scope,
-        target: goals.Target,
-        order: engine_orders.Order,
-        outcome: engine_orders.Outcome,
-    ) -> bool:
-        """Draw what follows from an engine's answer."""
-        match outcome:
-            case engine_orders.Taken():
-                self.refusals.pop(target.name, None)
-                self.note_errand(target, order, settled=True)
-                return True
-            case engine_orders.Refused(detail):
-                self.refusals[target.name] = detail
-                return True
-            case engine_orders.Superseded(fence):
-                self.refusals[target.name] = f"has taken number {fence}"
-                self.tools.leases.step_down(scope.lease)
-                self.blocked = "superseded"
-                return False
-            case engine_orders.Lost(detail):
-                self.refusals[target.name] = detail
-                self.note_errand(target, order, settled=False)
-                # The lost order may arrive after a later one of ours; a
-                # new number has it refused where numbers are checked.
-                self.renumber = True
-                return False
-
-    def note_errand(
-        self,
-        target: goals.Target,
-        order: engine_orders.Order,
-        settled: bool,
-    ) -> None:
-        """Remember a load that was or may have been taken."""
-        if not isinstance(order, engine_orders.Load):
-            return
-        self.errands[target.name, order.model] = state.Errand(
-            order.version, self.tools.clock(), settled
-        )
-
-    def note_given(
-        self,
-        target: goals.Target,
-        order: engine_orders.Order,
-        fence: int,
-        outcome: engine_orders.Outcome,
-    ) -> None:
-        """Count an order and put it on the time line."""
-        kind = type(order).__name__.lower()
-        result = type(outcome).__name__.lower()
-        self.tools.given.labelled(kind, result).add()
-        path = "" if isinstance(order, engine_orders.TakeRole) else order.model
-        self.tools.note(
-            "order-given",
-            path=f"models/{path}" if path else "",
-            endpoint=target.name,
-            order=kind,
-            outcome=result,
-            fence=fence,
-        )
-
 
 def is_due(plan: planner.Plan) -> bool:
     """Tell whether there is anything to order or to wait for."""
@@ -381,10 +252,3 @@
         if version is not None:
             return engine_orders.Load(model, version, scope.weights)
     return None
-
-
-def longer(backoff: Backoff | None, now_s: float) -> Backoff:
-    """Return when an order may be given once more."""
-    attempts = backoff.attempts if backoff else 0
-    wait_s = min(FIRST_BACKOFF_S * 2**attempts, MAX_BACKOFF_S)
-    return Backoff(now_s + wait_s, attempts + 1)
--- a/src/briarseam/orders/service.py
+++ b/src/briarseam/orders/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import threading
 import typing
 
@@ -10,54 +9,31 @@
 
 from briarseam.configuration import schema
 from briarseam.leases import clock as clocks
+from briarseam.orders import giver as givers
 from briarseam.orders import goals
 from briarseam.orders import messages
 from briarseam.orders import offers
+from briarseam.orders import peers as peers_module
 from briarseam.orders import pollers
+from briarseam.orders import reporting
 from briarseam.orders import rollout
 from briarseam.orders import sharing
 from briarseam.orders import state
-from briarseam.orders import status
 
 if typing.TYPE_CHECKING:
     from briarseam.endpoints import engine_orders
     from briarseam.leases import service as leases_service
     from briarseam.metrics import registry
-    from briarseam.wire import connection
     from briarseam.wire import server
 
 TICK_S = 0.2
+# Enough that not all of them are lost or cut off from the log at once.
+CANDIDATES = 8
 NO_OFFERS: state.Offers = {}
 NO_TALLY: typing.Mapping[state.Offer, int] = {}
 log = structlog.get_logger("briarseam.orders")
 
 
-@dataclasses.dataclass(frozen=True)
-class Peers:
-    """The other processes that could give orders; none by default.
-
-    Attributes
-    ----------
-    precedence
-        Place of this process among those that may take a lease, by name
-        of the lease; 0 first.
-    owns
-        Whether this process polls an engine for all of them.
-    live
-        Names of those whose reports count.
-    known
-        Names of all that answer operators.
-    """
-
-    precedence: typing.Callable[[str], int] = lambda lease: 0
-    owns: typing.Callable[[str], bool] = lambda engine: True
-    live: typing.Callable[[], typing.Collection[str]] = frozenset
-    known: typing.Callable[[], typing.Collection[str]] = frozenset
-
-
-NO_PEERS = Peers()
-
-
 class Orders:
     """Gives the engines orders while it holds their lease.
 
@@ -88,9 +64,9 @@
         leases: leases_service.Leases,
         engines: engine_orders.EngineOrders,
         metrics: registry.Registry,
-        note: rollout.Note,
-        peers: Peers = NO_PEERS,
-        clock: rollout.Clock = clocks.boot_clock,
+        note: givers.Note,
+        peers: peers_module.Peers = peers_module.NO_PEERS,
+        clock: givers.Clock = clocks.boot_clock,
     ) -> None:
         self.me = me
         self.view = view
@@ -98,9 +74,12 @@
         self.clock = clock
         self.board = state.Board()
         self.peers = peers
+        self.reporting = reporting.Reporting(
+            me, leases, self.board, peers, clock
+        )
         self.pollers = pollers.Pollers(engines, self.board, clock, peers.owns)
         self.sharing = sharing.Sharing(self.board, clock)
-        self.tools = rollout.Tools(
+        self.tools = givers.Tools(
             leases=leases,
             engines=engines,
             board=self.board,
@@ -116,7 +95,7 @@
         metrics.reading(
             "rollouts_stuck",
             "Models whose rollout has not moved for long.",
-            self.count_stuck,
+            self.reporting.count_stuck,
         )
         metrics.reading(
             "leases_held",
@@ -132,7 +111,6 @@
         self.versions: dict[str, dict[str, str]] = {}
         self.offered: dict[str, state.Offers] = {}
         self.tallies: dict[str, dict[state.Offer, int]] = {}
-        self.watch = status.Watch()
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name="orders", daemon=True
@@ -140,7 +118,7 @@
 
     def register(self, router: server.Router) -> None:
         """Answer operators' questions."""
-        router.on(messages.AskRollouts, self.answer)
+        self.reporting.register(router)
 
     def start(self) -> None:
         """Begin reading states and giving orders."""
@@ -180,6 +158,10 @@
             return False
         return not offer.adapter or offer.adapter in loaded.adapters
 
+    def status(self) -> tuple[messages.ModelRollout, ...]:
+        """Return how far each model is, as this process sees it."""
+        return self.reporting.status()
+
     def run(self) -> None:
         """Compare and order until stopped."""
         while not self.stopping.is_set():
@@ -207,11 +189,12 @@
         self.update_offers()
         busy = False
         for scope in self.scopes:
-            work = self.rollouts[scope.lease]
-            busy = work.step(scope, view.offset) or busy
+            if self.takes_part(scope):
+                work = self.rollouts[scope.lease]
+                busy = work.step(scope, view.offset) or busy
         self.pollers.busy = busy
         self.match_pollers()
-        self.update_watch()
+        self.reporting.look()
 
     def take_view(self, view: schema.View) -> None:
         """Take in a change of the configuration."""
@@ -226,12 +209,26 @@
             or rollout.Rollout(self.tools)
             for scope in self.scopes
         }
+        self.reporting.offset = view.offset
+        self.reporting.work = tuple(
+            reporting.Work(scope, self.rollouts[scope.lease])
+            for scope in self.scopes
+        )
         self.addresses = {
             target.name: target.address
             for scope in self.scopes
             for target in scope.targets
         }
 
+    def takes_part(self, scope: goals.Scope) -> bool:
+        """Tell whether this process may have to give a scope's orders.
+
+        Of many scopes each is compared by a few processes only.
+        """
+        if len(self.scopes) == 1 or self.leases.holds(scope.lease):
+            return True
+        return self.peers.precedence(scope.lease) < CANDIDATES
+
     def match_pollers(self) -> None:
         """Poll the engines that this process has to know itself."""
         ordered = frozenset(
@@ -263,82 +260,3 @@
             name: offers.tally(offered)
             for name, offered in self.offered.items()
         }
-
-    def update_watch(self) -> None:
-        """Note which models have moved."""
-        readings = self.board.all()
-        now_s = self.clock()
-        for scope in self.scopes:
-            work = self.rollouts[scope.lease]
-            for goal in scope.goals.values():
-                standings = status.picture_of(
-                    goal, scope.of_model(goal.model), readings, work.errands
-                )
-                progress = status.progress_of(goal.model, readings)
-                done = status.is_done(standings)
-                picture = None if done else (standings, progress)
-                self.watch.look(watched(scope, goal), picture, now_s)
-
-    def status(self) -> tuple[messages.ModelRollout, ...]:
-        """Return how far each model is, as this process sees it."""
-        readings = self.board.all()
-        now_s = self.clock()
-        found = []
-        for scope in self.scopes:
-            work = self.rollouts[scope.lease]
-            for goal in scope.goals.values():
-                standings = status.picture_of(
-                    goal,
-                    scope.of_model(goal.model),
-                    readings,
-                    dict(work.errands),
-                )
-                found.append(
-                    status.model_rollout(
-                        goal,
-                        standings,
-                        self.leases.holder_of(scope.lease),
-                        self.watch.unchanged_s(watched(scope, goal), now_s),
-                        status.reason_of(goal.model, work, standings),
-                    )
-                )
-        return tuple(found)
-
-    def led(self) -> tuple[messages.ModelRollout, ...]:
-        """Return how far the models are that this process answers for.
-
-        Those that it gives orders for, and, first in line, those that no
-        process it knows gives orders for.
-        """
-        known = self.peers.known()
-        return tuple(
-            model
-            for model in self.status()
-            if model.holder == self.leases.holder
-            or (
-                model.holder.partition("/")[0] not in known
-                and self.first_in_line()
-            )
-        )
-
-    def first_in_line(self) -> bool:
-        """Tell whether this process is first for any lease."""
-        return any(
-            self.peers.precedence(scope.lease) == 0 for scope in self.scopes
-        )
-
-    def count_stuck(self) -> float:
-        """Return how many models have not moved for long."""
-        return sum(model.stuck for model in self.status())
-
-    def answer(
-        self, peer: connection.Identity, request: messages.AskRollouts
-    ) -> messages.Rollouts:
-        """Tell an operator how far the rollouts are."""
-        del peer, request
-        return messages.Rollouts(self.me, self.seen.offset, self.status())
-
-
-def watched(scope: goals.Scope, goal: goals.ModelGoal) -> str:
-    """Return the name under which a scope's model is watched."""
-    return f"{scope.lease} {goal.model}"
--- a/src/briarseam/orders/status.py
+++ b/src/briarseam/orders/status.py
@@ -103,7 +103,7 @@
         return work.blocked
     reasons = [
         f"{name}: {detail}"
-        for name, detail in sorted(work.refusals.items())
+        for name, detail in sorted(dict(work.giver.refusals).items())
         if name in standings
     ]
     waits: dict[str, list[str]] = collections.defaultdict(list)
--- a/tests/leases/test_service.py
+++ b/tests/leases/test_service.py
@@ -172,6 +172,23 @@
     assert isinstance(first.acquire(NAME), outcomes.Held)
 
 
+def test_log_that_was_set_up_anew_ends_every_lease_for_a_ttl(log, clock):
+    """The platform replaced the log and its records are gone.
+
+    A lease from before must not stand beside one from the new log.
+    """
+    first = log.join("a", clock)
+    first.renumber(NAME)
+    first.renumber(NAME)
+    log.entries.clear()
+    log.deliver()
+    assert first.holds(NAME) is None
+    assert isinstance(first.acquire(NAME), outcomes.NotHeld)
+    clock.now_s += TTL_S
+    log.deliver()
+    assert first.acquire(NAME) == outcomes.Held(1)
+
+
 def test_record_of_a_newer_release_ends_and_stops_leases(log, clock):
     first = log.join("a", clock)
     first.acquire(NAME)
--- a/tests/matrix/test_orders.py
+++ b/tests/matrix/test_orders.py
@@ -9,6 +9,7 @@
 import dataclasses
 import functools
 import threading
+import time
 import typing
 
 import pytest
@@ -208,3 +209,31 @@
     assert cluster.sampler.fewest_serving >= rollouts.FLOOR
     assert cluster.sampler.most_loading <= 2
     assert numbers_only_grow(cluster)
+
+
+@pytest.mark.parametrize("fencing", FENCING.values(), ids=FENCING)
+def test_holder_is_killed_just_as_the_log_goes_away(clusters, fencing):
+    """Two faults at once: nobody can take over until the log is back.
+
+    The order that was on its way still arrives; no other is given.
+    """
+    cluster = clusters(fencing)
+    cluster.watch()
+    version = cluster.new_version()
+
+    def hit(number: int) -> None:
+        cluster.agents[number].kill()
+        cluster.log.set(outage=True)
+
+    plan = arm(cluster, ORDER, hit)
+    cluster.want(version)
+    try:
+        assert plan.fired.wait(10)
+        lapsed_s = plan.fired_at + 1.5 * rollouts.TTL_S
+        waiting.until(lambda: time.monotonic() > lapsed_s)
+        assert sum(len(taken) for taken in cluster.orders.values()) == 1
+    finally:
+        cluster.log.set(outage=False)
+    cluster.until_all(version)
+    assert cluster.sampler.fewest_serving >= rollouts.FLOOR
+    assert cluster.sampler.most_loading <= 2
--- a/tests/orders/deployment.py
+++ b/tests/orders/deployment.py
@@ -10,6 +10,7 @@
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases_service
 from briarseam.metrics import registry
+from briarseam.orders import peers
 from briarseam.orders import service as orders_service
 from briarseam.platform import log as platform_log
 from briarseam.testing import engine
@@ -118,7 +119,7 @@
             engines or engine_orders.EngineOrders(CALL_S),
             registry.Registry(),
             events.note,
-            orders_service.Peers(precedence=lambda lease: place),
+            peers.Peers(precedence=lambda lease: place),
         )
         leases.start()
         orders.start()
--- a/tests/orders/test_goals.py
+++ b/tests/orders/test_goals.py
@@ -3,7 +3,13 @@
 import dataclasses
 
 from briarseam.configuration import schema
+from briarseam.endpoints import engine_orders
+from briarseam.leases import service as leases_service
+from briarseam.metrics import registry
 from briarseam.orders import goals
+from briarseam.orders import peers
+from briarseam.orders import service
+from briarseam.platform import log as platform_log
 
 
 def view_of(count: int, floor: int, max_loading: int) -> schema.View:
@@ -48,3 +54,24 @@
     )
     [scope] = goals.scopes_of(view)
     assert scope.targets == ()
+
+
+def test_of_many_scopes_only_a_few_processes_compare_each():
+    """Comparing all engines of a large deployment takes seconds."""
+    view = view_of(400, 1, 5)
+    places = {scope.lease: 0 for scope in goals.scopes_of(view)}
+    orders = service.Orders(
+        "agent-1",
+        lambda: view,
+        leases_service.Leases(platform_log.LogClient("127.0.0.1:1"), "a"),
+        engine_orders.EngineOrders(),
+        registry.Registry(),
+        lambda *kind, **fields: None,
+        peers.Peers(precedence=places.__getitem__),
+    )
+    orders.scopes = goals.scopes_of(view)
+    first, *others = orders.scopes
+    for scope in others:
+        places[scope.lease] = service.CANDIDATES
+    assert orders.takes_part(first)
+    assert not any(orders.takes_part(scope) for scope in others)
--- a/tests/orders/test_steps.py
+++ b/tests/orders/test_steps.py
@@ -5,6 +5,7 @@
 from briarseam.endpoints import engine_orders
 from briarseam.leases import outcomes
 from briarseam.metrics import registry
+from briarseam.orders import giver as givers
 from briarseam.orders import goals
 from briarseam.orders import rollout
 from briarseam.orders import state
@@ -55,7 +56,7 @@
     world.now_s = 0.0
     counters = registry.Registry().counters("x_total", "x", ("a", "b"))
     work = rollout.Rollout(
-        rollout.Tools(
+        givers.Tools(
             leases=world,
             engines=world,
             board=board,
