Put settings in force that nothing read, or drop them

Change: max_in_flight refuses at once, max_index_entries bounds the index, the instance list's timeout and interval are used, the region shows in status; max_sessions, max_frame_bytes and weights_timeout_ms are gone, since no part has what they would bound. Defaults are what was in force before.

--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -73,6 +73,8 @@
         The kept cache.
     limits, budgets, schedule
         Limits and retry budgets of organisations; when to return.
+    max_in_flight
+        Most requests running through this instance.
     key
         Shared key, for answer ids.
     home
@@ -86,6 +88,7 @@
     limits: limit_module.Limits
     budgets: retries.RetryBudgets
     schedule: returns.ReturnSchedule
+    max_in_flight: int
     key: bytes
     home: str = ""
 
@@ -217,6 +220,9 @@
 
     def enter(self, organisation: str, request: Request) -> None:
         """Check limits and, for a retry, its budget."""
+        if len(self.runs) >= self.parts.max_in_flight:
+            wait_s = self.parts.schedule.assign()
+            raise verdict.RefusalError(refusals.overloaded(wait_s))
         if request.lost:
             if not self.parts.budgets.spend(organisation):
                 wait_s = self.parts.schedule.assign()
--- a/src/briarseam/admission/refusals.py
+++ b/src/briarseam/admission/refusals.py
@@ -63,7 +63,7 @@
     """Refuse when as much waits here as may."""
     return verdict.NotRun(
         verdict.Reason.OVERLOADED,
-        "too many requests wait at this instance",
+        "too many requests wait or run at this instance",
         retry_after_s,
     )
 
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -146,12 +146,16 @@
             zone=settings.instance.zone,
             agent_address=str(settings.instance.agent_address),
         ),
-        instances.InstanceList(str(settings.platform.instances)),
+        instances.InstanceList(
+            str(settings.platform.instances),
+            settings.platform.instances_timeout_ms / MS,
+        ),
         shared_key(settings),
         seeds=tuple(str(seed) for seed in settings.agent.peers_seed),
         parts_of=parts_of,
         heartbeat_interval_s=settings.agent.heartbeat_interval_ms / MS,
         suspect_after_s=settings.agent.suspect_after_ms / MS,
+        list_interval_s=settings.platform.instances_poll_ms / MS,
         stamps=stamps,
     )
 
@@ -230,6 +234,7 @@
         parts_of,
         clients,
         registry,
+        settings.agent.max_index_entries,
     )
     lease_service = compose_orders.build_leases(settings, log)
     order_service = compose_orders.build_orders(
@@ -293,6 +298,7 @@
             staleness_s=reader.staleness_s,
             running=lambda: len(serving_parts.placer.runs),
             rollouts=lambda: compose_orders.rollouts(order_service),
+            region=settings.instance.region,
         ),
     )
     events = compose_timeline.build_agent_part(me, key, ring, member_service)
--- a/src/briarseam/compose/kept.py
+++ b/src/briarseam/compose/kept.py
@@ -89,6 +89,7 @@
     parts_of: cells.PartsOf,
     clients: compose_claims.PeerClients,
     registry: metrics.Registry,
+    max_blocks: int,
 ) -> kept_cache.KeptCache:
     """Return the kept cache of an agent, not started."""
     agents = KnownAgents(member_service, parts_of)
@@ -107,7 +108,7 @@
         session_hash=session_hash,
     )
     kept = kept_cache.KeptCache(
-        view, key, counters.RegistryCounters(registry), ports
+        view, key, counters.RegistryCounters(registry), ports, max_blocks
     )
     registry.reading(
         "kept_cache_blocks",
--- a/src/briarseam/compose/serving.py
+++ b/src/briarseam/compose/serving.py
@@ -151,6 +151,7 @@
             limits=demand,
             budgets=retries.RetryBudgets(lambda: view().routing.retry_budget),
             schedule=schedule,
+            max_in_flight=settings.limits.max_in_flight,
             key=sources.key,
             home=str(settings.instance.agent_address),
         )
--- a/src/briarseam/platform/instances.py
+++ b/src/briarseam/platform/instances.py
@@ -86,10 +86,15 @@
     ----------
     address
         ``ip:port`` of the service.
+    timeout_s
+        Longest wait for one read.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, timeout_s: float = READ_TIMEOUT_S
+    ) -> None:
         self.address = address
+        self.timeout_s = timeout_s
         self.pool = urllib3.PoolManager(maxsize=2, retries=False)
 
     def read(self) -> Listing:
@@ -102,7 +107,7 @@
         """
         url = f"http://{self.address}/instances"
         try:
-            response = self.pool.request("GET", url, timeout=READ_TIMEOUT_S)
+            response = self.pool.request("GET", url, timeout=self.timeout_s)
             if response.status != HTTP_OK:
                 raise InstanceListUnavailableError(
                     f"the instance list answered {response.status}"
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -83,14 +83,10 @@
     lease_ttl_ms
         Time that a lease lasts without renewal; after a holder's loss
         nobody gives engines orders for that long.
-    max_sessions
-        Sessions remembered.
     max_index_entries
         Blocks of kept cache indexed.
     max_timeline_events
         Events kept for the time line.
-    max_frame_bytes
-        Largest message accepted on a stream.
     """
 
     listen: Address
@@ -102,10 +98,8 @@
     lookup_ttl_s: Seconds = 5.0
     stale_after_ms: Milliseconds = 10_000
     lease_ttl_ms: Milliseconds = 6000
-    max_sessions: Count = 20_000
-    max_index_entries: Count = 50_000
+    max_index_entries: Count = 20_000
     max_timeline_events: Count = 5000
-    max_frame_bytes: Bytes = 2**20
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,8 +155,6 @@
         Wait for an answer of the instance list.
     instances_poll_ms
         Time between two readings of the instance list.
-    weights_timeout_ms
-        Wait for an answer of the weight store.
     """
 
     log: Address
@@ -172,8 +164,7 @@
     log_poll_ms: Milliseconds = 1000
     log_retention_s: Seconds = 86_400.0
     instances_timeout_ms: Milliseconds = 2000
-    instances_poll_ms: Milliseconds = 1000
-    weights_timeout_ms: Milliseconds = 5000
+    instances_poll_ms: Milliseconds = 2000
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/status/messages.py
+++ b/src/briarseam/status/messages.py
@@ -65,6 +65,8 @@
         Whether it answered.
     rollouts
         Of the models whose rollout it leads.
+    region
+        Its region; empty of an agent that did not answer.
     """
 
     name: str
@@ -77,6 +79,7 @@
     running: int = 0
     reached: bool = True
     rollouts: tuple[Rollout, ...] = ()
+    region: str = ""
 
 
 @codec.message("status")
--- a/src/briarseam/status/service.py
+++ b/src/briarseam/status/service.py
@@ -34,12 +34,15 @@
         Granted requests that have not ended.
     rollouts
         Rollouts this agent leads.
+    region
+        Region of this agent.
     """
 
     offset: typing.Callable[[], int]
     staleness_s: typing.Callable[[], float]
     running: typing.Callable[[], int]
     rollouts: typing.Callable[[], tuple[messages.Rollout, ...]] = tuple
+    region: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +105,7 @@
             stale_s=-1.0 if math.isinf(stale_s) else round(stale_s, 3),
             running=self.sources.running(),
             rollouts=self.sources.rollouts(),
+            region=self.sources.region,
         )
 
     def others(self) -> list[messages.AgentStatus]:
--- a/src/briarseam/testing/deployment.py
+++ b/src/briarseam/testing/deployment.py
@@ -296,7 +296,12 @@
         return settings_module.load(str(path))
 
     def start_instance(self, settings: settings_module.Settings) -> Instance:
-        """Start one instance."""
+        """Start one instance and put it on the instance list."""
+        name, zone = settings.instance.name, settings.instance.zone
+        self.list_row(name, "agent", str(settings.agent.listen), zone)
+        self.list_row(
+            f"{name}-entry", "entry", str(settings.entry.listen), zone
+        )
         instance = Instance(
             settings,
             compose_agent.build_agent(settings),
@@ -307,6 +312,13 @@
         self.instances.append(instance)
         return instance
 
+    def list_row(
+        self, name: str, role: instance_list.Role, address: str, zone: str
+    ) -> None:
+        """Put a row on the instance list, as the platform would."""
+        row = instance_list.Registration(role, address, zone)
+        self.list.put(name, row)
+
     def is_serving(self) -> bool:
         """Tell whether every agent knows configuration and engines."""
         agents = [instance.agent for instance in self.instances]
