Bound a kept answer by a record's size; test bounds and release

max_response_bytes took any size: an answer above the log's 1 MiB would be refused for good and refuse the claims that went with it. 512 KiB at most now. Tests for the bound on keys, records that fit and a released stream.

--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -179,13 +179,15 @@
         Age at which an idempotency key is refused; less than the log's
         retention by ten minutes at least.
     max_response_bytes
-        Largest answer kept for callers that repeat a key; each lies in a
-        record of the log and in memory.
+        Largest answer kept for callers that repeat a key; each lies in
+        memory and in a record of the log, which takes 1 MiB.
     """
 
     batch_ms: Milliseconds = 20
     window_s: Seconds = 43_200.0
-    max_response_bytes: Bytes = 16 * 2**10
+    max_response_bytes: typing.Annotated[
+        int, msgspec.Meta(ge=1, le=512 * 2**10)
+    ] = 16 * 2**10
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -254,3 +254,16 @@
         )
     )
     assert isinstance(results[-1], messages.Unknown)
+
+
+def test_shard_that_another_agent_owns_is_released(
+    cell: Cell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Every agent that ever owned a stream goes on polling the log."""
+    agent = cell.agents["agent-1"]
+    cell.owner = "agent-2"
+    agent.claims.release_unused()
+    assert agent.claims.followed()
+    monkeypatch.setattr(service, "RELEASE_S", -1.0)
+    agent.claims.release_unused()
+    assert agent.claims.followed() == []
--- a/tests/claims/test_shard.py
+++ b/tests/claims/test_shard.py
@@ -207,7 +207,7 @@
     assert log.appended == 0
 
 
-def test_reader_paused_past_the_retention_starts_over(
+def test_reader_paused_past_the_retention_goes_on_whole(
     shard: shards.Shard, log: fake_log.FakeLog
 ) -> None:
     """A booking is made twice after an agent was frozen for days.
@@ -286,3 +286,34 @@
         )
     assert all(isinstance(result, messages.Won) for result in results)
     assert shard.writer.appends < 50
+
+
+def test_no_more_keys_are_taken_than_fit(
+    shard: shards.Shard,
+    log: fake_log.FakeLog,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An agent is ended for its memory by callers who make up keys."""
+    monkeypatch.setattr(shards, "MAX_ENTRIES", 1)
+    first = claim(log, "a")
+    assert shard.claim(first, WAIT_S) == messages.Won("a")
+    refused = shard.claim(claim(log, "b"), WAIT_S)
+    assert isinstance(refused, messages.NotClaimed)
+    assert refused.retry_after_s > 1
+    again = shard.claim(claim(log, "c", first.key), WAIT_S)
+    assert isinstance(again, messages.InProgress)
+
+
+def test_large_outcomes_are_spread_over_records_that_fit(
+    shard: shards.Shard, log: fake_log.FakeLog
+) -> None:
+    """A log that takes 1 MiB refuses all claims that wait with a large one."""
+    shard.writer.interval_s = 0.05
+    outcome = records.Outcome(200, bytes(300 * 1024))
+    ends = []
+    for number in range(8):
+        won = claim(log, str(number))
+        shard.claim(won, WAIT_S)
+        ends.append(records.Done("havn", won.key, won.attempt, outcome))
+    assert len(shard.settle(ends, WAIT_S)) == len(ends)
+    assert max(len(record.data) for record in log.records) < 2**20
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -145,6 +145,12 @@
         "shared_key_file",
         "a readable file",
     ),
+    "answer beyond a record": (
+        append("[claims]\nmax_response_bytes = 1MiB\n"),
+        "claims",
+        "max_response_bytes",
+        "<= 524288",
+    ),
     "window beyond the retention": (
         append("[claims]\nwindow_s = 24h\n"),
         "claims",
