Work out who polls which engine only when that can change

Ruled out: the reads themselves (0.5 ms each, and only the owner's), and the ranking's hash, which is the cheap one already.

--- a/bench/entry_streams.py
+++ b/bench/entry_streams.py
@@ -258,9 +258,7 @@
         return observe(streams, entry_address, agent.pid, entry.pid)
 
 
-def observe(
-    streams: int, entry_address: str, agent: int, entry: int
-) -> Row:
+def observe(streams: int, entry_address: str, agent: int, entry: int) -> Row:
     """Run the callers and return what they and the processes show."""
     begin_s = time.time() + RAMP_S
     command = [sys.executable, __file__, "--sample", f"{entry},{agent}"]
--- a/bench/measuring.py
+++ b/bench/measuring.py
@@ -31,6 +31,14 @@
     most: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Child:
+    """A process of briarseam and the first line that it printed."""
+
+    pid: int
+    first_line: str
+
+
 def spread(values: typing.Sequence[float], digits: int = 3) -> Spread:
     """Return the median and the range of measured values."""
     return Spread(
@@ -59,7 +67,7 @@
 
 
 @contextlib.contextmanager
-def process(*arguments: str) -> typing.Iterator[subprocess.Popen[str]]:
+def process(*arguments: str) -> typing.Iterator[Child]:
     """Run a subcommand of briarseam from its first line until the end."""
     child = subprocess.Popen(
         [sys.executable, "-m", "briarseam", *arguments],
@@ -70,9 +78,10 @@
     )
     try:
         assert child.stdout is not None
-        if not child.stdout.readline():
+        line = child.stdout.readline()
+        if not line:
             raise RuntimeError(f"{arguments[0]} ended")
-        yield child
+        yield Child(child.pid, line)
     finally:
         child.kill()
         child.wait(STOP_S)
--- a/bench/state_memory.py
+++ b/bench/state_memory.py
@@ -104,9 +104,7 @@
     """Return the directory of other cells and the lookup's layout."""
     directory = directories.Directory(time.monotonic)
     for cell in range(-(-count // CELL_SIZE)):
-        numbers = range(
-            cell * CELL_SIZE, min((cell + 1) * CELL_SIZE, count)
-        )
+        numbers = range(cell * CELL_SIZE, min((cell + 1) * CELL_SIZE, count))
         stamp = membership.CellStamp(1, 1)
         abouts = tuple(map(about, numbers))
         directory.take(
--- a/src/briarseam/routing/loads.py
+++ b/src/briarseam/routing/loads.py
@@ -120,6 +120,7 @@
         self.known: dict[str, Load] = {}
         self.others_runs: dict[str, OthersRuns] = {}
         self.pollers: dict[str, Poller] = {}
+        self.share = Share({}, (), {})
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.match_pollers, name="loads", daemon=True
@@ -167,24 +168,30 @@
             if one.heard_at >= oldest
         )
 
-    def owner(self, endpoint: str) -> str:
-        """Return the agent that polls an engine."""
-        return max(
-            self.members() or [self.me],
-            key=lambda name: xxhash.xxh64_intdigest(
-                f"{endpoint}\0{name}".encode()
-            ),
-        )
+    def wanted(self) -> dict[str, str]:
+        """Return the addresses of the engines that this agent polls.
+
+        Worked out anew only when endpoints or members have changed: every
+        engine is ranked over every member, twice a second.
+        """
+        endpoints = self.view().endpoints
+        members = tuple(self.members())
+        share = self.share
+        if share.endpoints is endpoints and share.members == members:
+            return share.addresses
+        addresses = {
+            name: endpoint.address
+            for name, endpoint in endpoints.items()
+            if endpoint.kind is schema.EndpointKind.ENGINE
+            and owner(name, members or (self.me,)) == self.me
+        }
+        self.share = Share(endpoints, members, addresses)
+        return addresses
 
     def match_pollers(self) -> None:
         """Keep one poller for each engine that this agent owns."""
         while not self.stopping.is_set():
-            wanted = {
-                name: endpoint.address
-                for name, endpoint in self.view().endpoints.items()
-                if endpoint.kind is schema.EndpointKind.ENGINE
-                and self.owner(name) == self.me
-            }
+            wanted = self.wanted()
             for name, poller in list(self.pollers.items()):
                 if wanted.get(name) != poller.address:
                     self.pollers.pop(name).stopping.set()
@@ -230,6 +237,35 @@
             )
 
 
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """The engines that this agent polls, and what that follows from.
+
+    Attributes
+    ----------
+    endpoints
+        Of the configuration.
+    members
+        Names of the agents that share the polling.
+    addresses
+        Of this agent's engines, by name.
+    """
+
+    endpoints: typing.Mapping[str, schema.Endpoint]
+    members: tuple[str, ...]
+    addresses: dict[str, str]
+
+
+def owner(endpoint: str, members: typing.Sequence[str]) -> str:
+    """Return which of some agents polls an engine."""
+    return max(
+        members,
+        key=lambda name: xxhash.xxh64_intdigest(
+            f"{endpoint}\0{name}".encode()
+        ),
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class OthersRuns:
     """Another agent's runs under way by engine, and when it said so."""
