--- a/src/briarseam/claims/service.py
+++ b/src/briarseam/claims/service.py
@@ -117,8 +117,9 @@
         for number in unused:
             if self.owner(number) is not None:
                 with self.lock:
-                    shard = self.shards.pop(number)
-                shard.stop()
+                    shard = self.shards.pop(number, None)
+                if shard is not None:
+                    shard.stop()
 
     def stop(self) -> None:
         """Hand over pending settlements, then stop."""
