--- a/tests/cache/test_random.py
+++ b/tests/cache/test_random.py
@@ -122,6 +122,8 @@
             self.site.view, sites.KEY, sites.Counts(), ports, rest_s=0.0
         )
         kept.take_stores()
+        write = kept.tools.engine.export
+        kept.tools.engine.export = lambda *given: self.exporting(write, given)
         for exporter in kept.exporters.values():
             exporter.wait_for = without_waiting
         order = kept.tools.engine.import_blocks
@@ -136,17 +138,26 @@
         dying = {kept.names.text(packed) for packed in kept.index.dying}
         self.never.freed_read += len(dying.intersection(names))
         self.reading.extend(names)
-        if self.depth == 0:
-            self.depth += 1
-            for _ in range(self.chance.randrange(4)):
-                self.step()
-            self.depth -= 1
+        self.meanwhile()
         try:
             return order(address, request, timeout_s)
         finally:
             for name in names:
                 self.reading.remove(name)
 
+    def exporting(self, write, given):
+        """Let other things happen between a write and its confirmation."""
+        written = write(*given)
+        self.meanwhile()
+        return written
+
+    def meanwhile(self):
+        if self.depth == 0:
+            self.depth += 1
+            for _ in range(self.chance.randrange(4)):
+                self.step()
+            self.depth -= 1
+
     def step(self):
         kept = self.chance.choice(self.agents)
         operation = self.chance.choices(
@@ -353,6 +364,45 @@
     assert never.imported > 20, never
 
 
+def test_an_agent_that_wakes_reads_nothing_that_was_deleted_meanwhile():
+    """An agent is frozen between its last look and its order to import.
+
+    The owner frees the blocks, waits for all copies and deletes them.
+    The agent wakes long after its bounds and gives its order.
+    """
+    world = World(1)
+    owner, frozen = world.agents
+    session = next(
+        name
+        for name in map(str, range(9))
+        if owner.ports.holders(owner.names.group("crew", name)).mine
+    )
+    world.chance.random = lambda: 1.0
+    world.meanwhile = lambda: None
+    world.keep(owner)
+    world.keep(frozen)
+    world.site.run(owner, "crew", CHAINS[0], session=session)
+    world.export(owner)
+    plan = world.site.plan(frozen, "crew", CHAINS[0], session=session)
+    world.site.forget()
+
+    def sleep():
+        for planned in plan.blocks:
+            owner.index.free(planned.block, world.now + 20.0)
+        world.now += 60.0
+        world.keep(owner)
+
+    world.meanwhile = sleep
+    done = frozen.import_to(world.site.engine.address, plan)
+    world.site.stop()
+
+    assert len(plan.blocks) == 3
+    assert (done.pieces, done.failed) == (0, "missing")
+    assert world.never.half_read == 0
+    assert world.site.stores["keep-a"].reads == []
+    assert world.site.stores["keep-b"].reads == []
+
+
 @pytest.mark.parametrize("removal", GUARDS.values(), ids=GUARDS.keys())
 def test_without_its_guard_it_happens(monkeypatch, removal):
     """Each guard is taken out in turn; the same run must then fail.
