Prove whole answers and the crash guard over processes; lift condemnations

Cause: nothing proved the streams against frozen engines, cut links and killed instances. Found by the new matrix: an engine's death cut all but three or so of an organisation's answers, as each continuation was charged to the retry budget; suspects held an engine to their end, so the answers of a dead engine would have waited for each other; a refused second try was told "not run" though the first had been lost with its endpoint (prompts and idempotent calls).

Ruled out: charging nothing for any continuation (a crash loop would go round the endpoints); trials without exclusion (innocents were condemned with the guilty prompt in the unit test).

--- a/src/briarseam/admission/condemnation.py
+++ b/src/briarseam/admission/condemnation.py
@@ -93,6 +93,13 @@
     boot_id: str = ""
 
 
+class TrialPassed(msgspec.Struct, frozen=True, tag="passed", array_like=True):
+    """A trial has got further than where its endpoint died before."""
+
+    group: str
+    time_ms: int
+
+
 class TrialEnded(msgspec.Struct, frozen=True, tag="end", array_like=True):
     """A trial is over."""
 
@@ -122,7 +129,7 @@
     time_ms: int
 
 
-Item = Lost | Trial | TrialEnded | Cleared
+Item = Lost | Trial | TrialPassed | TrialEnded | Cleared
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,6 +184,7 @@
         self.losses: dict[str, dict[str, Lost]] = {}
         self.cleared: dict[str, Cleared] = {}
         self.trials: dict[str, Trial] = {}
+        self.passed: dict[str, TrialPassed] = {}
         self.ended: dict[str, TrialEnded] = {}
 
     def merge(self, item: Item) -> bool:
@@ -187,6 +195,8 @@
                     return self.merge_loss(item)
                 case Trial():
                     return put(self.trials, item.group, item)
+                case TrialPassed():
+                    return put(self.passed, item.group, item)
                 case TrialEnded():
                     return put(self.ended, item.group, item)
                 case Cleared():
@@ -248,6 +258,14 @@
                 if group not in self.ended and trial.time_ms >= oldest
             ]
 
+    def guarded_endpoints(self) -> set[str]:
+        """Return the endpoints whose trial may still take them down."""
+        return {
+            trial.endpoint
+            for trial in self.running_trials()
+            if trial.group not in self.passed
+        }
+
     def recent(self, since_ms: int, limit: int) -> list[Item]:
         """Return the newest items after a time, at most ``limit``."""
         with self.lock:
@@ -256,7 +274,8 @@
                 for losses in self.losses.values()
                 for loss in losses.values()
             ]
-            items += [*self.trials.values(), *self.ended.values()]
+            items += [*self.trials.values(), *self.passed.values()]
+            items += self.ended.values()
             items += list(dict.fromkeys(self.cleared.values()))
         newest = [item for item in items if item.time_ms >= since_ms]
         newest.sort(key=lambda item: item.time_ms)
@@ -272,10 +291,11 @@
                     del self.losses[fingerprint]
             drop_old(self.cleared, oldest)
             drop_old(self.trials, oldest)
+            drop_old(self.passed, oldest)
             drop_old(self.ended, oldest)
 
 
-Kept = typing.TypeVar("Kept", Lost, Trial, TrialEnded, Cleared)
+Kept = typing.TypeVar("Kept", Lost, Trial, TrialPassed, TrialEnded, Cleared)
 
 
 def put(items: dict[str, Kept], name: str, item: Kept) -> bool:
--- a/src/briarseam/admission/crash_guard.py
+++ b/src/briarseam/admission/crash_guard.py
@@ -295,6 +295,16 @@
         with self.lock:
             self.watched[granted.run_id] = watched
 
+    def started(self, run_id: str) -> None:
+        """Take in that a run gave a new token."""
+        watched = self.watched.get(run_id)
+        if watched is not None and watched.trial:
+            self.tell(
+                condemnation.TrialPassed(
+                    watched.group, self.parts.book.now_ms()
+                )
+            )
+
     def ended(self, run_id: str, result: admission.RunResult) -> None:
         """Take in how a run ended, before its entry may ask again."""
         with self.lock:
@@ -326,8 +336,7 @@
             watched.group,
             self.parts.book.now_ms(),
         )
-        self.parts.note(lost)
-        self.parts.others.accuse((lost,))
+        self.tell(lost)
 
     def clear(self, watched: Watched) -> None:
         """Tell that a suspect finished elsewhere."""
@@ -338,11 +347,13 @@
             "",
             self.parts.book.now_ms(),
         )
-        self.parts.note(cleared)
-        self.parts.others.accuse((cleared,))
+        self.tell(cleared)
 
     def end_trial(self, group: str) -> None:
         """Tell that a trial is over."""
-        ended = condemnation.TrialEnded(group, self.parts.book.now_ms())
-        self.parts.note(ended)
-        self.parts.others.accuse((ended,))
+        self.tell(condemnation.TrialEnded(group, self.parts.book.now_ms()))
+
+    def tell(self, item: condemnation.Item) -> None:
+        """Have an item appended, and tell the keeper of trials at once."""
+        self.parts.note(item)
+        self.parts.others.accuse((item,))
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -223,11 +223,11 @@
         if len(self.runs) >= self.parts.max_in_flight:
             wait_s = self.parts.schedule.assign()
             raise verdict.RefusalError(refusals.overloaded(wait_s))
-        if request.lost:
+        if request.lost and not is_first_continuation(request):
             if not self.parts.budgets.spend(organisation):
                 wait_s = self.parts.schedule.assign()
                 raise verdict.RefusalError(refusals.retries_spent(wait_s))
-        else:
+        elif not request.lost:
             self.parts.budgets.earn(organisation)
         match self.parts.limits.enter(organisation):
             case limit_module.Exceeded(detail, retry_after_s):
@@ -330,3 +330,16 @@
             endpoint.address,
             run.session,
         )
+
+
+def is_first_continuation(request: Request) -> bool:
+    """Tell whether an answer is continued for the first time.
+
+    An endpoint's death cuts all answers that it was giving; charged to the
+    budget of retries, which is for few, most of them would end there.
+    They are bounded by the endpoint's slots.
+    """
+    match request:
+        case messages.Admit(continues=answer_id, lost=lost):
+            return bool(answer_id) and len(lost) == 1
+    return False
--- a/src/briarseam/admission/service.py
+++ b/src/briarseam/admission/service.py
@@ -245,6 +245,7 @@
     def run_started(self, message: messages.RunStarted) -> messages.Noted:
         """Take in that a run's first token has come."""
         self.placer.started(message)
+        self.parts.guard.started(message.run_id)
         return messages.Noted()
 
     def run_ended(self, message: messages.RunEnded) -> messages.Noted:
--- a/src/briarseam/answers/calls.py
+++ b/src/briarseam/answers/calls.py
@@ -8,6 +8,7 @@
 from briarseam import verdict
 from briarseam.admission import messages
 from briarseam.answers import attempts
+from briarseam.answers import runs
 from briarseam.endpoints import engine
 from briarseam.endpoints import service
 
@@ -55,6 +56,7 @@
         self.body = body
         self.agent = agent
         self.services = services
+        self.may_have_run = False
 
     def run(self) -> service.ServiceAnswer:
         """Return the service's answer.
@@ -66,9 +68,13 @@
         """
         lost: tuple[str, ...] = ()
         while True:
-            reply = self.agent.admit_call(
-                dataclasses.replace(self.request, lost=lost)
-            )
+            try:
+                reply = self.agent.admit_call(
+                    dataclasses.replace(self.request, lost=lost)
+                )
+            except verdict.RefusalError as error:
+                given = runs.true_of_tries(error.given, self.may_have_run)
+                raise verdict.RefusalError(given) from error
             if isinstance(reply, messages.Replayed):
                 return replayed_answer(reply)
             answer = self.try_grant(reply)
@@ -93,6 +99,7 @@
             return None
         except engine.LostError as error:
             self.end(grant, messages.RunResult.LOST_BEFORE_FIRST)
+            self.may_have_run = True
             if not grant.attempt:
                 return None
             raise verdict.RefusalError(
--- a/src/briarseam/answers/keeping.py
+++ b/src/briarseam/answers/keeping.py
@@ -9,6 +9,7 @@
 from briarseam.admission import messages
 from briarseam.answers import relay as relays
 from briarseam.answers import resume
+from briarseam.answers import runs
 from briarseam.endpoints import engine
 
 MAX_KEPT = 256
@@ -48,7 +49,7 @@
         self.engines = engines
         self.free = threading.BoundedSemaphore(max_kept)
 
-    def keep(self, relay: relays.Relay, run: relays.Run) -> None:
+    def keep(self, relay: relays.Relay, run: runs.Run) -> None:
         """Take over a run that this entry began."""
         self.begin(lambda grace_s: self.read_run(relay, run, grace_s))
 
@@ -75,7 +76,7 @@
             self.free.release()
 
     def read_run(
-        self, relay: relays.Relay, run: relays.Run, grace_s: float
+        self, relay: relays.Relay, run: runs.Run, grace_s: float
     ) -> None:
         """Read a run to its end, or cancel it when the grace time is over.
 
--- a/src/briarseam/answers/relay.py
+++ b/src/briarseam/answers/relay.py
@@ -17,39 +17,17 @@
 from briarseam.answers import attempts
 from briarseam.answers import events
 from briarseam.answers import ordering
+from briarseam.answers import runs
 from briarseam.endpoints import engine
 
 # Resumes of one engine's stream without a new token between them.
 MAX_RESUMES = 2
 MS = 1000.0
-RETRY_AFTER_S = 1.0
 # The part of the time left to the deadline that one endpoint may use before
 # its first token; the rest is for another, should it have been lost.
 FIRST_TOKEN_PART = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class Ask:
-    """What the caller asked, as the relay needs it.
-
-    Attributes
-    ----------
-    admit
-        The message to the agent.
-    prompt
-        The prompt's text.
-    accepted_at
-        Monotonic time of the caller's request, in seconds.
-    prior
-        Tokens that the caller has of an answer it wants continued.
-    """
-
-    admit: messages.Admit
-    prompt: str
-    accepted_at: float
-    prior: tuple[str, ...] = ()
-
-
 class Agent(typing.Protocol):
     """What the relay needs from the link to the agent."""
 
@@ -65,31 +43,10 @@
 class Keeping(typing.Protocol):
     """What happens to a run whose caller is gone."""
 
-    def keep(self, relay: Relay, run: Run) -> None:
+    def keep(self, relay: Relay, run: runs.Run) -> None:
         """Take the run over."""
 
 
-@dataclasses.dataclass
-class Run:
-    """A granted run and how far its answer has got."""
-
-    grant: messages.Granted
-    stream: engine.Stream
-    pieces: typing.Iterator[engine.Piece]
-    tokens: list[str]
-    order: ordering.Ordered
-    reused_tokens: int = 0
-    resumes: int = 0
-    ended: bool = False
-
-    def next_piece(self) -> engine.Token | engine.Done:
-        """Return the next piece; a token counts as had from now on."""
-        piece = self.order.next(self.pieces)
-        if isinstance(piece, engine.Token):
-            self.resumes = 0
-        return piece
-
-
 class Relay:
     """Relays one answer.
 
@@ -107,7 +64,7 @@
 
     def __init__(
         self,
-        ask: Ask,
+        ask: runs.Ask,
         agent: Agent,
         engines: engine.EngineClient,
         keeping: Keeping,
@@ -119,7 +76,7 @@
         self.lost: tuple[str, ...] = ()
         self.may_have_run = False
 
-    def open(self) -> Run | messages.Replayed:
+    def open(self) -> runs.Run | messages.Replayed:
         """Return a run whose first piece has arrived, or a replay.
 
         Raises
@@ -131,7 +88,10 @@
             try:
                 reply = self.agent.admit(self.next_ask())
             except verdict.RefusalError as error:
-                raise verdict.RefusalError(self.true(error.given)) from error
+                given = runs.true_of_tries(
+                    error.given, self.may_have_run, bool(self.ask.prior)
+                )
+                raise verdict.RefusalError(given) from error
             if isinstance(reply, messages.Replayed):
                 return reply
             run = self.try_grant(reply)
@@ -152,25 +112,7 @@
         elapsed_s = time.monotonic() - self.ask.accepted_at
         return self.ask.admit.deadline_ms / MS - elapsed_s
 
-    def true(self, given: verdict.Verdict) -> verdict.Verdict:
-        """Return a refusal that is true of all tries together.
-
-        The agent answers for its own grant only.  Told "not run" after an
-        earlier endpoint was lost with the prompt, or after a part of the
-        answer was had, a caller would believe that nothing was computed.
-        """
-        if not isinstance(given, verdict.NotRun):
-            return given
-        kind: type[verdict.Ran | verdict.MayHaveRun]
-        if self.ask.prior:
-            kind = verdict.Ran
-        elif self.may_have_run:
-            kind = verdict.MayHaveRun
-        else:
-            return given
-        return kind(given.reason, given.detail, given.retry_after_s)
-
-    def try_grant(self, grant: messages.Granted) -> Run | None:
+    def try_grant(self, grant: messages.Granted) -> runs.Run | None:
         """Start a granted run; ``None`` when another may be asked for."""
         try:
             run = self.start(grant, list(self.ask.prior))
@@ -197,7 +139,7 @@
             return None
         return run
 
-    def start(self, grant: messages.Granted, tokens: list[str]) -> Run:
+    def start(self, grant: messages.Granted, tokens: list[str]) -> runs.Run:
         """Start a granted run after the tokens that were passed on."""
         stream = self.engines.start(
             grant.address,
@@ -205,9 +147,9 @@
             self.left_s() * FIRST_TOKEN_PART,
         )
         order = ordering.Ordered(grant.run_id, grant.version, len(tokens))
-        return Run(grant, stream, iter(stream), tokens, order)
+        return runs.Run(grant, stream, iter(stream), tokens, order)
 
-    def await_first(self, run: Run) -> None:
+    def await_first(self, run: runs.Run) -> None:
         """Wait for the first token, or an empty answer's end."""
         try:
             started = run.order.started(run.pieces)
@@ -217,18 +159,23 @@
             run.stream.close()
             raise
         run.order.offset -= isinstance(first, engine.Token)
-        run.pieces = prepend(first, run.pieces)
+        run.pieces = runs.prepend(first, run.pieces)
         run.stream.begun()
+        self.report_started(run)
+
+    def report_started(self, run: runs.Run) -> None:
+        """Tell the agent that a run gave its first token."""
+        run.told = True
         elapsed_s = time.monotonic() - self.ask.accepted_at
         self.agent.report(
             messages.RunStarted(
                 run_id=run.grant.run_id,
-                cached_tokens=started.cached_tokens,
+                cached_tokens=run.reused_tokens,
                 first_token_ms=elapsed_s * MS,
             )
         )
 
-    def events(self, run: Run) -> typing.Iterator[bytes]:
+    def events(self, run: runs.Run) -> typing.Iterator[bytes]:
         """Yield the caller's event stream of a run that has begun.
 
         Closing the iterator early means that the caller is gone.
@@ -241,9 +188,9 @@
             else:
                 self.keeping.keep(self, run)
 
-    def relay(self, run: Run) -> typing.Iterator[bytes]:
+    def relay(self, run: runs.Run) -> typing.Iterator[bytes]:
         """Yield events; mend the stream where that can be done."""
-        yield begin_event(run)
+        yield runs.begin_event(run)
         while True:
             try:
                 piece = run.next_piece()
@@ -252,23 +199,25 @@
                 if given is not None:
                     yield events.error_event(given)
                     return
-                yield begin_event(run)
+                yield runs.begin_event(run)
                 continue
             match piece:
                 case engine.Token():
                     run.tokens.append(piece.token)
+                    if not run.told:
+                        self.report_started(run)
                     yield events.token_event(piece)
                 case engine.Done():
                     self.finish(run)
                     yield events.done_event(piece)
                     return
 
-    def finish(self, run: Run) -> None:
+    def finish(self, run: runs.Run) -> None:
         """Report that the answer is whole."""
         run.ended = True
         self.end(run.grant, messages.RunResult.DONE, run.tokens)
 
-    def mend(self, run: Run) -> verdict.Verdict | None:
+    def mend(self, run: runs.Run) -> verdict.Verdict | None:
         """Resume the run, else continue it; return why neither went."""
         run.stream.close()
         if run.resumes < MAX_RESUMES and self.resume(run):
@@ -283,7 +232,7 @@
         self.lost += (run.grant.endpoint,)
         return self.continue_elsewhere(run)
 
-    def resume(self, run: Run) -> bool:
+    def resume(self, run: runs.Run) -> bool:
         """Read the engine's stream again from where it broke."""
         run.resumes += 1
         try:
@@ -296,7 +245,7 @@
         run.pieces = iter(stream)
         return True
 
-    def continue_elsewhere(self, run: Run) -> verdict.Verdict | None:
+    def continue_elsewhere(self, run: runs.Run) -> verdict.Verdict | None:
         """Run the rest at another endpoint; return why that cannot be."""
         while True:
             request = dataclasses.replace(
@@ -308,14 +257,14 @@
             try:
                 grant = self.agent.admit(request)
             except verdict.RefusalError as error:
-                return began(error.given)
+                return runs.began(error.given)
             if not isinstance(grant, messages.Granted):
-                return began(unexpected_replay())
+                return runs.began(runs.unexpected_replay())
             if self.adopt(run, grant):
                 return None
             self.lost += (grant.endpoint,)
 
-    def adopt(self, run: Run, grant: messages.Granted) -> bool:
+    def adopt(self, run: runs.Run, grant: messages.Granted) -> bool:
         """Let a run go on under a new grant; tell whether it started."""
         try:
             fresh = self.start(grant, run.tokens)
@@ -333,6 +282,7 @@
         run.pieces = fresh.pieces
         run.order = fresh.order
         run.resumes = 0
+        run.told = False
         run.ended = False
         return True
 
@@ -379,31 +329,3 @@
                 answer_id=grant.answer_id,
             )
         )
-
-
-def prepend(
-    first: engine.Piece, rest: typing.Iterator[engine.Piece]
-) -> typing.Iterator[engine.Piece]:
-    """Yield ``first`` and then the rest."""
-    yield first
-    yield from rest
-
-
-def began(given: verdict.Verdict) -> verdict.Verdict:
-    """Return a refusal to continue, for an answer that had begun."""
-    retry_after_s = given.retry_after_s
-    if given.reason is not verdict.Reason.VERSION_GONE:
-        retry_after_s = retry_after_s or RETRY_AFTER_S
-    return verdict.Ran(given.reason, given.detail, retry_after_s)
-
-
-def unexpected_replay() -> verdict.Verdict:
-    """Return the verdict when a continuation is answered by a replay."""
-    return verdict.Ran(
-        verdict.Reason.OUTCOME_UNKNOWN, "the answer cannot be continued"
-    )
-
-
-def begin_event(run: Run) -> bytes:
-    """Return the event that names the answer id."""
-    return events.begin_event(run.grant.answer_id, run.reused_tokens)
--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -48,6 +48,11 @@
         "briarseam.command.agent",
         "run the deciding daemon of an instance",
     ),
+    Command(
+        "condemned",
+        "briarseam.command.condemned",
+        "show and lift condemnations of prompts that crash endpoints",
+    ),
     Command(
         "demo",
         "briarseam.command.demo",
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -16,6 +16,7 @@
 from briarseam.answers import events as answer_events
 from briarseam.answers import relay
 from briarseam.answers import resume
+from briarseam.answers import runs
 from briarseam.cache import pieces
 from briarseam.entry import inflight
 from briarseam.entry import problems
@@ -232,7 +233,7 @@
     raw: requests.RawRequest,
     body: requests.AnswerBody,
     accepted_at: float,
-) -> relay.Ask:
+) -> runs.Ask:
     """Return what the relay needs of a validated request."""
     if not body.idempotent and not raw.key:
         raise problems.Problem(
@@ -260,7 +261,7 @@
         continues=continued,
         passed_on=len(body.prior),
     )
-    return relay.Ask(admit, body.prompt, accepted_at, body.prior)
+    return runs.Ask(admit, body.prompt, accepted_at, body.prior)
 
 
 def replay_answer(replayed: messages.Replayed) -> bytes:
--- a/tests/admission/test_condemnation.py
+++ b/tests/admission/test_condemnation.py
@@ -221,6 +221,19 @@
     assert again.word == "busy"
 
 
+def test_endpoint_is_free_for_another_trial_at_the_first_token(tried, book):
+    """Answers that an engine's death cut wait for each other for minutes.
+
+    The prompt itself is still tried once at a time.
+    """
+    book.merge(lost("engine-0"))
+    book.merge(lost("engine-0", case=OTHER))
+    tried.ask(ask_trial(CASE, "t1", "engine-1"))
+    book.merge(condemnation.TrialPassed("t1", book.now_ms()))
+    assert tried.ask(ask_trial(OTHER, "t2", "engine-1")).word == "granted"
+    assert tried.ask(ask_trial(CASE, "t3", "engine-2")).word == "busy"
+
+
 def test_trial_whose_answer_was_lost_is_granted_again(tried, book):
     book.merge(lost("engine-0"))
     ask = ask_trial(CASE, "t1", "engine-1")
--- a/tests/answers/test_streams.py
+++ b/tests/answers/test_streams.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import concurrent.futures
 import itertools
 import json
 import time
@@ -124,6 +125,29 @@
     assert answer.tokens == expected(prompt)
 
 
+def test_all_answers_of_an_endpoint_are_continued(running):
+    """An engine stops that was giving many answers; one other is left."""
+    prompts = [words.prompt(20, f"one of many {one}") for one in range(10)]
+    with concurrent.futures.ThreadPoolExecutor(len(prompts)) as pool:
+        asked = [
+            pool.submit(
+                running.caller(instance=number % 2).ask,
+                deployment.prompt_body(
+                    prompt, max_tokens=LONG, session=prompt[:20]
+                ),
+            )
+            for number, prompt in enumerate(prompts)
+        ]
+        waiting.until(lambda: under_way(running) == len(prompts))
+        max(
+            running.engines.values(),
+            key=lambda engine: len(engine.scheduler.decoding),
+        ).stop()
+        got = [one.result() for one in asked]
+    assert [one.problem for one in got] == [{}] * len(prompts)
+    assert [one.tokens for one in got] == list(map(expected, prompts))
+
+
 def test_answer_is_continued_after_its_endpoint_is_gone(running):
     """A caller comes back to an answer whose engine has been replaced.
 
