--- a/bench/kept_cache_cost.py
+++ b/bench/kept_cache_cost.py
@@ -14,6 +14,7 @@
 import time
 import tracemalloc
 
+from briarseam.cache import retention
 from briarseam.cache import service
 from briarseam.cache import state
 from briarseam.cache import stores
@@ -22,6 +23,7 @@
 PIECES = 20
 SESSIONS = (100, 1000, 10000)
 PLANS = 2000
+REMEMBERED = 10000
 STORE = "keep-a"
 BOOT = "0123456789abcdef0123456789abcdef"
 
@@ -50,6 +52,19 @@
     miss_us_p50: float
 
 
+def bytes_per_remembered() -> float:
+    """Return the memory of a session that is remembered, in bytes."""
+    model = retention.ReturnModel(max_waiting=REMEMBERED)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(REMEMBERED):
+        group = (number % 10).to_bytes(4, "big") + secrets.token_bytes(8)
+        model.wanted(group, 4 + number % 50, float(number))
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / REMEMBERED
+
+
 def build() -> service.KeptCache:
     """Return a kept cache with a live store, without threads."""
     endpoint = schema.Endpoint(
@@ -136,7 +151,14 @@
     rows = [dataclasses.asdict(measure(sessions)) for sessions in SESSIONS]
     for row in rows:
         print({name: round(value, 1) for name, value in row.items()})
-    report = {"pieces_per_prompt": PIECES, "plans": PLANS, "rows": rows}
+    remembered = bytes_per_remembered()
+    print(f"bytes per remembered session: {remembered:.0f}")
+    report = {
+        "pieces_per_prompt": PIECES,
+        "plans": PLANS,
+        "bytes_per_remembered_session": remembered,
+        "rows": rows,
+    }
     pathlib.Path(sys.argv[1]).write_text(json.dumps(report, indent=1) + "\n")
 
 
--- a/src/briarseam/cache/retention.py
+++ b/src/briarseam/cache/retention.py
@@ -14,6 +14,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import math
 import random
 import threading
@@ -25,6 +26,7 @@
 DECAY = 0.5
 PRIOR_EVENTS = 8.0
 STALE_PART = 0.02
+SHARED_CLASSES = 1024
 SAMPLE = 32
 
 
@@ -35,7 +37,7 @@
     LRU = "lru"
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class GroupClass:
     """Groups that are expected to return alike.
 
@@ -76,7 +78,7 @@
     cost_per_byte: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
     """A group that may return.
 
@@ -95,7 +97,13 @@
 def class_of(organisation: bytes, pieces: int, uses: int) -> GroupClass:
     """Return the class of a group."""
     length = max(pieces, 1).bit_length()
-    return GroupClass(organisation, length, min(uses, MAX_USES))
+    return shared(organisation, length, min(uses, MAX_USES))
+
+
+@functools.lru_cache(SHARED_CLASSES)
+def shared(organisation: bytes, length: int, uses: int) -> GroupClass:
+    """Return one object for all groups of a class; they are many."""
+    return GroupClass(organisation, length, uses)
 
 
 def age_bin(age_s: float) -> int:
@@ -182,7 +190,7 @@
     """
 
     def __init__(
-        self, max_waiting: int = 20000, max_classes: int = 4096
+        self, max_waiting: int = 20000, max_classes: int = 1024
     ) -> None:
         self.max_waiting = max_waiting
         self.max_classes = max_classes
