Learn the rate of returns from runs that were served only

Cause: during an outage of all engines each refused request ended up to six runs at once; the schedule took that for the rate of service. Ruled out: the step of the schedule (a half of the learned rate per agent). Change: a run counts when it gave its whole answer. Seen failing with the guard removed: the new test in test_dispatch.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -28,6 +28,7 @@
 from briarseam.cache import state as cache
 from briarseam.compose import serving
 from briarseam.configuration import schema
+from briarseam.membership import state as members
 from briarseam.orders import state as orders
 from briarseam.routing import loads
 from briarseam.wire import client as wire_client
@@ -75,6 +76,8 @@
 class Members:
     """A cell of one."""
 
+    me = members.Me("me", "a", "127.0.0.1:1")
+
     def live(self) -> tuple[typing.Any, ...]:
         """Return the live members."""
         return ()
--- a/src/briarseam/admission/dispatch.py
+++ b/src/briarseam/admission/dispatch.py
@@ -265,9 +265,20 @@
         ahead = min(by_share, len(queue) + 1)
         return ahead * self.engines.run_s(model) / self.engines.slots(model)
 
-    def note_end(self) -> None:
-        """Take in that a run has ended somewhere."""
-        self.schedule.note_end()
+    def note_end(self, whole: bool = True) -> None:
+        """Take in that a run has ended somewhere.
+
+        Guard: while endpoints are lost, runs end by failing, many times as
+        fast as they are served.  Taken for the rate of service, that would
+        bring those who were refused back in a peak after the outage.
+
+        Parameters
+        ----------
+        whole
+            Whether it gave its whole answer.
+        """
+        if whole:
+            self.schedule.note_end()
         self.wake.set()
 
     def work(self) -> None:
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -300,7 +300,7 @@
         failed = message.result in FAILED
         self.parts.chooser.note_end(run.run_id, whole, failed)
         self.parts.limits.leave(run.organisation)
-        self.parts.dispatcher.note_end()
+        self.parts.dispatcher.note_end(whole)
         if whole:
             self.keep(run)
         return run
--- a/src/briarseam/bench/load.py
+++ b/src/briarseam/bench/load.py
@@ -67,19 +67,26 @@
         generator = workloads.Generator(workload, arm)
         self.requests = generator.requests()
         self.primed = generator.primed
+        self.prompts: list[str] = []
         self.addresses: dict[str, str] = {}
         self.late_s = 0.0
         self.under_way = 0
         self.condition = threading.Condition()
 
+    def prepare(self) -> None:
+        """Prime, and make the prompts, before any clock starts.
+
+        Making a prompt takes longer than sending it, and an open loop must
+        not be slowed by it.
+        """
+        self.prime()
+        self.prompts = [workloads.prompt_of(one) for one in self.requests]
+
     def run(self) -> None:
         """Send all requests and wait for the last answers."""
-        # Made before the clock starts: making a prompt takes longer than
-        # sending it, and an open loop must not be slowed by it.
-        prompts = [workloads.prompt_of(one) for one in self.requests]
         started = time.monotonic()
         self.recorder.begin(started)
-        for request, prompt in zip(self.requests, prompts, strict=True):
+        for request, prompt in zip(self.requests, self.prompts, strict=True):
             wait_s = started + request.at_s - time.monotonic()
             if wait_s > 0:
                 time.sleep(wait_s)
--- a/src/briarseam/command/bench.py
+++ b/src/briarseam/command/bench.py
@@ -115,7 +115,7 @@
         workload = arm.workload
         recorder = measures.Recorder(workload.warmup_s, workload.duration_s)
         sending = load.Load(self.target, workload, arm.name, recorder)
-        sending.prime()
+        sending.prepare()
         before = links.read(stores)
         started = time.monotonic()
         watch = processes.Watch(self.names)
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -245,3 +245,14 @@
     dispatcher.stop()
     waiting.until(lambda: len(done) == 4, what="the last is refused")
     assert done[:3] == ["large"] * 3
+
+
+def test_runs_that_fail_do_not_count_as_service(dispatcher):
+    """Engines refuse everything for a while: hundreds of runs end within a
+    second, none of them served.  Refused callers who were told to return
+    at that rate would all be back at once when the engines are.
+    """
+    before = dispatcher.schedule.rate_per_s
+    for _ in range(200):
+        dispatcher.note_end(whole=False)
+    assert dispatcher.schedule.rate_per_s == before
