--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -63,6 +63,7 @@
     leases: lease_module.Leases
     orders: order_module.Orders
     entries: entries.LocalEntries
+    leaving: endpoints.LeavingEndpoints
     stop_bound_s: float
 
     def start(self) -> None:
@@ -335,5 +336,6 @@
         leases=lease_service,
         orders=order_service,
         entries=local_entries,
+        leaving=leaving,
         stop_bound_s=settings.limits.stop_bound_s,
     )
--- a/src/briarseam/compose/orders.py
+++ b/src/briarseam/compose/orders.py
@@ -50,6 +50,10 @@
     def cell() -> set[str]:
         return {member.name for member in member_service.live()} | {me}
 
+    def heard() -> set[str]:
+        staying = member_service.live(include_leaving=True)
+        return {member.name for member in staying}
+
     def everyone() -> set[str]:
         return {
             member.name
@@ -74,6 +78,7 @@
             precedence=lambda lease: place(lease, everyone()),
             owns=lambda engine: place(engine, cell()) == 0,
             live=cell,
+            heard=heard,
             known=everyone,
         ),
     )
--- a/src/briarseam/orders/peers.py
+++ b/src/briarseam/orders/peers.py
@@ -18,7 +18,12 @@
     owns
         Whether this process polls an engine for all of them.
     live
-        Names of those whose reports count.
+        Names of those that share the polling.
+    heard
+        Names of those whose reports count: the live ones, and those that
+        are leaving.  An owner that shuts down reports its engines until it
+        exits; without them this process would have nothing to offer until
+        it has polled them itself.
     known
         Names of all that answer operators.
     """
@@ -26,6 +31,7 @@
     precedence: typing.Callable[[str], int] = lambda lease: 0
     owns: typing.Callable[[str], bool] = lambda engine: True
     live: typing.Callable[[], typing.Collection[str]] = frozenset
+    heard: typing.Callable[[], typing.Collection[str]] = frozenset
     known: typing.Callable[[], typing.Collection[str]] = frozenset
 
 
--- a/src/briarseam/orders/service.py
+++ b/src/briarseam/orders/service.py
@@ -179,7 +179,7 @@
         while something is left to do.
         """
         view = self.view()
-        self.board.keep_members(self.peers.live())
+        self.board.keep_members(self.peers.heard())
         if view is not self.seen:
             self.take_view(view)
         elif not self.board.changed.is_set() and not self.pollers.busy:
