--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -6,6 +6,7 @@
   weight store that takes two transfers at a time;
 - appends a second of leases, by holders and by leases of each holder;
 - how long nobody gives orders after a holder is lost;
+- processor time of reading one engine's state;
 - processor time of one comparison of wanted and reported, by engines.
 
     PYTHONPATH=src:. python bench/rollout.py bench/results/rollout.json
@@ -32,6 +33,7 @@
 from briarseam.orders import peers
 from briarseam.orders import planner
 from briarseam.orders import service as orders_service
+from briarseam.orders import sharing
 from briarseam.orders import state
 from briarseam.platform import log as platform_log
 from briarseam.testing import engine
@@ -52,6 +54,8 @@
 LEASE_TTL_S = 6.0
 LOST_TTL_S = 3.0
 COMPARISONS = 200
+POLLS = 500
+SHARED = 10
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,6 +109,22 @@
     idle_tick_us: float
 
 
+@dataclasses.dataclass(frozen=True)
+class PollRow:
+    """Reading one engine's state, and telling the others.
+
+    Attributes
+    ----------
+    poll_us
+        Processor time of the reading thread.
+    section_bytes
+        Of one engine's report on a heartbeat, sent when it has changed.
+    """
+
+    poll_us: float
+    section_bytes: float
+
+
 class Watch:
     """Counts engines that serve and that load, by their own state."""
 
@@ -283,6 +303,22 @@
         return LostRow(LOST_TTL_S, round(took_s, 2))
 
 
+def measure_poll() -> PollRow:
+    """Return what one reading costs, and its report on a heartbeat."""
+    with engine.Engine(models={MODEL: "2026.11"}) as one:
+        engines = engine_orders.EngineOrders()
+        engines.state(one.address)
+        began = time.thread_time()
+        for _ in range(POLLS):
+            found = engines.state(one.address)
+        poll_us = (time.thread_time() - began) / POLLS * 1e6
+    board = state.Board()
+    for number in range(SHARED):
+        board.put(f"draftmodels-{number}", state.Reading(found, 0.0))
+    section = sharing.Sharing(board, time.monotonic).provide()
+    return PollRow(round(poll_us, 1), round(len(section) / SHARED, 1))
+
+
 def measure_compare(count: int) -> CompareRow:
     """Return the processor time of one comparison, nothing to do."""
     addresses = ["127.0.0.1:1"] * count
@@ -355,6 +391,7 @@
         "rollouts": rollouts,
         "leases": leases,
         "lost": [measure_lost()],
+        "poll": [measure_poll()],
         "compare": [measure_compare(count) for count in (6, 64, 512, 4000)],
     }
     text = json.dumps(
