Forget replaced instances and endpoints in routing and limits

Change: each is dropped with the configuration or heartbeat that no longer has it, or some seconds after it was last heard. Seen failing with each of the five drops removed by itself.

--- a/src/briarseam/admission/limits.py
+++ b/src/briarseam/admission/limits.py
@@ -177,6 +177,7 @@
         largest: telling all 960 organisations to 31 peers each second
         would cost more bytes than control may use.
         """
+        self.forget_idle()
         now = self.clock()
         count = max(self.members(), 1)
         near: list[tuple[float, str]] = []
@@ -199,7 +200,11 @@
         self.told[member] = Told(demands, self.clock())
 
     def forget_idle(self) -> None:
-        """Drop organisations that have done nothing for a while."""
+        """Drop what has done or told nothing for a while.
+
+        Instances are replaced all day under new names; without this an
+        agent that lives long would remember all of them.
+        """
         now = self.clock()
         with self.lock:
             idle = [
@@ -209,6 +214,9 @@
             ]
             for name in idle:
                 del self.usages[name]
+        for member, told in list(self.told.items()):
+            if now - told.heard_at > HOLD_S:
+                self.told.pop(member, None)
 
 
 def is_near(
--- a/src/briarseam/routing/candidates.py
+++ b/src/briarseam/routing/candidates.py
@@ -25,9 +25,15 @@
     """Engines of each model, worked out once for each configuration.
 
     Without it every request would look at every endpoint of every model.
+
+    Parameters
+    ----------
+    renewed
+        Told of each new configuration.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, renewed: typing.Callable[[schema.View], None]) -> None:
+        self.renewed = renewed
         self.made: tuple[schema.View, dict[str, Names]] | None = None
 
     def names(self, view: schema.View, model: str) -> Names:
@@ -35,6 +41,7 @@
         made = self.made
         if made is None or made[0] is not view:
             made = self.made = (view, engines_by_model(view))
+            self.renewed(view)
         return made[1].get(model, ())
 
 
--- a/src/briarseam/routing/ledger.py
+++ b/src/briarseam/routing/ledger.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import threading
+import typing
 
 MAX_ENDED = 256
 
@@ -88,6 +89,17 @@
             # errs towards more load.
             return started - count_since(ledger.ended_at, since)
 
+    def keep(self, endpoints: typing.Container[str]) -> None:
+        """Drop endpoints that are gone and have nothing under way."""
+        with self.lock:
+            gone = [
+                name
+                for name, ledger in self.endpoints.items()
+                if name not in endpoints and not ledger.running
+            ]
+            for name in gone:
+                del self.endpoints[name]
+
     def counts(self) -> dict[str, int]:
         """Return runs under way by endpoint, without idle endpoints."""
         with self.lock:
--- a/src/briarseam/routing/loads.py
+++ b/src/briarseam/routing/loads.py
@@ -198,12 +198,19 @@
             for name, poller in list(self.pollers.items()):
                 if wanted.get(name) != poller.address:
                     self.pollers.pop(name).stopping.set()
+            self.forget_gone()
             for name, address in wanted.items():
                 if name not in self.pollers:
                     self.pollers[name] = Poller(name, address, self)
                     self.pollers[name].start()
             self.stopping.wait(POLL_S)
 
+    def forget_gone(self) -> None:
+        """Drop the loads of engines that are not configured any more."""
+        endpoints = self.view().endpoints
+        for name in [one for one in list(self.known) if one not in endpoints]:
+            self.known.pop(name, None)
+
     def provide(self) -> bytes:
         """Return this agent's section of a heartbeat."""
         now = self.clock()
@@ -240,6 +247,9 @@
         """Take in another agent's section."""
         section = msgspec.msgpack.decode(data, type=SharedSection)
         now = self.clock()
+        for other, runs in list(self.others_runs.items()):
+            if now - runs.heard_at > FORGET_AFTER_S:
+                self.others_runs.pop(other, None)
         self.others_runs[member] = OthersRuns(section.runs, now)
         for name, shared in section.loads.items():
             as_of = now - shared.age_ms / MS
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -103,7 +103,7 @@
         )
         self.sent: dict[str, Sent] = {}
         self.boots: dict[str, str] = {}
-        self.serving = candidates.Serving()
+        self.serving = candidates.Serving(self.forget_gone)
         self.troubles = troubles.Troubles(parts.clock)
         self.turn = 0
         self.lock = threading.Lock()
@@ -313,6 +313,17 @@
             choice.endpoint, choice.keys, load.cache_pieces if load else None
         )
 
+    def forget_gone(self, view: schema.View) -> None:
+        """Drop what is known of endpoints that are not configured any more.
+
+        Endpoints are replaced all day under new names; without this an
+        agent that lives long would remember all of them.
+        """
+        self.parts.ledger.keep(view.endpoints)
+        for name in [one for one in self.boots if one not in view.endpoints]:
+            self.boots.pop(name, None)
+            self.prefixes.forget(name)
+
     def note_boot(self, endpoint: str, boot_id: str) -> None:
         """Forget an engine's prefixes when it was started anew."""
         if self.boots.get(endpoint, boot_id) != boot_id:
--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -172,3 +172,15 @@
         budgets.earn("north")
     spent = [budgets.spend("north") for _ in range(50)]
     assert sum(spent) == allowed
+
+
+def test_what_replaced_agents_told_is_not_remembered():
+    """Instances are replaced all day under new names.  An agent that lives
+    for weeks must not keep what each of them once told.
+    """
+    cell = build(1)
+    (agent,) = cell.agents.values()
+    agent.consume("old", agent.provide())
+    cell.clock.now += limits.HOLD_S + 1
+    agent.provide()
+    assert not agent.told
--- a/tests/routing/test_failures.py
+++ b/tests/routing/test_failures.py
@@ -131,3 +131,35 @@
         known.use(f"engine-{engine}", [bytes([engine, 200])], 10**6)
     held = sum(len(one.order) for one in known.engines.values())
     assert held <= 60
+
+
+def test_replaced_endpoints_are_not_remembered(bench):
+    """Endpoints are replaced all day under new names.  An agent that lives
+    for weeks must not keep something of each it ever used.
+    """
+    for name in bench.view.endpoints:
+        bench.report(name, busy=0)
+    for number in range(8):
+        serve(bench, f"s-{number}")
+    kept = {"engine-0": bench.view.endpoints["engine-0"]}
+    smaller = dataclasses.replace(bench.view, endpoints=kept)
+    bench.chooser.parts = dataclasses.replace(
+        bench.chooser.parts, view=lambda: smaller
+    )
+    bench.loads.view = lambda: smaller
+    bench.loads.forget_gone()
+    serve(bench, "later")
+    assert set(bench.chooser.parts.ledger.endpoints) == {"engine-0"}
+    assert set(bench.chooser.prefixes.engines) == {"engine-0"}
+    assert set(bench.loads.known) == set(bench.chooser.boots) == {"engine-0"}
+
+
+def test_replaced_agents_are_not_remembered(bench):
+    """Instances are replaced all day; what they told of their runs is of
+    no use a few seconds later.
+    """
+    section = bench.loads.provide()
+    bench.loads.consume("old", section)
+    bench.clock.now += loads.FORGET_AFTER_S + 1
+    bench.loads.consume("new", section)
+    assert set(bench.loads.others_runs) == {"new"}
