Rank owners by lookup's layout itself

Lookup now ranks the members of all cells in one go; the kept cache still ranked cells first, over the instance list. So the agent that serves a session was mostly not the owner of its index and would have asked another one for each return. The owner is now the first live member of the same layout, and the test compares the two. Ruled out: copying the new ranking.

--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -228,11 +228,16 @@
     once = idempotency.Idempotency(
         noting.NotedClaims(claim_service, ring), lambda: server.connected()
     )
+    lookups = lookup.Lookup(
+        member_service.everyone,
+        lambda digest: reader.view().organisation_of(digest),
+        settings.agent.lookup_ttl_s,
+    )
     kept = compose_kept.build_kept_cache(
         reader.view,
         key,
         member_service,
-        parts_of,
+        lookups,
         clients,
         registry,
         settings.agent.max_index_entries,
@@ -279,11 +284,6 @@
             connected=lambda: server.connected(),
         )
     )
-    lookups = lookup.Lookup(
-        member_service.everyone,
-        lambda digest: reader.view().organisation_of(digest),
-        settings.agent.lookup_ttl_s,
-    )
 
     def ready() -> bool:
         models = reader.view().models
--- a/tests/cache/test_sharing.py
+++ b/tests/cache/test_sharing.py
@@ -11,7 +11,9 @@
 from briarseam.cache import owners
 from briarseam.cache import sharing
 from briarseam.cache import state
-from briarseam.lookup import rank
+from briarseam.compose import kept
+from briarseam.lookup import service as lookup
+from briarseam.membership import state as members
 from briarseam.wire import connection as connections
 
 NAMES = block_names.Names(b"secret")
@@ -134,27 +136,34 @@
     assert answer.blocks == (kept,)
 
 
-def test_the_second_copy_is_in_another_zone():
-    """A zone is down; the index of its sessions is elsewhere."""
+def test_the_owner_is_who_callers_are_sent_to_and_the_copy_elsewhere():
+    """A session's own instance must not have to ask for its index.
+
+    And when its whole zone is down, the index is in another one.
+    """
     agents = tuple(
-        owners.Agent(f"{zone}-{number}", zone, f"{zone}/0", f"{zone}{number}")
+        members.Member(
+            name=f"{zone}-{number}",
+            zone=zone,
+            cell=f"{zone}/0",
+            agent_address=f"agent of {zone}-{number}",
+            entry_addresses=(f"entry of {zone}-{number}",),
+            state=members.MemberState.ALIVE,
+        )
         for zone in ("a", "b", "c")
         for number in range(2)
     )
-    zones = {one.address: one.zone for one in agents}
+    lookups = lookup.Lookup(lambda: agents, lambda digest: None)
+    ranking = {
+        one.name: owners.Owners(one.name, lookups.layout) for one in agents
+    }
+    names = block_names.Names(b"secret", kept.session_hash)
     for number in range(50):
-        group = NAMES.group("kitchen", f"s{number}")
-        found = {
-            one.name: owners.Owners(one.name, lambda: agents, rank.score)(
-                group
-            )
-            for one in agents
-        }
-        mine = [name for name, holders in found.items() if holders.mine]
-        assert len(mine) == 1
-        outside = next(
-            holders for holders in found.values() if len(holders.others) == 2
-        )
-        owner, second = outside.others
-        assert zones[owner] != zones[second]
-        assert found[mine[0]].others == (second,)
+        session = f"s{number}"
+        group = names.group("kitchen", session)
+        owner = lookups.owner("kitchen", session)
+        mine = [name for name, rank in ranking.items() if rank(group).mine]
+        assert mine == [owner.name]
+        (second,) = ranking[owner.name](group).others
+        assert second.startswith("agent of ")
+        assert not second.startswith(f"agent of {owner.zone}-")
--- a/tests/matrix/test_kept_cache.py
+++ b/tests/matrix/test_kept_cache.py
@@ -261,7 +261,8 @@
 
 
 def both_known(running, number):
-    return len(kept(running, number).ports.holders.agents()) == 2
+    order = kept(running, number).ports.holders.layout().order("key", 2)
+    return len(order) == 2
 
 
 @pytest.mark.parametrize("first", [0, 1])
