--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -15,6 +15,7 @@
 from briarseam.compose import configuration as compose_configuration
 from briarseam.compose import crashes
 from briarseam.compose import kept as compose_kept
+from briarseam.compose import membership as compose_membership
 from briarseam.compose import noting
 from briarseam.compose import orders as compose_orders
 from briarseam.compose import serving
@@ -25,12 +26,10 @@
 from briarseam.membership import drain
 from briarseam.membership import endpoints
 from briarseam.membership import entries
-from briarseam.membership import service as membership
-from briarseam.membership import state as members
+from briarseam.membership import service as membership_module
 from briarseam.metrics import registry as metrics
 from briarseam.metrics import service as metrics_service
 from briarseam.orders import service as order_module
-from briarseam.platform import instances
 from briarseam.platform import log as platform_log
 from briarseam.status import service as status
 from briarseam.timeline import ring as rings
@@ -50,7 +49,7 @@
     """The parts of an agent, in the order in which they start."""
 
     server: wire.Server
-    membership: membership.Membership
+    membership: membership_module.Membership
     configuration: configuration.ConfigurationReader
     admission: admission.Admission
     claims: claims_module.Claims
@@ -135,32 +134,6 @@
     return secret.value
 
 
-def build_membership(
-    settings: settings_module.Settings,
-    parts_of: typing.Callable[[str], int],
-    stamps: connection.Clock,
-) -> membership.Membership:
-    """Return the membership part of an agent."""
-    return membership.Membership(
-        members.Me(
-            name=settings.instance.name,
-            zone=settings.instance.zone,
-            agent_address=str(settings.instance.agent_address),
-        ),
-        instances.InstanceList(
-            str(settings.platform.instances),
-            settings.platform.instances_timeout_ms / MS,
-        ),
-        shared_key(settings),
-        seeds=tuple(str(seed) for seed in settings.agent.peers_seed),
-        parts_of=parts_of,
-        heartbeat_interval_s=settings.agent.heartbeat_interval_ms / MS,
-        suspect_after_s=settings.agent.suspect_after_ms / MS,
-        list_interval_s=settings.platform.instances_poll_ms / MS,
-        stamps=stamps,
-    )
-
-
 @dataclasses.dataclass(frozen=True)
 class CurrencyGate:
     """Refuses new work while this agent cannot show it is current.
@@ -215,7 +188,9 @@
     reader = compose_configuration.build_reader(
         settings, log, me, key, lambda: member_service
     )
-    member_service = build_membership(settings, parts_of, ring.clock)
+    member_service = compose_membership.build_membership(
+        settings, shared_key(settings), parts_of, ring.clock
+    )
     compose_configuration.connect(reader, member_service, registry, ring)
     clients = compose_claims.PeerClients(me, key, ring.clock)
     claim_service = compose_claims.build_claims(
@@ -247,6 +222,7 @@
         settings, reader, member_service, lease_service, registry, ring
     )
     leaving = endpoints.LeavingEndpoints(member_service, reader.view)
+    compose_membership.connect(registry, member_service, leaving)
     serving_parts = serving.build_serving(
         settings,
         serving.ServingSources(
--- /dev/null
+++ b/src/briarseam/compose/membership.py
@@ -0,0 +1,107 @@
+"""Composing an agent's membership."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.membership import service as membership
+from briarseam.membership import state as members
+from briarseam.platform import instances
+
+if typing.TYPE_CHECKING:
+    from briarseam import settings as settings_module
+    from briarseam.membership import endpoints
+    from briarseam.metrics import registry as metrics
+    from briarseam.wire import connection
+
+MS = 1000.0
+
+
+def build_membership(
+    settings: settings_module.Settings,
+    key: bytes,
+    parts_of: typing.Callable[[str], int],
+    stamps: connection.Clock,
+) -> membership.Membership:
+    """Return the membership part of an agent.
+
+    Its entries are named once they report themselves.
+    """
+    return membership.Membership(
+        members.Me(
+            name=settings.instance.name,
+            zone=settings.instance.zone,
+            agent_address=str(settings.instance.agent_address),
+        ),
+        instances.InstanceList(
+            str(settings.platform.instances),
+            settings.platform.instances_timeout_ms / MS,
+        ),
+        key,
+        seeds=tuple(str(seed) for seed in settings.agent.peers_seed),
+        parts_of=parts_of,
+        heartbeat_interval_s=settings.agent.heartbeat_interval_ms / MS,
+        suspect_after_s=settings.agent.suspect_after_ms / MS,
+        list_interval_s=settings.platform.instances_poll_ms / MS,
+        stamps=stamps,
+    )
+
+
+def connect(
+    registry: metrics.Registry,
+    service: membership.Membership,
+    leaving: endpoints.LeavingEndpoints,
+) -> None:
+    """Let metrics tell of the members."""
+
+    def count(state: members.MemberState) -> typing.Callable[[], int]:
+        return lambda: sum(
+            member.state is state for member in service.members()
+        )
+
+    for state, meaning in (
+        (members.MemberState.ALIVE, "heard"),
+        (members.MemberState.SUSPECT, "silent"),
+        (members.MemberState.LEAVING, "shutting down"),
+    ):
+        registry.reading(
+            f"membership_{state}",
+            f"Agents of this cell that are {meaning}",
+            count(state),
+        )
+    directory = service.gossip.directory
+    registry.reading(
+        "membership_cells",
+        "Cells known, this one included",
+        lambda: len(directory.stamps()),
+    )
+    registry.reading(
+        "membership_cells_lost",
+        "Cells that seem dead or cut off",
+        lambda: len(directory.lost()),
+    )
+    registry.reading(
+        "membership_fresh",
+        "1 while a peer has answered within the limit, else 0",
+        lambda: int(service.fresh()),
+    )
+    registry.reading(
+        "membership_heartbeats_answered",
+        "Heartbeats that were answered, since start",
+        lambda: service.beats_answered,
+    )
+    registry.reading(
+        "membership_heartbeats_failed",
+        "Heartbeats that were not, since start",
+        lambda: service.beats_failed,
+    )
+    registry.reading(
+        "instance_list_bytes",
+        "Bytes of the instance list read since start",
+        lambda: service.list_reader.bytes_read,
+    )
+    registry.reading(
+        "endpoints_leaving",
+        "Configured endpoints that get no new work",
+        lambda: len(leaving.leaving_endpoints()),
+    )
--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -69,8 +69,10 @@
                 self.beat()
                 self.beats += 1
                 self.failures = 0
+                self.membership.count_beat(True)
             except connections.WireError:
                 self.failures += 1
+                self.membership.count_beat(False)
                 self.disconnect()
             self.wake.wait(self.pause_s())
         self.disconnect()
@@ -125,7 +127,7 @@
             case messages.UnknownAgent():
                 self.full_at = 0.0
             case messages.Superseded():
-                self.membership.superseded = True
+                self.membership.freshness.note_superseded()
                 self.full_at = 0.0
             case _:
                 raise connections.WireError("expected a heartbeat's answer")
@@ -154,7 +156,6 @@
         """Close the connection; the next heartbeat says everything anew."""
         connection, self.connection = self.connection, None
         if connection is not None:
-            self.membership.count_bytes(connection)
             connection.close()
         self.full_at = 0.0
 
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -10,6 +10,7 @@
 
 from briarseam.membership import answering
 from briarseam.membership import cells
+from briarseam.membership import freshness
 from briarseam.membership import gossip
 from briarseam.membership import listing
 from briarseam.membership import messages
@@ -95,9 +96,7 @@
         self.incarnation = state.new_incarnation()
         self.entry_addresses = me.entry_addresses
         self.leaving = False
-        self.superseded = False
-        self.round_at: float | None = None
-        self.tick_at: float | None = None
+        self.freshness = freshness.Freshness(suspect_after_s, clock)
         self.table = tables.Table(me, parts_of, suspect_after_s, clock)
         self.list_reader = listing.ListReader(instances, list_interval_s)
         self.list_reader.add(self.table.take_listing)
@@ -107,8 +106,8 @@
         self.peers: dict[str, peers.Peer] = {}
         self.clients: dict[str, clients.Client] = {}
         self.lock = threading.Lock()
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self.beats_answered = 0
+        self.beats_failed = 0
         self.stopping = threading.Event()
         self.digest = 0
         self.snapshot: tuple[state.Member, ...] = ()
@@ -155,24 +154,8 @@
         )
 
     def fresh(self) -> bool:
-        """Tell whether this agent's view is recent.
-
-        A process that was frozen finds its old view on waking, with dead
-        members still alive in it.  The view counts only when a heartbeat
-        that this agent sent within ``suspect_after_s`` was answered; the
-        time is worked out at the call, so no thread has to run first.
-        """
-        now = self.clock()
-        if self.superseded or self.tick_at is None:
-            return False
-        if now - self.tick_at > self.suspect_after_s:
-            return False
-        if not self.peers:
-            return True
-        return (
-            self.round_at is not None
-            and now - self.round_at <= self.suspect_after_s
-        )
+        """Tell whether this agent's view is recent."""
+        return self.freshness.is_fresh(bool(self.peers))
 
     def announce_leaving(self) -> None:
         """Tell all peers now that this agent will be gone soon."""
@@ -289,7 +272,7 @@
     def take_about(self, about: messages.About, sent_at: float) -> None:
         """Take in a peer's answer to an introduction sent at ``sent_at``."""
         self.table.take_about(about, sent_at)
-        self.note_round(sent_at)
+        self.freshness.note_answer(sent_at)
 
     def take_alive(self, name: str, incarnation: int, sent_at: float) -> None:
         """Take in a peer's answer to a heartbeat sent at ``sent_at``."""
@@ -297,24 +280,20 @@
             found = self.table.records.get(name)
             if found is not None and found.incarnation == incarnation:
                 self.table.note_heard(found, sent_at)
-        self.note_round(sent_at)
-
-    def note_round(self, sent_at: float) -> None:
-        """Note that a heartbeat sent at ``sent_at`` was answered."""
-        self.superseded = False
-        if self.round_at is None or sent_at > self.round_at:
-            self.round_at = sent_at
+        self.freshness.note_answer(sent_at)
 
     def take_peers(self, answer: messages.Peers) -> None:
         """Take in whom a peer hears."""
         for about in answer.members:
             self.table.take_hearsay(about)
 
-    def count_bytes(self, connection: connections.Connection) -> None:
-        """Add a closed connection's bytes to the totals."""
+    def count_beat(self, answered: bool) -> None:
+        """Count a heartbeat by whether it was answered."""
         with self.lock:
-            self.bytes_sent += connection.bytes_sent
-            self.bytes_received += connection.bytes_received
+            if answered:
+                self.beats_answered += 1
+            else:
+                self.beats_failed += 1
 
     # Threads.
 
@@ -330,7 +309,7 @@
         """Judge each member's silence anew and renew the snapshot."""
         with self.table.lock:
             suspicion.review(self.table)
-            self.tick_at = self.clock()
+            self.freshness.note_tick()
             self.digest = self.table.digest(self.incarnation)
             self.snapshot = (self.me, *self.table.members())
             others = self.gossip.directory.members(self.table.my_cell())
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -135,7 +135,7 @@
     a_address = a.membership.settings.agent_address
     earlier = new.membership.incarnation - 1
     old = start("b", listed=False, seeds=(a_address,), incarnation=earlier)
-    waiting.until(lambda: old.membership.superseded)
+    waiting.until(lambda: old.membership.freshness.superseded)
     assert not old.membership.fresh()
     record = a.membership.table.records["b"]
     assert record.incarnation == new.membership.incarnation
