Wait for the entries in the test of lookups

An entry is named once its agent can decide and its peers have heard so, which is not yet the case the moment a deployment has its configuration. The test asked once; it now asks until the answer is the whole set, and fails as before when that never comes.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -6,6 +6,7 @@
 
 from briarseam.testing import answers
 from briarseam.testing import deployment
+from briarseam.testing import waiting
 from briarseam.testing import words
 
 
@@ -91,12 +92,15 @@
 
 def test_where_names_the_entries(running):
     """A caller asks which entries to use and gets those of the cell."""
+    wanted = sorted(instance.address for instance in running.instances)
+    waiting.until(lambda: sorted(ask_where(running)) == wanted)
+
+
+def ask_where(running):
+    """Return the addresses that an entry gives."""
     response = running.caller().open("GET", "/v1/where?session=s", None, {})
     assert response is not None
-    addresses = response.json()["addresses"]
-    assert sorted(addresses) == sorted(
-        instance.address for instance in running.instances
-    )
+    return response.json()["addresses"]
 
 
 def test_an_answer_resumes_at_another_entry(running):
