--- a/bench/entry_streams.py
+++ b/bench/entry_streams.py
@@ -296,6 +296,7 @@
     parser.add_argument("--begin", type=float)
     parser.add_argument("--sample")
     parser.add_argument("--streams", type=int, nargs="*", default=STREAMS)
+    parser.add_argument("--name", default="entry-streams")
     parser.add_argument("--repeats", type=int, default=measuring.REPEATS)
     args = parser.parse_args()
     if args.sample:
@@ -312,7 +313,7 @@
             with tempfile.TemporaryDirectory() as name:
                 rows.append(measure(pathlib.Path(name), streams))
             print(rows[-1], flush=True)
-            measuring.write("entry-streams", rows)
+            measuring.write(args.name, rows)
 
 
 if __name__ == "__main__":
--- a/bench/heartbeat_bytes.py
+++ b/bench/heartbeat_bytes.py
@@ -26,6 +26,8 @@
 # Engines of the cell, engines that this agent polls, its runs under way.
 SIZES = ((0, 0, 0), (4, 1, 32), (32, 1, 815), (138, 5, 815), (4000, 125, 815))
 SHARDS = 32
+CELLS = 36
+CELL_SIZE = 26
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,9 +103,52 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Frame:
+    """Bytes of another message between agents."""
+
+    what: str
+    bytes: int
+
+
+def about(number: int) -> messages.About:
+    """Return what an agent says of itself, with four entry processes."""
+    host = f"10.1.{number // 250}.{number % 250}"
+    entries = tuple(f"{host}:{7151 + port}" for port in range(4))
+    return messages.About(
+        f"cph-hall-a-{number}",
+        "cph-hall-a",
+        f"{host}:7141",
+        entries,
+        2**60,
+        False,
+    )
+
+
+def between_cells() -> list[Frame]:
+    """Return the sizes of the exchange between cells."""
+    stamp = messages.CellStamp(2**41, 2**41)
+    stamps = {f"zone-{number % 12}/{number}": stamp for number in range(CELLS)}
+    members = tuple(map(about, range(CELL_SIZE)))
+    summary = messages.CellSummary("zone-1/1", stamp, members)
+    found = {
+        "question, all stamps": messages.CellsAsked(stamps, ()),
+        "answer, no news": messages.CellsNews((), {}, ()),
+        "answer, half of the stamps": messages.CellsNews(
+            (), dict(list(stamps.items())[: CELLS // 2]), ()
+        ),
+        "answer, one cell changed": messages.CellsNews((summary,), {}, ()),
+    }
+    return [
+        Frame(what, len(codec.encode(one, 2**60)))
+        for what, one in found.items()
+    ]
+
+
 def main() -> None:
     """Measure and write."""
-    rows = [measure(*size) for size in SIZES]
+    rows: list[Row | Frame] = [measure(*size) for size in SIZES]
+    rows += between_cells()
     for row in rows:
         print(row)
     measuring.write("heartbeat-bytes", rows)
--- a/bench/poll_cost.py
+++ b/bench/poll_cost.py
@@ -12,12 +12,16 @@
 
 import contextlib
 import dataclasses
+import http.client
+import socket
 import time
 import typing
 
 import measuring
+import urllib3
 
 from briarseam.configuration import schema
+from briarseam.endpoints import engine_events
 from briarseam.endpoints import engine_load
 from briarseam.endpoints import engine_orders
 from briarseam.platform import instances
@@ -42,6 +46,26 @@
     answer_bytes: int
 
 
+def bytes_of(address: str, path: str) -> int:
+    """Return what a read takes on its connection, heads included."""
+    host, _, port = address.rpartition(":")
+    head = (
+        f"GET {path} HTTP/1.1\r\nHost: {address}\r\n"
+        "Accept-Encoding: identity\r\n"
+        f"User-Agent: python-urllib3/{urllib3.__version__}\r\n\r\n"
+    ).encode()
+    with socket.create_connection((host, int(port)), PATIENCE_S) as sock:
+        sock.sendall(head)
+        response = http.client.HTTPResponse(sock)
+        response.begin()
+        body = response.read()
+    answered = sum(
+        len(f"{name}: {value}\r\n") for name, value in response.getheaders()
+    )
+    first_line = len(f"HTTP/1.1 {response.status} {response.reason}\r\n\r\n")
+    return len(head) + first_line + answered + len(body)
+
+
 def cost_us(step: typing.Callable[[], object], rounds: int) -> float:
     """Return this process's processor time for one step."""
     step()
@@ -72,17 +96,42 @@
     """Return the rows of an engine's two reports."""
     load = engine_load.LoadClient()
     orders = engine_orders.EngineOrders()
-    body = load.pool.request("GET", f"http://{address}/load").data
+    events = engine_events.EventClient()
     return [
-        measure("load", 1, lambda: load.read(address), READS, len(body)),
-        measure("state", 1, lambda: orders.state(address)),
+        measure(
+            "load",
+            1,
+            lambda: load.read(address),
+            READS,
+            bytes_of(address, "/load"),
+        ),
+        measure(
+            "state",
+            1,
+            lambda: orders.state(address),
+            READS,
+            bytes_of(address, "/state"),
+        ),
+        measure(
+            "events, none new",
+            1,
+            lambda: events.events(address, 0),
+            READS,
+            bytes_of(address, "/cache/events?after=0"),
+        ),
     ]
 
 
 def log_row(address: str) -> Row:
     """Return the row of a read that brings nothing."""
     client = platform_log.LogClient(address, PATIENCE_S)
-    return measure("log read, no records", 0, lambda: client.read("s", 0))
+    return measure(
+        "log read, no records",
+        0,
+        lambda: client.read("s", 0),
+        READS,
+        bytes_of(address, "/streams/s?after=0&wait_ms=0&max=1000"),
+    )
 
 
 def list_row(address: str, size: int) -> Row:
