--- a/bench/agent_memory.py
+++ b/bench/agent_memory.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import argparse
 import dataclasses
 import os
 import pathlib
@@ -172,12 +173,16 @@
 
 
 def main() -> None:
-    """Measure all sizes and write them."""
+    """Measure all sizes, or the least one only, and write them."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--name", default="agent-memory")
+    parser.add_argument("--least", action="store_true")
+    args = parser.parse_args()
     rows = []
-    for case in cases():
+    for case in cases()[: 1 if args.least else None]:
         rows.append(measure(case))
         print(rows[-1], flush=True)
-        measuring.write("agent-memory", rows)
+        measuring.write(args.name, rows)
 
 
 if __name__ == "__main__":
