--- a/tests/matrix/test_configuration_agents.py
+++ b/tests/matrix/test_configuration_agents.py
@@ -22,6 +22,8 @@
 
 IN_FORCE_WITHIN_S = 6.0
 NOBODY = "127.0.0.1:1"
+# Longer than an agent that is not cut off goes without proof.
+CUT_OFF_FOR_MS = 4500
 PATH = f"models/{deployment.MODEL}"
 KEY = deployment.SHARED_KEY.encode()
 NUMBERS = (0, 1, 2)
@@ -65,6 +67,11 @@
         except connections.WireError:
             return -1
 
+    def proof_age_ms(self, number):
+        """Return for how long an agent has not seen the log's end."""
+        request = messages.FetchRecords(peers.BEYOND)
+        return self.wire[number].call(request, 1.0).proof_age_ms
+
     def wait(self, offset, numbers=NUMBERS):
         """Wait until these agents have an offset in force."""
         waiting.until(
@@ -190,9 +197,16 @@
     # callers still reach it.  Past the limit it must refuse as not run,
     # since it may miss that an endpoint or an organisation is gone.
     lonely = cluster.machines[2]
-    for machine in cluster.machines:
-        cut(machine.from_peers)
-    cut(lonely.to_log)
+    links = [machine.from_peers for machine in cluster.machines]
+    links.append(lonely.to_log)
+
+    def is_cut_off():
+        for link in links:
+            cut(link)
+        return operator.proof_age_ms(2) > CUT_OFF_FOR_MS
+
+    # A connection that was being made at the first cut outlives it.
+    waiting.until(is_cut_off, what="agent 2 to be cut off")
     offset = operator.publish()
     operator.wait(offset, [0, 1])
 
