--- a/bench/heartbeat_bytes.py
+++ b/bench/heartbeat_bytes.py
@@ -25,7 +25,7 @@
 ROUNDS = 300
 # Engines of the cell, engines that this agent polls, its runs under way.
 SIZES = ((0, 0, 0), (4, 1, 32), (32, 1, 815), (138, 5, 815), (4000, 125, 815))
-SHARDS = 32
+MEMBERS = 32
 CELLS = 36
 CELL_SIZE = 26
 
@@ -80,7 +80,7 @@
     """Return the time for a peer to take the section in."""
     begun = time.process_time()
     for number in range(ROUNDS):
-        known.consume(f"cph-hall-a-{number % SHARDS}", section)
+        known.consume(f"cph-hall-a-{number % MEMBERS}", section)
     return process_us(begun)
 
 
