Share how an entry is found gone; mark replayed calls

The same watch over an entry's connections stood in idempotency and orphans. A replayed service call carries Idempotent-Replayed as a replayed prompt does.

--- a/src/briarseam/admission/idempotency.py
+++ b/src/briarseam/admission/idempotency.py
@@ -13,6 +13,7 @@
 import typing
 
 from briarseam import verdict
+from briarseam.admission import absences
 from briarseam.admission import messages
 from briarseam.claims import messages as claims
 from briarseam.claims import records
@@ -22,7 +23,7 @@
 SLACK_S = 10.0
 PROMPT_BOUND_S = 600.0
 SWEEP_S = 0.25
-# An entry whose connections were cut opens new ones within this.
+# An entry that has no connection for so long is gone.
 GRACE_S = 1.0
 
 
@@ -106,9 +107,8 @@
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self.claims = claims
-        self.connected = connected
+        self.absences = absences.Absences(connected, GRACE_S, clock)
         self.clock = clock
-        self.missing: dict[str, float] = {}
         self.lock = threading.Lock()
         self.attempts: dict[str, Attempt] = {}
         self.stopping = threading.Event()
@@ -137,18 +137,9 @@
         Should the entry live after all, what it reports still counts.
         """
         now = self.clock()
-        connected = self.connected()
         with self.lock:
             entries = {one.keyed.entry for one in self.attempts.values()}
-        self.missing = {
-            entry: self.missing.get(entry, now)
-            for entry in entries - connected
-        }
-        gone = {
-            entry
-            for entry, since in self.missing.items()
-            if now - since >= GRACE_S
-        }
+        gone = self.absences.gone(entries)
         self.lose(
             lambda attempt: (
                 attempt.keyed.entry in gone or attempt.bound_at < now
--- a/src/briarseam/admission/orphans.py
+++ b/src/briarseam/admission/orphans.py
@@ -7,10 +7,11 @@
 import time
 import typing
 
+from briarseam.admission import absences
 from briarseam.admission import messages
 
 SWEEP_S = 0.25
-# An entry whose connections were cut opens new ones within this.
+# An entry that has no connection for so long is gone.
 GRACE_S = 2.0
 # No run is longer: its end was missed.
 BOUND_S = 3600.0
@@ -48,11 +49,10 @@
         end: typing.Callable[[messages.RunEnded], typing.Any],
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
-        self.connected = connected
+        self.absences = absences.Absences(connected, GRACE_S, clock)
         self.end = end
         self.clock = clock
         self.granted: dict[str, Granted] = {}
-        self.missing: dict[str, float] = {}
         self.lock = threading.Lock()
         self.stopping = threading.Event()
 
@@ -85,16 +85,11 @@
     def review(self) -> None:
         """End the runs of entries that have been gone for a while."""
         now = self.clock()
-        connected = self.connected()
         with self.lock:
             runs = list(self.granted.values())
-        absent = {run.entry for run in runs} - connected
-        self.missing = {
-            entry: self.missing.get(entry, now) for entry in absent
-        }
+        gone = self.absences.gone({run.entry for run in runs})
         for run in runs:
-            gone_at = self.missing.get(run.entry, now)
-            if now - gone_at >= GRACE_S or now - run.since >= BOUND_S:
+            if run.entry in gone or now - run.since >= BOUND_S:
                 self.end(ended(run))
 
 
--- a/src/briarseam/answers/calls.py
+++ b/src/briarseam/answers/calls.py
@@ -158,4 +158,4 @@
                 "the call ran; its answer was too long to be kept",
             )
         )
-    return service.ServiceAnswer(replayed.status, replayed.body, JSON)
+    return service.ServiceAnswer(replayed.status, replayed.body, JSON, True)
--- a/src/briarseam/endpoints/service.py
+++ b/src/briarseam/endpoints/service.py
@@ -25,11 +25,14 @@
         Its bytes.
     content_type
         Its media type.
+    replayed
+        Whether it is the answer that the call's key was given before.
     """
 
     status: int
     body: bytes
     content_type: str
+    replayed: bool = False
 
 
 class ServiceClient:
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -35,6 +35,7 @@
 
 EVENT_STREAM = "text/event-stream"
 JSON = "application/json"
+REPLAYED = "Idempotent-Replayed"
 PLAIN = "text/plain; version=0.0.4"
 CALL_DEADLINE_MS = 30_000
 WHERE_TIMEOUT_S = 2.0
@@ -183,7 +184,7 @@
         """
         if replayed.whole or not replayed.answer_id:
             return replay_answer(replayed)
-        cherrypy.response.headers["Idempotent-Replayed"] = "true"
+        cherrypy.response.headers[REPLAYED] = "true"
         with refusals_as_problems():
             try:
                 return self.resume(token_digest, replayed.answer_id, 0)
@@ -224,6 +225,8 @@
         answer = calls.CallRelay(
             request, body, parts.agent, parts.services
         ).run()
+    if answer.replayed:
+        cherrypy.response.headers[REPLAYED] = "true"
     cherrypy.response.status = answer.status
     cherrypy.response.headers["Content-Type"] = answer.content_type
     return answer.body
@@ -269,7 +272,7 @@
     with refusals_as_problems():
         body = b"".join(answer_events.replayed_events(replayed))
     cherrypy.response.headers["Content-Type"] = EVENT_STREAM
-    cherrypy.response.headers["Idempotent-Replayed"] = "true"
+    cherrypy.response.headers[REPLAYED] = "true"
     return body
 
 
--- a/tests/admission/test_once.py
+++ b/tests/admission/test_once.py
@@ -56,6 +56,8 @@
     again = submit(running, key, instance=other)
     assert first.status == 200
     assert again == caller.CallResult(200, first.body, again.headers)
+    assert "Idempotent-Replayed" not in first.headers
+    assert again.headers["Idempotent-Replayed"] == "true"
     assert runs(running, key) == 1
 
 
--- a/tests/entry/test_refusals.py
+++ b/tests/entry/test_refusals.py
@@ -98,7 +98,8 @@
         waiting.until(lambda: running.caller().call(*submission).status == 200)
         running.publish({f"services/{deployment.SERVICE}": None})
         waiting.until(running.is_serving)
-        assert running.caller().call(*submission).status == 200
+        # The outcome is on the log a moment after the first answer.
+        waiting.until(lambda: running.caller().call(*submission).status == 200)
         fresh = caller.new_key()
         told = running.caller().call(
             deployment.SERVICE, deployment.CALL, {"key": fresh}, fresh
