Continue an answer with the adapter that began it

The answer id named the version but not the adapter. When the adapter of a model was changed while an answer was half told and its endpoint was lost, the rest came from the new adapter: tokens that do not follow. The id now carries the adapter, a continuation asks for it, and where nobody has it any more the caller is told so.

Chooser.offers no longer needs the model; the test that calls it is the same but for that. Seen failing without the adapter in the offer: tests/routing/test_versions.py::test_continuation_keeps_its_adapter.

--- a/src/briarseam/admission/guarded.py
+++ b/src/briarseam/admission/guarded.py
@@ -12,6 +12,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.admission import placing
+    from briarseam.orders import state as orders
 
 MS = 1000.0
 
@@ -24,21 +25,21 @@
     ----------
     placer
         Grants endpoints.
-    organisation, request, version
-        The prompt and the version it must have, empty for any.
+    organisation, request, release
+        The prompt, and the version and adapter it must have, if any.
     """
 
     placer: placing.Placer
     organisation: str
     request: messages.Admit
-    version: str
+    release: orders.Offer | None
 
     def grant(self, only: str, deadline: float) -> messages.Granted:
         """Grant any endpoint, or the named one; raise a refusal."""
         left_ms = max(int((deadline - time.monotonic()) * MS), 1)
         request = dataclasses.replace(self.request, deadline_ms=left_ms)
         return self.placer.place_prompt(
-            self.organisation, request, self.version, only
+            self.organisation, request, self.release, only
         )
 
     def withdraw(self, granted: messages.Granted) -> None:
@@ -51,7 +52,7 @@
     placer: placing.Placer,
     organisation: str,
     request: messages.Admit,
-    version: str,
+    release: orders.Offer | None,
 ) -> messages.Granted:
     """Grant a prompt an endpoint, if it may run at all.
 
@@ -64,6 +65,6 @@
         organisation, request.model, request.prompt_digest
     )
     return guard.place(
-        crash_guard.Asked(case, request, version),
-        PromptPlacing(placer, organisation, request, version),
+        crash_guard.Asked(case, request, release.version if release else ""),
+        PromptPlacing(placer, organisation, request, release),
     )
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -23,6 +23,7 @@
     from briarseam.cache import service as kept_cache
     from briarseam.cache import state as cache
     from briarseam.configuration import schema
+    from briarseam.orders import state as orders
 
 RUN_ID_BYTES = 12
 MS = 1000.0
@@ -104,7 +105,7 @@
         self,
         organisation: str,
         request: messages.Admit,
-        version: str,
+        release: orders.Offer | None,
         only: str = "",
     ) -> messages.Granted:
         """Grant a prompt an engine.
@@ -115,8 +116,8 @@
             Whose prompt.
         request
             What was asked.
-        version
-            Weight version the run must use; empty for the one configured.
+        release
+            Weight version and adapter the run must use, if it must.
         only
             The one engine that may get it; empty for any.
 
@@ -143,7 +144,8 @@
                 model=request.model,
                 chain=request.chain,
                 prompt_tokens=request.prompt_tokens,
-                version=version,
+                version=release.version if release else "",
+                adapter=release.adapter if release else "",
                 excluded=frozenset(request.lost),
                 only=only,
             ),
@@ -272,6 +274,7 @@
                 run.model,
                 choice.version,
                 self.parts.home,
+                choice.adapter,
             )
             sealed = answer_id.seal(names, self.parts.key)
         self.runs.add(
--- a/src/briarseam/admission/service.py
+++ b/src/briarseam/admission/service.py
@@ -13,6 +13,7 @@
 from briarseam.admission import placing
 from briarseam.admission import refusals
 from briarseam.answers import locating
+from briarseam.orders import state as orders
 
 if typing.TYPE_CHECKING:
     from briarseam.admission import crash_guard
@@ -167,24 +168,27 @@
     ) -> messages.Granted:
         """Grant a prompt an endpoint."""
         self.check_model(request.model)
-        version = self.required_version(request, organisation)
+        release = self.required_release(request, organisation)
         try:
             return guarded.place(
-                self.parts.guard, self.placer, organisation, request, version
+                self.parts.guard, self.placer, organisation, request, release
             )
         except verdict.RefusalError as error:
-            self.check_version(request.model, version, error)
+            self.check_release(request.model, release, error)
             raise
 
-    def check_version(
-        self, model: str, version: str, error: verdict.RefusalError
+    def check_release(
+        self,
+        model: str,
+        release: orders.Offer | None,
+        error: verdict.RefusalError,
     ) -> None:
         """Tell a continuation that nobody serves its version any more."""
         nowhere = error.given.reason is verdict.Reason.NO_ENDPOINT
-        if nowhere and version:
-            present = self.parts.view().models[model].version
-            if version != present:
-                gone = refusals.version_gone(version)
+        if nowhere and release is not None:
+            wanted = self.parts.view().models[model]
+            if release != orders.Offer(wanted.version, wanted.adapter):
+                gone = refusals.version_gone(release.version)
                 raise verdict.RefusalError(gone) from error
 
     def admit_call(
@@ -234,13 +238,18 @@
         if model not in self.parts.view().models:
             raise verdict.RefusalError(refusals.unknown_model(model))
 
-    def required_version(
+    def required_release(
         self, request: messages.Admit, organisation: str
-    ) -> str:
-        """Return the version a continuation must keep, else nothing."""
+    ) -> orders.Offer | None:
+        """Return what a continuation must keep, else nothing.
+
+        Tokens of another version or adapter would not go on from the
+        ones that the caller has.
+        """
         if not request.continues:
-            return ""
-        return self.locator.unseal(request.continues, organisation).version
+            return None
+        found = self.locator.unseal(request.continues, organisation)
+        return orders.Offer(found.version, found.adapter)
 
     def run_started(self, message: messages.RunStarted) -> messages.Noted:
         """Take in that a run's first token has come."""
--- a/src/briarseam/answers/answer_id.py
+++ b/src/briarseam/answers/answer_id.py
@@ -39,6 +39,8 @@
         What produces it.
     home
         Address of the agent that granted it, which counts its resumes.
+    adapter
+        Adapter that it was begun with; empty for none.
     """
 
     organisation: str
@@ -47,6 +49,7 @@
     model: str
     version: str
     home: str = ""
+    adapter: str = ""
 
 
 def seal(answer: AnswerId, key: bytes) -> str:
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -117,7 +117,7 @@
         if model is None:
             # It was configured when the request came, and waited since.
             return no_choice(f"{ask.model} is not configured any more")
-        for offer in self.offers(ask, model):
+        for offer in self.offers(ask):
             names = self.engines(view, ask, offer)
             if names:
                 break
@@ -156,12 +156,10 @@
             plan=best.plan,
         )
 
-    def offers(
-        self, ask: state.PromptAsk, model: schema.Model
-    ) -> typing.Sequence[orders.Offer]:
+    def offers(self, ask: state.PromptAsk) -> typing.Sequence[orders.Offer]:
         """Return what a prompt may name, best first."""
         if ask.version:
-            return (orders.Offer(ask.version, model.adapter),)
+            return (orders.Offer(ask.version, ask.adapter),)
         return self.parts.offers(ask.model, candidates.session_of(ask))
 
     def next_in_turn(self, names: list[str]) -> str:
@@ -190,7 +188,7 @@
         if ask.model not in view.models:
             return []
         names: dict[str, None] = {}
-        for offer in self.offers(ask, view.models[ask.model]):
+        for offer in self.offers(ask):
             names.update(dict.fromkeys(self.engines(view, ask, offer)))
         return sorted(names, key=self.predictor.busy)
 
--- a/src/briarseam/routing/state.py
+++ b/src/briarseam/routing/state.py
@@ -20,7 +20,9 @@
     prompt_tokens
         Length of the prompt.
     version
-        Weight version the run must use; empty for the one configured.
+        Weight version the run must use; empty for any that is served.
+    adapter
+        Adapter of a run that must use ``version``.
     excluded
         Endpoints that must not get it.
     only
@@ -33,6 +35,7 @@
     chain: tuple[bytes, ...]
     prompt_tokens: int
     version: str = ""
+    adapter: str = ""
     excluded: frozenset[str] = frozenset()
     only: str = ""
 
--- a/tests/routing/test_failures.py
+++ b/tests/routing/test_failures.py
@@ -78,7 +78,7 @@
         age_s = 0.5 if name == "engine-1" else loads.SILENT_AFTER_S + 1
         bench.report(name, busy=3, age_s=age_s)
     ask = conftest.ask()
-    offer = bench.chooser.offers(ask, bench.view.models["draft"])[0]
+    offer = bench.chooser.offers(ask)[0]
     assert len(bench.chooser.engines(bench.view, ask, offer)) == 4
 
 
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -43,3 +43,16 @@
     chooser = chooser_of(bench, {"engine-1": NEW})
     choice = chooser.choose_engine(conftest.ask(version="v1"))
     assert isinstance(choice, state.NoChoice)
+
+
+def test_continuation_keeps_its_adapter(bench):
+    """The adapter was changed while an answer was half told.
+
+    Going on with another would give tokens that do not follow.
+    """
+    begun = orders.Offer("v1", "kitchen")
+    reported = {"engine-1": orders.Offer("v1", "office"), "engine-2": begun}
+    chooser = chooser_of(bench, reported)
+    ask = conftest.ask(version="v1", adapter="kitchen")
+    choice = chooser.choose_engine(ask)
+    assert (choice.endpoint, choice.adapter) == ("engine-2", "kitchen")
