--- a/src/briarseam/cache/names.py
+++ b/src/briarseam/cache/names.py
@@ -210,11 +210,6 @@
     )
 
 
-def group_prefix(group: bytes) -> str:
-    """Return what the names of a group's blocks begin with."""
-    return group.hex()
-
-
 def rank(group: bytes, store: str) -> bytes:
     """Return a store's place for a group; the lowest is its home."""
     data = group + store.encode()
