--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -10,6 +10,11 @@
     trap - EXIT HUP INT TERM
     # shellcheck disable=SC2086
     [ -z "$pids" ] || kill $pids 2>/dev/null || true
+    # Everything goes at once and nobody calls any more: the second signal
+    # ends the graceful shutdown.
+    sleep 0.5
+    # shellcheck disable=SC2086
+    [ -z "$pids" ] || kill $pids 2>/dev/null || true
     wait
 }
 trap stop_all EXIT
