Hold the bound of two engines while agents and entries are killed

First: an agent that owns the prompt it grants dies with the engine, and with it all that was known.

Change: an agent that owns a prompt it grants tells the next on the ring; whoever asks for a trial says what it knows; a trial counts once it is read back from the log, and only if no earlier one bars it; a silent agent is passed over for 2 s, not 5.

Ruled out: asking the log for each prompt's first run (several hundred appends a second is all it takes).

Seen failing with the guard removed: the copied hold, the items of who asks, the order of two keepers' trials (each test failed before its code was written in, or on a scratch copy).

--- a/src/briarseam/admission/condemnation.py
+++ b/src/briarseam/admission/condemnation.py
@@ -186,6 +186,7 @@
         self.trials: dict[str, Trial] = {}
         self.passed: dict[str, TrialPassed] = {}
         self.ended: dict[str, TrialEnded] = {}
+        self.orders: dict[str, tuple[int, int]] = {}
 
     def merge(self, item: Item) -> bool:
         """Take an item in; tell whether it was new."""
@@ -221,6 +222,15 @@
             return Suspect(tuple(loss.group for loss in losses))
         return Clear()
 
+    def of_prompt(self, fingerprint: str) -> list[Item]:
+        """Return what is known of a prompt's losses."""
+        with self.lock:
+            losses = self.losses.get(fingerprint, {})
+            items: list[Item] = list(losses.values())
+            found = [self.cleared.get(group) for group in losses]
+        items += dict.fromkeys(item for item in found if item is not None)
+        return items
+
     def counting(self, fingerprint: str) -> list[Lost]:
         """Return a prompt's losses that count; call it under ``lock``."""
         losses = [
@@ -266,6 +276,36 @@
             if trial.group not in self.passed
         }
 
+    def note_order(self, item: Item, order: tuple[int, int]) -> None:
+        """Take in where in the log a trial stands first."""
+        if isinstance(item, Trial):
+            with self.lock:
+                self.orders.setdefault(item.group, order)
+
+    def is_ordered(self, group: str) -> bool:
+        """Tell whether a trial was read back from the log."""
+        return group in self.orders
+
+    def comes_first(self, trial: Trial) -> bool:
+        """Tell whether no trial before this one in the log bars it.
+
+        Two agents may both think that they keep the trials; the log tells
+        whose trial is the one.
+        """
+        mine = self.orders.get(trial.group)
+        if mine is None:
+            return True
+        for other in self.running_trials():
+            order = self.orders.get(other.group)
+            if order is None or order >= mine:
+                continue
+            if other.fingerprint == trial.fingerprint:
+                return False
+            guarded = other.group not in self.passed
+            if guarded and other.endpoint == trial.endpoint:
+                return False
+        return True
+
     def recent(self, since_ms: int, limit: int) -> list[Item]:
         """Return the newest items after a time, at most ``limit``."""
         with self.lock:
@@ -291,6 +331,8 @@
                     del self.losses[fingerprint]
             drop_old(self.cleared, oldest)
             drop_old(self.trials, oldest)
+            for group in set(self.orders) - set(self.trials):
+                del self.orders[group]
             drop_old(self.passed, oldest)
             drop_old(self.ended, oldest)
 
--- a/src/briarseam/admission/condemnation_log.py
+++ b/src/briarseam/admission/condemnation_log.py
@@ -77,8 +77,6 @@
         self.book = book
         self.clock = clock
         self.pending: list[condemnation.Item] = []
-        self.noted = 0
-        self.written = 0
         self.changed = threading.Condition()
         self.stopping = threading.Event()
         self.caught_up = threading.Event()
@@ -126,8 +124,11 @@
                     detail=str(error),
                 )
                 continue
-            for item in items:
+            for index, item in enumerate(items):
                 self.merge(item)
+                self.book.note_order(item, (record.offset, index))
+        with self.changed:
+            self.changed.notify_all()
         if not batch.records or batch.records[-1].offset >= batch.next - 1:
             self.caught_up.set()
 
@@ -158,11 +159,12 @@
         with self.changed:
             if len(self.pending) < MAX_PENDING:
                 self.pending.append(item)
-                self.noted += 1
             self.changed.notify_all()
 
-    def wait_written(self, timeout_s: float) -> None:
-        """Wait until what was noted so far is in the log.
+    def wait_ordered(
+        self, trial: condemnation.Trial, timeout_s: float
+    ) -> None:
+        """Wait until a trial that was noted is read back from the log.
 
         Not while the log is known to be away: what it lacks is in the
         memories of this agent and its peers only.
@@ -170,8 +172,9 @@
         if not self.follower.available:
             return
         with self.changed:
-            wanted = self.noted
-            self.changed.wait_for(lambda: self.written >= wanted, timeout_s)
+            self.changed.wait_for(
+                lambda: self.book.is_ordered(trial.group), timeout_s
+            )
 
     def append_on(self) -> None:
         """Append what is pending until stopped."""
@@ -200,8 +203,6 @@
             return False
         with self.changed:
             del self.pending[: len(items)]
-            self.written += len(items)
-            self.changed.notify_all()
         return True
 
     def forget_on(self) -> None:
--- a/src/briarseam/admission/crash_guard.py
+++ b/src/briarseam/admission/crash_guard.py
@@ -18,6 +18,8 @@
 TRIAL_BYTES = 12
 TRIAL_WAIT_S = 0.4
 MAX_TURNS = 4
+# News of a loss reach all agents by the log within this.
+NEWS_S = 0.3
 MIN_RETRY_S = 1.0
 MS = 1000.0
 LOST = (
@@ -161,7 +163,11 @@
         granted = self.place_fresh(asked, placing, deadline)
         if granted is not None:
             return granted
-        # Its owner knows of a loss that has not reached this agent.
+        # Its owner knows of a loss that has not reached this agent, nor
+        # perhaps the keeper of trials, should that have changed just now.
+        if not self.is_suspect(asked):
+            threading.Event().wait(NEWS_S)
+            self.is_suspect(asked)
         return self.place_suspect(asked, placing, deadline)
 
     def is_suspect(self, asked: Asked) -> bool:
@@ -226,8 +232,7 @@
         self, asked: Asked, placing: Placing, deadline: float
     ) -> admission.Granted:
         """Grant a suspect its trial."""
-        trial = secrets.token_hex(TRIAL_BYTES)
-        answer = self.await_trial(asked, trial, deadline)
+        answer = self.await_trial(asked, deadline)
         match answer.word:
             case messages.TrialWord.CONDEMNED:
                 for item in records.decode_items(answer.items):
@@ -243,16 +248,17 @@
         try:
             granted = placing.grant(answer.endpoint, deadline)
         except verdict.RefusalError:
-            self.end_trial(trial)
+            self.end_trial(answer.run)
             raise
-        self.watch(asked.case, granted, trial, True, answer.groups)
+        self.watch(asked.case, granted, answer.run, True, answer.groups)
         return granted
 
     def await_trial(
-        self, asked: Asked, trial: str, deadline: float
+        self, asked: Asked, deadline: float
     ) -> messages.TrialAnswered:
         """Ask the keeper until it grants, condemns, or time is up."""
         busy = messages.TrialAnswered(messages.TrialWord.BUSY)
+        trial = secrets.token_hex(TRIAL_BYTES)
         while True:
             left_s = max(deadline - self.parts.clock(), 0.0)
             endpoints = self.parts.endpoints.idlest(
@@ -266,6 +272,9 @@
                     trial,
                     tuple(endpoints),
                     min(left_s, TRIAL_WAIT_S),
+                    records.encode_items(
+                        self.parts.book.of_prompt(asked.case.fingerprint)
+                    ),
                 )
             )
             if answer is not None and answer.word is not busy.word:
@@ -274,6 +283,10 @@
                 return busy
             if answer is None:
                 threading.Event().wait(min(left_s, TRIAL_WAIT_S))
+            else:
+                # The name may have been given up with a trial that was not
+                # the first; only one whose answer was lost is asked again.
+                trial = secrets.token_hex(TRIAL_BYTES)
 
     def watch(
         self,
--- a/src/briarseam/admission/crash_messages.py
+++ b/src/briarseam/admission/crash_messages.py
@@ -24,6 +24,23 @@
     endpoint: str
 
 
+@codec.message("prompt-hold-copied")
+@dataclasses.dataclass(frozen=True)
+class HoldCopy:
+    """Tell who would own the prompt next of a run that is held.
+
+    Attributes
+    ----------
+    fingerprint, run, endpoint, group
+        As in the messages between an agent and the owner.
+    """
+
+    fingerprint: str
+    run: str
+    endpoint: str
+    group: str
+
+
 @codec.message("prompt-holding")
 @dataclasses.dataclass(frozen=True)
 class Holding:
@@ -98,6 +115,8 @@
         Where it may be, the best first.
     wait_s
         How long to wait for a place, in seconds.
+    items
+        What the asker knows of the prompt.
     """
 
     fingerprint: str
@@ -106,6 +125,7 @@
     run: str
     endpoints: tuple[str, ...]
     wait_s: float
+    items: bytes = b""
 
 
 class TrialWord(enum.StrEnum):
@@ -126,8 +146,8 @@
     ----------
     word
         What may be done.
-    endpoint
-        Where the trial is, when granted.
+    run, endpoint
+        The trial and where it is, when granted.
     groups
         The losses that it may clear.
     items
@@ -135,6 +155,7 @@
     """
 
     word: TrialWord
+    run: str = ""
     endpoint: str = ""
     groups: tuple[str, ...] = ()
     items: bytes = b""
--- a/src/briarseam/admission/holdings.py
+++ b/src/briarseam/admission/holdings.py
@@ -65,6 +65,16 @@
                 held.runs[ask.run] = self.clock()
             return messages.Holding(held.endpoint, held.group, False)
 
+    def copy(self, told: messages.HoldCopy) -> messages.PromptNoted:
+        """Remember a run in case its owner dies with what it knows."""
+        with self.lock:
+            held = self.held.get(told.fingerprint)
+            if held is None or held.endpoint != told.endpoint:
+                held = Held(told.endpoint, told.group)
+                self.held[told.fingerprint] = held
+            held.runs[told.run] = self.clock()
+        return messages.PromptNoted()
+
     def present(self, ask: messages.Hold) -> Held:
         """Return where a prompt's runs are, or begin with this one."""
         held = self.held.get(ask.fingerprint)
--- a/src/briarseam/admission/trials.py
+++ b/src/briarseam/admission/trials.py
@@ -38,8 +38,10 @@
     def note(self, item: condemnation.Item) -> None:
         """Take in what was found here, and have it appended."""
 
-    def wait_written(self, timeout_s: float) -> None:
-        """Wait until what was noted so far is in the log."""
+    def wait_ordered(
+        self, trial: condemnation.Trial, timeout_s: float
+    ) -> None:
+        """Wait until a trial that was noted is read back from the log."""
 
 
 class Trials:
@@ -73,10 +75,20 @@
         its endpoint and all agents be replaced in the same moment, those
         that come after find it there without an end.
         """
+        if ask.items:
+            self.take(records.decode_items(ask.items))
         answer = self.await_place(ask)
-        if answer.word is messages.TrialWord.GRANTED:
-            self.log.wait_written(WRITE_S)
-        return answer
+        trial = self.book.trials.get(ask.run)
+        if answer.word is not messages.TrialWord.GRANTED or trial is None:
+            return answer
+        self.log.wait_ordered(trial, WRITE_S)
+        if self.book.comes_first(trial):
+            return answer
+        # Another agent keeps trials too, and was first: this agent, or
+        # that one, was taken for dead by a part of the others.
+        now_ms = self.book.now_ms()
+        self.log.note(condemnation.TrialEnded(trial.group, now_ms))
+        return messages.TrialAnswered(messages.TrialWord.BUSY)
 
     def await_place(self, ask: messages.AskTrial) -> messages.TrialAnswered:
         """Answer as soon as the prompt's turn has come, or time is up."""
@@ -133,7 +145,7 @@
             # The answer that granted it was lost.
             if trial.group == ask.run:
                 return messages.TrialAnswered(
-                    messages.TrialWord.GRANTED, trial.endpoint, groups
+                    messages.TrialWord.GRANTED, ask.run, trial.endpoint, groups
                 )
         taken = self.book.guarded_endpoints()
         free = [name for name in ask.endpoints if name not in taken]
@@ -151,7 +163,7 @@
         )
         self.log.note(trial)
         return messages.TrialAnswered(
-            messages.TrialWord.GRANTED, trial.endpoint, groups
+            messages.TrialWord.GRANTED, ask.run, trial.endpoint, groups
         )
 
     def take(self, items: typing.Iterable[condemnation.Item]) -> None:
--- a/src/briarseam/compose/crashes.py
+++ b/src/briarseam/compose/crashes.py
@@ -40,7 +40,7 @@
 # An owner that does not answer holds a prompt up for so long, then the
 # next in rank is asked for a while.
 ASK_S = 0.3
-AVOID_S = 5.0
+AVOID_S = 2.0
 # A trial is written to the log before it is granted.
 TRIAL_SLACK_S = trials.WRITE_S + 2 * ASK_S
 ASKED = 3
@@ -131,6 +131,7 @@
         """Answer the other agents."""
         for kind in (
             messages.Hold,
+            messages.HoldCopy,
             messages.Release,
             messages.AskTrial,
             messages.Accuse,
@@ -142,6 +143,8 @@
         match message:
             case messages.Hold():
                 return self.held.hold(message)
+            case messages.HoldCopy():
+                return self.held.copy(message)
             case messages.Release():
                 return self.held.release(message)
             case messages.AskTrial():
@@ -169,12 +172,48 @@
     def hold(self, ask: messages.Hold) -> messages.Holding | None:
         """Ask the prompt's owner; ``None`` when it does not answer."""
         reply = self.ask(OWNER_KEY.format(ask.fingerprint), ask)
-        return reply if isinstance(reply, messages.Holding) else None
+        if not isinstance(reply, messages.Holding):
+            return None
+        if reply.endpoint == ask.endpoint and not reply.suspect:
+            self.copy_own(
+                messages.HoldCopy(
+                    ask.fingerprint, ask.run, ask.endpoint, reply.group
+                )
+            )
+        return reply
+
+    def copy_own(self, copy: messages.HoldCopy) -> None:
+        """Let another agent know of a run that only this one would.
+
+        An agent that owns the prompt it grants takes both with it when it
+        dies; with the endpoint dead as well, nobody would have seen the
+        loss, and the prompt's resends took down three.
+        """
+        agents = self.agents.first(OWNER_KEY.format(copy.fingerprint), 2)
+        if agents[0].name == self.agents.me.name and len(agents) > 1:
+            self.tell(agents[1], copy)
+
+    def tell(self, agent: owners.Agent, message: codec.Message) -> None:
+        """Tell one agent; may be lost."""
+        if self.silent.get(agent.name, 0.0) > time.monotonic():
+            return
+        try:
+            self.clients(agent.address).call(message, ASK_S)
+        except connection.WireError:
+            self.silent[agent.name] = time.monotonic() + AVOID_S
+
+    def tell_release(self, told: messages.Release) -> None:
+        """Tell the prompt's owner, and who has a copy if this is it."""
+        key = OWNER_KEY.format(told.fingerprint)
+        self.ask(key, told)
+        agents = self.agents.first(key, 2)
+        if agents[0].name == self.agents.me.name and len(agents) > 1:
+            self.tell(agents[1], told)
 
     def release(self, told: messages.Release) -> None:
         """Tell the prompt's owner, of a good end without waiting for it."""
         if not told.whole:
-            self.ask(OWNER_KEY.format(told.fingerprint), told)
+            self.tell_release(told)
             return
         # The owner forgets a run by itself in time.
         with contextlib.suppress(queue.Full):
@@ -204,7 +243,7 @@
     def tell_on(self) -> None:
         """Tell until stopped."""
         while (told := self.releases.get()) is not None:
-            self.ask(OWNER_KEY.format(told.fingerprint), told)
+            self.tell_release(told)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/admission/test_condemnation.py
+++ b/tests/admission/test_condemnation.py
@@ -155,8 +155,9 @@
         self.book.merge(item)
         self.noted.append(item)
 
-    def wait_written(self, timeout_s: float) -> None:
+    def wait_ordered(self, trial, timeout_s: float) -> None:
         self.written = len(self.noted)
+        self.book.note_order(trial, (self.written, 0))
 
 
 class FakeEndpoints:
@@ -412,3 +413,59 @@
     again = site.place((granted.endpoint,))
     assert isinstance(again, messages.Granted)
     assert isinstance(book.standing(CASE.fingerprint), condemnation.Suspect)
+
+
+def test_run_known_to_its_owner_only_is_copied_on():
+    """The owner of a prompt grants it, and dies with the endpoint.
+
+    Whoever owns the prompt next tells where it ran, group and all.
+    """
+    held = holdings.Holdings()
+    held.copy(
+        crash_messages.HoldCopy(CASE.fingerprint, "a", "engine-0", "first")
+    )
+    holding = held.hold(hold("b", "engine-1"))
+    assert (holding.endpoint, holding.group) == ("engine-0", "first")
+    held.release(release("a", whole=True))
+    assert held.hold(hold("c", "engine-1")).endpoint == "engine-1"
+
+
+def test_keeper_learns_the_loss_from_who_asks(tried, book):
+    """The agent that kept the trials dies; the next one knows of nothing."""
+    item = lost("engine-0")
+    ask = dataclasses.replace(
+        ask_trial(CASE, "t1", "engine-1"), items=records.encode_items([item])
+    )
+    assert tried.ask(ask).word == "granted"
+    assert book.of_prompt(CASE.fingerprint) == [item]
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        pytest.param((CASE, "engine-2"), id="same prompt"),
+        pytest.param((OTHER, "engine-1"), id="same endpoint"),
+    ],
+)
+def test_second_keepers_later_trial_is_withdrawn(tried, book, fake_log, other):
+    """A suspect takes down two engines at once, or an innocent with it.
+
+    The keeper of trials was restarted; some agents ask it, some the one
+    that kept them in between.  Both grant a trial, the log tells whose
+    came first.
+    """
+    case, endpoint = other
+    rival = condemnation.Trial(
+        case.fingerprint, "north", "draft", endpoint, "rival", book.now_ms()
+    )
+
+    def read_back(trial, timeout_s: float) -> None:
+        book.merge(rival)
+        book.note_order(rival, (1, 0))
+        book.note_order(trial, (2, 0))
+
+    fake_log.wait_ordered = read_back
+    book.merge(lost("engine-0"))
+    answer = tried.ask(ask_trial(CASE, "t1", "engine-1"))
+    assert answer.word == "busy"
+    assert [one.group for one in book.running_trials()] == ["rival"]
