--- a/src/briarseam/admission/dispatch.py
+++ b/src/briarseam/admission/dispatch.py
@@ -28,8 +28,6 @@
 # the next run at hand when one ends.
 ENGINE_QUEUE_PART = 0.25
 MIN_COST_S = 0.01
-# Organisations looked at for one free slot; each look is a choice.
-HEADS = 4
 Outcome = routing.Choice | verdict.NotRun
 log = structlog.get_logger("briarseam.admission")
 
@@ -302,17 +300,11 @@
         self.refuse_all()
 
     def drain(self, queue: Queue) -> None:
-        """Serve in fair order as far as there is room.
-
-        Guard: a prompt may be better off waiting for the busy engine that
-        has its start.  Were only the first in turn looked at, everybody
-        would wait with it while other engines have slots free.
-        """
-        while any(
-            self.serve_head(queue, organisation, waiter)
-            for organisation, waiter in queue.heads(HEADS)
-        ):
-            pass
+        """Serve in fair order as far as there is room."""
+        while (head := queue.head()) is not None:
+            organisation, waiter = head
+            if not self.serve_head(queue, organisation, waiter):
+                return
 
     def serve_head(
         self, queue: Queue, organisation: str, waiter: Waiter
--- a/src/briarseam/admission/fair_queue.py
+++ b/src/briarseam/admission/fair_queue.py
@@ -78,10 +78,13 @@
         heapq.heappush(lane.heap, entry)
         self.size += 1
 
-    def heads(self, limit: int) -> list[tuple[str, Item]]:
-        """Return whose turn it is and who comes next, still waiting."""
-        first = heapq.nsmallest(limit, self.active(), self.start_of)
-        return [(name, self.lanes[name].heap[0][3]) for name in first]
+    def head(self) -> tuple[str, Item] | None:
+        """Return whose turn it is, without taking it out."""
+        active = self.active()
+        if not active:
+            return None
+        organisation = min(active, key=self.start_of)
+        return organisation, self.lanes[organisation].heap[0][3]
 
     def start_of(self, organisation: str) -> float:
         """Return the virtual time at which an organisation is served next.
