Explain every argument in the help; fit it on a phone

Cause: options that must be given showed '(default: None)', PATH, DIR and PREFIX had no text, and on 40 columns the usage was up to 53 wide. `briarseam claim` on a narrow terminal printed 'value:' before each value.

Change: one help formatter for all subcommands and actions; texts with units and defaults for all arguments; a line for each field of a claim.

--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -11,6 +11,7 @@
 import typing
 
 import briarseam
+from briarseam.command import help_format
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -51,7 +52,7 @@
     Command(
         "condemned",
         "briarseam.command.condemned",
-        "show and lift condemnations of prompts that crash endpoints",
+        "show and lift prompts refused for crashing endpoints",
     ),
     Command(
         "demo",
@@ -145,6 +146,7 @@
     parser = argparse.ArgumentParser(
         prog="briarseam",
         description=briarseam.__doc__,
+        formatter_class=help_format.HelpFormatter,
         allow_abbrev=False,
     )
     subparsers = parser.add_subparsers(metavar="SUBCOMMAND")
@@ -153,7 +155,7 @@
             command.name,
             help=command.summary,
             description=sentence(command.summary),
-            formatter_class=argparse.ArgumentDefaultsHelpFormatter,
+            formatter_class=help_format.HelpFormatter,
             allow_abbrev=False,
         )
         if command is chosen:
--- a/src/briarseam/command/claim.py
+++ b/src/briarseam/command/claim.py
@@ -22,9 +22,14 @@
 
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the options of the subcommand."""
-    parser.add_argument("key", help="the Idempotency-Key, a UUIDv7")
     parser.add_argument(
-        "--organisation", required=True, help="whose key it is"
+        "key", metavar="KEY", help="the Idempotency-Key, a UUIDv7"
+    )
+    parser.add_argument(
+        "--organisation",
+        metavar="NAME",
+        required=True,
+        help="whose key it is",
     )
     options.add_settings(parser)
     options.add_output(parser)
@@ -52,7 +57,7 @@
     if getattr(args, "json", False):
         output.print_json(found)
         return 0
-    output.print_records(args, ("what", "value"), rows(found))
+    output.print_fields(args, rows(found))
     return 0
 
 
--- a/src/briarseam/command/condemned.py
+++ b/src/briarseam/command/condemned.py
@@ -10,6 +10,7 @@
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_log
 from briarseam.admission import condemnation_records as records
+from briarseam.command import help_format
 from briarseam.command import options
 from briarseam.command import output
 from briarseam.configuration import teams as team_types
@@ -132,14 +133,30 @@
 
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the options of the subcommand."""
-    actions = parser.add_subparsers(dest="action", required=True)
-    listed = actions.add_parser(LIST, help="show the condemned prompts")
+    actions = parser.add_subparsers(
+        dest="action", metavar="ACTION", required=True
+    )
+    listed = actions.add_parser(
+        LIST,
+        help="show the condemned prompts",
+        description="Show the condemned prompts.",
+        formatter_class=help_format.HelpFormatter,
+        allow_abbrev=False,
+    )
     options.add_settings(listed)
     options.add_output(listed)
     lifted = actions.add_parser(
-        LIFT, help="let a condemned prompt run again, as if it were new"
+        LIFT,
+        help="let a condemned prompt run again",
+        description="Let a condemned prompt run again, as if it were new.",
+        formatter_class=help_format.HelpFormatter,
+        allow_abbrev=False,
+    )
+    lifted.add_argument(
+        "prompt",
+        metavar="PROMPT",
+        help="as listed; its first digits will do",
     )
-    lifted.add_argument("prompt", help="as listed, or how it begins")
     options.add_settings(lifted)
 
 
--- a/src/briarseam/command/config.py
+++ b/src/briarseam/command/config.py
@@ -9,6 +9,7 @@
 from briarseam import tokens
 from briarseam.command import config_options
 from briarseam.command import config_session
+from briarseam.command import help_format
 from briarseam.command import options
 from briarseam.configuration import declarations
 from briarseam.configuration import fold as folds
@@ -45,18 +46,24 @@
 def add_reading(actions: typing.Any) -> None:
     """Add the actions that only read."""
     found = add_action(actions, "get", get, "show one path")
-    found.add_argument("path", metavar="PATH")
+    config_options.add_path(found)
     found = add_action(actions, "tree", tree, "show all paths")
-    found.add_argument("prefix", metavar="PREFIX", nargs="?", default="")
+    config_options.add_prefix(found)
     found = add_action(
         actions, "diff", diff, "show what apply would change, publish nothing"
     )
-    found.add_argument("directory", metavar="DIR")
+    config_options.add_directory(found)
     config_options.add_author(found)
     config_options.add_since(found)
     found = add_action(actions, "history", show_history, "show past changes")
-    found.add_argument("prefix", metavar="PREFIX", nargs="?", default="")
-    found.add_argument("--last", type=int, default=HISTORY_SHOWN)
+    config_options.add_prefix(found)
+    found.add_argument(
+        "--last",
+        metavar="N",
+        type=int,
+        default=HISTORY_SHOWN,
+        help="show the newest N changes",
+    )
 
 
 def add_changing(actions: typing.Any) -> None:
@@ -64,7 +71,7 @@
     found = add_action(
         actions, "apply", apply, "make a team's subtree what DIR declares"
     )
-    found.add_argument("directory", metavar="DIR")
+    config_options.add_directory(found)
     found.add_argument(
         "--start-over",
         action="store_true",
@@ -73,8 +80,8 @@
     config_options.add_since(found)
     config_options.add_publishing(found)
     found = add_action(actions, "set", set_fields, "set or delete one path")
-    found.add_argument("path", metavar="PATH")
-    found.add_argument("fields", metavar="FIELD=VALUE", nargs="*")
+    config_options.add_path(found)
+    config_options.add_fields(found)
     found.add_argument("--delete", action="store_true", help="delete PATH")
     config_options.add_publishing(found)
 
@@ -87,7 +94,11 @@
 ) -> argparse.ArgumentParser:
     """Add one action with the options that all have."""
     found: argparse.ArgumentParser = actions.add_parser(
-        name, help=summary, description=summary, allow_abbrev=False
+        name,
+        help=summary,
+        description=f"{summary[0].upper()}{summary[1:]}.",
+        formatter_class=help_format.HelpFormatter,
+        allow_abbrev=False,
     )
     found.set_defaults(action=action)
     options.add_settings(found)
--- a/src/briarseam/command/config_options.py
+++ b/src/briarseam/command/config_options.py
@@ -13,10 +13,49 @@
 DEFAULT_SETTLE = "10s"
 
 
+def add_path(found: argparse.ArgumentParser) -> None:
+    """Add the argument for one path."""
+    found.add_argument(
+        "path", metavar="PATH", help="such as models/certificate-draft"
+    )
+
+
+def add_prefix(found: argparse.ArgumentParser) -> None:
+    """Add the argument for the beginning of paths."""
+    found.add_argument(
+        "prefix",
+        metavar="PREFIX",
+        nargs="?",
+        default="",
+        help="only paths that begin so, such as endpoints/; all unless given",
+    )
+
+
+def add_directory(found: argparse.ArgumentParser) -> None:
+    """Add the argument for the declarations."""
+    found.add_argument(
+        "directory",
+        metavar="DIR",
+        help="folder of declarations, INI files with a section for each path",
+    )
+
+
+def add_fields(found: argparse.ArgumentParser) -> None:
+    """Add the argument for the fields to set."""
+    found.add_argument(
+        "fields",
+        metavar="FIELD=VALUE",
+        nargs="*",
+        help="a field to set; an empty value takes it back to its default",
+    )
+
+
 def add_author(found: argparse.ArgumentParser) -> None:
     """Add the option for the author's team."""
     found.add_argument(
-        "--team", help="author; needed when the settings name several"
+        "--team",
+        metavar="NAME",
+        help="team that signs; needed when the settings name several",
     )
 
 
@@ -35,26 +74,31 @@
     add_author(found)
     found.add_argument(
         "--operator",
-        default=None,
+        metavar="NAME",
         help="name for the history; the login name unless given",
     )
     found.add_argument(
         "--entry",
         type=options.address,
         metavar="IP:PORT",
-        help="entry to ask how far a change has come",
+        help="entry to ask how far a change has come; the settings' own "
+        "unless given",
     )
     found.add_argument(
         "--timeout",
+        metavar="DURATION",
         type=options.duration_s,
         default=DEFAULT_WAIT,
-        help="how long to follow an accepted change (default: %(default)s)",
+        help="how long to wait until an accepted change is in force "
+        "everywhere, such as 500ms, 30s or 2m",
     )
     found.add_argument(
         "--settle",
+        metavar="DURATION",
         type=options.duration_s,
         default=DEFAULT_SETTLE,
-        help="how long to find out what became of it (default: %(default)s)",
+        help="how long to ask the log what became of a change whose "
+        "answer was lost, in the same form",
     )
     found.add_argument(
         "--no-follow",
--- a/src/briarseam/command/output.py
+++ b/src/briarseam/command/output.py
@@ -16,6 +16,7 @@
 NARROW_BELOW_COLUMNS = 60
 INDENT = "  "
 GAP = "  "
+FIELD_HEADERS = ("what", "value")
 
 
 def is_narrow(args: argparse.Namespace) -> bool:
@@ -58,6 +59,27 @@
         print(line)
 
 
+def print_fields(
+    args: argparse.Namespace,
+    fields: collections.abc.Sequence[collections.abc.Sequence[str]],
+) -> None:
+    """Print names and values of one thing, narrow with a line for each.
+
+    Parameters
+    ----------
+    args
+        Parsed options, for ``--narrow``.
+    fields
+        Name and value of each.
+    """
+    if not is_narrow(args):
+        print_records(args, FIELD_HEADERS, fields)
+        return
+    for name, value in fields:
+        for line in folded(f"{name}: {value}", ""):
+            print(line)
+
+
 def table_lines(
     headers: collections.abc.Sequence[str],
     rows: collections.abc.Sequence[collections.abc.Sequence[str]],
--- a/src/briarseam/command/settings.py
+++ b/src/briarseam/command/settings.py
@@ -6,6 +6,7 @@
 import typing
 
 from briarseam import settings
+from briarseam.command import help_format
 from briarseam.command import options
 from briarseam.command import output
 
@@ -43,6 +44,8 @@
     check = actions.add_parser(
         "check",
         help="check a file and print every value with its source",
+        description="Check a file and print every value with its source.",
+        formatter_class=help_format.HelpFormatter,
         allow_abbrev=False,
     )
     check.add_argument("file", metavar="FILE", help="settings, an INI file")
--- a/src/briarseam/command/stand_in.py
+++ b/src/briarseam/command/stand_in.py
@@ -44,7 +44,12 @@
 
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the subcommand's options."""
-    parser.add_argument("kind", choices=sorted(SWITCHES), help="which one")
+    parser.add_argument(
+        "kind",
+        metavar="KIND",
+        choices=sorted(SWITCHES),
+        help=f"one of {', '.join(sorted(SWITCHES))}",
+    )
     parser.add_argument(
         "--listen",
         metavar="IP:PORT",
@@ -70,7 +75,10 @@
         help="weights that an engine has at the start; may be repeated",
     )
     parser.add_argument(
-        "--role", default="mixed", help="role that an engine has at the start"
+        "--role",
+        metavar="ROLE",
+        default="mixed",
+        help="role that an engine has at the start",
     )
     parser.add_argument(
         "--instance",
