--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -40,6 +40,7 @@
         self.address = ""
         self.sent: dict[str, bytes] = {}
         self.sent_about: messages.About | None = None
+        self.introducing = False
         self.full_at = 0.0
         self.asked_at = 0.0
         self.asked_digest = 0
@@ -77,6 +78,10 @@
             self.wake.wait(self.pause_s())
         self.disconnect()
 
+    def is_introducing(self) -> bool:
+        """Tell whether an introduction is out and may have been read."""
+        return self.introducing and not self.failures
+
     def pause_s(self) -> float:
         """Return the time to the next heartbeat.
 
@@ -102,6 +107,7 @@
         # process be frozen between sending and reading, the reply it finds
         # on waking is old, and so must the time be that it stands for.
         sent_at = self.membership.clock()
+        self.introducing = isinstance(beat, messages.Introduction)
         connection.set_timeout(self.membership.reply_timeout_s)
         connection.send(beat)
         self.take(connection, beat, connection.receive(), sent_at)
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -170,13 +170,24 @@
 
         A stopping instance's last lookups are given out before its peers
         know that it is leaving; their time to live counts from then on.
+        A peer that has just been heard, or whose first answer is still
+        under way, may give them out as well as one in the snapshot.
         """
         about = self.about()
-        live = {member.name for member in self.live(include_leaving=True)}
+        now = self.clock()
+        with self.table.lock:
+            heard = {
+                name
+                for name, found in self.table.records.items()
+                if found.silent_s(now) <= self.suspect_after_s
+            }
+        threads = dict(self.peers)
+        if heard - threads.keys():
+            return False
         return all(
             peer.sent_about == about
-            for peer in list(self.peers.values())
-            if peer.name in live
+            for name, peer in threads.items()
+            if name in heard or peer.is_introducing()
         )
 
     def set_entries(self, addresses: tuple[str, ...]) -> None:
--- a/tests/membership/test_entries.py
+++ b/tests/membership/test_entries.py
@@ -5,6 +5,7 @@
 import pytest
 
 from briarseam.membership import entries
+from briarseam.membership import messages
 from briarseam.membership import presence
 from briarseam.testing import waiting
 from briarseam.wire import client
@@ -72,6 +73,51 @@
     assert named_by(peer) == set()
 
 
+def test_peer_that_was_just_introduced_must_be_told(
+    instance: Instance, start: Start, listing: helpers.FakeList
+) -> None:
+    """An entry leaves just as a new agent has read its agent's first
+    introduction, the answer to which is still on its way back.
+    """
+    instance.presence.report()
+    early: list[bool] = []
+    listing.rows.clear()
+    peer = start("b", listed=False)
+    handlers = peer.server.router.handlers
+    usual = handlers[messages.Introduction]
+
+    def leave_meanwhile(
+        sender: connection.Identity, beat: messages.Introduction
+    ) -> object:
+        reply = usual(sender, beat)
+        if not early:
+            instance.presence.leave()
+            early.append(instance.presence.told)
+        return reply
+
+    handlers[messages.Introduction] = leave_meanwhile
+    settings = peer.membership.settings
+    instance.node.membership.table.record(
+        "b", settings.zone, settings.agent_address
+    )
+    waiting.until(lambda: early)
+    assert early == [False]
+    waiting.until(instance.presence.leaving_told)
+    assert named_by(peer) == set()
+
+
+def test_peer_that_was_just_heard_must_be_told(instance: Instance) -> None:
+    """An entry leaves just as its agent has first heard a new agent, to
+    which it has not sent anything itself.
+    """
+    instance.presence.report()
+    membership = instance.node.membership
+    assert membership.told()
+    new = messages.About("b", "rumoi", "127.0.0.1:1", (), 1, False)
+    membership.table.take_about(new, membership.clock())
+    assert not membership.told()
+
+
 def named_by(node: helpers.Node) -> set[str]:
     """Return the addresses that a node names for the agent ``a``."""
     return {
