Record no machine's folders in results

Cause: the command in a result is what was typed; a whole path would be committed with it. None of the committed results has one (searched).

Change: paths below the tree are written from its top, others by name.

--- a/bench/measuring.py
+++ b/bench/measuring.py
@@ -87,10 +87,15 @@
         child.wait(STOP_S)
 
 
+def relative(argument: str) -> str:
+    """Return an argument, a path in this tree without what is above it."""
+    return argument.replace(f"{ROOT.resolve()}/", "")
+
+
 def write(name: str, rows: typing.Any) -> None:
     """Write rows with what they were measured on."""
     result = {
-        "command": " ".join(["python", *sys.argv]),
+        "command": " ".join(["python", *map(relative, sys.argv)]),
         "at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
         "python": platform.python_version(),
         "system": platform.system(),
--- a/src/briarseam/bench/report.py
+++ b/src/briarseam/bench/report.py
@@ -47,6 +47,15 @@
     arms: tuple[ArmResult, ...]
 
 
+def relative(file: str) -> str:
+    """Return a file's path from the working folder, if it lies below."""
+    path = pathlib.Path(file).resolve()
+    folder = pathlib.Path.cwd().resolve()
+    if path.is_relative_to(folder):
+        return str(path.relative_to(folder))
+    return path.name
+
+
 def describe_machine() -> str:
     """Return kind, cores and Python of this machine."""
     return (
--- a/src/briarseam/command/bench.py
+++ b/src/briarseam/command/bench.py
@@ -76,7 +76,7 @@
         return EXIT_FAILED
     result = report.Result(
         experiment=wanted,
-        command=f"briarseam bench {args.file}",
+        command=f"briarseam bench {report.relative(args.file)}",
         made_at=report.now_text(),
         machine=report.describe_machine(),
         arms=results,
