Stop the holder in the thread that is about to give its order

Cause: the stop went to the process; another thread could take it and the ordering thread send its order before all threads had stopped, so that no order came after the wake-up (test_woken_holder failed about once in eight runs, on a busy machine). Ruled out: the order going to the other worker (recording all workers' orders failed the same way; that stays, since which worker is first is not fixed). Change: the signal goes to the ordering thread itself.

--- a/tests/matrix/stopping_holder.py
+++ b/tests/matrix/stopping_holder.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import sys
 import threading
@@ -32,7 +31,9 @@
         wanted = engine_orders.Load(deployment.MODEL, self.version, None)
         if order == wanted and not self.stopped:
             self.stopped = True
-            os.kill(os.getpid(), signal.SIGSTOP)
+            # To this thread: a signal to the process may be taken by
+            # another thread, and this one send its order before all stop.
+            signal.pthread_kill(threading.get_ident(), signal.SIGSTOP)
         return super().give(address, order, order_id, fence)
 
 
--- a/tests/matrix/test_woken_holder.py
+++ b/tests/matrix/test_woken_holder.py
@@ -40,6 +40,17 @@
         process.wait()
 
 
+def record_orders(weights, answers):
+    """Note each order that a worker takes, and its answer."""
+    take = weights.take
+
+    def recorded(order):
+        answers.append((order, take(order)))
+        return answers[-1][1]
+
+    weights.take = recorded
+
+
 @pytest.mark.parametrize("fencing", [True, False], ids=["fencing", "not"])
 def test_order_of_a_woken_holder_does_not_last(fencing):
     """The holder is frozen between the check of its lease and its order.
@@ -62,15 +73,11 @@
         successor = deployment.add_agent()
         deployment.until_all("v3")
         deployment.until_done()
-        weights = deployment.engines["worker-1"].weights
-        take = weights.take
+        # Which of the workers the order is for depends on whose state the
+        # holder read last, so all of them are watched.
         answers = []
-
-        def recorded(order):
-            answers.append((order, take(order)))
-            return answers[-1][1]
-
-        weights.take = recorded
+        for worker in deployment.engines.values():
+            record_orders(worker.weights, answers)
         process.send_signal(signal.SIGCONT)
         order, answer = waiting.until(lambda: answers)[0]
         assert order.version == "v2"
