--- a/src/briarseam/answers/answer_id.py
+++ b/src/briarseam/answers/answer_id.py
@@ -17,6 +17,9 @@
 
 MAC_BYTES = 16
 LABEL = b"answer-id"
+# The alphabet has a dash, and a word that begins with one is an option on a
+# command line.
+PREFIX = "a"
 
 
 class AnswerIdError(Exception):
@@ -56,7 +59,8 @@
     """Return the token of an answer id, safe in a URL path."""
     payload = msgpack.packb(dataclasses.astuple(answer))
     mac = compute_mac(payload, key)
-    return base64.urlsafe_b64encode(mac + payload).rstrip(b"=").decode()
+    text = base64.urlsafe_b64encode(mac + payload).rstrip(b"=").decode()
+    return PREFIX + text
 
 
 def unseal(token: str, key: bytes) -> AnswerId:
@@ -67,10 +71,7 @@
     AnswerIdError
         When it was not sealed under ``key``.
     """
-    try:
-        raw = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
-    except ValueError as error:
-        raise AnswerIdError("not an answer id") from error
+    raw = decode(token)
     mac, payload = raw[:MAC_BYTES], raw[MAC_BYTES:]
     if not hmac.compare_digest(mac, compute_mac(payload, key)):
         raise AnswerIdError("not an answer id of this system")
@@ -79,6 +80,23 @@
     return AnswerId(*fields[: len(dataclasses.fields(AnswerId))])
 
 
+def decode(token: str) -> bytes:
+    """Return the MAC and payload of a token, unchecked.
+
+    Raises
+    ------
+    AnswerIdError
+        When it has another form.
+    """
+    text = token.removeprefix(PREFIX)
+    if text == token:
+        raise AnswerIdError("not an answer id")
+    try:
+        return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except ValueError as error:
+        raise AnswerIdError("not an answer id") from error
+
+
 def compute_mac(payload: bytes, key: bytes) -> bytes:
     """Return the MAC of a payload."""
     mac = hashlib.blake2b(payload, key=key[:64], digest_size=MAC_BYTES)
--- a/src/briarseam/testing/demo.py
+++ b/src/briarseam/testing/demo.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import base64
 import dataclasses
 import json
 import time
@@ -104,8 +103,7 @@
     Callers treat answer ids as opaque; the demo looks inside to show the
     operators' view of the same run.
     """
-    padded = sealed + "=" * (-len(sealed) % 4)
-    payload = base64.urlsafe_b64decode(padded)[answer_id.MAC_BYTES :]
+    payload = answer_id.decode(sealed)[answer_id.MAC_BYTES :]
     run_id: str = msgpack.unpackb(payload)[2]
     return run_id
 
