--- a/bench/claims_throughput.py
+++ b/bench/claims_throughput.py
@@ -18,12 +18,12 @@
 import threading
 import time
 
+from briarseam.backing import log as platform_log
 from briarseam.claims import keys
 from briarseam.claims import messages
 from briarseam.claims import options
 from briarseam.claims import service
 from briarseam.metrics import registry
-from briarseam.platform import log as platform_log
 from briarseam.testing import log_service
 from briarseam.wire import client as wire_client
 from briarseam.wire import codec
--- a/bench/claims_window.py
+++ b/bench/claims_window.py
@@ -11,13 +11,13 @@
 import sys
 import time
 
+from briarseam.backing import log as platform_log
 from briarseam.claims import fold as folds
 from briarseam.claims import keys
 from briarseam.claims import options
 from briarseam.claims import records
 from briarseam.claims import service
 from briarseam.metrics import registry
-from briarseam.platform import log as platform_log
 from briarseam.testing import log_service
 
 KEYS = 200_000
--- a/bench/configuration_node.py
+++ b/bench/configuration_node.py
@@ -14,9 +14,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "src"))
 
+from briarseam.backing import log as logs  # noqa: E402
 from briarseam.configuration import reader as readers  # noqa: E402
 from briarseam.configuration import teams as team_types  # noqa: E402
-from briarseam.platform import log as logs  # noqa: E402
 from briarseam.testing import log_service  # noqa: E402
 from briarseam.wire import connection as connections  # noqa: E402
 from briarseam.wire import server  # noqa: E402
--- a/bench/configuration_readers.py
+++ b/bench/configuration_readers.py
@@ -24,8 +24,8 @@
 
 import configuration_node  # noqa: E402
 
+from briarseam.backing import log as logs  # noqa: E402
 from briarseam.configuration import records  # noqa: E402
-from briarseam.platform import log as logs  # noqa: E402
 
 NODE = str(pathlib.Path(__file__).with_name("configuration_node.py"))
 SIZES = (2, 4, 8, 16, 32)
--- a/bench/membership_node.py
+++ b/bench/membership_node.py
@@ -16,9 +16,9 @@
 
 import structlog
 
+from briarseam.backing import instances
 from briarseam.membership import service
 from briarseam.membership import state
-from briarseam.platform import instances
 from briarseam.wire import connection
 from briarseam.wire import server
 
--- a/bench/poll_cost.py
+++ b/bench/poll_cost.py
@@ -20,12 +20,12 @@
 import measuring
 import urllib3
 
+from briarseam.backing import instances
+from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
 from briarseam.endpoints import engine_events
 from briarseam.endpoints import engine_load
 from briarseam.endpoints import engine_orders
-from briarseam.platform import instances
-from briarseam.platform import log as platform_log
 from briarseam.routing import loads
 
 READS = 300
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -23,6 +23,7 @@
 import threading
 import time
 
+from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
 from briarseam.endpoints import engine_orders
 from briarseam.leases import outcomes
@@ -35,7 +36,6 @@
 from briarseam.orders import service as orders_service
 from briarseam.orders import sharing
 from briarseam.orders import state
-from briarseam.platform import log as platform_log
 from briarseam.testing import engine
 from briarseam.testing import engine_switches
 from briarseam.testing import log_service
--- a/src/briarseam/admission/condemnation_log.py
+++ b/src/briarseam/admission/condemnation_log.py
@@ -11,7 +11,7 @@
 
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_records as records
-from briarseam.platform import log as platform_log
+from briarseam.backing import log as platform_log
 
 if typing.TYPE_CHECKING:
     from briarseam.configuration import teams as teams_module
--- a/src/briarseam/platform/log.py
+++ b/src/briarseam/backing/log.py
@@ -19,7 +19,7 @@
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 HTTP_REFUSED = frozenset({400, 404, 413, 429})
-log = structlog.get_logger("briarseam.platform")
+log = structlog.get_logger("briarseam.backing")
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/bench/arms.py
+++ b/src/briarseam/bench/arms.py
@@ -11,9 +11,9 @@
 from briarseam.configuration import records
 
 if typing.TYPE_CHECKING:
+    from briarseam.backing import log as platform_log
     from briarseam.bench import experiment
     from briarseam.configuration import teams as team_types
-    from briarseam.platform import log as platform_log
 
 OPERATOR = "bench"
 
--- a/src/briarseam/claims/inspecting.py
+++ b/src/briarseam/claims/inspecting.py
@@ -6,11 +6,11 @@
 import datetime
 import typing
 
+from briarseam.backing import log as platform_log
 from briarseam.claims import fold as folds
 from briarseam.claims import keys
 from briarseam.claims import options
 from briarseam.claims import records
-from briarseam.platform import log as platform_log
 
 NEVER_SEEN = "never seen"
 TOO_OLD = "too old"
--- a/src/briarseam/claims/service.py
+++ b/src/briarseam/claims/service.py
@@ -13,6 +13,7 @@
 import typing
 
 from briarseam import verdict
+from briarseam.backing import log as platform_log
 from briarseam.claims import keys
 from briarseam.claims import messages
 from briarseam.claims import options as options_module
@@ -21,7 +22,6 @@
 from briarseam.claims import shard as shard_module
 from briarseam.claims import writer as writers
 from briarseam.metrics import registry as registries
-from briarseam.platform import log as platform_log
 from briarseam.wire import client as wire_client
 from briarseam.wire import codec
 from briarseam.wire import connection as connections
--- a/src/briarseam/claims/shard.py
+++ b/src/briarseam/claims/shard.py
@@ -12,6 +12,7 @@
 import structlog
 
 from briarseam import verdict
+from briarseam.backing import log as platform_log
 from briarseam.claims import fold as folds
 from briarseam.claims import keys
 from briarseam.claims import messages
@@ -19,7 +20,6 @@
 from briarseam.claims import retention
 from briarseam.claims import waits
 from briarseam.claims import writer as writers
-from briarseam.platform import log as platform_log
 
 MAX_ENTRIES = 2_000_000
 MIN_RETRY_S = 0.2
--- a/src/briarseam/claims/writer.py
+++ b/src/briarseam/claims/writer.py
@@ -13,8 +13,8 @@
 import time
 import typing
 
+from briarseam.backing import log as platform_log
 from briarseam.claims import records
-from briarseam.platform import log as platform_log
 
 MAX_ITEMS = 2000
 # The log takes 1 MiB; an item beyond this starts the next record.
--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -64,6 +64,11 @@
         "briarseam.command.entry",
         "run the caller-facing daemon of an instance",
     ),
+    Command(
+        "serve",
+        "briarseam.command.serve",
+        "run the one process of an instance on the users' platform",
+    ),
     Command(
         "status",
         "briarseam.command.status",
--- a/src/briarseam/command/bench.py
+++ b/src/briarseam/command/bench.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from briarseam.backing import log as platform_log
 from briarseam.bench import arms
 from briarseam.bench import experiment
 from briarseam.bench import faults
@@ -20,7 +21,6 @@
 from briarseam.command import output
 from briarseam.configuration import snapshots
 from briarseam.configuration import teams
-from briarseam.platform import log as platform_log
 from briarseam.status import messages
 
 if typing.TYPE_CHECKING:
--- a/src/briarseam/command/claim.py
+++ b/src/briarseam/command/claim.py
@@ -5,12 +5,12 @@
 import sys
 import typing
 
+from briarseam.backing import log as platform_log
 from briarseam.claims import inspecting
 from briarseam.claims import keys
 from briarseam.claims import records
 from briarseam.command import options
 from briarseam.command import output
-from briarseam.platform import log as platform_log
 
 if typing.TYPE_CHECKING:
     import argparse
--- a/src/briarseam/command/condemned.py
+++ b/src/briarseam/command/condemned.py
@@ -10,11 +10,11 @@
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_log
 from briarseam.admission import condemnation_records as records
+from briarseam.backing import log as logs
 from briarseam.command import help_format
 from briarseam.command import options
 from briarseam.command import output
 from briarseam.configuration import teams as team_types
-from briarseam.platform import log as logs
 
 if typing.TYPE_CHECKING:
     import argparse
--- a/src/briarseam/command/config.py
+++ b/src/briarseam/command/config.py
@@ -7,6 +7,8 @@
 import typing
 
 from briarseam import tokens
+from briarseam.backing import instances
+from briarseam.backing import log as logs
 from briarseam.command import config_options
 from briarseam.command import config_session
 from briarseam.command import help_format
@@ -22,8 +24,6 @@
 from briarseam.configuration import schema
 from briarseam.configuration import snapshots
 from briarseam.configuration import teams as team_types
-from briarseam.platform import instances
-from briarseam.platform import log as logs
 
 if typing.TYPE_CHECKING:
     import argparse
--- a/src/briarseam/command/config_session.py
+++ b/src/briarseam/command/config_session.py
@@ -4,13 +4,13 @@
 
 import typing
 
+from briarseam.backing import log as logs
 from briarseam.command import config_output
 from briarseam.command import options
 from briarseam.configuration import declarations
 from briarseam.configuration import loading
 from briarseam.configuration import snapshots
 from briarseam.configuration import teams as team_types
-from briarseam.platform import log as logs
 
 if typing.TYPE_CHECKING:
     import argparse
--- /dev/null
+++ b/src/briarseam/command/serve.py
@@ -0,0 +1,76 @@
+"""``briarseam serve``: one process that serves on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+import typing
+
+import structlog
+
+from briarseam import logs
+from briarseam.command import signals
+from briarseam.settings import errors
+from briarseam.settings import serving
+
+if typing.TYPE_CHECKING:
+    import argparse
+
+log = structlog.get_logger("briarseam.node")
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options of the subcommand."""
+    place = parser.add_mutually_exclusive_group(required=True)
+    place.add_argument(
+        "--settings",
+        metavar="FILE",
+        help="settings of this process, an INI file",
+    )
+    place.add_argument(
+        "--settings-from",
+        metavar="VARIABLE",
+        help="environment variable that names the settings file",
+    )
+
+
+def execute(args: argparse.Namespace) -> int:
+    """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+    settings = serving.load(settings_path(args))
+    stop = signals.watch()
+    logs.set_up(settings.logging, settings.instance.name, sys.stdout)
+    # Imported here: the settings are checked before anything is loaded.
+    from briarseam.compose import node as compose
+
+    node = compose.Node(settings)
+    node.start()
+    log.info(
+        "started",
+        zone=settings.instance.zone,
+        callers=str(settings.listen.callers),
+        settings=settings.path,
+    )
+    stop.first.wait()
+    log.info("stopping")
+    node.drain(stop.second.is_set)
+    node.stop()
+    log.info("stopped")
+    return 0
+
+
+def settings_path(args: argparse.Namespace) -> str:
+    """Return the settings file that the options name.
+
+    Raises
+    ------
+    SettingsError
+        If the environment variable is not set.
+    """
+    if args.settings is not None:
+        return str(args.settings)
+    path = os.environ.get(args.settings_from)
+    if not path:
+        raise errors.SettingsError(
+            args.settings_from, "", "", "the path of a settings file"
+        )
+    return path
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -10,6 +10,7 @@
 from briarseam.admission import idempotency
 from briarseam.admission import service as admission
 from briarseam.answers import locating
+from briarseam.backing import log as platform_log
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
 from briarseam.compose import configuration as compose_configuration
@@ -30,7 +31,6 @@
 from briarseam.metrics import registry as metrics
 from briarseam.metrics import service as metrics_service
 from briarseam.orders import service as order_module
-from briarseam.platform import log as platform_log
 from briarseam.status import service as status
 from briarseam.timeline import ring as rings
 from briarseam.timeline import service as timelines
--- a/src/briarseam/compose/claims.py
+++ b/src/briarseam/compose/claims.py
@@ -12,9 +12,9 @@
 
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
+    from briarseam.backing import log as platform_log
     from briarseam.membership import service as membership
     from briarseam.metrics import registry as metrics
-    from briarseam.platform import log as platform_log
     from briarseam.wire import connection
 
 MS = 1000.0
--- a/src/briarseam/compose/configuration.py
+++ b/src/briarseam/compose/configuration.py
@@ -15,9 +15,9 @@
 
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
+    from briarseam.backing import log as platform_log
     from briarseam.membership import service as membership
     from briarseam.metrics import registry as metrics
-    from briarseam.platform import log as platform_log
     from briarseam.timeline import ring as timeline
     from briarseam.wire import connection
 
--- a/src/briarseam/compose/crashes.py
+++ b/src/briarseam/compose/crashes.py
@@ -25,11 +25,11 @@
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
     from briarseam.admission import messages as admission
+    from briarseam.backing import log as platform_log
     from briarseam.compose import claims as compose_claims
     from briarseam.compose import serving
     from briarseam.configuration import schema
     from briarseam.membership import service as membership
-    from briarseam.platform import log as platform_log
     from briarseam.wire import codec
     from briarseam.wire import server
 
--- a/src/briarseam/compose/membership.py
+++ b/src/briarseam/compose/membership.py
@@ -4,9 +4,9 @@
 
 import typing
 
+from briarseam.backing import instances
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
-from briarseam.platform import instances
 
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
--- /dev/null
+++ b/src/briarseam/compose/node.py
@@ -0,0 +1,414 @@
+"""Composing the one process that serves on the users' platform."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import structlog
+
+from briarseam.backing import instances
+from briarseam.discovery import registry as registries
+from briarseam.feeds import following
+from briarseam.forwarding import attempts
+from briarseam.forwarding import connections
+from briarseam.forwarding import refusing
+from briarseam.forwarding import retry_budget
+from briarseam.forwarding import server as http
+from briarseam.forwarding import service as forwarding
+from briarseam.forwarding import supervision
+from briarseam.lookup import zonal
+from briarseam.membership import drain
+from briarseam.membership import service as membership
+from briarseam.membership import state as members
+from briarseam.metrics import registry as metrics
+from briarseam.metrics import rendering
+from briarseam.peers import registrations
+from briarseam.placement import chooser as choosers
+from briarseam.platform import answers
+from briarseam.platform import border
+from briarseam.platform import documents
+from briarseam.platform import endpoints
+from briarseam.platform import names
+from briarseam.platform import requests
+from briarseam.platform import store as stores
+from briarseam.routes import following as operators
+from briarseam.wire import connection as wire_connection
+from briarseam.wire import server as wire
+
+if typing.TYPE_CHECKING:
+    from briarseam.routes import model as routes
+    from briarseam.settings import serving
+
+# A change must be in force everywhere within two seconds, also after a
+# connection went silent; keep-alive probes show that in three seconds, and
+# the poll's own end in this.
+OPERATOR_POLL_S = 5.0
+ENDPOINT_POLL_S = 5.0
+# Endpoints write every second or so, each; read one by one that would be a
+# call for each write.  A leaving endpoint is served two seconds longer.
+ENDPOINT_PAUSE_S = 0.6
+REGISTRATION_POLL_S = 10.0
+HEARTBEAT_S = 0.5
+SUSPECT_AFTER_S = 1.6
+LISTING_INTERVAL_S = 0.5
+LOOKUP_TTL_S = 2.0
+HOUSEKEEPING_S = 1.0
+# Left of the time to shut down, for the end of the process itself.
+EXIT_MARGIN_S = 1.0
+# Lookups are kept for three times their time to live by some callers, but
+# those have other addresses to turn to.
+LINGER_S = 3.0
+STREAMS_REFUSED_AFTER_S = 3.0
+LOADS_SECTION = "endpoint-loads"
+MS = 1000.0
+log = structlog.get_logger("briarseam.node")
+
+
+@dataclasses.dataclass(frozen=True)
+class Feeds:
+    """What is followed on the store."""
+
+    operators: operators.OperatorFeed
+    registry: registries.EndpointRegistry
+    registrations: registrations.Registrations
+    followers: tuple[following.Follower, ...]
+
+    def start(self) -> None:
+        """Begin following."""
+        for follower in self.followers:
+            follower.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        for follower in self.followers:
+            follower.stop()
+
+
+class Node:
+    """One instance: it answers callers, lookups and readiness.
+
+    Parameters
+    ----------
+    settings
+        The settings of this process.
+    """
+
+    def __init__(self, settings: serving.ServeSettings) -> None:
+        self.settings = settings
+        self.leaving = threading.Event()
+        self.stopping = threading.Event()
+        self.metrics = metrics.Registry()
+        self.store = stores.StoreClient(str(settings.store.address))
+        self.pool = connections.Pool()
+        self.feeds = self.build_feeds()
+        self.chooser = choosers.Chooser(
+            self.feeds.registry.serving, settings.instance.zone
+        )
+        self.supervisor = supervision.Supervisor()
+        self.members: membership.Membership | None = None
+        self.lookup = zonal.ZonalLookup(self.all_members)
+        self.forwarding = forwarding.Forwarding(self.build_forwarding())
+        self.servers = self.build_servers()
+        self.register_metrics()
+
+    def build_feeds(self) -> Feeds:
+        """Return what is followed on the store."""
+        settings = self.settings
+        feed = operators.OperatorFeed(
+            documents.OperatorDocuments(), self.configuration_changed
+        )
+        registry = registries.EndpointRegistry(
+            endpoints.decode_endpoint, self.endpoints_gone
+        )
+        rows = registrations.Registrations(
+            self.store,
+            names.MEMBERS_TOPIC,
+            instances.Instance(
+                name=settings.instance.name,
+                role=registrations.AGENT_ROLE,
+                address=str(settings.listen.peers),
+                zone=settings.instance.zone,
+            ),
+        )
+        followers = (
+            following.Follower(
+                self.store, names.OPERATOR_TOPIC, feed, OPERATOR_POLL_S
+            ),
+            following.Follower(
+                self.store,
+                names.ENDPOINTS_TOPIC,
+                registry,
+                ENDPOINT_POLL_S,
+                ENDPOINT_PAUSE_S,
+            ),
+            following.Follower(
+                self.store, names.MEMBERS_TOPIC, rows, REGISTRATION_POLL_S
+            ),
+        )
+        return Feeds(feed, registry, rows, followers)
+
+    def build_forwarding(self) -> forwarding.Parts:
+        """Return what forwarding needs."""
+        bounds = self.settings.bounds
+        registry = self.metrics
+        return forwarding.Parts(
+            table=self.feeds.operators.current,
+            border=border.CallBorder(),
+            refusals=refusing.Refusals(answers.encode_verdict),
+            chooser=self.chooser,
+            sender=attempts.Sender(self.pool, requests.decode_answer),
+            supervisor=self.supervisor,
+            budget=retry_budget.RetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+                lambda: len(self.all_members()),
+            ),
+            leaving=self.leaving.is_set,
+            metrics=forwarding.Metrics(
+                answers=registry.counters(
+                    "answers_total",
+                    "Requests of callers by how they ended",
+                    ("outcome",),
+                ),
+                sends=registry.counters(
+                    "sends_total",
+                    "Sends to endpoints by what became of them",
+                    ("outcome",),
+                ),
+                first_event_us=registry.latency(
+                    "first_event_us",
+                    "Time from a request to its stream's first event",
+                ),
+                whole_us=registry.latency(
+                    "answer_us", "Time from a request to the end of it"
+                ),
+            ),
+        )
+
+    def build_servers(self) -> dict[str, http.Server]:
+        """Return the servers by what they are for, nothing bound."""
+        listen = self.settings.listen
+        return {
+            "callers": http.Server(
+                "callers",
+                (listen.callers.ip, listen.callers.port),
+                self.forwarding.handle,
+            ),
+            "readiness": http.Server(
+                "readiness",
+                (listen.readiness.ip, listen.readiness.port),
+                self.answer_readiness,
+            ),
+            "lookups": http.Server(
+                "lookups",
+                (listen.lookups.ip, listen.lookups.port),
+                self.answer_lookup,
+            ),
+            "metrics": http.Server(
+                "metrics",
+                (listen.metrics.ip, listen.metrics.port),
+                self.answer_metrics,
+            ),
+        }
+
+    def register_metrics(self) -> None:
+        """Let metrics tell of the parts."""
+        self.metrics.reading(
+            "requests_in_flight",
+            "Requests of callers under way",
+            lambda: self.forwarding.in_flight,
+        )
+        self.metrics.reading(
+            "endpoint_connections_opened",
+            "Connections opened to endpoints since start",
+            lambda: self.pool.opened,
+        )
+        self.metrics.reading(
+            "store_calls",
+            "Calls to the platform's store since start",
+            lambda: self.store.calls,
+        )
+        self.metrics.reading(
+            "configuration_version",
+            "Version of the configuration in force; 0 before the first",
+            self.configuration_version,
+        )
+        self.metrics.reading(
+            "endpoints_known",
+            "Endpoints that have an entry",
+            lambda: len(self.feeds.registry.all()),
+        )
+
+    # Life of the process.
+
+    def start(self) -> None:
+        """Begin to serve; peers are met in a thread of its own."""
+        self.supervisor.start()
+        for server in self.servers.values():
+            server.start_serving()
+        self.feeds.start()
+        threading.Thread(
+            target=self.meet_peers, name="meet-peers", daemon=True
+        ).start()
+        threading.Thread(
+            target=self.keep_house, name="housekeeping", daemon=True
+        ).start()
+
+    def meet_peers(self) -> None:
+        """Join the other instances, once the store tells the secret."""
+        secret = registrations.agree_on_secret(
+            self.store,
+            names.MEMBERS_TOPIC,
+            stores.encode_keyed,
+            self.stopping,
+        )
+        if secret is None:
+            return
+        settings = self.settings
+        service = membership.Membership(
+            members.Me(
+                name=settings.instance.name,
+                zone=settings.instance.zone,
+                agent_address=str(settings.listen.peers),
+                entry_addresses=(str(settings.listen.callers),),
+            ),
+            self.feeds.registrations,
+            secret,
+            heartbeat_interval_s=HEARTBEAT_S,
+            suspect_after_s=SUSPECT_AFTER_S,
+            list_interval_s=LISTING_INTERVAL_S,
+        )
+        service.add_section(
+            LOADS_SECTION,
+            self.chooser.loads.provide,
+            self.chooser.loads.consume,
+        )
+        router = wire.Router()
+        service.register(router)
+        server = wire.Server(
+            str(settings.listen.peers),
+            wire_connection.Identity("agent", settings.instance.name),
+            secret,
+            router,
+        )
+        server.start()
+        service.start()
+        self.members = service
+        self.feeds.registrations.start()
+        log.info("peers_met", address=str(settings.listen.peers))
+
+    def keep_house(self) -> None:
+        """Forget what is old until stopped."""
+        while not self.stopping.wait(HOUSEKEEPING_S):
+            self.pool.close_old()
+            self.feeds.registry.forget_lapsed()
+            self.chooser.loads.keep_only(
+                frozenset(member.name for member in self.all_members())
+            )
+
+    def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
+        """Leave the lookups and serve what is under way."""
+        self.leaving.set()
+        bound_s = self.settings.bounds.shutdown_s - EXIT_MARGIN_S
+        return drain.Drain(
+            announce=self.announce_leaving,
+            told=lambda: self.members is None or self.members.told(),
+            in_flight=lambda: self.forwarding.in_flight,
+            linger_s=lambda: min(LINGER_S, bound_s / 2),
+            bound_s=bound_s,
+            hurry=hurry,
+        ).run()
+
+    def announce_leaving(self) -> None:
+        """Tell the peers that this instance will be gone soon."""
+        if self.members is not None:
+            self.members.announce_leaving()
+
+    def stop(self) -> None:
+        """Stop all parts."""
+        self.stopping.set()
+        self.feeds.registrations.stop()
+        self.stop_servers()
+        self.feeds.stop()
+        if self.members is not None:
+            self.members.stop()
+        self.supervisor.stop()
+
+    def stop_servers(self) -> None:
+        """Stop all servers at once: each takes half a second or more."""
+        threads = [
+            threading.Thread(target=server.stop, daemon=True)
+            for server in self.servers.values()
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    # What the parts ask of each other.
+
+    def all_members(self) -> typing.Sequence[members.Member]:
+        """Return all known instances, this one included."""
+        service = self.members
+        return () if service is None else service.everyone()
+
+    def configuration_version(self) -> int:
+        """Return the version in force; 0 before the first."""
+        table = self.feeds.operators.current()
+        return 0 if table is None else table.configuration.version
+
+    def configuration_changed(
+        self, configuration: routes.Configuration
+    ) -> None:
+        """Let the callers' server keep to the limits in force."""
+        limits = configuration.limits
+        server = self.servers["callers"]
+        server.set_idle_timeout(limits.idle_timeout_s)
+        server.max_request_header_size = limits.header_bytes
+        server.max_request_body_size = limits.body_bytes
+
+    def endpoints_gone(self, ids: frozenset[str]) -> None:
+        """Forget endpoints that are gone."""
+        self.pool.forget(ids)
+        for endpoint_id in ids:
+            self.chooser.residency.forget(endpoint_id)
+
+    # Small answers.
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return (
+            not self.leaving.is_set()
+            and self.feeds.operators.current() is not None
+        )
+
+    def answer_readiness(self, exchange: http.Exchange) -> None:
+        """Tell whether this instance is ready."""
+        if not answers.is_readiness(exchange.target):
+            exchange.answer(404, (), b"")
+            return
+        exchange.answer(200 if self.is_ready() else 503, (), b"")
+
+    def answer_lookup(self, exchange: http.Exchange) -> None:
+        """Tell a caller which addresses to use."""
+        question = answers.decode_lookup(exchange.target)
+        if question is None:
+            exchange.answer(404, (), b"")
+            return
+        addresses = self.lookup.addresses(question.zone)
+        if not addresses and self.is_ready():
+            addresses = [str(self.settings.listen.callers)]
+        if not addresses:
+            exchange.answer(503, (), b"")
+            return
+        ttl_s = min(LOOKUP_TTL_S, self.settings.bounds.lookup_ttl_max_s)
+        body = answers.encode_addresses(addresses, ttl_s)
+        exchange.answer(200, (("Content-Type", answers.JSON),), body)
+
+    def answer_metrics(self, exchange: http.Exchange) -> None:
+        """Answer a scrape."""
+        headers = (("Content-Type", rendering.CONTENT_TYPE),)
+        exchange.answer(200, headers, self.metrics.render().encode())
--- a/src/briarseam/compose/orders.py
+++ b/src/briarseam/compose/orders.py
@@ -17,10 +17,10 @@
 
 if typing.TYPE_CHECKING:
     from briarseam import settings as settings_module
+    from briarseam.backing import log as platform_log
     from briarseam.configuration import reader as configuration
     from briarseam.membership import service as membership
     from briarseam.metrics import registry as metrics
-    from briarseam.platform import log as platform_log
     from briarseam.timeline import ring as rings
 
 SECTION = "engines"
--- a/src/briarseam/configuration/following.py
+++ b/src/briarseam/configuration/following.py
@@ -9,7 +9,7 @@
 import msgspec
 import urllib3
 
-from briarseam.platform import instances as instance_list
+from briarseam.backing import instances as instance_list
 
 POLL_S = 0.2
 REQUEST_TIMEOUT_S = 2.0
--- a/src/briarseam/configuration/history.py
+++ b/src/briarseam/configuration/history.py
@@ -11,8 +11,8 @@
 from briarseam.configuration import snapshots
 
 if typing.TYPE_CHECKING:
+    from briarseam.backing import log as logs
     from briarseam.configuration import teams as team_types
-    from briarseam.platform import log as logs
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/configuration/publish.py
+++ b/src/briarseam/configuration/publish.py
@@ -6,10 +6,10 @@
 import time
 import typing
 
+from briarseam.backing import log as logs
 from briarseam.configuration import fold as folds
 from briarseam.configuration import loading
 from briarseam.configuration import records
-from briarseam.platform import log as logs
 
 if typing.TYPE_CHECKING:
     from briarseam.configuration import teams as team_types
--- a/src/briarseam/configuration/reader.py
+++ b/src/briarseam/configuration/reader.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from briarseam.backing import log as logs
 from briarseam.configuration import answering
 from briarseam.configuration import loading
 from briarseam.configuration import peers as peer_calls
@@ -22,7 +23,6 @@
 from briarseam.configuration import snapshots
 from briarseam.configuration import snapshotting
 from briarseam.configuration import state as states
-from briarseam.platform import log as logs
 
 if typing.TYPE_CHECKING:
     from briarseam.configuration import messages
--- a/src/briarseam/configuration/snapshots.py
+++ b/src/briarseam/configuration/snapshots.py
@@ -17,8 +17,8 @@
 import msgpack
 import structlog
 
+from briarseam.backing import log as logs
 from briarseam.configuration import fold as folds
-from briarseam.platform import log as logs
 
 STREAM = "configuration-snapshots"
 VERSION = 1
--- a/src/briarseam/configuration/snapshotting.py
+++ b/src/briarseam/configuration/snapshotting.py
@@ -10,8 +10,8 @@
 
 import structlog
 
+from briarseam.backing import log as logs
 from briarseam.configuration import snapshots
-from briarseam.platform import log as logs
 
 if typing.TYPE_CHECKING:
     from briarseam.configuration import state as states
--- /dev/null
+++ b/src/briarseam/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoints serve, and which of them are leaving."""
--- /dev/null
+++ b/src/briarseam/discovery/model.py
@@ -0,0 +1,38 @@
+"""What is known about one endpoint."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """One start of one endpoint.
+
+    Attributes
+    ----------
+    id
+        Unique over all starts of all endpoints.
+    service
+        Name of its service.
+    address
+        ``ip:port``.
+    zone
+        Availability zone.
+    slots
+        Requests that it works on at once.
+    leaving
+        Whether it will be gone soon and takes no new work.
+    versions
+        Weight version by model, as last announced.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    versions: dict[str, int] = dataclasses.field(
+        default_factory=dict, hash=False
+    )
--- /dev/null
+++ b/src/briarseam/discovery/registry.py
@@ -0,0 +1,176 @@
+"""The endpoints that serve, from the entries they keep of themselves."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import structlog
+
+from briarseam import clocks
+from briarseam.discovery import model
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from briarseam.feeds import records
+
+# Entries that lapse while the store is away are back within two seconds of
+# its return if the endpoint lives; half a second is added for the reading.
+LAPSE_HOLD_S = 2.5
+log = structlog.get_logger("briarseam.discovery")
+
+Decode = typing.Callable[[str, bytes], model.Endpoint]
+OnGone = typing.Callable[[frozenset[str]], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Lapsed:
+    """An endpoint whose entry vanished around an outage of the store.
+
+    Attributes
+    ----------
+    endpoint
+        As its last entry said.
+    until_s
+        When it is taken to be gone, by the registry's clock.
+    """
+
+    endpoint: model.Endpoint
+    until_s: float
+
+
+class EndpointRegistry:
+    """Keeps the endpoints; a listener of their topic.
+
+    Parameters
+    ----------
+    decode
+        Decodes an entry; raises for a malformed one.
+    on_gone
+        Called with the ids of endpoints that are gone.
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        decode: Decode,
+        on_gone: OnGone,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.decode = decode
+        self.on_gone = on_gone
+        self.clock = clock
+        self.present: dict[str, model.Endpoint] = {}
+        self.lapsed: dict[str, Lapsed] = {}
+        self.away_until_s = float("-inf")
+        self.lock = threading.Lock()
+
+    def serving(self, service: str) -> list[model.Endpoint]:
+        """Return the endpoints of a service that take new work.
+
+        Endpoints whose entry lapsed in an outage count only while no
+        other is there: they may have left, and work sent to one that has
+        is lost.
+        """
+        now_s = self.clock()
+        with self.lock:
+            present = [
+                endpoint
+                for endpoint in self.present.values()
+                if endpoint.service == service and not endpoint.leaving
+            ]
+            if present:
+                return present
+            return [
+                lapsed.endpoint
+                for lapsed in self.lapsed.values()
+                if lapsed.endpoint.service == service
+                and not lapsed.endpoint.leaving
+                and now_s < lapsed.until_s
+            ]
+
+    def all(self) -> list[model.Endpoint]:
+        """Return all endpoints that have an entry."""
+        with self.lock:
+            return list(self.present.values())
+
+    def store_lost(self) -> None:
+        """Note that the store is away: entries may lapse meanwhile."""
+        self.away_until_s = self.clock() + LAPSE_HOLD_S
+
+    def take_all(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in all entries; endpoints without one are gone."""
+        found = {change.key for change in changes if change.value}
+        with self.lock:
+            missing = self.present.keys() - found
+        for key in missing:
+            self.remove(key)
+        self.take_changes(changes)
+
+    def take_changes(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in changed entries."""
+        for change in changes:
+            if change.value is None:
+                self.remove(change.key)
+            else:
+                self.put(self.decode(change.key, change.value))
+        self.forget_lapsed()
+
+    def put(self, endpoint: model.Endpoint) -> None:
+        """Take in one entry."""
+        with self.lock:
+            known = self.present.get(endpoint.id)
+            self.present[endpoint.id] = endpoint
+            self.lapsed.pop(endpoint.id, None)
+        if known is None:
+            log.info(
+                "endpoint_found",
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                address=endpoint.address,
+                zone=endpoint.zone,
+                leaving=endpoint.leaving,
+            )
+        elif known != endpoint or known.versions != endpoint.versions:
+            log.info(
+                "endpoint_changed",
+                endpoint=endpoint.id,
+                leaving=endpoint.leaving,
+                versions=endpoint.versions,
+            )
+
+    def remove(self, key: str) -> None:
+        """Take in that an entry is no more."""
+        now_s = self.clock()
+        with self.lock:
+            endpoint = self.present.pop(key, None)
+            if endpoint is None:
+                return
+            held = now_s < self.away_until_s
+            if held:
+                self.lapsed[key] = Lapsed(endpoint, now_s + LAPSE_HOLD_S)
+        log.info("endpoint_gone", endpoint=key, held=held)
+        if not held:
+            self.on_gone(frozenset({key}))
+
+    def forget_lapsed(self) -> None:
+        """Give up endpoints whose entries did not come back."""
+        now_s = self.clock()
+        with self.lock:
+            gone = frozenset(
+                key
+                for key, lapsed in self.lapsed.items()
+                if lapsed.until_s <= now_s
+            )
+            for key in gone:
+                del self.lapsed[key]
+        if gone:
+            log.info("endpoints_lapsed", endpoints=sorted(gone))
+            self.on_gone(gone)
--- a/src/briarseam/entry/server.py
+++ b/src/briarseam/entry/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 import cheroot.server
@@ -25,6 +26,26 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class FramingRules:
+    """What a server takes besides plain bodies with a length.
+
+    Attributes
+    ----------
+    chunks
+        Whether bodies may come in chunks.
+    underscores
+        Whether header names may have them; a WSGI application sees them
+        as dashes, so that two headers would become one.
+    """
+
+    chunks: bool = False
+    underscores: bool = False
+
+
+PLAIN_RULES = FramingRules()
+
+
 class StrictHeaderReader(cheroot.server.HeaderReader):
     """Marks requests whose framing two parsers could read differently.
 
@@ -36,6 +57,8 @@
     with its usual document, and no byte after the headers is used.
     """
 
+    rules = PLAIN_RULES
+
     def __call__(
         self,
         rfile: typing.Any,
@@ -45,7 +68,7 @@
         lines = RecordingReader(rfile)
         headers: dict[bytes, bytes] = super().__call__(lines, hdict)
         headers.pop(FRAMING_ERROR, None)
-        problem = find_framing_problem(lines.lines)
+        problem = find_framing_problem(lines.lines, self.rules)
         if problem:
             headers[FRAMING_ERROR] = problem.encode()
             headers.pop(b"Content-Length", None)
@@ -67,9 +90,11 @@
         return line
 
 
-def find_framing_problem(lines: list[bytes]) -> str:
+def find_framing_problem(
+    lines: list[bytes], rules: FramingRules = PLAIN_RULES
+) -> str:
     """Return what is ambiguous about header lines, empty if nothing."""
-    seen: set[bytes] = set()
+    seen: dict[bytes, bytes] = {}
     for line in lines:
         if line[:1] in (b" ", b"\t"):
             return "folded header line"
@@ -78,17 +103,31 @@
             continue
         if name != name.strip():
             return "white space around a header name"
-        if b"_" in name:
+        if b"_" in name and not rules.underscores:
             # The application sees "_" and "-" as the same character.
             return "underscore in a header name"
         name = name.title()
         if name in seen and name in SINGLE_HEADERS:
             return f"repeated header {name.decode('latin-1')}"
-        seen.add(name)
+        seen[name] = value.strip()
         if name == b"Content-Length" and not value.strip().isdigit():
             return "Content-Length is no number"
-    if b"Transfer-Encoding" in seen:
+    return find_coding_problem(seen, rules)
+
+
+def find_coding_problem(
+    headers: dict[bytes, bytes], rules: FramingRules
+) -> str:
+    """Return what is wrong about a body's transfer coding, if anything."""
+    coding = headers.get(b"Transfer-Encoding")
+    if coding is None:
+        return ""
+    if not rules.chunks:
         return "Transfer-Encoding is not accepted, send Content-Length"
+    if b"Content-Length" in headers:
+        return "Content-Length beside Transfer-Encoding"
+    if coding.lower() != b"chunked":
+        return "unknown Transfer-Encoding"
     return ""
 
 
--- /dev/null
+++ b/src/briarseam/feeds/__init__.py
@@ -0,0 +1,1 @@
+"""Following what others write on the platform's store."""
--- /dev/null
+++ b/src/briarseam/feeds/following.py
@@ -0,0 +1,143 @@
+"""A thread that follows one keyed topic."""
+
+from __future__ import annotations
+
+import random
+import threading
+import typing
+
+import structlog
+
+from briarseam.feeds import records
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+# After a failed read; a change should be seen soon after the store's return
+# and a store that refuses must not be asked by everybody at once.
+RETRY_S = 0.2
+MAX_RETRY_S = 0.8
+JITTER = 0.3
+log = structlog.get_logger("briarseam.feeds")
+
+
+class Listener(typing.Protocol):
+    """Whatever a topic's content is for.  Called by one thread."""
+
+    def take_all(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in the newest record of each key; others are no more."""
+
+    def take_changes(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in changes, maybe none, in order."""
+
+    def store_lost(self) -> None:
+        """Take note that the store does not answer."""
+
+
+class Follower:
+    """Follows one keyed topic and hands on what changes.
+
+    Parameters
+    ----------
+    store
+        Where the topic lies.
+    topic
+        Its name.
+    listener
+        Takes the changes.
+    wait_s
+        Length of one long poll, in seconds.
+    pause_s
+        Pause between two reads, so that a busy topic is read in batches.
+    """
+
+    def __init__(
+        self,
+        store: records.KeyedStore,
+        topic: str,
+        listener: Listener,
+        wait_s: float,
+        pause_s: float = 0.0,
+    ) -> None:
+        self.store = store
+        self.topic = topic
+        self.listener = listener
+        self.wait_s = wait_s
+        self.pause_s = pause_s
+        self.next: int | None = None
+        self.available = True
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run, name=f"follow-{topic}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin following."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop after the read under way."""
+        self.stopping.set()
+
+    def run(self) -> None:
+        """Follow until stopped."""
+        retry_s = RETRY_S
+        while not self.stopping.is_set():
+            try:
+                self.read_once()
+            except records.StoreUnavailableError as error:
+                self.note_lost(str(error))
+                self.stopping.wait(
+                    retry_s * random.uniform(1 - JITTER, 1 + JITTER)
+                )
+                retry_s = min(2 * retry_s, MAX_RETRY_S)
+                continue
+            retry_s = RETRY_S
+            self.note_regained()
+            self.stopping.wait(self.pause_s)
+
+    def read_once(self) -> None:
+        """Read what is new, or everything where records have expired."""
+        if self.next is None:
+            batch = self.store.newest(self.topic)
+            self.hand_on(self.listener.take_all, batch)
+            return
+        try:
+            batch = self.store.read_keyed(self.topic, self.next, self.wait_s)
+        except records.RecordsExpiredError as error:
+            log.warning("records_expired", topic=self.topic, detail=str(error))
+            self.next = None
+            return
+        self.hand_on(self.listener.take_changes, batch)
+
+    def hand_on(
+        self,
+        take: collections.abc.Callable[
+            [tuple[records.KeyedRecord, ...]], None
+        ],
+        batch: records.KeyedBatch,
+    ) -> None:
+        """Hand a batch on and remember where to read next."""
+        try:
+            take(batch.records)
+        except Exception:
+            # A record that can't be taken in must not stop all later ones.
+            log.exception("records_not_taken", topic=self.topic)
+        self.next = batch.next
+
+    def note_lost(self, detail: str) -> None:
+        """Note that the store does not answer; log it once."""
+        if self.available:
+            log.warning("store_lost", topic=self.topic, detail=detail)
+        self.available = False
+        self.listener.store_lost()
+
+    def note_regained(self) -> None:
+        """Note that the store answers; log it once."""
+        if not self.available:
+            log.warning("store_regained", topic=self.topic, next=self.next)
+        self.available = True
--- /dev/null
+++ b/src/briarseam/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Passing callers' requests on to endpoints and their answers back."""
--- /dev/null
+++ b/src/briarseam/forwarding/supervision.py
@@ -0,0 +1,192 @@
+"""Ending work in time: callers that leave, and deadlines.
+
+A thread that waits for an endpoint can't see that its caller is gone.  One
+thread watches the sockets of all callers whose requests are under way, and
+the clock; when a request ends it shuts down the connection to the endpoint,
+which wakes the waiting thread and makes the endpoint stop.
+"""
+
+from __future__ import annotations
+
+import enum
+import heapq
+import itertools
+import select
+import socket
+import threading
+import typing
+
+import structlog
+
+from briarseam import clocks
+
+if typing.TYPE_CHECKING:
+    import urllib3.connection
+
+# Endpoints may work on for half a second after a caller left, and a request
+# may be answered as late after its deadline; a tenth of that is used here.
+TICK_S = 0.05
+ONCE = select.EPOLLONESHOT
+CLOSED_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+GONE_EVENTS = CLOSED_EVENTS | select.EPOLLIN | ONCE
+log = structlog.get_logger("briarseam.forwarding")
+
+
+class Ending(enum.StrEnum):
+    """Why a request was ended early."""
+
+    CALLER_GONE = "caller-gone"
+    TIMED_OUT = "timed-out"
+
+
+class EndedError(Exception):
+    """The request was ended; its thread has nothing more to send."""
+
+    def __init__(self, ending: Ending) -> None:
+        super().__init__(ending.value)
+        self.ending = ending
+
+
+class Watch:
+    """One request under way.
+
+    Parameters
+    ----------
+    caller
+        The caller's socket.
+    deadline_s
+        When it is ended, by the boot clock.
+    """
+
+    def __init__(self, caller: socket.socket, deadline_s: float) -> None:
+        self.caller = caller
+        self.deadline_s = deadline_s
+        self.ending: Ending | None = None
+        self.upstream: urllib3.connection.HTTPConnection | None = None
+        self.done = False
+        self.lock = threading.Lock()
+
+    def left_s(self) -> float:
+        """Return the seconds until the deadline."""
+        return self.deadline_s - clocks.boot_clock()
+
+    def check(self) -> None:
+        """Raise :class:`EndedError` if the request was ended."""
+        if self.ending is not None:
+            raise EndedError(self.ending)
+
+    def attach(self, upstream: urllib3.connection.HTTPConnection) -> None:
+        """Let the end of the request end this connection.
+
+        Raises
+        ------
+        EndedError
+            If the request was ended before.
+        """
+        with self.lock:
+            self.check()
+            self.upstream = upstream
+
+    def detach(self) -> None:
+        """Let the connection live on, for other requests."""
+        with self.lock:
+            self.upstream = None
+
+    def end(self, ending: Ending) -> None:
+        """End the request; the first reason counts."""
+        with self.lock:
+            if self.done or self.ending is not None:
+                return
+            self.ending = ending
+            upstream = self.upstream
+            sock = upstream.sock if upstream is not None else None
+            if sock is None:
+                return
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The endpoint's side ended it first; its thread sees that.
+                return
+
+
+class Supervisor:
+    """Watches all requests under way."""
+
+    def __init__(self) -> None:
+        self.poller = select.epoll()
+        self.watches: dict[int, Watch] = {}
+        self.deadlines: list[tuple[float, int, Watch]] = []
+        self.order = itertools.count()
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run, name="supervisor", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin watching."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop watching."""
+        self.stopping.set()
+
+    def watch(self, watch: Watch) -> None:
+        """Watch a request until :meth:`forget`."""
+        descriptor = watch.caller.fileno()
+        with self.lock:
+            self.watches[descriptor] = watch
+            heapq.heappush(
+                self.deadlines, (watch.deadline_s, next(self.order), watch)
+            )
+            self.poller.register(descriptor, GONE_EVENTS)
+
+    def forget(self, watch: Watch) -> None:
+        """Stop watching a request that has its answer."""
+        with watch.lock:
+            watch.done = True
+        descriptor = watch.caller.fileno()
+        with self.lock:
+            if self.watches.get(descriptor) is watch:
+                del self.watches[descriptor]
+                self.poller.unregister(descriptor)
+
+    def run(self) -> None:
+        """Watch until stopped."""
+        while not self.stopping.is_set():
+            for descriptor, events in self.poller.poll(TICK_S):
+                self.take_event(descriptor, events)
+            self.end_overdue()
+
+    def take_event(self, descriptor: int, events: int) -> None:
+        """End a request whose caller has gone."""
+        with self.lock:
+            watch = self.watches.get(descriptor)
+            if watch is None:
+                return
+            if not events & CLOSED_EVENTS and not is_gone(watch.caller):
+                # A next request that was sent ahead; only the end counts
+                # from now on, or the poll would return at once each time.
+                self.poller.modify(descriptor, CLOSED_EVENTS | ONCE)
+                return
+        watch.end(Ending.CALLER_GONE)
+
+    def end_overdue(self) -> None:
+        """End the requests whose deadline is over."""
+        now_s = clocks.boot_clock()
+        while True:
+            with self.lock:
+                if not self.deadlines or self.deadlines[0][0] > now_s:
+                    return
+                _deadline_s, _order, watch = heapq.heappop(self.deadlines)
+            watch.end(Ending.TIMED_OUT)
+
+
+def is_gone(caller: socket.socket) -> bool:
+    """Tell whether a caller, whose socket is readable, has closed it."""
+    try:
+        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/src/briarseam/leases/service.py
+++ b/src/briarseam/leases/service.py
@@ -15,11 +15,11 @@
 
 import structlog
 
-from briarseam.leases import clock as clocks
+from briarseam import clocks
+from briarseam.backing import log as platform_log
 from briarseam.leases import fold as folds
 from briarseam.leases import outcomes
 from briarseam.leases import records
-from briarseam.platform import log as platform_log
 
 STREAM = "leases"
 DEFAULT_TTL_S = 6.0
--- a/src/briarseam/membership/endpoints.py
+++ b/src/briarseam/membership/endpoints.py
@@ -9,8 +9,8 @@
 import msgspec
 import structlog
 
+from briarseam.backing import instances
 from briarseam.configuration import schema
-from briarseam.platform import instances
 
 if typing.TYPE_CHECKING:
     from briarseam.membership import service
--- a/src/briarseam/membership/gossip.py
+++ b/src/briarseam/membership/gossip.py
@@ -21,8 +21,8 @@
 from briarseam.wire import connection as connections
 
 if typing.TYPE_CHECKING:
+    from briarseam.backing import instances
     from briarseam.membership import service
-    from briarseam.platform import instances
     from briarseam.wire import server
 
 SECTION = "cells"
--- a/src/briarseam/membership/listing.py
+++ b/src/briarseam/membership/listing.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from briarseam.platform import instances
+from briarseam.backing import instances
 
 INTERVAL_S = 2.0
 BYTES_PER_S = 4000.0
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -24,7 +24,7 @@
 from briarseam.wire import connection as connections
 
 if typing.TYPE_CHECKING:
-    from briarseam.platform import instances as platform
+    from briarseam.backing import instances as platform
     from briarseam.wire import codec
     from briarseam.wire import server
 
--- a/src/briarseam/membership/table.py
+++ b/src/briarseam/membership/table.py
@@ -13,7 +13,7 @@
 from briarseam.membership import state
 
 if typing.TYPE_CHECKING:
-    from briarseam.platform import instances
+    from briarseam.backing import instances
 
 log = structlog.get_logger("briarseam.membership")
 Clock = typing.Callable[[], float]
--- a/src/briarseam/orders/service.py
+++ b/src/briarseam/orders/service.py
@@ -7,8 +7,8 @@
 
 import structlog
 
+from briarseam import clocks
 from briarseam.configuration import schema
-from briarseam.leases import clock as clocks
 from briarseam.orders import giver as givers
 from briarseam.orders import goals
 from briarseam.orders import messages
--- /dev/null
+++ b/src/briarseam/peers/registrations.py
@@ -0,0 +1,183 @@
+"""Registrations of instances in a keyed topic of the store."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+import typing
+
+import msgpack
+import structlog
+
+from briarseam.backing import instances
+from briarseam.feeds import records
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+AGENT_ROLE = "agent"
+# The one key of the topic that is no instance's.
+SECRET_KEY = "wire-secret"
+SECRET_BYTES = 32
+RETRY_S = 0.3
+# A registration that may or may not have been written is written again
+# until the topic shows it; later losses of it show in the same way.
+REVIEW_S = 1.0
+log = structlog.get_logger("briarseam.peers")
+
+
+class WritableStore(records.KeyedStore, typing.Protocol):
+    """A store of keyed topics that can be written."""
+
+    def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Write the newest record of a key."""
+
+    def append(
+        self, topic: str, items: tuple[bytes, ...], at: int | None = None
+    ) -> int:
+        """Append records where the topic ends at an offset."""
+
+
+class Registrations:
+    """The registration of this instance, and those of all others.
+
+    A listener of the topic and the instance list of
+    :class:`briarseam.membership.service.Membership`.
+
+    Parameters
+    ----------
+    store, topic
+        Where registrations lie.
+    me
+        This instance as others shall see it.
+    """
+
+    def __init__(
+        self, store: WritableStore, topic: str, me: instances.Instance
+    ) -> None:
+        self.store = store
+        self.topic = topic
+        self.me = me
+        self.rows: dict[str, instances.Instance] = {}
+        self.secret: bytes | None = None
+        self.known = threading.Event()
+        self.leaving = threading.Event()
+        self.thread = threading.Thread(
+            target=self.keep_registered, name="register", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to keep this instance registered."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Take this instance's registration away, as far as possible."""
+        self.leaving.set()
+        try:
+            self.store.put(self.topic, self.me.name, None)
+        except records.StoreUnavailableError as error:
+            # Peers notice the silence; the record costs them a look only.
+            log.warning("registration_left", detail=str(error))
+
+    def read(self) -> instances.Listing:
+        """Return the registered instances, as of the last read.
+
+        Raises
+        ------
+        InstanceListUnavailableError
+            Before the first read of the topic.
+        """
+        if not self.known.is_set():
+            raise instances.InstanceListUnavailableError(
+                "the registrations were not read yet"
+            )
+        return instances.Listing(tuple(self.rows.values()), 0)
+
+    def take_all(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in all registrations."""
+        self.rows = {}
+        self.take_changes(changes)
+        self.known.set()
+
+    def take_changes(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in changed registrations."""
+        rows = dict(self.rows)
+        for change in changes:
+            if change.key == SECRET_KEY:
+                self.secret = change.value or self.secret
+            elif change.value is None:
+                rows.pop(change.key, None)
+            else:
+                rows[change.key] = decode(change.key, change.value)
+        self.rows = rows
+
+    def store_lost(self) -> None:
+        """Go on with the registrations that are known."""
+
+    def keep_registered(self) -> None:
+        """Register until the topic shows it, and again when it is lost."""
+        self.known.wait()
+        while not self.leaving.is_set():
+            if self.rows.get(self.me.name) != self.me:
+                self.register()
+            self.leaving.wait(REVIEW_S)
+
+    def register(self) -> None:
+        """Write this instance's registration once."""
+        try:
+            self.store.put(self.topic, self.me.name, encode(self.me))
+        except records.StoreUnavailableError as error:
+            log.warning("registration_failed", detail=str(error))
+            return
+        log.info("registered", name=self.me.name, address=self.me.address)
+
+
+def encode(instance: instances.Instance) -> bytes:
+    """Return an instance's registration."""
+    packed: bytes = msgpack.packb([instance.address, instance.zone])
+    return packed
+
+
+def decode(name: str, data: bytes) -> instances.Instance:
+    """Return the instance of a registration."""
+    address, zone = msgpack.unpackb(data)
+    return instances.Instance(name, AGENT_ROLE, str(address), str(zone))
+
+
+def agree_on_secret(
+    store: WritableStore,
+    topic: str,
+    encode_keyed: typing.Callable[[str, bytes], bytes],
+    stopping: threading.Event,
+) -> bytes | None:
+    """Return the secret that proves membership, made by whoever was first.
+
+    Only a record at the topic's very beginning counts, so of all instances
+    that start at once one makes it and the others read it.
+
+    Parameters
+    ----------
+    store, topic
+        Where it lies.
+    encode_keyed
+        Returns the record of a key and a value.
+    stopping
+        Ends the attempts; ``None`` is returned then.
+    """
+    while not stopping.is_set():
+        try:
+            for record in store.newest(topic).records:
+                if record.key == SECRET_KEY and record.value:
+                    return record.value
+            made = encode_keyed(SECRET_KEY, secrets.token_bytes(SECRET_BYTES))
+            store.append(topic, (made,), at=0)
+        except records.SupersededError:
+            continue
+        except records.StoreUnavailableError as error:
+            log.warning("secret_not_read", detail=str(error))
+            stopping.wait(RETRY_S)
+    return None
--- /dev/null
+++ b/src/briarseam/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing the endpoint that will answer a request soonest."""
--- /dev/null
+++ b/src/briarseam/placement/loads.py
@@ -0,0 +1,98 @@
+"""How busy each endpoint is, by this instance's work and its peers'."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+
+import msgpack
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """Work at one endpoint.
+
+    Attributes
+    ----------
+    requests
+        Requests sent and not answered.
+    waiting_tokens
+        Prompt tokens to be read of requests without a first event.
+    running
+        Streams that have begun.
+    """
+
+    requests: int = 0
+    waiting_tokens: int = 0
+    running: int = 0
+
+    def plus(self, other: Load) -> Load:
+        """Return the sum of two loads."""
+        return Load(
+            self.requests + other.requests,
+            self.waiting_tokens + other.waiting_tokens,
+            self.running + other.running,
+        )
+
+
+NO_LOAD = Load()
+
+
+class Loads:
+    """Own work by endpoint and what the peers told; thread-safe."""
+
+    def __init__(self) -> None:
+        self.own: dict[str, Load] = {}
+        self.peers: dict[str, dict[str, Load]] = {}
+        self.lock = threading.Lock()
+
+    def change(
+        self,
+        endpoint: str,
+        requests: int = 0,
+        waiting_tokens: int = 0,
+        running: int = 0,
+    ) -> None:
+        """Add to this instance's work at an endpoint; may be negative."""
+        with self.lock:
+            load = self.own.get(endpoint, NO_LOAD).plus(
+                Load(requests, waiting_tokens, running)
+            )
+            if load == NO_LOAD:
+                self.own.pop(endpoint, None)
+            else:
+                self.own[endpoint] = load
+
+    def of(self, endpoint: str) -> Load:
+        """Return all work known at an endpoint."""
+        with self.lock:
+            load = self.own.get(endpoint, NO_LOAD)
+            for told in self.peers.values():
+                if endpoint in told:
+                    load = load.plus(told[endpoint])
+            return load
+
+    def provide(self) -> bytes:
+        """Return this instance's work, for its peers."""
+        with self.lock:
+            rows = [
+                (name, load.requests, load.waiting_tokens, load.running)
+                for name, load in self.own.items()
+            ]
+        packed: bytes = msgpack.packb(rows)
+        return packed
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Take in a peer's work."""
+        told = {
+            str(name): Load(int(requests), int(tokens), int(running))
+            for name, requests, tokens, running in msgpack.unpackb(data)
+        }
+        with self.lock:
+            self.peers[member] = told
+
+    def keep_only(self, members: frozenset[str]) -> None:
+        """Forget what members that are gone had told."""
+        with self.lock:
+            for name in self.peers.keys() - members:
+                del self.peers[name]
--- /dev/null
+++ b/src/briarseam/platform/answers.py
@@ -0,0 +1,87 @@
+"""Encoding the system's own answers: addresses, readiness, refusals."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+import urllib.parse
+
+import msgspec
+
+from briarseam import verdict
+from briarseam.forwarding import refusing
+from briarseam.platform import names
+
+JSON = "application/json"
+# Only these say for good that a request is wrong as it stands.
+STATUS_OF_REASON = {
+    verdict.Reason.MALFORMED: 400,
+    verdict.Reason.UNAUTHENTICATED: 401,
+    verdict.Reason.UNKNOWN_SERVICE: 404,
+    verdict.Reason.TOO_LARGE: 413,
+    verdict.Reason.THROTTLED: 429,
+}
+NOT_RUN_STATUS = 503
+UNKNOWN_STATUS = 502
+TIMED_OUT_STATUS = 504
+
+
+@dataclasses.dataclass(frozen=True)
+class LookupQuestion:
+    """Who asks for addresses.
+
+    Attributes
+    ----------
+    region, zone
+        Where the caller is.
+    """
+
+    region: str
+    zone: str
+
+
+def encode_verdict(given: verdict.Verdict) -> refusing.Refusal:
+    """Return the answer for a request that got none from an endpoint."""
+    headers = [("Content-Type", JSON)]
+    if given.retry_after_s is not None:
+        headers.append((names.RETRY_AFTER, f"{given.retry_after_s:.3f}"))
+    body = msgspec.json.encode(
+        {
+            "ran": verdict.ran_word(given),
+            "reason": given.reason.value,
+            "detail": given.detail,
+        }
+    )
+    return refusing.Refusal(status_of(given), tuple(headers), body)
+
+
+def status_of(given: verdict.Verdict) -> int:
+    """Return the status for a verdict; 503 and 429 promise "not run"."""
+    match given:
+        case verdict.NotRun(reason=reason):
+            return STATUS_OF_REASON.get(reason, NOT_RUN_STATUS)
+        case verdict.MayHaveRun(reason=verdict.Reason.DEADLINE):
+            return TIMED_OUT_STATUS
+        case _:
+            return UNKNOWN_STATUS
+
+
+def decode_lookup(target: str) -> LookupQuestion | None:
+    """Return the question for addresses, ``None`` if it is another one."""
+    parts = urllib.parse.urlsplit(target)
+    if parts.path != names.RESOLVE_PATH:
+        return None
+    query = urllib.parse.parse_qs(parts.query)
+    return LookupQuestion(
+        region=query.get("region", [""])[0], zone=query.get("zone", [""])[0]
+    )
+
+
+def encode_addresses(addresses: typing.Sequence[str], ttl_s: float) -> bytes:
+    """Return the answer to a question for addresses."""
+    return msgspec.json.encode({"addresses": list(addresses), "ttlS": ttl_s})
+
+
+def is_readiness(target: str) -> bool:
+    """Tell whether a request asks if this instance is ready."""
+    return target.partition("?")[0] == names.READY_PATH
--- /dev/null
+++ b/src/briarseam/platform/border.py
@@ -0,0 +1,12 @@
+"""The border to callers and endpoints as forwarding sees it."""
+
+from __future__ import annotations
+
+from briarseam.platform import requests
+
+
+class CallBorder:
+    """Decodes callers' requests and encodes them for endpoints."""
+
+    decode_call = staticmethod(requests.decode_call)
+    encode_headers = staticmethod(requests.encode_headers)
--- /dev/null
+++ b/src/briarseam/platform/configuration.py
@@ -0,0 +1,231 @@
+"""Decoding the operators' documents: configuration and weight versions."""
+
+from __future__ import annotations
+
+import msgspec
+
+from briarseam.platform import decoding
+from briarseam.platform import names
+from briarseam.routes import model
+from briarseam.weights import goals
+
+MS = 1000.0
+REPEATS = {
+    "safe": model.Repeat.SAFE,
+    "unsafe": model.Repeat.ONCE,
+    "stream": model.Repeat.STREAM,
+    # Requests that carry a caller's own key; without a claim log behind
+    # them they are treated as those that run at most once.
+    "keyed": model.Repeat.ONCE,
+}
+
+
+class WireShare(msgspec.Struct):
+    """One part of a route's split."""
+
+    service: str
+    weight: float = 1.0
+
+
+class WireRoute(msgspec.Struct, rename="camel"):
+    """A route as the operators write it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[WireShare] = []
+    max_attempts: int = 1
+    anonymous: bool = False
+    # Says that requests carry prompt parts; nothing has to stick.
+    sticky: bool = False
+    resumable: bool = False
+
+
+class WireModel(msgspec.Struct):
+    """A model of an engine service."""
+
+    name: str
+
+
+class WireEngine(msgspec.Struct, rename="camel"):
+    """What a service of model engines tells of its engines."""
+
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    models: list[WireModel] = []
+
+
+class WireService(msgspec.Struct, rename="camel"):
+    """A service; a store of KV cache where it has ``kvStoreAddr``."""
+
+    name: str
+    health_path: str = ""
+    max_connections: int = 0
+    engine: WireEngine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
+    kv_capacity_tokens: int = 0
+    link_mbps: float = 0.0
+    managed: bool = False
+    first_ms: float = msgspec.field(default=0.0, name="first_ms")
+
+
+class WireTenant(msgspec.Struct, rename="camel"):
+    """An organisation and its keys."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class WireLimits(msgspec.Struct, rename="camel"):
+    """Bounds on what a caller may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class WireConfiguration(msgspec.Struct):
+    """The whole configuration."""
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTenant] | None = None
+
+
+class WireVersion(msgspec.Struct):
+    """New weights of a model."""
+
+    model: str
+    version: int
+
+
+def decode_configuration(data: bytes) -> model.Configuration:
+    """Return the configuration that the operators wrote.
+
+    Raises
+    ------
+    MalformedError
+        If the document does not have its documented form.
+    """
+    wire = decoding.decode(data, WireConfiguration)
+    return model.Configuration(
+        version=wire.version,
+        routes=tuple(route_of(route) for route in wire.routes),
+        services={
+            service.name: service_of(service) for service in wire.services
+        },
+        organisations=organisations_of(wire.tenants),
+        limits=limits_of(wire.limits),
+    )
+
+
+def route_of(wire: WireRoute) -> model.Route:
+    """Return a route in the project's terms."""
+    repeat = REPEATS.get(wire.kind)
+    if repeat is None:
+        raise decoding.MalformedError(
+            f"route {wire.name}: unknown kind {wire.kind!r}"
+        )
+    shares = tuple(
+        model.Share(share.service, share.weight)
+        for share in wire.traffic_split
+    )
+    return model.Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.path_prefix,
+        repeat=repeat,
+        shares=shares or (model.Share(wire.service),),
+        timeout_s=wire.timeout_ms / MS,
+        target_latency_s=wire.target_latency_ms / MS,
+        max_endpoints=max(1, wire.max_attempts),
+        priority=wire.priority,
+        anonymous=wire.anonymous,
+        sessions=wire.sticky,
+        resumable=wire.resumable,
+    )
+
+
+def service_of(wire: WireService) -> model.Service:
+    """Return a service in the project's terms."""
+    engine = None
+    if wire.engine is not None:
+        engine = model.EngineTraits(
+            models=tuple(item.name for item in wire.engine.models),
+            slots=wire.engine.slots,
+            cache_tokens=wire.engine.kv_capacity_tokens,
+            token_bytes=wire.engine.kv_token_bytes,
+            link_mbps=wire.engine.link_mbps,
+        )
+    store = None
+    if wire.kv_store_addr:
+        store = model.StoreTraits(
+            address=wire.kv_store_addr,
+            zone=wire.zone,
+            capacity_tokens=wire.kv_capacity_tokens,
+            link_mbps=wire.link_mbps,
+            first_byte_s=wire.first_ms / MS,
+            explicit=wire.managed,
+        )
+    return model.Service(
+        name=wire.name,
+        health_path=wire.health_path,
+        max_connections=wire.max_connections,
+        engine=engine,
+        store=store,
+    )
+
+
+def organisations_of(
+    tenants: list[WireTenant] | None,
+) -> dict[str, model.Organisation] | None:
+    """Return the organisations by key; ``None`` when none are configured."""
+    if tenants is None:
+        return None
+    by_key: dict[str, model.Organisation] = {}
+    for tenant in tenants:
+        organisation = model.Organisation(
+            tenant.name, tenant.priority, tenant.isolated
+        )
+        by_key.update(dict.fromkeys(tenant.api_keys, organisation))
+    return by_key
+
+
+def limits_of(wire: WireLimits) -> model.CallerLimits:
+    """Return the bounds on callers in the project's terms."""
+    return model.CallerLimits(
+        header_bytes=wire.max_header_bytes,
+        body_bytes=wire.max_body_bytes,
+        header_timeout_s=wire.header_timeout_ms / MS,
+        idle_timeout_s=wire.idle_timeout_ms / MS,
+    )
+
+
+def is_weight_goal(key: str) -> bool:
+    """Tell whether a key of the operators' topic names weights."""
+    return key.startswith(names.VERSION_KEY_PREFIX)
+
+
+def decode_weight_goal(data: bytes) -> goals.WeightGoal:
+    """Return which weights the operators want of a model.
+
+    Raises
+    ------
+    MalformedError
+        If the document does not have its documented form.
+    """
+    wire = decoding.decode(data, WireVersion)
+    return goals.WeightGoal(wire.model, wire.version)
--- /dev/null
+++ b/src/briarseam/platform/names.py
@@ -0,0 +1,65 @@
+"""Names of headers, paths and topics on the platform's wire."""
+
+from __future__ import annotations
+
+import typing
+
+# Headers of requests, set by callers.
+REQUEST_ID: typing.Final = "Request-Id"
+# Time that the caller still waits, not a point in time.
+TIME_LEFT_MS: typing.Final = "Deadline-Ms"
+AUTHORIZATION: typing.Final = "Authorization"
+MODEL: typing.Final = "Model"
+# Prompt tokens and the largest number of output tokens.
+TOKEN_COUNTS: typing.Final = "Token-Usage"
+# The prompt's parts in order; no hash over the prompt.
+PROMPT_PARTS: typing.Final = "Prefix-Hash"
+LAST_EVENT_ID: typing.Final = "Last-Event-Id"
+
+# Headers of requests, set by the system alone.
+EXPECT_ENDPOINT: typing.Final = "Expect-Instance"
+EXPECT_VERSION: typing.Final = "Expect-Version"
+ORGANISATION: typing.Final = "Tenant"
+PRIORITY: typing.Final = "Request-Priority"
+CACHE_SALT: typing.Final = "Cache-Salt"
+CACHE_FETCH: typing.Final = "Kv-Fetch"
+CACHE_SAVE: typing.Final = "Kv-Save"
+CACHE_UNTIL: typing.Final = "Kv-Until"
+CACHE_BACKUP: typing.Final = "Kv-Backup"
+CACHE_FROM: typing.Final = "Kv-From"
+PIN: typing.Final = "Pin-Ms"
+RESERVATION: typing.Final = "Hold"
+
+# Headers of answers.
+NOT_EXECUTED: typing.Final = "Not-Executed"
+SIGNATURE: typing.Final = "Response-Signature"
+RETRY_AFTER: typing.Final = "Retry-After"
+WEIGHT_VERSION: typing.Final = "Weight-Versions"
+
+# Calls that callers and the platform make.
+READY_PATH: typing.Final = "/briarseam/readyz"
+RESOLVE_PATH: typing.Final = "/briarseam/resolve"
+
+# Calls at endpoints and stores of KV cache.
+REPORT_PATH: typing.Final = "/briarseam/report"
+ORDER_PATH: typing.Final = "/briarseam/order"
+CACHE_EVENTS_PATH: typing.Final = "/briarseam/kv-events"
+CACHE_LIST_PATH: typing.Final = "/briarseam/kv-list"
+CACHE_FREE_PATH: typing.Final = "/briarseam/kv-free"
+WAIT_MS: typing.Final = "Wait-Ms"
+
+# Calls at the metadata store.
+APPEND_PATH: typing.Final = "/briarseam/log-append"
+READ_PATH: typing.Final = "/briarseam/log-read"
+NEWEST_PATH: typing.Final = "/briarseam/log-newest"
+JOIN_PATH: typing.Final = "/briarseam/log-join"
+LEAVE_PATH: typing.Final = "/briarseam/log-leave"
+
+# Topics.  Those of the system's own begin with "keyed." where the newest
+# record of each key is to be kept.
+OPERATOR_TOPIC: typing.Final = "keyed.op"
+ENDPOINTS_TOPIC: typing.Final = "keyed.servers"
+MEMBERS_TOPIC: typing.Final = "keyed.briarseam-members"
+ORDERS_TOPIC: typing.Final = "briarseam-orders"
+CONFIGURATION_KEY: typing.Final = "config"
+VERSION_KEY_PREFIX: typing.Final = "version/"
--- /dev/null
+++ b/src/briarseam/platform/requests.py
@@ -0,0 +1,198 @@
+"""Decoding callers' requests and encoding them for endpoints."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.forwarding import calls
+from briarseam.forwarding import refusing
+from briarseam.platform import decoding
+from briarseam.platform import names
+
+MS = 1000.0
+NO_ADDRESS = "-"
+
+Headers = typing.Sequence[tuple[str, str]]
+
+# Headers that concern one connection only, and those that are made anew.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers that the system sets.  From a caller they would let it pass for
+# another organisation, reach another one's KV cache, or take up memory.
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        names.AUTHORIZATION,
+        names.CACHE_SALT,
+        names.EXPECT_ENDPOINT,
+        names.EXPECT_VERSION,
+        names.LAST_EVENT_ID,
+        names.ORGANISATION,
+        names.PIN,
+        names.PRIORITY,
+        names.RESERVATION,
+        names.TIME_LEFT_MS,
+    )
+)
+CACHE_HEADERS = "kv-"
+KEY_SCHEME = "bearer "
+
+
+def decode_call(method: str, target: str, headers: Headers) -> calls.Call:
+    """Return a caller's request.
+
+    Parameters
+    ----------
+    method, target
+        From the request line.
+    headers
+        In the order in which they came.
+
+    Raises
+    ------
+    MalformedCallError
+        If what a request to a model must say is malformed.
+    """
+    by_name = {name.lower(): value for name, value in headers}
+    time_left_ms = decoding.header_number(
+        by_name.get(names.TIME_LEFT_MS.lower())
+    )
+    return calls.Call(
+        id=by_name.get(names.REQUEST_ID.lower(), ""),
+        method=method,
+        target=target,
+        host=by_name.get("host", ""),
+        headers=tuple(
+            (name, value)
+            for name, value in headers
+            if is_handed_on(name.lower())
+        ),
+        key=decode_key(by_name.get(names.AUTHORIZATION.lower(), "")),
+        time_left_s=None if time_left_ms is None else time_left_ms / MS,
+        prompt=decode_prompt(by_name),
+        last_event_id=by_name.get(names.LAST_EVENT_ID.lower()),
+    )
+
+
+def is_handed_on(name: str) -> bool:
+    """Tell whether a caller's header, in lower case, is handed on."""
+    return (
+        name not in CONNECTION_HEADERS
+        and name not in SYSTEM_HEADERS
+        and not name.startswith(CACHE_HEADERS)
+    )
+
+
+def decode_key(text: str) -> str:
+    """Return the key of a caller's credentials, empty if there is none."""
+    if text.lower().startswith(KEY_SCHEME):
+        return text[len(KEY_SCHEME) :].strip()
+    return ""
+
+
+def decode_prompt(by_name: typing.Mapping[str, str]) -> calls.Prompt | None:
+    """Return what a request says of its prompt, if it is for a model."""
+    model = by_name.get(names.MODEL.lower())
+    parts = by_name.get(names.PROMPT_PARTS.lower())
+    if model is None or parts is None:
+        return None
+    try:
+        input_tokens, _, output_tokens = by_name.get(
+            names.TOKEN_COUNTS.lower(), "0,0"
+        ).partition(",")
+        return calls.Prompt(
+            model=model,
+            input_tokens=int(input_tokens),
+            output_tokens=int(output_tokens or 0),
+            parts=tuple(
+                decode_part(text) for text in parts.split(",") if text
+            ),
+        )
+    except ValueError as error:
+        raise refusing.MalformedCallError(
+            f"malformed prompt: {error}"
+        ) from error
+
+
+def decode_part(text: str) -> calls.PromptPart:
+    """Return a part of a prompt from ``ID:TOKENS``."""
+    name, _, tokens = text.strip().partition(":")
+    return calls.PromptPart(name, int(tokens))
+
+
+def encode_headers(
+    call: calls.Call, instructions: calls.Instructions
+) -> dict[str, str]:
+    """Return the headers with which a call goes to an endpoint."""
+    headers: dict[str, str] = {}
+    for name, value in call.headers:
+        known = headers.get(name)
+        headers[name] = value if known is None else f"{known}, {value}"
+    headers[names.EXPECT_ENDPOINT] = instructions.endpoint
+    if instructions.time_left_s is not None:
+        # Rounded down: an endpoint must not be given more than is left.
+        headers[names.TIME_LEFT_MS] = str(
+            max(1, int(instructions.time_left_s * MS))
+        )
+    if instructions.organisation:
+        headers[names.ORGANISATION] = instructions.organisation
+    if instructions.priority is not None:
+        headers[names.PRIORITY] = str(instructions.priority)
+    if instructions.last_event_id is not None:
+        headers[names.LAST_EVENT_ID] = instructions.last_event_id
+    headers.update(encode_cache(instructions))
+    return headers
+
+
+def encode_cache(instructions: calls.Instructions) -> dict[str, str]:
+    """Return the headers about KV cache and weights."""
+    headers: dict[str, str] = {}
+    if instructions.salt:
+        headers[names.CACHE_SALT] = instructions.salt
+    if instructions.version is not None:
+        headers[names.EXPECT_VERSION] = str(instructions.version)
+    if any(instructions.fetch_from):
+        headers[names.CACHE_FETCH] = encode_places(instructions.fetch_from)
+    if any(instructions.save_to):
+        headers[names.CACHE_SAVE] = encode_places(instructions.save_to)
+    return headers
+
+
+def encode_places(addresses: typing.Sequence[str]) -> str:
+    """Return one address for each part of a prompt."""
+    return ",".join(address or NO_ADDRESS for address in addresses)
+
+
+def decode_answer(status: int, headers: Headers) -> calls.AnswerHead:
+    """Return status and headers of an endpoint's answer."""
+    by_name = {name.lower(): value for name, value in headers}
+    version = decoding.header_number(by_name.get(names.WEIGHT_VERSION.lower()))
+    return calls.AnswerHead(
+        status=status,
+        headers=tuple(
+            (name, value)
+            for name, value in headers
+            if name.lower() not in CONNECTION_HEADERS
+        ),
+        call_id=by_name.get(names.REQUEST_ID.lower(), ""),
+        # 421 says by itself that another endpoint has this address now.
+        not_run=names.NOT_EXECUTED.lower() in by_name or status == 421,
+        signed=names.SIGNATURE.lower() in by_name,
+        retry_after_s=decoding.header_number(
+            by_name.get(names.RETRY_AFTER.lower())
+        ),
+        version=None if version is None else int(version),
+    )
--- /dev/null
+++ b/src/briarseam/platform/store.py
@@ -0,0 +1,324 @@
+"""The one client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import base64
+import struct
+import typing
+import urllib.parse
+
+import msgspec
+import urllib3
+
+from briarseam.feeds import records
+from briarseam.platform import decoding
+from briarseam.platform import names
+
+MS = 1000.0
+# A call is answered in some ms; a second is twenty times what a store
+# under load takes and still leaves time for another try.
+CALL_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+# What a long poll may take beyond its waiting time.
+POLL_SLACK_S = 1.0
+CONNECTIONS = 8
+OK = 200
+GONE = 410
+CONFLICT = 409
+PRECONDITION_FAILED = 412
+# "Nothing was done", in the words of the interface.
+REFUSED = frozenset({429, 503, 507})
+LENGTH = struct.Struct(">I")
+POSITIONS = struct.Struct(">QQ")
+PAGE_LIMIT = 1000
+
+
+class WireItem(msgspec.Struct):
+    """The newest record of a key."""
+
+    key: str
+    value: str = ""
+    offset: int = 0
+
+
+class WireNewest(msgspec.Struct, rename="camel"):
+    """One page of newest records."""
+
+    items: list[WireItem] = []
+    has_more: bool = False
+    end: int = 0
+
+
+class WireAppended(msgspec.Struct):
+    """Where appended records lie."""
+
+    offset: int = 0
+    end: int = 0
+
+
+class WireShare(msgspec.Struct):
+    """What a member of a group holds: topic, partition, offset."""
+
+    generation: int
+    parts: list[tuple[str, int, int]] = []
+
+
+class StoreClient:
+    """Calls the platform's metadata store; thread-safe.
+
+    Library retries stay off: a write whose answer was lost may have been
+    done, and only its writer can tell what to do about it.
+
+    Parameters
+    ----------
+    address
+        ``ip:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.calls = 0
+        host, _, port = address.rpartition(":")
+        self.pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=CONNECTIONS, retries=False
+        )
+
+    def newest(self, topic: str) -> records.KeyedBatch:
+        """Return the newest record of each key of a topic.
+
+        The pages are no snapshot, so reading on begins where the first
+        page ended: a change between two pages is then seen again.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the store does not answer properly.
+        """
+        found: list[records.KeyedRecord] = []
+        start: int | None = None
+        after = ""
+        for _page in range(PAGE_LIMIT):
+            query = {"topic": topic, "part": "0"}
+            if after:
+                query["after"] = after
+            page = self.decoded(
+                self.call("GET", names.NEWEST_PATH, query), WireNewest
+            )
+            start = page.end if start is None else start
+            for item in page.items:
+                value = base64.b64decode(item.value)
+                found.append(records.KeyedRecord(item.key, value or None))
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        return records.KeyedBatch(tuple(found), start or 0)
+
+    def read_keyed(
+        self, topic: str, start: int, wait_s: float
+    ) -> records.KeyedBatch:
+        """Return changes of a keyed topic from an offset on.
+
+        Parameters
+        ----------
+        topic
+            A keyed topic.
+        start
+            First offset wanted.
+        wait_s
+            Longest wait for a first record, in seconds.
+
+        Raises
+        ------
+        RecordsExpiredError
+            When records from there on are no longer kept.
+        StoreUnavailableError
+            When the store does not answer properly.
+        """
+        query = {
+            "topic": topic,
+            "part": "0",
+            "from": str(start),
+            "waitMs": str(int(wait_s * MS)),
+        }
+        response = self.call(
+            "GET",
+            names.READ_PATH,
+            query,
+            timeout_s=wait_s + POLL_SLACK_S,
+            accepted=(OK, GONE),
+        )
+        if response.status == GONE:
+            raise records.RecordsExpiredError(f"{topic} from {start}")
+        try:
+            found = [
+                keyed_record(data) for data in split_records(response.data)
+            ]
+        except (struct.error, UnicodeDecodeError, IndexError) as error:
+            raise records.StoreUnavailableError(
+                f"malformed records: {error}"
+            ) from error
+        return records.KeyedBatch(tuple(found), start + len(found))
+
+    def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Write the newest record of a key; ``None`` drops the key.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the store does not confirm the write.
+        """
+        self.append(topic, (encode_keyed(key, value),))
+
+    def append(
+        self, topic: str, items: tuple[bytes, ...], at: int | None = None
+    ) -> int:
+        """Append records and return the offset of the first.
+
+        Parameters
+        ----------
+        topic
+            The topic.
+        items
+            Records, appended all or none.
+        at
+            Only if the partition ends at this offset.
+
+        Raises
+        ------
+        SupersededError
+            When the partition ends elsewhere.
+        StoreUnavailableError
+            When the store does not confirm the write.
+        """
+        query = {"topic": topic, "part": "0"}
+        if at is not None:
+            query["at"] = str(at)
+        body = b"".join(LENGTH.pack(len(item)) + item for item in items)
+        response = self.call(
+            "POST",
+            names.APPEND_PATH,
+            query,
+            body=body,
+            accepted=(OK, PRECONDITION_FAILED),
+        )
+        if response.status == PRECONDITION_FAILED:
+            raise records.SupersededError(f"{topic} does not end at {at}")
+        return self.decoded(response, WireAppended).offset
+
+    def join(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        ttl_s: float,
+        generation: int,
+    ) -> records.GroupShare:
+        """Join a group or stay in it; return what the member holds.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the store does not answer properly.
+        """
+        body = msgspec.json.encode(
+            {
+                "group": group,
+                "member": member,
+                "topics": [topic],
+                "ttlMs": int(ttl_s * MS),
+                "generation": generation,
+            }
+        )
+        response = self.call("POST", names.JOIN_PATH, {}, body=body)
+        share = self.decoded(response, WireShare)
+        return records.GroupShare(
+            share.generation,
+            frozenset((name, part) for name, part, _offset in share.parts),
+        )
+
+    def leave(self, group: str, member: str) -> None:
+        """Leave a group.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the store does not answer properly.
+        """
+        body = msgspec.json.encode({"group": group, "member": member})
+        self.call(
+            "POST", names.LEAVE_PATH, {}, body=body, accepted=(OK, 204, 404)
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        *,
+        body: bytes | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        accepted: tuple[int, ...] = (OK,),
+    ) -> urllib3.BaseHTTPResponse:
+        """Return the response of one call, its status an accepted one."""
+        self.calls += 1
+        url = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        headers = {"Content-Type": "application/json"} if body else {}
+        # A store that trickles its answer must not hold the caller longer
+        # than one that is silent.
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
+        )
+        try:
+            response = self.pool.urlopen(
+                method, url, body=body, headers=headers, timeout=timeout
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            raise records.StoreUnavailableError(str(error)) from error
+        except urllib3.exceptions.HTTPError as error:
+            raise records.StoreUnavailableError(
+                f"{type(error).__name__}: {error}", may_have_run=True
+            ) from error
+        if response.status in accepted:
+            return response
+        raise records.StoreUnavailableError(
+            f"{path} answered {response.status}",
+            may_have_run=response.status not in REFUSED,
+        )
+
+    def decoded(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        kind: type[decoding.Decoded],
+    ) -> decoding.Decoded:
+        """Return a response's body as a wire structure."""
+        try:
+            return decoding.decode(response.data, kind)
+        except decoding.MalformedError as error:
+            raise records.StoreUnavailableError(
+                f"malformed answer: {error}", may_have_run=True
+            ) from error
+
+
+def split_records(body: bytes) -> typing.Iterator[bytes]:
+    """Yield the records of a read's body, which begins with positions."""
+    place = POSITIONS.size
+    while place + LENGTH.size <= len(body):
+        (length,) = LENGTH.unpack_from(body, place)
+        place += LENGTH.size
+        if place + length > len(body):
+            return
+        yield body[place : place + length]
+        place += length
+
+
+def keyed_record(data: bytes) -> records.KeyedRecord:
+    """Return a keyed topic's record: a length, the key, the value."""
+    length = data[0]
+    key = data[1 : 1 + length].decode()
+    return records.KeyedRecord(key, data[1 + length :] or None)
+
+
+def encode_keyed(key: str, value: bytes | None) -> bytes:
+    """Return the bytes of a keyed topic's record."""
+    name = key.encode()
+    return bytes([len(name)]) + name + (value or b"")
--- /dev/null
+++ b/src/briarseam/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Which service a caller's request goes to, and under which terms."""
--- /dev/null
+++ b/src/briarseam/routes/following.py
@@ -0,0 +1,112 @@
+"""The configuration in force, as the operators' topic tells it."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+import structlog
+
+from briarseam.routes import model
+from briarseam.routes import table as tables
+from briarseam.weights import goals
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from briarseam.feeds import records
+
+log = structlog.get_logger("briarseam.routes")
+
+
+class Documents(typing.Protocol):
+    """Decodes the operators' documents."""
+
+    def decode_configuration(self, data: bytes) -> model.Configuration:
+        """Return a configuration; raises ``MalformedError``."""
+
+    def decode_weight_goal(self, data: bytes) -> goals.WeightGoal:
+        """Return a model's wanted weights; raises ``MalformedError``."""
+
+    def is_configuration(self, key: str) -> bool:
+        """Tell whether a key names the configuration."""
+
+    def is_weight_goal(self, key: str) -> bool:
+        """Tell whether a key names a model's weights."""
+
+
+class OperatorFeed:
+    """Keeps the newest configuration and wanted weights.
+
+    Within one start of the process a version never gives way to an older
+    one, whatever order records are read in.
+
+    Parameters
+    ----------
+    documents
+        Decodes what operators write.
+    on_change
+        Called with each new configuration, before it is in force.
+    """
+
+    def __init__(
+        self,
+        documents: Documents,
+        on_change: collections.abc.Callable[[model.Configuration], None],
+    ) -> None:
+        self.documents = documents
+        self.on_change = on_change
+        self.table: tables.RouteTable | None = None
+        self.weight_goals: dict[str, goals.WeightGoal] = {}
+        self.loaded = threading.Event()
+
+    def current(self) -> tables.RouteTable | None:
+        """Return the configuration in force; ``None`` before the first."""
+        return self.table
+
+    def take_all(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in all documents."""
+        self.take_changes(changes)
+
+    def take_changes(
+        self, changes: collections.abc.Sequence[records.KeyedRecord]
+    ) -> None:
+        """Take in changed documents."""
+        for change in changes:
+            if change.value is None:
+                continue
+            if self.documents.is_configuration(change.key):
+                self.take_configuration(change.value)
+            elif self.documents.is_weight_goal(change.key):
+                self.take_goal(change.value)
+
+    def store_lost(self) -> None:
+        """Go on with what is known: a configuration does not expire."""
+
+    def take_configuration(self, data: bytes) -> None:
+        """Put a newer configuration in force."""
+        configuration = self.documents.decode_configuration(data)
+        if self.table is not None:
+            known = self.table.configuration.version
+            if configuration.version <= known:
+                return
+        self.on_change(configuration)
+        self.table = tables.RouteTable(configuration)
+        self.loaded.set()
+        log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            services=len(configuration.services),
+        )
+
+    def take_goal(self, data: bytes) -> None:
+        """Take in wanted weights."""
+        goal = self.documents.decode_weight_goal(data)
+        known = self.weight_goals.get(goal.model)
+        if known is not None and known.version >= goal.version:
+            return
+        self.weight_goals = {**self.weight_goals, goal.model: goal}
+        log.info("weights_wanted", model=goal.model, version=goal.version)
--- /dev/null
+++ b/src/briarseam/settings/serving.py
@@ -0,0 +1,171 @@
+"""Settings of ``briarseam serve``: one process that does it all."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+
+from briarseam.settings import ini
+from briarseam.settings import loading
+from briarseam.settings import model
+from briarseam.settings import sections
+
+Ratio = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Instance:
+    """``[instance]``: who and where this instance is.
+
+    Attributes
+    ----------
+    name
+        Unique over all instances.
+    zone, region
+        Availability zone, and the region that it lies in.
+    """
+
+    name: sections.Name
+    zone: sections.Name
+    region: sections.Name
+
+
+@dataclasses.dataclass(frozen=True)
+class Listen:
+    """``[listen]``: where this process takes connections.
+
+    Attributes
+    ----------
+    callers
+        Requests of callers.
+    readiness
+        Questions whether this instance is ready.
+    lookups
+        Questions which addresses to use.
+    peers
+        Heartbeats of other instances.
+    metrics
+        Scrapes of metrics.
+    """
+
+    callers: sections.Address
+    readiness: sections.Address
+    lookups: sections.Address
+    peers: sections.Address
+    metrics: sections.Address
+
+
+@dataclasses.dataclass(frozen=True)
+class Store:
+    """``[store]``: the platform's metadata store.
+
+    Attributes
+    ----------
+    address
+        Where it listens.
+    """
+
+    address: sections.Address
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """``[bounds]``: what the deployment asks of all its instances.
+
+    Attributes
+    ----------
+    endpoint_drain_ms
+        Time within which an endpoint that leaves must get no new work.
+    shutdown_s
+        Time from SIGTERM to the end of the process.
+    retry_ratio
+        Sends to a second endpoint for each request, over all instances.
+    retry_window_s
+        Time over which they are counted.
+    retry_slack
+        Such sends in a window beyond the ratio.
+    lease_ms
+        Time for which the instance that gives orders keeps that duty.
+    lookup_ttl_max_s
+        Longest time that callers keep the addresses they were given.
+    """
+
+    endpoint_drain_ms: sections.Milliseconds = 2000
+    shutdown_s: sections.Seconds = 8.0
+    retry_ratio: Ratio = 0.1
+    retry_window_s: sections.Seconds = 10.0
+    retry_slack: Ratio = 20.0
+    lease_ms: sections.Milliseconds = 3000
+    lookup_ttl_max_s: sections.Seconds = 5.0
+
+
+SECTION_TYPES = {
+    "instance": Instance,
+    "listen": Listen,
+    "store": Store,
+    "bounds": Bounds,
+    "logging": sections.Logging,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class ServeSettings:
+    """The validated settings of one process.
+
+    Attributes
+    ----------
+    path
+        The file they were read from.
+    instance, listen, store, bounds, logging
+        The sections.
+    sources
+        Where each value came from, by section and key.
+    """
+
+    path: str
+    instance: Instance
+    listen: Listen
+    store: Store
+    bounds: Bounds
+    logging: sections.Logging
+    sources: loading.Sources = dataclasses.field(
+        default_factory=dict, compare=False
+    )
+
+    def explain(self) -> tuple[model.Explained, ...]:
+        """Return every value in force with its source."""
+        return tuple(
+            model.Explained(
+                section,
+                key,
+                model.shown(getattr(getattr(self, section), key)),
+                source,
+            )
+            for (section, key), source in self.sources.items()
+        )
+
+
+def load(path: str) -> ServeSettings:
+    """Return the settings of a file.
+
+    Raises
+    ------
+    SettingsError
+        If anything in it is unknown, missing or bad.
+    """
+    loader = loading.Loader(path, ini.read(path), (), {})
+    expected = f"one of [{'], ['.join(SECTION_TYPES)}]"
+    for section in loader.written.values():
+        if section.name not in SECTION_TYPES:
+            raise loader.error(section.name, "", expected, line=section.line)
+    return ServeSettings(
+        path=path,
+        instance=loader.section("instance", Instance),
+        listen=loader.section("listen", Listen),
+        store=loader.section("store", Store),
+        bounds=loader.section("bounds", Bounds),
+        logging=loader.section("logging", sections.Logging),
+        sources=loader.sources,
+    )
--- a/src/briarseam/testing/deployment.py
+++ b/src/briarseam/testing/deployment.py
@@ -13,6 +13,7 @@
 
 from briarseam import settings as settings_module
 from briarseam import tokens
+from briarseam.backing import log as platform_log
 from briarseam.compose import agent as compose_agent
 from briarseam.compose import entry as compose_entry
 from briarseam.configuration import fold as folds
@@ -20,7 +21,6 @@
 from briarseam.configuration import publish
 from briarseam.configuration import records
 from briarseam.configuration import teams
-from briarseam.platform import log as platform_log
 from briarseam.testing import caller
 from briarseam.testing import engine
 from briarseam.testing import engine_switches
--- a/src/briarseam/testing/http_server.py
+++ b/src/briarseam/testing/http_server.py
@@ -10,10 +10,8 @@
 import collections.abc
 import logging
 import os
-import queue
 import socket
 import threading
-import time
 import typing
 import urllib.parse
 import weakref
@@ -21,6 +19,7 @@
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
+from briarseam import connection_threads
 from briarseam.testing import http_messages
 
 LISTEN_BACKLOG = 1024
@@ -45,100 +44,6 @@
 }
 
 
-class ConnectionThreads:
-    """One thread for each connection in work; idle threads are used again.
-
-    Cheroot's server takes it in place of its own pool.
-
-    Parameters
-    ----------
-    server
-        The server that gets connections back between requests.
-
-    Attributes
-    ----------
-    min
-        Threads at the start, as cheroot asks.
-    free
-        Threads that wait for a connection, less the connections that wait.
-    """
-
-    def __init__(self, server: Server) -> None:
-        self.server = server
-        self.min = 0
-        self.lock = threading.Lock()
-        self.free = 0
-        self.threads: list[threading.Thread] = []
-        self.waiting: queue.SimpleQueue[Connection | None] = (
-            queue.SimpleQueue()
-        )
-
-    def start(self) -> None:
-        """Start; threads come with the connections."""
-
-    def put(self, connection: Connection) -> None:
-        """Hand over a connection with a request to read.
-
-        Parameters
-        ----------
-        connection
-            The connection.
-        """
-        with self.lock:
-            self.free -= 1
-            if self.free < 0:
-                thread = threading.Thread(target=self.work, daemon=True)
-                self.threads.append(thread)
-                thread.start()
-        self.waiting.put(connection)
-
-    def work(self) -> None:
-        """Serve connections until told to end; the body of each thread."""
-        while True:
-            with self.lock:
-                self.free += 1
-            connection = self.waiting.get()
-            if connection is None:
-                return
-            self.serve(connection)
-
-    def serve(self, connection: Connection) -> None:
-        """Serve one request.
-
-        Parameters
-        ----------
-        connection
-            The connection that it comes on.
-        """
-        try:
-            keep = connection.communicate()  # type: ignore[no-untyped-call]
-        except ConnectionError:
-            keep = False
-        if not keep:
-            connection.close()
-            return
-        try:
-            self.server.put_conn(connection)
-        except ValueError:
-            # The server stopped meanwhile and its selector is closed.
-            connection.close()
-
-    def stop(self, timeout_s: float) -> None:
-        """End the threads.
-
-        Parameters
-        ----------
-        timeout_s
-            Longest wait in seconds for all of them.
-        """
-        deadline = time.monotonic() + timeout_s
-        threads = list(self.threads)
-        for _ in threads:
-            self.waiting.put(None)
-        for thread in threads:
-            thread.join(max(0.0, deadline - time.monotonic()))
-
-
 class Connection(cheroot_server.HTTPConnection):
     """A connection that the server can find again to cut it."""
 
@@ -265,7 +170,7 @@
         )
         self.answer = answer
         self.gateway = Gateway
-        self.requests = ConnectionThreads(self)
+        self.requests = connection_threads.ConnectionThreads(self)
         self.open_connections: weakref.WeakSet[Connection] = weakref.WeakSet()
         self.logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/briarseam/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Bringing engines to the weights that operators name."""
--- a/tests/claims/fake_log.py
+++ b/tests/claims/fake_log.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from briarseam.platform import log as platform_log
+from briarseam.backing import log as platform_log
 
 
 class Fate(enum.Enum):
--- a/tests/command/test_claim.py
+++ b/tests/command/test_claim.py
@@ -5,10 +5,10 @@
 import pytest
 
 from briarseam import run
+from briarseam.backing import log as platform_log
 from briarseam.claims import keys
 from briarseam.claims import options
 from briarseam.claims import records
-from briarseam.platform import log as platform_log
 from briarseam.testing import log_service
 from briarseam.testing import stand_in
 
--- a/tests/command/test_condemned.py
+++ b/tests/command/test_condemned.py
@@ -8,8 +8,8 @@
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_log
 from briarseam.admission import condemnation_records as records
+from briarseam.backing import log as logs
 from briarseam.configuration import teams
-from briarseam.platform import log as logs
 from briarseam.testing import log_service
 
 KEY = b"0123456789abcdef"
--- a/tests/command/test_config.py
+++ b/tests/command/test_config.py
@@ -11,11 +11,11 @@
 from briarseam import run
 from briarseam import settings
 from briarseam import tokens
+from briarseam.backing import log as logs
 from briarseam.configuration import declarations
 from briarseam.configuration import reader as readers
 from briarseam.configuration import records
 from briarseam.configuration import teams as team_types
-from briarseam.platform import log as logs
 from briarseam.testing import instance_list
 from briarseam.testing import log_service
 from briarseam.testing import waiting
--- a/tests/configuration/helpers.py
+++ b/tests/configuration/helpers.py
@@ -2,12 +2,12 @@
 
 import typing
 
+from briarseam.backing import log as logs
 from briarseam.configuration import fold as folds
 from briarseam.configuration import publish
 from briarseam.configuration import reader as readers
 from briarseam.configuration import records
 from briarseam.configuration import snapshotting
-from briarseam.platform import log as logs
 from briarseam.wire import connection as connections
 from briarseam.wire import server
 
--- a/tests/configuration/test_following.py
+++ b/tests/configuration/test_following.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from briarseam.backing import instances
 from briarseam.configuration import following
-from briarseam.platform import instances
 
 LIST = (
     instances.Instance("a", "agent", "127.0.0.1:1", "one"),
--- a/tests/configuration/test_snapshots.py
+++ b/tests/configuration/test_snapshots.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from briarseam.backing import log as logs
 from briarseam.configuration import fold as folds
 from briarseam.configuration import snapshots
-from briarseam.platform import log as logs
 
 KEY = b"snapshots' key"
 
--- a/tests/leases/conftest.py
+++ b/tests/leases/conftest.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from briarseam.backing import log as platform_log
 from briarseam.leases import service
-from briarseam.platform import log as platform_log
 
 TTL_S = 8.0
 
--- a/tests/matrix/stopping_holder.py
+++ b/tests/matrix/stopping_holder.py
@@ -11,12 +11,12 @@
 
 from tests.orders import deployment
 
+from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases_service
 from briarseam.metrics import registry
 from briarseam.orders import service as orders_service
-from briarseam.platform import log as platform_log
 
 
 class StoppingEngines(engine_orders.EngineOrders):
--- a/tests/matrix/test_configuration_agents.py
+++ b/tests/matrix/test_configuration_agents.py
@@ -6,6 +6,7 @@
 from tests.matrix import processes
 
 from briarseam import settings
+from briarseam.backing import log as logs
 from briarseam.configuration import loading
 from briarseam.configuration import messages
 from briarseam.configuration import peers
@@ -13,7 +14,6 @@
 from briarseam.configuration import publish
 from briarseam.configuration import snapshots
 from briarseam.configuration import teams
-from briarseam.platform import log as logs
 from briarseam.testing import caller
 from briarseam.testing import deployment
 from briarseam.testing import waiting
--- a/tests/matrix/test_crashing_requests.py
+++ b/tests/matrix/test_crashing_requests.py
@@ -11,9 +11,9 @@
 
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_records as records
+from briarseam.backing import log as logs
 from briarseam.configuration import teams
 from briarseam.entry import requests
-from briarseam.platform import log as logs
 from briarseam.testing import answers
 from briarseam.testing import caller
 from briarseam.testing import deployment
--- a/tests/matrix/test_leaving_endpoint.py
+++ b/tests/matrix/test_leaving_endpoint.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from briarseam.platform import instances
+from briarseam.backing import instances
 from briarseam.testing import deployment
 from briarseam.testing import instance_list
 from briarseam.testing import waiting
--- a/tests/membership/nodes.py
+++ b/tests/membership/nodes.py
@@ -3,9 +3,9 @@
 import dataclasses
 import typing
 
+from briarseam.backing import instances
 from briarseam.membership import service
 from briarseam.membership import state
-from briarseam.platform import instances
 from briarseam.wire import connection as connections
 from briarseam.wire import server
 
--- a/tests/membership/test_endpoints.py
+++ b/tests/membership/test_endpoints.py
@@ -5,9 +5,9 @@
 import msgspec
 import pytest
 
+from briarseam.backing import instances
 from briarseam.configuration import schema
 from briarseam.membership import endpoints
-from briarseam.platform import instances
 from briarseam.testing import waiting
 from tests.membership import nodes as helpers
 
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from briarseam.backing import instances
 from briarseam.membership import listing
-from briarseam.platform import instances
 from briarseam.testing import instance_list
 from tests.membership import nodes as helpers
 
--- a/tests/orders/deployment.py
+++ b/tests/orders/deployment.py
@@ -6,13 +6,13 @@
 import dataclasses
 import threading
 
+from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases_service
 from briarseam.metrics import registry
 from briarseam.orders import peers
 from briarseam.orders import service as orders_service
-from briarseam.platform import log as platform_log
 from briarseam.testing import engine
 from briarseam.testing import log_service
 from briarseam.testing import waiting
--- a/tests/orders/test_goals.py
+++ b/tests/orders/test_goals.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases_service
@@ -9,7 +10,6 @@
 from briarseam.orders import goals
 from briarseam.orders import peers
 from briarseam.orders import service
-from briarseam.platform import log as platform_log
 
 
 def view_of(count: int, floor: int, max_loading: int) -> schema.View:
--- /dev/null
+++ b/tests/platform/system.py
@@ -0,0 +1,186 @@
+"""One instance on loopback before stand-ins of the platform."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+
+import urllib3
+
+from briarseam.compose import node as compose
+from briarseam.settings import serving
+from briarseam.testing import ports
+from briarseam.testing import waiting
+from tests.platform import metadata_store
+from tests.platform import worker as workers
+
+HOST = "kitchens.example"
+KEY = "key-of-north"
+MODEL = "drafts"
+PATIENCE_S = 10
+
+ROUTES = [
+    {
+        "name": "submit",
+        "host": HOST,
+        "pathPrefix": "/submit/",
+        "kind": "unsafe",
+        "timeoutMs": 3000,
+        "service": "portal",
+        "maxAttempts": 2,
+    },
+    {
+        "name": "status",
+        "host": HOST,
+        "pathPrefix": "/status/",
+        "kind": "safe",
+        "timeoutMs": 3000,
+        "service": "portal",
+        "maxAttempts": 2,
+    },
+    {
+        "name": "draft",
+        "host": HOST,
+        "pathPrefix": "/draft/",
+        "kind": "stream",
+        "timeoutMs": 5000,
+        "service": "engines",
+        "maxAttempts": 2,
+        "sticky": True,
+        "resumable": True,
+    },
+    {
+        "name": "once",
+        "host": HOST,
+        "pathPrefix": "/draft/once/",
+        "kind": "stream",
+        "timeoutMs": 5000,
+        "service": "engines",
+        "maxAttempts": 2,
+        "sticky": True,
+    },
+]
+
+
+def configuration(version: int = 1, **changes: object) -> dict:
+    """Return a configuration as the operators write it."""
+    return {
+        "version": version,
+        "routes": ROUTES,
+        "services": [
+            {"name": "portal", "healthPath": "/healthz"},
+            {
+                "name": "engines",
+                "engine": {
+                    "slots": 8,
+                    "kvCapacityTokens": 100000,
+                    "models": [{"name": MODEL}],
+                },
+            },
+        ],
+        "tenants": [{"name": "north", "apiKeys": [KEY]}],
+    } | changes
+
+
+class System:
+    """One instance, its store and its endpoints."""
+
+    def __init__(self, folder) -> None:
+        self.stack = contextlib.ExitStack()
+        self.store = self.stack.enter_context(metadata_store.MetadataStore())
+        self.workers: dict[str, workers.Worker] = {}
+        self.http = urllib3.PoolManager(retries=False)
+        self.folder = folder
+        self.node: compose.Node | None = None
+
+    def add_worker(self, name: str, service: str) -> workers.Worker:
+        """Start an endpoint and write its entry."""
+        worker = self.stack.enter_context(workers.Worker(name))
+        self.workers[name] = worker
+        self.write_entry(name, service)
+        return worker
+
+    def write_entry(
+        self, name: str, service: str, state: str = "ready"
+    ) -> None:
+        """Write an endpoint's entry."""
+        entry = {
+            "service": service,
+            "address": self.workers[name].address,
+            "zone": "hall-a",
+            "slots": 8,
+            "state": state,
+        }
+        self.store.write("keyed.servers", name, entry)
+
+    def configure(self, **changes: object) -> None:
+        """Write a configuration."""
+        self.store.write("keyed.op", "config", configuration(**changes))
+
+    def start(self) -> compose.Node:
+        """Start the instance and wait until it knows its endpoints."""
+        self.node = compose.Node(self.settings())
+        self.stack.callback(self.node.stop)
+        self.node.start()
+        waiting.until(
+            lambda: (
+                self.node.is_ready()
+                and len(self.node.feeds.registry.all()) == len(self.workers)
+            ),
+            PATIENCE_S,
+        )
+        return self.node
+
+    def settings(self) -> serving.ServeSettings:
+        """Return the settings of the instance."""
+        free = ports.free_ports(5)
+        names = ("callers", "readiness", "lookups", "peers", "metrics")
+        listen = "\n".join(
+            f"{name} = 127.0.0.1:{port}"
+            for name, port in zip(names, free, strict=True)
+        )
+        path = self.folder / "settings.ini"
+        path.write_text(
+            "[instance]\nname = one\nzone = hall-a\nregion = north\n"
+            f"[listen]\n{listen}\n[store]\naddress = {self.store.address}\n"
+        )
+        return serving.load(str(path))
+
+    def url(self, place: str, path: str) -> str:
+        """Return the URL of a path at one of the instance's addresses."""
+        address = getattr(self.node.settings.listen, place)
+        return f"http://{address}{path}"
+
+    def call(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"{}",
+        key: str = KEY,
+        **headers: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a caller's request and return the answer."""
+        sent = {
+            "Host": HOST,
+            "Request-Id": f"r{time.monotonic_ns()}",
+            "Authorization": f"Bearer {key}",
+        }
+        sent.update(
+            (name.replace("_", "-"), value) for name, value in headers.items()
+        )
+        return self.http.request(
+            method, self.url("callers", path), body=body, headers=sent
+        )
+
+    def stream(self, path: str, **headers: str) -> urllib3.BaseHTTPResponse:
+        """Send a request with a prompt and return the answer."""
+        prompt = {
+            "Model": MODEL,
+            "Token_Usage": "1000,50",
+            "Prefix_Hash": "aa:600,bb:400",
+        }
+        return self.call(path, **(prompt | headers))
+
+    def close(self) -> None:
+        """Stop everything."""
+        self.stack.close()
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,35 @@
+"""The names of the platform's wire stand in one package alone."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+import pytest
+
+SOURCE = pathlib.Path(__file__).parents[2] / "src" / "briarseam"
+ADAPTER = SOURCE / "platform"
+HEADERS = re.compile(
+    r"\b(Request-Id|Deadline-Ms|Token-Usage|Prefix-Hash|Expect-Instance|"
+    r"Expect-Version|Not-Executed|Response-Signature|Cache-Salt|Kv-[A-Z]\w+|"
+    r"Pin-Ms|Request-Priority|Weight-Versions|Instance-Id)\b"
+)
+CALLS = re.compile(r"/briarseam/|keyed\.|BRIARSEAM_CONFIG|kvStoreAddr")
+FIELDS = re.compile(
+    r"\b(pathPrefix|timeoutMs|maxAttempts|apiKeys|swapMode|trafficSplit|"
+    r"ttlS|waitMs|ttlMs|hasMore)\b"
+)
+MODULES = sorted(
+    path for path in SOURCE.rglob("*.py") if ADAPTER not in path.parents
+)
+
+
+@pytest.mark.parametrize("pattern", [HEADERS, CALLS, FIELDS])
+def test_no_module_outside_the_adapter_knows_the_wire(pattern):
+    found = [
+        f"{path.relative_to(SOURCE)}: {match.group()}"
+        for path in MODULES
+        for match in [pattern.search(path.read_text())]
+        if match
+    ]
+    assert found == []
