--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import secrets
 import threading
 import typing
 
 import structlog
 
-from briarseam.backing import instances
 from briarseam.discovery import registry as registries
 from briarseam.feeds import following
 from briarseam.forwarding import attempts
@@ -26,18 +26,25 @@
 from briarseam.metrics import rendering
 from briarseam.peers import registrations
 from briarseam.placement import chooser as choosers
+from briarseam.placement import store_watch
 from briarseam.platform import answers
 from briarseam.platform import border
+from briarseam.platform import cache
 from briarseam.platform import documents
 from briarseam.platform import endpoints
+from briarseam.platform import engines
 from briarseam.platform import names
 from briarseam.platform import requests
 from briarseam.platform import store as stores
 from briarseam.routes import following as operators
+from briarseam.weights import board as boards
+from briarseam.weights import rollout as rollouts
+from briarseam.weights import tenure as tenures
 from briarseam.wire import connection as wire_connection
 from briarseam.wire import server as wire
 
 if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
     from briarseam.routes import model as routes
     from briarseam.settings import serving
 
@@ -62,6 +69,12 @@
 LINGER_S = 3.0
 STREAMS_REFUSED_AFTER_S = 3.0
 LOADS_SECTION = "endpoint-loads"
+WEIGHTS_SECTION = "weights"
+ORDERS_GROUP = "briarseam-orders"
+START_BYTES = 4
+# Added to the time for which holders must not take turns: orders arrive a
+# little after they were sent.
+LEASE_SLACK_S = 0.3
 MS = 1000.0
 log = structlog.get_logger("briarseam.node")
 
@@ -103,12 +116,20 @@
         self.store = stores.StoreClient(str(settings.store.address))
         self.pool = connections.Pool()
         self.feeds = self.build_feeds()
+        self.board = boards.Board()
         self.chooser = choosers.Chooser(
-            self.feeds.registry.serving, settings.instance.zone
+            self.feeds.registry.serving, settings.instance.zone, self.board
         )
+        self.store_watches = store_watch.StoreWatches(
+            cache.CacheStoreClient(), self.chooser.kept
+        )
+        self.tenure = self.build_tenure()
+        self.rollout = self.build_rollout()
         self.supervisor = supervision.Supervisor()
         self.members: membership.Membership | None = None
-        self.lookup = zonal.ZonalLookup(self.all_members)
+        self.lookup = zonal.ZonalLookup(
+            self.all_members, self.feeds.registrations.zone_of
+        )
         self.forwarding = forwarding.Forwarding(self.build_forwarding())
         self.servers = self.build_servers()
         self.register_metrics()
@@ -125,10 +146,10 @@
         rows = registrations.Registrations(
             self.store,
             names.MEMBERS_TOPIC,
-            instances.Instance(
+            registrations.Registration(
                 name=settings.instance.name,
-                role=registrations.AGENT_ROLE,
                 address=str(settings.listen.peers),
+                group=settings.instance.region,
                 zone=settings.instance.zone,
             ),
         )
@@ -188,6 +209,30 @@
             ),
         )
 
+    def build_tenure(self) -> tenures.Tenure:
+        """Return this instance's part in who gives orders."""
+        start = secrets.token_hex(START_BYTES)
+        return tenures.Tenure(
+            self.store,
+            ORDERS_GROUP,
+            names.ORDERS_TOPIC,
+            f"{self.settings.instance.name}/{start}",
+            self.settings.bounds.lease_ms / MS + LEASE_SLACK_S,
+        )
+
+    def build_rollout(self) -> rollouts.Rollout:
+        """Return what brings engines to the wanted weights."""
+        return rollouts.Rollout(
+            rollouts.Sources(
+                goals=lambda: self.feeds.operators.weight_goals,
+                targets=self.engines_of,
+                tenure=self.tenure,
+                engines=engines.EngineClient(),
+                board=self.board,
+                holder=self.settings.instance.name,
+            )
+        )
+
     def build_servers(self) -> dict[str, http.Server]:
         """Return the servers by what they are for, nothing bound."""
         listen = self.settings.listen
@@ -250,6 +295,8 @@
         for server in self.servers.values():
             server.start_serving()
         self.feeds.start()
+        self.tenure.start()
+        self.rollout.start()
         threading.Thread(
             target=self.meet_peers, name="meet-peers", daemon=True
         ).start()
@@ -271,12 +318,13 @@
         service = membership.Membership(
             members.Me(
                 name=settings.instance.name,
-                zone=settings.instance.zone,
+                zone=settings.instance.region,
                 agent_address=str(settings.listen.peers),
                 entry_addresses=(str(settings.listen.callers),),
             ),
             self.feeds.registrations,
             secret,
+            parts_of=self.feeds.registrations.groups_of,
             heartbeat_interval_s=HEARTBEAT_S,
             suspect_after_s=SUSPECT_AFTER_S,
             list_interval_s=LISTING_INTERVAL_S,
@@ -286,6 +334,9 @@
             self.chooser.loads.provide,
             self.chooser.loads.consume,
         )
+        service.add_section(
+            WEIGHTS_SECTION, self.board.provide, self.board.consume
+        )
         router = wire.Router()
         service.register(router)
         server = wire.Server(
@@ -304,6 +355,7 @@
         """Forget what is old until stopped."""
         while not self.stopping.wait(HOUSEKEEPING_S):
             self.pool.close_old()
+            self.chooser.kept.forget_old()
             self.feeds.registry.forget_lapsed()
             self.chooser.loads.keep_only(
                 frozenset(member.name for member in self.all_members())
@@ -330,6 +382,9 @@
     def stop(self) -> None:
         """Stop all parts."""
         self.stopping.set()
+        self.store_watches.stop()
+        self.rollout.stop()
+        self.tenure.stop()
         self.feeds.registrations.stop()
         self.stop_servers()
         self.feeds.stop()
@@ -360,6 +415,22 @@
         table = self.feeds.operators.current()
         return 0 if table is None else table.configuration.version
 
+    def engines_of(self, model: str) -> list[discovery.Endpoint]:
+        """Return the engines that serve a model and are not leaving."""
+        table = self.feeds.operators.current()
+        if table is None:
+            return []
+        serving = {
+            service.name
+            for service in table.configuration.services.values()
+            if service.engine is not None and model in service.engine.models
+        }
+        return [
+            endpoint
+            for endpoint in self.feeds.registry.all()
+            if endpoint.service in serving and not endpoint.leaving
+        ]
+
     def configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
@@ -369,12 +440,16 @@
         server.set_idle_timeout(limits.idle_timeout_s)
         server.max_request_header_size = limits.header_bytes
         server.max_request_body_size = limits.body_bytes
+        keeping = [store for store in configuration.stores() if store.explicit]
+        self.chooser.kept.set_stores(keeping)
+        self.store_watches.follow([store.address for store in keeping])
 
     def endpoints_gone(self, ids: frozenset[str]) -> None:
         """Forget endpoints that are gone."""
         self.pool.forget(ids)
         for endpoint_id in ids:
             self.chooser.residency.forget(endpoint_id)
+            self.board.forget(endpoint_id)
 
     # Small answers.
 
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -309,14 +309,16 @@
         chooser = self.parts.chooser
         request = work.request()
         began = False
+        sent_s = clocks.boot_clock()
+        first_ms = -1
 
         def on_first_event() -> None:
-            nonlocal began
+            nonlocal began, first_ms
             began = True
             chooser.first_event(placed, request)
-            self.parts.metrics.first_event_us.record_s(
-                clocks.boot_clock() - work.arrived_s
-            )
+            now_s = clocks.boot_clock()
+            first_ms = round((now_s - sent_s) * 1000)
+            self.parts.metrics.first_event_us.record_s(now_s - work.arrived_s)
 
         instructions = dataclasses.replace(
             placed.instructions,
@@ -334,14 +336,17 @@
             progress=work.progress,
             on_first_event=on_first_event,
         )
-        chooser.started(placed)
+        chooser.started(placed, work.call.prompt)
         outcome: outcomes.Outcome | None = None
         try:
             outcome = self.parts.sender.send(errand)
         finally:
             chooser.ended(placed, began)
             name = type(outcome).__name__.lower() if outcome else "ended"
-            work.steps.append(f"{placed.endpoint.id}:{name}")
+            work.steps.append(
+                f"{placed.endpoint.id}:{name}:first={first_ms}ms"
+                f" {placed.reasons()}"
+            )
             self.parts.metrics.sends.labelled(name).add()
         return outcome
 
--- a/src/briarseam/lookup/zonal.py
+++ b/src/briarseam/lookup/zonal.py
@@ -27,10 +27,15 @@
     ----------
     members
         All known instances.
+    zone_of
+        Returns an instance's availability zone.
     """
 
-    def __init__(self, members: Members) -> None:
+    def __init__(
+        self, members: Members, zone_of: typing.Callable[[str], str]
+    ) -> None:
         self.members = members
+        self.zone_of = zone_of
 
     def addresses(self, zone: str) -> list[str]:
         """Return the addresses for a caller in a zone."""
@@ -39,7 +44,7 @@
         for member in self.members():
             if member.state is not state.MemberState.ALIVE:
                 continue
-            place = near if member.zone == zone else far
+            place = near if self.zone_of(member.name) == zone else far
             place.extend(member.entry_addresses)
         if len(near) < LEAST_ADDRESSES:
             near.extend(far)
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import secrets
 import threading
 import typing
@@ -23,9 +24,35 @@
 # A registration that may or may not have been written is written again
 # until the topic shows it; later losses of it show in the same way.
 REVIEW_S = 1.0
+# Each member of a cell sends heartbeats to all others; see docs/CAPACITY.md.
+CELL_MEMBERS = 32
 log = structlog.get_logger("briarseam.peers")
 
 
+@dataclasses.dataclass(frozen=True)
+class Registration:
+    """What an instance tells of itself.
+
+    Attributes
+    ----------
+    name
+        Unique over all instances.
+    address
+        Where its peers reach it.
+    group
+        Instances of one group share what they know of endpoints.  That is
+        a region, not an availability zone: the endpoints that they send to
+        are the same.
+    zone
+        Its availability zone.
+    """
+
+    name: str
+    address: str
+    group: str
+    zone: str
+
+
 class WritableStore(records.KeyedStore, typing.Protocol):
     """A store of keyed topics that can be written."""
 
@@ -49,16 +76,16 @@
     store, topic
         Where registrations lie.
     me
-        This instance as others shall see it.
+        Registration of this instance.
     """
 
     def __init__(
-        self, store: WritableStore, topic: str, me: instances.Instance
+        self, store: WritableStore, topic: str, me: Registration
     ) -> None:
         self.store = store
         self.topic = topic
         self.me = me
-        self.rows: dict[str, instances.Instance] = {}
+        self.rows: dict[str, Registration] = {}
         self.secret: bytes | None = None
         self.known = threading.Event()
         self.leaving = threading.Event()
@@ -91,7 +118,21 @@
             raise instances.InstanceListUnavailableError(
                 "the registrations were not read yet"
             )
-        return instances.Listing(tuple(self.rows.values()), 0)
+        listed = tuple(
+            instances.Instance(row.name, AGENT_ROLE, row.address, row.group)
+            for row in self.rows.values()
+        )
+        return instances.Listing(listed, 0)
+
+    def zone_of(self, name: str) -> str:
+        """Return an instance's availability zone, empty if unknown."""
+        row = self.rows.get(name)
+        return "" if row is None else row.zone
+
+    def groups_of(self, group: str) -> int:
+        """Return the number of cells for the instances of a group."""
+        size = sum(row.group == group for row in self.rows.values())
+        return max(1, -(-size // CELL_MEMBERS))
 
     def take_all(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
@@ -136,16 +177,16 @@
         log.info("registered", name=self.me.name, address=self.me.address)
 
 
-def encode(instance: instances.Instance) -> bytes:
+def encode(row: Registration) -> bytes:
     """Return an instance's registration."""
-    packed: bytes = msgpack.packb([instance.address, instance.zone])
+    packed: bytes = msgpack.packb([row.address, row.group, row.zone])
     return packed
 
 
-def decode(name: str, data: bytes) -> instances.Instance:
+def decode(name: str, data: bytes) -> Registration:
     """Return the instance of a registration."""
-    address, zone = msgpack.unpackb(data)
-    return instances.Instance(name, AGENT_ROLE, str(address), str(zone))
+    address, group, zone = msgpack.unpackb(data)
+    return Registration(name, str(address), str(group), str(zone))
 
 
 def agree_on_secret(
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -10,9 +10,11 @@
 from briarseam import verdict
 from briarseam.forwarding import calls
 from briarseam.lookup import rank
+from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
 from briarseam.placement import residency as residencies
 from briarseam.routes import model as routes
+from briarseam.weights import board as boards
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
@@ -27,6 +29,12 @@
 # A prompt that no endpoint holds goes to the endpoint that ranks first for
 # its session unless that has this much more to read than another.
 HOME_BONUS_TOKENS = 6000
+# An answer that begins on older weights than others have loses part of its
+# worth; reading this many tokens takes 36 ms, so that engines with newer
+# weights are preferred and not swamped.
+OLD_WEIGHTS_TOKENS = 4000
+# Fetching a token's KV cache takes about a tenth of the time of reading it.
+FETCH_COST = 0.1
 RETRY_AFTER_S = 0.5
 
 
@@ -63,11 +71,28 @@
         What to tell it.
     missing_tokens
         Prompt tokens that it has to read, as far as known.
+    held_tokens, fetched_tokens
+        Prompt tokens that it has, and that it can fetch.
+    load
+        Work known at the endpoint when it was chosen.
     """
 
     endpoint: discovery.Endpoint
     instructions: calls.Instructions
     missing_tokens: int = 0
+    held_tokens: int = 0
+    fetched_tokens: int = 0
+    load: load_module.Load = load_module.NO_LOAD
+
+    def reasons(self) -> str:
+        """Return what decided, for the log."""
+        return (
+            f"queue={self.load.requests}/{self.load.waiting_tokens}"
+            f" held={self.held_tokens} fetch={self.fetched_tokens}"
+            f" read={self.missing_tokens}"
+            f" from={','.join(filter(None, self.instructions.fetch_from))}"
+            f" version={self.instructions.version or 0}"
+        )
 
 
 class Chooser:
@@ -79,12 +104,15 @@
         Returns the endpoints of a service that take new work.
     zone
         This instance's availability zone.
+    board
+        Which weights engines have, and which take none just now.
     """
 
     def __init__(
         self,
         endpoints: typing.Callable[[str], list[discovery.Endpoint]],
         zone: str,
+        board: boards.Board,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.endpoints = endpoints
@@ -92,6 +120,8 @@
         self.clock = clock
         self.loads = load_module.Loads()
         self.residency = residencies.Residency()
+        self.board = board
+        self.kept = kept_module.KeptIndex(clock)
         self.avoided: dict[str, float] = {}
 
     def choose(self, request: Request) -> Placement | verdict.NotRun:
@@ -115,6 +145,11 @@
         ]
         if request.call.prompt is None:
             return self.place_plain(request, good or candidates)
+        good = [
+            endpoint
+            for endpoint in good
+            if not self.board.is_changing(endpoint.id)
+        ]
         return self.place_prompt(
             request, request.call.prompt, good or candidates
         )
@@ -139,30 +174,73 @@
         candidates: list[discovery.Endpoint],
     ) -> Placement:
         """Place a prompt where it will be read soonest."""
-        salt = salt_of(request, "")
-        parts = [(part.id, part.tokens) for part in prompt.parts]
         key = session_of(prompt)
         home = rank.ranked(key, candidates, lambda endpoint: endpoint.id)[0]
+        versions = {
+            endpoint.id: self.version_of(endpoint, prompt.model)
+            for endpoint in candidates
+        }
+        newest = max(versions.values())
         best: Placement | None = None
         best_cost = 0.0
         for endpoint in candidates:
-            load = self.loads.of(endpoint.id)
-            held = self.residency.known(endpoint.id, salt, parts)
-            missing = max(prompt.input_tokens - held, 0)
-            cost = load.waiting_tokens + missing
+            placement = self.at_engine(
+                request, prompt, endpoint, versions[endpoint.id]
+            )
+            load = placement.load
+            cost = load.waiting_tokens + placement.missing_tokens
             cost += load.running * TOKENS_PER_STREAM
             if endpoint.id == home.id:
                 cost -= HOME_BONUS_TOKENS
+            if versions[endpoint.id] < newest:
+                cost += OLD_WEIGHTS_TOKENS
             if best is None or cost < best_cost:
                 best_cost = cost
-                best = Placement(
-                    endpoint, self.instruct(request, endpoint), missing
-                )
+                best = placement
         assert best is not None
         return best
 
+    def at_engine(
+        self,
+        request: Request,
+        prompt: calls.Prompt,
+        endpoint: discovery.Endpoint,
+        version: int,
+    ) -> Placement:
+        """Return the placement of a prompt on one engine."""
+        instructions = self.instruct(request, endpoint, version)
+        parts = [(part.id, part.tokens) for part in prompt.parts]
+        held = self.residency.known(endpoint.id, instructions.salt, parts)
+        plan = kept_module.NOTHING
+        if version:
+            plan = self.kept.plan(instructions.salt, prompt.shared)
+        fetched = max(plan.fetched_tokens - held, 0)
+        missing = max(prompt.input_tokens - held - fetched, 0)
+        missing += int(fetched * FETCH_COST)
+        instructions = dataclasses.replace(
+            instructions,
+            fetch_from=(*plan.fetch_from, ""),
+            save_to=(*plan.save_to, ""),
+        )
+        return Placement(
+            endpoint,
+            instructions,
+            missing,
+            held,
+            fetched,
+            self.loads.of(endpoint.id),
+        )
+
+    def version_of(self, endpoint: discovery.Endpoint, model: str) -> int:
+        """Return an engine's weights, as far as known."""
+        announced = endpoint.versions.get(model, 0)
+        return self.board.version(endpoint.id, model, announced)
+
     def instruct(
-        self, request: Request, endpoint: discovery.Endpoint
+        self,
+        request: Request,
+        endpoint: discovery.Endpoint,
+        version: int = 0,
     ) -> calls.Instructions:
         """Return what to tell an endpoint about a request."""
         organisation = request.organisation
@@ -173,12 +251,21 @@
             endpoint=endpoint.id,
             organisation=organisation.name if organisation else "",
             priority=min(priority, 9),
-            salt=salt_of(request, "") if request.call.prompt else "",
+            salt=salt_of(request, version),
+            version=version or None,
             last_event_id=request.call.last_event_id,
         )
 
-    def started(self, placement: Placement) -> None:
+    def started(
+        self, placement: Placement, prompt: calls.Prompt | None
+    ) -> None:
         """Count a request that is about to be sent."""
+        if prompt is not None:
+            self.kept.note_saving(
+                placement.instructions.salt,
+                prompt.shared,
+                placement.instructions.save_to,
+            )
         self.loads.change(
             placement.endpoint.id,
             requests=1,
@@ -230,15 +317,17 @@
     return shared[-1].id if shared else ""
 
 
-def salt_of(request: Request, version: str) -> str:
-    """Return the text under which a request's parts are cached.
+def salt_of(request: Request, version: int) -> str:
+    """Return the text under which a request's parts are cached, if any.
 
     Parts of an isolated organisation must not be found by another one, and
     parts that were made by other weights must not be found at all.
     """
+    prompt = request.call.prompt
+    if prompt is None:
+        return ""
     organisation = request.organisation
     owner = ""
     if organisation is not None and organisation.isolated:
         owner = organisation.name
-    model = request.call.prompt.model if request.call.prompt else ""
-    return f"{model}/{version}/{owner}"
+    return f"{prompt.model}/{version}/{owner}"
--- /dev/null
+++ b/src/briarseam/placement/kept.py
@@ -0,0 +1,286 @@
+"""Which parts of prompts the stores keep, and what to fetch and save."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+from briarseam import clocks
+from briarseam.lookup import rank
+from briarseam.routes import model as routes
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from briarseam.forwarding import calls
+
+# A part that was sent to be saved shows in the store's events when it is
+# whole.  After this long it may be sent again.
+SAVING_S = 5.0
+# Saves reserve their room at once and are lost where there is none; the
+# index lags by some hundred ms of other instances' saves.
+FULL_SHARE = 0.97
+
+PartKey = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class PartEvent:
+    """A change of what a store keeps.
+
+    Attributes
+    ----------
+    salt, part
+        Which part.
+    tokens
+        Its length, once it is whole; 0 when it was dropped.
+    """
+
+    salt: str
+    part: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """What a store tells of changes.
+
+    Attributes
+    ----------
+    epoch
+        Changes when the store starts anew, empty.
+    next
+        Number to ask from next.
+    lost
+        Whether changes before these are missing.
+    events
+        In order.
+    """
+
+    epoch: int
+    next: int
+    lost: bool
+    events: tuple[PartEvent, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Content:
+    """All that a store keeps whole.
+
+    Attributes
+    ----------
+    epoch, next
+        As in :class:`Changes`.
+    parts
+        Whole parts.
+    """
+
+    epoch: int
+    next: int
+    parts: tuple[PartEvent, ...]
+
+
+@dataclasses.dataclass
+class StoreIndex:
+    """What one store keeps, as far as known.
+
+    Attributes
+    ----------
+    traits
+        The store.
+    readable
+        Whether it answers, so that its content is known to be there.
+    epoch
+        Of the content.
+    held
+        Tokens of whole parts.
+    used
+        Sum of these.
+    """
+
+    traits: routes.StoreTraits
+    readable: bool = False
+    epoch: int = 0
+    held: dict[PartKey, int] = dataclasses.field(default_factory=dict)
+    used: int = 0
+
+    def put(self, event: PartEvent) -> None:
+        """Take in one change."""
+        key = (event.salt, event.part)
+        self.used -= self.held.pop(key, 0)
+        if event.tokens > 0:
+            self.held[key] = event.tokens
+            self.used += event.tokens
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self.held.clear()
+        self.used = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Where a prompt's parts come from and go to.
+
+    Attributes
+    ----------
+    fetch_from, save_to
+        Addresses for the parts in their order; empty for none.
+    fetched_tokens
+        Tokens that need not be read.
+    """
+
+    fetch_from: tuple[str, ...] = ()
+    save_to: tuple[str, ...] = ()
+    fetched_tokens: int = 0
+
+
+NOTHING = Plan()
+
+
+class KeptIndex:
+    """The index over all stores; thread-safe.
+
+    Parameters
+    ----------
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self, clock: typing.Callable[[], float] = clocks.boot_clock
+    ) -> None:
+        self.clock = clock
+        self.stores: dict[str, StoreIndex] = {}
+        self.saving: dict[PartKey, float] = {}
+        self.lock = threading.Lock()
+
+    def set_stores(
+        self, stores: collections.abc.Sequence[routes.StoreTraits]
+    ) -> None:
+        """Take in which stores there are."""
+        with self.lock:
+            known = self.stores
+            self.stores = {}
+            for traits in stores:
+                index = known.get(traits.address) or StoreIndex(traits)
+                index.traits = traits
+                self.stores[traits.address] = index
+
+    def take_content(self, address: str, content: Content) -> None:
+        """Take in all that a store keeps; it may be fetched from now on."""
+        with self.lock:
+            index = self.stores.get(address)
+            if index is None:
+                return
+            index.clear()
+            index.epoch = content.epoch
+            index.readable = True
+            for part in content.parts:
+                index.put(part)
+
+    def take_changes(self, address: str, changes: Changes) -> bool:
+        """Take in changes; tell whether the content is still known.
+
+        A store that started anew lost everything.  A part of its former
+        content may be written again just now, and must not be fetched
+        before it is whole.
+        """
+        with self.lock:
+            index = self.stores.get(address)
+            if index is None:
+                return False
+            if changes.lost or changes.epoch != index.epoch:
+                index.clear()
+                index.readable = False
+                return False
+            for event in changes.events:
+                index.put(event)
+                self.saving.pop((event.salt, event.part), None)
+            return True
+
+    def lose(self, address: str) -> None:
+        """Forget a store's content, since the store does not answer."""
+        with self.lock:
+            index = self.stores.get(address)
+            if index is not None:
+                index.clear()
+                index.readable = False
+
+    def plan(
+        self, salt: str, parts: collections.abc.Sequence[calls.PromptPart]
+    ) -> Plan:
+        """Return where a prompt's shared parts come from and go to.
+
+        A part behind one that is nowhere is of no use, since it can only
+        be used if all before it are there.
+        """
+        fetch_from: list[str] = []
+        save_to: list[str] = []
+        fetched = 0
+        unbroken = True
+        with self.lock:
+            for part in parts:
+                holder = self.holder_of(salt, part)
+                if holder is None:
+                    unbroken = False
+                    save_to.append(self.place(salt, part))
+                    fetch_from.append("")
+                    continue
+                save_to.append("")
+                fetch_from.append(holder if unbroken else "")
+                fetched += part.tokens if unbroken else 0
+        return Plan(tuple(fetch_from), tuple(save_to), fetched)
+
+    def holder_of(self, salt: str, part: calls.PromptPart) -> str | None:
+        """Return the address of a store that keeps a part whole."""
+        for address, index in self.stores.items():
+            if index.readable and (salt, part.id) in index.held:
+                return address
+        return None
+
+    def place(self, salt: str, part: calls.PromptPart) -> str:
+        """Return where a part may be saved; empty for nowhere just now."""
+        now_s = self.clock()
+        if self.saving.get((salt, part.id), 0.0) > now_s:
+            return ""
+        candidates = [
+            index
+            for index in self.stores.values()
+            if index.readable
+            and index.used + part.tokens
+            < index.traits.capacity_tokens * FULL_SHARE
+        ]
+        order = rank.ranked(
+            f"{salt}/{part.id}",
+            candidates,
+            lambda index: index.traits.address,
+            lambda index: float(index.traits.capacity_tokens),
+        )
+        if not order:
+            return ""
+        return order[0].traits.address
+
+    def note_saving(
+        self,
+        salt: str,
+        parts: collections.abc.Sequence[calls.PromptPart],
+        save_to: collections.abc.Sequence[str],
+    ) -> None:
+        """Note which parts are about to be saved by a request."""
+        until_s = self.clock() + SAVING_S
+        with self.lock:
+            for part, address in zip(parts, save_to, strict=False):
+                if address:
+                    self.saving[salt, part.id] = until_s
+
+    def forget_old(self) -> None:
+        """Forget saves that came to nothing."""
+        now_s = self.clock()
+        with self.lock:
+            self.saving = {
+                key: until_s
+                for key, until_s in self.saving.items()
+                if until_s > now_s
+            }
--- /dev/null
+++ b/src/briarseam/platform/cache.py
@@ -0,0 +1,110 @@
+"""Calls to stores of kept KV cache."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+
+from briarseam.forwarding import connections
+from briarseam.placement import kept
+from briarseam.placement import store_watch
+from briarseam.platform import decoding
+from briarseam.platform import names
+
+MS = 1000.0
+# Beyond the wait that was asked for; an answer takes some ms.
+SLACK_S = 0.6
+LIST_TIMEOUT_S = 2.0
+OK = 200
+DROPPED = "-"
+
+
+class WireEvents(msgspec.Struct):
+    """Changes: number, + or -, salt, part, tokens stored now, model."""
+
+    epoch: int
+    next: int
+    lost: bool = False
+    events: list[tuple[int, str, str, str, int, str]] = []
+
+
+class WireList(msgspec.Struct):
+    """Whole parts: salt, part, tokens, model."""
+
+    epoch: int
+    next: int
+    held: list[tuple[str, str, int, str]] = []
+
+
+class CacheStoreClient:
+    """Calls stores of KV cache; thread-safe."""
+
+    def __init__(self) -> None:
+        self.pool = urllib3.PoolManager(
+            maxsize=1, retries=False, socket_options=connections.SOCKET_OPTIONS
+        )
+
+    def content(self, address: str) -> kept.Content:
+        """Return all that a store keeps whole.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When it does not answer properly.
+        """
+        wire = self.read(
+            f"http://{address}{names.CACHE_LIST_PATH}",
+            {},
+            LIST_TIMEOUT_S,
+            WireList,
+        )
+        parts = tuple(
+            kept.PartEvent(salt, part, tokens)
+            for salt, part, tokens, _model in wire.held
+        )
+        return kept.Content(wire.epoch, wire.next, parts)
+
+    def changes(self, address: str, since: int, wait_s: float) -> kept.Changes:
+        """Return changes from a number on, waiting for the first.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When it does not answer properly.
+        """
+        wire = self.read(
+            f"http://{address}{names.CACHE_EVENTS_PATH}?since={since}",
+            {names.WAIT_MS: str(int(wait_s * MS))},
+            wait_s + SLACK_S,
+            WireEvents,
+        )
+        events = tuple(
+            kept.PartEvent(salt, part, 0 if sign == DROPPED else tokens)
+            for _number, sign, salt, part, tokens, _model in wire.events
+        )
+        return kept.Changes(wire.epoch, wire.next, wire.lost, events)
+
+    def read(
+        self,
+        url: str,
+        headers: dict[str, str],
+        timeout_s: float,
+        kind: type[decoding.Decoded],
+    ) -> decoding.Decoded:
+        """Return the decoded answer to a question."""
+        try:
+            response = self.pool.request(
+                "GET", url, headers=headers, timeout=timeout_s
+            )
+            if response.status != OK:
+                raise store_watch.StoreUnavailableError(
+                    f"answered {response.status}"
+                )
+            return decoding.decode(response.data, kind)
+        except (
+            urllib3.exceptions.HTTPError,
+            decoding.MalformedError,
+        ) as error:
+            raise store_watch.StoreUnavailableError(
+                f"{type(error).__name__}: {error}"
+            ) from error
--- /dev/null
+++ b/src/briarseam/platform/engines.py
@@ -0,0 +1,128 @@
+"""Calls to engines and stores of KV cache that are no callers' requests."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+
+from briarseam.forwarding import connections
+from briarseam.platform import decoding
+from briarseam.platform import names
+from briarseam.weights import orders
+
+# Reports need no slot and are answered in some ms.
+CALL_TIMEOUT_S = 0.8
+OK = 200
+OP_VERSION = "version"
+MODES = {
+    orders.Mode.FINISH: "queue",
+    orders.Mode.EVICT: "evict",
+    orders.Mode.RETAIN: "retain",
+}
+
+
+class WireModel(msgspec.Struct):
+    """A model that an engine serves."""
+
+    name: str
+    version: int = 0
+
+
+class WireReport(msgspec.Struct):
+    """What an engine reports of itself."""
+
+    models: list[WireModel] = []
+    # Whether an order is being carried out; no measure of load.
+    busy: bool = False
+    # Orders accepted since the engine's start.
+    seq: int = 0
+
+
+class EngineClient:
+    """Calls engines; thread-safe."""
+
+    def __init__(self) -> None:
+        self.pool = urllib3.PoolManager(
+            maxsize=2, retries=False, socket_options=connections.SOCKET_OPTIONS
+        )
+
+    def report(self, address: str, endpoint: str) -> orders.Report:
+        """Return what an engine reports.
+
+        Raises
+        ------
+        EngineUnavailableError
+            When it does not answer properly, or is another one now.
+        """
+        response = self.call("GET", address, names.REPORT_PATH, endpoint)
+        if response.status != OK:
+            raise orders.EngineUnavailableError(
+                f"the report answered {response.status}"
+            )
+        try:
+            wire = decoding.decode(response.data, WireReport)
+        except decoding.MalformedError as error:
+            raise orders.EngineUnavailableError(str(error)) from error
+        return orders.Report(
+            versions={model.name: model.version for model in wire.models},
+            changing=wire.busy,
+            orders_taken=wire.seq,
+        )
+
+    def order(
+        self, address: str, endpoint: str, order: orders.VersionOrder
+    ) -> orders.Outcome:
+        """Order new weights; tell what is known to have become of it."""
+        body = {
+            "op": OP_VERSION,
+            "model": order.model,
+            "version": order.version,
+            "swapMode": MODES[order.mode],
+            "holder": order.holder,
+            "fence": order.fence,
+            "expected": order.orders_taken,
+        }
+        try:
+            response = self.call(
+                "POST",
+                address,
+                names.ORDER_PATH,
+                endpoint,
+                msgspec.json.encode(body),
+            )
+        except orders.EngineUnavailableError as error:
+            return orders.Lost(str(error))
+        match response.status:
+            case 200 | 202:
+                return orders.Taken()
+            case 409:
+                return orders.Busy()
+            case 412:
+                return orders.Superseded()
+            case status:
+                return orders.Refused(f"the order was answered {status}")
+
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        endpoint: str,
+        body: bytes | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make one call to the engine that is expected at an address."""
+        headers = {names.EXPECT_ENDPOINT: endpoint}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            return self.pool.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=headers,
+                timeout=CALL_TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise orders.EngineUnavailableError(
+                f"{type(error).__name__}: {error}"
+            ) from error
--- /dev/null
+++ b/src/briarseam/weights/board.py
@@ -0,0 +1,104 @@
+"""Which weights each engine has, and which engines are being changed."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+import msgpack
+
+from briarseam import clocks
+
+# A peer's word that an engine is being changed counts no longer than this
+# after it was last told: the peer may be gone.
+WORD_S = 3.0
+
+Versions = dict[tuple[str, str], int]
+
+
+class Board:
+    """What this instance and its peers know of engines' weights.
+
+    Parameters
+    ----------
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self, clock: typing.Callable[[], float] = clocks.boot_clock
+    ) -> None:
+        self.clock = clock
+        self.changing: set[str] = set()
+        self.peers_changing: dict[str, tuple[frozenset[str], float]] = {}
+        self.own: Versions = {}
+        self.told: Versions = {}
+        self.lock = threading.Lock()
+
+    def begin(self, endpoint: str) -> None:
+        """Note that an engine is about to be changed."""
+        with self.lock:
+            self.changing.add(endpoint)
+
+    def end(self, endpoint: str) -> None:
+        """Note that an engine is no longer being changed."""
+        with self.lock:
+            self.changing.discard(endpoint)
+
+    def learn(self, endpoint: str, model: str, version: int) -> None:
+        """Note which weights an engine has; older news is dropped."""
+        with self.lock:
+            key = (endpoint, model)
+            self.own[key] = max(version, self.own.get(key, 0))
+
+    def forget(self, endpoint: str) -> None:
+        """Forget an engine that is gone."""
+        with self.lock:
+            for versions in (self.own, self.told):
+                for key in [key for key in versions if key[0] == endpoint]:
+                    del versions[key]
+
+    def version(self, endpoint: str, model: str, announced: int) -> int:
+        """Return an engine's weights.
+
+        Parameters
+        ----------
+        endpoint, model
+            Which.
+        announced
+            What the engine's own entry says, which lags.
+        """
+        key = (endpoint, model)
+        with self.lock:
+            return max(announced, self.own.get(key, 0), self.told.get(key, 0))
+
+    def is_changing(self, endpoint: str) -> bool:
+        """Tell whether an engine is being changed, so takes no work."""
+        now_s = self.clock()
+        with self.lock:
+            if endpoint in self.changing:
+                return True
+            return any(
+                endpoint in names and now_s < until_s
+                for names, until_s in self.peers_changing.values()
+            )
+
+    def provide(self) -> bytes:
+        """Return what peers should know."""
+        with self.lock:
+            versions = [
+                (endpoint, model, version)
+                for (endpoint, model), version in self.own.items()
+            ]
+            packed: bytes = msgpack.packb([sorted(self.changing), versions])
+        return packed
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Take in what a peer knows."""
+        changing, versions = msgpack.unpackb(data)
+        until_s = self.clock() + WORD_S
+        with self.lock:
+            self.peers_changing[member] = (frozenset(changing), until_s)
+            for endpoint, model, version in versions:
+                key = (endpoint, model)
+                self.told[key] = max(int(version), self.told.get(key, 0))
--- /dev/null
+++ b/src/briarseam/weights/tenure.py
@@ -0,0 +1,167 @@
+"""Who gives orders: the member of a group that holds its one partition."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import structlog
+
+from briarseam import clocks
+from briarseam.feeds import records
+
+# How often a member says that it lives, and after how much silence the
+# store gives the partition to another one.  A rollout takes some seconds,
+# so its loss for three is bearable, and a lost call or two change nothing.
+JOIN_INTERVAL_S = 0.7
+TTL_S = 3.0
+# A holder that could not renew stops this early: before the store's own
+# time is over, an order's way included.
+VALID_S = 1.6
+PARTITION = 0
+log = structlog.get_logger("briarseam.weights")
+
+
+class GroupStore(typing.Protocol):
+    """A store that shares out partitions among the members of a group."""
+
+    def join(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        ttl_s: float,
+        generation: int,
+    ) -> records.GroupShare:
+        """Join a group or stay in it."""
+
+    def leave(self, group: str, member: str) -> None:
+        """Leave a group."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """The duty, as of the last answer of the store.
+
+    Attributes
+    ----------
+    fence
+        Fencing number: the group's generation, which grows with each
+        change of holder.
+    since_s, until_s
+        From when it may be used, and how long, by the boot clock.
+    """
+
+    fence: int
+    since_s: float
+    until_s: float
+
+
+class Tenure:
+    """Keeps this instance in the group and knows whether it holds the duty.
+
+    A former holder may have sent an order just before it lost the duty, and
+    may not know of its loss until its next call.  Orders of two holders
+    would cross; so a new one waits for as long as the former one could
+    still believe in its tenure.
+
+    Parameters
+    ----------
+    store, group, topic
+        Where the duty lies.
+    member
+        This start of this instance.
+    wait_s
+        What a new holder waits before its first order, in seconds.
+    clock
+        Seconds; goes on while the instance is suspended.
+    """
+
+    def __init__(
+        self,
+        store: GroupStore,
+        group: str,
+        topic: str,
+        member: str,
+        wait_s: float,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.store = store
+        self.group = group
+        self.topic = topic
+        self.member = member
+        self.wait_s = wait_s
+        self.clock = clock
+        self.generation = 0
+        self.held: Held | None = None
+        self.refused_fence = 0
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run, name="tenure", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Give the duty up."""
+        self.stopping.set()
+        self.held = None
+        try:
+            self.store.leave(self.group, self.member)
+        except records.StoreUnavailableError as error:
+            # The store takes it away by itself when its time is over.
+            log.warning("duty_not_given_up", detail=str(error))
+
+    def fence(self) -> int | None:
+        """Return the fencing number if this instance may order right now.
+
+        Ask right before each order.
+        """
+        held = self.held
+        now_s = self.clock()
+        if held is None or not held.since_s <= now_s < held.until_s:
+            return None
+        if held.fence <= self.refused_fence:
+            return None
+        return held.fence
+
+    def note_superseded(self, fence: int) -> None:
+        """Take note that an engine has seen a higher number than ours."""
+        self.refused_fence = max(self.refused_fence, fence)
+        log.warning("duty_superseded", fence=fence)
+
+    def run(self) -> None:
+        """Take part until stopped."""
+        while not self.stopping.is_set():
+            try:
+                self.join_once()
+            except records.StoreUnavailableError as error:
+                log.info("duty_not_renewed", detail=str(error))
+            self.stopping.wait(JOIN_INTERVAL_S)
+
+    def join_once(self) -> None:
+        """Say that this instance lives, and see what it holds."""
+        asked_s = self.clock()
+        share = self.store.join(
+            self.group, self.member, self.topic, TTL_S, self.generation
+        )
+        self.generation = share.generation
+        if (self.topic, PARTITION) not in share.parts:
+            if self.held is not None:
+                log.info("duty_lost", generation=share.generation)
+            self.held = None
+            return
+        since_s = self.since_s(asked_s)
+        self.held = Held(share.generation, since_s, asked_s + VALID_S)
+
+    def since_s(self, asked_s: float) -> float:
+        """Return from when the duty may be used."""
+        held = self.held
+        # After a gap another one may have held it meanwhile.
+        if held is not None and asked_s < held.until_s:
+            return held.since_s
+        log.info("duty_gained", wait_s=self.wait_s)
+        return self.clock() + self.wait_s
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -10,11 +10,11 @@
 SOURCE = pathlib.Path(__file__).parents[2] / "src" / "briarseam"
 ADAPTER = SOURCE / "platform"
 HEADERS = re.compile(
-    r"\b(Request-Id|Deadline-Ms|Token-Usage|Prefix-Hash|Expect-Instance|"
+    r"(?<![\w-])(Request-Id|Deadline-Ms|Token-Usage|Prefix-Hash|Expect-Instance|"
     r"Expect-Version|Not-Executed|Response-Signature|Cache-Salt|Kv-[A-Z]\w+|"
     r"Pin-Ms|Request-Priority|Weight-Versions|Instance-Id)\b"
 )
-CALLS = re.compile(r"/briarseam/|keyed\.|BRIARSEAM_CONFIG|kvStoreAddr")
+CALLS = re.compile(r'/briarseam/[a-z]|"keyed\.|BRIARSEAM_CONFIG|kvStoreAddr')
 FIELDS = re.compile(
     r"\b(pathPrefix|timeoutMs|maxAttempts|apiKeys|swapMode|trafficSplit|"
     r"ttlS|waitMs|ttlMs|hasMore)\b"
