Admit no more prompts to an engine than its memory holds

Full engines preempt and read again, which slows all runs, which fills them. Ruled out: processor time (0.06 of a core), links to stores (first events are as late without a fetch).

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -24,6 +24,11 @@
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
 
+# Part of a route's aim for which a request waits for room.  One that waits
+# longer would be late anyhow, and its caller is better told to come back.
+HOLD_SHARE = 0.25
+# A caller that left meanwhile is noticed this often.
+ROOM_POLL_S = 0.05
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -269,8 +274,7 @@
             How it ended, for the log.
         """
         while True:
-            work.watch.check()
-            placed = self.parts.chooser.choose(work.request())
+            placed = self.place(work)
             if isinstance(placed, verdict.NotRun):
                 work.refusal = work.refusal or placed
                 return self.give_up(work)
@@ -285,6 +289,22 @@
             if not may_go_on(work):
                 return self.give_up(work)
 
+    def place(self, work: Work) -> choosers.Placement | verdict.NotRun:
+        """Return where a request goes, waiting a little for room."""
+        chooser = self.parts.chooser
+        hold_s = work.route.target_latency_s * HOLD_SHARE
+        until_s = work.arrived_s + hold_s
+        while True:
+            work.watch.check()
+            placed = chooser.choose(work.request())
+            if not isinstance(placed, choosers.Full):
+                return placed
+            left_s = until_s - clocks.boot_clock()
+            if left_s <= 0:
+                work.steps.append("no-room")
+                return refusing.BUSY
+            chooser.loads.wait_for_ease(min(left_s, ROOM_POLL_S))
+
     def take_failure(
         self, work: Work, endpoint: str, outcome: outcomes.Outcome
     ) -> None:
@@ -308,14 +328,13 @@
         """Send the request to one endpoint."""
         chooser = self.parts.chooser
         request = work.request()
-        began = False
         sent_s = clocks.boot_clock()
         first_ms = -1
+        added = chooser.started(placed, work.call.prompt)
 
         def on_first_event() -> None:
-            nonlocal began, first_ms
-            began = True
-            chooser.first_event(placed, request)
+            nonlocal added, first_ms
+            added = chooser.first_event(placed, request, added)
             now_s = clocks.boot_clock()
             first_ms = round((now_s - sent_s) * 1000)
             self.parts.metrics.first_event_us.record_s(now_s - work.arrived_s)
@@ -336,12 +355,11 @@
             progress=work.progress,
             on_first_event=on_first_event,
         )
-        chooser.started(placed, work.call.prompt)
         outcome: outcomes.Outcome | None = None
         try:
             outcome = self.parts.sender.send(errand)
         finally:
-            chooser.ended(placed, began)
+            chooser.ended(placed, added)
             name = type(outcome).__name__.lower() if outcome else "ended"
             work.steps.append(
                 f"{placed.endpoint.id}:{name}:first={first_ms}ms"
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -33,6 +33,16 @@
 # worth; reading this many tokens takes 36 ms, so that engines with newer
 # weights are preferred and not swamped.
 OLD_WEIGHTS_TOKENS = 4000
+# An engine whose memory is full preempts runs and reads their prompts again,
+# which makes all of them slower: reads went up by a quarter while six
+# engines were full.  Small prompts may use what large ones must leave.
+SMALL_TOKENS = 3000
+SMALL_FILL = 1.0
+LARGE_FILL = 0.9
+# Above this fill another engine is preferred, by so many tokens for all of
+# the memory.
+EASY_FILL = 0.6
+FILL_TOKENS = 40_000
 # Fetching a token's KV cache takes about a tenth of the time of reading it.
 FETCH_COST = 0.1
 RETRY_AFTER_S = 0.5
@@ -95,6 +105,11 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class Full:
+    """No endpoint has room for the request just now."""
+
+
 class Chooser:
     """Chooses endpoints; thread-safe.
 
@@ -124,7 +139,7 @@
         self.kept = kept_module.KeptIndex(clock)
         self.avoided: dict[str, float] = {}
 
-    def choose(self, request: Request) -> Placement | verdict.NotRun:
+    def choose(self, request: Request) -> Placement | Full | verdict.NotRun:
         """Return where a request goes, or why nowhere."""
         candidates = [
             endpoint
@@ -172,7 +187,7 @@
         request: Request,
         prompt: calls.Prompt,
         candidates: list[discovery.Endpoint],
-    ) -> Placement:
+    ) -> Placement | Full:
         """Place a prompt where it will be read soonest."""
         key = session_of(prompt)
         home = rank.ranked(key, candidates, lambda endpoint: endpoint.id)[0]
@@ -188,8 +203,12 @@
                 request, prompt, endpoint, versions[endpoint.id]
             )
             load = placement.load
-            cost = load.waiting_tokens + placement.missing_tokens
-            cost += load.running * TOKENS_PER_STREAM
+            fill = fill_of(load, request, prompt)
+            if fill > fill_limit(prompt):
+                continue
+            cost_of_fill = max(0.0, fill - EASY_FILL) * FILL_TOKENS
+            cost = float(load.waiting_tokens + placement.missing_tokens)
+            cost += load.running * TOKENS_PER_STREAM + cost_of_fill
             if endpoint.id == home.id:
                 cost -= HOME_BONUS_TOKENS
             if versions[endpoint.id] < newest:
@@ -197,8 +216,7 @@
             if best is None or cost < best_cost:
                 best_cost = cost
                 best = placement
-        assert best is not None
-        return best
+        return Full() if best is None else best
 
     def at_engine(
         self,
@@ -258,59 +276,74 @@
 
     def started(
         self, placement: Placement, prompt: calls.Prompt | None
-    ) -> None:
-        """Count a request that is about to be sent."""
-        if prompt is not None:
+    ) -> load_module.Load:
+        """Count a request that is about to be sent; return what it adds."""
+        if prompt is None:
+            added = load_module.Load(requests=1)
+        else:
             self.kept.note_saving(
                 placement.instructions.salt,
                 prompt.shared,
                 placement.instructions.save_to,
             )
-        self.loads.change(
-            placement.endpoint.id,
-            requests=1,
-            waiting_tokens=placement.missing_tokens,
-        )
+            added = load_module.Load(
+                requests=1,
+                waiting_tokens=placement.missing_tokens,
+                memory_tokens=memory_of(prompt),
+            )
+        self.loads.add(placement.endpoint.id, added)
+        return added
 
-    def first_event(self, placement: Placement, request: Request) -> None:
-        """Note that an endpoint has read a prompt."""
-        self.loads.change(
-            placement.endpoint.id,
-            waiting_tokens=-placement.missing_tokens,
-            running=1,
-        )
+    def first_event(
+        self,
+        placement: Placement,
+        request: Request,
+        added: load_module.Load,
+    ) -> load_module.Load:
+        """Note that an engine has read a prompt; return what it adds now."""
+        begun = dataclasses.replace(added, waiting_tokens=0, running=1)
+        self.loads.add(placement.endpoint.id, begun.minus(added))
         prompt = request.call.prompt
-        if prompt is None or request.service.engine is None:
-            return
-        self.residency.note(
-            placement.endpoint.id,
-            placement.instructions.salt,
-            [(part.id, part.tokens) for part in prompt.parts],
-            request.service.engine.cache_tokens,
-        )
+        if prompt is not None and request.service.engine is not None:
+            self.residency.note(
+                placement.endpoint.id,
+                placement.instructions.salt,
+                [(part.id, part.tokens) for part in prompt.parts],
+                request.service.engine.cache_tokens,
+            )
+        return begun
 
-    def ended(self, placement: Placement, began: bool) -> None:
-        """Count a request that is no longer at its endpoint.
-
-        Parameters
-        ----------
-        placement
-            Where it was.
-        began
-            Whether its first event had come.
-        """
-        self.loads.change(
-            placement.endpoint.id,
-            requests=-1,
-            waiting_tokens=0 if began else -placement.missing_tokens,
-            running=-1 if began else 0,
-        )
+    def ended(self, placement: Placement, added: load_module.Load) -> None:
+        """Take back what a request added that has left its endpoint."""
+        self.loads.take(placement.endpoint.id, added)
 
     def avoid(self, endpoint: str) -> None:
         """Leave an endpoint alone for a while."""
         self.avoided[endpoint] = self.clock() + AVOID_S
 
 
+def memory_of(prompt: calls.Prompt) -> int:
+    """Return the tokens that an engine's memory has to hold for a prompt."""
+    return prompt.input_tokens + prompt.output_tokens
+
+
+def fill_of(
+    load: load_module.Load, request: Request, prompt: calls.Prompt
+) -> float:
+    """Return how full an engine's memory would be with a prompt."""
+    engine = request.service.engine
+    if engine is None or engine.cache_tokens <= 0:
+        return 0.0
+    return (load.memory_tokens + memory_of(prompt)) / engine.cache_tokens
+
+
+def fill_limit(prompt: calls.Prompt) -> float:
+    """Return how full an engine may get with a prompt."""
+    if memory_of(prompt) <= SMALL_TOKENS:
+        return SMALL_FILL
+    return LARGE_FILL
+
+
 def session_of(prompt: calls.Prompt) -> str:
     """Return what prompts of one session have in common."""
     shared = prompt.shared or prompt.parts
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -20,11 +20,14 @@
         Prompt tokens to be read of requests without a first event.
     running
         Streams that have begun.
+    memory_tokens
+        Tokens of prompts and answers that its memory has to hold.
     """
 
     requests: int = 0
     waiting_tokens: int = 0
     running: int = 0
+    memory_tokens: int = 0
 
     def plus(self, other: Load) -> Load:
         """Return the sum of two loads."""
@@ -32,6 +35,16 @@
             self.requests + other.requests,
             self.waiting_tokens + other.waiting_tokens,
             self.running + other.running,
+            self.memory_tokens + other.memory_tokens,
+        )
+
+    def minus(self, other: Load) -> Load:
+        """Return the difference of two loads."""
+        return Load(
+            self.requests - other.requests,
+            self.waiting_tokens - other.waiting_tokens,
+            self.running - other.running,
+            self.memory_tokens - other.memory_tokens,
         )
 
 
@@ -45,23 +58,27 @@
         self.own: dict[str, Load] = {}
         self.peers: dict[str, dict[str, Load]] = {}
         self.lock = threading.Lock()
+        self.eased = threading.Condition(self.lock)
 
-    def change(
-        self,
-        endpoint: str,
-        requests: int = 0,
-        waiting_tokens: int = 0,
-        running: int = 0,
-    ) -> None:
-        """Add to this instance's work at an endpoint; may be negative."""
+    def add(self, endpoint: str, load: Load) -> None:
+        """Add to the work of this instance at an endpoint."""
         with self.lock:
-            load = self.own.get(endpoint, NO_LOAD).plus(
-                Load(requests, waiting_tokens, running)
-            )
-            if load == NO_LOAD:
+            self.own[endpoint] = self.own.get(endpoint, NO_LOAD).plus(load)
+
+    def take(self, endpoint: str, load: Load) -> None:
+        """Take from the work of this instance at an endpoint."""
+        with self.lock:
+            left = self.own.get(endpoint, NO_LOAD).minus(load)
+            if left == NO_LOAD:
                 self.own.pop(endpoint, None)
             else:
-                self.own[endpoint] = load
+                self.own[endpoint] = left
+            self.eased.notify_all()
+
+    def wait_for_ease(self, timeout_s: float) -> None:
+        """Wait until some work has ended, here or as a peer told."""
+        with self.lock:
+            self.eased.wait(timeout_s)
 
     def of(self, endpoint: str) -> Load:
         """Return all work known at an endpoint."""
@@ -76,7 +93,7 @@
         """Return this instance's work, for its peers."""
         with self.lock:
             rows = [
-                (name, load.requests, load.waiting_tokens, load.running)
+                (name, *dataclasses.astuple(load))
                 for name, load in self.own.items()
             ]
         packed: bytes = msgpack.packb(rows)
@@ -85,11 +102,12 @@
     def consume(self, member: str, data: bytes) -> None:
         """Take in a peer's work."""
         told = {
-            str(name): Load(int(requests), int(tokens), int(running))
-            for name, requests, tokens, running in msgpack.unpackb(data)
+            str(name): Load(*(int(number) for number in numbers))
+            for name, *numbers in msgpack.unpackb(data)
         }
         with self.lock:
             self.peers[member] = told
+            self.eased.notify_all()
 
     def keep_only(self, members: frozenset[str]) -> None:
         """Forget what members that are gone had told."""
