--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from briarseam import log_writer
 from briarseam import logs
 from briarseam.command import signals
 from briarseam.settings import errors
@@ -38,7 +39,13 @@
     """Serve until SIGTERM or SIGINT, then shut down gracefully."""
     settings = serving.load(settings_path(args))
     stop = signals.watch()
-    logs.set_up(settings.logging, settings.instance.name, sys.stdout)
+    writer = log_writer.BoundedWriter(sys.stdout)
+    writer.start()
+    logs.set_up(
+        settings.logging,
+        settings.instance.name,
+        typing.cast("typing.TextIO", writer),
+    )
     # Imported here: the settings are checked before anything is loaded.
     from briarseam.compose import node as compose
 
@@ -54,7 +61,8 @@
     log.info("stopping")
     node.drain(stop.second.is_set)
     node.stop()
-    log.info("stopped")
+    log.info("stopped", log_lines_left_out=writer.left_out)
+    writer.close()
     return 0
 
 
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -27,6 +27,7 @@
 from briarseam.peers import registrations
 from briarseam.placement import chooser as choosers
 from briarseam.placement import store_watch
+from briarseam.placement import sweeping
 from briarseam.platform import answers
 from briarseam.platform import border
 from briarseam.platform import cache
@@ -120,8 +121,16 @@
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving, settings.instance.zone, self.board
         )
+        cache_stores = cache.CacheStoreClient()
         self.store_watches = store_watch.StoreWatches(
-            cache.CacheStoreClient(), self.chooser.kept
+            cache_stores, self.chooser.kept
+        )
+        self.sweeper = sweeping.Sweeper(
+            cache_stores,
+            self.chooser.kept,
+            self.oldest_weights,
+            settings.instance.name,
+            lambda: [member.name for member in self.all_members()],
         )
         self.tenure = self.build_tenure()
         self.rollout = self.build_rollout()
@@ -230,6 +239,7 @@
                 engines=engines.EngineClient(),
                 board=self.board,
                 holder=self.settings.instance.name,
+                version_s=self.settings.bounds.version_ms / MS,
             )
         )
 
@@ -297,6 +307,7 @@
         self.feeds.start()
         self.tenure.start()
         self.rollout.start()
+        self.sweeper.start()
         threading.Thread(
             target=self.meet_peers, name="meet-peers", daemon=True
         ).start()
@@ -382,6 +393,7 @@
     def stop(self) -> None:
         """Stop all parts."""
         self.stopping.set()
+        self.sweeper.stop()
         self.store_watches.stop()
         self.rollout.stop()
         self.tenure.stop()
@@ -431,6 +443,21 @@
             if endpoint.service in serving and not endpoint.leaving
         ]
 
+    def oldest_weights(self, model: str) -> int | None:
+        """Return the oldest weights that an engine may have.
+
+        ``None`` when an engine's are not known, or there is none: one that
+        is just restarting comes back with what it had.
+        """
+        versions = [
+            self.chooser.version_of(endpoint, model)
+            for endpoint in self.feeds.registry.all()
+            if model in endpoint.versions
+        ]
+        if not versions or not all(versions):
+            return None
+        return min(versions)
+
     def configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
--- a/src/briarseam/logs.py
+++ b/src/briarseam/logs.py
@@ -49,7 +49,7 @@
             renderer(chosen, target),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(target),
+        logger_factory=structlog.WriteLoggerFactory(target),
         cache_logger_on_first_use=False,
     )
     handler = logging.StreamHandler(target)
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -13,6 +13,7 @@
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
 from briarseam.placement import residency as residencies
+from briarseam.placement import salts
 from briarseam.routes import model as routes
 from briarseam.weights import board as boards
 
@@ -351,11 +352,7 @@
 
 
 def salt_of(request: Request, version: int) -> str:
-    """Return the text under which a request's parts are cached, if any.
-
-    Parts of an isolated organisation must not be found by another one, and
-    parts that were made by other weights must not be found at all.
-    """
+    """Return the text under which a request's parts are cached, if any."""
     prompt = request.call.prompt
     if prompt is None:
         return ""
@@ -363,4 +360,4 @@
     owner = ""
     if organisation is not None and organisation.isolated:
         owner = organisation.name
-    return f"{prompt.model}/{version}/{owner}"
+    return str(salts.Salt(prompt.model, version, owner))
--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -275,6 +275,17 @@
                 if address:
                     self.saving[salt, part.id] = until_s
 
+    def stale(
+        self, address: str, is_stale: collections.abc.Callable[[str], bool]
+    ) -> tuple[int, list[PartKey]]:
+        """Return a store's epoch and its parts under stale salts."""
+        with self.lock:
+            index = self.stores.get(address)
+            if index is None or not index.readable:
+                return 0, []
+            found = [key for key in index.held if is_stale(key[0])]
+            return index.epoch, found
+
     def forget_old(self) -> None:
         """Forget saves that came to nothing."""
         now_s = self.clock()
--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 import urllib3
 
@@ -16,6 +18,7 @@
 SLACK_S = 0.6
 LIST_TIMEOUT_S = 2.0
 OK = 200
+OK_BELOW = 300
 DROPPED = "-"
 
 
@@ -84,6 +87,35 @@
         )
         return kept.Changes(wire.epoch, wire.next, wire.lost, events)
 
+    def free(
+        self,
+        address: str,
+        epoch: int,
+        parts: typing.Sequence[tuple[str, str]],
+    ) -> None:
+        """Free parts at once, if the store has not started anew.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When it does not confirm that.
+        """
+        body = {"parts": [list(part) for part in parts], "epoch": epoch}
+        try:
+            response = self.pool.request(
+                "POST",
+                f"http://{address}{names.CACHE_FREE_PATH}",
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=SLACK_S,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise store_watch.StoreUnavailableError(str(error)) from error
+        if not OK <= response.status < OK_BELOW:
+            raise store_watch.StoreUnavailableError(
+                f"freeing was answered {response.status}"
+            )
+
     def read(
         self,
         url: str,
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -88,6 +88,8 @@
         Such sends in a window beyond the ratio.
     lease_ms
         Time for which the instance that gives orders keeps that duty.
+    version_ms
+        Time within which all engines have the weights that were named.
     lookup_ttl_max_s
         Longest time that callers keep the addresses they were given.
     """
@@ -98,6 +100,7 @@
     retry_window_s: sections.Seconds = 10.0
     retry_slack: Ratio = 20.0
     lease_ms: sections.Milliseconds = 3000
+    version_ms: sections.Milliseconds = 15_000
     lookup_ttl_max_s: sections.Seconds = 5.0
 
 
--- a/src/briarseam/weights/goals.py
+++ b/src/briarseam/weights/goals.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from briarseam import clocks
+
 
 @dataclasses.dataclass(frozen=True)
 class WeightGoal:
@@ -15,7 +17,12 @@
         Name of the model.
     version
         Higher for newer weights.
+    seen_s
+        When it was first seen here, by the boot clock.
     """
 
     model: str
     version: int
+    seen_s: float = dataclasses.field(
+        default_factory=clocks.boot_clock, compare=False
+    )
--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -27,6 +27,12 @@
 # Longest time for one engine: its runs end within their deadlines, and the
 # load takes two seconds.  Then it is looked at anew.
 ERRAND_S = 8.0
+# One round of engines whose runs finish first: notice, runs of some seconds
+# that get faster as they get fewer, the load.  Measured: 4.3 to 5.0 s.
+FINISH_ROUND_S = 4.7
+# Part of the time for a version within which all engines should have it;
+# the rest is for a holder that is lost on the way.
+USED_PART = 0.7
 log = structlog.get_logger("briarseam.weights")
 
 
@@ -60,6 +66,8 @@
         What is known of their weights.
     holder
         Name of this instance in orders.
+    version_s
+        Time within which all engines have wanted weights, in seconds.
     """
 
     goals: typing.Callable[[], dict[str, goals.WeightGoal]]
@@ -68,6 +76,7 @@
     engines: Engines
     board: boards.Board
     holder: str
+    version_s: float
 
 
 class Rollout:
@@ -106,32 +115,53 @@
 
     def advance(self, goal: goals.WeightGoal) -> None:
         """Take up as many engines of a model as may be changed at once."""
-        for target in self.behind(goal):
+        behind = self.behind(goal)
+        mode = self.mode(goal, len(behind))
+        for target in behind:
             with self.lock:
                 if len(self.busy) >= AT_ONCE or target.id in self.busy:
                     continue
                 self.busy.add(target.id)
             threading.Thread(
                 target=self.bring,
-                args=(goal.model, target),
+                args=(goal.model, target, mode),
                 name=f"weights-{target.id}",
                 daemon=True,
             ).start()
 
     def behind(self, goal: goals.WeightGoal) -> list[discovery.Endpoint]:
-        """Return a model's engines that have older weights."""
-        return [
-            target
+        """Return a model's engines that have older weights, oldest first."""
+        versions = {
+            target: self.version_of(target, goal.model)
             for target in self.sources.targets(goal.model)
-            if self.version_of(target, goal.model) < goal.version
+        }
+        behind = [
+            target
+            for target, version in versions.items()
+            if version < goal.version
         ]
+        return sorted(behind, key=lambda target: versions[target])
+
+    def mode(self, goal: goals.WeightGoal, behind: int) -> orders.Mode:
+        """Return what should happen to the runs of the next engines.
+
+        Letting them finish costs nothing but time; where there is not
+        enough of it, they go on at other engines.
+        """
+        rounds = -(-behind // AT_ONCE)
+        end_s = clocks.boot_clock() + rounds * FINISH_ROUND_S
+        if end_s <= goal.seen_s + USED_PART * self.sources.version_s:
+            return orders.Mode.FINISH
+        return orders.Mode.EVICT
 
     def version_of(self, target: discovery.Endpoint, model: str) -> int:
         """Return the weights that an engine is known to have."""
         announced = target.versions.get(model, 0)
         return self.sources.board.version(target.id, model, announced)
 
-    def bring(self, model: str, target: discovery.Endpoint) -> None:
+    def bring(
+        self, model: str, target: discovery.Endpoint, mode: orders.Mode
+    ) -> None:
         """Bring one engine to the newest wanted weights."""
         board = self.sources.board
         board.begin(target.id)
@@ -139,7 +169,7 @@
             self.stopping.wait(NOTICE_S)
             until_s = clocks.boot_clock() + ERRAND_S
             while clocks.boot_clock() < until_s:
-                if self.stopping.is_set() or self.step(model, target):
+                if self.stopping.is_set() or self.step(model, target, mode):
                     return
                 self.stopping.wait(POLL_S)
             log.warning("weights_overdue", endpoint=target.id, model=model)
@@ -152,7 +182,9 @@
             with self.lock:
                 self.busy.discard(target.id)
 
-    def step(self, model: str, target: discovery.Endpoint) -> bool:
+    def step(
+        self, model: str, target: discovery.Endpoint, mode: orders.Mode
+    ) -> bool:
         """Look at an engine and order what is due; tell if it is done.
 
         Raises
@@ -181,7 +213,7 @@
         order = orders.VersionOrder(
             model=model,
             version=goal.version,
-            mode=orders.Mode.FINISH,
+            mode=mode,
             holder=sources.holder,
             fence=fence,
             orders_taken=report.orders_taken,
@@ -192,6 +224,7 @@
             endpoint=target.id,
             model=model,
             version=goal.version,
+            mode=mode.value,
             fence=fence,
             orders_taken=report.orders_taken,
             outcome=type(outcome).__name__.lower(),
--- /dev/null
+++ b/tests/discovery/test_registry.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.discovery import model
+from briarseam.discovery import registry
+from briarseam.feeds import records
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def decode(key, data):
+    state, _, version = data.decode().partition("/")
+    return model.Endpoint(
+        id=key,
+        service="portal",
+        address="127.0.0.1:1",
+        zone="a",
+        slots=1,
+        leaving=state == "leaving",
+        versions={"m": int(version)} if version else {},
+    )
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def gone():
+    return set()
+
+
+@pytest.fixture
+def endpoints(clock, gone):
+    return registry.EndpointRegistry(decode, gone.update, clock)
+
+
+def change(key, value=b"ready"):
+    return records.KeyedRecord(key, value)
+
+
+def ids(endpoints):
+    return sorted(item.id for item in endpoints.serving("portal"))
+
+
+def test_leaving_endpoint_takes_no_work_but_is_not_gone(endpoints, gone):
+    endpoints.take_all([change("a"), change("b")])
+    endpoints.take_changes([change("a", b"leaving")])
+    assert ids(endpoints) == ["b"]
+    assert gone == set()
+
+
+def test_endpoint_without_an_entry_is_gone(endpoints, gone):
+    endpoints.take_all([change("a"), change("b")])
+    endpoints.take_changes([change("a", None)])
+    assert ids(endpoints) == ["b"]
+    assert gone == {"a"}
+
+
+def test_endpoint_missing_from_a_new_reading_is_gone(endpoints, gone):
+    endpoints.take_all([change("a"), change("b")])
+    endpoints.take_all([change("b")])
+    assert gone == {"a"}
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_until_they_are_back(
+    endpoints, gone, clock
+):
+    """The store is away for seconds.  On its return all entries have run
+    out, and endpoints need two seconds to write theirs again.  Taken as
+    gone, no request could be sent anywhere meanwhile.
+    """
+    endpoints.take_all([change("a"), change("b")])
+    endpoints.store_lost()
+    clock.now_s += 0.5
+    endpoints.take_changes([change("a", None), change("b", None)])
+    assert ids(endpoints) == ["a", "b"]
+    endpoints.take_changes([change("b")])
+    assert ids(endpoints) == ["b"]
+    clock.now_s += registry.LAPSE_HOLD_S
+    endpoints.forget_lapsed()
+    assert ids(endpoints) == ["b"]
+    assert gone == {"a"}
+
+
+def test_endpoint_that_vanishes_long_after_an_outage_is_gone_at_once(
+    endpoints, gone, clock
+):
+    endpoints.take_all([change("a")])
+    endpoints.store_lost()
+    clock.now_s += registry.LAPSE_HOLD_S + 0.1
+    endpoints.take_changes([change("a", None)])
+    assert gone == {"a"}
+    assert ids(endpoints) == []
+
+
+def test_leaving_endpoint_whose_entry_lapses_takes_no_work(endpoints, clock):
+    endpoints.take_all([change("a", b"leaving")])
+    endpoints.store_lost()
+    endpoints.take_changes([change("a", None)])
+    assert ids(endpoints) == []
--- /dev/null
+++ b/tests/feeds/test_following.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.feeds import following
+from briarseam.feeds import records
+from briarseam.platform import store as stores
+from briarseam.testing import waiting
+from tests.platform import metadata_store
+
+TOPIC = "keyed.things"
+
+
+class Listener:
+    def __init__(self):
+        self.known = {}
+        self.snapshots = 0
+        self.losses = 0
+
+    def take_all(self, changes):
+        self.snapshots += 1
+        self.known = {}
+        self.take_changes(changes)
+
+    def take_changes(self, changes):
+        for change in changes:
+            if change.value == b"poison":
+                raise ValueError("can't be taken in")
+            if change.value is None:
+                self.known.pop(change.key, None)
+            else:
+                self.known[change.key] = change.value
+
+    def store_lost(self):
+        self.losses += 1
+
+
+@pytest.fixture
+def store():
+    with metadata_store.MetadataStore() as started:
+        yield started
+
+
+@pytest.fixture
+def listener(store):
+    made = Listener()
+    follower = following.Follower(
+        stores.StoreClient(store.address), TOPIC, made, wait_s=0.3
+    )
+    store.write_raw(TOPIC, "before", b"1")
+    follower.start()
+    waiting.until(lambda: made.snapshots == 1)
+    yield made
+    follower.stop()
+
+
+def test_changes_are_handed_on_in_order(store, listener):
+    store.write_raw(TOPIC, "a", b"1")
+    store.write_raw(TOPIC, "a", b"2")
+    store.write_raw(TOPIC, "before", b"")
+    waiting.until(lambda: listener.known == {"a": b"2"})
+
+
+def test_everything_is_read_anew_where_history_is_lost(store, listener):
+    """The store forgets its history while a follower is behind.  Changes
+    in the gap would never be seen if it read on from where it was.
+    """
+    store.set(outage=True)
+    waiting.until(lambda: listener.losses > 0)
+    store.write_raw(TOPIC, "a", b"1")
+    store.write_raw(TOPIC, "before", b"")
+    store.forget(TOPIC)
+    store.set(outage=False)
+    waiting.until(lambda: listener.known == {"a": b"1"})
+    assert listener.snapshots == 2
+
+
+def test_record_that_cannot_be_taken_in_does_not_stop_later_ones(
+    store, listener
+):
+    store.write_raw(TOPIC, "bad", b"poison")
+    waiting.until(lambda: store.calls["log-read"] > 1)
+    store.write_raw(TOPIC, "good", b"1")
+    waiting.until(lambda: "good" in listener.known)
+
+
+def test_store_client_tells_refusals_from_unknown_outcomes(store):
+    client = stores.StoreClient(store.address)
+    store.set(outage=True)
+    with pytest.raises(records.StoreUnavailableError) as refused:
+        client.put(TOPIC, "a", b"1")
+    assert not refused.value.may_have_run
+    store.set(outage=False, lose_answers=1)
+    with pytest.raises(records.StoreUnavailableError) as lost:
+        client.put(TOPIC, "a", b"1")
+    assert lost.value.may_have_run
+    assert store.newest_of(TOPIC)["a"] == b"1"
+
+
+def test_conditional_append_is_refused_where_somebody_else_wrote(store):
+    client = stores.StoreClient(store.address)
+    assert client.append("own", (b"x", b"y"), at=0) == 0
+    with pytest.raises(records.SupersededError):
+        client.append("own", (b"z",), at=0)
+    assert client.append("own", (b"z",), at=2) == 2
--- /dev/null
+++ b/tests/placement/test_sweeping.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.placement import kept
+from briarseam.placement import store_watch
+from briarseam.placement import sweeping
+from briarseam.routes import model
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class Stores:
+    def __init__(self):
+        self.freed = []
+        self.away = False
+
+    def free(self, address, epoch, parts):
+        if self.away:
+            raise store_watch.StoreUnavailableError("away")
+        self.freed.append((address, epoch, sorted(parts)))
+
+
+class Case:
+    def __init__(self):
+        self.clock = Clock()
+        self.stores = Stores()
+        self.oldest = 1
+        self.members = ["me"]
+        index = kept.KeptIndex(self.clock)
+        index.set_stores([model.StoreTraits("s", "a", 1000, 1.0, 0.0, True)])
+        content = (
+            kept.PartEvent("m/1/", "old", 100),
+            kept.PartEvent("m/2/", "new", 100),
+            kept.PartEvent("foreign", "other", 100),
+        )
+        index.take_content("s", kept.Content(4, 0, content))
+        self.sweeper = sweeping.Sweeper(
+            self.stores,
+            index,
+            lambda model: self.oldest,
+            "me",
+            lambda: self.members,
+            self.clock,
+        )
+
+
+@pytest.fixture
+def case():
+    return Case()
+
+
+def test_parts_are_kept_while_an_engine_may_have_their_weights(case):
+    for _ in range(3):
+        case.sweeper.review()
+        case.clock.now_s += sweeping.GRACE_S
+    assert case.stores.freed == []
+
+
+def test_parts_of_weights_that_no_engine_has_are_freed_after_a_while(case):
+    """Parts are freed while a fetch of them is under way, and the engine
+    reads what another request has written into their place.
+    """
+    case.oldest = 2
+    case.sweeper.review()
+    assert case.stores.freed == []
+    case.clock.now_s += sweeping.GRACE_S
+    case.sweeper.review()
+    assert case.stores.freed == [("s", 4, [("m/1/", "old")])]
+
+
+def test_engine_that_comes_back_with_old_weights_starts_the_wait_anew(case):
+    case.oldest = 2
+    case.sweeper.review()
+    case.clock.now_s += sweeping.GRACE_S - 0.1
+    case.oldest = 1
+    case.sweeper.review()
+    case.oldest = 2
+    case.clock.now_s += 0.2
+    case.sweeper.review()
+    assert case.stores.freed == []
+
+
+def test_nothing_is_freed_while_engines_are_not_known(case):
+    case.oldest = None
+    case.sweeper.review()
+    case.clock.now_s += sweeping.GRACE_S
+    case.sweeper.review()
+    assert case.stores.freed == []
+
+
+def test_store_falls_to_one_instance_alone(case):
+    case.members = [f"i{number}" for number in range(20)]
+    assert not case.sweeper.owns("s")
+    case.members.append("me")
+    owners = []
+    for name in case.members:
+        case.sweeper.me = name
+        owners.append(case.sweeper.owns("s"))
+    assert sum(owners) == 1
--- /dev/null
+++ b/tests/routes/test_table.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import collections
+
+import pytest
+
+from briarseam.routes import model
+from briarseam.routes import table
+
+
+def route(name, prefix, host="kitchens.example", **changes):
+    values = {
+        "name": name,
+        "host": host,
+        "prefix": prefix,
+        "repeat": model.Repeat.SAFE,
+        "shares": (model.Share("portal"),),
+        "timeout_s": 1.0,
+        "target_latency_s": 0.1,
+        "max_endpoints": 1,
+    }
+    return model.Route(**(values | changes))
+
+
+def configuration(*routes, organisations=None):
+    return model.Configuration(
+        1, routes, {}, organisations, model.CallerLimits()
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "found"),
+    [
+        pytest.param("/a/", "short", id="the-prefix-itself"),
+        pytest.param("/a/x", "short", id="below"),
+        pytest.param("/a/b/x/y", "long", id="longest-prefix"),
+        pytest.param("/a/bc", "short", id="no-whole-segment"),
+        pytest.param("/b/", None, id="elsewhere"),
+        pytest.param("/a", None, id="without-slash"),
+        pytest.param("", None, id="empty"),
+    ],
+)
+def test_longest_prefix_is_found(path, found):
+    routes = table.RouteTable(
+        configuration(route("short", "/a/"), route("long", "/a/b/"))
+    )
+    chosen = routes.find("kitchens.example", path)
+    assert (chosen.name if chosen else None) == found
+
+
+@pytest.mark.parametrize("host", ["Kitchens.Example", "kitchens.example:8080"])
+def test_host_is_compared_without_case_and_port(host):
+    routes = table.RouteTable(configuration(route("only", "/")))
+    assert routes.find(host, "/x").name == "only"
+
+
+def test_route_of_another_host_is_not_found():
+    routes = table.RouteTable(configuration(route("only", "/")))
+    assert routes.find("boats.example", "/x") is None
+
+
+def test_callers_are_told_apart_by_key():
+    north = model.Organisation("north")
+    routes = table.RouteTable(
+        configuration(
+            route("closed", "/closed/"),
+            route("open", "/open/", anonymous=True),
+            organisations={"key": north},
+        )
+    )
+    closed = routes.find("kitchens.example", "/closed/")
+    anonymous = routes.find("kitchens.example", "/open/")
+    assert routes.identify(closed, "key") == table.Known(north)
+    assert routes.identify(closed, "other") == table.Unknown()
+    assert routes.identify(closed, "") == table.Unknown()
+    assert routes.identify(anonymous, "") == table.Anyone()
+    assert routes.identify(anonymous, "key") == table.Known(north)
+
+
+def test_nobody_needs_a_key_where_no_organisations_are_configured():
+    only = route("only", "/")
+    assert table.RouteTable(configuration(only)).identify(only, "") == (
+        table.Anyone()
+    )
+
+
+def test_shares_are_kept_and_a_session_stays_with_one():
+    split = route(
+        "split",
+        "/",
+        shares=(model.Share("old", 90), model.Share("new", 10)),
+    )
+    chosen = collections.Counter(
+        table.pick_share(split, f"session-{number}") for number in range(2000)
+    )
+    assert 0.05 < chosen["new"] / 2000 < 0.15
+    assert len({table.pick_share(split, "session") for _ in range(20)}) == 1
+
+
+def test_share_of_weight_zero_gets_nothing():
+    split = route(
+        "split", "/", shares=(model.Share("a", 0), model.Share("b", 1))
+    )
+    assert {table.pick_share(split, str(n)) for n in range(50)} == {"b"}
--- /dev/null
+++ b/tests/weights/test_rollout.py
@@ -0,0 +1,159 @@
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from briarseam import clocks
+from briarseam.discovery import model
+from briarseam.testing import waiting
+from briarseam.weights import board as boards
+from briarseam.weights import goals
+from briarseam.weights import orders
+from briarseam.weights import rollout as rollouts
+
+
+class Duty:
+    def __init__(self):
+        self.number = 7
+        self.refused = []
+
+    def fence(self):
+        return self.number
+
+    def note_superseded(self, fence):
+        self.refused.append(fence)
+        self.number = None
+
+
+class Engines:
+    """Engines that take orders at once, each loading one report long."""
+
+    def __init__(self, count):
+        self.versions = {f"e{number}": 1 for number in range(count)}
+        self.taken = dict.fromkeys(self.versions, 0)
+        self.loading = {}
+        self.most_loading = 0
+        self.orders = []
+        self.answer = None
+        self.lock = threading.Lock()
+
+    def report(self, address, endpoint):
+        with self.lock:
+            changing = endpoint in self.loading
+            if changing:
+                self.versions[endpoint] = self.loading.pop(endpoint)
+            return orders.Report(
+                {"m": self.versions[endpoint]},
+                changing,
+                self.taken[endpoint],
+            )
+
+    def order(self, address, endpoint, order):
+        with self.lock:
+            self.orders.append((endpoint, order))
+            if self.answer is not None:
+                return self.answer
+            self.taken[endpoint] += 1
+            self.loading[endpoint] = order.version
+            self.most_loading = max(self.most_loading, len(self.loading))
+            return orders.Taken()
+
+
+@pytest.fixture(autouse=True)
+def no_waiting(monkeypatch):
+    monkeypatch.setattr(rollouts, "NOTICE_S", 0.01)
+    monkeypatch.setattr(rollouts, "POLL_S", 0.01)
+    monkeypatch.setattr(rollouts, "REVIEW_S", 0.01)
+
+
+class Case:
+    def __init__(self, count=5):
+        self.engines = Engines(count)
+        self.duty = Duty()
+        self.board = boards.Board()
+        self.goal = goals.WeightGoal("m", 2)
+        self.rollout = rollouts.Rollout(
+            rollouts.Sources(
+                goals=lambda: {"m": self.goal},
+                targets=lambda model: [
+                    endpoint(name, 1) for name in self.engines.versions
+                ],
+                tenure=self.duty,
+                engines=self.engines,
+                board=self.board,
+                holder="me",
+                version_s=15,
+            )
+        )
+
+
+def endpoint(name, version):
+    return model.Endpoint(
+        name, "engines", "127.0.0.1:1", "a", 8, False, {"m": version}
+    )
+
+
+@pytest.fixture
+def case():
+    made = Case()
+    made.rollout.start()
+    yield made
+    made.rollout.stop()
+
+
+def test_all_engines_get_the_wanted_weights_two_at_a_time(case):
+    waiting.until(lambda: set(case.engines.versions.values()) == {2})
+    assert len(case.engines.orders) == 5
+    assert case.engines.most_loading <= rollouts.AT_ONCE
+    waiting.until(lambda: not case.board.changing)
+    assert case.board.version("e0", "m", 1) == 2
+
+
+def test_no_order_is_given_without_the_duty(case):
+    case.duty.number = None
+    case.goal = goals.WeightGoal("m", 3)
+    given = len(case.engines.orders)
+    waiting.until(lambda: not case.rollout.busy)
+    assert all(order.version == 2 for _, order in case.engines.orders[given:])
+
+
+def test_refused_number_ends_the_orders():
+    made = Case(count=1)
+    made.engines.answer = orders.Superseded()
+    made.rollout.start()
+    waiting.until(lambda: made.duty.refused == [7])
+    made.rollout.stop()
+    assert len(made.engines.orders) == 1
+
+
+def test_order_whose_answer_is_lost_can_only_be_taken_once(case):
+    """An engine does not answer an order and carries it out seconds later,
+    after the order was repeated.  Both name the number of orders that the
+    engine had taken, so the late one changes nothing.
+    """
+    case.engines.answer = orders.Lost("no answer")
+    case.goal = goals.WeightGoal("m", 3)
+    waiting.until(
+        lambda: sum(name == "e0" for name, _ in case.engines.orders) > 2
+    )
+    expected = {
+        order.orders_taken
+        for name, order in case.engines.orders
+        if name == "e0" and order.version == 3
+    }
+    assert len(expected) <= 1
+
+
+@pytest.mark.parametrize(
+    ("behind", "age_s", "mode"),
+    [
+        pytest.param(2, 0.0, orders.Mode.FINISH, id="one-round-left"),
+        pytest.param(6, 0.0, orders.Mode.EVICT, id="too-many-to-wait"),
+        pytest.param(2, 9.0, orders.Mode.EVICT, id="too-late-to-wait"),
+    ],
+)
+def test_runs_finish_first_only_where_there_is_time(behind, age_s, mode):
+    made = Case()
+    goal = goals.WeightGoal("m", 2, clocks.boot_clock() - age_s)
+    assert made.rollout.mode(goal, behind) is mode
--- /dev/null
+++ b/tests/weights/test_tenure.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.feeds import records
+from briarseam.weights import tenure as tenures
+
+HELD = frozenset({("topic", 0)})
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class Group:
+    """A group's store, as one member sees it."""
+
+    def __init__(self):
+        self.share = records.GroupShare(1, frozenset())
+        self.away = False
+
+    def join(self, group, member, topic, ttl_s, generation):
+        if self.away:
+            raise records.StoreUnavailableError("away")
+        return self.share
+
+    def leave(self, group, member):
+        self.share = records.GroupShare(self.share.generation, frozenset())
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def group():
+    return Group()
+
+
+@pytest.fixture
+def tenure(group, clock):
+    return tenures.Tenure(group, "group", "topic", "me", 3.0, clock)
+
+
+def hold(tenure, group, clock, generation=5):
+    group.share = records.GroupShare(generation, HELD)
+    tenure.join_once()
+    for _ in range(4):
+        clock.now_s += 1.0
+        tenure.join_once()
+
+
+def test_new_holder_waits_until_the_former_one_has_stopped(
+    tenure, group, clock
+):
+    """Two holders take turns: the former one sends an order a moment before
+    the new one does, since it does not know yet that it lost the duty.
+    """
+    group.share = records.GroupShare(5, HELD)
+    tenure.join_once()
+    assert tenure.fence() is None
+    clock.now_s += 1.5
+    tenure.join_once()
+    assert tenure.fence() is None
+    clock.now_s += 1.5
+    tenure.join_once()
+    assert tenure.fence() == 5
+
+
+def test_holder_that_cannot_renew_stops_in_time(tenure, group, clock):
+    hold(tenure, group, clock)
+    group.away = True
+    with pytest.raises(records.StoreUnavailableError):
+        tenure.join_once()
+    assert tenure.fence() == 5
+    clock.now_s += tenures.VALID_S
+    assert tenure.fence() is None
+
+
+def test_holder_that_was_suspended_waits_again(tenure, group, clock):
+    """A holder is suspended for seconds.  Another one held the duty
+    meanwhile and lost it again; its last order is still on the way.
+    """
+    hold(tenure, group, clock)
+    clock.now_s += 20
+    group.share = records.GroupShare(9, HELD)
+    tenure.join_once()
+    assert tenure.fence() is None
+    for _ in range(4):
+        clock.now_s += 1.0
+        tenure.join_once()
+    assert tenure.fence() == 9
+
+
+def test_duty_is_lost_when_the_store_gives_it_to_another(tenure, group, clock):
+    hold(tenure, group, clock)
+    group.share = records.GroupShare(6, frozenset())
+    tenure.join_once()
+    assert tenure.fence() is None
+
+
+def test_number_that_an_engine_refused_is_not_used_again(tenure, group, clock):
+    hold(tenure, group, clock)
+    tenure.note_superseded(5)
+    assert tenure.fence() is None
+    group.share = records.GroupShare(8, HELD)
+    tenure.join_once()
+    assert tenure.fence() == 8
