--- /dev/null
+++ b/tests/forwarding/test_events.py
@@ -0,0 +1,32 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.forwarding import events
+
+
+@pytest.mark.parametrize(
+    ("data", "whole", "rest"),
+    [
+        pytest.param(b"", b"", b"", id="nothing"),
+        pytest.param(b"id: 1\nda", b"", b"id: 1\nda", id="part-of-one"),
+        pytest.param(b"id: 1\n\n", b"id: 1\n\n", b"", id="one"),
+        pytest.param(
+            b"id: 1\n\nid: 2\n\nid", b"id: 1\n\nid: 2\n\n", b"id", id="more"
+        ),
+    ],
+)
+def test_streams_are_cut_at_whole_events(data, whole, rest):
+    assert events.split_whole(data) == (whole, rest)
+
+
+@pytest.mark.parametrize(
+    ("data", "found"),
+    [
+        pytest.param(b"id: 1\ndata: x\n\nid:2\n\n", "2", id="last"),
+        pytest.param(b"id: 1\n\ndata: y\n\n", "1", id="without-one"),
+        pytest.param(b"data: id: 3\n\n", None, id="only-in-data"),
+    ],
+)
+def test_last_id_is_found(data, found):
+    assert events.last_id(data) == found
--- /dev/null
+++ b/tests/peers/test_registrations.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from briarseam.backing import instances
+from briarseam.feeds import following
+from briarseam.peers import registrations
+from briarseam.platform import store as stores
+from briarseam.testing import waiting
+from tests.platform import metadata_store
+
+TOPIC = "keyed.members"
+
+
+@pytest.fixture
+def store():
+    with metadata_store.MetadataStore() as started:
+        yield started
+
+
+def me(name="one"):
+    return registrations.Registration(name, "127.0.0.1:1", "north", "a")
+
+
+@pytest.fixture
+def registered(store):
+    client = stores.StoreClient(store.address)
+    made = registrations.Registrations(client, TOPIC, me())
+    follower = following.Follower(client, TOPIC, made, 0.2)
+    follower.start()
+    made.start()
+    yield made
+    made.stop()
+    follower.stop()
+
+
+def test_instance_registers_and_leaves(store, registered):
+    waiting.until(lambda: "one" in store.newest_of(TOPIC))
+    waiting.until(
+        lambda: [row.name for row in registered.read().instances] == ["one"]
+    )
+    assert registered.zone_of("one") == "a"
+    registered.stop()
+    assert "one" not in store.newest_of(TOPIC)
+
+
+def test_lost_registration_is_written_again(store, registered, monkeypatch):
+    monkeypatch.setattr(registrations, "REVIEW_S", 0.05)
+    waiting.until(lambda: "one" in store.newest_of(TOPIC))
+    store.write_raw(TOPIC, "one", b"")
+    waiting.until(lambda: "one" in store.newest_of(TOPIC))
+
+
+def test_unread_topic_is_no_empty_list(store):
+    client = stores.StoreClient(store.address)
+    made = registrations.Registrations(client, TOPIC, me())
+    with pytest.raises(instances.InstanceListUnavailableError):
+        made.read()
+
+
+def test_instances_that_start_at_once_agree_on_one_secret(store):
+    found = []
+
+    def agree():
+        client = stores.StoreClient(store.address)
+        found.append(
+            registrations.agree_on_secret(
+                client, TOPIC, stores.encode_keyed, threading.Event()
+            )
+        )
+
+    threads = [threading.Thread(target=agree) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(10)
+    assert len(found) == 8
+    assert len(set(found)) == 1
+
+
+def test_region_is_cut_into_cells_as_it_grows():
+    made = registrations.Registrations(None, TOPIC, me())
+    made.rows = {
+        str(number): me(str(number))
+        for number in range(registrations.CELL_MEMBERS + 1)
+    }
+    assert made.groups_of("north") == 2
+    assert made.groups_of("south") == 1
--- /dev/null
+++ b/tests/placement/test_chooser.py
@@ -0,0 +1,225 @@
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from briarseam import verdict
+from briarseam.discovery import model as discovery
+from briarseam.forwarding import calls
+from briarseam.placement import chooser as choosers
+from briarseam.placement import kept
+from briarseam.routes import model as routes
+from briarseam.weights import board as boards
+
+MODEL = "m"
+ENGINES = routes.Service(
+    "engines",
+    engine=routes.EngineTraits((MODEL,), 8, 100_000, 1000.0, 1000.0),
+)
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class Case:
+    def __init__(self, engines=3):
+        self.clock = Clock()
+        self.board = boards.Board(self.clock)
+        self.endpoints = [
+            discovery.Endpoint(
+                f"e{number}",
+                "engines",
+                f"127.0.0.1:{number}",
+                "a",
+                8,
+                versions={MODEL: 1},
+            )
+            for number in range(engines)
+        ]
+        self.chooser = choosers.Chooser(
+            lambda service: list(self.endpoints), "a", self.board, self.clock
+        )
+
+    def request(self, tokens=1000, session="s", **changes):
+        prompt = calls.Prompt(
+            MODEL,
+            tokens,
+            100,
+            (
+                calls.PromptPart(session, tokens // 2),
+                calls.PromptPart("own", tokens - tokens // 2),
+            ),
+        )
+        values = {
+            "call": calls.Call("r", "POST", "/", "h", (), prompt=prompt),
+            "route": routes.Route(
+                "draft",
+                "h",
+                "/",
+                routes.Repeat.STREAM,
+                (routes.Share("engines"),),
+                15.0,
+                0.8,
+                2,
+                priority=2,
+                resumable=True,
+            ),
+            "service": ENGINES,
+            "organisation": routes.Organisation("north"),
+        }
+        return choosers.Request(**(values | changes))
+
+    def place(self, **changes):
+        return self.chooser.choose(self.request(**changes))
+
+    def run(self, **changes):
+        request = self.request(**changes)
+        placed = self.chooser.choose(request)
+        added = self.chooser.started(placed, request.call.prompt)
+        return placed, self.chooser.first_event(placed, request, added)
+
+
+@pytest.fixture
+def case():
+    return Case()
+
+
+def test_session_stays_with_the_engine_that_read_it(case):
+    first, added = case.run(tokens=20_000)
+    case.chooser.ended(first, added)
+    again = case.place(tokens=20_000)
+    assert again.endpoint == first.endpoint
+    assert again.held_tokens == 20_000
+
+
+def test_sessions_are_spread_over_all_engines(case):
+    chosen = {
+        case.place(session=f"s{number}").endpoint.id for number in range(60)
+    }
+    assert chosen == {"e0", "e1", "e2"}
+
+
+def test_busy_engine_is_passed_over(case):
+    home = case.place().endpoint
+    for _ in range(3):
+        case.run(tokens=15_000)
+    assert len({case.run(tokens=15_000)[0].endpoint for _ in range(3)}) > 1
+    assert case.chooser.loads.of(home.id).running < 7
+
+
+def test_no_more_prompts_are_admitted_than_memory_holds(case):
+    """All engines are full.  One more prompt makes them preempt runs and
+    read prompts again, which slows all runs, so that memory stays full.
+    """
+    admitted = 0
+    while isinstance(case.place(tokens=20_000), choosers.Placement):
+        case.run(tokens=20_000)
+        admitted += 1
+    assert admitted == 3 * 4
+    assert isinstance(case.place(tokens=20_000), choosers.Full)
+    assert isinstance(case.place(tokens=2000), choosers.Placement)
+
+
+def test_room_is_given_back_when_a_run_ends(case):
+    runs = []
+    while isinstance(case.place(tokens=20_000), choosers.Placement):
+        runs.append(case.run(tokens=20_000))
+    case.chooser.ended(*runs[0])
+    assert isinstance(case.place(tokens=20_000), choosers.Placement)
+
+
+def test_load_told_by_peers_counts(case):
+    peer = Case()
+    while isinstance(peer.place(tokens=20_000), choosers.Placement):
+        peer.run(tokens=20_000)
+    case.chooser.loads.consume("peer", peer.chooser.loads.provide())
+    assert isinstance(case.place(tokens=20_000), choosers.Full)
+    case.chooser.loads.keep_only(frozenset())
+    assert isinstance(case.place(tokens=20_000), choosers.Placement)
+
+
+def test_endpoint_that_was_tried_is_not_tried_again(case):
+    first = case.place().endpoint.id
+    assert case.place(tried=frozenset({first})).endpoint.id != first
+    nowhere = case.place(tried=frozenset({"e0", "e1", "e2"}))
+    assert isinstance(nowhere, verdict.NotRun)
+    assert nowhere.reason is verdict.Reason.NO_ENDPOINT
+
+
+def test_endpoint_that_broke_off_is_avoided_for_a_while(case):
+    home = case.place().endpoint.id
+    case.chooser.avoid(home)
+    assert case.place().endpoint.id != home
+    case.clock.now_s += choosers.AVOID_S
+    assert case.place().endpoint.id == home
+
+
+def test_engine_that_is_being_changed_takes_no_work(case):
+    home = case.place().endpoint.id
+    case.board.begin(home)
+    assert case.place().endpoint.id != home
+    case.board.end(home)
+    assert case.place().endpoint.id == home
+
+
+def test_request_names_the_weights_of_its_engine(case):
+    """An engine gets new weights between the choice and the arrival of a
+    request.  What it fetches under the old weights' salt must not be used.
+    """
+    placed = case.place()
+    assert placed.instructions.version == 1
+    assert placed.instructions.salt == "m/1/"
+    for endpoint in case.endpoints:
+        case.board.learn(endpoint.id, MODEL, 2)
+    assert case.place().instructions.salt == "m/2/"
+    assert case.place().instructions.version == 2
+
+
+def test_isolated_organisation_has_a_salt_of_its_own(case):
+    placed = case.place(
+        organisation=routes.Organisation("south", isolated=True)
+    )
+    assert placed.instructions.salt == "m/1/south"
+
+
+@pytest.mark.parametrize(
+    ("organisation", "priority"),
+    [
+        pytest.param(routes.Organisation("a"), 2, id="the-routes"),
+        pytest.param(routes.Organisation("a", 0), 0, id="the-organisations"),
+        pytest.param(routes.Organisation("a", 30), 9, id="at-most-nine"),
+    ],
+)
+def test_organisations_priority_goes_before_the_routes(
+    case, organisation, priority
+):
+    placed = case.place(organisation=organisation)
+    assert placed.instructions.priority == priority
+
+
+def test_own_part_of_a_prompt_is_neither_fetched_nor_saved(case):
+    case.chooser.kept.set_stores(
+        [routes.StoreTraits("s:1", "a", 10**6, 1.0, 0.0, True)]
+    )
+    case.chooser.kept.take_content("s:1", kept.Content(1, 0, ()))
+    placed = case.place()
+    assert placed.instructions.save_to == ("s:1", "")
+    assert placed.instructions.fetch_from == ("", "")
+
+
+def test_plain_requests_go_where_fewest_are(case):
+    plain = dataclasses.replace(ENGINES, engine=None)
+    call = calls.Call("r", "POST", "/", "h", ())
+    request = case.request(service=plain, call=call)
+    chosen = []
+    for _ in range(3):
+        placed = case.chooser.choose(request)
+        case.chooser.started(placed, None)
+        chosen.append(placed.endpoint.id)
+    assert sorted(chosen) == ["e0", "e1", "e2"]
