--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -14,6 +14,7 @@
 from briarseam.feeds import following
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
+from briarseam.forwarding import crash_guard
 from briarseam.forwarding import refusing
 from briarseam.forwarding import retry_budget
 from briarseam.forwarding import server as http
@@ -72,6 +73,7 @@
 STREAMS_REFUSED_AFTER_S = 3.0
 LOADS_SECTION = "endpoint-loads"
 WEIGHTS_SECTION = "weights"
+LOSSES_SECTION = "lost-requests"
 ORDERS_GROUP = "briarseam-orders"
 START_BYTES = 4
 # Added to the time for which holders must not take turns: orders arrive a
@@ -135,6 +137,7 @@
         )
         self.tenure = self.build_tenure()
         self.rollout = self.build_rollout()
+        self.guard = crash_guard.CrashGuard()
         self.supervisor = supervision.Supervisor()
         self.members: membership.Membership | None = None
         self.lookup = zonal.ZonalLookup(
@@ -191,6 +194,7 @@
             refusals=refusing.Refusals(answers.encode_verdict),
             chooser=self.chooser,
             sender=attempts.Sender(self.pool, requests.decode_answer),
+            guard=self.guard,
             supervisor=self.supervisor,
             budget=retry_budget.RetryBudget(
                 bounds.retry_ratio,
@@ -351,6 +355,9 @@
         service.add_section(
             WEIGHTS_SECTION, self.board.provide, self.board.consume
         )
+        service.add_section(
+            LOSSES_SECTION, self.guard.provide, self.guard.consume
+        )
         router = wire.Router()
         service.register(router)
         server = wire.Server(
@@ -370,6 +377,7 @@
         while not self.stopping.wait(HOUSEKEEPING_S):
             self.pool.close_old()
             self.chooser.kept.forget_old()
+            self.guard.forget_old()
             self.feeds.registry.forget_lapsed()
             self.chooser.loads.keep_only(
                 frozenset(member.name for member in self.all_members())
--- /dev/null
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -0,0 +1,133 @@
+"""Refusing requests that take down each endpoint that runs them.
+
+One request in very many crashes its endpoint, and its caller sends it
+again.  Tried at one endpoint after the other it takes all of them down,
+with everything else that they run.  It shows as the same path, caller and
+body being lost at several endpoints within a short time.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import threading
+import typing
+
+import msgpack
+import structlog
+
+from briarseam import clocks
+
+# Endpoints that a request may have been lost at before it is refused.  One
+# or two are lost with any endpoint that crashes by itself or resets.
+MOST_LOST = 3
+# How long a loss counts: a crashed endpoint is back after some seconds, and
+# callers that repeat a request do so within their deadlines.
+MEMORY_S = 60.0
+# Losses told to peers, the newest first.
+MOST_TOLD = 100
+DIGEST_BYTES = 12
+log = structlog.get_logger("briarseam.forwarding")
+
+
+@dataclasses.dataclass
+class Losses:
+    """Where a request was lost.
+
+    Attributes
+    ----------
+    endpoints
+        Ids of the endpoints.
+    last_s
+        When it was lost last, by the guard's clock.
+    """
+
+    endpoints: set[str] = dataclasses.field(default_factory=set)
+    last_s: float = 0.0
+
+
+class CrashGuard:
+    """Counts losses by request, with those that peers tell.
+
+    Parameters
+    ----------
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self, clock: typing.Callable[[], float] = clocks.boot_clock
+    ) -> None:
+        self.clock = clock
+        self.own: dict[bytes, Losses] = {}
+        self.told: dict[str, dict[bytes, frozenset[str]]] = {}
+        self.lock = threading.Lock()
+
+    def is_refused(self, digest: bytes) -> bool:
+        """Tell whether a request was lost at too many endpoints."""
+        with self.lock:
+            own = self.own.get(digest)
+            lost: set[str] = set()
+            if own is not None and self.clock() - own.last_s < MEMORY_S:
+                lost |= own.endpoints
+            for losses in self.told.values():
+                lost |= losses.get(digest, frozenset())
+        return len(lost) >= MOST_LOST
+
+    def note_lost(self, digest: bytes, endpoint: str) -> None:
+        """Note that an endpoint was lost while it had a request."""
+        with self.lock:
+            losses = self.own.setdefault(digest, Losses())
+            losses.endpoints.add(endpoint)
+            losses.last_s = self.clock()
+            count = len(losses.endpoints)
+        if count >= MOST_LOST:
+            log.warning(
+                "request_condemned", digest=digest.hex(), endpoints=count
+            )
+
+    def note_answered(self, digest: bytes) -> None:
+        """Note that a request was answered, so that it is none of these."""
+        with self.lock:
+            self.own.pop(digest, None)
+
+    def forget_old(self) -> None:
+        """Forget losses that count no longer."""
+        oldest_s = self.clock() - MEMORY_S
+        with self.lock:
+            self.own = {
+                digest: losses
+                for digest, losses in self.own.items()
+                if losses.last_s > oldest_s
+            }
+
+    def provide(self) -> bytes:
+        """Return the newest losses, for peers."""
+        with self.lock:
+            newest = sorted(
+                self.own.items(), key=lambda item: -item[1].last_s
+            )[:MOST_TOLD]
+            rows = [
+                (digest, sorted(losses.endpoints)) for digest, losses in newest
+            ]
+        packed: bytes = msgpack.packb(rows)
+        return packed
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Take in a peer's losses."""
+        told = {
+            bytes(digest): frozenset(endpoints)
+            for digest, endpoints in msgpack.unpackb(data)
+        }
+        with self.lock:
+            self.told[member] = told
+
+
+def digest_of(path: str, caller: str, body: bytes) -> bytes:
+    """Return what is equal for repeats of one request."""
+    made = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (path.encode("latin-1", "replace"), caller.encode()):
+        made.update(len(part).to_bytes(4, "big"))
+        made.update(part)
+    made.update(body)
+    return made.digest()
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -18,6 +18,9 @@
 # About the time after which an endpoint that was lost is off the list.
 UNREACHED_RETRY_S = 0.5
 
+# Losses count for a minute.
+CONDEMNED_RETRY_S = 60.0
+
 NO_CONFIGURATION = verdict.NotRun(
     verdict.Reason.NOT_CURRENT,
     "this instance has no configuration yet",
@@ -38,6 +41,11 @@
 UNREACHED = verdict.NotRun(
     verdict.Reason.NO_ENDPOINT, "no endpoint is reached", UNREACHED_RETRY_S
 )
+CONDEMNED = verdict.NotRun(
+    verdict.Reason.CONDEMNED,
+    "endpoints were lost each time that they ran this request",
+    CONDEMNED_RETRY_S,
+)
 TOO_LATE = verdict.NotRun(
     verdict.Reason.DEADLINE, "no endpoint was asked before the deadline"
 )
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -10,6 +10,7 @@
 from briarseam import clocks
 from briarseam import verdict
 from briarseam.forwarding import attempts
+from briarseam.forwarding import crash_guard
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import refusing
 from briarseam.forwarding import server
@@ -82,6 +83,8 @@
         Chooses endpoints.
     sender
         Sends to endpoints.
+    guard
+        Knows requests that crash endpoints.
     supervisor
         Ends requests in time.
     budget
@@ -97,6 +100,7 @@
     refusals: refusing.Refusals
     chooser: choosers.Chooser
     sender: attempts.Sender
+    guard: crash_guard.CrashGuard
     supervisor: supervision.Supervisor
     budget: retry_budget.RetryBudget
     leaving: typing.Callable[[], bool]
@@ -117,6 +121,8 @@
         Version that it is handled by.
     watch
         Ends it early.
+    digest
+        Equal for repeats of the same request.
     arrived_s
         When its headers had come, by the boot clock.
     progress
@@ -143,6 +149,7 @@
     caller: tables.Caller
     configuration: int
     watch: supervision.Watch
+    digest: bytes
     arrived_s: float
     progress: attempts.Progress = dataclasses.field(
         default_factory=attempts.Progress
@@ -235,6 +242,10 @@
         service = table.configuration.services.get(name)
         if service is None:
             service = routes.Service(name)
+        organisation = caller.name if isinstance(caller, tables.Known) else ""
+        digest = crash_guard.digest_of(call.target, organisation, body)
+        if self.parts.guard.is_refused(digest):
+            return refusing.CONDEMNED
         wait_s = route.timeout_s
         if call.time_left_s is not None:
             wait_s = min(wait_s, call.time_left_s)
@@ -247,6 +258,7 @@
             caller=caller,
             configuration=table.configuration.version,
             watch=supervision.Watch(exchange.socket, arrived_s + wait_s),
+            digest=digest,
             arrived_s=arrived_s,
             progress=attempts.Progress(last_event_id=call.last_event_id),
         )
@@ -284,6 +296,7 @@
             outcome = self.send(work, placed)
             work.tried.add(placed.endpoint.id)
             if isinstance(outcome, outcomes.Answered):
+                self.parts.guard.note_answered(work.digest)
                 return f"answered-{outcome.status}"
             self.take_failure(work, placed.endpoint.id, outcome)
             if not may_go_on(work):
@@ -322,6 +335,7 @@
             case outcomes.Broken():
                 work.may_have_run = True
                 self.parts.chooser.avoid(endpoint)
+                self.parts.guard.note_lost(work.digest, endpoint)
         work.sends += 1
 
     def send(self, work: Work, placed: choosers.Placement) -> outcomes.Outcome:
--- a/src/briarseam/routes/table.py
+++ b/src/briarseam/routes/table.py
@@ -24,6 +24,11 @@
 
     organisation: model.Organisation
 
+    @property
+    def name(self) -> str:
+        """Name of the organisation."""
+        return self.organisation.name
+
 
 @dataclasses.dataclass(frozen=True)
 class Unknown:
--- /dev/null
+++ b/tests/forwarding/test_crash_guard.py
@@ -0,0 +1,84 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.forwarding import crash_guard
+
+DIGEST = crash_guard.digest_of("/draft/x", "north", b"body")
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def guard(clock):
+    return crash_guard.CrashGuard(clock)
+
+
+def lose(guard, *endpoints):
+    for endpoint in endpoints:
+        guard.note_lost(DIGEST, endpoint)
+
+
+def test_request_lost_at_three_endpoints_is_refused(guard):
+    """One prompt crashes each engine that runs it, and its caller sends it
+    again and again.  Engines are lost with all that they run.
+    """
+    lose(guard, "e1", "e2")
+    assert not guard.is_refused(DIGEST)
+    lose(guard, "e3")
+    assert guard.is_refused(DIGEST)
+
+
+def test_losses_at_one_endpoint_count_once(guard):
+    lose(guard, "e1", "e1", "e1", "e1")
+    assert not guard.is_refused(DIGEST)
+
+
+def test_losses_that_peers_saw_count(guard, clock):
+    """The caller sends it to another instance each time."""
+    peer = crash_guard.CrashGuard(clock)
+    lose(peer, "e1", "e2")
+    guard.consume("peer", peer.provide())
+    assert not guard.is_refused(DIGEST)
+    lose(guard, "e3")
+    assert guard.is_refused(DIGEST)
+
+
+def test_answered_request_is_none_of_these(guard):
+    lose(guard, "e1", "e2")
+    guard.note_answered(DIGEST)
+    lose(guard, "e3")
+    assert not guard.is_refused(DIGEST)
+
+
+def test_losses_are_forgotten_with_time(guard, clock):
+    lose(guard, "e1", "e2", "e3")
+    clock.now_s += crash_guard.MEMORY_S
+    assert not guard.is_refused(DIGEST)
+    guard.forget_old()
+    assert guard.own == {}
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        crash_guard.digest_of("/draft/y", "north", b"body"),
+        crash_guard.digest_of("/draft/x", "south", b"body"),
+        crash_guard.digest_of("/draft/x", "north", b"other"),
+        crash_guard.digest_of("/draft/", "xnorth", b"body"),
+    ],
+)
+def test_other_requests_are_not_refused(guard, other):
+    lose(guard, "e1", "e2", "e3")
+    assert not guard.is_refused(other)
