Let runs finish before new weights again; exclude weights that are too old

Ruled out: the holder's loss alone (orders came as late in the run before).

Change: runs always finish first; instead no request is sent to weights that are two seconds short of their time, counted from when the first instance saw the goal; takeover after 2.2 s; a fifth of many engines at a time.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -79,6 +79,9 @@
 # Added to the time for which holders must not take turns: orders arrive a
 # little after they were sent.
 LEASE_SLACK_S = 0.3
+# A request that is sent may wait at its engine for about this long before
+# it begins; it must not begin on weights that are too old by then.
+VERSION_MARGIN_S = 2.0
 MS = 1000.0
 log = structlog.get_logger("briarseam.node")
 
@@ -120,9 +123,9 @@
         self.store = stores.StoreClient(str(settings.store.address))
         self.pool = connections.Pool()
         self.feeds = self.build_feeds()
-        self.board = boards.Board()
+        self.board = boards.Board(self.feeds.operators.goals)
         self.chooser = choosers.Chooser(
-            self.feeds.registry.serving, settings.instance.zone, self.board
+            self.feeds.registry.serving, self.required_weights, self.board
         )
         cache_stores = cache.CacheStoreClient()
         self.store_watches = store_watch.StoreWatches(
@@ -239,13 +242,12 @@
         """Return what brings engines to the wanted weights."""
         return rollouts.Rollout(
             rollouts.Sources(
-                goals=lambda: self.feeds.operators.weight_goals,
+                goals=lambda: self.feeds.operators.goals.newest,
                 targets=self.engines_of,
                 tenure=self.tenure,
                 engines=engines.EngineClient(),
                 board=self.board,
                 holder=self.settings.instance.name,
-                version_s=self.settings.bounds.version_ms / MS,
             )
         )
 
@@ -480,6 +482,11 @@
             return None
         return min(versions)
 
+    def required_weights(self, model: str) -> int:
+        """Return the oldest weights that requests may still begin on."""
+        after_s = self.settings.bounds.version_ms / MS - VERSION_MARGIN_S
+        return self.feeds.operators.goals.required(model, after_s)
+
     def configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -118,8 +118,8 @@
     ----------
     endpoints
         Returns the endpoints of a service that take new work.
-    zone
-        This instance's availability zone.
+    required
+        Returns the oldest weights of a model that may still be used.
     board
         Which weights engines have, and which take none just now.
     """
@@ -127,12 +127,12 @@
     def __init__(
         self,
         endpoints: typing.Callable[[str], list[discovery.Endpoint]],
-        zone: str,
+        required: typing.Callable[[str], int],
         board: boards.Board,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.endpoints = endpoints
-        self.zone = zone
+        self.required = required
         self.clock = clock
         self.loads = load_module.Loads()
         self.residency = residencies.Residency()
@@ -197,6 +197,7 @@
             for endpoint in candidates
         }
         newest = max(versions.values())
+        required = self.required(prompt.model)
         best: Placement | None = None
         best_cost = 0.0
         for endpoint in candidates:
@@ -205,7 +206,7 @@
             )
             load = placement.load
             fill = fill_of(load, request, prompt)
-            if fill > fill_limit(prompt):
+            if fill > fill_limit(prompt) or versions[endpoint.id] < required:
                 continue
             cost_of_fill = max(0.0, fill - EASY_FILL) * FILL_TOKENS
             cost = float(load.waiting_tokens + placement.missing_tokens)
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -57,7 +57,7 @@
         self.documents = documents
         self.on_change = on_change
         self.table: tables.RouteTable | None = None
-        self.weight_goals: dict[str, goals.WeightGoal] = {}
+        self.goals = goals.GoalHistory()
         self.loaded = threading.Event()
 
     def current(self) -> tables.RouteTable | None:
@@ -105,8 +105,5 @@
     def take_goal(self, data: bytes) -> None:
         """Take in wanted weights."""
         goal = self.documents.decode_weight_goal(data)
-        known = self.weight_goals.get(goal.model)
-        if known is not None and known.version >= goal.version:
-            return
-        self.weight_goals = {**self.weight_goals, goal.model: goal}
-        log.info("weights_wanted", model=goal.model, version=goal.version)
+        if self.goals.take(goal):
+            log.info("weights_wanted", model=goal.model, version=goal.version)
--- a/src/briarseam/weights/board.py
+++ b/src/briarseam/weights/board.py
@@ -8,6 +8,7 @@
 import msgpack
 
 from briarseam import clocks
+from briarseam.weights import goals
 
 # A peer's word that an engine is being changed counts no longer than this
 # after it was last told: the peer may be gone.
@@ -21,13 +22,18 @@
 
     Parameters
     ----------
+    history
+        Goals and since when they are known.
     clock
         Seconds.
     """
 
     def __init__(
-        self, clock: typing.Callable[[], float] = clocks.boot_clock
+        self,
+        history: goals.GoalHistory,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
+        self.history = history
         self.clock = clock
         self.changing: set[str] = set()
         self.peers_changing: dict[str, tuple[frozenset[str], float]] = {}
@@ -90,12 +96,17 @@
                 (endpoint, model, version)
                 for (endpoint, model), version in self.own.items()
             ]
-            packed: bytes = msgpack.packb([sorted(self.changing), versions])
+            changing = sorted(self.changing)
+        packed: bytes = msgpack.packb(
+            [changing, versions, self.history.ages()]
+        )
         return packed
 
     def consume(self, member: str, data: bytes) -> None:
         """Take in what a peer knows."""
-        changing, versions = msgpack.unpackb(data)
+        changing, versions, ages = msgpack.unpackb(data)
+        for model, version, age_s in ages:
+            self.history.take(goals.WeightGoal(model, version), age_s)
         until_s = self.clock() + WORD_S
         with self.lock:
             self.peers_changing[member] = (frozenset(changing), until_s)
--- a/src/briarseam/weights/goals.py
+++ b/src/briarseam/weights/goals.py
@@ -1,15 +1,17 @@
-"""Which weights are wanted."""
+"""Which weights are wanted, and which are too old to be used."""
 
 from __future__ import annotations
 
 import dataclasses
+import threading
+import typing
 
 from briarseam import clocks
 
 
 @dataclasses.dataclass(frozen=True)
 class WeightGoal:
-    """The newest weights that operators named for a model.
+    """Weights that operators named for a model.
 
     Attributes
     ----------
@@ -17,12 +19,71 @@
         Name of the model.
     version
         Higher for newer weights.
-    seen_s
-        When it was first seen here, by the boot clock.
     """
 
     model: str
     version: int
-    seen_s: float = dataclasses.field(
-        default_factory=clocks.boot_clock, compare=False
-    )
+
+
+class GoalHistory:
+    """All goals, and since when each is known; thread-safe.
+
+    No request may begin on older weights once a version was named for some
+    time.  The time counts from when the first instance saw it, which peers
+    tell each other: an instance that has just started sees an old goal for
+    the first time.
+
+    Parameters
+    ----------
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self, clock: typing.Callable[[], float] = clocks.boot_clock
+    ) -> None:
+        self.clock = clock
+        self.newest: dict[str, WeightGoal] = {}
+        self.seen: dict[WeightGoal, float] = {}
+        self.lock = threading.Lock()
+
+    def take(self, goal: WeightGoal, age_s: float = 0.0) -> bool:
+        """Take in a goal that was seen so long ago; tell if it is newest."""
+        seen_s = self.clock() - age_s
+        with self.lock:
+            self.seen[goal] = min(seen_s, self.seen.get(goal, seen_s))
+            known = self.newest.get(goal.model)
+            if known is not None and known.version >= goal.version:
+                return False
+            self.newest = {**self.newest, goal.model: goal}
+            return True
+
+    def ages(self) -> list[tuple[str, int, float]]:
+        """Return model, version and age in seconds of all goals."""
+        now_s = self.clock()
+        with self.lock:
+            return [
+                (goal.model, goal.version, now_s - seen_s)
+                for goal, seen_s in self.seen.items()
+            ]
+
+    def required(self, model: str, after_s: float) -> int:
+        """Return the oldest weights that requests may still begin on.
+
+        Parameters
+        ----------
+        model
+            Name of the model.
+        after_s
+            Age of a goal, in seconds, from which it excludes older weights.
+        """
+        latest_s = self.clock() - after_s
+        with self.lock:
+            return max(
+                (
+                    goal.version
+                    for goal, seen_s in self.seen.items()
+                    if goal.model == model and seen_s <= latest_s
+                ),
+                default=0,
+            )
--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -19,20 +19,16 @@
 
 # Weights take longer to load while more than two engines do so.
 AT_ONCE = 2
+# With many engines two at a time would take longer than a version may.
+AT_ONCE_SHARE = 0.2
 # Between the word that an engine takes no work and the order: peers hear it
 # with the next heartbeat, half a second apart.
 NOTICE_S = 0.6
-POLL_S = 0.3
+POLL_S = 0.15
 REVIEW_S = 0.25
 # Longest time for one engine: its runs end within their deadlines, and the
 # load takes two seconds.  Then it is looked at anew.
 ERRAND_S = 8.0
-# One round of engines whose runs finish first: notice, runs of some seconds
-# that get faster as they get fewer, the load.  Measured: 4.3 to 5.0 s.
-FINISH_ROUND_S = 4.7
-# Part of the time for a version within which all engines should have it;
-# the rest is for a holder that is lost on the way.
-USED_PART = 0.7
 log = structlog.get_logger("briarseam.weights")
 
 
@@ -66,8 +62,6 @@
         What is known of their weights.
     holder
         Name of this instance in orders.
-    version_s
-        Time within which all engines have wanted weights, in seconds.
     """
 
     goals: typing.Callable[[], dict[str, goals.WeightGoal]]
@@ -76,7 +70,6 @@
     engines: Engines
     board: boards.Board
     holder: str
-    version_s: float
 
 
 class Rollout:
@@ -115,25 +108,26 @@
 
     def advance(self, goal: goals.WeightGoal) -> None:
         """Take up as many engines of a model as may be changed at once."""
-        behind = self.behind(goal)
-        mode = self.mode(goal, len(behind))
-        for target in behind:
+        targets = self.sources.targets(goal.model)
+        at_once = max(AT_ONCE, int(len(targets) * AT_ONCE_SHARE))
+        for target in self.behind(goal, targets):
             with self.lock:
-                if len(self.busy) >= AT_ONCE or target.id in self.busy:
+                if len(self.busy) >= at_once or target.id in self.busy:
                     continue
                 self.busy.add(target.id)
             threading.Thread(
                 target=self.bring,
-                args=(goal.model, target, mode),
+                args=(goal.model, target),
                 name=f"weights-{target.id}",
                 daemon=True,
             ).start()
 
-    def behind(self, goal: goals.WeightGoal) -> list[discovery.Endpoint]:
-        """Return a model's engines that have older weights, oldest first."""
+    def behind(
+        self, goal: goals.WeightGoal, targets: list[discovery.Endpoint]
+    ) -> list[discovery.Endpoint]:
+        """Return the engines that have older weights, oldest first."""
         versions = {
-            target: self.version_of(target, goal.model)
-            for target in self.sources.targets(goal.model)
+            target: self.version_of(target, goal.model) for target in targets
         }
         behind = [
             target
@@ -142,26 +136,12 @@
         ]
         return sorted(behind, key=lambda target: versions[target])
 
-    def mode(self, goal: goals.WeightGoal, behind: int) -> orders.Mode:
-        """Return what should happen to the runs of the next engines.
-
-        Letting them finish costs nothing but time; where there is not
-        enough of it, they go on at other engines.
-        """
-        rounds = -(-behind // AT_ONCE)
-        end_s = clocks.boot_clock() + rounds * FINISH_ROUND_S
-        if end_s <= goal.seen_s + USED_PART * self.sources.version_s:
-            return orders.Mode.FINISH
-        return orders.Mode.EVICT
-
     def version_of(self, target: discovery.Endpoint, model: str) -> int:
         """Return the weights that an engine is known to have."""
         announced = target.versions.get(model, 0)
         return self.sources.board.version(target.id, model, announced)
 
-    def bring(
-        self, model: str, target: discovery.Endpoint, mode: orders.Mode
-    ) -> None:
+    def bring(self, model: str, target: discovery.Endpoint) -> None:
         """Bring one engine to the newest wanted weights."""
         board = self.sources.board
         board.begin(target.id)
@@ -169,7 +149,7 @@
             self.stopping.wait(NOTICE_S)
             until_s = clocks.boot_clock() + ERRAND_S
             while clocks.boot_clock() < until_s:
-                if self.stopping.is_set() or self.step(model, target, mode):
+                if self.stopping.is_set() or self.step(model, target):
                     return
                 self.stopping.wait(POLL_S)
             log.warning("weights_overdue", endpoint=target.id, model=model)
@@ -182,9 +162,7 @@
             with self.lock:
                 self.busy.discard(target.id)
 
-    def step(
-        self, model: str, target: discovery.Endpoint, mode: orders.Mode
-    ) -> bool:
+    def step(self, model: str, target: discovery.Endpoint) -> bool:
         """Look at an engine and order what is due; tell if it is done.
 
         Raises
@@ -213,7 +191,9 @@
         order = orders.VersionOrder(
             model=model,
             version=goal.version,
-            mode=mode,
+            # Runs that are cut go on elsewhere, where memory is full just
+            # then: with cuts a quarter of the worth of a day was lost.
+            mode=orders.Mode.FINISH,
             holder=sources.holder,
             fence=fence,
             orders_taken=report.orders_taken,
@@ -224,7 +204,6 @@
             endpoint=target.id,
             model=model,
             version=goal.version,
-            mode=mode.value,
             fence=fence,
             orders_taken=report.orders_taken,
             outcome=type(outcome).__name__.lower(),
--- a/src/briarseam/weights/tenure.py
+++ b/src/briarseam/weights/tenure.py
@@ -13,12 +13,12 @@
 
 # How often a member says that it lives, and after how much silence the
 # store gives the partition to another one.  A rollout takes some seconds,
-# so its loss for three is bearable, and a lost call or two change nothing.
-JOIN_INTERVAL_S = 0.7
-TTL_S = 3.0
+# so its loss for two is bearable, and a lost call or two change nothing.
+JOIN_INTERVAL_S = 0.5
+TTL_S = 2.2
 # A holder that could not renew stops this early: before the store's own
 # time is over, an order's way included.
-VALID_S = 1.6
+VALID_S = 1.3
 PARTITION = 0
 log = structlog.get_logger("briarseam.weights")
 
--- /dev/null
+++ b/tests/weights/test_goals.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.weights import board as boards
+from briarseam.weights import goals
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def history(clock):
+    return goals.GoalHistory(clock)
+
+
+def test_older_goal_does_not_replace_a_newer_one(history):
+    assert history.take(goals.WeightGoal("m", 3))
+    assert not history.take(goals.WeightGoal("m", 2))
+    assert history.newest["m"].version == 3
+
+
+def test_each_version_excludes_older_ones_from_its_own_time_on(history, clock):
+    history.take(goals.WeightGoal("m", 2))
+    clock.now_s += 4
+    history.take(goals.WeightGoal("m", 3))
+    clock.now_s += 8
+    assert history.required("m", 10.0) == 2
+    clock.now_s += 4
+    assert history.required("m", 10.0) == 3
+    assert history.required("other", 10.0) == 0
+
+
+def test_instance_that_starts_late_learns_how_old_a_goal_is(history, clock):
+    """An instance is replaced in the middle of a rollout.  Counted from its
+    own start, it would send requests to old weights for too long.
+    """
+    history.take(goals.WeightGoal("m", 2))
+    clock.now_s += 9
+    late_history = goals.GoalHistory(clock)
+    late_history.take(goals.WeightGoal("m", 2))
+    late = boards.Board(late_history, clock)
+    late.consume("peer", boards.Board(history, clock).provide())
+    clock.now_s += 2
+    assert late_history.required("m", 10.0) == 2
+
+
+def test_peers_word_that_an_engine_changes_counts_for_a_while(history, clock):
+    peer = boards.Board(history, clock)
+    peer.begin("e1")
+    peer.learn("e2", "m", 2)
+    mine = boards.Board(goals.GoalHistory(clock), clock)
+    mine.consume("peer", peer.provide())
+    assert mine.is_changing("e1")
+    assert mine.version("e2", "m", 1) == 2
+    clock.now_s += boards.WORD_S
+    assert not mine.is_changing("e1")
+    mine.forget("e2")
+    assert mine.version("e2", "m", 1) == 1
