--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -64,6 +64,11 @@
         "briarseam.command.entry",
         "run the caller-facing daemon of an instance",
     ),
+    Command(
+        "explain",
+        "briarseam.command.explain",
+        "show what the logs of all instances tell about a request",
+    ),
     Command(
         "serve",
         "briarseam.command.serve",
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -125,7 +125,10 @@
         self.feeds = self.build_feeds()
         self.board = boards.Board(self.feeds.operators.goals)
         self.chooser = choosers.Chooser(
-            self.feeds.registry.serving, self.required_weights, self.board
+            self.feeds.registry.serving,
+            self.required_weights,
+            self.board,
+            self.feeds.registry.age_s,
         )
         cache_stores = cache.CacheStoreClient()
         self.store_watches = store_watch.StoreWatches(
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -66,6 +66,7 @@
         self.present: dict[str, model.Endpoint] = {}
         self.lapsed: dict[str, Lapsed] = {}
         self.away_until_s = float("-inf")
+        self.read_s = float("-inf")
         self.lock = threading.Lock()
 
     def serving(self, service: str) -> list[model.Endpoint]:
@@ -92,6 +93,10 @@
                 and now_s < lapsed.until_s
             ]
 
+    def age_s(self) -> float:
+        """Return the seconds since the entries were read."""
+        return self.clock() - self.read_s
+
     def all(self) -> list[model.Endpoint]:
         """Return all endpoints that have an entry."""
         with self.lock:
@@ -116,6 +121,7 @@
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Take in changed entries."""
+        self.read_s = self.clock()
         for change in changes:
             if change.value is None:
                 self.remove(change.key)
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -345,6 +345,13 @@
         sent_s = clocks.boot_clock()
         first_ms = -1
         added = chooser.started(placed, work.call.prompt)
+        log.info(
+            "request_sent",
+            request=work.call.id,
+            endpoint=placed.endpoint.id,
+            time_left_ms=round(work.watch.left_s() * 1000),
+            **placed.reasons(),
+        )
 
         def on_first_event() -> None:
             nonlocal added, first_ms
@@ -374,14 +381,29 @@
             outcome = self.parts.sender.send(errand)
         finally:
             chooser.ended(placed, added)
-            name = type(outcome).__name__.lower() if outcome else "ended"
-            work.steps.append(
-                f"{placed.endpoint.id}:{name}:first={first_ms}ms"
-                f" {placed.reasons()}"
-            )
-            self.parts.metrics.sends.labelled(name).add()
+            self.note_send(work, placed, outcome, first_ms)
         return outcome
 
+    def note_send(
+        self,
+        work: Work,
+        placed: choosers.Placement,
+        outcome: outcomes.Outcome | None,
+        first_ms: int,
+    ) -> None:
+        """Count what became of a send, and keep it for the log."""
+        name = type(outcome).__name__.lower() if outcome else "ended"
+        step = f"{placed.endpoint.id}:{name}"
+        match outcome:
+            case outcomes.Unreached(detail) | outcomes.Broken(detail):
+                step = f"{step} ({detail})"
+            case outcomes.Rejected(status) | outcomes.Answered(status):
+                step = f"{step}-{status}"
+        if first_ms >= 0:
+            step = f"{step} first={first_ms}ms"
+        work.steps.append(step)
+        self.parts.metrics.sends.labelled(name).add()
+
     def give_up(self, work: Work) -> str:
         """Give the caller a final answer at once, without a good one."""
         if work.progress.events_sent:
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -86,6 +86,8 @@
         Prompt tokens that it has, and that it can fetch.
     load
         Work known at the endpoint when it was chosen.
+    endpoints_age_s
+        Time since the list of endpoints was read, in seconds.
     """
 
     endpoint: discovery.Endpoint
@@ -94,16 +96,25 @@
     held_tokens: int = 0
     fetched_tokens: int = 0
     load: load_module.Load = load_module.NO_LOAD
+    endpoints_age_s: float = 0.0
 
-    def reasons(self) -> str:
+    def reasons(self) -> dict[str, int | str]:
         """Return what decided, for the log."""
-        return (
-            f"queue={self.load.requests}/{self.load.waiting_tokens}"
-            f" held={self.held_tokens} fetch={self.fetched_tokens}"
-            f" read={self.missing_tokens}"
-            f" from={','.join(filter(None, self.instructions.fetch_from))}"
-            f" version={self.instructions.version or 0}"
-        )
+        found: dict[str, int | str] = {
+            "requests_there": self.load.requests,
+            "endpoints_age_ms": round(self.endpoints_age_s * 1000),
+        }
+        if self.instructions.salt:
+            found["tokens_waiting_there"] = self.load.waiting_tokens
+            found["memory_taken_there"] = self.load.memory_tokens
+            found["tokens_held"] = self.held_tokens
+            found["tokens_fetched"] = self.fetched_tokens
+            found["tokens_to_read"] = self.missing_tokens
+            found["weights"] = self.instructions.version or 0
+            found["fetch_from"] = ",".join(
+                filter(None, self.instructions.fetch_from)
+            )
+        return found
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,6 +133,10 @@
         Returns the oldest weights of a model that may still be used.
     board
         Which weights engines have, and which take none just now.
+    endpoints_age_s
+        Returns the time since the endpoints were read, in seconds.
+    clock
+        Seconds.
     """
 
     def __init__(
@@ -129,6 +144,7 @@
         endpoints: typing.Callable[[str], list[discovery.Endpoint]],
         required: typing.Callable[[str], int],
         board: boards.Board,
+        endpoints_age_s: typing.Callable[[], float] = lambda: 0.0,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.endpoints = endpoints
@@ -137,6 +153,7 @@
         self.loads = load_module.Loads()
         self.residency = residencies.Residency()
         self.board = board
+        self.endpoints_age_s = endpoints_age_s
         self.kept = kept_module.KeptIndex(clock)
         self.avoided: dict[str, float] = {}
 
@@ -181,7 +198,12 @@
                 random.random(),
             ),
         )
-        return Placement(best, self.instruct(request, best))
+        return Placement(
+            best,
+            self.instruct(request, best),
+            load=self.loads.of(best.id),
+            endpoints_age_s=self.endpoints_age_s(),
+        )
 
     def place_prompt(
         self,
@@ -249,6 +271,7 @@
             held,
             fetched,
             self.loads.of(endpoint.id),
+            self.endpoints_age_s(),
         )
 
     def version_of(self, endpoint: discovery.Endpoint, model: str) -> int:
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -48,7 +48,7 @@
             lambda service: list(self.endpoints),
             lambda model: self.required,
             self.board,
-            self.clock,
+            clock=self.clock,
         )
 
     def request(self, tokens=1000, session="s", **changes):
