--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -17,6 +17,9 @@
 if typing.TYPE_CHECKING:
     import argparse
 
+# The platform kills a process that is still there a second after it should
+# have ended; threads that are still at work end with the process.
+STOP_WAIT_S = 0.2
 log = structlog.get_logger("briarseam.node")
 
 
@@ -63,7 +66,7 @@
     stop.first.wait()
     log.info("stopping")
     node.drain(stop.second.is_set)
-    node.stop()
+    node.stop(STOP_WAIT_S)
     log.info("stopped", log_lines_left_out=writer.left_out)
     writer.close()
     return 0
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from briarseam import clocks
 from briarseam.compose import reloading
 from briarseam.discovery import registry as registries
 from briarseam.feeds import following
@@ -19,6 +20,7 @@
 from briarseam.forwarding import retry_budget
 from briarseam.forwarding import server as http
 from briarseam.forwarding import service as forwarding
+from briarseam.forwarding import shutdown as shutdowns
 from briarseam.forwarding import supervision
 from briarseam.lookup import zonal
 from briarseam.membership import drain
@@ -70,7 +72,7 @@
 # Lookups are kept for three times their time to live by some callers, but
 # those have other addresses to turn to.
 LINGER_S = 3.0
-STREAMS_REFUSED_AFTER_S = 3.0
+STOP_WAIT_S = 5.0
 LOADS_SECTION = "endpoint-loads"
 WEIGHTS_SECTION = "weights"
 LOSSES_SECTION = "lost-requests"
@@ -117,7 +119,7 @@
 
     def __init__(self, settings: serving.ServeSettings) -> None:
         self.settings = settings
-        self.leaving = threading.Event()
+        self.shutdown = shutdowns.Shutdown(self.serving_bound_s)
         self.stopping = threading.Event()
         self.metrics = metrics.Registry()
         self.store = stores.StoreClient(str(settings.store.address))
@@ -208,7 +210,7 @@
                 bounds.retry_window_s,
                 lambda: len(self.all_members()),
             ),
-            leaving=self.leaving.is_set,
+            shutdown=self.shutdown,
             metrics=forwarding.Metrics(
                 answers=registry.counters(
                     "answers_total",
@@ -390,8 +392,8 @@
 
     def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
         """Leave the lookups and serve what is under way."""
-        self.leaving.set()
-        bound_s = self.settings.bounds.shutdown_s - EXIT_MARGIN_S
+        self.shutdown.begin()
+        bound_s = self.serving_bound_s()
         return drain.Drain(
             announce=self.announce_leaving,
             told=lambda: self.members is None or self.members.told(),
@@ -401,28 +403,48 @@
             hurry=hurry,
         ).run()
 
+    def serving_bound_s(self) -> float:
+        """Return the longest time from SIGTERM to the end of serving."""
+        return self.settings.bounds.shutdown_s - EXIT_MARGIN_S
+
     def announce_leaving(self) -> None:
-        """Tell the peers that this instance will be gone soon."""
+        """Tell peers and store that this instance will be gone soon."""
         if self.members is not None:
             self.members.announce_leaving()
+        # The store may be away; what serves must not wait for it.
+        threading.Thread(
+            target=self.sign_off, name="sign-off", daemon=True
+        ).start()
 
-    def stop(self) -> None:
-        """Stop all parts."""
+    def sign_off(self) -> None:
+        """Give up this instance's duty and registration."""
+        self.rollout.stop()
+        self.tenure.stop()
+        self.feeds.registrations.stop()
+
+    def stop(self, wait_s: float = STOP_WAIT_S) -> None:
+        """Stop all parts.
+
+        Parameters
+        ----------
+        wait_s
+            Longest wait for the servers to end, in seconds.
+        """
         self.stopping.set()
         self.reloading.stop()
         self.sweeper.stop()
         self.store_watches.stop()
-        self.rollout.stop()
-        self.tenure.stop()
-        self.feeds.registrations.stop()
-        self.stop_servers()
+        if not self.shutdown.begun:
+            self.sign_off()
+        self.stop_servers(wait_s)
         self.feeds.stop()
         if self.members is not None:
             self.members.stop()
         self.supervisor.stop()
 
-    def stop_servers(self) -> None:
+    def stop_servers(self, wait_s: float) -> None:
         """Stop all servers at once: each takes half a second or more."""
+        end_s = clocks.boot_clock() + wait_s
         threads = [
             threading.Thread(target=server.stop, daemon=True)
             for server in self.servers.values()
@@ -430,7 +452,7 @@
         for thread in threads:
             thread.start()
         for thread in threads:
-            thread.join()
+            thread.join(max(0.0, end_s - clocks.boot_clock()))
 
     def apply_settings(self, settings: serving.ServeSettings) -> None:
         """Put changed settings in force, but for where this listens."""
@@ -515,7 +537,7 @@
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return (
-            not self.leaving.is_set()
+            not self.shutdown.begun
             and self.feeds.operators.current() is not None
         )
 
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -18,6 +18,8 @@
 # About the time after which an endpoint that was lost is off the list.
 UNREACHED_RETRY_S = 0.5
 
+# The caller's next connection goes to another instance.
+LEAVING_RETRY_S = 0.05
 # Losses count for a minute.
 CONDEMNED_RETRY_S = 60.0
 
@@ -26,6 +28,11 @@
     "this instance has no configuration yet",
     CONFIGURATION_RETRY_S,
 )
+LEAVING = verdict.NotRun(
+    verdict.Reason.LEAVING,
+    "this instance shuts down; others serve",
+    LEAVING_RETRY_S,
+)
 NO_ROUTE = verdict.NotRun(
     verdict.Reason.UNKNOWN_SERVICE, "no route has this host and path"
 )
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -14,6 +14,7 @@
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import refusing
 from briarseam.forwarding import server
+from briarseam.forwarding import shutdown as shutdowns
 from briarseam.forwarding import supervision
 from briarseam.placement import chooser as choosers
 from briarseam.routes import model as routes
@@ -89,8 +90,8 @@
         Ends requests in time.
     budget
         Bounds sends to second endpoints.
-    leaving
-        Tells whether this instance shuts down.
+    shutdown
+        What this process still takes on while it shuts down.
     metrics
         What is counted.
     """
@@ -103,7 +104,7 @@
     guard: crash_guard.CrashGuard
     supervisor: supervision.Supervisor
     budget: retry_budget.RetryBudget
-    leaving: typing.Callable[[], bool]
+    shutdown: shutdowns.Shutdown
     metrics: Metrics
 
 
@@ -203,7 +204,7 @@
         except server.BodyError as error:
             self.refuse_unread(exchange, str(error))
             return
-        if self.parts.leaving():
+        if self.parts.shutdown.begun:
             exchange.close_after()
         try:
             call = self.parts.border.decode_call(
@@ -235,6 +236,8 @@
         caller = table.identify(route, call.key)
         if isinstance(caller, tables.Unknown):
             return refusing.UNKNOWN_KEY
+        if not self.parts.shutdown.takes(route):
+            return refusing.LEAVING
         session = call.id
         if call.prompt is not None:
             session = choosers.session_of(call.prompt)
