--- a/src/briarseam/command/explain.py
+++ b/src/briarseam/command/explain.py
@@ -17,14 +17,11 @@
 HEADERS = ("time", "instance", "event", "details")
 # What stands in a column of its own, and what tells nothing here.
 OWN_COLUMNS = frozenset({"timestamp", "process", "event", "request", "level"})
-# Changes of belief within this many lines before a request's first line on
-# its instance are shown with it: what it was decided by.
+# Changes of belief that stand before a request's first line on its instance
+# are shown with it: what it was decided by.
 BELIEF_EVENTS = frozenset(
     {
         "configuration_in_force",
-        "endpoint_changed",
-        "endpoint_found",
-        "endpoint_gone",
         "store_lost",
         "store_regained",
         "weights_in_place",
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -317,7 +317,7 @@
                 return placed
             left_s = until_s - clocks.boot_clock()
             if left_s <= 0:
-                work.steps.append("no-room")
+                work.steps.append(f"no-room {placed}")
                 return refusing.BUSY
             chooser.loads.wait_for_ease(min(left_s, ROOM_POLL_S))
 
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -38,7 +38,7 @@
 # which makes all of them slower: reads went up by a quarter while six
 # engines were full.  Small prompts may use what large ones must leave.
 SMALL_TOKENS = 3000
-SMALL_FILL = 1.0
+SMALL_FILL = 1.15
 LARGE_FILL = 0.9
 # Above this fill another engine is preferred, by so many tokens for all of
 # the memory.
@@ -119,7 +119,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class Full:
-    """No endpoint has room for the request just now."""
+    """No endpoint has room for the request just now.
+
+    Attributes
+    ----------
+    least_fill
+        How full the emptiest engine's memory would be with the request.
+    engines
+        How many were looked at.
+    """
+
+    least_fill: float
+    engines: int
+
+    def __str__(self) -> str:
+        """Return what decided, for the log."""
+        return f"least-fill={self.least_fill:.2f} engines={self.engines}"
 
 
 class Chooser:
@@ -222,12 +237,14 @@
         required = self.required(prompt.model)
         best: Placement | None = None
         best_cost = 0.0
+        least_fill = float("inf")
         for endpoint in candidates:
             placement = self.at_engine(
                 request, prompt, endpoint, versions[endpoint.id]
             )
             load = placement.load
             fill = fill_of(load, request, prompt)
+            least_fill = min(least_fill, fill)
             if fill > fill_limit(prompt) or versions[endpoint.id] < required:
                 continue
             cost_of_fill = max(0.0, fill - EASY_FILL) * FILL_TOKENS
@@ -240,7 +257,7 @@
             if best is None or cost < best_cost:
                 best_cost = cost
                 best = placement
-        return Full() if best is None else best
+        return Full(least_fill, len(candidates)) if best is None else best
 
     def at_engine(
         self,
