Cut the largest modules of the new path by duty; take large retry bounds

Change: the bound; feeds, peers, weights and small answers of the node, the work of forwarding and the requests of placement are modules of their own.

--- /dev/null
+++ b/src/briarseam/compose/node_feeds.py
@@ -0,0 +1,132 @@
+"""What the process on the users' platform follows on the store."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.discovery import registry as registries
+from briarseam.feeds import following
+from briarseam.peers import registrations
+from briarseam.platform import documents
+from briarseam.platform import endpoints
+from briarseam.platform import names
+from briarseam.routes import following as operators
+
+if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
+    from briarseam.platform import store as stores
+    from briarseam.routes import model as routes
+    from briarseam.settings import serving
+
+# A change must be in force within two seconds of an instance being in touch
+# for three.  A connection that went silent shows at the end of a poll, so
+# that end must come in three seconds.
+OPERATOR_POLL_S = 2.0
+ENDPOINT_POLL_S = 1.5
+# Endpoints write every second or so, each; read one by one that would be a
+# call for each write.  A leaving endpoint is served two seconds longer.
+ENDPOINT_PAUSE_S = 0.6
+REGISTRATION_POLL_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Feeds:
+    """What is followed on the store.
+
+    Attributes
+    ----------
+    operators
+        Configuration and wanted weights.
+    registry
+        Endpoints.
+    registrations
+        Instances of this system.
+    followers
+        The threads that follow.
+    """
+
+    operators: operators.OperatorFeed
+    registry: registries.EndpointRegistry
+    registrations: registrations.Registrations
+    followers: tuple[following.Follower, ...]
+
+    def start(self) -> None:
+        """Begin following."""
+        for follower in self.followers:
+            follower.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        for follower in self.followers:
+            follower.stop()
+
+    def engines_of(self, model: str) -> list[discovery.Endpoint]:
+        """Return the engines that serve a model and are not leaving."""
+        table = self.operators.current()
+        if table is None:
+            return []
+        serving_it = {
+            service.name
+            for service in table.configuration.services.values()
+            if service.engine is not None and model in service.engine.models
+        }
+        return [
+            endpoint
+            for endpoint in self.registry.all()
+            if endpoint.service in serving_it and not endpoint.leaving
+        ]
+
+    def configuration_version(self) -> int:
+        """Return the version in force; 0 before the first."""
+        table = self.operators.current()
+        return 0 if table is None else table.configuration.version
+
+
+def build(
+    settings: serving.ServeSettings,
+    store: stores.StoreClient,
+    on_configuration: typing.Callable[[routes.Configuration], None],
+    on_gone: typing.Callable[[frozenset[str]], None],
+) -> Feeds:
+    """Return what is followed, nothing started.
+
+    Parameters
+    ----------
+    settings
+        The settings of this process.
+    store
+        The platform's store.
+    on_configuration
+        Called with each new configuration, before it is in force.
+    on_gone
+        Called with the ids of endpoints that are gone.
+    """
+    feed = operators.OperatorFeed(
+        documents.OperatorDocuments(), on_configuration
+    )
+    registry = registries.EndpointRegistry(endpoints.decode_endpoint, on_gone)
+    rows = registrations.Registrations(
+        store,
+        names.MEMBERS_TOPIC,
+        registrations.Registration(
+            name=settings.instance.name,
+            address=str(settings.listen.peers),
+            group=settings.instance.region,
+            zone=settings.instance.zone,
+        ),
+    )
+    followers = (
+        following.Follower(store, names.OPERATOR_TOPIC, feed, OPERATOR_POLL_S),
+        following.Follower(
+            store,
+            names.ENDPOINTS_TOPIC,
+            registry,
+            ENDPOINT_POLL_S,
+            ENDPOINT_PAUSE_S,
+        ),
+        following.Follower(
+            store, names.MEMBERS_TOPIC, rows, REGISTRATION_POLL_S
+        ),
+    )
+    return Feeds(feed, registry, rows, followers)
--- /dev/null
+++ b/src/briarseam/compose/node_peers.py
@@ -0,0 +1,83 @@
+"""Joining the other instances of the system."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.membership import service as membership
+from briarseam.membership import state as members
+from briarseam.peers import registrations
+from briarseam.platform import names
+from briarseam.platform import store as stores
+from briarseam.wire import connection as wire_connection
+from briarseam.wire import server as wire
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+    import threading
+
+    from briarseam.membership import sections
+    from briarseam.settings import serving
+
+# What instances tell each other of engines' load is as old as this, and
+# prompts that arrive meanwhile are placed without it.
+HEARTBEAT_S = 0.5
+# Three heartbeats and a little: callers are no longer sent there then.
+SUSPECT_AFTER_S = 1.6
+LISTING_INTERVAL_S = 0.5
+
+
+def join(
+    settings: serving.ServeSettings,
+    store: stores.StoreClient,
+    rows: registrations.Registrations,
+    told: collections.abc.Sequence[sections.Section],
+    stopping: threading.Event,
+) -> membership.Membership | None:
+    """Join the other instances, once the store tells the secret.
+
+    Parameters
+    ----------
+    settings
+        The settings of this process.
+    store
+        The platform's store.
+    rows
+        Registrations of all instances.
+    told
+        What heartbeats carry.
+    stopping
+        Ends the attempts; ``None`` is returned then.
+    """
+    secret = registrations.agree_on_secret(
+        store, names.MEMBERS_TOPIC, stores.encode_keyed, stopping
+    )
+    if secret is None:
+        return None
+    service = membership.Membership(
+        members.Me(
+            name=settings.instance.name,
+            zone=settings.instance.region,
+            agent_address=str(settings.listen.peers),
+            entry_addresses=(str(settings.listen.callers),),
+        ),
+        rows,
+        secret,
+        parts_of=rows.groups_of,
+        heartbeat_interval_s=HEARTBEAT_S,
+        suspect_after_s=SUSPECT_AFTER_S,
+        list_interval_s=LISTING_INTERVAL_S,
+    )
+    for section in told:
+        service.add_section(section.name, section.provide, section.consume)
+    router = wire.Router()
+    service.register(router)
+    wire.Server(
+        str(settings.listen.peers),
+        wire_connection.Identity("agent", settings.instance.name),
+        secret,
+        router,
+    ).start()
+    service.start()
+    rows.start()
+    return service
--- /dev/null
+++ b/src/briarseam/compose/small_answers.py
@@ -0,0 +1,79 @@
+"""Answers that need no endpoint: readiness, lookups, metrics."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.metrics import rendering
+from briarseam.platform import answers
+
+if typing.TYPE_CHECKING:
+    from briarseam.forwarding import server as http
+    from briarseam.lookup import zonal
+    from briarseam.metrics import registry as registries
+
+OK = 200
+NOT_FOUND = 404
+NOT_READY = 503
+# Callers of an instance that dies go on trying it for this long.
+LOOKUP_TTL_S = 2.0
+
+
+class SmallAnswers:
+    """Answers questions about this instance.
+
+    Parameters
+    ----------
+    is_ready
+        Tells whether callers may be sent here.
+    lookup
+        Knows which addresses callers should use.
+    own_address
+        Where callers reach this instance.
+    most_ttl_s
+        Returns the longest time that callers keep addresses, in seconds.
+    registry
+        The metrics.
+    """
+
+    def __init__(
+        self,
+        is_ready: typing.Callable[[], bool],
+        lookup: zonal.ZonalLookup,
+        own_address: str,
+        most_ttl_s: typing.Callable[[], float],
+        registry: registries.Registry,
+    ) -> None:
+        self.is_ready = is_ready
+        self.lookup = lookup
+        self.own_address = own_address
+        self.most_ttl_s = most_ttl_s
+        self.registry = registry
+
+    def readiness(self, exchange: http.Exchange) -> None:
+        """Tell whether this instance is ready."""
+        if not answers.is_readiness(exchange.target):
+            exchange.answer(NOT_FOUND, (), b"")
+            return
+        exchange.answer(OK if self.is_ready() else NOT_READY, (), b"")
+
+    def addresses(self, exchange: http.Exchange) -> None:
+        """Tell a caller which addresses to use."""
+        question = answers.decode_lookup(exchange.target)
+        if question is None:
+            exchange.answer(NOT_FOUND, (), b"")
+            return
+        found = self.lookup.addresses(question.zone)
+        if not found and self.is_ready():
+            found = [self.own_address]
+        if not found:
+            exchange.answer(NOT_READY, (), b"")
+            return
+        ttl_s = min(LOOKUP_TTL_S, self.most_ttl_s())
+        body = answers.encode_addresses(found, ttl_s)
+        exchange.answer(OK, (("Content-Type", answers.JSON),), body)
+
+    def scrape(self, exchange: http.Exchange) -> None:
+        """Answer a scrape."""
+        headers = (("Content-Type", rendering.CONTENT_TYPE),)
+        exchange.answer(OK, headers, self.registry.render().encode())
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -14,17 +14,14 @@
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import refusing
 from briarseam.forwarding import server
-from briarseam.forwarding import shutdown as shutdowns
 from briarseam.forwarding import supervision
-from briarseam.placement import chooser as choosers
+from briarseam.forwarding import work as works
+from briarseam.placement import requests as placements
 from briarseam.routes import model as routes
 from briarseam.routes import table as tables
 
 if typing.TYPE_CHECKING:
     from briarseam.forwarding import calls
-    from briarseam.forwarding import retry_budget
-    from briarseam.metrics import instruments
-    from briarseam.metrics import labels
 
 # Part of a route's aim for which a request waits for room.  One that waits
 # longer would be late anyhow, and its caller is better told to come back.
@@ -34,148 +31,6 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
-class Border(typing.Protocol):
-    """Decodes and encodes what crosses the border of the system."""
-
-    def decode_call(
-        self, method: str, target: str, headers: server.Headers
-    ) -> calls.Call:
-        """Return a caller's request; raises ``MalformedError``."""
-
-    def encode_headers(
-        self, call: calls.Call, instructions: calls.Instructions
-    ) -> dict[str, str]:
-        """Return the headers for an endpoint."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Metrics:
-    """What forwarding counts and measures.
-
-    Attributes
-    ----------
-    answers
-        Requests by outcome and status.
-    sends
-        Sends to endpoints by outcome.
-    first_event_us, whole_us
-        Time to a stream's first event, and to a whole answer.
-    """
-
-    answers: labels.Family[instruments.Counter]
-    sends: labels.Family[instruments.Counter]
-    first_event_us: instruments.Latency
-    whole_us: instruments.Latency
-
-
-@dataclasses.dataclass(frozen=True)
-class Parts:
-    """What forwarding needs.
-
-    Attributes
-    ----------
-    table
-        Returns the configuration in force; ``None`` before the first.
-    border
-        Decodes and encodes.
-    refusals
-        Tells callers why they get no answer.
-    chooser
-        Chooses endpoints.
-    sender
-        Sends to endpoints.
-    guard
-        Knows requests that crash endpoints.
-    supervisor
-        Ends requests in time.
-    budget
-        Bounds sends to second endpoints.
-    shutdown
-        What this process still takes on while it shuts down.
-    metrics
-        What is counted.
-    """
-
-    table: typing.Callable[[], tables.RouteTable | None]
-    border: Border
-    refusals: refusing.Refusals
-    chooser: choosers.Chooser
-    sender: attempts.Sender
-    guard: crash_guard.CrashGuard
-    supervisor: supervision.Supervisor
-    budget: retry_budget.RetryBudget
-    shutdown: shutdowns.Shutdown
-    metrics: Metrics
-
-
-@dataclasses.dataclass
-class Work:
-    """One request under way.
-
-    Attributes
-    ----------
-    exchange, call, body
-        What was asked.
-    route, service, caller
-        What the configuration says about it.
-    configuration
-        Version that it is handled by.
-    watch
-        Ends it early.
-    digest
-        Equal for repeats of the same request.
-    arrived_s
-        When its headers had come, by the boot clock.
-    progress
-        What the caller has already.
-    tried
-        Endpoints that it was sent to.
-    steps
-        What became of it at each, for the log line.
-    sends
-        How often it was sent.
-    may_have_run
-        Whether an endpoint may have run it.
-    refusal
-        Why it has no answer, as far as it has not run.
-    failed
-        The last failure that an endpoint answered with.
-    """
-
-    exchange: server.Exchange
-    call: calls.Call
-    body: bytes
-    route: routes.Route
-    service: routes.Service
-    caller: tables.Caller
-    configuration: int
-    watch: supervision.Watch
-    digest: bytes
-    arrived_s: float
-    progress: attempts.Progress = dataclasses.field(
-        default_factory=attempts.Progress
-    )
-    tried: set[str] = dataclasses.field(default_factory=set)
-    steps: list[str] = dataclasses.field(default_factory=list)
-    sends: int = 0
-    may_have_run: bool = False
-    refusal: verdict.Verdict | None = None
-    failed: outcomes.Failed | None = None
-
-    def request(self) -> choosers.Request:
-        """Return what is to be placed."""
-        organisation = None
-        if isinstance(self.caller, tables.Known):
-            organisation = self.caller.organisation
-        return choosers.Request(
-            self.call,
-            self.route,
-            self.service,
-            organisation,
-            frozenset(self.tried),
-        )
-
-
 class Forwarding:
     """Answers callers' requests.
 
@@ -185,7 +40,7 @@
         What it needs.
     """
 
-    def __init__(self, parts: Parts) -> None:
+    def __init__(self, parts: works.Parts) -> None:
         self.parts = parts
         self.in_flight = 0
 
@@ -214,7 +69,7 @@
             self.refuse(exchange, "", refusing.malformed(str(error)))
             return
         found = self.find(exchange, call, body, arrived_s)
-        if isinstance(found, Work):
+        if isinstance(found, works.Work):
             self.run(found)
         else:
             self.refuse(exchange, call.id, found)
@@ -225,7 +80,7 @@
         call: calls.Call,
         body: bytes,
         arrived_s: float,
-    ) -> Work | verdict.Verdict:
+    ) -> works.Work | verdict.Verdict:
         """Return the work that a call makes, or why there is none."""
         table = self.parts.table()
         if table is None:
@@ -240,7 +95,7 @@
             return refusing.LEAVING
         session = call.id
         if call.prompt is not None:
-            session = choosers.session_of(call.prompt)
+            session = placements.session_of(call.prompt)
         name = tables.pick_share(route, session)
         service = table.configuration.services.get(name)
         if service is None:
@@ -252,7 +107,7 @@
         wait_s = route.timeout_s
         if call.time_left_s is not None:
             wait_s = min(wait_s, call.time_left_s)
-        return Work(
+        return works.Work(
             exchange=exchange,
             call=call,
             body=body,
@@ -266,7 +121,7 @@
             progress=attempts.Progress(last_event_id=call.last_event_id),
         )
 
-    def run(self, work: Work) -> None:
+    def run(self, work: works.Work) -> None:
         """Answer one request that the configuration allows."""
         self.in_flight += 1
         self.parts.budget.earn(work.service.name)
@@ -280,7 +135,7 @@
             self.in_flight -= 1
         self.note(work, ended)
 
-    def try_endpoints(self, work: Work) -> str:
+    def try_endpoints(self, work: works.Work) -> str:
         """Send the request to endpoints until one answers.
 
         Returns
@@ -302,10 +157,10 @@
                 self.parts.guard.note_answered(work.digest)
                 return f"answered-{outcome.status}"
             self.take_failure(work, placed.endpoint.id, outcome)
-            if not may_go_on(work):
+            if not works.may_go_on(work):
                 return self.give_up(work)
 
-    def place(self, work: Work) -> choosers.Placement | verdict.NotRun:
+    def place(self, work: works.Work) -> placements.Placement | verdict.NotRun:
         """Return where a request goes, waiting a little for room."""
         chooser = self.parts.chooser
         hold_s = work.route.target_latency_s * HOLD_SHARE
@@ -313,7 +168,7 @@
         while True:
             work.watch.check()
             placed = chooser.choose(work.request())
-            if not isinstance(placed, choosers.Full):
+            if not isinstance(placed, placements.Full):
                 return placed
             left_s = until_s - clocks.boot_clock()
             if left_s <= 0:
@@ -322,7 +177,7 @@
             chooser.loads.wait_for_ease(min(left_s, ROOM_POLL_S))
 
     def take_failure(
-        self, work: Work, endpoint: str, outcome: outcomes.Outcome
+        self, work: works.Work, endpoint: str, outcome: outcomes.Outcome
     ) -> None:
         """Draw what follows from an endpoint that did not answer well."""
         match outcome:
@@ -341,7 +196,9 @@
                 self.parts.guard.note_lost(work.digest, endpoint)
         work.sends += 1
 
-    def send(self, work: Work, placed: choosers.Placement) -> outcomes.Outcome:
+    def send(
+        self, work: works.Work, placed: placements.Placement
+    ) -> outcomes.Outcome:
         """Send the request to one endpoint."""
         chooser = self.parts.chooser
         request = work.request()
@@ -389,8 +246,8 @@
 
     def note_send(
         self,
-        work: Work,
-        placed: choosers.Placement,
+        work: works.Work,
+        placed: placements.Placement,
         outcome: outcomes.Outcome | None,
         first_ms: int,
     ) -> None:
@@ -407,7 +264,7 @@
         work.steps.append(step)
         self.parts.metrics.sends.labelled(name).add()
 
-    def give_up(self, work: Work) -> str:
+    def give_up(self, work: works.Work) -> str:
         """Give the caller a final answer at once, without a good one."""
         if work.progress.events_sent:
             work.exchange.abort()
@@ -425,7 +282,7 @@
         self.answer(work.exchange, given)
         return f"refused-{given.reason.value}"
 
-    def end(self, work: Work, ending: supervision.Ending) -> str:
+    def end(self, work: works.Work, ending: supervision.Ending) -> str:
         """Answer, as far as one can, a request that was ended."""
         if (
             ending is supervision.Ending.CALLER_GONE
@@ -470,7 +327,7 @@
             log.info("caller_gone", detail=str(error))
             exchange.abort()
 
-    def note(self, work: Work, ended: str) -> None:
+    def note(self, work: works.Work, ended: str) -> None:
         """Count a request and log what was decided about it."""
         took_s = clocks.boot_clock() - work.arrived_s
         self.parts.metrics.answers.labelled(ended).add()
@@ -485,12 +342,3 @@
             outcome=ended,
             took_ms=round(took_s * 1000),
         )
-
-
-def may_go_on(work: Work) -> bool:
-    """Tell whether a request may go to another endpoint."""
-    if work.may_have_run and not work.route.idempotent:
-        return False
-    if work.progress.events_sent and not work.route.resumable:
-        return False
-    return work.sends < work.route.max_endpoints
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -12,9 +12,8 @@
 from briarseam.lookup import rank
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
+from briarseam.placement import requests
 from briarseam.placement import residency as residencies
-from briarseam.placement import salts
-from briarseam.routes import model as routes
 from briarseam.weights import board as boards
 
 if typing.TYPE_CHECKING:
@@ -34,12 +33,6 @@
 # worth; reading this many tokens takes 36 ms, so that engines with newer
 # weights are preferred and not swamped.
 OLD_WEIGHTS_TOKENS = 4000
-# An engine whose memory is full preempts runs and reads their prompts again,
-# which makes all of them slower: reads went up by a quarter while six
-# engines were full.  Small prompts may use what large ones must leave.
-SMALL_TOKENS = 3000
-SMALL_FILL = 1.15
-LARGE_FILL = 0.9
 # Above this fill another engine is preferred, by so many tokens for all of
 # the memory.
 EASY_FILL = 0.6
@@ -49,94 +42,6 @@
 RETRY_AFTER_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class Request:
-    """What is to be placed.
-
-    Attributes
-    ----------
-    call, route, service
-        What is asked, and of which service.
-    organisation
-        Who asks; ``None`` for anyone.
-    tried
-        Endpoints that it was sent to already.
-    """
-
-    call: calls.Call
-    route: routes.Route
-    service: routes.Service
-    organisation: routes.Organisation | None
-    tried: frozenset[str] = frozenset()
-
-
-@dataclasses.dataclass(frozen=True)
-class Placement:
-    """Where a request goes.
-
-    Attributes
-    ----------
-    endpoint
-        The endpoint.
-    instructions
-        What to tell it.
-    missing_tokens
-        Prompt tokens that it has to read, as far as known.
-    held_tokens, fetched_tokens
-        Prompt tokens that it has, and that it can fetch.
-    load
-        Work known at the endpoint when it was chosen.
-    endpoints_age_s
-        Time since the list of endpoints was read, in seconds.
-    """
-
-    endpoint: discovery.Endpoint
-    instructions: calls.Instructions
-    missing_tokens: int = 0
-    held_tokens: int = 0
-    fetched_tokens: int = 0
-    load: load_module.Load = load_module.NO_LOAD
-    endpoints_age_s: float = 0.0
-
-    def reasons(self) -> dict[str, int | str]:
-        """Return what decided, for the log."""
-        found: dict[str, int | str] = {
-            "requests_there": self.load.requests,
-            "endpoints_age_ms": round(self.endpoints_age_s * 1000),
-        }
-        if self.instructions.salt:
-            found["tokens_waiting_there"] = self.load.waiting_tokens
-            found["memory_taken_there"] = self.load.memory_tokens
-            found["tokens_held"] = self.held_tokens
-            found["tokens_fetched"] = self.fetched_tokens
-            found["tokens_to_read"] = self.missing_tokens
-            found["weights"] = self.instructions.version or 0
-            found["fetch_from"] = ",".join(
-                filter(None, self.instructions.fetch_from)
-            )
-        return found
-
-
-@dataclasses.dataclass(frozen=True)
-class Full:
-    """No endpoint has room for the request just now.
-
-    Attributes
-    ----------
-    least_fill
-        How full the emptiest engine's memory would be with the request.
-    engines
-        How many were looked at.
-    """
-
-    least_fill: float
-    engines: int
-
-    def __str__(self) -> str:
-        """Return what decided, for the log."""
-        return f"least-fill={self.least_fill:.2f} engines={self.engines}"
-
-
 class Chooser:
     """Chooses endpoints; thread-safe.
 
@@ -172,7 +77,9 @@
         self.kept = kept_module.KeptIndex(clock)
         self.avoided: dict[str, float] = {}
 
-    def choose(self, request: Request) -> Placement | Full | verdict.NotRun:
+    def choose(
+        self, request: requests.Request
+    ) -> requests.Placement | requests.Full | verdict.NotRun:
         """Return where a request goes, or why nowhere."""
         candidates = [
             endpoint
@@ -203,8 +110,8 @@
         )
 
     def place_plain(
-        self, request: Request, candidates: list[discovery.Endpoint]
-    ) -> Placement:
+        self, request: requests.Request, candidates: list[discovery.Endpoint]
+    ) -> requests.Placement:
         """Place a request on the endpoint with the fewest per slot."""
         best = min(
             candidates,
@@ -213,7 +120,7 @@
                 random.random(),
             ),
         )
-        return Placement(
+        return requests.Placement(
             best,
             self.instruct(request, best),
             load=self.loads.of(best.id),
@@ -222,12 +129,12 @@
 
     def place_prompt(
         self,
-        request: Request,
+        request: requests.Request,
         prompt: calls.Prompt,
         candidates: list[discovery.Endpoint],
-    ) -> Placement | Full:
+    ) -> requests.Placement | requests.Full:
         """Place a prompt where it will be read soonest."""
-        key = session_of(prompt)
+        key = requests.session_of(prompt)
         home = rank.ranked(key, candidates, lambda endpoint: endpoint.id)[0]
         versions = {
             endpoint.id: self.version_of(endpoint, prompt.model)
@@ -235,7 +142,7 @@
         }
         newest = max(versions.values())
         required = self.required(prompt.model)
-        best: Placement | None = None
+        best: requests.Placement | None = None
         best_cost = 0.0
         least_fill = float("inf")
         for endpoint in candidates:
@@ -243,9 +150,12 @@
                 request, prompt, endpoint, versions[endpoint.id]
             )
             load = placement.load
-            fill = fill_of(load, request, prompt)
+            fill = requests.fill_of(load, request, prompt)
             least_fill = min(least_fill, fill)
-            if fill > fill_limit(prompt) or versions[endpoint.id] < required:
+            if (
+                fill > requests.fill_limit(prompt)
+                or versions[endpoint.id] < required
+            ):
                 continue
             cost_of_fill = max(0.0, fill - EASY_FILL) * FILL_TOKENS
             cost = float(load.waiting_tokens + placement.missing_tokens)
@@ -257,15 +167,19 @@
             if best is None or cost < best_cost:
                 best_cost = cost
                 best = placement
-        return Full(least_fill, len(candidates)) if best is None else best
+        return (
+            requests.Full(least_fill, len(candidates))
+            if best is None
+            else best
+        )
 
     def at_engine(
         self,
-        request: Request,
+        request: requests.Request,
         prompt: calls.Prompt,
         endpoint: discovery.Endpoint,
         version: int,
-    ) -> Placement:
+    ) -> requests.Placement:
         """Return the placement of a prompt on one engine."""
         instructions = self.instruct(request, endpoint, version)
         parts = [(part.id, part.tokens) for part in prompt.parts]
@@ -281,7 +195,7 @@
             fetch_from=(*plan.fetch_from, ""),
             save_to=(*plan.save_to, ""),
         )
-        return Placement(
+        return requests.Placement(
             endpoint,
             instructions,
             missing,
@@ -298,7 +212,7 @@
 
     def instruct(
         self,
-        request: Request,
+        request: requests.Request,
         endpoint: discovery.Endpoint,
         version: int = 0,
     ) -> calls.Instructions:
@@ -311,13 +225,13 @@
             endpoint=endpoint.id,
             organisation=organisation.name if organisation else "",
             priority=min(priority, 9),
-            salt=salt_of(request, version),
+            salt=requests.salt_of(request, version),
             version=version or None,
             last_event_id=request.call.last_event_id,
         )
 
     def started(
-        self, placement: Placement, prompt: calls.Prompt | None
+        self, placement: requests.Placement, prompt: calls.Prompt | None
     ) -> load_module.Load:
         """Count a request that is about to be sent; return what it adds."""
         if prompt is None:
@@ -331,15 +245,15 @@
             added = load_module.Load(
                 requests=1,
                 waiting_tokens=placement.missing_tokens,
-                memory_tokens=memory_of(prompt),
+                memory_tokens=requests.memory_of(prompt),
             )
         self.loads.add(placement.endpoint.id, added)
         return added
 
     def first_event(
         self,
-        placement: Placement,
-        request: Request,
+        placement: requests.Placement,
+        request: requests.Request,
         added: load_module.Load,
     ) -> load_module.Load:
         """Note that an engine has read a prompt; return what it adds now."""
@@ -355,50 +269,12 @@
             )
         return begun
 
-    def ended(self, placement: Placement, added: load_module.Load) -> None:
+    def ended(
+        self, placement: requests.Placement, added: load_module.Load
+    ) -> None:
         """Take back what a request added that has left its endpoint."""
         self.loads.take(placement.endpoint.id, added)
 
     def avoid(self, endpoint: str) -> None:
         """Leave an endpoint alone for a while."""
         self.avoided[endpoint] = self.clock() + AVOID_S
-
-
-def memory_of(prompt: calls.Prompt) -> int:
-    """Return the tokens that an engine's memory has to hold for a prompt."""
-    return prompt.input_tokens + prompt.output_tokens
-
-
-def fill_of(
-    load: load_module.Load, request: Request, prompt: calls.Prompt
-) -> float:
-    """Return how full an engine's memory would be with a prompt."""
-    engine = request.service.engine
-    if engine is None or engine.cache_tokens <= 0:
-        return 0.0
-    return (load.memory_tokens + memory_of(prompt)) / engine.cache_tokens
-
-
-def fill_limit(prompt: calls.Prompt) -> float:
-    """Return how full an engine may get with a prompt."""
-    if memory_of(prompt) <= SMALL_TOKENS:
-        return SMALL_FILL
-    return LARGE_FILL
-
-
-def session_of(prompt: calls.Prompt) -> str:
-    """Return what prompts of one session have in common."""
-    shared = prompt.shared or prompt.parts
-    return shared[-1].id if shared else ""
-
-
-def salt_of(request: Request, version: int) -> str:
-    """Return the text under which a request's parts are cached, if any."""
-    prompt = request.call.prompt
-    if prompt is None:
-        return ""
-    organisation = request.organisation
-    owner = ""
-    if organisation is not None and organisation.isolated:
-        owner = organisation.name
-    return str(salts.Salt(prompt.model, version, owner))
--- /dev/null
+++ b/src/briarseam/placement/requests.py
@@ -0,0 +1,149 @@
+"""What is to be placed, where it goes, and whether it fits there."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.placement import loads as load_module
+from briarseam.placement import salts
+
+if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
+    from briarseam.forwarding import calls
+    from briarseam.routes import model as routes
+
+# An engine whose memory is full preempts runs and reads their prompts again,
+# which makes all of them slower: reads went up by a quarter while six
+# engines were full.  Small prompts may use what large ones must leave.
+SMALL_TOKENS = 3000
+SMALL_FILL = 1.15
+LARGE_FILL = 0.9
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """What is to be placed.
+
+    Attributes
+    ----------
+    call, route, service
+        What is asked, and of which service.
+    organisation
+        Who asks; ``None`` for anyone.
+    tried
+        Endpoints that it was sent to already.
+    """
+
+    call: calls.Call
+    route: routes.Route
+    service: routes.Service
+    organisation: routes.Organisation | None
+    tried: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """Where a request goes.
+
+    Attributes
+    ----------
+    endpoint
+        The endpoint.
+    instructions
+        What to tell it.
+    missing_tokens
+        Prompt tokens that it has to read, as far as known.
+    held_tokens, fetched_tokens
+        Prompt tokens that it has, and that it can fetch.
+    load
+        Work known at the endpoint when it was chosen.
+    endpoints_age_s
+        Time since the list of endpoints was read, in seconds.
+    """
+
+    endpoint: discovery.Endpoint
+    instructions: calls.Instructions
+    missing_tokens: int = 0
+    held_tokens: int = 0
+    fetched_tokens: int = 0
+    load: load_module.Load = load_module.NO_LOAD
+    endpoints_age_s: float = 0.0
+
+    def reasons(self) -> dict[str, int | str]:
+        """Return what decided, for the log."""
+        found: dict[str, int | str] = {
+            "requests_there": self.load.requests,
+            "endpoints_age_ms": round(self.endpoints_age_s * 1000),
+        }
+        if self.instructions.salt:
+            found["tokens_waiting_there"] = self.load.waiting_tokens
+            found["memory_taken_there"] = self.load.memory_tokens
+            found["tokens_held"] = self.held_tokens
+            found["tokens_fetched"] = self.fetched_tokens
+            found["tokens_to_read"] = self.missing_tokens
+            found["weights"] = self.instructions.version or 0
+            found["fetch_from"] = ",".join(
+                filter(None, self.instructions.fetch_from)
+            )
+        return found
+
+
+@dataclasses.dataclass(frozen=True)
+class Full:
+    """No endpoint has room for the request just now.
+
+    Attributes
+    ----------
+    least_fill
+        How full the emptiest engine's memory would be with the request.
+    engines
+        How many were looked at.
+    """
+
+    least_fill: float
+    engines: int
+
+    def __str__(self) -> str:
+        """Return what decided, for the log."""
+        return f"least-fill={self.least_fill:.2f} engines={self.engines}"
+
+
+def memory_of(prompt: calls.Prompt) -> int:
+    """Return the tokens that an engine's memory has to hold for a prompt."""
+    return prompt.input_tokens + prompt.output_tokens
+
+
+def fill_of(
+    load: load_module.Load, request: Request, prompt: calls.Prompt
+) -> float:
+    """Return how full an engine's memory would be with a prompt."""
+    engine = request.service.engine
+    if engine is None or engine.cache_tokens <= 0:
+        return 0.0
+    return (load.memory_tokens + memory_of(prompt)) / engine.cache_tokens
+
+
+def fill_limit(prompt: calls.Prompt) -> float:
+    """Return how full an engine may get with a prompt."""
+    if memory_of(prompt) <= SMALL_TOKENS:
+        return SMALL_FILL
+    return LARGE_FILL
+
+
+def session_of(prompt: calls.Prompt) -> str:
+    """Return what prompts of one session have in common."""
+    shared = prompt.shared or prompt.parts
+    return shared[-1].id if shared else ""
+
+
+def salt_of(request: Request, version: int) -> str:
+    """Return the text under which a request's parts are cached, if any."""
+    prompt = request.call.prompt
+    if prompt is None:
+        return ""
+    organisation = request.organisation
+    owner = ""
+    if organisation is not None and organisation.isolated:
+        owner = organisation.name
+    return str(salts.Salt(prompt.model, version, owner))
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -13,6 +13,8 @@
 from briarseam.settings import sections
 
 Ratio = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
+# Grows with the deployment: 54 with 7 instances, 210 with 85.
+Sends = typing.Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,7 +100,7 @@
     shutdown_s: sections.Seconds = 8.0
     retry_ratio: Ratio = 0.1
     retry_window_s: sections.Seconds = 10.0
-    retry_slack: Ratio = 20.0
+    retry_slack: Sends = 20.0
     lease_ms: sections.Milliseconds = 3000
     version_ms: sections.Milliseconds = 15_000
     lookup_ttl_max_s: sections.Seconds = 5.0
--- a/tests/command/test_serve.py
+++ b/tests/command/test_serve.py
@@ -5,6 +5,7 @@
 import pytest
 
 from briarseam import run
+from briarseam.settings import serving
 
 GOOD = """
 [instance]
@@ -62,3 +63,12 @@
     assert run.run(["serve", "--settings-from", "NOT_SET"]) == 2
     (told,) = capsys.readouterr().err.splitlines()
     assert "NOT_SET" in told
+
+
+def test_bounds_of_a_large_deployment_are_taken(tmp_path):
+    """A deployment of 85 instances allows 210 sends to second endpoints.
+    No process started there, since the settings took 100 at most.
+    """
+    path = tmp_path / "settings.ini"
+    path.write_text(GOOD + "[bounds]\nretry_slack = 210\n")
+    assert serving.load(str(path)).bounds.retry_slack == 210
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -9,6 +9,7 @@
 from briarseam.forwarding import calls
 from briarseam.placement import chooser as choosers
 from briarseam.placement import kept
+from briarseam.placement import requests
 from briarseam.routes import model as routes
 from briarseam.weights import board as boards
 from briarseam.weights import goals
@@ -78,7 +79,7 @@
             "service": ENGINES,
             "organisation": routes.Organisation("north"),
         }
-        return choosers.Request(**(values | changes))
+        return requests.Request(**(values | changes))
 
     def place(self, **changes):
         return self.chooser.choose(self.request(**changes))
@@ -123,30 +124,30 @@
     read prompts again, which slows all runs, so that memory stays full.
     """
     admitted = 0
-    while isinstance(case.place(tokens=20_000), choosers.Placement):
+    while isinstance(case.place(tokens=20_000), requests.Placement):
         case.run(tokens=20_000)
         admitted += 1
     assert admitted == 3 * 4
-    assert isinstance(case.place(tokens=20_000), choosers.Full)
-    assert isinstance(case.place(tokens=2000), choosers.Placement)
+    assert isinstance(case.place(tokens=20_000), requests.Full)
+    assert isinstance(case.place(tokens=2000), requests.Placement)
 
 
 def test_room_is_given_back_when_a_run_ends(case):
     runs = []
-    while isinstance(case.place(tokens=20_000), choosers.Placement):
+    while isinstance(case.place(tokens=20_000), requests.Placement):
         runs.append(case.run(tokens=20_000))
     case.chooser.ended(*runs[0])
-    assert isinstance(case.place(tokens=20_000), choosers.Placement)
+    assert isinstance(case.place(tokens=20_000), requests.Placement)
 
 
 def test_load_told_by_peers_counts(case):
     peer = Case()
-    while isinstance(peer.place(tokens=20_000), choosers.Placement):
+    while isinstance(peer.place(tokens=20_000), requests.Placement):
         peer.run(tokens=20_000)
     case.chooser.loads.consume("peer", peer.chooser.loads.provide())
-    assert isinstance(case.place(tokens=20_000), choosers.Full)
+    assert isinstance(case.place(tokens=20_000), requests.Full)
     case.chooser.loads.keep_only(frozenset())
-    assert isinstance(case.place(tokens=20_000), choosers.Placement)
+    assert isinstance(case.place(tokens=20_000), requests.Placement)
 
 
 def test_endpoint_that_was_tried_is_not_tried_again(case):
@@ -235,6 +236,6 @@
     begin on weights that were replaced long ago.
     """
     case.required = 2
-    assert isinstance(case.place(), choosers.Full)
+    assert isinstance(case.place(), requests.Full)
     case.board.learn("e2", MODEL, 2)
     assert case.place().endpoint.id == "e2"
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -277,7 +277,7 @@
     system.configure(version=5)
     system.configure(version=10, routes=[], tenants=[])
     waiting.until(
-        lambda: system.node.configuration_version() == 10, PATIENCE_S
+        lambda: system.node.feeds.configuration_version() == 10, PATIENCE_S
     )
     assert system.call("/submit/x").status == 404
 
