--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -10,7 +10,8 @@
 SOURCE = pathlib.Path(__file__).parents[2] / "src" / "briarseam"
 ADAPTER = SOURCE / "platform"
 HEADERS = re.compile(
-    r"(?<![\w-])(Request-Id|Deadline-Ms|Token-Usage|Prefix-Hash|Expect-Instance|"
+    r"(?<![\w-])(Request-Id|Deadline-Ms|Token-Usage|Prefix-Hash|"
+    r"Expect-Instance|"
     r"Expect-Version|Not-Executed|Response-Signature|Cache-Salt|Kv-[A-Z]\w+|"
     r"Pin-Ms|Request-Priority|Weight-Versions|Instance-Id)\b"
 )
