Count under way exactly; finish begun answers where memory is full

Found by reading: in_flight was changed without a lock, so a shutdown could wait for nobody or for ever; a resumed stream's prompt counted as unread until its end; a second try had no time to wait for room, and a stream that was begun was broken off where all engines were full; an endpoint that says it is another one was tried again at once.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -72,7 +72,7 @@
     progress
         What the caller has already.
     on_first_event
-        Called when the first event of a stream has come.
+        Called when the first event has come from this endpoint.
     """
 
     exchange: server.Exchange
@@ -173,11 +173,15 @@
     ) -> outcomes.Outcome:
         """Pass a stream on as it comes, in whole events."""
         rest = b""
+        begun = False
         while True:
             data = response.read1(READ_BYTES)
             if not data:
                 break
             whole, rest = events.split_whole(rest + data)
+            if whole and not begun:
+                errand.on_first_event()
+                begun = True
             if whole:
                 pass_on(errand, head, whole)
         if not errand.progress.events_sent:
@@ -230,7 +234,6 @@
         if progress.events_sent:
             errand.exchange.send(whole)
         else:
-            errand.on_first_event()
             errand.exchange.begin(head.status, head.headers, whole)
     progress.events_sent = True
     progress.last_event_id = events.last_id(whole) or progress.last_event_id
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import threading
 import typing
 
 import structlog
@@ -26,6 +27,9 @@
 # Part of a route's aim for which a request waits for room.  One that waits
 # longer would be late anyhow, and its caller is better told to come back.
 HOLD_SHARE = 0.25
+# The address has another endpoint now, or the endpoint other weights; the
+# entries will tell within a second.
+MOVED = 421
 # A caller that left meanwhile is noticed this often.
 ROOM_POLL_S = 0.05
 log = structlog.get_logger("briarseam.forwarding")
@@ -43,6 +47,7 @@
     def __init__(self, parts: works.Parts) -> None:
         self.parts = parts
         self.in_flight = 0
+        self.lock = threading.Lock()
 
     def handle(self, exchange: server.Exchange) -> None:
         """Answer one request; the body of its connection's thread."""
@@ -123,7 +128,7 @@
 
     def run(self, work: works.Work) -> None:
         """Answer one request that the configuration allows."""
-        self.in_flight += 1
+        self.count(1)
         self.parts.budget.earn(work.service.name)
         self.parts.supervisor.watch(work.watch)
         try:
@@ -132,9 +137,14 @@
             ended = self.end(work, error.ending)
         finally:
             self.parts.supervisor.forget(work.watch)
-            self.in_flight -= 1
+            self.count(-1)
         self.note(work, ended)
 
+    def count(self, change: int) -> None:
+        """Count requests under way; a shutdown waits for their end."""
+        with self.lock:
+            self.in_flight += change
+
     def try_endpoints(self, work: works.Work) -> str:
         """Send the request to endpoints until one answers.
 
@@ -164,7 +174,8 @@
         """Return where a request goes, waiting a little for room."""
         chooser = self.parts.chooser
         hold_s = work.route.target_latency_s * HOLD_SHARE
-        until_s = work.arrived_s + hold_s
+        since_s = clocks.boot_clock() if work.sends else work.arrived_s
+        until_s = since_s + hold_s
         while True:
             work.watch.check()
             placed = chooser.choose(work.request())
@@ -187,6 +198,8 @@
                 return
             case outcomes.Rejected():
                 work.refusal = refusing.rejected(outcome)
+                if outcome.status == MOVED:
+                    self.parts.chooser.avoid(endpoint)
             case outcomes.Failed():
                 work.failed = outcome
                 work.may_have_run = True
@@ -218,7 +231,9 @@
             added = chooser.first_event(placed, request, added)
             now_s = clocks.boot_clock()
             first_ms = round((now_s - sent_s) * 1000)
-            self.parts.metrics.first_event_us.record_s(now_s - work.arrived_s)
+            if not work.progress.events_sent:
+                waited_s = now_s - work.arrived_s
+                self.parts.metrics.first_event_us.record_s(waited_s)
 
         instructions = dataclasses.replace(
             placed.instructions,
--- a/src/briarseam/forwarding/work.py
+++ b/src/briarseam/forwarding/work.py
@@ -164,6 +164,7 @@
             self.service,
             organisation,
             frozenset(self.tried),
+            self.progress.events_sent,
         )
 
 
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -153,7 +153,7 @@
             fill = requests.fill_of(load, request, prompt)
             least_fill = min(least_fill, fill)
             if (
-                fill > requests.fill_limit(prompt)
+                fill > requests.fill_limit(request, prompt)
                 or versions[endpoint.id] < required
             ):
                 continue
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -33,6 +33,8 @@
         Who asks; ``None`` for anyone.
     tried
         Endpoints that it was sent to already.
+    begun
+        Whether its caller has a part of the answer.
     """
 
     call: calls.Call
@@ -40,6 +42,7 @@
     service: routes.Service
     organisation: routes.Organisation | None
     tried: frozenset[str] = frozenset()
+    begun: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,8 +127,14 @@
     return (load.memory_tokens + memory_of(prompt)) / engine.cache_tokens
 
 
-def fill_limit(prompt: calls.Prompt) -> float:
-    """Return how full an engine may get with a prompt."""
+def fill_limit(request: Request, prompt: calls.Prompt) -> float:
+    """Return how full an engine may get with a prompt.
+
+    An answer that was begun and is broken off is worse than a late one, so
+    its rest is made wherever it can be.
+    """
+    if request.begun:
+        return float("inf")
     if memory_of(prompt) <= SMALL_TOKENS:
         return SMALL_FILL
     return LARGE_FILL
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -239,3 +239,13 @@
     assert isinstance(case.place(), requests.Full)
     case.board.learn("e2", MODEL, 2)
     assert case.place().endpoint.id == "e2"
+
+
+def test_rest_of_a_begun_answer_is_made_even_where_memory_is_full(case):
+    """An engine dies while all others are full.  Its streams can go on at
+    another engine; refused there, callers would see them break off.
+    """
+    while isinstance(case.place(tokens=20_000), requests.Placement):
+        case.run(tokens=20_000)
+    begun = case.place(tokens=20_000, begun=True)
+    assert isinstance(begun, requests.Placement)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -190,6 +190,26 @@
     assert events == [b"data: token 1", b"data: token 2", b"data: token 3"]
 
 
+def test_resumed_stream_leaves_no_load_behind(system):
+    """A resumed stream's prompt was counted as unread until its end, so
+    that its engine looked busier than it was.
+    """
+    system.stream("/draft/x").read()
+    (home,) = [name for name in ENGINES if runs(system, name)]
+    system.workers[home].set(break_streams=1)
+    told = []
+    loads = system.node.chooser.loads
+    add = loads.add
+    loads.add = lambda endpoint, load: (
+        told.append((endpoint, load.running)),
+        add(endpoint, load),
+    )
+    system.stream("/draft/x").read()
+    begun = [endpoint for endpoint, running in told if running == 1]
+    assert sorted(begun) == sorted(ENGINES)
+    waiting.until(lambda: not loads.own, PATIENCE_S)
+
+
 def test_broken_stream_that_must_not_be_resumed_does_not_look_whole(system):
     for worker in all_workers(system, *ENGINES):
         worker.set(break_streams=1)
