Let membership see registrations whole

Found by reading: a new reading of the topic emptied the list first, and membership, reading it meanwhile, would have taken all instances as gone. The test failed before.

--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -138,23 +138,34 @@
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Take in all registrations."""
-        self.rows = {}
-        self.take_changes(changes)
+        self.rows = self.changed({}, changes)
         self.known.set()
 
     def take_changes(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Take in changed registrations."""
-        rows = dict(self.rows)
+        self.rows = self.changed(self.rows, changes)
+
+    def changed(
+        self,
+        rows: dict[str, Registration],
+        changes: collections.abc.Sequence[records.KeyedRecord],
+    ) -> dict[str, Registration]:
+        """Return registrations after changes; a new map.
+
+        Membership reads the present one at any time, and must not see one
+        that is half filled: instances that are missing count as gone.
+        """
+        found = dict(rows)
         for change in changes:
             if change.key == SECRET_KEY:
                 self.secret = change.value or self.secret
             elif change.value is None:
-                rows.pop(change.key, None)
+                found.pop(change.key, None)
             else:
-                rows[change.key] = decode(change.key, change.value)
-        self.rows = rows
+                found[change.key] = decode(change.key, change.value)
+        return found
 
     def store_lost(self) -> None:
         """Go on with the registrations that are known."""
--- a/tests/peers/test_registrations.py
+++ b/tests/peers/test_registrations.py
@@ -6,6 +6,7 @@
 
 from briarseam.backing import instances
 from briarseam.feeds import following
+from briarseam.feeds import records
 from briarseam.peers import registrations
 from briarseam.platform import store as stores
 from briarseam.testing import waiting
@@ -88,3 +89,26 @@
     }
     assert made.groups_of("north") == 2
     assert made.groups_of("south") == 1
+
+
+def test_new_reading_is_seen_whole_or_not_at_all(monkeypatch):
+    """The topic is read anew after its history was lost.  While it is
+    taken in, membership reads the list and takes all others as gone.
+    """
+    made = registrations.Registrations(None, TOPIC, me())
+    rows = [me("one"), me("two")]
+    changes = [
+        records.KeyedRecord(row.name, registrations.encode(row))
+        for row in rows
+    ]
+    made.take_all(changes)
+    seen = []
+    decode = registrations.decode
+
+    def watched(name, data):
+        seen.append(len(made.read().instances))
+        return decode(name, data)
+
+    monkeypatch.setattr(registrations, "decode", watched)
+    made.take_all(changes)
+    assert seen == [2, 2]
