--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -161,6 +161,32 @@
     assert runs(system, *PLAIN) == 1
 
 
+def test_submission_turned_away_once_and_then_lost_may_have_run(system):
+    """One endpoint turns a submission away, the next runs it and its answer
+    is lost.  Told "not run" for the first one's sake, its caller would file
+    it again.
+    """
+    system.workers["plain-1"].set(reject=100)
+    system.workers["plain-2"].set(reset=100)
+    for _ in range(8):
+        response = system.call("/submit/x")
+        assert response.status == 502
+        assert json.loads(response.data)["ran"] == "unknown"
+    assert arrivals(system, "plain-1") > 0
+
+
+@pytest.mark.parametrize("fault", ["unsigned", "foreign"])
+def test_success_that_is_not_the_endpoints_own_is_no_success(system, fault):
+    """An endpoint hands out bytes of another request, or bytes that it did
+    not make.  The caller would take them for its own answer.
+    """
+    for worker in all_workers(system, *PLAIN):
+        worker.set(**{fault: 1})
+    response = system.call("/submit/x")
+    assert response.status == 502
+    assert runs(system, *PLAIN) == 1
+
+
 def test_question_whose_answer_is_lost_is_asked_again(system):
     system.workers["plain-1"].set(reset=1)
     system.workers["plain-2"].set(reset=0)
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -27,6 +27,10 @@
         So many of the next requests are run and answered with 500.
     reset
         So many of the next requests are run, their connection reset.
+    unsigned
+        So many of the next answers bear no signature.
+    foreign
+        So many of the next answers name another request.
     hold
         Whether answers wait until the switch goes off.
     events
@@ -38,6 +42,8 @@
     reject: switches.Count = 0
     fail: switches.Count = 0
     reset: switches.Count = 0
+    unsigned: switches.Count = 0
+    foreign: switches.Count = 0
     hold: bool = False
     events: switches.Count = 3
     break_streams: switches.Count = 0
@@ -74,7 +80,11 @@
                 503, headers=(*echo, ("Not-Executed", "1"))
             )
         self.ran.append(call)
+        if self.take("foreign"):
+            echo = (("Request-Id", "another"),)
         signed = (*echo, ("Response-Signature", SIGNATURE))
+        if self.take("unsigned"):
+            signed = echo
         if self.take("reset"):
             raise http_messages.Dropped
         if self.take("fail"):
--- /dev/null
+++ b/tests/routes/test_following.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from briarseam.feeds import records
+from briarseam.platform import documents
+from briarseam.routes import following
+
+
+@pytest.fixture
+def seen():
+    return []
+
+
+@pytest.fixture
+def feed(seen):
+    return following.OperatorFeed(documents.OperatorDocuments(), seen.append)
+
+
+def change(key, **document):
+    return records.KeyedRecord(key, json.dumps(document).encode())
+
+
+def test_older_version_does_not_replace_a_newer_one(feed, seen):
+    """The newest records are read anew from a store that lags behind.  A
+    route that was added would be refused with 404 again.
+    """
+    feed.take_changes([change("config", version=9)])
+    feed.take_all([change("config", version=5)])
+    assert feed.current().configuration.version == 9
+    assert [found.version for found in seen] == [9]
+
+
+def test_configuration_is_announced_before_it_is_in_force(feed, seen):
+    in_force = []
+    feed.on_change = lambda found: in_force.append(feed.current())
+    feed.take_changes([change("config", version=1)])
+    assert in_force == [None]
+    assert feed.loaded.is_set()
+
+
+def test_wanted_weights_are_kept_by_model(feed):
+    feed.take_changes(
+        [
+            change("version/a", model="a", version=3),
+            change("version/a", model="a", version=2),
+            change("version/b", model="b", version=1),
+        ]
+    )
+    newest = {goal.model: goal.version for goal in feed.goals.newest.values()}
+    assert newest == {"a": 3, "b": 1}
+
+
+def test_unknown_documents_and_dropped_keys_change_nothing(feed):
+    feed.take_changes([change("config", version=1)])
+    feed.take_changes(
+        [records.KeyedRecord("config", None), change("other", x=1)]
+    )
+    feed.store_lost()
+    assert feed.current().configuration.version == 1
