--- a/src/briarseam/command/entry.py
+++ b/src/briarseam/command/entry.py
@@ -4,12 +4,9 @@
 
 import typing
 
-from briarseam import logs
+from briarseam.command import daemons
 from briarseam.command import options
-from briarseam.command import signals
 from briarseam.compose import entry as compose
-from briarseam.timeline import kinds
-from briarseam.timeline import lines
 
 if typing.TYPE_CHECKING:
     import argparse
@@ -22,19 +19,4 @@
 
 def execute(args: argparse.Namespace) -> int:
     """Run the entry until SIGTERM or SIGINT, then shut down gracefully."""
-    settings = options.load_settings(args)
-    stop = signals.watch()
-    daemon = compose.build_entry(settings)
-    logs.set_up(
-        settings.logging,
-        f"entry/{settings.instance.name}",
-        note=lines.LineNotes(daemon.ring),
-    )
-    daemon.ring.note(kinds.Kind.STARTED)
-    address = daemon.start()
-    print(f"entry {address}", flush=True)
-    stop.first.wait()
-    daemon.ring.note(kinds.Kind.LEAVING)
-    daemon.drain(stop.second.is_set)
-    daemon.stop()
-    return 0
+    return daemons.execute(args, "entry", compose.build_entry)
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -65,8 +65,8 @@
     leaving: endpoints.LeavingEndpoints
     stop_bound_s: float
 
-    def start(self) -> None:
-        """Start all parts."""
+    def start(self) -> str:
+        """Start all parts and return the address."""
         self.server.start()
         self.membership.start()
         self.entries.start()
@@ -78,6 +78,7 @@
         self.crashes.start()
         self.serving.start()
         self.admission.start()
+        return self.server.address
 
     def stop(self) -> None:
         """Stop all parts, the last started first."""
