--- a/tests/metrics/test_reference.py
+++ b/tests/metrics/test_reference.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from briarseam.compose import node as compose
 from briarseam.testing import deployment
+from tests.platform import system as systems
 
 PAGE = (
     pathlib.Path(__file__).parent.parent.parent
@@ -24,6 +26,7 @@
         registries = (
             instance.entry.parts.render_metrics.__self__,
             instance.agent.registry,
+            node_registry(tmp_path_factory.mktemp("node")),
         )
         return {
             metric.name
@@ -32,6 +35,15 @@
         }
 
 
+def node_registry(folder):
+    """Return the metrics of the one process on the users' platform."""
+    system = systems.System(folder)
+    try:
+        return compose.Node(system.settings()).metrics
+    finally:
+        system.close()
+
+
 def test_every_metric_is_on_the_page(registered):
     # Somebody woken at night looks a name up.
     assert registered - set(LISTED.findall(PAGE.read_text())) == set()
