--- a/tests/metrics/test_reference.py
+++ b/tests/metrics/test_reference.py
@@ -4,10 +4,10 @@
 import re
 
 import pytest
+from tests.platform import system as systems
 
 from briarseam.compose import node as compose
 from briarseam.testing import deployment
-from tests.platform import system as systems
 
 PAGE = (
     pathlib.Path(__file__).parent.parent.parent
