Stores of KV cache are read by three instances of a cell; the others ask them

Cause: each instance held a call to each store. A store takes 12 calls at once, so that at 85 instances most are refused, fetch nothing and save nothing; and loads were told within a cell of 32 only, so that admission by engines' memory let each cell fill the engines by itself.

Change: the stores are divided among the three members of a cell that rank first; the others ask these for what changed since (store_sharing, shared_watch), told with its age. Content that was not confirmed for 3 s is not fetched, also after a suspension. Loads of instances outside the cell are taken to be as many as inside. The plan over stores is made once for each version of weights, not for each engine, and peers' loads are summed when they are told.

Ruled out: relaying with heartbeats, since these repeat what they carry and bytes between zones are priced.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -30,7 +30,8 @@
 from briarseam.membership import state as members
 from briarseam.metrics import registry as metrics
 from briarseam.placement import chooser as choosers
-from briarseam.placement import store_watch
+from briarseam.placement import store_sharing
+from briarseam.placement import store_watches
 from briarseam.placement import sweeping
 from briarseam.platform import answers
 from briarseam.platform import border
@@ -80,10 +81,18 @@
             self.weights.required,
             self.weights.board,
             self.feeds.registry.age_s,
+            self.known_share,
         )
         cache_stores = cache.CacheStoreClient()
-        self.store_watches = store_watch.StoreWatches(
-            cache_stores, self.chooser.kept
+        self.store_watches = store_watches.StoreWatches(
+            cache_stores,
+            node_peers.StoreReaders(lambda: self.members),
+            self.chooser.kept,
+            settings.instance.name,
+            self.cell_names,
+        )
+        self.store_sharing = store_sharing.StoreSharing(
+            self.chooser.kept, self.store_watches.reads
         )
         self.sweeper = sweeping.Sweeper(
             cache_stores,
@@ -214,6 +223,7 @@
         self.feeds.start()
         self.weights.start()
         self.sweeper.start()
+        self.store_watches.start()
         threading.Thread(
             target=self.meet_peers, name="meet-peers", daemon=True
         ).start()
@@ -243,6 +253,7 @@
             self.store,
             self.feeds.registrations,
             told,
+            self.store_sharing,
             self.stopping,
         )
         log.info("peers_met", address=str(self.settings.listen.peers))
@@ -339,6 +350,20 @@
         service = self.members
         return () if service is None else service.everyone()
 
+    def cell_names(self) -> list[str]:
+        """Return the instances of this cell that stay, this one included."""
+        service = self.members
+        if service is None:
+            return []
+        return [member.name for member in service.live()]
+
+    def known_share(self) -> float:
+        """Return the share of all instances whose work is told here."""
+        service = self.members
+        if service is None:
+            return 1.0
+        return len(service.members()) / max(len(service.everyone()), 1)
+
     def configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
--- a/src/briarseam/compose/node_peers.py
+++ b/src/briarseam/compose/node_peers.py
@@ -7,6 +7,8 @@
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.peers import registrations
+from briarseam.placement import shared_watch
+from briarseam.placement import store_messages
 from briarseam.platform import names
 from briarseam.platform import store as stores
 from briarseam.wire import connection as wire_connection
@@ -17,6 +19,7 @@
     import threading
 
     from briarseam.membership import sections
+    from briarseam.placement import store_sharing
     from briarseam.settings import serving
 
 # What instances tell each other of engines' load is as old as this, and
@@ -27,11 +30,48 @@
 LISTING_INTERVAL_S = 0.5
 
 
+class StoreReaders:
+    """Asks other instances of the cell about stores that they read.
+
+    Parameters
+    ----------
+    members
+        Returns membership; ``None`` before peers are met.
+    """
+
+    def __init__(
+        self, members: typing.Callable[[], membership.Membership | None]
+    ) -> None:
+        self.members = members
+
+    def ask(
+        self, reader: str, asked: store_messages.StoresAsked, timeout_s: float
+    ) -> store_messages.StoresTold:
+        """Ask an instance for changes.
+
+        Raises
+        ------
+        ReaderUnavailableError
+            When it does not answer.
+        """
+        service = self.members()
+        if service is None:
+            raise shared_watch.ReaderUnavailableError("no peer is met yet")
+        try:
+            reply = service.client(reader).call(asked, timeout_s)
+        except wire_connection.WireError as error:
+            raise shared_watch.ReaderUnavailableError(str(error)) from error
+        if not isinstance(reply, store_messages.StoresTold):
+            raise shared_watch.ReaderUnavailableError(f"answered {reply}")
+        return reply
+
+
 def join(
     settings: serving.ServeSettings,
     store: stores.StoreClient,
     rows: registrations.Registrations,
     told: collections.abc.Sequence[sections.Section],
+    stores_told: store_sharing.StoreSharing,
     stopping: threading.Event,
 ) -> membership.Membership | None:
     """Join the other instances, once the store tells the secret.
@@ -46,6 +86,8 @@
         Registrations of all instances.
     told
         What heartbeats carry.
+    stores_told
+        Answers about the stores that this instance reads.
     stopping
         Ends the attempts; ``None`` is returned then.
     """
@@ -72,6 +114,10 @@
         service.add_section(section.name, section.provide, section.consume)
     router = wire.Router()
     service.register(router)
+    router.on(
+        store_messages.StoresAsked,
+        lambda peer, asked: stores_told.answer(asked),
+    )
     wire.Server(
         str(settings.listen.peers),
         wire_connection.Identity("agent", settings.instance.name),
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -45,6 +45,46 @@
 RETRY_AFTER_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True)
+class VersionPlan:
+    """What is the same on all engines with the same weights.
+
+    Attributes
+    ----------
+    salt
+        Text under which the prompt's parts are cached.
+    stores
+        Where they come from and go to.
+    """
+
+    salt: str
+    stores: kept_module.Plan
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """An engine that could take a prompt.
+
+    Attributes
+    ----------
+    endpoint
+        The engine.
+    plan
+        Of its weights.
+    load
+        Work known there.
+    missing_tokens, held_tokens, fetched_tokens
+        As in :class:`briarseam.placement.requests.Placement`.
+    """
+
+    endpoint: discovery.Endpoint
+    plan: VersionPlan
+    load: load_module.Load
+    missing_tokens: int
+    held_tokens: int
+    fetched_tokens: int
+
+
 class Chooser:
     """Chooses endpoints; thread-safe.
 
@@ -58,6 +98,8 @@
         Which weights engines have, and which take none just now.
     endpoints_age_s
         Returns the time since the endpoints were read, in seconds.
+    known_share
+        Returns the share of all instances whose work is told here.
     clock
         Seconds.
     """
@@ -68,12 +110,13 @@
         required: typing.Callable[[str], int],
         board: boards.Board,
         endpoints_age_s: typing.Callable[[], float] = lambda: 0.0,
+        known_share: typing.Callable[[], float] = lambda: 1.0,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.endpoints = endpoints
         self.required = required
         self.clock = clock
-        self.loads = load_module.Loads()
+        self.loads = load_module.Loads(known_share)
         self.residency = residencies.Residency()
         self.board = board
         self.endpoints_age_s = endpoints_age_s
@@ -145,66 +188,79 @@
         }
         newest = max(versions.values())
         required = self.required(prompt.model)
-        best: requests.Placement | None = None
+        plans = {
+            version: self.plan(request, prompt, version)
+            for version in set(versions.values())
+        }
+        best: Candidate | None = None
         best_cost = 0.0
         least_fill = float("inf")
         for endpoint in candidates:
-            placement = self.at_engine(
-                request, prompt, endpoint, versions[endpoint.id]
-            )
-            load = placement.load
+            version = versions[endpoint.id]
+            load = self.loads.of(endpoint.id)
             fill = requests.fill_of(load, request, prompt)
             least_fill = min(least_fill, fill)
             if (
                 fill > requests.fill_limit(request, prompt)
-                or versions[endpoint.id] < required
+                or version < required
             ):
                 continue
+            candidate = self.candidate(prompt, endpoint, plans[version], load)
             cost_of_fill = max(0.0, fill - EASY_FILL) * FILL_TOKENS
-            cost = float(load.waiting_tokens + placement.missing_tokens)
+            cost = float(load.waiting_tokens + candidate.missing_tokens)
             cost += load.running * TOKENS_PER_STREAM + cost_of_fill
             if endpoint.id == home.id:
                 cost -= HOME_BONUS_TOKENS
-            if versions[endpoint.id] < newest:
+            if version < newest:
                 cost += OLD_WEIGHTS_TOKENS
             if best is None or cost < best_cost:
                 best_cost = cost
-                best = placement
-        return (
-            requests.Full(least_fill, len(candidates))
-            if best is None
-            else best
-        )
+                best = candidate
+        if best is None:
+            return requests.Full(least_fill, len(candidates))
+        return self.placement(request, best, versions[best.endpoint.id])
+
+    def plan(
+        self, request: requests.Request, prompt: calls.Prompt, version: int
+    ) -> VersionPlan:
+        """Return what is the same on all engines with the same weights."""
+        salt = requests.salt_of(request, version)
+        if not version:
+            return VersionPlan(salt, kept_module.NOTHING)
+        return VersionPlan(salt, self.kept.plan(salt, prompt.shared))
 
-    def at_engine(
+    def candidate(
         self,
-        request: requests.Request,
         prompt: calls.Prompt,
         endpoint: discovery.Endpoint,
-        version: int,
-    ) -> requests.Placement:
-        """Return the placement of a prompt on one engine."""
-        instructions = self.instruct(request, endpoint, version)
+        plan: VersionPlan,
+        load: load_module.Load,
+    ) -> Candidate:
+        """Return what an engine would have to read and fetch."""
         parts = [(part.id, part.tokens) for part in prompt.parts]
-        held = self.residency.known(endpoint.id, instructions.salt, parts)
-        plan = kept_module.NOTHING
-        if version:
-            plan = self.kept.plan(instructions.salt, prompt.shared)
-        fetched = max(plan.fetched_tokens - held, 0)
+        held = self.residency.known(endpoint.id, plan.salt, parts)
+        fetched = max(plan.stores.fetched_tokens - held, 0)
         missing = max(prompt.input_tokens - held - fetched, 0)
         missing += int(fetched * FETCH_COST)
+        return Candidate(endpoint, plan, load, missing, held, fetched)
+
+    def placement(
+        self, request: requests.Request, chosen: Candidate, version: int
+    ) -> requests.Placement:
+        """Return the placement of a prompt on the engine that was chosen."""
+        stores = chosen.plan.stores
         instructions = dataclasses.replace(
-            instructions,
-            fetch_from=(*plan.fetch_from, ""),
-            save_to=(*plan.save_to, ""),
+            self.instruct(request, chosen.endpoint, version),
+            fetch_from=(*stores.fetch_from, ""),
+            save_to=(*stores.save_to, ""),
         )
         return requests.Placement(
-            endpoint,
+            chosen.endpoint,
             instructions,
-            missing,
-            held,
-            fetched,
-            self.loads.of(endpoint.id),
+            chosen.missing_tokens,
+            chosen.held_tokens,
+            chosen.fetched_tokens,
+            chosen.load,
             self.endpoints_age_s(),
         )
 
--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import secrets
 import threading
 import typing
 
@@ -22,6 +24,16 @@
 # index lags by some hundred ms of other instances' saves.
 FULL_SHARE = 0.97
 
+# What was not confirmed for so long is not fetched.  A process that was
+# suspended, or whose source of changes is silent, would fetch parts that a
+# store has lost and is being written again.  A confirmation is at most two
+# long polls of a second and their pauses old.
+TRUST_S = 3.0
+# Changes that another instance may ask for before it has to read all: some
+# ten seconds of a busy store's.
+HISTORY = 4000
+GENERATION_BYTES = 6
+
 PartKey = tuple[str, str]
 
 
@@ -91,19 +103,33 @@
         The store.
     readable
         Whether it answers, so that its content is known to be there.
+    confirmed_s
+        When its content was last known to be this, by the index's clock.
     epoch
         Of the content.
     held
         Tokens of whole parts.
     used
         Sum of these.
+    generation
+        Random; another one after the content was read or lost as a whole.
+    sequence
+        Number of changes taken in since then.
+    history
+        The newest of them, the last one with number ``sequence``.
     """
 
     traits: routes.StoreTraits
     readable: bool = False
+    confirmed_s: float = 0.0
     epoch: int = 0
     held: dict[PartKey, int] = dataclasses.field(default_factory=dict)
     used: int = 0
+    generation: str = ""
+    sequence: int = 0
+    history: collections.deque[PartEvent] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=HISTORY)
+    )
 
     def put(self, event: PartEvent) -> None:
         """Take in one change."""
@@ -113,10 +139,19 @@
             self.held[key] = event.tokens
             self.used += event.tokens
 
+    def change(self, event: PartEvent) -> None:
+        """Take in one change, and remember it for who asks."""
+        self.put(event)
+        self.sequence += 1
+        self.history.append(event)
+
     def clear(self) -> None:
         """Forget everything."""
         self.held.clear()
         self.used = 0
+        self.generation = secrets.token_hex(GENERATION_BYTES)
+        self.sequence = 0
+        self.history.clear()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,6 +190,7 @@
         self.stores: dict[str, StoreIndex] = {}
         self.saving: dict[PartKey, float] = {}
         self.lock = threading.Lock()
+        self.changed = threading.Condition(self.lock)
 
     def set_stores(
         self, stores: collections.abc.Sequence[routes.StoreTraits]
@@ -168,8 +204,20 @@
                 index.traits = traits
                 self.stores[traits.address] = index
 
-    def take_content(self, address: str, content: Content) -> None:
-        """Take in all that a store keeps; it may be fetched from now on."""
+    def take_content(
+        self, address: str, content: Content, age_s: float = 0.0
+    ) -> None:
+        """Take in all that a store keeps; it may be fetched from now on.
+
+        Parameters
+        ----------
+        address
+            The store.
+        content
+            What it keeps.
+        age_s
+            Seconds since the store told so.
+        """
         with self.lock:
             index = self.stores.get(address)
             if index is None:
@@ -177,10 +225,15 @@
             index.clear()
             index.epoch = content.epoch
             index.readable = True
+            index.confirmed_s = self.clock() - age_s
             for part in content.parts:
                 index.put(part)
+                self.saving.pop((part.salt, part.part), None)
+            self.changed.notify_all()
 
-    def take_changes(self, address: str, changes: Changes) -> bool:
+    def take_changes(
+        self, address: str, changes: Changes, age_s: float = 0.0
+    ) -> bool:
         """Take in changes; tell whether the content is still known.
 
         A store that started anew lost everything.  A part of its former
@@ -194,10 +247,14 @@
             if changes.lost or changes.epoch != index.epoch:
                 index.clear()
                 index.readable = False
+                self.changed.notify_all()
                 return False
+            index.confirmed_s = self.clock() - age_s
             for event in changes.events:
-                index.put(event)
+                index.change(event)
                 self.saving.pop((event.salt, event.part), None)
+            if changes.events:
+                self.changed.notify_all()
             return True
 
     def lose(self, address: str) -> None:
@@ -207,6 +264,12 @@
             if index is not None:
                 index.clear()
                 index.readable = False
+                self.changed.notify_all()
+
+    def is_trusted(self, index: StoreIndex) -> bool:
+        """Tell whether a store's content is known; under the lock."""
+        age_s = self.clock() - index.confirmed_s
+        return index.readable and age_s <= TRUST_S
 
     def plan(
         self, salt: str, parts: collections.abc.Sequence[calls.PromptPart]
@@ -236,7 +299,7 @@
     def holder_of(self, salt: str, part: calls.PromptPart) -> str | None:
         """Return the address of a store that keeps a part whole."""
         for address, index in self.stores.items():
-            if index.readable and (salt, part.id) in index.held:
+            if (salt, part.id) in index.held and self.is_trusted(index):
                 return address
         return None
 
@@ -248,7 +311,7 @@
         candidates = [
             index
             for index in self.stores.values()
-            if index.readable
+            if self.is_trusted(index)
             and index.used + part.tokens
             < index.traits.capacity_tokens * FULL_SHARE
         ]
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import threading
+import typing
 
 import msgpack
 
@@ -47,16 +48,38 @@
             self.memory_tokens - other.memory_tokens,
         )
 
+    def times(self, factor: float) -> Load:
+        """Return a multiple of this load, rounded."""
+        return Load(
+            round(self.requests * factor),
+            round(self.waiting_tokens * factor),
+            round(self.running * factor),
+            round(self.memory_tokens * factor),
+        )
+
 
 NO_LOAD = Load()
 
 
 class Loads:
-    """Own work by endpoint and what the peers told; thread-safe."""
+    """Own work by endpoint and what the peers told; thread-safe.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    share
+        Returns the share of all instances whose work is known here, above
+        0 and at most 1.  Peers tell their work within a cell; instances
+        fall to cells by their names, so that the work of the others is
+        about as much an instance.
+    """
+
+    def __init__(
+        self, share: typing.Callable[[], float] = lambda: 1.0
+    ) -> None:
+        self.share = share
         self.own: dict[str, Load] = {}
         self.peers: dict[str, dict[str, Load]] = {}
+        self.told: dict[str, Load] = {}
         self.lock = threading.Lock()
         self.eased = threading.Condition(self.lock)
 
@@ -81,13 +104,14 @@
             self.eased.wait(timeout_s)
 
     def of(self, endpoint: str) -> Load:
-        """Return all work known at an endpoint."""
+        """Return all work at an endpoint, as far as it can be known."""
         with self.lock:
-            load = self.own.get(endpoint, NO_LOAD)
-            for told in self.peers.values():
-                if endpoint in told:
-                    load = load.plus(told[endpoint])
-            return load
+            known = self.own.get(endpoint, NO_LOAD)
+            told = self.told.get(endpoint)
+        if told is not None:
+            known = known.plus(told)
+        share = self.share()
+        return known if share >= 1.0 else known.times(1.0 / share)
 
     def provide(self) -> bytes:
         """Return this instance's work, for its peers."""
@@ -106,11 +130,25 @@
             for name, *numbers in msgpack.unpackb(data)
         }
         with self.lock:
-            self.peers[member] = told
+            self.replace(member, told)
             self.eased.notify_all()
 
     def keep_only(self, members: frozenset[str]) -> None:
         """Forget what members that are gone had told."""
         with self.lock:
             for name in self.peers.keys() - members:
+                self.replace(name, {})
                 del self.peers[name]
+
+    def replace(self, member: str, told: dict[str, Load]) -> None:
+        """Put a member's work in place of what it told before.
+
+        Sums are kept since each request asks for those of all endpoints.
+        """
+        for endpoint, load in self.peers.get(member, {}).items():
+            self.told[endpoint] = self.told[endpoint].minus(load)
+            if self.told[endpoint] == NO_LOAD:
+                del self.told[endpoint]
+        for endpoint, load in told.items():
+            self.told[endpoint] = self.told.get(endpoint, NO_LOAD).plus(load)
+        self.peers[member] = told
--- /dev/null
+++ b/src/briarseam/placement/store_messages.py
@@ -0,0 +1,75 @@
+"""Messages between instances about what stores of KV cache keep."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from briarseam.wire import codec
+
+
+@codec.message("stores-asked")
+@dataclasses.dataclass(frozen=True)
+class StoresAsked:
+    """Ask an instance that reads stores for what has changed.
+
+    Attributes
+    ----------
+    cursors
+        For each store its address, and generation and sequence of what the
+        asker has; an empty generation asks for all.
+    wait_s
+        How long to wait for a change, in seconds.
+    """
+
+    cursors: tuple[tuple[str, str, int], ...]
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreTold:
+    """What is new of one store.
+
+    Attributes
+    ----------
+    address
+        The store.
+    readable
+        Whether it answers the instance that reads it.
+    epoch
+        The store's own, which frees parts only for who knows it.
+    generation, sequence
+        Where this ends.
+    age_s
+        Seconds since the store told so.
+    whole
+        Whether ``parts`` is all that the store keeps, not what changed.
+    parts
+        Salt, part and length in tokens; 0 tokens when it was dropped.
+    """
+
+    address: str
+    readable: bool
+    epoch: int
+    generation: str
+    sequence: int
+    age_s: float
+    whole: bool
+    parts: tuple[tuple[str, str, int], ...]
+
+
+@codec.message("stores-told")
+@dataclasses.dataclass(frozen=True)
+class StoresTold:
+    """What is new of the stores that were asked for.
+
+    Attributes
+    ----------
+    reads
+        Whether the instance reads these stores itself; what it only knows
+        from others would be handed on in circles.
+    stores
+        All that were asked for and are known; unchanged ones with no parts.
+    """
+
+    reads: bool
+    stores: tuple[StoreTold, ...]
--- a/src/briarseam/placement/store_watch.py
+++ b/src/briarseam/placement/store_watch.py
@@ -1,4 +1,4 @@
-"""Threads that follow what the stores keep."""
+"""Following what one store keeps."""
 
 from __future__ import annotations
 
@@ -86,6 +86,8 @@
         """Read the content, or what changed since."""
         if self.since is None:
             content = self.stores.content(self.address)
+            if self.stopping.is_set():
+                return
             self.index.take_content(self.address, content)
             self.since = content.next
             log.info(
@@ -96,6 +98,8 @@
             )
             return
         changes = self.stores.changes(self.address, self.since, WAIT_S)
+        if self.stopping.is_set():
+            return
         if self.index.take_changes(self.address, changes):
             self.since = changes.next
             return
@@ -113,35 +117,3 @@
                 "cache_store_lost", address=self.address, detail=detail
             )
         self.available = False
-
-
-class StoreWatches:
-    """One watch for each store of the configuration.
-
-    Parameters
-    ----------
-    stores
-        Calls to stores.
-    index
-        What is known of all stores.
-    """
-
-    def __init__(self, stores: Stores, index: kept_module.KeptIndex) -> None:
-        self.stores = stores
-        self.index = index
-        self.watches: dict[str, StoreWatch] = {}
-
-    def follow(self, addresses: typing.Collection[str]) -> None:
-        """Follow these stores and no others."""
-        for address in self.watches.keys() - set(addresses):
-            self.watches.pop(address).stop()
-        for address in addresses:
-            if address not in self.watches:
-                watch = StoreWatch(self.stores, address, self.index)
-                self.watches[address] = watch
-                watch.start()
-
-    def stop(self) -> None:
-        """Stop all watches."""
-        for watch in self.watches.values():
-            watch.stop()
--- a/tests/placement/test_kept.py
+++ b/tests/placement/test_kept.py
@@ -111,9 +111,26 @@
     plan = index.plan(SALT, parts("a"))
     index.note_saving(SALT, parts("a"), plan.save_to)
     clock.now_s += kept.SAVING_S + 0.1
+    for address in ("s1", "s2"):
+        whole(index, address)
     assert index.plan(SALT, parts("a")).save_to == plan.save_to
 
 
+def test_content_that_was_long_not_confirmed_is_not_fetched(index, clock):
+    """A machine is suspended, and a store loses power meanwhile.
+
+    The machine wakes up and places a prompt before it hears of any store.
+    The store is being written anew; what it held before is fetched from
+    what is half written.
+    """
+    whole(index, "s1", "a")
+    assert index.plan(SALT, parts("a")).fetch_from == ("s1",)
+    clock.now_s += kept.TRUST_S + 0.1
+    plan = index.plan(SALT, parts("a", "b"))
+    assert plan.fetch_from == ("", "")
+    assert plan.save_to == ("", "")
+
+
 def test_dropped_part_is_not_fetched_and_its_room_is_free(index):
     whole(index, "s1", "a")
     index.take_changes(
--- /dev/null
+++ b/tests/placement/test_store_watches.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from briarseam.placement import kept
+from briarseam.placement import shared_watch
+from briarseam.placement import store_watch
+from briarseam.placement import store_watches
+
+CELL = [f"instance-{number}" for number in range(12)]
+STORES = [f"10.0.0.{number}:80" for number in range(15)]
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class Silent:
+    """Neither stores nor peers answer."""
+
+    def content(self, address):
+        raise store_watch.StoreUnavailableError("away")
+
+    def changes(self, address, since, wait_s):
+        raise store_watch.StoreUnavailableError("away")
+
+    def ask(self, reader, asked, timeout_s):
+        raise shared_watch.ReaderUnavailableError("away")
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def cell():
+    return list(CELL)
+
+
+@pytest.fixture
+def watches(clock, cell):
+    """Return watches of each instance, reviewed once peers are known."""
+    silent = Silent()
+    made = [
+        store_watches.StoreWatches(
+            silent, silent, kept.KeptIndex(clock), name, lambda: cell, clock
+        )
+        for name in CELL
+    ]
+    for one in made:
+        one.follow(STORES)
+    yield made
+    for one in made:
+        one.stop()
+
+
+def review(watches, clock):
+    for one in watches:
+        one.review()
+    clock.now_s += store_watches.SETTLE_S
+    for one in watches:
+        one.review()
+
+
+def test_each_store_is_read_by_one_instance_of_the_cell(watches, clock):
+    """85 instances each hold a call to each store.
+
+    A store takes twelve at once; the others are refused, and fetch and
+    save nothing.
+    """
+    review(watches, clock)
+    read = list(itertools.chain(*(one.direct for one in watches)))
+    assert sorted(read) == sorted(STORES)
+    assert len([one for one in watches if one.direct]) == store_watches.READERS
+
+
+def test_others_ask_the_readers(watches, clock):
+    review(watches, clock)
+    readers = {one.me: set(one.direct) for one in watches if one.direct}
+    for one in watches:
+        others = {name: readers[name] for name in readers if name != one.me}
+        asked = {name: set(each.cursors) for name, each in one.shared.items()}
+        assert asked == others
+
+
+def test_readers_stores_are_read_by_another_when_it_is_gone(
+    watches, clock, cell
+):
+    review(watches, clock)
+    gone = next(one for one in watches if one.direct)
+    cell.remove(gone.me)
+    staying = [one for one in watches if one is not gone]
+    for one in staying:
+        one.review()
+    read = list(itertools.chain(*(one.direct for one in staying)))
+    assert sorted(read) == sorted(STORES)
+    assert all(gone.me not in one.shared for one in staying)
+
+
+def test_store_of_no_configuration_is_not_read(watches, clock):
+    review(watches, clock)
+    for one in watches:
+        one.follow(STORES[:1])
+        one.review()
+    read = list(itertools.chain(*(one.direct for one in watches)))
+    assert read == STORES[:1]
+
+
+def test_nothing_is_read_before_peers_are_known(watches, clock, cell):
+    """All instances start at once; each seems to be alone at first."""
+    cell.clear()
+    review(watches, clock)
+    cell.extend(CELL[:1])
+    watches[0].review()
+    assert not watches[0].direct
