Requests that take down endpoints are counted over all cells

Cause: losses are told with heartbeats, within a cell of 32. At 85 instances, three cells, a request that takes down each endpoint that runs it would take down three for each cell.

Change: an instance tells its losses to one instance of each other cell, whose heartbeats tell it there. Losses of peers that are gone count for their minute and are then forgotten; before, they stayed. The slack for retries is shared by the registered instances before peers are met, not used whole by an instance that has just started.

Measured: tests/forwarding (new: 5).

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -16,6 +16,7 @@
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
 from briarseam.forwarding import crash_guard
+from briarseam.forwarding import loss_sharing
 from briarseam.forwarding import refusing
 from briarseam.forwarding import retry_budget
 from briarseam.forwarding import server as http
@@ -102,6 +103,10 @@
             lambda: [member.name for member in self.all_members()],
         )
         self.guard = crash_guard.CrashGuard()
+        self.loss_sharing = loss_sharing.LossSharing(
+            self.guard, node_peers.OtherCells(lambda: self.members)
+        )
+        self.guard.on_lost = self.loss_sharing.add
         self.supervisor = supervision.Supervisor()
         self.members: membership.Membership | None = None
         self.forwarding = forwarding.Forwarding(self.build_forwarding())
@@ -125,7 +130,7 @@
                 bounds.retry_ratio,
                 bounds.retry_slack,
                 bounds.retry_window_s,
-                lambda: len(self.all_members()),
+                self.sharers,
             ),
             shutdown=self.shutdown,
             metrics=works.Metrics(
@@ -224,6 +229,7 @@
         self.weights.start()
         self.sweeper.start()
         self.store_watches.start()
+        self.loss_sharing.start()
         threading.Thread(
             target=self.meet_peers, name="meet-peers", daemon=True
         ).start()
@@ -254,6 +260,7 @@
             self.feeds.registrations,
             told,
             self.store_sharing,
+            self.loss_sharing,
             self.stopping,
         )
         log.info("peers_met", address=str(self.settings.listen.peers))
@@ -312,6 +319,7 @@
         self.reloading.stop()
         self.sweeper.stop()
         self.store_watches.stop()
+        self.loss_sharing.stop()
         if not self.shutdown.begun:
             self.sign_off()
         self.stop_servers(wait_s)
@@ -357,6 +365,15 @@
             return []
         return [member.name for member in service.live()]
 
+    def sharers(self) -> int:
+        """Return how many instances share the budget for retries.
+
+        Registrations are known before peers are met; taken for alone, an
+        instance that has just started would use the whole slack.
+        """
+        registered = len(self.feeds.registrations.rows)
+        return max(registered, len(self.all_members()))
+
     def known_share(self) -> float:
         """Return the share of all instances whose work is told here."""
         service = self.members
--- a/src/briarseam/compose/node_peers.py
+++ b/src/briarseam/compose/node_peers.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from briarseam.forwarding import loss_sharing
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.peers import registrations
@@ -11,6 +12,7 @@
 from briarseam.placement import store_messages
 from briarseam.platform import names
 from briarseam.platform import store as stores
+from briarseam.wire import client as clients
 from briarseam.wire import connection as wire_connection
 from briarseam.wire import server as wire
 
@@ -28,6 +30,8 @@
 # Three heartbeats and a little: callers are no longer sent there then.
 SUSPECT_AFTER_S = 1.6
 LISTING_INTERVAL_S = 0.5
+# Bound on telling another cell of a loss; an answer takes some ms.
+TELL_S = 1.0
 
 
 class StoreReaders:
@@ -66,12 +70,62 @@
         return reply
 
 
+class OtherCells:
+    """One instance of each cell whose heartbeats are not heard here.
+
+    Parameters
+    ----------
+    members
+        Returns membership; ``None`` before peers are met.
+    """
+
+    def __init__(
+        self, members: typing.Callable[[], membership.Membership | None]
+    ) -> None:
+        self.members = members
+
+    def addresses(self) -> list[str]:
+        """Return where to reach one instance of each other cell."""
+        service = self.members()
+        if service is None:
+            return []
+        found: dict[str, str] = {}
+        for member in service.everyone():
+            if member.state is members.MemberState.ALIVE:
+                found.setdefault(member.cell, member.agent_address)
+        found.pop(service.me.cell, None)
+        return list(found.values())
+
+    def tell(self, address: str, message: loss_sharing.RequestsLost) -> None:
+        """Tell an instance.
+
+        Raises
+        ------
+        UntoldError
+            When it may not have been reached.
+        """
+        service = self.members()
+        if service is None:
+            raise loss_sharing.UntoldError("no peer is met yet")
+        # Endpoints are rarely lost, so no connection is kept for it.
+        client = clients.Client(
+            address, service.identity, service.key, max_idle=0
+        )
+        try:
+            reply = client.call(message, TELL_S)
+        except wire_connection.WireError as error:
+            raise loss_sharing.UntoldError(str(error)) from error
+        if not isinstance(reply, loss_sharing.RequestsLostNoted):
+            raise loss_sharing.UntoldError(f"answered {reply}")
+
+
 def join(
     settings: serving.ServeSettings,
     store: stores.StoreClient,
     rows: registrations.Registrations,
     told: collections.abc.Sequence[sections.Section],
     stores_told: store_sharing.StoreSharing,
+    losses: loss_sharing.LossSharing,
     stopping: threading.Event,
 ) -> membership.Membership | None:
     """Join the other instances, once the store tells the secret.
@@ -88,6 +142,8 @@
         What heartbeats carry.
     stores_told
         Answers about the stores that this instance reads.
+    losses
+        Takes in what other cells lost.
     stopping
         Ends the attempts; ``None`` is returned then.
     """
@@ -118,6 +174,7 @@
         store_messages.StoresAsked,
         lambda peer, asked: stores_told.answer(asked),
     )
+    router.on(loss_sharing.RequestsLost, lambda peer, told: losses.take(told))
     wire.Server(
         str(settings.listen.peers),
         wire_connection.Identity("agent", settings.instance.name),
--- a/src/briarseam/forwarding/crash_guard.py
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -46,6 +46,22 @@
     last_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Told:
+    """What a peer told.
+
+    Attributes
+    ----------
+    losses
+        Ids of endpoints by request.
+    at_s
+        When it was told last, by the guard's clock.
+    """
+
+    losses: dict[bytes, frozenset[str]]
+    at_s: float
+
+
 class CrashGuard:
     """Counts losses by request, with those that peers tell.
 
@@ -53,14 +69,21 @@
     ----------
     clock
         Seconds.
+
+    Attributes
+    ----------
+    on_lost
+        Called with the digest of a request that was lost here, and the
+        endpoint's id.
     """
 
     def __init__(
         self, clock: typing.Callable[[], float] = clocks.boot_clock
     ) -> None:
         self.clock = clock
+        self.on_lost: typing.Callable[[bytes, str], None] = ignore
         self.own: dict[bytes, Losses] = {}
-        self.told: dict[str, dict[bytes, frozenset[str]]] = {}
+        self.told: dict[str, Told] = {}
         self.lock = threading.Lock()
 
     def is_refused(self, digest: bytes) -> bool:
@@ -70,12 +93,17 @@
             lost: set[str] = set()
             if own is not None and self.clock() - own.last_s < MEMORY_S:
                 lost |= own.endpoints
-            for losses in self.told.values():
-                lost |= losses.get(digest, frozenset())
+            for told in self.told.values():
+                lost |= told.losses.get(digest, frozenset())
         return len(lost) >= MOST_LOST
 
     def note_lost(self, digest: bytes, endpoint: str) -> None:
         """Note that an endpoint was lost while it had a request."""
+        self.note_told(digest, endpoint)
+        self.on_lost(digest, endpoint)
+
+    def note_told(self, digest: bytes, endpoint: str) -> None:
+        """Note a loss, here or in a cell whose heartbeats are not heard."""
         with self.lock:
             losses = self.own.setdefault(digest, Losses())
             losses.endpoints.add(endpoint)
@@ -100,6 +128,12 @@
                 for digest, losses in self.own.items()
                 if losses.last_s > oldest_s
             }
+            # A peer that is gone tells no more, but its losses count on.
+            self.told = {
+                member: told
+                for member, told in self.told.items()
+                if told.at_s > oldest_s
+            }
 
     def provide(self) -> bytes:
         """Return the newest losses, for peers."""
@@ -115,12 +149,16 @@
 
     def consume(self, member: str, data: bytes) -> None:
         """Take in a peer's losses."""
-        told = {
+        losses = {
             bytes(digest): frozenset(endpoints)
             for digest, endpoints in msgpack.unpackb(data)
         }
         with self.lock:
-            self.told[member] = told
+            self.told[member] = Told(losses, self.clock())
+
+
+def ignore(digest: bytes, endpoint: str) -> None:
+    """Tell nobody of a loss."""
 
 
 def digest_of(path: str, caller: str, body: bytes) -> bytes:
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -55,6 +55,24 @@
     assert guard.is_refused(DIGEST)
 
 
+def test_losses_of_a_peer_that_is_gone_count_on_for_their_time(guard, clock):
+    """The peer that saw a request lost at two endpoints stops.
+
+    Forgotten at once, the request would take down three more; kept for
+    ever, peers that come and go would fill the memory.
+    """
+    peer = crash_guard.CrashGuard(clock)
+    lose(peer, "e1", "e2", "e3")
+    guard.consume("peer", peer.provide())
+    clock.now_s += crash_guard.MEMORY_S - 1
+    guard.forget_old()
+    assert guard.is_refused(DIGEST)
+    clock.now_s += 2
+    guard.forget_old()
+    assert not guard.is_refused(DIGEST)
+    assert guard.told == {}
+
+
 def test_answered_request_is_none_of_these(guard):
     lose(guard, "e1", "e2")
     guard.note_answered(DIGEST)
--- /dev/null
+++ b/tests/forwarding/test_loss_sharing.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.forwarding import crash_guard
+from briarseam.forwarding import loss_sharing
+from briarseam.testing import waiting
+
+DIGEST = crash_guard.digest_of("/draft/x", "north", b"body")
+
+
+class Cells:
+    """The other cells, by the address of one instance of each."""
+
+    def __init__(self, sharing):
+        self.sharing = sharing
+        self.away = set()
+
+    def addresses(self):
+        return list(self.sharing)
+
+    def tell(self, address, message):
+        if address in self.away:
+            raise loss_sharing.UntoldError("away")
+        self.sharing[address].take(message)
+
+
+@pytest.fixture
+def others():
+    """Two instances of other cells."""
+    return {
+        address: loss_sharing.LossSharing(crash_guard.CrashGuard(), Cells({}))
+        for address in ("10.0.0.2:1", "10.0.0.3:1")
+    }
+
+
+@pytest.fixture
+def cells(others):
+    return Cells(others)
+
+
+@pytest.fixture
+def guard(cells):
+    made = crash_guard.CrashGuard()
+    sharing = loss_sharing.LossSharing(made, cells)
+    made.on_lost = sharing.add
+    sharing.start()
+    yield made
+    sharing.stop()
+    sharing.thread.join(5.0)
+
+
+def is_refused(sharing):
+    return sharing.guard.is_refused(DIGEST)
+
+
+def test_request_lost_in_one_cell_is_refused_in_all(guard, others):
+    """A request takes down three engines, and is sent again at instances
+    of other cells, where it would take down three more for each cell.
+    """
+    for endpoint in ("e1", "e2", "e3"):
+        guard.note_lost(DIGEST, endpoint)
+    for sharing in others.values():
+        waiting.until(lambda told=sharing: is_refused(told))
+
+
+def test_loss_is_told_on_within_the_other_cell(guard, others):
+    guard.note_lost(DIGEST, "e1")
+    told = others["10.0.0.2:1"].guard
+    waiting.until(lambda: DIGEST in told.own)
+    peer = crash_guard.CrashGuard()
+    peer.consume("instance-2", told.provide())
+    peer.note_lost(DIGEST, "e2")
+    peer.note_lost(DIGEST, "e3")
+    assert peer.is_refused(DIGEST)
+
+
+def test_cell_that_is_away_keeps_no_other_from_being_told(
+    guard, others, cells
+):
+    cells.away.add("10.0.0.2:1")
+    for endpoint in ("e1", "e2", "e3"):
+        guard.note_lost(DIGEST, endpoint)
+    waiting.until(lambda: is_refused(others["10.0.0.3:1"]))
+    assert not is_refused(others["10.0.0.2:1"])
+
+
+def test_losses_beyond_the_bound_are_left_out(others, cells):
+    sharing = loss_sharing.LossSharing(crash_guard.CrashGuard(), cells)
+    for number in range(loss_sharing.MOST_WAITING + 5):
+        sharing.add(DIGEST, f"e{number}")
+    assert sharing.waiting.qsize() == loss_sharing.MOST_WAITING
