Registrations of lost instances are removed; the drain bound sets the reading

Cause: nobody removed what an instance had registered that lost power for good. Its peers tried to reach it for ever, and cells were made for as many as had ever been there. [bounds] endpoint_drain_ms was read by nobody: the pause between two reads of endpoints was 0.6 s whatever the bound.

Change: of the instances that are heard the first by rank removes what was silent for a minute; a suspension does not count. The pause is 0.3 of the bound: 0.6 s as before at 2,000 ms, 0.9 s at 3,000 ms.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -30,6 +30,7 @@
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.metrics import registry as metrics
+from briarseam.peers import expiry
 from briarseam.placement import chooser as choosers
 from briarseam.placement import store_sharing
 from briarseam.placement import store_watches
@@ -112,6 +113,7 @@
         self.forwarding = forwarding.Forwarding(self.build_forwarding())
         self.servers = self.build_servers()
         self.reloading = reloading.Reloading(settings, self.apply_settings)
+        self.expiry = expiry.Expiry(self.feeds.registrations, self.heard)
         self.register_metrics()
 
     def build_forwarding(self) -> works.Parts:
@@ -230,6 +232,7 @@
         self.sweeper.start()
         self.store_watches.start()
         self.loss_sharing.start()
+        self.expiry.start()
         threading.Thread(
             target=self.meet_peers, name="meet-peers", daemon=True
         ).start()
@@ -320,6 +323,7 @@
         self.sweeper.stop()
         self.store_watches.stop()
         self.loss_sharing.stop()
+        self.expiry.stop()
         if not self.shutdown.begun:
             self.sign_off()
         self.stop_servers(wait_s)
@@ -374,6 +378,13 @@
         registered = len(self.feeds.registrations.rows)
         return max(registered, len(self.all_members()))
 
+    def heard(self) -> list[str]:
+        """Return who is heard, by any cell; empty with no fresh view."""
+        service = self.members
+        if service is None or not service.fresh():
+            return []
+        return [member.name for member in service.everyone()]
+
     def known_share(self) -> float:
         """Return the share of all instances whose work is told here."""
         service = self.members
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -25,9 +25,12 @@
 OPERATOR_POLL_S = 2.0
 ENDPOINT_POLL_S = 1.5
 # Endpoints write every second or so, each; read one by one that would be a
-# call for each write.  A leaving endpoint is served two seconds longer.
-ENDPOINT_PAUSE_S = 0.6
+# call for each write.  Of the time within which a leaving endpoint must get
+# no new work, so much may pass between two reads: the rest is for a read
+# that fails and the one after it.
+ENDPOINT_PAUSE_PART = 0.3
 REGISTRATION_POLL_S = 10.0
+MS = 1000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -123,7 +126,7 @@
             names.ENDPOINTS_TOPIC,
             registry,
             ENDPOINT_POLL_S,
-            ENDPOINT_PAUSE_S,
+            ENDPOINT_PAUSE_PART * settings.bounds.endpoint_drain_ms / MS,
         ),
         following.Follower(
             store, names.MEMBERS_TOPIC, rows, REGISTRATION_POLL_S
