Callers and readers of stores go to instances by what their machines bear

Cause: at the large sites machines have 0.5 to 2.2 cores and links of 5 to 100 Mbit/s, and callers pick one of the named addresses at random, so that the weakest gets as many as the strongest.

Change: settings tell processor and link ([capacity]), the registration carries the weight, and of a zone with more than eight instances each caller is told eight, by weight and the same each time; of a cell the strongest read the stores. Zones of up to eight are named whole, as before.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -92,6 +92,7 @@
             self.chooser.kept,
             settings.instance.name,
             self.cell_names,
+            self.feeds.registrations.weight_of,
         )
         self.store_sharing = store_sharing.StoreSharing(
             self.chooser.kept, self.store_watches.reads
@@ -162,7 +163,9 @@
         small = small_answers.SmallAnswers(
             self.is_ready,
             zonal.ZonalLookup(
-                self.all_members, self.feeds.registrations.zone_of
+                self.all_members,
+                self.feeds.registrations.zone_of,
+                self.feeds.registrations.weight_of,
             ),
             str(listen.callers),
             lambda: self.settings.bounds.lookup_ttl_max_s,
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -117,6 +117,7 @@
             address=str(settings.listen.peers),
             group=settings.instance.region,
             zone=settings.instance.zone,
+            weight=settings.capacity.weight(),
         ),
     )
     followers = (
--- a/src/briarseam/compose/small_answers.py
+++ b/src/briarseam/compose/small_answers.py
@@ -63,7 +63,7 @@
         if question is None:
             exchange.answer(NOT_FOUND, (), b"")
             return
-        found = self.lookup.addresses(question.zone)
+        found = self.lookup.addresses(question.zone, exchange.caller_ip)
         if not found and self.is_ready():
             found = [self.own_address]
         if not found:
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -105,6 +105,11 @@
         """The caller's socket."""
         return self.request.conn.socket
 
+    @property
+    def caller_ip(self) -> str:
+        """Where the connection came from, without the port."""
+        return str(self.request.conn.remote_addr)
+
     def read_body(self) -> bytes:
         """Return the whole body, so that the next request begins after it.
 
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -45,12 +45,15 @@
         are the same.
     zone
         Its availability zone.
+    weight
+        The work that it can take, relative to others.
     """
 
     name: str
     address: str
     group: str
     zone: str
+    weight: float = 1.0
 
 
 class WritableStore(records.KeyedStore, typing.Protocol):
@@ -129,6 +132,11 @@
         row = self.rows.get(name)
         return "" if row is None else row.zone
 
+    def weight_of(self, name: str) -> float:
+        """Return the work an instance can take, relative to others."""
+        row = self.rows.get(name)
+        return 1.0 if row is None else row.weight
+
     def groups_of(self, group: str) -> int:
         """Return the number of cells for the instances of a group."""
         size = sum(row.group == group for row in self.rows.values())
@@ -190,14 +198,18 @@
 
 def encode(row: Registration) -> bytes:
     """Return an instance's registration."""
-    packed: bytes = msgpack.packb([row.address, row.group, row.zone])
+    packed: bytes = msgpack.packb(
+        [row.address, row.group, row.zone, row.weight]
+    )
     return packed
 
 
 def decode(name: str, data: bytes) -> Registration:
     """Return the instance of a registration."""
-    address, group, zone = msgpack.unpackb(data)
-    return Registration(name, str(address), str(group), str(zone))
+    address, group, zone, weight = msgpack.unpackb(data)
+    return Registration(
+        name, str(address), str(group), str(zone), float(weight)
+    )
 
 
 def agree_on_secret(
--- a/src/briarseam/placement/store_watches.py
+++ b/src/briarseam/placement/store_watches.py
@@ -47,6 +47,9 @@
     cell
         Returns the instances of this cell that stay, this one included;
         empty before peers are met.
+    weight_of
+        Returns the work an instance can take, relative to others: a weak
+        link cannot tell thirty others what fifteen stores keep.
     clock
         Seconds.
     """
@@ -58,6 +61,7 @@
         index: kept_module.KeptIndex,
         me: str,
         cell: typing.Callable[[], collections.abc.Collection[str]],
+        weight_of: typing.Callable[[str], float] = rank.equal,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.stores = stores
@@ -65,6 +69,7 @@
         self.index = index
         self.me = me
         self.cell = cell
+        self.weight_of = weight_of
         self.clock = clock
         self.met_s: float | None = None
         self.addresses: frozenset[str] = frozenset()
@@ -117,7 +122,7 @@
         self, cell: collections.abc.Iterable[str]
     ) -> dict[str, frozenset[str]]:
         """Return the stores by the instance that reads them."""
-        pool = rank.ranked(READERS_KEY, cell, str)[:READERS]
+        pool = rank.ranked(READERS_KEY, cell, str, self.weight_of)[:READERS]
         found: dict[str, set[str]] = collections.defaultdict(set)
         for address in self.addresses:
             found[rank.ranked(address, pool, str)[0]].add(address)
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -15,6 +15,11 @@
 Ratio = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
 # Grows with the deployment: 54 with 7 instances, 210 with 85.
 Sends = typing.Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+Amount = typing.Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+# What a full core of speed 1 sends and receives: 6 ms of it go into a
+# request, by processor time over requests of a day, and some 15 KB of
+# prompt and events.
+MBPS_PER_PROCESSOR = 20.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,6 +39,30 @@
     region: sections.Name
 
 
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """``[capacity]``: what this instance's machine can bear.
+
+    Attributes
+    ----------
+    processor_share
+        Share of a core that it has.
+    processor_speed
+        How fast that core is; only the ratio between instances counts.
+    link_mbps
+        Bandwidth of its own link.
+    """
+
+    processor_share: Amount = 1.0
+    processor_speed: Amount = 1.0
+    link_mbps: Amount = 1000.0
+
+    def weight(self) -> float:
+        """Return the work that it can take, relative to others."""
+        processor = self.processor_share * self.processor_speed
+        return min(processor, self.link_mbps / MBPS_PER_PROCESSOR)
+
+
 @dataclasses.dataclass(frozen=True)
 class Listen:
     """``[listen]``: where this process takes connections.
@@ -108,6 +137,7 @@
 
 SECTION_TYPES = {
     "instance": Instance,
+    "capacity": Capacity,
     "listen": Listen,
     "store": Store,
     "bounds": Bounds,
@@ -123,7 +153,7 @@
     ----------
     path
         The file they were read from.
-    instance, listen, store, bounds, logging
+    instance, capacity, listen, store, bounds, logging
         The sections.
     sources
         Where each value came from, by section and key.
@@ -131,6 +161,7 @@
 
     path: str
     instance: Instance
+    capacity: Capacity
     listen: Listen
     store: Store
     bounds: Bounds
@@ -168,6 +199,7 @@
     return ServeSettings(
         path=path,
         instance=loader.section("instance", Instance),
+        capacity=loader.section("capacity", Capacity),
         listen=loader.section("listen", Listen),
         store=loader.section("store", Store),
         bounds=loader.section("bounds", Bounds),
--- a/tests/lookup/test_zonal.py
+++ b/tests/lookup/test_zonal.py
@@ -15,7 +15,7 @@
 
 def addresses(zone, *members):
     found = zonal.ZonalLookup(lambda: members, lambda name: ZONES[name])
-    return found.addresses(zone)
+    return found.addresses(zone, "10.9.0.1")
 
 
 def test_callers_get_all_instances_of_their_zone():
@@ -34,3 +34,28 @@
 def test_only_live_instances_are_named(how):
     found = addresses("a", member("a1", how), member("a2"), member("c1"))
     assert found == ["a2:1", "c1:1"]
+
+
+def large_zone(weight_of=lambda name: 1.0):
+    members = [member(f"a{number}") for number in range(40)]
+    return zonal.ZonalLookup(lambda: members, lambda name: "a", weight_of)
+
+
+def test_caller_of_a_large_zone_is_told_the_same_part_each_time():
+    lookup = large_zone()
+    found = lookup.addresses("a", "10.9.0.1")
+    assert len(set(found)) == zonal.MOST_ADDRESSES
+    assert lookup.addresses("a", "10.9.0.1") == found
+    assert lookup.addresses("a", "10.9.0.2") != found
+
+
+def test_stronger_instances_are_told_to_more_callers():
+    """Machines with half a core get as many callers as those with two,
+    and answer late while those idle.
+    """
+    lookup = large_zone(lambda name: 8.0 if name in ("a0", "a1") else 1.0)
+    callers = [f"10.9.0.{number}" for number in range(200)]
+    told = [lookup.addresses("a", caller) for caller in callers]
+    strong = sum("a0:1" in one for one in told)
+    weak = sum("a9:1" in one for one in told)
+    assert strong > 2.5 * weak > 0
--- a/tests/placement/test_store_watches.py
+++ b/tests/placement/test_store_watches.py
@@ -50,7 +50,12 @@
     silent = Silent()
     made = [
         store_watches.StoreWatches(
-            silent, silent, kept.KeptIndex(clock), name, lambda: cell, clock
+            silent,
+            silent,
+            kept.KeptIndex(clock),
+            name,
+            lambda: cell,
+            clock=clock,
         )
         for name in CELL
     ]
