Registrations without a weight are read, as earlier releases write them

Cause: found on reading the change before; a topic with a record of three fields would have stopped the reading of registrations. Measured: one test, failed before.

--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -206,7 +206,9 @@
 
 def decode(name: str, data: bytes) -> Registration:
     """Return the instance of a registration."""
-    address, group, zone, weight = msgpack.unpackb(data)
+    address, group, zone, *rest = msgpack.unpackb(data)
+    # An instance of an earlier release tells no weight.
+    weight = rest[0] if rest else 1.0
     return Registration(
         name, str(address), str(group), str(zone), float(weight)
     )
--- a/tests/peers/test_registrations.py
+++ b/tests/peers/test_registrations.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import msgpack
 import pytest
 
 from briarseam.backing import instances
@@ -54,6 +55,13 @@
     waiting.until(lambda: "one" in store.newest_of(TOPIC))
 
 
+def test_instance_of_an_earlier_release_is_listed():
+    """Instances are replaced one after the other by a new release."""
+    data = msgpack.packb(["127.0.0.1:1", "north", "a"])
+    assert registrations.decode("one", data) == me()
+    assert registrations.decode("one", registrations.encode(me())) == me()
+
+
 def test_unread_topic_is_no_empty_list(store):
     client = stores.StoreClient(store.address)
     made = registrations.Registrations(client, TOPIC, me())
