--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -8,23 +8,16 @@
 from briarseam.admission import retries
 from briarseam.admission import returns
 from briarseam.configuration import schema
+from tests import clocks
 
 DIGEST = "0" * 32
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
 @dataclasses.dataclass
 class Cell:
     """Agents that share limits; sections pass when a test says so."""
 
-    clock: Clock
+    clock: clocks.ManualClock
     agents: dict
 
     def exchange(self, cut=frozenset()):
@@ -35,7 +28,7 @@
 
 
 def build(count, **changes):
-    clock = Clock()
+    clock = clocks.ManualClock()
     organisation = schema.Organisation(token_digest=DIGEST, **changes)
     view = schema.View(organisations={"north": organisation})
     agents = {
@@ -55,7 +48,7 @@
     """Let seconds pass with so many offers a second at each agent."""
     allowed = 0
     for _ in range(seconds * 10):
-        cell.clock.now += 0.1
+        cell.clock.now_s += 0.1
         for name, per_s in offers.items():
             allowed += offer(cell.agents[name], per_s // 10)
         cell.exchange(cut)
@@ -133,10 +126,10 @@
     Retry-After they would all be back in one moment; here they return at
     no more than the rate at which requests had been finishing.
     """
-    clock = Clock()
+    clock = clocks.ManualClock()
     schedule = returns.ReturnSchedule(clock)
     for _ in range(300):
-        clock.now += 0.05
+        clock.now_s += 0.05
         schedule.note_end()
     waits = [schedule.assign() for _ in range(200)]
     per_second = [
@@ -151,7 +144,7 @@
     """Thousands are refused in a row.  Nobody is sent away for longer
     than a minute.
     """
-    schedule = returns.ReturnSchedule(Clock())
+    schedule = returns.ReturnSchedule(clocks.ManualClock())
     waits = [schedule.assign() for _ in range(5000)]
     assert max(waits) <= returns.MAX_RETRY_S
 
@@ -181,6 +174,6 @@
     cell = build(1)
     (agent,) = cell.agents.values()
     agent.consume("old", agent.provide())
-    cell.clock.now += limits.HOLD_S + 1
+    cell.clock.now_s += limits.HOLD_S + 1
     agent.provide()
     assert not agent.told
--- a/tests/admission/test_returns.py
+++ b/tests/admission/test_returns.py
@@ -1,24 +1,17 @@
 from __future__ import annotations
 
 from briarseam.admission import returns
-
-
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
+from tests import clocks
 
 
 def test_refused_callers_are_spread_over_what_can_be_served():
     """Ten runs a second have been ending.  Forty callers are refused in
     one moment; they must come back over seconds, at half that rate.
     """
-    clock = Clock()
+    clock = clocks.ManualClock()
     schedule = returns.ReturnSchedule(clock)
     for _ in range(300):
-        clock.now += 0.1
+        clock.now_s += 0.1
         schedule.note_end()
     waits = [schedule.assign() for _ in range(40)]
     gaps = [b - a for a, b in zip(waits, waits[1:], strict=False)]
@@ -29,5 +22,5 @@
     """The bench compares the schedule with one fixed second.  Were the
     baseline spread as well, the second peak could not be seen.
     """
-    schedule = returns.ReturnSchedule(Clock(), lambda: True)
+    schedule = returns.ReturnSchedule(clocks.ManualClock(), lambda: True)
     assert {schedule.assign() for _ in range(5)} == {returns.FIXED_S}
--- a/tests/cache/test_links.py
+++ b/tests/cache/test_links.py
@@ -1,25 +1,16 @@
 from __future__ import annotations
 
-import dataclasses
-
 import pytest
 
 from briarseam.cache import links
+from tests import clocks
 
 RATE = 1000.0
 
 
-@dataclasses.dataclass
-class Clock:
-    now: float = 0.0
-
-    def __call__(self):
-        return self.now
-
-
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock(0.0)
 
 
 @pytest.fixture
@@ -29,7 +20,7 @@
 
 def move(link, clock, size, rate):
     transfer = link.begin(size)
-    clock.now += size / rate
+    clock.now_s += size / rate
     link.end(transfer, size)
 
 
@@ -43,11 +34,11 @@
         wait_s = link.reserve(400, max_wait_s=1.0)
         if wait_s is not None:
             carried += 400
-        clock.now += 0.01
+        clock.now_s += 0.01
 
-    budget = RATE * (clock.now + links.BURST_S) + 400
+    budget = RATE * (clock.now_s + links.BURST_S) + 400
     assert carried <= budget + RATE * 1.0
-    assert carried >= 0.9 * RATE * clock.now
+    assert carried >= 0.9 * RATE * clock.now_s
 
 
 def test_an_import_that_would_wait_too_long_takes_no_budget(link):
@@ -63,7 +54,7 @@
     link.reserve(1000, max_wait_s=1.0)
     assert not link.reserve_idle(100)
 
-    clock.now += 2.0
+    clock.now_s += 2.0
 
     assert link.reserve_idle(100)
 
@@ -93,11 +84,11 @@
     """
     for _ in range(3):
         move(link, clock, 1000, RATE)
-        clock.now += 5
+        clock.now_s += 5
     before = link.predict_s(100)
     link.begin(1000)
 
-    clock.now += 20.0
+    clock.now_s += 20.0
 
     assert link.predict_s(100) > 10 * before
 
@@ -111,7 +102,7 @@
         move(link, clock, 100, RATE / 100)
     assert link.predict_s(1000) > 20
 
-    clock.now += 10 * links.RELAX_S
+    clock.now_s += 10 * links.RELAX_S
 
     assert link.predict_s(1000) == pytest.approx(
         1.0 + links.LATENCY_S, rel=0.1
@@ -123,8 +114,8 @@
     link.configure(0)
     first = link.begin(1000)
     second = link.begin(1000)
-    clock.now += 2000 / RATE
+    clock.now_s += 2000 / RATE
     link.end(first, 1000)
     link.end(second, 1000)
 
-    assert link.relaxed(clock.now) == pytest.approx(RATE, rel=0.05)
+    assert link.relaxed(clock.now_s) == pytest.approx(RATE, rel=0.05)
--- a/tests/cache/test_residents.py
+++ b/tests/cache/test_residents.py
@@ -1,7 +1,5 @@
 from __future__ import annotations
 
-import dataclasses
-
 import pytest
 
 from briarseam.cache import residents
@@ -10,14 +8,7 @@
 from briarseam.endpoints import engine_events
 from briarseam.testing import engine as engines
 from briarseam.testing import engine_cache
-
-
-@dataclasses.dataclass
-class Clock:
-    now: float = 100.0
-
-    def __call__(self):
-        return self.now
+from tests import clocks
 
 
 @pytest.fixture
@@ -28,7 +19,7 @@
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 class Known:
@@ -105,7 +96,7 @@
     """
     hold(engine, digests(2))
     resident.read()
-    clock.now += residents.RELOAD_MIN_S
+    clock.now_s += residents.RELOAD_MIN_S
     engine.set(event_loss=1.0)
     engine.cache.drop_version("draft", "v1")
 
@@ -129,7 +120,7 @@
     resident.read()
     assert known.have("draft", "v1", digests(2)) == 0
 
-    clock.now += residents.RELOAD_MIN_S
+    clock.now_s += residents.RELOAD_MIN_S
     resident.read()
 
     assert known.have("draft", "v1", digests(2)) == 2
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -5,14 +5,7 @@
 from briarseam.discovery import model
 from briarseam.discovery import registry
 from briarseam.feeds import records
-
-
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
+from tests import clocks
 
 
 def decode(key, data):
@@ -30,7 +23,7 @@
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -3,21 +3,14 @@
 import pytest
 
 from briarseam.forwarding import crash_guard
+from tests import clocks
 
 DIGEST = crash_guard.digest_of("/draft/x", "north", b"body")
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/forwarding/test_retry_budget.py
+++ b/tests/forwarding/test_retry_budget.py
@@ -3,19 +3,12 @@
 import pytest
 
 from briarseam.forwarding import retry_budget
-
-
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
+from tests import clocks
 
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 def spent(budget, service="portal"):
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -4,14 +4,7 @@
 
 from briarseam.forwarding import shutdown as shutdowns
 from briarseam.routes import model
-
-
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
+from tests import clocks
 
 
 def route(repeat):
@@ -39,7 +32,7 @@
     seconds after SIGTERM is still running when its instance ends, and its
     caller sees it break off.
     """
-    clock = Clock()
+    clock = clocks.ManualClock()
     shutdown = shutdowns.Shutdown(lambda: 7.0, clock)
     assert shutdown.takes(kind)
     shutdown.begin()
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -9,6 +9,7 @@
 from briarseam.membership import messages
 from briarseam.membership import state
 from briarseam.testing import waiting
+from tests import clocks
 from tests.membership import nodes as helpers
 
 ALIVE = state.MemberState.ALIVE
@@ -101,18 +102,11 @@
     return messages.CellSummary(cell, stamp, abouts)
 
 
-class Clock:
-    now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 def test_late_summary_changes_nothing() -> None:
     """An exchange was held up on its way and brings back a member that
     has gone since.
     """
-    known = directory.Directory(Clock())
+    known = directory.Directory(clocks.ManualClock())
     assert known.take([summary("x/0", 2, "a")])
     assert not known.take([summary("x/0", 1, "a", "b")])
     assert [member.name for member in known.members("y/0")] == ["a"]
@@ -120,11 +114,11 @@
 
 def test_silent_cell_is_lost_until_its_beat_rises() -> None:
     """A cell is cut off and later heard again with the same members."""
-    clock = Clock()
+    clock = clocks.ManualClock()
     known = directory.Directory(clock)
     known.take([summary("x/0", 1, "a")])
     before = known.digest()
-    clock.now += directory.LOST_AFTER_S + 1
+    clock.now_s += directory.LOST_AFTER_S + 1
     assert [member.state for member in known.members("y/0")] == [SUSPECT]
     assert known.digest() != before
     known.take_stamps({"x/0": messages.CellStamp(1, 5)})
@@ -136,10 +130,10 @@
     """A zone was cut anew: an agent stands in its old cell's last summary
     and in its new cell's.
     """
-    clock = Clock()
+    clock = clocks.ManualClock()
     known = directory.Directory(clock)
     known.take([summary("x/0", 1, "a", "b")])
-    clock.now += directory.LOST_AFTER_S + 1
+    clock.now_s += directory.LOST_AFTER_S + 1
     known.take([summary("x/1", 2, "a")])
     members = {member.name: member for member in known.members("y/0")}
     assert members["a"].cell == "x/1"
--- a/tests/peers/test_expiry.py
+++ b/tests/peers/test_expiry.py
@@ -5,19 +5,12 @@
 from briarseam.feeds import records
 from briarseam.peers import expiry
 from briarseam.peers import registrations
+from tests import clocks
 
 TOPIC = "keyed.members"
 NAMES = ("one", "two", "three")
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 class Store:
     """Remembers what was removed."""
 
@@ -34,7 +27,7 @@
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -13,6 +13,7 @@
 from briarseam.routes import model as routes
 from briarseam.weights import board as boards
 from briarseam.weights import goals
+from tests import clocks
 
 MODEL = "m"
 ENGINES = routes.Service(
@@ -21,17 +22,9 @@
 )
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 class Case:
     def __init__(self, engines=3):
-        self.clock = Clock()
+        self.clock = clocks.ManualClock()
         self.required = 0
         self.board = boards.Board(goals.GoalHistory(), self.clock)
         self.endpoints = [
--- a/tests/placement/test_kept.py
+++ b/tests/placement/test_kept.py
@@ -5,18 +5,11 @@
 from briarseam.forwarding import calls
 from briarseam.placement import kept
 from briarseam.routes import model
+from tests import clocks
 
 SALT = "m/1/"
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 def store(address, capacity=10_000):
     return model.StoreTraits(address, "a", capacity, 1000.0, 0.001, True)
 
@@ -27,7 +20,7 @@
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/placement/test_shared_watch.py
+++ b/tests/placement/test_shared_watch.py
@@ -12,22 +12,15 @@
 from briarseam.placement import store_sharing
 from briarseam.routes import model
 from briarseam.testing import waiting
+from tests import clocks
 
 SALT = "m/1/"
 STORES = ("s1", "s2")
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 def empty_index(clock):
--- a/tests/placement/test_store_watches.py
+++ b/tests/placement/test_store_watches.py
@@ -8,19 +8,12 @@
 from briarseam.placement import shared_watch
 from briarseam.placement import store_watch
 from briarseam.placement import store_watches
+from tests import clocks
 
 CELL = [f"instance-{number}" for number in range(12)]
 STORES = [f"10.0.0.{number}:80" for number in range(15)]
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 class Silent:
     """Neither stores nor peers answer."""
 
@@ -36,7 +29,7 @@
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/placement/test_sweeping.py
+++ b/tests/placement/test_sweeping.py
@@ -6,14 +6,7 @@
 from briarseam.placement import store_watch
 from briarseam.placement import sweeping
 from briarseam.routes import model
-
-
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
+from tests import clocks
 
 
 class Stores:
@@ -29,7 +22,7 @@
 
 class Case:
     def __init__(self):
-        self.clock = Clock()
+        self.clock = clocks.ManualClock()
         self.stores = Stores()
         self.oldest = 1
         self.members = ["me"]
--- a/tests/weights/test_goals.py
+++ b/tests/weights/test_goals.py
@@ -4,19 +4,12 @@
 
 from briarseam.weights import board as boards
 from briarseam.weights import goals
-
-
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
+from tests import clocks
 
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/weights/test_tenure.py
+++ b/tests/weights/test_tenure.py
@@ -4,20 +4,13 @@
 
 from briarseam.feeds import records
 from briarseam.weights import tenure as tenures
+from tests import clocks
 
 # Renewals are less than the time apart for which one is valid.
 STEP_S = 1.0
 HELD = frozenset({("topic", 0)})
 
 
-class Clock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 class Group:
     """A group's store, as one member sees it."""
 
@@ -36,7 +29,7 @@
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
