--- /dev/null
+++ b/tests/admission/test_trials.py
@@ -0,0 +1,200 @@
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from briarseam.admission import condemnation
+from briarseam.admission import condemnation_records as records
+from briarseam.admission import trials
+from tests.admission import crashes
+
+
+def test_suspects_are_never_tried_at_one_endpoint_together(tried, book):
+    """An innocent prompt is condemned with the one that it ran beside."""
+    book.merge(crashes.lost("engine-0"))
+    book.merge(crashes.lost("engine-0", case=crashes.OTHER))
+    first = tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
+    second = tried.ask(crashes.ask_trial(crashes.OTHER, "t2", "engine-1"))
+    third = tried.ask(
+        crashes.ask_trial(crashes.OTHER, "t3", "engine-1", "engine-2")
+    )
+    assert (first.word, first.endpoint) == ("granted", "engine-1")
+    assert second.word == "busy"
+    assert (third.word, third.endpoint) == ("granted", "engine-2")
+
+
+def test_suspect_is_tried_once_at_a_time(tried, book, fake_log):
+    """Two callers' resends of a suspect each take down an engine.
+
+    The trial is in the log before it begins, for those who come after.
+    """
+    book.merge(crashes.lost("engine-0"))
+    tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1", "engine-2"))
+    assert "t1" in [item.group for item in fake_log.noted]
+    assert fake_log.written == len(fake_log.noted)
+    again = tried.ask(
+        crashes.ask_trial(crashes.CASE, "t2", "engine-1", "engine-2")
+    )
+    assert again.word == "busy"
+
+
+def test_endpoint_is_free_for_another_trial_at_the_first_token(tried, book):
+    """Answers that an engine's death cut wait for each other for minutes.
+
+    The prompt itself is still tried once at a time.
+    """
+    book.merge(crashes.lost("engine-0"))
+    book.merge(crashes.lost("engine-0", case=crashes.OTHER))
+    tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
+    book.merge(condemnation.TrialPassed("t1", book.now_ms()))
+    assert (
+        tried.ask(crashes.ask_trial(crashes.OTHER, "t2", "engine-1")).word
+        == "granted"
+    )
+    assert (
+        tried.ask(crashes.ask_trial(crashes.CASE, "t3", "engine-2")).word
+        == "busy"
+    )
+
+
+def pass_first_trial(tried: trials.Trials, book: condemnation.Book) -> None:
+    """Let a suspect get past where it was cut, at ``engine-1``."""
+    book.merge(crashes.lost("engine-0"))
+    book.merge(crashes.lost("engine-0", case=crashes.OTHER))
+    tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
+    book.merge(condemnation.TrialPassed("t1", book.now_ms()))
+
+
+def test_trial_begins_where_no_suspect_runs(tried, book):
+    """An innocent prompt is condemned with the one it runs beside.
+
+    Its trial passed, so its endpoint takes another trial while it runs on;
+    the other prompt crashes that endpoint too.
+    """
+    pass_first_trial(tried, book)
+    answer = tried.ask(
+        crashes.ask_trial(crashes.OTHER, "t2", "engine-1", "engine-2")
+    )
+    assert answer.endpoint == "engine-2"
+
+
+@pytest.mark.parametrize("told_first", ["t1", "t2"])
+def test_passed_trial_is_not_condemned_with_the_one_beside_it(
+    tried, book, told_first
+):
+    """An innocent prompt loses its second endpoint to another's trial.
+
+    All other endpoints have trials, so both run at one.  In whichever
+    order the losses are told, only the prompt whose trial had not passed
+    is refused.
+    """
+    pass_first_trial(tried, book)
+    tried.ask(crashes.ask_trial(crashes.OTHER, "t2", "engine-1"))
+    losses = [
+        crashes.lost("engine-1", "t1"),
+        crashes.lost("engine-1", "t2", crashes.OTHER),
+    ]
+    losses.sort(key=lambda loss: loss.group != told_first)
+    for loss in losses:
+        book.merge(loss)
+        assert isinstance(
+            book.standing(crashes.CASE.fingerprint), condemnation.Suspect
+        )
+    assert isinstance(
+        book.standing(crashes.OTHER.fingerprint), condemnation.Condemned
+    )
+
+
+def test_trial_lost_alone_counts_though_it_had_passed(tried, book):
+    """A prompt that crashes endpoints late is never refused."""
+    pass_first_trial(tried, book)
+    book.merge(crashes.lost("engine-1", "t1"))
+    assert isinstance(
+        book.standing(crashes.CASE.fingerprint), condemnation.Condemned
+    )
+
+
+def test_trial_whose_answer_was_lost_is_granted_again(tried, book):
+    book.merge(crashes.lost("engine-0"))
+    ask = crashes.ask_trial(crashes.CASE, "t1", "engine-1")
+    assert tried.ask(ask) == tried.ask(ask)
+
+
+def test_trial_that_ended_unnoticed_counts(tried, book, endpoints):
+    """All agents are replaced as a trial takes down its engine."""
+    book.merge(crashes.lost("engine-0"))
+    tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
+    endpoints.dead.add("engine-1")
+    answer = tried.ask(crashes.ask_trial(crashes.CASE, "t2", "engine-2"))
+    assert answer.word == "condemned"
+
+
+def test_trial_that_is_not_in_the_log_does_not_begin(tried, book, fake_log):
+    """A third engine is crashes.lost as all agents are replaced.
+
+    The log answers late on a busy machine.  The trial takes down its
+    engine before it is written, and the agents that knew of it are gone.
+    """
+    book.merge(crashes.lost("engine-0"))
+    fake_log.late = True
+    assert (
+        tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1")).word
+        == "busy"
+    )
+    assert book.running_trials() == []
+
+
+def test_loss_is_in_the_log_before_the_trial(tried, book, fake_log):
+    """A third engine is crashes.lost as all agents are replaced.
+
+    The agent that saw the first loss told the keeper of trials, and is
+    gone before its own record was written.
+    """
+    book.merge(crashes.lost("engine-0", "first"))
+    tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
+    noted = [item.group for item in fake_log.noted[: fake_log.written]]
+    assert noted == ["first", "t1"]
+
+
+def test_keeper_learns_the_loss_from_who_asks(tried, book):
+    """The agent that kept the trials dies; the next one knows of nothing."""
+    item = crashes.lost("engine-0")
+    ask = dataclasses.replace(
+        crashes.ask_trial(crashes.CASE, "t1", "engine-1"),
+        items=records.encode_items([item]),
+    )
+    assert tried.ask(ask).word == "granted"
+    assert book.of_prompt(crashes.CASE.fingerprint) == [item]
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        pytest.param((crashes.CASE, "engine-2"), id="same prompt"),
+        pytest.param((crashes.OTHER, "engine-1"), id="same endpoint"),
+    ],
+)
+def test_second_keepers_later_trial_is_withdrawn(tried, book, fake_log, other):
+    """A suspect takes down two engines at once, or an innocent with it.
+
+    The keeper of trials was restarted; some agents ask it, some the one
+    that kept them in between.  Both grant a trial, the log tells whose
+    came first.
+    """
+    case, endpoint = other
+    rival = condemnation.Trial(
+        case.fingerprint, "north", "draft", endpoint, "rival", book.now_ms()
+    )
+
+    def read_back(trial, timeout_s: float) -> bool:
+        book.merge(rival)
+        book.note_order(rival, (1, 0))
+        book.note_order(trial, (2, 0))
+        return True
+
+    fake_log.wait_ordered = read_back
+    book.merge(crashes.lost("engine-0"))
+    answer = tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
+    assert answer.word == "busy"
+    assert [one.group for one in book.running_trials()] == ["rival"]
