--- a/tests/platform/metadata_store.py
+++ b/tests/platform/metadata_store.py
@@ -22,7 +22,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Switches(switches.Switches):
-    """Switches of the store: those that every stand-in has."""
+    """Switches of the store.
+
+    Attributes
+    ----------
+    late_writes
+        So many of the next appends get no answer, and are done later.
+    late_ms
+        How much later.
+    """
+
+    late_writes: switches.Count = 0
+    late_ms: switches.Count = 1500
 
 
 @dataclasses.dataclass
@@ -95,6 +106,16 @@
             (length,) = LENGTH.unpack_from(body)
             found.append(body[LENGTH.size : LENGTH.size + length])
             body = body[LENGTH.size + length :]
+        if self.take("late_writes"):
+            self.stopping.wait(self.switches.late_ms / 1000)
+            self.append_all(request, found)
+            raise http_messages.Dropped
+        return self.append_all(request, found)
+
+    def append_all(
+        self, request: http_messages.Request, found: list[bytes]
+    ) -> http_messages.Response:
+        """Append records if the condition of the call holds."""
         with self.lock:
             records = self.topics[request.query["topic"]]
             end = len(records)
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,169 @@
+"""Callers that send requests of all kinds and note what they got."""
+
+from __future__ import annotations
+
+import dataclasses
+import http.client
+import random
+import threading
+import time
+
+from tests.platform import system
+from tests.soak import serving
+
+DEADLINE_MS = 3000
+# A caller waits this much longer, to tell late answers from none.
+PATIENCE_S = 4.0
+PAUSE_S = (0.0, 0.08)
+PROMPT = {"Model": system.MODEL, "Token-Usage": "1000,50"}
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request.
+
+    Attributes
+    ----------
+    name, method, path
+        What is asked.
+    once
+        Whether it may run once at most.
+    stream
+        Whether its answer is a stream.
+    """
+
+    name: str
+    method: str
+    path: str
+    once: bool = False
+    stream: bool = False
+
+
+KINDS = (
+    Kind("submit", "POST", "/submit/x", once=True),
+    Kind("status", "GET", "/status/x"),
+    Kind("draft", "POST", "/draft/x", stream=True),
+    Kind("once", "POST", "/draft/once/x", once=True, stream=True),
+    Kind("toggled", "GET", "/toggled/x"),
+)
+
+
+@dataclasses.dataclass
+class Sent:
+    """One request and what became of it.
+
+    Attributes
+    ----------
+    id, kind, instance
+        The request and where it was sent.
+    sent_s, ended_s
+        When, monotonic seconds.
+    status
+        Status of the answer; 0 for none.
+    whole
+        Whether the answer's end was seen.
+    body, echo, signature
+        The answer, the id that it names and its signature.
+    detail
+        How it failed.
+    """
+
+    id: str
+    kind: Kind
+    instance: serving.Instance
+    sent_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    whole: bool = False
+    body: bytes = b""
+    echo: str = ""
+    signature: str = ""
+    detail: str = ""
+
+
+class Caller:
+    """One caller with a kept connection to each instance.
+
+    Parameters
+    ----------
+    number, seed
+        Tell its requests from those of others.
+    deployment
+        Where it sends to.
+    stopping
+        Ends it.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        seed: int,
+        deployment: serving.Deployment,
+        stopping: threading.Event,
+    ) -> None:
+        self.number = number
+        self.random = random.Random(seed * 1000 + number)
+        self.deployment = deployment
+        self.stopping = stopping
+        self.connections: dict[str, http.client.HTTPConnection] = {}
+        self.sent: list[Sent] = []
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def run(self) -> None:
+        """Send one request after the other until stopped."""
+        while not self.stopping.is_set():
+            kind = self.random.choice(KINDS)
+            instance = self.random.choice(self.deployment.instances)
+            self.send(kind, instance)
+            self.stopping.wait(self.random.uniform(*PAUSE_S))
+
+    def send(self, kind: Kind, instance: serving.Instance) -> Sent:
+        """Send a request and note what comes of it."""
+        sent = Sent(
+            f"c{self.number}-{len(self.sent)}",
+            kind,
+            instance,
+            time.monotonic(),
+        )
+        self.sent.append(sent)
+        address = instance.listen["callers"]
+        connection = self.connections.pop(address, None)
+        if connection is None:
+            host, _, port = address.rpartition(":")
+            connection = http.client.HTTPConnection(
+                host, int(port), timeout=DEADLINE_MS / 1000 + PATIENCE_S
+            )
+        try:
+            closing = self.exchange(connection, sent)
+        except (OSError, http.client.HTTPException) as error:
+            sent.detail = f"{type(error).__name__}: {error}"
+            closing = True
+        sent.ended_s = time.monotonic()
+        if closing:
+            connection.close()
+        else:
+            self.connections[address] = connection
+        return sent
+
+    def exchange(
+        self, connection: http.client.HTTPConnection, sent: Sent
+    ) -> bool:
+        """Send and read the answer; tell whether the connection ends."""
+        headers = {
+            "Host": system.HOST,
+            "Request-Id": sent.id,
+            "Authorization": f"Bearer {system.KEY}",
+            "Deadline-Ms": str(DEADLINE_MS),
+        }
+        if sent.kind.stream:
+            part = self.random.randrange(20)
+            headers |= PROMPT | {"Prefix-Hash": f"aa:600,b{part}:400"}
+        body = sent.id.encode() if sent.kind.method == "POST" else None
+        connection.request(sent.kind.method, sent.kind.path, body, headers)
+        response = connection.getresponse()
+        sent.status = response.status
+        sent.echo = response.headers.get("Request-Id", "")
+        sent.signature = response.headers.get("Response-Signature", "")
+        sent.body = response.read()
+        sent.whole = True
+        return response.will_close
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,308 @@
+"""Faults from outside the processes, drawn from a seed."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import signal
+import threading
+import time
+import typing
+
+from tests.soak import links
+from tests.soak import serving
+
+# A fault excuses what it strikes for so long after its end.
+STABLE_S = 3.0
+CUTS = (
+    links.State.SILENT,
+    links.State.ANSWERS_SILENT,
+    links.State.REFUSING,
+    links.State.SLOW,
+)
+SIGNALS = (signal.SIGKILL, signal.SIGTERM)
+# Switches of an endpoint and how many requests they strike.
+MISBEHAVIOUR = {
+    "reject": 5,
+    "fail": 3,
+    "reset": 3,
+    "unsigned": 3,
+    "foreign": 2,
+    "break_streams": 3,
+}
+STORE_SWITCHES: tuple[dict[str, typing.Any], ...] = (
+    {"outage": True},
+    {"delay_ms": 400},
+    {"lose_answers": 6},
+    {"late_writes": 2},
+)
+STORE_CALM = {
+    "outage": False,
+    "delay_ms": 0,
+    "lose_answers": 0,
+    "late_writes": 0,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreTrouble:
+    """The store is down, slow, loses answers or writes late."""
+
+    switches: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreCut:
+    """One instance's link to the store is cut in some way."""
+
+    instance: int
+    state: links.State
+    reset: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointCut:
+    """The link to one endpoint is cut in some way."""
+
+    endpoint: int
+    state: links.State
+    reset: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointReplaced:
+    """One endpoint is gone; another takes over its address."""
+
+    endpoint: int
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointLeaves:
+    """One endpoint says that it leaves, and is replaced later."""
+
+    endpoint: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Misbehaviour:
+    """One endpoint answers wrongly a few times."""
+
+    endpoint: int
+    switch: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Paused:
+    """One instance stands still."""
+
+    instance: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """One instance is killed or stopped, and started again."""
+
+    instance: int
+    by: signal.Signals
+
+
+@dataclasses.dataclass(frozen=True)
+class Reloaded:
+    """One instance reads its settings again, good or bad ones."""
+
+    instance: int
+    extra: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Reconfigured:
+    """The operators write a configuration with or without a route."""
+
+    toggled: bool
+
+
+Fault = (
+    StoreTrouble
+    | StoreCut
+    | EndpointCut
+    | EndpointReplaced
+    | EndpointLeaves
+    | Misbehaviour
+    | Paused
+    | Ended
+    | Reloaded
+    | Reconfigured
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Planned:
+    """A fault with its time, in seconds from the start."""
+
+    at_s: float
+    for_s: float
+    fault: Fault
+
+
+def draw(random_: random.Random, instances: int) -> Fault:
+    """Return a fault of any kind."""
+    instance = random_.randrange(instances)
+    endpoint = random_.randrange(len(serving.SERVICES))
+    state = random_.choice(CUTS)
+    reset = random_.random() < 0.5
+    extras = ("retry_ratio = 0.3\n", "retry_ratio = much\n", "")
+    made: list[Fault] = [
+        StoreTrouble(random_.choice(STORE_SWITCHES)),
+        StoreCut(instance, state, reset),
+        EndpointCut(endpoint, state, reset),
+        EndpointReplaced(endpoint),
+        EndpointLeaves(endpoint),
+        Misbehaviour(endpoint, random_.choice(sorted(MISBEHAVIOUR))),
+        Paused(instance),
+        Ended(instance, random_.choice(SIGNALS)),
+        Reloaded(instance, random_.choice(extras)),
+        Reconfigured(random_.random() < 0.5),
+    ]
+    return random_.choice(made)
+
+
+def plan(seed: int, seconds: float, instances: int) -> list[Planned]:
+    """Return the faults of a run, overlapping and in series."""
+    random_ = random.Random(seed)
+    found = []
+    at_s = 0.5
+    while at_s < seconds - 2.0:
+        for_s = random_.uniform(0.3, 3.0)
+        fault = draw(random_, instances)
+        found.append(Planned(at_s, for_s, fault))
+        at_s += random_.choice((0.05, random_.uniform(0.3, 1.5)))
+    return found
+
+
+class Injector:
+    """Lets the faults of a plan strike a deployment.
+
+    Parameters
+    ----------
+    deployment
+        What is struck.
+    planned
+        The faults, by time.
+    """
+
+    def __init__(
+        self, deployment: serving.Deployment, planned: list[Planned]
+    ) -> None:
+        self.deployment = deployment
+        self.planned = planned
+        # Two faults on one thing take turns.
+        self.locks: dict[object, threading.Lock] = {}
+
+    def run(self) -> None:
+        """Let all strike; return when the last has ended."""
+        began = time.monotonic()
+        threads = []
+        for one in self.planned:
+            time.sleep(max(0.0, began + one.at_s - time.monotonic()))
+            thread = threading.Thread(target=self.strike, args=(one,))
+            thread.start()
+            threads.append(thread)
+        for thread in threads:
+            thread.join()
+
+    def lock_of(self, thing: object) -> threading.Lock:
+        """Return the lock of what a fault strikes."""
+        return self.locks.setdefault(thing, threading.Lock())
+
+    def strike(self, one: Planned) -> None:
+        """Let one fault strike."""
+        match one.fault:
+            case StoreTrouble(switches):
+                with self.lock_of("store"):
+                    self.trouble_store(switches, one.for_s)
+            case StoreCut(number, state, reset):
+                instance = self.deployment.instances[number]
+                with self.lock_of(("store link", number)):
+                    self.excuse(instance, one.for_s)
+                    cut(instance.to_store, state, reset, one.for_s)
+                    self.excuse(instance)
+            case EndpointCut(number, state, reset):
+                with self.lock_of(("endpoint", number)):
+                    link = self.deployment.endpoints[number].link
+                    cut(link, state, reset, one.for_s)
+            case EndpointReplaced(number):
+                with self.lock_of(("endpoint", number)):
+                    endpoint = self.deployment.endpoints[number]
+                    self.deployment.replace(endpoint)
+            case EndpointLeaves(number):
+                with self.lock_of(("endpoint", number)):
+                    self.let_leave(self.deployment.endpoints[number])
+            case Misbehaviour(number, switch):
+                worker = self.deployment.endpoints[number].worker
+                worker.set(**{switch: MISBEHAVIOUR[switch]})
+            case Reconfigured(toggled):
+                self.deployment.configure(toggled)
+            case Paused(number) | Ended(number) | Reloaded(number):
+                instance = self.deployment.instances[number]
+                with self.lock_of(("instance", number)):
+                    self.excuse(instance, one.for_s)
+                    self.trouble_instance(one.fault, instance, one.for_s)
+                    self.excuse(instance)
+
+    def excuse(self, instance: serving.Instance, for_s: float = 0.0) -> None:
+        """Expect nothing in time from an instance for a while."""
+        until = time.monotonic() + for_s + STABLE_S
+        instance.troubled_until = max(instance.troubled_until, until)
+
+    def trouble_store(
+        self, switches: dict[str, typing.Any], for_s: float
+    ) -> None:
+        """Set switches of the store and take them back."""
+        store = self.deployment.store
+        until = time.monotonic() + for_s + STABLE_S
+        self.deployment.store_troubled_until = until
+        store.set(**switches)
+        time.sleep(for_s)
+        store.set(**STORE_CALM)
+        until = time.monotonic() + STABLE_S
+        self.deployment.store_troubled_until = until
+
+    def let_leave(self, endpoint: serving.Endpoint) -> None:
+        """Let an endpoint say that it leaves, serve on and be replaced."""
+        self.deployment.write_entry(endpoint, "draining")
+        endpoint.left[endpoint.worker.id] = time.monotonic()
+        time.sleep(STABLE_S)
+        self.deployment.replace(endpoint)
+
+    def trouble_instance(
+        self, fault: Fault, instance: serving.Instance, for_s: float
+    ) -> None:
+        """Pause, end or reload one instance."""
+        match fault:
+            case Paused():
+                instance.send(signal.SIGSTOP)
+                time.sleep(for_s)
+                instance.send(signal.SIGCONT)
+            case Ended(_number, by):
+                instance.end(by)
+                time.sleep(for_s / 3)
+                instance.start()
+            case Reloaded(_number, extra):
+                instance.write_settings(extra)
+                instance.send(signal.SIGHUP)
+                time.sleep(for_s)
+                instance.write_settings()
+                instance.send(signal.SIGHUP)
+
+
+def cut(
+    link: links.Link, state: links.State, reset: bool, for_s: float
+) -> None:
+    """Cut a link for a while."""
+    link.state = state
+    if reset:
+        link.reset()
+    time.sleep(for_s)
+    link.state = links.State.PASSING
+    if reset:
+        link.reset()
--- /dev/null
+++ b/tests/soak/links.py
@@ -0,0 +1,120 @@
+"""A TCP proxy on loopback whose link is slowed, cut, silenced or reset."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import socket
+import struct
+import threading
+import time
+
+CHUNK = 65536
+SLOW_S = 0.15
+POLL_S = 0.02
+# Makes the kernel reset a connection where it would end it properly.
+RESET = struct.pack("ii", 1, 0)
+
+
+class State(enum.Enum):
+    """What the link does with what is sent over it."""
+
+    PASSING = "passing"
+    SLOW = "slow"
+    SILENT = "silent"
+    ANSWERS_SILENT = "answers silent"
+    REFUSING = "refusing"
+
+
+class Link:
+    """Stands before one server.
+
+    Parameters
+    ----------
+    target
+        ``ip:port`` of the server; may be set later.
+    """
+
+    def __init__(self, target: str = "") -> None:
+        self.target = target
+        self.state = State.PASSING
+        self.sockets: set[socket.socket] = set()
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        host, port = self.listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        with self.lock:
+            found, self.sockets = self.sockets, set()
+        for sock in found:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+    def stop(self) -> None:
+        """Stop and reset everything."""
+        self.listener.close()
+        self.reset()
+
+    def accept(self) -> None:
+        """Accept until stopped."""
+        while True:
+            try:
+                client, _address = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self.begin, args=(client,), daemon=True
+            ).start()
+
+    def begin(self, client: socket.socket) -> None:
+        """Connect one caller to the server."""
+        host, _, port = self.target.rpartition(":")
+        try:
+            if self.state is State.REFUSING:
+                raise ConnectionRefusedError
+            server = socket.create_connection((host, int(port)), 2.0)
+        except OSError:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            client.close()
+            return
+        server.settimeout(None)
+        with self.lock:
+            self.sockets |= {client, server}
+        for source, sink, answers in (
+            (client, server, False),
+            (server, client, True),
+        ):
+            threading.Thread(
+                target=self.pass_on, args=(source, sink, answers), daemon=True
+            ).start()
+
+    def pass_on(
+        self, source: socket.socket, sink: socket.socket, answers: bool
+    ) -> None:
+        """Pass on what one side sends until it ends."""
+        with contextlib.suppress(OSError):
+            while data := source.recv(CHUNK):
+                self.hold(answers)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        if not answers:
+            return
+        with self.lock:
+            self.sockets -= {source, sink}
+        for sock in (source, sink):
+            sock.close()
+
+    def hold(self, answers: bool) -> None:
+        """Wait while the link holds up what is sent."""
+        silent = {State.SILENT}
+        if answers:
+            silent.add(State.ANSWERS_SILENT)
+        while self.state in silent:
+            time.sleep(POLL_S)
+        if self.state is State.SLOW:
+            time.sleep(SLOW_S)
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,120 @@
+"""What callers and endpoints saw, held against what is promised."""
+
+from __future__ import annotations
+
+import typing
+
+from tests.platform import worker as workers
+from tests.soak import callers
+from tests.soak import serving
+
+# Statuses that say that a request has not run and never will.
+NOT_RUN = (408, 421, 429, 503)
+OK = 200
+NOT_FOUND = 404
+# Longest time from an acknowledged change until it is in force.
+APPLY_S = 2.0
+DRAIN_S = 2.0
+# What an answer may take beyond the deadline, on a machine that runs
+# sixteen processes on few cores.
+LATE_S = 1.0
+
+
+def check(
+    deployment: serving.Deployment, sent: list[callers.Sent]
+) -> typing.Iterator[str]:
+    """Yield each broken promise, one sentence each."""
+    ran = deployment.ran()
+    known = {one.id for one in sent}
+    for request_id in ran.keys() - known:
+        yield f"{request_id} was run, and no caller sent it"
+    for one in sent:
+        yield from check_request(one, ran.get(one.id, []))
+    yield from check_leaving(deployment, {one.id: one for one in sent})
+
+
+def check_request(
+    one: callers.Sent, ran_at: list[str]
+) -> typing.Iterator[str]:
+    """Yield what is broken about one request."""
+    name = f"{one.id} ({one.kind.name} at {one.instance.name})"
+    if one.kind.once and len(ran_at) > 1:
+        yield f"{name} ran at {ran_at}"
+    if one.kind.once and one.status in NOT_RUN and ran_at:
+        yield f"{name} was told {one.status} and ran at {ran_at}"
+    if one.status == OK and one.whole:
+        yield from check_success(one, name, ran_at)
+    limit_s = callers.DEADLINE_MS / 1000 + LATE_S
+    calm = one.instance.troubled_until < one.sent_s
+    if calm and one.ended_s - one.sent_s > limit_s:
+        took_s = one.ended_s - one.sent_s
+        yield f"{name} took {took_s:.1f} s: {one.status} {one.detail}"
+
+
+def check_success(
+    one: callers.Sent, name: str, ran_at: list[str]
+) -> typing.Iterator[str]:
+    """Yield what is broken about an answer that looks good."""
+    if one.echo != one.id:
+        yield f"{name} got the answer to {one.echo!r}"
+    if one.signature != workers.SIGNATURE:
+        yield f"{name} got a success that no endpoint signed"
+    expected = {f"{worker} did it".encode() for worker in ran_at}
+    if one.kind.stream:
+        numbers = range(1, serving.EVENTS + 1)
+        whole = "".join(workers.EVENT.format(number) for number in numbers)
+        expected = {whole.encode()}
+    if one.body not in expected:
+        yield f"{name} got {one.body!r}, and not {expected}"
+
+
+def check_leaving(
+    deployment: serving.Deployment, sent: dict[str, callers.Sent]
+) -> typing.Iterator[str]:
+    """Yield requests sent on to endpoints that had left long before."""
+    for endpoint in deployment.endpoints:
+        for worker in deployment.past:
+            left_s = endpoint.left.get(worker.id)
+            if left_s is None:
+                continue
+            for request_id in worker.ran:
+                one = sent.get(request_id)
+                if one is None or one.sent_s < left_s + DRAIN_S:
+                    continue
+                if is_calm(deployment, one, left_s):
+                    yield (
+                        f"{request_id} reached {worker.id} "
+                        f"{one.sent_s - left_s:.1f} s after it left"
+                    )
+
+
+def is_calm(
+    deployment: serving.Deployment, one: callers.Sent, since_s: float
+) -> bool:
+    """Tell whether nothing excuses an instance since a moment.
+
+    The latest fault alone is known, so earlier requests may be excused too
+    often, never too seldom.
+    """
+    latest = max(one.instance.troubled_until, deployment.store_troubled_until)
+    return latest < since_s
+
+
+def check_configuration(
+    deployment: serving.Deployment, one: callers.Sent
+) -> typing.Iterator[str]:
+    """Yield how a request on the changing route was handled wrongly.
+
+    Call it right after the answer: what excuses an instance is known then.
+    """
+    changes = list(deployment.configured)
+    last_s, toggled = changes[-1]
+    in_force = one.sent_s > last_s + APPLY_S
+    if not in_force or not is_calm(deployment, one, one.sent_s):
+        return
+    if toggled == (one.status == NOT_FOUND):
+        yield (
+            f"{one.id} at {one.instance.name} was told {one.status} "
+            f"{one.sent_s - last_s:.1f} s after the route "
+            f"{'came' if toggled else 'went'}"
+        )
--- /dev/null
+++ b/tests/soak/serving.py
@@ -0,0 +1,261 @@
+"""A deployment of real processes before stand-ins of the platform."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import itertools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+from tests.platform import metadata_store
+from tests.platform import system
+from tests.platform import worker as workers
+from tests.soak import links
+
+from briarseam.testing import ports
+
+SOURCE = pathlib.Path(__file__).parents[2] / "src"
+SERVICES = ("engines", "engines", "engines", "portal", "portal")
+EVENTS = 6
+# Removed and added by turns; requests on it show what is in force.
+TOGGLED = {
+    "name": "toggled",
+    "host": system.HOST,
+    "pathPrefix": "/toggled/",
+    "kind": "safe",
+    "timeoutMs": 3000,
+    "service": "portal",
+    "maxAttempts": 2,
+}
+
+
+@dataclasses.dataclass
+class Instance:
+    """One process of ``briarseam serve``.
+
+    Attributes
+    ----------
+    name
+        Its name.
+    folder
+        Settings and output.
+    to_store
+        Its link to the store.
+    listen
+        Its addresses by what they are for.
+    process
+        The process; ``None`` while it is down on purpose.
+    troubled_until
+        Until when a fault on it excuses it, monotonic seconds.
+    """
+
+    name: str
+    folder: pathlib.Path
+    to_store: links.Link
+    listen: dict[str, str]
+    process: subprocess.Popen[bytes] | None = None
+    troubled_until: float = 0.0
+
+    def write_settings(self, extra: str = "") -> None:
+        """Write its settings."""
+        listen = "\n".join(f"{key} = {at}" for key, at in self.listen.items())
+        self.settings.write_text(
+            f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
+            f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
+            f"[bounds]\nshutdown_s = 4\n{extra}"
+        )
+
+    @property
+    def settings(self) -> pathlib.Path:
+        """Path of its settings."""
+        return self.folder / f"{self.name}.ini"
+
+    @property
+    def output(self) -> pathlib.Path:
+        """Path of its log lines."""
+        return self.folder / f"{self.name}.log"
+
+    def start(self) -> None:
+        """Start it."""
+        with self.output.open("ab") as output:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "briarseam",
+                    "serve",
+                    f"--settings={self.settings}",
+                ],
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PYTHONPATH": str(SOURCE)},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send it a signal, if it runs."""
+        if self.process is not None:
+            self.process.send_signal(number)
+
+    def end(self, number: signal.Signals) -> None:
+        """End it by a signal and wait for that."""
+        process, self.process = self.process, None
+        if process is not None:
+            process.send_signal(number)
+            process.send_signal(signal.SIGCONT)
+            process.wait()
+
+    def ended_by_itself(self) -> bool:
+        """Tell whether it is gone though nobody ended it."""
+        return self.process is not None and self.process.poll() is not None
+
+
+@dataclasses.dataclass
+class Endpoint:
+    """One address that endpoints run behind, one after the other.
+
+    Attributes
+    ----------
+    service
+        Their service.
+    link
+        Where instances reach them.
+    worker
+        The present one.
+    left
+        Names of those that left, and when that was acknowledged.
+    """
+
+    service: str
+    link: links.Link
+    worker: workers.Worker
+    left: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+class Deployment:
+    """Instances, endpoints and the store.
+
+    Parameters
+    ----------
+    folder
+        Settings and output go there.
+    instances
+        How many.
+    """
+
+    def __init__(self, folder: pathlib.Path, instances: int) -> None:
+        self.names = itertools.count()
+        self.version = 0
+        self.toggled = True
+        self.stack = contextlib.ExitStack()
+        self.lock = threading.Lock()
+        self.past: list[workers.Worker] = []
+        self.configured: list[tuple[float, bool]] = []
+        self.store = self.stack.enter_context(metadata_store.MetadataStore())
+        self.store_troubled_until = 0.0
+        self.endpoints = [self.new_endpoint(name) for name in SERVICES]
+        self.instances = [
+            self.new_instance(f"instance-{number}", folder)
+            for number in range(instances)
+        ]
+
+    def new_instance(self, name: str, folder: pathlib.Path) -> Instance:
+        """Return an instance, not started."""
+        link = links.Link(self.store.address)
+        self.stack.callback(link.stop)
+        kinds = ("callers", "readiness", "lookups", "peers", "metrics")
+        listen = {
+            kind: f"127.0.0.1:{port}"
+            for kind, port in zip(kinds, ports.free_ports(5), strict=True)
+        }
+        made = Instance(name, folder, link, listen)
+        made.write_settings()
+        self.stack.callback(made.end, signal.SIGKILL)
+        return made
+
+    def new_worker(self) -> workers.Worker:
+        """Return a started endpoint."""
+        worker = workers.Worker(f"worker-{next(self.names)}")
+        worker.set(events=EVENTS)
+        self.stack.enter_context(worker)
+        self.past.append(worker)
+        return worker
+
+    def new_endpoint(self, service: str) -> Endpoint:
+        """Return an address with an endpoint behind it."""
+        worker = self.new_worker()
+        made = Endpoint(service, links.Link(worker.address), worker)
+        self.stack.callback(made.link.stop)
+        self.write_entry(made)
+        return made
+
+    def write_entry(self, endpoint: Endpoint, state: str = "ready") -> None:
+        """Write the entry of the present endpoint at an address."""
+        entry = {
+            "service": endpoint.service,
+            "address": endpoint.link.address,
+            "zone": "hall-a",
+            "slots": 8,
+            "state": state,
+        }
+        self.store.write("keyed.servers", endpoint.worker.id, entry)
+
+    def replace(self, endpoint: Endpoint) -> None:
+        """Let another endpoint take over an address."""
+        self.store.write("keyed.servers", endpoint.worker.id, None)
+        worker = self.new_worker()
+        endpoint.worker.stop()
+        endpoint.worker = worker
+        endpoint.link.target = worker.address
+        endpoint.link.reset()
+        self.write_entry(endpoint)
+
+    def configure(self, toggled: bool) -> None:
+        """Write the next configuration."""
+        with self.lock:
+            self.version += 1
+            routes = [*system.ROUTES, *([TOGGLED] if toggled else [])]
+            document = system.configuration(self.version, routes=routes)
+            self.store.write("keyed.op", "config", document)
+            self.toggled = toggled
+            self.configured.append((time.monotonic(), toggled))
+
+    def ran(self) -> dict[str, list[str]]:
+        """Return the endpoints that ran each request, by its id."""
+        found: dict[str, list[str]] = {}
+        for worker in list(self.past):
+            for request_id in list(worker.ran):
+                found.setdefault(request_id, []).append(worker.id)
+        return found
+
+    def errors(self) -> list[str]:
+        """Return what instances logged as errors, or did not log at all."""
+        return [
+            f"{instance.name}: {line}"
+            for instance in self.instances
+            for line in instance.output.read_text().splitlines()
+            if is_error(line)
+        ]
+
+    def start(self) -> None:
+        """Start all instances."""
+        self.configure(True)
+        for instance in self.instances:
+            instance.start()
+
+    def close(self) -> None:
+        """End everything that was started here."""
+        self.stack.close()
+
+
+def is_error(line: str) -> bool:
+    """Tell whether a line is an error's, or no line of the log."""
+    if not line.startswith("{"):
+        return True
+    return bool(json.loads(line).get("level") == "error")
--- /dev/null
+++ b/tests/soak/test_serve_soak.py
@@ -0,0 +1,21 @@
+from __future__ import annotations
+
+import pytest
+
+from tests.soak import faults
+from tests.soak import serve_soak
+
+SECONDS = 8.0
+
+
+@pytest.mark.timeout(120)
+def test_short_run_breaks_no_promise(tmp_path):
+    report = serve_soak.run(1, SECONDS, 3, tmp_path)
+    assert report.broken == []
+    assert report.requests > 100
+
+
+def test_plan_is_the_same_for_a_seed():
+    """A seed that failed is run again to see what changed."""
+    assert faults.plan(7, 20.0, 4) == faults.plan(7, 20.0, 4)
+    assert faults.plan(7, 20.0, 4) != faults.plan(8, 20.0, 4)
