--- a/src/briarseam/compose/reloading.py
+++ b/src/briarseam/compose/reloading.py
@@ -41,7 +41,9 @@
     ) -> None:
         self.settings = settings
         self.apply = apply
-        self.text = read_text(settings.path)
+        # Read at the first review, whatever it says: it may have changed
+        # since the settings were read.
+        self.text = ""
         self.asked = threading.Event()
         self.stopping = threading.Event()
         self.thread = threading.Thread(
@@ -69,18 +71,19 @@
             text = read_text(self.settings.path)
             if asked or text != self.text:
                 self.text = text
-                self.reload()
+                self.reload(asked)
 
-    def reload(self) -> None:
-        """Read the file and put it in force if it is good."""
+    def reload(self, asked: bool) -> None:
+        """Read the file; put it in force if it is good and asked or new."""
         try:
             found = serving.load(self.settings.path)
         except errors.SettingsError as error:
             log.error("settings_not_reloaded", detail=str(error))
             return
         changed = changed_keys(self.settings, found)
-        self.settings = found
-        self.apply(found)
+        if asked or found != self.settings:
+            self.settings = found
+            self.apply(found)
         log.info("settings_reloaded", changed=changed)
 
 
--- a/tests/compose/test_reloading.py
+++ b/tests/compose/test_reloading.py
@@ -46,6 +46,20 @@
     made.reloading.stop()
 
 
+def test_change_during_the_start_is_in_force(tmp_path):
+    """Settings change between their reading and the start of the watch.
+
+    The file looks as it did at the start of the watch for ever after.
+    """
+    case = Case(tmp_path / "settings.ini")
+    case.write(0.7)
+    late = reloading.Reloading(case.reloading.settings, case.applied.append)
+    late.start()
+    waiting.until(lambda: case.applied)
+    late.stop()
+    assert case.applied[0].bounds.retry_ratio == 0.7
+
+
 def test_changed_file_is_in_force_without_a_signal(case):
     case.write(0.5)
     waiting.until(lambda: case.applied)
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import pytest
-
 from tests.soak import faults
 from tests.soak import serve_soak
 
@@ -15,6 +14,16 @@
     assert report.requests > 100
 
 
+@pytest.mark.timeout(120)
+def test_signal_to_reload_during_the_start_ends_no_process(tmp_path):
+    """An instance is started again, and its settings change as it starts.
+
+    SIGHUP came before its handler stood, and ended it; seed 200.
+    """
+    report = serve_soak.run(200, 7.0, 4, tmp_path)
+    assert report.broken == []
+
+
 def test_plan_is_the_same_for_a_seed():
     """A seed that failed is run again to see what changed."""
     assert faults.plan(7, 20.0, 4) == faults.plan(7, 20.0, 4)
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import os
+import signal
+
 import pytest
 
 from briarseam import command
@@ -62,3 +65,23 @@
     process = start_python("-c", code)
     assert process.communicate()[1] == b""
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize("daemon", ["serve", "agent", "entry"])
+def test_signal_to_reload_before_the_settings_are_read_ends_no_daemon(
+    start_python, tmp_path, daemon
+):
+    """A process is started again, and its settings change as it starts.
+
+    SIGHUP comes before its handler stands.  The settings are a pipe here,
+    so that the process waits in reading them.
+    """
+    settings = tmp_path / "settings.ini"
+    os.mkfifo(settings)
+    process = start_python(
+        "-m", "briarseam", daemon, "--settings", str(settings)
+    )
+    with settings.open("w") as writing:
+        process.send_signal(signal.SIGHUP)
+        writing.write("no settings")
+    assert process.wait() == 2
