Topics of the store are read by one instance of a cell at large sites

Cause: calls to the store are counted.

Change: from 17 instances on, the strongest of a cell reads the topics with short polls, and the others ask it by the store's own offsets (feeds/sharing). An answer that the store has not confirmed for 1.4 s, an outage that the reader sees, records it no longer has, a silent reader and large records all send the asker to the store itself. Nine instances stand for giving orders, not all. What parts ask about all instances stands in compose/node_instances, out of compose/node.

Ruled out: longer polls alone (at most a half less, and a silent store would show later); topics with the heartbeats, which repeat what they carry.

Below 17 instances nothing changes.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -9,10 +9,12 @@
 
 from briarseam import clocks
 from briarseam.compose import node_feeds
+from briarseam.compose import node_instances
 from briarseam.compose import node_peers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.compose import small_answers
+from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
 from briarseam.forwarding import crash_guard
@@ -27,8 +29,6 @@
 from briarseam.lookup import zonal
 from briarseam.membership import drain
 from briarseam.membership import sections
-from briarseam.membership import service as membership
-from briarseam.membership import state as members
 from briarseam.metrics import registry as metrics
 from briarseam.peers import expiry
 from briarseam.placement import chooser as choosers
@@ -71,28 +71,44 @@
         self.metrics = metrics.Registry()
         self.store = stores.StoreClient(str(settings.store.address))
         self.pool = connections.Pool()
+        self.instances = node_instances.Instances(settings.instance.name)
+        self.topic_reads = feeds_sharing.SharedReads(
+            self.store,
+            node_feeds.TOPICS,
+            node_peers.TopicReaders(
+                self.instances.membership, self.instances.weight_of
+            ),
+            settings.instance.name,
+        )
         self.feeds = node_feeds.build(
             settings,
             self.store,
+            self.topic_reads,
             self.configuration_changed,
             self.endpoints_gone,
         )
-        self.weights = node_weights.Weights(settings, self.store, self.feeds)
+        self.instances.rows = self.feeds.registrations
+        self.weights = node_weights.Weights(
+            settings,
+            self.store,
+            self.feeds,
+            self.instances.stands_for_duty,
+        )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
             self.weights.required,
             self.weights.board,
             self.feeds.registry.age_s,
-            self.known_share,
+            self.instances.known_share,
         )
         cache_stores = cache.CacheStoreClient()
         self.store_watches = store_watches.StoreWatches(
             cache_stores,
-            node_peers.StoreReaders(lambda: self.members),
+            node_peers.StoreReaders(self.instances.membership),
             self.chooser.kept,
             settings.instance.name,
-            self.cell_names,
-            self.feeds.registrations.weight_of,
+            self.instances.cell,
+            self.instances.weight_of,
         )
         self.store_sharing = store_sharing.StoreSharing(
             self.chooser.kept, self.store_watches.reads
@@ -102,19 +118,20 @@
             self.chooser.kept,
             self.weights.oldest,
             settings.instance.name,
-            lambda: [member.name for member in self.all_members()],
+            self.instances.all_names,
         )
         self.guard = crash_guard.CrashGuard()
         self.loss_sharing = loss_sharing.LossSharing(
-            self.guard, node_peers.OtherCells(lambda: self.members)
+            self.guard, node_peers.OtherCells(self.instances.membership)
         )
         self.guard.on_lost = self.loss_sharing.add
         self.supervisor = supervision.Supervisor()
-        self.members: membership.Membership | None = None
         self.forwarding = forwarding.Forwarding(self.build_forwarding())
         self.servers = self.build_servers()
         self.reloading = reloading.Reloading(settings, self.apply_settings)
-        self.expiry = expiry.Expiry(self.feeds.registrations, self.heard)
+        self.expiry = expiry.Expiry(
+            self.feeds.registrations, self.instances.heard
+        )
         self.register_metrics()
 
     def build_forwarding(self) -> works.Parts:
@@ -133,7 +150,7 @@
                 bounds.retry_ratio,
                 bounds.retry_slack,
                 bounds.retry_window_s,
-                self.sharers,
+                self.instances.sharers,
             ),
             shutdown=self.shutdown,
             metrics=works.Metrics(
@@ -163,9 +180,9 @@
         small = small_answers.SmallAnswers(
             self.is_ready,
             zonal.ZonalLookup(
-                self.all_members,
+                self.instances.all,
                 self.feeds.registrations.zone_of,
-                self.feeds.registrations.weight_of,
+                self.instances.weight_of,
             ),
             str(listen.callers),
             lambda: self.settings.bounds.lookup_ttl_max_s,
@@ -211,6 +228,16 @@
             "Calls to the platform's store since start",
             lambda: self.store.calls,
         )
+        self.metrics.reading(
+            "topic_reads_direct",
+            "Reads of topics from the store itself since start",
+            lambda: self.topic_reads.direct,
+        )
+        self.metrics.reading(
+            "topic_reads_shared",
+            "Reads of topics through the cell's reader since start",
+            lambda: self.topic_reads.shared,
+        )
         self.metrics.reading(
             "configuration_version",
             "Version of the configuration in force; 0 before the first",
@@ -260,13 +287,14 @@
                 "lost-requests", self.guard.provide, self.guard.consume
             ),
         )
-        self.members = node_peers.join(
+        self.instances.service = node_peers.join(
             self.settings,
             self.store,
             self.feeds.registrations,
             told,
             self.store_sharing,
             self.loss_sharing,
+            self.topic_reads,
             self.stopping,
         )
         log.info("peers_met", address=str(self.settings.listen.peers))
@@ -278,9 +306,7 @@
             self.chooser.kept.forget_old()
             self.guard.forget_old()
             self.feeds.registry.forget_lapsed()
-            self.chooser.loads.keep_only(
-                frozenset(member.name for member in self.all_members())
-            )
+            self.chooser.loads.keep_only(frozenset(self.instances.all_names()))
 
     def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
         """Leave the lookups and serve what is under way."""
@@ -288,7 +314,7 @@
         bound_s = self.serving_bound_s()
         return drain.Drain(
             announce=self.announce_leaving,
-            told=lambda: self.members is None or self.members.told(),
+            told=self.instances.told,
             in_flight=lambda: self.forwarding.in_flight,
             linger_s=lambda: min(LINGER_S, bound_s / 2),
             bound_s=bound_s,
@@ -301,8 +327,8 @@
 
     def announce_leaving(self) -> None:
         """Tell peers and store that this instance will be gone soon."""
-        if self.members is not None:
-            self.members.announce_leaving()
+        if self.instances.service is not None:
+            self.instances.service.announce_leaving()
         # The store may be away; what serves must not wait for it.
         threading.Thread(
             target=self.sign_off, name="sign-off", daemon=True
@@ -331,8 +357,9 @@
             self.sign_off()
         self.stop_servers(wait_s)
         self.feeds.stop()
-        if self.members is not None:
-            self.members.stop()
+        self.topic_reads.stop()
+        if self.instances.service is not None:
+            self.instances.service.stop()
         self.supervisor.stop()
 
     def stop_servers(self, wait_s: float) -> None:
@@ -360,41 +387,6 @@
 
     # What the parts ask of each other.
 
-    def all_members(self) -> typing.Sequence[members.Member]:
-        """Return all known instances, this one included."""
-        service = self.members
-        return () if service is None else service.everyone()
-
-    def cell_names(self) -> list[str]:
-        """Return the instances of this cell that stay, this one included."""
-        service = self.members
-        if service is None:
-            return []
-        return [member.name for member in service.live()]
-
-    def sharers(self) -> int:
-        """Return how many instances share the budget for retries.
-
-        Registrations are known before peers are met; taken for alone, an
-        instance that has just started would use the whole slack.
-        """
-        registered = len(self.feeds.registrations.rows)
-        return max(registered, len(self.all_members()))
-
-    def heard(self) -> list[str]:
-        """Return who is heard, by any cell; empty with no fresh view."""
-        service = self.members
-        if service is None or not service.fresh():
-            return []
-        return [member.name for member in service.everyone()]
-
-    def known_share(self) -> float:
-        """Return the share of all instances whose work is told here."""
-        service = self.members
-        if service is None:
-            return 1.0
-        return len(service.members()) / max(len(service.everyone()), 1)
-
     def configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -15,6 +15,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
+    from briarseam.feeds import sharing
     from briarseam.platform import store as stores
     from briarseam.routes import model as routes
     from briarseam.settings import serving
@@ -31,6 +32,11 @@
 ENDPOINT_PAUSE_PART = 0.3
 REGISTRATION_POLL_S = 10.0
 MS = 1000.0
+TOPICS = (
+    names.OPERATOR_TOPIC,
+    names.ENDPOINTS_TOPIC,
+    names.MEMBERS_TOPIC,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +95,7 @@
 def build(
     settings: serving.ServeSettings,
     store: stores.StoreClient,
+    reads: sharing.SharedReads,
     on_configuration: typing.Callable[[routes.Configuration], None],
     on_gone: typing.Callable[[frozenset[str]], None],
 ) -> Feeds:
@@ -100,6 +107,8 @@
         The settings of this process.
     store
         The platform's store.
+    reads
+        Reads topics from it, or through another instance.
     on_configuration
         Called with each new configuration, before it is in force.
     on_gone
@@ -121,16 +130,16 @@
         ),
     )
     followers = (
-        following.Follower(store, names.OPERATOR_TOPIC, feed, OPERATOR_POLL_S),
+        following.Follower(reads, names.OPERATOR_TOPIC, feed, OPERATOR_POLL_S),
         following.Follower(
-            store,
+            reads,
             names.ENDPOINTS_TOPIC,
             registry,
             ENDPOINT_POLL_S,
             ENDPOINT_PAUSE_PART * settings.bounds.endpoint_drain_ms / MS,
         ),
         following.Follower(
-            store, names.MEMBERS_TOPIC, rows, REGISTRATION_POLL_S
+            reads, names.MEMBERS_TOPIC, rows, REGISTRATION_POLL_S
         ),
     )
     return Feeds(feed, registry, rows, followers)
--- /dev/null
+++ b/src/briarseam/compose/node_instances.py
@@ -0,0 +1,100 @@
+"""What the parts of the one process ask about all instances."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.lookup import rank
+from briarseam.membership import state as members
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from briarseam.membership import service as membership
+    from briarseam.peers import registrations
+
+# Instances that stand for giving orders: more than may be lost at once
+# without anybody noticing, and few enough that their calls hardly count.
+DUTY_CANDIDATES = 9
+DUTY_KEY = "orders"
+
+
+class Instances:
+    """All instances, by membership and their registrations.
+
+    Parameters
+    ----------
+    me
+        Name of this instance.
+
+    Attributes
+    ----------
+    rows
+        Their registrations; ``None`` before these are followed.
+    service
+        Membership; ``None`` before peers are met.
+    """
+
+    def __init__(self, me: str) -> None:
+        self.me = me
+        self.rows: registrations.Registrations | None = None
+        self.service: membership.Membership | None = None
+
+    def membership(self) -> membership.Membership | None:
+        """Return membership; ``None`` before peers are met."""
+        return self.service
+
+    def all(self) -> collections.abc.Sequence[members.Member]:
+        """Return all known instances, this one included."""
+        return () if self.service is None else self.service.everyone()
+
+    def all_names(self) -> list[str]:
+        """Return the names of all known instances."""
+        return [member.name for member in self.all()]
+
+    def cell(self) -> list[str]:
+        """Return the instances of this cell that stay, this one included."""
+        if self.service is None:
+            return []
+        return [member.name for member in self.service.live()]
+
+    def weight_of(self, name: str) -> float:
+        """Return the work an instance can take, relative to others."""
+        return 1.0 if self.rows is None else self.rows.weight_of(name)
+
+    def known_share(self) -> float:
+        """Return the share of all instances whose work is told here."""
+        if self.service is None:
+            return 1.0
+        return len(self.service.members()) / max(len(self.all()), 1)
+
+    def sharers(self) -> int:
+        """Return how many instances share the budget for retries.
+
+        Registrations are known before peers are met; taken for alone, an
+        instance that has just started would use the whole slack.
+        """
+        registered = 0 if self.rows is None else len(self.rows.rows)
+        return max(registered, len(self.all()))
+
+    def heard(self) -> list[str]:
+        """Return who is heard, by any cell; empty with no fresh view."""
+        if self.service is None or not self.service.fresh():
+            return []
+        return self.all_names()
+
+    def told(self) -> bool:
+        """Tell whether all peers know what this instance says of itself."""
+        return self.service is None or self.service.told()
+
+    def stands_for_duty(self) -> bool:
+        """Tell whether this instance should take part in giving orders."""
+        names = [
+            member.name
+            for member in self.all()
+            if member.state is members.MemberState.ALIVE
+        ]
+        if len(names) <= DUTY_CANDIDATES:
+            return True
+        ranked = rank.ranked(DUTY_KEY, names, str, self.weight_of)
+        return self.me in ranked[:DUTY_CANDIDATES]
--- a/src/briarseam/compose/node_peers.py
+++ b/src/briarseam/compose/node_peers.py
@@ -4,7 +4,10 @@
 
 import typing
 
+from briarseam.feeds import shared_messages
+from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import loss_sharing
+from briarseam.lookup import rank
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.peers import registrations
@@ -32,6 +35,7 @@
 LISTING_INTERVAL_S = 0.5
 # Bound on telling another cell of a loss; an answer takes some ms.
 TELL_S = 1.0
+TOPIC_READER_KEY = "topic-reader"
 
 
 class StoreReaders:
@@ -70,6 +74,64 @@
         return reply
 
 
+class TopicReaders:
+    """Who reads topics of the store for this cell, and calls to it.
+
+    Parameters
+    ----------
+    members
+        Returns membership; ``None`` before peers are met.
+    weight_of
+        Returns the work an instance can take, relative to others.
+    """
+
+    def __init__(
+        self,
+        members: typing.Callable[[], membership.Membership | None],
+        weight_of: typing.Callable[[str], float],
+    ) -> None:
+        self.members = members
+        self.weight_of = weight_of
+
+    def count(self) -> int:
+        """Return the number of all instances."""
+        service = self.members()
+        return 0 if service is None else len(service.everyone())
+
+    def reader(self) -> str:
+        """Return the name of the cell's reader; empty while not known."""
+        service = self.members()
+        if service is None:
+            return ""
+        names = [member.name for member in service.live()]
+        found = rank.ranked(TOPIC_READER_KEY, names, str, self.weight_of)
+        return found[0] if found else ""
+
+    def ask(
+        self,
+        reader: str,
+        asked: shared_messages.RecordsAsked,
+        timeout_s: float,
+    ) -> shared_messages.RecordsTold:
+        """Ask the reader.
+
+        Raises
+        ------
+        ReaderUnavailableError
+            When it does not answer.
+        """
+        service = self.members()
+        if service is None:
+            raise feeds_sharing.ReaderUnavailableError("no peer is met yet")
+        try:
+            reply = service.client(reader).call(asked, timeout_s)
+        except wire_connection.WireError as error:
+            raise feeds_sharing.ReaderUnavailableError(str(error)) from error
+        if not isinstance(reply, shared_messages.RecordsTold):
+            raise feeds_sharing.ReaderUnavailableError(f"answered {reply}")
+        return reply
+
+
 class OtherCells:
     """One instance of each cell whose heartbeats are not heard here.
 
@@ -126,6 +188,7 @@
     told: collections.abc.Sequence[sections.Section],
     stores_told: store_sharing.StoreSharing,
     losses: loss_sharing.LossSharing,
+    reads: feeds_sharing.SharedReads,
     stopping: threading.Event,
 ) -> membership.Membership | None:
     """Join the other instances, once the store tells the secret.
@@ -144,6 +207,8 @@
         Answers about the stores that this instance reads.
     losses
         Takes in what other cells lost.
+    reads
+        Answers about the topics that this instance reads for its cell.
     stopping
         Ends the attempts; ``None`` is returned then.
     """
@@ -175,6 +240,9 @@
         lambda peer, asked: stores_told.answer(asked),
     )
     router.on(loss_sharing.RequestsLost, lambda peer, told: losses.take(told))
+    router.on(
+        shared_messages.RecordsAsked, lambda peer, asked: reads.answer(asked)
+    )
     wire.Server(
         str(settings.listen.peers),
         wire_connection.Identity("agent", settings.instance.name),
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -38,6 +38,8 @@
         The platform's store.
     feeds
         What is followed on it.
+    stands
+        Tells whether this instance should take part in giving orders.
 
     Attributes
     ----------
@@ -50,6 +52,7 @@
         settings: serving.ServeSettings,
         store: stores.StoreClient,
         feeds: node_feeds.Feeds,
+        stands: typing.Callable[[], bool],
     ) -> None:
         self.settings = settings
         self.feeds = feeds
@@ -62,6 +65,7 @@
             names.ORDERS_TOPIC,
             f"{settings.instance.name}/{start}",
             settings.bounds.lease_ms / MS + LEASE_SLACK_S,
+            stands,
         )
         self.rollout = rollouts.Rollout(
             rollouts.Sources(
--- /dev/null
+++ b/src/briarseam/feeds/shared_messages.py
@@ -0,0 +1,51 @@
+"""Messages between instances about records of shared topics."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from briarseam.wire import codec
+
+
+@codec.message("records-asked")
+@dataclasses.dataclass(frozen=True)
+class RecordsAsked:
+    """Ask the cell's reader for records.
+
+    Attributes
+    ----------
+    topic
+        A shared topic.
+    start
+        First offset wanted.
+    wait_s
+        How long to wait for it, in seconds.
+    """
+
+    topic: str
+    start: int
+    wait_s: float
+
+
+@codec.message("records-told")
+@dataclasses.dataclass(frozen=True)
+class RecordsTold:
+    """The reader's answer.
+
+    Attributes
+    ----------
+    known
+        Whether the reader knows all records from the offset on, and that
+        there are no others.
+    records
+        Key and value of each; no value when the key was dropped.
+    next
+        Offset to read from next.
+    """
+
+    known: bool
+    records: tuple[tuple[str, bytes | None], ...]
+    next: int
+
+
+UNKNOWN = RecordsTold(False, (), 0)
--- a/src/briarseam/weights/tenure.py
+++ b/src/briarseam/weights/tenure.py
@@ -74,6 +74,9 @@
         This start of this instance.
     wait_s
         What a new holder waits before its first order, in seconds.
+    stands
+        Tells whether this instance should take part; a few of a large
+        deployment are enough, and each call is counted.
     clock
         Seconds; goes on while the instance is suspended.
     """
@@ -85,6 +88,7 @@
         topic: str,
         member: str,
         wait_s: float,
+        stands: typing.Callable[[], bool] = lambda: True,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.store = store
@@ -92,6 +96,7 @@
         self.topic = topic
         self.member = member
         self.wait_s = wait_s
+        self.stands = stands
         self.clock = clock
         self.generation = 0
         self.held: Held | None = None
@@ -137,11 +142,21 @@
         """Take part until stopped."""
         while not self.stopping.is_set():
             try:
-                self.join_once()
+                self.take_part()
             except records.StoreUnavailableError as error:
                 log.info("duty_not_renewed", detail=str(error))
             self.stopping.wait(JOIN_INTERVAL_S)
 
+    def take_part(self) -> None:
+        """Stay in the group, or out of it."""
+        if self.stands():
+            self.join_once()
+        elif self.generation:
+            self.held = None
+            self.store.leave(self.group, self.member)
+            self.generation = 0
+            log.info("duty_left_to_others")
+
     def join_once(self) -> None:
         """Say that this instance lives, and see what it holds."""
         asked_s = self.clock()
--- /dev/null
+++ b/tests/compose/test_node_instances.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import types
+
+import pytest
+
+from briarseam.compose import node_instances
+from briarseam.membership import state
+from briarseam.peers import registrations
+
+NAMES = [f"instance-{number}" for number in range(40)]
+
+
+def member(name):
+    return state.Member(
+        name, "region", "region/0", "", (), state.MemberState.ALIVE
+    )
+
+
+def service(everyone, cell, fresh=True):
+    return types.SimpleNamespace(
+        everyone=lambda: [member(name) for name in everyone],
+        members=lambda: [member(name) for name in cell],
+        live=lambda: [member(name) for name in cell],
+        fresh=lambda: fresh,
+    )
+
+
+def instances(me="instance-0", **options):
+    made = node_instances.Instances(me)
+    made.rows = registrations.Registrations(
+        None, "topic", registrations.Registration(me, "", "north", "a")
+    )
+    if options:
+        made.service = service(**options)
+    return made
+
+
+def register(made, names, weight=1.0):
+    made.rows.rows = {
+        name: registrations.Registration(name, "", "north", "a", weight)
+        for name in names
+    }
+
+
+def test_slack_is_shared_before_peers_are_met():
+    """All instances start at once, and engines reset connections.
+
+    Each uses the whole slack for the second in which it knows no peer.
+    """
+    made = instances()
+    register(made, NAMES)
+    assert made.sharers() == len(NAMES)
+
+
+@pytest.mark.parametrize(
+    ("everyone", "standing"),
+    [
+        pytest.param(NAMES[:7], 7, id="small"),
+        pytest.param(NAMES, node_instances.DUTY_CANDIDATES, id="large"),
+    ],
+)
+def test_few_of_a_large_deployment_stand_for_the_duty(everyone, standing):
+    found = [
+        name
+        for name in everyone
+        if instances(name, everyone=everyone, cell=everyone).stands_for_duty()
+    ]
+    assert len(found) == standing
+
+
+def test_work_elsewhere_is_estimated_by_the_share_that_is_known():
+    made = instances(everyone=NAMES, cell=NAMES[:10])
+    assert made.known_share() == 0.25
+    assert instances().known_share() == 1.0
+
+
+def test_nobody_is_heard_by_who_has_no_fresh_view():
+    assert instances(everyone=NAMES, cell=NAMES, fresh=False).heard() == []
+    assert instances(everyone=NAMES, cell=NAMES).heard() == NAMES
--- /dev/null
+++ b/tests/feeds/test_sharing.py
@@ -0,0 +1,216 @@
+"""One instance reads topics for its cell; another asks it."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from briarseam.feeds import records
+from briarseam.feeds import shared_messages as messages
+from briarseam.feeds import sharing
+from briarseam.testing import waiting
+from tests import clocks
+
+TOPIC = "keyed.servers"
+LONG_S = 5.0
+
+
+def record(number, value=b"x"):
+    return records.KeyedRecord(f"key-{number}", value)
+
+
+class Topic:
+    """A store with one topic, that counts its calls."""
+
+    def __init__(self):
+        self.records = [record(number) for number in range(3)]
+        self.calls = 0
+        self.away = False
+
+    def newest(self, topic):
+        self.check()
+        return records.KeyedBatch(tuple(self.records), len(self.records))
+
+    def read_keyed(self, topic, start, wait_s):
+        self.check()
+        found = tuple(self.records[start:])
+        return records.KeyedBatch(found, start + len(found))
+
+    def check(self):
+        self.calls += 1
+        if self.away:
+            raise records.StoreUnavailableError("away")
+
+
+class Readers:
+    """The instances of a cell, by name."""
+
+    def __init__(self):
+        self.instances = {}
+        self.named = "reader"
+        self.total = sharing.SHARED_FROM
+        self.silent = False
+        self.asked = 0
+
+    def count(self):
+        return self.total
+
+    def reader(self):
+        return self.named
+
+    def ask(self, reader, asked, timeout_s):
+        self.asked += 1
+        if self.silent:
+            raise sharing.ReaderUnavailableError("silent")
+        now = messages.RecordsAsked(asked.topic, asked.start, 0.0)
+        return self.instances[reader].answer(now)
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def topic():
+    return Topic()
+
+
+@pytest.fixture
+def readers():
+    return Readers()
+
+
+@pytest.fixture
+def cell(topic, readers, clock, monkeypatch):
+    """Return the reader and an instance that asks it, by name.
+
+    The reader's thread is not started: the test lets it read.
+    """
+    monkeypatch.setattr(sharing.TopicReader, "start", lambda self: None)
+    for name in ("reader", "asker"):
+        readers.instances[name] = sharing.SharedReads(
+            topic, [TOPIC], readers, name, clock
+        )
+    return readers.instances
+
+
+def read_on(cell):
+    """Let the reader read what is new."""
+    with_reader = cell["reader"]
+    with_reader.read_keyed(TOPIC, 0, 0.0)
+    reader = with_reader.reading[TOPIC]
+    if not reader.begun:
+        reader.read_once()
+    reader.read_once()
+
+
+def test_records_come_from_the_reader(cell, topic):
+    read_on(cell)
+    topic.records.append(record(3))
+    read_on(cell)
+    topic.calls = 0
+    batch = cell["asker"].read_keyed(TOPIC, 3, 0.0)
+    assert batch == records.KeyedBatch((record(3),), 4)
+    assert cell["asker"].read_keyed(TOPIC, 4, 0.0).records == ()
+    assert topic.calls == 0
+
+
+def test_who_is_behind_reads_the_store_itself(cell, topic):
+    read_on(cell)
+    topic.calls = 0
+    batch = cell["asker"].read_keyed(TOPIC, 1, 0.0)
+    assert batch == records.KeyedBatch((record(1), record(2)), 3)
+    assert topic.calls == 1
+
+
+def test_what_the_store_did_not_confirm_is_not_handed_on(cell, topic, clock):
+    """The reader's link to the store goes silent as a route is removed.
+
+    The others would serve it until the reader notices.
+    """
+    read_on(cell)
+    topic.records.append(record(3))
+    clock.now_s += sharing.MAX_AGE_S + 0.1
+    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records == (record(3),)
+
+
+def test_outage_that_the_reader_sees_is_seen_by_all(cell, topic):
+    """The store is away, and entries of endpoints lapse meanwhile.
+
+    An instance that did not notice the outage would take them for gone.
+    """
+    read_on(cell)
+    topic.away = True
+    reader = cell["reader"].reading[TOPIC]
+    reader.stopping.wait = lambda pause_s: reader.stopping.set()
+    reader.run()
+    with pytest.raises(records.StoreUnavailableError):
+        cell["asker"].read_keyed(TOPIC, 3, 0.0)
+
+
+def test_silent_reader_is_left_alone_for_a_while(cell, topic, readers, clock):
+    """The reader is suspended; each read would wait for it first."""
+    read_on(cell)
+    readers.silent = True
+    topic.records.append(record(3))
+    for _ in range(3):
+        assert cell["asker"].read_keyed(TOPIC, 3, 0.0).next == 4
+    assert readers.asked == 1
+    readers.silent = False
+    clock.now_s += sharing.AVOID_S + 0.1
+    read_on(cell)
+    assert cell["asker"].read_keyed(TOPIC, 4, 0.0).next == 4
+    assert readers.asked == 2
+
+
+def test_instance_that_is_not_the_reader_tells_nothing(cell, topic, readers):
+    """Two instances each take the other one for the reader."""
+    readers.named = "asker"
+    assert (
+        cell["reader"].answer(messages.RecordsAsked(TOPIC, 0, 0.0))
+        == messages.UNKNOWN
+    )
+
+
+def test_reader_stops_when_another_one_reads(cell, readers):
+    read_on(cell)
+    readers.instances["other"] = cell["asker"]
+    readers.named = "other"
+    cell["reader"].read_keyed(TOPIC, 3, 0.0)
+    assert not cell["reader"].reading
+    asked = messages.RecordsAsked(TOPIC, 3, 0.0)
+    assert cell["reader"].answer(asked) == messages.UNKNOWN
+
+
+def test_small_deployment_reads_the_store_itself(cell, topic, readers):
+    readers.total = sharing.SHARED_FROM - 1
+    assert cell["asker"].read_keyed(TOPIC, 0, 0.0).next == 3
+    assert (topic.calls, readers.asked) == (1, 0)
+
+
+def test_large_records_are_read_from_the_store_by_each(cell, topic):
+    """A configuration of 300 KB is told to thirty others at once, over a
+    link of 5 Mbit/s, and all wait for it longer than they may.
+    """
+    read_on(cell)
+    topic.records.append(record(3, b"x" * (sharing.MOST_BYTES + 1)))
+    read_on(cell)
+    topic.calls = 0
+    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).next == 4
+    assert topic.calls == 1
+
+
+def test_question_waits_for_a_record(clock):
+    cache = sharing.RecordCache(clock)
+    cache.begin(7)
+    told = []
+    asking = threading.Thread(
+        target=lambda: told.append(cache.read(7, LONG_S))
+    )
+    asking.start()
+    waiting.until(lambda: cache.changed._waiters, what="it waits")
+    cache.take(records.KeyedBatch((record(7),), 8))
+    asking.join(LONG_S)
+    assert told == [records.KeyedBatch((record(7),), 8)]
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -32,7 +32,7 @@
 
 
 def test_lookup_names_the_instance_to_callers_of_its_zone(system):
-    waiting.until(lambda: system.node.all_members(), PATIENCE_S)
+    waiting.until(lambda: system.node.instances.all(), PATIENCE_S)
     response = system.http.request(
         "GET",
         system.url("lookups", "/briarseam/resolve?name=x&zone=hall-a"),
--- a/tests/weights/test_tenure.py
+++ b/tests/weights/test_tenure.py
@@ -39,7 +39,7 @@
 
 @pytest.fixture
 def tenure(group, clock):
-    return tenures.Tenure(group, "group", "topic", "me", 3.0, clock)
+    return tenures.Tenure(group, "group", "topic", "me", 3.0, clock=clock)
 
 
 def hold(tenure, group, clock, generation=5):
@@ -107,3 +107,21 @@
     group.share = records.GroupShare(8, HELD)
     tenure.join_once()
     assert tenure.fence() == 8
+
+
+def test_instance_that_need_not_stand_leaves_the_duty(tenure, group, clock):
+    """85 instances each renew twice a second what one of them holds."""
+    standing = [True]
+    tenure.stands = lambda: standing[0]
+    hold(tenure, group, clock)
+    assert tenure.fence() is not None
+    standing[0] = False
+    tenure.take_part()
+    assert tenure.fence() is None
+    assert group.share.parts == frozenset()
+    group.away = True
+    tenure.take_part()
+    group.away = False
+    standing[0] = True
+    hold(tenure, group, clock, generation=9)
+    assert tenure.fence() == 9
