Cells of large regions are availability zones, and tell each other their work

Change: a region of more than 32 instances is cut by zone, and a zone of more by names. The strongest of a cell speaks for it: twice a second it tells the speakers of other cells what its cell has at each endpoint, which rides on their heartbeats. What is not told is estimated as before. Calls to other instances stand in compose/node_calls.

--- a/src/briarseam/compose/membership.py
+++ b/src/briarseam/compose/membership.py
@@ -5,6 +5,7 @@
 import typing
 
 from briarseam.backing import instances
+from briarseam.membership import cells
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 
@@ -39,7 +40,7 @@
         ),
         key,
         seeds=tuple(str(seed) for seed in settings.agent.peers_seed),
-        parts_of=parts_of,
+        cell_of=cells.by_parts(parts_of),
         heartbeat_interval_s=settings.agent.heartbeat_interval_ms / MS,
         suspect_after_s=settings.agent.suspect_after_ms / MS,
         list_interval_s=settings.platform.instances_poll_ms / MS,
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -8,12 +8,14 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.compose import node_calls
 from briarseam.compose import node_feeds
 from briarseam.compose import node_instances
 from briarseam.compose import node_peers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.compose import small_answers
+from briarseam.feeds import shared_messages
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
@@ -31,7 +33,10 @@
 from briarseam.membership import sections
 from briarseam.metrics import registry as metrics
 from briarseam.peers import expiry
+from briarseam.placement import cell_loads
 from briarseam.placement import chooser as choosers
+from briarseam.placement import loads
+from briarseam.placement import store_messages
 from briarseam.placement import store_sharing
 from briarseam.placement import store_watches
 from briarseam.placement import sweeping
@@ -72,12 +77,11 @@
         self.store = stores.StoreClient(str(settings.store.address))
         self.pool = connections.Pool()
         self.instances = node_instances.Instances(settings.instance.name)
+        self.calls = node_calls.Calls(self.instances)
         self.topic_reads = feeds_sharing.SharedReads(
             self.store,
             node_feeds.TOPICS,
-            node_peers.TopicReaders(
-                self.instances.membership, self.instances.weight_of
-            ),
+            self.calls,
             settings.instance.name,
         )
         self.feeds = node_feeds.build(
@@ -99,12 +103,12 @@
             self.weights.required,
             self.weights.board,
             self.feeds.registry.age_s,
-            self.instances.known_share,
+            loads.Loads(self.calls.size, lambda: len(self.instances.all())),
         )
         cache_stores = cache.CacheStoreClient()
         self.store_watches = store_watches.StoreWatches(
             cache_stores,
-            node_peers.StoreReaders(self.instances.membership),
+            self.calls,
             self.chooser.kept,
             settings.instance.name,
             self.instances.cell,
@@ -121,14 +125,13 @@
             self.instances.all_names,
         )
         self.guard = crash_guard.CrashGuard()
-        self.loss_sharing = loss_sharing.LossSharing(
-            self.guard, node_peers.OtherCells(self.instances.membership)
-        )
+        self.loss_sharing = loss_sharing.LossSharing(self.guard, self.calls)
         self.guard.on_lost = self.loss_sharing.add
         self.supervisor = supervision.Supervisor()
         self.forwarding = forwarding.Forwarding(self.build_forwarding())
         self.servers = self.build_servers()
         self.reloading = reloading.Reloading(settings, self.apply_settings)
+        self.cell_loads = cell_loads.CellLoads(self.chooser.loads, self.calls)
         self.expiry = expiry.Expiry(
             self.feeds.registrations, self.instances.heard
         )
@@ -263,6 +266,7 @@
         self.store_watches.start()
         self.loss_sharing.start()
         self.expiry.start()
+        self.cell_loads.start()
         threading.Thread(
             target=self.meet_peers, name="meet-peers", daemon=True
         ).start()
@@ -278,6 +282,11 @@
                 self.chooser.loads.provide,
                 self.chooser.loads.consume,
             ),
+            sections.Section(
+                "cell-loads",
+                self.cell_loads.provide,
+                self.cell_loads.consume,
+            ),
             sections.Section(
                 "weights",
                 self.weights.board.provide,
@@ -292,9 +301,12 @@
             self.store,
             self.feeds.registrations,
             told,
-            self.store_sharing,
-            self.loss_sharing,
-            self.topic_reads,
+            {
+                store_messages.StoresAsked: self.store_sharing.answer,
+                loss_sharing.RequestsLost: self.loss_sharing.take,
+                shared_messages.RecordsAsked: self.topic_reads.answer,
+                cell_loads.CellLoad: self.cell_loads.answer,
+            },
             self.stopping,
         )
         log.info("peers_met", address=str(self.settings.listen.peers))
@@ -353,6 +365,7 @@
         self.store_watches.stop()
         self.loss_sharing.stop()
         self.expiry.stop()
+        self.cell_loads.stop()
         if not self.shutdown.begun:
             self.sign_off()
         self.stop_servers(wait_s)
--- /dev/null
+++ b/src/briarseam/compose/node_calls.py
@@ -0,0 +1,220 @@
+"""Calls of the one process to other instances, as its parts need them."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.feeds import shared_messages
+from briarseam.feeds import sharing as feeds_sharing
+from briarseam.forwarding import loss_sharing
+from briarseam.lookup import rank
+from briarseam.membership import state as members
+from briarseam.placement import cell_loads
+from briarseam.placement import shared_watch
+from briarseam.placement import store_messages
+from briarseam.wire import client as clients
+from briarseam.wire import connection as wire_connection
+
+if typing.TYPE_CHECKING:
+    from briarseam.compose import node_instances
+    from briarseam.membership import service as membership
+    from briarseam.wire import codec
+
+# Bound on telling another cell something; an answer takes some ms.
+TELL_S = 1.0
+# Who reads topics for a cell, and speaks for it to others.
+SPEAKER_KEY = "speaker"
+
+Reply = typing.TypeVar("Reply")
+
+
+class NoReplyError(Exception):
+    """An instance did not answer, or not what was asked."""
+
+
+class Calls:
+    """Calls to instances of this cell and of others.
+
+    Parameters
+    ----------
+    instances
+        All instances.
+    """
+
+    def __init__(self, instances: node_instances.Instances) -> None:
+        self.instances = instances
+        self.far: dict[str, clients.Client] = {}
+
+    def service(self) -> membership.Membership:
+        """Return membership, or raise :class:`NoReplyError`."""
+        if self.instances.service is None:
+            raise NoReplyError("no peer is met yet")
+        return self.instances.service
+
+    def near(
+        self,
+        name: str,
+        message: codec.Message,
+        kind: type[Reply],
+        timeout_s: float,
+    ) -> Reply:
+        """Ask an instance of this cell.
+
+        Raises
+        ------
+        NoReplyError
+            When it does not answer with what was asked.
+        """
+        try:
+            client = self.service().client(name)
+            return checked(client.call(message, timeout_s), kind)
+        except wire_connection.WireError as error:
+            raise NoReplyError(str(error)) from error
+
+    def tell(
+        self, address: str, message: codec.Message, kind: type[Reply]
+    ) -> Reply:
+        """Tell an instance of another cell.
+
+        Raises
+        ------
+        NoReplyError
+            When it does not answer with what was expected.
+        """
+        try:
+            return checked(self.client(address).call(message, TELL_S), kind)
+        except wire_connection.WireError as error:
+            raise NoReplyError(str(error)) from error
+
+    def client(self, address: str) -> clients.Client:
+        """Return the client of an instance of another cell."""
+        service = self.service()
+        found = self.far.get(address)
+        if found is None:
+            found = clients.Client(
+                address, service.identity, service.key, max_idle=1
+            )
+            self.far[address] = found
+        return found
+
+    # This cell and the others.
+
+    def name(self) -> str:
+        """Return the name of this cell; empty before peers are met."""
+        service = self.instances.service
+        return "" if service is None else service.me.cell
+
+    def size(self) -> int:
+        """Return how many instances this cell has."""
+        service = self.instances.service
+        return 1 if service is None else len(service.members())
+
+    def speaker(self) -> str:
+        """Return who speaks for this cell; empty while not known."""
+        found = rank.ranked(
+            SPEAKER_KEY, self.instances.cell(), str, self.instances.weight_of
+        )
+        return found[0] if found else ""
+
+    def tells(self) -> bool:
+        """Tell whether this instance speaks for its cell."""
+        return self.speaker() == self.instances.me
+
+    def addresses(self) -> list[str]:
+        """Return where to reach the speaker of each other cell."""
+        cells: dict[str, list[members.Member]] = {}
+        for member in self.instances.all():
+            if member.state is members.MemberState.ALIVE:
+                cells.setdefault(member.cell, []).append(member)
+        cells.pop(self.name(), None)
+        found = [
+            rank.ranked(
+                SPEAKER_KEY,
+                cell,
+                lambda member: member.name,
+                lambda member: self.instances.weight_of(member.name),
+            )[0].agent_address
+            for cell in cells.values()
+        ]
+        for address in self.far.keys() - set(found):
+            self.far.pop(address).close()
+        return found
+
+    def tell_load(self, address: str, message: cell_loads.CellLoad) -> None:
+        """Tell the work of this cell.
+
+        Raises
+        ------
+        UntoldError
+            When it may not have been taken in.
+        """
+        try:
+            self.tell(address, message, cell_loads.CellLoadNoted)
+        except NoReplyError as error:
+            raise cell_loads.UntoldError(str(error)) from error
+
+    def tell_losses(
+        self, address: str, message: loss_sharing.RequestsLost
+    ) -> None:
+        """Tell requests that were lost with an endpoint.
+
+        Raises
+        ------
+        UntoldError
+            When they may not have been taken in.
+        """
+        try:
+            self.tell(address, message, loss_sharing.RequestsLostNoted)
+        except NoReplyError as error:
+            raise loss_sharing.UntoldError(str(error)) from error
+
+    # Instances of this cell that read for it.
+
+    def count(self) -> int:
+        """Return the number of all instances."""
+        return len(self.instances.all())
+
+    def read_topic(
+        self,
+        reader: str,
+        asked: shared_messages.RecordsAsked,
+        timeout_s: float,
+    ) -> shared_messages.RecordsTold:
+        """Ask for records of a shared topic.
+
+        Raises
+        ------
+        ReaderUnavailableError
+            When the reader does not answer.
+        """
+        kind = shared_messages.RecordsTold
+        try:
+            return self.near(reader, asked, kind, timeout_s)
+        except NoReplyError as error:
+            raise feeds_sharing.ReaderUnavailableError(str(error)) from error
+
+    def read_stores(
+        self,
+        reader: str,
+        asked: store_messages.StoresAsked,
+        timeout_s: float,
+    ) -> store_messages.StoresTold:
+        """Ask what stores of KV cache keep.
+
+        Raises
+        ------
+        ReaderUnavailableError
+            When the reader does not answer.
+        """
+        kind = store_messages.StoresTold
+        try:
+            return self.near(reader, asked, kind, timeout_s)
+        except NoReplyError as error:
+            raise shared_watch.ReaderUnavailableError(str(error)) from error
+
+
+def checked(reply: codec.Message, kind: type[Reply]) -> Reply:
+    """Return a reply of the expected kind, or raise."""
+    if not isinstance(reply, kind):
+        raise NoReplyError(f"answered {reply}")
+    return reply
--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -40,10 +40,6 @@
         self.rows: registrations.Registrations | None = None
         self.service: membership.Membership | None = None
 
-    def membership(self) -> membership.Membership | None:
-        """Return membership; ``None`` before peers are met."""
-        return self.service
-
     def all(self) -> collections.abc.Sequence[members.Member]:
         """Return all known instances, this one included."""
         return () if self.service is None else self.service.everyone()
@@ -62,12 +58,6 @@
         """Return the work an instance can take, relative to others."""
         return 1.0 if self.rows is None else self.rows.weight_of(name)
 
-    def known_share(self) -> float:
-        """Return the share of all instances whose work is told here."""
-        if self.service is None:
-            return 1.0
-        return len(self.service.members()) / max(len(self.all()), 1)
-
     def sharers(self) -> int:
         """Return how many instances share the budget for retries.
 
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -59,10 +59,10 @@
     def count(self) -> int:
         """Return the number of all instances."""
 
-    def reader(self) -> str:
-        """Return the name of the cell's reader; empty while not known."""
+    def speaker(self) -> str:
+        """Return who reads for the cell; empty while not known."""
 
-    def ask(
+    def read_topic(
         self, reader: str, asked: messages.RecordsAsked, timeout_s: float
     ) -> messages.RecordsTold:
         """Ask the reader.
@@ -286,7 +286,7 @@
         if self.readers.count() < SHARED_FROM:
             self.stop()
             return None
-        reader = self.readers.reader()
+        reader = self.readers.speaker()
         if reader == self.me:
             self.begin_reading()
             return self.caches[topic].read(start, min(wait_s, WAIT_S))
@@ -301,7 +301,7 @@
         """Ask the reader; leave it alone for a while if it is silent."""
         asked = messages.RecordsAsked(topic, start, wait_s)
         try:
-            told = self.readers.ask(reader, asked, wait_s + SLACK_S)
+            told = self.readers.read_topic(reader, asked, wait_s + SLACK_S)
         except ReaderUnavailableError as error:
             self.avoided = {reader: self.clock() + AVOID_S}
             log.warning(
--- a/src/briarseam/forwarding/loss_sharing.py
+++ b/src/briarseam/forwarding/loss_sharing.py
@@ -57,7 +57,7 @@
     def addresses(self) -> collections.abc.Sequence[str]:
         """Return where to reach one instance of each other cell."""
 
-    def tell(self, address: str, message: RequestsLost) -> None:
+    def tell_losses(self, address: str, message: RequestsLost) -> None:
         """Tell an instance.
 
         Raises
@@ -129,7 +129,7 @@
         """Tell one instance of each other cell."""
         for address in self.cells.addresses():
             try:
-                self.cells.tell(address, message)
+                self.cells.tell_losses(address, message)
             except UntoldError as error:
                 log.warning(
                     "losses_not_told",
--- a/src/briarseam/membership/cells.py
+++ b/src/briarseam/membership/cells.py
@@ -7,12 +7,13 @@
 import xxhash
 
 PartsOf = typing.Callable[[str], int]
+# From an agent's name and zone.
+CellOf = typing.Callable[[str, str], str]
 
 
-def one_part(zone: str) -> int:
-    """Return 1: the whole zone is one cell."""
-    del zone
-    return 1
+def by_parts(parts_of: PartsOf) -> CellOf:
+    """Return a function that cuts each zone into a number of cells."""
+    return lambda name, zone: cell_of(name, zone, parts_of(zone))
 
 
 def cell_of(name: str, zone: str, parts: int) -> str:
@@ -32,6 +33,11 @@
     return f"{zone}/{best}"
 
 
+def whole_zone(name: str, zone: str) -> str:
+    """Return the cell of an agent where each zone is one."""
+    return cell_of(name, zone, 1)
+
+
 def weight(name: str, part: int) -> int:
     """Return the rendezvous weight of a part for an agent."""
     return xxhash.xxh64_intdigest(f"{name}\0{part}".encode())
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -53,8 +53,8 @@
         The shared key of the wire.
     seeds
         Agent addresses to ask while the list shows no peer.
-    parts_of
-        Number of cells that configuration gives a zone.
+    cell_of
+        Returns the cell of an agent.
     heartbeat_interval_s
         Seconds between heartbeats to one peer.
     suspect_after_s
@@ -74,7 +74,7 @@
         instances: platform.InstanceSource,
         key: bytes,
         seeds: tuple[str, ...] = (),
-        parts_of: cells.PartsOf = cells.one_part,
+        cell_of: cells.CellOf = cells.whole_zone,
         heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
         suspect_after_s: float = SUSPECT_AFTER_S,
         list_interval_s: float = listing.INTERVAL_S,
@@ -97,7 +97,7 @@
         self.entry_addresses = me.entry_addresses
         self.leaving = False
         self.freshness = freshness.Freshness(suspect_after_s, clock)
-        self.table = tables.Table(me, parts_of, suspect_after_s, clock)
+        self.table = tables.Table(me, cell_of, suspect_after_s, clock)
         self.list_reader = listing.ListReader(instances, list_interval_s)
         self.list_reader.add(self.table.take_listing)
         self.sections = sections.Sections(
--- a/src/briarseam/membership/table.py
+++ b/src/briarseam/membership/table.py
@@ -8,12 +8,12 @@
 import structlog
 import xxhash
 
-from briarseam.membership import cells
 from briarseam.membership import messages
 from briarseam.membership import state
 
 if typing.TYPE_CHECKING:
     from briarseam.backing import instances
+    from briarseam.membership import cells
 
 log = structlog.get_logger("briarseam.membership")
 Clock = typing.Callable[[], float]
@@ -26,8 +26,8 @@
     ----------
     me
         This agent.
-    parts_of
-        Number of cells in a zone.
+    cell_of
+        Returns the cell of an agent, which may change at any time.
     suspect_after_s
         Silence after which a member becomes suspect.
     clock
@@ -37,12 +37,12 @@
     def __init__(
         self,
         me: state.Me,
-        parts_of: cells.PartsOf,
+        cell_of: cells.CellOf,
         suspect_after_s: float,
         clock: Clock,
     ) -> None:
         self.me = me
-        self.parts_of = parts_of
+        self.cell_of = cell_of
         self.suspect_after_s = suspect_after_s
         self.clock = clock
         self.lock = threading.RLock()
@@ -50,10 +50,6 @@
         self.reviewed_at = clock()
         self.woke_at = self.reviewed_at
 
-    def cell_of(self, name: str, zone: str) -> str:
-        """Return the cell of an agent under the present configuration."""
-        return cells.cell_of(name, zone, self.parts_of(zone))
-
     def my_cell(self) -> str:
         """Return this agent's cell."""
         return self.cell_of(self.me.name, self.me.zone)
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import secrets
 import threading
@@ -12,6 +13,7 @@
 
 from briarseam.backing import instances
 from briarseam.feeds import records
+from briarseam.membership import cells
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -25,6 +27,8 @@
 # until the topic shows it; later losses of it show in the same way.
 REVIEW_S = 1.0
 # Each member of a cell sends heartbeats to all others; see docs/CAPACITY.md.
+# A larger group is cut by availability zone, since bytes between these are
+# dear: of 85 instances in three, heartbeats were most of what crossed.
 CELL_MEMBERS = 32
 log = structlog.get_logger("briarseam.peers")
 
@@ -89,6 +93,7 @@
         self.topic = topic
         self.me = me
         self.rows: dict[str, Registration] = {}
+        self.cells: dict[str, str] = {}
         self.secret: bytes | None = None
         self.known = threading.Event()
         self.leaving = threading.Event()
@@ -137,23 +142,27 @@
         row = self.rows.get(name)
         return 1.0 if row is None else row.weight
 
-    def groups_of(self, group: str) -> int:
-        """Return the number of cells for the instances of a group."""
-        size = sum(row.group == group for row in self.rows.values())
-        return max(1, -(-size // CELL_MEMBERS))
+    def cell_of(self, name: str, group: str) -> str:
+        """Return the cell of an instance; its group's while not known."""
+        return self.cells.get(name, group)
 
     def take_all(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Take in all registrations."""
-        self.rows = self.changed({}, changes)
+        self.keep(self.changed({}, changes))
         self.known.set()
 
     def take_changes(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Take in changed registrations."""
-        self.rows = self.changed(self.rows, changes)
+        self.keep(self.changed(self.rows, changes))
+
+    def keep(self, rows: dict[str, Registration]) -> None:
+        """Take over registrations, and the cells that follow from them."""
+        self.cells = cells_of([*rows.values(), self.me])
+        self.rows = rows
 
     def changed(
         self,
@@ -196,6 +205,26 @@
         log.info("registered", name=self.me.name, address=self.me.address)
 
 
+def cells_of(
+    rows: collections.abc.Iterable[Registration],
+) -> dict[str, str]:
+    """Return the cell of each instance by its name."""
+    groups: dict[str, set[str]] = collections.defaultdict(set)
+    zones: dict[str, set[str]] = collections.defaultdict(set)
+    for row in rows:
+        groups[row.group].add(row.name)
+        zones[f"{row.group}/{row.zone}"].add(row.name)
+    found: dict[str, str] = {}
+    for row in rows:
+        if len(groups[row.group]) <= CELL_MEMBERS:
+            found[row.name] = row.group
+            continue
+        zone = f"{row.group}/{row.zone}"
+        parts = -(-len(zones[zone]) // CELL_MEMBERS)
+        found[row.name] = cells.cell_of(row.name, zone, parts)
+    return found
+
+
 def encode(row: Registration) -> bytes:
     """Return an instance's registration."""
     packed: bytes = msgpack.packb(
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -98,8 +98,8 @@
         Which weights engines have, and which take none just now.
     endpoints_age_s
         Returns the time since the endpoints were read, in seconds.
-    known_share
-        Returns the share of all instances whose work is told here.
+    loads
+        Work at endpoints.
     clock
         Seconds.
     """
@@ -110,13 +110,13 @@
         required: typing.Callable[[str], int],
         board: boards.Board,
         endpoints_age_s: typing.Callable[[], float] = lambda: 0.0,
-        known_share: typing.Callable[[], float] = lambda: 1.0,
+        loads: load_module.Loads | None = None,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.endpoints = endpoints
         self.required = required
         self.clock = clock
-        self.loads = load_module.Loads(known_share)
+        self.loads = loads or load_module.Loads()
         self.residency = residencies.Residency()
         self.board = board
         self.endpoints_age_s = endpoints_age_s
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -8,6 +8,8 @@
 
 import msgpack
 
+from briarseam import clocks
+
 
 @dataclasses.dataclass(frozen=True)
 class Load:
@@ -61,25 +63,51 @@
 NO_LOAD = Load()
 
 
+@dataclasses.dataclass(frozen=True)
+class CellWork:
+    """Work of the instances of another cell.
+
+    Attributes
+    ----------
+    loads
+        By endpoint.
+    instances
+        How many they are.
+    at_s
+        When it was told.
+    """
+
+    loads: dict[str, Load]
+    instances: int
+    at_s: float
+
+
 class Loads:
     """Own work by endpoint and what the peers told; thread-safe.
 
     Parameters
     ----------
-    share
-        Returns the share of all instances whose work is known here, above
-        0 and at most 1.  Peers tell their work within a cell; instances
-        fall to cells by their names, so that the work of the others is
-        about as much an instance.
+    here, everywhere
+        Return how many instances tell their work here, this one included,
+        and how many there are.  Those whose work is not told are taken to
+        have about as much each.
+    clock
+        Seconds.
     """
 
     def __init__(
-        self, share: typing.Callable[[], float] = lambda: 1.0
+        self,
+        here: typing.Callable[[], int] = lambda: 1,
+        everywhere: typing.Callable[[], int] = lambda: 1,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
-        self.share = share
+        self.instances_here = here
+        self.instances_everywhere = everywhere
+        self.clock = clock
         self.own: dict[str, Load] = {}
         self.peers: dict[str, dict[str, Load]] = {}
         self.told: dict[str, Load] = {}
+        self.cells: dict[str, CellWork] = {}
         self.lock = threading.Lock()
         self.eased = threading.Condition(self.lock)
 
@@ -108,11 +136,46 @@
         with self.lock:
             known = self.own.get(endpoint, NO_LOAD)
             told = self.told.get(endpoint)
-        if told is not None:
-            known = known.plus(told)
-        share = self.share()
+            if told is not None:
+                known = known.plus(told)
+            for cell in self.cells.values():
+                if endpoint in cell.loads:
+                    known = known.plus(cell.loads[endpoint])
+            instances = self.instances_here() + sum(
+                cell.instances for cell in self.cells.values()
+            )
+        share = instances / max(self.instances_everywhere(), 1)
         return known if share >= 1.0 else known.times(1.0 / share)
 
+    def here(self) -> dict[str, Load]:
+        """Return the work of this cell at each endpoint."""
+        with self.lock:
+            names = self.own.keys() | self.told.keys()
+            return {
+                name: self.own.get(name, NO_LOAD).plus(
+                    self.told.get(name, NO_LOAD)
+                )
+                for name in names
+            }
+
+    def take_cell(
+        self, cell: str, loads: dict[str, Load], instances: int
+    ) -> None:
+        """Take in the work of another cell."""
+        with self.lock:
+            self.cells[cell] = CellWork(loads, instances, self.clock())
+            self.eased.notify_all()
+
+    def forget_cells(self, age_s: float) -> None:
+        """Forget the work of cells that were not heard of for so long."""
+        oldest_s = self.clock() - age_s
+        with self.lock:
+            self.cells = {
+                name: cell
+                for name, cell in self.cells.items()
+                if cell.at_s > oldest_s
+            }
+
     def provide(self) -> bytes:
         """Return this instance's work, for its peers."""
         with self.lock:
--- a/src/briarseam/placement/shared_watch.py
+++ b/src/briarseam/placement/shared_watch.py
@@ -30,7 +30,7 @@
 class Readers(typing.Protocol):
     """Calls to instances that read stores."""
 
-    def ask(
+    def read_stores(
         self, reader: str, asked: messages.StoresAsked, timeout_s: float
     ) -> messages.StoresTold:
         """Ask an instance for changes.
@@ -110,7 +110,7 @@
             ),
             WAIT_S,
         )
-        told = self.readers.ask(self.reader, asked, WAIT_S + SLACK_S)
+        told = self.readers.read_stores(self.reader, asked, WAIT_S + SLACK_S)
         if self.stopping.is_set():
             return
         if not told.reads:
--- /dev/null
+++ b/tests/compose/test_node_calls.py
@@ -0,0 +1,95 @@
+from __future__ import annotations
+
+import types
+
+import pytest
+
+from briarseam.compose import node_calls
+from briarseam.forwarding import loss_sharing
+from briarseam.membership import state
+from briarseam.placement import shared_watch
+from briarseam.placement import store_messages
+from briarseam.wire import connection
+
+ALIVE = state.MemberState.ALIVE
+ASKED = store_messages.StoresAsked((), 0.0)
+
+
+def member(name, cell, how=ALIVE):
+    return state.Member(name, "north", cell, f"{name}:1", (), how)
+
+
+MEMBERS = [
+    member("a1", "a"),
+    member("a2", "a"),
+    member("b1", "b"),
+    member("b2", "b"),
+    member("c1", "c", state.MemberState.SUSPECT),
+]
+WEIGHTS = {"b2": 1000.0, "a1": 1000.0}
+
+
+class Peer:
+    """Answers each call with what it is given."""
+
+    def __init__(self, reply):
+        self.reply = reply
+
+    def call(self, message, timeout_s):
+        if isinstance(self.reply, Exception):
+            raise self.reply
+        return self.reply
+
+
+def calls(me="a1", reply=None):
+    service = types.SimpleNamespace(
+        me=member(me, "a"),
+        members=lambda: MEMBERS[:2],
+        client=lambda name: Peer(reply),
+        identity=connection.Identity("agent", me),
+        key=b"key",
+    )
+    instances = types.SimpleNamespace(
+        me=me,
+        service=service,
+        all=lambda: MEMBERS,
+        cell=lambda: ["a1", "a2"],
+        weight_of=lambda name: WEIGHTS.get(name, 1.0),
+    )
+    return node_calls.Calls(instances)
+
+
+def test_strongest_of_a_cell_speaks_for_it():
+    assert calls("a1").tells()
+    assert not calls("a2").tells()
+
+
+def test_one_live_instance_of_each_other_cell_is_told():
+    assert calls().addresses() == ["b2:1"]
+
+
+def test_nobody_is_told_or_asked_before_peers_are_met():
+    made = calls()
+    made.instances.service = None
+    with pytest.raises(loss_sharing.UntoldError):
+        made.tell_losses("b2:1", loss_sharing.RequestsLost(()))
+    with pytest.raises(shared_watch.ReaderUnavailableError):
+        made.read_stores("a2", ASKED, 1.0)
+    assert made.name() == ""
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        pytest.param(connection.WireError("cut"), id="no answer"),
+        pytest.param(loss_sharing.RequestsLostNoted(), id="another answer"),
+    ],
+)
+def test_answer_that_is_none_is_told_apart(reply):
+    with pytest.raises(shared_watch.ReaderUnavailableError):
+        calls(reply=reply).read_stores("a2", ASKED, 1.0)
+
+
+def test_answer_is_handed_on():
+    told = store_messages.StoresTold(True, ())
+    assert calls(reply=told).read_stores("a2", ASKED, 1.0) == told
--- a/tests/compose/test_node_instances.py
+++ b/tests/compose/test_node_instances.py
@@ -69,12 +69,6 @@
     assert len(found) == standing
 
 
-def test_work_elsewhere_is_estimated_by_the_share_that_is_known():
-    made = instances(everyone=NAMES, cell=NAMES[:10])
-    assert made.known_share() == 0.25
-    assert instances().known_share() == 1.0
-
-
 def test_nobody_is_heard_by_who_has_no_fresh_view():
     assert instances(everyone=NAMES, cell=NAMES, fresh=False).heard() == []
     assert instances(everyone=NAMES, cell=NAMES).heard() == NAMES
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -56,10 +56,10 @@
     def count(self):
         return self.total
 
-    def reader(self):
+    def speaker(self):
         return self.named
 
-    def ask(self, reader, asked, timeout_s):
+    def read_topic(self, reader, asked, timeout_s):
         self.asked += 1
         if self.silent:
             raise sharing.ReaderUnavailableError("silent")
--- a/tests/forwarding/test_loss_sharing.py
+++ b/tests/forwarding/test_loss_sharing.py
@@ -19,7 +19,7 @@
     def addresses(self):
         return list(self.sharing)
 
-    def tell(self, address, message):
+    def tell_losses(self, address, message):
         if address in self.away:
             raise loss_sharing.UntoldError("away")
         self.sharing[address].take(message)
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarseam.membership import cells
 from briarseam.membership import directory
 from briarseam.membership import gossip
 from briarseam.membership import messages
@@ -81,7 +82,9 @@
     its own, and still knows all.
     """
     names = "abcdef"
-    nodes = [start(name, parts_of=lambda zone: 2) for name in names]
+    nodes = [
+        start(name, cell_of=cells.by_parts(lambda zone: 2)) for name in names
+    ]
     waiting.until(
         lambda: all(set(everyone(node)) == set(names) for node in nodes)
     )
--- a/tests/peers/test_registrations.py
+++ b/tests/peers/test_registrations.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import collections
 import threading
 
 import msgpack
@@ -89,14 +90,42 @@
     assert len(set(found)) == 1
 
 
-def test_region_is_cut_into_cells_as_it_grows():
+def instances_of(zone, count, first=0):
+    return [
+        registrations.Registration(f"{zone}-{number}", "", "north", zone)
+        for number in range(first, first + count)
+    ]
+
+
+def sizes_of(rows):
+    cells = registrations.cells_of(rows)
+    return collections.Counter(cells.values())
+
+
+def test_small_region_is_one_cell():
+    rows = [*instances_of("a", 16), *instances_of("b", 16)]
+    assert sizes_of(rows) == {"north": registrations.CELL_MEMBERS}
+
+
+def test_large_region_is_cut_by_availability_zone():
+    """85 instances in three zones: two of three heartbeats cross zones."""
+    rows = [*instances_of("a", 27), *instances_of("b", 25)]
+    assert sizes_of(rows) == {"north/a/0": 27, "north/b/0": 25}
+
+
+def test_large_zone_is_cut_into_cells():
+    rows = [*instances_of("a", 90), *instances_of("b", 2)]
+    sizes = sizes_of(rows)
+    assert sum(sizes.values()) == 92
+    assert sizes.keys() == {"north/a/0", "north/a/1", "north/a/2", "north/b/0"}
+
+
+def test_instance_knows_its_cell_before_it_is_registered():
+    """Another one's heartbeat comes first."""
     made = registrations.Registrations(None, TOPIC, me())
-    made.rows = {
-        str(number): me(str(number))
-        for number in range(registrations.CELL_MEMBERS + 1)
-    }
-    assert made.groups_of("north") == 2
-    assert made.groups_of("south") == 1
+    made.take_all([])
+    assert made.cell_of("one", "north") == "north"
+    assert made.cell_of("never registered", "north") == "north"
 
 
 def test_new_reading_is_seen_whole_or_not_at_all(monkeypatch):
--- a/tests/placement/test_loads.py
+++ b/tests/placement/test_loads.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarseam.placement import loads
+from tests import clocks
 
 WORK = loads.Load(
     requests=2, waiting_tokens=900, running=1, memory_tokens=5000
@@ -41,7 +42,28 @@
     Instances tell their work within a cell, a third of all; by that alone
     each cell fills the engines for itself.
     """
-    here = loads.Loads(lambda: 1 / 3)
+    here = loads.Loads(lambda: 2, lambda: 6)
     here.consume("peer", peer.provide())
     assert here.of("engine-1") == WORK.plus(WORK).plus(WORK)
     assert here.of("engine-2") == loads.NO_LOAD
+
+
+def test_work_that_another_cell_told_is_counted_and_not_estimated(peer):
+    clock = clocks.ManualClock()
+    here = loads.Loads(lambda: 2, lambda: 6, clock)
+    here.consume("peer", peer.provide())
+    here.take_cell("cell-b", {"engine-1": WORK}, 2)
+    here.take_cell("cell-c", {"engine-2": WORK}, 2)
+    assert here.of("engine-1") == WORK.plus(WORK)
+    assert here.of("engine-2") == WORK
+    clock.now_s += 5.0
+    here.forget_cells(3.0)
+    assert here.of("engine-1") == WORK.plus(WORK).plus(WORK)
+
+
+def test_work_of_this_cell_is_told_to_others(peer):
+    here = loads.Loads()
+    here.consume("peer", peer.provide())
+    here.add("engine-2", WORK)
+    here.take_cell("cell-b", {"engine-3": WORK}, 2)
+    assert here.here() == {"engine-1": WORK, "engine-2": WORK}
--- a/tests/placement/test_shared_watch.py
+++ b/tests/placement/test_shared_watch.py
@@ -61,7 +61,7 @@
         self.sharing = sharing
         self.told = []
 
-    def ask(self, reader, asked, timeout_s):
+    def read_stores(self, reader, asked, timeout_s):
         now = messages.StoresAsked(asked.cursors, 0.0)
         self.told.append(self.sharing.answer(now))
         return self.told[-1]
--- a/tests/placement/test_store_watches.py
+++ b/tests/placement/test_store_watches.py
@@ -23,7 +23,7 @@
     def changes(self, address, since, wait_s):
         raise store_watch.StoreUnavailableError("away")
 
-    def ask(self, reader, asked, timeout_s):
+    def read_stores(self, reader, asked, timeout_s):
         raise shared_watch.ReaderUnavailableError("away")
 
 
