--- a/src/briarseam/command/signals.py
+++ b/src/briarseam/command/signals.py
@@ -7,7 +7,6 @@
 import types
 import typing
 
-
 # How late a signal may be noticed that another thread got.
 CHECK_S = 0.25
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -289,10 +289,10 @@
                 instance.start()
             case Reloaded(_number, extra):
                 instance.write_settings(extra)
-                instance.send(signal.SIGHUP)
+                instance.reload()
                 time.sleep(for_s)
                 instance.write_settings()
-                instance.send(signal.SIGHUP)
+                instance.reload()
 
 
 def cut(
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -20,6 +20,7 @@
 from tests.soak import links
 
 from briarseam.testing import ports
+from briarseam.testing import waiting
 
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
@@ -103,6 +104,17 @@
         if self.process is not None:
             self.process.send_signal(number)
 
+    def reload(self) -> None:
+        """Let it read its settings again.
+
+        The interpreter itself takes some ms until the first line of the
+        program, and no program can mind a signal before that.
+        """
+        process = self.process
+        if process is not None:
+            waiting.until(lambda: minds_reload(process), 5.0, "it runs")
+            process.send_signal(signal.SIGHUP)
+
     def end(self, number: signal.Signals) -> None:
         """End it by a signal and wait for that."""
         process, self.process = self.process, None
@@ -254,6 +266,17 @@
         self.stack.close()
 
 
+def minds_reload(process: subprocess.Popen[bytes]) -> bool:
+    """Tell whether SIGHUP is no longer left to its default."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
+
 def is_error(line: str) -> bool:
     """Tell whether a line is an error's, or no line of the log.
 
