--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -31,6 +31,9 @@
 # that fails and the one after it.
 ENDPOINT_PAUSE_PART = 0.3
 REGISTRATION_POLL_S = 10.0
+# When all instances start, each registration ends the poll of each other
+# one: 85 of them would make some 7,000 calls.
+REGISTRATION_PAUSE_S = 0.5
 MS = 1000.0
 TOPICS = (
     names.OPERATOR_TOPIC,
@@ -139,7 +142,11 @@
             ENDPOINT_PAUSE_PART * settings.bounds.endpoint_drain_ms / MS,
         ),
         following.Follower(
-            reads, names.MEMBERS_TOPIC, rows, REGISTRATION_POLL_S
+            reads,
+            names.MEMBERS_TOPIC,
+            rows,
+            REGISTRATION_POLL_S,
+            REGISTRATION_PAUSE_S,
         ),
     )
     return Feeds(feed, registry, rows, followers)
