--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -11,6 +11,7 @@
 from briarseam.compose import node_calls
 from briarseam.compose import node_feeds
 from briarseam.compose import node_instances
+from briarseam.compose import node_metrics
 from briarseam.compose import node_peers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
@@ -135,7 +136,7 @@
         self.expiry = expiry.Expiry(
             self.feeds.registrations, self.instances.heard
         )
-        self.register_metrics()
+        node_metrics.register(self.metrics, self.readings())
 
     def build_forwarding(self) -> works.Parts:
         """Return what forwarding needs."""
@@ -156,25 +157,7 @@
                 self.instances.sharers,
             ),
             shutdown=self.shutdown,
-            metrics=works.Metrics(
-                answers=registry.counters(
-                    "answers_total",
-                    "Requests of callers by how they ended",
-                    ("outcome",),
-                ),
-                sends=registry.counters(
-                    "sends_total",
-                    "Sends to endpoints by what became of them",
-                    ("outcome",),
-                ),
-                first_event_us=registry.latency(
-                    "first_event_us",
-                    "Time from a request to its stream's first event",
-                ),
-                whole_us=registry.latency(
-                    "answer_us", "Time from a request to the end of it"
-                ),
-            ),
+            metrics=node_metrics.forwarding_metrics(registry),
         )
 
     def build_servers(self) -> dict[str, http.Server]:
@@ -214,44 +197,6 @@
             ),
         }
 
-    def register_metrics(self) -> None:
-        """Let metrics tell of the parts."""
-        self.metrics.reading(
-            "requests_in_flight",
-            "Requests of callers under way",
-            lambda: self.forwarding.in_flight,
-        )
-        self.metrics.reading(
-            "endpoint_connections_opened",
-            "Connections opened to endpoints since start",
-            lambda: self.pool.opened,
-        )
-        self.metrics.reading(
-            "store_calls",
-            "Calls to the platform's store since start",
-            lambda: self.store.calls,
-        )
-        self.metrics.reading(
-            "topic_reads_direct",
-            "Reads of topics from the store itself since start",
-            lambda: self.topic_reads.direct,
-        )
-        self.metrics.reading(
-            "topic_reads_shared",
-            "Reads of topics through the cell's reader since start",
-            lambda: self.topic_reads.shared,
-        )
-        self.metrics.reading(
-            "configuration_version",
-            "Version of the configuration in force; 0 before the first",
-            self.feeds.configuration_version,
-        )
-        self.metrics.reading(
-            "endpoints_known",
-            "Endpoints that have an entry",
-            lambda: len(self.feeds.registry.all()),
-        )
-
     # Life of the process.
 
     def start(self) -> None:
@@ -400,6 +345,18 @@
 
     # What the parts ask of each other.
 
+    def readings(self) -> node_metrics.Readings:
+        """Return what metrics tell of the parts."""
+        return node_metrics.Readings(
+            in_flight=lambda: self.forwarding.in_flight,
+            connections_opened=lambda: self.pool.opened,
+            store_calls=lambda: self.store.calls,
+            topic_reads_direct=lambda: self.topic_reads.direct,
+            topic_reads_shared=lambda: self.topic_reads.shared,
+            configuration_version=self.feeds.configuration_version,
+            endpoints_known=lambda: len(self.feeds.registry.all()),
+        )
+
     def configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
--- /dev/null
+++ b/src/briarseam/compose/node_metrics.py
@@ -0,0 +1,98 @@
+"""Metrics of the one process."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.forwarding import work as works
+
+if typing.TYPE_CHECKING:
+    from briarseam.metrics import registry as metrics
+
+Reading = typing.Callable[[], int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Readings:
+    """What is read from the parts at each scrape.
+
+    Attributes
+    ----------
+    in_flight, connections_opened, store_calls, topic_reads_direct
+    topic_reads_shared, configuration_version, endpoints_known
+        As their help texts say.
+    """
+
+    in_flight: Reading
+    connections_opened: Reading
+    store_calls: Reading
+    topic_reads_direct: Reading
+    topic_reads_shared: Reading
+    configuration_version: Reading
+    endpoints_known: Reading
+
+
+def register(registry: metrics.Registry, readings: Readings) -> None:
+    """Let metrics tell of the parts."""
+    for name, text, reading in (
+        (
+            "requests_in_flight",
+            "Requests of callers under way",
+            readings.in_flight,
+        ),
+        (
+            "endpoint_connections_opened",
+            "Connections opened to endpoints since start",
+            readings.connections_opened,
+        ),
+        (
+            "store_calls",
+            "Calls to the platform's store since start",
+            readings.store_calls,
+        ),
+        (
+            "topic_reads_direct",
+            "Reads of topics from the store itself since start",
+            readings.topic_reads_direct,
+        ),
+        (
+            "topic_reads_shared",
+            "Reads of topics through the reader of the cell since start",
+            readings.topic_reads_shared,
+        ),
+        (
+            "configuration_version",
+            "Version of the configuration in force; 0 before the first",
+            readings.configuration_version,
+        ),
+        (
+            "endpoints_known",
+            "Endpoints that have an entry",
+            readings.endpoints_known,
+        ),
+    ):
+        registry.reading(name, text, reading)
+
+
+def forwarding_metrics(registry: metrics.Registry) -> works.Metrics:
+    """Return what forwarding counts and times."""
+    return works.Metrics(
+        answers=registry.counters(
+            "answers_total",
+            "Requests of callers by how they ended",
+            ("outcome",),
+        ),
+        sends=registry.counters(
+            "sends_total",
+            "Sends to endpoints by what became of them",
+            ("outcome",),
+        ),
+        first_event_us=registry.latency(
+            "first_event_us",
+            "Time from a request to its stream's first event",
+        ),
+        whole_us=registry.latency(
+            "answer_us", "Time from a request to the end of it"
+        ),
+    )
