One poller for what is followed in a thread of its own

The watch of a store, the watch through a reader and the reader of topics each had the same loop with its log lines; it stands in polling.py.

--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -17,6 +17,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import polling
 from briarseam.feeds import records
 from briarseam.feeds import shared_messages as messages
 
@@ -165,32 +166,26 @@
         self.topic = topic
         self.cache = cache
         self.begun = False
-        self.available = True
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name=f"read-{topic}", daemon=True
+        self.poller = polling.Poller(
+            f"read-{topic}",
+            self.read_once,
+            records.StoreUnavailableError,
+            RETRY_S,
+            self.doubt,
         )
 
     def start(self) -> None:
         """Begin reading."""
-        self.thread.start()
+        self.poller.start()
 
     def stop(self) -> None:
         """Stop after the read under way."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Read until stopped."""
-        while not self.stopping.is_set():
-            try:
-                pause_s = self.read_once()
-            except records.StoreUnavailableError as error:
-                self.cache.doubt()
-                self.note_available(False, str(error))
-                self.stopping.wait(RETRY_S)
-                continue
-            self.note_available(True, "")
-            self.stopping.wait(pause_s)
+        self.poller.stop()
+
+    def doubt(self, error: Exception) -> None:
+        """Hand nothing on while the store does not answer."""
+        del error
+        self.cache.doubt()
 
     def read_once(self) -> float:
         """Read what is new; return the pause to the next read."""
@@ -207,17 +202,6 @@
         self.cache.take(batch)
         return PAUSE_S if batch.records else 0.0
 
-    def note_available(self, available: bool, detail: str) -> None:
-        """Log that the store was lost or regained, once."""
-        if available == self.available:
-            return
-        self.available = available
-        log.warning(
-            "shared_topic_regained" if available else "shared_topic_lost",
-            topic=self.topic,
-            detail=detail,
-        )
-
 
 class SharedReads:
     """A store whose topics are read through the cell's reader.
--- a/src/briarseam/placement/shared_watch.py
+++ b/src/briarseam/placement/shared_watch.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import threading
 import typing
 
-import structlog
-
+from briarseam import polling
 from briarseam.placement import kept as kept_module
 from briarseam.placement import store_messages as messages
 
@@ -20,7 +18,6 @@
 # Between two questions, so that changes come in batches.
 PAUSE_S = 0.1
 RETRY_S = 0.3
-log = structlog.get_logger("briarseam.placement")
 
 
 class ReaderUnavailableError(Exception):
@@ -68,34 +65,23 @@
         self.reader = reader
         self.index = index
         self.cursors = {address: ("", 0) for address in sorted(addresses)}
-        self.available = True
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name=f"stores-by-{reader}", daemon=True
+        self.poller = polling.Poller(
+            f"stores-by-{reader}",
+            self.poll,
+            ReaderUnavailableError,
+            RETRY_S,
         )
 
     def start(self) -> None:
         """Begin following."""
-        self.thread.start()
+        self.poller.start()
 
     def stop(self) -> None:
         """Stop after the question under way."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Follow until stopped."""
-        while not self.stopping.is_set():
-            try:
-                self.poll()
-            except ReaderUnavailableError as error:
-                self.note_available(False, str(error))
-                self.stopping.wait(RETRY_S)
-                continue
-            self.note_available(True, "")
-            self.stopping.wait(PAUSE_S)
-
-    def poll(self) -> None:
-        """Ask once, and take in the answer.
+        self.poller.stop()
+
+    def poll(self) -> float:
+        """Ask once, and take in the answer; return the pause.
 
         Raises
         ------
@@ -111,12 +97,12 @@
             WAIT_S,
         )
         told = self.readers.read_stores(self.reader, asked, WAIT_S + SLACK_S)
-        if self.stopping.is_set():
-            return
         if not told.reads:
             raise ReaderUnavailableError("it does not read these stores")
-        for store in told.stores:
-            self.take(store)
+        if not self.poller.stopping.is_set():
+            for store in told.stores:
+                self.take(store)
+        return PAUSE_S
 
     def take(self, store: messages.StoreTold) -> None:
         """Take in what is new of one store."""
@@ -132,14 +118,3 @@
         changes = kept_module.Changes(store.epoch, 0, False, events)
         if not self.index.take_changes(store.address, changes, store.age_s):
             self.cursors[store.address] = ("", 0)
-
-    def note_available(self, available: bool, detail: str) -> None:
-        """Log that the reader was lost or regained, once."""
-        if available == self.available:
-            return
-        self.available = available
-        log.warning(
-            "store_reader_regained" if available else "store_reader_lost",
-            reader=self.reader,
-            detail=detail,
-        )
--- a/src/briarseam/placement/store_watch.py
+++ b/src/briarseam/placement/store_watch.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import threading
 import typing
 
 import structlog
 
+from briarseam import polling
 from briarseam.placement import kept as kept_module
 
 # Length of one long poll.  Its end without an answer shows that a store is
@@ -54,51 +54,48 @@
         self.address = address
         self.index = index
         self.since: int | None = None
-        self.available = True
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name=f"store-{address}", daemon=True
+        self.poller = polling.Poller(
+            f"store-{address}",
+            self.poll,
+            StoreUnavailableError,
+            RETRY_S,
+            self.lose,
         )
 
     def start(self) -> None:
         """Begin following."""
-        self.thread.start()
+        self.poller.start()
 
     def stop(self) -> None:
         """Stop after the poll under way."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Follow until stopped."""
-        while not self.stopping.is_set():
-            try:
-                self.poll()
-            except StoreUnavailableError as error:
-                self.note_lost(str(error))
-                self.stopping.wait(RETRY_S)
-                continue
-            if not self.available:
-                log.warning("cache_store_regained", address=self.address)
-            self.available = True
-            self.stopping.wait(PAUSE_S)
-
-    def poll(self) -> None:
-        """Read the content, or what changed since."""
+        self.poller.stop()
+
+    def poll(self) -> float:
+        """Read the content, or what changed since; return the pause."""
         if self.since is None:
-            content = self.stores.content(self.address)
-            if self.stopping.is_set():
-                return
-            self.index.take_content(self.address, content)
-            self.since = content.next
-            log.info(
-                "cache_store_read",
-                address=self.address,
-                epoch=content.epoch,
-                parts=len(content.parts),
-            )
+            self.read_content()
+        else:
+            self.read_changes(self.since)
+        return PAUSE_S
+
+    def read_content(self) -> None:
+        """Read all that the store keeps."""
+        content = self.stores.content(self.address)
+        if self.poller.stopping.is_set():
             return
-        changes = self.stores.changes(self.address, self.since, WAIT_S)
-        if self.stopping.is_set():
+        self.index.take_content(self.address, content)
+        self.since = content.next
+        log.info(
+            "cache_store_read",
+            address=self.address,
+            epoch=content.epoch,
+            parts=len(content.parts),
+        )
+
+    def read_changes(self, since: int) -> None:
+        """Read what changed since."""
+        changes = self.stores.changes(self.address, since, WAIT_S)
+        if self.poller.stopping.is_set():
             return
         if self.index.take_changes(self.address, changes):
             self.since = changes.next
@@ -108,12 +105,8 @@
         )
         self.since = None
 
-    def note_lost(self, detail: str) -> None:
+    def lose(self, error: Exception) -> None:
         """Forget the content of a store that does not answer."""
+        del error
         self.index.lose(self.address)
         self.since = None
-        if self.available:
-            log.warning(
-                "cache_store_lost", address=self.address, detail=detail
-            )
-        self.available = False
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -143,9 +143,7 @@
     """
     read_on(cell)
     topic.away = True
-    reader = cell["reader"].reading[TOPIC]
-    reader.stopping.wait = lambda pause_s: reader.stopping.set()
-    reader.run()
+    cell["reader"].reading[TOPIC].poller.step()
     with pytest.raises(records.StoreUnavailableError):
         cell["asker"].read_keyed(TOPIC, 3, 0.0)
 
--- a/tests/placement/test_store_watch.py
+++ b/tests/placement/test_store_watch.py
@@ -84,9 +84,7 @@
         [store_watch.StoreUnavailableError("away")],
     )
     watch.poll()
-    with pytest.raises(store_watch.StoreUnavailableError) as raised:
-        watch.poll()
-    watch.note_lost(str(raised.value))
+    assert watch.poller.step() == store_watch.RETRY_S
     assert index.plan(SALT, PARTS).fetch_from == ("",)
     watch.poll()
     assert index.stores["s"].epoch == 2
