Of many engines few are compared, and those without a free slot passed over

Cause: with the work of other cells told (up to 1.5 s old) and all 30 engines compared, all instances send to the same idlest engine until they know better. And at the second grown site, where an engine runs 32 requests at once, 256 of 5,393 arrivals were rejected as full and others waited a second for a slot.

Change: above 8 engines the first three for a session are compared, the next three while these are full or have old weights; a request that would wait for a slot costs 10,000 tokens. Up to 8 engines all are compared, as before.

--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -38,10 +38,18 @@
 # the memory.
 EASY_FILL = 0.6
 FILL_TOKENS = 40_000
+# An engine runs as many requests at once as it has slots.  One more waits
+# for one to end: at 32 slots and some two seconds a run about 70 ms, in
+# which 157 tokens a ms are read elsewhere.
+TOKENS_PER_WAITING = 10_000
 # Fetching a token's KV cache takes about a tenth of the time of reading it,
 # by the links' speed and the size of a token: 158 MB for 8,610 tokens take
 # 7 ms at 170 Gbit/s, and reading them 77 ms.
 FETCH_COST = 0.1
+# Up to so many engines all are compared for each prompt; of more, so many at
+# a time.  Two choices already keep the busiest near the mean.
+FEW_ENGINES = 8
+CHOICES = 3
 RETRY_AFTER_S = 0.5
 
 
@@ -61,6 +69,29 @@
     stores: kept_module.Plan
 
 
+@dataclasses.dataclass(frozen=True)
+class PromptAsk:
+    """A prompt that is to be placed.
+
+    Attributes
+    ----------
+    request, prompt
+        The prompt.
+    home
+        Id of the engine that ranks first for its session.
+    versions
+        Weights of the engines by their ids.
+    plans
+        By version of weights.
+    """
+
+    request: requests.Request
+    prompt: calls.Prompt
+    home: str
+    versions: dict[str, int]
+    plans: dict[int, VersionPlan]
+
+
 @dataclasses.dataclass(frozen=True)
 class Candidate:
     """An engine that could take a prompt.
@@ -75,6 +106,12 @@
         Work known there.
     missing_tokens, held_tokens, fetched_tokens
         As in :class:`briarseam.placement.requests.Placement`.
+    fill
+        How full its memory would be.
+    is_old
+        Whether others have newer weights.
+    cost
+        When the prompt would be read, in tokens to be read until then.
     """
 
     endpoint: discovery.Endpoint
@@ -83,6 +120,9 @@
     missing_tokens: int
     held_tokens: int
     fetched_tokens: int
+    fill: float
+    is_old: bool
+    cost: float
 
 
 class Chooser:
@@ -179,47 +219,49 @@
         prompt: calls.Prompt,
         candidates: list[discovery.Endpoint],
     ) -> requests.Placement | requests.Full:
-        """Place a prompt where it will be read soonest."""
+        """Place a prompt where it will be read soonest.
+
+        Of many engines only a few are compared, the session's own, and the
+        next ones while these are full or have old weights.  What is known
+        of others' work is up to 1.5 s old: were all compared, all instances
+        would send to the same idlest one until they know better.
+        """
         key = requests.session_of(prompt)
-        home = rank.ranked(key, candidates, lambda endpoint: endpoint.id)[0]
+        ranked = rank.ranked(key, candidates, lambda endpoint: endpoint.id)
         versions = {
             endpoint.id: self.version_of(endpoint, prompt.model)
             for endpoint in candidates
         }
-        newest = max(versions.values())
-        required = self.required(prompt.model)
         plans = {
             version: self.plan(request, prompt, version)
             for version in set(versions.values())
         }
+        ask = PromptAsk(request, prompt, ranked[0].id, versions, plans)
+        size = CHOICES if len(ranked) > FEW_ENGINES else len(ranked)
         best: Candidate | None = None
-        best_cost = 0.0
         least_fill = float("inf")
-        for endpoint in candidates:
-            version = versions[endpoint.id]
-            load = self.loads.of(endpoint.id)
-            fill = requests.fill_of(load, request, prompt)
-            least_fill = min(least_fill, fill)
-            if (
-                fill > requests.fill_limit(request, prompt)
-                or version < required
-            ):
-                continue
-            candidate = self.candidate(prompt, endpoint, plans[version], load)
-            cost_of_fill = max(0.0, fill - EASY_FILL) * FILL_TOKENS
-            cost = float(load.waiting_tokens + candidate.missing_tokens)
-            cost += load.running * TOKENS_PER_STREAM + cost_of_fill
-            if endpoint.id == home.id:
-                cost -= HOME_BONUS_TOKENS
-            if version < newest:
-                cost += OLD_WEIGHTS_TOKENS
-            if best is None or cost < best_cost:
-                best_cost = cost
-                best = candidate
+        for first in range(0, len(ranked), size):
+            for endpoint in ranked[first : first + size]:
+                found = self.candidate(ask, endpoint)
+                least_fill = min(least_fill, found.fill)
+                if not self.may_take(ask, found):
+                    continue
+                if best is None or found.cost < best.cost:
+                    best = found
+            if best is not None and not best.is_old:
+                break
         if best is None:
             return requests.Full(least_fill, len(candidates))
         return self.placement(request, best, versions[best.endpoint.id])
 
+    def may_take(self, ask: PromptAsk, found: Candidate) -> bool:
+        """Tell whether an engine may take a prompt at all."""
+        required = self.required(ask.prompt.model)
+        limit = requests.fill_limit(ask.request, ask.prompt)
+        return (
+            found.fill <= limit and ask.versions[found.endpoint.id] >= required
+        )
+
     def plan(
         self, request: requests.Request, prompt: calls.Prompt, version: int
     ) -> VersionPlan:
@@ -230,19 +272,29 @@
         return VersionPlan(salt, self.kept.plan(salt, prompt.shared))
 
     def candidate(
-        self,
-        prompt: calls.Prompt,
-        endpoint: discovery.Endpoint,
-        plan: VersionPlan,
-        load: load_module.Load,
+        self, ask: PromptAsk, endpoint: discovery.Endpoint
     ) -> Candidate:
-        """Return what an engine would have to read and fetch."""
-        parts = [(part.id, part.tokens) for part in prompt.parts]
+        """Return what it would mean to run a prompt on an engine."""
+        version = ask.versions[endpoint.id]
+        plan = ask.plans[version]
+        load = self.loads.of(endpoint.id)
+        parts = [(part.id, part.tokens) for part in ask.prompt.parts]
         held = self.residency.known(endpoint.id, plan.salt, parts)
         fetched = max(plan.stores.fetched_tokens - held, 0)
-        missing = max(prompt.input_tokens - held - fetched, 0)
+        missing = max(ask.prompt.input_tokens - held - fetched, 0)
         missing += int(fetched * FETCH_COST)
-        return Candidate(endpoint, plan, load, missing, held, fetched)
+        fill = requests.fill_of(load, ask.request, ask.prompt)
+        waiting = max(0, load.requests + 1 - endpoint.slots)
+        is_old = version < max(ask.versions.values())
+        cost = float(load.waiting_tokens + missing)
+        cost += load.running * TOKENS_PER_STREAM
+        cost += max(0.0, fill - EASY_FILL) * FILL_TOKENS
+        cost += waiting * TOKENS_PER_WAITING
+        cost += OLD_WEIGHTS_TOKENS if is_old else 0
+        cost -= HOME_BONUS_TOKENS if endpoint.id == ask.home else 0
+        return Candidate(
+            endpoint, plan, load, missing, held, fetched, fill, is_old, cost
+        )
 
     def placement(
         self, request: requests.Request, chosen: Candidate, version: int
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -9,6 +9,7 @@
 from briarseam.forwarding import calls
 from briarseam.placement import chooser as choosers
 from briarseam.placement import kept
+from briarseam.placement import loads
 from briarseam.placement import requests
 from briarseam.routes import model as routes
 from briarseam.weights import board as boards
@@ -112,6 +113,46 @@
     assert case.chooser.loads.of(home.id).running < 7
 
 
+def test_engine_without_a_free_slot_is_passed_over(case):
+    """Small prompts of one session fill the slots of the engine that holds
+    it.  Its memory has room, so each further one waits there for a slot
+    while other engines have some.
+    """
+    home, _added = case.run(tokens=2000)
+    for _ in range(3 * home.endpoint.slots - 1):
+        case.run(tokens=2000)
+    requests_at = case.chooser.loads.of(home.endpoint.id).requests
+    assert requests_at <= home.endpoint.slots
+
+
+def test_idlest_of_many_engines_is_not_everybodys_choice():
+    """Thirty engines are busy and one is idle, as of a second ago.
+
+    Each instance sends all that comes in this second to that one.
+    """
+    case = Case(engines=30)
+    for endpoint in case.endpoints[1:]:
+        work = loads.Load(requests=4, running=4, waiting_tokens=20_000)
+        case.chooser.loads.add(endpoint.id, work)
+    idle = case.endpoints[0].id
+    chosen = [
+        case.place(session=f"s{number}").endpoint.id for number in range(90)
+    ]
+    assert 3 <= chosen.count(idle) <= 25
+
+
+def test_prompt_goes_on_to_further_engines_when_its_own_are_full():
+    case = Case(engines=30)
+    for endpoint in case.endpoints[1:]:
+        full = loads.Load(requests=4, running=4, memory_tokens=100_000)
+        case.chooser.loads.add(endpoint.id, full)
+    chosen = {
+        case.place(tokens=9000, session=f"s{number}").endpoint.id
+        for number in range(30)
+    }
+    assert chosen == {case.endpoints[0].id}
+
+
 def test_no_more_prompts_are_admitted_than_memory_holds(case):
     """All engines are full.  One more prompt makes them preempt runs and
     read prompts again, which slows all runs, so that memory stays full.
