A zone of a few more instances than a cell stays whole

Cause: a zone of 33 instances, two of them strong, was cut into two cells by names; the strong ones may fall to one, and a machine with a link of 5 Mbit/s then reads the topics for the other (some 3 Mbit/s to 15 peers).

--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -220,7 +220,9 @@
             found[row.name] = row.group
             continue
         zone = f"{row.group}/{row.zone}"
-        parts = -(-len(zones[zone]) // CELL_MEMBERS)
+        # A zone of a few more stays whole: of two cells, one may have no
+        # instance that is strong enough to speak for it.
+        parts = max(1, round(len(zones[zone]) / CELL_MEMBERS))
         found[row.name] = cells.cell_of(row.name, zone, parts)
     return found
 
--- a/tests/peers/test_registrations.py
+++ b/tests/peers/test_registrations.py
@@ -113,6 +113,11 @@
     assert sizes_of(rows) == {"north/a/0": 27, "north/b/0": 25}
 
 
+def test_zone_of_a_few_more_than_a_cell_stays_whole():
+    rows = [*instances_of("a", 33), *instances_of("b", 25)]
+    assert sizes_of(rows) == {"north/a/0": 33, "north/b/0": 25}
+
+
 def test_large_zone_is_cut_into_cells():
     rows = [*instances_of("a", 90), *instances_of("b", 2)]
     sizes = sizes_of(rows)
