--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -117,11 +117,16 @@
         """Write a configuration."""
         self.store.write("keyed.op", "config", configuration(**changes))
 
-    def start(self) -> compose.Node:
-        """Start the instance and wait until it knows its endpoints."""
+    def begin(self) -> compose.Node:
+        """Start the instance, which may know nothing yet."""
         self.node = compose.Node(self.settings())
         self.stack.callback(self.node.stop)
         self.node.start()
+        return self.node
+
+    def start(self) -> compose.Node:
+        """Start the instance and wait until it knows its endpoints."""
+        self.begin()
         waiting.until(
             lambda: (
                 self.node.is_ready()
