--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -284,11 +284,11 @@
                 instance.send(signal.SIGSTOP)
                 time.sleep(for_s)
                 instance.send(signal.SIGCONT)
-            case Ended(_number, by):
+            case Ended(by=by):
                 instance.end(by)
                 time.sleep(for_s / 3)
                 instance.start()
-            case Reloaded(_number, extra):
+            case Reloaded(extra=extra):
                 if extra == BAD_SETTINGS:
                     instance.await_settings_read()
                 instance.write_settings(extra)
