Threads that follow topics survive what other threads do

The map of clients of other cells was changed by two threads without a lock. A peer that was known before its region was cut kept the name of its former cell.

Change: a cache that is gone means a direct read; a fault of ours in a read is logged and the follower goes on; a lock; the present cell at each listing.

Measured: 3 new tests fail before and pass after.

--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import typing
 
 from briarseam.feeds import shared_messages
@@ -44,6 +45,7 @@
     def __init__(self, instances: node_instances.Instances) -> None:
         self.instances = instances
         self.far: dict[str, clients.Client] = {}
+        self.lock = threading.Lock()
 
     def service(self) -> membership.Membership:
         """Return membership, or raise :class:`NoReplyError`."""
@@ -89,12 +91,13 @@
     def client(self, address: str) -> clients.Client:
         """Return the client of an instance of another cell."""
         service = self.service()
-        found = self.far.get(address)
-        if found is None:
-            found = clients.Client(
-                address, service.identity, service.key, max_idle=1
-            )
-            self.far[address] = found
+        with self.lock:
+            found = self.far.get(address)
+            if found is None:
+                found = clients.Client(
+                    address, service.identity, service.key, max_idle=1
+                )
+                self.far[address] = found
         return found
 
     # This cell and the others.
@@ -136,8 +139,9 @@
             )[0].agent_address
             for cell in cells.values()
         ]
-        for address in self.far.keys() - set(found):
-            self.far.pop(address).close()
+        with self.lock:
+            for address in self.far.keys() - set(found):
+                self.far.pop(address).close()
         return found
 
     def tell_load(self, address: str, message: cell_loads.CellLoad) -> None:
--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -96,6 +96,13 @@
                 )
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
                 continue
+            except Exception:
+                # A fault of ours must not end the thread: nothing would
+                # be followed any more, and the instance would serve what
+                # was in force then for ever.
+                log.exception("read_failed", topic=self.topic)
+                self.stopping.wait(MAX_RETRY_S)
+                continue
             retry_s = RETRY_S
             self.note_regained()
             self.stopping.wait(self.pause_s)
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -273,7 +273,12 @@
         reader = self.readers.speaker()
         if reader == self.me:
             self.begin_reading()
-            return self.caches[topic].read(start, min(wait_s, WAIT_S))
+            # Another topic's follower may just have seen another reader and
+            # stopped all of this.
+            cache = self.caches.get(topic)
+            if cache is None:
+                return None
+            return cache.read(start, min(wait_s, WAIT_S))
         self.stop()
         if not reader or self.avoided.get(reader, 0.0) > self.clock():
             return None
--- a/src/briarseam/membership/table.py
+++ b/src/briarseam/membership/table.py
@@ -87,6 +87,7 @@
             }
             for row in rows.values():
                 found = self.record(row.name, row.zone, row.address)
+                found.cell = self.cell_of(row.name, row.zone)
                 found.listed_address = row.address
                 found.listed_leaving = row.state == "leaving"
                 # The list lags: its address counts only for an agent that
--- a/tests/feeds/test_following.py
+++ b/tests/feeds/test_following.py
@@ -129,3 +129,34 @@
     with pytest.raises(records.SupersededError):
         client.append("own", (b"z",), at=0)
     assert client.append("own", (b"z",), at=2) == 2
+
+
+class Faulty:
+    """A store whose client has a fault of its own, once."""
+
+    def __init__(self, client):
+        self.client = client
+        self.faults = 1
+
+    def newest(self, topic):
+        if self.faults:
+            self.faults -= 1
+            raise KeyError(topic)
+        return self.client.newest(topic)
+
+    def read_keyed(self, topic, start, wait_s):
+        return self.client.read_keyed(topic, start, wait_s)
+
+
+def test_fault_of_ours_does_not_end_the_following(store):
+    """A read fails in a way that nobody thought of.
+
+    The thread ended, and the instance served for ever what was in force.
+    """
+    made = Listener()
+    client = Faulty(stores.StoreClient(store.address))
+    follower = following.Follower(client, TOPIC, made, wait_s=0.3)
+    store.write_raw(TOPIC, "a", b"1")
+    follower.start()
+    waiting.until(lambda: made.known == {"a": b"1"})
+    follower.stop()
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -182,6 +182,19 @@
     assert cell["reader"].answer(asked) == messages.UNKNOWN
 
 
+def test_reader_that_is_stopped_by_another_topics_follower_reads_on(
+    cell, topic, monkeypatch
+):
+    """Two followers see two readers within a moment, as members come.
+
+    One begins to read for the cell, the other stops that; the first one's
+    thread ended, and its topic was followed no more.
+    """
+    monkeypatch.setattr(cell["reader"], "begin_reading", cell["reader"].stop)
+    assert cell["reader"].read_keyed(TOPIC, 0, 0.0).next == 3
+    assert topic.calls == 1
+
+
 def test_small_deployment_reads_the_store_itself(cell, topic, readers):
     readers.total = sharing.SHARED_FROM - 1
     assert cell["asker"].read_keyed(TOPIC, 0, 0.0).next == 3
--- /dev/null
+++ b/tests/membership/test_table.py
@@ -0,0 +1,26 @@
+from __future__ import annotations
+
+from briarseam.backing import instances
+from briarseam.membership import state
+from briarseam.membership import table as tables
+from tests import clocks
+
+
+def test_peers_cell_is_the_present_one_after_cells_were_cut_anew():
+    """A region grows, and is cut into cells.
+
+    A peer that was known before kept the name of its former cell, and was
+    told of its own cell's work as if it were another one.
+    """
+    cells = {"a": "north", "b": "north"}
+    table = tables.Table(
+        state.Me("a", "north", "127.0.0.1:1"),
+        lambda name, zone: cells[name],
+        1.6,
+        clocks.ManualClock(),
+    )
+    listed = [instances.Instance("b", "agent", "127.0.0.1:2", "north")]
+    table.take_listing(listed)
+    cells.update(a="north/east/0", b="north/east/0")
+    table.take_listing(listed)
+    assert table.records["b"].cell == "north/east/0"
