--- a/src/briarseam/placement/store_watches.py
+++ b/src/briarseam/placement/store_watches.py
@@ -27,7 +27,7 @@
 READERS_KEY = "store-readers"
 # Up to so many instances each reads all stores itself, and depends on no
 # other: readers that are lost or suspended cost what is then read again,
-# about 0.03 of worth on days with trouble at 6 and 7 instances.
+# about 0.03 of worth in the mean of the standard days at 6 and 7 instances.
 DIRECT_UP_TO = 10
 
 
