A prompt's bounds are worked out once, not for each engine

Found on reading the whole difference once more: the newest and the required weights, the bound on memory and the list of parts were worked out again for each engine that was compared, a square of the engines for each prompt. They stand in PromptAsk now. Two tests wrote the same settings; they share one text. Behaviour and assertions are as they were.

--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -79,8 +79,14 @@
         The prompt.
     home
         Id of the engine that ranks first for its session.
+    parts
+        Ids and lengths of its parts.
+    most_fill
+        How full an engine may get with it.
     versions
         Weights of the engines by their ids.
+    newest, required
+        The newest of these, and the oldest that may still be used.
     plans
         By version of weights.
     """
@@ -88,9 +94,18 @@
     request: requests.Request
     prompt: calls.Prompt
     home: str
+    parts: tuple[tuple[str, int], ...]
+    most_fill: float
     versions: dict[str, int]
+    newest: int
+    required: int
     plans: dict[int, VersionPlan]
 
+    def may_go(self, found: Candidate) -> bool:
+        """Tell whether it may run on an engine at all."""
+        version = self.versions[found.endpoint.id]
+        return found.fill <= self.most_fill and version >= self.required
+
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
@@ -236,7 +251,17 @@
             version: self.plan(request, prompt, version)
             for version in set(versions.values())
         }
-        ask = PromptAsk(request, prompt, ranked[0].id, versions, plans)
+        ask = PromptAsk(
+            request=request,
+            prompt=prompt,
+            home=ranked[0].id,
+            parts=tuple((part.id, part.tokens) for part in prompt.parts),
+            most_fill=requests.fill_limit(request, prompt),
+            versions=versions,
+            newest=max(versions.values()),
+            required=self.required(prompt.model),
+            plans=plans,
+        )
         size = CHOICES if len(ranked) > FEW_ENGINES else len(ranked)
         best: Candidate | None = None
         least_fill = float("inf")
@@ -244,7 +269,7 @@
             for endpoint in ranked[first : first + size]:
                 found = self.candidate(ask, endpoint)
                 least_fill = min(least_fill, found.fill)
-                if not self.may_take(ask, found):
+                if not ask.may_go(found):
                     continue
                 if best is None or found.cost < best.cost:
                     best = found
@@ -254,14 +279,6 @@
             return requests.Full(least_fill, len(candidates))
         return self.placement(request, best, versions[best.endpoint.id])
 
-    def may_take(self, ask: PromptAsk, found: Candidate) -> bool:
-        """Tell whether an engine may take a prompt at all."""
-        required = self.required(ask.prompt.model)
-        limit = requests.fill_limit(ask.request, ask.prompt)
-        return (
-            found.fill <= limit and ask.versions[found.endpoint.id] >= required
-        )
-
     def plan(
         self, request: requests.Request, prompt: calls.Prompt, version: int
     ) -> VersionPlan:
@@ -278,14 +295,13 @@
         version = ask.versions[endpoint.id]
         plan = ask.plans[version]
         load = self.loads.of(endpoint.id)
-        parts = [(part.id, part.tokens) for part in ask.prompt.parts]
-        held = self.residency.known(endpoint.id, plan.salt, parts)
+        held = self.residency.known(endpoint.id, plan.salt, ask.parts)
         fetched = max(plan.stores.fetched_tokens - held, 0)
         missing = max(ask.prompt.input_tokens - held - fetched, 0)
         missing += int(fetched * FETCH_COST)
         fill = requests.fill_of(load, ask.request, ask.prompt)
         waiting = max(0, load.requests + 1 - endpoint.slots)
-        is_old = version < max(ask.versions.values())
+        is_old = version < ask.newest
         cost = float(load.waiting_tokens + missing)
         cost += load.running * TOKENS_PER_STREAM
         cost += max(0.0, fill - EASY_FILL) * FILL_TOKENS
--- a/tests/command/test_serve.py
+++ b/tests/command/test_serve.py
@@ -3,46 +3,34 @@
 from __future__ import annotations
 
 import pytest
+from tests.settings import serve_text
 
 from briarseam import run
 from briarseam.settings import serving
 
-GOOD = """
-[instance]
-name = one
-zone = a
-region = north
-[listen]
-callers = 127.0.0.1:1
-readiness = 127.0.0.1:2
-lookups = 127.0.0.1:3
-peers = 127.0.0.1:4
-metrics = 127.0.0.1:5
-[store]
-address = 127.0.0.1:6
-"""
-
 
 @pytest.mark.parametrize(
     ("text", "line"),
     [
         pytest.param(
-            GOOD.replace("callers = 127.0.0.1:1", "callers = there"),
+            serve_text.GOOD.replace(
+                "callers = 127.0.0.1:1", "callers = there"
+            ),
             "settings.ini:7 [listen] callers: expected",
             id="bad-address",
         ),
         pytest.param(
-            GOOD.replace("zone = a\n", ""),
+            serve_text.GOOD.replace("zone = a\n", ""),
             "settings.ini:2 [instance] zone: expected",
             id="missing",
         ),
         pytest.param(
-            GOOD + "[bounds]\nretry_ratio = -1\n",
+            serve_text.GOOD + "[bounds]\nretry_ratio = -1\n",
             "settings.ini:15 [bounds] retry_ratio: expected",
             id="out-of-bounds",
         ),
         pytest.param(
-            GOOD + "[bonds]\n",
+            serve_text.GOOD + "[bonds]\n",
             "settings.ini:14 [bonds]: expected one of",
             id="unknown-section",
         ),
@@ -70,5 +58,5 @@
     No process started there, since the settings took 100 at most.
     """
     path = tmp_path / "settings.ini"
-    path.write_text(GOOD + "[bounds]\nretry_slack = 210\n")
+    path.write_text(serve_text.GOOD + "[bounds]\nretry_slack = 210\n")
     assert serving.load(str(path)).bounds.retry_slack == 210
--- a/tests/compose/test_reloading.py
+++ b/tests/compose/test_reloading.py
@@ -5,23 +5,9 @@
 from briarseam.compose import reloading
 from briarseam.settings import serving
 from briarseam.testing import waiting
+from tests.settings import serve_text
 
-TEXT = """
-[instance]
-name = one
-zone = a
-region = north
-[listen]
-callers = 127.0.0.1:1
-readiness = 127.0.0.1:2
-lookups = 127.0.0.1:3
-peers = 127.0.0.1:4
-metrics = 127.0.0.1:5
-[store]
-address = 127.0.0.1:6
-[bounds]
-retry_ratio = {ratio}
-"""
+TEXT = serve_text.GOOD + "[bounds]\nretry_ratio = {ratio}\n"
 
 
 class Case:
