--- /dev/null
+++ b/tests/platform/engine.py
@@ -0,0 +1,80 @@
+"""Stand-in for a worker with a model whose weights can be changed."""
+
+from __future__ import annotations
+
+import json
+import threading
+
+from briarseam.testing import http_messages
+from tests.platform import worker as workers
+
+REPORT_PATH = ("briarseam", "report")
+ORDER_PATH = ("briarseam", "order")
+
+
+class Engine(workers.Worker):
+    """Takes orders to load weights, one at a time.
+
+    Parameters
+    ----------
+    id
+        The id of this incarnation.
+    model
+        Name of its model.
+    drain_s
+        What its runs take to end; an order that lets them finish waits so
+        long.
+    load_s
+        What a load of weights takes.
+    """
+
+    def __init__(
+        self, id: str, model: str, drain_s: float, load_s: float
+    ) -> None:
+        super().__init__(id)
+        self.model = model
+        self.drain_s = drain_s
+        self.load_s = load_s
+        self.version = 1
+        self.busy = False
+
+    def answer(self, request: http_messages.Request) -> http_messages.Response:
+        """Answer one request."""
+        if request.path == REPORT_PATH:
+            return self.report()
+        if request.path == ORDER_PATH:
+            return self.order(json.loads(request.body))
+        return super().answer(request)
+
+    def report(self) -> http_messages.Response:
+        """Tell the weights and whether an order is under way."""
+        with self.lock:
+            return http_messages.json_response(
+                200,
+                {
+                    "models": [{"name": self.model, "version": self.version}],
+                    "busy": self.busy,
+                    "seq": len(self.orders),
+                },
+            )
+
+    def order(self, body: dict) -> http_messages.Response:
+        """Take an order unless one is under way or it names other counts."""
+        with self.lock:
+            if self.busy or body["expected"] != len(self.orders):
+                return http_messages.json_response(409, {})
+            self.orders.append(body)
+            self.busy = True
+        waits_s = self.drain_s if body["swapMode"] == "queue" else 0.0
+        timer = threading.Timer(
+            waits_s + self.load_s, self.loaded, (body["version"],)
+        )
+        timer.daemon = True
+        timer.start()
+        return http_messages.json_response(202, {})
+
+    def loaded(self, version: int) -> None:
+        """Have new weights."""
+        with self.lock:
+            self.version = version
+            self.busy = False
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -91,17 +91,30 @@
         self.workers: dict[str, workers.Worker] = {}
         self.http = urllib3.PoolManager(retries=False)
         self.folder = folder
+        self.bounds: dict[str, int] = {}
         self.node: compose.Node | None = None
 
-    def add_worker(self, name: str, service: str) -> workers.Worker:
+    def add_worker(
+        self, name: str, service: str, weights: int | None = None
+    ) -> workers.Worker:
         """Start an endpoint and write its entry."""
-        worker = self.stack.enter_context(workers.Worker(name))
-        self.workers[name] = worker
-        self.write_entry(name, service)
+        return self.add(workers.Worker(name), service, weights)
+
+    def add(
+        self, worker: workers.Worker, service: str, weights: int | None = None
+    ) -> workers.Worker:
+        """Take an endpoint in and write its entry."""
+        self.stack.enter_context(worker)
+        self.workers[worker.id] = worker
+        self.write_entry(worker.id, service, weights=weights)
         return worker
 
     def write_entry(
-        self, name: str, service: str, state: str = "ready"
+        self,
+        name: str,
+        service: str,
+        state: str = "ready",
+        weights: int | None = None,
     ) -> None:
         """Write an endpoint's entry."""
         entry = {
@@ -111,6 +124,8 @@
             "slots": 8,
             "state": state,
         }
+        if weights is not None:
+            entry["models"] = [{"name": MODEL, "version": weights}]
         self.store.write("keyed.servers", name, entry)
 
     def configure(self, **changes: object) -> None:
@@ -144,10 +159,12 @@
             f"{name} = 127.0.0.1:{port}"
             for name, port in zip(names, free, strict=True)
         )
+        bounds = "\n".join(f"{key} = {n}" for key, n in self.bounds.items())
         path = self.folder / "settings.ini"
         path.write_text(
             "[instance]\nname = one\nzone = hall-a\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.store.address}\n"
+            f"[bounds]\n{bounds}\n"
         )
         return serving.load(str(path))
 
--- /dev/null
+++ b/tests/platform/test_weights_after_restart.py
@@ -0,0 +1,78 @@
+"""Wanted weights must not look new because all processes are.
+
+The failure this guards against: engines are being brought to newer weights
+when all instances lose power at once.  Started again, they sent requests to
+engines whose weights had been replaced 21 seconds before, and callers got
+answers that were out of date.
+
+Order of events: weights 2 were named; two of six engines were being changed;
+weights 3 were named; all processes ended.  The new ones found weights 3 on
+the store and took them as named just now, since how long weights had been
+wanted was known to the processes only.
+
+Evidence: requests to weights 1 stopped 13 s after weights 2 were named, when
+the bound of the old processes excluded them, and went on with the first
+request after the start of the new ones.
+"""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from tests.platform import system as systems
+
+# Older weights are out of use this long after newer ones were named: the
+# bound of the settings, less a margin of two seconds.
+VERSION_MS = 3500
+EXCLUDED_AFTER_S = 1.5
+# For the naming to reach the process, and what it keeps of it the store.
+SEEN_S = 0.8
+
+
+def name_weights(system, version):
+    system.store.write(
+        "keyed.op",
+        f"version/{systems.MODEL}",
+        {"model": systems.MODEL, "version": version},
+    )
+    time.sleep(SEEN_S)
+
+
+def prompts_arrived(system):
+    return [
+        request
+        for worker in system.workers.values()
+        for request in worker.arrived
+        if "prefix-hash" in request.headers
+    ]
+
+
+@pytest.fixture
+def system(cold_system):
+    cold_system.bounds["version_ms"] = VERSION_MS
+    for name in ("engine-1", "engine-2"):
+        cold_system.add_worker(name, "engines", weights=1)
+    cold_system.configure()
+    cold_system.start()
+    return cold_system
+
+
+def test_no_request_begins_on_old_weights_after_all_processes_ended(system):
+    """Weights 2 are named, weights 3 soon after, and all processes end."""
+    name_weights(system, 2)
+    name_weights(system, 3)
+    system.node.stop()
+    time.sleep(EXCLUDED_AFTER_S - SEEN_S)
+    system.start()
+    assert system.stream("/draft/x", Deadline_Ms="500").status == 503
+    assert prompts_arrived(system) == []
+
+
+def test_weights_named_just_now_do_not_exclude_older_ones(system):
+    """Refusing all until engines are changed would keep the promise too."""
+    name_weights(system, 2)
+    system.node.stop()
+    system.start()
+    assert system.stream("/draft/x", Deadline_Ms="500").status == 200
