How long weights have been wanted outlives all processes

Cause: the age of a goal lived in processes' memory and in what they tell each other. When all ended at once, weights named 20 s ago counted as named just now, and weights that were replaced meanwhile were not known at all, so requests began on weights that were out of use. Ruled out: engines that came back with older weights, lost orders (both engines that were ordered had the new weights after the restart). Change: instances that stand for giving orders write the times of goals to a keyed topic of the store; a process that starts reads it, and until it has, or a peer has told, only the newest weights are used.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -97,7 +97,7 @@
             settings,
             self.store,
             self.feeds,
-            self.instances.stands_for_duty,
+            self.instances,
         )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
@@ -233,14 +233,10 @@
                 self.cell_loads.provide,
                 self.cell_loads.consume,
             ),
-            sections.Section(
-                "weights",
-                self.weights.board.provide,
-                self.weights.board.consume,
-            ),
             sections.Section(
                 "lost-requests", self.guard.provide, self.guard.consume
             ),
+            *self.weights.told(),
         )
         self.instances.service = node_peers.join(
             self.settings,
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -5,14 +5,19 @@
 import secrets
 import typing
 
+import structlog
+
+from briarseam.membership import sections
 from briarseam.platform import engines
 from briarseam.platform import names
 from briarseam.weights import board as boards
 from briarseam.weights import rollout as rollouts
 from briarseam.weights import tenure as tenures
+from briarseam.weights import times
 
 if typing.TYPE_CHECKING:
     from briarseam.compose import node_feeds
+    from briarseam.compose import node_instances
     from briarseam.platform import store as stores
     from briarseam.settings import serving
 
@@ -25,6 +30,7 @@
 # it begins; it must not begin on weights that are too old by then.
 VERSION_MARGIN_S = 2.0
 MS = 1000.0
+log = structlog.get_logger("briarseam.weights")
 
 
 class Weights:
@@ -38,13 +44,16 @@
         The platform's store.
     feeds
         What is followed on it.
-    stands
-        Tells whether this instance should take part in giving orders.
+    instances
+        Who else there is, and whether this instance should take part in
+        giving orders.
 
     Attributes
     ----------
     board
         What is known of engines' weights.
+    times
+        Since when weights are wanted, as it lies on the store.
     """
 
     def __init__(
@@ -52,12 +61,20 @@
         settings: serving.ServeSettings,
         store: stores.StoreClient,
         feeds: node_feeds.Feeds,
-        stands: typing.Callable[[], bool],
+        instances: node_instances.Instances,
     ) -> None:
         self.settings = settings
         self.feeds = feeds
         self.goals = feeds.operators.goals
         self.board = boards.Board(self.goals)
+        self.times = times.GoalTimes(
+            store,
+            names.GOAL_TIMES_TOPIC,
+            self.goals,
+            instances.stands_for_duty,
+        )
+        # What was logged last as excluded, by model.
+        self.excluded: dict[str, int] = {}
         start = secrets.token_hex(START_BYTES)
         self.tenure = tenures.Tenure(
             store,
@@ -65,7 +82,7 @@
             names.ORDERS_TOPIC,
             f"{settings.instance.name}/{start}",
             settings.bounds.lease_ms / MS + LEASE_SLACK_S,
-            stands,
+            instances.stands_for_duty,
         )
         self.rollout = rollouts.Rollout(
             rollouts.Sources(
@@ -80,18 +97,52 @@
 
     def start(self) -> None:
         """Begin to take part in who gives orders."""
+        self.times.start()
         self.tenure.start()
         self.rollout.start()
 
     def stop(self) -> None:
         """Give no further orders, and give the duty up."""
         self.rollout.stop()
+        self.times.stop()
         self.tenure.stop()
 
+    def told(self) -> tuple[sections.Section, ...]:
+        """Return what heartbeats carry."""
+        return (
+            sections.Section(
+                "weights", self.board.provide, self.board.consume
+            ),
+            # After the ages themselves, which the former carries.
+            sections.Section(
+                "weights-known", self.times.provide, self.times.consume
+            ),
+        )
+
+    def excluded_after_s(self) -> float:
+        """Return the age of a goal from which it excludes older weights."""
+        if not self.times.known.is_set():
+            # How old goals are is not known in the first moments after a
+            # start; requests would begin on weights replaced long ago.
+            return 0.0
+        return self.settings.bounds.version_ms / MS - VERSION_MARGIN_S
+
+    def time_left_s(self, model: str, version: int) -> float:
+        """Return the seconds until weights are out of use."""
+        return self.goals.time_left_s(model, version, self.excluded_after_s())
+
     def required(self, model: str) -> int:
         """Return the oldest weights that requests may still begin on."""
-        after_s = self.settings.bounds.version_ms / MS - VERSION_MARGIN_S
-        return self.goals.required(model, after_s)
+        found = self.goals.required(model, self.excluded_after_s())
+        if found != self.excluded.get(model, 0):
+            self.excluded[model] = found
+            log.info(
+                "older_weights_excluded",
+                model=model,
+                oldest=found,
+                times_known=self.times.known.is_set(),
+            )
+        return found
 
     def oldest(self, model: str) -> int | None:
         """Return the oldest weights that an engine may have.
--- a/src/briarseam/weights/goals.py
+++ b/src/briarseam/weights/goals.py
@@ -30,8 +30,8 @@
 
     No request may begin on older weights once a version was named for some
     time.  The time counts from when the first instance saw it, which peers
-    tell each other: an instance that has just started sees an old goal for
-    the first time.
+    tell each other and which lies on the store: an instance that has just
+    started sees an old goal for the first time.
 
     Parameters
     ----------
@@ -58,6 +58,21 @@
             self.newest = {**self.newest, goal.model: goal}
             return True
 
+    def recall(self, goal: WeightGoal, age_s: float) -> float:
+        """Take in that a former process saw a goal; return since when.
+
+        Operators' documents alone tell which goal is the newest.
+        """
+        seen_s = self.clock() - age_s
+        with self.lock:
+            self.seen[goal] = min(seen_s, self.seen.get(goal, seen_s))
+            return self.seen[goal]
+
+    def all_seen(self) -> dict[WeightGoal, float]:
+        """Return since when each goal is known, by the clock."""
+        with self.lock:
+            return dict(self.seen)
+
     def ages(self) -> list[tuple[str, int, float]]:
         """Return model, version and age in seconds of all goals."""
         now_s = self.clock()
@@ -87,3 +102,24 @@
                 ),
                 default=0,
             )
+
+    def time_left_s(self, model: str, version: int, after_s: float) -> float:
+        """Return the time until weights are excluded; infinite for newest.
+
+        Parameters
+        ----------
+        model, version
+            Which weights.
+        after_s
+            Age of a goal, in seconds, from which it excludes older weights.
+        """
+        now_s = self.clock()
+        with self.lock:
+            return min(
+                (
+                    seen_s + after_s - now_s
+                    for goal, seen_s in self.seen.items()
+                    if goal.model == model and goal.version > version
+                ),
+                default=float("inf"),
+            )
--- /dev/null
+++ b/tests/compose/test_node_weights.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import types
+
+import pytest
+
+from briarseam.compose import node_instances
+from briarseam.compose import node_weights
+from briarseam.routes import following
+from briarseam.settings import serving
+from briarseam.weights import goals
+
+VERSION_MS = 12_000
+
+
+class Store:
+    """A store that is never called."""
+
+
+@pytest.fixture
+def weights():
+    settings = types.SimpleNamespace(
+        instance=types.SimpleNamespace(name="one"),
+        bounds=serving.Bounds(version_ms=VERSION_MS),
+    )
+    feeds = types.SimpleNamespace(
+        operators=following.OperatorFeed(None, lambda changed: None),
+        engines_of=lambda model: [],
+    )
+    return node_weights.Weights(
+        settings, Store(), feeds, node_instances.Instances("one")
+    )
+
+
+def test_older_weights_are_out_of_use_until_the_age_of_goals_is_known(weights):
+    """A process that has just started sees a goal that may be old.  Taken
+    for new, requests of the first moments would begin on replaced weights.
+    """
+    weights.goals.take(goals.WeightGoal("m", 2))
+    assert weights.required("m") == 2
+    weights.times.known.set()
+    assert weights.required("m") == 0
+
+
+def test_older_weights_are_out_of_use_a_while_before_the_bound(weights):
+    weights.times.known.set()
+    weights.goals.take(goals.WeightGoal("m", 2), age_s=9.9)
+    assert weights.required("m") == 0
+    weights.goals.take(goals.WeightGoal("m", 2), age_s=10.1)
+    assert weights.required("m") == 2
+    assert weights.time_left_s("m", 1) <= 0
--- /dev/null
+++ b/tests/weights/test_times.py
@@ -0,0 +1,202 @@
+from __future__ import annotations
+
+import msgpack
+import pytest
+
+from briarseam.feeds import records
+from briarseam.weights import goals
+from briarseam.weights import times
+from tests import clocks
+
+TOPIC = "topic"
+
+
+class Store:
+    """A keyed topic."""
+
+    def __init__(self):
+        self.rows = {}
+        self.writes = 0
+        self.away = False
+
+    def newest(self, topic):
+        self.check()
+        found = tuple(
+            records.KeyedRecord(key, value) for key, value in self.rows.items()
+        )
+        return records.KeyedBatch(found, len(found))
+
+    def put(self, topic, key, value):
+        self.check()
+        self.writes += 1
+        self.rows[key] = value
+
+    def check(self):
+        if self.away:
+            raise records.StoreUnavailableError("away")
+
+
+class Process:
+    """One start of one instance, which has clocks of its own."""
+
+    def __init__(self, store, wall, writes=True):
+        self.clock = clocks.ManualClock(7.0)
+        self.history = goals.GoalHistory(self.clock)
+        self.times = times.GoalTimes(
+            store,
+            TOPIC,
+            self.history,
+            lambda: writes,
+            self.clock,
+            wall,
+        )
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def wall():
+    return clocks.ManualClock(1_700_000_000.0)
+
+
+def pass_s(seconds, wall, *processes):
+    wall.now_s += seconds
+    for process in processes:
+        process.clock.now_s += seconds
+
+
+def test_new_process_learns_how_old_goals_are(store, wall):
+    """All processes end; nobody is left to tell how old a goal is."""
+    first = Process(store, wall)
+    first.times.step()
+    first.history.take(goals.WeightGoal("m", 2))
+    pass_s(4, wall, first)
+    first.history.take(goals.WeightGoal("m", 3))
+    first.times.step()
+    wall.now_s += 7
+    second = Process(store, wall)
+    assert not second.times.known.is_set()
+    second.times.step()
+    second.history.take(goals.WeightGoal("m", 3))
+    assert second.times.known.is_set()
+    assert second.history.required("m", 10.0) == 2
+    assert second.history.required("m", 6.0) == 3
+    assert second.history.required("m", 12.0) == 0
+    assert second.history.time_left_s("m", 1, 12.0) == pytest.approx(1.0)
+    assert second.history.time_left_s("m", 2, 12.0) == pytest.approx(5.0)
+
+
+def test_what_former_processes_saw_is_no_goal_by_itself(store, wall):
+    first = Process(store, wall)
+    first.history.take(goals.WeightGoal("m", 2))
+    first.times.step()
+    second = Process(store, wall)
+    second.times.step()
+    assert second.history.newest == {}
+
+
+def test_times_are_written_once(store, wall):
+    first = Process(store, wall)
+    first.history.take(goals.WeightGoal("m", 2))
+    for _ in range(5):
+        first.times.step()
+        pass_s(1, wall, first)
+    second = Process(store, wall)
+    second.times.step()
+    second.history.take(goals.WeightGoal("m", 2))
+    second.times.step()
+    assert store.writes == 1
+
+
+def test_written_times_are_never_replaced_by_later_ones(store, wall):
+    """A process that starts sees an old goal for the first time.  Would it
+    write before it has read, the goal counted as new for good.
+    """
+    first = Process(store, wall)
+    first.history.take(goals.WeightGoal("m", 2))
+    first.times.step()
+    pass_s(9, wall, first)
+    second = Process(store, wall)
+    second.history.take(goals.WeightGoal("m", 2))
+    second.times.step()
+    pass_s(1, wall, second)
+    third = Process(store, wall)
+    third.times.step()
+    assert third.history.required("m", 10.0) == 2
+
+
+def test_earlier_time_that_a_peer_knows_is_written(store, wall):
+    process = Process(store, wall)
+    process.times.step()
+    process.history.take(goals.WeightGoal("m", 2))
+    process.times.step()
+    process.history.take(goals.WeightGoal("m", 2), age_s=5.0)
+    process.times.step()
+    assert store.writes == 2
+
+
+def test_instances_that_do_not_write_read_only(store, wall):
+    process = Process(store, wall, writes=False)
+    process.history.take(goals.WeightGoal("m", 2))
+    process.times.step()
+    assert process.times.known.is_set()
+    assert store.writes == 0
+
+
+def test_store_that_is_away_is_asked_again(store, wall):
+    store.away = True
+    process = Process(store, wall)
+    process.history.take(goals.WeightGoal("m", 2))
+    with pytest.raises(records.StoreUnavailableError):
+        process.times.step()
+    assert not process.times.known.is_set()
+    store.away = False
+    process.times.step()
+    assert process.times.known.is_set()
+    assert store.writes == 1
+
+
+def test_peer_that_knows_all_times_is_enough(store, wall):
+    first, second = Process(store, wall), Process(store, wall)
+    second.times.consume("first", first.times.provide())
+    assert not second.times.known.is_set()
+    first.times.step()
+    second.times.consume("first", first.times.provide())
+    assert second.times.known.is_set()
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xc1", msgpack.packb(7), msgpack.packb([["x", "y"]])]
+)
+def test_malformed_times_are_passed_over(store, wall, value):
+    store.rows["bad"] = value
+    first = Process(store, wall)
+    first.history.take(goals.WeightGoal("m", 2))
+    first.times.step()
+    wall.now_s += 10
+    second = Process(store, wall)
+    second.times.step()
+    assert second.history.required("m", 10.0) == 2
+    assert second.history.required("bad", 10.0) == 0
+
+
+def test_goal_from_a_clock_that_is_ahead_counts_from_now(store, wall):
+    first = Process(store, wall)
+    wall.now_s += 5
+    first.history.take(goals.WeightGoal("m", 2))
+    first.times.step()
+    wall.now_s -= 5
+    second = Process(store, wall)
+    second.times.step()
+    assert second.history.time_left_s("m", 1, 12.0) == pytest.approx(12.0)
+
+
+def test_few_newest_versions_are_kept(store, wall):
+    process = Process(store, wall)
+    for version in range(1, 3 * times.KEPT_VERSIONS):
+        process.history.take(goals.WeightGoal("m", version))
+    process.times.step()
+    assert len(msgpack.unpackb(store.rows["m"])) == times.KEPT_VERSIONS
