Instances are ready once they know how old wanted weights are

Cause: between the configuration and the times of goals, a process that has just started uses the newest weights only, and was sent prompts already. Change: readiness waits for the times too.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -375,8 +375,13 @@
             self.weights.board.forget(endpoint_id)
 
     def is_ready(self) -> bool:
-        """Tell whether callers may be sent here."""
+        """Tell whether callers may be sent here.
+
+        Before it is known how old wanted weights are, prompts are refused
+        where engines have older ones.
+        """
         return (
             not self.shutdown.begun
             and self.feeds.operators.current() is not None
+            and self.weights.times.known.is_set()
         )
