--- a/tests/platform/test_weights_after_restart.py
+++ b/tests/platform/test_weights_after_restart.py
@@ -111,3 +111,18 @@
         assert not node.is_ready()
     waiting.until(node.is_ready, PATIENCE_S)
     assert system.stream("/draft/x", Deadline_Ms="500").status == 200
+
+
+def test_instance_is_ready_where_no_weights_were_named(start, monkeypatch):
+    """The part of the store that keeps the times is down, the rest serves.
+
+    No weights were named, so there is none whose age is to be known; but
+    no instance that starts is ready until that part is back.
+    """
+
+    def refuse(times):
+        raise records.StoreUnavailableError("the read was refused")
+
+    monkeypatch.setattr(goal_times.GoalTimes, "read", refuse)
+    system = start(LONG_MS)
+    assert system.stream("/draft/x", Deadline_Ms="500").status == 200
--- a/tests/weights/test_holders.py
+++ b/tests/weights/test_holders.py
@@ -173,3 +173,83 @@
     tenure.join_once()
     me.others = None
     assert tenure.fence() == 5
+
+
+def test_order_of_an_instance_that_left_still_counts(me, peers, clock):
+    """Instances are stopped and started in turn while weights are changed.
+
+    The holder orders, is stopped at once, gives the duty up and takes its
+    registration away.  The next holder no longer lists it, and orders less
+    than a lease after it.
+    """
+    peers[0].words.note_ordered()
+    beat(me, *peers)
+    gained_s = clock.now_s
+    me.others = ["b"]
+    clock.now_s += HEARTBEAT_S
+    beat(me, peers[1])
+    assert not quiet(me, clock, gained_s)
+    clock.now_s += LEASE_S
+    beat(me, peers[1])
+    assert quiet(me, clock, gained_s)
+
+
+def test_last_other_instance_that_left_still_counts(me, peers, clock):
+    """Of two instances the holder orders and is stopped.  The one that is
+    left lists nobody; its engines check no number, so that an order of the
+    former holder may be carried out after one of its own.
+    """
+    me.check = False
+    me.others = ["a"]
+    peers[0].words.note_ordered()
+    beat(me, peers[0])
+    gained_s = clock.now_s
+    me.others = []
+    clock.now_s += HEARTBEAT_S
+    assert not quiet(me, clock, gained_s)
+
+
+def test_order_from_before_a_restart_still_counts(me, peers, clock):
+    """The holder orders, ends by itself and is back within a second.
+
+    Its new process knows of no order and says so; what its former process
+    said is lost with that, and another holder orders within a lease.
+    """
+    peers[0].words.note_ordered()
+    beat(me, *peers)
+    clock.now_s += HEARTBEAT_S
+    gained_s = clock.now_s
+    beat(me, Instance("a", [], clock), peers[1])
+    assert not quiet(me, clock, gained_s)
+
+
+def test_order_after_the_last_heartbeat_of_a_holder_still_counts(
+    me, peers, clock
+):
+    """The holder orders and is lost before its next heartbeat, or only its
+    link to this instance is cut.  The store gives the duty away 2.2 s
+    after the holder's last call.  It was heard as the holder, so that it
+    may have ordered for as long as its tenure went on.
+    """
+    peers[0].words.holds = lambda: True
+    beat(me, *peers)
+    clock.now_s += HEARTBEAT_S
+    ordered_s = clock.now_s
+    peers[0].words.note_ordered()
+    clock.now_s += tenures.TTL_S - HEARTBEAT_S
+    gained_s = clock.now_s
+    beat(me, peers[1])
+    assert clock.now_s - ordered_s < LEASE_S
+    assert not quiet(me, clock, gained_s)
+
+
+def test_words_heard_before_an_own_suspension_do_not_count(me, peers, clock):
+    """This instance is suspended for some seconds, wakes and is given the
+    duty by the store before it has heard anybody.  To it all others are
+    silent, though one of them has just given an order.
+    """
+    beat(me, *peers)
+    clock.now_s += 2 * holders.SILENT_S
+    peers[0].words.note_ordered()
+    clock.now_s += HEARTBEAT_S
+    assert not quiet(me, clock, clock.now_s)
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+import structlog
 
 from briarseam.discovery import model
 from briarseam.testing import waiting
@@ -218,3 +219,54 @@
     waiting.until(lambda: set(made.engines.versions.values()) == {2})
     made.rollout.stop()
     assert made.engines.orders[0][1].mode is orders.Mode.RETAIN
+
+
+def planned(case, versions):
+    """Return the plan for engines with these weights, 60 s to go."""
+    history = case.board.history
+    history.take(goals.WeightGoal("m", 2), age_s=100.0)
+    history.take(goals.WeightGoal("m", 3))
+    targets = [
+        endpoint(f"e{number}", version)
+        for number, version in enumerate(versions)
+    ]
+    case.rollout.sources = dataclasses.replace(
+        case.rollout.sources,
+        time_left_s=lambda model, version: history.time_left_s(
+            model, version, 60.0
+        ),
+    )
+    goal = goals.WeightGoal("m", 3)
+    behind = case.rollout.behind(goal, targets)
+    return case.rollout.plan(goal, targets, behind)
+
+
+@pytest.mark.parametrize("version", [0, 1])
+def test_engine_out_of_use_does_not_hurry_the_others(version):
+    """An engine is restarting, so that its weights are not known, or did
+    not answer when weights 2 were put in place.  Nothing is gained by
+    haste, but the runs of all others are changed under way, and what they
+    make from then on counts for nothing.
+    """
+    plan = planned(Case(), [version, 2, 2, 2, 2, 2])
+    assert plan.mode is orders.Mode.FINISH
+
+
+def test_plan_is_logged_once_for_each_of_two_models(case):
+    """Weights of two models are named; each review logs both plans anew,
+    eight lines a second for as long as the rollouts last.
+    """
+    case.rollout.stop()
+    case.rollout.thread.join()
+    both = [goals.WeightGoal(name, 2) for name in ("m", "n")]
+    targets = [
+        model.Endpoint(
+            "e0", "engines", "127.0.0.1:1", "a", 8, False, {"m": 1, "n": 1}
+        )
+    ]
+    with structlog.testing.capture_logs() as lines:
+        for _review in range(4):
+            for goal in both:
+                case.rollout.plan(goal, targets, targets)
+    found = [line for line in lines if line["event"] == "rollout_planned"]
+    assert len(found) == 2
--- a/tests/weights/test_tenure.py
+++ b/tests/weights/test_tenure.py
@@ -125,3 +125,20 @@
     standing[0] = True
     hold(tenure, group, clock, generation=9)
     assert tenure.fence() == 9
+
+
+def test_instance_that_stopped_meanwhile_holds_nothing(tenure, group):
+    """A call to the store is under way when the instance is stopped.  Its
+    answer comes after the duty was given up, and is taken in all the same.
+    """
+    join = group.join
+
+    def stop_meanwhile(*asked):
+        group.share = records.GroupShare(5, HELD)
+        share = join(*asked)
+        tenure.stop()
+        return share
+
+    group.join = stop_meanwhile
+    tenure.join_once()
+    assert tenure.held is None
--- a/tests/weights/test_times.py
+++ b/tests/weights/test_times.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import threading
+
 import msgpack
 import pytest
 
@@ -200,3 +202,60 @@
         process.history.take(goals.WeightGoal("m", version))
     process.times.step()
     assert len(msgpack.unpackb(store.rows["m"])) == times.KEPT_VERSIONS
+
+
+def test_clock_that_is_ahead_makes_no_goal_younger(store, wall):
+    """The clock of one instance jumps ahead, weights are named, and all
+    processes end.  Each instance writes the time by its own clock, the one
+    that is ahead writes last, and requests begin on replaced weights.
+    """
+    right = Process(store, wall)
+    ahead = Process(store, lambda: wall() + 5.0)
+    for process in (right, ahead):
+        process.times.step()
+    for process in (right, ahead):
+        process.history.take(goals.WeightGoal("m", 2))
+        process.times.step()
+        pass_s(0.1, wall, right, ahead)
+    right.times.step()
+    wall.now_s += 10
+    after = Process(store, wall)
+    after.times.step()
+    assert after.history.required("m", 10.0) == 2
+
+
+def test_later_time_on_the_store_is_corrected(store, wall):
+    """A wrong time lies on the store.  An instance that starts hears from
+    its peers how old the goal is, before it reads; all processes end.
+    """
+    ahead = Process(store, lambda: wall() + 8.0)
+    ahead.history.take(goals.WeightGoal("m", 2))
+    ahead.times.step()
+    second = Process(store, wall)
+    second.history.take(goals.WeightGoal("m", 2), age_s=5.0)
+    second.times.step()
+    wall.now_s += 5
+    third = Process(store, wall)
+    third.times.step()
+    assert third.history.required("m", 10.0) == 2
+
+
+def test_fault_of_ours_does_not_end_the_thread(store, wall, monkeypatch):
+    """An answer that is not base64 raises another error than an outage
+    does.  The thread ends, and the instance is never ready again.
+    """
+    monkeypatch.setattr(times, "RETRY_S", 0.01)
+    process = Process(store, wall)
+    answers = [ValueError("not base64")]
+    newest = store.newest
+
+    def fail_once(topic):
+        if answers:
+            raise answers.pop()
+        return newest(topic)
+
+    store.newest = fail_once
+    monkeypatch.setattr(threading, "excepthook", lambda raised: None)
+    process.times.start()
+    assert process.times.known.wait(2.0)
+    process.times.stop()
