--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -270,3 +270,24 @@
                 case.rollout.plan(goal, targets, targets)
     found = [line for line in lines if line["event"] == "rollout_planned"]
     assert len(found) == 2
+
+
+def test_engines_under_way_do_not_count_as_not_begun():
+    """Sixty engines, 18 s: three rounds of twenty, five seconds each, are
+    in time.  Two seconds later the twenty under way still count as to be
+    done, so that what is left looks like three rounds of less time than
+    that; the rest has its runs changed under way, and four more engines
+    are out of service at once.
+    """
+    made = Case(count=60)
+    targets = [endpoint(f"e{number}", 1) for number in range(60)]
+    goal = goals.WeightGoal("m", 2)
+    left_s = [17.7]
+    made.rollout.sources = dataclasses.replace(
+        made.rollout.sources, time_left_s=lambda model, version: left_s[0]
+    )
+    first = made.rollout.plan(goal, targets, targets)
+    assert first == plans.Plan(20, orders.Mode.FINISH)
+    made.rollout.busy.update(target.id for target in targets[:20])
+    left_s[0] -= 2.0
+    assert made.rollout.plan(goal, targets, targets) == first
