--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -383,5 +383,5 @@
         return (
             not self.shutdown.begun
             and self.feeds.operators.current() is not None
-            and self.weights.times.known.is_set()
+            and not self.weights.times.is_needed()
         )
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -68,6 +68,7 @@
     ) -> None:
         self.settings = settings
         self.feeds = feeds
+        self.instances = instances
         self.goals = feeds.operators.goals
         self.board = boards.Board(self.goals)
         self.times = times.GoalTimes(
@@ -89,7 +90,7 @@
             names.ORDERS_TOPIC,
             f"{settings.instance.name}/{start}",
             settings.bounds.lease_ms / MS + LEASE_SLACK_S,
-            instances.stands_for_duty,
+            self.stands_for_duty,
             self.are_others_quiet,
         )
         self.holders.holds = self.tenure.holds
@@ -133,6 +134,11 @@
             ),
         )
 
+    def stands_for_duty(self) -> bool:
+        """Tell whether to take part; asked each half a second."""
+        self.holders.note_active()
+        return self.instances.stands_for_duty()
+
     def are_others_quiet(self, since_s: float) -> bool:
         """Tell whether no other instance can be giving orders."""
         lease_s = self.settings.bounds.lease_ms / MS + LEASE_SLACK_S
--- a/src/briarseam/weights/goals.py
+++ b/src/briarseam/weights/goals.py
@@ -8,6 +8,10 @@
 
 from briarseam import clocks
 
+# Versions of a model that are remembered, the newest: older ones are out of
+# use long since, as each takes effect in some ten seconds.
+KEPT_VERSIONS = 8
+
 
 @dataclasses.dataclass(frozen=True)
 class WeightGoal:
@@ -51,22 +55,28 @@
         """Take in a goal that was seen so long ago; tell if it is newest."""
         seen_s = self.clock() - age_s
         with self.lock:
-            self.seen[goal] = min(seen_s, self.seen.get(goal, seen_s))
+            self.remember(goal, seen_s)
             known = self.newest.get(goal.model)
             if known is not None and known.version >= goal.version:
                 return False
             self.newest = {**self.newest, goal.model: goal}
             return True
 
-    def recall(self, goal: WeightGoal, age_s: float) -> float:
-        """Take in that a former process saw a goal; return since when.
+    def recall(self, goal: WeightGoal, age_s: float) -> None:
+        """Take in that a former process saw a goal.
 
         Operators' documents alone tell which goal is the newest.
         """
         seen_s = self.clock() - age_s
         with self.lock:
-            self.seen[goal] = min(seen_s, self.seen.get(goal, seen_s))
-            return self.seen[goal]
+            self.remember(goal, seen_s)
+
+    def remember(self, goal: WeightGoal, seen_s: float) -> None:
+        """Keep the earliest time of a goal; the lock is held."""
+        self.seen[goal] = min(seen_s, self.seen.get(goal, seen_s))
+        same = [each for each in self.seen if each.model == goal.model]
+        if len(same) > KEPT_VERSIONS:
+            del self.seen[min(same, key=lambda each: each.version)]
 
     def all_seen(self) -> dict[WeightGoal, float]:
         """Return since when each goal is known, by the clock."""
--- a/src/briarseam/weights/holders.py
+++ b/src/briarseam/weights/holders.py
@@ -9,6 +9,7 @@
 import msgpack
 
 from briarseam import clocks
+from briarseam.weights import tenure as tenures
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -16,6 +17,9 @@
 # Four heartbeats: an instance that was not heard for so long has ended, is
 # suspended or is cut off.
 SILENT_S = 2.0
+# This instance does something of the kind each half a second; after a longer
+# pause it was suspended itself, and others look silent that are not.
+PAUSE_S = 1.2
 NEVER_S = float("-inf")
 
 
@@ -30,13 +34,20 @@
     holds
         Whether it took itself for the holder.
     ordered_s
-        When it sent its last order, by the same clock.
+        When it sent its last order, by the same clock, its former
+        processes' included.
     """
 
     heard_s: float
     holds: bool
     ordered_s: float
 
+    def latest_order_s(self) -> float:
+        """Return until when it may have ordered, as far as one knows."""
+        if not self.holds:
+            return self.ordered_s
+        return max(self.ordered_s, self.heard_s + tenures.VALID_S)
+
 
 class HolderWords:
     """Tells a new holder whether somebody may still be giving orders.
@@ -69,19 +80,28 @@
         self.others = others
         self.engines_check_fence = engines_check_fence
         self.clock = clock
-        self.started_s = clock()
+        self.awake_since_s = clock()
+        self.active_s = clock()
         self.holds: typing.Callable[[], bool] = lambda: False
         self.ordered_s = NEVER_S
         self.words: dict[str, Word] = {}
         self.lock = threading.Lock()
 
+    def note_active(self) -> float:
+        """Note that this instance is not suspended; return the time."""
+        now_s = self.clock()
+        if now_s - self.active_s > PAUSE_S:
+            self.awake_since_s = now_s
+        self.active_s = now_s
+        return now_s
+
     def note_ordered(self) -> None:
         """Note that this instance is sending an order."""
         self.ordered_s = self.clock()
 
     def provide(self) -> bytes:
         """Return what peers should know."""
-        now_s = self.clock()
+        now_s = self.note_active()
         packed: bytes = msgpack.packb(
             # The time makes each heartbeat's content a new one, so that
             # peers take it in.
@@ -92,10 +112,14 @@
     def consume(self, member: str, data: bytes) -> None:
         """Take in what a peer says."""
         holds, since_order_s, _said_s = msgpack.unpackb(data)
-        now_s = self.clock()
-        word = Word(now_s, bool(holds), now_s - float(since_order_s))
+        now_s = self.note_active()
+        ordered_s = now_s - float(since_order_s)
         with self.lock:
-            self.words[member] = word
+            known = self.words.get(member)
+            if known is not None:
+                # A process that has just started knows of no order.
+                ordered_s = max(ordered_s, known.ordered_s)
+            self.words[member] = Word(now_s, bool(holds), ordered_s)
 
     def are_quiet(self, since_s: float, lease_s: float) -> bool:
         """Tell whether no other instance gives orders, or just did.
@@ -107,27 +131,30 @@
         lease_s
             How long after an order of another instance none may be given.
         """
+        now_s = self.note_active()
         others = self.others()
         if others is None:
             return False
-        names = list(others)
-        if names and not self.engines_check_fence():
+        names = set(others)
+        with self.lock:
+            words = dict(self.words)
+        # An instance that is listed no more may have ordered just before.
+        if (names or words) and not self.engines_check_fence():
+            return False
+        latest_s = [word.latest_order_s() for word in words.values()]
+        if any(at_s > now_s - lease_s for at_s in latest_s):
             return False
-        ordered_before_s = self.clock() - lease_s
         return all(
-            self.is_quiet(name, since_s, ordered_before_s) for name in names
+            self.is_silent(words.get(name), now_s)
+            or self.has_no_duty(words.get(name), since_s)
+            for name in names
         )
 
-    def is_quiet(
-        self, name: str, since_s: float, ordered_before_s: float
-    ) -> bool:
-        """Tell whether one other instance gives no orders."""
-        with self.lock:
-            word = self.words.get(name)
-        if word is None:
-            return self.clock() - self.started_s >= SILENT_S
-        if word.ordered_s > ordered_before_s:
-            return False
-        if self.clock() - word.heard_s >= SILENT_S:
-            return True
-        return word.heard_s >= since_s and not word.holds
+    def is_silent(self, word: Word | None, now_s: float) -> bool:
+        """Tell whether an instance was not heard for some heartbeats."""
+        heard_s = NEVER_S if word is None else word.heard_s
+        return now_s - max(heard_s, self.awake_since_s) >= SILENT_S
+
+    def has_no_duty(self, word: Word | None, since_s: float) -> bool:
+        """Tell whether an instance said so since this one has the duty."""
+        return word is not None and word.heard_s >= since_s and not word.holds
--- a/src/briarseam/weights/plan.py
+++ b/src/briarseam/weights/plan.py
@@ -65,7 +65,11 @@
 
 
 def make(
-    engines: int, behind: int, time_left_s: float, times: ChangeTimes
+    engines: int,
+    behind: int,
+    time_left_s: float,
+    times: ChangeTimes,
+    under_way: int = 0,
 ) -> Plan:
     """Return the gentlest plan that ends in time, or the fastest one.
 
@@ -74,17 +78,20 @@
     engines
         All engines of the model.
     behind
-        Those that have older weights.
+        Those that have older weights and are not being changed.
     time_left_s
         Until their weights are out of use; not positive when they are.
     times
         What changes take.
+    under_way
+        Engines that are being changed; on average half of it is done.
     """
     most = max(1, int(engines * MOST_SHARE))
     easy = min(most, max(EASY_AT_ONCE, int(engines * EASY_SHARE)))
     change_s = times.of(orders.Mode.FINISH)
     # More rounds than engines are no use, and time may be endless.
-    rounds = int(min((time_left_s - RESERVE_S) / change_s, behind))
+    spare_s = time_left_s - RESERVE_S - (change_s / 2 if under_way else 0.0)
+    rounds = int(min(spare_s / change_s, max(1, behind)))
     if rounds >= 1:
         needed = math.ceil(behind / rounds)
         if needed <= most:
--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -33,6 +33,8 @@
 # An engine that does not report is left alone for so long, so that it does
 # not keep the others from their turn.
 UNAVAILABLE_S = 2.0
+# Engines that may be out of use without haste for the others.
+FEW_SHARE = 0.1
 log = structlog.get_logger("briarseam.weights")
 
 
@@ -127,7 +129,8 @@
         self.busy: set[str] = set()
         self.silent_until: dict[str, float] = {}
         self.times = plans.ChangeTimes()
-        self.planned: dict[goals.WeightGoal, plans.Plan] = {}
+        # The last plan that was logged, by model.
+        self.planned: dict[str, tuple[goals.WeightGoal, plans.Plan]] = {}
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.thread = threading.Thread(
@@ -183,12 +186,19 @@
         targets: list[discovery.Endpoint],
         behind: list[discovery.Endpoint],
     ) -> plans.Plan:
-        """Return how to go on; ``behind`` is not empty, oldest first."""
-        oldest = self.version_of(behind[0], goal.model)
-        left_s = self.sources.time_left_s(goal.model, oldest)
-        plan = plans.make(len(targets), len(behind), left_s, self.times)
-        if plan != self.planned.get(goal):
-            self.planned = {goal: plan}
+        """Return how to go on; ``behind`` is not empty."""
+        left_s = self.time_left_s(goal.model, len(targets), behind)
+        with self.lock:
+            under_way = sum(target.id in self.busy for target in behind)
+        plan = plans.make(
+            len(targets),
+            len(behind) - under_way,
+            left_s,
+            self.times,
+            under_way,
+        )
+        if (goal, plan) != self.planned.get(goal.model):
+            self.planned[goal.model] = (goal, plan)
             log.info(
                 "rollout_planned",
                 model=goal.model,
@@ -201,6 +211,24 @@
             )
         return plan
 
+    def time_left_s(
+        self, model: str, engines: int, behind: list[discovery.Endpoint]
+    ) -> float:
+        """Return the seconds until engines' weights are out of use.
+
+        A few engines whose weights already are, since they did not answer
+        or are just restarting, are no reason to hurry all others.
+        """
+        left = sorted(
+            self.sources.time_left_s(model, self.version_of(target, model))
+            for target in behind
+        )
+        in_use = [left_s for left_s in left if left_s > 0]
+        out_of_use = len(left) - len(in_use)
+        if in_use and out_of_use <= max(1, engines * FEW_SHARE):
+            return in_use[0]
+        return left[0]
+
     def behind(
         self, goal: goals.WeightGoal, targets: list[discovery.Endpoint]
     ) -> list[discovery.Endpoint]:
@@ -286,6 +314,10 @@
         """Give an order; tell if there is nothing more to do here."""
         sources = self.sources
         target = errand.target
+        if sources.tenure.fence() is None:
+            return True
+        # Told first, so that no heartbeat between says that none was given.
+        sources.ordering()
         fence = sources.tenure.fence()
         if fence is None:
             return True
@@ -297,7 +329,6 @@
             fence=fence,
             orders_taken=orders_taken,
         )
-        sources.ordering()
         outcome = sources.engines.order(target.address, target.id, order)
         log.info(
             "order_given",
--- a/src/briarseam/weights/tenure.py
+++ b/src/briarseam/weights/tenure.py
@@ -195,6 +195,10 @@
             self.group, self.member, self.topic, TTL_S, self.generation
         )
         self.generation = share.generation
+        if self.stopping.is_set():
+            # The duty was given up while the call was under way.
+            self.held = None
+            return
         if (self.topic, PARTITION) not in share.parts:
             if self.held is not None:
                 log.info("duty_lost", generation=share.generation)
--- a/src/briarseam/weights/times.py
+++ b/src/briarseam/weights/times.py
@@ -16,13 +16,19 @@
 MS = 1000.0
 REVIEW_S = 0.25
 RETRY_S = 0.5
-# Older versions of a model than these are out of use long since: a version
-# takes effect in some ten seconds, and one names the next after some.
-KEPT_VERSIONS = 8
+# A part of the store that does not answer must not keep an instance from
+# serving what needs no ages: three tries.
+WAITED_FOR_S = 2.0
 # An earlier time than the written one is written only if it differs by more:
 # what instances see differs by the way from the store.
 SAME_S = 1.0
 KNOWN = b"known"
+DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    OverflowError,
+    msgpack.UnpackException,
+)
 log = structlog.get_logger("briarseam.weights")
 
 
@@ -42,9 +48,11 @@
     Instances tell each other how old a goal is.  When all of them end at
     once nobody is left to tell, and goals that were named long ago would
     count as new: requests would begin on weights that were replaced.  So
-    the times lie on the store, as times of day.  A clock that jumped makes
-    a goal look older or younger by that, on one instance; the oldest age
-    that any instance knows counts.
+    the times lie on the store, as times of day.  Several instances write
+    them, each after a look at what lies there and with a look afterwards, so
+    that the earliest time stays: a clock that jumped ahead would make a goal
+    younger than it is.  One that jumped back makes it older, and older
+    weights are out of use that much too soon.
 
     Parameters
     ----------
@@ -82,8 +90,11 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.known = threading.Event()
-        self.read_all = False
-        self.written: dict[goals.WeightGoal, float] = {}
+        self.started_s = clock()
+        # What lay on the store at the last look, by the clock.
+        self.stored: dict[goals.WeightGoal, float] = {}
+        self.looked = False
+        self.look_again = False
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name="goal-times", daemon=True
@@ -100,12 +111,16 @@
     def run(self) -> None:
         """Read once, then write what is new, until stopped."""
         while not self.stopping.is_set():
+            wait_s = RETRY_S
             try:
                 self.step()
                 wait_s = REVIEW_S
             except records.StoreUnavailableError as error:
                 log.info("goal_times_not_kept", detail=str(error))
-                wait_s = RETRY_S
+            except Exception:
+                # Without this thread the process would never know how old
+                # goals are; whatever was wrong may be right next time.
+                log.exception("goal_times_failed")
             self.stopping.wait(wait_s)
 
     def step(self) -> None:
@@ -116,19 +131,64 @@
         StoreUnavailableError
             When the store does not answer properly.
         """
-        if not self.read_all:
-            self.read()
-        if self.writes():
+        if not self.looked:
+            self.look()
+            self.recall()
+            self.known.set()
+        if not self.writes():
+            return
+        if self.news():
             self.write()
+        elif self.look_again:
+            self.look()
+            self.look_again = False
 
-    def read(self) -> None:
-        """Take in what former processes left."""
+    def is_needed(self) -> bool:
+        """Tell whether requests must wait until ages are known.
+
+        Not where no weights were named, and not for long: plain services
+        and engines with the newest weights need no ages.
+        """
+        if self.known.is_set() or not self.history.newest:
+            return False
+        return self.clock() - self.started_s < WAITED_FOR_S
+
+    def look(self) -> None:
+        """Look at what lies on the store."""
         batch = self.store.newest(self.topic)
+        self.stored = {}
         for record in batch.records:
             if record.value is not None:
-                self.recall(record.key, record.value)
-        self.read_all = True
-        self.known.set()
+                self.stored.update(self.decoded(record.key, record.value))
+        self.looked = True
+
+    def decoded(
+        self, model: str, value: bytes
+    ) -> dict[goals.WeightGoal, float]:
+        """Return the times of one model's goals, by the clock."""
+        now_s = self.clock()
+        wall_s = self.wall_clock()
+        try:
+            return {
+                goals.WeightGoal(model, int(version)): now_s
+                - max(0.0, wall_s - float(named_ms) / MS)
+                for version, named_ms in msgpack.unpackb(value)
+            }
+        except DECODE_ERRORS as error:
+            log.warning("goal_times_malformed", model=model, detail=str(error))
+            return {}
+
+    def recall(self) -> None:
+        """Take in what former processes left."""
+        now_s = self.clock()
+        for goal, seen_s in self.stored.items():
+            self.history.recall(goal, now_s - seen_s)
+            log.info(
+                "goal_time_found",
+                model=goal.model,
+                version=goal.version,
+                age_s=round(now_s - seen_s, 1),
+            )
 
     def provide(self) -> bytes:
         """Tell peers whether this instance knows all times."""
@@ -140,52 +200,40 @@
         if data == KNOWN:
             self.known.set()
 
-    def recall(self, model: str, value: bytes) -> None:
-        """Take in the times of one model's goals."""
-        now_s = self.wall_clock()
-        try:
-            rows = [
-                (goals.WeightGoal(model, int(version)), float(named_ms) / MS)
-                for version, named_ms in msgpack.unpackb(value)
-            ]
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
-            log.warning("goal_times_malformed", model=model, detail=str(error))
-            return
-        for goal, named_s in rows:
-            age_s = max(0.0, now_s - named_s)
-            seen_s = self.history.recall(goal, age_s)
-            self.written[goal] = seen_s
-            log.info(
-                "goal_time_found",
-                model=model,
-                version=goal.version,
-                age_s=round(age_s, 1),
-            )
-
-    def write(self) -> None:
-        """Write the models of which something new is known."""
+    def news(self) -> list[str]:
+        """Return the models of which the store lacks something."""
         seen = self.history.all_seen()
-        for model in sorted({goal.model for goal in seen}):
-            rows = {
-                goal: seen_s
-                for goal, seen_s in seen.items()
-                if goal.model == model
+        return sorted(
+            {
+                goal.model
+                for goal, at_s in seen.items()
+                if self.is_new(goal, at_s)
             }
-            if any(self.is_news(goal, at_s) for goal, at_s in rows.items()):
-                self.put(model, rows)
+        )
 
-    def is_news(self, goal: goals.WeightGoal, seen_s: float) -> bool:
+    def is_new(self, goal: goals.WeightGoal, seen_s: float) -> bool:
         """Tell whether the store lacks a goal's time, or has a later one."""
-        written_s = self.written.get(goal)
-        return written_s is None or seen_s < written_s - SAME_S
+        stored_s = self.stored.get(goal)
+        return stored_s is None or seen_s < stored_s - SAME_S
 
-    def put(self, model: str, rows: dict[goals.WeightGoal, float]) -> None:
-        """Write the times of one model's newest goals."""
+    def write(self) -> None:
+        """Write what others have not written meanwhile."""
+        self.look()
+        for model in self.news():
+            self.put(model)
+            self.look_again = True
+
+    def put(self, model: str) -> None:
+        """Write the earliest known times of one model's newest goals."""
+        rows = {
+            goal: min(seen_s, self.stored.get(goal, seen_s))
+            for goal, seen_s in self.history.all_seen().items()
+            if goal.model == model
+        }
         offset_s = self.wall_clock() - self.clock()
-        newest = sorted(rows, key=lambda goal: goal.version)[-KEPT_VERSIONS:]
         times = [
-            [goal.version, int((rows[goal] + offset_s) * MS)]
-            for goal in newest
+            [goal.version, int((seen_s + offset_s) * MS)]
+            for goal, seen_s in rows.items()
         ]
         self.store.put(self.topic, model, msgpack.packb(times))
-        self.written.update(rows)
+        self.stored.update(rows)
--- a/tests/weights/test_holders.py
+++ b/tests/weights/test_holders.py
@@ -38,6 +38,13 @@
     return [Instance("a", [], clock), Instance("b", [], clock)]
 
 
+def pass_s(seconds, me, clock):
+    """Let time pass in which this instance is not suspended."""
+    for _ in range(int(seconds / HEARTBEAT_S)):
+        clock.now_s += HEARTBEAT_S
+        me.words.note_active()
+
+
 def beat(me, *peers):
     for peer in peers:
         me.words.consume(peer.name, peer.words.provide())
@@ -89,11 +96,11 @@
 def test_order_of_an_instance_that_fell_silent_still_counts(me, peers, clock):
     peers[0].words.note_ordered()
     beat(me, *peers)
-    clock.now_s += holders.SILENT_S + 0.1
+    pass_s(holders.SILENT_S + HEARTBEAT_S, me, clock)
     gained_s = clock.now_s
     beat(me, peers[1])
     assert not quiet(me, clock, gained_s)
-    clock.now_s += LEASE_S
+    pass_s(LEASE_S, me, clock)
     beat(me, peers[1])
     assert quiet(me, clock, gained_s)
 
@@ -102,7 +109,7 @@
     me, peers, clock
 ):
     """It may be suspended with an order on the way, which they would take."""
-    clock.now_s += 10 * holders.SILENT_S
+    pass_s(10 * holders.SILENT_S, me, clock)
     gained_s = clock.now_s
     assert quiet(me, clock, gained_s)
     me.check = False
@@ -111,7 +118,7 @@
 
 def test_instances_that_are_not_known_are_waited_for(me, clock):
     me.others = None
-    clock.now_s += 10 * holders.SILENT_S
+    pass_s(10 * holders.SILENT_S, me, clock)
     assert not quiet(me, clock, clock.now_s)
 
 
--- a/tests/weights/test_times.py
+++ b/tests/weights/test_times.py
@@ -198,10 +198,10 @@
 
 def test_few_newest_versions_are_kept(store, wall):
     process = Process(store, wall)
-    for version in range(1, 3 * times.KEPT_VERSIONS):
+    for version in range(1, 3 * goals.KEPT_VERSIONS):
         process.history.take(goals.WeightGoal("m", version))
     process.times.step()
-    assert len(msgpack.unpackb(store.rows["m"])) == times.KEPT_VERSIONS
+    assert len(msgpack.unpackb(store.rows["m"])) == goals.KEPT_VERSIONS
 
 
 def test_clock_that_is_ahead_makes_no_goal_younger(store, wall):
