A thread that polls, and one that frees parts, outlive what others write

Cause: Poller caught only the error that its source names, so any other one ended its thread, and what it followed was never looked at again. One such error was at hand: salts.parse took "²" and numbers of thousands of digits for versions, and int() raised; the sweeper ended at the first part that somebody else saved under such a text.

Ruled out: catching the error within step(). There an existing test keeps faults of ours visible to whoever steps by hand; the guard stands in run().

Change: run() logs the fault and polls on; parse() returns None.

--- a/src/briarseam/placement/salts.py
+++ b/src/briarseam/placement/salts.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 
+# Versions stay below 2**53, as in the messages between instances.
+MOST_DIGITS = 16
+
 
 @dataclasses.dataclass(frozen=True)
 class Salt:
@@ -33,6 +36,11 @@
     """Return the salt of a text, ``None`` if it is none of ours."""
     model, _, rest = text.partition("/")
     version, slash, organisation = rest.partition("/")
-    if not slash or not version.isdigit():
+    # Others may save parts under texts of their own.  Beyond ASCII there are
+    # digits that ``int`` does not read, and it reads no number of thousands
+    # of digits.
+    if not slash or not version.isascii() or not version.isdigit():
+        return None
+    if len(version) > MOST_DIGITS:
         return None
     return Salt(model, int(version), organisation)
--- a/src/briarseam/polling.py
+++ b/src/briarseam/polling.py
@@ -63,7 +63,14 @@
     def run(self) -> None:
         """Poll until stopped."""
         while not self.stopping.is_set():
-            self.stopping.wait(self.step())
+            try:
+                pause_s = self.step()
+            except Exception:
+                # A fault of ours must not end the thread: what it follows
+                # would never be looked at again.
+                log.exception("poll_failed", what=self.name)
+                pause_s = self.retry_s
+            self.stopping.wait(pause_s)
 
     def step(self) -> float:
         """Poll once; return the pause to the next time."""
--- a/tests/test_polling.py
+++ b/tests/test_polling.py
@@ -4,6 +4,7 @@
 import structlog.testing
 
 from briarseam import polling
+from briarseam.testing import waiting
 
 PAUSE_S = 0.5
 RETRY_S = 2.0
@@ -52,3 +53,30 @@
     poller.stop()
     poller.thread.join(5.0)
     assert not poller.thread.is_alive()
+
+
+def test_fault_of_ours_does_not_end_the_polling():
+    """A poll fails in a way that nobody thought of.
+
+    The thread ended, and what it followed was never looked at again.
+    """
+    made = polling.Poller(
+        "source", Source(ValueError("a bug")).poll, OSError, 0.01
+    )
+    made.poll = answering = Answering(made.poll)
+    made.start()
+    waiting.until(lambda: answering.answered > 0)
+    made.stop()
+
+
+class Answering:
+    """Counts the polls of a source that were answered."""
+
+    def __init__(self, poll):
+        self.poll = poll
+        self.answered = 0
+
+    def __call__(self):
+        self.poll()
+        self.answered += 1
+        return 0.01
