--- a/tests/peers/test_registrations.py
+++ b/tests/peers/test_registrations.py
@@ -56,6 +56,17 @@
     waiting.until(lambda: "one" in store.newest_of(TOPIC))
 
 
+def test_registration_that_another_writer_overwrote_is_written_again(
+    store, registered, monkeypatch
+):
+    monkeypatch.setattr(registrations, "REVIEW_S", 0.05)
+    waiting.until(lambda: "one" in registered.rows)
+    store.write_raw(TOPIC, "one", b"\xff")
+    waiting.until(
+        lambda: store.newest_of(TOPIC)["one"] == registrations.encode(me())
+    )
+
+
 def test_instance_of_an_earlier_release_is_listed():
     """Instances are replaced one after the other by a new release."""
     data = msgpack.packb(["127.0.0.1:1", "north", "a"])
