--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -104,7 +104,7 @@
             settings,
             self.store,
             self.feeds,
-            self.instances.stands_for_duty,
+            self.instances,
         )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
@@ -240,14 +240,10 @@
                 self.cell_loads.provide,
                 self.cell_loads.consume,
             ),
-            sections.Section(
-                "weights",
-                self.weights.board.provide,
-                self.weights.board.consume,
-            ),
             sections.Section(
                 "lost-requests", self.guard.provide, self.guard.consume
             ),
+            *self.weights.told(),
         )
         self.instances.service = node_peers.join(
             self.settings,
@@ -387,8 +383,13 @@
             self.weights.board.forget(endpoint_id)
 
     def is_ready(self) -> bool:
-        """Tell whether callers may be sent here."""
+        """Tell whether callers may be sent here.
+
+        Before it is known how old wanted weights are, prompts are refused
+        where engines have older ones.
+        """
         return (
             not self.shutdown.begun
             and self.feeds.operators.current() is not None
+            and self.weights.times.known.is_set()
         )
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -154,10 +154,12 @@
         with self.lock:
             known = self.present.pop(key, None)
             lapsed = self.lapsed.pop(key, None)
-        if known is None and lapsed is None:
+        if known is None and lapsed is not None:
+            known = lapsed.endpoint
+        if known is None:
             return
-        log.info("endpoint_gone", endpoint=key, held=False)
-        self.on_gone(frozenset({key}))
+        log.info("endpoint_gone", endpoint=known.id, held=False)
+        self.on_gone(frozenset({known.id}))
 
     def put(self, endpoint: model.Endpoint) -> None:
         """Take in one entry."""
