--- a/src/briarseam/weights/holders.py
+++ b/src/briarseam/weights/holders.py
@@ -146,7 +146,7 @@
             return False
         return all(
             self.is_silent(words.get(name), now_s)
-            or self.has_no_duty(words.get(name), since_s)
+            or was_heard(words.get(name), since_s)
             for name in names
         )
 
@@ -155,6 +155,7 @@
         heard_s = NEVER_S if word is None else word.heard_s
         return now_s - max(heard_s, self.awake_since_s) >= SILENT_S
 
-    def has_no_duty(self, word: Word | None, since_s: float) -> bool:
-        """Tell whether an instance said so since this one has the duty."""
-        return word is not None and word.heard_s >= since_s and not word.holds
+
+def was_heard(word: Word | None, since_s: float) -> bool:
+    """Tell whether an instance said something since a time."""
+    return word is not None and word.heard_s >= since_s
--- a/tests/weights/test_holders.py
+++ b/tests/weights/test_holders.py
@@ -250,6 +250,23 @@
     assert not quiet(me, clock, gained_s)
 
 
+def test_holder_that_falls_silent_is_waited_for_while_its_time_runs(
+    me, peers, clock
+):
+    """It was heard as the holder and may have ordered until its time was
+    over; the last it could tell of was before that.
+    """
+    peers[0].words.holds = lambda: True
+    beat(me, *peers)
+    pass_s(holders.SILENT_S + HEARTBEAT_S, me, clock)
+    gained_s = clock.now_s
+    beat(me, peers[1])
+    assert not quiet(me, clock, gained_s)
+    pass_s(LEASE_S, me, clock)
+    beat(me, peers[1])
+    assert quiet(me, clock, gained_s)
+
+
 def test_words_heard_before_an_own_suspension_do_not_count(me, peers, clock):
     """This instance is suspended for some seconds, wakes and is given the
     duty by the store before it has heard anybody.  To it all others are
--- a/tests/weights/test_times.py
+++ b/tests/weights/test_times.py
@@ -240,6 +240,24 @@
     assert third.history.required("m", 10.0) == 2
 
 
+def test_earlier_time_of_another_version_stays(store, wall):
+    """An instance that saw weights 2 late writes when weights 3 are named."""
+    first = Process(store, wall)
+    first.history.take(goals.WeightGoal("m", 2))
+    first.times.step()
+    late = Process(store, wall)
+    late.times.stored = {}
+    late.times.looked = True
+    pass_s(9, wall, first, late)
+    late.history.take(goals.WeightGoal("m", 2))
+    late.history.take(goals.WeightGoal("m", 3))
+    late.times.step()
+    wall.now_s += 1
+    third = Process(store, wall)
+    third.times.step()
+    assert third.history.required("m", 9.5) == 2
+
+
 def test_fault_of_ours_does_not_end_the_thread(store, wall, monkeypatch):
     """An answer that is not base64 raises another error than an outage
     does.  The thread ends, and the instance is never ready again.
