--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -105,6 +105,7 @@
             self.store,
             self.feeds,
             self.instances,
+            self.tally,
         )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -17,6 +17,7 @@
 from briarseam.weights import times
 
 if typing.TYPE_CHECKING:
+    from briarseam import malformed
     from briarseam.compose import node_feeds
     from briarseam.compose import node_instances
     from briarseam.platform import store as stores
@@ -48,6 +49,8 @@
     instances
         Who else there is, and whether this instance should take part in
         giving orders.
+    tally
+        Counts what can't be read.
 
     Attributes
     ----------
@@ -65,6 +68,7 @@
         store: stores.StoreClient,
         feeds: node_feeds.Feeds,
         instances: node_instances.Instances,
+        tally: malformed.Tally | None = None,
     ) -> None:
         self.settings = settings
         self.feeds = feeds
@@ -76,6 +80,7 @@
             names.GOAL_TIMES_TOPIC,
             self.goals,
             instances.stands_for_duty,
+            tally,
         )
         self.holders = holders.HolderWords(
             instances.others_for_duty,
@@ -99,7 +104,7 @@
                 goals=lambda: self.goals.newest,
                 targets=feeds.engines_of,
                 tenure=self.tenure,
-                engines=engines.EngineClient(),
+                engines=engines.EngineClient(tally),
                 board=self.board,
                 holder=settings.instance.name,
                 time_left_s=self.time_left_s,
--- a/src/briarseam/weights/holders.py
+++ b/src/briarseam/weights/holders.py
@@ -6,7 +6,7 @@
 import threading
 import typing
 
-import msgpack
+import msgspec
 
 from briarseam import clocks
 from briarseam.weights import tenure as tenures
@@ -21,6 +21,8 @@
 # pause it was suspended itself, and others look silent that are not.
 PAUSE_S = 1.2
 NEVER_S = float("-inf")
+# Whether it holds the duty, seconds since its last order, its own time.
+Told = tuple[bool, float, float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,24 +104,23 @@
     def provide(self) -> bytes:
         """Return what peers should know."""
         now_s = self.note_active()
-        packed: bytes = msgpack.packb(
+        return msgspec.msgpack.encode(
             # The time makes each heartbeat's content a new one, so that
             # peers take it in.
-            [self.holds(), now_s - self.ordered_s, now_s]
+            (self.holds(), now_s - self.ordered_s, now_s)
         )
-        return packed
 
     def consume(self, member: str, data: bytes) -> None:
         """Take in what a peer says."""
-        holds, since_order_s, _said_s = msgpack.unpackb(data)
+        holds, since_order_s, _said_s = msgspec.msgpack.decode(data, type=Told)
         now_s = self.note_active()
-        ordered_s = now_s - float(since_order_s)
+        ordered_s = now_s - since_order_s
         with self.lock:
             known = self.words.get(member)
             if known is not None:
                 # A process that has just started knows of no order.
                 ordered_s = max(ordered_s, known.ordered_s)
-            self.words[member] = Word(now_s, bool(holds), ordered_s)
+            self.words[member] = Word(now_s, holds, ordered_s)
 
     def are_quiet(self, since_s: float, lease_s: float) -> bool:
         """Tell whether no other instance gives orders, or just did.
--- a/src/briarseam/weights/times.py
+++ b/src/briarseam/weights/times.py
@@ -6,10 +6,11 @@
 import time
 import typing
 
-import msgpack
+import msgspec
 import structlog
 
 from briarseam import clocks
+from briarseam import malformed
 from briarseam.feeds import records
 from briarseam.weights import goals
 
@@ -23,12 +24,10 @@
 # what instances see differs by the way from the store.
 SAME_S = 1.0
 KNOWN = b"known"
-DECODE_ERRORS = (
-    ValueError,
-    TypeError,
-    OverflowError,
-    msgpack.UnpackException,
-)
+# Version and the time when it was named, Unix ms; before any clock runs out.
+Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+NamedMs = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Rows = list[tuple[Version, NamedMs]]
 log = structlog.get_logger("briarseam.weights")
 
 
@@ -62,6 +61,8 @@
         The goals, as far as this process knows.
     writes
         Tells whether this instance is one of those that write.
+    tally
+        Counts records that can't be read.
     clock
         The clock of ``history``.
     wall_clock
@@ -80,6 +81,7 @@
         topic: str,
         history: goals.GoalHistory,
         writes: typing.Callable[[], bool],
+        tally: malformed.Tally | None = None,
         clock: typing.Callable[[], float] = clocks.boot_clock,
         wall_clock: typing.Callable[[], float] = time.time,
     ) -> None:
@@ -87,6 +89,7 @@
         self.topic = topic
         self.history = history
         self.writes = writes
+        self.tally = tally or malformed.Tally()
         self.clock = clock
         self.wall_clock = wall_clock
         self.known = threading.Event()
@@ -166,17 +169,18 @@
         self, model: str, value: bytes
     ) -> dict[goals.WeightGoal, float]:
         """Return the times of one model's goals, by the clock."""
-        now_s = self.clock()
-        wall_s = self.wall_clock()
         try:
-            return {
-                goals.WeightGoal(model, int(version)): now_s
-                - max(0.0, wall_s - float(named_ms) / MS)
-                for version, named_ms in msgpack.unpackb(value)
-            }
-        except DECODE_ERRORS as error:
-            log.warning("goal_times_malformed", model=model, detail=str(error))
+            rows = msgspec.msgpack.decode(value, type=Rows)
+        except msgspec.DecodeError as error:
+            self.tally.note(malformed.Kind.GOAL_TIMES, model, error)
             return {}
+        now_s = self.clock()
+        wall_s = self.wall_clock()
+        return {
+            goals.WeightGoal(model, version): now_s
+            - max(0.0, wall_s - named_ms / MS)
+            for version, named_ms in rows
+        }
 
     def recall(self) -> None:
         """Take in what former processes left."""
@@ -231,9 +235,9 @@
             if goal.model == model
         }
         offset_s = self.wall_clock() - self.clock()
-        times = [
-            [goal.version, int((seen_s + offset_s) * MS)]
+        times: Rows = [
+            (goal.version, int((seen_s + offset_s) * MS))
             for goal, seen_s in rows.items()
         ]
-        self.store.put(self.topic, model, msgpack.packb(times))
+        self.store.put(self.topic, model, msgspec.msgpack.encode(times))
         self.stored.update(rows)
--- a/tests/weights/test_times.py
+++ b/tests/weights/test_times.py
@@ -49,8 +49,8 @@
             TOPIC,
             self.history,
             lambda: writes,
-            self.clock,
-            wall,
+            clock=self.clock,
+            wall_clock=wall,
         )
 
 
@@ -171,7 +171,17 @@
 
 
 @pytest.mark.parametrize(
-    "value", [b"", b"\xc1", msgpack.packb(7), msgpack.packb([["x", "y"]])]
+    "value",
+    [
+        b"",
+        b"\xc1",
+        msgpack.packb(7),
+        msgpack.packb([["x", "y"]]),
+        msgpack.packb([[1, float("inf")]]),
+        msgpack.packb([[1, float("nan")]]),
+        msgpack.packb([[1, 2**60]]),
+        msgpack.packb([[-1, 1]]),
+    ],
 )
 def test_malformed_times_are_passed_over(store, wall, value):
     store.rows["bad"] = value
