--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -77,6 +77,11 @@
         """Tell whether all peers know what this instance says of itself."""
         return self.service is None or self.service.told()
 
+    def tell_at_once(self) -> None:
+        """Send the next heartbeats now."""
+        if self.service is not None:
+            self.service.tell_at_once()
+
     def stands_for_duty(self) -> bool:
         """Tell whether this instance should take part in giving orders."""
         names = [
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -109,6 +109,7 @@
                 holder=settings.instance.name,
                 time_left_s=self.time_left_s,
                 ordering=self.holders.note_ordered,
+                tell_peers=instances.tell_at_once,
             )
         )
 
--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -19,9 +19,11 @@
     from briarseam.discovery import model as discovery
     from briarseam.weights import tenure as tenures
 
-# Between the word that an engine takes no work and the order: peers hear it
-# with the next heartbeat, half a second apart.
+# Between the word that an engine takes no work and the order, where its runs
+# may finish: no peer then sends to it any more.
 NOTICE_S = 0.6
+# The same where time is short: the heartbeats that tell it are sent at once.
+SHORT_NOTICE_S = 0.1
 POLL_S = 0.15
 REVIEW_S = 0.25
 # Longest time for one engine: its runs end within their deadlines, and the
@@ -72,6 +74,8 @@
         Returns the seconds until weights of a model are out of use.
     ordering
         Called right before each order.
+    tell_peers
+        Lets peers know at once what the board says.
     """
 
     goals: typing.Callable[[], dict[str, goals.WeightGoal]]
@@ -84,6 +88,7 @@
         math.inf
     )
     ordering: typing.Callable[[], None] = lambda: None
+    tell_peers: typing.Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass
@@ -254,8 +259,8 @@
         board = self.sources.board
         board.begin(target.id)
         try:
-            if errand.mode is orders.Mode.FINISH:
-                self.stopping.wait(NOTICE_S)
+            self.sources.tell_peers()
+            self.stopping.wait(self.notice_s(errand.mode))
             until_s = clocks.boot_clock() + ERRAND_S
             while clocks.boot_clock() < until_s:
                 if self.stopping.is_set() or self.step(errand):
@@ -274,6 +279,10 @@
             with self.lock:
                 self.busy.discard(target.id)
 
+    def notice_s(self, mode: orders.Mode) -> float:
+        """Return the time between the word to peers and the order."""
+        return NOTICE_S if mode is orders.Mode.FINISH else SHORT_NOTICE_S
+
     def step(self, errand: Errand) -> bool:
         """Look at an engine and order what is due; tell if it is done.
 
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -210,6 +210,26 @@
     made.rollout.stop()
 
 
+def test_peers_are_told_at_once_before_an_engine_takes_no_work(monkeypatch):
+    """Peers heard it with the next heartbeat, half a second later, and sent
+    on; a prompt that may be tried once was refused.
+    """
+    monkeypatch.setattr(rollouts, "SHORT_NOTICE_S", 0.01)
+    made = Case(count=1)
+    told = []
+    made.rollout.sources = dataclasses.replace(
+        made.rollout.sources,
+        tell_peers=lambda: told.append(
+            (made.board.is_changing("e0"), len(made.engines.orders))
+        ),
+        time_left_s=lambda model, version: 0.5,
+    )
+    made.rollout.start()
+    waiting.until(lambda: made.engines.versions == {"e0": 2})
+    made.rollout.stop()
+    assert told == [(True, 0)]
+
+
 def test_runs_are_not_waited_for_when_time_is_short():
     made = Case(count=6)
     made.rollout.sources = dataclasses.replace(
