Only engines of configured services decide what parts of old weights are kept

Cause: Weights.oldest looked at all entries, so that an entry of another service that names the model held up the freeing for good (read, then shown by a test that failed: 1 instead of 2).

--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -76,6 +76,14 @@
 
     def engines_of(self, model: str) -> list[discovery.Endpoint]:
         """Return the engines that serve a model and are not leaving."""
+        return [
+            endpoint
+            for endpoint in self.all_engines_of(model)
+            if not endpoint.leaving
+        ]
+
+    def all_engines_of(self, model: str) -> list[discovery.Endpoint]:
+        """Return the engines that serve a model, leaving ones included."""
         table = self.operators.current()
         if table is None:
             return []
@@ -87,7 +95,7 @@
         return [
             endpoint
             for endpoint in self.registry.all()
-            if endpoint.service in serving_it and not endpoint.leaving
+            if endpoint.service in serving_it
         ]
 
     def configuration_version(self) -> int:
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -183,7 +183,9 @@
         """
         versions = [
             self.board.version(endpoint.id, model, endpoint.versions[model])
-            for endpoint in self.feeds.registry.all()
+            # An entry of another service may name any model, and would keep
+            # parts of old weights from being freed.
+            for endpoint in self.feeds.all_engines_of(model)
             if model in endpoint.versions
         ]
         if not versions or not all(versions):
