--- a/tests/weights/test_holders.py
+++ b/tests/weights/test_holders.py
@@ -142,8 +142,9 @@
         return None
 
 
-def test_holder_orders_as_soon_as_the_others_are_quiet(me, peers, clock):
-    tenure = tenures.Tenure(
+@pytest.fixture
+def tenure(me, clock):
+    return tenures.Tenure(
         Group(),
         "group",
         "topic",
@@ -152,6 +153,11 @@
         are_quiet=lambda since_s: me.words.are_quiet(since_s, LEASE_S),
         clock=clock,
     )
+
+
+def test_holder_orders_as_soon_as_the_others_are_quiet(
+    me, peers, tenure, clock
+):
     tenure.join_once()
     assert tenure.fence() is None
     clock.now_s += HEARTBEAT_S
@@ -161,18 +167,9 @@
 
 
 def test_holder_that_may_order_goes_on_while_others_are_not_heard(
-    me, peers, clock
+    me, peers, tenure, clock
 ):
     """Once nobody else gave orders, nobody else can: the store says so."""
-    tenure = tenures.Tenure(
-        Group(),
-        "group",
-        "topic",
-        "me",
-        LEASE_S,
-        are_quiet=lambda since_s: me.words.are_quiet(since_s, LEASE_S),
-        clock=clock,
-    )
     tenure.join_once()
     beat(me, *peers)
     assert tenure.fence() == 5
