What is known of an endpoint belongs to one start of it

Cause: endpoints may start again under the name that they had. Names were the key of weights, prompts held, loads, losses, connections and of what peers tell, and the registry took the changed entry of a known name as the same endpoint: an engine back with its first weights counted as up to date for good, and prompts went where nothing of them was held any more. A list of a store's parts from before its restart, told by a peer that lags, was taken in after the restart was seen.

Ruled out: a comparison of births in each part, which is a guard in nine places and in each section of heartbeats, and wrong in silence where one is left out; numbers that each instance gives to starts, which peers would not mean alike.

Change: Endpoint.id is name and birth, made by the adapter, which takes the name out of it for the wire. The registry keeps the newest start of each name, ends the one before through on_gone, and drops news of earlier ones, also after the endpoint has gone. A report of another start is not taken, shows the restart, and is told to peers. The index of stores compares births besides epochs and gives up saves that were on their way. Stand-ins say when they were born, start again, and the one of an engine turns away reports and orders that name another.

Conclusion: nothing of one start is found under another by construction. Without a test: instances of before and after this change side by side, which do not add up each other's work at an endpoint. Not covered: an endpoint whose clock went back between two starts (docs/design/platform.md).

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -16,6 +16,7 @@
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.compose import small_answers
+from briarseam.discovery import restarts
 from briarseam.feeds import shared_messages
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
@@ -48,6 +49,7 @@
 from briarseam.platform import store as stores
 
 if typing.TYPE_CHECKING:
+    from briarseam.platform import engines
     from briarseam.routes import model as routes
     from briarseam.settings import serving
 
@@ -99,6 +101,10 @@
             self.feeds,
             self.instances,
         )
+        self.restarts = restarts.Restarts(self.feeds.registry)
+        typing.cast(
+            "engines.EngineClient", self.weights.rollout.sources.engines
+        ).on_start = self.restarts.take
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
             self.weights.required,
@@ -228,6 +234,11 @@
                 self.chooser.loads.provide,
                 self.chooser.loads.consume,
             ),
+            sections.Section(
+                "endpoint-starts",
+                self.restarts.provide,
+                self.restarts.consume,
+            ),
             sections.Section(
                 "cell-loads",
                 self.cell_loads.provide,
@@ -256,10 +267,10 @@
     def keep_house(self) -> None:
         """Forget what is old until stopped."""
         while not self.stopping.wait(HOUSEKEEPING_S):
+            self.feeds.registry.forget_lapsed()
+            self.forget_all_but(self.feeds.registry.ids())
             self.pool.close_old()
-            self.chooser.kept.forget_old()
             self.guard.forget_old()
-            self.feeds.registry.forget_lapsed()
             self.chooser.loads.keep_only(frozenset(self.instances.all_names()))
 
     def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
@@ -368,12 +379,23 @@
         self.store_watches.follow([store.address for store in keeping])
 
     def endpoints_gone(self, ids: frozenset[str]) -> None:
-        """Forget endpoints that are gone."""
+        """Forget starts of endpoints that are over."""
         self.pool.forget(ids)
         for endpoint_id in ids:
             self.chooser.residency.forget(endpoint_id)
             self.weights.board.forget(endpoint_id)
 
+    def forget_all_but(self, ids: frozenset[str]) -> None:
+        """Forget what came late of starts that are over.
+
+        Guard: it is of no effect, since it is found under the id of its own
+        start only, but it would stay for good, and endpoints restart all
+        day.
+        """
+        self.pool.keep_only(ids)
+        self.chooser.forget_old(ids)
+        self.weights.board.keep_only(ids)
+
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here.
 
--- a/src/briarseam/discovery/model.py
+++ b/src/briarseam/discovery/model.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
+
+from briarseam.discovery import starts
 
 
 @dataclasses.dataclass(frozen=True)
@@ -12,7 +15,8 @@
     Attributes
     ----------
     id
-        Unique over all starts of all endpoints.
+        Unique over all starts of all endpoints, as in
+        :class:`briarseam.discovery.starts.Start`.
     service
         Name of its service.
     address
@@ -36,3 +40,8 @@
     versions: dict[str, int] = dataclasses.field(
         default_factory=dict, hash=False
     )
+
+    @functools.cached_property
+    def start(self) -> starts.Start:
+        """The start that this is."""
+        return starts.parse(self.id)
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -10,6 +10,7 @@
 
 from briarseam import clocks
 from briarseam.discovery import model
+from briarseam.discovery import starts
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -44,12 +45,16 @@
 class EndpointRegistry:
     """Keeps the endpoints; a listener of their topic.
 
+    Endpoints are kept by name, and there is one start of each: the newest
+    that any news was of.  News of an earlier one changes nothing.
+
     Parameters
     ----------
     decode
         Decodes an entry; raises for a malformed one.
     on_gone
-        Called with the ids of endpoints that are gone.
+        Called with the ids of starts that are over, because the endpoint
+        is gone or has started again.
     clock
         Seconds.
     """
@@ -67,6 +72,9 @@
         self.lapsed: dict[str, Lapsed] = {}
         self.away_until_s = float("-inf")
         self.read_s = float("-inf")
+        self.newest = starts.NewestStarts()
+        # Names whose present start has not written an entry yet.
+        self.awaited: set[str] = set()
         self.lock = threading.Lock()
 
     def serving(self, service: str) -> list[model.Endpoint]:
@@ -102,6 +110,13 @@
         with self.lock:
             return list(self.present.values())
 
+    def ids(self) -> frozenset[str]:
+        """Return the starts that may still be there, lapsed ones as well."""
+        with self.lock:
+            known = [endpoint.id for endpoint in self.present.values()]
+            known += [lapsed.endpoint.id for lapsed in self.lapsed.values()]
+        return frozenset(known)
+
     def store_lost(self) -> None:
         """Note that the store is away: entries may lapse meanwhile."""
         self.away_until_s = self.clock() + LAPSE_HOLD_S
@@ -130,11 +145,25 @@
         self.forget_lapsed()
 
     def put(self, endpoint: model.Endpoint) -> None:
-        """Take in one entry."""
+        """Take in one entry.
+
+        Guard: an entry that a start wrote before it died may come to the
+        store after that of the next one.  Taken in, it would bring back
+        the address and weights of the dead start.
+        """
+        name = endpoint.start.name
         with self.lock:
-            known = self.present.get(endpoint.id)
-            self.present[endpoint.id] = endpoint
-            self.lapsed.pop(endpoint.id, None)
+            start = self.newest.current(endpoint.start)
+            if start is None:
+                log.info("entry_outdated", endpoint=endpoint.id)
+                return
+            if endpoint.id != start.id:
+                endpoint = dataclasses.replace(endpoint, id=start.id)
+            known = self.present.get(name)
+            over = self.other_starts(start)
+            self.present[name] = endpoint
+            self.lapsed.pop(name, None)
+            self.awaited.discard(name)
         if known is None:
             log.info(
                 "endpoint_found",
@@ -151,32 +180,89 @@
                 leaving=endpoint.leaving,
                 versions=endpoint.versions,
             )
+        self.end(over)
+
+    def take_start(self, start: starts.Start) -> bool:
+        """Take in a start before its entry comes; tell if it is new here."""
+        with self.lock:
+            if self.newest.current(start) != start:
+                return False
+            over = self.other_starts(start)
+            if not over:
+                return False
+            known = self.present.get(start.name)
+            if known is not None:
+                self.present[start.name] = started_again(known, start)
+            lapsed = self.lapsed.get(start.name)
+            if lapsed is not None:
+                self.lapsed[start.name] = dataclasses.replace(
+                    lapsed, endpoint=started_again(lapsed.endpoint, start)
+                )
+            self.awaited.add(start.name)
+        self.end(over)
+        return True
+
+    def other_starts(self, start: starts.Start) -> frozenset[str]:
+        """Return ids known of other starts; call it under the lock."""
+        known = [self.present.get(start.name)]
+        if start.name in self.lapsed:
+            known.append(self.lapsed[start.name].endpoint)
+        return frozenset(
+            endpoint.id
+            for endpoint in known
+            if endpoint is not None and endpoint.id != start.id
+        )
+
+    def end(self, over: frozenset[str]) -> None:
+        """Have starts forgotten that others have followed."""
+        if over:
+            log.info("endpoint_restarted", endpoints=sorted(over))
+            self.on_gone(over)
 
     def remove(self, key: str) -> None:
-        """Take in that an entry is no more."""
+        """Take in that an entry is no more.
+
+        Guard: an endpoint that started again may be known from a report
+        while the entry of its start before still runs out.  The new start
+        is held until its own entry can be there.
+        """
         now_s = self.clock()
         with self.lock:
             endpoint = self.present.pop(key, None)
             if endpoint is None:
                 return
-            held = now_s < self.away_until_s
+            held = now_s < self.away_until_s or key in self.awaited
+            self.awaited.discard(key)
             if held:
                 self.lapsed[key] = Lapsed(endpoint, now_s + LAPSE_HOLD_S)
-        log.info("endpoint_gone", endpoint=key, held=held)
+        log.info("endpoint_gone", endpoint=endpoint.id, held=held)
         if not held:
-            self.on_gone(frozenset({key}))
+            self.on_gone(frozenset({endpoint.id}))
 
     def forget_lapsed(self) -> None:
         """Give up endpoints whose entries did not come back."""
         now_s = self.clock()
         with self.lock:
-            gone = frozenset(
-                key
+            over = {
+                key: lapsed.endpoint.id
                 for key, lapsed in self.lapsed.items()
                 if lapsed.until_s <= now_s
-            )
-            for key in gone:
+            }
+            for key in over:
                 del self.lapsed[key]
+            gone = frozenset(over.values())
         if gone:
             log.info("endpoints_lapsed", endpoints=sorted(gone))
             self.on_gone(gone)
+
+
+def started_again(
+    endpoint: model.Endpoint, start: starts.Start
+) -> model.Endpoint:
+    """Return an endpoint whose new start has not written an entry yet.
+
+    Of what the entry before said only the place is kept: which weights the
+    new start has is not known before it says so.
+    """
+    versions = dict.fromkeys(endpoint.versions, 0)
+    return dataclasses.replace(endpoint, id=start.id, versions=versions)
--- a/src/briarseam/forwarding/connections.py
+++ b/src/briarseam/forwarding/connections.py
@@ -138,6 +138,16 @@
             for item in waiting:
                 item.connection.close()
 
+    def keep_only(self, endpoint_ids: typing.Collection[str]) -> None:
+        """Close the connections of all endpoints but these.
+
+        A request that was under way when its endpoint was forgotten has
+        given its connection back since.
+        """
+        with self.lock:
+            over = {key[0] for key in self.idle if key[0] not in endpoint_ids}
+        self.forget(over)
+
     def close_old(self) -> None:
         """Close the connections that are too old to be used."""
         now_s = clocks.boot_clock()
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -242,7 +242,11 @@
         would send to the same idlest one until they know better.
         """
         key = requests.session_of(prompt)
-        ranked = rank.ranked(key, candidates, lambda endpoint: endpoint.id)
+        # By name, which all instances know alike also while only some of
+        # them have heard of a restart.
+        ranked = rank.ranked(
+            key, candidates, lambda endpoint: endpoint.start.name
+        )
         versions = {
             endpoint.id: self.version_of(endpoint, prompt.model)
             for endpoint in candidates
@@ -405,3 +409,12 @@
     def avoid(self, endpoint: str) -> None:
         """Leave an endpoint alone for a while."""
         self.avoided[endpoint] = self.clock() + AVOID_S
+
+    def forget_old(self, endpoints: typing.Collection[str]) -> None:
+        """Forget all endpoints but these, and what counts no longer."""
+        now_s = self.clock()
+        self.residency.keep_only(endpoints)
+        self.kept.forget_old()
+        for endpoint, until_s in list(self.avoided.items()):
+            if until_s <= now_s:
+                self.avoided.pop(endpoint, None)
--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -9,6 +9,7 @@
 import typing
 
 from briarseam import clocks
+from briarseam.discovery import starts
 from briarseam.lookup import rank
 from briarseam.routes import model as routes
 
@@ -68,12 +69,16 @@
         Whether changes before these are missing.
     events
         In order.
+    born_ms
+        When the store started, in milliseconds since the epoch by its own
+        clock; 0 where it does not say.
     """
 
     epoch: int
     next: int
     lost: bool
     events: tuple[PartEvent, ...]
+    born_ms: int = starts.UNKNOWN_MS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,7 +87,7 @@
 
     Attributes
     ----------
-    epoch, next
+    epoch, next, born_ms
         As in :class:`Changes`.
     parts
         Whole parts.
@@ -91,6 +96,7 @@
     epoch: int
     next: int
     parts: tuple[PartEvent, ...]
+    born_ms: int = starts.UNKNOWN_MS
 
 
 @dataclasses.dataclass
@@ -105,7 +111,7 @@
         Whether it answers, so that its content is known to be there.
     confirmed_s
         When its content was last known to be this, by the index's clock.
-    epoch
+    epoch, born_ms
         Of the content.
     held
         Tokens of whole parts.
@@ -123,6 +129,7 @@
     readable: bool = False
     confirmed_s: float = 0.0
     epoch: int = 0
+    born_ms: int = starts.UNKNOWN_MS
     held: dict[PartKey, int] = dataclasses.field(default_factory=dict)
     used: int = 0
     generation: str = ""
@@ -131,6 +138,24 @@
         default_factory=lambda: collections.deque(maxlen=HISTORY)
     )
 
+    def is_over(self, born_ms: int) -> bool:
+        """Tell whether another start has followed the one of some news.
+
+        Guard: another instance that lags may tell what a store kept before
+        it started anew, after this one has seen the new start.  Fetched,
+        such parts would be garbage while they are written again.
+        """
+        return starts.UNKNOWN_MS < born_ms < self.born_ms
+
+    def is_anew(self, told: Changes | Content) -> bool:
+        """Tell whether news is of a later start than the content.
+
+        The epoch tells starts apart, the time of birth also which is the
+        later one; either may be missing or the same by chance.
+        """
+        is_later = starts.UNKNOWN_MS < self.born_ms < told.born_ms
+        return is_later or told.epoch != self.epoch
+
     def put(self, event: PartEvent) -> None:
         """Take in one change."""
         key = (event.salt, event.part)
@@ -154,6 +179,22 @@
         self.history.clear()
 
 
+@dataclasses.dataclass(frozen=True)
+class Saving:
+    """A part that was sent to be saved.
+
+    Attributes
+    ----------
+    address
+        The store.
+    until_s
+        When it is no longer expected, by the index's clock.
+    """
+
+    address: str
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Plan:
     """Where a prompt's parts come from and go to.
@@ -188,7 +229,7 @@
     ) -> None:
         self.clock = clock
         self.stores: dict[str, StoreIndex] = {}
-        self.saving: dict[PartKey, float] = {}
+        self.saving: dict[PartKey, Saving] = {}
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
 
@@ -220,10 +261,13 @@
         """
         with self.lock:
             index = self.stores.get(address)
-            if index is None:
+            if index is None or index.is_over(content.born_ms):
                 return
+            if index.is_anew(content):
+                self.forget_saving(address)
             index.clear()
             index.epoch = content.epoch
+            index.born_ms = content.born_ms or index.born_ms
             index.readable = True
             index.confirmed_s = self.clock() - age_s
             for part in content.parts:
@@ -244,11 +288,17 @@
             index = self.stores.get(address)
             if index is None:
                 return False
-            if changes.lost or changes.epoch != index.epoch:
+            if index.is_over(changes.born_ms):
+                return False
+            if changes.lost or index.is_anew(changes):
+                if index.is_anew(changes):
+                    self.forget_saving(address)
+                index.born_ms = max(index.born_ms, changes.born_ms)
                 index.clear()
                 index.readable = False
                 self.changed.notify_all()
                 return False
+            index.born_ms = changes.born_ms or index.born_ms
             index.confirmed_s = self.clock() - age_s
             for event in changes.events:
                 index.change(event)
@@ -257,14 +307,31 @@
                 self.changed.notify_all()
             return True
 
-    def lose(self, address: str) -> None:
-        """Forget a store's content, since the store does not answer."""
+    def lose(self, address: str, born_ms: int = starts.UNKNOWN_MS) -> None:
+        """Forget a store's content, since the store does not answer.
+
+        Parameters
+        ----------
+        address
+            The store.
+        born_ms
+            Of the start that does not answer, where that is known.
+        """
         with self.lock:
             index = self.stores.get(address)
-            if index is not None:
-                index.clear()
-                index.readable = False
-                self.changed.notify_all()
+            if index is None or index.is_over(born_ms):
+                return
+            index.clear()
+            index.readable = False
+            self.changed.notify_all()
+
+    def forget_saving(self, address: str) -> None:
+        """Forget what a store lost while it was written; under the lock."""
+        self.saving = {
+            key: saving
+            for key, saving in self.saving.items()
+            if saving.address != address
+        }
 
     def is_trusted(self, index: StoreIndex) -> bool:
         """Tell whether a store's content is known; under the lock."""
@@ -306,7 +373,8 @@
     def place(self, salt: str, part: calls.PromptPart) -> str:
         """Return where a part may be saved; empty for nowhere just now."""
         now_s = self.clock()
-        if self.saving.get((salt, part.id), 0.0) > now_s:
+        saving = self.saving.get((salt, part.id))
+        if saving is not None and saving.until_s > now_s:
             return ""
         candidates = [
             index
@@ -336,7 +404,7 @@
         with self.lock:
             for part, address in zip(parts, save_to, strict=False):
                 if address:
-                    self.saving[salt, part.id] = until_s
+                    self.saving[salt, part.id] = Saving(address, until_s)
 
     def stale(
         self, address: str, is_stale: collections.abc.Callable[[str], bool]
@@ -354,7 +422,7 @@
         now_s = self.clock()
         with self.lock:
             self.saving = {
-                key: until_s
-                for key, until_s in self.saving.items()
-                if until_s > now_s
+                key: saving
+                for key, saving in self.saving.items()
+                if saving.until_s > now_s
             }
--- a/src/briarseam/placement/residency.py
+++ b/src/briarseam/placement/residency.py
@@ -82,3 +82,14 @@
         with self.lock:
             self.held.pop(endpoint, None)
             self.totals.pop(endpoint, None)
+
+    def keep_only(self, endpoints: typing.Collection[str]) -> None:
+        """Forget all endpoints but these.
+
+        An answer that was on its way when its endpoint was forgotten has
+        noted it again.
+        """
+        with self.lock:
+            over = [name for name in self.held if name not in endpoints]
+        for name in over:
+            self.forget(name)
--- a/src/briarseam/placement/shared_watch.py
+++ b/src/briarseam/placement/shared_watch.py
@@ -109,12 +109,16 @@
         events = tuple(kept_module.PartEvent(*part) for part in store.parts)
         self.cursors[store.address] = (store.generation, store.sequence)
         if not store.readable:
-            self.index.lose(store.address)
+            self.index.lose(store.address, store.born_ms)
             return
         if store.whole:
-            content = kept_module.Content(store.epoch, 0, events)
+            content = kept_module.Content(
+                store.epoch, 0, events, store.born_ms
+            )
             self.index.take_content(store.address, content, store.age_s)
             return
-        changes = kept_module.Changes(store.epoch, 0, False, events)
+        changes = kept_module.Changes(
+            store.epoch, 0, False, events, store.born_ms
+        )
         if not self.index.take_changes(store.address, changes, store.age_s):
             self.cursors[store.address] = ("", 0)
--- a/src/briarseam/placement/store_messages.py
+++ b/src/briarseam/placement/store_messages.py
@@ -45,6 +45,8 @@
         Whether ``parts`` is all that the store keeps, not what changed.
     parts
         Salt, part and length in tokens; 0 tokens when it was dropped.
+    born_ms
+        When the store started, by its own clock; 0 where it did not say.
     """
 
     address: str
@@ -55,6 +57,7 @@
     age_s: float
     whole: bool
     parts: tuple[tuple[str, str, int], ...]
+    born_ms: int = 0
 
 
 @codec.message("stores-told")
--- a/src/briarseam/placement/store_sharing.py
+++ b/src/briarseam/placement/store_sharing.py
@@ -107,4 +107,5 @@
             age_s=max(0.0, self.index.clock() - index.confirmed_s),
             whole=whole,
             parts=parts,
+            born_ms=index.born_ms,
         )
--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -8,10 +8,12 @@
 import urllib3
 
 from briarseam import sockets
+from briarseam.discovery import starts
 from briarseam.placement import kept
 from briarseam.placement import store_watch
 from briarseam.platform import decoding
 from briarseam.platform import names
+from briarseam.platform import starts as wire_starts
 
 MS = 1000.0
 # Beyond the wait that was asked for; an answer takes some ms.
@@ -29,6 +31,7 @@
     next: int
     lost: bool = False
     events: list[tuple[int, str, str, str, int, str]] = []
+    born: wire_starts.Born = starts.UNKNOWN_MS
 
 
 class WireList(msgspec.Struct):
@@ -37,6 +40,7 @@
     epoch: int
     next: int
     held: list[tuple[str, str, int, str]] = []
+    born: wire_starts.Born = starts.UNKNOWN_MS
 
 
 class CacheStoreClient:
@@ -65,7 +69,7 @@
             kept.PartEvent(salt, part, tokens)
             for salt, part, tokens, _model in wire.held
         )
-        return kept.Content(wire.epoch, wire.next, parts)
+        return kept.Content(wire.epoch, wire.next, parts, wire.born)
 
     def changes(self, address: str, since: int, wait_s: float) -> kept.Changes:
         """Return changes from a number on, waiting for the first.
@@ -85,7 +89,9 @@
             kept.PartEvent(salt, part, 0 if sign == DROPPED else tokens)
             for _number, sign, salt, part, tokens, _model in wire.events
         )
-        return kept.Changes(wire.epoch, wire.next, wire.lost, events)
+        return kept.Changes(
+            wire.epoch, wire.next, wire.lost, events, wire.born
+        )
 
     def free(
         self,
--- a/src/briarseam/platform/endpoints.py
+++ b/src/briarseam/platform/endpoints.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from briarseam.discovery import model
+from briarseam.discovery import starts
 from briarseam.platform import decoding
+from briarseam.platform import starts as wire_starts
 
 LEAVING = "draining"
 
@@ -18,7 +20,7 @@
 
 
 class WireEndpoint(msgspec.Struct):
-    """An endpoint's entry; the key of the record is its id."""
+    """An endpoint's entry; the key of the record is its name."""
 
     service: str
     address: str
@@ -26,6 +28,7 @@
     slots: int = 1
     state: str = "ready"
     models: list[WireModelVersion] = []
+    born: wire_starts.Born = starts.UNKNOWN_MS
 
 
 def decode_endpoint(key: str, data: bytes) -> model.Endpoint:
@@ -38,7 +41,7 @@
     """
     wire = decoding.decode(data, WireEndpoint)
     return model.Endpoint(
-        id=key,
+        id=starts.Start(key, wire.born).id,
         service=wire.service,
         address=wire.address,
         zone=wire.zone,
--- a/src/briarseam/platform/engines.py
+++ b/src/briarseam/platform/engines.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 import urllib3
 
 from briarseam import sockets
+from briarseam.discovery import starts
 from briarseam.platform import decoding
 from briarseam.platform import names
+from briarseam.platform import starts as wire_starts
 from briarseam.weights import orders
 
 # Reports need no slot and are answered in some ms.
@@ -36,12 +40,27 @@
     busy: bool = False
     # Orders accepted since the engine's start.
     seq: int = 0
+    born: wire_starts.Born = starts.UNKNOWN_MS
 
 
-class EngineClient:
-    """Calls engines; thread-safe."""
+def ignore(start: starts.Start) -> None:
+    """Tell nobody of a start."""
 
-    def __init__(self) -> None:
+
+class EngineClient:
+    """Calls engines; thread-safe.
+
+    Parameters
+    ----------
+    on_start
+        Called with the start that answered where it is not the expected
+        one.
+    """
+
+    def __init__(
+        self, on_start: typing.Callable[[starts.Start], None] = ignore
+    ) -> None:
+        self.on_start = on_start
         self.pool = urllib3.PoolManager(
             maxsize=2, retries=False, socket_options=sockets.OPTIONS
         )
@@ -63,12 +82,28 @@
             wire = decoding.decode(response.data, WireReport)
         except decoding.MalformedError as error:
             raise orders.EngineUnavailableError(str(error)) from error
+        self.check_start(endpoint, wire.born)
         return orders.Report(
             versions={model.name: model.version for model in wire.models},
             changing=wire.busy,
             orders_taken=wire.seq,
         )
 
+    def check_start(self, endpoint: str, born_ms: int) -> None:
+        """Raise for a report of another start than the expected one.
+
+        Guard: an engine that started again under its name takes calls that
+        were meant for the start before.  Its weights and its number of
+        orders must not be noted as the other's.
+        """
+        expected = starts.parse(endpoint)
+        if born_ms in (starts.UNKNOWN_MS, expected.born_ms):
+            return
+        self.on_start(starts.Start(expected.name, born_ms))
+        raise orders.EngineUnavailableError(
+            f"the start of {born_ms} answered for {endpoint}"
+        )
+
     def order(
         self, address: str, endpoint: str, order: orders.VersionOrder
     ) -> orders.Outcome:
@@ -111,7 +146,7 @@
         body: bytes | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Make one call to the engine that is expected at an address."""
-        headers = {names.EXPECT_ENDPOINT: endpoint}
+        headers = {names.EXPECT_ENDPOINT: starts.parse(endpoint).name}
         if body is not None:
             headers["Content-Type"] = "application/json"
         try:
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from briarseam.discovery import starts
 from briarseam.forwarding import calls
 from briarseam.forwarding import refusing
 from briarseam.platform import decoding
@@ -141,7 +142,8 @@
     for name, value in call.headers:
         known = headers.get(name)
         headers[name] = value if known is None else f"{known}, {value}"
-    headers[names.EXPECT_ENDPOINT] = instructions.endpoint
+    expected = starts.parse(instructions.endpoint)
+    headers[names.EXPECT_ENDPOINT] = expected.name
     if instructions.time_left_s is not None:
         # Rounded down: an endpoint must not be given more than is left.
         headers[names.TIME_LEFT_MS] = str(
--- a/src/briarseam/weights/board.py
+++ b/src/briarseam/weights/board.py
@@ -20,6 +20,9 @@
 class Board:
     """What this instance and its peers know of engines' weights.
 
+    Engines are known by the ids of their starts: one that starts again may
+    have older weights than before, and is behind from then on.
+
     Parameters
     ----------
     history
@@ -64,6 +67,17 @@
                 for key in [key for key in versions if key[0] == endpoint]:
                     del versions[key]
 
+    def keep_only(self, endpoints: typing.Collection[str]) -> None:
+        """Forget all engines but these.
+
+        A report or a peer's word that was on its way when its engine was
+        forgotten has noted it again.
+        """
+        with self.lock:
+            known = {name for name, _model in (*self.own, *self.told)}
+        for name in known.difference(endpoints):
+            self.forget(name)
+
     def version(self, endpoint: str, model: str, announced: int) -> int:
         """Return an engine's weights.
 
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -4,6 +4,7 @@
 
 from briarseam.discovery import model
 from briarseam.discovery import registry
+from briarseam.discovery import starts
 from briarseam.feeds import records
 from tests import clocks
 
@@ -100,3 +101,64 @@
     endpoints.store_lost()
     endpoints.take_changes([change("a", None)])
     assert ids(endpoints) == []
+
+
+def test_endpoint_that_starts_again_ends_its_start_before(endpoints, gone):
+    """An endpoint crashes and is back before its entry runs out.
+
+    The entry only changed, so all that was known of the endpoint would
+    stay, though it is empty now.
+    """
+    endpoints.take_all([change("a@5"), change("b@5")])
+    endpoints.take_changes([change("a@6")])
+    assert ids(endpoints) == ["a@6", "b@5"]
+    assert gone == {"a@5"}
+
+
+def test_endpoint_that_lapsed_and_starts_again_ends_its_start_before(
+    endpoints, gone
+):
+    endpoints.take_all([change("a@5")])
+    endpoints.store_lost()
+    endpoints.take_changes([change("a", None), change("a@6")])
+    assert ids(endpoints) == ["a@6"]
+    assert gone == {"a@5"}
+
+
+def test_lapsed_endpoint_whose_restart_a_call_shows_is_kept_as_that(
+    endpoints, gone, clock
+):
+    """The store is away and all entries have run out; an engine answers a
+    call and shows that it has started again, so it is there.
+    """
+    endpoints.take_all([change("a@5", b"ready/7")])
+    endpoints.store_lost()
+    endpoints.take_changes([change("a", None)])
+    assert endpoints.take_start(starts.Start("a", 6))
+    (endpoint,) = endpoints.serving("portal")
+    assert (endpoint.id, endpoint.versions) == ("a@6", {"m": 0})
+    assert endpoints.ids() == {"a@6"}
+    clock.now_s += registry.LAPSE_HOLD_S
+    endpoints.forget_lapsed()
+    assert gone == {"a@5", "a@6"}
+
+
+def test_start_that_a_call_shows_again_ends_nothing(endpoints, gone):
+    endpoints.take_all([change("a@5")])
+    assert not endpoints.take_start(starts.Start("a", 5))
+    assert not endpoints.take_start(starts.Start("a", 4))
+    assert not endpoints.take_start(starts.Start("unknown", 4))
+    assert gone == set()
+
+
+def test_first_word_of_a_birth_begins_anew(endpoints, gone):
+    """An entry without a birth may be of any start, so what was noted then
+    may be of one before the first that is named.
+    """
+    endpoints.take_all([change("a")])
+    endpoints.take_changes([change("a@5")])
+    assert ids(endpoints) == ["a@5"]
+    assert gone == {"a"}
+    endpoints.take_changes([change("a", b"leaving")])
+    assert gone == {"a"}
+    assert endpoints.ids() == {"a@5"}
--- a/tests/platform/engine.py
+++ b/tests/platform/engine.py
@@ -26,12 +26,19 @@
         long.
     load_s
         What a load of weights takes.
+    born
+        As of any worker.
     """
 
     def __init__(
-        self, id: str, model: str, drain_s: float, load_s: float
+        self,
+        id: str,
+        model: str,
+        drain_s: float,
+        load_s: float,
+        born: int | None = None,
     ) -> None:
-        super().__init__(id)
+        super().__init__(id, born=born)
         self.model = model
         self.drain_s = drain_s
         self.load_s = load_s
@@ -40,6 +47,8 @@
 
     def answer(self, request: http_messages.Request) -> http_messages.Response:
         """Answer one request."""
+        if not self.is_meant(request):
+            return http_messages.Response(421)
         if request.path == REPORT_PATH:
             return self.report()
         if request.path == ORDER_PATH:
@@ -55,6 +64,7 @@
                     "models": [{"name": self.model, "version": self.version}],
                     "busy": self.busy,
                     "seq": len(self.orders),
+                    **self.told(),
                 },
             )
 
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -55,25 +55,47 @@
     Parameters
     ----------
     id
-        The id of this incarnation.
+        Stays the same when it starts again.
+    born
+        Unix time of this start in milliseconds; ``None`` for a worker that
+        does not say.
     """
 
-    def __init__(self, id: str, listen: str = "127.0.0.1:0") -> None:
+    def __init__(
+        self,
+        id: str,
+        listen: str = "127.0.0.1:0",
+        born: int | None = None,
+    ) -> None:
         super().__init__(Switches(), listen)
         self.id = id
+        self.born = born
         self.arrived: list[http_messages.Request] = []
         self.ran: list[str] = []
         self.ended: list[str] = []
         self.orders: list[dict] = []
         self.lock = threading.Lock()
 
+    def restart(self, born: int) -> None:
+        """Start again under the same id, with nothing of before."""
+        with self.lock:
+            self.born = born
+            self.orders = []
+
+    def told(self) -> dict[str, int]:
+        """Return what stands at the top of all that it says of itself."""
+        return {} if self.born is None else {"born": self.born}
+
+    def is_meant(self, request: http_messages.Request) -> bool:
+        """Tell whether a request is for this worker, or for any."""
+        return request.headers.get("expect-instance", self.id) == self.id
+
     def answer(self, request: http_messages.Request) -> http_messages.Response:
         """Answer one request."""
         self.arrived.append(request)
         call = request.headers.get("request-id", "")
         echo = (("Request-Id", call),)
-        expected = request.headers.get("expect-instance")
-        if expected and expected != self.id:
+        if not self.is_meant(request):
             return http_messages.Response(421, headers=echo)
         if self.take("reject"):
             return http_messages.Response(
