Entries in tests of restarts are whole, as endpoints write them

Cause: an entry without zone, slots or state may come from another writer; tests of restarts should not depend on such entries being taken in.

--- a/tests/platform/test_restarted_endpoint.py
+++ b/tests/platform/test_restarted_endpoint.py
@@ -57,6 +57,9 @@
         document = {
             "service": "engines",
             "address": self.worker.address,
+            "zone": "hall-a",
+            "slots": 8,
+            "state": "ready",
             "models": [{"name": systems.MODEL, "version": 1}],
             **self.worker.told(),
             **changes,
