--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -20,6 +20,7 @@
 from tests.soak import links
 
 from briarseam.testing import ports
+from briarseam.testing import stand_in
 from briarseam.testing import waiting
 
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
@@ -204,7 +205,9 @@
 
     def new_worker(self) -> workers.Worker:
         """Return a started endpoint."""
-        worker = workers.Worker(f"worker-{next(self.names)}")
+        worker = workers.Worker(
+            f"worker-{next(self.names)}", born=stand_in.wall_ms()
+        )
         worker.set(events=EVENTS)
         self.stack.enter_context(worker)
         self.past.append(worker)
@@ -226,6 +229,7 @@
             "zone": "hall-a",
             "slots": 8,
             "state": state,
+            **endpoint.worker.told(),
         }
         self.store.write("keyed.servers", endpoint.worker.id, entry)
 
