--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -8,6 +8,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import malformed
 from briarseam.compose import node_calls
 from briarseam.compose import node_feeds
 from briarseam.compose import node_instances
@@ -77,7 +78,12 @@
         self.shutdown = shutdowns.Shutdown(self.serving_bound_s)
         self.stopping = threading.Event()
         self.metrics = metrics.Registry()
-        self.store = stores.StoreClient(str(settings.store.address))
+        self.tally = malformed.Tally(
+            node_metrics.malformed_counter(self.metrics)
+        )
+        self.store = stores.StoreClient(
+            str(settings.store.address), self.tally
+        )
         self.pool = connections.Pool()
         self.instances = node_instances.Instances(settings.instance.name)
         self.calls = node_calls.Calls(self.instances)
@@ -93,6 +99,7 @@
             self.topic_reads,
             self.configuration_changed,
             self.endpoints_gone,
+            self.tally,
         )
         self.instances.rows = self.feeds.registrations
         self.weights = node_weights.Weights(
@@ -100,6 +107,7 @@
             self.store,
             self.feeds,
             self.instances,
+            self.tally,
         )
         self.restarts = restarts.Restarts(self.feeds.registry)
         typing.cast(
@@ -112,7 +120,7 @@
             self.feeds.registry.age_s,
             loads.Loads(self.calls.size, lambda: len(self.instances.all())),
         )
-        cache_stores = cache.CacheStoreClient()
+        cache_stores = cache.CacheStoreClient(self.tally)
         self.store_watches = store_watches.StoreWatches(
             cache_stores,
             self.calls,
@@ -261,6 +269,7 @@
                 cell_loads.CellLoad: self.cell_loads.answer,
             },
             self.stopping,
+            self.tally,
         )
         log.info("peers_met", address=str(self.settings.listen.peers))
 
@@ -405,5 +414,5 @@
         return (
             not self.shutdown.begun
             and self.feeds.operators.current() is not None
-            and self.weights.times.known.is_set()
+            and not self.weights.times.is_needed()
         )
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -9,6 +9,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import malformed
 from briarseam.discovery import model
 from briarseam.discovery import starts
 
@@ -51,12 +52,14 @@
     Parameters
     ----------
     decode
-        Decodes an entry; raises for a malformed one.
+        Decodes an entry; raises ``MalformedError`` for a malformed one.
     on_gone
         Called with the ids of starts that are over, because the endpoint
         is gone or has started again.
     clock
         Seconds.
+    tally
+        Notes malformed entries.
     """
 
     def __init__(
@@ -64,7 +67,9 @@
         decode: Decode,
         on_gone: OnGone,
         clock: typing.Callable[[], float] = clocks.boot_clock,
+        tally: malformed.Tally | None = None,
     ) -> None:
+        self.tally = tally or malformed.Tally()
         self.decode = decode
         self.on_gone = on_gone
         self.clock = clock
@@ -141,9 +146,37 @@
             if change.value is None:
                 self.remove(change.key)
             else:
-                self.put(self.decode(change.key, change.value))
+                self.take_entry(change.key, change.value)
         self.forget_lapsed()
 
+    def take_entry(self, key: str, data: bytes) -> None:
+        """Take in one entry, or that it can't be read."""
+        try:
+            endpoint = self.decode(key, data)
+        except malformed.MalformedError as error:
+            self.tally.note(malformed.Kind.ENDPOINT, key, error)
+            self.discard(key)
+            return
+        self.put(endpoint)
+
+    def discard(self, key: str) -> None:
+        """Forget an endpoint whose entry was overwritten by a bad one.
+
+        It is not held as one whose entry lapsed in an outage: there an
+        endpoint that lives writes its entry again, here the entry stands
+        and names none.
+        """
+        with self.lock:
+            known = self.present.pop(key, None)
+            lapsed = self.lapsed.pop(key, None)
+            self.awaited.discard(key)
+        if known is None and lapsed is not None:
+            known = lapsed.endpoint
+        if known is None:
+            return
+        log.info("endpoint_gone", endpoint=known.id, held=False)
+        self.on_gone(frozenset({known.id}))
+
     def put(self, endpoint: model.Endpoint) -> None:
         """Take in one entry.
 
--- a/src/briarseam/platform/engines.py
+++ b/src/briarseam/platform/engines.py
@@ -7,11 +7,11 @@
 import msgspec
 import urllib3
 
+from briarseam import malformed
 from briarseam import sockets
 from briarseam.discovery import starts
 from briarseam.platform import decoding
 from briarseam.platform import names
-from briarseam.platform import starts as wire_starts
 from briarseam.weights import orders
 
 # Reports need no slot and are answered in some ms.
@@ -29,7 +29,7 @@
     """A model that an engine serves."""
 
     name: str
-    version: int = 0
+    version: decoding.Number = 0
 
 
 class WireReport(msgspec.Struct):
@@ -39,8 +39,9 @@
     # Whether an order is being carried out; no measure of load.
     busy: bool = False
     # Orders accepted since the engine's start.
-    seq: int = 0
-    born: wire_starts.Born = starts.UNKNOWN_MS
+    seq: decoding.Number = 0
+    # Unix time of the engine's start, in ms; left out by older ones.
+    born: decoding.Number = starts.UNKNOWN_MS
 
 
 def ignore(start: starts.Start) -> None:
@@ -52,14 +53,19 @@
 
     Parameters
     ----------
+    tally
+        Notes reports that can't be read.
     on_start
         Called with the start that answered where it is not the expected
         one.
     """
 
     def __init__(
-        self, on_start: typing.Callable[[starts.Start], None] = ignore
+        self,
+        tally: malformed.Tally | None = None,
+        on_start: typing.Callable[[starts.Start], None] = ignore,
     ) -> None:
+        self.tally = tally or malformed.Tally()
         self.on_start = on_start
         self.pool = urllib3.PoolManager(
             maxsize=2, retries=False, socket_options=sockets.OPTIONS
@@ -81,6 +87,7 @@
         try:
             wire = decoding.decode(response.data, WireReport)
         except decoding.MalformedError as error:
+            self.tally.note(malformed.Kind.ENGINE_REPORT, endpoint, error)
             raise orders.EngineUnavailableError(str(error)) from error
         self.check_start(endpoint, wire.born)
         return orders.Report(
--- a/tests/platform/test_restarted_endpoint.py
+++ b/tests/platform/test_restarted_endpoint.py
@@ -376,6 +376,19 @@
     assert not knows_weights(case.node, NEW)
 
 
+@pytest.mark.parametrize("way", WAYS)
+def test_entry_that_cannot_be_read_ends_the_new_start(case, way):
+    """Another writer overwrites the engine's entry just after its restart.
+
+    The entry names no endpoint any more, so nothing is known of one.
+    """
+    restart(case, way)
+    case.node.weights.board.learn(NEW, systems.MODEL, 7)
+    case.registry.take_changes([records.KeyedRecord(NAME, b"{")])
+    assert case.registry.serving("engines") == []
+    assert not knows_weights(case.node, NEW)
+
+
 def test_entry_without_a_time_of_birth_is_no_restart(case):
     """An entry comes from a writer that does not know of births.
 
