--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -10,6 +10,7 @@
 
 from briarseam import malformed
 from briarseam import sockets
+from briarseam.discovery import starts
 from briarseam.placement import kept
 from briarseam.placement import store_watch
 from briarseam.platform import decoding
@@ -42,6 +43,8 @@
     next: decoding.Number
     lost: bool = False
     events: list[msgspec.Raw] = []
+    # Unix time of the store's start, in ms; left out by older ones.
+    born: decoding.Number = starts.UNKNOWN_MS
 
 
 class WirePart(msgspec.Struct, array_like=True):
@@ -59,6 +62,8 @@
     epoch: decoding.Number
     next: decoding.Number
     held: list[msgspec.Raw] = []
+    # Unix time of the store's start, in ms; left out by older ones.
+    born: decoding.Number = starts.UNKNOWN_MS
 
 
 class CacheStoreClient:
@@ -95,7 +100,7 @@
             kept.PartEvent(row.salt, row.part, row.tokens)
             for row in self.rows(address, wire.held, WirePart)
         )
-        return kept.Content(wire.epoch, wire.next, parts)
+        return kept.Content(wire.epoch, wire.next, parts, wire.born)
 
     def changes(self, address: str, since: int, wait_s: float) -> kept.Changes:
         """Return changes from a number on, waiting for the first.
@@ -117,7 +122,9 @@
             )
             for row in self.rows(address, wire.events, WireEvent)
         )
-        return kept.Changes(wire.epoch, wire.next, wire.lost, events)
+        return kept.Changes(
+            wire.epoch, wire.next, wire.lost, events, wire.born
+        )
 
     def rows(
         self,
--- a/src/briarseam/platform/endpoints.py
+++ b/src/briarseam/platform/endpoints.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from briarseam.discovery import model
+from briarseam.discovery import starts
 from briarseam.platform import decoding
 
 # An entry in another state is not of an endpoint as we know them.
@@ -22,7 +23,7 @@
 
 
 class WireEndpoint(msgspec.Struct):
-    """An endpoint's entry; the key of the record is its id.
+    """An endpoint's entry; the key of the record is its name.
 
     An entry without one of the first fields comes from another writer, and
     what it says must not be guessed.
@@ -40,6 +41,8 @@
         default=None, name="coldRemainingMs"
     )
     models: list[WireModelVersion] = []
+    # Unix time of the endpoint's start, in ms; left out by older ones.
+    born: decoding.Number = starts.UNKNOWN_MS
 
 
 def decode_endpoint(key: str, data: bytes) -> model.Endpoint:
@@ -52,7 +55,7 @@
     """
     wire = decoding.decode(data, WireEndpoint)
     return model.Endpoint(
-        id=decoding.check_id(key),
+        id=starts.Start(decoding.check_id(key), wire.born).id,
         service=wire.service,
         address=decoding.check_address(wire.address),
         zone=wire.zone,
