--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -46,11 +46,11 @@
 from briarseam.platform import answers
 from briarseam.platform import border
 from briarseam.platform import cache
+from briarseam.platform import engines
 from briarseam.platform import requests
 from briarseam.platform import store as stores
 
 if typing.TYPE_CHECKING:
-    from briarseam.platform import engines
     from briarseam.routes import model as routes
     from briarseam.settings import serving
 
@@ -102,17 +102,15 @@
             self.tally,
         )
         self.instances.rows = self.feeds.registrations
+        self.restarts = restarts.Restarts(self.feeds.registry)
         self.weights = node_weights.Weights(
             settings,
             self.store,
             self.feeds,
             self.instances,
+            engines.EngineClient(self.tally, self.restarts.take),
             self.tally,
         )
-        self.restarts = restarts.Restarts(self.feeds.registry)
-        typing.cast(
-            "engines.EngineClient", self.weights.rollout.sources.engines
-        ).on_start = self.restarts.take
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
             self.weights.required,
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -8,7 +8,6 @@
 import structlog
 
 from briarseam.membership import sections
-from briarseam.platform import engines
 from briarseam.platform import names
 from briarseam.weights import board as boards
 from briarseam.weights import holders
@@ -49,6 +48,8 @@
     instances
         Who else there is, and whether this instance should take part in
         giving orders.
+    engines
+        Calls to engines.
     tally
         Counts what can't be read.
 
@@ -68,6 +69,7 @@
         store: stores.StoreClient,
         feeds: node_feeds.Feeds,
         instances: node_instances.Instances,
+        engines: rollouts.Engines,
         tally: malformed.Tally | None = None,
     ) -> None:
         self.settings = settings
@@ -104,7 +106,7 @@
                 goals=lambda: self.goals.newest,
                 targets=feeds.engines_of,
                 tenure=self.tenure,
-                engines=engines.EngineClient(tally),
+                engines=engines,
                 board=self.board,
                 holder=settings.instance.name,
                 time_left_s=self.time_left_s,
--- a/src/briarseam/weights/board.py
+++ b/src/briarseam/weights/board.py
@@ -5,7 +5,7 @@
 import threading
 import typing
 
-import msgpack
+import msgspec
 
 from briarseam import clocks
 from briarseam.weights import goals
@@ -14,6 +14,14 @@
 # after it was last told: the peer may be gone.
 WORD_S = 3.0
 
+Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+AgeS = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+# Engines being changed; weights by engine and model; goals' ages by model.
+Told = tuple[
+    list[str],
+    list[tuple[str, str, Version]],
+    list[tuple[str, Version, AgeS]],
+]
 Versions = dict[tuple[str, str], int]
 
 
@@ -111,14 +119,13 @@
                 for (endpoint, model), version in self.own.items()
             ]
             changing = sorted(self.changing)
-        packed: bytes = msgpack.packb(
-            [changing, versions, self.history.ages()]
+        return msgspec.msgpack.encode(
+            (changing, versions, self.history.ages())
         )
-        return packed
 
     def consume(self, member: str, data: bytes) -> None:
-        """Take in what a peer knows."""
-        changing, versions, ages = msgpack.unpackb(data)
+        """Take in what a peer knows; nothing of it if it is malformed."""
+        changing, versions, ages = msgspec.msgpack.decode(data, type=Told)
         for model, version, age_s in ages:
             self.history.take(goals.WeightGoal(model, version), age_s)
         until_s = self.clock() + WORD_S
@@ -126,4 +133,4 @@
             self.peers_changing[member] = (frozenset(changing), until_s)
             for endpoint, model, version in versions:
                 key = (endpoint, model)
-                self.told[key] = max(int(version), self.told.get(key, 0))
+                self.told[key] = max(version, self.told.get(key, 0))
--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -179,6 +179,18 @@
                 daemon=True,
             ).start()
 
+    def note_silent(self, endpoint: str) -> None:
+        """Leave an engine that does not report alone for a while."""
+        now_s = clocks.boot_clock()
+        with self.lock:
+            # Each start has an id of its own: what is over must not stay.
+            self.silent_until = {
+                other: until_s
+                for other, until_s in self.silent_until.items()
+                if until_s > now_s
+            }
+            self.silent_until[endpoint] = now_s + UNAVAILABLE_S
+
     def may_begin(self, endpoint: str) -> bool:
         """Tell whether an engine is neither being changed nor silent."""
         if endpoint in self.busy:
@@ -270,7 +282,7 @@
                 "weights_overdue", endpoint=target.id, model=errand.model
             )
         except orders.EngineUnavailableError as error:
-            self.silent_until[target.id] = clocks.boot_clock() + UNAVAILABLE_S
+            self.note_silent(target.id)
             log.warning(
                 "engine_unavailable", endpoint=target.id, detail=str(error)
             )
--- a/tests/compose/test_node_weights.py
+++ b/tests/compose/test_node_weights.py
@@ -18,6 +18,10 @@
     """A store that is never called."""
 
 
+class Engines:
+    """Engines that are never called."""
+
+
 def engine(name, version, service="engines"):
     return discovery.Endpoint(
         name, service, "127.0.0.1:1", "a", 8, False, {"m": version}
@@ -39,7 +43,11 @@
         ),
     )
     return node_weights.Weights(
-        settings, Store(), feeds, node_instances.Instances("one")
+        settings,
+        Store(),
+        feeds,
+        node_instances.Instances("one"),
+        Engines(),
     )
 
 
--- a/tests/weights/test_goals.py
+++ b/tests/weights/test_goals.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from briarseam.weights import board as boards
@@ -60,3 +61,25 @@
     assert not mine.is_changing("e1")
     mine.forget("e2")
     assert mine.version("e2", "m", 1) == 1
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        (["e1"], [("e2", "m", "3")], []),
+        (["e1"], [("e2", "m", 3)], [("m", 3, "old")]),
+        (["e1"], [("e2", "m", 3)], [("m", 3, float("nan"))]),
+        (["e1"], [("e2", "m", 3)], [("m", 3, -1.0)]),
+        7,
+    ],
+)
+def test_nothing_of_a_malformed_word_is_taken_in(history, clock, told):
+    """A peer of another make tells a version as text.  Half of what it said
+    was taken in, and each comparison with that version failed from then on.
+    """
+    board = boards.Board(history, clock)
+    with pytest.raises(msgspec.DecodeError):
+        board.consume("peer", msgspec.msgpack.encode(told))
+    assert not board.is_changing("e1")
+    assert board.version("e2", "m", 1) == 1
+    assert history.all_seen() == {}
