Engines that refuse orders do not keep others from their turn

Cause: an order answered 421 or 400 counted as not given, and the errand repeated it every 0.15 s for eight seconds, holding one of two or three places. Change: such an engine is left alone for two seconds, as one that does not report. The test failed before (TimeoutError) and passes now.

--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -32,8 +32,8 @@
 # What an engine reports is some hundred milliseconds old: it may not show an
 # order yet that was taken.
 REPORT_LAG_S = 0.8
-# An engine that does not report is left alone for so long, so that it does
-# not keep the others from their turn.
+# An engine that does not report, or refuses an order, is left alone for so
+# long, so that it does not keep the others from their turn.
 UNAVAILABLE_S = 2.0
 # Engines that may be out of use without haste for the others.
 FEW_SHARE = 0.1
@@ -368,6 +368,13 @@
             case orders.Superseded():
                 sources.tenure.note_superseded(fence)
                 return True
-            case _:
-                pass
+            case orders.Refused():
+                # Another engine answers there now, or one that does not
+                # know the weights yet; asked again and again it would keep
+                # the others from their turn.
+                self.note_silent(target.id)
+                return True
+            case orders.Busy() | orders.Lost():
+                # Its report tells what became of it.
+                return False
         return False
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -210,6 +210,33 @@
     made.rollout.stop()
 
 
+class Replaced(Engines):
+    """Engines of which some have started anew under another id."""
+
+    def order(self, address, endpoint, order):
+        if endpoint in {"e0", "e1"}:
+            self.orders.append((endpoint, order))
+            return orders.Refused("another one answers at this address")
+        return super().order(address, endpoint, order)
+
+
+def test_engines_that_refuse_orders_do_not_keep_others_from_their_turn():
+    """Two engines crash and come back as others at the same address, while
+    their old entries still stand.  The orders to them were repeated for
+    eight seconds, and no other engine got new weights meanwhile.
+    """
+    made = Case(count=6)
+    made.engines = Replaced(6)
+    made.rollout.sources = dataclasses.replace(
+        made.rollout.sources, engines=made.engines
+    )
+    made.rollout.start()
+    waiting.until(lambda: list(made.engines.versions.values()).count(2) == 4)
+    made.rollout.stop()
+    refused = [name for name, _ in made.engines.orders if name in {"e0", "e1"}]
+    assert len(refused) <= 4
+
+
 def test_peers_are_told_at_once_before_an_engine_takes_no_work(monkeypatch):
     """Peers heard it with the next heartbeat, half a second later, and sent
     on; a prompt that may be tried once was refused.
