--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -8,6 +8,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import malformed
 from briarseam.compose import node_calls
 from briarseam.compose import node_feeds
 from briarseam.compose import node_instances
@@ -16,6 +17,7 @@
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.compose import small_answers
+from briarseam.discovery import restarts
 from briarseam.feeds import shared_messages
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
@@ -48,6 +50,7 @@
 from briarseam.platform import store as stores
 
 if typing.TYPE_CHECKING:
+    from briarseam.platform import engines
     from briarseam.routes import model as routes
     from briarseam.settings import serving
 
@@ -75,7 +78,12 @@
         self.shutdown = shutdowns.Shutdown(self.serving_bound_s)
         self.stopping = threading.Event()
         self.metrics = metrics.Registry()
-        self.store = stores.StoreClient(str(settings.store.address))
+        self.tally = malformed.Tally(
+            node_metrics.malformed_counter(self.metrics)
+        )
+        self.store = stores.StoreClient(
+            str(settings.store.address), self.tally
+        )
         self.pool = connections.Pool()
         self.instances = node_instances.Instances(settings.instance.name)
         self.calls = node_calls.Calls(self.instances)
@@ -91,6 +99,7 @@
             self.topic_reads,
             self.configuration_changed,
             self.endpoints_gone,
+            self.tally,
         )
         self.instances.rows = self.feeds.registrations
         self.weights = node_weights.Weights(
@@ -98,7 +107,12 @@
             self.store,
             self.feeds,
             self.instances,
+            self.tally,
         )
+        self.restarts = restarts.Restarts(self.feeds.registry)
+        typing.cast(
+            "engines.EngineClient", self.weights.rollout.sources.engines
+        ).on_start = self.restarts.take
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
             self.weights.required,
@@ -106,7 +120,7 @@
             self.feeds.registry.age_s,
             loads.Loads(self.calls.size, lambda: len(self.instances.all())),
         )
-        cache_stores = cache.CacheStoreClient()
+        cache_stores = cache.CacheStoreClient(self.tally)
         self.store_watches = store_watches.StoreWatches(
             cache_stores,
             self.calls,
@@ -228,6 +242,11 @@
                 self.chooser.loads.provide,
                 self.chooser.loads.consume,
             ),
+            sections.Section(
+                "endpoint-starts",
+                self.restarts.provide,
+                self.restarts.consume,
+            ),
             sections.Section(
                 "cell-loads",
                 self.cell_loads.provide,
@@ -250,16 +269,17 @@
                 cell_loads.CellLoad: self.cell_loads.answer,
             },
             self.stopping,
+            self.tally,
         )
         log.info("peers_met", address=str(self.settings.listen.peers))
 
     def keep_house(self) -> None:
         """Forget what is old until stopped."""
         while not self.stopping.wait(HOUSEKEEPING_S):
+            self.feeds.registry.forget_lapsed()
+            self.forget_all_but(self.feeds.registry.ids())
             self.pool.close_old()
-            self.chooser.kept.forget_old()
             self.guard.forget_old()
-            self.feeds.registry.forget_lapsed()
             self.chooser.loads.keep_only(frozenset(self.instances.all_names()))
 
     def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
@@ -368,12 +388,23 @@
         self.store_watches.follow([store.address for store in keeping])
 
     def endpoints_gone(self, ids: frozenset[str]) -> None:
-        """Forget endpoints that are gone."""
+        """Forget starts of endpoints that are over."""
         self.pool.forget(ids)
         for endpoint_id in ids:
             self.chooser.residency.forget(endpoint_id)
             self.weights.board.forget(endpoint_id)
 
+    def forget_all_but(self, ids: frozenset[str]) -> None:
+        """Forget what came late of starts that are over.
+
+        Guard: it is of no effect, since it is found under the id of its own
+        start only, but it would stay for good, and endpoints restart all
+        day.
+        """
+        self.pool.keep_only(ids)
+        self.chooser.forget_old(ids)
+        self.weights.board.keep_only(ids)
+
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here.
 
@@ -383,5 +414,5 @@
         return (
             not self.shutdown.begun
             and self.feeds.operators.current() is not None
-            and self.weights.times.known.is_set()
+            and not self.weights.times.is_needed()
         )
--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -19,9 +19,11 @@
     from briarseam.discovery import model as discovery
     from briarseam.weights import tenure as tenures
 
-# Between the word that an engine takes no work and the order: peers hear it
-# with the next heartbeat, half a second apart.
+# Between the word that an engine takes no work and the order, where its runs
+# may finish: no peer then sends to it any more.
 NOTICE_S = 0.6
+# The same where time is short: the heartbeats that tell it are sent at once.
+SHORT_NOTICE_S = 0.1
 POLL_S = 0.15
 REVIEW_S = 0.25
 # Longest time for one engine: its runs end within their deadlines, and the
@@ -33,6 +35,8 @@
 # An engine that does not report is left alone for so long, so that it does
 # not keep the others from their turn.
 UNAVAILABLE_S = 2.0
+# Engines that may be out of use without haste for the others.
+FEW_SHARE = 0.1
 log = structlog.get_logger("briarseam.weights")
 
 
@@ -70,6 +74,8 @@
         Returns the seconds until weights of a model are out of use.
     ordering
         Called right before each order.
+    tell_peers
+        Lets peers know at once what the board says.
     """
 
     goals: typing.Callable[[], dict[str, goals.WeightGoal]]
@@ -82,6 +88,7 @@
         math.inf
     )
     ordering: typing.Callable[[], None] = lambda: None
+    tell_peers: typing.Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass
@@ -127,7 +134,8 @@
         self.busy: set[str] = set()
         self.silent_until: dict[str, float] = {}
         self.times = plans.ChangeTimes()
-        self.planned: dict[goals.WeightGoal, plans.Plan] = {}
+        # The last plan that was logged, by model.
+        self.planned: dict[str, tuple[goals.WeightGoal, plans.Plan]] = {}
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.thread = threading.Thread(
@@ -183,12 +191,19 @@
         targets: list[discovery.Endpoint],
         behind: list[discovery.Endpoint],
     ) -> plans.Plan:
-        """Return how to go on; ``behind`` is not empty, oldest first."""
-        oldest = self.version_of(behind[0], goal.model)
-        left_s = self.sources.time_left_s(goal.model, oldest)
-        plan = plans.make(len(targets), len(behind), left_s, self.times)
-        if plan != self.planned.get(goal):
-            self.planned = {goal: plan}
+        """Return how to go on; ``behind`` is not empty."""
+        left_s = self.time_left_s(goal.model, len(targets), behind)
+        with self.lock:
+            under_way = sum(target.id in self.busy for target in behind)
+        plan = plans.make(
+            len(targets),
+            len(behind) - under_way,
+            left_s,
+            self.times,
+            under_way,
+        )
+        if (goal, plan) != self.planned.get(goal.model):
+            self.planned[goal.model] = (goal, plan)
             log.info(
                 "rollout_planned",
                 model=goal.model,
@@ -201,6 +216,24 @@
             )
         return plan
 
+    def time_left_s(
+        self, model: str, engines: int, behind: list[discovery.Endpoint]
+    ) -> float:
+        """Return the seconds until engines' weights are out of use.
+
+        A few engines whose weights already are, since they did not answer
+        or are just restarting, are no reason to hurry all others.
+        """
+        left = sorted(
+            self.sources.time_left_s(model, self.version_of(target, model))
+            for target in behind
+        )
+        in_use = [left_s for left_s in left if left_s > 0]
+        out_of_use = len(left) - len(in_use)
+        if in_use and out_of_use <= max(1, engines * FEW_SHARE):
+            return in_use[0]
+        return left[0]
+
     def behind(
         self, goal: goals.WeightGoal, targets: list[discovery.Endpoint]
     ) -> list[discovery.Endpoint]:
@@ -226,8 +259,8 @@
         board = self.sources.board
         board.begin(target.id)
         try:
-            if errand.mode is orders.Mode.FINISH:
-                self.stopping.wait(NOTICE_S)
+            self.sources.tell_peers()
+            self.stopping.wait(self.notice_s(errand.mode))
             until_s = clocks.boot_clock() + ERRAND_S
             while clocks.boot_clock() < until_s:
                 if self.stopping.is_set() or self.step(errand):
@@ -246,6 +279,10 @@
             with self.lock:
                 self.busy.discard(target.id)
 
+    def notice_s(self, mode: orders.Mode) -> float:
+        """Return the time between the word to peers and the order."""
+        return NOTICE_S if mode is orders.Mode.FINISH else SHORT_NOTICE_S
+
     def step(self, errand: Errand) -> bool:
         """Look at an engine and order what is due; tell if it is done.
 
@@ -286,6 +323,10 @@
         """Give an order; tell if there is nothing more to do here."""
         sources = self.sources
         target = errand.target
+        if sources.tenure.fence() is None:
+            return True
+        # Told first, so that no heartbeat between says that none was given.
+        sources.ordering()
         fence = sources.tenure.fence()
         if fence is None:
             return True
@@ -297,7 +338,6 @@
             fence=fence,
             orders_taken=orders_taken,
         )
-        sources.ordering()
         outcome = sources.engines.order(target.address, target.id, order)
         log.info(
             "order_given",
--- a/tests/platform/test_weights_after_restart.py
+++ b/tests/platform/test_weights_after_restart.py
@@ -105,9 +105,24 @@
         raise records.StoreUnavailableError("the read was refused")
 
     with monkeypatch.context() as patched:
-        patched.setattr(goal_times.GoalTimes, "read", refuse)
+        patched.setattr(goal_times.GoalTimes, "look", refuse)
         node = system.begin()
         waiting.until(lambda: node.feeds.operators.current() is not None)
         assert not node.is_ready()
     waiting.until(node.is_ready, PATIENCE_S)
     assert system.stream("/draft/x", Deadline_Ms="500").status == 200
+
+
+def test_instance_is_ready_where_no_weights_were_named(start, monkeypatch):
+    """The part of the store that keeps the times is down, the rest serves.
+
+    No weights were named, so there is none whose age is to be known; but
+    no instance that starts is ready until that part is back.
+    """
+
+    def refuse(times):
+        raise records.StoreUnavailableError("the read was refused")
+
+    monkeypatch.setattr(goal_times.GoalTimes, "look", refuse)
+    system = start(LONG_MS)
+    assert system.stream("/draft/x", Deadline_Ms="500").status == 200
--- a/tests/weights/test_times.py
+++ b/tests/weights/test_times.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import threading
+
 import msgpack
 import pytest
 
@@ -47,8 +49,8 @@
             TOPIC,
             self.history,
             lambda: writes,
-            self.clock,
-            wall,
+            clock=self.clock,
+            wall_clock=wall,
         )
 
 
@@ -169,7 +171,17 @@
 
 
 @pytest.mark.parametrize(
-    "value", [b"", b"\xc1", msgpack.packb(7), msgpack.packb([["x", "y"]])]
+    "value",
+    [
+        b"",
+        b"\xc1",
+        msgpack.packb(7),
+        msgpack.packb([["x", "y"]]),
+        msgpack.packb([[1, float("inf")]]),
+        msgpack.packb([[1, float("nan")]]),
+        msgpack.packb([[1, 2**60]]),
+        msgpack.packb([[-1, 1]]),
+    ],
 )
 def test_malformed_times_are_passed_over(store, wall, value):
     store.rows["bad"] = value
@@ -196,7 +208,82 @@
 
 def test_few_newest_versions_are_kept(store, wall):
     process = Process(store, wall)
-    for version in range(1, 3 * times.KEPT_VERSIONS):
+    for version in range(1, 3 * goals.KEPT_VERSIONS):
         process.history.take(goals.WeightGoal("m", version))
     process.times.step()
-    assert len(msgpack.unpackb(store.rows["m"])) == times.KEPT_VERSIONS
+    assert len(msgpack.unpackb(store.rows["m"])) == goals.KEPT_VERSIONS
+
+
+def test_clock_that_is_ahead_makes_no_goal_younger(store, wall):
+    """The clock of one instance jumps ahead, weights are named, and all
+    processes end.  Each instance writes the time by its own clock, the one
+    that is ahead writes last, and requests begin on replaced weights.
+    """
+    right = Process(store, wall)
+    ahead = Process(store, lambda: wall() + 5.0)
+    for process in (right, ahead):
+        process.times.step()
+    for process in (right, ahead):
+        process.history.take(goals.WeightGoal("m", 2))
+        process.times.step()
+        pass_s(0.1, wall, right, ahead)
+    right.times.step()
+    wall.now_s += 10
+    after = Process(store, wall)
+    after.times.step()
+    assert after.history.required("m", 10.0) == 2
+
+
+def test_later_time_on_the_store_is_corrected(store, wall):
+    """A wrong time lies on the store.  An instance that starts hears from
+    its peers how old the goal is, before it reads; all processes end.
+    """
+    ahead = Process(store, lambda: wall() + 8.0)
+    ahead.history.take(goals.WeightGoal("m", 2))
+    ahead.times.step()
+    second = Process(store, wall)
+    second.history.take(goals.WeightGoal("m", 2), age_s=5.0)
+    second.times.step()
+    wall.now_s += 5
+    third = Process(store, wall)
+    third.times.step()
+    assert third.history.required("m", 10.0) == 2
+
+
+def test_earlier_time_of_another_version_stays(store, wall):
+    """An instance that saw weights 2 late writes when weights 3 are named."""
+    first = Process(store, wall)
+    first.history.take(goals.WeightGoal("m", 2))
+    first.times.step()
+    late = Process(store, wall)
+    late.times.stored = {}
+    late.times.looked = True
+    pass_s(9, wall, first, late)
+    late.history.take(goals.WeightGoal("m", 2))
+    late.history.take(goals.WeightGoal("m", 3))
+    late.times.step()
+    wall.now_s += 1
+    third = Process(store, wall)
+    third.times.step()
+    assert third.history.required("m", 9.5) == 2
+
+
+def test_fault_of_ours_does_not_end_the_thread(store, wall, monkeypatch):
+    """An answer that is not base64 raises another error than an outage
+    does.  The thread ends, and the instance is never ready again.
+    """
+    monkeypatch.setattr(times, "RETRY_S", 0.01)
+    process = Process(store, wall)
+    answers = [ValueError("not base64")]
+    newest = store.newest
+
+    def fail_once(topic):
+        if answers:
+            raise answers.pop()
+        return newest(topic)
+
+    store.newest = fail_once
+    monkeypatch.setattr(threading, "excepthook", lambda raised: None)
+    process.times.start()
+    assert process.times.known.wait(2.0)
+    process.times.stop()
