Failing tests: other cells are told which engines take new weights

In a deployment of several cells only the cell of the instance that gives orders knows which engine takes no work.

--- /dev/null
+++ b/tests/platform/test_weights_between_cells.py
@@ -0,0 +1,93 @@
+"""What one cell does to engines' weights, the other cells know.
+
+The failure this guards against: while weights were being replaced, callers
+of one availability zone were served as before and those of the others were
+refused.
+
+Order of events: in a deployment of several cells the instance that gives
+orders noted which engine would take no work for some seconds; heartbeats told
+the instances of its own cell.  The others went on sending prompts to that
+engine, which rejected them; a prompt that may be tried once was refused.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+import pytest
+
+from briarseam.peers import registrations
+from briarseam.settings import serving
+from briarseam.testing import ports
+from briarseam.testing import waiting
+from briarseam.weights import board as boards
+from briarseam.weights import rollout
+from tests.platform import system as systems
+
+PATIENCE_S = 10
+# Longer than a word of a peer counts.
+LOAD_S = boards.WORD_S + 1.0
+ENGINE = "engine-1"
+
+
+def settings_of_another(system):
+    """Return settings of an instance in another availability zone."""
+    text = (system.folder / "settings.ini").read_text()
+    text = text.replace("name = one", "name = two")
+    text = text.replace("zone = hall-a", "zone = hall-b")
+    listen = system.node.settings.listen
+    taken = [getattr(listen, each.name) for each in dataclasses.fields(listen)]
+    for address, port in zip(taken, ports.free_ports(5), strict=True):
+        text = text.replace(str(address), f"127.0.0.1:{port}")
+    path = system.folder / "two.ini"
+    path.write_text(text)
+    return serving.load(str(path))
+
+
+@pytest.fixture
+def far(system, monkeypatch):
+    """An instance of another cell than the first one."""
+    monkeypatch.setattr(registrations, "CELL_MEMBERS", 1)
+    other = systems.compose.Node(settings_of_another(system))
+    system.stack.callback(other.stop)
+    other.start()
+    for node in (system.node, other):
+        waiting.until(lambda node=node: knows_two_cells(node), PATIENCE_S)
+    return other
+
+
+def knows_two_cells(node):
+    return len({member.cell for member in node.instances.all()}) == 2
+
+
+def test_other_cells_send_nothing_to_an_engine_that_takes_weights(system, far):
+    """They know of it before the order is given."""
+    system.node.weights.board.begin(ENGINE)
+    waiting.until(
+        lambda: far.weights.board.is_changing(ENGINE), rollout.NOTICE_S
+    )
+
+
+def test_other_cells_know_for_as_long_as_it_takes(system, far):
+    """Loads of weights last longer than a word counts that is told once."""
+    board = system.node.weights.board
+    board.begin(ENGINE)
+    waiting.until(lambda: far.weights.board.is_changing(ENGINE), PATIENCE_S)
+    until_s = time.monotonic() + LOAD_S
+    while time.monotonic() < until_s:
+        assert far.weights.board.is_changing(ENGINE)
+        time.sleep(waiting.POLL_INTERVAL_S)
+    board.end(ENGINE)
+    waiting.until(
+        lambda: not far.weights.board.is_changing(ENGINE), PATIENCE_S
+    )
+
+
+def test_other_cells_know_which_weights_an_engine_has(system, far):
+    """Its own entry tells it only with the next one that it writes."""
+    system.node.weights.board.learn(ENGINE, systems.MODEL, 7)
+    waiting.until(
+        lambda: far.weights.board.version(ENGINE, systems.MODEL, 1) == 7,
+        PATIENCE_S,
+    )
