Other cells are told which engines are being given new weights

The word that an engine takes no work while it loads new weights rode on heartbeats, and these reach the cell of the instance that gives orders only.

An instance that begins or ends to change an engine tells one instance of each other cell at once, and again each second while it does; that one tells its cell by heartbeat.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -35,6 +35,7 @@
 from briarseam.metrics import registry as metrics
 from briarseam.peers import expiry
 from briarseam.placement import cell_loads
+from briarseam.placement import cell_weights
 from briarseam.placement import chooser as choosers
 from briarseam.placement import loads
 from briarseam.placement import store_messages
@@ -134,6 +135,9 @@
         self.servers = self.build_servers()
         self.reloading = reloading.Reloading(settings, self.apply_settings)
         self.cell_loads = cell_loads.CellLoads(self.chooser.loads, self.calls)
+        self.cell_weights = cell_weights.CellWeights(
+            self.weights.board, self.calls, settings.instance.name
+        )
         self.expiry = expiry.Expiry(
             self.feeds.registrations, self.instances.heard
         )
@@ -213,6 +217,7 @@
         self.loss_sharing.start()
         self.expiry.start()
         self.cell_loads.start()
+        self.cell_weights.start()
         threading.Thread(
             target=self.meet_peers, name="meet-peers", daemon=True
         ).start()
@@ -233,6 +238,11 @@
                 self.cell_loads.provide,
                 self.cell_loads.consume,
             ),
+            sections.Section(
+                "cell-weights",
+                self.cell_weights.provide,
+                self.cell_weights.consume,
+            ),
             sections.Section(
                 "weights",
                 self.weights.board.provide,
@@ -252,6 +262,7 @@
                 loss_sharing.RequestsLost: self.loss_sharing.take,
                 shared_messages.RecordsAsked: self.topic_reads.answer,
                 cell_loads.CellLoad: self.cell_loads.answer,
+                cell_weights.WeightsTold: self.cell_weights.answer,
             },
             self.stopping,
         )
@@ -312,6 +323,7 @@
         self.loss_sharing.stop()
         self.expiry.stop()
         self.cell_loads.stop()
+        self.cell_weights.stop()
         if not self.shutdown.begun:
             self.sign_off()
         self.stop_servers(wait_s)
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -11,6 +11,7 @@
 from briarseam.lookup import rank
 from briarseam.membership import state as members
 from briarseam.placement import cell_loads
+from briarseam.placement import cell_weights
 from briarseam.placement import shared_watch
 from briarseam.placement import store_messages
 from briarseam.wire import client as clients
@@ -172,6 +173,21 @@
         except NoReplyError as error:
             raise loss_sharing.UntoldError(str(error)) from error
 
+    def tell_weights(
+        self, address: str, message: cell_weights.WeightsTold
+    ) -> None:
+        """Tell which engines are being given new weights.
+
+        Raises
+        ------
+        UntoldError
+            When it may not have been taken in.
+        """
+        try:
+            self.tell(address, message, cell_weights.WeightsNoted)
+        except NoReplyError as error:
+            raise cell_weights.UntoldError(str(error)) from error
+
     # Instances of this cell that read for it.
 
     def count(self) -> int:
