--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -10,6 +10,7 @@
 from briarseam.membership import sections
 from briarseam.platform import names
 from briarseam.weights import board as boards
+from briarseam.weights import errands
 from briarseam.weights import holders
 from briarseam.weights import rollout as rollouts
 from briarseam.weights import tenure as tenures
@@ -69,7 +70,7 @@
         store: stores.StoreClient,
         feeds: node_feeds.Feeds,
         instances: node_instances.Instances,
-        engines: rollouts.Engines,
+        engines: errands.Engines,
         tally: malformed.Tally | None = None,
     ) -> None:
         self.settings = settings
@@ -102,7 +103,7 @@
         )
         self.holders.holds = self.tenure.holds
         self.rollout = rollouts.Rollout(
-            rollouts.Sources(
+            errands.Sources(
                 goals=lambda: self.goals.newest,
                 targets=feeds.engines_of,
                 tenure=self.tenure,
--- a/tests/platform/test_weights_between_cells.py
+++ b/tests/platform/test_weights_between_cells.py
@@ -22,7 +22,7 @@
 from briarseam.testing import ports
 from briarseam.testing import waiting
 from briarseam.weights import board as boards
-from briarseam.weights import rollout
+from briarseam.weights import errands
 from tests.platform import system as systems
 
 PATIENCE_S = 10
@@ -65,7 +65,7 @@
     """They know of it before the order is given."""
     system.node.weights.board.begin(ENGINE)
     waiting.until(
-        lambda: far.weights.board.is_changing(ENGINE), rollout.NOTICE_S
+        lambda: far.weights.board.is_changing(ENGINE), errands.NOTICE_S
     )
 
 
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -10,6 +10,7 @@
 from briarseam.discovery import model
 from briarseam.testing import waiting
 from briarseam.weights import board as boards
+from briarseam.weights import errands
 from briarseam.weights import goals
 from briarseam.weights import orders
 from briarseam.weights import plan as plans
@@ -65,8 +66,8 @@
 
 @pytest.fixture(autouse=True)
 def no_waiting(monkeypatch):
-    monkeypatch.setattr(rollouts, "NOTICE_S", 0.01)
-    monkeypatch.setattr(rollouts, "POLL_S", 0.01)
+    monkeypatch.setattr(errands, "NOTICE_S", 0.01)
+    monkeypatch.setattr(errands, "POLL_S", 0.01)
     monkeypatch.setattr(rollouts, "REVIEW_S", 0.01)
 
 
@@ -77,7 +78,7 @@
         self.board = boards.Board(goals.GoalHistory())
         self.goal = goals.WeightGoal("m", 2)
         self.rollout = rollouts.Rollout(
-            rollouts.Sources(
+            errands.Sources(
                 goals=lambda: {"m": self.goal},
                 targets=lambda model: [
                     endpoint(name, 1) for name in self.engines.versions
@@ -241,7 +242,7 @@
     """Peers heard it with the next heartbeat, half a second later, and sent
     on; a prompt that may be tried once was refused.
     """
-    monkeypatch.setattr(rollouts, "SHORT_NOTICE_S", 0.01)
+    monkeypatch.setattr(errands, "SHORT_NOTICE_S", 0.01)
     made = Case(count=1)
     told = []
     made.rollout.sources = dataclasses.replace(
