--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -14,6 +14,7 @@
 from briarseam.compose import node_instances
 from briarseam.compose import node_metrics
 from briarseam.compose import node_peers
+from briarseam.compose import node_servers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.compose import small_answers
@@ -191,28 +192,7 @@
             lambda: self.settings.bounds.lookup_ttl_max_s,
             self.metrics,
         )
-        return {
-            "callers": http.Server(
-                "callers",
-                (listen.callers.ip, listen.callers.port),
-                self.forwarding.handle,
-            ),
-            "readiness": http.Server(
-                "readiness",
-                (listen.readiness.ip, listen.readiness.port),
-                small.readiness,
-            ),
-            "lookups": http.Server(
-                "lookups",
-                (listen.lookups.ip, listen.lookups.port),
-                small.addresses,
-            ),
-            "metrics": http.Server(
-                "metrics",
-                (listen.metrics.ip, listen.metrics.port),
-                small.scrape,
-            ),
-        }
+        return node_servers.build(listen, self.forwarding.handle, small)
 
     # Life of the process.
 
