Placement: what one store keeps goes into a module of its own

Moved from kept.py to store_index.py: PartEvent, Changes, Content, StoreIndex, PartKey and the constants of its history and generation. Saving, Plan and KeptIndex stay. Callers and guards name the new module.

--- a/src/briarseam/placement/shared_watch.py
+++ b/src/briarseam/placement/shared_watch.py
@@ -5,12 +5,14 @@
 import typing
 
 from briarseam import polling
-from briarseam.placement import kept as kept_module
+from briarseam.placement import store_index
 from briarseam.placement import store_messages as messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from briarseam.placement import kept as kept_module
+
 # A reader that is gone without a word shows this long after, and what it
 # told is trusted for little longer.
 WAIT_S = 1.0
@@ -106,18 +108,18 @@
 
     def take(self, store: messages.StoreTold) -> None:
         """Take in what is new of one store."""
-        events = tuple(kept_module.PartEvent(*part) for part in store.parts)
+        events = tuple(store_index.PartEvent(*part) for part in store.parts)
         self.cursors[store.address] = (store.generation, store.sequence)
         if not store.readable:
             self.index.lose(store.address, store.born_ms)
             return
         if store.whole:
-            content = kept_module.Content(
+            content = store_index.Content(
                 store.epoch, 0, events, store.born_ms
             )
             self.index.take_content(store.address, content, store.age_s)
             return
-        changes = kept_module.Changes(
+        changes = store_index.Changes(
             store.epoch, 0, False, events, store.born_ms
         )
         if not self.index.take_changes(store.address, changes, store.age_s):
--- a/src/briarseam/placement/store_sharing.py
+++ b/src/briarseam/placement/store_sharing.py
@@ -11,6 +11,7 @@
     import collections.abc
 
     from briarseam.placement import kept as kept_module
+    from briarseam.placement import store_index
 
 # Longest wait for a change, in seconds; a reader that is gone without a word
 # shows at its end.
@@ -80,7 +81,7 @@
         return tuple(found)
 
     def store_told(
-        self, index: kept_module.StoreIndex, generation: str, sequence: int
+        self, index: store_index.StoreIndex, generation: str, sequence: int
     ) -> messages.StoreTold:
         """Return what is new of one store."""
         behind = index.sequence - sequence
--- a/src/briarseam/placement/store_watch.py
+++ b/src/briarseam/placement/store_watch.py
@@ -8,6 +8,7 @@
 
 from briarseam import polling
 from briarseam.placement import kept as kept_module
+from briarseam.placement import store_index
 
 # Length of one long poll.  Its end without an answer shows that a store is
 # gone without a word, before a new one can be whole at its address.
@@ -25,12 +26,12 @@
 class Stores(typing.Protocol):
     """Calls to stores of KV cache."""
 
-    def content(self, address: str) -> kept_module.Content:
+    def content(self, address: str) -> store_index.Content:
         """Return all that a store keeps."""
 
     def changes(
         self, address: str, since: int, wait_s: float
-    ) -> kept_module.Changes:
+    ) -> store_index.Changes:
         """Return changes, waiting for the first."""
 
 
--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -11,7 +11,7 @@
 from briarseam import malformed
 from briarseam import sockets
 from briarseam.discovery import starts
-from briarseam.placement import kept
+from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.platform import decoding
 from briarseam.platform import names
@@ -82,7 +82,7 @@
             maxsize=1, retries=False, socket_options=sockets.OPTIONS
         )
 
-    def content(self, address: str) -> kept.Content:
+    def content(self, address: str) -> store_index.Content:
         """Return all that a store keeps whole.
 
         Raises
@@ -97,12 +97,14 @@
             WireList,
         )
         parts = tuple(
-            kept.PartEvent(row.salt, row.part, row.tokens)
+            store_index.PartEvent(row.salt, row.part, row.tokens)
             for row in self.rows(address, wire.held, WirePart)
         )
-        return kept.Content(wire.epoch, wire.next, parts, wire.born)
+        return store_index.Content(wire.epoch, wire.next, parts, wire.born)
 
-    def changes(self, address: str, since: int, wait_s: float) -> kept.Changes:
+    def changes(
+        self, address: str, since: int, wait_s: float
+    ) -> store_index.Changes:
         """Return changes from a number on, waiting for the first.
 
         Raises
@@ -117,12 +119,12 @@
             WireEvents,
         )
         events = tuple(
-            kept.PartEvent(
+            store_index.PartEvent(
                 row.salt, row.part, 0 if row.sign == DROPPED else row.tokens
             )
             for row in self.rows(address, wire.events, WireEvent)
         )
-        return kept.Changes(
+        return store_index.Changes(
             wire.epoch, wire.next, wire.lost, events, wire.born
         )
 
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -8,9 +8,9 @@
 from briarseam.discovery import model as discovery
 from briarseam.forwarding import calls
 from briarseam.placement import chooser as choosers
-from briarseam.placement import kept
 from briarseam.placement import loads
 from briarseam.placement import requests
+from briarseam.placement import store_index
 from briarseam.routes import model as routes
 from briarseam.weights import board as boards
 from briarseam.weights import goals
@@ -247,7 +247,7 @@
     case.chooser.kept.set_stores(
         [routes.StoreTraits("s:1", "a", 10**6, 1.0, 0.0, True)]
     )
-    case.chooser.kept.take_content("s:1", kept.Content(1, 0, ()))
+    case.chooser.kept.take_content("s:1", store_index.Content(1, 0, ()))
     placed = case.place()
     assert placed.instructions.save_to == ("s:1", "")
     assert placed.instructions.fetch_from == ("", "")
--- a/tests/placement/test_kept.py
+++ b/tests/placement/test_kept.py
@@ -4,6 +4,7 @@
 
 from briarseam.forwarding import calls
 from briarseam.placement import kept
+from briarseam.placement import store_index
 from briarseam.routes import model
 from tests import clocks
 
@@ -28,13 +29,15 @@
     made = kept.KeptIndex(clock)
     made.set_stores([store("s1"), store("s2")])
     for address in ("s1", "s2"):
-        made.take_content(address, kept.Content(1, 0, ()))
+        made.take_content(address, store_index.Content(1, 0, ()))
     return made
 
 
 def whole(index, address, *names, salt=SALT, epoch=1):
-    events = tuple(kept.PartEvent(salt, name, 100) for name in names)
-    return index.take_changes(address, kept.Changes(epoch, 9, False, events))
+    events = tuple(store_index.PartEvent(salt, name, 100) for name in names)
+    return index.take_changes(
+        address, store_index.Changes(epoch, 9, False, events)
+    )
 
 
 def test_part_is_fetched_only_once_it_is_whole(index):
@@ -72,14 +75,15 @@
     assert not whole(index, "s1", epoch=2)
     assert index.plan(SALT, parts("a")).fetch_from == ("",)
     index.take_content(
-        "s1", kept.Content(2, 5, (kept.PartEvent(SALT, "b", 100),))
+        "s1",
+        store_index.Content(2, 5, (store_index.PartEvent(SALT, "b", 100),)),
     )
     assert index.plan(SALT, parts("b")).fetch_from == ("s1",)
 
 
 def test_store_whose_events_were_lost_is_read_anew(index):
     whole(index, "s1", "a")
-    assert not index.take_changes("s1", kept.Changes(1, 9, True, ()))
+    assert not index.take_changes("s1", store_index.Changes(1, 9, True, ()))
     assert index.plan(SALT, parts("a")).fetch_from == ("",)
 
 
@@ -95,7 +99,7 @@
 def test_nothing_is_saved_where_there_is_no_room(clock):
     made = kept.KeptIndex(clock)
     made.set_stores([store("s1", capacity=150)])
-    made.take_content("s1", kept.Content(1, 0, ()))
+    made.take_content("s1", store_index.Content(1, 0, ()))
     whole(made, "s1", "a")
     assert made.plan(SALT, parts("a", "b")).save_to == ("", "")
 
@@ -127,7 +131,10 @@
 def test_dropped_part_is_not_fetched_and_its_room_is_free(index):
     whole(index, "s1", "a")
     index.take_changes(
-        "s1", kept.Changes(1, 9, False, (kept.PartEvent(SALT, "a", 0),))
+        "s1",
+        store_index.Changes(
+            1, 9, False, (store_index.PartEvent(SALT, "a", 0),)
+        ),
     )
     assert index.plan(SALT, parts("a")).fetch_from == ("",)
     assert index.stores["s1"].used == 0
--- a/tests/placement/test_shared_watch.py
+++ b/tests/placement/test_shared_watch.py
@@ -8,6 +8,7 @@
 
 from briarseam.placement import kept
 from briarseam.placement import shared_watch
+from briarseam.placement import store_index
 from briarseam.placement import store_messages as messages
 from briarseam.placement import store_sharing
 from briarseam.routes import model
@@ -38,8 +39,8 @@
 def read_here(clock):
     """Index of the instance that reads the stores."""
     made = empty_index(clock)
-    made.take_content("s1", kept.Content(1, 0, (event("a"),)))
-    made.take_content("s2", kept.Content(5, 0, ()))
+    made.take_content("s1", store_index.Content(1, 0, (event("a"),)))
+    made.take_content("s2", store_index.Content(5, 0, ()))
     return made
 
 
@@ -78,12 +79,12 @@
 
 
 def event(part, tokens=100):
-    return kept.PartEvent(SALT, part, tokens)
+    return store_index.PartEvent(SALT, part, tokens)
 
 
 def change(read_here, address, *events, epoch=1):
     read_here.take_changes(
-        address, kept.Changes(epoch, 0, False, tuple(events))
+        address, store_index.Changes(epoch, 0, False, tuple(events))
     )
 
 
@@ -109,7 +110,7 @@
     change(read_here, "s1", epoch=2)
     watch.poll()
     assert not index.stores["s1"].readable
-    read_here.take_content("s1", kept.Content(2, 0, (event("c"),)))
+    read_here.take_content("s1", store_index.Content(2, 0, (event("c"),)))
     watch.poll()
     assert held(index, "s1") == {"c"}
     assert index.stores["s1"].epoch == 2
@@ -185,7 +186,7 @@
 ):
     """Both stores are full; what is left out is told next."""
     monkeypatch.setattr(store_sharing, "MAX_PARTS", 1)
-    read_here.take_content("s2", kept.Content(5, 0, (event("c"),)))
+    read_here.take_content("s2", store_index.Content(5, 0, (event("c"),)))
     watch.poll()
     assert (held(index, "s1"), held(index, "s2")) == ({"a"}, set())
     watch.poll()
--- a/tests/placement/test_store_watch.py
+++ b/tests/placement/test_store_watch.py
@@ -4,6 +4,7 @@
 
 from briarseam.forwarding import calls
 from briarseam.placement import kept
+from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.routes import model
 
@@ -35,7 +36,7 @@
 
 
 def event(part, tokens=100):
-    return kept.PartEvent(SALT, part, tokens)
+    return store_index.PartEvent(SALT, part, tokens)
 
 
 @pytest.fixture
@@ -53,8 +54,8 @@
 def test_content_is_read_and_its_changes_follow(index):
     watch, stores = watch_of(
         index,
-        [kept.Content(1, 7, (event("b"),))],
-        [kept.Changes(1, 9, False, (event("a"),))],
+        [store_index.Content(1, 7, (event("b"),))],
+        [store_index.Changes(1, 9, False, (event("a"),))],
     )
     watch.poll()
     watch.poll()
@@ -66,8 +67,11 @@
     """A store loses power; its changes begin again at some number."""
     watch, stores = watch_of(
         index,
-        [kept.Content(1, 7, (event("a"),)), kept.Content(2, 3, ())],
-        [kept.Changes(2, 3, False, ())],
+        [
+            store_index.Content(1, 7, (event("a"),)),
+            store_index.Content(2, 3, ()),
+        ],
+        [store_index.Changes(2, 3, False, ())],
     )
     watch.poll()
     watch.poll()
@@ -80,7 +84,10 @@
     """A store is gone for some seconds and comes back empty."""
     watch, stores = watch_of(
         index,
-        [kept.Content(1, 7, (event("a"),)), kept.Content(2, 1, ())],
+        [
+            store_index.Content(1, 7, (event("a"),)),
+            store_index.Content(2, 1, ()),
+        ],
         [store_watch.StoreUnavailableError("away")],
     )
     watch.poll()
@@ -92,7 +99,9 @@
 
 def test_answer_after_the_stop_is_not_taken_in(index):
     """Another instance reads the store from now on; its word counts."""
-    watch, stores = watch_of(index, [kept.Content(1, 7, (event("a"),))], [])
+    watch, stores = watch_of(
+        index, [store_index.Content(1, 7, (event("a"),))], []
+    )
     watch.stop()
     watch.poll()
     assert not index.stores["s"].readable
--- a/tests/placement/test_sweeping.py
+++ b/tests/placement/test_sweeping.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarseam.placement import kept
+from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.placement import sweeping
 from briarseam.routes import model
@@ -29,11 +30,11 @@
         index = kept.KeptIndex(self.clock)
         index.set_stores([model.StoreTraits("s", "a", 1000, 1.0, 0.0, True)])
         content = (
-            kept.PartEvent("m/1/", "old", 100),
-            kept.PartEvent("m/2/", "new", 100),
-            kept.PartEvent("foreign", "other", 100),
+            store_index.PartEvent("m/1/", "old", 100),
+            store_index.PartEvent("m/2/", "new", 100),
+            store_index.PartEvent("foreign", "other", 100),
         )
-        index.take_content("s", kept.Content(4, 0, content))
+        index.take_content("s", store_index.Content(4, 0, content))
         self.sweeper = sweeping.Sweeper(
             self.stores,
             index,
--- a/tests/platform/test_cache.py
+++ b/tests/platform/test_cache.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from briarseam.placement import kept
+from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.platform import cache
 
@@ -52,7 +52,7 @@
         Answer({"epoch": 1, "next": 3, "events": [bad, good]}),
     ]
     changes = client.changes("127.0.0.1:1", 1, 0.0)
-    assert changes.events == (kept.PartEvent("s", "b", 100),)
+    assert changes.events == (store_index.PartEvent("s", "b", 100),)
     assert changes.next == 3
 
 
@@ -70,7 +70,7 @@
         Answer({"epoch": 1, "next": 3, "held": [bad, ["s", "b", 100, "m"]]})
     ]
     content = client.content("127.0.0.1:1")
-    assert content.parts == (kept.PartEvent("s", "b", 100),)
+    assert content.parts == (store_index.PartEvent("s", "b", 100),)
 
 
 def test_row_with_a_value_more_is_taken(client):
@@ -78,7 +78,7 @@
         Answer({"epoch": 1, "next": 3, "held": [["s", "b", 100, "m", "x"]]})
     ]
     content = client.content("127.0.0.1:1")
-    assert content.parts == (kept.PartEvent("s", "b", 100),)
+    assert content.parts == (store_index.PartEvent("s", "b", 100),)
 
 
 def test_answer_nested_too_deeply_is_no_answer(client):
