--- /dev/null
+++ b/tests/platform/restarted_engine.py
@@ -0,0 +1,214 @@
+"""An engine that starts again, in an instance that is wired as it serves.
+
+What is remembered of an endpoint (`THINGS`) by the way in which its restart
+shows first (`WAYS`).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import typing
+
+import msgpack
+import msgspec
+import pytest
+import urllib3.connection
+
+from briarseam.compose import node as compose
+from briarseam.discovery import registry as registries
+from briarseam.discovery import restarts
+from briarseam.discovery import starts
+from briarseam.feeds import records
+from briarseam.placement import loads
+from briarseam.weights import orders
+from tests.platform import engine as engines
+from tests.platform import system as systems
+
+NAME = "engine-1"
+OLD_BORN = 1_700_000_000_000
+NEW_BORN = 1_700_000_007_500
+OLD = starts.Start(NAME, OLD_BORN).id
+NEW = starts.Start(NAME, NEW_BORN).id
+SALT = "drafts/1/"
+PARTS = [("aa", 600)]
+WORK = loads.Load(requests=3, memory_tokens=1000)
+PATIENCE_S = 15
+
+
+class Case:
+    """An instance that knows one engine; its threads are not started."""
+
+    def __init__(self, system) -> None:
+        self.worker = system.stack.enter_context(
+            engines.Engine(NAME, systems.MODEL, 0.0, 0.0, OLD_BORN)
+        )
+        self.listener = system.stack.enter_context(
+            socket.create_server(("127.0.0.1", 0))
+        )
+        self.node = compose.Node(system.settings())
+        system.stack.callback(self.node.pool.keep_only, ())
+        self.registry = self.node.feeds.registry
+        self.registry.take_all([self.entry()])
+
+    def entry(self, **changes: object) -> records.KeyedRecord:
+        """Return the engine's entry as it would write it now."""
+        document = {
+            "service": "engines",
+            "address": self.worker.address,
+            "zone": "hall-a",
+            "slots": 8,
+            "state": "ready",
+            "models": [{"name": systems.MODEL, "version": 1}],
+            **self.worker.told(),
+            **changes,
+        }
+        return records.KeyedRecord(NAME, msgspec.json.encode(document))
+
+    def id(self) -> str:
+        """Return the start that requests would go to."""
+        (endpoint,) = self.registry.serving("engines")
+        return endpoint.id
+
+    def connect(self) -> urllib3.connection.HTTPConnection:
+        """Return an open connection that says nothing."""
+        host, port = self.listener.getsockname()
+        connection = urllib3.connection.HTTPConnection(host, port)
+        connection.connect()
+        return connection
+
+
+# What is remembered of an endpoint: how it comes to be known of a start, and
+# whether it is.
+
+
+@dataclasses.dataclass(frozen=True)
+class Thing:
+    note: typing.Callable[[compose.Node, str, Case], object]
+    knows: typing.Callable[[compose.Node, str], bool]
+
+
+def packed(*content: object) -> bytes:
+    return msgpack.packb(content)
+
+
+def row(endpoint: str) -> tuple:
+    return (endpoint, *dataclasses.astuple(WORK))
+
+
+def knows_weights(node, endpoint):
+    return node.weights.board.version(endpoint, systems.MODEL, 0) == 7
+
+
+def knows_work(node, endpoint):
+    return node.chooser.loads.of(endpoint) != loads.NO_LOAD
+
+
+def take_connection(node, endpoint):
+    return node.pool.take_kept(endpoint, "127.0.0.1:1") is not None
+
+
+THINGS = {
+    "weights by a report": Thing(
+        lambda node, id, case: node.weights.board.learn(id, systems.MODEL, 7),
+        knows_weights,
+    ),
+    "weights by a peer": Thing(
+        lambda node, id, case: node.weights.board.consume(
+            "peer", packed([], [(id, systems.MODEL, 7)], [])
+        ),
+        knows_weights,
+    ),
+    "change of weights by a peer": Thing(
+        lambda node, id, case: node.weights.board.consume(
+            "peer", packed([id], [], [])
+        ),
+        lambda node, id: node.weights.board.is_changing(id),
+    ),
+    "prompts that it has read": Thing(
+        lambda node, id, case: node.chooser.residency.note(id, SALT, PARTS, 0),
+        lambda node, id: node.chooser.residency.known(id, SALT, PARTS) > 0,
+    ),
+    "own work": Thing(
+        lambda node, id, case: node.chooser.loads.add(id, WORK), knows_work
+    ),
+    "work of a peer": Thing(
+        lambda node, id, case: node.chooser.loads.consume(
+            "peer", packed(row(id))
+        ),
+        knows_work,
+    ),
+    "work of a cell": Thing(
+        lambda node, id, case: node.cell_loads.consume(
+            "peer", packed(("far", 1, [row(id)]))
+        ),
+        knows_work,
+    ),
+    "being left alone": Thing(
+        lambda node, id, case: node.chooser.avoid(id),
+        lambda node, id: id in node.chooser.avoided,
+    ),
+    "kept connection": Thing(
+        lambda node, id, case: node.pool.give_back(
+            id, "127.0.0.1:1", case.connect(), "timeout=60"
+        ),
+        take_connection,
+    ),
+}
+# These would stay for good under a start that is over; the others end by
+# themselves, with a request, a peer's next word, or after some seconds.
+LASTING = (
+    "weights by a report",
+    "weights by a peer",
+    "prompts that it has read",
+    "kept connection",
+)
+
+
+# How a restart shows first.
+
+
+def by_entry(case):
+    case.registry.take_changes([case.entry()])
+
+
+def by_newest_entries(case):
+    """The changes between are no longer kept, so all is read anew."""
+    case.registry.take_all([case.entry()])
+
+
+def by_entry_after_an_outage(case):
+    """Its entry ran out while the store was away."""
+    case.registry.store_lost()
+    case.registry.take_changes([records.KeyedRecord(NAME, None)])
+    case.registry.take_changes([case.entry()])
+
+
+def by_report(case):
+    client = case.node.weights.rollout.sources.engines
+    with pytest.raises(orders.EngineUnavailableError):
+        client.report(case.worker.address, OLD)
+
+
+def by_peer(case):
+    """A peer that gives orders has seen it in a report."""
+    peer = registries.EndpointRegistry(case.registry.decode, lambda ids: None)
+    peer.take_all([case.entry(born=OLD_BORN)])
+    seen = restarts.Restarts(peer)
+    seen.take(starts.Start(NAME, NEW_BORN))
+    case.node.restarts.consume("peer", seen.provide())
+
+
+WAYS = {
+    "entry": by_entry,
+    "newest entries": by_newest_entries,
+    "entry after an outage": by_entry_after_an_outage,
+    "report": by_report,
+    "peer": by_peer,
+}
+
+
+def restart(case, way):
+    case.worker.restart(NEW_BORN)
+    WAYS[way](case)
+    assert case.id() == NEW
