--- a/tests/bench/test_derived_days.py
+++ b/tests/bench/test_derived_days.py
@@ -79,3 +79,32 @@
     for path in KEPT.glob("*.toml"):
         stem = path.stem.rstrip("0123456789").rstrip("-")
         assert f"`{path.stem}`" in listed or f"`{stem}-N`" in listed
+
+
+#: Kinds that strike endpoints.  Where an entry names no service the bench
+#: picks one, and a store of prompts has no endpoints to strike.
+STRIKE_ENDPOINTS = {
+    "answer_lost",
+    "garble",
+    "release",
+    "replace_with_reuse",
+    "scale_in",
+    "scale_out",
+    "srv_crash",
+    "srv_cut",
+    "srv_grey",
+    "srv_slow",
+}
+
+
+@pytest.mark.parametrize("name", sorted(p.stem for p in KEPT.glob("*.toml")))
+def test_kept_day_says_whose_endpoints_are_struck(name):
+    # The day plays without a word while some of its troubles strike nothing.
+    day = tomllib.loads((KEPT / f"{name}.toml").read_text())
+    struck = [
+        entry
+        for entry in entries(day)
+        if entry["kind"] in STRIKE_ENDPOINTS
+        or (entry["kind"] == "node_cut" and "servers" in entry.get("how", ""))
+    ]
+    assert all("service" in entry for entry in struck)
