--- a/tests/matrix/test_prompts_once.py
+++ b/tests/matrix/test_prompts_once.py
@@ -57,7 +57,8 @@
     key = caller.new_key()
     cluster.to_engine.arm(plan)
     first = cluster.ask(0, key, PATIENCE_S)
-    assert plan.fired.wait(5)
+    # What the caller got instead tells why the step was not reached.
+    assert plan.fired.wait(5), first
     if plan.act is not None:
         cluster.heal()
     last = waiting.until(
