--- a/src/briarseam/weights/plan.py
+++ b/src/briarseam/weights/plan.py
@@ -13,7 +13,8 @@
 MOST_SHARE = 0.4
 # With time to spare no more than this are out of service.
 EASY_SHARE = 0.2
-# One at a time takes a fleet of some engines out of any bound.
+# But two where the share above allows it: six engines, one at a time and
+# five seconds each, would take twice the time that older weights may be used.
 EASY_AT_ONCE = 2
 # What a change takes until one was measured: runs that may finish end within
 # some seconds, a load takes one or two.  Taken for long, so that a first
