Tests: prompts of the matrix wait until prompts are answered

Cause: an agent that has just started takes service calls some tenths of a second before it knows an engine; heal() waits for service calls only. A prompt sent then is refused ("no endpoint serves draft v1", not run), so that no token ever passes the proxy. Ruled out: the caller's patience (0.01 s passes). Change: each test of prompts first waits until both instances answer one.

--- a/tests/matrix/processes.py
+++ b/tests/matrix/processes.py
@@ -227,6 +227,17 @@
             for shard in range(options.SHARDS)
         )
 
+    def is_answering(self) -> bool:
+        """Tell whether a prompt sent to each instance is answered.
+
+        An agent that has just started makes service calls some tenths of a
+        second before it knows an engine that serves prompts.
+        """
+        return all(
+            self.ask(number, caller.new_key()).done
+            for number in range(len(self.machines))
+        )
+
     def heal(self) -> None:
         """Undo all faults and wait until all serves again."""
         for link in self.links():
--- a/tests/matrix/test_prompts_once.py
+++ b/tests/matrix/test_prompts_once.py
@@ -32,6 +32,9 @@
 
 @pytest.fixture
 def cluster(started) -> typing.Iterator[processes.Cluster]:
+    # The test before may have restarted an agent; one that knows no engine
+    # yet refuses the prompt, and no step of its stream is ever reached.
+    waiting.until(started.is_answering, 20, "prompts are answered")
     yield started
     started.heal()
 
