Placement: fetches end in time, and slow stores are left alone

Change: Kv-Until by the clock that stores tell, the learned time of reading and the time left to the aim; a store is left alone after two late fetches and tried by one prompt a second.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -228,9 +228,10 @@
 
         def on_first_event() -> None:
             nonlocal added, first_ms
-            added = chooser.first_event(placed, request, added)
             now_s = clocks.boot_clock()
-            first_ms = round((now_s - sent_s) * 1000)
+            took_s = now_s - sent_s
+            added = chooser.first_event(placed, request, added, took_s)
+            first_ms = round(took_s * 1000)
             if not work.progress.events_sent:
                 waited_s = now_s - work.arrived_s
                 self.parts.metrics.first_event_us.record_s(waited_s)
--- a/src/briarseam/forwarding/work.py
+++ b/src/briarseam/forwarding/work.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+from briarseam import clocks
 from briarseam import verdict
 from briarseam.forwarding import attempts
 from briarseam.forwarding import outcomes
@@ -163,6 +164,7 @@
             self.route,
             self.service,
             organisation,
+            self.arrived_s + self.route.target_latency_s - clocks.boot_clock(),
             frozenset(self.tried),
             self.progress.events_sent,
         )
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -11,6 +11,7 @@
 from briarseam.forwarding import calls
 from briarseam.lookup import rank
 from briarseam.placement import cost
+from briarseam.placement import fetching
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
 from briarseam.placement import requests
@@ -67,6 +68,7 @@
         self.endpoints_age_s = endpoints_age_s
         self.kept = kept_module.KeptIndex(clock)
         self.avoided: dict[str, float] = {}
+        self.reading = fetching.ReadingTime()
 
     def choose(
         self, request: requests.Request
@@ -171,7 +173,7 @@
                 break
         if best is None:
             return requests.Full(least_fill, len(candidates))
-        return self.placement(request, best, versions[best.endpoint.id])
+        return self.placement(ask, best)
 
     def plan(
         self, request: requests.Request, prompt: calls.Prompt, version: int
@@ -192,14 +194,24 @@
         return cost.candidate(ask, endpoint, load, held)
 
     def placement(
-        self, request: requests.Request, chosen: cost.Candidate, version: int
+        self, ask: cost.PromptAsk, chosen: cost.Candidate
     ) -> requests.Placement:
         """Return the placement of a prompt on the engine that was chosen."""
         stores = chosen.plan.stores
+        version = ask.versions[chosen.endpoint.id]
+        wait_s = fetching.wait_s(
+            ask.request.aim_left_s,
+            self.reading.of(
+                chosen.load.waiting_tokens
+                + ask.prompt.input_tokens
+                - chosen.held_tokens
+            ),
+        )
         instructions = dataclasses.replace(
-            self.instruct(request, chosen.endpoint, version),
+            self.instruct(ask.request, chosen.endpoint, version),
             fetch_from=(*stores.fetch_from, ""),
             save_to=(*stores.save_to, ""),
+            fetch_until_ms=self.kept.endpoint_clock.after(wait_s),
         )
         return requests.Placement(
             chosen.endpoint,
@@ -207,6 +219,7 @@
             chosen.missing_tokens,
             chosen.held_tokens,
             chosen.fetched_tokens,
+            wait_s,
             chosen.load,
             self.endpoints_age_s(),
         )
@@ -248,6 +261,7 @@
                 prompt.shared,
                 placement.instructions.save_to,
             )
+            self.kept.health.note_begun(placement.sources())
             added = load_module.Load(
                 requests=1,
                 waiting_tokens=placement.missing_tokens,
@@ -261,10 +275,12 @@
         placement: requests.Placement,
         request: requests.Request,
         added: load_module.Load,
+        took_s: float,
     ) -> load_module.Load:
         """Note that an engine has read a prompt; return what it adds now."""
         begun = dataclasses.replace(added, waiting_tokens=0, running=1)
         self.loads.add(placement.endpoint.id, begun.minus(added))
+        self.learn(placement, took_s)
         prompt = request.call.prompt
         if prompt is not None and request.service.engine is not None:
             self.residency.note(
@@ -275,6 +291,16 @@
             )
         return begun
 
+    def learn(self, placement: requests.Placement, took_s: float) -> None:
+        """Take in what the time to a first event tells."""
+        sources = placement.sources()
+        if sources:
+            in_time = took_s <= placement.fetch_wait_s
+            self.kept.health.note_ended(sources, in_time)
+            return
+        waiting = placement.load.waiting_tokens + placement.missing_tokens
+        self.reading.note(waiting, took_s)
+
     def ended(
         self, placement: requests.Placement, added: load_module.Load
     ) -> None:
--- /dev/null
+++ b/src/briarseam/placement/fetching.py
@@ -0,0 +1,135 @@
+"""How long to wait for a fetch, and which stores to leave alone.
+
+A fetch from a store saves an engine's time, but an engine's transfers run
+one after another: one that waits for a slow store holds up all others of
+its engine, and callers of prompts that fetch nothing wait with them.
+"""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+from briarseam import clocks
+
+# Before any reading was seen, in ms a token: between the fastest and the
+# slowest engines that are known (0.007 and 0.033).
+FIRST_GUESS_MS = 0.02
+LEAST_MS = 0.001
+MOST_MS = 1.0
+# Shorter readings are mostly the time of a step, which is no reading.
+TELLING_TOKENS = 2000
+# How far one reading moves the estimate: ten or so readings make up for a
+# wrong first guess by a factor of two.
+STEP = 0.07
+# A prompt that is late anyhow is given this much: some steps of its engine,
+# in which all but the largest parts come from a store that is well.
+LEAST_WAIT_S = 0.2
+# So many first events in a row after their fetch was cut, and a store is left
+# alone.  Of good fetches about one in twenty is as late, since its engine had
+# other work; with three in a row 0.896 of callers' worth were served over
+# eight days of load, with two 0.906.
+LATE_IN_A_ROW = 2
+# One more fetch is tried after this; it costs one caller the wait.
+PAUSE_S = 1.0
+
+
+class ReadingTime:
+    """The median time in which an engine reads a token; thread-safe.
+
+    It follows what prompts took that fetched nothing, with all that the
+    engine did beside them, so that it is longer under load.
+    """
+
+    def __init__(self) -> None:
+        self.ms_a_token = FIRST_GUESS_MS
+        self.lock = threading.Lock()
+
+    def note(self, tokens: int, took_s: float) -> None:
+        """Take in that so many tokens were read in some time."""
+        if tokens < TELLING_TOKENS:
+            return
+        with self.lock:
+            is_longer = took_s * 1000 > tokens * self.ms_a_token
+            moved = self.ms_a_token * (1 + STEP if is_longer else 1 - STEP)
+            self.ms_a_token = min(max(moved, LEAST_MS), MOST_MS)
+
+    def of(self, tokens: int) -> float:
+        """Return the seconds in which so many tokens are read."""
+        return tokens * self.ms_a_token / 1000
+
+
+def wait_s(aim_left_s: float, reading_s: float) -> float:
+    """Return how long an engine shall wait for a fetch, in seconds.
+
+    As long as the prompt is still answered in time if it has to be read
+    after all: cut earlier, shared parts are read again without need, and
+    later, its caller waits for a store that is slow.
+
+    Parameters
+    ----------
+    aim_left_s
+        Until the first event should be there.
+    reading_s
+        In which all of the prompt would be read.
+    """
+    return max(LEAST_WAIT_S, aim_left_s - reading_s)
+
+
+class StoreHealth:
+    """Which stores deliver in time; thread-safe.
+
+    Guard: a store whose link has become slow still answers all calls.  It
+    shows in first events only, after 1.5 to 2 s in place of 0.2, and every
+    prompt that is sent to it makes the queue of its engine longer.
+
+    Parameters
+    ----------
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self, clock: typing.Callable[[], float] = clocks.boot_clock
+    ) -> None:
+        self.clock = clock
+        self.late: dict[str, int] = {}
+        self.tried_s: dict[str, float] = {}
+        self.lock = threading.Lock()
+
+    def may_use(self, address: str) -> bool:
+        """Tell whether parts may be fetched from a store."""
+        with self.lock:
+            if self.late.get(address, 0) < LATE_IN_A_ROW:
+                return True
+            return self.clock() >= self.tried_s[address] + PAUSE_S
+
+    def is_slow(self, address: str) -> bool:
+        """Tell whether a store's last fetches were late."""
+        return self.late.get(address, 0) >= LATE_IN_A_ROW
+
+    def note_begun(self, addresses: typing.Iterable[str]) -> None:
+        """Note that a prompt is about to fetch from stores."""
+        with self.lock:
+            for address in addresses:
+                if self.is_slow(address):
+                    self.tried_s[address] = self.clock()
+
+    def note_ended(
+        self, addresses: typing.Iterable[str], in_time: bool
+    ) -> None:
+        """Note whether a prompt's fetches were ready in time."""
+        with self.lock:
+            for address in addresses:
+                if in_time:
+                    self.late.pop(address, None)
+                    continue
+                self.late[address] = self.late.get(address, 0) + 1
+                self.tried_s[address] = self.clock()
+
+    def keep_only(self, addresses: typing.Collection[str]) -> None:
+        """Forget all stores but these."""
+        with self.lock:
+            for address in self.late.keys() - set(addresses):
+                del self.late[address]
+                self.tried_s.pop(address, None)
--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -9,6 +9,8 @@
 from briarseam import clocks
 from briarseam.discovery import starts
 from briarseam.lookup import rank
+from briarseam.placement import endpoint_clock
+from briarseam.placement import fetching
 from briarseam.placement import store_index
 
 if typing.TYPE_CHECKING:
@@ -84,6 +86,8 @@
         self.saving: dict[store_index.PartKey, Saving] = {}
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
+        self.endpoint_clock = endpoint_clock.EndpointClock(clock)
+        self.health = fetching.StoreHealth(clock)
 
     def set_stores(
         self, stores: collections.abc.Sequence[routes.StoreTraits]
@@ -98,6 +102,7 @@
                 )
                 index.traits = traits
                 self.stores[traits.address] = index
+            self.health.keep_only(self.stores)
 
     def take_content(
         self, address: str, content: store_index.Content, age_s: float = 0.0
@@ -154,6 +159,8 @@
                 return False
             index.born_ms = changes.born_ms or index.born_ms
             index.confirmed_s = self.clock() - age_s
+            if changes.clock_ms:
+                self.endpoint_clock.note(changes.clock_ms)
             for event in changes.events:
                 index.change(event)
                 self.saving.pop((event.salt, event.part), None)
@@ -198,7 +205,8 @@
         """Return where a prompt's shared parts come from and go to.
 
         A part behind one that is nowhere is of no use, since it can only
-        be used if all before it are there.
+        be used if all before it are there.  One that a slow store keeps is
+        not saved a second time: it is there again soon.
         """
         fetch_from: list[str] = []
         save_to: list[str] = []
@@ -213,6 +221,7 @@
                     fetch_from.append("")
                     continue
                 save_to.append("")
+                unbroken = unbroken and self.health.may_use(holder)
                 fetch_from.append(holder if unbroken else "")
                 fetched += part.tokens if unbroken else 0
         return Plan(tuple(fetch_from), tuple(save_to), fetched)
@@ -234,6 +243,7 @@
             index
             for index in self.stores.values()
             if self.is_trusted(index)
+            and not self.health.is_slow(index.traits.address)
             and index.used + part.tokens
             < index.traits.capacity_tokens * FULL_SHARE
         ]
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -31,6 +31,9 @@
         What is asked, and of which service.
     organisation
         Who asks; ``None`` for anyone.
+    aim_left_s
+        Until its answer, or the first event of it, should be there, in
+        seconds; negative once that is over.
     tried
         Endpoints that it was sent to already.
     begun
@@ -41,6 +44,7 @@
     route: routes.Route
     service: routes.Service
     organisation: routes.Organisation | None
+    aim_left_s: float
     tried: frozenset[str] = frozenset()
     begun: bool = False
 
@@ -59,6 +63,8 @@
         Prompt tokens that it has to read, as far as known.
     held_tokens, fetched_tokens
         Prompt tokens that it has, and that it can fetch.
+    fetch_wait_s
+        How long it shall wait for what it fetches.
     load
         Work known at the endpoint when it was chosen.
     endpoints_age_s
@@ -70,9 +76,14 @@
     missing_tokens: int = 0
     held_tokens: int = 0
     fetched_tokens: int = 0
+    fetch_wait_s: float = 0.0
     load: load_module.Load = load_module.NO_LOAD
     endpoints_age_s: float = 0.0
 
+    def sources(self) -> frozenset[str]:
+        """Return the stores that it fetches from."""
+        return frozenset(filter(None, self.instructions.fetch_from))
+
     def reasons(self) -> dict[str, int | str]:
         """Return what decided, for the log."""
         found: dict[str, int | str] = {
@@ -85,6 +96,7 @@
             found["tokens_held"] = self.held_tokens
             found["tokens_fetched"] = self.fetched_tokens
             found["tokens_to_read"] = self.missing_tokens
+            found["fetch_wait_ms"] = round(self.fetch_wait_s * 1000)
             found["weights"] = self.instructions.version or 0
             found["fetch_from"] = ",".join(
                 filter(None, self.instructions.fetch_from)
--- a/src/briarseam/placement/store_sharing.py
+++ b/src/briarseam/placement/store_sharing.py
@@ -109,4 +109,5 @@
             whole=whole,
             parts=parts,
             born_ms=index.born_ms,
+            clock_ms=self.index.endpoint_clock.after(0.0),
         )
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -8,6 +8,7 @@
 from briarseam.discovery import model as discovery
 from briarseam.forwarding import calls
 from briarseam.placement import chooser as choosers
+from briarseam.placement import fetching
 from briarseam.placement import loads
 from briarseam.placement import requests
 from briarseam.placement import store_index
@@ -72,6 +73,7 @@
             ),
             "service": ENGINES,
             "organisation": routes.Organisation("north"),
+            "aim_left_s": 0.8,
         }
         return requests.Request(**(values | changes))
 
@@ -82,7 +84,8 @@
         request = self.request(**changes)
         placed = self.chooser.choose(request)
         added = self.chooser.started(placed, request.call.prompt)
-        return placed, self.chooser.first_event(placed, request, added)
+        begun = self.chooser.first_event(placed, request, added, 0.1)
+        return placed, begun
 
 
 @pytest.fixture
@@ -283,3 +286,58 @@
         case.run(tokens=20_000)
     begun = case.place(tokens=20_000, begun=True)
     assert isinstance(begun, requests.Placement)
+
+
+STORE = "10.0.0.9:1"
+
+
+@pytest.fixture
+def keeping(case):
+    """A store that keeps the shared part of the session's prompts."""
+    chooser = case.chooser
+    chooser.kept.set_stores(
+        [routes.StoreTraits(STORE, "a", 10**6, 140_000.0, 0.006, True)]
+    )
+    salt = case.place().instructions.salt
+    part = store_index.PartEvent(salt, "s", 500)
+    chooser.kept.take_content(STORE, store_index.Content(1, 0, (part,)))
+    chooser.kept.take_changes(
+        STORE, store_index.Changes(1, 1, False, (), clock_ms=70_000.0)
+    )
+    return case
+
+
+def fetch_late(case):
+    placed = case.place()
+    assert STORE in placed.instructions.fetch_from
+    added = case.chooser.started(placed, case.request().call.prompt)
+    late_s = placed.fetch_wait_s + 0.1
+    begun = case.chooser.first_event(placed, case.request(), added, late_s)
+    case.chooser.ended(placed, begun)
+    case.chooser.residency.keep_only(())
+
+
+def test_fetch_ends_while_reading_would_still_be_in_time(keeping):
+    """Callers wait two seconds for a store whose link has become slow."""
+    placed = keeping.place()
+    until_ms = placed.instructions.fetch_until_ms
+    assert 70_200 <= until_ms < 70_800
+    assert until_ms == pytest.approx(70_000 + placed.fetch_wait_s * 1000)
+
+
+def test_prompts_are_read_while_a_store_is_slow(keeping):
+    """A store's link is slow for five seconds; each prompt that fetches
+    from it holds up all others of its engine.
+    """
+    for _ in range(fetching.LATE_IN_A_ROW):
+        fetch_late(keeping)
+    placed = keeping.place()
+    assert placed.sources() == frozenset()
+    assert not any(placed.instructions.save_to)
+    assert placed.missing_tokens == 1000
+    keeping.clock.now_s += fetching.PAUSE_S
+    tried = keeping.place()
+    added = keeping.chooser.started(tried, keeping.request().call.prompt)
+    assert keeping.place().sources() == frozenset()
+    keeping.chooser.first_event(tried, keeping.request(), added, 0.1)
+    assert keeping.place().sources() == {STORE}
--- /dev/null
+++ b/tests/placement/test_fetching.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.placement import endpoint_clock
+from briarseam.placement import fetching
+from tests import clocks
+
+STORE = "10.0.0.1:1"
+OTHER = "10.0.0.2:1"
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def health(clock):
+    return fetching.StoreHealth(clock)
+
+
+def late(health, *addresses, times=fetching.LATE_IN_A_ROW):
+    for _ in range(times):
+        health.note_ended(addresses, in_time=False)
+
+
+def test_store_is_left_alone_after_several_late_fetches(health):
+    """A store's link is slow, and each prompt that fetches from it waits
+    for the time that reading takes before it is read.
+    """
+    late(health, STORE, times=fetching.LATE_IN_A_ROW - 1)
+    assert health.may_use(STORE)
+    late(health, STORE, times=1)
+    assert not health.may_use(STORE)
+    assert health.is_slow(STORE)
+    assert health.may_use(OTHER)
+
+
+def test_a_single_fetch_in_time_clears_a_store(health):
+    late(health, STORE, times=fetching.LATE_IN_A_ROW - 1)
+    health.note_ended([STORE], in_time=True)
+    late(health, STORE, times=1)
+    assert health.may_use(STORE)
+
+
+def test_slow_store_is_tried_by_one_prompt_at_a_time(health, clock):
+    late(health, STORE)
+    clock.now_s += fetching.PAUSE_S
+    assert health.may_use(STORE)
+    health.note_begun([STORE])
+    assert not health.may_use(STORE)
+    health.note_ended([STORE], in_time=True)
+    assert health.may_use(STORE)
+    assert not health.is_slow(STORE)
+
+
+def test_store_that_is_still_slow_is_left_alone_again(health, clock):
+    late(health, STORE)
+    clock.now_s += fetching.PAUSE_S
+    health.note_begun([STORE])
+    health.note_ended([STORE], in_time=False)
+    clock.now_s += fetching.PAUSE_S / 2
+    assert not health.may_use(STORE)
+
+
+def test_removed_store_is_forgotten(health):
+    late(health, STORE)
+    health.keep_only([OTHER])
+    assert health.may_use(STORE)
+
+
+@pytest.mark.parametrize("truth_ms", [0.009, 0.04])
+def test_time_of_reading_is_learned_from_a_wrong_guess(truth_ms):
+    """Engines of one deployment read four times as fast as another's."""
+    reading = fetching.ReadingTime()
+    for number in range(40):
+        tokens = 4000 + 1000 * (number % 7)
+        noise = 0.8 + 0.1 * (number % 5)
+        reading.note(tokens, tokens * truth_ms * noise / 1000)
+    assert reading.of(10_000) == pytest.approx(10 * truth_ms, rel=0.25)
+
+
+def test_short_readings_and_wild_ones_teach_little():
+    reading = fetching.ReadingTime()
+    reading.note(100, 50.0)
+    assert reading.ms_a_token == fetching.FIRST_GUESS_MS
+    for _ in range(1000):
+        reading.note(5000, 1e9)
+    assert reading.ms_a_token <= fetching.MOST_MS
+
+
+def test_a_fetch_is_waited_for_while_reading_would_be_in_time():
+    assert fetching.wait_s(0.8, 0.3) == pytest.approx(0.5)
+    assert fetching.wait_s(0.8, 0.7) == fetching.LEAST_WAIT_S
+    assert fetching.wait_s(-1.0, 0.1) == fetching.LEAST_WAIT_S
+
+
+def test_endpoints_clock_is_told_by_the_quickest_answer(clock):
+    """A process that stood still reads an answer seconds after it was made;
+    counted from that, all fetches would be over before they begin.
+    """
+    shown = endpoint_clock.EndpointClock(clock)
+    assert shown.after(1.0) == 0.0
+    base_ms = clock.now_s * 1000 - 5000
+    shown.note(base_ms)
+    clock.now_s += 3.0
+    shown.note(base_ms)
+    assert shown.after(0.5) == pytest.approx(base_ms + 3500)
--- a/tests/platform/restarted_engine.py
+++ b/tests/platform/restarted_engine.py
@@ -88,6 +88,13 @@
     knows: typing.Callable[[compose.Node, str], bool]
 
 
+def loads_of_peer(endpoint: str) -> bytes:
+    """Return what a peer with work at one endpoint tells."""
+    peer = loads.Loads()
+    peer.add(endpoint, WORK)
+    return peer.provide()
+
+
 def packed(*content: object) -> bytes:
     return msgpack.packb(content)
 
@@ -134,7 +141,7 @@
     ),
     "work of a peer": Thing(
         lambda node, id, case: node.chooser.loads.consume(
-            "peer", packed(row(id))
+            "peer", loads_of_peer(id)
         ),
         knows_work,
     ),
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -110,4 +110,5 @@
         assert answer.status == 400
     answer = system.stream("/draft/x", Prefix_Hash=f"aa:{10**30}")
     assert answer.status == 400
-    assert msgspec.msgpack.decode(system.node.chooser.loads.provide()) == []
+    told = msgspec.msgpack.decode(system.node.chooser.loads.provide())
+    assert told[-1] == []
