Placement: late fetches are judged with what is read after them

Cause: stores that were well were left alone: a first event waits also for what is read after the fetch, and the largest prompts had 0.2 s to fetch. Change: the rest's reading is granted, a fetch may take as long as reading its tokens, one under way counts once it is overdue.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -217,7 +217,7 @@
         request = work.request()
         sent_s = clocks.boot_clock()
         first_ms = -1
-        added = chooser.started(placed, work.call.prompt)
+        added = chooser.started(placed, work.call)
         log.info(
             "request_sent",
             request=work.call.id,
@@ -256,7 +256,7 @@
         try:
             outcome = self.parts.sender.send(errand)
         finally:
-            chooser.ended(placed, added)
+            chooser.ended(placed, work.call, added)
             self.note_send(work, placed, outcome, first_ms)
         return outcome
 
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -199,13 +199,12 @@
         """Return the placement of a prompt on the engine that was chosen."""
         stores = chosen.plan.stores
         version = ask.versions[chosen.endpoint.id]
+        waiting_s = self.reading.of(chosen.load.waiting_tokens)
         wait_s = fetching.wait_s(
             ask.request.aim_left_s,
-            self.reading.of(
-                chosen.load.waiting_tokens
-                + ask.prompt.input_tokens
-                - chosen.held_tokens
-            ),
+            waiting_s
+            + self.reading.of(ask.prompt.input_tokens - chosen.held_tokens),
+            waiting_s + self.reading.of(chosen.fetched_tokens),
         )
         instructions = dataclasses.replace(
             self.instruct(ask.request, chosen.endpoint, version),
@@ -250,9 +249,10 @@
         )
 
     def started(
-        self, placement: requests.Placement, prompt: calls.Prompt | None
+        self, placement: requests.Placement, call: calls.Call
     ) -> load_module.Load:
         """Count a request that is about to be sent; return what it adds."""
+        prompt = call.prompt
         if prompt is None:
             added = load_module.Load(requests=1)
         else:
@@ -261,7 +261,9 @@
                 prompt.shared,
                 placement.instructions.save_to,
             )
-            self.kept.health.note_begun(placement.sources())
+            self.kept.health.note_begun(
+                placement.sources(), call.id, placement.fetch_wait_s
+            )
             added = load_module.Load(
                 requests=1,
                 waiting_tokens=placement.missing_tokens,
@@ -280,7 +282,7 @@
         """Note that an engine has read a prompt; return what it adds now."""
         begun = dataclasses.replace(added, waiting_tokens=0, running=1)
         self.loads.add(placement.endpoint.id, begun.minus(added))
-        self.learn(placement, took_s)
+        self.learn(placement, request.call.id, took_s)
         prompt = request.call.prompt
         if prompt is not None and request.service.engine is not None:
             self.residency.note(
@@ -291,20 +293,29 @@
             )
         return begun
 
-    def learn(self, placement: requests.Placement, took_s: float) -> None:
+    def learn(
+        self, placement: requests.Placement, call: str, took_s: float
+    ) -> None:
         """Take in what the time to a first event tells."""
         sources = placement.sources()
+        waiting = placement.load.waiting_tokens + placement.missing_tokens
         if sources:
-            in_time = took_s <= placement.fetch_wait_s
-            self.kept.health.note_ended(sources, in_time)
+            # What it had to read comes after the fetch.
+            rest_s = self.reading.of(waiting)
+            in_time = took_s <= placement.fetch_wait_s + rest_s
+            self.kept.health.note_over(sources, call)
+            self.kept.health.note_first_event(sources, in_time)
             return
-        waiting = placement.load.waiting_tokens + placement.missing_tokens
         self.reading.note(waiting, took_s)
 
     def ended(
-        self, placement: requests.Placement, added: load_module.Load
+        self,
+        placement: requests.Placement,
+        call: calls.Call,
+        added: load_module.Load,
     ) -> None:
         """Take back what a request added that has left its endpoint."""
+        self.kept.health.note_over(placement.sources(), call.id)
         self.loads.take(placement.endpoint.id, added)
 
     def avoid(self, endpoint: str) -> None:
--- a/src/briarseam/placement/fetching.py
+++ b/src/briarseam/placement/fetching.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 import typing
 
@@ -32,6 +33,7 @@
 LATE_IN_A_ROW = 2
 # One more fetch is tried after this; it costs one caller the wait.
 PAUSE_S = 1.0
+NEVER_S = float("-inf")
 
 
 class ReadingTime:
@@ -59,21 +61,50 @@
         return tokens * self.ms_a_token / 1000
 
 
-def wait_s(aim_left_s: float, reading_s: float) -> float:
+def wait_s(aim_left_s: float, whole_s: float, fetched_s: float) -> float:
     """Return how long an engine shall wait for a fetch, in seconds.
 
     As long as the prompt is still answered in time if it has to be read
     after all: cut earlier, shared parts are read again without need, and
-    later, its caller waits for a store that is slow.
+    later, its caller waits for a store that is slow.  A prompt that can't be
+    read in time waits for as long as reading what is fetched would take.
 
     Parameters
     ----------
     aim_left_s
         Until the first event should be there.
-    reading_s
-        In which all of the prompt would be read.
+    whole_s, fetched_s
+        In which all of the prompt would be read, and what is fetched.
     """
-    return max(LEAST_WAIT_S, aim_left_s - reading_s)
+    return max(LEAST_WAIT_S, aim_left_s - whole_s, fetched_s)
+
+
+@dataclasses.dataclass
+class Record:
+    """How the last fetches from one store went.
+
+    Attributes
+    ----------
+    late
+        How many in a row were not ready in time.
+    tried_s
+        When the last one began or turned out late.
+    due_s
+        When each that is under way should be ready, by its prompt.
+    """
+
+    late: int = 0
+    tried_s: float = NEVER_S
+    due_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def late_by(self, now_s: float) -> int:
+        """Return how many in a row are late, those under way included.
+
+        An engine that still waits for a fetch tells so a third of a second
+        before its first event does.
+        """
+        overdue = sum(due_s < now_s for due_s in self.due_s.values())
+        return self.late + overdue
 
 
 class StoreHealth:
@@ -93,43 +124,62 @@
         self, clock: typing.Callable[[], float] = clocks.boot_clock
     ) -> None:
         self.clock = clock
-        self.late: dict[str, int] = {}
-        self.tried_s: dict[str, float] = {}
+        self.records: dict[str, Record] = {}
         self.lock = threading.Lock()
 
     def may_use(self, address: str) -> bool:
         """Tell whether parts may be fetched from a store."""
+        now_s = self.clock()
         with self.lock:
-            if self.late.get(address, 0) < LATE_IN_A_ROW:
+            record = self.records.get(address)
+            if record is None or record.late_by(now_s) < LATE_IN_A_ROW:
                 return True
-            return self.clock() >= self.tried_s[address] + PAUSE_S
+            return now_s >= record.tried_s + PAUSE_S
 
     def is_slow(self, address: str) -> bool:
         """Tell whether a store's last fetches were late."""
-        return self.late.get(address, 0) >= LATE_IN_A_ROW
-
-    def note_begun(self, addresses: typing.Iterable[str]) -> None:
+        with self.lock:
+            record = self.records.get(address)
+            return (
+                record is not None
+                and record.late_by(self.clock()) >= LATE_IN_A_ROW
+            )
+
+    def note_begun(
+        self, addresses: typing.Iterable[str], prompt: str, wait_s: float
+    ) -> None:
         """Note that a prompt is about to fetch from stores."""
+        now_s = self.clock()
         with self.lock:
             for address in addresses:
-                if self.is_slow(address):
-                    self.tried_s[address] = self.clock()
+                record = self.records.setdefault(address, Record())
+                record.due_s[prompt] = now_s + wait_s
+                if record.late >= LATE_IN_A_ROW:
+                    record.tried_s = now_s
 
-    def note_ended(
+    def note_first_event(
         self, addresses: typing.Iterable[str], in_time: bool
     ) -> None:
         """Note whether a prompt's fetches were ready in time."""
+        now_s = self.clock()
         with self.lock:
             for address in addresses:
+                record = self.records.setdefault(address, Record())
                 if in_time:
-                    self.late.pop(address, None)
+                    record.late = 0
                     continue
-                self.late[address] = self.late.get(address, 0) + 1
-                self.tried_s[address] = self.clock()
+                record.late += 1
+                record.tried_s = now_s
+
+    def note_over(self, addresses: typing.Iterable[str], prompt: str) -> None:
+        """Note that a prompt fetches no more."""
+        with self.lock:
+            for address in addresses:
+                if address in self.records:
+                    self.records[address].due_s.pop(prompt, None)
 
     def keep_only(self, addresses: typing.Collection[str]) -> None:
         """Forget all stores but these."""
         with self.lock:
-            for address in self.late.keys() - set(addresses):
-                del self.late[address]
-                self.tried_s.pop(address, None)
+            for address in self.records.keys() - set(addresses):
+                del self.records[address]
