Tests: a load is played on the real decisions, and what callers get

The time of reading goes into a module of its own and is learned by service, since two services' engines differ.

--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -14,6 +14,7 @@
 from briarseam.placement import fetching
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
+from briarseam.placement import reading
 from briarseam.placement import requests
 from briarseam.placement import residency as residencies
 from briarseam.weights import board as boards
@@ -68,7 +69,7 @@
         self.endpoints_age_s = endpoints_age_s
         self.kept = kept_module.KeptIndex(clock)
         self.avoided: dict[str, float] = {}
-        self.reading = fetching.ReadingTime()
+        self.readings: dict[str, reading.ReadingTime] = {}
 
     def choose(
         self, request: requests.Request
@@ -193,18 +194,23 @@
         held = self.residency.known(endpoint.id, salt, ask.parts)
         return cost.candidate(ask, endpoint, load, held)
 
+    def reading_time(self, request: requests.Request) -> reading.ReadingTime:
+        """Return how fast the engines of a request's service read."""
+        name = request.service.name
+        return self.readings.setdefault(name, reading.ReadingTime())
+
     def placement(
         self, ask: cost.PromptAsk, chosen: cost.Candidate
     ) -> requests.Placement:
         """Return the placement of a prompt on the engine that was chosen."""
         stores = chosen.plan.stores
         version = ask.versions[chosen.endpoint.id]
-        waiting_s = self.reading.of(chosen.load.waiting_tokens)
+        times = self.reading_time(ask.request)
+        waiting_s = times.of(chosen.load.waiting_tokens)
         wait_s = fetching.wait_s(
             ask.request.aim_left_s,
-            waiting_s
-            + self.reading.of(ask.prompt.input_tokens - chosen.held_tokens),
-            waiting_s + self.reading.of(chosen.fetched_tokens),
+            waiting_s + times.of(ask.prompt.input_tokens - chosen.held_tokens),
+            waiting_s + times.of(chosen.fetched_tokens),
         )
         instructions = dataclasses.replace(
             self.instruct(ask.request, chosen.endpoint, version),
@@ -282,7 +288,7 @@
         """Note that an engine has read a prompt; return what it adds now."""
         begun = dataclasses.replace(added, waiting_tokens=0, running=1)
         self.loads.add(placement.endpoint.id, begun.minus(added))
-        self.learn(placement, request.call.id, took_s)
+        self.learn(placement, request, took_s)
         prompt = request.call.prompt
         if prompt is not None and request.service.engine is not None:
             self.residency.note(
@@ -294,19 +300,22 @@
         return begun
 
     def learn(
-        self, placement: requests.Placement, call: str, took_s: float
+        self,
+        placement: requests.Placement,
+        request: requests.Request,
+        took_s: float,
     ) -> None:
         """Take in what the time to a first event tells."""
+        times = self.reading_time(request)
+        tokens = placement.load.waiting_tokens + placement.missing_tokens
         sources = placement.sources()
-        waiting = placement.load.waiting_tokens + placement.missing_tokens
-        if sources:
-            # What it had to read comes after the fetch.
-            rest_s = self.reading.of(waiting)
-            in_time = took_s <= placement.fetch_wait_s + rest_s
-            self.kept.health.note_over(sources, call)
-            self.kept.health.note_first_event(sources, in_time)
+        if not sources:
+            times.note(tokens, took_s)
             return
-        self.reading.note(waiting, took_s)
+        # What it had to read comes after the fetch.
+        in_time = took_s <= placement.fetch_wait_s + times.of(tokens)
+        self.kept.health.note_over(sources, request.call.id)
+        self.kept.health.note_first_event(sources, in_time)
 
     def ended(
         self,
--- a/src/briarseam/placement/fetching.py
+++ b/src/briarseam/placement/fetching.py
@@ -13,16 +13,6 @@
 
 from briarseam import clocks
 
-# Before any reading was seen, in ms a token: between the fastest and the
-# slowest engines that are known (0.007 and 0.033).
-FIRST_GUESS_MS = 0.02
-LEAST_MS = 0.001
-MOST_MS = 1.0
-# Shorter readings are mostly the time of a step, which is no reading.
-TELLING_TOKENS = 2000
-# How far one reading moves the estimate: ten or so readings make up for a
-# wrong first guess by a factor of two.
-STEP = 0.07
 # A prompt that is late anyhow is given this much: some steps of its engine,
 # in which all but the largest parts come from a store that is well.
 LEAST_WAIT_S = 0.2
@@ -36,31 +26,6 @@
 NEVER_S = float("-inf")
 
 
-class ReadingTime:
-    """The median time in which an engine reads a token; thread-safe.
-
-    It follows what prompts took that fetched nothing, with all that the
-    engine did beside them, so that it is longer under load.
-    """
-
-    def __init__(self) -> None:
-        self.ms_a_token = FIRST_GUESS_MS
-        self.lock = threading.Lock()
-
-    def note(self, tokens: int, took_s: float) -> None:
-        """Take in that so many tokens were read in some time."""
-        if tokens < TELLING_TOKENS:
-            return
-        with self.lock:
-            is_longer = took_s * 1000 > tokens * self.ms_a_token
-            moved = self.ms_a_token * (1 + STEP if is_longer else 1 - STEP)
-            self.ms_a_token = min(max(moved, LEAST_MS), MOST_MS)
-
-    def of(self, tokens: int) -> float:
-        """Return the seconds in which so many tokens are read."""
-        return tokens * self.ms_a_token / 1000
-
-
 def wait_s(aim_left_s: float, whole_s: float, fetched_s: float) -> float:
     """Return how long an engine shall wait for a fetch, in seconds.
 
--- /dev/null
+++ b/tests/placement/playing.py
@@ -0,0 +1,368 @@
+"""Plays a load on the real decisions, with modelled engines and stores.
+
+Instances are real choosers with the time of the play as their clock.  What
+one knows of the others' work is what was told and has arrived.  An engine
+reads one prompt after another, and fetches one part after another; a store
+gives to one engine at a time.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+import typing
+
+from briarseam.discovery import model as discovery
+from briarseam.forwarding import calls
+from briarseam.placement import chooser as choosers
+from briarseam.placement import loads
+from briarseam.placement import requests
+from briarseam.placement import salts
+from briarseam.placement import store_index
+from briarseam.routes import model as routes
+from briarseam.weights import board as boards
+from briarseam.weights import goals
+from tests import clocks
+
+MODEL = "m"
+INSTANCES = 6
+ENGINES = 9
+MEMORY_TOKENS = 42_000
+READ_MS = 0.033
+STORES = ("10.0.0.1:1", "10.0.0.2:1")
+# Of a token, from a store that is well.
+FETCH_MS = 0.01
+ENDPOINT_CLOCK_MS = 5_000_000.0
+CONFIRM_S = 1.0
+# After the last arrival, for answers under way.
+LINGER_S = 10.0
+SESSIONS = 400
+ROUTE = routes.Route(
+    "r",
+    "h",
+    "/",
+    routes.Repeat.STREAM,
+    (routes.Share("engines"),),
+    15.0,
+    0.8,
+    2,
+    resumable=True,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of prompt.
+
+    Attributes
+    ----------
+    name
+        For the results.
+    per_s
+        How many come in a second.
+    shared, own
+        Tokens of its session and of itself.
+    aim_s
+        When its first event should be there.
+    stream_s
+        How long it runs then.
+    deadline_s
+        How long its caller waits.
+    """
+
+    name: str
+    per_s: float
+    shared: int
+    own: int
+    aim_s: float
+    stream_s: float
+    deadline_s: float
+
+
+LONG = Kind("long", 15.0, 7500, 1700, 0.8, 0.3, 6.0)
+SHORT = Kind("short", 18.0, 650, 180, 0.5, 1.5, 15.0)
+
+
+@dataclasses.dataclass
+class Engine:
+    """When an engine has read and fetched all it was given."""
+
+    read_s: float = 0.0
+    fetched_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What one caller got.
+
+    Attributes
+    ----------
+    kind
+        What was asked.
+    at_s
+        When.
+    first_s
+        Seconds until the first event; ``None`` for a refusal.
+    """
+
+    kind: Kind
+    at_s: float
+    first_s: float | None
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the first event was there when it should be."""
+        return self.first_s is not None and self.first_s <= self.kind.aim_s
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """What a play varies.
+
+    Attributes
+    ----------
+    told_after_s
+        From a change of an instance's work to its arrival at the others, or
+        the interval of telling it.
+    at_once
+        Whether each change is told, not each interval's last.
+    cut
+        Whether engines are told until when to fetch.
+    """
+
+    told_after_s: float = 0.03
+    at_once: bool = True
+    cut: bool = True
+
+
+class Play:
+    """One play of a load.
+
+    Parameters
+    ----------
+    seed
+        Of the arrivals.
+    policy
+        What is varied.
+    kept
+        Whether the stores keep the sessions' parts.
+    slow_s
+        From when to when the first store is four times as slow.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        policy: Policy,
+        kept: bool,
+        slow_s: tuple[float, float] = (0.0, 0.0),
+    ) -> None:
+        self.random = random.Random(seed)
+        self.policy = policy
+        self.kept = kept
+        self.slow_s = slow_s
+        self.clock = clocks.ManualClock()
+        self.begin_s = self.clock()
+        self.events: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self.results: list[Result] = []
+        self.order = itertools.count()
+        self.fetches = 0
+        self.cuts = 0
+        self.engines = {f"e{number}": Engine() for number in range(ENGINES)}
+        self.store_free_s = dict.fromkeys(STORES, 0.0)
+        self.service = routes.Service(
+            "engines",
+            engine=routes.EngineTraits(
+                (MODEL,), 64, MEMORY_TOKENS, 163_840.0, 280_000.0
+            ),
+        )
+        self.instances = [self.instance() for _ in range(INSTANCES)]
+
+    def instance(self) -> choosers.Chooser:
+        """Return one instance."""
+        endpoints = [
+            discovery.Endpoint(
+                name,
+                "engines",
+                f"10.1.0.1:{port}",
+                "a",
+                64,
+                versions={MODEL: 1},
+            )
+            for port, name in enumerate(self.engines, 1)
+        ]
+        made = choosers.Chooser(
+            lambda service: endpoints,
+            lambda model: 0,
+            boards.Board(goals.GoalHistory(), self.clock),
+            loads=loads.Loads(clock=self.clock),
+            clock=self.clock,
+        )
+        made.kept.set_stores(
+            [
+                routes.StoreTraits(address, "a", 10**7, 140_000.0, 0.006, True)
+                for address in STORES
+            ]
+        )
+        return made
+
+    def now_s(self) -> float:
+        """Return the time of the play."""
+        return self.clock() - self.begin_s
+
+    def at(self, when_s: float, act: typing.Callable[[], None]) -> None:
+        """Do something at a time of the play."""
+        heapq.heappush(self.events, (when_s, next(self.order), act))
+
+    def run(self, length_s: float, kinds: tuple[Kind, ...]) -> list[Result]:
+        """Play, and return what callers got."""
+        for kind in kinds:
+            when_s = self.random.expovariate(kind.per_s)
+            while when_s < length_s:
+                self.at(when_s, functools.partial(self.arrive, kind))
+                when_s += self.random.expovariate(kind.per_s)
+        self.confirm()
+        if not self.policy.at_once:
+            self.tell_by_turns()
+        while self.events and self.events[0][0] < length_s + LINGER_S:
+            when_s, _order, act = heapq.heappop(self.events)
+            self.clock.now_s = self.begin_s + when_s
+            act()
+        return sorted(self.results, key=lambda result: result.at_s)
+
+    # What instances do.
+
+    def arrive(self, kind: Kind) -> None:
+        """Let a caller's prompt come to any instance."""
+        chooser = self.random.choice(self.instances)
+        session = f"{kind.name}-{self.random.randrange(SESSIONS)}"
+        own = f"own-{next(self.order)}"
+        prompt = calls.Prompt(
+            MODEL,
+            kind.shared + kind.own,
+            20,
+            (
+                calls.PromptPart(session, kind.shared),
+                calls.PromptPart(own, kind.own),
+            ),
+        )
+        request = requests.Request(
+            calls.Call(own, "POST", "/", "h", (), prompt=prompt),
+            ROUTE,
+            self.service,
+            None,
+            kind.aim_s,
+        )
+        placed = chooser.choose(request)
+        if not isinstance(placed, requests.Placement):
+            self.results.append(Result(kind, self.now_s(), None))
+            return
+        added = chooser.started(placed, request.call)
+        self.changed(chooser)
+        at_s = self.now_s()
+        ready_s = self.work(placed, kind)
+
+        def first_event() -> None:
+            begun = chooser.first_event(placed, request, added, ready_s - at_s)
+            self.changed(chooser)
+            self.at(ready_s + kind.stream_s, lambda: ended(begun))
+
+        def ended(begun: loads.Load) -> None:
+            chooser.ended(placed, request.call, begun)
+            self.changed(chooser)
+
+        self.results.append(Result(kind, at_s, ready_s - at_s))
+        self.at(ready_s, first_event)
+
+    def changed(self, chooser: choosers.Chooser) -> None:
+        """Tell the others an instance's work, if it is told at once."""
+        if self.policy.at_once:
+            self.tell(chooser, self.policy.told_after_s)
+
+    def tell(self, chooser: choosers.Chooser, after_s: float) -> None:
+        """Let an instance's work as it is now come to the others."""
+        name = f"i{self.instances.index(chooser)}"
+        told = chooser.loads.provide()
+
+        def arrive() -> None:
+            for other in self.instances:
+                if other is not chooser:
+                    other.loads.consume(name, told)
+
+        self.at(self.now_s() + after_s, arrive)
+
+    def tell_by_turns(self) -> None:
+        """Tell the work of all instances, again and again."""
+        for chooser in self.instances:
+            self.tell(chooser, 0.0)
+        self.at(self.now_s() + self.policy.told_after_s, self.tell_by_turns)
+
+    def confirm(self) -> None:
+        """Tell all instances that the stores keep what they keep."""
+        clock_ms = ENDPOINT_CLOCK_MS + self.now_s() * 1000
+        for chooser in self.instances:
+            for number, address in enumerate(STORES):
+                if not self.now_s():
+                    parts = self.parts_of(number) if self.kept else ()
+                    content = store_index.Content(1, 0, parts)
+                    chooser.kept.take_content(address, content)
+                chooser.kept.take_changes(
+                    address,
+                    store_index.Changes(1, 1, False, (), clock_ms=clock_ms),
+                )
+        self.at(self.now_s() + CONFIRM_S, self.confirm)
+
+    def salt(self) -> str:
+        """Return the text under which parts are cached."""
+        return str(salts.Salt(MODEL, 1, ""))
+
+    def parts_of(self, store: int) -> tuple[store_index.PartEvent, ...]:
+        """Return what a store keeps: each second session's parts."""
+        return tuple(
+            store_index.PartEvent(
+                self.salt(), f"{kind.name}-{number}", kind.shared
+            )
+            for kind in (LONG, SHORT)
+            for number in range(store, SESSIONS, len(STORES))
+        )
+
+    # What engines and stores do.
+
+    def work(self, placed: requests.Placement, kind: Kind) -> float:
+        """Return when an engine has read a prompt."""
+        engine = self.engines[placed.endpoint.id]
+        now_s = self.now_s()
+        ready_s, tokens = now_s, kind.shared + kind.own
+        if placed.sources():
+            ready_s, tokens = self.fetch(placed, kind, engine)
+        begin_s = max(ready_s, engine.read_s)
+        engine.read_s = begin_s + tokens * READ_MS / 1000
+        return engine.read_s
+
+    def fetch(
+        self, placed: requests.Placement, kind: Kind, engine: Engine
+    ) -> tuple[float, int]:
+        """Return when a fetch is over, and the tokens to be read then."""
+        (store,) = placed.sources()
+        begin_s = max(self.now_s(), engine.fetched_s, self.store_free_s[store])
+        slow = self.is_slow(store, begin_s)
+        end_s = begin_s + kind.shared * FETCH_MS * (4 if slow else 1) / 1000
+        self.fetches += 1
+        until_ms = placed.instructions.fetch_until_ms
+        until_s = (until_ms - ENDPOINT_CLOCK_MS) / 1000
+        if self.policy.cut and until_s < end_s:
+            self.cuts += 1
+            engine.fetched_s = max(engine.fetched_s, until_s)
+            if begin_s < until_s:
+                self.store_free_s[store] = until_s
+            return until_s, kind.shared + kind.own
+        engine.fetched_s = self.store_free_s[store] = end_s
+        return end_s, kind.own
+
+    def is_slow(self, store: str, when_s: float) -> bool:
+        """Tell whether a store's link is slow at a time."""
+        first_s, end_s = self.slow_s
+        return store == STORES[0] and first_s <= when_s < end_s
