Placement: fetches that are overdue block a slow store

Cause: found in reading. Two overdue fetches made a store slow, but the next one that began did not start its pause, so that all went on. Change: it does; the test of it failed before.

--- a/src/briarseam/placement/fetching.py
+++ b/src/briarseam/placement/fetching.py
@@ -119,9 +119,9 @@
         with self.lock:
             for address in addresses:
                 record = self.records.setdefault(address, Record())
-                record.due_s[prompt] = now_s + late_after_s
-                if record.late >= LATE_IN_A_ROW:
+                if record.late_by(now_s) >= LATE_IN_A_ROW:
                     record.tried_s = now_s
+                record.due_s[prompt] = now_s + late_after_s
 
     def note_first_event(
         self, addresses: typing.Iterable[str], in_time: bool
--- a/tests/placement/test_fetching.py
+++ b/tests/placement/test_fetching.py
@@ -53,6 +53,8 @@
     assert health.may_use(STORE)
     clock.now_s += 0.2
     assert health.is_slow(STORE)
+    health.note_begun([STORE], "c", 0.5)
+    assert not health.may_use(STORE)
     for prompt in "ab":
         health.note_over([STORE], prompt)
     assert not health.is_slow(STORE)
