--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -331,3 +331,13 @@
     assert keeping.place().sources() == frozenset()
     keeping.chooser.first_event(tried, keeping.request(), added, 0.1)
     assert keeping.place().sources() == {STORE}
+
+
+def test_nothing_is_saved_to_a_slow_store(keeping):
+    """What is sent to a slow store to be saved goes through the same queue
+    of its engine as what others fetch.
+    """
+    assert STORE in keeping.place(session="other").instructions.save_to
+    for _ in range(fetching.LATE_IN_A_ROW):
+        fetch_late(keeping)
+    assert not any(keeping.place(session="other").instructions.save_to)
