Tests: the reload handler of the signal test writes without print

Ruled out: the signal's way itself; the product's handler only sets an event. Change: os.write in the test's program.

--- a/tests/command/test_signals.py
+++ b/tests/command/test_signals.py
@@ -6,11 +6,13 @@
 import pytest
 
 PROGRAM = """
-import signal, sys, threading
+import os, signal, sys, threading
 from briarseam.command import signals
 
 stop = signals.watch()
-signals.on_reload(lambda: print("reloaded", flush=True))
+# Handlers may run while the main thread is still inside print, which must
+# not be entered twice.
+signals.on_reload(lambda: os.write(1, b"reloaded\n"))
 
 def strike():
     sys.stdin.readline()
