--- a/tests/command/test_signals.py
+++ b/tests/command/test_signals.py
@@ -12,7 +12,7 @@
 stop = signals.watch()
 # Handlers may run while the main thread is still inside print, which must
 # not be entered twice.
-signals.on_reload(lambda: os.write(1, b"reloaded\n"))
+signals.on_reload(lambda: os.write(1, b"reloaded\\n"))
 
 def strike():
     sys.stdin.readline()
