--- a/src/briarseam/placement/fetching.py
+++ b/src/briarseam/placement/fetching.py
@@ -11,6 +11,8 @@
 import threading
 import typing
 
+import structlog
+
 from briarseam import clocks
 
 # Some steps of an engine, in which all but the largest parts come from a store
@@ -24,6 +26,7 @@
 # One more fetch is tried after this; it makes one caller wait.
 PAUSE_S = 1.0
 NEVER_S = float("-inf")
+log = structlog.get_logger("briarseam.placement")
 
 
 def late_after_s(aim_left_s: float, whole_s: float, fetched_s: float) -> float:
@@ -132,10 +135,14 @@
             for address in addresses:
                 record = self.records.setdefault(address, Record())
                 if in_time:
+                    if record.late >= LATE_IN_A_ROW:
+                        log.info("cache_store_in_time", address=address)
                     record.late = 0
                     continue
                 record.late += 1
                 record.tried_s = now_s
+                if record.late == LATE_IN_A_ROW:
+                    log.warning("cache_store_slow", address=address)
 
     def note_over(self, addresses: typing.Iterable[str], prompt: str) -> None:
         """Note that a prompt fetches no more."""
--- a/tests/placement/test_fetching.py
+++ b/tests/placement/test_fetching.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import pytest
+from structlog import testing
 
 from briarseam.placement import fetching
 from tests import clocks
@@ -80,6 +81,17 @@
     assert not health.may_use(STORE)
 
 
+def test_changes_of_belief_are_logged_once(health):
+    with testing.capture_logs() as lines:
+        late(health, STORE, times=fetching.LATE_IN_A_ROW + 3)
+        for _ in range(2):
+            health.note_first_event([STORE], in_time=True)
+    assert [line["event"] for line in lines] == [
+        "cache_store_slow",
+        "cache_store_in_time",
+    ]
+
+
 def test_removed_store_is_forgotten(health):
     late(health, STORE)
     health.keep_only([OTHER])
