--- a/tests/placement/test_load.py
+++ b/tests/placement/test_load.py
@@ -36,9 +36,9 @@
 
 
 def test_few_prompts_wait_behind_work_that_was_not_known():
-    """A third of the engines are gone and nothing is kept: short prompts are
-    sent to engines that seem idle and wait behind a long one that another
-    instance sent there 0.2 s before.
+    """Nothing is kept yet, so that all prompts are read.  Short ones are sent
+    to engines that seem idle and wait behind a long one that another instance
+    sent there 0.2 s before.
 
     Told by heartbeats, twice a second, 0.042 of all prompts were late, and
     0.044 of the short ones; told at once, 0.004.
