Log what a stopping instance reads and cuts off

Whether a request was read before or after the last look for requests in flight could not be told, nor when SIGTERM was noticed, nor which requests were cut off. request_read, request_cut_off and noticed_after_ms tell it.

--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from briarseam import clocks
 from briarseam import log_writer
 from briarseam import logs
 from briarseam.command import signals
@@ -64,7 +65,8 @@
         settings=settings.path,
     )
     stop.wait()
-    log.info("stopping")
+    late_ms = round((clocks.boot_clock() - stop.first_s) * 1000)
+    log.info("stopping", noticed_after_ms=late_ms)
     node.drain(stop.second.is_set)
     node.stop(STOP_WAIT_S)
     log.info("stopped", log_lines_left_out=writer.left_out)
--- a/src/briarseam/command/signals.py
+++ b/src/briarseam/command/signals.py
@@ -7,6 +7,8 @@
 import types
 import typing
 
+from briarseam import clocks
+
 # How late a signal may be noticed that another thread got.
 CHECK_S = 0.25
 
@@ -20,11 +22,14 @@
         Set by the first: stop when nothing is in flight.
     second
         Set by the second: stop now.
+    first_s
+        When the first was taken in, by the boot clock; 0 before it.
     """
 
     def __init__(self) -> None:
         self.first = threading.Event()
         self.second = threading.Event()
+        self.first_s = 0.0
 
     def wait(self) -> None:
         """Wait for the first of them, in the main thread.
@@ -42,6 +47,8 @@
         del number, frame
         if self.first.is_set():
             self.second.set()
+        else:
+            self.first_s = clocks.boot_clock()
         self.first.set()
 
 
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -292,7 +292,7 @@
         """Leave the lookups and serve what is under way."""
         self.shutdown.begin()
         bound_s = self.serving_bound_s()
-        return drain.Drain(
+        outcome = drain.Drain(
             announce=self.announce_leaving,
             told=self.instances.told,
             in_flight=lambda: self.forwarding.in_flight,
@@ -300,6 +300,8 @@
             bound_s=bound_s,
             hurry=hurry,
         ).run()
+        self.forwarding.note_cut_off()
+        return outcome
 
     def serving_bound_s(self) -> float:
         """Return the longest time from SIGTERM to the end of serving."""
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -46,7 +46,7 @@
 
     def __init__(self, parts: works.Parts) -> None:
         self.parts = parts
-        self.in_flight = 0
+        self.under_way: dict[int, works.Work] = {}
         self.lock = threading.Lock()
 
     def handle(self, exchange: server.Exchange) -> None:
@@ -73,6 +73,14 @@
         except refusing.MalformedCallError as error:
             self.refuse(exchange, "", refusing.malformed(str(error)))
             return
+        if self.parts.shutdown.begun:
+            # Some hundred lines at most: it ends with the process.
+            log.info(
+                "request_read",
+                request=call.id,
+                stopping_for_ms=self.parts.shutdown.since_ms(),
+                in_flight=self.in_flight,
+            )
         found = self.find(exchange, call, body, arrived_s)
         if isinstance(found, works.Work):
             self.run(found)
@@ -128,7 +136,8 @@
 
     def run(self, work: works.Work) -> None:
         """Answer one request that the configuration allows."""
-        self.count(1)
+        with self.lock:
+            self.under_way[id(work)] = work
         self.parts.budget.earn(work.service.name)
         self.parts.supervisor.watch(work.watch)
         try:
@@ -137,13 +146,29 @@
             ended = self.end(work, error.ending)
         finally:
             self.parts.supervisor.forget(work.watch)
-            self.count(-1)
+            with self.lock:
+                del self.under_way[id(work)]
         self.note(work, ended)
 
-    def count(self, change: int) -> None:
-        """Count requests under way; a shutdown waits for their end."""
+    @property
+    def in_flight(self) -> int:
+        """Requests under way; a shutdown waits for their end."""
+        return len(self.under_way)
+
+    def note_cut_off(self) -> None:
+        """Log each request that the end of the process cuts off."""
         with self.lock:
-            self.in_flight += change
+            cut_off = list(self.under_way.values())
+        for work in cut_off:
+            log.warning(
+                "request_cut_off",
+                request=work.call.id,
+                route=work.route.name,
+                steps=work.steps,
+                events_sent=work.progress.events_sent,
+                age_ms=round((clocks.boot_clock() - work.arrived_s) * 1000),
+                time_left_ms=round(work.watch.left_s() * 1000),
+            )
 
     def try_endpoints(self, work: works.Work) -> str:
         """Send the request to endpoints until one answers.
--- a/src/briarseam/forwarding/shutdown.py
+++ b/src/briarseam/forwarding/shutdown.py
@@ -41,6 +41,12 @@
         """Whether this process was told to stop."""
         return self.begun_s is not None
 
+    def since_ms(self) -> int:
+        """Return the milliseconds since the order to stop, 0 before it."""
+        if self.begun_s is None:
+            return 0
+        return round((self.clock() - self.begun_s) * 1000)
+
     def begin(self) -> None:
         """Note the order to stop."""
         if self.begun_s is None:
