Mend: a stop refuses the next request in the step that finds none in flight

Callers saw a booking end without an answer while instances were stopped in turn. The process looked for requests in flight and then ended, in two steps; for 0.2 s and more it read requests and passed them on, and cut them off. A request counted only once it was understood, so the look did not see what was being read either.

Now a request counts before its first byte is read, the look and the refusal of the next request are one step, and nothing is read just before the end. Ruled out for these requests: a second signal, a late SIGTERM, suspension (the log of the lost request has none of them).

--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -106,6 +106,7 @@
             announce=self.membership.announce_leaving,
             told=self.membership.told,
             in_flight=self.in_flight,
+            settle=lambda: self.in_flight() == 0,
             linger_s=lambda: self.entries.linger_s,
             bound_s=self.stop_bound_s,
             hurry=hurry,
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -7,6 +7,7 @@
 import threading
 import typing
 
+from briarseam import inflight
 from briarseam.answers import keeping
 from briarseam.compose import agent as compose_agent
 from briarseam.compose import timeline as compose_timeline
@@ -14,7 +15,6 @@
 from briarseam.endpoints import service
 from briarseam.entry import agent_link
 from briarseam.entry import app
-from briarseam.entry import inflight
 from briarseam.entry import operators
 from briarseam.entry import reports as report_queue
 from briarseam.entry import server as http
@@ -72,11 +72,12 @@
         hurry
             Whether to give up waiting now.
         """
-        self.parts.in_flight.leaving = True
+        self.parts.in_flight.move_to(inflight.Stage.LEAVING)
         return drain.Drain(
             announce=self.presence.leave,
             told=self.presence.leaving_told,
             in_flight=lambda: self.parts.in_flight.count,
+            settle=self.parts.in_flight.refuse_if_idle,
             linger_s=lambda: self.presence.linger_s,
             bound_s=self.stop_bound_s,
             hurry=hurry,
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -8,6 +8,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import inflight
 from briarseam import malformed
 from briarseam.compose import node_calls
 from briarseam.compose import node_feeds
@@ -80,6 +81,7 @@
     def __init__(self, settings: serving.ServeSettings) -> None:
         self.settings = settings
         self.shutdown = shutdowns.Shutdown(self.serving_bound_s)
+        self.in_flight = inflight.InFlight()
         self.stopping = threading.Event()
         self.metrics = metrics.Registry()
         self.tally = malformed.Tally(
@@ -177,6 +179,7 @@
                 bounds.retry_window_s,
                 self.instances.sharers,
             ),
+            in_flight=self.in_flight,
             shutdown=self.shutdown,
             metrics=node_metrics.forwarding_metrics(registry),
         )
@@ -195,7 +198,9 @@
             lambda: self.settings.bounds.lookup_ttl_max_s,
             self.metrics,
         )
-        return node_servers.build(listen, self.forwarding.handle, small)
+        return node_servers.build(
+            listen, self.forwarding.handle, self.in_flight, small
+        )
 
     # Life of the process.
 
@@ -295,11 +300,13 @@
         outcome = drain.Drain(
             announce=self.announce_leaving,
             told=self.instances.told,
-            in_flight=lambda: self.forwarding.in_flight,
+            in_flight=lambda: self.in_flight.count,
+            settle=self.in_flight.refuse_if_idle,
             linger_s=lambda: min(LINGER_S, bound_s / 2),
             bound_s=bound_s,
             hurry=hurry,
         ).run()
+        self.in_flight.move_to(inflight.Stage.REFUSING)
         self.forwarding.note_cut_off()
         return outcome
 
@@ -342,6 +349,7 @@
         if not self.shutdown.begun:
             self.sign_off()
         self.stop_servers(wait_s)
+        self.in_flight.close(wait_s)
         self.feeds.stop()
         self.topic_reads.stop()
         if self.instances.service is not None:
@@ -376,7 +384,7 @@
     def readings(self) -> node_metrics.Readings:
         """Return what metrics tell of the parts."""
         return node_metrics.Readings(
-            in_flight=lambda: self.forwarding.in_flight,
+            in_flight=lambda: self.in_flight.count,
             connections_opened=lambda: self.pool.opened,
             store_calls=lambda: self.store.calls,
             topic_reads_direct=lambda: self.topic_reads.direct,
--- a/src/briarseam/compose/node_servers.py
+++ b/src/briarseam/compose/node_servers.py
@@ -7,6 +7,7 @@
 from briarseam.forwarding import server as http
 
 if typing.TYPE_CHECKING:
+    from briarseam import inflight
     from briarseam.compose import small_answers
     from briarseam.settings import sections
     from briarseam.settings import serving
@@ -17,6 +18,7 @@
 def build(
     listen: serving.Listen,
     forward: Handle,
+    in_flight: inflight.InFlight,
     small: small_answers.SmallAnswers,
 ) -> dict[str, http.Server]:
     """Return the servers by what they are for, nothing bound.
@@ -27,16 +29,18 @@
         Where they take connections.
     forward
         Answers callers' requests.
+    in_flight
+        Counts them.
     small
         Answers everything else.
     """
     handles: dict[str, tuple[sections.Address, Handle]] = {
-        "callers": (listen.callers, forward),
         "readiness": (listen.readiness, small.readiness),
         "lookups": (listen.lookups, small.addresses),
         "metrics": (listen.metrics, small.scrape),
     }
-    return {
-        name: http.Server(name, (address.ip, address.port), handle)
-        for name, (address, handle) in handles.items()
-    }
+    callers = (listen.callers.ip, listen.callers.port)
+    servers = {"callers": http.Server("callers", callers, forward, in_flight)}
+    for name, (address, handle) in handles.items():
+        servers[name] = http.Server(name, (address.ip, address.port), handle)
+    return servers
--- a/src/briarseam/connection_threads.py
+++ b/src/briarseam/connection_threads.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import queue
+import select
 import threading
 import time
 import typing
@@ -14,6 +15,10 @@
 if typing.TYPE_CHECKING:
     from cheroot import server
 
+    from briarseam import inflight
+
+MS = 1000.0
+
 
 class ConnectionThreads:
     """One thread for each connection in work; idle threads are used again.
@@ -24,6 +29,9 @@
     ----------
     owner
         The server that gets connections back between requests.
+    in_flight
+        Counts requests, and keeps them out when the process ends; none if
+        nobody waits for them.
 
     Attributes
     ----------
@@ -33,8 +41,13 @@
         Threads that wait for a connection, less the connections that wait.
     """
 
-    def __init__(self, owner: server.HTTPServer) -> None:
+    def __init__(
+        self,
+        owner: server.HTTPServer,
+        in_flight: inflight.InFlight | None = None,
+    ) -> None:
         self.server = owner
+        self.in_flight = in_flight
         self.min = 0
         self.lock = threading.Lock()
         self.free = 0
@@ -73,17 +86,39 @@
             self.serve(connection)
 
     def serve(self, connection: server.HTTPConnection) -> None:
-        """Serve one request.
+        """Serve one request, and those that came with it.
 
         Parameters
         ----------
         connection
             The connection that it comes on.
         """
+        if self.in_flight is None:
+            self.answer(connection)
+            return
+        idle_s = self.server.timeout
+        if not has_begun(connection, idle_s) or not self.in_flight.enter():
+            # Nothing of a request was read, so its caller may ask again.
+            connection.close()
+            return
         try:
-            keep = connection.communicate()  # type: ignore[no-untyped-call]
-        except ConnectionError:
-            keep = False
+            self.answer(connection)
+        finally:
+            self.in_flight.leave()
+
+    def answer(self, connection: server.HTTPConnection) -> None:
+        """Answer what a connection has sent and hand it back, or close it.
+
+        Parameters
+        ----------
+        connection
+            The connection.
+        """
+        keep = answer_one(connection)
+        while keep and connection.rfile.has_data():
+            # Bytes of the next request were read with this one's; handed
+            # back with them it would not count until it is served.
+            keep = answer_one(connection)
         if not keep:
             connection.close()
             return
@@ -107,3 +142,34 @@
             self.waiting.put(None)
         for thread in threads:
             thread.join(max(0.0, deadline - time.monotonic()))
+
+
+def answer_one(connection: server.HTTPConnection) -> bool:
+    """Answer one request; return whether its connection lives on."""
+    try:
+        return bool(connection.communicate())  # type: ignore[no-untyped-call]
+    except ConnectionError:
+        return False
+
+
+def has_begun(connection: server.HTTPConnection, idle_s: float) -> bool:
+    """Wait for the first byte of a request without reading it.
+
+    Parameters
+    ----------
+    connection
+        A new connection, or one that the server found readable.
+    idle_s
+        Longest wait in seconds.
+
+    Returns
+    -------
+    bool
+        Whether something can be read, the connection's end included.
+    """
+    if connection.last_used is not None:
+        # It was kept, and came back since it is readable.
+        return True
+    poller = select.poll()
+    poller.register(connection.socket, select.POLLIN)
+    return bool(poller.poll(idle_s * MS))
--- a/src/briarseam/entry/app.py
+++ b/src/briarseam/entry/app.py
@@ -18,7 +18,7 @@
 from briarseam.answers import resume
 from briarseam.answers import runs
 from briarseam.cache import pieces
-from briarseam.entry import inflight
+from briarseam.entry import counting
 from briarseam.entry import problems
 from briarseam.entry import requests
 from briarseam.entry import timeline_page
@@ -27,6 +27,7 @@
 from briarseam.status import messages as status_messages
 
 if typing.TYPE_CHECKING:
+    from briarseam import inflight
     from briarseam.answers import keeping as keeping_module
     from briarseam.endpoints import engine
     from briarseam.endpoints import service
@@ -354,4 +355,4 @@
     # Requests are counted, not logged one by one.
     application.log.screen = False
     application.log.access_log.disabled = True
-    return inflight.CountingApplication(application, parts.in_flight)
+    return counting.CountingApplication(application, parts.in_flight)
--- a/src/briarseam/entry/inflight.py
+++ b/src/briarseam/entry/counting.py
@@ -1,38 +1,13 @@
-"""Counting requests in flight, so that a planned stop can wait for them."""
+"""Counting an entry's requests, so that a planned stop waits for them."""
 
 from __future__ import annotations
 
-import threading
 import typing
 
-CLOSE = ("Connection", "close")
-
-
-class InFlight:
-    """How many requests are being answered, and whether to take more.
+if typing.TYPE_CHECKING:
+    from briarseam import inflight
 
-    Attributes
-    ----------
-    count
-        Requests under way.
-    leaving
-        Whether callers are told not to keep their connections.
-    """
-
-    def __init__(self) -> None:
-        self.count = 0
-        self.leaving = False
-        self.lock = threading.Lock()
-
-    def enter(self) -> None:
-        """Count a request in."""
-        with self.lock:
-            self.count += 1
-
-    def leave(self) -> None:
-        """Count a request out."""
-        with self.lock:
-            self.count -= 1
+CLOSE = ("Connection", "close")
 
 
 class CountingApplication:
@@ -55,7 +30,7 @@
     def __init__(
         self,
         application: typing.Callable[..., typing.Iterable[bytes]],
-        in_flight: InFlight,
+        in_flight: inflight.InFlight,
     ) -> None:
         self.application = application
         self.in_flight = in_flight
@@ -89,7 +64,7 @@
     """The body of an answer; the request ends when it is closed."""
 
     def __init__(
-        self, body: typing.Iterable[bytes], in_flight: InFlight
+        self, body: typing.Iterable[bytes], in_flight: inflight.InFlight
     ) -> None:
         self.body = body
         self.in_flight = in_flight
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -14,6 +14,9 @@
 from briarseam import connection_threads
 from briarseam.entry import server as strict
 
+if typing.TYPE_CHECKING:
+    from briarseam import inflight
+
 BACKLOG = 1024
 # How often idle connections are looked through, in seconds.
 EXPIRY_INTERVAL_S = 0.5
@@ -228,12 +231,18 @@
         IP number and port.
     handler
         Answers requests; runs in a thread of the connection's own.
+    in_flight
+        Counts requests; none if nobody waits for them.
     """
 
     ConnectionClass = Connection
 
     def __init__(
-        self, name: str, listen: tuple[str, int], handler: Handler
+        self,
+        name: str,
+        listen: tuple[str, int],
+        handler: Handler,
+        in_flight: inflight.InFlight | None = None,
     ) -> None:
         super().__init__(listen, Gateway, server_name="briarseam")
         self.name = name
@@ -242,7 +251,7 @@
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
         self.expiration_interval = EXPIRY_INTERVAL_S
         self.keep_alive_conn_limit = MOST_IDLE
-        self.requests = connection_threads.ConnectionThreads(self)
+        self.requests = connection_threads.ConnectionThreads(self, in_flight)
         self.set_idle_timeout(float(self.timeout))
 
     def set_idle_timeout(self, idle_s: float) -> None:
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -79,7 +79,7 @@
                 "request_read",
                 request=call.id,
                 stopping_for_ms=self.parts.shutdown.since_ms(),
-                in_flight=self.in_flight,
+                in_flight=self.parts.in_flight.count,
             )
         found = self.find(exchange, call, body, arrived_s)
         if isinstance(found, works.Work):
@@ -104,7 +104,8 @@
         caller = table.identify(route, call.key)
         if isinstance(caller, tables.Unknown):
             return refusing.UNKNOWN_KEY
-        if not self.parts.shutdown.takes(route):
+        refusing_all = self.parts.in_flight.refusing
+        if refusing_all or not self.parts.shutdown.takes(route):
             return refusing.LEAVING
         session = call.id
         if call.prompt is not None:
@@ -150,11 +151,6 @@
                 del self.under_way[id(work)]
         self.note(work, ended)
 
-    @property
-    def in_flight(self) -> int:
-        """Requests under way; a shutdown waits for their end."""
-        return len(self.under_way)
-
     def note_cut_off(self) -> None:
         """Log each request that the end of the process cuts off."""
         with self.lock:
--- a/src/briarseam/forwarding/work.py
+++ b/src/briarseam/forwarding/work.py
@@ -14,6 +14,7 @@
 from briarseam.routes import table as tables
 
 if typing.TYPE_CHECKING:
+    from briarseam import inflight
     from briarseam.forwarding import calls
     from briarseam.forwarding import crash_guard
     from briarseam.forwarding import refusing
@@ -82,6 +83,8 @@
         Ends requests in time.
     budget
         Bounds sends to second endpoints.
+    in_flight
+        Counts requests, and says whether they are refused.
     shutdown
         What this process still takes on while it shuts down.
     metrics
@@ -96,6 +99,7 @@
     guard: crash_guard.CrashGuard
     supervisor: supervision.Supervisor
     budget: retry_budget.RetryBudget
+    in_flight: inflight.InFlight
     shutdown: shutdowns.Shutdown
     metrics: Metrics
 
--- a/src/briarseam/membership/drain.py
+++ b/src/briarseam/membership/drain.py
@@ -64,6 +64,9 @@
         Whether all who give out lookups know it.
     in_flight
         Requests under way.
+    settle
+        Whether nothing is in flight; if so, the process takes nothing more
+        from then on.
     linger_s
         Returns for how many seconds callers may still come that a lookup
         sends here: its time to live, and the time that news takes to reach
@@ -77,6 +80,7 @@
     announce: typing.Callable[[], None]
     told: typing.Callable[[], bool]
     in_flight: typing.Callable[[], int]
+    settle: typing.Callable[[], bool]
     linger_s: typing.Callable[[], float]
     bound_s: float = DEFAULT_BOUND_S
     hurry: typing.Callable[[], bool] = lambda: False
@@ -93,21 +97,22 @@
         served_until = self.clock() + self.linger_s()
         end = started + self.bound_s
         self.wait(lambda: self.clock() >= served_until, end)
-        self.wait(lambda: self.in_flight() == 0, end)
-        return self.outcome(started)
+        settled = self.wait(self.settle, end)
+        return self.outcome(started, settled)
 
-    def wait(self, condition: typing.Callable[[], bool], until: float) -> None:
-        """Wait for a condition until a time, or a hurry."""
+    def wait(self, condition: typing.Callable[[], bool], until: float) -> bool:
+        """Wait for a condition until a time, or a hurry; tell if it held."""
         while not condition():
             if self.clock() >= until or self.hurry():
-                return
+                return False
             self.sleep(POLL_S)
+        return True
 
-    def outcome(self, started: float) -> Outcome:
+    def outcome(self, started: float, settled: bool) -> Outcome:
         """Return and log how the drain ended."""
         waited_s = self.clock() - started
-        left = self.in_flight()
-        if left:
+        if not settled:
+            left = self.in_flight()
             log.warning("drain_cut_off", in_flight=left, waited_s=waited_s)
             return CutOff(waited_s, left)
         log.info("drained", waited_s=waited_s)
--- a/tests/membership/test_drain.py
+++ b/tests/membership/test_drain.py
@@ -28,6 +28,7 @@
             announce=self.announce,
             told=lambda: self.now >= self.told_at,
             in_flight=lambda: int(self.now < self.idle_at),
+            settle=lambda: self.now >= self.idle_at,
             linger_s=lambda: LINGER_S,
             bound_s=bound_s,
             hurry=lambda: self.now >= self.hurry_at,
