A stopping instance takes only what it can answer before it ends

Callers could have a call of 2.5 s taken 5.4 s after SIGTERM by an instance that ends after 7.2: calls were taken until 1.5 s before the bound, whatever time they had. Now a request is taken in the first 2.5 s, while lookups may still send callers here, and later if its own deadline is within the bound; others are told "not run" at once and go elsewhere. Streams with little time are taken longer than before, for the same reason.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -104,8 +104,12 @@
         caller = table.identify(route, call.key)
         if isinstance(caller, tables.Unknown):
             return refusing.UNKNOWN_KEY
+        wait_s = route.timeout_s
+        if call.time_left_s is not None:
+            wait_s = min(wait_s, call.time_left_s)
+        deadline_s = arrived_s + wait_s
         refusing_all = self.parts.in_flight.refusing
-        if refusing_all or not self.parts.shutdown.takes(route):
+        if refusing_all or not self.parts.shutdown.takes(deadline_s):
             return refusing.LEAVING
         session = call.id
         if call.prompt is not None:
@@ -118,9 +122,6 @@
         digest = crash_guard.digest_of(call.target, organisation, body)
         if self.parts.guard.is_refused(digest):
             return refusing.CONDEMNED
-        wait_s = route.timeout_s
-        if call.time_left_s is not None:
-            wait_s = min(wait_s, call.time_left_s)
         return works.Work(
             exchange=exchange,
             call=call,
@@ -129,7 +130,7 @@
             service=service,
             caller=caller,
             configuration=table.configuration.version,
-            watch=supervision.Watch(exchange.socket, arrived_s + wait_s),
+            watch=supervision.Watch(exchange.socket, deadline_s),
             digest=digest,
             arrived_s=arrived_s,
             progress=attempts.Progress(last_event_id=call.last_event_id),
--- a/src/briarseam/forwarding/shutdown.py
+++ b/src/briarseam/forwarding/shutdown.py
@@ -5,14 +5,10 @@
 import typing
 
 from briarseam import clocks
-from briarseam.routes import model as routes
 
-# Streams run for some seconds.  One that begins later than this after the
-# order to stop would be cut off when the process ends; its caller finds
-# another instance by then, since lookups have run out.
-STREAMS_FOR_S = 2.5
-# Other requests are answered well within this.
-LAST_REQUESTS_S = 1.5
+# Callers may still be sent here by their last lookup, so for this long every
+# request is taken.  Most end before the process does, which has 7 s.
+ALL_TAKEN_FOR_S = 2.5
 
 
 class Shutdown:
@@ -52,11 +48,21 @@
         if self.begun_s is None:
             self.begun_s = self.clock()
 
-    def takes(self, route: routes.Route) -> bool:
-        """Tell whether a request on a route can still be answered whole."""
+    def takes(self, deadline_s: float) -> bool:
+        """Tell whether a request can still be answered whole.
+
+        Guard: an endpoint may use all the time that a request has.  One that
+        has more of it than this process would be cut off when the process
+        ends, while other instances serve it whole.
+
+        Parameters
+        ----------
+        deadline_s
+            When the request is to have its answer, by the clock.
+        """
         if self.begun_s is None:
             return True
         since_s = self.clock() - self.begun_s
-        if route.repeat is routes.Repeat.STREAM:
-            return since_s < min(STREAMS_FOR_S, self.bound_s() / 2)
-        return since_s < self.bound_s() - LAST_REQUESTS_S
+        if since_s < min(ALL_TAKEN_FOR_S, self.bound_s() / 2):
+            return True
+        return deadline_s <= self.begun_s + self.bound_s()
--- /dev/null
+++ b/tests/platform/test_stopping.py
@@ -0,0 +1,29 @@
+"""What an instance that was told to stop takes on, and how it ends it."""
+
+from __future__ import annotations
+
+from briarseam import clocks
+
+DEADLINE_MS = 2500
+
+
+def stop_since(node, since_s):
+    """Let an instance have been told to stop some time ago."""
+    node.shutdown.begun_s = clocks.boot_clock() - since_s
+
+
+def test_call_that_has_more_time_than_the_instance_goes_elsewhere(system):
+    """A booking is taken long after SIGTERM and given up.
+
+    It has 2.5 s, the instance 1.6; an endpoint that turned slow works on it
+    when the process ends.  Told "not run" at once, its caller asks another
+    instance.
+    """
+    left_s = DEADLINE_MS / 1000 - 0.9
+    stop_since(system.node, system.node.serving_bound_s() - left_s)
+    refused = system.call("/submit/x", Deadline_Ms=str(DEADLINE_MS))
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) < 1.0
+    assert not any(worker.ran for worker in system.workers.values())
+    taken = system.call("/submit/x", Deadline_Ms="1000")
+    assert taken.status == 200
