Requests that the end of an instance cuts off have a final answer

Callers whose request was still under way when the time to shut down was over saw their connection closed: no answer, no verdict, nothing to say whether they might ask again. Now each is ended first and told "may have run" if an endpoint had it, "not run" with where to go otherwise; the process waits half a second at most for these answers. A stream that has begun is broken off as before. Whether an endpoint had a request is noted where it is sent; a request that only waited for room is told "not run" at its deadline, too, which was "may have run" before.

The new test fails on the code before: no answer.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -62,6 +62,9 @@
 HOUSEKEEPING_S = 1.0
 # Left of the time to shut down, for the end of the process itself.
 EXIT_MARGIN_S = 1.0
+# For the last answers to requests that are cut off: their threads may wait
+# for a connection to an endpoint, which takes 0.4 s at most.
+FINAL_ANSWERS_S = 0.5
 # Lookups are kept for three times their time to live by some callers, but
 # those have other addresses to turn to.
 LINGER_S = 3.0
@@ -306,8 +309,10 @@
             bound_s=bound_s,
             hurry=hurry,
         ).run()
-        self.in_flight.move_to(inflight.Stage.REFUSING)
-        self.forwarding.note_cut_off()
+        if isinstance(outcome, drain.CutOff):
+            self.in_flight.move_to(inflight.Stage.REFUSING)
+            self.forwarding.cut_off()
+            self.in_flight.close(FINAL_ANSWERS_S)
         return outcome
 
     def serving_bound_s(self) -> float:
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -59,6 +59,9 @@
 TIMED_OUT = verdict.MayHaveRun(
     verdict.Reason.DEADLINE, "the endpoint did not answer in time"
 )
+CUT_OFF = verdict.MayHaveRun(
+    verdict.Reason.LEAVING, "this instance ended before the endpoint answered"
+)
 LOST = verdict.MayHaveRun(
     verdict.Reason.ENDPOINT_LOST, "the endpoint's answer was lost"
 )
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -47,6 +47,7 @@
     def __init__(self, parts: works.Parts) -> None:
         self.parts = parts
         self.under_way: dict[int, works.Work] = {}
+        self.cutting = False
         self.lock = threading.Lock()
 
     def handle(self, exchange: server.Exchange) -> None:
@@ -140,6 +141,9 @@
         """Answer one request that the configuration allows."""
         with self.lock:
             self.under_way[id(work)] = work
+            cutting = self.cutting
+        if cutting:
+            work.watch.end(supervision.Ending.CUT_OFF)
         self.parts.budget.earn(work.service.name)
         self.parts.supervisor.watch(work.watch)
         try:
@@ -152,9 +156,16 @@
                 del self.under_way[id(work)]
         self.note(work, ended)
 
-    def note_cut_off(self) -> None:
-        """Log each request that the end of the process cuts off."""
+    def cut_off(self) -> None:
+        """End all requests under way, since the process ends.
+
+        Guard: a request that the process takes with it has neither an answer
+        nor a verdict; its caller sees a closed connection and can't tell
+        whether it may ask again.  Ended here, it is told; only a stream that
+        has begun is broken off.
+        """
         with self.lock:
+            self.cutting = True
             cut_off = list(self.under_way.values())
         for work in cut_off:
             log.warning(
@@ -166,6 +177,7 @@
                 age_ms=round((clocks.boot_clock() - work.arrived_s) * 1000),
                 time_left_ms=round(work.watch.left_s() * 1000),
             )
+            work.watch.end(supervision.Ending.CUT_OFF)
 
     def try_endpoints(self, work: works.Work) -> str:
         """Send the request to endpoints until one answers.
@@ -277,6 +289,9 @@
         outcome: outcomes.Outcome | None = None
         try:
             outcome = self.parts.sender.send(errand)
+        except supervision.EndedError:
+            work.may_have_run = True
+            raise
         finally:
             chooser.ended(placed, work.call, added)
             self.note_send(work, placed, outcome, first_ms)
@@ -327,10 +342,8 @@
             or work.progress.events_sent
         ):
             work.exchange.abort()
-        elif work.steps:
-            self.answer(work.exchange, refusing.TIMED_OUT)
         else:
-            self.answer(work.exchange, refusing.TOO_LATE)
+            self.answer(work.exchange, verdict_of(ending, work.may_have_run))
         return ending.value
 
     def refuse_unread(self, exchange: server.Exchange, detail: str) -> None:
@@ -380,3 +393,18 @@
             outcome=ended,
             took_ms=round(took_s * 1000),
         )
+
+
+def verdict_of(
+    ending: supervision.Ending, may_have_run: bool
+) -> verdict.Verdict:
+    """Return what a caller is told of a request that was ended."""
+    match ending, may_have_run:
+        case supervision.Ending.CUT_OFF, True:
+            return refusing.CUT_OFF
+        case supervision.Ending.CUT_OFF, False:
+            return refusing.LEAVING
+        case _, True:
+            return refusing.TIMED_OUT
+        case _:
+            return refusing.TOO_LATE
--- a/src/briarseam/forwarding/supervision.py
+++ b/src/briarseam/forwarding/supervision.py
@@ -37,6 +37,7 @@
 
     CALLER_GONE = "caller-gone"
     TIMED_OUT = "timed-out"
+    CUT_OFF = "cut-off"
 
 
 class EndedError(Exception):
--- a/tests/platform/test_stopping_process.py
+++ b/tests/platform/test_stopping_process.py
@@ -98,6 +98,12 @@
         return False
 
 
+def hold(deployment):
+    """Let endpoints work on what they get."""
+    for worker in deployment.past:
+        worker.set(hold=True)
+
+
 def stop(deployment):
     """Send SIGTERM."""
     deployment.instances[0].send(signal.SIGTERM)
@@ -164,3 +170,26 @@
         time.sleep(0.01)
     caller.send_body()
     assert caller.status() == 200
+
+
+def test_request_that_is_cut_off_has_a_final_answer(deployment):
+    """An endpoint turned slow, and a booking ends without an answer.
+
+    It came before its instance was told to stop, and its endpoint was still
+    at work when the time to shut down was over.  The process went and took
+    the request along; its caller could not tell whether to ask again.
+    """
+    hold(deployment)
+    path = deployment.instances[0].settings
+    path.write_text(
+        path.read_text().replace("shutdown_s = 8", "shutdown_s = 2")
+    )
+    deployment.instances[0].send(signal.SIGHUP)
+    await_line(deployment, "settings_reloaded")
+    caller = Caller(address(deployment))
+    caller.send_head("slow")
+    caller.send_body()
+    waiting.until(lambda: runs(deployment, "slow"), PATIENCE_S)
+    stop(deployment)
+    assert caller.status() == 502
+    await_line(deployment, "request_cut_off")
