Signals: the handler of SIGTERM takes no lock that the main thread may hold

A process could go on serving after SIGTERM until it was killed, and all that it had taken since was given up: its handler set an Event on which the main thread waits, and waited for itself if the signal came while that thread held the event's lock.

The handler sets plain values now, and the interpreter wakes the main thread through a pipe, also for a signal that another thread got. So the wait needs no end, which saves four wake-ups a second.

--- a/src/briarseam/command/daemons.py
+++ b/src/briarseam/command/daemons.py
@@ -63,6 +63,6 @@
     print(f"{role} {daemon.start()}", flush=True)
     stop.wait()
     daemon.ring.note(kinds.Kind.LEAVING)
-    daemon.drain(stop.second.is_set)
+    daemon.drain(lambda: stop.hurried)
     daemon.stop()
     return 0
--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -64,10 +64,10 @@
         callers=str(settings.listen.callers),
         settings=settings.path,
     )
-    stop.wait()
-    late_ms = round((clocks.boot_clock() - stop.first_s) * 1000)
+    asked_s = stop.wait()
+    late_ms = round((clocks.boot_clock() - asked_s) * 1000)
     log.info("stopping", noticed_after_ms=late_ms)
-    node.drain(stop.second.is_set)
+    node.drain(lambda: stop.hurried)
     node.stop(STOP_WAIT_S)
     log.info("stopped", log_lines_left_out=writer.left_out)
     writer.close()
--- a/src/briarseam/command/signals.py
+++ b/src/briarseam/command/signals.py
@@ -2,59 +2,69 @@
 
 from __future__ import annotations
 
+import os
+import select
 import signal
-import threading
 import types
 import typing
 
 from briarseam import clocks
 
-# How late a signal may be noticed that another thread got.
-CHECK_S = 0.25
+READ_BYTES = 64
 
 
 class StopSignals:
     """Which of the signals to stop have come.
 
+    Guard: a handler runs in the main thread, wherever that is.  One that
+    took a lock which the waiting main thread holds for a moment, as
+    `threading.Event` does, would wait for itself for good; it shows as a
+    process that serves on after SIGTERM until it is killed, with all that it
+    serves.  The handler only sets plain values, and the interpreter itself
+    wakes the main thread through a pipe, whichever thread the kernel gave
+    the signal to.
+
     Attributes
     ----------
-    first
-        Set by the first: stop when nothing is in flight.
-    second
-        Set by the second: stop now.
     first_s
-        When the first was taken in, by the boot clock; 0 before it.
+        When the first came, by the boot clock; `None` before it.
+    hurried
+        Whether another came: stop now.
     """
 
     def __init__(self) -> None:
-        self.first = threading.Event()
-        self.second = threading.Event()
-        self.first_s = 0.0
+        self.first_s: float | None = None
+        self.hurried = False
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        os.set_blocking(self.writer, False)
 
-    def wait(self) -> None:
+    def wait(self) -> float:
         """Wait for the first of them, in the main thread.
 
-        Handlers run in the main thread only.  The kernel hands a signal to
-        another thread when the main one has just got one, as when SIGTERM
-        follows SIGHUP at once, and a main thread that waits without a limit
-        is not woken then: the process would not stop.
+        Returns
+        -------
+        float
+            When it came, by the boot clock.
         """
-        while not self.first.wait(CHECK_S):
-            pass
+        while self.first_s is None:
+            select.select([self.reader], [], [])
+            os.read(self.reader, READ_BYTES)
+        return self.first_s
 
     def note(self, number: int, frame: types.FrameType | None) -> None:
         """Take in a signal."""
         del number, frame
-        if self.first.is_set():
-            self.second.set()
-        else:
+        if self.first_s is None:
             self.first_s = clocks.boot_clock()
-        self.first.set()
+        else:
+            self.hurried = True
 
 
 def watch() -> StopSignals:
     """Return what SIGTERM and SIGINT set from now on."""
     signals = StopSignals()
+    signal.set_wakeup_fd(signals.writer, warn_on_full_buffer=False)
     signal.signal(signal.SIGTERM, signals.note)
     signal.signal(signal.SIGINT, signals.note)
     return signals
--- a/tests/command/test_signals.py
+++ b/tests/command/test_signals.py
@@ -52,3 +52,43 @@
     assert process.stdout.readline() == b"reloaded\n"
     process.terminate()
     assert process.wait() == 0
+
+
+BUSY_PROGRAM = """
+import os, signal, sys, threading
+from briarseam.command import signals
+
+# Nearly always on its way in or out of the wait, where a signal did harm.
+signals.CHECK_S = 0.0
+stop = signals.watch()
+
+def strike():
+    sys.stdin.readline()
+    os.kill(os.getpid(), signal.SIGTERM)
+
+threading.Thread(target=strike, daemon=True).start()
+print("waiting", flush=True)
+stop.wait()
+print("stopped", flush=True)
+"""
+PROCESSES = 8
+END_S = 20.0
+
+
+@pytest.mark.timeout(60)
+def test_signal_in_the_middle_of_the_wait_stops_the_process(start_python):
+    """SIGTERM comes just as the main thread looks whether it has come.
+
+    Its handler took a lock that the main thread held for the look, and so
+    the process waited for itself: it served on until it was killed, and all
+    requests that it had taken since were given up.
+    """
+    processes = [
+        start_python("-c", BUSY_PROGRAM, stdin=subprocess.PIPE)
+        for _ in range(PROCESSES)
+    ]
+    for process in processes:
+        assert process.stdout.readline() == b"waiting\n"
+        process.stdin.write(b"now\n")
+        process.stdin.flush()
+    assert [process.wait(END_S) for process in processes] == [0] * PROCESSES
