A second SIGTERM does not hurry a stop; SIGINT does

Where series of stops overlap, or a supervisor repeats itself, an instance gets SIGTERM twice; the second one cut off at once all that it was to finish. An operator who has no time sends SIGINT. The new test fails on the code before.

--- a/src/briarseam/command/signals.py
+++ b/src/briarseam/command/signals.py
@@ -29,7 +29,7 @@
     first_s
         When the first came, by the boot clock; `None` before it.
     hurried
-        Whether another came: stop now.
+        Whether an operator asked again, by SIGINT: stop now.
     """
 
     def __init__(self) -> None:
@@ -54,10 +54,11 @@
 
     def note(self, number: int, frame: types.FrameType | None) -> None:
         """Take in a signal."""
-        del number, frame
+        del frame
         if self.first_s is None:
             self.first_s = clocks.boot_clock()
-        else:
+        elif number == signal.SIGINT:
+            # A supervisor may repeat SIGTERM, which asks for nothing new.
             self.hurried = True
 
 
--- a/src/briarseam/membership/drain.py
+++ b/src/briarseam/membership/drain.py
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class CutOff:
-    """The bound, or a second signal, came before the last request's end.
+    """The bound, or an operator's hurry, came before the last request's end.
 
     Attributes
     ----------
@@ -74,7 +74,7 @@
     bound_s
         Longest drain; what is in flight then is cut off.
     hurry
-        Whether to give up waiting now, for instance at a second signal.
+        Whether to give up waiting now, as an operator asks with SIGINT.
     """
 
     announce: typing.Callable[[], None]
--- a/tests/command/test_signals.py
+++ b/tests/command/test_signals.py
@@ -92,3 +92,27 @@
         process.stdin.write(b"now\n")
         process.stdin.flush()
     assert [process.wait(END_S) for process in processes] == [0] * PROCESSES
+
+
+REPEATED_PROGRAM = """
+import os, signal
+from briarseam.command import signals
+
+stop = signals.watch()
+os.kill(os.getpid(), signal.SIGTERM)
+stop.wait()
+for number in (signal.SIGTERM, signal.SIGINT):
+    os.kill(os.getpid(), number)
+    print(stop.hurried, flush=True)
+"""
+
+
+@pytest.mark.timeout(30)
+def test_only_an_operator_hurries_a_stop(start_python):
+    """Two series of stops overlap, and an instance gets SIGTERM twice.
+
+    The second one cut off what it was to finish.  An operator who has no
+    time presses Ctrl-C.
+    """
+    process = start_python("-c", REPEATED_PROGRAM)
+    assert process.stdout.read() == b"False\nTrue\n"
