The time to shut down counts from SIGTERM, also over a suspension

An instance that was told to stop while it started, or that was suspended then, counted its time from when it noticed, and by a clock that stands still in a suspension. It would be killed while it serves, with all requests that it had taken; they were lost. Now the handler notes the boot clock, and drain and admission count from there.

--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -67,7 +67,7 @@
     asked_s = stop.wait()
     late_ms = round((clocks.boot_clock() - asked_s) * 1000)
     log.info("stopping", noticed_after_ms=late_ms)
-    node.drain(lambda: stop.hurried)
+    node.drain(lambda: stop.hurried, asked_s)
     node.stop(STOP_WAIT_S)
     log.info("stopped", log_lines_left_out=writer.left_out)
     writer.close()
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -296,9 +296,20 @@
             self.guard.forget_old()
             self.chooser.loads.keep_only(frozenset(self.instances.all_names()))
 
-    def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
-        """Leave the lookups and serve what is under way."""
-        self.shutdown.begin()
+    def drain(
+        self, hurry: typing.Callable[[], bool], asked_s: float | None = None
+    ) -> drain.Outcome:
+        """Leave the lookups and serve what is under way.
+
+        Parameters
+        ----------
+        hurry
+            Whether to give up waiting now.
+        asked_s
+            When this process was asked to stop, by the boot clock; now
+            unless given.
+        """
+        self.shutdown.begin(asked_s)
         bound_s = self.serving_bound_s()
         outcome = drain.Drain(
             announce=self.announce_leaving,
@@ -307,7 +318,9 @@
             settle=self.in_flight.refuse_if_idle,
             linger_s=lambda: min(LINGER_S, bound_s / 2),
             bound_s=bound_s,
+            asked_s=self.shutdown.begun_s,
             hurry=hurry,
+            clock=clocks.boot_clock,
         ).run()
         if isinstance(outcome, drain.CutOff):
             self.in_flight.move_to(inflight.Stage.REFUSING)
--- a/src/briarseam/forwarding/shutdown.py
+++ b/src/briarseam/forwarding/shutdown.py
@@ -43,10 +43,16 @@
             return 0
         return round((self.clock() - self.begun_s) * 1000)
 
-    def begin(self) -> None:
-        """Note the order to stop."""
+    def begin(self, asked_s: float | None = None) -> None:
+        """Note the order to stop.
+
+        Parameters
+        ----------
+        asked_s
+            When it came, by the clock; now unless given.
+        """
         if self.begun_s is None:
-            self.begun_s = self.clock()
+            self.begun_s = self.clock() if asked_s is None else asked_s
 
     def takes(self, deadline_s: float) -> bool:
         """Tell whether a request can still be answered whole.
--- a/src/briarseam/membership/drain.py
+++ b/src/briarseam/membership/drain.py
@@ -73,6 +73,8 @@
         other cells.
     bound_s
         Longest drain; what is in flight then is cut off.
+    asked_s
+        When the process was asked to stop, by the clock; now unless given.
     hurry
         Whether to give up waiting now, as an operator asks with SIGINT.
     """
@@ -83,13 +85,18 @@
     settle: typing.Callable[[], bool]
     linger_s: typing.Callable[[], float]
     bound_s: float = DEFAULT_BOUND_S
+    asked_s: float | None = None
     hurry: typing.Callable[[], bool] = lambda: False
     clock: typing.Callable[[], float] = time.monotonic
     sleep: typing.Callable[[float], None] = time.sleep
 
     def run(self) -> Outcome:
         """Drain; return how it ended."""
-        started = self.clock()
+        # Guard: whoever sent SIGTERM kills the process some seconds later.
+        # Counted from when it was noticed, as after a start or a suspension,
+        # the bound would come after that, and what is served until then
+        # would be lost.
+        started = self.clock() if self.asked_s is None else self.asked_s
         log.info("draining", in_flight=self.in_flight())
         self.announce()
         self.wait(self.told, started + min(TELL_BOUND_S, self.bound_s))
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -38,3 +38,14 @@
     clock.now_s += since_s
     shutdown.begin()
     assert shutdown.takes(clock.now_s + time_s) is taken
+
+
+def test_time_to_shut_down_counts_from_the_order_to_stop():
+    """The order was noticed three seconds late, at the end of a start."""
+    clock = clocks.ManualClock()
+    shutdown = shutdowns.Shutdown(lambda: 7.0, clock)
+    asked_s = clock.now_s
+    clock.now_s += 3.0
+    shutdown.begin(asked_s)
+    assert shutdown.since_ms() == 3000
+    assert not shutdown.takes(asked_s + 7.0 + CALL_S)
--- a/tests/membership/test_drain.py
+++ b/tests/membership/test_drain.py
@@ -16,6 +16,7 @@
     hurry_at: float = float("inf")
     now: float = 0.0
     announced: int = 0
+    asked_s: float | None = None
 
     def sleep(self, seconds: float) -> None:
         self.now += seconds
@@ -31,6 +32,7 @@
             settle=lambda: self.now >= self.idle_at,
             linger_s=lambda: LINGER_S,
             bound_s=bound_s,
+            asked_s=self.asked_s,
             hurry=lambda: self.now >= self.hurry_at,
             clock=lambda: self.now,
             sleep=self.sleep,
@@ -80,3 +82,21 @@
     outcome = Daemon(idle_at=float("inf"), hurry_at=3.0).drain()
     assert isinstance(outcome, drain.CutOff)
     assert outcome.waited_s < 4.0
+
+
+def test_bound_counts_from_the_order_to_stop() -> None:
+    """A process is told to stop while it starts, and notices it seconds
+    later.  Counted from then, its bound comes after its supervisor has
+    killed it, with all that it serves.
+    """
+    daemon = Daemon(now=5.0, asked_s=1.0, idle_at=float("inf"))
+    outcome = daemon.drain(bound_s=7.0)
+    assert isinstance(outcome, drain.CutOff)
+    assert 8.0 <= daemon.now < 8.2
+
+
+def test_order_to_stop_that_is_long_past_ends_the_drain_at_once() -> None:
+    """An instance was suspended; its supervisor's patience is over."""
+    daemon = Daemon(now=60.0, asked_s=1.0, idle_at=float("inf"))
+    daemon.drain(bound_s=7.0)
+    assert daemon.now < 60.2
