A request whose time is over is not sent to an endpoint

A caller whose body came after its deadline had its request sent on with no time left (time_left_ms of -1504 in a test's log), and was told that it may have run. It is told "not run" now. The new test fails on the code before.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -212,6 +212,11 @@
         until_s = since_s + hold_s
         while True:
             work.watch.check()
+            if work.watch.left_s() <= 0:
+                # The supervisor looks each 50 ms only.  Sent on meanwhile,
+                # the request would run for nobody, and its caller could not
+                # be told that it has not.
+                raise supervision.EndedError(supervision.Ending.TIMED_OUT)
             placed = chooser.choose(work.request())
             if not isinstance(placed, placements.Full):
                 return placed
--- a/tests/platform/test_time_and_recovery.py
+++ b/tests/platform/test_time_and_recovery.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import http.client
+import socket
+import time
+
 from briarseam.testing import waiting
 
 DEADLINE_MS = 3000
@@ -42,6 +46,27 @@
     assert 0 < deadlines(system)[0] <= 3000 + SLACK_MS
 
 
+def test_request_that_has_no_time_left_reaches_no_endpoint(system):
+    """A caller is slow to send its body, and its deadline passes meanwhile.
+
+    Sent on, a booking would run for nobody, and its caller be told that it
+    may have run.
+    """
+    listen = system.node.settings.listen.callers
+    with socket.create_connection((listen.ip, listen.port)) as sock:
+        sock.sendall(
+            b"POST /submit/x HTTP/1.1\r\nHost: kitchens.example\r\n"
+            b"Request-Id: slow\r\nAuthorization: Bearer key-of-north\r\n"
+            b"Deadline-Ms: 50\r\nContent-Length: 2\r\n\r\n"
+        )
+        time.sleep(0.2)
+        sock.sendall(b"{}")
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        assert answer.status == 503
+    assert not any(system.workers[name].ran for name in PLAIN)
+
+
 def test_instance_stays_ready_and_serves_while_the_store_is_away(system):
     """The platform's store is down for a while.
 
