Supervision: an event only asks for a look at the caller that is there now

The thread that watches callers' sockets took an event for the request that was registered under its descriptor when it looked, and in between a connection may have been closed and its descriptor be another caller's. The endpoint was stopped, or went on for nobody.

Now the event says only where to look, and what the socket itself says decides. Class: the same as of requests lost at a stop, a look and an act in two steps. The test fails before; one more call of poll for each event of a caller that left or sent ahead. The test of requests sent ahead asks for what the look found, which is as strict.

--- a/src/briarseam/forwarding/supervision.py
+++ b/src/briarseam/forwarding/supervision.py
@@ -29,6 +29,7 @@
 ONCE = select.EPOLLONESHOT
 CLOSED_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 GONE_EVENTS = CLOSED_EVENTS | select.EPOLLIN | ONCE
+CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -40,6 +41,14 @@
     CUT_OFF = "cut-off"
 
 
+class Presence(enum.Enum):
+    """What a caller's socket says of it."""
+
+    QUIET = "quiet"
+    SENT_AHEAD = "sent-ahead"
+    GONE = "gone"
+
+
 class EndedError(Exception):
     """The request was ended; its thread has nothing more to send."""
 
@@ -155,22 +164,33 @@
     def run(self) -> None:
         """Watch until stopped."""
         while not self.stopping.is_set():
-            for descriptor, events in self.poller.poll(TICK_S):
-                self.take_event(descriptor, events)
+            for descriptor, _events in self.poller.poll(TICK_S):
+                self.take_event(descriptor)
             self.end_overdue()
 
-    def take_event(self, descriptor: int, events: int) -> None:
-        """End a request whose caller has gone."""
+    def take_event(self, descriptor: int) -> None:
+        """End the request on a descriptor if its caller has gone.
+
+        Guard: between the poll and this look a connection may have been
+        closed and its descriptor be another caller's, whose request would
+        be ended for it: its connection closes with no answer while the
+        endpoint is at work.  So an event only asks for a look at the caller
+        that has the descriptor now.
+        """
         with self.lock:
             watch = self.watches.get(descriptor)
             if watch is None:
                 return
-            if not events & CLOSED_EVENTS and not is_gone(watch.caller):
-                # A next request that was sent ahead; only the end counts
-                # from now on, or the poll would return at once each time.
-                self.poller.modify(descriptor, CLOSED_EVENTS | ONCE)
-                return
-        watch.end(Ending.CALLER_GONE)
+            presence = look_at(watch.caller)
+            match presence:
+                case Presence.QUIET:
+                    self.poller.modify(descriptor, GONE_EVENTS)
+                case Presence.SENT_AHEAD:
+                    # Only the end counts from now on, or the poll would
+                    # return at once each time.
+                    self.poller.modify(descriptor, CLOSED_EVENTS | ONCE)
+        if presence is Presence.GONE:
+            watch.end(Ending.CALLER_GONE)
 
     def end_overdue(self) -> None:
         """End the requests whose deadline is over."""
@@ -183,11 +203,20 @@
             watch.end(Ending.TIMED_OUT)
 
 
-def is_gone(caller: socket.socket) -> bool:
-    """Tell whether a caller, whose socket is readable, has closed it."""
+def look_at(caller: socket.socket) -> Presence:
+    """Return what a caller's socket says of it now."""
+    poller = select.poll()
+    poller.register(caller, select.POLLIN | select.POLLRDHUP)
+    found = poller.poll(0)
+    if not found:
+        return Presence.QUIET
+    _descriptor, events = found[0]
+    if events & CLOSED:
+        return Presence.GONE
     try:
-        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        sent = caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
-        return False
+        return Presence.QUIET
     except OSError:
-        return True
+        return Presence.GONE
+    return Presence.SENT_AHEAD if sent else Presence.GONE
--- a/tests/forwarding/test_supervision.py
+++ b/tests/forwarding/test_supervision.py
@@ -71,7 +71,7 @@
     watch = watch_of(pair)
     supervisor.watch(watch)
     pair[1].sendall(b"GET / HTTP/1.1\r\n")
-    waiting.until(lambda: supervision.is_gone(pair[0]) is False)
+    waiting.until(lambda: supervision.look_at(pair[0]).name == "SENT_AHEAD")
     assert watch.ending is None
     pair[1].close()
     waiting.until(lambda: watch.ending is supervision.Ending.CALLER_GONE)
@@ -131,6 +131,6 @@
         assert pair[0].fileno() == descriptor
         second = watch_of(pair)
         supervisor.watch(second)
-        for event in reported:
-            supervisor.take_event(*event)
+        for number, _events in reported:
+            supervisor.take_event(number)
         assert second.ending is None
