Entry: a request that comes as an entry ends is refused

The cause of requests lost at a stop, looked for elsewhere: an entry, too, looked whether a request was in flight and then ended, and its server gave what came in between two seconds at most. It takes the same class for both now, and refuses in its own form what comes after the look. Read, not seen: no soak of entries has shown it.

--- a/src/briarseam/entry/counting.py
+++ b/src/briarseam/entry/counting.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+import http
 import typing
 
+from briarseam import verdict
+from briarseam.entry import problems
+
 if typing.TYPE_CHECKING:
     from briarseam import inflight
 
 CLOSE = ("Connection", "close")
+RETRY_AFTER_S = 1.0
+# The caller's next connection goes to another entry.
+LEAVING = verdict.NotRun(
+    verdict.Reason.LEAVING,
+    "this entry has shut down; others serve",
+    RETRY_AFTER_S,
+)
 
 
 class CountingApplication:
@@ -17,7 +28,9 @@
     waiting for a grant either, so the count is taken around the whole
     application.  While the process is leaving, each answer asks the caller
     to close its connection: an idle one that were kept open could carry
-    the next request just as the process exits.
+    the next request just as the process exits.  Once a stop has found
+    nothing in flight, requests are refused as not run: the process ends in
+    a moment and would take them along.
 
     Parameters
     ----------
@@ -53,7 +66,10 @@
 
         self.in_flight.enter()
         try:
-            body = self.application(environ, start)
+            if self.in_flight.refusing:
+                body = refuse(start)
+            else:
+                body = self.application(environ, start)
         except BaseException:
             self.in_flight.leave()
             raise
@@ -85,3 +101,21 @@
                 close()
         finally:
             self.in_flight.leave()
+
+
+def refuse(
+    start_response: typing.Callable[..., typing.Any],
+) -> typing.Iterable[bytes]:
+    """Answer that this entry takes nothing more."""
+    status = problems.STATUS[LEAVING.reason]
+    body = problems.document(LEAVING, status)
+    phrase = http.HTTPStatus(status).phrase
+    start_response(
+        f"{status} {phrase}",
+        [
+            ("Content-Type", problems.MEDIA_TYPE),
+            ("Content-Length", str(len(body))),
+            ("Retry-After", problems.retry_after_text(RETRY_AFTER_S)),
+        ],
+    )
+    return [body]
