Membership: its parts take what they need as arguments

service, answering, gossip and peer imported each other. Answering, Gossip and Peer now get data classes of what they need; taking in answers to heartbeats (hearing), asking seeds and how others are called are modules of their own.

--- a/src/briarseam/compose/membership.py
+++ b/src/briarseam/compose/membership.py
@@ -89,12 +89,12 @@
     registry.reading(
         "membership_heartbeats_answered",
         "Heartbeats that were answered, since start",
-        lambda: service.beats_answered,
+        lambda: service.hearing.beats_answered,
     )
     registry.reading(
         "membership_heartbeats_failed",
         "Heartbeats that were not, since start",
-        lambda: service.beats_failed,
+        lambda: service.hearing.beats_failed,
     )
     registry.reading(
         "instance_list_bytes",
--- a/src/briarseam/membership/answering.py
+++ b/src/briarseam/membership/answering.py
@@ -2,28 +2,55 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from briarseam.membership import messages
 
 if typing.TYPE_CHECKING:
-    from briarseam.membership import service
+    from briarseam.membership import sections as heartbeat_sections
+    from briarseam.membership import table as tables
     from briarseam.wire import connection as connections
     from briarseam.wire import server
 
 
+@dataclasses.dataclass(frozen=True)
+class AnsweringParts:
+    """What answering needs, wired by ``membership.service``.
+
+    Attributes
+    ----------
+    table
+        The cell's other agents.
+    sections
+        Takes what of other slices rides on heartbeats.
+    about
+        Returns what this agent says of itself.
+    digest
+        Returns the digest of the agents heard.
+    review
+        Judges the table anew, so that a new peer counts at once.
+    """
+
+    table: tables.Table
+    sections: heartbeat_sections.Sections
+    about: typing.Callable[[], messages.About]
+    digest: typing.Callable[[], int]
+    review: typing.Callable[[], None]
+
+
 class Answering:
     """Answers heartbeats and questions about members.
 
     Parameters
     ----------
-    membership
-        The membership to answer from.
+    parts
+        What it needs.
     """
 
-    def __init__(self, membership: service.Membership) -> None:
-        self.membership = membership
-        self.table = membership.table
+    def __init__(self, parts: AnsweringParts) -> None:
+        self.parts = parts
+        self.table = parts.table
 
     def register(self, router: server.Router) -> None:
         """Answer the other agents' messages."""
@@ -37,32 +64,31 @@
     ) -> messages.Introduced | messages.Superseded:
         """Take in what a peer says of itself."""
         del peer
-        me = self.membership
         about = beat.about
-        if about.name == me.settings.name:
+        if about.name == self.table.me.name:
             # Only this instance has the name, so one of two starts of it
             # has been replaced, whichever came first.
-            current = about.incarnation >= me.incarnation
+            current = about.incarnation >= self.parts.about().incarnation
         else:
-            current = self.table.take_about(about, me.clock())
+            current = self.table.take_about(about, self.table.clock())
         if not current:
             return messages.Superseded()
-        me.review()
+        self.parts.review()
         self.keep_sections(about.name, beat.sections)
-        return messages.Introduced(me.about(), me.digest)
+        return messages.Introduced(self.parts.about(), self.parts.digest())
 
     def on_heartbeat(
         self, peer: connections.Identity, beat: messages.Heartbeat
     ) -> messages.Alive | messages.UnknownAgent:
         """Take in that a peer lives."""
-        me = self.membership
         with self.table.lock:
             found = self.table.records.get(peer.name)
             if found is None or found.incarnation != beat.incarnation:
                 return messages.UnknownAgent()
-            self.table.note_heard(found, me.clock())
+            self.table.note_heard(found, self.table.clock())
         self.keep_sections(peer.name, beat.sections)
-        return messages.Alive(me.incarnation, me.digest)
+        incarnation = self.parts.about().incarnation
+        return messages.Alive(incarnation, self.parts.digest())
 
     def keep_sections(
         self, name: str, content: typing.Mapping[str, bytes]
@@ -75,14 +101,14 @@
             if found is None:
                 return
             found.sections.update(content)
-        self.membership.sections.consume(name, content)
+        self.parts.sections.consume(name, content)
 
     def on_peers_asked(
         self, peer: connections.Identity, asked: messages.PeersAsked
     ) -> messages.Peers:
         """Answer with the agents heard here."""
         del peer, asked
-        return messages.Peers((*self.table.abouts(), self.membership.about()))
+        return messages.Peers((*self.table.abouts(), self.parts.about()))
 
     def on_heard_asked(
         self, peer: connections.Identity, asked: messages.HeardAsked
@@ -93,5 +119,5 @@
             found = self.table.records.get(asked.name)
             if found is None or found.heard_at is None:
                 return messages.Heard(None, 0)
-            silent_s = found.silent_s(self.membership.clock())
+            silent_s = found.silent_s(self.table.clock())
             return messages.Heard(silent_s, found.incarnation)
--- /dev/null
+++ b/src/briarseam/membership/calling.py
@@ -0,0 +1,31 @@
+"""How this agent calls other agents."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+if typing.TYPE_CHECKING:
+    from briarseam.wire import connection as connections
+
+
+@dataclasses.dataclass(frozen=True)
+class Calling:
+    """What opening a connection to another agent takes.
+
+    Attributes
+    ----------
+    identity
+        This agent.
+    key
+        The shared key of the wire.
+    reply_timeout_s
+        Longest wait for a connection and for a reply, in seconds.
+    stamps
+        The process's hybrid clock, which rides on every frame.
+    """
+
+    identity: connections.Identity
+    key: bytes
+    reply_timeout_s: float
+    stamps: connections.Clock | None
--- a/src/briarseam/membership/gossip.py
+++ b/src/briarseam/membership/gossip.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
 import time
@@ -22,7 +23,8 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.backing import instances
-    from briarseam.membership import service
+    from briarseam.membership import calling as callings
+    from briarseam.membership import table as tables
     from briarseam.wire import server
 
 SECTION = "cells"
@@ -32,31 +34,50 @@
 JITTER = 0.2
 
 
+@dataclasses.dataclass(frozen=True)
+class GossipParts:
+    """What the exchange needs, wired by ``membership.service``.
+
+    Attributes
+    ----------
+    table
+        The other agents of this cell.
+    calling
+        How agents of other cells are called.
+    about
+        Returns what this agent says of itself.
+    review
+        Renews the view of all members once there is news.
+    interval_s
+        Seconds between exchanges.
+    """
+
+    table: tables.Table
+    calling: callings.Calling
+    about: typing.Callable[[], messages.About]
+    review: typing.Callable[[], None]
+    interval_s: float
+
+
 class Gossip:
     """Keeps the directory of other cells current.
 
     Parameters
     ----------
-    membership
-        Membership of this cell.
-    interval_s
-        Seconds between exchanges.
+    parts
+        What it needs.
     """
 
-    def __init__(
-        self, membership: service.Membership, interval_s: float
-    ) -> None:
-        self.membership = membership
-        self.interval_s = interval_s
-        self.directory = directories.Directory(membership.clock)
+    def __init__(self, parts: GossipParts) -> None:
+        self.parts = parts
+        self.table = parts.table
+        self.directory = directories.Directory(parts.table.clock)
         self.listed: dict[str, tuple[messages.About, ...]] = {}
         self.news: dict[str, messages.CellSummary] = {}
         self.behind = True
         self.lock = threading.Lock()
         self.wake = threading.Event()
         self.stopping = threading.Event()
-        membership.list_reader.add(self.take_listing)
-        membership.add_section(SECTION, self.directory.digest, self.consume)
 
     def register(self, router: server.Router) -> None:
         """Answer the exchange of other agents."""
@@ -77,16 +98,15 @@
         """Exchange each interval, and at once when there is news."""
         while not self.stopping.is_set():
             self.step()
-            self.wake.wait(
-                self.interval_s * random.uniform(1 - JITTER, 1 + JITTER)
-            )
+            jitter = random.uniform(1 - JITTER, 1 + JITTER)
+            self.wake.wait(self.parts.interval_s * jitter)
             self.wake.clear()
 
     def step(self) -> None:
         """Do what this agent's rank in its cell asks for."""
         self.directory.forget()
         contacts = self.own_contacts()
-        me = self.membership.settings.name
+        me = self.table.me.name
         self.directory.judges = me in [about.name for about in contacts]
         if self.directory.judges:
             self.write_own()
@@ -99,7 +119,7 @@
 
     def write_own(self) -> None:
         """Renew the summary of this cell if its members changed."""
-        cell = self.membership.table.my_cell()
+        cell = self.table.my_cell()
         members = self.own_members()
         have = self.directory.summary(cell)
         now_ms = time.time_ns() // 1_000_000
@@ -118,7 +138,7 @@
 
     def own_members(self) -> tuple[messages.About, ...]:
         """Return this cell's members that are heard, by name."""
-        abouts = [*self.membership.table.abouts(), self.membership.about()]
+        abouts = [*self.table.abouts(), self.parts.about()]
         return tuple(sorted(abouts, key=lambda about: about.name))
 
     def own_contacts(self) -> list[messages.About]:
@@ -136,7 +156,7 @@
 
     def partners(self) -> list[messages.About]:
         """Return one contact of each other cell."""
-        own = self.membership.table.my_cell()
+        own = self.table.my_cell()
         found = {
             cell: contacts_of(abouts) for cell, abouts in self.listed.items()
         }
@@ -158,16 +178,13 @@
         news: tuple[messages.CellSummary, ...] = (),
     ) -> bool:
         """Exchange with one agent; tell whether it answered."""
+        calling = self.parts.calling
         client = clients.Client(
-            partner.address,
-            self.membership.identity,
-            self.membership.key,
-            0,
-            self.membership.stamps,
+            partner.address, calling.identity, calling.key, 0, calling.stamps
         )
         asked = messages.CellsAsked(self.directory.stamps(), news)
         try:
-            reply = client.call(asked, self.membership.reply_timeout_s)
+            reply = client.call(asked, calling.reply_timeout_s)
         except connections.WireError:
             return False
         if not isinstance(reply, messages.CellsNews):
@@ -195,7 +212,7 @@
                 self.news[summary.cell] = summary
         if self.directory.judges:
             self.wake.set()
-        self.membership.review()
+        self.parts.review()
 
     def consume(self, member: str, digest: bytes) -> None:
         """Take in a peer's digest of the directory."""
@@ -210,7 +227,7 @@
         for row in rows:
             if row.role != "agent" or row.state == "leaving":
                 continue
-            cell = self.membership.table.cell_of(row.name, row.zone)
+            cell = self.table.cell_of(row.name, row.zone)
             about = messages.About(
                 row.name, row.zone, row.address, (), 0, False
             )
--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
 import typing
@@ -11,7 +12,10 @@
 from briarseam.wire import connection as connections
 
 if typing.TYPE_CHECKING:
-    from briarseam.membership import service
+    from briarseam.membership import calling as callings
+    from briarseam.membership import hearing as hearings
+    from briarseam.membership import sections as heartbeat_sections
+    from briarseam.membership import table as tables
     from briarseam.wire import codec
 
 FULL_INTERVAL_S = 10.0
@@ -20,6 +24,40 @@
 MAX_BACKOFF_S = 5.0
 
 
+@dataclasses.dataclass(frozen=True)
+class PeerParts:
+    """What heartbeats need, wired by ``membership.service``.
+
+    Attributes
+    ----------
+    calling
+        How peers are called.
+    address_of
+        Returns a peer's present address or raises ``WireError``.
+    about
+        Returns what this agent says of itself.
+    digest
+        Returns the digest of the agents heard.
+    sections
+        What of other slices rides along.
+    hearing
+        Takes in the answers.
+    interval_s
+        Returns the seconds between two heartbeats.
+    clock
+        Monotonic clock.
+    """
+
+    calling: callings.Calling
+    address_of: typing.Callable[[str], str]
+    about: typing.Callable[[], messages.About]
+    digest: typing.Callable[[], int]
+    sections: heartbeat_sections.Sections
+    hearing: hearings.Hearing
+    interval_s: typing.Callable[[], float]
+    clock: tables.Clock
+
+
 class Peer:
     """Heartbeats to one peer until stopped.
 
@@ -27,13 +65,13 @@
     ----------
     name
         The peer.
-    membership
-        This agent's membership.
+    parts
+        What it needs.
     """
 
-    def __init__(self, name: str, membership: service.Membership) -> None:
+    def __init__(self, name: str, parts: PeerParts) -> None:
         self.name = name
-        self.membership = membership
+        self.parts = parts
         self.stopping = threading.Event()
         self.wake = threading.Event()
         self.connection: connections.Connection | None = None
@@ -70,10 +108,10 @@
                 self.beat()
                 self.beats += 1
                 self.failures = 0
-                self.membership.count_beat(True)
+                self.parts.hearing.count_beat(True)
             except connections.WireError:
                 self.failures += 1
-                self.membership.count_beat(False)
+                self.parts.hearing.count_beat(False)
                 self.disconnect()
             self.wake.wait(self.pause_s())
         self.disconnect()
@@ -87,7 +125,7 @@
 
         Jitter keeps the agents' heartbeats from falling into step.
         """
-        interval_s = self.membership.heartbeat_interval_s
+        interval_s = self.parts.interval_s()
         backoff_s = min(interval_s * self.failures, MAX_BACKOFF_S)
         return max(interval_s, backoff_s) * random.uniform(
             1 - JITTER, 1 + JITTER
@@ -106,9 +144,9 @@
         # The peer was alive when the heartbeat went out.  Should this
         # process be frozen between sending and reading, the reply it finds
         # on waking is old, and so must the time be that it stands for.
-        sent_at = self.membership.clock()
+        sent_at = self.parts.clock()
         self.introducing = isinstance(beat, messages.Introduction)
-        connection.set_timeout(self.membership.reply_timeout_s)
+        connection.set_timeout(self.parts.calling.reply_timeout_s)
         connection.send(beat)
         self.take(connection, beat, connection.receive(), sent_at)
 
@@ -120,37 +158,39 @@
         sent_at: float,
     ) -> None:
         """Take in the reply to a heartbeat sent at ``sent_at``."""
+        hearing = self.parts.hearing
         self.sent.update(beat.sections)
         if isinstance(beat, messages.Introduction):
             self.sent_about = beat.about
         match reply:
             case messages.Introduced(about=about, digest=digest):
-                self.membership.take_about(about, sent_at)
+                hearing.take_about(about, sent_at)
                 self.learn_peers(connection, digest)
             case messages.Alive(incarnation=incarnation, digest=digest):
-                self.membership.take_alive(self.name, incarnation, sent_at)
+                hearing.take_alive(self.name, incarnation, sent_at)
                 self.learn_peers(connection, digest)
             case messages.UnknownAgent():
                 self.full_at = 0.0
             case messages.Superseded():
-                self.membership.freshness.note_superseded()
+                hearing.take_superseded()
                 self.full_at = 0.0
             case _:
                 raise connections.WireError("expected a heartbeat's answer")
 
     def connect(self) -> connections.Connection:
         """Return the open connection, or a new one to the present address."""
-        address = self.membership.address_of(self.name)
+        address = self.parts.address_of(self.name)
         if self.connection is not None and address == self.address:
             return self.connection
         self.disconnect()
         self.address = address
+        calling = self.parts.calling
         self.connection = clients.connect(
             address,
-            self.membership.identity,
-            self.membership.key,
-            self.membership.reply_timeout_s,
-            self.membership.stamps,
+            calling.identity,
+            calling.key,
+            calling.reply_timeout_s,
+            calling.stamps,
         )
         if self.connection.peer.name != self.name:
             raise connections.WireError(
@@ -167,9 +207,9 @@
 
     def compose(self) -> messages.Introduction | messages.Heartbeat:
         """Return the next heartbeat: everything, or only what changed."""
-        now = self.membership.clock()
-        about = self.membership.about()
-        content = self.membership.sections.content()
+        now = self.parts.clock()
+        about = self.parts.about()
+        content = self.parts.sections.content()
         if self.full_at == 0.0 or now - self.full_at > FULL_INTERVAL_S:
             self.full_at = now
             self.sent = {}
@@ -179,7 +219,7 @@
             for name, data in content.items()
             if self.sent.get(name) != data
         }
-        digest = self.membership.digest
+        digest = self.parts.digest()
         if about != self.sent_about:
             return messages.Introduction(about, digest, changed)
         return messages.Heartbeat(about.incarnation, digest, changed)
@@ -188,8 +228,8 @@
         self, connection: connections.Connection, digest: int
     ) -> None:
         """Ask the peer whom it hears when its view differs from ours."""
-        now = self.membership.clock()
-        if digest in (self.membership.digest, self.asked_digest):
+        now = self.parts.clock()
+        if digest in (self.parts.digest(), self.asked_digest):
             return
         if now - self.asked_at < PEERS_INTERVAL_S:
             return
@@ -198,4 +238,4 @@
         peers = connection.receive()
         if isinstance(peers, messages.Peers):
             self.asked_digest = digest
-            self.membership.take_peers(peers)
+            self.parts.hearing.take_peers(peers)
--- /dev/null
+++ b/src/briarseam/membership/seeds.py
@@ -0,0 +1,29 @@
+"""Learning of peers from the addresses in the settings."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.membership import messages
+from briarseam.wire import client as clients
+from briarseam.wire import connection as connections
+
+if typing.TYPE_CHECKING:
+    from briarseam.membership import calling as callings
+    from briarseam.membership import hearing as hearings
+
+
+def ask(
+    addresses: typing.Iterable[str],
+    calling: callings.Calling,
+    hearing: hearings.Hearing,
+) -> None:
+    """Ask each address whom it hears; one that is away is passed over."""
+    for address in addresses:
+        seed = clients.Client(address, calling.identity, calling.key, 0)
+        try:
+            reply = seed.call(messages.PeersAsked(), calling.reply_timeout_s)
+        except connections.WireError:
+            continue
+        if isinstance(reply, messages.Peers):
+            hearing.take_peers(reply)
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -9,13 +9,16 @@
 import structlog
 
 from briarseam.membership import answering
+from briarseam.membership import calling
 from briarseam.membership import cells
 from briarseam.membership import freshness
 from briarseam.membership import gossip
+from briarseam.membership import hearing
 from briarseam.membership import listing
 from briarseam.membership import messages
 from briarseam.membership import peer as peers
 from briarseam.membership import sections
+from briarseam.membership import seeds as seed_calls
 from briarseam.membership import state
 from briarseam.membership import suspicion
 from briarseam.membership import table as tables
@@ -85,18 +88,19 @@
         stamps: connections.Clock | None = None,
         tally: malformed.Tally | None = None,
     ) -> None:
-        self.stamps = stamps
         self.settings = me
         self.key = key
         self.seeds = seeds
         self.heartbeat_interval_s = heartbeat_interval_s
         self.suspect_after_s = suspect_after_s
-        self.reply_timeout_s = suspect_after_s / 2
         # A change is pushed from cell to cell within a beat or less, and
         # the agents there ask for it after the next; one spare.
         self.spread_s = SPREAD_BEATS * heartbeat_interval_s
         self.clock = clock
         self.identity = connections.Identity("agent", me.name)
+        self.calling = calling.Calling(
+            self.identity, key, suspect_after_s / 2, stamps
+        )
         self.incarnation = state.new_incarnation()
         self.entry_addresses = me.entry_addresses
         self.leaving = False
@@ -107,18 +111,62 @@
         self.sections = sections.Sections(
             heartbeat_interval_s / TICKS_PER_INTERVAL, clock, tally
         )
+        self.hearing = hearing.Hearing(self.table, self.freshness)
         self.peers: dict[str, peers.Peer] = {}
         self.clients: dict[str, clients.Client] = {}
         self.lock = threading.Lock()
-        self.beats_answered = 0
-        self.beats_failed = 0
         self.stopping = threading.Event()
         self.digest = 0
         self.snapshot: tuple[state.Member, ...] = ()
         self.wide = views.View()
-        self.gossip = gossip.Gossip(self, GOSSIP_BEATS * heartbeat_interval_s)
+        self.gossip = self.build_gossip()
         self.review()
 
+    # The parts.
+
+    def build_gossip(self) -> gossip.Gossip:
+        """Return the exchange with other cells, fed by list and peers."""
+        built = gossip.Gossip(
+            gossip.GossipParts(
+                table=self.table,
+                calling=self.calling,
+                about=self.about,
+                review=self.review,
+                interval_s=GOSSIP_BEATS * self.heartbeat_interval_s,
+            )
+        )
+        self.list_reader.add(built.take_listing)
+        self.add_section(gossip.SECTION, built.directory.digest, built.consume)
+        return built
+
+    def build_answering(self) -> answering.Answering:
+        """Return what answers the other agents."""
+        return answering.Answering(
+            answering.AnsweringParts(
+                table=self.table,
+                sections=self.sections,
+                about=self.about,
+                digest=lambda: self.digest,
+                review=self.review,
+            )
+        )
+
+    def build_peer(self, name: str) -> peers.Peer:
+        """Return the heartbeats to a peer."""
+        return peers.Peer(
+            name,
+            peers.PeerParts(
+                calling=self.calling,
+                address_of=self.address_of,
+                about=self.about,
+                digest=lambda: self.digest,
+                sections=self.sections,
+                hearing=self.hearing,
+                interval_s=lambda: self.heartbeat_interval_s,
+                clock=self.clock,
+            ),
+        )
+
     # What the other slices ask.
 
     @property
@@ -231,14 +279,17 @@
             found = self.clients.get(name)
             if found is None or found.address != address:
                 found = clients.Client(
-                    address, self.identity, self.key, clock=self.stamps
+                    address,
+                    self.identity,
+                    self.key,
+                    clock=self.calling.stamps,
                 )
                 self.clients[name] = found
             return found
 
     def register(self, router: server.Router) -> None:
         """Answer the other agents' messages."""
-        answering.Answering(self).register(router)
+        self.build_answering().register(router)
         self.gossip.register(router)
 
     def start(self) -> None:
@@ -263,7 +314,7 @@
             for client in self.clients.values():
                 client.close()
 
-    # What the peers' threads use.
+    # What the parts ask.
 
     def about(self) -> messages.About:
         """Return what this agent says of itself."""
@@ -284,32 +335,6 @@
                 raise UnknownMemberError(f"no member {name}")
             return found.agent_address
 
-    def take_about(self, about: messages.About, sent_at: float) -> None:
-        """Take in a peer's answer to an introduction sent at ``sent_at``."""
-        self.table.take_about(about, sent_at)
-        self.freshness.note_answer(sent_at)
-
-    def take_alive(self, name: str, incarnation: int, sent_at: float) -> None:
-        """Take in a peer's answer to a heartbeat sent at ``sent_at``."""
-        with self.table.lock:
-            found = self.table.records.get(name)
-            if found is not None and found.incarnation == incarnation:
-                self.table.note_heard(found, sent_at)
-        self.freshness.note_answer(sent_at)
-
-    def take_peers(self, answer: messages.Peers) -> None:
-        """Take in whom a peer hears."""
-        for about in answer.members:
-            self.table.take_hearsay(about)
-
-    def count_beat(self, answered: bool) -> None:
-        """Count a heartbeat by whether it was answered."""
-        with self.lock:
-            if answered:
-                self.beats_answered += 1
-            else:
-                self.beats_failed += 1
-
     # Threads.
 
     def watch(self) -> None:
@@ -339,7 +364,7 @@
         with self.table.lock:
             wanted = set(self.table.records)
         for name in wanted - set(self.peers):
-            peer = peers.Peer(name, self)
+            peer = self.build_peer(name)
             self.peers[name] = peer
             peer.start()
         for name in set(self.peers) - wanted:
@@ -361,19 +386,12 @@
 
     def ask(self, name: str, request: codec.Message) -> codec.Message:
         """Call a member and return its reply."""
-        return self.client(name).call(request, self.reply_timeout_s)
+        return self.client(name).call(request, self.calling.reply_timeout_s)
 
     def ask_seeds(self) -> None:
         """Learn of peers from the seeds while no peer is heard."""
         if len(self.snapshot) > 1:
             return
-        for address in self.seeds:
-            if address == self.settings.agent_address:
-                continue
-            seed = clients.Client(address, self.identity, self.key, 0)
-            try:
-                reply = seed.call(messages.PeersAsked(), self.reply_timeout_s)
-            except connections.WireError:
-                continue
-            if isinstance(reply, messages.Peers):
-                self.take_peers(reply)
+        me = self.settings.agent_address
+        others = [address for address in self.seeds if address != me]
+        seed_calls.ask(others, self.calling, self.hearing)
