--- a/tests/metrics/test_requests.py
+++ b/tests/admission/test_request_metrics.py
@@ -3,8 +3,8 @@
 import pytest
 
 from briarseam.admission import messages
+from briarseam.admission import request_metrics
 from briarseam.metrics import registry as registries
-from briarseam.metrics import requests
 from briarseam.wire import codec
 
 
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def counting(registry):
-    return requests.RequestMetrics(registry, lambda: 0.0)
+    return request_metrics.RequestMetrics(registry, lambda: 0.0)
 
 
 def ask(counting, reply, tokens=3000):
@@ -94,7 +94,7 @@
 
 def test_memory_of_runs_is_bounded(counting, monkeypatch):
     # Runs whose end is never told must not grow the agent.
-    monkeypatch.setattr(requests, "MAX_RUNS", 3)
+    monkeypatch.setattr(request_metrics, "MAX_RUNS", 3)
     for number in range(9):
         ask(counting, grant(f"r{number}", "a"))
     assert list(counting.runs) == ["r6", "r7", "r8"]
