Answer ids and where answers run move to admission, the agent's side

answers imported admission and admission answers. Sealing answer ids, locating runs and counting who reads them is what the agent does; answers keeps the entry's side. tests/admission, answers, compose, timeline, testing, matrix/test_answers green.

--- a/src/briarseam/answers/locating.py
+++ b/src/briarseam/admission/locating.py
@@ -6,10 +6,10 @@
 import typing
 
 from briarseam import verdict
+from briarseam.admission import answer_id
+from briarseam.admission import generations
 from briarseam.admission import messages
 from briarseam.admission import refusals
-from briarseam.answers import answer_id
-from briarseam.answers import generations
 from briarseam.wire import connection
 
 if typing.TYPE_CHECKING:
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -8,6 +8,7 @@
 import typing
 
 from briarseam import verdict
+from briarseam.admission import answer_id
 from briarseam.admission import dispatch
 from briarseam.admission import fair_queue
 from briarseam.admission import limits as limit_module
@@ -16,7 +17,6 @@
 from briarseam.admission import retries
 from briarseam.admission import returns
 from briarseam.admission import state
-from briarseam.answers import answer_id
 from briarseam.routing import state as routing
 
 if typing.TYPE_CHECKING:
--- a/src/briarseam/admission/service.py
+++ b/src/briarseam/admission/service.py
@@ -8,11 +8,11 @@
 from briarseam import verdict
 from briarseam.admission import guarded
 from briarseam.admission import idempotency
+from briarseam.admission import locating
 from briarseam.admission import messages
 from briarseam.admission import orphans
 from briarseam.admission import placing
 from briarseam.admission import refusals
-from briarseam.answers import locating
 from briarseam.orders import state as orders
 
 if typing.TYPE_CHECKING:
--- a/src/briarseam/compose/agent.py
+++ b/src/briarseam/compose/agent.py
@@ -8,8 +8,8 @@
 
 from briarseam import verdict
 from briarseam.admission import idempotency
+from briarseam.admission import locating
 from briarseam.admission import service as admission
-from briarseam.answers import locating
 from briarseam.backing import log as platform_log
 from briarseam.claims import service as claims_module
 from briarseam.compose import claims as compose_claims
--- a/src/briarseam/compose/timeline.py
+++ b/src/briarseam/compose/timeline.py
@@ -4,8 +4,8 @@
 
 import typing
 
+from briarseam.admission import answer_id
 from briarseam.admission import request_metrics
-from briarseam.answers import answer_id
 from briarseam.timeline import feed
 from briarseam.timeline import peers
 from briarseam.timeline import requests
--- a/src/briarseam/testing/demo.py
+++ b/src/briarseam/testing/demo.py
@@ -14,7 +14,7 @@
 import msgpack
 import urllib3
 
-from briarseam.answers import answer_id
+from briarseam.admission import answer_id
 from briarseam.testing import caller
 from briarseam.testing import words
 
--- a/tests/answers/test_answer_id.py
+++ b/tests/admission/test_answer_id.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from briarseam.answers import answer_id
+from briarseam.admission import answer_id
 
 KEY = b"k" * 32
 
