--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -82,6 +82,7 @@
         "feeds.records",
         "forwarding.calls",
         "forwarding.outcomes",
+        "inflight",
         "leases.outcomes",
         "leases.records",
         "log_writer",
