--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -11,6 +11,7 @@
 from briarseam import inflight
 from briarseam import malformed
 from briarseam.compose import node_calls
+from briarseam.compose import node_draining
 from briarseam.compose import node_feeds
 from briarseam.compose import node_instances
 from briarseam.compose import node_metrics
@@ -62,12 +63,6 @@
 HOUSEKEEPING_S = 1.0
 # Left of the time to shut down, for the end of the process itself.
 EXIT_MARGIN_S = 1.0
-# For the last answers to requests that are cut off: their threads may wait
-# for a connection to an endpoint, which takes 0.4 s at most.
-FINAL_ANSWERS_S = 0.5
-# Lookups are kept for three times their time to live by some callers, but
-# those have other addresses to turn to.
-LINGER_S = 3.0
 STOP_WAIT_S = 5.0
 log = structlog.get_logger("briarseam.node")
 
@@ -309,38 +304,18 @@
             When this process was asked to stop, by the boot clock; now
             unless given.
         """
-        self.shutdown.begin(asked_s)
-        bound_s = self.serving_bound_s()
-        outcome = drain.Drain(
-            announce=self.announce_leaving,
-            told=self.instances.told,
-            in_flight=lambda: self.in_flight.count,
-            settle=self.in_flight.refuse_if_idle,
-            linger_s=lambda: min(LINGER_S, bound_s / 2),
-            bound_s=bound_s,
-            asked_s=self.shutdown.begun_s,
-            hurry=hurry,
-            clock=clocks.boot_clock,
-        ).run()
-        if isinstance(outcome, drain.CutOff):
-            self.in_flight.move_to(inflight.Stage.REFUSING)
-            self.forwarding.cut_off()
-            self.in_flight.close(FINAL_ANSWERS_S)
-        return outcome
+        return node_draining.Draining(
+            self.shutdown,
+            self.in_flight,
+            self.forwarding,
+            self.instances,
+            self.sign_off,
+        ).run(hurry, asked_s)
 
     def serving_bound_s(self) -> float:
         """Return the longest time from SIGTERM to the end of serving."""
         return self.settings.bounds.shutdown_s - EXIT_MARGIN_S
 
-    def announce_leaving(self) -> None:
-        """Tell peers and store that this instance will be gone soon."""
-        if self.instances.service is not None:
-            self.instances.service.announce_leaving()
-        # The store may be away; what serves must not wait for it.
-        threading.Thread(
-            target=self.sign_off, name="sign-off", daemon=True
-        ).start()
-
     def sign_off(self) -> None:
         """Give up this instance's duty and registration."""
         self.weights.stop()
