--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -14,14 +14,13 @@
 from briarseam.compose import node_draining
 from briarseam.compose import node_feeds
 from briarseam.compose import node_instances
+from briarseam.compose import node_meeting
 from briarseam.compose import node_metrics
-from briarseam.compose import node_peers
 from briarseam.compose import node_servers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.compose import small_answers
 from briarseam.discovery import restarts
-from briarseam.feeds import shared_messages
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
@@ -36,15 +35,12 @@
 from briarseam.forwarding import work as works
 from briarseam.lookup import zonal
 from briarseam.membership import drain
-from briarseam.membership import sections
 from briarseam.metrics import registry as metrics
 from briarseam.peers import expiry
 from briarseam.placement import cell_loads
 from briarseam.placement import cell_weights
 from briarseam.placement import chooser as choosers
-from briarseam.placement import load_telling
 from briarseam.placement import loads
-from briarseam.placement import store_messages
 from briarseam.placement import store_sharing
 from briarseam.placement import store_watches
 from briarseam.placement import sweeping
@@ -56,7 +52,6 @@
 from briarseam.platform import store as stores
 
 if typing.TYPE_CHECKING:
-    from briarseam.membership import service as membership
     from briarseam.routes import model as routes
     from briarseam.settings import serving
 
@@ -153,12 +148,35 @@
         self.cell_weights = cell_weights.CellWeights(
             self.weights.board, self.calls, settings.instance.name
         )
-        self.load_telling: load_telling.LoadTelling | None = None
+        self.meeting = node_meeting.Meeting(
+            settings,
+            self.store,
+            self.feeds.registrations,
+            self.told(),
+            self.calls,
+            self.instances,
+            self.stopping,
+            self.tally,
+        )
         self.expiry = expiry.Expiry(
             self.feeds.registrations, self.instances.heard
         )
         node_metrics.register(self.metrics, self.readings())
 
+    def told(self) -> node_meeting.Told:
+        """Return the parts that tell peers something."""
+        return node_meeting.Told(
+            loads=self.chooser.loads,
+            cell_loads=self.cell_loads,
+            restarts=self.restarts,
+            guard=self.guard,
+            losses=self.loss_sharing,
+            weights=self.weights,
+            cell_weights=self.cell_weights,
+            stores=self.store_sharing,
+            topics=self.topic_reads,
+        )
+
     def build_forwarding(self) -> works.Parts:
         """Return what forwarding needs."""
         bounds = self.settings.bounds
@@ -216,72 +234,11 @@
         self.expiry.start()
         self.cell_loads.start()
         self.cell_weights.start()
-        threading.Thread(
-            target=self.meet_peers, name="meet-peers", daemon=True
-        ).start()
+        self.meeting.start()
         threading.Thread(
             target=self.keep_house, name="housekeeping", daemon=True
         ).start()
 
-    def meet_peers(self) -> None:
-        """Join the other instances, as soon as the store lets us."""
-        told = (
-            sections.Section(
-                "endpoint-loads",
-                self.chooser.loads.provide,
-                self.chooser.loads.consume,
-            ),
-            sections.Section(
-                "endpoint-starts",
-                self.restarts.provide,
-                self.restarts.consume,
-            ),
-            sections.Section(
-                "cell-loads",
-                self.cell_loads.provide,
-                self.cell_loads.consume,
-            ),
-            sections.Section(
-                "cell-weights",
-                self.cell_weights.provide,
-                self.cell_weights.consume,
-            ),
-            sections.Section(
-                "lost-requests", self.guard.provide, self.guard.consume
-            ),
-            *self.weights.told(),
-        )
-        self.instances.service = node_peers.join(
-            self.settings,
-            self.store,
-            self.feeds.registrations,
-            told,
-            {
-                store_messages.StoresAsked: self.store_sharing.answer,
-                loss_sharing.RequestsLost: self.loss_sharing.take,
-                shared_messages.RecordsAsked: self.topic_reads.answer,
-                cell_loads.CellLoad: self.cell_loads.answer,
-                cell_weights.WeightsTold: self.cell_weights.answer,
-            },
-            self.stopping,
-            self.tally,
-        )
-        if self.instances.service is not None:
-            self.tell_loads(self.instances.service)
-        log.info("peers_met", address=str(self.settings.listen.peers))
-
-    def tell_loads(self, service: membership.Membership) -> None:
-        """Begin to tell the cell this instance's work as it changes."""
-        self.load_telling = load_telling.LoadTelling(
-            self.chooser.loads,
-            self.settings.instance.name,
-            str(self.settings.listen.peers),
-            self.calls.peers,
-            service.key,
-            self.tally,
-        )
-        self.load_telling.start()
-
     def keep_house(self) -> None:
         """Forget what is old until stopped."""
         while not self.stopping.wait(HOUSEKEEPING_S):
@@ -337,8 +294,7 @@
         self.expiry.stop()
         self.cell_loads.stop()
         self.cell_weights.stop()
-        if self.load_telling is not None:
-            self.load_telling.stop()
+        self.meeting.stop()
         if not self.shutdown.begun:
             self.sign_off()
         self.stop_servers(wait_s)
--- /dev/null
+++ b/src/briarseam/compose/node_meeting.py
@@ -0,0 +1,171 @@
+"""Composing what an instance and its peers tell each other."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import structlog
+
+from briarseam.compose import node_peers
+from briarseam.feeds import shared_messages
+from briarseam.forwarding import loss_sharing
+from briarseam.membership import sections
+from briarseam.placement import cell_loads
+from briarseam.placement import cell_weights
+from briarseam.placement import load_telling
+from briarseam.placement import store_messages
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from briarseam import malformed
+    from briarseam.compose import node_calls
+    from briarseam.compose import node_instances
+    from briarseam.compose import node_weights
+    from briarseam.discovery import restarts
+    from briarseam.feeds import sharing
+    from briarseam.forwarding import crash_guard
+    from briarseam.membership import service as membership
+    from briarseam.peers import registrations
+    from briarseam.placement import loads
+    from briarseam.placement import store_sharing
+    from briarseam.platform import store as stores
+    from briarseam.settings import serving
+
+log = structlog.get_logger("briarseam.node")
+
+
+@dataclasses.dataclass(frozen=True)
+class Told:
+    """The parts that tell peers something.
+
+    Attributes
+    ----------
+    loads, cell_loads
+        Work at endpoints, of this instance and of its cell.
+    restarts
+        Starts of endpoints.
+    guard, losses
+        Requests that crash endpoints.
+    weights, cell_weights
+        Ages of weights, and engines that take new ones.
+    stores, topics
+        What is read for others, of stores of KV cache and of topics.
+    """
+
+    loads: loads.Loads
+    cell_loads: cell_loads.CellLoads
+    restarts: restarts.Restarts
+    guard: crash_guard.CrashGuard
+    losses: loss_sharing.LossSharing
+    weights: node_weights.Weights
+    cell_weights: cell_weights.CellWeights
+    stores: store_sharing.StoreSharing
+    topics: sharing.SharedReads
+
+    def sections(self) -> tuple[sections.Section, ...]:
+        """Return what heartbeats carry."""
+        named: dict[str, typing.Any] = {
+            "endpoint-loads": self.loads,
+            "endpoint-starts": self.restarts,
+            "cell-loads": self.cell_loads,
+            "cell-weights": self.cell_weights,
+            "lost-requests": self.guard,
+        }
+        return (
+            *(
+                sections.Section(name, part.provide, part.consume)
+                for name, part in named.items()
+            ),
+            *self.weights.told(),
+        )
+
+    def answers(self) -> collections.abc.Mapping[type, node_peers.Answer]:
+        """Return what answers peers' messages, by their kind."""
+        return {
+            store_messages.StoresAsked: self.stores.answer,
+            loss_sharing.RequestsLost: self.losses.take,
+            shared_messages.RecordsAsked: self.topics.answer,
+            cell_loads.CellLoad: self.cell_loads.answer,
+            cell_weights.WeightsTold: self.cell_weights.answer,
+        }
+
+
+class Meeting:
+    """Joins the other instances, as soon as the store lets us.
+
+    Parameters
+    ----------
+    settings, store, rows
+        Of this process; the store's client; registrations.
+    told
+        What peers are told.
+    calls, instances
+        The peers.
+    stopping
+        Ends the attempts.
+    tally
+        Notes what can't be read.
+    """
+
+    def __init__(
+        self,
+        settings: serving.ServeSettings,
+        store: stores.StoreClient,
+        rows: registrations.Registrations,
+        told: Told,
+        calls: node_calls.Calls,
+        instances: node_instances.Instances,
+        stopping: threading.Event,
+        tally: malformed.Tally,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.rows = rows
+        self.told = told
+        self.calls = calls
+        self.instances = instances
+        self.stopping = stopping
+        self.tally = tally
+        self.load_telling: load_telling.LoadTelling | None = None
+
+    def start(self) -> None:
+        """Begin, in a thread of its own."""
+        threading.Thread(
+            target=self.run, name="meet-peers", daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Tell peers nothing more between heartbeats."""
+        if self.load_telling is not None:
+            self.load_telling.stop()
+
+    def run(self) -> None:
+        """Join, and begin to tell."""
+        service = node_peers.join(
+            self.settings,
+            self.store,
+            self.rows,
+            self.told.sections(),
+            self.told.answers(),
+            self.stopping,
+            self.tally,
+        )
+        self.instances.service = service
+        if service is not None:
+            self.tell_loads(service)
+        log.info("peers_met", address=str(self.settings.listen.peers))
+
+    def tell_loads(self, service: membership.Membership) -> None:
+        """Begin to tell the cell this instance's work as it changes."""
+        self.load_telling = load_telling.LoadTelling(
+            self.told.loads,
+            self.settings.instance.name,
+            str(self.settings.listen.peers),
+            self.calls.peers,
+            service.key,
+            self.tally,
+        )
+        self.load_telling.start()
