--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -34,7 +34,7 @@
 from briarseam.forwarding import supervision
 from briarseam.forwarding import work as works
 from briarseam.lookup import zonal
-from briarseam.membership import drain
+from briarseam.membership import drain as drains
 from briarseam.metrics import registry as metrics
 from briarseam.peers import expiry
 from briarseam.placement import cell_loads
@@ -250,7 +250,7 @@
 
     def drain(
         self, hurry: typing.Callable[[], bool], asked_s: float | None = None
-    ) -> drain.Outcome:
+    ) -> drains.Outcome:
         """Leave the lookups and serve what is under way.
 
         Parameters
--- a/src/briarseam/compose/node_draining.py
+++ b/src/briarseam/compose/node_draining.py
@@ -12,7 +12,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.compose import node_instances
-    from briarseam.forwarding import service as forwarding
+    from briarseam.forwarding import service as forwarding_service
     from briarseam.forwarding import shutdown as shutdowns
 
 # For the last answers to requests that are cut off: their threads may wait
@@ -44,7 +44,7 @@
 
     shutdown: shutdowns.Shutdown
     in_flight: inflight.InFlight
-    forwarding: forwarding.Forwarding
+    forwarding: forwarding_service.Forwarding
     instances: node_instances.Instances
     sign_off: typing.Callable[[], None]
 
--- a/src/briarseam/compose/node_meeting.py
+++ b/src/briarseam/compose/node_meeting.py
@@ -24,12 +24,12 @@
     from briarseam.compose import node_calls
     from briarseam.compose import node_instances
     from briarseam.compose import node_weights
-    from briarseam.discovery import restarts
+    from briarseam.discovery import restarts as endpoint_restarts
     from briarseam.feeds import sharing
     from briarseam.forwarding import crash_guard
     from briarseam.membership import service as membership
     from briarseam.peers import registrations
-    from briarseam.placement import loads
+    from briarseam.placement import loads as endpoint_loads
     from briarseam.placement import store_sharing
     from briarseam.platform import store as stores
     from briarseam.settings import serving
@@ -55,9 +55,9 @@
         What is read for others, of stores of KV cache and of topics.
     """
 
-    loads: loads.Loads
+    loads: endpoint_loads.Loads
     cell_loads: cell_loads.CellLoads
-    restarts: restarts.Restarts
+    restarts: endpoint_restarts.Restarts
     guard: crash_guard.CrashGuard
     losses: loss_sharing.LossSharing
     weights: node_weights.Weights
