--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -11,6 +11,7 @@
 import typing
 
 import briarseam
+from briarseam import loading
 from briarseam.command import help_format
 
 if typing.TYPE_CHECKING:
@@ -148,7 +149,9 @@
 
 def load(command: Command) -> Module:
     """Return the module of a subcommand."""
-    return typing.cast("Module", importlib.import_module(command.module))
+    with loading.without_collections():
+        module = importlib.import_module(command.module)
+    return typing.cast("Module", module)
 
 
 def build_parser(chosen: Command | None) -> argparse.ArgumentParser:
--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 import typing
 
 import structlog
 
+from briarseam import loading
 from briarseam import log_writer
 from briarseam import logs
 from briarseam.command import signals
@@ -52,7 +54,11 @@
         typing.cast("typing.TextIO", writer),
     )
     # Imported here: the settings are checked before anything is loaded.
-    from briarseam.compose import node as compose
+    with loading.without_collections():
+        from briarseam.compose import node as compose
+
+        # Modules stay for good, and later collections leave them out.
+        gc.freeze()
 
     node = compose.Node(settings)
     signals.on_reload(node.reloading.ask)
