briarseam delays: where the time of requests went, from logs

By route, window of seconds, endpoint, and refusals by reason. Reading of log files moves out of explain, which uses it too.

--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -55,6 +55,11 @@
         "briarseam.command.condemned",
         "show and lift prompts refused for crashing endpoints",
     ),
+    Command(
+        "delays",
+        "briarseam.command.delays",
+        "show where the time of requests went, from logs",
+    ),
     Command(
         "demo",
         "briarseam.command.demo",
--- /dev/null
+++ b/src/briarseam/command/delays.py
@@ -0,0 +1,143 @@
+"""``briarseam delays``: where the time of requests went."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from briarseam.command import log_files
+from briarseam.command import options
+from briarseam.command import output
+from briarseam.delays import lines
+from briarseam.delays import sends
+from briarseam.delays import summary
+
+GROUP_HEADERS = (
+    "sends",
+    "unanswered",
+    "first ms p50",
+    "p95",
+    "fetch due p50",
+    "overdue",
+    "held",
+    "fetched",
+    "read",
+    "unseen sends",
+    "unseen requests",
+    "unseen tokens",
+    "refused",
+)
+REASON_HEADERS = ("reason", "route", "refused", "from s", "to s", "example")
+REASON = "reason"
+# Short enough to see a fault of some seconds, long enough for some sends.
+WINDOW_S = 2.0
+NOTHING = "-"
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options of the subcommand."""
+    log_files.add_logs(parser)
+    parser.add_argument(
+        "--by",
+        choices=[*(one.value for one in summary.By), REASON],
+        default=summary.By.ROUTE.value,
+        help="what a row tells of; reason: the refusals alone",
+    )
+    parser.add_argument(
+        "--window",
+        type=seconds,
+        default=WINDOW_S,
+        metavar="SECONDS",
+        help="length of a row by second",
+    )
+    options.add_output(parser)
+
+
+def seconds(text: str) -> float:
+    """Return a time in seconds, more than 0."""
+    value = float(text)
+    if not 0 < value < float("inf"):
+        raise argparse.ArgumentTypeError("expected seconds, more than 0")
+    return value
+
+
+def execute(args: argparse.Namespace) -> int:
+    """Print the delays of all sends, or the refusals."""
+    read = lines.read(log_files.documents(args.logs))
+    if read.unread:
+        print(
+            f"{read.unread} lines about requests could not be read",
+            file=sys.stderr,
+        )
+    if not read.lines:
+        print("no line about a request", file=sys.stderr)
+        return 1
+    joined = sends.join(read.lines)
+    if args.by == REASON:
+        print_reasons(args, summary.reasons(joined))
+    else:
+        by = summary.By(args.by)
+        print_groups(args, by, summary.groups(joined, by, args.window))
+    return 0
+
+
+def print_groups(
+    args: argparse.Namespace, by: summary.By, groups: list[summary.Group]
+) -> None:
+    """Print a row for each group."""
+    if getattr(args, "json", False):
+        output.print_json(groups)
+        return
+    rows = [group_row(group) for group in groups]
+    output.print_records(args, (by.value, *GROUP_HEADERS), rows)
+
+
+def group_row(group: summary.Group) -> tuple[str, ...]:
+    """Return the cells of a group."""
+    return (
+        group.name,
+        str(group.sends),
+        str(group.unanswered),
+        whole(group.first_p50_ms),
+        whole(group.first_p95_ms),
+        whole(group.fetch_due_p50_ms),
+        str(group.fetch_overdue),
+        whole(group.held),
+        whole(group.fetched),
+        whole(group.read),
+        str(group.unseen_sends),
+        tenths(group.unseen_requests),
+        whole(group.unseen_tokens),
+        str(group.refused),
+    )
+
+
+def print_reasons(
+    args: argparse.Namespace, reasons: list[summary.Reason]
+) -> None:
+    """Print a row for each reason and route."""
+    if getattr(args, "json", False):
+        output.print_json(reasons)
+        return
+    rows = [
+        (
+            one.reason,
+            one.route,
+            str(one.refused),
+            tenths(one.first_s),
+            tenths(one.last_s),
+            one.example,
+        )
+        for one in reasons
+    ]
+    output.print_records(args, REASON_HEADERS, rows)
+
+
+def whole(value: float | None) -> str:
+    """Return a value without its fraction, a dash for none."""
+    return NOTHING if value is None else f"{value:.0f}"
+
+
+def tenths(value: float | None) -> str:
+    """Return a value with a digit after the point, a dash for none."""
+    return NOTHING if value is None else f"{value:.1f}"
--- a/src/briarseam/command/explain.py
+++ b/src/briarseam/command/explain.py
@@ -7,6 +7,7 @@
 import sys
 import typing
 
+from briarseam.command import log_files
 from briarseam.command import options
 from briarseam.command import output
 
@@ -60,12 +61,7 @@
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the options of the subcommand."""
     parser.add_argument("request", help="id of the request")
-    parser.add_argument(
-        "logs",
-        nargs="*",
-        metavar="FILE",
-        help="logs of all instances; standard input unless given",
-    )
+    log_files.add_logs(parser)
     options.add_output(parser)
 
 
@@ -86,34 +82,14 @@
 
 
 def read_lines(paths: list[str]) -> collections.abc.Iterator[LogLine]:
-    """Yield the structured lines of logs; others are passed over.
-
-    Raises
-    ------
-    SystemExit
-        If a file can't be read.
-    """
-    if not paths:
-        yield from filter(None, map(parse, sys.stdin))
-        return
-    for path in paths:
-        try:
-            with open(path, encoding="utf-8", errors="replace") as log:
-                yield from filter(None, map(parse, log))
-        except OSError as error:
-            raise SystemExit(f"briarseam: {path}: {error.strerror}") from error
+    """Yield the structured lines of logs; others are passed over."""
+    yield from filter(None, map(parse, log_files.documents(paths)))
 
 
 def parse(text: str) -> LogLine | None:
-    """Return a line of a log, ``None`` if it is no structured one.
-
-    What a collector of logs writes before the document is passed over.
-    """
-    start = text.find("{")
-    if start < 0:
-        return None
+    """Return a line of a log, ``None`` if it is no structured one."""
     try:
-        found = json.loads(text[start:])
+        found = json.loads(text)
     except json.JSONDecodeError:
         return None
     if not isinstance(found, dict) or "event" not in found:
--- /dev/null
+++ b/src/briarseam/delays/__init__.py
@@ -0,0 +1,1 @@
+"""Where the time of requests goes, from the logs of all instances."""
