--- a/src/briarseam/delays/summary.py
+++ b/src/briarseam/delays/summary.py
@@ -102,10 +102,55 @@
 class Members:
     """What belongs to one group."""
 
-    sends: list[tuple[sends.Send, unseen.Unseen]]
+    sends: list[sends.Send]
+    unseen: list[unseen.Unseen]
     refused: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Naming:
+    """How groups are named.
+
+    Attributes
+    ----------
+    by
+        What groups are made of.
+    start_s
+        Time from which seconds are counted, in seconds since the epoch.
+    window_s
+        Length of a group by time, in seconds.
+    """
+
+    by: By
+    start_s: float
+    window_s: float
+
+    def of_send(self, send: sends.Send) -> str:
+        """Return the name of a send's group."""
+        match self.by:
+            case By.ROUTE:
+                return send.route or UNKNOWN_ROUTE
+            case By.SECOND:
+                return self.window(send.sent_s)
+            case By.ENDPOINT:
+                return send.sent.endpoint
+
+    def of_refusal(self, refusal: sends.Refusal) -> str | None:
+        """Return the name of a refusal's group; it has no endpoint."""
+        match self.by:
+            case By.ROUTE:
+                return refusal.route or UNKNOWN_ROUTE
+            case By.SECOND:
+                return self.window(refusal.at_s)
+            case By.ENDPOINT:
+                return None
+
+    def window(self, at_s: float) -> str:
+        """Return the second at which a time's window begins."""
+        since_s = at_s - self.start_s
+        return f"{since_s // self.window_s * self.window_s:g}"
+
+
 def groups(joined: sends.Joined, by: By, window_s: float) -> list[Group]:
     """Return the groups of sends and refusals, by name or time.
 
@@ -118,27 +163,19 @@
     window_s
         Length of a group by time, in seconds.
     """
-    start_s = beginning_s(joined)
-    found: dict[str, Members] = collections.defaultdict(lambda: Members([]))
+    naming = Naming(by, beginning_s(joined), window_s)
+    found: dict[str, Members] = collections.defaultdict(
+        lambda: Members([], [])
+    )
     unseen_work = unseen.find(joined.sends)
     for send, missing in zip(joined.sends, unseen_work, strict=True):
-        match by:
-            case By.ROUTE:
-                name = send.route or UNKNOWN_ROUTE
-            case By.SECOND:
-                name = window_name(send.sent_s - start_s, window_s)
-            case By.ENDPOINT:
-                name = send.sent.endpoint
-        found[name].sends.append((send, missing))
+        members = found[naming.of_send(send)]
+        members.sends.append(send)
+        members.unseen.append(missing)
     for refusal in joined.refusals:
-        match by:
-            case By.ROUTE:
-                found[refusal.route or UNKNOWN_ROUTE].refused += 1
-            case By.SECOND:
-                name = window_name(refusal.at_s - start_s, window_s)
-                found[name].refused += 1
-            case By.ENDPOINT:
-                pass
+        name = naming.of_refusal(refusal)
+        if name is not None:
+            found[name].refused += 1
     return [summarize(name, found[name]) for name in sorted(found, key=order)]
 
 
@@ -149,11 +186,6 @@
     return min(times, default=0.0)
 
 
-def window_name(since_s: float, window_s: float) -> str:
-    """Return the second at which a time's window begins."""
-    return f"{since_s // window_s * window_s:g}"
-
-
 def order(name: str) -> tuple[float, str]:
     """Return a key by which numbers stand in order before names."""
     try:
@@ -164,42 +196,27 @@
 
 def summarize(name: str, members: Members) -> Group:
     """Return what describes a group."""
-    with_prompt = [
-        (send, missing)
-        for send, missing in members.sends
-        if send.sent.tokens_waiting_there is not None
-    ]
-    prompts = [send.sent for send, _ in with_prompt]
-    first = [
-        send.first_ms for send, _ in members.sends if send.first_ms is not None
-    ]
-    unseen_requests = [
-        missing.requests
-        for _, missing in members.sends
-        if missing.requests > 0
-    ]
-    unseen_tokens = [
-        missing.tokens
-        for _, missing in with_prompt
-        if missing.tokens is not None and missing.tokens > 0
-    ]
+    first = [one.first_ms for one in members.sends if one.first_ms is not None]
+    sent = [one.sent for one in members.sends]
+    prompts = [one for one in sent if one.tokens_waiting_there is not None]
+    due = [one.fetch_late_ms for one in prompts if one.tokens_fetched]
+    requests = [one.requests for one in members.unseen if one.requests > 0]
     return Group(
         name=name,
         sends=len(members.sends),
-        unanswered=sum(not send.answered for send, _ in members.sends),
+        unanswered=sum(not one.answered for one in members.sends),
         first_p50_ms=quantile(first, MEDIAN),
         first_p95_ms=quantile(first, TAIL),
-        fetch_due_p50_ms=quantile(
-            [sent.fetch_late_ms for sent in prompts if sent.tokens_fetched],
-            MEDIAN,
+        fetch_due_p50_ms=quantile(due, MEDIAN),
+        fetch_overdue=sum(map(is_overdue, members.sends)),
+        held=mean([one.tokens_held for one in prompts]),
+        fetched=mean([one.tokens_fetched for one in prompts]),
+        read=mean([one.tokens_to_read for one in prompts]),
+        unseen_sends=len(requests),
+        unseen_requests=mean(requests),
+        unseen_tokens=mean(
+            [one.tokens for one in members.unseen if one.tokens > 0]
         ),
-        fetch_overdue=sum(is_overdue(send) for send, _ in members.sends),
-        held=mean([sent.tokens_held for sent in prompts]),
-        fetched=mean([sent.tokens_fetched for sent in prompts]),
-        read=mean([sent.tokens_to_read for sent in prompts]),
-        unseen_sends=len(unseen_requests),
-        unseen_requests=mean(unseen_requests),
-        unseen_tokens=mean(unseen_tokens),
         refused=members.refused,
     )
 
--- a/src/briarseam/delays/unseen.py
+++ b/src/briarseam/delays/unseen.py
@@ -20,12 +20,12 @@
     requests
         Requests; negative if some that it counted had ended.
     tokens
-        Prompt tokens to compute of requests without a first event; ``None``
-        for a request without a prompt.
+        Prompt tokens to compute of requests without a first event; 0 for a
+        request without a prompt, which does not look for them.
     """
 
     requests: int
-    tokens: int | None
+    tokens: int
 
 
 @dataclasses.dataclass
@@ -63,8 +63,8 @@
 def find(all_sends: list[sends.Send]) -> list[Unseen]:
     """Return for each send what was unseen at its endpoint.
 
-    Sends whose end is not in the logs count as known work alone: their
-    instance was lost, and their work with it.
+    Sends whose end is not in the logs don't count as work at an endpoint:
+    their instance was lost, and when they ended is not known.
     """
     running: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
     waiting: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
@@ -106,5 +106,5 @@
     known = sent.tokens_waiting_there
     return Unseen(
         requests.before(send.sent_s) - sent.requests_there,
-        None if known is None else tokens.before(send.sent_s) - known,
+        0 if known is None else tokens.before(send.sent_s) - known,
     )
