--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,6 +26,7 @@
     ),
     "compose": ("compose",),
     "edges": (
+        "delays",
         "entry",
         "platform",
         "status",
@@ -83,6 +84,7 @@
         "forwarding.calls",
         "forwarding.outcomes",
         "inflight",
+        "loading",
         "leases.outcomes",
         "leases.records",
         "log_writer",
