--- a/src/briarseam/placement/fetching.py
+++ b/src/briarseam/placement/fetching.py
@@ -63,14 +63,14 @@
     tried_s: float = NEVER_S
     due_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
-    def late_by(self, now_s: float) -> int:
-        """Return how many in a row are late, those under way included.
+    def is_slow(self, now_s: float) -> bool:
+        """Tell whether too many in a row are late, with those under way.
 
         An engine that still waits for a fetch tells so a third of a second
         before its first event does.
         """
         overdue = sum(due_s < now_s for due_s in self.due_s.values())
-        return self.late + overdue
+        return self.late + overdue >= LATE_IN_A_ROW
 
 
 class StoreHealth:
@@ -100,18 +100,16 @@
         now_s = self.clock()
         with self.lock:
             record = self.records.get(address)
-            if record is None or record.late_by(now_s) < LATE_IN_A_ROW:
+            if record is None or not record.is_slow(now_s):
                 return True
             return now_s >= record.tried_s + PAUSE_S
 
     def is_slow(self, address: str) -> bool:
         """Tell whether a store's last fetches were late."""
+        now_s = self.clock()
         with self.lock:
             record = self.records.get(address)
-            return (
-                record is not None
-                and record.late_by(self.clock()) >= LATE_IN_A_ROW
-            )
+            return record is not None and record.is_slow(now_s)
 
     def note_begun(
         self, addresses: typing.Iterable[str], prompt: str, late_after_s: float
@@ -121,7 +119,7 @@
         with self.lock:
             for address in addresses:
                 record = self.records.setdefault(address, Record())
-                if record.late_by(now_s) >= LATE_IN_A_ROW:
+                if record.is_slow(now_s):
                     record.tried_s = now_s
                 record.due_s[prompt] = now_s + late_after_s
 
