--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -197,7 +197,11 @@
     def reading_time(self, request: requests.Request) -> reading.ReadingTime:
         """Return how fast the engines of a request's service read."""
         name = request.service.name
-        return self.readings.setdefault(name, reading.ReadingTime())
+        found = self.readings.get(name)
+        if found is None:
+            # Two threads may both find none: the first one's stays.
+            found = self.readings.setdefault(name, reading.ReadingTime())
+        return found
 
     def placement(
         self, ask: cost.PromptAsk, chosen: cost.Candidate
