One error where an instance gives no reply

Cell loads and cell weights each had an UntoldError of their own, raised only in place of NoReplyError. That error now lies beside the wire's messages, and both slices catch it as it comes.

--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -16,6 +16,7 @@
 from briarseam.placement import store_messages
 from briarseam.wire import client as clients
 from briarseam.wire import connection as wire_connection
+from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     from briarseam.compose import node_instances
@@ -30,10 +31,6 @@
 Reply = typing.TypeVar("Reply")
 
 
-class NoReplyError(Exception):
-    """An instance did not answer, or not what was asked."""
-
-
 class Calls:
     """Calls to instances of this cell and of others.
 
@@ -49,9 +46,9 @@
         self.lock = threading.Lock()
 
     def service(self) -> membership.Membership:
-        """Return membership, or raise :class:`NoReplyError`."""
+        """Return membership, or raise :class:`replies.NoReplyError`."""
         if self.instances.service is None:
-            raise NoReplyError("no peer is met yet")
+            raise replies.NoReplyError("no peer is met yet")
         return self.instances.service
 
     def near(
@@ -70,9 +67,9 @@
         """
         try:
             client = self.service().client(name)
-            return checked(client.call(message, timeout_s), kind)
+            return replies.checked(client.call(message, timeout_s), kind)
         except wire_connection.WireError as error:
-            raise NoReplyError(str(error)) from error
+            raise replies.NoReplyError(str(error)) from error
 
     def tell(
         self, address: str, message: codec.Message, kind: type[Reply]
@@ -85,9 +82,11 @@
             When it does not answer with what was expected.
         """
         try:
-            return checked(self.client(address).call(message, TELL_S), kind)
+            return replies.checked(
+                self.client(address).call(message, TELL_S), kind
+            )
         except wire_connection.WireError as error:
-            raise NoReplyError(str(error)) from error
+            raise replies.NoReplyError(str(error)) from error
 
     def client(self, address: str) -> clients.Client:
         """Return the client of an instance of another cell."""
@@ -161,13 +160,10 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When it may not have been taken in.
         """
-        try:
-            self.tell(address, message, cell_loads.CellLoadNoted)
-        except NoReplyError as error:
-            raise cell_loads.UntoldError(str(error)) from error
+        self.tell(address, message, cell_loads.CellLoadNoted)
 
     def tell_losses(
         self, address: str, message: loss_sharing.RequestsLost
@@ -181,7 +177,7 @@
         """
         try:
             self.tell(address, message, loss_sharing.RequestsLostNoted)
-        except NoReplyError as error:
+        except replies.NoReplyError as error:
             raise loss_sharing.UntoldError(str(error)) from error
 
     def tell_weights(
@@ -191,13 +187,10 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When it may not have been taken in.
         """
-        try:
-            self.tell(address, message, cell_weights.WeightsNoted)
-        except NoReplyError as error:
-            raise cell_weights.UntoldError(str(error)) from error
+        self.tell(address, message, cell_weights.WeightsNoted)
 
     # Instances of this cell that read for it.
 
@@ -221,7 +214,7 @@
         kind = shared_messages.RecordsTold
         try:
             return self.near(reader, asked, kind, timeout_s)
-        except NoReplyError as error:
+        except replies.NoReplyError as error:
             raise feeds_sharing.ReaderUnavailableError(str(error)) from error
 
     def read_stores(
@@ -240,12 +233,5 @@
         kind = store_messages.StoresTold
         try:
             return self.near(reader, asked, kind, timeout_s)
-        except NoReplyError as error:
+        except replies.NoReplyError as error:
             raise shared_watch.ReaderUnavailableError(str(error)) from error
-
-
-def checked(reply: codec.Message, kind: type[Reply]) -> Reply:
-    """Return a reply of the expected kind, or raise."""
-    if not isinstance(reply, kind):
-        raise NoReplyError(f"answered {reply}")
-    return reply
--- a/src/briarseam/placement/cell_loads.py
+++ b/src/briarseam/placement/cell_loads.py
@@ -19,6 +19,7 @@
 from briarseam import clocks
 from briarseam.placement import loads as load_module
 from briarseam.wire import codec
+from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -61,10 +62,6 @@
     """Reply that carries nothing but that the work was taken in."""
 
 
-class UntoldError(Exception):
-    """A cell could not be told."""
-
-
 class Cells(typing.Protocol):
     """The cell of this instance, and one instance of each other."""
 
@@ -85,7 +82,7 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When it may not have been reached.
         """
 
@@ -148,7 +145,7 @@
         for address in addresses:
             try:
                 self.cells.tell_load(address, message)
-            except UntoldError as error:
+            except replies.NoReplyError as error:
                 untold.add(address)
                 if address not in self.untold:
                     log.warning(
--- a/src/briarseam/placement/cell_weights.py
+++ b/src/briarseam/placement/cell_weights.py
@@ -18,6 +18,7 @@
 
 from briarseam import clocks
 from briarseam.wire import codec
+from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -58,10 +59,6 @@
     """Reply that carries nothing but that it was taken in."""
 
 
-class UntoldError(Exception):
-    """A cell could not be told."""
-
-
 class Board(typing.Protocol):
     """What an instance knows of engines' weights.
 
@@ -94,7 +91,7 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When it may not have been taken in.
         """
 
@@ -179,7 +176,7 @@
         for address in addresses:
             try:
                 self.cells.tell_weights(address, message)
-            except UntoldError as error:
+            except replies.NoReplyError as error:
                 untold.add(address)
                 if address not in self.untold:
                     log.warning(
--- a/tests/compose/test_node_calls.py
+++ b/tests/compose/test_node_calls.py
@@ -7,9 +7,11 @@
 from briarseam.compose import node_calls
 from briarseam.forwarding import loss_sharing
 from briarseam.membership import state
+from briarseam.placement import cell_loads
 from briarseam.placement import shared_watch
 from briarseam.placement import store_messages
 from briarseam.wire import connection
+from briarseam.wire import replies
 
 ALIVE = state.MemberState.ALIVE
 ASKED = store_messages.StoresAsked((), 0.0)
@@ -73,6 +75,8 @@
     made.instances.service = None
     with pytest.raises(loss_sharing.UntoldError):
         made.tell_losses("b2:1", loss_sharing.RequestsLost(()))
+    with pytest.raises(replies.NoReplyError):
+        made.tell_load("b2:1", cell_loads.CellLoad("a", 2, ()))
     with pytest.raises(shared_watch.ReaderUnavailableError):
         made.read_stores("a2", ASKED, 1.0)
     assert made.name() == ""
--- a/tests/placement/test_cell_loads.py
+++ b/tests/placement/test_cell_loads.py
@@ -6,6 +6,7 @@
 
 from briarseam.placement import cell_loads
 from briarseam.placement import loads
+from briarseam.wire import replies
 from tests import clocks
 
 WORK = loads.Load(2, 900, 1, 5000)
@@ -33,7 +34,7 @@
 
     def tell_load(self, address, message):
         if self.away:
-            raise cell_loads.UntoldError("away")
+            raise replies.NoReplyError("away")
         self.others[address].answer(message)
 
 
--- a/tests/placement/test_cell_weights.py
+++ b/tests/placement/test_cell_weights.py
@@ -9,6 +9,7 @@
 from briarseam.placement import cell_weights
 from briarseam.weights import board as boards
 from briarseam.weights import goals
+from briarseam.wire import replies
 from tests import clocks
 
 ENGINE = "engine-1"
@@ -29,7 +30,7 @@
 
     def tell_weights(self, address, message):
         if self.away:
-            raise cell_weights.UntoldError("away")
+            raise replies.NoReplyError("away")
         self.told += 1
         self.others[address].answer(message)
 
--- /dev/null
+++ b/tests/wire/test_replies.py
@@ -0,0 +1,16 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.wire import codec
+from briarseam.wire import replies
+
+
+def test_reply_of_the_expected_kind_is_returned():
+    reply = codec.Failed("error", "broken")
+    assert replies.checked(reply, codec.Failed) is reply
+
+
+def test_reply_of_another_kind_is_none():
+    with pytest.raises(replies.NoReplyError):
+        replies.checked(codec.Failed("error", "broken"), int)
