One class for a task that a thread repeats at an interval

Nine parts (cell loads, cell weights, expiry, sweeper, store watches, rollout, orphans, idempotency, local entries) wrote the same event, thread and loop. polling.Poller does not fit: it begins at once, takes its pause from the answer and tells of failures to answer. What runs, and when, is the same.

--- a/src/briarseam/admission/idempotency.py
+++ b/src/briarseam/admission/idempotency.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from briarseam import repeating
 from briarseam import verdict
 from briarseam.admission import absences
 from briarseam.admission import messages
@@ -111,24 +112,17 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.attempts: dict[str, Attempt] = {}
-        self.stopping = threading.Event()
+        self.reviews = repeating.Repeater("idempotency", self.review, SWEEP_S)
 
     def start(self) -> None:
         """Begin looking for attempts whose end was never told."""
-        threading.Thread(
-            target=self.watch, name="idempotency", daemon=True
-        ).start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Give up what is still held; call it before the claims stop."""
-        self.stopping.set()
+        self.reviews.stop()
         self.lose(lambda attempt: True)
 
-    def watch(self) -> None:
-        """Look until stopped."""
-        while not self.stopping.wait(SWEEP_S):
-            self.review()
-
     def review(self) -> None:
         """Give up attempts whose end will not be told any more.
 
--- a/src/briarseam/admission/orphans.py
+++ b/src/briarseam/admission/orphans.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from briarseam import repeating
 from briarseam.admission import absences
 from briarseam.admission import messages
 
@@ -54,22 +55,15 @@
         self.clock = clock
         self.granted: dict[str, Granted] = {}
         self.lock = threading.Lock()
-        self.stopping = threading.Event()
+        self.reviews = repeating.Repeater("orphans", self.review, SWEEP_S)
 
     def start(self) -> None:
         """Begin looking for entries that are gone."""
-        threading.Thread(
-            target=self.watch, name="orphans", daemon=True
-        ).start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Stop looking."""
-        self.stopping.set()
-
-    def watch(self) -> None:
-        """Look until stopped."""
-        while not self.stopping.wait(SWEEP_S):
-            self.review()
+        self.reviews.stop()
 
     def note(self, granted: messages.Granted, entry: str) -> None:
         """Remember whose run it is."""
--- a/src/briarseam/membership/entries.py
+++ b/src/briarseam/membership/entries.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from briarseam import repeating
 from briarseam.membership import messages
 
 if typing.TYPE_CHECKING:
@@ -75,7 +76,9 @@
         self.expire_s = expire_s
         self.seen: dict[str, Seen] = {}
         self.lock = threading.Lock()
-        self.stopping = threading.Event()
+        self.reviews = repeating.Repeater(
+            "local-entries", self.review, REVIEW_S
+        )
 
     def register(self, router: server.Router) -> None:
         """Answer the entry processes' messages."""
@@ -83,18 +86,11 @@
 
     def start(self) -> None:
         """Begin looking for silent entries."""
-        threading.Thread(
-            target=self.run, name="local-entries", daemon=True
-        ).start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Stop looking."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Review until stopped."""
-        while not self.stopping.wait(REVIEW_S):
-            self.review()
+        self.reviews.stop()
 
     def on_here(
         self, peer: connections.Identity, here: messages.EntryHere
--- a/src/briarseam/peers/expiry.py
+++ b/src/briarseam/peers/expiry.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import threading
 import typing
 
 import structlog
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.feeds import records
 from briarseam.lookup import rank
 
@@ -53,23 +53,15 @@
         self.clock = clock
         self.silent_since: dict[str, float] = {}
         self.reviewed_s = clock()
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="expiry", daemon=True
-        )
+        self.reviews = repeating.Repeater("expiry", self.review, REVIEW_S)
 
     def start(self) -> None:
         """Begin."""
-        self.thread.start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Remove nothing further."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Review until stopped."""
-        while not self.stopping.wait(REVIEW_S):
-            self.review()
+        self.reviews.stop()
 
     def review(self) -> None:
         """Remove what was silent for long, if that falls to this instance.
--- a/src/briarseam/placement/cell_loads.py
+++ b/src/briarseam/placement/cell_loads.py
@@ -10,13 +10,13 @@
 from __future__ import annotations
 
 import dataclasses
-import threading
 import typing
 
 import msgspec
 import structlog
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.placement import loads as load_module
 from briarseam.wire import codec
 from briarseam.wire import replies
@@ -111,25 +111,21 @@
         self.clock = clock
         self.told: dict[str, tuple[CellLoad, float]] = {}
         self.untold: frozenset[str] = frozenset()
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="cell-loads", daemon=True
-        )
+        self.telling = repeating.Repeater("cell-loads", self.review, TELL_S)
 
     def start(self) -> None:
         """Begin telling."""
-        self.thread.start()
+        self.telling.start()
 
     def stop(self) -> None:
         """Tell nothing further."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Tell until stopped."""
-        while not self.stopping.wait(TELL_S):
-            self.forget_old()
-            if self.cells.tells():
-                self.tell_all()
+        self.telling.stop()
+
+    def review(self) -> None:
+        """Forget what is old; tell if that falls to this instance."""
+        self.forget_old()
+        if self.cells.tells():
+            self.tell_all()
 
     def tell_all(self) -> None:
         """Tell one instance of each other cell."""
--- a/src/briarseam/placement/cell_weights.py
+++ b/src/briarseam/placement/cell_weights.py
@@ -10,13 +10,13 @@
 from __future__ import annotations
 
 import dataclasses
-import threading
 import typing
 
 import msgspec
 import structlog
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.wire import codec
 from briarseam.wire import replies
 
@@ -127,23 +127,17 @@
         self.told_s = 0.0
         self.untold: frozenset[str] = frozenset()
         self.heard: dict[str, tuple[bytes, float]] = {}
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="cell-weights", daemon=True
+        self.reviews = repeating.Repeater(
+            "cell-weights", self.review, REVIEW_S
         )
 
     def start(self) -> None:
         """Begin telling."""
-        self.thread.start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Tell nothing further."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Tell until stopped."""
-        while not self.stopping.wait(REVIEW_S):
-            self.review()
+        self.reviews.stop()
 
     def review(self) -> None:
         """Tell what has changed, and again while an engine is changed."""
--- a/src/briarseam/placement/store_watches.py
+++ b/src/briarseam/placement/store_watches.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import collections
-import threading
 import typing
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.lookup import rank
 from briarseam.placement import shared_watch
 from briarseam.placement import store_watch
@@ -83,18 +83,17 @@
         self.addresses: frozenset[str] = frozenset()
         self.direct: dict[str, store_watch.StoreWatch] = {}
         self.shared: dict[str, shared_watch.SharedWatch] = {}
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="store-watches", daemon=True
+        self.reviews = repeating.Repeater(
+            "store-watches", self.review, REVIEW_S
         )
 
     def start(self) -> None:
         """Begin following."""
-        self.thread.start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Stop all watches."""
-        self.stopping.set()
+        self.reviews.stop()
         for direct in self.direct.values():
             direct.stop()
         for shared in self.shared.values():
@@ -108,11 +107,6 @@
         """Tell whether this instance reads a store itself."""
         return address in self.direct
 
-    def run(self) -> None:
-        """Review until stopped."""
-        while not self.stopping.wait(REVIEW_S):
-            self.review()
-
     def review(self) -> None:
         """Watch each store as falls to this instance just now."""
         if self.count() <= DIRECT_UP_TO:
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import collections
-import threading
 import typing
 
 import structlog
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.lookup import rank
 from briarseam.placement import salts
 from briarseam.placement import store_watch
@@ -76,23 +76,15 @@
         self.members = members
         self.clock = clock
         self.since: dict[tuple[str, int], float] = {}
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="sweeper", daemon=True
-        )
+        self.reviews = repeating.Repeater("sweeper", self.review, REVIEW_S)
 
     def start(self) -> None:
         """Begin."""
-        self.thread.start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Free nothing further."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Sweep until stopped."""
-        while not self.stopping.wait(REVIEW_S):
-            self.review()
+        self.reviews.stop()
 
     def review(self) -> None:
         """Sweep all stores that fall to this instance once."""
--- /dev/null
+++ b/src/briarseam/repeating.py
@@ -0,0 +1,49 @@
+"""A thread that does one task at a fixed interval until stopped."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+
+class Repeater:
+    """Does a task in a thread of its own, with the same pause before each.
+
+    Parameters
+    ----------
+    name
+        Of the thread.
+    task
+        What to do.
+    interval_s
+        Pause before the first time and between two, in seconds.
+
+    Attributes
+    ----------
+    stopping
+        Set once no further task begins.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        task: typing.Callable[[], object],
+        interval_s: float,
+    ) -> None:
+        self.task = task
+        self.interval_s = interval_s
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self.run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Begin."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop after the task under way."""
+        self.stopping.set()
+
+    def run(self) -> None:
+        """Do the task until stopped."""
+        while not self.stopping.wait(self.interval_s):
+            self.task()
--- a/src/briarseam/weights/rollout.py
+++ b/src/briarseam/weights/rollout.py
@@ -9,6 +9,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.weights import errands
 from briarseam.weights import goals
 from briarseam.weights import orders
@@ -43,26 +44,22 @@
         # The last plan that was logged, by model.
         self.planned: dict[str, tuple[goals.WeightGoal, plans.Plan]] = {}
         self.lock = threading.Lock()
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="rollout", daemon=True
-        )
+        self.reviews = repeating.Repeater("rollout", self.review, REVIEW_S)
 
     def start(self) -> None:
         """Begin."""
-        self.thread.start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Give no further orders."""
-        self.stopping.set()
+        self.reviews.stop()
 
-    def run(self) -> None:
-        """Look after all models until stopped."""
-        while not self.stopping.wait(REVIEW_S):
-            if self.sources.tenure.fence() is None:
-                continue
-            for goal in self.sources.goals().values():
-                self.advance(goal)
+    def review(self) -> None:
+        """Look after all models if this instance gives the orders."""
+        if self.sources.tenure.fence() is None:
+            return
+        for goal in self.sources.goals().values():
+            self.advance(goal)
 
     def advance(self, goal: goals.WeightGoal) -> None:
         """Take up as many engines of a model as may be changed at once."""
@@ -180,7 +177,7 @@
     def bring(self, errand: errands.Errand) -> None:
         """Change one engine; its place is free again afterwards."""
         try:
-            if not errand.run(self.stopping):
+            if not errand.run(self.reviews.stopping):
                 self.note_silent(errand.target.id)
         finally:
             with self.lock:
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -305,7 +305,7 @@
     eight lines a second for as long as the rollouts last.
     """
     case.rollout.stop()
-    case.rollout.thread.join()
+    case.rollout.reviews.thread.join()
     both = [goals.WeightGoal(name, 2) for name in ("m", "n")]
     targets = [
         model.Endpoint(
