--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -28,6 +28,7 @@
 from briarseam.cache import state as cache
 from briarseam.compose import serving
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.membership import state as members
 from briarseam.orders import state as orders
 from briarseam.routing import loads
@@ -124,8 +125,8 @@
 def view_of(size: Size) -> schema.View:
     """Return a configuration of a size."""
     endpoints = {
-        f"engine-{number}": schema.Endpoint(
-            kind=schema.EndpointKind.ENGINE,
+        f"engine-{number}": values.Endpoint(
+            kind=values.EndpointKind.ENGINE,
             address=f"127.0.0.1:{number + 1}",
             zone="a",
             models=(MODEL,),
@@ -133,14 +134,14 @@
         for number in range(size.engines)
     }
     for number in range(2):
-        endpoints[f"store-{number}"] = schema.Endpoint(
-            kind=schema.EndpointKind.STORE,
+        endpoints[f"store-{number}"] = values.Endpoint(
+            kind=values.EndpointKind.STORE,
             address=f"127.0.0.1:{number + 5000}",
             zone="a",
             link_bytes_per_s=50_000_000,
         )
     organisations = {
-        f"organisation-{number}": schema.Organisation(
+        f"organisation-{number}": values.Organisation(
             token_digest=tokens.digest(f"token-{number}"), max_running=64
         )
         for number in range(size.organisations)
@@ -148,7 +149,7 @@
     return schema.View(
         endpoints=endpoints,
         organisations=organisations,
-        models={MODEL: schema.Model(VERSION)},
+        models={MODEL: values.Model(VERSION)},
     )
 
 
@@ -260,9 +261,9 @@
     )
 
 
-def quantile(values: list[float], part: float) -> float:
+def quantile(samples: list[float], part: float) -> float:
     """Return a quantile, in microseconds."""
-    ordered = sorted(values)
+    ordered = sorted(samples)
     return round(ordered[int(part * (len(ordered) - 1))] * US, 1)
 
 
--- a/bench/kept_cache_cost.py
+++ b/bench/kept_cache_cost.py
@@ -19,6 +19,7 @@
 from briarseam.cache import state
 from briarseam.cache import stores
 from briarseam.configuration import schema
+from briarseam.configuration import values
 
 PIECES = 20
 SESSIONS = (100, 1000, 10000)
@@ -67,8 +68,8 @@
 
 def build() -> service.KeptCache:
     """Return a kept cache with a live store, without threads."""
-    endpoint = schema.Endpoint(
-        kind=schema.EndpointKind.STORE, address="127.0.0.1:1", zone="z"
+    endpoint = values.Endpoint(
+        kind=values.EndpointKind.STORE, address="127.0.0.1:1", zone="z"
     )
     view = schema.View(offset=1, endpoints={STORE: endpoint})
     kept = service.KeptCache(lambda: view, b"key", max_blocks=1 << 20)
--- a/bench/kept_cache_links.py
+++ b/bench/kept_cache_links.py
@@ -23,6 +23,7 @@
 from briarseam.cache import service
 from briarseam.cache import state
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_events
 from briarseam.testing import engine as engines
 from briarseam.testing import engine_cache
@@ -84,8 +85,8 @@
 
     def view(self) -> schema.View:
         """Return the configuration."""
-        endpoint = schema.Endpoint(
-            kind=schema.EndpointKind.STORE,
+        endpoint = values.Endpoint(
+            kind=values.EndpointKind.STORE,
             address=self.store.address,
             zone="z",
             link_bytes_per_s=self.budget,
@@ -93,7 +94,7 @@
         return schema.View(
             offset=1,
             endpoints={"keep-a": endpoint},
-            models={MODEL: schema.Model(version=VERSION)},
+            models={MODEL: values.Model(version=VERSION)},
         )
 
     def prompt(self, number: int) -> state.Prompt:
--- a/bench/poll_cost.py
+++ b/bench/poll_cost.py
@@ -23,6 +23,7 @@
 from briarseam.backing import instances
 from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_events
 from briarseam.endpoints import engine_load
 from briarseam.endpoints import engine_orders
@@ -145,8 +146,8 @@
     """Return the row of finding which engines this agent polls."""
     view = schema.View(
         endpoints={
-            f"draftmodels-{number}": schema.Endpoint(
-                schema.EndpointKind.ENGINE,
+            f"draftmodels-{number}": values.Endpoint(
+                values.EndpointKind.ENGINE,
                 f"10.1.{number // 250}.{number % 250}:7111",
                 "cph-hall-a",
             )
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -25,6 +25,7 @@
 
 from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_orders
 from briarseam.leases import outcomes
 from briarseam.leases import service as leases_service
@@ -147,18 +148,18 @@
 
 
 def view_of(
-    offset: int, version: str, addresses: list[str], weights: schema.Weights
+    offset: int, version: str, addresses: list[str], weights: values.Weights
 ) -> schema.View:
     """Return a configuration that wants one version."""
     endpoints = {
-        f"worker-{number}": schema.Endpoint(
-            schema.EndpointKind.ENGINE, address, f"zone-{number % 3}", (MODEL,)
+        f"worker-{number}": values.Endpoint(
+            values.EndpointKind.ENGINE, address, f"zone-{number % 3}", (MODEL,)
         )
         for number, address in enumerate(addresses)
     }
     return schema.View(
         offset=offset,
-        models={MODEL: schema.Model(version, floor=FLOOR)},
+        models={MODEL: values.Model(version, floor=FLOOR)},
         endpoints=endpoints,
         weights=weights,
     )
@@ -188,7 +189,7 @@
             for _ in range(ENGINES)
         ]
         addresses = [one.address for one in engines]
-        weights = schema.Weights(store.address, max_loading)
+        weights = values.Weights(store.address, max_loading)
         views = [view_of(1, "v0", addresses, weights)]
         leases = leases_service.Leases(
             platform_log.LogClient(log.address), "bench"
@@ -322,7 +323,7 @@
 def measure_compare(count: int) -> CompareRow:
     """Return the processor time of one comparison, nothing to do."""
     addresses = ["127.0.0.1:1"] * count
-    weights = schema.Weights("127.0.0.1:1", max(2, count // 64))
+    weights = values.Weights("127.0.0.1:1", max(2, count // 64))
     view = view_of(1, "v1", addresses, weights)
     loaded = engine_orders.EngineState(
         "b" * 32, {MODEL: engine_orders.ModelState("v1")}, 1, True
--- a/src/briarseam/admission/limits.py
+++ b/src/briarseam/admission/limits.py
@@ -18,6 +18,7 @@
 import xxhash
 
 from briarseam.configuration import schema
+from briarseam.configuration import values
 
 HOLD_S = 10.0
 HALF_LIFE_S = 2.0
@@ -220,7 +221,7 @@
 
 
 def is_near(
-    limits: schema.Organisation, usage: Usage, demand: float, count: int
+    limits: values.Organisation, usage: Usage, demand: float, count: int
 ) -> bool:
     """Tell whether an organisation comes near to its equal share here."""
     part = SILENT_PART / count
@@ -233,7 +234,7 @@
 
 
 def check_running(
-    limits: schema.Organisation, usage: Usage, part: float
+    limits: values.Organisation, usage: Usage, part: float
 ) -> Exceeded | None:
     """Check the requests running at once."""
     if not limits.max_running:
@@ -247,7 +248,7 @@
 
 
 def check_rate(
-    limits: schema.Organisation, usage: Usage, part: float, now: float
+    limits: values.Organisation, usage: Usage, part: float, now: float
 ) -> Exceeded | None:
     """Check the rate, with a bucket of a second's worth."""
     if not limits.requests_per_s:
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -23,6 +23,7 @@
     from briarseam.cache import service as kept_cache
     from briarseam.cache import state as cache
     from briarseam.configuration import schema
+    from briarseam.configuration import values
     from briarseam.orders import state as orders
 
 RUN_ID_BYTES = 12
@@ -187,7 +188,7 @@
         self,
         organisation: str,
         request: messages.AdmitCall,
-        service: schema.Service,
+        service: values.Service,
     ) -> messages.Granted:
         """Grant a service call an endpoint.
 
--- a/src/briarseam/admission/service.py
+++ b/src/briarseam/admission/service.py
@@ -18,6 +18,7 @@
 if typing.TYPE_CHECKING:
     from briarseam.admission import crash_guard
     from briarseam.configuration import schema
+    from briarseam.configuration import values
     from briarseam.wire import connection
     from briarseam.wire import server
 
@@ -209,7 +210,7 @@
             ),
         )
 
-    def service_of(self, request: messages.AdmitCall) -> schema.Service:
+    def service_of(self, request: messages.AdmitCall) -> values.Service:
         """Return the service that is called.
 
         A request with a key is refused for it only once its key is
--- a/src/briarseam/bench/links.py
+++ b/src/briarseam/bench/links.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from briarseam.configuration import schema
+from briarseam.configuration import values
 
 if typing.TYPE_CHECKING:
     from briarseam.bench import arms
@@ -50,7 +51,7 @@
     return tuple(
         Store(name, endpoint.address, endpoint.link_bytes_per_s)
         for name, endpoint in sorted(view.endpoints.items())
-        if endpoint.kind is schema.EndpointKind.STORE
+        if endpoint.kind is values.EndpointKind.STORE
     )
 
 
--- a/src/briarseam/cache/residents.py
+++ b/src/briarseam/cache/residents.py
@@ -13,6 +13,7 @@
 
 from briarseam.cache import state
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_events
 
 POLL_S = 1.0
@@ -205,7 +206,7 @@
         engines = [
             (endpoint.zone != self.zone, name, endpoint.address)
             for name, endpoint in self.view().endpoints.items()
-            if endpoint.kind is schema.EndpointKind.ENGINE
+            if endpoint.kind is values.EndpointKind.ENGINE
         ]
         followed = sorted(engines)[:MAX_FOLLOWED]
         return {name: address for _, name, address in followed}
--- a/src/briarseam/cache/stores.py
+++ b/src/briarseam/cache/stores.py
@@ -10,6 +10,7 @@
 
 from briarseam.cache import links
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import store as store_client
 
 FAILED_POLLS = 2
@@ -90,7 +91,7 @@
             wanted = {
                 name: endpoint
                 for name, endpoint in self.view().endpoints.items()
-                if endpoint.kind is schema.EndpointKind.STORE
+                if endpoint.kind is values.EndpointKind.STORE
             }
             for name in set(self.by_name) - set(wanted):
                 del self.by_name[name]
@@ -120,7 +121,7 @@
     def writable(self) -> list[Store]:
         """Return the stores that take blocks."""
         endpoints = self.view().endpoints
-        serving = schema.EndpointState.SERVING
+        serving = values.EndpointState.SERVING
         return [
             store
             for store in list(self.by_name.values())
--- a/src/briarseam/configuration/schema.py
+++ b/src/briarseam/configuration/schema.py
@@ -14,38 +14,7 @@
 
 import msgspec
 
-from briarseam.configuration.values import CachePolicy as CachePolicy
-from briarseam.configuration.values import Cell as Cell
-from briarseam.configuration.values import Endpoint as Endpoint
-from briarseam.configuration.values import EndpointKind as EndpointKind
-from briarseam.configuration.values import EndpointState as EndpointState
-from briarseam.configuration.values import Model as Model
-from briarseam.configuration.values import Organisation as Organisation
-from briarseam.configuration.values import RoutingPolicy as RoutingPolicy
-from briarseam.configuration.values import Service as Service
-from briarseam.configuration.values import Weights as Weights
-
-__all__ = [
-    "COLLECTIONS",
-    "SINGLES",
-    "CachePolicy",
-    "Cell",
-    "Endpoint",
-    "EndpointKind",
-    "EndpointState",
-    "Model",
-    "Organisation",
-    "RoutingPolicy",
-    "SchemaError",
-    "Service",
-    "Value",
-    "View",
-    "Weights",
-    "build_view",
-    "make_view",
-    "parse_value",
-    "value_type",
-]
+from briarseam.configuration import values
 
 
 class SchemaError(Exception):
@@ -66,27 +35,27 @@
 
 
 Value = (
-    Organisation
-    | Model
-    | Endpoint
-    | Service
-    | RoutingPolicy
-    | CachePolicy
-    | Cell
-    | Weights
+    values.Organisation
+    | values.Model
+    | values.Endpoint
+    | values.Service
+    | values.RoutingPolicy
+    | values.CachePolicy
+    | values.Cell
+    | values.Weights
 )
 
 COLLECTIONS: dict[str, type] = {
-    "organisations": Organisation,
-    "models": Model,
-    "endpoints": Endpoint,
-    "services": Service,
-    "cells": Cell,
+    "organisations": values.Organisation,
+    "models": values.Model,
+    "endpoints": values.Endpoint,
+    "services": values.Service,
+    "cells": values.Cell,
 }
 SINGLES: dict[str, type] = {
-    "policies/routing": RoutingPolicy,
-    "policies/kept-cache": CachePolicy,
-    "platform/weights": Weights,
+    "policies/routing": values.RoutingPolicy,
+    "policies/kept-cache": values.CachePolicy,
+    "platform/weights": values.Weights,
 }
 
 
@@ -151,22 +120,24 @@
     """
 
     offset: int = 0
-    organisations: typing.Mapping[str, Organisation] = dataclasses.field(
+    organisations: typing.Mapping[str, values.Organisation] = (
+        dataclasses.field(default_factory=dict)
+    )
+    models: typing.Mapping[str, values.Model] = dataclasses.field(
         default_factory=dict
     )
-    models: typing.Mapping[str, Model] = dataclasses.field(
+    endpoints: typing.Mapping[str, values.Endpoint] = dataclasses.field(
         default_factory=dict
     )
-    endpoints: typing.Mapping[str, Endpoint] = dataclasses.field(
+    services: typing.Mapping[str, values.Service] = dataclasses.field(
         default_factory=dict
     )
-    services: typing.Mapping[str, Service] = dataclasses.field(
+    cells: typing.Mapping[str, values.Cell] = dataclasses.field(
         default_factory=dict
     )
-    cells: typing.Mapping[str, Cell] = dataclasses.field(default_factory=dict)
-    routing: RoutingPolicy = RoutingPolicy()
-    kept_cache: CachePolicy = CachePolicy()
-    weights: Weights | None = None
+    routing: values.RoutingPolicy = values.RoutingPolicy()
+    kept_cache: values.CachePolicy = values.CachePolicy()
+    weights: values.Weights | None = None
 
     def organisation_of(self, token_digest: str) -> str | None:
         """Return the organisation whose token has this digest."""
@@ -210,8 +181,8 @@
     return View(
         offset=offset,
         **collections,
-        routing=singles.get("policies/routing", RoutingPolicy()),
-        kept_cache=singles.get("policies/kept-cache", CachePolicy()),
+        routing=singles.get("policies/routing", values.RoutingPolicy()),
+        kept_cache=singles.get("policies/kept-cache", values.CachePolicy()),
         weights=singles.get("platform/weights"),
     )
 
--- a/src/briarseam/membership/endpoints.py
+++ b/src/briarseam/membership/endpoints.py
@@ -11,6 +11,7 @@
 
 from briarseam.backing import instances
 from briarseam.configuration import schema
+from briarseam.configuration import values
 
 if typing.TYPE_CHECKING:
     from briarseam.membership import service
@@ -169,7 +170,7 @@
         return frozenset(
             name
             for name, endpoint in view.endpoints.items()
-            if endpoint.state is schema.EndpointState.DRAINING
+            if endpoint.state is values.EndpointState.DRAINING
             or name in names
             or endpoint.address in addresses
         )
--- a/src/briarseam/orders/goals.py
+++ b/src/briarseam/orders/goals.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from briarseam.configuration import schema
+from briarseam.configuration import values
 
 SCOPE_ENGINES = 64
 DEFAULT_MAX_LOADING = 2
@@ -133,8 +134,8 @@
             role=endpoint.role,
         )
         for name, endpoint in sorted(view.endpoints.items())
-        if endpoint.kind is schema.EndpointKind.ENGINE
-        and endpoint.state is schema.EndpointState.SERVING
+        if endpoint.kind is values.EndpointKind.ENGINE
+        and endpoint.state is values.EndpointState.SERVING
     )
 
 
--- a/src/briarseam/orders/offers.py
+++ b/src/briarseam/orders/offers.py
@@ -5,7 +5,7 @@
 import collections
 import typing
 
-from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.orders import goals
 from briarseam.orders import planner
 from briarseam.orders import state
@@ -27,7 +27,7 @@
 
 def offers_of(
     model: str,
-    wanted: schema.Model,
+    wanted: values.Model,
     targets: typing.Sequence[goals.Target],
     readings: planner.Readings,
     former_adapter: str | None,
--- a/src/briarseam/routing/candidates.py
+++ b/src/briarseam/routing/candidates.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from briarseam.configuration import schema
+from briarseam.configuration import values
 
 if typing.TYPE_CHECKING:
     from briarseam.routing import predict
@@ -49,9 +50,9 @@
     """Return the engines in service by model."""
     found: dict[str, list[str]] = {}
     for name, endpoint in view.endpoints.items():
-        if endpoint.kind is not schema.EndpointKind.ENGINE:
+        if endpoint.kind is not values.EndpointKind.ENGINE:
             continue
-        if endpoint.state is not schema.EndpointState.SERVING:
+        if endpoint.state is not values.EndpointState.SERVING:
             continue
         for model in endpoint.models:
             found.setdefault(model, []).append(name)
--- a/src/briarseam/routing/loads.py
+++ b/src/briarseam/routing/loads.py
@@ -17,6 +17,7 @@
 
 from briarseam.cache import pieces
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_load
 
 POLL_S = 0.5
@@ -185,7 +186,7 @@
         addresses = {
             name: endpoint.address
             for name, endpoint in endpoints.items()
-            if endpoint.kind is schema.EndpointKind.ENGINE
+            if endpoint.kind is values.EndpointKind.ENGINE
             and owner(name, members or (self.me,)) == self.me
         }
         self.share = Share(endpoints, members, addresses)
@@ -280,7 +281,7 @@
         Of this agent's engines, by name.
     """
 
-    endpoints: typing.Mapping[str, schema.Endpoint]
+    endpoints: typing.Mapping[str, values.Endpoint]
     members: tuple[str, ...]
     addresses: dict[str, str]
 
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -10,6 +10,7 @@
 from briarseam.cache import pieces
 from briarseam.cache import state as cache
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.orders import state as orders
 from briarseam.routing import candidates
 from briarseam.routing import ledger as ledgers
@@ -218,7 +219,7 @@
         self,
         one: predict.Prediction,
         ask: state.PromptAsk,
-        policy: schema.RoutingPolicy,
+        policy: values.RoutingPolicy,
     ) -> tuple[float, int]:
         """Return how bad a prediction is, with affinity to break ties.
 
@@ -239,9 +240,9 @@
         names = [
             name
             for name, endpoint in view.endpoints.items()
-            if endpoint.kind is schema.EndpointKind.SERVICE
+            if endpoint.kind is values.EndpointKind.SERVICE
             and ask.service in endpoint.services
-            and endpoint.state is schema.EndpointState.SERVING
+            and endpoint.state is values.EndpointState.SERVING
             and name not in barred
         ]
         if not names:
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -10,6 +10,7 @@
 from briarseam.admission import fair_queue
 from briarseam.admission import returns
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.routing import state as routing
 from briarseam.testing import waiting
 
@@ -228,7 +229,7 @@
     and deadline.  If it were fair as well, the figure would say nothing.
     """
     dispatcher = build(engines)
-    policy = schema.RoutingPolicy(queueing="arrival")
+    policy = values.RoutingPolicy(queueing="arrival")
     dispatcher.view = lambda: schema.View(routing=policy)
     dispatcher.start()
     dispatcher.place(waiter(engines, "large"))
--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -8,6 +8,7 @@
 from briarseam.admission import retries
 from briarseam.admission import returns
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from tests import clocks
 
 DIGEST = "0" * 32
@@ -29,7 +30,7 @@
 
 def build(count, **changes):
     clock = clocks.ManualClock()
-    organisation = schema.Organisation(token_digest=DIGEST, **changes)
+    organisation = values.Organisation(token_digest=DIGEST, **changes)
     view = schema.View(organisations={"north": organisation})
     agents = {
         f"agent-{number}": limits.Limits(lambda: view, lambda: count, clock)
@@ -112,7 +113,7 @@
     cell = build(2, requests_per_s=1.0)
     agent = cell.agents["agent-0"]
     names = {f"org-{number}" for number in range(500)}
-    organisation = schema.Organisation(DIGEST, requests_per_s=1.0)
+    organisation = values.Organisation(DIGEST, requests_per_s=1.0)
     view = schema.View(organisations=dict.fromkeys(names, organisation))
     agent.view = lambda: view
     for name in names:
--- a/tests/cache/site.py
+++ b/tests/cache/site.py
@@ -9,6 +9,7 @@
 from briarseam.cache import service
 from briarseam.cache import state
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.testing import engine as engines
 from briarseam.testing import engine_cache
 from briarseam.testing import ports as free_ports
@@ -85,16 +86,16 @@
             )
             for name in store_names
         }
-        self.models = {"draft": schema.Model(version="v1")}
+        self.models = {"draft": values.Model(version="v1")}
         self.organisations = {}
         self.link_bytes_per_s = 0
-        self.policy = schema.CachePolicy(**kept_cache)
+        self.policy = values.CachePolicy(**kept_cache)
         self.agents: list[service.KeptCache] = []
 
     def view(self):
         endpoints = {
-            name: schema.Endpoint(
-                kind=schema.EndpointKind.STORE,
+            name: values.Endpoint(
+                kind=values.EndpointKind.STORE,
                 address=store.address,
                 zone="z",
                 link_bytes_per_s=self.link_bytes_per_s,
--- a/tests/cache/test_keeping.py
+++ b/tests/cache/test_keeping.py
@@ -10,6 +10,7 @@
 from briarseam.cache import state
 from briarseam.cache import sweeping
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import store as store_client
 
 SIZE = 1000
@@ -39,7 +40,7 @@
         self.now = 1000.0
         self.epoch = 1
         self.organisations = {}
-        self.policy = schema.CachePolicy(policy="lru", fill=0.5)
+        self.policy = values.CachePolicy(policy="lru", fill=0.5)
         ports = service.Ports(
             holders=lambda group: state.Holders(epoch=self.epoch),
             clock=lambda: self.now,
@@ -53,13 +54,13 @@
         self.keeper = self.kept.keepers["keep-a"]
 
     def view(self):
-        endpoint = schema.Endpoint(
-            kind=schema.EndpointKind.STORE, address="127.0.0.1:1", zone="z"
+        endpoint = values.Endpoint(
+            kind=values.EndpointKind.STORE, address="127.0.0.1:1", zone="z"
         )
         return schema.View(
             offset=1,
             endpoints={"keep-a": endpoint},
-            models={"draft": schema.Model(version="v2")},
+            models={"draft": values.Model(version="v2")},
             organisations=self.organisations,
             kept_cache=self.policy,
         )
@@ -124,8 +125,8 @@
     """
     digest = "0" * 32
     bench.organisations = {
-        "large": schema.Organisation(digest, cache_share=0.5),
-        "small": schema.Organisation("1" * 32),
+        "large": values.Organisation(digest, cache_share=0.5),
+        "small": values.Organisation("1" * 32),
     }
     small = bench.put("small", "s")
     large = [bench.put("large", f"l{number}") for number in range(3)]
--- a/tests/cache/test_random.py
+++ b/tests/cache/test_random.py
@@ -19,7 +19,7 @@
 from briarseam.cache import state
 from briarseam.cache import stores
 from briarseam.cache import sweeping
-from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import store as store_client
 from briarseam.wire import codec
 from briarseam.wire import connection as connections
@@ -253,7 +253,7 @@
     def roll_out(self):
         old = self.site.models["draft"].version
         new = VERSIONS[1 - VERSIONS.index(old)]
-        self.site.models = {"draft": schema.Model(version=new)}
+        self.site.models = {"draft": values.Model(version=new)}
         weights = self.site.engine.weights
         present = weights.models["draft"]
         weights.models["draft"] = dataclasses.replace(present, version=new)
--- a/tests/cache/test_residents.py
+++ b/tests/cache/test_residents.py
@@ -5,6 +5,7 @@
 from briarseam.cache import residents
 from briarseam.cache import state
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_events
 from briarseam.testing import engine as engines
 from briarseam.testing import engine_cache
@@ -141,8 +142,8 @@
 def test_the_engines_of_the_own_zone_are_followed_first(known):
     """There are thousands of engines; a thread for each would not fit."""
     endpoints = {
-        f"engine-{number}": schema.Endpoint(
-            kind=schema.EndpointKind.ENGINE,
+        f"engine-{number}": values.Endpoint(
+            kind=values.EndpointKind.ENGINE,
             address="127.0.0.1:1",
             zone="ours" if number % 50 == 0 else "other",
         )
--- a/tests/cache/test_service.py
+++ b/tests/cache/test_service.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from briarseam.cache import keeping
-from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.testing import waiting
 from tests.cache import site as sites
 
@@ -230,7 +230,7 @@
     chain = sites.chain(2)
     site.kept(kept, "kitchen", chain)
 
-    site.policy = schema.CachePolicy(policy="off")
+    site.policy = values.CachePolicy(policy="off")
     site.run(kept, "kitchen", sites.chain(2, seed=1))
 
     assert site.plan(kept, "kitchen", chain).blocks == ()
--- a/tests/matrix/stopping_holder.py
+++ b/tests/matrix/stopping_holder.py
@@ -13,6 +13,7 @@
 
 from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases_service
 from briarseam.metrics import registry
@@ -39,12 +40,12 @@
 
 def view_of(version: str, addresses: list[str]) -> schema.View:
     endpoints = {
-        f"worker-{number}": schema.Endpoint(
-            schema.EndpointKind.ENGINE, address, "a", (deployment.MODEL,)
+        f"worker-{number}": values.Endpoint(
+            values.EndpointKind.ENGINE, address, "a", (deployment.MODEL,)
         )
         for number, address in enumerate(addresses, start=1)
     }
-    models = {deployment.MODEL: schema.Model(version)}
+    models = {deployment.MODEL: values.Model(version)}
     return schema.View(offset=1, models=models, endpoints=endpoints)
 
 
--- a/tests/membership/test_endpoints.py
+++ b/tests/membership/test_endpoints.py
@@ -7,24 +7,25 @@
 
 from briarseam.backing import instances
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.membership import endpoints
 from briarseam.testing import waiting
 from tests.membership import nodes as helpers
 
 ENGINE = "127.0.0.1:9001"
 OTHER = "127.0.0.1:9002"
-SERVING = schema.EndpointState.SERVING
-DRAINING = schema.EndpointState.DRAINING
+SERVING = values.EndpointState.SERVING
+DRAINING = values.EndpointState.DRAINING
 
 
 def view_of(
-    state: schema.EndpointState = SERVING, offset: int = 1
+    state: values.EndpointState = SERVING, offset: int = 1
 ) -> schema.View:
     def endpoint(
-        address: str, state: schema.EndpointState = SERVING
-    ) -> schema.Endpoint:
-        return schema.Endpoint(
-            schema.EndpointKind.ENGINE, address, "rumoi", state=state
+        address: str, state: values.EndpointState = SERVING
+    ) -> values.Endpoint:
+        return values.Endpoint(
+            values.EndpointKind.ENGINE, address, "rumoi", state=state
         )
 
     named = {"one": endpoint(ENGINE, state), "two": endpoint(OTHER)}
--- a/tests/orders/deployment.py
+++ b/tests/orders/deployment.py
@@ -8,6 +8,7 @@
 
 from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases_service
 from briarseam.metrics import registry
@@ -89,8 +90,8 @@
     ) -> schema.View:
         """Change the configuration."""
         endpoints = {
-            name: schema.Endpoint(
-                kind=schema.EndpointKind.ENGINE,
+            name: values.Endpoint(
+                kind=values.EndpointKind.ENGINE,
                 address=address,
                 zone=ZONES[index % len(ZONES)],
                 models=(MODEL,),
@@ -100,9 +101,9 @@
         }
         self.view = schema.View(
             offset=self.view.offset + 1,
-            models={MODEL: schema.Model(version, adapter, floor)},
+            models={MODEL: values.Model(version, adapter, floor)},
             endpoints=endpoints,
-            weights=schema.Weights(weights, max_loading) if weights else None,
+            weights=values.Weights(weights, max_loading) if weights else None,
         )
         return self.view
 
--- a/tests/orders/test_goals.py
+++ b/tests/orders/test_goals.py
@@ -4,6 +4,7 @@
 
 from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_orders
 from briarseam.leases import service as leases_service
 from briarseam.metrics import registry
@@ -13,14 +14,14 @@
 
 
 def view_of(count: int, floor: int, max_loading: int) -> schema.View:
-    engine = schema.Endpoint(
-        schema.EndpointKind.ENGINE, "127.0.0.1:1", "rumoi", ("draft",)
+    engine = values.Endpoint(
+        values.EndpointKind.ENGINE, "127.0.0.1:1", "rumoi", ("draft",)
     )
     return schema.View(
         offset=1,
-        models={"draft": schema.Model("v1", floor=floor)},
+        models={"draft": values.Model("v1", floor=floor)},
         endpoints={f"worker-{number}": engine for number in range(count)},
-        weights=schema.Weights("127.0.0.1:2", max_loading),
+        weights=values.Weights("127.0.0.1:2", max_loading),
     )
 
 
@@ -44,10 +45,10 @@
 def test_draining_engines_and_other_endpoints_get_no_orders():
     view = view_of(2, 1, 2)
     drained = dataclasses.replace(
-        view.endpoints["worker-0"], state=schema.EndpointState.DRAINING
+        view.endpoints["worker-0"], state=values.EndpointState.DRAINING
     )
     store = dataclasses.replace(
-        view.endpoints["worker-1"], kind=schema.EndpointKind.STORE
+        view.endpoints["worker-1"], kind=values.EndpointKind.STORE
     )
     view = dataclasses.replace(
         view, endpoints={"worker-0": drained, "store": store}
--- a/tests/orders/test_offers.py
+++ b/tests/orders/test_offers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.endpoints import engine_orders
 from briarseam.orders import goals
 from briarseam.orders import offers
@@ -16,7 +16,7 @@
     )
 
 
-def offered(wanted: schema.Model, former=None, **readings):
+def offered(wanted: values.Model, former=None, **readings):
     targets = [
         goals.Target(name, "127.0.0.1:1", "z", ("draft",))
         for name in (*readings, "silent")
@@ -25,19 +25,19 @@
 
 
 def test_others_serve_on_until_the_floor_is_reached():
-    wanted = schema.Model("v2", floor=2)
+    wanted = values.Model("v2", floor=2)
     found = offered(wanted, a=reading("v2"), b=reading("v1"))
     assert found == {"a": state.Offer("v2", ""), "b": state.Offer("v1", "")}
 
 
 def test_only_the_wanted_version_once_the_floor_reports_it():
-    wanted = schema.Model("v2", floor=2)
+    wanted = values.Model("v2", floor=2)
     found = offered(wanted, a=reading("v2"), b=reading("v1"), c=reading("v2"))
     assert set(found) == {"a", "c"}
 
 
 def test_engine_without_weights_offers_nothing():
-    assert offered(schema.Model("v2"), a=reading(None)) == {}
+    assert offered(values.Model("v2"), a=reading(None)) == {}
 
 
 @pytest.mark.parametrize(
@@ -47,7 +47,7 @@
 )
 def test_former_adapter_serves_until_the_new_one_is_there(former, expected):
     found = offered(
-        schema.Model("v1", "y", floor=2),
+        values.Model("v1", "y", floor=2),
         former,
         a=reading("v1", "x", "y"),
         b=reading("v1", "x"),
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -7,6 +7,7 @@
 
 from briarseam.cache import state as cache
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.orders import state as orders
 from briarseam.routing import ledger as ledgers
 from briarseam.routing import loads
@@ -73,15 +74,15 @@
 @pytest.fixture
 def bench():
     engines = {
-        f"engine-{number}": schema.Endpoint(
-            kind=schema.EndpointKind.ENGINE,
+        f"engine-{number}": values.Endpoint(
+            kind=values.EndpointKind.ENGINE,
             address=f"127.0.0.1:{number}",
             zone="a",
             models=("draft",),
         )
         for number in range(4)
     }
-    view = schema.View(endpoints=engines, models={"draft": schema.Model("v1")})
+    view = schema.View(endpoints=engines, models={"draft": values.Model("v1")})
     clock = Clock()
     ledger = ledgers.Ledger()
     known = loads.Loads(
--- a/tests/routing/test_failures.py
+++ b/tests/routing/test_failures.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.routing import loads
 from briarseam.routing import prefixes
 from briarseam.routing import state
@@ -100,8 +101,8 @@
     the least under way and draws all calls.
     """
     services = {
-        name: schema.Endpoint(
-            kind=schema.EndpointKind.SERVICE,
+        name: values.Endpoint(
+            kind=values.EndpointKind.SERVICE,
             address=address,
             zone="a",
             services=("portal",),
--- a/tests/routing/test_loads.py
+++ b/tests/routing/test_loads.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from briarseam.configuration import schema
+from briarseam.configuration import values
 from briarseam.routing import loads
 
 MEMBERS = ("a", "b", "c")
@@ -21,8 +22,8 @@
 def view_of(count: int) -> schema.View:
     return schema.View(
         endpoints={
-            f"engine-{number}": schema.Endpoint(
-                schema.EndpointKind.ENGINE, f"127.0.0.1:{7000 + number}", "z"
+            f"engine-{number}": values.Endpoint(
+                values.EndpointKind.ENGINE, f"127.0.0.1:{7000 + number}", "z"
             )
             for number in range(count)
         }
