--- /dev/null
+++ b/tests/platform/test_header_decoders.py
@@ -0,0 +1,63 @@
+"""Whatever headers and targets hold, they are decoded or refused."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from briarseam.forwarding import refusing
+from briarseam.platform import answers
+from briarseam.platform import requests
+from tests.platform import damage
+
+ODD_NUMBERS = ["nan", "inf", "-1", "1e400", "1e308", "²", "1_0", " 7 "]
+HUGE_NUMBERS = ["9" * 30, "9" * 5000]
+numbers = strategies.sampled_from([*ODD_NUMBERS, *HUGE_NUMBERS, "5"]) | (
+    strategies.text(max_size=10)
+)
+# Mostly whole numbers, so that many prompts are damage.decoded to their end.
+counts = strategies.sampled_from(["5", "7", " 7 ", "-1", "²", *HUGE_NUMBERS])
+callers_headers = strategies.fixed_dictionaries(
+    {
+        "Model": strategies.text(max_size=5),
+        "Token-Usage": strategies.builds("{0},{1}".format, counts, counts),
+        "Prefix-Hash": strategies.builds("a:5,b:{0}".format, counts),
+        "Deadline-Ms": numbers,
+    },
+    optional={
+        "Request-Id": numbers,
+        "Authorization": numbers,
+        "Last-Event-Id": numbers,
+    },
+)
+endpoints_headers = strategies.fixed_dictionaries(
+    {"Weight-Versions": numbers, "Retry-After": numbers}
+)
+
+
+@damage.quick
+@hypothesis.given(callers_headers)
+def test_any_headers_of_a_caller_are_a_call_or_refused(headers):
+    try:
+        call = requests.decode_call("GET", "/x", list(headers.items()))
+    except refusing.MalformedCallError:
+        return
+    assert damage.is_sane([call.time_left_s, call.prompt])
+
+
+@damage.quick
+@hypothesis.given(endpoints_headers)
+def test_any_headers_of_an_endpoint_are_an_answer(headers):
+    head = requests.decode_answer(200, list(headers.items()))
+    assert damage.is_sane([head.retry_after_s, head.version])
+
+
+@damage.quick
+@hypothesis.given(
+    strategies.text(max_size=30)
+    | strategies.sampled_from(["//[", "http://[", "/briarseam/resolve?[=["])
+)
+def test_any_target_is_a_lookup_or_none(target):
+    answers.decode_lookup(target)
+    answers.decode_lookup(f"/briarseam/resolve?{target}")
+    answers.is_readiness(target)
