--- a/src/briarseam/compose/node_peers.py
+++ b/src/briarseam/compose/node_peers.py
@@ -8,8 +8,8 @@
 from briarseam.membership import service as membership
 from briarseam.membership import state as members
 from briarseam.peers import registrations
+from briarseam.platform import framing
 from briarseam.platform import names
-from briarseam.platform import store as stores
 from briarseam.wire import codec
 from briarseam.wire import connection as wire_connection
 from briarseam.wire import server as wire
@@ -20,6 +20,7 @@
 
     from briarseam import malformed
     from briarseam.membership import sections
+    from briarseam.platform import store as stores
     from briarseam.settings import serving
 
 # What instances tell each other of engines' load is as old as this, and
@@ -61,7 +62,7 @@
         Notes what of heartbeats can't be read.
     """
     secret = registrations.agree_on_secret(
-        store, names.MEMBERS_TOPIC, stores.encode_keyed, stopping
+        store, names.MEMBERS_TOPIC, framing.encode_keyed, stopping
     )
     if secret is None:
         return None
--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -4,7 +4,6 @@
 
 import base64
 import functools
-import struct
 import urllib.parse
 
 import msgspec
@@ -14,6 +13,7 @@
 from briarseam import sockets
 from briarseam.feeds import records
 from briarseam.platform import decoding
+from briarseam.platform import framing
 from briarseam.platform import names
 
 MS = 1000.0
@@ -31,8 +31,6 @@
 PRECONDITION_FAILED = 412
 # "Nothing was done", in the words of the interface.
 REFUSED = frozenset({429, 503, 507})
-LENGTH = struct.Struct(">I")
-POSITIONS = struct.Struct(">QQ")
 PAGE_LIMIT = 1000
 
 
@@ -188,7 +186,7 @@
         if response.status == GONE:
             raise records.RecordsExpiredError(f"{topic} from {start}")
         try:
-            split = split_records(response.data)
+            split = framing.split_records(response.data)
         except decoding.MalformedError as error:
             raise records.StoreUnavailableError(
                 f"malformed answer: {error}"
@@ -199,7 +197,7 @@
     def record(self, topic: str, data: bytes) -> records.KeyedRecord:
         """Return a record, or what stands for one that can't be read."""
         try:
-            return keyed_record(data)
+            return framing.keyed_record(data)
         except decoding.MalformedError as error:
             self.tally.note(malformed.Kind.STORE_RECORD, topic, error)
             return records.UNREADABLE
@@ -212,7 +210,7 @@
         StoreUnavailableError
             When the store does not confirm the write.
         """
-        self.append(topic, (encode_keyed(key, value),))
+        self.append(topic, (framing.encode_keyed(key, value),))
 
     def append(
         self, topic: str, items: tuple[bytes, ...], at: int | None = None
@@ -238,7 +236,7 @@
         query = {"topic": topic, "part": "0"}
         if at is not None:
             query["at"] = str(at)
-        body = b"".join(LENGTH.pack(len(item)) + item for item in items)
+        body = framing.join_records(items)
         response = self.call(
             "POST",
             names.APPEND_PATH,
@@ -342,50 +340,3 @@
             raise records.StoreUnavailableError(
                 f"malformed answer: {error}", may_have_run=True
             ) from error
-
-
-def split_records(body: bytes) -> list[bytes]:
-    """Return the whole records of a read's body, behind its positions.
-
-    Raises
-    ------
-    MalformedError
-        If the body breaks off before the end of its first record.  Taken
-        for one without records, it would be asked for again at once.
-    """
-    if len(body) < POSITIONS.size:
-        raise decoding.MalformedError("the body has no positions")
-    found: list[bytes] = []
-    place = POSITIONS.size
-    while place + LENGTH.size <= len(body):
-        (length,) = LENGTH.unpack_from(body, place)
-        end = place + LENGTH.size + length
-        if end > len(body):
-            break
-        found.append(body[place + LENGTH.size : end])
-        place = end
-    if place < len(body) and not found:
-        raise decoding.MalformedError("the first record is cut short")
-    return found
-
-
-def keyed_record(data: bytes) -> records.KeyedRecord:
-    """Return a keyed topic's record: a length, the key, the value.
-
-    Raises
-    ------
-    MalformedError
-        If the key can't be read.
-    """
-    if not data or len(data) < 1 + data[0]:
-        raise decoding.MalformedError("the key is cut short")
-    end = 1 + data[0]
-    with malformed.raised_as_malformed():
-        key = data[1:end].decode()
-    return records.KeyedRecord(key, data[end:] or None)
-
-
-def encode_keyed(key: str, value: bytes | None) -> bytes:
-    """Return the bytes of a keyed topic's record."""
-    name = key.encode()
-    return bytes([len(name)]) + name + (value or b"")
--- a/tests/peers/test_registrations.py
+++ b/tests/peers/test_registrations.py
@@ -10,6 +10,7 @@
 from briarseam.feeds import following
 from briarseam.feeds import records
 from briarseam.peers import registrations
+from briarseam.platform import framing
 from briarseam.platform import store as stores
 from briarseam.testing import waiting
 from tests.platform import metadata_store
@@ -88,7 +89,7 @@
         client = stores.StoreClient(store.address)
         found.append(
             registrations.agree_on_secret(
-                client, TOPIC, stores.encode_keyed, threading.Event()
+                client, TOPIC, framing.encode_keyed, threading.Event()
             )
         )
 
@@ -227,7 +228,7 @@
         client = stores.StoreClient(store.address)
         found[
             registrations.agree_on_secret(
-                client, TOPIC, stores.encode_keyed, stopping
+                client, TOPIC, framing.encode_keyed, stopping
             )
         ] += 1
 
--- a/tests/platform/test_answer_decoders.py
+++ b/tests/platform/test_answer_decoders.py
@@ -9,6 +9,7 @@
 
 from briarseam.feeds import records
 from briarseam.platform import cache
+from briarseam.platform import framing
 from briarseam.platform import store as stores
 from tests.platform import damage
 
@@ -74,11 +75,9 @@
 @damage.quick
 @hypothesis.given(strategies.lists(strategies.binary(max_size=20)))
 def test_any_record_keeps_its_place_and_hides_no_other(items):
-    good = stores.encode_keyed("good", b"1")
-    framed = b"".join(
-        stores.LENGTH.pack(len(item)) + item for item in [*items, good]
-    )
-    store = AnsweredStore(stores.POSITIONS.pack(0, 0) + framed)
+    good = framing.encode_keyed("good", b"1")
+    framed = framing.join_records([*items, good])
+    store = AnsweredStore(framing.POSITIONS.pack(0, 0) + framed)
     batch = store.read_keyed("keyed.op", 0, 0.0)
     assert batch.next == len(items) + 1
     assert batch.records[-1] == records.KeyedRecord("good", b"1")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,11 +10,12 @@
 
 from briarseam.feeds import records
 from briarseam.feeds import sharing
+from briarseam.platform import framing
 from briarseam.platform import store as stores
 
 TOPIC = "keyed.things"
 POSITIONS = struct.pack(">QQ", 9, 0)
-GOOD = stores.encode_keyed("good", b"1")
+GOOD = framing.encode_keyed("good", b"1")
 START = 5
 
 
