--- a/src/briarseam/admission/condemnation.py
+++ b/src/briarseam/admission/condemnation.py
@@ -9,13 +9,11 @@
 from __future__ import annotations
 
 import dataclasses
-import hashlib
 import threading
 import typing
 
-import msgspec
+from briarseam.admission import evidence
 
-FINGERPRINT_BYTES = 16
 ENDPOINTS_LOST = 2
 LASTS_MS = 3_600_000
 TRIAL_BOUND_MS = 120_000
@@ -24,114 +22,6 @@
 FORGET_MS = LASTS_MS * 2
 
 
-@dataclasses.dataclass(frozen=True)
-class Case:
-    """A prompt, known by what is the same when a caller sends it again.
-
-    Attributes
-    ----------
-    fingerprint
-        Hex digest over organisation, model and prompt.
-    organisation, model
-        Whose prompt, for which model.
-    """
-
-    fingerprint: str
-    organisation: str
-    model: str
-
-
-def case_of(organisation: str, model: str, prompt_digest: bytes) -> Case:
-    """Return the case of a prompt."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (organisation.encode(), model.encode(), prompt_digest):
-        digest.update(len(part).to_bytes(4, "big") + part)
-    return Case(digest.hexdigest(), organisation, model)
-
-
-class Lost(msgspec.Struct, frozen=True, tag="lost", array_like=True):
-    """An endpoint died while it ran a prompt.
-
-    Attributes
-    ----------
-    fingerprint, organisation, model
-        The prompt.
-    endpoint
-        What died.
-    group
-        Run id of the first of the prompt's runs there; however many of
-        them were lost with the endpoint, they count once.
-    time_ms
-        When, by the log's clock as far as it is known.
-    """
-
-    fingerprint: str
-    organisation: str
-    model: str
-    endpoint: str
-    group: str
-    time_ms: int
-
-
-class Trial(msgspec.Struct, frozen=True, tag="trial", array_like=True):
-    """A suspect is being tried once more.
-
-    Attributes
-    ----------
-    fingerprint, organisation, model, endpoint, group, time_ms
-        As in :class:`Lost`.
-    boot_id
-        The endpoint's start at that time, as far as it is known.
-    """
-
-    fingerprint: str
-    organisation: str
-    model: str
-    endpoint: str
-    group: str
-    time_ms: int
-    boot_id: str = ""
-
-
-class TrialPassed(msgspec.Struct, frozen=True, tag="passed", array_like=True):
-    """A trial has got further than where its endpoint died before."""
-
-    group: str
-    time_ms: int
-
-
-class TrialEnded(msgspec.Struct, frozen=True, tag="end", array_like=True):
-    """A trial is over."""
-
-    group: str
-    time_ms: int
-
-
-class Cleared(msgspec.Struct, frozen=True, tag="clear", array_like=True):
-    """Losses that do not count any more.
-
-    Attributes
-    ----------
-    fingerprint, organisation
-        The prompt.
-    groups
-        The losses.
-    operator
-        Who lifted it; empty when the prompt finished elsewhere.
-    time_ms
-        When.
-    """
-
-    fingerprint: str
-    organisation: str
-    groups: tuple[str, ...]
-    operator: str
-    time_ms: int
-
-
-Item = Lost | Trial | TrialPassed | TrialEnded | Cleared
-
-
 @dataclasses.dataclass(frozen=True)
 class Clear:
     """Nothing speaks against the prompt."""
@@ -162,7 +52,7 @@
         When it ends by itself.
     """
 
-    losses: tuple[Lost, ...]
+    losses: tuple[evidence.Lost, ...]
     until_ms: int
 
 
@@ -181,35 +71,39 @@
     def __init__(self, now_ms: typing.Callable[[], int]) -> None:
         self.now_ms = now_ms
         self.lock = threading.Lock()
-        self.losses: dict[str, dict[str, Lost]] = {}
-        self.cleared: dict[str, Cleared] = {}
-        self.trials: dict[str, Trial] = {}
-        self.passed: dict[str, TrialPassed] = {}
-        self.ended: dict[str, TrialEnded] = {}
+        self.losses: dict[str, dict[str, evidence.Lost]] = {}
+        self.cleared: dict[str, evidence.Cleared] = {}
+        self.trials: dict[str, evidence.Trial] = {}
+        self.passed: dict[str, evidence.TrialPassed] = {}
+        self.ended: dict[str, evidence.TrialEnded] = {}
         self.orders: dict[str, tuple[int, int]] = {}
 
-    def merge(self, item: Item) -> bool:
+    def merge(self, item: evidence.Item) -> bool:
         """Take an item in; tell whether it was new."""
         with self.lock:
             match item:
-                case Lost():
+                case evidence.Lost():
                     return self.merge_loss(item)
-                case Trial():
+                case evidence.Trial():
                     return put(self.trials, item.group, item)
-                case TrialPassed():
+                case evidence.TrialPassed():
                     return put(self.passed, item.group, item)
-                case TrialEnded():
+                case evidence.TrialEnded():
                     return put(self.ended, item.group, item)
-                case Cleared():
+                case evidence.Cleared():
                     fresh = [
                         put(self.cleared, group, item) for group in item.groups
                     ]
                     return any(fresh)
 
-    def merge_loss(self, item: Lost) -> bool:
+    def merge_loss(self, item: evidence.Lost) -> bool:
         """Take a loss in; it ends its group's trial."""
         losses = self.losses.setdefault(item.fingerprint, {})
-        put(self.ended, item.group, TrialEnded(item.group, item.time_ms))
+        put(
+            self.ended,
+            item.group,
+            evidence.TrialEnded(item.group, item.time_ms),
+        )
         return put(losses, item.group, item)
 
     def standing(self, fingerprint: str) -> Standing:
@@ -222,16 +116,16 @@
             return Suspect(tuple(loss.group for loss in losses))
         return Clear()
 
-    def of_prompt(self, fingerprint: str) -> list[Item]:
+    def of_prompt(self, fingerprint: str) -> list[evidence.Item]:
         """Return what is known of a prompt's losses."""
         with self.lock:
             losses = self.losses.get(fingerprint, {})
-            items: list[Item] = list(losses.values())
+            items: list[evidence.Item] = list(losses.values())
             found = [self.cleared.get(group) for group in losses]
         items += dict.fromkeys(item for item in found if item is not None)
         return items
 
-    def counting(self, fingerprint: str) -> list[Lost]:
+    def counting(self, fingerprint: str) -> list[evidence.Lost]:
         """Return a prompt's losses that count; call it under ``lock``."""
         losses = [
             loss
@@ -242,7 +136,7 @@
             return []
         return losses
 
-    def is_excused(self, loss: Lost) -> bool:
+    def is_excused(self, loss: evidence.Lost) -> bool:
         """Tell whether another suspect's trial took the endpoint down.
 
         An innocent prompt that got past the point where its first endpoint
@@ -263,7 +157,7 @@
             for group, other in self.trials.items()
         )
 
-    def may_be_lost(self, trial: Trial) -> bool:
+    def may_be_lost(self, trial: evidence.Trial) -> bool:
         """Tell whether a trial was lost, or nobody told its end yet.
 
         The losses of one endpoint are told one by one.
@@ -271,7 +165,7 @@
         lost = self.losses.get(trial.fingerprint, {})
         return trial.group in lost or trial.group not in self.ended
 
-    def until_ms(self, losses: typing.Sequence[Lost]) -> int:
+    def until_ms(self, losses: typing.Sequence[evidence.Lost]) -> int:
         """Return when losses cease to count: a term after the last."""
         return max(loss.time_ms for loss in losses) + LASTS_MS
 
@@ -287,7 +181,7 @@
             if isinstance(standing, Condemned)
         }
 
-    def running_trials(self) -> list[Trial]:
+    def running_trials(self) -> list[evidence.Trial]:
         """Return the trials that are under way."""
         oldest = self.now_ms() - TRIAL_BOUND_MS
         with self.lock:
@@ -309,9 +203,9 @@
         """Return the endpoints with a trial, also one that has passed."""
         return {trial.endpoint for trial in self.running_trials()}
 
-    def note_order(self, item: Item, order: tuple[int, int]) -> None:
+    def note_order(self, item: evidence.Item, order: tuple[int, int]) -> None:
         """Take in where in the log a trial stands first."""
-        if isinstance(item, Trial):
+        if isinstance(item, evidence.Trial):
             with self.lock:
                 self.orders.setdefault(item.group, order)
 
@@ -319,7 +213,7 @@
         """Tell whether a trial was read back from the log."""
         return group in self.orders
 
-    def comes_first(self, trial: Trial) -> bool:
+    def comes_first(self, trial: evidence.Trial) -> bool:
         """Tell whether no trial before this one in the log bars it.
 
         Two agents may both think that they keep the trials; the log tells
@@ -339,10 +233,10 @@
                 return False
         return True
 
-    def recent(self, since_ms: int, limit: int) -> list[Item]:
+    def recent(self, since_ms: int, limit: int) -> list[evidence.Item]:
         """Return the newest items after a time, at most ``limit``."""
         with self.lock:
-            items: list[Item] = [
+            items: list[evidence.Item] = [
                 loss
                 for losses in self.losses.values()
                 for loss in losses.values()
@@ -370,7 +264,14 @@
             drop_old(self.ended, oldest)
 
 
-Kept = typing.TypeVar("Kept", Lost, Trial, TrialPassed, TrialEnded, Cleared)
+Kept = typing.TypeVar(
+    "Kept",
+    evidence.Lost,
+    evidence.Trial,
+    evidence.TrialPassed,
+    evidence.TrialEnded,
+    evidence.Cleared,
+)
 
 
 def put(items: dict[str, Kept], name: str, item: Kept) -> bool:
--- a/src/briarseam/admission/condemnation_log.py
+++ b/src/briarseam/admission/condemnation_log.py
@@ -11,6 +11,7 @@
 
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_records as records
+from briarseam.admission import evidence
 from briarseam.backing import log as platform_log
 
 if typing.TYPE_CHECKING:
@@ -80,7 +81,7 @@
         self.teams = teams
         self.book = book
         self.clock = clock
-        self.pending: list[condemnation.Item] = []
+        self.pending: list[evidence.Item] = []
         self.changed = threading.Condition()
         self.stopping = threading.Event()
         self.caught_up = threading.Event()
@@ -141,12 +142,12 @@
         if not batch.records or batch.records[-1].offset >= batch.next - 1:
             self.caught_up.set()
 
-    def merge(self, item: condemnation.Item) -> None:
+    def merge(self, item: evidence.Item) -> None:
         """Take an item in; a line for what changes a prompt's standing."""
         if not self.book.merge(item):
             return
         match item:
-            case condemnation.Lost(fingerprint=fingerprint):
+            case evidence.Lost(fingerprint=fingerprint):
                 standing = type(self.book.standing(fingerprint)).__name__
                 log.warning(
                     "endpoint_lost_with_prompt",
@@ -155,14 +156,14 @@
                     endpoint=item.endpoint,
                     standing=standing.lower(),
                 )
-            case condemnation.Cleared(operator=operator) if operator:
+            case evidence.Cleared(operator=operator) if operator:
                 log.warning(
                     "condemnation_lifted",
                     prompt=item.fingerprint,
                     operator=operator,
                 )
 
-    def note(self, item: condemnation.Item) -> None:
+    def note(self, item: evidence.Item) -> None:
         """Take in what was found here, and have it appended."""
         self.merge(item)
         with self.changed:
@@ -170,9 +171,7 @@
                 self.pending.append(item)
             self.changed.notify_all()
 
-    def wait_ordered(
-        self, trial: condemnation.Trial, timeout_s: float
-    ) -> bool:
+    def wait_ordered(self, trial: evidence.Trial, timeout_s: float) -> bool:
         """Wait until a trial that was noted is read back from the log.
 
         Not while the log is known to be away: what it lacks is in the
@@ -208,7 +207,7 @@
             if items and not self.append(items):
                 self.stopping.wait(RETRY_S)
 
-    def append(self, items: list[condemnation.Item]) -> bool:
+    def append(self, items: list[evidence.Item]) -> bool:
         """Append items; tell whether they are in the log.
 
         One that took effect with its answer lost is appended again: items
--- a/src/briarseam/admission/condemnation_records.py
+++ b/src/briarseam/admission/condemnation_records.py
@@ -15,7 +15,7 @@
 import msgpack
 import msgspec
 
-from briarseam.admission import condemnation
+from briarseam.admission import evidence
 
 if typing.TYPE_CHECKING:
     from briarseam.configuration import teams as teams_module
@@ -23,14 +23,14 @@
 STREAM = "condemnations"
 VERSION = 1
 LABEL = b"briarseam condemnations"
-Items = list[condemnation.Item]
+Items = list[evidence.Item]
 
 
 class RecordError(ValueError):
     """Bytes that are no record, or one that nobody vouches for."""
 
 
-def encode_items(items: typing.Sequence[condemnation.Item]) -> bytes:
+def encode_items(items: typing.Sequence[evidence.Item]) -> bytes:
     """Return the bytes of items."""
     return msgspec.msgpack.encode(list(items))
 
@@ -55,7 +55,7 @@
     return typing.cast("bytes", packed)
 
 
-def encode(items: typing.Sequence[condemnation.Item], key: bytes) -> bytes:
+def encode(items: typing.Sequence[evidence.Item], key: bytes) -> bytes:
     """Return the system's own record of items."""
     body = encode_items(items)
     proof = hmac.digest(key, signed_bytes("", body), hashlib.sha256)
@@ -63,7 +63,7 @@
 
 
 def encode_lift(
-    cleared: condemnation.Cleared, author: str, teams: teams_module.Teams
+    cleared: evidence.Cleared, author: str, teams: teams_module.Teams
 ) -> bytes:
     """Return a team's record that lifts a condemnation."""
     body = encode_items([cleared])
@@ -100,9 +100,9 @@
 
 
 def may_lift(
-    author: str, item: condemnation.Item, teams: teams_module.Teams
+    author: str, item: evidence.Item, teams: teams_module.Teams
 ) -> bool:
     """Tell whether a team may append an item: lift for its organisations."""
-    if not isinstance(item, condemnation.Cleared):
+    if not isinstance(item, evidence.Cleared):
         return False
     return teams.owner(f"organisations/{item.organisation}") == author
--- a/src/briarseam/admission/crash_guard.py
+++ b/src/briarseam/admission/crash_guard.py
@@ -12,6 +12,7 @@
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_records as records
 from briarseam.admission import crash_messages as messages
+from briarseam.admission import evidence
 from briarseam.admission import messages as admission
 from briarseam.admission import refusals
 
@@ -42,7 +43,7 @@
     ) -> messages.TrialAnswered | None:
         """Ask the keeper of trials; ``None`` when it does not answer."""
 
-    def accuse(self, items: typing.Sequence[condemnation.Item]) -> None:
+    def accuse(self, items: typing.Sequence[evidence.Item]) -> None:
         """Tell the keeper of trials; may be lost."""
 
 
@@ -83,7 +84,7 @@
         Weight version that a continuation must keep, else empty.
     """
 
-    case: condemnation.Case
+    case: evidence.Case
     request: admission.Admit
     version: str
 
@@ -106,7 +107,7 @@
         Whether it is one.
     """
 
-    case: condemnation.Case
+    case: evidence.Case
     endpoint: str
     boot_id: str
     group: str
@@ -133,7 +134,7 @@
     """
 
     book: condemnation.Book
-    note: typing.Callable[[condemnation.Item], None]
+    note: typing.Callable[[evidence.Item], None]
     wait_ready: typing.Callable[[], None]
     others: Others
     endpoints: Endpoints
@@ -290,7 +291,7 @@
 
     def watch(
         self,
-        case: condemnation.Case,
+        case: evidence.Case,
         granted: admission.Granted,
         group: str,
         trial: bool = False,
@@ -313,9 +314,7 @@
         watched = self.watched.get(run_id)
         if watched is not None and watched.trial:
             self.tell(
-                condemnation.TrialPassed(
-                    watched.group, self.parts.book.now_ms()
-                )
+                evidence.TrialPassed(watched.group, self.parts.book.now_ms())
             )
 
     def ended(self, run_id: str, result: admission.RunResult) -> None:
@@ -341,7 +340,7 @@
     def accuse(self, watched: Watched) -> None:
         """Tell of an endpoint that died with a prompt."""
         case = watched.case
-        lost = condemnation.Lost(
+        lost = evidence.Lost(
             case.fingerprint,
             case.organisation,
             case.model,
@@ -353,7 +352,7 @@
 
     def clear(self, watched: Watched) -> None:
         """Tell that a suspect finished elsewhere."""
-        cleared = condemnation.Cleared(
+        cleared = evidence.Cleared(
             watched.case.fingerprint,
             watched.case.organisation,
             watched.clears,
@@ -364,9 +363,9 @@
 
     def end_trial(self, group: str) -> None:
         """Tell that a trial is over."""
-        self.tell(condemnation.TrialEnded(group, self.parts.book.now_ms()))
+        self.tell(evidence.TrialEnded(group, self.parts.book.now_ms()))
 
-    def tell(self, item: condemnation.Item) -> None:
+    def tell(self, item: evidence.Item) -> None:
         """Have an item appended, and tell the keeper of trials at once."""
         self.parts.note(item)
         self.parts.others.accuse((item,))
--- a/src/briarseam/admission/guarded.py
+++ b/src/briarseam/admission/guarded.py
@@ -6,8 +6,8 @@
 import time
 import typing
 
-from briarseam.admission import condemnation
 from briarseam.admission import crash_guard
+from briarseam.admission import evidence
 from briarseam.admission import messages
 
 if typing.TYPE_CHECKING:
@@ -61,9 +61,7 @@
     verdict.RefusalError
         With the final verdict.
     """
-    case = condemnation.case_of(
-        organisation, request.model, request.prompt_digest
-    )
+    case = evidence.case_of(organisation, request.model, request.prompt_digest)
     return guard.place(
         crash_guard.Asked(case, request, release.version if release else ""),
         PromptPlacing(placer, organisation, request, release),
--- a/src/briarseam/admission/trials.py
+++ b/src/briarseam/admission/trials.py
@@ -17,6 +17,7 @@
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_records as records
 from briarseam.admission import crash_messages as messages
+from briarseam.admission import evidence
 
 CHECK_S = 0.05
 WRITE_S = 0.5
@@ -35,12 +36,10 @@
 class Log(typing.Protocol):
     """What the keeper needs of the log."""
 
-    def note(self, item: condemnation.Item) -> None:
+    def note(self, item: evidence.Item) -> None:
         """Take in what was found here, and have it appended."""
 
-    def wait_ordered(
-        self, trial: condemnation.Trial, timeout_s: float
-    ) -> bool:
+    def wait_ordered(self, trial: evidence.Trial, timeout_s: float) -> bool:
         """Wait until a trial that was noted is read back from the log.
 
         ``False`` when it is not, though the log is there.
@@ -92,7 +91,7 @@
         # It comes first for another agent that keeps trials too: this
         # agent, or that one, was taken for dead by a part of the others.
         now_ms = self.book.now_ms()
-        self.log.note(condemnation.TrialEnded(trial.group, now_ms))
+        self.log.note(evidence.TrialEnded(trial.group, now_ms))
         return messages.TrialAnswered(messages.TrialWord.BUSY)
 
     def await_place(self, ask: messages.AskTrial) -> messages.TrialAnswered:
@@ -118,7 +117,7 @@
             if trial.fingerprint != fingerprint:
                 continue
             if self.endpoints.has_died(trial.endpoint, trial.boot_id):
-                lost = condemnation.Lost(
+                lost = evidence.Lost(
                     trial.fingerprint,
                     trial.organisation,
                     trial.model,
@@ -156,7 +155,7 @@
         prompts = {trial.fingerprint for trial in running}
         if ask.fingerprint in prompts or not free:
             return messages.TrialAnswered(messages.TrialWord.BUSY)
-        trial = condemnation.Trial(
+        trial = evidence.Trial(
             ask.fingerprint,
             ask.organisation,
             ask.model,
@@ -184,7 +183,7 @@
         free = [name for name in ask.endpoints if name not in guarded]
         return sorted(free, key=lambda name: name in tried)
 
-    def take(self, items: typing.Iterable[condemnation.Item]) -> None:
+    def take(self, items: typing.Iterable[evidence.Item]) -> None:
         """Take in what another agent found."""
         with self.changed:
             for item in items:
--- a/src/briarseam/command/condemned.py
+++ b/src/briarseam/command/condemned.py
@@ -10,6 +10,7 @@
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_log
 from briarseam.admission import condemnation_records as records
+from briarseam.admission import evidence
 from briarseam.backing import log as logs
 from briarseam.command import help_format
 from briarseam.command import options
@@ -116,7 +117,7 @@
         team = self.teams.owner(path)
         if team is None:
             raise team_types.TeamsError(f"no team of the settings has {path}")
-        cleared = condemnation.Cleared(
+        cleared = evidence.Cleared(
             prompt,
             organisation,
             tuple(loss.group for loss in standing.losses),
--- a/src/briarseam/compose/crashes.py
+++ b/src/briarseam/compose/crashes.py
@@ -14,6 +14,7 @@
 from briarseam.admission import condemnation_records as records
 from briarseam.admission import crash_guard
 from briarseam.admission import crash_messages as messages
+from briarseam.admission import evidence
 from briarseam.admission import holdings
 from briarseam.admission import owners
 from briarseam.admission import trials
@@ -226,7 +227,7 @@
         reply = self.ask(KEEPER_KEY, ask, ask.wait_s + TRIAL_SLACK_S)
         return reply if isinstance(reply, messages.TrialAnswered) else None
 
-    def accuse(self, items: typing.Sequence[condemnation.Item]) -> None:
+    def accuse(self, items: typing.Sequence[evidence.Item]) -> None:
         """Tell the keeper of trials; may be lost."""
         self.ask(KEEPER_KEY, messages.Accuse(records.encode_items(items)))
 
--- a/tests/admission/crashes.py
+++ b/tests/admission/crashes.py
@@ -6,10 +6,11 @@
 
 from briarseam.admission import condemnation
 from briarseam.admission import crash_messages
+from briarseam.admission import evidence
 from briarseam.admission import messages
 
-CASE = condemnation.case_of("north", "draft", b"prompt")
-OTHER = condemnation.case_of("north", "draft", b"another prompt")
+CASE = evidence.case_of("north", "draft", b"prompt")
+OTHER = evidence.case_of("north", "draft", b"another prompt")
 names = itertools.count()
 
 
@@ -24,9 +25,9 @@
 
 
 def lost(
-    endpoint: str, group: str = "", case: condemnation.Case = CASE
-) -> condemnation.Lost:
-    return condemnation.Lost(
+    endpoint: str, group: str = "", case: evidence.Case = CASE
+) -> evidence.Lost:
+    return evidence.Lost(
         case.fingerprint,
         case.organisation,
         case.model,
@@ -39,11 +40,11 @@
 class FakeLog:
     def __init__(self, book: condemnation.Book) -> None:
         self.book = book
-        self.noted: list[condemnation.Item] = []
+        self.noted: list[evidence.Item] = []
         self.written = 0
         self.late = False
 
-    def note(self, item: condemnation.Item) -> None:
+    def note(self, item: evidence.Item) -> None:
         self.book.merge(item)
         self.noted.append(item)
 
@@ -71,7 +72,7 @@
 
 
 def ask_trial(
-    case: condemnation.Case, run: str, *names: str
+    case: evidence.Case, run: str, *names: str
 ) -> crash_messages.AskTrial:
     return crash_messages.AskTrial(
         case.fingerprint, case.organisation, case.model, run, names, 0.0
--- a/tests/admission/test_condemnation.py
+++ b/tests/admission/test_condemnation.py
@@ -6,6 +6,7 @@
 
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_records as records
+from briarseam.admission import evidence
 from briarseam.configuration import teams
 from tests.admission import crashes
 
@@ -19,8 +20,8 @@
 crashes.names = itertools.count()
 
 
-def cleared(*groups: str, organisation: str = "north") -> condemnation.Cleared:
-    return condemnation.Cleared(
+def cleared(*groups: str, organisation: str = "north") -> evidence.Cleared:
+    return evidence.Cleared(
         crashes.CASE.fingerprint, organisation, groups, "", 1_000_000
     )
 
@@ -28,9 +29,9 @@
 @pytest.mark.parametrize(
     "prompt",
     [
-        condemnation.case_of("south", "draft", b"prompt"),
-        condemnation.case_of("north", "other", b"prompt"),
-        condemnation.case_of("northd", "raft", b"prompt"),
+        evidence.case_of("south", "draft", b"prompt"),
+        evidence.case_of("north", "other", b"prompt"),
+        evidence.case_of("northd", "raft", b"prompt"),
         crashes.OTHER,
     ],
     ids=["organisation", "model", "parts run together", "prompt"],
--- a/tests/admission/test_condemnation_log.py
+++ b/tests/admission/test_condemnation_log.py
@@ -7,6 +7,7 @@
 
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_log
+from briarseam.admission import evidence
 from briarseam.backing import log as platform_log
 from briarseam.configuration import teams
 
@@ -81,8 +82,8 @@
     assert not waiting.is_alive()
 
 
-def trial(book: condemnation.Book) -> condemnation.Trial:
-    return condemnation.Trial(
+def trial(book: condemnation.Book) -> evidence.Trial:
+    return evidence.Trial(
         "prompt", "north", "draft", "engine-1", "t1", book.now_ms()
     )
 
--- a/tests/admission/test_trials.py
+++ b/tests/admission/test_trials.py
@@ -6,6 +6,7 @@
 
 from briarseam.admission import condemnation
 from briarseam.admission import condemnation_records as records
+from briarseam.admission import evidence
 from briarseam.admission import trials
 from tests.admission import crashes
 
@@ -47,7 +48,7 @@
     book.merge(crashes.lost("engine-0"))
     book.merge(crashes.lost("engine-0", case=crashes.OTHER))
     tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
-    book.merge(condemnation.TrialPassed("t1", book.now_ms()))
+    book.merge(evidence.TrialPassed("t1", book.now_ms()))
     assert (
         tried.ask(crashes.ask_trial(crashes.OTHER, "t2", "engine-1")).word
         == "granted"
@@ -63,7 +64,7 @@
     book.merge(crashes.lost("engine-0"))
     book.merge(crashes.lost("engine-0", case=crashes.OTHER))
     tried.ask(crashes.ask_trial(crashes.CASE, "t1", "engine-1"))
-    book.merge(condemnation.TrialPassed("t1", book.now_ms()))
+    book.merge(evidence.TrialPassed("t1", book.now_ms()))
 
 
 def test_trial_begins_where_no_suspect_runs(tried, book):
@@ -183,7 +184,7 @@
     came first.
     """
     case, endpoint = other
-    rival = condemnation.Trial(
+    rival = evidence.Trial(
         case.fingerprint, "north", "draft", endpoint, "rival", book.now_ms()
     )
 
--- a/tests/command/test_condemned.py
+++ b/tests/command/test_condemned.py
@@ -5,15 +5,15 @@
 import pytest
 
 from briarseam import run
-from briarseam.admission import condemnation
 from briarseam.admission import condemnation_log
 from briarseam.admission import condemnation_records as records
+from briarseam.admission import evidence
 from briarseam.backing import log as logs
 from briarseam.configuration import teams
 from briarseam.testing import log_service
 
 KEY = b"0123456789abcdef"
-CASE = condemnation.case_of("kitchen", "draft", b"prompt")
+CASE = evidence.case_of("kitchen", "draft", b"prompt")
 
 
 @pytest.fixture
@@ -42,7 +42,7 @@
     def append(case=CASE, key=KEY):
         now_ms = condemnation_log.LogClock().now_ms()
         items = [
-            condemnation.Lost(
+            evidence.Lost(
                 case.fingerprint,
                 case.organisation,
                 case.model,
@@ -80,14 +80,14 @@
     )
     batch = logs.LogClient(log.address).read(records.STREAM, 0)
     items = records.decode(batch.records[-1].data, KEY, teams.Teams((team,)))
-    assert isinstance(items[0], condemnation.Cleared)
+    assert isinstance(items[0], evidence.Cleared)
 
 
 def test_prompt_of_an_organisation_without_team_is_not_lifted(
     condemned, condemn
 ):
     """An operator lifts what another team answers for."""
-    other = condemnation.case_of("harbour", "draft", b"prompt")
+    other = evidence.case_of("harbour", "draft", b"prompt")
     condemn(other)
     status, _, error = condemned("lift", other.fingerprint)
     assert status == 1
