--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -23,11 +23,12 @@
 import threading
 import time
 
+import lease_cost
+
 from briarseam.backing import log as platform_log
 from briarseam.configuration import schema
 from briarseam.configuration import values
 from briarseam.endpoints import engine_orders
-from briarseam.leases import outcomes
 from briarseam.leases import service as leases_service
 from briarseam.metrics import registry
 from briarseam.orders import goals
@@ -40,20 +41,20 @@
 from briarseam.testing import engine
 from briarseam.testing import engine_switches
 from briarseam.testing import log_service
+from briarseam.testing import waiting
 from briarseam.testing import weight_store
 
 MODEL = "draft"
 ENGINES = 6
 FLOOR = 3
 REPEATS = 3
+# Longest wait for engines or orders, in seconds.
+WAIT_S = 120.0
 LOAD_S = 1.4
 PARTS = 4
 PART_BYTES = 250_000
 STORE_BYTES_PER_S = 4_000_000
 TRANSFERS = 2
-LEASE_RUN_S = 12.0
-LEASE_TTL_S = 6.0
-LOST_TTL_S = 3.0
 COMPARISONS = 200
 POLLS = 500
 SHARED = 10
@@ -72,24 +73,6 @@
     lease_appends: int
 
 
-@dataclasses.dataclass(frozen=True)
-class LeaseRow:
-    """Holders that only renew."""
-
-    holders: int
-    leases_each: int
-    appends_per_s: float
-    bytes_per_s: float
-
-
-@dataclasses.dataclass(frozen=True)
-class LostRow:
-    """A holder that stops without giving its lease back."""
-
-    ttl_s: float
-    seconds_without_holder: float
-
-
 @dataclasses.dataclass(frozen=True)
 class CompareRow:
     """One comparison of wanted and reported, nothing to do.
@@ -206,16 +189,18 @@
         orders.start()
         stack.callback(leases.stop)
         stack.callback(orders.stop)
-        wait_until(lambda: orders.offers(MODEL))
+        waiting.until(lambda: orders.offers(MODEL), WAIT_S)
         watch = Watch(engines)
         seconds = []
         for number in range(1, REPEATS + 1):
             version = f"v{number}"
             began = time.monotonic()
             views.append(view_of(1 + number, version, addresses, weights))
-            wait_until(lambda wanted=version: served(engines, wanted))
+            waiting.until(
+                lambda wanted=version: served(engines, wanted), WAIT_S
+            )
             seconds.append(time.monotonic() - began)
-            wait_until(lambda: not leases.held())
+            waiting.until(lambda: not leases.held(), WAIT_S)
         watch.done.set()
         median_s = statistics.median(seconds)
         return RolloutRow(
@@ -237,73 +222,6 @@
     )
 
 
-def wait_until(condition: object, limit_s: float = 120.0) -> None:
-    """Wait for a condition."""
-    assert callable(condition)
-    deadline = time.monotonic() + limit_s
-    while not condition():
-        if time.monotonic() > deadline:
-            raise TimeoutError("the bench waited too long")
-        time.sleep(0.01)
-
-
-def measure_leases(holders: int, leases_each: int) -> LeaseRow:
-    """Return what holding leases costs the log."""
-    with contextlib.ExitStack() as stack:
-        log = stack.enter_context(log_service.LogService())
-        found = []
-        for number in range(holders):
-            leases = leases_service.Leases(
-                platform_log.LogClient(log.address),
-                f"holder-{number}",
-                LEASE_TTL_S,
-            )
-            leases.start()
-            stack.callback(leases.stop)
-            for lease in range(leases_each):
-                name = f"lease-{number}-{lease}"
-                wait_until(
-                    lambda one=leases, wanted=name: isinstance(
-                        one.acquire(wanted), outcomes.Held
-                    )
-                )
-            found.append(leases)
-        stream = log.stream(leases_service.STREAM)
-        began, count = time.monotonic(), len(stream.records)
-        time.sleep(LEASE_RUN_S)
-        took_s = time.monotonic() - began
-        records = stream.records[count:]
-        assert all(len(one.held()) == leases_each for one in found)
-        return LeaseRow(
-            holders,
-            leases_each,
-            round(len(records) / took_s, 2),
-            round(sum(len(one.content) for one in records) / took_s, 1),
-        )
-
-
-def measure_lost() -> LostRow:
-    """Return how long a lease stays with a holder that is gone."""
-    with log_service.LogService() as log:
-        first, second = (
-            leases_service.Leases(
-                platform_log.LogClient(log.address), name, LOST_TTL_S
-            )
-            for name in ("first", "second")
-        )
-        first.start()
-        second.start()
-        wait_until(lambda: isinstance(first.acquire("x"), outcomes.Held))
-        # Lost as a killed process is: no renewal, no release.
-        first.stopping.set()
-        first.follower.stop()
-        began = time.monotonic()
-        wait_until(lambda: isinstance(second.acquire("x"), outcomes.Held))
-        took_s = time.monotonic() - began
-        second.stop()
-        return LostRow(LOST_TTL_S, round(took_s, 2))
-
-
 def measure_poll() -> PollRow:
     """Return what one reading costs, and its report on a heartbeat."""
     with engine.Engine(models={MODEL: "2026.11"}) as one:
@@ -378,7 +296,7 @@
     for bound in (2, 3):
         rollouts.append(measure_rollouts(bound, rollouts[0].median_s))
     leases = [
-        measure_leases(holders, each)
+        lease_cost.measure_leases(holders, each)
         for holders, each in (
             (1, 1),
             (1, 5),
@@ -391,7 +309,7 @@
     rows = {
         "rollouts": rollouts,
         "leases": leases,
-        "lost": [measure_lost()],
+        "lost": [lease_cost.measure_lost()],
         "poll": [measure_poll()],
         "compare": [measure_compare(count) for count in (6, 64, 512, 4000)],
     }
