--- a/src/briarseam/answers/calls.py
+++ b/src/briarseam/answers/calls.py
@@ -8,6 +8,7 @@
 from briarseam import verdict
 from briarseam.admission import messages
 from briarseam.answers import attempts
+from briarseam.answers import replays
 from briarseam.answers import runs
 from briarseam.endpoints import engine
 from briarseam.endpoints import service
@@ -151,11 +152,5 @@
     verdict.RefusalError
         When only a part of it was kept.
     """
-    if not replayed.whole:
-        raise verdict.RefusalError(
-            verdict.Ran(
-                verdict.Reason.ANSWER_GONE,
-                "the call ran; its answer was too long to be kept",
-            )
-        )
-    return service.ServiceAnswer(replayed.status, replayed.body, JSON, True)
+    body = replays.whole_body(replayed, "call")
+    return service.ServiceAnswer(replayed.status, body, JSON, True)
--- a/src/briarseam/answers/events.py
+++ b/src/briarseam/answers/events.py
@@ -8,6 +8,7 @@
 
 from briarseam import verdict
 from briarseam.admission import messages
+from briarseam.answers import replays
 from briarseam.endpoints import engine
 from briarseam.endpoints import sse
 
@@ -64,14 +65,8 @@
     verdict.RefusalError
         When only a part of it was kept.
     """
-    if not replayed.whole:
-        raise verdict.RefusalError(
-            verdict.Ran(
-                verdict.Reason.ANSWER_GONE,
-                "the prompt ran; its answer was too long to be kept",
-            )
-        )
-    tokens = replayed.body.decode().split()
+    body = replays.whole_body(replayed, "prompt")
+    tokens = body.decode().split()
     yield begin_event(replayed.answer_id, 0)
     for offset, token in enumerate(tokens):
         yield token_event(engine.Token("", offset, token))
