--- a/src/briarseam/command/config_output.py
+++ b/src/briarseam/command/config_output.py
@@ -6,6 +6,7 @@
 import datetime
 import typing
 
+from briarseam import wrapping
 from briarseam.command import output
 from briarseam.configuration import fold as folds
 from briarseam.configuration import plans
@@ -95,7 +96,7 @@
     def say(self, text: str, indent: str = "") -> None:
         """Print one sentence, folded when narrow."""
         if output.is_narrow(self.args):
-            for line in output.folded(text, indent):
+            for line in wrapping.wrapped(text, indent):
                 print(line, flush=True)
             return
         print(f"{indent}{text}", flush=True)
--- a/src/briarseam/command/output.py
+++ b/src/briarseam/command/output.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import shutil
-import textwrap
 import typing
 
 import msgspec
 
+from briarseam import wrapping
+
 if typing.TYPE_CHECKING:
     import argparse
     import collections.abc
 
-NARROW_COLUMNS = 40
 NARROW_BELOW_COLUMNS = 60
-INDENT = "  "
 GAP = "  "
 FIELD_HEADERS = ("what", "value")
 
@@ -76,7 +75,7 @@
         print_records(args, FIELD_HEADERS, fields)
         return
     for name, value in fields:
-        for line in folded(f"{name}: {value}", ""):
+        for line in wrapping.wrapped(f"{name}: {value}", ""):
             print(line)
 
 
@@ -102,18 +101,9 @@
     """Return a block for each row: its first cell, then the others."""
     lines: list[str] = []
     for first, *rest in rows:
-        lines.extend(folded(first, ""))
+        lines.extend(wrapping.wrapped(first, ""))
         for header, cell in zip(headers[1:], rest, strict=True):
-            lines.extend(folded(f"{header}: {cell}", INDENT))
+            lines.extend(
+                wrapping.wrapped(f"{header}: {cell}", wrapping.INDENT)
+            )
     return lines
-
-
-def folded(text: str, indent: str) -> list[str]:
-    """Return text broken to at most 40 columns; nothing is cut off."""
-    return textwrap.wrap(
-        text,
-        NARROW_COLUMNS,
-        initial_indent=indent,
-        subsequent_indent=indent + INDENT,
-        break_on_hyphens=False,
-    )
--- a/src/briarseam/timeline/render_text.py
+++ b/src/briarseam/timeline/render_text.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import textwrap
 import typing
 
+from briarseam import wrapping
 from briarseam.timeline import rows as building
 
 if typing.TYPE_CHECKING:
@@ -12,9 +12,6 @@
 
     from briarseam.timeline import messages
 
-NARROW_COLUMNS = 40
-INDENT = "  "
-HANGING = "  "
 GAP = "  "
 
 
@@ -32,7 +29,7 @@
     lines = narrow_lines(rows) if narrow else table_lines(rows)
     after = [building.summary(found), *building.notes(found)]
     if narrow:
-        after = [line for text in after for line in folded(text, "")]
+        after = [line for text in after for line in wrapping.wrapped(text, "")]
     if lines:
         lines.append("")
     return "\n".join([*lines, *after])
@@ -63,20 +60,12 @@
     """Return a block an event: when and what, who, about what."""
     lines: list[str] = []
     for row in rows:
-        lines += folded(f"{row.time} {row.kind} {row.after}".rstrip(), "")
+        lines += wrapping.wrapped(
+            f"{row.time} {row.kind} {row.after}".rstrip(), ""
+        )
         words = building.packed(
-            (row.process, *row.about), NARROW_COLUMNS - len(INDENT)
+            (row.process, *row.about),
+            wrapping.NARROW_COLUMNS - len(wrapping.INDENT),
         )
-        lines += [INDENT + line for line in words]
+        lines += [wrapping.INDENT + line for line in words]
     return lines
-
-
-def folded(text: str, indent: str) -> list[str]:
-    """Return text broken to at most 40 columns; nothing is cut off."""
-    return textwrap.wrap(
-        text,
-        NARROW_COLUMNS,
-        initial_indent=indent,
-        subsequent_indent=indent + HANGING,
-        break_on_hyphens=False,
-    )
