One backoff for pauses that double from failure to failure

The followers of topics and of log streams, the configuration's reader and the settler each doubled and bounded a pause by hand. The two followers stay apart from polling.Poller: their log lines carry topic, stream and offset under names that operators search for, and a batch that can't be taken in ends or goes on differently.

--- a/src/briarseam/backing/log.py
+++ b/src/briarseam/backing/log.py
@@ -10,6 +10,8 @@
 import structlog
 import urllib3
 
+from briarseam import backoff
+
 APPEND_TIMEOUT_S = 2.0
 READ_SLACK_S = 2.0
 RETRY_S = 0.25
@@ -251,7 +253,7 @@
 
     def follow(self) -> None:
         """Read on until stopped; back off while the log is away."""
-        pause_s = RETRY_S
+        pauses = backoff.Backoff(RETRY_S, MAX_RETRY_S)
         # The first read doesn't wait, so that the owner of an empty stream
         # knows at once that it is current.
         wait_ms = 0
@@ -260,10 +262,9 @@
                 batch = self.client.read(self.stream, self.after, wait_ms)
             except LogUnavailableError as error:
                 self.note_available(False, str(error))
-                self.stopping.wait(pause_s)
-                pause_s = min(2 * pause_s, MAX_RETRY_S)
+                self.stopping.wait(pauses.next_s())
                 continue
-            pause_s = RETRY_S
+            pauses.reset()
             wait_ms = self.wait_ms
             self.note_available(True, "")
             self.on_batch(batch)
--- a/src/briarseam/claims/settler.py
+++ b/src/briarseam/claims/settler.py
@@ -12,6 +12,7 @@
 import threading
 import typing
 
+from briarseam import backoff
 from briarseam.claims import records
 
 RETRY_S = 0.25
@@ -74,7 +75,7 @@
 
     def run(self) -> None:
         """Offer until stopped, backing off while nothing is taken."""
-        pause_s = RETRY_S
+        pauses = backoff.Backoff(RETRY_S, MAX_RETRY_S)
         while True:
             items = self.take()
             if not items:
@@ -82,11 +83,10 @@
             confirmed = self.deliver(self.shard, items)
             self.remove(items, confirmed)
             if confirmed:
-                pause_s = RETRY_S
+                pauses.reset()
                 continue
             with self.changed:
-                self.changed.wait_for(lambda: self.stopping, pause_s)
-            pause_s = min(2 * pause_s, MAX_RETRY_S)
+                self.changed.wait_for(lambda: self.stopping, pauses.next_s())
 
     def take(self) -> list[records.Settlement]:
         """Wait for settlements and return some; none once stopped."""
--- a/src/briarseam/configuration/reader.py
+++ b/src/briarseam/configuration/reader.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from briarseam import backoff
 from briarseam.backing import log as logs
 from briarseam.configuration import answering
 from briarseam.configuration import loading
@@ -198,13 +199,12 @@
 
     def run(self) -> None:
         """Load, then follow until stopped."""
-        pause_s = MIN_PAUSE_S
+        pauses = backoff.Backoff(MIN_PAUSE_S, MAX_PAUSE_S)
         while not self.stopping.is_set():
             if self.round():
-                pause_s = MIN_PAUSE_S
+                pauses.reset()
                 continue
-            self.stopping.wait(pause_s)
-            pause_s = min(2 * pause_s, MAX_PAUSE_S)
+            self.stopping.wait(pauses.next_s())
 
     def round(self) -> bool:
         """Ask once for what is new; tell whether that brought proof."""
--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import random
 import threading
 import typing
 
 import structlog
 
+from briarseam import backoff
 from briarseam.feeds import records
 
 if typing.TYPE_CHECKING:
@@ -85,16 +85,13 @@
 
     def run(self) -> None:
         """Follow until stopped."""
-        retry_s = RETRY_S
+        pauses = backoff.Backoff(RETRY_S, MAX_RETRY_S, JITTER)
         while not self.stopping.is_set():
             try:
                 self.read_once()
             except records.StoreUnavailableError as error:
                 self.note_lost(str(error))
-                self.stopping.wait(
-                    retry_s * random.uniform(1 - JITTER, 1 + JITTER)
-                )
-                retry_s = min(2 * retry_s, MAX_RETRY_S)
+                self.stopping.wait(pauses.next_s())
                 continue
             except Exception:
                 # A fault of ours must not end the thread: nothing would
@@ -103,7 +100,7 @@
                 log.exception("read_failed", topic=self.topic)
                 self.stopping.wait(MAX_RETRY_S)
                 continue
-            retry_s = RETRY_S
+            pauses.reset()
             self.note_regained()
             self.stopping.wait(self.pause_s)
 
