--- a/src/briarseam/endpoints/engine_events.py
+++ b/src/briarseam/endpoints/engine_events.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-import typing
 
-import msgspec
 import urllib3
 
+from briarseam.endpoints import reading
+
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 2.0
-HTTP_OK = 200
+TIMEOUT = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, total=CALL_TIMEOUT_S)
 ADDED = "added"
 
 
@@ -106,31 +106,19 @@
     """The engine did not answer, or not as its protocol says."""
 
 
-Body = typing.TypeVar("Body")
-
-
 class EventClient:
     """Reads engines' cache events and listings."""
 
     def __init__(self) -> None:
         self.pool = urllib3.PoolManager(
-            maxsize=2,
-            num_pools=256,
-            retries=False,
-            timeout=urllib3.Timeout(
-                connect=CONNECT_TIMEOUT_S, total=CALL_TIMEOUT_S
-            ),
+            maxsize=2, num_pools=256, retries=False
         )
 
-    def get(self, url: str, body_type: type[Body]) -> Body:
+    def get(self, url: str, body_type: type[reading.Body]) -> reading.Body:
         """Return the validated body of a GET."""
-        try:
-            response = self.pool.request("GET", url)
-            if response.status != HTTP_OK:
-                raise EventsUnavailableError(f"answered {response.status}")
-            return msgspec.json.decode(response.data, type=body_type)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
-            raise EventsUnavailableError(str(error)) from error
+        return reading.read(
+            self.pool, url, body_type, EventsUnavailableError, TIMEOUT
+        )
 
     def events(self, address: str, after: int) -> EventPage:
         """Return events after a number.
--- a/src/briarseam/endpoints/engine_load.py
+++ b/src/briarseam/endpoints/engine_load.py
@@ -4,11 +4,11 @@
 
 import dataclasses
 
-import msgspec
 import urllib3
 
+from briarseam.endpoints import reading
+
 READ_TIMEOUT_S = 1.0
-HTTP_OK = 200
 
 
 class LoadUnavailableError(Exception):
@@ -59,12 +59,10 @@
         LoadUnavailableError
             When it does not answer properly.
         """
-        try:
-            response = self.pool.request(
-                "GET", f"http://{address}/load", timeout=READ_TIMEOUT_S
-            )
-            if response.status != HTTP_OK:
-                raise LoadUnavailableError(f"answered {response.status}")
-            return msgspec.json.decode(response.data, type=LoadReport)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
-            raise LoadUnavailableError(str(error)) from error
+        return reading.read(
+            self.pool,
+            f"http://{address}/load",
+            LoadReport,
+            LoadUnavailableError,
+            READ_TIMEOUT_S,
+        )
--- a/src/briarseam/endpoints/engine_orders.py
+++ b/src/briarseam/endpoints/engine_orders.py
@@ -10,9 +10,10 @@
 import json
 import typing
 
-import msgspec
 import urllib3
 
+from briarseam.endpoints import reading
+
 DEFAULT_TIMEOUT_S = 1.0
 POOL_SIZE = 64
 HTTP_OK = 200
@@ -155,14 +156,13 @@
         StateUnavailableError
             When it does not answer properly in time.
         """
-        url = f"http://{address}/state"
-        try:
-            response = self.pool.request("GET", url, timeout=self.timeout_s)
-            if response.status != HTTP_OK:
-                raise StateUnavailableError(f"answered {response.status}")
-            return msgspec.json.decode(response.data, type=EngineState)
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
-            raise StateUnavailableError(str(error)) from error
+        return reading.read(
+            self.pool,
+            f"http://{address}/state",
+            EngineState,
+            StateUnavailableError,
+            self.timeout_s,
+        )
 
     def give(
         self, address: str, order: Order, order_id: str, fence: int
--- /dev/null
+++ b/src/briarseam/endpoints/reading.py
@@ -0,0 +1,43 @@
+"""Reading JSON from endpoints."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+import urllib3
+
+HTTP_OK = 200
+
+Body = typing.TypeVar("Body")
+
+
+def read(
+    pool: urllib3.PoolManager,
+    url: str,
+    body_type: type[Body],
+    unavailable: type[Exception],
+    timeout: float | urllib3.Timeout,
+) -> Body:
+    """Return the validated body of a GET.
+
+    Parameters
+    ----------
+    pool
+        Connections, without the library's retries.
+    url
+        What to read.
+    body_type
+        Data class of the body.
+    unavailable
+        Raised when the endpoint does not answer properly.
+    timeout
+        Bound on the call, in seconds.
+    """
+    try:
+        response = pool.request("GET", url, timeout=timeout)
+        if response.status != HTTP_OK:
+            raise unavailable(f"answered {response.status}")
+        return msgspec.json.decode(response.data, type=body_type)
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        raise unavailable(str(error)) from error
