--- a/bench/claims_throughput.py
+++ b/bench/claims_throughput.py
@@ -23,6 +23,7 @@
 from briarseam.claims import messages
 from briarseam.claims import options
 from briarseam.claims import service
+from briarseam.claims import shard as shard_module
 from briarseam.metrics import registry
 from briarseam.testing import log_service
 from briarseam.wire import client as wire_client
@@ -96,7 +97,7 @@
 
     def ready(self) -> bool:
         """Tell whether all shards are read."""
-        followed = self.claims.followed()
+        followed = self.claims.followed.all()
         return len(followed) == self.claims.options.shards and all(
             shard.unready() is None for shard in followed
         )
@@ -110,7 +111,7 @@
 
     def appends(self) -> int:
         """Return the appends so far."""
-        return self.claims.count_appends()
+        return self.claims.followed.count_appends()
 
     def stop(self) -> None:
         """Stop."""
@@ -122,7 +123,7 @@
 
     def __init__(self, name: str, log: str, given: options.Options) -> None:
         super().__init__(name, log, given)
-        self.alone = [Alone(shard) for shard in self.claims.followed()]
+        self.alone = [Alone(shard) for shard in self.claims.followed.all()]
 
     def appends(self) -> int:
         """Return the appends so far."""
@@ -132,7 +133,7 @@
 class Alone:
     """Takes a writer's place: appends at once, in the caller's thread."""
 
-    def __init__(self, shard: service.shard_module.Shard) -> None:
+    def __init__(self, shard: shard_module.Shard) -> None:
         self.shard = shard
         self.writer = shard.writer
         self.appends = 0
--- a/bench/claims_window.py
+++ b/bench/claims_window.py
@@ -104,7 +104,7 @@
             registry.Registry(),
         )
         started = time.monotonic()
-        shard = claims.shard(0)
+        shard = claims.followed.shard(0)
         while shard.unready() is not None:
             time.sleep(0.005)
         took_s = time.monotonic() - started
--- /dev/null
+++ b/src/briarseam/claims/followed.py
@@ -0,0 +1,144 @@
+"""The shards that one agent follows: those it owns and those in use."""
+
+from __future__ import annotations
+
+import threading
+import time
+import typing
+
+from briarseam.claims import keys
+from briarseam.claims import options as options_module
+from briarseam.claims import shard as shard_module
+from briarseam.claims import writer as writers
+
+if typing.TYPE_CHECKING:
+    from briarseam.backing import log as platform_log
+    from briarseam.claims import records
+
+REVIEW_S = 2.0
+# A shard that another agent owns is followed so long after its last use.
+RELEASE_S = 30.0
+
+
+class FollowedShards:
+    """Follows what its agent owns, and any other shard while it is used.
+
+    Parameters
+    ----------
+    log
+        The log service.
+    me
+        This start of this agent.
+    options
+        How claims work.
+    owner
+        Returns the address of another agent that owns a shard; ``None``
+        for one of this agent's own.
+    is_alive
+        Tells whether the agent that made a claim is still there.
+    """
+
+    def __init__(
+        self,
+        log: platform_log.LogClient,
+        me: options_module.Holder,
+        options: options_module.Options,
+        owner: typing.Callable[[int], str | None],
+        is_alive: typing.Callable[[records.Claim], bool],
+    ) -> None:
+        self.log = log
+        self.me = me
+        self.options = options
+        self.owner = owner
+        self.is_alive = is_alive
+        self.window = keys.Window(int(options.window_s * 1000))
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+        self.shards: dict[int, shard_module.Shard] = {}
+
+    def start(self) -> None:
+        """Begin following the shards that this agent owns."""
+        threading.Thread(target=self.run, name="claims", daemon=True).start()
+
+    def end_reviews(self) -> None:
+        """Leave what is followed as it is from now on."""
+        self.stopping.set()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self.stopping.set()
+        for shard in self.all():
+            shard.stop()
+
+    def run(self) -> None:
+        """Review until stopped."""
+        while True:
+            self.follow_own()
+            self.release_unused()
+            if self.stopping.wait(REVIEW_S):
+                return
+
+    def follow_own(self) -> None:
+        """Begin to follow what this agent has come to own."""
+        for number in range(self.options.shards):
+            if self.owner(number) is None:
+                self.shard(number)
+
+    def release_unused(self) -> None:
+        """Stop following shards that others own and nobody asks about."""
+        before = time.monotonic() - RELEASE_S
+        with self.lock:
+            unused = [
+                number
+                for number, shard in self.shards.items()
+                if shard.used_at < before and not shard.is_busy()
+            ]
+        for number in unused:
+            if self.owner(number) is not None:
+                with self.lock:
+                    shard = self.shards.pop(number, None)
+                if shard is not None:
+                    shard.stop()
+
+    def all(self) -> list[shard_module.Shard]:
+        """Return the shards that are followed just now."""
+        with self.lock:
+            return list(self.shards.values())
+
+    def shard(self, number: int) -> shard_module.Shard:
+        """Return a shard, beginning to follow it if need be."""
+        with self.lock:
+            shard = self.shards.get(number)
+            if shard is None:
+                shard = self.new_shard(number)
+                self.shards[number] = shard
+                shard.start()
+            shard.used_at = time.monotonic()
+            return shard
+
+    def new_shard(self, number: int) -> shard_module.Shard:
+        """Return a shard that is not yet followed."""
+        stream = writers.Stream(
+            self.log,
+            options_module.stream_name(number),
+            self.options.shards,
+            f"{self.me.name}/{self.me.incarnation}",
+        )
+        return shard_module.Shard(
+            stream,
+            self.window,
+            self.options.batch_ms / 1000,
+            self.is_alive,
+        )
+
+    def count_keys(self) -> int:
+        """Return how many keys and void attempts are in memory."""
+        return sum(shard.fold.size() for shard in self.all())
+
+    def count_appends(self) -> int:
+        """Return how many records were appended."""
+        return sum(shard.writer.appends for shard in self.all())
+
+    def count_halted(self) -> int:
+        """Return how many streams cannot be trusted."""
+        return sum(bool(shard.halted) for shard in self.all())
--- a/src/briarseam/claims/service.py
+++ b/src/briarseam/claims/service.py
@@ -9,18 +9,16 @@
 
 import secrets
 import threading
-import time
 import typing
 
 from briarseam import verdict
 from briarseam.backing import log as platform_log
+from briarseam.claims import followed
 from briarseam.claims import keys
 from briarseam.claims import messages
 from briarseam.claims import options as options_module
 from briarseam.claims import records
 from briarseam.claims import settler as settlers
-from briarseam.claims import shard as shard_module
-from briarseam.claims import writer as writers
 from briarseam.metrics import registry as registries
 from briarseam.wire import client as wire_client
 from briarseam.wire import codec
@@ -32,9 +30,6 @@
 HOLDER_TIMEOUT_S = 0.5
 OWNER_LOST_RETRY_S = 1.0
 FLUSH_S = 2.0
-REVIEW_S = 2.0
-# A shard that another agent owns is followed so long after its last use.
-RELEASE_S = 30.0
 ATTEMPT_BYTES = 16
 
 
@@ -63,22 +58,23 @@
         options: options_module.Options,
         metrics: registries.Registry,
     ) -> None:
-        self.log = log
         self.me = me
         self.peers = peers
         self.options = options
-        self.window = keys.Window(int(options.window_s * 1000))
+        self.followed = followed.FollowedShards(
+            log, me, options, self.owner, self.is_alive
+        )
         self.lock = threading.Lock()
-        self.stopping = threading.Event()
-        self.shards: dict[int, shard_module.Shard] = {}
         self.settlers: dict[int, settlers.Settler] = {}
         self.results = metrics.counters(
             "claims_total", "Claims by result.", ("result",)
         )
         self.waits = metrics.latency("claim_us", "Time that a claim took.")
-        metrics.reading("claim_keys", "Keys in memory.", self.count_keys)
         metrics.reading(
-            "claim_appends", "Records appended.", self.count_appends
+            "claim_keys", "Keys in memory.", self.followed.count_keys
+        )
+        metrics.reading(
+            "claim_appends", "Records appended.", self.followed.count_appends
         )
         metrics.reading(
             "claim_settlements_pending",
@@ -88,48 +84,21 @@
         metrics.reading(
             "claim_streams_halted",
             "Streams that cannot be trusted.",
-            self.count_halted,
+            self.followed.count_halted,
         )
 
     def start(self) -> None:
         """Begin following the shards that this agent owns."""
-        threading.Thread(target=self.watch, name="claims", daemon=True).start()
-
-    def watch(self) -> None:
-        """Follow what this agent comes to own, release what it does not."""
-        while True:
-            for number in range(self.options.shards):
-                if self.owner(number) is None:
-                    self.shard(number)
-            self.release_unused()
-            if self.stopping.wait(REVIEW_S):
-                return
-
-    def release_unused(self) -> None:
-        """Stop following shards that others own and nobody asks about."""
-        before = time.monotonic() - RELEASE_S
-        with self.lock:
-            unused = [
-                number
-                for number, shard in self.shards.items()
-                if shard.used_at < before and not shard.is_busy()
-            ]
-        for number in unused:
-            if self.owner(number) is not None:
-                with self.lock:
-                    shard = self.shards.pop(number, None)
-                if shard is not None:
-                    shard.stop()
+        self.followed.start()
 
     def stop(self) -> None:
         """Hand over pending settlements, then stop."""
-        self.stopping.set()
+        self.followed.end_reviews()
         with self.lock:
             pending = list(self.settlers.values())
         for settler in pending:
             settler.stop(FLUSH_S)
-        for shard in self.followed():
-            shard.stop()
+        self.followed.stop()
 
     def register(self, router: wire_server.Router) -> None:
         """Answer other agents' claims and settlements."""
@@ -258,7 +227,7 @@
         self, number: int, request: messages.ClaimRequest
     ) -> messages.Result:
         """Claim in a shard that this agent follows."""
-        return self.shard(number).claim(request.claim, request.wait_s)
+        return self.followed.shard(number).claim(request.claim, request.wait_s)
 
     def is_alive(self, claim: records.Claim) -> bool:
         """Tell whether the agent that made a claim is still there.
@@ -283,7 +252,7 @@
         """Offer settlements to the shard's owner."""
         address = self.owner(number)
         if address is None:
-            return self.shard(number).settle(items, SETTLE_WAIT_S)
+            return self.followed.shard(number).settle(items, SETTLE_WAIT_S)
         client = self.peers.client_of(address)
         request = messages.SettleRequest(number, tuple(items), SETTLE_WAIT_S)
         try:
@@ -316,36 +285,10 @@
         """Answer another agent's settlements."""
         if not 0 <= request.shard < self.options.shards:
             return messages.SettleReply(())
-        shard = self.shard(request.shard)
+        shard = self.followed.shard(request.shard)
         confirmed = shard.settle(request.settlements, request.wait_s)
         return messages.SettleReply(tuple(sorted(confirmed)))
 
-    def shard(self, number: int) -> shard_module.Shard:
-        """Return a shard, beginning to follow it if need be."""
-        with self.lock:
-            shard = self.shards.get(number)
-            if shard is None:
-                shard = self.new_shard(number)
-                self.shards[number] = shard
-                shard.start()
-            shard.used_at = time.monotonic()
-            return shard
-
-    def new_shard(self, number: int) -> shard_module.Shard:
-        """Return a shard that is not yet followed."""
-        stream = writers.Stream(
-            self.log,
-            options_module.stream_name(number),
-            self.options.shards,
-            f"{self.me.name}/{self.me.incarnation}",
-        )
-        return shard_module.Shard(
-            stream,
-            self.window,
-            self.options.batch_ms / 1000,
-            self.is_alive,
-        )
-
     def settler(self, number: int) -> settlers.Settler:
         """Return a shard's settler, starting it if need be."""
         with self.lock:
@@ -361,23 +304,6 @@
         self.results.labelled(type(result).__name__).add()
         return result
 
-    def followed(self) -> list[shard_module.Shard]:
-        """Return the shards that this agent follows."""
-        with self.lock:
-            return list(self.shards.values())
-
-    def count_keys(self) -> int:
-        """Return how many keys and void attempts are in memory."""
-        return sum(shard.fold.size() for shard in self.followed())
-
-    def count_appends(self) -> int:
-        """Return how many records were appended."""
-        return sum(shard.writer.appends for shard in self.followed())
-
-    def count_halted(self) -> int:
-        """Return how many streams cannot be trusted."""
-        return sum(bool(shard.halted) for shard in self.followed())
-
     def count_pending(self) -> int:
         """Return how many settlements are not yet in the log."""
         with self.lock:
--- a/tests/admission/test_once.py
+++ b/tests/admission/test_once.py
@@ -180,7 +180,7 @@
     return all(
         shard.follower.available
         for instance in running.instances
-        for shard in instance.agent.claims.followed()
+        for shard in instance.agent.claims.followed.all()
     )
 
 
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -8,6 +8,7 @@
 from tests.claims import fake_log
 
 from briarseam import verdict
+from briarseam.claims import followed
 from briarseam.claims import keys
 from briarseam.claims import messages
 from briarseam.claims import options
@@ -98,7 +99,7 @@
         cell.add("agent-2")
         claims = cell.agents["agent-1"].claims
         waiting.until(
-            lambda: all(s.unready() is None for s in claims.followed())
+            lambda: all(s.unready() is None for s in claims.followed.all())
         )
         yield cell
 
@@ -120,7 +121,7 @@
 
 def test_only_the_owner_follows_the_streams(cell: Cell) -> None:
     cell.agents["agent-2"].claim(cell.key())
-    assert cell.agents["agent-2"].claims.followed() == []
+    assert cell.agents["agent-2"].claims.followed.all() == []
 
 
 def test_outcome_settled_at_a_peer_is_replayed(cell: Cell) -> None:
@@ -262,10 +263,13 @@
     """Every agent that ever owned a stream goes on polling the log."""
     agent = cell.agents["agent-1"]
     cell.owner = "agent-2"
-    agent.claims.release_unused()
-    assert agent.claims.followed()
-    monkeypatch.setattr(service, "RELEASE_S", -1.0)
+    agent.claims.followed.release_unused()
+    assert agent.claims.followed.all()
+    monkeypatch.setattr(followed, "RELEASE_S", -1.0)
     # The agent's own thread may be following what it owned a moment ago.
     waiting.until(
-        lambda: agent.claims.release_unused() or not agent.claims.followed()
+        lambda: (
+            agent.claims.followed.release_unused()
+            or not agent.claims.followed.all()
+        )
     )
