--- a/src/briarseam/placement/cell_loads.py
+++ b/src/briarseam/placement/cell_loads.py
@@ -10,15 +10,16 @@
 from __future__ import annotations
 
 import dataclasses
-import threading
 import typing
 
 import msgspec
 import structlog
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.placement import loads as load_module
 from briarseam.wire import codec
+from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -59,10 +60,6 @@
     """Reply that carries nothing but that the work was taken in."""
 
 
-class UntoldError(Exception):
-    """A cell could not be told."""
-
-
 class Cells(typing.Protocol):
     """The cell of this instance, and one instance of each other."""
 
@@ -83,7 +80,7 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When it may not have been reached.
         """
 
@@ -112,25 +109,21 @@
         self.clock = clock
         self.told: dict[str, tuple[CellLoad, float]] = {}
         self.untold: frozenset[str] = frozenset()
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="cell-loads", daemon=True
-        )
+        self.telling = repeating.Repeater("cell-loads", self.review, TELL_S)
 
     def start(self) -> None:
         """Begin telling."""
-        self.thread.start()
+        self.telling.start()
 
     def stop(self) -> None:
         """Tell nothing further."""
-        self.stopping.set()
+        self.telling.stop()
 
-    def run(self) -> None:
-        """Tell until stopped."""
-        while not self.stopping.wait(TELL_S):
-            self.forget_old()
-            if self.cells.tells():
-                self.tell_all()
+    def review(self) -> None:
+        """Forget what is old; tell if that falls to this instance."""
+        self.forget_old()
+        if self.cells.tells():
+            self.tell_all()
 
     def tell_all(self) -> None:
         """Tell one instance of each other cell."""
@@ -146,7 +139,7 @@
         for address in addresses:
             try:
                 self.cells.tell_load(address, message)
-            except UntoldError as error:
+            except replies.NoReplyError as error:
                 untold.add(address)
                 if address not in self.untold:
                     log.warning(
--- a/src/briarseam/placement/cell_weights.py
+++ b/src/briarseam/placement/cell_weights.py
@@ -9,14 +9,15 @@
 
 from __future__ import annotations
 
-import threading
 import typing
 
 import msgspec
 import structlog
 
 from briarseam import clocks
+from briarseam import repeating
 from briarseam.wire import codec
+from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -55,10 +56,6 @@
     """Reply that carries nothing but that it was taken in."""
 
 
-class UntoldError(Exception):
-    """A cell could not be told."""
-
-
 class Board(typing.Protocol):
     """What an instance knows of engines' weights.
 
@@ -91,7 +88,7 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When it may not have been taken in.
         """
 
@@ -127,23 +124,17 @@
         self.told_s = 0.0
         self.untold: frozenset[str] = frozenset()
         self.heard: dict[str, tuple[bytes, float]] = {}
-        self.stopping = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name="cell-weights", daemon=True
+        self.reviews = repeating.Repeater(
+            "cell-weights", self.review, REVIEW_S
         )
 
     def start(self) -> None:
         """Begin telling."""
-        self.thread.start()
+        self.reviews.start()
 
     def stop(self) -> None:
         """Tell nothing further."""
-        self.stopping.set()
-
-    def run(self) -> None:
-        """Tell until stopped."""
-        while not self.stopping.wait(REVIEW_S):
-            self.review()
+        self.reviews.stop()
 
     def review(self) -> None:
         """Tell what has changed, and again while an engine is changed."""
@@ -176,7 +167,7 @@
         for address in addresses:
             try:
                 self.cells.tell_weights(address, message)
-            except UntoldError as error:
+            except replies.NoReplyError as error:
                 untold.add(address)
                 if address not in self.untold:
                     log.warning(
