--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -172,13 +172,10 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When they may not have been taken in.
         """
-        try:
-            self.tell(address, message, loss_sharing.RequestsLostNoted)
-        except replies.NoReplyError as error:
-            raise loss_sharing.UntoldError(str(error)) from error
+        self.tell(address, message, loss_sharing.RequestsLostNoted)
 
     def tell_weights(
         self, address: str, message: cell_weights.WeightsTold
--- a/src/briarseam/forwarding/loss_sharing.py
+++ b/src/briarseam/forwarding/loss_sharing.py
@@ -15,6 +15,7 @@
 import structlog
 
 from briarseam.wire import codec
+from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -47,10 +48,6 @@
     """Reply that carries nothing but that the losses were taken in."""
 
 
-class UntoldError(Exception):
-    """A cell could not be told."""
-
-
 class OtherCells(typing.Protocol):
     """One instance of each other cell."""
 
@@ -62,7 +59,7 @@
 
         Raises
         ------
-        UntoldError
+        NoReplyError
             When it may not have been reached.
         """
 
@@ -130,7 +127,7 @@
         for address in self.cells.addresses():
             try:
                 self.cells.tell_losses(address, message)
-            except UntoldError as error:
+            except replies.NoReplyError as error:
                 log.warning(
                     "losses_not_told",
                     address=address,
--- a/tests/compose/test_node_calls.py
+++ b/tests/compose/test_node_calls.py
@@ -73,7 +73,7 @@
 def test_nobody_is_told_or_asked_before_peers_are_met():
     made = calls()
     made.instances.service = None
-    with pytest.raises(loss_sharing.UntoldError):
+    with pytest.raises(replies.NoReplyError):
         made.tell_losses("b2:1", loss_sharing.RequestsLost(()))
     with pytest.raises(replies.NoReplyError):
         made.tell_load("b2:1", cell_loads.CellLoad("a", 2, ()))
--- a/tests/forwarding/test_loss_sharing.py
+++ b/tests/forwarding/test_loss_sharing.py
@@ -5,6 +5,7 @@
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import loss_sharing
 from briarseam.testing import waiting
+from briarseam.wire import replies
 
 DIGEST = crash_guard.digest_of("/draft/x", "north", b"body")
 
@@ -21,7 +22,7 @@
 
     def tell_losses(self, address, message):
         if address in self.away:
-            raise loss_sharing.UntoldError("away")
+            raise replies.NoReplyError("away")
         self.sharing[address].take(message)
 
 
