Repeated tasks: one that fails is logged and done again

An error that nobody expected ended the thread of a task for good: a rollout, the sweeping of stores or the telling of loads stood still until the process was started again, with one traceback to show for it. Seen by reading; the new test fails on the code before.

--- a/src/briarseam/repeating.py
+++ b/src/briarseam/repeating.py
@@ -5,6 +5,10 @@
 import threading
 import typing
 
+import structlog
+
+log = structlog.get_logger("briarseam.repeating")
+
 
 class Repeater:
     """Does a task in a thread of its own, with the same pause before each.
@@ -30,6 +34,7 @@
         task: typing.Callable[[], object],
         interval_s: float,
     ) -> None:
+        self.name = name
         self.task = task
         self.interval_s = interval_s
         self.stopping = threading.Event()
@@ -46,4 +51,9 @@
     def run(self) -> None:
         """Do the task until stopped."""
         while not self.stopping.wait(self.interval_s):
-            self.task()
+            try:
+                self.task()
+            except Exception:
+                # A fault of ours must not end the thread: a rollout, say,
+                # would stand still until the process ends.
+                log.exception("task_failed", what=self.name)
--- a/tests/test_repeating.py
+++ b/tests/test_repeating.py
@@ -24,3 +24,21 @@
     repeater.stop()
     repeater.run()
     assert not done.is_set()
+
+
+def test_task_that_fails_once_is_done_again():
+    """A rollout meets something that nobody expected, and one review ends in
+    an error.  Its thread ended with it, and no engine was given new weights
+    until the process was started again.
+    """
+    done = []
+
+    def fail_once():
+        done.append(1)
+        if len(done) == 1:
+            raise ZeroDivisionError
+
+    repeater = repeating.Repeater("task", fail_once, INTERVAL_S)
+    repeater.start()
+    waiting.until(lambda: len(done) > 1, what="again")
+    repeater.stop()
