The end of a request reaches endpoints that close their connection

A request whose endpoint had said that it closes the connection, as those that leave do, could not be ended while its body came: the connection had forgotten its socket. Its caller had no answer in time or when the instance stopped, streams went on past their time, and endpoints worked on for callers that had left.

The socket is kept with the request. Ended so, an answer without a length and without chunks would look whole, so it is passed on only if its request was not ended; others fail when they are cut off. Five of seven new tests fail on the code before.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -157,6 +157,7 @@
         if good and errand.route.repeat is routes.Repeat.STREAM:
             return self.relay(errand, response, head)
         body = response.read()
+        check_whole(errand, response)
         if head.status >= FAILURE_FROM or head.status in PROMISING:
             return outcomes.Failed(head, body)
         if errand.progress.events_sent:
@@ -184,6 +185,7 @@
                 begun = True
             if whole:
                 pass_on(errand, head, whole)
+        check_whole(errand, response)
         if not errand.progress.events_sent:
             errand.watch.detach()
             deliver(errand.exchange, head, rest)
@@ -212,6 +214,28 @@
         )
 
 
+def check_whole(errand: Errand, response: urllib3.BaseHTTPResponse) -> None:
+    """Make sure that an answer which has been read is whole.
+
+    Guard: the end of the connection is the end of an answer without a length
+    and without chunks.  A request that was ended shuts the connection down,
+    and the part that had come would be passed on as the whole answer.  An
+    answer with a length or chunks fails when it is cut off.
+
+    Raises
+    ------
+    EndedError
+        If the request was ended and only the connection's end tells the
+        answer's.
+    """
+    framed = (
+        "Content-Length" in response.headers
+        or "Transfer-Encoding" in response.headers
+    )
+    if not framed:
+        errand.watch.release()
+
+
 def ask(
     errand: Errand, connection: urllib3.connection.HTTPConnection
 ) -> urllib3.BaseHTTPResponse:
--- a/src/briarseam/forwarding/supervision.py
+++ b/src/briarseam/forwarding/supervision.py
@@ -72,7 +72,7 @@
         self.caller = caller
         self.deadline_s = deadline_s
         self.ending: Ending | None = None
-        self.upstream: urllib3.connection.HTTPConnection | None = None
+        self.upstream: socket.socket | None = None
         self.done = False
         self.lock = threading.Lock()
 
@@ -88,6 +88,10 @@
     def attach(self, upstream: urllib3.connection.HTTPConnection) -> None:
         """Let the end of the request end this connection.
 
+        Guard: the connection forgets its socket when the head of an answer
+        says that it closes, while the body is still to come.  The socket is
+        kept here, or the end of such a request would not reach its endpoint.
+
         Raises
         ------
         EndedError
@@ -95,7 +99,19 @@
         """
         with self.lock:
             self.check()
-            self.upstream = upstream
+            self.upstream = upstream.sock
+
+    def release(self) -> None:
+        """Let the connection live on, if the request was not ended.
+
+        Raises
+        ------
+        EndedError
+            If it was: what has been read may be a part.
+        """
+        with self.lock:
+            self.check()
+            self.upstream = None
 
     def detach(self) -> None:
         """Let the connection live on, for other requests."""
@@ -108,12 +124,10 @@
             if self.done or self.ending is not None:
                 return
             self.ending = ending
-            upstream = self.upstream
-            sock = upstream.sock if upstream is not None else None
-            if sock is None:
+            if self.upstream is None:
                 return
             try:
-                sock.shutdown(socket.SHUT_RDWR)
+                self.upstream.shutdown(socket.SHUT_RDWR)
             except OSError:
                 # The endpoint's side ended it first; its thread sees that.
                 return
--- /dev/null
+++ b/tests/forwarding/test_ended_answers.py
@@ -0,0 +1,169 @@
+"""What becomes of an answer whose request is ended while it comes."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+import pytest
+
+from briarseam import clocks
+from briarseam.discovery import model as discovery
+from briarseam.forwarding import attempts
+from briarseam.forwarding import calls
+from briarseam.forwarding import connections
+from briarseam.forwarding import supervision
+from briarseam.routes import model as routes
+
+PATIENCE_S = 10.0
+# An endpoint may work on for half a second after its caller has left.
+TOLD_WITHIN_S = 0.5
+END_AFTER_S = 0.1
+ANSWER = b"HTTP/1.1 200 OK\r\n%s\r\n%s"
+FRAMINGS = {
+    "length": b"Content-Length: 10\r\n",
+    "length-and-close": b"Content-Length: 10\r\nConnection: close\r\n",
+    "connection-only": b"",
+}
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+class Exchange:
+    """Notes what a caller is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+        self.finished = False
+
+    def answer(self, status, headers, body):
+        """Note a whole answer."""
+        self.sent.append(body)
+        self.finished = True
+
+    def begin(self, status, headers, first):
+        """Note the first part."""
+        self.sent.append(first)
+
+    def send(self, data):
+        """Note a part."""
+        self.sent.append(data)
+
+    def finish(self):
+        """Note the end."""
+        self.finished = True
+
+
+class Endpoint:
+    """Sends the beginning of an answer and then looks for the end."""
+
+    def __init__(self, begun: bytes, watch: supervision.Watch) -> None:
+        self.begun = begun
+        self.watch = watch
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(PATIENCE_S)
+        self.told = False
+        self.thread = threading.Thread(target=self.run)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        host, port = self.listener.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def run(self) -> None:
+        """Answer one request."""
+        connection, _ = self.listener.accept()
+        with connection:
+            connection.recv(65536)
+            connection.sendall(self.begun)
+            ending = supervision.Ending.CUT_OFF
+            threading.Timer(END_AFTER_S, self.watch.end, [ending]).start()
+            connection.settimeout(END_AFTER_S + TOLD_WITHIN_S)
+            try:
+                self.told = not connection.recv(1)
+            except TimeoutError:
+                self.told = False
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.thread.join(PATIENCE_S)
+        self.listener.close()
+
+
+def head_of(status, headers):
+    """Return a good answer's head."""
+    return calls.AnswerHead(
+        status=status,
+        headers=(),
+        call_id="",
+        signed=True,
+        not_run=False,
+        retry_after_s=None,
+    )
+
+
+def errand_to(endpoint, watch, exchange, repeat):
+    """Return a call on its way to an endpoint."""
+    return attempts.Errand(
+        exchange=exchange,
+        call=calls.Call(
+            id="x", method="GET", target="/", host="h", headers=()
+        ),
+        body=b"",
+        route=routes.Route("r", "h", "/", repeat, (), 1.0, 1.0, 1),
+        endpoint=discovery.Endpoint(
+            "e", "s", endpoint.address, "a", 1, False, {}
+        ),
+        headers={},
+        watch=watch,
+        progress=attempts.Progress(),
+        on_first_event=lambda: None,
+    )
+
+
+@pytest.fixture
+def watch():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        yield supervision.Watch(ours, clocks.boot_clock() + PATIENCE_S)
+
+
+def send(endpoint, watch, exchange, repeat):
+    """Send a call whose request is ended while the answer comes."""
+    sender = attempts.Sender(connections.Pool(), head_of)
+    with endpoint, pytest.raises(supervision.EndedError):
+        sender.send(errand_to(endpoint, watch, exchange, repeat))
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_request_that_is_ended_reaches_its_endpoint(watch, framing):
+    """An endpoint that is leaving says that it closes the connection, and
+    is slow with the body; the time to shut down is over.  The end of the
+    request did not reach it, and its caller had no final answer; or the
+    half that had come was passed on as the whole.
+    """
+    exchange = Exchange()
+    begun = ANSWER % (FRAMINGS[framing], b"first")
+    endpoint = Endpoint(begun, watch)
+    send(endpoint, watch, exchange, routes.Repeat.ONCE)
+    assert endpoint.told
+    assert exchange.sent == []
+
+
+@pytest.mark.parametrize("framing", [CHUNKED, b""])
+@pytest.mark.parametrize("closing", [b"", b"Connection: close\r\n"])
+def test_stream_that_is_ended_does_not_look_whole(watch, framing, closing):
+    """The same with a stream that has begun: it was finished like a whole
+    one, though its last events never came.
+    """
+    event = b"id: 1\ndata: a\n\n"
+    part = b"%x\r\n%s\r\n" % (len(event), event) if framing else event
+    exchange = Exchange()
+    endpoint = Endpoint(ANSWER % (framing + closing, part), watch)
+    send(endpoint, watch, exchange, routes.Repeat.STREAM)
+    assert endpoint.told
+    assert exchange.sent == [event]
+    assert not exchange.finished
