Stops: answers ask to close as of when they are given; not sent is not run

- Whether an answer asks its caller to close the connection was decided when the request was read; what was under way at SIGTERM kept its connection, and callers sent their next request as the process ended.
The answer decides.
- A request that was ended while its connection was made was told that it may have run; it is told "not run".
- A stop that was cut off waited a second time for what had not ended.

--- a/src/briarseam/compose/node_draining.py
+++ b/src/briarseam/compose/node_draining.py
@@ -62,6 +62,7 @@
             unless given.
         """
         self.shutdown.begin(asked_s)
+        self.in_flight.move_to(inflight.Stage.LEAVING)
         bound_s = self.shutdown.bound_s()
         outcome = drain.Drain(
             announce=self.announce_leaving,
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -47,10 +47,13 @@
         Last event that the caller has.
     events_sent
         Whether any event of a stream went to the caller.
+    asked
+        Whether any byte of the request may have gone to an endpoint.
     """
 
     last_event_id: str | None = None
     events_sent: bool = False
+    asked: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -121,6 +124,7 @@
             return outcomes.Unreached(str(error))
         try:
             errand.watch.attach(connection)
+            errand.progress.asked = True
             response = ask(errand, connection)
             outcome = self.take_answer(errand, response)
         except NETWORK_ERRORS as error:
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -67,6 +67,8 @@
     ----------
     request
         Cheroot's request, its headers read.
+    leaving
+        Whether callers are asked not to keep their connections.
 
     Attributes
     ----------
@@ -74,8 +76,13 @@
         Whether any byte of an answer was sent.
     """
 
-    def __init__(self, request: cheroot.server.HTTPRequest) -> None:
+    def __init__(
+        self,
+        request: cheroot.server.HTTPRequest,
+        leaving: typing.Callable[[], bool] = lambda: False,
+    ) -> None:
         self.request = request
+        self.leaving = leaving
         self.began = False
         self.chunked = False
 
@@ -193,6 +200,10 @@
         """Return the head of an answer, which counts as sent."""
         self.began = True
         self.request.sent_headers = True
+        if self.leaving():
+            # A connection that were kept could carry the next request just
+            # as the process ends.
+            self.close_after()
         lines = [f"HTTP/1.1 {status} {phrase(status)}"]
         lines.extend(f"{name}: {value}" for name, value in headers)
         if self.request.close_connection:
@@ -217,7 +228,8 @@
 
     def respond(self) -> None:
         """Let the handler answer."""
-        self.req.server.handler(Exchange(self.req))
+        server = self.req.server
+        server.handler(Exchange(self.req, server.is_leaving))
 
 
 class Server(cheroot.server.HTTPServer):
@@ -247,6 +259,7 @@
         super().__init__(listen, Gateway, server_name="briarseam")
         self.name = name
         self.handler = handler
+        self.in_flight = in_flight
         self.request_queue_size = BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
         self.expiration_interval = EXPIRY_INTERVAL_S
@@ -254,6 +267,10 @@
         self.requests = connection_threads.ConnectionThreads(self, in_flight)
         self.set_idle_timeout(float(self.timeout))
 
+    def is_leaving(self) -> bool:
+        """Tell whether callers are asked not to keep their connections."""
+        return self.in_flight is not None and self.in_flight.leaving
+
     def set_idle_timeout(self, idle_s: float) -> None:
         """Close connections that are idle for this long, or a bit longer."""
         self.timeout = int(idle_s + IDLE_SLACK_S)
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -65,8 +65,6 @@
         except server.BodyError as error:
             self.refuse_unread(exchange, str(error))
             return
-        if self.parts.shutdown.begun:
-            exchange.close_after()
         try:
             call = self.parts.border.decode_call(
                 exchange.method, exchange.target, exchange.headers
@@ -295,7 +293,7 @@
         try:
             outcome = self.parts.sender.send(errand)
         except supervision.EndedError:
-            work.may_have_run = True
+            work.may_have_run = work.may_have_run or work.progress.asked
             raise
         finally:
             chooser.ended(placed, work.call, added)
--- a/src/briarseam/inflight.py
+++ b/src/briarseam/inflight.py
@@ -104,6 +104,8 @@
         end_s = time.monotonic() + wait_s
         while True:
             with self.lock:
+                if self.stage is Stage.CLOSED:
+                    return not self.count
                 idle = not self.count
                 if idle or time.monotonic() >= end_s:
                     self.stage = Stage.CLOSED
--- a/tests/forwarding/test_ended_answers.py
+++ b/tests/forwarding/test_ended_answers.py
@@ -167,3 +167,15 @@
     assert endpoint.told
     assert exchange.sent == [event]
     assert not exchange.finished
+
+
+def test_request_that_ended_before_it_was_sent_has_not_run(watch):
+    """A request is ended while its connection is made.  Its caller may ask
+    again, but was told that it may have run.
+    """
+    endpoint = Endpoint(b"", watch)
+    errand = errand_to(endpoint, watch, Exchange(), routes.Repeat.ONCE)
+    watch.end(supervision.Ending.CUT_OFF)
+    with endpoint, pytest.raises(supervision.EndedError):
+        attempts.Sender(connections.Pool(), head_of).send(errand)
+    assert not errand.progress.asked
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from concurrent import futures
+
 from briarseam import clocks
+from briarseam import inflight
+from briarseam.testing import waiting
 
+PATIENCE_S = 10.0
 DEADLINE_MS = 2500
 
 
@@ -27,3 +32,18 @@
     assert not any(worker.ran for worker in system.workers.values())
     taken = system.call("/submit/x", Deadline_Ms="1000")
     assert taken.status == 200
+
+
+def test_answer_to_what_was_read_before_asks_to_close(system):
+    """A request is under way when its instance is told to stop.  Its caller
+    kept the connection and sent the next request just as the process ended.
+    """
+    for worker in system.workers.values():
+        worker.set(hold=True)
+    with futures.ThreadPoolExecutor() as pool:
+        answer = pool.submit(system.call, "/submit/x")
+        waiting.until(lambda: system.node.forwarding.under_way, PATIENCE_S)
+        system.node.in_flight.move_to(inflight.Stage.LEAVING)
+        for worker in system.workers.values():
+            worker.set(hold=False)
+        assert answer.result().headers["Connection"] == "close"
--- a/tests/test_connection_threads.py
+++ b/tests/test_connection_threads.py
@@ -100,8 +100,9 @@
     with served.connect() as sock:
         sock.sendall(REQUEST * 2)
         read_answers(sock, 2)
+        # Before the connection ends, which is looked at like a request.
+        assert served.in_flight.entered == 1
     assert served.counts == [1, 1]
-    assert served.in_flight.entered == 1
 
 
 def test_nothing_is_read_once_closed(served):
