--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -264,7 +264,7 @@
         return node_draining.Draining(
             self.shutdown,
             self.in_flight,
-            self.forwarding,
+            self.forwarding.under_way,
             self.instances,
             self.sign_off,
         ).run(hurry, asked_s)
--- a/src/briarseam/compose/node_draining.py
+++ b/src/briarseam/compose/node_draining.py
@@ -12,8 +12,8 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.compose import node_instances
-    from briarseam.forwarding import service as forwarding_service
     from briarseam.forwarding import shutdown as shutdowns
+    from briarseam.forwarding import under_way as forwarded
 
 # For the last answers to requests that are cut off: their threads may wait
 # for a connection to an endpoint, which takes 0.4 s at most.
@@ -33,8 +33,8 @@
         What is still taken on, and until when.
     in_flight
         Requests in flight.
-    forwarding
-        Knows those that are under way.
+    under_way
+        Those that are being forwarded.
     instances
         The peers that give out lookups.
     sign_off
@@ -44,7 +44,7 @@
 
     shutdown: shutdowns.Shutdown
     in_flight: inflight.InFlight
-    forwarding: forwarding_service.Forwarding
+    under_way: forwarded.UnderWay
     instances: node_instances.Instances
     sign_off: typing.Callable[[], None]
 
@@ -77,7 +77,7 @@
         ).run()
         if isinstance(outcome, drain.CutOff):
             self.in_flight.move_to(inflight.Stage.REFUSING)
-            self.forwarding.cut_off()
+            self.under_way.cut_off()
             self.in_flight.close(FINAL_ANSWERS_S)
         return outcome
 
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import threading
 import typing
 
 import structlog
@@ -16,6 +15,7 @@
 from briarseam.forwarding import refusing
 from briarseam.forwarding import server
 from briarseam.forwarding import supervision
+from briarseam.forwarding import under_way
 from briarseam.forwarding import work as works
 from briarseam.placement import requests as placements
 from briarseam.routes import model as routes
@@ -46,9 +46,7 @@
 
     def __init__(self, parts: works.Parts) -> None:
         self.parts = parts
-        self.under_way: dict[int, works.Work] = {}
-        self.cutting = False
-        self.lock = threading.Lock()
+        self.under_way = under_way.UnderWay()
 
     def handle(self, exchange: server.Exchange) -> None:
         """Answer one request; the body of its connection's thread."""
@@ -137,46 +135,17 @@
 
     def run(self, work: works.Work) -> None:
         """Answer one request that the configuration allows."""
-        with self.lock:
-            self.under_way[id(work)] = work
-            cutting = self.cutting
-        if cutting:
-            work.watch.end(supervision.Ending.CUT_OFF)
         self.parts.budget.earn(work.service.name)
-        self.parts.supervisor.watch(work.watch)
-        try:
-            ended = self.try_endpoints(work)
-        except supervision.EndedError as error:
-            ended = self.end(work, error.ending)
-        finally:
-            self.parts.supervisor.forget(work.watch)
-            with self.lock:
-                del self.under_way[id(work)]
+        with self.under_way.holding(work):
+            self.parts.supervisor.watch(work.watch)
+            try:
+                ended = self.try_endpoints(work)
+            except supervision.EndedError as error:
+                ended = self.end(work, error.ending)
+            finally:
+                self.parts.supervisor.forget(work.watch)
         self.note(work, ended)
 
-    def cut_off(self) -> None:
-        """End all requests under way, since the process ends.
-
-        Guard: a request that the process takes with it has neither an answer
-        nor a verdict; its caller sees a closed connection and can't tell
-        whether it may ask again.  Ended here, it is told; only a stream that
-        has begun is broken off.
-        """
-        with self.lock:
-            self.cutting = True
-            cut_off = list(self.under_way.values())
-        for work in cut_off:
-            log.warning(
-                "request_cut_off",
-                request=work.call.id,
-                route=work.route.name,
-                steps=work.steps,
-                events_sent=work.progress.events_sent,
-                age_ms=round((clocks.boot_clock() - work.arrived_s) * 1000),
-                time_left_ms=round(work.watch.left_s() * 1000),
-            )
-            work.watch.end(supervision.Ending.CUT_OFF)
-
     def try_endpoints(self, work: works.Work) -> str:
         """Send the request to endpoints until one answers.
 
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -42,7 +42,9 @@
         worker.set(hold=True)
     with futures.ThreadPoolExecutor() as pool:
         answer = pool.submit(system.call, "/submit/x")
-        waiting.until(lambda: system.node.forwarding.under_way, PATIENCE_S)
+        waiting.until(
+            lambda: system.node.forwarding.under_way.works, PATIENCE_S
+        )
         system.node.in_flight.move_to(inflight.Stage.LEAVING)
         for worker in system.workers.values():
             worker.set(hold=False)
