Fault soak: stops in series that overlap, and every request that was read is answered

--stops plans stops of instances in turn, second SIGTERMs, stops right after a start, crowded instances and slow endpoints; callers with idle connections send beside them. A request that was read, or that an endpoint got, must get a whole answer. A deployment that does not serve again is reported; the error that tells so was not the one that was caught.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import http.client
 import random
+import socket
 import threading
 import time
 
@@ -15,6 +16,11 @@
 # A caller waits this much longer, to tell late answers from none.
 PATIENCE_S = 4.0
 PAUSE_S = (0.0, 0.08)
+# Pauses of a caller whose connections are idle most of the time.
+REST_S = (0.3, 4.0)
+# From the end of a connection until its reset would have come too.
+SETTLE_S = 0.2
+TCP_CLOSE = 7
 PROMPT = {"Model": system.MODEL, "Token-Usage": "1000,50"}
 
 
@@ -66,6 +72,8 @@
         The answer, the id that it names and its signature.
     detail
         How it failed.
+    read
+        Whether the instance read it all and then ended the connection.
     """
 
     id: str
@@ -79,6 +87,7 @@
     echo: str = ""
     signature: str = ""
     detail: str = ""
+    read: bool = False
 
 
 class Caller:
@@ -88,23 +97,27 @@
     ----------
     number, seed
         Tell its requests from those of others.
-    deployment
+    instances
         Where it sends to.
     stopping
         Ends it.
+    pause_s
+        Shortest and longest pause between two requests.
     """
 
     def __init__(
         self,
         number: int,
         seed: int,
-        deployment: serving.Deployment,
+        instances: list[serving.Instance],
         stopping: threading.Event,
+        pause_s: tuple[float, float] = PAUSE_S,
     ) -> None:
         self.number = number
         self.random = random.Random(seed * 1000 + number)
-        self.deployment = deployment
+        self.instances = instances
         self.stopping = stopping
+        self.pause_s = pause_s
         self.connections: dict[str, http.client.HTTPConnection] = {}
         self.sent: list[Sent] = []
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -113,9 +126,9 @@
         """Send one request after the other until stopped."""
         while not self.stopping.is_set():
             kind = self.random.choice(KINDS)
-            instance = self.random.choice(self.deployment.instances)
+            instance = self.random.choice(self.instances)
             self.send(kind, instance)
-            self.stopping.wait(self.random.uniform(*PAUSE_S))
+            self.stopping.wait(self.random.uniform(*self.pause_s))
 
     def send(self, kind: Kind, instance: serving.Instance) -> Sent:
         """Send a request and note what comes of it."""
@@ -160,6 +173,7 @@
             headers |= PROMPT | {"Prefix-Hash": f"aa:600,b{part}:400"}
         body = sent.id.encode() if sent.kind.method == "POST" else None
         connection.request(sent.kind.method, sent.kind.path, body, headers)
+        sent.read = is_read_unanswered(connection.sock)
         response = connection.getresponse()
         sent.status = response.status
         sent.echo = response.headers.get("Request-Id", "")
@@ -167,3 +181,16 @@
         sent.body = response.read()
         sent.whole = True
         return response.will_close
+
+
+def is_read_unanswered(sock: socket.socket) -> bool:
+    """Wait for an answer; tell whether the other side read all and left.
+
+    A kernel resets a connection that is closed with bytes unread, or that
+    gets more of them afterwards; one that ends without a reset was read.
+    """
+    if sock.recv(1, socket.MSG_PEEK):
+        return False
+    time.sleep(SETTLE_S)
+    state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    return state != TCP_CLOSE
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import random
 import signal
@@ -122,6 +123,39 @@
     toggled: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Slowed:
+    """One endpoint's answers take long."""
+
+    endpoint: int
+    delay_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StoppedInTurn:
+    """Instances are stopped one after the other and started again.
+
+    Attributes
+    ----------
+    instances
+        Which, in this order.
+    gap_s
+        From one SIGTERM to the next.
+    again_s
+        Each gets a second SIGTERM after this; 0 for none.
+    early_s
+        Each is stopped once more so soon after its start; 0 for not.
+    crowded
+        Whether callers keep each of them busy until it is gone.
+    """
+
+    instances: tuple[int, ...]
+    gap_s: float
+    again_s: float
+    early_s: float
+    crowded: bool
+
+
 Fault = (
     StoreTrouble
     | StoreCut
@@ -133,6 +167,8 @@
     | Ended
     | Reloaded
     | Reconfigured
+    | Slowed
+    | StoppedInTurn
 )
 
 
@@ -180,6 +216,43 @@
     return found
 
 
+def plan_stops(seed: int, seconds: float, instances: int) -> list[Planned]:
+    """Return stops in series that overlap, most beside slow endpoints.
+
+    Every third seed has the other faults too.
+    """
+    random_ = random.Random(f"{seed}/stops")
+    found = plan(seed, seconds, instances) if seed % 3 == 0 else []
+    for endpoint in range(len(serving.SERVICES)):
+        if random_.random() < 0.7:
+            slowed = Slowed(endpoint, random_.randint(100, 600))
+            found.append(Planned(0.0, seconds, slowed))
+    at_s = 0.5
+    while at_s < seconds - 2.0:
+        stopped = draw_stops(random_, instances)
+        found.append(Planned(at_s, random_.uniform(0.3, 3.0), stopped))
+        at_s += random_.choice((0.3, random_.uniform(1.0, 6.0)))
+    return sorted(found, key=lambda one: one.at_s)
+
+
+def draw_stops(random_: random.Random, instances: int) -> StoppedInTurn:
+    """Return stops of all instances in turn, or of one."""
+    numbers = list(range(instances))
+    random_.shuffle(numbers)
+    return StoppedInTurn(
+        tuple(numbers if random_.random() < 0.6 else numbers[:1]),
+        gap_s=random_.uniform(0.3, 2.0),
+        again_s=random_.choice((0.0, 0.0, 0.0, random_.uniform(0.1, 4.0))),
+        early_s=random_.choice((0.0, 0.0, 0.0, random_.uniform(0.1, 2.0))),
+        crowded=random_.random() < 0.3,
+    )
+
+
+Crowd = typing.Callable[
+    [serving.Instance], contextlib.AbstractContextManager[None]
+]
+
+
 class Injector:
     """Lets the faults of a plan strike a deployment.
 
@@ -189,13 +262,19 @@
         What is struck.
     planned
         The faults, by time.
+    crowd
+        Lets callers keep an instance busy.
     """
 
     def __init__(
-        self, deployment: serving.Deployment, planned: list[Planned]
+        self,
+        deployment: serving.Deployment,
+        planned: list[Planned],
+        crowd: Crowd,
     ) -> None:
         self.deployment = deployment
         self.planned = planned
+        self.crowd = crowd
         # Two faults on one thing take turns.
         self.locks: dict[object, threading.Lock] = {}
 
@@ -227,22 +306,26 @@
                     self.excuse(instance, one.for_s)
                     cut(instance.to_store, state, reset, one.for_s)
                     self.excuse(instance)
-            case EndpointCut(number, state, reset):
-                with self.lock_of(("endpoint", number)):
-                    link = self.deployment.endpoints[number].link
-                    cut(link, state, reset, one.for_s)
-            case EndpointReplaced(number):
+            case (
+                EndpointCut(number)
+                | EndpointReplaced(number)
+                | EndpointLeaves(number)
+            ):
+                endpoint = self.deployment.endpoints[number]
                 with self.lock_of(("endpoint", number)):
-                    endpoint = self.deployment.endpoints[number]
-                    self.deployment.replace(endpoint)
-            case EndpointLeaves(number):
-                with self.lock_of(("endpoint", number)):
-                    self.let_leave(self.deployment.endpoints[number])
+                    self.trouble_endpoint(one.fault, endpoint, one.for_s)
             case Misbehaviour(number, switch):
                 worker = self.deployment.endpoints[number].worker
                 worker.set(**{switch: MISBEHAVIOUR[switch]})
+            case Slowed(number, delay_ms):
+                worker = self.deployment.endpoints[number].worker
+                worker.set(delay_ms=delay_ms)
+                time.sleep(one.for_s)
+                worker.set(delay_ms=0)
             case Reconfigured(toggled):
                 self.deployment.configure(toggled)
+            case StoppedInTurn():
+                self.stop_in_turn(one.fault, one.for_s)
             case Paused(number) | Ended(number) | Reloaded(number):
                 instance = self.deployment.instances[number]
                 with self.lock_of(("instance", number)):
@@ -250,6 +333,36 @@
                     self.trouble_instance(one.fault, instance, one.for_s)
                     self.excuse(instance)
 
+    def stop_in_turn(self, fault: StoppedInTurn, for_s: float) -> None:
+        """Stop instances one after the other and start them again."""
+        threads = []
+        for number in fault.instances:
+            thread = threading.Thread(
+                target=self.stop, args=(fault, number, for_s)
+            )
+            thread.start()
+            threads.append(thread)
+            time.sleep(fault.gap_s)
+        for thread in threads:
+            thread.join()
+
+    def stop(self, fault: StoppedInTurn, number: int, for_s: float) -> None:
+        """Stop one instance and start it again."""
+        instance = self.deployment.instances[number]
+        with self.lock_of(("instance", number)):
+            busy = contextlib.nullcontext()
+            with self.crowd(instance) if fault.crowded else busy:
+                self.excuse(instance, instance.shutdown_s)
+                instance.end(signal.SIGTERM, fault.again_s)
+            time.sleep(for_s / 3)
+            instance.start()
+            if fault.early_s:
+                time.sleep(fault.early_s)
+                self.excuse(instance, instance.shutdown_s)
+                instance.end(signal.SIGTERM)
+                instance.start()
+            self.excuse(instance)
+
     def excuse(self, instance: serving.Instance, for_s: float = 0.0) -> None:
         """Expect nothing in time from an instance for a while."""
         until = time.monotonic() + for_s + STABLE_S
@@ -268,6 +381,18 @@
         until = time.monotonic() + STABLE_S
         self.deployment.store_troubled_until = until
 
+    def trouble_endpoint(
+        self, fault: Fault, endpoint: serving.Endpoint, for_s: float
+    ) -> None:
+        """Cut, replace or let leave one endpoint."""
+        match fault:
+            case EndpointCut(state=state, reset=reset):
+                cut(endpoint.link, state, reset, for_s)
+            case EndpointReplaced():
+                self.deployment.replace(endpoint)
+            case EndpointLeaves():
+                self.let_leave(endpoint)
+
     def let_leave(self, endpoint: serving.Endpoint) -> None:
         """Let an endpoint say that it leaves, serve on and be replaced."""
         self.deployment.write_entry(endpoint, "draining")
@@ -281,10 +406,15 @@
         """Pause, end or reload one instance."""
         match fault:
             case Paused():
+                began_s = time.monotonic()
                 instance.send(signal.SIGSTOP)
                 time.sleep(for_s)
                 instance.send(signal.SIGCONT)
+                instance.struck.append((began_s, time.monotonic()))
             case Ended(by=by):
+                if by == signal.SIGKILL:
+                    now_s = time.monotonic()
+                    instance.struck.append((now_s, now_s))
                 instance.end(by)
                 time.sleep(for_s / 3)
                 instance.start()
@@ -302,10 +432,12 @@
     link: links.Link, state: links.State, reset: bool, for_s: float
 ) -> None:
     """Cut a link for a while."""
+    began_s = time.monotonic()
     link.state = state
     if reset:
         link.reset()
     time.sleep(for_s)
     link.state = links.State.PASSING
+    link.cuts.append((began_s, time.monotonic()))
     if reset:
         link.reset()
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+import re
 import socket
 import struct
 import threading
@@ -14,6 +15,7 @@
 POLL_S = 0.02
 # Makes the kernel reset a connection where it would end it properly.
 RESET = struct.pack("ii", 1, 0)
+REQUEST_ID = re.compile(rb"(?i)\r\nrequest-id: *([^\r]+)")
 
 
 class State(enum.Enum):
@@ -33,6 +35,15 @@
     ----------
     target
         ``ip:port`` of the server; may be set later.
+
+    Attributes
+    ----------
+    seen
+        When each request came, by its id, monotonic seconds.
+    cuts
+        From when until when the link was cut.
+    resets
+        When all connections were reset.
     """
 
     def __init__(self, target: str = "") -> None:
@@ -40,6 +51,9 @@
         self.state = State.PASSING
         self.sockets: set[socket.socket] = set()
         self.lock = threading.Lock()
+        self.seen: dict[str, float] = {}
+        self.cuts: list[tuple[float, float]] = []
+        self.resets: list[float] = []
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -47,6 +61,7 @@
 
     def reset(self) -> None:
         """Reset all connections."""
+        self.resets.append(time.monotonic())
         with self.lock:
             found, self.sockets = self.sockets, set()
         for sock in found:
@@ -99,6 +114,8 @@
         """Pass on what one side sends until it ends."""
         with contextlib.suppress(OSError):
             while data := source.recv(CHUNK):
+                if not answers:
+                    self.note_requests(data)
                 self.hold(answers)
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
@@ -109,6 +126,11 @@
         for sock in (source, sink):
             sock.close()
 
+    def note_requests(self, data: bytes) -> None:
+        """Note the requests that some bytes begin."""
+        for found in REQUEST_ID.findall(data):
+            self.seen[found.decode()] = time.monotonic()
+
     def hold(self, answers: bool) -> None:
         """Wait while the link holds up what is sent."""
         silent = {State.SILENT}
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import enum
 import typing
 
 from tests.platform import worker as workers
 from tests.soak import callers
+from tests.soak import faults
 from tests.soak import serving
 
 # Statuses that say that a request has not run and never will.
@@ -18,6 +20,21 @@
 # What an answer may take beyond the deadline, on a machine that runs
 # sixteen processes on few cores.
 LATE_S = 1.0
+# A process that is told to stop may cut off what an endpoint is still at
+# work on in the last part of its time, if it came in the first part.
+LAST_PART = 5 / 6
+FIRST_PART = 3 / 8
+
+
+class Unanswered(enum.StrEnum):
+    """Why a request has no whole answer."""
+
+    STRUCK = "its instance was paused or killed"
+    NOT_READ = "its instance never read it"
+    BROKEN_OFF = "its endpoint broke off"
+    TOO_LATE = "its deadline passed"
+    CUT_OFF = "its endpoint was at work until the end"
+    LOST = "lost"
 
 
 def check(
@@ -30,7 +47,10 @@
         yield f"{request_id} was run, and no caller sent it"
     for one in sent:
         yield from check_request(one, ran.get(one.id, []))
+        yield from check_answered(deployment, one)
     yield from check_leaving(deployment, {one.id: one for one in sent})
+    for instance in deployment.instances:
+        yield from instance.killed
 
 
 def check_request(
@@ -68,6 +88,95 @@
         yield f"{name} got {one.body!r}, and not {expected}"
 
 
+def check_answered(
+    deployment: serving.Deployment, one: callers.Sent
+) -> typing.Iterator[str]:
+    """Yield a request that was taken and is without a whole answer."""
+    if one.whole or why_unanswered(deployment, one) != Unanswered.LOST:
+        return
+    stopped = [at for at in one.instance.stopped if at <= one.ended_s]
+    since = "before any SIGTERM"
+    if stopped:
+        since = (
+            f"sent {one.sent_s - stopped[-1]:.3f} s and lost "
+            f"{one.ended_s - stopped[-1]:.3f} s after SIGTERM"
+        )
+    reached = [
+        endpoint.worker.id
+        for endpoint in deployment.endpoints
+        if one.id in endpoint.link.seen
+    ]
+    yield (
+        f"{one.id} ({one.kind.name} at {one.instance.name}) got no whole "
+        f"answer, {since}: sent on to {reached}, {one.detail}"
+    )
+
+
+def why_unanswered(
+    deployment: serving.Deployment, one: callers.Sent
+) -> Unanswered:
+    """Return why a request has no whole answer."""
+    took = [
+        endpoint
+        for endpoint in deployment.endpoints
+        if one.id in endpoint.link.seen
+    ]
+    if is_struck(one):
+        return Unanswered.STRUCK
+    if not one.read and not took:
+        return Unanswered.NOT_READ
+    if one.ended_s - one.sent_s >= callers.DEADLINE_MS / 1000:
+        return Unanswered.TOO_LATE
+    if any(broke_off(deployment, endpoint, one) for endpoint in took):
+        return Unanswered.BROKEN_OFF
+    for stopped_s in one.instance.stopped:
+        shutdown_s = one.instance.shutdown_s
+        early = one.sent_s <= stopped_s + FIRST_PART * shutdown_s
+        last_s = stopped_s + LAST_PART * shutdown_s
+        working = any(at_work(deployment, to, one, last_s) for to in took)
+        if early and one.ended_s >= last_s and working:
+            return Unanswered.CUT_OFF
+    return Unanswered.LOST
+
+
+def is_struck(one: callers.Sent) -> bool:
+    """Tell whether a request's instance was paused or killed by then."""
+    return any(
+        began_s < one.ended_s and ended_s + faults.STABLE_S > one.sent_s
+        for began_s, ended_s in one.instance.struck
+    )
+
+
+def broke_off(
+    deployment: serving.Deployment,
+    endpoint: serving.Endpoint,
+    one: callers.Sent,
+) -> bool:
+    """Tell whether an endpoint that got a request broke off."""
+    link = endpoint.link
+    return any(one.id in worker.broke for worker in deployment.past) or any(
+        link.seen[one.id] <= reset_s <= one.ended_s for reset_s in link.resets
+    )
+
+
+def at_work(
+    deployment: serving.Deployment,
+    endpoint: serving.Endpoint,
+    one: callers.Sent,
+    at_s: float,
+) -> bool:
+    """Tell whether a request was with its endpoint, or held on the way."""
+    held = any(
+        began_s <= at_s <= ended_s for began_s, ended_s in endpoint.link.cuts
+    )
+    done = [
+        worker.done[one.id]
+        for worker in deployment.past
+        if one.id in worker.done
+    ]
+    return held or not done or max(done) > at_s
+
+
 def check_leaving(
     deployment: serving.Deployment, sent: dict[str, callers.Sent]
 ) -> typing.Iterator[str]:
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -9,13 +9,17 @@
 
 import argparse
 import collections
+import contextlib
 import dataclasses
+import itertools
 import json
 import pathlib
+import random
 import sys
 import tempfile
 import threading
 import time
+import typing
 
 from tests.soak import callers
 from tests.soak import faults
@@ -25,6 +29,12 @@
 from briarseam.testing import waiting
 
 CALLERS = 8
+# Beside stops: with few callers an instance is soon without a request.
+CALLERS_OF_STOPS = (0, 1, 2, 8)
+RESTING_CALLERS = 6
+CROWD = 12
+CROWD_AHEAD_S = 0.3
+SHUTDOWN_S = 4.0
 INSTANCES = 4
 # All serve again so soon after the last fault.
 RECOVERY_S = 15.0
@@ -39,12 +49,14 @@
 
     Attributes
     ----------
-    seed, seconds, instances
+    seed, seconds, instances, stops
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
     answers
         Requests by kind and status, 0 for none.
+    unanswered
+        Requests without a whole answer, by reason.
     faults
         How often each struck.
     broken
@@ -54,9 +66,11 @@
     seed: int
     seconds: float
     instances: int
+    stops: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
+    unanswered: dict[str, int] = dataclasses.field(default_factory=dict)
     faults: dict[str, int] = dataclasses.field(default_factory=dict)
     broken: list[str] = dataclasses.field(default_factory=list)
 
@@ -74,17 +88,57 @@
 
     def __init__(self, folder: pathlib.Path, report: Report) -> None:
         self.report = report
-        self.deployment = serving.Deployment(folder, report.instances)
-        self.stopping = threading.Event()
-        self.callers = [
-            callers.Caller(number, report.seed, self.deployment, self.stopping)
-            for number in range(CALLERS)
-        ]
-        self.prober = callers.Caller(
-            CALLERS, report.seed, self.deployment, self.stopping
+        shutdown_s = serving.SHUTDOWN_S if report.stops else SHUTDOWN_S
+        self.deployment = serving.Deployment(
+            folder, report.instances, shutdown_s
         )
+        self.stopping = threading.Event()
+        self.numbers = itertools.count()
+        self.callers = [self.new_caller() for _ in range(self.caller_count())]
+        if report.stops:
+            self.callers += [
+                self.new_caller(pause_s=callers.REST_S)
+                for _ in range(RESTING_CALLERS)
+            ]
+        self.prober = self.new_caller()
+        self.crowds: list[callers.Caller] = []
         self.broken: list[str] = []
 
+    def caller_count(self) -> int:
+        """Return how many callers send one request after the other."""
+        if not self.report.stops:
+            return CALLERS
+        return random.Random(self.report.seed).choice(CALLERS_OF_STOPS)
+
+    def new_caller(
+        self,
+        instances: list[serving.Instance] | None = None,
+        stopping: threading.Event | None = None,
+        pause_s: tuple[float, float] = callers.PAUSE_S,
+    ) -> callers.Caller:
+        """Return a caller, not started."""
+        return callers.Caller(
+            next(self.numbers),
+            self.report.seed,
+            instances or self.deployment.instances,
+            stopping or self.stopping,
+            pause_s,
+        )
+
+    @contextlib.contextmanager
+    def crowd(self, instance: serving.Instance) -> typing.Iterator[None]:
+        """Let callers keep one instance busy, from a while before."""
+        stopping = threading.Event()
+        crowd = [self.new_caller([instance], stopping) for _ in range(CROWD)]
+        self.crowds += crowd
+        for one in crowd:
+            one.thread.start()
+        time.sleep(CROWD_AHEAD_S)
+        yield
+        stopping.set()
+        for one in crowd:
+            one.thread.join()
+
     def run(self) -> None:
         """Start, let faults strike while callers call, and check."""
         try:
@@ -98,7 +152,8 @@
 
     def strike(self) -> None:
         """Let faults strike while callers call."""
-        planned = faults.plan(
+        plan = faults.plan_stops if self.report.stops else faults.plan
+        planned = plan(
             self.report.seed, self.report.seconds, self.report.instances
         )
         kinds = collections.Counter(
@@ -108,7 +163,7 @@
         probing = threading.Thread(target=self.probe, daemon=True)
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.start()
-        faults.Injector(self.deployment, planned).run()
+        faults.Injector(self.deployment, planned, self.crowd).run()
         self.stopping.set()
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.join()
@@ -136,7 +191,7 @@
         """Expect that all instances serve all kinds in time."""
         try:
             waiting.until(self.all_serve, within_s, "all serve")
-        except AssertionError:
+        except TimeoutError:
             self.broken.append(f"not all served {within_s} s {when}")
 
     def all_serve(self) -> bool:
@@ -151,25 +206,34 @@
     def finish(self) -> None:
         """Check all that was seen, once nothing is under way."""
         time.sleep(PROBE_S)
-        sent = [
-            one for who in (*self.callers, self.prober) for one in who.sent
-        ]
+        everyone = (*self.callers, *self.crowds, self.prober)
+        sent = [one for who in everyone for one in who.sent]
         self.broken += promises.check(self.deployment, sent)
         self.broken += self.deployment.errors()
         answers = collections.Counter(
             f"{one.kind.name} {one.status}" for one in sent
         )
         self.report.answers = dict(sorted(answers.items()))
+        unanswered = collections.Counter(
+            promises.why_unanswered(self.deployment, one).value
+            for one in sent
+            if not one.whole
+        )
+        self.report.unanswered = dict(unanswered)
         self.report.requests = len(sent)
         self.report.runs = sum(map(len, self.deployment.ran().values()))
         self.report.broken = self.broken
 
 
 def run(
-    seed: int, seconds: float, instances: int, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    instances: int,
+    folder: pathlib.Path,
+    stops: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
-    report = Report(seed, seconds, instances)
+    report = Report(seed, seconds, instances, stops)
     Soak(folder, report).run()
     return report
 
@@ -181,6 +245,9 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--instances", type=int, default=INSTANCES)
+    parser.add_argument(
+        "--stops", action="store_true", help="stops in series that overlap"
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -189,7 +256,9 @@
         folder = options.keep or pathlib.Path(tempfile.mkdtemp())
         folder = folder / str(seed)
         folder.mkdir(parents=True)
-        report = run(seed, options.seconds, options.instances, folder)
+        report = run(
+            seed, options.seconds, options.instances, folder, options.stops
+        )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
     return min(broken, 1)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -13,12 +13,14 @@
 import sys
 import threading
 import time
+import typing
 
 from tests.platform import metadata_store
 from tests.platform import system
 from tests.platform import worker as workers
 from tests.soak import links
 
+from briarseam.testing import http_messages
 from briarseam.testing import ports
 from briarseam.testing import stand_in
 from briarseam.testing import waiting
@@ -26,6 +28,10 @@
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
 EVENTS = 6
+# The platform's time to shut down, and how long after it a process that is
+# still there is killed.
+SHUTDOWN_S = 8.0
+KILL_AFTER_S = 1.0
 # Removed and added by turns; requests on it show what is in force.
 TOGGLED = {
     "name": "toggled",
@@ -38,6 +44,53 @@
 }
 
 
+class Worker(workers.Worker):
+    """An endpoint that notes until when it was at work.
+
+    Its answers take ``delay_ms``, and its streams as long again.
+
+    Attributes
+    ----------
+    done
+        When each request's answer was ready, by its id, monotonic seconds.
+    broke
+        Requests whose connection it broke off.
+    """
+
+    def __init__(self, id: str, born: int) -> None:
+        super().__init__(id, born=born)
+        self.done: dict[str, float] = {}
+        self.broke: set[str] = set()
+
+    def respond(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        """Answer one request under the switches."""
+        call = request.headers.get("request-id", "")
+        try:
+            response = super().respond(request)
+        except http_messages.Dropped:
+            self.broke.add(call)
+            raise
+        if isinstance(response.body, bytes):
+            self.done[call] = time.monotonic()
+        return response
+
+    def stream(
+        self, request: http_messages.Request, call: str
+    ) -> typing.Iterator[bytes]:
+        """Yield the events behind the one that the caller has."""
+        try:
+            for event in super().stream(request, call):
+                yield event
+                self.stopping.wait(self.switches.delay_ms / 1000 / EVENTS)
+        except http_messages.Dropped:
+            self.broke.add(call)
+            raise
+        finally:
+            self.done[call] = time.monotonic()
+
+
 @dataclasses.dataclass
 class Instance:
     """One process of ``briarseam serve``.
@@ -52,18 +105,30 @@
         Its link to the store.
     listen
         Its addresses by what they are for.
+    shutdown_s
+        Its time to shut down.
     process
         The process; ``None`` while it is down on purpose.
     troubled_until
         Until when a fault on it excuses it, monotonic seconds.
+    stopped
+        When it got its first SIGTERM, for each stop.
+    struck
+        From when until when it was paused or killed.
+    killed
+        What is to be said of its processes that did not end in time.
     """
 
     name: str
     folder: pathlib.Path
     to_store: links.Link
     listen: dict[str, str]
+    shutdown_s: float
     process: subprocess.Popen[bytes] | None = None
     troubled_until: float = 0.0
+    stopped: list[float] = dataclasses.field(default_factory=list)
+    struck: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    killed: list[str] = dataclasses.field(default_factory=list)
 
     def write_settings(self, extra: str = "") -> None:
         """Write its settings."""
@@ -71,7 +136,7 @@
         self.settings.write_text(
             f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
-            f"[bounds]\nshutdown_s = 4\n{extra}"
+            f"[bounds]\nshutdown_s = {self.shutdown_s}\n{extra}"
         )
 
     @property
@@ -127,12 +192,28 @@
                 lambda: has_mask(process, ("SigCgt",)), 5.0, "it handles"
             )
 
-    def end(self, number: signal.Signals) -> None:
-        """End it by a signal and wait for that."""
+    def end(self, number: signal.Signals, again_s: float = 0.0) -> None:
+        """End it by a signal and wait for that.
+
+        Parameters
+        ----------
+        number
+            The signal.
+        again_s
+            After this it is sent once more; 0 for never.
+        """
         process, self.process = self.process, None
-        if process is not None:
+        if process is None:
+            return
+        if number == signal.SIGTERM:
+            self.stopped.append(time.monotonic())
+        process.send_signal(number)
+        process.send_signal(signal.SIGCONT)
+        if again_s and not ends_within(process, again_s):
             process.send_signal(number)
-            process.send_signal(signal.SIGCONT)
+        if not ends_within(process, self.shutdown_s + KILL_AFTER_S - again_s):
+            self.killed.append(f"{self.name} did not end in time")
+            process.kill()
             process.wait()
 
     def ended_by_itself(self) -> bool:
@@ -158,7 +239,7 @@
 
     service: str
     link: links.Link
-    worker: workers.Worker
+    worker: Worker
     left: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -171,15 +252,20 @@
         Settings and output go there.
     instances
         How many.
+    shutdown_s
+        Their time to shut down.
     """
 
-    def __init__(self, folder: pathlib.Path, instances: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, instances: int, shutdown_s: float
+    ) -> None:
+        self.shutdown_s = shutdown_s
         self.names = itertools.count()
         self.version = 0
         self.toggled = True
         self.stack = contextlib.ExitStack()
         self.lock = threading.Lock()
-        self.past: list[workers.Worker] = []
+        self.past: list[Worker] = []
         self.configured: list[tuple[float, bool]] = []
         self.store = self.stack.enter_context(metadata_store.MetadataStore())
         self.store_troubled_until = 0.0
@@ -198,16 +284,14 @@
             kind: f"127.0.0.1:{port}"
             for kind, port in zip(kinds, ports.free_ports(5), strict=True)
         }
-        made = Instance(name, folder, link, listen)
+        made = Instance(name, folder, link, listen, self.shutdown_s)
         made.write_settings()
         self.stack.callback(made.end, signal.SIGKILL)
         return made
 
-    def new_worker(self) -> workers.Worker:
+    def new_worker(self) -> Worker:
         """Return a started endpoint."""
-        worker = workers.Worker(
-            f"worker-{next(self.names)}", born=stand_in.wall_ms()
-        )
+        worker = Worker(f"worker-{next(self.names)}", born=stand_in.wall_ms())
         worker.set(events=EVENTS)
         self.stack.enter_context(worker)
         self.past.append(worker)
@@ -281,6 +365,15 @@
         self.stack.close()
 
 
+def ends_within(process: subprocess.Popen[bytes], seconds: float) -> bool:
+    """Wait for the end of a process; tell whether it came in time."""
+    try:
+        process.wait(seconds)
+    except subprocess.TimeoutExpired:
+        return False
+    return True
+
+
 def has_mask(process: subprocess.Popen[bytes], names: tuple[str, ...]) -> bool:
     """Tell whether SIGHUP is in one of a process's sets of signals."""
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
