--- a/tests/forwarding/test_supervision.py
+++ b/tests/forwarding/test_supervision.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import socket
 import types
 
@@ -106,3 +107,30 @@
     watch.end(supervision.Ending.TIMED_OUT)
     with pytest.raises(supervision.EndedError):
         watch.attach(upstream[0])
+
+
+def test_news_of_a_caller_that_left_ends_no_other_callers_request():
+    """A request ends without an answer though its caller waits.
+
+    A caller closes as soon as it has its answer, which the poller reports.
+    Before the report is looked at, the connection is closed and a new one
+    gets its descriptor, whose request is then taken for the one whose
+    caller left.
+    """
+    supervisor = supervision.Supervisor()
+    ours, theirs = socket.socketpair()
+    first = watch_of((ours, theirs))
+    supervisor.watch(first)
+    theirs.close()
+    reported = supervisor.poller.poll(5)
+    supervisor.forget(first)
+    descriptor = ours.fileno()
+    ours.close()
+    with contextlib.ExitStack() as stack:
+        pair = [stack.enter_context(sock) for sock in socket.socketpair()]
+        assert pair[0].fileno() == descriptor
+        second = watch_of(pair)
+        supervisor.watch(second)
+        for event in reported:
+            supervisor.take_event(*event)
+        assert second.ending is None
