--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -94,21 +94,15 @@
     """Yield a request that was taken and is without a whole answer."""
     if one.whole or why_unanswered(deployment, one) != Unanswered.LOST:
         return
-    stopped = [at for at in one.instance.stopped if at <= one.ended_s]
-    since = "before any SIGTERM"
-    if stopped:
-        since = (
-            f"sent {one.sent_s - stopped[-1]:.3f} s and lost "
-            f"{one.ended_s - stopped[-1]:.3f} s after SIGTERM"
-        )
-    reached = [
-        endpoint.worker.id
-        for endpoint in deployment.endpoints
-        if one.id in endpoint.link.seen
+    since = [
+        f"{one.sent_s - at:.3f} s after SIGTERM "
+        for at in one.instance.stopped
+        if at <= one.ended_s
     ]
     yield (
-        f"{one.id} ({one.kind.name} at {one.instance.name}) got no whole "
-        f"answer, {since}: sent on to {reached}, {one.detail}"
+        f"{one.id} ({one.kind.name} at {one.instance.name}), sent "
+        f"{''.join(since[-1:])}and taken, got no whole answer in "
+        f"{one.ended_s - one.sent_s:.3f} s: {one.detail}"
     )
 
 
