Fault soak: whether a request was read is asked once its process is gone

A socket that was shut down with bytes unread is reset only when the last reference to it is dropped, so 0.2 s after its end could be too soon.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,8 +18,6 @@
 PAUSE_S = (0.0, 0.08)
 # Pauses of a caller whose connections are idle most of the time.
 REST_S = (0.3, 4.0)
-# From the end of a connection until its reset would have come too.
-SETTLE_S = 0.2
 TCP_CLOSE = 7
 PROMPT = {"Model": system.MODEL, "Token-Usage": "1000,50"}
 
@@ -72,8 +70,8 @@
         The answer, the id that it names and its signature.
     detail
         How it failed.
-    read
-        Whether the instance read it all and then ended the connection.
+    ended
+        The connection, if it ended in place of the answer.
     """
 
     id: str
@@ -87,7 +85,19 @@
     echo: str = ""
     signature: str = ""
     detail: str = ""
-    read: bool = False
+    ended: socket.socket | None = None
+
+    def is_read(self) -> bool:
+        """Tell whether the instance read it all and did not answer.
+
+        A kernel resets a connection that is closed with bytes unread, or
+        that gets more of them afterwards; one without a reset was read.
+        This is known for sure once the process has ended.
+        """
+        if self.ended is None:
+            return False
+        state = self.ended.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state[0] != TCP_CLOSE
 
 
 class Caller:
@@ -173,7 +183,8 @@
             headers |= PROMPT | {"Prefix-Hash": f"aa:600,b{part}:400"}
         body = sent.id.encode() if sent.kind.method == "POST" else None
         connection.request(sent.kind.method, sent.kind.path, body, headers)
-        sent.read = is_read_unanswered(connection.sock)
+        if not connection.sock.recv(1, socket.MSG_PEEK):
+            sent.ended = connection.sock.dup()
         response = connection.getresponse()
         sent.status = response.status
         sent.echo = response.headers.get("Request-Id", "")
@@ -181,16 +192,3 @@
         sent.body = response.read()
         sent.whole = True
         return response.will_close
-
-
-def is_read_unanswered(sock: socket.socket) -> bool:
-    """Wait for an answer; tell whether the other side read all and left.
-
-    A kernel resets a connection that is closed with bytes unread, or that
-    gets more of them afterwards; one that ends without a reset was read.
-    """
-    if sock.recv(1, socket.MSG_PEEK):
-        return False
-    time.sleep(SETTLE_S)
-    state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-    return state != TCP_CLOSE
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -117,7 +117,7 @@
     ]
     if is_struck(one):
         return Unanswered.STRUCK
-    if not one.read and not took:
+    if not one.is_read() and not took:
         return Unanswered.NOT_READ
     if one.ended_s - one.sent_s >= callers.DEADLINE_MS / 1000:
         return Unanswered.TOO_LATE
