--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -34,7 +34,8 @@
 RESTING_CALLERS = 6
 CROWD = 12
 CROWD_AHEAD_S = 0.3
-SHUTDOWN_S = 4.0
+# Beside stops, as on the platform.
+SHUTDOWN_OF_STOPS_S = 8.0
 INSTANCES = 4
 # All serve again so soon after the last fault.
 RECOVERY_S = 15.0
@@ -88,7 +89,9 @@
 
     def __init__(self, folder: pathlib.Path, report: Report) -> None:
         self.report = report
-        shutdown_s = serving.SHUTDOWN_S if report.stops else SHUTDOWN_S
+        shutdown_s = serving.SHUTDOWN_S
+        if report.stops:
+            shutdown_s = SHUTDOWN_OF_STOPS_S
         self.deployment = serving.Deployment(
             folder, report.instances, shutdown_s
         )
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -26,9 +26,8 @@
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
 EVENTS = 6
-# The platform's time to shut down, and how long after it a process that is
-# still there is killed.
-SHUTDOWN_S = 8.0
+SHUTDOWN_S = 4.0
+# The platform kills a process that is there so long after that time.
 KILL_AFTER_S = 1.0
 # Removed and added by turns; requests on it show what is in force.
 TOGGLED = {
@@ -87,7 +86,7 @@
         self.settings.write_text(
             f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
-            f"[bounds]\nshutdown_s = {self.shutdown_s}\n{extra}"
+            f"[bounds]\nshutdown_s = {self.shutdown_s:g}\n{extra}"
         )
 
     @property
@@ -208,7 +207,10 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, instances: int, shutdown_s: float
+        self,
+        folder: pathlib.Path,
+        instances: int,
+        shutdown_s: float = SHUTDOWN_S,
     ) -> None:
         self.shutdown_s = shutdown_s
         self.names = itertools.count()
