--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -62,6 +62,9 @@
 HOUSEKEEPING_S = 1.0
 # Left of the time to shut down, for the end of the process itself.
 EXIT_MARGIN_S = 1.0
+# For the last answers to requests that are cut off: their threads may wait
+# for a connection to an endpoint, which takes 0.4 s at most.
+FINAL_ANSWERS_S = 0.5
 # Lookups are kept for three times their time to live by some callers, but
 # those have other addresses to turn to.
 LINGER_S = 3.0
@@ -293,9 +296,20 @@
             self.guard.forget_old()
             self.chooser.loads.keep_only(frozenset(self.instances.all_names()))
 
-    def drain(self, hurry: typing.Callable[[], bool]) -> drain.Outcome:
-        """Leave the lookups and serve what is under way."""
-        self.shutdown.begin()
+    def drain(
+        self, hurry: typing.Callable[[], bool], asked_s: float | None = None
+    ) -> drain.Outcome:
+        """Leave the lookups and serve what is under way.
+
+        Parameters
+        ----------
+        hurry
+            Whether to give up waiting now.
+        asked_s
+            When this process was asked to stop, by the boot clock; now
+            unless given.
+        """
+        self.shutdown.begin(asked_s)
         bound_s = self.serving_bound_s()
         outcome = drain.Drain(
             announce=self.announce_leaving,
@@ -304,10 +318,14 @@
             settle=self.in_flight.refuse_if_idle,
             linger_s=lambda: min(LINGER_S, bound_s / 2),
             bound_s=bound_s,
+            asked_s=self.shutdown.begun_s,
             hurry=hurry,
+            clock=clocks.boot_clock,
         ).run()
-        self.in_flight.move_to(inflight.Stage.REFUSING)
-        self.forwarding.note_cut_off()
+        if isinstance(outcome, drain.CutOff):
+            self.in_flight.move_to(inflight.Stage.REFUSING)
+            self.forwarding.cut_off()
+            self.in_flight.close(FINAL_ANSWERS_S)
         return outcome
 
     def serving_bound_s(self) -> float:
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -47,6 +47,7 @@
     def __init__(self, parts: works.Parts) -> None:
         self.parts = parts
         self.under_way: dict[int, works.Work] = {}
+        self.cutting = False
         self.lock = threading.Lock()
 
     def handle(self, exchange: server.Exchange) -> None:
@@ -104,8 +105,12 @@
         caller = table.identify(route, call.key)
         if isinstance(caller, tables.Unknown):
             return refusing.UNKNOWN_KEY
+        wait_s = route.timeout_s
+        if call.time_left_s is not None:
+            wait_s = min(wait_s, call.time_left_s)
+        deadline_s = arrived_s + wait_s
         refusing_all = self.parts.in_flight.refusing
-        if refusing_all or not self.parts.shutdown.takes(route):
+        if refusing_all or not self.parts.shutdown.takes(deadline_s):
             return refusing.LEAVING
         session = call.id
         if call.prompt is not None:
@@ -118,9 +123,6 @@
         digest = crash_guard.digest_of(call.target, organisation, body)
         if self.parts.guard.is_refused(digest):
             return refusing.CONDEMNED
-        wait_s = route.timeout_s
-        if call.time_left_s is not None:
-            wait_s = min(wait_s, call.time_left_s)
         return works.Work(
             exchange=exchange,
             call=call,
@@ -129,7 +131,7 @@
             service=service,
             caller=caller,
             configuration=table.configuration.version,
-            watch=supervision.Watch(exchange.socket, arrived_s + wait_s),
+            watch=supervision.Watch(exchange.socket, deadline_s),
             digest=digest,
             arrived_s=arrived_s,
             progress=attempts.Progress(last_event_id=call.last_event_id),
@@ -139,6 +141,9 @@
         """Answer one request that the configuration allows."""
         with self.lock:
             self.under_way[id(work)] = work
+            cutting = self.cutting
+        if cutting:
+            work.watch.end(supervision.Ending.CUT_OFF)
         self.parts.budget.earn(work.service.name)
         self.parts.supervisor.watch(work.watch)
         try:
@@ -151,9 +156,16 @@
                 del self.under_way[id(work)]
         self.note(work, ended)
 
-    def note_cut_off(self) -> None:
-        """Log each request that the end of the process cuts off."""
+    def cut_off(self) -> None:
+        """End all requests under way, since the process ends.
+
+        Guard: a request that the process takes with it has neither an answer
+        nor a verdict; its caller sees a closed connection and can't tell
+        whether it may ask again.  Ended here, it is told; only a stream that
+        has begun is broken off.
+        """
         with self.lock:
+            self.cutting = True
             cut_off = list(self.under_way.values())
         for work in cut_off:
             log.warning(
@@ -165,6 +177,7 @@
                 age_ms=round((clocks.boot_clock() - work.arrived_s) * 1000),
                 time_left_ms=round(work.watch.left_s() * 1000),
             )
+            work.watch.end(supervision.Ending.CUT_OFF)
 
     def try_endpoints(self, work: works.Work) -> str:
         """Send the request to endpoints until one answers.
@@ -199,6 +212,11 @@
         until_s = since_s + hold_s
         while True:
             work.watch.check()
+            if work.watch.left_s() <= 0:
+                # The supervisor looks each 50 ms only.  Sent on meanwhile,
+                # the request would run for nobody, and its caller could not
+                # be told that it has not.
+                raise supervision.EndedError(supervision.Ending.TIMED_OUT)
             placed = chooser.choose(work.request())
             if not isinstance(placed, placements.Full):
                 return placed
@@ -276,6 +294,9 @@
         outcome: outcomes.Outcome | None = None
         try:
             outcome = self.parts.sender.send(errand)
+        except supervision.EndedError:
+            work.may_have_run = True
+            raise
         finally:
             chooser.ended(placed, work.call, added)
             self.note_send(work, placed, outcome, first_ms)
@@ -326,10 +347,8 @@
             or work.progress.events_sent
         ):
             work.exchange.abort()
-        elif work.steps:
-            self.answer(work.exchange, refusing.TIMED_OUT)
         else:
-            self.answer(work.exchange, refusing.TOO_LATE)
+            self.answer(work.exchange, verdict_of(ending, work.may_have_run))
         return ending.value
 
     def refuse_unread(self, exchange: server.Exchange, detail: str) -> None:
@@ -379,3 +398,18 @@
             outcome=ended,
             took_ms=round(took_s * 1000),
         )
+
+
+def verdict_of(
+    ending: supervision.Ending, may_have_run: bool
+) -> verdict.Verdict:
+    """Return what a caller is told of a request that was ended."""
+    match ending, may_have_run:
+        case supervision.Ending.CUT_OFF, True:
+            return refusing.CUT_OFF
+        case supervision.Ending.CUT_OFF, False:
+            return refusing.LEAVING
+        case _, True:
+            return refusing.TIMED_OUT
+        case _:
+            return refusing.TOO_LATE
