--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -8,6 +8,7 @@
 import typing
 
 from briarseam import verdict
+from briarseam.admission import answer_id
 from briarseam.admission import dispatch
 from briarseam.admission import fair_queue
 from briarseam.admission import limits as limit_module
@@ -16,13 +17,13 @@
 from briarseam.admission import retries
 from briarseam.admission import returns
 from briarseam.admission import state
-from briarseam.answers import answer_id
 from briarseam.routing import state as routing
 
 if typing.TYPE_CHECKING:
     from briarseam.cache import service as kept_cache
     from briarseam.cache import state as cache
     from briarseam.configuration import schema
+    from briarseam.configuration import values
     from briarseam.orders import state as orders
 
 RUN_ID_BYTES = 12
@@ -187,7 +188,7 @@
         self,
         organisation: str,
         request: messages.AdmitCall,
-        service: schema.Service,
+        service: values.Service,
     ) -> messages.Granted:
         """Grant a service call an endpoint.
 
--- a/src/briarseam/command/__init__.py
+++ b/src/briarseam/command/__init__.py
@@ -8,9 +8,11 @@
 import argparse
 import dataclasses
 import importlib
+import sys
 import typing
 
 import briarseam
+from briarseam import loading
 from briarseam.command import help_format
 
 if typing.TYPE_CHECKING:
@@ -54,6 +56,11 @@
         "briarseam.command.condemned",
         "show and lift prompts refused for crashing endpoints",
     ),
+    Command(
+        "delays",
+        "briarseam.command.delays",
+        "show where the time of requests went, from logs",
+    ),
     Command(
         "demo",
         "briarseam.command.demo",
@@ -148,7 +155,11 @@
 
 def load(command: Command) -> Module:
     """Return the module of a subcommand."""
-    return typing.cast("Module", importlib.import_module(command.module))
+    module = sys.modules.get(command.module)
+    if module is None:
+        with loading.without_collections():
+            module = importlib.import_module(command.module)
+    return typing.cast("Module", module)
 
 
 def build_parser(chosen: Command | None) -> argparse.ArgumentParser:
@@ -160,7 +171,9 @@
         allow_abbrev=False,
     )
     subparsers = parser.add_subparsers(metavar="SUBCOMMAND")
-    for command in COMMANDS:
+    # Once one is chosen nothing tells of the others.  All parsers take 1.2 ms
+    # of processor time at each start, one 0.3 ms (least of 40 timings).
+    for command in (chosen,) if chosen else COMMANDS:
         subparser = subparsers.add_parser(
             command.name,
             help=command.summary,
--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -9,6 +9,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import loading
 from briarseam import log_writer
 from briarseam import logs
 from briarseam.command import signals
@@ -53,7 +54,8 @@
         typing.cast("typing.TextIO", writer),
     )
     # Imported here: the settings are checked before anything is loaded.
-    from briarseam.compose import node as compose
+    with loading.without_collections():
+        from briarseam.compose import node as compose
 
     node = compose.Node(settings)
     signals.on_reload(node.reloading.ask)
