--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -40,9 +40,9 @@
     """A booking ends without an answer while instances are stopped in turn.
 
     The instance found nothing in flight, and then still read the call and
-    passed it on while it ended; seed 3017.
+    passed it on while it ended; seed 3020.
     """
-    report = serve_soak.run(3017, 10.0, 3, tmp_path, stops=True)
+    report = serve_soak.run(3020, 10.0, 3, tmp_path, stops=True)
     assert report.broken == []
     assert report.faults["StoppedInTurn"] > 1
 
