--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -26,6 +26,9 @@
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
 EVENTS = 6
+SHUTDOWN_S = 4.0
+# The platform kills a process that is there so long after that time.
+KILL_AFTER_S = 1.0
 # Removed and added by turns; requests on it show what is in force.
 TOGGLED = {
     "name": "toggled",
@@ -52,18 +55,30 @@
         Its link to the store.
     listen
         Its addresses by what they are for.
+    shutdown_s
+        Its time to shut down.
     process
         The process; ``None`` while it is down on purpose.
     troubled_until
         Until when a fault on it excuses it, monotonic seconds.
+    stopped
+        When it got its first SIGTERM, for each stop.
+    struck
+        From when until when it was paused or killed.
+    killed
+        What is to be said of its processes that did not end in time.
     """
 
     name: str
     folder: pathlib.Path
     to_store: links.Link
     listen: dict[str, str]
+    shutdown_s: float
     process: subprocess.Popen[bytes] | None = None
     troubled_until: float = 0.0
+    stopped: list[float] = dataclasses.field(default_factory=list)
+    struck: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    killed: list[str] = dataclasses.field(default_factory=list)
 
     def write_settings(self, extra: str = "") -> None:
         """Write its settings."""
@@ -71,7 +86,7 @@
         self.settings.write_text(
             f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
-            f"[bounds]\nshutdown_s = 4\n{extra}"
+            f"[bounds]\nshutdown_s = {self.shutdown_s:g}\n{extra}"
         )
 
     @property
@@ -127,12 +142,28 @@
                 lambda: has_mask(process, ("SigCgt",)), 5.0, "it handles"
             )
 
-    def end(self, number: signal.Signals) -> None:
-        """End it by a signal and wait for that."""
+    def end(self, number: signal.Signals, again_s: float = 0.0) -> None:
+        """End it by a signal and wait for that.
+
+        Parameters
+        ----------
+        number
+            The signal.
+        again_s
+            After this it is sent once more; 0 for never.
+        """
         process, self.process = self.process, None
-        if process is not None:
+        if process is None:
+            return
+        if number == signal.SIGTERM:
+            self.stopped.append(time.monotonic())
+        process.send_signal(number)
+        process.send_signal(signal.SIGCONT)
+        if again_s and not ends_within(process, again_s):
             process.send_signal(number)
-            process.send_signal(signal.SIGCONT)
+        if not ends_within(process, self.shutdown_s + KILL_AFTER_S - again_s):
+            self.killed.append(f"{self.name} did not end in time")
+            process.kill()
             process.wait()
 
     def ended_by_itself(self) -> bool:
@@ -171,9 +202,17 @@
         Settings and output go there.
     instances
         How many.
+    shutdown_s
+        Their time to shut down.
     """
 
-    def __init__(self, folder: pathlib.Path, instances: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        instances: int,
+        shutdown_s: float = SHUTDOWN_S,
+    ) -> None:
+        self.shutdown_s = shutdown_s
         self.names = itertools.count()
         self.version = 0
         self.toggled = True
@@ -198,7 +237,7 @@
             kind: f"127.0.0.1:{port}"
             for kind, port in zip(kinds, ports.free_ports(5), strict=True)
         }
-        made = Instance(name, folder, link, listen)
+        made = Instance(name, folder, link, listen, self.shutdown_s)
         made.write_settings()
         self.stack.callback(made.end, signal.SIGKILL)
         return made
@@ -237,12 +276,18 @@
         """Let another endpoint take over an address."""
         self.store.write("keyed.servers", endpoint.worker.id, None)
         worker = self.new_worker()
+        endpoint.link.resets.append(time.monotonic())
         endpoint.worker.stop()
         endpoint.worker = worker
         endpoint.link.target = worker.address
         endpoint.link.reset()
         self.write_entry(endpoint)
 
+    def slow_down(self, delays_ms: list[int]) -> None:
+        """Let calls, and all events of a stream, take so long at each."""
+        for endpoint, delay_ms in zip(self.endpoints, delays_ms, strict=True):
+            endpoint.worker.set(delay_ms=delay_ms, pause_ms=delay_ms // EVENTS)
+
     def configure(self, toggled: bool) -> None:
         """Write the next configuration."""
         with self.lock:
@@ -281,6 +326,15 @@
         self.stack.close()
 
 
+def ends_within(process: subprocess.Popen[bytes], seconds: float) -> bool:
+    """Wait for the end of a process; tell whether it came in time."""
+    try:
+        process.wait(seconds)
+    except subprocess.TimeoutExpired:
+        return False
+    return True
+
+
 def has_mask(process: subprocess.Popen[bytes], names: tuple[str, ...]) -> bool:
     """Tell whether SIGHUP is in one of a process's sets of signals."""
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
