--- /dev/null
+++ b/tests/soak/injecting.py
@@ -0,0 +1,197 @@
+"""Letting the faults of a plan strike a deployment."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import threading
+import time
+import typing
+
+from tests.soak import faults
+from tests.soak import links
+from tests.soak import serving
+
+Crowd = typing.Callable[
+    [serving.Instance], contextlib.AbstractContextManager[None]
+]
+
+
+class Injector:
+    """Lets the faults of a plan strike a deployment.
+
+    Parameters
+    ----------
+    deployment
+        What is struck.
+    planned
+        The faults, by time.
+    crowd
+        Lets callers keep an instance busy.
+    """
+
+    def __init__(
+        self,
+        deployment: serving.Deployment,
+        planned: list[faults.Planned],
+        crowd: Crowd,
+    ) -> None:
+        self.deployment = deployment
+        self.planned = planned
+        self.crowd = crowd
+        # Two faults on one thing take turns.
+        self.locks: dict[object, threading.Lock] = {}
+
+    def run(self) -> None:
+        """Let all strike; return when the last has ended."""
+        began = time.monotonic()
+        threads = []
+        for one in self.planned:
+            time.sleep(max(0.0, began + one.at_s - time.monotonic()))
+            thread = threading.Thread(target=self.strike, args=(one,))
+            thread.start()
+            threads.append(thread)
+        for thread in threads:
+            thread.join()
+
+    def lock_of(self, thing: object) -> threading.Lock:
+        """Return the lock of what a fault strikes."""
+        return self.locks.setdefault(thing, threading.Lock())
+
+    def strike(self, one: faults.Planned) -> None:
+        """Let one fault strike."""
+        match one.fault:
+            case faults.StoreTrouble(switches):
+                with self.lock_of("store"):
+                    self.trouble_store(switches, one.for_s)
+            case faults.StoreCut(number, state, reset):
+                instance = self.deployment.instances[number]
+                with self.lock_of(("store link", number)):
+                    self.excuse(instance, one.for_s)
+                    cut(instance.to_store, state, reset, one.for_s)
+                    self.excuse(instance)
+            case faults.EndpointCut(number, state, reset):
+                with self.lock_of(("endpoint", number)):
+                    link = self.deployment.endpoints[number].link
+                    cut(link, state, reset, one.for_s)
+            case faults.EndpointReplaced(number):
+                with self.lock_of(("endpoint", number)):
+                    endpoint = self.deployment.endpoints[number]
+                    self.deployment.replace(endpoint)
+            case faults.EndpointLeaves(number):
+                with self.lock_of(("endpoint", number)):
+                    self.let_leave(self.deployment.endpoints[number])
+            case faults.Misbehaviour(number, switch):
+                worker = self.deployment.endpoints[number].worker
+                worker.set(**{switch: faults.MISBEHAVIOUR[switch]})
+            case faults.Reconfigured(toggled):
+                self.deployment.configure(toggled)
+            case faults.StoppedInTurn():
+                self.stop_in_turn(one.fault, one.for_s)
+            case (
+                faults.Paused(number)
+                | faults.Ended(number)
+                | faults.Reloaded(number)
+            ):
+                instance = self.deployment.instances[number]
+                with self.lock_of(("instance", number)):
+                    self.excuse(instance, one.for_s)
+                    self.trouble_instance(one.fault, instance, one.for_s)
+                    self.excuse(instance)
+
+    def stop_in_turn(self, fault: faults.StoppedInTurn, for_s: float) -> None:
+        """Stop instances one after the other and start them again."""
+        threads = []
+        for number in fault.instances:
+            thread = threading.Thread(
+                target=self.stop, args=(fault, number, for_s)
+            )
+            thread.start()
+            threads.append(thread)
+            time.sleep(fault.gap_s)
+        for thread in threads:
+            thread.join()
+
+    def stop(
+        self, fault: faults.StoppedInTurn, number: int, for_s: float
+    ) -> None:
+        """Stop one instance and start it again."""
+        instance = self.deployment.instances[number]
+        with self.lock_of(("instance", number)):
+            busy = contextlib.nullcontext()
+            with self.crowd(instance) if fault.crowded else busy:
+                self.excuse(instance, instance.shutdown_s)
+                instance.end(signal.SIGTERM, fault.again_s)
+            time.sleep(for_s / 3)
+            instance.start()
+            if fault.early_s:
+                time.sleep(fault.early_s)
+                self.excuse(instance, instance.shutdown_s)
+                instance.end(signal.SIGTERM)
+                instance.start()
+            self.excuse(instance)
+
+    def excuse(self, instance: serving.Instance, for_s: float = 0.0) -> None:
+        """Expect nothing in time from an instance for a while."""
+        until = time.monotonic() + for_s + faults.STABLE_S
+        instance.troubled_until = max(instance.troubled_until, until)
+
+    def trouble_store(
+        self, switches: dict[str, typing.Any], for_s: float
+    ) -> None:
+        """Set switches of the store and take them back."""
+        store = self.deployment.store
+        until = time.monotonic() + for_s + faults.STABLE_S
+        self.deployment.store_troubled_until = until
+        store.set(**switches)
+        time.sleep(for_s)
+        store.set(**faults.STORE_CALM)
+        until = time.monotonic() + faults.STABLE_S
+        self.deployment.store_troubled_until = until
+
+    def let_leave(self, endpoint: serving.Endpoint) -> None:
+        """Let an endpoint say that it leaves, serve on and be replaced."""
+        self.deployment.write_entry(endpoint, "draining")
+        endpoint.left[endpoint.worker.id] = time.monotonic()
+        time.sleep(faults.STABLE_S)
+        self.deployment.replace(endpoint)
+
+    def trouble_instance(
+        self, fault: faults.Fault, instance: serving.Instance, for_s: float
+    ) -> None:
+        """Pause, end or reload one instance."""
+        match fault:
+            case faults.Paused():
+                began_s = time.monotonic()
+                instance.send(signal.SIGSTOP)
+                time.sleep(for_s)
+                instance.send(signal.SIGCONT)
+                instance.struck.append((began_s, time.monotonic()))
+            case faults.Ended(by=by):
+                if by == signal.SIGKILL:
+                    now_s = time.monotonic()
+                    instance.struck.append((now_s, now_s))
+                instance.end(by)
+                time.sleep(for_s / 3)
+                instance.start()
+            case faults.Reloaded(extra=extra):
+                if extra == faults.BAD_SETTINGS:
+                    instance.await_settings_read()
+                instance.write_settings(extra)
+                instance.reload()
+                time.sleep(for_s)
+                instance.write_settings()
+                instance.reload()
+
+
+def cut(
+    link: links.Link, state: links.State, reset: bool, for_s: float
+) -> None:
+    """Cut a link for a while."""
+    link.state = state
+    if reset:
+        link.reset()
+    time.sleep(for_s)
+    link.state = links.State.PASSING
+    if reset:
+        link.reset()
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -23,6 +23,7 @@
 
 from tests.soak import callers
 from tests.soak import faults
+from tests.soak import injecting
 from tests.soak import promises
 from tests.soak import serving
 
@@ -169,7 +170,7 @@
             self.deployment.slow_down(delays_ms)
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.start()
-        faults.Injector(self.deployment, planned, self.crowd).run()
+        injecting.Injector(self.deployment, planned, self.crowd).run()
         self.deployment.slow_down([0] * len(serving.SERVICES))
         self.stopping.set()
         for thread in (probing, *(one.thread for one in self.callers)):
