--- a/src/briarseam/entry/counting.py
+++ b/src/briarseam/entry/counting.py
@@ -27,7 +27,7 @@
     A planned stop must not cut a request that is reading its body or
     waiting for a grant either, so the count is taken around the whole
     application.  While the process is leaving, each answer asks the caller
-    to close its connection: an idle one that were kept open could carry
+    to close its connection: an idle one that is kept open could carry
     the next request just as the process exits.  Once a stop has found
     nothing in flight, requests are refused as not run: the process ends in
     a moment and would take them along.
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -201,7 +201,7 @@
         self.began = True
         self.request.sent_headers = True
         if self.leaving():
-            # A connection that were kept could carry the next request just
+            # A connection that is kept could carry the next request just
             # as the process ends.
             self.close_after()
         lines = [f"HTTP/1.1 {status} {phrase(status)}"]
