Claims wait for the first read of their stream instead of being refused

Callers saw: a call with a key was told 503 "the claims are being read" just after an agent's restart (test_rolling_stop_cuts_nothing[instance] and [agent], each seen once). Cause, by reading: the other agents ask a restarted one for the streams that it owns as soon as they hear it; its first read of them is some milliseconds away, and whoever came in between was refused. The message is given in this state only. A test without processes holds the first read back for 0.1 s and failed before. The wait is bounded (0.5 s, and by the claim's own bound), and ends as soon as the log is known to be away.

--- a/src/briarseam/claims/shard.py
+++ b/src/briarseam/claims/shard.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+import time
 import typing
 
 import structlog
@@ -24,6 +25,10 @@
 MAX_ENTRIES = 2_000_000
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 30.0
+# A claim waits this long at most for its stream to be read up to now.
+MAX_CATCH_UP_S = 0.5
+# How soon a claim that waits notices that the log is away.
+LOG_CHECK_S = 0.05
 FOLLOW_WAIT_MS = 1000
 CATCH_UP_RECORDS_PER_S = 5000
 log = structlog.get_logger("briarseam.claims")
@@ -61,6 +66,7 @@
         self.fold = folds.Fold(window)
         self.last_offset = 0
         self.behind = -1
+        self.was_read = threading.Event()
         self.halted = ""
         self.retention = retention.RetentionCheck(window.length_ms / 1000)
         self.used_at = 0.0
@@ -119,6 +125,8 @@
 
     def find(self, item: records.Claim, wait_s: float) -> waits.Finding:
         """Return what the stream says about a claim."""
+        until = time.monotonic() + wait_s
+        self.await_first_read(min(wait_s, MAX_CATCH_UP_S))
         with self.lock:
             early = self.early(item)
             if early is not None:
@@ -126,7 +134,7 @@
             waiter = waits.Waiter(item)
             self.claimants[item.attempt] = waiter
         self.writer.submit([item])
-        waiter.decided.wait(wait_s)
+        waiter.decided.wait(max(until - time.monotonic(), 0.0))
         with self.lock:
             self.claimants.pop(item.attempt, None)
         if waiter.result is not None:
@@ -138,6 +146,21 @@
             dangling=True,
         )
 
+    def await_first_read(self, wait_s: float) -> None:
+        """Wait while the stream is read for the first time.
+
+        Guard: an agent that was just started owns streams as soon as others
+        see it, some milliseconds before it has read them.  A caller refused
+        in between would have to come back for nothing.  A stream that has
+        not been read by then, or whose log is away, is refused as before.
+        """
+        until = time.monotonic() + wait_s
+        while self.follower.available and not self.was_read.is_set():
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                return
+            self.was_read.wait(min(left_s, LOG_CHECK_S))
+
     def early(self, item: records.Claim) -> waits.Finding | None:
         """Return the answer that needs no append; ``None`` when free.
 
@@ -280,6 +303,8 @@
             if was_current and batch.records:
                 self.retention.note_arrival(self.last_offset)
             self.behind = max(0, batch.next - 1 - self.last_offset)
+            if self.behind == 0:
+                self.was_read.set()
 
     def is_rolled_back(self, batch: platform_log.Batch) -> bool:
         """Halt when the log lost records that were read before.
@@ -348,6 +373,7 @@
     def halt(self, detail: str) -> None:
         """Refuse all claims from now on: the stream cannot be trusted."""
         self.halted = detail
+        self.was_read.set()
         log.error("claims_halted", stream=self.stream.name, detail=detail)
 
 
--- a/tests/claims/test_shard.py
+++ b/tests/claims/test_shard.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import time
 import typing
 
 import pytest
@@ -207,6 +208,36 @@
     assert log.appended == 0
 
 
+def test_claim_waits_while_a_fresh_reader_reads_for_the_first_time(
+    new_shard: typing.Callable[[], shards.Shard], log: fake_log.FakeLog
+) -> None:
+    """A booking is refused just after its instance's agent was restarted.
+
+    The other agents see the new one and ask it for the streams that it owns
+    now; it is some milliseconds away from having read them.
+    """
+    log.held.clear()
+    fresh = new_shard()
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(fresh.claim, claim(log, "a"), WAIT_S)
+        with pytest.raises(concurrent.futures.TimeoutError):
+            asked.result(0.1)
+        log.held.set()
+        assert asked.result() == messages.Won("a")
+
+
+def test_claim_does_not_wait_for_a_log_that_is_known_to_be_away(
+    new_shard: typing.Callable[[], shards.Shard], log: fake_log.FakeLog
+) -> None:
+    log.unreadable = True
+    fresh = new_shard()
+    waiting.until(lambda: not fresh.follower.available)
+    began = time.monotonic()
+    refused = fresh.claim(claim(log, "a"), 60.0)
+    assert isinstance(refused, messages.NotClaimed)
+    assert time.monotonic() - began < shards.MAX_CATCH_UP_S
+
+
 def test_reader_paused_past_the_retention_goes_on_whole(
     shard: shards.Shard, log: fake_log.FakeLog
 ) -> None:
