Engines that refused a prompt may take it when there is no other

Callers saw: in a rollout a prompt was told that no endpoint serves it (test_no_request_is_refused_or_mixed_during_a_rollout, 10 of about 150 runs beside load). Cause: an engine that refuses while it changes its weights was excluded for good, like one that was lost; once the first two with the new weights were just those two, nothing was left to choose.

--- a/src/briarseam/admission/messages.py
+++ b/src/briarseam/admission/messages.py
@@ -45,7 +45,10 @@
     passed_on
         Tokens of that answer the caller already has.
     lost
-        Endpoints that were lost while running this request.
+        Endpoints that were lost while running this request, or did not
+        start it.
+    refused
+        Those of ``lost`` that refused it: they live and may take it later.
     attempt
         Fresh name that the entry gives its try of a request with a key;
         the same again when the endpoint of a grant did not start it.
@@ -70,6 +73,7 @@
     continues: str = ""
     passed_on: int = 0
     lost: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
     attempt: str = ""
     request: str = ""
     prompt_digest: bytes = b""
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -148,6 +148,7 @@
                 version=release.version if release else "",
                 adapter=release.adapter if release else "",
                 excluded=frozenset(request.lost),
+                refused=frozenset(request.refused),
                 only=only,
             ),
             rank=fair_queue.Rank(priority, deadline_at),
--- a/src/briarseam/answers/relay.py
+++ b/src/briarseam/answers/relay.py
@@ -74,6 +74,7 @@
         self.engines = engines
         self.keeping = keeping
         self.lost: tuple[str, ...] = ()
+        self.refused: tuple[str, ...] = ()
         self.may_have_run = False
 
     def open(self) -> runs.Run | messages.Replayed:
@@ -104,7 +105,10 @@
             return self.ask.admit
         left_ms = max(int(self.left_s() * MS), 1)
         return dataclasses.replace(
-            self.ask.admit, lost=self.lost, deadline_ms=left_ms
+            self.ask.admit,
+            lost=self.lost,
+            refused=self.refused,
+            deadline_ms=left_ms,
         )
 
     def left_s(self) -> float:
@@ -124,6 +128,7 @@
         except engine.RefusedError:
             self.end_unsent(grant, messages.RunResult.REFUSED)
             self.lost += (grant.endpoint,)
+            self.refused += (grant.endpoint,)
             return None
         except engine.LostError as error:
             self.end(grant, messages.RunResult.LOST_BEFORE_FIRST)
@@ -251,6 +256,7 @@
             request = dataclasses.replace(
                 self.ask.admit,
                 lost=self.lost,
+                refused=self.refused,
                 continues=run.grant.answer_id,
                 passed_on=len(run.tokens),
             )
@@ -273,6 +279,7 @@
             return False
         except engine.RefusedError:
             self.end(grant, messages.RunResult.REFUSED)
+            self.refused += (grant.endpoint,)
             return False
         except engine.LostError:
             self.end(grant, messages.RunResult.LOST_BEFORE_FIRST)
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -118,13 +118,13 @@
         if model is None:
             # It was configured when the request came, and waited since.
             return no_choice(f"{ask.model} is not configured any more")
-        for offer in self.offers(ask):
-            names = self.engines(view, ask, offer)
-            if names:
-                break
-        else:
+        found = self.eligible(view, ask) or self.eligible(
+            view, among_refused(ask)
+        )
+        if found is None:
             version = ask.version or model.version
             return no_choice(f"no endpoint serves {ask.model} {version}")
+        offer, names = found
         prompt = self.prompt_of(ask, offer)
         if view.routing.strategy == "round-robin":
             names = [self.next_in_turn(names)]
@@ -157,6 +157,16 @@
             plan=best.plan,
         )
 
+    def eligible(
+        self, view: schema.View, ask: state.PromptAsk
+    ) -> tuple[orders.Offer, list[str]] | None:
+        """Return the best offer that has engines, and these."""
+        for offer in self.offers(ask):
+            names = self.engines(view, ask, offer)
+            if names:
+                return offer, names
+        return None
+
     def offers(self, ask: state.PromptAsk) -> typing.Sequence[orders.Offer]:
         """Return what a prompt may name, best first."""
         if ask.version:
@@ -381,6 +391,18 @@
             self.prefixes.truncate(choice.endpoint, choice.keys, choice.have)
 
 
+def among_refused(ask: state.PromptAsk) -> state.PromptAsk:
+    """Return a prompt's question with engines that refused it included.
+
+    Guard: in a rollout a prompt is refused by each engine that is just
+    changing its weights.  Were these excluded for good, the prompt would be
+    told that there is no endpoint once they are the first with the new
+    weights.  An engine that was lost stays excluded, and each try counts
+    against the budget of retries.
+    """
+    return dataclasses.replace(ask, excluded=ask.excluded - ask.refused)
+
+
 def no_choice(detail: str) -> state.NoChoice:
     """Return the outcome when nothing can take a request."""
     return state.NoChoice(detail, RETRY_AFTER_S)
--- a/src/briarseam/routing/state.py
+++ b/src/briarseam/routing/state.py
@@ -25,6 +25,8 @@
         Adapter of a run that must use ``version``.
     excluded
         Endpoints that must not get it.
+    refused
+        Those of ``excluded`` that may get it if there is no other.
     only
         The one endpoint that may get it; empty for any.
     """
@@ -37,6 +39,7 @@
     version: str = ""
     adapter: str = ""
     excluded: frozenset[str] = frozenset()
+    refused: frozenset[str] = frozenset()
     only: str = ""
 
 
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -56,3 +56,30 @@
     ask = conftest.ask(version="v1", adapter="kitchen")
     choice = chooser.choose_engine(ask)
     assert (choice.endpoint, choice.adapter) == ("engine-2", "kitchen")
+
+
+def test_engines_that_refused_while_they_changed_may_take_it_later(bench):
+    """A caller is told "no endpoint" in the middle of a rollout.
+
+    Two engines refuse its prompt, one after the other, since they are
+    changing their weights.  Then they are the first two with the new
+    weights, and no other engine serves any version on offer.
+    """
+    chooser = chooser_of(bench, {"engine-0": NEW, "engine-1": NEW})
+    both = frozenset({"engine-0", "engine-1"})
+    choice = chooser.choose_engine(conftest.ask(excluded=both, refused=both))
+    assert choice.version == "v2"
+
+
+def test_engine_that_was_lost_stays_excluded_beside_one_that_refused(bench):
+    chooser = chooser_of(bench, {"engine-0": NEW, "engine-1": NEW})
+    both = frozenset({"engine-0", "engine-1"})
+    ask = conftest.ask(excluded=both, refused=frozenset({"engine-1"}))
+    assert chooser.choose_engine(ask).endpoint == "engine-1"
+
+
+def test_engine_that_refused_comes_after_the_others(bench):
+    chooser = chooser_of(bench, {"engine-0": NEW, "engine-1": OLD})
+    refused = frozenset({"engine-0"})
+    ask = conftest.ask(excluded=refused, refused=refused)
+    assert chooser.choose_engine(ask).endpoint == "engine-1"
