--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -50,6 +50,7 @@
 from briarseam.platform import engines
 from briarseam.platform import requests
 from briarseam.platform import store as stores
+from briarseam.wire import event_loop
 
 if typing.TYPE_CHECKING:
     from briarseam.routes import model as routes
@@ -76,6 +77,7 @@
         self.shutdown = shutdowns.Shutdown(self.serving_bound_s)
         self.in_flight = inflight.InFlight()
         self.stopping = threading.Event()
+        self.loop = event_loop.EventLoop("peers")
         self.metrics = metrics.Registry()
         self.tally = malformed.Tally(
             node_metrics.malformed_counter(self.metrics)
@@ -157,6 +159,7 @@
             self.instances,
             self.stopping,
             self.tally,
+            self.loop,
         )
         self.expiry = expiry.Expiry(
             self.feeds.registrations, self.instances.heard
@@ -303,6 +306,7 @@
         self.topic_reads.stop()
         if self.instances.service is not None:
             self.instances.service.stop()
+        self.loop.stop()
         self.supervisor.stop()
 
     def stop_servers(self, wait_s: float) -> None:
--- a/src/briarseam/compose/node_meeting.py
+++ b/src/briarseam/compose/node_meeting.py
@@ -33,6 +33,7 @@
     from briarseam.placement import store_sharing
     from briarseam.platform import store as stores
     from briarseam.settings import serving
+    from briarseam.wire import event_loop
 
 log = structlog.get_logger("briarseam.node")
 
@@ -85,11 +86,17 @@
     def answers(self) -> collections.abc.Mapping[type, node_peers.Answer]:
         """Return what answers peers' messages, by their kind."""
         return {
-            store_messages.StoresAsked: self.stores.answer,
-            loss_sharing.RequestsLost: self.losses.take,
-            shared_messages.RecordsAsked: self.topics.answer,
-            cell_loads.CellLoad: self.cell_loads.answer,
-            cell_weights.WeightsTold: self.cell_weights.answer,
+            store_messages.StoresAsked: node_peers.Answer(
+                self.stores.answer, self.stores.await_changes
+            ),
+            shared_messages.RecordsAsked: node_peers.Answer(
+                self.topics.answer, self.topics.await_answer
+            ),
+            loss_sharing.RequestsLost: node_peers.Answer(self.losses.take),
+            cell_loads.CellLoad: node_peers.Answer(self.cell_loads.answer),
+            cell_weights.WeightsTold: node_peers.Answer(
+                self.cell_weights.answer
+            ),
         }
 
 
@@ -108,6 +115,8 @@
         Ends the attempts.
     tally
         Notes what can't be read.
+    loop
+        Runs the connections to and from peers.
     """
 
     def __init__(
@@ -120,6 +129,7 @@
         instances: node_instances.Instances,
         stopping: threading.Event,
         tally: malformed.Tally,
+        loop: event_loop.EventLoop,
     ) -> None:
         self.settings = settings
         self.store = store
@@ -129,6 +139,7 @@
         self.instances = instances
         self.stopping = stopping
         self.tally = tally
+        self.loop = loop
         self.load_telling: load_telling.LoadTelling | None = None
 
     def start(self) -> None:
@@ -152,6 +163,7 @@
             self.told.answers(),
             self.stopping,
             self.tally,
+            self.loop,
         )
         self.instances.service = service
         if service is not None:
--- a/src/briarseam/compose/node_peers.py
+++ b/src/briarseam/compose/node_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 import typing
 
@@ -22,6 +23,7 @@
     from briarseam.membership import sections
     from briarseam.platform import store as stores
     from briarseam.settings import serving
+    from briarseam.wire import event_loop
 
 # What instances tell each other of engines' load is as old as this, and
 # prompts that arrive meanwhile are placed without it.
@@ -30,7 +32,22 @@
 SUSPECT_AFTER_S = 1.6
 LISTING_INTERVAL_S = 0.5
 
-Answer = typing.Callable[[typing.Any], codec.Message]
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What answers one kind of message of other instances.
+
+    Attributes
+    ----------
+    find
+        Returns the answer at once.
+    wait
+        Awaited with the message before, without a thread; none if the
+        answer is always due at once.
+    """
+
+    find: typing.Callable[[typing.Any], codec.Message]
+    wait: wire.Wait | None = None
 
 
 def join(
@@ -41,6 +58,7 @@
     answers: collections.abc.Mapping[type, Answer],
     stopping: threading.Event,
     tally: malformed.Tally,
+    loop: event_loop.EventLoop,
 ) -> membership.Membership | None:
     """Join the other instances, once the store tells the secret.
 
@@ -60,6 +78,8 @@
         Ends the attempts; ``None`` is returned then.
     tally
         Notes what of heartbeats can't be read.
+    loop
+        Runs the connections to and from other instances.
     """
     secret = registrations.agree_on_secret(
         store, names.MEMBERS_TOPIC, framing.encode_keyed, stopping
@@ -80,18 +100,24 @@
         suspect_after_s=SUSPECT_AFTER_S,
         list_interval_s=LISTING_INTERVAL_S,
         tally=tally,
+        loop=loop,
     )
     for section in told:
         service.add_section(section.name, section.provide, section.consume)
     router = wire.Router()
     service.register(router)
     for kind, answer in answers.items():
-        router.on(kind, functools.partial(reply, answer))
+        handler = functools.partial(reply, answer.find)
+        if answer.wait is None:
+            router.on_quick(kind, handler)
+        else:
+            router.on(kind, handler, answer.wait)
     wire.Server(
         str(settings.listen.peers),
         wire_connection.Identity("agent", settings.instance.name),
         secret,
         router,
+        loop=loop,
     ).start()
     service.start()
     rows.start()
@@ -99,8 +125,10 @@
 
 
 def reply(
-    answer: Answer, peer: wire_connection.Identity, message: codec.Message
+    find: typing.Callable[[typing.Any], codec.Message],
+    peer: wire_connection.Identity,
+    message: codec.Message,
 ) -> codec.Message:
     """Answer a message, whoever sent it."""
     del peer
-    return answer(message)
+    return find(message)
--- a/src/briarseam/connection_threads.py
+++ b/src/briarseam/connection_threads.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
+import functools
 import queue
 import select
-import threading
-import time
 import typing
 
+from briarseam import worker_threads
+
 if typing.TYPE_CHECKING:
     from cheroot import server
 
@@ -37,8 +38,6 @@
     ----------
     min
         Threads at the start, as cheroot asks.
-    free
-        Threads that wait for a connection, less the connections that wait.
     """
 
     def __init__(
@@ -49,12 +48,7 @@
         self.server = owner
         self.in_flight = in_flight
         self.min = 0
-        self.lock = threading.Lock()
-        self.free = 0
-        self.threads: list[threading.Thread] = []
-        self.waiting: queue.SimpleQueue[server.HTTPConnection | None] = (
-            queue.SimpleQueue()
-        )
+        self.workers = worker_threads.WorkerThreads("callers")
 
     def start(self) -> None:
         """Start; threads come with the connections."""
@@ -66,24 +60,17 @@
         ----------
         connection
             The connection.
+
+        Raises
+        ------
+        queue.Full
+            When there is no thread for it; cheroot answers that the server
+            is overloaded, and nothing of the request was read.
         """
-        with self.lock:
-            self.free -= 1
-            if self.free < 0:
-                thread = threading.Thread(target=self.work, daemon=True)
-                self.threads.append(thread)
-                thread.start()
-        self.waiting.put(connection)
-
-    def work(self) -> None:
-        """Serve connections until told to end; the body of each thread."""
-        while True:
-            with self.lock:
-                self.free += 1
-            connection = self.waiting.get()
-            if connection is None:
-                return
-            self.serve(connection)
+        try:
+            self.workers.submit(functools.partial(self.serve, connection))
+        except worker_threads.NoThreadError as error:
+            raise queue.Full from error
 
     def serve(self, connection: server.HTTPConnection) -> None:
         """Serve one request, and those that came with it.
@@ -136,12 +123,7 @@
         timeout_s
             Longest wait in seconds for all of them.
         """
-        deadline = time.monotonic() + timeout_s
-        threads = list(self.threads)
-        for _ in threads:
-            self.waiting.put(None)
-        for thread in threads:
-            thread.join(max(0.0, deadline - time.monotonic()))
+        self.workers.stop(timeout_s)
 
 
 def answer_one(connection: server.HTTPConnection) -> bool:
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -16,6 +16,7 @@
 
 import structlog
 
+from briarseam import changes
 from briarseam import clocks
 from briarseam import polling
 from briarseam.feeds import records
@@ -88,7 +89,7 @@
 
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         self.clock = clock
-        self.changed = threading.Condition()
+        self.changed = changes.Change()
         self.next = 0
         self.records: collections.deque[records.KeyedRecord] = (
             collections.deque(maxlen=MOST_RECORDS)
@@ -127,6 +128,16 @@
             return 0.0
         return self.confirmed_s + MAX_AGE_S - self.clock()
 
+    def has_news(self, start: int) -> bool:
+        """Tell whether there is an answer now; call it under the lock."""
+        return self.next > start or self.confirmed_s is None
+
+    async def await_news(self, start: int, wait_s: float) -> None:
+        """Wait for an answer, without a thread."""
+        await self.changed.reached(
+            lambda: self.has_news(start), min(wait_s, self.left_s())
+        )
+
     def read(self, start: int, wait_s: float) -> records.KeyedBatch | None:
         """Return records from an offset on, waiting for the first.
 
@@ -135,8 +146,7 @@
         """
         with self.changed:
             self.changed.wait_for(
-                lambda: self.next > start or self.confirmed_s is None,
-                min(wait_s, self.left_s()),
+                lambda: self.has_news(start), min(wait_s, self.left_s())
             )
             first = self.next - len(self.records)
             if self.left_s() <= 0 or not first <= start <= self.next:
@@ -304,12 +314,18 @@
         found = tuple(records.KeyedRecord(*record) for record in told.records)
         return records.KeyedBatch(found, told.next)
 
+    async def await_answer(self, asked: messages.RecordsAsked) -> None:
+        """Wait until there is an answer for another instance."""
+        cache = self.caches.get(asked.topic)
+        if cache is not None:
+            await cache.await_news(asked.start, min(asked.wait_s, WAIT_S))
+
     def answer(self, asked: messages.RecordsAsked) -> messages.RecordsTold:
-        """Answer an instance that takes this one for its reader."""
+        """Answer an instance that takes this one for its reader, at once."""
         cache = self.caches.get(asked.topic)
         if cache is None:
             return messages.UNKNOWN
-        batch = cache.read(asked.start, min(asked.wait_s, WAIT_S))
+        batch = cache.read(asked.start, 0.0)
         if batch is None:
             return messages.UNKNOWN
         return messages.RecordsTold(
@@ -326,15 +342,16 @@
             log.info("topic_reading_begun", topics=len(self.topics))
             # New ones each time: a reader of before may still have a read
             # under way.
-            self.caches = {
-                topic: RecordCache(self.clock) for topic in self.topics
-            }
-            self.reading = {
+            caches = {topic: RecordCache(self.clock) for topic in self.topics}
+            readers = {
                 topic: TopicReader(self.store, topic, cache)
-                for topic, cache in self.caches.items()
+                for topic, cache in caches.items()
             }
-            for reader in self.reading.values():
+            # A thread may not be had; what counts as read is tried again
+            # by nobody.
+            for reader in readers.values():
                 reader.start()
+            self.caches, self.reading = caches, readers
 
     def stop(self) -> None:
         """Read for nobody any more."""
--- a/src/briarseam/membership/answering.py
+++ b/src/briarseam/membership/answering.py
@@ -1,4 +1,4 @@
-"""Answers to other agents' messages, in their connections' threads."""
+"""Answers to other agents' messages; none of them waits."""
 
 from __future__ import annotations
 
@@ -54,10 +54,10 @@
 
     def register(self, router: server.Router) -> None:
         """Answer the other agents' messages."""
-        router.on(messages.Introduction, self.on_introduction)
-        router.on(messages.Heartbeat, self.on_heartbeat)
-        router.on(messages.PeersAsked, self.on_peers_asked)
-        router.on(messages.HeardAsked, self.on_heard_asked)
+        router.on_quick(messages.Introduction, self.on_introduction)
+        router.on_quick(messages.Heartbeat, self.on_heartbeat)
+        router.on_quick(messages.PeersAsked, self.on_peers_asked)
+        router.on_quick(messages.HeardAsked, self.on_heard_asked)
 
     def on_introduction(
         self, peer: connections.Identity, beat: messages.Introduction
--- a/src/briarseam/membership/gossip.py
+++ b/src/briarseam/membership/gossip.py
@@ -14,6 +14,7 @@
 import time
 import typing
 
+import structlog
 import xxhash
 
 from briarseam.membership import directory as directories
@@ -32,6 +33,7 @@
 FANOUT = 3
 BEAT_MS = 5000
 JITTER = 0.2
+log = structlog.get_logger("briarseam.membership")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,7 +83,7 @@
 
     def register(self, router: server.Router) -> None:
         """Answer the exchange of other agents."""
-        router.on(messages.CellsAsked, self.on_asked)
+        router.on_quick(messages.CellsAsked, self.on_asked)
 
     def start(self) -> None:
         """Begin to exchange."""
@@ -97,7 +99,12 @@
     def run(self) -> None:
         """Exchange each interval, and at once when there is news."""
         while not self.stopping.is_set():
-            self.step()
+            try:
+                self.step()
+            except Exception:
+                # A fault of ours must not end the thread: other cells
+                # would stay as they were heard last.
+                log.exception("exchange_failed")
             jitter = random.uniform(1 - JITTER, 1 + JITTER)
             self.wake.wait(self.parts.interval_s * jitter)
             self.wake.clear()
--- a/src/briarseam/membership/listing.py
+++ b/src/briarseam/membership/listing.py
@@ -68,7 +68,13 @@
     def run(self) -> None:
         """Read until stopped."""
         while not self.stopping.is_set():
-            size = self.read_once()
+            try:
+                size = self.read_once()
+            except Exception:
+                # A fault of ours must not end the thread: no instance
+                # would be found any more.
+                log.exception("listing_failed")
+                size = 0
             self.stopping.wait(self.pause_s(size))
 
     def agents(self) -> dict[str, str]:
--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -1,15 +1,17 @@
-"""One peer: a thread that sends heartbeats over one connection."""
+"""One peer: a coroutine that sends heartbeats over one connection."""
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import random
-import threading
 import typing
 
+import structlog
+
 from briarseam.membership import messages
-from briarseam.wire import client as clients
 from briarseam.wire import connection as connections
+from briarseam.wire import frames as frames_module
 
 if typing.TYPE_CHECKING:
     from briarseam.membership import calling as callings
@@ -17,11 +19,13 @@
     from briarseam.membership import sections as heartbeat_sections
     from briarseam.membership import table as tables
     from briarseam.wire import codec
+    from briarseam.wire import event_loop
 
 FULL_INTERVAL_S = 10.0
 PEERS_INTERVAL_S = 2.0
 JITTER = 0.1
 MAX_BACKOFF_S = 5.0
+log = structlog.get_logger("briarseam.membership")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,6 +34,8 @@
 
     Attributes
     ----------
+    loop
+        Runs the heartbeats to all peers.
     calling
         How peers are called.
     address_of
@@ -48,6 +54,7 @@
         Monotonic clock.
     """
 
+    loop: event_loop.EventLoop
     calling: callings.Calling
     address_of: typing.Callable[[str], str]
     about: typing.Callable[[], messages.About]
@@ -72,9 +79,10 @@
     def __init__(self, name: str, parts: PeerParts) -> None:
         self.name = name
         self.parts = parts
-        self.stopping = threading.Event()
-        self.wake = threading.Event()
-        self.connection: connections.Connection | None = None
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+        self.stopped = False
+        self.connection: frames_module.Frames | None = None
         self.address = ""
         self.sent: dict[str, bytes] = {}
         self.sent_about: messages.About | None = None
@@ -84,38 +92,71 @@
         self.asked_digest = 0
         self.failures = 0
         self.beats = 0
-        self.thread = threading.Thread(
-            target=self.run, name=f"heartbeat-{name}", daemon=True
-        )
 
     def start(self) -> None:
         """Begin sending."""
-        self.thread.start()
+        self.parts.loop.call(self.begin)
+
+    def begin(self) -> None:
+        """Begin sending; call it in the loop."""
+        if not self.stopped:
+            loop = asyncio.get_running_loop()
+            self.task = loop.create_task(self.run())
 
     def stop(self) -> None:
-        """Stop soon; a blocked connection is closed."""
-        self.stopping.set()
-        self.wake.set()
-        connection = self.connection
-        if connection is not None:
-            connection.close()
+        """Stop soon, also while the peer does not answer."""
+        self.parts.loop.call(self.end)
+
+    def end(self) -> None:
+        """Stop now; call it in the loop."""
+        self.stopped = True
+        if self.task is not None:
+            self.task.cancel()
 
-    def run(self) -> None:
-        """Send a heartbeat each interval until stopped."""
-        while not self.stopping.is_set():
-            self.wake.clear()
-            try:
-                self.beat()
-                self.beats += 1
-                self.failures = 0
-                self.parts.hearing.count_beat(True)
-            except connections.WireError:
-                self.failures += 1
-                self.parts.hearing.count_beat(False)
-                self.disconnect()
-            self.wake.wait(self.pause_s())
+    def tell_now(self) -> None:
+        """Send the next heartbeat soon."""
+        self.parts.loop.call(self.wake.set)
+
+    async def run(self) -> None:
+        """Send a heartbeat each interval until cancelled."""
+        try:
+            while True:
+                self.wake.clear()
+                await self.try_beat()
+                await self.pause()
+        finally:
+            self.disconnect()
+
+    async def try_beat(self) -> None:
+        """Send a heartbeat, and count how that went."""
+        try:
+            await self.beat()
+        except connections.WireError:
+            self.note_failure()
+        except Exception:
+            # A fault of ours, or of what takes in an answer, must not end
+            # the heartbeats: the peer would take this agent for gone.
+            log.exception("heartbeat_failed", peer=self.name)
+            self.note_failure()
+        else:
+            self.beats += 1
+            self.failures = 0
+            self.parts.hearing.count_beat(True)
+
+    def note_failure(self) -> None:
+        """Begin anew with the next heartbeat."""
+        self.failures += 1
+        self.parts.hearing.count_beat(False)
         self.disconnect()
 
+    async def pause(self) -> None:
+        """Wait until the next heartbeat is due or asked for."""
+        try:
+            async with asyncio.timeout(self.pause_s()):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
     def is_introducing(self) -> bool:
         """Tell whether an introduction is out and may have been read."""
         return self.introducing and not self.failures
@@ -131,7 +172,7 @@
             1 - JITTER, 1 + JITTER
         )
 
-    def beat(self) -> None:
+    async def beat(self) -> None:
         """Send one heartbeat and take in the reply.
 
         Raises
@@ -139,20 +180,20 @@
         WireError
             When the peer could not be reached or did not answer.
         """
-        connection = self.connect()
+        connection = await self.connect()
         beat = self.compose()
         # The peer was alive when the heartbeat went out.  Should this
         # process be frozen between sending and reading, the reply it finds
         # on waking is old, and so must the time be that it stands for.
         sent_at = self.parts.clock()
         self.introducing = isinstance(beat, messages.Introduction)
-        connection.set_timeout(self.parts.calling.reply_timeout_s)
         connection.send(beat)
-        self.take(connection, beat, connection.receive(), sent_at)
+        reply = await connection.receive(self.parts.calling.reply_timeout_s)
+        await self.take(connection, beat, reply, sent_at)
 
-    def take(
+    async def take(
         self,
-        connection: connections.Connection,
+        connection: frames_module.Frames,
         beat: messages.Introduction | messages.Heartbeat,
         reply: codec.Message,
         sent_at: float,
@@ -165,10 +206,10 @@
         match reply:
             case messages.Introduced(about=about, digest=digest):
                 hearing.take_about(about, sent_at)
-                self.learn_peers(connection, digest)
+                await self.learn_peers(connection, digest)
             case messages.Alive(incarnation=incarnation, digest=digest):
                 hearing.take_alive(self.name, incarnation, sent_at)
-                self.learn_peers(connection, digest)
+                await self.learn_peers(connection, digest)
             case messages.UnknownAgent():
                 self.full_at = 0.0
             case messages.Superseded():
@@ -177,7 +218,7 @@
             case _:
                 raise connections.WireError("expected a heartbeat's answer")
 
-    def connect(self) -> connections.Connection:
+    async def connect(self) -> frames_module.Frames:
         """Return the open connection, or a new one to the present address."""
         address = self.parts.address_of(self.name)
         if self.connection is not None and address == self.address:
@@ -185,7 +226,7 @@
         self.disconnect()
         self.address = address
         calling = self.parts.calling
-        self.connection = clients.connect(
+        self.connection = await frames_module.connect(
             address,
             calling.identity,
             calling.key,
@@ -224,8 +265,8 @@
             return messages.Introduction(about, digest, changed)
         return messages.Heartbeat(about.incarnation, digest, changed)
 
-    def learn_peers(
-        self, connection: connections.Connection, digest: int
+    async def learn_peers(
+        self, connection: frames_module.Frames, digest: int
     ) -> None:
         """Ask the peer whom it hears when its view differs from ours."""
         now = self.parts.clock()
@@ -235,7 +276,7 @@
             return
         self.asked_at = now
         connection.send(messages.PeersAsked())
-        peers = connection.receive()
+        peers = await connection.receive(self.parts.calling.reply_timeout_s)
         if isinstance(peers, messages.Peers):
             self.asked_digest = digest
             self.parts.hearing.take_peers(peers)
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from briarseam import repeating
 from briarseam.membership import answering
 from briarseam.membership import calling
 from briarseam.membership import cells
@@ -25,6 +26,7 @@
 from briarseam.membership import view as views
 from briarseam.wire import client as clients
 from briarseam.wire import connection as connections
+from briarseam.wire import event_loop
 
 if typing.TYPE_CHECKING:
     from briarseam import malformed
@@ -72,6 +74,8 @@
         The process's hybrid clock, which rides on every frame.
     tally
         Notes what of heartbeats can't be read.
+    loop
+        Runs the heartbeats; one of its own unless given.
     """
 
     def __init__(
@@ -87,8 +91,11 @@
         clock: tables.Clock = time.monotonic,
         stamps: connections.Clock | None = None,
         tally: malformed.Tally | None = None,
+        loop: event_loop.EventLoop | None = None,
     ) -> None:
         self.settings = me
+        self.owns_loop = loop is None
+        self.loop = loop or event_loop.EventLoop("heartbeats")
         self.key = key
         self.seeds = seeds
         self.heartbeat_interval_s = heartbeat_interval_s
@@ -115,7 +122,18 @@
         self.peers: dict[str, peers.Peer] = {}
         self.clients: dict[str, clients.Client] = {}
         self.lock = threading.Lock()
-        self.stopping = threading.Event()
+        self.watching = repeating.Repeater(
+            "membership-watch",
+            self.watch,
+            heartbeat_interval_s / TICKS_PER_INTERVAL,
+            first_s=0.0,
+        )
+        self.confirming = repeating.Repeater(
+            "membership-confirm",
+            self.confirm,
+            heartbeat_interval_s,
+            first_s=0.0,
+        )
         self.digest = 0
         self.snapshot: tuple[state.Member, ...] = ()
         self.wide = views.View()
@@ -156,6 +174,7 @@
         return peers.Peer(
             name,
             peers.PeerParts(
+                loop=self.loop,
                 calling=self.calling,
                 address_of=self.address_of,
                 about=self.about,
@@ -294,22 +313,22 @@
 
     def start(self) -> None:
         """Start the threads."""
+        self.loop.start()
         self.list_reader.start()
         self.gossip.start()
-        for target in (self.watch, self.confirm):
-            threading.Thread(
-                target=target,
-                name=f"membership-{target.__name__}",
-                daemon=True,
-            ).start()
+        self.watching.start()
+        self.confirming.start()
 
     def stop(self) -> None:
         """Stop the threads and close the connections."""
-        self.stopping.set()
+        self.watching.stop()
+        self.confirming.stop()
         self.list_reader.stop()
         self.gossip.stop()
         for peer in list(self.peers.values()):
             peer.stop()
+        if self.owns_loop:
+            self.loop.stop()
         with self.lock:
             for client in self.clients.values():
                 client.close()
@@ -338,12 +357,9 @@
     # Threads.
 
     def watch(self) -> None:
-        """Review the table and keep one thread per peer."""
-        pause_s = self.heartbeat_interval_s / TICKS_PER_INTERVAL
-        while not self.stopping.is_set():
-            self.review()
-            self.match_peers()
-            self.stopping.wait(pause_s)
+        """Review the table, and send heartbeats to whom it names."""
+        self.review()
+        self.match_peers()
 
     def review(self) -> None:
         """Judge each member's silence anew and renew the snapshot."""
@@ -360,7 +376,7 @@
             self.gossip.wake.set()
 
     def match_peers(self) -> None:
-        """Start a thread for each new peer; stop those of forgotten ones."""
+        """Begin heartbeats to each new peer; end those to forgotten ones."""
         with self.table.lock:
             wanted = set(self.table.records)
         for name in wanted - set(self.peers):
@@ -375,14 +391,12 @@
         self.sections.renew()
         self.review()
         for peer in list(self.peers.values()):
-            peer.wake.set()
+            peer.tell_now()
 
     def confirm(self) -> None:
         """Ask others about suspects; ask seeds while no peer is heard."""
-        while not self.stopping.is_set():
-            suspicion.confirm(self.table, self.ask)
-            self.ask_seeds()
-            self.stopping.wait(self.heartbeat_interval_s)
+        suspicion.confirm(self.table, self.ask)
+        self.ask_seeds()
 
     def ask(self, name: str, request: codec.Message) -> codec.Message:
         """Call a member and return its reply."""
--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -6,6 +6,7 @@
 import threading
 import typing
 
+from briarseam import changes
 from briarseam import clocks
 from briarseam.discovery import starts
 from briarseam.lookup import rank
@@ -84,7 +85,7 @@
         self.stores: dict[str, store_index.StoreIndex] = {}
         self.saving: dict[store_index.PartKey, Saving] = {}
         self.lock = threading.Lock()
-        self.changed = threading.Condition(self.lock)
+        self.changed = changes.Change(self.lock)
         self.health = fetching.StoreHealth(clock)
 
     def set_stores(
--- a/src/briarseam/placement/store_sharing.py
+++ b/src/briarseam/placement/store_sharing.py
@@ -40,15 +40,23 @@
         self.index = index
         self.reads = reads
 
-    def answer(self, asked: messages.StoresAsked) -> messages.StoresTold:
-        """Answer with the changes, as soon as there is one."""
-        if not all(self.reads(address) for address, *_ in asked.cursors):
-            return messages.StoresTold(False, ())
-        with self.index.lock:
-            self.index.changed.wait_for(
+    async def await_changes(self, asked: messages.StoresAsked) -> None:
+        """Wait until there is a change to answer with."""
+        if self.reads_all(asked):
+            await self.index.changed.reached(
                 lambda: self.is_behind(asked.cursors),
                 min(asked.wait_s, MAX_WAIT_S),
             )
+
+    def reads_all(self, asked: messages.StoresAsked) -> bool:
+        """Tell whether this instance reads all stores that are meant."""
+        return all(self.reads(address) for address, *_ in asked.cursors)
+
+    def answer(self, asked: messages.StoresAsked) -> messages.StoresTold:
+        """Answer with the changes that there are, at once."""
+        if not self.reads_all(asked):
+            return messages.StoresTold(False, ())
+        with self.index.lock:
             return messages.StoresTold(True, self.told(asked.cursors))
 
     def is_behind(
--- a/src/briarseam/placement/store_watches.py
+++ b/src/briarseam/placement/store_watches.py
@@ -142,8 +142,8 @@
             self.direct.pop(address).stop()
         for address in addresses - self.direct.keys():
             watch = store_watch.StoreWatch(self.stores, address, self.index)
-            self.direct[address] = watch
             watch.start()
+            self.direct[address] = watch
 
     def match_shared(self, assigned: dict[str, frozenset[str]]) -> None:
         """Ask these instances about these stores, and no others."""
@@ -154,5 +154,5 @@
             watch = shared_watch.SharedWatch(
                 self.readers, reader, assigned[reader], self.index
             )
-            self.shared[reader] = watch
             watch.start()
+            self.shared[reader] = watch
--- a/src/briarseam/repeating.py
+++ b/src/briarseam/repeating.py
@@ -11,7 +11,7 @@
 
 
 class Repeater:
-    """Does a task in a thread of its own, with the same pause before each.
+    """Does a task in a thread of its own, with a pause before each time.
 
     Parameters
     ----------
@@ -20,7 +20,10 @@
     task
         What to do.
     interval_s
-        Pause before the first time and between two, in seconds.
+        Pause between two times, in seconds.
+    first_s
+        Pause before the first time, in seconds; as between two unless
+        given.
 
     Attributes
     ----------
@@ -33,10 +36,12 @@
         name: str,
         task: typing.Callable[[], object],
         interval_s: float,
+        first_s: float | None = None,
     ) -> None:
         self.name = name
         self.task = task
         self.interval_s = interval_s
+        self.first_s = interval_s if first_s is None else first_s
         self.stopping = threading.Event()
         self.thread = threading.Thread(target=self.run, name=name, daemon=True)
 
@@ -50,7 +55,9 @@
 
     def run(self) -> None:
         """Do the task until stopped."""
-        while not self.stopping.wait(self.interval_s):
+        pause_s = self.first_s
+        while not self.stopping.wait(pause_s):
+            pause_s = self.interval_s
             try:
                 self.task()
             except Exception:
--- a/src/briarseam/wire/client.py
+++ b/src/briarseam/wire/client.py
@@ -7,6 +7,7 @@
 
 from briarseam.wire import codec
 from briarseam.wire import connection as connections
+from briarseam.wire import hello
 
 CONNECT_TIMEOUT_S = 2.0
 DEFAULT_MAX_IDLE = 32
@@ -55,7 +56,7 @@
         raise NotSentError(f"cannot connect to {address}: {error}") from error
     connection = connections.Connection(sock)
     try:
-        connections.greet(connection, me, key, timeout_s)
+        hello.greet(connection, me, key, timeout_s)
     except connections.WireError as error:
         connection.close()
         raise NotSentError(f"hello with {address}: {error}") from error
--- a/src/briarseam/wire/connection.py
+++ b/src/briarseam/wire/connection.py
@@ -1,32 +1,15 @@
-"""One authenticated connection: framing and the hello that opens it.
-
-Both sides prove that they hold the shared key before any message is
-handled.  The server sends a nonce, the client answers with its own nonce,
-its role and name and a MAC over all of them, and the server returns a MAC
-under a different label, so neither answer can be reflected.
-"""
+"""One connection that a thread reads and writes: frames over a socket."""
 
 from __future__ import annotations
 
 import contextlib
 import dataclasses
-import hashlib
-import hmac
-import secrets
 import socket
 import time
 import typing
 
-import msgspec
-
 from briarseam.wire import codec
 
-NONCE_BYTES = 16
-HELLO_TIMEOUT_S = 5.0
-# A frame before authentication can only be a hello; the cap keeps a
-# stranger from making us buffer megabytes.
-MAX_HELLO_BYTES = 1024
-
 
 class WireError(Exception):
     """The connection is unusable: cut, timed out, or not authentic."""
@@ -75,33 +58,6 @@
             member.answered(request, reply)
 
 
-@codec.message("challenge")
-class Challenge(msgspec.Struct, frozen=True):
-    """The server's first frame."""
-
-    version: int
-    nonce: bytes
-
-
-@codec.message("hello")
-class Hello(msgspec.Struct, frozen=True):
-    """The client's answer to the challenge."""
-
-    version: int
-    role: str
-    name: str
-    nonce: bytes
-    mac: bytes
-
-
-@codec.message("welcome")
-class Welcome(msgspec.Struct, frozen=True):
-    """The server's proof that it holds the key too."""
-
-    name: str
-    mac: bytes
-
-
 @dataclasses.dataclass(frozen=True)
 class Identity:
     """Who is at one end of a connection.
@@ -233,95 +189,3 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
-
-
-def proof(key: bytes, label: str, *parts: bytes | str) -> bytes:
-    """Return the MAC of a hello's parts under ``label``."""
-    mac = hmac.new(key, label.encode(), hashlib.sha256)
-    for part in parts:
-        data = part.encode() if isinstance(part, str) else part
-        # The length in front keeps two different splits of the same bytes
-        # from having the same MAC.
-        mac.update(codec.LENGTH.pack(len(data)) + data)
-    return mac.digest()
-
-
-def greet(
-    connection: Connection,
-    me: Identity,
-    key: bytes,
-    timeout_s: float = HELLO_TIMEOUT_S,
-) -> None:
-    """Open a connection from the client's side.
-
-    Parameters
-    ----------
-    connection
-        Freshly connected.
-    me
-        This process.
-    key
-        The shared key.
-    timeout_s
-        Bound on each of the server's answers.
-
-    Raises
-    ------
-    WireError
-        When the other side does not hold the key or speaks another
-        version.
-    """
-    connection.set_timeout(timeout_s)
-    challenge = expect(connection, Challenge)
-    check_version(challenge.version)
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    mac = proof(key, "client", challenge.nonce, nonce, me.role, me.name)
-    connection.send(
-        Hello(codec.WIRE_VERSION, me.role, me.name, nonce, mac),
-    )
-    welcome = expect(connection, Welcome)
-    expected = proof(key, "server", nonce, challenge.nonce, welcome.name)
-    if not hmac.compare_digest(expected, welcome.mac):
-        raise WireError("the server does not hold the shared key")
-    connection.peer = Identity(role="agent", name=welcome.name)
-
-
-def admit(connection: Connection, me: Identity, key: bytes) -> None:
-    """Open a connection from the server's side.
-
-    Raises
-    ------
-    WireError
-        When the other side does not hold the key or speaks another
-        version.
-    """
-    connection.set_timeout(HELLO_TIMEOUT_S)
-    challenge = secrets.token_bytes(NONCE_BYTES)
-    connection.send(Challenge(codec.WIRE_VERSION, challenge))
-    hello = expect(connection, Hello)
-    check_version(hello.version)
-    expected = proof(
-        key, "client", challenge, hello.nonce, hello.role, hello.name
-    )
-    if not hmac.compare_digest(expected, hello.mac):
-        raise WireError("the client does not hold the shared key")
-    mac = proof(key, "server", hello.nonce, challenge, me.name)
-    connection.send(Welcome(me.name, mac))
-    connection.peer = Identity(role=hello.role, name=hello.name)
-
-
-MessageType = typing.TypeVar("MessageType")
-
-
-def expect(connection: Connection, kind: type[MessageType]) -> MessageType:
-    """Return the next message if it is of ``kind``, else raise."""
-    value = connection.receive(MAX_HELLO_BYTES)
-    if not isinstance(value, kind):
-        raise WireError(f"expected {kind.__name__} in the hello")
-    return value
-
-
-def check_version(version: int) -> None:
-    """Raise :class:`WireError` unless the version is ours."""
-    if version != codec.WIRE_VERSION:
-        raise WireError(f"wire version {version} is not understood")
--- /dev/null
+++ b/src/briarseam/wire/event_loop.py
@@ -0,0 +1,93 @@
+"""One thread that runs coroutines, for many connections at once."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import threading
+import typing
+
+import structlog
+
+STOP_WAIT_S = 2.0
+Result = typing.TypeVar("Result")
+log = structlog.get_logger("briarseam.wire")
+
+
+class EventLoop:
+    """An event loop in a thread of its own.
+
+    Parameters
+    ----------
+    name
+        Of the thread.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.loop.set_exception_handler(note_fault)
+        self.thread = threading.Thread(target=self.run, name=name, daemon=True)
+        self.lock = threading.Lock()
+        self.started = False
+
+    def start(self) -> None:
+        """Begin, unless that was done before."""
+        with self.lock:
+            if not self.started:
+                self.thread.start()
+                self.started = True
+
+    def run(self) -> None:
+        """Run coroutines until stopped."""
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_forever()
+            self.loop.run_until_complete(cancel_all())
+        finally:
+            self.loop.close()
+
+    def stop(self) -> None:
+        """Cancel what runs, and end the thread."""
+        with self.lock:
+            if not self.started or self.loop.is_closed():
+                return
+        self.call(self.loop.stop)
+        if threading.current_thread() is not self.thread:
+            self.thread.join(STOP_WAIT_S)
+
+    def call(self, function: typing.Callable[[], object]) -> None:
+        """Call a function in the loop's thread, soon.
+
+        Nothing happens once the loop has ended.
+        """
+        try:
+            self.loop.call_soon_threadsafe(function)
+        except RuntimeError:
+            if not self.loop.is_closed():
+                raise
+
+    def spawn(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, Result]
+    ) -> concurrent.futures.Future[Result]:
+        """Run a coroutine; it begins soon."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+
+
+async def cancel_all() -> None:
+    """Cancel all tasks but this one and wait for their ends."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def note_fault(
+    loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
+) -> None:
+    """Log what went wrong in the loop, such as an accept that failed."""
+    del loop
+    log.warning(
+        "event_loop_fault",
+        detail=context["message"],
+        error=str(context.get("exception", "")),
+    )
--- a/src/briarseam/wire/server.py
+++ b/src/briarseam/wire/server.py
@@ -1,7 +1,9 @@
-"""The serving side: one thread per connection, written straight down."""
+"""The serving side: one event loop for all connections."""
 
 from __future__ import annotations
 
+import asyncio
+import concurrent.futures
 import dataclasses
 import socket
 import threading
@@ -9,12 +11,19 @@
 
 import structlog
 
+from briarseam import worker_threads
 from briarseam.wire import codec
 from briarseam.wire import connection as connections
+from briarseam.wire import event_loop
+from briarseam.wire import frames as frames_module
+from briarseam.wire import hello
 
 BACKLOG = 512
-ACCEPT_POLL_S = 0.2
+START_WAIT_S = 5.0
 Handler = typing.Callable[[connections.Identity, typing.Any], codec.Message]
+Wait = typing.Callable[
+    [typing.Any], typing.Coroutine[typing.Any, typing.Any, None]
+]
 log = structlog.get_logger("briarseam.wire")
 
 
@@ -23,24 +32,54 @@
     """Which function answers which message.
 
     A handler takes the peer's identity and the message and returns the
-    reply.  It runs in the connection's own thread and may wait.
+    reply.
 
     Attributes
     ----------
     handlers
         By class of message.
+    waits
+        Coroutines that end when a handler's answer is due, by class of
+        message.
+    quick
+        Classes of messages whose handlers run in the event loop.
     observer
         Sees every message and its reply.
     """
 
     handlers: dict[type, Handler] = dataclasses.field(default_factory=dict)
+    waits: dict[type, Wait] = dataclasses.field(default_factory=dict)
+    quick: set[type] = dataclasses.field(default_factory=set)
     observer: connections.Observer | None = None
 
-    def on(self, kind: type, handler: Handler) -> None:
-        """Let ``handler`` answer messages of class ``kind``."""
+    def on(
+        self, kind: type, handler: Handler, wait: Wait | None = None
+    ) -> None:
+        """Let a handler answer messages of a class, in a thread.
+
+        Parameters
+        ----------
+        kind
+            The class.
+        handler
+            Takes the peer and a message and returns the reply; may wait,
+            but its thread waits with it.
+        wait
+            Awaited with the message before; takes no thread.
+        """
         if kind in self.handlers:
             raise ValueError(f"{kind.__name__} has a handler")
         self.handlers[kind] = handler
+        if wait is not None:
+            self.waits[kind] = wait
+
+    def on_quick(self, kind: type, handler: Handler) -> None:
+        """Let a handler that never waits answer messages of a class.
+
+        It runs in the event loop, and all connections wait for its end.
+        """
+        self.on(kind, handler)
+        self.quick.add(kind)
 
     def answer(
         self, peer: connections.Identity, request: codec.Message
@@ -64,13 +103,21 @@
         try:
             return handler(peer, request)
         except Exception as error:
-            log.exception("handler_failed", message=type(request).__name__)
-            return codec.Failed("error", f"{type(error).__name__}: {error}")
+            return failed(request, error)
+
+
+def failed(request: codec.Message, error: Exception) -> codec.Failed:
+    """Return what the caller is told of a handler's fault; log it."""
+    log.error("handler_failed", message=type(request).__name__, exc_info=error)
+    return codec.Failed("error", f"{type(error).__name__}: {error}")
 
 
 class Server:
     """Accepts authenticated connections and answers their messages.
 
+    Connections that are idle, and calls that wait in a coroutine, take no
+    thread: an instance has hundreds of each.
+
     Parameters
     ----------
     listen
@@ -83,6 +130,8 @@
         The handlers.
     clock
         Stamps the frames; ``None`` sends them without.
+    loop
+        Runs the connections; one of its own unless given.
     """
 
     def __init__(
@@ -92,105 +141,142 @@
         key: bytes,
         router: Router,
         clock: connections.Clock | None = None,
+        loop: event_loop.EventLoop | None = None,
     ) -> None:
         self.clock = clock
         self.me = me
         self.key = key
         self.router = router
-        self.stopping = threading.Event()
-        self.open: set[connections.Connection] = set()
+        self.owns_loop = loop is None
+        self.loop = loop or event_loop.EventLoop("wire-server")
+        self.workers = worker_threads.WorkerThreads("wire-handler")
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.open: set[frames_module.Frames] = set()
         self.lock = threading.Lock()
+        self.accepting: asyncio.Server | None = None
         self.listener = socket.create_server(
             connections.parse_address(listen), backlog=BACKLOG
         )
-        self.listener.settimeout(ACCEPT_POLL_S)
+        self.listener.setblocking(False)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
-        self.thread = threading.Thread(
-            target=self.accept, name="wire-accept", daemon=True
-        )
 
     def start(self) -> None:
         """Begin accepting."""
-        self.thread.start()
+        self.loop.start()
+        self.loop.spawn(self.accept()).result(START_WAIT_S)
 
-    def accept(self) -> None:
-        """Accept until stopped; a thread per connection."""
-        while not self.stopping.is_set():
-            try:
-                sock, _ = self.listener.accept()
-            except TimeoutError:
-                continue
-            except OSError as error:
-                if self.stopping.is_set():
-                    return
-                # Out of file descriptors, or a caller that was gone
-                # already: accepting goes on once that has passed.  Giving
-                # up here would leave a process that looks alive and never
-                # takes a connection again.
-                log.warning("accept_failed", detail=str(error))
-                self.stopping.wait(ACCEPT_POLL_S)
-                continue
-            self.begin(sock)
-
-    def begin(self, sock: socket.socket) -> None:
-        """Serve a socket in its own thread."""
-        try:
-            threading.Thread(
-                target=self.serve,
-                args=(connections.Connection(sock),),
-                name="wire-connection",
-                daemon=True,
-            ).start()
-        except (OSError, RuntimeError) as error:
-            # No thread to be had, or the caller has gone: this connection
-            # ends, those after it must still be accepted.
-            log.warning("connection_failed", detail=str(error))
-            sock.close()
-
-    def serve(self, connection: connections.Connection) -> None:
+    async def accept(self) -> None:
+        """Accept until stopped; a failed accept is tried again."""
+        self.accepting = await asyncio.get_running_loop().create_server(
+            lambda: frames_module.Frames(self.begin),
+            sock=self.listener,
+            backlog=BACKLOG,
+        )
+
+    def begin(self, frames: frames_module.Frames) -> None:
+        """Serve a connection that was accepted."""
+        task = asyncio.get_running_loop().create_task(self.serve(frames))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, frames: frames_module.Frames) -> None:
         """Answer one connection's messages until it ends."""
         with self.lock:
-            self.open.add(connection)
+            self.open.add(frames)
         try:
-            connections.admit(connection, self.me, self.key)
-            connection.set_timeout(None)
-            connection.clock = self.clock
-            while not self.stopping.is_set():
-                request = connection.receive()
-                reply = self.router.answer(connection.peer, request)
-                self.reply(connection, reply)
+            await admit(frames, self.me, self.key)
+            frames.clock = self.clock
+            while True:
+                request = await frames.receive()
+                reply = await self.answer(frames.peer, request)
+                send(frames, reply)
         except connections.WireError:
             # The caller sees its connection end and settles the call as
             # lost; there is nobody else to tell.
             pass
         finally:
-            connection.close()
+            frames.close()
             with self.lock:
-                self.open.discard(connection)
+                self.open.discard(frames)
+
+    async def answer(
+        self, peer: connections.Identity, request: codec.Message
+    ) -> codec.Message:
+        """Return the reply to a message."""
+        if type(request) in self.router.quick:
+            return self.router.answer(peer, request)
+        wait = self.router.waits.get(type(request))
+        if wait is not None:
+            await wait(request)
+        return await self.answer_in_thread(peer, request)
+
+    async def answer_in_thread(
+        self, peer: connections.Identity, request: codec.Message
+    ) -> codec.Message:
+        """Return the reply of a handler that may wait."""
+        reply: concurrent.futures.Future[codec.Message] = (
+            concurrent.futures.Future()
+        )
+
+        def work() -> None:
+            try:
+                reply.set_result(self.router.answer(peer, request))
+            except Exception as error:
+                reply.set_exception(error)
+
+        try:
+            self.workers.submit(work)
+        except worker_threads.NoThreadError as error:
+            return codec.Failed("overloaded", str(error))
+        return await asyncio.wrap_future(reply)
 
     def connected(self) -> frozenset[str]:
         """Return the names of the peers that have a connection open."""
         with self.lock:
             return frozenset(one.peer.name for one in self.open)
 
-    def reply(
-        self, connection: connections.Connection, reply: codec.Message
-    ) -> None:
-        """Send a reply, or say that it cannot be carried."""
-        try:
-            connection.send(reply)
-        except codec.CodecError as error:
-            # Ending the connection instead would make the caller count
-            # the call as lost, that is as one that may have run.
-            log.warning("reply_not_carried", detail=str(error))
-            connection.send(codec.Failed("error", str(error)))
-
     def stop(self) -> None:
         """Stop accepting and end all connections."""
-        self.stopping.set()
-        self.listener.close()
-        with self.lock:
-            still_open = list(self.open)
-        for connection in still_open:
-            connection.close()
+        if self.accepting is None:
+            self.listener.close()
+        self.loop.call(self.end_all)
+        if self.owns_loop:
+            self.loop.stop()
+
+    def end_all(self) -> None:
+        """End all connections; call it in the loop."""
+        if self.accepting is not None:
+            self.accepting.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+async def admit(
+    frames: frames_module.Frames, me: connections.Identity, key: bytes
+) -> None:
+    """Open a connection from the server's side.
+
+    Raises
+    ------
+    WireError
+        When the other side does not hold the key or speaks another
+        version.
+    """
+    mine = hello.ServerHello(me, key)
+    frames.send(mine.challenge())
+    received = await frames.receive(hello.HELLO_TIMEOUT_S)
+    frames.peer, welcome = mine.check(received)
+    frames.send(welcome)
+    frames.max_bytes = codec.MAX_FRAME_BYTES
+
+
+def send(frames: frames_module.Frames, reply: codec.Message) -> None:
+    """Send a reply, or say that it cannot be carried."""
+    try:
+        frames.send(reply)
+    except codec.CodecError as error:
+        # Ending the connection instead would make the caller count
+        # the call as lost, that is as one that may have run.
+        log.warning("reply_not_carried", detail=str(error))
+        frames.send(codec.Failed("error", str(error)))
--- /dev/null
+++ b/tests/membership/test_many_peers.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from briarseam.membership import hearing
+from briarseam.membership import messages
+from briarseam.membership import service
+from briarseam.membership import state
+from briarseam.testing import waiting
+from briarseam.wire import connection as connections
+from briarseam.wire import event_loop
+from briarseam.wire import server
+from tests.membership import nodes as helpers
+
+PEERS = 200
+MOST_THREADS = 10
+PATIENCE_S = 60.0
+
+
+def peer_about(name, address):
+    return messages.About(name, "rumoi", address, (), 1, False)
+
+
+class Peer:
+    """A peer that answers heartbeats, on a loop that all peers share."""
+
+    def __init__(self, name, loop):
+        self.name = name
+        self.beats = 0
+        self.router = server.Router()
+        self.router.on_quick(messages.Introduction, self.introduced)
+        self.router.on_quick(messages.Heartbeat, self.alive)
+        me = connections.Identity("agent", name)
+        self.server = server.Server(
+            "127.0.0.1:0", me, helpers.KEY, self.router, loop=loop
+        )
+        self.server.start()
+
+    def introduced(self, peer, beat):
+        return messages.Introduced(
+            peer_about(self.name, self.server.address), 0
+        )
+
+    def alive(self, peer, beat):
+        self.beats += 1
+        return messages.Alive(1, 0)
+
+
+@pytest.fixture
+def loop():
+    made = event_loop.EventLoop("many-peers")
+    made.start()
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def peers(loop, listing):
+    made = [Peer(f"peer-{number}", loop) for number in range(PEERS)]
+    for one in made:
+        listing.put(one.name, one.server.address)
+    yield made
+    for one in made:
+        one.server.stop()
+
+
+def test_threads_do_not_grow_with_peers(listing, peers, loop):
+    """An instance of a large deployment cannot be started.
+
+    It had a thread for the heartbeats to each peer and one for each
+    connection from a peer; with those of all others the machine had no room
+    for more, and the thread that met peers died of that.
+    """
+    before = threading.active_count()
+    router = server.Router()
+    me = connections.Identity("agent", "me")
+    listener = server.Server("127.0.0.1:0", me, helpers.KEY, router, loop=loop)
+    membership = service.Membership(
+        state.Me("me", "rumoi", listener.address, ()),
+        listing,
+        helpers.KEY,
+        heartbeat_interval_s=0.5,
+        suspect_after_s=20.0,
+        list_interval_s=helpers.INTERVAL_S,
+        loop=loop,
+    )
+    membership.register(router)
+    listener.start()
+    membership.start()
+    try:
+        waiting.until(
+            lambda: all(one.beats for one in peers), PATIENCE_S, "heartbeats"
+        )
+        assert len(membership.live()) == PEERS + 1
+        assert threading.active_count() - before <= MOST_THREADS
+    finally:
+        membership.stop()
+        listener.stop()
+
+
+def test_fault_in_taking_in_an_answer_does_not_end_heartbeats(
+    listing, start, monkeypatch
+):
+    """Two instances take each other for gone after a fault of one section.
+
+    Whatever takes in an answer may have a fault; heartbeats go on.
+    """
+    failures = [ZeroDivisionError()]
+    take_about = hearing.Hearing.take_about
+
+    def fail_once(self, about, sent_at):
+        if failures:
+            raise failures.pop()
+        take_about(self, about, sent_at)
+
+    monkeypatch.setattr(hearing.Hearing, "take_about", fail_once)
+    one, other = start("a"), start("b")
+    waiting.until(lambda: one.names() == other.names() == {"a", "b"})
+    assert failures == []
--- a/tests/placement/test_shared_watch.py
+++ b/tests/placement/test_shared_watch.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import threading
+import asyncio
+import concurrent.futures
 
 import pytest
 
@@ -164,18 +165,19 @@
         (address, index.generation, index.sequence)
         for address, index in read_here.stores.items()
     )
-    told = []
-    asking = threading.Thread(
-        target=lambda: told.append(
-            sharing.answer(messages.StoresAsked(cursors, 1.0))
-        )
-    )
-    asking.start()
-    waiting.until(lambda: read_here.changed._waiters, what="it waits")
-    assert told == []
-    change(read_here, "s2", event("z"), epoch=5)
-    asking.join(5.0)
-    assert [store.parts for store in told[0].stores] == [
+    asked = messages.StoresAsked(cursors, 1.0)
+
+    async def ask():
+        await sharing.await_changes(asked)
+        return sharing.answer(asked)
+
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        asking = pool.submit(asyncio.run, ask())
+        waiting.until(lambda: read_here.changed.sleepers, what="it waits")
+        assert not asking.done()
+        change(read_here, "s2", event("z"), epoch=5)
+        told = asking.result(0.9)
+    assert [store.parts for store in told.stores] == [
         (),
         ((SALT, "z", 100),),
     ]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -74,6 +74,7 @@
         "backing",
         "backoff",
         "claims.records",
+        "changes",
         "clocks",
         "configuration.records",
         "configuration.values",
@@ -106,6 +107,7 @@
         "tokens",
         "verdict",
         "wire",
+        "worker_threads",
         "wrapping",
     ),
 }
--- a/tests/wire/test_calls.py
+++ b/tests/wire/test_calls.py
@@ -9,10 +9,13 @@
 import pytest
 from tests.wire import sample
 
+from briarseam import changes
+from briarseam.testing import waiting
 from briarseam.timeline import clock as clocks
 from briarseam.wire import client as clients
 from briarseam.wire import codec
 from briarseam.wire import connection as connections
+from briarseam.wire import hello
 from briarseam.wire import server as servers
 
 SOON_S = 0.3
@@ -152,7 +155,6 @@
     client.call(sample.Ask("x"), 2.0)
     (idle,) = client.idle
     first.stop()
-    first.thread.join(5)
     wait_for_end(idle)
     start_server(listen=first.address)
     assert client.call(sample.Ask("y"), 2.0) == sample.Told("y", 0)
@@ -174,7 +176,7 @@
         began = time.monotonic()
         with pytest.raises(clients.NotSentError):
             client.call(sample.Ask("x"), SOON_S)
-        assert time.monotonic() - began < connections.HELLO_TIMEOUT_S / 2
+        assert time.monotonic() - began < hello.HELLO_TIMEOUT_S / 2
 
 
 def test_reply_that_trickles_in_does_not_outlast_the_timeout(pair):
@@ -242,44 +244,74 @@
     # looks alive, yet it never accepted again.
     failures = [OSError(24, "Too many open files")]
 
-    class Listener:
-        def __init__(self, real):
-            self.real = real
-
+    class Listener(socket.socket):
         def accept(self):
             if failures:
                 raise failures.pop()
-            return self.real.accept()
-
-        def close(self):
-            self.real.close()
+            return super().accept()
 
     def prepare(server):
-        server.listener = Listener(server.listener)
+        server.listener = Listener(fileno=server.listener.detach())
+        server.listener.setblocking(False)
 
     client = make_client(start_server(prepare=prepare).address)
     assert client.call(sample.Ask("x"), 2.0) == sample.Told("x", 0)
     assert failures == []
 
 
-def test_accepting_goes_on_when_no_thread_can_be_had(
+def test_calls_are_answered_when_no_thread_can_be_had(
     start_server, make_client, monkeypatch
 ):
-    # The machine is at its limit of threads for a moment.
+    # The machine is at its limit of threads for a moment.  The caller hears
+    # so at once, and its connection is good for the next call.
     failures = [RuntimeError("can't start new thread")]
     start = threading.Thread.start
 
     def start_or_fail(thread):
-        if failures and thread.name == "wire-connection":
+        if failures and thread.name == "wire-handler":
             raise failures.pop()
         start(thread)
 
     server = start_server()
     monkeypatch.setattr(threading.Thread, "start", start_or_fail)
     client = make_client(server.address)
-    with pytest.raises(clients.NotSentError):
-        client.call(sample.Ask("x"), 5.0)
+    refused = client.call(sample.Ask("x"), 5.0)
+    assert isinstance(refused, codec.Failed)
+    assert refused.kind == "overloaded"
     assert client.call(sample.Ask("x"), 5.0) == sample.Told("x", 0)
+    assert len(client.idle) == 1
+
+
+def test_calls_that_wait_and_idle_connections_take_no_thread(
+    start_server, make_client, router
+):
+    """An instance reads for forty others and ends for want of threads.
+
+    Each of the others keeps some connections open, and has calls waiting
+    there for news.
+    """
+    news = changes.Change()
+    told = []
+
+    async def wait(asked):
+        await news.reached(lambda: bool(told), 10.0)
+
+    router.on(sample.Unheard, lambda peer, ask: sample.Told("x", 0), wait)
+    server = start_server()
+    client = make_client(server.address)
+    client.call(sample.Ask("x"), 5.0)
+    before = threading.active_count()
+    with concurrent.futures.ThreadPoolExecutor(100) as pool:
+        calls = [
+            pool.submit(client.call, sample.Unheard("x"), 10.0)
+            for _ in range(100)
+        ]
+        waiting.until(lambda: len(server.open) >= 100)
+        assert threading.active_count() - before <= 100
+        with news:
+            told.append(True)
+            news.notify_all()
+        assert {call.result() for call in calls} == {sample.Told("x", 0)}
 
 
 def test_message_has_one_handler():
--- a/tests/wire/test_hello.py
+++ b/tests/wire/test_hello.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import concurrent.futures
 import struct
 
@@ -10,22 +11,40 @@
 from briarseam.wire import client as clients
 from briarseam.wire import codec
 from briarseam.wire import connection as connections
+from briarseam.wire import frames
+from briarseam.wire import hello
+from briarseam.wire import server as servers
 
 ENTRY = connections.Identity("entry", "entry-1")
 AGENT = connections.Identity("agent", "agent-1")
 
 
+def admit(connection, me, key):
+    """Run the server's half of the hello on a socket."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        _, accepted = await loop.connect_accepted_socket(
+            frames.Frames, connection.sock
+        )
+        try:
+            await servers.admit(accepted, me, key)
+            connection.peer = accepted.peer
+        finally:
+            accepted.transport.pause_reading()
+            await asyncio.sleep(0)
+
+    connection.sock.setblocking(False)
+    asyncio.run(run())
+
+
 def meet(pair, client_key, server_key):
     """Run both halves of the hello; return what each of them raised."""
     dialled, accepted = pair
     with concurrent.futures.ThreadPoolExecutor(2) as pool:
         halves = [
-            pool.submit(
-                closing, connections.greet, dialled, ENTRY, client_key
-            ),
-            pool.submit(
-                closing, connections.admit, accepted, AGENT, server_key
-            ),
+            pool.submit(closing, hello.greet, dialled, ENTRY, client_key),
+            pool.submit(closing, admit, accepted, AGENT, server_key),
         ]
         return [half.result() for half in halves]
 
@@ -63,18 +82,18 @@
     def stranger():
         accepted.set_timeout(5)
         accepted.send(codec_challenge())
-        hello = accepted.receive()
+        received = accepted.receive()
         # The best it can do without the key: reflect the client's MAC.
-        accepted.send(connections.Welcome("agent-1", hello.mac))
+        accepted.send(hello.Welcome("agent-1", received.mac))
 
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         pool.submit(stranger)
         with pytest.raises(connections.WireError, match="server does not"):
-            connections.greet(dialled, ENTRY, key)
+            hello.greet(dialled, ENTRY, key)
 
 
 def codec_challenge(version=codec.WIRE_VERSION):
-    return connections.Challenge(version, b"n" * connections.NONCE_BYTES)
+    return hello.Challenge(version, b"n" * hello.NONCE_BYTES)
 
 
 def test_hello_of_one_name_does_not_open_another(pair, key):
@@ -85,18 +104,16 @@
     def client():
         dialled.set_timeout(5)
         challenge = dialled.receive()
-        nonce = b"m" * connections.NONCE_BYTES
-        mac = connections.proof(
+        nonce = b"m" * hello.NONCE_BYTES
+        mac = hello.proof(
             key, "client", challenge.nonce, nonce, "entry", "entry-1"
         )
-        dialled.send(
-            connections.Hello(codec.WIRE_VERSION, "agent", "x", nonce, mac)
-        )
+        dialled.send(hello.Hello(codec.WIRE_VERSION, "agent", "x", nonce, mac))
 
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         pool.submit(client)
         with pytest.raises(connections.WireError, match="client does not"):
-            connections.admit(accepted, AGENT, key)
+            admit(accepted, AGENT, key)
 
 
 @pytest.mark.parametrize(
@@ -104,7 +121,7 @@
     [
         pytest.param(sample.Ask("no hello"), id="message before hello"),
         pytest.param(
-            connections.Hello(99, "entry", "e", b"", b""), id="other version"
+            hello.Hello(99, "entry", "e", b"", b""), id="other version"
         ),
         pytest.param(sample.Ask("x" * 2000), id="large frame"),
     ],
@@ -114,7 +131,7 @@
     dialled, accepted = pair
     dialled.send(first)
     with pytest.raises(connections.WireError):
-        connections.admit(accepted, AGENT, key)
+        admit(accepted, AGENT, key)
 
 
 def test_stranger_cannot_make_us_buffer(pair, key):
@@ -123,7 +140,7 @@
     dialled, accepted = pair
     dialled.sock.sendall(struct.pack("!I", codec.MAX_FRAME_BYTES))
     with pytest.raises(connections.WireError, match="too large"):
-        connections.admit(accepted, AGENT, key)
+        admit(accepted, AGENT, key)
 
 
 def test_stranger_cannot_move_the_clock(start_server, make_client, key):
