Topics are read through the first of a cell's instances that the store answers

Change: an instance asks the first three in rank; a reader without an answer says so, and the next in rank begins to read, from what it has followed itself.

--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -27,6 +27,10 @@
 TELL_S = 1.0
 # Who reads topics for a cell, and speaks for it to others.
 SPEAKER_KEY = "speaker"
+# One reads topics; others do when the store does not answer that one.  A
+# store that turns a third of the instances away leaves one of three in 24
+# of 25 cells.
+TOPIC_READERS = 3
 
 Reply = typing.TypeVar("Reply")
 
@@ -123,11 +127,15 @@
             if member.name != self.instances.me
         ]
 
+    def topic_readers(self) -> list[str]:
+        """Return who may read topics for this cell, the speaker first."""
+        return rank.ranked(
+            SPEAKER_KEY, self.instances.cell(), str, self.instances.weight_of
+        )[:TOPIC_READERS]
+
     def speaker(self) -> str:
         """Return who speaks for this cell; empty while not known."""
-        found = rank.ranked(
-            SPEAKER_KEY, self.instances.cell(), str, self.instances.weight_of
-        )
+        found = self.topic_readers()
         return found[0] if found else ""
 
     def tells(self) -> bool:
--- a/src/briarseam/feeds/shared_messages.py
+++ b/src/briarseam/feeds/shared_messages.py
@@ -39,11 +39,15 @@
         Key and value of each; no value when the key was dropped.
     next
         Offset to read from next.
+    away
+        Whether the store does not answer the reader just now.
     """
 
     known: bool
     records: tuple[tuple[str, bytes | None], ...]
     next: int
+    away: bool = False
 
 
 UNKNOWN = RecordsTold(False, (), 0)
+AWAY = RecordsTold(False, (), 0, away=True)
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import threading
 
 import pytest
 
+from briarseam.feeds import record_cache
 from briarseam.feeds import records
 from briarseam.feeds import shared_messages as messages
 from briarseam.feeds import sharing
+from briarseam.feeds import topic_reader
 from briarseam.testing import waiting
 from tests import clocks
 
@@ -48,7 +51,7 @@
 
     def __init__(self):
         self.instances = {}
-        self.named = "reader"
+        self.named = ["reader"]
         self.total = sharing.SHARED_FROM
         self.silent = False
         self.asked = 0
@@ -56,7 +59,7 @@
     def count(self):
         return self.total
 
-    def speaker(self):
+    def topic_readers(self):
         return self.named
 
     def read_topic(self, reader, asked, timeout_s):
@@ -64,7 +67,9 @@
         if self.silent:
             raise sharing.ReaderUnavailableError("silent")
         now = messages.RecordsAsked(asked.topic, asked.start, 0.0)
-        return self.instances[reader].answer(now)
+        instance = self.instances[reader]
+        asyncio.run(instance.await_answer(now))
+        return instance.answer(now)
 
 
 @pytest.fixture
@@ -88,7 +93,7 @@
 
     The reader's thread is not started: the test lets it read.
     """
-    monkeypatch.setattr(sharing.TopicReader, "start", lambda self: None)
+    monkeypatch.setattr(topic_reader.TopicReader, "start", lambda self: None)
     for name in ("reader", "asker"):
         readers.instances[name] = sharing.SharedReads(
             topic, [TOPIC], readers, name, clock
@@ -101,7 +106,7 @@
     with_reader = cell["reader"]
     with_reader.read_keyed(TOPIC, 0, 0.0)
     reader = with_reader.reading[TOPIC]
-    if not reader.begun:
+    if not reader.cache.begun:
         reader.read_once()
     reader.read_once()
 
@@ -132,7 +137,7 @@
     """
     read_on(cell)
     topic.records.append(record(3))
-    clock.now_s += sharing.MAX_AGE_S + 0.1
+    clock.now_s += record_cache.MAX_AGE_S + 0.1
     assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records == (record(3),)
 
 
@@ -165,7 +170,7 @@
 
 def test_instance_that_is_not_the_reader_tells_nothing(cell, topic, readers):
     """Two instances each take the other one for the reader."""
-    readers.named = "asker"
+    readers.named = ["asker"]
     assert (
         cell["reader"].answer(messages.RecordsAsked(TOPIC, 0, 0.0))
         == messages.UNKNOWN
@@ -175,7 +180,7 @@
 def test_reader_stops_when_another_one_reads(cell, readers):
     read_on(cell)
     readers.instances["other"] = cell["asker"]
-    readers.named = "other"
+    readers.named = ["other"]
     cell["reader"].read_keyed(TOPIC, 3, 0.0)
     assert not cell["reader"].reading
     asked = messages.RecordsAsked(TOPIC, 3, 0.0)
@@ -206,7 +211,7 @@
     link of 5 Mbit/s, and all wait for it longer than they may.
     """
     read_on(cell)
-    topic.records.append(record(3, b"x" * (sharing.MOST_BYTES + 1)))
+    topic.records.append(record(3, b"x" * (record_cache.MOST_BYTES + 1)))
     read_on(cell)
     topic.calls = 0
     assert cell["asker"].read_keyed(TOPIC, 3, 0.0).next == 4
@@ -214,7 +219,7 @@
 
 
 def test_question_waits_for_a_record(clock):
-    cache = sharing.RecordCache(clock)
+    cache = record_cache.RecordCache(clock)
     cache.begin(7)
     told = []
     asking = threading.Thread(
