Instances that start at once wait for a secret that one of them makes

Now each waits a random part of 1.5 s for the secret to be followed. Only the first start of all is slower by it; afterwards the secret is there.

--- a/src/briarseam/compose/node_peers.py
+++ b/src/briarseam/compose/node_peers.py
@@ -81,7 +81,8 @@
     loop
         Runs the connections to and from other instances.
     """
-    secret = registrations.agree_on_secret(
+    registrations.await_secret(rows, stopping)
+    secret = rows.secret or registrations.agree_on_secret(
         store, names.MEMBERS_TOPIC, framing.encode_keyed, stopping
     )
     if secret is None:
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import math
+import random
 import secrets
 import threading
 import typing
@@ -30,6 +31,9 @@
 # Between two attempts to agree on the secret while others write: a store
 # answers in some ms.
 AGREE_S = 0.05
+# Instances that start at once make a secret at different times within
+# this; what one has written the others follow within half a second.
+SPREAD_S = 1.5
 # A registration that may or may not have been written is written again
 # until the topic shows it; later losses of it show in the same way.
 REVIEW_S = 1.0
@@ -120,6 +124,7 @@
         self.cells: dict[str, str] = {}
         self.secret: bytes | None = None
         self.known = threading.Event()
+        self.secret_known = threading.Event()
         self.leaving = threading.Event()
         self.thread = threading.Thread(
             target=self.keep_registered, name="register", daemon=True
@@ -202,6 +207,8 @@
         for change in changes:
             if change.key == SECRET_KEY:
                 self.secret = change.value or self.secret
+                if self.secret is not None:
+                    self.secret_known.set()
                 continue
             # What was known is dropped first: a registration that is
             # overwritten by one that can't be read names no instance.
@@ -287,6 +294,18 @@
     return Registration(name, wire.address, wire.group, wire.zone, wire.weight)
 
 
+def await_secret(rows: Registrations, stopping: threading.Event) -> None:
+    """Wait a little for a secret that another instance makes.
+
+    Gain: of hundreds of instances that start at once a few write one; else
+    each would read, try to write, and read again.
+    """
+    while not rows.known.wait(RETRY_S):
+        if stopping.is_set():
+            return
+    rows.secret_known.wait(random.uniform(0.0, SPREAD_S))
+
+
 def agree_on_secret(
     store: WritableStore,
     topic: str,
--- a/tests/peers/test_registrations.py
+++ b/tests/peers/test_registrations.py
@@ -265,3 +265,33 @@
     stopping.set()
     thread.join(5.0)
     assert 1 < len(asked) < 20
+
+
+def test_secret_that_another_instance_makes_is_waited_for(monkeypatch):
+    """Hundreds of instances start at once, and the store counts each call.
+
+    Each read the topic, tried to write a secret, and read again.
+    """
+    rows = registrations.Registrations(None, TOPIC, me())
+    rows.take_all(())
+    monkeypatch.setattr(registrations.random, "uniform", lambda a, b: 10.0)
+    stopping = threading.Event()
+    waiting_for = threading.Thread(
+        target=registrations.await_secret, args=(rows, stopping)
+    )
+    waiting_for.start()
+    waiting_for.join(0.1)
+    assert waiting_for.is_alive()
+    rows.take_changes(
+        (records.KeyedRecord(registrations.SECRET_KEY, b"made"),)
+    )
+    waiting_for.join(1.0)
+    assert not waiting_for.is_alive()
+    assert rows.secret == b"made"
+
+
+def test_wait_for_a_secret_ends_with_the_process():
+    stopping = threading.Event()
+    stopping.set()
+    rows = registrations.Registrations(None, TOPIC, me())
+    registrations.await_secret(rows, stopping)
