Who has met nobody does not join the group that gives orders

Cause: at a start each of 195 instances knew itself only, took itself for one of the nine that stand for the duty, joined, and left when it had met others: 181 leaves and 400 joins in two seconds. Now peers are met first, and registrations count until half of the registered are heard.

--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -17,6 +17,9 @@
 # without anybody noticing, and few enough that their calls hardly count.
 DUTY_CANDIDATES = 9
 DUTY_KEY = "orders"
+# With so many times more instances registered than heard, most are not
+# lost: they have not been met yet.
+UNHEARD_FACTOR = 2
 
 
 class Instances:
@@ -84,16 +87,31 @@
 
     def stands_for_duty(self) -> bool:
         """Tell whether this instance should take part in giving orders."""
-        names = [
-            member.name
-            for member in self.all()
-            if member.state is members.MemberState.ALIVE
-        ]
+        if self.service is None:
+            return False
+        names = self.candidates()
         if len(names) <= DUTY_CANDIDATES:
             return True
         ranked = rank.ranked(DUTY_KEY, names, str, self.weight_of)
         return self.me in ranked[:DUTY_CANDIDATES]
 
+    def candidates(self) -> list[str]:
+        """Return the instances that may stand for giving orders.
+
+        Gain: when all instances start at once, each hears only itself at
+        first; registrations tell it that there are others, and it doesn't
+        join the group just to leave it.
+        """
+        alive = [
+            member.name
+            for member in self.all()
+            if member.state is members.MemberState.ALIVE
+        ]
+        registered = [] if self.rows is None else list(self.rows.rows)
+        if len(registered) <= UNHEARD_FACTOR * len(alive):
+            return alive
+        return list({*alive, *registered})
+
     def others_for_duty(self) -> list[str] | None:
         """Return who else may give orders; ``None`` if not all are heard.
 
--- a/tests/compose/test_node_instances.py
+++ b/tests/compose/test_node_instances.py
@@ -69,6 +69,35 @@
     assert len(found) == standing
 
 
+def test_who_has_met_nobody_yet_does_not_stand():
+    """Two hundred instances start at once, and each joins and leaves.
+
+    Each knew itself only, and took itself for one of the few.
+    """
+    before = instances("instance-0")
+    register(before, NAMES)
+    assert not before.stands_for_duty()
+    found = []
+    for name in NAMES:
+        made = instances(name, everyone=[name], cell=[name])
+        register(made, NAMES)
+        if made.stands_for_duty():
+            found.append(name)
+    assert len(found) == node_instances.DUTY_CANDIDATES
+
+
+def test_who_is_left_of_a_large_deployment_stands():
+    """Zones are lost, and their instances' registrations are still there."""
+    left = NAMES[:25]
+    found = []
+    for name in left:
+        made = instances(name, everyone=left, cell=left)
+        register(made, NAMES)
+        if made.stands_for_duty():
+            found.append(name)
+    assert len(found) == node_instances.DUTY_CANDIDATES
+
+
 def test_nobody_is_heard_by_who_has_no_fresh_view():
     assert instances(everyone=NAMES, cell=NAMES, fresh=False).heard() == []
     assert instances(everyone=NAMES, cell=NAMES).heard() == NAMES
