Large records are handed on compressed; threads are counted by purpose

Who can't unpack is told as before. Not measured by itself.

The gauge threads{purpose} shows what the event loop is to keep down.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -36,6 +36,7 @@
 from briarseam.lookup import zonal
 from briarseam.membership import drain as drains
 from briarseam.metrics import registry as metrics
+from briarseam.metrics import threads
 from briarseam.peers import expiry
 from briarseam.placement import cell_loads
 from briarseam.placement import cell_weights
@@ -165,6 +166,7 @@
             self.feeds.registrations, self.instances.heard
         )
         node_metrics.register(self.metrics, self.readings())
+        self.threads = threads.ThreadGauge(self.metrics)
 
     def told(self) -> node_meeting.Told:
         """Return the parts that tell peers something."""
@@ -249,6 +251,7 @@
             self.forget_all_but(self.feeds.registry.ids())
             self.pool.close_old()
             self.guard.forget_old()
+            self.threads.renew()
             self.chooser.loads.keep_only(frozenset(self.instances.all_names()))
 
     def drain(
--- a/src/briarseam/feeds/record_cache.py
+++ b/src/briarseam/feeds/record_cache.py
@@ -19,9 +19,6 @@
 MOST_RECORDS = 5000
 # Records that an instance keeps of what it follows: some seconds' worth.
 TAIL_RECORDS = 500
-# Larger ones are read from the store by each instance: thirty copies of a
-# whole configuration would hold up the link of the reader.
-MOST_BYTES = 20_000
 
 
 class Missing(enum.Enum):
@@ -29,7 +26,7 @@
 
     # The store does not answer, or has not confirmed the content lately.
     AWAY = "away"
-    # The records are not here, or too large to be handed on.
+    # The records are not here, or can't be handed on.
     UNKNOWN = "unknown"
 
 
@@ -164,7 +161,4 @@
             if not first <= start <= self.next:
                 return Missing.UNKNOWN
             found = tuple(itertools.islice(self.records, start - first, None))
-            size = sum(len(record.value or b"") for record in found)
-            if size > MOST_BYTES:
-                return Missing.UNKNOWN
             return records.KeyedBatch(found, self.next)
--- a/src/briarseam/feeds/shared_messages.py
+++ b/src/briarseam/feeds/shared_messages.py
@@ -19,11 +19,14 @@
         First offset wanted.
     wait_s
         How long to wait for it, in seconds.
+    unpacks
+        Whether who asks can unpack values.
     """
 
     topic: str
     start: int
     wait_s: float
+    unpacks: bool = False
 
 
 @codec.message("records-told")
@@ -41,12 +44,15 @@
         Offset to read from next.
     away
         Whether the store does not answer the reader just now.
+    packed
+        Which of the records, by number, have a compressed value.
     """
 
     known: bool
     records: tuple[tuple[str, bytes | None], ...]
     next: int
     away: bool = False
+    packed: tuple[int, ...] = ()
 
 
 UNKNOWN = RecordsTold(False, (), 0)
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -16,6 +16,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.feeds import packing
 from briarseam.feeds import record_cache
 from briarseam.feeds import records
 from briarseam.feeds import shared_messages as messages
@@ -229,10 +230,11 @@
         self, reader: str, topic: str, start: int, wait_s: float
     ) -> records.KeyedBatch | record_cache.Missing | None:
         """Ask another instance."""
-        asked = messages.RecordsAsked(topic, start, wait_s)
+        asked = messages.RecordsAsked(topic, start, wait_s, unpacks=True)
         try:
             told = self.readers.read_topic(reader, asked, wait_s + SLACK_S)
-        except ReaderUnavailableError as error:
+            batch = packing.taken(told)
+        except (ReaderUnavailableError, packing.UnpackError) as error:
             log.warning(
                 "topic_reader_silent", reader=reader, detail=str(error)
             )
@@ -241,8 +243,7 @@
             return record_cache.Missing.AWAY
         if not told.known:
             return record_cache.Missing.UNKNOWN
-        found = tuple(records.KeyedRecord(*record) for record in told.records)
-        return records.KeyedBatch(found, told.next)
+        return batch
 
     # For instances that ask this one.
 
@@ -262,9 +263,9 @@
         if cache is None:
             return messages.UNKNOWN
         match cache.read(asked.start, 0.0):
-            case records.KeyedBatch(found, after):
-                told = tuple((record.key, record.value) for record in found)
-                return messages.RecordsTold(True, told, after)
+            case records.KeyedBatch() as batch:
+                told = packing.told(batch, asked.unpacks)
+                return messages.UNKNOWN if told is None else told
             case record_cache.Missing.AWAY:
                 return messages.AWAY
             case record_cache.Missing.UNKNOWN:
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import threading
 
+import msgspec
 import pytest
 
+from briarseam.feeds import packing
 from briarseam.feeds import record_cache
 from briarseam.feeds import records
 from briarseam.feeds import shared_messages as messages
@@ -66,7 +69,7 @@
         self.asked += 1
         if self.silent:
             raise sharing.ReaderUnavailableError("silent")
-        now = messages.RecordsAsked(asked.topic, asked.start, 0.0)
+        now = msgspec.structs.replace(asked, wait_s=0.0)
         instance = self.instances[reader]
         asyncio.run(instance.await_answer(now))
         return instance.answer(now)
@@ -207,17 +210,57 @@
 
 
 def test_large_records_are_read_from_the_store_by_each(cell, topic):
-    """A configuration of 300 KB is told to thirty others at once, over a
-    link of 5 Mbit/s, and all wait for it longer than they may.
+    """A configuration of 300 KB that hardly compresses is told to thirty
+    others at once, over a link of 5 Mbit/s, and all wait for it longer than
+    they may.
     """
     read_on(cell)
-    topic.records.append(record(3, b"x" * (record_cache.MOST_BYTES + 1)))
+    noise = random.Random(1).randbytes(packing.MOST_BYTES + 1)
+    topic.records.append(record(3, noise))
     read_on(cell)
     topic.calls = 0
-    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).next == 4
+    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records[0].value == noise
     assert topic.calls == 1
 
 
+def test_configuration_goes_compressed(cell, topic):
+    """Configurations come several times a second, and each of two hundred
+    instances reads each of them from the store.
+    """
+    read_on(cell)
+    text = b"".join(
+        b'{"name": "route-%d", "service": "draft"},' % number
+        for number in range(2000)
+    )
+    assert len(text) > packing.MOST_BYTES
+    topic.records.append(record(3, text))
+    read_on(cell)
+    topic.calls = 0
+    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records == (
+        record(3, text),
+    )
+    assert topic.calls == 0
+
+
+def test_instance_that_cannot_unpack_is_told_as_before(cell, topic):
+    read_on(cell)
+    text = b"x" * packing.PACK_FROM_BYTES
+    topic.records.append(record(3, text))
+    read_on(cell)
+    asked = messages.RecordsAsked(TOPIC, 3, 0.0)
+    told = cell["reader"].answer(asked)
+    assert told.records == (("key-3", text),)
+    assert told.packed == ()
+
+
+def test_answer_that_cannot_be_unpacked_is_none(cell, topic, readers):
+    """A reader's answer is damaged; the records come from the store."""
+    broken = messages.RecordsTold(True, (("key-3", b"no"),), 4, packed=(0,))
+    readers.read_topic = lambda reader, asked, timeout_s: broken
+    topic.records.append(record(3))
+    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records == (record(3),)
+
+
 def test_question_waits_for_a_record(clock):
     cache = record_cache.RecordCache(clock)
     cache.begin(7)
--- a/tests/membership/test_many_peers.py
+++ b/tests/membership/test_many_peers.py
@@ -119,3 +119,11 @@
     one, other = start("a"), start("b")
     waiting.until(lambda: one.names() == other.names() == {"a", "b"})
     assert failures == []
+    pairs = [(one, "b"), (other, "a")]
+    before = [node.membership.peers[name].beats for node, name in pairs]
+    waiting.until(
+        lambda: all(
+            node.membership.peers[name].beats > count
+            for (node, name), count in zip(pairs, before, strict=True)
+        )
+    )
--- /dev/null
+++ b/tests/metrics/test_threads.py
@@ -0,0 +1,40 @@
+from __future__ import annotations
+
+import contextlib
+import threading
+
+from briarseam.metrics import registry as registries
+from briarseam.metrics import threads
+
+
+@contextlib.contextmanager
+def running(*names):
+    """Keep threads with these names running."""
+    release = threading.Event()
+    made = [
+        threading.Thread(target=release.wait, args=(10,), name=name)
+        for name in names
+    ]
+    for thread in made:
+        thread.start()
+    yield
+    release.set()
+    for thread in made:
+        thread.join()
+
+
+def test_threads_count_by_purpose_whatever_each_is_about():
+    names = ("store-10.1.0.2:80", "store-10.1.0.3:80", "stores-by-cph-1")
+    with running(*names, "gossip"):
+        counts = threads.by_purpose()
+    assert (counts["store"], counts["stores"], counts["gossip"]) == (2, 1, 1)
+
+
+def test_purpose_without_threads_any_more_counts_none():
+    registry = registries.Registry()
+    gauge = threads.ThreadGauge(registry)
+    with running("reader-1"):
+        gauge.renew()
+        assert 'threads{purpose="reader"} 1' in registry.render()
+    gauge.renew()
+    assert 'threads{purpose="reader"} 0' in registry.render()
--- a/tests/test_worker_threads.py
+++ b/tests/test_worker_threads.py
@@ -59,6 +59,17 @@
         assert done.wait(5)
 
 
+def test_idle_thread_stays_for_a_task_that_counts_on_it(workers):
+    """The task is counted, and on its way into the queue."""
+    hold(workers, 1).set()
+    waiting.until(lambda: workers.free == 1)
+    with workers.lock:
+        workers.free -= 1
+    assert not workers.may_end()
+    with workers.lock:
+        workers.free += 1
+
+
 def test_fault_in_a_task_leaves_its_thread_to_the_others(workers):
     workers.submit(lambda: 1 / 0)
     waiting.until(lambda: workers.free == 1)
