Reading by oneself in an outage waits at the store

A trial that counts calls by cause: 4,000 reads a second of the operators' topic while the store turned a third of the instances away. Ruled out: the readers of cells, joins, large records.

Change: only the try itself does not wait. Beside it, whoever is asked and answers at once with nothing is not asked again for 50 ms. Both tests fail without it.

--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -18,6 +18,8 @@
 RETRY_S = 0.2
 MAX_RETRY_S = 0.8
 JITTER = 0.3
+# Least time between two reads of which the first brought nothing.
+EMPTY_PAUSE_S = 0.05
 log = structlog.get_logger("briarseam.feeds")
 
 
@@ -70,6 +72,7 @@
         self.pause_s = pause_s
         self.next: int | None = None
         self.available = True
+        self.was_empty = False
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name=f"follow-{topic}", daemon=True
@@ -102,7 +105,15 @@
                 continue
             pauses.reset()
             self.note_regained()
-            self.stopping.wait(self.pause_s)
+            self.stopping.wait(self.pause())
+
+    def pause(self) -> float:
+        """Return the pause after a read that was answered, in seconds.
+
+        Guard: whoever is asked may answer at once that there is nothing,
+        and would then be asked as fast as it answers.
+        """
+        return max(self.pause_s, EMPTY_PAUSE_S if self.was_empty else 0.0)
 
     def read_once(self) -> None:
         """Read what is new, or everything where records have expired."""
@@ -141,6 +152,7 @@
             # A record that can't be taken in must not stop all later ones.
             log.exception("records_not_taken", topic=self.topic)
         self.next = batch.next
+        self.was_empty = not batch.records
 
     def note_lost(self, detail: str) -> None:
         """Note that the store does not answer; log it once."""
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -145,7 +145,7 @@
                 self.shared += 1
                 return found
             case record_cache.Missing.AWAY:
-                return self.try_store(topic, start)
+                return self.try_store(topic, start, wait_s)
             case record_cache.Missing.UNKNOWN:
                 return self.read_directly(topic, start, wait_s)
 
@@ -156,7 +156,9 @@
         self.direct += 1
         return self.store.read_keyed(topic, start, wait_s)
 
-    def try_store(self, topic: str, start: int) -> records.KeyedBatch:
+    def try_store(
+        self, topic: str, start: int, wait_s: float
+    ) -> records.KeyedBatch:
         """Ask the store itself, though it answers none of the readers.
 
         Gain: hundreds of instances that each try as often as they would by
@@ -165,15 +167,18 @@
         read directly by them for a while.
         """
         now_s = self.clock()
-        if now_s >= self.direct_until_s:
-            if now_s < self.own_try_s:
-                raise records.StoreUnavailableError(
-                    "the store answers none of the cell's readers"
-                )
+        if now_s < self.direct_until_s:
+            batch = self.read_directly(topic, start, wait_s)
+        elif now_s >= self.own_try_s:
             jitter = random.uniform(1 - OWN_TRY_JITTER, 1 + OWN_TRY_JITTER)
             self.own_try_s = now_s + OWN_TRY_S * jitter
-        batch = self.read_directly(topic, start, 0.0)
-        self.direct_until_s = now_s + DIRECT_S
+            # Were the store silent, a long poll would hold up the follower.
+            batch = self.read_directly(topic, start, 0.0)
+        else:
+            raise records.StoreUnavailableError(
+                "the store answers none of the cell's readers"
+            )
+        self.direct_until_s = self.clock() + DIRECT_S
         return batch
 
     def read_shared(
--- a/tests/feeds/test_following.py
+++ b/tests/feeds/test_following.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from briarseam.feeds import following
@@ -160,3 +162,27 @@
     follower.start()
     waiting.until(lambda: made.known == {"a": b"1"})
     follower.stop()
+
+
+class Hasty:
+    """A store that answers at once that there is nothing new."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def newest(self, topic):
+        return records.KeyedBatch((), 0)
+
+    def read_keyed(self, topic, start, wait_s):
+        self.reads += 1
+        return records.KeyedBatch((), start)
+
+
+def test_who_answers_at_once_with_nothing_is_not_asked_as_fast():
+    """A store was asked four thousand times a second while it was well."""
+    store = Hasty()
+    follower = following.Follower(store, TOPIC, Listener(), wait_s=0.3)
+    follower.start()
+    time.sleep(0.5)
+    follower.stop()
+    assert 0 < store.reads <= 0.5 / following.EMPTY_PAUSE_S + 2
--- a/tests/feeds/test_outages.py
+++ b/tests/feeds/test_outages.py
@@ -16,6 +16,7 @@
 ASKERS = 30
 READERS = ("first", "second", "third")
 STEP_S = 0.5
+WAIT_S = 0.01
 
 
 class StoreOf:
@@ -25,6 +26,7 @@
         self.topic = topic
         self.away = False
         self.calls = 0
+        self.waits = []
 
     def newest(self, topic):
         self.check()
@@ -32,6 +34,7 @@
 
     def read_keyed(self, topic, start, wait_s):
         self.check()
+        self.waits.append(wait_s)
         return self.topic.read_keyed(topic, start, wait_s)
 
     def check(self):
@@ -78,7 +81,7 @@
     def follow(self, name, one):
         """Let an instance's follower read once."""
         try:
-            batch = one.read_keyed(TOPIC, self.nexts[name], 0.0)
+            batch = one.read_keyed(TOPIC, self.nexts[name], WAIT_S)
         except records.StoreUnavailableError:
             self.failed[name] += 1
             return
@@ -179,6 +182,20 @@
     assert cell.nexts["asker-8"] == 3
 
 
+def test_who_reads_by_itself_waits_at_the_store(cell):
+    """An instance reads by itself as fast as it can, thousands of times a
+    second: the store answers it at once that there is nothing new.
+    """
+    others = cell.stores.keys() - {"asker-7"}
+    cell.turn_away(*others)
+    cell.pass_time(sharing.OWN_TRY_S * 2)
+    served = cell.stores["asker-7"]
+    served.waits.clear()
+    cell.pass_time(sharing.DIRECT_S * 3)
+    assert served.waits
+    assert set(served.waits) == {WAIT_S}
+
+
 def test_who_is_behind_is_answered_by_a_new_reader(cell):
     """The reader is lost while some have not yet heard its last news.
 
