Event loop: what is cancelled before it begins is not begun; its tests

A call that was cancelled with its connection before a thread took it would have been logged as a fault of ours, after it had run for nobody. Seen by reading.

--- a/src/briarseam/wire/event_loop.py
+++ b/src/briarseam/wire/event_loop.py
@@ -49,7 +49,9 @@
     def stop(self) -> None:
         """Cancel what runs, and end the thread."""
         with self.lock:
-            if not self.started or self.loop.is_closed():
+            if not self.started:
+                self.loop.close()
+            if self.loop.is_closed():
                 return
         self.call(self.loop.stop)
         if threading.current_thread() is not self.thread:
--- a/src/briarseam/wire/server.py
+++ b/src/briarseam/wire/server.py
@@ -220,6 +220,9 @@
         )
 
         def work() -> None:
+            if not reply.set_running_or_notify_cancel():
+                # The connection was ended before the work began.
+                return
             try:
                 reply.set_result(self.router.answer(peer, request))
             except Exception as error:
--- /dev/null
+++ b/tests/wire/test_event_loop.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import asyncio
+import threading
+
+import pytest
+
+from briarseam.wire import event_loop
+
+PATIENCE_S = 5.0
+
+
+@pytest.fixture
+def loop():
+    made = event_loop.EventLoop("test-loop")
+    made.start()
+    yield made
+    made.stop()
+
+
+def test_coroutines_run_beside_each_other(loop):
+    met = asyncio.Event()
+
+    async def wait():
+        await met.wait()
+        return "met"
+
+    waiting = loop.spawn(wait())
+    loop.call(met.set)
+    assert waiting.result(PATIENCE_S) == "met"
+
+
+def test_stop_cancels_what_still_runs(loop):
+    ended = threading.Event()
+    begun = threading.Event()
+
+    async def run():
+        begun.set()
+        try:
+            await asyncio.sleep(60)
+        finally:
+            ended.set()
+
+    loop.spawn(run())
+    assert begun.wait(PATIENCE_S)
+    loop.stop()
+    assert ended.is_set()
+    assert not loop.thread.is_alive()
+
+
+def test_fault_in_a_call_does_not_end_the_loop(loop):
+    loop.call(lambda: 1 / 0)
+
+    async def answer():
+        return "alive"
+
+    assert loop.spawn(answer()).result(PATIENCE_S) == "alive"
+
+
+def test_call_after_the_end_is_of_no_effect(loop):
+    loop.stop()
+    loop.call(lambda: pytest.fail("called"))
+    loop.stop()
+
+
+def test_loop_that_was_never_started_can_be_stopped():
+    made = event_loop.EventLoop("never")
+    made.stop()
+    made.stop()
+    assert made.loop.is_closed()
--- a/tests/wire/test_hello.py
+++ b/tests/wire/test_hello.py
@@ -27,12 +27,8 @@
         _, accepted = await loop.connect_accepted_socket(
             frames.Frames, connection.sock
         )
-        try:
-            await servers.admit(accepted, me, key)
-            connection.peer = accepted.peer
-        finally:
-            accepted.transport.pause_reading()
-            await asyncio.sleep(0)
+        await servers.admit(accepted, me, key)
+        connection.peer = accepted.peer
 
     connection.sock.setblocking(False)
     asyncio.run(run())
