Duties that one instance does for many fall to the strongest of its cell

The two read stores of KV cache for the zone and have a fifth of the processor and a tenth of the link of the strongest. Cause: readers were drawn in proportion to weights, and there are twelve times as many weak ones. Each of the forty asks them for all that the stores keep; replies were encoded in the event loop and stood before heartbeats in the link's queue; others took over, and told everything again.

Change: the strongest first, equals by hash; replies of handlers in threads are encoded there. Test of the ranking; not yet measured at size.

--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -129,8 +129,8 @@
 
     def topic_readers(self) -> list[str]:
         """Return who may read topics for this cell, the speaker first."""
-        return rank.ranked(
-            SPEAKER_KEY, self.instances.cell(), str, self.instances.weight_of
+        return rank.strongest(
+            SPEAKER_KEY, self.instances.cell(), self.instances.weight_of
         )[:TOPIC_READERS]
 
     def speaker(self) -> str:
@@ -144,18 +144,15 @@
 
     def addresses(self) -> list[str]:
         """Return where to reach the speaker of each other cell."""
-        cells: dict[str, list[members.Member]] = {}
+        cells: dict[str, dict[str, str]] = {}
         for member in self.instances.all():
             if member.state is members.MemberState.ALIVE:
-                cells.setdefault(member.cell, []).append(member)
+                cell = cells.setdefault(member.cell, {})
+                cell[member.name] = member.agent_address
         cells.pop(self.name(), None)
+        weight_of = self.instances.weight_of
         found = [
-            rank.ranked(
-                SPEAKER_KEY,
-                cell,
-                lambda member: member.name,
-                lambda member: self.instances.weight_of(member.name),
-            )[0].agent_address
+            cell[rank.strongest(SPEAKER_KEY, cell, weight_of)[0]]
             for cell in cells.values()
         ]
         with self.lock:
--- a/src/briarseam/lookup/rank.py
+++ b/src/briarseam/lookup/rank.py
@@ -69,3 +69,30 @@
         ),
         reverse=True,
     )
+
+
+def strongest(
+    key: str,
+    names: typing.Iterable[str],
+    weight_of: typing.Callable[[str], float],
+) -> list[str]:
+    """Return instances by what they can take, the strongest first.
+
+    For a duty that one instance does for many: drawn in proportion to
+    weights, as by :func:`ranked`, it would mostly fall to one of the many
+    weak ones, and its link and processor would hold up all of its work.
+
+    Parameters
+    ----------
+    key
+        Orders equals, the same way each time.
+    names
+        The instances.
+    weight_of
+        What an instance can take, relative to others.
+    """
+    return sorted(
+        names,
+        key=lambda name: (weight_of(name), score(key, name, 1.0), name),
+        reverse=True,
+    )
--- a/src/briarseam/placement/store_watches.py
+++ b/src/briarseam/placement/store_watches.py
@@ -128,7 +128,7 @@
         self, cell: collections.abc.Iterable[str]
     ) -> dict[str, frozenset[str]]:
         """Return the stores by the instance that reads them."""
-        pool = rank.ranked(READERS_KEY, cell, str, self.weight_of)[:READERS]
+        pool = rank.strongest(READERS_KEY, cell, self.weight_of)[:READERS]
         found: dict[str, set[str]] = collections.defaultdict(set)
         for address in self.addresses:
             found[rank.ranked(address, pool, str)[0]].add(address)
--- a/src/briarseam/wire/frames.py
+++ b/src/briarseam/wire/frames.py
@@ -142,7 +142,26 @@
         CodecError
             When the message can't be carried; the connection stays good.
         """
-        frame = codec.encode(message, self.clock.now() if self.clock else 0)
+        self.send_frame(self.encode(message))
+
+    def encode(self, message: codec.Message) -> bytes:
+        """Return a message's frame; may be called by any thread.
+
+        Raises
+        ------
+        CodecError
+            When the message can't be carried.
+        """
+        return codec.encode(message, self.clock.now() if self.clock else 0)
+
+    def send_frame(self, frame: bytes) -> None:
+        """Send a frame, as soon as the link takes it.
+
+        Raises
+        ------
+        WireError
+            When the connection has ended.
+        """
         if self.ended or self.transport is None:
             raise connections.WireError(f"send failed: {self.ended}")
         self.transport.write(frame)
--- a/src/briarseam/wire/server.py
+++ b/src/briarseam/wire/server.py
@@ -189,8 +189,7 @@
             frames.clock = self.clock
             while True:
                 request = await frames.receive()
-                reply = await self.answer(frames.peer, request)
-                send(frames, reply)
+                frames.send_frame(await self.answer(frames, request))
         except connections.WireError:
             # The caller sees its connection end and settles the call as
             # lost; there is nobody else to tell.
@@ -201,37 +200,41 @@
                 self.open.discard(frames)
 
     async def answer(
-        self, peer: connections.Identity, request: codec.Message
-    ) -> codec.Message:
-        """Return the reply to a message."""
+        self, frames: frames_module.Frames, request: codec.Message
+    ) -> bytes:
+        """Return the reply to a message, as a frame."""
         if type(request) in self.router.quick:
-            return self.router.answer(peer, request)
+            return encoded(frames, self.router.answer(frames.peer, request))
         wait = self.router.waits.get(type(request))
         if wait is not None:
             await wait(request)
-        return await self.answer_in_thread(peer, request)
+        return await self.answer_in_thread(frames, request)
 
     async def answer_in_thread(
-        self, peer: connections.Identity, request: codec.Message
-    ) -> codec.Message:
-        """Return the reply of a handler that may wait."""
-        reply: concurrent.futures.Future[codec.Message] = (
-            concurrent.futures.Future()
-        )
+        self, frames: frames_module.Frames, request: codec.Message
+    ) -> bytes:
+        """Return the reply of a handler that may wait, as a frame.
+
+        It is encoded there, too: large replies to forty instances would
+        hold up the heartbeats in the loop until peers take this instance
+        for gone.
+        """
+        reply: concurrent.futures.Future[bytes] = concurrent.futures.Future()
 
         def work() -> None:
             if not reply.set_running_or_notify_cancel():
                 # The connection was ended before the work began.
                 return
             try:
-                reply.set_result(self.router.answer(peer, request))
+                answer = self.router.answer(frames.peer, request)
+                reply.set_result(encoded(frames, answer))
             except Exception as error:
                 reply.set_exception(error)
 
         try:
             self.workers.submit(work)
         except worker_threads.NoThreadError as error:
-            return codec.Failed("overloaded", str(error))
+            return encoded(frames, codec.Failed("overloaded", str(error)))
         return await asyncio.wrap_future(reply)
 
     def connected(self) -> frozenset[str]:
@@ -274,12 +277,12 @@
     frames.max_bytes = codec.MAX_FRAME_BYTES
 
 
-def send(frames: frames_module.Frames, reply: codec.Message) -> None:
-    """Send a reply, or say that it cannot be carried."""
+def encoded(frames: frames_module.Frames, reply: codec.Message) -> bytes:
+    """Return a reply's frame, or one that says that it can't be carried."""
     try:
-        frames.send(reply)
+        return frames.encode(reply)
     except codec.CodecError as error:
         # Ending the connection instead would make the caller count
         # the call as lost, that is as one that may have run.
         log.warning("reply_not_carried", detail=str(error))
-        frames.send(codec.Failed("error", str(error)))
+        return frames.encode(codec.Failed("error", str(error)))
