--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -296,10 +296,7 @@
             for topic, cache in caches.items():
                 if self.tails[topic].next >= 0:
                     cache.resume(self.tails[topic])
-            # A thread may not be had; what counts as read is tried again
-            # by nobody.
-            for reader in readers.values():
-                reader.start()
+            start_all(readers.values())
             self.caches, self.reading = caches, readers
 
     def stop_unless_needed(self, names: list[str]) -> None:
@@ -317,3 +314,25 @@
             self.caches = {}
         for reader in stopped.values():
             reader.stop()
+
+
+def start_all(
+    readers: collections.abc.Collection[topic_reader.TopicReader],
+) -> None:
+    """Start all readers, or none.
+
+    Guard: a thread may not be had.  A topic without its reader would be
+    followed by nobody, since it counts as read.
+
+    Raises
+    ------
+    RuntimeError
+        When a thread can't be had.
+    """
+    try:
+        for reader in readers:
+            reader.start()
+    except RuntimeError:
+        for reader in readers:
+            reader.stop()
+        raise
--- a/tests/feeds/test_outages.py
+++ b/tests/feeds/test_outages.py
@@ -253,3 +253,34 @@
     store.away = False
     other.poller.step()
     assert not other.cache.away
+
+
+def test_reading_begins_with_all_topics_or_none(monkeypatch):
+    """The machine has no room for a thread as an instance begins to read.
+
+    One topic was read by nobody from then on.
+    """
+    store = test_sharing.Topic()
+    readers = test_sharing.Readers()
+    shared = sharing.SharedReads(
+        store, [TOPIC, OTHER_TOPIC], readers, "reader", clocks.ManualClock()
+    )
+    started = []
+    stopped = []
+
+    def start(reader):
+        if len(started) == 1:
+            raise RuntimeError("can't start new thread")
+        started.append(reader)
+
+    monkeypatch.setattr(topic_reader.TopicReader, "start", start)
+    monkeypatch.setattr(
+        topic_reader.TopicReader, "stop", lambda reader: stopped.append(reader)
+    )
+    with pytest.raises(RuntimeError):
+        shared.begin_reading()
+    assert started[0] in stopped
+    assert not shared.reading
+    started.append(None)
+    shared.begin_reading()
+    assert shared.reading.keys() == {TOPIC, OTHER_TOPIC}
