--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,8 +8,8 @@
 import msgspec
 import pytest
 
+from briarseam.feeds import record_cache
 from briarseam.feeds import records
-from briarseam.feeds import sharing
 from briarseam.platform import framing
 from briarseam.platform import store as stores
 
@@ -65,7 +65,7 @@
     assert batch.next == START + 3
     # Those who ask another instance are answered by offset, so each
     # record has its place, whether it can be read or not.
-    cache = sharing.RecordCache(lambda: 0.0)
+    cache = record_cache.RecordCache(lambda: 0.0)
     cache.begin(START)
     cache.take(batch)
     assert cache.read(START + 2, 0.0).records == (good,)
