Cache of records: what can be derived is no state of its own

Whether reading was begun follows from the time of the last confirmation, and whether there is something to go on from follows from the offset; the reader's two ways to begin anew are one.

--- a/src/briarseam/feeds/record_cache.py
+++ b/src/briarseam/feeds/record_cache.py
@@ -19,6 +19,8 @@
 MOST_RECORDS = 5000
 # Records that an instance keeps of what it follows: some seconds' worth.
 TAIL_RECORDS = 500
+# No offset is known yet.
+NOWHERE = -1
 
 
 class Missing(enum.Enum):
@@ -48,7 +50,7 @@
         self.records: collections.deque[records.KeyedRecord] = (
             collections.deque(maxlen=TAIL_RECORDS)
         )
-        self.next = -1
+        self.next = NOWHERE
 
     def note(self, start: int, batch: records.KeyedBatch) -> None:
         """Take in what was read from an offset on."""
@@ -68,34 +70,35 @@
 
     Attributes
     ----------
-    resumed
-        Whether the content is what this instance itself has followed.
-    begun
-        Whether the store has confirmed the content since reading began.
+    next
+        Offset behind the content; ``NOWHERE`` while there is none.
     away
         Whether the last read failed.
     confirmed_s
-        When the store last confirmed the content.
+        When the store last confirmed the content; ``None`` if it has not
+        since reading began.
     """
 
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         self.clock = clock
         self.changed = changes.Change()
-        self.next = 0
+        self.next = NOWHERE
         self.records: collections.deque[records.KeyedRecord] = (
             collections.deque(maxlen=MOST_RECORDS)
         )
-        self.resumed = False
-        self.begun = False
         self.away = False
-        self.confirmed_s = float("-inf")
+        self.confirmed_s: float | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether the store has confirmed the content at all."""
+        return self.confirmed_s is not None
 
     def resume(self, tail: Tail) -> None:
         """Go on from what was followed; nothing of it is confirmed yet."""
         with self.changed:
             self.records.extend(tail.records)
             self.next = tail.next
-            self.resumed = True
 
     def begin(self, start: int) -> None:
         """Begin anew at an offset."""
@@ -116,7 +119,6 @@
 
     def confirm(self) -> None:
         """Take note that the store answered; call it under the lock."""
-        self.begun = True
         self.away = False
         self.confirmed_s = self.clock()
 
@@ -131,7 +133,7 @@
 
     def left_s(self) -> float:
         """Return for how long the content is still current."""
-        if self.away:
+        if self.away or self.confirmed_s is None:
             return 0.0
         return self.confirmed_s + MAX_AGE_S - self.clock()
 
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -270,8 +270,7 @@
             return messages.UNKNOWN
         match cache.read(asked.start, 0.0):
             case records.KeyedBatch() as batch:
-                told = packing.told(batch, asked.unpacks)
-                return messages.UNKNOWN if told is None else told
+                return packing.told(batch, asked.unpacks) or messages.UNKNOWN
             case record_cache.Missing.AWAY:
                 return messages.AWAY
             case record_cache.Missing.UNKNOWN:
@@ -295,8 +294,7 @@
                 for topic, cache in caches.items()
             }
             for topic, cache in caches.items():
-                if self.tails[topic].next >= 0:
-                    cache.resume(self.tails[topic])
+                cache.resume(self.tails[topic])
             start_all(readers.values())
             self.caches, self.reading = caches, readers
 
--- a/src/briarseam/feeds/topic_reader.py
+++ b/src/briarseam/feeds/topic_reader.py
@@ -114,15 +114,18 @@
 
     def ask(self) -> float:
         """Ask the store; return the pause to the next time."""
-        if not self.cache.begun and not self.cache.resumed:
-            self.cache.begin(self.store.newest(self.topic).next)
-            return 0.0
+        if self.cache.next == record_cache.NOWHERE:
+            return self.begin_anew()
         wait_s = WAIT_S if self.cache.begun else 0.0
         try:
             batch = self.store.read_keyed(self.topic, self.cache.next, wait_s)
         except records.RecordsExpiredError as error:
             log.warning("records_expired", topic=self.topic, detail=str(error))
-            self.cache.begin(self.store.newest(self.topic).next)
-            return 0.0
+            return self.begin_anew()
         self.cache.take(batch)
         return PAUSE_S if batch.records else 0.0
+
+    def begin_anew(self) -> float:
+        """Begin where the topic ends now; return the pause after that."""
+        self.cache.begin(self.store.newest(self.topic).next)
+        return 0.0
