--- a/src/briarseam/changes.py
+++ b/src/briarseam/changes.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import threading
 import typing
 
+from briarseam.wire import event_loop
+
 Sleepers = set["asyncio.Future[None]"]
 
 
@@ -30,7 +33,7 @@
         super().notify_all()
         sleepers, self.sleepers = self.sleepers, {}
         for loop, futures in sleepers.items():
-            wake_soon(loop, futures)
+            event_loop.call_soon(loop, functools.partial(wake, futures))
 
     async def reached(
         self, condition: typing.Callable[[], bool], timeout_s: float
@@ -71,16 +74,8 @@
                 self.sleepers.pop(loop, None)
 
 
-def wake_soon(loop: asyncio.AbstractEventLoop, futures: Sleepers) -> None:
-    """Wake coroutines of a loop, all with one call to it."""
-
-    def wake() -> None:
-        for future in futures:
-            if not future.done():
-                future.set_result(None)
-
-    try:
-        loop.call_soon_threadsafe(wake)
-    except RuntimeError:
-        if not loop.is_closed():
-            raise
+def wake(futures: Sleepers) -> None:
+    """Wake coroutines; call it in their loop."""
+    for future in futures:
+        if not future.done():
+            future.set_result(None)
--- a/src/briarseam/membership/calling.py
+++ b/src/briarseam/membership/calling.py
@@ -5,6 +5,8 @@
 import dataclasses
 import typing
 
+from briarseam.wire import client as clients
+
 if typing.TYPE_CHECKING:
     from briarseam.wire import connection as connections
 
@@ -29,3 +31,11 @@
     key: bytes
     reply_timeout_s: float
     stamps: connections.Clock | None
+
+    def client(
+        self, address: str, max_idle: int = clients.DEFAULT_MAX_IDLE
+    ) -> clients.Client:
+        """Return a new client of the agent at an address."""
+        return clients.Client(
+            address, self.identity, self.key, max_idle, self.stamps
+        )
--- a/src/briarseam/membership/gossip.py
+++ b/src/briarseam/membership/gossip.py
@@ -19,7 +19,6 @@
 
 from briarseam.membership import directory as directories
 from briarseam.membership import messages
-from briarseam.wire import client as clients
 from briarseam.wire import connection as connections
 
 if typing.TYPE_CHECKING:
@@ -186,9 +185,7 @@
     ) -> bool:
         """Exchange with one agent; tell whether it answered."""
         calling = self.parts.calling
-        client = clients.Client(
-            partner.address, calling.identity, calling.key, 0, calling.stamps
-        )
+        client = calling.client(partner.address, max_idle=0)
         asked = messages.CellsAsked(self.directory.stamps(), news)
         try:
             reply = client.call(asked, calling.reply_timeout_s)
--- a/src/briarseam/membership/service.py
+++ b/src/briarseam/membership/service.py
@@ -24,13 +24,13 @@
 from briarseam.membership import suspicion
 from briarseam.membership import table as tables
 from briarseam.membership import view as views
-from briarseam.wire import client as clients
 from briarseam.wire import connection as connections
 from briarseam.wire import event_loop
 
 if typing.TYPE_CHECKING:
     from briarseam import malformed
     from briarseam.backing import instances as platform
+    from briarseam.wire import client as clients
     from briarseam.wire import codec
     from briarseam.wire import server
 
@@ -97,7 +97,7 @@
         self.owns_loop = loop is None
         self.loop = loop or event_loop.EventLoop("heartbeats")
         self.key = key
-        self.seeds = seeds
+        self.seeds = [seed for seed in seeds if seed != me.agent_address]
         self.heartbeat_interval_s = heartbeat_interval_s
         self.suspect_after_s = suspect_after_s
         # A change is pushed from cell to cell within a beat or less, and
@@ -297,13 +297,7 @@
         with self.lock:
             found = self.clients.get(name)
             if found is None or found.address != address:
-                found = clients.Client(
-                    address,
-                    self.identity,
-                    self.key,
-                    clock=self.calling.stamps,
-                )
-                self.clients[name] = found
+                found = self.clients[name] = self.calling.client(address)
             return found
 
     def register(self, router: server.Router) -> None:
@@ -396,16 +390,9 @@
     def confirm(self) -> None:
         """Ask others about suspects; ask seeds while no peer is heard."""
         suspicion.confirm(self.table, self.ask)
-        self.ask_seeds()
+        if len(self.snapshot) <= 1:
+            seed_calls.ask(self.seeds, self.calling, self.hearing)
 
     def ask(self, name: str, request: codec.Message) -> codec.Message:
         """Call a member and return its reply."""
         return self.client(name).call(request, self.calling.reply_timeout_s)
-
-    def ask_seeds(self) -> None:
-        """Learn of peers from the seeds while no peer is heard."""
-        if len(self.snapshot) > 1:
-            return
-        me = self.settings.agent_address
-        others = [address for address in self.seeds if address != me]
-        seed_calls.ask(others, self.calling, self.hearing)
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -119,7 +119,7 @@
             # It was configured when the request came, and waited since.
             return no_choice(f"{ask.model} is not configured any more")
         found = self.eligible(view, ask) or self.eligible(
-            view, among_refused(ask)
+            view, ask.with_refused()
         )
         if found is None:
             version = ask.version or model.version
@@ -391,18 +391,6 @@
             self.prefixes.truncate(choice.endpoint, choice.keys, choice.have)
 
 
-def among_refused(ask: state.PromptAsk) -> state.PromptAsk:
-    """Return a prompt's question with engines that refused it included.
-
-    Guard: in a rollout a prompt is refused by each engine that is just
-    changing its weights.  Were these excluded for good, the prompt would be
-    told that there is no endpoint once they are the first with the new
-    weights.  An engine that was lost stays excluded, and each try counts
-    against the budget of retries.
-    """
-    return dataclasses.replace(ask, excluded=ask.excluded - ask.refused)
-
-
 def no_choice(detail: str) -> state.NoChoice:
     """Return the outcome when nothing can take a request."""
     return state.NoChoice(detail, RETRY_AFTER_S)
--- a/src/briarseam/routing/state.py
+++ b/src/briarseam/routing/state.py
@@ -42,6 +42,17 @@
     refused: frozenset[str] = frozenset()
     only: str = ""
 
+    def with_refused(self) -> PromptAsk:
+        """Return the same with the endpoints that refused it let in again.
+
+        Guard: in a rollout a prompt is refused by each engine that is just
+        changing its weights.  Were these excluded for good, the prompt would
+        be told that there is no endpoint once they are the first with the
+        new weights.  An engine that was lost stays excluded, and each try
+        counts against the budget of retries.
+        """
+        return dataclasses.replace(self, excluded=self.excluded - self.refused)
+
 
 @dataclasses.dataclass(frozen=True)
 class CallAsk:
--- a/src/briarseam/wire/event_loop.py
+++ b/src/briarseam/wire/event_loop.py
@@ -62,11 +62,7 @@
 
         Nothing happens once the loop has ended.
         """
-        try:
-            self.loop.call_soon_threadsafe(function)
-        except RuntimeError:
-            if not self.loop.is_closed():
-                raise
+        call_soon(self.loop, function)
 
     def spawn(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, Result]
@@ -75,6 +71,17 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
 
 
+def call_soon(
+    loop: asyncio.AbstractEventLoop, function: typing.Callable[[], object]
+) -> None:
+    """Call a function in a loop's thread, unless the loop has ended."""
+    try:
+        loop.call_soon_threadsafe(function)
+    except RuntimeError:
+        if not loop.is_closed():
+            raise
+
+
 async def cancel_all() -> None:
     """Cancel all tasks but this one and wait for their ends."""
     tasks = asyncio.all_tasks() - {asyncio.current_task()}
--- a/src/briarseam/wire/server.py
+++ b/src/briarseam/wire/server.py
@@ -103,13 +103,8 @@
         try:
             return handler(peer, request)
         except Exception as error:
-            return failed(request, error)
-
-
-def failed(request: codec.Message, error: Exception) -> codec.Failed:
-    """Return what the caller is told of a handler's fault; log it."""
-    log.error("handler_failed", message=type(request).__name__, exc_info=error)
-    return codec.Failed("error", f"{type(error).__name__}: {error}")
+            log.exception("handler_failed", message=type(request).__name__)
+            return codec.Failed("error", f"{type(error).__name__}: {error}")
 
 
 class Server:
