--- a/src/briarseam/backoff.py
+++ b/src/briarseam/backoff.py
@@ -5,6 +5,14 @@
 import random
 
 
+def jittered(pause_s: float, part: float) -> float:
+    """Return a pause that differs by up to a part of itself either way.
+
+    Many callers that began together then do not act together for ever.
+    """
+    return pause_s * random.uniform(1 - part, 1 + part)
+
+
 class Backoff:
     """Gives the pauses; used by one thread.
 
@@ -35,4 +43,4 @@
         """Return the next pause; the one after it is twice as long."""
         pause_s = self.pause_s
         self.pause_s = min(2 * pause_s, self.most_s)
-        return pause_s * random.uniform(1 - self.jitter, 1 + self.jitter)
+        return jittered(pause_s, self.jitter)
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-import random
 import threading
 import typing
 
 import structlog
 
+from briarseam import backoff
 from briarseam import clocks
 from briarseam.feeds import packing
 from briarseam.feeds import record_cache
@@ -170,8 +170,8 @@
         if now_s < self.direct_until_s:
             batch = self.read_directly(topic, start, wait_s)
         elif now_s >= self.own_try_s:
-            jitter = random.uniform(1 - OWN_TRY_JITTER, 1 + OWN_TRY_JITTER)
-            self.own_try_s = now_s + OWN_TRY_S * jitter
+            pause_s = backoff.jittered(OWN_TRY_S, OWN_TRY_JITTER)
+            self.own_try_s = now_s + pause_s
             # Were the store silent, a long poll would hold up the follower.
             batch = self.read_directly(topic, start, 0.0)
         else:
--- a/src/briarseam/membership/gossip.py
+++ b/src/briarseam/membership/gossip.py
@@ -17,6 +17,7 @@
 import structlog
 import xxhash
 
+from briarseam import backoff
 from briarseam.membership import directory as directories
 from briarseam.membership import messages
 from briarseam.wire import connection as connections
@@ -104,8 +105,7 @@
                 # A fault of ours must not end the thread: other cells
                 # would stay as they were heard last.
                 log.exception("exchange_failed")
-            jitter = random.uniform(1 - JITTER, 1 + JITTER)
-            self.wake.wait(self.parts.interval_s * jitter)
+            self.wake.wait(backoff.jittered(self.parts.interval_s, JITTER))
             self.wake.clear()
 
     def step(self) -> None:
--- a/src/briarseam/membership/listing.py
+++ b/src/briarseam/membership/listing.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import random
 import threading
 import typing
 
 import structlog
 
+from briarseam import backoff
 from briarseam.backing import instances
 
 INTERVAL_S = 2.0
@@ -103,7 +103,7 @@
     def pause_s(self, size: int) -> float:
         """Return the time to the next read."""
         pause_s = max(self.interval_s, size / self.bytes_per_s)
-        return pause_s * random.uniform(1 - JITTER, 1 + JITTER)
+        return backoff.jittered(pause_s, JITTER)
 
     def note_available(self, available: bool, detail: str) -> None:
         """Log a change of the list's availability, once."""
--- a/src/briarseam/membership/peer.py
+++ b/src/briarseam/membership/peer.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import dataclasses
-import random
 import typing
 
 import structlog
 
+from briarseam import backoff
 from briarseam.membership import messages
 from briarseam.wire import connection as connections
 from briarseam.wire import frames as frames_module
@@ -168,9 +168,7 @@
         """
         interval_s = self.parts.interval_s()
         backoff_s = min(interval_s * self.failures, MAX_BACKOFF_S)
-        return max(interval_s, backoff_s) * random.uniform(
-            1 - JITTER, 1 + JITTER
-        )
+        return backoff.jittered(max(interval_s, backoff_s), JITTER)
 
     async def beat(self) -> None:
         """Send one heartbeat and take in the reply.
