--- /dev/null
+++ b/tests/feeds/made.py
@@ -0,0 +1,65 @@
+"""A store with one topic and the instances of a cell, made for tests."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from briarseam.feeds import records
+from briarseam.feeds import sharing
+
+TOPIC = "keyed.servers"
+
+
+def record(number, value=b"x"):
+    return records.KeyedRecord(f"key-{number}", value)
+
+
+class Topic:
+    """A store with one topic, that counts its calls."""
+
+    def __init__(self):
+        self.records = [record(number) for number in range(3)]
+        self.calls = 0
+        self.away = False
+
+    def newest(self, topic):
+        self.check()
+        return records.KeyedBatch(tuple(self.records), len(self.records))
+
+    def read_keyed(self, topic, start, wait_s):
+        self.check()
+        found = tuple(self.records[start:])
+        return records.KeyedBatch(found, start + len(found))
+
+    def check(self):
+        self.calls += 1
+        if self.away:
+            raise records.StoreUnavailableError("away")
+
+
+class Readers:
+    """The instances of a cell, by name."""
+
+    def __init__(self):
+        self.instances = {}
+        self.named = ["reader"]
+        self.total = sharing.SHARED_FROM
+        self.silent = False
+        self.asked = 0
+
+    def count(self):
+        return self.total
+
+    def topic_readers(self):
+        return self.named
+
+    def read_topic(self, reader, asked, timeout_s):
+        self.asked += 1
+        if self.silent:
+            raise sharing.ReaderUnavailableError("silent")
+        now = msgspec.structs.replace(asked, wait_s=0.0)
+        instance = self.instances[reader]
+        asyncio.run(instance.await_answer(now))
+        return instance.answer(now)
--- a/tests/feeds/test_outages.py
+++ b/tests/feeds/test_outages.py
@@ -9,9 +9,9 @@
 from briarseam.feeds import sharing
 from briarseam.feeds import topic_reader
 from tests import clocks
-from tests.feeds import test_sharing
+from tests.feeds import made
 
-TOPIC = test_sharing.TOPIC
+TOPIC = made.TOPIC
 OTHER_TOPIC = "keyed.op"
 ASKERS = 30
 READERS = ("first", "second", "third")
@@ -51,8 +51,8 @@
 
     def __init__(self, clock):
         self.clock = clock
-        self.topic = test_sharing.Topic()
-        self.readers = test_sharing.Readers()
+        self.topic = made.Topic()
+        self.readers = made.Readers()
         self.readers.named = list(READERS)
         names = (*READERS, *(f"asker-{n}" for n in range(ASKERS)))
         self.stores = {name: StoreOf(self.topic) for name in names}
@@ -103,17 +103,17 @@
         return sum(store.calls for store in self.stores.values())
 
     def write(self, number):
-        self.topic.records.append(test_sharing.record(number))
+        self.topic.records.append(made.record(number))
 
 
 @pytest.fixture
 def cell(monkeypatch):
     monkeypatch.setattr(topic_reader.TopicReader, "start", lambda self: None)
-    made = Cell(clocks.ManualClock())
+    cell = Cell(clocks.ManualClock())
     # At first, before anything is read, all three begin to read.
-    made.pass_time(sharing.UNASKED_S + 3.0)
-    made.forget_calls()
-    return made
+    cell.pass_time(sharing.UNASKED_S + 3.0)
+    cell.forget_calls()
+    return cell
 
 
 def test_one_instance_of_a_cell_reads(cell):
@@ -219,7 +219,7 @@
 
 
 def test_one_topic_asks_whether_the_store_is_back():
-    store = test_sharing.Topic()
+    store = made.Topic()
     clock = clocks.ManualClock()
     gate = topic_reader.OutageGate()
     one = reader_of(store, TOPIC, gate, clock)
@@ -243,7 +243,7 @@
 
 
 def test_lost_answer_of_one_topic_does_not_hold_up_the_others():
-    store = test_sharing.Topic()
+    store = made.Topic()
     clock = clocks.ManualClock()
     gate = topic_reader.OutageGate()
     one = reader_of(store, TOPIC, gate, clock)
@@ -260,8 +260,8 @@
 
     One topic was read by nobody from then on.
     """
-    store = test_sharing.Topic()
-    readers = test_sharing.Readers()
+    store = made.Topic()
+    readers = made.Readers()
     shared = sharing.SharedReads(
         store, [TOPIC, OTHER_TOPIC], readers, "reader", clocks.ManualClock()
     )
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import threading
 
-import msgspec
 import pytest
 
 from briarseam.feeds import packing
@@ -17,64 +15,11 @@
 from briarseam.feeds import topic_reader
 from briarseam.testing import waiting
 from tests import clocks
+from tests.feeds import made
 
-TOPIC = "keyed.servers"
 LONG_S = 5.0
 
 
-def record(number, value=b"x"):
-    return records.KeyedRecord(f"key-{number}", value)
-
-
-class Topic:
-    """A store with one topic, that counts its calls."""
-
-    def __init__(self):
-        self.records = [record(number) for number in range(3)]
-        self.calls = 0
-        self.away = False
-
-    def newest(self, topic):
-        self.check()
-        return records.KeyedBatch(tuple(self.records), len(self.records))
-
-    def read_keyed(self, topic, start, wait_s):
-        self.check()
-        found = tuple(self.records[start:])
-        return records.KeyedBatch(found, start + len(found))
-
-    def check(self):
-        self.calls += 1
-        if self.away:
-            raise records.StoreUnavailableError("away")
-
-
-class Readers:
-    """The instances of a cell, by name."""
-
-    def __init__(self):
-        self.instances = {}
-        self.named = ["reader"]
-        self.total = sharing.SHARED_FROM
-        self.silent = False
-        self.asked = 0
-
-    def count(self):
-        return self.total
-
-    def topic_readers(self):
-        return self.named
-
-    def read_topic(self, reader, asked, timeout_s):
-        self.asked += 1
-        if self.silent:
-            raise sharing.ReaderUnavailableError("silent")
-        now = msgspec.structs.replace(asked, wait_s=0.0)
-        instance = self.instances[reader]
-        asyncio.run(instance.await_answer(now))
-        return instance.answer(now)
-
-
 @pytest.fixture
 def clock():
     return clocks.ManualClock()
@@ -82,12 +27,12 @@
 
 @pytest.fixture
 def topic():
-    return Topic()
+    return made.Topic()
 
 
 @pytest.fixture
 def readers():
-    return Readers()
+    return made.Readers()
 
 
 @pytest.fixture
@@ -99,7 +44,7 @@
     monkeypatch.setattr(topic_reader.TopicReader, "start", lambda self: None)
     for name in ("reader", "asker"):
         readers.instances[name] = sharing.SharedReads(
-            topic, [TOPIC], readers, name, clock
+            topic, [made.TOPIC], readers, name, clock
         )
     return readers.instances
 
@@ -107,8 +52,8 @@
 def read_on(cell):
     """Let the reader read what is new."""
     with_reader = cell["reader"]
-    with_reader.read_keyed(TOPIC, 0, 0.0)
-    reader = with_reader.reading[TOPIC]
+    with_reader.read_keyed(made.TOPIC, 0, 0.0)
+    reader = with_reader.reading[made.TOPIC]
     if not reader.cache.begun:
         reader.read_once()
     reader.read_once()
@@ -116,20 +61,20 @@
 
 def test_records_come_from_the_reader(cell, topic):
     read_on(cell)
-    topic.records.append(record(3))
+    topic.records.append(made.record(3))
     read_on(cell)
     topic.calls = 0
-    batch = cell["asker"].read_keyed(TOPIC, 3, 0.0)
-    assert batch == records.KeyedBatch((record(3),), 4)
-    assert cell["asker"].read_keyed(TOPIC, 4, 0.0).records == ()
+    batch = cell["asker"].read_keyed(made.TOPIC, 3, 0.0)
+    assert batch == records.KeyedBatch((made.record(3),), 4)
+    assert cell["asker"].read_keyed(made.TOPIC, 4, 0.0).records == ()
     assert topic.calls == 0
 
 
 def test_who_is_behind_reads_the_store_itself(cell, topic):
     read_on(cell)
     topic.calls = 0
-    batch = cell["asker"].read_keyed(TOPIC, 1, 0.0)
-    assert batch == records.KeyedBatch((record(1), record(2)), 3)
+    batch = cell["asker"].read_keyed(made.TOPIC, 1, 0.0)
+    assert batch == records.KeyedBatch((made.record(1), made.record(2)), 3)
     assert topic.calls == 1
 
 
@@ -139,9 +84,11 @@
     The others would serve it until the reader notices.
     """
     read_on(cell)
-    topic.records.append(record(3))
+    topic.records.append(made.record(3))
     clock.now_s += record_cache.MAX_AGE_S + 0.1
-    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records == (record(3),)
+    assert cell["asker"].read_keyed(made.TOPIC, 3, 0.0).records == (
+        made.record(3),
+    )
 
 
 def test_outage_that_the_reader_sees_is_seen_by_all(cell, topic):
@@ -151,23 +98,23 @@
     """
     read_on(cell)
     topic.away = True
-    cell["reader"].reading[TOPIC].poller.step()
+    cell["reader"].reading[made.TOPIC].poller.step()
     with pytest.raises(records.StoreUnavailableError):
-        cell["asker"].read_keyed(TOPIC, 3, 0.0)
+        cell["asker"].read_keyed(made.TOPIC, 3, 0.0)
 
 
 def test_silent_reader_is_left_alone_for_a_while(cell, topic, readers, clock):
     """The reader is suspended; each read would wait for it first."""
     read_on(cell)
     readers.silent = True
-    topic.records.append(record(3))
+    topic.records.append(made.record(3))
     for _ in range(3):
-        assert cell["asker"].read_keyed(TOPIC, 3, 0.0).next == 4
+        assert cell["asker"].read_keyed(made.TOPIC, 3, 0.0).next == 4
     assert readers.asked == 1
     readers.silent = False
     clock.now_s += sharing.AVOID_S + 0.1
     read_on(cell)
-    assert cell["asker"].read_keyed(TOPIC, 4, 0.0).next == 4
+    assert cell["asker"].read_keyed(made.TOPIC, 4, 0.0).next == 4
     assert readers.asked == 2
 
 
@@ -175,7 +122,7 @@
     """Two instances each take the other one for the reader."""
     readers.named = ["asker"]
     assert (
-        cell["reader"].answer(messages.RecordsAsked(TOPIC, 0, 0.0))
+        cell["reader"].answer(messages.RecordsAsked(made.TOPIC, 0, 0.0))
         == messages.UNKNOWN
     )
 
@@ -184,9 +131,9 @@
     read_on(cell)
     readers.instances["other"] = cell["asker"]
     readers.named = ["other"]
-    cell["reader"].read_keyed(TOPIC, 3, 0.0)
+    cell["reader"].read_keyed(made.TOPIC, 3, 0.0)
     assert not cell["reader"].reading
-    asked = messages.RecordsAsked(TOPIC, 3, 0.0)
+    asked = messages.RecordsAsked(made.TOPIC, 3, 0.0)
     assert cell["reader"].answer(asked) == messages.UNKNOWN
 
 
@@ -199,13 +146,13 @@
     thread ended, and its topic was followed no more.
     """
     monkeypatch.setattr(cell["reader"], "begin_reading", cell["reader"].stop)
-    assert cell["reader"].read_keyed(TOPIC, 0, 0.0).next == 3
+    assert cell["reader"].read_keyed(made.TOPIC, 0, 0.0).next == 3
     assert topic.calls == 1
 
 
 def test_small_deployment_reads_the_store_itself(cell, topic, readers):
     readers.total = sharing.SHARED_FROM - 1
-    assert cell["asker"].read_keyed(TOPIC, 0, 0.0).next == 3
+    assert cell["asker"].read_keyed(made.TOPIC, 0, 0.0).next == 3
     assert (topic.calls, readers.asked) == (1, 0)
 
 
@@ -216,10 +163,12 @@
     """
     read_on(cell)
     noise = random.Random(1).randbytes(packing.MOST_BYTES + 1)
-    topic.records.append(record(3, noise))
+    topic.records.append(made.record(3, noise))
     read_on(cell)
     topic.calls = 0
-    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records[0].value == noise
+    assert (
+        cell["asker"].read_keyed(made.TOPIC, 3, 0.0).records[0].value == noise
+    )
     assert topic.calls == 1
 
 
@@ -233,11 +182,11 @@
         for number in range(2000)
     )
     assert len(text) > packing.MOST_BYTES
-    topic.records.append(record(3, text))
+    topic.records.append(made.record(3, text))
     read_on(cell)
     topic.calls = 0
-    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records == (
-        record(3, text),
+    assert cell["asker"].read_keyed(made.TOPIC, 3, 0.0).records == (
+        made.record(3, text),
     )
     assert topic.calls == 0
 
@@ -245,9 +194,9 @@
 def test_instance_that_cannot_unpack_is_told_as_before(cell, topic):
     read_on(cell)
     text = b"x" * packing.PACK_FROM_BYTES
-    topic.records.append(record(3, text))
+    topic.records.append(made.record(3, text))
     read_on(cell)
-    asked = messages.RecordsAsked(TOPIC, 3, 0.0)
+    asked = messages.RecordsAsked(made.TOPIC, 3, 0.0)
     told = cell["reader"].answer(asked)
     assert told.records == (("key-3", text),)
     assert told.packed == ()
@@ -257,8 +206,10 @@
     """A reader's answer is damaged; the records come from the store."""
     broken = messages.RecordsTold(True, (("key-3", b"no"),), 4, packed=(0,))
     readers.read_topic = lambda reader, asked, timeout_s: broken
-    topic.records.append(record(3))
-    assert cell["asker"].read_keyed(TOPIC, 3, 0.0).records == (record(3),)
+    topic.records.append(made.record(3))
+    assert cell["asker"].read_keyed(made.TOPIC, 3, 0.0).records == (
+        made.record(3),
+    )
 
 
 def test_question_waits_for_a_record(clock):
@@ -270,6 +221,6 @@
     )
     asking.start()
     waiting.until(lambda: cache.changed._waiters, what="it waits")
-    cache.take(records.KeyedBatch((record(7),), 8))
+    cache.take(records.KeyedBatch((made.record(7),), 8))
     asking.join(LONG_S)
-    assert told == [records.KeyedBatch((record(7),), 8)]
+    assert told == [records.KeyedBatch((made.record(7),), 8)]
