Log the size of a prompt with its end; delays by size of prompts

Refusals for want of room named neither the prompt's size nor how full an engine may get, so that logs could not tell whether large prompts are refused more often or fail after they were sent. request_ended has memory_tokens, no-room has the bound, and `briarseam delays --by size` lists how the largest tenth, the fifth below it and the others of each kind ended.

--- a/src/briarseam/command/delays.py
+++ b/src/briarseam/command/delays.py
@@ -10,6 +10,7 @@
 from briarseam.command import output
 from briarseam.delays import lines
 from briarseam.delays import sends
+from briarseam.delays import sizes
 from briarseam.delays import summary
 
 GROUP_HEADERS = (
@@ -28,7 +29,17 @@
     "refused",
 )
 REASON_HEADERS = ("reason", "route", "refused", "from s", "to s", "example")
+SIZE_HEADERS = (
+    "route",
+    "size",
+    "from tokens",
+    "to tokens",
+    "requests",
+    "answered",
+    "refused",
+)
 REASON = "reason"
+SIZE = "size"
 # Short enough to see a fault of some seconds, long enough for some sends.
 WINDOW_S = 2.0
 NOTHING = "-"
@@ -39,9 +50,11 @@
     log_files.add_logs(parser)
     parser.add_argument(
         "--by",
-        choices=[*(one.value for one in summary.By), REASON],
+        choices=[*(one.value for one in summary.By), REASON, SIZE],
         default=summary.By.ROUTE.value,
-        help="what a row tells of; reason: the refusals alone",
+        metavar="WHAT",
+        help="what a row tells of: route, second, endpoint, reason (of "
+        "refusals) or size (of prompts)",
     )
     parser.add_argument(
         "--window",
@@ -72,6 +85,9 @@
     if not read.lines:
         print("no line about a request", file=sys.stderr)
         return 1
+    if args.by == SIZE:
+        print_sizes(args, sizes.classes(read.lines))
+        return 0
     joined = sends.join(read.lines)
     if args.by == REASON:
         print_reasons(args, summary.reasons(joined))
@@ -133,6 +149,28 @@
     output.print_records(args, REASON_HEADERS, rows)
 
 
+def print_sizes(
+    args: argparse.Namespace, classes: list[sizes.SizeClass]
+) -> None:
+    """Print a row for each kind of request and part of its sizes."""
+    if getattr(args, "json", False):
+        output.print_json(classes)
+        return
+    rows = [
+        (
+            one.route,
+            one.size,
+            str(one.least_tokens),
+            str(one.most_tokens),
+            str(one.requests),
+            str(one.answered),
+            str(one.refused),
+        )
+        for one in classes
+    ]
+    output.print_records(args, SIZE_HEADERS, rows)
+
+
 def whole(value: float | None) -> str:
     """Return a value without its fraction, a dash for none."""
     return NOTHING if value is None else f"{value:.0f}"
--- a/src/briarseam/delays/lines.py
+++ b/src/briarseam/delays/lines.py
@@ -71,6 +71,9 @@
         What the caller got.
     took_ms
         Time from its arrival, in ms.
+    memory_tokens
+        Memory of an engine that its prompt and answer may take, in tokens;
+        ``None`` for a request without a prompt.
     """
 
     timestamp: datetime.datetime
@@ -80,6 +83,7 @@
     steps: tuple[str, ...]
     outcome: str
     took_ms: int
+    memory_tokens: int | None = None
 
 
 class RequestRefused(
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -364,6 +364,7 @@
             steps=work.steps,
             outcome=ended,
             took_ms=round(took_s * 1000),
+            **work.size(),
         )
 
 
--- a/src/briarseam/forwarding/work.py
+++ b/src/briarseam/forwarding/work.py
@@ -173,6 +173,12 @@
             self.progress.events_sent,
         )
 
+    def size(self) -> dict[str, int]:
+        """Return how large its prompt is, for the log."""
+        if self.call.prompt is None:
+            return {}
+        return {"memory_tokens": placements.memory_of(self.call.prompt)}
+
 
 def may_go_on(work: Work) -> bool:
     """Tell whether a request may go to another endpoint."""
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -173,7 +173,7 @@
             if best is not None and not best.is_old:
                 break
         if best is None:
-            return requests.Full(least_fill, len(candidates))
+            return requests.Full(least_fill, ask.most_fill, len(candidates))
         return self.placement(ask, best)
 
     def plan(
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -110,18 +110,21 @@
 
     Attributes
     ----------
-    least_fill
-        How full the emptiest engine's memory would be with the request.
+    least_fill, most_fill
+        How full the emptiest engine's memory would be with the request, and
+        how full it may be.
     engines
         How many were looked at.
     """
 
     least_fill: float
+    most_fill: float
     engines: int
 
     def __str__(self) -> str:
         """Return what decided, for the log."""
-        return f"least-fill={self.least_fill:.2f} engines={self.engines}"
+        fill = f"least-fill={self.least_fill:.2f} of {self.most_fill:.2f}"
+        return f"{fill} engines={self.engines}"
 
 
 def memory_of(prompt: calls.Prompt) -> int:
--- a/tests/command/test_delays.py
+++ b/tests/command/test_delays.py
@@ -12,7 +12,8 @@
 
 LOG = [
     made.sent_prompt(1, "r1"),
-    "  1.5 a " + made.ended(2, "r1", "e1:answered-200 first=700ms"),
+    "  1.5 a "
+    + made.ended(2, "r1", "e1:answered-200 first=700ms", memory_tokens=990),
     "no structured line {",
     made.refused(3, "r2", "unauthenticated"),
 ]
@@ -32,7 +33,9 @@
     assert (ask["name"], ask["first_p50_ms"]) == ("ask", 700)
 
 
-@pytest.mark.parametrize("by", ["route", "second", "endpoint", "reason"])
+@pytest.mark.parametrize(
+    "by", ["route", "second", "endpoint", "reason", "size"]
+)
 def test_every_table_fits_a_phone(log, capsys, by):
     assert run.run(["delays", log, "--by", by, "--narrow"]) == 0
     printed = capsys.readouterr().out
