Test: the largest prompts are starved by smaller ones (known red)

Callers of the largest tenth of a kind of prompt are served less than half as often as all callers of that kind once engines are short of memory. With the same load, what an engine's memory has free is taken by the next prompt that is small enough.

--- a/tests/placement/playing.py
+++ b/tests/placement/playing.py
@@ -43,6 +43,10 @@
 # After the last arrival, for answers under way.
 LINGER_S = 10.0
 SESSIONS = 400
+# The largest session, as a multiple of the mean.
+MOST_SPREAD = 2.7
+# How often a prompt without room looks again.
+ROOM_POLL_S = 0.05
 ROUTE = routes.Route(
     "r",
     "h",
@@ -74,6 +78,9 @@
         How long it runs then.
     deadline_s
         How long its caller waits.
+    spread
+        Of the sessions' sizes around `shared`, as the sigma of a log-normal
+        distribution.
     """
 
     name: str
@@ -83,6 +90,15 @@
     aim_s: float
     stream_s: float
     deadline_s: float
+    spread: float = 0.0
+
+    def shared_of(self, session: str) -> int:
+        """Return the tokens of a session."""
+        if not self.spread:
+            return self.shared
+        mean = -(self.spread**2) / 2
+        factor = random.Random(session).lognormvariate(mean, self.spread)
+        return round(self.shared * min(factor, MOST_SPREAD))
 
 
 LONG = Kind("long", 15.0, 7500, 1700, 0.8, 0.3, 6.0)
@@ -109,11 +125,14 @@
         When.
     first_s
         Seconds until the first event; ``None`` for a refusal.
+    tokens
+        Size of the prompt.
     """
 
     kind: Kind
     at_s: float
     first_s: float | None
+    tokens: int = 0
 
     @property
     def in_time(self) -> bool:
@@ -132,10 +151,13 @@
         the interval of telling it.
     at_once
         Whether each change is told, not each interval's last.
+    hold_s
+        How long a prompt waits for room.
     """
 
     told_after_s: float = 0.03
     at_once: bool = True
+    hold_s: float = 0.0
 
 
 class Play:
@@ -151,6 +173,8 @@
         Whether the stores keep the sessions' parts.
     slow_s
         From when to when the first store is four times as slow.
+    memory_tokens
+        Of each engine.
     """
 
     def __init__(
@@ -159,6 +183,7 @@
         policy: Policy,
         kept: bool,
         slow_s: tuple[float, float] = (0.0, 0.0),
+        memory_tokens: int = MEMORY_TOKENS,
     ) -> None:
         self.random = random.Random(seed)
         self.policy = policy
@@ -176,7 +201,7 @@
         self.service = routes.Service(
             "engines",
             engine=routes.EngineTraits(
-                (MODEL,), 64, MEMORY_TOKENS, 163_840.0, 280_000.0
+                (MODEL,), 64, memory_tokens, 163_840.0, 280_000.0
             ),
         )
         self.instances = [self.instance() for _ in range(INSTANCES)]
@@ -240,33 +265,52 @@
         chooser = self.random.choice(self.instances)
         session = f"{kind.name}-{self.random.randrange(SESSIONS)}"
         own = f"own-{next(self.order)}"
+        shared = kind.shared_of(session)
         prompt = calls.Prompt(
             MODEL,
-            kind.shared + kind.own,
+            shared + kind.own,
             20,
             (
-                calls.PromptPart(session, kind.shared),
+                calls.PromptPart(session, shared),
                 calls.PromptPart(own, kind.own),
             ),
         )
         request = requests.Request(
             calls.Call(own, "POST", "/", "h", (), prompt=prompt),
-            ROUTE,
+            dataclasses.replace(ROUTE, name=kind.name),
             self.service,
             None,
             kind.aim_s,
         )
+        self.place(chooser, kind, request, self.now_s())
+
+    def place(
+        self,
+        chooser: choosers.Chooser,
+        kind: Kind,
+        request: requests.Request,
+        at_s: float,
+    ) -> None:
+        """Send a prompt to an engine, or let it wait for room."""
+        prompt = request.call.prompt
         placed = chooser.choose(request)
         if not isinstance(placed, requests.Placement):
-            self.results.append(Result(kind, self.now_s(), None))
+            again_s = self.now_s() + ROOM_POLL_S
+            if again_s <= at_s + self.policy.hold_s:
+                self.at(
+                    again_s, lambda: self.place(chooser, kind, request, at_s)
+                )
+                return
+            self.results.append(Result(kind, at_s, None, prompt.input_tokens))
             return
         added = chooser.started(placed, request.call)
         self.changed(chooser)
-        at_s = self.now_s()
-        ready_s = self.work(placed, kind)
+        sent_s = self.now_s()
+        ready_s = self.work(placed, prompt)
 
         def first_event() -> None:
-            begun = chooser.first_event(placed, request, added, ready_s - at_s)
+            took_s = ready_s - sent_s
+            begun = chooser.first_event(placed, request, added, took_s)
             self.changed(chooser)
             self.at(ready_s + kind.stream_s, lambda: ended(begun))
 
@@ -274,7 +318,9 @@
             chooser.ended(placed, request.call, begun)
             self.changed(chooser)
 
-        self.results.append(Result(kind, at_s, ready_s - at_s))
+        self.results.append(
+            Result(kind, at_s, ready_s - at_s, prompt.input_tokens)
+        )
         self.at(ready_s, first_event)
 
     def changed(self, chooser: choosers.Chooser) -> None:
@@ -322,7 +368,9 @@
         """Return what a store keeps: each second session's parts."""
         return tuple(
             store_index.PartEvent(
-                self.salt(), f"{kind.name}-{number}", kind.shared
+                self.salt(),
+                f"{kind.name}-{number}",
+                kind.shared_of(f"{kind.name}-{number}"),
             )
             for kind in (LONG, SHORT)
             for number in range(store, SESSIONS, len(STORES))
@@ -330,31 +378,35 @@
 
     # What engines and stores do.
 
-    def work(self, placed: requests.Placement, kind: Kind) -> float:
+    def work(self, placed: requests.Placement, prompt: calls.Prompt) -> float:
         """Return when an engine has read a prompt."""
         self.prompts += 1
         engine = self.engines[placed.endpoint.id]
         now_s = self.now_s()
-        ready_s, tokens = now_s, kind.shared + kind.own
+        ready_s, tokens = now_s, prompt.input_tokens
         if placed.sources():
-            ready_s, tokens = self.fetch(placed, kind, engine)
+            ready_s, tokens = self.fetch(placed, prompt, engine)
         begin_s = max(ready_s, engine.read_s)
         engine.read_s = begin_s + tokens * READ_MS / 1000
         return engine.read_s
 
     def fetch(
-        self, placed: requests.Placement, kind: Kind, engine: Engine
+        self,
+        placed: requests.Placement,
+        prompt: calls.Prompt,
+        engine: Engine,
     ) -> tuple[float, int]:
         """Return when a fetch is over, and the tokens to be read then."""
         (store,) = placed.sources()
         self.fetches += 1
         begin_s = max(self.now_s(), engine.fetched_s, self.store_free_s[store])
         if begin_s - self.now_s() > LONGEST_QUEUE_S:
-            return self.now_s() + LONGEST_QUEUE_S, kind.shared + kind.own
+            return self.now_s() + LONGEST_QUEUE_S, prompt.input_tokens
         slow = self.is_slow(store, begin_s)
-        end_s = begin_s + kind.shared * FETCH_MS * (4 if slow else 1) / 1000
+        fetched = sum(part.tokens for part in prompt.shared)
+        end_s = begin_s + fetched * FETCH_MS * (4 if slow else 1) / 1000
         engine.fetched_s = self.store_free_s[store] = end_s
-        return end_s, kind.own
+        return end_s, prompt.input_tokens - fetched
 
     def is_slow(self, store: str, when_s: float) -> bool:
         """Tell whether a store's link is slow at a time."""
