Judge room at an engine by the usual size of a kind of prompt

Cause: a prompt was sent when an engine's memory, with that prompt, stayed under a bound. Once engines are short of memory, whatever is freed goes to the next prompt small enough for it, and a large one never finds enough. The bound was lower for prompts over 3,000 tokens, too, so that a third of the temperature checks had less room than the rest.

Now the bound is on memory with a prompt of the usual size, the mean of what arrived of that kind here, and so the same for all prompts of a kind. A large one that exceeds it waits at its engine for what is freed next.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -136,6 +136,7 @@
     def run(self, work: works.Work) -> None:
         """Answer one request that the configuration allows."""
         self.parts.budget.earn(work.service.name)
+        self.parts.chooser.arrived(work.request())
         with self.under_way.holding(work):
             self.parts.supervisor.watch(work.watch)
             try:
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -17,6 +17,7 @@
 from briarseam.placement import reading
 from briarseam.placement import requests
 from briarseam.placement import residency as residencies
+from briarseam.placement import usual_sizes
 from briarseam.weights import board as boards
 
 if typing.TYPE_CHECKING:
@@ -69,8 +70,16 @@
         self.endpoints_age_s = endpoints_age_s
         self.kept = kept_module.KeptIndex(clock)
         self.avoided: dict[str, float] = {}
+        self.usual_sizes = usual_sizes.UsualSizes()
         self.readings: dict[str, reading.ReadingTime] = {}
 
+    def arrived(self, request: requests.Request) -> None:
+        """Take in what a request that has just arrived tells of its kind."""
+        prompt = request.call.prompt
+        if prompt is not None:
+            tokens = requests.memory_of(prompt)
+            self.usual_sizes.note(request.route.name, tokens)
+
     def choose(
         self, request: requests.Request
     ) -> requests.Placement | requests.Full | verdict.NotRun:
@@ -148,12 +157,16 @@
             version: self.plan(request, prompt, version)
             for version in set(versions.values())
         }
+        usual_tokens = self.usual_sizes.of(request.route.name)
+        if usual_tokens is None:
+            usual_tokens = requests.memory_of(prompt)
         ask = cost.PromptAsk(
             request=request,
             prompt=prompt,
             home=ranked[0].id,
             parts=tuple((part.id, part.tokens) for part in prompt.parts),
-            most_fill=requests.fill_limit(request, prompt),
+            usual_tokens=usual_tokens,
+            most_fill=requests.fill_limit(request, usual_tokens),
             versions=versions,
             newest=max(versions.values()),
             required=self.required(prompt.model),
@@ -165,7 +178,7 @@
         for first in range(0, len(ranked), size):
             for endpoint in ranked[first : first + size]:
                 found = self.candidate(ask, endpoint)
-                least_fill = min(least_fill, found.fill)
+                least_fill = min(least_fill, found.usual_fill)
                 if not ask.may_go(found):
                     continue
                 if best is None or found.cost < best.cost:
--- a/src/briarseam/placement/cost.py
+++ b/src/briarseam/placement/cost.py
@@ -67,8 +67,11 @@
         Id of the engine that ranks first for its session.
     parts
         Ids and lengths of its parts.
-    most_fill
-        How full an engine may get with it.
+    usual_tokens, most_fill
+        What a usual prompt of its kind takes of an engine's memory, and how
+        full the engine may get with that.  Were room judged by a prompt's
+        own size, the next smaller one would take what is freed before a
+        large one finds enough.
     versions
         Weights of the engines by their ids.
     newest, required
@@ -81,6 +84,7 @@
     prompt: calls.Prompt
     home: str
     parts: tuple[tuple[str, int], ...]
+    usual_tokens: float
     most_fill: float
     versions: dict[str, int]
     newest: int
@@ -90,7 +94,7 @@
     def may_go(self, found: Candidate) -> bool:
         """Tell whether it may run on an engine at all."""
         version = self.versions[found.endpoint.id]
-        return found.fill <= self.most_fill and version >= self.required
+        return found.usual_fill <= self.most_fill and version >= self.required
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,8 +111,9 @@
         Work known there.
     missing_tokens, held_tokens, fetched_tokens
         As in :class:`briarseam.placement.requests.Placement`.
-    fill
-        How full its memory would be.
+    fill, usual_fill
+        How full its memory would be, with the prompt and with a usual one of
+        its kind.
     is_old
         Whether others have newer weights.
     cost
@@ -122,6 +127,7 @@
     held_tokens: int
     fetched_tokens: int
     fill: float
+    usual_fill: float
     is_old: bool
     cost: float
 
@@ -150,7 +156,9 @@
     fetched = max(plan.stores.fetched_tokens - held, 0)
     missing = max(ask.prompt.input_tokens - held - fetched, 0)
     missing += int(fetched * FETCH_COST)
-    fill = requests.fill_of(load, ask.request, ask.prompt)
+    own_tokens = requests.memory_of(ask.prompt)
+    fill = requests.fill_of(load, ask.request, own_tokens)
+    usual_fill = requests.fill_of(load, ask.request, ask.usual_tokens)
     waiting = max(0, load.requests + 1 - endpoint.slots)
     is_old = version < ask.newest
     cost = float(load.waiting_tokens + missing)
@@ -160,5 +168,14 @@
     cost += OLD_WEIGHTS_TOKENS if is_old else 0
     cost -= HOME_BONUS_TOKENS if endpoint.id == ask.home else 0
     return Candidate(
-        endpoint, plan, load, missing, held, fetched, fill, is_old, cost
+        endpoint,
+        plan,
+        load,
+        missing,
+        held,
+        fetched,
+        fill,
+        usual_fill,
+        is_old,
+        cost,
     )
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -14,8 +14,7 @@
     from briarseam.routes import model as routes
 
 # An engine whose memory is full preempts runs and reads their prompts again,
-# which makes all of them slower: reads went up by a quarter while six
-# engines were full.  Small prompts may use what large ones must leave.
+# which makes all of them slower.  Kinds of small prompts may use what others must leave.
 SMALL_TOKENS = 3000
 SMALL_FILL = 1.15
 LARGE_FILL = 0.9
@@ -111,8 +110,8 @@
     Attributes
     ----------
     least_fill, most_fill
-        How full the emptiest engine's memory would be with the request, and
-        how full it may be.
+        How full the emptiest engine's memory would be with a usual request
+        of its kind, and how full it may be.
     engines
         How many were looked at.
     """
@@ -132,25 +131,23 @@
     return prompt.input_tokens + prompt.output_tokens
 
 
-def fill_of(
-    load: load_module.Load, request: Request, prompt: calls.Prompt
-) -> float:
-    """Return how full an engine's memory would be with a prompt."""
+def fill_of(load: load_module.Load, request: Request, tokens: float) -> float:
+    """Return how full an engine's memory would be with so much more."""
     engine = request.service.engine
     if engine is None or engine.cache_tokens <= 0:
         return 0.0
-    return (load.memory_tokens + memory_of(prompt)) / engine.cache_tokens
+    return (load.memory_tokens + tokens) / engine.cache_tokens
 
 
-def fill_limit(request: Request, prompt: calls.Prompt) -> float:
-    """Return how full an engine may get with a prompt.
+def fill_limit(request: Request, usual_tokens: float) -> float:
+    """Return how full an engine may get with a usual prompt of a kind.
 
     An answer that was begun and is broken off is worse than a late one, so
     its rest is made wherever it can be.
     """
     if request.begun:
         return float("inf")
-    if memory_of(prompt) <= SMALL_TOKENS:
+    if usual_tokens <= SMALL_TOKENS:
         return SMALL_FILL
     return LARGE_FILL
 
--- a/tests/placement/playing.py
+++ b/tests/placement/playing.py
@@ -282,6 +282,7 @@
             None,
             kind.aim_s,
         )
+        chooser.arrived(request)
         self.place(chooser, kind, request, self.now_s())
 
     def place(
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -169,6 +169,17 @@
     assert isinstance(case.place(tokens=2000), requests.Placement)
 
 
+def test_small_prompt_of_a_kind_does_not_take_the_room_of_a_large_one(case):
+    """Guards against serving the smallest prompts of a kind first."""
+    for tokens in (20_000, 20_000, 20_000, 2000):
+        case.chooser.arrived(case.request(tokens=tokens))
+    while isinstance(case.place(tokens=20_000), requests.Placement):
+        case.run(tokens=20_000)
+    assert isinstance(case.place(tokens=2000), requests.Full)
+    other = dataclasses.replace(case.request().route, name="question")
+    assert isinstance(case.place(tokens=2000, route=other), requests.Placement)
+
+
 def test_room_is_given_back_when_a_run_ends(case):
     runs = []
     while isinstance(case.place(tokens=20_000), requests.Placement):
