Follow a platform store that returns from an older copy

In a drill the store loses what was written in the last seconds and gives out offsets and generations again, in a later era. Nothing read the era: a follower went on from an offset that others had filled again and missed what lay before it, engines refused orders whose fencing numbers had gone back, a newcomer could make a second secret, and times of goals were believed to lie there.

Offsets and generations now carry the era in front, so that two eras can't be mixed up; a read from an earlier era begins anew, a late answer of one is dropped. Members write their secret and times of goals again.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -343,6 +343,7 @@
             in_flight=lambda: self.in_flight.count,
             connections_opened=lambda: self.pool.opened,
             store_calls=lambda: self.store.calls,
+            store_era=lambda: self.store.era,
             topic_reads_direct=lambda: self.topic_reads.direct,
             topic_reads_shared=lambda: self.topic_reads.shared,
             configuration_version=self.feeds.configuration_version,
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -20,7 +20,7 @@
 
     Attributes
     ----------
-    in_flight, connections_opened, store_calls, topic_reads_direct
+    in_flight, connections_opened, store_calls, store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
         As their help texts say.
     """
@@ -28,6 +28,7 @@
     in_flight: Reading
     connections_opened: Reading
     store_calls: Reading
+    store_era: Reading
     topic_reads_direct: Reading
     topic_reads_shared: Reading
     configuration_version: Reading
@@ -52,6 +53,11 @@
             "Calls to the platform's store since start",
             readings.store_calls,
         ),
+        (
+            "store_era",
+            "Era of the platform's store; rises when it is restored",
+            readings.store_era,
+        ),
         (
             "topic_reads_direct",
             "Reads of topics from the store itself since start",
--- a/src/briarseam/compose/node_peers.py
+++ b/src/briarseam/compose/node_peers.py
@@ -81,12 +81,13 @@
     loop
         Runs the connections to and from other instances.
     """
-    registrations.await_secret(rows, stopping)
+    registrations.await_secret(rows, stopping, settings.instance.first_start)
     secret = rows.secret or registrations.agree_on_secret(
         store, names.MEMBERS_TOPIC, framing.encode_keyed, stopping
     )
     if secret is None:
         return None
+    rows.agreed = secret
     service = membership.Membership(
         members.Me(
             name=settings.instance.name,
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -83,7 +83,8 @@
             names.GOAL_TIMES_TOPIC,
             self.goals,
             instances.stands_for_duty,
-            tally,
+            era=lambda: store.era,
+            tally=tally,
         )
         self.holders = holders.HolderWords(
             instances.others_for_duty,
--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -125,6 +125,9 @@
             batch = self.store.read_keyed(self.topic, self.next, self.wait())
         except records.RecordsExpiredError as error:
             log.warning("records_expired", topic=self.topic, detail=str(error))
+            if isinstance(error, records.StoreRestoredError):
+                # What others wrote since the copy may be missing for a while.
+                self.listener.store_lost()
             self.next = None
             return
         self.hand_on(self.listener.take_changes, batch)
--- a/src/briarseam/feeds/records.py
+++ b/src/briarseam/feeds/records.py
@@ -5,6 +5,29 @@
 import dataclasses
 import typing
 
+# Numbers of a store's records and generations that fit into one era.
+ERA_BITS = 40
+
+
+def in_era(era: int, number: int) -> int:
+    """Return a store's number together with its era.
+
+    A store that returns from an older copy of itself gives out offsets and
+    generations again, in a later era.  With the era in front no two are
+    alike, and later ones are larger.
+    """
+    return (era << ERA_BITS) + number
+
+
+def era_of(position: int) -> int:
+    """Return the era of a position."""
+    return position >> ERA_BITS
+
+
+def number_of(position: int) -> int:
+    """Return the number that a store knows a position by."""
+    return position - (era_of(position) << ERA_BITS)
+
 
 class StoreUnavailableError(Exception):
     """The store did not do what was asked, as far as one can tell.
@@ -24,6 +47,10 @@
     """The records asked for are no longer kept."""
 
 
+class StoreRestoredError(RecordsExpiredError):
+    """The store has returned from an older copy since an offset was read."""
+
+
 class SupersededError(Exception):
     """The condition of a write does not hold: somebody else wrote."""
 
@@ -58,7 +85,7 @@
     records
         In order of their offsets.
     next
-        Offset to read from next.
+        Offset to read from next, in its era.
     """
 
     records: tuple[KeyedRecord, ...]
@@ -72,7 +99,7 @@
     Attributes
     ----------
     generation
-        Grows with each change in the group.
+        Grows with each change in the group, over all eras.
     parts
         Partitions that the member holds, as topic and number.
     """
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -34,6 +34,8 @@
 # Instances that start at once make a secret at different times within
 # this; what one has written the others follow within half a second.
 SPREAD_S = 1.5
+# Members notice a topic without their secret within two reviews of it.
+RESTORED_S = 4.0
 # A registration that may or may not have been written is written again
 # until the topic shows it; later losses of it show in the same way.
 REVIEW_S = 1.0
@@ -122,7 +124,9 @@
         self.me = me
         self.rows: dict[str, Registration] = {}
         self.cells: dict[str, str] = {}
+        # What the topic tells, and what members have agreed on.
         self.secret: bytes | None = None
+        self.agreed: bytes | None = None
         self.known = threading.Event()
         self.secret_known = threading.Event()
         self.leaving = threading.Event()
@@ -179,6 +183,7 @@
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Take in all registrations."""
+        self.secret = None
         self.keep(self.changed({}, changes))
         self.known.set()
 
@@ -231,9 +236,14 @@
     def keep_registered(self) -> None:
         """Register until the topic shows it, and again when it is lost."""
         self.known.wait()
+        is_missing = False
         while not self.leaving.is_set():
             if self.rows.get(self.me.name) != self.me:
                 self.register()
+            # Twice: what was agreed on just now may not have been read yet.
+            was_missing, is_missing = is_missing, self.secret != self.agreed
+            if self.agreed is not None and is_missing and was_missing:
+                self.write_secret(self.agreed)
             self.leaving.wait(REVIEW_S)
 
     def register(self) -> None:
@@ -245,6 +255,19 @@
             return
         log.info("registered", name=self.me.name, address=self.me.address)
 
+    def write_secret(self, secret: bytes) -> None:
+        """Write the secret that members go by where the topic lacks it.
+
+        A newcomer would make another one, and those who go by the first
+        would not trust it.
+        """
+        try:
+            self.store.put(self.topic, SECRET_KEY, secret)
+        except records.StoreUnavailableError as error:
+            log.warning("secret_not_written", detail=str(error))
+            return
+        log.warning("secret_written_again", topic=self.topic)
+
 
 def cells_of(
     rows: collections.abc.Iterable[Registration],
@@ -294,16 +317,31 @@
     return Registration(name, wire.address, wire.group, wire.zone, wire.weight)
 
 
-def await_secret(rows: Registrations, stopping: threading.Event) -> None:
-    """Wait a little for a secret that another instance makes.
+def await_secret(
+    rows: Registrations, stopping: threading.Event, first_start: bool = True
+) -> None:
+    """Wait a little for a secret that another instance makes, or has.
 
     Gain: of hundreds of instances that start at once a few write one; else
     each would read, try to write, and read again.
+
+    Parameters
+    ----------
+    rows
+        The registrations.
+    stopping
+        Ends the wait.
+    first_start
+        Whether no instance has run before.  Else a topic without a secret
+        was restored from an older copy, and members write it again.
     """
     while not rows.known.wait(RETRY_S):
         if stopping.is_set():
             return
-    rows.secret_known.wait(random.uniform(0.0, SPREAD_S))
+    wait_s = random.uniform(0.0, SPREAD_S)
+    if not first_start:
+        wait_s += RESTORED_S
+    rows.secret_known.wait(wait_s)
 
 
 def agree_on_secret(
--- a/src/briarseam/platform/names.py
+++ b/src/briarseam/platform/names.py
@@ -16,6 +16,9 @@
 PROMPT_PARTS: typing.Final = "Prefix-Hash"
 LAST_EVENT_ID: typing.Final = "Last-Event-Id"
 
+# In all answers of the store; rises when it returns from an older copy.
+STORE_ERA: typing.Final = "Store-Era"
+
 # Headers of requests, set by the system alone.
 EXPECT_ENDPOINT: typing.Final = "Expect-Instance"
 EXPECT_VERSION: typing.Final = "Expect-Version"
--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -4,9 +4,11 @@
 
 import base64
 import functools
+import threading
 import urllib.parse
 
 import msgspec
+import structlog
 import urllib3
 
 from briarseam import malformed
@@ -32,6 +34,7 @@
 # "Nothing was done", in the words of the interface.
 REFUSED = frozenset({429, 503, 507})
 PAGE_LIMIT = 1000
+log = structlog.get_logger("briarseam.platform")
 
 
 class WireItem(msgspec.Struct):
@@ -70,12 +73,22 @@
     Library retries stay off: a write whose answer was lost may have been
     done, and only its writer can tell what to do about it.
 
+    Offsets and generations that it takes and returns carry the store's era,
+    as of :func:`briarseam.feeds.records.in_era`.
+
     Parameters
     ----------
     address
         ``ip:port``.
     tally
         Notes records that can't be read.
+
+    Attributes
+    ----------
+    calls
+        Calls since the start.
+    era
+        The latest that an answer named; 0 before the first.
     """
 
     def __init__(
@@ -83,6 +96,8 @@
     ) -> None:
         self.tally = tally or malformed.Tally()
         self.calls = 0
+        self.era = 0
+        self.lock = threading.Lock()
         self.move_to(address)
 
     def move_to(self, address: str) -> None:
@@ -115,10 +130,14 @@
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            page = self.decoded(
-                self.call("GET", names.NEWEST_PATH, query), WireNewest
-            )
-            start = page.end if start is None else start
+            response = self.call("GET", names.NEWEST_PATH, query)
+            page = self.decoded(response, WireNewest)
+            end = records.in_era(self.era_of(response), page.end)
+            start = end if start is None else start
+            if records.era_of(end) != records.era_of(start):
+                raise records.StoreUnavailableError(
+                    f"the store was restored between two pages of {topic}"
+                )
             whole = self.page_records(topic, page)
             found += whole
             # The next page begins behind the last key that can be read; a
@@ -159,7 +178,7 @@
         topic
             A keyed topic.
         start
-            First offset wanted.
+            First offset wanted, in its era.
         wait_s
             Longest wait for a first record, in seconds.
 
@@ -167,13 +186,15 @@
         ------
         RecordsExpiredError
             When records from there on are no longer kept.
+        StoreRestoredError
+            When the offset is of an earlier era.
         StoreUnavailableError
             When the store does not answer properly.
         """
         query = {
             "topic": topic,
             "part": "0",
-            "from": str(start),
+            "from": str(records.number_of(start)),
             "waitMs": str(int(wait_s * MS)),
         }
         response = self.call(
@@ -183,6 +204,12 @@
             timeout_s=wait_s + POLL_SLACK_S,
             accepted=(OK, GONE),
         )
+        era = self.era_of(response)
+        if era != records.era_of(start):
+            raise records.StoreRestoredError(
+                f"{topic} was read in era {records.era_of(start)} of the "
+                f"store, which is in era {era}"
+            )
         if response.status == GONE:
             raise records.RecordsExpiredError(f"{topic} from {start}")
         try:
@@ -224,18 +251,19 @@
         items
             Records, appended all or none.
         at
-            Only if the partition ends at this offset.
+            Only if the partition ends at this offset, in its era.
 
         Raises
         ------
         SupersededError
-            When the partition ends elsewhere.
+            When the partition ends elsewhere, or the offset turns out to be
+            of an earlier era; the records may have been appended then.
         StoreUnavailableError
             When the store does not confirm the write.
         """
         query = {"topic": topic, "part": "0"}
         if at is not None:
-            query["at"] = str(at)
+            query["at"] = str(records.number_of(at))
         body = framing.join_records(items)
         response = self.call(
             "POST",
@@ -246,6 +274,10 @@
         )
         if response.status == PRECONDITION_FAILED:
             raise records.SupersededError(f"{topic} does not end at {at}")
+        if at is not None and self.era_of(response) != records.era_of(at):
+            raise records.SupersededError(
+                f"the store was restored since the end of {topic} was read"
+            )
         return self.decoded(response, WireAppended).offset
 
     def join(
@@ -258,6 +290,8 @@
     ) -> records.GroupShare:
         """Join a group or stay in it; return what the member holds.
 
+        A generation of an earlier era means nothing to the store.
+
         Raises
         ------
         StoreUnavailableError
@@ -269,13 +303,15 @@
                 "member": member,
                 "topics": [topic],
                 "ttlMs": int(ttl_s * MS),
-                "generation": generation,
+                "generation": records.number_of(generation)
+                if records.era_of(generation) == self.era
+                else 0,
             }
         )
         response = self.call("POST", names.JOIN_PATH, {}, body=body)
         share = self.decoded(response, WireShare)
         return records.GroupShare(
-            share.generation,
+            records.in_era(self.era_of(response), share.generation),
             frozenset((name, part) for name, part, _offset in share.parts),
         )
 
@@ -321,6 +357,7 @@
             raise records.StoreUnavailableError(
                 f"{type(error).__name__}: {error}", may_have_run=True
             ) from error
+        self.note_era(self.era_of(response))
         if response.status in accepted:
             return response
         raise records.StoreUnavailableError(
@@ -328,6 +365,29 @@
             may_have_run=response.status not in REFUSED,
         )
 
+    def era_of(self, response: urllib3.BaseHTTPResponse) -> int:
+        """Return the era of an answer; the known one if it names none."""
+        era = decoding.header_integer(response.headers.get(names.STORE_ERA))
+        return self.era if era is None else era
+
+    def note_era(self, era: int) -> None:
+        """Take note of an answer's era.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the answer is from before the store was restored.
+        """
+        with self.lock:
+            known, self.era = self.era, max(era, self.era)
+        if era < known:
+            raise records.StoreUnavailableError(
+                f"an answer of era {era} came in era {known}",
+                may_have_run=True,
+            )
+        if known and era > known:
+            log.warning("store_restored", era=era, former_era=known)
+
     def decoded(
         self,
         response: urllib3.BaseHTTPResponse,
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -32,11 +32,15 @@
         Unique over all instances.
     zone, region
         Availability zone, and the region that it lies in.
+    first_start
+        Whether the whole deployment starts for the first time, so that
+        nothing was left by instances of before.
     """
 
     name: sections.Name
     zone: sections.Name
     region: sections.Name
+    first_start: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/weights/times.py
+++ b/src/briarseam/weights/times.py
@@ -61,6 +61,9 @@
         The goals, as far as this process knows.
     writes
         Tells whether this instance is one of those that write.
+    era
+        Returns the era of the store; what lay there is looked at again when
+        it has changed.
     tally
         Counts records that can't be read.
     clock
@@ -81,6 +84,7 @@
         topic: str,
         history: goals.GoalHistory,
         writes: typing.Callable[[], bool],
+        era: typing.Callable[[], int] = lambda: 0,
         tally: malformed.Tally | None = None,
         clock: typing.Callable[[], float] = clocks.boot_clock,
         wall_clock: typing.Callable[[], float] = time.time,
@@ -89,6 +93,7 @@
         self.topic = topic
         self.history = history
         self.writes = writes
+        self.era = era
         self.tally = tally or malformed.Tally()
         self.clock = clock
         self.wall_clock = wall_clock
@@ -97,6 +102,7 @@
         # What lay on the store at the last look, by the clock.
         self.stored: dict[goals.WeightGoal, float] = {}
         self.looked = False
+        self.looked_era = 0
         self.look_again = False
         self.stopping = threading.Event()
         self.thread = threading.Thread(
@@ -140,6 +146,8 @@
             self.known.set()
         if not self.writes():
             return
+        if self.era() != self.looked_era:
+            self.look()
         if self.news():
             self.write()
         elif self.look_again:
@@ -158,6 +166,7 @@
 
     def look(self) -> None:
         """Look at what lies on the store."""
+        self.looked_era = self.era()
         batch = self.store.newest(self.topic)
         self.stored = {}
         for record in batch.records:
--- a/tests/feeds/test_following.py
+++ b/tests/feeds/test_following.py
@@ -127,10 +127,11 @@
 
 def test_conditional_append_is_refused_where_somebody_else_wrote(store):
     client = stores.StoreClient(store.address)
-    assert client.append("own", (b"x", b"y"), at=0) == 0
+    start = client.newest("own").next
+    assert client.append("own", (b"x", b"y"), at=start) == 0
     with pytest.raises(records.SupersededError):
-        client.append("own", (b"z",), at=0)
-    assert client.append("own", (b"z",), at=2) == 2
+        client.append("own", (b"z",), at=start)
+    assert client.append("own", (b"z",), at=start + 2) == 2
 
 
 class Faulty:
--- a/tests/platform/metadata_store.py
+++ b/tests/platform/metadata_store.py
@@ -1,9 +1,15 @@
-"""Stand-in for the platform's metadata store: a log with keyed topics."""
+"""Stand-in for the platform's metadata store: a log with keyed topics.
+
+It can return from an older copy of itself: what was written since is gone,
+offsets and generations count on from the copy's, and the era in the header
+of all answers rises by one.
+"""
 
 from __future__ import annotations
 
 import base64
 import collections
+import copy
 import dataclasses
 import struct
 import threading
@@ -18,6 +24,7 @@
 LENGTH = struct.Struct(">I")
 POSITIONS = struct.Struct(">QQ")
 POLL_S = 0.01
+ERA_HEADER = "Store-Era"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +52,15 @@
     holder: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """What lay on the store at some moment."""
+
+    topics: dict[str, list[bytes]]
+    first: dict[str, int]
+    groups: dict[str, Group]
+
+
 class MetadataStore(stand_in.StandIn[Switches]):
     """Keeps topics of one partition in memory."""
 
@@ -55,6 +71,7 @@
         self.first = collections.defaultdict(int)
         self.groups = collections.defaultdict(Group)
         self.calls = collections.Counter()
+        self.era = 1
 
     def write(self, topic: str, key: str, document: object) -> None:
         """Write a keyed record as the operator or an endpoint does."""
@@ -72,6 +89,22 @@
         with self.lock:
             self.first[topic] = len(self.topics[topic])
 
+    def copy(self) -> Copy:
+        """Return a copy of all that lies here."""
+        with self.lock:
+            return copy.deepcopy(
+                Copy(dict(self.topics), dict(self.first), dict(self.groups))
+            )
+
+    def restore(self, old: Copy) -> None:
+        """Return from a copy; what was written since is gone."""
+        old = copy.deepcopy(old)
+        with self.lock:
+            self.topics = collections.defaultdict(list, old.topics)
+            self.first = collections.defaultdict(int, old.first)
+            self.groups = collections.defaultdict(Group, old.groups)
+            self.era += 1
+
     def newest_of(self, topic: str) -> dict[str, bytes]:
         """Return the newest value of each key of a topic."""
         with self.lock:
@@ -82,6 +115,14 @@
         return {key: value for key, value in found.items() if value}
 
     def answer(self, request: http_messages.Request) -> http_messages.Response:
+        """Answer one call, and name the era."""
+        answered = self.answer_call(request)
+        headers = (*answered.headers, (ERA_HEADER, str(self.era)))
+        return dataclasses.replace(answered, headers=headers)
+
+    def answer_call(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         """Answer one call."""
         name = request.path[-1]
         self.calls[name] += 1
@@ -136,7 +177,7 @@
                 first = self.first[topic]
                 records = self.topics[topic][start:]
                 end = len(self.topics[topic])
-            if start < first:
+            if not first <= start <= end:
                 return http_messages.json_response(410, {"first": first})
             if records or time.monotonic() >= until or self.stopping.is_set():
                 body = b"".join(
--- a/tests/platform/test_answer_decoders.py
+++ b/tests/platform/test_answer_decoders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import typing
 
 import hypothesis
 from hypothesis import strategies
@@ -27,6 +28,7 @@
     """What a call returned."""
 
     status = 200
+    headers: typing.ClassVar = {}
 
     def __init__(self, data):
         self.data = data
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 import base64
 import struct
+import typing
 
 import msgspec
 import pytest
@@ -22,6 +23,8 @@
 class Answer:
     """What a call to the store returned."""
 
+    headers: typing.ClassVar = {}
+
     def __init__(self, data, status=200):
         self.data = data
         self.status = status
