--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -50,6 +50,22 @@
     switches: dict[str, typing.Any]
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreRestored:
+    """The store is down and returns from an older copy.
+
+    Attributes
+    ----------
+    age_s
+        Age of the copy.
+    rewrite_s
+        After the return, others write again what they wrote.
+    """
+
+    age_s: float
+    rewrite_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreCut:
     """One instance's link to the store is cut in some way."""
@@ -147,6 +163,7 @@
 
 Fault = (
     StoreTrouble
+    | StoreRestored
     | StoreCut
     | EndpointCut
     | EndpointReplaced
@@ -216,6 +233,21 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_restores(seed: int, seconds: float, instances: int) -> list[Planned]:
+    """Return restores of the store; two of three have other faults too."""
+    random_ = random.Random(f"{seed}/restores")
+    found = plan(seed, seconds, instances) if seed % 3 else []
+    at_s = random_.uniform(0.5, 2.0)
+    while at_s < seconds - 2.0:
+        restored = StoreRestored(
+            age_s=random_.uniform(0.2, 4.0),
+            rewrite_s=random_.choice((0.0, random_.uniform(0.1, 1.5))),
+        )
+        found.append(Planned(at_s, random_.uniform(0.1, 1.5), restored))
+        at_s += random_.uniform(2.0, 6.0)
+    return sorted(found, key=lambda one: one.at_s)
+
+
 def draw_delays(seed: int) -> list[int]:
     """Return how long the endpoints of a run with stops take, in ms."""
     random_ = random.Random(f"{seed}/delays")
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -61,9 +61,9 @@
     def strike(self, one: faults.Planned) -> None:
         """Let one fault strike."""
         match one.fault:
-            case faults.StoreTrouble(switches):
+            case faults.StoreTrouble() | faults.StoreRestored():
                 with self.lock_of("store"):
-                    self.trouble_store(switches, one.for_s)
+                    self.strike_store(one.fault, one.for_s)
             case faults.StoreCut(number, state, reset):
                 instance = self.deployment.instances[number]
                 with self.lock_of(("store link", number)):
@@ -136,6 +136,18 @@
         until = time.monotonic() + for_s + faults.STABLE_S
         instance.troubled_until = max(instance.troubled_until, until)
 
+    def strike_store(
+        self,
+        fault: faults.StoreTrouble | faults.StoreRestored,
+        for_s: float,
+    ) -> None:
+        """Trouble the store, or let it return from a copy."""
+        match fault:
+            case faults.StoreTrouble(switches):
+                self.trouble_store(switches, for_s)
+            case faults.StoreRestored():
+                self.restore_store(fault, for_s)
+
     def trouble_store(
         self, switches: dict[str, typing.Any], for_s: float
     ) -> None:
@@ -149,6 +161,19 @@
         until = time.monotonic() + faults.STABLE_S
         self.deployment.store_troubled_until = until
 
+    def restore_store(self, fault: faults.StoreRestored, for_s: float) -> None:
+        """Let the store return from a copy, and others write again."""
+        copy = self.deployment.store.copy()
+        time.sleep(fault.age_s)
+        self.trouble_store({"outage": True}, for_s / 2)
+        self.deployment.store.set(outage=True)
+        self.deployment.store.restore(copy)
+        self.deployment.store.set(outage=False)
+        time.sleep(fault.rewrite_s)
+        self.deployment.write_again()
+        until = time.monotonic() + faults.STABLE_S
+        self.deployment.store_troubled_until = until
+
     def let_leave(self, endpoint: serving.Endpoint) -> None:
         """Let an endpoint say that it leaves, serve on and be replaced."""
         self.deployment.write_entry(endpoint, "draining")
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -51,7 +51,7 @@
 
     Attributes
     ----------
-    seed, seconds, instances, stops
+    seed, seconds, instances, stops, restores
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -69,6 +69,7 @@
     seconds: float
     instances: int
     stops: bool = False
+    restores: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -156,7 +157,11 @@
 
     def strike(self) -> None:
         """Let faults strike while callers call."""
-        plan = faults.plan_stops if self.report.stops else faults.plan
+        plan = faults.plan
+        if self.report.stops:
+            plan = faults.plan_stops
+        elif self.report.restores:
+            plan = faults.plan_restores
         planned = plan(
             self.report.seed, self.report.seconds, self.report.instances
         )
@@ -239,9 +244,10 @@
     instances: int,
     folder: pathlib.Path,
     stops: bool = False,
+    restores: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
-    report = Report(seed, seconds, instances, stops)
+    report = Report(seed, seconds, instances, stops, restores)
     Soak(folder, report).run()
     return report
 
@@ -256,6 +262,9 @@
     parser.add_argument(
         "--stops", action="store_true", help="stops in series that overlap"
     )
+    parser.add_argument(
+        "--restores", action="store_true", help="returns of the store"
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -265,7 +274,12 @@
         folder = folder / str(seed)
         folder.mkdir(parents=True)
         report = run(
-            seed, options.seconds, options.instances, folder, options.stops
+            seed,
+            options.seconds,
+            options.instances,
+            folder,
+            options.stops,
+            options.restores,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -215,6 +215,7 @@
         self.shutdown_s = shutdown_s
         self.names = itertools.count()
         self.version = 0
+        self.document: dict = {}
         self.toggled = True
         self.stack = contextlib.ExitStack()
         self.lock = threading.Lock()
@@ -283,6 +284,16 @@
         endpoint.link.reset()
         self.write_entry(endpoint)
 
+    def write_again(self) -> None:
+        """Write what operators and endpoints wrote, after a restore."""
+        for worker in self.past:
+            self.store.write("keyed.servers", worker.id, None)
+        for endpoint in self.endpoints:
+            left = endpoint.worker.id in endpoint.left
+            self.write_entry(endpoint, "draining" if left else "ready")
+        with self.lock:
+            self.store.write("keyed.op", "config", self.document)
+
     def slow_down(self, delays_ms: list[int]) -> None:
         """Let calls, and all events of a stream, take so long at each."""
         for endpoint, delay_ms in zip(self.endpoints, delays_ms, strict=True):
@@ -293,8 +304,8 @@
         with self.lock:
             self.version += 1
             routes = [*system.ROUTES, *([TOGGLED] if toggled else [])]
-            document = system.configuration(self.version, routes=routes)
-            self.store.write("keyed.op", "config", document)
+            self.document = system.configuration(self.version, routes=routes)
+            self.store.write("keyed.op", "config", self.document)
             self.toggled = toggled
             self.configured.append((time.monotonic(), toggled))
 
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -70,8 +70,15 @@
     assert report.broken == []
 
 
+@pytest.mark.timeout(120)
+def test_short_run_with_restores_breaks_no_promise(tmp_path):
+    report = serve_soak.run(2, 10.0, 3, tmp_path, restores=True)
+    assert report.broken == []
+    assert report.faults["StoreRestored"] > 1
+
+
 def test_plan_is_the_same_for_a_seed():
     """A seed that failed is run again to see what changed."""
-    for plan in (faults.plan, faults.plan_stops):
+    for plan in (faults.plan, faults.plan_stops, faults.plan_restores):
         assert plan(7, 20.0, 4) == plan(7, 20.0, 4)
         assert plan(7, 20.0, 4) != plan(8, 20.0, 4)
