--- a/src/briarseam/command/delays.py
+++ b/src/briarseam/command/delays.py
@@ -4,6 +4,7 @@
 
 import argparse
 import sys
+import typing
 
 from briarseam.command import log_files
 from briarseam.command import options
@@ -43,6 +44,7 @@
 # Short enough to see a fault of some seconds, long enough for some sends.
 WINDOW_S = 2.0
 NOTHING = "-"
+Record = typing.TypeVar("Record")
 
 
 def add_options(parser: argparse.ArgumentParser) -> None:
@@ -86,26 +88,31 @@
         print("no line about a request", file=sys.stderr)
         return 1
     if args.by == SIZE:
-        print_sizes(args, sizes.classes(read.lines))
+        classes = sizes.classes(read.lines)
+        print_table(args, SIZE_HEADERS, classes, size_row)
         return 0
     joined = sends.join(read.lines)
     if args.by == REASON:
-        print_reasons(args, summary.reasons(joined))
-    else:
-        by = summary.By(args.by)
-        print_groups(args, by, summary.groups(joined, by, args.window))
+        reasons = summary.reasons(joined)
+        print_table(args, REASON_HEADERS, reasons, reason_row)
+        return 0
+    by = summary.By(args.by)
+    groups = summary.groups(joined, by, args.window)
+    print_table(args, (by.value, *GROUP_HEADERS), groups, group_row)
     return 0
 
 
-def print_groups(
-    args: argparse.Namespace, by: summary.By, groups: list[summary.Group]
+def print_table(
+    args: argparse.Namespace,
+    headers: tuple[str, ...],
+    records: list[Record],
+    row_of: typing.Callable[[Record], tuple[str, ...]],
 ) -> None:
-    """Print a row for each group."""
+    """Print a row for each record."""
     if getattr(args, "json", False):
-        output.print_json(groups)
+        output.print_json(records)
         return
-    rows = [group_row(group) for group in groups]
-    output.print_records(args, (by.value, *GROUP_HEADERS), rows)
+    output.print_records(args, headers, [row_of(one) for one in records])
 
 
 def group_row(group: summary.Group) -> tuple[str, ...]:
@@ -128,47 +135,29 @@
     )
 
 
-def print_reasons(
-    args: argparse.Namespace, reasons: list[summary.Reason]
-) -> None:
-    """Print a row for each reason and route."""
-    if getattr(args, "json", False):
-        output.print_json(reasons)
-        return
-    rows = [
-        (
-            one.reason,
-            one.route,
-            str(one.refused),
-            tenths(one.first_s),
-            tenths(one.last_s),
-            one.example,
-        )
-        for one in reasons
-    ]
-    output.print_records(args, REASON_HEADERS, rows)
+def reason_row(reason: summary.Reason) -> tuple[str, ...]:
+    """Return the cells of the refusals for one reason."""
+    return (
+        reason.reason,
+        reason.route,
+        str(reason.refused),
+        tenths(reason.first_s),
+        tenths(reason.last_s),
+        reason.example,
+    )
 
 
-def print_sizes(
-    args: argparse.Namespace, classes: list[sizes.SizeClass]
-) -> None:
-    """Print a row for each kind of request and part of its sizes."""
-    if getattr(args, "json", False):
-        output.print_json(classes)
-        return
-    rows = [
-        (
-            one.route,
-            one.size,
-            str(one.least_tokens),
-            str(one.most_tokens),
-            str(one.requests),
-            str(one.answered),
-            str(one.refused),
-        )
-        for one in classes
-    ]
-    output.print_records(args, SIZE_HEADERS, rows)
+def size_row(size: sizes.SizeClass) -> tuple[str, ...]:
+    """Return the cells of a part of a kind's sizes."""
+    return (
+        size.route,
+        size.size,
+        str(size.least_tokens),
+        str(size.most_tokens),
+        str(size.requests),
+        str(size.answered),
+        str(size.refused),
+    )
 
 
 def whole(value: float | None) -> str:
--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -123,11 +123,14 @@
             return
         try:
             batch = self.store.read_keyed(self.topic, self.next, self.wait())
+        except records.StoreRestoredError as error:
+            log.warning("topic_restored", topic=self.topic, detail=str(error))
+            # What others wrote since the copy may be missing for a while.
+            self.listener.store_lost()
+            self.next = None
+            return
         except records.RecordsExpiredError as error:
             log.warning("records_expired", topic=self.topic, detail=str(error))
-            if isinstance(error, records.StoreRestoredError):
-                # What others wrote since the copy may be missing for a while.
-                self.listener.store_lost()
             self.next = None
             return
         self.hand_on(self.listener.take_changes, batch)
--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -17,6 +17,7 @@
 from briarseam.platform import decoding
 from briarseam.platform import framing
 from briarseam.platform import names
+from briarseam.platform import store_answers
 
 MS = 1000.0
 # A call is answered in some ms; a second is twenty times what a store
@@ -37,36 +38,6 @@
 log = structlog.get_logger("briarseam.platform")
 
 
-class WireItem(msgspec.Struct):
-    """The newest record of a key."""
-
-    key: str
-    # Base64.
-    value: str = ""
-
-
-class WireNewest(msgspec.Struct, rename="camel"):
-    """One page of newest records; each is decoded by itself."""
-
-    items: list[msgspec.Raw] = []
-    has_more: bool = False
-    end: int = 0
-
-
-class WireAppended(msgspec.Struct):
-    """Where appended records lie."""
-
-    offset: int = 0
-    end: int = 0
-
-
-class WireShare(msgspec.Struct):
-    """What a member of a group holds: topic, partition, offset."""
-
-    generation: int
-    parts: list[tuple[str, int, int]] = []
-
-
 class StoreClient:
     """Calls the platform's metadata store; thread-safe.
 
@@ -131,7 +102,7 @@
             if after:
                 query["after"] = after
             response = self.call("GET", names.NEWEST_PATH, query)
-            page = self.decoded(response, WireNewest)
+            page = self.decoded(response, store_answers.Newest)
             end = records.in_era(self.era_of(response), page.end)
             start = end if start is None else start
             if records.era_of(end) != records.era_of(start):
@@ -149,14 +120,14 @@
         return records.KeyedBatch(tuple(found), start or 0)
 
     def page_records(
-        self, topic: str, page: WireNewest
+        self, topic: str, page: store_answers.Newest
     ) -> list[records.KeyedRecord]:
         """Return the records of a page that can be read."""
         note = functools.partial(
             self.tally.note, malformed.Kind.STORE_RECORD, topic
         )
         found: list[records.KeyedRecord] = []
-        for item in decoding.decode_rows(page.items, WireItem, note):
+        for item in decoding.decode_rows(page.items, store_answers.Item, note):
             try:
                 with malformed.raised_as_malformed():
                     value = base64.b64decode(item.value, validate=True)
@@ -278,7 +249,7 @@
             raise records.SupersededError(
                 f"the store was restored since the end of {topic} was read"
             )
-        return self.decoded(response, WireAppended).offset
+        return self.decoded(response, store_answers.Appended).offset
 
     def join(
         self,
@@ -309,7 +280,7 @@
             }
         )
         response = self.call("POST", names.JOIN_PATH, {}, body=body)
-        share = self.decoded(response, WireShare)
+        share = self.decoded(response, store_answers.Share)
         return records.GroupShare(
             records.in_era(self.era_of(response), share.generation),
             frozenset((name, part) for name, part, _offset in share.parts),
--- a/tests/placement/playing.py
+++ b/tests/placement/playing.py
@@ -26,6 +26,7 @@
 from briarseam.weights import board as boards
 from briarseam.weights import goals
 from tests import clocks
+from tests.placement import prompt_kinds
 
 # A deployment whose engines read slowly and hold four long prompts each.
 MODEL = "m"
@@ -43,8 +44,6 @@
 # After the last arrival, for answers under way.
 LINGER_S = 10.0
 SESSIONS = 400
-# The largest session, as a multiple of the mean.
-MOST_SPREAD = 2.7
 # How often a prompt without room looks again.
 ROOM_POLL_S = 0.05
 ROUTE = routes.Route(
@@ -60,51 +59,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """A kind of prompt.
-
-    Attributes
-    ----------
-    name
-        For the results.
-    per_s
-        How many come in a second.
-    shared, own
-        Tokens of its session and of itself.
-    aim_s
-        When its first event should be there.
-    stream_s
-        How long it runs then.
-    deadline_s
-        How long its caller waits.
-    spread
-        Of the sessions' sizes around `shared`, as the sigma of a log-normal
-        distribution.
-    """
-
-    name: str
-    per_s: float
-    shared: int
-    own: int
-    aim_s: float
-    stream_s: float
-    deadline_s: float
-    spread: float = 0.0
-
-    def shared_of(self, session: str) -> int:
-        """Return the tokens of a session."""
-        if not self.spread:
-            return self.shared
-        mean = -(self.spread**2) / 2
-        factor = random.Random(session).lognormvariate(mean, self.spread)
-        return round(self.shared * min(factor, MOST_SPREAD))
-
-
-LONG = Kind("long", 15.0, 7500, 1700, 0.8, 0.3, 6.0)
-SHORT = Kind("short", 18.0, 650, 180, 0.5, 1.5, 15.0)
-
-
 @dataclasses.dataclass
 class Engine:
     """When an engine has read and fetched all it was given."""
@@ -129,7 +83,7 @@
         Size of the prompt.
     """
 
-    kind: Kind
+    kind: prompt_kinds.Kind
     at_s: float
     first_s: float | None
     tokens: int = 0
@@ -193,6 +147,7 @@
         self.begin_s = self.clock()
         self.events: list[tuple[float, int, typing.Callable[[], None]]] = []
         self.results: list[Result] = []
+        self.kinds: tuple[prompt_kinds.Kind, ...] = ()
         self.order = itertools.count()
         self.prompts = 0
         self.fetches = 0
@@ -242,8 +197,11 @@
         """Do something at a time of the play."""
         heapq.heappush(self.events, (when_s, next(self.order), act))
 
-    def run(self, length_s: float, kinds: tuple[Kind, ...]) -> list[Result]:
+    def run(
+        self, length_s: float, kinds: tuple[prompt_kinds.Kind, ...]
+    ) -> list[Result]:
         """Play, and return what callers got."""
+        self.kinds = kinds
         for kind in kinds:
             when_s = self.random.expovariate(kind.per_s)
             while when_s < length_s:
@@ -260,7 +218,7 @@
 
     # What instances do.
 
-    def arrive(self, kind: Kind) -> None:
+    def arrive(self, kind: prompt_kinds.Kind) -> None:
         """Let a caller's prompt come to any instance."""
         chooser = self.random.choice(self.instances)
         session = f"{kind.name}-{self.random.randrange(SESSIONS)}"
@@ -288,7 +246,7 @@
     def place(
         self,
         chooser: choosers.Chooser,
-        kind: Kind,
+        kind: prompt_kinds.Kind,
         request: requests.Request,
         at_s: float,
     ) -> None:
@@ -373,7 +331,7 @@
                 f"{kind.name}-{number}",
                 kind.shared_of(f"{kind.name}-{number}"),
             )
-            for kind in (LONG, SHORT)
+            for kind in self.kinds
             for number in range(store, SESSIONS, len(STORES))
         )
 
--- a/tests/placement/test_load.py
+++ b/tests/placement/test_load.py
@@ -6,8 +6,9 @@
 
 from briarseam.placement import fetching
 from tests.placement import playing
+from tests.placement import prompt_kinds
 
-KINDS = (playing.LONG, playing.SHORT)
+KINDS = (prompt_kinds.LONG, prompt_kinds.SHORT)
 SEEDS = (1, 2)
 LENGTH_S = 16.0
 SLOW_S = (8.0, 13.0)
@@ -46,7 +47,9 @@
     by_heartbeats = playing.Policy(told_after_s=0.5, at_once=False)
     assert mean_late(by_heartbeats, kept=False) > 0.03
     assert mean_late(playing.Policy(), kept=False) < 0.01
-    assert mean_late(playing.Policy(), kept=False, kind=playing.SHORT) < 0.01
+    assert (
+        mean_late(playing.Policy(), kept=False, kind=prompt_kinds.SHORT) < 0.01
+    )
 
 
 def test_a_slow_store_makes_few_prompts_late(monkeypatch):
@@ -79,7 +82,7 @@
     Nobody is queued behind what can't be read before the deadline: who is
     taken gets the first event within seconds, the others are told at once.
     """
-    heavy = dataclasses.replace(playing.LONG, per_s=60.0)
+    heavy = dataclasses.replace(prompt_kinds.LONG, per_s=60.0)
     results = playing.Play(1, playing.Policy(), False).run(LENGTH_S, (heavy,))
     taken = [result for result in results if result.first_s is not None]
     refused = len(results) - len(taken)
--- a/tests/placement/test_prompt_sizes.py
+++ b/tests/placement/test_prompt_sizes.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.placement import playing
+from tests.placement import prompt_kinds
 
 LENGTH_S = 16.0
 SEEDS = (1, 2, 3)
@@ -15,8 +16,8 @@
 LARGEST = 0.1
 LARGE = 0.3
 WAITING = playing.Policy(hold_s=0.2)
-DRAFTS = dataclasses.replace(playing.LONG, stream_s=4.0, spread=0.6)
-QUESTIONS = dataclasses.replace(playing.SHORT, spread=0.6)
+DRAFTS = dataclasses.replace(prompt_kinds.LONG, stream_s=4.0, spread=0.6)
+QUESTIONS = dataclasses.replace(prompt_kinds.SHORT, spread=0.6)
 
 
 def play(seed, overload, memory_tokens):
