--- a/tests/feeds/made.py
+++ b/tests/feeds/made.py
@@ -63,3 +63,29 @@
         instance = self.instances[reader]
         asyncio.run(instance.await_answer(now))
         return instance.answer(now)
+
+
+class Listener:
+    """Keeps what a topic tells, and counts reads anew and losses."""
+
+    def __init__(self):
+        self.known = {}
+        self.snapshots = 0
+        self.losses = 0
+
+    def take_all(self, changes):
+        self.snapshots += 1
+        self.known = {}
+        self.take_changes(changes)
+
+    def take_changes(self, changes):
+        for change in changes:
+            if change.value == b"poison":
+                raise ValueError("can't be taken in")
+            if change.value is None:
+                self.known.pop(change.key, None)
+            else:
+                self.known[change.key] = change.value
+
+    def store_lost(self):
+        self.losses += 1
--- a/tests/feeds/test_following.py
+++ b/tests/feeds/test_following.py
@@ -8,35 +8,12 @@
 from briarseam.feeds import records
 from briarseam.platform import store as stores
 from briarseam.testing import waiting
+from tests.feeds import made
 from tests.platform import metadata_store
 
 TOPIC = "keyed.things"
 
 
-class Listener:
-    def __init__(self):
-        self.known = {}
-        self.snapshots = 0
-        self.losses = 0
-
-    def take_all(self, changes):
-        self.snapshots += 1
-        self.known = {}
-        self.take_changes(changes)
-
-    def take_changes(self, changes):
-        for change in changes:
-            if change.value == b"poison":
-                raise ValueError("can't be taken in")
-            if change.value is None:
-                self.known.pop(change.key, None)
-            else:
-                self.known[change.key] = change.value
-
-    def store_lost(self):
-        self.losses += 1
-
-
 @pytest.fixture
 def store():
     with metadata_store.MetadataStore() as started:
@@ -45,14 +22,14 @@
 
 @pytest.fixture
 def listener(store):
-    made = Listener()
+    listening = made.Listener()
     follower = following.Follower(
-        stores.StoreClient(store.address), TOPIC, made, wait_s=0.3
+        stores.StoreClient(store.address), TOPIC, listening, wait_s=0.3
     )
     store.write_raw(TOPIC, "before", b"1")
     follower.start()
-    waiting.until(lambda: made.snapshots == 1)
-    yield made
+    waiting.until(lambda: listening.snapshots == 1)
+    yield listening
     follower.stop()
 
 
@@ -100,9 +77,9 @@
                 raise records.StoreUnavailableError("timed out")
             return super().read_keyed(topic, start, wait_s)
 
-    made = Listener()
+    listening = made.Listener()
     follower = following.Follower(
-        HangingStore(store.address), TOPIC, made, wait_s=0.3
+        HangingStore(store.address), TOPIC, listening, wait_s=0.3
     )
     follower.start()
     waiting.until(lambda: len(asked) > 3)
@@ -156,12 +133,12 @@
 
     The thread ended, and the instance served for ever what was in force.
     """
-    made = Listener()
+    listening = made.Listener()
     client = Faulty(stores.StoreClient(store.address))
-    follower = following.Follower(client, TOPIC, made, wait_s=0.3)
+    follower = following.Follower(client, TOPIC, listening, wait_s=0.3)
     store.write_raw(TOPIC, "a", b"1")
     follower.start()
-    waiting.until(lambda: made.known == {"a": b"1"})
+    waiting.until(lambda: listening.known == {"a": b"1"})
     follower.stop()
 
 
@@ -182,7 +159,7 @@
 def test_who_answers_at_once_with_nothing_is_not_asked_as_fast():
     """A store was asked four thousand times a second while it was well."""
     store = Hasty()
-    follower = following.Follower(store, TOPIC, Listener(), wait_s=0.3)
+    follower = following.Follower(store, TOPIC, made.Listener(), wait_s=0.3)
     follower.start()
     time.sleep(0.5)
     follower.stop()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -32,27 +32,6 @@
 LEASE_S = 3.0
 
 
-class Listener:
-    """Keeps what a topic tells."""
-
-    def __init__(self):
-        self.known = {}
-        self.losses = 0
-
-    def take_all(self, changes):
-        self.known = {}
-        self.take_changes(changes)
-
-    def take_changes(self, changes):
-        for change in changes:
-            self.known[change.key] = change.value
-            if change.value is None:
-                del self.known[change.key]
-
-    def store_lost(self):
-        self.losses += 1
-
-
 @pytest.fixture
 def store():
     with metadata_store.MetadataStore() as started:
@@ -85,7 +64,7 @@
     old = store.copy()
     for key in ("a", "b"):
         store.write_raw(TOPIC, key, b"old")
-    listener = Listener()
+    listener = made.Listener()
     follower = follower_of(client, listener)
     restore_with(store, old, "c", "d", "e")
     follower.read_once()
@@ -118,7 +97,7 @@
         readers.instances[name] = sharing.SharedReads(
             stores.StoreClient(store.address), [TOPIC], readers, name
         )
-    reading, asking = Listener(), Listener()
+    reading, asking = made.Listener(), made.Listener()
     old = store.copy()
     store.write_raw(TOPIC, "a", b"old")
     first = follower_of(readers.instances["reader"], reading)
@@ -290,7 +269,7 @@
                 AnsweredHere(self.store), [TOPIC], readers, name, self.clock
             )
         self.reader = readers.instances["reader"]
-        self.listeners = [Listener(), Listener(), Listener()]
+        self.listeners = [made.Listener(), made.Listener(), made.Listener()]
         reads = [AnsweredHere(self.store), *readers.instances.values()]
         self.followers = [
             follower_of(read, listener)
