A cell's summary gets its version while its members cannot change

Cause, of one of the two: a contact of the zone published an older view of its members with a later version than the full one, and its exchange was stopped before it had replaced that. Change: members are read and get their version under the table's lock; the test begins to stop the zone once all that exchange hold one full summary.

--- a/src/briarseam/membership/gossip.py
+++ b/src/briarseam/membership/gossip.py
@@ -125,6 +125,15 @@
 
     def write_own(self) -> None:
         """Renew the summary of this cell if its members changed."""
+        # The members must not change before they have their version: an
+        # older view with a later one would hide members from other cells.
+        with self.table.lock:
+            summary = self.renewed_own()
+            news = self.directory.take(summary)
+        self.note_news(news)
+
+    def renewed_own(self) -> tuple[messages.CellSummary, ...]:
+        """Return the next summary of this cell; nothing if none is due."""
         cell = self.table.my_cell()
         members = self.own_members()
         have = self.directory.summary(cell)
@@ -138,9 +147,8 @@
         elif now_ms - stamp.beat >= BEAT_MS:
             stamp = messages.CellStamp(stamp.version, now_ms)
         else:
-            return
-        summary = messages.CellSummary(cell, stamp, members)
-        self.note_news(self.directory.take([summary]))
+            return ()
+        return (messages.CellSummary(cell, stamp, members),)
 
     def own_members(self) -> tuple[messages.About, ...]:
         """Return this cell's members that are heard, by name."""
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import threading
 import typing
 
 import pytest
@@ -32,6 +33,30 @@
     return nodes
 
 
+def summaries_agree(
+    nodes: list[helpers.Node], cell: str, members: str
+) -> bool:
+    """Tell whether all that exchange have one summary, of these members.
+
+    Until then a contact of the cell may still be about to replace its own.
+    """
+    directories = [
+        node.membership.gossip.directory
+        for node in nodes
+        if node.membership.gossip.directory.judges
+    ]
+    found = [each.summary(cell) for each in directories]
+    names = {
+        "".join(about.name for about in summary.members)
+        for summary in found
+        if summary is not None
+    }
+    versions = {
+        summary.stamp.version for summary in found if summary is not None
+    }
+    return names == {members} and len(versions) == 1
+
+
 def test_agents_know_the_members_of_other_cells(start: Start) -> None:
     """Agents heartbeat only their own zone's.  A lookup answered in one
     zone must still name the entries of the others.
@@ -68,6 +93,7 @@
     monkeypatch.setattr(directory, "LOST_AFTER_S", 1.0)
     monkeypatch.setattr(gossip, "BEAT_MS", 100)
     nodes = start_two_zones(start)
+    waiting.until(lambda: summaries_agree(nodes, "ishikari/0", "cde"))
     for node in nodes[2:]:
         node.membership.gossip.stop()
     for node in nodes[2:]:
@@ -163,3 +189,28 @@
     written = known.summary("rumoi/0")
     assert written.stamp.version > future
     assert [about.name for about in written.members] == ["a"]
+
+
+def test_members_cannot_change_before_their_summary_has_its_version(
+    start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An older view with a later version hides members from other cells."""
+    node = start("a")
+    node.membership.gossip.stop()
+    table = node.membership.gossip.table
+    known = node.membership.gossip.directory
+    summary_of = known.summary
+    could_change = []
+
+    def change_members(cell: str) -> messages.CellSummary | None:
+        changing = threading.Thread(
+            target=lambda: could_change.append(table.lock.acquire(timeout=0.2))
+        )
+        changing.start()
+        changing.join()
+        return summary_of(cell)
+
+    monkeypatch.setattr(known, "summary", change_members)
+    node.membership.gossip.write_own()
+    assert could_change
+    assert not any(could_change)
