Test nodes share a key only within their own test process

Change: a key of its own for each process, also where deployments, claims and configuration are tested.

--- a/src/briarseam/testing/deployment.py
+++ b/src/briarseam/testing/deployment.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import pathlib
+import secrets
 import typing
 
 from briarseam import settings as settings_module
@@ -38,7 +39,8 @@
 CALL = "submit"
 TEAM = "platform"
 TEAM_KEY = "test-key-of-team-platform"
-SHARED_KEY = "test-shared-key-of-the-system"
+# Its own in each process: an address may pass to another deployment.
+SHARED_KEY = secrets.token_hex(16)
 ORGANISATIONS = ("north", "south")
 IP = "127.0.0.1"
 PATHS = (
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import secrets
 import typing
 
 import pytest
@@ -20,7 +21,7 @@
 from briarseam.wire import connection as connections
 from briarseam.wire import server as wire_server
 
-KEY = b"shared"
+KEY = secrets.token_bytes(16)
 OPTIONS = options.Options(batch_ms=0.0, wait_s=5.0)
 WAIT_S = 5.0
 
--- a/tests/configuration/helpers.py
+++ b/tests/configuration/helpers.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import secrets
 import typing
 
 from briarseam.backing import log as logs
@@ -11,7 +12,7 @@
 from briarseam.wire import connection as connections
 from briarseam.wire import server
 
-KEY = b"shared key of the agents"
+KEY = secrets.token_bytes(16)
 FAST = readers.Options(
     log_wait_ms=200,
     peer_wait_ms=100,
--- a/tests/membership/nodes.py
+++ b/tests/membership/nodes.py
@@ -1,15 +1,19 @@
 from __future__ import annotations
 
 import dataclasses
+import secrets
 import typing
 
 from briarseam.backing import instances
+from briarseam.membership import peer as peers
 from briarseam.membership import service
 from briarseam.membership import state
+from briarseam.testing import waiting
 from briarseam.wire import connection as connections
 from briarseam.wire import server
 
-KEY = b"membership-tests"
+# Its own in each test process: an address may pass to a node of another.
+KEY = secrets.token_bytes(16)
 INTERVAL_S = 0.05
 SUSPECT_AFTER_S = 0.6
 
@@ -67,6 +71,13 @@
                 return member.state
         return None
 
+    def peer(self, name: str) -> peers.Peer:
+        """Return the heartbeats to a peer, once they have begun.
+
+        A peer that sent its introduction first is a member before that.
+        """
+        return waiting.until(lambda: self.membership.peers.get(name))
+
     def stop(self) -> None:
         self.membership.stop()
         self.server.stop()
