Tests of heartbeats wait until they have begun

Cause: a peer that sends its introduction first is a member at once, but heartbeats to it begin with the next look at the table.

--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -61,8 +61,8 @@
     for node in (a, b):
         node.membership.heartbeat_interval_s = 60.0
         node.membership.table.suspect_after_s = 60.0
-    beats_before = b.membership.peers["a"].beats
-    waiting.until(lambda: b.membership.peers["a"].beats > beats_before)
+    beats_before = b.peer("a").beats
+    waiting.until(lambda: b.peer("a").beats > beats_before)
     b.membership.announce_leaving()
     waiting.until(lambda: a.names() == {"a"}, timeout_s=10)
     assert a.state_of("b") is LEAVING
@@ -180,7 +180,7 @@
         return reply
 
     handlers[messages.Heartbeat] = answer_before_the_freeze
-    waiting.until(lambda: a.membership.peers["b"].failures)
+    waiting.until(lambda: a.peer("b").failures)
     assert clock.skipped_s == 60
     assert not a.membership.fresh()
 
