A newcomer fetches a newer configuration from its cell's peers

What was missing: after the store has returned from an older copy an instance that starts goes by the copy's configuration until operators write again, with keys that were revoked meanwhile; peers that knew better told it nothing. Change: heartbeats carry the version in force. Weight goals ride on heartbeats already. The test with two instances and a restored store fails without the guard.

Also: the return of a store whose first era is 0 is logged; housekeeping goes on after an error; stopping servers moves to where they are built; a second instance in tests is made in one way.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -7,9 +7,9 @@
 
 import structlog
 
-from briarseam import clocks
 from briarseam import inflight
 from briarseam import malformed
+from briarseam import repeating
 from briarseam.compose import node_calls
 from briarseam.compose import node_draining
 from briarseam.compose import node_feeds
@@ -51,6 +51,7 @@
 from briarseam.platform import engines
 from briarseam.platform import requests
 from briarseam.platform import store as stores
+from briarseam.routes import peer_configuration
 from briarseam.wire import event_loop
 
 if typing.TYPE_CHECKING:
@@ -151,6 +152,9 @@
         self.cell_weights = cell_weights.CellWeights(
             self.weights.board, self.calls, settings.instance.name
         )
+        self.peer_configuration = peer_configuration.PeerConfiguration(
+            self.feeds.operators, self.calls
+        )
         self.meeting = node_meeting.Meeting(
             settings,
             self.store,
@@ -167,6 +171,9 @@
         )
         node_metrics.register(self.metrics, self.readings())
         self.threads = threads.ThreadGauge(self.metrics)
+        self.housekeeping = repeating.Repeater(
+            "housekeeping", self.keep_house, HOUSEKEEPING_S
+        )
 
     def told(self) -> node_meeting.Told:
         """Return the parts that tell peers something."""
@@ -178,6 +185,7 @@
             losses=self.loss_sharing,
             weights=self.weights,
             cell_weights=self.cell_weights,
+            configuration=self.peer_configuration,
             stores=self.store_sharing,
             topics=self.topic_reads,
         )
@@ -240,19 +248,19 @@
         self.cell_loads.start()
         self.cell_weights.start()
         self.meeting.start()
-        threading.Thread(
-            target=self.keep_house, name="housekeeping", daemon=True
-        ).start()
+        self.housekeeping.start()
 
     def keep_house(self) -> None:
-        """Forget what is old until stopped."""
-        while not self.stopping.wait(HOUSEKEEPING_S):
-            self.feeds.registry.forget_lapsed()
-            self.forget_all_but(self.feeds.registry.ids())
-            self.pool.close_old()
-            self.guard.forget_old()
-            self.threads.renew()
-            self.chooser.loads.keep_only(frozenset(self.instances.all_names()))
+        """Forget what is old, and fetch what peers have newer."""
+        self.feeds.registry.forget_lapsed()
+        self.forget_all_but(self.feeds.registry.ids())
+        self.pool.close_old()
+        self.guard.forget_old()
+        self.threads.renew()
+        names = frozenset(self.instances.all_names())
+        self.chooser.loads.keep_only(names)
+        self.peer_configuration.keep_only(names)
+        self.peer_configuration.review()
 
     def drain(
         self, hurry: typing.Callable[[], bool], asked_s: float | None = None
@@ -293,6 +301,7 @@
             Longest wait for the servers to end, in seconds.
         """
         self.stopping.set()
+        self.housekeeping.stop()
         self.reloading.stop()
         self.sweeper.stop()
         self.store_watches.stop()
@@ -303,7 +312,7 @@
         self.meeting.stop()
         if not self.shutdown.begun:
             self.sign_off()
-        self.stop_servers(wait_s)
+        node_servers.stop_all(self.servers.values(), wait_s)
         self.in_flight.close(wait_s)
         self.feeds.stop()
         self.topic_reads.stop()
@@ -312,18 +321,6 @@
         self.loop.stop()
         self.supervisor.stop()
 
-    def stop_servers(self, wait_s: float) -> None:
-        """Stop all servers at once: each takes half a second or more."""
-        end_s = clocks.boot_clock() + wait_s
-        threads = [
-            threading.Thread(target=server.stop, daemon=True)
-            for server in self.servers.values()
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join(max(0.0, end_s - clocks.boot_clock()))
-
     def apply_settings(self, settings: serving.ServeSettings) -> None:
         """Put changed settings in force, but for where this listens."""
         self.settings = settings
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -14,6 +14,7 @@
 from briarseam.placement import cell_weights
 from briarseam.placement import shared_watch
 from briarseam.placement import store_messages
+from briarseam.routes import peer_configuration
 from briarseam.wire import client as clients
 from briarseam.wire import connection as wire_connection
 from briarseam.wire import replies
@@ -194,6 +195,20 @@
         """
         self.tell(address, message, cell_weights.WeightsNoted)
 
+    def ask_configuration(
+        self, name: str
+    ) -> peer_configuration.ConfigurationTold:
+        """Ask an instance of this cell for its configuration.
+
+        Raises
+        ------
+        NoReplyError
+            When it does not answer.
+        """
+        asked = peer_configuration.ConfigurationAsked()
+        kind = peer_configuration.ConfigurationTold
+        return self.near(name, asked, kind, TELL_S)
+
     # Instances of this cell that read for it.
 
     def count(self) -> int:
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -100,8 +100,7 @@
 
     def configuration_version(self) -> int:
         """Return the version in force; 0 before the first."""
-        table = self.operators.current()
-        return 0 if table is None else table.configuration.version
+        return self.operators.version()
 
 
 def build(
--- a/src/briarseam/compose/node_meeting.py
+++ b/src/briarseam/compose/node_meeting.py
@@ -16,6 +16,7 @@
 from briarseam.placement import cell_weights
 from briarseam.placement import load_telling
 from briarseam.placement import store_messages
+from briarseam.routes import peer_configuration
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -52,6 +53,8 @@
         Requests that crash endpoints.
     weights, cell_weights
         Ages of weights, and engines that take new ones.
+    configuration
+        Version of the operators' configuration.
     stores, topics
         What is read for others, of stores of KV cache and of topics.
     """
@@ -63,6 +66,7 @@
     losses: loss_sharing.LossSharing
     weights: node_weights.Weights
     cell_weights: cell_weights.CellWeights
+    configuration: peer_configuration.PeerConfiguration
     stores: store_sharing.StoreSharing
     topics: sharing.SharedReads
 
@@ -74,6 +78,7 @@
             "cell-loads": self.cell_loads,
             "cell-weights": self.cell_weights,
             "lost-requests": self.guard,
+            "configuration-version": self.configuration,
         }
         return (
             *(
@@ -97,6 +102,9 @@
             cell_weights.WeightsTold: node_peers.Answer(
                 self.cell_weights.answer
             ),
+            peer_configuration.ConfigurationAsked: node_peers.Answer(
+                self.configuration.answer
+            ),
         }
 
 
--- a/src/briarseam/compose/node_servers.py
+++ b/src/briarseam/compose/node_servers.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import threading
 import typing
 
+from briarseam import clocks
 from briarseam.forwarding import server as http
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from briarseam import inflight
     from briarseam.compose import small_answers
     from briarseam.settings import sections
@@ -44,3 +48,25 @@
     for name, (address, handle) in handles.items():
         servers[name] = http.Server(name, (address.ip, address.port), handle)
     return servers
+
+
+def stop_all(
+    servers: collections.abc.Iterable[http.Server], wait_s: float
+) -> None:
+    """Stop servers at once: each takes half a second or more.
+
+    Parameters
+    ----------
+    servers
+        Which ones.
+    wait_s
+        Longest wait for all of them to end, in seconds.
+    """
+    end_s = clocks.boot_clock() + wait_s
+    threads = [
+        threading.Thread(target=server.stop, daemon=True) for server in servers
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(max(0.0, end_s - clocks.boot_clock()))
--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -68,6 +68,7 @@
         self.tally = tally or malformed.Tally()
         self.calls = 0
         self.era = 0
+        self.era_is_named = False
         self.lock = threading.Lock()
         self.move_to(address)
 
@@ -328,7 +329,9 @@
             raise records.StoreUnavailableError(
                 f"{type(error).__name__}: {error}", may_have_run=True
             ) from error
-        self.note_era(self.era_of(response))
+        named = decoding.header_integer(response.headers.get(names.STORE_ERA))
+        if named is not None:
+            self.note_era(named)
         if response.status in accepted:
             return response
         raise records.StoreUnavailableError(
@@ -351,12 +354,13 @@
         """
         with self.lock:
             known, self.era = self.era, max(era, self.era)
+            is_first, self.era_is_named = not self.era_is_named, True
         if era < known:
             raise records.StoreUnavailableError(
                 f"an answer of era {era} came in era {known}",
                 may_have_run=True,
             )
-        if known and era > known:
+        if era > known and not is_first:
             log.warning("store_restored", era=era, former_era=known)
 
     def decoded(
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -62,6 +62,10 @@
         self.documents = documents
         self.on_change = on_change
         self.table: tables.RouteTable | None = None
+        # The configuration in force, as operators wrote it.
+        self.content = b""
+        # Configurations come from the store and from peers.
+        self.lock = threading.Lock()
         self.goals = goals.GoalHistory()
         self.loaded = threading.Event()
 
@@ -69,6 +73,11 @@
         """Return the configuration in force; ``None`` before the first."""
         return self.table
 
+    def version(self) -> int:
+        """Return the version in force; 0 before the first."""
+        table = self.table
+        return 0 if table is None else table.configuration.version
+
     def take_all(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
@@ -90,6 +99,15 @@
                     malformed.Kind.OPERATOR_DOCUMENT, change.key, error
                 )
 
+    def take_told(self, data: bytes) -> None:
+        """Take in a configuration that a peer has in force."""
+        try:
+            self.take_configuration(data)
+        except malformed.MalformedError as error:
+            self.tally.note(
+                malformed.Kind.OPERATOR_DOCUMENT, "from a peer", error
+            )
+
     def take_document(self, key: str, data: bytes) -> None:
         """Take in one document; raises ``MalformedError``."""
         if self.documents.is_configuration(key):
@@ -103,12 +121,12 @@
     def take_configuration(self, data: bytes) -> None:
         """Put a newer configuration in force."""
         configuration = self.documents.decode_configuration(data)
-        if self.table is not None:
-            known = self.table.configuration.version
-            if configuration.version <= known:
+        with self.lock:
+            if self.table and configuration.version <= self.version():
                 return
-        self.on_change(configuration)
-        self.table = tables.RouteTable(configuration)
+            self.on_change(configuration)
+            self.table = tables.RouteTable(configuration)
+            self.content = data
         self.loaded.set()
         log.info(
             "configuration_in_force",
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -152,18 +152,27 @@
         )
         return self.node
 
-    def settings(self) -> serving.ServeSettings:
-        """Return the settings of the instance."""
+    def begin_another(self, name: str, zone: str = "hall-a") -> compose.Node:
+        """Start a second instance, which may know nothing yet."""
+        node = compose.Node(self.settings(name, zone))
+        self.stack.callback(node.stop)
+        node.start()
+        return node
+
+    def settings(
+        self, name: str = "one", zone: str = "hall-a"
+    ) -> serving.ServeSettings:
+        """Return the settings of an instance."""
         free = ports.free_ports(5)
         names = ("callers", "readiness", "lookups", "peers", "metrics")
         listen = "\n".join(
-            f"{name} = 127.0.0.1:{port}"
-            for name, port in zip(names, free, strict=True)
+            f"{place} = 127.0.0.1:{port}"
+            for place, port in zip(names, free, strict=True)
         )
         bounds = "\n".join(f"{key} = {n}" for key, n in self.bounds.items())
-        path = self.folder / "settings.ini"
+        path = self.folder / f"{name}.ini"
         path.write_text(
-            "[instance]\nname = one\nzone = hall-a\nregion = north\n"
+            f"[instance]\nname = {name}\nzone = {zone}\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.store.address}\n"
             f"[bounds]\n{bounds}\n"
         )
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -8,6 +8,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
+import structlog
 
 from briarseam.discovery import registry as registries
 from briarseam.feeds import following
@@ -73,6 +74,20 @@
     assert listener.losses == 1
 
 
+@pytest.mark.parametrize("first_era", [0, 1])
+def test_return_is_logged_from_any_era(store, client, first_era):
+    """Guards against a first era that is taken for an unknown one."""
+    store.era = first_era
+    with structlog.testing.capture_logs() as lines:
+        client.newest(TOPIC)
+        store.restore(store.copy())
+        client.newest(TOPIC)
+    eras = {"era": first_era + 1, "former_era": first_era}
+    assert lines == [
+        {"event": "store_restored", "log_level": "warning"} | eras
+    ]
+
+
 def test_offsets_of_two_eras_are_not_taken_for_each_other(store, client):
     """Guards against a reader that hands on records of another era."""
     store.write_raw(TOPIC, "a", b"old")
--- a/tests/platform/test_restored_store_serving.py
+++ b/tests/platform/test_restored_store_serving.py
@@ -31,6 +31,15 @@
     return system.node.feeds.configuration_version()
 
 
+def known(node):
+    """Return the versions of configuration and weights that a node has."""
+    wanted = node.feeds.operators.goals.newest.get(systems.MODEL)
+    return (
+        node.feeds.configuration_version(),
+        None if wanted is None else wanted.version,
+    )
+
+
 def test_callers_are_served_while_entries_are_missing(restored):
     """Guards against losing configuration and endpoints with the store."""
     waiting.until(lambda: not restored.node.feeds.registry.all())
@@ -52,3 +61,19 @@
     restored.configure(version=6, tenants=keys)
     waiting.until(lambda: version(restored) == 6)
     assert restored.call("/status/x", "GET", key="more").status == 200
+
+
+def test_newcomer_gets_what_the_copy_lacks_from_its_peers(cold_system):
+    """Guards against a newcomer that goes by keys revoked meanwhile."""
+    cold_system.configure(version=3)
+    cold_system.add_worker("plain-1", "portal")
+    cold_system.start()
+    waiting.until(lambda: len(members(cold_system)) == 2)
+    old = cold_system.store.copy()
+    cold_system.configure(version=5)
+    goal = {"model": systems.MODEL, "version": 2}
+    cold_system.store.write("keyed.op", f"version/{systems.MODEL}", goal)
+    waiting.until(lambda: known(cold_system.node) == (5, 2))
+    cold_system.store.restore(old)
+    newcomer = cold_system.begin_another("two")
+    waiting.until(lambda: known(newcomer) == (5, 2), timeout_s=20)
--- a/tests/platform/test_weights_between_cells.py
+++ b/tests/platform/test_weights_between_cells.py
@@ -12,14 +12,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 
 import pytest
 
 from briarseam.peers import registrations
-from briarseam.settings import serving
-from briarseam.testing import ports
 from briarseam.testing import waiting
 from briarseam.weights import board as boards
 from briarseam.weights import errands
@@ -31,27 +28,11 @@
 ENGINE = "engine-1"
 
 
-def settings_of_another(system):
-    """Return settings of an instance in another availability zone."""
-    text = (system.folder / "settings.ini").read_text()
-    text = text.replace("name = one", "name = two")
-    text = text.replace("zone = hall-a", "zone = hall-b")
-    listen = system.node.settings.listen
-    taken = [getattr(listen, each.name) for each in dataclasses.fields(listen)]
-    for address, port in zip(taken, ports.free_ports(5), strict=True):
-        text = text.replace(str(address), f"127.0.0.1:{port}")
-    path = system.folder / "two.ini"
-    path.write_text(text)
-    return serving.load(str(path))
-
-
 @pytest.fixture
 def far(system, monkeypatch):
     """An instance of another cell than the first one."""
     monkeypatch.setattr(registrations, "CELL_MEMBERS", 1)
-    other = systems.compose.Node(settings_of_another(system))
-    system.stack.callback(other.stop)
-    other.start()
+    other = system.begin_another("two", "hall-b")
     for node in (system.node, other):
         waiting.until(lambda node=node: knows_two_cells(node), PATIENCE_S)
     return other
