--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -98,9 +98,9 @@
     def candidates(self) -> list[str]:
         """Return the instances that may stand for giving orders.
 
-        Gain: when all instances start at once, each hears only itself at
-        first; registrations tell it that there are others, and it doesn't
-        join the group just to leave it.
+        When all instances start at once, each hears only itself at first;
+        registrations tell it that there are others, and it doesn't join
+        the group just to leave it.
         """
         alive = [
             member.name
--- a/src/briarseam/feeds/record_cache.py
+++ b/src/briarseam/feeds/record_cache.py
@@ -35,8 +35,8 @@
 class Tail:
     """The last records of a topic that an instance has followed.
 
-    Gain: an instance that begins to read for others can answer those who
-    are a little behind; else each of them would ask the store.
+    An instance that begins to read for others answers those who are a little
+    behind from here; else each of them would ask the store.
 
     Attributes
     ----------
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -161,10 +161,9 @@
     ) -> records.KeyedBatch:
         """Ask the store itself, though it answers none of the readers.
 
-        Gain: hundreds of instances that each try as often as they would by
-        themselves make most calls of the day while nobody is answered.  A
-        store that serves some instances only is found by their own try, and
-        read directly by them for a while.
+        Tries are rare, since hundreds of instances make them while nobody is
+        answered.  A store that serves some instances only is found by their
+        own try, and read directly by them for a while.
         """
         now_s = self.clock()
         if now_s < self.direct_until_s:
--- a/src/briarseam/feeds/topic_reader.py
+++ b/src/briarseam/feeds/topic_reader.py
@@ -24,8 +24,8 @@
 class OutageGate:
     """Lets one topic ask whether the store is back; thread-safe.
 
-    Gain: in an outage each try is a call that the store refuses, and it is
-    away for all topics alike.
+    In an outage each try is a call that the store refuses, and it is away
+    for all topics alike.
     """
 
     def __init__(self) -> None:
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -41,7 +41,7 @@
 REVIEW_S = 1.0
 # Each member of a cell sends heartbeats to all others; see docs/CAPACITY.md.
 # A larger group is cut by availability zone, since bytes between these are
-# dear: of 85 instances in three, heartbeats were most of what crossed.
+# dear.
 CELL_MEMBERS = 32
 log = structlog.get_logger("briarseam.peers")
 
@@ -322,8 +322,8 @@
 ) -> None:
     """Wait a little for a secret that another instance makes, or has.
 
-    Gain: of hundreds of instances that start at once a few write one; else
-    each would read, try to write, and read again.
+    Of hundreds of instances that start at once a few write one; else each
+    would read, try to write, and read again.
 
     Parameters
     ----------
--- a/src/briarseam/placement/cell_weights.py
+++ b/src/briarseam/placement/cell_weights.py
@@ -2,9 +2,7 @@
 
 Heartbeats tell it within the cell of the instance that gives orders.  The
 other cells would go on sending prompts to an engine that takes none until it
-has loaded: with 37 instances in three cells, engines rejected 270 sends of
-the two others in a rollout of 12 orders, and 1 with what is told here; 63
-requests were refused, and none.
+has loaded.
 """
 
 from __future__ import annotations
--- a/src/briarseam/placement/fetching.py
+++ b/src/briarseam/placement/fetching.py
@@ -18,9 +18,8 @@
 # Some steps of an engine, in which all but the largest parts come from a store
 # that is well.
 LEAST_S = 0.2
-# So many late fetches in a row, and a store is left alone.  One may be late
-# since its engine had other work; with three in a row 0.896 of callers' worth
-# were served over eight days of load, with two 0.906.
+# So many late fetches in a row, and a store is left alone.  A single one may
+# be late since its engine had other work.
 LATE_IN_A_ROW = 2
 # One more fetch is tried after this; it makes one caller wait.
 PAUSE_S = 1.0
--- a/src/briarseam/placement/reading.py
+++ b/src/briarseam/placement/reading.py
@@ -4,8 +4,7 @@
 
 import threading
 
-# Before any reading was seen, in ms a token: between the fastest and the
-# slowest engines that are known (0.007 and 0.033).
+# Before any reading was seen, in ms a token.
 FIRST_GUESS_MS = 0.02
 LEAST_MS = 0.001
 MOST_MS = 1.0
--- a/src/briarseam/placement/store_watches.py
+++ b/src/briarseam/placement/store_watches.py
@@ -26,8 +26,7 @@
 READERS = 3
 READERS_KEY = "store-readers"
 # Up to so many instances each reads all stores itself, and depends on no
-# other: readers that are lost or suspended cost what is then read again,
-# about 0.03 of worth in the mean of the standard days at 6 and 7 instances.
+# other: while a reader is lost or suspended, prompts are computed again.
 DIRECT_UP_TO = 10
 
 
--- a/src/briarseam/platform/decoding.py
+++ b/src/briarseam/platform/decoding.py
@@ -75,9 +75,8 @@
     on_malformed
         Called with the error of each row that is left out.
     """
-    # Mostly all can be read, and lists have tens of thousands.  Of 20,000
-    # rows, 0.012 s of processor time at once and 0.075 s one by one were
-    # measured in a run each.
+    # Lists have tens of thousands of rows, mostly all well-formed; decoding
+    # them one by one takes several times as long.
     with contextlib.suppress(MalformedError):
         return decode_list(b"[" + b",".join(rows) + b"]", kind)
     found: list[Decoded] = []
