--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -99,7 +99,7 @@
                     malformed.Kind.OPERATOR_DOCUMENT, change.key, error
                 )
 
-    def take_told(self, data: bytes) -> None:
+    def take_from_peer(self, data: bytes) -> None:
         """Take in a configuration that a peer has in force."""
         try:
             self.take_configuration(data)
--- a/src/briarseam/routes/peer_configuration.py
+++ b/src/briarseam/routes/peer_configuration.py
@@ -123,7 +123,7 @@
                 "configuration_not_fetched", peer=member, detail=str(error)
             )
         else:
-            self.feed.take_told(reply.content)
+            self.feed.take_from_peer(reply.content)
             log.info("configuration_fetched", peer=member)
         # Should it have helped nothing, another peer is asked next.
         self.versions.pop(member, None)
