Known red: a part whose saving broke off is sent to the same store for ever

The new test wants another store after a save that came to nothing; the one above it, which wants the same store again, is to be replaced with the fix.

--- a/tests/placement/test_kept.py
+++ b/tests/placement/test_kept.py
@@ -113,6 +113,19 @@
     assert index.plan(SALT, parts("a")).save_to == plan.save_to
 
 
+def test_save_that_broke_off_is_tried_at_another_store(index, clock):
+    """Guards against a part that is never whole: a store keeps what broke
+    off of it and takes no other.
+    """
+    first = index.plan(SALT, parts("a")).save_to
+    index.note_saving(SALT, parts("a"), first)
+    clock.now_s += kept.SAVING_S + 0.1
+    for address in ("s1", "s2"):
+        whole(index, address)
+    (second,) = index.plan(SALT, parts("a")).save_to
+    assert second in {"s1", "s2"} - set(first)
+
+
 def test_content_that_was_long_not_confirmed_is_not_fetched(index, clock):
     """A machine is suspended, and a store loses power meanwhile.
 
