--- a/src/briarseam/membership/gossip.py
+++ b/src/briarseam/membership/gossip.py
@@ -128,8 +128,8 @@
         # The members must not change before they have their version: an
         # older view with a later one would hide members from other cells.
         with self.table.lock:
-            summary = self.renewed_own()
-            news = self.directory.take(summary)
+            due = self.renewed_own()
+            news = self.directory.take(due)
         self.note_news(news)
 
     def renewed_own(self) -> tuple[messages.CellSummary, ...]:
--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -60,6 +60,8 @@
         Calls since the start.
     era
         The latest that an answer named; 0 before the first.
+    era_is_named
+        Whether an answer has named one.
     """
 
     def __init__(
