--- a/src/briarseam/admission/owners.py
+++ b/src/briarseam/admission/owners.py
@@ -22,7 +22,7 @@
 class Ring:
     """Agents around a ring of hashes; a key belongs to the next ones.
 
-    Ranking all agents for each prompt takes 1.9 ms with 920 of them; here
+    Ranking hundreds of agents for each prompt would take milliseconds; here
     only a change of the agents takes long.
 
     Parameters
--- a/src/briarseam/placement/fetching.py
+++ b/src/briarseam/placement/fetching.py
@@ -75,11 +75,9 @@
 class StoreHealth:
     """Which stores deliver in time; thread-safe.
 
-    Guard: a store whose link has become slow still answers all calls.  It
-    shows in first events only, after 1.5 to 2 s in place of 0.2, and every
-    prompt that fetches from it makes the queue of its engine longer.  Without
-    this 0.882 of callers' worth were served over eight days with a slow
-    store, with it 0.903.
+    A store whose link has become slow still answers all calls.  It shows in
+    late first events only, and every prompt that fetches from it makes the
+    queue of its engine longer.
 
     Parameters
     ----------
--- a/src/briarseam/placement/load_telling.py
+++ b/src/briarseam/placement/load_telling.py
@@ -1,12 +1,9 @@
 """Telling the peers of a cell this instance's work as it changes.
 
-Heartbeats tell it, too, but twice a second, while an engine reads a prompt
-in 30 to 300 ms: of prompts sent to engines that had no work as far as was
-known, one in ten had its first event after half a second or more (six
-instances before nine engines, two of them gone without a word).  So each
-change goes out at once, by datagrams, and the heartbeats make up for those
-that are lost.  Told so, 0.908 in place of 0.875 of callers' worth were served
-over twelve days of load.
+Heartbeats tell it, too, but twice a second, while an engine reads a prompt in
+less: several instances would send to an engine that seems to be idle.  So
+each change goes out at once, by datagrams, and the heartbeats make up for
+those that are lost.
 """
 
 from __future__ import annotations
