Store client: one field for the era, one place that reads its header

The era of an answer was parsed in two places, and whether one was named stood beside the era itself.

--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -58,10 +58,8 @@
     ----------
     calls
         Calls since the start.
-    era
-        The latest that an answer named; 0 before the first.
-    era_is_named
-        Whether an answer has named one.
+    named_era
+        The latest that an answer named; ``None`` before the first.
     """
 
     def __init__(
@@ -69,8 +67,7 @@
     ) -> None:
         self.tally = tally or malformed.Tally()
         self.calls = 0
-        self.era = 0
-        self.era_is_named = False
+        self.named_era: int | None = None
         self.lock = threading.Lock()
         self.move_to(address)
 
@@ -331,9 +328,9 @@
             raise records.StoreUnavailableError(
                 f"{type(error).__name__}: {error}", may_have_run=True
             ) from error
-        named = decoding.header_integer(response.headers.get(names.STORE_ERA))
-        if named is not None:
-            self.note_era(named)
+        era = named_era(response)
+        if era is not None:
+            self.note_era(era)
         if response.status in accepted:
             return response
         raise records.StoreUnavailableError(
@@ -341,9 +338,14 @@
             may_have_run=response.status not in REFUSED,
         )
 
+    @property
+    def era(self) -> int:
+        """Return the latest era that an answer named; 0 before the first."""
+        return self.named_era or 0
+
     def era_of(self, response: urllib3.BaseHTTPResponse) -> int:
         """Return the era of an answer; the known one if it names none."""
-        era = decoding.header_integer(response.headers.get(names.STORE_ERA))
+        era = named_era(response)
         return self.era if era is None else era
 
     def note_era(self, era: int) -> None:
@@ -355,15 +357,15 @@
             When the answer is from before the store was restored.
         """
         with self.lock:
-            known, self.era = self.era, max(era, self.era)
-            is_first, self.era_is_named = not self.era_is_named, True
+            known, self.named_era = self.named_era, max(era, self.era)
+        if known is None or era == known:
+            return
         if era < known:
             raise records.StoreUnavailableError(
                 f"an answer of era {era} came in era {known}",
                 may_have_run=True,
             )
-        if era > known and not is_first:
-            log.warning("store_restored", era=era, former_era=known)
+        log.warning("store_restored", era=era, former_era=known)
 
     def decoded(
         self,
@@ -377,3 +379,8 @@
             raise records.StoreUnavailableError(
                 f"malformed answer: {error}", may_have_run=True
             ) from error
+
+
+def named_era(response: urllib3.BaseHTTPResponse) -> int | None:
+    """Return the era that an answer names; ``None`` if it names none."""
+    return decoding.header_integer(response.headers.get(names.STORE_ERA))
