--- a/src/briarseam/placement/cost.py
+++ b/src/briarseam/placement/cost.py
@@ -122,9 +122,8 @@
         Work known there.
     missing_tokens, held_tokens, fetched_tokens
         As in :class:`briarseam.placement.requests.Placement`.
-    fill, usual_fill
-        How full its memory would be, with the prompt and with a usual one of
-        its kind.
+    usual_fill
+        How full its memory would be with a usual prompt of its kind.
     is_old
         Whether others have newer weights.
     cost
@@ -137,7 +136,6 @@
     missing_tokens: int
     held_tokens: int
     fetched_tokens: int
-    fill: float
     usual_fill: float
     is_old: bool
     cost: float
@@ -190,7 +188,6 @@
         missing,
         held,
         fetched,
-        fill,
         usual_fill,
         is_old,
         cost,
