Evacuations, cold endpoints and regions decide which endpoints get requests

Cause: nothing read the evacuation records of the operators, the cold times of endpoints or the regions of routes and organisations.

Change: a package, eligibility, selects the endpoints that may get a request before one is chosen. An evacuated zone is excluded for new requests, retries, resumed streams and requests that wait; running ones finish. Requests with regions reach endpoints there only, their KV cache is neither fetched from nor saved to a store elsewhere, and lookups name instances of the caller's region.

--- a/src/briarseam/compose/local_handlers.py
+++ b/src/briarseam/compose/local_handlers.py
@@ -64,7 +64,9 @@
         if query is None:
             exchange.answer(NOT_FOUND, (), b"")
             return
-        addresses = self.lookup.addresses(query.zone, exchange.caller_ip)
+        addresses = self.lookup.addresses(
+            query.zone, exchange.caller_ip, query.region
+        )
         if not addresses and self.is_ready():
             addresses = [self.own_address]
         if not addresses:
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -13,6 +13,7 @@
 from briarseam.compose import local_handlers
 from briarseam.compose import node_calls
 from briarseam.compose import node_draining
+from briarseam.compose import node_eligibility
 from briarseam.compose import node_feeds
 from briarseam.compose import node_instances
 from briarseam.compose import node_membership
@@ -90,6 +91,7 @@
         self.pool = connections.Pool()
         self.instances = node_instances.Instances(settings.instance.name)
         self.calls = node_calls.PeerCalls(self.instances)
+        self.eligibility = node_eligibility.build(settings, self.instances)
         self.topic_reads = feeds_sharing.SharedReads(
             self.store,
             node_feeds.TOPICS,
@@ -103,6 +105,7 @@
             self.configuration_changed,
             self.forget_endpoints,
             self.malformed_counter,
+            self.eligibility,
         )
         self.instances.registrations = self.feeds.registrations
         self.restarts = restarts.Restarts(self.feeds.registry)
@@ -120,6 +123,7 @@
             self.weights.known_weights,
             self.feeds.registry.age_s,
             loads.Loads(self.calls.size, lambda: len(self.instances.all())),
+            eligibility=self.eligibility,
         )
         cache_stores = cache.CacheStoreClient(self.malformed_counter)
         self.store_watches = store_watches.StoreWatches(
@@ -224,6 +228,7 @@
                 self.instances.all,
                 self.feeds.registrations.zone_of,
                 self.instances.weight_of,
+                self.eligibility.region_map.region_of,
             ),
             str(listen.callers),
             lambda: self.settings.bounds.lookup_ttl_max_s,
@@ -255,6 +260,7 @@
     def run_housekeeping(self) -> None:
         """Drop expired state, and fetch newer configurations from peers."""
         self.feeds.registry.forget_lapsed()
+        self.eligibility.evacuations.review()
         self.keep_only_endpoints(self.feeds.registry.ids())
         self.pool.close_expired()
         self.guard.forget_expired()
@@ -330,6 +336,7 @@
         self.settings = settings
         self.weights.settings = settings
         bounds = settings.bounds
+        self.eligibility.starts.limits = node_eligibility.limits_of(bounds)
         budget = self.forwarding.deps.budget
         budget.ratio = bounds.retry_ratio
         budget.slack = bounds.retry_slack
@@ -349,12 +356,21 @@
             topic_reads_shared=lambda: self.topic_reads.shared_reads,
             configuration_version=self.feeds.configuration_version,
             endpoints_known=lambda: len(self.feeds.registry.all()),
+            endpoints_cold=self.eligibility.starts.cold_count,
+            zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
 
     def configuration_changed(
         self, configuration: routes.Configuration
     ) -> None:
-        """Apply the limits of a new configuration, and follow its stores."""
+        """Apply the limits of a new configuration, and follow its stores.
+
+        Raises
+        ------
+        MalformedError
+            If it names an unknown region; it doesn't take effect then.
+        """
+        self.eligibility.region_map.check(configuration)
         limits = configuration.limits
         server = self.servers["callers"]
         server.set_idle_timeout(limits.idle_timeout_s)
@@ -382,6 +398,7 @@
         """
         self.pool.keep_only(ids)
         self.chooser.forget_old(ids)
+        self.eligibility.starts.keep_only(ids)
         self.weights.known_weights.keep_only(ids)
 
     def is_ready(self) -> bool:
--- /dev/null
+++ b/src/briarseam/compose/node_eligibility.py
@@ -0,0 +1,39 @@
+"""Composition of the rules on which endpoints may get a request."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.eligibility import cold_starts
+from briarseam.eligibility import regions
+from briarseam.eligibility import service
+from briarseam.routes import evacuation
+
+if typing.TYPE_CHECKING:
+    from briarseam.compose import node_instances
+    from briarseam.settings import serving
+
+
+def build(
+    settings: serving.ServeSettings, instances: node_instances.Instances
+) -> service.Eligibility:
+    """Return the rules of an instance.
+
+    Parameters
+    ----------
+    settings
+        The settings of this process.
+    instances
+        All instances, of which a few may send to a cold endpoint.
+    """
+    starts = cold_starts.ColdStarts(instances, limits_of(settings.bounds))
+    return service.Eligibility(
+        evacuation.Evacuations(starts.record_release),
+        starts,
+        regions.RegionMap(settings.instance.regions()),
+    )
+
+
+def limits_of(bounds: serving.Bounds) -> cold_starts.Limits:
+    """Return the limits on requests to cold endpoints."""
+    return cold_starts.Limits(bounds.cold_rate_factor, bounds.cold_rate_slack)
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -16,6 +16,7 @@
 if typing.TYPE_CHECKING:
     from briarseam import malformed
     from briarseam.discovery import model as discovery
+    from briarseam.eligibility import service as eligibilities
     from briarseam.feeds import sharing
     from briarseam.platform import store as stores
     from briarseam.routes import model as routes
@@ -25,6 +26,9 @@
 # connected for three.  A silent connection is detected at the end of a poll
 # only, so a poll must end within three seconds.
 OPERATOR_POLL_S = 2.0
+# An evacuation must be in force in time even if a poll and the one after it
+# are lost.
+OPERATOR_POLL_SHARE = 0.4
 ENDPOINT_POLL_S = 1.5
 # Pause between two reads, as a share of the time within which a leaving
 # endpoint must get no new work; the rest is for a failed read and the next
@@ -103,6 +107,11 @@
         return self.operators.version()
 
 
+def operator_poll_s(evacuation_ms: int) -> float:
+    """Return the length of a long poll of the operators' topic."""
+    return min(OPERATOR_POLL_S, OPERATOR_POLL_SHARE * evacuation_ms / MS)
+
+
 def build(
     settings: serving.ServeSettings,
     store: stores.StoreClient,
@@ -110,6 +119,7 @@
     on_configuration: typing.Callable[[routes.Configuration], None],
     on_gone: typing.Callable[[frozenset[str]], None],
     malformed_counter: malformed.Tally,
+    rules: eligibilities.Eligibility,
 ) -> Feeds:
     """Return the feeds, not yet started.
 
@@ -127,12 +137,20 @@
         Called with the ids of endpoints that are gone.
     malformed_counter
         Counts records that can't be read.
+    rules
+        Which endpoints may get requests; gets evacuations and cold starts.
     """
     feed = operators.OperatorFeed(
-        documents.OperatorDocuments(), on_configuration, malformed_counter
+        documents.OperatorDocuments(),
+        on_configuration,
+        malformed_counter,
+        rules.evacuations,
     )
     registry = registries.EndpointRegistry(
-        endpoints.decode_endpoint, on_gone, malformed_counter=malformed_counter
+        endpoints.decode_endpoint,
+        on_gone,
+        malformed_counter=malformed_counter,
+        on_entry=rules.record_entry,
     )
     instances = registrations.Registrations(
         store,
@@ -147,7 +165,12 @@
         malformed_counter,
     )
     followers = (
-        following.Follower(reads, names.OPERATOR_TOPIC, feed, OPERATOR_POLL_S),
+        following.Follower(
+            reads,
+            names.OPERATOR_TOPIC,
+            feed,
+            operator_poll_s(settings.bounds.evacuation_ms),
+        ),
         following.Follower(
             reads,
             names.ENDPOINTS_TOPIC,
--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -10,6 +10,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from briarseam.discovery import model as discovery
     from briarseam.membership import service as membership
     from briarseam.peers import registrations
 
@@ -105,6 +106,26 @@
         ranked = rank.ranked(LEADER_KEY, names, str, self.weight_of)
         return self.own_name in ranked[:LEADER_CANDIDATES]
 
+    def is_sender(self, endpoint: discovery.Endpoint, count: int) -> bool:
+        """Return whether this instance may send to a cold endpoint.
+
+        Chosen from the registered instances of the endpoint's zone, or from
+        all if it has none.  Registrations are the same for all instances,
+        while each has its own view of which instances are alive; a sender
+        that has failed costs only the use of an endpoint that is slow.
+        """
+        if self.registrations is None:
+            return False
+        rows = self.registrations.by_name.values()
+        local = [row for row in rows if row.zone == endpoint.zone]
+        ranked = rank.ranked(
+            endpoint.id,
+            local or rows,
+            lambda row: row.name,
+            lambda row: row.weight,
+        )
+        return any(row.name == self.own_name for row in ranked[:count])
+
     def eligible_names(self) -> list[str]:
         """Return the names from which the leader candidates are chosen.
 
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -22,6 +22,7 @@
     ----------
     in_flight, connections_opened, store_calls, store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
+    endpoints_cold, zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -33,6 +34,8 @@
     topic_reads_shared: Reading
     configuration_version: Reading
     endpoints_known: Reading
+    endpoints_cold: Reading
+    zones_evacuated: Reading
 
 
 def register(registry: metrics.Registry, readings: Readings) -> None:
@@ -78,6 +81,16 @@
             "Endpoints that have an entry",
             readings.endpoints_known,
         ),
+        (
+            "endpoints_cold",
+            "Endpoints that are warming up and take few requests",
+            readings.endpoints_cold,
+        ),
+        (
+            "zones_evacuated",
+            "Availability zones whose endpoints get no requests",
+            readings.zones_evacuated,
+        ),
     ):
         registry.callback_gauge(name, text, reading)
 
--- a/src/briarseam/discovery/model.py
+++ b/src/briarseam/discovery/model.py
@@ -29,6 +29,9 @@
         Whether it is shutting down and accepts no new requests.
     versions
         Weight version by model, as last announced; 0 if unknown.
+    cold_remaining_s
+        How long it stays cold after its start, as of its entry, in seconds;
+        ``None`` if the entry does not say.
     """
 
     id: str
@@ -40,6 +43,9 @@
     versions: dict[str, int] = dataclasses.field(
         default_factory=dict, hash=False
     )
+    cold_remaining_s: float | None = dataclasses.field(
+        default=None, compare=False
+    )
 
     @functools.cached_property
     def start(self) -> starts.Start:
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -25,6 +25,12 @@
 
 Decode = typing.Callable[[str, bytes], model.Endpoint]
 OnGone = typing.Callable[[frozenset[str]], None]
+OnEntry = typing.Callable[[model.Endpoint], None]
+
+
+def ignore_entry(endpoint: model.Endpoint) -> None:
+    """Ignore that an endpoint has written an entry."""
+    del endpoint
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +66,8 @@
         Seconds.
     malformed_counter
         Counts malformed entries.
+    on_entry
+        Called with each valid entry, also if it has not changed.
     """
 
     def __init__(
@@ -68,7 +76,9 @@
         on_gone: OnGone,
         clock: typing.Callable[[], float] = clocks.boot_clock,
         malformed_counter: malformed.Tally | None = None,
+        on_entry: OnEntry = ignore_entry,
     ) -> None:
+        self.on_entry = on_entry
         self.malformed_counter = malformed_counter or malformed.Tally()
         self.decode = decode
         self.on_gone = on_gone
@@ -196,6 +206,7 @@
             self.present[name] = endpoint
             self.lapsed.pop(name, None)
             self.awaiting_entry.discard(name)
+        self.on_entry(endpoint)
         if known is None:
             log.info(
                 "endpoint_found",
--- /dev/null
+++ b/src/briarseam/eligibility/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoints may get a request: evacuation, cold starts, regions."""
--- a/src/briarseam/lookup/zonal.py
+++ b/src/briarseam/lookup/zonal.py
@@ -21,6 +21,12 @@
 Members = typing.Callable[[], "collections.abc.Sequence[state.Member]"]
 
 
+def no_region(zone: str) -> str:
+    """Return the same region for every zone."""
+    del zone
+    return ""
+
+
 class ZonalLookup:
     """Looks up the addresses that callers of a zone should use.
 
@@ -37,6 +43,8 @@
         Returns an instance's availability zone.
     weight_of
         Returns the capacity of an instance, relative to others.
+    region_of
+        Returns the region of an availability zone; empty if unknown.
     """
 
     def __init__(
@@ -44,12 +52,14 @@
         members: Members,
         zone_of: typing.Callable[[str], str],
         weight_of: typing.Callable[[str], float] = rank.equal_weight,
+        region_of: typing.Callable[[str], str] = no_region,
     ) -> None:
+        self.region_of = region_of
         self.members = members
         self.zone_of = zone_of
         self.weight_of = weight_of
 
-    def addresses(self, zone: str, caller: str) -> list[str]:
+    def addresses(self, zone: str, caller: str, region: str = "") -> list[str]:
         """Return the addresses for a caller.
 
         Parameters
@@ -58,6 +68,10 @@
             Availability zone of the caller.
         caller
             Identifies the caller.
+        region
+            Region of the caller; that of its zone unless given.  Instances
+            of other regions are returned only if this one has none, since
+            some requests must not leave it.
         """
         alive = [
             member
@@ -71,7 +85,14 @@
         chosen = self.choose(local, caller)
         if len(chosen) < MIN_ADDRESSES:
             remote = [member for member in alive if member not in local]
-            chosen += self.choose(remote, caller)
+            region = region or self.region_of(zone)
+            near = [
+                member
+                for member in remote
+                if self.region_of(self.zone_of(member.name)) == region
+            ]
+            chosen += self.choose(near, caller)
+            chosen = chosen or self.choose(remote, caller)
         return [
             address for member in chosen for address in member.entry_addresses
         ][:MAX_ADDRESSES]
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -8,6 +8,7 @@
 
 from briarseam import clocks
 from briarseam import verdict
+from briarseam.eligibility import service as eligibilities
 from briarseam.forwarding import calls
 from briarseam.lookup import rank
 from briarseam.placement import cost
@@ -35,6 +36,10 @@
 TOO_LARGE = verdict.NotRun(
     verdict.Reason.OVERLOADED, "the prompt exceeds the engines' memory"
 )
+# Only cold endpoints are left, and this instance has used up its share of
+# the requests that they tolerate.
+LIMITED_ONLY = requests.NoCapacity(0.0, 0.0, 0, 0, 0)
+Choice = requests.Placement | requests.NoCapacity | verdict.NotRun
 
 
 class Chooser:
@@ -54,6 +59,9 @@
         Load of endpoints.
     clock
         Seconds.
+    eligibility
+        Excludes endpoints by evacuations, cold starts and regions; unless
+        given, none is excluded.
     """
 
     def __init__(
@@ -64,8 +72,10 @@
         endpoints_age_s: typing.Callable[[], float] = lambda: 0.0,
         loads: load_module.Loads | None = None,
         clock: typing.Callable[[], float] = clocks.boot_clock,
+        eligibility: eligibilities.Eligibility | None = None,
     ) -> None:
         self.endpoints = endpoints
+        self.eligibility = eligibility or eligibilities.unrestricted()
         self.required = required
         self.clock = clock
         self.loads = loads or load_module.Loads()
@@ -84,9 +94,7 @@
             tokens = requests.memory_of(prompt)
             self.mean_sizes.record(request.route.name, tokens)
 
-    def choose(
-        self, request: requests.Request
-    ) -> requests.Placement | requests.NoCapacity | verdict.NotRun:
+    def choose(self, request: requests.Request) -> Choice:
         """Return the placement of a request, or why it has none."""
         candidates = [
             endpoint
@@ -99,6 +107,37 @@
                 "no endpoint of the service accepts requests",
                 RETRY_AFTER_S,
             )
+        eligible = self.eligibility.select(
+            candidates, request.service, request.regions
+        )
+        if isinstance(eligible, verdict.NotRun):
+            return eligible
+        placement: Choice = LIMITED_ONLY
+        if eligible.unlimited:
+            placement = self.choose_among(request, eligible.unlimited)
+        if eligible.limited and isinstance(placement, requests.NoCapacity):
+            return self.choose_limited(request, eligible.limited)
+        return placement
+
+    def choose_limited(
+        self, request: requests.Request, candidates: list[discovery.Endpoint]
+    ) -> Choice:
+        """Return a placement on a cold endpoint if the limit allows it.
+
+        Cold endpoints are slow and take few requests, so they are used only
+        while no warm one has capacity.
+        """
+        placement = self.choose_among(request, candidates)
+        if not isinstance(placement, requests.Placement):
+            return placement
+        if self.eligibility.try_acquire(placement.endpoint, request.service):
+            return placement
+        return LIMITED_ONLY
+
+    def choose_among(
+        self, request: requests.Request, candidates: list[discovery.Endpoint]
+    ) -> Choice:
+        """Return the placement of a request on one of some endpoints."""
         now_s = self.clock()
         preferred = [
             endpoint
@@ -202,7 +241,14 @@
         if not version:
             return cost.VersionPlan(salt, kept_module.NO_TRANSFERS)
         return cost.VersionPlan(
-            salt, self.kept_index.plan(salt, prompt.shared)
+            salt,
+            self.kept_index.plan(
+                salt,
+                prompt.shared,
+                lambda store: self.eligibility.region_map.allows(
+                    request.regions, store.zone
+                ),
+            ),
         )
 
     def candidate(
--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -19,6 +19,15 @@
     from briarseam.forwarding import calls
     from briarseam.routes import model as routes
 
+AllowsStore = typing.Callable[["routes.StoreTraits"], bool]
+
+
+def allow_all(store: routes.StoreTraits) -> bool:
+    """Return that a prompt may be transferred from and to any store."""
+    del store
+    return True
+
+
 # A saved part appears in the store's events once it is complete.  After this
 # time it may be saved again.
 SAVE_TIMEOUT_S = 5.0
@@ -198,13 +207,24 @@
         return index.readable and age_s <= MAX_AGE_S
 
     def plan(
-        self, salt: str, parts: collections.abc.Sequence[calls.PromptPart]
+        self,
+        salt: str,
+        parts: collections.abc.Sequence[calls.PromptPart],
+        allows: AllowsStore = allow_all,
     ) -> TransferPlan:
         """Plan where a prompt's shared parts are fetched from and saved to.
 
         A part can only be used if all parts before it are available, so
         parts after a missing one are not fetched.  A part at a slow store is
         not saved elsewhere, because slow stores usually recover soon.
+
+        Parameters
+        ----------
+        salt, parts
+            The parts.
+        allows
+            Returns whether the prompt may be transferred from and to a
+            store.
         """
         fetch_from: list[str] = []
         save_to: list[str] = []
@@ -212,10 +232,10 @@
         contiguous = True
         with self.lock:
             for part in parts:
-                holder = self.holder_of(salt, part)
+                holder = self.holder_of(salt, part, allows)
                 if holder is None:
                     contiguous = False
-                    save_to.append(self.save_target(salt, part))
+                    save_to.append(self.save_target(salt, part, allows))
                     fetch_from.append("")
                     continue
                 save_to.append("")
@@ -224,14 +244,28 @@
                 fetched += part.tokens if contiguous else 0
         return TransferPlan(tuple(fetch_from), tuple(save_to), fetched)
 
-    def holder_of(self, salt: str, part: calls.PromptPart) -> str | None:
+    def holder_of(
+        self,
+        salt: str,
+        part: calls.PromptPart,
+        allows: AllowsStore = allow_all,
+    ) -> str | None:
         """Return the address of a store that keeps a complete part."""
         for address, index in self.stores.items():
-            if (salt, part.id) in index.held and self.is_confirmed(index):
+            if (
+                (salt, part.id) in index.held
+                and self.is_confirmed(index)
+                and allows(index.traits)
+            ):
                 return address
         return None
 
-    def save_target(self, salt: str, part: calls.PromptPart) -> str:
+    def save_target(
+        self,
+        salt: str,
+        part: calls.PromptPart,
+        allows: AllowsStore = allow_all,
+    ) -> str:
         """Return the store to save a part to; empty for none."""
         now_s = self.clock()
         saving = self.pending_saves.get((salt, part.id))
@@ -241,6 +275,7 @@
             index
             for index in self.stores.values()
             if self.is_confirmed(index)
+            and allows(index.traits)
             and not self.health.is_slow(index.traits.address)
             and index.used + part.tokens
             < index.traits.capacity_tokens * MAX_USED_SHARE
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+from briarseam.eligibility import regions
 from briarseam.placement import loads as load_module
 from briarseam.placement import salts
 
@@ -48,6 +49,15 @@
     tried: frozenset[str] = frozenset()
     partly_answered: bool = False
 
+    @property
+    def regions(self) -> regions.Allowed:
+        """Regions that the request must not leave."""
+        organisation = self.organisation
+        return regions.intersection(
+            self.route.regions,
+            None if organisation is None else organisation.regions,
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class Placement:
--- a/src/briarseam/platform/configuration.py
+++ b/src/briarseam/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
 from briarseam.platform import decoding
@@ -20,6 +22,10 @@
 }
 
 
+# An empty name would exclude every region without saying so.
+Region = typing.Annotated[decoding.Text, msgspec.Meta(min_length=1)]
+
+
 class WireShare(msgspec.Struct):
     """Share of a service in the traffic of a route."""
 
@@ -44,6 +50,8 @@
     # Requests carry prompt parts; they need not go to the same endpoint.
     sticky: bool = False
     resumable: bool = False
+    # Despite the name, without any it may be served everywhere.
+    allowed_regions: list[Region] = []
 
 
 class WireModel(msgspec.Struct):
@@ -74,6 +82,9 @@
     kv_capacity_tokens: decoding.Number = 0
     link_mbps: decoding.Factor = 0.0
     managed: bool = False
+    # Limits of an endpoint after its start; without limits the time is 0.
+    cold_start_s: decoding.Factor = 0.0
+    cold_per_s: decoding.Factor = 0.0
     first_ms: decoding.Millis = msgspec.field(default=0.0, name="first_ms")
 
 
@@ -84,6 +95,7 @@
     api_keys: list[str] = []
     priority: decoding.Number | None = None
     isolated: bool = False
+    allowed_regions: list[Region] = []
 
 
 class WireLimits(msgspec.Struct, rename="camel"):
@@ -156,9 +168,15 @@
         anonymous=wire.anonymous,
         sessions=wire.sticky,
         resumable=wire.resumable,
+        regions=regions_of(wire.allowed_regions),
     )
 
 
+def regions_of(allowed: list[str]) -> model.Regions:
+    """Return the allowed regions; ``None`` if there is no restriction."""
+    return frozenset(allowed) or None
+
+
 def service_of(wire: WireService) -> model.Service:
     """Convert a service to the project's type."""
     engine = None
@@ -180,12 +198,16 @@
             first_byte_s=wire.first_ms / MS,
             frees_on_request=wire.managed,
         )
+    cold_start = None
+    if wire.cold_start_s > 0:
+        cold_start = model.ColdStart(wire.cold_start_s, wire.cold_per_s)
     return model.Service(
         name=wire.name,
         health_path=wire.health_path,
         max_connections=wire.max_connections,
         engine=engine,
         store=store,
+        cold_start=cold_start,
     )
 
 
@@ -198,7 +220,10 @@
     by_key: dict[str, model.Organisation] = {}
     for tenant in tenants:
         organisation = model.Organisation(
-            tenant.name, tenant.priority, tenant.isolated
+            tenant.name,
+            tenant.priority,
+            tenant.isolated,
+            regions_of(tenant.allowed_regions),
         )
         by_key.update(dict.fromkeys(tenant.api_keys, organisation))
     return by_key
@@ -219,6 +244,13 @@
     return key.startswith(names.VERSION_KEY_PREFIX)
 
 
+def evacuated_zone(key: str) -> str | None:
+    """Return the availability zone that a key evacuates, if it does."""
+    if not key.startswith(names.EVACUATION_KEY_PREFIX):
+        return None
+    return key.removeprefix(names.EVACUATION_KEY_PREFIX) or None
+
+
 def decode_weight_goal(data: bytes) -> goals.WeightGoal:
     """Return the weight goal in a document of the operators.
 
--- a/src/briarseam/platform/documents.py
+++ b/src/briarseam/platform/documents.py
@@ -12,6 +12,7 @@
     decode_configuration = staticmethod(configuration.decode_configuration)
     decode_weight_goal = staticmethod(configuration.decode_weight_goal)
     is_weight_goal = staticmethod(configuration.is_weight_goal)
+    evacuated_zone = staticmethod(configuration.evacuated_zone)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether a key is that of the configuration."""
--- a/src/briarseam/platform/endpoints.py
+++ b/src/briarseam/platform/endpoints.py
@@ -13,6 +13,7 @@
 # An entry in any other state is malformed.
 State = typing.Literal["ready", "draining"]
 LEAVING: State = "draining"
+MS = 1000.0
 
 
 class WireModelVersion(msgspec.Struct):
@@ -37,7 +38,7 @@
     # Increases with each write.
     seq: int = 0
     # Remaining time of the slow phase after the start.
-    cold_remaining_ms: float | None = msgspec.field(
+    cold_remaining_ms: decoding.Millis | None = msgspec.field(
         default=None, name="coldRemainingMs"
     )
     models: list[WireModelVersion] = []
@@ -62,4 +63,9 @@
         slots=max(1, wire.slots),
         leaving=wire.state == LEAVING,
         versions={item.name: item.version for item in wire.models},
+        cold_remaining_s=(
+            None
+            if wire.cold_remaining_ms is None
+            else wire.cold_remaining_ms / MS
+        ),
     )
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -8,6 +8,7 @@
 import structlog
 
 from briarseam import malformed
+from briarseam.routes import evacuation
 from briarseam.routes import model
 from briarseam.routes import table as tables
 from briarseam.weights import goals
@@ -35,9 +36,12 @@
     def is_weight_goal(self, key: str) -> bool:
         """Return whether a key names a model's weights."""
 
+    def evacuated_zone(self, key: str) -> str | None:
+        """Return the availability zone that a key evacuates, if it does."""
+
 
 class OperatorFeed:
-    """Keeps the newest configuration and target weights.
+    """Keeps the newest configuration, target weights and evacuations.
 
     Until the process restarts, a version is never replaced by an older one,
     in whichever order records are read.
@@ -50,6 +54,8 @@
         Called with each new configuration before it takes effect.
     malformed_counter
         Counts malformed documents, which are otherwise ignored.
+    evacuations
+        The evacuated availability zones, which the records determine.
     """
 
     def __init__(
@@ -57,7 +63,10 @@
         documents: Documents,
         on_change: collections.abc.Callable[[model.Configuration], None],
         malformed_counter: malformed.Tally | None = None,
+        evacuations: evacuation.Evacuations | None = None,
     ) -> None:
+        self.evacuations = evacuations or evacuation.Evacuations()
+        self.has_read_all = False
         self.malformed_counter = malformed_counter or malformed.Tally()
         self.documents = documents
         self.on_change = on_change
@@ -83,13 +92,23 @@
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Apply all documents of the topic."""
+        zones = (
+            self.documents.evacuated_zone(change.key) for change in changes
+        )
+        self.evacuations.replace({zone for zone in zones if zone})
+        self.has_read_all = True
         self.apply_changes(changes)
 
     def apply_changes(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
         """Apply changed documents."""
+        self.evacuations.review()
         for change in changes:
+            zone = self.documents.evacuated_zone(change.key)
+            if zone is not None:
+                self.apply_evacuation(zone, change.value)
+                continue
             if change.value is None:
                 continue
             try:
@@ -100,8 +119,25 @@
                     malformed.Kind.OPERATOR_DOCUMENT, change.key, error
                 )
 
-    def apply_peer_configuration(self, data: bytes) -> None:
-        """Apply the configuration that a peer has in force."""
+    def apply_evacuation(self, zone: str, value: bytes | None) -> None:
+        """Apply a record that begins or, if deleted, ends an evacuation."""
+        if value is None:
+            self.evacuations.end(zone)
+        else:
+            self.evacuations.begin(zone)
+
+    def apply_peer_configuration(
+        self, data: bytes, evacuated: collections.abc.Iterable[str] = ()
+    ) -> None:
+        """Apply the configuration and evacuations that a peer has in force.
+
+        The evacuations are needed only until the store's records are read:
+        a process that starts while the store is unavailable would otherwise
+        send to a zone that was evacuated before.
+        """
+        if not self.has_read_all:
+            for zone in evacuated:
+                self.evacuations.begin(zone)
         try:
             self.apply_configuration(data)
         except malformed.MalformedError as error:
@@ -117,7 +153,8 @@
             self.apply_goal(data)
 
     def store_lost(self) -> None:
-        """Keep the known configuration, which does not expire."""
+        """Keep the known configuration and evacuations."""
+        self.evacuations.store_lost()
 
     def apply_configuration(self, data: bytes) -> None:
         """Put a configuration in force if it is newer."""
--- a/src/briarseam/routes/model.py
+++ b/src/briarseam/routes/model.py
@@ -35,6 +35,10 @@
     weight: float = 1.0
 
 
+# Names of regions; ``None`` for no restriction.
+Regions = frozenset[str] | None
+
+
 @dataclasses.dataclass(frozen=True)
 class Route:
     """Requests to one host below one path.
@@ -65,6 +69,8 @@
         Whether requests carry prompts whose parts are cached.
     resumable
         Whether another endpoint may continue a broken stream.
+    regions
+        Regions that requests must not leave.
     """
 
     name: str
@@ -79,6 +85,7 @@
     anonymous: bool = False
     sessions: bool = False
     resumable: bool = False
+    regions: Regions = None
 
     @property
     def idempotent(self) -> bool:
@@ -141,6 +148,23 @@
     frees_on_request: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class ColdStart:
+    """Limits of an endpoint for some time after its start.
+
+    Attributes
+    ----------
+    duration_s
+        How long an endpoint is cold, in seconds.
+    requests_per_s
+        Requests per second that a cold endpoint tolerates from all
+        instances together; it crashes at a rate well above that.
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A group of interchangeable endpoints, or a store.
@@ -157,6 +181,8 @@
         Set only for model engines.
     store
         Set only for a store of kept KV cache.
+    cold_start
+        Set only if its endpoints are limited after their start.
     """
 
     name: str
@@ -164,6 +190,7 @@
     max_connections: int = 0
     engine: EngineTraits | None = None
     store: StoreTraits | None = None
+    cold_start: ColdStart | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -178,11 +205,14 @@
         Overrides a route's priority unless ``None``.
     isolated
         Whether its KV cache is shared with no other organisation.
+    regions
+        Regions that its requests must not leave.
     """
 
     name: str
     priority: int | None = None
     isolated: bool = False
+    regions: Regions = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/routes/peer_configuration.py
+++ b/src/briarseam/routes/peer_configuration.py
@@ -40,9 +40,12 @@
     ----------
     content
         The operators' document; empty if there is none.
+    evacuated
+        The evacuated availability zones.
     """
 
     content: bytes
+    evacuated: tuple[str, ...] = ()
 
 
 class Peers(typing.Protocol):
@@ -96,7 +99,9 @@
     def answer(self, query: ConfigurationAsked) -> ConfigurationTold:
         """Return the configuration in force."""
         del query
-        return ConfigurationTold(self.feed.content)
+        return ConfigurationTold(
+            self.feed.content, tuple(self.feed.evacuations.zones)
+        )
 
     def review(self) -> None:
         """Fetch a version that peers have had for ``FETCH_DELAY_S``."""
@@ -125,7 +130,7 @@
                 "configuration_not_fetched", peer=member, detail=str(error)
             )
         else:
-            self.feed.apply_peer_configuration(reply.content)
+            self.feed.apply_peer_configuration(reply.content, reply.evacuated)
             log.info("configuration_fetched", peer=member)
         # If the local version is still older, the next review queries
         # another peer.
--- a/src/briarseam/settings/convert.py
+++ b/src/briarseam/settings/convert.py
@@ -31,7 +31,7 @@
     if value_type == sections.Addresses:
         return f"a list of {address.EXPECTED}"
     if value_type == sections.Paths:
-        return "a list of configuration paths"
+        return "a list of names or paths"
     if key.endswith(("_ms", "_s")):
         return "a duration"
     if key.endswith("_bytes"):
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -26,7 +26,8 @@
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=31_536_000)]
 Bytes = typing.Annotated[int, msgspec.Meta(ge=1, le=2**40)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1, le=100_000_000)]
-Paths = tuple[str, ...]
+Texts = tuple[str, ...]
+Paths = Texts
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -32,6 +32,8 @@
         Name that is unique among all instances.
     zone, region
         Availability zone and its region.
+    zone_regions
+        Region of each availability zone, as ``zone:region``.
     first_start
         Whether the whole deployment starts for the first time, so that
         there is no state of earlier instances.
@@ -40,8 +42,15 @@
     name: sections.Name
     zone: sections.Name
     region: sections.Name
+    zone_regions: sections.Texts = ()
     first_start: bool = True
 
+    def regions(self) -> dict[str, str]:
+        """Return the region of each availability zone."""
+        pairs = [text.partition(":") for text in self.zone_regions]
+        known = {zone.strip(): region.strip() for zone, _, region in pairs}
+        return {**known, self.zone: self.region}
+
 
 @dataclasses.dataclass(frozen=True)
 class Capacity:
@@ -132,6 +141,11 @@
         was set.
     lookup_ttl_max_s
         Maximum time for which callers cache the addresses from a lookup.
+    evacuation_ms
+        Time within which an evacuation of an availability zone is in force.
+    cold_rate_factor, cold_rate_slack
+        All instances together send a cold endpoint in any second at most
+        the requests that it tolerates times the factor plus the slack.
     """
 
     endpoint_drain_ms: sections.Milliseconds = 2000
@@ -143,6 +157,9 @@
     engines_check_fence: bool = False
     version_ms: sections.Milliseconds = 15_000
     lookup_ttl_max_s: sections.Seconds = 5.0
+    evacuation_ms: sections.Milliseconds = 5000
+    cold_rate_factor: Ratio = 1.5
+    cold_rate_slack: SendCount = 5.0
 
 
 SECTION_TYPES = {
--- a/tests/lookup/test_zonal.py
+++ b/tests/lookup/test_zonal.py
@@ -68,3 +68,25 @@
     strong = sum("a0:1" in answer for answer in answers)
     weak = sum("a9:1" in answer for answer in answers)
     assert strong > 2.5 * weak > 0
+
+
+def regional_lookup(*members):
+    return zonal.ZonalLookup(
+        lambda: members,
+        lambda name: ZONES[name],
+        region_of={"a": "north", "b": "north", "c": "south"}.get,
+    )
+
+
+def test_callers_get_instances_of_their_own_region():
+    """Guards against requests that must not leave a region being sent to an
+    instance elsewhere because the caller's zone has only one.
+    """
+    lookup = regional_lookup(member("a1"), member("b1"), member("c1"))
+    assert lookup.addresses("b", "x", "north") == ["b1:1", "a1:1"]
+    assert lookup.addresses("c", "x", "south") == ["c1:1"]
+
+
+def test_callers_of_a_region_without_instances_get_others():
+    lookup = regional_lookup(member("a1"), member("b1"))
+    assert lookup.addresses("c", "x", "south") == ["a1:1", "b1:1"]
--- a/tests/placement/test_kept.py
+++ b/tests/placement/test_kept.py
@@ -155,3 +155,16 @@
     )
     assert index.plan(SALT, parts("a")).fetch_from == ("",)
     assert index.stores["s1"].used == 0
+
+
+def test_parts_are_kept_only_at_allowed_stores(index):
+    """Guards against KV cache that leaves the regions of its prompt."""
+    report_parts(index, "s1", "p")
+    for allowed in ("s1", "s2"):
+        plan = index.plan(
+            SALT,
+            parts("p", "q"),
+            lambda traits, allowed=allowed: traits.address == allowed,
+        )
+        assert plan.fetch_from == ("s1" if allowed == "s1" else "", "")
+        assert set(plan.save_to) <= {allowed, ""}
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -21,6 +21,25 @@
         system.close()
 
 
+@pytest.fixture
+def zones(tmp_path):
+    """A started instance with an endpoint of each service in three zones.
+
+    The zones hall-a and hall-b are in the region north, hall-c in south.
+    """
+    system = systems.System(tmp_path)
+    try:
+        for letter in "abc":
+            zone = f"hall-{letter}"
+            system.add_worker(f"plain-{letter}", "portal", zone=zone)
+            system.add_worker(f"engine-{letter}", "engines", zone=zone)
+        system.configure()
+        system.start()
+        yield system
+    finally:
+        system.close()
+
+
 @pytest.fixture
 def cold_system(tmp_path):
     """An instance that is not started, with an empty store."""
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -95,18 +95,26 @@
         self.node: compose.Node | None = None
 
     def add_worker(
-        self, name: str, service: str, weights: int | None = None
+        self,
+        name: str,
+        service: str,
+        weights: int | None = None,
+        **fields: object,
     ) -> workers.Worker:
         """Start an endpoint and write its entry."""
-        return self.add(workers.Worker(name), service, weights)
+        return self.add(workers.Worker(name), service, weights, **fields)
 
     def add(
-        self, worker: workers.Worker, service: str, weights: int | None = None
+        self,
+        worker: workers.Worker,
+        service: str,
+        weights: int | None = None,
+        **fields: object,
     ) -> workers.Worker:
         """Start a prepared endpoint and write its entry."""
         self.stack.enter_context(worker)
         self.workers[worker.id] = worker
-        self.write_entry(worker.id, service, weights=weights)
+        self.write_entry(worker.id, service, weights=weights, **fields)
         return worker
 
     def write_entry(
@@ -115,8 +123,9 @@
         service: str,
         state: str = "ready",
         weights: int | None = None,
+        **fields: object,
     ) -> None:
-        """Write an endpoint's entry."""
+        """Write an endpoint's entry; fields replace the usual ones."""
         entry = {
             "service": service,
             "address": self.workers[name].address,
@@ -124,6 +133,7 @@
             "slots": 8,
             "state": state,
             **self.workers[name].start_fields(),
+            **fields,
         }
         if weights is not None:
             entry["models"] = [{"name": MODEL, "version": weights}]
@@ -133,6 +143,14 @@
         """Write a configuration."""
         self.store.write("keyed.op", "config", configuration(**changes))
 
+    def evacuate(self, zone: str) -> None:
+        """Ask for the evacuation of an availability zone."""
+        self.store.write("keyed.op", f"evacuate/{zone}", {})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Take the evacuation of an availability zone back."""
+        self.store.write("keyed.op", f"evacuate/{zone}", None)
+
     def launch(self) -> compose.Node:
         """Start the instance without waiting for it."""
         self.node = compose.Node(self.settings())
@@ -173,6 +191,7 @@
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[instance]\nname = {name}\nzone = {zone}\nregion = north\n"
+            "zone_regions = hall-a:north, hall-b:north, hall-c:south\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.store.address}\n"
             f"[bounds]\n{bounds}\n"
         )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -48,6 +48,7 @@
         "claims",
         "configuration",
         "discovery",
+        "eligibility",
         "feeds",
         "leases",
         "membership",
