Save a part at another store after its save broke off

Cause: a store keeps what an interrupted save has written and rejects another save of the part, but the part was planned for the same store for ever, since the choice is a hash. Nothing fetched it until the store restarted.

Change: a save that timed out makes its store the last choice for that part, for a minute or until the store restarts.

--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -19,15 +19,6 @@
     from briarseam.forwarding import calls
     from briarseam.routes import model as routes
 
-AllowsStore = typing.Callable[["routes.StoreTraits"], bool]
-
-
-def allow_all(store: routes.StoreTraits) -> bool:
-    """Return that a prompt may be transferred from and to any store."""
-    del store
-    return True
-
-
 # A saved part appears in the store's events once it is complete.  After this
 # time it may be saved again.
 SAVE_TIMEOUT_S = 5.0
@@ -40,6 +31,17 @@
 # and that are being written again.  A confirmation is at most two long polls
 # of 1 s and their pauses old.
 MAX_AGE_S = 3.0
+# How long a part is rather saved to other stores than to one where saving it
+# broke off: the store keeps what was written and rejects another save.
+BROKEN_SAVE_S = 60.0
+
+AllowsStore = typing.Callable[["routes.StoreTraits"], bool]
+
+
+def allow_all(store: routes.StoreTraits) -> bool:
+    """Return that a prompt may be transferred from and to any store."""
+    del store
+    return True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,6 +95,8 @@
         self.clock = clock
         self.stores: dict[str, store_index.StoreIndex] = {}
         self.pending_saves: dict[store_index.PartKey, PendingSave] = {}
+        # Until when a part is not saved to a store, by part and address.
+        self.broken_saves: dict[tuple[store_index.PartKey, str], float] = {}
         self.lock = threading.Lock()
         self.changed = changes.Change(self.lock)
         self.health = fetching.StoreHealth(clock)
@@ -200,6 +204,11 @@
             for key, saving in self.pending_saves.items()
             if saving.address != address
         }
+        self.broken_saves = {
+            key: until_s
+            for key, until_s in self.broken_saves.items()
+            if key[1] != address
+        }
 
     def is_confirmed(self, index: store_index.StoreIndex) -> bool:
         """Return whether a store's content is known; requires the lock."""
@@ -268,9 +277,12 @@
     ) -> str:
         """Return the store to save a part to; empty for none."""
         now_s = self.clock()
-        saving = self.pending_saves.get((salt, part.id))
-        if saving is not None and saving.until_s > now_s:
-            return ""
+        key = (salt, part.id)
+        saving = self.pending_saves.get(key)
+        if saving is not None:
+            if saving.until_s > now_s:
+                return ""
+            self.record_broken_save(key)
         candidates = [
             index
             for index in self.stores.values()
@@ -280,9 +292,14 @@
             and index.used + part.tokens
             < index.traits.capacity_tokens * MAX_USED_SHARE
         ]
+        unbroken = [
+            index
+            for index in candidates
+            if (key, index.traits.address) not in self.broken_saves
+        ]
         ranked = rank.ranked(
             f"{salt}/{part.id}",
-            candidates,
+            unbroken or candidates,
             lambda index: index.traits.address,
             lambda index: float(index.traits.capacity_tokens),
         )
@@ -290,6 +307,11 @@
             return ""
         return ranked[0].traits.address
 
+    def record_broken_save(self, key: store_index.PartKey) -> None:
+        """Record that a pending save timed out; requires the lock."""
+        address = self.pending_saves.pop(key).address
+        self.broken_saves[key, address] = self.clock() + BROKEN_SAVE_S
+
     def record_saves(
         self,
         salt: str,
@@ -317,11 +339,18 @@
             return index.epoch, stale
 
     def forget_old(self) -> None:
-        """Drop pending saves that have timed out."""
+        """Drop pending saves that have timed out, and old broken ones."""
         now_s = self.clock()
         with self.lock:
-            self.pending_saves = {
-                key: saving
+            timed_out = [
+                key
                 for key, saving in self.pending_saves.items()
-                if saving.until_s > now_s
+                if saving.until_s <= now_s
+            ]
+            for key in timed_out:
+                self.record_broken_save(key)
+            self.broken_saves = {
+                key: until_s
+                for key, until_s in self.broken_saves.items()
+                if until_s > now_s
             }
