Evacuate an availability zone by the product's own configuration

zones/NAME with state=evacuated keeps new work from the zone's engines and plain services; runs there finish, orders and kept cache go on.

--- a/src/briarseam/configuration/schema.py
+++ b/src/briarseam/configuration/schema.py
@@ -42,6 +42,7 @@
     | values.RoutingPolicy
     | values.CachePolicy
     | values.Cell
+    | values.Zone
     | values.Weights
 )
 
@@ -51,6 +52,7 @@
     "endpoints": values.Endpoint,
     "services": values.Service,
     "cells": values.Cell,
+    "zones": values.Zone,
 }
 SINGLES: dict[str, type] = {
     "policies/routing": values.RoutingPolicy,
@@ -135,6 +137,9 @@
     cells: typing.Mapping[str, values.Cell] = dataclasses.field(
         default_factory=dict
     )
+    zones: typing.Mapping[str, values.Zone] = dataclasses.field(
+        default_factory=dict
+    )
     routing: values.RoutingPolicy = values.RoutingPolicy()
     kept_cache: values.CachePolicy = values.CachePolicy()
     weights: values.Weights | None = None
@@ -143,6 +148,13 @@
         """Return the organisation whose token has this digest."""
         return self.by_token.get(token_digest)
 
+    def is_serving(self, endpoint: values.Endpoint) -> bool:
+        """Return whether an endpoint gets new work."""
+        if endpoint.state is not values.EndpointState.SERVING:
+            return False
+        zone = self.zones.get(endpoint.zone)
+        return zone is None or zone.state is values.ZoneState.SERVING
+
     @functools.cached_property
     def by_token(self) -> typing.Mapping[str, str]:
         """Organisation names by token digest.
--- a/src/briarseam/configuration/values.py
+++ b/src/briarseam/configuration/values.py
@@ -24,6 +24,13 @@
     DRAINING = "draining"
 
 
+class ZoneState(enum.StrEnum):
+    """Whether the endpoints of an availability zone get new work."""
+
+    SERVING = "serving"
+    EVACUATED = "evacuated"
+
+
 Share = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0.0)]
 NonNegative = typing.Annotated[int, msgspec.Meta(ge=0)]
@@ -122,6 +129,19 @@
     role: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Zone:
+    """``zones/NAME``: an availability zone.
+
+    Attributes
+    ----------
+    state
+        Endpoints of an evacuated zone get no new work; runs there finish.
+    """
+
+    state: ZoneState = ZoneState.SERVING
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """``services/NAME``: a plain service.
--- a/src/briarseam/routing/candidates.py
+++ b/src/briarseam/routing/candidates.py
@@ -54,7 +54,7 @@
     for name, endpoint in view.endpoints.items():
         if endpoint.kind is not values.EndpointKind.ENGINE:
             continue
-        if endpoint.state is not values.EndpointState.SERVING:
+        if not view.is_serving(endpoint):
             continue
         for model in endpoint.models:
             engines.setdefault(model, []).append(name)
--- a/src/briarseam/routing/service.py
+++ b/src/briarseam/routing/service.py
@@ -256,7 +256,7 @@
             for name, endpoint in view.endpoints.items()
             if endpoint.kind is values.EndpointKind.SERVICE
             and query.service in endpoint.services
-            and endpoint.state is values.EndpointState.SERVING
+            and view.is_serving(endpoint)
             and name not in barred
         ]
         if not names:
--- a/src/briarseam/testing/deployment.py
+++ b/src/briarseam/testing/deployment.py
@@ -50,6 +50,7 @@
     "services",
     "policies",
     "cells",
+    "zones",
     "platform",
 )
 
--- a/tests/configuration/test_schema.py
+++ b/tests/configuration/test_schema.py
@@ -55,3 +55,14 @@
     assert first.models.keys() == {"a"}
     assert first.weights is not None
     assert (second.models, second.weights) == ({}, None)
+
+
+def test_state_of_a_zone_is_checked():
+    builder = views.ViewBuilder()
+    tree = {
+        "zones/a": {"state": "evacuated"},
+        "zones/b": {"state": "evacuate"},
+    }
+    view = builder.update(1, entries(tree), tree)
+    assert view.zones.keys() == {"a"}
+    assert builder.errors.keys() == {"zones/b"}
