Stop sending to starts of endpoints that are gone

Cause: an endpoint that restarts has a new name; the entry of its former start lapses 3.6 s later, or after an outage of the store. Until then the former start seems idle and attracts prompts, whose address answers 421. It was avoided for a second only.

Change: the first entry of an endpoint removes the one that had its address. An endpoint that answers 421 or can't be reached is avoided until it writes an entry again, for at most 6 s.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -56,6 +56,7 @@
 from briarseam.wire import event_loop
 
 if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
     from briarseam.routes import model as routes
     from briarseam.settings import serving
 
@@ -105,7 +106,8 @@
             self.configuration_changed,
             self.forget_endpoints,
             self.malformed_counter,
-            self.eligibility,
+            self.eligibility.evacuations,
+            self.record_entry,
         )
         self.instances.registrations = self.feeds.registrations
         self.restarts = restarts.Restarts(self.feeds.registry)
@@ -389,6 +391,11 @@
             self.chooser.residency.forget(endpoint_id)
             self.weights.known_weights.forget(endpoint_id)
 
+    def record_entry(self, endpoint: discovery.Endpoint) -> None:
+        """Apply what an endpoint's entry tells beyond its description."""
+        self.eligibility.record_entry(endpoint)
+        self.chooser.avoided.record_entry(endpoint.id)
+
     def keep_only_endpoints(self, ids: frozenset[str]) -> None:
         """Drop state that arrived after its endpoint start was gone.
 
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -16,9 +16,9 @@
 if typing.TYPE_CHECKING:
     from briarseam import malformed
     from briarseam.discovery import model as discovery
-    from briarseam.eligibility import service as eligibilities
     from briarseam.feeds import sharing
     from briarseam.platform import store as stores
+    from briarseam.routes import evacuation
     from briarseam.routes import model as routes
     from briarseam.settings import serving
 
@@ -119,7 +119,8 @@
     on_configuration: typing.Callable[[routes.Configuration], None],
     on_gone: typing.Callable[[frozenset[str]], None],
     malformed_counter: malformed.Tally,
-    rules: eligibilities.Eligibility,
+    evacuations: evacuation.Evacuations,
+    on_entry: registries.OnEntry,
 ) -> Feeds:
     """Return the feeds, not yet started.
 
@@ -137,20 +138,22 @@
         Called with the ids of endpoints that are gone.
     malformed_counter
         Counts records that can't be read.
-    rules
-        Which endpoints may get requests; gets evacuations and cold starts.
+    evacuations
+        Gets the evacuated availability zones.
+    on_entry
+        Called with each entry of an endpoint.
     """
     feed = operators.OperatorFeed(
         documents.OperatorDocuments(),
         on_configuration,
         malformed_counter,
-        rules.evacuations,
+        evacuations,
     )
     registry = registries.EndpointRegistry(
         endpoints.decode_endpoint,
         on_gone,
         malformed_counter=malformed_counter,
-        on_entry=rules.record_entry,
+        on_entry=on_entry,
     )
     instances = registrations.Registrations(
         store,
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -144,28 +144,63 @@
             missing = self.present.keys() - listed
         for key in missing:
             self.remove(key)
-        self.apply_changes(changes)
+        self.apply_entries(changes, is_new=False)
 
     def apply_changes(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
     ) -> None:
-        """Apply changed entries."""
+        """Apply changed entries, in the order in which they were written."""
+        self.apply_entries(changes, is_new=True)
+
+    def apply_entries(
+        self,
+        changes: collections.abc.Sequence[records.KeyedRecord],
+        is_new: bool,
+    ) -> None:
+        """Apply entries; unless they are new, their order means nothing."""
         self.last_read_s = self.clock()
         for change in changes:
             if change.value is None:
                 self.remove(change.key)
             else:
-                self.apply_entry(change.key, change.value)
+                self.apply_entry(change.key, change.value, is_new)
         self.forget_lapsed()
 
-    def apply_entry(self, key: str, data: bytes) -> None:
-        """Apply one entry; a malformed one discards the endpoint."""
+    def remove_former(self, endpoint: model.Endpoint) -> None:
+        """Remove the endpoint whose address a new one has.
+
+        Guard: a restarted endpoint has a new name, and the entry of its
+        former start lapses only seconds later, or after an outage of the
+        store.  It would seem idle, attract requests and answer none.
+        """
+        with self.lock:
+            former = [
+                known.start.name
+                for known in self.present.values()
+                if known.address == endpoint.address
+                and known.start.name != endpoint.start.name
+            ]
+        for name in former:
+            self.discard(name)
+
+    def apply_entry(self, key: str, data: bytes, is_new: bool = False) -> None:
+        """Apply one entry; a malformed one discards the endpoint.
+
+        Parameters
+        ----------
+        key, data
+            The entry.
+        is_new
+            Whether it was written after all entries that are known.
+        """
         try:
             endpoint = self.decode(key, data)
         except malformed.MalformedError as error:
             self.malformed_counter.note(malformed.Kind.ENDPOINT, key, error)
             self.discard(key)
             return
+        if is_new and endpoint.start.name not in self.present:
+            self.remove_former(endpoint)
         self.put(endpoint)
 
     def discard(self, key: str) -> None:
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -17,6 +17,7 @@
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server
 from briarseam.forwarding import supervision
+from briarseam.placement import avoidance
 from briarseam.placement import requests as placements
 from briarseam.routes import model as routes
 from briarseam.routes import table as tables
@@ -208,21 +209,22 @@
         outcome: outcomes.Outcome,
     ) -> None:
         """Update the state after an attempt without a final answer."""
+        avoided = self.deps.chooser.avoided
         match outcome:
             case outcomes.Unreached():
-                self.deps.chooser.avoid(endpoint)
+                avoided.add_unconfirmed(endpoint, avoidance.AVOID_S)
                 context.refusal = context.refusal or refusing.UNREACHED
                 return
             case outcomes.Rejected():
                 context.refusal = refusing.rejected(outcome)
                 if outcome.status == MISDIRECTED:
-                    self.deps.chooser.avoid(endpoint)
+                    avoided.add_unconfirmed(endpoint, 0.0)
             case outcomes.Failed():
                 context.failed = outcome
                 context.may_have_run = True
             case outcomes.Broken():
                 context.may_have_run = True
-                self.deps.chooser.avoid(endpoint)
+                avoided.add(endpoint)
                 self.deps.guard.record_loss(context.digest, endpoint)
         context.sends += 1
 
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -11,6 +11,7 @@
 from briarseam.eligibility import service as eligibilities
 from briarseam.forwarding import calls
 from briarseam.lookup import rank
+from briarseam.placement import avoidance
 from briarseam.placement import cost
 from briarseam.placement import fetching
 from briarseam.placement import kept as kept_module
@@ -24,9 +25,6 @@
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
 
-# An endpoint that was unreachable or broke off an answer is avoided for about
-# the time that a restart takes, unless there is no other.
-AVOID_S = 1.0
 # Up to COMPARE_ALL_MAX engines are all compared for each prompt; more are
 # compared in groups of GROUP_SIZE.  Two choices already keep the load of the
 # busiest engine near the mean.
@@ -83,7 +81,7 @@
         self.known_weights = known_weights
         self.endpoints_age_s = endpoints_age_s
         self.kept_index = kept_module.KeptIndex(clock)
-        self.avoided: dict[str, float] = {}
+        self.avoided = avoidance.Avoided(clock)
         self.mean_sizes = mean_sizes.MeanSizes()
         self.prefill_times: dict[str, prefill_time.PrefillTime] = {}
 
@@ -138,11 +136,10 @@
         self, request: requests.Request, candidates: list[discovery.Endpoint]
     ) -> Choice:
         """Return the placement of a request on one of some endpoints."""
-        now_s = self.clock()
         preferred = [
             endpoint
             for endpoint in candidates
-            if self.avoided.get(endpoint.id, 0.0) <= now_s
+            if endpoint.id not in self.avoided
         ]
         prompt = request.call.prompt
         if prompt is None:
@@ -401,15 +398,8 @@
         self.kept_index.health.record_end(placement.sources(), call.id)
         self.loads.subtract(placement.endpoint.id, added)
 
-    def avoid(self, endpoint: str) -> None:
-        """Avoid an endpoint for AVOID_S, unless there is no other."""
-        self.avoided[endpoint] = self.clock() + AVOID_S
-
     def forget_old(self, endpoints: typing.Collection[str]) -> None:
         """Drop all endpoints but these, and expired entries."""
-        now_s = self.clock()
         self.residency.keep_only(endpoints)
         self.kept_index.forget_old()
-        for endpoint, until_s in list(self.avoided.items()):
-            if until_s <= now_s:
-                self.avoided.pop(endpoint, None)
+        self.avoided.forget_old(endpoints)
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -45,6 +45,36 @@
     return sorted(item.id for item in endpoints.serving("portal"))
 
 
+def decode_with_address(key, data):
+    """Decode an entry that consists of an address."""
+    return model.Endpoint(key, "portal", data.decode(), "a", 1)
+
+
+def test_new_endpoint_replaces_the_one_that_had_its_address(clock, gone):
+    """Guards against requests to a start that is gone: a restarted endpoint
+    has a new name, and the entry of its former start lapses seconds later.
+    """
+    endpoints = registry.EndpointRegistry(
+        decode_with_address, gone.update, clock
+    )
+    endpoints.apply_all([change("a", b"1.1.1.1:1"), change("b", b"1.1.1.1:2")])
+    endpoints.apply_changes([change("c", b"1.1.1.1:1")])
+    assert ids(endpoints) == ["b", "c"]
+    assert gone == {"a"}
+
+
+def test_late_entry_of_a_former_start_does_not_replace_the_new_one(
+    clock, gone
+):
+    endpoints = registry.EndpointRegistry(
+        decode_with_address, gone.update, clock
+    )
+    endpoints.apply_all([change("a", b"1.1.1.1:1"), change("c", b"1.1.1.1:1")])
+    endpoints.apply_changes([change("a", b"1.1.1.1:1")])
+    assert ids(endpoints) == ["a", "c"]
+    assert gone == set()
+
+
 def test_leaving_endpoint_is_not_serving_but_not_gone(endpoints, gone):
     endpoints.apply_all([change("a"), change("b")])
     endpoints.apply_changes([change("a", b"leaving")])
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -8,6 +8,7 @@
 from briarseam.discovery import model as discovery
 from briarseam.eligibility import cold_starts
 from briarseam.forwarding import calls
+from briarseam.placement import avoidance
 from briarseam.placement import chooser as choosers
 from briarseam.placement import fetching
 from briarseam.placement import loads
@@ -239,9 +240,9 @@
 
 def test_failed_endpoint_is_avoided_for_a_while(case):
     home = case.place().endpoint.id
-    case.chooser.avoid(home)
+    case.chooser.avoided.add(home)
     assert case.place().endpoint.id != home
-    case.clock.now_s += choosers.AVOID_S
+    case.clock.now_s += avoidance.AVOID_S
     assert case.place().endpoint.id == home
 
 
--- a/tests/platform/restarted_engine.py
+++ b/tests/platform/restarted_engine.py
@@ -156,7 +156,7 @@
         knows_work,
     ),
     "avoidance after a failure": StateKind(
-        lambda node, id, case: node.chooser.avoid(id),
+        lambda node, id, case: node.chooser.avoided.add(id),
         lambda node, id: id in node.chooser.avoided,
     ),
     "kept connection": StateKind(
