Bound the queue at endpoints without a model by the route's target

Cause: requests were sent to the endpoint with the fewest requests per slot, however many these were. In a burst half of the arrivals were turned away by full endpoints, and the others waited about as long as the route's target.

Change: the time to an answer is learned for each service, and a request is not placed where it is expected to miss 0.8 of the target and no slot is free. It waits briefly for room and is then refused, not run.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -194,7 +194,7 @@
                 # longer be reported as not run.
                 raise supervision.EndedError(supervision.Ending.TIMED_OUT)
             placement = chooser.choose(context.request())
-            if not isinstance(placement, placements.NoCapacity):
+            if not isinstance(placement, placements.Unplaced):
                 return placement
             remaining_s = wait_until_s - clocks.boot_clock()
             if remaining_s <= 0:
@@ -276,6 +276,9 @@
         outcome: outcomes.Outcome | None = None
         try:
             outcome = self.deps.sender.send(attempt)
+            if isinstance(outcome, outcomes.Answered):
+                took_s = clocks.boot_clock() - sent_s
+                chooser.record_answer(placement, request, took_s)
         except supervision.EndedError:
             context.may_have_run = (
                 context.may_have_run or context.progress.maybe_sent
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -18,6 +18,7 @@
 from briarseam.placement import loads as load_module
 from briarseam.placement import mean_sizes
 from briarseam.placement import prefill_time
+from briarseam.placement import queue_time
 from briarseam.placement import requests
 from briarseam.placement import residency as residencies
 from briarseam.weights import engine_weights
@@ -37,7 +38,10 @@
 # Only cold endpoints are left, and this instance has used up its share of
 # the requests that they tolerate.
 LIMITED_ONLY = requests.NoCapacity(0.0, 0.0, 0, 0, 0)
-Choice = requests.Placement | requests.NoCapacity | verdict.NotRun
+Choice = requests.Placement | requests.Unplaced | verdict.NotRun
+# Share of a route's target latency that the estimated answer may take; the
+# rest covers load that is not known yet.
+QUEUE_TARGET_SHARE = 0.8
 
 
 class Chooser:
@@ -84,6 +88,7 @@
         self.avoided = avoidance.Avoided(clock)
         self.mean_sizes = mean_sizes.MeanSizes()
         self.prefill_times: dict[str, prefill_time.PrefillTime] = {}
+        self.queue_times: dict[str, queue_time.QueueTime] = {}
 
     def record_arrival(self, request: requests.Request) -> None:
         """Update the mean prompt size of a new request's route."""
@@ -113,7 +118,7 @@
         placement: Choice = LIMITED_ONLY
         if eligible.unlimited:
             placement = self.choose_among(request, eligible.unlimited)
-        if eligible.limited and isinstance(placement, requests.NoCapacity):
+        if eligible.limited and isinstance(placement, requests.Unplaced):
             return self.choose_limited(request, eligible.limited)
         return placement
 
@@ -155,8 +160,13 @@
 
     def place_without_prompt(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
-    ) -> requests.Placement:
-        """Place a request where there are the fewest requests per slot."""
+    ) -> requests.Placement | requests.QueueFull:
+        """Place a request where there are the fewest requests per slot.
+
+        It is not placed behind a queue that would answer it late: in an
+        overload all answers would be late, and no caller would be served
+        better.
+        """
         best = min(
             candidates,
             key=lambda endpoint: (
@@ -164,13 +174,26 @@
                 random.random(),
             ),
         )
+        load = self.loads.of(best.id)
+        expected_s = self.queue_time_of(request.service.name).seconds(
+            load.requests, best.slots
+        )
+        target_s = request.route.target_latency_s
+        is_late = expected_s > target_s * QUEUE_TARGET_SHARE > 0
+        if is_late and load.requests >= best.slots:
+            return requests.QueueFull(expected_s, target_s)
         return requests.Placement(
             best,
             self.instructions_for(request, best),
-            load=self.loads.of(best.id),
+            load=load,
             endpoints_age_s=self.endpoints_age_s(),
         )
 
+    def queue_time_of(self, service: str) -> queue_time.QueueTime:
+        """Return the estimate of a service's time to answer."""
+        # If two threads get here at once, the first one's object stays.
+        return self.queue_times.setdefault(service, queue_time.QueueTime())
+
     def place_prompt(
         self,
         request: requests.Request,
@@ -388,6 +411,18 @@
         self.kept_index.health.record_end(sources, request.call.id)
         self.kept_index.health.record_first_event(sources, in_time)
 
+    def record_answer(
+        self,
+        placement: requests.Placement,
+        request: requests.Request,
+        took_s: float,
+    ) -> None:
+        """Update the estimates with the time to a complete answer."""
+        if request.call.prompt is None:
+            self.queue_time_of(request.service.name).record(
+                placement.load.requests, placement.endpoint.slots, took_s
+            )
+
     def record_end(
         self,
         placement: requests.Placement,
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -142,6 +142,29 @@
         return f"{fill} {engines} free-slots={self.free_slots}"
 
 
+@dataclasses.dataclass(frozen=True)
+class QueueFull:
+    """A request without a prompt would be answered late everywhere.
+
+    Attributes
+    ----------
+    expected_s, target_s
+        Estimated time to the answer at the least loaded endpoint, and the
+        route's target, in seconds.
+    """
+
+    expected_s: float
+    target_s: float
+
+    def __str__(self) -> str:
+        """Return the grounds for the refusal, for the log."""
+        expected_ms = round(self.expected_s * 1000)
+        return f"answer-in={expected_ms}ms of {round(self.target_s * 1000)}ms"
+
+
+Unplaced = NoCapacity | QueueFull
+
+
 def memory_of(prompt: calls.Prompt) -> int:
     """Return the tokens that a prompt takes of an engine's memory."""
     return prompt.input_tokens + prompt.output_tokens
