--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -5,6 +5,7 @@
 import collections.abc
 import dataclasses
 import threading
+import time
 import typing
 
 from briarseam.testing import http_messages
@@ -74,6 +75,8 @@
         self.id = id
         self.born = born
         self.arrived: list[http_messages.Request] = []
+        # When requests for this endpoint arrived, monotonic seconds.
+        self.arrived_s: list[float] = []
         self.ran: list[str] = []
         self.ended: list[str] = []
         self.broke: list[str] = []
@@ -101,6 +104,7 @@
         echo = (("Request-Id", call),)
         if not self.is_addressed(request):
             return http_messages.Response(421, headers=echo)
+        self.arrived_s.append(time.monotonic())
         if self.take("reject"):
             return http_messages.Response(
                 503, headers=(*echo, ("Not-Executed", "1"))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -136,6 +136,13 @@
     toggled: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Evacuated:
+    """A zone is evacuated; its endpoints are cold when that ends."""
+
+    zone: str
+
+
 @dataclasses.dataclass(frozen=True)
 class StoppedInTurn:
     """Instances are stopped one after the other and started again.
@@ -174,6 +181,7 @@
     | Reloaded
     | Reconfigured
     | StoppedInTurn
+    | Evacuated
 )
 
 
@@ -248,6 +256,23 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_zones(seed: int, seconds: float, instances: int) -> list[Planned]:
+    """Return evacuations and restarts of endpoints, beside other faults."""
+    random_ = random.Random(f"{seed}/zones")
+    found = plan(seed, seconds, instances) if seed % 3 else []
+    at_s = 0.5
+    while at_s < seconds - 2.0:
+        fault = random_.choice(
+            (
+                Evacuated(random_.choice(serving.ZONES)),
+                EndpointReplaced(random_.randrange(len(serving.SERVICES))),
+            )
+        )
+        found.append(Planned(at_s, random_.uniform(1.0, 5.0), fault))
+        at_s += random_.uniform(0.3, 3.0)
+    return sorted(found, key=lambda one: one.at_s)
+
+
 def draw_delays(seed: int) -> list[int]:
     """Return how long the endpoints of a run with stops take, in ms."""
     random_ = random.Random(f"{seed}/delays")
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -84,8 +84,8 @@
             case faults.Misbehaviour(number, switch):
                 worker = self.deployment.endpoints[number].worker
                 worker.set(**{switch: faults.MISBEHAVIOUR[switch]})
-            case faults.Reconfigured(toggled):
-                self.deployment.configure(toggled)
+            case faults.Reconfigured() | faults.Evacuated():
+                self.change_records(one.fault, one.for_s)
             case faults.StoppedInTurn():
                 self.stop_in_turn(one.fault, one.for_s)
             case (
@@ -99,6 +99,19 @@
                     self.trouble_instance(one.fault, instance, one.for_s)
                     self.excuse(instance)
 
+    def change_records(
+        self, fault: faults.Reconfigured | faults.Evacuated, for_s: float
+    ) -> None:
+        """Change what operators have written."""
+        match fault:
+            case faults.Reconfigured(toggled):
+                self.deployment.configure(toggled)
+            case faults.Evacuated(zone):
+                with self.lock_of(("zone", zone)):
+                    self.deployment.evacuate(zone)
+                    time.sleep(for_s)
+                    self.deployment.end_evacuation(zone)
+
     def stop_in_turn(self, fault: faults.StoppedInTurn, for_s: float) -> None:
         """Stop instances one after the other and start them again."""
         threads = []
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,6 +10,8 @@
 from tests.soak import faults
 from tests.soak import serving
 
+from briarseam.eligibility import cold_starts
+
 # Statuses that say that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 OK = 200
@@ -48,7 +50,10 @@
         yield from check_request(one, ran.get(one.id, []))
         if deployment.shutdown_s >= PATIENT_S:
             yield from check_answered(deployment, one)
-    yield from check_leaving(deployment, {one.id: one for one in sent})
+    by_id = {one.id: one for one in sent}
+    yield from check_leaving(deployment, by_id)
+    yield from check_evacuations(deployment, by_id)
+    yield from check_cold(deployment)
     for instance in deployment.instances:
         yield from instance.killed
 
@@ -166,6 +171,44 @@
                     )
 
 
+def check_evacuations(
+    deployment: serving.Deployment, sent: dict[str, callers.Sent]
+) -> typing.Iterator[str]:
+    """Yield requests that reached a zone long after its evacuation began."""
+    for evacuation in deployment.evacuations:
+        in_force_s = evacuation.began_s + serving.EVACUATION_MS / 1000
+        for worker in deployment.past:
+            if deployment.zones[worker.id] != evacuation.zone:
+                continue
+            for request_id in worker.ran:
+                one = sent.get(request_id)
+                if one is None or one.sent_s < in_force_s:
+                    continue
+                late = one.ended_s < evacuation.ended_s
+                if late and is_calm(deployment, one, evacuation.began_s):
+                    yield (
+                        f"{request_id} reached {worker.id} "
+                        f"{one.sent_s - evacuation.began_s:.1f} s after the "
+                        f"evacuation of {evacuation.zone}"
+                    )
+
+
+def check_cold(deployment: serving.Deployment) -> typing.Iterator[str]:
+    """Yield cold endpoints that got more requests than they bear."""
+    limits = cold_starts.Limits()
+    bound = serving.COLD_PER_S * limits.factor + limits.slack
+    for worker in deployment.past:
+        for since_s in deployment.cold_since.get(worker.id, ()):
+            until_s = since_s + serving.COLD_START_S
+            times = [at for at in worker.arrived_s if since_s <= at < until_s]
+            most = max(
+                (sum(first <= at < first + 1.0 for at in times))
+                for first in (*times, since_s)
+            )
+            if most > bound:
+                yield f"{worker.id} got {most} requests in a second while cold"
+
+
 def is_calm(
     deployment: serving.Deployment, one: callers.Sent, since_s: float
 ) -> bool:
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -51,7 +51,7 @@
 
     Attributes
     ----------
-    seed, seconds, instances, stops, restores
+    seed, seconds, instances, stops, restores, zones
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -70,6 +70,7 @@
     instances: int
     stops: bool = False
     restores: bool = False
+    zones: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -95,7 +96,7 @@
         if report.stops:
             shutdown_s = SHUTDOWN_OF_STOPS_S
         self.deployment = serving.Deployment(
-            folder, report.instances, shutdown_s
+            folder, report.instances, shutdown_s, report.zones
         )
         self.stopping = threading.Event()
         self.numbers = itertools.count()
@@ -162,6 +163,8 @@
             plan = faults.plan_stops
         elif self.report.restores:
             plan = faults.plan_restores
+        elif self.report.zones:
+            plan = faults.plan_zones
         planned = plan(
             self.report.seed, self.report.seconds, self.report.instances
         )
@@ -245,9 +248,10 @@
     folder: pathlib.Path,
     stops: bool = False,
     restores: bool = False,
+    zones: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
-    report = Report(seed, seconds, instances, stops, restores)
+    report = Report(seed, seconds, instances, stops, restores, zones)
     Soak(folder, report).run()
     return report
 
@@ -265,6 +269,11 @@
     parser.add_argument(
         "--restores", action="store_true", help="returns of the store"
     )
+    parser.add_argument(
+        "--zones",
+        action="store_true",
+        help="evacuations, and endpoints that are cold after their start",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -280,6 +289,7 @@
             folder,
             options.stops,
             options.restores,
+            options.zones,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -25,6 +25,11 @@
 
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
+ZONES = ("hall-a", "hall-b")
+# Limits of endpoints after their start, where a run has them.
+COLD_START_S = 2.0
+COLD_PER_S = 8.0
+EVACUATION_MS = 2000
 EVENTS = 6
 SHUTDOWN_S = 4.0
 # The platform kills a process that is there so long after that time.
@@ -86,7 +91,8 @@
         self.settings.write_text(
             f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
-            f"[bounds]\nshutdown_s = {self.shutdown_s:g}\n{extra}"
+            f"[bounds]\nshutdown_s = {self.shutdown_s:g}\n"
+            f"evacuation_ms = {EVACUATION_MS}\n{extra}"
         )
 
     @property
@@ -183,6 +189,8 @@
         Where instances reach them.
     worker
         The present one.
+    zone
+        Where it is.
     left
         Names of those that left, and when that was acknowledged.
     """
@@ -190,9 +198,27 @@
     service: str
     link: links.Link
     worker: workers.Worker
+    zone: str
     left: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass
+class Evacuation:
+    """One evacuation of a zone.
+
+    Attributes
+    ----------
+    zone
+        The zone.
+    began_s, ended_s
+        When the store acknowledged it and its end, monotonic seconds.
+    """
+
+    zone: str
+    began_s: float
+    ended_s: float = float("inf")
+
+
 class Deployment:
     """Instances, endpoints and the store.
 
@@ -204,6 +230,8 @@
         How many.
     shutdown_s
         Their time to shut down.
+    cold
+        Whether endpoints are limited after their start.
     """
 
     def __init__(
@@ -211,7 +239,13 @@
         folder: pathlib.Path,
         instances: int,
         shutdown_s: float = SHUTDOWN_S,
+        cold: bool = False,
     ) -> None:
+        self.cold = cold
+        self.evacuations: list[Evacuation] = []
+        # Zones of all endpoints, and since when each was cold.
+        self.zones: dict[str, str] = {}
+        self.cold_since: dict[str, list[float]] = {}
         self.shutdown_s = shutdown_s
         self.names = itertools.count()
         self.version = 0
@@ -223,7 +257,10 @@
         self.configured: list[tuple[float, bool]] = []
         self.store = self.stack.enter_context(metadata_store.MetadataStore())
         self.store_troubled_until = 0.0
-        self.endpoints = [self.new_endpoint(name) for name in SERVICES]
+        self.endpoints = [
+            self.new_endpoint(name, ZONES[number % len(ZONES)])
+            for number, name in enumerate(SERVICES)
+        ]
         self.instances = [
             self.new_instance(f"instance-{number}", folder)
             for number in range(instances)
@@ -253,10 +290,10 @@
         self.past.append(worker)
         return worker
 
-    def new_endpoint(self, service: str) -> Endpoint:
+    def new_endpoint(self, service: str, zone: str) -> Endpoint:
         """Return an address with an endpoint behind it."""
         worker = self.new_worker()
-        made = Endpoint(service, links.Link(worker.address), worker)
+        made = Endpoint(service, links.Link(worker.address), worker, zone)
         self.stack.callback(made.link.stop)
         self.write_entry(made)
         return made
@@ -266,13 +303,44 @@
         entry = {
             "service": endpoint.service,
             "address": endpoint.link.address,
-            "zone": "hall-a",
+            "zone": endpoint.zone,
             "slots": 8,
             "state": state,
+            "coldRemainingMs": self.cold_remaining_ms(endpoint.worker.id),
             **endpoint.worker.start_fields(),
         }
+        self.zones[endpoint.worker.id] = endpoint.zone
         self.store.write("keyed.servers", endpoint.worker.id, entry)
 
+    def cold_remaining_ms(self, worker: str) -> float:
+        """Return how long an endpoint stays cold."""
+        since_s = self.cold_since.get(worker, [0.0])[-1]
+        return max(0.0, since_s + COLD_START_S - time.monotonic()) * 1000
+
+    def let_cool(self, endpoint: Endpoint) -> None:
+        """Let an endpoint be cold from now on, where a run has that."""
+        if self.cold:
+            times = self.cold_since.setdefault(endpoint.worker.id, [])
+            times.append(time.monotonic())
+
+    def evacuate(self, zone: str) -> None:
+        """Ask for the evacuation of a zone."""
+        self.store.write("keyed.op", f"evacuate/{zone}", {})
+        self.evacuations.append(Evacuation(zone, time.monotonic()))
+
+    def end_evacuation(self, zone: str) -> None:
+        """Take an evacuation back; the zone's endpoints are cold."""
+        for endpoint in self.endpoints:
+            if endpoint.zone == zone:
+                self.let_cool(endpoint)
+        for one in self.evacuations:
+            if one.zone == zone:
+                one.ended_s = min(one.ended_s, time.monotonic())
+        self.store.write("keyed.op", f"evacuate/{zone}", None)
+        for endpoint in self.endpoints:
+            if endpoint.zone == zone and not endpoint.left:
+                self.write_entry(endpoint)
+
     def replace(self, endpoint: Endpoint) -> None:
         """Let another endpoint take over an address."""
         self.store.write("keyed.servers", endpoint.worker.id, None)
@@ -280,6 +348,7 @@
         endpoint.link.resets.append(time.monotonic())
         endpoint.worker.stop()
         endpoint.worker = worker
+        self.let_cool(endpoint)
         endpoint.link.target = worker.address
         endpoint.link.reset()
         self.write_entry(endpoint)
@@ -293,6 +362,9 @@
             self.write_entry(endpoint, "draining" if left else "ready")
         with self.lock:
             self.store.write("keyed.op", "config", self.document)
+        for one in self.evacuations:
+            value = {} if one.ended_s == float("inf") else None
+            self.store.write("keyed.op", f"evacuate/{one.zone}", value)
 
     def slow_down(self, delays_ms: list[int]) -> None:
         """Let calls, and all events of a stream, take so long at each."""
@@ -305,6 +377,12 @@
             self.version += 1
             routes = [*system.ROUTES, *([TOGGLED] if toggled else [])]
             self.document = system.configuration(self.version, routes=routes)
+            if self.cold:
+                limits = {"coldStartS": COLD_START_S, "coldPerS": COLD_PER_S}
+                self.document["services"] = [
+                    {**service, **limits}
+                    for service in self.document["services"]
+                ]
             self.store.write("keyed.op", "config", self.document)
             self.toggled = toggled
             self.configured.append((time.monotonic(), toggled))
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -77,8 +77,23 @@
     assert report.faults["StoreRestored"] > 1
 
 
+@pytest.mark.timeout(120)
+def test_short_run_with_evacuations_breaks_no_promise(tmp_path):
+    report = serve_soak.run(12, 12.0, 3, tmp_path, zones=True)
+    assert report.broken == []
+    assert report.faults["Evacuated"] > 1
+
+
+PLANS = (
+    faults.plan,
+    faults.plan_stops,
+    faults.plan_restores,
+    faults.plan_zones,
+)
+
+
 def test_plan_is_the_same_for_a_seed():
     """A seed that failed is run again to see what changed."""
-    for plan in (faults.plan, faults.plan_stops, faults.plan_restores):
+    for plan in PLANS:
         assert plan(7, 20.0, 4) == plan(7, 20.0, 4)
         assert plan(7, 20.0, 4) != plan(8, 20.0, 4)
