Tell why a request met a cold endpoint, and at which limit

A request that finds only cold endpoints at their limit says so in its steps; a refusal names the rate that they take and for how long.

--- a/src/briarseam/eligibility/service.py
+++ b/src/briarseam/eligibility/service.py
@@ -140,7 +140,8 @@
         )
         return verdict.NotRun(
             verdict.Reason.OVERLOADED,
-            f"all {len(endpoints)} endpoints are warming up",
+            f"all {len(endpoints)} endpoints are warming up and take "
+            f"{cold.requests_per_s:g} requests/s for {remaining_s:.1f} s",
             remaining_s + RETRY_SPREAD_S * random.random(),
         )
 
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -35,9 +35,6 @@
 TOO_LARGE = verdict.NotRun(
     verdict.Reason.OVERLOADED, "the prompt exceeds the engines' memory"
 )
-# Only cold endpoints are left, and this instance has used up its share of
-# the requests that they tolerate.
-LIMITED_ONLY = requests.NoCapacity(0.0, 0.0, 0, 0, 0)
 Choice = requests.Placement | requests.Unplaced | verdict.NotRun
 # Share of a route's target latency that the estimated answer may take; the
 # rest covers load that is not known yet.
@@ -115,9 +112,9 @@
         )
         if isinstance(eligible, verdict.NotRun):
             return eligible
-        placement: Choice = LIMITED_ONLY
-        if eligible.unlimited:
-            placement = self.choose_among(request, eligible.unlimited)
+        if not eligible.unlimited:
+            return self.choose_limited(request, eligible.limited)
+        placement = self.choose_among(request, eligible.unlimited)
         if eligible.limited and isinstance(placement, requests.Unplaced):
             return self.choose_limited(request, eligible.limited)
         return placement
@@ -135,7 +132,7 @@
             return placement
         if self.eligibility.try_acquire(placement.endpoint, request.service):
             return placement
-        return LIMITED_ONLY
+        return requests.ColdOnly(len(candidates))
 
     def choose_among(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -162,7 +162,24 @@
         return f"answer-in={expected_ms}ms of {round(self.target_s * 1000)}ms"
 
 
-Unplaced = NoCapacity | QueueFull
+@dataclasses.dataclass(frozen=True)
+class ColdOnly:
+    """No warm endpoint has capacity, and the cold ones are at their limit.
+
+    Attributes
+    ----------
+    endpoints
+        Number of cold endpoints that this instance may send to.
+    """
+
+    endpoints: int
+
+    def __str__(self) -> str:
+        """Return the grounds for the refusal, for the log."""
+        return f"cold-endpoints-at-limit={self.endpoints}"
+
+
+Unplaced = NoCapacity | QueueFull | ColdOnly
 
 
 def memory_of(prompt: calls.Prompt) -> int:
--- a/tests/eligibility/test_service.py
+++ b/tests/eligibility/test_service.py
@@ -85,6 +85,8 @@
     senders.chosen = False
     found = rules.select([A, B], LIMITED, None)
     assert isinstance(found, verdict.NotRun)
-    assert found.detail == "all 2 endpoints are warming up"
+    assert found.detail == (
+        "all 2 endpoints are warming up and take 13 requests/s for 3.0 s"
+    )
     spread_s = eligibilities.RETRY_SPREAD_S
     assert 3.0 <= found.retry_after_s <= 3.0 + spread_s
