Limit an instance whose entries are outdated, and a sender that restarts

The bound holds for instances that are cut off, too. A property test found a second way: a sender that restarts forgets what it has sent within the last second.

Change: while no entries were read for 2.5 s an instance sends each endpoint at most its part of what the senders leave of the bound, at least one in a second. A process sends to no cold endpoint in its first second.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -92,7 +92,9 @@
         self.pool = connections.Pool()
         self.instances = node_instances.Instances(settings.instance.name)
         self.calls = node_calls.PeerCalls(self.instances)
-        self.eligibility = node_eligibility.build(settings, self.instances)
+        self.eligibility = node_eligibility.build(
+            settings, self.instances, lambda: self.feeds.registry.age_s()
+        )
         self.topic_reads = feeds_sharing.SharedReads(
             self.store,
             node_feeds.TOPICS,
--- a/src/briarseam/compose/node_eligibility.py
+++ b/src/briarseam/compose/node_eligibility.py
@@ -15,7 +15,9 @@
 
 
 def build(
-    settings: serving.ServeSettings, instances: node_instances.Instances
+    settings: serving.ServeSettings,
+    instances: node_instances.Instances,
+    entries_age_s: typing.Callable[[], float],
 ) -> service.Eligibility:
     """Return the rules of an instance.
 
@@ -25,8 +27,12 @@
         The settings of this process.
     instances
         All instances, of which a few may send to a cold endpoint.
+    entries_age_s
+        Returns the time since the endpoints' entries were last read.
     """
-    starts = cold_starts.ColdStarts(instances, limits_of(settings.bounds))
+    starts = cold_starts.ColdStarts(
+        instances, limits_of(settings.bounds), entries_age_s
+    )
     return service.Eligibility(
         evacuation.Evacuations(starts.record_release),
         starts,
--- a/src/briarseam/eligibility/cold_starts.py
+++ b/src/briarseam/eligibility/cold_starts.py
@@ -34,6 +34,11 @@
 # Each instance adds a random part of this share of the warm-up time, so that
 # not all instances send to a zone at the moment when it turns warm.
 RAMP_SHARE = 0.3
+# Entries are read at least this often while the store answers.  Without them
+# an instance does not notice that an endpoint has turned cold.
+OUTDATED_AFTER_S = 2.5
+# Share of the instances whose entries may be outdated at the same time.
+OUTDATED_SHARE = 0.5
 log = structlog.get_logger("briarseam.eligibility")
 
 
@@ -66,6 +71,18 @@
         total = min(rate_per_s, bound / DISAGREEMENT_FACTOR)
         return int(total / SENDERS)
 
+    def for_outdated(self, rate_per_s: float, instances: int) -> int:
+        """Return what an instance with outdated entries may send in a second.
+
+        Such instances share what the senders leave of the bound, since an
+        endpoint may have turned cold without their knowledge.  A request in
+        a second is always allowed: hundreds of instances send each endpoint
+        far less than that.
+        """
+        bound = rate_per_s * self.factor + self.slack
+        rest = bound - SENDERS * self.for_sender(rate_per_s)
+        return max(1, int(rest / max(1.0, instances * OUTDATED_SHARE)))
+
 
 class Senders(typing.Protocol):
     """The instances that may send to cold endpoints."""
@@ -73,6 +90,9 @@
     def is_sender(self, endpoint: discovery.Endpoint, count: int) -> bool:
         """Return whether this is one of ``count`` senders to an endpoint."""
 
+    def known_count(self) -> int:
+        """Return the number of all instances."""
+
 
 @dataclasses.dataclass
 class StartState:
@@ -106,6 +126,8 @@
         The instances that may send to cold endpoints.
     limits
         Bounds on the requests to one cold endpoint.
+    entries_age_s
+        Returns the time since entries were last read, in seconds.
     clock
         Seconds.
     chance
@@ -116,12 +138,15 @@
         self,
         senders: Senders,
         limits: Limits,
+        entries_age_s: typing.Callable[[], float] = lambda: 0.0,
         clock: typing.Callable[[], float] = clocks.boot_clock,
         chance: typing.Callable[[], float] = random.random,
     ) -> None:
         self.senders = senders
         self.limits = limits
+        self.entries_age_s = entries_age_s
         self.clock = clock
+        self.started_s = clock()
         self.chance = chance
         self.starts: dict[str, StartState] = {}
         self.released_s: dict[str, float] = {}
@@ -180,26 +205,33 @@
     ) -> list[Permission]:
         """Return for each endpoint whether this instance may send to it."""
         now_s = self.clock()
+        is_outdated = self.entries_age_s() > OUTDATED_AFTER_S
         found = []
         with self.lock:
             for endpoint in endpoints:
                 state = self.state_of(endpoint.id)
-                if now_s >= self.cold_until_s(state, endpoint, cold):
+                is_cold = now_s < self.cold_until_s(state, endpoint, cold)
+                if not (is_cold or is_outdated):
                     found.append(Permission.UNLIMITED)
-                elif self.may_send_cold(state, endpoint, cold):
-                    found.append(Permission.LIMITED)
-                else:
+                elif (
+                    not state.window.has_room(self.limit(is_cold, cold), now_s)
+                    or is_cold
+                    and not self.is_sender(endpoint)
+                ):
                     found.append(Permission.DENIED)
+                else:
+                    found.append(Permission.LIMITED)
         return found
 
     def try_acquire(
         self, endpoint: discovery.Endpoint, cold: routes.ColdStart
     ) -> bool:
-        """Count a send to a cold endpoint; return whether it may go."""
+        """Count a send to an endpoint with limits; return if it may go."""
         now_s = self.clock()
         with self.lock:
             state = self.state_of(endpoint.id)
-            if not self.has_room(state, cold):
+            is_cold = now_s < self.cold_until_s(state, endpoint, cold)
+            if not state.window.has_room(self.limit(is_cold, cold), now_s):
                 return False
             state.window.add(now_s)
             return True
@@ -248,18 +280,20 @@
             until_s = max(until_s, released_s + cold.duration_s)
         return until_s + state.ramp_share * RAMP_SHARE * cold.duration_s
 
-    def may_send_cold(
-        self,
-        state: StartState,
-        endpoint: discovery.Endpoint,
-        cold: routes.ColdStart,
-    ) -> bool:
-        """Return whether this instance may send to a cold endpoint now."""
-        return self.has_room(state, cold) and self.senders.is_sender(
-            endpoint, SENDERS
-        )
+    def is_sender(self, endpoint: discovery.Endpoint) -> bool:
+        """Return whether this instance may send to a cold endpoint.
 
-    def has_room(self, state: StartState, cold: routes.ColdStart) -> bool:
-        """Return whether this instance may send once more in this second."""
-        limit = self.limits.for_sender(cold.requests_per_s)
-        return state.window.has_room(limit, self.clock())
+        A process that has just started doesn't know what its former process
+        sent within the last second.
+        """
+        if self.clock() < self.started_s + send_window.WINDOW_S:
+            return False
+        return self.senders.is_sender(endpoint, SENDERS)
+
+    def limit(self, is_cold: bool, cold: routes.ColdStart) -> int:
+        """Return what this instance may send to an endpoint in a second."""
+        if is_cold:
+            return self.limits.for_sender(cold.requests_per_s)
+        return self.limits.for_outdated(
+            cold.requests_per_s, self.senders.known_count()
+        )
--- a/src/briarseam/eligibility/service.py
+++ b/src/briarseam/eligibility/service.py
@@ -34,7 +34,8 @@
     unlimited
         Warm endpoints.
     limited
-        Cold endpoints; each send to them must be acquired first.
+        Cold endpoints, or endpoints that may have turned cold since entries
+        were read; each send to them must be acquired first.
     """
 
     unlimited: list[discovery.Endpoint]
@@ -169,6 +170,10 @@
 class NoSenders:
     """No instance may send to cold endpoints."""
 
+    def known_count(self) -> int:
+        """Return the number of all instances."""
+        return 1
+
     def is_sender(self, endpoint: discovery.Endpoint, count: int) -> bool:
         """Return that this instance is no sender."""
         del endpoint, count
--- a/tests/eligibility/test_cold_starts.py
+++ b/tests/eligibility/test_cold_starts.py
@@ -6,6 +6,7 @@
 
 from briarseam.discovery import model as discovery
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import send_window
 from briarseam.routes import model as routes
 from tests import clocks
 
@@ -24,6 +25,9 @@
     def is_sender(self, endpoint, count):
         return self.chosen
 
+    def known_count(self):
+        return 10
+
 
 def endpoint(name="e", zone="a"):
     return discovery.Endpoint(name, "s", "127.0.0.1:1", zone, 8)
@@ -41,9 +45,25 @@
 
 @pytest.fixture
 def starts(senders, clock):
-    return cold_starts.ColdStarts(
-        senders, cold_starts.Limits(), clock, lambda: 0.0
+    """Return the limits of an instance that has run for a while."""
+    found = cold_starts.ColdStarts(
+        senders, cold_starts.Limits(), lambda: 0.0, clock, lambda: 0.0
+    )
+    clock.now_s += send_window.WINDOW_S
+    return found
+
+
+def test_instance_that_has_just_started_sends_to_no_cold_endpoint(
+    senders, clock
+):
+    """Guards against a sender that restarts and sends its share twice."""
+    starts = cold_starts.ColdStarts(
+        senders, cold_starts.Limits(), lambda: 0.0, clock, lambda: 0.0
     )
+    starts.record_entry("e", 3.0)
+    assert permission(starts) is DENIED
+    clock.now_s += send_window.WINDOW_S
+    assert permission(starts) is LIMITED
 
 
 def permission(starts, one=None):
@@ -142,7 +162,11 @@
     chances = iter((0.0, 1.0))
     first, last = (
         cold_starts.ColdStarts(
-            senders, cold_starts.Limits(), clock, lambda: next(chances)
+            senders,
+            cold_starts.Limits(),
+            lambda: 0.0,
+            clock,
+            lambda: next(chances),
         )
         for _ in range(2)
     )
@@ -162,3 +186,28 @@
     starts.keep_only(["f"])
     assert starts.cold_count() == 1
     assert list(starts.starts) == ["f"]
+
+
+def test_warm_endpoints_are_limited_while_entries_are_outdated(senders, clock):
+    """Guards against an instance that is cut off from the store and doesn't
+    notice that an endpoint has turned cold: its requests and those of the
+    senders together would be too many.
+    """
+    age_s = 0.0
+    starts = cold_starts.ColdStarts(
+        senders, cold_starts.Limits(), lambda: age_s, clock, lambda: 0.0
+    )
+    senders.chosen = False
+    starts.record_entry("e", 0.0)
+    assert permission(starts) is UNLIMITED
+    age_s = cold_starts.OUTDATED_AFTER_S + 0.1
+    sent = sum(starts.try_acquire(endpoint(), COLD) for _ in range(20))
+    # Ten instances, half of them cut off, share 24.5 - 2 x 6 requests.
+    assert sent == 2
+    assert permission(starts) is DENIED
+    clock.now_s += 1.0
+    assert permission(starts) is LIMITED
+
+
+def test_hundreds_of_instances_may_still_send_while_entries_are_outdated():
+    assert cold_starts.Limits().for_outdated(13.0, 195) == 1
--- a/tests/eligibility/test_many_instances.py
+++ b/tests/eligibility/test_many_instances.py
@@ -60,7 +60,7 @@
         view = node_instances.Instances(row.name)
         view.registrations = View(known)
         return cold_starts.ColdStarts(
-            view, LIMITS, self.clock, self.chance.random
+            view, LIMITS, lambda: 0.0, self.clock, self.chance.random
         )
 
     def restart(self, zone):
--- a/tests/eligibility/test_service.py
+++ b/tests/eligibility/test_service.py
@@ -6,6 +6,7 @@
 from briarseam.discovery import model as discovery
 from briarseam.eligibility import cold_starts
 from briarseam.eligibility import regions
+from briarseam.eligibility import send_window
 from briarseam.eligibility import service as eligibilities
 from briarseam.routes import evacuation
 from briarseam.routes import model as routes
@@ -29,8 +30,9 @@
 def rules(senders):
     clock = clocks.ManualClock()
     starts = cold_starts.ColdStarts(
-        senders, cold_starts.Limits(), clock, lambda: 0.0
+        senders, cold_starts.Limits(), lambda: 0.0, clock, lambda: 0.0
     )
+    clock.now_s += send_window.WINDOW_S
     return eligibilities.Eligibility(
         evacuation.Evacuations(starts.record_release, clock),
         starts,
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -7,6 +7,7 @@
 from briarseam import verdict
 from briarseam.discovery import model as discovery
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import send_window
 from briarseam.forwarding import calls
 from briarseam.placement import avoidance
 from briarseam.placement import chooser as choosers
@@ -401,6 +402,9 @@
     def is_sender(self, endpoint, count):
         return True
 
+    def known_count(self):
+        return 1
+
 
 COLD_SERVICE = routes.Service(
     "engines",
@@ -413,8 +417,13 @@
 def cold_case(case):
     """A case whose engine e0 is cold."""
     case.chooser.eligibility.starts = cold_starts.ColdStarts(
-        OnlySender(), cold_starts.Limits(), case.clock, lambda: 0.0
+        OnlySender(),
+        cold_starts.Limits(),
+        lambda: 0.0,
+        case.clock,
+        lambda: 0.0,
     )
+    case.clock.now_s += send_window.WINDOW_S
     for number, endpoint in enumerate(case.endpoints):
         case.chooser.eligibility.starts.record_entry(
             endpoint.id, 0.0 if number else 3.0
