--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -341,6 +341,7 @@
         self.weights.settings = settings
         bounds = settings.bounds
         self.eligibility.starts.limits = node_eligibility.limits_of(bounds)
+        self.eligibility.region_map.by_zone = settings.instance.regions()
         budget = self.forwarding.deps.budget
         budget.ratio = bounds.retry_ratio
         budget.slack = bounds.retry_slack
--- a/src/briarseam/eligibility/service.py
+++ b/src/briarseam/eligibility/service.py
@@ -36,6 +36,9 @@
     limited
         Cold endpoints, or endpoints that may have turned cold since entries
         were read; each send to them must be acquired first.
+
+    Both are empty if entries are outdated and the limits of all endpoints
+    are used up for the moment.
     """
 
     unlimited: list[discovery.Endpoint]
@@ -129,16 +132,12 @@
         )
         if found.unlimited or found.limited:
             return found
-        return self.cold_refusal(endpoints, cold)
-
-    def cold_refusal(
-        self, endpoints: list[discovery.Endpoint], cold: routes.ColdStart
-    ) -> verdict.NotRun:
-        """Return the verdict if all endpoints are cold."""
         remaining_s = min(
             self.starts.cold_remaining_s(endpoint, cold)
             for endpoint in endpoints
         )
+        if remaining_s <= 0:
+            return found
         return verdict.NotRun(
             verdict.Reason.OVERLOADED,
             f"all {len(endpoints)} endpoints are warming up and take "
@@ -149,7 +148,7 @@
     def try_acquire(
         self, endpoint: discovery.Endpoint, service: routes.Service
     ) -> bool:
-        """Count a send to a cold endpoint; return whether it may go."""
+        """Count a send to an endpoint with limits; return if it may go."""
         cold = service.cold_start
         return cold is None or self.starts.try_acquire(endpoint, cold)
 
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -122,17 +122,19 @@
     def choose_limited(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
     ) -> Choice:
-        """Return a placement on a cold endpoint if the limit allows it.
+        """Return a placement on an endpoint with limits if these allow it.
 
         Cold endpoints are slow and take few requests, so they are used only
         while no warm one has capacity.
         """
+        if not candidates:
+            return requests.AtLimit(0)
         placement = self.choose_among(request, candidates)
         if not isinstance(placement, requests.Placement):
             return placement
         if self.eligibility.try_acquire(placement.endpoint, request.service):
             return placement
-        return requests.ColdOnly(len(candidates))
+        return requests.AtLimit(len(candidates))
 
     def choose_among(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -163,23 +163,24 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ColdOnly:
-    """No warm endpoint has capacity, and the cold ones are at their limit.
+class AtLimit:
+    """Only endpoints with limits are left, and these are used up.
 
     Attributes
     ----------
     endpoints
-        Number of cold endpoints that this instance may send to.
+        Number of cold endpoints that this instance may send to; 0 if its
+        list of endpoints is outdated and it has sent to all what it may.
     """
 
     endpoints: int
 
     def __str__(self) -> str:
         """Return the grounds for the refusal, for the log."""
-        return f"cold-endpoints-at-limit={self.endpoints}"
+        return f"at-limit cold-endpoints={self.endpoints}"
 
 
-Unplaced = NoCapacity | QueueFull | ColdOnly
+Unplaced = NoCapacity | QueueFull | AtLimit
 
 
 def memory_of(prompt: calls.Prompt) -> int:
--- a/tests/eligibility/test_service.py
+++ b/tests/eligibility/test_service.py
@@ -92,3 +92,16 @@
     )
     spread_s = eligibilities.RETRY_SPREAD_S
     assert 3.0 <= found.retry_after_s <= 3.0 + spread_s
+
+
+def test_request_waits_if_the_limits_of_outdated_endpoints_are_used_up(
+    rules, senders
+):
+    """Guards against a refusal for seconds: room returns within one."""
+    senders.chosen = False
+    rules.starts.entries_age_s = lambda: 10.0
+    rules.starts.record_entry(A.id, 0.0)
+    while rules.try_acquire(A, LIMITED):
+        pass
+    found = rules.select([A], LIMITED, None)
+    assert found == eligibilities.Eligible([], [])
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -450,3 +450,12 @@
     placed = [one for one in placements if isinstance(one, requests.Placement)]
     assert len(placed) == limit
     assert isinstance(placements[limit], verdict.NotRun)
+
+
+def test_prompt_waits_if_no_endpoint_may_be_sent_to_at_the_moment(cold_case):
+    cold_case.chooser.eligibility.starts.entries_age_s = lambda: 10.0
+    for _ in range(200):
+        placement = cold_case.place(service=COLD_SERVICE)
+        if not isinstance(placement, requests.Placement):
+            break
+    assert isinstance(placement, requests.Unplaced)
