--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 import typing
 
 from briarseam import clocks
@@ -17,8 +16,8 @@
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
 from briarseam.placement import mean_sizes
+from briarseam.placement import plain
 from briarseam.placement import prefill_time
-from briarseam.placement import queue_time
 from briarseam.placement import requests
 from briarseam.placement import residency as residencies
 from briarseam.weights import engine_weights
@@ -36,9 +35,6 @@
     verdict.Reason.OVERLOADED, "the prompt exceeds the engines' memory"
 )
 Choice = requests.Placement | requests.Unplaced | verdict.NotRun
-# Share of a route's target latency that the estimated answer may take; the
-# rest covers load that is not known yet.
-QUEUE_TARGET_SHARE = 0.8
 
 
 class Chooser:
@@ -85,7 +81,7 @@
         self.avoided = avoidance.Avoided(clock)
         self.mean_sizes = mean_sizes.MeanSizes()
         self.prefill_times: dict[str, prefill_time.PrefillTime] = {}
-        self.queue_times: dict[str, queue_time.QueueTime] = {}
+        self.plain = plain.PlainChooser(self.loads)
 
     def record_arrival(self, request: requests.Request) -> None:
         """Update the mean prompt size of a new request's route."""
@@ -160,39 +156,17 @@
     def place_without_prompt(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
     ) -> requests.Placement | requests.QueueFull:
-        """Place a request where there are the fewest requests per slot.
-
-        It is not placed behind a queue that would answer it late: in an
-        overload all answers would be late, and no caller would be served
-        better.
-        """
-        best = min(
-            candidates,
-            key=lambda endpoint: (
-                self.loads.of(endpoint.id).requests / endpoint.slots,
-                random.random(),
-            ),
-        )
-        load = self.loads.of(best.id)
-        expected_s = self.queue_time_of(request.service.name).seconds(
-            load.requests, best.slots
-        )
-        target_s = request.route.target_latency_s
-        is_late = expected_s > target_s * QUEUE_TARGET_SHARE > 0
-        if is_late and load.requests >= best.slots:
-            return requests.QueueFull(expected_s, target_s)
+        """Place a request without a prompt on one of some endpoints."""
+        chosen = self.plain.choose(request, candidates)
+        if isinstance(chosen, requests.QueueFull):
+            return chosen
         return requests.Placement(
-            best,
-            self.instructions_for(request, best),
-            load=load,
+            chosen,
+            self.instructions_for(request, chosen),
+            load=self.loads.of(chosen.id),
             endpoints_age_s=self.endpoints_age_s(),
         )
 
-    def queue_time_of(self, service: str) -> queue_time.QueueTime:
-        """Return the estimate of a service's time to answer."""
-        # If two threads get here at once, the first one's object stays.
-        return self.queue_times.setdefault(service, queue_time.QueueTime())
-
     def place_prompt(
         self,
         request: requests.Request,
@@ -418,9 +392,7 @@
     ) -> None:
         """Update the estimates with the time to a complete answer."""
         if request.call.prompt is None:
-            self.queue_time_of(request.service.name).record(
-                placement.load.requests, placement.endpoint.slots, took_s
-            )
+            self.plain.record_answer(placement, request, took_s)
 
     def record_end(
         self,
--- a/tests/placement/test_plain_load.py
+++ b/tests/placement/test_plain_load.py
@@ -80,7 +80,7 @@
             CALL, ROUTE, routes.Service("portal"), None, TARGET_S
         )
         if not self.bounded:
-            self.chooser.queue_times.clear()
+            self.chooser.plain.queue_times.clear()
         placement = self.chooser.choose(request)
         if not isinstance(placement, requests.Placement):
             self.refused += 1
@@ -133,6 +133,6 @@
     """Guards against a service that is refused because it is slow."""
     portal = Portal(bounded=True)
     for _ in range(3):
-        portal.chooser.queue_time_of("portal").record(0, SLOTS, 10.0)
+        portal.chooser.plain.queue_time_of("portal").record(0, SLOTS, 10.0)
     portal.arrive()
     assert portal.refused == 0
