Cancel tasks that start while an event loop stops

A connection that was being accepted started its task after the list of tasks to cancel was made; the task outlived the loop and could not close its connection.

Change: tasks are cancelled until none is left.

--- a/src/briarseam/wire/event_loop.py
+++ b/src/briarseam/wire/event_loop.py
@@ -83,11 +83,16 @@
 
 
 async def cancel_all_tasks() -> None:
-    """Cancel all tasks except this one and wait for them to end."""
-    tasks = asyncio.all_tasks() - {asyncio.current_task()}
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    """Cancel all tasks except this one and wait for them to end.
+
+    A connection that is being accepted starts another task meanwhile.  If
+    that task were left, it would end after the loop and fail to close its
+    connection.
+    """
+    while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def log_loop_error(
--- a/tests/wire/test_event_loop.py
+++ b/tests/wire/test_event_loop.py
@@ -48,6 +48,34 @@
     assert not loop.thread.is_alive()
 
 
+def test_stop_cancels_tasks_that_start_while_others_are_cancelled(loop):
+    """Guards against a connection that is accepted as a process stops: its
+    task outlived the loop and logged an error when it could not close it.
+    """
+    begun, ended = threading.Event(), threading.Event()
+    tasks = []
+
+    async def second():
+        try:
+            await asyncio.sleep(TIMEOUT_S)
+        except asyncio.CancelledError:
+            ended.set()
+            raise
+
+    async def first():
+        begun.set()
+        try:
+            await asyncio.sleep(TIMEOUT_S)
+        finally:
+            tasks.append(asyncio.ensure_future(second()))
+            await asyncio.sleep(0)
+
+    loop.spawn(first())
+    assert begun.wait(TIMEOUT_S)
+    loop.stop()
+    assert ended.is_set()
+
+
 def test_error_in_a_call_does_not_stop_the_loop(loop):
     loop.call(lambda: 1 / 0)
 
