Tests: wait for what they rely on

The test of limits at cold endpoints sent within the first second of its process, in which it may not. The test of malformed records sent while the entries of one read were still applied, one after the other; it now waits until the leaving ones are, and asserts the same.

--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -8,6 +8,8 @@
 import pytest
 import urllib3.exceptions
 
+from briarseam import clocks
+from briarseam.eligibility import send_window
 from briarseam.testing import waiting
 from tests.platform import system as systems
 
@@ -190,6 +192,12 @@
     configure_cold_portal(zones)
     registered = zones.node.feeds.registrations
     waiting.until(lambda: "one" in registered.by_name, TIMEOUT_S)
+    # A process sends to no cold endpoint in its first second.
+    started_s = zones.node.eligibility.starts.started_s
+    waiting.until(
+        lambda: clocks.boot_clock() > started_s + send_window.WINDOW_S,
+        TIMEOUT_S,
+    )
     statuses = [
         zones.call("/status/x", "GET").status for _ in range(REQUESTS + 10)
     ]
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -28,6 +28,12 @@
     return {found.id for found in system.node.feeds.registry.all()}
 
 
+def leaving(system):
+    return {
+        found.id for found in system.node.feeds.registry.all() if found.leaving
+    }
+
+
 def test_malformed_records_are_skipped_and_counted(system):
     """Guards against dropping the records after a malformed one in a read.
 
@@ -42,7 +48,9 @@
     system.add_worker("plain-3", "portal")
     system.write_entry("plain-1", "portal", "draining")
     system.write_entry("plain-2", "portal", "draining")
-    waiting.until(lambda: "plain-3" in known(system), TIMEOUT_S)
+    # Entries of one read are applied one after the other.
+    waiting.until(lambda: leaving(system) == {"plain-1", "plain-2"}, TIMEOUT_S)
+    assert "plain-3" in known(system)
     answer = system.call("/status/x", "GET")
     assert answer.status == 200
     assert answer.data == b"plain-3 did it"
