Failing test: all instances together exceed a limit that an endpoint names

Three instances, two plain endpoints, one of which names 2 requests a second in each answer. It gets 88 requests in the four seconds that begin three seconds after it first did; 17 are allowed.

--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -40,6 +40,9 @@
         Number of next streams that break off within their second event.
     pause_ms
         Pause after each event of a stream.
+    limit
+        Requests per second from all instances that answers name; empty for
+        none.
     """
 
     reject: switches.Count = 0
@@ -51,6 +54,7 @@
     events: switches.Count = 3
     break_streams: switches.Count = 0
     pause_ms: switches.Count = 0
+    limit: str = ""
 
 
 class Worker(stand_in.StandIn[Switches]):
@@ -93,6 +97,11 @@
         """Return the start time as fields of entries and reports."""
         return {} if self.born is None else {"born": self.born}
 
+    def state_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers in which answers tell the endpoint's state."""
+        limit = self.switches.limit
+        return (("Server-Limit", limit),) if limit else ()
+
     def is_addressed(self, request: http_messages.Request) -> bool:
         """Return whether a request is for this endpoint or for any."""
         return request.headers.get("expect-instance", self.id) == self.id
@@ -105,13 +114,14 @@
         if not self.is_addressed(request):
             return http_messages.Response(421, headers=echo)
         self.arrived_s.append(time.monotonic())
+        echo = (*echo, *self.state_headers())
         if self.take("reject"):
             return http_messages.Response(
                 503, headers=(*echo, ("Not-Executed", "1"))
             )
         self.ran.append(call)
         if self.take("foreign"):
-            echo = (("Request-Id", "another"),)
+            echo = (("Request-Id", "another"), *self.state_headers())
         signed = (*echo, ("Response-Signature", SIGNATURE))
         if self.take("unsigned"):
             signed = echo
