Log and count rate limits that endpoints name in their answers

Before, nothing told whether an answer named a limit, so logs could not tell an instance that ignores limits from one that keeps a limit for itself alone. Now: the log line endpoint_rate_limit, endpoints_rate_limited and answers_rate_limited; a limit that can't be read is counted as malformed. No choice of an endpoint changes.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -93,7 +93,10 @@
         self.instances = node_instances.Instances(settings.instance.name)
         self.calls = node_calls.PeerCalls(self.instances)
         self.eligibility = node_eligibility.build(
-            settings, self.instances, lambda: self.feeds.registry.age_s()
+            settings,
+            self.instances,
+            lambda: self.feeds.registry.age_s(),
+            self.malformed_counter,
         )
         self.topic_reads = feeds_sharing.SharedReads(
             self.store,
@@ -209,7 +212,11 @@
             codec=call_codec.CallCodec(),
             refusals=refusing.Refusals(answers.encode_verdict),
             chooser=self.chooser,
-            sender=attempts.Sender(self.pool, requests.decode_answer),
+            sender=attempts.Sender(
+                self.pool,
+                requests.decode_answer,
+                self.eligibility.record_answer,
+            ),
             guard=self.guard,
             supervisor=self.supervisor,
             budget=retry_budget.RetryBudget(
@@ -362,6 +369,8 @@
             configuration_version=self.feeds.configuration_version,
             endpoints_known=lambda: len(self.feeds.registry.all()),
             endpoints_cold=self.eligibility.starts.cold_count,
+            endpoints_rate_limited=self.eligibility.rate_limits.limited_count,
+            answers_rate_limited=lambda: self.eligibility.rate_limits.answers,
             zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
 
@@ -408,7 +417,7 @@
         """
         self.pool.keep_only(ids)
         self.chooser.forget_old(ids)
-        self.eligibility.starts.keep_only(ids)
+        self.eligibility.keep_only(ids)
         self.weights.known_weights.keep_only(ids)
 
     def is_ready(self) -> bool:
--- a/src/briarseam/compose/node_eligibility.py
+++ b/src/briarseam/compose/node_eligibility.py
@@ -5,11 +5,13 @@
 import typing
 
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import rate_limits
 from briarseam.eligibility import regions
 from briarseam.eligibility import service
 from briarseam.routes import evacuation
 
 if typing.TYPE_CHECKING:
+    from briarseam import malformed
     from briarseam.compose import node_instances
     from briarseam.settings import serving
 
@@ -18,6 +20,7 @@
     settings: serving.ServeSettings,
     instances: node_instances.Instances,
     entries_age_s: typing.Callable[[], float],
+    malformed_counter: malformed.Tally,
 ) -> service.Eligibility:
     """Return the rules of an instance.
 
@@ -29,6 +32,8 @@
         All instances, of which a few may send to a cold endpoint.
     entries_age_s
         Returns the time since the endpoints' entries were last read.
+    malformed_counter
+        Counts answers of endpoints that can't be read.
     """
     starts = cold_starts.ColdStarts(
         instances, limits_of(settings.bounds), entries_age_s
@@ -36,6 +41,7 @@
     return service.Eligibility(
         evacuation.Evacuations(starts.record_release),
         starts,
+        rate_limits.RateLimits(malformed_counter),
         regions.RegionMap(settings.instance.regions()),
     )
 
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -22,7 +22,8 @@
     ----------
     in_flight, connections_opened, store_calls, store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
-    endpoints_cold, zones_evacuated
+    endpoints_cold, endpoints_rate_limited, answers_rate_limited
+    zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -35,6 +36,8 @@
     configuration_version: Reading
     endpoints_known: Reading
     endpoints_cold: Reading
+    endpoints_rate_limited: Reading
+    answers_rate_limited: Reading
     zones_evacuated: Reading
 
 
@@ -86,6 +89,16 @@
             "Endpoints that are warming up and take few requests",
             readings.endpoints_cold,
         ),
+        (
+            "endpoints_rate_limited",
+            "Endpoints that limit the rate of their requests",
+            readings.endpoints_rate_limited,
+        ),
+        (
+            "answers_rate_limited",
+            "Answers that named a rate limit since start",
+            readings.answers_rate_limited,
+        ),
         (
             "zones_evacuated",
             "Availability zones whose endpoints get no requests",
--- /dev/null
+++ b/src/briarseam/discovery/announcements.py
@@ -0,0 +1,56 @@
+"""What endpoints announce about themselves in their answers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class NoRateLimit:
+    """The endpoint takes requests at any rate."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RateLimit:
+    """The endpoint limits the rate of its requests.
+
+    Attributes
+    ----------
+    per_s
+        Requests per second that it takes from all instances together.
+    """
+
+    per_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class UnreadableRateLimit:
+    """The endpoint names a limit that is no valid number.
+
+    Attributes
+    ----------
+    text
+        What it named.
+    """
+
+    text: str
+
+
+AnyRateLimit = NoRateLimit | RateLimit | UnreadableRateLimit
+NO_RATE_LIMIT = NoRateLimit()
+
+
+@dataclasses.dataclass(frozen=True)
+class Announcements:
+    """What one answer tells of its endpoint.
+
+    Attributes
+    ----------
+    rate_limit
+        The limit on the rate of its requests.
+    """
+
+    rate_limit: AnyRateLimit = NO_RATE_LIMIT
+
+
+NONE = Announcements()
--- a/src/briarseam/eligibility/service.py
+++ b/src/briarseam/eligibility/service.py
@@ -8,12 +8,14 @@
 
 from briarseam import verdict
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import rate_limits
 from briarseam.eligibility import regions
 from briarseam.routes import evacuation
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from briarseam.discovery import announcements
     from briarseam.discovery import model as discovery
     from briarseam.routes import model as routes
 
@@ -54,6 +56,8 @@
         Evacuated availability zones.
     starts
         Cold endpoints.
+    limits
+        Limits that endpoints name on the rate of their requests.
     region_map
         Regions of the availability zones.
     """
@@ -62,16 +66,29 @@
         self,
         evacuations: evacuation.Evacuations,
         starts: cold_starts.ColdStarts,
+        limits: rate_limits.RateLimits,
         region_map: regions.RegionMap,
     ) -> None:
         self.evacuations = evacuations
         self.starts = starts
+        self.rate_limits = limits
         self.region_map = region_map
 
     def record_entry(self, endpoint: discovery.Endpoint) -> None:
         """Record an entry that an endpoint has written."""
         self.starts.record_entry(endpoint.id, endpoint.cold_remaining_s)
 
+    def record_answer(
+        self, endpoint_id: str, announced: announcements.Announcements
+    ) -> None:
+        """Record what an answer tells of its endpoint."""
+        self.rate_limits.record_answer(endpoint_id, announced.rate_limit)
+
+    def keep_only(self, endpoint_ids: collections.abc.Collection[str]) -> None:
+        """Drop what is known of all endpoints but these."""
+        self.starts.keep_only(endpoint_ids)
+        self.rate_limits.keep_only(endpoint_ids)
+
     def select(
         self,
         endpoints: collections.abc.Sequence[discovery.Endpoint],
@@ -184,5 +201,6 @@
     return Eligibility(
         evacuation.Evacuations(),
         cold_starts.ColdStarts(NoSenders(), cold_starts.Limits()),
+        rate_limits.RateLimits(),
         regions.RegionMap({}),
     )
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -9,6 +9,7 @@
 
 import urllib3.exceptions
 
+from briarseam.discovery import announcements
 from briarseam.forwarding import calls
 from briarseam.forwarding import connections
 from briarseam.forwarding import events
@@ -30,6 +31,8 @@
 # Callers take these to mean "not run".  An answer that has one of them
 # without the endpoint's guarantee is therefore never relayed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Another endpoint answers at this address, or another weight version.
+MISDIRECTED = 421
 NETWORK_ERRORS = (
     OSError,
     http.client.HTTPException,
@@ -92,6 +95,14 @@
 DecodeAnswer = typing.Callable[
     [int, typing.Sequence[tuple[str, str]]], calls.AnswerHead
 ]
+OnAnnounced = typing.Callable[[str, announcements.Announcements], None]
+
+
+def ignore_announced(
+    endpoint: str, announced: announcements.Announcements
+) -> None:
+    """Ignore what an endpoint tells of itself."""
+    del endpoint, announced
 
 
 class Sender:
@@ -103,11 +114,20 @@
         Connections to endpoints.
     decode
         Decodes the status and headers of an answer.
+    on_announced
+        Called with the id of an endpoint and what its answer tells of it,
+        before the answer is relayed.
     """
 
-    def __init__(self, pool: connections.Pool, decode: DecodeAnswer) -> None:
+    def __init__(
+        self,
+        pool: connections.Pool,
+        decode: DecodeAnswer,
+        on_announced: OnAnnounced = ignore_announced,
+    ) -> None:
         self.pool = pool
         self.decode = decode
+        self.on_announced = on_announced
 
     def send(self, attempt: Attempt) -> outcomes.Outcome:
         """Send a call to an endpoint once and relay the answer.
@@ -153,6 +173,8 @@
         if head.call_id and head.call_id != attempt.call.id:
             # A duplicate answer to an earlier request on this connection.
             return outcomes.Broken("the answer belongs to another request")
+        if head.status != MISDIRECTED:
+            self.on_announced(attempt.endpoint.id, head.announced)
         if head.not_run:
             response.read()
             return outcomes.Rejected(head.status, head.retry_after_s)
--- a/src/briarseam/forwarding/calls.py
+++ b/src/briarseam/forwarding/calls.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from briarseam.discovery import announcements
+
 
 @dataclasses.dataclass(frozen=True)
 class PromptPart:
@@ -144,6 +146,8 @@
         Seconds after which to retry, as requested by the endpoint.
     version
         Weight version that produced it; ``None`` if unknown.
+    announced
+        What it tells of the endpoint.
     """
 
     status: int
@@ -153,3 +157,4 @@
     signed: bool = False
     retry_after_s: float | None = None
     version: int | None = None
+    announced: announcements.Announcements = announcements.NONE
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -29,9 +29,6 @@
 # After a longer wait the answer would be late anyway, so the caller is asked
 # to retry instead.
 MAX_WAIT_SHARE = 0.25
-# The address belongs to another endpoint now, or the endpoint has another
-# weight version.  The list of endpoints shows this within a second.
-MISDIRECTED = 421
 # How often a request that waits for capacity checks for an early end.
 CAPACITY_POLL_S = 0.05
 log = structlog.get_logger("briarseam.forwarding")
@@ -217,7 +214,9 @@
                 return
             case outcomes.Rejected():
                 context.refusal = refusing.rejected(outcome)
-                if outcome.status == MISDIRECTED:
+                if outcome.status == attempts.MISDIRECTED:
+                    # The list of endpoints shows within a second whether
+                    # the address belongs to another endpoint.
                     avoided.add_unconfirmed(endpoint, 0.0)
             case outcomes.Failed():
                 context.failed = outcome
--- a/src/briarseam/malformed.py
+++ b/src/briarseam/malformed.py
@@ -42,6 +42,7 @@
     STORE_RECORD = "store-record"
     CACHE_ROW = "cache-row"
     CACHE_ANSWER = "cache-answer"
+    ENDPOINT_ANSWER = "endpoint-answer"
     ENGINE_REPORT = "engine-report"
     SECTION = "section"
     DATAGRAM = "datagram"
--- a/src/briarseam/platform/names.py
+++ b/src/briarseam/platform/names.py
@@ -38,6 +38,8 @@
 SIGNATURE: typing.Final = "Response-Signature"
 RETRY_AFTER: typing.Final = "Retry-After"
 WEIGHT_VERSION: typing.Final = "Weight-Versions"
+# Requests per second that an endpoint takes from all instances together.
+RATE_LIMIT: typing.Final = "Server-Limit"
 
 # Calls of callers and of the platform.
 READY_PATH: typing.Final = "/briarseam/readyz"
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from briarseam.discovery import announcements
 from briarseam.discovery import starts
 from briarseam.forwarding import calls
 from briarseam.forwarding import refusing
@@ -213,4 +214,24 @@
             by_name.get(names.RETRY_AFTER.lower())
         ),
         version=decoding.header_integer(version),
+        announced=decode_announcements(by_name),
     )
+
+
+def decode_announcements(
+    by_name: typing.Mapping[str, str],
+) -> announcements.Announcements:
+    """Return what the headers of an answer tell of its endpoint."""
+    return announcements.Announcements(
+        rate_limit=decode_rate_limit(by_name.get(names.RATE_LIMIT.lower()))
+    )
+
+
+def decode_rate_limit(text: str | None) -> announcements.AnyRateLimit:
+    """Return the rate limit in a header."""
+    if text is None:
+        return announcements.NO_RATE_LIMIT
+    per_s = decoding.header_number(text)
+    if per_s is None:
+        return announcements.UnreadableRateLimit(text)
+    return announcements.RateLimit(per_s)
--- a/tests/eligibility/test_service.py
+++ b/tests/eligibility/test_service.py
@@ -5,6 +5,7 @@
 from briarseam import verdict
 from briarseam.discovery import model as discovery
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import rate_limits
 from briarseam.eligibility import regions
 from briarseam.eligibility import send_window
 from briarseam.eligibility import service as eligibilities
@@ -36,6 +37,7 @@
     return eligibilities.Eligibility(
         evacuation.Evacuations(starts.record_release, clock),
         starts,
+        rate_limits.RateLimits(),
         regions.RegionMap({"a": "north", "b": "north", "c": "south"}),
     )
 
--- a/tests/platform/test_header_decoders.py
+++ b/tests/platform/test_header_decoders.py
@@ -4,7 +4,9 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
+from briarseam.discovery import announcements
 from briarseam.forwarding import refusing
 from briarseam.platform import answers
 from briarseam.platform import requests
@@ -31,7 +33,11 @@
     },
 )
 endpoints_headers = strategies.fixed_dictionaries(
-    {"Weight-Versions": numbers, "Retry-After": numbers}
+    {
+        "Weight-Versions": numbers,
+        "Retry-After": numbers,
+        "Server-Limit": numbers,
+    }
 )
 
 
@@ -61,3 +67,23 @@
     answers.decode_lookup(target)
     answers.decode_lookup(f"/briarseam/resolve?{target}")
     answers.is_readiness(target)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (None, announcements.NoRateLimit()),
+        ("3.8", announcements.RateLimit(3.8)),
+        ("0", announcements.RateLimit(0.0)),
+        ("1e9", announcements.RateLimit(1e9)),
+        ("-1", announcements.UnreadableRateLimit("-1")),
+        ("nan", announcements.UnreadableRateLimit("nan")),
+        ("1e99", announcements.UnreadableRateLimit("1e99")),
+        ("soon", announcements.UnreadableRateLimit("soon")),
+        ("", announcements.UnreadableRateLimit("")),
+    ],
+)
+def test_rate_limit_of_an_endpoint_is_decoded(text, expected):
+    headers = [] if text is None else [("Server-Limit", text)]
+    head = requests.decode_answer(200, headers)
+    assert head.announced.rate_limit == expected
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -80,6 +80,7 @@
         "configuration.records",
         "configuration.values",
         "connection_threads",
+        "discovery.announcements",
         "discovery.model",
         "discovery.starts",
         "endpoints",
