Share the rate limits that endpoints name among all instances

Cause: an answer was read only for the request that it answers. What it says of the endpoint decided nothing afterwards, so all seven instances went on as before.

Now an endpoint's rate is divided among as many instances as get one request per second each, by rendezvous hashing of the registrations, as it was done for two instances at cold endpoints; both use the same allowance and window. No instance needs to know what another one has sent, so the sum holds while heartbeats are lost. Heartbeats, and one message between cells, tell the others when a limit begins, changes and ends; whoever has no news for 5 s asks rarely for itself. If all endpoints of a service are at their limits, a request is refused at once and told when an instance is likely to have room.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -22,6 +22,7 @@
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.discovery import restarts
+from briarseam.eligibility import limit_sharing
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
@@ -165,6 +166,9 @@
         self.cell_weights = cell_weights.CellWeights(
             self.weights.known_weights, self.calls, settings.instance.name
         )
+        self.cell_limits = limit_sharing.CellLimits(
+            self.eligibility.rate_limits, self.calls
+        )
         self.peer_configuration = peer_configuration.PeerConfiguration(
             self.feeds.operators, self.calls
         )
@@ -198,6 +202,8 @@
             losses=self.loss_sharing,
             weights=self.weights,
             cell_weights=self.cell_weights,
+            rate_limits=self.eligibility.rate_limits,
+            cell_limits=self.cell_limits,
             configuration=self.peer_configuration,
             stores=self.store_sharing,
             topics=self.topic_reads,
@@ -265,6 +271,7 @@
         self.expiry.start()
         self.cell_loads.start()
         self.cell_weights.start()
+        self.cell_limits.start()
         self.peer_connector.start()
         self.housekeeping.start()
 
@@ -330,6 +337,7 @@
         self.expiry.stop()
         self.cell_loads.stop()
         self.cell_weights.stop()
+        self.cell_limits.stop()
         self.peer_connector.stop()
         if not self.shutdown.begun:
             self.deregister()
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -5,6 +5,7 @@
 import threading
 import typing
 
+from briarseam.eligibility import limit_sharing
 from briarseam.feeds import shared_messages
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import loss_sharing
@@ -212,6 +213,18 @@
         """
         self.call_remote(address, message, cell_weights.WeightsNoted)
 
+    def publish_rate_limits(
+        self, address: str, message: limit_sharing.CellRateLimits
+    ) -> None:
+        """Publish the rate limits that endpoints named to this cell.
+
+        Raises
+        ------
+        NoReplyError
+            If they may not have been applied.
+        """
+        self.call_remote(address, message, limit_sharing.CellRateLimitsNoted)
+
     def query_configuration(
         self, name: str
     ) -> peer_configuration.ConfigurationTold:
--- a/src/briarseam/compose/node_eligibility.py
+++ b/src/briarseam/compose/node_eligibility.py
@@ -29,7 +29,7 @@
     settings
         The settings of this process.
     instances
-        All instances, of which a few may send to a cold endpoint.
+        All instances, of which some may send to an endpoint with a limit.
     entries_age_s
         Returns the time since the endpoints' entries were last read.
     malformed_counter
@@ -41,7 +41,7 @@
     return service.Eligibility(
         evacuation.Evacuations(starts.record_release),
         starts,
-        rate_limits.RateLimits(malformed_counter),
+        rate_limits.RateLimits(instances, malformed_counter=malformed_counter),
         regions.RegionMap(settings.instance.regions()),
     )
 
--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -107,23 +107,26 @@
         return self.own_name in ranked[:LEADER_CANDIDATES]
 
     def is_sender(self, endpoint: discovery.Endpoint, count: int) -> bool:
-        """Return whether this instance may send to a cold endpoint.
+        """Return whether this is a sender to an endpoint with a limit.
 
-        Chosen from the registered instances of the endpoint's zone, or from
-        all if it has none.  Registrations are the same for all instances,
-        while each has its own view of which instances are alive; a sender
-        that has failed costs only the use of an endpoint that is slow.
+        Chosen from the registered instances of the endpoint's zone first.
+        Registrations are the same for all instances, while each has its own
+        view of which instances are alive; a sender that has failed costs
+        only the use of an endpoint that takes few requests.
         """
         if self.registrations is None:
             return False
-        rows = self.registrations.by_name.values()
-        local = [row for row in rows if row.zone == endpoint.zone]
+        rows = list(self.registrations.by_name.values())
+        if count >= len(rows):
+            return any(row.name == self.own_name for row in rows)
         ranked = rank.ranked(
             endpoint.id,
-            local or rows,
+            rows,
             lambda row: row.name,
             lambda row: row.weight,
         )
+        # Sorting keeps the ranks within the zone, and among the others.
+        ranked.sort(key=lambda row: row.zone != endpoint.zone)
         return any(row.name == self.own_name for row in ranked[:count])
 
     def eligible_names(self) -> list[str]:
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -9,6 +9,7 @@
 import structlog
 
 from briarseam.compose import node_peers
+from briarseam.eligibility import limit_sharing
 from briarseam.feeds import shared_messages
 from briarseam.forwarding import loss_sharing
 from briarseam.membership import sections
@@ -26,6 +27,7 @@
     from briarseam.compose import node_instances
     from briarseam.compose import node_weights
     from briarseam.discovery import restarts as endpoint_restarts
+    from briarseam.eligibility import rate_limits as endpoint_limits
     from briarseam.feeds import sharing
     from briarseam.forwarding import crash_guard
     from briarseam.membership import service as membership
@@ -53,6 +55,8 @@
         Requests that crash endpoints.
     weights, cell_weights
         Ages of weights, and engines that are loading new ones.
+    rate_limits, cell_limits
+        Rate limits of endpoints, heard by this instance and by its cell.
     configuration
         Version of the operators' configuration.
     stores, topics
@@ -66,6 +70,8 @@
     losses: loss_sharing.LossSharing
     weights: node_weights.Weights
     cell_weights: cell_weights.CellWeights
+    rate_limits: endpoint_limits.RateLimits
+    cell_limits: limit_sharing.CellLimits
     configuration: peer_configuration.PeerConfiguration
     stores: store_sharing.StoreSharing
     topics: sharing.SharedReads
@@ -77,6 +83,8 @@
             "endpoint-starts": self.restarts,
             "cell-loads": self.cell_loads,
             "cell-weights": self.cell_weights,
+            "rate-limits": self.rate_limits,
+            "cell-rate-limits": self.cell_limits,
             "lost-requests": self.guard,
             "configuration-version": self.configuration,
         }
@@ -108,6 +116,9 @@
             cell_weights.WeightsTold: node_peers.MessageHandler(
                 self.cell_weights.answer
             ),
+            limit_sharing.CellRateLimits: node_peers.MessageHandler(
+                self.cell_limits.answer
+            ),
             peer_configuration.ConfigurationAsked: node_peers.MessageHandler(
                 self.configuration.answer
             ),
--- a/src/briarseam/eligibility/cold_starts.py
+++ b/src/briarseam/eligibility/cold_starts.py
@@ -1,16 +1,14 @@
 """Limits on requests to endpoints that are warming up.
 
 An endpoint that has just started tolerates few requests per second from all
-instances together and crashes at a rate well above that.  Hundreds of
-instances can't share so few by equal parts: each part is less than one
-request.  A few instances, the same ones for all, may therefore send to such
-an endpoint, and the others use warm endpoints only.
+instances together and crashes at a rate well above that.  A few instances,
+the same ones for all, may therefore send to such an endpoint, and the others
+use warm endpoints only; see :mod:`briarseam.eligibility.senders`.
 """
 
 from __future__ import annotations
 
 import dataclasses
-import enum
 import random
 import threading
 import typing
@@ -18,7 +16,9 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.eligibility import permissions
 from briarseam.eligibility import send_window
+from briarseam.eligibility import senders as sharing
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -42,15 +42,6 @@
 log = structlog.get_logger("briarseam.eligibility")
 
 
-class Permission(enum.Enum):
-    """Whether an instance may send to an endpoint."""
-
-    UNLIMITED = "unlimited"
-    # At a limited rate; see :meth:`ColdStarts.try_acquire`.
-    LIMITED = "limited"
-    DENIED = "denied"
-
-
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """Bounds on all instances' requests to one cold endpoint.
@@ -84,16 +75,6 @@
         return max(1, int(rest / max(1.0, instances * OUTDATED_SHARE)))
 
 
-class Senders(typing.Protocol):
-    """The instances that may send to cold endpoints."""
-
-    def is_sender(self, endpoint: discovery.Endpoint, count: int) -> bool:
-        """Return whether this is one of ``count`` senders to an endpoint."""
-
-    def known_count(self) -> int:
-        """Return the number of all instances."""
-
-
 @dataclasses.dataclass
 class StartState:
     """What is known of one start of an endpoint.
@@ -136,7 +117,7 @@
 
     def __init__(
         self,
-        senders: Senders,
+        senders: sharing.Senders,
         limits: Limits,
         entries_age_s: typing.Callable[[], float] = lambda: 0.0,
         clock: typing.Callable[[], float] = clocks.boot_clock,
@@ -202,25 +183,27 @@
         self,
         endpoints: collections.abc.Iterable[discovery.Endpoint],
         cold: routes.ColdStart,
-    ) -> list[Permission]:
+    ) -> list[permissions.Permission]:
         """Return for each endpoint whether this instance may send to it."""
         now_s = self.clock()
-        is_outdated = self.entries_age_s() > OUTDATED_AFTER_S
+        is_outdated = self.is_outdated()
         found = []
         with self.lock:
             for endpoint in endpoints:
                 state = self.state_of(endpoint.id)
                 is_cold = now_s < self.cold_until_s(state, endpoint, cold)
                 if not (is_cold or is_outdated):
-                    found.append(Permission.UNLIMITED)
+                    found.append(permissions.Permission.UNLIMITED)
                 elif (
-                    not state.window.has_room(self.limit(is_cold, cold), now_s)
+                    not state.window.has_room(
+                        self.allowance(is_cold, cold), now_s
+                    )
                     or is_cold
                     and not self.is_sender(endpoint)
                 ):
-                    found.append(Permission.DENIED)
+                    found.append(permissions.Permission.DENIED)
                 else:
-                    found.append(Permission.LIMITED)
+                    found.append(permissions.Permission.LIMITED)
         return found
 
     def try_acquire(
@@ -231,7 +214,9 @@
         with self.lock:
             state = self.state_of(endpoint.id)
             is_cold = now_s < self.cold_until_s(state, endpoint, cold)
-            if not state.window.has_room(self.limit(is_cold, cold), now_s):
+            if not (is_cold or self.is_outdated()):
+                return True
+            if not state.window.has_room(self.allowance(is_cold, cold), now_s):
                 return False
             state.window.add(now_s)
             return True
@@ -254,6 +239,10 @@
                 for state in self.starts.values()
             )
 
+    def is_outdated(self) -> bool:
+        """Return whether an endpoint may have turned cold unnoticed."""
+        return self.entries_age_s() > OUTDATED_AFTER_S
+
     # Helpers; they require the lock.
 
     def state_of(self, endpoint_id: str) -> StartState:
@@ -290,10 +279,14 @@
             return False
         return self.senders.is_sender(endpoint, SENDERS)
 
-    def limit(self, is_cold: bool, cold: routes.ColdStart) -> int:
-        """Return what this instance may send to an endpoint in a second."""
+    def allowance(
+        self, is_cold: bool, cold: routes.ColdStart
+    ) -> send_window.Allowance:
+        """Return what this instance may send to an endpoint."""
         if is_cold:
-            return self.limits.for_sender(cold.requests_per_s)
-        return self.limits.for_outdated(
-            cold.requests_per_s, self.senders.known_count()
-        )
+            sends = self.limits.for_sender(cold.requests_per_s)
+        else:
+            sends = self.limits.for_outdated(
+                cold.requests_per_s, self.senders.known_count()
+            )
+        return send_window.Allowance(sends)
--- /dev/null
+++ b/src/briarseam/eligibility/limit_sharing.py
@@ -0,0 +1,170 @@
+"""Exchange of endpoints' rate limits between cells.
+
+Heartbeats carry what an instance hears from endpoints within its own cell
+only.  The instances that share an endpoint's rate may all be in another
+cell, so that this one would never learn that a limit has changed or ended.
+One instance of each cell therefore sends what its cell has heard to one
+instance of every other cell, which relays it in its heartbeats.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+import structlog
+
+from briarseam import clocks
+from briarseam import repeating
+from briarseam.eligibility import rate_limits
+from briarseam.wire import codec
+from briarseam.wire import replies
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+# Equal to the heartbeat interval.
+PUBLISH_INTERVAL_S = 0.5
+# What another cell has heard is relayed until its next message is overdue.
+RELAY_S = 1.5
+log = structlog.get_logger("briarseam.eligibility")
+
+# A cell, the age of its message in milliseconds, and its rows.
+SectionRow = tuple[str, rate_limits.Milliseconds, tuple[rate_limits.Row, ...]]
+
+
+@codec.message("cell-rate-limits")
+class CellRateLimits(msgspec.Struct, frozen=True):
+    """Limits that the endpoints named to one cell, for another cell.
+
+    Attributes
+    ----------
+    cell
+        Name of the cell.
+    rows
+        For each endpoint its id, its limit or ``None``, and the age of the
+        answer in milliseconds.
+    """
+
+    cell: str
+    rows: tuple[rate_limits.Row, ...]
+
+
+@codec.message("cell-rate-limits-noted")
+class CellRateLimitsNoted(msgspec.Struct, frozen=True):
+    """Acknowledges a cell's rate limits."""
+
+
+class Cells(typing.Protocol):
+    """The local cell, and one instance of each other cell."""
+
+    def name(self) -> str:
+        """Return the local cell's name; empty before peers are known."""
+
+    def is_speaker(self) -> bool:
+        """Return whether this instance publishes for its cell."""
+
+    def addresses(self) -> collections.abc.Sequence[str]:
+        """Return the address of one instance of each other cell."""
+
+    def publish_rate_limits(
+        self, address: str, message: CellRateLimits
+    ) -> None:
+        """Send the limits that the local cell has heard to an instance.
+
+        Raises
+        ------
+        NoReplyError
+            If the instance may not have received them.
+        """
+
+
+class CellLimits:
+    """Publishes what the local cell has heard, and relays other cells' news.
+
+    Parameters
+    ----------
+    limits
+        The limits of endpoints.
+    cells
+        The local cell, and calls to other cells.
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        limits: rate_limits.RateLimits,
+        cells: Cells,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.limits = limits
+        self.cells = cells
+        self.clock = clock
+        self.received: dict[str, tuple[CellRateLimits, float]] = {}
+        self.unreached: frozenset[str] = frozenset()
+        self.publishing = repeating.Repeater(
+            "cell-rate-limits", self.review, PUBLISH_INTERVAL_S
+        )
+
+    def start(self) -> None:
+        """Start publishing."""
+        self.publishing.start()
+
+    def stop(self) -> None:
+        """Stop publishing."""
+        self.publishing.stop()
+
+    def review(self) -> None:
+        """Publish if this instance is the speaker and there is news."""
+        if self.cells.is_speaker():
+            rows = tuple(self.limits.cell_rows())
+            if rows:
+                self.publish(CellRateLimits(self.cells.name(), rows))
+
+    def publish(self, message: CellRateLimits) -> None:
+        """Send a message to one instance of each other cell."""
+        unreached = set()
+        for address in self.cells.addresses():
+            try:
+                self.cells.publish_rate_limits(address, message)
+            except replies.NoReplyError as error:
+                unreached.add(address)
+                if address not in self.unreached:
+                    log.warning(
+                        "cell_not_told_rate_limits",
+                        address=address,
+                        detail=str(error),
+                    )
+        self.unreached = frozenset(unreached)
+
+    def answer(self, message: CellRateLimits) -> CellRateLimitsNoted:
+        """Apply a message from another cell."""
+        self.received[message.cell] = (message, self.clock())
+        self.limits.apply_remote(message.rows)
+        return CellRateLimitsNoted()
+
+    def provide(self) -> bytes:
+        """Return the news received from other cells, for this cell."""
+        now_s = self.clock()
+        self.received = {
+            cell: (message, at_s)
+            for cell, (message, at_s) in list(self.received.items())
+            if now_s < at_s + RELAY_S
+        }
+        rows = [
+            (cell, max(0.0, now_s - at_s) * rate_limits.MS, message.rows)
+            for cell, (message, at_s) in list(self.received.items())
+        ]
+        return msgspec.msgpack.encode(rows)
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Apply the news that a peer received from other cells."""
+        del member
+        relayed = msgspec.msgpack.decode(data, type=list[SectionRow])
+        for cell, relayed_ms, rows in relayed:
+            if cell != self.cells.name():
+                self.limits.apply_remote(
+                    (endpoint_id, per_s, age_ms + relayed_ms)
+                    for endpoint_id, per_s, age_ms in rows
+                )
--- a/src/briarseam/eligibility/rate_limits.py
+++ b/src/briarseam/eligibility/rate_limits.py
@@ -1,50 +1,152 @@
-"""Limits on the rate of requests that endpoints name in their answers."""
+"""Limits on the rate of requests that endpoints name in their answers.
+
+Such an endpoint takes so many requests per second from all instances
+together.  They share the rate without asking each other; see
+:mod:`briarseam.eligibility.senders`.  Those that get no part of it learn from
+the others when the limit changes or ends.
+"""
 
 from __future__ import annotations
 
+import collections.abc
+import dataclasses
+import random
 import threading
 import typing
 
+import msgspec
 import structlog
 
+from briarseam import clocks
 from briarseam import malformed
 from briarseam.discovery import announcements
+from briarseam.eligibility import send_window
+from briarseam.eligibility import senders as sharing
 
 if typing.TYPE_CHECKING:
-    import collections.abc
+    from briarseam.discovery import model as discovery
 
+# An endpoint that limits its rate to less than this is still asked so often,
+# since only its answers tell when the limit ends.
+MIN_RATE_PER_S = 0.25
+# Without news of a limit for this long, the instances that get no part of
+# the rate ask for themselves.
+STALE_S = 5.0
+# All of them together then use this share of the rate.
+STALE_SHARE = 0.25
+# Each instance keeps an ended limit for a random part of this time, so that
+# not all of them turn to the endpoint at once.
+RAMP_S = 1.0
+# What an answer said is published this long; the next answer renews it.
+PUBLISH_S = 3.0
+# An endpoint may name another limit in each answer.
+MIN_LOG_INTERVAL_S = 1.0
 log = structlog.get_logger("briarseam.eligibility")
 
+PerSecond = typing.Annotated[float, msgspec.Meta(ge=0)]
+Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0)]
+# An endpoint's id, its limit if it names one, and the age of that answer.
+Row = tuple[str, PerSecond | None, Milliseconds]
+MS = 1000.0
+
+
+@dataclasses.dataclass
+class Heard:
+    """What an endpoint's last answer said.
+
+    Attributes
+    ----------
+    per_s
+        Its limit; ``None`` if it named none.
+    at_s
+        When the answer came.
+    """
+
+    per_s: float | None
+    at_s: float
+
+
+@dataclasses.dataclass
+class LimitState:
+    """What is known of the limit of one start of an endpoint.
+
+    Attributes
+    ----------
+    per_s
+        The limit in force.
+    heard
+        The last answer to any instance.
+    ramp_share
+        Random part of the ramp and of the first wait while news are stale,
+        0 to 1.
+    window
+        Sends of this instance.
+    logged_s
+        When the limit was last logged.
+    sender_until_s, is_sender
+        Whether this instance has a part of the rate, and until when that is
+        not looked up again.
+    """
+
+    per_s: float
+    heard: Heard
+    ramp_share: float
+    window: send_window.SendWindow = dataclasses.field(
+        default_factory=send_window.SendWindow
+    )
+    logged_s: float = float("-inf")
+    sender_until_s: float = float("-inf")
+    is_sender: bool = False
+
 
 class RateLimits:
-    """Limits of endpoints, as answers to this instance name them.
+    """Limits of endpoints, and this instance's part of them; thread-safe.
 
     Parameters
     ----------
+    senders
+        The instances that share an endpoint's rate.
+    clock
+        Seconds.
+    chance
+        Returns random numbers from 0 to 1.
     malformed_counter
         Counts limits that can't be read.
     """
 
     def __init__(
-        self, malformed_counter: malformed.Tally | None = None
+        self,
+        senders: sharing.Senders,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+        chance: typing.Callable[[], float] = random.random,
+        malformed_counter: malformed.Tally | None = None,
     ) -> None:
+        self.senders = senders
+        self.clock = clock
+        self.chance = chance
         self.malformed_counter = malformed_counter or malformed.Tally()
+        self.started_s = clock()
         # Answers to this instance that named a limit.
         self.answers = 0
-        self.per_s: dict[str, float] = {}
+        self.states: dict[str, LimitState] = {}
+        # What this instance, and its cell, have heard from endpoints.
+        self.own: dict[str, Heard] = {}
+        self.cell: dict[str, Heard] = {}
         self.lock = threading.Lock()
 
+    # What is learned.
+
     def record_answer(
         self, endpoint_id: str, limit: announcements.AnyRateLimit
     ) -> None:
         """Record what an answer to this instance says of the limit."""
         match limit:
             case announcements.NoRateLimit():
-                if endpoint_id in self.per_s:
-                    self.record(endpoint_id, None)
+                if endpoint_id in self.states:
+                    self.record_own(endpoint_id, None)
             case announcements.RateLimit(per_s):
                 self.answers += 1
-                self.record(endpoint_id, per_s)
+                self.record_own(endpoint_id, per_s)
             case announcements.UnreadableRateLimit(text):
                 # The former limit stays: the endpoint is still in need.
                 self.malformed_counter.note(
@@ -53,23 +155,202 @@
                     f"rate limit {text!r}",
                 )
 
-    def record(self, endpoint_id: str, per_s: float | None) -> None:
-        """Record a limit, or that an endpoint names none any more."""
+    def record_own(self, endpoint_id: str, per_s: float | None) -> None:
+        """Record an answer to this instance."""
+        heard = Heard(per_s, self.clock())
         with self.lock:
-            if per_s == self.per_s.get(endpoint_id):
-                return
-            if per_s is None:
-                del self.per_s[endpoint_id]
-            else:
-                self.per_s[endpoint_id] = per_s
-        log.info("endpoint_rate_limit", endpoint=endpoint_id, per_s=per_s)
+            self.own[endpoint_id] = heard
+            self.apply_in_cell(endpoint_id, heard)
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Apply what a peer of this cell has heard."""
+        del member
+        now_s = self.clock()
+        rows = msgspec.msgpack.decode(data, type=list[Row])
+        with self.lock:
+            for endpoint_id, per_s, age_ms in rows:
+                heard = Heard(per_s, now_s - age_ms / MS)
+                self.apply_in_cell(endpoint_id, heard)
+
+    def apply_remote(self, rows: collections.abc.Iterable[Row]) -> None:
+        """Apply what another cell has heard."""
+        now_s = self.clock()
+        with self.lock:
+            for endpoint_id, per_s, age_ms in rows:
+                self.apply(endpoint_id, Heard(per_s, now_s - age_ms / MS))
+
+    def provide(self) -> bytes:
+        """Return what this instance has heard, for its peers."""
+        with self.lock:
+            return msgspec.msgpack.encode(self.recent_rows(self.own))
+
+    def cell_rows(self) -> list[Row]:
+        """Return what this cell has heard, for other cells."""
+        with self.lock:
+            return self.recent_rows(self.cell)
 
     def keep_only(self, endpoint_ids: collections.abc.Collection[str]) -> None:
-        """Drop what is known of all other endpoints."""
+        """Drop what is known of all other endpoints, and ended limits."""
+        now_s = self.clock()
         with self.lock:
-            for endpoint_id in self.per_s.keys() - set(endpoint_ids):
-                del self.per_s[endpoint_id]
+            for endpoint_id, state in list(self.states.items()):
+                ended = state.heard.per_s is None and (
+                    now_s > state.heard.at_s + RAMP_S + PUBLISH_S
+                )
+                if ended or endpoint_id not in endpoint_ids:
+                    del self.states[endpoint_id]
+            for heard in (self.own, self.cell):
+                for endpoint_id in heard.keys() - self.states.keys():
+                    del heard[endpoint_id]
+
+    # What is decided.
+
+    def with_room(
+        self, endpoints: list[discovery.Endpoint]
+    ) -> list[discovery.Endpoint]:
+        """Return the endpoints to which this instance may send now."""
+        if not self.states:
+            return endpoints
+        with self.lock:
+            return [
+                endpoint
+                for endpoint in endpoints
+                if self.wait_s(endpoint) <= 0
+            ]
+
+    def try_acquire(self, endpoint: discovery.Endpoint) -> bool:
+        """Count a send to an endpoint; return if it may go."""
+        if endpoint.id not in self.states:
+            return True
+        with self.lock:
+            if self.wait_s(endpoint) > 0:
+                return False
+            state = self.states.get(endpoint.id)
+            if state is not None:
+                state.window.add(self.clock())
+            return True
+
+    def rate_per_s(self, endpoint: discovery.Endpoint) -> float:
+        """Return the rate at which all instances together may send."""
+        with self.lock:
+            state = self.states.get(endpoint.id)
+            return float("inf") if state is None else rate_of(state)
 
     def limited_count(self) -> int:
-        """Return the number of endpoints that name a limit."""
-        return len(self.per_s)
+        """Return the number of endpoints whose limit is in force."""
+        now_s = self.clock()
+        with self.lock:
+            return sum(
+                is_in_force(state, now_s) for state in self.states.values()
+            )
+
+    # Helpers; they require the lock.
+
+    def apply_in_cell(self, endpoint_id: str, heard: Heard) -> None:
+        """Apply what an instance of this cell has heard."""
+        known = self.cell.get(endpoint_id)
+        if known is None or heard.at_s >= known.at_s:
+            self.cell[endpoint_id] = heard
+        self.apply(endpoint_id, heard)
+
+    def apply(self, endpoint_id: str, heard: Heard) -> None:
+        """Apply what any instance has heard, unless it is outdated."""
+        state = self.states.get(endpoint_id)
+        if state is None:
+            if heard.per_s is None:
+                return
+            state = LimitState(heard.per_s, heard, self.chance())
+            self.states[endpoint_id] = state
+            self.log_change(endpoint_id, state)
+            return
+        if heard.at_s < state.heard.at_s:
+            return
+        if heard.per_s is None and state.heard.per_s is None:
+            # The ramp counts from the first answer without a limit.
+            return
+        changed = heard.per_s != state.heard.per_s
+        state.heard = heard
+        if heard.per_s is not None:
+            state.per_s = heard.per_s
+        if changed:
+            self.log_change(endpoint_id, state)
+
+    def log_change(self, endpoint_id: str, state: LimitState) -> None:
+        """Log a limit; at most one line per endpoint and interval."""
+        now_s = self.clock()
+        if now_s < state.logged_s + MIN_LOG_INTERVAL_S:
+            return
+        state.logged_s = now_s
+        log.info(
+            "endpoint_rate_limit",
+            endpoint=endpoint_id,
+            per_s=state.heard.per_s,
+            heard_ms_ago=round((now_s - state.heard.at_s) * MS),
+            from_answer=self.own.get(endpoint_id) is state.heard,
+        )
+
+    def recent_rows(self, heard: dict[str, Heard]) -> list[Row]:
+        """Return what was heard lately."""
+        now_s = self.clock()
+        return [
+            (endpoint_id, one.per_s, max(0.0, now_s - one.at_s) * MS)
+            for endpoint_id, one in heard.items()
+            if now_s < one.at_s + PUBLISH_S
+        ]
+
+    def wait_s(self, endpoint: discovery.Endpoint) -> float:
+        """Return the time until this instance may send to an endpoint.
+
+        In seconds; infinite while it has no part of the rate.
+        """
+        now_s = self.clock()
+        state = self.states.get(endpoint.id)
+        if state is None or not is_in_force(state, now_s):
+            return 0.0
+        rate_per_s = rate_of(state)
+        instances = max(1, self.senders.known_count())
+        count = sharing.sender_count(rate_per_s, instances)
+        if self.has_part(state, endpoint, count, now_s):
+            allowance = sharing.allowance_of(rate_per_s / count)
+            # A process that has just started doesn't know what its former
+            # process has sent.
+            not_before_s = self.started_s + allowance.span_s
+        else:
+            part_per_s = rate_per_s * STALE_SHARE / instances
+            allowance = sharing.allowance_of(part_per_s)
+            if now_s < state.heard.at_s + STALE_S:
+                return float("inf")
+            not_before_s = (
+                state.heard.at_s + STALE_S + state.ramp_share / part_per_s
+            )
+        return max(
+            state.window.wait_s(allowance, now_s), not_before_s - now_s, 0.0
+        )
+
+    def has_part(
+        self,
+        state: LimitState,
+        endpoint: discovery.Endpoint,
+        count: int,
+        now_s: float,
+    ) -> bool:
+        """Return whether this instance has a part of an endpoint's rate.
+
+        Looked up once per second: all instances are ranked for it.
+        """
+        if now_s >= state.sender_until_s:
+            state.sender_until_s = now_s + 1.0
+            state.is_sender = self.senders.is_sender(endpoint, count)
+        return state.is_sender
+
+
+def rate_of(state: LimitState) -> float:
+    """Return the rate to share, in requests per second; more than 0."""
+    return max(state.per_s, MIN_RATE_PER_S)
+
+
+def is_in_force(state: LimitState, now_s: float) -> bool:
+    """Return whether a limit is in force, or has only just ended."""
+    return state.heard.per_s is not None or (
+        now_s < state.heard.at_s + state.ramp_share * RAMP_S
+    )
--- a/src/briarseam/eligibility/service.py
+++ b/src/briarseam/eligibility/service.py
@@ -8,6 +8,7 @@
 
 from briarseam import verdict
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import permissions
 from briarseam.eligibility import rate_limits
 from briarseam.eligibility import regions
 from briarseam.routes import evacuation
@@ -22,6 +23,9 @@
 # Time after which operators may have taken an evacuation back, or another
 # region's endpoints may have returned.
 EXCLUDED_RETRY_S = 1.0
+# Callers that are refused at rate limits return after this time at least, and
+# after up to twice as long, so that they do not return together.
+MIN_RATE_RETRY_S = 0.3
 # Callers that were refused while all endpoints were cold return within this
 # time after one of them is warm.
 RETRY_SPREAD_S = 0.5
@@ -29,22 +33,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class Eligible:
-    """Endpoints that may get a request.
+    """Endpoints that may get a request; each send must be acquired first.
 
     Attributes
     ----------
-    unlimited
+    warm
         Warm endpoints.
-    limited
+    cold
         Cold endpoints, or endpoints that may have turned cold since entries
-        were read; each send to them must be acquired first.
+        were read.
 
-    Both are empty if entries are outdated and the limits of all endpoints
-    are used up for the moment.
+    Both are empty while this instance has sent to all endpoints what their
+    limits allow.
     """
 
-    unlimited: list[discovery.Endpoint]
-    limited: list[discovery.Endpoint]
+    warm: list[discovery.Endpoint]
+    cold: list[discovery.Endpoint]
 
 
 class Eligibility:
@@ -139,52 +143,73 @@
         service: routes.Service,
     ) -> Eligible | verdict.NotRun:
         """Return endpoints by permission, or why none may be used."""
+        within_rate = self.rate_limits.with_room(endpoints)
+        if not within_rate:
+            return self.refusal_at_rate_limit(endpoints)
         cold = service.cold_start
         if cold is None:
-            return Eligible(endpoints, [])
-        permissions = self.starts.permissions(endpoints, cold)
-        found = Eligible(
-            pick(endpoints, permissions, cold_starts.Permission.UNLIMITED),
-            pick(endpoints, permissions, cold_starts.Permission.LIMITED),
+            return Eligible(within_rate, [])
+        found = self.starts.permissions(within_rate, cold)
+        eligible = Eligible(
+            pick(within_rate, found, permissions.Permission.UNLIMITED),
+            pick(within_rate, found, permissions.Permission.LIMITED),
         )
-        if found.unlimited or found.limited:
-            return found
+        if eligible.warm or eligible.cold:
+            return eligible
         remaining_s = min(
             self.starts.cold_remaining_s(endpoint, cold)
-            for endpoint in endpoints
+            for endpoint in within_rate
         )
         if remaining_s <= 0:
-            return found
+            return eligible
         return verdict.NotRun(
             verdict.Reason.OVERLOADED,
-            f"all {len(endpoints)} endpoints are warming up and take "
+            f"all {len(within_rate)} endpoints are warming up and take "
             f"{cold.requests_per_s:g} requests/s for {remaining_s:.1f} s",
             remaining_s + RETRY_SPREAD_S * random.random(),
         )
 
+    def refusal_at_rate_limit(
+        self, endpoints: list[discovery.Endpoint]
+    ) -> verdict.NotRun:
+        """Return the refusal if no endpoint has room in its rate limit.
+
+        Callers return when another instance is likely to have room.
+        """
+        rate_per_s = sum(map(self.rate_limits.rate_per_s, endpoints))
+        retry_s = max(MIN_RATE_RETRY_S, 1 / rate_per_s)
+        return verdict.NotRun(
+            verdict.Reason.OVERLOADED,
+            f"all {len(endpoints)} endpoints limit the rate of requests, to "
+            f"{rate_per_s:g} requests/s together",
+            retry_s * (1 + random.random()),
+        )
+
     def try_acquire(
         self, endpoint: discovery.Endpoint, service: routes.Service
     ) -> bool:
         """Count a send to an endpoint with limits; return if it may go."""
+        if not self.rate_limits.try_acquire(endpoint):
+            return False
         cold = service.cold_start
         return cold is None or self.starts.try_acquire(endpoint, cold)
 
 
 def pick(
     endpoints: list[discovery.Endpoint],
-    permissions: list[cold_starts.Permission],
-    wanted: cold_starts.Permission,
+    found: list[permissions.Permission],
+    wanted: permissions.Permission,
 ) -> list[discovery.Endpoint]:
     """Return the endpoints with a permission."""
     return [
         endpoint
-        for endpoint, permission in zip(endpoints, permissions, strict=True)
+        for endpoint, permission in zip(endpoints, found, strict=True)
         if permission is wanted
     ]
 
 
 class NoSenders:
-    """No instance may send to cold endpoints."""
+    """No instance may send to endpoints with limits."""
 
     def known_count(self) -> int:
         """Return the number of all instances."""
@@ -201,6 +226,6 @@
     return Eligibility(
         evacuation.Evacuations(),
         cold_starts.ColdStarts(NoSenders(), cold_starts.Limits()),
-        rate_limits.RateLimits(),
+        rate_limits.RateLimits(NoSenders()),
         regions.RegionMap({}),
     )
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -108,28 +108,27 @@
         )
         if isinstance(eligible, verdict.NotRun):
             return eligible
-        if not eligible.unlimited:
-            return self.choose_limited(request, eligible.limited)
-        placement = self.choose_among(request, eligible.unlimited)
-        if eligible.limited and isinstance(placement, requests.Unplaced):
-            return self.choose_limited(request, eligible.limited)
+        placement = self.choose_acquired(request, eligible.warm)
+        if eligible.cold and isinstance(placement, requests.Unplaced):
+            # Cold endpoints are slow and take few requests, so they are used
+            # only while no warm one has capacity.
+            return self.choose_acquired(request, eligible.cold)
         return placement
 
-    def choose_limited(
+    def choose_acquired(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
     ) -> Choice:
-        """Return a placement on an endpoint with limits if these allow it.
-
-        Cold endpoints are slow and take few requests, so they are used only
-        while no warm one has capacity.
-        """
-        if not candidates:
-            return requests.AtLimit(0)
-        placement = self.choose_among(request, candidates)
-        if not isinstance(placement, requests.Placement):
-            return placement
-        if self.eligibility.try_acquire(placement.endpoint, request.service):
-            return placement
+        """Return a placement on an endpoint whose limits allow a send now."""
+        remaining = candidates
+        while remaining:
+            placement = self.choose_among(request, remaining)
+            if not isinstance(placement, requests.Placement):
+                return placement
+            chosen = placement.endpoint
+            if self.eligibility.try_acquire(chosen, request.service):
+                return placement
+            # Other requests have used up the limit since it was checked.
+            remaining = [one for one in remaining if one.id != chosen.id]
         return requests.AtLimit(len(candidates))
 
     def choose_among(
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -169,15 +169,15 @@
     Attributes
     ----------
     endpoints
-        Number of cold endpoints that this instance may send to; 0 if its
-        list of endpoints is outdated and it has sent to all what it may.
+        Number of endpoints that had room just before; 0 if this instance
+        had sent to all of them what it may.
     """
 
     endpoints: int
 
     def __str__(self) -> str:
         """Return the grounds for the refusal, for the log."""
-        return f"at-limit cold-endpoints={self.endpoints}"
+        return f"at-limit endpoints={self.endpoints}"
 
 
 Unplaced = NoCapacity | QueueFull | AtLimit
--- a/tests/eligibility/test_cold_starts.py
+++ b/tests/eligibility/test_cold_starts.py
@@ -6,6 +6,7 @@
 
 from briarseam.discovery import model as discovery
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import permissions
 from briarseam.eligibility import send_window
 from briarseam.routes import model as routes
 from tests import clocks
@@ -13,9 +14,9 @@
 COLD = routes.ColdStart(duration_s=3.0, requests_per_s=13.0)
 # Two senders share the tolerated rate.
 SENDER_LIMIT = 6
-UNLIMITED = cold_starts.Permission.UNLIMITED
-LIMITED = cold_starts.Permission.LIMITED
-DENIED = cold_starts.Permission.DENIED
+UNLIMITED = permissions.Permission.UNLIMITED
+LIMITED = permissions.Permission.LIMITED
+DENIED = permissions.Permission.DENIED
 
 
 @dataclasses.dataclass
--- a/tests/eligibility/test_many_instances.py
+++ b/tests/eligibility/test_many_instances.py
@@ -13,6 +13,7 @@
 from briarseam.compose import node_instances
 from briarseam.discovery import model as discovery
 from briarseam.eligibility import cold_starts
+from briarseam.eligibility import permissions
 from briarseam.peers import registrations
 from briarseam.routes import model as routes
 from tests import clocks
@@ -98,10 +99,10 @@
         for starts in self.starts:
             for started in self.endpoints.values():
                 (found,) = starts.permissions([started], COLD)
-                if found is cold_starts.Permission.LIMITED:
+                if found is permissions.Permission.LIMITED:
                     starts.try_acquire(started, COLD)
                     self.record_arrival(started)
-                elif found is cold_starts.Permission.UNLIMITED:
+                elif found is permissions.Permission.UNLIMITED:
                     self.record_arrival(started)
 
     def record_arrival(self, started):
--- /dev/null
+++ b/tests/eligibility/test_rate_limits.py
@@ -0,0 +1,243 @@
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+import pytest
+
+from briarseam import malformed
+from briarseam.discovery import announcements
+from briarseam.discovery import model as discovery
+from briarseam.eligibility import rate_limits
+from briarseam.eligibility import send_window
+from briarseam.eligibility import senders as sharing
+from tests import clocks
+
+ENDPOINT = discovery.Endpoint("e", "s", "127.0.0.1:1", "a", 8)
+LIMIT = announcements.RateLimit(2.0)
+NO_LIMIT = announcements.NO_RATE_LIMIT
+
+
+@dataclasses.dataclass
+class Senders:
+    chosen: bool = True
+    instances: int = 1
+
+    def is_sender(self, endpoint, count):
+        return self.chosen
+
+    def known_count(self):
+        return self.instances
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def senders():
+    return Senders()
+
+
+@pytest.fixture
+def counted():
+    return []
+
+
+@pytest.fixture
+def limits(senders, clock, counted):
+    """The limits of an instance that has run for a while."""
+    made = rate_limits.RateLimits(
+        senders, clock, lambda: 0.5, malformed.Tally(counted.append)
+    )
+    clock.now_s += 100.0
+    return made
+
+
+def sends_in(limits, clock, seconds, step_s=0.05):
+    """Send whenever that is allowed; return how often it was."""
+    sent = 0
+    for _ in range(round(seconds / step_s)):
+        while limits.with_room([ENDPOINT]) and sent < 1000:
+            assert limits.try_acquire(ENDPOINT)
+            sent += 1
+        clock.now_s += step_s
+    return sent
+
+
+def may_send(limits):
+    return bool(limits.with_room([ENDPOINT]))
+
+
+@pytest.mark.parametrize(
+    ("rate_per_s", "instances", "count"),
+    [(2.0, 7, 2), (3.8, 7, 3), (0.0, 7, 1), (0.5, 195, 1), (1e9, 10, 10)],
+)
+def test_few_instances_share_a_low_rate(rate_per_s, instances, count):
+    assert sharing.sender_count(rate_per_s, instances) == count
+
+
+def test_part_of_a_rate_never_permits_more_than_a_second_of_it_at_once():
+    assert sharing.allowance_of(1.25) == send_window.Allowance(1, 0.8)
+    assert sharing.allowance_of(0.5) == send_window.Allowance(1, 2.0)
+    assert sharing.allowance_of(4.0) == send_window.Allowance(4, 1.0)
+
+
+def test_endpoint_without_a_limit_is_unlimited(limits, clock):
+    limits.record_answer("e", NO_LIMIT)
+    assert sends_in(limits, clock, 0.05) == 1000
+    assert limits.limited_count() == 0
+
+
+def test_only_sender_uses_the_rate_and_no_more(limits, clock):
+    limits.record_answer("e", LIMIT)
+    assert sends_in(limits, clock, 4.0) == 8
+    assert limits.limited_count() == limits.answers == 1
+
+
+def test_instance_without_a_part_of_the_rate_sends_nothing(
+    limits, clock, senders
+):
+    senders.chosen = False
+    limits.record_answer("e", LIMIT)
+    assert sends_in(limits, clock, 4.0) == 0
+
+
+def test_process_that_has_just_started_does_not_use_its_part_twice(
+    senders, clock
+):
+    """Guards against a sender that restarts and sends its part again."""
+    limits = rate_limits.RateLimits(senders, clock)
+    limits.record_answer("e", announcements.RateLimit(1.0))
+    assert not may_send(limits)
+    clock.now_s += 1.0
+    assert may_send(limits)
+
+
+def test_changed_limit_is_kept_from_then_on(limits, clock):
+    limits.record_answer("e", announcements.RateLimit(20.0))
+    assert sends_in(limits, clock, 4.0) == 80
+    limits.record_answer("e", announcements.RateLimit(1.0))
+    clock.now_s += 1.0
+    assert sends_in(limits, clock, 4.0) == 4
+
+
+def test_endpoint_that_takes_nothing_is_asked_rarely(limits, clock):
+    """Guards against a limit that never ends, as no answer can say so."""
+    limits.record_answer("e", announcements.RateLimit(0.0))
+    assert sends_in(limits, clock, 40.0) == 10
+
+
+def test_huge_limit_permits_what_is_sent(limits, clock):
+    limits.record_answer("e", announcements.RateLimit(1e9))
+    assert sends_in(limits, clock, 0.05) == 1000
+
+
+def test_unreadable_limit_keeps_the_former_one(limits, clock, counted):
+    limits.record_answer("e", LIMIT)
+    limits.record_answer("e", announcements.UnreadableRateLimit("soon"))
+    assert sends_in(limits, clock, 4.0) == 8
+    assert counted == [malformed.Kind.ENDPOINT_ANSWER]
+
+
+def test_unreadable_limit_alone_limits_nothing(limits, clock):
+    limits.record_answer("e", announcements.UnreadableRateLimit("soon"))
+    assert sends_in(limits, clock, 0.05) == 1000
+
+
+def test_limit_ends_a_random_time_after_an_answer_without_it(limits, clock):
+    """Guards against all instances turning to the endpoint at once."""
+    limits.record_answer("e", announcements.RateLimit(1.0))
+    assert limits.try_acquire(ENDPOINT)
+    limits.record_answer("e", NO_LIMIT)
+    clock.now_s += 0.4
+    limits.record_answer("e", NO_LIMIT)
+    assert not may_send(limits)
+    clock.now_s += 0.2
+    assert sends_in(limits, clock, 0.05) == 1000
+    assert limits.limited_count() == 0
+
+
+def test_limit_that_is_named_again_is_in_force_at_once(limits, clock):
+    limits.record_answer("e", LIMIT)
+    limits.record_answer("e", NO_LIMIT)
+    clock.now_s += 0.2
+    limits.record_answer("e", LIMIT)
+    assert sends_in(limits, clock, 4.0) == 8
+
+
+def test_limit_of_a_removed_endpoint_is_dropped(limits, clock):
+    limits.record_answer("e", LIMIT)
+    limits.keep_only(["other"])
+    assert sends_in(limits, clock, 0.05) == 1000
+    assert not limits.states and not limits.own and not limits.cell
+
+
+def test_limit_that_holds_is_kept_however_long_nothing_is_heard(limits, clock):
+    limits.record_answer("e", LIMIT)
+    clock.now_s += 60.0
+    limits.keep_only(["e"])
+    assert sends_in(limits, clock, 4.0) == 8
+
+
+def test_instance_without_news_asks_for_itself_rarely(limits, clock, senders):
+    """Guards against an instance that is cut off from its peers and never
+    learns that the limit has ended.
+    """
+    senders.chosen, senders.instances = False, 10
+    limits.record_answer("e", LIMIT)
+    assert sends_in(limits, clock, 5.0) == 0
+    # A quarter of 2 requests/s, divided by ten instances: 1 in 20 s, the
+    # first after half of that.
+    assert sends_in(limits, clock, 9.9) == 0
+    assert sends_in(limits, clock, 20.0) == 1
+
+
+def peer(limits, clock):
+    """Return another instance that reads what the first one publishes."""
+    made = rate_limits.RateLimits(Senders(False), clock, lambda: 0.0)
+    made.consume("one", limits.provide())
+    return made
+
+
+def test_peer_learns_of_a_limit_before_it_sends(limits, clock):
+    limits.record_answer("e", LIMIT)
+    assert not may_send(peer(limits, clock))
+
+
+def test_peer_learns_that_a_limit_has_ended(limits, clock):
+    limits.record_answer("e", LIMIT)
+    other = peer(limits, clock)
+    clock.now_s += 1.0
+    limits.record_answer("e", NO_LIMIT)
+    other.consume("one", limits.provide())
+    assert may_send(other)
+
+
+def test_older_news_of_a_peer_does_not_replace_an_own_answer(limits, clock):
+    """Guards against a heartbeat that arrives after a newer answer."""
+    limits.record_answer("e", LIMIT)
+    late = limits.provide()
+    other = rate_limits.RateLimits(Senders(False), clock, lambda: 0.0)
+    other.record_answer("e", LIMIT)
+    clock.now_s += 1.0
+    other.record_answer("e", NO_LIMIT)
+    rows = msgspec.msgpack.decode(late)
+    aged = [(name, per_s, age + 1000.0) for name, per_s, age in rows]
+    other.consume("one", msgspec.msgpack.encode(aged))
+    assert may_send(other)
+
+
+def test_old_news_is_not_published(limits, clock):
+    limits.record_answer("e", LIMIT)
+    assert limits.cell_rows()
+    clock.now_s += rate_limits.PUBLISH_S
+    assert not limits.cell_rows()
+
+
+@pytest.mark.parametrize("row", [("e", -1.0, 0.0), ("e", 1.0, -5.0), ("e",)])
+def test_malformed_news_is_refused(limits, row):
+    with pytest.raises(msgspec.ValidationError):
+        limits.consume("one", msgspec.msgpack.encode([row]))
+    assert may_send(limits)
--- a/tests/eligibility/test_service.py
+++ b/tests/eligibility/test_service.py
@@ -37,7 +37,7 @@
     return eligibilities.Eligibility(
         evacuation.Evacuations(starts.record_release, clock),
         starts,
-        rate_limits.RateLimits(),
+        rate_limits.RateLimits(senders, clock),
         regions.RegionMap({"a": "north", "b": "north", "c": "south"}),
     )
 
@@ -45,7 +45,7 @@
 def test_evacuated_zone_is_excluded(rules):
     rules.evacuations.begin("a")
     found = rules.select([A, B, C], PLAIN, None)
-    assert found.unlimited == [B, C]
+    assert found.warm == [B, C]
 
 
 def test_request_is_refused_at_once_if_all_zones_are_evacuated(rules):
@@ -59,7 +59,7 @@
 
 def test_endpoints_outside_the_allowed_regions_are_excluded(rules):
     found = rules.select([A, B, C], PLAIN, frozenset({"south"}))
-    assert found.unlimited == [C]
+    assert found.warm == [C]
 
 
 def test_refusal_names_the_allowed_regions(rules):
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -112,7 +112,9 @@
         call = request.headers.get("request-id", "")
         echo = (("Request-Id", call),)
         if not self.is_addressed(request):
-            return http_messages.Response(421, headers=echo)
+            return http_messages.Response(
+                421, headers=(*echo, *self.state_headers())
+            )
         self.arrived_s.append(time.monotonic())
         echo = (*echo, *self.state_headers())
         if self.take("reject"):
