Failing test: requests reach an endpoint whose answers say that it leaves

The store is away, so the entry goes on saying ready. After the first answer that says so the endpoint gets 5 of 11 further requests, calls and prompts alike; none is allowed. The stand-in for endpoints can leave by its answers, and reject with Retry-After.

--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -43,6 +43,11 @@
     limit
         Requests per second from all instances that answers name; empty for
         none.
+    leaving
+        Whether answers say that the endpoint is leaving.
+    retry_after
+        Value of the header in answers that reject a request; empty for
+        none.
     """
 
     reject: switches.Count = 0
@@ -55,6 +60,8 @@
     break_streams: switches.Count = 0
     pause_ms: switches.Count = 0
     limit: str = ""
+    leaving: bool = False
+    retry_after: str = ""
 
 
 class Worker(stand_in.StandIn[Switches]):
@@ -99,8 +106,12 @@
 
     def state_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers in which answers tell the endpoint's state."""
-        limit = self.switches.limit
-        return (("Server-Limit", limit),) if limit else ()
+        headers = []
+        if self.switches.limit:
+            headers.append(("Server-Limit", self.switches.limit))
+        if self.switches.leaving:
+            headers.append(("Server-Leaving", "1"))
+        return tuple(headers)
 
     def is_addressed(self, request: http_messages.Request) -> bool:
         """Return whether a request is for this endpoint or for any."""
@@ -118,9 +129,11 @@
         self.arrived_s.append(time.monotonic())
         echo = (*echo, *self.state_headers())
         if self.take("reject"):
-            return http_messages.Response(
-                503, headers=(*echo, ("Not-Executed", "1"))
-            )
+            rejection = (*echo, ("Not-Executed", "1"))
+            if self.switches.retry_after:
+                after = ("Retry-After", self.switches.retry_after)
+                rejection = (*rejection, after)
+            return http_messages.Response(503, headers=rejection)
         self.ran.append(call)
         if self.take("foreign"):
             echo = (("Request-Id", "another"), *self.state_headers())
