Send nothing to an endpoint whose answers say that it is leaving

Cause: that an endpoint leaves was known from its entry only. The store was away for 13 s, so the entry went on saying ready, while each answer of the engine said otherwise. Evidence: the engine got 2 to 9 requests a second from all six instances until the entry was read.

Now an answer that says so marks that start of the endpoint in the registry, which all choices read: new and waiting requests, retries, resumed streams and orders. The mark is final for the start, whatever entries say afterwards, also those of a store that returns from an older copy; a new start under the same name has none. Peers of the cell are told by heartbeats, with what restarts used before, so that not each of them loses a request.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -21,7 +21,8 @@
 from briarseam.compose import node_servers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
-from briarseam.discovery import restarts
+from briarseam.discovery import start_news
+from briarseam.discovery import starts
 from briarseam.eligibility import limit_sharing
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
@@ -57,6 +58,7 @@
 from briarseam.wire import event_loop
 
 if typing.TYPE_CHECKING:
+    from briarseam.discovery import announcements
     from briarseam.discovery import model as discovery
     from briarseam.routes import model as routes
     from briarseam.settings import serving
@@ -116,13 +118,19 @@
             self.record_entry,
         )
         self.instances.registrations = self.feeds.registrations
-        self.restarts = restarts.Restarts(self.feeds.registry)
+        registry = self.feeds.registry
+        self.restarts = start_news.StartNews(registry.apply_start)
+        self.leaving = start_news.StartNews(registry.apply_leaving)
         self.weights = node_weights.Weights(
             settings,
             self.store,
             self.feeds,
             self.instances,
-            engines.EngineClient(self.malformed_counter, self.restarts.record),
+            engines.EngineClient(
+                self.malformed_counter,
+                self.restarts.record,
+                self.leaving.record,
+            ),
             self.malformed_counter,
         )
         self.chooser = choosers.Chooser(
@@ -198,6 +206,7 @@
             loads=self.chooser.loads,
             cell_loads=self.cell_loads,
             restarts=self.restarts,
+            leaving=self.leaving,
             guard=self.guard,
             losses=self.loss_sharing,
             weights=self.weights,
@@ -221,7 +230,7 @@
             sender=attempts.Sender(
                 self.pool,
                 requests.decode_answer,
-                self.eligibility.record_answer,
+                self.record_announced,
             ),
             guard=self.guard,
             supervisor=self.supervisor,
@@ -416,6 +425,14 @@
         self.eligibility.record_entry(endpoint)
         self.chooser.avoided.record_entry(endpoint.id)
 
+    def record_announced(
+        self, endpoint_id: str, announced: announcements.Announcements
+    ) -> None:
+        """Apply what an answer tells of its endpoint."""
+        self.eligibility.record_answer(endpoint_id, announced)
+        if announced.leaving:
+            self.leaving.record(starts.parse(endpoint_id))
+
     def keep_only_endpoints(self, ids: frozenset[str]) -> None:
         """Drop state that arrived after its endpoint start was gone.
 
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -26,7 +26,7 @@
     from briarseam.compose import node_calls
     from briarseam.compose import node_instances
     from briarseam.compose import node_weights
-    from briarseam.discovery import restarts as endpoint_restarts
+    from briarseam.discovery import start_news
     from briarseam.eligibility import rate_limits as endpoint_limits
     from briarseam.feeds import sharing
     from briarseam.forwarding import crash_guard
@@ -49,8 +49,8 @@
     ----------
     loads, cell_loads
         Load of endpoints, by this instance and by its cell.
-    restarts
-        Starts of endpoints.
+    restarts, leaving
+        Starts of endpoints that calls have shown, and those that leave.
     guard, losses
         Requests that crash endpoints.
     weights, cell_weights
@@ -65,7 +65,8 @@
 
     loads: endpoint_loads.Loads
     cell_loads: cell_loads.CellLoads
-    restarts: endpoint_restarts.Restarts
+    restarts: start_news.StartNews
+    leaving: start_news.StartNews
     guard: crash_guard.CrashGuard
     losses: loss_sharing.LossSharing
     weights: node_weights.Weights
@@ -81,6 +82,7 @@
         providers: dict[str, typing.Any] = {
             "endpoint-loads": self.loads,
             "endpoint-starts": self.restarts,
+            "endpoints-leaving": self.leaving,
             "cell-loads": self.cell_loads,
             "cell-weights": self.cell_weights,
             "rate-limits": self.rate_limits,
--- a/src/briarseam/discovery/announcements.py
+++ b/src/briarseam/discovery/announcements.py
@@ -48,9 +48,12 @@
     ----------
     rate_limit
         The limit on the rate of its requests.
+    leaving
+        Whether it is shutting down and accepts no new requests.
     """
 
     rate_limit: AnyRateLimit = NO_RATE_LIMIT
+    leaving: bool = False
 
 
 NONE = Announcements()
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -88,6 +88,7 @@
         self.hold_lapsed_until_s = float("-inf")
         self.last_read_s = float("-inf")
         self.newest = starts.NewestStarts()
+        self.leaving = starts.RecentIds()
         # Names whose newest start has not written an entry yet.
         self.awaiting_entry: set[str] = set()
         self.lock = threading.Lock()
@@ -236,6 +237,8 @@
                 return
             if endpoint.id != start.id:
                 endpoint = dataclasses.replace(endpoint, id=start.id)
+            if endpoint.id in self.leaving:
+                endpoint = as_leaving(endpoint)
             known = self.present.get(name)
             ended = self.other_starts(start)
             self.present[name] = endpoint
@@ -280,6 +283,28 @@
         self.end_starts(ended)
         return True
 
+    def apply_leaving(self, start: starts.Start) -> bool:
+        """Apply that a start has said that it leaves; return if it is new.
+
+        It holds for that start whatever its entries say, and also once they
+        are gone: an entry that was written before, or comes back with a
+        store that was restored, would make it get requests again.
+        """
+        if start.id in self.leaving:
+            return False
+        with self.lock:
+            self.leaving.add(start.id)
+            known = self.present.get(start.name)
+            if known is not None and known.id == start.id:
+                self.present[start.name] = as_leaving(known)
+            lapsed = self.lapsed.get(start.name)
+            if lapsed is not None and lapsed.endpoint.id == start.id:
+                self.lapsed[start.name] = dataclasses.replace(
+                    lapsed, endpoint=as_leaving(lapsed.endpoint)
+                )
+        log.info("endpoint_leaving", endpoint=start.id)
+        return True
+
     def other_starts(self, start: starts.Start) -> frozenset[str]:
         """Return the known ids of other starts; requires the lock."""
         known = [self.present.get(start.name)]
@@ -338,6 +363,11 @@
             self.on_gone(gone)
 
 
+def as_leaving(endpoint: model.Endpoint) -> model.Endpoint:
+    """Return an endpoint that accepts no new requests."""
+    return dataclasses.replace(endpoint, leaving=True)
+
+
 def as_restarted(
     endpoint: model.Endpoint, start: starts.Start
 ) -> model.Endpoint:
--- a/src/briarseam/discovery/starts.py
+++ b/src/briarseam/discovery/starts.py
@@ -53,6 +53,25 @@
     return Start(name, int(born))
 
 
+class RecentIds:
+    """Ids of starts, of which the newest are retained; not thread-safe."""
+
+    def __init__(self) -> None:
+        self.ids: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def __contains__(self, start_id: str) -> bool:
+        """Return whether an id was added and is still retained."""
+        return start_id in self.ids
+
+    def add(self, start_id: str) -> None:
+        """Add an id; forget the oldest one if there are too many."""
+        self.ids[start_id] = None
+        while len(self.ids) > MAX_NAMES:
+            self.ids.popitem(last=False)
+
+
 class NewestStarts:
     """The newest known start of each endpoint; not thread-safe.
 
--- a/src/briarseam/platform/decoding.py
+++ b/src/briarseam/platform/decoding.py
@@ -115,6 +115,11 @@
     return text
 
 
+def header_flag(text: str | None) -> bool:
+    """Return whether a header is set; it is by "1" only."""
+    return text is not None and text.strip() == "1"
+
+
 def header_integer(text: str | None) -> int | None:
     """Return the integer in a header; ``None`` if absent or invalid."""
     digits = "" if text is None else text.strip()
--- a/src/briarseam/platform/engines.py
+++ b/src/briarseam/platform/engines.py
@@ -45,7 +45,7 @@
 
 
 def ignore_start(start: starts.Start) -> None:
-    """Ignore a start; the default of ``on_start``."""
+    """Ignore a start; the default of the callbacks."""
 
 
 class EngineClient:
@@ -57,15 +57,19 @@
         Records malformed reports.
     on_start
         Called with the start that answered if it is not the expected one.
+    on_leaving
+        Called with each start whose answer says that it is leaving.
     """
 
     def __init__(
         self,
         tally: malformed.Tally | None = None,
         on_start: typing.Callable[[starts.Start], None] = ignore_start,
+        on_leaving: typing.Callable[[starts.Start], None] = ignore_start,
     ) -> None:
         self.tally = tally or malformed.Tally()
         self.on_start = on_start
+        self.on_leaving = on_leaving
         self.pool = urllib3.PoolManager(
             maxsize=2, retries=False, socket_options=sockets.OPTIONS
         )
@@ -89,6 +93,9 @@
             self.tally.note(malformed.Kind.ENGINE_REPORT, endpoint, error)
             raise orders.EngineUnavailableError(str(error)) from error
         self.check_start(endpoint, wire.born)
+        # Only now is it known which start has answered.
+        if decoding.header_flag(response.headers.get(names.LEAVING)):
+            self.on_leaving(starts.parse(endpoint))
         return orders.Report(
             versions={model.name: model.version for model in wire.models},
             changing=wire.busy,
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -223,7 +223,8 @@
 ) -> announcements.Announcements:
     """Return what the headers of an answer tell of its endpoint."""
     return announcements.Announcements(
-        rate_limit=decode_rate_limit(by_name.get(names.RATE_LIMIT.lower()))
+        rate_limit=decode_rate_limit(by_name.get(names.RATE_LIMIT.lower())),
+        leaving=decoding.header_flag(by_name.get(names.LEAVING.lower())),
     )
 
 
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -196,3 +196,63 @@
     endpoints.apply_changes([change("a", b"leaving")])
     assert gone == {"a"}
     assert endpoints.ids() == {"a@5"}
+
+
+def test_answer_that_says_leaving_holds_whatever_entries_say(endpoints):
+    """Guards against entries from before the answer, or of a store that
+    returned from an older copy.
+    """
+    endpoints.apply_all([change("a"), change("b")])
+    assert endpoints.apply_leaving(starts.Start("a"))
+    assert not endpoints.apply_leaving(starts.Start("a"))
+    assert ids(endpoints) == ["b"]
+    endpoints.apply_changes([change("a")])
+    endpoints.apply_all([change("a"), change("b")])
+    assert ids(endpoints) == ["b"]
+
+
+def test_leaving_by_an_answer_outlives_the_entry(endpoints):
+    endpoints.apply_all([change("a"), change("b")])
+    endpoints.apply_leaving(starts.Start("a"))
+    endpoints.apply_changes([change("a", None)])
+    endpoints.apply_all([change("a"), change("b")])
+    assert ids(endpoints) == ["b"]
+
+
+def test_leaving_may_be_known_before_the_entry(endpoints):
+    """Guards against an instance that reads entries after peers' news."""
+    endpoints.apply_leaving(starts.Start("a"))
+    endpoints.apply_all([change("a")])
+    assert ids(endpoints) == []
+    assert [one.leaving for one in endpoints.all()] == [True]
+
+
+def test_lapsed_endpoint_that_left_by_an_answer_is_not_serving(endpoints):
+    endpoints.apply_all([change("a")])
+    endpoints.store_lost()
+    endpoints.apply_changes([change("a", None)])
+    assert ids(endpoints) == ["a"]
+    endpoints.apply_leaving(starts.Start("a"))
+    assert ids(endpoints) == []
+
+
+def test_new_start_of_an_endpoint_that_left_by_an_answer_serves(endpoints):
+    endpoints.apply_all([change("a@5")])
+    endpoints.apply_leaving(starts.Start("a", 5))
+    assert ids(endpoints) == []
+    endpoints.apply_changes([change("a@6")])
+    assert ids(endpoints) == ["a@6"]
+
+
+def test_leaving_of_a_former_start_changes_nothing(endpoints):
+    """Guards against a late answer of a former start."""
+    endpoints.apply_all([change("a@6")])
+    endpoints.apply_leaving(starts.Start("a", 5))
+    assert ids(endpoints) == ["a@6"]
+
+
+def test_only_the_newest_leaving_starts_are_retained(endpoints, monkeypatch):
+    monkeypatch.setattr(starts, "MAX_NAMES", 2)
+    for name in "abc":
+        endpoints.apply_leaving(starts.Start(name))
+    assert list(endpoints.leaving.ids) == ["b", "c"]
--- a/tests/discovery/test_restarts.py
+++ b/tests/discovery/test_start_news.py
@@ -3,7 +3,7 @@
 import msgpack
 import pytest
 
-from briarseam.discovery import restarts
+from briarseam.discovery import start_news
 from briarseam.discovery import starts
 from tests import clocks
 
@@ -26,13 +26,18 @@
 
 
 @pytest.fixture
-def recorder(clock):
-    return restarts.Restarts(Registry(), clock)
+def registry():
+    return Registry()
+
+
+@pytest.fixture
+def recorder(registry, clock):
+    return start_news.StartNews(registry.apply_start, clock)
 
 
 def test_restart_is_published_for_a_limited_time(recorder, clock):
     recorder.record(starts.Start("a", 6))
-    clock.now_s += restarts.PUBLISH_S - 0.1
+    clock.now_s += start_news.PUBLISH_S - 0.1
     assert msgpack.unpackb(recorder.provide()) == [["a", 6]]
     clock.now_s += 0.1
     assert msgpack.unpackb(recorder.provide()) == []
@@ -44,8 +49,8 @@
     assert msgpack.unpackb(recorder.provide()) == [["a", 6]]
 
 
-def test_restart_received_from_a_peer_is_not_forwarded(recorder):
+def test_restart_received_from_a_peer_is_not_forwarded(recorder, registry):
     """Guards against restarts that circulate among peers indefinitely."""
     recorder.consume("peer", msgpack.packb([("a", 6)]))
-    assert recorder.registry.applied == {starts.Start("a", 6)}
+    assert registry.applied == {starts.Start("a", 6)}
     assert msgpack.unpackb(recorder.provide()) == []
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarseam import malformed
+from briarseam.discovery import starts
 from briarseam.platform import engines
 from briarseam.weights import orders
 
@@ -14,19 +15,23 @@
 
     status = 200
 
-    def __init__(self, data):
+    def __init__(self, data, headers):
         self.data = data
+        self.headers = headers
 
 
 class AnsweredClient(engines.EngineClient):
     """Client with one answer to all calls."""
 
-    def __init__(self, data, tally):
-        super().__init__(tally)
+    def __init__(self, data, tally=None, leaving=None, **headers):
+        super().__init__(tally, on_leaving=leaving or engines.ignore_start)
         self.data = data
+        self.headers = {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
 
     def call(self, *_arguments, **_options):
-        return Answer(self.data)
+        return Answer(self.data, self.headers)
 
 
 @pytest.fixture
@@ -65,3 +70,28 @@
     with pytest.raises(orders.EngineUnavailableError):
         report(data, counted)
     assert counted == [malformed.Kind.ENGINE_REPORT]
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ({"Server_Leaving": "1"}, [starts.Start("engine-1", 5)]),
+        ({"Server_Leaving": "0"}, []),
+        ({}, []),
+    ],
+)
+def test_report_tells_that_its_engine_leaves(headers, expected):
+    leaving = []
+    client = AnsweredClient(REPORT, None, leaving.append, **headers)
+    client.report("127.0.0.1:1", "engine-1@5")
+    assert leaving == expected
+
+
+def test_report_of_another_start_does_not_make_the_expected_one_leave():
+    """Guards against a leaving start whose address another one has."""
+    leaving = []
+    data = REPORT.replace(b"{", b'{"born":7,', 1)
+    client = AnsweredClient(data, None, leaving.append, Server_Leaving="1")
+    with pytest.raises(orders.EngineUnavailableError):
+        client.report("127.0.0.1:1", "engine-1@5")
+    assert leaving == []
