Let an answer from before a rate limit not end it

Found by reading. An answer without a limit that was held up on its way, or a peer's news of one, counted as newer than a limit that was heard meanwhile: all instances would have taken the limit for ended until the next answer named it. Such an answer now counts from when its request was sent, and news of peers, whose age is known to about a heartbeat, half a second earlier still. Two tests, one for each, fail without it.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -427,10 +427,13 @@
         self.chooser.avoided.record_entry(endpoint.id)
 
     def record_announced(
-        self, endpoint_id: str, announced: announcements.Announcements
+        self,
+        endpoint_id: str,
+        announced: announcements.Announcements,
+        sent_s: float,
     ) -> None:
-        """Apply what an answer tells of its endpoint."""
-        self.eligibility.record_answer(endpoint_id, announced)
+        """Apply what the answer to a request tells of its endpoint."""
+        self.eligibility.record_answer(endpoint_id, announced, sent_s)
         if announced.leaving:
             self.leaving.record(starts.parse(endpoint_id))
 
--- a/src/briarseam/eligibility/rate_limits.py
+++ b/src/briarseam/eligibility/rate_limits.py
@@ -39,6 +39,8 @@
 RAMP_S = 1.0
 # What an answer said is published this long; the next answer renews it.
 PUBLISH_S = 3.0
+# Ages of news are known to about a heartbeat.  In doubt a limit holds.
+AGE_ERROR_S = 0.5
 # An endpoint may name another limit in each answer.
 MIN_LOG_INTERVAL_S = 1.0
 log = structlog.get_logger("briarseam.eligibility")
@@ -59,11 +61,14 @@
     per_s
         Its limit; ``None`` if it named none.
     at_s
-        When the answer came.
+        When the answer came, or when its request was sent if it named none.
+    heard_s
+        When this instance learned of it.
     """
 
     per_s: float | None
     at_s: float
+    heard_s: float
 
 
 @dataclasses.dataclass
@@ -137,16 +142,32 @@
     # What is learned.
 
     def record_answer(
-        self, endpoint_id: str, limit: announcements.AnyRateLimit
+        self,
+        endpoint_id: str,
+        limit: announcements.AnyRateLimit,
+        sent_s: float,
     ) -> None:
-        """Record what an answer to this instance says of the limit."""
+        """Record what an answer to this instance says of the limit.
+
+        Parameters
+        ----------
+        endpoint_id
+            The endpoint's start.
+        limit
+            The limit that it names.
+        sent_s
+            When its request was sent, by the clock.
+        """
+        now_s = self.clock()
         match limit:
             case announcements.NoRateLimit():
                 if endpoint_id in self.states:
-                    self.record_own(endpoint_id, None)
+                    # Answers may be held up on the way.  One that is older
+                    # than the limit must not end it.
+                    self.record_own(endpoint_id, Heard(None, sent_s, now_s))
             case announcements.RateLimit(per_s):
                 self.answers += 1
-                self.record_own(endpoint_id, per_s)
+                self.record_own(endpoint_id, Heard(per_s, now_s, now_s))
             case announcements.UnreadableRateLimit(text):
                 # The former limit stays: the endpoint is still in need.
                 self.malformed_counter.note(
@@ -155,11 +176,12 @@
                     f"rate limit {text!r}",
                 )
 
-    def record_own(self, endpoint_id: str, per_s: float | None) -> None:
+    def record_own(self, endpoint_id: str, heard: Heard) -> None:
         """Record an answer to this instance."""
-        heard = Heard(per_s, self.clock())
         with self.lock:
-            self.own[endpoint_id] = heard
+            known = self.own.get(endpoint_id)
+            if known is None or heard.at_s >= known.at_s:
+                self.own[endpoint_id] = heard
             self.apply_in_cell(endpoint_id, heard)
 
     def consume(self, member: str, data: bytes) -> None:
@@ -168,16 +190,15 @@
         now_s = self.clock()
         rows = msgspec.msgpack.decode(data, type=list[Row])
         with self.lock:
-            for endpoint_id, per_s, age_ms in rows:
-                heard = Heard(per_s, now_s - age_ms / MS)
-                self.apply_in_cell(endpoint_id, heard)
+            for row in rows:
+                self.apply_in_cell(row[0], heard_of(row, now_s))
 
     def apply_remote(self, rows: collections.abc.Iterable[Row]) -> None:
         """Apply what another cell has heard."""
         now_s = self.clock()
         with self.lock:
-            for endpoint_id, per_s, age_ms in rows:
-                self.apply(endpoint_id, Heard(per_s, now_s - age_ms / MS))
+            for row in rows:
+                self.apply(row[0], heard_of(row, now_s))
 
     def provide(self) -> bytes:
         """Return what this instance has heard, for its peers."""
@@ -195,7 +216,7 @@
         with self.lock:
             for endpoint_id, state in list(self.states.items()):
                 ended = state.heard.per_s is None and (
-                    now_s > state.heard.at_s + RAMP_S + PUBLISH_S
+                    now_s > state.heard.heard_s + RAMP_S + PUBLISH_S
                 )
                 if ended or endpoint_id not in endpoint_ids:
                     del self.states[endpoint_id]
@@ -295,7 +316,7 @@
         return [
             (endpoint_id, one.per_s, max(0.0, now_s - one.at_s) * MS)
             for endpoint_id, one in heard.items()
-            if now_s < one.at_s + PUBLISH_S
+            if now_s < one.heard_s + PUBLISH_S
         ]
 
     def wait_s(self, endpoint: discovery.Endpoint) -> float:
@@ -344,6 +365,15 @@
         return state.is_sender
 
 
+def heard_of(row: Row, now_s: float) -> Heard:
+    """Return what another instance has heard."""
+    _endpoint_id, per_s, age_ms = row
+    at_s = now_s - age_ms / MS
+    if per_s is None:
+        at_s -= AGE_ERROR_S
+    return Heard(per_s, at_s, now_s)
+
+
 def rate_of(state: LimitState) -> float:
     """Return the rate to share, in requests per second; more than 0."""
     return max(state.per_s, MIN_RATE_PER_S)
@@ -352,5 +382,5 @@
 def is_in_force(state: LimitState, now_s: float) -> bool:
     """Return whether a limit is in force, or has only just ended."""
     return state.heard.per_s is not None or (
-        now_s < state.heard.at_s + state.ramp_share * RAMP_S
+        now_s < state.heard.heard_s + state.ramp_share * RAMP_S
     )
--- a/src/briarseam/eligibility/service.py
+++ b/src/briarseam/eligibility/service.py
@@ -88,10 +88,25 @@
         self.starts.record_entry(endpoint.id, endpoint.cold_remaining_s)
 
     def record_answer(
-        self, endpoint_id: str, announced: announcements.Announcements
+        self,
+        endpoint_id: str,
+        announced: announcements.Announcements,
+        sent_s: float,
     ) -> None:
-        """Record what an answer tells of its endpoint."""
-        self.rate_limits.record_answer(endpoint_id, announced.rate_limit)
+        """Record what an answer tells of its endpoint.
+
+        Parameters
+        ----------
+        endpoint_id
+            The endpoint's start.
+        announced
+            What it tells.
+        sent_s
+            When its request was sent, by the boot clock.
+        """
+        self.rate_limits.record_answer(
+            endpoint_id, announced.rate_limit, sent_s
+        )
         self.backoffs.record_answer(endpoint_id, announced.backoff_s)
 
     def keep_only(self, endpoint_ids: collections.abc.Collection[str]) -> None:
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -9,6 +9,7 @@
 
 import urllib3.exceptions
 
+from briarseam import clocks
 from briarseam.discovery import announcements
 from briarseam.forwarding import calls
 from briarseam.forwarding import connections
@@ -95,14 +96,14 @@
 DecodeAnswer = typing.Callable[
     [int, typing.Sequence[tuple[str, str]]], calls.AnswerHead
 ]
-OnAnnounced = typing.Callable[[str, announcements.Announcements], None]
+OnAnnounced = typing.Callable[[str, announcements.Announcements, float], None]
 
 
 def ignore_announced(
-    endpoint: str, announced: announcements.Announcements
+    endpoint: str, announced: announcements.Announcements, sent_s: float
 ) -> None:
     """Ignore what an endpoint tells of itself."""
-    del endpoint, announced
+    del endpoint, announced, sent_s
 
 
 class Sender:
@@ -115,8 +116,9 @@
     decode
         Decodes the status and headers of an answer.
     on_announced
-        Called with the id of an endpoint and what its answer tells of it,
-        before the answer is relayed.
+        Called with the id of an endpoint, what its answer tells of it, and
+        when the request was sent by the boot clock, before the answer is
+        relayed.
     """
 
     def __init__(
@@ -146,8 +148,9 @@
         try:
             attempt.watch.attach(connection)
             attempt.progress.maybe_sent = True
+            sent_s = clocks.boot_clock()
             response = send_request(attempt, connection)
-            outcome = self.handle_answer(attempt, response)
+            outcome = self.handle_answer(attempt, response, sent_s)
         except NETWORK_ERRORS as error:
             connection.close()
             # An error on a connection that was shut down on purpose is not
@@ -166,7 +169,10 @@
         return outcome
 
     def handle_answer(
-        self, attempt: Attempt, response: urllib3.BaseHTTPResponse
+        self,
+        attempt: Attempt,
+        response: urllib3.BaseHTTPResponse,
+        sent_s: float,
     ) -> outcomes.Outcome:
         """Read an answer and relay it if it is the final one."""
         head = self.decode(response.status, list(response.headers.items()))
@@ -174,7 +180,7 @@
             # A duplicate answer to an earlier request on this connection.
             return outcomes.Broken("the answer belongs to another request")
         if head.status != MISDIRECTED:
-            self.on_announced(attempt.endpoint.id, head.announced)
+            self.on_announced(attempt.endpoint.id, head.announced, sent_s)
         if head.not_run:
             response.read()
             return outcomes.Rejected(head.status)
--- a/tests/eligibility/test_limit_sharing.py
+++ b/tests/eligibility/test_limit_sharing.py
@@ -39,6 +39,9 @@
             raise replies.NoReplyError("cut off")
         self.other.sharing.answer(message)
 
+    def hear(self, limit):
+        self.limits.record_answer("e", limit, self.limits.clock())
+
     def is_limited(self):
         return not self.limits.with_room([ENDPOINT])
 
@@ -61,7 +64,7 @@
 
 def test_limit_reaches_another_cell_and_its_instances(here, there, clock):
     """Guards against cells that learn of a limit only by their own sends."""
-    here.limits.record_answer("e", announcements.RateLimit(2.0))
+    here.hear(announcements.RateLimit(2.0))
     here.sharing.review()
     assert there.is_limited()
     peer = Cell("b/0", clock, speaks=False)
@@ -70,17 +73,17 @@
 
 
 def test_end_of_a_limit_reaches_another_cell(here, there, clock):
-    here.limits.record_answer("e", announcements.RateLimit(2.0))
+    here.hear(announcements.RateLimit(2.0))
     here.sharing.review()
     clock.now_s += 1.0
-    here.limits.record_answer("e", announcements.NO_RATE_LIMIT)
+    here.hear(announcements.NO_RATE_LIMIT)
     here.sharing.review()
     assert not there.is_limited()
 
 
 def test_news_is_not_relayed_back_or_for_long(here, there, clock):
     """Guards against news that cells repeat to each other for ever."""
-    here.limits.record_answer("e", announcements.RateLimit(2.0))
+    here.hear(announcements.RateLimit(2.0))
     here.sharing.review()
     assert not there.limits.cell_rows()
     fresh = Cell("d/0", clock)
@@ -93,7 +96,7 @@
 
 
 def test_instance_ignores_its_own_cells_news_from_elsewhere(here, there):
-    here.limits.record_answer("e", announcements.RateLimit(2.0))
+    here.hear(announcements.RateLimit(2.0))
     here.sharing.review()
     there.sharing.own_name = "a/0"
     same = Cell("a/0", here.sharing.clock)
@@ -104,12 +107,12 @@
 
 def test_only_the_speaker_publishes(here, there):
     here.speaks = False
-    here.limits.record_answer("e", announcements.RateLimit(2.0))
+    here.hear(announcements.RateLimit(2.0))
     here.sharing.review()
     assert not there.is_limited()
 
 
 def test_cell_that_is_not_reached_does_not_stop_publishing(here):
-    here.limits.record_answer("e", announcements.RateLimit(2.0))
+    here.hear(announcements.RateLimit(2.0))
     here.sharing.review()
     assert here.sharing.unreached == frozenset({"b"})
--- a/tests/eligibility/test_many_rate_limits.py
+++ b/tests/eligibility/test_many_rate_limits.py
@@ -89,7 +89,7 @@
                 if limits.with_room([self.endpoint]):
                     limits.try_acquire(self.endpoint)
                     self.arrived.append(self.clock.now_s)
-                    limits.record_answer("e", self.limit)
+                    limits.record_answer("e", self.limit, self.clock.now_s)
         if number % HEARTBEAT_STEPS == 0:
             self.exchange()
 
--- a/tests/eligibility/test_rate_limits.py
+++ b/tests/eligibility/test_rate_limits.py
@@ -55,6 +55,11 @@
     return made
 
 
+def hear(limits, limit):
+    """Let an answer come whose request was sent just before."""
+    limits.record_answer("e", limit, limits.clock())
+
+
 def sends_in(limits, clock, seconds, step_s=0.05):
     """Send whenever that is allowed; return how often it was."""
     sent = 0
@@ -85,13 +90,13 @@
 
 
 def test_endpoint_without_a_limit_is_unlimited(limits, clock):
-    limits.record_answer("e", NO_LIMIT)
+    hear(limits, NO_LIMIT)
     assert sends_in(limits, clock, 0.05) == 1000
     assert limits.limited_count() == 0
 
 
 def test_only_sender_uses_the_rate_and_no_more(limits, clock):
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     assert sends_in(limits, clock, 4.0) == 8
     assert limits.limited_count() == limits.answers == 1
 
@@ -100,7 +105,7 @@
     limits, clock, senders
 ):
     senders.chosen = False
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     assert sends_in(limits, clock, 4.0) == 0
 
 
@@ -109,50 +114,50 @@
 ):
     """Guards against a sender that restarts and sends its part again."""
     limits = rate_limits.RateLimits(senders, clock)
-    limits.record_answer("e", announcements.RateLimit(1.0))
+    hear(limits, announcements.RateLimit(1.0))
     assert not may_send(limits)
     clock.now_s += 1.0
     assert may_send(limits)
 
 
 def test_changed_limit_is_kept_from_then_on(limits, clock):
-    limits.record_answer("e", announcements.RateLimit(20.0))
+    hear(limits, announcements.RateLimit(20.0))
     assert sends_in(limits, clock, 4.0) == 80
-    limits.record_answer("e", announcements.RateLimit(1.0))
+    hear(limits, announcements.RateLimit(1.0))
     clock.now_s += 1.0
     assert sends_in(limits, clock, 4.0) == 4
 
 
 def test_endpoint_that_takes_nothing_is_asked_rarely(limits, clock):
     """Guards against a limit that never ends, as no answer can say so."""
-    limits.record_answer("e", announcements.RateLimit(0.0))
+    hear(limits, announcements.RateLimit(0.0))
     assert sends_in(limits, clock, 40.0) == 10
 
 
 def test_huge_limit_permits_what_is_sent(limits, clock):
-    limits.record_answer("e", announcements.RateLimit(1e9))
+    hear(limits, announcements.RateLimit(1e9))
     assert sends_in(limits, clock, 0.05) == 1000
 
 
 def test_unreadable_limit_keeps_the_former_one(limits, clock, counted):
-    limits.record_answer("e", LIMIT)
-    limits.record_answer("e", announcements.UnreadableRateLimit("soon"))
+    hear(limits, LIMIT)
+    hear(limits, announcements.UnreadableRateLimit("soon"))
     assert sends_in(limits, clock, 4.0) == 8
     assert counted == [malformed.Kind.ENDPOINT_ANSWER]
 
 
 def test_unreadable_limit_alone_limits_nothing(limits, clock):
-    limits.record_answer("e", announcements.UnreadableRateLimit("soon"))
+    hear(limits, announcements.UnreadableRateLimit("soon"))
     assert sends_in(limits, clock, 0.05) == 1000
 
 
 def test_limit_ends_a_random_time_after_an_answer_without_it(limits, clock):
     """Guards against all instances turning to the endpoint at once."""
-    limits.record_answer("e", announcements.RateLimit(1.0))
+    hear(limits, announcements.RateLimit(1.0))
     assert limits.try_acquire(ENDPOINT)
-    limits.record_answer("e", NO_LIMIT)
+    hear(limits, NO_LIMIT)
     clock.now_s += 0.4
-    limits.record_answer("e", NO_LIMIT)
+    hear(limits, NO_LIMIT)
     assert not may_send(limits)
     clock.now_s += 0.2
     assert sends_in(limits, clock, 0.05) == 1000
@@ -160,22 +165,22 @@
 
 
 def test_limit_that_is_named_again_is_in_force_at_once(limits, clock):
-    limits.record_answer("e", LIMIT)
-    limits.record_answer("e", NO_LIMIT)
+    hear(limits, LIMIT)
+    hear(limits, NO_LIMIT)
     clock.now_s += 0.2
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     assert sends_in(limits, clock, 4.0) == 8
 
 
 def test_limit_of_a_removed_endpoint_is_dropped(limits, clock):
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     limits.keep_only(["other"])
     assert sends_in(limits, clock, 0.05) == 1000
     assert not limits.states and not limits.own and not limits.cell
 
 
 def test_limit_that_holds_is_kept_however_long_nothing_is_heard(limits, clock):
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     clock.now_s += 60.0
     limits.keep_only(["e"])
     assert sends_in(limits, clock, 4.0) == 8
@@ -186,7 +191,7 @@
     learns that the limit has ended.
     """
     senders.chosen, senders.instances = False, 10
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     assert sends_in(limits, clock, 5.0) == 0
     # A quarter of 2 requests/s, divided by ten instances: 1 in 20 s, the
     # first after half of that.
@@ -202,27 +207,51 @@
 
 
 def test_peer_learns_of_a_limit_before_it_sends(limits, clock):
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     assert not may_send(peer(limits, clock))
 
 
 def test_peer_learns_that_a_limit_has_ended(limits, clock):
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     other = peer(limits, clock)
     clock.now_s += 1.0
-    limits.record_answer("e", NO_LIMIT)
+    hear(limits, NO_LIMIT)
     other.consume("one", limits.provide())
     assert may_send(other)
 
 
+def test_answer_that_was_held_up_does_not_end_a_limit(limits, clock):
+    """Guards against an answer from before the limit that arrives late."""
+    sent_s = clock.now_s
+    clock.now_s += 1.0
+    hear(limits, LIMIT)
+    clock.now_s += 1.0
+    limits.record_answer("e", NO_LIMIT, sent_s)
+    assert sends_in(limits, clock, 4.0) == 8
+
+
+def test_peers_news_of_an_end_does_not_beat_a_limit_of_the_same_time(
+    limits, clock
+):
+    """Guards against ages that are known to about a heartbeat only."""
+    hear(limits, LIMIT)
+    clock.now_s += 0.2
+    other = rate_limits.RateLimits(Senders(False), clock, lambda: 0.0)
+    hear(other, LIMIT)
+    clock.now_s += 0.2
+    hear(limits, NO_LIMIT)
+    other.consume("one", limits.provide())
+    assert not may_send(other)
+
+
 def test_older_news_of_a_peer_does_not_replace_an_own_answer(limits, clock):
     """Guards against a heartbeat that arrives after a newer answer."""
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     late = limits.provide()
     other = rate_limits.RateLimits(Senders(False), clock, lambda: 0.0)
-    other.record_answer("e", LIMIT)
+    hear(other, LIMIT)
     clock.now_s += 1.0
-    other.record_answer("e", NO_LIMIT)
+    hear(other, NO_LIMIT)
     rows = msgspec.msgpack.decode(late)
     aged = [(name, per_s, age + 1000.0) for name, per_s, age in rows]
     other.consume("one", msgspec.msgpack.encode(aged))
@@ -230,7 +259,7 @@
 
 
 def test_old_news_is_not_published(limits, clock):
-    limits.record_answer("e", LIMIT)
+    hear(limits, LIMIT)
     assert limits.cell_rows()
     clock.now_s += rate_limits.PUBLISH_S
     assert not limits.cell_rows()
