Soak: endpoints that limit their rate, leave or ask for a backoff in answers

Checked from what callers and endpoints saw: the sum at a limited endpoint over the instances that had passed on its limit, requests to an endpoint after an instance passed on that it leaves, and requests during a backoff. Excused are only instances that were stopped, killed or paused since.

--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import dataclasses
 import threading
 import time
@@ -89,6 +90,8 @@
         # When requests for this endpoint arrived, monotonic seconds.
         self.arrived_s: list[float] = []
         self.ran: list[str] = []
+        # Requests that were rejected with the time of a backoff in seconds.
+        self.backoffs: dict[str, float] = {}
         self.ended: list[str] = []
         self.broke: list[str] = []
         self.orders: list[dict] = []
@@ -133,6 +136,8 @@
             if self.switches.retry_after:
                 after = ("Retry-After", self.switches.retry_after)
                 rejection = (*rejection, after)
+                with contextlib.suppress(ValueError):
+                    self.backoffs[call] = float(after[1])
             return http_messages.Response(503, headers=rejection)
         self.ran.append(call)
         if self.take("foreign"):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -68,6 +68,8 @@
         Whether the answer's end was seen.
     body, echo, signature
         The answer, the id that it names and its signature.
+    answered_s, limit, leaving
+        When the answer began, and what it says of its endpoint.
     detail
         How it failed.
     ended
@@ -84,6 +86,9 @@
     body: bytes = b""
     echo: str = ""
     signature: str = ""
+    answered_s: float = 0.0
+    limit: str = ""
+    leaving: bool = False
     detail: str = ""
     ended: socket.socket | None = None
 
@@ -186,6 +191,9 @@
         if not connection.sock.recv(1, socket.MSG_PEEK):
             sent.ended = connection.sock.dup()
         response = connection.getresponse()
+        sent.answered_s = time.monotonic()
+        sent.limit = response.headers.get("Server-Limit", "")
+        sent.leaving = "Server-Leaving" in response.headers
         sent.status = response.status
         sent.echo = response.headers.get("Request-Id", "")
         sent.signature = response.headers.get("Response-Signature", "")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -168,6 +168,29 @@
     crowded: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class RateLimited:
+    """One endpoint names a limit in its answers, then another one."""
+
+    endpoint: int
+    per_s: tuple[float, float]
+
+
+@dataclasses.dataclass(frozen=True)
+class LeavesByAnswer:
+    """One endpoint says in its answers that it leaves; its entry does not."""
+
+    endpoint: int
+
+
+@dataclasses.dataclass(frozen=True)
+class BackoffRequested:
+    """One endpoint rejects all requests and asks for a backoff."""
+
+    endpoint: int
+    backoff_s: float
+
+
 Fault = (
     StoreTrouble
     | StoreRestored
@@ -182,6 +205,9 @@
     | Reconfigured
     | StoppedInTurn
     | Evacuated
+    | RateLimited
+    | LeavesByAnswer
+    | BackoffRequested
 )
 
 
@@ -273,6 +299,28 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_announcements(
+    seed: int, seconds: float, instances: int
+) -> list[Planned]:
+    """Return what endpoints say in answers; two of three beside faults."""
+    random_ = random.Random(f"{seed}/announcements")
+    found = plan(seed, seconds, instances) if seed % 3 else []
+    at_s = 0.5
+    while at_s < seconds - 2.0:
+        endpoint = random_.randrange(len(serving.SERVICES))
+        limits = [random_.choice((0.0, 0.5, 2.0, 3.8, 8.0)) for _ in "ab"]
+        fault = random_.choice(
+            (
+                RateLimited(endpoint, (limits[0], limits[1])),
+                LeavesByAnswer(endpoint),
+                BackoffRequested(endpoint, random_.uniform(0.5, 3.0)),
+            )
+        )
+        found.append(Planned(at_s, random_.uniform(2.0, 12.0), fault))
+        at_s += random_.uniform(0.3, 3.0)
+    return sorted(found, key=lambda one: one.at_s)
+
+
 def draw_delays(seed: int) -> list[int]:
     """Return how long the endpoints of a run with stops take, in ms."""
     random_ = random.Random(f"{seed}/delays")
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -12,6 +12,9 @@
 from tests.soak import links
 from tests.soak import serving
 
+# More than an endpoint gets in a run.
+REJECTIONS = 100_000
+
 Crowd = typing.Callable[
     [serving.Instance], contextlib.AbstractContextManager[None]
 ]
@@ -74,13 +77,16 @@
                 with self.lock_of(("endpoint", number)):
                     link = self.deployment.endpoints[number].link
                     cut(link, state, reset, one.for_s)
-            case faults.EndpointReplaced(number):
-                with self.lock_of(("endpoint", number)):
-                    endpoint = self.deployment.endpoints[number]
-                    self.deployment.replace(endpoint)
-            case faults.EndpointLeaves(number):
+            case (
+                faults.EndpointReplaced(number)
+                | faults.EndpointLeaves(number)
+                | faults.RateLimited(number)
+                | faults.LeavesByAnswer(number)
+                | faults.BackoffRequested(number)
+            ):
+                endpoint = self.deployment.endpoints[number]
                 with self.lock_of(("endpoint", number)):
-                    self.let_leave(self.deployment.endpoints[number])
+                    self.trouble_endpoint(one.fault, endpoint, one.for_s)
             case faults.Misbehaviour(number, switch):
                 worker = self.deployment.endpoints[number].worker
                 worker.set(**{switch: faults.MISBEHAVIOUR[switch]})
@@ -194,6 +200,38 @@
         time.sleep(faults.STABLE_S)
         self.deployment.replace(endpoint)
 
+    def trouble_endpoint(
+        self, fault: faults.Fault, endpoint: serving.Endpoint, for_s: float
+    ) -> None:
+        """Replace an endpoint, or let it say something of itself."""
+        worker = endpoint.worker
+        match fault:
+            case faults.EndpointReplaced():
+                self.deployment.replace(endpoint)
+            case faults.EndpointLeaves():
+                self.let_leave(endpoint)
+            case faults.RateLimited(per_s=limits):
+                first_s = time.monotonic()
+                for per_s in limits:
+                    worker.set(limit=f"{per_s:g}")
+                    began_s = time.monotonic()
+                    time.sleep(for_s / len(limits))
+                    ended_s = time.monotonic()
+                    self.deployment.limits.append(
+                        serving.Limit(
+                            worker.id, per_s, first_s, began_s, ended_s
+                        )
+                    )
+                worker.set(limit="")
+            case faults.LeavesByAnswer():
+                worker.set(leaving=True)
+                time.sleep(faults.STABLE_S)
+                self.deployment.replace(endpoint)
+            case faults.BackoffRequested(backoff_s=backoff_s):
+                worker.set(reject=REJECTIONS, retry_after=f"{backoff_s:.3f}")
+                time.sleep(for_s)
+                worker.set(reject=0, retry_after="")
+
     def trouble_instance(
         self, fault: faults.Fault, instance: serving.Instance, for_s: float
     ) -> None:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,7 @@
 import typing
 
 from tests.platform import worker as workers
+from tests.soak import announced
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import serving
@@ -54,6 +55,7 @@
     yield from check_leaving(deployment, by_id)
     yield from check_evacuations(deployment, by_id)
     yield from check_cold(deployment)
+    yield from announced.check(deployment, by_id)
     for instance in deployment.instances:
         yield from instance.killed
 
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -21,6 +21,7 @@
 import time
 import typing
 
+from tests.soak import announced
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import injecting
@@ -51,7 +52,7 @@
 
     Attributes
     ----------
-    seed, seconds, instances, stops, restores, zones
+    seed, seconds, instances, stops, restores, zones, announcements
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -61,6 +62,8 @@
         Requests without a whole answer, by reason.
     faults
         How often each struck.
+    announced
+        Answers by what they said of their endpoint.
     broken
         Broken promises.
     """
@@ -71,11 +74,13 @@
     stops: bool = False
     restores: bool = False
     zones: bool = False
+    announcements: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
     unanswered: dict[str, int] = dataclasses.field(default_factory=dict)
     faults: dict[str, int] = dataclasses.field(default_factory=dict)
+    announced: dict[str, int] = dataclasses.field(default_factory=dict)
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -165,6 +170,8 @@
             plan = faults.plan_restores
         elif self.report.zones:
             plan = faults.plan_zones
+        elif self.report.announcements:
+            plan = faults.plan_announcements
         planned = plan(
             self.report.seed, self.report.seconds, self.report.instances
         )
@@ -236,6 +243,7 @@
             if not one.whole
         )
         self.report.unanswered = dict(unanswered)
+        self.report.announced = announced.count(self.deployment, sent)
         self.report.requests = len(sent)
         self.report.runs = sum(map(len, self.deployment.ran().values()))
         self.report.broken = self.broken
@@ -249,9 +257,12 @@
     stops: bool = False,
     restores: bool = False,
     zones: bool = False,
+    announcements: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
-    report = Report(seed, seconds, instances, stops, restores, zones)
+    report = Report(
+        seed, seconds, instances, stops, restores, zones, announcements
+    )
     Soak(folder, report).run()
     return report
 
@@ -274,6 +285,12 @@
         action="store_true",
         help="evacuations, and endpoints that are cold after their start",
     )
+    parser.add_argument(
+        "--announcements",
+        action="store_true",
+        help="endpoints that limit their rate, leave or ask for a backoff "
+        "by their answers",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -290,6 +307,7 @@
             options.stops,
             options.restores,
             options.zones,
+            options.announcements,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -126,6 +126,11 @@
         if self.process is not None:
             self.process.send_signal(number)
 
+    def restarted_since(self, since_s: float) -> bool:
+        """Tell whether it was stopped, killed or paused since a moment."""
+        struck = [ended_s for _began_s, ended_s in self.struck]
+        return any(at >= since_s for at in (*self.stopped, *struck))
+
     def reload(self) -> None:
         """Let it read its settings again.
 
@@ -177,6 +182,27 @@
         return self.process is not None and self.process.poll() is not None
 
 
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """A limit that an endpoint named for a while.
+
+    Attributes
+    ----------
+    worker, per_s
+        The endpoint and its limit.
+    first_s
+        When it first named any limit, monotonic seconds.
+    began_s, ended_s
+        When it named this one.
+    """
+
+    worker: str
+    per_s: float
+    first_s: float
+    began_s: float
+    ended_s: float
+
+
 @dataclasses.dataclass
 class Endpoint:
     """One address that endpoints run behind, one after the other.
@@ -243,6 +269,7 @@
     ) -> None:
         self.cold = cold
         self.evacuations: list[Evacuation] = []
+        self.limits: list[Limit] = []
         # Zones of all endpoints, and since when each was cold.
         self.zones: dict[str, str] = {}
         self.cold_since: dict[str, list[float]] = {}
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -84,11 +84,19 @@
     assert report.faults["Evacuated"] > 1
 
 
+@pytest.mark.timeout(120)
+def test_short_run_with_announcements_breaks_no_promise(tmp_path):
+    report = serve_soak.run(4, 14.0, 3, tmp_path, announcements=True)
+    assert report.broken == []
+    assert set(report.announced) == {"limit", "leaving", "backoff"}
+
+
 PLANS = (
     faults.plan,
     faults.plan_stops,
     faults.plan_restores,
     faults.plan_zones,
+    faults.plan_announcements,
 )
 
 
