--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -11,6 +11,7 @@
 from briarseam import malformed
 from briarseam import repeating
 from briarseam.compose import local_handlers
+from briarseam.compose import node_answers
 from briarseam.compose import node_calls
 from briarseam.compose import node_draining
 from briarseam.compose import node_eligibility
@@ -22,7 +23,6 @@
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
 from briarseam.discovery import start_news
-from briarseam.discovery import starts
 from briarseam.eligibility import limit_sharing
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
@@ -58,7 +58,6 @@
 from briarseam.wire import event_loop
 
 if typing.TYPE_CHECKING:
-    from briarseam.discovery import announcements
     from briarseam.discovery import model as discovery
     from briarseam.routes import model as routes
     from briarseam.settings import serving
@@ -121,6 +120,11 @@
         registry = self.feeds.registry
         self.restarts = start_news.StartNews(registry.apply_start)
         self.leaving = start_news.StartNews(registry.apply_leaving)
+        self.answer_news = node_answers.AnswerNews(
+            self.eligibility,
+            self.leaving,
+            node_metrics.announcement_counters(self.metrics),
+        )
         self.weights = node_weights.Weights(
             settings,
             self.store,
@@ -230,7 +234,7 @@
             sender=attempts.Sender(
                 self.pool,
                 requests.decode_answer,
-                self.record_announced,
+                self.answer_news.record,
             ),
             guard=self.guard,
             supervisor=self.supervisor,
@@ -388,7 +392,6 @@
             endpoints_cold=self.eligibility.starts.cold_count,
             endpoints_in_backoff=self.eligibility.backoffs.count,
             endpoints_rate_limited=self.eligibility.rate_limits.limited_count,
-            answers_rate_limited=lambda: self.eligibility.rate_limits.answers,
             zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
 
@@ -426,17 +429,6 @@
         self.eligibility.record_entry(endpoint)
         self.chooser.avoided.record_entry(endpoint.id)
 
-    def record_announced(
-        self,
-        endpoint_id: str,
-        announced: announcements.Announcements,
-        sent_s: float,
-    ) -> None:
-        """Apply what the answer to a request tells of its endpoint."""
-        self.eligibility.record_answer(endpoint_id, announced, sent_s)
-        if announced.leaving:
-            self.leaving.record(starts.parse(endpoint_id))
-
     def keep_only_endpoints(self, ids: frozenset[str]) -> None:
         """Drop state that arrived after its endpoint start was gone.
 
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -9,6 +9,7 @@
 from briarseam.forwarding import request_context
 
 if typing.TYPE_CHECKING:
+    from briarseam.metrics import instruments
     from briarseam.metrics import registry as metrics
 
 Reading = typing.Callable[[], int]
@@ -23,7 +24,7 @@
     in_flight, connections_opened, store_calls, store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
     endpoints_cold, endpoints_in_backoff, endpoints_rate_limited
-    answers_rate_limited, zones_evacuated
+    zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -38,7 +39,6 @@
     endpoints_cold: Reading
     endpoints_in_backoff: Reading
     endpoints_rate_limited: Reading
-    answers_rate_limited: Reading
     zones_evacuated: Reading
 
 
@@ -100,11 +100,6 @@
             "Endpoints that limit the rate of their requests",
             readings.endpoints_rate_limited,
         ),
-        (
-            "answers_rate_limited",
-            "Answers that named a rate limit since start",
-            readings.answers_rate_limited,
-        ),
         (
             "zones_evacuated",
             "Availability zones whose endpoints get no requests",
@@ -114,6 +109,29 @@
         registry.callback_gauge(name, text, reading)
 
 
+@dataclasses.dataclass(frozen=True)
+class AnnouncementCounters:
+    """Counters of answers by what they tell of their endpoint."""
+
+    rate_limit: instruments.Counter
+    leaving: instruments.Counter
+    backoff: instruments.Counter
+
+
+def announcement_counters(registry: metrics.Registry) -> AnnouncementCounters:
+    """Return the counters of what answers tell; all exist from the start."""
+    family = registry.counters(
+        "endpoint_announcements_total",
+        "Answers to requests that tell something of their endpoint, by what",
+        ("kind",),
+    )
+    return AnnouncementCounters(
+        family.labelled("rate-limit"),
+        family.labelled("leaving"),
+        family.labelled("backoff"),
+    )
+
+
 def malformed_counter(
     registry: metrics.Registry,
 ) -> typing.Callable[[malformed.Kind], None]:
--- a/src/briarseam/eligibility/rate_limits.py
+++ b/src/briarseam/eligibility/rate_limits.py
@@ -131,8 +131,6 @@
         self.chance = chance
         self.malformed_counter = malformed_counter or malformed.Tally()
         self.started_s = clock()
-        # Answers to this instance that named a limit.
-        self.answers = 0
         self.states: dict[str, LimitState] = {}
         # What this instance, and its cell, have heard from endpoints.
         self.own: dict[str, Heard] = {}
@@ -166,7 +164,6 @@
                     # than the limit must not end it.
                     self.record_own(endpoint_id, Heard(None, sent_s, now_s))
             case announcements.RateLimit(per_s):
-                self.answers += 1
                 self.record_own(endpoint_id, Heard(per_s, now_s, now_s))
             case announcements.UnreadableRateLimit(text):
                 # The former limit stays: the endpoint is still in need.
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -191,6 +191,8 @@
                 # longer be reported as not run.
                 raise supervision.EndedError(supervision.Ending.TIMED_OUT)
             placement = chooser.choose(context.request())
+            if isinstance(placement, verdict.NotRun):
+                context.steps.append(f"excluded ({placement.detail})")
             if not isinstance(placement, placements.Unplaced):
                 return placement
             remaining_s = wait_until_s - clocks.boot_clock()
