--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -16,6 +16,7 @@
 from briarseam.compose import node_draining
 from briarseam.compose import node_eligibility
 from briarseam.compose import node_feeds
+from briarseam.compose import node_forwarding
 from briarseam.compose import node_instances
 from briarseam.compose import node_membership
 from briarseam.compose import node_metrics
@@ -29,9 +30,7 @@
 from briarseam.forwarding import connections
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import loss_sharing
-from briarseam.forwarding import refusing
 from briarseam.forwarding import request_context
-from briarseam.forwarding import retry_budget
 from briarseam.forwarding import server as http
 from briarseam.forwarding import service as forwarding
 from briarseam.forwarding import shutdown as shutdowns
@@ -48,9 +47,7 @@
 from briarseam.placement import store_sharing
 from briarseam.placement import store_watches
 from briarseam.placement import sweeping
-from briarseam.platform import answers
 from briarseam.platform import cache
-from briarseam.platform import call_codec
 from briarseam.platform import engines
 from briarseam.platform import requests
 from briarseam.platform import store as stores
@@ -69,6 +66,16 @@
 log = structlog.get_logger("briarseam.node")
 
 
+class BackgroundPart(typing.Protocol):
+    """A part that works in threads of its own."""
+
+    def start(self) -> None:
+        """Start working."""
+
+    def stop(self) -> None:
+        """Stop working."""
+
+
 class Node:
     """One instance, which answers callers, lookups and readiness probes.
 
@@ -198,6 +205,16 @@
         self.expiry = expiry.Expiry(
             self.feeds.registrations, self.instances.fresh_names
         )
+        self.background: tuple[BackgroundPart, ...] = (
+            self.sweeper,
+            self.store_watches,
+            self.loss_sharing,
+            self.expiry,
+            self.cell_loads,
+            self.cell_weights,
+            self.cell_limits,
+            self.peer_connector,
+        )
         node_metrics.register(self.metrics, self.readings())
         self.threads = threads.ThreadGauge(self.metrics)
         self.housekeeping = repeating.Repeater(
@@ -224,29 +241,23 @@
 
     def forwarding_dependencies(self) -> request_context.Dependencies:
         """Return the dependencies of forwarding."""
-        bounds = self.settings.bounds
-        registry = self.metrics
-        return request_context.Dependencies(
-            table=self.feeds.operators.current,
-            codec=call_codec.CallCodec(),
-            refusals=refusing.Refusals(answers.encode_verdict),
-            chooser=self.chooser,
-            sender=attempts.Sender(
-                self.pool,
-                requests.decode_answer,
-                self.answer_news.record,
-            ),
-            guard=self.guard,
-            supervisor=self.supervisor,
-            budget=retry_budget.RetryBudget(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                bounds.retry_window_s,
-                self.instances.known_count,
+        return node_forwarding.dependencies(
+            self.settings.bounds,
+            node_forwarding.Parts(
+                table=self.feeds.operators.current,
+                chooser=self.chooser,
+                sender=attempts.Sender(
+                    self.pool,
+                    requests.decode_answer,
+                    self.answer_news.record,
+                ),
+                guard=self.guard,
+                supervisor=self.supervisor,
+                instances=self.instances,
+                in_flight=self.in_flight,
+                shutdown=self.shutdown,
+                metrics=self.metrics,
             ),
-            in_flight=self.in_flight,
-            shutdown=self.shutdown,
-            metrics=node_metrics.forwarding_metrics(registry),
         )
 
     def build_servers(self) -> dict[str, http.Server]:
@@ -278,14 +289,8 @@
             server.start_serving()
         self.feeds.start()
         self.weights.start()
-        self.sweeper.start()
-        self.store_watches.start()
-        self.loss_sharing.start()
-        self.expiry.start()
-        self.cell_loads.start()
-        self.cell_weights.start()
-        self.cell_limits.start()
-        self.peer_connector.start()
+        for part in self.background:
+            part.start()
         self.housekeeping.start()
 
     def run_housekeeping(self) -> None:
@@ -344,14 +349,8 @@
         self.stopping.set()
         self.housekeeping.stop()
         self.reloading.stop()
-        self.sweeper.stop()
-        self.store_watches.stop()
-        self.loss_sharing.stop()
-        self.expiry.stop()
-        self.cell_loads.stop()
-        self.cell_weights.stop()
-        self.cell_limits.stop()
-        self.peer_connector.stop()
+        for part in self.background:
+            part.stop()
         if not self.shutdown.begun:
             self.deregister()
         node_servers.stop_all(self.servers.values(), wait_s)
--- /dev/null
+++ b/src/briarseam/compose/node_forwarding.py
@@ -0,0 +1,82 @@
+"""Composition of forwarding in the serving process."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.compose import node_metrics
+from briarseam.forwarding import refusing
+from briarseam.forwarding import request_context
+from briarseam.forwarding import retry_budget
+from briarseam.platform import answers
+from briarseam.platform import call_codec
+
+if typing.TYPE_CHECKING:
+    from briarseam import inflight
+    from briarseam.compose import node_instances
+    from briarseam.forwarding import attempts
+    from briarseam.forwarding import crash_guard
+    from briarseam.forwarding import shutdown as shutdowns
+    from briarseam.forwarding import supervision
+    from briarseam.metrics import registry
+    from briarseam.placement import chooser as choosers
+    from briarseam.routes import table as tables
+    from briarseam.settings import serving
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """The parts of an instance that forwarding needs.
+
+    Attributes
+    ----------
+    table, chooser, sender, guard, supervisor, in_flight, shutdown
+        As in :class:`briarseam.forwarding.request_context.Dependencies`.
+    instances
+        All instances, which share the slack of the retry budget.
+    metrics
+        The registry of metrics.
+    """
+
+    table: typing.Callable[[], tables.RouteTable | None]
+    chooser: choosers.Chooser
+    sender: attempts.Sender
+    guard: crash_guard.CrashGuard
+    supervisor: supervision.Supervisor
+    instances: node_instances.Instances
+    in_flight: inflight.InFlight
+    shutdown: shutdowns.Shutdown
+    metrics: registry.Registry
+
+
+def dependencies(
+    bounds: serving.Bounds, parts: Parts
+) -> request_context.Dependencies:
+    """Return the dependencies of forwarding.
+
+    Parameters
+    ----------
+    bounds
+        Limits that the deployment sets.
+    parts
+        The parts of the instance.
+    """
+    return request_context.Dependencies(
+        table=parts.table,
+        codec=call_codec.CallCodec(),
+        refusals=refusing.Refusals(answers.encode_verdict),
+        chooser=parts.chooser,
+        sender=parts.sender,
+        guard=parts.guard,
+        supervisor=parts.supervisor,
+        budget=retry_budget.RetryBudget(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s,
+            parts.instances.known_count,
+        ),
+        in_flight=parts.in_flight,
+        shutdown=parts.shutdown,
+        metrics=node_metrics.forwarding_metrics(parts.metrics),
+    )
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -7,6 +7,7 @@
 
 from briarseam import verdict
 from briarseam.forwarding import server
+from briarseam.forwarding import supervision
 
 # Callers wait this long, up to a third of their remaining time.  A busy
 # endpoint frees a slot about every 20 ms, so a caller that retries much
@@ -123,3 +124,18 @@
 def malformed(detail: str) -> verdict.NotRun:
     """Return the verdict on a request that cannot be decoded."""
     return verdict.NotRun(verdict.Reason.MALFORMED, detail)
+
+
+def verdict_of(
+    ending: supervision.Ending, may_have_run: bool
+) -> verdict.Verdict:
+    """Return the verdict on a request that was ended early."""
+    match ending, may_have_run:
+        case supervision.Ending.CUT_OFF, True:
+            return CUT_OFF
+        case supervision.Ending.CUT_OFF, False:
+            return LEAVING
+        case _, True:
+            return TIMED_OUT
+        case _:
+            return TOO_LATE
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -343,7 +343,8 @@
             context.exchange.abort()
         else:
             self.answer(
-                context.exchange, verdict_of(ending, context.may_have_run)
+                context.exchange,
+                refusing.verdict_of(ending, context.may_have_run),
             )
         return ending.value
 
@@ -400,18 +401,3 @@
             took_ms=round(took_s * 1000),
             **context.log_fields(),
         )
-
-
-def verdict_of(
-    ending: supervision.Ending, may_have_run: bool
-) -> verdict.Verdict:
-    """Return the verdict on a request that was ended early."""
-    match ending, may_have_run:
-        case supervision.Ending.CUT_OFF, True:
-            return refusing.CUT_OFF
-        case supervision.Ending.CUT_OFF, False:
-            return refusing.LEAVING
-        case _, True:
-            return refusing.TIMED_OUT
-        case _:
-            return refusing.TOO_LATE
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -80,7 +80,7 @@
         self.kept_index = kept_module.KeptIndex(clock)
         self.avoided = avoidance.Avoided(clock)
         self.mean_sizes = mean_sizes.MeanSizes()
-        self.prefill_times: dict[str, prefill_time.PrefillTime] = {}
+        self.prefill_times = prefill_time.PrefillTimes()
         self.plain = plain.PlainChooser(self.loads)
 
     def record_arrival(self, request: requests.Request) -> None:
@@ -265,26 +265,13 @@
         held = self.residency.held_tokens(endpoint.id, salt, query.parts)
         return cost.candidate(query, endpoint, load, held)
 
-    def prefill_time_of(
-        self, request: requests.Request
-    ) -> prefill_time.PrefillTime:
-        """Return the prefill time estimate of a request's service."""
-        name = request.service.name
-        times = self.prefill_times.get(name)
-        if times is None:
-            # If two threads get here at once, the first one's object stays.
-            times = self.prefill_times.setdefault(
-                name, prefill_time.PrefillTime()
-            )
-        return times
-
     def placement(
         self, query: cost.PlacementQuery, chosen: cost.Candidate
     ) -> requests.Placement:
         """Return the placement of a prompt on the chosen engine."""
         stores = chosen.plan.stores
         version = query.versions[chosen.endpoint.id]
-        times = self.prefill_time_of(query.request)
+        times = self.prefill_times.of(query.request.service.name)
         waiting_s = times.seconds(chosen.load.waiting_tokens)
         late_after_s = fetching.late_after_s(
             query.request.target_remaining_s,
@@ -385,7 +372,7 @@
         took_s: float,
     ) -> None:
         """Update the estimates with the time to a first event."""
-        times = self.prefill_time_of(request)
+        times = self.prefill_times.of(request.service.name)
         tokens = placement.load.waiting_tokens + placement.prefill_tokens
         sources = placement.sources()
         if not sources:
--- a/src/briarseam/placement/prefill_time.py
+++ b/src/briarseam/placement/prefill_time.py
@@ -39,3 +39,15 @@
     def seconds(self, tokens: int) -> float:
         """Return the estimated time to prefill tokens, in seconds."""
         return tokens * self.ms_per_token / 1000
+
+
+class PrefillTimes:
+    """The estimate of each service; thread-safe."""
+
+    def __init__(self) -> None:
+        self.by_service: dict[str, PrefillTime] = {}
+
+    def of(self, service: str) -> PrefillTime:
+        """Return the estimate of a service."""
+        # If two threads get here at once, the first one's object stays.
+        return self.by_service.setdefault(service, PrefillTime())
