Rename and split what a newcomer would stop at

discovery/start_updates and compose/node_announcements say what they hold; eligibility/rate_sharing is the division of a rate, cell_limits the exchange between cells, as placement/cell_loads; what instances have heard of limits has a module of its own. No change of behaviour.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -11,7 +11,7 @@
 from briarseam import malformed
 from briarseam import repeating
 from briarseam.compose import local_handlers
-from briarseam.compose import node_answers
+from briarseam.compose import node_announcements
 from briarseam.compose import node_calls
 from briarseam.compose import node_draining
 from briarseam.compose import node_eligibility
@@ -23,8 +23,8 @@
 from briarseam.compose import node_servers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
-from briarseam.discovery import start_news
-from briarseam.eligibility import limit_sharing
+from briarseam.discovery import start_updates
+from briarseam.eligibility import cell_limits
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
@@ -125,9 +125,9 @@
         )
         self.instances.registrations = self.feeds.registrations
         registry = self.feeds.registry
-        self.restarts = start_news.StartNews(registry.apply_start)
-        self.leaving = start_news.StartNews(registry.apply_leaving)
-        self.answer_news = node_answers.AnswerNews(
+        self.restarts = start_updates.StartUpdates(registry.apply_start)
+        self.leaving = start_updates.StartUpdates(registry.apply_leaving)
+        self.announcement_recorder = node_announcements.AnnouncementRecorder(
             self.eligibility,
             self.leaving,
             node_metrics.announcement_counters(self.metrics),
@@ -185,7 +185,7 @@
         self.cell_weights = cell_weights.CellWeights(
             self.weights.known_weights, self.calls, settings.instance.name
         )
-        self.cell_limits = limit_sharing.CellLimits(
+        self.cell_limits = cell_limits.CellLimits(
             self.eligibility.rate_limits, self.calls
         )
         self.peer_configuration = peer_configuration.PeerConfiguration(
@@ -249,7 +249,7 @@
                 sender=attempts.Sender(
                     self.pool,
                     requests.decode_answer,
-                    self.answer_news.record,
+                    self.announcement_recorder.record,
                 ),
                 guard=self.guard,
                 supervisor=self.supervisor,
--- a/src/briarseam/compose/node_answers.py
+++ b/src/briarseam/compose/node_announcements.py
@@ -9,11 +9,11 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.compose import node_metrics
-    from briarseam.discovery import start_news
+    from briarseam.discovery import start_updates
     from briarseam.eligibility import service as eligibilities
 
 
-class AnswerNews:
+class AnnouncementRecorder:
     """Passes on what answers tell, and counts it.
 
     Parameters
@@ -29,7 +29,7 @@
     def __init__(
         self,
         eligibility: eligibilities.Eligibility,
-        leaving: start_news.StartNews,
+        leaving: start_updates.StartUpdates,
         counters: node_metrics.AnnouncementCounters,
     ) -> None:
         self.eligibility = eligibility
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -5,7 +5,7 @@
 import threading
 import typing
 
-from briarseam.eligibility import limit_sharing
+from briarseam.eligibility import cell_limits
 from briarseam.feeds import shared_messages
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import loss_sharing
@@ -214,7 +214,7 @@
         self.call_remote(address, message, cell_weights.WeightsNoted)
 
     def publish_rate_limits(
-        self, address: str, message: limit_sharing.CellRateLimits
+        self, address: str, message: cell_limits.CellRateLimits
     ) -> None:
         """Publish the rate limits that endpoints named to this cell.
 
@@ -223,7 +223,7 @@
         NoReplyError
             If they may not have been applied.
         """
-        self.call_remote(address, message, limit_sharing.CellRateLimitsNoted)
+        self.call_remote(address, message, cell_limits.CellRateLimitsNoted)
 
     def query_configuration(
         self, name: str
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -9,7 +9,7 @@
 import structlog
 
 from briarseam.compose import node_peers
-from briarseam.eligibility import limit_sharing
+from briarseam.eligibility import cell_limits
 from briarseam.feeds import shared_messages
 from briarseam.forwarding import loss_sharing
 from briarseam.membership import sections
@@ -26,7 +26,7 @@
     from briarseam.compose import node_calls
     from briarseam.compose import node_instances
     from briarseam.compose import node_weights
-    from briarseam.discovery import start_news
+    from briarseam.discovery import start_updates
     from briarseam.eligibility import rate_limits as endpoint_limits
     from briarseam.feeds import sharing
     from briarseam.forwarding import crash_guard
@@ -65,14 +65,14 @@
 
     loads: endpoint_loads.Loads
     cell_loads: cell_loads.CellLoads
-    restarts: start_news.StartNews
-    leaving: start_news.StartNews
+    restarts: start_updates.StartUpdates
+    leaving: start_updates.StartUpdates
     guard: crash_guard.CrashGuard
     losses: loss_sharing.LossSharing
     weights: node_weights.Weights
     cell_weights: cell_weights.CellWeights
     rate_limits: endpoint_limits.RateLimits
-    cell_limits: limit_sharing.CellLimits
+    cell_limits: cell_limits.CellLimits
     configuration: peer_configuration.PeerConfiguration
     stores: store_sharing.StoreSharing
     topics: sharing.SharedReads
@@ -118,7 +118,7 @@
             cell_weights.WeightsTold: node_peers.MessageHandler(
                 self.cell_weights.answer
             ),
-            limit_sharing.CellRateLimits: node_peers.MessageHandler(
+            cell_limits.CellRateLimits: node_peers.MessageHandler(
                 self.cell_limits.answer
             ),
             peer_configuration.ConfigurationAsked: node_peers.MessageHandler(
--- a/src/briarseam/discovery/start_news.py
+++ b/src/briarseam/discovery/start_updates.py
@@ -37,14 +37,14 @@
     start
         The start.
     until_s
-        When publishing ends, by the clock of :class:`StartNews`.
+        When publishing ends, by the clock of :class:`StartUpdates`.
     """
 
     start: starts.Start
     until_s: float
 
 
-class StartNews:
+class StartUpdates:
     """News of one kind about starts, published to peers; thread-safe.
 
     News that entries tell is not published: each instance reads the entries
--- a/src/briarseam/eligibility/limit_sharing.py
+++ b/src/briarseam/eligibility/cell_limits.py
@@ -16,13 +16,15 @@
 
 from briarseam import clocks
 from briarseam import repeating
-from briarseam.eligibility import rate_limits
+from briarseam.eligibility import heard_limits
 from briarseam.wire import codec
 from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from briarseam.eligibility import rate_limits
+
 # Equal to the heartbeat interval.
 PUBLISH_INTERVAL_S = 0.5
 # What another cell has heard is relayed until its next message is overdue.
@@ -30,7 +32,9 @@
 log = structlog.get_logger("briarseam.eligibility")
 
 # A cell, the age of its message in milliseconds, and its rows.
-SectionRow = tuple[str, rate_limits.Milliseconds, tuple[rate_limits.Row, ...]]
+SectionRow = tuple[
+    str, heard_limits.Milliseconds, tuple[heard_limits.Row, ...]
+]
 
 
 @codec.message("cell-rate-limits")
@@ -47,7 +51,7 @@
     """
 
     cell: str
-    rows: tuple[rate_limits.Row, ...]
+    rows: tuple[heard_limits.Row, ...]
 
 
 @codec.message("cell-rate-limits-noted")
@@ -153,7 +157,7 @@
             if now_s < at_s + RELAY_S
         }
         rows = [
-            (cell, max(0.0, now_s - at_s) * rate_limits.MS, message.rows)
+            (cell, max(0.0, now_s - at_s) * heard_limits.MS, message.rows)
             for cell, (message, at_s) in list(self.received.items())
         ]
         return msgspec.msgpack.encode(rows)
--- a/src/briarseam/eligibility/cold_starts.py
+++ b/src/briarseam/eligibility/cold_starts.py
@@ -3,7 +3,7 @@
 An endpoint that has just started tolerates few requests per second from all
 instances together and crashes at a rate well above that.  A few instances,
 the same ones for all, may therefore send to such an endpoint, and the others
-use warm endpoints only; see :mod:`briarseam.eligibility.senders`.
+use warm endpoints only; see :mod:`briarseam.eligibility.rate_sharing`.
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
 
 from briarseam import clocks
 from briarseam.eligibility import permissions
+from briarseam.eligibility import rate_sharing
 from briarseam.eligibility import send_window
-from briarseam.eligibility import senders as sharing
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -117,7 +117,7 @@
 
     def __init__(
         self,
-        senders: sharing.Senders,
+        senders: rate_sharing.Senders,
         limits: Limits,
         entries_age_s: typing.Callable[[], float] = lambda: 0.0,
         clock: typing.Callable[[], float] = clocks.boot_clock,
--- a/src/briarseam/eligibility/rate_limits.py
+++ b/src/briarseam/eligibility/rate_limits.py
@@ -2,8 +2,8 @@
 
 Such an endpoint takes so many requests per second from all instances
 together.  They share the rate without asking each other; see
-:mod:`briarseam.eligibility.senders`.  Those that get no part of it learn from
-the others when the limit changes or ends.
+:mod:`briarseam.eligibility.rate_sharing`.  Those that get no part of it
+learn from the others when the limit changes or ends.
 """
 
 from __future__ import annotations
@@ -20,8 +20,9 @@
 from briarseam import clocks
 from briarseam import malformed
 from briarseam.discovery import announcements
+from briarseam.eligibility import heard_limits
+from briarseam.eligibility import rate_sharing
 from briarseam.eligibility import send_window
-from briarseam.eligibility import senders as sharing
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
@@ -37,39 +38,12 @@
 # Each instance keeps an ended limit for a random part of this time, so that
 # not all of them turn to the endpoint at once.
 RAMP_S = 1.0
-# What an answer said is published this long; the next answer renews it.
-PUBLISH_S = 3.0
-# Ages of news are known to about a heartbeat.  In doubt a limit holds.
-AGE_ERROR_S = 0.5
+# The end of a limit is remembered until all instances have heard of it.
+KEEP_ENDED_S = RAMP_S + heard_limits.PUBLISH_S
 # An endpoint may name another limit in each answer.
 MIN_LOG_INTERVAL_S = 1.0
 log = structlog.get_logger("briarseam.eligibility")
 
-PerSecond = typing.Annotated[float, msgspec.Meta(ge=0)]
-Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0)]
-# An endpoint's id, its limit if it names one, and the age of that answer.
-Row = tuple[str, PerSecond | None, Milliseconds]
-MS = 1000.0
-
-
-@dataclasses.dataclass
-class Heard:
-    """What an endpoint's last answer said.
-
-    Attributes
-    ----------
-    per_s
-        Its limit; ``None`` if it named none.
-    at_s
-        When the answer came, or when its request was sent if it named none.
-    heard_s
-        When this instance learned of it.
-    """
-
-    per_s: float | None
-    at_s: float
-    heard_s: float
-
 
 @dataclasses.dataclass
 class LimitState:
@@ -88,19 +62,19 @@
         Sends of this instance.
     logged_s
         When the limit was last logged.
-    sender_until_s, is_sender
+    part_known_until_s, is_sender
         Whether this instance has a part of the rate, and until when that is
         not looked up again.
     """
 
     per_s: float
-    heard: Heard
+    heard: heard_limits.Heard
     ramp_share: float
     window: send_window.SendWindow = dataclasses.field(
         default_factory=send_window.SendWindow
     )
     logged_s: float = float("-inf")
-    sender_until_s: float = float("-inf")
+    part_known_until_s: float = float("-inf")
     is_sender: bool = False
 
 
@@ -121,7 +95,7 @@
 
     def __init__(
         self,
-        senders: sharing.Senders,
+        senders: rate_sharing.Senders,
         clock: typing.Callable[[], float] = clocks.boot_clock,
         chance: typing.Callable[[], float] = random.random,
         malformed_counter: malformed.Tally | None = None,
@@ -133,8 +107,8 @@
         self.started_s = clock()
         self.states: dict[str, LimitState] = {}
         # What this instance, and its cell, have heard from endpoints.
-        self.own: dict[str, Heard] = {}
-        self.cell: dict[str, Heard] = {}
+        self.own = heard_limits.HeardLimits()
+        self.cell = heard_limits.HeardLimits()
         self.lock = threading.Lock()
 
     # What is learned.
@@ -162,9 +136,13 @@
                 if endpoint_id in self.states:
                     # Answers may be held up on the way.  One that is older
                     # than the limit must not end it.
-                    self.record_own(endpoint_id, Heard(None, sent_s, now_s))
+                    self.record_own(
+                        endpoint_id, heard_limits.Heard(None, sent_s, now_s)
+                    )
             case announcements.RateLimit(per_s):
-                self.record_own(endpoint_id, Heard(per_s, now_s, now_s))
+                self.record_own(
+                    endpoint_id, heard_limits.Heard(per_s, now_s, now_s)
+                )
             case announcements.UnreadableRateLimit(text):
                 # The former limit stays: the endpoint is still in need.
                 self.malformed_counter.note(
@@ -173,39 +151,42 @@
                     f"rate limit {text!r}",
                 )
 
-    def record_own(self, endpoint_id: str, heard: Heard) -> None:
+    def record_own(self, endpoint_id: str, heard: heard_limits.Heard) -> None:
         """Record an answer to this instance."""
         with self.lock:
-            known = self.own.get(endpoint_id)
-            if known is None or heard.at_s >= known.at_s:
-                self.own[endpoint_id] = heard
-            self.apply_in_cell(endpoint_id, heard)
+            self.own.add(endpoint_id, heard)
+            self.cell.add(endpoint_id, heard)
+            self.apply(endpoint_id, heard)
 
     def consume(self, member: str, data: bytes) -> None:
         """Apply what a peer of this cell has heard."""
         del member
         now_s = self.clock()
-        rows = msgspec.msgpack.decode(data, type=list[Row])
+        rows = msgspec.msgpack.decode(data, type=list[heard_limits.Row])
         with self.lock:
             for row in rows:
-                self.apply_in_cell(row[0], heard_of(row, now_s))
+                heard = heard_limits.from_row(row, now_s)
+                self.cell.add(row[0], heard)
+                self.apply(row[0], heard)
 
-    def apply_remote(self, rows: collections.abc.Iterable[Row]) -> None:
+    def apply_remote(
+        self, rows: collections.abc.Iterable[heard_limits.Row]
+    ) -> None:
         """Apply what another cell has heard."""
         now_s = self.clock()
         with self.lock:
             for row in rows:
-                self.apply(row[0], heard_of(row, now_s))
+                self.apply(row[0], heard_limits.from_row(row, now_s))
 
     def provide(self) -> bytes:
         """Return what this instance has heard, for its peers."""
         with self.lock:
-            return msgspec.msgpack.encode(self.recent_rows(self.own))
+            return msgspec.msgpack.encode(self.own.rows(self.clock()))
 
-    def cell_rows(self) -> list[Row]:
+    def cell_rows(self) -> list[heard_limits.Row]:
         """Return what this cell has heard, for other cells."""
         with self.lock:
-            return self.recent_rows(self.cell)
+            return self.cell.rows(self.clock())
 
     def keep_only(self, endpoint_ids: collections.abc.Collection[str]) -> None:
         """Drop what is known of all other endpoints, and ended limits."""
@@ -213,13 +194,12 @@
         with self.lock:
             for endpoint_id, state in list(self.states.items()):
                 ended = state.heard.per_s is None and (
-                    now_s > state.heard.heard_s + RAMP_S + PUBLISH_S
+                    now_s > state.heard.heard_s + KEEP_ENDED_S
                 )
                 if ended or endpoint_id not in endpoint_ids:
                     del self.states[endpoint_id]
-            for heard in (self.own, self.cell):
-                for endpoint_id in heard.keys() - self.states.keys():
-                    del heard[endpoint_id]
+            self.own.keep_only(self.states)
+            self.cell.keep_only(self.states)
 
     # What is decided.
 
@@ -264,14 +244,7 @@
 
     # Helpers; they require the lock.
 
-    def apply_in_cell(self, endpoint_id: str, heard: Heard) -> None:
-        """Apply what an instance of this cell has heard."""
-        known = self.cell.get(endpoint_id)
-        if known is None or heard.at_s >= known.at_s:
-            self.cell[endpoint_id] = heard
-        self.apply(endpoint_id, heard)
-
-    def apply(self, endpoint_id: str, heard: Heard) -> None:
+    def apply(self, endpoint_id: str, heard: heard_limits.Heard) -> None:
         """Apply what any instance has heard, unless it is outdated."""
         state = self.states.get(endpoint_id)
         if state is None:
@@ -303,19 +276,10 @@
             "endpoint_rate_limit",
             endpoint=endpoint_id,
             per_s=state.heard.per_s,
-            heard_ms_ago=round((now_s - state.heard.at_s) * MS),
-            from_answer=self.own.get(endpoint_id) is state.heard,
+            heard_ms_ago=round((now_s - state.heard.at_s) * heard_limits.MS),
+            from_answer=self.own.by_endpoint.get(endpoint_id) is state.heard,
         )
 
-    def recent_rows(self, heard: dict[str, Heard]) -> list[Row]:
-        """Return what was heard lately."""
-        now_s = self.clock()
-        return [
-            (endpoint_id, one.per_s, max(0.0, now_s - one.at_s) * MS)
-            for endpoint_id, one in heard.items()
-            if now_s < one.heard_s + PUBLISH_S
-        ]
-
     def wait_s(self, endpoint: discovery.Endpoint) -> float:
         """Return the time until this instance may send to an endpoint.
 
@@ -327,15 +291,15 @@
             return 0.0
         rate_per_s = rate_of(state)
         instances = max(1, self.senders.known_count())
-        count = sharing.sender_count(rate_per_s, instances)
+        count = rate_sharing.sender_count(rate_per_s, instances)
         if self.has_part(state, endpoint, count, now_s):
-            allowance = sharing.allowance_of(rate_per_s / count)
+            allowance = rate_sharing.allowance_of(rate_per_s / count)
             # A process that has just started doesn't know what its former
             # process has sent.
             not_before_s = self.started_s + allowance.span_s
         else:
             part_per_s = rate_per_s * STALE_SHARE / instances
-            allowance = sharing.allowance_of(part_per_s)
+            allowance = rate_sharing.allowance_of(part_per_s)
             if now_s < state.heard.at_s + STALE_S:
                 return float("inf")
             not_before_s = (
@@ -356,21 +320,12 @@
 
         Looked up once per second: all instances are ranked for it.
         """
-        if now_s >= state.sender_until_s:
-            state.sender_until_s = now_s + 1.0
+        if now_s >= state.part_known_until_s:
+            state.part_known_until_s = now_s + 1.0
             state.is_sender = self.senders.is_sender(endpoint, count)
         return state.is_sender
 
 
-def heard_of(row: Row, now_s: float) -> Heard:
-    """Return what another instance has heard."""
-    _endpoint_id, per_s, age_ms = row
-    at_s = now_s - age_ms / MS
-    if per_s is None:
-        at_s -= AGE_ERROR_S
-    return Heard(per_s, at_s, now_s)
-
-
 def rate_of(state: LimitState) -> float:
     """Return the rate to share, in requests per second; more than 0."""
     return max(state.per_s, MIN_RATE_PER_S)
