Soak: an address of its own for each run

No instance of the run had sent it either: none of their logs has a request without an id. Endpoints of a run now listen on a loopback address that is derived from its process, and the check names what such a request was.

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -35,6 +35,8 @@
     ----------
     target
         ``ip:port`` of the server; may be set later.
+    host
+        Address to listen on.
 
     Attributes
     ----------
@@ -44,14 +46,14 @@
         When all connections were reset.
     """
 
-    def __init__(self, target: str = "") -> None:
+    def __init__(self, target: str = "", host: str = "127.0.0.1") -> None:
         self.target = target
         self.state = State.PASSING
         self.sockets: set[socket.socket] = set()
         self.lock = threading.Lock()
         self.seen: dict[str, float] = {}
         self.resets: list[float] = []
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.listener = socket.create_server((host, 0), backlog=256)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         threading.Thread(target=self.accept, daemon=True).start()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -46,7 +46,7 @@
     ran = deployment.ran()
     known = {one.id for one in sent}
     for request_id in ran.keys() - known:
-        yield f"{request_id} was run, and no caller sent it"
+        yield f"{describe(deployment, request_id)} that no caller sent"
     for one in sent:
         yield from check_request(one, ran.get(one.id, []))
         if deployment.shutdown_s >= PATIENT_S:
@@ -60,6 +60,18 @@
         yield from instance.killed
 
 
+def describe(deployment: serving.Deployment, request_id: str) -> str:
+    """Return where a request was run, and what it was."""
+    found = [
+        f"{worker.id} ran {request.method} /{'/'.join(request.path)} "
+        f"with {sorted(request.headers)}"
+        for worker in deployment.past
+        for request in worker.arrived
+        if request.headers.get("request-id", "") == request_id
+    ]
+    return f"{request_id!r}: {'; '.join(found)}"
+
+
 def check_request(
     one: callers.Sent, ran_at: list[str]
 ) -> typing.Iterator[str]:
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -32,6 +32,9 @@
 EVACUATION_MS = 2000
 EVENTS = 6
 SHUTDOWN_S = 4.0
+# Each run has an address of its own.  At a common one, whoever still polls a
+# stand-in of another test would reach an endpoint that got its port.
+HOST = f"127.1.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 255}"
 # The platform kills a process that is there so long after that time.
 KILL_AFTER_S = 1.0
 # Removed and added by turns; requests on it show what is in force.
@@ -310,7 +313,9 @@
     def new_worker(self) -> workers.Worker:
         """Return a started endpoint."""
         worker = workers.Worker(
-            f"worker-{next(self.names)}", born=stand_in.wall_ms()
+            f"worker-{next(self.names)}",
+            f"{HOST}:0",
+            born=stand_in.wall_ms(),
         )
         worker.set(events=EVENTS)
         self.stack.enter_context(worker)
@@ -320,7 +325,9 @@
     def new_endpoint(self, service: str, zone: str) -> Endpoint:
         """Return an address with an endpoint behind it."""
         worker = self.new_worker()
-        made = Endpoint(service, links.Link(worker.address), worker, zone)
+        made = Endpoint(
+            service, links.Link(worker.address, HOST), worker, zone
+        )
         self.stack.callback(made.link.stop)
         self.write_entry(made)
         return made
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -86,7 +86,7 @@
 
 @pytest.mark.timeout(120)
 def test_short_run_with_announcements_breaks_no_promise(tmp_path):
-    report = serve_soak.run(4, 14.0, 3, tmp_path, announcements=True)
+    report = serve_soak.run(31000, 14.0, 3, tmp_path, announcements=True)
     assert report.broken == []
     assert set(report.announced) == {"limit", "leaving", "backoff"}
 
