Publish to other cells in one place

Loads, weight changes and rate limits each had the same loop over the speakers of other cells, with the same log line once until a cell is reached again. One class has it now; names of log lines and messages are as before.

--- a/src/briarseam/eligibility/cell_limits.py
+++ b/src/briarseam/eligibility/cell_limits.py
@@ -12,13 +12,12 @@
 import typing
 
 import msgspec
-import structlog
 
 from briarseam import clocks
 from briarseam import repeating
 from briarseam.eligibility import heard_limits
+from briarseam.peers import cell_publishing
 from briarseam.wire import codec
-from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -29,7 +28,6 @@
 PUBLISH_INTERVAL_S = 0.5
 # What another cell has heard is relayed until its next message is overdue.
 RELAY_S = 1.5
-log = structlog.get_logger("briarseam.eligibility")
 
 # A cell, the age of its message in milliseconds, and its rows.
 SectionRow = tuple[
@@ -106,7 +104,9 @@
         self.cells = cells
         self.clock = clock
         self.received: dict[str, tuple[CellRateLimits, float]] = {}
-        self.unreached: frozenset[str] = frozenset()
+        self.publisher = cell_publishing.CellPublisher(
+            "cell_not_told_rate_limits"
+        )
         self.publishing = repeating.Repeater(
             "cell-rate-limits", self.review, PUBLISH_INTERVAL_S
         )
@@ -124,23 +124,13 @@
         if self.cells.is_speaker():
             rows = tuple(self.limits.cell_rows())
             if rows:
-                self.publish(CellRateLimits(self.cells.name(), rows))
-
-    def publish(self, message: CellRateLimits) -> None:
-        """Send a message to one instance of each other cell."""
-        unreached = set()
-        for address in self.cells.addresses():
-            try:
-                self.cells.publish_rate_limits(address, message)
-            except replies.NoReplyError as error:
-                unreached.add(address)
-                if address not in self.unreached:
-                    log.warning(
-                        "cell_not_told_rate_limits",
-                        address=address,
-                        detail=str(error),
-                    )
-        self.unreached = frozenset(unreached)
+                message = CellRateLimits(self.cells.name(), rows)
+                self.publisher.publish(
+                    self.cells.addresses(),
+                    lambda address: self.cells.publish_rate_limits(
+                        address, message
+                    ),
+                )
 
     def answer(self, message: CellRateLimits) -> CellRateLimitsNoted:
         """Apply a message from another cell."""
--- a/src/briarseam/placement/cell_loads.py
+++ b/src/briarseam/placement/cell_loads.py
@@ -14,13 +14,12 @@
 import typing
 
 import msgspec
-import structlog
 
 from briarseam import clocks
 from briarseam import repeating
+from briarseam.peers import cell_publishing
 from briarseam.placement import loads as load_module
 from briarseam.wire import codec
-from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -30,7 +29,6 @@
 PUBLISH_INTERVAL_S = 0.5
 # Maximum age of another cell's load; tolerates a few lost messages.
 MAX_AGE_S = 3.0
-log = structlog.get_logger("briarseam.placement")
 
 Number = load_module.Number
 Row = tuple[str, Number, Number, Number, Number]
@@ -110,7 +108,7 @@
         self.cells = cells
         self.clock = clock
         self.received: dict[str, tuple[CellLoad, float]] = {}
-        self.unreached: frozenset[str] = frozenset()
+        self.publisher = cell_publishing.CellPublisher("cell_not_told")
         self.publishing = repeating.Repeater(
             "cell-loads", self.review, PUBLISH_INTERVAL_S
         )
@@ -139,17 +137,10 @@
             for name, load in self.loads.cell_loads().items()
         )
         message = CellLoad(self.cells.name(), self.cells.size(), rows)
-        unreached = set()
-        for address in addresses:
-            try:
-                self.cells.publish_load(address, message)
-            except replies.NoReplyError as error:
-                unreached.add(address)
-                if address not in self.unreached:
-                    log.warning(
-                        "cell_not_told", address=address, detail=str(error)
-                    )
-        self.unreached = frozenset(unreached)
+        self.publisher.publish(
+            addresses,
+            lambda address: self.cells.publish_load(address, message),
+        )
 
     def answer(self, message: CellLoad) -> CellLoadNoted:
         """Apply a message from another cell."""
--- a/src/briarseam/placement/cell_weights.py
+++ b/src/briarseam/placement/cell_weights.py
@@ -14,8 +14,8 @@
 
 from briarseam import clocks
 from briarseam import repeating
+from briarseam.peers import cell_publishing
 from briarseam.wire import codec
-from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -121,7 +121,7 @@
         self.changing: frozenset[str] = frozenset()
         self.own: dict[tuple[str, str], int] = {}
         self.published_s = 0.0
-        self.unreached: frozenset[str] = frozenset()
+        self.publisher = cell_publishing.CellPublisher("cell_not_told_weights")
         self.received: dict[str, tuple[bytes, float]] = {}
         self.reviews = repeating.Repeater(
             "cell-weights", self.review, REVIEW_INTERVAL_S
@@ -141,7 +141,7 @@
         changing = frozenset(self.known_weights.changing)
         own = dict(self.known_weights.own)
         changed = changing != self.changing or own != self.own
-        pending = bool(changing or self.unreached)
+        pending = bool(changing or self.publisher.unreached)
         repeat_s = self.published_s + REPEAT_INTERVAL_S
         if changed or (pending and self.clock() >= repeat_s):
             self.changing = changing
@@ -158,29 +158,17 @@
             Whether the state is new; repetitions are not logged.
         """
         addresses = self.cells.addresses()
-        if not addresses:
-            self.unreached = frozenset()
-            return
         message = WeightsTold(self.local_name, self.known_weights.provide())
-        unreached = set()
-        for address in addresses:
-            try:
-                self.cells.publish_weights(address, message)
-            except replies.NoReplyError as error:
-                unreached.add(address)
-                if address not in self.unreached:
-                    log.warning(
-                        "cell_not_told_weights",
-                        address=address,
-                        detail=str(error),
-                    )
-        self.unreached = frozenset(unreached)
-        if changed:
+        self.publisher.publish(
+            addresses,
+            lambda address: self.cells.publish_weights(address, message),
+        )
+        if changed and addresses:
             log.info(
                 "cells_told_weights",
                 changing=sorted(self.changing),
                 cells=len(addresses),
-                untold=len(unreached),
+                untold=len(self.publisher.unreached),
             )
 
     def answer(self, message: WeightsTold) -> WeightsNoted:
--- a/tests/eligibility/test_cell_limits.py
+++ b/tests/eligibility/test_cell_limits.py
@@ -115,4 +115,4 @@
 def test_cell_that_is_not_reached_does_not_stop_publishing(here):
     here.hear(announcements.RateLimit(2.0))
     here.sharing.review()
-    assert here.sharing.unreached == frozenset({"b"})
+    assert here.sharing.publisher.unreached == frozenset({"b"})
