Soak: a restart excuses from the start of the successor

The trace: the process heard it 0.27 s after SIGTERM, while it still served, and ended; its successor, which cannot know, sent one request there 0.1 s after its start and nothing after the answer. A restart since then excuses that, and the check took SIGTERM for the restart.

--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -69,6 +69,8 @@
         The process; ``None`` while it is down on purpose.
     troubled_until
         Until when a fault on it excuses it, monotonic seconds.
+    started
+        When each of its processes began.
     stopped
         When it got its first SIGTERM, for each stop.
     struck
@@ -84,6 +86,7 @@
     shutdown_s: float
     process: subprocess.Popen[bytes] | None = None
     troubled_until: float = 0.0
+    started: list[float] = dataclasses.field(default_factory=list)
     stopped: list[float] = dataclasses.field(default_factory=list)
     struck: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     killed: list[str] = dataclasses.field(default_factory=list)
@@ -110,6 +113,7 @@
 
     def start(self) -> None:
         """Start it."""
+        self.started.append(time.monotonic())
         with self.output.open("ab") as output:
             self.process = subprocess.Popen(
                 [
@@ -130,9 +134,13 @@
             self.process.send_signal(number)
 
     def restarted_since(self, since_s: float) -> bool:
-        """Tell whether it was stopped, killed or paused since a moment."""
+        """Tell whether a process of it began or was paused since a moment.
+
+        One that is told to stop still learns things that its successor
+        does not know.
+        """
         struck = [ended_s for _began_s, ended_s in self.struck]
-        return any(at >= since_s for at in (*self.stopped, *struck))
+        return any(at >= since_s for at in (*self.started, *struck))
 
     def reload(self) -> None:
         """Let it read its settings again.
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -91,6 +91,17 @@
     assert set(report.announced) == {"limit", "leaving", "backoff"}
 
 
+@pytest.mark.timeout(120)
+def test_process_need_not_know_what_its_predecessor_learned(tmp_path):
+    """An endpoint says that it leaves to a process that is about to end.
+
+    Its successor sent one request there; the check counted from SIGTERM on,
+    not from the successor's start; seed 46007.
+    """
+    report = serve_soak.run(46007, 14.0, 4, tmp_path, announcements=True)
+    assert report.broken == []
+
+
 PLANS = (
     faults.plan,
     faults.plan_stops,
