--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -20,6 +20,7 @@
 from briarseam.compose import node_instances
 from briarseam.compose import node_membership
 from briarseam.compose import node_metrics
+from briarseam.compose import node_paths
 from briarseam.compose import node_servers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
@@ -51,6 +52,7 @@
 from briarseam.platform import engines
 from briarseam.platform import requests
 from briarseam.platform import store as stores
+from briarseam.reachability import tracker
 from briarseam.routes import peer_configuration
 from briarseam.wire import event_loop
 
@@ -144,6 +146,15 @@
             ),
             self.malformed_counter,
         )
+        self.reachability = tracker.Reachability(self.feeds.registry.serving)
+        self.paths = node_paths.build(
+            self.reachability,
+            self.pool,
+            self.instances,
+            self.eligibility.region_map.region_of,
+            self.announcement_recorder.record,
+            self.metrics,
+        )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
             self.weights.required,
@@ -151,6 +162,7 @@
             self.feeds.registry.age_s,
             loads.Loads(self.calls.size, lambda: len(self.instances.all())),
             eligibility=self.eligibility,
+            reachability=self.reachability,
         )
         cache_stores = cache.CacheStoreClient(self.malformed_counter)
         self.store_watches = store_watches.StoreWatches(
@@ -206,6 +218,7 @@
             self.feeds.registrations, self.instances.fresh_names
         )
         self.background: tuple[BackgroundPart, ...] = (
+            self.paths,
             self.sweeper,
             self.store_watches,
             self.loss_sharing,
@@ -235,6 +248,7 @@
             rate_limits=self.eligibility.rate_limits,
             cell_limits=self.cell_limits,
             configuration=self.peer_configuration,
+            reachability=self.reachability,
             stores=self.store_sharing,
             topics=self.topic_reads,
         )
@@ -251,6 +265,7 @@
                     requests.decode_answer,
                     self.announcement_recorder.record,
                 ),
+                relays=self.paths.relays,
                 guard=self.guard,
                 supervisor=self.supervisor,
                 instances=self.instances,
@@ -276,7 +291,11 @@
             self.metrics,
         )
         return node_servers.build(
-            listen, self.forwarding.handle, self.in_flight, handlers
+            listen,
+            self.forwarding.handle,
+            self.forwarding.handle_relayed,
+            self.in_flight,
+            handlers,
         )
 
     # Start and stop.
@@ -303,6 +322,7 @@
         self.threads.update()
         names = frozenset(self.instances.all_names())
         self.chooser.loads.keep_only(names)
+        self.paths.keep_only(names)
         self.peer_configuration.keep_only(names)
         self.peer_configuration.review()
 
@@ -391,6 +411,7 @@
             endpoints_cold=self.eligibility.starts.cold_count,
             endpoints_in_backoff=self.eligibility.backoffs.count,
             endpoints_rate_limited=self.eligibility.rate_limits.limited_count,
+            services_unreachable=lambda: len(self.reachability.unreachable),
             zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
 
@@ -406,10 +427,11 @@
         """
         self.eligibility.region_map.check(configuration)
         limits = configuration.limits
-        server = self.servers["callers"]
-        server.set_idle_timeout(limits.idle_timeout_s)
-        server.max_request_header_size = limits.header_bytes
-        server.max_request_body_size = limits.body_bytes
+        for name in ("callers", "relays"):
+            server = self.servers[name]
+            server.set_idle_timeout(limits.idle_timeout_s)
+            server.max_request_header_size = limits.header_bytes
+            server.max_request_body_size = limits.body_bytes
         freeing_stores = [
             store for store in configuration.stores() if store.frees_on_request
         ]
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -164,6 +164,7 @@
             group=settings.instance.region,
             zone=settings.instance.zone,
             weight=settings.capacity.weight(),
+            relay_address=str(settings.listen.relay_address()),
         ),
         malformed_counter,
     )
--- a/src/briarseam/compose/node_forwarding.py
+++ b/src/briarseam/compose/node_forwarding.py
@@ -17,6 +17,7 @@
     from briarseam.compose import node_instances
     from briarseam.forwarding import attempts
     from briarseam.forwarding import crash_guard
+    from briarseam.forwarding import relaying
     from briarseam.forwarding import shutdown as shutdowns
     from briarseam.forwarding import supervision
     from briarseam.metrics import registry
@@ -31,7 +32,7 @@
 
     Attributes
     ----------
-    table, chooser, sender, guard, supervisor, in_flight, shutdown
+    table, chooser, sender, relays, guard, supervisor, in_flight, shutdown
         As in :class:`briarseam.forwarding.request_context.Dependencies`.
     instances
         All instances, which share the slack of the retry budget.
@@ -42,6 +43,7 @@
     table: typing.Callable[[], tables.RouteTable | None]
     chooser: choosers.Chooser
     sender: attempts.Sender
+    relays: relaying.Relaying
     guard: crash_guard.CrashGuard
     supervisor: supervision.Supervisor
     instances: node_instances.Instances
@@ -68,6 +70,7 @@
         refusals=refusing.Refusals(answers.encode_verdict),
         chooser=parts.chooser,
         sender=parts.sender,
+        relays=parts.relays,
         guard=parts.guard,
         supervisor=parts.supervisor,
         budget=retry_budget.RetryBudget(
--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -49,6 +49,10 @@
         """Return all known instances, this one included."""
         return () if self.membership is None else self.membership.all_members()
 
+    def key(self) -> bytes | None:
+        """Return the key that all instances share; ``None`` before joining."""
+        return None if self.membership is None else self.membership.key
+
     def all_names(self) -> list[str]:
         """Return the names of all known instances."""
         return [member.name for member in self.all()]
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -35,6 +35,7 @@
     from briarseam.placement import loads as endpoint_loads
     from briarseam.placement import store_sharing
     from briarseam.platform import store as stores
+    from briarseam.reachability import tracker
     from briarseam.settings import serving
     from briarseam.wire import event_loop
 
@@ -59,6 +60,8 @@
         Rate limits of endpoints, heard by this instance and by its cell.
     configuration
         Version of the operators' configuration.
+    reachability
+        Services that this instance can't reach.
     stores, topics
         Contents of KV cache stores and topics, read for other instances.
     """
@@ -74,6 +77,7 @@
     rate_limits: endpoint_limits.RateLimits
     cell_limits: cell_limits.CellLimits
     configuration: peer_configuration.PeerConfiguration
+    reachability: tracker.Reachability
     stores: store_sharing.StoreSharing
     topics: sharing.SharedReads
 
@@ -89,6 +93,7 @@
             "cell-rate-limits": self.cell_limits,
             "lost-requests": self.guard,
             "configuration-version": self.configuration,
+            "unreachable-services": self.reachability,
         }
         return (
             *(
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -24,7 +24,7 @@
     in_flight, connections_opened, store_calls, store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
     endpoints_cold, endpoints_in_backoff, endpoints_rate_limited
-    zones_evacuated
+    services_unreachable, zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -39,6 +39,7 @@
     endpoints_cold: Reading
     endpoints_in_backoff: Reading
     endpoints_rate_limited: Reading
+    services_unreachable: Reading
     zones_evacuated: Reading
 
 
@@ -100,6 +101,11 @@
             "Endpoints that limit the rate of their requests",
             readings.endpoints_rate_limited,
         ),
+        (
+            "services_unreachable",
+            "Services of which this instance can't reach any endpoint",
+            readings.services_unreachable,
+        ),
         (
             "zones_evacuated",
             "Availability zones whose endpoints get no requests",
--- a/src/briarseam/compose/node_servers.py
+++ b/src/briarseam/compose/node_servers.py
@@ -22,6 +22,7 @@
 def build(
     listen: serving.Listen,
     forward: Handler,
+    forward_relayed: Handler,
     in_flight: inflight.InFlight,
     local: local_handlers.LocalHandlers,
 ) -> dict[str, http.Server]:
@@ -33,8 +34,10 @@
         The addresses to listen on.
     forward
         Answers callers' requests.
+    forward_relayed
+        Answers those that other instances pass on.
     in_flight
-        Counts callers' requests.
+        Counts both.
     local
         Answers all other requests.
     """
@@ -43,8 +46,14 @@
         "lookups": (listen.lookups, local.addresses),
         "metrics": (listen.metrics, local.scrape),
     }
-    callers = (listen.callers.ip, listen.callers.port)
-    servers = {"callers": http.Server("callers", callers, forward, in_flight)}
+    forwarding: dict[str, tuple[sections.Address, Handler]] = {
+        "callers": (listen.callers, forward),
+        "relays": (listen.relay_address(), forward_relayed),
+    }
+    servers = {
+        name: http.Server(name, (address.ip, address.port), handler, in_flight)
+        for name, (address, handler) in forwarding.items()
+    }
     for name, (address, handler) in handlers.items():
         servers[name] = http.Server(name, (address.ip, address.port), handler)
     return servers
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -80,6 +80,8 @@
         Progress of the answer to the caller.
     on_first_event
         Called when the first event arrives from this endpoint.
+    relayed
+        Whether `endpoint` is another instance, which has an endpoint answer.
     """
 
     exchange: server.Exchange
@@ -91,6 +93,7 @@
     watch: supervision.Watch
     progress: Progress
     on_first_event: typing.Callable[[], None]
+    relayed: bool = False
 
 
 DecodeAnswer = typing.Callable[
@@ -179,11 +182,12 @@
         if head.call_id and head.call_id != attempt.call.id:
             # A duplicate answer to an earlier request on this connection.
             return outcomes.Broken("the answer belongs to another request")
-        if head.status != MISDIRECTED:
-            self.on_announced(attempt.endpoint.id, head.announced, sent_s)
+        answered_by = head.endpoint if attempt.relayed else attempt.endpoint.id
+        if answered_by and head.status != MISDIRECTED:
+            self.on_announced(answered_by, head.announced, sent_s)
         if head.not_run:
             response.read()
-            return outcomes.Rejected(head.status)
+            return outcomes.Rejected(head.status, head.announced.backoff_s)
         success = SUCCESS_MIN <= head.status < SUCCESS_END
         if success and not head.signed:
             return outcomes.Broken("the answer is not signed")
--- a/src/briarseam/forwarding/calls.py
+++ b/src/briarseam/forwarding/calls.py
@@ -146,6 +146,8 @@
         Weight version that produced it; ``None`` if unknown.
     announced
         What it tells of the endpoint.
+    endpoint
+        Id of the endpoint that answered, if another instance tells it.
     """
 
     status: int
@@ -155,3 +157,4 @@
     signed: bool = False
     version: int | None = None
     announced: announcements.Announcements = announcements.NONE
+    endpoint: str = ""
--- a/src/briarseam/forwarding/connections.py
+++ b/src/briarseam/forwarding/connections.py
@@ -73,6 +73,16 @@
         reused = self.acquire_idle(endpoint_id, address)
         if reused is not None:
             return reused
+        return self.connect(address)
+
+    def connect(self, address: str) -> urllib3.connection.HTTPConnection:
+        """Return a new connection.
+
+        Raises
+        ------
+        UnreachableError
+            If the connection cannot be established in time.
+        """
         host, _, port = address.rpartition(":")
         connection = urllib3.connection.HTTPConnection(
             host,
--- a/src/briarseam/forwarding/outcomes.py
+++ b/src/briarseam/forwarding/outcomes.py
@@ -28,9 +28,12 @@
     ----------
     status
         HTTP status.
+    retry_after_s
+        When it is worth to try again, in seconds; ``None`` if not said.
     """
 
     status: int
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,3 +77,8 @@
 
 
 Outcome = Answered | Rejected | Unreached | Failed | Broken
+
+
+def name_of(outcome: Outcome | None) -> str:
+    """Return the name of an outcome, for logs and metrics."""
+    return type(outcome).__name__.lower() if outcome else "ended"
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -55,6 +55,10 @@
 UNREACHED = verdict.NotRun(
     verdict.Reason.NO_ENDPOINT, "no endpoint is reachable", UNREACHED_RETRY_S
 )
+NO_INSTANCE = verdict.NotRun(
+    verdict.Reason.UNAUTHENTICATED,
+    "only instances of this system may use this address",
+)
 CONDEMNED = verdict.NotRun(
     verdict.Reason.CONDEMNED,
     "endpoints were lost each time they ran this request",
@@ -126,6 +130,21 @@
     return verdict.NotRun(verdict.Reason.MALFORMED, detail)
 
 
+def not_taken(retry_after_s: float | None) -> verdict.NotRun:
+    """Return the verdict on a request that no instance could take.
+
+    Parameters
+    ----------
+    retry_after_s
+        When the last of them advised to retry, in seconds, if it did.
+    """
+    return verdict.NotRun(
+        verdict.Reason.NO_ENDPOINT,
+        "no endpoint is reachable, and no other instance takes the request",
+        UNREACHED_RETRY_S if retry_after_s is None else retry_after_s,
+    )
+
+
 def verdict_of(
     ending: supervision.Ending, may_have_run: bool
 ) -> verdict.Verdict:
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -18,6 +18,7 @@
     from briarseam.forwarding import calls
     from briarseam.forwarding import crash_guard
     from briarseam.forwarding import refusing
+    from briarseam.forwarding import relay_headers
     from briarseam.forwarding import retry_budget
     from briarseam.forwarding import server
     from briarseam.forwarding import shutdown as shutdowns
@@ -41,6 +42,21 @@
         """Return the headers for an endpoint."""
 
 
+class Relays(typing.Protocol):
+    """Passes requests on to other instances."""
+
+    def relay(self, context: Context) -> outcomes.Outcome:
+        """Have another instance answer a request."""
+
+    def decode_usage(
+        self, call: calls.Call, headers: server.Headers
+    ) -> relay_headers.Usage | None:
+        """Return what a request has used up that an instance passed on.
+
+        ``None`` unless an instance of this system has sent it.
+        """
+
+
 @dataclasses.dataclass(frozen=True)
 class Metrics:
     """Metrics of forwarding.
@@ -77,6 +93,8 @@
         Chooses endpoints.
     sender
         Sends requests to endpoints.
+    relays
+        Passes requests on to other instances.
     guard
         Detects requests that crash endpoints.
     supervisor
@@ -96,6 +114,7 @@
     refusals: refusing.Refusals
     chooser: choosers.Chooser
     sender: attempts.Sender
+    relays: Relays
     guard: crash_guard.CrashGuard
     supervisor: supervision.Supervisor
     budget: retry_budget.RetryBudget
@@ -130,6 +149,8 @@
         Outcome of each attempt, for the log line.
     sends
         Number of attempts that reached an endpoint.
+    counted
+        Whether a retry budget has counted the request.
     may_have_run
         Whether an endpoint may have run the request.
     refusal
@@ -154,6 +175,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     steps: list[str] = dataclasses.field(default_factory=list)
     sends: int = 0
+    counted: bool = False
     may_have_run: bool = False
     refusal: verdict.Verdict | None = None
     failed: outcomes.Failed | None = None
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -74,6 +74,10 @@
     ----------
     head_sent
         Whether the head of an answer was sent.
+    extra_headers
+        Headers that the answer gets in addition to its own.
+    relayed
+        Whether another instance passes on the request of its caller.
     """
 
     def __init__(
@@ -85,6 +89,8 @@
         self.leaving = leaving
         self.head_sent = False
         self.chunked = False
+        self.extra_headers: tuple[tuple[str, str], ...] = ()
+        self.relayed = False
 
     @property
     def method(self) -> str:
@@ -207,7 +213,10 @@
             # just as the process ends.
             self.close_after()
         lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
-        lines.extend(f"{name}: {value}" for name, value in headers)
+        lines.extend(
+            f"{name}: {value}"
+            for name, value in (*headers, *self.extra_headers)
+        )
         if self.request.close_connection:
             lines.append("Connection: close")
         text = "\r\n".join(lines)
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import threading
 import typing
 
 import structlog
@@ -12,8 +13,10 @@
 from briarseam.forwarding import active_requests
 from briarseam.forwarding import attempts
 from briarseam.forwarding import crash_guard
+from briarseam.forwarding import final_answers
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import refusing
+from briarseam.forwarding import relay_headers
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server
 from briarseam.forwarding import supervision
@@ -23,6 +26,7 @@
 from briarseam.routes import table as tables
 
 if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
     from briarseam.forwarding import calls
 
 # Share of a route's target latency for which a request waits for capacity.
@@ -31,6 +35,9 @@
 MAX_WAIT_SHARE = 0.25
 # How often a request that waits for capacity checks for an early end.
 CAPACITY_POLL_S = 0.05
+# Requests that are processed at a time for instances without a path to
+# endpoints; the callers of this instance must not be crowded out.
+MAX_RELAYED = 200
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -45,29 +52,44 @@
 
     def __init__(self, deps: request_context.Dependencies) -> None:
         self.deps = deps
+        self.answers = final_answers.FinalAnswers(deps)
+        self.relayed_slots = threading.BoundedSemaphore(MAX_RELAYED)
         self.active_requests = active_requests.ActiveRequests()
 
+    def handle_relayed(self, exchange: server.Exchange) -> None:
+        """Answer a request that another instance passes on."""
+        exchange.relayed = True
+        if not self.relayed_slots.acquire(blocking=False):
+            # The body is still unread.
+            exchange.close_after()
+            self.answers.refuse(exchange, "", refusing.BUSY)
+            return
+        try:
+            self.handle(exchange)
+        finally:
+            self.relayed_slots.release()
+
     def handle(self, exchange: server.Exchange) -> None:
         """Answer one request; called in its connection's thread."""
         arrived_s = clocks.boot_clock()
         if exchange.framing_error:
-            self.refuse_and_close(exchange, exchange.framing_error)
+            self.answers.refuse_and_close(exchange, exchange.framing_error)
             return
         try:
             body = exchange.read_body()
         except server.BodyTooLargeError:
             exchange.close_after()
-            self.refuse(exchange, "", refusing.TOO_LARGE)
+            self.answers.refuse(exchange, "", refusing.TOO_LARGE)
             return
         except server.BodyError as error:
-            self.refuse_and_close(exchange, str(error))
+            self.answers.refuse_and_close(exchange, str(error))
             return
         try:
             call = self.deps.codec.decode_call(
                 exchange.method, exchange.target, exchange.headers
             )
         except refusing.MalformedCallError as error:
-            self.refuse(exchange, "", refusing.malformed(str(error)))
+            self.answers.refuse(exchange, "", refusing.malformed(str(error)))
             return
         if self.deps.shutdown.begun:
             # At most some hundred lines until the process ends.
@@ -77,11 +99,17 @@
                 stopping_for_ms=self.deps.shutdown.elapsed_ms(),
                 in_flight=self.deps.in_flight.count,
             )
-        prepared = self.prepare(exchange, call, body, arrived_s)
+        usage: relay_headers.Usage | None = relay_headers.Usage()
+        if exchange.relayed:
+            usage = self.deps.relays.decode_usage(call, exchange.headers)
+        if usage is None:
+            self.answers.refuse(exchange, call.id, refusing.NO_INSTANCE)
+            return
+        prepared = self.prepare(exchange, call, body, arrived_s, usage)
         if isinstance(prepared, request_context.Context):
             self.run(prepared)
         else:
-            self.refuse(exchange, call.id, prepared)
+            self.answers.refuse(exchange, call.id, prepared)
 
     def prepare(
         self,
@@ -89,6 +117,7 @@
         call: calls.Call,
         body: bytes,
         arrived_s: float,
+        usage: relay_headers.Usage,
     ) -> request_context.Context | verdict.Verdict:
         """Return the context of a call, or the verdict if it is refused."""
         table = self.deps.table()
@@ -132,21 +161,22 @@
             digest=digest,
             arrived_s=arrived_s,
             progress=attempts.Progress(last_event_id=call.last_event_id),
+            sends=usage.sends,
+            counted=usage.counted,
         )
 
     def run(self, context: request_context.Context) -> None:
         """Answer one request that was not refused."""
-        self.deps.budget.deposit(context.service.name)
         self.deps.chooser.record_arrival(context.request())
         with self.active_requests.tracking(context):
             self.deps.supervisor.watch(context.watch)
             try:
                 result = self.try_endpoints(context)
             except supervision.EndedError as error:
-                result = self.answer_ended(context, error.ending)
+                result = self.answers.answer_ended(context, error.ending)
             finally:
                 self.deps.supervisor.unwatch(context.watch)
-        self.record_end(context, result)
+        self.answers.record_end(context, result)
 
     def try_endpoints(self, context: request_context.Context) -> str:
         """Send the request to endpoints until one answers.
@@ -158,26 +188,71 @@
         """
         while True:
             placement = self.choose_endpoint(context)
+            if isinstance(placement, placements.Unreachable):
+                return self.relay(context, placement)
+            self.count(context)
             if isinstance(placement, verdict.NotRun):
                 context.refusal = context.refusal or placement
-                return self.answer_failure(context)
+                return self.answers.answer_failure(context)
             if context.sends and not self.deps.budget.try_withdraw(
                 context.service.name
             ):
                 context.steps.append("no-retry-budget")
-                return self.answer_failure(context)
+                return self.answers.answer_failure(context)
             outcome = self.send(context, placement)
             context.tried.add(placement.endpoint.id)
             if isinstance(outcome, outcomes.Answered):
                 self.deps.guard.record_answer(context.digest)
                 return f"answered-{outcome.status}"
-            self.handle_failure(context, placement.endpoint.id, outcome)
+            self.handle_failure(context, placement.endpoint, outcome)
             if not request_context.may_retry(context):
-                return self.answer_failure(context)
+                return self.answers.answer_failure(context)
+
+    def count(self, context: request_context.Context) -> None:
+        """Count a request once, at the instance that has it answered."""
+        if not context.counted:
+            context.counted = True
+            self.deps.budget.deposit(context.service.name)
+
+    def relay(
+        self,
+        context: request_context.Context,
+        unreachable: placements.Unreachable,
+    ) -> str:
+        """Have another instance answer a request.
+
+        A request that was passed on may have been sent as often as its route
+        allows, so it is not sent again.
+
+        Returns
+        -------
+        str
+            Result, for the log.
+        """
+        context.steps.append(str(unreachable))
+        if context.exchange.relayed:
+            # Passing requests on further could go round in circles.
+            context.refusal = refusing.UNREACHED
+            return self.answers.answer_failure(context)
+        outcome = self.deps.relays.relay(context)
+        match outcome:
+            case outcomes.Answered():
+                self.deps.guard.record_answer(context.digest)
+                return f"relayed-{outcome.status}"
+            case outcomes.Unreached():
+                context.refusal = refusing.UNREACHED
+            case outcomes.Rejected():
+                context.refusal = refusing.not_taken(outcome.retry_after_s)
+            case outcomes.Failed():
+                context.failed = outcome
+                context.may_have_run = True
+            case outcomes.Broken():
+                context.may_have_run = True
+        return self.answers.answer_failure(context)
 
     def choose_endpoint(
         self, context: request_context.Context
-    ) -> placements.Placement | verdict.NotRun:
+    ) -> placements.Placement | placements.Unreachable | verdict.NotRun:
         """Return the endpoint for a request, waiting briefly for capacity."""
         chooser = self.deps.chooser
         max_wait_s = context.route.target_latency_s * MAX_WAIT_SHARE
@@ -204,14 +279,15 @@
     def handle_failure(
         self,
         context: request_context.Context,
-        endpoint: str,
+        endpoint: discovery.Endpoint,
         outcome: outcomes.Outcome,
     ) -> None:
         """Update the state after an attempt without a final answer."""
         avoided = self.deps.chooser.avoided
         match outcome:
             case outcomes.Unreached():
-                avoided.add_unconfirmed(endpoint, avoidance.AVOID_S)
+                avoided.add_unconfirmed(endpoint.id, avoidance.AVOID_S)
+                self.deps.chooser.reachability.record_unreached(endpoint)
                 context.refusal = context.refusal or refusing.UNREACHED
                 return
             case outcomes.Rejected():
@@ -219,14 +295,14 @@
                 if outcome.status == attempts.MISDIRECTED:
                     # The list of endpoints shows within a second whether
                     # the address belongs to another endpoint.
-                    avoided.add_unconfirmed(endpoint, 0.0)
+                    avoided.add_unconfirmed(endpoint.id, 0.0)
             case outcomes.Failed():
                 context.failed = outcome
                 context.may_have_run = True
             case outcomes.Broken():
                 context.may_have_run = True
-                avoided.add(endpoint)
-                self.deps.guard.record_loss(context.digest, endpoint)
+                avoided.add(endpoint.id)
+                self.deps.guard.record_loss(context.digest, endpoint.id)
         context.sends += 1
 
     def send(
@@ -238,6 +314,11 @@
         sent_s = clocks.boot_clock()
         first_event_ms = -1
         added = chooser.record_start(placement, context.call)
+        chooser.reachability.record_sent(placement.endpoint.service)
+        if context.exchange.relayed:
+            context.exchange.extra_headers = (
+                (relay_headers.ENDPOINT, placement.endpoint.id),
+            )
         log.info(
             "request_sent",
             request=context.call.id,
@@ -250,6 +331,7 @@
             nonlocal added, first_event_ms
             now_s = clocks.boot_clock()
             took_s = now_s - sent_s
+            chooser.reachability.record_heard(placement.endpoint.service)
             added = chooser.record_first_event(
                 placement, request, added, took_s
             )
@@ -277,6 +359,8 @@
         outcome: outcomes.Outcome | None = None
         try:
             outcome = self.deps.sender.send(attempt)
+            if not isinstance(outcome, outcomes.Unreached | outcomes.Broken):
+                chooser.reachability.record_heard(placement.endpoint.service)
             if isinstance(outcome, outcomes.Answered):
                 took_s = clocks.boot_clock() - sent_s
                 chooser.record_answer(placement, request, took_s)
@@ -298,106 +382,17 @@
         first_event_ms: int,
     ) -> None:
         """Count the outcome of an attempt and keep it for the log."""
-        name = type(outcome).__name__.lower() if outcome else "ended"
+        name = outcomes.name_of(outcome)
         step = f"{placement.endpoint.id}:{name}"
         match outcome:
             case outcomes.Unreached(detail) | outcomes.Broken(detail):
                 step = f"{step} ({detail})"
-            case outcomes.Rejected(status) | outcomes.Answered(status):
+            case (
+                outcomes.Rejected(status=status)
+                | outcomes.Answered(status=status)
+            ):
                 step = f"{step}-{status}"
         if first_event_ms >= 0:
             step = f"{step} first={first_event_ms}ms"
         context.steps.append(step)
         self.deps.metrics.sends.labelled(name).add()
-
-    def answer_failure(self, context: request_context.Context) -> str:
-        """Send the caller the final answer when no attempt succeeded."""
-        if context.progress.events_sent:
-            context.exchange.abort()
-            return "broken-off"
-        failed = context.failed
-        if failed is not None and (
-            failed.head.status not in attempts.NOT_RUN_STATUSES
-        ):
-            context.watch.detach()
-            attempts.deliver(context.exchange, failed.head, failed.body)
-            return f"failed-{failed.head.status}"
-        final_verdict = context.refusal
-        if context.may_have_run or final_verdict is None:
-            final_verdict = refusing.LOST
-        elif context.sends:
-            # Endpoints may have asked for a backoff when they rejected it.
-            excluded = self.deps.chooser.exclusion(context.request())
-            final_verdict = excluded or final_verdict
-        self.answer(context.exchange, final_verdict)
-        return f"refused-{final_verdict.reason.value}"
-
-    def answer_ended(
-        self, context: request_context.Context, ending: supervision.Ending
-    ) -> str:
-        """Answer a request that was ended early, if still possible."""
-        if (
-            ending is supervision.Ending.CALLER_GONE
-            or context.progress.events_sent
-        ):
-            context.exchange.abort()
-        else:
-            self.answer(
-                context.exchange,
-                refusing.verdict_of(ending, context.may_have_run),
-            )
-        return ending.value
-
-    def refuse_and_close(self, exchange: server.Exchange, detail: str) -> None:
-        """Refuse a request of unknown length and close its connection."""
-        exchange.close_after()
-        self.refuse(exchange, "", refusing.malformed(detail))
-
-    def refuse(
-        self,
-        exchange: server.Exchange,
-        call_id: str,
-        final_verdict: verdict.Verdict,
-    ) -> None:
-        """Refuse a request that was not sent to any endpoint."""
-        self.answer(exchange, final_verdict)
-        self.deps.metrics.answers.labelled(
-            f"refused-{final_verdict.reason.value}"
-        ).add()
-        log.info(
-            "request_refused",
-            request=call_id,
-            host_path=exchange.target[:120],
-            reason=final_verdict.reason.value,
-            ran=verdict.ran_word(final_verdict),
-            detail=final_verdict.detail,
-        )
-
-    def answer(
-        self, exchange: server.Exchange, final_verdict: verdict.Verdict
-    ) -> None:
-        """Send a verdict; ignore that the caller may have disconnected."""
-        try:
-            self.deps.refusals.send(exchange, final_verdict)
-        except OSError as error:
-            log.info("caller_gone", detail=str(error))
-            exchange.abort()
-
-    def record_end(
-        self, context: request_context.Context, result: str
-    ) -> None:
-        """Count and log a request that has ended."""
-        took_s = clocks.boot_clock() - context.arrived_s
-        self.deps.metrics.answers.labelled(result).add()
-        self.deps.metrics.answer_us.record_s(took_s)
-        log.info(
-            "request_ended",
-            request=context.call.id,
-            route=context.route.name,
-            service=context.service.name,
-            configuration=context.configuration,
-            steps=context.steps,
-            outcome=result,
-            took_ms=round(took_s * 1000),
-            **context.log_fields(),
-        )
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -64,6 +64,9 @@
         Its availability zone.
     weight
         Its capacity relative to other instances.
+    relay_address
+        Address at which it takes callers' requests from other instances;
+        empty if it takes none.
     """
 
     name: str
@@ -71,6 +74,7 @@
     group: str
     zone: str
     weight: float = 1.0
+    relay_address: str = ""
 
 
 class WireRegistration(msgspec.Struct, array_like=True):
@@ -79,8 +83,9 @@
     address: str
     group: str
     zone: str
-    # Instances of earlier releases publish no weight.
+    # Instances of earlier releases publish no weight, and no relay address.
     weight: float = 1.0
+    relay_address: str = ""
 
 
 class WritableStore(records.KeyedStore, typing.Protocol):
@@ -313,7 +318,7 @@
 def encode(row: Registration) -> bytes:
     """Return the encoded registration of an instance."""
     packed: bytes = msgpack.packb(
-        [row.address, row.group, row.zone, row.weight]
+        [row.address, row.group, row.zone, row.weight, row.relay_address]
     )
     return packed
 
@@ -329,11 +334,20 @@
     with malformed.raised_as_malformed():
         wire = msgspec.msgpack.decode(data, type=WireRegistration)
         addresses.parse(wire.address)
+        if wire.relay_address:
+            addresses.parse(wire.relay_address)
     if not name:
         raise malformed.MalformedError("the name is empty")
     if not math.isfinite(wire.weight) or wire.weight < 0:
         raise malformed.MalformedError("the weight is negative or not finite")
-    return Registration(name, wire.address, wire.group, wire.zone, wire.weight)
+    return Registration(
+        name,
+        wire.address,
+        wire.group,
+        wire.zone,
+        wire.weight,
+        wire.relay_address,
+    )
 
 
 def wait_for_secret(
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -20,6 +20,7 @@
 from briarseam.placement import prefill_time
 from briarseam.placement import requests
 from briarseam.placement import residency as residencies
+from briarseam.reachability import tracker
 from briarseam.weights import engine_weights
 
 if typing.TYPE_CHECKING:
@@ -34,7 +35,12 @@
 TOO_LARGE = verdict.NotRun(
     verdict.Reason.OVERLOADED, "the prompt exceeds the engines' memory"
 )
-Choice = requests.Placement | requests.Unplaced | verdict.NotRun
+Choice = (
+    requests.Placement
+    | requests.Unplaced
+    | requests.Unreachable
+    | verdict.NotRun
+)
 
 
 class Chooser:
@@ -57,6 +63,8 @@
     eligibility
         Excludes endpoints by evacuations, cold starts and regions; unless
         given, none is excluded.
+    reachability
+        Endpoints to which connections fail; unless given, none is known.
     """
 
     def __init__(
@@ -68,8 +76,12 @@
         loads: load_module.Loads | None = None,
         clock: typing.Callable[[], float] = clocks.boot_clock,
         eligibility: eligibilities.Eligibility | None = None,
+        reachability: tracker.Reachability | None = None,
     ) -> None:
         self.endpoints = endpoints
+        self.reachability = reachability or tracker.Reachability(
+            endpoints, clock
+        )
         self.eligibility = eligibility or eligibilities.unrestricted()
         self.required = required
         self.clock = clock
@@ -92,12 +104,13 @@
 
     def choose(self, request: requests.Request) -> Choice:
         """Return the placement of a request, or why it has none."""
+        known = self.endpoints(request.service.name)
         candidates = [
-            endpoint
-            for endpoint in self.endpoints(request.service.name)
-            if endpoint.id not in request.tried
+            endpoint for endpoint in known if endpoint.id not in request.tried
         ]
         if not candidates:
+            if known and not self.reachability.reachable(known):
+                return requests.Unreachable(len(known))
             return verdict.NotRun(
                 verdict.Reason.NO_ENDPOINT,
                 "no endpoint of the service accepts requests",
@@ -108,11 +121,16 @@
         )
         if isinstance(eligible, verdict.NotRun):
             return eligible
-        placement = self.choose_acquired(request, eligible.warm)
-        if eligible.cold and isinstance(placement, requests.Unplaced):
+        warm = self.reachability.reachable(eligible.warm)
+        cold = self.reachability.reachable(eligible.cold)
+        count = len(eligible.warm) + len(eligible.cold)
+        if count and not (warm or cold):
+            return requests.Unreachable(count)
+        placement = self.choose_acquired(request, warm)
+        if cold and isinstance(placement, requests.Unplaced):
             # Cold endpoints are slow and take few requests, so they are used
             # only while no warm one has capacity.
-            return self.choose_acquired(request, eligible.cold)
+            return self.choose_acquired(request, cold)
         return placement
 
     def exclusion(self, request: requests.Request) -> verdict.NotRun | None:
@@ -408,3 +426,4 @@
         self.residency.keep_only(endpoints)
         self.kept_index.forget_old()
         self.avoided.forget_old(endpoints)
+        self.reachability.keep_only(endpoints)
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -180,6 +180,23 @@
         return f"at-limit endpoints={self.endpoints}"
 
 
+@dataclasses.dataclass(frozen=True)
+class Unreachable:
+    """No endpoint that may get a request can be reached from this instance.
+
+    Attributes
+    ----------
+    endpoints
+        Number of these endpoints.
+    """
+
+    endpoints: int
+
+    def __str__(self) -> str:
+        """Return the grounds, for the log."""
+        return f"unreachable endpoints={self.endpoints}"
+
+
 Unplaced = NoCapacity | QueueFull | AtLimit
 
 
--- a/src/briarseam/platform/call_codec.py
+++ b/src/briarseam/platform/call_codec.py
@@ -10,3 +10,4 @@
 
     decode_call = staticmethod(requests.decode_call)
     encode_headers = staticmethod(requests.encode_headers)
+    encode_relayed = staticmethod(requests.encode_relayed)
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from briarseam.discovery import announcements
 from briarseam.discovery import starts
 from briarseam.forwarding import calls
 from briarseam.forwarding import refusing
+from briarseam.forwarding import relay_headers
 from briarseam.platform import decoding
 from briarseam.platform import names
 
@@ -51,8 +53,13 @@
         names.PRIORITY,
         names.RESERVATION,
         names.TIME_LEFT_MS,
+        relay_headers.RELAY,
     )
 )
+# Headers that instances add to answers for each other.
+RELAY_ANSWER_HEADERS = frozenset(
+    {relay_headers.ENDPOINT.lower(), relay_headers.NOT_RUN.lower()}
+)
 CACHE_HEADER_PREFIX = "kv-"
 BEARER_PREFIX = "bearer "
 
@@ -154,14 +161,43 @@
     return tokens
 
 
-def encode_headers(
-    call: calls.Call, instructions: calls.Instructions
-) -> dict[str, str]:
-    """Return the headers of a call to an endpoint."""
+def forwarded_headers(call: calls.Call) -> dict[str, str]:
+    """Return the headers that are forwarded unchanged."""
     headers: dict[str, str] = {}
     for name, value in call.headers:
         previous = headers.get(name)
         headers[name] = value if previous is None else f"{previous}, {value}"
+    return headers
+
+
+def encode_relayed(
+    call: calls.Call, time_left_s: float, last_event_id: str | None
+) -> dict[str, str]:
+    """Return the headers of a call to another instance.
+
+    Parameters
+    ----------
+    call
+        The caller's request.
+    time_left_s
+        How long the caller still waits, in seconds.
+    last_event_id
+        Id of the event after which to continue the stream.
+    """
+    headers = forwarded_headers(call)
+    headers[names.TIME_LEFT_MS] = str(max(1, int(time_left_s * MS)))
+    if call.key:
+        headers[names.AUTHORIZATION] = f"Bearer {call.key}"
+    if last_event_id is not None:
+        headers[names.LAST_EVENT_ID] = last_event_id
+    return headers
+
+
+def encode_headers(
+    call: calls.Call, instructions: calls.Instructions
+) -> dict[str, str]:
+    """Return the headers of a call to an endpoint."""
+    headers = forwarded_headers(call)
     expected = starts.parse(instructions.endpoint)
     headers[names.EXPECT_ENDPOINT] = expected.name
     if instructions.time_left_s is not None:
@@ -218,6 +254,25 @@
     )
 
 
+def decode_relayed_answer(status: int, headers: Headers) -> calls.AnswerHead:
+    """Decode status and headers of an answer that an instance relayed."""
+    by_name = {name.lower(): value for name, value in headers}
+    head = decode_answer(status, headers)
+    return dataclasses.replace(
+        head,
+        headers=tuple(
+            (name, value)
+            for name, value in head.headers
+            if name.lower() not in RELAY_ANSWER_HEADERS
+        ),
+        # An endpoint's own rejections are not relayed as such.
+        not_run=decoding.header_flag(
+            by_name.get(relay_headers.NOT_RUN.lower())
+        ),
+        endpoint=by_name.get(relay_headers.ENDPOINT.lower(), ""),
+    )
+
+
 def decode_announcements(
     status: int, by_name: typing.Mapping[str, str]
 ) -> announcements.Announcements:
--- /dev/null
+++ b/src/briarseam/reachability/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoints this instance can connect to."""
--- /dev/null
+++ b/src/briarseam/reachability/tracker.py
@@ -0,0 +1,194 @@
+"""Endpoints that this instance can't connect to."""
+
+from __future__ import annotations
+
+import threading
+import typing
+
+import msgspec
+import structlog
+
+from briarseam import clocks
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from briarseam.discovery import model as discovery
+
+# Time without any answer of a service, although requests wait for one, after
+# which connections to its endpoints are checked.  A connection whose peer has
+# vanished without a reset would show it only seconds later.
+SILENCE_S = 1.0
+log = structlog.get_logger("briarseam.reachability")
+
+
+class Reachability:
+    """The endpoints to which new connections fail; thread-safe.
+
+    Probes alone tell that an endpoint can be reached again: its entry at the
+    store and its other callers tell nothing of the path from this instance.
+
+    Parameters
+    ----------
+    endpoints
+        Returns the endpoints of a service that accept new requests.
+    clock
+        Seconds.
+
+    Attributes
+    ----------
+    on_failure
+        Called after an endpoint could not be reached.
+    on_change
+        Called after a service has become unreachable, or reachable again.
+    """
+
+    def __init__(
+        self,
+        endpoints: typing.Callable[[str], list[discovery.Endpoint]],
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.endpoints = endpoints
+        self.clock = clock
+        self.on_failure: typing.Callable[[], None] = ignore
+        self.on_change: typing.Callable[[], None] = ignore
+        self.failed: dict[str, str] = {}
+        # Services that can't be reached, as last logged and published.
+        self.unreachable: frozenset[str] = frozenset()
+        self.unreachable_for_peers: dict[str, frozenset[str]] = {}
+        self.heard_s: dict[str, float] = {}
+        # When the oldest request was sent that followed the last answer.
+        self.waiting_since_s: dict[str, float] = {}
+        self.lock = threading.Lock()
+
+    # What is learned.
+
+    def record_unreached(self, endpoint: discovery.Endpoint) -> None:
+        """Record that a connection to an endpoint failed."""
+        with self.lock:
+            self.failed[endpoint.id] = endpoint.service
+        self.review(endpoint.service)
+        self.on_failure()
+
+    def record_reached(self, endpoint: discovery.Endpoint) -> None:
+        """Record that a connection to an endpoint was made."""
+        with self.lock:
+            known = self.failed.pop(endpoint.id, None)
+        if known is not None:
+            self.review(endpoint.service)
+
+    def record_service_unreached(self, service: str) -> None:
+        """Record that no endpoint of a service can be reached."""
+        endpoints = self.endpoints(service)
+        with self.lock:
+            self.failed.update((one.id, service) for one in endpoints)
+        self.review(service)
+
+    def record_service_reached(self, service: str) -> None:
+        """Forget all failures at endpoints of a service."""
+        with self.lock:
+            self.failed = {
+                endpoint_id: name
+                for endpoint_id, name in self.failed.items()
+                if name != service
+            }
+        self.review(service)
+
+    def record_sent(self, service: str) -> None:
+        """Record that a request was sent to an endpoint of a service."""
+        with self.lock:
+            self.waiting_since_s.setdefault(service, self.clock())
+
+    def record_heard(self, service: str) -> None:
+        """Record that an endpoint of a service has answered something."""
+        with self.lock:
+            self.heard_s[service] = self.clock()
+            self.waiting_since_s.pop(service, None)
+
+    def keep_only(self, endpoint_ids: collections.abc.Container[str]) -> None:
+        """Drop what is known of all endpoints but these."""
+        with self.lock:
+            self.failed = {
+                endpoint_id: service
+                for endpoint_id, service in self.failed.items()
+                if endpoint_id in endpoint_ids
+            }
+            services = self.unreachable
+        for service in services:
+            self.review(service)
+
+    # What is decided.
+
+    def reachable(
+        self, endpoints: collections.abc.Iterable[discovery.Endpoint]
+    ) -> list[discovery.Endpoint]:
+        """Return the endpoints to which no connection has failed since."""
+        return [one for one in endpoints if one.id not in self.failed]
+
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether a service has endpoints, but none can be reached."""
+        endpoints = self.endpoints(service)
+        return bool(endpoints) and not self.reachable(endpoints)
+
+    def is_silent(self, service: str) -> bool:
+        """Return whether requests wait although no endpoint answers any."""
+        since_s = self.waiting_since_s.get(service)
+        return since_s is not None and self.clock() - since_s >= SILENCE_S
+
+    def heard_within(self, service: str, span_s: float) -> bool:
+        """Return whether any endpoint of a service has answered lately."""
+        heard_s = self.heard_s.get(service, float("-inf"))
+        return self.clock() - heard_s < span_s
+
+    def services_in_doubt(self) -> set[str]:
+        """Return the services with failures or without answers."""
+        with self.lock:
+            failed = set(self.failed.values())
+            waiting = list(self.waiting_since_s)
+        return failed | {name for name in waiting if self.is_silent(name)}
+
+    def review(self, service: str) -> None:
+        """Log and publish when a service is newly unreachable, or no more."""
+        cut_off = self.is_cut_off(service)
+        with self.lock:
+            if cut_off == (service in self.unreachable):
+                return
+            self.unreachable = self.unreachable ^ {service}
+        if cut_off:
+            log.warning(
+                "service_unreachable",
+                service=service,
+                endpoints=len(self.endpoints(service)),
+                peers_without_path=self.peers_without_path(service),
+            )
+        else:
+            log.info("service_reachable", service=service)
+        self.on_change()
+
+    # Exchange with peers.
+
+    def provide(self) -> bytes:
+        """Return the services that this instance can't reach, for peers."""
+        return msgspec.msgpack.encode(sorted(self.unreachable))
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Replace the services that a peer can't reach."""
+        services = msgspec.msgpack.decode(data, type=list[str])
+        self.unreachable_for_peers[member] = frozenset(services)
+
+    def peer_has_path(self, member: str, service: str) -> bool:
+        """Return whether a peer may reach a service, as far as is known."""
+        return service not in self.unreachable_for_peers.get(
+            member, frozenset()
+        )
+
+    def peers_without_path(self, service: str) -> int:
+        """Return the number of peers that can't reach a service."""
+        return sum(
+            service in services
+            for services in list(self.unreachable_for_peers.values())
+        )
+
+
+def ignore() -> None:
+    """Do nothing; the default of the callbacks."""
--- a/src/briarseam/settings/convert.py
+++ b/src/briarseam/settings/convert.py
@@ -15,6 +15,7 @@
     from briarseam.settings import model
 
 SECRET_TYPES = (sections.Secret, sections.Secret | None)
+ADDRESS_TYPES = (sections.Address, sections.Address | None)
 
 
 def is_secret(value_type: object) -> bool:
@@ -26,7 +27,7 @@
     """Return a description of the values that a key accepts."""
     if is_secret(value_type):
         return secret.EXPECTED
-    if value_type is sections.Address:
+    if value_type in ADDRESS_TYPES:
         return address.EXPECTED
     if value_type == sections.Addresses:
         return f"a list of {address.EXPECTED}"
@@ -58,7 +59,7 @@
     """
     if is_secret(value_type):
         return secret.parse(text.encode())
-    if value_type is sections.Address:
+    if value_type in ADDRESS_TYPES:
         return address.parse(text)
     if value_type == sections.Addresses:
         return tuple(address.parse(item) for item in split_list(text))
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -93,6 +93,9 @@
         Address for heartbeats of other instances.
     metrics
         Address for scrapes of metrics.
+    relays
+        Address for requests of callers that other instances pass on; the
+        port after that of `peers` unless given.
     """
 
     callers: sections.Address
@@ -100,6 +103,13 @@
     lookups: sections.Address
     peers: sections.Address
     metrics: sections.Address
+    relays: sections.Address | None = None
+
+    def relay_address(self) -> sections.Address:
+        """Return the address for requests that instances pass on."""
+        if self.relays is not None:
+            return self.relays
+        return dataclasses.replace(self.peers, port=self.peers.port + 1)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -181,8 +181,15 @@
         self, name: str = "one", zone: str = "hall-a"
     ) -> serving.ServeSettings:
         """Return the settings of an instance."""
-        free = ports.free_ports(5)
-        names = ("callers", "readiness", "lookups", "peers", "metrics")
+        names = (
+            "callers",
+            "readiness",
+            "lookups",
+            "peers",
+            "metrics",
+            "relays",
+        )
+        free = ports.free_ports(len(names))
         listen = "\n".join(
             f"{place} = 127.0.0.1:{port}"
             for place, port in zip(names, free, strict=True)
--- /dev/null
+++ b/tests/reachability/test_tracker.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+from briarseam.reachability import tracker
+
+
+def test_service_is_cut_off_once_all_its_endpoints_have_failed(
+    endpoints, reachability
+):
+    first, second = endpoints.add("portal", 2)
+    reachability.record_unreached(first)
+    assert not reachability.is_cut_off("portal")
+    assert reachability.reachable([first, second]) == [second]
+    reachability.record_unreached(second)
+    assert reachability.is_cut_off("portal")
+
+
+def test_service_without_endpoints_is_not_cut_off(reachability):
+    """Guards against a cut where a service has no endpoints at all."""
+    assert not reachability.is_cut_off("portal")
+
+
+def test_other_services_are_not_affected(endpoints, reachability):
+    [only] = endpoints.add("portal", 1)
+    endpoints.add("engines", 2)
+    reachability.record_unreached(only)
+    assert not reachability.is_cut_off("engines")
+    assert reachability.unreachable == {"portal"}
+
+
+def test_new_endpoint_ends_a_cut(endpoints, reachability):
+    [only] = endpoints.add("portal", 1)
+    reachability.record_unreached(only)
+    endpoints.add("portal", 2)
+    reachability.keep_only({"portal-0", "portal-1"})
+    assert reachability.unreachable == frozenset()
+
+
+def test_changes_are_published_once(endpoints, reachability):
+    told = []
+    reachability.on_change = lambda: told.append(reachability.unreachable)
+    first, second = endpoints.add("portal", 2)
+    for endpoint in (first, second, second):
+        reachability.record_unreached(endpoint)
+    reachability.record_reached(first)
+    assert told == [{"portal"}, frozenset()]
+
+
+def test_peers_learn_which_services_are_cut_off(
+    endpoints, reachability, clock
+):
+    [only] = endpoints.add("portal", 1)
+    reachability.record_unreached(only)
+    peer = tracker.Reachability(endpoints.of, clock)
+    peer.consume("one", reachability.provide())
+    assert not peer.peer_has_path("one", "portal")
+    assert peer.peer_has_path("one", "engines")
+    assert peer.peer_has_path("unknown", "portal")
+    assert peer.peers_without_path("portal") == 1
+    reachability.record_reached(only)
+    peer.consume("one", reachability.provide())
+    assert peer.peer_has_path("one", "portal")
+
+
+def test_service_is_silent_when_nothing_answers_for_a_second(
+    reachability, clock
+):
+    """Guards against connections that hang, which fail only seconds later."""
+    reachability.record_sent("portal")
+    clock.now_s += 0.9
+    reachability.record_sent("portal")
+    assert not reachability.is_silent("portal")
+    clock.now_s += 0.2
+    assert reachability.is_silent("portal")
+    assert reachability.services_in_doubt() == {"portal"}
+    reachability.record_heard("portal")
+    assert not reachability.is_silent("portal")
+
+
+def test_idle_service_is_not_silent(reachability, clock):
+    reachability.record_sent("portal")
+    reachability.record_heard("portal")
+    clock.now_s += 100.0
+    assert reachability.services_in_doubt() == set()
+
+
+def test_endpoints_that_are_gone_are_forgotten(endpoints, reachability):
+    first, _second = endpoints.add("portal", 2)
+    reachability.record_unreached(first)
+    reachability.keep_only(set())
+    assert reachability.failed == {}
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -26,6 +26,7 @@
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
 ZONES = ("hall-a", "hall-b")
+LISTEN = ("callers", "readiness", "lookups", "peers", "metrics", "relays")
 # Limits of endpoints after their start, where a run has them.
 COLD_START_S = 2.0
 COLD_PER_S = 8.0
@@ -308,10 +309,10 @@
         """Return an instance, not started."""
         link = links.Link(self.store.address)
         self.stack.callback(link.stop)
-        kinds = ("callers", "readiness", "lookups", "peers", "metrics")
+        free = ports.free_ports(len(LISTEN))
         listen = {
             kind: f"127.0.0.1:{port}"
-            for kind, port in zip(kinds, ports.free_ports(5), strict=True)
+            for kind, port in zip(LISTEN, free, strict=True)
         }
         made = Instance(name, folder, link, listen, self.shutdown_s)
         made.write_settings()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -58,6 +58,7 @@
         "placement.loads",
         "placement.residency",
         "placement.store_index",
+        "reachability",
         "routes",
         "routing.active_runs",
         "routing.loads",
