--- a/src/briarseam/forwarding/connections.py
+++ b/src/briarseam/forwarding/connections.py
@@ -88,7 +88,7 @@
             host,
             int(port),
             timeout=CONNECT_TIMEOUT_S,
-            socket_options=sockets.OPTIONS,
+            socket_options=sockets.ENDPOINT_OPTIONS,
         )
         try:
             connection.connect()
