--- a/src/briarseam/compose/node_paths.py
+++ b/src/briarseam/compose/node_paths.py
@@ -81,7 +81,7 @@
         ]
 
     def record_failure(self, name: str) -> None:
-        """Avoid an instance for a while that did not take a request."""
+        """Avoid an instance for a while that could not be reached."""
         self.avoided.add(name)
 
 
--- a/src/briarseam/forwarding/relay_headers.py
+++ b/src/briarseam/forwarding/relay_headers.py
@@ -24,6 +24,7 @@
 NOT_RUN_HEADERS = ((NOT_RUN, "1"),)
 PURPOSE = b"briarseam relay\0"
 MAX_SENDS = 1000
+MS = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,15 +37,19 @@
         Number of attempts that reached an endpoint.
     counted
         Whether the retry budget of the sender has counted the request.
+    waited_s
+        Time since the first instance got it, in seconds.
     """
 
     sends: int = 0
     counted: bool = False
+    waited_s: float = 0.0
 
 
 def encode(key: bytes, call: calls.Call, usage: Usage) -> str:
     """Return the value of the header for a call."""
-    text = f"{usage.sends} {int(usage.counted)}"
+    waited_ms = max(0, round(usage.waited_s * MS))
+    text = f"{usage.sends} {int(usage.counted)} {waited_ms}"
     return f"{text} {mac_of(key, call, text)}"
 
 
@@ -55,8 +60,10 @@
         mac.encode("latin-1", "replace"), mac_of(key, call, text).encode()
     ):
         return None
-    sends, _, counted = text.partition(" ")
-    return Usage(min(int(sends), MAX_SENDS), counted == "1")
+    sends, counted, waited_ms = text.split(" ")
+    return Usage(
+        min(int(sends), MAX_SENDS), counted == "1", int(waited_ms) / MS
+    )
 
 
 def mac_of(key: bytes, call: calls.Call, text: str) -> str:
--- a/src/briarseam/forwarding/relaying.py
+++ b/src/briarseam/forwarding/relaying.py
@@ -13,6 +13,7 @@
 
 import structlog
 
+from briarseam import clocks
 from briarseam.discovery import model as discovery
 from briarseam.forwarding import attempts
 from briarseam.forwarding import outcomes
@@ -59,7 +60,7 @@
         """Return instances that may reach a service, in random order."""
 
     def record_failure(self, name: str) -> None:
-        """Avoid an instance for a while that did not take a request."""
+        """Avoid an instance for a while that could not be reached."""
 
 
 class RelayCodec(typing.Protocol):
@@ -124,7 +125,6 @@
                 case outcomes.Unreached():
                     self.peers.record_failure(peer.name)
                 case outcomes.Rejected():
-                    self.peers.record_failure(peer.name)
                     refused = outcome
                 case _:
                     return outcome
@@ -154,7 +154,11 @@
             peer=peer.name,
             time_left_ms=round(time_left_s * 1000),
         )
-        usage = relay_headers.Usage(context.sends, context.counted)
+        usage = relay_headers.Usage(
+            context.sends,
+            context.counted,
+            clocks.boot_clock() - context.arrived_s,
+        )
         headers = self.codec.encode_relayed(
             context.call, time_left_s, context.progress.last_event_id
         )
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -159,7 +159,7 @@
             configuration=table.configuration.version,
             watch=supervision.Watch(exchange.socket, deadline_s),
             digest=digest,
-            arrived_s=arrived_s,
+            arrived_s=arrived_s - usage.waited_s,
             progress=attempts.Progress(last_event_id=call.last_event_id),
             sends=usage.sends,
             counted=usage.counted,
--- a/tests/forwarding/test_relay_headers.py
+++ b/tests/forwarding/test_relay_headers.py
@@ -9,7 +9,7 @@
 
 KEY = b"k" * 32
 CALL = calls.Call("r1", "POST", "/submit/1?a=b", "kitchens.example", ())
-USAGE = relay_headers.Usage(sends=2, counted=True)
+USAGE = relay_headers.Usage(sends=2, counted=True, waited_s=0.25)
 
 
 def test_usage_is_read_as_it_was_written():
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -11,6 +11,7 @@
 
 from briarseam.forwarding import calls
 from briarseam.forwarding import relay_headers
+from briarseam.placement import loads
 from briarseam.testing import waiting
 from tests.platform import partition
 from tests.platform import system as systems
@@ -326,6 +327,36 @@
     assert len(ran(system)) == 6
 
 
+def test_instances_without_room_are_not_all_waited_for(system):
+    """Guards against a refusal that takes longer by each full instance."""
+    cut_off, *others = start_others(system, 2)
+    for node in others:
+        for name in ("plain-1", "plain-2"):
+            node.chooser.loads.add(name, loads.Load(requests=1000))
+    system.configure(version=2, routes=with_target(2000))
+    waiting.until(
+        lambda: all(
+            node.feeds.configuration_version() == 2
+            for node in (cut_off, *others)
+        ),
+        TIMEOUT_S,
+    )
+    for node in others:
+        node.chooser.plain.queue_time_of("portal").record(0, 8, 1.0)
+    with partition.from_endpoints(cut_off):
+        start_s = time.monotonic()
+        assert call(system, cut_off, "GET", "/status/1").status == 503
+        took_s = time.monotonic() - start_s
+    assert 0.5 <= took_s < 0.8
+
+
+def with_target(target_ms):
+    """Return the routes with a target latency."""
+    return [
+        {**route, "targetLatencyMs": target_ms} for route in systems.ROUTES
+    ]
+
+
 def test_full_instance_refuses_at_once(system, pair):
     cut_off, other = pair
     while other.forwarding.relayed_slots.acquire(blocking=False):
