--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -285,6 +285,7 @@
                 self.feeds.registrations.zone_of,
                 self.instances.weight_of,
                 self.eligibility.region_map.region_of,
+                self.has_all_paths,
             ),
             str(listen.callers),
             lambda: self.settings.bounds.lookup_ttl_max_s,
@@ -462,6 +463,11 @@
         self.eligibility.keep_only(ids)
         self.weights.known_weights.keep_only(ids)
 
+    def has_all_paths(self, name: str) -> bool:
+        """Return whether an instance reaches endpoints of all services."""
+        own_name = self.settings.instance.name
+        return self.reachability.has_all_paths(name, own_name)
+
     def is_ready(self) -> bool:
         """Return whether callers may be directed to this instance.
 
--- a/src/briarseam/lookup/zonal.py
+++ b/src/briarseam/lookup/zonal.py
@@ -17,10 +17,19 @@
 # caller gets a subset of the instances that favours the stronger ones, so
 # that these get more work; a larger subset would even this out.
 MAX_ADDRESSES = 8
+# Instances without a path to endpoints are left out while the others have at
+# least this share of the capacity; fewer could not take all callers.
+MIN_SHARE_WITH_PATHS = 0.3
 
 Members = typing.Callable[[], "collections.abc.Sequence[state.Member]"]
 
 
+def always(name: str) -> bool:
+    """Return that an instance has paths to all endpoints."""
+    del name
+    return True
+
+
 def no_region(zone: str) -> str:
     """Return the same region for every zone."""
     del zone
@@ -45,6 +54,8 @@
         Returns the capacity of an instance, relative to others.
     region_of
         Returns the region of an availability zone; empty if unknown.
+    has_paths
+        Returns whether an instance reaches endpoints of all services.
     """
 
     def __init__(
@@ -53,7 +64,9 @@
         zone_of: typing.Callable[[str], str],
         weight_of: typing.Callable[[str], float] = rank.equal_weight,
         region_of: typing.Callable[[str], str] = no_region,
+        has_paths: typing.Callable[[str], bool] = always,
     ) -> None:
+        self.has_paths = has_paths
         self.region_of = region_of
         self.members = members
         self.zone_of = zone_of
@@ -79,6 +92,7 @@
             if member.state is state.MemberState.ALIVE
             and member.entry_addresses
         ]
+        alive = self.with_paths(alive)
         local = [
             member for member in alive if self.zone_of(member.name) == zone
         ]
@@ -97,6 +111,21 @@
             address for member in chosen for address in member.entry_addresses
         ][:MAX_ADDRESSES]
 
+    def with_paths(self, alive: list[state.Member]) -> list[state.Member]:
+        """Return the instances with paths to endpoints, or all of them.
+
+        The others pass requests on to these, so that all serve; a caller
+        that asks these itself saves a hop.
+        """
+        found = [member for member in alive if self.has_paths(member.name)]
+        if self.weight(found) < MIN_SHARE_WITH_PATHS * self.weight(alive):
+            return alive
+        return found
+
+    def weight(self, members: list[state.Member]) -> float:
+        """Return the capacity of some instances."""
+        return sum(self.weight_of(member.name) for member in members)
+
     def choose(
         self, candidates: list[state.Member], caller: str
     ) -> list[state.Member]:
--- a/src/briarseam/reachability/tracker.py
+++ b/src/briarseam/reachability/tracker.py
@@ -182,6 +182,12 @@
             member, frozenset()
         )
 
+    def has_all_paths(self, member: str, own_name: str) -> bool:
+        """Return whether an instance reaches all services, as far as known."""
+        if member == own_name:
+            return not self.unreachable
+        return not self.unreachable_for_peers.get(member)
+
     def peers_without_path(self, service: str) -> int:
         """Return the number of peers that can't reach a service."""
         return sum(
--- a/tests/lookup/test_zonal.py
+++ b/tests/lookup/test_zonal.py
@@ -90,3 +90,25 @@
 def test_callers_of_a_region_without_instances_get_others():
     lookup = regional_lookup(member("a1"), member("b1"))
     assert lookup.addresses("c", "x", "south") == ["a1:1", "b1:1"]
+
+
+def with_lost_paths(*names):
+    """Return the addresses for a caller of zone a while some are cut off."""
+    members = [member(name) for name in ZONES]
+    lookup = zonal.ZonalLookup(
+        lambda: members,
+        lambda name: ZONES[name],
+        has_paths=lambda name: name not in names,
+    )
+    return lookup.addresses("a", "10.9.0.1")
+
+
+def test_callers_are_directed_to_instances_with_a_path_to_endpoints():
+    assert with_lost_paths("a1") == ["a2:1", "b1:1", "c1:1"]
+    assert with_lost_paths("a1", "a2") == ["b1:1", "c1:1"]
+
+
+def test_the_last_instances_with_a_path_do_not_get_all_callers():
+    """Guards against a crowd while most instances are cut off."""
+    assert with_lost_paths("a1", "a2", "b1") == ["a1:1", "a2:1"]
+    assert with_lost_paths(*ZONES) == ["a1:1", "a2:1"]
--- a/tests/reachability/test_tracker.py
+++ b/tests/reachability/test_tracker.py
@@ -88,3 +88,17 @@
     reachability.record_unreached(first)
     reachability.keep_only(set())
     assert reachability.failed == {}
+
+
+def test_instance_has_all_paths_unless_it_has_told_otherwise(
+    endpoints, reachability
+):
+    [only] = endpoints.add("portal", 1)
+    assert reachability.has_all_paths("one", "one")
+    reachability.record_unreached(only)
+    reachability.consume("two", reachability.provide())
+    found = [
+        reachability.has_all_paths(name, "one")
+        for name in ("one", "two", "three")
+    ]
+    assert found == [False, False, True]
