--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -31,6 +31,7 @@
 from briarseam.forwarding import connections
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import loss_sharing
+from briarseam.forwarding import pending_losses
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server as http
 from briarseam.forwarding import service as forwarding
@@ -187,6 +188,9 @@
         self.guard = crash_guard.CrashGuard()
         self.loss_sharing = loss_sharing.LossSharing(self.guard, self.calls)
         self.guard.on_lost = self.loss_sharing.add
+        self.losses = pending_losses.PendingLosses(
+            self.guard, self.reachability
+        )
         self.supervisor = supervision.Supervisor()
         self.forwarding = forwarding.Forwarding(self.forwarding_dependencies())
         self.servers = self.build_servers()
@@ -219,6 +223,7 @@
         )
         self.background: tuple[BackgroundPart, ...] = (
             self.paths,
+            self.losses,
             self.sweeper,
             self.store_watches,
             self.loss_sharing,
@@ -267,6 +272,7 @@
                 ),
                 relays=self.paths.relays,
                 guard=self.guard,
+                losses=self.losses,
                 supervisor=self.supervisor,
                 instances=self.instances,
                 in_flight=self.in_flight,
--- a/src/briarseam/compose/node_forwarding.py
+++ b/src/briarseam/compose/node_forwarding.py
@@ -17,6 +17,7 @@
     from briarseam.compose import node_instances
     from briarseam.forwarding import attempts
     from briarseam.forwarding import crash_guard
+    from briarseam.forwarding import pending_losses
     from briarseam.forwarding import relaying
     from briarseam.forwarding import shutdown as shutdowns
     from briarseam.forwarding import supervision
@@ -32,7 +33,8 @@
 
     Attributes
     ----------
-    table, chooser, sender, relays, guard, supervisor, in_flight, shutdown
+    table, chooser, sender, relays, guard, losses, supervisor, in_flight,
+    shutdown
         As in :class:`briarseam.forwarding.request_context.Dependencies`.
     instances
         All instances, which share the slack of the retry budget.
@@ -45,6 +47,7 @@
     sender: attempts.Sender
     relays: relaying.Relaying
     guard: crash_guard.CrashGuard
+    losses: pending_losses.PendingLosses
     supervisor: supervision.Supervisor
     instances: node_instances.Instances
     in_flight: inflight.InFlight
@@ -72,6 +75,7 @@
         sender=parts.sender,
         relays=parts.relays,
         guard=parts.guard,
+        losses=parts.losses,
         supervisor=parts.supervisor,
         budget=retry_budget.RetryBudget(
             bounds.retry_ratio,
--- /dev/null
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -0,0 +1,117 @@
+"""Losses of requests that may be due to the path and not to the request.
+
+When an instance loses its path to all endpoints, the requests under way are
+lost at each of them.  If these losses counted, callers who repeat a request
+would find it taken for one that crashes endpoints, at all instances.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import structlog
+
+from briarseam import clocks
+from briarseam import repeating
+
+if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
+    from briarseam.forwarding import crash_guard
+    from briarseam.reachability import tracker
+
+REVIEW_S = 0.1
+# An answer that comes so long after a loss shows that the path is not lost:
+# a cut ends all connections within a few milliseconds.
+SETTLE_S = 0.2
+# After this time a loss counts in any case; probes take half of it at most.
+MAX_PENDING_S = 1.5
+log = structlog.get_logger("briarseam.forwarding")
+
+
+@dataclasses.dataclass(frozen=True)
+class Loss:
+    """A request that was lost at an endpoint.
+
+    Attributes
+    ----------
+    digest
+        Same for repeats of the request.
+    endpoint
+        The endpoint.
+    at_s
+        When it was lost, by the clock.
+    """
+
+    digest: bytes
+    endpoint: discovery.Endpoint
+    at_s: float
+
+
+class PendingLosses:
+    """Counts losses once it is known that the path is not lost; thread-safe.
+
+    Parameters
+    ----------
+    guard
+        Counts losses.
+    reachability
+        Tells whether the path is lost.
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        guard: crash_guard.CrashGuard,
+        reachability: tracker.Reachability,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.guard = guard
+        self.reachability = reachability
+        self.clock = clock
+        self.pending: list[Loss] = []
+        self.lock = threading.Lock()
+        self.reviews = repeating.Repeater(
+            "pending-losses", self.review, REVIEW_S
+        )
+
+    def start(self) -> None:
+        """Start counting."""
+        self.reviews.start()
+
+    def stop(self) -> None:
+        """Stop counting."""
+        self.reviews.stop()
+
+    def add(self, digest: bytes, endpoint: discovery.Endpoint) -> None:
+        """Add a request that was lost at an endpoint."""
+        with self.lock:
+            self.pending.append(Loss(digest, endpoint, self.clock()))
+
+    def review(self) -> None:
+        """Count or drop the losses whose cause is known by now."""
+        with self.lock:
+            pending, self.pending = self.pending, []
+        kept = [loss for loss in pending if not self.is_settled(loss)]
+        with self.lock:
+            self.pending = kept + self.pending
+
+    def is_settled(self, loss: Loss) -> bool:
+        """Count or drop a loss; return whether its cause is known."""
+        service = loss.endpoint.service
+        if self.reachability.cut_off_after(service, loss.at_s):
+            log.info(
+                "loss_not_counted",
+                digest=loss.digest.hex(),
+                endpoint=loss.endpoint.id,
+                service=service,
+            )
+            return True
+        heard = self.reachability.heard_after(service, loss.at_s + SETTLE_S)
+        if heard or self.clock() - loss.at_s >= MAX_PENDING_S:
+            self.guard.record_loss(loss.digest, loss.endpoint.id)
+            return True
+        self.reachability.suspect(service)
+        return False
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -17,6 +17,7 @@
     from briarseam import inflight
     from briarseam.forwarding import calls
     from briarseam.forwarding import crash_guard
+    from briarseam.forwarding import pending_losses
     from briarseam.forwarding import refusing
     from briarseam.forwarding import relay_headers
     from briarseam.forwarding import retry_budget
@@ -97,6 +98,8 @@
         Passes requests on to other instances.
     guard
         Detects requests that crash endpoints.
+    losses
+        Counts requests that are lost at endpoints.
     supervisor
         Ends requests whose caller disconnects or whose deadline passes.
     budget
@@ -116,6 +119,7 @@
     sender: attempts.Sender
     relays: Relays
     guard: crash_guard.CrashGuard
+    losses: pending_losses.PendingLosses
     supervisor: supervision.Supervisor
     budget: retry_budget.RetryBudget
     in_flight: inflight.InFlight
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -302,7 +302,7 @@
             case outcomes.Broken():
                 context.may_have_run = True
                 avoided.add(endpoint.id)
-                self.deps.guard.record_loss(context.digest, endpoint.id)
+                self.deps.losses.add(context.digest, endpoint)
         context.sends += 1
 
     def send(
--- a/src/briarseam/reachability/tracker.py
+++ b/src/briarseam/reachability/tracker.py
@@ -55,6 +55,9 @@
         self.failed: dict[str, str] = {}
         # Services that can't be reached, as last logged and published.
         self.unreachable: frozenset[str] = frozenset()
+        self.suspected: set[str] = set()
+        # When each service was last known to be cut off.
+        self.cut_off_s: dict[str, float] = {}
         self.unreachable_for_peers: dict[str, frozenset[str]] = {}
         self.heard_s: dict[str, float] = {}
         # When the oldest request was sent that followed the last answer.
@@ -140,12 +143,33 @@
         heard_s = self.heard_s.get(service, float("-inf"))
         return self.clock() - heard_s < span_s
 
+    def heard_after(self, service: str, at_s: float) -> bool:
+        """Return whether any endpoint of a service has answered since."""
+        return self.heard_s.get(service, float("-inf")) >= at_s
+
+    def cut_off_after(self, service: str, at_s: float) -> bool:
+        """Return whether a service was cut off at any time since."""
+        return service in self.unreachable or (
+            self.cut_off_s.get(service, float("-inf")) >= at_s
+        )
+
+    def suspect(self, service: str) -> None:
+        """Have the path to a service checked."""
+        with self.lock:
+            self.suspected.add(service)
+        self.on_failure()
+
     def services_in_doubt(self) -> set[str]:
-        """Return the services with failures or without answers."""
+        """Return the services with failures or without answers.
+
+        Those that were suspected are returned once.
+        """
         with self.lock:
+            suspected, self.suspected = self.suspected, set()
             failed = set(self.failed.values())
             waiting = list(self.waiting_since_s)
-        return failed | {name for name in waiting if self.is_silent(name)}
+        silent = {name for name in waiting if self.is_silent(name)}
+        return suspected | failed | silent
 
     def review(self, service: str) -> None:
         """Log and publish when a service is newly unreachable, or no more."""
@@ -154,6 +178,7 @@
             if cut_off == (service in self.unreachable):
                 return
             self.unreachable = self.unreachable ^ {service}
+            self.cut_off_s[service] = self.clock()
         if cut_off:
             log.warning(
                 "service_unreachable",
--- /dev/null
+++ b/tests/forwarding/test_pending_losses.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.discovery import model
+from briarseam.forwarding import crash_guard
+from briarseam.forwarding import pending_losses
+from briarseam.reachability import tracker
+from tests import clocks
+
+DIGEST = crash_guard.digest_of("/status/1", "north", b"")
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def endpoints():
+    return [
+        model.Endpoint(f"e{n}", "portal", f"10.0.0.{n}:1", "a", 8)
+        for n in range(4)
+    ]
+
+
+@pytest.fixture
+def reachability(clock, endpoints):
+    return tracker.Reachability(lambda service: endpoints, clock)
+
+
+@pytest.fixture
+def guard(clock):
+    return crash_guard.CrashGuard(clock)
+
+
+@pytest.fixture
+def losses(guard, reachability, clock):
+    return pending_losses.PendingLosses(guard, reachability, clock)
+
+
+def lose(losses, endpoints):
+    for endpoint in endpoints[: crash_guard.LOST_ENDPOINTS_LIMIT]:
+        losses.add(DIGEST, endpoint)
+    losses.review()
+
+
+def test_request_lost_with_the_path_is_not_refused(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against a cut that is taken for requests that crash endpoints."""
+    lose(losses, endpoints)
+    for endpoint in endpoints:
+        reachability.record_unreached(endpoint)
+    clock.now_s += 10.0
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+    assert losses.pending == []
+
+
+def test_request_lost_with_a_path_that_is_back_is_not_refused(
+    losses, guard, reachability, endpoints, clock
+):
+    lose(losses, endpoints)
+    for endpoint in endpoints:
+        reachability.record_unreached(endpoint)
+    clock.now_s += 0.1
+    reachability.record_service_reached("portal")
+    reachability.record_heard("portal")
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+
+
+def test_request_that_crashes_endpoints_is_refused_once_others_answer(
+    losses, guard, reachability, endpoints, clock
+):
+    lose(losses, endpoints)
+    assert not guard.is_refused(DIGEST)
+    clock.now_s += pending_losses.SETTLE_S
+    reachability.record_heard("portal")
+    losses.review()
+    assert guard.is_refused(DIGEST)
+
+
+def test_request_that_crashes_endpoints_is_refused_without_other_traffic(
+    losses, guard, endpoints, clock
+):
+    lose(losses, endpoints)
+    clock.now_s += pending_losses.MAX_PENDING_S
+    losses.review()
+    assert guard.is_refused(DIGEST)
+
+
+def test_answer_that_was_on_its_way_settles_nothing(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against the last answer before a cut that proves the path."""
+    lose(losses, endpoints)
+    clock.now_s += 0.01
+    reachability.record_heard("portal")
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+    assert len(losses.pending) == crash_guard.LOST_ENDPOINTS_LIMIT
+
+
+def test_path_is_checked_while_a_loss_is_pending(
+    losses, reachability, endpoints
+):
+    lose(losses, endpoints)
+    assert reachability.services_in_doubt() == {"portal"}
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -10,6 +10,7 @@
 import pytest
 
 from briarseam.forwarding import calls
+from briarseam.forwarding import pending_losses
 from briarseam.forwarding import relay_headers
 from briarseam.placement import loads
 from briarseam.testing import waiting
@@ -465,3 +466,34 @@
     with partition.from_endpoints(cut_off):
         assert call(system, cut_off, "GET", "/status/1").status == 503
     assert arrived(system) == []
+
+
+def test_callers_who_repeat_a_request_are_served_after_a_cut(system):
+    """Guards against requests that are refused since a cut broke them off."""
+    cut_off, other = start_others(system, 1)
+    for number in (3, 4):
+        system.add_worker(f"plain-{number}", "portal")
+    waiting.until(
+        lambda: all(
+            len(node.feeds.registry.all()) == len(system.workers)
+            for node in (cut_off, other)
+        ),
+        TIMEOUT_S,
+    )
+    plain = [system.workers[f"plain-{number}"] for number in (1, 2, 3, 4)]
+    for worker in plain:
+        worker.set(reset=100)
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        lost = list(
+            pool.map(
+                lambda _: call(system, cut_off, "POST", "/submit/1").status,
+                range(12),
+            )
+        )
+    for worker in plain:
+        worker.set(reset=0)
+    with partition.from_endpoints(cut_off):
+        time.sleep(pending_losses.MAX_PENDING_S)
+        assert call(system, cut_off, "POST", "/submit/1").status == 200
+    assert set(lost) == {502}
+    assert call(system, other, "POST", "/submit/1").status == 200
