--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -135,6 +135,7 @@
             self.leaving,
             node_metrics.announcement_counters(self.metrics),
         )
+        self.reachability = tracker.Reachability(self.feeds.registry.serving)
         self.weights = node_weights.Weights(
             settings,
             self.store,
@@ -146,8 +147,8 @@
                 self.leaving.record,
             ),
             self.malformed_counter,
+            self.reachability,
         )
-        self.reachability = tracker.Reachability(self.feeds.registry.serving)
         self.paths = node_paths.build(
             self.reachability,
             self.pool,
@@ -171,7 +172,7 @@
             self.calls,
             self.chooser.kept_index,
             settings.instance.name,
-            self.instances.names_in_cell,
+            self.store_readers,
             self.instances.known_count,
             self.instances.weight_of,
         )
@@ -469,6 +470,16 @@
         self.eligibility.keep_only(ids)
         self.weights.known_weights.keep_only(ids)
 
+    def store_readers(self) -> list[str]:
+        """Return the instances of this cell that may read cache stores.
+
+        An instance that has lost its path to endpoints has lost the one to
+        stores, too, and its whole cell would use what it last read.
+        """
+        return self.reachability.with_lasting_paths(
+            self.instances.names_in_cell(), self.settings.instance.name
+        )
+
     def has_all_paths(self, name: str) -> bool:
         """Return whether an instance reaches endpoints of all services."""
         own_name = self.settings.instance.name
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -86,6 +86,17 @@
             if not endpoint.leaving
         ]
 
+    def engine_services(self) -> frozenset[str]:
+        """Return the names of the services that run models."""
+        table = self.operators.current()
+        if table is None:
+            return frozenset()
+        return frozenset(
+            service.name
+            for service in table.configuration.services.values()
+            if service.engine is not None
+        )
+
     def all_engines_of(self, model: str) -> list[discovery.Endpoint]:
         """Return the engines that serve a model, leaving ones included."""
         table = self.operators.current()
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -21,6 +21,7 @@
     from briarseam.compose import node_feeds
     from briarseam.compose import node_instances
     from briarseam.platform import store as stores
+    from briarseam.reachability import tracker
     from briarseam.settings import serving
 
 ORDERS_GROUP = "briarseam-orders"
@@ -53,6 +54,9 @@
         Calls to engines.
     malformed_counter
         Counts records that can't be read.
+    reachability
+        Endpoints that this instance can't reach; unless given, it reaches
+        all.
 
     Attributes
     ----------
@@ -72,7 +76,9 @@
         instances: node_instances.Instances,
         engines: engine_updates.Engines,
         malformed_counter: malformed.Tally | None = None,
+        reachability: tracker.Reachability | None = None,
     ) -> None:
+        self.reachability = reachability
         self.settings = settings
         self.feeds = feeds
         self.instances = instances
@@ -153,7 +159,23 @@
     def is_leader_candidate(self) -> bool:
         """Return whether to compete; called every half second."""
         self.leader_reports.record_active()
-        return self.instances.is_leader_candidate()
+        return (
+            not self.is_cut_off_from_engines()
+            and self.instances.is_leader_candidate()
+        )
+
+    def is_cut_off_from_engines(self) -> bool:
+        """Return whether another instance could give orders, but not this.
+
+        The lease is renewed at the store, which says nothing of the path to
+        engines; a leader without one would keep everybody from giving orders.
+        """
+        if self.reachability is None:
+            return False
+        own_name = self.settings.instance.name
+        peers = set(self.instances.names_in_cell()) - {own_name}
+        services = self.feeds.engine_services()
+        return self.reachability.is_cut_off_alone(services, peers)
 
     def are_others_idle(self, since_s: float) -> bool:
         """Return whether no other instance can be issuing orders."""
--- a/src/briarseam/reachability/tracker.py
+++ b/src/briarseam/reachability/tracker.py
@@ -19,6 +19,11 @@
 # which connections to its endpoints are checked.  A connection whose peer has
 # vanished without a reset would show it only seconds later.
 SILENCE_S = 1.0
+# Duties pass to another instance only after a cut has lasted for so long:
+# most cuts are short, and when endpoints fail for all instances, each learns
+# it at another time.
+LASTING_S = 1.5
+INFINITY = float("inf")
 log = structlog.get_logger("briarseam.reachability")
 
 
@@ -58,7 +63,10 @@
         self.suspected: set[str] = set()
         # When each service was last known to be cut off.
         self.cut_off_s: dict[str, float] = {}
+        self.unreachable_since_s: dict[str, float] = {}
         self.unreachable_for_peers: dict[str, frozenset[str]] = {}
+        # When each peer was first told to be cut off from some service.
+        self.peer_since_s: dict[str, float] = {}
         self.heard_s: dict[str, float] = {}
         # When the oldest request was sent that followed the last answer.
         self.waiting_since_s: dict[str, float] = {}
@@ -179,6 +187,10 @@
                 return
             self.unreachable = self.unreachable ^ {service}
             self.cut_off_s[service] = self.clock()
+            self.unreachable_since_s = {
+                name: self.unreachable_since_s.get(name, self.clock())
+                for name in self.unreachable
+            }
         if cut_off:
             log.warning(
                 "service_unreachable",
@@ -200,6 +212,10 @@
         """Replace the services that a peer can't reach."""
         services = msgspec.msgpack.decode(data, type=list[str])
         self.unreachable_for_peers[member] = frozenset(services)
+        if services:
+            self.peer_since_s.setdefault(member, self.clock())
+        else:
+            self.peer_since_s.pop(member, None)
 
     def peer_has_path(self, member: str, service: str) -> bool:
         """Return whether a peer may reach a service, as far as is known."""
@@ -213,6 +229,47 @@
             return not self.unreachable
         return not self.unreachable_for_peers.get(member)
 
+    def is_cut_off_alone(
+        self,
+        services: collections.abc.Iterable[str],
+        peers: collections.abc.Collection[str],
+    ) -> bool:
+        """Return whether a service is lost here for long, but not to a peer.
+
+        Parameters
+        ----------
+        services
+            The services that count.
+        peers
+            Names of the other instances.
+        """
+        lost = [
+            service
+            for service in services
+            if self.clock() - self.unreachable_since_s.get(service, INFINITY)
+            >= LASTING_S
+        ]
+        return any(
+            self.peer_has_path(peer, service)
+            for service in lost
+            for peer in peers
+        )
+
+    def with_lasting_paths(
+        self, members: collections.abc.Iterable[str], own_name: str
+    ) -> list[str]:
+        """Return the instances that are not cut off for long, or all."""
+        known = list(members)
+        since_s = dict(self.peer_since_s)
+        since_s[own_name] = min(
+            self.unreachable_since_s.values(), default=INFINITY
+        )
+        oldest_s = self.clock() - LASTING_S
+        found = [
+            name for name in known if since_s.get(name, INFINITY) > oldest_s
+        ]
+        return found or known
+
     def peers_without_path(self, service: str) -> int:
         """Return the number of peers that can't reach a service."""
         return sum(
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -497,3 +497,20 @@
         assert call(system, cut_off, "POST", "/submit/1").status == 200
     assert set(lost) == {502}
     assert call(system, other, "POST", "/submit/1").status == 200
+
+
+def test_orders_are_given_by_an_instance_that_reaches_engines(system):
+    """Guards against a leader that keeps its lease but delivers no order."""
+    nodes = start_others(system, 1)
+    waiting.until(
+        lambda: any(node.weights.leadership.is_held() for node in nodes),
+        TIMEOUT_S,
+    )
+    [leader] = [one for one in nodes if one.weights.leadership.is_held()]
+    [other] = [one for one in nodes if one is not leader]
+    with partition.from_endpoints(leader):
+        call_all_kinds(system, leader)
+        waiting.until(other.weights.leadership.is_held, TIMEOUT_S)
+        assert not leader.weights.leadership.is_held()
+        time.sleep(1.0)
+        assert other.weights.leadership.is_held()
--- a/tests/reachability/test_tracker.py
+++ b/tests/reachability/test_tracker.py
@@ -102,3 +102,36 @@
         for name in ("one", "two", "three")
     ]
     assert found == [False, False, True]
+
+
+def test_cut_off_alone_means_for_long_and_not_for_all(
+    endpoints, reachability, clock
+):
+    """Guards against duties that all instances give up, or too soon."""
+    [only] = endpoints.add("engines", 1)
+    reachability.record_unreached(only)
+    assert not reachability.is_cut_off_alone({"engines"}, {"two"})
+    clock.now_s += tracker.LASTING_S
+    assert reachability.is_cut_off_alone({"engines"}, {"two"})
+    assert not reachability.is_cut_off_alone({"portal"}, {"two"})
+    assert not reachability.is_cut_off_alone({"engines"}, set())
+    reachability.consume("two", reachability.provide())
+    assert not reachability.is_cut_off_alone({"engines"}, {"two"})
+    reachability.record_reached(only)
+    assert not reachability.is_cut_off_alone({"engines"}, {"three"})
+
+
+def test_duties_of_a_cell_stay_away_from_instances_that_are_cut_off(
+    endpoints, reachability, clock
+):
+    """Guards against a cell that reads stores through a lost path."""
+    [only] = endpoints.add("engines", 1)
+    members = ["one", "two", "three"]
+    reachability.record_unreached(only)
+    reachability.consume("two", reachability.provide())
+    assert reachability.with_lasting_paths(members, "one") == members
+    clock.now_s += tracker.LASTING_S
+    assert reachability.with_lasting_paths(members, "one") == ["three"]
+    reachability.consume("three", reachability.provide())
+    clock.now_s += tracker.LASTING_S
+    assert reachability.with_lasting_paths(members, "one") == members
