--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -205,6 +205,11 @@
         self.cell_limits = cell_limits.CellLimits(
             self.eligibility.rate_limits, self.calls
         )
+        self.cell_rejection_limits = cell_limits.CellLimits(
+            self.eligibility.rejection_limits,
+            self.calls,
+            message_type=cell_limits.CellRejectionLimits,
+        )
         self.peer_configuration = peer_configuration.PeerConfiguration(
             self.feeds.operators, self.calls
         )
@@ -232,6 +237,7 @@
             self.cell_loads,
             self.cell_weights,
             self.cell_limits,
+            self.cell_rejection_limits,
             self.peer_connector,
         )
         node_metrics.register(self.metrics, self.readings())
@@ -253,6 +259,8 @@
             cell_weights=self.cell_weights,
             rate_limits=self.eligibility.rate_limits,
             cell_limits=self.cell_limits,
+            rejection_limits=self.eligibility.rejection_limits,
+            cell_rejection_limits=self.cell_rejection_limits,
             configuration=self.peer_configuration,
             reachability=self.reachability,
             stores=self.store_sharing,
@@ -419,6 +427,9 @@
             endpoints_cold=self.eligibility.starts.cold_count,
             endpoints_in_backoff=self.eligibility.backoffs.count,
             endpoints_rate_limited=self.eligibility.rate_limits.limited_count,
+            endpoints_rejection_limited=(
+                self.eligibility.rejection_limits.limited_count
+            ),
             services_unreachable=lambda: len(self.reachability.unreachable),
             zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
--- a/src/briarseam/compose/node_announcements.py
+++ b/src/briarseam/compose/node_announcements.py
@@ -63,6 +63,8 @@
         """Count an answer by what it tells."""
         if announced.rate_limit != announcements.NO_RATE_LIMIT:
             self.counters.rate_limit.add()
+        if announced.rejection_limit != announcements.NO_RATE_LIMIT:
+            self.counters.rejection_limit.add()
         if announced.leaving:
             self.counters.leaving.add()
         if announced.backoff_s is not None:
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -214,9 +214,9 @@
         self.call_remote(address, message, cell_weights.WeightsNoted)
 
     def publish_rate_limits(
-        self, address: str, message: cell_limits.CellRateLimits
+        self, address: str, message: cell_limits.Message
     ) -> None:
-        """Publish the rate limits that endpoints named to this cell.
+        """Publish the limits that endpoints named to this cell.
 
         Raises
         ------
--- a/src/briarseam/compose/node_eligibility.py
+++ b/src/briarseam/compose/node_eligibility.py
@@ -7,6 +7,7 @@
 from briarseam.eligibility import cold_starts
 from briarseam.eligibility import rate_limits
 from briarseam.eligibility import regions
+from briarseam.eligibility import rejection_limits
 from briarseam.eligibility import requested_backoffs
 from briarseam.eligibility import service
 from briarseam.routes import evacuation
@@ -43,6 +44,9 @@
         evacuation.Evacuations(starts.record_release),
         starts,
         rate_limits.RateLimits(instances, malformed_counter=malformed_counter),
+        rejection_limits.RejectionLimits(
+            instances, malformed_counter=malformed_counter
+        ),
         requested_backoffs.RequestedBackoffs(),
         regions.RegionMap(settings.instance.regions()),
     )
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -28,6 +28,7 @@
     from briarseam.compose import node_weights
     from briarseam.discovery import start_updates
     from briarseam.eligibility import rate_limits as endpoint_limits
+    from briarseam.eligibility import rejection_limits as rejections
     from briarseam.feeds import sharing
     from briarseam.forwarding import crash_guard
     from briarseam.membership import service as membership
@@ -56,7 +57,7 @@
         Requests that crash endpoints.
     weights, cell_weights
         Ages of weights, and engines that are loading new ones.
-    rate_limits, cell_limits
+    rate_limits, cell_limits, rejection_limits, cell_rejection_limits
         Rate limits of endpoints, heard by this instance and by its cell.
     configuration
         Version of the operators' configuration.
@@ -75,6 +76,8 @@
     weights: node_weights.Weights
     cell_weights: cell_weights.CellWeights
     rate_limits: endpoint_limits.RateLimits
+    rejection_limits: rejections.RejectionLimits
+    cell_rejection_limits: cell_limits.CellLimits
     cell_limits: cell_limits.CellLimits
     configuration: peer_configuration.PeerConfiguration
     reachability: tracker.Reachability
@@ -91,6 +94,8 @@
             "cell-weights": self.cell_weights,
             "rate-limits": self.rate_limits,
             "cell-rate-limits": self.cell_limits,
+            "rejection-limits": self.rejection_limits,
+            "cell-rejection-limits": self.cell_rejection_limits,
             "lost-requests": self.guard,
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
@@ -126,6 +131,9 @@
             cell_limits.CellRateLimits: node_peers.MessageHandler(
                 self.cell_limits.answer
             ),
+            cell_limits.CellRejectionLimits: node_peers.MessageHandler(
+                self.cell_rejection_limits.answer
+            ),
             peer_configuration.ConfigurationAsked: node_peers.MessageHandler(
                 self.configuration.answer
             ),
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -24,7 +24,7 @@
     in_flight, connections_opened, store_calls, store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
     endpoints_cold, endpoints_in_backoff, endpoints_rate_limited
-    services_unreachable, zones_evacuated
+    endpoints_rejection_limited, services_unreachable, zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -39,6 +39,7 @@
     endpoints_cold: Reading
     endpoints_in_backoff: Reading
     endpoints_rate_limited: Reading
+    endpoints_rejection_limited: Reading
     services_unreachable: Reading
     zones_evacuated: Reading
 
@@ -101,6 +102,11 @@
             "Endpoints that limit the rate of their requests",
             readings.endpoints_rate_limited,
         ),
+        (
+            "endpoints_rejection_limited",
+            "Endpoints that fail if they must reject too many requests",
+            readings.endpoints_rejection_limited,
+        ),
         (
             "services_unreachable",
             "Services of which this instance can't reach any endpoint",
@@ -120,6 +126,7 @@
     """Counters of answers by what they tell of their endpoint."""
 
     rate_limit: instruments.Counter
+    rejection_limit: instruments.Counter
     leaving: instruments.Counter
     backoff: instruments.Counter
 
@@ -133,6 +140,7 @@
     )
     return AnnouncementCounters(
         family.labelled("rate-limit"),
+        family.labelled("rejection-limit"),
         family.labelled("leaving"),
         family.labelled("backoff"),
     )
--- a/src/briarseam/discovery/announcements.py
+++ b/src/briarseam/discovery/announcements.py
@@ -7,17 +7,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class NoRateLimit:
-    """The endpoint takes requests at any rate."""
+    """The endpoint names no limit."""
 
 
 @dataclasses.dataclass(frozen=True)
 class RateLimit:
-    """The endpoint limits the rate of its requests.
+    """The endpoint names a limit.
 
     Attributes
     ----------
     per_s
-        Requests per second that it takes from all instances together.
+        Requests per second from all instances together.
     """
 
     per_s: float
@@ -48,6 +48,8 @@
     ----------
     rate_limit
         The limit on the rate of its requests.
+    rejection_limit
+        How many requests per second it may reject before it fails.
     leaving
         Whether it is shutting down and accepts no new requests.
     backoff_s
@@ -56,6 +58,7 @@
     """
 
     rate_limit: AnyRateLimit = NO_RATE_LIMIT
+    rejection_limit: AnyRateLimit = NO_RATE_LIMIT
     leaving: bool = False
     backoff_s: float | None = None
 
--- a/src/briarseam/eligibility/cell_limits.py
+++ b/src/briarseam/eligibility/cell_limits.py
@@ -1,7 +1,7 @@
-"""Exchange of endpoints' rate limits between cells.
+"""Exchange of endpoints' limits between cells.
 
 Heartbeats carry what an instance hears from endpoints within its own cell
-only.  The instances that share an endpoint's rate may all be in another
+only.  The instances that share an endpoint's limit may all be in another
 cell, so that this one would never learn that a limit has changed or ended.
 One instance of each cell therefore sends what its cell has heard to one
 instance of every other cell, which relays it in its heartbeats.
@@ -22,7 +22,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.eligibility import rate_limits
+    from briarseam.eligibility import announced_limits
 
 # Equal to the heartbeat interval.
 PUBLISH_INTERVAL_S = 0.5
@@ -52,9 +52,26 @@
     rows: tuple[heard_limits.Row, ...]
 
 
+@codec.message("cell-rejection-limits")
+class CellRejectionLimits(msgspec.Struct, frozen=True):
+    """Limits of rejections that the endpoints named to one cell.
+
+    Attributes
+    ----------
+    cell, rows
+        As in :class:`CellRateLimits`.
+    """
+
+    cell: str
+    rows: tuple[heard_limits.Row, ...]
+
+
+Message = CellRateLimits | CellRejectionLimits
+
+
 @codec.message("cell-rate-limits-noted")
 class CellRateLimitsNoted(msgspec.Struct, frozen=True):
-    """Acknowledges a cell's rate limits."""
+    """Acknowledges a cell's limits of any kind."""
 
 
 class Cells(typing.Protocol):
@@ -69,9 +86,7 @@
     def addresses(self) -> collections.abc.Sequence[str]:
         """Return the address of one instance of each other cell."""
 
-    def publish_rate_limits(
-        self, address: str, message: CellRateLimits
-    ) -> None:
+    def publish_rate_limits(self, address: str, message: Message) -> None:
         """Send the limits that the local cell has heard to an instance.
 
         Raises
@@ -92,18 +107,22 @@
         The local cell, and calls to other cells.
     clock
         Seconds.
+    message_type
+        Type of the messages, which tells the kind of the limits.
     """
 
     def __init__(
         self,
-        limits: rate_limits.RateLimits,
+        limits: announced_limits.AnnouncedLimits,
         cells: Cells,
         clock: typing.Callable[[], float] = clocks.boot_clock,
+        message_type: type[Message] = CellRateLimits,
     ) -> None:
+        self.message_type = message_type
         self.limits = limits
         self.cells = cells
         self.clock = clock
-        self.received: dict[str, tuple[CellRateLimits, float]] = {}
+        self.received: dict[str, tuple[Message, float]] = {}
         self.publisher = cell_publishing.CellPublisher(
             "cell_not_told_rate_limits"
         )
@@ -124,7 +143,7 @@
         if self.cells.is_speaker():
             rows = tuple(self.limits.cell_rows())
             if rows:
-                message = CellRateLimits(self.cells.name(), rows)
+                message = self.message_type(self.cells.name(), rows)
                 self.publisher.publish(
                     self.cells.addresses(),
                     lambda address: self.cells.publish_rate_limits(
@@ -132,7 +151,7 @@
                     ),
                 )
 
-    def answer(self, message: CellRateLimits) -> CellRateLimitsNoted:
+    def answer(self, message: Message) -> CellRateLimitsNoted:
         """Apply a message from another cell."""
         self.received[message.cell] = (message, self.clock())
         self.limits.apply_remote(message.rows)
--- a/src/briarseam/eligibility/service.py
+++ b/src/briarseam/eligibility/service.py
@@ -11,6 +11,7 @@
 from briarseam.eligibility import permissions
 from briarseam.eligibility import rate_limits
 from briarseam.eligibility import regions
+from briarseam.eligibility import rejection_limits
 from briarseam.eligibility import requested_backoffs
 from briarseam.routes import evacuation
 
@@ -63,6 +64,8 @@
         Cold endpoints.
     limits
         Limits that endpoints name on the rate of their requests.
+    rejections
+        Limits that endpoints name on the requests that they may reject.
     backoffs
         Times for which endpoints want no requests from this instance.
     region_map
@@ -74,12 +77,14 @@
         evacuations: evacuation.Evacuations,
         starts: cold_starts.ColdStarts,
         limits: rate_limits.RateLimits,
+        rejections: rejection_limits.RejectionLimits,
         backoffs: requested_backoffs.RequestedBackoffs,
         region_map: regions.RegionMap,
     ) -> None:
         self.evacuations = evacuations
         self.starts = starts
         self.rate_limits = limits
+        self.rejection_limits = rejections
         self.backoffs = backoffs
         self.region_map = region_map
 
@@ -107,12 +112,16 @@
         self.rate_limits.record_answer(
             endpoint_id, announced.rate_limit, sent_s
         )
+        self.rejection_limits.record_answer(
+            endpoint_id, announced.rejection_limit, sent_s
+        )
         self.backoffs.record_answer(endpoint_id, announced.backoff_s)
 
     def keep_only(self, endpoint_ids: collections.abc.Collection[str]) -> None:
         """Drop what is known of all endpoints but these."""
         self.starts.keep_only(endpoint_ids)
         self.rate_limits.keep_only(endpoint_ids)
+        self.rejection_limits.keep_only(endpoint_ids)
         self.backoffs.keep_only(endpoint_ids)
 
     def select(
@@ -171,6 +180,10 @@
         within_rate = self.rate_limits.with_room(endpoints)
         if not within_rate:
             return self.refusal_at_rate_limit(endpoints)
+        within_rate = self.rejection_limits.with_room(within_rate)
+        if not within_rate:
+            # Undecided requests are decided soon, so this one may wait.
+            return Eligible([], [])
         cold = service.cold_start
         if cold is None:
             return Eligible(within_rate, [])
@@ -227,11 +240,19 @@
     def try_acquire(
         self, endpoint: discovery.Endpoint, service: routes.Service
     ) -> bool:
-        """Count a send to an endpoint with limits; return if it may go."""
-        if not self.rate_limits.try_acquire(endpoint):
+        """Count a send to an endpoint with limits; return if it may go.
+
+        Each one that may must be released.
+        """
+        if not self.rejection_limits.try_acquire(endpoint):
             return False
         cold = service.cold_start
-        return cold is None or self.starts.try_acquire(endpoint, cold)
+        if self.rate_limits.try_acquire(endpoint) and (
+            cold is None or self.starts.try_acquire(endpoint, cold)
+        ):
+            return True
+        self.rejection_limits.release(endpoint.id)
+        return False
 
 
 def pick(
@@ -266,6 +287,7 @@
         evacuation.Evacuations(),
         cold_starts.ColdStarts(NoSenders(), cold_starts.Limits()),
         rate_limits.RateLimits(NoSenders()),
+        rejection_limits.RejectionLimits(NoSenders()),
         requested_backoffs.RequestedBackoffs(),
         regions.RegionMap({}),
     )
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -197,6 +197,7 @@
             if context.sends and not self.deps.budget.try_withdraw(
                 context.service.name
             ):
+                self.deps.chooser.release(placement)
                 context.steps.append("no-retry-budget")
                 return self.answers.answer_failure(context)
             outcome = self.send(context, placement)
@@ -313,6 +314,7 @@
         request = context.request()
         sent_s = clocks.boot_clock()
         first_event_ms = -1
+        undecided = True
         added = chooser.record_start(placement, context.call)
         chooser.reachability.record_sent(placement.endpoint.service)
         if context.exchange.relayed:
@@ -328,7 +330,9 @@
         )
 
         def on_first_event() -> None:
-            nonlocal added, first_event_ms
+            nonlocal added, first_event_ms, undecided
+            chooser.release(placement)
+            undecided = False
             now_s = clocks.boot_clock()
             took_s = now_s - sent_s
             chooser.reachability.record_heard(placement.endpoint.service)
@@ -370,6 +374,9 @@
             )
             raise
         finally:
+            if undecided:
+                rejected = isinstance(outcome, outcomes.Rejected)
+                chooser.release(placement, rejected)
             chooser.record_end(placement, context.call, added)
             self.record_send(context, placement, outcome, first_event_ms)
         return outcome
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -338,6 +338,22 @@
             last_event_id=request.call.last_event_id,
         )
 
+    def release(
+        self, placement: requests.Placement, rejected: bool = False
+    ) -> None:
+        """Record that a request is decided, or was not sent.
+
+        Parameters
+        ----------
+        placement
+            Its placement.
+        rejected
+            Whether the endpoint has rejected it.
+        """
+        self.eligibility.rejection_limits.release(
+            placement.endpoint.id, rejected
+        )
+
     def record_start(
         self, placement: requests.Placement, call: calls.Call
     ) -> load_module.Load:
--- a/src/briarseam/platform/names.py
+++ b/src/briarseam/platform/names.py
@@ -40,6 +40,8 @@
 WEIGHT_VERSION: typing.Final = "Weight-Versions"
 # Requests per second that an endpoint takes from all instances together.
 RATE_LIMIT: typing.Final = "Server-Limit"
+# Requests per second that an endpoint may reject before it fails.
+REJECTION_LIMIT: typing.Final = "Server-Brittle"
 # "1" in all answers of an endpoint that is shutting down.
 LEAVING: typing.Final = "Server-Leaving"
 
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -284,13 +284,16 @@
         )
     return announcements.Announcements(
         rate_limit=decode_rate_limit(by_name.get(names.RATE_LIMIT.lower())),
+        rejection_limit=decode_rate_limit(
+            by_name.get(names.REJECTION_LIMIT.lower())
+        ),
         leaving=decoding.header_flag(by_name.get(names.LEAVING.lower())),
         backoff_s=backoff_s,
     )
 
 
 def decode_rate_limit(text: str | None) -> announcements.AnyRateLimit:
-    """Return the rate limit in a header."""
+    """Return the limit in a header."""
     if text is None:
         return announcements.NO_RATE_LIMIT
     per_s = decoding.header_number(text)
--- a/tests/eligibility/test_service.py
+++ b/tests/eligibility/test_service.py
@@ -7,6 +7,7 @@
 from briarseam.eligibility import cold_starts
 from briarseam.eligibility import rate_limits
 from briarseam.eligibility import regions
+from briarseam.eligibility import rejection_limits
 from briarseam.eligibility import requested_backoffs
 from briarseam.eligibility import send_window
 from briarseam.eligibility import service as eligibilities
@@ -39,6 +40,7 @@
         evacuation.Evacuations(starts.record_release, clock),
         starts,
         rate_limits.RateLimits(senders, clock),
+        rejection_limits.RejectionLimits(senders, clock),
         requested_backoffs.RequestedBackoffs(clock, lambda: 0.0),
         regions.RegionMap({"a": "north", "b": "north", "c": "south"}),
     )
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -14,6 +14,7 @@
 from briarseam.testing import switches
 
 SIGNATURE = "3e1b.07"
+Headers = tuple[tuple[str, str], ...]
 EVENT = "id: {0}\ndata: token {0}\n\n"
 
 
@@ -46,6 +47,14 @@
         none.
     leaving
         Whether answers say that the endpoint is leaving.
+    brittle
+        Requests per second that it may reject before it falls over, as
+        answers name it; empty for none.
+    work_ms
+        Time that a request takes and has one of the places in `room`.
+    room
+        Requests that run at a time; further ones are rejected.  0 for no
+        limit.
     retry_after
         Value of the header in answers that reject a request; empty for
         none.
@@ -62,6 +71,9 @@
     pause_ms: switches.Count = 0
     limit: str = ""
     leaving: bool = False
+    brittle: str = ""
+    work_ms: switches.Count = 0
+    room: switches.Count = 0
     retry_after: str = ""
 
 
@@ -95,6 +107,9 @@
         self.ended: list[str] = []
         self.broke: list[str] = []
         self.orders: list[dict] = []
+        # When requests were rejected for want of room, monotonic seconds.
+        self.turned_away_s: list[float] = []
+        self.running = 0
         self.lock = threading.Lock()
 
     def restart(self, born: int) -> None:
@@ -112,6 +127,8 @@
         headers = []
         if self.switches.limit:
             headers.append(("Server-Limit", self.switches.limit))
+        if self.switches.brittle:
+            headers.append(("Server-Brittle", self.switches.brittle))
         if self.switches.leaving:
             headers.append(("Server-Leaving", "1"))
         return tuple(headers)
@@ -124,21 +141,44 @@
         """Answer one request."""
         self.arrived.append(request)
         call = request.headers.get("request-id", "")
-        echo = (("Request-Id", call),)
+        echo = (("Request-Id", call), *self.state_headers())
         if not self.is_addressed(request):
-            return http_messages.Response(
-                421, headers=(*echo, *self.state_headers())
-            )
+            return http_messages.Response(421, headers=echo)
         self.arrived_s.append(time.monotonic())
-        echo = (*echo, *self.state_headers())
         if self.take("reject"):
-            rejection = (*echo, ("Not-Executed", "1"))
-            if self.switches.retry_after:
-                after = ("Retry-After", self.switches.retry_after)
-                rejection = (*rejection, after)
-                with contextlib.suppress(ValueError):
-                    self.backoffs[call] = float(after[1])
-            return http_messages.Response(503, headers=rejection)
+            return self.rejection(call, echo)
+        if not self.enter():
+            self.turned_away_s.append(time.monotonic())
+            return self.rejection(call, echo)
+        try:
+            self.stopping.wait(self.switches.work_ms / 1000)
+            return self.run(request, call, echo)
+        finally:
+            with self.lock:
+                self.running -= 1
+
+    def enter(self) -> bool:
+        """Take a place for a request, if there is one."""
+        with self.lock:
+            if 0 < self.switches.room <= self.running:
+                return False
+            self.running += 1
+            return True
+
+    def rejection(self, call: str, echo: Headers) -> http_messages.Response:
+        """Return the answer to a request that is not run."""
+        headers = (*echo, ("Not-Executed", "1"))
+        if self.switches.retry_after:
+            after = self.switches.retry_after
+            headers = (*headers, ("Retry-After", after))
+            with contextlib.suppress(ValueError):
+                self.backoffs[call] = float(after)
+        return http_messages.Response(503, headers=headers)
+
+    def run(
+        self, request: http_messages.Request, call: str, echo: Headers
+    ) -> http_messages.Response:
+        """Run a request and return its answer."""
         self.ran.append(call)
         if self.take("foreign"):
             echo = (("Request-Id", "another"), *self.state_headers())
