--- a/tests/soak/announced.py
+++ b/tests/soak/announced.py
@@ -20,6 +20,9 @@
 TOLD_S = 0.5
 DRAIN_S = 2.0
 MOST_IN_BACKOFF = 2
+# Failures by rejections in one time, for all endpoints of a service.
+ALLOWED_FALLS = 2
+ALLOWED_FALLS_SHARE = 0.1
 
 SentById = typing.Mapping[str, callers.Sent]
 
@@ -47,6 +50,8 @@
     deployment: serving.Deployment, sent: SentById
 ) -> typing.Iterator[str]:
     """Yield each broken promise, one sentence each."""
+    for one in deployment.fragile:
+        yield from check_falls(one)
     for worker in deployment.past:
         got = arrivals(deployment, worker, sent)
         for limit in deployment.limits:
@@ -56,6 +61,37 @@
         yield from check_backoffs(worker, got, sent)
 
 
+def check_falls(fragile: serving.Fragile) -> typing.Iterator[str]:
+    """Yield a time in which too many endpoints failed by rejections."""
+    falls = [
+        fall for one in fragile.workers for fall in falls_of(fragile, one)
+    ]
+    allowed = ALLOWED_FALLS + ALLOWED_FALLS_SHARE * len(fragile.workers)
+    if len(falls) > allowed:
+        yield (
+            f"endpoints that may reject {fragile.per_s} in a second rejected "
+            f"more {len(falls)} times: {falls}"
+        )
+
+
+def falls_of(
+    fragile: serving.Fragile, worker: workers.Worker
+) -> typing.Iterator[str]:
+    """Yield each second in which an endpoint rejected more than it may."""
+    times = [
+        at
+        for at in worker.turned_away_s
+        if fragile.began_s + LIMIT_SETTLE_S <= at < fragile.ended_s
+    ]
+    while times:
+        burst = [at for at in times if at < times[0] + 1.0]
+        if len(burst) > fragile.per_s:
+            yield f"{worker.id} {len(burst)}"
+            times = [at for at in times if at >= times[0] + 1.0]
+        else:
+            times = times[1:]
+
+
 def arrivals(
     deployment: serving.Deployment, worker: workers.Worker, sent: SentById
 ) -> list[Arrival]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 import typing
 
 from tests.soak import links
+from tests.soak import paths
 from tests.soak import serving
 
 # A fault excuses what it strikes for so long after its end.
@@ -191,6 +192,33 @@
     backoff_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class PathsCut:
+    """Some instances lose their links to all endpoints."""
+
+    instances: tuple[int, ...]
+    kind: paths.CutKind
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceFragile:
+    """Endpoints of a service have little room and fail if they reject more.
+
+    Attributes
+    ----------
+    service
+        The service.
+    per_s
+        How many requests each may reject in a second.
+    room
+        Requests that each runs at a time.
+    """
+
+    service: str
+    per_s: int
+    room: int
+
+
 Fault = (
     StoreTrouble
     | StoreRestored
@@ -208,6 +236,8 @@
     | RateLimited
     | LeavesByAnswer
     | BackoffRequested
+    | PathsCut
+    | ServiceFragile
 )
 
 
@@ -321,6 +351,31 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_paths(seed: int, seconds: float, instances: int) -> list[Planned]:
+    """Return cuts from all endpoints; two of three beside other faults."""
+    random_ = random.Random(f"{seed}/paths")
+    found = plan(seed, seconds, instances) if seed % 3 else []
+    at_s = 0.5
+    while at_s < seconds - 2.0:
+        if random_.random() < 0.7:
+            count = random_.randint(1, max(1, instances - 1))
+            numbers = random_.sample(range(instances), count)
+            fault: Fault = PathsCut(
+                tuple(numbers), random_.choice(list(paths.CutKind))
+            )
+            for_s = random_.choice((0.4, 0.9, random_.uniform(4.0, 7.0)))
+        else:
+            fault = ServiceFragile(
+                random_.choice(("portal", "engines")),
+                per_s=random_.choice((1, 2, 3, 8)),
+                room=random_.choice((1, 2, 4)),
+            )
+            for_s = random_.uniform(4.0, 8.0)
+        found.append(Planned(at_s, for_s, fault))
+        at_s += random_.uniform(0.5, 4.0)
+    return sorted(found, key=lambda one: one.at_s)
+
+
 def draw_delays(seed: int) -> list[int]:
     """Return how long the endpoints of a run with stops take, in ms."""
     random_ = random.Random(f"{seed}/delays")
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -10,6 +10,7 @@
 
 from tests.soak import faults
 from tests.soak import links
+from tests.soak import paths
 from tests.soak import serving
 
 # More than an endpoint gets in a run.
@@ -92,8 +93,12 @@
                 worker.set(**{switch: faults.MISBEHAVIOUR[switch]})
             case faults.Reconfigured() | faults.Evacuated():
                 self.change_records(one.fault, one.for_s)
-            case faults.StoppedInTurn():
-                self.stop_in_turn(one.fault, one.for_s)
+            case (
+                faults.PathsCut()
+                | faults.ServiceFragile()
+                | faults.StoppedInTurn()
+            ):
+                self.strike_many(one.fault, one.for_s)
             case (
                 faults.Paused(number)
                 | faults.Ended(number)
@@ -105,6 +110,61 @@
                     self.trouble_instance(one.fault, instance, one.for_s)
                     self.excuse(instance)
 
+    def strike_many(
+        self,
+        fault: faults.PathsCut | faults.ServiceFragile | faults.StoppedInTurn,
+        for_s: float,
+    ) -> None:
+        """Strike several instances or endpoints."""
+        match fault:
+            case faults.PathsCut(numbers, kind):
+                self.cut_paths(numbers, kind, for_s)
+            case faults.ServiceFragile(service):
+                with self.lock_of(("fragile", service)):
+                    self.weaken(fault, for_s)
+            case faults.StoppedInTurn():
+                self.stop_in_turn(fault, for_s)
+
+    def cut_paths(
+        self, numbers: tuple[int, ...], kind: paths.CutKind, for_s: float
+    ) -> None:
+        """Cut some instances off from all endpoints for a while."""
+        struck = [self.deployment.instances[number] for number in numbers]
+        with contextlib.ExitStack() as stack:
+            # In one order, so that two cuts don't wait for each other.
+            for number in sorted(numbers):
+                stack.enter_context(self.lock_of(("paths", number)))
+            names = frozenset(instance.name for instance in struck)
+            cut = paths.PathCut(names, time.monotonic())
+            self.deployment.path_cuts.append(cut)
+            for instance in struck:
+                instance.paths.cut(kind)
+            time.sleep(for_s)
+            cut.ended_s = time.monotonic()
+            for instance in struck:
+                instance.paths.heal()
+
+    def weaken(self, fault: faults.ServiceFragile, for_s: float) -> None:
+        """Let the endpoints of a service have little room for a while."""
+        struck = [
+            endpoint.worker
+            for endpoint in self.deployment.endpoints
+            if endpoint.service == fault.service
+        ]
+        began_s = time.monotonic()
+        for worker in struck:
+            worker.set(brittle=str(fault.per_s))
+        time.sleep(faults.STABLE_S)
+        for worker in struck:
+            worker.set(room=fault.room, work_ms=20)
+        time.sleep(max(0.0, for_s - faults.STABLE_S))
+        ended_s = time.monotonic()
+        for worker in struck:
+            worker.set(brittle="", room=0, work_ms=0)
+        self.deployment.fragile.append(
+            serving.Fragile(tuple(struck), fault.per_s, began_s, ended_s)
+        )
+
     def change_records(
         self, fault: faults.Reconfigured | faults.Evacuated, for_s: float
     ) -> None:
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -11,6 +11,9 @@
 import time
 
 CHUNK = 65536
+BACKLOG = 256
+# Enough to fill the queue of a listener that accepts none.
+FILLERS = 4
 SLOW_S = 0.15
 POLL_S = 0.02
 # Makes the kernel reset a connection where it would end it properly.
@@ -53,11 +56,41 @@
         self.lock = threading.Lock()
         self.seen: dict[str, float] = {}
         self.resets: list[float] = []
-        self.listener = socket.create_server((host, 0), backlog=256)
-        host, port = self.listener.getsockname()[:2]
-        self.address = f"{host}:{port}"
+        self.listener = socket.create_server((host, 0), backlog=BACKLOG)
+        self.listens_at = self.listener.getsockname()[:2]
+        self.address = "{}:{}".format(*self.listens_at)
+        self.fillers: list[socket.socket] = []
         threading.Thread(target=self.accept, daemon=True).start()
 
+    def refuse_new(self) -> None:
+        """Refuse new connections as if nobody listened."""
+        self.close_listener()
+
+    def let_new_hang(self) -> None:
+        """Let new connections hang as if their packets were lost."""
+        self.close_listener()
+        self.listener = socket.create_server(self.listens_at, backlog=0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listens_at)
+            self.fillers.append(filler)
+
+    def accept_new(self) -> None:
+        """Accept new connections again."""
+        self.close_listener()
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.listener = socket.create_server(self.listens_at, backlog=BACKLOG)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def close_listener(self) -> None:
+        """Close the listener; its thread ends."""
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def reset(self) -> None:
         """Reset all connections."""
         self.resets.append(time.monotonic())
@@ -71,14 +104,15 @@
 
     def stop(self) -> None:
         """Stop and reset everything."""
-        self.listener.close()
+        self.close_listener()
         self.reset()
 
     def accept(self) -> None:
-        """Accept until stopped."""
+        """Accept until the listener is closed."""
+        listener = self.listener
         while True:
             try:
-                client, _address = self.listener.accept()
+                client, _address = listener.accept()
             except OSError:
                 return
             threading.Thread(
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,6 +9,7 @@
 from tests.soak import announced
 from tests.soak import callers
 from tests.soak import faults
+from tests.soak import paths
 from tests.soak import serving
 
 from briarseam.eligibility import cold_starts
@@ -56,6 +57,7 @@
     yield from check_evacuations(deployment, by_id)
     yield from check_cold(deployment)
     yield from announced.check(deployment, by_id)
+    yield from paths.check(deployment.path_cuts, sent)
     for instance in deployment.instances:
         yield from instance.killed
 
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -52,7 +52,7 @@
 
     Attributes
     ----------
-    seed, seconds, instances, stops, restores, zones, announcements
+    seed, seconds, instances, stops, restores, zones, announcements, paths
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -75,6 +75,7 @@
     restores: bool = False
     zones: bool = False
     announcements: bool = False
+    paths: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -101,7 +102,7 @@
         if report.stops:
             shutdown_s = SHUTDOWN_OF_STOPS_S
         self.deployment = serving.Deployment(
-            folder, report.instances, shutdown_s, report.zones
+            folder, report.instances, shutdown_s, report.zones, report.paths
         )
         self.stopping = threading.Event()
         self.numbers = itertools.count()
@@ -172,6 +173,8 @@
             plan = faults.plan_zones
         elif self.report.announcements:
             plan = faults.plan_announcements
+        elif self.report.paths:
+            plan = faults.plan_paths
         planned = plan(
             self.report.seed, self.report.seconds, self.report.instances
         )
@@ -258,10 +261,11 @@
     restores: bool = False,
     zones: bool = False,
     announcements: bool = False,
+    paths: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
     report = Report(
-        seed, seconds, instances, stops, restores, zones, announcements
+        seed, seconds, instances, stops, restores, zones, announcements, paths
     )
     Soak(folder, report).run()
     return report
@@ -291,6 +295,12 @@
         help="endpoints that limit their rate, leave or ask for a backoff "
         "by their answers",
     )
+    parser.add_argument(
+        "--paths",
+        action="store_true",
+        help="instances without a path to endpoints, and endpoints that "
+        "rejections end",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -308,6 +318,7 @@
             options.restores,
             options.zones,
             options.announcements,
+            options.paths,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -18,12 +18,14 @@
 from tests.platform import system
 from tests.platform import worker as workers
 from tests.soak import links
+from tests.soak import paths
 
 from briarseam.testing import ports
 from briarseam.testing import stand_in
 from briarseam.testing import waiting
 
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
+LAUNCHER = pathlib.Path(__file__).parent / "launcher.py"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
 ZONES = ("hall-a", "hall-b")
 LISTEN = ("callers", "readiness", "lookups", "peers", "metrics", "relays")
@@ -76,6 +78,8 @@
         When it got its first SIGTERM, for each stop.
     struck
         From when until when it was paused or killed.
+    paths
+        Its own links to endpoints; ``None`` where runs cut none.
     killed
         What is to be said of its processes that did not end in time.
     """
@@ -91,6 +95,7 @@
     stopped: list[float] = dataclasses.field(default_factory=list)
     struck: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     killed: list[str] = dataclasses.field(default_factory=list)
+    paths: paths.Paths | None = None
 
     def write_settings(self, extra: str = "") -> None:
         """Write its settings."""
@@ -119,8 +124,7 @@
             self.process = subprocess.Popen(
                 [
                     sys.executable,
-                    "-m",
-                    "briarseam",
+                    *self.program(),
                     "serve",
                     f"--settings={self.settings}",
                 ],
@@ -129,6 +133,14 @@
                 env={**os.environ, "PYTHONPATH": str(SOURCE)},
             )
 
+    def program(self) -> list[str]:
+        """Return what the interpreter runs."""
+        if self.paths is None:
+            return ["-m", "briarseam"]
+        addresses = self.folder / f"{self.name}.links"
+        self.paths.write_map(addresses)
+        return [str(LAUNCHER), str(addresses)]
+
     def send(self, number: signal.Signals) -> None:
         """Send it a signal, if it runs."""
         if self.process is not None:
@@ -215,6 +227,26 @@
     ended_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Fragile:
+    """A time in which a service's endpoints fail by too many rejections.
+
+    Attributes
+    ----------
+    workers
+        The endpoints.
+    per_s
+        How many each may reject in a second.
+    began_s, ended_s
+        When they said so, monotonic seconds.
+    """
+
+    workers: tuple[workers.Worker, ...]
+    per_s: int
+    began_s: float
+    ended_s: float
+
+
 @dataclasses.dataclass
 class Endpoint:
     """One address that endpoints run behind, one after the other.
@@ -270,6 +302,8 @@
         Their time to shut down.
     cold
         Whether endpoints are limited after their start.
+    cuts
+        Whether each instance has links of its own to endpoints.
     """
 
     def __init__(
@@ -278,7 +312,10 @@
         instances: int,
         shutdown_s: float = SHUTDOWN_S,
         cold: bool = False,
+        cuts: bool = False,
     ) -> None:
+        self.path_cuts: list[paths.PathCut] = []
+        self.fragile: list[Fragile] = []
         self.cold = cold
         self.evacuations: list[Evacuation] = []
         self.limits: list[Limit] = []
@@ -304,6 +341,9 @@
             self.new_instance(f"instance-{number}", folder)
             for number in range(instances)
         ]
+        if cuts:
+            for instance in self.instances:
+                self.add_paths(instance)
 
     def new_instance(self, name: str, folder: pathlib.Path) -> Instance:
         """Return an instance, not started."""
@@ -319,6 +359,12 @@
         self.stack.callback(made.end, signal.SIGKILL)
         return made
 
+    def add_paths(self, instance: Instance) -> None:
+        """Give an instance links of its own to all endpoints."""
+        addresses = [endpoint.link.address for endpoint in self.endpoints]
+        instance.paths = paths.Paths(addresses, HOST)
+        self.stack.callback(instance.paths.stop)
+
     def new_worker(self) -> workers.Worker:
         """Return a started endpoint."""
         worker = workers.Worker(
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -102,12 +102,20 @@
     assert report.broken == []
 
 
+@pytest.mark.timeout(120)
+def test_short_run_with_cuts_from_all_endpoints_breaks_no_promise(tmp_path):
+    report = serve_soak.run(51000, 14.0, 3, tmp_path, paths=True)
+    assert report.broken == []
+    assert {"PathsCut", "ServiceFragile"} <= set(report.faults)
+
+
 PLANS = (
     faults.plan,
     faults.plan_stops,
     faults.plan_restores,
     faults.plan_zones,
     faults.plan_announcements,
+    faults.plan_paths,
 )
 
 
