--- a/src/briarseam/compose/node_paths.py
+++ b/src/briarseam/compose/node_paths.py
@@ -120,7 +120,8 @@
         self.prober.stop()
 
     def keep_only(self, instance_names: typing.Collection[str]) -> None:
-        """Close connections to instances that are gone, and expired ones."""
+        """Drop all instances but these, and expired connections."""
+        self.reachability.keep_only_peers(instance_names)
         self.peer_pool.keep_only(instance_names)
         self.peer_pool.close_expired()
 
--- a/src/briarseam/forwarding/final_answers.py
+++ b/src/briarseam/forwarding/final_answers.py
@@ -42,6 +42,8 @@
             failed.head.status not in attempts.NOT_RUN_STATUSES
         ):
             context.watch.detach()
+            # Another endpoint may have been tried since.
+            context.exchange.extra_headers = ()
             attempts.deliver(context.exchange, failed.head, failed.body)
             return f"failed-{failed.head.status}"
         final_verdict = context.refusal
@@ -99,8 +101,8 @@
         self, exchange: server.Exchange, final_verdict: verdict.Verdict
     ) -> None:
         """Send a verdict; ignore that the caller may have disconnected."""
-        if exchange.relayed and isinstance(final_verdict, verdict.NotRun):
-            exchange.extra_headers = relay_headers.NOT_RUN_HEADERS
+        if exchange.relayed:
+            exchange.extra_headers = relay_headers.of_verdict(final_verdict)
         try:
             self.deps.refusals.send(exchange, final_verdict)
         except OSError as error:
--- a/src/briarseam/forwarding/relay_headers.py
+++ b/src/briarseam/forwarding/relay_headers.py
@@ -12,6 +12,8 @@
 import hmac
 import typing
 
+from briarseam import verdict
+
 if typing.TYPE_CHECKING:
     from briarseam.forwarding import calls
 
@@ -21,10 +23,10 @@
 ENDPOINT: typing.Final = "Briarseam-Endpoint"
 # In answers: "1" if the request has not run, and will not.
 NOT_RUN: typing.Final = "Briarseam-Not-Run"
-NOT_RUN_HEADERS = ((NOT_RUN, "1"),)
 PURPOSE = b"briarseam relay\0"
 MAX_SENDS = 1000
 MS = 1000
+Header = tuple[str, str]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +68,18 @@
     )
 
 
+def of_verdict(final_verdict: verdict.Verdict) -> tuple[Header, ...]:
+    """Return the headers of an answer that no endpoint has given."""
+    if isinstance(final_verdict, verdict.NotRun):
+        return ((NOT_RUN, "1"),)
+    return ()
+
+
+def of_endpoint(endpoint_id: str) -> tuple[Header, ...]:
+    """Return the headers of an answer of an endpoint."""
+    return ((ENDPOINT, endpoint_id),)
+
+
 def mac_of(key: bytes, call: calls.Call, text: str) -> str:
     """Return the authentication code of a header for one call."""
     content = "\0".join((call.id, call.method, call.target, text))
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -318,8 +318,8 @@
         added = chooser.record_start(placement, context.call)
         chooser.reachability.record_sent(placement.endpoint.service)
         if context.exchange.relayed:
-            context.exchange.extra_headers = (
-                (relay_headers.ENDPOINT, placement.endpoint.id),
+            context.exchange.extra_headers = relay_headers.of_endpoint(
+                placement.endpoint.id
             )
         log.info(
             "request_sent",
--- a/src/briarseam/reachability/tracker.py
+++ b/src/briarseam/reachability/tracker.py
@@ -128,6 +128,13 @@
         for service in services:
             self.review(service)
 
+    def keep_only_peers(self, members: collections.abc.Container[str]) -> None:
+        """Drop what all peers but these have told."""
+        for member in list(self.unreachable_for_peers):
+            if member not in members:
+                self.unreachable_for_peers.pop(member, None)
+                self.peer_since_s.pop(member, None)
+
     # What is decided.
 
     def reachable(
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -441,6 +441,30 @@
     )
 
 
+def test_lost_answer_does_not_end_a_limit_at_the_first_instance(system, pair):
+    """Guards against the other instance's word taken for an endpoint's."""
+    cut_off, _other = pair
+    limits = cut_off.eligibility.rate_limits
+    plain = [system.workers[name] for name in ("plain-1", "plain-2")]
+    for worker in plain:
+        worker.set(limit="50")
+    waiting.until(
+        lambda: (
+            call(system, cut_off, "GET", "/status/1").status in (200, 503)
+            and limits.limited_count() == 2
+        ),
+        TIMEOUT_S,
+    )
+    for worker in plain:
+        worker.set(reset=10)
+    waiting.until(
+        lambda: call(system, cut_off, "POST", "/submit/1").status == 502,
+        TIMEOUT_S,
+    )
+    heard = [state.heard.per_s for state in limits.states.values()]
+    assert heard == [50.0, 50.0]
+
+
 def test_many_requests_at_once_are_served(system, pair):
     cut_off, _other = pair
     with concurrent.futures.ThreadPoolExecutor(16) as pool:
--- a/tests/reachability/test_tracker.py
+++ b/tests/reachability/test_tracker.py
@@ -83,6 +83,16 @@
     assert reachability.services_in_doubt() == set()
 
 
+def test_peers_that_are_gone_are_forgotten(endpoints, reachability):
+    """Guards against memory that grows with each instance that is replaced."""
+    [only] = endpoints.add("portal", 1)
+    reachability.record_unreached(only)
+    reachability.consume("two", reachability.provide())
+    reachability.keep_only_peers({"one"})
+    assert reachability.unreachable_for_peers == {}
+    assert reachability.peer_since_s == {}
+
+
 def test_endpoints_that_are_gone_are_forgotten(endpoints, reachability):
     first, _second = endpoints.add("portal", 2)
     reachability.record_unreached(first)
