--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -172,7 +172,7 @@
             self.calls,
             self.chooser.kept_index,
             settings.instance.name,
-            self.store_readers,
+            self.paths.store_readers,
             self.instances.known_count,
             self.instances.weight_of,
         )
@@ -300,7 +300,7 @@
                 self.feeds.registrations.zone_of,
                 self.instances.weight_of,
                 self.eligibility.region_map.region_of,
-                self.has_all_paths,
+                self.paths.reaches_all_services,
             ),
             str(listen.callers),
             lambda: self.settings.bounds.lookup_ttl_max_s,
@@ -481,21 +481,6 @@
         self.eligibility.keep_only(ids)
         self.weights.known_weights.keep_only(ids)
 
-    def store_readers(self) -> list[str]:
-        """Return the instances of this cell that may read cache stores.
-
-        An instance that has lost its path to endpoints has lost the one to
-        stores, too, and its whole cell would use what it last read.
-        """
-        return self.reachability.with_lasting_paths(
-            self.instances.names_in_cell(), self.settings.instance.name
-        )
-
-    def has_all_paths(self, name: str) -> bool:
-        """Return whether an instance reaches endpoints of all services."""
-        own_name = self.settings.instance.name
-        return self.reachability.has_all_paths(name, own_name)
-
     def is_ready(self) -> bool:
         """Return whether callers may be directed to this instance.
 
--- a/src/briarseam/compose/node_paths.py
+++ b/src/briarseam/compose/node_paths.py
@@ -104,12 +104,15 @@
         Passes requests on to other instances.
     peer_pool
         Connections to other instances for relayed requests.
+    instances
+        All instances.
     """
 
     reachability: tracker.Reachability
     prober: probing.Prober
     relays: relaying.Relaying
     peer_pool: connections.Pool
+    instances: node_instances.Instances
 
     def start(self) -> None:
         """Start probing."""
@@ -119,6 +122,20 @@
         """Stop probing."""
         self.prober.stop()
 
+    def reaches_all_services(self, name: str) -> bool:
+        """Return whether an instance reaches endpoints of all services."""
+        return self.reachability.has_all_paths(name, self.instances.own_name)
+
+    def store_readers(self) -> list[str]:
+        """Return the instances of this cell that may read cache stores.
+
+        An instance that has lost its path to endpoints has lost the one to
+        stores, too, and its whole cell would use what it last read.
+        """
+        return self.reachability.with_lasting_paths(
+            self.instances.names_in_cell(), self.instances.own_name
+        )
+
     def keep_only(self, instance_names: typing.Collection[str]) -> None:
         """Drop all instances but these, and expired connections."""
         self.reachability.keep_only_peers(instance_names)
@@ -179,4 +196,5 @@
             ),
         ),
         peer_pool,
+        instances,
     )
--- a/src/briarseam/reachability/probing.py
+++ b/src/briarseam/reachability/probing.py
@@ -74,10 +74,18 @@
         while not self.stopping.is_set():
             self.wake.wait(random.uniform(0.0, MAX_WAIT_S))
             self.wake.clear()
-            for service in self.reachability.services_in_doubt():
-                self.probe(service)
+            try:
+                self.probe_all()
+            except Exception:
+                # Without this thread no endpoint would be used again.
+                log.exception("task_failed", what="probing")
             self.stopping.wait(MIN_PAUSE_S)
 
+    def probe_all(self) -> None:
+        """Probe all services whose paths are in doubt."""
+        for service in self.reachability.services_in_doubt():
+            self.probe(service)
+
     def probe(self, service: str) -> None:
         """Probe endpoints of a service and record the results."""
         reachability = self.reachability
--- a/tests/reachability/test_probing.py
+++ b/tests/reachability/test_probing.py
@@ -119,3 +119,23 @@
 def wait_until(condition):
     """Wait until something holds."""
     waiting.until(condition, 5.0)
+
+
+def test_prober_goes_on_after_an_error(endpoints, reachability, prober):
+    """Guards against endpoints that are never used again."""
+    [only] = endpoints.add("portal", 1)
+    reachability.record_unreached(only)
+    errors = []
+
+    def fail_once(service):
+        if not errors:
+            errors.append(service)
+            raise RuntimeError("fault")
+        return endpoints.of(service)
+
+    reachability.endpoints = fail_once
+    prober.start()
+    try:
+        wait_until(lambda: errors and not reachability.failed)
+    finally:
+        prober.stop()
