--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -446,11 +446,7 @@
         """
         self.eligibility.region_map.check(configuration)
         limits = configuration.limits
-        for name in ("callers", "relays"):
-            server = self.servers[name]
-            server.set_idle_timeout(limits.idle_timeout_s)
-            server.max_request_header_size = limits.header_bytes
-            server.max_request_body_size = limits.body_bytes
+        node_servers.apply_limits(self.servers, limits)
         freeing_stores = [
             store for store in configuration.stores() if store.frees_on_request
         ]
--- a/src/briarseam/compose/node_servers.py
+++ b/src/briarseam/compose/node_servers.py
@@ -13,9 +13,12 @@
 
     from briarseam import inflight
     from briarseam.compose import local_handlers
+    from briarseam.routes import model as routes
     from briarseam.settings import sections
     from briarseam.settings import serving
 
+# Headers that an instance adds to a request that it passes on.
+RELAY_HEADER_BYTES = 1024
 Handler = typing.Callable[[http.Exchange], None]
 
 
@@ -59,6 +62,26 @@
     return servers
 
 
+def apply_limits(
+    servers: collections.abc.Mapping[str, http.Server],
+    limits: routes.CallerLimits,
+) -> None:
+    """Apply the limits on callers' requests.
+
+    Parameters
+    ----------
+    servers
+        The servers by purpose.
+    limits
+        What callers may send, and how long they may be idle.
+    """
+    for name, extra_bytes in (("callers", 0), ("relays", RELAY_HEADER_BYTES)):
+        server = servers[name]
+        server.set_idle_timeout(limits.idle_timeout_s)
+        server.max_request_header_size = limits.header_bytes + extra_bytes
+        server.max_request_body_size = limits.body_bytes
+
+
 def stop_all(
     servers: collections.abc.Iterable[http.Server], wait_s: float
 ) -> None:
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -135,6 +135,33 @@
     assert not unwanted & request.headers.keys()
 
 
+def test_request_with_headers_up_to_the_limit_is_passed_on(system, pair):
+    """Guards against headers of instances that exceed the callers' limit."""
+    nodes = pair
+    system.configure(
+        version=2,
+        limits={
+            "maxHeaderBytes": 1000,
+            "maxBodyBytes": 10000,
+            "headerTimeoutMs": 5000,
+            "idleTimeoutMs": 5000,
+        },
+    )
+    waiting.until(
+        lambda: all(node.feeds.configuration_version() == 2 for node in nodes),
+        TIMEOUT_S,
+    )
+    through_other, direct = (
+        [
+            call(system, node, "GET", "/status/1", X_Pad="x" * size).status
+            for size in range(500, 1000, 20)
+        ]
+        for node in nodes
+    )
+    assert set(direct) == {200, 413}
+    assert through_other == direct
+
+
 def test_answer_tells_callers_nothing_of_the_other_instance(system, pair):
     cut_off, _other = pair
     answers = [call(system, cut_off, "GET", "/status/1")]
