--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -108,9 +108,10 @@
         candidates = [
             endpoint for endpoint in known if endpoint.id not in request.tried
         ]
+        if known and not self.reachability.reachable(candidates or known):
+            # Before limits: their parts belong to the instance that sends.
+            return requests.Unreachable(len(candidates or known))
         if not candidates:
-            if known and not self.reachability.reachable(known):
-                return requests.Unreachable(len(known))
             return verdict.NotRun(
                 verdict.Reason.NO_ENDPOINT,
                 "no endpoint of the service accepts requests",
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -162,6 +162,26 @@
     assert through_other == direct
 
 
+def test_limits_of_an_instance_that_sends_nothing_are_not_applied(
+    system, pair, monkeypatch
+):
+    """Guards against a refusal where the other instance has a part."""
+    cut_off, _other = pair
+    for name in ("plain-1", "plain-2"):
+        system.workers[name].set(brittle="3", limit="50")
+    for limits in (
+        cut_off.eligibility.rate_limits,
+        cut_off.eligibility.rejection_limits,
+    ):
+        monkeypatch.setattr(limits, "has_part", lambda *_state: False)
+    statuses = []
+    for _ in range(10):
+        statuses.append(call(system, cut_off, "GET", "/status/1").status)
+        time.sleep(0.1)
+    assert cut_off.eligibility.rejection_limits.limited_count() == 2
+    assert statuses == [200] * 10
+
+
 def test_answer_tells_callers_nothing_of_the_other_instance(system, pair):
     cut_off, _other = pair
     answers = [call(system, cut_off, "GET", "/status/1")]
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -109,6 +109,15 @@
     assert {"PathsCut", "ServiceFragile"} <= set(report.faults)
 
 
+@pytest.mark.timeout(120)
+def test_instances_without_a_path_ask_others_also_at_limits(tmp_path):
+    """An instance without a path, and without a part of a limit, refused what
+    others had room for; seed 53010.
+    """
+    report = serve_soak.run(53010, 14.0, 4, tmp_path, paths=True)
+    assert report.broken == []
+
+
 PLANS = (
     faults.plan,
     faults.plan_stops,
