--- a/src/briarseam/compose/node_paths.py
+++ b/src/briarseam/compose/node_paths.py
@@ -176,7 +176,8 @@
             connection = pool.connect(endpoint.address)
         except connections.UnreachableError:
             return False
-        pool.release(endpoint.id, endpoint.address, connection, "")
+        # Endpoints accept few connections, and all instances probe.
+        connection.close()
         return True
 
     return Paths(
