--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -306,6 +306,23 @@
     assert arrived(system) == []
 
 
+def test_request_that_was_passed_on_is_not_passed_on_again(
+    system, monkeypatch
+):
+    """Guards against a request that goes round before peers have told."""
+    nodes = start_others(system, 1)
+    for node in nodes:
+        monkeypatch.setattr(
+            node.reachability, "peer_has_path", lambda *_names: True
+        )
+    with contextlib.ExitStack() as stack:
+        for node in nodes:
+            stack.enter_context(partition.from_endpoints(node))
+        assert call(system, nodes[0], "GET", "/status/1").status == 503
+    assert len(relays(system, nodes[:1])) == 1
+    assert relays(system, nodes[1:]) == []
+
+
 def test_nothing_is_passed_on_when_no_instance_has_a_path(system):
     """Guards against a crowd at the peers when endpoints themselves fail."""
     nodes = start_others(system, 1)
