--- a/src/briarseam/reachability/tracker.py
+++ b/src/briarseam/reachability/tracker.py
@@ -177,12 +177,16 @@
     def services_in_doubt(self) -> set[str]:
         """Return the services with failures or without answers.
 
-        Those that were suspected are returned once.
+        Those that were suspected are returned once.  While any service is cut
+        off, all are in doubt: limits may keep this instance from sending to
+        the others, so that no failure shows.
         """
         with self.lock:
             suspected, self.suspected = self.suspected, set()
             failed = set(self.failed.values())
             waiting = list(self.waiting_since_s)
+            if self.unreachable:
+                failed |= self.heard_s.keys()
         silent = {name for name in waiting if self.is_silent(name)}
         return suspected | failed | silent
 
--- a/tests/reachability/test_tracker.py
+++ b/tests/reachability/test_tracker.py
@@ -76,6 +76,18 @@
     assert not reachability.is_silent("portal")
 
 
+def test_all_services_are_in_doubt_while_one_is_cut_off(
+    endpoints, reachability
+):
+    """Guards against a cut that shows at no service that limits rule out."""
+    [only] = endpoints.add("engines", 1)
+    endpoints.add("portal", 1)
+    reachability.record_heard("portal")
+    assert reachability.services_in_doubt() == set()
+    reachability.record_unreached(only)
+    assert reachability.services_in_doubt() == {"engines", "portal"}
+
+
 def test_idle_service_is_not_silent(reachability, clock):
     reachability.record_sent("portal")
     reachability.record_heard("portal")
--- a/tests/soak/paths.py
+++ b/tests/soak/paths.py
@@ -17,6 +17,8 @@
 # So many requests may fail at instances without a path.
 ALLOWED_FAILURES = 10
 ALLOWED_FAILURES_SHARE = 1 / 50
+# Within which an instance finds out that its path is back.
+NOTICE_S = 1.0
 OK = 200
 
 
@@ -96,6 +98,10 @@
 ) -> typing.Iterator[str]:
     """Yield cuts during which callers of cut-off instances were not served."""
     requests = list(sent)
+    names = {one.instance.name for one in requests}
+    requests = [
+        one for one in requests if not is_without_help(cuts, one, names)
+    ]
     for cut in cuts:
         settled_s = cut.began_s + SETTLE_S
         behind: list[bool] = []
@@ -125,6 +131,24 @@
             )
 
 
+def is_without_help(
+    cuts: list[PathCut], one: callers.Sent, names: set[str]
+) -> bool:
+    """Return whether all instances were cut off while a request was sent.
+
+    So long after that they may not know yet that a path is back.
+    """
+    return all(
+        any(
+            name in cut.instances
+            and cut.began_s < one.ended_s
+            and one.sent_s < cut.ended_s + NOTICE_S
+            for cut in cuts
+        )
+        for name in names
+    )
+
+
 def is_cut_off(cuts: list[PathCut], one: callers.Sent) -> bool:
     """Return whether a request's instance was cut off while it was sent."""
     return any(
