--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from briarseam.eligibility import rejection_limits
 from briarseam.forwarding import calls
 from briarseam.forwarding import pending_losses
 from briarseam.forwarding import relay_headers
@@ -167,6 +168,8 @@
 ):
     """Guards against a refusal where the other instance has a part."""
     cut_off, _other = pair
+    # An instance that has just started uses no part of limits.
+    time.sleep(2 * rejection_limits.HOLD_S)
     for name in ("plain-1", "plain-2"):
         system.workers[name].set(brittle="3", limit="50")
     for limits in (
