Stand-ins: answers with any framing that are cut short anywhere

The stand-in of endpoints answered with the server's own framing only, and broke streams by dropping a chunked connection. It can now answer with a length, with chunks or with neither, as HTTP/1.1 or 1.0, and end an answer before, inside, between and after its events, in order or by a reset. A raw caller of either version reads the framing itself and tells whether an answer looks complete to it. No change of what the product does.

--- a/src/briarseam/testing/http_messages.py
+++ b/src/briarseam/testing/http_messages.py
@@ -34,6 +34,9 @@
     def send(self, framed: bytes) -> None:
         """Send all, waiting as long as it takes."""
 
+    def reset_on_close(self) -> None:
+        """Have the connection reset when it is closed."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Request:
--- a/src/briarseam/testing/http_server.py
+++ b/src/briarseam/testing/http_server.py
@@ -20,6 +20,7 @@
 from cheroot import wsgi
 
 from briarseam import connection_threads
+from briarseam import resets
 from briarseam.testing import http_messages
 
 LISTEN_BACKLOG = 1024
@@ -44,7 +45,7 @@
 }
 
 
-class Connection(cheroot_server.HTTPConnection):
+class Connection(resets.ResettableConnection):
     """A connection that the server can find again to cut it."""
 
     def __init__(
@@ -139,6 +140,10 @@
         """
         self.request.conn.wfile.write(framed)
 
+    def reset_on_close(self) -> None:
+        """Have the connection reset when it is closed."""
+        self.request.conn.resetting = True
+
 
 class Server(wsgi.Server):
     """Cheroot's WSGI server with a thread a connection and a prompt stop.
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -12,12 +12,18 @@
 from briarseam.testing import ports
 from briarseam.testing import waiting
 from tests.platform import metadata_store
+from tests.platform import raw_caller
 from tests.platform import worker as workers
 
 HOST = "kitchens.example"
 KEY = "key-of-north"
 MODEL = "drafts"
 TIMEOUT_S = 10
+PROMPT = {
+    "Model": MODEL,
+    "Token_Usage": "1000,50",
+    "Prefix_Hash": "aa:600,bb:400",
+}
 
 ROUTES = [
     {
@@ -82,6 +88,19 @@
     } | changes
 
 
+def callers_headers(key: str, others: dict[str, str]) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    headers = {
+        "Host": HOST,
+        "Request-Id": f"r{time.monotonic_ns()}",
+        "Authorization": f"Bearer {key}",
+    }
+    headers.update(
+        (name.replace("_", "-"), value) for name, value in others.items()
+    )
+    return headers
+
+
 class System:
     """An instance, its store and its endpoints."""
 
@@ -218,26 +237,24 @@
         **headers: str,
     ) -> urllib3.BaseHTTPResponse:
         """Send a caller's request and return the answer."""
-        sent = {
-            "Host": HOST,
-            "Request-Id": f"r{time.monotonic_ns()}",
-            "Authorization": f"Bearer {key}",
-        }
-        sent.update(
-            (name.replace("_", "-"), value) for name, value in headers.items()
-        )
         return self.http.request(
-            method, self.url("callers", path), body=body, headers=sent
+            method,
+            self.url("callers", path),
+            body=body,
+            headers=callers_headers(key, headers),
         )
 
     def stream(self, path: str, **headers: str) -> urllib3.BaseHTTPResponse:
         """Send a request with a prompt and return the answer."""
-        prompt = {
-            "Model": MODEL,
-            "Token_Usage": "1000,50",
-            "Prefix_Hash": "aa:600,bb:400",
-        }
-        return self.call(path, **(prompt | headers))
+        return self.call(path, **(PROMPT | headers))
+
+    def receive(
+        self, path: str, version: str = "1.1", **headers: str
+    ) -> raw_caller.Received:
+        """Send a caller's request and return the answer and its framing."""
+        listen = self.node.settings.listen.callers
+        sent = callers_headers(KEY, headers)
+        return raw_caller.send(str(listen), "POST", path, sent, version)
 
     def close(self) -> None:
         """Stop the instance and all stand-ins."""
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -12,6 +12,7 @@
 from briarseam.testing import http_messages
 from briarseam.testing import stand_in
 from briarseam.testing import switches
+from tests.platform import raw_answers
 
 SIGNATURE = "3e1b.07"
 Headers = tuple[tuple[str, str], ...]
@@ -58,6 +59,18 @@
     retry_after
         Value of the header in answers that reject a request; empty for
         none.
+    framing
+        What marks the end of answers, as in `raw_answers.Framing`; empty for
+        the server's own choice.
+    http_version
+        Version of answers whose framing is set.
+    cuts
+        Number of next answers that are cut short, of those whose framing is
+        set.
+    cut_at, cut_by
+        Where and how, as in `raw_answers.Cut` and `raw_answers.Ending`.
+    line_end
+        Line end in streams.
     """
 
     reject: switches.Count = 0
@@ -75,6 +88,12 @@
     work_ms: switches.Count = 0
     room: switches.Count = 0
     retry_after: str = ""
+    framing: str = ""
+    http_version: str = "1.1"
+    cuts: switches.Count = 0
+    cut_at: str = ""
+    cut_by: str = "fin"
+    line_end: str = "\n"
 
 
 class Worker(stand_in.StandIn[Switches]):
@@ -192,29 +211,78 @@
             return http_messages.Response(500, b"failed", headers=signed)
         while self.switches.hold and not self.stopping.wait(0.01):
             pass
+        if self.switches.framing:
+            self.answer_raw(request, call, signed)
         if "prefix-hash" in request.headers:
             return http_messages.Response(
                 200, self.stream(request, call), "text/event-stream", signed
             )
-        return http_messages.Response(
-            200, f"{self.id} did it".encode(), headers=signed
+        return http_messages.Response(200, self.plain_body(), headers=signed)
+
+    def plain_body(self) -> bytes:
+        """Return the body of a plain answer."""
+        return f"{self.id} did it".encode()
+
+    def form(self) -> raw_answers.Form:
+        """Return the form of the next answer whose framing is set."""
+        chosen = self.switches
+        cut = raw_answers.Cut.NOWHERE
+        ending = raw_answers.Ending.FIN
+        if self.take("cuts"):
+            cut = raw_answers.Cut(chosen.cut_at)
+            ending = raw_answers.Ending(chosen.cut_by)
+        return raw_answers.Form(
+            raw_answers.Framing(chosen.framing),
+            chosen.http_version,
+            cut,
+            ending,
         )
 
+    def answer_raw(
+        self, request: http_messages.Request, call: str, headers: Headers
+    ) -> typing.NoReturn:
+        """Send an answer whose framing is set."""
+        form = self.form()
+        if form.cut:
+            self.broke.append(call)
+        pieces = [self.plain_body()]
+        if "prefix-hash" in request.headers:
+            headers = (*headers, ("Content-Type", http_messages.SSE_TYPE))
+            pieces = [self.event(n) for n in self.numbers(request)]
+        try:
+            raw_answers.send(request.output, form, headers, pieces, self.pause)
+        finally:
+            self.ended.append(call)
+
+    def pause(self) -> None:
+        """Wait as long as is set after each event of a stream."""
+        self.stopping.wait(self.switches.pause_ms / 1000)
+
+    def event(self, number: int) -> bytes:
+        """Return one event of a stream."""
+        text = EVENT.format(number)
+        return text.replace("\n", self.switches.line_end).encode()
+
+    def numbers(self, request: http_messages.Request) -> range:
+        """Return the numbers of the events that a request asks for."""
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        return range(first, self.switches.events + 1)
+
     def stream(
         self, request: http_messages.Request, call: str
     ) -> collections.abc.Iterator[bytes]:
         """Yield the events after the last one that the caller has."""
-        first = int(request.headers.get("last-event-id", 0)) + 1
+        numbers = self.numbers(request)
         breaks = self.take("break_streams")
         try:
-            for number in range(first, self.switches.events + 1):
-                event = EVENT.format(number).encode()
-                if breaks and number > first:
+            for number in numbers:
+                event = self.event(number)
+                if breaks and number > numbers[0]:
                     self.broke.append(call)
                     yield event[:5]
                     raise http_messages.Dropped
                 yield event
-                self.stopping.wait(self.switches.pause_ms / 1000)
+                self.pause()
         finally:
             self.ended.append(call)
 
