Tell in log and metrics how an endpoint's answer was framed and ended

Each step of request_ended now names framing, end and the bytes after the last complete event, and transfers_total counts framing and end. Nothing else changes.

--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -175,6 +175,11 @@
             "Sends to endpoints by what became of them",
             ("outcome",),
         ),
+        body_transfers=registry.counters(
+            "transfers_total",
+            "Answers of endpoints by the framing of the body and its end",
+            ("framing", "end"),
+        ),
         first_event_us=registry.latency(
             "first_event_us",
             "Time from a request to its stream's first event",
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -16,6 +16,7 @@
 from briarseam.forwarding import events
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import supervision
+from briarseam.forwarding import transfers
 from briarseam.routes import model as routes
 
 if typing.TYPE_CHECKING:
@@ -82,6 +83,8 @@
         Called when the first event arrives from this endpoint.
     relayed
         Whether `endpoint` is another instance, which has an endpoint answer.
+    transfer
+        How the answer is transferred.
     """
 
     exchange: server.Exchange
@@ -94,6 +97,9 @@
     progress: Progress
     on_first_event: typing.Callable[[], None]
     relayed: bool = False
+    transfer: transfers.Transfer = dataclasses.field(
+        default_factory=transfers.Transfer
+    )
 
 
 DecodeAnswer = typing.Callable[
@@ -153,12 +159,14 @@
             attempt.progress.maybe_sent = True
             sent_s = clocks.boot_clock()
             response = send_request(attempt, connection)
+            attempt.transfer.framing = transfers.framing_of(response)
             outcome = self.handle_answer(attempt, response, sent_s)
         except NETWORK_ERRORS as error:
             connection.close()
             # An error on a connection that was shut down on purpose is not
             # a failure of the endpoint.
             attempt.watch.check()
+            attempt.transfer.end = transfers.end_of(error)
             return outcomes.Broken(f"{type(error).__name__}: {error}")
         except BaseException:
             connection.close()
@@ -224,6 +232,7 @@
                 started = True
             if complete_events:
                 forward_events(attempt, head, complete_events)
+        attempt.transfer.remainder_bytes = len(remainder)
         check_complete(attempt, response)
         if not attempt.progress.events_sent:
             attempt.watch.detach()
@@ -275,6 +284,7 @@
     )
     if not framed:
         attempt.watch.detach_unless_ended()
+    attempt.transfer.record_end_of_body()
 
 
 def send_request(
--- a/src/briarseam/forwarding/relaying.py
+++ b/src/briarseam/forwarding/relaying.py
@@ -26,6 +26,7 @@
     from briarseam.forwarding import calls
     from briarseam.forwarding import request_context
     from briarseam.forwarding import server
+    from briarseam.forwarding import transfers
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
 
@@ -165,29 +166,28 @@
         headers[relay_headers.RELAY] = relay_headers.encode(
             key, context.call, usage
         )
+        attempt = attempts.Attempt(
+            exchange=context.exchange,
+            call=context.call,
+            body=context.body,
+            route=context.route,
+            endpoint=as_endpoint(peer, context.service.name),
+            headers=headers,
+            watch=context.watch,
+            progress=context.progress,
+            on_first_event=lambda: None,
+            relayed=True,
+        )
         outcome: outcomes.Outcome | None = None
         try:
-            outcome = self.sender.send(
-                attempts.Attempt(
-                    exchange=context.exchange,
-                    call=context.call,
-                    body=context.body,
-                    route=context.route,
-                    endpoint=as_endpoint(peer, context.service.name),
-                    headers=headers,
-                    watch=context.watch,
-                    progress=context.progress,
-                    on_first_event=lambda: None,
-                    relayed=True,
-                )
-            )
+            outcome = self.sender.send(attempt)
         except supervision.EndedError:
             context.may_have_run = (
                 context.may_have_run or context.progress.maybe_sent
             )
             raise
         finally:
-            self.record(context, peer, outcome)
+            self.record(context, peer, outcome, attempt.transfer)
         return outcome
 
     def record(
@@ -195,10 +195,12 @@
         context: request_context.Context,
         peer: Peer,
         outcome: outcomes.Outcome | None,
+        transfer: transfers.Transfer,
     ) -> None:
         """Count the outcome and keep it for the log."""
         name = outcomes.name_of(outcome)
-        context.steps.append(f"{peer.name}:relay-{name}")
+        step = f"{peer.name}:relay-{name}"
+        context.steps.append(f"{step} {transfer}".rstrip())
         self.counters.labelled(name).add()
 
 
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -24,6 +24,7 @@
     from briarseam.forwarding import server
     from briarseam.forwarding import shutdown as shutdowns
     from briarseam.forwarding import supervision
+    from briarseam.forwarding import transfers
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
     from briarseam.routes import model as routes
@@ -68,15 +69,23 @@
         Counts requests by result.
     sends
         Counts attempts by outcome.
+    body_transfers
+        Counts answers of endpoints by framing and end.
     first_event_us, answer_us
         Time until a stream's first event, and until the end of a request.
     """
 
     answers: labels.Family[instruments.Counter]
     sends: labels.Family[instruments.Counter]
+    body_transfers: labels.Family[instruments.Counter]
     first_event_us: instruments.Latency
     answer_us: instruments.Latency
 
+    def record_transfer(self, transfer: transfers.Transfer) -> None:
+        """Count an answer that has ended, if there was one."""
+        if transfer.framing is not None and transfer.end is not None:
+            self.body_transfers.labelled(transfer.framing, transfer.end).add()
+
 
 @dataclasses.dataclass(frozen=True)
 class Dependencies:
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -20,6 +20,7 @@
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server
 from briarseam.forwarding import supervision
+from briarseam.forwarding import transfers
 from briarseam.placement import avoidance
 from briarseam.placement import requests as placements
 from briarseam.routes import model as routes
@@ -378,7 +379,9 @@
                 rejected = isinstance(outcome, outcomes.Rejected)
                 chooser.release(placement, rejected)
             chooser.record_end(placement, context.call, added)
-            self.record_send(context, placement, outcome, first_event_ms)
+            self.record_send(
+                context, placement, outcome, first_event_ms, attempt.transfer
+            )
         return outcome
 
     def record_send(
@@ -387,6 +390,7 @@
         placement: placements.Placement,
         outcome: outcomes.Outcome | None,
         first_event_ms: int,
+        transfer: transfers.Transfer,
     ) -> None:
         """Count the outcome of an attempt and keep it for the log."""
         name = outcomes.name_of(outcome)
@@ -401,5 +405,6 @@
                 step = f"{step}-{status}"
         if first_event_ms >= 0:
             step = f"{step} first={first_event_ms}ms"
-        context.steps.append(step)
+        context.steps.append(f"{step} {transfer}".rstrip())
         self.deps.metrics.sends.labelled(name).add()
+        self.deps.metrics.record_transfer(transfer)
