Split streams at empty lines of any line end

Callers of a stream with CRLF or CR line ends got its first event only when the stream had ended: events were split at two LF, which such a stream does not have.

Cause: the splitter knew one of the three line ends of the format. It now parses lines, also where a CRLF is split over two reads, skips comments and a byte order mark, and ignores ids with a null character.

The new platform test fails before for CRLF and CR (no first event is seen until the end). A property test compares the splitter, for random streams in random reads, with a reader written from the format's definition.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -218,28 +218,26 @@
         head: calls.AnswerHead,
     ) -> outcomes.Outcome:
         """Relay a stream as it arrives, in complete events."""
-        remainder = b""
+        splitter = events.Splitter()
         started = False
         while True:
             data = response.read1(READ_BYTES)
             if not data:
                 break
-            complete_events, remainder = events.split_complete(
-                remainder + data
-            )
+            complete_events = splitter.feed(data)
             if complete_events and not started:
                 attempt.on_first_event()
                 started = True
             if complete_events:
                 forward_events(attempt, head, complete_events)
-        attempt.transfer.remainder_bytes = len(remainder)
+        attempt.transfer.remainder_bytes = len(splitter.remainder)
         check_complete(attempt, response)
         if not attempt.progress.events_sent:
             attempt.watch.detach()
-            deliver(attempt.exchange, head, remainder)
+            deliver(attempt.exchange, head, splitter.remainder)
             return outcomes.Answered(head.status)
         with caller_errors():
-            attempt.exchange.send(remainder)
+            attempt.exchange.send(splitter.remainder)
             attempt.exchange.finish()
         return outcomes.Answered(head.status)
 
@@ -303,19 +301,21 @@
 
 
 def forward_events(
-    attempt: Attempt, head: calls.AnswerHead, complete_events: bytes
+    attempt: Attempt,
+    head: calls.AnswerHead,
+    complete_events: list[events.Event],
 ) -> None:
     """Send complete events to the caller."""
     progress = attempt.progress
+    data = b"".join(event.raw for event in complete_events)
     with caller_errors():
         if progress.events_sent:
-            attempt.exchange.send(complete_events)
+            attempt.exchange.send(data)
         else:
-            attempt.exchange.begin(head.status, head.headers, complete_events)
+            attempt.exchange.begin(head.status, head.headers, data)
     progress.events_sent = True
-    progress.last_event_id = (
-        events.last_id(complete_events) or progress.last_event_id
-    )
+    for event in complete_events:
+        progress.last_event_id = event.id or progress.last_event_id
 
 
 def deliver(
--- a/src/briarseam/forwarding/events.py
+++ b/src/briarseam/forwarding/events.py
@@ -1,27 +1,124 @@
-"""Splitting of a stream of server-sent events at event boundaries."""
+"""Splitting of a stream of server-sent events into its events.
+
+Lines end with LF, CRLF or CR, and an empty line ends an event.
+"""
 
 from __future__ import annotations
 
-END_OF_EVENT = b"\n\n"
-ID_FIELD = b"id:"
+import dataclasses
+
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+LINE_ENDS = b"\r\n"
+CR = b"\r"
+COMMENT = b":"
+ID = b"id"
+DATA = b"data"
+NULL = b"\0"
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """An event, or something between events, up to its empty line.
 
+    Attributes
+    ----------
+    raw
+        Its bytes, unchanged.
+    id
+        Its id; ``None`` if it has none.
+    has_data
+        Whether it has data.  Callers ignore others but for their id.
+    """
+
+    raw: bytes
+    id: str | None = None
+    has_data: bool = False
 
-def split_complete(data: bytes) -> tuple[bytes, bytes]:
-    """Return the complete events in ``data``, and the remaining bytes.
 
-    An endpoint may stop in the middle of an event.  If a caller got part of
-    it, the events of the endpoint that continues would follow that part.
+class Splitter:
+    """Splits a stream into events as its bytes arrive.
+
+    Attributes
+    ----------
+    remainder
+        Bytes after the last complete event.
     """
-    end = data.rfind(END_OF_EVENT)
-    if end < 0:
-        return b"", data
-    end += len(END_OF_EVENT)
-    return data[:end], data[end:]
-
-
-def last_id(events: bytes) -> str | None:
-    """Return the id of the last event that has an id."""
-    for line in reversed(events.split(b"\n")):
-        if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode("latin-1")
-    return None
+
+    def __init__(self) -> None:
+        self.remainder = b""
+        # Where the first line begins in the remainder that was not parsed.
+        self.parsed_bytes = 0
+        self.at_start = True
+        self.fields: dict[bytes, bytes] = {}
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that are complete with these bytes."""
+        self.remainder += data
+        found = []
+        event_start = 0
+        for line in self.complete_lines():
+            self.parsed_bytes += len(line)
+            content = self.content_of(line)
+            if content:
+                self.add_field(content)
+                continue
+            raw = self.remainder[event_start : self.parsed_bytes]
+            found.append(self.end_event(raw))
+            event_start = self.parsed_bytes
+        self.remainder = self.remainder[event_start:]
+        self.parsed_bytes -= event_start
+        return found
+
+    def complete_lines(self) -> list[bytes]:
+        """Return the lines of the remainder whose end has arrived.
+
+        The LF of a CRLF may arrive later than its CR.  Taken for an empty
+        line, it would end the event too early.  After an empty line it does
+        no harm.
+        """
+        lines = self.remainder[self.parsed_bytes :].splitlines(keepends=True)
+        if not lines:
+            return []
+        last = lines[-1]
+        is_complete = last[-1:] in LINE_ENDS
+        if not is_complete or (last[-1:] == CR and last != CR):
+            lines.pop()
+        return lines
+
+    def content_of(self, line: bytes) -> bytes:
+        """Return a line without its end, and without a byte order mark."""
+        content = line.rstrip(LINE_ENDS)
+        if self.at_start:
+            self.at_start = False
+            return content.removeprefix(BYTE_ORDER_MARK)
+        return content
+
+    def add_field(self, content: bytes) -> None:
+        """Add the field in a line; comments have none."""
+        name, _, value = content.partition(b":")
+        if name:
+            self.fields[name] = value
+
+    def end_event(self, raw: bytes) -> Event:
+        """Return the event that an empty line ends."""
+        value = self.fields.get(ID, NULL)
+        # The format ignores ids with a null character.
+        event_id = None if NULL in value else value.strip().decode("latin-1")
+        event = Event(raw, event_id, DATA in self.fields)
+        self.fields = {}
+        return event
+
+    def is_inside_event(self) -> bool:
+        """Return whether the stream would be incomplete if it ended here.
+
+        Comments between events belong to none.
+        """
+        unfinished = self.remainder[self.parsed_bytes :]
+        if self.at_start:
+            unfinished = unfinished.removeprefix(BYTE_ORDER_MARK)
+        if unfinished.endswith(CR):
+            # Nothing follows, so the line is complete.
+            unfinished = unfinished.rstrip(CR)
+            if unfinished.startswith(COMMENT):
+                unfinished = b""
+        return bool(self.fields or unfinished)
