Treat a stream that ends inside an event as broken off

Callers of a resumable route, and of one that may run once, got a stream that its endpoint had broken off as complete, with a last chunk: whole events, and then a fragment of the next one.

Cause: the end of the transport was taken for the end of the message. An answer without a length or chunks ends with its connection, so the end of the data was all that decided, and the endpoint's orderly close looked the same as a complete stream.

Now what is left after the last event decides, for each framing: a fragment is never passed on, the send counts as broken, and the stream is resumed after its last whole event or broken off. Callers get the break at once, and 502 where no event was sent. Bodies of another type than text/event-stream have no events and are passed on as they are.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -199,7 +199,8 @@
         success = SUCCESS_MIN <= head.status < SUCCESS_END
         if success and not head.signed:
             return outcomes.Broken("the answer is not signed")
-        if success and attempt.route.repeat is routes.Repeat.STREAM:
+        is_stream = attempt.route.repeat is routes.Repeat.STREAM
+        if success and is_stream and head.event_stream:
             return self.relay_stream(attempt, response, head)
         body = response.read()
         check_complete(attempt, response)
@@ -232,6 +233,8 @@
                 forward_events(attempt, head, complete_events)
         attempt.transfer.remainder_bytes = len(splitter.remainder)
         check_complete(attempt, response)
+        if splitter.is_inside_event():
+            return outcomes.Broken("the stream ended inside an event")
         if not attempt.progress.events_sent:
             attempt.watch.detach()
             deliver(attempt.exchange, head, splitter.remainder)
--- a/src/briarseam/forwarding/calls.py
+++ b/src/briarseam/forwarding/calls.py
@@ -148,6 +148,8 @@
         What it tells of the endpoint.
     endpoint
         Id of the endpoint that answered, if another instance tells it.
+    event_stream
+        Whether the body is a stream of events.
     """
 
     status: int
@@ -158,3 +160,4 @@
     version: int | None = None
     announced: announcements.Announcements = announcements.NONE
     endpoint: str = ""
+    event_stream: bool = True
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -62,6 +62,7 @@
 )
 CACHE_HEADER_PREFIX = "kv-"
 BEARER_PREFIX = "bearer "
+EVENT_STREAM_TYPE = "text/event-stream"
 
 
 def decode_call(method: str, target: str, headers: Headers) -> calls.Call:
@@ -251,9 +252,21 @@
         signed=names.SIGNATURE.lower() in by_name,
         version=decoding.header_integer(version),
         announced=decode_announcements(status, by_name),
+        event_stream=is_event_stream(by_name.get("content-type")),
     )
 
 
+def is_event_stream(content_type: str | None) -> bool:
+    """Return whether a body of a stream's route consists of events.
+
+    Without a type it does: the route says so.
+    """
+    if content_type is None:
+        return True
+    media_type = content_type.partition(";")[0].strip().lower()
+    return media_type == EVENT_STREAM_TYPE
+
+
 def decode_relayed_answer(status: int, headers: Headers) -> calls.AnswerHead:
     """Decode status and headers of an answer that an instance relayed."""
     by_name = {name.lower(): value for name, value in headers}
--- a/tests/platform/test_broken_off_streams.py
+++ b/tests/platform/test_broken_off_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 
 import pytest
@@ -10,36 +11,137 @@
 from tests.platform import steps
 from tests.platform import system as systems
 
+Cut = raw_answers.Cut
+Ending = raw_answers.Ending
+Framing = raw_answers.Framing
+
 ENGINES = ("engine-1", "engine-2")
 EVENTS = 3
 PAUSE_MS = 300
+VERSIONS = ("1.0", "1.1")
+INSIDE_EVENTS = (
+    Cut.IN_FIRST_EVENT,
+    Cut.IN_LATER_EVENT,
+    Cut.BEFORE_LAST_NEWLINE,
+)
+
+
+class Cuts:
+    """Has the next answers of any endpoint cut short.
+
+    Attributes
+    ----------
+    left
+        How many.
+    """
 
+    def __init__(self) -> None:
+        self.left = 0
 
-def cut_streams(system, form, number=100):
-    """Have all engines send streams in a form, cut short."""
+    def take(self) -> bool:
+        """Return whether to cut the next answer."""
+        self.left -= 1
+        return self.left >= 0
+
+
+def receive(system, path, form, cuts, version="1.1", **switches):
+    """Return the answer to a request whose first runs are cut short."""
+    counter = Cuts()
+    counter.left = cuts
     for name in ENGINES:
+        system.workers[name].takes_cut = counter.take
         system.workers[name].set(
             events=EVENTS,
             framing=form.framing,
             http_version=form.version,
-            cuts=number,
             cut_at=form.cut,
             cut_by=form.ending,
+            **switches,
         )
+    system.node.chooser.avoided.by_id.clear()
+    return system.receive(path, version, **systems.PROMPT)
+
+
+def forms(framing, version, cuts, endings):
+    """Return the forms of a framing and a version of HTTP."""
+    return [
+        raw_answers.Form(framing, version, *form)
+        for form in itertools.product(cuts, endings)
+    ]
+
+
+def endings_of(framing):
+    """Return the ways in which a truncated answer can end."""
+    if framing is Framing.CONNECTION:
+        return (Ending.FIN, Ending.RESET)
+    return tuple(Ending)
+
+
+def events_before(system, cut):
+    """Return the bytes of the events before a cut."""
+    number = 0 if cut is Cut.IN_FIRST_EVENT else 1
+    worker = system.workers["engine-1"]
+    return b"".join(worker.event(n + 1) for n in range(number))
+
+
+def whole_stream(system):
+    """Return the bytes of all events."""
+    worker = system.workers["engine-1"]
+    return b"".join(worker.event(n + 1) for n in range(EVENTS))
 
 
 def test_unframed_stream_that_ends_inside_an_event_is_not_complete(system):
     """Guards against taking the end of the connection for that of a stream."""
-    form = raw_answers.Form(
-        raw_answers.Framing.CONNECTION, cut=raw_answers.Cut.IN_LATER_EVENT
-    )
-    cut_streams(system, form)
-    received = system.receive("/draft/once/x", **systems.PROMPT)
+    form = raw_answers.Form(Framing.CONNECTION, cut=Cut.IN_LATER_EVENT)
+    received = receive(system, "/draft/once/x", form, cuts=1)
     assert received.status == 200
-    assert received.body == system.workers["engine-1"].event(1)
+    assert received.body == events_before(system, form.cut)
     assert not received.complete
 
 
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("framing", Framing)
+def test_stream_that_ends_inside_an_event_is_broken_off(
+    system, framing, version
+):
+    """Guards against relaying fragments of events, or repeating the run."""
+    endings = endings_of(framing)
+    for form in forms(framing, version, INSIDE_EVENTS, endings):
+        received = receive(system, "/draft/once/x", form, cuts=1)
+        expected = events_before(system, form.cut)
+        if expected:
+            assert (received.status, received.body) == (200, expected), form
+            assert not received.complete, form
+        else:
+            assert received.status == 502, form
+    ran = [call for name in ENGINES for call in system.workers[name].ran]
+    assert len(ran) == len(set(ran))
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("framing", Framing)
+def test_resumed_stream_has_each_event_once(system, framing, version):
+    """Guards against fragments before the events of the next run."""
+    endings = endings_of(framing)
+    for form in forms(framing, version, INSIDE_EVENTS, endings):
+        received = receive(system, "/draft/x", form, cuts=1)
+        assert received.body == whole_stream(system), form
+        assert received.complete, form
+
+
+@pytest.mark.parametrize("line_end", ["\n", "\r\n", "\r"])
+@pytest.mark.parametrize("framing", Framing)
+def test_whole_stream_is_complete_with_any_line_end(system, framing, line_end):
+    """Guards against taking a whole stream for a truncated one."""
+    for version in VERSIONS:
+        form = raw_answers.Form(framing, version)
+        received = receive(
+            system, "/draft/once/x", form, cuts=0, line_end=line_end
+        )
+        assert received.body == whole_stream(system)
+        assert received.complete
+
+
 @pytest.mark.parametrize("line_end", ["\n", "\r\n", "\r"])
 def test_events_are_passed_on_as_they_arrive(system, line_end):
     """Guards against holding events back whose lines do not end with LF."""
@@ -51,3 +153,15 @@
     assert received.complete
     first_event_ms = int(re.search(r"first=(\d+)ms", step)[1])
     assert first_event_ms < PAUSE_MS
+
+
+def test_answer_of_another_type_is_not_split_into_events(system):
+    """Guards against taking a plain body for a truncated stream."""
+    for name in ENGINES:
+        system.workers[name].set(
+            content_type="text/plain", framing=Framing.LENGTH
+        )
+        system.workers[name].event = lambda number: f"line {number}".encode()
+    received = system.receive("/draft/x", **systems.PROMPT)
+    assert received.body == b"line 1line 2line 3"
+    assert received.complete
--- a/tests/platform/test_header_decoders.py
+++ b/tests/platform/test_header_decoders.py
@@ -119,3 +119,16 @@
 def test_leaving_of_an_endpoint_is_decoded(text, expected):
     headers = [] if text is None else [("Server-Leaving", text)]
     assert requests.decode_answer(200, headers).announced.leaving is expected
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ([], True),
+        ([("Content-Type", "text/event-stream")], True),
+        ([("content-type", "Text/Event-Stream; charset=utf-8")], True),
+        ([("Content-Type", "application/json")], False),
+    ],
+)
+def test_type_tells_whether_a_body_consists_of_events(headers, expected):
+    assert requests.decode_answer(200, headers).event_stream is expected
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -69,8 +69,8 @@
         set.
     cut_at, cut_by
         Where and how, as in `raw_answers.Cut` and `raw_answers.Ending`.
-    line_end
-        Line end in streams.
+    line_end, content_type
+        Line end and type of streams.
     """
 
     reject: switches.Count = 0
@@ -94,6 +94,7 @@
     cut_at: str = ""
     cut_by: str = "fin"
     line_end: str = "\n"
+    content_type: str = http_messages.SSE_TYPE
 
 
 class Worker(stand_in.StandIn[Switches]):
@@ -223,12 +224,16 @@
         """Return the body of a plain answer."""
         return f"{self.id} did it".encode()
 
+    def takes_cut(self) -> bool:
+        """Return whether the next answer is cut short."""
+        return self.take("cuts")
+
     def form(self) -> raw_answers.Form:
         """Return the form of the next answer whose framing is set."""
         chosen = self.switches
         cut = raw_answers.Cut.NOWHERE
         ending = raw_answers.Ending.FIN
-        if self.take("cuts"):
+        if self.takes_cut():
             cut = raw_answers.Cut(chosen.cut_at)
             ending = raw_answers.Ending(chosen.cut_by)
         return raw_answers.Form(
@@ -247,7 +252,7 @@
             self.broke.append(call)
         pieces = [self.plain_body()]
         if "prefix-hash" in request.headers:
-            headers = (*headers, ("Content-Type", http_messages.SSE_TYPE))
+            headers = (*headers, ("Content-Type", self.switches.content_type))
             pieces = [self.event(n) for n in self.numbers(request)]
         try:
             raw_answers.send(request.output, form, headers, pieces, self.pause)
