Take an unframed answer for complete only if its endpoint lives

An endpoint's process crashes after an event, or amid a plain body, and its kernel closes the connection in order. Of an answer without a length or chunks nothing else tells, so its caller got the part as complete.

Cause: the same as of fragments, the end of the transport was taken for the end of the message. Other ways that were weighed: handing the answer on without framing would close a connection of the caller each time, and make a stream that this instance breaks off look complete too; accepting it leaves the fault. The instance now connects to the endpoint before it marks such an answer as complete. If that is refused, nothing listens there any more and the send counts as broken; a timeout tells nothing, and is logged. The connection takes the place of the one that has ended, so sound endpoints cost no connection more. An endpoint that has said that it leaves may end after its last answer and is believed. An endpoint that lives and closes between two events is still believed: nothing in its answer tells.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -7,6 +7,7 @@
 import http.client
 import typing
 
+import structlog
 import urllib3.exceptions
 
 from briarseam import clocks
@@ -40,6 +41,7 @@
     http.client.HTTPException,
     urllib3.exceptions.HTTPError,
 )
+log = structlog.get_logger("briarseam.forwarding")
 
 
 @dataclasses.dataclass
@@ -203,7 +205,10 @@
         if success and is_stream and head.event_stream:
             return self.relay_stream(attempt, response, head)
         body = response.read()
-        check_complete(attempt, response)
+        record_end(attempt)
+        broken = self.confirm_end(attempt, response, head)
+        if broken is not None:
+            return broken
         if head.status >= SERVER_ERROR_MIN or head.status in NOT_RUN_STATUSES:
             return outcomes.Failed(head, body)
         if attempt.progress.events_sent:
@@ -232,9 +237,12 @@
             if complete_events:
                 forward_events(attempt, head, complete_events)
         attempt.transfer.remainder_bytes = len(splitter.remainder)
-        check_complete(attempt, response)
+        record_end(attempt)
         if splitter.is_inside_event():
             return outcomes.Broken("the stream ended inside an event")
+        broken = self.confirm_end(attempt, response, head)
+        if broken is not None:
+            return broken
         if not attempt.progress.events_sent:
             attempt.watch.detach()
             deliver(attempt.exchange, head, splitter.remainder)
@@ -244,6 +252,43 @@
             attempt.exchange.finish()
         return outcomes.Answered(head.status)
 
+    def confirm_end(
+        self,
+        attempt: Attempt,
+        response: urllib3.BaseHTTPResponse,
+        head: calls.AnswerHead,
+    ) -> outcomes.Broken | None:
+        """Return why an answer that seems complete is not.
+
+        The end of the connection completes an answer without a length or
+        chunks, but also comes when the endpoint's process crashes.  Nothing
+        listens at its address then.  A connection that is made is kept for
+        the next request, in place of the one that has ended.
+        """
+        if attempt.transfer.framing is not transfers.Framing.CONNECTION:
+            return None
+        if head.announced.leaving:
+            # Its process may end after its last answer.
+            return None
+        endpoint = attempt.endpoint
+        try:
+            connection = self.pool.connect(endpoint.address)
+        except connections.RefusedError as error:
+            return outcomes.Broken(f"the endpoint has ended: {error}")
+        except connections.UnreachableError as error:
+            log.info(
+                "end_of_answer_unconfirmed",
+                request=attempt.call.id,
+                endpoint=endpoint.id,
+                detail=str(error),
+            )
+            return None
+        keep_alive = response.headers.get("Keep-Alive", "")
+        self.pool.release(
+            endpoint.id, endpoint.address, connection, keep_alive
+        )
+        return None
+
     def return_connection(
         self,
         endpoint: discovery.Endpoint,
@@ -263,27 +308,18 @@
         )
 
 
-def check_complete(
-    attempt: Attempt, response: urllib3.BaseHTTPResponse
-) -> None:
-    """Ensure that an answer was read completely.
+def record_end(attempt: Attempt) -> None:
+    """Record that the end of an answer's body was received.
 
-    Guard: an answer without a length or chunks ends when its connection
-    closes.  Ending a request shuts down the connection, so the part that
-    has arrived would be relayed as the complete answer.  An answer with a
-    length or chunks raises an error when it is truncated.
+    Ending a request shuts down its connection, which looks like the end of
+    an answer without a length or chunks.
 
     Raises
     ------
     EndedError
-        If the request was ended and the end of the answer is known only
-        from the end of the connection.
+        If such an answer's request was ended.
     """
-    framed = (
-        "Content-Length" in response.headers
-        or "Transfer-Encoding" in response.headers
-    )
-    if not framed:
+    if attempt.transfer.framing is transfers.Framing.CONNECTION:
         attempt.watch.detach_unless_ended()
     attempt.transfer.record_end_of_body()
 
--- a/src/briarseam/forwarding/connections.py
+++ b/src/briarseam/forwarding/connections.py
@@ -30,6 +30,10 @@
     """The connection failed, so nothing was sent."""
 
 
+class RefusedError(UnreachableError):
+    """The connection was refused: no process listens at the address."""
+
+
 @dataclasses.dataclass(frozen=True)
 class IdleConnection:
     """A connection that waits for its next request.
@@ -82,6 +86,8 @@
         ------
         UnreachableError
             If the connection cannot be established in time.
+        RefusedError
+            If it is refused.
         """
         host, _, port = address.rpartition(":")
         connection = urllib3.connection.HTTPConnection(
@@ -94,7 +100,8 @@
             connection.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
             connection.close()
-            raise UnreachableError(f"{address}: {error}") from error
+            kind = RefusedError if is_refusal(error) else UnreachableError
+            raise kind(f"{address}: {error}") from error
         self.opened += 1
         # Requests have no socket timeout; the supervisor ends those that
         # take too long.
@@ -172,6 +179,12 @@
             idle.connection.close()
 
 
+def is_refusal(error: BaseException) -> bool:
+    """Return whether a connection failed because nothing listens."""
+    causes = (error, error.__cause__)
+    return any(isinstance(one, ConnectionRefusedError) for one in causes)
+
+
 def idle_s(keep_alive: str) -> float:
     """Return the maximum idle time of a connection before reuse."""
     for part in keep_alive.split(","):
--- /dev/null
+++ b/tests/forwarding/sending.py
@@ -0,0 +1,61 @@
+"""Attempts at endpoints, without callers and instances."""
+
+from __future__ import annotations
+
+from briarseam.discovery import model as discovery
+from briarseam.forwarding import attempts
+from briarseam.forwarding import calls
+from briarseam.routes import model as routes
+
+
+class Exchange:
+    """Records what is sent to a caller."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+        self.finished = False
+
+    def answer(self, status, headers, body):
+        """Record a complete answer."""
+        self.sent.append(body)
+        self.finished = True
+
+    def begin(self, status, headers, first):
+        """Record the first part."""
+        self.sent.append(first)
+
+    def send(self, data):
+        """Record a part."""
+        self.sent.append(data)
+
+    def finish(self):
+        """Record the end."""
+        self.finished = True
+
+
+def head_of(status, headers):
+    """Return the head of a successful answer."""
+    return calls.AnswerHead(
+        status=status,
+        headers=(),
+        call_id="",
+        signed=True,
+        not_run=False,
+    )
+
+
+def attempt_to(address, watch, exchange, repeat):
+    """Return an attempt at an endpoint."""
+    return attempts.Attempt(
+        exchange=exchange,
+        call=calls.Call(
+            id="x", method="GET", target="/", host="h", headers=()
+        ),
+        body=b"",
+        route=routes.Route("r", "h", "/", repeat, (), 1.0, 1.0, 1),
+        endpoint=discovery.Endpoint("e", "s", address, "a", 1, False, {}),
+        headers={},
+        watch=watch,
+        progress=attempts.Progress(),
+        on_first_event=lambda: None,
+    )
--- a/tests/forwarding/test_ended_answers.py
+++ b/tests/forwarding/test_ended_answers.py
@@ -7,13 +7,11 @@
 
 import pytest
 
-from briarseam import clocks
-from briarseam.discovery import model as discovery
 from briarseam.forwarding import attempts
-from briarseam.forwarding import calls
 from briarseam.forwarding import connections
 from briarseam.forwarding import supervision
 from briarseam.routes import model as routes
+from tests.forwarding import sending
 
 PATIENCE_S = 10.0
 # An endpoint must stop within half a second after its caller disconnects.
@@ -28,31 +26,6 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
-class Exchange:
-    """Records what is sent to a caller."""
-
-    def __init__(self) -> None:
-        self.sent: list[bytes] = []
-        self.finished = False
-
-    def answer(self, status, headers, body):
-        """Record a complete answer."""
-        self.sent.append(body)
-        self.finished = True
-
-    def begin(self, status, headers, first):
-        """Record the first part."""
-        self.sent.append(first)
-
-    def send(self, data):
-        """Record a part."""
-        self.sent.append(data)
-
-    def finish(self):
-        """Record the end."""
-        self.finished = True
-
-
 class Endpoint:
     """Sends a partial answer, then waits for the connection to close."""
 
@@ -95,48 +68,13 @@
         self.listener.close()
 
 
-def head_of(status, headers):
-    """Return the head of a successful answer."""
-    return calls.AnswerHead(
-        status=status,
-        headers=(),
-        call_id="",
-        signed=True,
-        not_run=False,
-    )
-
-
-def attempt_to(endpoint, watch, exchange, repeat):
-    """Return an attempt at an endpoint."""
-    return attempts.Attempt(
-        exchange=exchange,
-        call=calls.Call(
-            id="x", method="GET", target="/", host="h", headers=()
-        ),
-        body=b"",
-        route=routes.Route("r", "h", "/", repeat, (), 1.0, 1.0, 1),
-        endpoint=discovery.Endpoint(
-            "e", "s", endpoint.address, "a", 1, False, {}
-        ),
-        headers={},
-        watch=watch,
-        progress=attempts.Progress(),
-        on_first_event=lambda: None,
-    )
-
-
-@pytest.fixture
-def watch():
-    local, remote = socket.socketpair()
-    with local, remote:
-        yield supervision.Watch(local, clocks.boot_clock() + PATIENCE_S)
-
-
 def send(endpoint, watch, exchange, repeat):
     """Send a request that is ended while its answer is received."""
-    sender = attempts.Sender(connections.Pool(), head_of)
+    sender = attempts.Sender(connections.Pool(), sending.head_of)
     with endpoint, pytest.raises(supervision.EndedError):
-        sender.send(attempt_to(endpoint, watch, exchange, repeat))
+        sender.send(
+            sending.attempt_to(endpoint.address, watch, exchange, repeat)
+        )
 
 
 @pytest.mark.parametrize("framing", FRAMINGS)
@@ -146,7 +84,7 @@
     request does not reach the endpoint, the caller gets no final answer, or
     gets the partial answer as if it were complete.
     """
-    exchange = Exchange()
+    exchange = sending.Exchange()
     partial_answer = ANSWER % (FRAMINGS[framing], b"first")
     endpoint = Endpoint(partial_answer, watch)
     send(endpoint, watch, exchange, routes.Repeat.ONCE)
@@ -162,7 +100,7 @@
     """
     event = b"id: 1\ndata: a\n\n"
     part = b"%x\r\n%s\r\n" % (len(event), event) if framing else event
-    exchange = Exchange()
+    exchange = sending.Exchange()
     endpoint = Endpoint(ANSWER % (framing + closing, part), watch)
     send(endpoint, watch, exchange, routes.Repeat.STREAM)
     assert endpoint.notified
@@ -175,8 +113,10 @@
     may retry, so the request must not be reported as possibly run.
     """
     endpoint = Endpoint(b"", watch)
-    attempt = attempt_to(endpoint, watch, Exchange(), routes.Repeat.ONCE)
+    attempt = sending.attempt_to(
+        endpoint.address, watch, sending.Exchange(), routes.Repeat.ONCE
+    )
     watch.end(supervision.Ending.CUT_OFF)
     with endpoint, pytest.raises(supervision.EndedError):
-        attempts.Sender(connections.Pool(), head_of).send(attempt)
+        attempts.Sender(connections.Pool(), sending.head_of).send(attempt)
     assert not attempt.progress.maybe_sent
