Treat an unframed stream without any event as broken off

An endpoint closes the connection before the first event of a stream that has neither a length nor chunks. Its caller got 200 with an empty body, complete.

Cause: the end of the connection was taken for the end of the stream. No run of a prompt is without an event, but for the rest of a stream that was resumed after its last one; that one still ends in order. An answer whose length or last chunk says that it is empty is passed on as its endpoint framed it.

--- a/tests/forwarding/test_unframed_answers.py
+++ b/tests/forwarding/test_unframed_answers.py
@@ -91,6 +91,32 @@
     assert exchange.finished
 
 
+def test_stream_that_ends_before_any_event_is_not_complete(watch):
+    """Guards against passing on an answer whose body never began."""
+    outcome, exchange, _pool = send(
+        watch,
+        answer_of(body=b""),
+        crashes=False,
+        repeat=routes.Repeat.STREAM,
+    )
+    assert isinstance(outcome, outcomes.Broken)
+    assert not exchange.finished
+
+
+@pytest.mark.parametrize(
+    "headers", [b"Content-Length: 0\r\n", b"Content-Length: 0\r\n" + LEAVING]
+)
+def test_empty_stream_with_a_length_is_complete(watch, headers):
+    outcome, exchange, _pool = send(
+        watch,
+        answer_of(headers, b""),
+        crashes=False,
+        repeat=routes.Repeat.STREAM,
+    )
+    assert outcome == outcomes.Answered(200)
+    assert exchange.finished
+
+
 def test_empty_rest_of_a_resumed_stream_is_complete(watch):
     """Guards against breaking a stream off that has all its events."""
     listener = socket.create_server(("127.0.0.1", 0))
