--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import http.client
 import typing
@@ -14,8 +13,8 @@
 from briarseam.discovery import announcements
 from briarseam.forwarding import calls
 from briarseam.forwarding import connections
-from briarseam.forwarding import events
 from briarseam.forwarding import outcomes
+from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
 from briarseam.forwarding import transfers
 from briarseam.routes import model as routes
@@ -44,25 +43,6 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
-@dataclasses.dataclass
-class Progress:
-    """Progress of a call's answer over all attempts.
-
-    Attributes
-    ----------
-    last_event_id
-        Id of the last event that was sent to the caller.
-    events_sent
-        Whether any event of a stream was sent to the caller.
-    maybe_sent
-        Whether any byte of the request may have reached an endpoint.
-    """
-
-    last_event_id: str | None = None
-    events_sent: bool = False
-    maybe_sent: bool = False
-
-
 @dataclasses.dataclass(frozen=True)
 class Attempt:
     """An attempt to have one endpoint answer a call.
@@ -96,7 +76,7 @@
     endpoint: discovery.Endpoint
     headers: dict[str, str]
     watch: supervision.Watch
-    progress: Progress
+    progress: streams.Progress
     on_first_event: typing.Callable[[], None]
     relayed: bool = False
     transfer: transfers.Transfer = dataclasses.field(
@@ -214,7 +194,7 @@
         if attempt.progress.events_sent:
             return outcomes.Broken("the answer does not continue the stream")
         attempt.watch.detach()
-        deliver(attempt.exchange, head, body)
+        streams.deliver(attempt.exchange, head, body)
         return outcomes.Answered(head.status)
 
     def relay_stream(
@@ -224,18 +204,12 @@
         head: calls.AnswerHead,
     ) -> outcomes.Outcome:
         """Relay a stream as it arrives, in complete events."""
-        splitter = events.Splitter()
-        started = False
-        while True:
-            data = response.read1(READ_BYTES)
-            if not data:
-                break
-            complete_events = splitter.feed(data)
-            if complete_events and not started:
-                attempt.on_first_event()
-                started = True
-            if complete_events:
-                forward_events(attempt, head, complete_events)
+        relay = streams.StreamRelay(
+            attempt.exchange, head, attempt.progress, attempt.on_first_event
+        )
+        while data := response.read1(READ_BYTES):
+            relay.feed(data)
+        splitter = relay.splitter
         attempt.transfer.remainder_bytes = len(splitter.remainder)
         record_end(attempt)
         if splitter.is_inside_event():
@@ -246,13 +220,8 @@
         broken = self.confirm_end(attempt, response, head)
         if broken is not None:
             return broken
-        if not attempt.progress.events_sent:
-            attempt.watch.detach()
-            deliver(attempt.exchange, head, splitter.remainder)
-            return outcomes.Answered(head.status)
-        with caller_errors():
-            attempt.exchange.send(splitter.remainder)
-            attempt.exchange.finish()
+        attempt.watch.detach()
+        relay.finish()
         return outcomes.Answered(head.status)
 
     def confirm_end(
@@ -340,38 +309,3 @@
         decode_content=False,
     )
     return connection.getresponse()
-
-
-def forward_events(
-    attempt: Attempt,
-    head: calls.AnswerHead,
-    complete_events: list[events.Event],
-) -> None:
-    """Send complete events to the caller."""
-    progress = attempt.progress
-    data = b"".join(event.raw for event in complete_events)
-    with caller_errors():
-        if progress.events_sent:
-            attempt.exchange.send(data)
-        else:
-            attempt.exchange.begin(head.status, head.headers, data)
-    progress.events_sent = True
-    for event in complete_events:
-        progress.last_event_id = event.id or progress.last_event_id
-
-
-def deliver(
-    exchange: server.Exchange, head: calls.AnswerHead, body: bytes
-) -> None:
-    """Send an endpoint's complete answer to the caller."""
-    with caller_errors():
-        exchange.answer(head.status, head.headers, body)
-
-
-@contextlib.contextmanager
-def caller_errors() -> typing.Iterator[None]:
-    """Raise errors of the caller's connection as :class:`EndedError`."""
-    try:
-        yield
-    except OSError as error:
-        raise supervision.EndedError(supervision.Ending.CALLER_GONE) from error
--- a/src/briarseam/forwarding/final_answers.py
+++ b/src/briarseam/forwarding/final_answers.py
@@ -11,6 +11,7 @@
 from briarseam.forwarding import attempts
 from briarseam.forwarding import refusing
 from briarseam.forwarding import relay_headers
+from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
 
 if typing.TYPE_CHECKING:
@@ -44,7 +45,7 @@
             context.watch.detach()
             # Another endpoint may have been tried since.
             context.exchange.extra_headers = ()
-            attempts.deliver(context.exchange, failed.head, failed.body)
+            streams.deliver(context.exchange, failed.head, failed.body)
             return f"failed-{failed.head.status}"
         final_verdict = context.refusal
         if context.may_have_run or final_verdict is None:
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -9,6 +9,7 @@
 from briarseam import verdict
 from briarseam.forwarding import attempts
 from briarseam.forwarding import outcomes
+from briarseam.forwarding import streams
 from briarseam.placement import chooser as choosers
 from briarseam.placement import requests as placements
 from briarseam.routes import table as tables
@@ -182,8 +183,8 @@
     watch: supervision.Watch
     digest: bytes
     arrived_s: float
-    progress: attempts.Progress = dataclasses.field(
-        default_factory=attempts.Progress
+    progress: streams.Progress = dataclasses.field(
+        default_factory=streams.Progress
     )
     tried: set[str] = dataclasses.field(default_factory=set)
     steps: list[str] = dataclasses.field(default_factory=list)
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -19,6 +19,7 @@
 from briarseam.forwarding import relay_headers
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server
+from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
 from briarseam.forwarding import transfers
 from briarseam.placement import avoidance
@@ -161,7 +162,7 @@
             watch=supervision.Watch(exchange.socket, deadline_s),
             digest=digest,
             arrived_s=arrived_s - usage.waited_s,
-            progress=attempts.Progress(last_event_id=call.last_event_id),
+            progress=streams.Progress(last_event_id=call.last_event_id),
             sends=usage.sends,
             counted=usage.counted,
         )
--- a/tests/forwarding/sending.py
+++ b/tests/forwarding/sending.py
@@ -5,6 +5,7 @@
 from briarseam.discovery import model as discovery
 from briarseam.forwarding import attempts
 from briarseam.forwarding import calls
+from briarseam.forwarding import streams
 from briarseam.routes import model as routes
 
 
@@ -56,6 +57,6 @@
         endpoint=discovery.Endpoint("e", "s", address, "a", 1, False, {}),
         headers={},
         watch=watch,
-        progress=attempts.Progress(),
+        progress=streams.Progress(),
         on_first_event=lambda: None,
     )
