Resume a stream only where no event can come twice

An endpoint breaks off a stream whose events have no ids: the caller of a resumable route got its first events twice, from two runs, as one complete stream. The same came of an endpoint that ignores the id and starts over.

Cause: whether to resume was asked of the route alone. Without ids the id to continue after was none, or the one that the caller itself had named; and what the second run sent was passed on whatever its ids were.

A stream is now resumed only if the last event with data that its caller got has an id, and a run that continues must begin after it: numbers increase, other ids differ. Otherwise the stream is broken off at once. The first run's stream is passed on unchanged, whatever its ids.

Without the change test_stream_without_ids_is_broken_off_instead_of_repeated and test_run_that_starts_over_is_not_joined_to_another fail: each event comes twice.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -207,8 +207,11 @@
         relay = streams.StreamRelay(
             attempt.exchange, head, attempt.progress, attempt.on_first_event
         )
-        while data := response.read1(READ_BYTES):
-            relay.feed(data)
+        try:
+            while data := response.read1(READ_BYTES):
+                relay.feed(data)
+        except streams.NotContinuedError as error:
+            return outcomes.Broken(str(error))
         splitter = relay.splitter
         attempt.transfer.remainder_bytes = len(splitter.remainder)
         record_end(attempt)
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -220,6 +220,8 @@
     """Return whether a request may be sent to another endpoint."""
     if context.may_have_run and not context.route.idempotent:
         return False
-    if context.progress.events_sent and not context.route.resumable:
+    progress = context.progress
+    can_resume = context.route.resumable and progress.can_resume
+    if progress.events_sent and not can_resume:
         return False
     return context.sends < context.route.max_endpoints
--- a/src/briarseam/forwarding/streams.py
+++ b/src/briarseam/forwarding/streams.py
@@ -21,17 +21,35 @@
     Attributes
     ----------
     last_event_id
-        Id of the last event that was sent to the caller.
+        Id of the last event that was sent to the caller; before that, the one
+        that the caller named.
     events_sent
         Whether any event of a stream was sent to the caller.
+    can_resume
+        Whether another run that continues after `last_event_id` repeats no
+        event that was sent.
     maybe_sent
         Whether any byte of the request may have reached an endpoint.
     """
 
     last_event_id: str | None = None
     events_sent: bool = False
+    can_resume: bool = True
     maybe_sent: bool = False
 
+    def record_sent(self, event: events.Event) -> None:
+        """Record an event that was sent to the caller."""
+        self.events_sent = True
+        if event.id:
+            self.last_event_id = event.id
+            self.can_resume = True
+        elif event.has_data:
+            self.can_resume = False
+
+
+class NotContinuedError(Exception):
+    """A run that should continue a stream sends something else."""
+
 
 class StreamRelay:
     """Passes the stream of one attempt on to the caller.
@@ -61,12 +79,21 @@
         self.on_first_event = on_first_event
         self.splitter = events.Splitter()
         self.started = False
+        self.is_continuing = progress.events_sent
 
     def feed(self, data: bytes) -> None:
-        """Pass on the events that are complete with these bytes."""
+        """Pass on the events that are complete with these bytes.
+
+        Raises
+        ------
+        NotContinuedError
+            If they do not continue what another run has sent.
+        """
         complete_events = self.splitter.feed(data)
         if not complete_events:
             return
+        if self.is_continuing:
+            self.check_continues(complete_events)
         if not self.started:
             self.on_first_event()
             self.started = True
@@ -81,11 +108,25 @@
                 self.exchange.send(data)
             else:
                 self.exchange.begin(head.status, head.headers, data)
-        self.progress.events_sent = True
         for event in complete_events:
-            self.progress.last_event_id = (
-                event.id or self.progress.last_event_id
-            )
+            self.progress.record_sent(event)
+
+    def check_continues(self, complete_events: list[events.Event]) -> None:
+        """Check that a run goes on after the last event of the one before.
+
+        An endpoint may ignore the id and start over.
+        """
+        previous = self.progress.last_event_id
+        for event in complete_events:
+            if not event.has_data:
+                continue
+            if not event.id:
+                raise NotContinuedError("the continued stream has no ids")
+            if not follows(event.id, previous):
+                raise NotContinuedError(
+                    f"event {event.id!r} does not follow {previous!r}"
+                )
+            previous = event.id
 
     def finish(self) -> None:
         """Mark the stream as complete, with what follows its last event."""
@@ -98,6 +139,19 @@
             self.exchange.finish()
 
 
+def follows(event_id: str, previous: str | None) -> bool:
+    """Return whether an event may come after another one, by their ids.
+
+    Numbers increase; of other ids it is known only that they differ.
+    """
+    if previous is None:
+        return True
+    try:
+        return int(event_id) > int(previous)
+    except ValueError:
+        return event_id != previous
+
+
 def deliver(
     exchange: server.Exchange, head: calls.AnswerHead, body: bytes
 ) -> None:
--- a/tests/platform/test_broken_off_streams.py
+++ b/tests/platform/test_broken_off_streams.py
@@ -165,3 +165,24 @@
     received = system.receive("/draft/x", **systems.PROMPT)
     assert received.body == b"line 1line 2line 3"
     assert received.complete
+
+
+def test_stream_without_ids_is_broken_off_instead_of_repeated(system):
+    """Guards against a second run that sends all events again."""
+    for worker in system.workers.values():
+        worker.event = lambda number: f"data: token {number}\n\n".encode()
+    form = raw_answers.Form(Framing.CHUNKED, cut=Cut.IN_LATER_EVENT)
+    received = receive(system, "/draft/x", form, cuts=1)
+    assert received.body == b"data: token 1\n\n"
+    assert not received.complete
+    assert sum(len(system.workers[name].ran) for name in ENGINES) == 1
+
+
+def test_run_that_starts_over_is_not_joined_to_another(system):
+    """Guards against events that come twice, from two runs."""
+    for worker in system.workers.values():
+        worker.numbers = lambda request: range(1, EVENTS + 1)
+    form = raw_answers.Form(Framing.CHUNKED, cut=Cut.IN_LATER_EVENT)
+    received = receive(system, "/draft/x", form, cuts=1)
+    assert received.body == events_before(system, form.cut)
+    assert not received.complete
