Reset the connection of a broken-off answer without chunks

Callers of HTTP/1.0 saw a stream that the instance broke off as complete: they get no chunks, and the connection was closed in order.

Such a connection is now reset. Answers in chunks lack their last chunk, as before, and are closed in order.

test_broken_stream_does_not_look_complete_without_chunks and the HTTP/1.0 cases of test_stream_that_ends_inside_an_event_is_broken_off fail without the change (the raw caller takes the answer for complete).

--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -12,6 +12,7 @@
 import structlog
 
 from briarseam import connection_threads
+from briarseam import resets
 from briarseam.entry import server as strict
 
 if typing.TYPE_CHECKING:
@@ -46,7 +47,7 @@
     header_reader = HeaderReader()
 
 
-class Connection(cheroot.server.HTTPConnection):
+class Connection(resets.ResettableConnection):
     """A connection whose requests may have chunked bodies."""
 
     RequestHandlerClass = Request
@@ -193,7 +194,12 @@
             self.request.conn.wfile.write(LAST_CHUNK)
 
     def abort(self) -> None:
-        """Close the connection, so that a started answer is incomplete."""
+        """Close the connection, so that a started answer is incomplete.
+
+        One without chunks would be complete by an orderly close.
+        """
+        if self.head_sent and not self.chunked:
+            self.request.conn.resetting = True
         self.head_sent = True
         self.request.sent_headers = True
         self.close_after()
--- a/tests/platform/test_broken_off_streams.py
+++ b/tests/platform/test_broken_off_streams.py
@@ -44,7 +44,7 @@
         return self.left >= 0
 
 
-def receive(system, path, form, cuts, version="1.1", **switches):
+def receive(system, path, form, cuts, callers_version="1.1", **switches):
     """Return the answer to a request whose first runs are cut short."""
     counter = Cuts()
     counter.left = cuts
@@ -59,7 +59,7 @@
             **switches,
         )
     system.node.chooser.avoided.by_id.clear()
-    return system.receive(path, version, **systems.PROMPT)
+    return system.receive(path, callers_version, **systems.PROMPT)
 
 
 def forms(framing, version, cuts, endings):
@@ -107,7 +107,9 @@
     """Guards against relaying fragments of events, or repeating the run."""
     endings = endings_of(framing)
     for form in forms(framing, version, INSIDE_EVENTS, endings):
-        received = receive(system, "/draft/once/x", form, cuts=1)
+        received = receive(
+            system, "/draft/once/x", form, cuts=1, callers_version=version
+        )
         expected = events_before(system, form.cut)
         if expected:
             assert (received.status, received.body) == (200, expected), form
@@ -124,7 +126,9 @@
     """Guards against fragments before the events of the next run."""
     endings = endings_of(framing)
     for form in forms(framing, version, INSIDE_EVENTS, endings):
-        received = receive(system, "/draft/x", form, cuts=1)
+        received = receive(
+            system, "/draft/x", form, cuts=1, callers_version=version
+        )
         assert received.body == whole_stream(system), form
         assert received.complete, form
 
@@ -186,3 +190,15 @@
     received = receive(system, "/draft/x", form, cuts=1)
     assert received.body == events_before(system, form.cut)
     assert not received.complete
+
+
+def test_broken_stream_does_not_look_complete_without_chunks(system):
+    """Guards against callers of HTTP/1.0 that take our close for the end."""
+    form = raw_answers.Form(Framing.CHUNKED, cut=Cut.IN_LATER_EVENT)
+    received = receive(
+        system, "/draft/once/x", form, cuts=1, callers_version="1.0"
+    )
+    assert received.status == 200
+    assert "transfer-encoding" not in received.headers
+    assert received.body == events_before(system, form.cut)
+    assert not received.complete
