Count no loss at an endpoint that goes on sending

A faulty endpoint cuts streams short and goes on. Streams with chunks were exposed to it before.

Cause: a broken send was taken for a crash of its endpoint, unless the path was lost. A crash ends all connections of a process at once. So a loss is now dropped if bytes of any stream, or an answer, came from the same start of the endpoint 0.2 s or more after it. Otherwise it counts as before, at the same time as before.

test_request_lost_at_endpoints_that_go_on_is_not_refused fails without the change.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -43,6 +43,10 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
+def ignore_data() -> None:
+    """Do nothing when bytes of a stream arrive."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Attempt:
     """An attempt to have one endpoint answer a call.
@@ -63,6 +67,8 @@
         Progress of the answer to the caller.
     on_first_event
         Called when the first event arrives from this endpoint.
+    on_data
+        Called when bytes of a stream arrive from it.
     relayed
         Whether `endpoint` is another instance, which has an endpoint answer.
     transfer
@@ -78,6 +84,7 @@
     watch: supervision.Watch
     progress: streams.Progress
     on_first_event: typing.Callable[[], None]
+    on_data: typing.Callable[[], None] = ignore_data
     relayed: bool = False
     transfer: transfers.Transfer = dataclasses.field(
         default_factory=transfers.Transfer
@@ -209,6 +216,7 @@
         )
         try:
             while data := response.read1(READ_BYTES):
+                attempt.on_data()
                 relay.feed(data)
         except streams.NotContinuedError as error:
             return outcomes.Broken(str(error))
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -1,8 +1,9 @@
-"""Losses of requests that may be due to the path and not to the request.
+"""Losses of requests that may have another cause than the request.
 
 When an instance loses its path to all endpoints, the requests under way are
-lost at each of them.  If these losses counted, callers who repeat a request
-would find it taken for one that crashes endpoints, at all instances.
+lost at each of them.  A faulty endpoint may break off its answers and go on.
+If these losses counted, callers who repeat a request would find it taken for
+one that crashes endpoints, at all instances.
 """
 
 from __future__ import annotations
@@ -22,8 +23,9 @@
     from briarseam.reachability import tracker
 
 REVIEW_S = 0.1
-# An answer that comes so long after a loss shows that the path is not lost:
-# a cut ends all connections within a few milliseconds.
+# An answer that comes so long after a loss shows that the path is not lost,
+# and that its endpoint has not crashed: both end all connections within a few
+# milliseconds.
 SETTLE_S = 0.2
 # After this time a loss counts in any case; probes take half of it at most.
 MAX_PENDING_S = 1.5
@@ -50,14 +52,14 @@
 
 
 class PendingLosses:
-    """Counts losses once it is known that the path is not lost; thread-safe.
+    """Counts losses that the request may have caused; thread-safe.
 
     Parameters
     ----------
     guard
         Counts losses.
     reachability
-        Tells whether the path is lost.
+        Tells whether the path is lost, and which endpoints answer.
     clock
         Seconds.
     """
@@ -101,17 +103,27 @@
     def is_settled(self, loss: Loss) -> bool:
         """Count or drop a loss; return whether its cause is known."""
         service = loss.endpoint.service
+        settled_s = loss.at_s + SETTLE_S
         if self.reachability.cut_off_after(service, loss.at_s):
-            log.info(
-                "loss_not_counted",
-                digest=loss.digest.hex(),
-                endpoint=loss.endpoint.id,
-                service=service,
-            )
+            log_not_counted(loss, "the path was lost")
             return True
-        heard = self.reachability.heard_after(service, loss.at_s + SETTLE_S)
+        if self.reachability.heard_from_after(loss.endpoint, settled_s):
+            log_not_counted(loss, "the endpoint has not crashed")
+            return True
+        heard = self.reachability.heard_after(service, settled_s)
         if heard or self.clock() - loss.at_s >= MAX_PENDING_S:
             self.guard.record_loss(loss.digest, loss.endpoint.id)
             return True
         self.reachability.suspect(service)
         return False
+
+
+def log_not_counted(loss: Loss, reason: str) -> None:
+    """Log a loss that is not counted."""
+    log.info(
+        "loss_not_counted",
+        digest=loss.digest.hex(),
+        endpoint=loss.endpoint.id,
+        service=loss.endpoint.service,
+        reason=reason,
+    )
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import threading
 import typing
 
@@ -361,12 +362,16 @@
             watch=context.watch,
             progress=context.progress,
             on_first_event=on_first_event,
+            on_data=functools.partial(
+                chooser.reachability.record_heard_from, placement.endpoint
+            ),
         )
         outcome: outcomes.Outcome | None = None
         try:
             outcome = self.deps.sender.send(attempt)
             if not isinstance(outcome, outcomes.Unreached | outcomes.Broken):
                 chooser.reachability.record_heard(placement.endpoint.service)
+                chooser.reachability.record_heard_from(placement.endpoint)
             if isinstance(outcome, outcomes.Answered):
                 took_s = clocks.boot_clock() - sent_s
                 chooser.record_answer(placement, request, took_s)
--- a/src/briarseam/reachability/tracker.py
+++ b/src/briarseam/reachability/tracker.py
@@ -68,6 +68,7 @@
         # When each peer was first told to be cut off from some service.
         self.peer_since_s: dict[str, float] = {}
         self.heard_s: dict[str, float] = {}
+        self.heard_from_s: dict[str, float] = {}
         # When the oldest request was sent that followed the last answer.
         self.waiting_since_s: dict[str, float] = {}
         self.lock = threading.Lock()
@@ -116,6 +117,10 @@
             self.heard_s[service] = self.clock()
             self.waiting_since_s.pop(service, None)
 
+    def record_heard_from(self, endpoint: discovery.Endpoint) -> None:
+        """Record that bytes of an answer have come from an endpoint."""
+        self.heard_from_s[endpoint.id] = self.clock()
+
     def keep_only(self, endpoint_ids: collections.abc.Container[str]) -> None:
         """Drop what is known of all endpoints but these."""
         with self.lock:
@@ -125,6 +130,9 @@
                 if endpoint_id in endpoint_ids
             }
             services = self.unreachable
+        for endpoint_id in list(self.heard_from_s):
+            if endpoint_id not in endpoint_ids:
+                self.heard_from_s.pop(endpoint_id, None)
         for service in services:
             self.review(service)
 
@@ -162,6 +170,12 @@
         """Return whether any endpoint of a service has answered since."""
         return self.heard_s.get(service, float("-inf")) >= at_s
 
+    def heard_from_after(
+        self, endpoint: discovery.Endpoint, at_s: float
+    ) -> bool:
+        """Return whether an endpoint has answered something since."""
+        return self.heard_from_s.get(endpoint.id, float("-inf")) >= at_s
+
     def cut_off_after(self, service: str, at_s: float) -> bool:
         """Return whether a service was cut off at any time since."""
         return service in self.unreachable or (
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from briarseam.discovery import model
@@ -108,3 +110,45 @@
 ):
     lose(losses, endpoints)
     assert reachability.services_in_doubt() == {"portal"}
+
+
+def test_request_lost_at_endpoints_that_go_on_is_not_refused(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against condemning requests whose answers were broken off."""
+    lose(losses, endpoints)
+    clock.now_s += pending_losses.SETTLE_S
+    for endpoint in endpoints:
+        reachability.record_heard_from(endpoint)
+    reachability.record_heard("portal")
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+    assert losses.pending == []
+
+
+def test_bytes_on_their_way_do_not_show_that_an_endpoint_goes_on(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against missing a crash whose last bytes come after a loss."""
+    lose(losses, endpoints)
+    clock.now_s += 0.01
+    for endpoint in endpoints:
+        reachability.record_heard_from(endpoint)
+    clock.now_s += pending_losses.SETTLE_S
+    reachability.record_heard("portal")
+    losses.review()
+    assert guard.is_refused(DIGEST)
+
+
+def test_former_start_of_an_endpoint_stays_lost(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against a restarted endpoint that hides its crash."""
+    lose(losses, [dataclasses.replace(e, id=f"{e.id}@1") for e in endpoints])
+    clock.now_s += pending_losses.SETTLE_S
+    for endpoint in endpoints:
+        restarted = dataclasses.replace(endpoint, id=f"{endpoint.id}@2")
+        reachability.record_heard_from(restarted)
+    reachability.record_heard("portal")
+    losses.review()
+    assert guard.is_refused(DIGEST)
--- a/tests/platform/test_broken_off_streams.py
+++ b/tests/platform/test_broken_off_streams.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from briarseam import clocks
 from tests.platform import raw_answers
 from tests.platform import steps
 from tests.platform import system as systems
@@ -202,3 +203,14 @@
     assert "transfer-encoding" not in received.headers
     assert received.body == events_before(system, form.cut)
     assert not received.complete
+
+
+def test_events_show_that_their_endpoint_has_not_crashed(system):
+    """Guards against condemning requests that a faulty endpoint cuts short."""
+    form = raw_answers.Form(Framing.CONNECTION, cut=Cut.IN_LATER_EVENT)
+    began_s = clocks.boot_clock()
+    receive(system, "/draft/once/x", form, cuts=1)
+    reachability = system.node.chooser.reachability
+    (home,) = [name for name in ENGINES if system.workers[name].ran]
+    engines = {one.id: one for one in system.node.feeds.registry.all()}
+    assert reachability.heard_from_after(engines[home], began_s)
--- a/tests/reachability/test_tracker.py
+++ b/tests/reachability/test_tracker.py
@@ -157,3 +157,13 @@
     reachability.consume("three", reachability.provide())
     clock.now_s += tracker.LASTING_S
     assert reachability.with_lasting_paths(members, "one") == members
+
+
+def test_what_endpoints_that_are_gone_sent_is_forgotten(
+    endpoints, reachability, clock
+):
+    [only] = endpoints.add("portal", 1)
+    reachability.record_heard_from(only)
+    assert reachability.heard_from_after(only, clock.now_s)
+    reachability.keep_only(set())
+    assert not reachability.heard_from_after(only, clock.now_s)
