--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -10,13 +10,13 @@
 import urllib3.exceptions
 
 from briarseam import clocks
+from briarseam import transfers
 from briarseam.discovery import announcements
 from briarseam.forwarding import calls
 from briarseam.forwarding import connections
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
-from briarseam.forwarding import transfers
 from briarseam.routes import model as routes
 
 if typing.TYPE_CHECKING:
--- a/src/briarseam/forwarding/relaying.py
+++ b/src/briarseam/forwarding/relaying.py
@@ -23,10 +23,10 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from briarseam import transfers
     from briarseam.forwarding import calls
     from briarseam.forwarding import request_context
     from briarseam.forwarding import server
-    from briarseam.forwarding import transfers
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
 
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -16,6 +16,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam import inflight
+    from briarseam import transfers
     from briarseam.forwarding import calls
     from briarseam.forwarding import crash_guard
     from briarseam.forwarding import pending_losses
@@ -25,7 +26,6 @@
     from briarseam.forwarding import server
     from briarseam.forwarding import shutdown as shutdowns
     from briarseam.forwarding import supervision
-    from briarseam.forwarding import transfers
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
     from briarseam.routes import model as routes
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -10,6 +10,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam import transfers
 from briarseam import verdict
 from briarseam.forwarding import active_requests
 from briarseam.forwarding import attempts
@@ -22,7 +23,6 @@
 from briarseam.forwarding import server
 from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
-from briarseam.forwarding import transfers
 from briarseam.placement import avoidance
 from briarseam.placement import requests as placements
 from briarseam.routes import model as routes
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -109,6 +109,7 @@
         "sockets",
         "status.messages",
         "tokens",
+        "transfers",
         "verdict",
         "wire",
         "worker_threads",
--- a/tests/forwarding/test_transfers.py
+++ b/tests/test_transfers.py
@@ -8,7 +8,7 @@
 import urllib3
 import urllib3.exceptions
 
-from briarseam.forwarding import transfers
+from briarseam import transfers
 
 Framing = transfers.Framing
 End = transfers.End
