Count a plain service's answer as lost if it may be truncated

A caller of the own protocol got the first part of a service's answer as the whole one: where the answer had neither a length nor chunks and its connection was closed early, and where it was longer than 1 MiB, of which the rest was dropped.

Cause: the same class, the end of what was read was taken for the end of the answer. Such an answer is now lost, so that its caller is told 'unknown' and the key is settled by the service's records, as after any lost answer.

Without the change the cases neither-length-nor-chunks and too-long of test_answer_that_may_be_truncated_is_lost fail. Other readers were checked by reading: JSON objects and msgpack maps do not parse when cut, the log's read counts the records that it got, and the own engines' streams end with a piece that counts their tokens.

--- a/src/briarseam/endpoints/service.py
+++ b/src/briarseam/endpoints/service.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from briarseam import transfers
 from briarseam.endpoints import engine
 
 CONNECT_TIMEOUT_S = 1.0
@@ -90,7 +91,7 @@
                 redirect=False,
                 preload_content=False,
             )
-            data = response.read(MAX_ANSWER_BYTES)
+            data = read_body(response)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -102,3 +103,22 @@
             pool.close()
         content_type = response.headers.get("Content-Type", "")
         return ServiceAnswer(response.status, data, content_type)
+
+
+def read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the complete body of an answer.
+
+    Raises
+    ------
+    endpoints.engine.LostError
+        If it is too long, or ends with its connection: whether that was
+        closed at the end of the answer or before is not known.
+    """
+    if transfers.framing_of(response) is transfers.Framing.CONNECTION:
+        raise engine.LostError("the answer has neither a length nor chunks")
+    data = response.read(MAX_ANSWER_BYTES)
+    if response.read(1):
+        raise engine.LostError(
+            f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
+        )
+    return data
