--- a/src/briarseam/forwarding/relaying.py
+++ b/src/briarseam/forwarding/relaying.py
@@ -18,6 +18,7 @@
 from briarseam.forwarding import attempts
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import relay_headers
+from briarseam.forwarding import steps
 from briarseam.forwarding import supervision
 
 if typing.TYPE_CHECKING:
@@ -198,10 +199,10 @@
         transfer: transfers.Transfer,
     ) -> None:
         """Count the outcome and keep it for the log."""
-        name = outcomes.name_of(outcome)
-        step = f"{peer.name}:relay-{name}"
-        context.steps.append(f"{step} {transfer}".rstrip())
-        self.counters.labelled(name).add()
+        context.steps.append(
+            steps.describe_relay(peer.name, outcome, transfer)
+        )
+        self.counters.labelled(outcomes.name_of(outcome)).add()
 
 
 def as_endpoint(peer: Peer, service: str) -> discovery.Endpoint:
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -82,8 +82,11 @@
     first_event_us: instruments.Latency
     answer_us: instruments.Latency
 
-    def record_transfer(self, transfer: transfers.Transfer) -> None:
-        """Count an answer that has ended, if there was one."""
+    def record_send(
+        self, outcome: outcomes.Outcome | None, transfer: transfers.Transfer
+    ) -> None:
+        """Count a send, and its answer if one has ended."""
+        self.sends.labelled(outcomes.name_of(outcome)).add()
         if transfer.framing is not None and transfer.end is not None:
             self.body_transfers.labelled(transfer.framing, transfer.end).add()
 
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -10,7 +10,6 @@
 import structlog
 
 from briarseam import clocks
-from briarseam import transfers
 from briarseam import verdict
 from briarseam.forwarding import active_requests
 from briarseam.forwarding import attempts
@@ -21,6 +20,7 @@
 from briarseam.forwarding import relay_headers
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server
+from briarseam.forwarding import steps
 from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
 from briarseam.placement import avoidance
@@ -316,7 +316,7 @@
         chooser = self.deps.chooser
         request = context.request()
         sent_s = clocks.boot_clock()
-        first_event_ms = -1
+        first_event_ms: int | None = None
         undecided = True
         added = chooser.record_start(placement, context.call)
         chooser.reachability.record_sent(placement.endpoint.service)
@@ -385,32 +385,13 @@
                 rejected = isinstance(outcome, outcomes.Rejected)
                 chooser.release(placement, rejected)
             chooser.record_end(placement, context.call, added)
-            self.record_send(
-                context, placement, outcome, first_event_ms, attempt.transfer
+            context.steps.append(
+                steps.describe_send(
+                    placement.endpoint.id,
+                    outcome,
+                    first_event_ms,
+                    attempt.transfer,
+                )
             )
+            self.deps.metrics.record_send(outcome, attempt.transfer)
         return outcome
-
-    def record_send(
-        self,
-        context: request_context.Context,
-        placement: placements.Placement,
-        outcome: outcomes.Outcome | None,
-        first_event_ms: int,
-        transfer: transfers.Transfer,
-    ) -> None:
-        """Count the outcome of an attempt and keep it for the log."""
-        name = outcomes.name_of(outcome)
-        step = f"{placement.endpoint.id}:{name}"
-        match outcome:
-            case outcomes.Unreached(detail) | outcomes.Broken(detail):
-                step = f"{step} ({detail})"
-            case (
-                outcomes.Rejected(status=status)
-                | outcomes.Answered(status=status)
-            ):
-                step = f"{step}-{status}"
-        if first_event_ms >= 0:
-            step = f"{step} first={first_event_ms}ms"
-        context.steps.append(f"{step} {transfer}".rstrip())
-        self.deps.metrics.sends.labelled(name).add()
-        self.deps.metrics.record_transfer(transfer)
