--- a/tests/forwarding/test_unframed_answers.py
+++ b/tests/forwarding/test_unframed_answers.py
@@ -147,3 +147,15 @@
     )
     assert pool.opened == 2
     assert sum(map(len, pool.idle.values())) == 1
+
+
+def test_stream_of_a_peer_that_is_killed_is_broken(watch):
+    """Guards against an orderly close in the middle of a relayed stream."""
+    chunk = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
+    answer = answer_of(b"Transfer-Encoding: chunked\r\n", chunk)
+    outcome, exchange, _pool = send(
+        watch, answer, crashes=True, repeat=routes.Repeat.STREAM
+    )
+    assert isinstance(outcome, outcomes.Broken)
+    assert exchange.sent == [EVENT]
+    assert not exchange.finished
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -15,6 +15,7 @@
 from briarseam.forwarding import relay_headers
 from briarseam.placement import loads
 from briarseam.testing import waiting
+from tests.platform import instances
 from tests.platform import partition
 from tests.platform import system as systems
 
@@ -29,30 +30,11 @@
 @pytest.fixture
 def pair(system):
     """Two instances; the first one has no path to endpoints."""
-    cut_off, other = start_others(system, 1)
+    cut_off, other = instances.start_others(system, 1)
     with partition.from_endpoints(cut_off):
         yield cut_off, other
 
 
-def start_others(system, count):
-    """Start further instances; return all, joined to each other."""
-    nodes = [system.node]
-    nodes += [
-        system.launch_another(f"other-{number}") for number in range(count)
-    ]
-    waiting.until(
-        lambda: all(
-            node.is_ready()
-            and len(node.instances.all()) == len(nodes)
-            and len(node.feeds.registrations.by_name) == len(nodes)
-            and len(node.feeds.registry.all()) == len(system.workers)
-            for node in nodes
-        ),
-        TIMEOUT_S,
-    )
-    return nodes
-
-
 def headers_of(**headers):
     """Return the headers of a caller's request."""
     return {
@@ -100,7 +82,7 @@
 
 def test_callers_of_an_instance_without_a_path_to_endpoints_are_served(system):
     """Guards against refusing what another instance can have answered."""
-    cut_off, _other = start_others(system, 1)
+    cut_off, _other = instances.start_others(system, 1)
     with partition.from_endpoints(cut_off):
         statuses = [call_all_kinds(system, cut_off) for _ in range(10)]
     served = {"/status/1": 200, "/submit/1": 200, "/draft/1": 200}
@@ -264,7 +246,7 @@
 
 def test_request_that_was_passed_on_is_sent_to_no_other_instance(system):
     """Guards against a submission that runs twice behind two instances."""
-    cut_off, *others = start_others(system, 2)
+    cut_off, *others = instances.start_others(system, 2)
     for name in ("plain-1", "plain-2"):
         system.workers[name].set(reset=10)
     with partition.from_endpoints(cut_off):
@@ -296,7 +278,7 @@
 
 def test_instance_that_is_cut_off_passes_nothing_on(system):
     """Guards against two instances that pass a request to and fro."""
-    nodes = start_others(system, 1)
+    nodes = instances.start_others(system, 1)
     with contextlib.ExitStack() as stack:
         for node in nodes:
             stack.enter_context(partition.from_endpoints(node))
@@ -313,7 +295,7 @@
     system, monkeypatch
 ):
     """Guards against a request that goes round before peers have told."""
-    nodes = start_others(system, 1)
+    nodes = instances.start_others(system, 1)
     for node in nodes:
         monkeypatch.setattr(
             node.reachability, "peer_has_path", lambda *_names: True
@@ -328,7 +310,7 @@
 
 def test_nothing_is_passed_on_when_no_instance_has_a_path(system):
     """Guards against a crowd at the peers when endpoints themselves fail."""
-    nodes = start_others(system, 1)
+    nodes = instances.start_others(system, 1)
     with contextlib.ExitStack() as stack:
         for node in nodes:
             stack.enter_context(partition.from_endpoints(node))
@@ -364,7 +346,7 @@
 
 
 def test_requests_are_sent_directly_again_once_the_path_is_back(system):
-    cut_off, _other = start_others(system, 1)
+    cut_off, _other = instances.start_others(system, 1)
     with partition.from_endpoints(cut_off):
         call_all_kinds(system, cut_off)
         assert cut_off.reachability.is_cut_off("portal")
@@ -376,7 +358,7 @@
 
 
 def test_an_endpoint_that_fails_alone_is_not_taken_for_a_cut(system):
-    cut_off, _other = start_others(system, 1)
+    cut_off, _other = instances.start_others(system, 1)
     system.workers["plain-1"].stop()
     for _ in range(10):
         assert call(system, cut_off, "GET", "/status/1").status == 200
@@ -386,7 +368,7 @@
 
 def test_instance_that_stops_takes_no_requests_of_others(system):
     """Guards against a request that is lost as the other instance stops."""
-    cut_off, stopping, _other = start_others(system, 2)
+    cut_off, stopping, _other = instances.start_others(system, 2)
     stopping.in_flight.move_to(3)
     with partition.from_endpoints(cut_off):
         for _ in range(6):
@@ -397,7 +379,7 @@
 
 def test_instances_without_room_are_not_all_waited_for(system):
     """Guards against a refusal that takes longer by each full instance."""
-    cut_off, *others = start_others(system, 3)
+    cut_off, *others = instances.start_others(system, 3)
     for node in others:
         for name in ("plain-1", "plain-2"):
             node.chooser.loads.add(name, loads.Load(requests=1000))
@@ -462,7 +444,7 @@
 
 def test_key_of_a_relayed_request_is_checked(system):
     """Guards against an instance that trusts what another has checked."""
-    start_others(system, 1)
+    instances.start_others(system, 1)
     target = "/status/1"
     headers = headers_of(Request_Id="r1", Authorization="Bearer unknown")
     headers["Briarseam-Relay"] = relay_headers.encode(
@@ -561,7 +543,7 @@
 
 def test_callers_who_repeat_a_request_are_served_after_a_cut(system):
     """Guards against requests that are refused since a cut broke them off."""
-    cut_off, other = start_others(system, 1)
+    cut_off, other = instances.start_others(system, 1)
     for number in (3, 4):
         system.add_worker(f"plain-{number}", "portal")
     waiting.until(
@@ -592,7 +574,7 @@
 
 def test_orders_are_given_by_an_instance_that_reaches_engines(system):
     """Guards against a leader that keeps its lease but delivers no order."""
-    nodes = start_others(system, 1)
+    nodes = instances.start_others(system, 1)
     waiting.until(
         lambda: any(node.weights.leadership.is_held() for node in nodes),
         TIMEOUT_S,
