Soak: answers in any framing, cut short anywhere, and callers that notice

No stand-in answered without a length, the soak's callers took an orderly close for the end of an answer as the instances did, and its links turned resets into orderly closes. Links now reset where an endpoint resets.

--- a/tests/platform/raw_answers.py
+++ b/tests/platform/raw_answers.py
@@ -32,6 +32,13 @@
     AFTER_EVENTS = "after-events"
 
 
+INSIDE_EVENTS = (
+    Cut.IN_FIRST_EVENT,
+    Cut.IN_LATER_EVENT,
+    Cut.BEFORE_LAST_NEWLINE,
+)
+
+
 class Ending(enum.StrEnum):
     """How the transfer of an answer ends."""
 
@@ -66,6 +73,28 @@
         return self.cut is Cut.NOWHERE or self.ending is Ending.FRAMED
 
 
+def is_noticed(form: Form, is_stream: bool) -> bool:
+    """Return whether the cut in an answer can be told from its bytes.
+
+    The endpoint is not asked.  A form without a cut is noticed as complete.
+    """
+    if form.cut is Cut.NOWHERE:
+        return form.ending is Ending.FIN
+    if is_stream and form.cut in INSIDE_EVENTS:
+        return form.ending is not Ending.FRAMED or form.framing is not (
+            Framing.CONNECTION
+        )
+    if not is_stream and form.cut is not Cut.IN_FIRST_EVENT:
+        return False
+    if form.ending is Ending.FRAMED:
+        return False
+    if form.ending is Ending.RESET:
+        return True
+    return form.framing is not Framing.CONNECTION or (
+        is_stream and form.cut is Cut.BEFORE_EVENTS
+    )
+
+
 class Output(typing.Protocol):
     """The connection that an answer is sent on."""
 
--- a/tests/platform/test_broken_off_streams.py
+++ b/tests/platform/test_broken_off_streams.py
@@ -20,11 +20,6 @@
 EVENTS = 3
 PAUSE_MS = 300
 VERSIONS = ("1.0", "1.1")
-INSIDE_EVENTS = (
-    Cut.IN_FIRST_EVENT,
-    Cut.IN_LATER_EVENT,
-    Cut.BEFORE_LAST_NEWLINE,
-)
 
 
 class Cuts:
@@ -107,7 +102,7 @@
 ):
     """Guards against relaying fragments of events, or repeating the run."""
     endings = endings_of(framing)
-    for form in forms(framing, version, INSIDE_EVENTS, endings):
+    for form in forms(framing, version, raw_answers.INSIDE_EVENTS, endings):
         received = receive(
             system, "/draft/once/x", form, cuts=1, callers_version=version
         )
@@ -126,7 +121,7 @@
 def test_resumed_stream_has_each_event_once(system, framing, version):
     """Guards against fragments before the events of the next run."""
     endings = endings_of(framing)
-    for form in forms(framing, version, INSIDE_EVENTS, endings):
+    for form in forms(framing, version, raw_answers.INSIDE_EVENTS, endings):
         received = receive(
             system, "/draft/x", form, cuts=1, callers_version=version
         )
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -126,6 +126,8 @@
         self.backoffs: dict[str, float] = {}
         self.ended: list[str] = []
         self.broke: list[str] = []
+        # Forms of the answers whose framing was set.
+        self.forms: list[raw_answers.Form] = []
         self.orders: list[dict] = []
         # When requests were rejected for want of room, monotonic seconds.
         self.turned_away_s: list[float] = []
@@ -248,6 +250,7 @@
     ) -> typing.NoReturn:
         """Send an answer whose framing is set."""
         form = self.form()
+        self.forms.append(form)
         if form.cut:
             self.broke.append(call)
         pieces = [self.plain_body()]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 import time
+import typing
 
 from tests.platform import system
 from tests.soak import serving
@@ -15,6 +16,7 @@
 DEADLINE_MS = 3000
 # A caller waits this much longer, to tell late answers from none.
 PATIENCE_S = 4.0
+TIMEOUT_S = DEADLINE_MS / 1000 + PATIENCE_S
 PAUSE_S = (0.0, 0.08)
 # Pauses of a caller whose connections are idle most of the time.
 REST_S = (0.3, 4.0)
@@ -70,6 +72,8 @@
         The answer, the id that it names and its signature.
     answered_s, limit, leaving
         When the answer began, and what it says of its endpoint.
+    version
+        Version of HTTP that the caller speaks.
     detail
         How it failed.
     ended
@@ -89,6 +93,7 @@
     answered_s: float = 0.0
     limit: str = ""
     leaving: bool = False
+    version: str = "1.1"
     detail: str = ""
     ended: socket.socket | None = None
 
@@ -105,6 +110,13 @@
         return state[0] != TCP_CLOSE
 
 
+class Connection(typing.Protocol):
+    """A connection to an instance."""
+
+    def close(self) -> None:
+        """Close it."""
+
+
 class Caller:
     """One caller with a kept connection to each instance.
 
@@ -133,7 +145,7 @@
         self.instances = instances
         self.stopping = stopping
         self.pause_s = pause_s
-        self.connections: dict[str, http.client.HTTPConnection] = {}
+        self.connections: dict[str, Connection] = {}
         self.sent: list[Sent] = []
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -158,9 +170,7 @@
         connection = self.connections.pop(address, None)
         if connection is None:
             host, _, port = address.rpartition(":")
-            connection = http.client.HTTPConnection(
-                host, int(port), timeout=DEADLINE_MS / 1000 + PATIENCE_S
-            )
+            connection = self.new_connection(host, int(port))
         try:
             closing = self.exchange(connection, sent)
         except (OSError, http.client.HTTPException) as error:
@@ -173,10 +183,12 @@
             self.connections[address] = connection
         return sent
 
-    def exchange(
-        self, connection: http.client.HTTPConnection, sent: Sent
-    ) -> bool:
-        """Send and read the answer; tell whether the connection ends."""
+    def new_connection(self, host: str, port: int) -> Connection:
+        """Return a connection to an instance."""
+        return http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+
+    def request_of(self, sent: Sent) -> tuple[dict[str, str], bytes | None]:
+        """Return the headers and the body of a request."""
         headers = {
             "Host": system.HOST,
             "Request-Id": sent.id,
@@ -187,6 +199,13 @@
             part = self.random.randrange(20)
             headers |= PROMPT | {"Prefix-Hash": f"aa:600,b{part}:400"}
         body = sent.id.encode() if sent.kind.method == "POST" else None
+        return headers, body
+
+    def exchange(
+        self, connection: http.client.HTTPConnection, sent: Sent
+    ) -> bool:
+        """Send and read the answer; tell whether the connection ends."""
+        headers, body = self.request_of(sent)
         connection.request(sent.kind.method, sent.kind.path, body, headers)
         if not connection.sock.recv(1, socket.MSG_PEEK):
             sent.ended = connection.sock.dup()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 import signal
 import typing
 
+from tests.platform import raw_answers
 from tests.soak import links
 from tests.soak import paths
 from tests.soak import serving
@@ -219,6 +221,28 @@
     room: int
 
 
+@dataclasses.dataclass(frozen=True)
+class AnswersFramed:
+    """An endpoint sends its answers in a form, and cuts some short.
+
+    Attributes
+    ----------
+    endpoint
+        The endpoint.
+    form
+        Form of the answers.
+    cuts
+        How many of them are cut short.
+    line_end
+        Line end in streams.
+    """
+
+    endpoint: int
+    form: raw_answers.Form
+    cuts: int
+    line_end: str
+
+
 Fault = (
     StoreTrouble
     | StoreRestored
@@ -238,6 +262,7 @@
     | BackoffRequested
     | PathsCut
     | ServiceFragile
+    | AnswersFramed
 )
 
 
@@ -376,6 +401,41 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_framings(seed: int, seconds: float, instances: int) -> list[Planned]:
+    """Return forms of answers; two of three seeds have other faults too."""
+    random_ = random.Random(f"{seed}/framings")
+    found = plan(seed, seconds, instances) if seed % 3 else []
+    at_s = 0.2
+    while at_s < seconds - 1.0:
+        number = random_.randrange(len(serving.SERVICES))
+        is_stream = serving.SERVICES[number] == "engines"
+        framed = AnswersFramed(
+            number,
+            draw_form(random_, is_stream),
+            random_.randint(1, 12),
+            random_.choice(("\n", "\r\n", "\r")),
+        )
+        found.append(Planned(at_s, random_.uniform(0.3, 2.0), framed))
+        at_s += random_.uniform(0.05, 0.5)
+    return sorted(found, key=lambda one: one.at_s)
+
+
+def draw_form(random_: random.Random, is_stream: bool) -> raw_answers.Form:
+    """Return a form of answers whose cuts callers must not take for ends."""
+    forms = [
+        raw_answers.Form(*form)
+        for form in itertools.product(
+            raw_answers.Framing,
+            ("1.0", "1.1"),
+            raw_answers.Cut,
+            raw_answers.Ending,
+        )
+    ]
+    return random_.choice(
+        [form for form in forms if raw_answers.is_noticed(form, is_stream)]
+    )
+
+
 def draw_delays(seed: int) -> list[int]:
     """Return how long the endpoints of a run with stops take, in ms."""
     random_ = random.Random(f"{seed}/delays")
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -84,6 +84,7 @@
                 | faults.RateLimited(number)
                 | faults.LeavesByAnswer(number)
                 | faults.BackoffRequested(number)
+                | faults.AnswersFramed(number)
             ):
                 endpoint = self.deployment.endpoints[number]
                 with self.lock_of(("endpoint", number)):
@@ -291,6 +292,17 @@
                 worker.set(reject=REJECTIONS, retry_after=f"{backoff_s:.3f}")
                 time.sleep(for_s)
                 worker.set(reject=0, retry_after="")
+            case faults.AnswersFramed(form=form, cuts=cuts):
+                worker.set(
+                    framing=form.framing,
+                    http_version=form.version,
+                    cut_at=form.cut,
+                    cut_by=form.ending,
+                    cuts=cuts,
+                    line_end=fault.line_end,
+                )
+                time.sleep(for_s)
+                worker.set(framing="", cuts=0, line_end="\n")
 
     def trouble_instance(
         self, fault: faults.Fault, instance: serving.Instance, for_s: float
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -97,10 +97,7 @@
         with self.lock:
             found, self.sockets = self.sockets, set()
         for sock in found:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.close()
+            reset(sock)
 
     def stop(self) -> None:
         """Stop and reset everything."""
@@ -144,20 +141,31 @@
     def pass_on(
         self, source: socket.socket, sink: socket.socket, answers: bool
     ) -> None:
-        """Pass on what one side sends until it ends."""
-        with contextlib.suppress(OSError):
+        """Pass on what one side sends until it ends, or is reset."""
+        try:
             while data := source.recv(CHUNK):
                 if not answers:
                     self.note_requests(data)
                 self.hold(answers)
                 sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
-        if not answers:
-            return
+            in_order = True
+        except OSError:
+            in_order = False
         with self.lock:
-            self.sockets -= {source, sink}
-        for sock in (source, sink):
-            sock.close()
+            if source not in self.sockets:
+                # This link has reset them.
+                return
+            if answers or not in_order:
+                self.sockets -= {source, sink}
+        if not in_order:
+            reset(sink)
+            reset(source)
+            return
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+        if answers:
+            sink.close()
+            source.close()
 
     def note_requests(self, data: bytes) -> None:
         """Note the requests that some bytes begin."""
@@ -173,3 +181,15 @@
             time.sleep(POLL_S)
         if self.state is State.SLOW:
             time.sleep(SLOW_S)
+
+
+def reset(sock: socket.socket) -> None:
+    """Reset a connection.
+
+    Only reading is shut down, to wake who reads from it: shut down both
+    ways, it would end in order before it is reset.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.shutdown(socket.SHUT_RD)
+    sock.close()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -85,6 +85,8 @@
         yield f"{name} was told {one.status} and ran at {ran_at}"
     if one.status == OK and one.whole:
         yield from check_success(one, name, ran_at)
+    if one.status == OK and one.kind.stream and not one.whole:
+        yield from check_part(one, name)
     limit_s = callers.DEADLINE_MS / 1000 + LATE_S
     calm = one.instance.troubled_until < one.sent_s
     if calm and one.ended_s - one.sent_s > limit_s:
@@ -101,12 +103,32 @@
     if one.signature != workers.SIGNATURE:
         yield f"{name} got a success that no endpoint signed"
     expected = {f"{worker} did it".encode() for worker in ran_at}
+    body = one.body
     if one.kind.stream:
-        numbers = range(1, serving.EVENTS + 1)
-        whole = "".join(workers.EVENT.format(number) for number in numbers)
-        expected = {whole.encode()}
-    if one.body not in expected:
-        yield f"{name} got {one.body!r}, and not {expected}"
+        expected = {stream_of(range(1, serving.EVENTS + 1))}
+        body = with_lf(body)
+    if body not in expected:
+        yield (
+            f"{name} got {one.body!r} as complete by HTTP/{one.version}, and "
+            f"not {expected}"
+        )
+
+
+def check_part(one: callers.Sent, name: str) -> typing.Iterator[str]:
+    """Yield a stream that was broken off and is no beginning of the whole."""
+    whole = stream_of(range(1, serving.EVENTS + 1))
+    if not whole.startswith(with_lf(one.body).removesuffix(b"\n")):
+        yield f"{name} got {one.body!r} before the stream was broken off"
+
+
+def stream_of(numbers: typing.Iterable[int]) -> bytes:
+    """Return the bytes of some events."""
+    return "".join(map(workers.EVENT.format, numbers)).encode()
+
+
+def with_lf(body: bytes) -> bytes:
+    """Return a stream with LF in place of other line ends."""
+    return body.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
 
 
 def check_answered(
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -26,6 +26,7 @@
 from tests.soak import faults
 from tests.soak import injecting
 from tests.soak import promises
+from tests.soak import raw_callers
 from tests.soak import serving
 
 from briarseam.testing import waiting
@@ -52,7 +53,8 @@
 
     Attributes
     ----------
-    seed, seconds, instances, stops, restores, zones, announcements, paths
+    seed, seconds, instances, stops, restores, zones, announcements, paths,
+    framings
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -64,6 +66,8 @@
         How often each struck.
     announced
         Answers by what they said of their endpoint.
+    cuts
+        Answers of endpoints that were cut short, by framing, place and end.
     broken
         Broken promises.
     """
@@ -76,12 +80,14 @@
     zones: bool = False
     announcements: bool = False
     paths: bool = False
+    framings: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
     unanswered: dict[str, int] = dataclasses.field(default_factory=dict)
     faults: dict[str, int] = dataclasses.field(default_factory=dict)
     announced: dict[str, int] = dataclasses.field(default_factory=dict)
+    cuts: dict[str, int] = dataclasses.field(default_factory=dict)
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -129,7 +135,10 @@
         pause_s: tuple[float, float] = callers.PAUSE_S,
     ) -> callers.Caller:
         """Return a caller, not started."""
-        return callers.Caller(
+        kind = callers.Caller
+        if self.report.framings:
+            kind = raw_callers.RawCaller
+        return kind(
             next(self.numbers),
             self.report.seed,
             instances or self.deployment.instances,
@@ -175,6 +184,8 @@
             plan = faults.plan_announcements
         elif self.report.paths:
             plan = faults.plan_paths
+        elif self.report.framings:
+            plan = faults.plan_framings
         planned = plan(
             self.report.seed, self.report.seconds, self.report.instances
         )
@@ -247,6 +258,7 @@
         )
         self.report.unanswered = dict(unanswered)
         self.report.announced = announced.count(self.deployment, sent)
+        self.report.cuts = self.deployment.cuts()
         self.report.requests = len(sent)
         self.report.runs = sum(map(len, self.deployment.ran().values()))
         self.report.broken = self.broken
@@ -262,10 +274,19 @@
     zones: bool = False,
     announcements: bool = False,
     paths: bool = False,
+    framings: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
     report = Report(
-        seed, seconds, instances, stops, restores, zones, announcements, paths
+        seed,
+        seconds,
+        instances,
+        stops,
+        restores,
+        zones,
+        announcements,
+        paths,
+        framings,
     )
     Soak(folder, report).run()
     return report
@@ -301,6 +322,11 @@
         help="instances without a path to endpoints, and endpoints that "
         "rejections end",
     )
+    parser.add_argument(
+        "--framings",
+        action="store_true",
+        help="answers with a length, chunks or neither, cut short anywhere",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -319,6 +345,7 @@
             options.zones,
             options.announcements,
             options.paths,
+            options.framings,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -484,6 +485,16 @@
                 found.setdefault(request_id, []).append(worker.id)
         return found
 
+    def cuts(self) -> dict[str, int]:
+        """Return how many answers were cut short, by their form."""
+        found = collections.Counter(
+            f"{form.framing}/{form.version} {form.cut} {form.ending}"
+            for worker in self.past
+            for form in worker.forms
+            if form.cut
+        )
+        return dict(sorted(found.items()))
+
     def errors(self) -> list[str]:
         """Return what instances logged as errors, or did not log at all."""
         return [
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -123,6 +123,14 @@
     assert report.broken == []
 
 
+@pytest.mark.timeout(120)
+def test_short_run_with_answers_cut_short_breaks_no_promise(tmp_path):
+    report = serve_soak.run(60000, 8.0, 3, tmp_path, framings=True)
+    assert report.broken == []
+    framings = {cut.partition("/")[0] for cut in report.cuts}
+    assert framings == {"length", "chunked", "connection"}
+
+
 PLANS = (
     faults.plan,
     faults.plan_stops,
@@ -130,6 +138,7 @@
     faults.plan_zones,
     faults.plan_announcements,
     faults.plan_paths,
+    faults.plan_framings,
 )
 
 
