Read a call whole before its answer is sent, in tests of truncated answers

Once, the guard against answers that are too long was missed by no test, and four times it was: the stand-in closed the connection before it had read the call's body, so it was sometimes reset, and the answer was lost for that.

--- a/tests/endpoints/test_service_answers.py
+++ b/tests/endpoints/test_service_answers.py
@@ -11,16 +11,22 @@
 from briarseam.endpoints import service
 
 PATIENCE_S = 10.0
+REQUEST_BODY = b'{"certificate": 7}'
 BODY = b'{"filed": true}'
 LENGTH = b"Content-Length: %d\r\n" % len(BODY)
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 def answer(listener, headers, body):
-    """Answer one call and close the connection."""
+    """Answer one call and close the connection.
+
+    A connection that is closed with bytes unread is reset.
+    """
     connection, _ = listener.accept()
     with connection:
-        connection.recv(65536)
+        received = b""
+        while not received.endswith(REQUEST_BODY):
+            received += connection.recv(65536)
         connection.sendall(b"HTTP/1.1 200 OK\r\n" + headers + b"\r\n" + body)
 
 
@@ -34,7 +40,7 @@
         thread.start()
         try:
             return service.ServiceClient().call(
-                f"{host}:{port}", "file", "run-1", b"{}", PATIENCE_S
+                f"{host}:{port}", "file", "run-1", REQUEST_BODY, PATIENCE_S
             )
         finally:
             thread.join(PATIENCE_S)
