Treat a stream that ends within a CRLF as broken off

Callers got the first two of six events as a complete stream.

Cause: by the format a CR ends a line, so the event before it is complete, and the end of the connection was believed. But the stream's other line ends are all CRLF, so half of one is missing and the endpoint has broken off. Such an end now counts as a break; a stream with CR or mixed line ends may end with a lone CR as before. Its last event is whole and is kept, and the stream is resumed after it.

--- a/src/briarseam/forwarding/events.py
+++ b/src/briarseam/forwarding/events.py
@@ -8,7 +8,8 @@
 import dataclasses
 
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
-LINE_ENDS = b"\r\n"
+CRLF = b"\r\n"
+LF = b"\n"
 CR = b"\r"
 COMMENT = b":"
 ID = b"id"
@@ -35,6 +36,35 @@
     has_data: bool = False
 
 
+class LineEnds:
+    """The line ends of a stream, which tell whether the last is truncated."""
+
+    def __init__(self) -> None:
+        self.any_crlf = False
+        self.any_other = False
+        # Whether an empty line ended with CR, so that an LF may follow.
+        self.after_cr = False
+
+    def add(self, line: bytes) -> None:
+        """Add the end of the next complete line."""
+        if self.after_cr:
+            self.after_cr = False
+            if line == LF:
+                self.any_crlf = True
+                return
+            self.any_other = True
+        if line == CR:
+            self.after_cr = True
+        elif line.endswith(CRLF):
+            self.any_crlf = True
+        else:
+            self.any_other = True
+
+    def is_truncated(self) -> bool:
+        """Return whether the last LF of a stream with CRLF is missing."""
+        return self.after_cr and self.any_crlf and not self.any_other
+
+
 class Splitter:
     """Splits a stream into events as its bytes arrive.
 
@@ -50,6 +80,7 @@
         self.parsed_bytes = 0
         self.at_start = True
         self.fields: dict[bytes, bytes] = {}
+        self.line_ends = LineEnds()
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that are complete with these bytes."""
@@ -58,6 +89,7 @@
         event_start = 0
         for line in self.complete_lines():
             self.parsed_bytes += len(line)
+            self.line_ends.add(line)
             content = self.content_of(line)
             if content:
                 self.add_field(content)
@@ -80,14 +112,14 @@
         if not lines:
             return []
         last = lines[-1]
-        is_complete = last[-1:] in LINE_ENDS
+        is_complete = last[-1:] in CRLF
         if not is_complete or (last[-1:] == CR and last != CR):
             lines.pop()
         return lines
 
     def content_of(self, line: bytes) -> bytes:
         """Return a line without its end, and without a byte order mark."""
-        content = line.rstrip(LINE_ENDS)
+        content = line.rstrip(CRLF)
         if self.at_start:
             self.at_start = False
             return content.removeprefix(BYTE_ORDER_MARK)
@@ -113,6 +145,8 @@
 
         Comments between events belong to none.
         """
+        if not self.remainder and self.line_ends.is_truncated():
+            return True
         unfinished = self.remainder[self.parsed_bytes :]
         if self.at_start:
             unfinished = unfinished.removeprefix(BYTE_ORDER_MARK)
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -74,7 +74,11 @@
         pytest.param(b"", False, id="empty"),
         pytest.param(BOM, False, id="byte-order-mark"),
         pytest.param(b"data: x\n\n", False, id="after-event"),
-        pytest.param(b"data: x\r\n\r", False, id="after-empty-line"),
+        pytest.param(b"data: x\r\n\r\n", False, id="after-crlf"),
+        pytest.param(b"data: x\r\r", False, id="after-cr"),
+        pytest.param(b"\r", False, id="only-cr"),
+        pytest.param(b"data: x\r\n\r", True, id="inside-crlf"),
+        pytest.param(b"data: x\n\ndata: x\r\n\r", False, id="mixed-cr"),
         pytest.param(b"data: x\n\n: kept alive\n", False, id="comment"),
         pytest.param(b"data: x\n\n: c\r", False, id="comment-cr"),
         pytest.param(b"data: x\n\n\r\n", False, id="more-empty-lines"),
@@ -103,12 +107,15 @@
     """Return ids and data of a stream's events, by the format's definition.
 
     Also returns whether fields without the empty line that ends their event
-    are left.
+    are left, or the last line end is half a CRLF in a stream without others.
     """
     text = stream.removeprefix(BOM)
     lines = re.split(rb"\r\n|\n|\r", text)
     unfinished = lines.pop()
     found, data, last_id, pending = [], [], b"", False
+    ends = re.findall(rb"\r\n|\n|\r", text)
+    is_crlf = b"\r\n" in ends and set(ends[:-1]) == {b"\r\n"}
+    in_line_end = is_crlf and text.endswith(b"\r") and not lines[-1]
     for line in lines:
         if not line:
             if data:
@@ -122,7 +129,7 @@
             data.append(value)
         elif name == b"id" and b"\0" not in value:
             last_id = value
-    return found, bool(unfinished) or pending
+    return found, bool(unfinished) or pending or in_line_end
 
 
 line_ends = strategies.sampled_from([b"\n", b"\r\n", b"\r"])
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -131,6 +131,13 @@
     assert framings == {"length", "chunked", "connection"}
 
 
+@pytest.mark.timeout(120)
+def test_stream_that_ends_within_a_line_end_is_broken_off(tmp_path):
+    """Guards against a CRLF of which only the CR has come; seed 61003."""
+    report = serve_soak.run(61003, 10.0, 3, tmp_path, framings=True)
+    assert report.broken == []
+
+
 PLANS = (
     faults.plan,
     faults.plan_stops,
