Believe an unframed end while other connections to the endpoint live

Found by reading the diff: behind a cut that spares connections that are open and refuses new ones, a complete answer without a length or chunks would have been taken for one of a crashed endpoint, and a submission answered with 502.

Cause: a refused connection alone was taken for a crash. A crash ends all connections of a process, so an idle one that is still open shows that it lives. Without one, a refusal counts as before.

Without the change test_answer_is_complete_while_other_connections_live fails (broken).

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -245,8 +245,10 @@
 
         The end of the connection completes an answer without a length or
         chunks, but also comes when the endpoint's process crashes.  Nothing
-        listens at its address then.  A connection that is made is kept for
-        the next request, in place of the one that has ended.
+        listens at its address then, and its other connections end as well:
+        behind a cut, new connections may be refused while others live on.  A
+        connection that is made is kept for the next request, in place of the
+        one that has ended.
         """
         if attempt.transfer.framing is not transfers.Framing.CONNECTION:
             return None
@@ -257,6 +259,8 @@
         try:
             connection = self.pool.connect(endpoint.address)
         except connections.RefusedError as error:
+            if self.pool.has_open(endpoint.id, endpoint.address):
+                return None
             return outcomes.Broken(f"the endpoint has ended: {error}")
         except connections.UnreachableError as error:
             log.info(
--- a/src/briarseam/forwarding/connections.py
+++ b/src/briarseam/forwarding/connections.py
@@ -123,6 +123,12 @@
                 return idle.connection
             idle.connection.close()
 
+    def has_open(self, endpoint_id: str, address: str) -> bool:
+        """Return whether an endpoint keeps an idle connection open."""
+        with self.lock:
+            queue = list(self.idle.get((endpoint_id, address), ()))
+        return any(is_reusable(idle.connection) for idle in queue)
+
     def release(
         self,
         endpoint_id: str,
--- a/tests/forwarding/test_unframed_answers.py
+++ b/tests/forwarding/test_unframed_answers.py
@@ -37,6 +37,13 @@
         listener.accept()
 
 
+def answer_on(connection):
+    """Answer one request on a connection and close it."""
+    with connection:
+        connection.recv(65536)
+        connection.sendall(answer_of())
+
+
 def send(watch, answer, crashes, repeat):
     """Send a request to an endpoint; return outcome, exchange and pool."""
     listener = socket.create_server(("127.0.0.1", 0))
@@ -91,6 +98,27 @@
     assert exchange.finished
 
 
+@pytest.mark.parametrize("repeat", KINDS)
+def test_answer_is_complete_while_other_connections_live(watch, repeat):
+    """Guards against a cut behind which only new connections are refused."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = "{}:{}".format(*listener.getsockname()[:2])
+    pool = connections.Pool()
+    attempt = sending.attempt_to(address, watch, sending.Exchange(), repeat)
+    kept = [pool.connect(address), pool.connect(address)]
+    peers = [listener.accept()[0] for _ in kept]
+    for connection in kept:
+        pool.release(attempt.endpoint.id, address, connection, "")
+    listener.close()
+    # The pool uses the connection that was released last.
+    thread = threading.Thread(target=answer_on, args=(peers[1],))
+    thread.start()
+    sender = attempts.Sender(pool, requests.decode_answer)
+    assert sender.send(attempt) == outcomes.Answered(200)
+    thread.join(PATIENCE_S)
+    peers[0].close()
+
+
 def test_stream_that_ends_before_any_event_is_not_complete(watch):
     """Guards against passing on an answer whose body never began."""
     outcome, exchange, _pool = send(
