Treat the unframed rest of a stream without any event as broken off

Cause: the rest of a resumed stream was allowed to be empty, since a stream may break after its last event. By its bytes that can't be told from a run that was broken off, so an earlier test had it the wrong way round; it is replaced by one that asks for a length, or a last chunk, before an empty rest completes a stream. A stream that breaks exactly between its last event and its end, and is resumed by an endpoint that frames nothing, ends as broken off now.

The new test fails without the change, for the unframed rest.

--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -226,7 +226,7 @@
         if splitter.is_inside_event():
             return outcomes.Broken("the stream ended inside an event")
         closed = attempt.transfer.end is transfers.End.CLOSED
-        if closed and not attempt.progress.events_sent:
+        if closed and not relay.started:
             return outcomes.Broken("the stream ended before any event")
         broken = self.confirm_end(attempt, response, head)
         if broken is not None:
