--- a/tests/platform/test_endpoint_limits.py
+++ b/tests/platform/test_endpoint_limits.py
@@ -7,6 +7,7 @@
 import time
 
 from briarseam.testing import waiting
+from tests.platform import instances
 from tests.platform import system as systems
 from tests.platform import worker as workers
 
@@ -33,27 +34,9 @@
     ).status
 
 
-def start_others(system, count):
-    """Start further instances; return all, joined to each other."""
-    nodes = [system.node]
-    nodes += [
-        system.launch_another(f"other-{number}") for number in range(count)
-    ]
-    waiting.until(
-        lambda: all(
-            node.is_ready()
-            and len(node.instances.all()) == len(nodes)
-            and node.feeds.registry.all()
-            for node in nodes
-        ),
-        TIMEOUT_S,
-    )
-    return nodes
-
-
 def test_endpoint_gets_no_more_than_its_limit_from_all_instances(system):
     """Guards against instances that ignore a limit, or each use all of it."""
-    nodes = start_others(system, 2)
+    nodes = instances.start_others(system, 2)
     limited = system.workers["plain-1"]
     limited.set(limit=str(LIMIT_PER_S))
     start_s = time.monotonic()
@@ -197,7 +180,7 @@
 
 def test_instance_that_starts_learns_of_a_limit_from_its_peers(system):
     """Guards against each new instance sending until it is told itself."""
-    nodes = start_others(system, 1)
+    nodes = instances.start_others(system, 1)
     system.workers["plain-1"].set(limit="0")
     while not nodes[0].eligibility.rate_limits.limited_count():
         call(system, nodes[0], 0)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,7 +11,7 @@
 import typing
 
 from tests.platform import system
-from tests.soak import serving
+from tests.soak import processes
 
 DEADLINE_MS = 3000
 # A caller waits this much longer, to tell late answers from none.
@@ -82,7 +82,7 @@
 
     id: str
     kind: Kind
-    instance: serving.Instance
+    instance: processes.Instance
     sent_s: float
     ended_s: float = 0.0
     status: int = 0
@@ -136,7 +136,7 @@
         self,
         number: int,
         seed: int,
-        instances: list[serving.Instance],
+        instances: list[processes.Instance],
         stopping: threading.Event,
         pause_s: tuple[float, float] = PAUSE_S,
     ) -> None:
@@ -157,7 +157,7 @@
             self.send(kind, instance)
             self.stopping.wait(self.random.uniform(*self.pause_s))
 
-    def send(self, kind: Kind, instance: serving.Instance) -> Sent:
+    def send(self, kind: Kind, instance: processes.Instance) -> Sent:
         """Send a request and note what comes of it."""
         sent = Sent(
             f"c{self.number}-{len(self.sent)}",
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -11,13 +11,14 @@
 from tests.soak import faults
 from tests.soak import links
 from tests.soak import paths
+from tests.soak import processes
 from tests.soak import serving
 
 # More than an endpoint gets in a run.
 REJECTIONS = 100_000
 
 Crowd = typing.Callable[
-    [serving.Instance], contextlib.AbstractContextManager[None]
+    [processes.Instance], contextlib.AbstractContextManager[None]
 ]
 
 
@@ -211,7 +212,7 @@
                 instance.start()
             self.excuse(instance)
 
-    def excuse(self, instance: serving.Instance, for_s: float = 0.0) -> None:
+    def excuse(self, instance: processes.Instance, for_s: float = 0.0) -> None:
         """Expect nothing in time from an instance for a while."""
         until = time.monotonic() + for_s + faults.STABLE_S
         instance.troubled_until = max(instance.troubled_until, until)
@@ -305,7 +306,7 @@
                 worker.set(framing="", cuts=0, line_end="\n")
 
     def trouble_instance(
-        self, fault: faults.Fault, instance: serving.Instance, for_s: float
+        self, fault: faults.Fault, instance: processes.Instance, for_s: float
     ) -> None:
         """Pause, end or reload one instance."""
         match fault:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,6 +10,7 @@
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import paths
+from tests.soak import processes
 from tests.soak import serving
 
 from briarseam.eligibility import cold_starts
@@ -224,7 +225,7 @@
 ) -> typing.Iterator[str]:
     """Yield requests that reached a zone long after its evacuation began."""
     for evacuation in deployment.evacuations:
-        in_force_s = evacuation.began_s + serving.EVACUATION_MS / 1000
+        in_force_s = evacuation.began_s + processes.EVACUATION_MS / 1000
         for worker in deployment.past:
             if deployment.zones[worker.id] != evacuation.zone:
                 continue
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -23,8 +23,9 @@
 
 from tests.soak import announced
 from tests.soak import callers
-from tests.soak import faults
 from tests.soak import injecting
+from tests.soak import plans
+from tests.soak import processes
 from tests.soak import promises
 from tests.soak import raw_callers
 from tests.soak import serving
@@ -130,7 +131,7 @@
 
     def new_caller(
         self,
-        instances: list[serving.Instance] | None = None,
+        instances: list[processes.Instance] | None = None,
         stopping: threading.Event | None = None,
         pause_s: tuple[float, float] = callers.PAUSE_S,
     ) -> callers.Caller:
@@ -147,7 +148,7 @@
         )
 
     @contextlib.contextmanager
-    def crowd(self, instance: serving.Instance) -> typing.Iterator[None]:
+    def crowd(self, instance: processes.Instance) -> typing.Iterator[None]:
         """Let callers keep one instance busy, from a while before."""
         stopping = threading.Event()
         crowd = [self.new_caller([instance], stopping) for _ in range(CROWD)]
@@ -173,19 +174,19 @@
 
     def strike(self) -> None:
         """Let faults strike while callers call."""
-        plan = faults.plan
+        plan = plans.plan
         if self.report.stops:
-            plan = faults.plan_stops
+            plan = plans.plan_stops
         elif self.report.restores:
-            plan = faults.plan_restores
+            plan = plans.plan_restores
         elif self.report.zones:
-            plan = faults.plan_zones
+            plan = plans.plan_zones
         elif self.report.announcements:
-            plan = faults.plan_announcements
+            plan = plans.plan_announcements
         elif self.report.paths:
-            plan = faults.plan_paths
+            plan = plans.plan_paths
         elif self.report.framings:
-            plan = faults.plan_framings
+            plan = plans.plan_framings
         planned = plan(
             self.report.seed, self.report.seconds, self.report.instances
         )
@@ -195,7 +196,7 @@
         self.report.faults = dict(sorted(kinds.items()))
         probing = threading.Thread(target=self.probe, daemon=True)
         if self.report.stops:
-            delays_ms = faults.draw_delays(self.report.seed)
+            delays_ms = plans.draw_delays(self.report.seed)
             self.deployment.slow_down(delays_ms)
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.start()
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -10,8 +10,6 @@
 import os
 import pathlib
 import signal
-import subprocess
-import sys
 import threading
 import time
 
@@ -20,27 +18,22 @@
 from tests.platform import worker as workers
 from tests.soak import links
 from tests.soak import paths
+from tests.soak import processes
 
 from briarseam.testing import ports
 from briarseam.testing import stand_in
-from briarseam.testing import waiting
 
-SOURCE = pathlib.Path(__file__).parents[2] / "src"
-LAUNCHER = pathlib.Path(__file__).parent / "launcher.py"
 SERVICES = ("engines", "engines", "engines", "portal", "portal")
 ZONES = ("hall-a", "hall-b")
 LISTEN = ("callers", "readiness", "lookups", "peers", "metrics", "relays")
 # Limits of endpoints after their start, where a run has them.
 COLD_START_S = 2.0
 COLD_PER_S = 8.0
-EVACUATION_MS = 2000
 EVENTS = 6
 SHUTDOWN_S = 4.0
 # Each run has an address of its own.  At a common one, whoever still polls a
 # stand-in of another test would reach an endpoint that got its port.
 HOST = f"127.1.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 255}"
-# The platform kills a process that is there so long after that time.
-KILL_AFTER_S = 1.0
 # Removed and added by turns; requests on it show what is in force.
 TOGGLED = {
     "name": "toggled",
@@ -53,160 +46,6 @@
 }
 
 
-@dataclasses.dataclass
-class Instance:
-    """One process of ``briarseam serve``.
-
-    Attributes
-    ----------
-    name
-        Its name.
-    folder
-        Settings and output.
-    to_store
-        Its link to the store.
-    listen
-        Its addresses by what they are for.
-    shutdown_s
-        Its time to shut down.
-    process
-        The process; ``None`` while it is down on purpose.
-    troubled_until
-        Until when a fault on it excuses it, monotonic seconds.
-    started
-        When each of its processes began.
-    stopped
-        When it got its first SIGTERM, for each stop.
-    struck
-        From when until when it was paused or killed.
-    paths
-        Its own links to endpoints; ``None`` where runs cut none.
-    killed
-        What is to be said of its processes that did not end in time.
-    """
-
-    name: str
-    folder: pathlib.Path
-    to_store: links.Link
-    listen: dict[str, str]
-    shutdown_s: float
-    process: subprocess.Popen[bytes] | None = None
-    troubled_until: float = 0.0
-    started: list[float] = dataclasses.field(default_factory=list)
-    stopped: list[float] = dataclasses.field(default_factory=list)
-    struck: list[tuple[float, float]] = dataclasses.field(default_factory=list)
-    killed: list[str] = dataclasses.field(default_factory=list)
-    paths: paths.Paths | None = None
-
-    def write_settings(self, extra: str = "") -> None:
-        """Write its settings."""
-        listen = "\n".join(f"{key} = {at}" for key, at in self.listen.items())
-        self.settings.write_text(
-            f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
-            f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
-            f"[bounds]\nshutdown_s = {self.shutdown_s:g}\n"
-            f"evacuation_ms = {EVACUATION_MS}\n{extra}"
-        )
-
-    @property
-    def settings(self) -> pathlib.Path:
-        """Path of its settings."""
-        return self.folder / f"{self.name}.ini"
-
-    @property
-    def output(self) -> pathlib.Path:
-        """Path of its log lines."""
-        return self.folder / f"{self.name}.log"
-
-    def start(self) -> None:
-        """Start it."""
-        self.started.append(time.monotonic())
-        with self.output.open("ab") as output:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    *self.program(),
-                    "serve",
-                    f"--settings={self.settings}",
-                ],
-                stdout=output,
-                stderr=output,
-                env={**os.environ, "PYTHONPATH": str(SOURCE)},
-            )
-
-    def program(self) -> list[str]:
-        """Return what the interpreter runs."""
-        if self.paths is None:
-            return ["-m", "briarseam"]
-        addresses = self.folder / f"{self.name}.links"
-        self.paths.write_map(addresses)
-        return [str(LAUNCHER), str(addresses)]
-
-    def send(self, number: signal.Signals) -> None:
-        """Send it a signal, if it runs."""
-        if self.process is not None:
-            self.process.send_signal(number)
-
-    def restarted_since(self, since_s: float) -> bool:
-        """Tell whether a process of it began or was paused since a moment.
-
-        One that is told to stop still learns things that its successor
-        does not know.
-        """
-        struck = [ended_s for _began_s, ended_s in self.struck]
-        return any(at >= since_s for at in (*self.started, *struck))
-
-    def reload(self) -> None:
-        """Let it read its settings again.
-
-        The interpreter itself takes some ms until the first line of the
-        program, and no program can mind a signal before that.
-        """
-        process = self.process
-        if process is not None:
-            masks = ("SigIgn", "SigCgt")
-            waiting.until(
-                lambda: has_mask(process, masks), 5.0, "its first line ran"
-            )
-            process.send_signal(signal.SIGHUP)
-
-    def await_settings_read(self) -> None:
-        """Wait until it has read its settings; bad ones would end it."""
-        process = self.process
-        if process is not None:
-            waiting.until(
-                lambda: has_mask(process, ("SigCgt",)), 5.0, "it handles"
-            )
-
-    def end(self, number: signal.Signals, again_s: float = 0.0) -> None:
-        """End it by a signal and wait for that.
-
-        Parameters
-        ----------
-        number
-            The signal.
-        again_s
-            After this it is sent once more; 0 for never.
-        """
-        process, self.process = self.process, None
-        if process is None:
-            return
-        if number == signal.SIGTERM:
-            self.stopped.append(time.monotonic())
-        process.send_signal(number)
-        process.send_signal(signal.SIGCONT)
-        if again_s and not ends_within(process, again_s):
-            process.send_signal(number)
-        if not ends_within(process, self.shutdown_s + KILL_AFTER_S - again_s):
-            self.killed.append(f"{self.name} did not end in time")
-            process.kill()
-            process.wait()
-
-    def ended_by_itself(self) -> bool:
-        """Tell whether it is gone though nobody ended it."""
-        return self.process is not None and self.process.poll() is not None
-
-
 @dataclasses.dataclass(frozen=True)
 class Limit:
     """A limit that an endpoint named for a while.
@@ -346,7 +185,9 @@
             for instance in self.instances:
                 self.add_paths(instance)
 
-    def new_instance(self, name: str, folder: pathlib.Path) -> Instance:
+    def new_instance(
+        self, name: str, folder: pathlib.Path
+    ) -> processes.Instance:
         """Return an instance, not started."""
         link = links.Link(self.store.address)
         self.stack.callback(link.stop)
@@ -355,12 +196,12 @@
             kind: f"127.0.0.1:{port}"
             for kind, port in zip(LISTEN, free, strict=True)
         }
-        made = Instance(name, folder, link, listen, self.shutdown_s)
+        made = processes.Instance(name, folder, link, listen, self.shutdown_s)
         made.write_settings()
         self.stack.callback(made.end, signal.SIGKILL)
         return made
 
-    def add_paths(self, instance: Instance) -> None:
+    def add_paths(self, instance: processes.Instance) -> None:
         """Give an instance links of its own to all endpoints."""
         addresses = [endpoint.link.address for endpoint in self.endpoints]
         instance.paths = paths.Paths(addresses, HOST)
@@ -515,26 +356,6 @@
         self.stack.close()
 
 
-def ends_within(process: subprocess.Popen[bytes], seconds: float) -> bool:
-    """Wait for the end of a process; tell whether it came in time."""
-    try:
-        process.wait(seconds)
-    except subprocess.TimeoutExpired:
-        return False
-    return True
-
-
-def has_mask(process: subprocess.Popen[bytes], names: tuple[str, ...]) -> bool:
-    """Tell whether SIGHUP is in one of a process's sets of signals."""
-    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
-    masks = [
-        int(line.split()[1], 16)
-        for line in status.splitlines()
-        if line.startswith(names)
-    ]
-    return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
-
-
 def is_error(line: str) -> bool:
     """Tell whether a line is an error's, or no line of the log.
 
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import pytest
-from tests.soak import faults
+from tests.soak import plans
 from tests.soak import serve_soak
 
 SECONDS = 8.0
@@ -140,13 +140,13 @@
 
 
 PLANS = (
-    faults.plan,
-    faults.plan_stops,
-    faults.plan_restores,
-    faults.plan_zones,
-    faults.plan_announcements,
-    faults.plan_paths,
-    faults.plan_framings,
+    plans.plan,
+    plans.plan_stops,
+    plans.plan_restores,
+    plans.plan_zones,
+    plans.plan_announcements,
+    plans.plan_paths,
+    plans.plan_framings,
 )
 
 
