--- a/tests/platform/test_rejection_limits.py
+++ b/tests/platform/test_rejection_limits.py
@@ -11,8 +11,8 @@
 
 from briarseam.eligibility import rejection_limits
 from briarseam.testing import waiting
+from tests.platform import instances
 from tests.platform.test_endpoint_limits import call
-from tests.platform.test_endpoint_limits import start_others
 
 TIMEOUT_S = 10
 LIMIT = 2
@@ -31,7 +31,7 @@
 
 def test_all_instances_together_have_no_more_rejected_than_named(system):
     """Guards against endpoints that fall over, as each instance asks them."""
-    nodes = start_others(system, 2)
+    nodes = instances.start_others(system, 2)
     workers = [system.workers[name] for name in ("plain-1", "plain-2")]
     for worker in workers:
         worker.set(brittle=str(LIMIT), room=1, work_ms=30)
