Wait until the times of naming are stored, in the test of a restart

Cause: the test gave a process 0.8 s from the naming of weights to the storing of its time. In the failing run the process had met its peers only after the second naming (peers_met and registered follow weights_wanted version=3), only then it may write times, and none was found by its successor. With candidates that are kept from writing for 2 s the test fails in the same way each time.

It now waits, beyond the 0.8 s, until the store has the time of the version, so that what it is about, a stored time that its successor heeds, is always tested; with writers that are 2 s late it passes. That a time which no process has stored yet is lost with all processes is as before.

--- a/tests/platform/test_weights_after_restart.py
+++ b/tests/platform/test_weights_after_restart.py
@@ -11,9 +11,11 @@
 
 import time
 
+import msgpack
 import pytest
 
 from briarseam.feeds import records
+from briarseam.platform import names
 from briarseam.testing import waiting
 from briarseam.weights import goal_times
 from tests.platform import system as systems
@@ -24,7 +26,7 @@
 EXCLUDED_AFTER_S = 1.5
 # Longer than any test takes.
 LONG_MS = 60_000
-# Time for the goal to reach the process, and for its time to be stored.
+# Time for the goal to reach the process.
 SEEN_S = 0.8
 TIMEOUT_S = 10
 
@@ -36,6 +38,14 @@
         {"model": systems.MODEL, "version": version},
     )
     time.sleep(SEEN_S)
+    waiting.until(lambda: version in stored_versions(system), TIMEOUT_S)
+
+
+def stored_versions(system):
+    """Return the versions whose time of naming is on the store."""
+    stored = system.store.newest_of(names.GOAL_TIMES_TOPIC)
+    rows = stored.get(systems.MODEL)
+    return [version for version, _at in msgpack.unpackb(rows)] if rows else []
 
 
 def prompts_arrived(system):
