--- a/tests/platform/test_broken_off_streams.py
+++ b/tests/platform/test_broken_off_streams.py
@@ -116,6 +116,34 @@
     assert len(ran) == len(set(ran))
 
 
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize(
+    ("framing", "cut"),
+    [
+        *itertools.product(Framing, (Cut.BEFORE_EVENTS, Cut.BETWEEN_EVENTS)),
+        (Framing.CHUNKED, Cut.AFTER_EVENTS),
+        (Framing.CONNECTION, Cut.AFTER_EVENTS),
+    ],
+)
+def test_stream_that_ends_at_an_event_boundary_is_broken_off(
+    system, framing, cut, version
+):
+    """Guards against ends that the framing or a reset shows to be early."""
+    endings = (Ending.FIN, Ending.RESET)
+    for form in forms(framing, version, (cut,), endings):
+        if not raw_answers.is_noticed(form, is_stream=True):
+            continue
+        received = receive(
+            system, "/draft/once/x", form, cuts=1, callers_version=version
+        )
+        if cut is Cut.BEFORE_EVENTS:
+            assert received.status == 502, form
+        else:
+            assert received.status == 200, form
+            assert not received.complete, form
+            assert whole_stream(system).startswith(received.body), form
+
+
 @pytest.mark.parametrize("version", VERSIONS)
 @pytest.mark.parametrize("framing", Framing)
 def test_resumed_stream_has_each_event_once(system, framing, version):
