--- a/tests/platform/raw_answers.py
+++ b/tests/platform/raw_answers.py
@@ -6,20 +6,14 @@
 import enum
 import typing
 
+from briarseam import transfers
 from briarseam.testing import http_messages
 
 Headers = tuple[tuple[str, str], ...]
+Framing = transfers.Framing
 FRAGMENT_BYTES = 5
 
 
-class Framing(enum.StrEnum):
-    """What marks the end of an answer's body."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CONNECTION = "connection"
-
-
 class Cut(enum.StrEnum):
     """Where an answer is cut short."""
 
@@ -78,21 +72,19 @@
 
     The endpoint is not asked.  A form without a cut is noticed as complete.
     """
+    is_framed = form.framing is not Framing.CONNECTION
     if form.cut is Cut.NOWHERE:
         return form.ending is Ending.FIN
-    if is_stream and form.cut in INSIDE_EVENTS:
-        return form.ending is not Ending.FRAMED or form.framing is not (
-            Framing.CONNECTION
-        )
-    if not is_stream and form.cut is not Cut.IN_FIRST_EVENT:
-        return False
     if form.ending is Ending.FRAMED:
+        return is_framed and is_stream and form.cut in INSIDE_EVENTS
+    if not is_stream and form.cut is not Cut.IN_FIRST_EVENT:
+        # A plain body is one piece, which has no other places.
         return False
     if form.ending is Ending.RESET:
         return True
-    return form.framing is not Framing.CONNECTION or (
-        is_stream and form.cut is Cut.BEFORE_EVENTS
-    )
+    if is_stream and form.cut in (Cut.BEFORE_EVENTS, *INSIDE_EVENTS):
+        return True
+    return is_framed
 
 
 class Output(typing.Protocol):
