--- a/src/briarseam/forwarding/events.py
+++ b/src/briarseam/forwarding/events.py
@@ -19,7 +19,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Event:
-    """An event, or something between events, up to its empty line.
+    """The bytes up to an empty line: an event, or what is between events.
 
     Attributes
     ----------
@@ -28,7 +28,7 @@
     id
         Its id; ``None`` if it has none.
     has_data
-        Whether it has data.  Callers ignore others but for their id.
+        Whether it has data.  Of events without data, callers use the id only.
     """
 
     raw: bytes
@@ -76,7 +76,7 @@
 
     def __init__(self) -> None:
         self.remainder = b""
-        # Where the first line begins in the remainder that was not parsed.
+        # Length of the complete lines at the start of the remainder.
         self.parsed_bytes = 0
         self.at_start = True
         self.fields: dict[bytes, bytes] = {}
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -196,7 +196,8 @@
     def abort(self) -> None:
         """Close the connection, so that a started answer is incomplete.
 
-        One without chunks would be complete by an orderly close.
+        An answer without chunks is reset, since an orderly close would
+        complete it.
         """
         if self.head_sent and not self.chunked:
             self.request.conn.resetting = True
