Log and count what is decided on lost requests

A loss that counted left no line unless it was the third of its request, so the logs told only why losses did not count. Each decision now has a line with the grounds, the age of the loss and the number of peers without a path, and request_losses_total counts them. What is decided is unchanged.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -190,7 +190,9 @@
         self.loss_sharing = loss_sharing.LossSharing(self.guard, self.calls)
         self.guard.on_lost = self.loss_sharing.add
         self.losses = pending_losses.PendingLosses(
-            self.guard, self.reachability
+            self.guard,
+            self.reachability,
+            decisions=node_metrics.loss_decisions(self.metrics),
         )
         self.supervisor = supervision.Supervisor()
         self.forwarding = forwarding.Forwarding(self.forwarding_dependencies())
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -10,6 +10,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.metrics import instruments
+    from briarseam.metrics import labels
     from briarseam.metrics import registry as metrics
 
 Reading = typing.Callable[[], int]
@@ -162,6 +163,17 @@
     return lambda kind: counters[kind].add()
 
 
+def loss_decisions(
+    registry: metrics.Registry,
+) -> labels.Family[instruments.Counter]:
+    """Return the counters of decisions on lost requests."""
+    return registry.counters(
+        "request_losses_total",
+        "Requests that were lost at an endpoint, by what was decided on them",
+        ("decision",),
+    )
+
+
 def forwarding_metrics(registry: metrics.Registry) -> request_context.Metrics:
     """Return the counters and latencies of forwarding."""
     return request_context.Metrics(
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import threading
 import typing
 
@@ -20,6 +21,8 @@
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
     from briarseam.forwarding import crash_guard
+    from briarseam.metrics import instruments
+    from briarseam.metrics import labels
     from briarseam.reachability import tracker
 
 REVIEW_S = 0.1
@@ -32,6 +35,13 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
+class Decision(enum.StrEnum):
+    """What was decided on a loss."""
+
+    COUNTED = "counted"
+    NOT_COUNTED = "not-counted"
+
+
 @dataclasses.dataclass(frozen=True)
 class Loss:
     """A request that was lost at an endpoint.
@@ -62,6 +72,8 @@
         Tells whether the path is lost, and which endpoints answer.
     clock
         Seconds.
+    decisions
+        Counts decisions on losses, if given.
     """
 
     def __init__(
@@ -69,7 +81,9 @@
         guard: crash_guard.CrashGuard,
         reachability: tracker.Reachability,
         clock: typing.Callable[[], float] = clocks.boot_clock,
+        decisions: labels.Family[instruments.Counter] | None = None,
     ) -> None:
+        self.decisions = decisions
         self.guard = guard
         self.reachability = reachability
         self.clock = clock
@@ -105,25 +119,37 @@
         service = loss.endpoint.service
         settled_s = loss.at_s + SETTLE_S
         if self.reachability.cut_off_after(service, loss.at_s):
-            log_not_counted(loss, "the path was lost")
+            self.record(loss, Decision.NOT_COUNTED, "the path was lost")
             return True
         if self.reachability.heard_from_after(loss.endpoint, settled_s):
-            log_not_counted(loss, "the endpoint has not crashed")
+            self.record(
+                loss, Decision.NOT_COUNTED, "the endpoint has not crashed"
+            )
             return True
-        heard = self.reachability.heard_after(service, settled_s)
-        if heard or self.clock() - loss.at_s >= MAX_PENDING_S:
+        if self.reachability.heard_after(service, settled_s):
             self.guard.record_loss(loss.digest, loss.endpoint.id)
+            self.record(loss, Decision.COUNTED, "other endpoints answer")
+            return True
+        if self.clock() - loss.at_s >= MAX_PENDING_S:
+            self.guard.record_loss(loss.digest, loss.endpoint.id)
+            self.record(loss, Decision.COUNTED, "no endpoint has answered")
             return True
         self.reachability.suspect(service)
         return False
 
-
-def log_not_counted(loss: Loss, reason: str) -> None:
-    """Log a loss that is not counted."""
-    log.info(
-        "loss_not_counted",
-        digest=loss.digest.hex(),
-        endpoint=loss.endpoint.id,
-        service=loss.endpoint.service,
-        reason=reason,
-    )
+    def record(self, loss: Loss, decision: Decision, reason: str) -> None:
+        """Log and count a decision."""
+        if self.decisions is not None:
+            self.decisions.labelled(decision.value).add()
+        counted = decision is Decision.COUNTED
+        log.info(
+            "loss_counted" if counted else "loss_not_counted",
+            digest=loss.digest.hex(),
+            endpoint=loss.endpoint.id,
+            service=loss.endpoint.service,
+            age_ms=round((self.clock() - loss.at_s) * 1000),
+            peers_without_path=self.reachability.peers_without_path(
+                loss.endpoint.service
+            ),
+            reason=reason,
+        )
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -3,10 +3,12 @@
 import dataclasses
 
 import pytest
+import structlog
 
 from briarseam.discovery import model
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import pending_losses
+from briarseam.metrics import registry
 from briarseam.reachability import tracker
 from tests import clocks
 
@@ -152,3 +154,23 @@
     reachability.record_heard("portal")
     losses.review()
     assert guard.is_refused(DIGEST)
+
+
+def test_decisions_on_losses_are_logged_and_counted(
+    guard, reachability, endpoints, clock
+):
+    """Guards against losses of which no log line tells why they count."""
+    decisions = registry.Registry().counters(
+        "losses_total", "Losses", ("decision",)
+    )
+    losses = pending_losses.PendingLosses(
+        guard, reachability, clock, decisions
+    )
+    with structlog.testing.capture_logs() as lines:
+        lose(losses, endpoints)
+        clock.now_s += pending_losses.MAX_PENDING_S
+        losses.review()
+    counted = [one for one in lines if one["event"] == "loss_counted"]
+    assert [one["endpoint"] for one in counted] == ["e0", "e1", "e2"]
+    assert {one["reason"] for one in counted} == {"no endpoint has answered"}
+    assert decisions.labelled("counted").value == len(counted)
