Hold losses at a whole service until entries tell whether it has ended

Cause: a loss was dropped as "the path was lost" as soon as every endpoint of the service refused connections. Endpoints that have all ended look the same from an instance: a verdict was dropped on evidence that both causes give.

Fix: such a loss is held. What tells the causes apart is the endpoint's entry: once its start is gone or replaced, the loss counts; if it answers again, or keeps its entry for longer than a dead one would, it does not. Counting happens before the endpoints that replace lost ones get requests, and is published at once. A counted loss is withdrawn if the same start is back, which covers endpoints behind a cut from the store as well; starts without a birth can't be told apart, so theirs stays. While three losses are held, the request is refused for a second at a time where endpoints can be reached; an instance that is cut off passes it on as before. The check is repeated before each send, since a request may be condemned while it waits.

The test of a real cut is unchanged; its fixture now says what it left open, that the endpoints keep their entries.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -66,6 +66,7 @@
 # Part of the shutdown time that is reserved for the exit of the process.
 EXIT_MARGIN_S = 1.0
 STOP_WAIT_S = 5.0
+MS = 1000.0
 log = structlog.get_logger("briarseam.node")
 
 
@@ -192,8 +193,11 @@
         self.losses = pending_losses.PendingLosses(
             self.guard,
             self.reachability,
+            registry,
+            heartbeat_s=settings.bounds.endpoint_heartbeat_ms / MS,
             decisions=node_metrics.loss_decisions(self.metrics),
         )
+        self.losses.on_counted = self.instances.publish_now
         self.supervisor = supervision.Supervisor()
         self.forwarding = forwarding.Forwarding(self.forwarding_dependencies())
         self.servers = self.build_servers()
@@ -461,6 +465,8 @@
         for endpoint_id in ids:
             self.chooser.residency.forget(endpoint_id)
             self.weights.known_weights.forget(endpoint_id)
+        # Counts losses before what replaces these starts gets requests.
+        self.losses.review()
 
     def record_entry(self, endpoint: discovery.Endpoint) -> None:
         """Apply what an endpoint's entry tells beyond its description."""
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -86,6 +86,7 @@
         self.present: dict[str, model.Endpoint] = {}
         self.lapsed: dict[str, LapsedEndpoint] = {}
         self.hold_lapsed_until_s = float("-inf")
+        self.last_lost_s = float("-inf")
         self.last_read_s = float("-inf")
         self.newest = starts.NewestStarts()
         self.leaving = starts.RecentIds()
@@ -132,9 +133,45 @@
             known += [lapsed.endpoint.id for lapsed in self.lapsed.values()]
         return frozenset(known)
 
+    def is_known(self, endpoint_id: str) -> bool:
+        """Return whether a start may be running, as far as entries tell."""
+        name = starts.parse(endpoint_id).name
+        with self.lock:
+            lapsed = self.lapsed.get(name)
+            known = [
+                self.present.get(name),
+                None if lapsed is None else lapsed.endpoint,
+            ]
+        return any(one is not None and one.id == endpoint_id for one in known)
+
+    def observed_s(self, endpoint_id: str, since_s: float) -> float:
+        """Return for how long a start's entry was read without a gap.
+
+        Parameters
+        ----------
+        endpoint_id
+            The start.
+        since_s
+            When to begin, by the registry's clock.
+
+        Returns
+        -------
+        float
+            Seconds until the last read, since the later of `since_s` and the
+            store's last outage; 0 if the start has no entry.
+        """
+        name = starts.parse(endpoint_id).name
+        with self.lock:
+            present = self.present.get(name)
+        if present is None or present.id != endpoint_id:
+            return 0.0
+        begin_s = max(since_s, self.last_lost_s)
+        return max(0.0, self.last_read_s - begin_s)
+
     def store_lost(self) -> None:
         """Hold entries that lapse during or shortly after the outage."""
-        self.hold_lapsed_until_s = self.clock() + LAPSE_HOLD_S
+        self.last_lost_s = self.clock()
+        self.hold_lapsed_until_s = self.last_lost_s + LAPSE_HOLD_S
 
     def apply_all(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
--- a/src/briarseam/forwarding/crash_guard.py
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -89,6 +89,10 @@
 
     def is_refused(self, digest: bytes) -> bool:
         """Return whether a request was lost at too many endpoints."""
+        return len(self.endpoints_of(digest)) >= LOST_ENDPOINTS_LIMIT
+
+    def endpoints_of(self, digest: bytes) -> set[str]:
+        """Return the ids of the endpoints at which a request was lost."""
         with self.lock:
             local = self.local.get(digest)
             lost: set[str] = set()
@@ -96,7 +100,7 @@
                 lost |= local.endpoints
             for remote in self.by_peer.values():
                 lost |= remote.losses.get(digest, frozenset())
-        return len(lost) >= LOST_ENDPOINTS_LIMIT
+        return lost
 
     def record_loss(self, digest: bytes, endpoint: str) -> None:
         """Count a request that was lost with an endpoint and publish it."""
@@ -118,6 +122,16 @@
                 "request_condemned", digest=digest.hex(), endpoints=count
             )
 
+    def withdraw_loss(self, digest: bytes, endpoint: str) -> None:
+        """Forget a loss at an endpoint that turns out to go on."""
+        with self.lock:
+            losses = self.local.get(digest)
+            if losses is None:
+                return
+            losses.endpoints.discard(endpoint)
+            if not losses.endpoints:
+                del self.local[digest]
+
     def record_answer(self, digest: bytes) -> None:
         """Forget the losses of a request, since an endpoint answered it."""
         with self.lock:
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -4,10 +4,15 @@
 lost at each of them.  A faulty endpoint may break off its answers and go on.
 If these losses counted, callers who repeat a request would find it taken for
 one that crashes endpoints, at all instances.
+
+A service without endpoints that answer looks the same if a request has
+crashed all of them.  Only what the endpoints' entries at the store show
+afterwards tells the two apart, so until then such a loss is held.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
 import threading
@@ -17,10 +22,13 @@
 
 from briarseam import clocks
 from briarseam import repeating
+from briarseam.discovery import starts
+from briarseam.forwarding import crash_guard
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from briarseam.discovery import model as discovery
-    from briarseam.forwarding import crash_guard
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
     from briarseam.reachability import tracker
@@ -30,19 +38,41 @@
 # and that its endpoint has not crashed: both end all connections within a few
 # milliseconds.
 SETTLE_S = 0.2
-# After this time a loss counts in any case; probes take half of it at most.
+# After this time a loss counts unless the path seems lost; probes take half
+# of it at most.
 MAX_PENDING_S = 1.5
+# The entry of an endpoint that has crashed expires after so many intervals
+# between its heartbeats.
+ENTRY_HEARTBEATS = 3
+# Reads of entries may be behind by so much beyond that.
+ENTRY_LAG_S = 3.0
+DEFAULT_HEARTBEAT_S = 1.2
+# Bounds the losses that are tracked: a few waves in which all requests of an
+# instance are lost.
+MAX_TRACKED = 1000
 log = structlog.get_logger("briarseam.forwarding")
 
 
 class Decision(enum.StrEnum):
-    """What was decided on a loss."""
+    """What is decided on a loss, as far as is known."""
 
+    PENDING = "pending"
+    HELD = "held"
     COUNTED = "counted"
     NOT_COUNTED = "not-counted"
 
 
-@dataclasses.dataclass(frozen=True)
+class EndpointEntries(typing.Protocol):
+    """What the endpoints' entries at the store tell of their starts."""
+
+    def is_known(self, endpoint_id: str) -> bool:
+        """Return whether a start may be running."""
+
+    def observed_s(self, endpoint_id: str, since_s: float) -> float:
+        """Return for how long a start's entry was read without a gap."""
+
+
+@dataclasses.dataclass
 class Loss:
     """A request that was lost at an endpoint.
 
@@ -54,11 +84,14 @@
         The endpoint.
     at_s
         When it was lost, by the clock.
+    decision
+        What is decided so far.
     """
 
     digest: bytes
     endpoint: discovery.Endpoint
     at_s: float
+    decision: Decision = Decision.PENDING
 
 
 class PendingLosses:
@@ -70,25 +103,42 @@
         Counts losses.
     reachability
         Tells whether the path is lost, and which endpoints answer.
+    entries
+        Tells which endpoints have ended.
     clock
         Seconds.
+    heartbeat_s
+        Interval at which endpoints renew their entries, in seconds.
     decisions
         Counts decisions on losses, if given.
+
+    Attributes
+    ----------
+    on_counted
+        Called after losses have been counted, to publish them.
     """
 
     def __init__(
         self,
         guard: crash_guard.CrashGuard,
         reachability: tracker.Reachability,
+        entries: EndpointEntries,
         clock: typing.Callable[[], float] = clocks.boot_clock,
+        heartbeat_s: float = DEFAULT_HEARTBEAT_S,
         decisions: labels.Family[instruments.Counter] | None = None,
     ) -> None:
         self.decisions = decisions
         self.guard = guard
         self.reachability = reachability
+        self.entries = entries
         self.clock = clock
-        self.pending: list[Loss] = []
+        self.expiry_s = ENTRY_HEARTBEATS * heartbeat_s + ENTRY_LAG_S
+        self.on_counted: typing.Callable[[], None] = ignore
+        self.tracked: collections.deque[Loss] = collections.deque(
+            maxlen=MAX_TRACKED
+        )
         self.lock = threading.Lock()
+        self.reviewing = threading.Lock()
         self.reviews = repeating.Repeater(
             "pending-losses", self.review, REVIEW_S
         )
@@ -101,49 +151,106 @@
         """Stop counting."""
         self.reviews.stop()
 
+    @property
+    def pending(self) -> list[Loss]:
+        """Losses whose cause is not known yet."""
+        unknown = (Decision.PENDING, Decision.HELD)
+        return [loss for loss in self.snapshot() if loss.decision in unknown]
+
     def add(self, digest: bytes, endpoint: discovery.Endpoint) -> None:
         """Add a request that was lost at an endpoint."""
         with self.lock:
-            self.pending.append(Loss(digest, endpoint, self.clock()))
+            self.tracked.append(Loss(digest, endpoint, self.clock()))
 
-    def review(self) -> None:
-        """Count or drop the losses whose cause is known by now."""
+    def snapshot(self) -> list[Loss]:
+        """Return the tracked losses."""
         with self.lock:
-            pending, self.pending = self.pending, []
-        kept = [loss for loss in pending if not self.is_settled(loss)]
+            return list(self.tracked)
+
+    def is_suspect(self, digest: bytes) -> bool:
+        """Return whether a request would be refused if held losses counted."""
+        held = {
+            loss.endpoint.id
+            for loss in self.snapshot()
+            if loss.digest == digest and loss.decision is Decision.HELD
+        }
+        if not held:
+            return False
+        lost = held | self.guard.endpoints_of(digest)
+        return len(lost) >= crash_guard.LOST_ENDPOINTS_LIMIT
+
+    def review(self) -> None:
+        """Decide on the tracked losses by what is known by now."""
+        with self.reviewing:
+            counted = self.review_all()
+        if counted:
+            self.on_counted()
+
+    def review_all(self) -> bool:
+        """Decide on all tracked losses; return whether any newly counts."""
+        counted = False
+        for loss in self.snapshot():
+            decision, reason = self.decide(loss)
+            if decision is not loss.decision:
+                self.apply(loss, decision, reason)
+                counted = counted or decision is Decision.COUNTED
         with self.lock:
-            self.pending = kept + self.pending
+            kept = [loss for loss in self.tracked if not self.is_final(loss)]
+            self.tracked = collections.deque(kept, MAX_TRACKED)
+        return counted
 
-    def is_settled(self, loss: Loss) -> bool:
-        """Count or drop a loss; return whether its cause is known."""
+    def decide(self, loss: Loss) -> tuple[Decision, str]:
+        """Return the decision on a loss and its grounds."""
         service = loss.endpoint.service
         settled_s = loss.at_s + SETTLE_S
-        if self.reachability.cut_off_after(service, loss.at_s):
-            self.record(loss, Decision.NOT_COUNTED, "the path was lost")
-            return True
+        age_s = self.clock() - loss.at_s
+        if not self.entries.is_known(loss.endpoint.id):
+            if age_s < self.expiry_s:
+                return Decision.COUNTED, "the endpoint has ended"
+            # It has ended long after the loss.
+            return loss.decision, ""
+        if loss.decision is Decision.COUNTED and not has_birth(loss.endpoint):
+            # Another start may have the same id.
+            return loss.decision, ""
         if self.reachability.heard_from_after(loss.endpoint, settled_s):
-            self.record(
-                loss, Decision.NOT_COUNTED, "the endpoint has not crashed"
-            )
-            return True
+            return Decision.NOT_COUNTED, "the endpoint has not crashed"
+        observed_s = self.entries.observed_s(loss.endpoint.id, loss.at_s)
+        if observed_s >= self.expiry_s:
+            return Decision.NOT_COUNTED, "the endpoint has kept its entry"
+        if loss.decision is Decision.COUNTED:
+            return loss.decision, ""
+        if self.reachability.cut_off_after(service, loss.at_s):
+            return Decision.HELD, "no endpoint can be reached"
         if self.reachability.heard_after(service, settled_s):
-            self.guard.record_loss(loss.digest, loss.endpoint.id)
-            self.record(loss, Decision.COUNTED, "other endpoints answer")
-            return True
-        if self.clock() - loss.at_s >= MAX_PENDING_S:
-            self.guard.record_loss(loss.digest, loss.endpoint.id)
-            self.record(loss, Decision.COUNTED, "no endpoint has answered")
-            return True
+            return Decision.COUNTED, "other endpoints answer"
+        if age_s >= MAX_PENDING_S:
+            return Decision.COUNTED, "no endpoint has answered"
         self.reachability.suspect(service)
+        return Decision.PENDING, ""
+
+    def is_final(self, loss: Loss) -> bool:
+        """Return whether nothing can change the decision on a loss."""
+        age_s = self.clock() - loss.at_s
+        if age_s >= crash_guard.LOSS_TTL_S:
+            return True
+        match loss.decision:
+            case Decision.NOT_COUNTED:
+                return age_s >= self.expiry_s
+            case Decision.COUNTED:
+                return not has_birth(loss.endpoint)
         return False
 
-    def record(self, loss: Loss, decision: Decision, reason: str) -> None:
-        """Log and count a decision."""
+    def apply(self, loss: Loss, decision: Decision, reason: str) -> None:
+        """Apply, log and count a decision on a loss."""
+        if decision is Decision.COUNTED:
+            self.guard.record_loss(loss.digest, loss.endpoint.id)
+        elif loss.decision is Decision.COUNTED:
+            self.guard.withdraw_loss(loss.digest, loss.endpoint.id)
+        loss.decision = decision
         if self.decisions is not None:
             self.decisions.labelled(decision.value).add()
-        counted = decision is Decision.COUNTED
         log.info(
-            "loss_counted" if counted else "loss_not_counted",
+            f"loss_{decision.value.replace('-', '_')}",
             digest=loss.digest.hex(),
             endpoint=loss.endpoint.id,
             service=loss.endpoint.service,
@@ -153,3 +260,12 @@
             ),
             reason=reason,
         )
+
+
+def has_birth(endpoint: discovery.Endpoint) -> bool:
+    """Return whether an endpoint's id tells its starts apart."""
+    return endpoint.start.born_ms != starts.UNKNOWN_MS
+
+
+def ignore() -> None:
+    """Do nothing; the default of the callback."""
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -23,6 +23,8 @@
 LEAVING_RETRY_S = 0.05
 # The time for which losses count.
 CONDEMNED_RETRY_S = 60.0
+# Entries show within seconds whether endpoints have ended.
+SUSPECTED_RETRY_S = 1.0
 
 NO_CONFIGURATION = verdict.NotRun(
     verdict.Reason.NOT_CURRENT,
@@ -64,6 +66,11 @@
     "endpoints were lost each time they ran this request",
     CONDEMNED_RETRY_S,
 )
+SUSPECTED = verdict.NotRun(
+    verdict.Reason.CONDEMNED,
+    "endpoints were lost with this request, maybe for another reason",
+    SUSPECTED_RETRY_S,
+)
 TOO_LATE = verdict.NotRun(
     verdict.Reason.DEADLINE,
     "the deadline passed before an endpoint got the request",
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -197,6 +197,12 @@
             if isinstance(placement, verdict.NotRun):
                 context.refusal = context.refusal or placement
                 return self.answers.answer_failure(context)
+            refusal = self.crash_refusal(context.digest)
+            if refusal is not None:
+                self.deps.chooser.release(placement)
+                context.steps.append(f"excluded ({refusal.detail})")
+                context.refusal = refusal
+                return self.answers.answer_failure(context)
             if context.sends and not self.deps.budget.try_withdraw(
                 context.service.name
             ):
@@ -212,6 +218,18 @@
             if not request_context.may_retry(context):
                 return self.answers.answer_failure(context)
 
+    def crash_refusal(self, digest: bytes) -> verdict.NotRun | None:
+        """Return the refusal of a request that seems to crash endpoints.
+
+        It is asked before each send: losses may have been learned while the
+        request waited, or was tried elsewhere.
+        """
+        if self.deps.guard.is_refused(digest):
+            return refusing.CONDEMNED
+        if self.deps.losses.is_suspect(digest):
+            return refusing.SUSPECTED
+        return None
+
     def count(self, context: request_context.Context) -> None:
         """Count a request once, at the instance that has it answered."""
         if not context.counted:
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -133,6 +133,8 @@
     ----------
     endpoint_drain_ms
         Time after which a leaving endpoint must get no more new work.
+    endpoint_heartbeat_ms
+        Interval at which endpoints renew their entries at the store.
     shutdown_s
         Time from SIGTERM to the end of the process.
     retry_ratio
@@ -159,6 +161,7 @@
     """
 
     endpoint_drain_ms: sections.Milliseconds = 2000
+    endpoint_heartbeat_ms: sections.Milliseconds = 1200
     shutdown_s: sections.Seconds = 8.0
     retry_ratio: Ratio = 0.1
     retry_window_s: sections.Seconds = 10.0
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -256,3 +256,36 @@
     for name in "abc":
         endpoints.apply_leaving(starts.Start(name))
     assert list(endpoints.leaving.ids) == ["b", "c"]
+
+
+def test_start_is_known_until_its_entry_is_gone(endpoints):
+    endpoints.apply_all([change("a"), change("b@1")])
+    assert endpoints.is_known("a")
+    assert endpoints.is_known("b@1")
+    endpoints.apply_changes([change("a", None)])
+    endpoints.apply_start(starts.parse("b@2"))
+    assert not endpoints.is_known("a")
+    assert not endpoints.is_known("b@1")
+
+
+def test_start_whose_entry_lapsed_in_an_outage_is_known(endpoints, clock):
+    endpoints.apply_all([change("a")])
+    endpoints.store_lost()
+    endpoints.apply_changes([change("a", None)])
+    assert endpoints.is_known("a")
+    assert endpoints.observed_s("a", 0.0) == 0.0
+    clock.now_s += registry.LAPSE_HOLD_S
+    endpoints.forget_lapsed()
+    assert not endpoints.is_known("a")
+
+
+def test_entry_is_observed_since_the_last_outage(endpoints, clock):
+    """Guards against an entry that seems kept since the store was away."""
+    endpoints.apply_all([change("a")])
+    since_s = clock.now_s
+    clock.now_s += 5.0
+    endpoints.store_lost()
+    clock.now_s += 2.0
+    endpoints.apply_changes([])
+    assert endpoints.observed_s("a", since_s) == pytest.approx(2.0)
+    assert endpoints.observed_s("b", since_s) == 0.0
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 import pytest
@@ -38,9 +39,29 @@
     return crash_guard.CrashGuard(clock)
 
 
+class Entries:
+    """Endpoints' entries that are read all the time."""
+
+    def __init__(self, endpoints, clock):
+        self.endpoints = endpoints
+        self.clock = clock
+
+    def is_known(self, endpoint_id):
+        return any(one.id == endpoint_id for one in self.endpoints)
+
+    def observed_s(self, endpoint_id, since_s):
+        known = self.is_known(endpoint_id)
+        return self.clock() - since_s if known else 0.0
+
+
+@pytest.fixture
+def entries(endpoints, clock):
+    return Entries(endpoints, clock)
+
+
 @pytest.fixture
-def losses(guard, reachability, clock):
-    return pending_losses.PendingLosses(guard, reachability, clock)
+def losses(guard, reachability, entries, clock):
+    return pending_losses.PendingLosses(guard, reachability, entries, clock)
 
 
 def lose(losses, endpoints):
@@ -157,14 +178,14 @@
 
 
 def test_decisions_on_losses_are_logged_and_counted(
-    guard, reachability, endpoints, clock
+    guard, reachability, entries, endpoints, clock
 ):
     """Guards against losses of which no log line tells why they count."""
     decisions = registry.Registry().counters(
         "losses_total", "Losses", ("decision",)
     )
     losses = pending_losses.PendingLosses(
-        guard, reachability, clock, decisions
+        guard, reachability, entries, clock, decisions=decisions
     )
     with structlog.testing.capture_logs() as lines:
         lose(losses, endpoints)
@@ -174,3 +195,163 @@
     assert [one["endpoint"] for one in counted] == ["e0", "e1", "e2"]
     assert {one["reason"] for one in counted} == {"no endpoint has answered"}
     assert decisions.labelled("counted").value == len(counted)
+
+
+def cut_off(reachability, endpoints):
+    """Have connections to all endpoints refused."""
+    for endpoint in endpoints:
+        reachability.record_unreached(endpoint)
+
+
+def restart(endpoints):
+    """Replace all endpoints by others, as their entries do."""
+    endpoints[:] = [
+        dataclasses.replace(one, id=f"{one.id}-next") for one in endpoints
+    ]
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 4, 6])
+@pytest.mark.parametrize("gap_s", [0.0, 0.1, 0.4, 2.0])
+@pytest.mark.parametrize("down_s", [1.2, 3.1])
+def test_request_that_crashes_whole_services_is_refused(
+    losses, guard, reachability, endpoints, clock, count, gap_s, down_s
+):
+    """Guards against repeats that crash a small service again and again."""
+    del endpoints[count:]
+    crashed = 0
+    for _wave in range(12):
+        down = []
+        for endpoint in list(endpoints):
+            if guard.is_refused(DIGEST) or losses.is_suspect(DIGEST):
+                break
+            losses.add(DIGEST, endpoint)
+            reachability.record_unreached(endpoint)
+            down.append(endpoint)
+            if len(down) < len(endpoints):
+                reachability.record_heard("portal")
+            clock.now_s += gap_s
+            losses.review()
+        crashed += len(down)
+        clock.now_s += down_s
+        restart(endpoints)
+        reachability.record_service_reached("portal")
+        losses.review()
+        reachability.record_heard("portal")
+    at_once = count if gap_s < pending_losses.SETTLE_S else 0
+    assert crashed <= max(crash_guard.LOST_ENDPOINTS_LIMIT, at_once) + 1
+    assert guard.is_refused(DIGEST)
+
+
+def test_loss_is_held_while_no_endpoint_can_be_reached(
+    losses, guard, reachability, endpoints, clock
+):
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    clock.now_s += pending_losses.MAX_PENDING_S
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+    assert losses.is_suspect(DIGEST)
+
+
+def test_held_loss_counts_once_the_endpoint_has_ended(
+    losses, guard, reachability, endpoints, clock
+):
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    losses.review()
+    clock.now_s += 3.0
+    restart(endpoints)
+    losses.review()
+    assert guard.is_refused(DIGEST)
+    assert losses.pending == []
+
+
+def test_held_loss_is_dropped_when_the_endpoint_answers_again(
+    losses, guard, reachability, endpoints, clock
+):
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    losses.review()
+    clock.now_s += 2.0
+    reachability.record_service_reached("portal")
+    for endpoint in endpoints:
+        reachability.record_heard_from(endpoint)
+    losses.review()
+    assert not losses.is_suspect(DIGEST)
+    clock.now_s += losses.expiry_s
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+
+
+def test_answers_of_the_next_start_do_not_hide_a_crash(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against a restart that is known only after its answers."""
+    lose(losses, endpoints)
+    clock.now_s += 1.0
+    for endpoint in endpoints:
+        reachability.record_heard_from(endpoint)
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+    clock.now_s += 1.0
+    restart(endpoints)
+    losses.review()
+    assert guard.is_refused(DIGEST)
+
+
+def test_counted_loss_is_withdrawn_when_the_start_is_back(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against condemning for endpoints that were cut off, too."""
+    endpoints[:] = [
+        dataclasses.replace(one, id=f"{one.id}@1") for one in endpoints
+    ]
+    behind_the_cut = list(endpoints)
+    lose(losses, behind_the_cut)
+    cut_off(reachability, endpoints)
+    clock.now_s += 3.0
+    endpoints.clear()
+    losses.review()
+    assert guard.is_refused(DIGEST)
+    clock.now_s += 5.0
+    endpoints.extend(behind_the_cut)
+    for endpoint in endpoints:
+        reachability.record_heard_from(endpoint)
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+
+
+def test_counted_loss_stays_where_starts_cannot_be_told_apart(
+    losses, guard, reachability, endpoints, clock
+):
+    """Guards against a restart under the same id without a birth."""
+    lose(losses, endpoints)
+    clock.now_s += pending_losses.MAX_PENDING_S
+    losses.review()
+    for endpoint in endpoints:
+        reachability.record_heard_from(endpoint)
+    clock.now_s += losses.expiry_s
+    losses.review()
+    assert guard.is_refused(DIGEST)
+
+
+def test_endpoint_that_ends_long_after_a_loss_has_not_crashed_by_it(
+    losses, guard, reachability, endpoints, clock
+):
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    clock.now_s += losses.expiry_s + 0.1
+    losses.review()
+    restart(endpoints)
+    losses.review()
+    assert not guard.is_refused(DIGEST)
+    assert losses.tracked == collections.deque()
+
+
+def test_losses_that_were_counted_are_published_at_once(losses, clock):
+    published = []
+    losses.on_counted = lambda: published.append(clock.now_s)
+    losses.add(DIGEST, model.Endpoint("gone", "portal", "10.0.0.9:1", "a", 8))
+    losses.review()
+    losses.review()
+    assert published == [clock.now_s]
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from briarseam.forwarding import crash_guard
+from briarseam.forwarding import pending_losses
 from briarseam.testing import waiting
 from tests.platform import crashing_endpoints
 from tests.platform import instances
 
 TIMEOUT_S = 10
 WAVES = 4
+# Between the return of the endpoints and the next repeat.
+PAUSE_S = 0.3
 LIMIT = crash_guard.LOST_ENDPOINTS_LIMIT
 
 
@@ -46,5 +51,46 @@
             waiting.until(lambda: all(map(is_cut_off, nodes)), TIMEOUT_S)
         fleet.restart_crashed()
         fleet.await_known(nodes)
+        time.sleep(PAUSE_S)
     assert len(fleet.crashed()) == LIMIT
     assert set(statuses[-2 * LIMIT :]) == {503}
+
+
+def test_request_condemned_while_it_waits_is_not_sent(system, monkeypatch):
+    """Guards against sending what was condemned after it had arrived."""
+    node = system.node
+    choose = node.chooser.choose
+
+    def learn_of_losses(request):
+        [context] = node.forwarding.active_requests.contexts.values()
+        for name in ("e1", "e2", "e3"):
+            node.guard.add_loss(context.digest, name)
+        return choose(request)
+
+    monkeypatch.setattr(node.chooser, "choose", learn_of_losses)
+    answer = system.call("/status/1", "GET")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert system.workers["plain-1"].arrived == []
+    assert system.workers["plain-2"].arrived == []
+
+
+def held_at(node):
+    """Return the number of endpoints whose losses an instance holds."""
+    held = pending_losses.Decision.HELD
+    pending = node.losses.pending
+    return len({one.endpoint.id for one in pending if one.decision is held})
+
+
+def test_suspect_is_refused_for_a_short_time(cold_system, fleet, nodes):
+    """Guards against a loss that counts for nothing until it is decided."""
+    node = nodes[0]
+    while len(fleet.crashed()) < LIMIT:
+        crashing_endpoints.send(cold_system, node)
+    waiting.until(lambda: is_cut_off(node), TIMEOUT_S)
+    waiting.until(lambda: held_at(node) == LIMIT, TIMEOUT_S)
+    fleet.start("portal-new", "127.0.0.1:0")
+    waiting.until(lambda: not is_cut_off(node), TIMEOUT_S)
+    assert crashing_endpoints.send(cold_system, node) == 503
+    assert crashing_endpoints.send(cold_system, node, "/status/1") == 200
+    assert len(fleet.crashed()) == LIMIT
