Continue streams only at the software version that began them

Cause: the version in an endpoint's entry was not decoded, Resumes not read, and no choice of an endpoint knew either. Endpoints of one service were taken to be interchangeable for a stream that has begun.

Fix: the version is a hard constraint on the choice of an endpoint, before all preferences, once a stream has begun. Where it is not known, or no endpoint runs it, the request is refused at once as not run; within an answer the stream breaks off. A request that is passed on carries the version. Endpoints that keep their names over restarts continue nothing while they may run other software: after a failed connection until they write an entry, and while entries are not read.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -24,6 +24,7 @@
 from briarseam.compose import node_servers
 from briarseam.compose import node_weights
 from briarseam.compose import reloading
+from briarseam.discovery import software
 from briarseam.discovery import start_updates
 from briarseam.eligibility import cell_limits
 from briarseam.feeds import sharing as feeds_sharing
@@ -36,11 +37,14 @@
 from briarseam.forwarding import server as http
 from briarseam.forwarding import service as forwarding
 from briarseam.forwarding import shutdown as shutdowns
+from briarseam.forwarding import stream_origins
 from briarseam.forwarding import supervision
 from briarseam.lookup import zonal
 from briarseam.membership import drain as drains
 from briarseam.metrics import registry as metrics
 from briarseam.metrics import threads
+from briarseam.origins import exchange as origin_exchange
+from briarseam.origins import memory as origin_memory
 from briarseam.peers import expiry
 from briarseam.placement import cell_loads
 from briarseam.placement import cell_weights
@@ -198,6 +202,15 @@
             decisions=node_metrics.loss_decisions(self.metrics),
         )
         self.losses.on_counted = self.instances.publish_now
+        self.software = software.SoftwareHistory(registry.all)
+        self.origins = origin_exchange.OriginExchange(
+            origin_memory.OriginMemory(),
+            settings.instance.name,
+            str(settings.listen.relay_address()),
+            self.feeds.registrations.relay_addresses,
+            self.instances.key,
+            self.malformed_counter,
+        )
         self.supervisor = supervision.Supervisor()
         self.forwarding = forwarding.Forwarding(self.forwarding_dependencies())
         self.servers = self.build_servers()
@@ -236,6 +249,7 @@
         self.background: tuple[BackgroundPart, ...] = (
             self.paths,
             self.losses,
+            self.origins,
             self.sweeper,
             self.store_watches,
             self.loss_sharing,
@@ -288,6 +302,12 @@
                 relays=self.paths.relays,
                 guard=self.guard,
                 losses=self.losses,
+                origins=stream_origins.StreamOrigins(
+                    self.origins,
+                    self.software,
+                    self.feeds.registry,
+                    node_metrics.streams_taken_up(self.metrics),
+                ),
                 supervisor=self.supervisor,
                 instances=self.instances,
                 in_flight=self.in_flight,
@@ -436,6 +456,7 @@
             endpoints_rejection_limited=(
                 self.eligibility.rejection_limits.limited_count
             ),
+            software_versions=self.software.most_versions,
             services_unreachable=lambda: len(self.reachability.unreachable),
             zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
@@ -472,6 +493,7 @@
         """Apply what an endpoint's entry tells beyond its description."""
         self.eligibility.record_entry(endpoint)
         self.chooser.avoided.record_entry(endpoint.id)
+        self.software.record_entry(endpoint)
 
     def keep_only_endpoints(self, ids: frozenset[str]) -> None:
         """Drop state that arrived after its endpoint start was gone.
--- a/src/briarseam/compose/node_forwarding.py
+++ b/src/briarseam/compose/node_forwarding.py
@@ -20,6 +20,7 @@
     from briarseam.forwarding import pending_losses
     from briarseam.forwarding import relaying
     from briarseam.forwarding import shutdown as shutdowns
+    from briarseam.forwarding import stream_origins
     from briarseam.forwarding import supervision
     from briarseam.metrics import registry
     from briarseam.placement import chooser as choosers
@@ -33,8 +34,8 @@
 
     Attributes
     ----------
-    table, chooser, sender, relays, guard, losses, supervisor, in_flight,
-    shutdown
+    table, chooser, sender, relays, guard, losses, origins, supervisor,
+    in_flight, shutdown
         As in :class:`briarseam.forwarding.request_context.Dependencies`.
     instances
         All instances, which share the slack of the retry budget.
@@ -48,6 +49,7 @@
     relays: relaying.Relaying
     guard: crash_guard.CrashGuard
     losses: pending_losses.PendingLosses
+    origins: stream_origins.StreamOrigins
     supervisor: supervision.Supervisor
     instances: node_instances.Instances
     in_flight: inflight.InFlight
@@ -76,6 +78,7 @@
         relays=parts.relays,
         guard=parts.guard,
         losses=parts.losses,
+        origins=parts.origins,
         supervisor=parts.supervisor,
         budget=retry_budget.RetryBudget(
             bounds.retry_ratio,
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -25,7 +25,8 @@
     in_flight, connections_opened, store_calls, store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
     endpoints_cold, endpoints_in_backoff, endpoints_rate_limited
-    endpoints_rejection_limited, services_unreachable, zones_evacuated
+    endpoints_rejection_limited, software_versions, services_unreachable
+    zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -41,6 +42,7 @@
     endpoints_in_backoff: Reading
     endpoints_rate_limited: Reading
     endpoints_rejection_limited: Reading
+    software_versions: Reading
     services_unreachable: Reading
     zones_evacuated: Reading
 
@@ -108,6 +110,11 @@
             "Endpoints that fail if they must reject too many requests",
             readings.endpoints_rejection_limited,
         ),
+        (
+            "software_versions",
+            "Most software versions that endpoints of one service run",
+            readings.software_versions,
+        ),
         (
             "services_unreachable",
             "Services of which this instance can't reach any endpoint",
@@ -174,6 +181,17 @@
     )
 
 
+def streams_taken_up(
+    registry: metrics.Registry,
+) -> labels.Family[instruments.Counter]:
+    """Return the counters of streams that callers take up again."""
+    return registry.counters(
+        "streams_taken_up_total",
+        "Streams that callers take up, by how their software is known",
+        ("known_from",),
+    )
+
+
 def forwarding_metrics(registry: metrics.Registry) -> request_context.Metrics:
     """Return the counters and latencies of forwarding."""
     return request_context.Metrics(
--- a/src/briarseam/discovery/model.py
+++ b/src/briarseam/discovery/model.py
@@ -29,6 +29,9 @@
         Whether it is shutting down and accepts no new requests.
     versions
         Weight version by model, as last announced; 0 if unknown.
+    software
+        Version of its software; ``None`` while it is not known which one this
+        start runs.
     cold_remaining_s
         How long it stays cold after its start, as of its entry, in seconds;
         ``None`` if the entry does not say.
@@ -43,6 +46,7 @@
     versions: dict[str, int] = dataclasses.field(
         default_factory=dict, hash=False
     )
+    software: str | None = ""
     cold_remaining_s: float | None = dataclasses.field(
         default=None, compare=False
     )
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -410,8 +410,10 @@
 ) -> model.Endpoint:
     """Return an endpoint as of a new start that has not written an entry.
 
-    The weight versions are unknown until the new start reports them; all
-    else is kept from the former entry.
+    The versions of weights and software are unknown until the new start
+    reports them; all else is kept from the former entry.
     """
     versions = dict.fromkeys(endpoint.versions, 0)
-    return dataclasses.replace(endpoint, id=start.id, versions=versions)
+    return dataclasses.replace(
+        endpoint, id=start.id, versions=versions, software=None
+    )
--- a/src/briarseam/forwarding/calls.py
+++ b/src/briarseam/forwarding/calls.py
@@ -73,6 +73,9 @@
         Set for requests to models.
     last_event_id
         Id of the last event that the caller has of an interrupted stream.
+    resumes
+        Id of the request that brought the first event of that stream; empty
+        for none.
     """
 
     id: str
@@ -84,6 +87,17 @@
     time_left_s: float | None = None
     prompt: Prompt | None = None
     last_event_id: str | None = None
+    resumes: str = ""
+
+    @property
+    def stream(self) -> str:
+        """Id of the stream: of the request that began it."""
+        return self.resumes or self.id
+
+    @property
+    def continues_stream(self) -> bool:
+        """Whether the caller has the beginning of the stream."""
+        return bool(self.resumes) or self.last_event_id is not None
 
     @property
     def path(self) -> str:
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -71,6 +71,11 @@
     "endpoints were lost with this request, maybe for another reason",
     SUSPECTED_RETRY_S,
 )
+UNKNOWN_ORIGIN = verdict.NotRun(
+    verdict.Reason.NO_ENDPOINT,
+    "it is not known which software began the stream",
+    UNREACHED_RETRY_S,
+)
 TOO_LATE = verdict.NotRun(
     verdict.Reason.DEADLINE,
     "the deadline passed before an endpoint got the request",
--- a/src/briarseam/forwarding/relay_headers.py
+++ b/src/briarseam/forwarding/relay_headers.py
@@ -11,6 +11,7 @@
 import hashlib
 import hmac
 import typing
+import urllib.parse
 
 from briarseam import verdict
 
@@ -41,17 +42,22 @@
         Whether the retry budget of the sender has counted the request.
     waited_s
         Time since the first instance got it, in seconds.
+    software
+        Software version that the stream must go on at, if it has begun.
     """
 
     sends: int = 0
     counted: bool = False
     waited_s: float = 0.0
+    software: str | None = None
 
 
 def encode(key: bytes, call: calls.Call, usage: Usage) -> str:
     """Return the value of the header for a call."""
     waited_ms = max(0, round(usage.waited_s * MS))
     text = f"{usage.sends} {int(usage.counted)} {waited_ms}"
+    if usage.software is not None:
+        text = f"{text} {urllib.parse.quote(usage.software, safe='')}="
     return f"{text} {mac_of(key, call, text)}"
 
 
@@ -62,9 +68,12 @@
         mac.encode("latin-1", "replace"), mac_of(key, call, text).encode()
     ):
         return None
-    sends, counted, waited_ms = text.split(" ")
+    sends, counted, waited_ms, *software = text.split(" ")
     return Usage(
-        min(int(sends), MAX_SENDS), counted == "1", int(waited_ms) / MS
+        min(int(sends), MAX_SENDS),
+        counted == "1",
+        int(waited_ms) / MS,
+        urllib.parse.unquote(software[0][:-1]) if software else None,
     )
 
 
--- a/src/briarseam/forwarding/relaying.py
+++ b/src/briarseam/forwarding/relaying.py
@@ -160,6 +160,7 @@
             context.sends,
             context.counted,
             clocks.boot_clock() - context.arrived_s,
+            context.software,
         )
         headers = self.codec.encode_relayed(
             context.call, time_left_s, context.progress.last_event_id
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -25,6 +25,7 @@
     from briarseam.forwarding import retry_budget
     from briarseam.forwarding import server
     from briarseam.forwarding import shutdown as shutdowns
+    from briarseam.forwarding import stream_origins
     from briarseam.forwarding import supervision
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
@@ -113,6 +114,8 @@
         Detects requests that crash endpoints.
     losses
         Counts requests that are lost at endpoints.
+    origins
+        Tells which software version began a stream.
     supervisor
         Ends requests whose caller disconnects or whose deadline passes.
     budget
@@ -133,6 +136,7 @@
     relays: Relays
     guard: crash_guard.CrashGuard
     losses: pending_losses.PendingLosses
+    origins: stream_origins.StreamOrigins
     supervisor: supervision.Supervisor
     budget: retry_budget.RetryBudget
     in_flight: inflight.InFlight
@@ -174,6 +178,9 @@
         Verdict to send if no endpoint may have run the request.
     failed
         The last failure that an endpoint answered with.
+    software
+        Software version of the endpoint that began the stream, which must
+        continue it; ``None`` before the first event.
     """
 
     exchange: server.Exchange
@@ -196,6 +203,7 @@
     may_have_run: bool = False
     refusal: verdict.Verdict | None = None
     failed: outcomes.Failed | None = None
+    software: str | None = None
 
     def request(self) -> placements.Request:
         """Return the request for the endpoint chooser."""
@@ -210,6 +218,7 @@
             self.arrived_s + self.route.target_latency_s - clocks.boot_clock(),
             frozenset(self.tried),
             self.progress.events_sent,
+            self.software,
         )
 
     def log_fields(self) -> dict[str, int]:
@@ -225,6 +234,6 @@
         return False
     progress = context.progress
     can_resume = context.route.resumable and progress.can_resume
-    if progress.events_sent and not can_resume:
+    if progress.events_sent and (not can_resume or context.software is None):
         return False
     return context.sends < context.route.max_endpoints
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -152,7 +152,7 @@
         digest = crash_guard.digest_of(call.target, organisation, body)
         if self.deps.guard.is_refused(digest):
             return refusing.CONDEMNED
-        return request_context.Context(
+        context = request_context.Context(
             exchange=exchange,
             call=call,
             body=body,
@@ -166,7 +166,22 @@
             progress=streams.Progress(last_event_id=call.last_event_id),
             sends=usage.sends,
             counted=usage.counted,
+            software=usage.software,
         )
+        return self.with_software(context)
+
+    def with_software(
+        self, context: request_context.Context
+    ) -> request_context.Context | verdict.Verdict:
+        """Return a context with the software that must continue its stream."""
+        call = context.call
+        if not context.route.resumable or not call.continues_stream:
+            return context
+        if context.software is None:
+            context.software = self.deps.origins.find(
+                call, context.service.name
+            )
+        return refusing.UNKNOWN_ORIGIN if context.software is None else context
 
     def run(self, context: request_context.Context) -> None:
         """Answer one request that was not refused."""
@@ -327,6 +342,27 @@
                 self.deps.losses.add(context.digest, endpoint)
         context.sends += 1
 
+    def record_origin(
+        self,
+        context: request_context.Context,
+        endpoint: discovery.Endpoint,
+    ) -> None:
+        """Record which software version sends a stream's events.
+
+        Raises
+        ------
+        NotContinuedError
+            If the stream began with other software, as far as is known.
+        """
+        if not context.route.resumable:
+            return
+        version = self.deps.origins.record(context.call, endpoint)
+        if context.software is not None and version != context.software:
+            raise streams.NotContinuedError(
+                f"software {version!r} does not continue {context.software!r}"
+            )
+        context.software = version
+
     def send(
         self, context: request_context.Context, placement: placements.Placement
     ) -> outcomes.Outcome:
@@ -352,6 +388,7 @@
 
         def on_first_event() -> None:
             nonlocal added, first_event_ms, undecided
+            self.record_origin(context, placement.endpoint)
             chooser.release(placement)
             undecided = False
             now_s = clocks.boot_clock()
--- /dev/null
+++ b/src/briarseam/forwarding/stream_origins.py
@@ -0,0 +1,130 @@
+"""Which software version may continue a stream.
+
+What two versions of an endpoint's software write does not fit together, and
+endpoints do not check it.  A stream whose version is not known is therefore
+not continued.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+import structlog
+
+from briarseam.discovery import software
+from briarseam.discovery import starts
+from briarseam.origins import memory
+
+if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
+    from briarseam.forwarding import calls
+    from briarseam.metrics import instruments
+    from briarseam.metrics import labels
+
+log = structlog.get_logger("briarseam.forwarding")
+
+
+class Source(enum.StrEnum):
+    """How the version that began a stream is known."""
+
+    ORIGIN = "origin"
+    ONLY_VERSION = "only-version"
+    NONE = "none"
+
+
+class Exchange(typing.Protocol):
+    """Origins of streams, known to all instances."""
+
+    def store(self, stream: str, origin: memory.Origin) -> None:
+        """Record where a stream began."""
+
+    def find(self, stream: str) -> memory.Origin | None:
+        """Return where a stream began, if any instance knows it."""
+
+
+class EndpointEntries(typing.Protocol):
+    """What the endpoints' entries at the store tell of their starts."""
+
+    def is_known(self, endpoint_id: str) -> bool:
+        """Return whether a start may be running."""
+
+    def age_s(self) -> float:
+        """Return the seconds since entries were last read."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamOrigins:
+    """Records and finds the software versions that began streams.
+
+    Attributes
+    ----------
+    exchange
+        Origins of streams.
+    history
+        Software versions of each service.
+    entries
+        Tells which starts of endpoints may be running.
+    taken_up
+        Counts streams that callers take up, by how the version is known.
+    """
+
+    exchange: Exchange
+    history: software.SoftwareHistory
+    entries: EndpointEntries
+    taken_up: labels.Family[instruments.Counter]
+
+    def find(self, call: calls.Call, service: str) -> str | None:
+        """Return the software version that began a caller's stream."""
+        version, source = self.look_up(call.resumes, service)
+        self.taken_up.labelled(source.value).add()
+        log.info(
+            "stream_taken_up",
+            request=call.id,
+            stream=call.resumes,
+            service=service,
+            software=version,
+            known_from=source.value,
+        )
+        return version
+
+    def look_up(self, stream: str, service: str) -> tuple[str | None, Source]:
+        """Return the version that began a stream, and how it is known.
+
+        A stream that began before this instance observed the service may
+        have begun at a version that is gone.
+        """
+        if stream:
+            origin = self.exchange.find(stream)
+            if origin is not None and origin.service == service:
+                return origin.software, Source.ORIGIN
+            if not self.history.is_complete(service):
+                return None, Source.NONE
+        version = self.history.only_version(service)
+        return version, Source.NONE if version is None else Source.ONLY_VERSION
+
+    def software_of(self, endpoint: discovery.Endpoint) -> str | None:
+        """Return the version of a start that is answering, if it is sure."""
+        if not self.entries.is_known(endpoint.id):
+            return None
+        has_birth = endpoint.start.born_ms != starts.UNKNOWN_MS
+        if has_birth and self.entries.age_s() > software.MAX_AGE_S:
+            return None
+        return endpoint.software
+
+    def record(
+        self, call: calls.Call, endpoint: discovery.Endpoint
+    ) -> str | None:
+        """Record that an endpoint sends events of a caller's stream.
+
+        Returns
+        -------
+        str or None
+            Software version of the endpoint; ``None`` if it is not sure.
+        """
+        version = self.software_of(endpoint)
+        if version is not None:
+            origin = memory.Origin(endpoint.service, version)
+            self.exchange.store(call.stream, origin)
+        return version
--- /dev/null
+++ b/src/briarseam/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version began a stream, over all instances."""
--- a/src/briarseam/peers/registrations.py
+++ b/src/briarseam/peers/registrations.py
@@ -191,6 +191,14 @@
         row = self.by_name.get(name)
         return 1.0 if row is None else row.weight
 
+    def relay_addresses(self) -> dict[str, str]:
+        """Return the addresses for relayed requests by instance."""
+        return {
+            row.name: row.relay_address
+            for row in list(self.by_name.values())
+            if row.relay_address
+        }
+
     def cell_of(self, name: str, group: str) -> str:
         """Return the cell of an instance; its group if unknown."""
         return self.cells.get(name, group)
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -7,6 +7,8 @@
 
 from briarseam import clocks
 from briarseam import verdict
+from briarseam.discovery import software
+from briarseam.discovery import starts
 from briarseam.eligibility import service as eligibilities
 from briarseam.forwarding import calls
 from briarseam.lookup import rank
@@ -35,6 +37,13 @@
 TOO_LARGE = verdict.NotRun(
     verdict.Reason.OVERLOADED, "the prompt exceeds the engines' memory"
 )
+# An endpoint that has crashed is back after some seconds.
+SOFTWARE_RETRY_S = 1.0
+NO_SOFTWARE = verdict.NotRun(
+    verdict.Reason.NO_ENDPOINT,
+    "no endpoint runs the software that began the stream",
+    SOFTWARE_RETRY_S,
+)
 Choice = (
     requests.Placement
     | requests.Unplaced
@@ -104,7 +113,13 @@
 
     def choose(self, request: requests.Request) -> Choice:
         """Return the placement of a request, or why it has none."""
-        known = self.endpoints(request.service.name)
+        known = [
+            endpoint
+            for endpoint in self.endpoints(request.service.name)
+            if self.may_continue(endpoint, request)
+        ]
+        if not known and request.software is not None:
+            return NO_SOFTWARE
         candidates = [
             endpoint for endpoint in known if endpoint.id not in request.tried
         ]
@@ -134,6 +149,23 @@
             return self.choose_acquired(request, cold)
         return placement
 
+    def may_continue(
+        self, endpoint: discovery.Endpoint, request: requests.Request
+    ) -> bool:
+        """Return whether an endpoint's software may answer a request.
+
+        One that failed of late, or whose entry was not read for long, may
+        have started again under its name with other software.
+        """
+        if request.software is None:
+            return True
+        if endpoint.software != request.software:
+            return False
+        if endpoint.start.born_ms == starts.UNKNOWN_MS:
+            return True
+        is_recent = self.endpoints_age_s() <= software.MAX_AGE_S
+        return is_recent and endpoint.id not in self.avoided
+
     def exclusion(self, request: requests.Request) -> verdict.NotRun | None:
         """Return why no endpoint may get a request now, tried ones included.
 
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -39,6 +39,8 @@
         Endpoints that it was already sent to.
     partly_answered
         Whether the caller has received part of the answer.
+    software
+        Software version that must answer; ``None`` for any.
     """
 
     call: calls.Call
@@ -48,6 +50,7 @@
     target_remaining_s: float
     tried: frozenset[str] = frozenset()
     partly_answered: bool = False
+    software: str | None = None
 
     @property
     def regions(self) -> regions.Allowed:
@@ -100,6 +103,8 @@
             "requests_there": self.load.requests,
             "endpoints_age_ms": round(self.endpoints_age_s * 1000),
         }
+        if self.endpoint.software:
+            fields["software"] = self.endpoint.software
         if self.instructions.salt:
             fields["tokens_waiting_there"] = self.load.waiting_tokens
             fields["memory_taken_there"] = self.load.memory_tokens
--- a/src/briarseam/platform/endpoints.py
+++ b/src/briarseam/platform/endpoints.py
@@ -42,6 +42,8 @@
         default=None, name="coldRemainingMs"
     )
     models: list[WireModelVersion] = []
+    # Of its software, not of the weights.
+    version: decoding.Text = ""
     # Unix time of the endpoint's start, in ms; older endpoints omit it.
     born: decoding.Number = starts.UNKNOWN_MS
 
@@ -62,6 +64,7 @@
         zone=wire.zone,
         slots=max(1, wire.slots),
         leaving=wire.state == LEAVING,
+        software=wire.version,
         versions={item.name: item.version for item in wire.models},
         cold_remaining_s=(
             None
--- a/src/briarseam/platform/names.py
+++ b/src/briarseam/platform/names.py
@@ -15,6 +15,9 @@
 # Parts of the prompt in order; not a hash of the prompt.
 PROMPT_PARTS: typing.Final = "Prefix-Hash"
 LAST_EVENT_ID: typing.Final = "Last-Event-Id"
+# Id of the request that brought a stream's first event, in a request for the
+# rest of it.
+RESUMES: typing.Final = "Resumes"
 
 # In all answers of the store; increases when it is restored from a backup.
 STORE_ERA: typing.Final = "Store-Era"
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -78,7 +78,8 @@
     Raises
     ------
     MalformedCallError
-        If the prompt headers of a request to a model are malformed.
+        If the prompt headers of a request to a model are malformed, or the
+        id of the request that began a stream is too long.
     """
     by_name = {name.lower(): value for name, value in headers}
     time_left_ms = decoding.header_number(
@@ -98,9 +99,21 @@
         time_left_s=None if time_left_ms is None else time_left_ms / MS,
         prompt=decode_prompt(by_name),
         last_event_id=by_name.get(names.LAST_EVENT_ID.lower()),
+        resumes=decode_resumes(by_name.get(names.RESUMES.lower(), "")),
     )
 
 
+def decode_resumes(text: str) -> str:
+    """Return the id of the request that began a stream; empty for none."""
+    stream = text.strip()
+    if len(stream) > decoding.MAX_CHARACTERS:
+        raise refusing.MalformedCallError(
+            f"{names.RESUMES} has more than {decoding.MAX_CHARACTERS} "
+            "characters"
+        )
+    return stream
+
+
 def is_forwarded(name: str) -> bool:
     """Return whether a caller's header (in lower case) is forwarded."""
     return (
