Publish condemned requests before single losses

Callers of a service could have seen it crash again: an instance published its 100 newest losses only, and one crash of an endpoint loses dozens of requests, so a request that had been lost at three endpoints was dropped from what peers hear while it still counted here.

The requests that were lost at the most endpoints come first now, then the newest. test_many_losses_do_not_crowd_out_a_request_that_is_refused failed before.

--- a/src/briarseam/forwarding/crash_guard.py
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -25,7 +25,8 @@
 # How long a loss counts.  A crashed endpoint is back within seconds, and
 # callers repeat a request only within its deadline.
 LOSS_TTL_S = 60.0
-# Only the newest losses are published to peers.
+# Only so many requests are published to peers: first those that were lost at
+# the most endpoints, then the newest.
 MAX_PUBLISHED_LOSSES = 100
 DIGEST_BYTES = 12
 log = structlog.get_logger("briarseam.forwarding")
@@ -154,13 +155,15 @@
             }
 
     def provide(self) -> bytes:
-        """Return the newest losses, encoded for peers."""
+        """Return the losses of the requests that matter most, for peers."""
         with self.lock:
-            newest = sorted(
-                self.local.items(), key=lambda item: -item[1].last_s
+            published = sorted(
+                self.local.items(),
+                key=lambda item: (-len(item[1].endpoints), -item[1].last_s),
             )[:MAX_PUBLISHED_LOSSES]
             rows = [
-                (digest, sorted(losses.endpoints)) for digest, losses in newest
+                (digest, sorted(losses.endpoints))
+                for digest, losses in published
             ]
         packed: bytes = msgpack.packb(rows)
         return packed
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -49,6 +49,18 @@
     assert guard.is_refused(DIGEST)
 
 
+def test_many_losses_do_not_crowd_out_a_request_that_is_refused(guard, clock):
+    """Guards against peers that forget a request when others are lost."""
+    record_losses(guard, "e1", "e2", "e3")
+    clock.now_s += 1
+    for number in range(crash_guard.MAX_PUBLISHED_LOSSES):
+        other = crash_guard.digest_of(f"/draft/{number}", "north", b"")
+        guard.record_loss(other, "e4")
+    peer = crash_guard.CrashGuard(clock)
+    peer.consume("guard", guard.provide())
+    assert peer.is_refused(DIGEST)
+
+
 def test_losses_of_a_peer_that_is_gone_count_until_they_expire(guard, clock):
     """A peer that recorded losses of a request stops.
 
