Allow more losses of a request that was answered lately

Callers who send the same request all the time, such as a status query, would have been refused for a minute after another request had crashed a service of three endpoints: theirs was under way at each, so it was lost at three that had ended.

A request that crashes what runs it is never answered. One that was answered within the time for which losses count is refused after six endpoints in place of three.

--- a/src/briarseam/forwarding/crash_guard.py
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import hashlib
 import threading
@@ -22,6 +23,11 @@
 # A request that was lost at this many endpoints is refused.  One or two
 # losses also occur when endpoints crash or reset for other reasons.
 LOST_ENDPOINTS_LIMIT = 3
+# A request that was answered lately is lost with endpoints that another one
+# crashes, again and again if callers send it all the time.
+ANSWERED_ENDPOINTS_LIMIT = 2 * LOST_ENDPOINTS_LIMIT
+# Bounds the answered requests that are remembered, about 1 MB.
+MAX_ANSWERED = 5000
 # How long a loss counts.  A crashed endpoint is back within seconds, and
 # callers repeat a request only within its deadline.
 LOSS_TTL_S = 60.0
@@ -86,11 +92,24 @@
         self.on_lost: typing.Callable[[bytes, str], None] = ignore
         self.local: dict[bytes, Losses] = {}
         self.by_peer: dict[str, PeerLosses] = {}
+        # When requests were last answered, oldest first.
+        self.answered_s: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         self.lock = threading.Lock()
 
     def is_refused(self, digest: bytes) -> bool:
         """Return whether a request was lost at too many endpoints."""
-        return len(self.endpoints_of(digest)) >= LOST_ENDPOINTS_LIMIT
+        return self.is_too_many(digest, self.endpoints_of(digest))
+
+    def is_too_many(self, digest: bytes, endpoints: set[str]) -> bool:
+        """Return whether a request lost at these endpoints is refused."""
+        with self.lock:
+            answered_s = self.answered_s.get(digest, float("-inf"))
+        limit = LOST_ENDPOINTS_LIMIT
+        if self.clock() - answered_s < LOSS_TTL_S:
+            limit = ANSWERED_ENDPOINTS_LIMIT
+        return len(endpoints) >= limit
 
     def endpoints_of(self, digest: bytes) -> set[str]:
         """Return the ids of the endpoints at which a request was lost."""
@@ -117,10 +136,12 @@
             losses = self.local.setdefault(digest, Losses())
             losses.endpoints.add(endpoint)
             losses.last_s = self.clock()
-            count = len(losses.endpoints)
-        if count >= LOST_ENDPOINTS_LIMIT:
+            endpoints = set(losses.endpoints)
+        if self.is_too_many(digest, endpoints):
             log.warning(
-                "request_condemned", digest=digest.hex(), endpoints=count
+                "request_condemned",
+                digest=digest.hex(),
+                endpoints=len(endpoints),
             )
 
     def withdraw_loss(self, digest: bytes, endpoint: str) -> None:
@@ -137,6 +158,10 @@
         """Forget the losses of a request, since an endpoint answered it."""
         with self.lock:
             self.local.pop(digest, None)
+            self.answered_s[digest] = self.clock()
+            self.answered_s.move_to_end(digest)
+            while len(self.answered_s) > MAX_ANSWERED:
+                self.answered_s.popitem(last=False)
 
     def forget_expired(self) -> None:
         """Forget losses older than ``LOSS_TTL_S``."""
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -177,7 +177,7 @@
         if not held:
             return False
         lost = held | self.guard.endpoints_of(digest)
-        return len(lost) >= crash_guard.LOST_ENDPOINTS_LIMIT
+        return self.guard.is_too_many(digest, lost)
 
     def review(self) -> None:
         """Decide on the tracked losses by what is known by now."""
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -87,6 +87,29 @@
     assert not guard.is_refused(DIGEST)
 
 
+def test_request_that_is_answered_now_and_then_is_served_on(guard, clock):
+    """Guards against refusing what was lost beside a request that crashes."""
+    guard.record_answer(DIGEST)
+    record_losses(guard, "e1", "e2", "e3")
+    assert not guard.is_refused(DIGEST)
+    record_losses(guard, "e4", "e5", "e6")
+    assert guard.is_refused(DIGEST)
+
+
+def test_answer_long_ago_does_not_raise_the_limit(guard, clock):
+    guard.record_answer(DIGEST)
+    clock.now_s += crash_guard.LOSS_TTL_S
+    record_losses(guard, "e1", "e2", "e3")
+    assert guard.is_refused(DIGEST)
+
+
+def test_number_of_remembered_answers_is_bounded(guard, monkeypatch):
+    monkeypatch.setattr(crash_guard, "MAX_ANSWERED", 2)
+    for number in range(4):
+        guard.record_answer(bytes([number]))
+    assert list(guard.answered_s) == [b"\2", b"\3"]
+
+
 def test_losses_expire(guard, clock):
     record_losses(guard, "e1", "e2", "e3")
     clock.now_s += crash_guard.LOSS_TTL_S
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import time
 
 import pytest
@@ -56,6 +57,36 @@
     assert set(statuses[-2 * LIMIT :]) == {503}
 
 
+def test_repeated_request_is_served_after_another_crashed_the_service(
+    cold_system, fleet, nodes
+):
+    """Guards against condemning what was under way beside the cause."""
+    for node in nodes:
+        assert crashing_endpoints.send(cold_system, node, "/status/1") == 200
+    for worker in fleet.running:
+        worker.set(hold=True)
+    with concurrent.futures.ThreadPoolExecutor(24) as pool:
+        innocent = [
+            pool.submit(
+                crashing_endpoints.send,
+                cold_system,
+                nodes[number % len(nodes)],
+                "/status/1",
+            )
+            for number in range(12)
+        ]
+        waiting.until(lambda: all(one.ran for one in fleet.running), TIMEOUT_S)
+        while len(fleet.crashed()) < LIMIT:
+            crashing_endpoints.send(cold_system, nodes[0])
+        assert 502 in {one.result() for one in innocent}
+    fleet.restart_crashed()
+    fleet.await_known(nodes)
+    time.sleep(PAUSE_S)
+    for node in nodes:
+        assert crashing_endpoints.send(cold_system, node, "/status/1") == 200
+        assert crashing_endpoints.send(cold_system, node) == 503
+
+
 def test_request_condemned_while_it_waits_is_not_sent(system, monkeypatch):
     """Guards against sending what was condemned after it had arrived."""
     node = system.node
