Tell peers which lost requests were answered lately

An instance that has just started would have refused a request that callers send all the time: it hears the losses of its peers, but has not seen the answers that raise the limit there. Found by reading.

Instances publish the digests of lost requests that they have had answered. test_answers_at_peers_raise_the_limit fails without them.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -365,6 +365,7 @@
         names = frozenset(self.instances.all_names())
         self.chooser.loads.keep_only(names)
         self.paths.keep_only(names)
+        self.guard.answered.keep_only(names)
         self.peer_configuration.keep_only(names)
         self.peer_configuration.review()
 
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -97,6 +97,7 @@
             "rejection-limits": self.rejection_limits,
             "cell-rejection-limits": self.cell_rejection_limits,
             "lost-requests": self.guard,
+            "answered-requests": self.guard.answered,
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
         }
--- a/src/briarseam/forwarding/crash_guard.py
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import hashlib
 import threading
@@ -19,6 +18,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.forwarding import answered_requests
 
 # A request that was lost at this many endpoints is refused.  One or two
 # losses also occur when endpoints crash or reset for other reasons.
@@ -26,8 +26,6 @@
 # A request that was answered lately is lost with endpoints that another one
 # crashes, again and again if callers send it all the time.
 ANSWERED_ENDPOINTS_LIMIT = 2 * LOST_ENDPOINTS_LIMIT
-# Bounds the answered requests that are remembered, about 1 MB.
-MAX_ANSWERED = 5000
 # How long a loss counts.  A crashed endpoint is back within seconds, and
 # callers repeat a request only within its deadline.
 LOSS_TTL_S = 60.0
@@ -92,9 +90,8 @@
         self.on_lost: typing.Callable[[bytes, str], None] = ignore
         self.local: dict[bytes, Losses] = {}
         self.by_peer: dict[str, PeerLosses] = {}
-        # When requests were last answered, oldest first.
-        self.answered_s: collections.OrderedDict[bytes, float] = (
-            collections.OrderedDict()
+        self.answered = answered_requests.AnsweredRequests(
+            LOSS_TTL_S, clock, self.lost_requests
         )
         self.lock = threading.Lock()
 
@@ -104,12 +101,11 @@
 
     def is_too_many(self, digest: bytes, endpoints: set[str]) -> bool:
         """Return whether a request lost at these endpoints is refused."""
-        with self.lock:
-            answered_s = self.answered_s.get(digest, float("-inf"))
-        limit = LOST_ENDPOINTS_LIMIT
-        if self.clock() - answered_s < LOSS_TTL_S:
-            limit = ANSWERED_ENDPOINTS_LIMIT
-        return len(endpoints) >= limit
+        if len(endpoints) < LOST_ENDPOINTS_LIMIT:
+            return False
+        return len(
+            endpoints
+        ) >= ANSWERED_ENDPOINTS_LIMIT or not self.answered.is_answered(digest)
 
     def endpoints_of(self, digest: bytes) -> set[str]:
         """Return the ids of the endpoints at which a request was lost."""
@@ -158,10 +154,13 @@
         """Forget the losses of a request, since an endpoint answered it."""
         with self.lock:
             self.local.pop(digest, None)
-            self.answered_s[digest] = self.clock()
-            self.answered_s.move_to_end(digest)
-            while len(self.answered_s) > MAX_ANSWERED:
-                self.answered_s.popitem(last=False)
+        self.answered.record(digest)
+
+    def lost_requests(self) -> set[bytes]:
+        """Return the digests of requests with any losses."""
+        with self.lock:
+            remote = [one.losses.keys() for one in self.by_peer.values()]
+            return set(self.local).union(*remote)
 
     def forget_expired(self) -> None:
         """Forget losses older than ``LOSS_TTL_S``."""
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -3,6 +3,7 @@
 import msgpack
 import pytest
 
+from briarseam.forwarding import answered_requests
 from briarseam.forwarding import crash_guard
 from tests import clocks
 
@@ -104,10 +105,28 @@
 
 
 def test_number_of_remembered_answers_is_bounded(guard, monkeypatch):
-    monkeypatch.setattr(crash_guard, "MAX_ANSWERED", 2)
+    monkeypatch.setattr(answered_requests, "MAX_ANSWERED", 2)
     for number in range(4):
         guard.record_answer(bytes([number]))
-    assert list(guard.answered_s) == [b"\2", b"\3"]
+    assert list(guard.answered.answered_s) == [b"\2", b"\3"]
+
+
+def test_answers_at_peers_raise_the_limit(guard, clock):
+    """Guards against an instance that has just started and hears losses."""
+    peer = crash_guard.CrashGuard(clock)
+    peer.record_answer(DIGEST)
+    record_losses(peer, "e1", "e2", "e3")
+    guard.consume("peer", peer.provide())
+    assert guard.is_refused(DIGEST)
+    guard.answered.consume("peer", peer.answered.provide())
+    assert not guard.is_refused(DIGEST)
+    guard.answered.keep_only(())
+    assert guard.is_refused(DIGEST)
+
+
+def test_answers_of_requests_without_losses_are_not_published(guard):
+    guard.record_answer(DIGEST)
+    assert guard.answered.provide() == msgpack.packb([])
 
 
 def test_losses_expire(guard, clock):
