Take the software of named endpoints as unknown while the store is away

During an outage of the store, an endpoint that keeps its name over restarts can come back with other software while its entry still tells of the former start. Streams were recorded as begun at, and continued at, the version of that entry for up to three seconds: callers got events of two versions.

Cause: the age of the entries was the only bound, although the instance knew that it could not read them.

Now the version of such an endpoint is not sure from the first failed read on: no origin is recorded and no stream continued there. Endpoints without a birth have a new name at each start, so nothing changes for them. test_software_is_not_sure_while_entries_are_not_read failed before.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -170,6 +170,7 @@
             loads.Loads(self.calls.size, lambda: len(self.instances.all())),
             eligibility=self.eligibility,
             reachability=self.reachability,
+            software_of=registry.software_of,
         )
         cache_stores = cache.CacheStoreClient(self.malformed_counter)
         self.store_watches = store_watches.StoreWatches(
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -21,6 +21,9 @@
 # A running endpoint writes an entry that lapsed during an outage of the
 # store within two seconds of its end; reading it takes up to half a second.
 LAPSE_HOLD_S = 2.5
+# Entries are read about every second; behind a store that does not answer, an
+# endpoint may have restarted with other software.
+MAX_SOFTWARE_AGE_S = 3.0
 log = structlog.get_logger("briarseam.discovery")
 
 Decode = typing.Callable[[str, bytes], model.Endpoint]
@@ -168,6 +171,21 @@
         begin_s = max(since_s, self.last_lost_s)
         return max(0.0, self.last_read_s - begin_s)
 
+    def software_of(self, endpoint: model.Endpoint) -> str | None:
+        """Return the software version of a start; ``None`` if not sure.
+
+        An endpoint that keeps its name over restarts may run other software
+        since its entry was read.  One without a birth has a new name then.
+        """
+        if not self.is_known(endpoint.id):
+            return None
+        if endpoint.start.born_ms == starts.UNKNOWN_MS:
+            return endpoint.software
+        is_current = self.last_lost_s < self.last_read_s
+        if not is_current or self.age_s() > MAX_SOFTWARE_AGE_S:
+            return None
+        return endpoint.software
+
     def store_lost(self) -> None:
         """Hold entries that lapse during or shortly after the outage."""
         self.last_lost_s = self.clock()
--- a/src/briarseam/discovery/software.py
+++ b/src/briarseam/discovery/software.py
@@ -12,9 +12,6 @@
 
 # Callers take a stream up within such a time of its first event.
 LOOKBACK_S = 60.0
-# An endpoint that keeps its name over restarts may run other software by the
-# time that entries have not been read for so long.
-MAX_AGE_S = 3.0
 
 
 class SoftwareHistory:
--- a/src/briarseam/forwarding/stream_origins.py
+++ b/src/briarseam/forwarding/stream_origins.py
@@ -13,12 +13,11 @@
 
 import structlog
 
-from briarseam.discovery import software
-from briarseam.discovery import starts
 from briarseam.origins import memory
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
+    from briarseam.discovery import software
     from briarseam.forwarding import calls
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
@@ -47,11 +46,8 @@
 class EndpointEntries(typing.Protocol):
     """What the endpoints' entries at the store tell of their starts."""
 
-    def is_known(self, endpoint_id: str) -> bool:
-        """Return whether a start may be running."""
-
-    def age_s(self) -> float:
-        """Return the seconds since entries were last read."""
+    def software_of(self, endpoint: discovery.Endpoint) -> str | None:
+        """Return the software version of a start; ``None`` if not sure."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,7 +61,7 @@
     history
         Software versions of each service.
     entries
-        Tells which starts of endpoints may be running.
+        Tells the software of endpoints.
     taken_up
         Counts streams that callers take up, by how the version is known.
     """
@@ -104,15 +100,6 @@
         version = self.history.only_version(service)
         return version, Source.NONE if version is None else Source.ONLY_VERSION
 
-    def software_of(self, endpoint: discovery.Endpoint) -> str | None:
-        """Return the version of a start that is answering, if it is sure."""
-        if not self.entries.is_known(endpoint.id):
-            return None
-        has_birth = endpoint.start.born_ms != starts.UNKNOWN_MS
-        if has_birth and self.entries.age_s() > software.MAX_AGE_S:
-            return None
-        return endpoint.software
-
     def record(
         self, call: calls.Call, endpoint: discovery.Endpoint
     ) -> str | None:
@@ -123,7 +110,7 @@
         str or None
             Software version of the endpoint; ``None`` if it is not sure.
         """
-        version = self.software_of(endpoint)
+        version = self.entries.software_of(endpoint)
         if version is not None:
             origin = memory.Origin(endpoint.service, version)
             self.exchange.store(call.stream, origin)
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -7,7 +7,6 @@
 
 from briarseam import clocks
 from briarseam import verdict
-from briarseam.discovery import software
 from briarseam.discovery import starts
 from briarseam.eligibility import service as eligibilities
 from briarseam.forwarding import calls
@@ -52,6 +51,14 @@
 )
 
 
+SoftwareOf = typing.Callable[["discovery.Endpoint"], str | None]
+
+
+def announced_software(endpoint: discovery.Endpoint) -> str | None:
+    """Return the software version in an endpoint's entry."""
+    return endpoint.software
+
+
 class Chooser:
     """Chooses the endpoint for each request; thread-safe.
 
@@ -74,6 +81,8 @@
         given, none is excluded.
     reachability
         Endpoints to which connections fail; unless given, none is known.
+    software_of
+        Returns the software version of an endpoint; ``None`` if not sure.
     """
 
     def __init__(
@@ -86,7 +95,9 @@
         clock: typing.Callable[[], float] = clocks.boot_clock,
         eligibility: eligibilities.Eligibility | None = None,
         reachability: tracker.Reachability | None = None,
+        software_of: SoftwareOf = announced_software,
     ) -> None:
+        self.software_of = software_of
         self.endpoints = endpoints
         self.reachability = reachability or tracker.Reachability(
             endpoints, clock
@@ -154,17 +165,15 @@
     ) -> bool:
         """Return whether an endpoint's software may answer a request.
 
-        One that failed of late, or whose entry was not read for long, may
-        have started again under its name with other software.
+        One that failed of late may have started again under its name with
+        other software.
         """
         if request.software is None:
             return True
-        if endpoint.software != request.software:
+        if self.software_of(endpoint) != request.software:
             return False
-        if endpoint.start.born_ms == starts.UNKNOWN_MS:
-            return True
-        is_recent = self.endpoints_age_s() <= software.MAX_AGE_S
-        return is_recent and endpoint.id not in self.avoided
+        has_birth = endpoint.start.born_ms != starts.UNKNOWN_MS
+        return not has_birth or endpoint.id not in self.avoided
 
     def exclusion(self, request: requests.Request) -> verdict.NotRun | None:
         """Return why no endpoint may get a request now, tried ones included.
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -258,6 +258,33 @@
     assert list(endpoints.leaving.ids) == ["b", "c"]
 
 
+def test_software_is_not_sure_while_entries_are_not_read(endpoints, clock):
+    """Guards against a restart with other software during an outage."""
+    endpoints.apply_all([change("a@1"), change("b")])
+    restarting, replaced = sorted(
+        endpoints.serving("portal"), key=lambda one: one.id
+    )
+    assert endpoints.software_of(restarting) == ""
+    clock.now_s += 0.1
+    endpoints.store_lost()
+    assert endpoints.software_of(restarting) is None
+    assert endpoints.software_of(replaced) == ""
+    clock.now_s += 0.1
+    endpoints.apply_changes([])
+    assert endpoints.software_of(restarting) == ""
+    clock.now_s += registry.MAX_SOFTWARE_AGE_S + 0.1
+    assert endpoints.software_of(restarting) is None
+
+
+def test_software_of_a_start_that_has_ended_is_not_sure(endpoints):
+    endpoints.apply_all([change("a@1")])
+    [known] = endpoints.serving("portal")
+    endpoints.apply_start(starts.parse("a@2"))
+    [restarted] = endpoints.serving("portal")
+    assert endpoints.software_of(known) is None
+    assert endpoints.software_of(restarted) is None
+
+
 def test_start_is_known_until_its_entry_is_gone(endpoints):
     endpoints.apply_all([change("a"), change("b@1")])
     assert endpoints.is_known("a")
