Soak: software versions, streams taken up again, requests that crash

--releases: engines are replaced or restart with other software, streams break off, instances are killed; callers take streams up again at any instance, with Resumes. Each stream must have one version (two may not), each event once, and the share that goes on is held against new streams where two endpoints of the version serve.

--crashes: a caller repeats a request that crashes endpoints, which are back under new names, with and without a birth, or under their names. It must not reach endpoints in more than three repeats from three seconds after the third crash, and nothing else may be refused as such a request.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -218,6 +218,25 @@
     room: int
 
 
+@dataclasses.dataclass(frozen=True)
+class SoftwareReleased:
+    """One endpoint is replaced by one of another software version.
+
+    Attributes
+    ----------
+    endpoint
+        The endpoint.
+    version
+        The version.
+    keeps_name
+        Whether it restarts under its name.
+    """
+
+    endpoint: int
+    version: str
+    keeps_name: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class AnswersFramed:
     """An endpoint sends its answers in a form, and cuts some short.
@@ -260,6 +279,7 @@
     | PathsCut
     | ServiceFragile
     | AnswersFramed
+    | SoftwareReleased
 )
 
 
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -86,6 +86,7 @@
                 | faults.LeavesByAnswer(number)
                 | faults.BackoffRequested(number)
                 | faults.AnswersFramed(number)
+                | faults.SoftwareReleased(number)
             ):
                 endpoint = self.deployment.endpoints[number]
                 with self.lock_of(("endpoint", number)):
@@ -270,6 +271,10 @@
         match fault:
             case faults.EndpointReplaced():
                 self.deployment.replace(endpoint)
+            case faults.SoftwareReleased(
+                version=version, keeps_name=keeps_name
+            ):
+                self.deployment.release(endpoint, version, keeps_name)
             case faults.EndpointLeaves():
                 self.let_leave(endpoint)
             case faults.RateLimited(per_s=limits):
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -4,12 +4,18 @@
 
 import itertools
 import random
+import signal
+import typing
 
 from tests.platform import raw_answers
 from tests.soak import faults
 from tests.soak import paths
+from tests.soak import releases
 from tests.soak import serving
 
+# Plans the faults of a run by its seed, length and number of instances.
+Plan = typing.Callable[[int, float, int], list[faults.Planned]]
+
 
 def draw(random_: random.Random, instances: int) -> faults.Fault:
     """Return a fault of any kind."""
@@ -170,6 +176,50 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_releases(
+    seed: int, seconds: float, instances: int
+) -> list[faults.Planned]:
+    """Return changes of software, broken streams and killed instances."""
+    random_ = random.Random(f"{seed}/releases")
+    found = plan(seed, seconds, instances) if seed % 3 == 0 else []
+    engines = [
+        number
+        for number, service in enumerate(serving.SERVICES)
+        if service == "engines"
+    ]
+    at_s = 0.3
+    while at_s < seconds - 2.0:
+        engine = random_.choice(engines)
+        version = random_.choice(releases.VERSIONS)
+        broken = faults.Misbehaviour(engine, "break_streams")
+        fault = random_.choice(
+            (
+                faults.SoftwareReleased(
+                    engine, version, random_.random() < 0.5
+                ),
+                *[broken] * 8,
+                faults.Ended(random_.randrange(instances), signal.SIGKILL),
+            )
+        )
+        found.append(faults.Planned(at_s, random_.uniform(0.3, 2.0), fault))
+        at_s += random_.uniform(0.05, 0.4)
+    return sorted(found, key=lambda one: one.at_s)
+
+
+def plan_crashes(
+    seed: int, seconds: float, instances: int
+) -> list[faults.Planned]:
+    """Return faults beside requests that crash endpoints; none for a third."""
+    if seed % 3 == 0:
+        return []
+    kinds = (faults.Paused, faults.Ended, faults.StoreCut, faults.Reloaded)
+    return [
+        one
+        for one in plan(seed, seconds, instances)
+        if isinstance(one.fault, kinds)
+    ]
+
+
 def draw_form(random_: random.Random, is_stream: bool) -> raw_answers.Form:
     """Return a form of answers whose cuts callers must not take for ends."""
     forms = [
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -8,9 +8,11 @@
 from tests.platform import worker as workers
 from tests.soak import announced
 from tests.soak import callers
+from tests.soak import crashes
 from tests.soak import faults
 from tests.soak import paths
 from tests.soak import processes
+from tests.soak import releases
 from tests.soak import serving
 
 from briarseam.eligibility import cold_starts
@@ -58,6 +60,7 @@
     yield from check_evacuations(deployment, by_id)
     yield from check_cold(deployment)
     yield from announced.check(deployment, by_id)
+    yield from crashes.check(deployment, sent)
     yield from paths.check(deployment.path_cuts, sent)
     for instance in deployment.instances:
         yield from instance.killed
@@ -85,7 +88,10 @@
     if one.kind.once and one.status in NOT_RUN and ran_at:
         yield f"{name} was told {one.status} and ran at {ran_at}"
     looks_whole = one.whole and not may_be_cut_by_kill(one)
-    if one.status == OK and looks_whole:
+    if one.kind is releases.TAKEN_UP:
+        # Checked with the requests that began its stream.
+        pass
+    elif one.status == OK and looks_whole:
         yield from check_success(one, name, ran_at)
     elif one.status == OK and one.kind.stream:
         yield from check_part(one, name)
@@ -138,8 +144,9 @@
 
 
 def with_lf(body: bytes) -> bytes:
-    """Return a stream with LF in place of other line ends."""
-    return body.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+    """Return a stream with LF only, and without the endpoints' versions."""
+    body = body.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+    return releases.stream_without_versions(body)
 
 
 def check_answered(
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -23,16 +23,20 @@
 
 from tests.soak import announced
 from tests.soak import callers
+from tests.soak import crashes
 from tests.soak import injecting
 from tests.soak import plans
 from tests.soak import processes
 from tests.soak import promises
 from tests.soak import raw_callers
+from tests.soak import releases
 from tests.soak import serving
 
 from briarseam.testing import waiting
 
 CALLERS = 8
+# Callers that repeat a request that crashes endpoints.
+REPEATERS = 1
 # Beside stops: with few callers an instance is soon without a request.
 CALLERS_OF_STOPS = (0, 1, 2, 8)
 RESTING_CALLERS = 6
@@ -55,7 +59,7 @@
     Attributes
     ----------
     seed, seconds, instances, stops, restores, zones, announcements, paths,
-    framings
+    framings, releases, crashes
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -69,6 +73,10 @@
         Answers by what they said of their endpoint.
     cuts
         Answers of endpoints that were cut short, by framing, place and end.
+    taken_up
+        Requests that could take streams up again, and those that did.
+    crashed
+        Endpoints that requests crashed.
     broken
         Broken promises.
     """
@@ -82,6 +90,8 @@
     announcements: bool = False
     paths: bool = False
     framings: bool = False
+    releases: bool = False
+    crashes: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -89,6 +99,8 @@
     faults: dict[str, int] = dataclasses.field(default_factory=dict)
     announced: dict[str, int] = dataclasses.field(default_factory=dict)
     cuts: dict[str, int] = dataclasses.field(default_factory=dict)
+    taken_up: tuple[int, int] = (0, 0)
+    crashed: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -109,8 +121,16 @@
         if report.stops:
             shutdown_s = SHUTDOWN_OF_STOPS_S
         self.deployment = serving.Deployment(
-            folder, report.instances, shutdown_s, report.zones, report.paths
+            folder,
+            report.instances,
+            shutdown_s,
+            report.zones,
+            report.paths,
+            report.seed,
         )
+        if report.releases:
+            count = len(serving.SERVICES)
+            self.deployment.slow_down([releases.STREAM_MS] * count)
         self.stopping = threading.Event()
         self.numbers = itertools.count()
         self.callers = [self.new_caller() for _ in range(self.caller_count())]
@@ -119,6 +139,11 @@
                 self.new_caller(pause_s=callers.REST_S)
                 for _ in range(RESTING_CALLERS)
             ]
+        if report.crashes:
+            self.callers += [
+                self.new_caller(kind=crashes.Repeater)
+                for _ in range(REPEATERS)
+            ]
         self.prober = self.new_caller()
         self.crowds: list[callers.Caller] = []
         self.broken: list[str] = []
@@ -134,11 +159,13 @@
         instances: list[processes.Instance] | None = None,
         stopping: threading.Event | None = None,
         pause_s: tuple[float, float] = callers.PAUSE_S,
+        kind: type[callers.Caller] = callers.Caller,
     ) -> callers.Caller:
         """Return a caller, not started."""
-        kind = callers.Caller
         if self.report.framings:
             kind = raw_callers.RawCaller
+        if self.report.releases:
+            kind = releases.TakingUpCaller
         return kind(
             next(self.numbers),
             self.report.seed,
@@ -172,22 +199,24 @@
         finally:
             self.deployment.close()
 
+    def choose_plan(self) -> plans.Plan:
+        """Return what plans the faults of this run."""
+        report = self.report
+        chosen = {
+            plans.plan_stops: report.stops,
+            plans.plan_restores: report.restores,
+            plans.plan_zones: report.zones,
+            plans.plan_announcements: report.announcements,
+            plans.plan_paths: report.paths,
+            plans.plan_framings: report.framings,
+            plans.plan_releases: report.releases,
+            plans.plan_crashes: report.crashes,
+        }
+        return next((one for one in chosen if chosen[one]), plans.plan)
+
     def strike(self) -> None:
         """Let faults strike while callers call."""
-        plan = plans.plan
-        if self.report.stops:
-            plan = plans.plan_stops
-        elif self.report.restores:
-            plan = plans.plan_restores
-        elif self.report.zones:
-            plan = plans.plan_zones
-        elif self.report.announcements:
-            plan = plans.plan_announcements
-        elif self.report.paths:
-            plan = plans.plan_paths
-        elif self.report.framings:
-            plan = plans.plan_framings
-        planned = plan(
+        planned = self.choose_plan()(
             self.report.seed, self.report.seconds, self.report.instances
         )
         kinds = collections.Counter(
@@ -200,8 +229,11 @@
             self.deployment.slow_down(delays_ms)
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.start()
+        end_s = time.monotonic() + self.report.seconds
         injecting.Injector(self.deployment, planned, self.crowd).run()
-        self.deployment.slow_down([0] * len(serving.SERVICES))
+        time.sleep(max(0.0, end_s - time.monotonic()))
+        if not self.report.releases:
+            self.deployment.slow_down([0] * len(serving.SERVICES))
         self.stopping.set()
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.join()
@@ -248,6 +280,8 @@
         sent = [one for who in everyone for one in who.sent]
         self.broken += promises.check(self.deployment, sent)
         self.broken += self.deployment.errors()
+        self.finish_releases(sent)
+        self.report.crashed = len(self.deployment.crashes)
         answers = collections.Counter(
             f"{one.kind.name} {one.status}" for one in sent
         )
@@ -264,6 +298,17 @@
         self.report.runs = sum(map(len, self.deployment.ran().values()))
         self.report.broken = self.broken
 
+    def finish_releases(self, sent: list[callers.Sent]) -> None:
+        """Check the streams that callers took up again."""
+        taken = [
+            stream
+            for one in self.callers
+            if isinstance(one, releases.TakingUpCaller)
+            for stream in one.taken
+        ]
+        self.broken += releases.check(self.deployment, sent, taken)
+        self.report.taken_up = releases.shares(self.deployment, taken)
+
 
 def run(
     seed: int,
@@ -276,6 +321,8 @@
     announcements: bool = False,
     paths: bool = False,
     framings: bool = False,
+    releases: bool = False,
+    crashes: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
     report = Report(
@@ -288,6 +335,8 @@
         announcements,
         paths,
         framings,
+        releases,
+        crashes,
     )
     Soak(folder, report).run()
     return report
@@ -328,6 +377,16 @@
         action="store_true",
         help="answers with a length, chunks or neither, cut short anywhere",
     )
+    parser.add_argument(
+        "--releases",
+        action="store_true",
+        help="several software versions, and streams that are taken up again",
+    )
+    parser.add_argument(
+        "--crashes",
+        action="store_true",
+        help="requests that crash the endpoints that run them",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -347,6 +406,8 @@
             options.announcements,
             options.paths,
             options.framings,
+            options.releases,
+            options.crashes,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import threading
 import time
@@ -16,9 +17,11 @@
 from tests.platform import metadata_store
 from tests.platform import system
 from tests.platform import worker as workers
+from tests.soak import crashes
 from tests.soak import links
 from tests.soak import paths
 from tests.soak import processes
+from tests.soak import releases
 
 from briarseam.testing import ports
 from briarseam.testing import stand_in
@@ -144,6 +147,8 @@
         Whether endpoints are limited after their start.
     cuts
         Whether each instance has links of its own to endpoints.
+    seed
+        Determines how endpoints that crashed are back.
     """
 
     def __init__(
@@ -153,6 +158,7 @@
         shutdown_s: float = SHUTDOWN_S,
         cold: bool = False,
         cuts: bool = False,
+        seed: int = 0,
     ) -> None:
         self.path_cuts: list[paths.PathCut] = []
         self.fragile: list[Fragile] = []
@@ -170,6 +176,12 @@
         self.stack = contextlib.ExitStack()
         self.lock = threading.Lock()
         self.past: list[workers.Worker] = []
+        self.crashes: list[crashes.Crash] = []
+        # Times of all endpoints' versions, and the present one of each.
+        self.lives: list[releases.Life] = []
+        self.present_lives: dict[str, releases.Life] = {}
+        self.random = random.Random(seed)
+        self.closing = threading.Event()
         self.configured: list[tuple[float, bool]] = []
         self.store = self.stack.enter_context(metadata_store.MetadataStore())
         self.store_troubled_until = 0.0
@@ -207,12 +219,16 @@
         instance.paths = paths.Paths(addresses, HOST)
         self.stack.callback(instance.paths.stop)
 
-    def new_worker(self) -> workers.Worker:
+    def new_worker(
+        self, version: str = releases.VERSIONS[0], name: str = ""
+    ) -> workers.Worker:
         """Return a started endpoint."""
-        worker = workers.Worker(
-            f"worker-{next(self.names)}",
+        worker = crashes.CrashingWorker(
+            name or f"worker-{next(self.names)}",
             f"{HOST}:0",
-            born=stand_in.wall_ms(),
+            stand_in.wall_ms(),
+            version,
+            self.crash,
         )
         worker.set(events=EVENTS)
         self.stack.enter_context(worker)
@@ -241,8 +257,73 @@
             **endpoint.worker.start_fields(),
         }
         self.zones[endpoint.worker.id] = endpoint.zone
+        self.record_life(endpoint, state)
         self.store.write("keyed.servers", endpoint.worker.id, entry)
 
+    def record_life(self, endpoint: Endpoint, state: str) -> None:
+        """Record which version an endpoint runs, while it takes new work."""
+        address = endpoint.link.address
+        life = self.present_lives.pop(address, None)
+        version = endpoint.worker.version
+        if life is not None and (state, life.version) != ("ready", version):
+            life.ended_s = releases.now_s()
+            life = None
+        if state == "ready" and endpoint.service == "engines":
+            if life is None:
+                life = releases.Life(version, releases.now_s())
+                self.lives.append(life)
+            self.present_lives[address] = life
+
+    def release(
+        self, endpoint: Endpoint, version: str, keeps_name: bool
+    ) -> None:
+        """Replace an endpoint by one that runs another version."""
+        if not keeps_name or endpoint.worker.id in endpoint.left:
+            self.replace(endpoint, version)
+            return
+        self.end_life(endpoint)
+        endpoint.link.refuse_new()
+        endpoint.link.reset()
+        endpoint.worker.stop()
+        endpoint.worker = self.new_worker(version, endpoint.worker.id)
+        endpoint.link.target = endpoint.worker.address
+        endpoint.link.accept_new()
+        self.write_entry(endpoint)
+
+    def end_life(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint takes no more work."""
+        life = self.present_lives.pop(endpoint.link.address, None)
+        if life is not None:
+            life.ended_s = releases.now_s()
+
+    def crash(
+        self, worker: crashes.CrashingWorker, crash: crashes.Crash
+    ) -> None:
+        """Let an endpoint be gone, and back after a while."""
+        self.crashes.append(crash)
+        [endpoint] = [one for one in self.endpoints if one.worker is worker]
+        endpoint.link.refuse_new()
+        endpoint.link.reset()
+        worker.stop()
+        with self.lock:
+            down_s, how = crashes.draw_return(self.random)
+        self.closing.wait(min(down_s, crashes.EXPIRY_S))
+        if down_s > crashes.EXPIRY_S:
+            self.store.write("keyed.servers", worker.id, None)
+            self.closing.wait(down_s - crashes.EXPIRY_S)
+        if self.closing.is_set():
+            return
+        name = worker.id if how is crashes.Return.SAME_NAME else ""
+        endpoint.worker = self.new_worker(worker.version, name)
+        if how is crashes.Return.NEW_NAME_WITHOUT_BIRTH:
+            endpoint.worker.born = None
+        endpoint.link.target = endpoint.worker.address
+        endpoint.link.accept_new()
+        self.write_entry(endpoint)
+        if endpoint.worker.id != worker.id and down_s < crashes.EXPIRY_S:
+            self.closing.wait(crashes.EXPIRY_S - down_s)
+            self.store.write("keyed.servers", worker.id, None)
+
     def cold_remaining_ms(self, worker: str) -> float:
         """Return how long an endpoint stays cold."""
         since_s = self.cold_since.get(worker, [0.0])[-1]
@@ -272,10 +353,11 @@
             if endpoint.zone == zone and not endpoint.left:
                 self.write_entry(endpoint)
 
-    def replace(self, endpoint: Endpoint) -> None:
+    def replace(self, endpoint: Endpoint, version: str = "") -> None:
         """Let another endpoint take over an address."""
         self.store.write("keyed.servers", endpoint.worker.id, None)
-        worker = self.new_worker()
+        self.end_life(endpoint)
+        worker = self.new_worker(version or endpoint.worker.version)
         endpoint.link.resets.append(time.monotonic())
         endpoint.worker.stop()
         endpoint.worker = worker
@@ -353,6 +435,7 @@
 
     def close(self) -> None:
         """End everything that was started here."""
+        self.closing.set()
         self.stack.close()
 
 
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -139,6 +139,21 @@
     assert report.broken == []
 
 
+@pytest.mark.timeout(120)
+def test_short_run_with_releases_breaks_no_promise(tmp_path):
+    report = serve_soak.run(80000, 12.0, 3, tmp_path, releases=True)
+    assert report.broken == []
+    assert report.faults["SoftwareReleased"] > 1
+    assert report.taken_up[0] > 0
+
+
+@pytest.mark.timeout(120)
+def test_short_run_with_crashing_requests_breaks_no_promise(tmp_path):
+    report = serve_soak.run(70000, 12.0, 3, tmp_path, crashes=True)
+    assert report.broken == []
+    assert report.crashed >= 3
+
+
 PLANS = (
     plans.plan,
     plans.plan_stops,
@@ -147,6 +162,8 @@
     plans.plan_announcements,
     plans.plan_paths,
     plans.plan_framings,
+    plans.plan_releases,
+    plans.plan_crashes,
 )
 
 
