Tell peers of held losses, so that a restart does not forget them

Instances that ended, or started again, within seconds of a crash took the losses that they held with them, and a start under the same name replaced what peers had of its predecessor by nothing: a request crashed as many more endpoints.

Cause: a loss that is not decided yet was known to one process only.

Held and counted losses are told to the peers of the cell at once, which track them: one counts there once the endpoint's entry ends. They make no request suspect there, since an instance that has lost its path holds losses, too.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -202,7 +202,7 @@
             heartbeat_s=settings.bounds.endpoint_heartbeat_ms / MS,
             decisions=node_metrics.loss_decisions(self.metrics),
         )
-        self.losses.on_counted = self.instances.publish_now
+        self.losses.on_decided = self.instances.publish_now
         self.software = software.SoftwareHistory(registry.all)
         self.origins = origin_exchange.OriginExchange(
             origin_memory.OriginMemory(),
@@ -276,6 +276,7 @@
             leaving=self.leaving,
             guard=self.guard,
             losses=self.loss_sharing,
+            tracked_losses=self.losses,
             weights=self.weights,
             cell_weights=self.cell_weights,
             rate_limits=self.eligibility.rate_limits,
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -31,6 +31,7 @@
     from briarseam.eligibility import rejection_limits as rejections
     from briarseam.feeds import sharing
     from briarseam.forwarding import crash_guard
+    from briarseam.forwarding import pending_losses
     from briarseam.membership import service as membership
     from briarseam.peers import registrations
     from briarseam.placement import loads as endpoint_loads
@@ -53,7 +54,7 @@
         Load of endpoints, by this instance and by its cell.
     restarts, leaving
         Starts of endpoints that calls have shown, and those that leave.
-    guard, losses
+    guard, losses, tracked_losses
         Requests that crash endpoints.
     weights, cell_weights
         Ages of weights, and engines that are loading new ones.
@@ -73,6 +74,7 @@
     leaving: start_updates.StartUpdates
     guard: crash_guard.CrashGuard
     losses: loss_sharing.LossSharing
+    tracked_losses: pending_losses.PendingLosses
     weights: node_weights.Weights
     cell_weights: cell_weights.CellWeights
     rate_limits: endpoint_limits.RateLimits
@@ -98,6 +100,7 @@
             "cell-rejection-limits": self.cell_rejection_limits,
             "lost-requests": self.guard,
             "answered-requests": self.guard.answered,
+            "tracked-losses": self.tracked_losses,
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
         }
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -18,17 +18,19 @@
 import threading
 import typing
 
+import msgpack
+import msgspec
 import structlog
 
 from briarseam import clocks
 from briarseam import repeating
+from briarseam.discovery import model as discovery
 from briarseam.discovery import starts
 from briarseam.forwarding import crash_guard
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.discovery import model as discovery
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
     from briarseam.reachability import tracker
@@ -50,6 +52,9 @@
 # Bounds the losses that are tracked: a few waves in which all requests of an
 # instance are lost.
 MAX_TRACKED = 1000
+# Bounds the losses that heartbeats carry.
+MAX_PUBLISHED = 100
+MS = 1000
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -58,10 +63,15 @@
 
     PENDING = "pending"
     HELD = "held"
+    # Another instance lost the request; it counts here if the endpoint ends.
+    AT_PEER = "at-peer"
     COUNTED = "counted"
     NOT_COUNTED = "not-counted"
 
 
+PUBLISHED = frozenset({Decision.HELD, Decision.COUNTED})
+
+
 class EndpointEntries(typing.Protocol):
     """What the endpoints' entries at the store tell of their starts."""
 
@@ -114,8 +124,8 @@
 
     Attributes
     ----------
-    on_counted
-        Called after losses have been counted, to publish them.
+    on_decided
+        Called after losses have been held or counted, to publish them.
     """
 
     def __init__(
@@ -133,7 +143,7 @@
         self.entries = entries
         self.clock = clock
         self.expiry_s = ENTRY_HEARTBEATS * heartbeat_s + ENTRY_LAG_S
-        self.on_counted: typing.Callable[[], None] = ignore
+        self.on_decided: typing.Callable[[], None] = ignore
         self.tracked: collections.deque[Loss] = collections.deque(
             maxlen=MAX_TRACKED
         )
@@ -182,27 +192,34 @@
     def review(self) -> None:
         """Decide on the tracked losses by what is known by now."""
         with self.reviewing:
-            counted = self.review_all()
-        if counted:
-            self.on_counted()
+            is_news = self.review_all()
+        if is_news:
+            self.on_decided()
 
     def review_all(self) -> bool:
-        """Decide on all tracked losses; return whether any newly counts."""
-        counted = False
+        """Decide on all tracked losses; return whether peers must know."""
+        is_news = False
         for loss in self.snapshot():
             decision, reason = self.decide(loss)
             if decision is not loss.decision:
                 self.apply(loss, decision, reason)
-                counted = counted or decision is Decision.COUNTED
+                is_news = is_news or decision in PUBLISHED
         with self.lock:
             kept = [loss for loss in self.tracked if not self.is_final(loss)]
             self.tracked = collections.deque(kept, MAX_TRACKED)
-        return counted
+        return is_news
 
     def decide(self, loss: Loss) -> tuple[Decision, str]:
         """Return the decision on a loss and its grounds."""
-        service = loss.endpoint.service
-        settled_s = loss.at_s + SETTLE_S
+        decided = self.decide_by_start(loss)
+        if decided is not None:
+            return decided
+        if loss.decision in (Decision.COUNTED, Decision.AT_PEER):
+            return loss.decision, ""
+        return self.decide_by_path(loss)
+
+    def decide_by_start(self, loss: Loss) -> tuple[Decision, str] | None:
+        """Decide by whether the endpoint's start has ended, if that shows."""
         age_s = self.clock() - loss.at_s
         if not self.entries.is_known(loss.endpoint.id):
             if age_s < self.expiry_s:
@@ -212,18 +229,22 @@
         if loss.decision is Decision.COUNTED and not has_birth(loss.endpoint):
             # Another start may have the same id.
             return loss.decision, ""
+        settled_s = loss.at_s + SETTLE_S
         if self.reachability.heard_from_after(loss.endpoint, settled_s):
             return Decision.NOT_COUNTED, "the endpoint has not crashed"
         observed_s = self.entries.observed_s(loss.endpoint.id, loss.at_s)
         if observed_s >= self.expiry_s:
             return Decision.NOT_COUNTED, "the endpoint has kept its entry"
-        if loss.decision is Decision.COUNTED:
-            return loss.decision, ""
+        return None
+
+    def decide_by_path(self, loss: Loss) -> tuple[Decision, str]:
+        """Decide by whether the path to the service was lost as well."""
+        service = loss.endpoint.service
         if self.reachability.cut_off_after(service, loss.at_s):
             return Decision.HELD, "no endpoint can be reached"
-        if self.reachability.heard_after(service, settled_s):
+        if self.reachability.heard_after(service, loss.at_s + SETTLE_S):
             return Decision.COUNTED, "other endpoints answer"
-        if age_s >= MAX_PENDING_S:
+        if self.clock() - loss.at_s >= MAX_PENDING_S:
             return Decision.COUNTED, "no endpoint has answered"
         self.reachability.suspect(service)
         return Decision.PENDING, ""
@@ -236,10 +257,53 @@
         match loss.decision:
             case Decision.NOT_COUNTED:
                 return age_s >= self.expiry_s
+            case Decision.AT_PEER:
+                return age_s >= self.expiry_s
             case Decision.COUNTED:
-                return not has_birth(loss.endpoint)
+                is_told = age_s >= self.expiry_s
+                return is_told and not has_birth(loss.endpoint)
         return False
 
+    def provide(self) -> bytes:
+        """Return the losses that peers must track as well, encoded.
+
+        An instance that ends, or starts again, would take what it holds with
+        it.
+        """
+        now_s = self.clock()
+        rows = [
+            (
+                loss.digest,
+                loss.endpoint.id,
+                loss.endpoint.service,
+                round((now_s - loss.at_s) * MS),
+            )
+            for loss in self.snapshot()
+            if loss.decision in PUBLISHED and now_s - loss.at_s < self.expiry_s
+        ]
+        packed: bytes = msgpack.packb(rows[-MAX_PUBLISHED:])
+        return packed
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Track the losses of a peer."""
+        del member
+        rows = msgspec.msgpack.decode(
+            data, type=list[tuple[bytes, str, str, int]]
+        )
+        now_s = self.clock()
+        with self.lock:
+            known = {(one.digest, one.endpoint.id) for one in self.tracked}
+            self.tracked.extend(
+                Loss(
+                    digest,
+                    discovery.Endpoint(endpoint_id, service, "", "", 0),
+                    now_s - age_ms / MS,
+                    Decision.AT_PEER,
+                )
+                for digest, endpoint_id, service, age_ms in rows
+                if (digest, endpoint_id) not in known
+            )
+
     def apply(self, loss: Loss, decision: Decision, reason: str) -> None:
         """Apply, log and count a decision on a loss."""
         if decision is Decision.COUNTED:
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -350,8 +350,55 @@
 
 def test_losses_that_were_counted_are_published_at_once(losses, clock):
     published = []
-    losses.on_counted = lambda: published.append(clock.now_s)
+    losses.on_decided = lambda: published.append(clock.now_s)
     losses.add(DIGEST, model.Endpoint("gone", "portal", "10.0.0.9:1", "a", 8))
     losses.review()
     losses.review()
     assert published == [clock.now_s]
+
+
+@pytest.fixture
+def peer(clock, reachability, entries):
+    return pending_losses.PendingLosses(
+        crash_guard.CrashGuard(clock), reachability, entries, clock
+    )
+
+
+def test_losses_of_an_instance_that_ends_count_at_its_peers(
+    losses, peer, reachability, endpoints, clock
+):
+    """Guards against held losses that a restart of their instance forgets."""
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    losses.review()
+    peer.consume("ends", losses.provide())
+    peer.consume("ends", losses.provide())
+    assert len(peer.tracked) == crash_guard.LOST_ENDPOINTS_LIMIT
+    clock.now_s += 3.0
+    restart(endpoints)
+    peer.review()
+    assert peer.guard.is_refused(DIGEST)
+
+
+def test_losses_of_peers_do_not_make_a_request_suspect(
+    losses, peer, reachability, endpoints, clock
+):
+    """Guards against refusing at all instances what one lost with its path."""
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    losses.review()
+    peer.consume("cut off", losses.provide())
+    peer.review()
+    clock.now_s += pending_losses.MAX_PENDING_S
+    peer.review()
+    assert not peer.is_suspect(DIGEST)
+    assert not peer.guard.is_refused(DIGEST)
+    clock.now_s += peer.expiry_s
+    peer.review()
+    assert peer.tracked == collections.deque()
+
+
+def test_malformed_losses_of_a_peer_change_nothing(peer):
+    with pytest.raises(ValueError):
+        peer.consume("other", b"\x91\x01")
+    assert peer.tracked == collections.deque()
