--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -233,3 +233,31 @@
     stream.origin = "x" * 1000
     assert stream.request(nodes[0]) == 400
     assert arrived(engines) == 0
+
+
+def test_stream_of_an_endpoint_whose_software_is_not_sure_is_not_resumed(
+    nodes, engines, monkeypatch
+):
+    """Guards against joining a run to one of a version that was not known."""
+    monkeypatch.setattr(
+        nodes[0].feeds.registry, "software_of", lambda endpoint: None
+    )
+    streams = begin(nodes[0], engines)
+    assert mixed(streams) == []
+    monkeypatch.undo()
+    assert take_up(nodes, streams) == 0
+    assert {one.statuses[-1] for one in streams} == {503}
+
+
+def test_run_of_an_endpoint_that_turns_out_to_have_restarted_ends(
+    nodes, engines, monkeypatch
+):
+    """Guards against a restart that shows between a send and its events."""
+    streams = begin(nodes[0], engines)
+    before = [one.data for one in streams]
+    for node in nodes:
+        monkeypatch.setattr(
+            node.feeds.registry, "software_of", lambda endpoint: None
+        )
+    assert take_up(nodes, streams) == 0
+    assert [one.data for one in streams] == before
