Refuse to continue a stream at another service

A route may move to another service while a stream is broken off. If that service had shown one software version only, the stream was continued there, as if its origin were unknown.

--- a/src/briarseam/forwarding/stream_origins.py
+++ b/src/briarseam/forwarding/stream_origins.py
@@ -30,6 +30,7 @@
 
     ORIGIN = "origin"
     ONLY_VERSION = "only-version"
+    OTHER_SERVICE = "other-service"
     NONE = "none"
 
 
@@ -95,6 +96,8 @@
             origin = self.exchange.find(stream)
             if origin is not None and origin.service == service:
                 return origin.software, Source.ORIGIN
+            if origin is not None:
+                return None, Source.OTHER_SERVICE
             if not self.history.is_complete(service):
                 return None, Source.NONE
         version = self.history.only_version(service)
--- /dev/null
+++ b/tests/forwarding/test_stream_origins.py
@@ -0,0 +1,114 @@
+from __future__ import annotations
+
+import pytest
+
+from briarseam.discovery import model
+from briarseam.discovery import software
+from briarseam.forwarding import calls
+from briarseam.forwarding import stream_origins
+from briarseam.metrics import registry
+from briarseam.origins import memory
+from tests import clocks
+
+
+class Exchange:
+    """Origins that other instances know."""
+
+    def __init__(self):
+        self.known = {}
+
+    def store(self, stream, origin):
+        self.known[stream] = origin
+
+    def find(self, stream):
+        return self.known.get(stream)
+
+
+class Entries:
+    """Entries of endpoints whose software is sure, or not."""
+
+    def __init__(self):
+        self.sure = True
+
+    def software_of(self, endpoint):
+        return endpoint.software if self.sure else None
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def history(clock):
+    return software.SoftwareHistory(list, clock)
+
+
+@pytest.fixture
+def origins(history):
+    counters = registry.Registry().counters("a_total", "", ("known_from",))
+    return stream_origins.StreamOrigins(
+        Exchange(), history, Entries(), counters
+    )
+
+
+def endpoint(version, service="engines"):
+    return model.Endpoint("e", service, "1.1.1.1:1", "a", 8, software=version)
+
+
+def call(name, resumes="", last_event_id=None):
+    return calls.Call(
+        name,
+        "POST",
+        "/x",
+        "h",
+        (),
+        last_event_id=last_event_id,
+        resumes=resumes,
+    )
+
+
+def test_version_is_found_by_the_request_that_began_the_stream(origins):
+    origins.record(call("first"), endpoint("v1"))
+    assert origins.find(call("second", "first"), "engines") == "v1"
+    origins.record(call("second", "first"), endpoint("v1"))
+    assert "second" not in origins.exchange.known
+    assert origins.taken_up.labelled("origin").value == 1
+
+
+def test_version_that_is_not_sure_is_not_recorded(origins):
+    origins.entries.sure = False
+    assert origins.record(call("first"), endpoint("v1")) is None
+    assert origins.exchange.known == {}
+
+
+def test_stream_of_another_service_is_not_continued(origins, history, clock):
+    """Guards against a route that moved to a service with one version."""
+    history.record_entry(endpoint("v1", "moved"))
+    clock.now_s += software.LOOKBACK_S
+    history.record_entry(endpoint("v1", "moved"))
+    origins.exchange.known["first"] = memory.Origin("engines", "v1")
+    assert origins.find(call("second", "first"), "moved") is None
+    assert origins.taken_up.labelled("other-service").value == 1
+
+
+def test_unknown_stream_is_continued_where_there_is_one_version(
+    origins, history, clock
+):
+    history.record_entry(endpoint("v1"))
+    assert origins.find(call("second", "lost"), "engines") is None
+    clock.now_s += software.LOOKBACK_S
+    history.record_entry(endpoint("v1"))
+    assert origins.find(call("second", "lost"), "engines") == "v1"
+    history.record_entry(endpoint("v2"))
+    assert origins.find(call("second", "lost"), "engines") is None
+
+
+def test_stream_that_names_no_request_is_served_by_the_only_version(
+    origins, history
+):
+    unnamed = call("second", last_event_id="3")
+    history.record_entry(endpoint("v1"))
+    assert origins.find(unnamed, "engines") == "v1"
+    history.record_entry(endpoint("v2"))
+    assert origins.find(unnamed, "engines") is None
