--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -13,9 +13,9 @@
 from briarseam import verdict
 from briarseam.forwarding import active_requests
 from briarseam.forwarding import attempts
-from briarseam.forwarding import crash_guard
 from briarseam.forwarding import final_answers
 from briarseam.forwarding import outcomes
+from briarseam.forwarding import preparing
 from briarseam.forwarding import refusing
 from briarseam.forwarding import relay_headers
 from briarseam.forwarding import request_context
@@ -25,12 +25,9 @@
 from briarseam.forwarding import supervision
 from briarseam.placement import avoidance
 from briarseam.placement import requests as placements
-from briarseam.routes import model as routes
-from briarseam.routes import table as tables
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
-    from briarseam.forwarding import calls
 
 # Share of a route's target latency for which a request waits for capacity.
 # After a longer wait the answer would be late anyway, so the caller is asked
@@ -108,81 +105,14 @@
         if usage is None:
             self.answers.refuse(exchange, call.id, refusing.NO_INSTANCE)
             return
-        prepared = self.prepare(exchange, call, body, arrived_s, usage)
+        prepared = preparing.prepare(
+            self.deps, exchange, call, body, arrived_s, usage
+        )
         if isinstance(prepared, request_context.Context):
             self.run(prepared)
         else:
             self.answers.refuse(exchange, call.id, prepared)
 
-    def prepare(
-        self,
-        exchange: server.Exchange,
-        call: calls.Call,
-        body: bytes,
-        arrived_s: float,
-        usage: relay_headers.Usage,
-    ) -> request_context.Context | verdict.Verdict:
-        """Return the context of a call, or the verdict if it is refused."""
-        table = self.deps.table()
-        if table is None:
-            return refusing.NO_CONFIGURATION
-        route = table.find(call.host, call.path)
-        if route is None:
-            return refusing.NO_ROUTE
-        caller = table.identify(route, call.key)
-        if isinstance(caller, tables.UnknownCaller):
-            return refusing.UNKNOWN_KEY
-        wait_s = route.timeout_s
-        if call.time_left_s is not None:
-            wait_s = min(wait_s, call.time_left_s)
-        deadline_s = arrived_s + wait_s
-        refusing_all = self.deps.in_flight.refusing
-        if refusing_all or not self.deps.shutdown.accepts(deadline_s):
-            return refusing.LEAVING
-        session = call.id
-        if call.prompt is not None:
-            session = placements.session_of(call.prompt)
-        name = tables.select_service(route, session)
-        service = table.configuration.services.get(name)
-        if service is None:
-            service = routes.Service(name)
-        organisation = (
-            caller.name if isinstance(caller, tables.KnownCaller) else ""
-        )
-        digest = crash_guard.digest_of(call.target, organisation, body)
-        if self.deps.guard.is_refused(digest):
-            return refusing.CONDEMNED
-        context = request_context.Context(
-            exchange=exchange,
-            call=call,
-            body=body,
-            route=route,
-            service=service,
-            caller=caller,
-            configuration=table.configuration.version,
-            watch=supervision.Watch(exchange.socket, deadline_s),
-            digest=digest,
-            arrived_s=arrived_s - usage.waited_s,
-            progress=streams.Progress(last_event_id=call.last_event_id),
-            sends=usage.sends,
-            counted=usage.counted,
-            software=usage.software,
-        )
-        return self.with_software(context)
-
-    def with_software(
-        self, context: request_context.Context
-    ) -> request_context.Context | verdict.Verdict:
-        """Return a context with the software that must continue its stream."""
-        call = context.call
-        if not context.route.resumable or not call.continues_stream:
-            return context
-        if context.software is None:
-            context.software = self.deps.origins.find(
-                call, context.service.name
-            )
-        return refusing.UNKNOWN_ORIGIN if context.software is None else context
-
     def run(self, context: request_context.Context) -> None:
         """Answer one request that was not refused."""
         self.deps.chooser.record_arrival(context.request())
