Count held losses however late the endpoint's entry goes

While the store is away, the entry of an endpoint that has crashed goes only after its return. Found by reading; test_held_loss_counts_however_late_the_entry_goes failed before.

What is undecided is so because the entry was not read for long enough; once it is gone, the loss counts. The bound holds for losses that were decided otherwise.

--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -222,10 +222,10 @@
         """Decide by whether the endpoint's start has ended, if that shows."""
         age_s = self.clock() - loss.at_s
         if not self.entries.is_known(loss.endpoint.id):
-            if age_s < self.expiry_s:
-                return Decision.COUNTED, "the endpoint has ended"
-            # It has ended long after the loss.
-            return loss.decision, ""
+            if loss.decision is Decision.NOT_COUNTED and age_s > self.expiry_s:
+                # It has ended long after the loss.
+                return loss.decision, ""
+            return Decision.COUNTED, "the endpoint has ended"
         if loss.decision is Decision.COUNTED and not has_birth(loss.endpoint):
             # Another start may have the same id.
             return loss.decision, ""
@@ -257,8 +257,6 @@
         match loss.decision:
             case Decision.NOT_COUNTED:
                 return age_s >= self.expiry_s
-            case Decision.AT_PEER:
-                return age_s >= self.expiry_s
             case Decision.COUNTED:
                 is_told = age_s >= self.expiry_s
                 return is_told and not has_birth(loss.endpoint)
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -266,6 +266,21 @@
     assert losses.pending == []
 
 
+def test_held_loss_counts_however_late_the_entry_goes(
+    losses, guard, reachability, entries, endpoints, clock, monkeypatch
+):
+    """Guards against a crash that an outage of the store hides."""
+    monkeypatch.setattr(entries, "observed_s", lambda *_: 0.0)
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    clock.now_s += 3 * losses.expiry_s
+    losses.review()
+    assert losses.is_suspect(DIGEST)
+    restart(endpoints)
+    losses.review()
+    assert guard.is_refused(DIGEST)
+
+
 def test_held_loss_is_dropped_when_the_endpoint_answers_again(
     losses, guard, reachability, endpoints, clock
 ):
