Do not store streams under ids that are too long

Such a stream can't be taken up, as its id is refused in Resumes. test_id_that_is_too_long_is_not_stored failed before.

--- a/src/briarseam/forwarding/crash_guard.py
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -103,9 +103,9 @@
         """Return whether a request lost at these endpoints is refused."""
         if len(endpoints) < LOST_ENDPOINTS_LIMIT:
             return False
-        return len(
-            endpoints
-        ) >= ANSWERED_ENDPOINTS_LIMIT or not self.answered.is_answered(digest)
+        if len(endpoints) >= ANSWERED_ENDPOINTS_LIMIT:
+            return True
+        return not self.answered.is_answered(digest)
 
     def endpoints_of(self, digest: bytes) -> set[str]:
         """Return the ids of the endpoints at which a request was lost."""
--- a/src/briarseam/forwarding/stream_origins.py
+++ b/src/briarseam/forwarding/stream_origins.py
@@ -114,7 +114,8 @@
             Software version of the endpoint; ``None`` if it is not sure.
         """
         version = self.entries.software_of(endpoint)
-        if version is not None:
+        is_short = len(call.stream) <= memory.MAX_ID_CHARACTERS
+        if version is not None and is_short:
             origin = memory.Origin(endpoint.service, version)
             self.exchange.store(call.stream, origin)
         return version
--- a/src/briarseam/origins/memory.py
+++ b/src/briarseam/origins/memory.py
@@ -14,6 +14,8 @@
 # About 5 MB.  An instance holds three origins for each stream that one begins
 # within the time above.
 MAX_ORIGINS = 20_000
+# Callers choose the ids of their requests.
+MAX_ID_CHARACTERS = 200
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/forwarding/test_stream_origins.py
+++ b/tests/forwarding/test_stream_origins.py
@@ -82,6 +82,13 @@
     assert origins.exchange.known == {}
 
 
+def test_id_that_is_too_long_is_not_stored(origins):
+    """Guards against ids that fill the memory of all instances."""
+    stream = "x" * (memory.MAX_ID_CHARACTERS + 1)
+    assert origins.record(call(stream), endpoint("v1")) == "v1"
+    assert origins.exchange.known == {}
+
+
 def test_stream_of_another_service_is_not_continued(origins, history, clock):
     """Guards against a route that moved to a service with one version."""
     history.record_entry(endpoint("v1", "moved"))
