--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -34,13 +34,14 @@
 
 
 class VersionedWorker(workers.Worker):
-    """Endpoint that names its software version in each event."""
+    """Endpoint that may name its software version in each event."""
 
     def __init__(
         self, id: str, listen: str, born: int | None, version: str
     ) -> None:
         super().__init__(id, listen, born)
         self.version = version
+        self.names_version = False
 
     def start_fields(self) -> dict[str, typing.Any]:
         """Return the start time and version as fields of entries."""
@@ -48,7 +49,12 @@
 
     def event(self, number: int) -> bytes:
         """Return one event of a stream."""
-        return f": {self.version}\n".encode() + super().event(number)
+        event = super().event(number)
+        if not self.names_version:
+            return event
+        # Not the first line: an event that is cut after a comment is none.
+        first, rest = event.split(b"\n", 1)
+        return b"\n".join((first, f": {self.version}".encode(), rest))
 
 
 @dataclasses.dataclass
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -127,6 +127,7 @@
             report.zones,
             report.paths,
             report.seed,
+            report.releases,
         )
         if report.releases:
             count = len(serving.SERVICES)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -149,6 +149,8 @@
         Whether each instance has links of its own to endpoints.
     seed
         Determines how endpoints that crashed are back.
+    versions
+        Whether events name the software version of their endpoint.
     """
 
     def __init__(
@@ -159,7 +161,9 @@
         cold: bool = False,
         cuts: bool = False,
         seed: int = 0,
+        versions: bool = False,
     ) -> None:
+        self.versions = versions
         self.path_cuts: list[paths.PathCut] = []
         self.fragile: list[Fragile] = []
         self.cold = cold
@@ -230,6 +234,7 @@
             version,
             self.crash,
         )
+        worker.names_version = self.versions
         worker.set(events=EVENTS)
         self.stack.enter_context(worker)
         self.past.append(worker)
