Log what the prompt of a lost request shares with others

Callers saw endpoint after endpoint end under prompts that differ in their last part and their body.

request_lost names the request, its digest, the endpoint, the shared parts and whether events had come.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -269,9 +269,25 @@
             case outcomes.Broken():
                 context.may_have_run = True
                 avoided.add(endpoint.id)
-                self.deps.losses.add(context.digest, endpoint)
+                self.record_loss(context, endpoint)
         context.sends += 1
 
+    def record_loss(
+        self, context: request_context.Context, endpoint: discovery.Endpoint
+    ) -> None:
+        """Record that a request was lost at an endpoint."""
+        prompt = context.call.prompt
+        shared = () if prompt is None else prompt.shared
+        log.info(
+            "request_lost",
+            request=context.call.id,
+            endpoint=endpoint.id,
+            digest=context.digest.hex(),
+            shared_parts=[part.id for part in shared],
+            events_sent=context.progress.events_sent,
+        )
+        self.deps.losses.add(context.digest, endpoint)
+
     def record_origin(
         self,
         context: request_context.Context,
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -6,12 +6,14 @@
 import time
 
 import pytest
+import structlog.testing
 
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import pending_losses
 from briarseam.testing import waiting
 from tests.platform import crashing_endpoints
 from tests.platform import instances
+from tests.platform import system as systems
 
 TIMEOUT_S = 10
 WAVES = 4
@@ -125,3 +127,16 @@
     assert crashing_endpoints.send(cold_system, node) == 503
     assert crashing_endpoints.send(cold_system, node, "/status/1") == 200
     assert len(fleet.crashed()) == LIMIT
+
+
+def test_lost_request_is_logged_with_what_its_prompt_shares(system):
+    """Guards against losses whose common part no log line tells."""
+    for name in ("engine-1", "engine-2"):
+        system.workers[name].set(reset=1)
+    with structlog.testing.capture_logs() as lines:
+        assert system.stream("/draft/once/x").status == 502
+    [lost] = [line for line in lines if line["event"] == "request_lost"]
+    prompt = systems.PROMPT["Prefix_Hash"]
+    assert lost["shared_parts"] == [prompt.partition(":")[0]]
+    assert lost["endpoint"] in ("engine-1", "engine-2")
+    assert not lost["events_sent"]
