Refuse prompts with a part that crashes endpoints

Cause: losses were counted by the whole request.

Losses are counted by the shared parts of a prompt as well: - a lost prompt speaks against those of its parts that were not answered in the last minute, or against all if there is none. Popular parts, which crashes take along all the time, stay out of it; - an answer that goes on 0.2 s after its first event clears its parts, at all instances; the crashing part is never answered; - at three endpoints (six for a part that was answered) a part is suspected. Its prompts are refused, but for a trial now and then that one instance grants for all, so that a loss of power does not refuse the whole service; - a suspected part that was never answered explains the loss of its endpoints: that speaks against no other part, and no repeated request.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -13,6 +13,7 @@
 from briarseam.compose import local_handlers
 from briarseam.compose import node_announcements
 from briarseam.compose import node_calls
+from briarseam.compose import node_crashes
 from briarseam.compose import node_draining
 from briarseam.compose import node_eligibility
 from briarseam.compose import node_feeds
@@ -30,9 +31,6 @@
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
-from briarseam.forwarding import crash_guard
-from briarseam.forwarding import loss_sharing
-from briarseam.forwarding import pending_losses
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server as http
 from briarseam.forwarding import service as forwarding
@@ -192,17 +190,16 @@
             settings.instance.name,
             self.instances.all_names,
         )
-        self.guard = crash_guard.CrashGuard()
-        self.loss_sharing = loss_sharing.LossSharing(self.guard, self.calls)
-        self.guard.on_lost = self.loss_sharing.add
-        self.losses = pending_losses.PendingLosses(
-            self.guard,
+        self.crashes = node_crashes.Crashes(
             self.reachability,
             registry,
-            heartbeat_s=settings.bounds.endpoint_heartbeat_ms / MS,
-            decisions=node_metrics.loss_decisions(self.metrics),
+            settings.bounds.endpoint_heartbeat_ms / MS,
+            self.instances,
+            self.calls,
+            self.metrics,
         )
-        self.losses.on_decided = self.instances.publish_now
+        self.guard = self.crashes.guard
+        self.losses = self.crashes.losses
         self.software = software.SoftwareHistory(registry.all)
         self.origins = origin_exchange.OriginExchange(
             origin_memory.OriginMemory(),
@@ -249,11 +246,10 @@
         )
         self.background: tuple[BackgroundPart, ...] = (
             self.paths,
-            self.losses,
+            self.crashes,
             self.origins,
             self.sweeper,
             self.store_watches,
-            self.loss_sharing,
             self.expiry,
             self.cell_loads,
             self.cell_weights,
@@ -274,9 +270,7 @@
             cell_loads=self.cell_loads,
             restarts=self.restarts,
             leaving=self.leaving,
-            guard=self.guard,
-            losses=self.loss_sharing,
-            tracked_losses=self.losses,
+            crashes=self.crashes,
             weights=self.weights,
             cell_weights=self.cell_weights,
             rate_limits=self.eligibility.rate_limits,
@@ -302,8 +296,7 @@
                     self.announcement_recorder.record,
                 ),
                 relays=self.paths.relays,
-                guard=self.guard,
-                losses=self.losses,
+                crashes=self.crashes.checks,
                 origins=stream_origins.StreamOrigins(
                     self.origins,
                     self.software,
@@ -362,12 +355,11 @@
         self.eligibility.evacuations.review()
         self.keep_only_endpoints(self.feeds.registry.ids())
         self.pool.close_expired()
-        self.guard.forget_expired()
         self.threads.update()
         names = frozenset(self.instances.all_names())
+        self.crashes.forget_expired(names)
         self.chooser.loads.keep_only(names)
         self.paths.keep_only(names)
-        self.guard.answered.keep_only(names)
         self.peer_configuration.keep_only(names)
         self.peer_configuration.review()
 
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -90,7 +90,11 @@
             raise replies.NoReplyError(str(error)) from error
 
     def call_remote(
-        self, address: str, message: codec.Message, kind: type[Reply]
+        self,
+        address: str,
+        message: codec.Message,
+        kind: type[Reply],
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> Reply:
         """Call an instance of another cell.
 
@@ -101,11 +105,29 @@
         """
         try:
             return replies.require_type(
-                self.remote_client(address).call(message, CALL_TIMEOUT_S), kind
+                self.remote_client(address).call(message, timeout_s), kind
             )
         except wire_connection.WireError as error:
             raise replies.NoReplyError(str(error)) from error
 
+    def call_member(
+        self,
+        member: members.Member,
+        message: codec.Message,
+        kind: type[Reply],
+        timeout_s: float,
+    ) -> Reply:
+        """Call an instance of any cell.
+
+        Raises
+        ------
+        NoReplyError
+            If it does not answer with a message of the expected kind.
+        """
+        if member.cell == self.name():
+            return self.call_in_cell(member.name, message, kind, timeout_s)
+        return self.call_remote(member.agent_address, message, kind, timeout_s)
+
     def remote_client(self, address: str) -> clients.Client:
         """Return the client of an instance of another cell."""
         membership = self.require_membership()
@@ -189,10 +211,8 @@
         """
         self.call_remote(address, message, cell_loads.CellLoadNoted)
 
-    def send_losses(
-        self, address: str, message: loss_sharing.RequestsLost
-    ) -> None:
-        """Send requests that were lost with an endpoint to another cell.
+    def send_losses(self, address: str, message: loss_sharing.Message) -> None:
+        """Send what was lost with an endpoint to another cell.
 
         Raises
         ------
--- /dev/null
+++ b/src/briarseam/compose/node_crashes.py
@@ -0,0 +1,208 @@
+"""Composition of the checks of requests that crash endpoints."""
+
+from __future__ import annotations
+
+import typing
+
+from briarseam.compose import node_metrics
+from briarseam.compose import node_peers
+from briarseam.forwarding import crash_checks
+from briarseam.forwarding import crash_guard
+from briarseam.forwarding import loss_sharing
+from briarseam.forwarding import part_losses
+from briarseam.forwarding import part_trials
+from briarseam.forwarding import pending_losses
+from briarseam.lookup import rank
+from briarseam.membership import sections
+from briarseam.membership import state as members
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from briarseam.compose import node_calls
+    from briarseam.compose import node_instances
+    from briarseam.metrics import registry as metrics
+    from briarseam.reachability import tracker
+
+# Key of the ranking of instances that grant trials; the first one does.
+COORDINATOR_KEY = "trials"
+# A request waits for the answer, which takes a few milliseconds.
+TRIAL_TIMEOUT_S = 0.3
+
+
+class TrialCoordinator:
+    """Calls to the instance that grants trials for all others.
+
+    Parameters
+    ----------
+    ledger
+        Grants them where this is the instance.
+    instances
+        All instances.
+    calls
+        Calls to them.
+    """
+
+    def __init__(
+        self,
+        ledger: part_trials.TrialLedger,
+        instances: node_instances.Instances,
+        calls: node_calls.PeerCalls,
+    ) -> None:
+        self.ledger = ledger
+        self.instances = instances
+        self.calls = calls
+
+    def member(self) -> members.Member | None:
+        """Return the coordinator; ``None`` if it is this instance."""
+        alive = {
+            member.name: member
+            for member in self.instances.all()
+            if member.state is members.MemberState.ALIVE
+        }
+        ranked = rank.strongest(
+            COORDINATOR_KEY, alive, self.instances.weight_of
+        )
+        if not ranked or ranked[0] == self.instances.own_name:
+            return None
+        return alive[ranked[0]]
+
+    def ask_trial(
+        self, message: part_trials.TrialAsked
+    ) -> part_trials.TrialTold:
+        """Ask for a trial.
+
+        Raises
+        ------
+        NoReplyError
+            If the coordinator does not answer.
+        """
+        member = self.member()
+        if member is None:
+            return self.ledger.answer(message)
+        return self.calls.call_member(
+            member, message, part_trials.TrialTold, TRIAL_TIMEOUT_S
+        )
+
+    def end_trial(self, message: part_trials.TrialEnded) -> None:
+        """Tell how a trial has ended.
+
+        Raises
+        ------
+        NoReplyError
+            If the coordinator does not answer.
+        """
+        member = self.member()
+        if member is None:
+            self.ledger.end(message)
+            return
+        self.calls.call_member(
+            member, message, part_trials.TrialEndNoted, TRIAL_TIMEOUT_S
+        )
+
+
+class Crashes:
+    """The parts that detect and refuse requests that crash endpoints.
+
+    Parameters
+    ----------
+    reachability
+        Tells whether paths to endpoints are lost.
+    entries
+        Entries of endpoints.
+    heartbeat_s
+        Interval at which endpoints renew their entries, in seconds.
+    instances, calls
+        All instances, and calls to them.
+    registry
+        The registry of metrics.
+    """
+
+    def __init__(
+        self,
+        reachability: tracker.Reachability,
+        entries: pending_losses.EndpointEntries,
+        heartbeat_s: float,
+        instances: node_instances.Instances,
+        calls: node_calls.PeerCalls,
+        registry: metrics.Registry,
+    ) -> None:
+        self.guard = crash_guard.CrashGuard()
+        self.parts = part_losses.PartLosses()
+        self.guard.explained = self.parts.explained
+        self.request_sharing = loss_sharing.LossSharing(self.guard, calls)
+        self.guard.on_lost = self.request_sharing.add
+        self.part_sharing = loss_sharing.LossSharing(
+            self.parts, calls, loss_sharing.PartsLost
+        )
+        self.parts.on_lost = self.part_sharing.add
+        self.losses = pending_losses.PendingLosses(
+            self.guard,
+            reachability,
+            entries,
+            heartbeat_s=heartbeat_s,
+            decisions=node_metrics.loss_decisions(registry),
+            parts=self.parts,
+        )
+        self.losses.on_decided = instances.publish_now
+        self.ledger = part_trials.TrialLedger(self.parts)
+        self.trials = part_trials.TrialRequests(
+            self.parts,
+            self.ledger,
+            TrialCoordinator(self.ledger, instances, calls),
+        )
+        self.parts.on_answered = self.trials.forget
+        self.parts.on_cleared = instances.publish_now
+        self.checks = crash_checks.CrashChecks(
+            self.guard, self.parts, self.losses, self.trials
+        )
+
+    def start(self) -> None:
+        """Start to decide on losses, and to publish them."""
+        self.losses.start()
+        self.request_sharing.start()
+        self.part_sharing.start()
+
+    def stop(self) -> None:
+        """Stop."""
+        self.losses.stop()
+        self.request_sharing.stop()
+        self.part_sharing.stop()
+
+    def forget_expired(self, instance_names: frozenset[str]) -> None:
+        """Forget what counts no more, and what peers said that are gone."""
+        self.guard.forget_expired()
+        self.guard.answered.keep_only(instance_names)
+        self.parts.forget_expired()
+        self.ledger.forget_expired()
+
+    def sections(self) -> tuple[sections.Section, ...]:
+        """Return the sections of heartbeats.
+
+        Trials come last: they are applied to parts with losses.
+        """
+        clearings = part_losses.ClearingsSection(self.parts)
+        providers: dict[str, typing.Any] = {
+            "lost-requests": self.guard,
+            "answered-requests": self.guard.answered,
+            "tracked-losses": self.losses,
+            "lost-parts": self.parts,
+            "answered-parts": clearings,
+            "part-trials": self.ledger,
+        }
+        return tuple(
+            sections.Section(name, part.provide, part.consume)
+            for name, part in providers.items()
+        )
+
+    def handlers(
+        self,
+    ) -> collections.abc.Mapping[type, node_peers.MessageHandler]:
+        """Return the handlers of other instances' messages."""
+        handler = node_peers.MessageHandler
+        return {
+            loss_sharing.RequestsLost: handler(self.request_sharing.handle),
+            loss_sharing.PartsLost: handler(self.part_sharing.handle),
+            part_trials.TrialAsked: handler(self.ledger.answer),
+            part_trials.TrialEnded: handler(self.ledger.end),
+        }
--- a/src/briarseam/compose/node_forwarding.py
+++ b/src/briarseam/compose/node_forwarding.py
@@ -16,8 +16,7 @@
     from briarseam import inflight
     from briarseam.compose import node_instances
     from briarseam.forwarding import attempts
-    from briarseam.forwarding import crash_guard
-    from briarseam.forwarding import pending_losses
+    from briarseam.forwarding import crash_checks
     from briarseam.forwarding import relaying
     from briarseam.forwarding import shutdown as shutdowns
     from briarseam.forwarding import stream_origins
@@ -34,8 +33,8 @@
 
     Attributes
     ----------
-    table, chooser, sender, relays, guard, losses, origins, supervisor,
-    in_flight, shutdown
+    table, chooser, sender, relays, crashes, origins, supervisor, in_flight,
+    shutdown
         As in :class:`briarseam.forwarding.request_context.Dependencies`.
     instances
         All instances, which share the slack of the retry budget.
@@ -47,8 +46,7 @@
     chooser: choosers.Chooser
     sender: attempts.Sender
     relays: relaying.Relaying
-    guard: crash_guard.CrashGuard
-    losses: pending_losses.PendingLosses
+    crashes: crash_checks.CrashChecks
     origins: stream_origins.StreamOrigins
     supervisor: supervision.Supervisor
     instances: node_instances.Instances
@@ -76,8 +74,7 @@
         chooser=parts.chooser,
         sender=parts.sender,
         relays=parts.relays,
-        guard=parts.guard,
-        losses=parts.losses,
+        crashes=parts.crashes,
         origins=parts.origins,
         supervisor=parts.supervisor,
         budget=retry_budget.RetryBudget(
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -11,7 +11,6 @@
 from briarseam.compose import node_peers
 from briarseam.eligibility import cell_limits
 from briarseam.feeds import shared_messages
-from briarseam.forwarding import loss_sharing
 from briarseam.membership import sections
 from briarseam.placement import cell_loads
 from briarseam.placement import cell_weights
@@ -24,14 +23,13 @@
 
     from briarseam import malformed
     from briarseam.compose import node_calls
+    from briarseam.compose import node_crashes
     from briarseam.compose import node_instances
     from briarseam.compose import node_weights
     from briarseam.discovery import start_updates
     from briarseam.eligibility import rate_limits as endpoint_limits
     from briarseam.eligibility import rejection_limits as rejections
     from briarseam.feeds import sharing
-    from briarseam.forwarding import crash_guard
-    from briarseam.forwarding import pending_losses
     from briarseam.membership import service as membership
     from briarseam.peers import registrations
     from briarseam.placement import loads as endpoint_loads
@@ -54,7 +52,7 @@
         Load of endpoints, by this instance and by its cell.
     restarts, leaving
         Starts of endpoints that calls have shown, and those that leave.
-    guard, losses, tracked_losses
+    crashes
         Requests that crash endpoints.
     weights, cell_weights
         Ages of weights, and engines that are loading new ones.
@@ -72,9 +70,7 @@
     cell_loads: cell_loads.CellLoads
     restarts: start_updates.StartUpdates
     leaving: start_updates.StartUpdates
-    guard: crash_guard.CrashGuard
-    losses: loss_sharing.LossSharing
-    tracked_losses: pending_losses.PendingLosses
+    crashes: node_crashes.Crashes
     weights: node_weights.Weights
     cell_weights: cell_weights.CellWeights
     rate_limits: endpoint_limits.RateLimits
@@ -98,9 +94,6 @@
             "cell-rate-limits": self.cell_limits,
             "rejection-limits": self.rejection_limits,
             "cell-rejection-limits": self.cell_rejection_limits,
-            "lost-requests": self.guard,
-            "answered-requests": self.guard.answered,
-            "tracked-losses": self.tracked_losses,
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
         }
@@ -109,6 +102,7 @@
                 sections.Section(name, part.provide, part.consume)
                 for name, part in providers.items()
             ),
+            *self.crashes.sections(),
             *self.weights.heartbeat_sections(),
         )
 
@@ -117,15 +111,13 @@
     ) -> collections.abc.Mapping[type, node_peers.MessageHandler]:
         """Return the handlers of peers' messages by message type."""
         return {
+            **self.crashes.handlers(),
             store_messages.StoresAsked: node_peers.MessageHandler(
                 self.stores.answer, self.stores.await_changes
             ),
             shared_messages.RecordsAsked: node_peers.MessageHandler(
                 self.topics.answer, self.topics.await_answer
             ),
-            loss_sharing.RequestsLost: node_peers.MessageHandler(
-                self.losses.handle
-            ),
             cell_loads.CellLoad: node_peers.MessageHandler(
                 self.cell_loads.answer
             ),
--- a/src/briarseam/forwarding/crash_guard.py
+++ b/src/briarseam/forwarding/crash_guard.py
@@ -81,6 +81,8 @@
     on_lost
         Called with the digest of a request that the local instance lost,
         and the endpoint's id.
+    explained
+        Returns the endpoints whose loss has another known cause.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
     ) -> None:
         self.clock = clock
         self.on_lost: typing.Callable[[bytes, str], None] = ignore
+        self.explained: typing.Callable[[], frozenset[str]] = frozenset
         self.local: dict[bytes, Losses] = {}
         self.by_peer: dict[str, PeerLosses] = {}
         self.answered = answered_requests.AnsweredRequests(
@@ -103,7 +106,10 @@
         """Return whether a request lost at these endpoints is refused."""
         if len(endpoints) < LOST_ENDPOINTS_LIMIT:
             return False
-        if len(endpoints) >= ANSWERED_ENDPOINTS_LIMIT:
+        unexplained = len(endpoints - self.explained())
+        if unexplained < LOST_ENDPOINTS_LIMIT:
+            return False
+        if unexplained >= ANSWERED_ENDPOINTS_LIMIT:
             return True
         return not self.answered.is_answered(digest)
 
--- a/src/briarseam/forwarding/loss_sharing.py
+++ b/src/briarseam/forwarding/loss_sharing.py
@@ -20,8 +20,6 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import crash_guard
-
 # Bounds the losses to be published.  When an endpoint crashes, an instance
 # loses the requests that it had there, a few dozen.
 MAX_PENDING = 1000
@@ -42,10 +40,34 @@
     losses: tuple[tuple[bytes, str], ...]
 
 
+@codec.message("parts-lost")
+@dataclasses.dataclass(frozen=True)
+class PartsLost:
+    """Parts of prompts that were lost with an endpoint, for another cell.
+
+    Attributes
+    ----------
+    losses
+        Key of each part, and the endpoint's id.
+    """
+
+    losses: tuple[tuple[bytes, str], ...]
+
+
+Message = RequestsLost | PartsLost
+
+
 @codec.message("requests-lost-noted")
 @dataclasses.dataclass(frozen=True)
 class RequestsLostNoted:
-    """Acknowledges :class:`RequestsLost`."""
+    """Acknowledges :class:`RequestsLost` and :class:`PartsLost`."""
+
+
+class LossCounter(typing.Protocol):
+    """Counts losses."""
+
+    def add_loss(self, key: bytes, endpoint: str, /) -> None:
+        """Count a loss at an endpoint by the key of what was lost."""
 
 
 class OtherCells(typing.Protocol):
@@ -54,7 +76,7 @@
     def addresses(self) -> collections.abc.Sequence[str]:
         """Return the address of one instance of each other cell."""
 
-    def send_losses(self, address: str, message: RequestsLost) -> None:
+    def send_losses(self, address: str, message: Message) -> None:
         """Send losses to an instance.
 
         Raises
@@ -73,13 +95,19 @@
         Counts losses.
     cells
         Sends messages to other cells.
+    message_type
+        Type of the messages, by what is counted.
     """
 
     def __init__(
-        self, guard: crash_guard.CrashGuard, cells: OtherCells
+        self,
+        guard: LossCounter,
+        cells: OtherCells,
+        message_type: type[Message] = RequestsLost,
     ) -> None:
         self.guard = guard
         self.cells = cells
+        self.message_type = message_type
         self.pending: queue.Queue[tuple[bytes, str] | None] = queue.Queue(
             MAX_PENDING
         )
@@ -98,17 +126,17 @@
         except queue.Full:
             log.warning("losses_left_untold", count=self.pending.qsize())
 
-    def add(self, digest: bytes, endpoint: str) -> None:
+    def add(self, key: bytes, endpoint: str) -> None:
         """Queue a loss to be published."""
         try:
-            self.pending.put_nowait((digest, endpoint))
+            self.pending.put_nowait((key, endpoint))
         except queue.Full:
-            log.warning("loss_left_untold", digest=digest.hex())
+            log.warning("loss_left_untold", key=key.hex())
 
-    def handle(self, message: RequestsLost) -> RequestsLostNoted:
+    def handle(self, message: Message) -> RequestsLostNoted:
         """Count another cell's losses; heartbeats publish them in this one."""
-        for digest, endpoint in message.losses:
-            self.guard.add_loss(digest, endpoint)
+        for key, endpoint in message.losses:
+            self.guard.add_loss(key, endpoint)
         return RequestsLostNoted()
 
     def run(self) -> None:
@@ -120,9 +148,9 @@
                 if following is None:
                     return
                 losses.append(following)
-            self.publish(RequestsLost(tuple(losses)))
+            self.publish(self.message_type(tuple(losses)))
 
-    def publish(self, message: RequestsLost) -> None:
+    def publish(self, message: Message) -> None:
         """Send losses to one instance of each other cell."""
         for address in self.cells.addresses():
             try:
--- /dev/null
+++ b/src/briarseam/forwarding/part_trials.py
@@ -0,0 +1,406 @@
+"""Trials of prompts with parts that are suspected of crashing endpoints.
+
+A part is suspected as well if all endpoints end at once for another reason,
+and no answer could clear it if its prompts were all refused.  One prompt at a
+time is sent as a trial, which one instance grants for all others: several
+instances that each tried one would crash as many endpoints.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import typing
+
+import msgpack
+import msgspec
+import structlog
+
+from briarseam import clocks
+from briarseam.forwarding import part_losses
+from briarseam.wire import codec
+from briarseam.wire import replies
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+# How long after a part's last loss, and after its last trial, the next one
+# may begin, by the number of trials before it.  Innocent parts need one.
+# Endpoints that ended all at once are back seconds later, so that the first
+# wait delays no caller.
+WAITS_S = (1.0, 6.0, 60.0, 600.0)
+# Callers are asked to come back so soon while a trial is under way.
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 60.0
+# After this time without a trial, the number of trials is forgotten.
+TRIALS_TTL_S = 900.0
+MAX_PUBLISHED = 100
+MS = 1000
+log = structlog.get_logger("briarseam.forwarding")
+
+
+class PartAsked(msgspec.Struct, array_like=True, frozen=True):
+    """A part for which a trial is asked.
+
+    Attributes
+    ----------
+    part
+        Key of the part.
+    trials
+        Number of trials that the sender knows of.
+    lost_ms
+        Time since its last loss, in milliseconds.
+    """
+
+    part: bytes
+    trials: int
+    lost_ms: int
+
+
+@codec.message("trial-asked")
+class TrialAsked(msgspec.Struct, frozen=True):
+    """Asks whether a prompt with suspected parts may be sent."""
+
+    parts: tuple[PartAsked, ...]
+
+
+@codec.message("trial-told")
+class TrialTold(msgspec.Struct, frozen=True):
+    """Tells whether a trial may begin.
+
+    Attributes
+    ----------
+    granted
+        Whether it may.
+    wait_ms
+        When to ask again otherwise.
+    answered
+        Parts that were answered since their last loss.
+    trials
+        Number of trials by part, including this one.
+    """
+
+    granted: bool
+    wait_ms: int
+    answered: tuple[bytes, ...]
+    trials: tuple[tuple[bytes, int], ...]
+
+
+@codec.message("trial-ended")
+class TrialEnded(msgspec.Struct, frozen=True):
+    """Tells how a trial has ended that was not lost.
+
+    Attributes
+    ----------
+    parts
+        Keys of the parts.
+    answered
+        Whether an endpoint answered; otherwise none got the prompt.
+    """
+
+    parts: tuple[bytes, ...]
+    answered: bool
+
+
+@codec.message("trial-ended-noted")
+class TrialEndNoted(msgspec.Struct, frozen=True):
+    """Acknowledges :class:`TrialEnded`."""
+
+
+class Coordinator(typing.Protocol):
+    """The instance that grants trials."""
+
+    def ask_trial(self, message: TrialAsked) -> TrialTold:
+        """Ask for a trial; raises ``NoReplyError``."""
+
+    def end_trial(self, message: TrialEnded) -> None:
+        """Tell how a trial has ended; raises ``NoReplyError``."""
+
+
+@dataclasses.dataclass
+class Trials:
+    """Trials of one part.
+
+    Attributes
+    ----------
+    count
+        Number of trials, without those that reached no endpoint.
+    last_s
+        When the last one was granted, or heard of.
+    """
+
+    count: int
+    last_s: float
+
+
+class TrialLedger:
+    """Grants trials for all instances; thread-safe.
+
+    Each instance has one, since any may become the coordinator.
+
+    Parameters
+    ----------
+    losses
+        Losses by part, as known here.
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        losses: part_losses.PartLosses,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.losses = losses
+        self.clock = clock
+        self.trials: dict[bytes, Trials] = {}
+        self.lock = threading.Lock()
+
+    def answer(self, message: TrialAsked) -> TrialTold:
+        """Grant or refuse a trial of a prompt with some suspected parts."""
+        now_s = self.clock()
+        with self.lock:
+            for asked in message.parts:
+                self.merge(asked.part, asked.trials)
+            answered = tuple(
+                one.part for one in message.parts if self.is_cleared(one)
+            )
+            open_parts = [
+                one for one in message.parts if one.part not in answered
+            ]
+            due_s = max((self.due_s(one) for one in open_parts), default=now_s)
+            granted = due_s <= now_s
+            if granted:
+                for asked in open_parts:
+                    self.count_trial(asked.part)
+            counts = tuple(
+                (one.part, self.trials[one.part].count)
+                for one in open_parts
+                if one.part in self.trials
+            )
+        if granted and open_parts:
+            log.info(
+                "part_trial_granted",
+                parts=[one.part.hex() for one in open_parts],
+                trials=[count for _part, count in counts],
+            )
+        wait_ms = max(0, round((due_s - now_s) * MS))
+        return TrialTold(granted, wait_ms, answered, counts)
+
+    def is_cleared(self, asked: PartAsked) -> bool:
+        """Return whether a part was answered since the asker last lost it."""
+        lost_s = max(
+            self.clock() - asked.lost_ms / MS,
+            self.losses.last_lost_s(asked.part),
+        )
+        return self.losses.answered_s.get(asked.part, lost_s) > lost_s
+
+    def due_s(self, asked: PartAsked) -> float:
+        """Return when the next trial of a part may begin, by the clock."""
+        lost_s = max(
+            self.clock() - asked.lost_ms / MS,
+            self.losses.last_lost_s(asked.part),
+        )
+        trials = self.trials.get(asked.part)
+        if trials is None:
+            return lost_s + WAITS_S[0]
+        wait_s = WAITS_S[min(trials.count, len(WAITS_S) - 1)]
+        return max(lost_s, trials.last_s) + wait_s
+
+    def count_trial(self, part: bytes) -> None:
+        """Count a trial that begins now."""
+        trials = self.trials.setdefault(part, Trials(0, self.clock()))
+        trials.count += 1
+        trials.last_s = self.clock()
+
+    def count_of(self, part: bytes) -> int:
+        """Return the number of trials of a part that are known here."""
+        trials = self.trials.get(part)
+        return 0 if trials is None else trials.count
+
+    def merge(self, part: bytes, count: int) -> None:
+        """Apply a number of trials that another instance knows."""
+        known = self.trials.get(part)
+        if count > (0 if known is None else known.count):
+            last_s = self.clock() if known is None else known.last_s
+            self.trials[part] = Trials(count, last_s)
+
+    def end(self, message: TrialEnded) -> TrialEndNoted:
+        """Apply how a trial has ended."""
+        if message.answered:
+            self.losses.add_answers(message.parts, self.clock())
+            self.forget(set(message.parts))
+            return TrialEndNoted()
+        with self.lock:
+            for part in message.parts:
+                trials = self.trials.get(part)
+                if trials is not None and trials.count > 0:
+                    trials.count -= 1
+        return TrialEndNoted()
+
+    def forget(self, parts: set[bytes]) -> None:
+        """Forget the trials of parts that were answered."""
+        with self.lock:
+            for part in parts:
+                self.trials.pop(part, None)
+
+    def forget_expired(self) -> None:
+        """Forget trials of parts that were tried long ago."""
+        oldest_s = self.clock() - TRIALS_TTL_S
+        with self.lock:
+            self.trials = {
+                part: trials
+                for part, trials in self.trials.items()
+                if trials.last_s > oldest_s
+            }
+
+    def provide(self) -> bytes:
+        """Return the number of trials by part, encoded for peers.
+
+        An instance that becomes the coordinator must not begin anew.
+        """
+        with self.lock:
+            rows = [(part, one.count) for part, one in self.trials.items()]
+        packed: bytes = msgpack.packb(rows[-MAX_PUBLISHED:])
+        return packed
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Apply the trials that a peer knows."""
+        del member
+        rows = msgspec.msgpack.decode(data, type=list[tuple[bytes, int]])
+        with self.lock:
+            for part, count in rows:
+                if self.losses.endpoints_of(part):
+                    self.merge(part, count)
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """No trial may begin now.
+
+    Attributes
+    ----------
+    retry_after_s
+        When one may, in seconds.
+    """
+
+    retry_after_s: float
+
+
+class TrialRequests:
+    """Asks the coordinator for trials; thread-safe.
+
+    Parameters
+    ----------
+    losses
+        Losses by part.
+    ledger
+        Trials that this instance knows of.
+    coordinator
+        Grants trials.
+    clock
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        losses: part_losses.PartLosses,
+        ledger: TrialLedger,
+        coordinator: Coordinator,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.losses = losses
+        self.ledger = ledger
+        self.coordinator = coordinator
+        self.clock = clock
+        # When to ask for a part again; until then its prompts are refused.
+        self.ask_again_s: dict[bytes, float] = {}
+
+    def refusal(
+        self, parts: collections.abc.Iterable[bytes]
+    ) -> Refused | None:
+        """Return the refusal of suspected parts if no trial can begin yet."""
+        now_s = self.clock()
+        due_s = max(self.ask_again_s.get(part, now_s) for part in parts)
+        return None if due_s <= now_s else refused(due_s - now_s)
+
+    def begin(
+        self, lost_s: collections.abc.Mapping[bytes, float]
+    ) -> Refused | None:
+        """Ask for a trial.
+
+        Parameters
+        ----------
+        lost_s
+            When each suspected part was last lost, by the clock.
+
+        Returns
+        -------
+        Refused or None
+            ``None`` if a prompt with them may be sent.
+        """
+        known = self.refusal(lost_s)
+        if known is not None:
+            return known
+        try:
+            told = self.coordinator.ask_trial(self.message(lost_s))
+        except replies.NoReplyError as error:
+            log.info("part_trial_unanswered", detail=str(error))
+            self.postpone(lost_s, MIN_RETRY_S)
+            return refused(MIN_RETRY_S)
+        answered = set(told.answered)
+        if answered:
+            self.losses.add_answers(answered, self.clock())
+            self.forget(answered)
+        with self.ledger.lock:
+            for part, count in told.trials:
+                self.ledger.merge(part, count)
+        if told.granted:
+            self.postpone(lost_s.keys() - answered, MIN_RETRY_S)
+            return None
+        self.postpone(lost_s, min(told.wait_ms / MS, MIN_RETRY_S))
+        return refused(told.wait_ms / MS)
+
+    def message(
+        self, lost_s: collections.abc.Mapping[bytes, float]
+    ) -> TrialAsked:
+        """Return what is asked, with what is known here of the parts."""
+        now_s = self.clock()
+        return TrialAsked(
+            tuple(
+                PartAsked(
+                    part,
+                    self.ledger.count_of(part),
+                    max(0, round((now_s - at_s) * MS)),
+                )
+                for part, at_s in lost_s.items()
+            )
+        )
+
+    def postpone(
+        self, parts: collections.abc.Iterable[bytes], wait_s: float
+    ) -> None:
+        """Refuse prompts with parts for a while without asking."""
+        now_s = self.clock()
+        self.ask_again_s = part_losses.newer_than(self.ask_again_s, now_s)
+        self.ask_again_s |= dict.fromkeys(parts, now_s + wait_s)
+
+    def forget(self, parts: set[bytes]) -> None:
+        """Ask again at once for parts that were answered."""
+        for part in parts:
+            self.ask_again_s.pop(part, None)
+        self.ledger.forget(parts)
+
+    def end(
+        self, parts: collections.abc.Collection[bytes], answered: bool
+    ) -> None:
+        """Tell the coordinator that a trial was answered, or never sent."""
+        try:
+            self.coordinator.end_trial(TrialEnded(tuple(parts), answered))
+        except replies.NoReplyError as error:
+            log.info("part_trial_end_not_told", detail=str(error))
+
+
+def refused(wait_s: float) -> Refused:
+    """Return a refusal with a time that callers can use."""
+    return Refused(min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S))
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -18,7 +18,6 @@
 import threading
 import typing
 
-import msgpack
 import msgspec
 import structlog
 
@@ -27,6 +26,7 @@
 from briarseam.discovery import model as discovery
 from briarseam.discovery import starts
 from briarseam.forwarding import crash_guard
+from briarseam.forwarding import part_losses
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -70,6 +70,7 @@
 
 
 PUBLISHED = frozenset({Decision.HELD, Decision.COUNTED})
+UNDECIDED = frozenset({Decision.PENDING, Decision.HELD, Decision.AT_PEER})
 
 
 class EndpointEntries(typing.Protocol):
@@ -96,12 +97,33 @@
         When it was lost, by the clock.
     decision
         What is decided so far.
+    parts
+        Keys of the parts of its prompt that the loss speaks against.
     """
 
     digest: bytes
     endpoint: discovery.Endpoint
     at_s: float
     decision: Decision = Decision.PENDING
+    parts: tuple[bytes, ...] = ()
+
+
+class PublishedLoss(msgspec.Struct, array_like=True, frozen=True):
+    """A loss as heartbeats carry it.
+
+    Attributes
+    ----------
+    digest, endpoint, service, parts
+        What was lost where.
+    age_ms
+        Time since then, in milliseconds.
+    """
+
+    digest: bytes
+    endpoint: str
+    service: str
+    age_ms: int
+    parts: tuple[bytes, ...] = ()
 
 
 class PendingLosses:
@@ -121,6 +143,8 @@
         Interval at which endpoints renew their entries, in seconds.
     decisions
         Counts decisions on losses, if given.
+    parts
+        Counts losses by part of a prompt.
 
     Attributes
     ----------
@@ -136,8 +160,10 @@
         clock: typing.Callable[[], float] = clocks.boot_clock,
         heartbeat_s: float = DEFAULT_HEARTBEAT_S,
         decisions: labels.Family[instruments.Counter] | None = None,
+        parts: part_losses.PartLosses | None = None,
     ) -> None:
         self.decisions = decisions
+        self.parts = parts or part_losses.PartLosses(clock)
         self.guard = guard
         self.reachability = reachability
         self.entries = entries
@@ -167,10 +193,27 @@
         unknown = (Decision.PENDING, Decision.HELD)
         return [loss for loss in self.snapshot() if loss.decision in unknown]
 
-    def add(self, digest: bytes, endpoint: discovery.Endpoint) -> None:
-        """Add a request that was lost at an endpoint."""
+    def add(
+        self,
+        digest: bytes,
+        endpoint: discovery.Endpoint,
+        parts: tuple[bytes, ...] = (),
+    ) -> None:
+        """Add a request that was lost at an endpoint.
+
+        Parameters
+        ----------
+        digest
+            Same for repeats of the request.
+        endpoint
+            The endpoint.
+        parts
+            Keys of the parts of its prompt that the loss speaks against.
+        """
         with self.lock:
-            self.tracked.append(Loss(digest, endpoint, self.clock()))
+            self.tracked.append(
+                Loss(digest, endpoint, self.clock(), parts=parts)
+            )
 
     def snapshot(self) -> list[Loss]:
         """Return the tracked losses."""
@@ -189,6 +232,18 @@
         lost = held | self.guard.endpoints_of(digest)
         return self.guard.is_too_many(digest, lost)
 
+    def undecided_s(self, part: bytes) -> dict[str, float]:
+        """Return when a part was lost at endpoints that may have ended.
+
+        Those of peers are included: they may hold what an instance that has
+        lost nothing itself would send on.
+        """
+        return {
+            loss.endpoint.id: loss.at_s
+            for loss in self.snapshot()
+            if part in loss.parts and loss.decision in UNDECIDED
+        }
+
     def review(self) -> None:
         """Decide on the tracked losses by what is known by now."""
         with self.reviewing:
@@ -270,44 +325,46 @@
         """
         now_s = self.clock()
         rows = [
-            (
+            PublishedLoss(
                 loss.digest,
                 loss.endpoint.id,
                 loss.endpoint.service,
                 round((now_s - loss.at_s) * MS),
+                loss.parts,
             )
             for loss in self.snapshot()
             if loss.decision in PUBLISHED and now_s - loss.at_s < self.expiry_s
         ]
-        packed: bytes = msgpack.packb(rows[-MAX_PUBLISHED:])
-        return packed
+        return msgspec.msgpack.encode(rows[-MAX_PUBLISHED:])
 
     def consume(self, member: str, data: bytes) -> None:
         """Track the losses of a peer."""
         del member
-        rows = msgspec.msgpack.decode(
-            data, type=list[tuple[bytes, str, str, int]]
-        )
+        rows = msgspec.msgpack.decode(data, type=list[PublishedLoss])
         now_s = self.clock()
         with self.lock:
             known = {(one.digest, one.endpoint.id) for one in self.tracked}
             self.tracked.extend(
                 Loss(
-                    digest,
-                    discovery.Endpoint(endpoint_id, service, "", "", 0),
-                    now_s - age_ms / MS,
+                    row.digest,
+                    discovery.Endpoint(row.endpoint, row.service, "", "", 0),
+                    now_s - row.age_ms / MS,
                     Decision.AT_PEER,
+                    row.parts,
                 )
-                for digest, endpoint_id, service, age_ms in rows
-                if (digest, endpoint_id) not in known
+                for row in rows
+                if (row.digest, row.endpoint) not in known
             )
 
     def apply(self, loss: Loss, decision: Decision, reason: str) -> None:
         """Apply, log and count a decision on a loss."""
         if decision is Decision.COUNTED:
             self.guard.record_loss(loss.digest, loss.endpoint.id)
+            self.count_parts(loss)
         elif loss.decision is Decision.COUNTED:
             self.guard.withdraw_loss(loss.digest, loss.endpoint.id)
+            for part in loss.parts:
+                self.parts.withdraw_loss(part, loss.endpoint.id)
         loss.decision = decision
         if self.decisions is not None:
             self.decisions.labelled(decision.value).add()
@@ -323,6 +380,18 @@
             reason=reason,
         )
 
+    def count_parts(self, loss: Loss) -> None:
+        """Count a loss against parts of its prompt.
+
+        The instance that lost it publishes that to other cells.
+        """
+        is_own = loss.decision is not Decision.AT_PEER
+        for part in loss.parts:
+            if is_own:
+                self.parts.record_loss(part, loss.endpoint.id, loss.at_s)
+            else:
+                self.parts.add_loss(part, loss.endpoint.id, loss.at_s)
+
 
 def has_birth(endpoint: discovery.Endpoint) -> bool:
     """Return whether an endpoint's id tells its starts apart."""
--- a/src/briarseam/forwarding/preparing.py
+++ b/src/briarseam/forwarding/preparing.py
@@ -4,7 +4,9 @@
 
 import typing
 
+from briarseam.forwarding import crash_checks
 from briarseam.forwarding import crash_guard
+from briarseam.forwarding import part_losses
 from briarseam.forwarding import refusing
 from briarseam.forwarding import request_context
 from briarseam.forwarding import streams
@@ -55,9 +57,14 @@
     organisation = (
         caller.name if isinstance(caller, tables.KnownCaller) else ""
     )
-    digest = crash_guard.digest_of(call.target, organisation, body)
-    if deps.guard.is_refused(digest):
-        return refusing.CONDEMNED
+    crash_state = crash_checks.CrashState(
+        call.id,
+        crash_guard.digest_of(call.target, organisation, body),
+        part_losses.keys_of(call.prompt, isolated_name_of(caller)),
+    )
+    refusal = deps.crashes.refusal_on_arrival(crash_state)
+    if refusal is not None:
+        return refusal
     context = request_context.Context(
         exchange=exchange,
         call=call,
@@ -67,7 +74,7 @@
         caller=caller,
         configuration=table.configuration.version,
         watch=supervision.Watch(exchange.socket, deadline_s),
-        digest=digest,
+        crash_state=crash_state,
         arrived_s=arrived_s - usage.waited_s,
         progress=streams.Progress(last_event_id=call.last_event_id),
         sends=usage.sends,
@@ -77,6 +84,14 @@
     return with_software(deps, context)
 
 
+def isolated_name_of(caller: tables.Caller) -> str:
+    """Return the name of a caller's organisation if it is isolated."""
+    match caller:
+        case tables.KnownCaller(routes.Organisation(name, isolated=True)):
+            return name
+    return ""
+
+
 def with_software(
     deps: request_context.Dependencies, context: request_context.Context
 ) -> request_context.Context | verdict.Verdict:
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -18,8 +18,7 @@
     from briarseam import inflight
     from briarseam import transfers
     from briarseam.forwarding import calls
-    from briarseam.forwarding import crash_guard
-    from briarseam.forwarding import pending_losses
+    from briarseam.forwarding import crash_checks
     from briarseam.forwarding import refusing
     from briarseam.forwarding import relay_headers
     from briarseam.forwarding import retry_budget
@@ -110,10 +109,8 @@
         Sends requests to endpoints.
     relays
         Passes requests on to other instances.
-    guard
-        Detects requests that crash endpoints.
-    losses
-        Counts requests that are lost at endpoints.
+    crashes
+        Refuses requests that crash endpoints.
     origins
         Tells which software version began a stream.
     supervisor
@@ -134,8 +131,7 @@
     chooser: choosers.Chooser
     sender: attempts.Sender
     relays: Relays
-    guard: crash_guard.CrashGuard
-    losses: pending_losses.PendingLosses
+    crashes: crash_checks.CrashChecks
     origins: stream_origins.StreamOrigins
     supervisor: supervision.Supervisor
     budget: retry_budget.RetryBudget
@@ -158,8 +154,8 @@
         Version of the configuration.
     watch
         Ends the request early.
-    digest
-        Same for repeats of the request.
+    crash_state
+        What is known of the request in view of crashes.
     arrived_s
         When its headers were received, by the boot clock.
     progress
@@ -191,7 +187,7 @@
     caller: tables.Caller
     configuration: int
     watch: supervision.Watch
-    digest: bytes
+    crash_state: crash_checks.CrashState
     arrived_s: float
     progress: streams.Progress = dataclasses.field(
         default_factory=streams.Progress
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
 import threading
 import typing
 
@@ -124,6 +123,7 @@
                 result = self.answers.answer_ended(context, error.ending)
             finally:
                 self.deps.supervisor.unwatch(context.watch)
+                self.deps.crashes.end_trial(context.crash_state)
         self.answers.record_end(context, result)
 
     def try_endpoints(self, context: request_context.Context) -> str:
@@ -142,7 +142,7 @@
             if isinstance(placement, verdict.NotRun):
                 context.refusal = context.refusal or placement
                 return self.answers.answer_failure(context)
-            refusal = self.crash_refusal(context.digest)
+            refusal = self.deps.crashes.refusal_of_send(context.crash_state)
             if refusal is not None:
                 self.deps.chooser.release(placement)
                 context.steps.append(f"excluded ({refusal.detail})")
@@ -157,24 +157,11 @@
             outcome = self.send(context, placement)
             context.tried.add(placement.endpoint.id)
             if isinstance(outcome, outcomes.Answered):
-                self.deps.guard.record_answer(context.digest)
                 return f"answered-{outcome.status}"
             self.handle_failure(context, placement.endpoint, outcome)
             if not request_context.may_retry(context):
                 return self.answers.answer_failure(context)
 
-    def crash_refusal(self, digest: bytes) -> verdict.NotRun | None:
-        """Return the refusal of a request that seems to crash endpoints.
-
-        It is asked before each send: losses may have been learned while the
-        request waited, or was tried elsewhere.
-        """
-        if self.deps.guard.is_refused(digest):
-            return refusing.CONDEMNED
-        if self.deps.losses.is_suspect(digest):
-            return refusing.SUSPECTED
-        return None
-
     def count(self, context: request_context.Context) -> None:
         """Count a request once, at the instance that has it answered."""
         if not context.counted:
@@ -204,7 +191,9 @@
         outcome = self.deps.relays.relay(context)
         match outcome:
             case outcomes.Answered():
-                self.deps.guard.record_answer(context.digest)
+                self.deps.crashes.guard.record_answer(
+                    context.crash_state.digest
+                )
                 return f"relayed-{outcome.status}"
             case outcomes.Unreached():
                 context.refusal = refusing.UNREACHED
@@ -269,25 +258,8 @@
             case outcomes.Broken():
                 context.may_have_run = True
                 avoided.add(endpoint.id)
-                self.record_loss(context, endpoint)
         context.sends += 1
 
-    def record_loss(
-        self, context: request_context.Context, endpoint: discovery.Endpoint
-    ) -> None:
-        """Record that a request was lost at an endpoint."""
-        prompt = context.call.prompt
-        shared = () if prompt is None else prompt.shared
-        log.info(
-            "request_lost",
-            request=context.call.id,
-            endpoint=endpoint.id,
-            digest=context.digest.hex(),
-            shared_parts=[part.id for part in shared],
-            events_sent=context.progress.events_sent,
-        )
-        self.deps.losses.add(context.digest, endpoint)
-
     def record_origin(
         self,
         context: request_context.Context,
@@ -314,12 +286,14 @@
     ) -> outcomes.Outcome:
         """Send the request to one endpoint."""
         chooser = self.deps.chooser
+        crashes = self.deps.crashes
         request = context.request()
         sent_s = clocks.boot_clock()
         first_event_ms: int | None = None
         undecided = True
         added = chooser.record_start(placement, context.call)
         chooser.reachability.record_sent(placement.endpoint.service)
+        crashes.record_start(context.crash_state)
         if context.exchange.relayed:
             context.exchange.extra_headers = relay_headers.of_endpoint(
                 placement.endpoint.id
@@ -335,6 +309,7 @@
         def on_first_event() -> None:
             nonlocal added, first_event_ms, undecided
             self.record_origin(context, placement.endpoint)
+            crashes.record_first_event(context.crash_state)
             chooser.release(placement)
             undecided = False
             now_s = clocks.boot_clock()
@@ -348,6 +323,10 @@
                 waited_s = now_s - context.arrived_s
                 self.deps.metrics.first_event_us.record_s(waited_s)
 
+        def on_data() -> None:
+            chooser.reachability.record_heard_from(placement.endpoint)
+            crashes.record_data(context.crash_state)
+
         instructions = dataclasses.replace(
             placement.instructions,
             time_left_s=max(0.0, context.watch.remaining_s()),
@@ -363,9 +342,7 @@
             watch=context.watch,
             progress=context.progress,
             on_first_event=on_first_event,
-            on_data=functools.partial(
-                chooser.reachability.record_heard_from, placement.endpoint
-            ),
+            on_data=on_data,
         )
         outcome: outcomes.Outcome | None = None
         try:
@@ -376,10 +353,14 @@
             if isinstance(outcome, outcomes.Answered):
                 took_s = clocks.boot_clock() - sent_s
                 chooser.record_answer(placement, request, took_s)
+            crashes.record_outcome(
+                context.crash_state, placement.endpoint, outcome, sent_s
+            )
         except supervision.EndedError:
             context.may_have_run = (
                 context.may_have_run or context.progress.maybe_sent
             )
+            crashes.record_ended(context.crash_state)
             raise
         finally:
             if undecided:
