Tests and guards of losses by part; a trial that was not used does not count

Writing the tests showed that a trial which reached no endpoint delayed the next one by 6 s: the asker had merged its number and told it back to the coordinator.

--- a/src/briarseam/forwarding/part_trials.py
+++ b/src/briarseam/forwarding/part_trials.py
@@ -29,6 +29,9 @@
 # Endpoints that ended all at once are back seconds later, so that the first
 # wait delays no caller.
 WAITS_S = (1.0, 6.0, 60.0, 600.0)
+# A trial whose end is not told by then is lost.  Less than the wait after it,
+# so that there is never more than one.
+OPEN_S = 5.0
 # Callers are asked to come back so soon while a trial is under way.
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
@@ -47,7 +50,7 @@
     part
         Key of the part.
     trials
-        Number of trials that the sender knows of.
+        Number of lost trials that the sender knows of.
     lost_ms
         Time since its last loss, in milliseconds.
     """
@@ -77,7 +80,7 @@
     answered
         Parts that were answered since their last loss.
     trials
-        Number of trials by part, including this one.
+        Number of lost trials by part.
     """
 
     granted: bool
@@ -123,14 +126,29 @@
 
     Attributes
     ----------
-    count
-        Number of trials, without those that reached no endpoint.
+    lost
+        Number of trials that were not answered, without the open one.
     last_s
         When the last one was granted, or heard of.
+    is_open
+        Whether the last one may still be answered, or turn out to have
+        reached no endpoint.
     """
 
-    count: int
+    lost: int
     last_s: float
+    is_open: bool = False
+
+    def close_expired(self, now_s: float) -> None:
+        """Count an open trial as lost after a while."""
+        if self.is_open and now_s - self.last_s >= OPEN_S:
+            self.is_open = False
+            self.lost += 1
+
+    @property
+    def wait_s(self) -> float:
+        """How long after the last trial or loss the next one may begin."""
+        return WAITS_S[min(self.lost + self.is_open, len(WAITS_S) - 1)]
 
 
 class TrialLedger:
@@ -172,9 +190,9 @@
             granted = due_s <= now_s
             if granted:
                 for asked in open_parts:
-                    self.count_trial(asked.part)
+                    self.open_trial(asked.part)
             counts = tuple(
-                (one.part, self.trials[one.part].count)
+                (one.part, self.trials[one.part].lost)
                 for one in open_parts
                 if one.part in self.trials
             )
@@ -182,7 +200,7 @@
             log.info(
                 "part_trial_granted",
                 parts=[one.part.hex() for one in open_parts],
-                trials=[count for _part, count in counts],
+                lost_trials=[count for _part, count in counts],
             )
         wait_ms = max(0, round((due_s - now_s) * MS))
         return TrialTold(granted, wait_ms, answered, counts)
@@ -204,26 +222,25 @@
         trials = self.trials.get(asked.part)
         if trials is None:
             return lost_s + WAITS_S[0]
-        wait_s = WAITS_S[min(trials.count, len(WAITS_S) - 1)]
-        return max(lost_s, trials.last_s) + wait_s
+        trials.close_expired(self.clock())
+        return max(lost_s, trials.last_s) + trials.wait_s
 
-    def count_trial(self, part: bytes) -> None:
-        """Count a trial that begins now."""
+    def open_trial(self, part: bytes) -> None:
+        """Record a trial that begins now."""
         trials = self.trials.setdefault(part, Trials(0, self.clock()))
-        trials.count += 1
         trials.last_s = self.clock()
+        trials.is_open = True
 
     def count_of(self, part: bytes) -> int:
-        """Return the number of trials of a part that are known here."""
+        """Return the number of lost trials of a part that are known here."""
         trials = self.trials.get(part)
-        return 0 if trials is None else trials.count
+        return 0 if trials is None else trials.lost
 
-    def merge(self, part: bytes, count: int) -> None:
-        """Apply a number of trials that another instance knows."""
-        known = self.trials.get(part)
-        if count > (0 if known is None else known.count):
-            last_s = self.clock() if known is None else known.last_s
-            self.trials[part] = Trials(count, last_s)
+    def merge(self, part: bytes, lost: int) -> None:
+        """Apply a number of lost trials that another instance knows."""
+        if lost > self.count_of(part):
+            trials = self.trials.setdefault(part, Trials(0, self.clock()))
+            trials.lost = lost
 
     def end(self, message: TrialEnded) -> TrialEndNoted:
         """Apply how a trial has ended."""
@@ -234,8 +251,8 @@
         with self.lock:
             for part in message.parts:
                 trials = self.trials.get(part)
-                if trials is not None and trials.count > 0:
-                    trials.count -= 1
+                if trials is not None and trials.is_open:
+                    trials.is_open = False
         return TrialEndNoted()
 
     def forget(self, parts: set[bytes]) -> None:
@@ -255,12 +272,19 @@
             }
 
     def provide(self) -> bytes:
-        """Return the number of trials by part, encoded for peers.
+        """Return the number of lost trials by part, encoded for peers.
 
         An instance that becomes the coordinator must not begin anew.
         """
+        now_s = self.clock()
         with self.lock:
-            rows = [(part, one.count) for part, one in self.trials.items()]
+            for trials in self.trials.values():
+                trials.close_expired(now_s)
+            rows = [
+                (part, trials.lost)
+                for part, trials in self.trials.items()
+                if trials.lost
+            ]
         packed: bytes = msgpack.packb(rows[-MAX_PUBLISHED:])
         return packed
 
--- /dev/null
+++ b/tests/forwarding/test_crash_checks.py
@@ -0,0 +1,247 @@
+from __future__ import annotations
+
+import pytest
+import structlog.testing
+
+from briarseam.discovery import model
+from briarseam.forwarding import crash_checks
+from briarseam.forwarding import crash_guard
+from briarseam.forwarding import outcomes
+from briarseam.forwarding import part_losses
+from briarseam.forwarding import part_trials
+from briarseam.forwarding import pending_losses
+from briarseam.reachability import tracker
+from tests import clocks
+
+LIMIT = part_losses.LOST_ENDPOINTS_LIMIT
+CRASHING = b"crashing"
+FIRST = b"first"
+IDS = {FIRST: "aa", CRASHING: "cc"}
+BROKEN = outcomes.Broken("reset")
+OK = outcomes.Answered(200)
+
+
+class Entries:
+    """Entries of endpoints that all go on."""
+
+    def is_known(self, endpoint_id):
+        return True
+
+    def observed_s(self, endpoint_id, since_s):
+        return 0.0
+
+
+class Coordinator:
+    """Grants trials at this instance, and notes how they end."""
+
+    def __init__(self, ledger):
+        self.ledger = ledger
+        self.ended = []
+
+    def ask_trial(self, message):
+        return self.ledger.answer(message)
+
+    def end_trial(self, message):
+        self.ended.append(message)
+        self.ledger.end(message)
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def endpoints():
+    return [
+        model.Endpoint(f"e{n}", "engines", f"10.0.0.{n}:1", "a", 8)
+        for n in range(8)
+    ]
+
+
+@pytest.fixture
+def coordinator(parts, clock):
+    return Coordinator(part_trials.TrialLedger(parts, clock))
+
+
+@pytest.fixture
+def parts(clock):
+    return part_losses.PartLosses(clock)
+
+
+@pytest.fixture
+def checks(parts, coordinator, endpoints, clock):
+    guard = crash_guard.CrashGuard(clock)
+    guard.explained = parts.explained
+    reachability = tracker.Reachability(lambda service: endpoints, clock)
+    losses = pending_losses.PendingLosses(
+        guard, reachability, Entries(), clock, parts=parts
+    )
+    trials = part_trials.TrialRequests(
+        parts, coordinator.ledger, coordinator, clock
+    )
+    parts.on_answered = trials.forget
+    return crash_checks.CrashChecks(guard, parts, losses, trials, clock)
+
+
+def state_of(number, *keys):
+    digest = crash_guard.digest_of("/draft/x", "north", b"%d" % number)
+    ids = {key: IDS[key] for key in keys}
+    return crash_checks.CrashState(f"r{number}", digest, ids)
+
+
+def send(checks, endpoint, outcome, *keys, began=False, number=0):
+    """Send a request that was not refused, and record its outcome."""
+    state = state_of(number, *keys)
+    sent_s = checks.clock()
+    checks.record_start(state)
+    if began:
+        checks.record_first_event(state)
+    checks.record_outcome(state, endpoint, outcome, sent_s)
+    return state
+
+
+def lose_at(checks, endpoints, *keys):
+    """Lose prompts that differ at some endpoints; the losses count."""
+    for number, endpoint in enumerate(endpoints):
+        send(checks, endpoint, BROKEN, *keys, number=number)
+    checks.clock.now_s += pending_losses.MAX_PENDING_S
+    checks.losses.review()
+
+
+def test_prompt_with_a_part_that_was_lost_elsewhere_is_refused(
+    checks, endpoints
+):
+    """Guards against prompts that differ and are counted apart."""
+    lose_at(checks, endpoints[:LIMIT], FIRST, CRASHING)
+    state = state_of(99, CRASHING)
+    assert checks.refusal_of_send(state) is None
+    # The first is the trial.
+    assert state.trial == {CRASHING}
+    refusal = checks.refusal_of_send(state_of(100, CRASHING))
+    assert refusal.detail.startswith("3 endpoints were lost with part cc")
+    assert refusal.retry_after_s > 0
+    assert checks.refusal_on_arrival(state_of(101, CRASHING)) is not None
+
+
+def test_losses_that_are_not_decided_count_for_unanswered_parts(
+    checks, endpoints
+):
+    """Guards against a second wave before the first one is decided."""
+    for number, endpoint in enumerate(endpoints[:LIMIT]):
+        send(checks, endpoint, BROKEN, CRASHING, number=number)
+    assert checks.suspects((CRASHING,))
+    send(checks, endpoints[-1], OK, FIRST)
+    checks.clock.now_s += 1
+    for number, endpoint in enumerate(endpoints):
+        send(checks, endpoint, BROKEN, FIRST, number=number)
+    assert not checks.suspects((FIRST,))
+
+
+def test_stream_that_had_begun_is_not_blamed(checks, endpoints):
+    """Guards against blaming what ran well beside the crash."""
+    for number, endpoint in enumerate(endpoints):
+        state = state_of(number, FIRST)
+        checks.record_start(state)
+        checks.record_first_event(state)
+        checks.clock.now_s += crash_checks.SETTLE_S
+        checks.record_data(state)
+        checks.record_outcome(state, endpoint, BROKEN, 0.0)
+    checks.clock.now_s += pending_losses.MAX_PENDING_S
+    checks.losses.review()
+    assert not checks.suspects((FIRST,))
+
+
+def test_stream_that_had_just_begun_is_blamed(checks, endpoints):
+    """Guards against endpoints that crash after the first event."""
+    for number, endpoint in enumerate(endpoints[:LIMIT]):
+        send(checks, endpoint, BROKEN, CRASHING, began=True, number=number)
+    assert checks.suspects((CRASHING,))
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        outcomes.Answered(404),
+        outcomes.Rejected(503),
+        outcomes.Unreached("refused"),
+    ],
+)
+def test_only_a_success_clears_a_part(checks, endpoints, outcome):
+    lose_at(checks, endpoints[:LIMIT], CRASHING)
+    send(checks, endpoints[-1], outcome, CRASHING)
+    assert checks.suspects((CRASHING,))
+    send(checks, endpoints[-1], OK, CRASHING)
+    assert not checks.suspects((CRASHING,))
+
+
+def begin_trial(checks, endpoints):
+    lose_at(checks, endpoints[:LIMIT], CRASHING)
+    state = state_of(99, CRASHING)
+    assert checks.refusal_of_send(state) is None
+    checks.record_start(state)
+    return state
+
+
+def test_trial_goes_on_at_another_endpoint_if_none_got_it(checks, endpoints):
+    state = begin_trial(checks, endpoints)
+    unreached = outcomes.Unreached("refused")
+    checks.record_outcome(state, endpoints[-1], unreached, checks.clock())
+    assert checks.refusal_of_send(state) is None
+
+
+def test_lost_trial_is_not_sent_again(checks, endpoints):
+    """Guards against trials that crash two endpoints each."""
+    state = begin_trial(checks, endpoints)
+    checks.record_outcome(state, endpoints[-1], BROKEN, checks.clock())
+    assert checks.refusal_of_send(state) is not None
+
+
+def test_end_of_a_trial_is_told(checks, endpoints, coordinator):
+    state = begin_trial(checks, endpoints)
+    checks.clock.now_s += 0.1
+    checks.record_first_event(state)
+    checks.record_outcome(state, endpoints[-1], OK, checks.clock())
+    [told] = coordinator.ended
+    assert told.answered
+    assert not checks.suspects((CRASHING,))
+    assert checks.refusal_of_send(state_of(100, CRASHING)) is None
+
+
+def test_trial_that_was_never_sent_is_told(checks, endpoints, coordinator):
+    state = begin_trial(checks, endpoints)
+    checks.end_trial(state)
+    [told] = coordinator.ended
+    assert not told.answered
+
+
+def test_trial_that_its_caller_left_counts_as_lost(
+    checks, endpoints, coordinator
+):
+    """Guards against trials without end while callers leave."""
+    state = begin_trial(checks, endpoints)
+    checks.record_ended(state)
+    checks.end_trial(state)
+    assert coordinator.ended == []
+
+
+def test_request_lost_beside_a_suspected_part_is_served(checks, endpoints):
+    """Guards against condemning repeats of what a crash took along."""
+    send(checks, endpoints[-1], OK, FIRST)
+    checks.clock.now_s += 1
+    lose_at(checks, endpoints[:LIMIT], FIRST, CRASHING)
+    for endpoint in endpoints[:LIMIT]:
+        send(checks, endpoint, BROKEN, FIRST, number=50)
+    checks.clock.now_s += pending_losses.MAX_PENDING_S
+    checks.losses.review()
+    assert checks.refusal_of_send(state_of(50, FIRST)) is None
+    assert checks.refusal_of_send(state_of(51, FIRST)) is None
+
+
+def test_log_tells_which_part_is_blamed(checks, endpoints):
+    send(checks, endpoints[-1], OK, FIRST)
+    with structlog.testing.capture_logs() as lines:
+        send(checks, endpoints[0], BROKEN, FIRST, CRASHING)
+    [lost] = [line for line in lines if line["event"] == "request_lost"]
+    assert lost["shared_parts"] == ["aa", "cc"]
+    assert lost["blamed_parts"] == ["cc"]
--- a/tests/forwarding/test_loss_sharing.py
+++ b/tests/forwarding/test_loss_sharing.py
@@ -4,6 +4,7 @@
 
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import loss_sharing
+from briarseam.forwarding import part_losses
 from briarseam.testing import waiting
 from briarseam.wire import replies
 
@@ -91,3 +92,21 @@
     for number in range(loss_sharing.MAX_PENDING + 5):
         sharing.add(DIGEST, f"e{number}")
     assert sharing.pending.qsize() == loss_sharing.MAX_PENDING
+
+
+def test_part_lost_in_one_cell_is_suspected_in_all():
+    """Guards against a part that crashes three endpoints for each cell."""
+    other = loss_sharing.LossSharing(part_losses.PartLosses(), Cells({}))
+    sharing = loss_sharing.LossSharing(
+        part_losses.PartLosses(),
+        Cells({"10.0.0.2:1": other}),
+        loss_sharing.PartsLost,
+    )
+    sharing.guard.on_lost = sharing.add
+    sharing.start()
+    try:
+        for endpoint in ("e1", "e2", "e3"):
+            sharing.guard.record_loss(b"part", endpoint, 1e9)
+        waiting.until(lambda: other.guard.suspects((b"part",)))
+    finally:
+        sharing.stop()
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+import msgpack
 import pytest
 import structlog
 
@@ -417,3 +418,57 @@
     with pytest.raises(ValueError):
         peer.consume("other", b"\x91\x01")
     assert peer.tracked == collections.deque()
+
+
+PART = b"part"
+
+
+def test_counted_loss_speaks_against_parts_of_its_prompt(
+    losses, reachability, endpoints, clock
+):
+    """Guards against losses that are counted by the whole request only."""
+    for number, endpoint in enumerate(endpoints[:3]):
+        losses.add(b"%d" % number, endpoint, (PART,))
+    clock.now_s += pending_losses.MAX_PENDING_S
+    losses.review()
+    assert losses.parts.suspects((PART,)) == (PART,)
+
+
+def test_withdrawn_loss_speaks_against_no_part(
+    losses, reachability, endpoints, clock
+):
+    endpoints[:] = [
+        dataclasses.replace(one, id=f"{one.id}@1") for one in endpoints
+    ]
+    for number, endpoint in enumerate(endpoints[:3]):
+        losses.add(b"%d" % number, endpoint, (PART,))
+    clock.now_s += pending_losses.MAX_PENDING_S
+    losses.review()
+    for endpoint in endpoints:
+        reachability.record_heard_from(endpoint)
+    losses.review()
+    assert losses.parts.endpoints_of(PART) == frozenset()
+
+
+def test_peers_know_which_parts_may_crash_endpoints(
+    losses, peer, reachability, endpoints, clock
+):
+    """Guards against a second wave sent by those that lost nothing."""
+    for number, endpoint in enumerate(endpoints[:3]):
+        losses.add(b"%d" % number, endpoint, (PART,))
+    cut_off(reachability, endpoints)
+    losses.review()
+    peer.consume("other", losses.provide())
+    assert len(peer.undecided_s(PART)) == 3
+    assert peer.parts.suspects((PART,)) == ()
+    clock.now_s += 3.0
+    restart(endpoints)
+    peer.review()
+    assert peer.undecided_s(PART) == {}
+    assert peer.parts.suspects((PART,)) == (PART,)
+
+
+def test_losses_of_peers_that_tell_no_parts_are_tracked(peer):
+    """Guards against instances of two versions beside each other."""
+    peer.consume("other", msgpack.packb([[DIGEST, "e1", "portal", 10]]))
+    assert [loss.parts for loss in peer.tracked] == [()]
