Find suspected parts in one pass; a metric and lines for operators

After an outage many parts have losses at many instances; looking each part up at each peer costs their product for every change. One pass over all rows costs their sum. Of a loss that several instances tell the earliest time counts, so that an adopted loss does not outlive the answer after it.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -455,6 +455,9 @@
             ),
             software_versions=self.software.most_versions,
             services_unreachable=lambda: len(self.reachability.unreachable),
+            parts_suspected=lambda: len(
+                self.crashes.parts.current().endpoints
+            ),
             zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
 
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -26,7 +26,7 @@
     topic_reads_shared, configuration_version, endpoints_known
     endpoints_cold, endpoints_in_backoff, endpoints_rate_limited
     endpoints_rejection_limited, software_versions, services_unreachable
-    zones_evacuated
+    parts_suspected, zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -44,6 +44,7 @@
     endpoints_rejection_limited: Reading
     software_versions: Reading
     services_unreachable: Reading
+    parts_suspected: Reading
     zones_evacuated: Reading
 
 
@@ -120,6 +121,11 @@
             "Services of which this instance can't reach any endpoint",
             readings.services_unreachable,
         ),
+        (
+            "parts_suspected",
+            "Parts of prompts that are suspected of crashing endpoints",
+            readings.parts_suspected,
+        ),
         (
             "zones_evacuated",
             "Availability zones whose endpoints get no requests",
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -9,6 +9,7 @@
 
 from briarseam import clocks
 from briarseam import verdict
+from briarseam.forwarding import attempts
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import part_losses
 from briarseam.forwarding import part_trials
@@ -24,8 +25,6 @@
 # An endpoint that crashes when it begins to answer has ended so long after
 # the first event.
 SETTLE_S = 0.2
-SUCCESS_END = 300
-MISDIRECTED = 421
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -219,7 +218,7 @@
         match outcome:
             case outcomes.Answered(status):
                 self.guard.record_answer(state.digest)
-                if status < SUCCESS_END and not state.is_recorded:
+                if status < attempts.SUCCESS_END and not state.is_recorded:
                     self.record_answer(state, state.began_s or sent_s)
             case outcomes.Broken():
                 self.record_loss(state, endpoint)
@@ -230,7 +229,7 @@
                 # The trial has reached no endpoint; the next one is part of
                 # it.
                 return
-            case outcomes.Rejected(status=status) if status == MISDIRECTED:
+            case outcomes.Rejected(attempts.MISDIRECTED):
                 return
             case _:
                 state.trial = frozenset()
--- a/src/briarseam/forwarding/part_losses.py
+++ b/src/briarseam/forwarding/part_losses.py
@@ -258,13 +258,9 @@
     def losses_of(self, part: bytes) -> dict[str, float]:
         """Return when a part was lost at each endpoint since its answer."""
         with self.lock:
-            sources = [
-                rows[part] for rows in self.by_peer.values() if part in rows
-            ]
             lost = dict(self.local.get(part, {}))
-            for source in sources:
-                for endpoint, at_s in source.items():
-                    lost[endpoint] = min(at_s, lost.get(endpoint, at_s))
+            for rows in self.by_peer.values():
+                add_earliest(lost, rows.get(part, {}))
             return newer_than(lost, self.answered_s.get(part, NEVER_S))
 
     def endpoints_of(self, part: bytes) -> frozenset[str]:
@@ -309,7 +305,7 @@
         The loss of an endpoint counts against a part only if no other one
         explains it that was lost at more endpoints and was not answered.
         """
-        lost = {part: self.endpoints_of(part) for part in self.lost_parts()}
+        lost = self.all_endpoints()
         ranked = sorted(
             (part for part in lost if len(lost[part]) >= LOST_ENDPOINTS_LIMIT),
             key=lambda part: (self.is_answered(part), -len(lost[part])),
@@ -336,9 +332,21 @@
         )
         return found
 
-    def lost_parts(self) -> set[bytes]:
-        """Return the keys of all parts with losses."""
-        return set(self.local).union(*self.by_peer.values())
+    def all_endpoints(self) -> dict[bytes, frozenset[str]]:
+        """Return the endpoints at which each part was lost since its answer.
+
+        In one pass: after an outage many parts have losses at many instances.
+        """
+        found: dict[bytes, dict[str, float]] = {}
+        for rows in (self.local, *self.by_peer.values()):
+            for part, lost in rows.items():
+                add_earliest(found.setdefault(part, {}), lost)
+        return {
+            part: frozenset(
+                newer_than(lost, self.answered_s.get(part, NEVER_S))
+            )
+            for part, lost in found.items()
+        }
 
     def forget_expired(self) -> None:
         """Forget losses that count no more."""
@@ -479,6 +487,15 @@
     return {key: own_s for key, own_s in times_s.items() if own_s > at_s}
 
 
+def add_earliest(known: dict[str, float], others: dict[str, float]) -> None:
+    """Add the times of losses; of the same loss the earlier one counts.
+
+    A peer tells a loss later than it was known if it has adopted it.
+    """
+    for endpoint, at_s in others.items():
+        known[endpoint] = min(at_s, known.get(endpoint, at_s))
+
+
 def newest(lost: dict[str, float]) -> list[str]:
     """Return the endpoints of the newest losses, sorted by id."""
     ranked = sorted(lost, key=lambda endpoint: -lost[endpoint])
--- a/src/briarseam/forwarding/part_trials.py
+++ b/src/briarseam/forwarding/part_trials.py
@@ -60,14 +60,14 @@
     lost_ms: int
 
 
-@codec.message("trial-asked")
+@codec.message("part-trial-asked")
 class TrialAsked(msgspec.Struct, frozen=True):
     """Asks whether a prompt with suspected parts may be sent."""
 
     parts: tuple[PartAsked, ...]
 
 
-@codec.message("trial-told")
+@codec.message("part-trial-told")
 class TrialTold(msgspec.Struct, frozen=True):
     """Tells whether a trial may begin.
 
@@ -89,7 +89,7 @@
     trials: tuple[tuple[bytes, int], ...]
 
 
-@codec.message("trial-ended")
+@codec.message("part-trial-ended")
 class TrialEnded(msgspec.Struct, frozen=True):
     """Tells how a trial has ended that was not lost.
 
@@ -105,7 +105,7 @@
     answered: bool
 
 
-@codec.message("trial-ended-noted")
+@codec.message("part-trial-ended-noted")
 class TrialEndNoted(msgspec.Struct, frozen=True):
     """Acknowledges :class:`TrialEnded`."""
 
