Soak: prompts with a crashing part, and engines that all end together

--parts sends prompts with one or two crashing parts, first or middle, rarely or in bursts, no two alike, beside sound ones that share a part, with kills, pauses and cuts of the store. It counts arrivals of each part later than three seconds after its fifth crash, over all instances in touch, and the share of sound prompts that are served.

--- a/tests/platform/crashing_parts.py
+++ b/tests/platform/crashing_parts.py
@@ -65,7 +65,7 @@
 
     def crashing_arrivals_s(self) -> list[float]:
         """Return when requests with the crashing part arrived."""
-        arrived = zip(self.arrived, self.arrived_s, strict=False)
+        arrived = zip(self.addressed, self.arrived_s, strict=False)
         return [at_s for one, at_s in arrived if has_crashing_part(one)]
 
 
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -119,7 +119,9 @@
         self.id = id
         self.born = born
         self.arrived: list[http_messages.Request] = []
-        # When requests for this endpoint arrived, monotonic seconds.
+        # Requests for this endpoint, and when they arrived, monotonic
+        # seconds.
+        self.addressed: list[http_messages.Request] = []
         self.arrived_s: list[float] = []
         self.ran: list[str] = []
         # Requests that were rejected with the time of a backoff in seconds.
@@ -166,7 +168,9 @@
         echo = (("Request-Id", call), *self.state_headers())
         if not self.is_addressed(request):
             return http_messages.Response(421, headers=echo)
-        self.arrived_s.append(time.monotonic())
+        with self.lock:
+            self.addressed.append(request)
+            self.arrived_s.append(time.monotonic())
         if self.take("reject"):
             return self.rejection(call, echo)
         if not self.enter():
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -27,6 +27,8 @@
 # An endpoint's entry is removed so long after it has crashed.
 EXPIRY_S = 3.0
 PREFIX = "crash"
+# Begin of the ids of parts that crash the engines that answer them.
+PART = "dead"
 # What a refusal for a minute says, in place of a second.
 CONDEMNED = b"endpoints were lost each time"
 
@@ -46,7 +48,8 @@
     Attributes
     ----------
     path
-        Path of the request that it ran.
+        Last part of the path of the request that it ran, or the part of its
+        prompt that crashes engines.
     request
         Id of the request.
     at_s
@@ -80,21 +83,41 @@
         echo: workers.Headers,
     ) -> http_messages.Response:
         """Crash by some requests, and answer the others."""
-        if not request.path[-1].startswith(PREFIX):
+        cause = cause_of(request)
+        if cause is None:
             return super().run(request, call, echo)
         self.ran.append(call)
         self.broke.append(call)
-        with self.lock:
-            crash = Crash(request.path[-1], call, time.monotonic())
-            if not self.crashed.is_set():
-                self.crashed.set()
-                threading.Thread(
-                    target=self.on_crash, args=(self, crash), daemon=True
-                ).start()
+        crash = Crash(cause, call, time.monotonic())
+        if self.begin_end():
+            threading.Thread(
+                target=self.on_crash, args=(self, crash), daemon=True
+            ).start()
         # Its connections are reset meanwhile.
         self.stopping.wait(callers.TIMEOUT_S)
         raise http_messages.Dropped
 
+    def begin_end(self) -> bool:
+        """Return whether the process is to end, which it does once."""
+        with self.lock:
+            ends = not self.crashed.is_set()
+            self.crashed.set()
+        return ends
+
+
+def parts_of(request: http_messages.Request) -> list[str]:
+    """Return the ids of the shared parts of a prompt."""
+    parts = request.headers.get("prefix-hash", "").split(",")[:-1]
+    return [part.partition(":")[0] for part in parts]
+
+
+def cause_of(request: http_messages.Request) -> str | None:
+    """Return what crashes the endpoint that runs a request, if anything."""
+    if request.path[-1].startswith(PREFIX):
+        return request.path[-1]
+    crashing = (one for one in parts_of(request) if one.startswith(PART))
+    return next(crashing, None)
+
 
 class Repeater(callers.Caller):
     """A caller that sends one request that crashes endpoints, all the time."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -84,6 +84,11 @@
     reset: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class EnginesEnded:
+    """All engines end at the same moment."""
+
+
 @dataclasses.dataclass(frozen=True)
 class EndpointReplaced:
     """One endpoint is gone; another takes over its address."""
@@ -280,6 +285,7 @@
     | ServiceFragile
     | AnswersFramed
     | SoftwareReleased
+    | EnginesEnded
 )
 
 
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -94,6 +94,8 @@
             case faults.Misbehaviour(number, switch):
                 worker = self.deployment.endpoints[number].worker
                 worker.set(**{switch: faults.MISBEHAVIOUR[switch]})
+            case faults.EnginesEnded():
+                self.deployment.end_engines()
             case faults.Reconfigured() | faults.Evacuated():
                 self.change_records(one.fault, one.for_s)
             case (
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -9,6 +9,7 @@
 
 from tests.platform import raw_answers
 from tests.soak import faults
+from tests.soak import parts
 from tests.soak import paths
 from tests.soak import releases
 from tests.soak import serving
@@ -220,6 +221,22 @@
     ]
 
 
+def plan_parts(
+    seed: int, seconds: float, instances: int
+) -> list[faults.Planned]:
+    """Return faults beside prompts with a part that crashes engines.
+
+    Where there are no such prompts, all engines end together instead.
+    """
+    found = plan_crashes(seed + 1, seconds, instances)
+    if parts.ends_engines(seed):
+        found += [
+            faults.Planned(at_s, 0.0, faults.EnginesEnded())
+            for at_s in parts.draw_ends(seed, seconds)
+        ]
+    return sorted(found, key=lambda one: one.at_s)
+
+
 def draw_form(random_: random.Random, is_stream: bool) -> raw_answers.Form:
     """Return a form of answers whose cuts callers must not take for ends."""
     forms = [
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,6 +10,7 @@
 from tests.soak import callers
 from tests.soak import crashes
 from tests.soak import faults
+from tests.soak import parts
 from tests.soak import paths
 from tests.soak import processes
 from tests.soak import releases
@@ -61,6 +62,7 @@
     yield from check_cold(deployment)
     yield from announced.check(deployment, by_id)
     yield from crashes.check(deployment, sent)
+    yield from parts.check(deployment, sent)
     yield from paths.check(deployment.path_cuts, sent)
     for instance in deployment.instances:
         yield from instance.killed
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -25,6 +25,7 @@
 from tests.soak import callers
 from tests.soak import crashes
 from tests.soak import injecting
+from tests.soak import parts as crashing_parts
 from tests.soak import plans
 from tests.soak import processes
 from tests.soak import promises
@@ -59,7 +60,7 @@
     Attributes
     ----------
     seed, seconds, instances, stops, restores, zones, announcements, paths,
-    framings, releases, crashes
+    framings, releases, crashes, parts
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -92,6 +93,7 @@
     framings: bool = False
     releases: bool = False
     crashes: bool = False
+    parts: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -145,6 +147,8 @@
                 self.new_caller(kind=crashes.Repeater)
                 for _ in range(REPEATERS)
             ]
+        if report.parts and not crashing_parts.ends_engines(report.seed):
+            self.callers.append(self.new_caller(kind=crashing_parts.Sender))
         self.prober = self.new_caller()
         self.crowds: list[callers.Caller] = []
         self.broken: list[str] = []
@@ -212,6 +216,7 @@
             plans.plan_framings: report.framings,
             plans.plan_releases: report.releases,
             plans.plan_crashes: report.crashes,
+            plans.plan_parts: report.parts,
         }
         return next((one for one in chosen if chosen[one]), plans.plan)
 
@@ -324,6 +329,7 @@
     framings: bool = False,
     releases: bool = False,
     crashes: bool = False,
+    parts: bool = False,
 ) -> Report:
     """Run one seed and return what was found."""
     report = Report(
@@ -338,6 +344,7 @@
         framings,
         releases,
         crashes,
+        parts,
     )
     Soak(folder, report).run()
     return report
@@ -388,6 +395,12 @@
         action="store_true",
         help="requests that crash the endpoints that run them",
     )
+    parser.add_argument(
+        "--parts",
+        action="store_true",
+        help="prompts with a part that crashes the engines that answer them, "
+        "or all engines ending without one",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -409,6 +422,7 @@
             options.framings,
             options.releases,
             options.crashes,
+            options.parts,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -181,6 +181,8 @@
         self.lock = threading.Lock()
         self.past: list[workers.Worker] = []
         self.crashes: list[crashes.Crash] = []
+        # When all engines ended together, by no request.
+        self.ended_together_s: list[float] = []
         # Times of all endpoints' versions, and the present one of each.
         self.serving_periods: list[releases.ServingPeriod] = []
         self.open_periods: dict[str, releases.ServingPeriod] = {}
@@ -307,8 +309,22 @@
     def crash(
         self, worker: crashes.CrashingWorker, crash: crashes.Crash
     ) -> None:
-        """Let an endpoint be gone, and back after a while."""
+        """Let a request crash an endpoint."""
         self.crashes.append(crash)
+        self.end_endpoint(worker)
+
+    def end_engines(self) -> None:
+        """Let all engines end at the same moment, by no request."""
+        self.ended_together_s.append(time.monotonic())
+        for endpoint in self.endpoints:
+            worker = endpoint.worker
+            if endpoint.service == "engines" and worker.begin_end():
+                threading.Thread(
+                    target=self.end_endpoint, args=(worker,), daemon=True
+                ).start()
+
+    def end_endpoint(self, worker: crashes.CrashingWorker) -> None:
+        """Let an endpoint be gone, and back after a while."""
         [endpoint] = [one for one in self.endpoints if one.worker is worker]
         endpoint.link.refuse_new()
         endpoint.link.reset()
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -154,6 +154,15 @@
     assert report.crashed >= 3
 
 
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize(("seed", "ends"), [(110000, False), (110001, True)])
+def test_short_run_with_crashing_parts_breaks_no_promise(seed, ends, tmp_path):
+    report = serve_soak.run(seed, 18.0, 3, tmp_path, parts=True)
+    assert report.broken == []
+    assert ("EnginesEnded" in report.faults) == ends
+    assert (report.crashed >= 3) != ends
+
+
 PLANS = (
     plans.plan,
     plans.plan_stops,
@@ -164,6 +173,7 @@
     plans.plan_framings,
     plans.plan_releases,
     plans.plan_crashes,
+    plans.plan_parts,
 )
 
 
