--- a/src/briarseam/compose/node_crashes.py
+++ b/src/briarseam/compose/node_crashes.py
@@ -11,6 +11,8 @@
 from briarseam.forwarding import crash_records
 from briarseam.forwarding import loss_sharing
 from briarseam.forwarding import part_losses
+from briarseam.forwarding import part_trial_messages
+from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import part_trials
 from briarseam.forwarding import pending_losses
 from briarseam.lookup import rank
@@ -72,8 +74,8 @@
         return alive[ranked[0]]
 
     def ask_trial(
-        self, message: part_trials.TrialAsked
-    ) -> part_trials.TrialTold:
+        self, message: part_trial_messages.TrialAsked
+    ) -> part_trial_messages.TrialTold:
         """Ask for a trial.
 
         Raises
@@ -85,10 +87,10 @@
         if member is None:
             return self.ledger.answer(message)
         return self.calls.call_member(
-            member, message, part_trials.TrialTold, TRIAL_TIMEOUT_S
+            member, message, part_trial_messages.TrialTold, TRIAL_TIMEOUT_S
         )
 
-    def end_trial(self, message: part_trials.TrialEnded) -> None:
+    def end_trial(self, message: part_trial_messages.TrialEnded) -> None:
         """Tell how a trial has ended.
 
         Raises
@@ -101,7 +103,7 @@
             self.ledger.end(message)
             return
         self.calls.call_member(
-            member, message, part_trials.TrialEndNoted, TRIAL_TIMEOUT_S
+            member, message, part_trial_messages.TrialEndNoted, TRIAL_TIMEOUT_S
         )
 
 
@@ -156,7 +158,7 @@
         )
         self.losses.on_decided = instances.publish_now
         self.ledger = part_trials.TrialLedger(self.parts)
-        self.trials = part_trials.TrialRequests(
+        self.trials = part_trial_requests.TrialRequests(
             self.parts,
             self.ledger,
             TrialCoordinator(self.ledger, instances, calls),
@@ -206,18 +208,24 @@
 
         Trials come last: they are applied to parts with losses.
         """
-        clearings = part_losses.ClearingsSection(self.parts)
         providers: dict[str, typing.Any] = {
             "lost-requests": self.guard,
             "answered-requests": self.guard.answered,
             "tracked-losses": self.losses,
             "lost-parts": self.parts,
-            "answered-parts": clearings,
             "part-trials": self.ledger,
         }
-        return tuple(
-            sections.Section(name, part.provide, part.consume)
-            for name, part in providers.items()
+        clearings = sections.Section(
+            "answered-parts",
+            self.parts.provide_clearings,
+            self.parts.consume_clearings,
+        )
+        return (
+            clearings,
+            *(
+                sections.Section(name, part.provide, part.consume)
+                for name, part in providers.items()
+            ),
         )
 
     def handlers(
@@ -228,6 +236,6 @@
         return {
             loss_sharing.RequestsLost: handler(self.request_sharing.handle),
             loss_sharing.PartsLost: handler(self.part_sharing.handle),
-            part_trials.TrialAsked: handler(self.ledger.answer),
-            part_trials.TrialEnded: handler(self.ledger.end),
+            part_trial_messages.TrialAsked: handler(self.ledger.answer),
+            part_trial_messages.TrialEnded: handler(self.ledger.end),
         }
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -12,7 +12,8 @@
 from briarseam.forwarding import attempts
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_trials
+from briarseam.forwarding import part_suspicion
+from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import refusing
 
 if typing.TYPE_CHECKING:
@@ -85,7 +86,7 @@
         guard: crash_guard.CrashGuard,
         parts: part_losses.PartLosses,
         losses: pending_losses.PendingLosses,
-        trials: part_trials.TrialRequests,
+        trials: part_trial_requests.TrialRequests,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.guard = guard
@@ -145,7 +146,7 @@
             endpoints = self.parts.endpoints_of(part) | undecided_s.keys()
             if part in counted or (
                 undecided_s
-                and len(endpoints) >= part_losses.LOST_ENDPOINTS_LIMIT
+                and len(endpoints) >= part_suspicion.LOST_ENDPOINTS_LIMIT
             ):
                 found[part] = max(
                     [self.parts.last_lost_s(part), *undecided_s.values()]
@@ -156,7 +157,7 @@
         self,
         state: CrashState,
         suspects: collections.abc.Mapping[bytes, float],
-        refused: part_trials.Refused,
+        refused: part_trial_requests.Refused,
     ) -> verdict.NotRun:
         """Return the refusal of a prompt with suspected parts."""
         self.parts.record_refusal(suspects)
--- a/src/briarseam/forwarding/part_losses.py
+++ b/src/briarseam/forwarding/part_losses.py
@@ -10,8 +10,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
-import hashlib
 import threading
 import typing
 
@@ -20,18 +18,11 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.forwarding import part_suspicion
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import calls
-
-# A part that was lost at this many endpoints, and not answered since, is
-# suspected of crashing them.
-LOST_ENDPOINTS_LIMIT = 3
-# The same for a part that was answered before: it is more likely to have been
-# under way when something else ended the endpoints.
-ANSWERED_ENDPOINTS_LIMIT = 2 * LOST_ENDPOINTS_LIMIT
 # How long an answer speaks for a part.
 ANSWER_TTL_S = 60.0
 # How long a loss counts, and a part's losses after it was last refused: while
@@ -43,31 +34,11 @@
 # Bounds on what heartbeats carry.
 MAX_PUBLISHED = 100
 MAX_PUBLISHED_ENDPOINTS = 8
-KEY_BYTES = 12
 NEVER_S = float("-inf")
 MS = 1000
 log = structlog.get_logger("briarseam.forwarding")
 
 
-@dataclasses.dataclass
-class Suspicion:
-    """Why parts are suspected.
-
-    Attributes
-    ----------
-    endpoints
-        Endpoints at which each suspected part was lost, by its key.
-    explained
-        Endpoints whose loss suspected parts explain that were never answered;
-        it speaks against no other part or request.
-    """
-
-    endpoints: dict[bytes, frozenset[str]] = dataclasses.field(
-        default_factory=dict
-    )
-    explained: frozenset[str] = frozenset()
-
-
 class PartLosses:
     """Counts losses by part, including those that peers publish.
 
@@ -109,7 +80,7 @@
         # number.
         self.clearings: dict[bytes, int] = {}
         self.peer_clearings: dict[str, dict[bytes, int]] = {}
-        self.suspicion = Suspicion()
+        self.suspicion = part_suspicion.Suspicion()
         self.is_outdated = False
         self.lock = threading.RLock()
 
@@ -249,12 +220,6 @@
         )
         return unanswered or tuple(parts)
 
-    def limit_of(self, part: bytes) -> int:
-        """Return at how many lost endpoints a part is suspected."""
-        if self.is_answered(part):
-            return ANSWERED_ENDPOINTS_LIMIT
-        return LOST_ENDPOINTS_LIMIT
-
     def losses_of(self, part: bytes) -> dict[str, float]:
         """Return when a part was lost at each endpoint since its answer."""
         with self.lock:
@@ -282,14 +247,17 @@
         """Return the endpoints whose loss suspected parts explain."""
         return self.current().explained
 
-    def current(self) -> Suspicion:
+    def current(self) -> part_suspicion.Suspicion:
         """Return the suspicion by all that is known."""
         if not self.is_outdated:
             return self.suspicion
         with self.lock:
             self.is_outdated = False
-            before, self.suspicion = self.suspicion, self.find_suspects()
-            after = self.suspicion
+            before = self.suspicion
+            after = part_suspicion.find_suspects(
+                self.all_endpoints(), self.is_answered
+            )
+            self.suspicion = after
         for part in after.endpoints.keys() - before.endpoints.keys():
             log.warning(
                 "part_suspected",
@@ -299,39 +267,6 @@
             )
         return after
 
-    def find_suspects(self) -> Suspicion:
-        """Return the suspects, those lost at the most endpoints first.
-
-        The loss of an endpoint counts against a part only if no other one
-        explains it that was lost at more endpoints and was not answered.
-        """
-        lost = self.all_endpoints()
-        ranked = sorted(
-            (part for part in lost if len(lost[part]) >= LOST_ENDPOINTS_LIMIT),
-            key=lambda part: (self.is_answered(part), -len(lost[part])),
-        )
-        found = Suspicion()
-        for part in ranked:
-            likelier = [
-                endpoints
-                for other, endpoints in found.endpoints.items()
-                if not self.is_answered(other)
-                and (
-                    len(endpoints) > len(lost[part]) or self.is_answered(part)
-                )
-            ]
-            unexplained = lost[part].difference(*likelier)
-            if len(unexplained) >= self.limit_of(part):
-                found.endpoints[part] = lost[part]
-        found.explained = frozenset().union(
-            *(
-                endpoints
-                for part, endpoints in found.endpoints.items()
-                if not self.is_answered(part)
-            )
-        )
-        return found
-
     def all_endpoints(self) -> dict[bytes, frozenset[str]]:
         """Return the endpoints at which each part was lost since its answer.
 
@@ -432,53 +367,6 @@
             self.on_answered(news)
 
 
-class ClearingsSection:
-    """The answers in heartbeats that clear parts at peers.
-
-    Parameters
-    ----------
-    losses
-        Losses by part.
-    """
-
-    def __init__(self, losses: PartLosses) -> None:
-        self.provide = losses.provide_clearings
-        self.consume = losses.consume_clearings
-
-
-def keys_of(
-    prompt: calls.Prompt | None, isolated_organisation: str
-) -> dict[bytes, str]:
-    """Return the ids of a prompt's shared parts, by key.
-
-    Keys of an isolated organisation are its own, so that its losses neither
-    refuse the prompts of others nor tell of them.
-
-    Parameters
-    ----------
-    prompt
-        The prompt; ``None`` for a request without one.
-    isolated_organisation
-        Name of the caller's organisation if it is isolated, else empty.
-    """
-    if prompt is None:
-        return {}
-    return {
-        key_of(prompt.model, isolated_organisation, part.id): part.id
-        for part in prompt.shared
-    }
-
-
-def key_of(model: str, isolated_organisation: str, part_id: str) -> bytes:
-    """Return the key of a part, the same at all instances."""
-    hashed = hashlib.blake2b(digest_size=KEY_BYTES)
-    for text in (model, isolated_organisation, part_id):
-        encoded = text.encode("utf-8", "replace")
-        hashed.update(len(encoded).to_bytes(4, "big"))
-        hashed.update(encoded)
-    return hashed.digest()
-
-
 Key = typing.TypeVar("Key")
 
 
--- a/src/briarseam/forwarding/part_trials.py
+++ b/src/briarseam/forwarding/part_trials.py
@@ -17,12 +17,10 @@
 import structlog
 
 from briarseam import clocks
-from briarseam.forwarding import part_losses
-from briarseam.wire import codec
-from briarseam.wire import replies
+from briarseam.forwarding import part_trial_messages as messages
 
 if typing.TYPE_CHECKING:
-    import collections.abc
+    from briarseam.forwarding import part_losses
 
 # How long after a part's last loss, and after its last trial, the next one
 # may begin, by the number of trials before it.  Innocent parts need one.
@@ -32,9 +30,6 @@
 # A trial whose end is not told by then is lost.  Less than the wait after it,
 # so that there is never more than one.
 OPEN_S = 5.0
-# Callers are asked to come back so soon while a trial is under way.
-MIN_RETRY_S = 0.5
-MAX_RETRY_S = 60.0
 # After this time without a trial, the number of trials is forgotten.
 TRIALS_TTL_S = 900.0
 MAX_PUBLISHED = 100
@@ -42,84 +37,6 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
-class PartAsked(msgspec.Struct, array_like=True, frozen=True):
-    """A part for which a trial is asked.
-
-    Attributes
-    ----------
-    part
-        Key of the part.
-    trials
-        Number of lost trials that the sender knows of.
-    lost_ms
-        Time since its last loss, in milliseconds.
-    """
-
-    part: bytes
-    trials: int
-    lost_ms: int
-
-
-@codec.message("part-trial-asked")
-class TrialAsked(msgspec.Struct, frozen=True):
-    """Asks whether a prompt with suspected parts may be sent."""
-
-    parts: tuple[PartAsked, ...]
-
-
-@codec.message("part-trial-told")
-class TrialTold(msgspec.Struct, frozen=True):
-    """Tells whether a trial may begin.
-
-    Attributes
-    ----------
-    granted
-        Whether it may.
-    wait_ms
-        When to ask again otherwise.
-    answered
-        Parts that were answered since their last loss.
-    trials
-        Number of lost trials by part.
-    """
-
-    granted: bool
-    wait_ms: int
-    answered: tuple[bytes, ...]
-    trials: tuple[tuple[bytes, int], ...]
-
-
-@codec.message("part-trial-ended")
-class TrialEnded(msgspec.Struct, frozen=True):
-    """Tells how a trial has ended that was not lost.
-
-    Attributes
-    ----------
-    parts
-        Keys of the parts.
-    answered
-        Whether an endpoint answered; otherwise none got the prompt.
-    """
-
-    parts: tuple[bytes, ...]
-    answered: bool
-
-
-@codec.message("part-trial-ended-noted")
-class TrialEndNoted(msgspec.Struct, frozen=True):
-    """Acknowledges :class:`TrialEnded`."""
-
-
-class Coordinator(typing.Protocol):
-    """The instance that grants trials."""
-
-    def ask_trial(self, message: TrialAsked) -> TrialTold:
-        """Ask for a trial; raises ``NoReplyError``."""
-
-    def end_trial(self, message: TrialEnded) -> None:
-        """Tell how a trial has ended; raises ``NoReplyError``."""
-
-
 @dataclasses.dataclass
 class Trials:
     """Trials of one part.
@@ -174,7 +91,7 @@
         self.trials: dict[bytes, Trials] = {}
         self.lock = threading.Lock()
 
-    def answer(self, message: TrialAsked) -> TrialTold:
+    def answer(self, message: messages.TrialAsked) -> messages.TrialTold:
         """Grant or refuse a trial of a prompt with some suspected parts."""
         now_s = self.clock()
         with self.lock:
@@ -203,9 +120,9 @@
                 lost_trials=[count for _part, count in counts],
             )
         wait_ms = max(0, round((due_s - now_s) * MS))
-        return TrialTold(granted, wait_ms, answered, counts)
+        return messages.TrialTold(granted, wait_ms, answered, counts)
 
-    def is_cleared(self, asked: PartAsked) -> bool:
+    def is_cleared(self, asked: messages.PartAsked) -> bool:
         """Return whether a part was answered since the asker last lost it."""
         lost_s = max(
             self.clock() - asked.lost_ms / MS,
@@ -213,7 +130,7 @@
         )
         return self.losses.answered_s.get(asked.part, lost_s) > lost_s
 
-    def due_s(self, asked: PartAsked) -> float:
+    def due_s(self, asked: messages.PartAsked) -> float:
         """Return when the next trial of a part may begin, by the clock."""
         lost_s = max(
             self.clock() - asked.lost_ms / MS,
@@ -242,18 +159,18 @@
             trials = self.trials.setdefault(part, Trials(0, self.clock()))
             trials.lost = lost
 
-    def end(self, message: TrialEnded) -> TrialEndNoted:
+    def end(self, message: messages.TrialEnded) -> messages.TrialEndNoted:
         """Apply how a trial has ended."""
         if message.answered:
             self.losses.add_answers(message.parts, self.clock())
             self.forget(set(message.parts))
-            return TrialEndNoted()
+            return messages.TrialEndNoted()
         with self.lock:
             for part in message.parts:
                 trials = self.trials.get(part)
                 if trials is not None and trials.is_open:
                     trials.is_open = False
-        return TrialEndNoted()
+        return messages.TrialEndNoted()
 
     def forget(self, parts: set[bytes]) -> None:
         """Forget the trials of parts that were answered."""
@@ -296,135 +213,3 @@
             for part, count in rows:
                 if self.losses.endpoints_of(part):
                     self.merge(part, count)
-
-
-@dataclasses.dataclass(frozen=True)
-class Refused:
-    """No trial may begin now.
-
-    Attributes
-    ----------
-    retry_after_s
-        When one may, in seconds.
-    """
-
-    retry_after_s: float
-
-
-class TrialRequests:
-    """Asks the coordinator for trials; thread-safe.
-
-    Parameters
-    ----------
-    losses
-        Losses by part.
-    ledger
-        Trials that this instance knows of.
-    coordinator
-        Grants trials.
-    clock
-        Seconds.
-    """
-
-    def __init__(
-        self,
-        losses: part_losses.PartLosses,
-        ledger: TrialLedger,
-        coordinator: Coordinator,
-        clock: typing.Callable[[], float] = clocks.boot_clock,
-    ) -> None:
-        self.losses = losses
-        self.ledger = ledger
-        self.coordinator = coordinator
-        self.clock = clock
-        # When to ask for a part again; until then its prompts are refused.
-        self.ask_again_s: dict[bytes, float] = {}
-
-    def refusal(
-        self, parts: collections.abc.Iterable[bytes]
-    ) -> Refused | None:
-        """Return the refusal of suspected parts if no trial can begin yet."""
-        now_s = self.clock()
-        due_s = max(self.ask_again_s.get(part, now_s) for part in parts)
-        return None if due_s <= now_s else refused(due_s - now_s)
-
-    def begin(
-        self, lost_s: collections.abc.Mapping[bytes, float]
-    ) -> Refused | None:
-        """Ask for a trial.
-
-        Parameters
-        ----------
-        lost_s
-            When each suspected part was last lost, by the clock.
-
-        Returns
-        -------
-        Refused or None
-            ``None`` if a prompt with them may be sent.
-        """
-        known = self.refusal(lost_s)
-        if known is not None:
-            return known
-        try:
-            told = self.coordinator.ask_trial(self.message(lost_s))
-        except replies.NoReplyError as error:
-            log.info("part_trial_unanswered", detail=str(error))
-            self.postpone(lost_s, MIN_RETRY_S)
-            return refused(MIN_RETRY_S)
-        answered = set(told.answered)
-        if answered:
-            self.losses.add_answers(answered, self.clock())
-            self.forget(answered)
-        with self.ledger.lock:
-            for part, count in told.trials:
-                self.ledger.merge(part, count)
-        if told.granted:
-            self.postpone(lost_s.keys() - answered, MIN_RETRY_S)
-            return None
-        self.postpone(lost_s, min(told.wait_ms / MS, MIN_RETRY_S))
-        return refused(told.wait_ms / MS)
-
-    def message(
-        self, lost_s: collections.abc.Mapping[bytes, float]
-    ) -> TrialAsked:
-        """Return what is asked, with what is known here of the parts."""
-        now_s = self.clock()
-        return TrialAsked(
-            tuple(
-                PartAsked(
-                    part,
-                    self.ledger.count_of(part),
-                    max(0, round((now_s - at_s) * MS)),
-                )
-                for part, at_s in lost_s.items()
-            )
-        )
-
-    def postpone(
-        self, parts: collections.abc.Iterable[bytes], wait_s: float
-    ) -> None:
-        """Refuse prompts with parts for a while without asking."""
-        now_s = self.clock()
-        self.ask_again_s = part_losses.newer_than(self.ask_again_s, now_s)
-        self.ask_again_s |= dict.fromkeys(parts, now_s + wait_s)
-
-    def forget(self, parts: set[bytes]) -> None:
-        """Ask again at once for parts that were answered."""
-        for part in parts:
-            self.ask_again_s.pop(part, None)
-        self.ledger.forget(parts)
-
-    def end(
-        self, parts: collections.abc.Collection[bytes], answered: bool
-    ) -> None:
-        """Tell the coordinator that a trial was answered, or never sent."""
-        try:
-            self.coordinator.end_trial(TrialEnded(tuple(parts), answered))
-        except replies.NoReplyError as error:
-            log.info("part_trial_end_not_told", detail=str(error))
-
-
-def refused(wait_s: float) -> Refused:
-    """Return a refusal with a time that callers can use."""
-    return Refused(min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S))
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -8,12 +8,14 @@
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import part_losses
+from briarseam.forwarding import part_suspicion
+from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import part_trials
 from briarseam.forwarding import pending_losses
 from briarseam.reachability import tracker
 from tests import clocks
 
-LIMIT = part_losses.LOST_ENDPOINTS_LIMIT
+LIMIT = part_suspicion.LOST_ENDPOINTS_LIMIT
 CRASHING = b"crashing"
 FIRST = b"first"
 IDS = {FIRST: "aa", CRASHING: "cc"}
@@ -77,7 +79,7 @@
     losses = pending_losses.PendingLosses(
         guard, reachability, Entries(), clock, parts=parts
     )
-    trials = part_trials.TrialRequests(
+    trials = part_trial_requests.TrialRequests(
         parts, coordinator.ledger, coordinator, clock
     )
     parts.on_answered = trials.forget
--- a/tests/forwarding/test_part_losses.py
+++ b/tests/forwarding/test_part_losses.py
@@ -4,14 +4,16 @@
 import pytest
 
 from briarseam.forwarding import calls
+from briarseam.forwarding import part_keys
 from briarseam.forwarding import part_losses
+from briarseam.forwarding import part_suspicion
 from tests import clocks
 
 CRASHING = b"crashing"
 FIRST = b"first"
 SUBJECT = b"subject"
-LIMIT = part_losses.LOST_ENDPOINTS_LIMIT
-ANSWERED_LIMIT = part_losses.ANSWERED_ENDPOINTS_LIMIT
+LIMIT = part_suspicion.LOST_ENDPOINTS_LIMIT
+ANSWERED_LIMIT = part_suspicion.ANSWERED_ENDPOINTS_LIMIT
 
 
 @pytest.fixture
@@ -261,14 +263,14 @@
 
 
 def test_last_part_and_requests_without_prompts_have_no_key():
-    assert part_losses.keys_of(None, "") == {}
-    assert list(part_losses.keys_of(prompt("aa", "bb"), "").values()) == ["aa"]
+    assert part_keys.keys_of(None, "") == {}
+    assert list(part_keys.keys_of(prompt("aa", "bb"), "").values()) == ["aa"]
 
 
 def test_isolated_organisation_has_keys_of_its_own():
     """Guards against losses of one that refuse, or tell of, its prompts."""
-    shared = part_losses.keys_of(prompt("aa", "bb"), "").keys()
-    north = part_losses.keys_of(prompt("aa", "bb"), "north").keys()
-    south = part_losses.keys_of(prompt("aa", "bb"), "south").keys()
+    shared = part_keys.keys_of(prompt("aa", "bb"), "").keys()
+    north = part_keys.keys_of(prompt("aa", "bb"), "north").keys()
+    south = part_keys.keys_of(prompt("aa", "bb"), "south").keys()
     assert not shared & north
     assert not north & south
--- a/tests/forwarding/test_part_trials.py
+++ b/tests/forwarding/test_part_trials.py
@@ -4,6 +4,7 @@
 import pytest
 
 from briarseam.forwarding import part_losses
+from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import part_trials
 from briarseam.wire import codec
 from briarseam.wire import replies
@@ -69,7 +70,9 @@
     losses = part_losses.PartLosses(clock)
     losses.consume("peer", coordinator.ledger.losses.provide())
     ledger = part_trials.TrialLedger(losses, clock)
-    return part_trials.TrialRequests(losses, ledger, coordinator, clock)
+    return part_trial_requests.TrialRequests(
+        losses, ledger, coordinator, clock
+    )
 
 
 def ask(requests, *parts):
@@ -167,7 +170,7 @@
     clock.now_s += WAITS_S[0]
     assert ask(requests) is not None
     coordinator.is_away = False
-    clock.now_s += part_trials.MIN_RETRY_S
+    clock.now_s += part_trial_requests.MIN_RETRY_S
     assert ask(requests) is None
 
 
@@ -214,4 +217,4 @@
     requests = other_instance(coordinator, clock)
     coordinator.ledger.consume("peer", msgpack.packb([[PART, 3]]))
     refused = ask(requests)
-    assert refused.retry_after_s == part_trials.MAX_RETRY_S
+    assert refused.retry_after_s == part_trial_requests.MAX_RETRY_S
