Try a part that came along with a crashing one without it

Cause: both parts are suspected with the same losses, and a lost trial of both counted against each. Crashing prompts came more often and took each next trial as well, so that a prompt with the companion alone never got one.

Trials count by the set of suspected parts now, and each smaller set is tried once as if there had been none. The answer to the companion alone clears it, and the lost trials remain with the other part.

--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -13,6 +13,7 @@
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import part_losses
 from briarseam.forwarding import part_suspicion
+from briarseam.forwarding import part_trial_messages as messages
 from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import refusing
 
@@ -194,7 +195,7 @@
         trial, state.trial = state.trial, frozenset()
         self.parts.record_answer(state.parts, began_s)
         if trial:
-            self.trials.end(trial, answered=True)
+            self.trials.end(trial, messages.TrialEnd.ANSWERED)
 
     def record_outcome(
         self,
@@ -223,9 +224,10 @@
                     self.record_answer(state, state.began_s or sent_s)
             case outcomes.Broken():
                 self.record_loss(state, endpoint)
-                if state.trial:
-                    self.on_trial_lost(state.trial)
-                state.trial = frozenset()
+                trial, state.trial = state.trial, frozenset()
+                if trial:
+                    self.trials.end(trial, messages.TrialEnd.LOST)
+                    self.on_trial_lost(trial)
             case outcomes.Unreached():
                 # The trial has reached no endpoint; the next one is part of
                 # it.
@@ -261,7 +263,7 @@
     def end_trial(self, state: CrashState) -> None:
         """Tell of a trial that the request did not use."""
         if state.trial:
-            self.trials.end(state.trial, answered=False)
+            self.trials.end(state.trial, messages.TrialEnd.UNUSED)
             state.trial = frozenset()
 
 
--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/forwarding/crash_records.py
@@ -19,6 +19,7 @@
 from briarseam import clocks
 from briarseam import malformed
 from briarseam.feeds import records
+from briarseam.forwarding import part_trial_messages as messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -140,7 +141,11 @@
         """Record parts whose trial was just lost."""
         for part in parts:
             endpoints = tuple(sorted(self.losses.endpoints_of(part)))
-            lost = self.ledger.count_of(part) + 1
+            lost = 1 + sum(
+                trials.count
+                for trials in self.ledger.lost_trials(frozenset((part,)))
+                if trials.parts == (part,)
+            )
             record = CrashRecord(endpoints, lost, self.wall_ms())
             self.enqueue(Write(part, record))
 
@@ -204,8 +209,8 @@
             return
         for endpoint in record.endpoints:
             self.losses.add_loss(part, endpoint)
-        with self.ledger.lock:
-            self.ledger.merge(part, record.lost_trials)
+        lost_trials = messages.LostTrials((part,), record.lost_trials)
+        self.ledger.apply((lost_trials,))
         log.info(
             "crash_record_read",
             part=row.key,
--- a/src/briarseam/forwarding/part_trial_messages.py
+++ b/src/briarseam/forwarding/part_trial_messages.py
@@ -2,11 +2,38 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from briarseam.wire import codec
 
 
+class TrialEnd(enum.StrEnum):
+    """How a trial has ended."""
+
+    ANSWERED = "answered"
+    # The endpoint that got the prompt was lost.
+    LOST = "lost"
+    # No endpoint got the prompt.
+    UNUSED = "unused"
+
+
+class LostTrials(msgspec.Struct, array_like=True, frozen=True):
+    """Trials of prompts with the same suspected parts that were lost.
+
+    Attributes
+    ----------
+    parts
+        Keys of the parts.
+    count
+        Number of the trials.
+    """
+
+    parts: tuple[bytes, ...]
+    count: int
+
+
 class PartAsked(msgspec.Struct, array_like=True, frozen=True):
     """A part for which a trial is asked.
 
@@ -14,22 +41,28 @@
     ----------
     part
         Key of the part.
-    trials
-        Number of lost trials that the sender knows of.
     lost_ms
         Time since its last loss, in milliseconds.
     """
 
     part: bytes
-    trials: int
     lost_ms: int
 
 
 @codec.message("part-trial-asked")
 class TrialAsked(msgspec.Struct, frozen=True):
-    """Asks whether a prompt with suspected parts may be sent."""
+    """Asks whether a prompt may be sent.
+
+    Attributes
+    ----------
+    parts
+        All its suspected parts.
+    lost_trials
+        Lost trials with any of them that the sender knows of.
+    """
 
     parts: tuple[PartAsked, ...]
+    lost_trials: tuple[LostTrials, ...]
 
 
 @codec.message("part-trial-told")
@@ -44,30 +77,30 @@
         When to ask again otherwise.
     answered
         Parts that were answered since their last loss.
-    trials
-        Number of lost trials by part.
+    lost_trials
+        Lost trials with any of the other parts.
     """
 
     granted: bool
     wait_ms: int
     answered: tuple[bytes, ...]
-    trials: tuple[tuple[bytes, int], ...]
+    lost_trials: tuple[LostTrials, ...]
 
 
 @codec.message("part-trial-ended")
 class TrialEnded(msgspec.Struct, frozen=True):
-    """Tells how a trial has ended that was not lost.
+    """Tells how a trial has ended.
 
     Attributes
     ----------
     parts
         Keys of the parts.
-    answered
-        Whether an endpoint answered; otherwise none got the prompt.
+    end
+        How.
     """
 
     parts: tuple[bytes, ...]
-    answered: bool
+    end: TrialEnd
 
 
 @codec.message("part-trial-ended-noted")
--- a/src/briarseam/forwarding/part_trial_requests.py
+++ b/src/briarseam/forwarding/part_trial_requests.py
@@ -112,9 +112,7 @@
         if answered:
             self.losses.add_answers(answered, self.clock())
             self.forget(answered)
-        with self.ledger.lock:
-            for part, count in told.trials:
-                self.ledger.merge(part, count)
+        self.ledger.apply(told.lost_trials)
         if told.granted:
             self.postpone(lost_s.keys() - answered, MIN_RETRY_S)
             return None
@@ -128,13 +126,10 @@
         now_s = self.clock()
         return messages.TrialAsked(
             tuple(
-                messages.PartAsked(
-                    part,
-                    self.ledger.count_of(part),
-                    max(0, round((now_s - at_s) * MS)),
-                )
+                messages.PartAsked(part, max(0, round((now_s - at_s) * MS)))
                 for part, at_s in lost_s.items()
-            )
+            ),
+            self.ledger.lost_trials(frozenset(lost_s)),
         )
 
     def postpone(
@@ -152,13 +147,13 @@
         self.ledger.forget(parts)
 
     def end(
-        self, parts: collections.abc.Collection[bytes], answered: bool
+        self,
+        parts: collections.abc.Collection[bytes],
+        end: messages.TrialEnd,
     ) -> None:
-        """Tell the coordinator that a trial was answered, or never sent."""
+        """Tell the coordinator how a trial has ended."""
         try:
-            self.coordinator.end_trial(
-                messages.TrialEnded(tuple(parts), answered)
-            )
+            self.coordinator.end_trial(messages.TrialEnded(tuple(parts), end))
         except replies.NoReplyError as error:
             log.info("part_trial_end_not_told", detail=str(error))
 
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -9,6 +9,7 @@
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import part_losses
 from briarseam.forwarding import part_suspicion
+from briarseam.forwarding import part_trial_messages as messages
 from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import part_trials
 from briarseam.forwarding import pending_losses
@@ -205,7 +206,7 @@
     checks.record_first_event(state)
     checks.record_outcome(state, endpoints[-1], OK, checks.clock())
     [told] = coordinator.ended
-    assert told.answered
+    assert told.end is messages.TrialEnd.ANSWERED
     assert not checks.suspects((CRASHING,))
     assert checks.refusal_of_send(state_of(100, CRASHING)) is None
 
@@ -214,7 +215,7 @@
     state = begin_trial(checks, endpoints)
     checks.end_trial(state)
     [told] = coordinator.ended
-    assert not told.answered
+    assert told.end is messages.TrialEnd.UNUSED
 
 
 def test_trial_that_its_caller_left_counts_as_lost(
--- a/tests/forwarding/test_crash_records.py
+++ b/tests/forwarding/test_crash_records.py
@@ -89,7 +89,8 @@
     successor = start()
     waiting.until(successor.loaded.is_set)
     assert successor.losses.suspects((PART,)) == (PART,)
-    assert successor.ledger.count_of(PART) == 1
+    [trials] = successor.ledger.lost_trials(frozenset((PART,)))
+    assert trials.count == 1
 
 
 def test_record_goes_when_the_part_is_answered(start, store):
--- a/tests/forwarding/test_part_trials.py
+++ b/tests/forwarding/test_part_trials.py
@@ -4,6 +4,7 @@
 import pytest
 
 from briarseam.forwarding import part_losses
+from briarseam.forwarding import part_trial_messages as messages
 from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import part_trials
 from briarseam.wire import codec
@@ -126,7 +127,7 @@
     assert ask(first) is None
     clock.now_s += 0.1
     first.losses.record_answer((PART,), clock())
-    first.end((PART,), answered=True)
+    first.end((PART,), messages.TrialEnd.ANSWERED)
     assert ask(second) is None
     assert second.losses.suspects((PART,)) == ()
 
@@ -135,7 +136,7 @@
     requests = other_instance(coordinator, clock)
     clock.now_s += WAITS_S[0]
     assert ask(requests) is None
-    requests.end((PART,), answered=False)
+    requests.end((PART,), messages.TrialEnd.UNUSED)
     clock.now_s += WAITS_S[0]
     assert ask(requests) is None
 
@@ -158,7 +159,23 @@
     assert coordinator.ledger.trials == {}
     clock.now_s += WAITS_S[0]
     assert ask(requests, PART, OTHER) is None
-    assert coordinator.ledger.trials.keys() == {PART, OTHER}
+    assert set(coordinator.ledger.trials) == {frozenset((PART, OTHER))}
+
+
+def test_companion_of_a_crashing_part_is_tried_without_it(coordinator, clock):
+    """Guards against a rare caller whose part only comes with the cause."""
+    requests = other_instance(coordinator, clock)
+    requests.losses.record_loss(OTHER, "e9", clock())
+    clock.now_s += WAITS_S[0]
+    assert ask(requests, PART, OTHER) is None
+    requests.end((PART, OTHER), messages.TrialEnd.LOST)
+    clock.now_s += WAITS_S[0]
+    assert ask(requests, PART, OTHER) is not None
+    clock.now_s += part_trial_requests.MIN_RETRY_S
+    assert ask(requests, OTHER) is None
+    requests.end((OTHER,), messages.TrialEnd.ANSWERED)
+    lost = coordinator.ledger.lost_trials(frozenset((PART, OTHER)))
+    assert lost == (messages.LostTrials((PART,), 1),)
 
 
 def test_part_is_refused_while_the_coordinator_does_not_answer(
@@ -200,14 +217,14 @@
     """Guards against old trials that delay a part which was answered."""
     clock.now_s += WAITS_S[0]
     peer = part_trials.TrialLedger(part_losses.PartLosses(clock), clock)
-    peer.consume("peer", msgpack.packb([[PART, 2]]))
-    assert peer.count_of(PART) == 0
-    ledger.consume("peer", msgpack.packb([[PART, 2]]))
-    assert ledger.count_of(PART) == 2
+    peer.consume("peer", msgpack.packb([[[PART], 2]]))
+    assert peer.trials == {}
+    ledger.consume("peer", msgpack.packb([[[PART], 2]]))
+    assert ledger.trials[frozenset((PART,))].lost == 2
 
 
 def test_trials_are_forgotten_after_a_while(ledger, clock):
-    ledger.consume("peer", msgpack.packb([[PART, 2]]))
+    ledger.consume("peer", msgpack.packb([[[PART], 2]]))
     clock.now_s += part_trials.TRIALS_TTL_S
     ledger.forget_expired()
     assert ledger.trials == {}
@@ -215,6 +232,6 @@
 
 def test_retry_after_is_bounded(coordinator, clock):
     requests = other_instance(coordinator, clock)
-    coordinator.ledger.consume("peer", msgpack.packb([[PART, 3]]))
+    coordinator.ledger.consume("peer", msgpack.packb([[[PART], 3]]))
     refused = ask(requests)
     assert refused.retry_after_s == part_trial_requests.MAX_RETRY_S
