Test of a crashing part: go on sending until it shows who is served

Fewer than five engines had crashed, and the last one so late that no sound prompt was sent from six seconds after it on: the coordinator of trials was the instance that the test had stopped, and the log tells that trials were refused until it was known to be gone. All bounds held up to there.

The check sends both kinds of prompts until two seconds after that time, so the share is always measured, and later arrivals count as well. Nothing is allowed that was not before.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -46,17 +46,19 @@
     load.close()
 
 
+def fifth_crash_s(fleet):
+    """Return when the fifth crash was, or the last one if there are fewer."""
+    return fleet.ended_s()[: crashing_parts.CRASHES][-1]
+
+
 def check_bounds(fleet, load):
     """Check how often the crashing part arrived, and who was served."""
+    # Prompts with the part still come while it is counted who is served.
+    while time.monotonic() < fifth_crash_s(fleet) + RECOVERED_S + 2.0:
+        load.run(0.5, SOUND_PER_S, 0.5)
     load.close()
-    fifth_s = fleet.ended_s()[: crashing_parts.CRASHES][-1]
+    fifth_s = fifth_crash_s(fleet)
     late = fleet.arrivals_after(fifth_s + crashing_parts.SETTLE_S)
-    print(
-        "FIG",
-        len(fleet.ended_s()),
-        late,
-        load.share_served(fifth_s + RECOVERED_S),
-    )
     assert late <= ALLOWED_ARRIVALS
     assert load.share_served(fifth_s + RECOVERED_S) >= MIN_SHARE
 
@@ -66,7 +68,7 @@
     fleet, load, crash_every_s
 ):
     """Guards against crashes that are counted by the whole request only."""
-    load.run(20.0, SOUND_PER_S, crash_every_s)
+    load.run(16.0, SOUND_PER_S, crash_every_s)
     check_bounds(fleet, load)
 
 
@@ -76,7 +78,6 @@
         for _number in range(3 * ENGINES):
             load.send_later((crashing_parts.FIRST, crashing_parts.CRASHING))
         load.run(crashing_parts.DOWN_S + 0.2, SOUND_PER_S)
-    load.run(4.0, SOUND_PER_S)
     check_bounds(fleet, load)
 
 
@@ -119,7 +120,6 @@
             waiting.until(node.is_ready, TIMEOUT_S)
         load.follow(nodes)
         load.run(8.0, SOUND_PER_S, 0.2)
-    load.run(4.0, SOUND_PER_S, 0.2)
     check_bounds(fleet, load)
 
 
