--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -68,7 +68,7 @@
     fleet, load, crash_every_s
 ):
     """Guards against crashes that are counted by the whole request only."""
-    load.run(16.0, SOUND_PER_S, crash_every_s)
+    load.run(20.0, SOUND_PER_S, crash_every_s)
     check_bounds(fleet, load)
 
 
@@ -78,6 +78,7 @@
         for _number in range(3 * ENGINES):
             load.send_later((crashing_parts.FIRST, crashing_parts.CRASHING))
         load.run(crashing_parts.DOWN_S + 0.2, SOUND_PER_S)
+    load.run(4.0, SOUND_PER_S)
     check_bounds(fleet, load)
 
 
@@ -120,6 +121,7 @@
             waiting.until(node.is_ready, TIMEOUT_S)
         load.follow(nodes)
         load.run(8.0, SOUND_PER_S, 0.2)
+    load.run(4.0, SOUND_PER_S, 0.2)
     check_bounds(fleet, load)
 
 
