Log which request was under way at an endpoint when its attempt was ended

An attempt whose caller left was logged without the request's digest, so no line could tell whether endpoints that ended had run the same request.

--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -23,10 +23,12 @@
     from briarseam.discovery import model as discovery
     from briarseam.forwarding import crash_guard
     from briarseam.forwarding import pending_losses
+    from briarseam.forwarding import supervision
 
 # An endpoint that crashes when it begins to answer has ended so long after
 # the first event.
 SETTLE_S = 0.2
+MS = 1000
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -237,9 +239,37 @@
             case _:
                 state.trial = frozenset()
 
-    def record_ended(self, state: CrashState) -> None:
-        """Record that a request ended at an endpoint without an outcome."""
+    def record_abandoned(
+        self,
+        state: CrashState,
+        endpoint: discovery.Endpoint,
+        ending: supervision.Ending,
+        sent_s: float,
+    ) -> None:
+        """Record that a request was ended at an endpoint before its outcome.
+
+        Parameters
+        ----------
+        state
+            The request.
+        endpoint
+            The endpoint that may still run it.
+        ending
+            Why it was ended.
+        sent_s
+            When it was sent, by the boot clock.
+        """
         state.trial = frozenset()
+        log.info(
+            "request_abandoned",
+            request=state.request,
+            digest=state.digest.hex(),
+            endpoint=endpoint.id,
+            ending=ending.value,
+            after_ms=round((self.clock() - sent_s) * MS),
+            shared_parts=list(state.parts.values()),
+            events_sent=state.began_s is not None,
+        )
 
     def record_loss(
         self, state: CrashState, endpoint: discovery.Endpoint
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -356,11 +356,13 @@
             crashes.record_outcome(
                 context.crash_state, placement.endpoint, outcome, sent_s
             )
-        except supervision.EndedError:
+        except supervision.EndedError as error:
             context.may_have_run = (
                 context.may_have_run or context.progress.maybe_sent
             )
-            crashes.record_ended(context.crash_state)
+            crashes.record_abandoned(
+                context.crash_state, placement.endpoint, error.ending, sent_s
+            )
             raise
         finally:
             if undecided:
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -13,6 +13,7 @@
 from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import part_trials
 from briarseam.forwarding import pending_losses
+from briarseam.forwarding import supervision
 from briarseam.reachability import tracker
 from tests import clocks
 
@@ -22,6 +23,7 @@
 IDS = {FIRST: "aa", CRASHING: "cc"}
 BROKEN = outcomes.Broken("reset")
 OK = outcomes.Answered(200)
+GONE = supervision.Ending.CALLER_GONE
 
 
 class Entries:
@@ -223,7 +225,7 @@
 ):
     """Guards against trials without end while callers leave."""
     state = begin_trial(checks, endpoints)
-    checks.record_ended(state)
+    checks.record_abandoned(state, endpoints[-1], GONE, checks.clock())
     checks.end_trial(state)
     assert coordinator.ended == []
 
@@ -248,3 +250,18 @@
     [lost] = [line for line in lines if line["event"] == "request_lost"]
     assert lost["shared_parts"] == ["aa", "cc"]
     assert lost["blamed_parts"] == ["cc"]
+
+
+def test_log_tells_what_ran_when_its_caller_left(checks, endpoints):
+    """Guards against endpoints that end with requests of which no line tells."""
+    state = state_of(1, FIRST)
+    sent_s = checks.clock()
+    checks.record_start(state)
+    checks.clock.now_s += 0.06
+    with structlog.testing.capture_logs() as lines:
+        checks.record_abandoned(state, endpoints[0], GONE, sent_s)
+    [line] = [line for line in lines if line["event"] == "request_abandoned"]
+    assert line["digest"] == state.digest.hex()
+    assert line["endpoint"] == endpoints[0].id
+    assert line["ending"] == "caller-gone"
+    assert line["after_ms"] == 60
