--- a/tests/platform/crashing_parts.py
+++ b/tests/platform/crashing_parts.py
@@ -78,8 +78,16 @@
 class Fleet:
     """Engines that are back after a while under new names."""
 
-    def __init__(self, system: systems.System, count: int) -> None:
+    def __init__(
+        self,
+        system: systems.System,
+        count: int,
+        service: str = SERVICE,
+        make: collections.abc.Callable[[str, str], Crashing] = Crashing,
+    ) -> None:
         self.system = system
+        self.service = service
+        self.make = make
         self.numbers = itertools.count()
         self.closing = threading.Event()
         self.starts: list[Crashing] = []
@@ -89,8 +97,8 @@
 
     def start(self, listen: str) -> Crashing:
         """Start an engine and write its entry."""
-        worker = Crashing(f"engine-{next(self.numbers)}", listen)
-        self.system.add(worker, SERVICE)
+        worker = self.make(f"{self.service}-{next(self.numbers)}", listen)
+        self.system.add(worker, self.service)
         with self.lock:
             self.starts.append(worker)
         threading.Thread(
