Name the modules that count losses by what they count, not by parts of prompts

A move without a change of behaviour: requests are to be counted by the same modules. part_losses is loss_counts, part_suspicion suspicion, part_trials trial_ledger, part_trial_requests trial_requests, part_trial_messages trial_messages, part_keys loss_keys.

--- a/src/briarseam/compose/node_crashes.py
+++ b/src/briarseam/compose/node_crashes.py
@@ -9,12 +9,12 @@
 from briarseam.forwarding import crash_checks
 from briarseam.forwarding import crash_guard
 from briarseam.forwarding import crash_records
+from briarseam.forwarding import loss_counts
 from briarseam.forwarding import loss_sharing
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_trial_messages
-from briarseam.forwarding import part_trial_requests
-from briarseam.forwarding import part_trials
 from briarseam.forwarding import pending_losses
+from briarseam.forwarding import trial_ledger
+from briarseam.forwarding import trial_messages
+from briarseam.forwarding import trial_requests
 from briarseam.lookup import rank
 from briarseam.membership import sections
 from briarseam.membership import state as members
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        ledger: part_trials.TrialLedger,
+        ledger: trial_ledger.TrialLedger,
         instances: node_instances.Instances,
         calls: node_calls.PeerCalls,
     ) -> None:
@@ -74,8 +74,8 @@
         return alive[ranked[0]]
 
     def ask_trial(
-        self, message: part_trial_messages.TrialAsked
-    ) -> part_trial_messages.TrialTold:
+        self, message: trial_messages.TrialAsked
+    ) -> trial_messages.TrialTold:
         """Ask for a trial.
 
         Raises
@@ -87,10 +87,10 @@
         if member is None:
             return self.ledger.answer(message)
         return self.calls.call_member(
-            member, message, part_trial_messages.TrialTold, TRIAL_TIMEOUT_S
+            member, message, trial_messages.TrialTold, TRIAL_TIMEOUT_S
         )
 
-    def end_trial(self, message: part_trial_messages.TrialEnded) -> None:
+    def end_trial(self, message: trial_messages.TrialEnded) -> None:
         """Tell how a trial has ended.
 
         Raises
@@ -103,7 +103,7 @@
             self.ledger.end(message)
             return
         self.calls.call_member(
-            member, message, part_trial_messages.TrialEndNoted, TRIAL_TIMEOUT_S
+            member, message, trial_messages.TrialEndNoted, TRIAL_TIMEOUT_S
         )
 
 
@@ -140,7 +140,7 @@
         registry: metrics.Registry,
     ) -> None:
         self.guard = crash_guard.CrashGuard()
-        self.parts = part_losses.PartLosses()
+        self.parts = loss_counts.LossCounts()
         self.guard.explained = self.parts.explained
         self.request_sharing = loss_sharing.LossSharing(self.guard, calls)
         self.guard.on_lost = self.request_sharing.add
@@ -157,8 +157,8 @@
             parts=self.parts,
         )
         self.losses.on_decided = instances.publish_now
-        self.ledger = part_trials.TrialLedger(self.parts)
-        self.trials = part_trial_requests.TrialRequests(
+        self.ledger = trial_ledger.TrialLedger(self.parts)
+        self.trials = trial_requests.TrialRequests(
             self.parts,
             self.ledger,
             TrialCoordinator(self.ledger, instances, calls),
@@ -236,6 +236,6 @@
         return {
             loss_sharing.RequestsLost: handler(self.request_sharing.handle),
             loss_sharing.PartsLost: handler(self.part_sharing.handle),
-            part_trial_messages.TrialAsked: handler(self.ledger.answer),
-            part_trial_messages.TrialEnded: handler(self.ledger.end),
+            trial_messages.TrialAsked: handler(self.ledger.answer),
+            trial_messages.TrialEnded: handler(self.ledger.end),
         }
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -10,12 +10,12 @@
 from briarseam import clocks
 from briarseam import verdict
 from briarseam.forwarding import attempts
+from briarseam.forwarding import loss_counts
 from briarseam.forwarding import outcomes
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_suspicion
-from briarseam.forwarding import part_trial_messages as messages
-from briarseam.forwarding import part_trial_requests
 from briarseam.forwarding import refusing
+from briarseam.forwarding import suspicion
+from briarseam.forwarding import trial_messages as messages
+from briarseam.forwarding import trial_requests
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -87,9 +87,9 @@
     def __init__(
         self,
         guard: crash_guard.CrashGuard,
-        parts: part_losses.PartLosses,
+        parts: loss_counts.LossCounts,
         losses: pending_losses.PendingLosses,
-        trials: part_trial_requests.TrialRequests,
+        trials: trial_requests.TrialRequests,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.guard = guard
@@ -149,7 +149,7 @@
             endpoints = self.parts.endpoints_of(part) | undecided_s.keys()
             if part in counted or (
                 undecided_s
-                and len(endpoints) >= part_suspicion.LOST_ENDPOINTS_LIMIT
+                and len(endpoints) >= suspicion.LOST_ENDPOINTS_LIMIT
             ):
                 found[part] = max(
                     [self.parts.last_lost_s(part), *undecided_s.values()]
@@ -160,7 +160,7 @@
         self,
         state: CrashState,
         suspects: collections.abc.Mapping[bytes, float],
-        refused: part_trial_requests.Refused,
+        refused: trial_requests.Refused,
     ) -> verdict.NotRun:
         """Return the refusal of a prompt with suspected parts."""
         self.parts.record_refusal(suspects)
--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/forwarding/crash_records.py
@@ -19,13 +19,13 @@
 from briarseam import clocks
 from briarseam import malformed
 from briarseam.feeds import records
-from briarseam.forwarding import part_trial_messages as messages
+from briarseam.forwarding import trial_messages as messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import part_losses
-    from briarseam.forwarding import part_trials
+    from briarseam.forwarding import loss_counts
+    from briarseam.forwarding import trial_ledger
 
 # Later, prompts with the part have most likely stopped to come.
 MAX_AGE_MS = 600_000
@@ -101,8 +101,8 @@
         self,
         store: KeyedStore,
         topic: str,
-        losses: part_losses.PartLosses,
-        ledger: part_trials.TrialLedger,
+        losses: loss_counts.LossCounts,
+        ledger: trial_ledger.TrialLedger,
         malformed_counter: malformed.Tally,
         wall_clock: typing.Callable[[], float] = time.time,
         clock: typing.Callable[[], float] = clocks.boot_clock,
--- a/src/briarseam/forwarding/part_losses.py
+++ b/src/briarseam/forwarding/loss_counts.py
@@ -18,7 +18,7 @@
 import structlog
 
 from briarseam import clocks
-from briarseam.forwarding import part_suspicion
+from briarseam.forwarding import suspicion
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -39,7 +39,7 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
-class PartLosses:
+class LossCounts:
     """Counts losses by part, including those that peers publish.
 
     Thread-safe.
@@ -80,7 +80,7 @@
         # number.
         self.clearings: dict[bytes, int] = {}
         self.peer_clearings: dict[str, dict[bytes, int]] = {}
-        self.suspicion = part_suspicion.Suspicion()
+        self.suspicion = suspicion.Suspicion()
         self.is_outdated = False
         self.lock = threading.RLock()
 
@@ -247,14 +247,14 @@
         """Return the endpoints whose loss suspected parts explain."""
         return self.current().explained
 
-    def current(self) -> part_suspicion.Suspicion:
+    def current(self) -> suspicion.Suspicion:
         """Return the suspicion by all that is known."""
         if not self.is_outdated:
             return self.suspicion
         with self.lock:
             self.is_outdated = False
             before = self.suspicion
-            after = part_suspicion.find_suspects(
+            after = suspicion.find_suspects(
                 self.all_endpoints(), self.is_answered
             )
             self.suspicion = after
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -26,7 +26,7 @@
 from briarseam.discovery import model as discovery
 from briarseam.discovery import starts
 from briarseam.forwarding import crash_guard
-from briarseam.forwarding import part_losses
+from briarseam.forwarding import loss_counts
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -160,10 +160,10 @@
         clock: typing.Callable[[], float] = clocks.boot_clock,
         heartbeat_s: float = DEFAULT_HEARTBEAT_S,
         decisions: labels.Family[instruments.Counter] | None = None,
-        parts: part_losses.PartLosses | None = None,
+        parts: loss_counts.LossCounts | None = None,
     ) -> None:
         self.decisions = decisions
-        self.parts = parts or part_losses.PartLosses(clock)
+        self.parts = parts or loss_counts.LossCounts(clock)
         self.guard = guard
         self.reachability = reachability
         self.entries = entries
--- a/src/briarseam/forwarding/preparing.py
+++ b/src/briarseam/forwarding/preparing.py
@@ -6,7 +6,7 @@
 
 from briarseam.forwarding import crash_checks
 from briarseam.forwarding import crash_guard
-from briarseam.forwarding import part_keys
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import refusing
 from briarseam.forwarding import request_context
 from briarseam.forwarding import streams
@@ -60,7 +60,7 @@
     crash_state = crash_checks.CrashState(
         call.id,
         crash_guard.digest_of(call.target, organisation, body),
-        part_keys.keys_of(call.prompt, isolated_name_of(caller)),
+        loss_keys.keys_of(call.prompt, isolated_name_of(caller)),
     )
     refusal = deps.crashes.refusal_on_arrival(crash_state)
     if refusal is not None:
--- a/src/briarseam/forwarding/part_trials.py
+++ b/src/briarseam/forwarding/trial_ledger.py
@@ -16,12 +16,12 @@
 import structlog
 
 from briarseam import clocks
-from briarseam.forwarding import part_trial_messages as messages
+from briarseam.forwarding import trial_messages as messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import part_losses
+    from briarseam.forwarding import loss_counts
 
 # How long after a part's last loss, and after its last trial, the next one
 # may begin, by the number of trials before it.  Innocent parts need one.
@@ -76,7 +76,7 @@
 
     def __init__(
         self,
-        losses: part_losses.PartLosses,
+        losses: loss_counts.LossCounts,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.losses = losses
--- a/src/briarseam/forwarding/part_trial_requests.py
+++ b/src/briarseam/forwarding/trial_requests.py
@@ -8,14 +8,14 @@
 import structlog
 
 from briarseam import clocks
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_trial_messages as messages
+from briarseam.forwarding import loss_counts
+from briarseam.forwarding import trial_messages as messages
 from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import part_trials
+    from briarseam.forwarding import trial_ledger
 
 # Callers are asked to come back so soon while a trial is under way.
 MIN_RETRY_S = 0.5
@@ -64,8 +64,8 @@
 
     def __init__(
         self,
-        losses: part_losses.PartLosses,
-        ledger: part_trials.TrialLedger,
+        losses: loss_counts.LossCounts,
+        ledger: trial_ledger.TrialLedger,
         coordinator: Coordinator,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
@@ -137,7 +137,7 @@
     ) -> None:
         """Refuse prompts with parts for a while without asking."""
         now_s = self.clock()
-        self.ask_again_s = part_losses.newer_than(self.ask_again_s, now_s)
+        self.ask_again_s = loss_counts.newer_than(self.ask_again_s, now_s)
         self.ask_again_s |= dict.fromkeys(parts, now_s + wait_s)
 
     def forget(self, parts: set[bytes]) -> None:
--- a/tests/forwarding/part_simulation.py
+++ b/tests/forwarding/part_simulation.py
@@ -6,10 +6,10 @@
 import random
 
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_trial_messages as messages
-from briarseam.forwarding import part_trial_requests
-from briarseam.forwarding import part_trials
+from briarseam.forwarding import loss_counts
+from briarseam.forwarding import trial_ledger
+from briarseam.forwarding import trial_messages as messages
+from briarseam.forwarding import trial_requests
 from tests import clocks
 
 ENGINES = 8
@@ -34,10 +34,10 @@
     """What one instance knows."""
 
     def __init__(self, clock, coordinator):
-        self.losses = part_losses.PartLosses(clock)
-        self.ledger = part_trials.TrialLedger(self.losses, clock)
+        self.losses = loss_counts.LossCounts(clock)
+        self.ledger = trial_ledger.TrialLedger(self.losses, clock)
         # The first instance grants trials.
-        self.trials = part_trial_requests.TrialRequests(
+        self.trials = trial_requests.TrialRequests(
             self.losses, self.ledger, coordinator or self, clock
         )
         self.losses.on_answered = self.trials.forget
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -6,18 +6,18 @@
 from briarseam.discovery import model
 from briarseam.forwarding import crash_checks
 from briarseam.forwarding import crash_guard
+from briarseam.forwarding import loss_counts
 from briarseam.forwarding import outcomes
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_suspicion
-from briarseam.forwarding import part_trial_messages as messages
-from briarseam.forwarding import part_trial_requests
-from briarseam.forwarding import part_trials
 from briarseam.forwarding import pending_losses
 from briarseam.forwarding import supervision
+from briarseam.forwarding import suspicion
+from briarseam.forwarding import trial_ledger
+from briarseam.forwarding import trial_messages as messages
+from briarseam.forwarding import trial_requests
 from briarseam.reachability import tracker
 from tests import clocks
 
-LIMIT = part_suspicion.LOST_ENDPOINTS_LIMIT
+LIMIT = suspicion.LOST_ENDPOINTS_LIMIT
 CRASHING = b"crashing"
 FIRST = b"first"
 IDS = {FIRST: "aa", CRASHING: "cc"}
@@ -66,12 +66,12 @@
 
 @pytest.fixture
 def coordinator(parts, clock):
-    return Coordinator(part_trials.TrialLedger(parts, clock))
+    return Coordinator(trial_ledger.TrialLedger(parts, clock))
 
 
 @pytest.fixture
 def parts(clock):
-    return part_losses.PartLosses(clock)
+    return loss_counts.LossCounts(clock)
 
 
 @pytest.fixture
@@ -82,7 +82,7 @@
     losses = pending_losses.PendingLosses(
         guard, reachability, Entries(), clock, parts=parts
     )
-    trials = part_trial_requests.TrialRequests(
+    trials = trial_requests.TrialRequests(
         parts, coordinator.ledger, coordinator, clock
     )
     parts.on_answered = trials.forget
@@ -253,7 +253,7 @@
 
 
 def test_log_tells_what_ran_when_its_caller_left(checks, endpoints):
-    """Guards against endpoints that end with requests of which no line tells."""
+    """Guards against crashes of which no line names the request."""
     state = state_of(1, FIRST)
     sent_s = checks.clock()
     checks.record_start(state)
--- a/tests/forwarding/test_crash_records.py
+++ b/tests/forwarding/test_crash_records.py
@@ -5,8 +5,8 @@
 from briarseam import malformed
 from briarseam.feeds import records
 from briarseam.forwarding import crash_records
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_trials
+from briarseam.forwarding import loss_counts
+from briarseam.forwarding import trial_ledger
 from briarseam.testing import waiting
 from tests import clocks
 
@@ -60,8 +60,8 @@
     started = []
 
     def start_one():
-        losses = part_losses.PartLosses(clock)
-        ledger = part_trials.TrialLedger(losses, clock)
+        losses = loss_counts.LossCounts(clock)
+        ledger = trial_ledger.TrialLedger(losses, clock)
         one = crash_records.CrashRecords(
             store, TOPIC, losses, ledger, tally, clock, clock
         )
--- a/tests/forwarding/test_part_losses.py
+++ b/tests/forwarding/test_loss_counts.py
@@ -4,16 +4,16 @@
 import pytest
 
 from briarseam.forwarding import calls
-from briarseam.forwarding import part_keys
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_suspicion
+from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_keys
+from briarseam.forwarding import suspicion
 from tests import clocks
 
 CRASHING = b"crashing"
 FIRST = b"first"
 SUBJECT = b"subject"
-LIMIT = part_suspicion.LOST_ENDPOINTS_LIMIT
-ANSWERED_LIMIT = part_suspicion.ANSWERED_ENDPOINTS_LIMIT
+LIMIT = suspicion.LOST_ENDPOINTS_LIMIT
+ANSWERED_LIMIT = suspicion.ANSWERED_ENDPOINTS_LIMIT
 
 
 @pytest.fixture
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def losses(clock):
-    return part_losses.PartLosses(clock)
+    return loss_counts.LossCounts(clock)
 
 
 def names(count, first=0):
@@ -125,7 +125,7 @@
 
 def test_losses_of_several_instances_add_up(losses, clock):
     """Guards against a part that each instance has lost once only."""
-    peers = [part_losses.PartLosses(clock) for _ in range(LIMIT)]
+    peers = [loss_counts.LossCounts(clock) for _ in range(LIMIT)]
     for number, peer in enumerate(peers):
         lose(peer, (CRASHING,), names(1, number))
         tell(peer, losses, f"peer-{number}")
@@ -134,7 +134,7 @@
 
 def test_answer_at_one_instance_clears_a_part_at_its_peers(losses, clock):
     """Guards against a part that stays refused where it was not answered."""
-    peer = part_losses.PartLosses(clock)
+    peer = loss_counts.LossCounts(clock)
     lose(losses, (FIRST,), names(LIMIT))
     tell(losses, peer)
     assert peer.suspects((FIRST,)) == (FIRST,)
@@ -149,9 +149,9 @@
 
 def test_answer_clears_what_another_instance_has_lost(losses, clock):
     """Guards against losses that a third instance goes on to tell."""
-    loser = part_losses.PartLosses(clock)
+    loser = loss_counts.LossCounts(clock)
     lose(loser, (FIRST,), names(LIMIT))
-    peer = part_losses.PartLosses(clock)
+    peer = loss_counts.LossCounts(clock)
     for other in (losses, peer):
         tell(loser, other, "loser")
     clock.now_s += 1
@@ -163,7 +163,7 @@
 
 def test_clearing_is_applied_once(losses, clock):
     """Guards against an old answer that clears the losses after it."""
-    peer = part_losses.PartLosses(clock)
+    peer = loss_counts.LossCounts(clock)
     lose(losses, (FIRST,), names(LIMIT))
     tell(losses, peer)
     clock.now_s += 1
@@ -177,7 +177,7 @@
 
 def test_losses_expire(losses, clock):
     lose(losses, (CRASHING,), names(LIMIT))
-    clock.now_s += part_losses.LOSS_TTL_S
+    clock.now_s += loss_counts.LOSS_TTL_S
     losses.forget_expired()
     assert losses.suspects((CRASHING,)) == ()
     assert losses.local == {}
@@ -187,7 +187,7 @@
     """Guards against a part that crashes endpoints anew each minute."""
     lose(losses, (CRASHING,), names(LIMIT))
     for _ in range(10):
-        clock.now_s += part_losses.LOSS_TTL_S / 2
+        clock.now_s += loss_counts.LOSS_TTL_S / 2
         losses.record_refusal((CRASHING,))
         losses.forget_expired()
         assert losses.suspects((CRASHING,)) == (CRASHING,)
@@ -195,7 +195,7 @@
 
 def test_refusing_instance_keeps_what_a_peer_has_told(losses, clock):
     """Guards against forgetting with the instance that lost the prompts."""
-    peer = part_losses.PartLosses(clock)
+    peer = loss_counts.LossCounts(clock)
     lose(peer, (CRASHING,), names(LIMIT))
     tell(peer, losses)
     losses.record_refusal((CRASHING,))
@@ -204,10 +204,10 @@
 
 
 def test_losses_of_a_peer_that_is_gone_count_until_they_expire(losses, clock):
-    peer = part_losses.PartLosses(clock)
+    peer = loss_counts.LossCounts(clock)
     lose(peer, (CRASHING,), names(LIMIT))
     tell(peer, losses)
-    clock.now_s += part_losses.LOSS_TTL_S - 1
+    clock.now_s += loss_counts.LOSS_TTL_S - 1
     losses.forget_expired()
     assert losses.suspects((CRASHING,)) == (CRASHING,)
     clock.now_s += 2
@@ -224,18 +224,18 @@
 def test_many_parts_do_not_crowd_out_a_suspected_one(losses, clock):
     """Guards against a caller that invents parts without end."""
     lose(losses, (CRASHING,), names(LIMIT))
-    for number in range(part_losses.MAX_LOST + 100):
+    for number in range(loss_counts.MAX_LOST + 100):
         clock.now_s += 0.001
         losses.record_loss(b"%d" % number, "e9", clock())
-    assert len(losses.local) <= part_losses.MAX_LOST
+    assert len(losses.local) <= loss_counts.MAX_LOST
     assert losses.suspects((CRASHING,)) == (CRASHING,)
-    peer = part_losses.PartLosses(clock)
+    peer = loss_counts.LossCounts(clock)
     tell(losses, peer)
     assert peer.suspects((CRASHING,)) == (CRASHING,)
 
 
 def test_number_of_remembered_answers_is_bounded(losses, monkeypatch):
-    monkeypatch.setattr(part_losses, "MAX_ANSWERED", 2)
+    monkeypatch.setattr(loss_counts, "MAX_ANSWERED", 2)
     for number in range(4):
         losses.record_answer((bytes([number]),), losses.clock())
     assert list(losses.answered_s) == [b"\2", b"\3"]
@@ -263,14 +263,14 @@
 
 
 def test_last_part_and_requests_without_prompts_have_no_key():
-    assert part_keys.keys_of(None, "") == {}
-    assert list(part_keys.keys_of(prompt("aa", "bb"), "").values()) == ["aa"]
+    assert loss_keys.keys_of(None, "") == {}
+    assert list(loss_keys.keys_of(prompt("aa", "bb"), "").values()) == ["aa"]
 
 
 def test_isolated_organisation_has_keys_of_its_own():
     """Guards against losses of one that refuse, or tell of, its prompts."""
-    shared = part_keys.keys_of(prompt("aa", "bb"), "").keys()
-    north = part_keys.keys_of(prompt("aa", "bb"), "north").keys()
-    south = part_keys.keys_of(prompt("aa", "bb"), "south").keys()
+    shared = loss_keys.keys_of(prompt("aa", "bb"), "").keys()
+    north = loss_keys.keys_of(prompt("aa", "bb"), "north").keys()
+    south = loss_keys.keys_of(prompt("aa", "bb"), "south").keys()
     assert not shared & north
     assert not north & south
--- a/tests/forwarding/test_loss_sharing.py
+++ b/tests/forwarding/test_loss_sharing.py
@@ -3,8 +3,8 @@
 import pytest
 
 from briarseam.forwarding import crash_guard
+from briarseam.forwarding import loss_counts
 from briarseam.forwarding import loss_sharing
-from briarseam.forwarding import part_losses
 from briarseam.testing import waiting
 from briarseam.wire import replies
 
@@ -96,9 +96,9 @@
 
 def test_part_lost_in_one_cell_is_suspected_in_all():
     """Guards against a part that crashes three endpoints for each cell."""
-    other = loss_sharing.LossSharing(part_losses.PartLosses(), Cells({}))
+    other = loss_sharing.LossSharing(loss_counts.LossCounts(), Cells({}))
     sharing = loss_sharing.LossSharing(
-        part_losses.PartLosses(),
+        loss_counts.LossCounts(),
         Cells({"10.0.0.2:1": other}),
         loss_sharing.PartsLost,
     )
--- a/tests/forwarding/test_part_trials.py
+++ b/tests/forwarding/test_trial_ledger.py
@@ -3,10 +3,10 @@
 import msgpack
 import pytest
 
-from briarseam.forwarding import part_losses
-from briarseam.forwarding import part_trial_messages as messages
-from briarseam.forwarding import part_trial_requests
-from briarseam.forwarding import part_trials
+from briarseam.forwarding import loss_counts
+from briarseam.forwarding import trial_ledger
+from briarseam.forwarding import trial_messages as messages
+from briarseam.forwarding import trial_requests
 from briarseam.wire import codec
 from briarseam.wire import replies
 from tests import clocks
@@ -14,7 +14,7 @@
 PART = b"part"
 OTHER = b"other"
 ENDPOINTS = ("e1", "e2", "e3")
-WAITS_S = part_trials.WAITS_S
+WAITS_S = trial_ledger.WAITS_S
 
 
 @pytest.fixture
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def losses(clock):
-    losses = part_losses.PartLosses(clock)
+    losses = loss_counts.LossCounts(clock)
     for endpoint in ENDPOINTS:
         losses.record_loss(PART, endpoint, clock())
     return losses
@@ -32,7 +32,7 @@
 
 @pytest.fixture
 def ledger(losses, clock):
-    return part_trials.TrialLedger(losses, clock)
+    return trial_ledger.TrialLedger(losses, clock)
 
 
 class Coordinator:
@@ -68,12 +68,10 @@
 
 def other_instance(coordinator, clock):
     """Return the requests of another instance, which knows the losses."""
-    losses = part_losses.PartLosses(clock)
+    losses = loss_counts.LossCounts(clock)
     losses.consume("peer", coordinator.ledger.losses.provide())
-    ledger = part_trials.TrialLedger(losses, clock)
-    return part_trial_requests.TrialRequests(
-        losses, ledger, coordinator, clock
-    )
+    ledger = trial_ledger.TrialLedger(losses, clock)
+    return trial_requests.TrialRequests(losses, ledger, coordinator, clock)
 
 
 def ask(requests, *parts):
@@ -171,7 +169,7 @@
     requests.end((PART, OTHER), messages.TrialEnd.LOST)
     clock.now_s += WAITS_S[0]
     assert ask(requests, PART, OTHER) is not None
-    clock.now_s += part_trial_requests.MIN_RETRY_S
+    clock.now_s += trial_requests.MIN_RETRY_S
     assert ask(requests, OTHER) is None
     requests.end((OTHER,), messages.TrialEnd.ANSWERED)
     lost = coordinator.ledger.lost_trials(frozenset((PART, OTHER)))
@@ -187,7 +185,7 @@
     clock.now_s += WAITS_S[0]
     assert ask(requests) is not None
     coordinator.is_away = False
-    clock.now_s += part_trial_requests.MIN_RETRY_S
+    clock.now_s += trial_requests.MIN_RETRY_S
     assert ask(requests) is None
 
 
@@ -205,8 +203,8 @@
     requests = other_instance(coordinator, clock)
     clock.now_s += WAITS_S[0]
     assert ask(requests) is None
-    clock.now_s += part_trials.OPEN_S
-    successor = part_trials.TrialLedger(losses, clock)
+    clock.now_s += trial_ledger.OPEN_S
+    successor = trial_ledger.TrialLedger(losses, clock)
     successor.consume("former", ledger.provide())
     coordinator.ledger = successor
     clock.now_s += WAITS_S[0] / 2
@@ -216,7 +214,7 @@
 def test_trials_of_parts_without_losses_are_not_taken_over(clock, ledger):
     """Guards against old trials that delay a part which was answered."""
     clock.now_s += WAITS_S[0]
-    peer = part_trials.TrialLedger(part_losses.PartLosses(clock), clock)
+    peer = trial_ledger.TrialLedger(loss_counts.LossCounts(clock), clock)
     peer.consume("peer", msgpack.packb([[[PART], 2]]))
     assert peer.trials == {}
     ledger.consume("peer", msgpack.packb([[[PART], 2]]))
@@ -225,7 +223,7 @@
 
 def test_trials_are_forgotten_after_a_while(ledger, clock):
     ledger.consume("peer", msgpack.packb([[[PART], 2]]))
-    clock.now_s += part_trials.TRIALS_TTL_S
+    clock.now_s += trial_ledger.TRIALS_TTL_S
     ledger.forget_expired()
     assert ledger.trials == {}
 
@@ -234,4 +232,4 @@
     requests = other_instance(coordinator, clock)
     coordinator.ledger.consume("peer", msgpack.packb([[[PART], 3]]))
     refused = ask(requests)
-    assert refused.retry_after_s == part_trial_requests.MAX_RETRY_S
+    assert refused.retry_after_s == trial_requests.MAX_RETRY_S
