--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -200,7 +200,6 @@
             self.malformed_counter,
             self.metrics,
         )
-        self.guard = self.crashes.guard
         self.losses = self.crashes.losses
         self.software = software.SoftwareHistory(registry.all)
         self.origins = origin_exchange.OriginExchange(
@@ -359,7 +358,7 @@
         self.pool.close_expired()
         self.threads.update()
         names = frozenset(self.instances.all_names())
-        self.crashes.forget_expired(names)
+        self.crashes.forget_expired()
         self.chooser.loads.keep_only(names)
         self.paths.keep_only(names)
         self.peer_configuration.keep_only(names)
@@ -455,9 +454,8 @@
             ),
             software_versions=self.software.most_versions,
             services_unreachable=lambda: len(self.reachability.unreachable),
-            parts_suspected=lambda: len(
-                self.crashes.parts.current().endpoints
-            ),
+            parts_suspected=self.crashes.count_suspected_parts,
+            requests_suspected=self.crashes.count_suspected_requests,
             zones_evacuated=lambda: len(self.eligibility.evacuations.zones),
         )
 
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -211,7 +211,9 @@
         """
         self.call_remote(address, message, cell_loads.CellLoadNoted)
 
-    def send_losses(self, address: str, message: loss_sharing.Message) -> None:
+    def send_losses(
+        self, address: str, message: loss_sharing.KeysLost
+    ) -> None:
         """Send what was lost with an endpoint to another cell.
 
         Raises
@@ -219,7 +221,7 @@
         NoReplyError
             If they may not have been applied.
         """
-        self.call_remote(address, message, loss_sharing.RequestsLostNoted)
+        self.call_remote(address, message, loss_sharing.KeysLostNoted)
 
     def publish_weights(
         self, address: str, message: cell_weights.WeightsTold
--- a/src/briarseam/compose/node_crashes.py
+++ b/src/briarseam/compose/node_crashes.py
@@ -7,9 +7,9 @@
 from briarseam.compose import node_metrics
 from briarseam.compose import node_peers
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import crash_guard
 from briarseam.forwarding import crash_records
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import loss_sharing
 from briarseam.forwarding import pending_losses
 from briarseam.forwarding import trial_ledger
@@ -139,41 +139,35 @@
         malformed_counter: malformed.Tally,
         registry: metrics.Registry,
     ) -> None:
-        self.guard = crash_guard.CrashGuard()
-        self.parts = loss_counts.LossCounts()
-        self.guard.explained = self.parts.explained
-        self.request_sharing = loss_sharing.LossSharing(self.guard, calls)
-        self.guard.on_lost = self.request_sharing.add
-        self.part_sharing = loss_sharing.LossSharing(
-            self.parts, calls, loss_sharing.PartsLost
-        )
-        self.parts.on_lost = self.part_sharing.add
+        self.counts = loss_counts.LossCounts()
+        self.sharing = loss_sharing.LossSharing(self.counts, calls)
+        self.counts.on_lost = self.sharing.add
         self.losses = pending_losses.PendingLosses(
-            self.guard,
+            self.counts,
             reachability,
             entries,
             heartbeat_s=heartbeat_s,
             decisions=node_metrics.loss_decisions(registry),
-            parts=self.parts,
         )
         self.losses.on_decided = instances.publish_now
-        self.ledger = trial_ledger.TrialLedger(self.parts)
+        self.ledger = trial_ledger.TrialLedger(self.counts)
+        self.ledger.on_granted = instances.publish_now
         self.trials = trial_requests.TrialRequests(
-            self.parts,
+            self.counts,
             self.ledger,
             TrialCoordinator(self.ledger, instances, calls),
         )
         self.records = crash_records.CrashRecords(
             store,
             names.CRASHES_TOPIC,
-            self.parts,
+            self.counts,
             self.ledger,
             malformed_counter,
         )
-        self.parts.on_answered = self.forget_answered
-        self.parts.on_cleared = instances.publish_now
+        self.counts.on_answered = self.forget_answered
+        self.counts.on_cleared = instances.publish_now
         self.checks = crash_checks.CrashChecks(
-            self.guard, self.parts, self.losses, self.trials
+            self.counts, self.losses, self.trials
         )
         self.checks.on_trial_lost = self.records.save
 
@@ -181,44 +175,47 @@
         """Start to decide on losses, and to publish them."""
         self.records.start()
         self.losses.start()
-        self.request_sharing.start()
-        self.part_sharing.start()
+        self.sharing.start()
 
     def stop(self) -> None:
         """Stop."""
         self.records.stop()
         self.losses.stop()
-        self.request_sharing.stop()
-        self.part_sharing.stop()
-
-    def forget_answered(self, parts: set[bytes]) -> None:
-        """Forget that parts were suspected which have been answered."""
-        self.trials.forget(parts)
-        self.records.remove(parts)
-
-    def forget_expired(self, instance_names: frozenset[str]) -> None:
-        """Forget what counts no more, and what peers said that are gone."""
-        self.guard.forget_expired()
-        self.guard.answered.keep_only(instance_names)
-        self.parts.forget_expired()
+        self.sharing.stop()
+
+    def forget_answered(self, keys: set[bytes]) -> None:
+        """Forget that keys were suspected which have been answered."""
+        self.trials.forget(keys)
+        self.records.remove(keys)
+
+    def forget_expired(self) -> None:
+        """Forget what counts no more."""
+        self.counts.forget_expired()
         self.ledger.forget_expired()
 
+    def count_suspected_requests(self) -> int:
+        """Return the number of requests that are suspected."""
+        return len(loss_keys.only_requests(self.counts.current().endpoints))
+
+    def count_suspected_parts(self) -> int:
+        """Return the number of parts of prompts that are suspected."""
+        suspects = len(self.counts.current().endpoints)
+        return suspects - self.count_suspected_requests()
+
     def sections(self) -> tuple[sections.Section, ...]:
         """Return the sections of heartbeats.
 
-        Trials come last: they are applied to parts with losses.
+        Trials come last: they are applied to keys with losses.
         """
         providers: dict[str, typing.Any] = {
-            "lost-requests": self.guard,
-            "answered-requests": self.guard.answered,
             "tracked-losses": self.losses,
-            "lost-parts": self.parts,
-            "part-trials": self.ledger,
+            "lost-keys": self.counts,
+            "trials": self.ledger,
         }
         clearings = sections.Section(
-            "answered-parts",
-            self.parts.provide_clearings,
-            self.parts.consume_clearings,
+            "answered-keys",
+            self.counts.provide_clearings,
+            self.counts.consume_clearings,
         )
         return (
             clearings,
@@ -234,8 +231,7 @@
         """Return the handlers of other instances' messages."""
         handler = node_peers.MessageHandler
         return {
-            loss_sharing.RequestsLost: handler(self.request_sharing.handle),
-            loss_sharing.PartsLost: handler(self.part_sharing.handle),
+            loss_sharing.KeysLost: handler(self.sharing.handle),
             trial_messages.TrialAsked: handler(self.ledger.answer),
             trial_messages.TrialEnded: handler(self.ledger.end),
         }
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -26,7 +26,7 @@
     topic_reads_shared, configuration_version, endpoints_known
     endpoints_cold, endpoints_in_backoff, endpoints_rate_limited
     endpoints_rejection_limited, software_versions, services_unreachable
-    parts_suspected, zones_evacuated
+    parts_suspected, requests_suspected, zones_evacuated
         The metrics of the same names; see their help texts.
     """
 
@@ -45,6 +45,7 @@
     software_versions: Reading
     services_unreachable: Reading
     parts_suspected: Reading
+    requests_suspected: Reading
     zones_evacuated: Reading
 
 
@@ -126,6 +127,11 @@
             "Parts of prompts that are suspected of crashing endpoints",
             readings.parts_suspected,
         ),
+        (
+            "requests_suspected",
+            "Requests that are suspected of crashing endpoints",
+            readings.requests_suspected,
+        ),
         (
             "zones_evacuated",
             "Availability zones whose endpoints get no requests",
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -11,9 +11,9 @@
 from briarseam import verdict
 from briarseam.forwarding import attempts
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import refusing
-from briarseam.forwarding import suspicion
 from briarseam.forwarding import trial_messages as messages
 from briarseam.forwarding import trial_requests
 
@@ -21,7 +21,7 @@
     import collections.abc
 
     from briarseam.discovery import model as discovery
-    from briarseam.forwarding import crash_guard
+    from briarseam.forwarding import loss_counts
     from briarseam.forwarding import pending_losses
     from briarseam.forwarding import supervision
 
@@ -41,11 +41,11 @@
     request
         Id of the request.
     digest
-        Same for repeats of the request.
+        Key of the request, the same for its repeats.
     parts
         Ids of the shared parts of its prompt, by key.
     trial
-        Keys of the suspected parts that the request tries.
+        The trial that the request is, as long as its end is not told.
     began_s
         When the first event of the present attempt came, by the boot clock;
         ``None`` before it.
@@ -56,44 +56,45 @@
     request: str
     digest: bytes
     parts: dict[bytes, str] = dataclasses.field(default_factory=dict)
-    trial: frozenset[bytes] = frozenset()
+    trial: trial_requests.Granted | None = None
     began_s: float | None = None
     is_recorded: bool = False
 
+    @property
+    def keys(self) -> tuple[bytes, ...]:
+        """Keys of the request and of the shared parts of its prompt."""
+        return (self.digest, *self.parts)
+
 
 class CrashChecks:
     """Refuses requests that seem to crash endpoints, and counts losses.
 
     Parameters
     ----------
-    guard
-        Counts losses by repeats of a request.
-    parts
-        Counts losses by part of a prompt.
+    counts
+        Counts losses by request and by part of a prompt.
     losses
         Decides which losses count.
     trials
-        Asks for trials of suspected parts.
+        Asks for trials of suspects.
     clock
         Seconds.
 
     Attributes
     ----------
     on_trial_lost
-        Called with the keys of the parts of a prompt that was lost as a
+        Called with the keys of the suspects of a request that was lost as a
         trial.
     """
 
     def __init__(
         self,
-        guard: crash_guard.CrashGuard,
-        parts: loss_counts.LossCounts,
+        counts: loss_counts.LossCounts,
         losses: pending_losses.PendingLosses,
         trials: trial_requests.TrialRequests,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
-        self.guard = guard
-        self.parts = parts
+        self.counts = counts
         self.losses = losses
         self.trials = trials
         self.clock = clock
@@ -103,15 +104,13 @@
 
     def refusal_on_arrival(self, state: CrashState) -> verdict.NotRun | None:
         """Return the refusal of a request that can't be sent now."""
-        if self.guard.is_refused(state.digest):
-            return refusing.CONDEMNED
-        suspects = self.suspects(state.parts)
+        suspects = self.losses.suspects(state.keys)
         if not suspects:
             return None
         refused = self.trials.refusal(suspects)
         if refused is None:
             return None
-        return self.refuse_parts(state, suspects, refused)
+        return self.refuse(state, suspects, refused)
 
     def refusal_of_send(self, state: CrashState) -> verdict.NotRun | None:
         """Return the refusal of a request that is about to be sent.
@@ -119,53 +118,36 @@
         It is asked before each send: losses may have been learned while the
         request waited, or was tried elsewhere.
         """
-        if self.guard.is_refused(state.digest):
-            return refusing.CONDEMNED
-        if self.losses.is_suspect(state.digest):
-            return refusing.SUSPECTED
-        suspects = self.suspects(state.parts)
-        if suspects.keys() <= state.trial:
+        suspects = self.losses.suspects(state.keys)
+        if not suspects:
             return None
-        refused = self.trials.begin(suspects)
-        if refused is not None:
-            return self.refuse_parts(state, suspects, refused)
-        state.trial = frozenset(suspects)
+        if state.trial is not None and suspects.keys() <= state.trial.keys:
+            return None
+        match self.trials.begin(suspects):
+            case trial_requests.Refused() as refused:
+                return self.refuse(state, suspects, refused)
+            case trial_requests.Granted(keys=keys) as granted if keys:
+                state.trial = granted
         return None
 
-    def suspects(
-        self, parts: collections.abc.Iterable[bytes]
-    ) -> dict[bytes, float]:
-        """Return which parts are suspected, and when each was last lost.
-
-        Losses that are not decided yet count as well, unless a part was
-        answered lately: then they rather have another cause.
-        """
-        counted = set(self.parts.suspects(parts))
-        found = {}
-        for part in parts:
-            undecided_s = {}
-            if not self.parts.is_answered(part):
-                undecided_s = self.losses.undecided_s(part)
-            endpoints = self.parts.endpoints_of(part) | undecided_s.keys()
-            if part in counted or (
-                undecided_s
-                and len(endpoints) >= suspicion.LOST_ENDPOINTS_LIMIT
-            ):
-                found[part] = max(
-                    [self.parts.last_lost_s(part), *undecided_s.values()]
-                )
-        return found
-
-    def refuse_parts(
+    def refuse(
         self,
         state: CrashState,
         suspects: collections.abc.Mapping[bytes, float],
         refused: trial_requests.Refused,
     ) -> verdict.NotRun:
-        """Return the refusal of a prompt with suspected parts."""
-        self.parts.record_refusal(suspects)
-        ids = ", ".join(state.parts[part] for part in suspects)
-        endpoints = max(len(self.parts.endpoints_of(one)) for one in suspects)
+        """Return the refusal of a request that is suspected, or its parts."""
+        self.counts.record_refusal(suspects)
+        parts = [part for part in state.parts if part in suspects]
+        if not parts:
+            usual = refusing.SUSPECTED
+            if self.trials.ledger.has_tried(suspects):
+                usual = refusing.CONDEMNED
+            return dataclasses.replace(
+                usual, retry_after_s=refused.retry_after_s
+            )
+        ids = ", ".join(state.parts[part] for part in parts)
+        endpoints = max(len(self.counts.endpoints_of(one)) for one in parts)
         return verdict.NotRun(
             verdict.Reason.CONDEMNED,
             f"{endpoints} endpoints were lost with part {ids}, which none has "
@@ -192,12 +174,32 @@
             self.record_answer(state, state.began_s)
 
     def record_answer(self, state: CrashState, began_s: float) -> None:
-        """Record that an endpoint goes on after it began to answer."""
+        """Record that an endpoint goes on after it began to answer.
+
+        That clears the parts of the prompt.  The request itself may still
+        crash its endpoint, until it is answered completely.
+        """
         state.is_recorded = True
-        trial, state.trial = state.trial, frozenset()
-        self.parts.record_answer(state.parts, began_s)
-        if trial:
-            self.trials.end(trial, messages.TrialEnd.ANSWERED)
+        self.counts.record_answer(state.parts, began_s)
+        if state.trial is None:
+            return
+        requests = loss_keys.only_requests(state.trial.keys)
+        cleared = state.trial.keys - requests
+        if cleared:
+            ended = messages.TrialEnd.ANSWERED
+            self.trials.end(state.trial, ended, cleared)
+        rest = trial_requests.Granted(state.trial.id, requests)
+        state.trial = rest if requests else None
+
+    def record_complete_answer(self, state: CrashState) -> None:
+        """Record that an endpoint has answered a request completely."""
+        self.counts.record_answer((state.digest,), self.clock())
+        if state.trial is None:
+            return
+        if state.digest in state.trial.keys:
+            ended = messages.TrialEnd.ANSWERED
+            keys = loss_keys.only_requests(state.trial.keys)
+            self.trials.end(state.trial, ended, keys)
 
     def record_outcome(
         self,
@@ -221,15 +223,20 @@
         """
         match outcome:
             case outcomes.Answered(status):
-                self.guard.record_answer(state.digest)
                 if status < attempts.SUCCESS_END and not state.is_recorded:
                     self.record_answer(state, state.began_s or sent_s)
+                self.record_complete_answer(state)
+                state.trial = None
+            case outcomes.Failed(head):
+                if head.status not in attempts.NOT_RUN_STATUSES:
+                    self.record_complete_answer(state)
+                state.trial = None
             case outcomes.Broken():
                 self.record_loss(state, endpoint)
-                trial, state.trial = state.trial, frozenset()
-                if trial:
+                trial, state.trial = state.trial, None
+                if trial is not None:
                     self.trials.end(trial, messages.TrialEnd.LOST)
-                    self.on_trial_lost(trial)
+                    self.on_trial_lost(trial.keys)
             case outcomes.Unreached():
                 # The trial has reached no endpoint; the next one is part of
                 # it.
@@ -237,7 +244,7 @@
             case outcomes.Rejected(attempts.MISDIRECTED):
                 return
             case _:
-                state.trial = frozenset()
+                state.trial = None
 
     def record_abandoned(
         self,
@@ -259,7 +266,7 @@
         sent_s
             When it was sent, by the boot clock.
         """
-        state.trial = frozenset()
+        state.trial = None
         log.info(
             "request_abandoned",
             request=state.request,
@@ -278,7 +285,7 @@
         blamed: tuple[bytes, ...] = ()
         # Otherwise the endpoint has begun to answer, and gone on.
         if not state.is_recorded:
-            blamed = self.parts.blamed(state.parts)
+            blamed = self.counts.blamed(tuple(state.parts))
         log.info(
             "request_lost",
             request=state.request,
@@ -292,9 +299,9 @@
 
     def end_trial(self, state: CrashState) -> None:
         """Tell of a trial that the request did not use."""
-        if state.trial:
+        if state.trial is not None:
             self.trials.end(state.trial, messages.TrialEnd.UNUSED)
-            state.trial = frozenset()
+            state.trial = None
 
 
 def ignore(parts: frozenset[bytes]) -> None:
--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/forwarding/crash_records.py
@@ -46,14 +46,14 @@
     ----------
     endpoints
         Ids of the endpoints at which it was lost.
-    lost_trials
-        Number of its trials that were lost.
+    trials
+        Its trials.
     written_ms
         Unix time in milliseconds.
     """
 
     endpoints: tuple[str, ...]
-    lost_trials: int
+    trials: tuple[messages.TrialRow, ...]
     written_ms: int
 
 
@@ -141,12 +141,8 @@
         """Record parts whose trial was just lost."""
         for part in parts:
             endpoints = tuple(sorted(self.losses.endpoints_of(part)))
-            lost = 1 + sum(
-                trials.count
-                for trials in self.ledger.lost_trials(frozenset((part,)))
-                if trials.parts == (part,)
-            )
-            record = CrashRecord(endpoints, lost, self.wall_ms())
+            trials = self.ledger.rows(frozenset((part,)))
+            record = CrashRecord(endpoints, trials, self.wall_ms())
             self.enqueue(Write(part, record))
 
     def remove(self, parts: collections.abc.Iterable[bytes]) -> None:
@@ -209,13 +205,12 @@
             return
         for endpoint in record.endpoints:
             self.losses.add_loss(part, endpoint)
-        lost_trials = messages.LostTrials((part,), record.lost_trials)
-        self.ledger.apply((lost_trials,))
+        self.ledger.apply(record.trials)
         log.info(
             "crash_record_read",
             part=row.key,
             endpoints=list(record.endpoints),
-            lost_trials=record.lost_trials,
+            trials=len(record.trials),
         )
 
     def write(self, write: Write) -> None:
--- a/src/briarseam/forwarding/loss_counts.py
+++ b/src/briarseam/forwarding/loss_counts.py
@@ -1,10 +1,9 @@
-"""Losses of requests, counted by the shared parts of their prompts.
+"""Losses with endpoints, counted by repeated request and by part of a prompt.
 
-A part of a prompt may crash each endpoint that begins to answer a prompt with
-it.  No two such prompts need to be alike, so counting repeats of a request
-misses them.  All shared parts of a lost prompt look alike, and each crash
-also takes prompts without the crashing part along.  What tells them apart is
-that the crashing part is never answered.
+A request may crash each endpoint that runs it, and its caller sends it again.
+A part of a prompt may do the same, and no two prompts with it need to be
+alike.  All parts of a lost prompt look alike, and each crash also takes along
+what ran beside it.  What tells them apart is that the cause is never answered.
 """
 
 from __future__ import annotations
@@ -18,18 +17,19 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import suspicion
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-# How long an answer speaks for a part.
+# How long an answer speaks for a key.
 ANSWER_TTL_S = 60.0
-# How long a loss counts, and a part's losses after it was last refused: while
-# prompts with it go on coming, none of its losses is forgotten.
-LOSS_TTL_S = 60.0
-# Bounds on memory; callers choose the ids of parts.
-MAX_ANSWERED = 5000
+# How long a loss counts, and a key's losses after it was last refused: while
+# requests with it go on coming, none of its losses is forgotten.
+LOSS_TTL_S = 3600.0
+# Bounds on memory; callers choose their requests and the ids of parts.
+MAX_ANSWERED = 10_000
 MAX_LOST = 2000
 # Bounds on what heartbeats carry.
 MAX_PUBLISHED = 100
@@ -40,7 +40,7 @@
 
 
 class LossCounts:
-    """Counts losses by part, including those that peers publish.
+    """Counts losses by key, including those that peers publish.
 
     Thread-safe.
 
@@ -52,12 +52,11 @@
     Attributes
     ----------
     on_lost
-        Called with the key of a part that this instance lost, and the
-        endpoint's id.
+        Called with a key that this instance lost, and the endpoint's id.
     on_answered
-        Called with the keys of parts with losses that have been answered.
+        Called with keys with losses that have been answered.
     on_cleared
-        Called after this instance had a suspected part answered.
+        Called after this instance had a suspect answered.
     """
 
     def __init__(
@@ -67,16 +66,16 @@
         self.on_lost: typing.Callable[[bytes, str], None] = ignore
         self.on_answered: typing.Callable[[set[bytes]], None] = ignore
         self.on_cleared: typing.Callable[[], None] = ignore
-        # When each part was lost at an endpoint, or heard of by a peer.
+        # When each key was lost at an endpoint, or heard of by a peer.
         self.local: dict[bytes, dict[str, float]] = {}
         self.by_peer: dict[str, dict[bytes, dict[str, float]]] = {}
         self.peer_seen_s: dict[str, float] = {}
         self.refused_s: dict[bytes, float] = {}
-        # When the last answer began; the oldest is the first.
+        # Which losses the last answer clears; the oldest answer is the first.
         self.answered_s: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
-        # Answers that peers must hear of, by part; a later one has another
+        # Answers that peers must hear of, by key; a later one has another
         # number.
         self.clearings: dict[bytes, int] = {}
         self.peer_clearings: dict[str, dict[bytes, int]] = {}
@@ -87,72 +86,72 @@
     # What is learned.
 
     def record_answer(
-        self, parts: collections.abc.Iterable[bytes], began_s: float
+        self, keys: collections.abc.Iterable[bytes], at_s: float
     ) -> None:
-        """Record that an endpoint goes on after it began to answer.
+        """Record that an endpoint goes on after it answered.
 
         Parameters
         ----------
-        parts
-            Keys of the shared parts of the prompt.
-        began_s
-            When the first event came, by the clock.
+        keys
+            Keys of the request or of the shared parts of its prompt.
+        at_s
+            Losses before this time, by the clock, are cleared.
         """
         with self.lock:
             suspected = self.current().endpoints
-            cleared = self.add_answers(parts, began_s)
-            for part in cleared:
-                self.clearings[part] = round(self.clock() * MS)
+            cleared = self.add_answers(keys, at_s)
+            for key in cleared:
+                self.clearings[key] = round(self.clock() * MS)
         if not cleared:
             return
         self.on_answered(cleared)
         freed = cleared.intersection(suspected)
         if freed:
-            log.info("parts_cleared", parts=[part.hex() for part in freed])
+            log.info("parts_cleared", parts=[key.hex() for key in freed])
             self.on_cleared()
 
     def add_answers(
-        self, parts: collections.abc.Iterable[bytes], began_s: float
+        self, keys: collections.abc.Iterable[bytes], at_s: float
     ) -> set[bytes]:
         """Apply answers of this instance or of a peer.
 
         Returns
         -------
         set[bytes]
-            The parts of which all losses were before the answer.
+            The keys of which all losses were before the answer.
         """
         cleared = set()
         with self.lock:
-            for part in parts:
-                before = self.losses_of(part)
-                last_s = self.answered_s.get(part, NEVER_S)
-                self.answered_s[part] = max(began_s, last_s)
-                self.answered_s.move_to_end(part)
+            for key in keys:
+                before = self.losses_of(key)
+                last_s = self.answered_s.get(key, NEVER_S)
+                self.answered_s[key] = max(at_s, last_s)
+                self.answered_s.move_to_end(key)
                 if not before:
                     continue
                 self.is_outdated = True
-                lost = newer_than(self.local.get(part, {}), began_s)
-                self.replace_local(part, lost)
-                if not self.losses_of(part):
-                    cleared.add(part)
+                lost = newer_than(self.local.get(key, {}), at_s)
+                self.replace_local(key, lost)
+                if not self.losses_of(key):
+                    cleared.add(key)
             while len(self.answered_s) > MAX_ANSWERED:
                 self.answered_s.popitem(last=False)
         return cleared
 
-    def record_loss(self, part: bytes, endpoint: str, at_s: float) -> None:
-        """Count a part that this instance lost, and publish it."""
-        self.add_loss(part, endpoint, at_s)
-        self.on_lost(part, endpoint)
+    def record_loss(self, key: bytes, endpoint: str, at_s: float) -> None:
+        """Count a key that this instance lost, and publish it."""
+        self.add_loss(key, endpoint, at_s)
+        self.on_lost(key, endpoint)
 
     def add_loss(
-        self, part: bytes, endpoint: str, at_s: float | None = None
+        self, key: bytes, endpoint: str, at_s: float | None = None
     ) -> None:
         """Count a loss of this instance, or one that it is told of.
 
         Parameters
         ----------
-        part
-            Key of the part.
+        key
+            Key of the request or part.
         endpoint
             Id of the endpoint.
         at_s
@@ -161,91 +160,92 @@
         if at_s is None:
             at_s = self.clock()
         with self.lock:
-            if at_s <= self.answered_s.get(part, NEVER_S):
+            if at_s <= self.answered_s.get(key, NEVER_S):
                 return
-            self.local.setdefault(part, {}).setdefault(endpoint, at_s)
+            self.local.setdefault(key, {}).setdefault(endpoint, at_s)
             self.is_outdated = True
             if len(self.local) > MAX_LOST:
                 self.drop_least_lost()
 
     def drop_least_lost(self) -> None:
-        """Forget the part that was lost at the fewest endpoints, long ago."""
+        """Forget the key that was lost at the fewest endpoints, long ago."""
         least = min(
             self.local,
-            key=lambda part: (
-                len(self.local[part]),
-                max(self.local[part].values()),
+            key=lambda key: (
+                len(self.local[key]),
+                max(self.local[key].values()),
             ),
         )
         del self.local[least]
 
-    def withdraw_loss(self, part: bytes, endpoint: str) -> None:
+    def withdraw_loss(self, key: bytes, endpoint: str) -> None:
         """Forget a loss at an endpoint that turns out to go on."""
         with self.lock:
-            lost = self.local.get(part, {})
+            lost = self.local.get(key, {})
             lost.pop(endpoint, None)
-            self.replace_local(part, lost)
+            self.replace_local(key, lost)
             self.is_outdated = True
 
-    def replace_local(self, part: bytes, lost: dict[str, float]) -> None:
-        """Replace the losses of a part, or drop it if there are none."""
+    def replace_local(self, key: bytes, lost: dict[str, float]) -> None:
+        """Replace the losses of a key, or drop it if there are none."""
         if lost:
-            self.local[part] = lost
+            self.local[key] = lost
         else:
-            self.local.pop(part, None)
+            self.local.pop(key, None)
 
-    def record_refusal(self, parts: collections.abc.Iterable[bytes]) -> None:
-        """Keep what speaks against parts, since prompts with them come."""
+    def record_refusal(self, keys: collections.abc.Iterable[bytes]) -> None:
+        """Keep what speaks against keys, since requests with them come."""
         with self.lock:
-            for part in parts:
-                self.refused_s[part] = self.clock()
-                self.replace_local(part, self.losses_of(part))
+            for key in keys:
+                self.refused_s[key] = self.clock()
+                self.replace_local(key, self.losses_of(key))
 
     # What is decided.
 
-    def is_answered(self, part: bytes) -> bool:
-        """Return whether a part was answered lately."""
-        answered_s = self.answered_s.get(part, NEVER_S)
+    def is_answered(self, key: bytes) -> bool:
+        """Return whether a key was answered lately."""
+        answered_s = self.answered_s.get(key, NEVER_S)
         return self.clock() - answered_s < ANSWER_TTL_S
 
     def blamed(
-        self, parts: collections.abc.Collection[bytes]
+        self, keys: collections.abc.Collection[bytes]
     ) -> tuple[bytes, ...]:
         """Return the parts that a lost prompt counts against.
 
         These are the ones that were not answered lately, if there are any.
         """
-        unanswered = tuple(
-            part for part in parts if not self.is_answered(part)
-        )
-        return unanswered or tuple(parts)
+        unanswered = tuple(key for key in keys if not self.is_answered(key))
+        return unanswered or tuple(keys)
 
-    def losses_of(self, part: bytes) -> dict[str, float]:
-        """Return when a part was lost at each endpoint since its answer."""
+    def losses_of(self, key: bytes) -> dict[str, float]:
+        """Return when a key was lost at each endpoint since its answer."""
         with self.lock:
-            lost = dict(self.local.get(part, {}))
+            lost = dict(self.local.get(key, {}))
             for rows in self.by_peer.values():
-                add_earliest(lost, rows.get(part, {}))
-            return newer_than(lost, self.answered_s.get(part, NEVER_S))
+                add_earliest(lost, rows.get(key, {}))
+            return newer_than(lost, self.answered_s.get(key, NEVER_S))
 
-    def endpoints_of(self, part: bytes) -> frozenset[str]:
-        """Return the endpoints at which a part was lost since its answer."""
-        return frozenset(self.losses_of(part))
+    def endpoints_of(self, key: bytes) -> frozenset[str]:
+        """Return the endpoints at which a key was lost since its answer."""
+        return frozenset(self.losses_of(key))
 
-    def last_lost_s(self, part: bytes) -> float:
-        """Return when a part was last lost, by the clock."""
-        return max(self.losses_of(part).values(), default=NEVER_S)
+    def last_lost_s(self, key: bytes) -> float:
+        """Return when a key was last lost, by the clock."""
+        return max(self.losses_of(key).values(), default=NEVER_S)
 
     def suspects(
-        self, parts: collections.abc.Iterable[bytes]
+        self, keys: collections.abc.Collection[bytes]
     ) -> tuple[bytes, ...]:
-        """Return which of some parts are suspected."""
-        suspected = self.current().endpoints
-        return tuple(part for part in parts if part in suspected)
-
-    def explained(self) -> frozenset[str]:
-        """Return the endpoints whose loss suspected parts explain."""
-        return self.current().explained
+        """Return the suspects among the keys of a request."""
+        current = self.current()
+        return tuple(
+            key
+            for key in keys
+            if key in current.endpoints
+            and not (
+                loss_keys.is_request(key) and current.is_explained(key, keys)
+            )
+        )
 
     def current(self) -> suspicion.Suspicion:
         """Return the suspicion by all that is known."""
@@ -258,29 +258,34 @@
                 self.all_endpoints(), self.is_answered
             )
             self.suspicion = after
-        for part in after.endpoints.keys() - before.endpoints.keys():
-            log.warning(
-                "part_suspected",
-                part=part.hex(),
-                endpoints=sorted(after.endpoints[part]),
-                was_answered=self.is_answered(part),
-            )
+        for key in after.endpoints.keys() - before.endpoints.keys():
+            self.log_suspect(key, after.endpoints[key])
         return after
 
+    def log_suspect(self, key: bytes, endpoints: frozenset[str]) -> None:
+        """Log that a request or a part is suspected from now on."""
+        event, field = "part_suspected", "part"
+        if loss_keys.is_request(key):
+            event, field = "request_condemned", "digest"
+        log.warning(
+            event,
+            **{field: key.hex()},
+            endpoints=sorted(endpoints),
+            was_answered=self.is_answered(key),
+        )
+
     def all_endpoints(self) -> dict[bytes, frozenset[str]]:
-        """Return the endpoints at which each part was lost since its answer.
+        """Return the endpoints at which each key was lost since its answer.
 
-        In one pass: after an outage many parts have losses at many instances.
+        In one pass: after an outage many keys have losses at many instances.
         """
         found: dict[bytes, dict[str, float]] = {}
         for rows in (self.local, *self.by_peer.values()):
-            for part, lost in rows.items():
-                add_earliest(found.setdefault(part, {}), lost)
+            for key, lost in rows.items():
+                add_earliest(found.setdefault(key, {}), lost)
         return {
-            part: frozenset(
-                newer_than(lost, self.answered_s.get(part, NEVER_S))
-            )
-            for part, lost in found.items()
+            key: frozenset(newer_than(lost, self.answered_s.get(key, NEVER_S)))
+            for key, lost in found.items()
         }
 
     def forget_expired(self) -> None:
@@ -288,10 +293,10 @@
         oldest_s = self.clock() - LOSS_TTL_S
         with self.lock:
             self.refused_s = newer_than(self.refused_s, oldest_s)
-            for part in list(self.local):
-                if part not in self.refused_s:
-                    lost = newer_than(self.local[part], oldest_s)
-                    self.replace_local(part, lost)
+            for key in list(self.local):
+                if key not in self.refused_s:
+                    lost = newer_than(self.local[key], oldest_s)
+                    self.replace_local(key, lost)
             # The losses of a peer that is gone count until they expire.
             for member, seen_s in list(self.peer_seen_s.items()):
                 if seen_s <= oldest_s:
@@ -300,8 +305,8 @@
                     del self.peer_seen_s[member]
             oldest_ms = round(oldest_s * MS)
             self.clearings = {
-                part: number
-                for part, number in self.clearings.items()
+                key: number
+                for key, number in self.clearings.items()
                 if number > oldest_ms
             }
             self.is_outdated = True
@@ -317,15 +322,15 @@
         with self.lock:
             ranked = sorted(
                 self.local,
-                key=lambda part: (
-                    part not in suspected,
-                    -len(self.local[part]),
-                    -max(self.local[part].values()),
+                key=lambda key: (
+                    key not in suspected,
+                    -len(self.local[key]),
+                    -max(self.local[key].values()),
                 ),
             )
             rows = [
-                (part, newest(self.local[part]))
-                for part in ranked[:MAX_PUBLISHED]
+                (key, newest(self.local[key]))
+                for key in ranked[:MAX_PUBLISHED]
             ]
         packed: bytes = msgpack.packb(rows)
         return packed
@@ -337,17 +342,17 @@
         with self.lock:
             known = self.by_peer.get(member, {})
             self.by_peer[member] = {
-                part: {
-                    endpoint: known.get(part, {}).get(endpoint, now_s)
+                key: {
+                    endpoint: known.get(key, {}).get(endpoint, now_s)
                     for endpoint in endpoints
                 }
-                for part, endpoints in rows
+                for key, endpoints in rows
             }
             self.peer_seen_s[member] = now_s
             self.is_outdated = True
 
     def provide_clearings(self) -> bytes:
-        """Return which parts with losses have been answered, encoded."""
+        """Return which keys with losses have been answered, encoded."""
         with self.lock:
             rows = sorted(
                 self.clearings.items(), key=lambda row: row[1], reverse=True
@@ -360,7 +365,7 @@
         rows = msgspec.msgpack.decode(data, type=list[tuple[bytes, int]])
         with self.lock:
             known = self.peer_clearings.get(member, {})
-            news = {part for part, number in rows if known.get(part) != number}
+            news = {key for key, number in rows if known.get(key) != number}
             self.peer_clearings[member] = dict(rows)
             self.add_answers(news, self.clock())
         if news:
--- a/src/briarseam/forwarding/loss_sharing.py
+++ b/src/briarseam/forwarding/loss_sharing.py
@@ -1,4 +1,4 @@
-"""Publication of requests that were lost with an endpoint to other cells.
+"""Publication of what was lost with an endpoint to other cells.
 
 Heartbeats publish losses only within a cell.  A request that crashes each
 endpoint may be repeated at any instance.  If each cell counted on its own,
@@ -26,41 +26,24 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
-@codec.message("requests-lost")
+@codec.message("keys-lost")
 @dataclasses.dataclass(frozen=True)
-class RequestsLost:
-    """Requests that were lost with an endpoint, for another cell.
+class KeysLost:
+    """Requests and parts of prompts that were lost, for another cell.
 
     Attributes
     ----------
     losses
-        Digest of each request, and the endpoint's id.
+        Key of each, and the endpoint's id.
     """
 
     losses: tuple[tuple[bytes, str], ...]
 
 
-@codec.message("parts-lost")
+@codec.message("keys-lost-noted")
 @dataclasses.dataclass(frozen=True)
-class PartsLost:
-    """Parts of prompts that were lost with an endpoint, for another cell.
-
-    Attributes
-    ----------
-    losses
-        Key of each part, and the endpoint's id.
-    """
-
-    losses: tuple[tuple[bytes, str], ...]
-
-
-Message = RequestsLost | PartsLost
-
-
-@codec.message("requests-lost-noted")
-@dataclasses.dataclass(frozen=True)
-class RequestsLostNoted:
-    """Acknowledges :class:`RequestsLost` and :class:`PartsLost`."""
+class KeysLostNoted:
+    """Acknowledges :class:`KeysLost`."""
 
 
 class LossCounter(typing.Protocol):
@@ -76,7 +59,7 @@
     def addresses(self) -> collections.abc.Sequence[str]:
         """Return the address of one instance of each other cell."""
 
-    def send_losses(self, address: str, message: Message) -> None:
+    def send_losses(self, address: str, message: KeysLost) -> None:
         """Send losses to an instance.
 
         Raises
@@ -91,23 +74,19 @@
 
     Parameters
     ----------
-    guard
+    counts
         Counts losses.
     cells
         Sends messages to other cells.
-    message_type
-        Type of the messages, by what is counted.
     """
 
     def __init__(
         self,
-        guard: LossCounter,
+        counts: LossCounter,
         cells: OtherCells,
-        message_type: type[Message] = RequestsLost,
     ) -> None:
-        self.guard = guard
+        self.counts = counts
         self.cells = cells
-        self.message_type = message_type
         self.pending: queue.Queue[tuple[bytes, str] | None] = queue.Queue(
             MAX_PENDING
         )
@@ -133,11 +112,11 @@
         except queue.Full:
             log.warning("loss_left_untold", key=key.hex())
 
-    def handle(self, message: Message) -> RequestsLostNoted:
+    def handle(self, message: KeysLost) -> KeysLostNoted:
         """Count another cell's losses; heartbeats publish them in this one."""
         for key, endpoint in message.losses:
-            self.guard.add_loss(key, endpoint)
-        return RequestsLostNoted()
+            self.counts.add_loss(key, endpoint)
+        return KeysLostNoted()
 
     def run(self) -> None:
         """Publish losses until stopped."""
@@ -148,9 +127,9 @@
                 if following is None:
                     return
                 losses.append(following)
-            self.publish(self.message_type(tuple(losses)))
+            self.publish(KeysLost(tuple(losses)))
 
-    def publish(self, message: Message) -> None:
+    def publish(self, message: KeysLost) -> None:
         """Send losses to one instance of each other cell."""
         for address in self.cells.addresses():
             try:
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -25,8 +25,9 @@
 from briarseam import repeating
 from briarseam.discovery import model as discovery
 from briarseam.discovery import starts
-from briarseam.forwarding import crash_guard
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_keys
+from briarseam.forwarding import suspicion
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -49,6 +50,8 @@
 # Reads of entries may be behind by so much beyond that.
 ENTRY_LAG_S = 3.0
 DEFAULT_HEARTBEAT_S = 1.2
+# How long a loss is tracked while nothing shows whether it counts.
+MAX_TRACKED_S = 60.0
 # Bounds the losses that are tracked: a few waves in which all requests of an
 # instance are lost.
 MAX_TRACKED = 1000
@@ -71,6 +74,8 @@
 
 PUBLISHED = frozenset({Decision.HELD, Decision.COUNTED})
 UNDECIDED = frozenset({Decision.PENDING, Decision.HELD, Decision.AT_PEER})
+# A request that an instance has lost with its path is not refused by others.
+OWN_UNDECIDED = UNDECIDED - {Decision.AT_PEER}
 
 
 class EndpointEntries(typing.Protocol):
@@ -90,7 +95,7 @@
     Attributes
     ----------
     digest
-        Same for repeats of the request.
+        Key of the request.
     endpoint
         The endpoint.
     at_s
@@ -107,6 +112,11 @@
     decision: Decision = Decision.PENDING
     parts: tuple[bytes, ...] = ()
 
+    @property
+    def keys(self) -> tuple[bytes, ...]:
+        """Keys of all that the loss speaks against."""
+        return (self.digest, *self.parts)
+
 
 class PublishedLoss(msgspec.Struct, array_like=True, frozen=True):
     """A loss as heartbeats carry it.
@@ -131,8 +141,8 @@
 
     Parameters
     ----------
-    guard
-        Counts losses.
+    counts
+        Counts losses by key.
     reachability
         Tells whether the path is lost, and which endpoints answer.
     entries
@@ -143,8 +153,6 @@
         Interval at which endpoints renew their entries, in seconds.
     decisions
         Counts decisions on losses, if given.
-    parts
-        Counts losses by part of a prompt.
 
     Attributes
     ----------
@@ -154,17 +162,15 @@
 
     def __init__(
         self,
-        guard: crash_guard.CrashGuard,
+        counts: loss_counts.LossCounts,
         reachability: tracker.Reachability,
         entries: EndpointEntries,
         clock: typing.Callable[[], float] = clocks.boot_clock,
         heartbeat_s: float = DEFAULT_HEARTBEAT_S,
         decisions: labels.Family[instruments.Counter] | None = None,
-        parts: loss_counts.LossCounts | None = None,
     ) -> None:
         self.decisions = decisions
-        self.parts = parts or loss_counts.LossCounts(clock)
-        self.guard = guard
+        self.counts = counts
         self.reachability = reachability
         self.entries = entries
         self.clock = clock
@@ -204,7 +210,7 @@
         Parameters
         ----------
         digest
-            Same for repeats of the request.
+            Key of the request.
         endpoint
             The endpoint.
         parts
@@ -220,28 +226,43 @@
         with self.lock:
             return list(self.tracked)
 
-    def is_suspect(self, digest: bytes) -> bool:
-        """Return whether a request would be refused if held losses counted."""
-        held = {
-            loss.endpoint.id
-            for loss in self.snapshot()
-            if loss.digest == digest and loss.decision is Decision.HELD
-        }
-        if not held:
-            return False
-        lost = held | self.guard.endpoints_of(digest)
-        return self.guard.is_too_many(digest, lost)
+    def suspects(
+        self, keys: collections.abc.Collection[bytes]
+    ) -> dict[bytes, float]:
+        """Return the suspects among keys, and when each was last lost.
 
-    def undecided_s(self, part: bytes) -> dict[str, float]:
-        """Return when a part was lost at endpoints that may have ended.
+        Losses that are not decided yet count as well, unless a key was
+        answered lately: then they rather have another cause.
+        """
+        counted = self.counts.suspects(keys)
+        found = {}
+        for key in keys:
+            undecided_s = self.undecided_s(key)
+            endpoints = self.counts.endpoints_of(key) | undecided_s.keys()
+            if key in counted or (
+                undecided_s
+                and len(endpoints) >= suspicion.LOST_ENDPOINTS_LIMIT
+            ):
+                found[key] = max(
+                    [self.counts.last_lost_s(key), *undecided_s.values()]
+                )
+        return found
+
+    def undecided_s(self, key: bytes) -> dict[str, float]:
+        """Return when a key was lost at endpoints that may have ended.
 
-        Those of peers are included: they may hold what an instance that has
-        lost nothing itself would send on.
+        For parts, losses of peers are included: they may hold what an
+        instance that has lost nothing itself would send on.
         """
+        if self.counts.is_answered(key):
+            return {}
+        undecided = UNDECIDED
+        if loss_keys.is_request(key):
+            undecided = OWN_UNDECIDED
         return {
             loss.endpoint.id: loss.at_s
             for loss in self.snapshot()
-            if part in loss.parts and loss.decision in UNDECIDED
+            if key in loss.keys and loss.decision in undecided
         }
 
     def review(self) -> None:
@@ -307,7 +328,7 @@
     def is_final(self, loss: Loss) -> bool:
         """Return whether nothing can change the decision on a loss."""
         age_s = self.clock() - loss.at_s
-        if age_s >= crash_guard.LOSS_TTL_S:
+        if age_s >= MAX_TRACKED_S:
             return True
         match loss.decision:
             case Decision.NOT_COUNTED:
@@ -359,12 +380,10 @@
     def apply(self, loss: Loss, decision: Decision, reason: str) -> None:
         """Apply, log and count a decision on a loss."""
         if decision is Decision.COUNTED:
-            self.guard.record_loss(loss.digest, loss.endpoint.id)
-            self.count_parts(loss)
+            self.count(loss)
         elif loss.decision is Decision.COUNTED:
-            self.guard.withdraw_loss(loss.digest, loss.endpoint.id)
-            for part in loss.parts:
-                self.parts.withdraw_loss(part, loss.endpoint.id)
+            for key in loss.keys:
+                self.counts.withdraw_loss(key, loss.endpoint.id)
         loss.decision = decision
         if self.decisions is not None:
             self.decisions.labelled(decision.value).add()
@@ -380,17 +399,14 @@
             reason=reason,
         )
 
-    def count_parts(self, loss: Loss) -> None:
-        """Count a loss against parts of its prompt.
-
-        The instance that lost it publishes that to other cells.
-        """
+    def count(self, loss: Loss) -> None:
+        """Count a loss; the instance that lost it tells other cells."""
         is_own = loss.decision is not Decision.AT_PEER
-        for part in loss.parts:
+        for key in loss.keys:
             if is_own:
-                self.parts.record_loss(part, loss.endpoint.id, loss.at_s)
+                self.counts.record_loss(key, loss.endpoint.id, loss.at_s)
             else:
-                self.parts.add_loss(part, loss.endpoint.id, loss.at_s)
+                self.counts.add_loss(key, loss.endpoint.id, loss.at_s)
 
 
 def has_birth(endpoint: discovery.Endpoint) -> bool:
--- a/src/briarseam/forwarding/preparing.py
+++ b/src/briarseam/forwarding/preparing.py
@@ -5,7 +5,6 @@
 import typing
 
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import crash_guard
 from briarseam.forwarding import loss_keys
 from briarseam.forwarding import refusing
 from briarseam.forwarding import request_context
@@ -59,8 +58,8 @@
     )
     crash_state = crash_checks.CrashState(
         call.id,
-        crash_guard.digest_of(call.target, organisation, body),
-        loss_keys.keys_of(call.prompt, isolated_name_of(caller)),
+        loss_keys.key_of_request(call.target, organisation, body),
+        loss_keys.keys_of_parts(call.prompt, isolated_name_of(caller)),
     )
     refusal = deps.crashes.refusal_on_arrival(crash_state)
     if refusal is not None:
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -191,9 +191,7 @@
         outcome = self.deps.relays.relay(context)
         match outcome:
             case outcomes.Answered():
-                self.deps.crashes.guard.record_answer(
-                    context.crash_state.digest
-                )
+                self.deps.crashes.record_complete_answer(context.crash_state)
                 return f"relayed-{outcome.status}"
             case outcomes.Unreached():
                 context.refusal = refusing.UNREACHED
--- a/src/briarseam/forwarding/trial_ledger.py
+++ b/src/briarseam/forwarding/trial_ledger.py
@@ -1,14 +1,16 @@
-"""Trials of prompts with parts that are suspected of crashing endpoints.
+"""Trials of requests that are suspected of crashing endpoints.
 
-A part is suspected as well if all endpoints end at once for another reason,
-and no answer could clear it if its prompts were all refused.  One prompt at a
-time is sent as a trial, which one instance grants for all others: several
-instances that each tried one would crash as many endpoints.
+A request or a part of prompts is suspected as well if all endpoints end at
+once for another reason, and no answer could clear it if it was always
+refused.  One request at a time is sent as a trial, which one instance grants
+for all others: several instances that each tried one would crash as many
+endpoints.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import os
 import threading
 import typing
 
@@ -16,6 +18,7 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import trial_messages as messages
 
 if typing.TYPE_CHECKING:
@@ -23,37 +26,65 @@
 
     from briarseam.forwarding import loss_counts
 
-# How long after a part's last loss, and after its last trial, the next one
-# may begin, by the number of trials before it.  Innocent parts need one.
-# Endpoints that ended all at once are back seconds later, so that the first
-# wait delays no caller.
-WAITS_S = (1.0, 6.0, 60.0, 600.0)
-# A trial whose end is not told by then is lost.
+# How long after the last loss, and after the last trial, the next one may
+# begin, by the number of trials that were lost before it.  Those who crash
+# nothing need one.  Endpoints that ended all at once are back seconds later,
+# so that the first wait delays few callers.  After the last wait there is
+# no other trial if an endpoint was lost each time.
+PART_WAITS_S = (1.0, 6.0, 60.0, 600.0)
+# Repeats of a request may reach endpoints three times in all later than three
+# seconds after it has crashed the third.
+REQUEST_WAITS_S = (3.0, 30.0, 300.0)
+# The end of a trial that is not told by then is unknown.
 OPEN_S = 5.0
-# After this time without a trial, the number of trials is forgotten.
-TRIALS_TTL_S = 900.0
+# Between trials after the last wait, if the end of some is unknown.
+LONG_WAIT_S = 600.0
+# Until then peers have heard that a trial was not used.
+UNUSED_TTL_S = 2 * OPEN_S
+# While a trial is under way, to ask again.
+OPEN_WAIT_S = 1.0
+ID_BYTES = 8
 MAX_PUBLISHED = 100
 MS = 1000
+NEVER_S = float("-inf")
+STATES = {
+    messages.TrialEnd.LOST: messages.TrialState.LOST,
+    messages.TrialEnd.UNUSED: messages.TrialState.UNUSED,
+}
 log = structlog.get_logger("briarseam.forwarding")
 
 
 @dataclasses.dataclass
-class Trials:
-    """Trials of prompts with the same suspected parts.
+class Trial:
+    """A trial that was granted.
 
     Attributes
     ----------
-    lost
-        Number of trials that were lost.
-    last_s
-        When the last one was granted, or heard of.
-    is_open
-        Whether the end of the last one is not known yet.
+    keys
+        Keys of the suspects that the request has, without those that were
+        answered since.
+    granted_s
+        When it was granted, or heard of, by the clock.
+    state
+        What is known of it.
     """
 
-    lost: int
-    last_s: float
-    is_open: bool = False
+    keys: frozenset[bytes]
+    granted_s: float
+    state: messages.TrialState = messages.TrialState.OPEN
+
+    @property
+    def is_open(self) -> bool:
+        """Whether its end is not known yet."""
+        return self.state is messages.TrialState.OPEN
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether it has ended without an answer, as far as is known."""
+        return self.state in (
+            messages.TrialState.UNKNOWN,
+            messages.TrialState.LOST,
+        )
 
 
 class TrialLedger:
@@ -64,14 +95,16 @@
     Parameters
     ----------
     losses
-        Losses by part, as known here.
+        Losses by key, as known here.
     clock
         Seconds.
 
     Attributes
     ----------
     trials
-        By the suspected parts of the prompts that were tried.
+        By id.
+    on_granted
+        Called after a trial was granted, to publish it.
     """
 
     def __init__(
@@ -81,170 +114,213 @@
     ) -> None:
         self.losses = losses
         self.clock = clock
-        self.trials: dict[frozenset[bytes], Trials] = {}
-        self.lock = threading.Lock()
+        self.trials: dict[bytes, Trial] = {}
+        self.on_granted: typing.Callable[[], None] = ignore
+        self.lock = threading.RLock()
+
+    # As the coordinator.
 
     def answer(self, message: messages.TrialAsked) -> messages.TrialTold:
-        """Grant or refuse a trial of a prompt with some suspected parts."""
+        """Grant or refuse a trial of a request with some suspects."""
         now_s = self.clock()
         lost_s = {
-            asked.part: max(
+            asked.key: max(
                 now_s - asked.lost_ms / MS,
-                self.losses.last_lost_s(asked.part),
+                self.losses.last_lost_s(asked.key),
             )
-            for asked in message.parts
+            for asked in message.suspects
         }
-        answered = {part for part in lost_s if self.is_cleared(part, lost_s)}
+        answered = {key for key in lost_s if self.is_cleared(key, lost_s)}
         tried = frozenset(lost_s.keys() - answered)
-        due_s = now_s
+        was_answered = all(
+            asked.answered for asked in message.suspects if asked.key in tried
+        )
+        granted = due_s = None
         with self.lock:
-            self.merge(message.lost_trials)
+            self.merge(message.trials)
             if tried:
-                last_lost_s = max(lost_s[part] for part in tried)
-                due_s = self.due_s(tried, last_lost_s)
-            granted = due_s <= now_s
-            if granted and tried:
-                trials = self.trials.setdefault(tried, Trials(0, now_s))
-                trials.last_s = now_s
-                trials.is_open = True
-        lost_trials = self.lost_trials(tried)
-        if granted and tried:
-            log.info(
-                "part_trial_granted",
-                parts=sorted(part.hex() for part in tried),
-                lost_trials=sum(one.count for one in lost_trials),
-            )
-        wait_ms = max(0, round((due_s - now_s) * MS))
+                since_s = max(lost_s[key] for key in tried)
+                due_s = self.due_s(tried, since_s, was_answered)
+                if due_s <= now_s:
+                    granted = self.grant(tried)
+            rows = self.rows(tried)
+        if granted is not None:
+            # The row of the granted trial is the last one.
+            rows = tuple(sorted(rows, key=lambda row: row.id == granted))
+            self.on_granted()
+        wait_ms = max(0, round(((due_s or now_s) - now_s) * MS))
         return messages.TrialTold(
-            granted, wait_ms, tuple(answered), lost_trials
+            granted is not None or not tried, wait_ms, tuple(answered), rows
         )
 
+    def grant(self, tried: frozenset[bytes]) -> bytes:
+        """Begin a trial and return its id."""
+        trial_id = os.urandom(ID_BYTES)
+        lost = sum(one.is_unanswered for one in self.relevant(tried))
+        self.trials[trial_id] = Trial(tried, self.clock())
+        log.info(
+            "part_trial_granted",
+            parts=sorted(key.hex() for key in tried),
+            lost_trials=lost,
+        )
+        return trial_id
+
     def is_cleared(
-        self, part: bytes, lost_s: collections.abc.Mapping[bytes, float]
+        self, key: bytes, lost_s: collections.abc.Mapping[bytes, float]
     ) -> bool:
-        """Return whether a part was answered since it was last lost."""
-        answered_s = self.losses.answered_s.get(part, lost_s[part])
-        return answered_s > lost_s[part]
+        """Return whether a key was answered since it was last lost."""
+        answered_s = self.losses.answered_s.get(key, lost_s[key])
+        return answered_s > lost_s[key]
 
-    def due_s(self, tried: frozenset[bytes], lost_s: float) -> float:
+    def relevant(self, tried: frozenset[bytes]) -> list[Trial]:
+        """Return the trials of requests with any of some suspects."""
+        return [one for one in self.trials.values() if one.keys & tried]
+
+    def due_s(
+        self, tried: frozenset[bytes], lost_s: float, was_answered: bool
+    ) -> float:
         """Return when the next trial may begin, by the clock.
 
         Parameters
         ----------
         tried
-            The suspected parts of the prompt.
+            The suspects of the request.
         lost_s
             When one of them was last lost.
+        was_answered
+            Whether all of them had been answered lately.
         """
         self.close_expired()
-        relevant = [
-            (parts, trials)
-            for parts, trials in self.trials.items()
-            if parts & tried
-        ]
-        if any(trials.is_open for _parts, trials in relevant):
-            return self.clock() + WAITS_S[0]
-        is_first = not any(
-            trials.lost for parts, trials in relevant if parts <= tried
+        relevant = self.relevant(tried)
+        if any(one.is_open for one in relevant):
+            return self.clock() + OPEN_WAIT_S
+        requests = loss_keys.only_requests(tried)
+        waits_s = REQUEST_WAITS_S if requests else PART_WAITS_S
+        lost = [one for one in relevant if one.is_unanswered]
+        if not requests and not any(one.keys <= tried for one in lost):
+            # A lost trial of more suspects leaves open which of them is the
+            # cause: each smaller choice of parts is tried once as if there
+            # had been none.
+            lost = [one for one in lost if not one.keys > tried]
+        if not lost and was_answered:
+            return lost_s
+        last_s = max((one.granted_s for one in lost), default=NEVER_S)
+        if len(lost) < len(waits_s):
+            return max(lost_s, last_s) + waits_s[len(lost)]
+        if all(map(self.has_lost_endpoint, lost)):
+            return self.clock() + LONG_WAIT_S
+        return max(lost_s, last_s) + LONG_WAIT_S
+
+    def has_lost_endpoint(self, trial: Trial) -> bool:
+        """Return whether an endpoint was lost in a trial.
+
+        A loss may be learned later than the end of the trial.
+        """
+        return trial.state is messages.TrialState.LOST or any(
+            self.losses.last_lost_s(key) >= trial.granted_s
+            for key in trial.keys
         )
-        # A lost trial of more parts leaves open which of them is the cause:
-        # each smaller choice is tried once as if there had been none.
-        counted = [
-            trials
-            for parts, trials in relevant
-            if not (is_first and parts > tried)
-        ]
-        lost = sum(trials.lost for trials in counted)
-        last_s = max((trials.last_s for trials in counted), default=lost_s)
-        return max(lost_s, last_s) + WAITS_S[min(lost, len(WAITS_S) - 1)]
 
     def close_expired(self) -> None:
-        """Count trials as lost whose end has not been told in time."""
+        """Give up trials whose end has not been told in time."""
         oldest_s = self.clock() - OPEN_S
-        for trials in self.trials.values():
-            if trials.is_open and trials.last_s <= oldest_s:
-                trials.is_open = False
-                trials.lost += 1
-
-    def lost_trials(
-        self, tried: frozenset[bytes]
-    ) -> tuple[messages.LostTrials, ...]:
-        """Return the lost trials that have any of some parts."""
+        for trial in self.trials.values():
+            if trial.is_open and trial.granted_s <= oldest_s:
+                trial.state = messages.TrialState.UNKNOWN
+
+    def end(self, message: messages.TrialEnded) -> messages.TrialEndNoted:
+        """Apply how a trial has ended."""
+        with self.lock:
+            trial = self.trials.get(message.id)
+            state = STATES.get(message.end)
+            if trial is not None and state is not None:
+                trial.state = max(trial.state, state)
+        if message.end is messages.TrialEnd.ANSWERED:
+            self.losses.add_answers(message.keys, self.clock())
+            self.forget(set(message.keys))
+        return messages.TrialEndNoted()
+
+    # What is known of trials.
+
+    def rows(
+        self, keys: frozenset[bytes] | None = None
+    ) -> tuple[messages.TrialRow, ...]:
+        """Return the trials with any of some suspects, or all, encodable."""
         with self.lock:
             return tuple(
-                messages.LostTrials(tuple(sorted(parts)), trials.lost)
-                for parts, trials in self.trials.items()
-                if parts & tried and trials.lost
+                messages.TrialRow(
+                    trial_id, tuple(sorted(trial.keys)), trial.state
+                )
+                for trial_id, trial in self.trials.items()
+                if keys is None or trial.keys & keys
             )
 
-    def apply(
-        self, lost_trials: collections.abc.Iterable[messages.LostTrials]
-    ) -> None:
-        """Apply lost trials that another instance knows."""
+    def has_tried(self, keys: collections.abc.Iterable[bytes]) -> bool:
+        """Return whether any trial of some suspects had no answer."""
         with self.lock:
-            self.merge(lost_trials)
-
-    def merge(
-        self, lost_trials: collections.abc.Iterable[messages.LostTrials]
-    ) -> None:
-        """Apply lost trials, without parts that have been answered since."""
-        for row in lost_trials:
-            parts = frozenset(
-                part for part in row.parts if self.losses.endpoints_of(part)
+            return any(
+                one.is_unanswered for one in self.relevant(frozenset(keys))
             )
-            if parts:
-                trials = self.trials.setdefault(parts, Trials(0, self.clock()))
-                trials.lost = max(trials.lost, row.count)
 
-    def end(self, message: messages.TrialEnded) -> messages.TrialEndNoted:
-        """Apply how a trial has ended."""
+    def apply(self, rows: collections.abc.Iterable[messages.TrialRow]) -> None:
+        """Apply trials that another instance knows."""
         with self.lock:
-            trials = self.trials.get(frozenset(message.parts))
-            if trials is not None and trials.is_open:
-                trials.is_open = False
-                trials.lost += message.end is messages.TrialEnd.LOST
-        if message.end is messages.TrialEnd.ANSWERED:
-            self.losses.add_answers(message.parts, self.clock())
-            self.forget(set(message.parts))
-        return messages.TrialEndNoted()
+            self.merge(rows)
+
+    def merge(self, rows: collections.abc.Iterable[messages.TrialRow]) -> None:
+        """Apply trials, without suspects that have been answered since."""
+        for row in rows:
+            trial = self.trials.get(row.id)
+            if trial is not None:
+                trial.state = max(trial.state, row.state)
+                continue
+            keys = frozenset(
+                key for key in row.keys if self.losses.endpoints_of(key)
+            )
+            if keys:
+                self.trials[row.id] = Trial(keys, self.clock(), row.state)
 
-    def forget(self, parts: set[bytes]) -> None:
-        """Forget parts that were answered: others have lost their trials."""
+    def forget(self, keys: set[bytes]) -> None:
+        """Forget suspects that were answered."""
         with self.lock:
-            before, self.trials = self.trials, {}
-            for tried, trials in before.items():
-                rest = tried - parts
-                known = self.trials.get(rest, trials)
-                if rest and known.lost <= trials.lost:
-                    self.trials[rest] = trials
+            for trial_id, trial in list(self.trials.items()):
+                trial.keys -= keys
+                if not trial.keys:
+                    del self.trials[trial_id]
 
     def forget_expired(self) -> None:
-        """Forget trials that were long ago."""
-        oldest_s = self.clock() - TRIALS_TTL_S
+        """Forget trials of suspects without losses that count."""
+        oldest_s = self.clock() - UNUSED_TTL_S
         with self.lock:
+            self.close_expired()
+            expired = {
+                key
+                for trial in self.trials.values()
+                for key in trial.keys
+                if not trial.is_open and not self.losses.endpoints_of(key)
+            }
             self.trials = {
-                parts: trials
-                for parts, trials in self.trials.items()
-                if trials.last_s > oldest_s
+                trial_id: trial
+                for trial_id, trial in self.trials.items()
+                if trial.state is not messages.TrialState.UNUSED
+                or trial.granted_s > oldest_s
             }
+        self.forget(expired)
 
     def provide(self) -> bytes:
-        """Return the lost trials, encoded for peers.
+        """Return the trials, encoded for peers.
 
         An instance that becomes the coordinator must not begin anew.
         """
         with self.lock:
             self.close_expired()
-            rows = [
-                messages.LostTrials(tuple(sorted(parts)), trials.lost)
-                for parts, trials in self.trials.items()
-                if trials.lost
-            ]
-        return msgspec.msgpack.encode(rows[-MAX_PUBLISHED:])
+        return msgspec.msgpack.encode(self.rows()[-MAX_PUBLISHED:])
 
     def consume(self, member: str, data: bytes) -> None:
-        """Apply the lost trials that a peer knows."""
+        """Apply the trials that a peer knows."""
         del member
-        self.apply(
-            msgspec.msgpack.decode(data, type=list[messages.LostTrials])
-        )
+        self.apply(msgspec.msgpack.decode(data, type=list[messages.TrialRow]))
+
+
+def ignore() -> None:
+    """Do nothing; the default of the callback."""
--- a/src/briarseam/forwarding/trial_messages.py
+++ b/src/briarseam/forwarding/trial_messages.py
@@ -1,4 +1,4 @@
-"""Messages between instances about trials of suspected parts."""
+"""Messages between instances about trials of suspects."""
 
 from __future__ import annotations
 
@@ -13,59 +13,76 @@
     """How a trial has ended."""
 
     ANSWERED = "answered"
-    # The endpoint that got the prompt was lost.
+    # The endpoint that got the request was lost.
     LOST = "lost"
-    # No endpoint got the prompt.
+    # No endpoint got the request.
     UNUSED = "unused"
 
 
-class LostTrials(msgspec.Struct, array_like=True, frozen=True):
-    """Trials of prompts with the same suspected parts that were lost.
+class TrialState(enum.IntEnum):
+    """What is known of a trial; of two instances the higher one holds."""
+
+    OPEN = 0
+    # Its end was not told in time: the endpoint may have rejected it, or the
+    # caller has left.
+    UNKNOWN = 1
+    LOST = 2
+    UNUSED = 3
+
+
+class TrialRow(msgspec.Struct, array_like=True, frozen=True):
+    """A trial, as instances tell each other.
 
     Attributes
     ----------
-    parts
-        Keys of the parts.
-    count
-        Number of the trials.
+    id
+        Unique.
+    keys
+        Keys of all suspects that the request tries.
+    state
+        What is known of it.
     """
 
-    parts: tuple[bytes, ...]
-    count: int
+    id: bytes
+    keys: tuple[bytes, ...]
+    state: TrialState
 
 
-class PartAsked(msgspec.Struct, array_like=True, frozen=True):
-    """A part for which a trial is asked.
+class SuspectAsked(msgspec.Struct, array_like=True, frozen=True):
+    """A suspect for which a trial is asked.
 
     Attributes
     ----------
-    part
-        Key of the part.
+    key
+        Its key.
     lost_ms
         Time since its last loss, in milliseconds.
+    answered
+        Whether it was answered lately, before its losses.
     """
 
-    part: bytes
+    key: bytes
     lost_ms: int
+    answered: bool = False
 
 
-@codec.message("part-trial-asked")
+@codec.message("suspect-trial-asked")
 class TrialAsked(msgspec.Struct, frozen=True):
-    """Asks whether a prompt may be sent.
+    """Asks whether a request may be sent.
 
     Attributes
     ----------
-    parts
-        All its suspected parts.
-    lost_trials
-        Lost trials with any of them that the sender knows of.
+    suspects
+        All its suspects.
+    trials
+        Trials with any of them that the sender knows of.
     """
 
-    parts: tuple[PartAsked, ...]
-    lost_trials: tuple[LostTrials, ...]
+    suspects: tuple[SuspectAsked, ...]
+    trials: tuple[TrialRow, ...]
 
 
-@codec.message("part-trial-told")
+@codec.message("suspect-trial-told")
 class TrialTold(msgspec.Struct, frozen=True):
     """Tells whether a trial may begin.
 
@@ -76,33 +93,36 @@
     wait_ms
         When to ask again otherwise.
     answered
-        Parts that were answered since their last loss.
-    lost_trials
-        Lost trials with any of the other parts.
+        Suspects that were answered since their last loss.
+    trials
+        Trials with any of the others; the one that is granted comes last.
     """
 
     granted: bool
     wait_ms: int
     answered: tuple[bytes, ...]
-    lost_trials: tuple[LostTrials, ...]
+    trials: tuple[TrialRow, ...]
 
 
-@codec.message("part-trial-ended")
+@codec.message("suspect-trial-ended")
 class TrialEnded(msgspec.Struct, frozen=True):
     """Tells how a trial has ended.
 
     Attributes
     ----------
-    parts
-        Keys of the parts.
+    id
+        The trial.
+    keys
+        Keys of the suspects that it tells of.
     end
         How.
     """
 
-    parts: tuple[bytes, ...]
+    id: bytes
+    keys: tuple[bytes, ...]
     end: TrialEnd
 
 
-@codec.message("part-trial-ended-noted")
+@codec.message("suspect-trial-ended-noted")
 class TrialEndNoted(msgspec.Struct, frozen=True):
     """Acknowledges :class:`TrialEnded`."""
--- a/src/briarseam/forwarding/trial_requests.py
+++ b/src/briarseam/forwarding/trial_requests.py
@@ -1,4 +1,4 @@
-"""Asks one instance for trials of prompts with suspected parts."""
+"""Asks one instance for trials of requests that may crash endpoints."""
 
 from __future__ import annotations
 
@@ -34,6 +34,22 @@
         """Tell how a trial has ended; raises ``NoReplyError``."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """A request may be sent.
+
+    Attributes
+    ----------
+    id
+        The trial; empty if there is none.
+    keys
+        Keys of the suspects that the request tries.
+    """
+
+    id: bytes = b""
+    keys: frozenset[bytes] = frozenset()
+
+
 @dataclasses.dataclass(frozen=True)
 class Refused:
     """No trial may begin now.
@@ -53,7 +69,7 @@
     Parameters
     ----------
     losses
-        Losses by part.
+        Losses by key.
     ledger
         Trials that this instance knows of.
     coordinator
@@ -73,31 +89,24 @@
         self.ledger = ledger
         self.coordinator = coordinator
         self.clock = clock
-        # When to ask for a part again; until then its prompts are refused.
+        # When to ask for a key again; until then its requests are refused.
         self.ask_again_s: dict[bytes, float] = {}
 
-    def refusal(
-        self, parts: collections.abc.Iterable[bytes]
-    ) -> Refused | None:
-        """Return the refusal of suspected parts if no trial can begin yet."""
+    def refusal(self, keys: collections.abc.Iterable[bytes]) -> Refused | None:
+        """Return the refusal of suspects if no trial can begin yet."""
         now_s = self.clock()
-        due_s = max(self.ask_again_s.get(part, now_s) for part in parts)
+        due_s = max(self.ask_again_s.get(key, now_s) for key in keys)
         return None if due_s <= now_s else refused(due_s - now_s)
 
     def begin(
         self, lost_s: collections.abc.Mapping[bytes, float]
-    ) -> Refused | None:
+    ) -> Granted | Refused:
         """Ask for a trial.
 
         Parameters
         ----------
         lost_s
-            When each suspected part was last lost, by the clock.
-
-        Returns
-        -------
-        Refused or None
-            ``None`` if a prompt with them may be sent.
+            When each suspect was last lost, by the clock.
         """
         known = self.refusal(lost_s)
         if known is not None:
@@ -112,48 +121,69 @@
         if answered:
             self.losses.add_answers(answered, self.clock())
             self.forget(answered)
-        self.ledger.apply(told.lost_trials)
-        if told.granted:
-            self.postpone(lost_s.keys() - answered, MIN_RETRY_S)
-            return None
-        self.postpone(lost_s, min(told.wait_ms / MS, MIN_RETRY_S))
-        return refused(told.wait_ms / MS)
+        self.ledger.apply(told.trials)
+        tried = frozenset(lost_s.keys() - answered)
+        if not told.granted:
+            self.postpone(lost_s, min(told.wait_ms / MS, MIN_RETRY_S))
+            return refused(told.wait_ms / MS)
+        if not tried:
+            return Granted()
+        self.postpone(tried, MIN_RETRY_S)
+        return Granted(told.trials[-1].id, tried)
 
     def message(
         self, lost_s: collections.abc.Mapping[bytes, float]
     ) -> messages.TrialAsked:
-        """Return what is asked, with what is known here of the parts."""
+        """Return what is asked, with what is known here of the suspects."""
         now_s = self.clock()
         return messages.TrialAsked(
             tuple(
-                messages.PartAsked(part, max(0, round((now_s - at_s) * MS)))
-                for part, at_s in lost_s.items()
+                messages.SuspectAsked(
+                    key,
+                    max(0, round((now_s - at_s) * MS)),
+                    self.losses.is_answered(key),
+                )
+                for key, at_s in lost_s.items()
             ),
-            self.ledger.lost_trials(frozenset(lost_s)),
+            self.ledger.rows(frozenset(lost_s)),
         )
 
     def postpone(
-        self, parts: collections.abc.Iterable[bytes], wait_s: float
+        self, keys: collections.abc.Iterable[bytes], wait_s: float
     ) -> None:
-        """Refuse prompts with parts for a while without asking."""
+        """Refuse requests with suspects for a while without asking."""
         now_s = self.clock()
         self.ask_again_s = loss_counts.newer_than(self.ask_again_s, now_s)
-        self.ask_again_s |= dict.fromkeys(parts, now_s + wait_s)
+        self.ask_again_s |= dict.fromkeys(keys, now_s + wait_s)
 
-    def forget(self, parts: set[bytes]) -> None:
-        """Ask again at once for parts that were answered."""
-        for part in parts:
-            self.ask_again_s.pop(part, None)
-        self.ledger.forget(parts)
+    def forget(self, keys: set[bytes]) -> None:
+        """Ask again at once for suspects that were answered."""
+        for key in keys:
+            self.ask_again_s.pop(key, None)
+        self.ledger.forget(keys)
 
     def end(
         self,
-        parts: collections.abc.Collection[bytes],
+        trial: Granted,
         end: messages.TrialEnd,
+        keys: frozenset[bytes] | None = None,
     ) -> None:
-        """Tell the coordinator how a trial has ended."""
+        """Record how a trial has ended, and tell the coordinator.
+
+        Parameters
+        ----------
+        trial
+            The trial.
+        end
+            How it has ended.
+        keys
+            The suspects that this tells of; all of the trial if ``None``.
+        """
+        told = trial.keys if keys is None else keys
+        message = messages.TrialEnded(trial.id, tuple(sorted(told)), end)
+        self.ledger.end(message)
         try:
-            self.coordinator.end_trial(messages.TrialEnded(tuple(parts), end))
+            self.coordinator.end_trial(message)
         except replies.NoReplyError as error:
             log.info("part_trial_end_not_told", detail=str(error))
 
--- a/tests/compose/test_node_calls.py
+++ b/tests/compose/test_node_calls.py
@@ -74,7 +74,7 @@
     peer_calls = make_calls()
     peer_calls.instances.membership = None
     with pytest.raises(replies.NoReplyError):
-        peer_calls.send_losses("b2:1", loss_sharing.RequestsLost(()))
+        peer_calls.send_losses("b2:1", loss_sharing.KeysLost(()))
     with pytest.raises(replies.NoReplyError):
         peer_calls.publish_load("b2:1", cell_loads.CellLoad("a", 2, ()))
     with pytest.raises(shared_watch.ReaderUnavailableError):
@@ -86,7 +86,7 @@
     "reply",
     [
         pytest.param(connection.WireError("cut"), id="no answer"),
-        pytest.param(loss_sharing.RequestsLostNoted(), id="another answer"),
+        pytest.param(loss_sharing.KeysLostNoted(), id="another answer"),
     ],
 )
 def test_missing_or_unexpected_answer_makes_the_reader_unavailable(reply):
--- a/tests/forwarding/part_simulation.py
+++ b/tests/forwarding/part_simulation.py
@@ -56,7 +56,7 @@
     instance: Instance
     parts: tuple[bytes, ...]
     begins_s: float
-    trial: tuple[bytes, ...] = ()
+    trial: trial_requests.Granted = trial_requests.Granted()
     is_recorded: bool = False
 
 
@@ -98,11 +98,13 @@
         up = [one for one in self.engines if one.back_s <= self.clock()]
         suspects = instance.losses.suspects(parts)
         is_sent = bool(up)
+        granted = trial_requests.Granted()
         if up and suspects:
             lost_s = {
                 part: instance.losses.last_lost_s(part) for part in suspects
             }
-            is_sent = instance.trials.begin(lost_s) is None
+            granted = instance.trials.begin(lost_s)
+            is_sent = isinstance(granted, trial_requests.Granted)
             if not is_sent:
                 instance.losses.record_refusal(suspects)
         if CRASHING not in parts:
@@ -112,7 +114,7 @@
         if CRASHING in parts:
             self.arrived_s.append(self.clock())
         begins_s = self.clock() + self.random.uniform(*BEGIN_S)
-        prompt = Prompt(instance, parts, begins_s, suspects)
+        prompt = Prompt(instance, parts, begins_s, granted)
         self.random.choice(up).running.append(prompt)
 
     def end(self, engine):
@@ -123,7 +125,7 @@
                 due_s = self.clock() + COUNTED_S
                 lost = (due_s, prompt.instance, blamed, engine.id)
                 self.pending.append((*lost, self.clock()))
-            if prompt.trial and not prompt.is_recorded:
+            if prompt.trial.keys and not prompt.is_recorded:
                 prompt.instance.trials.end(
                     prompt.trial, messages.TrialEnd.LOST
                 )
@@ -147,7 +149,7 @@
                 prompt.instance.losses.record_answer(
                     prompt.parts, prompt.begins_s
                 )
-                if prompt.trial:
+                if prompt.trial.keys:
                     prompt.instance.trials.end(
                         prompt.trial, messages.TrialEnd.ANSWERED
                     )
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -5,8 +5,8 @@
 
 from briarseam.discovery import model
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import crash_guard
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import pending_losses
 from briarseam.forwarding import supervision
@@ -76,21 +76,19 @@
 
 @pytest.fixture
 def checks(parts, coordinator, endpoints, clock):
-    guard = crash_guard.CrashGuard(clock)
-    guard.explained = parts.explained
     reachability = tracker.Reachability(lambda service: endpoints, clock)
     losses = pending_losses.PendingLosses(
-        guard, reachability, Entries(), clock, parts=parts
+        parts, reachability, Entries(), clock
     )
     trials = trial_requests.TrialRequests(
         parts, coordinator.ledger, coordinator, clock
     )
     parts.on_answered = trials.forget
-    return crash_checks.CrashChecks(guard, parts, losses, trials, clock)
+    return crash_checks.CrashChecks(parts, losses, trials, clock)
 
 
 def state_of(number, *keys):
-    digest = crash_guard.digest_of("/draft/x", "north", b"%d" % number)
+    digest = loss_keys.key_of_request("/draft/x", "north", b"%d" % number)
     ids = {key: IDS[key] for key in keys}
     return crash_checks.CrashState(f"r{number}", digest, ids)
 
@@ -122,7 +120,7 @@
     state = state_of(99, CRASHING)
     assert checks.refusal_of_send(state) is None
     # The first is the trial.
-    assert state.trial == {CRASHING}
+    assert state.trial.keys == {CRASHING}
     refusal = checks.refusal_of_send(state_of(100, CRASHING))
     assert refusal.detail.startswith("3 endpoints were lost with part cc")
     assert refusal.retry_after_s > 0
@@ -135,12 +133,12 @@
     """Guards against a second wave before the first one is decided."""
     for number, endpoint in enumerate(endpoints[:LIMIT]):
         send(checks, endpoint, BROKEN, CRASHING, number=number)
-    assert checks.suspects((CRASHING,))
+    assert checks.losses.suspects((CRASHING,))
     send(checks, endpoints[-1], OK, FIRST)
     checks.clock.now_s += 1
     for number, endpoint in enumerate(endpoints):
         send(checks, endpoint, BROKEN, FIRST, number=number)
-    assert not checks.suspects((FIRST,))
+    assert not checks.losses.suspects((FIRST,))
 
 
 def test_stream_that_had_begun_is_not_blamed(checks, endpoints):
@@ -154,14 +152,14 @@
         checks.record_outcome(state, endpoint, BROKEN, 0.0)
     checks.clock.now_s += pending_losses.MAX_PENDING_S
     checks.losses.review()
-    assert not checks.suspects((FIRST,))
+    assert not checks.losses.suspects((FIRST,))
 
 
 def test_stream_that_had_just_begun_is_blamed(checks, endpoints):
     """Guards against endpoints that crash after the first event."""
     for number, endpoint in enumerate(endpoints[:LIMIT]):
         send(checks, endpoint, BROKEN, CRASHING, began=True, number=number)
-    assert checks.suspects((CRASHING,))
+    assert checks.losses.suspects((CRASHING,))
 
 
 @pytest.mark.parametrize(
@@ -175,9 +173,9 @@
 def test_only_a_success_clears_a_part(checks, endpoints, outcome):
     lose_at(checks, endpoints[:LIMIT], CRASHING)
     send(checks, endpoints[-1], outcome, CRASHING)
-    assert checks.suspects((CRASHING,))
+    assert checks.losses.suspects((CRASHING,))
     send(checks, endpoints[-1], OK, CRASHING)
-    assert not checks.suspects((CRASHING,))
+    assert not checks.losses.suspects((CRASHING,))
 
 
 def begin_trial(checks, endpoints):
@@ -209,7 +207,7 @@
     checks.record_outcome(state, endpoints[-1], OK, checks.clock())
     [told] = coordinator.ended
     assert told.end is messages.TrialEnd.ANSWERED
-    assert not checks.suspects((CRASHING,))
+    assert not checks.losses.suspects((CRASHING,))
     assert checks.refusal_of_send(state_of(100, CRASHING)) is None
 
 
--- a/tests/forwarding/test_crash_records.py
+++ b/tests/forwarding/test_crash_records.py
@@ -7,12 +7,14 @@
 from briarseam.forwarding import crash_records
 from briarseam.forwarding import loss_counts
 from briarseam.forwarding import trial_ledger
+from briarseam.forwarding import trial_messages as messages
 from briarseam.testing import waiting
 from tests import clocks
 
 PART = b"part"
 TOPIC = "keyed.crashes"
 ENDPOINTS = ("e1", "e2", "e3")
+TRIAL = messages.TrialRow(b"1", (PART,), messages.TrialState.LOST)
 
 
 class Store:
@@ -79,6 +81,7 @@
     """Lose the trial of a part that was lost before."""
     for endpoint in ENDPOINTS:
         one.losses.record_loss(PART, endpoint, one.clock())
+    one.ledger.apply((TRIAL,))
     one.save((PART,))
     waiting.until(lambda: store.values.get(PART.hex()))
 
@@ -89,8 +92,8 @@
     successor = start()
     waiting.until(successor.loaded.is_set)
     assert successor.losses.suspects((PART,)) == (PART,)
-    [trials] = successor.ledger.lost_trials(frozenset((PART,)))
-    assert trials.count == 1
+    [trial] = successor.ledger.rows(frozenset((PART,)))
+    assert trial.state is messages.TrialState.LOST
 
 
 def test_record_goes_when_the_part_is_answered(start, store):
--- a/tests/forwarding/test_loss_counts.py
+++ b/tests/forwarding/test_loss_counts.py
@@ -106,7 +106,8 @@
     assert losses.suspects((FIRST,)) == (FIRST,)
     lose(losses, (FIRST, CRASHING), names(ANSWERED_LIMIT))
     assert losses.suspects((FIRST, CRASHING)) == (CRASHING,)
-    assert losses.explained() == frozenset(names(ANSWERED_LIMIT))
+    explained = losses.current().causes[CRASHING]
+    assert explained == frozenset(names(ANSWERED_LIMIT))
 
 
 def test_companion_of_a_crashing_part_is_freed_by_further_crashes(losses):
@@ -263,14 +264,16 @@
 
 
 def test_last_part_and_requests_without_prompts_have_no_key():
-    assert loss_keys.keys_of(None, "") == {}
-    assert list(loss_keys.keys_of(prompt("aa", "bb"), "").values()) == ["aa"]
+    assert loss_keys.keys_of_parts(None, "") == {}
+    assert list(loss_keys.keys_of_parts(prompt("aa", "bb"), "").values()) == [
+        "aa"
+    ]
 
 
 def test_isolated_organisation_has_keys_of_its_own():
     """Guards against losses of one that refuse, or tell of, its prompts."""
-    shared = loss_keys.keys_of(prompt("aa", "bb"), "").keys()
-    north = loss_keys.keys_of(prompt("aa", "bb"), "north").keys()
-    south = loss_keys.keys_of(prompt("aa", "bb"), "south").keys()
+    shared = loss_keys.keys_of_parts(prompt("aa", "bb"), "").keys()
+    north = loss_keys.keys_of_parts(prompt("aa", "bb"), "north").keys()
+    south = loss_keys.keys_of_parts(prompt("aa", "bb"), "south").keys()
     assert not shared & north
     assert not north & south
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -8,13 +8,15 @@
 import structlog
 
 from briarseam.discovery import model
-from briarseam.forwarding import crash_guard
+from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import pending_losses
+from briarseam.forwarding import suspicion
 from briarseam.metrics import registry
 from briarseam.reachability import tracker
 from tests import clocks
 
-DIGEST = crash_guard.digest_of("/status/1", "north", b"")
+DIGEST = loss_keys.key_of_request("/status/1", "north", b"")
 
 
 @pytest.fixture
@@ -36,8 +38,8 @@
 
 
 @pytest.fixture
-def guard(clock):
-    return crash_guard.CrashGuard(clock)
+def counts(clock):
+    return loss_counts.LossCounts(clock)
 
 
 class Entries:
@@ -61,18 +63,28 @@
 
 
 @pytest.fixture
-def losses(guard, reachability, entries, clock):
-    return pending_losses.PendingLosses(guard, reachability, entries, clock)
+def losses(counts, reachability, entries, clock):
+    return pending_losses.PendingLosses(counts, reachability, entries, clock)
+
+
+def is_counted(counts):
+    """Return whether the request is suspected by losses that count."""
+    return counts.suspects((DIGEST,)) == (DIGEST,)
+
+
+def is_suspect(losses):
+    """Return whether the request is suspected, also by undecided losses."""
+    return DIGEST in losses.suspects((DIGEST,))
 
 
 def lose(losses, endpoints):
-    for endpoint in endpoints[: crash_guard.LOST_ENDPOINTS_LIMIT]:
+    for endpoint in endpoints[: suspicion.LOST_ENDPOINTS_LIMIT]:
         losses.add(DIGEST, endpoint)
     losses.review()
 
 
 def test_request_lost_with_the_path_is_not_refused(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against a cut that is taken for requests that crash endpoints."""
     lose(losses, endpoints)
@@ -80,12 +92,12 @@
         reachability.record_unreached(endpoint)
     clock.now_s += 10.0
     losses.review()
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
     assert losses.pending == []
 
 
 def test_request_lost_with_a_path_that_is_back_is_not_refused(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     lose(losses, endpoints)
     for endpoint in endpoints:
@@ -94,39 +106,39 @@
     reachability.record_service_reached("portal")
     reachability.record_heard("portal")
     losses.review()
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
 
 
 def test_request_that_crashes_endpoints_is_refused_once_others_answer(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     lose(losses, endpoints)
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
     clock.now_s += pending_losses.SETTLE_S
     reachability.record_heard("portal")
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
 
 
 def test_request_that_crashes_endpoints_is_refused_without_other_traffic(
-    losses, guard, endpoints, clock
+    losses, counts, endpoints, clock
 ):
     lose(losses, endpoints)
     clock.now_s += pending_losses.MAX_PENDING_S
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
 
 
 def test_answer_that_was_on_its_way_settles_nothing(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against the last answer before a cut that proves the path."""
     lose(losses, endpoints)
     clock.now_s += 0.01
     reachability.record_heard("portal")
     losses.review()
-    assert not guard.is_refused(DIGEST)
-    assert len(losses.pending) == crash_guard.LOST_ENDPOINTS_LIMIT
+    assert not is_counted(counts)
+    assert len(losses.pending) == suspicion.LOST_ENDPOINTS_LIMIT
 
 
 def test_path_is_checked_while_a_loss_is_pending(
@@ -137,7 +149,7 @@
 
 
 def test_request_lost_at_endpoints_that_go_on_is_not_refused(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against condemning requests whose answers were broken off."""
     lose(losses, endpoints)
@@ -146,12 +158,12 @@
         reachability.record_heard_from(endpoint)
     reachability.record_heard("portal")
     losses.review()
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
     assert losses.pending == []
 
 
 def test_bytes_on_their_way_do_not_show_that_an_endpoint_goes_on(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against missing a crash whose last bytes come after a loss."""
     lose(losses, endpoints)
@@ -161,11 +173,11 @@
     clock.now_s += pending_losses.SETTLE_S
     reachability.record_heard("portal")
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
 
 
 def test_former_start_of_an_endpoint_stays_lost(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against a restarted endpoint that hides its crash."""
     lose(losses, [dataclasses.replace(e, id=f"{e.id}@1") for e in endpoints])
@@ -175,18 +187,18 @@
         reachability.record_heard_from(restarted)
     reachability.record_heard("portal")
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
 
 
 def test_decisions_on_losses_are_logged_and_counted(
-    guard, reachability, entries, endpoints, clock
+    counts, reachability, entries, endpoints, clock
 ):
     """Guards against losses of which no log line tells why they count."""
     decisions = registry.Registry().counters(
         "losses_total", "Losses", ("decision",)
     )
     losses = pending_losses.PendingLosses(
-        guard, reachability, entries, clock, decisions=decisions
+        counts, reachability, entries, clock, decisions=decisions
     )
     with structlog.testing.capture_logs() as lines:
         lose(losses, endpoints)
@@ -215,7 +227,7 @@
 @pytest.mark.parametrize("gap_s", [0.0, 0.1, 0.4, 2.0])
 @pytest.mark.parametrize("down_s", [1.2, 3.1])
 def test_request_that_crashes_whole_services_is_refused(
-    losses, guard, reachability, endpoints, clock, count, gap_s, down_s
+    losses, counts, reachability, endpoints, clock, count, gap_s, down_s
 ):
     """Guards against repeats that crash a small service again and again."""
     del endpoints[count:]
@@ -223,7 +235,7 @@
     for _wave in range(12):
         down = []
         for endpoint in list(endpoints):
-            if guard.is_refused(DIGEST) or losses.is_suspect(DIGEST):
+            if is_suspect(losses):
                 break
             losses.add(DIGEST, endpoint)
             reachability.record_unreached(endpoint)
@@ -239,23 +251,23 @@
         losses.review()
         reachability.record_heard("portal")
     at_once = count if gap_s < pending_losses.SETTLE_S else 0
-    assert crashed <= max(crash_guard.LOST_ENDPOINTS_LIMIT, at_once) + 1
-    assert guard.is_refused(DIGEST)
+    assert crashed <= max(suspicion.LOST_ENDPOINTS_LIMIT, at_once) + 1
+    assert is_counted(counts)
 
 
 def test_loss_is_held_while_no_endpoint_can_be_reached(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     lose(losses, endpoints)
     cut_off(reachability, endpoints)
     clock.now_s += pending_losses.MAX_PENDING_S
     losses.review()
-    assert not guard.is_refused(DIGEST)
-    assert losses.is_suspect(DIGEST)
+    assert not is_counted(counts)
+    assert is_suspect(losses)
 
 
 def test_held_loss_counts_once_the_endpoint_has_ended(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     lose(losses, endpoints)
     cut_off(reachability, endpoints)
@@ -263,12 +275,12 @@
     clock.now_s += 3.0
     restart(endpoints)
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
     assert losses.pending == []
 
 
 def test_held_loss_counts_however_late_the_entry_goes(
-    losses, guard, reachability, entries, endpoints, clock, monkeypatch
+    losses, counts, reachability, entries, endpoints, clock, monkeypatch
 ):
     """Guards against a crash that an outage of the store hides."""
     monkeypatch.setattr(entries, "observed_s", lambda *_: 0.0)
@@ -276,14 +288,14 @@
     cut_off(reachability, endpoints)
     clock.now_s += 3 * losses.expiry_s
     losses.review()
-    assert losses.is_suspect(DIGEST)
+    assert is_suspect(losses)
     restart(endpoints)
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
 
 
 def test_held_loss_is_dropped_when_the_endpoint_answers_again(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     lose(losses, endpoints)
     cut_off(reachability, endpoints)
@@ -293,14 +305,14 @@
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
     losses.review()
-    assert not losses.is_suspect(DIGEST)
+    assert not is_suspect(losses)
     clock.now_s += losses.expiry_s
     losses.review()
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
 
 
 def test_answers_of_the_next_start_do_not_hide_a_crash(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against a restart that is known only after its answers."""
     lose(losses, endpoints)
@@ -308,15 +320,15 @@
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
     losses.review()
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
     clock.now_s += 1.0
     restart(endpoints)
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
 
 
 def test_counted_loss_is_withdrawn_when_the_start_is_back(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against condemning for endpoints that were cut off, too."""
     endpoints[:] = [
@@ -328,17 +340,17 @@
     clock.now_s += 3.0
     endpoints.clear()
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
     clock.now_s += 5.0
     endpoints.extend(behind_the_cut)
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
     losses.review()
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
 
 
 def test_counted_loss_stays_where_starts_cannot_be_told_apart(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     """Guards against a restart under the same id without a birth."""
     lose(losses, endpoints)
@@ -348,11 +360,11 @@
         reachability.record_heard_from(endpoint)
     clock.now_s += losses.expiry_s
     losses.review()
-    assert guard.is_refused(DIGEST)
+    assert is_counted(counts)
 
 
 def test_endpoint_that_ends_long_after_a_loss_has_not_crashed_by_it(
-    losses, guard, reachability, endpoints, clock
+    losses, counts, reachability, endpoints, clock
 ):
     lose(losses, endpoints)
     cut_off(reachability, endpoints)
@@ -360,7 +372,7 @@
     losses.review()
     restart(endpoints)
     losses.review()
-    assert not guard.is_refused(DIGEST)
+    assert not is_counted(counts)
     assert losses.tracked == collections.deque()
 
 
@@ -376,7 +388,7 @@
 @pytest.fixture
 def peer(clock, reachability, entries):
     return pending_losses.PendingLosses(
-        crash_guard.CrashGuard(clock), reachability, entries, clock
+        loss_counts.LossCounts(clock), reachability, entries, clock
     )
 
 
@@ -389,11 +401,11 @@
     losses.review()
     peer.consume("ends", losses.provide())
     peer.consume("ends", losses.provide())
-    assert len(peer.tracked) == crash_guard.LOST_ENDPOINTS_LIMIT
+    assert len(peer.tracked) == suspicion.LOST_ENDPOINTS_LIMIT
     clock.now_s += 3.0
     restart(endpoints)
     peer.review()
-    assert peer.guard.is_refused(DIGEST)
+    assert is_counted(peer.counts)
 
 
 def test_losses_of_peers_do_not_make_a_request_suspect(
@@ -407,8 +419,8 @@
     peer.review()
     clock.now_s += pending_losses.MAX_PENDING_S
     peer.review()
-    assert not peer.is_suspect(DIGEST)
-    assert not peer.guard.is_refused(DIGEST)
+    assert not is_suspect(peer)
+    assert not is_counted(peer.counts)
     clock.now_s += peer.expiry_s
     peer.review()
     assert peer.tracked == collections.deque()
@@ -431,7 +443,7 @@
         losses.add(b"%d" % number, endpoint, (PART,))
     clock.now_s += pending_losses.MAX_PENDING_S
     losses.review()
-    assert losses.parts.suspects((PART,)) == (PART,)
+    assert losses.counts.suspects((PART,)) == (PART,)
 
 
 def test_withdrawn_loss_speaks_against_no_part(
@@ -447,7 +459,7 @@
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
     losses.review()
-    assert losses.parts.endpoints_of(PART) == frozenset()
+    assert losses.counts.endpoints_of(PART) == frozenset()
 
 
 def test_peers_know_which_parts_may_crash_endpoints(
@@ -460,12 +472,12 @@
     losses.review()
     peer.consume("other", losses.provide())
     assert len(peer.undecided_s(PART)) == 3
-    assert peer.parts.suspects((PART,)) == ()
+    assert peer.counts.suspects((PART,)) == ()
     clock.now_s += 3.0
     restart(endpoints)
     peer.review()
     assert peer.undecided_s(PART) == {}
-    assert peer.parts.suspects((PART,)) == (PART,)
+    assert peer.counts.suspects((PART,)) == (PART,)
 
 
 def test_losses_of_peers_that_tell_no_parts_are_tracked(peer):
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -8,8 +8,8 @@
 import pytest
 import structlog.testing
 
-from briarseam.forwarding import crash_guard
 from briarseam.forwarding import pending_losses
+from briarseam.forwarding import suspicion
 from briarseam.testing import waiting
 from tests.platform import crashing_endpoints
 from tests.platform import instances
@@ -19,7 +19,7 @@
 WAVES = 4
 # Between the return of the endpoints and the next repeat.
 PAUSE_S = 0.3
-LIMIT = crash_guard.LOST_ENDPOINTS_LIMIT
+LIMIT = suspicion.LOST_ENDPOINTS_LIMIT
 
 
 @pytest.fixture(params=[False, True], ids=["new-names", "same-names"])
@@ -97,7 +97,7 @@
     def learn_of_losses(request):
         [context] = node.forwarding.active_requests.contexts.values()
         for name in ("e1", "e2", "e3"):
-            node.guard.add_loss(context.crash_state.digest, name)
+            node.crashes.counts.add_loss(context.crash_state.digest, name)
         return choose(request)
 
     monkeypatch.setattr(node.chooser, "choose", learn_of_losses)
--- a/tests/platform/test_restarted_endpoint.py
+++ b/tests/platform/test_restarted_endpoint.py
@@ -9,6 +9,7 @@
 import pytest
 
 from briarseam.discovery import starts
+from briarseam.forwarding import loss_keys
 from tests.platform import restarted_engine as restarted
 
 
@@ -84,8 +85,10 @@
     caller sends the request again.  Counted by name, it would have been lost
     at one endpoint only, and would crash the engine again and again.
     """
-    guard = case.node.guard
+    counts = case.node.crashes.counts
+    key = loss_keys.key_of_request("/draft/x", "north", b"")
     for born_ms in (1, 2, 3):
-        assert not guard.is_refused(b"digest")
-        guard.record_loss(b"digest", starts.Start(restarted.NAME, born_ms).id)
-    assert guard.is_refused(b"digest")
+        assert counts.suspects((key,)) == ()
+        start = starts.Start(restarted.NAME, born_ms)
+        counts.record_loss(key, start.id, counts.clock())
+    assert counts.suspects((key,)) == (key,)
