Count requests that crash their endpoint after their callers have left

What callers saw: a request whose callers left early crashed endpoint after endpoint.

Cause: an attempt that is ended early made no loss, and its endpoint crashed a moment later. The same held for a deadline that passed, for an instance that stopped, and for a peer that passed the request on and hung up.

Now such an attempt is kept for as long as its endpoint may end because of it (forwarding/abandoned_attempts.py, at most 2,000). It becomes a loss once another request is lost at that endpoint within a second, connections to it fail, or its entry goes; it counts only for the last two, never since other endpoints answer. It is dropped when the endpoint answers something a second later. An endpoint that says nothing is checked after 0.3 s, over an idle connection if there is one; a new one is kept for the next request. What an instance ends because it stops is told to its peers at once.

--- a/src/briarseam/compose/node_paths.py
+++ b/src/briarseam/compose/node_paths.py
@@ -180,9 +180,20 @@
         connection.close()
         return True
 
+    def goes_on(endpoint: discovery.Endpoint) -> bool:
+        if pool.has_open(endpoint.id, endpoint.address):
+            return True
+        try:
+            connection = pool.connect(endpoint.address)
+        except connections.UnreachableError:
+            return False
+        # The next request needs one: the caller who left took it along.
+        pool.release(endpoint.id, endpoint.address, connection, "")
+        return True
+
     return Paths(
         reachability,
-        probing.Prober(reachability, can_connect),
+        probing.Prober(reachability, can_connect, goes_on),
         relaying.Relaying(
             RelayPeers(instances, reachability, region_of),
             attempts.Sender(
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -13,6 +13,7 @@
 from briarseam.forwarding import loss_keys
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import refusing
+from briarseam.forwarding import supervision
 from briarseam.forwarding import trial_messages as messages
 from briarseam.forwarding import trial_requests
 
@@ -22,7 +23,6 @@
     from briarseam.discovery import model as discovery
     from briarseam.forwarding import loss_counts
     from briarseam.forwarding import pending_losses
-    from briarseam.forwarding import supervision
 
 # An endpoint that crashes when it begins to answer has ended so long after
 # the first event.
@@ -276,15 +276,25 @@
             shared_parts=list(state.parts.values()),
             events_sent=state.began_s is not None,
         )
+        self.losses.add_abandoned(
+            state.digest,
+            endpoint,
+            self.blamed(state),
+            ending is supervision.Ending.CUT_OFF,
+        )
+
+    def blamed(self, state: CrashState) -> tuple[bytes, ...]:
+        """Return the parts that a loss of a request speaks against."""
+        if state.is_recorded:
+            # The endpoint has begun to answer, and gone on.
+            return ()
+        return self.counts.blamed(tuple(state.parts))
 
     def record_loss(
         self, state: CrashState, endpoint: discovery.Endpoint
     ) -> None:
         """Record that a request was lost at an endpoint."""
-        blamed: tuple[bytes, ...] = ()
-        # Otherwise the endpoint has begun to answer, and gone on.
-        if not state.is_recorded:
-            blamed = self.counts.blamed(tuple(state.parts))
+        blamed = self.blamed(state)
         log.info(
             "request_lost",
             request=state.request,
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -25,6 +25,7 @@
 from briarseam import repeating
 from briarseam.discovery import model as discovery
 from briarseam.discovery import starts
+from briarseam.forwarding import abandoned_attempts
 from briarseam.forwarding import loss_counts
 from briarseam.forwarding import loss_keys
 from briarseam.forwarding import suspicion
@@ -110,6 +111,9 @@
         What is decided so far.
     parts
         Keys of the parts of its prompt that the loss speaks against.
+    was_abandoned
+        Whether the request was ended before its endpoint was lost, so that it
+        may not have run there any more.
     """
 
     digest: bytes
@@ -117,6 +121,7 @@
     at_s: float
     decision: Decision = Decision.PENDING
     parts: tuple[bytes, ...] = ()
+    was_abandoned: bool = False
 
     @property
     def keys(self) -> tuple[bytes, ...]:
@@ -188,6 +193,9 @@
         self.tracked: collections.deque[Loss] = collections.deque(
             maxlen=MAX_TRACKED
         )
+        self.abandoned = abandoned_attempts.AbandonedAttempts(
+            reachability, clock
+        )
         self.lock = threading.Lock()
         self.reviewing = threading.Lock()
         self.reviews = repeating.Repeater(
@@ -225,12 +233,62 @@
         parts
             Keys of the parts of its prompt that the loss speaks against.
         """
+        now_s = self.clock()
+        beside = self.abandoned.take_ended_with(endpoint.id, now_s)
         with self.lock:
-            self.tracked.append(
-                Loss(digest, endpoint, self.clock(), parts=parts)
-            )
+            self.tracked.append(Loss(digest, endpoint, now_s, parts=parts))
+        self.track_abandoned(beside)
         self.on_added()
 
+    def add_abandoned(
+        self,
+        digest: bytes,
+        endpoint: discovery.Endpoint,
+        parts: tuple[bytes, ...],
+        is_stopping: bool,
+    ) -> None:
+        """Add a request that was ended before its endpoint answered.
+
+        Parameters
+        ----------
+        digest
+            Key of the request.
+        endpoint
+            The endpoint, which may still run it.
+        parts
+            Keys of the parts of its prompt that a loss would speak against.
+        is_stopping
+            Whether this instance ends before that shows.
+        """
+        attempt = abandoned_attempts.Attempt(
+            digest, endpoint, self.clock(), parts
+        )
+        if is_stopping:
+            self.track_abandoned([attempt], Decision.HELD)
+            self.on_added()
+            self.on_decided()
+        else:
+            self.abandoned.add(attempt)
+
+    def track_abandoned(
+        self,
+        attempts: collections.abc.Iterable[abandoned_attempts.Attempt],
+        decision: Decision = Decision.PENDING,
+    ) -> None:
+        """Track attempts as losses whose endpoint has ended since."""
+        with self.lock:
+            self.tracked.extend(
+                Loss(
+                    one.digest,
+                    one.endpoint,
+                    one.at_s,
+                    decision,
+                    one.parts,
+                    was_abandoned=True,
+                )
+                for one in attempts
+            )
+
     def adopt(self, key: bytes, endpoint: str, at_s: float) -> None:
         """Track a loss that was recorded by this or another instance.
 
@@ -310,6 +368,10 @@
     def review_all(self) -> bool:
         """Decide on all tracked losses; return whether peers must know."""
         is_news = False
+        ended = self.abandoned.take_ended(self.has_ended)
+        if ended:
+            self.track_abandoned(ended)
+            self.on_added()
         for loss in self.snapshot():
             decision, reason = self.decide(loss)
             if decision is not loss.decision:
@@ -320,6 +382,12 @@
             self.tracked = collections.deque(kept, MAX_TRACKED)
         return is_news
 
+    def has_ended(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint has ended, as far as entries tell."""
+        return self.entries.is_read() and not self.entries.is_known(
+            endpoint_id
+        )
+
     def decide(self, loss: Loss) -> tuple[Decision, str]:
         """Return the decision on a loss and its grounds."""
         decided = self.decide_by_start(loss)
@@ -355,6 +423,11 @@
         service = loss.endpoint.service
         if self.reachability.cut_off_after(service, loss.at_s):
             return Decision.HELD, "no endpoint can be reached"
+        if loss.was_abandoned and not self.reachability.has_failed(
+            loss.endpoint
+        ):
+            # Only the end of the endpoint connects the two.
+            return loss.decision, ""
         if self.reachability.heard_after(service, loss.at_s + SETTLE_S):
             return Decision.COUNTED, "other endpoints answer"
         if self.clock() - loss.at_s >= MAX_PENDING_S:
--- a/src/briarseam/reachability/probing.py
+++ b/src/briarseam/reachability/probing.py
@@ -43,15 +43,19 @@
         What is known, which gets the results.
     can_connect
         Connects to an endpoint and returns whether that succeeded.
+    goes_on
+        Returns whether an endpoint keeps a connection open, or takes one.
     """
 
     def __init__(
         self,
         reachability: tracker.Reachability,
         can_connect: typing.Callable[[discovery.Endpoint], bool],
+        goes_on: typing.Callable[[discovery.Endpoint], bool] | None = None,
     ) -> None:
         self.reachability = reachability
         self.can_connect = can_connect
+        self.goes_on = goes_on or can_connect
         self.wake = threading.Event()
         self.stopping = threading.Event()
         self.threads = worker_threads.WorkerThreads("probe")
@@ -82,10 +86,24 @@
             self.stopping.wait(MIN_PAUSE_S)
 
     def probe_all(self) -> None:
-        """Probe all services whose paths are in doubt."""
+        """Probe all services whose paths are in doubt, and some endpoints."""
+        for endpoint in self.reachability.take_doubted():
+            self.check(endpoint)
         for service in self.reachability.services_in_doubt():
             self.probe(service)
 
+    def check(self, endpoint: discovery.Endpoint) -> None:
+        """Check in a thread of its own whether an endpoint goes on."""
+
+        def check_one() -> None:
+            if not self.goes_on(endpoint):
+                self.reachability.record_unreached(endpoint)
+
+        try:
+            self.threads.submit(check_one)
+        except worker_threads.NoThreadError as error:
+            log.warning("not_probed", endpoint=endpoint.id, detail=str(error))
+
     def probe(self, service: str) -> None:
         """Probe endpoints of a service and record the results."""
         reachability = self.reachability
--- a/src/briarseam/reachability/tracker.py
+++ b/src/briarseam/reachability/tracker.py
@@ -61,6 +61,8 @@
         # Services that can't be reached, as last logged and published.
         self.unreachable: frozenset[str] = frozenset()
         self.suspected: set[str] = set()
+        # Endpoints of which it is to be checked whether they go on.
+        self.doubted: dict[str, discovery.Endpoint] = {}
         # When each service was last known to be cut off.
         self.cut_off_s: dict[str, float] = {}
         self.unreachable_since_s: dict[str, float] = {}
@@ -188,6 +190,22 @@
             self.suspected.add(service)
         self.on_failure()
 
+    def doubt(self, endpoint: discovery.Endpoint) -> None:
+        """Have it checked whether an endpoint goes on."""
+        with self.lock:
+            self.doubted[endpoint.id] = endpoint
+        self.on_failure()
+
+    def take_doubted(self) -> list[discovery.Endpoint]:
+        """Return the endpoints that are to be checked, each once."""
+        with self.lock:
+            doubted, self.doubted = self.doubted, {}
+        return list(doubted.values())
+
+    def has_failed(self, endpoint: discovery.Endpoint) -> bool:
+        """Return whether connections to an endpoint fail."""
+        return endpoint.id in self.failed
+
     def services_in_doubt(self) -> set[str]:
         """Return the services with failures or without answers.
 
--- a/tests/reachability/test_probing.py
+++ b/tests/reachability/test_probing.py
@@ -139,3 +139,18 @@
         wait_until(lambda: errors and not reachability.failed)
     finally:
         prober.stop()
+
+
+def test_endpoint_in_doubt_is_checked_on_its_own(
+    endpoints, reachability, prober
+):
+    """Guards against an endpoint whose end shows only as its entry goes."""
+    first, second, _third = endpoints.add("portal", 3)
+    reachability.record_heard("portal")
+    endpoints.cut_off.add(first.id)
+    reachability.doubt(first)
+    reachability.doubt(second)
+    prober.probe_all()
+    waiting.until(lambda: reachability.has_failed(first))
+    assert not reachability.has_failed(second)
+    assert reachability.take_doubted() == []
