Let a trial go on for 0.4 s after its caller has left

What callers could see: a sound request that was lost with three endpoints for another reason, and whose callers always leave early, was refused for as long as it came, since no trial of it was ever answered.

A trial now goes on for 0.4 s, within the half second that endpoints have, and nothing more is sent to the caller who left. It is tried at no second endpoint then. The new test fails with a grace of 0.

--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -27,6 +27,10 @@
 # An endpoint that crashes when it begins to answer has ended so long after
 # the first event.
 SETTLE_S = 0.2
+# How long a trial goes on after its caller has left: an answer would free
+# requests whose callers always leave.  Endpoints must stop after half a
+# second.
+TRIAL_GRACE_S = 0.4
 MS = 1000
 log = structlog.get_logger("briarseam.forwarding")
 
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -92,6 +92,7 @@
         self.chunked = False
         self.extra_headers: tuple[tuple[str, str], ...] = ()
         self.relayed = False
+        self.discarding = False
 
     @property
     def method(self) -> str:
@@ -160,12 +161,22 @@
         """Close the connection after this answer."""
         self.request.close_connection = True
 
+    def discard(self) -> None:
+        """Send nothing more, since the caller has left."""
+        self.discarding = True
+        self.close_after()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the caller."""
+        if not self.discarding:
+            self.request.conn.wfile.write(data)
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
         framed = [*headers, ("Content-Length", str(len(body)))]
         head = self.head(status, framed)
         content = b"" if self.method == "HEAD" else body
-        self.request.conn.wfile.write(head + content)
+        self.write(head + content)
 
     def begin(self, status: int, headers: Headers, first: bytes) -> None:
         """Send the head and the first bytes of an answer of unknown length.
@@ -181,17 +192,17 @@
         else:
             self.close_after()
         head = self.head(status, framed)
-        self.request.conn.wfile.write(head + self.frame(first))
+        self.write(head + self.frame(first))
 
     def send(self, data: bytes) -> None:
         """Send more of an answer that :meth:`begin` started."""
         if data:
-            self.request.conn.wfile.write(self.frame(data))
+            self.write(self.frame(data))
 
     def finish(self) -> None:
         """Mark an answer that :meth:`begin` started as complete."""
         if self.chunked:
-            self.request.conn.wfile.write(LAST_CHUNK)
+            self.write(LAST_CHUNK)
 
     def abort(self) -> None:
         """Close the connection, so that a started answer is incomplete.
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -12,6 +12,7 @@
 from briarseam import verdict
 from briarseam.forwarding import active_requests
 from briarseam.forwarding import attempts
+from briarseam.forwarding import crash_checks
 from briarseam.forwarding import final_answers
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import preparing
@@ -343,6 +344,10 @@
             on_data=on_data,
         )
         outcome: outcomes.Outcome | None = None
+        if context.crash_state.trial is not None:
+            context.watch.begin_grace(
+                crash_checks.TRIAL_GRACE_S, context.exchange.discard
+            )
         try:
             outcome = self.deps.sender.send(attempt)
             if not isinstance(outcome, outcomes.Unreached | outcomes.Broken):
@@ -363,6 +368,7 @@
             )
             raise
         finally:
+            context.watch.end_grace()
             if undecided:
                 rejected = isinstance(outcome, outcomes.Rejected)
                 chooser.release(placement, rejected)
--- a/src/briarseam/forwarding/supervision.py
+++ b/src/briarseam/forwarding/supervision.py
@@ -75,6 +75,9 @@
         self.ending: Ending | None = None
         self.upstream: socket.socket | None = None
         self.done = False
+        self.caller_left = False
+        self.grace_s = 0.0
+        self.on_caller_left: typing.Callable[[], None] = ignore
         self.lock = threading.Lock()
 
     def remaining_s(self) -> float:
@@ -86,6 +89,44 @@
         if self.ending is not None:
             raise EndedError(self.ending)
 
+    def begin_grace(
+        self, grace_s: float, on_caller_left: typing.Callable[[], None]
+    ) -> None:
+        """Let the request go on for a while after its caller has left.
+
+        Parameters
+        ----------
+        grace_s
+            How long, in seconds.
+        on_caller_left
+            Called when the caller has left, from another thread.
+        """
+        with self.lock:
+            self.grace_s = grace_s
+            self.on_caller_left = on_caller_left
+
+    def end_grace(self) -> None:
+        """End the request if its caller has left by now."""
+        with self.lock:
+            self.grace_s = 0.0
+        if self.caller_left:
+            self.end(Ending.CALLER_GONE)
+
+    def record_caller_left(self) -> float:
+        """Record that the caller has left.
+
+        Returns
+        -------
+        float
+            How long the request may go on, in seconds.
+        """
+        with self.lock:
+            self.caller_left = True
+            grace_s, on_caller_left = self.grace_s, self.on_caller_left
+        if grace_s > 0:
+            on_caller_left()
+        return grace_s
+
     def attach(self, upstream: urllib3.connection.HTTPConnection) -> None:
         """Shut down this connection when the request is ended.
 
@@ -142,7 +183,8 @@
     def __init__(self) -> None:
         self.poller = select.epoll()
         self.watches: dict[int, Watch] = {}
-        self.deadlines: list[tuple[float, int, Watch]] = []
+        # When to end each request, and why.
+        self.deadlines: list[tuple[float, int, Watch, Ending]] = []
         self.sequence = itertools.count()
         self.lock = threading.Lock()
         self.stopping = threading.Event()
@@ -163,11 +205,15 @@
         descriptor = watch.caller.fileno()
         with self.lock:
             self.watches[descriptor] = watch
-            heapq.heappush(
-                self.deadlines, (watch.deadline_s, next(self.sequence), watch)
-            )
+            self.push_deadline(watch, watch.deadline_s, Ending.TIMED_OUT)
             self.poller.register(descriptor, GONE_EVENTS)
 
+    def push_deadline(self, watch: Watch, at_s: float, ending: Ending) -> None:
+        """End a request at a time, by the boot clock; requires the lock."""
+        heapq.heappush(
+            self.deadlines, (at_s, next(self.sequence), watch, ending)
+        )
+
     def unwatch(self, watch: Watch) -> None:
         """Stop watching a request that is finished."""
         with watch.lock:
@@ -206,18 +252,25 @@
                     # Wait only for the disconnect, since the unread data
                     # would make each poll return immediately.
                     self.poller.modify(descriptor, CLOSED_EVENTS | ONE_SHOT)
-        if presence is Presence.GONE:
+        if presence is not Presence.GONE:
+            return
+        grace_s = watch.record_caller_left()
+        if grace_s <= 0:
             watch.end(Ending.CALLER_GONE)
+            return
+        with self.lock:
+            at_s = clocks.boot_clock() + grace_s
+            self.push_deadline(watch, at_s, Ending.CALLER_GONE)
 
     def end_expired(self) -> None:
-        """End the requests whose deadline has passed."""
+        """End the requests whose deadline, or grace, has passed."""
         now_s = clocks.boot_clock()
         while True:
             with self.lock:
                 if not self.deadlines or self.deadlines[0][0] > now_s:
                     return
-                _deadline_s, _sequence, watch = heapq.heappop(self.deadlines)
-            watch.end(Ending.TIMED_OUT)
+                _at_s, _sequence, watch, ending = heapq.heappop(self.deadlines)
+            watch.end(ending)
 
 
 def probe_caller(caller: socket.socket) -> Presence:
@@ -237,3 +290,7 @@
     except OSError:
         return Presence.GONE
     return Presence.PIPELINED if sent else Presence.GONE
+
+
+def ignore() -> None:
+    """Do nothing; the default of the callback."""
--- a/tests/forwarding/test_supervision.py
+++ b/tests/forwarding/test_supervision.py
@@ -136,3 +136,36 @@
         for number, _events in reported:
             supervisor.handle_event(number)
         assert second.ending is None
+
+
+def test_request_with_a_grace_goes_on_for_a_while(supervisor, pair, upstream):
+    """Guards against trials that callers end before they can be answered."""
+    watch = watch_of(pair)
+    left = []
+    watch.begin_grace(0.3, lambda: left.append(clocks.boot_clock()))
+    supervisor.watch(watch)
+    watch.attach(upstream[0])
+    pair[1].close()
+    upstream[1].settimeout(5)
+    assert upstream[1].recv(1) == b""
+    assert watch.ending is supervision.Ending.CALLER_GONE
+    assert clocks.boot_clock() - left[0] >= 0.3
+
+
+def test_request_ends_with_its_grace_if_the_caller_has_left(supervisor, pair):
+    """Guards against a second endpoint that is tried for no caller."""
+    watch = watch_of(pair)
+    watch.begin_grace(30.0, lambda: None)
+    supervisor.watch(watch)
+    pair[1].close()
+    waiting.until(lambda: watch.caller_left)
+    assert watch.ending is None
+    watch.end_grace()
+    assert watch.ending is supervision.Ending.CALLER_GONE
+
+
+def test_end_of_a_grace_does_not_end_a_request_whose_caller_stays(pair):
+    watch = watch_of(pair)
+    watch.begin_grace(30.0, lambda: None)
+    watch.end_grace()
+    assert watch.ending is None
--- a/tests/platform/crashing_repeats.py
+++ b/tests/platform/crashing_repeats.py
@@ -17,6 +17,8 @@
 
 SERVICE = "portal"
 CRASHING = "/status/crash"
+# A sound request whose callers leave as those of the crashing one do.
+LEAVING = "/status/left"
 SOUND_PATHS = 40
 # The request is refused from the third crash on, once instances have heard.
 CRASHES = 3
@@ -77,7 +79,7 @@
     nodes
         The instances.
     leave_after_s
-        When the callers of the crashing request leave; ``None`` if they stay.
+        When callers of the crashing request leave; ``None`` if they stay.
     """
 
     def __init__(
@@ -106,14 +108,14 @@
         """Send a request, and record the status of its answer."""
         sent = Sent(time.monotonic(), path)
         self.sent.append(sent)
-        leaves = path == CRASHING and self.leave_after_s is not None
+        leaves = path in (CRASHING, LEAVING)
         address = self.random.choice(self.addresses)
         try:
             answer = self.http.request(
                 "GET",
                 f"http://{address}{path}",
                 headers=systems.callers_headers(systems.KEY, {}),
-                timeout=self.leave_after_s if leaves else TIMEOUT_S,
+                timeout=(leaves and self.leave_after_s) or TIMEOUT_S,
             )
             sent.status = answer.status
         except urllib3.exceptions.HTTPError:
--- a/tests/platform/test_crashing_repeats.py
+++ b/tests/platform/test_crashing_repeats.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from briarseam.forwarding import loss_keys
 from briarseam.testing import waiting
 from tests.platform import crashing_parts
 from tests.platform import crashing_repeats
@@ -125,3 +126,30 @@
         load.run(3.0, SOUND_PER_S)
         assert load.share_served(back_s + 1.5) >= MIN_SHARE
     load.close()
+
+
+def lose_at_all(nodes, key, endpoints):
+    """Have instances know that a request was lost at endpoints."""
+    for node in nodes:
+        counts = node.crashes.counts
+        for endpoint in endpoints:
+            counts.add_loss(key, endpoint, counts.clock() - 60)
+
+
+def test_request_whose_callers_always_leave_is_freed_by_its_trial(start):
+    """Guards against refusing for good what is never waited for."""
+    fleet, nodes = start()
+    for worker in fleet.running():
+        worker.set(work_ms=100)
+    load = crashing_repeats.Load(nodes, leave_after_s=0.03)
+    path = crashing_repeats.LEAVING
+    key = loss_keys.key_of_request(path, "north", b"")
+    lose_at_all(nodes, key, ["e1", "e2", "e3"])
+    for _ in range(8):
+        load.send(path)
+        time.sleep(0.5)
+    load.close()
+    assert all(
+        node.crashes.counts.endpoints_of(key) == frozenset() for node in nodes
+    )
+    assert fleet.ended_s() == []
