--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -75,6 +75,7 @@
         super().__init__(id, listen, born, version)
         self.on_crash = on_crash
         self.crashed = threading.Event()
+        self.crash_after_s = 0.0
 
     def run(
         self,
@@ -88,6 +89,7 @@
             return super().run(request, call, echo)
         self.ran.append(call)
         self.broke.append(call)
+        self.stopping.wait(self.crash_after_s)
         crash = Crash(cause, call, time.monotonic())
         if self.begin_end():
             threading.Thread(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -86,7 +86,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class EnginesEnded:
-    """All engines end at the same moment."""
+    """All engines, or endpoints of another service, end together."""
+
+    service: str = "engines"
+
+
+@dataclasses.dataclass(frozen=True)
+class InstancesKilled:
+    """Instances are killed at once, or in turn, and started again."""
+
+    instances: tuple[int, ...]
+    # Between the start of one and the end of the next; 0 for all at once.
+    gap_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -286,6 +297,7 @@
     | AnswersFramed
     | SoftwareReleased
     | EnginesEnded
+    | InstancesKilled
 )
 
 
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -94,14 +94,15 @@
             case faults.Misbehaviour(number, switch):
                 worker = self.deployment.endpoints[number].worker
                 worker.set(**{switch: faults.MISBEHAVIOUR[switch]})
-            case faults.EnginesEnded():
-                self.deployment.end_engines()
+            case faults.EnginesEnded(service):
+                self.deployment.end_service(service)
             case faults.Reconfigured() | faults.Evacuated():
                 self.change_records(one.fault, one.for_s)
             case (
                 faults.PathsCut()
                 | faults.ServiceFragile()
                 | faults.StoppedInTurn()
+                | faults.InstancesKilled()
             ):
                 self.strike_many(one.fault, one.for_s)
             case (
@@ -117,7 +118,10 @@
 
     def strike_many(
         self,
-        fault: faults.PathsCut | faults.ServiceFragile | faults.StoppedInTurn,
+        fault: faults.PathsCut
+        | faults.ServiceFragile
+        | faults.StoppedInTurn
+        | faults.InstancesKilled,
         for_s: float,
     ) -> None:
         """Strike several instances or endpoints."""
@@ -129,6 +133,29 @@
                     self.weaken(fault, for_s)
             case faults.StoppedInTurn():
                 self.stop_in_turn(fault, for_s)
+            case faults.InstancesKilled(numbers, gap_s):
+                self.kill(numbers, gap_s, for_s)
+
+    def kill(
+        self, numbers: tuple[int, ...], gap_s: float, for_s: float
+    ) -> None:
+        """Kill instances at once or in turn, and start them again."""
+        struck = [self.deployment.instances[number] for number in numbers]
+        with contextlib.ExitStack() as stack:
+            for number in sorted(numbers):
+                stack.enter_context(self.lock_of(("instance", number)))
+            for instance in struck:
+                self.excuse(instance, for_s + gap_s * len(struck))
+            groups = [[one] for one in struck] if gap_s else [struck]
+            for group in groups:
+                for instance in group:
+                    instance.end(signal.SIGKILL)
+                time.sleep(for_s)
+                for instance in group:
+                    instance.start()
+                time.sleep(gap_s)
+            for instance in struck:
+                self.excuse(instance)
 
     def cut_paths(
         self, numbers: tuple[int, ...], kind: paths.CutKind, for_s: float
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -8,6 +8,7 @@
 import typing
 
 from tests.platform import raw_answers
+from tests.soak import deadly
 from tests.soak import faults
 from tests.soak import parts
 from tests.soak import paths
@@ -237,6 +238,38 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_deadly(
+    seed: int, seconds: float, instances: int
+) -> list[faults.Planned]:
+    """Return ends of all instances and endpoints, beside other faults.
+
+    None come in the last seconds.
+    """
+    random_ = random.Random(f"{seed}/deadly-plan")
+    end_s = seconds - deadly.CALM_S
+    kinds = (faults.Paused, faults.StoreCut, faults.StoreTrouble)
+    found = [
+        one
+        for one in plan(seed, end_s, instances)
+        if isinstance(one.fault, kinds) and seed % 3
+    ]
+    at_s = random_.uniform(1.0, 5.0)
+    while at_s < end_s - 2.0:
+        numbers = random_.sample(
+            range(instances), random_.choice((instances, instances - 1))
+        )
+        fault = random_.choice(
+            (
+                faults.InstancesKilled(tuple(numbers), 0.0),
+                faults.InstancesKilled(tuple(numbers), 1.0),
+                faults.EnginesEnded(random_.choice(("engines", "portal"))),
+            )
+        )
+        found.append(faults.Planned(at_s, random_.uniform(0.1, 0.8), fault))
+        at_s += random_.uniform(1.0, 7.0)
+    return sorted(found, key=lambda one: one.at_s)
+
+
 def draw_form(random_: random.Random, is_stream: bool) -> raw_answers.Form:
     """Return a form of answers whose cuts callers must not take for ends."""
     forms = [
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,6 +9,7 @@
 from tests.soak import announced
 from tests.soak import callers
 from tests.soak import crashes
+from tests.soak import deadly
 from tests.soak import faults
 from tests.soak import parts
 from tests.soak import paths
@@ -63,6 +64,7 @@
     yield from announced.check(deployment, by_id)
     yield from crashes.check(deployment, sent)
     yield from parts.check(deployment, sent)
+    yield from deadly.check(deployment, sent)
     yield from paths.check(deployment.path_cuts, sent)
     for instance in deployment.instances:
         yield from instance.killed
--- /dev/null
+++ b/tests/soak/report.py
@@ -0,0 +1,59 @@
+"""What a run of the soak of ``briarseam serve`` found."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class Report:
+    """What a run found.
+
+    Attributes
+    ----------
+    seed, seconds, instances, stops, restores, zones, announcements, paths,
+    framings, releases, crashes, parts, deadly
+        The run.
+    requests, runs
+        How many requests were sent, and how often endpoints ran one.
+    answers
+        Requests by kind and status, 0 for none.
+    unanswered
+        Requests without a whole answer, by reason.
+    faults
+        How often each struck.
+    announced
+        Answers by what they said of their endpoint.
+    cuts
+        Answers of endpoints that were cut short, by framing, place and end.
+    taken_up
+        Requests that could take streams up again, and those that did.
+    crashed
+        Endpoints that requests crashed.
+    broken
+        Broken promises.
+    """
+
+    seed: int
+    seconds: float
+    instances: int
+    stops: bool = False
+    restores: bool = False
+    zones: bool = False
+    announcements: bool = False
+    paths: bool = False
+    framings: bool = False
+    releases: bool = False
+    crashes: bool = False
+    parts: bool = False
+    deadly: bool = False
+    requests: int = 0
+    runs: int = 0
+    answers: dict[str, int] = dataclasses.field(default_factory=dict)
+    unanswered: dict[str, int] = dataclasses.field(default_factory=dict)
+    faults: dict[str, int] = dataclasses.field(default_factory=dict)
+    announced: dict[str, int] = dataclasses.field(default_factory=dict)
+    cuts: dict[str, int] = dataclasses.field(default_factory=dict)
+    taken_up: tuple[int, int] = (0, 0)
+    crashed: int = 0
+    broken: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -24,6 +24,7 @@
 from tests.soak import announced
 from tests.soak import callers
 from tests.soak import crashes
+from tests.soak import deadly as deadly_requests
 from tests.soak import injecting
 from tests.soak import parts as crashing_parts
 from tests.soak import plans
@@ -31,6 +32,7 @@
 from tests.soak import promises
 from tests.soak import raw_callers
 from tests.soak import releases
+from tests.soak import report as reports
 from tests.soak import serving
 
 from briarseam.testing import waiting
@@ -53,59 +55,6 @@
 OK = 200
 
 
-@dataclasses.dataclass
-class Report:
-    """What a run found.
-
-    Attributes
-    ----------
-    seed, seconds, instances, stops, restores, zones, announcements, paths,
-    framings, releases, crashes, parts
-        The run.
-    requests, runs
-        How many requests were sent, and how often endpoints ran one.
-    answers
-        Requests by kind and status, 0 for none.
-    unanswered
-        Requests without a whole answer, by reason.
-    faults
-        How often each struck.
-    announced
-        Answers by what they said of their endpoint.
-    cuts
-        Answers of endpoints that were cut short, by framing, place and end.
-    taken_up
-        Requests that could take streams up again, and those that did.
-    crashed
-        Endpoints that requests crashed.
-    broken
-        Broken promises.
-    """
-
-    seed: int
-    seconds: float
-    instances: int
-    stops: bool = False
-    restores: bool = False
-    zones: bool = False
-    announcements: bool = False
-    paths: bool = False
-    framings: bool = False
-    releases: bool = False
-    crashes: bool = False
-    parts: bool = False
-    requests: int = 0
-    runs: int = 0
-    answers: dict[str, int] = dataclasses.field(default_factory=dict)
-    unanswered: dict[str, int] = dataclasses.field(default_factory=dict)
-    faults: dict[str, int] = dataclasses.field(default_factory=dict)
-    announced: dict[str, int] = dataclasses.field(default_factory=dict)
-    cuts: dict[str, int] = dataclasses.field(default_factory=dict)
-    taken_up: tuple[int, int] = (0, 0)
-    crashed: int = 0
-    broken: list[str] = dataclasses.field(default_factory=list)
-
-
 class Soak:
     """One run.
 
@@ -117,7 +66,7 @@
         What to run, and what was found.
     """
 
-    def __init__(self, folder: pathlib.Path, report: Report) -> None:
+    def __init__(self, folder: pathlib.Path, report: reports.Report) -> None:
         self.report = report
         shutdown_s = serving.SHUTDOWN_S
         if report.stops:
@@ -130,6 +79,7 @@
             report.paths,
             report.seed,
             report.releases,
+            deadly_requests.crash_after_s(report.seed) * report.deadly,
         )
         if report.releases:
             count = len(serving.SERVICES)
@@ -147,6 +97,8 @@
                 self.new_caller(kind=crashes.Repeater)
                 for _ in range(REPEATERS)
             ]
+        if report.deadly:
+            self.callers.append(self.new_caller(kind=deadly_requests.Repeater))
         if report.parts and not crashing_parts.ends_engines(report.seed):
             self.callers.append(self.new_caller(kind=crashing_parts.Sender))
         self.prober = self.new_caller()
@@ -217,6 +169,7 @@
             plans.plan_releases: report.releases,
             plans.plan_crashes: report.crashes,
             plans.plan_parts: report.parts,
+            plans.plan_deadly: report.deadly,
         }
         return next((one for one in chosen if chosen[one]), plans.plan)
 
@@ -237,6 +190,8 @@
             thread.start()
         end_s = time.monotonic() + self.report.seconds
         injecting.Injector(self.deployment, planned, self.crowd).run()
+        if self.report.deadly:
+            self.deployment.last_fault_s = time.monotonic()
         time.sleep(max(0.0, end_s - time.monotonic()))
         if not self.report.releases:
             self.deployment.slow_down([0] * len(serving.SERVICES))
@@ -330,9 +285,10 @@
     releases: bool = False,
     crashes: bool = False,
     parts: bool = False,
-) -> Report:
+    deadly: bool = False,
+) -> reports.Report:
     """Run one seed and return what was found."""
-    report = Report(
+    report = reports.Report(
         seed,
         seconds,
         instances,
@@ -345,6 +301,7 @@
         releases,
         crashes,
         parts,
+        deadly,
     )
     Soak(folder, report).run()
     return report
@@ -401,6 +358,12 @@
         help="prompts with a part that crashes the engines that answer them, "
         "or all engines ending without one",
     )
+    parser.add_argument(
+        "--deadly",
+        action="store_true",
+        help="a request that crashes endpoints, while instances and "
+        "endpoints end together",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -423,6 +386,7 @@
             options.releases,
             options.crashes,
             options.parts,
+            options.deadly,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -151,6 +151,8 @@
         Determines how endpoints that crashed are back.
     versions
         Whether events name the software version of their endpoint.
+    crash_after_s
+        How long endpoints run a request that crashes them.
     """
 
     def __init__(
@@ -162,8 +164,12 @@
         cuts: bool = False,
         seed: int = 0,
         versions: bool = False,
+        crash_after_s: float = 0.0,
     ) -> None:
         self.versions = versions
+        self.crash_after_s = crash_after_s
+        # When the last fault ended, where a run checks what follows.
+        self.last_fault_s: float | None = None
         self.path_cuts: list[paths.PathCut] = []
         self.fragile: list[Fragile] = []
         self.cold = cold
@@ -237,6 +243,7 @@
             self.crash,
         )
         worker.names_version = self.versions
+        worker.crash_after_s = self.crash_after_s
         worker.set(events=EVENTS)
         self.stack.enter_context(worker)
         self.past.append(worker)
@@ -313,12 +320,13 @@
         self.crashes.append(crash)
         self.end_endpoint(worker)
 
-    def end_engines(self) -> None:
-        """Let all engines end at the same moment, by no request."""
-        self.ended_together_s.append(time.monotonic())
+    def end_service(self, service: str) -> None:
+        """Let all endpoints of a service end together, by no request."""
+        if service == "engines":
+            self.ended_together_s.append(time.monotonic())
         for endpoint in self.endpoints:
             worker = endpoint.worker
-            if endpoint.service == "engines" and worker.begin_end():
+            if endpoint.service == service and worker.begin_end():
                 threading.Thread(
                     target=self.end_endpoint, args=(worker,), daemon=True
                 ).start()
