Split decisions on losses and times of losses by duty

One change of behaviour: heartbeats that carry losses tell those of repeated requests first, so that a crowd of others that were lost at the same moment does not hide them (test; the newest came first before).

--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/forwarding/crash_records.py
@@ -19,6 +19,7 @@
 from briarseam import malformed
 from briarseam.feeds import records
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_times
 from briarseam.forwarding import trial_messages as messages
 
 if typing.TYPE_CHECKING:
@@ -285,7 +286,7 @@
                 at_s = self.time_of(record, answer.age_ms)
                 known_s = answered_s.get(answer.key, at_s)
                 answered_s[answer.key] = max(at_s, known_s)
-        lost: loss_counts.Lost = {}
+        lost: loss_times.Lost = {}
         for record in found:
             for row in record.losses:
                 at_s = self.time_of(record, row.age_ms)
@@ -294,7 +295,7 @@
                     lost[row.key, row.endpoint] = min(at_s, known_s)
             trials = map(without_open_end, record.trials)
             self.known.ledger.restore(trials, answered_s.keys())
-        for (key, endpoint), at_s in loss_counts.most_lost(lost, MAX_ADOPTED):
+        for (key, endpoint), at_s in loss_times.most_lost(lost, MAX_ADOPTED):
             self.known.losses.adopt(key, endpoint, at_s)
 
     def time_of(self, record: CrashRecord, age_ms: int) -> float:
@@ -345,7 +346,7 @@
         return CrashRecord(
             tuple(
                 LossRow(key, endpoint, age_ms(now_s, at_s))
-                for (key, endpoint), at_s in loss_counts.most_lost(
+                for (key, endpoint), at_s in loss_times.most_lost(
                     lost, MAX_LOSSES
                 )
             ),
--- a/src/briarseam/forwarding/loss_counts.py
+++ b/src/briarseam/forwarding/loss_counts.py
@@ -18,6 +18,7 @@
 
 from briarseam import clocks
 from briarseam.forwarding import loss_keys
+from briarseam.forwarding import loss_times
 from briarseam.forwarding import suspicion
 
 if typing.TYPE_CHECKING:
@@ -33,11 +34,8 @@
 MAX_LOST = 2000
 # Bounds on what heartbeats carry.
 MAX_PUBLISHED = 100
-MAX_PUBLISHED_ENDPOINTS = 8
 NEVER_S = float("-inf")
 MS = 1000
-# When a key was lost at an endpoint, by both.
-Lost = dict[tuple[bytes, str], float]
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -135,7 +133,7 @@
                 if not before:
                     continue
                 self.is_outdated = True
-                lost = newer_than(self.local.get(key, {}), at_s)
+                lost = loss_times.newer_than(self.local.get(key, {}), at_s)
                 self.replace_local(key, lost)
                 if not self.losses_of(key):
                     cleared.add(key)
@@ -227,8 +225,10 @@
         with self.lock:
             lost = dict(self.local.get(key, {}))
             for rows in self.by_peer.values():
-                add_earliest(lost, rows.get(key, {}))
-            return newer_than(lost, self.answered_s.get(key, NEVER_S))
+                loss_times.add_earliest(lost, rows.get(key, {}))
+            return loss_times.newer_than(
+                lost, self.answered_s.get(key, NEVER_S)
+            )
 
     def endpoints_of(self, key: bytes) -> frozenset[str]:
         """Return the endpoints at which a key was lost since its answer."""
@@ -287,9 +287,11 @@
         found: dict[bytes, dict[str, float]] = {}
         for rows in (self.local, *self.by_peer.values()):
             for key, lost in rows.items():
-                add_earliest(found.setdefault(key, {}), lost)
+                loss_times.add_earliest(found.setdefault(key, {}), lost)
         return {
-            key: frozenset(newer_than(lost, self.answered_s.get(key, NEVER_S)))
+            key: frozenset(
+                loss_times.newer_than(lost, self.answered_s.get(key, NEVER_S))
+            )
             for key, lost in found.items()
         }
 
@@ -297,10 +299,10 @@
         """Forget losses that count no more."""
         oldest_s = self.clock() - LOSS_TTL_S
         with self.lock:
-            self.refused_s = newer_than(self.refused_s, oldest_s)
+            self.refused_s = loss_times.newer_than(self.refused_s, oldest_s)
             for key in list(self.local):
                 if key not in self.refused_s:
-                    lost = newer_than(self.local[key], oldest_s)
+                    lost = loss_times.newer_than(self.local[key], oldest_s)
                     self.replace_local(key, lost)
             # The losses of a peer that is gone count until they expire.
             for member, seen_s in list(self.peer_seen_s.items()):
@@ -318,7 +320,7 @@
 
     # Exchange with peers, and records.
 
-    def lost(self) -> Lost:
+    def lost(self) -> loss_times.Lost:
         """Return when each key was lost at each endpoint."""
         with self.lock:
             return {
@@ -352,7 +354,7 @@
                 ),
             )
             rows = [
-                (key, newest(self.local[key]))
+                (key, loss_times.newest(self.local[key]))
                 for key in ranked[:MAX_PUBLISHED]
             ]
         packed: bytes = msgpack.packb(rows)
@@ -403,38 +405,6 @@
             self.on_answered(news)
 
 
-Key = typing.TypeVar("Key")
-
-
-def most_lost(lost: Lost, count: int) -> list[tuple[tuple[bytes, str], float]]:
-    """Return losses of the keys with the most of them, the newest first."""
-    endpoints = collections.Counter(key for key, _endpoint in lost)
-    ranked = sorted(
-        lost.items(), key=lambda item: (-endpoints[item[0][0]], -item[1])
-    )
-    return ranked[:count]
-
-
-def newer_than(times_s: dict[Key, float], at_s: float) -> dict[Key, float]:
-    """Return the times after another one."""
-    return {key: own_s for key, own_s in times_s.items() if own_s > at_s}
-
-
-def add_earliest(known: dict[str, float], others: dict[str, float]) -> None:
-    """Add the times of losses; of the same loss the earlier one counts.
-
-    A peer tells a loss later than it was known if it has adopted it.
-    """
-    for endpoint, at_s in others.items():
-        known[endpoint] = min(at_s, known.get(endpoint, at_s))
-
-
-def newest(lost: dict[str, float]) -> list[str]:
-    """Return the endpoints of the newest losses, sorted by id."""
-    ranked = sorted(lost, key=lambda endpoint: -lost[endpoint])
-    return sorted(ranked[:MAX_PUBLISHED_ENDPOINTS])
-
-
 def ignore(*args: object) -> None:
     """Do nothing; the default of the callbacks."""
 
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -13,8 +13,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
-import enum
 import threading
 import typing
 
@@ -24,10 +22,11 @@
 from briarseam import clocks
 from briarseam import repeating
 from briarseam.discovery import model as discovery
-from briarseam.discovery import starts
 from briarseam.forwarding import abandoned_attempts
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_decisions
 from briarseam.forwarding import loss_keys
+from briarseam.forwarding import loss_times
 from briarseam.forwarding import suspicion
 
 if typing.TYPE_CHECKING:
@@ -38,21 +37,6 @@
     from briarseam.reachability import tracker
 
 REVIEW_S = 0.1
-# An answer that comes so long after a loss shows that the path is not lost,
-# and that its endpoint has not crashed: both end all connections within a few
-# milliseconds.
-SETTLE_S = 0.2
-# After this time a loss counts unless the path seems lost; probes take half
-# of it at most.
-MAX_PENDING_S = 1.5
-# The entry of an endpoint that has crashed expires after so many intervals
-# between its heartbeats.
-ENTRY_HEARTBEATS = 3
-# Reads of entries may be behind by so much beyond that.
-ENTRY_LAG_S = 3.0
-DEFAULT_HEARTBEAT_S = 1.2
-# How long a loss is tracked while nothing shows whether it counts.
-MAX_TRACKED_S = 60.0
 # Bounds the losses that are tracked: a few waves in which all requests of an
 # instance are lost.
 MAX_TRACKED = 1000
@@ -62,73 +46,6 @@
 log = structlog.get_logger("briarseam.forwarding")
 
 
-class Decision(enum.StrEnum):
-    """What is decided on a loss, as far as is known."""
-
-    PENDING = "pending"
-    HELD = "held"
-    # Another instance lost the request; it counts here if the endpoint ends.
-    AT_PEER = "at-peer"
-    # The same of what an instance had recorded before this one started.
-    RECORDED = "recorded"
-    COUNTED = "counted"
-    NOT_COUNTED = "not-counted"
-
-
-PUBLISHED = frozenset({Decision.HELD, Decision.COUNTED})
-OF_OTHERS = frozenset({Decision.AT_PEER, Decision.RECORDED})
-UNDECIDED = OF_OTHERS | {Decision.PENDING, Decision.HELD}
-# A request that an instance has lost with its path is not refused by others.
-OWN_UNDECIDED = UNDECIDED - {Decision.AT_PEER}
-
-
-class EndpointEntries(typing.Protocol):
-    """What the endpoints' entries at the store tell of their starts."""
-
-    def is_read(self) -> bool:
-        """Return whether entries have been read at all."""
-
-    def is_known(self, endpoint_id: str) -> bool:
-        """Return whether a start may be running."""
-
-    def observed_s(self, endpoint_id: str, since_s: float) -> float:
-        """Return for how long a start's entry was read without a gap."""
-
-
-@dataclasses.dataclass
-class Loss:
-    """A request that was lost at an endpoint.
-
-    Attributes
-    ----------
-    digest
-        Key of the request.
-    endpoint
-        The endpoint.
-    at_s
-        When it was lost, by the clock.
-    decision
-        What is decided so far.
-    parts
-        Keys of the parts of its prompt that the loss speaks against.
-    was_abandoned
-        Whether the request was ended before its endpoint was lost, so that it
-        may not have run there any more.
-    """
-
-    digest: bytes
-    endpoint: discovery.Endpoint
-    at_s: float
-    decision: Decision = Decision.PENDING
-    parts: tuple[bytes, ...] = ()
-    was_abandoned: bool = False
-
-    @property
-    def keys(self) -> tuple[bytes, ...]:
-        """Keys of all that the loss speaks against."""
-        return (self.digest, *self.parts)
-
-
 class PublishedLoss(msgspec.Struct, array_like=True, frozen=True):
     """A loss as heartbeats carry it.
 
@@ -177,9 +94,9 @@
         self,
         counts: loss_counts.LossCounts,
         reachability: tracker.Reachability,
-        entries: EndpointEntries,
+        entries: loss_decisions.EndpointEntries,
         clock: typing.Callable[[], float] = clocks.boot_clock,
-        heartbeat_s: float = DEFAULT_HEARTBEAT_S,
+        heartbeat_s: float = loss_decisions.DEFAULT_HEARTBEAT_S,
         decisions: labels.Family[instruments.Counter] | None = None,
     ) -> None:
         self.decisions = decisions
@@ -187,11 +104,13 @@
         self.reachability = reachability
         self.entries = entries
         self.clock = clock
-        self.expiry_s = ENTRY_HEARTBEATS * heartbeat_s + ENTRY_LAG_S
+        self.rules = loss_decisions.LossDecisions(
+            reachability, entries, clock, heartbeat_s
+        )
         self.on_decided: typing.Callable[[], None] = ignore
         self.on_added: typing.Callable[[], None] = ignore
-        self.tracked: collections.deque[Loss] = collections.deque(
-            maxlen=MAX_TRACKED
+        self.tracked: collections.deque[loss_decisions.Loss] = (
+            collections.deque(maxlen=MAX_TRACKED)
         )
         self.abandoned = abandoned_attempts.AbandonedAttempts(
             reachability, clock
@@ -211,9 +130,12 @@
         self.reviews.stop()
 
     @property
-    def pending(self) -> list[Loss]:
+    def pending(self) -> list[loss_decisions.Loss]:
         """Losses whose cause is not known yet."""
-        unknown = (Decision.PENDING, Decision.HELD)
+        unknown = (
+            loss_decisions.Decision.PENDING,
+            loss_decisions.Decision.HELD,
+        )
         return [loss for loss in self.snapshot() if loss.decision in unknown]
 
     def add(
@@ -236,7 +158,9 @@
         now_s = self.clock()
         beside = self.abandoned.take_ended_with(endpoint.id, now_s)
         with self.lock:
-            self.tracked.append(Loss(digest, endpoint, now_s, parts=parts))
+            self.tracked.append(
+                loss_decisions.Loss(digest, endpoint, now_s, parts=parts)
+            )
         self.track_abandoned(beside)
         self.on_added()
 
@@ -264,7 +188,7 @@
             digest, endpoint, self.clock(), parts
         )
         if is_stopping:
-            self.track_abandoned([attempt], Decision.HELD)
+            self.track_abandoned([attempt], loss_decisions.Decision.HELD)
             self.on_added()
             self.on_decided()
         else:
@@ -273,12 +197,12 @@
     def track_abandoned(
         self,
         attempts: collections.abc.Iterable[abandoned_attempts.Attempt],
-        decision: Decision = Decision.PENDING,
+        decision: loss_decisions.Decision = loss_decisions.Decision.PENDING,
     ) -> None:
         """Track attempts as losses whose endpoint has ended since."""
         with self.lock:
             self.tracked.extend(
-                Loss(
+                loss_decisions.Loss(
                     one.digest,
                     one.endpoint,
                     one.at_s,
@@ -303,18 +227,22 @@
         """
         start = discovery.Endpoint(endpoint, "", "", "", 0)
         with self.lock:
-            self.tracked.append(Loss(key, start, at_s, Decision.RECORDED))
+            self.tracked.append(
+                loss_decisions.Loss(
+                    key, start, at_s, loss_decisions.Decision.RECORDED
+                )
+            )
 
-    def undecided(self) -> loss_counts.Lost:
+    def undecided(self) -> loss_times.Lost:
         """Return when keys were lost in losses that are not decided yet."""
         return {
             (key, loss.endpoint.id): loss.at_s
             for loss in self.snapshot()
-            if loss.decision in UNDECIDED
+            if loss.decision in loss_decisions.UNDECIDED
             for key in loss.keys
         }
 
-    def snapshot(self) -> list[Loss]:
+    def snapshot(self) -> list[loss_decisions.Loss]:
         """Return the tracked losses."""
         with self.lock:
             return list(self.tracked)
@@ -349,9 +277,9 @@
         """
         if self.counts.is_answered(key):
             return {}
-        undecided = UNDECIDED
+        undecided = loss_decisions.UNDECIDED
         if loss_keys.is_request(key):
-            undecided = OWN_UNDECIDED
+            undecided = loss_decisions.OWN_UNDECIDED
         return {
             loss.endpoint.id: loss.at_s
             for loss in self.snapshot()
@@ -368,86 +296,22 @@
     def review_all(self) -> bool:
         """Decide on all tracked losses; return whether peers must know."""
         is_news = False
-        ended = self.abandoned.take_ended(self.has_ended)
+        ended = self.abandoned.take_ended(self.rules.has_ended)
         if ended:
             self.track_abandoned(ended)
             self.on_added()
         for loss in self.snapshot():
-            decision, reason = self.decide(loss)
+            decision, reason = self.rules.decide(loss)
             if decision is not loss.decision:
                 self.apply(loss, decision, reason)
-                is_news = is_news or decision in PUBLISHED
+                is_news = is_news or decision in loss_decisions.PUBLISHED
         with self.lock:
-            kept = [loss for loss in self.tracked if not self.is_final(loss)]
+            kept = [
+                loss for loss in self.tracked if not self.rules.is_final(loss)
+            ]
             self.tracked = collections.deque(kept, MAX_TRACKED)
         return is_news
 
-    def has_ended(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint has ended, as far as entries tell."""
-        return self.entries.is_read() and not self.entries.is_known(
-            endpoint_id
-        )
-
-    def decide(self, loss: Loss) -> tuple[Decision, str]:
-        """Return the decision on a loss and its grounds."""
-        decided = self.decide_by_start(loss)
-        if decided is not None:
-            return decided
-        if loss.decision is Decision.COUNTED or loss.decision in OF_OTHERS:
-            return loss.decision, ""
-        return self.decide_by_path(loss)
-
-    def decide_by_start(self, loss: Loss) -> tuple[Decision, str] | None:
-        """Decide by whether the endpoint's start has ended, if that shows."""
-        age_s = self.clock() - loss.at_s
-        if not self.entries.is_read():
-            return None
-        if not self.entries.is_known(loss.endpoint.id):
-            if loss.decision is Decision.NOT_COUNTED and age_s > self.expiry_s:
-                # It has ended long after the loss.
-                return loss.decision, ""
-            return Decision.COUNTED, "the endpoint has ended"
-        if loss.decision is Decision.COUNTED and not has_birth(loss.endpoint):
-            # Another start may have the same id.
-            return loss.decision, ""
-        settled_s = loss.at_s + SETTLE_S
-        if self.reachability.heard_from_after(loss.endpoint, settled_s):
-            return Decision.NOT_COUNTED, "the endpoint has not crashed"
-        observed_s = self.entries.observed_s(loss.endpoint.id, loss.at_s)
-        if observed_s >= self.expiry_s:
-            return Decision.NOT_COUNTED, "the endpoint has kept its entry"
-        return None
-
-    def decide_by_path(self, loss: Loss) -> tuple[Decision, str]:
-        """Decide by whether the path to the service was lost as well."""
-        service = loss.endpoint.service
-        if self.reachability.cut_off_after(service, loss.at_s):
-            return Decision.HELD, "no endpoint can be reached"
-        if loss.was_abandoned and not self.reachability.has_failed(
-            loss.endpoint
-        ):
-            # Only the end of the endpoint connects the two.
-            return loss.decision, ""
-        if self.reachability.heard_after(service, loss.at_s + SETTLE_S):
-            return Decision.COUNTED, "other endpoints answer"
-        if self.clock() - loss.at_s >= MAX_PENDING_S:
-            return Decision.COUNTED, "no endpoint has answered"
-        self.reachability.suspect(service)
-        return Decision.PENDING, ""
-
-    def is_final(self, loss: Loss) -> bool:
-        """Return whether nothing can change the decision on a loss."""
-        age_s = self.clock() - loss.at_s
-        if age_s >= MAX_TRACKED_S and self.entries.is_read():
-            return True
-        match loss.decision:
-            case Decision.NOT_COUNTED:
-                return age_s >= self.expiry_s
-            case Decision.COUNTED:
-                is_told = age_s >= self.expiry_s
-                return is_told and not has_birth(loss.endpoint)
-        return False
-
     def provide(self) -> bytes:
         """Return the losses that peers must track as well, encoded.
 
@@ -455,18 +319,26 @@
         it.
         """
         now_s = self.clock()
-        rows = [
-            PublishedLoss(
-                loss.digest,
-                loss.endpoint.id,
-                loss.endpoint.service,
-                round((now_s - loss.at_s) * MS),
-                loss.parts,
-            )
+        losses = [
+            loss
             for loss in self.snapshot()
-            if loss.decision in PUBLISHED and now_s - loss.at_s < self.expiry_s
+            if loss.decision in loss_decisions.PUBLISHED
+            and now_s - loss.at_s < self.rules.expiry_s
         ]
-        return msgspec.msgpack.encode(rows[-MAX_PUBLISHED:])
+        repeats = collections.Counter(loss.digest for loss in losses)
+        losses.sort(key=lambda loss: (-repeats[loss.digest], -loss.at_s))
+        return msgspec.msgpack.encode(
+            [
+                PublishedLoss(
+                    loss.digest,
+                    loss.endpoint.id,
+                    loss.endpoint.service,
+                    round((now_s - loss.at_s) * MS),
+                    loss.parts,
+                )
+                for loss in losses[:MAX_PUBLISHED]
+            ]
+        )
 
     def consume(self, member: str, data: bytes) -> None:
         """Track the losses of a peer."""
@@ -476,22 +348,27 @@
         with self.lock:
             known = {(one.digest, one.endpoint.id) for one in self.tracked}
             self.tracked.extend(
-                Loss(
+                loss_decisions.Loss(
                     row.digest,
                     discovery.Endpoint(row.endpoint, row.service, "", "", 0),
                     now_s - row.age_ms / MS,
-                    Decision.AT_PEER,
+                    loss_decisions.Decision.AT_PEER,
                     row.parts,
                 )
                 for row in rows
                 if (row.digest, row.endpoint) not in known
             )
 
-    def apply(self, loss: Loss, decision: Decision, reason: str) -> None:
+    def apply(
+        self,
+        loss: loss_decisions.Loss,
+        decision: loss_decisions.Decision,
+        reason: str,
+    ) -> None:
         """Apply, log and count a decision on a loss."""
-        if decision is Decision.COUNTED:
+        if decision is loss_decisions.Decision.COUNTED:
             self.count(loss)
-        elif loss.decision is Decision.COUNTED:
+        elif loss.decision is loss_decisions.Decision.COUNTED:
             for key in loss.keys:
                 self.counts.withdraw_loss(key, loss.endpoint.id)
         loss.decision = decision
@@ -509,9 +386,9 @@
             reason=reason,
         )
 
-    def count(self, loss: Loss) -> None:
+    def count(self, loss: loss_decisions.Loss) -> None:
         """Count a loss; the instance that lost it tells other cells."""
-        is_own = loss.decision not in OF_OTHERS
+        is_own = loss.decision not in loss_decisions.OF_OTHERS
         for key in loss.keys:
             if is_own:
                 self.counts.record_loss(key, loss.endpoint.id, loss.at_s)
@@ -519,10 +396,5 @@
                 self.counts.add_loss(key, loss.endpoint.id, loss.at_s)
 
 
-def has_birth(endpoint: discovery.Endpoint) -> bool:
-    """Return whether an endpoint's id tells its starts apart."""
-    return endpoint.start.born_ms != starts.UNKNOWN_MS
-
-
 def ignore() -> None:
     """Do nothing; the default of the callback."""
--- a/src/briarseam/forwarding/trial_requests.py
+++ b/src/briarseam/forwarding/trial_requests.py
@@ -9,6 +9,7 @@
 
 from briarseam import clocks
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_times
 from briarseam.forwarding import trial_messages as messages
 from briarseam.wire import replies
 
@@ -177,7 +178,7 @@
     ) -> None:
         """Refuse requests with suspects for a while without asking."""
         now_s = self.clock()
-        self.ask_again_s = loss_counts.newer_than(self.ask_again_s, now_s)
+        self.ask_again_s = loss_times.newer_than(self.ask_again_s, now_s)
         self.ask_again_s |= dict.fromkeys(keys, now_s + wait_s)
 
     def forget(self, keys: set[bytes]) -> None:
--- a/tests/forwarding/test_abandoned_attempts.py
+++ b/tests/forwarding/test_abandoned_attempts.py
@@ -7,6 +7,7 @@
 from briarseam.discovery import model
 from briarseam.forwarding import abandoned_attempts
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_decisions
 from briarseam.forwarding import loss_keys
 from briarseam.forwarding import pending_losses
 from briarseam.reachability import tracker
@@ -92,7 +93,7 @@
     clock.now_s += 0.1
     for endpoint in endpoints[:3]:
         reachability.record_unreached(endpoint)
-    clock.now_s += pending_losses.SETTLE_S
+    clock.now_s += loss_decisions.SETTLE_S
     reachability.record_heard("portal")
     assert counted(losses) == [3, 3]
 
@@ -116,7 +117,7 @@
     clock.now_s += 0.1
     for number, endpoint in enumerate(endpoints[:3]):
         losses.add(b"%d" % number, endpoint)
-    clock.now_s += pending_losses.MAX_PENDING_S
+    clock.now_s += loss_decisions.MAX_PENDING_S
     reachability.record_heard("portal")
     assert counted(losses) == [0, 0]
 
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -8,6 +8,7 @@
 from briarseam.forwarding import calls
 from briarseam.forwarding import crash_checks
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_decisions
 from briarseam.forwarding import loss_keys
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import pending_losses
@@ -114,7 +115,7 @@
     """Lose prompts that differ at some endpoints; the losses count."""
     for number, endpoint in enumerate(endpoints):
         send(checks, endpoint, BROKEN, *keys, number=number)
-    checks.clock.now_s += pending_losses.MAX_PENDING_S
+    checks.clock.now_s += loss_decisions.MAX_PENDING_S
     checks.losses.review()
 
 
@@ -156,7 +157,7 @@
         checks.clock.now_s += crash_checks.SETTLE_S
         checks.record_data(state)
         checks.record_outcome(state, endpoint, BROKEN, 0.0)
-    checks.clock.now_s += pending_losses.MAX_PENDING_S
+    checks.clock.now_s += loss_decisions.MAX_PENDING_S
     checks.losses.review()
     assert not checks.losses.suspects((FIRST,))
 
@@ -241,7 +242,7 @@
     lose_at(checks, endpoints[:LIMIT], FIRST, CRASHING)
     for endpoint in endpoints[:LIMIT]:
         send(checks, endpoint, BROKEN, FIRST, number=50)
-    checks.clock.now_s += pending_losses.MAX_PENDING_S
+    checks.clock.now_s += loss_decisions.MAX_PENDING_S
     checks.losses.review()
     assert checks.refusal_of_send(state_of(50, FIRST)) is None
     assert checks.refusal_of_send(state_of(51, FIRST)) is None
@@ -297,5 +298,5 @@
     """Lose one request at several endpoints; the losses count."""
     for endpoint in endpoints[:LIMIT]:
         send(checks, endpoint, BROKEN, number=1)
-    checks.clock.now_s += pending_losses.MAX_PENDING_S
+    checks.clock.now_s += loss_decisions.MAX_PENDING_S
     checks.losses.review()
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -9,6 +9,7 @@
 
 from briarseam.discovery import model
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_decisions
 from briarseam.forwarding import loss_keys
 from briarseam.forwarding import pending_losses
 from briarseam.forwarding import suspicion
@@ -117,7 +118,7 @@
 ):
     lose(losses, endpoints)
     assert not is_counted(counts)
-    clock.now_s += pending_losses.SETTLE_S
+    clock.now_s += loss_decisions.SETTLE_S
     reachability.record_heard("portal")
     losses.review()
     assert is_counted(counts)
@@ -127,7 +128,7 @@
     losses, counts, endpoints, clock
 ):
     lose(losses, endpoints)
-    clock.now_s += pending_losses.MAX_PENDING_S
+    clock.now_s += loss_decisions.MAX_PENDING_S
     losses.review()
     assert is_counted(counts)
 
@@ -156,7 +157,7 @@
 ):
     """Guards against condemning requests whose answers were broken off."""
     lose(losses, endpoints)
-    clock.now_s += pending_losses.SETTLE_S
+    clock.now_s += loss_decisions.SETTLE_S
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
     reachability.record_heard("portal")
@@ -173,7 +174,7 @@
     clock.now_s += 0.01
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
-    clock.now_s += pending_losses.SETTLE_S
+    clock.now_s += loss_decisions.SETTLE_S
     reachability.record_heard("portal")
     losses.review()
     assert is_counted(counts)
@@ -184,7 +185,7 @@
 ):
     """Guards against a restarted endpoint that hides its crash."""
     lose(losses, [dataclasses.replace(e, id=f"{e.id}@1") for e in endpoints])
-    clock.now_s += pending_losses.SETTLE_S
+    clock.now_s += loss_decisions.SETTLE_S
     for endpoint in endpoints:
         restarted = dataclasses.replace(endpoint, id=f"{endpoint.id}@2")
         reachability.record_heard_from(restarted)
@@ -205,7 +206,7 @@
     )
     with structlog.testing.capture_logs() as lines:
         lose(losses, endpoints)
-        clock.now_s += pending_losses.MAX_PENDING_S
+        clock.now_s += loss_decisions.MAX_PENDING_S
         losses.review()
     counted = [one for one in lines if one["event"] == "loss_counted"]
     assert [one["endpoint"] for one in counted] == ["e0", "e1", "e2"]
@@ -253,7 +254,7 @@
         reachability.record_service_reached("portal")
         losses.review()
         reachability.record_heard("portal")
-    at_once = count if gap_s < pending_losses.SETTLE_S else 0
+    at_once = count if gap_s < loss_decisions.SETTLE_S else 0
     assert crashed <= max(suspicion.LOST_ENDPOINTS_LIMIT, at_once) + 1
     assert is_counted(counts)
 
@@ -263,7 +264,7 @@
 ):
     lose(losses, endpoints)
     cut_off(reachability, endpoints)
-    clock.now_s += pending_losses.MAX_PENDING_S
+    clock.now_s += loss_decisions.MAX_PENDING_S
     losses.review()
     assert not is_counted(counts)
     assert is_suspect(losses)
@@ -289,7 +290,7 @@
     monkeypatch.setattr(entries, "observed_s", lambda *_: 0.0)
     lose(losses, endpoints)
     cut_off(reachability, endpoints)
-    clock.now_s += 3 * losses.expiry_s
+    clock.now_s += 3 * losses.rules.expiry_s
     losses.review()
     assert is_suspect(losses)
     restart(endpoints)
@@ -309,7 +310,7 @@
         reachability.record_heard_from(endpoint)
     losses.review()
     assert not is_suspect(losses)
-    clock.now_s += losses.expiry_s
+    clock.now_s += losses.rules.expiry_s
     losses.review()
     assert not is_counted(counts)
 
@@ -357,11 +358,11 @@
 ):
     """Guards against a restart under the same id without a birth."""
     lose(losses, endpoints)
-    clock.now_s += pending_losses.MAX_PENDING_S
+    clock.now_s += loss_decisions.MAX_PENDING_S
     losses.review()
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
-    clock.now_s += losses.expiry_s
+    clock.now_s += losses.rules.expiry_s
     losses.review()
     assert is_counted(counts)
 
@@ -371,7 +372,7 @@
 ):
     lose(losses, endpoints)
     cut_off(reachability, endpoints)
-    clock.now_s += losses.expiry_s + 0.1
+    clock.now_s += losses.rules.expiry_s + 0.1
     losses.review()
     restart(endpoints)
     losses.review()
@@ -420,11 +421,11 @@
     losses.review()
     peer.consume("cut off", losses.provide())
     peer.review()
-    clock.now_s += pending_losses.MAX_PENDING_S
+    clock.now_s += loss_decisions.MAX_PENDING_S
     peer.review()
     assert not is_suspect(peer)
     assert not is_counted(peer.counts)
-    clock.now_s += peer.expiry_s
+    clock.now_s += peer.rules.expiry_s
     peer.review()
     assert peer.tracked == collections.deque()
 
@@ -444,7 +445,7 @@
     """Guards against losses that are counted by the whole request only."""
     for number, endpoint in enumerate(endpoints[:3]):
         losses.add(b"%d" % number, endpoint, (PART,))
-    clock.now_s += pending_losses.MAX_PENDING_S
+    clock.now_s += loss_decisions.MAX_PENDING_S
     losses.review()
     assert losses.counts.suspects((PART,)) == (PART,)
 
@@ -457,7 +458,7 @@
     ]
     for number, endpoint in enumerate(endpoints[:3]):
         losses.add(b"%d" % number, endpoint, (PART,))
-    clock.now_s += pending_losses.MAX_PENDING_S
+    clock.now_s += loss_decisions.MAX_PENDING_S
     losses.review()
     for endpoint in endpoints:
         reachability.record_heard_from(endpoint)
@@ -487,3 +488,17 @@
     """Guards against instances of two versions beside each other."""
     peer.consume("other", msgpack.packb([[DIGEST, "e1", "portal", 10]]))
     assert [loss.parts for loss in peer.tracked] == [()]
+
+
+def test_repeated_losses_are_told_first(losses, peer, endpoints, clock):
+    """Guards against a crowd of sound requests that hides a repeat."""
+    for endpoint in endpoints[:2]:
+        losses.add(DIGEST, endpoint)
+    clock.now_s += 0.1
+    for number in range(pending_losses.MAX_PUBLISHED + 10):
+        losses.add(b"%d" % number, endpoints[3])
+    clock.now_s += loss_decisions.MAX_PENDING_S
+    losses.review()
+    peer.consume("other", losses.provide())
+    told = [loss.endpoint.id for loss in peer.tracked if loss.digest == DIGEST]
+    assert sorted(told) == ["e0", "e1"]
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -8,7 +8,7 @@
 import pytest
 import structlog.testing
 
-from briarseam.forwarding import pending_losses
+from briarseam.forwarding import loss_decisions
 from briarseam.forwarding import suspicion
 from briarseam.testing import waiting
 from tests.platform import crashing_endpoints
@@ -110,7 +110,7 @@
 
 def held_at(node):
     """Return the number of endpoints whose losses an instance holds."""
-    held = pending_losses.Decision.HELD
+    held = loss_decisions.Decision.HELD
     pending = node.losses.pending
     return len({one.endpoint.id for one in pending if one.decision is held})
 
