--- a/src/briarseam/forwarding/trial_ledger.py
+++ b/src/briarseam/forwarding/trial_ledger.py
@@ -33,8 +33,9 @@
 # no other trial if an endpoint was lost each time.
 PART_WAITS_S = (1.0, 6.0, 60.0, 600.0)
 # Repeats of a request may reach endpoints three times in all later than three
-# seconds after it has crashed the third.
-REQUEST_WAITS_S = (3.0, 30.0, 300.0)
+# seconds after it has crashed the third.  One of these is left for what is on
+# its way while instances learn of losses.
+REQUEST_WAITS_S = (3.0, 60.0)
 # The end of a trial that is not told by then is unknown.
 OPEN_S = 5.0
 # Between trials after the last wait, if the end of some is unknown.
