--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -283,7 +283,7 @@
         return {
             loss.endpoint.id: loss.at_s
             for loss in self.snapshot()
-            if key in loss.keys and loss.decision in undecided
+            if loss.decision in undecided and key in loss.keys
         }
 
     def review(self) -> None:
--- a/tests/forwarding/crash_simulation.py
+++ b/tests/forwarding/crash_simulation.py
@@ -98,6 +98,8 @@
         self.simulation = simulation
         self.number = number
         self.is_alive = True
+        # It is read from the store, and nothing is served before.
+        self.has_configuration = False
         self.started_s = clock()
         self.counts = loss_counts.LossCounts(clock)
         self.counts.is_ended = lambda name: not simulation.is_known(name)
@@ -178,6 +180,7 @@
         self.instances = [Instance(self, n) for n in range(INSTANCES)]
         for one in self.instances:
             one.records.load()
+            one.has_configuration = True
         self.restarts: list[tuple[float, int]] = []
         self.runs: list[Run] = []
         self.crashed_s: list[float] = []
@@ -230,6 +233,7 @@
         up = self.up()
         if (
             not up
+            or not instance.has_configuration
             or checks.refusal_on_arrival(state) is not None
             or checks.refusal_of_send(state) is not None
         ):
@@ -335,6 +339,7 @@
         if "review" in due:
             self.next_s["review"] = now_s + REVIEW_S
             for one in self.alive():
+                one.has_configuration |= not self.store.is_away
                 if not one.records.loaded.is_set():
                     one.records.load()
                 one.losses.review()
--- a/tests/forwarding/test_crash_simulation.py
+++ b/tests/forwarding/test_crash_simulation.py
@@ -70,6 +70,22 @@
         check(simulation)
 
 
+@pytest.mark.parametrize("pause_s", PAUSES_S[:3])
+def test_request_arrives_seldom_though_all_end_while_the_store_is_away(
+    pause_s,
+):
+    """Guards against instances that start with nothing to read."""
+    for seed in range(3):
+        simulation = crash_simulation.Simulation(seed)
+        for number in range(9):
+            simulation.store.is_away = number % 3 == 1
+            simulation.run(simulation.random.uniform(1.0, 9.0), pause_s)
+            simulation.kill(ALL)
+        simulation.store.is_away = False
+        simulation.run(10.0, pause_s)
+        check(simulation)
+
+
 @pytest.mark.parametrize("part", [False, True])
 def test_sound_requests_are_served_though_all_endpoints_end(part):
     """Guards against refusing what a loss of power has taken along."""
