Records: read before written, and first losses gathered; three trials of a part

A process whose records could not be read within two seconds wrote its own over that of its predecessor when it asked for a second trial (test). A first loss is written after 0.5 s, since most are not counted by then; a repeated one after 0.05 s as before. A part has three trials, not four: with the request's own crashes counted, the one after ten minutes could be a fourth late arrival.

--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/forwarding/crash_records.py
@@ -34,6 +34,9 @@
 MAX_WAIT_S = 2.0
 # What is learned within this time of a change is written with it.
 GATHER_S = 0.05
+# The same if nothing was lost twice: most such losses turn out not to count
+# by then, and need no write.
+GATHER_FIRST_S = 0.5
 # Pause between writes: a crash takes along requests of many instances, and
 # the store takes a few hundred writes a second of all together.
 MIN_PAUSE_S = 1.0
@@ -236,7 +239,7 @@
             self.changed.wait(ERA_POLL_S)
             if self.changed.is_set():
                 pause_s = self.written_s + MIN_PAUSE_S - self.clock()
-                self.stopping.wait(max(GATHER_S, pause_s))
+                self.stopping.wait(max(self.gather_s(), pause_s))
                 self.changed.clear()
                 self.write()
             elif self.is_outdated():
@@ -309,6 +312,13 @@
 
     # Writing.
 
+    def gather_s(self) -> float:
+        """Return how long to wait for further changes."""
+        lost = self.known.losses.undecided() | self.known.counts.lost()
+        keys = [key for key, _endpoint in lost]
+        has_repeats = len(keys) > len(set(keys))
+        return GATHER_S if has_repeats else GATHER_FIRST_S
+
     def is_outdated(self) -> bool:
         """Return whether the record must be written though nothing changed."""
         if not self.is_stored:
@@ -317,7 +327,13 @@
         return is_old or self.store.era != self.written_era
 
     def write(self) -> bool:
-        """Write what is known; return whether the store has it."""
+        """Write what is known; return whether the store has it.
+
+        Before the records are read, this would replace what the former
+        process of this instance knew.
+        """
+        if not self.loaded.is_set():
+            return False
         with self.writing:
             record = self.record()
             if record.is_empty and not self.is_stored:
--- a/src/briarseam/forwarding/trial_ledger.py
+++ b/src/briarseam/forwarding/trial_ledger.py
@@ -31,7 +31,7 @@
 # nothing need one.  Endpoints that ended all at once are back seconds later,
 # so that the first wait delays few callers.  After the last wait there is
 # no other trial if an endpoint was lost each time.
-PART_WAITS_S = (1.0, 6.0, 60.0, 600.0)
+PART_WAITS_S = (1.0, 6.0, 60.0)
 # Repeats of a request may reach endpoints three times in all later than three
 # seconds after it has crashed the third.  One of these is left for what is on
 # its way while instances learn of losses.
--- a/tests/forwarding/test_crash_records.py
+++ b/tests/forwarding/test_crash_records.py
@@ -27,11 +27,12 @@
     def __init__(self):
         self.values = {}
         self.is_away = False
+        self.is_unreadable = False
         self.era = 0
         self.puts = 0
 
     def newest(self, topic):
-        if self.is_away:
+        if self.is_away or self.is_unreadable:
             raise records.StoreUnavailableError("away")
         rows = [records.KeyedRecord(*row) for row in self.values.items()]
         return records.KeyedBatch(tuple(rows), 0)
@@ -276,6 +277,32 @@
     assert not one.is_settled()
 
 
+def test_record_is_not_replaced_before_it_was_read(start, store):
+    """Guards against a start that overwrites what its predecessor knew."""
+    lose(start(), store)
+    before = store.values["one"]
+    store.is_unreadable = True
+    one = start()
+    one.known.counts.record_loss(b"other", "e9", one.clock())
+    assert not one.write()
+    assert store.values["one"] == before
+    store.is_unreadable = False
+    waiting.until(one.loaded.is_set)
+    one.known.losses.review()
+    assert one.write()
+    assert suspects(successor_of(start)) == (PART,)
+
+
+def test_losses_that_are_not_repeated_are_gathered(start, store):
+    """Guards against a call for each answer that an endpoint breaks off."""
+    one = start()
+    waiting.until(one.loaded.is_set)
+    one.known.counts.record_loss(PART, "e1", one.clock())
+    assert one.gather_s() == crash_records.GATHER_FIRST_S
+    one.known.counts.record_loss(PART, "e2", one.clock())
+    assert one.gather_s() == crash_records.GATHER_S
+
+
 def test_malformed_record_is_counted_and_others_are_read(start, store, noted):
     lose(start(), store)
     store.values["other"] = b"\x93"
