--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -163,6 +163,16 @@
     assert (report.crashed >= 3) != ends
 
 
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", [120100, 120101])
+def test_request_is_refused_while_instances_and_endpoints_end(seed, tmp_path):
+    """Guards against losses that end with those who have them."""
+    report = serve_soak.run(seed, 30.0, 4, tmp_path, deadly=True)
+    assert report.broken == []
+    assert report.crashed >= 3
+    assert "InstancesKilled" in report.faults
+
+
 PLANS = (
     plans.plan,
     plans.plan_stops,
@@ -174,6 +184,7 @@
     plans.plan_releases,
     plans.plan_crashes,
     plans.plan_parts,
+    plans.plan_deadly,
 )
 
 
