--- a/bench/crash_draws.py
+++ b/bench/crash_draws.py
@@ -16,7 +16,6 @@
 import typing
 
 import structlog
-
 from tests.forwarding import crash_simulation
 
 ALLOWED_ARRIVALS = 3
