--- a/tests/platform/crashing_parts.py
+++ b/tests/platform/crashing_parts.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import collections.abc
-import concurrent.futures
 import dataclasses
 import itertools
-import random
 import threading
 import time
 
@@ -14,6 +12,7 @@
 
 from briarseam.testing import http_messages
 from briarseam.testing import ports
+from tests.platform import crashing_load
 from tests.platform import system as systems
 from tests.platform import worker as workers
 
@@ -27,7 +26,6 @@
 SETTLE_S = 3.0
 CRASHES = 5
 EVENT_PAUSE_MS = 20
-SENDERS = 48
 OK = 200
 
 
@@ -151,27 +149,8 @@
     status: int = 0
 
 
-class Load:
-    """Sends prompts at given rates to all instances, from several threads."""
-
-    def __init__(self, nodes: list, seed: int = 1) -> None:
-        self.addresses = [node.settings.listen.callers for node in nodes]
-        self.random = random.Random(seed)
-        self.pool = concurrent.futures.ThreadPoolExecutor(SENDERS)
-        self.http = urllib3.PoolManager(
-            retries=False, maxsize=SENDERS, timeout=5.0
-        )
-        self.numbers = itertools.count()
-        self.sent: list[Sent] = []
-        self.futures: list[concurrent.futures.Future] = []
-
-    def follow(self, nodes: list) -> None:
-        """Send to other instances from now on."""
-        self.addresses = [node.settings.listen.callers for node in nodes]
-
-    def send_later(self, parts: tuple[str, ...]) -> None:
-        """Send a prompt from a thread of the pool."""
-        self.futures.append(self.pool.submit(self.send, parts))
+class Load(crashing_load.Load):
+    """Sends prompts with crashing parts, and sound ones."""
 
     def send(self, parts: tuple[str, ...]) -> Sent:
         """Send a prompt with these shared parts and one of its own."""
@@ -215,16 +194,6 @@
                 self.send_later((FIRST, self.subject(), CRASHING))
             time.sleep(1 / sound_per_s)
 
-    def drain(self) -> None:
-        """Wait for the answers that are under way."""
-        concurrent.futures.wait(self.futures)
-
-    def close(self) -> None:
-        """Wait for the answers that are under way, and send no more."""
-        self.pool.shutdown()
-        for future in self.futures:
-            future.result()
-
     def share_served(self, from_s: float) -> float:
         """Return which share of the sound prompts since was answered."""
         sound = [
--- a/tests/platform/crashing_repeats.py
+++ b/tests/platform/crashing_repeats.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import concurrent.futures
 import dataclasses
-import itertools
-import random
 import time
 
 import urllib3
 
 from briarseam.testing import http_messages
+from tests.platform import crashing_load
 from tests.platform import crashing_parts
 from tests.platform import system as systems
 from tests.platform import worker as workers
@@ -24,8 +22,6 @@
 CRASHES = 3
 SETTLE_S = 3.0
 WORK_MS = 10
-SENDERS = 48
-TIMEOUT_S = 5.0
 OK = 200
 
 
@@ -71,8 +67,8 @@
     status: int = 0
 
 
-class Load:
-    """Sends requests at given rates to all instances, from several threads.
+class Load(crashing_load.Load):
+    """Sends the crashing request, and sound ones.
 
     Parameters
     ----------
@@ -83,26 +79,10 @@
     """
 
     def __init__(
-        self, nodes: list, leave_after_s: float | None = None, seed: int = 1
+        self, nodes: list, leave_after_s: float | None = None
     ) -> None:
-        self.follow(nodes)
+        super().__init__(nodes)
         self.leave_after_s = leave_after_s
-        self.random = random.Random(seed)
-        self.pool = concurrent.futures.ThreadPoolExecutor(SENDERS)
-        self.http = urllib3.PoolManager(
-            retries=False, maxsize=SENDERS, timeout=TIMEOUT_S
-        )
-        self.numbers = itertools.count()
-        self.sent: list[Sent] = []
-        self.futures: list[concurrent.futures.Future] = []
-
-    def follow(self, nodes: list) -> None:
-        """Send to these instances from now on."""
-        self.addresses = [node.settings.listen.callers for node in nodes]
-
-    def send_later(self, path: str) -> None:
-        """Send a request from a thread of the pool."""
-        self.futures.append(self.pool.submit(self.send, path))
 
     def send(self, path: str) -> Sent:
         """Send a request, and record the status of its answer."""
@@ -115,7 +95,8 @@
                 "GET",
                 f"http://{address}{path}",
                 headers=systems.callers_headers(systems.KEY, {}),
-                timeout=(leaves and self.leave_after_s) or TIMEOUT_S,
+                timeout=(leaves and self.leave_after_s)
+                or crashing_load.TIMEOUT_S,
             )
             sent.status = answer.status
         except urllib3.exceptions.HTTPError:
@@ -139,16 +120,6 @@
                 self.send_later(CRASHING)
             time.sleep(1 / sound_per_s)
 
-    def drain(self) -> None:
-        """Wait for the answers that are under way."""
-        concurrent.futures.wait(self.futures)
-
-    def close(self) -> None:
-        """Wait for the answers that are under way, and send no more."""
-        self.pool.shutdown()
-        for future in self.futures:
-            future.result()
-
     def share_served(self, from_s: float) -> float:
         """Return which share of the sound requests since was answered."""
         sound = [
