Refuse no request for answers that were broken off by endpoints that go on

What callers would have seen: a stream that endpoints break off, sent again with the same body, refused after three of them, and again after each trial.

Cause: a loss that was not decided yet made a request suspect from on, as it does for parts; before, only held losses did. The new test fails without it.

--- a/src/briarseam/forwarding/loss_decisions.py
+++ b/src/briarseam/forwarding/loss_decisions.py
@@ -45,8 +45,6 @@
 PUBLISHED = frozenset({Decision.HELD, Decision.COUNTED})
 OF_OTHERS = frozenset({Decision.AT_PEER, Decision.RECORDED})
 UNDECIDED = OF_OTHERS | {Decision.PENDING, Decision.HELD}
-# A request that an instance has lost with its path is not refused by others.
-OWN_UNDECIDED = UNDECIDED - {Decision.AT_PEER}
 
 
 class EndpointEntries(typing.Protocol):
@@ -90,6 +88,20 @@
     parts: tuple[bytes, ...] = ()
     was_abandoned: bool = False
 
+    @property
+    def makes_request_suspect(self) -> bool:
+        """Whether it speaks against the request before it is decided.
+
+        An endpoint that broke off an answer mostly goes on, which shows soon;
+        and what a peer has lost with its path is not refused by others.
+        """
+        match self.decision:
+            case Decision.HELD | Decision.RECORDED:
+                return True
+            case Decision.PENDING:
+                return self.was_abandoned
+        return False
+
     @property
     def keys(self) -> tuple[bytes, ...]:
         """Keys of all that the loss speaks against."""
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -277,13 +277,13 @@
         """
         if self.counts.is_answered(key):
             return {}
-        undecided = loss_decisions.UNDECIDED
-        if loss_keys.is_request(key):
-            undecided = loss_decisions.OWN_UNDECIDED
+        is_request = loss_keys.is_request(key)
         return {
             loss.endpoint.id: loss.at_s
             for loss in self.snapshot()
-            if loss.decision in undecided and key in loss.keys
+            if loss.decision in loss_decisions.UNDECIDED
+            and (loss.makes_request_suspect or not is_request)
+            and key in loss.keys
         }
 
     def review(self) -> None:
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/forwarding/test_pending_losses.py
@@ -502,3 +502,10 @@
     peer.consume("other", losses.provide())
     told = [loss.endpoint.id for loss in peer.tracked if loss.digest == DIGEST]
     assert sorted(told) == ["e0", "e1"]
+
+
+def test_broken_off_answers_do_not_make_a_request_suspect(losses, endpoints):
+    """Guards against refusing what endpoints that go on have broken off."""
+    lose(losses, endpoints)
+    assert len(losses.pending) == suspicion.LOST_ENDPOINTS_LIMIT
+    assert not is_suspect(losses)
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -11,7 +11,7 @@
 
 from briarseam.eligibility import rejection_limits
 from briarseam.forwarding import calls
-from briarseam.forwarding import pending_losses
+from briarseam.forwarding import loss_decisions
 from briarseam.forwarding import relay_headers
 from briarseam.placement import loads
 from briarseam.testing import waiting
@@ -566,7 +566,7 @@
     for worker in plain:
         worker.set(reset=0)
     with partition.from_endpoints(cut_off):
-        time.sleep(pending_losses.MAX_PENDING_S)
+        time.sleep(loss_decisions.MAX_PENDING_S)
         assert call(system, cut_off, "POST", "/submit/1").status == 200
     assert set(lost) == {502}
     assert call(system, other, "POST", "/submit/1").status == 200
