Do not take the answer of another start for a sign that an endpoint goes on

What callers saw: after all instances were killed, a request that had crashed three endpoints was sent to two more.

Cause: a misdirected request (421) is answered by another start at the address of the crashed one, and counted as heard from the crashed one, so that its loss was not counted until its entry had gone. A misdirected request says nothing of its endpoint now: it may also have come for other weights.

--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -280,6 +280,16 @@
             )
         context.software = version
 
+    def record_heard(
+        self, endpoint: discovery.Endpoint, outcome: outcomes.Outcome
+    ) -> None:
+        """Record what an outcome shows of the path and of the endpoint."""
+        reachability = self.deps.chooser.reachability
+        if not isinstance(outcome, outcomes.Unreached | outcomes.Broken):
+            reachability.record_heard(endpoint.service)
+        if shows_endpoint(outcome):
+            reachability.record_heard_from(endpoint)
+
     def send(
         self, context: request_context.Context, placement: placements.Placement
     ) -> outcomes.Outcome:
@@ -350,9 +360,7 @@
             )
         try:
             outcome = self.deps.sender.send(attempt)
-            if not isinstance(outcome, outcomes.Unreached | outcomes.Broken):
-                chooser.reachability.record_heard(placement.endpoint.service)
-                chooser.reachability.record_heard_from(placement.endpoint)
+            self.record_heard(placement.endpoint, outcome)
             if isinstance(outcome, outcomes.Answered):
                 took_s = clocks.boot_clock() - sent_s
                 chooser.record_answer(placement, request, took_s)
@@ -383,3 +391,17 @@
             )
             self.deps.metrics.record_send(outcome, attempt.transfer)
         return outcome
+
+
+def shows_endpoint(outcome: outcomes.Outcome) -> bool:
+    """Return whether an outcome shows that the endpoint goes on.
+
+    A misdirected request was answered by another start at its address, maybe
+    since this one has crashed.
+    """
+    match outcome:
+        case outcomes.Unreached() | outcomes.Broken():
+            return False
+        case outcomes.Rejected(attempts.MISDIRECTED):
+            return False
+    return True
