--- a/src/briarseam/platform/configuration.py
+++ b/src/briarseam/platform/configuration.py
@@ -50,6 +50,8 @@
     # Requests carry prompt parts; they need not go to the same endpoint.
     sticky: bool = False
     resumable: bool = False
+    # Longest pause between the events of an answer that is not late.
+    gap_aim_ms: decoding.Millis = 0.0
     # Despite the name, without any it may be served everywhere.
     allowed_regions: list[Region] = []
 
@@ -67,6 +69,8 @@
     kv_capacity_tokens: decoding.Number = 0
     kv_token_bytes: decoding.Factor = 0.0
     link_mbps: decoding.Factor = 0.0
+    # Steps of an engine from one event of a stream to the next.
+    stride: decoding.Number = 1
     models: list[WireModel] = []
 
 
@@ -168,6 +172,7 @@
         anonymous=wire.anonymous,
         sessions=wire.sticky,
         resumable=wire.resumable,
+        max_pause_s=wire.gap_aim_ms / MS,
         regions=regions_of(wire.allowed_regions),
     )
 
@@ -187,6 +192,7 @@
             cache_tokens=wire.engine.kv_capacity_tokens,
             token_bytes=wire.engine.kv_token_bytes,
             link_mbps=wire.engine.link_mbps,
+            steps_per_event=max(1, wire.engine.stride),
         )
     store = None
     if wire.kv_store_addr:
--- a/src/briarseam/routes/model.py
+++ b/src/briarseam/routes/model.py
@@ -69,6 +69,9 @@
         Whether requests carry prompts whose parts are cached.
     resumable
         Whether another endpoint may continue a broken stream.
+    max_pause_s
+        Longest pause between events of an answer that is not late, in
+        seconds; 0 for any.
     regions
         Regions that requests must not leave.
     """
@@ -85,6 +88,7 @@
     anonymous: bool = False
     sessions: bool = False
     resumable: bool = False
+    max_pause_s: float = 0.0
     regions: Regions = None
 
     @property
@@ -111,6 +115,8 @@
         Size of a token's KV cache, in bytes.
     link_mbps
         Bandwidth of an engine's link for KV cache, in Mbit/s.
+    steps_per_event
+        Steps of an engine from one event of a stream to the next.
     """
 
     models: tuple[str, ...]
@@ -118,6 +124,7 @@
     cache_tokens: int
     token_bytes: float
     link_mbps: float
+    steps_per_event: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -17,6 +17,8 @@
 # with 85.
 SendCount = typing.Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 PositiveNumber = typing.Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+WaiterCount = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+ByteCount = typing.Annotated[int, msgspec.Meta(ge=0, le=2**40)]
 # Traffic of a full core of speed 1: over a day, a request takes 6 ms of
 # processor time on average, and about 15 KB of prompt and events.
 MBPS_PER_PROCESSOR = 20.0
@@ -65,11 +67,14 @@
         matters.
     link_mbps
         Bandwidth of the instance's link, in megabits per second.
+    memory_mb
+        Memory that the process may use, in MB; 0 if unknown.
     """
 
     processor_share: PositiveNumber = 1.0
     processor_speed: PositiveNumber = 1.0
     link_mbps: PositiveNumber = 1000.0
+    memory_mb: ByteCount = 0
 
     def weight(self) -> float:
         """Return the work that the instance can take, relative to others."""
@@ -175,12 +180,44 @@
     cold_rate_slack: SendCount = 5.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """``[load]``: decisions under hard load, each off unless switched on.
+
+    Attributes
+    ----------
+    ordered_waiting
+        Whether requests that find no capacity wait in one queue.
+    queue_requests, queue_bytes
+        Maximum number of queued requests, and size of their bodies.
+    predict
+        Whether endpoints are compared by predicted times.
+    tell_at_once
+        Whether large prompts are reported to all instances when sent.
+    held_bytes
+        Maximum size of what the process holds for callers and endpoints,
+        in bytes; 0 for a quarter of its memory.
+    endpoint_bytes
+        Maximum size of the bodies in flight to one endpoint, over all
+        instances, in bytes.
+    """
+
+    ordered_waiting: bool = False
+    queue_requests: WaiterCount = 256
+    queue_bytes: ByteCount = 33_554_432
+    predict: bool = False
+    tell_at_once: bool = False
+    held_bytes: ByteCount = 0
+    endpoint_bytes: ByteCount = 67_108_864
+
+
 SECTION_TYPES = {
     "instance": Instance,
     "capacity": Capacity,
     "listen": Listen,
     "store": Store,
     "bounds": Bounds,
+    "load": Load,
     "logging": sections.Logging,
 }
 
@@ -193,7 +230,7 @@
     ----------
     path
         The file that the settings were read from.
-    instance, capacity, listen, store, bounds, logging
+    instance, capacity, listen, store, bounds, load, logging
         The sections.
     sources
         Source of each value, by section and key.
@@ -205,6 +242,7 @@
     listen: Listen
     store: Store
     bounds: Bounds
+    load: Load
     logging: sections.Logging
     sources: loading.Sources = dataclasses.field(
         default_factory=dict, compare=False
@@ -244,6 +282,7 @@
         listen=loader.load_section("listen", Listen),
         store=loader.load_section("store", Store),
         bounds=loader.load_section("bounds", Bounds),
+        load=loader.load_section("load", Load),
         logging=loader.load_section("logging", sections.Logging),
         sources=loader.sources,
     )
