Record repeats whose callers have left before their endpoints end

Cause: an attempt that is ended early was kept in its process only, until its endpoint showed that it had ended.

Change: attempts of one request at two endpoints, or at one if the request was lost elsewhere, are in the record of the instance. Instances that read them count one once entries show that its endpoint has ended; until then, and after 60 s, they refuse nothing. Single attempts, requests that all differ, those answered in the last minute and those after which an endpoint went on in the last minute cost no write; the others share the one write a second of each instance.

The simulation writes each 0.1 s, an instance once a second at most: what is learned in between is still lost with a kill of all.

--- a/src/briarseam/forwarding/abandoned_attempts.py
+++ b/src/briarseam/forwarding/abandoned_attempts.py
@@ -14,6 +14,7 @@
 import typing
 
 from briarseam import clocks
+from briarseam.forwarding import loss_times
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -29,6 +30,11 @@
 MAX_AGE_S = 8.0
 # A few seconds of impatient callers.
 MAX_ATTEMPTS = 2000
+# A request after whose attempt the endpoint went on is not recorded for so
+# long: callers who poll and always leave would cost a write each second.
+HARMLESS_S = 60.0
+# Bounds on memory; callers choose their requests.
+MAX_HARMLESS = 2000
 
 
 @dataclasses.dataclass
@@ -65,6 +71,12 @@
         Tells which endpoints answer, and checks others.
     clock
         Seconds.
+
+    Attributes
+    ----------
+    harmless_s
+        When an endpoint was last found to go on after a request, by digest;
+        the oldest comes first.
     """
 
     def __init__(
@@ -77,6 +89,9 @@
         self.attempts: collections.deque[Attempt] = collections.deque(
             maxlen=MAX_ATTEMPTS
         )
+        self.harmless_s: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         self.lock = threading.Lock()
 
     def add(self, attempt: Attempt) -> None:
@@ -114,7 +129,7 @@
             Returns whether entries show the end of an endpoint.
         """
         reachability = self.reachability
-        self.take(self.is_over)
+        self.forget_over()
         ended = self.take(
             lambda one: (
                 has_ended(one.endpoint.id)
@@ -137,14 +152,41 @@
                 if not one.is_checked and one.at_s <= before_s
             ]
 
+    def forget_over(self) -> None:
+        """Forget attempts that have not crashed their endpoint."""
+        over = self.take(self.is_over)
+        now_s = self.clock()
+        with self.lock:
+            for one in filter(self.has_run_on, over):
+                self.harmless_s[one.digest] = now_s
+                self.harmless_s.move_to_end(one.digest)
+            while len(self.harmless_s) > MAX_HARMLESS:
+                self.harmless_s.popitem(last=False)
+
     def is_over(self, attempt: Attempt) -> bool:
         """Return whether an attempt has not crashed its endpoint."""
-        if self.clock() - attempt.at_s >= MAX_AGE_S:
-            return True
+        is_old = self.clock() - attempt.at_s >= MAX_AGE_S
+        return is_old or self.has_run_on(attempt)
+
+    def has_run_on(self, attempt: Attempt) -> bool:
+        """Return whether an endpoint has gone on after an attempt."""
         return self.reachability.heard_from_after(
             attempt.endpoint, attempt.at_s + RUN_ON_S
         )
 
+    def unexplained(self) -> loss_times.Lost:
+        """Return when requests were ended that may crash their endpoint.
+
+        Those are left out after which an endpoint went on lately.
+        """
+        oldest_s = self.clock() - HARMLESS_S
+        with self.lock:
+            return {
+                (one.digest, one.endpoint.id): one.at_s
+                for one in self.attempts
+                if self.harmless_s.get(one.digest, oldest_s) <= oldest_s
+            }
+
     def take(self, chooses: typing.Callable[[Attempt], bool]) -> list[Attempt]:
         """Remove and return some attempts."""
         taken: list[Attempt] = []
--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/forwarding/crash_records.py
@@ -48,6 +48,12 @@
 MAX_LOSSES = 100
 MAX_ANSWERS = 100
 MAX_ADOPTED = 800
+# The same of attempts that were ended early.
+MAX_ATTEMPTS = 100
+MAX_ADOPTED_ATTEMPTS = 200
+# An older attempt says little about an endpoint that is gone: most of what
+# restarts endpoints happens within minutes.
+MAX_ATTEMPT_AGE_S = 60.0
 MS = 1000
 log = structlog.get_logger("briarseam.forwarding")
 
@@ -92,23 +98,29 @@
         What it knows.
     written_ms
         Unix time in milliseconds.
+    attempts
+        Requests that were ended early, of which nothing shows yet whether
+        they crash endpoints.
     """
 
     losses: tuple[LossRow, ...]
     trials: tuple[messages.TrialRow, ...]
     answers: tuple[AnswerRow, ...]
     written_ms: int
+    attempts: tuple[LossRow, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to remember."""
-        return not (self.losses or self.trials or self.answers)
+        return not (
+            self.losses or self.trials or self.answers or self.attempts
+        )
 
     def says_the_same(self, other: CrashRecord | None) -> bool:
         """Return whether another record differs in times only."""
         return other is not None and (
-            {(row.key, row.endpoint) for row in self.losses}
-            == {(row.key, row.endpoint) for row in other.losses}
+            places_of(self.losses) == places_of(other.losses)
+            and places_of(self.attempts) == places_of(other.attempts)
             and self.trials == other.trials
             and {row.key for row in self.answers}
             == {row.key for row in other.answers}
@@ -290,17 +302,39 @@
                 known_s = answered_s.get(answer.key, at_s)
                 answered_s[answer.key] = max(at_s, known_s)
         lost: loss_times.Lost = {}
+        ended: loss_times.Lost = {}
+        oldest_s = self.clock() - MAX_ATTEMPT_AGE_S
         for record in found:
-            for row in record.losses:
-                at_s = self.time_of(record, row.age_ms)
-                if at_s > answered_s.get(row.key, float("-inf")):
-                    known_s = lost.get((row.key, row.endpoint), at_s)
-                    lost[row.key, row.endpoint] = min(at_s, known_s)
+            self.add_rows(lost, record, record.losses, answered_s)
+            self.add_rows(ended, record, record.attempts, answered_s)
             trials = map(without_open_end, record.trials)
             self.known.ledger.restore(trials, answered_s.keys())
+        ended = {
+            place: at_s
+            for place, at_s in loss_times.newer_than(ended, oldest_s).items()
+            if place not in lost
+        }
+        for (key, endpoint), at_s in loss_times.most_lost(
+            ended, MAX_ADOPTED_ATTEMPTS
+        ):
+            self.known.losses.adopt(key, endpoint, at_s, was_abandoned=True)
         for (key, endpoint), at_s in loss_times.most_lost(lost, MAX_ADOPTED):
             self.known.losses.adopt(key, endpoint, at_s)
 
+    def add_rows(
+        self,
+        lost: loss_times.Lost,
+        record: CrashRecord,
+        rows: tuple[LossRow, ...],
+        answered_s: dict[bytes, float],
+    ) -> None:
+        """Add rows of a record that were not answered since."""
+        for row in rows:
+            at_s = self.time_of(record, row.age_ms)
+            if at_s > answered_s.get(row.key, float("-inf")):
+                known_s = lost.get((row.key, row.endpoint), at_s)
+                lost[row.key, row.endpoint] = min(at_s, known_s)
+
     def time_of(self, record: CrashRecord, age_ms: int) -> float:
         """Return when something happened, by the clock.
 
@@ -314,7 +348,9 @@
 
     def gather_s(self) -> float:
         """Return how long to wait for further changes."""
-        lost = self.known.losses.undecided() | self.known.counts.lost()
+        losses = self.known.losses
+        lost = losses.undecided() | self.known.counts.lost()
+        lost |= losses.repeated_attempts()
         keys = [key for key, _endpoint in lost]
         has_repeats = len(keys) > len(set(keys))
         return GATHER_S if has_repeats else GATHER_FIRST_S
@@ -359,19 +395,16 @@
         now_s = self.clock()
         counts = self.known.counts
         lost = self.known.losses.undecided() | counts.lost()
+        ended = self.known.losses.repeated_attempts()
         return CrashRecord(
-            tuple(
-                LossRow(key, endpoint, age_ms(now_s, at_s))
-                for (key, endpoint), at_s in loss_times.most_lost(
-                    lost, MAX_LOSSES
-                )
-            ),
+            rows_of(loss_times.most_lost(lost, MAX_LOSSES), now_s),
             self.known.ledger.rows(),
             tuple(
                 AnswerRow(key, age_ms(now_s, at_s))
                 for key, at_s in counts.cleared_s()[:MAX_ANSWERS]
             ),
             self.wall_ms(),
+            rows_of(loss_times.most_lost(ended, MAX_ATTEMPTS), now_s),
         )
 
     def put(self, key: str, value: bytes | None) -> bool:
@@ -388,6 +421,21 @@
         return round(self.wall_clock() * MS)
 
 
+def places_of(rows: tuple[LossRow, ...]) -> set[tuple[bytes, str]]:
+    """Return what was lost where, without times."""
+    return {(row.key, row.endpoint) for row in rows}
+
+
+def rows_of(
+    lost: list[tuple[tuple[bytes, str], float]], now_s: float
+) -> tuple[LossRow, ...]:
+    """Return losses, encodable."""
+    return tuple(
+        LossRow(key, endpoint, age_ms(now_s, at_s))
+        for (key, endpoint), at_s in lost
+    )
+
+
 def age_ms(now_s: float, at_s: float) -> int:
     """Return the time since a moment in milliseconds."""
     return max(0, round((now_s - at_s) * MS))
--- a/src/briarseam/forwarding/loss_decisions.py
+++ b/src/briarseam/forwarding/loss_decisions.py
@@ -96,8 +96,12 @@
         and what a peer has lost with its path is not refused by others.
         """
         match self.decision:
-            case Decision.HELD | Decision.RECORDED:
+            case Decision.HELD:
                 return True
+            case Decision.RECORDED:
+                # Of a recorded attempt nothing has shown that its endpoint
+                # ended.
+                return not self.was_abandoned
             case Decision.PENDING:
                 return self.was_abandoned
         return False
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/forwarding/pending_losses.py
@@ -87,7 +87,8 @@
     on_decided
         Called after losses have been held or counted, to publish them.
     on_added
-        Called after this instance has lost a request.
+        Called after this instance has lost a request, and after the
+        repeated attempts have changed.
     """
 
     def __init__(
@@ -115,6 +116,8 @@
         self.abandoned = abandoned_attempts.AbandonedAttempts(
             reachability, clock
         )
+        # The repeated attempts of the last review.
+        self.repeated: frozenset[tuple[bytes, str]] = frozenset()
         self.lock = threading.Lock()
         self.reviewing = threading.Lock()
         self.reviews = repeating.Repeater(
@@ -213,7 +216,13 @@
                 for one in attempts
             )
 
-    def adopt(self, key: bytes, endpoint: str, at_s: float) -> None:
+    def adopt(
+        self,
+        key: bytes,
+        endpoint: str,
+        at_s: float,
+        was_abandoned: bool = False,
+    ) -> None:
         """Track a loss that was recorded by this or another instance.
 
         Parameters
@@ -224,12 +233,19 @@
             Id of the endpoint.
         at_s
             When it was lost, by the clock.
+        was_abandoned
+            Whether it is an attempt that was ended early; it counts only once
+            entries show that the endpoint has ended.
         """
         start = discovery.Endpoint(endpoint, "", "", "", 0)
         with self.lock:
             self.tracked.append(
                 loss_decisions.Loss(
-                    key, start, at_s, loss_decisions.Decision.RECORDED
+                    key,
+                    start,
+                    at_s,
+                    loss_decisions.Decision.RECORDED,
+                    was_abandoned=was_abandoned,
                 )
             )
 
@@ -239,9 +255,32 @@
             (key, loss.endpoint.id): loss.at_s
             for loss in self.snapshot()
             if loss.decision in loss_decisions.UNDECIDED
+            and not is_recorded_attempt(loss)
             for key in loss.keys
         }
 
+    def repeated_attempts(self) -> loss_times.Lost:
+        """Return when requests were ended early that were so elsewhere, too.
+
+        A request that was lost at another endpoint is a repeat as well.  All
+        instances may end before anything shows that the endpoint of such an
+        attempt has crashed.
+        """
+        attempts = self.abandoned.unexplained()
+        lost = set()
+        for loss in self.snapshot():
+            if is_recorded_attempt(loss):
+                attempts[loss.digest, loss.endpoint.id] = loss.at_s
+            elif loss.decision is not loss_decisions.Decision.NOT_COUNTED:
+                lost.add(loss.digest)
+        endpoints = collections.Counter(key for key, _endpoint in attempts)
+        return {
+            (key, endpoint): at_s
+            for (key, endpoint), at_s in attempts.items()
+            if (endpoints[key] > 1 or key in lost)
+            and not self.counts.is_answered(key)
+        }
+
     def snapshot(self) -> list[loss_decisions.Loss]:
         """Return the tracked losses."""
         with self.lock:
@@ -297,8 +336,10 @@
         """Decide on all tracked losses; return whether peers must know."""
         is_news = False
         ended = self.abandoned.take_ended(self.rules.has_ended)
-        if ended:
-            self.track_abandoned(ended)
+        self.track_abandoned(ended)
+        repeated = frozenset(self.repeated_attempts())
+        if ended or repeated != self.repeated:
+            self.repeated = repeated
             self.on_added()
         for loss in self.snapshot():
             decision, reason = self.rules.decide(loss)
@@ -346,7 +387,12 @@
         rows = msgspec.msgpack.decode(data, type=list[PublishedLoss])
         now_s = self.clock()
         with self.lock:
-            known = {(one.digest, one.endpoint.id) for one in self.tracked}
+            # A peer's loss says more than a recorded attempt: it has parts.
+            known = {
+                (one.digest, one.endpoint.id)
+                for one in self.tracked
+                if not is_recorded_attempt(one)
+            }
             self.tracked.extend(
                 loss_decisions.Loss(
                     row.digest,
@@ -396,5 +442,13 @@
                 self.counts.add_loss(key, loss.endpoint.id, loss.at_s)
 
 
+def is_recorded_attempt(loss: loss_decisions.Loss) -> bool:
+    """Return whether a loss is a recorded attempt, of unknown outcome."""
+    return (
+        loss.was_abandoned
+        and loss.decision is loss_decisions.Decision.RECORDED
+    )
+
+
 def ignore() -> None:
     """Do nothing; the default of the callback."""
--- a/tests/forwarding/test_abandoned_attempts.py
+++ b/tests/forwarding/test_abandoned_attempts.py
@@ -178,6 +178,23 @@
     assert counted(peer) == [3, 3]
 
 
+def test_number_of_harmless_requests_is_bounded(
+    losses, reachability, endpoints, clock
+):
+    """Guards against callers who fill the memory with requests."""
+    for number in range(abandoned_attempts.MAX_HARMLESS + 10):
+        if number % 1000 == 0:
+            clock.now_s += abandoned_attempts.RUN_ON_S
+            reachability.record_heard_from(endpoints[0])
+            losses.review()
+        losses.add_abandoned(b"%d" % number, endpoints[0], (), False)
+    clock.now_s += abandoned_attempts.RUN_ON_S
+    reachability.record_heard_from(endpoints[0])
+    losses.review()
+    kept = len(losses.abandoned.harmless_s)
+    assert kept == abandoned_attempts.MAX_HARMLESS
+
+
 def test_number_of_attempts_is_bounded(losses, endpoints):
     for _ in range(abandoned_attempts.MAX_ATTEMPTS + 10):
         losses.add_abandoned(OTHER, endpoints[0], (), False)
--- a/tests/forwarding/test_crash_records.py
+++ b/tests/forwarding/test_crash_records.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
+import time
+
 import msgspec
 import pytest
 
 from briarseam import malformed
+from briarseam.discovery import model
 from briarseam.feeds import records
+from briarseam.forwarding import abandoned_attempts
 from briarseam.forwarding import crash_records
 from briarseam.forwarding import loss_counts
+from briarseam.forwarding import loss_keys
 from briarseam.forwarding import pending_losses
 from briarseam.forwarding import trial_ledger
 from briarseam.forwarding import trial_messages as messages
@@ -15,6 +20,7 @@
 from tests import clocks
 
 PART = b"part"
+REQUEST = loss_keys.key_of_request("/status/1", "north", b"")
 TOPIC = "keyed.crashes"
 ENDPOINTS = ("e1", "e2", "e3")
 OPEN = messages.TrialState.OPEN
@@ -303,6 +309,162 @@
     assert one.gather_s() == crash_records.GATHER_S
 
 
+def abandon(one, *endpoints, digest=REQUEST):
+    """Let callers of a request leave, and have that reviewed."""
+    waiting.until(one.loaded.is_set)
+    one.known.losses.on_added = one.note_change
+    for endpoint in endpoints:
+        start = model.Endpoint(endpoint, "portal", "10.0.0.1:1", "a", 8)
+        one.known.losses.add_abandoned(digest, start, (PART,), False)
+    one.known.losses.review()
+
+
+def test_abandoned_repeats_count_after_all_instances_ended(
+    start, store, entries, clock
+):
+    """Guards against kills before anything shows that endpoints crashed."""
+    entries.known.update(ENDPOINTS)
+    abandon(start(), *ENDPOINTS)
+    waiting.until(lambda: store.values.get("one"))
+    clock.now_s += crash_records.MAX_ATTEMPT_AGE_S / 2
+    entries.known.clear()
+    successor = successor_of(start)
+    assert successor.known.counts.suspects((REQUEST,)) == (REQUEST,)
+    assert suspects(successor) == ()
+
+
+def test_abandoned_repeats_are_not_suspected_while_entries_are_there(
+    start, store, entries
+):
+    """Guards against refusing callers who always leave after a restart."""
+    entries.known.update(ENDPOINTS)
+    abandon(start(), *ENDPOINTS)
+    waiting.until(lambda: store.values.get("one"))
+    successor = successor_of(start)
+    assert not successor.known.losses.suspects((REQUEST, PART))
+    entries.known.clear()
+    successor.known.losses.review()
+    assert successor.known.losses.suspects((REQUEST,)).keys() == {REQUEST}
+
+
+def test_abandoned_repeats_outlive_two_ends_of_all_instances(
+    start, store, entries, clock
+):
+    """Guards against a successor that drops what it has read."""
+    entries.known.update(ENDPOINTS)
+    abandon(start(), *ENDPOINTS)
+    waiting.until(lambda: store.values.get("one"))
+    successor = successor_of(start, "one")
+    clock.now_s += 1
+    assert successor.write()
+    entries.known.clear()
+    third = successor_of(start, "one")
+    assert third.known.counts.suspects((REQUEST,)) == (REQUEST,)
+
+
+def test_old_abandoned_repeats_are_not_counted(start, store, entries, clock):
+    """Guards against blaming requests for endpoints that ended later."""
+    entries.known.update(ENDPOINTS)
+    abandon(start(), *ENDPOINTS)
+    waiting.until(lambda: store.values.get("one"))
+    clock.now_s += crash_records.MAX_ATTEMPT_AGE_S + 1
+    entries.known.clear()
+    assert not successor_of(start).known.losses.suspects((REQUEST,))
+
+
+def test_abandoned_request_that_was_lost_elsewhere_is_recorded(
+    start, store, entries
+):
+    """Guards against forgetting the crash that follows a known one."""
+    entries.known.update(ENDPOINTS)
+    one = start()
+    waiting.until(one.loaded.is_set)
+    one.known.losses.adopt(REQUEST, "e1", one.clock())
+    abandon(one, "e2")
+    [row] = one.record().attempts
+    assert (row.key, row.endpoint) == (REQUEST, "e2")
+
+
+def test_callers_who_leave_cost_no_call(start, store, entries):
+    """Guards against a store call for each caller who leaves."""
+    entries.known.update(ENDPOINTS)
+    one = start()
+    for number in range(200):
+        digest = loss_keys.key_of_request(f"/page/{number}", "north", b"")
+        abandon(one, ENDPOINTS[number % 3], digest=digest)
+    abandon(one, "e1", "e1", digest=REQUEST)
+    assert not one.changed.is_set()
+    assert one.write()
+    assert store.puts == 0
+
+
+def test_polled_request_costs_no_call_once_endpoints_go_on(
+    start, store, entries, clock
+):
+    """Guards against a call a second for callers who poll and leave."""
+    entries.known.update(ENDPOINTS)
+    one = start()
+    abandon(one, *ENDPOINTS)
+    waiting.until(lambda: store.values.get("one"))
+    clock.now_s += abandoned_attempts.RUN_ON_S
+    for endpoint in ENDPOINTS:
+        heard = model.Endpoint(endpoint, "portal", "10.0.0.1:1", "a", 8)
+        one.known.losses.reachability.record_heard_from(heard)
+    one.known.losses.review()
+    waiting.until(lambda: store.values["one"] is None)
+    puts = store.puts
+    abandon(one, *ENDPOINTS)
+    assert not one.changed.is_set()
+    assert one.record().is_empty
+    clock.now_s += abandoned_attempts.HARMLESS_S
+    abandon(one, *ENDPOINTS)
+    assert not one.record().is_empty
+    assert store.puts in (puts, puts + 1)
+
+
+def test_answered_request_is_not_recorded_when_its_callers_leave(
+    start, entries
+):
+    entries.known.update(ENDPOINTS)
+    one = start()
+    waiting.until(one.loaded.is_set)
+    one.known.counts.record_answer((REQUEST,), one.clock())
+    abandon(one, *ENDPOINTS)
+    assert one.record().is_empty
+
+
+def test_number_of_recorded_attempts_is_bounded(start, entries):
+    one = start()
+    endpoints = [f"e{n}" for n in range(2 * crash_records.MAX_ATTEMPTS)]
+    entries.known.update(endpoints)
+    abandon(one, *endpoints)
+    assert len(one.record().attempts) == crash_records.MAX_ATTEMPTS
+
+
+def test_repeats_that_are_abandoned_cost_one_call_a_second(
+    store, tally, entries
+):
+    """Guards against a call for each repeat whose caller leaves."""
+    counts = loss_counts.LossCounts()
+    reachability = tracker.Reachability(lambda service: [])
+    losses = pending_losses.PendingLosses(counts, reachability, entries)
+    ledger = trial_ledger.TrialLedger(counts)
+    known = crash_records.Knowledge(counts, losses, ledger)
+    one = crash_records.CrashRecords(store, TOPIC, "one", known, tally)
+    one.start()
+    began_s = one.clock()
+    for number in range(150):
+        entries.known.add(f"e{number}")
+        abandon(one, f"e{number}")
+        time.sleep(0.01)
+    ended_s = one.clock()
+    one.stop()
+    one.thread.join(5.0)
+    writes = (ended_s - began_s) / crash_records.MIN_PAUSE_S
+    # One at once, and one as it stops.
+    assert 1 <= store.puts <= writes + 2
+
+
 def test_malformed_record_is_counted_and_others_are_read(start, store, noted):
     lose(start(), store)
     store.values["other"] = b"\x93"
