Give each stream of the version tests a body of its own

Cause: all streams of tests/platform/test_software_versions.py were one identical request, broken off at four endpoints. Its losses are decided 0.2 s later, and a request that three endpoints lost is refused. Fast machines were done by then; on a busy one streams were refused (503), and the loop that begins streams ran until the test's time-out.

Change: the body has the stream's session, so that a stream is lost at the two endpoints of its version at most, however long the test takes. What the tests check is unchanged; identical requests are refused as before, which tests/forwarding/test_repeated_requests.py checks.

--- a/tests/platform/versioned_engines.py
+++ b/tests/platform/versioned_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 import re
 import time
 import typing
@@ -70,6 +71,14 @@
         self.statuses: list[int] = []
         self.complete = False
 
+    def body(self) -> bytes:
+        """Return a body that no other stream has.
+
+        Streams that are broken off as one and the same request at three
+        endpoints are refused, once its losses are decided after 0.2 s.
+        """
+        return json.dumps({"session": self.session}).encode()
+
     def last_event_id(self) -> str:
         """Return the id of the last whole event; empty without one."""
         whole, _, _ = self.data.rpartition(b"\n\n")
@@ -95,7 +104,7 @@
             listen.ip, listen.port, timeout=10
         )
         try:
-            connection.request("POST", path, b"{}", headers)
+            connection.request("POST", path, self.body(), headers)
             answer = connection.getresponse()
             self.statuses.append(answer.status)
             if answer.status == 200:
