Report large additions of load before the interval

Cause: an instance reports its load at most every 0.12 s to 30 peers, and an engine prefills a prompt of 10,000 tokens in about that time. Other instances send more prompts to the engine meanwhile.

Change: with [load] tell_at_once, more than 2,000 waiting tokens added to one endpoint since the last report make the next one go out immediately, within a token bucket of 250 datagrams per second and bursts of three reports. The interval starts anew after each report. Decreases and small additions wait for the interval as before. With the switch off, nothing changes.

--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -16,6 +16,7 @@
 from briarseam.placement import cell_weights
 from briarseam.placement import load_exchange
 from briarseam.placement import store_messages
+from briarseam.placement import urgency
 from briarseam.routes import peer_configuration
 
 if typing.TYPE_CHECKING:
@@ -221,5 +222,8 @@
             self.calls.peers,
             service.key,
             self.malformed_counter,
+            urgency.UrgentReports()
+            if self.settings.load.tell_at_once
+            else None,
         )
         self.load_exchange.start()
--- a/src/briarseam/placement/load_exchange.py
+++ b/src/briarseam/placement/load_exchange.py
@@ -4,6 +4,9 @@
 engine prefills a prompt in less time.  Several instances would send to an
 engine that appears idle.  Each change is therefore sent to all peers at once
 by datagram; heartbeats make up for lost datagrams.
+
+The interval between the datagrams to one peer grows with the number of peers.
+If large additions are urgent, they are sent before the interval has passed.
 """
 
 from __future__ import annotations
@@ -18,6 +21,7 @@
 
 from briarseam import malformed
 from briarseam.placement import loads as load_module
+from briarseam.placement import urgency
 from briarseam.wire import connection as connections
 from briarseam.wire import datagrams
 
@@ -27,10 +31,10 @@
 # Changes within this interval share a datagram; a third of the time that
 # prefilling a small prompt takes.
 BATCH_S = 0.025
-# Maximum rate at which one instance sends.  The instances of a cell together
-# receive as many from all others.  With load at nine engines, encoding and
-# decoding one datagram takes 35 us of processor time and sending it 2 us,
-# which makes 1% of a core in all.
+# Maximum rate at which one instance sends at the interval.  The instances of a
+# cell together receive as many from all others.  With load at nine engines,
+# encoding and decoding one datagram takes 35 us of processor time and sending
+# it 2 us, which makes 1% of a core in all.
 MAX_DATAGRAMS_PER_S = 250.0
 # Pause after a failed receive, so that repeated failures don't use up a core.
 MIN_RETRY_S = 0.005
@@ -61,6 +65,9 @@
         The shared key of the wire protocol.
     counter
         Counts malformed datagrams.
+    urgent
+        Decides which additions are sent before the interval has passed;
+        ``None`` if all changes wait for it.
     """
 
     def __init__(
@@ -71,8 +78,12 @@
         peers: typing.Callable[[], collections.abc.Sequence[str]],
         key: bytes,
         counter: malformed.Tally,
+        urgent: urgency.UrgentReports | None = None,
     ) -> None:
         self.loads = loads
+        self.urgent = urgent
+        if urgent is not None:
+            loads.record_addition = self.record_addition
         self.local_name = local_name
         self.peers = peers
         self.key = key
@@ -96,6 +107,7 @@
     def stop(self) -> None:
         """Stop sending and receiving."""
         self.stopping.set()
+        self.loads.record_addition = load_module.ignore_addition
         self.loads.changed.set()
         # Makes a pending receive fail; closing alone would leave it blocked.
         with contextlib.suppress(OSError):
@@ -108,8 +120,26 @@
             self.loads.changed.wait()
             self.loads.changed.clear()
             peers = self.peers()
+            if self.urgent is not None:
+                self.urgent.start_report()
             self.send(peers)
-            self.stopping.wait(max(BATCH_S, len(peers) / MAX_DATAGRAMS_PER_S))
+            self.pause(len(peers))
+
+    def pause(self, peers: int) -> None:
+        """Wait until the next report to some number of peers may be sent."""
+        interval_s = max(BATCH_S, peers / MAX_DATAGRAMS_PER_S)
+        if self.urgent is None:
+            self.stopping.wait(interval_s)
+        else:
+            self.urgent.wait(peers, interval_s)
+
+    def record_addition(
+        self, endpoint: str, tokens: int, sequence: int
+    ) -> None:
+        """Record waiting tokens that this instance added to an endpoint."""
+        del sequence
+        if self.urgent is not None:
+            self.urgent.record(endpoint, tokens)
 
     def send(self, peers: collections.abc.Sequence[str]) -> None:
         """Send this instance's current load to peers."""
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -121,6 +121,10 @@
     at_s: float
 
 
+def ignore_addition(endpoint: str, tokens: int, sequence: int) -> None:
+    """Ignore an addition of waiting tokens."""
+
+
 class Loads:
     """Load of endpoints; thread-safe.
 
@@ -132,6 +136,13 @@
         whose load is unknown is assumed to cause an average load.
     clock
         Seconds.
+
+    Attributes
+    ----------
+    record_addition
+        Called with the endpoint, the waiting tokens and the sequence number
+        of each addition, before the report that contains it can be sent.
+        Must not use the loads, whose lock is held.
     """
 
     def __init__(
@@ -147,6 +158,9 @@
         self.incarnation = secrets.randbits(INCARNATION_BITS)
         self.sequence = 0
         self.changed = threading.Event()
+        self.record_addition: typing.Callable[[str, int, int], None] = (
+            ignore_addition
+        )
         self.last_reports: dict[str, LoadReport] = {}
         self.peers: dict[str, dict[str, Load]] = {}
         self.peer_totals: dict[str, Load] = {}
@@ -158,6 +172,9 @@
         """Add to this instance's load of an endpoint."""
         with self.lock:
             self.own[endpoint] = self.own.get(endpoint, NO_LOAD).plus(load)
+            self.record_addition(
+                endpoint, load.waiting_tokens, self.sequence + 1
+            )
             self.record_change()
 
     def subtract(self, endpoint: str, load: Load) -> None:
--- a/tests/placement/test_load_exchange.py
+++ b/tests/placement/test_load_exchange.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import socket
+import time
 import typing
 
 import msgspec
@@ -10,6 +12,7 @@
 from briarseam import malformed
 from briarseam.placement import load_exchange
 from briarseam.placement import loads
+from briarseam.placement import urgency
 from briarseam.testing import ports
 from briarseam.testing import waiting
 from briarseam.wire import datagrams
@@ -23,7 +26,7 @@
 class Cell:
     """Instances that exchange their loads over loopback."""
 
-    def __init__(self, names: str) -> None:
+    def __init__(self, names: str, at_once: bool = False) -> None:
         numbers = ports.free_ports(len(names), "127.0.0.1")
         self.addresses = dict(
             zip(
@@ -48,6 +51,7 @@
                 ],
                 KEY,
                 malformed.Tally(self.count),
+                urgency.UrgentReports() if at_once else None,
             )
             for name, address in self.addresses.items()
         }
@@ -61,9 +65,8 @@
             sender.sendto(datagram, (host, int(port)))
 
 
-@pytest.fixture
-def cell() -> typing.Iterator[Cell]:
-    made = Cell("abc")
+@contextlib.contextmanager
+def running(made: Cell) -> typing.Iterator[Cell]:
     for exchange in made.exchanges.values():
         exchange.start()
     yield made
@@ -71,6 +74,20 @@
         exchange.stop()
 
 
+@pytest.fixture
+def cell() -> typing.Iterator[Cell]:
+    with running(Cell("abc")) as made:
+        yield made
+
+
+@pytest.fixture
+def telling_cell(monkeypatch) -> typing.Iterator[Cell]:
+    """A cell that reports large additions at once, others each second."""
+    monkeypatch.setattr(load_exchange, "BATCH_S", 1.0)
+    with running(Cell("abc", at_once=True)) as made:
+        yield made
+
+
 def test_peers_learn_load_before_the_next_heartbeat(cell):
     """Guards against two long prompts sent to the same idle engine.
 
@@ -92,6 +109,40 @@
         )
 
 
+def test_large_addition_precedes_the_interval(telling_cell):
+    """Guards against prompts sent behind a large one that peers know late.
+
+    The interval of a cell of 31 instances is as long as the prefill of a
+    prompt of 10,000 tokens.
+    """
+    small = loads.Load(requests=1, waiting_tokens=10)
+    telling_cell.loads["a"].add("engine-1", small)
+    waiting.until(lambda: telling_cell.loads["b"].of("engine-1") == small, 0.5)
+    telling_cell.loads["a"].add("engine-1", LOAD)
+    for name in "bc":
+        waiting.until(
+            lambda name=name: (
+                telling_cell.loads[name].of("engine-1") == LOAD.plus(small)
+            ),
+            0.5,
+            "the load is known before the interval has passed",
+        )
+
+
+def test_decrease_and_small_addition_wait_for_the_interval(telling_cell):
+    """Guards against more datagrams than those for large additions."""
+    telling_cell.loads["a"].add("engine-1", LOAD)
+    waiting.until(lambda: telling_cell.loads["b"].of("engine-1") == LOAD, 0.5)
+    sent = telling_cell.exchanges["a"].sent
+    telling_cell.loads["a"].subtract("engine-1", LOAD)
+    telling_cell.loads["a"].add("engine-2", loads.Load(1, 10, 0, 0))
+    time.sleep(0.3)
+    assert telling_cell.exchanges["a"].sent == sent
+    waiting.until(
+        lambda: telling_cell.loads["b"].of("engine-1") == loads.NO_LOAD, 2.0
+    )
+
+
 def test_rapid_changes_share_datagrams(cell):
     for number in range(200):
         cell.loads["a"].add(f"engine-{number % 9}", LOAD)
