Notify instances of other cells of large prompts

Cause: instances of other cells learn a cell's load each half second to second. An engine prefills a prompt of 10,000 tokens in 0.15 s, so that several cells send large prompts to the same engine.

Change: with [load] tell_at_once, each urgent addition is also sent by a small authenticated datagram to all instances of other cells, or to a random subset where a token bucket of 250 datagrams per second does not allow all. It counts as waiting tokens until a load of the sender's cell includes it, or for 1.5 s. A cell's load carries the incarnation and sequence number that it includes of each of its instances, so that no clocks are compared. In heartbeats these are in a section of their own, since earlier releases reject additional fields in the section of the loads. work_notices_total counts notices. With the switch off, messages and sections are the same as before.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -216,7 +216,13 @@
         self.reloading = reloading.SettingsReloader(
             settings, self.apply_settings
         )
-        self.cell_loads = cell_loads.CellLoads(self.chooser.loads, self.calls)
+        self.cell_loads = cell_loads.CellLoads(
+            self.chooser.loads,
+            self.calls,
+            local_name=(
+                settings.instance.name if settings.load.tell_at_once else ""
+            ),
+        )
         self.cell_weights = cell_weights.CellWeights(
             self.weights.known_weights, self.calls, settings.instance.name
         )
@@ -241,6 +247,7 @@
             self.stopping,
             self.malformed_counter,
             self.loop,
+            node_metrics.notice_counters(self.metrics),
         )
         self.expiry = expiry.Expiry(
             self.feeds.registrations, self.instances.fresh_names
--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -63,6 +63,18 @@
             return []
         return [member.name for member in self.membership.live()]
 
+    def remote_addresses(self) -> list[str]:
+        """Return the addresses of the alive instances of other cells."""
+        if self.membership is None:
+            return []
+        own_cell = self.membership.local_member.cell
+        return [
+            member.agent_address
+            for member in self.all()
+            if member.state is members.MemberState.ALIVE
+            and member.cell != own_cell
+        ]
+
     def weight_of(self, name: str) -> float:
         """Return the capacity of an instance relative to others."""
         return (
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -15,6 +15,7 @@
 from briarseam.placement import cell_loads
 from briarseam.placement import cell_weights
 from briarseam.placement import load_exchange
+from briarseam.placement import notice_recipients
 from briarseam.placement import store_messages
 from briarseam.placement import urgency
 from briarseam.routes import peer_configuration
@@ -98,7 +99,18 @@
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
         }
+        # Must precede the section of the cells' loads.
+        included: tuple[sections.Section, ...] = ()
+        if self.cell_loads.local_name:
+            included = (
+                sections.Section(
+                    "cell-loads-included",
+                    self.cell_loads.provide_included,
+                    self.cell_loads.consume_included,
+                ),
+            )
         return (
+            *included,
             *(
                 sections.Section(name, part.provide, part.consume)
                 for name, part in providers.items()
@@ -160,6 +172,8 @@
         Counts input that can't be read.
     loop
         Runs the connections to and from peers.
+    notice_counters
+        Counters of work notices.
     """
 
     def __init__(
@@ -173,6 +187,7 @@
         stopping: threading.Event,
         malformed_counter: malformed.Tally,
         loop: event_loop.EventLoop,
+        notice_counters: notice_recipients.Counters,
     ) -> None:
         self.settings = settings
         self.store = store
@@ -183,6 +198,7 @@
         self.stopping = stopping
         self.malformed_counter = malformed_counter
         self.loop = loop
+        self.notice_counters = notice_counters
         self.load_exchange: load_exchange.LoadExchange | None = None
 
     def start(self) -> None:
@@ -215,6 +231,13 @@
 
     def start_load_exchange(self, service: membership.Membership) -> None:
         """Start publishing this instance's load to its cell as it changes."""
+        urgent: urgency.UrgentReports | None = None
+        recipients: notice_recipients.Recipients | None = None
+        if self.settings.load.tell_at_once:
+            urgent = urgency.UrgentReports()
+            recipients = notice_recipients.Recipients(
+                self.instances.remote_addresses
+            )
         self.load_exchange = load_exchange.LoadExchange(
             self.parts.loads,
             self.settings.instance.name,
@@ -222,8 +245,8 @@
             self.calls.peers,
             service.key,
             self.malformed_counter,
-            urgency.UrgentReports()
-            if self.settings.load.tell_at_once
-            else None,
+            urgent,
+            recipients,
+            self.notice_counters,
         )
         self.load_exchange.start()
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -7,6 +7,7 @@
 
 from briarseam import malformed
 from briarseam.forwarding import request_context
+from briarseam.placement import notice_recipients
 
 if typing.TYPE_CHECKING:
     from briarseam.metrics import instruments
@@ -166,6 +167,22 @@
     )
 
 
+def notice_counters(registry: metrics.Registry) -> notice_recipients.Counters:
+    """Return the counters of work notices; all exist from the start."""
+    family = registry.counters(
+        "work_notices_total",
+        "Notices of large prompts to and from other cells, by what became of"
+        " them",
+        ("outcome",),
+    )
+    return notice_recipients.Counters(
+        family.labelled("sent"),
+        family.labelled("skipped"),
+        family.labelled("received"),
+        family.labelled("dropped"),
+    )
+
+
 def malformed_counter(
     registry: metrics.Registry,
 ) -> typing.Callable[[malformed.Kind], None]:
--- a/src/briarseam/placement/cell_loads.py
+++ b/src/briarseam/placement/cell_loads.py
@@ -19,6 +19,7 @@
 from briarseam import repeating
 from briarseam.peers import cell_publishing
 from briarseam.placement import loads as load_module
+from briarseam.placement import work_notices
 from briarseam.wire import codec
 
 if typing.TYPE_CHECKING:
@@ -33,10 +34,11 @@
 Number = load_module.Number
 Row = tuple[str, Number, Number, Number, Number]
 SectionRows = list[tuple[str, int, tuple[Row, ...]]]
+IncludedRows = dict[str, tuple[work_notices.Included, ...]]
 
 
 @codec.message("cell-load")
-class CellLoad(msgspec.Struct, frozen=True):
+class CellLoad(msgspec.Struct, frozen=True, omit_defaults=True):
     """Load of one cell, sent to another cell.
 
     Attributes
@@ -48,11 +50,15 @@
     rows
         For each endpoint its id, requests, waiting tokens, running streams
         and memory tokens, as in :class:`briarseam.placement.loads.Load`.
+    included
+        Changes by instances of the cell that the load includes, so that
+        notices of these are no longer counted; empty if the cell sends none.
     """
 
     cell: str
     instances: int
     rows: tuple[Row, ...]
+    included: tuple[work_notices.Included, ...] = ()
 
 
 @codec.message("cell-load-noted")
@@ -96,6 +102,9 @@
         The local cell, and calls to other cells.
     clock
         Seconds.
+    local_name
+        Name of this instance, if instances notify other cells of work; the
+        loads then tell which changes they include.
     """
 
     def __init__(
@@ -103,7 +112,11 @@
         loads: load_module.Loads,
         cells: Cells,
         clock: typing.Callable[[], float] = clocks.boot_clock,
+        local_name: str = "",
     ) -> None:
+        self.local_name = local_name
+        # Of the cells' loads that follow in the same heartbeat, by peer.
+        self.included: dict[str, IncludedRows] = {}
         self.loads = loads
         self.cells = cells
         self.clock = clock
@@ -132,11 +145,17 @@
         addresses = self.cells.addresses()
         if not addresses:
             return
+        included: tuple[work_notices.Included, ...] = ()
+        if self.local_name:
+            # Before the loads, so that these include all of it.
+            included = tuple(self.loads.included(self.local_name))
         rows = tuple(
             (name, *dataclasses.astuple(load))
             for name, load in self.loads.cell_loads().items()
         )
-        message = CellLoad(self.cells.name(), self.cells.size(), rows)
+        message = CellLoad(
+            self.cells.name(), self.cells.size(), rows, included
+        )
         self.publisher.publish(
             addresses,
             lambda address: self.cells.publish_load(address, message),
@@ -156,6 +175,7 @@
             name: load_module.Load(*numbers) for name, *numbers in message.rows
         }
         self.loads.set_cell(message.cell, loads, message.instances)
+        self.loads.noticed.include(message.included)
 
     def provide(self) -> bytes:
         """Return the loads received from other cells, for this cell."""
@@ -167,11 +187,28 @@
 
     def consume(self, member: str, data: bytes) -> None:
         """Apply the loads that a peer received from other cells."""
-        del member
+        included = self.included.pop(member, {})
         for cell, instances, rows in msgspec.msgpack.decode(
             data, type=SectionRows
         ):
-            self.apply(CellLoad(cell, instances, rows))
+            self.apply(CellLoad(cell, instances, rows, included.get(cell, ())))
+
+    def provide_included(self) -> bytes:
+        """Return the changes that the loads of other cells include.
+
+        A section of its own, since earlier releases reject further fields in
+        the section of the loads.  It precedes the one of the loads, so that
+        these may be newer than what is said of them, but not older.
+        """
+        rows = {
+            message.cell: message.included
+            for message, _at_s in list(self.received.values())
+        }
+        return msgspec.msgpack.encode(rows)
+
+    def consume_included(self, member: str, data: bytes) -> None:
+        """Store which changes the loads in the same heartbeat include."""
+        self.included[member] = msgspec.msgpack.decode(data, type=IncludedRows)
 
     def forget_old(self) -> None:
         """Drop loads of other cells that have expired."""
--- a/src/briarseam/placement/load_exchange.py
+++ b/src/briarseam/placement/load_exchange.py
@@ -6,7 +6,8 @@
 by datagram; heartbeats make up for lost datagrams.
 
 The interval between the datagrams to one peer grows with the number of peers.
-If large additions are urgent, they are sent before the interval has passed.
+If large additions are urgent, they are sent before the interval has passed,
+and the instances of other cells are notified of them.
 """
 
 from __future__ import annotations
@@ -21,7 +22,9 @@
 
 from briarseam import malformed
 from briarseam.placement import loads as load_module
+from briarseam.placement import notice_recipients
 from briarseam.placement import urgency
+from briarseam.placement import work_notices
 from briarseam.wire import connection as connections
 from briarseam.wire import datagrams
 
@@ -67,7 +70,11 @@
         Counts malformed datagrams.
     urgent
         Decides which additions are sent before the interval has passed;
-        ``None`` if all changes wait for it.
+        ``None`` if all changes wait for it, and notices are ignored.
+    recipients
+        Instances of other cells that are notified of these additions.
+    notice_counters
+        Counters of these notices.
     """
 
     def __init__(
@@ -79,11 +86,15 @@
         key: bytes,
         counter: malformed.Tally,
         urgent: urgency.UrgentReports | None = None,
+        recipients: notice_recipients.Recipients | None = None,
+        notice_counters: notice_recipients.Counters | None = None,
     ) -> None:
         self.loads = loads
         self.urgent = urgent
+        self.recipients = recipients
+        self.notice_counters = notice_counters or notice_recipients.Counters()
         if urgent is not None:
-            loads.record_addition = self.record_addition
+            loads.record_addition = urgent.record
         self.local_name = local_name
         self.peers = peers
         self.key = key
@@ -123,6 +134,7 @@
             if self.urgent is not None:
                 self.urgent.start_report()
             self.send(peers)
+            self.send_notices(len(peers))
             self.pause(len(peers))
 
     def pause(self, peers: int) -> None:
@@ -130,16 +142,39 @@
         interval_s = max(BATCH_S, peers / MAX_DATAGRAMS_PER_S)
         if self.urgent is None:
             self.stopping.wait(interval_s)
-        else:
-            self.urgent.wait(peers, interval_s)
-
-    def record_addition(
-        self, endpoint: str, tokens: int, sequence: int
-    ) -> None:
-        """Record waiting tokens that this instance added to an endpoint."""
-        del sequence
-        if self.urgent is not None:
-            self.urgent.record(endpoint, tokens)
+            return
+        end_s = self.urgent.clock() + interval_s
+        while (left_s := end_s - self.urgent.clock()) > 0:
+            if self.stopping.is_set() or self.urgent.take_report(peers):
+                return
+            self.send_notices(peers)
+            self.urgent.wait(peers, left_s)
+
+    def send_notices(self, peers: int) -> None:
+        """Notify instances of other cells of urgent additions.
+
+        Parameters
+        ----------
+        peers
+            Number of other instances in the cell.
+        """
+        if self.urgent is None or self.recipients is None:
+            return
+        additions = self.urgent.take_additions()
+        if additions is None:
+            return
+        addresses, skipped = self.recipients.take(peers + 1)
+        self.notice_counters.skipped.add(skipped)
+        if not addresses:
+            return
+        notice = work_notices.WorkNotice(
+            self.local_name,
+            self.loads.incarnation,
+            additions.sequence,
+            additions.rows,
+        )
+        datagram = datagrams.seal(self.key, work_notices.encode(notice))
+        self.notice_counters.sent.add(self.send_to(addresses, datagram))
 
     def send(self, peers: collections.abc.Sequence[str]) -> None:
         """Send this instance's current load to peers."""
@@ -151,14 +186,22 @@
         except datagrams.TooLargeError as error:
             log.warning("load_not_told", detail=str(error))
             return
-        for address in peers:
+        self.sent += self.send_to(peers, datagram)
+
+    def send_to(
+        self, addresses: collections.abc.Sequence[str], datagram: bytes
+    ) -> int:
+        """Send a datagram; return the number of addresses it was sent to."""
+        sent = 0
+        for address in addresses:
             # An unreachable peer gets the load by heartbeats, which also
             # detect that it is gone.
             with contextlib.suppress(OSError):
                 self.socket.sendto(
                     datagram, connections.parse_address(address)
                 )
-                self.sent += 1
+                sent += 1
+        return sent
 
     def receive_loop(self) -> None:
         """Receive datagrams until stopped."""
@@ -177,7 +220,17 @@
         """Apply one datagram, or count it as malformed."""
         try:
             content = datagrams.unseal(self.key, datagram)
+            if work_notices.is_notice(content):
+                self.apply_notice(work_notices.decode(content))
+                return
             message = msgspec.msgpack.decode(content, type=LoadDatagram)
             self.loads.consume(message.member, message.report)
         except (connections.WireError, msgspec.MsgspecError) as error:
             self.counter.note(malformed.Kind.DATAGRAM, "endpoint loads", error)
+
+    def apply_notice(self, notice: work_notices.WorkNotice) -> None:
+        """Count a notice as load; drop it if notices are switched off."""
+        if self.urgent is not None and self.loads.noticed.apply(notice):
+            self.notice_counters.received.add()
+        else:
+            self.notice_counters.dropped.add()
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from briarseam import clocks
+from briarseam.placement import work_notices
 
 # Numbers of several peers are summed and published in messages that carry
 # 64-bit integers.
@@ -143,6 +144,8 @@
         Called with the endpoint, the waiting tokens and the sequence number
         of each addition, before the report that contains it can be sent.
         Must not use the loads, whose lock is held.
+    noticed
+        Work that instances of other cells have just sent.
     """
 
     def __init__(
@@ -165,6 +168,7 @@
         self.peers: dict[str, dict[str, Load]] = {}
         self.peer_totals: dict[str, Load] = {}
         self.cells: dict[str, CellTotals] = {}
+        self.noticed = work_notices.NoticedWork(clock)
         self.lock = threading.Lock()
         self.decreased = threading.Condition(self.lock)
 
@@ -208,6 +212,9 @@
             for cell in self.cells.values():
                 if endpoint in cell.loads:
                     known = known.plus(cell.loads[endpoint])
+            noticed = self.noticed.current().get(endpoint)
+            if noticed:
+                known = known.plus(Load(waiting_tokens=noticed))
             instances = self.reporting_instances() + sum(
                 cell.instances for cell in self.cells.values()
             )
@@ -225,6 +232,20 @@
                 for name in names
             }
 
+    def included(self, local_name: str) -> list[work_notices.Included]:
+        """Return the changes that the local cell's load includes.
+
+        Load that is read after this includes at least these changes.
+        """
+        with self.lock:
+            return [
+                (local_name, self.incarnation, self.sequence),
+                *(
+                    (name, report.incarnation, report.sequence)
+                    for name, report in self.last_reports.items()
+                ),
+            ]
+
     def set_cell(
         self, cell: str, loads: dict[str, Load], instances: int
     ) -> None:
@@ -281,6 +302,7 @@
 
     def keep_only(self, members: frozenset[str]) -> None:
         """Drop the loads of all peers but these."""
+        self.noticed.keep_only(members)
         with self.lock:
             for name in self.peers.keys() - members:
                 self.replace(name, {})
--- a/src/briarseam/placement/urgency.py
+++ b/src/briarseam/placement/urgency.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import threading
 import typing
@@ -51,11 +52,11 @@
         self.clock = clock
         self.full_at_s = -math.inf
 
-    def available(self, burst: int) -> int:
+    def available(self, burst: float) -> int:
         """Return the number of datagrams that may be sent now."""
         return max(math.floor(burst - self.missing() + ROUNDING), 0)
 
-    def delay_s(self, count: int, burst: int) -> float:
+    def delay_s(self, count: float, burst: float) -> float:
         """Return the seconds until some datagrams may be sent."""
         excess = self.missing() + count - burst
         return excess / self.rate_per_s if excess > ROUNDING else 0.0
@@ -64,12 +65,28 @@
         """Return the datagrams that the bucket lacks until it is full."""
         return max(self.full_at_s - self.clock(), 0.0) * self.rate_per_s
 
-    def take(self, count: int) -> None:
+    def take(self, count: float) -> None:
         """Count datagrams that are sent."""
         start_s = max(self.full_at_s, self.clock())
         self.full_at_s = start_s + count / self.rate_per_s
 
 
+@dataclasses.dataclass(frozen=True)
+class Additions:
+    """Urgent additions that other cells have not been notified of.
+
+    Attributes
+    ----------
+    sequence
+        Number of the last change of the load that is part of them.
+    rows
+        Waiting tokens by endpoint.
+    """
+
+    sequence: int
+    rows: tuple[tuple[str, int], ...]
+
+
 class UrgentReports:
     """Tells when a report must precede the next interval; thread-safe.
 
@@ -90,19 +107,37 @@
         self.clock = clock
         self.bucket = TokenBucket(MAX_DATAGRAMS_PER_S, clock)
         self.raised = threading.Event()
-        self.unreported: dict[str, int] = {}
         self.urgent = False
+        self.unreported: dict[str, int] = {}
+        # The part of the above that isn't urgent yet.
+        self.collected: dict[str, int] = {}
+        self.unnoticed: dict[str, int] = {}
+        self.sequence = 0
         self.lock = threading.Lock()
 
-    def record(self, endpoint: str, tokens: int) -> None:
-        """Record prompt tokens sent to an endpoint; ignore decreases."""
+    def record(self, endpoint: str, tokens: int, sequence: int) -> None:
+        """Record prompt tokens sent to an endpoint; ignore decreases.
+
+        Parameters
+        ----------
+        endpoint
+            Endpoint id.
+        tokens
+            Change of its waiting tokens.
+        sequence
+            Number of this change of the load.
+        """
         if tokens <= 0:
             return
         with self.lock:
             total = self.unreported.get(endpoint, 0) + tokens
             self.unreported[endpoint] = total
+            new = self.collected.pop(endpoint, 0) + tokens
             if total <= MIN_TOKENS:
+                self.collected[endpoint] = new
                 return
+            self.unnoticed[endpoint] = self.unnoticed.get(endpoint, 0) + new
+            self.sequence = sequence
             self.urgent = True
         self.raised.set()
 
@@ -110,8 +145,18 @@
         """Record that a report of all load so far is about to be composed."""
         with self.lock:
             self.unreported.clear()
+            self.collected.clear()
             self.urgent = False
 
+    def take_additions(self) -> Additions | None:
+        """Return the additions to notify other cells of, once."""
+        with self.lock:
+            if not self.unnoticed:
+                return None
+            rows = tuple(self.unnoticed.items())
+            self.unnoticed.clear()
+            return Additions(self.sequence, rows)
+
     def delay_s(self, peers: int) -> float:
         """Return the seconds until an urgent report may go out.
 
@@ -122,10 +167,22 @@
                 return math.inf
             return self.bucket.delay_s(peers, BURST_REPORTS * peers)
 
-    def wait(self, peers: int, max_s: float) -> None:
-        """Wait until an urgent report may go out, or a time has passed.
+    def take_report(self, peers: int) -> bool:
+        """Return whether an urgent report may go out now; charge for it.
+
+        Parameters
+        ----------
+        peers
+            Number of datagrams of a report.
+        """
+        if self.delay_s(peers) > 0:
+            return False
+        with self.lock:
+            self.bucket.take(peers)
+        return True
 
-        An urgent report is charged for before this returns.
+    def wait(self, peers: int, max_s: float) -> None:
+        """Wait for an addition, or until an urgent report may go out.
 
         Parameters
         ----------
@@ -134,12 +191,5 @@
         max_s
             Maximum wait in seconds.
         """
-        end_s = self.clock() + max_s
-        while (left_s := end_s - self.clock()) > 0:
-            delay_s = self.delay_s(peers)
-            if delay_s <= 0:
-                with self.lock:
-                    self.bucket.take(peers)
-                return
-            self.raised.wait(min(left_s, delay_s))
-            self.raised.clear()
+        self.raised.wait(min(max_s, self.delay_s(peers)))
+        self.raised.clear()
--- a/tests/compose/test_node_instances.py
+++ b/tests/compose/test_node_instances.py
@@ -108,3 +108,24 @@
         == []
     )
     assert make_instances(all_names=NAMES, cell=NAMES).fresh_names() == NAMES
+
+
+def test_remote_addresses_are_of_alive_instances_of_other_cells():
+    """Guards against notices to peers, which count the same work twice."""
+    instances = make_instances()
+    assert instances.remote_addresses() == []
+    alive, suspect = state.MemberState.ALIVE, state.MemberState.SUSPECT
+    rows = [
+        state.Member(name, "region", cell, f"{name}:1", (), status)
+        for name, cell, status in (
+            ("instance-0", "a", alive),
+            ("instance-1", "a", alive),
+            ("instance-2", "b", alive),
+            ("instance-3", "b", suspect),
+            ("instance-4", "c", alive),
+        )
+    ]
+    instances.membership = types.SimpleNamespace(
+        local_member=rows[0], all_members=lambda: rows
+    )
+    assert instances.remote_addresses() == ["instance-2:1", "instance-4:1"]
