Prediction: speeds, spread, forecast and expected late answers

Engines were compared by tokens with fixed constants, three at a time, although they differ in speed and although a prefill delays the streams beside it. With [load] predict, all engines of the service are compared by the expected number of late answers. Code that places prompts is moved from placement/chooser.py to placement/prompt_chooser.py. With the switch off, nothing changes.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -169,6 +169,7 @@
             eligibility=self.eligibility,
             reachability=self.reachability,
             software_of=registry.software_of,
+            predict=settings.load.predict,
         )
         cache_stores = cache.CacheStoreClient(self.malformed_counter)
         self.store_watches = store_watches.StoreWatches(
@@ -427,6 +428,7 @@
         bounds = settings.bounds
         self.eligibility.starts.limits = node_eligibility.limits_of(bounds)
         self.eligibility.region_map.by_zone = settings.instance.regions()
+        self.chooser.compare_by_prediction(settings.load.predict)
         budget = self.forwarding.deps.budget
         budget.ratio = bounds.retry_ratio
         budget.slack = bounds.retry_slack
@@ -476,6 +478,7 @@
             store for store in configuration.stores() if store.frees_on_request
         ]
         self.chooser.kept_index.set_stores(freeing_stores)
+        self.chooser.predictor.max_pauses = configuration.max_pauses()
         self.store_watches.follow([store.address for store in freeing_stores])
 
     def forget_endpoints(self, ids: frozenset[str]) -> None:
@@ -483,6 +486,7 @@
         self.pool.forget(ids)
         for endpoint_id in ids:
             self.chooser.residency.forget(endpoint_id)
+            self.chooser.predictor.rates.forget(endpoint_id)
             self.weights.known_weights.forget(endpoint_id)
         # Counts losses before what replaces these starts gets requests.
         self.losses.review()
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -10,28 +10,23 @@
 from briarseam.discovery import starts
 from briarseam.eligibility import service as eligibilities
 from briarseam.forwarding import calls
-from briarseam.lookup import rank
 from briarseam.placement import avoidance
 from briarseam.placement import cost
-from briarseam.placement import fetching
+from briarseam.placement import instructions
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
 from briarseam.placement import mean_sizes
 from briarseam.placement import plain
-from briarseam.placement import prefill_time
+from briarseam.placement import prompt_chooser
 from briarseam.placement import requests
 from briarseam.placement import residency as residencies
+from briarseam.prediction import predictor as predictors
 from briarseam.reachability import tracker
 from briarseam.weights import engine_weights
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
 
-# Up to COMPARE_ALL_MAX engines are all compared for each prompt; more are
-# compared in groups of GROUP_SIZE.  Two choices already keep the load of the
-# busiest engine near the mean.
-COMPARE_ALL_MAX = 8
-GROUP_SIZE = 3
 RETRY_AFTER_S = 0.5
 TOO_LARGE = verdict.NotRun(
     verdict.Reason.OVERLOADED, "the prompt exceeds the engines' memory"
@@ -83,6 +78,8 @@
         Endpoints to which connections fail; unless given, none is known.
     software_of
         Returns the software version of an endpoint; ``None`` if not sure.
+    predict
+        Whether engines are compared by the expected number of late answers.
     """
 
     def __init__(
@@ -96,6 +93,7 @@
         eligibility: eligibilities.Eligibility | None = None,
         reachability: tracker.Reachability | None = None,
         software_of: SoftwareOf = announced_software,
+        predict: bool = False,
     ) -> None:
         self.software_of = software_of
         self.endpoints = endpoints
@@ -112,8 +110,27 @@
         self.kept_index = kept_module.KeptIndex(clock)
         self.avoided = avoidance.Avoided(clock)
         self.mean_sizes = mean_sizes.MeanSizes()
-        self.prefill_times = prefill_time.PrefillTimes()
+        self.predictor = predictors.Predictor(clock)
         self.plain = plain.PlainChooser(self.loads)
+        self.prompts = prompt_chooser.PromptChooser(
+            self.loads,
+            self.known_weights,
+            self.required,
+            self.kept_index,
+            self.residency,
+            self.mean_sizes,
+            self.eligibility.region_map,
+            self.predictor,
+        )
+        self.compare_by_prediction(predict)
+
+    def compare_by_prediction(self, predict: bool) -> None:
+        """Set whether engines are compared by predicted late answers."""
+        self.prompts.costs = (
+            cost.LatenessCosts(self.predictor)
+            if predict
+            else cost.TokenCosts()
+        )
 
     def record_arrival(self, request: requests.Request) -> None:
         """Update the mean prompt size of a new request's route."""
@@ -223,7 +240,12 @@
             for endpoint in preferred
             if not self.known_weights.is_changing(endpoint.id)
         ]
-        return self.place_prompt(request, prompt, preferred or candidates)
+        placed = self.prompts.choose(request, prompt, preferred or candidates)
+        if isinstance(placed, requests.NoCapacity):
+            return placed
+        return dataclasses.replace(
+            placed, endpoints_age_s=self.endpoints_age_s()
+        )
 
     def place_without_prompt(
         self, request: requests.Request, candidates: list[discovery.Endpoint]
@@ -234,152 +256,11 @@
             return chosen
         return requests.Placement(
             chosen,
-            self.instructions_for(request, chosen),
+            instructions.for_request(request, chosen),
             load=self.loads.of(chosen.id),
             endpoints_age_s=self.endpoints_age_s(),
         )
 
-    def place_prompt(
-        self,
-        request: requests.Request,
-        prompt: calls.Prompt,
-        candidates: list[discovery.Endpoint],
-    ) -> requests.Placement | requests.NoCapacity:
-        """Place a prompt where it will be prefilled soonest.
-
-        Of many engines only a few are compared: the session's own first, and
-        further ones while these are full or have old weights.  Other
-        instances' loads are known up to 1.5 s late; if all engines were
-        compared, all instances would choose the same least loaded engine
-        until they learn of each other's requests.
-        """
-        key = requests.session_of(prompt)
-        # Ranks by name, on which all instances agree even while only some of
-        # them have learned of an engine's restart.
-        ranked = rank.ranked(
-            key, candidates, lambda endpoint: endpoint.start.name
-        )
-        versions = {
-            endpoint.id: self.version_of(endpoint, prompt.model)
-            for endpoint in candidates
-        }
-        plans = {
-            version: self.plan(request, prompt, version)
-            for version in set(versions.values())
-        }
-        typical_tokens = self.mean_sizes.of(request.route.name)
-        if typical_tokens is None:
-            typical_tokens = requests.memory_of(prompt)
-        query = cost.PlacementQuery(
-            request=request,
-            prompt=prompt,
-            home=ranked[0].id,
-            parts=tuple((part.id, part.tokens) for part in prompt.parts),
-            typical_tokens=typical_tokens,
-            max_fill=requests.fill_limit(typical_tokens),
-            versions=versions,
-            newest=max(versions.values()),
-            required=self.required(prompt.model),
-            plans=plans,
-        )
-        size = GROUP_SIZE if len(ranked) > COMPARE_ALL_MAX else len(ranked)
-        best: cost.Candidate | None = None
-        rejected: list[cost.Candidate] = []
-        for first in range(0, len(ranked), size):
-            for endpoint in ranked[first : first + size]:
-                candidate = self.candidate(query, endpoint)
-                if not query.allows(candidate):
-                    rejected.append(candidate)
-                elif best is None or candidate.cost < best.cost:
-                    best = candidate
-            if best is not None and not best.has_old_weights:
-                break
-        if best is None:
-            return cost.no_capacity(query, rejected)
-        return self.placement(query, best)
-
-    def plan(
-        self, request: requests.Request, prompt: calls.Prompt, version: int
-    ) -> cost.VersionPlan:
-        """Return the plan for all engines with the same weight version."""
-        salt = requests.salt_of(request, version)
-        if not version:
-            return cost.VersionPlan(salt, kept_module.NO_TRANSFERS)
-        return cost.VersionPlan(
-            salt,
-            self.kept_index.plan(
-                salt,
-                prompt.shared,
-                lambda store: self.eligibility.region_map.allows(
-                    request.regions, store.zone
-                ),
-            ),
-        )
-
-    def candidate(
-        self, query: cost.PlacementQuery, endpoint: discovery.Endpoint
-    ) -> cost.Candidate:
-        """Return a prompt's cost and fit on an engine."""
-        load = self.loads.of(endpoint.id)
-        salt = query.plans[query.versions[endpoint.id]].salt
-        held = self.residency.held_tokens(endpoint.id, salt, query.parts)
-        return cost.candidate(query, endpoint, load, held)
-
-    def placement(
-        self, query: cost.PlacementQuery, chosen: cost.Candidate
-    ) -> requests.Placement:
-        """Return the placement of a prompt on the chosen engine."""
-        stores = chosen.plan.stores
-        version = query.versions[chosen.endpoint.id]
-        times = self.prefill_times.of(query.request.service.name)
-        waiting_s = times.seconds(chosen.load.waiting_tokens)
-        late_after_s = fetching.late_after_s(
-            query.request.target_remaining_s,
-            waiting_s
-            + times.seconds(query.prompt.input_tokens - chosen.held_tokens),
-            waiting_s + times.seconds(chosen.fetched_tokens),
-        )
-        instructions = dataclasses.replace(
-            self.instructions_for(query.request, chosen.endpoint, version),
-            fetch_from=(*stores.fetch_from, ""),
-            save_to=(*stores.save_to, ""),
-        )
-        return requests.Placement(
-            chosen.endpoint,
-            instructions,
-            chosen.prefill_tokens,
-            chosen.held_tokens,
-            chosen.fetched_tokens,
-            late_after_s,
-            chosen.load,
-            self.endpoints_age_s(),
-        )
-
-    def version_of(self, endpoint: discovery.Endpoint, model: str) -> int:
-        """Return an engine's last known weight version of a model."""
-        announced = endpoint.versions.get(model, 0)
-        return self.known_weights.version(endpoint.id, model, announced)
-
-    def instructions_for(
-        self,
-        request: requests.Request,
-        endpoint: discovery.Endpoint,
-        version: int = 0,
-    ) -> calls.Instructions:
-        """Return the instructions that an endpoint gets with a request."""
-        organisation = request.organisation
-        priority = request.route.priority
-        if organisation is not None and organisation.priority is not None:
-            priority = organisation.priority
-        return calls.Instructions(
-            endpoint=endpoint.id,
-            organisation=organisation.name if organisation else "",
-            priority=min(priority, 9),
-            salt=requests.salt_of(request, version),
-            version=version or None,
-            last_event_id=request.call.last_event_id,
-        )
-
     def release(
         self, placement: requests.Placement, rejected: bool = False
     ) -> None:
@@ -448,17 +329,43 @@
         took_s: float,
     ) -> None:
         """Update the estimates with the time to a first event."""
-        times = self.prefill_times.of(request.service.name)
-        tokens = placement.load.waiting_tokens + placement.prefill_tokens
+        self.record_speed(placement, request, took_s)
         sources = placement.sources()
         if not sources:
-            times.record(tokens, took_s)
             return
+        times = self.predictor.rates.prefill_times.of(request.service.name)
         # The engine prefills the remaining tokens after the fetch.
+        tokens = placement.tokens_ahead()
         in_time = took_s <= placement.fetch_late_s + times.seconds(tokens)
         self.kept_index.health.record_end(sources, request.call.id)
         self.kept_index.health.record_first_event(sources, in_time)
 
+    def record_speed(
+        self,
+        placement: requests.Placement,
+        request: requests.Request,
+        took_s: float,
+    ) -> None:
+        """Update the estimated speeds with the time to a first event."""
+        fetched = bool(placement.sources())
+        tokens = placement.tokens_ahead()
+        if placement.prediction is None:
+            if not fetched:
+                times = self.predictor.rates.prefill_times
+                times.of(request.service.name).record(tokens, took_s)
+            return
+        if took_s > request.route.timeout_s:
+            # The instance was frozen meanwhile: no caller waits this long.
+            return
+        self.predictor.record(
+            request.service.name,
+            placement.endpoint.id,
+            tokens,
+            placement.prediction.first_event_s,
+            took_s,
+            fetched,
+        )
+
     def record_answer(
         self,
         placement: requests.Placement,
@@ -485,3 +392,4 @@
         self.kept_index.forget_old()
         self.avoided.forget_old(endpoints)
         self.reachability.keep_only(endpoints)
+        self.predictor.rates.keep_only(endpoints)
--- a/src/briarseam/placement/cost.py
+++ b/src/briarseam/placement/cost.py
@@ -12,6 +12,8 @@
     from briarseam.forwarding import calls
     from briarseam.placement import kept as kept_module
     from briarseam.placement import loads as load_module
+    from briarseam.prediction import forecast
+    from briarseam.prediction import predictor as predictors
 
 # Each running stream delays a prefill by about this many tokens: a step with
 # one more slot takes 0.1 ms more, a piece of 1,024 tokens takes 9 ms, and a
@@ -36,6 +38,27 @@
 FETCH_COST_FACTOR = 0.1
 
 
+@dataclasses.dataclass(frozen=True)
+class TokenCosts:
+    """Engines are compared by tokens, with the same speed for all."""
+
+
+@dataclasses.dataclass(frozen=True)
+class LatenessCosts:
+    """Engines are compared by the expected number of late answers.
+
+    Attributes
+    ----------
+    predictor
+        Learned speeds and spreads.
+    """
+
+    predictor: predictors.Predictor
+
+
+Costs = TokenCosts | LatenessCosts
+
+
 @dataclasses.dataclass(frozen=True)
 class VersionPlan:
     """Plan of a prompt for all engines with the same weight version.
@@ -125,6 +148,8 @@
         Whether other engines have newer weights.
     cost
         Time until the prompt would be prefilled, as a number of tokens.
+    prediction
+        What is predicted for the engine; ``None`` for `TokenCosts`.
     """
 
     endpoint: discovery.Endpoint
@@ -136,6 +161,7 @@
     typical_fill: float
     has_old_weights: bool
     cost: float
+    prediction: forecast.Prediction | None = None
 
     @property
     def free_slots(self) -> int:
@@ -164,9 +190,8 @@
     """
     version = query.versions[endpoint.id]
     plan = query.plans[version]
-    fetched = max(plan.stores.fetched_tokens - held, 0)
-    prefill = max(query.prompt.input_tokens - held - fetched, 0)
-    prefill += int(fetched * FETCH_COST_FACTOR)
+    fetched = fetched_tokens(plan, held)
+    prefill = prefill_tokens(query.prompt, held, fetched)
     own_tokens = requests.memory_of(query.prompt)
     fill = requests.fill_of(load, query.request, own_tokens)
     typical_fill = requests.fill_of(load, query.request, query.typical_tokens)
@@ -191,6 +216,20 @@
     )
 
 
+def fetched_tokens(plan: VersionPlan, held: int) -> int:
+    """Return the tokens that an engine would fetch from stores."""
+    return max(plan.stores.fetched_tokens - held, 0)
+
+
+def prefill_tokens(prompt: calls.Prompt, held: int, fetched: int) -> int:
+    """Return the tokens that an engine would prefill.
+
+    Those that it fetches are counted at `FETCH_COST_FACTOR`.
+    """
+    prefill = max(prompt.input_tokens - held - fetched, 0)
+    return prefill + int(fetched * FETCH_COST_FACTOR)
+
+
 def no_capacity(
     query: PlacementQuery, engines: list[Candidate]
 ) -> requests.NoCapacity:
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -183,19 +183,30 @@
 
     def of(self, endpoint: str) -> Load:
         """Return the total load of an endpoint, estimated where unknown."""
+        return self.of_all([endpoint])[0]
+
+    def of_all(self, endpoints: typing.Iterable[str]) -> list[Load]:
+        """Return the total loads of several endpoints, read at one moment."""
         with self.lock:
-            known = self.own.get(endpoint, NO_LOAD)
-            peers = self.peer_totals.get(endpoint)
-            if peers is not None:
-                known = known.plus(peers)
-            for cell in self.cells.values():
-                if endpoint in cell.loads:
-                    known = known.plus(cell.loads[endpoint])
+            found = [self.known_of(endpoint) for endpoint in endpoints]
             instances = self.reporting_instances() + sum(
                 cell.instances for cell in self.cells.values()
             )
         share = instances / max(self.total_instances(), 1)
-        return known if share >= 1.0 else known.times(1.0 / share)
+        if share >= 1.0:
+            return found
+        return [known.times(1.0 / share) for known in found]
+
+    def known_of(self, endpoint: str) -> Load:
+        """Return the known load of an endpoint; requires the lock."""
+        known = self.own.get(endpoint, NO_LOAD)
+        peers = self.peer_totals.get(endpoint)
+        if peers is not None:
+            known = peers if known is NO_LOAD else known.plus(peers)
+        for cell in self.cells.values():
+            if endpoint in cell.loads:
+                known = known.plus(cell.loads[endpoint])
+        return known
 
     def cell_loads(self) -> dict[str, Load]:
         """Return the local cell's load of each endpoint."""
--- /dev/null
+++ b/src/briarseam/placement/prompt_chooser.py
@@ -0,0 +1,245 @@
+"""Choosing among engines for a prompt."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from briarseam.lookup import rank
+from briarseam.placement import cost
+from briarseam.placement import fetching
+from briarseam.placement import instructions as instruction_module
+from briarseam.placement import kept as kept_module
+from briarseam.placement import late_costs
+from briarseam.placement import requests
+
+if typing.TYPE_CHECKING:
+    from briarseam.discovery import model as discovery
+    from briarseam.eligibility import regions
+    from briarseam.forwarding import calls
+    from briarseam.placement import loads as load_module
+    from briarseam.placement import mean_sizes
+    from briarseam.placement import residency as residencies
+    from briarseam.prediction import predictor as predictors
+    from briarseam.weights import engine_weights
+
+# Up to COMPARE_ALL_MAX engines are all compared for each prompt; more are
+# compared in groups of GROUP_SIZE.  Two choices already keep the load of the
+# busiest engine near the mean.
+COMPARE_ALL_MAX = 8
+GROUP_SIZE = 3
+
+
+class PromptChooser:
+    """Chooses the engine for each prompt; thread-safe.
+
+    Parameters
+    ----------
+    loads
+        Load of endpoints.
+    known_weights
+        Weight versions of engines.
+    required
+        Returns the oldest weight version of a model that may still be used.
+    kept_index
+        Parts of prompts that stores keep.
+    residency
+        Parts of prompts that engines hold.
+    sizes
+        Mean sizes of prompts by route.
+    region_map
+        Regions of stores.
+    predictor
+        Learned speeds.
+
+    Attributes
+    ----------
+    costs
+        How engines are compared.
+    """
+
+    def __init__(
+        self,
+        loads: load_module.Loads,
+        known_weights: engine_weights.EngineWeights,
+        required: typing.Callable[[str], int],
+        kept_index: kept_module.KeptIndex,
+        residency: residencies.Residency,
+        sizes: mean_sizes.MeanSizes,
+        region_map: regions.RegionMap,
+        predictor: predictors.Predictor,
+    ) -> None:
+        self.loads = loads
+        self.known_weights = known_weights
+        self.required = required
+        self.kept_index = kept_index
+        self.residency = residency
+        self.sizes = sizes
+        self.region_map = region_map
+        self.predictor = predictor
+        self.costs: cost.Costs = cost.TokenCosts()
+
+    def choose(
+        self,
+        request: requests.Request,
+        prompt: calls.Prompt,
+        candidates: list[discovery.Endpoint],
+    ) -> requests.Placement | requests.NoCapacity:
+        """Place a prompt where it will be answered best."""
+        key = requests.session_of(prompt)
+        # Ranks by name, on which all instances agree even while only some of
+        # them have learned of an engine's restart.
+        ranked = rank.ranked(
+            key, candidates, lambda endpoint: endpoint.start.name
+        )
+        query = self.query(request, prompt, ranked)
+        match self.costs:
+            case cost.TokenCosts():
+                best = self.best_of_groups(query, ranked)
+            case cost.LatenessCosts():
+                best = late_costs.best(
+                    query,
+                    ranked,
+                    self.loads.of_all([one.id for one in ranked]),
+                    self.held_by_all(query, ranked),
+                    self.predictor,
+                )
+        if isinstance(best, requests.NoCapacity):
+            return best
+        return self.placement(query, best)
+
+    def query(
+        self,
+        request: requests.Request,
+        prompt: calls.Prompt,
+        ranked: list[discovery.Endpoint],
+    ) -> cost.PlacementQuery:
+        """Return what is needed to compare engines for a prompt."""
+        versions = {
+            endpoint.id: self.version_of(endpoint, prompt.model)
+            for endpoint in ranked
+        }
+        plans = {
+            version: self.plan(request, prompt, version)
+            for version in set(versions.values())
+        }
+        typical_tokens = self.sizes.of(request.route.name)
+        if typical_tokens is None:
+            typical_tokens = requests.memory_of(prompt)
+        return cost.PlacementQuery(
+            request=request,
+            prompt=prompt,
+            home=ranked[0].id,
+            parts=tuple((part.id, part.tokens) for part in prompt.parts),
+            typical_tokens=typical_tokens,
+            max_fill=requests.fill_limit(typical_tokens),
+            versions=versions,
+            newest=max(versions.values()),
+            required=self.required(prompt.model),
+            plans=plans,
+        )
+
+    def best_of_groups(
+        self, query: cost.PlacementQuery, ranked: list[discovery.Endpoint]
+    ) -> cost.Candidate | requests.NoCapacity:
+        """Return the engine with the least cost of the first suitable group.
+
+        Of many engines only a few are compared: the session's own first, and
+        further ones while these are full or have old weights.  Other
+        instances' loads are known up to 1.5 s late; if all engines were
+        compared, all instances would choose the same least loaded engine
+        until they learn of each other's requests.
+        """
+        size = GROUP_SIZE if len(ranked) > COMPARE_ALL_MAX else len(ranked)
+        best: cost.Candidate | None = None
+        rejected: list[cost.Candidate] = []
+        for first in range(0, len(ranked), size):
+            for endpoint in ranked[first : first + size]:
+                candidate = self.candidate(query, endpoint)
+                if not query.allows(candidate):
+                    rejected.append(candidate)
+                elif best is None or candidate.cost < best.cost:
+                    best = candidate
+            if best is not None and not best.has_old_weights:
+                break
+        if best is None:
+            return cost.no_capacity(query, rejected)
+        return best
+
+    def plan(
+        self, request: requests.Request, prompt: calls.Prompt, version: int
+    ) -> cost.VersionPlan:
+        """Return the plan for all engines with the same weight version."""
+        salt = requests.salt_of(request, version)
+        if not version:
+            return cost.VersionPlan(salt, kept_module.NO_TRANSFERS)
+        return cost.VersionPlan(
+            salt,
+            self.kept_index.plan(
+                salt,
+                prompt.shared,
+                lambda store: self.region_map.allows(
+                    request.regions, store.zone
+                ),
+            ),
+        )
+
+    def candidate(
+        self, query: cost.PlacementQuery, endpoint: discovery.Endpoint
+    ) -> cost.Candidate:
+        """Return a prompt's cost and fit on an engine."""
+        load = self.loads.of(endpoint.id)
+        (held,) = self.held_by_all(query, [endpoint])
+        return cost.candidate(query, endpoint, load, held)
+
+    def held_by_all(
+        self, query: cost.PlacementQuery, engines: list[discovery.Endpoint]
+    ) -> list[int]:
+        """Return the tokens of a prompt in the memory of engines."""
+        salts = {version: plan.salt for version, plan in query.plans.items()}
+        return self.residency.held_by_all(
+            [
+                (engine.id, salts[query.versions[engine.id]])
+                for engine in engines
+            ],
+            query.parts,
+        )
+
+    def placement(
+        self, query: cost.PlacementQuery, chosen: cost.Candidate
+    ) -> requests.Placement:
+        """Return the placement of a prompt on the chosen engine."""
+        stores = chosen.plan.stores
+        version = query.versions[chosen.endpoint.id]
+        times = self.predictor.rates.prefill_times.of(
+            query.request.service.name
+        )
+        waiting_s = times.seconds(chosen.load.waiting_tokens)
+        late_after_s = fetching.late_after_s(
+            query.request.target_remaining_s,
+            waiting_s
+            + times.seconds(query.prompt.input_tokens - chosen.held_tokens),
+            waiting_s + times.seconds(chosen.fetched_tokens),
+        )
+        instructions = dataclasses.replace(
+            instruction_module.for_request(
+                query.request, chosen.endpoint, version
+            ),
+            fetch_from=(*stores.fetch_from, ""),
+            save_to=(*stores.save_to, ""),
+        )
+        return requests.Placement(
+            chosen.endpoint,
+            instructions,
+            chosen.prefill_tokens,
+            chosen.held_tokens,
+            chosen.fetched_tokens,
+            late_after_s,
+            chosen.load,
+            prediction=chosen.prediction,
+        )
+
+    def version_of(self, endpoint: discovery.Endpoint, model: str) -> int:
+        """Return an engine's last known weight version of a model."""
+        announced = endpoint.versions.get(model, 0)
+        return self.known_weights.version(endpoint.id, model, announced)
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -12,6 +12,7 @@
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
     from briarseam.forwarding import calls
+    from briarseam.prediction import forecast
     from briarseam.routes import model as routes
 
 # An engine whose memory is full preempts runs and prefills their prompts
@@ -82,6 +83,9 @@
         Known load of the endpoint when it was chosen.
     endpoints_age_s
         Time since the list of endpoints was read, in seconds.
+    prediction
+        What was predicted for the endpoint; ``None`` if endpoints were not
+        compared by predicted times.
     """
 
     endpoint: discovery.Endpoint
@@ -92,6 +96,11 @@
     fetch_late_s: float = 0.0
     load: load_module.Load = load_module.NO_LOAD
     endpoints_age_s: float = 0.0
+    prediction: forecast.Prediction | None = None
+
+    def tokens_ahead(self) -> int:
+        """Return the tokens to be prefilled there before the first event."""
+        return self.load.waiting_tokens + self.prefill_tokens
 
     def sources(self) -> frozenset[str]:
         """Return the stores that are fetched from."""
--- a/src/briarseam/placement/residency.py
+++ b/src/briarseam/placement/residency.py
@@ -32,16 +32,29 @@
         parts: typing.Sequence[tuple[str, int]],
     ) -> int:
         """Return the tokens of a prompt's leading parts that are held."""
-        tokens = 0
+        return self.held_by_all([(endpoint, salt)], parts)[0]
+
+    def held_by_all(
+        self,
+        endpoints: typing.Iterable[tuple[str, str]],
+        parts: typing.Sequence[tuple[str, int]],
+    ) -> list[int]:
+        """Return the tokens of a prompt's leading parts held by endpoints.
+
+        Parameters
+        ----------
+        endpoints
+            Id of each endpoint, and the salt of the parts there.
+        parts
+            Ids and lengths of the parts, in order.
+        """
         with self.lock:
-            held = self.held.get(endpoint)
-            if held is None:
-                return 0
-            for part, length in parts:
-                if (salt, part) not in held:
-                    break
-                tokens += length
-        return tokens
+            return [
+                leading_tokens(self.held[endpoint], salt, parts)
+                if endpoint in self.held
+                else 0
+                for endpoint, salt in endpoints
+            ]
 
     def record(
         self,
@@ -93,3 +106,17 @@
             removed = [name for name in self.held if name not in endpoints]
         for name in removed:
             self.forget(name)
+
+
+def leading_tokens(
+    held: typing.Container[PartKey],
+    salt: str,
+    parts: typing.Sequence[tuple[str, int]],
+) -> int:
+    """Return the tokens of the leading parts that are held."""
+    tokens = 0
+    for part, length in parts:
+        if (salt, part) not in held:
+            break
+        tokens += length
+    return tokens
--- /dev/null
+++ b/src/briarseam/prediction/__init__.py
@@ -0,0 +1,1 @@
+"""Prediction of the time to first events, and of late answers."""
--- a/src/briarseam/routes/model.py
+++ b/src/briarseam/routes/model.py
@@ -266,6 +266,20 @@
     organisations: dict[str, Organisation] | None
     limits: CallerLimits
 
+    def max_pauses(self) -> dict[str, float]:
+        """Return the longest tolerated pause between events by service.
+
+        In seconds: the shortest one of the service's routes.  Services whose
+        routes tolerate any pause are left out.
+        """
+        pauses: dict[str, float] = {}
+        for route in self.routes:
+            for share in route.shares:
+                if route.max_pause_s > 0:
+                    known_s = pauses.get(share.service, route.max_pause_s)
+                    pauses[share.service] = min(known_s, route.max_pause_s)
+        return pauses
+
     def stores(self) -> list[StoreTraits]:
         """Return the stores of kept KV cache, sorted by name."""
         return [
--- a/tests/placement/test_prefill_time.py
+++ b/tests/prediction/test_prefill_time.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from briarseam.placement import prefill_time
+from briarseam.prediction import prefill_time
 
 
 @pytest.mark.parametrize("true_ms", [0.009, 0.04])
