--- a/tests/prediction/uneven_load.py
+++ b/tests/prediction/uneven_load.py
@@ -113,8 +113,8 @@
         self.seed = seed
         self.waiting: collections.deque[Run] = collections.deque()
         self.streams: list[Run] = []
-        self.steps: collections.deque[tuple[float, float]] = (
-            collections.deque(maxlen=STEPS_PER_EVENT)
+        self.steps: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=STEPS_PER_EVENT
         )
 
     def step_s(self, now_s: float) -> float:
@@ -198,9 +198,7 @@
         for other, chooser in enumerate(self.instances):
             if other != number:
                 chooser.loads.consume(f"i{number}", data)
-        self.at(
-            self.clock() + REPORT_INTERVAL_S, lambda: self.report(number)
-        )
+        self.at(self.clock() + REPORT_INTERVAL_S, lambda: self.report(number))
 
     def arrive(self) -> None:
         """Send a new prompt to a random instance."""
