--- a/src/briarseam/placement/late_costs.py
+++ b/src/briarseam/placement/late_costs.py
@@ -71,17 +71,44 @@
         )
     index = next(index for index, loss in enumerate(losses) if loss <= limit)
     chosen = cost.candidate(query, ranked[index], loads[index], held[index])
-    first_event_s = comparison.forecast(
+    forecast = comparison.forecast(
         loads[index].waiting_tokens, chosen.prefill_tokens, ratios[index]
-    ).first_event_s
+    )
     return dataclasses.replace(
         chosen,
         prediction=forecasts.Prediction(
-            first_event_s, ratios[index], losses[index]
+            forecast.first_event_s,
+            ratios[index],
+            comparison.expected_late(forecast, loads[index].running),
         ),
     )
 
 
+class VersionCosts(typing.NamedTuple):
+    """What is the same for all engines with one weight version.
+
+    Attributes
+    ----------
+    allowed
+        Whether its weights may still be used.
+    loss
+        Loss by its weights.
+    prefill_tokens
+        Tokens to prefill if the engine holds none, as in
+        :class:`briarseam.placement.cost.Candidate`.
+    """
+
+    allowed: bool
+    loss: float
+    prefill_tokens: int
+
+
+def prefill_of(query: cost.PlacementQuery, version: int, held: int) -> int:
+    """Return the tokens to prefill at an engine that holds some."""
+    fetched = cost.fetched_tokens(query.plans[version], held)
+    return cost.prefill_tokens(query.prompt, held, fetched)
+
+
 class Comparison:
     """Expected late answers of one prompt at each engine.
 
@@ -111,6 +138,15 @@
         self.remaining_s = request.target_remaining_s if target_s else math.inf
         self.cache_tokens = engine.cache_tokens if engine else 0
         self.own_tokens = requests.memory_of(query.prompt)
+        self.may_exceed = request.partly_answered
+        self.by_version = {
+            version: VersionCosts(
+                version >= query.required,
+                OLD_WEIGHTS_LATE if version < query.newest else 0.0,
+                prefill_of(query, version, 0),
+            )
+            for version in query.plans
+        }
 
     def loss(
         self,
@@ -136,41 +172,42 @@
         """
         query = self.query
         version = query.versions[engine.id]
+        allowed, loss, prefill = self.by_version[version]
         queued = load.requests + 1 - engine.slots
-        if version < query.required:
+        if not allowed or (queued > 0 and not self.may_exceed):
             return math.inf
-        fill = typical_fill = 0.0
         if self.cache_tokens > 0:
             taken = load.memory_tokens
-            fill = (taken + self.own_tokens) / self.cache_tokens
             typical_fill = (taken + query.typical_tokens) / self.cache_tokens
-        if not query.request.partly_answered and (
-            queued > 0 or typical_fill > query.max_fill
-        ):
-            return math.inf
-        fetched = cost.fetched_tokens(query.plans[version], held)
-        prefill = cost.prefill_tokens(query.prompt, held, fetched)
+            if typical_fill > query.max_fill and not self.may_exceed:
+                return math.inf
+            fill = (taken + self.own_tokens) / self.cache_tokens
+            if fill > cost.FILL_THRESHOLD:
+                loss += (fill - cost.FILL_THRESHOLD) * FILL_LATE
+        if queued > 0:
+            loss += queued * QUEUED_LATE
+        if held:
+            prefill = prefill_of(query, version, held)
         forecast = self.forecast(load.waiting_tokens, prefill, ratio)
-        loss = lateness.expected_late(
+        loss += lateness.tie_break(
+            forecast.first_event_s,
+            prefill * ratio * self.speed.s_per_token,
+            self.target_s,
+        )
+        return loss + self.expected_late(forecast, load.running)
+
+    def expected_late(
+        self, forecast: forecasts.Forecast, streams: int
+    ) -> float:
+        """Return the expected number of late answers at an engine."""
+        return lateness.expected_late(
             forecast,
             self.spread,
             self.remaining_s,
-            load.running,
+            streams,
             self.max_pause_s,
             self.steps_per_event,
         )
-        loss += lateness.tie_break(
-            forecast.first_event_s,
-            prefill * ratio * self.speed.s_per_token,
-            self.target_s,
-        )
-        if fill > cost.FILL_THRESHOLD:
-            loss += (fill - cost.FILL_THRESHOLD) * FILL_LATE
-        if queued > 0:
-            loss += queued * QUEUED_LATE
-        if version < query.newest:
-            loss += OLD_WEIGHTS_LATE
-        return loss
 
     def forecast(
         self, waiting_tokens: int, prefill_tokens: int, ratio: float
--- a/src/briarseam/prediction/spread.py
+++ b/src/briarseam/prediction/spread.py
@@ -60,10 +60,10 @@
 
     def record(self, ratio: float) -> None:
         """Add the ratio of an actual to a predicted time."""
-        index = int(position_of(ratio))
+        index = bin_of(ratio)
         with self.lock:
             self.samples += 1
-            self.weights[min(index, BINS - 1)] += self.weight
+            self.weights[index] += self.weight
             self.weight *= GROWTH
             if self.weight > MAX_WEIGHT:
                 self.weights = [
@@ -91,27 +91,24 @@
         Greater than 0 and less than 1, whatever the ratio.
         """
         tails = self.tails
-        position = position_of(ratio)
-        index = int(position)
-        if index >= BINS:
+        if ratio >= MAX_RATIO:
             # Continues with the prior's decrease.
             excess = min(ratio / MAX_RATIO, 1e3)
             return tails[BINS] / math.pow(excess, PRIOR_EXPONENT)
+        if ratio <= MIN_RATIO:
+            return tails[0]
+        position = math.log2(ratio / MIN_RATIO) * BINS_PER_OCTAVE
+        index = int(position)
         lower = tails[index]
         return lower + (tails[index + 1] - lower) * (position - index)
 
 
-def position_of(ratio: float) -> float:
-    """Return the position of a ratio on the scale of the bins.
-
-    From 0 at the lower limit of the first bin to `BINS`; ratios outside the
-    range are moved to its ends.
-    """
+def bin_of(ratio: float) -> int:
+    """Return the bin of a ratio; the nearest one outside the range."""
     if ratio <= MIN_RATIO:
-        return 0.0
-    if ratio >= MAX_RATIO:
-        return float(BINS)
-    return math.log2(ratio / MIN_RATIO) * BINS_PER_OCTAVE
+        return 0
+    index = int(math.log2(ratio / MIN_RATIO) * BINS_PER_OCTAVE)
+    return min(index, BINS - 1)
 
 
 class Spreads:
