--- a/src/briarseam/command/delays.py
+++ b/src/briarseam/command/delays.py
@@ -10,6 +10,7 @@
 from briarseam.command import options
 from briarseam.command import output
 from briarseam.delays import lines
+from briarseam.delays import predicted
 from briarseam.delays import sends
 from briarseam.delays import sizes
 from briarseam.delays import summary
@@ -39,6 +40,15 @@
     "answered",
     "refused",
 )
+PREDICTED_HEADERS = (
+    "sends",
+    "predicted ms p50",
+    "first ms p50",
+    "ratio p50",
+    "p95",
+    "endpoint ratio",
+    "expected late",
+)
 REASON = "reason"
 SIZE = "size"
 # Short enough to see a fault of some seconds, long enough for some sends.
@@ -65,6 +75,12 @@
         metavar="SECONDS",
         help="length of a row by second",
     )
+    parser.add_argument(
+        "--predicted",
+        action="store_true",
+        help="compare predicted and actual times to first events; by route, "
+        "second or endpoint",
+    )
     options.add_output(parser)
 
 
@@ -87,6 +103,9 @@
     if not read.lines:
         print("no line about a request", file=sys.stderr)
         return 1
+    if args.predicted and args.by in (REASON, SIZE):
+        print(f"no predictions by {args.by}", file=sys.stderr)
+        return 2
     if args.by == SIZE:
         classes = sizes.size_classes(read.lines)
         print_table(args, SIZE_HEADERS, classes, size_row)
@@ -97,6 +116,11 @@
         print_table(args, REASON_HEADERS, reasons, reason_row)
         return 0
     by = summary.By(args.by)
+    if args.predicted:
+        predictions = predicted.groups(joined, by, args.window)
+        headers = (by.value, *PREDICTED_HEADERS)
+        print_table(args, headers, predictions, predicted_row)
+        return 0
     groups = summary.groups(joined, by, args.window)
     print_table(args, (by.value, *GROUP_HEADERS), groups, group_row)
     return 0
@@ -135,6 +159,20 @@
     )
 
 
+def predicted_row(group: predicted.Predicted) -> tuple[str, ...]:
+    """Return the cells of a group's predictions."""
+    return (
+        group.name,
+        str(group.sends),
+        whole(group.predicted_p50_ms),
+        whole(group.first_p50_ms),
+        hundredths(group.ratio_p50),
+        hundredths(group.ratio_p95),
+        hundredths(group.endpoint_ratio),
+        hundredths(group.expected_late),
+    )
+
+
 def reason_row(reason: summary.Reason) -> tuple[str, ...]:
     """Return the cells of the refusals for one reason."""
     return (
@@ -168,3 +206,8 @@
 def tenths(value: float | None) -> str:
     """Return a value with a digit after the point, a dash for none."""
     return NOTHING if value is None else f"{value:.1f}"
+
+
+def hundredths(value: float | None) -> str:
+    """Return a value with two digits after the point, a dash for none."""
+    return NOTHING if value is None else f"{value:.2f}"
--- a/src/briarseam/delays/lines.py
+++ b/src/briarseam/delays/lines.py
@@ -41,6 +41,13 @@
     fetch_late_ms
         Time after which the fetched tokens count as late, in ms; 0 if the
         endpoint fetches none.
+    predicted_first_ms
+        Predicted time to the first event, in ms; ``None`` if endpoints were
+        not compared by predicted times.
+    endpoint_ratio
+        Ratio of actual to predicted times that was assumed for the endpoint.
+    expected_late
+        Expected number of answers that are late because of the request.
     """
 
     timestamp: datetime.datetime
@@ -53,6 +60,9 @@
     tokens_fetched: int = 0
     tokens_to_read: int = 0
     fetch_late_ms: int = 0
+    predicted_first_ms: int | None = None
+    endpoint_ratio: float = 1.0
+    expected_late: float = 0.0
 
 
 class RequestEnded(
--- a/src/briarseam/delays/summary.py
+++ b/src/briarseam/delays/summary.py
@@ -12,6 +12,8 @@
 from briarseam.delays import unseen
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from briarseam.delays import sends
 
 MEDIAN = 0.5
@@ -240,7 +242,9 @@
     )
 
 
-def quantile(values: list[int], share: float) -> float | None:
+def quantile(
+    values: collections.abc.Sequence[float], share: float
+) -> float | None:
     """Return the nearest-rank quantile; ``None`` without values."""
     if not values:
         return None
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -106,9 +106,9 @@
         """Return the stores that are fetched from."""
         return frozenset(filter(None, self.instructions.fetch_from))
 
-    def log_fields(self) -> dict[str, int | str]:
+    def log_fields(self) -> dict[str, float | str]:
         """Return the grounds for the choice, as log fields."""
-        fields: dict[str, int | str] = {
+        fields: dict[str, float | str] = {
             "requests_there": self.load.requests,
             "endpoints_age_ms": round(self.endpoints_age_s * 1000),
         }
@@ -125,6 +125,8 @@
             fields["fetch_from"] = ",".join(
                 filter(None, self.instructions.fetch_from)
             )
+        if self.prediction is not None:
+            fields |= self.prediction.log_fields()
         return fields
 
 
--- a/src/briarseam/prediction/forecast.py
+++ b/src/briarseam/prediction/forecast.py
@@ -31,6 +31,14 @@
     endpoint_ratio: float
     expected_late: float
 
+    def log_fields(self) -> dict[str, float | str]:
+        """Return the prediction as log fields."""
+        return {
+            "predicted_first_ms": round(self.first_event_s * 1000),
+            "endpoint_ratio": round(self.endpoint_ratio, 2),
+            "expected_late": round(self.expected_late, 3),
+        }
+
 
 class Forecast(typing.NamedTuple):
     """Times at one endpoint if it gets a prompt.
--- a/tests/command/test_delays.py
+++ b/tests/command/test_delays.py
@@ -43,6 +43,33 @@
     assert max(map(len, printed.splitlines())) <= 40
 
 
+PREDICTION = {
+    "predicted_first_ms": 500,
+    "endpoint_ratio": 1.25,
+    "expected_late": 0.3,
+}
+
+
+@pytest.mark.parametrize("by", ["route", "second", "endpoint"])
+def test_predicted_and_actual_times_are_compared(
+    tmp_path, capsys, monkeypatch, by
+):
+    path = tmp_path / "all.log"
+    sent = made.sent_prompt(1, "r1", **PREDICTION)
+    path.write_text("\n".join([sent, *LOG[1:]]))
+    monkeypatch.setenv("COLUMNS", "200")
+    assert run.run(["delays", str(path), "--by", by, "--predicted"]) == 0
+    _heading, row = capsys.readouterr().out.splitlines()
+    cells = ["1", "500", "700", "1.40", "1.40", "1.25", "0.30"]
+    assert row.split()[1:] == cells
+
+
+@pytest.mark.parametrize("by", ["reason", "size"])
+def test_groups_without_predictions_are_refused(log, capsys, by):
+    assert run.run(["delays", log, "--by", by, "--predicted"]) == 2
+    assert f"by {by}" in capsys.readouterr().err
+
+
 def test_wide_table_has_a_heading_and_a_dash_for_nothing(
     log, capsys, monkeypatch
 ):
--- a/tests/prediction/test_chooser.py
+++ b/tests/prediction/test_chooser.py
@@ -226,3 +226,12 @@
         routes.CallerLimits(1, 1, 1.0, 1.0),
     )
     assert configuration.max_pauses() == {"engines": 0.4}
+
+
+def test_log_tells_the_prediction_only_if_it_was_used(case):
+    fields = case.place().log_fields()
+    assert fields["predicted_first_ms"] == 30
+    assert fields["endpoint_ratio"] == 1.0
+    assert 0.0 <= fields["expected_late"] < 0.01
+    case.chooser.compare_by_prediction(False)
+    assert "predicted_first_ms" not in case.place().log_fields()
