--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -12,7 +12,6 @@
 from briarseam.forwarding import calls
 from briarseam.placement import avoidance
 from briarseam.placement import cost
-from briarseam.placement import instructions
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
 from briarseam.placement import mean_sizes
@@ -240,7 +239,7 @@
             for endpoint in preferred
             if not self.known_weights.is_changing(endpoint.id)
         ]
-        placed = self.prompts.choose(request, prompt, preferred or candidates)
+        placed = self.prompts.choose(request, preferred or candidates)
         if isinstance(placed, requests.NoCapacity):
             return placed
         return dataclasses.replace(
@@ -256,7 +255,7 @@
             return chosen
         return requests.Placement(
             chosen,
-            instructions.for_request(request, chosen),
+            requests.instructions_for(request, chosen),
             load=self.loads.of(chosen.id),
             endpoints_age_s=self.endpoints_age_s(),
         )
--- a/src/briarseam/placement/prompt_chooser.py
+++ b/src/briarseam/placement/prompt_chooser.py
@@ -8,7 +8,6 @@
 from briarseam.lookup import rank
 from briarseam.placement import cost
 from briarseam.placement import fetching
-from briarseam.placement import instructions as instruction_module
 from briarseam.placement import kept as kept_module
 from briarseam.placement import late_costs
 from briarseam.placement import requests
@@ -16,7 +15,6 @@
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
     from briarseam.eligibility import regions
-    from briarseam.forwarding import calls
     from briarseam.placement import loads as load_module
     from briarseam.placement import mean_sizes
     from briarseam.placement import residency as residencies
@@ -82,17 +80,16 @@
     def choose(
         self,
         request: requests.Request,
-        prompt: calls.Prompt,
         candidates: list[discovery.Endpoint],
     ) -> requests.Placement | requests.NoCapacity:
         """Place a prompt where it will be answered best."""
-        key = requests.session_of(prompt)
+        key = requests.session_of(requests.prompt_of(request))
         # Ranks by name, on which all instances agree even while only some of
         # them have learned of an engine's restart.
         ranked = rank.ranked(
             key, candidates, lambda endpoint: endpoint.start.name
         )
-        query = self.query(request, prompt, ranked)
+        query = self.query(request, ranked)
         match self.costs:
             case cost.TokenCosts():
                 best = self.best_of_groups(query, ranked)
@@ -109,18 +106,16 @@
         return self.placement(query, best)
 
     def query(
-        self,
-        request: requests.Request,
-        prompt: calls.Prompt,
-        ranked: list[discovery.Endpoint],
+        self, request: requests.Request, ranked: list[discovery.Endpoint]
     ) -> cost.PlacementQuery:
         """Return what is needed to compare engines for a prompt."""
+        prompt = requests.prompt_of(request)
         versions = {
             endpoint.id: self.version_of(endpoint, prompt.model)
             for endpoint in ranked
         }
         plans = {
-            version: self.plan(request, prompt, version)
+            version: self.plan(request, version)
             for version in set(versions.values())
         }
         typical_tokens = self.sizes.of(request.route.name)
@@ -167,7 +162,7 @@
         return best
 
     def plan(
-        self, request: requests.Request, prompt: calls.Prompt, version: int
+        self, request: requests.Request, version: int
     ) -> cost.VersionPlan:
         """Return the plan for all engines with the same weight version."""
         salt = requests.salt_of(request, version)
@@ -177,7 +172,7 @@
             salt,
             self.kept_index.plan(
                 salt,
-                prompt.shared,
+                requests.prompt_of(request).shared,
                 lambda store: self.region_map.allows(
                     request.regions, store.zone
                 ),
@@ -222,9 +217,7 @@
             waiting_s + times.seconds(chosen.fetched_tokens),
         )
         instructions = dataclasses.replace(
-            instruction_module.for_request(
-                query.request, chosen.endpoint, version
-            ),
+            requests.instructions_for(query.request, chosen.endpoint, version),
             fetch_from=(*stores.fetch_from, ""),
             save_to=(*stores.save_to, ""),
         )
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -6,12 +6,12 @@
 import typing
 
 from briarseam.eligibility import regions
+from briarseam.forwarding import calls
 from briarseam.placement import loads as load_module
 from briarseam.placement import salts
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
-    from briarseam.forwarding import calls
     from briarseam.prediction import forecast
     from briarseam.routes import model as routes
 
@@ -260,3 +260,37 @@
     if organisation is not None and organisation.isolated:
         owner = organisation.name
     return str(salts.Salt(prompt.model, version, owner))
+
+
+def prompt_of(request: Request) -> calls.Prompt:
+    """Return the prompt of a request that has one.
+
+    Raises
+    ------
+    ValueError
+        If it has none.
+    """
+    prompt = request.call.prompt
+    if prompt is None:
+        raise ValueError(f"request {request.call.id} has no prompt")
+    return prompt
+
+
+def instructions_for(
+    request: Request,
+    endpoint: discovery.Endpoint,
+    version: int = 0,
+) -> calls.Instructions:
+    """Return the instructions that an endpoint gets with a request."""
+    organisation = request.organisation
+    priority = request.route.priority
+    if organisation is not None and organisation.priority is not None:
+        priority = organisation.priority
+    return calls.Instructions(
+        endpoint=endpoint.id,
+        organisation=organisation.name if organisation else "",
+        priority=min(priority, 9),
+        salt=salt_of(request, version),
+        version=version or None,
+        last_event_id=request.call.last_event_id,
+    )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -60,6 +60,7 @@
         "placement.loads",
         "placement.residency",
         "placement.store_index",
+        "prediction",
         "reachability",
         "routes",
         "routing.active_runs",
