--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -204,22 +204,44 @@
 
     def of(self, endpoint: str) -> Load:
         """Return the total load of an endpoint, estimated where unknown."""
+        return self.of_all([endpoint])[0]
+
+    def of_all(self, endpoints: typing.Iterable[str]) -> list[Load]:
+        """Return the total loads of several endpoints, read at one moment."""
         with self.lock:
-            known = self.own.get(endpoint, NO_LOAD)
-            peers = self.peer_totals.get(endpoint)
-            if peers is not None:
-                known = known.plus(peers)
-            for cell in self.cells.values():
-                if endpoint in cell.loads:
-                    known = known.plus(cell.loads[endpoint])
-            noticed = self.noticed.current().get(endpoint)
-            if noticed:
-                known = known.plus(Load(waiting_tokens=noticed))
+            noticed = self.noticed.current()
+            found = [
+                self.known_of(endpoint, noticed.get(endpoint, 0))
+                for endpoint in endpoints
+            ]
             instances = self.reporting_instances() + sum(
                 cell.instances for cell in self.cells.values()
             )
         share = instances / max(self.total_instances(), 1)
-        return known if share >= 1.0 else known.times(1.0 / share)
+        if share >= 1.0:
+            return found
+        return [known.times(1.0 / share) for known in found]
+
+    def known_of(self, endpoint: str, noticed_tokens: int) -> Load:
+        """Return the known load of an endpoint; requires the lock.
+
+        Parameters
+        ----------
+        endpoint
+            The endpoint.
+        noticed_tokens
+            Waiting tokens there that notices of other cells add.
+        """
+        known = self.own.get(endpoint, NO_LOAD)
+        peers = self.peer_totals.get(endpoint)
+        if peers is not None:
+            known = peers if known is NO_LOAD else known.plus(peers)
+        for cell in self.cells.values():
+            if endpoint in cell.loads:
+                known = known.plus(cell.loads[endpoint])
+        if noticed_tokens:
+            known = known.plus(Load(waiting_tokens=noticed_tokens))
+        return known
 
     def cell_loads(self) -> dict[str, Load]:
         """Return the local cell's load of each endpoint."""
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -6,12 +6,13 @@
 import typing
 
 from briarseam.eligibility import regions
+from briarseam.forwarding import calls
 from briarseam.placement import loads as load_module
 from briarseam.placement import salts
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
-    from briarseam.forwarding import calls
+    from briarseam.prediction import forecast
     from briarseam.routes import model as routes
 
 # An engine whose memory is full preempts runs and prefills their prompts
@@ -82,6 +83,9 @@
         Known load of the endpoint when it was chosen.
     endpoints_age_s
         Time since the list of endpoints was read, in seconds.
+    prediction
+        What was predicted for the endpoint; ``None`` if endpoints were not
+        compared by predicted times.
     """
 
     endpoint: discovery.Endpoint
@@ -92,14 +96,19 @@
     fetch_late_s: float = 0.0
     load: load_module.Load = load_module.NO_LOAD
     endpoints_age_s: float = 0.0
+    prediction: forecast.Prediction | None = None
+
+    def tokens_ahead(self) -> int:
+        """Return the tokens to be prefilled there before the first event."""
+        return self.load.waiting_tokens + self.prefill_tokens
 
     def sources(self) -> frozenset[str]:
         """Return the stores that are fetched from."""
         return frozenset(filter(None, self.instructions.fetch_from))
 
-    def log_fields(self) -> dict[str, int | str]:
+    def log_fields(self) -> dict[str, float | str]:
         """Return the grounds for the choice, as log fields."""
-        fields: dict[str, int | str] = {
+        fields: dict[str, float | str] = {
             "requests_there": self.load.requests,
             "endpoints_age_ms": round(self.endpoints_age_s * 1000),
         }
@@ -116,6 +125,8 @@
             fields["fetch_from"] = ",".join(
                 filter(None, self.instructions.fetch_from)
             )
+        if self.prediction is not None:
+            fields |= self.prediction.log_fields()
         return fields
 
 
@@ -249,3 +260,37 @@
     if organisation is not None and organisation.isolated:
         owner = organisation.name
     return str(salts.Salt(prompt.model, version, owner))
+
+
+def prompt_of(request: Request) -> calls.Prompt:
+    """Return the prompt of a request that has one.
+
+    Raises
+    ------
+    ValueError
+        If it has none.
+    """
+    prompt = request.call.prompt
+    if prompt is None:
+        raise ValueError(f"request {request.call.id} has no prompt")
+    return prompt
+
+
+def instructions_for(
+    request: Request,
+    endpoint: discovery.Endpoint,
+    version: int = 0,
+) -> calls.Instructions:
+    """Return the instructions that an endpoint gets with a request."""
+    organisation = request.organisation
+    priority = request.route.priority
+    if organisation is not None and organisation.priority is not None:
+        priority = organisation.priority
+    return calls.Instructions(
+        endpoint=endpoint.id,
+        organisation=organisation.name if organisation else "",
+        priority=min(priority, 9),
+        salt=salt_of(request, version),
+        version=version or None,
+        last_event_id=request.call.last_event_id,
+    )
