Predict from clear times, and compare eight of many engines at a time

When all 70 engines were compared, the prompts that 31 instances placed within 50 ms went to the same engines. Change: a low quantile of the times, and samples of the session's ranking.

--- a/src/briarseam/placement/late_costs.py
+++ b/src/briarseam/placement/late_costs.py
@@ -40,9 +40,11 @@
     loads: collections.abc.Sequence[load_module.Load],
     held: collections.abc.Sequence[int],
     predictor: predictors.Predictor,
-) -> cost.Candidate | requests.NoCapacity:
+) -> cost.Candidate | None:
     """Return the engine with the fewest expected late answers.
 
+    ``None`` if none may take the prompt.
+
     Parameters
     ----------
     query
@@ -62,13 +64,7 @@
     ]
     limit = min(losses) + EQUAL_LATE
     if math.isinf(limit):
-        return cost.no_capacity(
-            query,
-            [
-                cost.candidate(query, *engine)
-                for engine in zip(ranked, loads, held, strict=True)
-            ],
-        )
+        return None
     index = next(index for index, loss in enumerate(losses) if loss <= limit)
     chosen = cost.candidate(query, ranked[index], loads[index], held[index])
     forecast = comparison.forecast(
--- a/src/briarseam/placement/prompt_chooser.py
+++ b/src/briarseam/placement/prompt_chooser.py
@@ -26,6 +26,11 @@
 # busiest engine near the mean.
 COMPARE_ALL_MAX = 8
 GROUP_SIZE = 3
+# Up to SAMPLE_ALL_MAX engines are all compared by expected late answers, of
+# more SAMPLE_SIZE at a time.  If all were compared, the prompts that all
+# instances place within the time of a message would go to the same few.
+SAMPLE_ALL_MAX = 16
+SAMPLE_SIZE = 8
 
 
 class PromptChooser:
@@ -94,13 +99,7 @@
             case cost.TokenCosts():
                 best = self.best_of_groups(query, ranked)
             case cost.LatenessCosts():
-                best = late_costs.best(
-                    query,
-                    ranked,
-                    self.loads.of_all([one.id for one in ranked]),
-                    self.held_by_all(query, ranked),
-                    self.predictor,
-                )
+                best = self.best_of_samples(query, ranked)
         if isinstance(best, requests.NoCapacity):
             return best
         return self.placement(query, best)
@@ -161,6 +160,35 @@
             return cost.no_capacity(query, rejected)
         return best
 
+    def best_of_samples(
+        self, query: cost.PlacementQuery, ranked: list[discovery.Endpoint]
+    ) -> cost.Candidate | requests.NoCapacity:
+        """Return the engine with the fewest late answers of some.
+
+        Prompts that are placed at the same time by several instances are
+        compared at different engines, as long as their sessions differ.
+        """
+        size = SAMPLE_SIZE if len(ranked) > SAMPLE_ALL_MAX else len(ranked)
+        for first in range(0, len(ranked), size):
+            best = self.best_of(query, ranked[first : first + size])
+            if best is not None:
+                return best
+        return cost.no_capacity(
+            query, [self.candidate(query, endpoint) for endpoint in ranked]
+        )
+
+    def best_of(
+        self, query: cost.PlacementQuery, engines: list[discovery.Endpoint]
+    ) -> cost.Candidate | None:
+        """Return the engine with the fewest late answers, if one has room."""
+        return late_costs.best(
+            query,
+            engines,
+            self.loads.of_all([one.id for one in engines]),
+            self.held_by_all(query, engines),
+            self.predictor,
+        )
+
     def plan(
         self, request: requests.Request, version: int
     ) -> cost.VersionPlan:
--- a/src/briarseam/prediction/rates.py
+++ b/src/briarseam/prediction/rates.py
@@ -8,6 +8,7 @@
 import typing
 
 from briarseam import clocks
+from briarseam.prediction import clear_time
 from briarseam.prediction import floor_time
 from briarseam.prediction import prefill_time
 
@@ -27,7 +28,7 @@
     Attributes
     ----------
     s_per_token
-        Median time to prefill a token, in seconds.
+        Time to prefill a token without other work, in seconds.
     floor_s
         Median time to a first event of a prompt with few tokens, in seconds.
     """
@@ -91,6 +92,7 @@
     ) -> None:
         self.clock = clock
         self.prefill_times = prefill_time.PrefillTimes()
+        self.clear_times: dict[str, clear_time.ClearTime] = {}
         self.floors: dict[str, floor_time.FloorTime] = {}
         self.ratios: dict[str, RatioAverage] = {}
         self.lock = threading.Lock()
@@ -100,10 +102,15 @@
         # If two threads get here at once, the first one's object stays.
         return self.floors.setdefault(service, floor_time.FloorTime())
 
+    def clear_time_of(self, service: str) -> clear_time.ClearTime:
+        """Return the time to prefill a token of a service."""
+        # If two threads get here at once, the first one's object stays.
+        return self.clear_times.setdefault(service, clear_time.ClearTime())
+
     def speed(self, service: str) -> Speed:
         """Return the present speed of a service's endpoints."""
         return Speed(
-            self.prefill_times.of(service).seconds(1),
+            self.clear_time_of(service).seconds(),
             self.floor_of(service).floor_s,
         )
 
@@ -142,7 +149,9 @@
         if tokens < prefill_time.MIN_SAMPLE_TOKENS:
             self.floor_of(service).record(took_s - prefill_s)
             return
-        self.prefill_times.of(service).record(tokens, took_s - speed.floor_s)
+        clear_s = took_s - speed.floor_s
+        self.prefill_times.of(service).record(tokens, clear_s)
+        self.clear_time_of(service).record(tokens, clear_s)
         ratio = took_s / (prefill_s + speed.floor_s)
         now_s = self.clock()
         with self.lock:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -60,6 +60,7 @@
         "placement.loads",
         "placement.residency",
         "placement.store_index",
+        "placement.work_notices",
         "prediction",
         "reachability",
         "routes",
