Writer to callers that gives up after a time without progress

Cause: cheroot's writer copies all unsent data for each partial send, and waits for the socket's timeout, which is the callers' idle timeout and 8 s. Change: CallerWriter sends buffers without copies, and fails once the caller has received nothing for a time. Progress is taken from the number of unacknowledged bytes, since a socket is called writable only when a third of its buffer is free. Not used yet.

--- /dev/null
+++ b/src/briarseam/forwarding/caller_writer.py
@@ -0,0 +1,130 @@
+"""Sends to a caller, and gives up if the caller does not read."""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+import select
+import struct
+import termios
+import typing
+
+from briarseam import clocks
+
+if typing.TYPE_CHECKING:
+    import socket
+
+# A caller that reads nothing for this long gets nothing more.  Until then it
+# holds a thread, a connection to an endpoint, and data.
+PATIENCE_S = 10.0
+# How often progress is checked.  A socket with a large buffer becomes
+# writable only when a third of it is free, which takes a slow reader much
+# longer than the patience.
+PROGRESS_POLL_MS = 500
+MS = 1000
+# Some systems limit the number of buffers of one call to 16.
+MAX_BUFFERS = 16
+
+
+class NotReadingError(TimeoutError):
+    """The caller has read nothing for too long."""
+
+
+class CallerWriter:
+    """Sends to the socket of a caller.
+
+    Takes the place of cheroot's writer, which copies all unsent data for
+    each partial send.
+
+    Parameters
+    ----------
+    connection
+        The socket.
+    patience_s
+        Time without progress after which sending fails, in seconds.
+    on_not_reading
+        Called with the number of unsent bytes when that happens.
+
+    Attributes
+    ----------
+    bytes_written
+        Number of bytes sent so far.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        patience_s: float = PATIENCE_S,
+        on_not_reading: typing.Callable[[int], None] = lambda _: None,
+    ) -> None:
+        self.connection = connection
+        self.patience_s = patience_s
+        self.on_not_reading = on_not_reading
+        self.bytes_written = 0
+
+    def write(self, *parts: bytes) -> int:
+        """Send bytes; return their number.
+
+        Raises
+        ------
+        NotReadingError
+            If the caller has read nothing for too long.
+        OSError
+            If the connection is broken.
+        """
+        views = [memoryview(part) for part in parts if part]
+        size = sum(map(len, views))
+        unsent = size
+        while views:
+            try:
+                sent = os.writev(self.connection.fileno(), views[:MAX_BUFFERS])
+            except BlockingIOError:
+                self.wait_writable(unsent)
+                continue
+            unsent -= sent
+            self.bytes_written += sent
+            views = skip(views, sent)
+        return size
+
+    def wait_writable(self, unsent: int) -> None:
+        """Wait until more can be sent.
+
+        Raises
+        ------
+        NotReadingError
+            If the caller has read nothing for too long.
+        """
+        poller = select.poll()
+        poller.register(self.connection, select.POLLOUT)
+        queued = unacknowledged(self.connection)
+        progress_s = clocks.boot_clock()
+        poll_ms = min(PROGRESS_POLL_MS, self.patience_s * MS)
+        while not poller.poll(poll_ms):
+            now_s = clocks.boot_clock()
+            now_queued = unacknowledged(self.connection)
+            if now_queued < queued:
+                queued, progress_s = now_queued, now_s
+            elif now_s - progress_s >= self.patience_s:
+                self.on_not_reading(unsent)
+                raise NotReadingError(
+                    errno.ETIMEDOUT,
+                    f"the caller read nothing for {self.patience_s:g} s",
+                )
+
+
+def skip(views: list[memoryview], size: int) -> list[memoryview]:
+    """Return buffers without their first bytes."""
+    for index, view in enumerate(views):
+        if size < len(view):
+            return [view[size:], *views[index + 1 :]]
+        size -= len(view)
+    return []
+
+
+def unacknowledged(connection: socket.socket) -> int:
+    """Return the number of bytes that the caller has not received yet."""
+    buffer = struct.pack("i", 0)
+    packed = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, buffer)
+    (count,) = struct.unpack("i", packed)
+    return int(count)
