Limit the bytes held for callers, and close callers that do not read

Cause: an instance held request bodies and answers without a limit. For a caller that never reads, it held a thread, the connection to the endpoint and the data until the callers' idle timeout plus 8 s had passed without a send. Not without end, but without relation to what an endpoint or the memory bears, and a deadline that passed meanwhile did not free the thread. Change: * Bodies are counted before they are read, by their announced length or by chunk; answers while they arrive and until the caller has them. Above [load] held_bytes (a quarter of [capacity] memory_mb unless set) a new request is refused as not run, Retry-After 1 s. Without memory_mb and held_bytes only the rule of 10 s takes effect.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -31,6 +31,7 @@
 from briarseam.feeds import sharing as feeds_sharing
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
+from briarseam.forwarding import held_bytes
 from briarseam.forwarding import request_context
 from briarseam.forwarding import server as http
 from briarseam.forwarding import service as forwarding
@@ -72,6 +73,13 @@
 log = structlog.get_logger("briarseam.node")
 
 
+def held_limit(settings: serving.ServeSettings) -> int:
+    """Return the limit of bytes held for requests; 0 for none."""
+    return held_bytes.limit_of(
+        settings.load.held_bytes, settings.capacity.memory_mb
+    )
+
+
 class BackgroundPart(typing.Protocol):
     """A part that works in threads of its own."""
 
@@ -95,6 +103,7 @@
         self.settings = settings
         self.shutdown = shutdowns.Shutdown(self.serving_bound_s)
         self.in_flight = inflight.InFlight()
+        self.held = held_bytes.HeldBytes(held_limit(settings))
         self.stopping = threading.Event()
         self.loop = event_loop.EventLoop("peers")
         self.metrics = metrics.Registry()
@@ -259,6 +268,7 @@
             self.peer_connector,
         )
         node_metrics.register(self.metrics, self.readings())
+        self.held.on_refused = node_metrics.held_refusals(self.metrics).add
         self.threads = threads.ThreadGauge(self.metrics)
         self.housekeeping = repeating.Repeater(
             "housekeeping", self.run_housekeeping, HOUSEKEEPING_INTERVAL_S
@@ -333,6 +343,8 @@
             self.forwarding.handle,
             self.forwarding.handle_relayed,
             self.in_flight,
+            self.held,
+            node_metrics.callers_not_reading(self.metrics),
             handlers,
         )
 
@@ -424,6 +436,7 @@
         """Apply changed settings, except for the listen addresses."""
         self.settings = settings
         self.weights.settings = settings
+        self.held.limit = held_limit(settings)
         bounds = settings.bounds
         self.eligibility.starts.limits = node_eligibility.limits_of(bounds)
         self.eligibility.region_map.by_zone = settings.instance.regions()
@@ -439,6 +452,8 @@
         """Return the values of the parts that metrics read."""
         return node_metrics.Readings(
             in_flight=lambda: self.in_flight.count,
+            held_bytes=lambda: self.held.total,
+            held_bytes_limit=lambda: self.held.limit,
             connections_opened=lambda: self.pool.opened,
             store_calls=lambda: self.store.calls,
             store_era=lambda: self.store.era,
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -22,7 +22,8 @@
 
     Attributes
     ----------
-    in_flight, connections_opened, store_calls, store_era, topic_reads_direct
+    in_flight, held_bytes, held_bytes_limit, connections_opened, store_calls
+    store_era, topic_reads_direct
     topic_reads_shared, configuration_version, endpoints_known
     endpoints_cold, endpoints_in_backoff, endpoints_rate_limited
     endpoints_rejection_limited, software_versions, services_unreachable
@@ -31,6 +32,8 @@
     """
 
     in_flight: Reading
+    held_bytes: Reading
+    held_bytes_limit: Reading
     connections_opened: Reading
     store_calls: Reading
     store_era: Reading
@@ -57,6 +60,16 @@
             "Requests of callers under way",
             readings.in_flight,
         ),
+        (
+            "held_bytes",
+            "Bytes of requests and answers that are held now",
+            readings.held_bytes,
+        ),
+        (
+            "held_bytes_limit",
+            "Bytes above which new requests are refused; 0 without a limit",
+            readings.held_bytes_limit,
+        ),
         (
             "endpoint_connections_opened",
             "Connections opened to endpoints since start",
@@ -182,6 +195,22 @@
     return lambda kind: counters[kind].add()
 
 
+def held_refusals(registry: metrics.Registry) -> instruments.Counter:
+    """Return the counter of requests refused for bytes held."""
+    return registry.counter(
+        "held_bytes_refusals_total",
+        "Requests refused since too many bytes of others were held",
+    )
+
+
+def callers_not_reading(registry: metrics.Registry) -> instruments.Counter:
+    """Return the counter of callers whose connections were closed."""
+    return registry.counter(
+        "callers_not_reading_total",
+        "Connections closed since their callers did not read",
+    )
+
+
 def loss_decisions(
     registry: metrics.Registry,
 ) -> labels.Family[instruments.Counter]:
--- a/src/briarseam/compose/node_servers.py
+++ b/src/briarseam/compose/node_servers.py
@@ -13,6 +13,8 @@
 
     from briarseam import inflight
     from briarseam.compose import local_handlers
+    from briarseam.forwarding import held_bytes
+    from briarseam.metrics import instruments
     from briarseam.routes import model as routes
     from briarseam.settings import sections
     from briarseam.settings import serving
@@ -27,6 +29,8 @@
     forward: Handler,
     forward_relayed: Handler,
     in_flight: inflight.InFlight,
+    held: held_bytes.HeldBytes,
+    not_reading: instruments.Counter,
     local: local_handlers.LocalHandlers,
 ) -> dict[str, http.Server]:
     """Return the servers by purpose, not yet bound.
@@ -41,6 +45,10 @@
         Answers those that other instances pass on.
     in_flight
         Counts both.
+    held
+        Counts and limits the bytes held for both.
+    not_reading
+        Counts callers whose connections were closed since they did not read.
     local
         Answers all other requests.
     """
@@ -54,9 +62,13 @@
         "relays": (listen.relay_address(), forward_relayed),
     }
     servers = {
-        name: http.Server(name, (address.ip, address.port), handler, in_flight)
+        name: http.Server(
+            name, (address.ip, address.port), handler, in_flight, held
+        )
         for name, (address, handler) in forwarding.items()
     }
+    for server in servers.values():
+        server.on_not_reading = not_reading.add
     for name, (address, handler) in handlers.items():
         servers[name] = http.Server(name, (address.ip, address.port), handler)
     return servers
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -14,6 +14,7 @@
 from briarseam.discovery import announcements
 from briarseam.forwarding import calls
 from briarseam.forwarding import connections
+from briarseam.forwarding import held_bytes
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
@@ -73,6 +74,8 @@
         Whether `endpoint` is another instance, which has an endpoint answer.
     transfer
         How the answer is transferred.
+    holding
+        Counts the bytes that are held of the answer.
     """
 
     exchange: server.Exchange
@@ -89,6 +92,9 @@
     transfer: transfers.Transfer = dataclasses.field(
         default_factory=transfers.Transfer
     )
+    holding: held_bytes.Holding = dataclasses.field(
+        default_factory=held_bytes.unlimited
+    )
 
 
 DecodeAnswer = typing.Callable[
@@ -191,7 +197,7 @@
         is_stream = attempt.route.repeat is routes.Repeat.STREAM
         if success and is_stream and head.event_stream:
             return self.relay_stream(attempt, response, head)
-        body = response.read()
+        body = read_whole(attempt, response)
         record_end(attempt)
         broken = self.confirm_end(attempt, response, head)
         if broken is not None:
@@ -217,7 +223,11 @@
         try:
             while data := response.read1(READ_BYTES):
                 attempt.on_data()
+                begun = len(relay.splitter.remainder)
+                attempt.holding.hold_answer(begun + len(data))
                 relay.feed(data)
+                begun = len(relay.splitter.remainder)
+                attempt.holding.hold_answer(begun)
         except streams.NotContinuedError as error:
             return outcomes.Broken(str(error))
         splitter = relay.splitter
@@ -311,6 +321,17 @@
     attempt.transfer.record_end_of_body()
 
 
+def read_whole(attempt: Attempt, response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the complete body of an answer, counted while it arrives."""
+    pieces = []
+    size = 0
+    while data := response.read1(READ_BYTES):
+        size += len(data)
+        attempt.holding.hold_answer(size)
+        pieces.append(data)
+    return b"".join(pieces)
+
+
 def send_request(
     attempt: Attempt, connection: urllib3.connection.HTTPConnection
 ) -> urllib3.BaseHTTPResponse:
--- a/src/briarseam/forwarding/final_answers.py
+++ b/src/briarseam/forwarding/final_answers.py
@@ -78,6 +78,17 @@
         exchange.close_after()
         self.refuse(exchange, "", refusing.malformed(detail))
 
+    def refuse_unread(
+        self, exchange: server.Exchange, final_verdict: verdict.NotRun
+    ) -> None:
+        """Refuse a request whose body has not been read to its end."""
+        unread = exchange.has_unread_body()
+        if unread:
+            exchange.close_after()
+        self.refuse(exchange, "", final_verdict)
+        if unread:
+            exchange.drain()
+
     def refuse(
         self,
         exchange: server.Exchange,
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -23,6 +23,8 @@
 SETTLING_RETRY_S = 0.1
 # Short, since the caller's next connection goes to another instance.
 LEAVING_RETRY_S = 0.05
+# Answers are sent within about this time, which frees what they hold.
+BYTES_HELD_RETRY_S = 1.0
 # The time for which losses count.
 CONDEMNED_RETRY_S = 60.0
 # Entries show within seconds whether endpoints have ended.
@@ -53,6 +55,11 @@
 TOO_LARGE = verdict.NotRun(
     verdict.Reason.TOO_LARGE, "the body exceeds the maximum size"
 )
+BYTES_HELD = verdict.NotRun(
+    verdict.Reason.OVERLOADED,
+    "this instance holds too much data of other requests",
+    BYTES_HELD_RETRY_S,
+)
 BUSY = verdict.NotRun(
     verdict.Reason.OVERLOADED, "the endpoints are busy", BUSY_RETRY_S
 )
--- a/src/briarseam/forwarding/relaying.py
+++ b/src/briarseam/forwarding/relaying.py
@@ -179,6 +179,7 @@
             progress=context.progress,
             on_first_event=lambda: None,
             relayed=True,
+            holding=context.exchange.holding,
         )
         outcome: outcomes.Outcome | None = None
         try:
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -7,15 +7,20 @@
 import threading
 import typing
 
-import cheroot.errors
+import cheroot.makefile
 import cheroot.server
 import structlog
 
 from briarseam import connection_threads
 from briarseam import resets
 from briarseam.entry import server as strict
+from briarseam.forwarding import bodies
+from briarseam.forwarding import caller_writer
+from briarseam.forwarding import held_bytes
 
 if typing.TYPE_CHECKING:
+    import socket
+
     from briarseam import inflight
 
 BACKLOG = 1024
@@ -48,17 +53,49 @@
 
 
 class Connection(resets.ResettableConnection):
-    """A connection whose requests may have chunked bodies."""
-
-    RequestHandlerClass = Request
+    """A connection whose requests may have chunked bodies.
 
+    Attributes
+    ----------
+    request_id
+        Id of the current request, for the log; empty if not known.
+    """
 
-class BodyError(Exception):
-    """A request's body did not arrive as announced."""
-
+    RequestHandlerClass = Request
 
-class BodyTooLargeError(BodyError):
-    """A request's body exceeds the maximum size."""
+    def __init__(
+        self,
+        server: Server,
+        sock: socket.socket,
+        makefile: typing.Any = cheroot.makefile.MakeFile,
+    ) -> None:
+        def make_file(
+            sock: socket.socket, mode: str, buffer_bytes: int
+        ) -> typing.Any:
+            if "r" in mode:
+                return makefile(sock, mode, buffer_bytes)
+            return caller_writer.CallerWriter(
+                sock, server.caller_patience_s, self.record_not_reading
+            )
+
+        super().__init__(server, sock, make_file)
+        self.request_id = ""
+
+    def record_not_reading(self, unsent: int) -> None:
+        """Reset the connection when it is closed, and log why.
+
+        An orderly close would leave the unsent data with the system.
+        """
+        self.resetting = True
+        self.server.on_not_reading()
+        log.warning(
+            "caller_not_reading",
+            server=self.server.name,
+            request=self.request_id,
+            caller=f"{self.remote_addr}:{self.remote_port}",
+            patience_s=self.server.caller_patience_s,
+            unsent_bytes=unsent,
+        )
 
 
 class Exchange:
@@ -70,6 +107,9 @@
         Cheroot's request, with its headers read.
     leaving
         Returns whether callers should not keep their connections.
+    holding
+        Counts the bytes that are held for the request; not limited unless
+        given.
 
     Attributes
     ----------
@@ -85,9 +125,11 @@
         self,
         request: cheroot.server.HTTPRequest,
         leaving: typing.Callable[[], bool] = lambda: False,
+        holding: held_bytes.Holding | None = None,
     ) -> None:
         self.request = request
         self.leaving = leaving
+        self.holding = holding or held_bytes.unlimited()
         self.head_sent = False
         self.chunked = False
         self.extra_headers: tuple[tuple[str, str], ...] = ()
@@ -135,27 +177,30 @@
         ------
         BodyTooLargeError
             If the body is larger than the server accepts.
+        BodyNotHeldError
+            If the body would exceed the limit of bytes held.  None of it was
+            read if its length is known.
         BodyError
             If the body is truncated or not framed properly.
         """
-        reader = self.request.rfile
-        try:
-            if self.request.chunked_read:
-                body: bytes = reader.read()
-                for _trailer in reader.read_trailer_lines():
-                    pass
-                return body
-            length = reader.remaining
-            body = reader.read(length) if length else b""
-        except cheroot.errors.MaxSizeExceeded as error:
-            raise BodyTooLargeError(
-                "the body exceeds the maximum size"
-            ) from error
-        except (ValueError, OSError) as error:
-            raise BodyError(str(error)) from error
-        if len(body) != length:
-            raise BodyError("the body is shorter than its Content-Length")
-        return body
+        return bodies.read(self.request, self.holding)
+
+    def drain(self) -> None:
+        """Read and drop what is left of a refused request's body.
+
+        Closing a connection with unread data resets it, and then the caller
+        may lose the refusal that was sent before.
+        """
+        self.holding.release()
+        bodies.drain(self.request)
+
+    def record_request_id(self, request_id: str) -> None:
+        """Record the id of the request, for log lines of its connection."""
+        self.request.conn.request_id = request_id
+
+    def has_unread_body(self) -> bool:
+        """Return whether the body has not been read to its end."""
+        return bodies.remaining(self.request) != 0
 
     def close_after(self) -> None:
         """Close the connection after this answer."""
@@ -166,17 +211,17 @@
         self.discarding = True
         self.close_after()
 
-    def write(self, data: bytes) -> None:
+    def write(self, *parts: bytes) -> None:
         """Send bytes to the caller."""
         if not self.discarding:
-            self.request.conn.wfile.write(data)
+            self.request.conn.wfile.write(*parts)
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
         framed = [*headers, ("Content-Length", str(len(body)))]
         head = self.head(status, framed)
         content = b"" if self.method == "HEAD" else body
-        self.write(head + content)
+        self.write(head, content)
 
     def begin(self, status: int, headers: Headers, first: bytes) -> None:
         """Send the head and the first bytes of an answer of unknown length.
@@ -258,7 +303,12 @@
     def respond(self) -> None:
         """Call the handler."""
         server = self.req.server
-        server.handler(Exchange(self.req, server.is_leaving))
+        holding = held_bytes.Holding(server.held)
+        self.req.conn.request_id = ""
+        try:
+            server.handler(Exchange(self.req, server.is_leaving, holding))
+        finally:
+            holding.release()
 
 
 class Server(cheroot.server.HTTPServer):
@@ -274,6 +324,16 @@
         Answers requests; each connection has its own thread.
     in_flight
         Counts requests; ``None`` if a shutdown does not wait for them.
+    held
+        Counts and limits the bytes held for requests; no limit unless given.
+
+    Attributes
+    ----------
+    caller_patience_s
+        Time for which callers may read nothing while data is sent to them,
+        in seconds.
+    on_not_reading
+        Called when a caller's connection is closed for that.
     """
 
     ConnectionClass = Connection
@@ -284,11 +344,15 @@
         listen: tuple[str, int],
         handler: Handler,
         in_flight: inflight.InFlight | None = None,
+        held: held_bytes.HeldBytes | None = None,
     ) -> None:
         super().__init__(listen, Gateway, server_name="briarseam")
         self.name = name
         self.handler = handler
         self.in_flight = in_flight
+        self.held = held or held_bytes.HeldBytes()
+        self.caller_patience_s = caller_writer.PATIENCE_S
+        self.on_not_reading: typing.Callable[[], None] = lambda: None
         self.request_queue_size = BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
         self.expiration_interval = EXPIRY_INTERVAL_S
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -12,6 +12,7 @@
 from briarseam import verdict
 from briarseam.forwarding import active_requests
 from briarseam.forwarding import attempts
+from briarseam.forwarding import bodies
 from briarseam.forwarding import crash_checks
 from briarseam.forwarding import final_answers
 from briarseam.forwarding import outcomes
@@ -19,7 +20,6 @@
 from briarseam.forwarding import refusing
 from briarseam.forwarding import relay_headers
 from briarseam.forwarding import request_context
-from briarseam.forwarding import server
 from briarseam.forwarding import steps
 from briarseam.forwarding import streams
 from briarseam.forwarding import supervision
@@ -28,6 +28,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
+    from briarseam.forwarding import server
 
 # Share of a route's target latency for which a request waits for capacity.
 # After a longer wait the answer would be late anyway, so the caller is asked
@@ -77,11 +78,14 @@
             return
         try:
             body = exchange.read_body()
-        except server.BodyTooLargeError:
+        except bodies.BodyNotHeldError:
+            self.answers.refuse_unread(exchange, refusing.BYTES_HELD)
+            return
+        except bodies.BodyTooLargeError:
             exchange.close_after()
             self.answers.refuse(exchange, "", refusing.TOO_LARGE)
             return
-        except server.BodyError as error:
+        except bodies.BodyError as error:
             self.answers.refuse_and_close(exchange, str(error))
             return
         try:
@@ -91,6 +95,7 @@
         except refusing.MalformedCallError as error:
             self.answers.refuse(exchange, "", refusing.malformed(str(error)))
             return
+        exchange.record_request_id(call.id)
         if self.deps.shutdown.begun:
             # At most some hundred lines until the process ends.
             log.info(
@@ -352,6 +357,7 @@
             progress=context.progress,
             on_first_event=on_first_event,
             on_data=on_data,
+            holding=context.exchange.holding,
         )
         outcome: outcomes.Outcome | None = None
         if context.crash_state.trial is not None:
--- a/tests/forwarding/sending.py
+++ b/tests/forwarding/sending.py
@@ -5,6 +5,7 @@
 from briarseam.discovery import model as discovery
 from briarseam.forwarding import attempts
 from briarseam.forwarding import calls
+from briarseam.forwarding import held_bytes
 from briarseam.forwarding import streams
 from briarseam.routes import model as routes
 
@@ -45,18 +46,19 @@
     )
 
 
-def attempt_to(address, watch, exchange, repeat):
+def attempt_to(address, watch, exchange, repeat, body=b"", holding=None):
     """Return an attempt at an endpoint."""
     return attempts.Attempt(
         exchange=exchange,
         call=calls.Call(
             id="x", method="GET", target="/", host="h", headers=()
         ),
-        body=b"",
+        body=body,
         route=routes.Route("r", "h", "/", repeat, (), 1.0, 1.0, 1),
         endpoint=discovery.Endpoint("e", "s", address, "a", 1, False, {}),
         headers={},
         watch=watch,
         progress=streams.Progress(),
         on_first_event=lambda: None,
+        holding=holding or held_bytes.unlimited(),
     )
