Limit the bodies in flight to one endpoint

Cause: an endpoint crashes if the requests that it holds exceed its memory, and nothing limited the bodies that all instances send to one. Change: placement/endpoint_bytes.py counts this instance's bodies at each endpoint, from the choice of the endpoint to the end of the answer. The share is [load] endpoint_bytes divided by the number of known instances; one body is always allowed. A request over the share goes to another endpoint; with none left it is a requests.BodiesAtLimit, one of requests.Unplaced, and waits as without capacity. Only in force while the bytes held are limited, so that nothing changes without these settings.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -80,6 +80,15 @@
     )
 
 
+def endpoint_limit(settings: serving.ServeSettings) -> int:
+    """Return the limit of bodies in flight to one endpoint; 0 for none.
+
+    It applies only where the bytes held are limited: without these settings
+    requests are placed as before.
+    """
+    return settings.load.endpoint_bytes if held_limit(settings) else 0
+
+
 class BackgroundPart(typing.Protocol):
     """A part that works in threads of its own."""
 
@@ -179,6 +188,8 @@
             reachability=self.reachability,
             software_of=registry.software_of,
         )
+        self.chooser.bodies.limit = endpoint_limit(settings)
+        self.chooser.bodies.instances = self.instances.known_count
         cache_stores = cache.CacheStoreClient(self.malformed_counter)
         self.store_watches = store_watches.StoreWatches(
             cache_stores,
@@ -437,6 +448,7 @@
         self.settings = settings
         self.weights.settings = settings
         self.held.limit = held_limit(settings)
+        self.chooser.bodies.limit = endpoint_limit(settings)
         bounds = settings.bounds
         self.eligibility.starts.limits = node_eligibility.limits_of(bounds)
         self.eligibility.region_map.by_zone = settings.instance.regions()
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -215,6 +215,7 @@
             frozenset(self.tried),
             self.progress.events_sent,
             self.software,
+            body_bytes=len(self.body),
         )
 
     def log_fields(self) -> dict[str, int]:
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -13,6 +13,7 @@
 from briarseam.lookup import rank
 from briarseam.placement import avoidance
 from briarseam.placement import cost
+from briarseam.placement import endpoint_bytes
 from briarseam.placement import fetching
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
@@ -83,6 +84,11 @@
         Endpoints to which connections fail; unless given, none is known.
     software_of
         Returns the software version of an endpoint; ``None`` if not sure.
+
+    Attributes
+    ----------
+    bodies
+        Limits the bodies in flight to one endpoint; no limit at first.
     """
 
     def __init__(
@@ -111,6 +117,7 @@
         self.endpoints_age_s = endpoints_age_s
         self.kept_index = kept_module.KeptIndex(clock)
         self.avoided = avoidance.Avoided(clock)
+        self.bodies = endpoint_bytes.EndpointBytes()
         self.mean_sizes = mean_sizes.MeanSizes()
         self.prefill_times = prefill_time.PrefillTimes()
         self.plain = plain.PlainChooser(self.loads)
@@ -192,14 +199,23 @@
         self, request: requests.Request, candidates: list[discovery.Endpoint]
     ) -> Choice:
         """Return a placement on an endpoint whose limits allow a send now."""
-        remaining = candidates
+        size = request.body_bytes
+        remaining = self.bodies.with_room(candidates, size)
+        if candidates and not remaining:
+            share = self.bodies.share()
+            return requests.BodiesAtLimit(len(candidates), size, share)
         while remaining:
             placement = self.choose_among(request, remaining)
             if not isinstance(placement, requests.Placement):
                 return placement
             chosen = placement.endpoint
-            if self.eligibility.try_acquire(chosen, request.service):
-                return placement
+            reservation = self.bodies.try_reserve(chosen.id, size)
+            if reservation is not None:
+                if self.eligibility.try_acquire(chosen, request.service):
+                    return dataclasses.replace(
+                        placement, reservation=reservation
+                    )
+                reservation.release()
             # Other requests have used up the limit since it was checked.
             remaining = [one for one in remaining if one.id != chosen.id]
         return requests.AtLimit(len(candidates))
@@ -395,11 +411,16 @@
         self.eligibility.rejection_limits.release(
             placement.endpoint.id, rejected
         )
+        reservation = placement.reservation
+        if reservation is not None and not reservation.sent:
+            reservation.release()
 
     def record_start(
         self, placement: requests.Placement, call: calls.Call
     ) -> load_module.Load:
         """Count a request that is about to be sent; return its load."""
+        if placement.reservation is not None:
+            placement.reservation.sent = True
         prompt = call.prompt
         if prompt is None:
             added = load_module.Load(requests=1)
@@ -476,6 +497,8 @@
         added: load_module.Load,
     ) -> None:
         """Remove the load of a request that has ended."""
+        if placement.reservation is not None:
+            placement.reservation.release()
         self.kept_index.health.record_end(placement.sources(), call.id)
         self.loads.subtract(placement.endpoint.id, added)
 
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -12,6 +12,7 @@
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
     from briarseam.forwarding import calls
+    from briarseam.placement import endpoint_bytes
     from briarseam.routes import model as routes
 
 # An engine whose memory is full preempts runs and prefills their prompts
@@ -41,6 +42,8 @@
         Whether the caller has received part of the answer.
     software
         Software version that must answer; ``None`` for any.
+    body_bytes
+        Size of its body.
     """
 
     call: calls.Call
@@ -51,6 +54,7 @@
     tried: frozenset[str] = frozenset()
     partly_answered: bool = False
     software: str | None = None
+    body_bytes: int = 0
 
     @property
     def regions(self) -> regions.Allowed:
@@ -82,6 +86,8 @@
         Known load of the endpoint when it was chosen.
     endpoints_age_s
         Time since the list of endpoints was read, in seconds.
+    reservation
+        The bytes of the request's body at the endpoint, if they count.
     """
 
     endpoint: discovery.Endpoint
@@ -92,6 +98,7 @@
     fetch_late_s: float = 0.0
     load: load_module.Load = load_module.NO_LOAD
     endpoints_age_s: float = 0.0
+    reservation: endpoint_bytes.Reservation | None = None
 
     def sources(self) -> frozenset[str]:
         """Return the stores that are fetched from."""
@@ -185,6 +192,29 @@
         return f"at-limit endpoints={self.endpoints}"
 
 
+@dataclasses.dataclass(frozen=True)
+class BodiesAtLimit:
+    """All endpoints hold as many bytes of bodies as this instance may send.
+
+    Attributes
+    ----------
+    endpoints
+        Number of these endpoints.
+    body_bytes, share_bytes
+        Size of the request's body, and what this instance may have in
+        flight to one endpoint.
+    """
+
+    endpoints: int
+    body_bytes: int
+    share_bytes: int
+
+    def __str__(self) -> str:
+        """Return the grounds for the refusal, for the log."""
+        size = f"body={self.body_bytes} share={self.share_bytes}"
+        return f"bodies-at-limit endpoints={self.endpoints} {size}"
+
+
 @dataclasses.dataclass(frozen=True)
 class Unreachable:
     """No endpoint that may get a request can be reached from this instance.
@@ -202,7 +232,7 @@
         return f"unreachable endpoints={self.endpoints}"
 
 
-Unplaced = NoCapacity | QueueFull | AtLimit
+Unplaced = NoCapacity | QueueFull | AtLimit | BodiesAtLimit
 
 
 def memory_of(prompt: calls.Prompt) -> int:
--- a/tests/platform/test_bytes_held.py
+++ b/tests/platform/test_bytes_held.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import threading
 import time
 
 import pytest
@@ -114,3 +115,74 @@
     assert answer.status == 503
     assert json.loads(answer.data)["ran"] == "no"
     assert not arrivals(system)
+
+
+def test_bodies_at_one_endpoint_are_limited_only_with_the_bytes_held(system):
+    """Guards against a change for deployments without these settings."""
+    node = system.node
+    assert node.chooser.bodies.limit == 0
+    capacity = dataclasses.replace(node.settings.capacity, memory_mb=512)
+    node.apply_settings(dataclasses.replace(node.settings, capacity=capacity))
+    assert node.held.limit == 128_000_000
+    assert node.chooser.bodies.limit == node.settings.load.endpoint_bytes
+    # The default limit, over the one instance.
+    assert node.chooser.bodies.share() == 67_108_864
+
+
+@pytest.mark.parametrize(
+    "switches", [{}, {"reject": 9}, {"fail": 9}, {"reset": 9}]
+)
+def test_no_body_stays_counted_at_an_endpoint(system, switches):
+    """Guards against endpoints that get no requests any more."""
+    for worker in system.workers.values():
+        worker.set(**switches)
+    for _ in range(3):
+        system.call("/submit/x", body=b"b" * 5000)
+        system.stream("/draft/x")
+    waiting.until(
+        lambda: not system.node.chooser.bodies.by_endpoint, TIMEOUT_S
+    )
+
+
+@pytest.fixture
+def without_room(system):
+    """A system without room for bodies at endpoints, and what fills them."""
+    bodies = system.node.chooser.bodies
+    bodies.limit = 6000
+    reservations = [
+        bodies.try_reserve(one.id, 5000)
+        for one in system.node.feeds.registry.all()
+    ]
+    return system, reservations
+
+
+def test_body_without_room_at_any_endpoint_is_refused_as_not_run(without_room):
+    system, _reservations = without_room
+    refused = system.call("/submit/x", body=b"b" * 5000)
+    assert refused.status == 503
+    assert json.loads(refused.data)["ran"] == "no"
+    assert not arrivals(system)
+    assert system.call("/submit/x", body=b"b" * 100).status == 200
+
+
+def test_request_waits_until_an_endpoint_has_room_for_its_body(without_room):
+    """Guards against a refusal where a short wait is enough."""
+    system, reservations = without_room
+    # A quarter of the target is waited at most.
+    target_ms = 4 * TIMEOUT_S * 1000
+    system.configure(
+        version=2,
+        routes=[
+            {**route, "targetLatencyMs": target_ms, "timeoutMs": target_ms}
+            for route in systems.ROUTES
+        ],
+    )
+    waiting.until(
+        lambda: system.node.feeds.configuration_version() == 2, TIMEOUT_S
+    )
+    timer = threading.Timer(
+        0.3, lambda: [one.release() for one in reservations]
+    )
+    timer.start()
+    assert system.call("/submit/x", body=b"b" * 5000).status == 200
+    timer.join()
