Name the engine that has room first, and count decreases of loads

The queue of waiting requests keeps that engine free for a large prompt, and must not miss a decrease that comes while it looks for capacity; waiting for the next one took up to 50 ms. Nothing uses either yet.

--- a/src/briarseam/placement/cost.py
+++ b/src/briarseam/placement/cost.py
@@ -204,4 +204,7 @@
             query.versions[engine.endpoint.id] < query.required
             for engine in engines
         ),
+        soonest=min(
+            engines, key=lambda engine: engine.typical_fill
+        ).endpoint.id,
     )
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -153,6 +153,7 @@
         self.cells: dict[str, CellTotals] = {}
         self.lock = threading.Lock()
         self.decreased = threading.Condition(self.lock)
+        self.decreases = 0
 
     def add(self, endpoint: str, load: Load) -> None:
         """Add to this instance's load of an endpoint."""
@@ -169,18 +170,37 @@
             else:
                 self.own[endpoint] = remaining
             self.record_change()
-            self.decreased.notify_all()
+            self.record_decrease()
 
     def record_change(self) -> None:
         """Count a change of this instance's load; requires the lock."""
         self.sequence += 1
         self.changed.set()
 
+    def record_decrease(self) -> None:
+        """Count a possible decrease of a load; requires the lock."""
+        self.decreases += 1
+        self.decreased.notify_all()
+
     def wait_for_decrease(self, timeout_s: float) -> None:
         """Wait until the load may have decreased, locally or elsewhere."""
         with self.lock:
             self.decreased.wait(timeout_s)
 
+    def wait_for_decrease_since(self, count: int, timeout_s: float) -> int:
+        """Wait until there were more decreases than a number.
+
+        A decrease since that number was read is not missed.
+
+        Returns
+        -------
+        int
+            The number of decreases.
+        """
+        with self.lock:
+            self.decreased.wait_for(lambda: self.decreases != count, timeout_s)
+            return self.decreases
+
     def of(self, endpoint: str) -> Load:
         """Return the total load of an endpoint, estimated where unknown."""
         with self.lock:
@@ -214,7 +234,7 @@
         """Replace the load of another cell."""
         with self.lock:
             self.cells[cell] = CellTotals(loads, instances, self.clock())
-            self.decreased.notify_all()
+            self.record_decrease()
 
     def expire_cells(self, age_s: float) -> None:
         """Drop loads of other cells that were received too long ago."""
@@ -260,7 +280,7 @@
                 report.incarnation, report.sequence, []
             )
             self.replace(member, loads)
-            self.decreased.notify_all()
+            self.record_decrease()
 
     def keep_only(self, members: frozenset[str]) -> None:
         """Drop the loads of all peers but these."""
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -132,6 +132,8 @@
         Number of compared engines, and of their free slots.
     outdated
         Number of engines with weights too old for any request.
+    soonest
+        Id of the engine with the lowest share, which has room first.
     """
 
     min_fill: float
@@ -139,6 +141,7 @@
     engines: int
     free_slots: int
     outdated: int
+    soonest: str = ""
 
     def __str__(self) -> str:
         """Return the grounds for the refusal, for the log."""
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -147,6 +147,16 @@
     )
 
 
+def test_engine_that_has_room_first_is_named(case):
+    """Guards against a reservation at an engine that stays full longer."""
+    for number, tokens in enumerate((95_000, 91_000, 99_000)):
+        load = loads.Load(requests=1, memory_tokens=tokens)
+        case.chooser.loads.add(f"e{number}", load)
+    full = case.place(tokens=20_000)
+    assert full.soonest == "e1"
+    assert full.free_slots == 21
+
+
 def test_least_loaded_of_many_engines_is_not_always_chosen():
     """Guards against instances that all choose the same idle engine.
 
--- a/tests/placement/test_loads.py
+++ b/tests/placement/test_loads.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import msgpack
 import pytest
 
@@ -116,3 +118,17 @@
     with pytest.raises(ValueError):
         local.consume("peer", msgpack.packb([7, 1, [row]]))
     assert local.of("engine-1") == LOAD
+
+
+def test_decrease_before_the_wait_is_not_missed():
+    """Guards against waiters that sleep though capacity has become free
+    while they looked for it.
+    """
+    local = loads.Loads()
+    seen = local.decreases
+    local.add("e", loads.Load(requests=1))
+    assert local.wait_for_decrease_since(seen, 0.01) == seen
+    local.subtract("e", loads.Load(requests=1))
+    began_s = time.monotonic()
+    assert local.wait_for_decrease_since(seen, 10.0) == seen + 1
+    assert time.monotonic() - began_s < 5.0
