--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -40,6 +40,7 @@
         "orders",
         "origins",
         "placement",
+        "queueing",
         "routing",
         "weights",
     ),
@@ -391,6 +392,6 @@
 
 
 def test_module_of_no_layer_is_found():
-    assert layer_of("queueing.state") is None
+    assert layer_of("unlisted.state") is None
     assert layer_of("orders.goals") == "state"
     assert layer_of("orders.planner") == "decisions"
