--- /dev/null
+++ b/src/briarseam/queueing/service_queue.py
@@ -0,0 +1,321 @@
+"""The waiting requests of one service, and the rounds that grant capacity."""
+
+from __future__ import annotations
+
+import random
+import threading
+import typing
+
+from briarseam.placement import requests
+from briarseam.queueing import estimate as estimates
+from briarseam.queueing import order as orders
+from briarseam.queueing import tickets
+
+# How often all waiters are checked for whether they can still be answered.
+# The check takes about 10 us for each, too much for each change of a load.
+REVIEW_INTERVAL_S = 0.05
+# Requests that meet the same endpoints in the same way: of one route and
+# with equal constraints.
+Group = tuple[str, typing.Hashable]
+
+
+def group_of(waiter: orders.Waiter) -> Group:
+    """Return the group of a waiter."""
+    return waiter.route, waiter.constraints
+
+
+class Passing:
+    """Which requests may be placed before others that found no capacity.
+
+    If one lacks memory, others may pass it at all engines but the one that
+    will have memory first.  If it lacks anything else, others that may be
+    sent to the same endpoints would only delay it.
+
+    Attributes
+    ----------
+    kept_free
+        Endpoints that are kept free for requests before.
+    """
+
+    def __init__(self) -> None:
+        self.kept_free: frozenset[str] = frozenset()
+        self.closed: set[typing.Hashable] = set()
+
+    def allows(self, waiter: orders.Waiter) -> bool:
+        """Return whether a request may be placed at all."""
+        return waiter.constraints not in self.closed
+
+    def record(
+        self, waiter: orders.Waiter, obstacle: tickets.Obstacle | None
+    ) -> None:
+        """Record what a request met that comes before the next one."""
+        match obstacle:
+            case requests.NoCapacity(free_slots=slots, soonest=soonest) if (
+                slots > 0 and soonest
+            ):
+                self.kept_free = self.kept_free or frozenset({soonest})
+            case (
+                requests.NoCapacity()
+                | requests.QueueFull()
+                | requests.AtLimit()
+            ):
+                self.closed.add(waiter.constraints)
+
+
+class ServiceQueue:
+    """The waiting requests of one service; thread-safe.
+
+    One thread at a time, any of those that wait or the queue's own, goes
+    through the waiters in their order and tries to place them.
+
+    Parameters
+    ----------
+    clock
+        Seconds.
+
+    Attributes
+    ----------
+    answer_time
+        Time from a grant to the answer.
+    body_bytes
+        Size of the waiters' bodies.
+    """
+
+    def __init__(self, clock: typing.Callable[[], float]) -> None:
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.order = orders.Order()
+        self.tickets: dict[orders.Waiter, tickets.Ticket] = {}
+        self.rate = estimates.GrantRate()
+        self.arrivals = estimates.ArrivalRate()
+        self.answer_time = estimates.AnswerTime()
+        self.body_bytes = 0
+        self.next_review_s = 0.0
+        # Groups that found no capacity since it may last have increased.
+        self.obstacles: dict[Group, tickets.Obstacle] = {}
+
+    def __len__(self) -> int:
+        """Return the number of waiters."""
+        return len(self.tickets)
+
+    def enter(self, ticket: tickets.Ticket) -> None:
+        """Add a request; place it if it is its turn, or refuse it."""
+        waiter = ticket.waiter
+        with self.lock:
+            now_s = self.clock()
+            self.tickets[waiter] = ticket
+            self.order.add(waiter)
+            self.body_bytes += waiter.body_bytes
+            self.arrivals.record(now_s, waiter.work)
+            if group_of(waiter) not in self.obstacles:
+                self.run_round(ticket)
+            if ticket.outcome is None:
+                self.rate.begin(now_s)
+                self.order.demote_late(now_s, self.answer_time.seconds())
+                turn = self.order.turn_of(waiter)
+                self.refuse_if_too_late(turn, 0, now_s)
+
+    def retry(self) -> None:
+        """Place what can be placed, after capacity may have increased."""
+        with self.lock:
+            if not self.tickets:
+                return
+            self.obstacles.clear()
+            self.run_round()
+            now_s = self.clock()
+            if now_s >= self.next_review_s:
+                self.next_review_s = now_s + REVIEW_INTERVAL_S
+                self.review(now_s)
+
+    def leave(self, ticket: tickets.Ticket) -> bool:
+        """Remove a request whose caller left.
+
+        Returns
+        -------
+        bool
+            Whether it was still waiting.
+        """
+        with self.lock:
+            if ticket.ended.is_set():
+                return False
+            self.order.remove(ticket.waiter)
+            self.forget(ticket)
+            # Capacity that was kept free for it can be used.
+            self.obstacles.pop(group_of(ticket.waiter), None)
+            return True
+
+    def refuse_last(self) -> bool:
+        """Refuse the request that is last in the order, if there is any.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        with self.lock:
+            turns = self.order.turns()
+            if not turns:
+                return False
+            # The first waiters of a kind that others pass have less work
+            # ahead of them than their position shows.
+            last = max(
+                turns, key=lambda turn: (turn.work_ahead, turn.position)
+            )
+            estimate = self.estimate(last, 0, self.clock())
+            self.refuse(tickets.Cause.FULL, estimate, last.waiter)
+            return True
+
+    def run_round(self, until: tickets.Ticket | None = None) -> None:
+        """Try the waiters in their order; requires the lock.
+
+        Parameters
+        ----------
+        until
+            The round ends once this request doesn't wait any more.
+        """
+        self.order.demote_late(self.clock(), self.answer_time.seconds())
+        while not self.sweep(until):
+            continue
+
+    def sweep(self, until: tickets.Ticket | None) -> bool:
+        """Try the waiters in their order once; requires the lock.
+
+        A group is tried until one of its requests finds no capacity.
+
+        Returns
+        -------
+        bool
+            Whether that was all; if not, a kind of requests is due by aging
+            and the order has changed.
+        """
+        passing = Passing()
+        due = self.order.due_kinds().keys()
+        for waiter in self.order.ranked():
+            group = group_of(waiter)
+            if group not in self.obstacles and passing.allows(waiter):
+                self.attempt(self.tickets[waiter], passing.kept_free)
+                if until is not None and until.outcome is not None:
+                    return True
+                if not self.order.due_kinds().keys() <= due:
+                    return False
+            passing.record(waiter, self.obstacles.get(group))
+        return True
+
+    def review(self, now_s: float) -> None:
+        """Refuse waiters that can't be answered; requires the lock."""
+        work_refused = 0
+        for turn in self.order.turns():
+            if self.refuse_if_too_late(turn, work_refused, now_s):
+                work_refused += turn.waiter.work
+
+    def attempt(
+        self, ticket: tickets.Ticket, kept_free: frozenset[str]
+    ) -> None:
+        """Try to place a request; requires the lock.
+
+        Parameters
+        ----------
+        ticket
+            The request.
+        kept_free
+            Endpoints that are kept free for requests before it.
+        """
+        waiter = ticket.waiter
+        try:
+            result = ticket.try_place(kept_free)
+        except Exception as error:
+            self.order.remove(waiter)
+            self.forget(ticket)
+            ticket.end(tickets.Raised(error))
+            return
+        match result:
+            case requests.Placement():
+                self.rate.record(self.clock(), waiter.work)
+                self.order.grant(waiter)
+                self.forget(ticket)
+                ticket.end(result)
+            case (
+                requests.NoCapacity()
+                | requests.QueueFull()
+                | requests.AtLimit()
+            ):
+                self.hold_up(ticket, result)
+            case _ if kept_free:
+                # Without the endpoints kept free, none may be left.
+                self.hold_up(ticket, tickets.KeptFree())
+            case _:
+                self.order.remove(waiter)
+                self.forget(ticket)
+                ticket.end(result)
+
+    def hold_up(
+        self, ticket: tickets.Ticket, obstacle: tickets.Obstacle
+    ) -> None:
+        """Record that a request found no capacity; requires the lock."""
+        ticket.obstacle = obstacle
+        self.obstacles[group_of(ticket.waiter)] = obstacle
+
+    def estimate(
+        self, turn: orders.Turn, work_refused: int, now_s: float
+    ) -> estimates.Estimate:
+        """Return when a waiter gets its turn; requires the lock.
+
+        Parameters
+        ----------
+        turn
+            Its place in the order.
+        work_refused
+            Work before it that was refused since.
+        now_s
+            Time by the boot clock.
+        """
+        typical_work = self.order.work / max(len(self.order), 1)
+        return estimates.Estimate(
+            position=turn.position,
+            work_ahead=max(0.0, turn.work_ahead - work_refused),
+            work=turn.waiter.work,
+            work_per_s=self.rate.per_s(now_s, typical_work),
+            arriving_per_s=self.arrivals.per_s(now_s),
+            answer_s=self.answer_time.seconds(),
+            target_left_s=turn.waiter.target_s - now_s,
+            left_s=turn.waiter.deadline_s - now_s,
+            first_of_kind=turn.first_of_kind,
+        )
+
+    def refuse_if_too_late(
+        self, turn: orders.Turn, work_refused: int, now_s: float
+    ) -> bool:
+        """Refuse a waiter that can't be answered; requires the lock.
+
+        Returns
+        -------
+        bool
+            Whether it was refused.
+        """
+        estimate = self.estimate(turn, work_refused, now_s)
+        if estimate.is_too_late:
+            self.refuse(tickets.Cause.TOO_LATE, estimate, turn.waiter)
+        return estimate.is_too_late
+
+    def refuse(
+        self,
+        cause: tickets.Cause,
+        estimate: estimates.Estimate,
+        waiter: orders.Waiter,
+    ) -> None:
+        """Refuse a waiter; requires the lock."""
+        ticket = self.tickets[waiter]
+        self.order.remove(waiter)
+        self.forget(ticket)
+        retry_after_s = estimate.retry_after_s(random.random())
+        ticket.end(
+            tickets.Refused(cause, estimate, retry_after_s, ticket.obstacle)
+        )
+
+    def forget(self, ticket: tickets.Ticket) -> None:
+        """Drop a request that waits no more; requires the lock."""
+        del self.tickets[ticket.waiter]
+        self.body_bytes -= ticket.waiter.body_bytes
+        if not self.tickets:
+            self.obstacles.clear()
+            self.rate.end(self.clock())
