Requests wait in one queue with [load] ordered_waiting

A request that found no capacity asked the chooser again whenever any load fell, in arbitrary order, and was refused after a quarter of its target with Retry-After 0.3 s. With the switch it enters the queue, which counts the load of a placement at once, so that requests of one round see each other. With the switch off, nothing changes but three metrics that stay empty.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -211,6 +211,9 @@
             self.malformed_counter,
         )
         self.supervisor = supervision.Supervisor()
+        self.waiting = node_forwarding.waiting_queue(
+            settings.load, self.chooser.loads, self.metrics
+        )
         self.forwarding = forwarding.Forwarding(self.forwarding_dependencies())
         self.servers = self.build_servers()
         self.reloading = reloading.SettingsReloader(
@@ -257,6 +260,7 @@
             self.cell_limits,
             self.cell_rejection_limits,
             self.peer_connector,
+            *([] if self.waiting is None else [self.waiting]),
         )
         node_metrics.register(self.metrics, self.readings())
         self.threads = threads.ThreadGauge(self.metrics)
@@ -309,6 +313,7 @@
                 in_flight=self.in_flight,
                 shutdown=self.shutdown,
                 metrics=self.metrics,
+                waiting=self.waiting,
             ),
         )
 
--- a/src/briarseam/compose/node_forwarding.py
+++ b/src/briarseam/compose/node_forwarding.py
@@ -11,6 +11,7 @@
 from briarseam.forwarding import retry_budget
 from briarseam.platform import answers
 from briarseam.platform import call_codec
+from briarseam.queueing import service as queueing
 
 if typing.TYPE_CHECKING:
     from briarseam import inflight
@@ -23,6 +24,7 @@
     from briarseam.forwarding import supervision
     from briarseam.metrics import registry
     from briarseam.placement import chooser as choosers
+    from briarseam.placement import loads as load_module
     from briarseam.routes import table as tables
     from briarseam.settings import serving
 
@@ -34,7 +36,7 @@
     Attributes
     ----------
     table, chooser, sender, relays, crashes, origins, supervisor, in_flight,
-    shutdown
+    shutdown, waiting
         As in :class:`briarseam.forwarding.request_context.Dependencies`.
     instances
         All instances, which share the slack of the retry budget.
@@ -53,6 +55,30 @@
     in_flight: inflight.InFlight
     shutdown: shutdowns.Shutdown
     metrics: registry.Registry
+    waiting: queueing.WaitingQueue | None
+
+
+def waiting_queue(
+    load: serving.Load,
+    loads: load_module.Loads,
+    metrics: registry.Registry,
+) -> queueing.WaitingQueue | None:
+    """Return the queue of waiting requests; ``None`` if it is switched off.
+
+    Parameters
+    ----------
+    load
+        Settings of decisions under heavy load.
+    loads
+        Load of endpoints.
+    metrics
+        The registry of metrics.
+    """
+    queue_metrics = node_metrics.queue_metrics(metrics)
+    if not load.ordered_waiting:
+        return None
+    limits = queueing.Limits(load.queue_requests, load.queue_bytes)
+    return queueing.WaitingQueue(limits, loads, queue_metrics)
 
 
 def dependencies(
@@ -86,4 +112,5 @@
         in_flight=parts.in_flight,
         shutdown=parts.shutdown,
         metrics=node_metrics.forwarding_metrics(parts.metrics),
+        waiting=parts.waiting,
     )
--- a/src/briarseam/compose/node_metrics.py
+++ b/src/briarseam/compose/node_metrics.py
@@ -7,6 +7,7 @@
 
 from briarseam import malformed
 from briarseam.forwarding import request_context
+from briarseam.queueing import service as queueing
 
 if typing.TYPE_CHECKING:
     from briarseam.metrics import instruments
@@ -230,3 +231,23 @@
             "answer_us", "Time from a request to the end of it"
         ),
     )
+
+
+def queue_metrics(registry: metrics.Registry) -> queueing.Metrics:
+    """Return the metrics of the queue of waiting requests."""
+    return queueing.Metrics(
+        waiting=registry.gauges(
+            "queued_requests",
+            "Requests that wait for capacity in the queue, by service",
+            ("service",),
+        ),
+        ends=registry.counters(
+            "queue_ends_total",
+            "Requests by how their time in the queue ended",
+            ("end",),
+        ),
+        wait_us=registry.latency(
+            "queue_wait_us",
+            "Time in the queue of requests that got no capacity at once",
+        ),
+    )
--- a/src/briarseam/forwarding/refusing.py
+++ b/src/briarseam/forwarding/refusing.py
@@ -149,6 +149,17 @@
     return verdict.NotRun(verdict.Reason.MALFORMED, detail)
 
 
+def busy(retry_after_s: float) -> verdict.NotRun:
+    """Return the verdict on a request for which there is no capacity.
+
+    Parameters
+    ----------
+    retry_after_s
+        When there will be, in seconds.
+    """
+    return dataclasses.replace(BUSY, retry_after_s=retry_after_s)
+
+
 def not_taken(retry_after_s: float | None) -> verdict.NotRun:
     """Return the verdict on a request that no instance could take.
 
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -28,6 +28,8 @@
     from briarseam.forwarding import supervision
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
+    from briarseam.placement import loads
+    from briarseam.queueing import service as queueing
     from briarseam.routes import model as routes
 
 
@@ -123,6 +125,9 @@
         Decides which requests are accepted during a shutdown.
     metrics
         Metrics of forwarding.
+    waiting
+        The queue in which requests wait for capacity; ``None`` if each waits
+        by itself.
     """
 
     table: typing.Callable[[], tables.RouteTable | None]
@@ -138,6 +143,7 @@
     in_flight: inflight.InFlight
     shutdown: shutdowns.Shutdown
     metrics: Metrics
+    waiting: queueing.WaitingQueue | None = None
 
 
 @dataclasses.dataclass
@@ -177,6 +183,9 @@
     software
         Software version of the endpoint that began the stream, which must
         continue it; ``None`` before the first event.
+    counted_load
+        Load that was counted when the request was placed, until it is sent;
+        ``None`` if it is counted when it is sent.
     """
 
     exchange: server.Exchange
@@ -200,6 +209,12 @@
     refusal: verdict.Verdict | None = None
     failed: outcomes.Failed | None = None
     software: str | None = None
+    counted_load: loads.Load | None = None
+
+    def take_counted_load(self) -> loads.Load | None:
+        """Return the load counted in advance, for the send to remove."""
+        counted, self.counted_load = self.counted_load, None
+        return counted
 
     def request(self) -> placements.Request:
         """Return the request for the endpoint chooser."""
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -14,6 +14,7 @@
 from briarseam.forwarding import attempts
 from briarseam.forwarding import crash_checks
 from briarseam.forwarding import final_answers
+from briarseam.forwarding import ordered_waiting
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import preparing
 from briarseam.forwarding import refusing
@@ -28,6 +29,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
+    from briarseam.placement import loads
 
 # Share of a route's target latency for which a request waits for capacity.
 # After a longer wait the answer would be late anyway, so the caller is asked
@@ -145,14 +147,14 @@
                 return self.answers.answer_failure(context)
             refusal = self.deps.crashes.refusal_of_send(context.crash_state)
             if refusal is not None:
-                self.deps.chooser.release(placement)
+                self.release_unsent(context, placement)
                 context.steps.append(f"excluded ({refusal.detail})")
                 context.refusal = refusal
                 return self.answers.answer_failure(context)
             if context.sends and not self.deps.budget.try_withdraw(
                 context.service.name
             ):
-                self.deps.chooser.release(placement)
+                self.release_unsent(context, placement)
                 context.steps.append("no-retry-budget")
                 return self.answers.answer_failure(context)
             outcome = self.send(context, placement)
@@ -163,6 +165,15 @@
             if not request_context.may_retry(context):
                 return self.answers.answer_failure(context)
 
+    def release_unsent(
+        self, context: request_context.Context, placement: placements.Placement
+    ) -> None:
+        """Free the capacity of a request that is not sent after all."""
+        self.deps.chooser.release(placement)
+        counted = context.take_counted_load()
+        if counted is not None:
+            self.deps.chooser.record_end(placement, context.call, counted)
+
     def count(self, context: request_context.Context) -> None:
         """Count a request once, at the instance that has it answered."""
         if not context.counted:
@@ -210,6 +221,8 @@
     ) -> placements.Placement | placements.Unreachable | verdict.NotRun:
         """Return the endpoint for a request, waiting briefly for capacity."""
         chooser = self.deps.chooser
+        if self.deps.waiting is not None:
+            return ordered_waiting.acquire(self.deps.waiting, chooser, context)
         max_wait_s = context.route.target_latency_s * MAX_WAIT_SHARE
         start_s = clocks.boot_clock() if context.sends else context.arrived_s
         wait_until_s = start_s + max_wait_s
@@ -290,6 +303,35 @@
         if shows_endpoint(outcome):
             reachability.record_heard_from(endpoint)
 
+    def count_load(
+        self, context: request_context.Context, placement: placements.Placement
+    ) -> loads.Load:
+        """Return the load of a request to be sent, counted just once."""
+        counted = context.take_counted_load()
+        if counted is not None:
+            return counted
+        return self.deps.chooser.record_start(placement, context.call)
+
+    def record_answer_time(
+        self,
+        context: request_context.Context,
+        took_s: float,
+        first_event_ms: int | None = None,
+    ) -> None:
+        """Record the time from a send to its first event, or its answer.
+
+        Parameters
+        ----------
+        context
+            The request.
+        took_s
+            That time, in seconds.
+        first_event_ms
+            Time to the first event if that was recorded before, in ms.
+        """
+        if self.deps.waiting is not None and first_event_ms is None:
+            self.deps.waiting.record_answer(context.service.name, took_s)
+
     def send(
         self, context: request_context.Context, placement: placements.Placement
     ) -> outcomes.Outcome:
@@ -300,7 +342,7 @@
         sent_s = clocks.boot_clock()
         first_event_ms: int | None = None
         undecided = True
-        added = chooser.record_start(placement, context.call)
+        added = self.count_load(context, placement)
         chooser.reachability.record_sent(placement.endpoint.service)
         crashes.record_start(context.crash_state)
         if context.exchange.relayed:
@@ -328,6 +370,7 @@
                 placement, request, added, took_s
             )
             first_event_ms = round(took_s * 1000)
+            self.record_answer_time(context, took_s)
             if not context.progress.events_sent:
                 waited_s = now_s - context.arrived_s
                 self.deps.metrics.first_event_us.record_s(waited_s)
@@ -364,6 +407,7 @@
             if isinstance(outcome, outcomes.Answered):
                 took_s = clocks.boot_clock() - sent_s
                 chooser.record_answer(placement, request, took_s)
+                self.record_answer_time(context, took_s, first_event_ms)
             crashes.record_outcome(
                 context.crash_state, placement.endpoint, outcome, sent_s
             )
--- a/src/briarseam/queueing/order.py
+++ b/src/briarseam/queueing/order.py
@@ -3,108 +3,16 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
-import enum
-import typing
 
 from briarseam.admission import fair_queue
+from briarseam.queueing import waiters
 
 # While a kind of request waits, at least one grant in this many goes to it,
 # so that more urgent ones can't starve it.
 AGING_INTERVAL = 16
 
 
-@dataclasses.dataclass(frozen=True, eq=False)
-class Waiter:
-    """A request that waits for capacity; compared by identity.
-
-    Attributes
-    ----------
-    service, route, organisation
-        Names; the organisation is empty for an anonymous caller.
-    priority
-        0 is the most urgent.
-    arrived_s
-        When it arrived, by the boot clock.
-    target_s
-        When its answer, or the first event of it, counts as late, by the
-        boot clock.
-    deadline_s
-        When its caller stops waiting, by the boot clock.
-    work
-        Prompt tokens; 1 for a request without a prompt.
-    body_bytes
-        Size of its body.
-    resumed
-        Whether it was sent before, or its caller has part of the answer.
-    constraints
-        Equal for requests that may be sent to the same endpoints.
-    request
-        Id of the request, for the log.
-    """
-
-    service: str
-    route: str
-    organisation: str
-    priority: int
-    arrived_s: float
-    target_s: float
-    deadline_s: float
-    work: int
-    body_bytes: int = 0
-    resumed: bool = False
-    constraints: typing.Hashable = None
-    request: str = ""
-
-    @property
-    def kind(self) -> Kind:
-        """What aging counts by: an organisation may change the priority."""
-        return self.route, self.priority
-
-
-class Stage(enum.IntEnum):
-    """Classes of requests; a lower one is served first.
-
-    Attributes
-    ----------
-    RESUMED
-        Sent before, or partly answered.
-    IN_TIME
-        Can meet the target latency.
-    LATE
-        Can be answered, but only late.
-    """
-
-    RESUMED = 0
-    IN_TIME = 1
-    LATE = 2
-
-
-Kind = tuple[str, int]
-Level = tuple[Stage, int]
-Queue = fair_queue.FairQueue[Waiter]
-
-
-@dataclasses.dataclass(frozen=True)
-class Turn:
-    """A waiter's place in the order.
-
-    Attributes
-    ----------
-    waiter
-        The request.
-    position
-        Number of requests before it.
-    work_ahead
-        Work that is granted before it at most, of those that wait now.
-    first_of_kind
-        Whether it is the next one that aging applies to.
-    """
-
-    waiter: Waiter
-    position: int
-    work_ahead: float
-    first_of_kind: bool
+Queue = fair_queue.FairQueue[waiters.Waiter]
 
 
 class Order:
@@ -124,26 +32,28 @@
     """
 
     def __init__(self) -> None:
-        self.queues: dict[Level, Queue] = {}
-        self.level_of: dict[Waiter, Level] = {}
-        self.waiting: collections.Counter[Kind] = collections.Counter()
-        self.passed: dict[Kind, int] = {}
+        self.queues: dict[waiters.Level, Queue] = {}
+        self.level_of: dict[waiters.Waiter, waiters.Level] = {}
+        self.waiting: collections.Counter[waiters.Kind] = collections.Counter()
+        self.passed: dict[waiters.Kind, int] = {}
         self.work = 0
 
     def __len__(self) -> int:
         """Return the number of waiters."""
         return len(self.level_of)
 
-    def add(self, waiter: Waiter) -> None:
+    def add(self, waiter: waiters.Waiter) -> None:
         """Add a waiter."""
-        stage = Stage.RESUMED if waiter.resumed else Stage.IN_TIME
+        stage = (
+            waiters.Stage.RESUMED if waiter.resumed else waiters.Stage.IN_TIME
+        )
         self.push(waiter, (stage, 0 if waiter.resumed else waiter.priority))
         self.work += waiter.work
         if not waiter.resumed:
             self.waiting[waiter.kind] += 1
             self.passed.setdefault(waiter.kind, 0)
 
-    def push(self, waiter: Waiter, level: Level) -> None:
+    def push(self, waiter: waiters.Waiter, level: waiters.Level) -> None:
         """Put a waiter on a level."""
         queue = self.queues.get(level)
         if queue is None:
@@ -152,7 +62,7 @@
         queue.push(waiter.organisation, rank, waiter)
         self.level_of[waiter] = level
 
-    def remove(self, waiter: Waiter) -> None:
+    def remove(self, waiter: waiters.Waiter) -> None:
         """Remove a waiter that was not granted anything."""
         level = self.level_of.pop(waiter)
         self.queues[level].remove(waiter.organisation, waiter)
@@ -165,7 +75,7 @@
             del self.waiting[waiter.kind]
             del self.passed[waiter.kind]
 
-    def grant(self, waiter: Waiter) -> None:
+    def grant(self, waiter: waiters.Waiter) -> None:
         """Remove a waiter that got capacity, and charge its organisation."""
         queue = self.queues[self.level_of[waiter]]
         queue.charge(waiter.organisation, waiter.work)
@@ -188,14 +98,15 @@
         late = [
             waiter
             for waiter, (stage, _priority) in self.level_of.items()
-            if stage is Stage.IN_TIME and now_s + answer_s > waiter.target_s
+            if stage is waiters.Stage.IN_TIME
+            and now_s + answer_s > waiter.target_s
         ]
         for waiter in late:
             level = self.level_of[waiter]
             self.queues[level].remove(waiter.organisation, waiter)
-            self.push(waiter, (Stage.LATE, waiter.priority))
+            self.push(waiter, (waiters.Stage.LATE, waiter.priority))
 
-    def ranked(self) -> list[Waiter]:
+    def ranked(self) -> list[waiters.Waiter]:
         """Return all waiters, the next one first."""
         by_level = [
             waiter
@@ -214,7 +125,7 @@
         ]
         return [*resumed, *due, *others]
 
-    def due_kinds(self) -> dict[Kind, int]:
+    def due_kinds(self) -> dict[waiters.Kind, int]:
         """Return the kinds whose turn it is by aging, with their counts."""
         return {
             kind: count
@@ -222,12 +133,14 @@
             if count >= AGING_INTERVAL - 1
         }
 
-    def first_of_due_kinds(self, ranked: list[Waiter]) -> list[Waiter]:
+    def first_of_due_kinds(
+        self, ranked: list[waiters.Waiter]
+    ) -> list[waiters.Waiter]:
         """Return the first waiter of each kind that has waited too long."""
         due = self.due_kinds()
         if not due:
             return []
-        first: dict[Kind, Waiter] = {}
+        first: dict[waiters.Kind, waiters.Waiter] = {}
         for waiter in ranked:
             if waiter.kind in due and not waiter.resumed:
                 first.setdefault(waiter.kind, waiter)
@@ -235,9 +148,9 @@
             first.values(), key=lambda waiter: due[waiter.kind], reverse=True
         )
 
-    def turns(self) -> list[Turn]:
+    def turns(self) -> list[waiters.Turn]:
         """Return the turns of all waiters, the next one first."""
-        seen: collections.Counter[Kind] = collections.Counter()
+        seen: collections.Counter[waiters.Kind] = collections.Counter()
         work_before = 0
         turns = []
         for position, waiter in enumerate(self.ranked()):
@@ -247,7 +160,7 @@
             work_before += waiter.work
         return turns
 
-    def turn_of(self, waiter: Waiter) -> Turn:
+    def turn_of(self, waiter: waiters.Waiter) -> waiters.Turn:
         """Return the turn of one waiter; a kind that is due is left out."""
         own = self.level_of[waiter]
         before = [
@@ -268,8 +181,12 @@
         )
 
     def turn(
-        self, waiter: Waiter, position: int, work_before: int, of_kind: int
-    ) -> Turn:
+        self,
+        waiter: waiters.Waiter,
+        position: int,
+        work_before: int,
+        of_kind: int,
+    ) -> waiters.Turn:
         """Return the turn of a waiter.
 
         A kind that others pass gets its turn by aging at the latest.  Without
@@ -288,22 +205,26 @@
             Number of these that are of its kind.
         """
         if waiter.resumed:
-            return Turn(waiter, position, work_before, first_of_kind=False)
+            return waiters.Turn(
+                waiter, position, work_before, first_of_kind=False
+            )
         grants = AGING_INTERVAL * (of_kind + 1) - 1 - self.passed[waiter.kind]
         bound = max(grants, 0) * self.work / len(self)
-        return Turn(waiter, position, min(work_before, bound), of_kind == 0)
+        return waiters.Turn(
+            waiter, position, min(work_before, bound), of_kind == 0
+        )
 
 
-def ranked_in(queue: Queue) -> list[Waiter]:
+def ranked_in(queue: Queue) -> list[waiters.Waiter]:
     """Return the waiters of a fair queue in the order of their grants."""
-    by_organisation: dict[str, list[Waiter]] = {}
+    by_organisation: dict[str, list[waiters.Waiter]] = {}
     for organisation, waiter in queue.items():
         by_organisation.setdefault(organisation, []).append(waiter)
-    tagged: list[tuple[float, float, float, int, Waiter]] = []
-    for organisation, waiters in by_organisation.items():
+    tagged: list[tuple[float, float, float, int, waiters.Waiter]] = []
+    for organisation, queued in by_organisation.items():
         tag = queue.start_tag(organisation)
-        waiters.sort(key=lambda waiter: (waiter.deadline_s, waiter.arrived_s))
-        for waiter in waiters:
+        queued.sort(key=lambda waiter: (waiter.deadline_s, waiter.arrived_s))
+        for waiter in queued:
             # The length makes the key unique: waiters have no order.
             tagged.append(
                 (
--- a/src/briarseam/queueing/service.py
+++ b/src/briarseam/queueing/service.py
@@ -10,7 +10,6 @@
 
 from briarseam import clocks
 from briarseam import verdict
-from briarseam.queueing import order
 from briarseam.queueing import service_queue
 from briarseam.queueing import tickets
 
@@ -18,6 +17,7 @@
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
     from briarseam.placement import loads as load_module
+    from briarseam.queueing import waiters
 
 # How often a waiting thread checks whether its caller left, and the queue
 # whether waiters have become hopeless or capacity has changed unnoticed.
@@ -109,7 +109,7 @@
 
     def acquire(
         self,
-        waiter: order.Waiter,
+        waiter: waiters.Waiter,
         try_place: tickets.TryPlace,
         check: typing.Callable[[], None],
     ) -> tickets.Final | tickets.Refused:
@@ -182,7 +182,7 @@
 
     def log_refusal(
         self,
-        waiter: order.Waiter,
+        waiter: waiters.Waiter,
         refused: tickets.Refused,
         entered_s: float,
     ) -> None:
--- a/src/briarseam/queueing/service_queue.py
+++ b/src/briarseam/queueing/service_queue.py
@@ -9,8 +9,12 @@
 from briarseam.placement import requests
 from briarseam.queueing import estimate as estimates
 from briarseam.queueing import order as orders
+from briarseam.queueing import passing as passings
 from briarseam.queueing import tickets
 
+if typing.TYPE_CHECKING:
+    from briarseam.queueing import waiters
+
 # How often all waiters are checked for whether they can still be answered.
 # The check takes about 10 us for each, too much for each change of a load.
 REVIEW_INTERVAL_S = 0.05
@@ -19,49 +23,11 @@
 Group = tuple[str, typing.Hashable]
 
 
-def group_of(waiter: orders.Waiter) -> Group:
+def group_of(waiter: waiters.Waiter) -> Group:
     """Return the group of a waiter."""
     return waiter.route, waiter.constraints
 
 
-class Passing:
-    """Which requests may be placed before others that found no capacity.
-
-    If one lacks memory, others may pass it at all engines but the one that
-    will have memory first.  If it lacks anything else, others that may be
-    sent to the same endpoints would only delay it.
-
-    Attributes
-    ----------
-    kept_free
-        Endpoints that are kept free for requests before.
-    """
-
-    def __init__(self) -> None:
-        self.kept_free: frozenset[str] = frozenset()
-        self.closed: set[typing.Hashable] = set()
-
-    def allows(self, waiter: orders.Waiter) -> bool:
-        """Return whether a request may be placed at all."""
-        return waiter.constraints not in self.closed
-
-    def record(
-        self, waiter: orders.Waiter, obstacle: tickets.Obstacle | None
-    ) -> None:
-        """Record what a request met that comes before the next one."""
-        match obstacle:
-            case requests.NoCapacity(free_slots=slots, soonest=soonest) if (
-                slots > 0 and soonest
-            ):
-                self.kept_free = self.kept_free or frozenset({soonest})
-            case (
-                requests.NoCapacity()
-                | requests.QueueFull()
-                | requests.AtLimit()
-            ):
-                self.closed.add(waiter.constraints)
-
-
 class ServiceQueue:
     """The waiting requests of one service; thread-safe.
 
@@ -85,7 +51,7 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.order = orders.Order()
-        self.tickets: dict[orders.Waiter, tickets.Ticket] = {}
+        self.tickets: dict[waiters.Waiter, tickets.Ticket] = {}
         self.rate = estimates.GrantRate()
         self.arrivals = estimates.ArrivalRate()
         self.answer_time = estimates.AnswerTime()
@@ -188,7 +154,7 @@
             Whether that was all; if not, a kind of requests is due by aging
             and the order has changed.
         """
-        passing = Passing()
+        passing = passings.Passing()
         due = self.order.due_kinds().keys()
         for waiter in self.order.ranked():
             group = group_of(waiter)
@@ -256,7 +222,7 @@
         self.obstacles[group_of(ticket.waiter)] = obstacle
 
     def estimate(
-        self, turn: orders.Turn, work_refused: int, now_s: float
+        self, turn: waiters.Turn, work_refused: int, now_s: float
     ) -> estimates.Estimate:
         """Return when a waiter gets its turn; requires the lock.
 
@@ -283,7 +249,7 @@
         )
 
     def refuse_if_too_late(
-        self, turn: orders.Turn, work_refused: int, now_s: float
+        self, turn: waiters.Turn, work_refused: int, now_s: float
     ) -> bool:
         """Refuse a waiter that can't be answered; requires the lock.
 
@@ -301,7 +267,7 @@
         self,
         cause: tickets.Cause,
         estimate: estimates.Estimate,
-        waiter: orders.Waiter,
+        waiter: waiters.Waiter,
     ) -> None:
         """Refuse a waiter; requires the lock."""
         ticket = self.tickets[waiter]
--- a/src/briarseam/queueing/tickets.py
+++ b/src/briarseam/queueing/tickets.py
@@ -12,7 +12,7 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.queueing import estimate as estimates
-    from briarseam.queueing import order
+    from briarseam.queueing import waiters
 
 Final = requests.Placement | requests.Unreachable | verdict.NotRun
 Result = Final | requests.Unplaced
@@ -115,7 +115,7 @@
         Set once there is an outcome.
     """
 
-    def __init__(self, waiter: order.Waiter, try_place: TryPlace) -> None:
+    def __init__(self, waiter: waiters.Waiter, try_place: TryPlace) -> None:
         self.waiter = waiter
         self.try_place = try_place
         self.obstacle: Obstacle = NotTried()
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -111,6 +111,7 @@
         self.http = urllib3.PoolManager(retries=False)
         self.folder = folder
         self.bounds: dict[str, int] = {}
+        self.load: dict[str, object] = {}
         self.node: compose.Node | None = None
 
     def add_worker(
@@ -214,12 +215,15 @@
             for place, port in zip(names, free, strict=True)
         )
         bounds = "\n".join(f"{key} = {n}" for key, n in self.bounds.items())
+        load = "\n".join(
+            f"{key} = {value}" for key, value in self.load.items()
+        )
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[instance]\nname = {name}\nzone = {zone}\nregion = north\n"
             "zone_regions = hall-a:north, hall-b:north, hall-c:south\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.store.address}\n"
-            f"[bounds]\n{bounds}\n"
+            f"[bounds]\n{bounds}\n[load]\n{load}\n"
         )
         return serving.load(str(path))
 
--- a/tests/queueing/playing.py
+++ b/tests/queueing/playing.py
@@ -10,9 +10,9 @@
 from briarseam.discovery import model as discovery
 from briarseam.forwarding import calls
 from briarseam.placement import requests
-from briarseam.queueing import order
 from briarseam.queueing import service_queue
 from briarseam.queueing import tickets
+from briarseam.queueing import waiters
 from tests import clocks
 
 NO_ROOM = requests.NoCapacity(1.0, 0.9, 1, 0, 0)
@@ -30,7 +30,7 @@
     )
 
 
-def waiter(at_s: float = 100.0, **changes: object) -> order.Waiter:
+def waiter(at_s: float = 100.0, **changes: object) -> waiters.Waiter:
     """Return a request of one second of target and three of deadline."""
     fields: dict[str, object] = {
         "service": "s",
@@ -42,7 +42,7 @@
         "deadline_s": at_s + 3.0,
         "work": 1,
     }
-    return order.Waiter(**fields | changes)
+    return waiters.Waiter(**fields | changes)
 
 
 @dataclasses.dataclass
@@ -59,7 +59,7 @@
         What a refusal said.
     """
 
-    request: order.Waiter
+    request: waiters.Waiter
     granted_s: float | None = None
     refused_s: float | None = None
     retry_after_s: float | None = None
@@ -83,7 +83,7 @@
 
     def __init__(
         self,
-        arrivals: list[order.Waiter],
+        arrivals: list[waiters.Waiter],
         slots: int,
         request_s: float,
         ordered: bool = True,
