--- a/src/briarseam/queueing/estimate.py
+++ b/src/briarseam/queueing/estimate.py
@@ -128,6 +128,22 @@
             self.work -= self.arrivals.popleft()[1]
 
 
+@dataclasses.dataclass(frozen=True)
+class Rates:
+    """Rates of work at a service.
+
+    Attributes
+    ----------
+    granted_per_s
+        Work granted per second; ``None`` if not known.
+    arriving_per_s
+        Work that arrives per second.
+    """
+
+    granted_per_s: float | None
+    arriving_per_s: float
+
+
 class AnswerTime:
     """Median time from a grant to the first event or the answer.
 
--- a/src/briarseam/queueing/order.py
+++ b/src/briarseam/queueing/order.py
@@ -164,10 +164,7 @@
         """Return the turn of one waiter; a kind that is due is left out."""
         own = self.level_of[waiter]
         before = [
-            other
-            for level, queue in self.queues.items()
-            if level < own
-            for _organisation, other in queue.items()
+            other for other, level in self.level_of.items() if level < own
         ]
         for other in ranked_in(self.queues[own]):
             if other is waiter:
--- a/src/briarseam/queueing/service_queue.py
+++ b/src/briarseam/queueing/service_queue.py
@@ -18,14 +18,6 @@
 # How often all waiters are checked for whether they can still be answered.
 # The check takes about 10 us for each, too much for each change of a load.
 REVIEW_INTERVAL_S = 0.05
-# Requests that meet the same endpoints in the same way: of one route and
-# with equal constraints.
-Group = tuple[str, typing.Hashable]
-
-
-def group_of(waiter: waiters.Waiter) -> Group:
-    """Return the group of a waiter."""
-    return waiter.route, waiter.constraints
 
 
 class ServiceQueue:
@@ -58,7 +50,7 @@
         self.body_bytes = 0
         self.next_review_s = 0.0
         # Groups that found no capacity since it may last have increased.
-        self.obstacles: dict[Group, tickets.Obstacle] = {}
+        self.obstacles: dict[waiters.Group, tickets.Obstacle] = {}
 
     def __len__(self) -> int:
         """Return the number of waiters."""
@@ -73,13 +65,14 @@
             self.order.add(waiter)
             self.body_bytes += waiter.body_bytes
             self.arrivals.record(now_s, waiter.work)
-            if group_of(waiter) not in self.obstacles:
+            if waiter.group not in self.obstacles:
                 self.run_round(ticket)
             if ticket.outcome is None:
                 self.rate.begin(now_s)
                 self.order.demote_late(now_s, self.answer_time.seconds())
                 turn = self.order.turn_of(waiter)
-                self.refuse_if_too_late(turn, 0, now_s)
+                rates = self.rates(now_s)
+                self.refuse_if_too_late(turn, 0, now_s, rates)
 
     def retry(self) -> None:
         """Place what can be placed, after capacity may have increased."""
@@ -107,7 +100,7 @@
             self.order.remove(ticket.waiter)
             self.forget(ticket)
             # Capacity that was kept free for it can be used.
-            self.obstacles.pop(group_of(ticket.waiter), None)
+            self.obstacles.pop(ticket.waiter.group, None)
             return True
 
     def refuse_last(self) -> bool:
@@ -127,7 +120,8 @@
             last = max(
                 turns, key=lambda turn: (turn.work_ahead, turn.position)
             )
-            estimate = self.estimate(last, 0, self.clock())
+            now_s = self.clock()
+            estimate = self.estimate(last, 0, now_s, self.rates(now_s))
             self.refuse(tickets.Cause.FULL, estimate, last.waiter)
             return True
 
@@ -157,7 +151,7 @@
         passing = passings.Passing()
         due = self.order.due_kinds().keys()
         for waiter in self.order.ranked():
-            group = group_of(waiter)
+            group = waiter.group
             if group not in self.obstacles and passing.allows(waiter):
                 self.attempt(self.tickets[waiter], passing.kept_free)
                 if until is not None and until.outcome is not None:
@@ -170,8 +164,9 @@
     def review(self, now_s: float) -> None:
         """Refuse waiters that can't be answered; requires the lock."""
         work_refused = 0
+        rates = self.rates(now_s)
         for turn in self.order.turns():
-            if self.refuse_if_too_late(turn, work_refused, now_s):
+            if self.refuse_if_too_late(turn, work_refused, now_s, rates):
                 work_refused += turn.waiter.work
 
     def attempt(
@@ -219,10 +214,21 @@
     ) -> None:
         """Record that a request found no capacity; requires the lock."""
         ticket.obstacle = obstacle
-        self.obstacles[group_of(ticket.waiter)] = obstacle
+        self.obstacles[ticket.waiter.group] = obstacle
+
+    def rates(self, now_s: float) -> estimates.Rates:
+        """Return the rates of work; requires the lock."""
+        typical_work = self.order.work / max(len(self.order), 1)
+        return estimates.Rates(
+            self.rate.per_s(now_s, typical_work), self.arrivals.per_s(now_s)
+        )
 
     def estimate(
-        self, turn: waiters.Turn, work_refused: int, now_s: float
+        self,
+        turn: waiters.Turn,
+        work_refused: int,
+        now_s: float,
+        rates: estimates.Rates,
     ) -> estimates.Estimate:
         """Return when a waiter gets its turn; requires the lock.
 
@@ -234,14 +240,15 @@
             Work before it that was refused since.
         now_s
             Time by the boot clock.
+        rates
+            Rates at this time.
         """
-        typical_work = self.order.work / max(len(self.order), 1)
         return estimates.Estimate(
             position=turn.position,
             work_ahead=max(0.0, turn.work_ahead - work_refused),
             work=turn.waiter.work,
-            work_per_s=self.rate.per_s(now_s, typical_work),
-            arriving_per_s=self.arrivals.per_s(now_s),
+            work_per_s=rates.granted_per_s,
+            arriving_per_s=rates.arriving_per_s,
             answer_s=self.answer_time.seconds(),
             target_left_s=turn.waiter.target_s - now_s,
             left_s=turn.waiter.deadline_s - now_s,
@@ -249,7 +256,11 @@
         )
 
     def refuse_if_too_late(
-        self, turn: waiters.Turn, work_refused: int, now_s: float
+        self,
+        turn: waiters.Turn,
+        work_refused: int,
+        now_s: float,
+        rates: estimates.Rates,
     ) -> bool:
         """Refuse a waiter that can't be answered; requires the lock.
 
@@ -258,7 +269,7 @@
         bool
             Whether it was refused.
         """
-        estimate = self.estimate(turn, work_refused, now_s)
+        estimate = self.estimate(turn, work_refused, now_s, rates)
         if estimate.is_too_late:
             self.refuse(tickets.Cause.TOO_LATE, estimate, turn.waiter)
         return estimate.is_too_late
--- a/src/briarseam/queueing/waiters.py
+++ b/src/briarseam/queueing/waiters.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 import typing
 
 
@@ -49,11 +50,16 @@
     constraints: typing.Hashable = None
     request: str = ""
 
-    @property
+    @functools.cached_property
     def kind(self) -> Kind:
         """What aging counts by: an organisation may change the priority."""
         return self.route, self.priority
 
+    @functools.cached_property
+    def group(self) -> Group:
+        """Equal for requests that meet the same endpoints in the same way."""
+        return self.route, self.constraints
+
 
 class Stage(enum.IntEnum):
     """Classes of requests; a lower one is served first.
@@ -74,6 +80,7 @@
 
 
 Kind = tuple[str, int]
+Group = tuple[str, typing.Hashable]
 Level = tuple[Stage, int]
 
 
