Share free capacity between instances with waiting requests

Each instance granted all free capacity it knew of, and learns of the others' grants late. Load reports carry the waiting requests by service, and a round grants at most the instance's share, at least one. Reports without waiting requests are as before; older versions ignore the new field.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -212,7 +212,10 @@
         )
         self.supervisor = supervision.Supervisor()
         self.waiting = node_forwarding.waiting_queue(
-            settings.load, self.chooser.loads, self.metrics
+            settings.load,
+            self.chooser,
+            self.feeds.operators.current,
+            self.metrics,
         )
         self.forwarding = forwarding.Forwarding(self.forwarding_dependencies())
         self.servers = self.build_servers()
--- a/src/briarseam/compose/node_forwarding.py
+++ b/src/briarseam/compose/node_forwarding.py
@@ -12,6 +12,7 @@
 from briarseam.platform import answers
 from briarseam.platform import call_codec
 from briarseam.queueing import service as queueing
+from briarseam.queueing import sharing
 
 if typing.TYPE_CHECKING:
     from briarseam import inflight
@@ -24,7 +25,7 @@
     from briarseam.forwarding import supervision
     from briarseam.metrics import registry
     from briarseam.placement import chooser as choosers
-    from briarseam.placement import loads as load_module
+    from briarseam.routes import model as routes
     from briarseam.routes import table as tables
     from briarseam.settings import serving
 
@@ -60,7 +61,8 @@
 
 def waiting_queue(
     load: serving.Load,
-    loads: load_module.Loads,
+    chooser: choosers.Chooser,
+    table: typing.Callable[[], tables.RouteTable | None],
     metrics: registry.Registry,
 ) -> queueing.WaitingQueue | None:
     """Return the queue of waiting requests; ``None`` if it is switched off.
@@ -69,16 +71,30 @@
     ----------
     load
         Settings of decisions under heavy load.
-    loads
-        Load of endpoints.
+    chooser
+        Knows the endpoints and their load.
+    table
+        Returns the current configuration; ``None`` before the first one.
     metrics
         The registry of metrics.
     """
+
+    def service(name: str) -> routes.Service | None:
+        current = table()
+        if current is None:
+            return None
+        return current.configuration.services.get(name)
+
     queue_metrics = node_metrics.queue_metrics(metrics)
     if not load.ordered_waiting:
         return None
     limits = queueing.Limits(load.queue_requests, load.queue_bytes)
-    return queueing.WaitingQueue(limits, loads, queue_metrics)
+    return queueing.WaitingQueue(
+        limits,
+        chooser.loads,
+        queue_metrics,
+        sharing.Sharing(chooser.loads, chooser.endpoints, service),
+    )
 
 
 def dependencies(
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -8,6 +8,7 @@
 import typing
 
 import msgspec
+import msgspec.structs
 
 from briarseam import clocks
 
@@ -17,6 +18,9 @@
 Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 # Endpoint id, followed by the fields of its Load.
 Row = tuple[str, Number, Number, Number, Number]
+# Service, number of requests that wait for it, and the most urgent priority
+# among them.
+WaitingRow = tuple[str, Number, Number]
 
 
 class LoadReport(msgspec.Struct, array_like=True):
@@ -32,11 +36,15 @@
         Number of changes in this incarnation.
     rows
         Load by endpoint.
+    waiting
+        Requests that wait for capacity, by service; not sent if there are
+        none.  Older receivers ignore them.
     """
 
     incarnation: int
     sequence: int
     rows: list[Row]
+    waiting: list[WaitingRow] = []
 
     def is_newer_than(self, other: LoadReport) -> bool:
         """Return whether this may be newer than an earlier report."""
@@ -151,6 +159,8 @@
         self.peers: dict[str, dict[str, Load]] = {}
         self.peer_totals: dict[str, Load] = {}
         self.cells: dict[str, CellTotals] = {}
+        self.waiting: list[WaitingRow] = []
+        self.peer_waiting: dict[str, list[WaitingRow]] = {}
         self.lock = threading.Lock()
         self.decreased = threading.Condition(self.lock)
         self.decreases = 0
@@ -177,6 +187,23 @@
         self.sequence += 1
         self.changed.set()
 
+    def set_waiting(self, rows: list[WaitingRow]) -> None:
+        """Replace the requests that wait at this instance."""
+        with self.lock:
+            if rows != self.waiting:
+                self.waiting = rows
+                self.record_change()
+
+    def waiting_at_peers(self, service: str) -> int:
+        """Return the number of requests that wait at peers for a service."""
+        with self.lock:
+            return sum(
+                count
+                for rows in self.peer_waiting.values()
+                for name, count, _priority in rows
+                if name == service
+            )
+
     def record_decrease(self) -> None:
         """Count a possible decrease of a load; requires the lock."""
         self.decreases += 1
@@ -259,8 +286,12 @@
                 )
                 for name, load in self.own.items()
             ]
-            report = LoadReport(self.incarnation, self.sequence, rows)
-        return msgspec.msgpack.encode(report)
+            report = LoadReport(
+                self.incarnation, self.sequence, rows, self.waiting
+            )
+        fields = msgspec.structs.astuple(report)
+        # Without waiting requests, as an older version sends it.
+        return msgspec.msgpack.encode(fields if report.waiting else fields[:3])
 
     def consume(self, member: str, data: bytes) -> None:
         """Apply a peer's load report, unless a newer one is already applied.
@@ -280,6 +311,7 @@
                 report.incarnation, report.sequence, []
             )
             self.replace(member, loads)
+            self.peer_waiting[member] = report.waiting
             self.record_decrease()
 
     def keep_only(self, members: frozenset[str]) -> None:
@@ -288,6 +320,7 @@
             for name in self.peers.keys() - members:
                 self.replace(name, {})
                 del self.peers[name]
+                self.peer_waiting.pop(name, None)
                 self.last_reports.pop(name, None)
 
     def replace(self, member: str, loads: dict[str, Load]) -> None:
--- a/src/briarseam/queueing/service.py
+++ b/src/briarseam/queueing/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import threading
 import typing
 
@@ -17,6 +18,7 @@
     from briarseam.metrics import instruments
     from briarseam.metrics import labels
     from briarseam.placement import loads as load_module
+    from briarseam.queueing import sharing as sharing_module
     from briarseam.queueing import waiters
 
 # How often a waiting thread checks whether its caller left, and the queue
@@ -75,6 +77,9 @@
         Load of endpoints; capacity may have increased when it decreases.
     metrics
         Metrics of the queue.
+    sharing
+        Limits the grants while requests wait at peers; unless given, they
+        are not limited.
     clock
         Seconds.
     """
@@ -84,11 +89,13 @@
         limits: Limits,
         loads: load_module.Loads,
         metrics: Metrics,
+        sharing: sharing_module.Sharing | None = None,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.limits = limits
         self.loads = loads
         self.metrics = metrics
+        self.sharing = sharing
         self.clock = clock
         self.queues: dict[str, service_queue.ServiceQueue] = {}
         self.lock = threading.Lock()
@@ -205,7 +212,10 @@
         if queue is not None:
             return queue
         with self.lock:
-            created = service_queue.ServiceQueue(self.clock)
+            limit = service_queue.no_limit
+            if self.sharing is not None:
+                limit = functools.partial(self.sharing.limit, service)
+            created = service_queue.ServiceQueue(self.clock, limit)
             # Replaced, so that other threads can iterate without the lock.
             if service not in self.queues:
                 self.queues = {**self.queues, service: created}
@@ -213,7 +223,7 @@
 
     def record_answer(self, service: str, took_s: float) -> None:
         """Update the time from a grant to the first event or the answer."""
-        self.queue_of(service).answer_time.record(took_s)
+        self.queue_of(service).pace.answer_time.record(took_s)
 
     def enforce_limits(self) -> None:
         """Refuse requests until the queue is within its limits.
@@ -258,6 +268,15 @@
             if len(queue):
                 queue.retry()
                 self.update_gauge(service)
-        if any(map(len, self.queues.values())):
+        waiting = {
+            name: queue for name, queue in self.queues.items() if len(queue)
+        }
+        self.loads.set_waiting(
+            [
+                (name, len(queue), queue.most_urgent())
+                for name, queue in waiting.items()
+            ]
+        )
+        if waiting:
             self.has_waiters.set()
         return self.has_waiters.is_set()
--- a/src/briarseam/queueing/service_queue.py
+++ b/src/briarseam/queueing/service_queue.py
@@ -7,12 +7,13 @@
 import typing
 
 from briarseam.placement import requests
-from briarseam.queueing import estimate as estimates
 from briarseam.queueing import order as orders
+from briarseam.queueing import pace as paces
 from briarseam.queueing import passing as passings
 from briarseam.queueing import tickets
 
 if typing.TYPE_CHECKING:
+    from briarseam.queueing import estimate as estimates
     from briarseam.queueing import waiters
 
 # How often all waiters are checked for whether they can still be answered.
@@ -20,6 +21,14 @@
 REVIEW_INTERVAL_S = 0.05
 
 
+GrantLimit = typing.Callable[[int, float], int | None]
+
+
+def no_limit(count: int, typical_work: float) -> int | None:
+    """Return that any number may be granted; the default."""
+    return None
+
+
 class ServiceQueue:
     """The waiting requests of one service; thread-safe.
 
@@ -30,25 +39,32 @@
     ----------
     clock
         Seconds.
+    grant_limit
+        Returns how many requests may be granted in a round, from their
+        number and mean work; ``None`` for any number.
 
     Attributes
     ----------
-    answer_time
-        Time from a grant to the answer.
+    pace
+        Rates of work, and the time from a grant to the answer.
     body_bytes
         Size of the waiters' bodies.
     """
 
-    def __init__(self, clock: typing.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: typing.Callable[[], float],
+        grant_limit: GrantLimit = no_limit,
+    ) -> None:
         self.clock = clock
+        self.grant_limit = grant_limit
         self.lock = threading.Lock()
         self.order = orders.Order()
         self.tickets: dict[waiters.Waiter, tickets.Ticket] = {}
-        self.rate = estimates.GrantRate()
-        self.arrivals = estimates.ArrivalRate()
-        self.answer_time = estimates.AnswerTime()
+        self.pace = paces.Pace()
         self.body_bytes = 0
         self.next_review_s = 0.0
+        self.grants_left = 0
         # Groups that found no capacity since it may last have increased.
         self.obstacles: dict[waiters.Group, tickets.Obstacle] = {}
 
@@ -64,12 +80,12 @@
             self.tickets[waiter] = ticket
             self.order.add(waiter)
             self.body_bytes += waiter.body_bytes
-            self.arrivals.record(now_s, waiter.work)
+            self.pace.arrivals.record(now_s, waiter.work)
             if waiter.group not in self.obstacles:
                 self.run_round(ticket)
             if ticket.outcome is None:
-                self.rate.begin(now_s)
-                self.order.demote_late(now_s, self.answer_time.seconds())
+                self.pace.grants.begin(now_s)
+                self.order.demote_late(now_s, self.pace.answer_time.seconds())
                 turn = self.order.turn_of(waiter)
                 rates = self.rates(now_s)
                 self.refuse_if_too_late(turn, 0, now_s, rates)
@@ -121,7 +137,7 @@
                 turns, key=lambda turn: (turn.work_ahead, turn.position)
             )
             now_s = self.clock()
-            estimate = self.estimate(last, 0, now_s, self.rates(now_s))
+            estimate = self.pace.estimate(last, 0, now_s, self.rates(now_s))
             self.refuse(tickets.Cause.FULL, estimate, last.waiter)
             return True
 
@@ -133,7 +149,9 @@
         until
             The round ends once this request doesn't wait any more.
         """
-        self.order.demote_late(self.clock(), self.answer_time.seconds())
+        self.order.demote_late(self.clock(), self.pace.answer_time.seconds())
+        limit = self.grant_limit(len(self.tickets), self.typical_work())
+        self.grants_left = len(self.tickets) if limit is None else limit
         while not self.sweep(until):
             continue
 
@@ -156,6 +174,8 @@
                 self.attempt(self.tickets[waiter], passing.kept_free)
                 if until is not None and until.outcome is not None:
                     return True
+                if self.grants_left <= 0:
+                    return True
                 if not self.order.due_kinds().keys() <= due:
                     return False
             passing.record(waiter, self.obstacles.get(group))
@@ -191,8 +211,9 @@
             return
         match result:
             case requests.Placement():
-                self.rate.record(self.clock(), waiter.work)
+                self.pace.grants.record(self.clock(), waiter.work)
                 self.order.grant(waiter)
+                self.grants_left -= 1
                 self.forget(ticket)
                 ticket.end(result)
             case (
@@ -218,42 +239,16 @@
 
     def rates(self, now_s: float) -> estimates.Rates:
         """Return the rates of work; requires the lock."""
-        typical_work = self.order.work / max(len(self.order), 1)
-        return estimates.Rates(
-            self.rate.per_s(now_s, typical_work), self.arrivals.per_s(now_s)
-        )
+        return self.pace.rates(now_s, self.typical_work())
 
-    def estimate(
-        self,
-        turn: waiters.Turn,
-        work_refused: int,
-        now_s: float,
-        rates: estimates.Rates,
-    ) -> estimates.Estimate:
-        """Return when a waiter gets its turn; requires the lock.
+    def typical_work(self) -> float:
+        """Return the mean work of the waiters; requires the lock."""
+        return self.order.work / max(len(self.order), 1)
 
-        Parameters
-        ----------
-        turn
-            Its place in the order.
-        work_refused
-            Work before it that was refused since.
-        now_s
-            Time by the boot clock.
-        rates
-            Rates at this time.
-        """
-        return estimates.Estimate(
-            position=turn.position,
-            work_ahead=max(0.0, turn.work_ahead - work_refused),
-            work=turn.waiter.work,
-            work_per_s=rates.granted_per_s,
-            arriving_per_s=rates.arriving_per_s,
-            answer_s=self.answer_time.seconds(),
-            target_left_s=turn.waiter.target_s - now_s,
-            left_s=turn.waiter.deadline_s - now_s,
-            first_of_kind=turn.first_of_kind,
-        )
+    def most_urgent(self) -> int:
+        """Return the most urgent priority of the waiters; 0 without any."""
+        with self.lock:
+            return min((one.priority for one in self.tickets), default=0)
 
     def refuse_if_too_late(
         self,
@@ -269,7 +264,7 @@
         bool
             Whether it was refused.
         """
-        estimate = self.estimate(turn, work_refused, now_s, rates)
+        estimate = self.pace.estimate(turn, work_refused, now_s, rates)
         if estimate.is_too_late:
             self.refuse(tickets.Cause.TOO_LATE, estimate, turn.waiter)
         return estimate.is_too_late
@@ -295,4 +290,4 @@
         self.body_bytes -= ticket.waiter.body_bytes
         if not self.tickets:
             self.obstacles.clear()
-            self.rate.end(self.clock())
+            self.pace.grants.end(self.clock())
--- a/tests/placement/test_loads.py
+++ b/tests/placement/test_loads.py
@@ -3,6 +3,7 @@
 import time
 
 import msgpack
+import msgspec
 import pytest
 
 from briarseam.placement import loads
@@ -132,3 +133,50 @@
     began_s = time.monotonic()
     assert local.wait_for_decrease_since(seen, 10.0) == seen + 1
     assert time.monotonic() - began_s < 5.0
+
+
+def test_waiting_requests_of_peers_are_known_until_they_are_gone(peer):
+    """Guards against shares for the waiters of an instance that is gone."""
+    local = loads.Loads()
+    peer.set_waiting([("engines", 3, 0), ("portal", 1, 5)])
+    local.consume("peer", peer.provide())
+    assert local.waiting_at_peers("engines") == 3
+    assert local.waiting_at_peers("other") == 0
+    local.keep_only(frozenset())
+    assert local.waiting_at_peers("engines") == 0
+
+
+def test_change_of_the_waiting_requests_is_reported(peer):
+    """Guards against reports that peers take for old ones."""
+    local = loads.Loads()
+    for rows in ([("engines", 3, 0)], []):
+        peer.changed.clear()
+        peer.set_waiting(rows)
+        assert peer.changed.is_set()
+        local.consume("peer", peer.provide())
+        assert local.waiting_at_peers("engines") == sum(row[1] for row in rows)
+    peer.changed.clear()
+    peer.set_waiting([])
+    assert not peer.changed.is_set()
+
+
+class OldReport(msgspec.Struct, array_like=True):
+    """A report of a version that knows of no waiting requests."""
+
+    incarnation: int
+    sequence: int
+    rows: list[loads.Row]
+
+
+def test_reports_of_older_and_newer_versions_are_read(peer):
+    """Guards against instances that don't hear each other in a release."""
+    local = loads.Loads()
+    old = OldReport(1, 1, [("engine-1", 1, 0, 0, 0)])
+    local.consume("peer", msgspec.msgpack.encode(old))
+    assert local.of("engine-1").requests == 1
+    assert local.waiting_at_peers("engines") == 0
+    peer.set_waiting([("engines", 3, 0)])
+    read = msgspec.msgpack.decode(peer.provide(), type=OldReport)
+    assert read.rows[0][0] == "engine-1"
+    peer.set_waiting([])
+    assert len(msgspec.msgpack.decode(peer.provide())) == 3
--- a/tests/queueing/test_service.py
+++ b/tests/queueing/test_service.py
@@ -66,10 +66,7 @@
         return self.pool.submit(self.queue.acquire, waiter, place, check)
 
     def await_waiting(self, count):
-        until_s = time.monotonic() + TIMEOUT_S
-        while sum(map(len, self.queue.queues.values())) != count:
-            assert time.monotonic() < until_s
-            time.sleep(0.001)
+        until(lambda: sum(map(len, self.queue.queues.values())) == count)
 
     def count_of(self, end):
         return self.metrics.ends.labelled(end).value
@@ -232,13 +229,7 @@
         low = [case.submit(priority=5) for _ in range(8)]
         case.await_waiting(8)
         urgent = [case.submit(priority=0) for _ in range(4)]
-        concurrent.futures.wait(
-            low, TIMEOUT_S, concurrent.futures.FIRST_COMPLETED
-        )
-        until_s = time.monotonic() + TIMEOUT_S
-        while case.count_of("queue-full") < 4:
-            assert time.monotonic() < until_s
-            time.sleep(0.001)
+        until(lambda: case.count_of("queue-full") == 4)
         assert sum(one.done() for one in low) == 4
         assert not any(one.done() for one in urgent)
         for _ in range(8):
@@ -292,3 +283,25 @@
             case.endpoint.free()
             case.await_waiting(4 - count)
         assert all(is_placed(one) for one in waiting)
+
+
+def test_peers_are_told_of_the_waiting_requests():
+    """Guards against shares of peers that leave these requests out, or
+    count them when they wait no more.
+    """
+    with started() as case:
+        assert is_placed(case.submit())
+        waiting = [case.submit(priority=priority) for priority in (5, 3)]
+        until(lambda: case.loads.waiting == [("s", 2, 3)])
+        for _ in waiting:
+            case.endpoint.free()
+            time.sleep(0.1)
+        assert all(is_placed(one) for one in waiting)
+        until(lambda: case.loads.waiting == [])
+
+
+def until(condition):
+    until_s = time.monotonic() + TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < until_s
+        time.sleep(0.001)
