--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -232,6 +232,12 @@
             self.malformed_counter,
         )
         self.supervisor = supervision.Supervisor()
+        self.waiting = node_forwarding.waiting_queue(
+            settings.load,
+            self.chooser,
+            self.feeds.operators.current,
+            self.metrics,
+        )
         self.forwarding = forwarding.Forwarding(self.forwarding_dependencies())
         self.servers = self.build_servers()
         self.reloading = reloading.SettingsReloader(
@@ -285,6 +291,7 @@
             self.cell_limits,
             self.cell_rejection_limits,
             self.peer_connector,
+            *([] if self.waiting is None else [self.waiting]),
         )
         node_metrics.register(self.metrics, self.readings())
         self.held.on_refused = node_metrics.held_refusals(self.metrics).add
@@ -338,6 +345,7 @@
                 in_flight=self.in_flight,
                 shutdown=self.shutdown,
                 metrics=self.metrics,
+                waiting=self.waiting,
             ),
         )
 
--- a/src/briarseam/compose/node_forwarding.py
+++ b/src/briarseam/compose/node_forwarding.py
@@ -11,6 +11,8 @@
 from briarseam.forwarding import retry_budget
 from briarseam.platform import answers
 from briarseam.platform import call_codec
+from briarseam.queueing import service as queueing
+from briarseam.queueing import sharing
 
 if typing.TYPE_CHECKING:
     from briarseam import inflight
@@ -23,6 +25,7 @@
     from briarseam.forwarding import supervision
     from briarseam.metrics import registry
     from briarseam.placement import chooser as choosers
+    from briarseam.routes import model as routes
     from briarseam.routes import table as tables
     from briarseam.settings import serving
 
@@ -34,7 +37,7 @@
     Attributes
     ----------
     table, chooser, sender, relays, crashes, origins, supervisor, in_flight,
-    shutdown
+    shutdown, waiting
         As in :class:`briarseam.forwarding.request_context.Dependencies`.
     instances
         All instances, which share the slack of the retry budget.
@@ -53,6 +56,45 @@
     in_flight: inflight.InFlight
     shutdown: shutdowns.Shutdown
     metrics: registry.Registry
+    waiting: queueing.WaitingQueue | None
+
+
+def waiting_queue(
+    load: serving.Load,
+    chooser: choosers.Chooser,
+    table: typing.Callable[[], tables.RouteTable | None],
+    metrics: registry.Registry,
+) -> queueing.WaitingQueue | None:
+    """Return the queue of waiting requests; ``None`` if it is switched off.
+
+    Parameters
+    ----------
+    load
+        Settings of decisions under heavy load.
+    chooser
+        Knows the endpoints and their load.
+    table
+        Returns the current configuration; ``None`` before the first one.
+    metrics
+        The registry of metrics.
+    """
+
+    def service(name: str) -> routes.Service | None:
+        current = table()
+        if current is None:
+            return None
+        return current.configuration.services.get(name)
+
+    queue_metrics = node_metrics.queue_metrics(metrics)
+    if not load.ordered_waiting:
+        return None
+    limits = queueing.Limits(load.queue_requests, load.queue_bytes)
+    return queueing.WaitingQueue(
+        limits,
+        chooser.loads,
+        queue_metrics,
+        sharing.Sharing(chooser.loads, chooser.endpoints, service),
+    )
 
 
 def dependencies(
@@ -86,4 +128,5 @@
         in_flight=parts.in_flight,
         shutdown=parts.shutdown,
         metrics=node_metrics.forwarding_metrics(parts.metrics),
+        waiting=parts.waiting,
     )
--- a/src/briarseam/placement/loads.py
+++ b/src/briarseam/placement/loads.py
@@ -8,6 +8,7 @@
 import typing
 
 import msgspec
+import msgspec.structs
 
 from briarseam import clocks
 from briarseam.placement import work_notices
@@ -18,6 +19,9 @@
 Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 # Endpoint id, followed by the fields of its Load.
 Row = tuple[str, Number, Number, Number, Number]
+# Service, number of requests that wait for it, and the most urgent priority
+# among them.
+WaitingRow = tuple[str, Number, Number]
 
 
 class LoadReport(msgspec.Struct, array_like=True):
@@ -33,11 +37,15 @@
         Number of changes in this incarnation.
     rows
         Load by endpoint.
+    waiting
+        Requests that wait for capacity, by service; not sent if there are
+        none.  Older receivers ignore them.
     """
 
     incarnation: int
     sequence: int
     rows: list[Row]
+    waiting: list[WaitingRow] = []
 
     def is_newer_than(self, other: LoadReport) -> bool:
         """Return whether this may be newer than an earlier report."""
@@ -169,8 +177,11 @@
         self.peer_totals: dict[str, Load] = {}
         self.cells: dict[str, CellTotals] = {}
         self.noticed = work_notices.NoticedWork(clock)
+        self.waiting: list[WaitingRow] = []
+        self.peer_waiting: dict[str, list[WaitingRow]] = {}
         self.lock = threading.Lock()
         self.decreased = threading.Condition(self.lock)
+        self.decreases = 0
 
     def add(self, endpoint: str, load: Load) -> None:
         """Add to this instance's load of an endpoint."""
@@ -190,18 +201,54 @@
             else:
                 self.own[endpoint] = remaining
             self.record_change()
-            self.decreased.notify_all()
+            self.record_decrease()
 
     def record_change(self) -> None:
         """Count a change of this instance's load; requires the lock."""
         self.sequence += 1
         self.changed.set()
 
+    def set_waiting(self, rows: list[WaitingRow]) -> None:
+        """Replace the requests that wait at this instance."""
+        with self.lock:
+            if rows != self.waiting:
+                self.waiting = rows
+                self.record_change()
+
+    def waiting_at_peers(self, service: str) -> int:
+        """Return the number of requests that wait at peers for a service."""
+        with self.lock:
+            return sum(
+                count
+                for rows in self.peer_waiting.values()
+                for name, count, _priority in rows
+                if name == service
+            )
+
+    def record_decrease(self) -> None:
+        """Count a possible decrease of a load; requires the lock."""
+        self.decreases += 1
+        self.decreased.notify_all()
+
     def wait_for_decrease(self, timeout_s: float) -> None:
         """Wait until the load may have decreased, locally or elsewhere."""
         with self.lock:
             self.decreased.wait(timeout_s)
 
+    def wait_for_decrease_since(self, count: int, timeout_s: float) -> int:
+        """Wait until there were more decreases than a number.
+
+        A decrease since that number was read is not missed.
+
+        Returns
+        -------
+        int
+            The number of decreases.
+        """
+        with self.lock:
+            self.decreased.wait_for(lambda: self.decreases != count, timeout_s)
+            return self.decreases
+
     def of(self, endpoint: str) -> Load:
         """Return the total load of an endpoint, estimated where unknown."""
         return self.of_all([endpoint])[0]
@@ -274,7 +321,7 @@
         """Replace the load of another cell."""
         with self.lock:
             self.cells[cell] = CellTotals(loads, instances, self.clock())
-            self.decreased.notify_all()
+            self.record_decrease()
 
     def expire_cells(self, age_s: float) -> None:
         """Drop loads of other cells that were received too long ago."""
@@ -299,8 +346,12 @@
                 )
                 for name, load in self.own.items()
             ]
-            report = LoadReport(self.incarnation, self.sequence, rows)
-        return msgspec.msgpack.encode(report)
+            report = LoadReport(
+                self.incarnation, self.sequence, rows, self.waiting
+            )
+        fields = msgspec.structs.astuple(report)
+        # Without waiting requests, as an older version sends it.
+        return msgspec.msgpack.encode(fields if report.waiting else fields[:3])
 
     def consume(self, member: str, data: bytes) -> None:
         """Apply a peer's load report, unless a newer one is already applied.
@@ -320,7 +371,8 @@
                 report.incarnation, report.sequence, []
             )
             self.replace(member, loads)
-            self.decreased.notify_all()
+            self.peer_waiting[member] = report.waiting
+            self.record_decrease()
 
     def keep_only(self, members: frozenset[str]) -> None:
         """Drop the loads of all peers but these."""
@@ -329,6 +381,7 @@
             for name in self.peers.keys() - members:
                 self.replace(name, {})
                 del self.peers[name]
+                self.peer_waiting.pop(name, None)
                 self.last_reports.pop(name, None)
 
     def replace(self, member: str, loads: dict[str, Load]) -> None:
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -12,7 +12,6 @@
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
-    from briarseam.forwarding import calls
     from briarseam.placement import endpoint_bytes
     from briarseam.prediction import forecast
     from briarseam.routes import model as routes
@@ -152,6 +151,8 @@
         Number of compared engines, and of their free slots.
     outdated
         Number of engines with weights too old for any request.
+    soonest
+        Id of the engine with the lowest share, which has room first.
     """
 
     min_fill: float
@@ -159,6 +160,7 @@
     engines: int
     free_slots: int
     outdated: int
+    soonest: str = ""
 
     def __str__(self) -> str:
         """Return the grounds for the refusal, for the log."""
