--- a/src/briarseam/queueing/service.py
+++ b/src/briarseam/queueing/service.py
@@ -11,6 +11,7 @@
 
 from briarseam import clocks
 from briarseam import verdict
+from briarseam.placement import requests
 from briarseam.queueing import service_queue
 from briarseam.queueing import tickets
 
@@ -162,9 +163,9 @@
                 self.record(ticket, refused.cause.value, entered_s)
                 self.log_refusal(ticket.waiter, refused, entered_s)
                 return refused
-            case verdict.NotRun() as not_run:
+            case verdict.NotRun() | requests.Unreachable() as excluded:
                 self.record(ticket, "excluded", entered_s)
-                return not_run
+                return excluded
             case None:
                 raise AssertionError("the wait has not ended")
             case final:
