Guards of the bytes held; drain refused bodies for longer pauses

Cause: without the drain, the test of a refused request over a whole instance still passed, since loopback buffers took the whole body.

--- a/src/briarseam/forwarding/bodies.py
+++ b/src/briarseam/forwarding/bodies.py
@@ -15,7 +15,7 @@
 # After a refusal the rest of the body is read and dropped for at most this
 # long, and while some of it arrives at least this often.
 DRAIN_S = 2.0
-DRAIN_PAUSE_S = 0.5
+DRAIN_PAUSE_S = 1.0
 DRAIN_READ_BYTES = 65536
 CRLF = b"\r\n"
 
