Package of its own for requests that crash endpoints

Twelve modules of forwarding keep losses, records, suspects and trials; they move to crashes/, with their tests. crash_checks stays in forwarding as their one face, with the keys of a prompt's parts, so that crashes imports nothing of forwarding.

--- a/bench/crash_draws.py
+++ b/bench/crash_draws.py
@@ -16,7 +16,7 @@
 import typing
 
 import structlog
-from tests.forwarding import crash_simulation
+from tests.crashes import crash_simulation
 
 ALLOWED_ARRIVALS = 3
 PAUSES_S = (0.15, 0.4, 1.2, 2.0, 4.0, 8.0, 20.0)
--- a/src/briarseam/compose/node_calls.py
+++ b/src/briarseam/compose/node_calls.py
@@ -5,10 +5,10 @@
 import threading
 import typing
 
+from briarseam.crashes import loss_sharing
 from briarseam.eligibility import cell_limits
 from briarseam.feeds import shared_messages
 from briarseam.feeds import sharing as feeds_sharing
-from briarseam.forwarding import loss_sharing
 from briarseam.lookup import rank
 from briarseam.membership import state as members
 from briarseam.placement import cell_loads
--- a/src/briarseam/compose/node_crashes.py
+++ b/src/briarseam/compose/node_crashes.py
@@ -7,15 +7,15 @@
 from briarseam import clocks
 from briarseam.compose import node_metrics
 from briarseam.compose import node_peers
+from briarseam.crashes import crash_records
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_keys
+from briarseam.crashes import loss_sharing
+from briarseam.crashes import pending_losses
+from briarseam.crashes import trial_ledger
+from briarseam.crashes import trial_messages
+from briarseam.crashes import trial_requests
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import crash_records
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import loss_sharing
-from briarseam.forwarding import pending_losses
-from briarseam.forwarding import trial_ledger
-from briarseam.forwarding import trial_messages
-from briarseam.forwarding import trial_requests
 from briarseam.lookup import rank
 from briarseam.membership import sections
 from briarseam.membership import state as members
--- /dev/null
+++ b/src/briarseam/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash endpoints: counted, suspected, tried, refused."""
--- a/src/briarseam/forwarding/abandoned_attempts.py
+++ b/src/briarseam/crashes/abandoned_attempts.py
@@ -14,7 +14,7 @@
 import typing
 
 from briarseam import clocks
-from briarseam.forwarding import loss_times
+from briarseam.crashes import loss_times
 
 if typing.TYPE_CHECKING:
     import collections.abc
--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/crashes/crash_records.py
@@ -17,14 +17,14 @@
 
 from briarseam import clocks
 from briarseam import malformed
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_times
+from briarseam.crashes import trial_messages as messages
 from briarseam.feeds import records
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_times
-from briarseam.forwarding import trial_messages as messages
 
 if typing.TYPE_CHECKING:
-    from briarseam.forwarding import pending_losses
-    from briarseam.forwarding import trial_ledger
+    from briarseam.crashes import pending_losses
+    from briarseam.crashes import trial_ledger
 
 MAX_AGE_S = loss_counts.LOSS_TTL_S
 # Pause between attempts to read the records at the start.
--- a/src/briarseam/forwarding/loss_counts.py
+++ b/src/briarseam/crashes/loss_counts.py
@@ -17,9 +17,9 @@
 import structlog
 
 from briarseam import clocks
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import loss_times
-from briarseam.forwarding import suspicion
+from briarseam.crashes import loss_keys
+from briarseam.crashes import loss_times
+from briarseam.crashes import suspicion
 
 if typing.TYPE_CHECKING:
     import collections.abc
--- a/src/briarseam/forwarding/loss_keys.py
+++ b/src/briarseam/crashes/loss_keys.py
@@ -11,8 +11,6 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import calls
-
 HASH_BYTES = 12
 # Begin of the keys of each kind.
 REQUEST = b"r:"
@@ -29,29 +27,6 @@
     return REQUEST + hashed.digest()
 
 
-def keys_of_parts(
-    prompt: calls.Prompt | None, isolated_organisation: str
-) -> dict[bytes, str]:
-    """Return the ids of a prompt's shared parts, by key.
-
-    Keys of an isolated organisation are its own, so that its losses neither
-    refuse the prompts of others nor tell of them.
-
-    Parameters
-    ----------
-    prompt
-        The prompt; ``None`` for a request without one.
-    isolated_organisation
-        Name of the caller's organisation if it is isolated, else empty.
-    """
-    if prompt is None:
-        return {}
-    return {
-        key_of_part(prompt.model, isolated_organisation, part.id): part.id
-        for part in prompt.shared
-    }
-
-
 def key_of_part(model: str, isolated_organisation: str, part_id: str) -> bytes:
     """Return the key of a part of prompts for a model."""
     hashed = hashlib.blake2b(digest_size=HASH_BYTES)
--- a/src/briarseam/forwarding/pending_losses.py
+++ b/src/briarseam/crashes/pending_losses.py
@@ -21,13 +21,13 @@
 
 from briarseam import clocks
 from briarseam import repeating
+from briarseam.crashes import abandoned_attempts
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_decisions
+from briarseam.crashes import loss_keys
+from briarseam.crashes import loss_times
+from briarseam.crashes import suspicion
 from briarseam.discovery import model as discovery
-from briarseam.forwarding import abandoned_attempts
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_decisions
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import loss_times
-from briarseam.forwarding import suspicion
 
 if typing.TYPE_CHECKING:
     import collections.abc
--- a/src/briarseam/forwarding/suspicion.py
+++ b/src/briarseam/crashes/suspicion.py
@@ -5,7 +5,7 @@
 import dataclasses
 import typing
 
-from briarseam.forwarding import loss_keys
+from briarseam.crashes import loss_keys
 
 if typing.TYPE_CHECKING:
     import collections.abc
--- a/src/briarseam/forwarding/trial_ledger.py
+++ b/src/briarseam/crashes/trial_ledger.py
@@ -18,13 +18,13 @@
 import structlog
 
 from briarseam import clocks
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import trial_messages as messages
+from briarseam.crashes import loss_keys
+from briarseam.crashes import trial_messages as messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import loss_counts
+    from briarseam.crashes import loss_counts
 
 # How long after the last loss, and after the last trial, the next one may
 # begin, by the number of trials that were lost before it.  Those who crash
--- a/src/briarseam/forwarding/trial_requests.py
+++ b/src/briarseam/crashes/trial_requests.py
@@ -8,15 +8,15 @@
 import structlog
 
 from briarseam import clocks
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_times
-from briarseam.forwarding import trial_messages as messages
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_times
+from briarseam.crashes import trial_messages as messages
 from briarseam.wire import replies
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from briarseam.forwarding import trial_ledger
+    from briarseam.crashes import trial_ledger
 
 # Callers are asked to come back so soon while a trial is under way.
 MIN_RETRY_S = 0.5
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -9,20 +9,21 @@
 
 from briarseam import clocks
 from briarseam import verdict
+from briarseam.crashes import loss_keys
+from briarseam.crashes import trial_messages as messages
+from briarseam.crashes import trial_requests
 from briarseam.forwarding import attempts
-from briarseam.forwarding import loss_keys
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import refusing
 from briarseam.forwarding import supervision
-from briarseam.forwarding import trial_messages as messages
-from briarseam.forwarding import trial_requests
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from briarseam.crashes import loss_counts
+    from briarseam.crashes import pending_losses
     from briarseam.discovery import model as discovery
-    from briarseam.forwarding import loss_counts
-    from briarseam.forwarding import pending_losses
+    from briarseam.forwarding import calls
 
 # An endpoint that crashes when it begins to answer has ended so long after
 # the first event.
@@ -320,3 +321,28 @@
 def is_always_settled() -> bool:
     """Return that nothing more is to be learned; the default."""
     return True
+
+
+def keys_of_parts(
+    prompt: calls.Prompt | None, isolated_organisation: str
+) -> dict[bytes, str]:
+    """Return the ids of a prompt's shared parts, by key.
+
+    Keys of an isolated organisation are its own, so that its losses neither
+    refuse the prompts of others nor tell of them.
+
+    Parameters
+    ----------
+    prompt
+        The prompt; ``None`` for a request without one.
+    isolated_organisation
+        Name of the caller's organisation if it is isolated, else empty.
+    """
+    if prompt is None:
+        return {}
+    return {
+        loss_keys.key_of_part(
+            prompt.model, isolated_organisation, part.id
+        ): part.id
+        for part in prompt.shared
+    }
--- a/src/briarseam/forwarding/preparing.py
+++ b/src/briarseam/forwarding/preparing.py
@@ -4,8 +4,8 @@
 
 import typing
 
+from briarseam.crashes import loss_keys
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import loss_keys
 from briarseam.forwarding import refusing
 from briarseam.forwarding import request_context
 from briarseam.forwarding import streams
@@ -59,7 +59,7 @@
     crash_state = crash_checks.CrashState(
         call.id,
         loss_keys.key_of_request(call.target, organisation, body),
-        loss_keys.keys_of_parts(call.prompt, isolated_name_of(caller)),
+        crash_checks.keys_of_parts(call.prompt, isolated_name_of(caller)),
     )
     refusal = deps.crashes.refusal_on_arrival(crash_state)
     if refusal is not None:
--- a/tests/compose/test_node_calls.py
+++ b/tests/compose/test_node_calls.py
@@ -5,7 +5,7 @@
 import pytest
 
 from briarseam.compose import node_calls
-from briarseam.forwarding import loss_sharing
+from briarseam.crashes import loss_sharing
 from briarseam.membership import state
 from briarseam.placement import cell_loads
 from briarseam.placement import shared_watch
--- a/tests/compose/test_node_crashes.py
+++ b/tests/compose/test_node_crashes.py
@@ -5,9 +5,9 @@
 import pytest
 
 from briarseam.compose import node_crashes
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import trial_ledger
-from briarseam.forwarding import trial_messages as messages
+from briarseam.crashes import loss_counts
+from briarseam.crashes import trial_ledger
+from briarseam.crashes import trial_messages as messages
 from briarseam.wire import replies
 
 KEY = b"part"
--- a/tests/forwarding/crash_simulation.py
+++ b/tests/crashes/crash_simulation.py
@@ -7,17 +7,17 @@
 import typing
 
 from briarseam import malformed
+from briarseam.crashes import crash_records
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_keys
+from briarseam.crashes import pending_losses
+from briarseam.crashes import trial_ledger
+from briarseam.crashes import trial_requests
 from briarseam.discovery import model
 from briarseam.feeds import records
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import crash_records
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_keys
 from briarseam.forwarding import outcomes
-from briarseam.forwarding import pending_losses
 from briarseam.forwarding import supervision
-from briarseam.forwarding import trial_ledger
-from briarseam.forwarding import trial_requests
 from briarseam.reachability import tracker
 from briarseam.wire import replies
 from tests import clocks
--- a/tests/forwarding/part_simulation.py
+++ b/tests/crashes/part_simulation.py
@@ -5,11 +5,11 @@
 import dataclasses
 import random
 
+from briarseam.crashes import loss_counts
+from briarseam.crashes import trial_ledger
+from briarseam.crashes import trial_messages as messages
+from briarseam.crashes import trial_requests
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import trial_ledger
-from briarseam.forwarding import trial_messages as messages
-from briarseam.forwarding import trial_requests
 from tests import clocks
 
 ENGINES = 8
--- a/tests/forwarding/test_abandoned_attempts.py
+++ b/tests/crashes/test_abandoned_attempts.py
@@ -4,12 +4,12 @@
 
 import pytest
 
+from briarseam.crashes import abandoned_attempts
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_decisions
+from briarseam.crashes import loss_keys
+from briarseam.crashes import pending_losses
 from briarseam.discovery import model
-from briarseam.forwarding import abandoned_attempts
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_decisions
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import pending_losses
 from briarseam.reachability import tracker
 from tests import clocks
 
--- a/tests/forwarding/test_crash_records.py
+++ b/tests/crashes/test_crash_records.py
@@ -6,15 +6,15 @@
 import pytest
 
 from briarseam import malformed
+from briarseam.crashes import abandoned_attempts
+from briarseam.crashes import crash_records
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_keys
+from briarseam.crashes import pending_losses
+from briarseam.crashes import trial_ledger
+from briarseam.crashes import trial_messages as messages
 from briarseam.discovery import model
 from briarseam.feeds import records
-from briarseam.forwarding import abandoned_attempts
-from briarseam.forwarding import crash_records
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import pending_losses
-from briarseam.forwarding import trial_ledger
-from briarseam.forwarding import trial_messages as messages
 from briarseam.reachability import tracker
 from briarseam.testing import waiting
 from tests import clocks
--- a/tests/forwarding/test_crash_simulation.py
+++ b/tests/crashes/test_crash_simulation.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.forwarding import crash_simulation
+from tests.crashes import crash_simulation
 
 ALLOWED_ARRIVALS = 3
 MIN_SHARE = 0.5
--- a/tests/forwarding/test_loss_counts.py
+++ b/tests/crashes/test_loss_counts.py
@@ -3,10 +3,10 @@
 import msgpack
 import pytest
 
+from briarseam.crashes import loss_counts
+from briarseam.crashes import suspicion
 from briarseam.forwarding import calls
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import suspicion
+from briarseam.forwarding import crash_checks
 from tests import clocks
 
 CRASHING = b"crashing"
@@ -264,16 +264,16 @@
 
 
 def test_last_part_and_requests_without_prompts_have_no_key():
-    assert loss_keys.keys_of_parts(None, "") == {}
-    assert list(loss_keys.keys_of_parts(prompt("aa", "bb"), "").values()) == [
-        "aa"
-    ]
+    assert crash_checks.keys_of_parts(None, "") == {}
+    assert list(
+        crash_checks.keys_of_parts(prompt("aa", "bb"), "").values()
+    ) == ["aa"]
 
 
 def test_isolated_organisation_has_keys_of_its_own():
     """Guards against losses of one that refuse, or tell of, its prompts."""
-    shared = loss_keys.keys_of_parts(prompt("aa", "bb"), "").keys()
-    north = loss_keys.keys_of_parts(prompt("aa", "bb"), "north").keys()
-    south = loss_keys.keys_of_parts(prompt("aa", "bb"), "south").keys()
+    shared = crash_checks.keys_of_parts(prompt("aa", "bb"), "").keys()
+    north = crash_checks.keys_of_parts(prompt("aa", "bb"), "north").keys()
+    south = crash_checks.keys_of_parts(prompt("aa", "bb"), "south").keys()
     assert not shared & north
     assert not north & south
--- a/tests/forwarding/test_loss_sharing.py
+++ b/tests/crashes/test_loss_sharing.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import loss_sharing
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_keys
+from briarseam.crashes import loss_sharing
 from briarseam.testing import waiting
 from briarseam.wire import replies
 
--- a/tests/forwarding/test_part_simulation.py
+++ b/tests/crashes/test_part_simulation.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.forwarding import part_simulation
+from tests.crashes import part_simulation
 
 SEEDS = range(8)
 ALLOWED_ARRIVALS = 3
--- a/tests/forwarding/test_pending_losses.py
+++ b/tests/crashes/test_pending_losses.py
@@ -7,12 +7,12 @@
 import pytest
 import structlog
 
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_decisions
+from briarseam.crashes import loss_keys
+from briarseam.crashes import pending_losses
+from briarseam.crashes import suspicion
 from briarseam.discovery import model
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_decisions
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import pending_losses
-from briarseam.forwarding import suspicion
 from briarseam.metrics import registry
 from briarseam.reachability import tracker
 from tests import clocks
--- a/tests/forwarding/test_repeated_requests.py
+++ b/tests/crashes/test_repeated_requests.py
@@ -5,8 +5,8 @@
 import msgpack
 import pytest
 
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_keys
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_keys
 from tests import clocks
 
 REQUEST = loss_keys.key_of_request("/draft/x", "north", b"body")
--- a/tests/forwarding/test_trial_ledger.py
+++ b/tests/crashes/test_trial_ledger.py
@@ -3,11 +3,11 @@
 import msgspec
 import pytest
 
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_keys
-from briarseam.forwarding import trial_ledger
-from briarseam.forwarding import trial_messages as messages
-from briarseam.forwarding import trial_requests
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_keys
+from briarseam.crashes import trial_ledger
+from briarseam.crashes import trial_messages as messages
+from briarseam.crashes import trial_requests
 from briarseam.wire import codec
 from briarseam.wire import replies
 from tests import clocks
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -4,19 +4,19 @@
 import structlog.testing
 
 from briarseam import verdict
+from briarseam.crashes import loss_counts
+from briarseam.crashes import loss_decisions
+from briarseam.crashes import loss_keys
+from briarseam.crashes import pending_losses
+from briarseam.crashes import suspicion
+from briarseam.crashes import trial_ledger
+from briarseam.crashes import trial_messages as messages
+from briarseam.crashes import trial_requests
 from briarseam.discovery import model
 from briarseam.forwarding import calls
 from briarseam.forwarding import crash_checks
-from briarseam.forwarding import loss_counts
-from briarseam.forwarding import loss_decisions
-from briarseam.forwarding import loss_keys
 from briarseam.forwarding import outcomes
-from briarseam.forwarding import pending_losses
 from briarseam.forwarding import supervision
-from briarseam.forwarding import suspicion
-from briarseam.forwarding import trial_ledger
-from briarseam.forwarding import trial_messages as messages
-from briarseam.forwarding import trial_requests
 from briarseam.reachability import tracker
 from tests import clocks
 
--- a/tests/platform/test_crashing_repeats.py
+++ b/tests/platform/test_crashing_repeats.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from briarseam.forwarding import loss_keys
+from briarseam.crashes import loss_keys
 from briarseam.testing import waiting
 from tests.platform import crashing_parts
 from tests.platform import crashing_repeats
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -8,8 +8,8 @@
 import pytest
 import structlog.testing
 
-from briarseam.forwarding import loss_decisions
-from briarseam.forwarding import suspicion
+from briarseam.crashes import loss_decisions
+from briarseam.crashes import suspicion
 from briarseam.testing import waiting
 from tests.platform import crashing_endpoints
 from tests.platform import instances
--- a/tests/platform/test_instances_cut_off.py
+++ b/tests/platform/test_instances_cut_off.py
@@ -9,9 +9,9 @@
 
 import pytest
 
+from briarseam.crashes import loss_decisions
 from briarseam.eligibility import rejection_limits
 from briarseam.forwarding import calls
-from briarseam.forwarding import loss_decisions
 from briarseam.forwarding import relay_headers
 from briarseam.placement import loads
 from briarseam.testing import waiting
--- a/tests/platform/test_restarted_endpoint.py
+++ b/tests/platform/test_restarted_endpoint.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from briarseam.crashes import loss_keys
 from briarseam.discovery import starts
-from briarseam.forwarding import loss_keys
 from tests.platform import restarted_engine as restarted
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -35,6 +35,7 @@
     "decisions": (
         "admission",
         "answers",
+        "crashes",
         "forwarding",
         "lookup",
         "orders",
