Write records of few repeated requests up to four times a second

Cause: the crash simulation writes records each 0.1 s, an instance once a second at most.

Change: the pause is 0.25 s while one to three requests are repeated and their callers leave. With more of them it stays a second: then something else is slow or lost, at many instances.

--- a/src/briarseam/forwarding/crash_records.py
+++ b/src/briarseam/forwarding/crash_records.py
@@ -40,6 +40,11 @@
 # Pause between writes: a crash takes along requests of many instances, and
 # the store takes a few hundred writes a second of all together.
 MIN_PAUSE_S = 1.0
+# The same if a few requests are repeated and their callers leave: one that
+# crashes an endpoint with each repeat is at the third one within a second.
+REPEAT_PAUSE_S = 0.25
+# If more are repeated, something else is slow or lost, at many instances.
+MAX_REPEATED = 3
 # The record is written again after this time, and after the store was
 # restored from a backup.
 REFRESH_S = 60.0
@@ -250,7 +255,7 @@
         while not self.stopping.is_set():
             self.changed.wait(ERA_POLL_S)
             if self.changed.is_set():
-                pause_s = self.written_s + MIN_PAUSE_S - self.clock()
+                pause_s = self.written_s + self.pause_s() - self.clock()
                 self.stopping.wait(max(self.gather_s(), pause_s))
                 self.changed.clear()
                 self.write()
@@ -355,6 +360,13 @@
         has_repeats = len(keys) > len(set(keys))
         return GATHER_S if has_repeats else GATHER_FIRST_S
 
+    def pause_s(self) -> float:
+        """Return the least time between writes."""
+        attempts = self.known.losses.repeated_attempts()
+        repeated = {key for key, _endpoint in attempts}
+        is_few = 0 < len(repeated) <= MAX_REPEATED
+        return REPEAT_PAUSE_S if is_few else MIN_PAUSE_S
+
     def is_outdated(self) -> bool:
         """Return whether the record must be written though nothing changed."""
         if not self.is_stored:
