Count late pauses only where slow steps can cause them

Change: a pause holds steps_per_event steps, so it counts only within three times of its prediction.

--- a/src/briarseam/prediction/lateness.py
+++ b/src/briarseam/prediction/lateness.py
@@ -12,6 +12,9 @@
 # endpoints at which the prompt is in time with near certainty are compared
 # by it.
 TIE_SHARE = 0.05
+# A pause holds a fixed number of steps, so work that is not known cannot
+# lengthen it as it delays first events; only slow steps can, up to this much.
+MAX_STEP_STRETCH = 3.0
 
 
 def expected_late(
@@ -44,7 +47,7 @@
     late = spread.exceeds(remaining_s / forecast.first_event_s)
     if streams > 0 and max_pause_s > 0.0:
         pause_s = longest_pause_s(forecast, steps_per_event)
-        if pause_s > 0.0:
+        if pause_s * MAX_STEP_STRETCH > max_pause_s:
             late += streams * spread.exceeds(max_pause_s / pause_s)
     return late
 
