Requests that another instance passes on wait for a quarter of the target

With the queue they waited until their deadline, which passed at the instance that has the caller: it answered 504 (may have run) instead of 503. Seen in test_instances_without_room_are_not_all_waited_for with the switch on.

--- a/src/briarseam/forwarding/ordered_waiting.py
+++ b/src/briarseam/forwarding/ordered_waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from briarseam import clocks
@@ -19,6 +20,12 @@
     from briarseam.placement import chooser as choosers
 
 
+# Share of the target latency for which a request waits that another instance
+# passes on.  That instance tries others next; if it were held longer, the
+# deadline could pass there while it is not known whether the request ran.
+MAX_RELAYED_WAIT_SHARE = 0.25
+
+
 def acquire(
     queue: queueing.WaitingQueue,
     chooser: choosers.Chooser,
@@ -101,10 +108,19 @@
         body_bytes=len(context.body),
         resumed=context.sends > 0 or context.progress.events_sent,
         constraints=constraints_of(request),
+        wait_until_s=wait_until_s(context),
         request=context.call.id,
     )
 
 
+def wait_until_s(context: request_context.Context) -> float:
+    """Return when a request must not wait any more, by the boot clock."""
+    if not context.exchange.relayed:
+        return math.inf
+    max_wait_s = context.route.target_latency_s * MAX_RELAYED_WAIT_SHARE
+    return context.arrived_s + max_wait_s
+
+
 def constraints_of(request: requests.Request) -> typing.Hashable:
     """Return what limits the endpoints that a request may be sent to."""
     prompt = request.call.prompt
--- a/src/briarseam/queueing/estimate.py
+++ b/src/briarseam/queueing/estimate.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 
 # Grants of this long count towards the rate of granted work.
 WINDOW_S = 2.0
@@ -186,6 +187,8 @@
         Time from its turn to its answer, in seconds.
     target_left_s, left_s
         Time until its target and until its deadline, in seconds.
+    wait_left_s
+        Time for which it may wait, in seconds.
     first_of_kind
         Whether aging bounds its wait, also if it is late.
     """
@@ -199,6 +202,7 @@
     target_left_s: float
     left_s: float
     first_of_kind: bool = False
+    wait_left_s: float = math.inf
 
     @property
     def wait_s(self) -> float:
@@ -224,8 +228,9 @@
 
     @property
     def is_too_late(self) -> bool:
-        """Whether it can't be answered before its deadline."""
-        return self.wait_s + self.answer_s > self.left_s
+        """Whether it can't wait for its turn or be answered after it."""
+        wait_s = self.wait_s
+        return wait_s > min(self.left_s - self.answer_s, self.wait_left_s)
 
     def retry_after_s(self, jitter: float) -> float:
         """Return when there is capacity for it, in seconds.
--- a/src/briarseam/queueing/pace.py
+++ b/src/briarseam/queueing/pace.py
@@ -70,4 +70,5 @@
             target_left_s=turn.waiter.target_s - now_s,
             left_s=turn.waiter.deadline_s - now_s,
             first_of_kind=turn.first_of_kind,
+            wait_left_s=turn.waiter.wait_until_s - now_s,
         )
--- a/src/briarseam/queueing/waiters.py
+++ b/src/briarseam/queueing/waiters.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import functools
+import math
 import typing
 
 
@@ -33,6 +34,9 @@
         Whether it was sent before, or its caller has part of the answer.
     constraints
         Equal for requests that may be sent to the same endpoints.
+    wait_until_s
+        When it must not wait any more, by the boot clock, though it could be
+        answered before its deadline.
     request
         Id of the request, for the log.
     """
@@ -48,6 +52,7 @@
     body_bytes: int = 0
     resumed: bool = False
     constraints: typing.Hashable = None
+    wait_until_s: float = math.inf
     request: str = ""
 
     @functools.cached_property
--- a/tests/forwarding/test_ordered_waiting.py
+++ b/tests/forwarding/test_ordered_waiting.py
@@ -8,6 +8,7 @@
 import pytest
 
 from briarseam import clocks
+from briarseam import verdict
 from briarseam.compose import node_metrics
 from briarseam.forwarding import ordered_waiting
 from briarseam.forwarding import request_context
@@ -52,7 +53,7 @@
     request = case.request()
     now_s = clocks.boot_clock()
     fields = {
-        "exchange": None,
+        "exchange": types.SimpleNamespace(relayed=False),
         "call": request.call,
         "body": b"body",
         "route": request.route,
@@ -109,6 +110,22 @@
     assert context.counted_load is None
 
 
+def test_passed_on_request_waits_no_longer_than_without_the_queue(
+    case, caller, queue
+):
+    """Guards against a request that is held at one instance until its
+    deadline passes at the one that has the caller, which can't say then that
+    it did not run.
+    """
+    case.chooser.loads.add("e0", FULL)
+    exchange = types.SimpleNamespace(relayed=True)
+    context = context_of(case, caller, exchange=exchange)
+    began_s = clocks.boot_clock()
+    refusal = ordered_waiting.acquire(queue, case.chooser, context)
+    assert refusal.reason is verdict.Reason.OVERLOADED
+    assert 0.9 < (clocks.boot_clock() - began_s) / (TARGET_S / 4) < 3
+
+
 def test_refusal_says_why_and_when_to_retry(case, caller, queue):
     case.chooser.loads.add("e0", FULL)
     context = context_of(case, caller, timeout_s=0.2)
--- a/tests/queueing/test_estimate.py
+++ b/tests/queueing/test_estimate.py
@@ -79,7 +79,10 @@
         ({}, False),
         ({"left_s": 1.9}, True),
         ({"work_ahead": 40.0}, True),
+        ({"wait_left_s": 1.6}, False),
+        ({"wait_left_s": 1.4}, True),
         ({"work_per_s": None}, False),
+        ({"work_per_s": None, "wait_left_s": -0.1}, True),
         ({"work_per_s": None, "left_s": 0.4}, True),
     ],
 )
