--- a/src/briarseam/placement/cost.py
+++ b/src/briarseam/placement/cost.py
@@ -204,7 +204,17 @@
             query.versions[engine.endpoint.id] < query.required
             for engine in engines
         ),
-        soonest=min(
-            engines, key=lambda engine: engine.typical_fill
-        ).endpoint.id,
+        soonest=soonest(query, engines),
     )
+
+
+def soonest(query: PlacementQuery, engines: list[Candidate]) -> str:
+    """Return the id of the engine that has room first; empty for none."""
+    usable = [
+        engine
+        for engine in engines
+        if query.versions[engine.endpoint.id] >= query.required
+    ]
+    if not usable:
+        return ""
+    return min(usable, key=lambda engine: engine.typical_fill).endpoint.id
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -133,7 +133,8 @@
     outdated
         Number of engines with weights too old for any request.
     soonest
-        Id of the engine with the lowest share, which has room first.
+        Id of the engine that has room first: of those with weights that may
+        be used, the one with the lowest share; empty if there is none.
     """
 
     min_fill: float
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -157,6 +157,14 @@
     assert full.free_slots == 21
 
 
+def test_engine_with_old_weights_is_not_kept_free(case):
+    """Guards against an engine that idles for a prompt that it must not
+    take.
+    """
+    case.required = 2
+    assert case.place().soonest == ""
+
+
 def test_least_loaded_of_many_engines_is_not_always_chosen():
     """Guards against instances that all choose the same idle engine.
 
