--- a/tests/platform/test_ordered_waiting.py
+++ b/tests/platform/test_ordered_waiting.py
@@ -10,6 +10,7 @@
 import pytest
 
 from briarseam.testing import waiting
+from tests.platform import instances
 from tests.platform import raw_caller
 from tests.platform import system as systems
 
@@ -159,3 +160,17 @@
         worker.set(hold=False)
         assert first.result(TIMEOUT_S).status == 200
         assert urgent.result(TIMEOUT_S).status == 200
+
+
+def test_other_instances_know_of_the_waiting_requests(tmp_path):
+    """Guards against shares of an instance that doesn't hear of others."""
+    with started(tmp_path, ordered_waiting=True) as (system, worker, pool):
+        (other,) = instances.start_others(system, 1)[1:]
+        known = other.chooser.loads.waiting_at_peers
+        first = occupy(system, worker, pool)
+        second = pool.submit(system.stream, "/low/second")
+        waiting.until(lambda: known("engines") == 1, TIMEOUT_S)
+        worker.set(hold=False)
+        assert first.result(TIMEOUT_S).status == 200
+        assert second.result(TIMEOUT_S).status == 200
+        waiting.until(lambda: known("engines") == 0, TIMEOUT_S)
