--- a/src/briarseam/forwarding/caller_writer.py
+++ b/src/briarseam/forwarding/caller_writer.py
@@ -17,10 +17,10 @@
 
 # A caller that reads nothing for this long gets nothing more.  Until then it
 # holds a thread, a connection to an endpoint, and data.
-PATIENCE_S = 10.0
+STALL_TIMEOUT_S = 10.0
 # How often progress is checked.  A socket with a large buffer becomes
 # writable only when a third of it is free, which takes a slow reader much
-# longer than the patience.
+# longer than this time-out.
 PROGRESS_POLL_MS = 500
 MS = 1000
 # Some systems limit the number of buffers of one call to 16.
@@ -41,7 +41,7 @@
     ----------
     connection
         The socket.
-    patience_s
+    stall_timeout_s
         Time without progress after which sending fails, in seconds.
     on_not_reading
         Called with the number of unsent bytes when that happens.
@@ -55,11 +55,11 @@
     def __init__(
         self,
         connection: socket.socket,
-        patience_s: float = PATIENCE_S,
+        stall_timeout_s: float = STALL_TIMEOUT_S,
         on_not_reading: typing.Callable[[int], None] = lambda _: None,
     ) -> None:
         self.connection = connection
-        self.patience_s = patience_s
+        self.stall_timeout_s = stall_timeout_s
         self.on_not_reading = on_not_reading
         self.bytes_written = 0
 
@@ -99,17 +99,17 @@
         poller.register(self.connection, select.POLLOUT)
         queued = unacknowledged(self.connection)
         progress_s = clocks.boot_clock()
-        poll_ms = min(PROGRESS_POLL_MS, self.patience_s * MS)
+        poll_ms = min(PROGRESS_POLL_MS, self.stall_timeout_s * MS)
         while not poller.poll(poll_ms):
             now_s = clocks.boot_clock()
             now_queued = unacknowledged(self.connection)
             if now_queued < queued:
                 queued, progress_s = now_queued, now_s
-            elif now_s - progress_s >= self.patience_s:
+            elif now_s - progress_s >= self.stall_timeout_s:
                 self.on_not_reading(unsent)
                 raise NotReadingError(
                     errno.ETIMEDOUT,
-                    f"the caller read nothing for {self.patience_s:g} s",
+                    f"the caller read nothing for {self.stall_timeout_s:g} s",
                 )
 
 
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -75,7 +75,7 @@
             if "r" in mode:
                 return makefile(sock, mode, buffer_bytes)
             return caller_writer.CallerWriter(
-                sock, server.caller_patience_s, self.record_not_reading
+                sock, server.caller_stall_timeout_s, self.record_not_reading
             )
 
         super().__init__(server, sock, make_file)
@@ -93,7 +93,7 @@
             server=self.server.name,
             request=self.request_id,
             caller=f"{self.remote_addr}:{self.remote_port}",
-            patience_s=self.server.caller_patience_s,
+            stall_timeout_s=self.server.caller_stall_timeout_s,
             unsent_bytes=unsent,
         )
 
@@ -329,7 +329,7 @@
 
     Attributes
     ----------
-    caller_patience_s
+    caller_stall_timeout_s
         Time for which callers may read nothing while data is sent to them,
         in seconds.
     on_not_reading
@@ -351,7 +351,7 @@
         self.handler = handler
         self.in_flight = in_flight
         self.held = held or held_bytes.HeldBytes()
-        self.caller_patience_s = caller_writer.PATIENCE_S
+        self.caller_stall_timeout_s = caller_writer.STALL_TIMEOUT_S
         self.on_not_reading: typing.Callable[[], None] = lambda: None
         self.request_queue_size = BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
--- a/tests/forwarding/serving.py
+++ b/tests/forwarding/serving.py
@@ -65,7 +65,7 @@
         Has an item for each caller that did not read.
     """
 
-    def __init__(self, endpoint, repeat, limit=0, patience_s=1.0):
+    def __init__(self, endpoint, repeat, limit=0, stall_timeout_s=1.0):
         self.endpoint = endpoint
         self.repeat = repeat
         self.results = []
@@ -78,7 +78,7 @@
         self.server = server.Server(
             "test", ("127.0.0.1", 0), self.handle, held=self.held
         )
-        self.server.caller_patience_s = patience_s
+        self.server.caller_stall_timeout_s = stall_timeout_s
         self.server.on_not_reading = lambda: self.not_reading.append(1)
         self.server.start_serving()
 
--- a/tests/forwarding/test_slow_callers.py
+++ b/tests/forwarding/test_slow_callers.py
@@ -14,7 +14,7 @@
 from briarseam.testing import waiting
 from tests.forwarding import serving
 
-PATIENCE_S = 1.0
+STALL_TIMEOUT_S = 1.0
 TIMEOUT_S = 20.0
 # More than the buffers of both sockets hold.
 ANSWER_BYTES = 16 * 2**20
@@ -48,9 +48,9 @@
 def start():
     started = []
 
-    def start_instance(serve, repeat, patience_s=PATIENCE_S):
+    def start_instance(serve, repeat, stall_timeout_s=STALL_TIMEOUT_S):
         instance = serving.Instance(
-            serving.Endpoint(serve), repeat, patience_s=patience_s
+            serving.Endpoint(serve), repeat, stall_timeout_s=stall_timeout_s
         )
         started.append(instance)
         return instance
@@ -81,7 +81,7 @@
         waiting.until(lambda: is_reset(caller), TIMEOUT_S)
     (ended,) = instance.results
     assert ended.ending is supervision.Ending.CALLER_GONE
-    assert PATIENCE_S <= took_s < PATIENCE_S + 5.0
+    assert STALL_TIMEOUT_S <= took_s < STALL_TIMEOUT_S + 5.0
     assert len(instance.not_reading) == 1
 
 
@@ -102,7 +102,7 @@
 
 def test_slow_caller_gets_its_whole_answer(start):
     """Guards against a bound on the time that an answer takes in all."""
-    instance = start(send_whole, routes.Repeat.ONCE, patience_s=0.4)
+    instance = start(send_whole, routes.Repeat.ONCE, stall_timeout_s=0.4)
     received = 0
     started_s = clocks.boot_clock()
     with instance.connect(receive_bytes=65536) as caller:
@@ -121,7 +121,7 @@
 
     The system calls a socket writable once a third of its buffer is free.
     """
-    instance = start(send_whole, routes.Repeat.ONCE, patience_s=0.4)
+    instance = start(send_whole, routes.Repeat.ONCE, stall_timeout_s=0.4)
     with instance.connect(receive_bytes=4096) as caller:
         caller.sendall(GET)
         # Some seconds, and much less than the system's buffer holds.
