Fault soak: ordered waiting, reports at once and prediction switched on

Cause: the soak's instances ran without the section [load], so none of its components was exercised under faults. Change: the settings of its instances have [load] as deploy/settings.ini has. It stands before [bounds], since reloads with additional settings append to the last section.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -18,6 +18,8 @@
 SOURCE = pathlib.Path(__file__).parents[2] / "src"
 LAUNCHER = pathlib.Path(__file__).parent / "launcher.py"
 EVACUATION_MS = 2000
+# Switched on as in the settings of the users' platform, deploy/settings.ini.
+LOAD = "[load]\nordered_waiting = true\ntell_at_once = true\npredict = true\n"
 # The platform kills a process that is there so long after its time.
 KILL_AFTER_S = 1.0
 
@@ -73,7 +75,8 @@
         self.settings.write_text(
             f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
-            f"[bounds]\nshutdown_s = {self.shutdown_s:g}\n"
+            # Additional settings belong to the last section.
+            f"{LOAD}[bounds]\nshutdown_s = {self.shutdown_s:g}\n"
             f"evacuation_ms = {EVACUATION_MS}\n{extra}"
         )
 
