Fault soak: organisations that contend for few slots, and slow readers

Cause: no run of the soak had engines short of slots, engines of uneven speed, several organisations or callers that do not read their answers. Checked: a ready answer is delivered, and a small organisation is served in each contention. Tests of the two checks guard against checks that pass whatever happens.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -74,6 +74,10 @@
         When the answer began, and what it says of its endpoint.
     version
         Version of HTTP that the caller speaks.
+    key
+        API key of the caller's organisation.
+    read_pause_s
+        For how long the caller left its answer unread.
     detail
         How it failed.
     ended
@@ -94,6 +98,8 @@
     limit: str = ""
     leaving: bool = False
     version: str = "1.1"
+    key: str = system.KEY
+    read_pause_s: float = 0.0
     detail: str = ""
     ended: socket.socket | None = None
 
@@ -145,6 +151,8 @@
         self.instances = instances
         self.stopping = stopping
         self.pause_s = pause_s
+        self.key = system.KEY
+        self.kinds = KINDS
         self.connections: dict[str, Connection] = {}
         self.sent: list[Sent] = []
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -152,7 +160,7 @@
     def run(self) -> None:
         """Send one request after the other until stopped."""
         while not self.stopping.is_set():
-            kind = self.random.choice(KINDS)
+            kind = self.random.choice(self.kinds)
             instance = self.random.choice(self.instances)
             self.send(kind, instance)
             self.stopping.wait(self.random.uniform(*self.pause_s))
@@ -164,6 +172,7 @@
             kind,
             instance,
             time.monotonic(),
+            key=self.key,
         )
         self.sent.append(sent)
         address = instance.listen["callers"]
@@ -192,7 +201,7 @@
         headers = {
             "Host": system.HOST,
             "Request-Id": sent.id,
-            "Authorization": f"Bearer {system.KEY}",
+            "Authorization": f"Bearer {self.key}",
             "Deadline-Ms": str(DEADLINE_MS),
         }
         if sent.kind.stream:
@@ -216,6 +225,10 @@
         sent.status = response.status
         sent.echo = response.headers.get("Request-Id", "")
         sent.signature = response.headers.get("Response-Signature", "")
-        sent.body = response.read()
+        sent.body = self.read(response, sent)
         sent.whole = True
         return response.will_close
+
+    def read(self, response: http.client.HTTPResponse, sent: Sent) -> bytes:
+        """Return the body of an answer."""
+        return response.read()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -234,6 +234,19 @@
     room: int
 
 
+@dataclasses.dataclass(frozen=True)
+class SlowedDown:
+    """One endpoint takes some times as long for each request."""
+
+    endpoint: int
+    factor: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Contended:
+    """One organisation sends ten times the requests of the others."""
+
+
 @dataclasses.dataclass(frozen=True)
 class SoftwareReleased:
     """One endpoint is replaced by one of another software version.
@@ -298,6 +311,8 @@
     | SoftwareReleased
     | EnginesEnded
     | InstancesKilled
+    | SlowedDown
+    | Contended
 )
 
 
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -20,6 +20,7 @@
 Crowd = typing.Callable[
     [processes.Instance], contextlib.AbstractContextManager[None]
 ]
+Rush = typing.Callable[[], contextlib.AbstractContextManager[None]]
 
 
 class Injector:
@@ -33,6 +34,8 @@
         The faults, by time.
     crowd
         Lets callers keep an instance busy.
+    rush
+        Lets the callers of a large organisation send requests.
     """
 
     def __init__(
@@ -40,10 +43,12 @@
         deployment: serving.Deployment,
         planned: list[faults.Planned],
         crowd: Crowd,
+        rush: Rush,
     ) -> None:
         self.deployment = deployment
         self.planned = planned
         self.crowd = crowd
+        self.rush = rush
         # Two faults on one thing take turns.
         self.locks: dict[object, threading.Lock] = {}
 
@@ -87,6 +92,7 @@
                 | faults.BackoffRequested(number)
                 | faults.AnswersFramed(number)
                 | faults.SoftwareReleased(number)
+                | faults.SlowedDown(number)
             ):
                 endpoint = self.deployment.endpoints[number]
                 with self.lock_of(("endpoint", number)):
@@ -103,6 +109,7 @@
                 | faults.ServiceFragile()
                 | faults.StoppedInTurn()
                 | faults.InstancesKilled()
+                | faults.Contended()
             ):
                 self.strike_many(one.fault, one.for_s)
             case (
@@ -121,7 +128,8 @@
         fault: faults.PathsCut
         | faults.ServiceFragile
         | faults.StoppedInTurn
-        | faults.InstancesKilled,
+        | faults.InstancesKilled
+        | faults.Contended,
         for_s: float,
     ) -> None:
         """Strike several instances or endpoints."""
@@ -135,6 +143,9 @@
                 self.stop_in_turn(fault, for_s)
             case faults.InstancesKilled(numbers, gap_s):
                 self.kill(numbers, gap_s, for_s)
+            case faults.Contended():
+                with self.lock_of("contention"), self.rush():
+                    time.sleep(for_s)
 
     def kill(
         self, numbers: tuple[int, ...], gap_s: float, for_s: float
@@ -304,6 +315,10 @@
                 version=version, keeps_name=keeps_name
             ):
                 self.deployment.release(endpoint, version, keeps_name)
+            case faults.SlowedDown(factor=factor):
+                self.deployment.set_pace(endpoint, factor)
+                time.sleep(for_s)
+                self.deployment.set_pace(endpoint)
             case faults.EndpointLeaves():
                 self.let_leave(endpoint)
             case faults.RateLimited(per_s=limits):
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -270,6 +270,38 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_contention(
+    seed: int, seconds: float, instances: int
+) -> list[faults.Planned]:
+    """Return contentions for slow engines; two of three beside faults."""
+    random_ = random.Random(f"{seed}/contention")
+    kinds = (
+        faults.Paused,
+        faults.Ended,
+        faults.StoreCut,
+        faults.Reloaded,
+        faults.EndpointReplaced,
+    )
+    found = [
+        one
+        for one in plan(seed, seconds, instances)
+        if isinstance(one.fault, kinds) and seed % 3
+    ]
+    at_s = random_.uniform(0.2, 1.0)
+    while at_s < seconds - 7.0:
+        for_s = random_.uniform(6.5, 8.0)
+        found.append(faults.Planned(at_s, for_s, faults.Contended()))
+        at_s += for_s + random_.uniform(0.5, 2.0)
+    at_s = random_.uniform(0.2, 1.0)
+    while at_s < seconds - 2.0:
+        slowed = faults.SlowedDown(
+            random_.randrange(len(serving.SERVICES)), random_.uniform(2, 8)
+        )
+        found.append(faults.Planned(at_s, random_.uniform(0.2, 1.5), slowed))
+        at_s += random_.uniform(0.2, 2.0)
+    return sorted(found, key=lambda one: one.at_s)
+
+
 def draw_form(random_: random.Random, is_stream: bool) -> raw_answers.Form:
     """Return a form of answers whose cuts callers must not take for ends."""
     forms = [
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import typing
 
 from tests.platform import worker as workers
@@ -29,6 +30,8 @@
 # What an answer may take beyond the deadline, on a machine that runs
 # sixteen processes on few cores.
 LATE_S = 1.0
+# An answer is due if its endpoint had it ready this long before the deadline.
+READY_AHEAD_S = 0.5
 # What an endpoint is at work on in the last sixth of the time to shut down
 # may be cut off, if it came in the first 3/8.  With so much time the deadline
 # of each such request passes before that.
@@ -57,6 +60,8 @@
         yield from check_request(one, ran.get(one.id, []))
         if deployment.shutdown_s >= PATIENT_S:
             yield from check_answered(deployment, one)
+        if deployment.slots:
+            yield from check_ready(deployment, one)
     by_id = {one.id: one for one in sent}
     yield from check_leaving(deployment, by_id)
     yield from check_evacuations(deployment, by_id)
@@ -100,6 +105,7 @@
     elif one.status == OK and one.kind.stream:
         yield from check_part(one, name)
     limit_s = callers.DEADLINE_MS / 1000 + LATE_S
+    limit_s += one.read_pause_s
     calm = one.instance.troubled_until < one.sent_s
     if calm and one.ended_s - one.sent_s > limit_s:
         took_s = one.ended_s - one.sent_s
@@ -171,6 +177,28 @@
     )
 
 
+def check_ready(
+    deployment: serving.Deployment, one: callers.Sent
+) -> typing.Iterator[str]:
+    """Yield an answer that was ready in time and was not delivered."""
+    ready_s = min(
+        worker.ready_s.get(one.id, math.inf) for worker in deployment.past
+    )
+    # The deadline includes the time in which the caller does not read.
+    read_s = max(one.sent_s, one.answered_s) + one.read_pause_s
+    due_s = one.sent_s + callers.DEADLINE_MS / 1000 - READY_AHEAD_S
+    if (one.whole and one.status == OK) or max(ready_s, read_s) > due_s:
+        return
+    excuses = (Unanswered.STRUCK, Unanswered.BROKEN_OFF)
+    if why_unanswered(deployment, one) not in excuses:
+        yield (
+            f"{one.id} ({one.kind.name} at {one.instance.name}) was ready "
+            f"after {ready_s - one.sent_s:.2f} s, and its caller was told "
+            f"{one.status} after {one.ended_s - one.sent_s:.2f} s: "
+            f"{one.detail}"
+        )
+
+
 def why_unanswered(
     deployment: serving.Deployment, one: callers.Sent
 ) -> Unanswered:
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -12,7 +12,7 @@
     Attributes
     ----------
     seed, seconds, instances, stops, restores, zones, announcements, paths,
-    framings, releases, crashes, parts, deadly
+    framings, releases, crashes, parts, deadly, contention
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -28,6 +28,8 @@
         Answers of endpoints that were cut short, by framing, place and end.
     taken_up
         Requests that could take streams up again, and those that did.
+    organisations
+        Requests by API key and status.
     crashed
         Endpoints that requests crashed.
     broken
@@ -47,6 +49,7 @@
     crashes: bool = False
     parts: bool = False
     deadly: bool = False
+    contention: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -55,5 +58,6 @@
     announced: dict[str, int] = dataclasses.field(default_factory=dict)
     cuts: dict[str, int] = dataclasses.field(default_factory=dict)
     taken_up: tuple[int, int] = (0, 0)
+    organisations: dict[str, int] = dataclasses.field(default_factory=dict)
     crashed: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -23,6 +23,7 @@
 
 from tests.soak import announced
 from tests.soak import callers
+from tests.soak import contention as contentions
 from tests.soak import crashes
 from tests.soak import deadly as deadly_requests
 from tests.soak import injecting
@@ -69,7 +70,7 @@
     def __init__(self, folder: pathlib.Path, report: reports.Report) -> None:
         self.report = report
         shutdown_s = serving.SHUTDOWN_S
-        if report.stops:
+        if report.stops or report.contention:
             shutdown_s = SHUTDOWN_OF_STOPS_S
         self.deployment = serving.Deployment(
             folder,
@@ -80,6 +81,7 @@
             report.seed,
             report.releases,
             deadly_requests.crash_after_s(report.seed) * report.deadly,
+            (1 + report.seed % 2) * report.contention,
         )
         if report.releases:
             count = len(serving.SERVICES)
@@ -101,6 +103,15 @@
             self.callers.append(self.new_caller(kind=deadly_requests.Repeater))
         if report.parts and not crashing_parts.ends_engines(report.seed):
             self.callers.append(self.new_caller(kind=crashing_parts.Sender))
+        if report.contention:
+            self.callers += [
+                self.new_member(key, self.stopping)
+                for key in contentions.SMALL
+            ]
+            self.callers += [
+                self.new_caller(kind=contentions.SlowReader)
+                for _ in range(contentions.SLOW_READERS)
+            ]
         self.prober = self.new_caller()
         self.crowds: list[callers.Caller] = []
         self.broken: list[str] = []
@@ -131,6 +142,34 @@
             pause_s,
         )
 
+    def new_member(
+        self, key: str, stopping: threading.Event
+    ) -> callers.Caller:
+        """Return a caller of an organisation that sends prompts."""
+        made = self.new_caller(stopping=stopping)
+        made.key = key
+        made.kinds = contentions.PROMPTS
+        return made
+
+    @contextlib.contextmanager
+    def rush(self) -> typing.Iterator[None]:
+        """Let the large organisation contend with the small ones."""
+        began_s = time.monotonic()
+        stopping = threading.Event()
+        crowd = [
+            self.new_member(contentions.LARGE, stopping)
+            for _ in range(contentions.LARGE_CALLERS)
+        ]
+        self.crowds += crowd
+        for one in crowd:
+            one.thread.start()
+        yield
+        sent = [one for who in self.callers for one in who.sent]
+        self.broken += contentions.check_small(self.deployment, sent, began_s)
+        stopping.set()
+        for one in crowd:
+            one.thread.join()
+
     @contextlib.contextmanager
     def crowd(self, instance: processes.Instance) -> typing.Iterator[None]:
         """Let callers keep one instance busy, from a while before."""
@@ -170,6 +209,7 @@
             plans.plan_crashes: report.crashes,
             plans.plan_parts: report.parts,
             plans.plan_deadly: report.deadly,
+            plans.plan_contention: report.contention,
         }
         return next((one for one in chosen if chosen[one]), plans.plan)
 
@@ -186,10 +226,17 @@
         if self.report.stops:
             delays_ms = plans.draw_delays(self.report.seed)
             self.deployment.slow_down(delays_ms)
+        if self.report.contention:
+            count = len(serving.SERVICES)
+            self.deployment.slow_down(
+                contentions.draw_delays(self.report.seed, count)
+            )
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.start()
         end_s = time.monotonic() + self.report.seconds
-        injecting.Injector(self.deployment, planned, self.crowd).run()
+        injecting.Injector(
+            self.deployment, planned, self.crowd, self.rush
+        ).run()
         if self.report.deadly:
             self.deployment.last_fault_s = time.monotonic()
         time.sleep(max(0.0, end_s - time.monotonic()))
@@ -247,6 +294,8 @@
             f"{one.kind.name} {one.status}" for one in sent
         )
         self.report.answers = dict(sorted(answers.items()))
+        keys = collections.Counter(f"{one.key} {one.status}" for one in sent)
+        self.report.organisations = dict(sorted(keys.items()))
         unanswered = collections.Counter(
             promises.why_unanswered(self.deployment, one).value
             for one in sent
@@ -286,6 +335,7 @@
     crashes: bool = False,
     parts: bool = False,
     deadly: bool = False,
+    contention: bool = False,
 ) -> reports.Report:
     """Run one seed and return what was found."""
     report = reports.Report(
@@ -302,6 +352,7 @@
         crashes,
         parts,
         deadly,
+        contention,
     )
     Soak(folder, report).run()
     return report
@@ -364,6 +415,12 @@
         help="a request that crashes endpoints, while instances and "
         "endpoints end together",
     )
+    parser.add_argument(
+        "--contention",
+        action="store_true",
+        help="organisations that contend for few slots of uneven engines, "
+        "and slow readers",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -387,6 +444,7 @@
             options.crashes,
             options.parts,
             options.deadly,
+            options.contention,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -17,6 +17,7 @@
 from tests.platform import metadata_store
 from tests.platform import system
 from tests.platform import worker as workers
+from tests.soak import contention
 from tests.soak import crashes
 from tests.soak import links
 from tests.soak import paths
@@ -33,6 +34,7 @@
 COLD_START_S = 2.0
 COLD_PER_S = 8.0
 EVENTS = 6
+SLOTS = 8
 SHUTDOWN_S = 4.0
 # Each run has an address of its own.  At a common one, whoever still polls a
 # stand-in of another test would reach an endpoint that got its port.
@@ -106,6 +108,8 @@
         Where it is.
     left
         Names of those that left, and when that was acknowledged.
+    delay_ms
+        How long the present one takes for each request.
     """
 
     service: str
@@ -113,6 +117,7 @@
     worker: workers.Worker
     zone: str
     left: dict[str, float] = dataclasses.field(default_factory=dict)
+    delay_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -153,6 +158,9 @@
         Whether events name the software version of their endpoint.
     crash_after_s
         How long endpoints run a request that crashes them.
+    slots
+        Slots of each engine where organisations contend for them; 0 for
+        plenty, and a single organisation.
     """
 
     def __init__(
@@ -165,7 +173,9 @@
         seed: int = 0,
         versions: bool = False,
         crash_after_s: float = 0.0,
+        slots: int = 0,
     ) -> None:
+        self.slots = slots
         self.versions = versions
         self.crash_after_s = crash_after_s
         # When the last fault ended, where a run checks what follows.
@@ -235,7 +245,8 @@
         self, version: str = releases.VERSIONS[0], name: str = ""
     ) -> workers.Worker:
         """Return a started endpoint."""
-        worker = crashes.CrashingWorker(
+        kind = contention.Engine if self.slots else crashes.CrashingWorker
+        worker = kind(
             name or f"worker-{next(self.names)}",
             f"{HOST}:0",
             stand_in.wall_ms(),
@@ -265,7 +276,7 @@
             "service": endpoint.service,
             "address": endpoint.link.address,
             "zone": endpoint.zone,
-            "slots": 8,
+            "slots": self.slots or SLOTS,
             "state": state,
             "coldRemainingMs": self.cold_remaining_ms(endpoint.worker.id),
             **endpoint.worker.start_fields(),
@@ -393,6 +404,8 @@
         endpoint.link.resets.append(time.monotonic())
         endpoint.worker.stop()
         endpoint.worker = worker
+        if self.slots:
+            self.set_pace(endpoint)
         self.let_cool(endpoint)
         endpoint.link.target = worker.address
         endpoint.link.reset()
@@ -414,7 +427,13 @@
     def slow_down(self, delays_ms: list[int]) -> None:
         """Let calls, and all events of a stream, take so long at each."""
         for endpoint, delay_ms in zip(self.endpoints, delays_ms, strict=True):
-            endpoint.worker.set(delay_ms=delay_ms, pause_ms=delay_ms // EVENTS)
+            endpoint.delay_ms = delay_ms
+            self.set_pace(endpoint)
+
+    def set_pace(self, endpoint: Endpoint, factor: float = 1.0) -> None:
+        """Let the present endpoint take some times as long as usual."""
+        delay_ms = int(endpoint.delay_ms * factor)
+        endpoint.worker.set(delay_ms=delay_ms, pause_ms=delay_ms // EVENTS)
 
     def configure(self, toggled: bool) -> None:
         """Write the next configuration."""
@@ -422,6 +441,8 @@
             self.version += 1
             routes = [*system.ROUTES, *([TOGGLED] if toggled else [])]
             self.document = system.configuration(self.version, routes=routes)
+            if self.slots:
+                self.document["tenants"] = contention.tenants()
             if self.cold:
                 limits = {"coldStartS": COLD_START_S, "coldPerS": COLD_PER_S}
                 self.document["services"] = [
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -1,8 +1,13 @@
 from __future__ import annotations
 
 import pytest
+from tests.platform import system
+from tests.soak import callers
+from tests.soak import contention
 from tests.soak import plans
+from tests.soak import promises
 from tests.soak import serve_soak
+from tests.soak import serving
 
 SECONDS = 8.0
 
@@ -173,6 +178,64 @@
     assert "InstancesKilled" in report.faults
 
 
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", [130200, 130201])
+def test_short_run_with_contention_breaks_no_promise(seed, tmp_path):
+    """Guards against lost ready answers and starved organisations."""
+    report = serve_soak.run(seed, 18.0, 3, tmp_path, contention=True)
+    assert report.broken == []
+    assert report.faults["Contended"] > 1
+    assert "SlowedDown" in report.faults
+
+
+def contended(tmp_path):
+    """Return a deployment whose engines are short of slots, not started."""
+    return serving.Deployment(tmp_path, 1, slots=1)
+
+
+def sent_by(deployment, key, status, ended_s):
+    """Return a request of an organisation that ended after some seconds."""
+    instance = deployment.instances[0]
+    return callers.Sent(
+        "c1", callers.KINDS[2], instance, 10.0, ended_s, status, key=key
+    )
+
+
+def test_starved_organisation_is_noticed(tmp_path):
+    """Guards against a check that passes though nobody is served."""
+    deployment = contended(tmp_path)
+    key = contention.SMALL[1]
+    refused = [sent_by(deployment, key, 503, 13.0)] * contention.MIN_TRIED
+    served = sent_by(deployment, key, 200, 13.0)
+    served.whole = True
+    [broken] = contention.check_small(deployment, refused, 9.0)
+    assert key in broken
+    found = contention.check_small(deployment, [*refused, served], 9.0)
+    assert list(found) == []
+    deployment.close()
+
+
+@pytest.mark.parametrize(
+    ("ready_s", "read_pause_s", "noticed"),
+    [(11.0, 0.0, True), (11.0, 2.7, False), (12.9, 0.0, False)],
+)
+def test_lost_ready_answer_is_noticed(
+    ready_s, read_pause_s, noticed, tmp_path
+):
+    """Guards against a check that passes though a ready answer is lost.
+
+    None is due that was ready, or read, at the deadline only.
+    """
+    deployment = contended(tmp_path)
+    one = sent_by(deployment, system.KEY, 503, 12.95)
+    one.whole = True
+    one.read_pause_s = read_pause_s
+    deployment.past[0].ready_s[one.id] = ready_s
+    deployment.endpoints[0].link.seen[one.id] = 10.0
+    assert bool(list(promises.check_ready(deployment, one))) == noticed
+    deployment.close()
+
+
 PLANS = (
     plans.plan,
     plans.plan_stops,
@@ -185,6 +248,7 @@
     plans.plan_crashes,
     plans.plan_parts,
     plans.plan_deadly,
+    plans.plan_contention,
 )
 
 
