--- a/tests/forwarding/test_ended_answers.py
+++ b/tests/forwarding/test_ended_answers.py
@@ -13,7 +13,7 @@
 from briarseam.routes import model as routes
 from tests.forwarding import sending
 
-STALL_TIMEOUT_S = 10.0
+PATIENCE_S = 10.0
 # An endpoint must stop within half a second after its caller disconnects.
 NOTIFIED_WITHIN_S = 0.5
 END_AFTER_S = 0.1
@@ -35,7 +35,7 @@
         self.partial_answer = partial_answer
         self.watch = watch
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.listener.settimeout(STALL_TIMEOUT_S)
+        self.listener.settimeout(PATIENCE_S)
         self.notified = False
         self.thread = threading.Thread(target=self.run)
 
@@ -64,7 +64,7 @@
         return self
 
     def __exit__(self, *exc_info):
-        self.thread.join(STALL_TIMEOUT_S)
+        self.thread.join(PATIENCE_S)
         self.listener.close()
 
 
--- a/tests/forwarding/test_unframed_answers.py
+++ b/tests/forwarding/test_unframed_answers.py
@@ -15,7 +15,7 @@
 from briarseam.routes import model as routes
 from tests.forwarding import sending
 
-STALL_TIMEOUT_S = 10.0
+PATIENCE_S = 10.0
 # For the connection that shows that the endpoint lives.
 SECOND_CONNECTION_S = 0.5
 EVENT = b"id: 1\ndata: a\n\n"
@@ -56,7 +56,7 @@
     attempt = sending.attempt_to(f"{host}:{port}", watch, exchange, repeat)
     outcome = sender.send(attempt)
     listener.close()
-    thread.join(STALL_TIMEOUT_S)
+    thread.join(PATIENCE_S)
     return outcome, exchange, pool
 
 
@@ -115,7 +115,7 @@
     thread.start()
     sender = attempts.Sender(pool, requests.decode_answer)
     assert sender.send(attempt) == outcomes.Answered(200)
-    thread.join(STALL_TIMEOUT_S)
+    thread.join(PATIENCE_S)
     peers[0].close()
 
 
@@ -168,7 +168,7 @@
     assert isinstance(outcome, outcomes.Answered) is complete
     assert exchange.finished is complete
     listener.close()
-    thread.join(STALL_TIMEOUT_S)
+    thread.join(PATIENCE_S)
 
 
 @pytest.mark.parametrize(
