Log and count the losses that peers tell

When a request was sent although it had crashed endpoints, the log did not say what its instance knew of its peers' losses: such a loss had a line only once it was decided, seconds later. It has one when it is first heard now.

The new test failed before: there was no such line.

--- a/src/briarseam/crashes/loss_decisions.py
+++ b/src/briarseam/crashes/loss_decisions.py
@@ -79,6 +79,9 @@
     was_abandoned
         Whether the request was ended before its endpoint was lost, so that it
         may not have run there any more.
+    peer
+        Name of the instance that has told of it; empty if it was lost here,
+        or was recorded at the store.
     """
 
     digest: bytes
@@ -87,6 +90,7 @@
     decision: Decision = Decision.PENDING
     parts: tuple[bytes, ...] = ()
     was_abandoned: bool = False
+    peer: str = ""
 
     @property
     def makes_request_suspect(self) -> bool:
--- a/src/briarseam/crashes/pending_losses.py
+++ b/src/briarseam/crashes/pending_losses.py
@@ -383,7 +383,6 @@
 
     def consume(self, member: str, data: bytes) -> None:
         """Track the losses of a peer."""
-        del member
         rows = msgspec.msgpack.decode(data, type=list[PublishedLoss])
         now_s = self.clock()
         with self.lock:
@@ -393,17 +392,21 @@
                 for one in self.tracked
                 if not is_recorded_attempt(one)
             }
-            self.tracked.extend(
+            news = [
                 loss_decisions.Loss(
                     row.digest,
                     discovery.Endpoint(row.endpoint, row.service, "", "", 0),
                     now_s - row.age_ms / MS,
                     loss_decisions.Decision.AT_PEER,
                     row.parts,
+                    peer=member,
                 )
                 for row in rows
                 if (row.digest, row.endpoint) not in known
-            )
+            ]
+            self.tracked.extend(news)
+        for loss in news:
+            self.record_decision(loss, "a peer has lost it")
 
     def apply(
         self,
@@ -418,14 +421,19 @@
             for key in loss.keys:
                 self.counts.withdraw_loss(key, loss.endpoint.id)
         loss.decision = decision
+        self.record_decision(loss, reason)
+
+    def record_decision(self, loss: loss_decisions.Loss, reason: str) -> None:
+        """Log and count what is decided on a loss."""
         if self.decisions is not None:
-            self.decisions.labelled(decision.value).add()
+            self.decisions.labelled(loss.decision.value).add()
         log.info(
-            f"loss_{decision.value.replace('-', '_')}",
+            f"loss_{loss.decision.value.replace('-', '_')}",
             digest=loss.digest.hex(),
             endpoint=loss.endpoint.id,
             service=loss.endpoint.service,
-            age_ms=round((self.clock() - loss.at_s) * 1000),
+            peer=loss.peer,
+            age_ms=round((self.clock() - loss.at_s) * MS),
             peers_without_path=self.reachability.peers_without_path(
                 loss.endpoint.service
             ),
--- a/tests/crashes/test_pending_losses.py
+++ b/tests/crashes/test_pending_losses.py
@@ -412,6 +412,21 @@
     assert is_counted(peer.counts)
 
 
+def test_losses_that_peers_tell_are_logged_once(
+    losses, peer, reachability, endpoints
+):
+    """Guards against sends of which no log tells what was known of peers."""
+    lose(losses, endpoints)
+    cut_off(reachability, endpoints)
+    losses.review()
+    with structlog.testing.capture_logs() as lines:
+        peer.consume("other", losses.provide())
+        peer.consume("third", losses.provide())
+    told = [one for one in lines if one["event"] == "loss_at_peer"]
+    assert [one["endpoint"] for one in told] == ["e0", "e1", "e2"]
+    assert {one["peer"] for one in told} == {"other"}
+
+
 def test_losses_of_peers_do_not_make_a_request_suspect(
     losses, peer, reachability, endpoints, clock
 ):
