Reproduce a request that crashes a small service while its entries are still there

Simulation in virtual time, with connections that fail, retries at a second and third endpoint, a drawn number of endpoints, and entries that go later than their endpoints are back.

--- a/bench/crash_draws.py
+++ b/bench/crash_draws.py
@@ -3,7 +3,8 @@
     PYTHONPATH=src:. python bench/crash_draws.py --first 100 --count 12
 
 Prints a line of JSON for each kind of run: how many were drawn, the most late
-arrivals, and the seeds with more than three.
+arrivals, and the seeds with more than three.  Runs of "small" also draw the
+service: the number of its endpoints, and when they and their entries return.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 import structlog
 from tests.crashes import crash_simulation
+from tests.crashes import small_services
 
 ALLOWED_ARRIVALS = 3
 PAUSES_S = (0.15, 0.4, 1.2, 2.0, 4.0, 8.0, 20.0)
@@ -74,6 +76,7 @@
             )
             run(simulation, pause_s)
             late[name][seed] = simulation.late()
+        late["small"][seed] = small_services.run_drawn(seed).late()
     for name, by_seed in late.items():
         over = {n: one for n, one in by_seed.items() if one > ALLOWED_ARRIVALS}
         row = {
--- a/tests/crashes/crash_simulation.py
+++ b/tests/crashes/crash_simulation.py
@@ -161,6 +161,14 @@
         after it was sent.
     part
         Whether it has a part that other requests share.
+    endpoints
+        Number of endpoints.
+    down_s
+        Seconds until an endpoint that has ended is back.
+    lapse_s
+        Seconds until its entry goes; as long unless given.
+    heartbeat_s
+        Interval at which instances tell each other what they know.
     """
 
     def __init__(
@@ -169,6 +177,10 @@
         crash_after_s: float = 0.05,
         leaves_after_s: float = float("inf"),
         part: bool = False,
+        endpoints: int = ENDPOINTS,
+        down_s: float = DOWN_S,
+        lapse_s: float | None = None,
+        heartbeat_s: float = HEARTBEAT_S,
     ) -> None:
         self.random = random.Random(seed)
         self.clock = clocks.ManualClock()
@@ -176,7 +188,10 @@
         self.crash_after_s = crash_after_s
         self.leaves_after_s = leaves_after_s
         self.parts = {PART: "bb"} if part else {}
-        self.endpoints = [Endpoint(number) for number in range(ENDPOINTS)]
+        self.down_s = down_s
+        self.lapse_s = down_s if lapse_s is None else lapse_s
+        self.heartbeat_s = heartbeat_s
+        self.endpoints = [Endpoint(number) for number in range(endpoints)]
         self.entries = {one.start.id: one.start for one in self.endpoints}
         self.lapsing: list[tuple[float, str]] = []
         self.instances = [Instance(self, n) for n in range(INSTANCES)]
@@ -302,8 +317,8 @@
                 run.instance.checks.record_outcome(
                     run.state, run.start, outcomes.Broken("reset"), run.sent_s
                 )
-        self.lapsing.append((self.clock() + DOWN_S, name))
-        endpoint.back_s = self.clock() + DOWN_S
+        self.lapsing.append((self.clock() + self.lapse_s, name))
+        endpoint.back_s = self.clock() + self.down_s
         endpoint.starts += 1
 
     def end_all(self) -> None:
@@ -351,7 +366,7 @@
             for one in self.alive():
                 self.probe(one.reachability)
         if "heartbeat" in due:
-            self.next_s["heartbeat"] = now_s + HEARTBEAT_S
+            self.next_s["heartbeat"] = now_s + self.heartbeat_s
             self.exchange()
         if "keep" in due:
             self.next_s["keep"] = now_s + 1.0
