--- a/tests/crashes/test_small_services.py
+++ b/tests/crashes/test_small_services.py
@@ -30,7 +30,7 @@
         check_late(simulation)
 
 
-@pytest.mark.parametrize("seed", [8, 13, 16, 100, 130, 152, 163, 189])
+@pytest.mark.parametrize("seed", [8, 13, 16, 100, 130, 152, 163, 189, 1114])
 def test_request_arrives_seldom_at_drawn_services(seed):
     """Guards against services and troubles that no other test combines."""
     check_late(small_services.run_drawn(seed))
