Bound each part of endpoints' answers in bytes and time

Callers of an endpoint that sends bytes without end waited beyond their deadline, and one such answer made an instance grow by 1.4 GB: a body was read as long as something came, and a connection that the supervisor had shut down still took what the other side sent. A head or a chunk size that was cut short read as a complete, empty answer.

Cause: reads were bounded by nothing but the sender, in loops of this program and of the HTTP library. A meter at the socket now bounds the part that is read, and looks for the end of the request before and after each read; the reader closes the connection. Parts that come slowly are given up while another endpoint can be tried in time.

--- /dev/null
+++ b/src/briarseam/bounded_http.py
@@ -0,0 +1,265 @@
+"""HTTP clients that bound the answers that they read.
+
+The HTTP library reads heads, chunk sizes and trailers in loops of its own, as
+long as something comes, and takes some answers for complete that were cut
+short.  Here its connections read through a meter.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import http.client
+import io
+import re
+import typing
+
+import urllib3
+import urllib3.connection
+
+from briarseam import bounded_reads
+
+# All lines of a head, those of interim answers before it included.
+MAX_HEAD_BYTES = 65536
+# What an answer may weigh that is decoded as a whole: reports and lists.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# What may follow the last chunk of a body, and how long.
+MAX_TRAILER_BYTES = 8192
+MAX_TRAILER_S = 0.1
+MAX_LINE_BYTES = 8192
+# Parsing one takes some time, however small it is.
+MAX_INTERIM_ANSWERS = 16
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL = 200
+LINE_ENDS = (b"\r\n", b"\n")
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Limits of an answer.
+
+    Attributes
+    ----------
+    head_bytes
+        Maximum size of its head.
+    head_s
+        Maximum time in which the head must come, from its first byte, in
+        seconds.
+    body_bytes
+        Maximum size of its body, framing included; ``None`` if the body is
+        bounded by whoever reads it.
+    """
+
+    head_bytes: int = MAX_HEAD_BYTES
+    head_s: float = bounded_reads.UNLIMITED_S
+    body_bytes: int | None = MAX_BODY_BYTES
+
+
+DEFAULT_LIMITS = Limits()
+
+
+class LineReader(io.BufferedReader):
+    """Reads lines that end; a line cut short is an error.
+
+    Otherwise a head that the other side has cut reads as a shorter one, and a
+    chunk size as a smaller one, which may be that of the last chunk.
+    """
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line, or as much of it as the size allows.
+
+        Raises
+        ------
+        RemoteDisconnected
+            If the connection ends before the line does.
+        """
+        line = super().readline(size)
+        if line.endswith(b"\n") or len(line) == size:
+            return line
+        raise http.client.RemoteDisconnected("closed within a line")
+
+
+class Response(http.client.HTTPResponse):
+    """An answer that is read through a meter.
+
+    Parameters
+    ----------
+    sock
+        The connection's socket.
+    options
+        See :class:`http.client.HTTPResponse`.
+    limits
+        Limits of the answer.
+    meter
+        Counts what is read.
+    """
+
+    def __init__(
+        self,
+        sock: typing.Any,
+        *options: typing.Any,
+        limits: Limits,
+        meter: bounded_reads.Meter,
+        **more_options: typing.Any,
+    ) -> None:
+        super().__init__(sock, *options, **more_options)
+        self.limits = limits
+        self.meter = meter
+        raw = typing.cast("io.BufferedReader", self.fp).detach()
+        self.fp: typing.Any = LineReader(
+            bounded_reads.MeteredReader(raw, sock, meter)
+        )
+
+    def begin(self) -> None:
+        """Read the head; skip interim answers.
+
+        Raises
+        ------
+        TooManyBytesError
+            If the head, or the announced length, is too large.
+        """
+        super().begin()
+        while self.status < FIRST_FINAL and self.status != SWITCHING_PROTOCOLS:
+            self.headers = self.msg = None  # type: ignore[assignment]
+            super().begin()
+        self.check_size(self.length or 0)
+
+    def check_size(self, size: int) -> None:
+        """Raise if a body, or a chunk, is announced that is too large."""
+        max_bytes = self.limits.body_bytes
+        if max_bytes is not None and size > max_bytes:
+            raise bounded_reads.TooManyBytesError(
+                f"{size} bytes announced, more than {max_bytes}"
+            )
+
+    # These replace methods that the library calls while it reads a body.
+
+    def _read_next_chunk_size(self) -> int:
+        """Return the size of the next chunk.
+
+        The library accepts signs, underscores and an empty line, too.
+        """
+        self.meter.add_chunk()
+        line = self.fp.readline(MAX_LINE_BYTES)
+        match = CHUNK_SIZE.fullmatch(line)
+        if match is None:
+            raise ValueError(f"malformed chunk size {line[:20]!r}")
+        size = int(match[1], 16)
+        self.check_size(size)
+        return size
+
+    def _read_and_discard_trailer(self) -> None:
+        """Read what follows the last chunk.
+
+        The body is complete, so that nothing here makes the answer fail.
+        """
+        meter = self.meter
+        meter.stop_checking()
+        meter.begin(MAX_TRAILER_BYTES)
+        try:
+            with meter.waiting(MAX_TRAILER_S):
+                while self.fp.readline(MAX_LINE_BYTES) not in LINE_ENDS:
+                    pass
+        except (OSError, http.client.HTTPException):
+            meter.is_spoiled = True
+
+
+class Connection(urllib3.connection.HTTPConnection):
+    """A connection whose answers are bounded.
+
+    The timeout holds for a whole answer, from when its head is awaited, not
+    for each read.
+
+    Parameters
+    ----------
+    address
+        Host and port.
+    limits
+        Limits of each answer.
+    options
+        See :class:`urllib3.connection.HTTPConnection`.
+
+    Attributes
+    ----------
+    meter
+        Counts what is read.
+    """
+
+    def __init__(
+        self,
+        *address: typing.Any,
+        limits: Limits = DEFAULT_LIMITS,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(*address, **options)
+        self.limits = limits
+        self.meter = bounded_reads.Meter()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection can be used again."""
+        return super().is_connected and not self.meter.is_spoiled
+
+    def getresponse(  # type: ignore[override]
+        self,
+    ) -> urllib3.BaseHTTPResponse:
+        """Return the answer with its body unread.
+
+        Raises
+        ------
+        LimitExceededError
+            If its head exceeds a limit.
+        TimeoutError
+            If it does not come in time.
+        """
+        limits, meter = self.limits, self.meter
+        self.response_class: typing.Any = functools.partial(
+            Response, limits=limits, meter=meter
+        )
+        timeout_s = self.timeout
+        meter.deadline_s = bounded_reads.UNLIMITED_S
+        if isinstance(timeout_s, int | float):
+            meter.deadline_s = meter.clock() + timeout_s
+        meter.begin(limits.head_bytes, limits.head_s)
+        response = super().getresponse()
+        meter.begin(
+            bounded_reads.UNLIMITED_BYTES
+            if limits.body_bytes is None
+            else limits.body_bytes
+        )
+        return response
+
+
+class ConnectionPool(urllib3.HTTPConnectionPool):
+    """Connections to one address whose answers are bounded.
+
+    Bodies are not decompressed: no limit would hold for what they grow to.
+    """
+
+    ConnectionCls = Connection
+
+    def urlopen(
+        self, *request: typing.Any, **options: typing.Any
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request and return the answer."""
+        options.setdefault("decode_content", False)
+        return super().urlopen(*request, **options)
+
+
+def pool_manager(
+    limits: Limits = DEFAULT_LIMITS, **options: typing.Any
+) -> urllib3.PoolManager:
+    """Return connections to any address whose answers are bounded.
+
+    Parameters
+    ----------
+    limits
+        Limits of each answer.
+    options
+        See :class:`urllib3.PoolManager`.
+    """
+    pools = urllib3.PoolManager(**options)
+    pool_class: typing.Any = functools.partial(ConnectionPool, limits=limits)
+    pools.pool_classes_by_scheme = {"http": pool_class}
+    return pools
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import dataclasses
-import http.client
 import typing
 
 import structlog
-import urllib3.exceptions
 
+from briarseam import bounded_reads
 from briarseam import clocks
 from briarseam import transfers
 from briarseam.discovery import announcements
+from briarseam.forwarding import answer_limits
 from briarseam.forwarding import calls
 from briarseam.forwarding import connections
 from briarseam.forwarding import held_bytes
@@ -22,12 +22,11 @@
 
 if typing.TYPE_CHECKING:
     import urllib3
-    import urllib3.connection
 
+    from briarseam import bounded_http
     from briarseam.discovery import model as discovery
     from briarseam.forwarding import server
 
-READ_BYTES = 65536
 SUCCESS_MIN = 200
 SUCCESS_END = 300
 SERVER_ERROR_MIN = 500
@@ -36,11 +35,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Another endpoint answers at this address, or another weight version.
 MISDIRECTED = 421
-NETWORK_ERRORS = (
-    OSError,
-    http.client.HTTPException,
-    urllib3.exceptions.HTTPError,
-)
+# A connect needs some time, even if the deadline is at hand.
+MIN_CONNECT_S = 0.01
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -76,6 +72,9 @@
         How the answer is transferred.
     holding
         Counts the bytes that are held of the answer.
+    max_part_s
+        How long a part of the answer may take that has begun, in seconds;
+        unlimited if no other endpoint could be tried.
     """
 
     exchange: server.Exchange
@@ -95,6 +94,7 @@
     holding: held_bytes.Holding = dataclasses.field(
         default_factory=held_bytes.unlimited
     )
+    max_part_s: float = bounded_reads.UNLIMITED_S
 
 
 DecodeAnswer = typing.Callable[
@@ -123,6 +123,8 @@
         Called with the id of an endpoint, what its answer tells of it, and
         when the request was sent by the boot clock, before the answer is
         relayed.
+    limits
+        Limits of the answers.
     """
 
     def __init__(
@@ -130,10 +132,12 @@
         pool: connections.Pool,
         decode: DecodeAnswer,
         on_announced: OnAnnounced = ignore_announced,
+        limits: answer_limits.AnswerLimits | None = None,
     ) -> None:
         self.pool = pool
         self.decode = decode
         self.on_announced = on_announced
+        self.limits = limits or answer_limits.AnswerLimits()
 
     def send(self, attempt: Attempt) -> outcomes.Outcome:
         """Send a call to an endpoint once and relay the answer.
@@ -144,32 +148,38 @@
             If the caller disconnected, the deadline has passed or the
             process stops.
         """
-        endpoint = attempt.endpoint
+        endpoint, watch = attempt.endpoint, attempt.watch
         try:
-            connection = self.pool.acquire(endpoint.id, endpoint.address)
+            connection = self.pool.acquire(
+                endpoint.id,
+                endpoint.address,
+                max(MIN_CONNECT_S, watch.remaining_s()),
+            )
         except connections.UnreachableError as error:
+            watch.check_time()
             return outcomes.Unreached(str(error))
+        response: urllib3.BaseHTTPResponse | None = None
         try:
-            attempt.watch.attach(connection)
+            watch.attach(connection)
             attempt.progress.maybe_sent = True
             sent_s = clocks.boot_clock()
             response = send_request(attempt, connection)
             attempt.transfer.framing = transfers.framing_of(response)
-            outcome = self.handle_answer(attempt, response, sent_s)
-        except NETWORK_ERRORS as error:
-            connection.close()
+            outcome = self.handle_answer(attempt, connection, response, sent_s)
+        except answer_limits.NETWORK_ERRORS as error:
+            close(connection, response)
             # An error on a connection that was shut down on purpose is not
             # a failure of the endpoint.
-            attempt.watch.check()
-            attempt.transfer.end = transfers.end_of(error)
-            return outcomes.Broken(f"{type(error).__name__}: {error}")
+            watch.check()
+            return broken_by(attempt, error)
         except BaseException:
-            connection.close()
+            close(connection, response)
             raise
         finally:
-            attempt.watch.detach()
+            connection.meter.stop_checking()
+            watch.detach()
         if isinstance(outcome, outcomes.Broken):
-            connection.close()
+            close(connection, response)
         else:
             self.return_connection(endpoint, connection, response)
         return outcome
@@ -177,6 +187,7 @@
     def handle_answer(
         self,
         attempt: Attempt,
+        connection: bounded_http.Connection,
         response: urllib3.BaseHTTPResponse,
         sent_s: float,
     ) -> outcomes.Outcome:
@@ -189,15 +200,19 @@
         if answered_by and head.status != MISDIRECTED:
             self.on_announced(answered_by, head.announced, sent_s)
         if head.not_run:
-            response.read()
+            answer_limits.drop_body(connection, response)
             return outcomes.Rejected(head.status, head.announced.backoff_s)
         success = SUCCESS_MIN <= head.status < SUCCESS_END
         if success and not head.signed:
             return outcomes.Broken("the answer is not signed")
         is_stream = attempt.route.repeat is routes.Repeat.STREAM
         if success and is_stream and head.event_stream:
-            return self.relay_stream(attempt, response, head)
-        body = read_whole(attempt, response)
+            return self.relay_stream(attempt, connection, response, head)
+        max_bytes = self.limits.answer_bytes
+        connection.meter.begin(max_bytes, attempt.max_part_s)
+        body = answer_limits.read_whole(
+            response, attempt.watch, attempt.holding, max_bytes
+        )
         record_end(attempt)
         broken = self.confirm_end(attempt, response, head)
         if broken is not None:
@@ -213,6 +228,7 @@
     def relay_stream(
         self,
         attempt: Attempt,
+        connection: bounded_http.Connection,
         response: urllib3.BaseHTTPResponse,
         head: calls.AnswerHead,
     ) -> outcomes.Outcome:
@@ -221,13 +237,8 @@
             attempt.exchange, head, attempt.progress, attempt.on_first_event
         )
         try:
-            while data := response.read1(READ_BYTES):
-                attempt.on_data()
-                begun = len(relay.splitter.remainder)
-                attempt.holding.hold_answer(begun + len(data))
-                relay.feed(data)
-                begun = len(relay.splitter.remainder)
-                attempt.holding.hold_answer(begun)
+            with attempt.exchange.interrupted_by(attempt.watch.check_time):
+                self.relay_events(attempt, connection.meter, response, relay)
         except streams.NotContinuedError as error:
             return outcomes.Broken(str(error))
         splitter = relay.splitter
@@ -245,6 +256,33 @@
         relay.finish()
         return outcomes.Answered(head.status)
 
+    def relay_events(
+        self,
+        attempt: Attempt,
+        meter: bounded_reads.Meter,
+        response: urllib3.BaseHTTPResponse,
+        relay: streams.StreamRelay,
+    ) -> None:
+        """Relay events until the stream ends.
+
+        A stream may be as long as it likes, as long as it brings events: only
+        events with data begin a new part.
+        """
+        splitter = relay.splitter
+        meter.begin(self.limits.event_bytes, attempt.max_part_s)
+        while data := response.read1(answer_limits.READ_BYTES):
+            attempt.watch.check_time()
+            attempt.on_data()
+            begun = len(splitter.remainder)
+            attempt.holding.hold_answer(begun + len(data))
+            events_before = splitter.events_with_data
+            relay.feed(data)
+            attempt.holding.hold_answer(len(splitter.remainder))
+            if splitter.events_with_data > events_before:
+                meter.begin(self.limits.event_bytes, attempt.max_part_s)
+            elif not splitter.is_inside_event():
+                meter.accept_life_sign()
+
     def confirm_end(
         self,
         attempt: Attempt,
@@ -289,13 +327,14 @@
     def return_connection(
         self,
         endpoint: discovery.Endpoint,
-        connection: urllib3.connection.HTTPConnection,
+        connection: bounded_http.Connection,
         response: urllib3.BaseHTTPResponse,
     ) -> None:
         """Return the connection to the pool, unless it closes."""
         closing = response.headers.get("Connection", "").lower() == "close"
-        if closing or connection.sock is None:
-            connection.close()
+        spoiled = connection.sock is None or connection.meter.is_spoiled
+        if closing or spoiled:
+            close(connection, response)
             return
         self.pool.release(
             endpoint.id,
@@ -321,21 +360,42 @@
     attempt.transfer.record_end_of_body()
 
 
-def read_whole(attempt: Attempt, response: urllib3.BaseHTTPResponse) -> bytes:
-    """Return the complete body of an answer, counted while it arrives."""
-    pieces = []
-    size = 0
-    while data := response.read1(READ_BYTES):
-        size += len(data)
-        attempt.holding.hold_answer(size)
-        pieces.append(data)
-    return b"".join(pieces)
+def broken_by(attempt: Attempt, error: Exception) -> outcomes.Broken:
+    """Return the outcome of an attempt that ended with an error."""
+    end = transfers.end_of(error)
+    attempt.transfer.end = end
+    given_up = end in transfers.GIVEN_UP
+    if given_up:
+        log.warning(
+            "answer_given_up",
+            request=attempt.call.id,
+            endpoint=attempt.endpoint.id,
+            end=end.value,
+            detail=str(error),
+            events_sent=attempt.progress.events_sent,
+        )
+    return outcomes.Broken(f"{type(error).__name__}: {error}", given_up)
+
+
+def close(
+    connection: bounded_http.Connection,
+    response: urllib3.BaseHTTPResponse | None,
+) -> None:
+    """Close a connection, also if its answer alone still holds it."""
+    connection.close()
+    if response is not None:
+        response.close()
 
 
 def send_request(
-    attempt: Attempt, connection: urllib3.connection.HTTPConnection
+    attempt: Attempt, connection: bounded_http.Connection
 ) -> urllib3.BaseHTTPResponse:
     """Send the request and return the answer with its body unread."""
+    connection.meter.check = attempt.watch.check_time
+    connection.meter.recheck = attempt.watch.check
+    connection.limits = dataclasses.replace(
+        connections.LIMITS, head_s=attempt.max_part_s
+    )
     connection.request(
         attempt.call.method,
         attempt.call.target,
--- a/src/briarseam/forwarding/caller_writer.py
+++ b/src/briarseam/forwarding/caller_writer.py
@@ -22,6 +22,8 @@
 # writable only when a third of it is free, which takes a slow reader much
 # longer than this time-out.
 PROGRESS_POLL_MS = 500
+# The same while a check may end the send.
+CHECK_POLL_MS = 50
 MS = 1000
 # Some systems limit the number of buffers of one call to 16.
 MAX_BUFFERS = 16
@@ -50,6 +52,8 @@
     ----------
     bytes_written
         Number of bytes sent so far.
+    check
+        Called while a send waits; raises if it must not go on.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         self.stall_timeout_s = stall_timeout_s
         self.on_not_reading = on_not_reading
         self.bytes_written = 0
+        self.check: typing.Callable[[], None] = go_on
 
     def write(self, *parts: bytes) -> int:
         """Send bytes; return their number.
@@ -99,8 +104,10 @@
         poller.register(self.connection, select.POLLOUT)
         queued = unacknowledged(self.connection)
         progress_s = clocks.boot_clock()
-        poll_ms = min(PROGRESS_POLL_MS, self.stall_timeout_s * MS)
+        usual_ms = PROGRESS_POLL_MS if self.check is go_on else CHECK_POLL_MS
+        poll_ms = min(usual_ms, self.stall_timeout_s * MS)
         while not poller.poll(poll_ms):
+            self.check()
             now_s = clocks.boot_clock()
             now_queued = unacknowledged(self.connection)
             if now_queued < queued:
@@ -113,6 +120,10 @@
                 )
 
 
+def go_on() -> None:
+    """Let a send go on; the default of the check."""
+
+
 def skip(views: list[memoryview], size: int) -> list[memoryview]:
     """Return buffers without their first bytes."""
     for index, view in enumerate(views):
--- a/src/briarseam/forwarding/connections.py
+++ b/src/briarseam/forwarding/connections.py
@@ -8,9 +8,9 @@
 import threading
 import typing
 
-import urllib3.connection
 import urllib3.exceptions
 
+from briarseam import bounded_http
 from briarseam import clocks
 from briarseam import sockets
 
@@ -24,6 +24,8 @@
 REUSE_MARGIN_S = 1.0
 # For endpoints that do not send a keep-alive timeout.
 DEFAULT_IDLE_S = 4.0
+# Whoever reads a body knows what it may be.
+LIMITS = bounded_http.Limits(body_bytes=None)
 
 
 class UnreachableError(Exception):
@@ -46,7 +48,7 @@
         When it must no longer be used, by the boot clock.
     """
 
-    connection: urllib3.connection.HTTPConnection
+    connection: bounded_http.Connection
     expires_s: float
 
 
@@ -65,10 +67,21 @@
         self.opened = 0
 
     def acquire(
-        self, endpoint_id: str, address: str
-    ) -> urllib3.connection.HTTPConnection:
+        self,
+        endpoint_id: str,
+        address: str,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> bounded_http.Connection:
         """Return a connection to an endpoint, an idle one if available.
 
+        Parameters
+        ----------
+        endpoint_id, address
+            The endpoint.
+        timeout_s
+            Maximum time to establish a new one, in seconds, if that is
+            shorter than ``CONNECT_TIMEOUT_S``.
+
         Raises
         ------
         UnreachableError
@@ -77,10 +90,12 @@
         reused = self.acquire_idle(endpoint_id, address)
         if reused is not None:
             return reused
-        return self.connect(address)
+        return self.connect(address, timeout_s)
 
-    def connect(self, address: str) -> urllib3.connection.HTTPConnection:
-        """Return a new connection.
+    def connect(
+        self, address: str, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> bounded_http.Connection:
+        """Return a new connection; see :meth:`acquire`.
 
         Raises
         ------
@@ -90,10 +105,11 @@
             If it is refused.
         """
         host, _, port = address.rpartition(":")
-        connection = urllib3.connection.HTTPConnection(
+        connection = bounded_http.Connection(
             host,
             int(port),
-            timeout=CONNECT_TIMEOUT_S,
+            limits=LIMITS,
+            timeout=min(timeout_s, CONNECT_TIMEOUT_S),
             socket_options=sockets.ENDPOINT_OPTIONS,
         )
         try:
@@ -110,7 +126,7 @@
 
     def acquire_idle(
         self, endpoint_id: str, address: str
-    ) -> urllib3.connection.HTTPConnection | None:
+    ) -> bounded_http.Connection | None:
         """Return an idle connection that is still usable, if any."""
         now_s = clocks.boot_clock()
         while True:
@@ -133,7 +149,7 @@
         self,
         endpoint_id: str,
         address: str,
-        connection: urllib3.connection.HTTPConnection,
+        connection: bounded_http.Connection,
         keep_alive: str,
     ) -> None:
         """Return a connection to the pool for the next request.
@@ -200,7 +216,7 @@
     return DEFAULT_IDLE_S
 
 
-def is_reusable(connection: urllib3.connection.HTTPConnection) -> bool:
+def is_reusable(connection: bounded_http.Connection) -> bool:
     """Return whether an idle connection is open and has no unread data.
 
     Bytes that arrive after a complete answer belong to no request.  Read as
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -32,6 +32,7 @@
 # requests whose callers always leave.  Endpoints must stop after half a
 # second.
 TRIAL_GRACE_S = 0.4
+GIVEN_UP = "given-up"
 MS = 1000
 log = structlog.get_logger("briarseam.forwarding")
 
@@ -236,6 +237,9 @@
                 if head.status not in attempts.NOT_RUN_STATUSES:
                     self.record_complete_answer(state)
                 state.trial = None
+            case outcomes.Broken(given_up=True):
+                # The endpoint goes on, unless it crashes a moment later.
+                self.abandon(state, endpoint, GIVEN_UP, sent_s)
             case outcomes.Broken():
                 self.record_loss(state, endpoint)
                 trial, state.trial = state.trial, None
@@ -270,13 +274,39 @@
         sent_s
             When it was sent, by the boot clock.
         """
+        is_stopping = ending is supervision.Ending.CUT_OFF
+        self.abandon(state, endpoint, ending.value, sent_s, is_stopping)
+
+    def abandon(
+        self,
+        state: CrashState,
+        endpoint: discovery.Endpoint,
+        reason: str,
+        sent_s: float,
+        is_stopping: bool = False,
+    ) -> None:
+        """Track an attempt that this instance has ended.
+
+        Parameters
+        ----------
+        state
+            The request.
+        endpoint
+            The endpoint that may still run it.
+        reason
+            Why it was ended, for the log.
+        sent_s
+            When it was sent, by the boot clock.
+        is_stopping
+            Whether this instance stops.
+        """
         state.trial = None
         log.info(
             "request_abandoned",
             request=state.request,
             digest=state.digest.hex(),
             endpoint=endpoint.id,
-            ending=ending.value,
+            ending=reason,
             after_ms=round((self.clock() - sent_s) * MS),
             shared_parts=list(state.parts.values()),
             events_sent=state.began_s is not None,
@@ -285,7 +315,7 @@
             state.digest,
             endpoint,
             self.blamed(state),
-            ending is supervision.Ending.CUT_OFF,
+            is_stopping,
         )
 
     def blamed(self, state: CrashState) -> tuple[bytes, ...]:
--- a/src/briarseam/forwarding/events.py
+++ b/src/briarseam/forwarding/events.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+from briarseam import bounded_reads
+
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 CRLF = b"\r\n"
 LF = b"\n"
@@ -15,6 +17,9 @@
 ID = b"id"
 DATA = b"data"
 NULL = b"\0"
+# Comments and empty lines keep a connection alive; engines send one now and
+# then.
+MAX_IDLE_LINES = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +77,8 @@
     ----------
     remainder
         Bytes after the last complete event.
+    events_with_data
+        Number of events so far that have data.
     """
 
     def __init__(self) -> None:
@@ -81,9 +88,18 @@
         self.at_start = True
         self.fields: dict[bytes, bytes] = {}
         self.line_ends = LineEnds()
+        self.events_with_data = 0
+        # Empty lines and comments since the last event with data.
+        self.idle_lines = 0
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events that are complete with these bytes."""
+        """Return the events that are complete with these bytes.
+
+        Raises
+        ------
+        TooManyBytesError
+            If there are too many lines without any event.
+        """
         self.remainder += data
         found = []
         event_start = 0
@@ -91,6 +107,8 @@
             self.parsed_bytes += len(line)
             self.line_ends.add(line)
             content = self.content_of(line)
+            if not content or content.startswith(COMMENT):
+                self.count_idle_line()
             if content:
                 self.add_field(content)
                 continue
@@ -101,6 +119,14 @@
         self.parsed_bytes -= event_start
         return found
 
+    def count_idle_line(self) -> None:
+        """Count a line that is part of no event."""
+        self.idle_lines += 1
+        if self.idle_lines > MAX_IDLE_LINES:
+            raise bounded_reads.TooManyBytesError(
+                f"more than {MAX_IDLE_LINES} lines without an event"
+            )
+
     def complete_lines(self) -> list[bytes]:
         """Return the lines of the remainder whose end has arrived.
 
@@ -137,6 +163,9 @@
         # The format ignores ids with a null character.
         event_id = None if NULL in value else value.strip().decode("latin-1")
         event = Event(raw, event_id, DATA in self.fields)
+        if event.has_data:
+            self.events_with_data += 1
+            self.idle_lines = 0
         self.fields = {}
         return event
 
--- a/src/briarseam/forwarding/held_bytes.py
+++ b/src/briarseam/forwarding/held_bytes.py
@@ -11,10 +11,17 @@
 
 import structlog
 
+from briarseam import bounded_reads
+
 MEGABYTE = 1_000_000
 # The rest of the memory is for the interpreter, the state of the parts, and
 # the copies that are made while bodies are read and sent.
 MEMORY_SHARE = 0.25
+# All answers that are not complete yet.  An endpoint may send without end, and
+# many requests may be under way there.
+MAX_INCOMPLETE_BYTES = 16 * 1024 * 1024
+# Each answer may have as much, whatever else is held.
+FREE_ANSWER_BYTES = 64 * 1024
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -35,6 +42,8 @@
     ----------
     total
         Number of bytes held now.
+    incomplete
+        The same of answers that are not complete.
     on_refused
         Called when a request's body is refused because of the limit.
     """
@@ -42,6 +51,7 @@
     def __init__(self, limit: int = 0) -> None:
         self.limit = limit
         self.total = 0
+        self.incomplete = 0
         self.on_refused: typing.Callable[[], None] = lambda: None
         self.lock = threading.Lock()
 
@@ -50,6 +60,40 @@
         with self.lock:
             self.total += size
 
+    def add_incomplete(self, size: int, own: int) -> None:
+        """Count more bytes of an incomplete answer, or fewer if negative.
+
+        Parameters
+        ----------
+        size
+            Number of further bytes.
+        own
+            Number of bytes of the same answer, these included.
+
+        Raises
+        ------
+        TooManyBytesError
+            If too much is held of all such answers.
+        """
+        with self.lock:
+            is_too_much = (
+                size > 0
+                and own > FREE_ANSWER_BYTES
+                and self.incomplete + size > MAX_INCOMPLETE_BYTES
+            )
+            if not is_too_much:
+                self.total += size
+                self.incomplete += size
+        if is_too_much:
+            raise bounded_reads.TooManyBytesError(
+                f"more than {MAX_INCOMPLETE_BYTES} bytes of incomplete answers"
+            )
+
+    def complete(self, size: int) -> None:
+        """Count bytes of an answer as complete."""
+        with self.lock:
+            self.incomplete -= size
+
     def try_add(self, size: int, own: int) -> bool:
         """Count bytes of a request's body unless they exceed the limit.
 
@@ -99,12 +143,15 @@
         Size of what was read of the body, or its announced length.
     answer_bytes
         Size of what the caller has not received yet of the answer.
+    is_complete
+        Whether that is the complete answer.
     """
 
     def __init__(self, held: HeldBytes) -> None:
         self.held = held
         self.body_bytes = 0
         self.answer_bytes = 0
+        self.is_complete = False
 
     def hold_body(self, size: int) -> None:
         """Count more bytes of the body.
@@ -120,17 +167,41 @@
         self.body_bytes += size
 
     def hold_answer(self, size: int) -> None:
-        """Set the number of bytes of the answer that are held.
+        """Set the number of bytes that are held of an incomplete answer.
 
-        They may exceed the limit: the endpoint has already produced them.
+        They may exceed the limit of requests: the endpoint has already
+        produced them.
+
+        Raises
+        ------
+        TooManyBytesError
+            If too much is held of all answers.
         """
-        self.held.add(size - self.answer_bytes)
+        if self.is_complete:
+            # Of an earlier attempt, whose answer was a failure.
+            self.release_answer()
+        self.held.add_incomplete(size - self.answer_bytes, size)
         self.answer_bytes = size
 
+    def complete_answer(self) -> None:
+        """Count the answer as complete."""
+        if not self.is_complete:
+            self.is_complete = True
+            self.held.complete(self.answer_bytes)
+
+    def release_answer(self) -> None:
+        """Stop counting the answer."""
+        if not self.is_complete:
+            self.held.complete(self.answer_bytes)
+        self.held.add(-self.answer_bytes)
+        self.answer_bytes = 0
+        self.is_complete = False
+
     def release(self) -> None:
         """Stop counting; the request has ended."""
-        self.held.add(-self.body_bytes - self.answer_bytes)
-        self.body_bytes = self.answer_bytes = 0
+        self.release_answer()
+        self.held.add(-self.body_bytes)
+        self.body_bytes = 0
 
 
 def unlimited() -> Holding:
--- a/src/briarseam/forwarding/outcomes.py
+++ b/src/briarseam/forwarding/outcomes.py
@@ -71,9 +71,13 @@
     ----------
     detail
         One sentence.
+    given_up
+        Whether this instance ended the answer, since it exceeded a limit.
+        The endpoint has not broken it off.
     """
 
     detail: str
+    given_up: bool = False
 
 
 Outcome = Answered | Rejected | Unreached | Failed | Broken
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -5,8 +5,11 @@
 import dataclasses
 import typing
 
+from briarseam import bounded_reads
 from briarseam import clocks
+from briarseam import transfers
 from briarseam import verdict
+from briarseam.forwarding import answer_limits
 from briarseam.forwarding import attempts
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import streams
@@ -16,7 +19,6 @@
 
 if typing.TYPE_CHECKING:
     from briarseam import inflight
-    from briarseam import transfers
     from briarseam.forwarding import calls
     from briarseam.forwarding import crash_checks
     from briarseam.forwarding import refusing
@@ -89,8 +91,11 @@
     ) -> None:
         """Count a send, and its answer if one has ended."""
         self.sends.labelled(outcomes.name_of(outcome)).add()
-        if transfer.framing is not None and transfer.end is not None:
-            self.body_transfers.labelled(transfer.framing, transfer.end).add()
+        if transfer.end is not None and (
+            transfer.framing is not None or transfer.end in transfers.GIVEN_UP
+        ):
+            framing = transfer.framing or "none"
+            self.body_transfers.labelled(framing, transfer.end).add()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -249,3 +254,15 @@
     if progress.events_sent and (not can_resume or context.software is None):
         return False
     return context.sends < context.route.max_endpoints
+
+
+def max_part_s(context: Context) -> float:
+    """Return how long an endpoint may take for a part of its answer.
+
+    It is unlimited if no other endpoint could be tried: then nothing is
+    gained by giving up before the deadline.
+    """
+    is_last = context.sends + 1 >= context.route.max_endpoints
+    if is_last or not context.route.idempotent:
+        return bounded_reads.UNLIMITED_S
+    return answer_limits.max_part_s(context.watch.remaining_s())
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http
 import logging
 import threading
@@ -211,6 +212,24 @@
         self.discarding = True
         self.close_after()
 
+    @contextlib.contextmanager
+    def interrupted_by(
+        self, check: typing.Callable[[], None]
+    ) -> typing.Iterator[None]:
+        """Have a check end sends to a caller who does not read.
+
+        Parameters
+        ----------
+        check
+            Called while a send waits; raises if it must not go on.
+        """
+        writer = self.request.conn.wfile
+        writer.check = check
+        try:
+            yield
+        finally:
+            writer.check = caller_writer.go_on
+
     def write(self, *parts: bytes) -> None:
         """Send bytes to the caller."""
         if not self.discarding:
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -401,6 +401,7 @@
             on_first_event=on_first_event,
             on_data=on_data,
             holding=context.exchange.holding,
+            max_part_s=request_context.max_part_s(context),
         )
         outcome: outcomes.Outcome | None = None
         if context.crash_state.trial is not None:
--- a/src/briarseam/forwarding/supervision.py
+++ b/src/briarseam/forwarding/supervision.py
@@ -89,6 +89,16 @@
         if self.ending is not None:
             raise EndedError(self.ending)
 
+    def check_time(self) -> None:
+        """Raise :class:`EndedError` if it was ended, or its time is over.
+
+        Who reads what comes without end must not rely on the supervisor's
+        thread, which may get too little of the processor then.
+        """
+        if self.ending is None and self.remaining_s() <= 0:
+            self.end(Ending.TIMED_OUT)
+        self.check()
+
     def begin_grace(
         self, grace_s: float, on_caller_left: typing.Callable[[], None]
     ) -> None:
--- a/src/briarseam/transfers.py
+++ b/src/briarseam/transfers.py
@@ -7,6 +7,8 @@
 import http.client
 import typing
 
+from briarseam import bounded_reads
+
 if typing.TYPE_CHECKING:
     import urllib3
 
@@ -26,6 +28,9 @@
     CLOSED = "closed"
     RESET = "reset"
     ERROR = "error"
+    # Given up by the reader.
+    TOO_LONG = "too-long"
+    TOO_SLOW = "too-slow"
 
 
 @dataclasses.dataclass
@@ -63,6 +68,9 @@
         return " ".join(fields)
 
 
+GIVEN_UP = frozenset({End.TOO_LONG, End.TOO_SLOW})
+
+
 def framing_of(response: urllib3.BaseHTTPResponse) -> Framing:
     """Return the framing of an answer whose head was read.
 
@@ -79,6 +87,10 @@
     """Return how a transfer ended that failed with an error."""
     cause: object = error
     while isinstance(cause, BaseException):
+        if isinstance(cause, bounded_reads.TooManyBytesError):
+            return End.TOO_LONG
+        if isinstance(cause, bounded_reads.TooSlowError):
+            return End.TOO_SLOW
         if isinstance(
             cause, http.client.IncompleteRead | http.client.RemoteDisconnected
         ):
--- a/tests/forwarding/sending.py
+++ b/tests/forwarding/sending.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+
+from briarseam import bounded_reads
 from briarseam.discovery import model as discovery
 from briarseam.forwarding import attempts
 from briarseam.forwarding import calls
@@ -17,6 +20,10 @@
         self.sent: list[bytes] = []
         self.finished = False
 
+    def interrupted_by(self, check):
+        """Take sends for done at once."""
+        return contextlib.nullcontext()
+
     def answer(self, status, headers, body):
         """Record a complete answer."""
         self.sent.append(body)
@@ -46,7 +53,15 @@
     )
 
 
-def attempt_to(address, watch, exchange, repeat, body=b"", holding=None):
+def attempt_to(
+    address,
+    watch,
+    exchange,
+    repeat,
+    body=b"",
+    holding=None,
+    max_part_s=bounded_reads.UNLIMITED_S,
+):
     """Return an attempt at an endpoint."""
     return attempts.Attempt(
         exchange=exchange,
@@ -61,4 +76,5 @@
         progress=streams.Progress(),
         on_first_event=lambda: None,
         holding=holding or held_bytes.unlimited(),
+        max_part_s=max_part_s,
     )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -81,6 +81,8 @@
         "admission.refusals",
         "backing",
         "backoff",
+        "bounded_http",
+        "bounded_reads",
         "changes",
         "claims.records",
         "clocks",
