Bound the answers of the store, engines, stores and the log

An instance whose store, engine or peer sends without end read on: a timeout began anew with each read, and a body was read as a whole whatever its size.

Cause: the library's timeouts are for single reads, and nothing limited bytes. Streams of engines end when comments or empty lines are all that comes; comments are no events any more.

--- a/src/briarseam/backing/instances.py
+++ b/src/briarseam/backing/instances.py
@@ -9,6 +9,8 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
+
 READ_TIMEOUT_S = 3.0
 HTTP_OK = 200
 
@@ -95,7 +97,7 @@
     ) -> None:
         self.address = address
         self.timeout_s = timeout_s
-        self.pool = urllib3.PoolManager(maxsize=2, retries=False)
+        self.pool = bounded_http.pool_manager(maxsize=2, retries=False)
 
     def read(self) -> Listing:
         """Return the current instance list of the platform.
--- a/src/briarseam/backing/log.py
+++ b/src/briarseam/backing/log.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from briarseam import backoff
+from briarseam import bounded_http
 
 APPEND_TIMEOUT_S = 2.0
 READ_SLACK_S = 2.0
@@ -121,7 +122,7 @@
         self.append_timeout_s = append_timeout_s
         # No retries by urllib3: an append whose response was lost may
         # have taken effect, and only its writer can resolve that.
-        self.pool = urllib3.PoolManager(
+        self.pool = bounded_http.pool_manager(
             maxsize=32, retries=False, headers={"Accept": "*/*"}
         )
 
--- a/src/briarseam/bounded_http.py
+++ b/src/briarseam/bounded_http.py
@@ -119,11 +119,24 @@
         TooManyBytesError
             If the head, or the announced length, is too large.
         """
-        super().begin()
-        while self.status < FIRST_FINAL and self.status != SWITCHING_PROTOCOLS:
-            self.headers = self.msg = None  # type: ignore[assignment]
+        for _interim in range(MAX_INTERIM_ANSWERS + 1):
             super().begin()
+            if self.status >= FIRST_FINAL:
+                self.begin_body()
+                return
+            if self.status == SWITCHING_PROTOCOLS:
+                break
+            # Otherwise the next call takes the head for read.
+            self.headers = self.msg = None  # type: ignore[assignment]
+        raise bounded_reads.TooManyBytesError("no answer after interim ones")
+
+    def begin_body(self) -> None:
+        """Begin to count the body; the library may read it at once."""
         self.check_size(self.length or 0)
+        max_bytes = self.limits.body_bytes
+        if max_bytes is None:
+            max_bytes = bounded_reads.UNLIMITED_BYTES
+        self.meter.begin(max_bytes)
 
     def check_size(self, size: int) -> None:
         """Raise if a body, or a chunk, is announced that is too large."""
@@ -222,13 +235,7 @@
         if isinstance(timeout_s, int | float):
             meter.deadline_s = meter.clock() + timeout_s
         meter.begin(limits.head_bytes, limits.head_s)
-        response = super().getresponse()
-        meter.begin(
-            bounded_reads.UNLIMITED_BYTES
-            if limits.body_bytes is None
-            else limits.body_bytes
-        )
-        return response
+        return super().getresponse()
 
 
 class ConnectionPool(urllib3.HTTPConnectionPool):
--- a/src/briarseam/command/http.py
+++ b/src/briarseam/command/http.py
@@ -9,6 +9,7 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
 from briarseam import tokens
 from briarseam.command import options
 
@@ -58,13 +59,12 @@
         """
         url = f"http://{self.entry}{path}"
         try:
-            response = urllib3.request(
+            response = bounded_http.pool_manager(retries=False).request(
                 "GET",
                 url,
                 fields=dict(fields or {}),
                 headers={"Authorization": f"Bearer {self.token}"},
                 timeout=self.timeout_s,
-                retries=False,
             )
             if response.status != HTTP_OK:
                 detail = response.data.decode(errors="replace")
--- a/src/briarseam/configuration/following.py
+++ b/src/briarseam/configuration/following.py
@@ -9,6 +9,7 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
 from briarseam.backing import instances as instance_list
 
 POLL_S = 0.2
@@ -112,7 +113,7 @@
         self.entries = entries
         self.instances = instances
         self.token = token
-        self.pool = urllib3.PoolManager(retries=False)
+        self.pool = bounded_http.pool_manager(retries=False)
 
     def follow(self, offset: int, timeout_s: float) -> Propagation:
         """Poll until every live agent has ``offset`` or the time is up."""
--- a/src/briarseam/endpoints/engine.py
+++ b/src/briarseam/endpoints/engine.py
@@ -14,8 +14,9 @@
 
 import msgspec
 import urllib3
-from urllib3 import connection as urllib3_connection
 
+from briarseam import bounded_http
+from briarseam import bounded_reads
 from briarseam.endpoints import sse
 
 if typing.TYPE_CHECKING:
@@ -27,6 +28,9 @@
 RESUME_TIMEOUT_S = 1.0
 POOL_SIZE = 256
 READ_BYTES = 65536
+# The largest event, the list of an answer's tokens so far, is far smaller.
+MAX_EVENT_BYTES = 256 * 1024
+STREAM_LIMITS = bounded_http.Limits(body_bytes=None)
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_TOO_MANY = 429
@@ -144,6 +148,8 @@
         Open response whose body is the event stream.
     sock
         Socket of its connection.
+    meter
+        Bounds what is read from it.
     max_silence_s
         Maximum time between two pieces after the first token, in seconds.
     """
@@ -152,10 +158,12 @@
         self,
         response: urllib3.BaseHTTPResponse,
         sock: socket.socket,
+        meter: bounded_reads.Meter,
         max_silence_s: float,
     ) -> None:
         self.response = response
         self.sock = sock
+        self.meter = meter
         self.max_silence_s = max_silence_s
         self.events = sse.read(response.stream(READ_BYTES))
 
@@ -178,6 +186,7 @@
         """
         try:
             for event in self.events:
+                self.meter.begin(MAX_EVENT_BYTES, self.max_silence_s)
                 yield parse_piece(event)
         except (
             urllib3.exceptions.HTTPError,
@@ -214,7 +223,7 @@
         self.max_silence_s = max_silence_s
         # No retries by the library: a run whose answer was lost may be
         # running, and only the caller of this class can resolve that.
-        self.pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
+        self.pool = bounded_http.pool_manager(maxsize=POOL_SIZE, retries=False)
 
     def start(
         self, address: str, run: RunRequest, first_token_timeout_s: float = 0.0
@@ -279,8 +288,8 @@
         # The engine may close a kept-alive connection while a request is
         # being written, and whether it read the request is unknown.  A new
         # connection has no such race: it either opens or nothing was sent.
-        connection = urllib3_connection.HTTPConnection(
-            host, int(port), timeout=CONNECT_TIMEOUT_S
+        connection = bounded_http.Connection(
+            host, int(port), limits=STREAM_LIMITS, timeout=CONNECT_TIMEOUT_S
         )
         try:
             connection.connect()
@@ -308,7 +317,10 @@
             raise LostError(str(error)) from error
         if response.status != HTTP_OK:
             raise response_error(response)
-        return Stream(response, sock, self.max_silence_s)
+        # A stream is as long as it likes, but its parts are not.
+        connection.meter.deadline_s = bounded_reads.UNLIMITED_S
+        connection.meter.begin(MAX_EVENT_BYTES, timeout_s)
+        return Stream(response, sock, connection.meter, self.max_silence_s)
 
     def cancel(self, address: str, run_id: str) -> bool:
         """Cancel a run; return whether the engine confirmed it."""
--- a/src/briarseam/endpoints/engine_events.py
+++ b/src/briarseam/endpoints/engine_events.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from briarseam import bounded_http
 from briarseam.endpoints import reading
 
 CONNECT_TIMEOUT_S = 0.5
@@ -110,7 +111,7 @@
     """Reads engines' cache events and listings."""
 
     def __init__(self) -> None:
-        self.pool = urllib3.PoolManager(
+        self.pool = bounded_http.pool_manager(
             maxsize=2, num_pools=256, retries=False
         )
 
--- a/src/briarseam/endpoints/engine_kv.py
+++ b/src/briarseam/endpoints/engine_kv.py
@@ -12,6 +12,8 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
+
 CONNECT_TIMEOUT_S = 0.5
 POOL_SIZE = 16
 HTTP_OK = 200
@@ -138,7 +140,7 @@
     def __init__(self) -> None:
         # No retries by the library: an import sent twice would transfer its
         # bytes twice over a link with a budget.
-        self.pool = urllib3.PoolManager(
+        self.pool = bounded_http.pool_manager(
             maxsize=POOL_SIZE, num_pools=256, retries=False
         )
 
--- a/src/briarseam/endpoints/engine_load.py
+++ b/src/briarseam/endpoints/engine_load.py
@@ -4,8 +4,7 @@
 
 import dataclasses
 
-import urllib3
-
+from briarseam import bounded_http
 from briarseam.endpoints import reading
 
 READ_TIMEOUT_S = 1.0
@@ -50,7 +49,7 @@
     """Reads load reports, without retries: the next poll is the retry."""
 
     def __init__(self) -> None:
-        self.pool = urllib3.PoolManager(maxsize=1, retries=False)
+        self.pool = bounded_http.pool_manager(maxsize=1, retries=False)
 
     def read(self, address: str) -> LoadReport:
         """Return an engine's load report.
--- a/src/briarseam/endpoints/engine_orders.py
+++ b/src/briarseam/endpoints/engine_orders.py
@@ -11,6 +11,7 @@
 
 import urllib3
 
+from briarseam import bounded_http
 from briarseam.endpoints import reading
 
 DEFAULT_TIMEOUT_S = 1.0
@@ -143,7 +144,7 @@
         self.timeout_s = timeout_s
         # No retries by the library: a repeated order may arrive after a
         # newer one of the same lease holder.
-        self.pool = urllib3.PoolManager(
+        self.pool = bounded_http.pool_manager(
             num_pools=POOL_SIZE, maxsize=2, retries=False
         )
 
--- a/src/briarseam/endpoints/engine_start.py
+++ b/src/briarseam/endpoints/engine_start.py
@@ -8,6 +8,8 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
+
 TIMEOUT_S = 0.5
 MAX_TRIES = 8
 RETRY_PAUSE_S = 0.05
@@ -63,7 +65,7 @@
         If the engine closes the connection without an answer.
     """
     host, _, port = address.rpartition(":")
-    pool = urllib3.HTTPConnectionPool(
+    pool = bounded_http.ConnectionPool(
         host, int(port), maxsize=1, retries=False, timeout=TIMEOUT_S
     )
     try:
--- a/src/briarseam/endpoints/service.py
+++ b/src/briarseam/endpoints/service.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from briarseam import bounded_http
 from briarseam import transfers
 from briarseam.endpoints import engine
 
@@ -74,7 +75,7 @@
         # No reused connections, retries or redirects: if the service closes
         # a reused connection while the request is being written, or the
         # library follows a redirect, one booking could be made twice.
-        pool = urllib3.HTTPConnectionPool(
+        pool = bounded_http.ConnectionPool(
             host, int(port), maxsize=1, retries=False, timeout=timeout
         )
         headers = {
--- a/src/briarseam/endpoints/sse.py
+++ b/src/briarseam/endpoints/sse.py
@@ -47,6 +47,12 @@
     return Event(fields["event"], fields["data"], fields["id"])
 
 
+def has_fields(block: bytes) -> bool:
+    """Return whether lines hold more than comments."""
+    lines = block.split(b"\n")
+    return any(line.strip() and not line.startswith(b":") for line in lines)
+
+
 def read(chunks: typing.Iterable[bytes]) -> typing.Iterator[Event]:
     """Yield the events of a stream of chunks.
 
@@ -60,7 +66,7 @@
         buffer += chunk
         while SEPARATOR in buffer:
             block, _, buffer = buffer.partition(SEPARATOR)
-            if block.strip():
+            if has_fields(block):
                 yield parse(block)
     if buffer.strip():
         raise TruncatedError("the stream ended within an event")
--- a/src/briarseam/endpoints/store.py
+++ b/src/briarseam/endpoints/store.py
@@ -11,6 +11,8 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
+
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 2.0
 POOL_SIZE = 8
@@ -107,7 +109,7 @@
         self.timeout_s = timeout_s
         # No retries by the library: the caller decides what a lost answer
         # means, and an unavailable store must be detected at once.
-        self.pool = urllib3.PoolManager(
+        self.pool = bounded_http.pool_manager(
             maxsize=POOL_SIZE, num_pools=64, retries=False
         )
 
--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
 from briarseam import malformed
 from briarseam import sockets
 from briarseam.discovery import starts
@@ -80,7 +81,7 @@
 
     def __init__(self, tally: malformed.Tally | None = None) -> None:
         self.tally = tally or malformed.Tally()
-        self.pool = urllib3.PoolManager(
+        self.pool = bounded_http.pool_manager(
             maxsize=1, retries=False, socket_options=sockets.OPTIONS
         )
 
--- a/src/briarseam/platform/engines.py
+++ b/src/briarseam/platform/engines.py
@@ -7,6 +7,7 @@
 import msgspec
 import urllib3
 
+from briarseam import bounded_http
 from briarseam import malformed
 from briarseam import sockets
 from briarseam.discovery import starts
@@ -70,7 +71,7 @@
         self.tally = tally or malformed.Tally()
         self.on_start = on_start
         self.on_leaving = on_leaving
-        self.pool = urllib3.PoolManager(
+        self.pool = bounded_http.pool_manager(
             maxsize=2, retries=False, socket_options=sockets.OPTIONS
         )
 
--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -11,6 +11,7 @@
 import structlog
 import urllib3
 
+from briarseam import bounded_http
 from briarseam import malformed
 from briarseam import sockets
 from briarseam.feeds import records
@@ -75,7 +76,7 @@
         """Use another address for all further calls."""
         host, _, port = address.rpartition(":")
         self.address = address
-        self.pool = urllib3.HTTPConnectionPool(
+        self.pool = bounded_http.ConnectionPool(
             host,
             int(port),
             maxsize=MAX_CONNECTIONS,
