Close connections of peers whose frames do not come to an end

A peer that stalls within a frame, or sends it by drops, held a connection and up to 4 MiB for good: only handshakes had a time-out. A frame that has begun comes whole within 10 s now; the time stops while this side does not read.

--- a/src/briarseam/wire/frames.py
+++ b/src/briarseam/wire/frames.py
@@ -13,6 +13,9 @@
 # Reading pauses while this many received frames are queued.  A client sends
 # its next message only after the reply, so the queue is normally shorter.
 MAX_QUEUED_FRAMES = 4
+# A frame that has begun comes whole within this time.  Otherwise a sender that
+# stalls, or sends by drops, would hold up to a frame's size for good.
+FRAME_TIMEOUT_S = 10.0
 
 
 class AsyncConnection(asyncio.Protocol):
@@ -47,6 +50,7 @@
         self.payloads: collections.deque[bytes] = collections.deque()
         self.waiting_reader: asyncio.Future[None] | None = None
         self.end_reason: str = ""
+        self.frame_timer: asyncio.TimerHandle | None = None
 
     # Callbacks of the event loop.
 
@@ -60,17 +64,38 @@
         """Split received bytes into frames."""
         self.buffer += data
         while self.extract_frame():
-            pass
+            self.stop_frame_timer()
+        self.start_frame_timer()
         if (
             len(self.payloads) >= MAX_QUEUED_FRAMES
             and self.transport is not None
         ):
             self.transport.pause_reading()
+            self.stop_frame_timer()
         if self.payloads or self.end_reason:
             self.wake_reader()
 
+    def start_frame_timer(self) -> None:
+        """Limit the time of the frame that is being received, if any."""
+        if self.buffer and self.frame_timer is None:
+            self.frame_timer = asyncio.get_running_loop().call_later(
+                FRAME_TIMEOUT_S, self.expire_frame
+            )
+
+    def stop_frame_timer(self) -> None:
+        """Stop the time of the frame that is being received."""
+        if self.frame_timer is not None:
+            self.frame_timer.cancel()
+            self.frame_timer = None
+
+    def expire_frame(self) -> None:
+        """Close the connection: a frame has not come whole in time."""
+        self.mark_ended(f"incomplete frame after {FRAME_TIMEOUT_S:g} s")
+        self.close()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Record that the connection has ended."""
+        self.stop_frame_timer()
         self.mark_ended(str(error) if error else "closed by the peer")
 
     def extract_frame(self) -> bool:
@@ -135,6 +160,7 @@
         payload = self.payloads.popleft()
         if not self.payloads and self.transport is not None:
             self.transport.resume_reading()
+            self.start_frame_timer()
         return payload
 
     def send(self, message: codec.Message) -> None:
