Bound the requests that servers read, silence included

A caller who sent a head or a body by drops held a thread for good, and the size of a chunk without a line end filled the memory.

Cause: cheroot's time-out is for single reads, the configured time for headers was not used, there was no limit before a configuration was known, and chunk sizes are read as lines of any length. Requests are read through the meter now. Chunked bodies are joined once: the library copied all of the body again for each chunk.

test_metrics_count_requests failed once beside load: a request is counted after its answer was sent, so the scrape could come first. It waits for the count now and checks the same.

--- a/src/briarseam/bounded_reads.py
+++ b/src/briarseam/bounded_reads.py
@@ -41,8 +41,8 @@
 class Meter:
     """Bounds the part that is being read from a connection.
 
-    Only bytes that arrive exceed the time of a part: silence is bounded by
-    the deadline alone, as a sound sender may pause.
+    Unless silence is bounded as well, only bytes that arrive exceed the time
+    of a part: a sound sender may pause.
 
     Parameters
     ----------
@@ -58,6 +58,8 @@
         down reads as ended.
     deadline_s
         When reads fail, by the clock.
+    bounds_silence
+        Whether the time of a part ends reads although nothing arrives.
     is_spoiled
         Whether something follows the last answer that was not read, so that
         the connection must not be used again.
@@ -70,6 +72,7 @@
         self.check: typing.Callable[[], None] = do_nothing
         self.recheck: typing.Callable[[], None] = do_nothing
         self.deadline_s = UNLIMITED_S
+        self.bounds_silence = False
         self.is_spoiled = False
         self.begin()
 
@@ -115,18 +118,18 @@
         if self.pause_s >= LIFE_SIGN_PAUSE_S:
             self.begun_s = None
 
-    def remaining_s(self) -> float:
-        """Return the seconds until the deadline.
+    def wait_s(self) -> float:
+        """Return for how long a read may wait, in seconds.
 
-        Raises
-        ------
-        TimeoutError
-            If it has passed.
+        It is 0 once the time is over: what has arrived while this machine was
+        suspended is read all the same.
         """
-        remaining_s = self.deadline_s - self.clock()
-        if remaining_s <= 0:
-            raise TimeoutError("timed out")
-        return remaining_s
+        end_s = self.deadline_s
+        if self.bounds_silence and self.begun_s is not None:
+            end_s = min(end_s, self.begun_s + self.max_s)
+        if end_s == UNLIMITED_S:
+            return end_s
+        return max(0.0, end_s - self.clock())
 
     def add(self, count: int) -> None:
         """Count bytes that have arrived.
@@ -145,7 +148,7 @@
         self.pause_s, self.arrived_s = now_s - self.arrived_s, now_s
         if self.begun_s is None:
             self.begun_s = now_s
-        elif now_s - self.begun_s > self.max_s:
+        elif now_s - self.begun_s > self.max_s and not self.bounds_silence:
             raise TooSlowError(f"not complete after {self.max_s:.3g} s")
 
     def add_chunk(self) -> None:
@@ -198,8 +201,9 @@
         """
         meter = self.meter
         meter.check()
-        if meter.deadline_s != UNLIMITED_S:
-            self.wait_readable(meter.remaining_s())
+        wait_s = meter.wait_s()
+        if wait_s != UNLIMITED_S:
+            self.wait_readable(wait_s)
         count: int | None = self.raw.readinto(buffer)
         meter.recheck()
         if count:
--- a/src/briarseam/compose/node_servers.py
+++ b/src/briarseam/compose/node_servers.py
@@ -5,6 +5,7 @@
 import threading
 import typing
 
+from briarseam import bounded_requests
 from briarseam import clocks
 from briarseam.forwarding import server as http
 
@@ -90,8 +91,15 @@
     for name, extra_bytes in (("callers", 0), ("relays", RELAY_HEADER_BYTES)):
         server = servers[name]
         server.set_idle_timeout(limits.idle_timeout_s)
-        server.max_request_header_size = limits.header_bytes + extra_bytes
-        server.max_request_body_size = limits.body_bytes
+        bounded_requests.apply(
+            server,
+            bounded_requests.RequestLimits(
+                limits.header_bytes + extra_bytes,
+                limits.body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            ),
+        )
 
 
 def stop_all(
--- a/src/briarseam/entry/server.py
+++ b/src/briarseam/entry/server.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
+import socket
 import typing
 
+import cheroot.makefile
 import cheroot.server
 import cheroot.wsgi
 
+from briarseam import bounded_reads
+from briarseam import bounded_requests
+
 BACKLOG = 512
 IDLE_TIMEOUT_S = 30
 SHUTDOWN_TIMEOUT_S = 2
+LIMITS = bounded_requests.RequestLimits()
 FRAMING_ERROR = b"X-Briarseam-Framing-Error"
 FRAMING_ENVIRON = "HTTP_X_BRIARSEAM_FRAMING_ERROR"
 SINGLE_HEADERS = frozenset(
@@ -137,6 +143,11 @@
 
     header_reader = StrictHeaderReader()
 
+    def parse_request(self) -> None:
+        """Read the head within the limits of the server."""
+        base: typing.Any = super()
+        bounded_requests.parse(self, base.parse_request)
+
     def read_request_headers(self) -> bool:
         """Read the headers; close the connection if they are ambiguous."""
         base: typing.Any = super()
@@ -147,10 +158,36 @@
 
 
 class StrictConnection(cheroot.server.HTTPConnection):
-    """A connection whose requests are :class:`StrictRequest`."""
+    """A connection whose requests are :class:`StrictRequest`.
+
+    Attributes
+    ----------
+    meter
+        Bounds what is read from the client.
+    """
 
     RequestHandlerClass = StrictRequest
 
+    def __init__(
+        self,
+        server: cheroot.server.HTTPServer,
+        sock: socket.socket,
+        makefile: typing.Any = cheroot.makefile.MakeFile,
+    ) -> None:
+        self.meter = bounded_reads.Meter()
+
+        def make_file(
+            sock: socket.socket, mode: str, buffer_bytes: int
+        ) -> typing.Any:
+            if "r" not in mode:
+                return makefile(sock, mode, buffer_bytes)
+            return bounded_requests.RequestReader(
+                sock, buffer_bytes, self.meter
+            )
+
+        base: typing.Any = super()
+        base.__init__(server, sock, make_file)
+
 
 def build_server(
     listen: tuple[str, int],
@@ -179,4 +216,7 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
     server.ConnectionClass = StrictConnection
+    bounded_requests.apply(server, LIMITS)
+    # The application refuses larger bodies, with a problem document.
+    server.max_request_body_size = 0
     return server
--- a/src/briarseam/forwarding/bodies.py
+++ b/src/briarseam/forwarding/bodies.py
@@ -17,6 +17,10 @@
 DRAIN_S = 2.0
 DRAIN_PAUSE_S = 1.0
 DRAIN_READ_BYTES = 65536
+READ_BYTES = 65536
+# Each chunk costs processor time, however small it is.
+MAX_CHUNKS = 16384
+MAX_LINE_BYTES = 8192
 CRLF = b"\r\n"
 
 
@@ -48,10 +52,20 @@
     ) -> None:
         self.reader = reader
         self.holding = holding
+        self.lines = 0
 
     def readline(self) -> bytes:
-        """Return the next line, which is not part of the body."""
-        line: bytes = self.reader.readline()
+        """Return the next line, which is not part of the body.
+
+        Raises
+        ------
+        ValueError
+            If there are too many chunks or trailers, or the line is too long.
+        """
+        self.lines += 1
+        line: bytes = self.reader.readline(MAX_LINE_BYTES)
+        if self.lines > MAX_CHUNKS or not line.endswith(b"\n"):
+            raise ValueError("the body has too many chunks, or a line cut off")
         return line
 
     def read(self, size: int) -> bytes:
@@ -78,7 +92,7 @@
         if request.chunked_read:
             holding.hold_body(0)
             reader.rfile = CountedReader(reader.rfile, holding)
-            body: bytes = reader.read()
+            body = read_chunks(reader)
             for _trailer in reader.read_trailer_lines():
                 pass
             return body
@@ -96,6 +110,14 @@
     return body
 
 
+def read_chunks(reader: typing.Any) -> bytes:
+    """Return a chunked body; the library copies it again for each read."""
+    pieces = []
+    while piece := reader.read(READ_BYTES):
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
 def remaining(request: cheroot.server.HTTPRequest) -> int | None:
     """Return the unread bytes of a body; ``None`` if it is chunked."""
     if request.chunked_read:
@@ -110,6 +132,7 @@
     A chunked body ends here when the caller closes the connection.
     """
     connection = request.conn
+    connection.meter.begin()
     connection.socket.settimeout(DRAIN_PAUSE_S)
     left = remaining(request)
     end_s = clocks.boot_clock() + DRAIN_S
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -12,6 +12,8 @@
 import cheroot.server
 import structlog
 
+from briarseam import bounded_reads
+from briarseam import bounded_requests
 from briarseam import connection_threads
 from briarseam import resets
 from briarseam.entry import server as strict
@@ -60,6 +62,8 @@
     ----------
     request_id
         Id of the current request, for the log; empty if not known.
+    meter
+        Bounds what is read from the caller.
     """
 
     RequestHandlerClass = Request
@@ -74,11 +78,14 @@
             sock: socket.socket, mode: str, buffer_bytes: int
         ) -> typing.Any:
             if "r" in mode:
-                return makefile(sock, mode, buffer_bytes)
+                return bounded_requests.RequestReader(
+                    sock, buffer_bytes, self.meter
+                )
             return caller_writer.CallerWriter(
                 sock, server.caller_stall_timeout_s, self.record_not_reading
             )
 
+        self.meter = bounded_reads.Meter()
         super().__init__(server, sock, make_file)
         self.request_id = ""
 
@@ -378,6 +385,8 @@
         self.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         self.requests = connection_threads.ConnectionThreads(self, in_flight)
         self.set_idle_timeout(float(self.timeout))
+        self.limits = bounded_requests.RequestLimits()
+        bounded_requests.apply(self, self.limits)
 
     def is_leaving(self) -> bool:
         """Return whether callers should not keep their connections."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -373,7 +373,11 @@
 
 
 def test_metrics_count_requests(system):
+    def scraped():
+        url = system.url("metrics", "/metrics")
+        return system.http.request("GET", url).data
+
     system.call("/submit/x")
-    text = system.http.request("GET", system.url("metrics", "/metrics")).data
-    assert b'answers_total{outcome="answered-200"} 1' in text
-    assert b"answer_us_count 1" in text
+    # A request is counted once its answer has been sent.
+    waiting.until(lambda: b"answer_us_count 1" in scraped(), TIMEOUT_S)
+    assert b'answers_total{outcome="answered-200"} 1' in scraped()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -83,6 +83,7 @@
         "backoff",
         "bounded_http",
         "bounded_reads",
+        "bounded_requests",
         "changes",
         "claims.records",
         "clocks",
