--- a/tests/flooding.py
+++ b/tests/flooding.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -147,6 +148,30 @@
 ALL = BROKEN | REFUSALS | WHOLE
 
 
+def send(
+    send_all: Callable[[bytes], object],
+    flood: Flood,
+    pace: Pace,
+    stopping: threading.Event,
+    end_s: float = float("inf"),
+) -> None:
+    """Send a flood until stopped, or until a time by the monotonic clock.
+
+    Raises
+    ------
+    OSError
+        If the caller has closed the connection.
+    """
+    send_all(flood.before)
+    block = flood.piece
+    if pace is Pace.FAST:
+        block *= max(1, BLOCK_BYTES // max(1, len(block)))
+    while not stopping.is_set() and time.monotonic() < end_s:
+        send_all(block)
+        if pace is Pace.DROPS:
+            time.sleep(DROP_PAUSE_S)
+
+
 class Endpoint:
     """Answers each request with a flood until its caller closes.
 
@@ -232,16 +257,12 @@
         OSError
             If the caller has closed the connection.
         """
-        flood = self.flood
-        connection.sendall(flood.before)
-        block = flood.piece
-        if self.pace is Pace.FAST:
-            block *= max(1, BLOCK_BYTES // len(block))
-        while not self.stopping.is_set() and time.monotonic() < end_s:
-            connection.sendall(block)
-            self.sent_bytes += len(block)
-            if self.pace is Pace.DROPS:
-                time.sleep(DROP_PAUSE_S)
+
+        def send_counted(data: bytes) -> None:
+            connection.sendall(data)
+            self.sent_bytes += len(data)
+
+        send(send_counted, self.flood, self.pace, self.stopping, end_s)
 
 
 @contextlib.contextmanager
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -12,6 +12,7 @@
 from briarseam.testing import http_messages
 from briarseam.testing import stand_in
 from briarseam.testing import switches
+from tests import flooding
 from tests.platform import raw_answers
 
 SIGNATURE = "3e1b.07"
@@ -71,6 +72,11 @@
         Where and how, as in `raw_answers.Cut` and `raw_answers.Ending`.
     line_end, content_type
         Line end and type of streams.
+    floods
+        Number of next answers that do not end.
+    flood, pace
+        What they repeat and how fast, as in `flooding.ALL` and
+        `flooding.Pace`.
     """
 
     reject: switches.Count = 0
@@ -95,6 +101,9 @@
     cut_by: str = "fin"
     line_end: str = "\n"
     content_type: str = http_messages.SSE_TYPE
+    floods: switches.Count = 0
+    flood: str = ""
+    pace: str = "fast"
 
 
 class Worker(stand_in.StandIn[Switches]):
@@ -134,6 +143,10 @@
         # When requests were rejected for want of room, monotonic seconds.
         self.turned_away_s: list[float] = []
         self.running = 0
+        # How long answers without end lasted until their callers closed, in
+        # seconds, and how many go on.
+        self.floods_s: list[float] = []
+        self.flooding = 0
         self.lock = threading.Lock()
 
     def restart(self, born: int) -> None:
@@ -177,6 +190,8 @@
             self.turned_away_s.append(time.monotonic())
             return self.rejection(call, echo)
         try:
+            if self.take("floods"):
+                self.answer_without_end(request, call)
             self.stopping.wait(self.switches.work_ms / 1000)
             return self.run(request, call, echo)
         finally:
@@ -201,6 +216,33 @@
                 self.backoffs[call] = float(after)
         return http_messages.Response(503, headers=headers)
 
+    def answer_without_end(
+        self, request: http_messages.Request, call: str
+    ) -> typing.NoReturn:
+        """Send one part of an answer until the caller closes.
+
+        Raises
+        ------
+        Dropped
+            Always, so that the server closes the connection.
+        """
+        name, pace = self.switches.flood, flooding.Pace(self.switches.pace)
+        if name not in flooding.REFUSALS:
+            self.ran.append(call)
+        begun_s = time.monotonic()
+        with self.lock:
+            self.flooding += 1
+        try:
+            flooding.send(
+                request.output.send, flooding.ALL[name], pace, self.stopping
+            )
+        except OSError:
+            self.floods_s.append(time.monotonic() - begun_s)
+        finally:
+            with self.lock:
+                self.flooding -= 1
+        raise http_messages.Dropped
+
     def run(
         self, request: http_messages.Request, call: str, echo: Headers
     ) -> http_messages.Response:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -288,6 +288,26 @@
     line_end: str
 
 
+@dataclasses.dataclass(frozen=True)
+class AnswersWithoutEnd:
+    """An endpoint sends a part of some answers without end.
+
+    Attributes
+    ----------
+    endpoint
+        The endpoint.
+    flood, pace
+        Which part, and how fast.
+    answers
+        How many of its next answers.
+    """
+
+    endpoint: int
+    flood: str
+    pace: str
+    answers: int
+
+
 Fault = (
     StoreTrouble
     | StoreRestored
@@ -308,6 +328,7 @@
     | PathsCut
     | ServiceFragile
     | AnswersFramed
+    | AnswersWithoutEnd
     | SoftwareReleased
     | EnginesEnded
     | InstancesKilled
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -8,6 +8,7 @@
 import time
 import typing
 
+from tests.platform import worker as workers
 from tests.soak import faults
 from tests.soak import links
 from tests.soak import paths
@@ -93,6 +94,7 @@
                 | faults.AnswersFramed(number)
                 | faults.SoftwareReleased(number)
                 | faults.SlowedDown(number)
+                | faults.AnswersWithoutEnd(number)
             ):
                 endpoint = self.deployment.endpoints[number]
                 with self.lock_of(("endpoint", number)):
@@ -342,6 +344,21 @@
                 worker.set(reject=REJECTIONS, retry_after=f"{backoff_s:.3f}")
                 time.sleep(for_s)
                 worker.set(reject=0, retry_after="")
+            case faults.AnswersFramed() | faults.AnswersWithoutEnd():
+                self.trouble_answers(fault, worker, for_s)
+
+    def trouble_answers(
+        self,
+        fault: faults.AnswersFramed | faults.AnswersWithoutEnd,
+        worker: workers.Worker,
+        for_s: float,
+    ) -> None:
+        """Let an endpoint send its answers in another form."""
+        match fault:
+            case faults.AnswersWithoutEnd(flood=flood, pace=pace):
+                worker.set(flood=flood, pace=pace, floods=fault.answers)
+                time.sleep(for_s)
+                worker.set(floods=0)
             case faults.AnswersFramed(form=form, cuts=cuts):
                 worker.set(
                     framing=form.framing,
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -95,6 +95,10 @@
         """Path of its log lines."""
         return self.folder / f"{self.name}.log"
 
+    def age_s(self) -> float:
+        """Return how long ago it was started, in seconds."""
+        return time.monotonic() - self.started[-1]
+
     def start(self) -> None:
         """Start it."""
         self.started.append(time.monotonic())
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -13,7 +13,7 @@
     ----------
     seed, seconds, instances, stops, restores, zones, announcements, paths,
     framings, releases, crashes, parts, deadly, contention,
-    ordered_waiting
+    ordered_waiting, floods
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -33,6 +33,10 @@
         Requests by API key and status.
     crashed
         Endpoints that requests crashed.
+    flooded
+        Answers without end that instances have closed.
+    growth
+        The most by which an instance has grown beside them, in bytes.
     broken
         Broken promises.
     """
@@ -52,6 +56,7 @@
     deadly: bool = False
     contention: bool = False
     ordered_waiting: bool = False
+    floods: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -62,4 +67,6 @@
     taken_up: tuple[int, int] = (0, 0)
     organisations: dict[str, int] = dataclasses.field(default_factory=dict)
     crashed: int = 0
+    flooded: int = 0
+    growth: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -26,6 +26,7 @@
 from tests.soak import contention as contentions
 from tests.soak import crashes
 from tests.soak import deadly as deadly_requests
+from tests.soak import endless
 from tests.soak import injecting
 from tests.soak import parts as crashing_parts
 from tests.soak import plans
@@ -113,6 +114,7 @@
                 self.new_caller(kind=contentions.SlowReader)
                 for _ in range(contentions.SLOW_READERS)
             ]
+        self.memory = endless.MemoryWatch(self.deployment.instances)
         self.prober = self.new_caller()
         self.crowds: list[callers.Caller] = []
         self.broken: list[str] = []
@@ -211,6 +213,7 @@
             plans.plan_parts: report.parts,
             plans.plan_deadly: report.deadly,
             plans.plan_contention: report.contention,
+            endless.plan: report.floods,
         }
         return next((one for one in chosen if chosen[one]), plans.plan)
 
@@ -234,6 +237,8 @@
             )
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.start()
+        if self.report.floods:
+            self.memory.thread.start()
         end_s = time.monotonic() + self.report.seconds
         injecting.Injector(
             self.deployment, planned, self.crowd, self.rush
@@ -290,6 +295,7 @@
         self.broken += promises.check(self.deployment, sent)
         self.broken += self.deployment.errors()
         self.finish_releases(sent)
+        self.finish_floods(sent)
         self.report.crashed = len(self.deployment.crashes)
         answers = collections.Counter(
             f"{one.kind.name} {one.status}" for one in sent
@@ -309,6 +315,18 @@
         self.report.runs = sum(map(len, self.deployment.ran().values()))
         self.report.broken = self.broken
 
+    def finish_floods(self, sent: list[callers.Sent]) -> None:
+        """Check what came of answers without end."""
+        self.memory.stopping.set()
+        self.report.growth = self.memory.growth
+        self.report.flooded = sum(
+            len(worker.floods_s) for worker in self.deployment.past
+        )
+        if self.report.floods:
+            self.broken += endless.check(
+                self.deployment, sent, self.memory.growth, self.report.seed
+            )
+
     def finish_releases(self, sent: list[callers.Sent]) -> None:
         """Check the streams that callers took up again."""
         taken = [
@@ -338,6 +356,7 @@
     deadly: bool = False,
     contention: bool = False,
     ordered_waiting: bool = False,
+    floods: bool = False,
 ) -> reports.Report:
     """Run one seed and return what was found."""
     report = reports.Report(
@@ -356,6 +375,7 @@
         deadly,
         contention,
         ordered_waiting,
+        floods,
     )
     Soak(folder, report).run()
     return report
@@ -424,6 +444,12 @@
         help="organisations that contend for few slots of uneven engines, "
         "and slow readers",
     )
+    parser.add_argument(
+        "--floods",
+        action="store_true",
+        help="endpoints that send a part of an answer without end, fast and "
+        "by drops",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -448,6 +474,7 @@
             options.parts,
             options.deadly,
             options.contention,
+            floods=options.floods,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -197,6 +197,15 @@
     assert "SlowedDown" in report.faults
 
 
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", [140100, 140101])
+def test_short_run_with_answers_without_end_breaks_no_promise(seed, tmp_path):
+    """Guards against memory, time and threads that such an answer takes."""
+    report = serve_soak.run(seed, 12.0, 3, tmp_path, floods=True)
+    assert report.broken == []
+    assert report.flooded > 5
+
+
 def contended(tmp_path):
     """Return a deployment whose engines are short of slots, not started."""
     return serving.Deployment(tmp_path, 1, slots=1)
