--- a/src/briarseam/crashes/pending_losses.py
+++ b/src/briarseam/crashes/pending_losses.py
@@ -24,9 +24,9 @@
 from briarseam.crashes import abandoned_attempts
 from briarseam.crashes import loss_counts
 from briarseam.crashes import loss_decisions
-from briarseam.crashes import loss_keys
 from briarseam.crashes import loss_times
 from briarseam.crashes import suspicion
+from briarseam.crashes import undecided
 from briarseam.discovery import model as discovery
 
 if typing.TYPE_CHECKING:
@@ -309,57 +309,13 @@
         return found
 
     def undecided_s(self, key: bytes) -> dict[str, float]:
-        """Return when a key was lost at endpoints that may have ended.
-
-        For parts, losses of peers are included: they may hold what an
-        instance that has lost nothing itself would send on.  For requests
-        they are once something shows that not only a peer's path is lost.
-        """
+        """Return when a key was lost at endpoints that may have ended."""
         if self.counts.is_answered(key):
             return {}
-        losses = [loss for loss in self.snapshot() if key in loss.keys]
-        undecided = [
-            loss
-            for loss in losses
-            if loss.decision in loss_decisions.UNDECIDED
-        ]
-        if loss_keys.is_request(key):
-            several_lost_it = self.is_lost_by_several(key, losses)
-            undecided = [
-                loss
-                for loss in undecided
-                if loss.makes_request_suspect
-                or (
-                    loss.decision is loss_decisions.Decision.AT_PEER
-                    and (several_lost_it or self.is_down(loss.endpoint))
-                )
-            ]
-        return {loss.endpoint.id: loss.at_s for loss in undecided}
-
-    def is_lost_by_several(
-        self,
-        key: bytes,
-        losses: collections.abc.Iterable[loss_decisions.Loss],
-    ) -> bool:
-        """Return whether more than one peer's word speaks against a request.
-
-        A peer whose path is lost loses requests at endpoints that go on.  If
-        others have lost the same request as well, or one of its losses
-        counts, it is rather the endpoints that have ended, even while their
-        entries are still there.
-        """
-        told_by = {
-            loss.peer
-            for loss in losses
-            if loss.decision is not loss_decisions.Decision.NOT_COUNTED
-        }
-        return len(told_by) > 1 or bool(self.counts.endpoints_of(key))
-
-    def is_down(self, endpoint: discovery.Endpoint) -> bool:
-        """Return whether connections fail to an endpoint, but not to all."""
-        return self.reachability.has_failed(
-            endpoint
-        ) and not self.reachability.is_cut_off(endpoint.service)
+        losses = undecided.believed(
+            key, self.snapshot(), self.counts, self.reachability
+        )
+        return {loss.endpoint.id: loss.at_s for loss in losses}
 
     def review(self) -> None:
         """Decide on the tracked losses by what is known by now."""
