Allow answers in many chunks of ordinary size

A sound answer of 2 MB in chunks of 256 bytes has 8,000 of them, more than the limit that bounds the cost of tiny ones. Beyond 4,096 chunks they must have 64 bytes on average. Failed before: test_answer_within_the_limits_is_taken with 8,000 chunks of 100 bytes.

--- a/src/briarseam/bounded_reads.py
+++ b/src/briarseam/bounded_reads.py
@@ -19,8 +19,10 @@
 
 UNLIMITED_BYTES = 1 << 62
 UNLIMITED_S = float("inf")
-# Chunks of a part cost processor time, whatever their size.
+# Chunks of a part cost processor time, whatever their size.  Beyond some they
+# must be of this size on average.
 MAX_CHUNKS = 4096
+MIN_CHUNK_BYTES = 64
 # Signs of life come after pauses; what comes more often is no sign of life.
 LIFE_SIGN_PAUSE_S = 0.5
 MS = 1000
@@ -157,11 +159,11 @@
         Raises
         ------
         TooManyBytesError
-            If the part has too many.
+            If the part has too many small ones.
         """
         self.chunks += 1
-        if self.chunks > MAX_CHUNKS:
-            raise TooManyBytesError(f"more than {MAX_CHUNKS} chunks")
+        if self.chunks > MAX_CHUNKS + self.bytes // MIN_CHUNK_BYTES:
+            raise TooManyBytesError(f"{self.chunks} chunks are too small")
 
 
 class MeteredReader(io.RawIOBase):
