--- a/src/briarseam/forwarding/answer_limits.py
+++ b/src/briarseam/forwarding/answer_limits.py
@@ -10,6 +10,7 @@
 
 from briarseam import bounded_http
 from briarseam import bounded_reads
+from briarseam import transfers
 
 if typing.TYPE_CHECKING:
     import urllib3
@@ -21,6 +22,8 @@
 # A plain answer is held as a whole, so that another endpoint can be tried if
 # it is broken off.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# The same without an announced length: it may have no end.
+MAX_UNANNOUNCED_BYTES = 4 * 1024 * 1024
 # An event is passed on as a whole.
 MAX_EVENT_BYTES = 256 * 1024
 # What comes with a rejection is read to keep the connection; making a new one
@@ -46,15 +49,23 @@
 
     Attributes
     ----------
-    answer_bytes
-        Maximum size of a plain answer's body.
+    answer_bytes, unannounced_bytes
+        Maximum size of a plain answer's body, with and without an announced
+        length.
     event_bytes
         Maximum size of an event of a stream, and of what comes between two.
     """
 
     answer_bytes: int = MAX_ANSWER_BYTES
+    unannounced_bytes: int = MAX_UNANNOUNCED_BYTES
     event_bytes: int = MAX_EVENT_BYTES
 
+    def body_bytes(self, framing: transfers.Framing | None) -> int:
+        """Return the maximum size of a plain answer's body."""
+        if framing is transfers.Framing.LENGTH:
+            return self.answer_bytes
+        return self.unannounced_bytes
+
 
 def max_part_s(remaining_s: float) -> float:
     """Return how long a part of an answer may take that has begun.
@@ -89,8 +100,10 @@
     watch: supervision.Watch,
     holding: held_bytes.Holding,
     max_bytes: int,
-) -> bytes:
-    """Return the complete body of a plain answer.
+) -> tuple[bytes, ...]:
+    """Return the complete body of a plain answer, in pieces.
+
+    Joined, a large one would take its size twice.
 
     Raises
     ------
@@ -112,4 +125,4 @@
         holding.hold_answer(size)
         pieces.append(data)
     holding.complete_answer()
-    return b"".join(pieces)
+    return tuple(pieces)
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -208,7 +208,7 @@
         is_stream = attempt.route.repeat is routes.Repeat.STREAM
         if success and is_stream and head.event_stream:
             return self.relay_stream(attempt, connection, response, head)
-        max_bytes = self.limits.answer_bytes
+        max_bytes = self.limits.body_bytes(attempt.transfer.framing)
         connection.meter.begin(max_bytes, attempt.max_part_s)
         body = answer_limits.read_whole(
             response, attempt.watch, attempt.holding, max_bytes
@@ -222,7 +222,7 @@
         if attempt.progress.events_sent:
             return outcomes.Broken("the answer does not continue the stream")
         attempt.watch.detach()
-        streams.deliver(attempt.exchange, head, body)
+        streams.deliver(attempt.exchange, head, *body)
         return outcomes.Answered(head.status)
 
     def relay_stream(
--- a/src/briarseam/forwarding/final_answers.py
+++ b/src/briarseam/forwarding/final_answers.py
@@ -45,7 +45,7 @@
             context.watch.detach()
             # Another endpoint may have been tried since.
             context.exchange.extra_headers = ()
-            streams.deliver(context.exchange, failed.head, failed.body)
+            streams.deliver(context.exchange, failed.head, *failed.body)
             return f"failed-{failed.head.status}"
         final_verdict = context.refusal
         if context.may_have_run or final_verdict is None:
--- a/src/briarseam/forwarding/outcomes.py
+++ b/src/briarseam/forwarding/outcomes.py
@@ -56,11 +56,11 @@
     Attributes
     ----------
     head, body
-        The endpoint's answer.
+        The endpoint's answer; the body in pieces.
     """
 
     head: calls.AnswerHead
-    body: bytes
+    body: tuple[bytes, ...]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -242,12 +242,11 @@
         if not self.discarding:
             self.request.conn.wfile.write(*parts)
 
-    def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer."""
-        framed = [*headers, ("Content-Length", str(len(body)))]
-        head = self.head(status, framed)
-        content = b"" if self.method == "HEAD" else body
-        self.write(head, content)
+    def answer(self, status: int, headers: Headers, *body: bytes) -> None:
+        """Send a complete answer, whose body may be in pieces."""
+        size = sum(map(len, body))
+        head = self.head(status, [*headers, ("Content-Length", str(size))])
+        self.write(head, *(() if self.method == "HEAD" else body))
 
     def begin(self, status: int, headers: Headers, first: bytes) -> None:
         """Send the head and the first bytes of an answer of unknown length.
--- a/src/briarseam/forwarding/streams.py
+++ b/src/briarseam/forwarding/streams.py
@@ -162,11 +162,11 @@
 
 
 def deliver(
-    exchange: server.Exchange, head: calls.AnswerHead, body: bytes
+    exchange: server.Exchange, head: calls.AnswerHead, *body: bytes
 ) -> None:
     """Send an endpoint's complete answer to the caller."""
     with caller_errors():
-        exchange.answer(head.status, head.headers, body)
+        exchange.answer(head.status, head.headers, *body)
 
 
 @contextlib.contextmanager
