--- a/src/briarseam/bounded_reads.py
+++ b/src/briarseam/bounded_reads.py
@@ -23,12 +23,13 @@
 # must be of this size on average.
 MAX_CHUNKS = 4096
 MIN_CHUNK_BYTES = 64
-# What comes at this rate is not slow, however large it is: an instance's link
-# may have some Mbit/s, for all that it does.
+# Beyond the first bytes a part may take as long as it does at this rate: an
+# instance may have a link of a few Mbit/s, shared by all its connections.
 MIN_BYTES_PER_S = 131072
 FREE_BYTES = 262144
-# Signs of life come after pauses; what comes more often is no sign of life.
-LIFE_SIGN_PAUSE_S = 0.5
+# Keep-alive comments come at intervals.  What comes more often is bounded like
+# any part.
+KEEP_ALIVE_PAUSE_S = 0.5
 MS = 1000
 
 
@@ -119,9 +120,9 @@
         finally:
             self.deadline_s = deadline_s
 
-    def accept_life_sign(self) -> None:
+    def accept_keep_alive(self) -> None:
         """Count the time anew if what has arrived came after a pause."""
-        if self.pause_s >= LIFE_SIGN_PAUSE_S:
+        if self.pause_s >= KEEP_ALIVE_PAUSE_S:
             self.begun_s = None
 
     def transfer_s(self) -> float:
--- a/src/briarseam/bounded_requests.py
+++ b/src/briarseam/bounded_requests.py
@@ -63,12 +63,6 @@
         self._raw = bounded_reads.MeteredReader(base.detach(), sock, meter)
 
 
-class BoundedServer(typing.Protocol):
-    """Server with limits."""
-
-    limits: RequestLimits
-
-
 def apply(server: typing.Any, limits: RequestLimits) -> None:
     """Apply limits to a cheroot server whose connections have meters."""
     server.limits = limits
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -281,7 +281,7 @@
             if splitter.events_with_data > events_before:
                 meter.begin(self.limits.event_bytes, attempt.max_part_s)
             elif not splitter.is_inside_event():
-                meter.accept_life_sign()
+                meter.accept_keep_alive()
 
     def confirm_end(
         self,
