--- a/review/build.sh
+++ b/review/build.sh
@@ -1,12 +1,14 @@
 #!/bin/sh
 # Prepare what the scripts of the review start, after the build of the deploy
-# file: the stand-ins are Python modules, which are compiled here.
+# file.  The stand-ins are Python modules of this tree, which need nothing but
+# the libraries in target/deps; they are compiled and loaded once here.
 set -eu
 root=$(CDPATH='' cd -- "$(dirname -- "$0")/.." && pwd)
 cd "$root"
+python3 -m compileall -q tests/__init__.py tests/platform tests/flooding.py review
 PYTHONPATH="$root/target/deps:$root" python3 - <<'END'
-import tests.platform.engine
 import tests.platform.metadata_store
+import tests.platform.versioned_engines
 import tests.platform.worker
 
 import review.harness
