--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,6 @@
 here=$(CDPATH='' cd -- "$(dirname -- "$0")" && pwd)
 root=$(CDPATH='' cd -- "$here/../.." && pwd)
 cd "$root" || exit 2
+# No folders of compiled files beside the cases.
+export PYTHONDONTWRITEBYTECODE=1
 PYTHONPATH="$root/target/deps:$root" exec python3 "$here/case.py"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
 # Prepare what the scripts of the review start, after the build of the deploy
 # file.  The stand-ins are Python modules of this tree, which need nothing but
-# the libraries in target/deps; they are compiled and loaded once here.
+# the libraries in target/deps; they are loaded once here.
 set -eu
+export PYTHONDONTWRITEBYTECODE=1
 root=$(CDPATH='' cd -- "$(dirname -- "$0")/.." && pwd)
 cd "$root"
-python3 -m compileall -q tests/__init__.py tests/platform tests/flooding.py review
 PYTHONPATH="$root/target/deps:$root" python3 - <<'END'
 import tests.platform.metadata_store
 import tests.platform.versioned_engines
--- a/review/harness.py
+++ b/review/harness.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -341,6 +342,8 @@
 def run(case, folder: pathlib.Path) -> int:
     """Run a case; return the exit status of its script."""
     record = Record(folder)
+    # The processes of the case end with it, also when it is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         broken = case(record)
     except Exception as error:
