Log the salt of each prompt, and who is isolated

The logs could not tell three explanations apart: that instances keep the former configuration, that a request keeps what was known when it arrived, or that the salt does not follow the change.

request_sent gets cache_salt and configuration_in_force the isolated organisations.

--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -123,6 +123,7 @@
         if self.endpoint.software:
             fields["software"] = self.endpoint.software
         if self.instructions.salt:
+            fields["cache_salt"] = self.instructions.salt
             fields["tokens_waiting_there"] = self.load.waiting_tokens
             fields["memory_taken_there"] = self.load.memory_tokens
             fields["tokens_held"] = self.held_tokens
--- a/src/briarseam/platform/configuration.py
+++ b/src/briarseam/platform/configuration.py
@@ -145,6 +145,7 @@
         },
         organisations=organisations_of(wire.tenants),
         limits=limits_of(wire.limits),
+        isolated=isolated_of(wire.tenants),
     )
 
 
@@ -235,6 +236,13 @@
     return by_key
 
 
+def isolated_of(tenants: list[WireTenant] | None) -> frozenset[str]:
+    """Return the names of the isolated organisations."""
+    return frozenset(
+        tenant.name for tenant in tenants or () if tenant.isolated
+    )
+
+
 def limits_of(wire: WireLimits) -> model.CallerLimits:
     """Convert the limits on callers to the project's type."""
     return model.CallerLimits(
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -171,6 +171,7 @@
             version=configuration.version,
             routes=len(configuration.routes),
             services=len(configuration.services),
+            isolated=sorted(configuration.isolated),
         )
 
     def apply_goal(self, data: bytes) -> None:
--- a/src/briarseam/routes/model.py
+++ b/src/briarseam/routes/model.py
@@ -258,6 +258,9 @@
         Organisations by key; ``None`` when callers need no key.
     limits
         Limits on what callers send.
+    isolated
+        Names of the organisations whose KV cache is shared with no other
+        one, those without a key included.
     """
 
     version: int
@@ -265,6 +268,7 @@
     services: dict[str, Service]
     organisations: dict[str, Organisation] | None
     limits: CallerLimits
+    isolated: frozenset[str] = frozenset()
 
     def max_pauses(self) -> dict[str, float]:
         """Return the longest tolerated pause between events by service.
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -286,6 +286,12 @@
     assert case.place().instructions.version == 2
 
 
+def test_log_tells_the_salt_of_a_prompt(case):
+    placement = case.place()
+    salt = placement.instructions.salt
+    assert salt and placement.log_fields()["cache_salt"] == salt
+
+
 def test_isolated_organisation_has_its_own_salt(case):
     placement = case.place(
         organisation=routes.Organisation("south", isolated=True)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -112,6 +112,17 @@
     )
 
 
+def test_isolated_organisations_without_a_key_are_decoded():
+    tenants = [
+        {"name": "o", "apiKeys": [], "isolated": True},
+        {"name": "p", "apiKeys": ["k"], "isolated": False},
+        {"name": "q", "apiKeys": ["l"], "isolated": True},
+    ]
+    data = json.dumps({"version": 2, "tenants": tenants}).encode()
+    decoded = configuration.decode_configuration(data)
+    assert decoded.isolated == {"o", "q"}
+
+
 @damage.QUICK
 @hypothesis.given(damage.damaged_documents(GOAL))
 def test_any_goal_is_decoded_or_malformed(data):
