Name shared KV cache by the organisations that are kept out of it

Cause: the salt of shared parts held model and weights only. The newly isolated organisation moved to a salt of its own and left its parts under the shared one, at engines and stores. Two further ways to the same fault: the organisation of a request was taken at its arrival, and its salt before the connection to the endpoint was made.

Change: the shared salt names the set of organisations that are kept out, as number and digest; with nobody kept out it is as before, so an upgrade keeps all cached parts. No organisation of that set ever computed a part under such a salt, whatever an instance did before, so this needs neither memory nor agreement. Who was isolated once stays kept out: then a change that isolates nobody new renames nothing, and isolating the same organisation again needs no new name. Heartbeats tell of these organisations; an instance that has just started can't know them. The salt is derived from the configuration in force when an endpoint is chosen, and checked again once there is a connection. Organisations without keys count too. Stored parts of a former group are freed after a minute. The name of an organisation is escaped in its salt: an empty one, or one with a slash, could make two salts equal.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -210,6 +210,7 @@
             self.weights.oldest_version,
             settings.instance.name,
             self.instances.all_names,
+            is_superseded=self.chooser.sharing.is_superseded,
         )
         self.crashes = node_crashes.Crashes(
             self.reachability,
@@ -318,6 +319,7 @@
             reachability=self.reachability,
             stores=self.store_sharing,
             topics=self.topic_reads,
+            cached_parts=self.chooser.sharing,
         )
 
     def forwarding_dependencies(self) -> request_context.Dependencies:
@@ -520,6 +522,7 @@
             store for store in configuration.stores() if store.frees_on_request
         ]
         self.chooser.kept_index.set_stores(freeing_stores)
+        self.chooser.sharing.apply(configuration)
         self.chooser.predictor.max_pauses = configuration.max_pauses()
         self.store_watches.follow([store.address for store in freeing_stores])
 
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -34,6 +34,7 @@
     from briarseam.feeds import sharing
     from briarseam.membership import service as membership
     from briarseam.peers import registrations
+    from briarseam.placement import cache_sharing
     from briarseam.placement import loads as endpoint_loads
     from briarseam.placement import store_sharing
     from briarseam.platform import store as stores
@@ -66,6 +67,8 @@
         Services that this instance can't reach.
     stores, topics
         Contents of KV cache stores and topics, read for other instances.
+    cached_parts
+        Organisations that have cached parts of their own.
     """
 
     loads: endpoint_loads.Loads
@@ -83,6 +86,7 @@
     reachability: tracker.Reachability
     stores: store_sharing.StoreSharing
     topics: sharing.SharedReads
+    cached_parts: cache_sharing.CacheSharing
 
     def sections(self) -> tuple[sections.Section, ...]:
         """Return the sections of heartbeats."""
@@ -98,6 +102,7 @@
             "cell-rejection-limits": self.cell_rejection_limits,
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
+            "cache-sharing": self.cached_parts,
         }
         # Must precede the section of the cells' loads.
         included: tuple[sections.Section, ...] = ()
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -44,6 +44,11 @@
     """Do nothing when bytes of a stream arrive."""
 
 
+def always_current() -> bool:
+    """Return that the headers are current; the default."""
+    return True
+
+
 @dataclasses.dataclass(frozen=True)
 class Attempt:
     """An attempt to have one endpoint answer a call.
@@ -68,6 +73,9 @@
         Called when bytes of a stream arrive from it.
     relayed
         Whether `endpoint` is another instance, which has an endpoint answer.
+    is_current
+        Returns whether the headers may still be sent; asked once there is a
+        connection.
     transfer
         How the answer is transferred.
     holding
@@ -88,6 +96,7 @@
     on_first_event: typing.Callable[[], None]
     on_data: typing.Callable[[], None] = ignore_data
     relayed: bool = False
+    is_current: typing.Callable[[], bool] = always_current
     transfer: transfers.Transfer = dataclasses.field(
         default_factory=transfers.Transfer
     )
@@ -158,6 +167,10 @@
         except connections.UnreachableError as error:
             watch.check_time()
             return outcomes.Unreached(str(error))
+        if not attempt.is_current():
+            # Connecting may take as long as the request has left.
+            connection.close()
+            return outcomes.Withheld("the cached parts are shared otherwise")
         response: urllib3.BaseHTTPResponse | None = None
         try:
             watch.attach(connection)
--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -245,7 +245,7 @@
                 trial, state.trial = state.trial, None
                 if trial is not None:
                     self.trials.end(trial, messages.TrialEnd.LOST)
-            case outcomes.Unreached():
+            case outcomes.Unreached() | outcomes.Withheld():
                 # The trial has reached no endpoint; the next one is part of
                 # it.
                 return
--- a/src/briarseam/forwarding/outcomes.py
+++ b/src/briarseam/forwarding/outcomes.py
@@ -49,6 +49,19 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Withheld:
+    """Nothing was sent, since the request must be placed anew.
+
+    Attributes
+    ----------
+    detail
+        One sentence.
+    """
+
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Failed:
     """The endpoint ran the request and answered with a failure.
@@ -80,7 +93,7 @@
     given_up: bool = False
 
 
-Outcome = Answered | Rejected | Unreached | Failed | Broken
+Outcome = Answered | Rejected | Unreached | Withheld | Failed | Broken
 
 
 def name_of(outcome: Outcome | None) -> str:
--- a/src/briarseam/forwarding/preparing.py
+++ b/src/briarseam/forwarding/preparing.py
@@ -59,7 +59,10 @@
     crash_state = crash_checks.CrashState(
         call.id,
         loss_keys.key_of_request(call.target, organisation, body),
-        crash_checks.keys_of_parts(call.prompt, isolated_name_of(caller)),
+        crash_checks.keys_of_parts(
+            call.prompt,
+            deps.chooser.sharing.own_name(organisation),
+        ),
     )
     refusal = deps.crashes.refusal_on_arrival(crash_state)
     if refusal is not None:
@@ -83,14 +86,6 @@
     return with_software(deps, context)
 
 
-def isolated_name_of(caller: tables.Caller) -> str:
-    """Return the name of a caller's organisation if it is isolated."""
-    match caller:
-        case tables.KnownCaller(routes.Organisation(name, isolated=True)):
-            return name
-    return ""
-
-
 def with_software(
     deps: request_context.Dependencies, context: request_context.Context
 ) -> request_context.Context | verdict.Verdict:
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -163,6 +163,9 @@
                 context.steps.append("no-retry-budget")
                 return self.answers.answer_failure(context)
             outcome = self.send(context, placement)
+            if isinstance(outcome, outcomes.Withheld):
+                # Not a failure of the endpoint, which may be chosen again.
+                continue
             context.tried.add(placement.endpoint.id)
             if isinstance(outcome, outcomes.Answered):
                 return f"answered-{outcome.status}"
@@ -303,7 +306,10 @@
     ) -> None:
         """Record what an outcome shows of the path and of the endpoint."""
         reachability = self.deps.chooser.reachability
-        if not isinstance(outcome, outcomes.Unreached | outcomes.Broken):
+        if not isinstance(
+            outcome,
+            outcomes.Unreached | outcomes.Withheld | outcomes.Broken,
+        ):
             reachability.record_heard(endpoint.service)
         if shows_endpoint(outcome):
             reachability.record_heard_from(endpoint)
@@ -400,6 +406,7 @@
             progress=context.progress,
             on_first_event=on_first_event,
             on_data=on_data,
+            is_current=lambda: chooser.is_current(placement, request),
             holding=context.exchange.holding,
             max_part_s=request_context.max_part_s(context),
         )
@@ -451,7 +458,7 @@
     since this one has crashed.
     """
     match outcome:
-        case outcomes.Unreached() | outcomes.Broken():
+        case outcomes.Unreached() | outcomes.Withheld() | outcomes.Broken():
             return False
         case outcomes.Rejected(attempts.MISDIRECTED):
             return False
--- a/src/briarseam/forwarding/steps.py
+++ b/src/briarseam/forwarding/steps.py
@@ -31,7 +31,11 @@
     """
     parts = [f"{endpoint}:{outcomes.name_of(outcome)}"]
     match outcome:
-        case outcomes.Unreached(detail) | outcomes.Broken(detail):
+        case (
+            outcomes.Unreached(detail)
+            | outcomes.Withheld(detail)
+            | outcomes.Broken(detail)
+        ):
             parts.append(f"({detail})")
         case (
             outcomes.Rejected(status=status) | outcomes.Answered(status=status)
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -11,6 +11,7 @@
 from briarseam.eligibility import service as eligibilities
 from briarseam.forwarding import calls
 from briarseam.placement import avoidance
+from briarseam.placement import cache_sharing
 from briarseam.placement import cost
 from briarseam.placement import endpoint_bytes
 from briarseam.placement import kept as kept_module
@@ -80,6 +81,8 @@
         Returns the software version of an endpoint; ``None`` if not sure.
     predict
         Whether engines are compared by the expected number of late answers.
+    sharing
+        Who uses whose cached parts of prompts; unless given, all do.
 
     Attributes
     ----------
@@ -99,7 +102,9 @@
         reachability: tracker.Reachability | None = None,
         software_of: SoftwareOf = announced_software,
         predict: bool = False,
+        sharing: cache_sharing.CacheSharing | None = None,
     ) -> None:
+        self.sharing = sharing or cache_sharing.CacheSharing()
         self.software_of = software_of
         self.endpoints = endpoints
         self.reachability = reachability or tracker.Reachability(
@@ -127,6 +132,7 @@
             self.mean_sizes,
             self.eligibility.region_map,
             self.predictor,
+            self.sharing,
         )
         self.compare_by_prediction(predict)
 
@@ -276,6 +282,20 @@
             endpoints_age_s=self.endpoints_age_s(),
         )
 
+    def is_current(
+        self, placement: requests.Placement, request: requests.Request
+    ) -> bool:
+        """Return whether a prompt may still be sent as it was placed.
+
+        An organisation that has become isolated since may have computed the
+        parts that the placement names.
+        """
+        instructions = placement.instructions
+        if not instructions.salt:
+            return True
+        version = instructions.version or 0
+        return instructions.salt == self.prompts.salt(request, version)
+
     def release(
         self, placement: requests.Placement, rejected: bool = False
     ) -> None:
--- a/src/briarseam/placement/prompt_chooser.py
+++ b/src/briarseam/placement/prompt_chooser.py
@@ -11,10 +11,12 @@
 from briarseam.placement import kept as kept_module
 from briarseam.placement import late_costs
 from briarseam.placement import requests
+from briarseam.placement import salts
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
     from briarseam.eligibility import regions
+    from briarseam.placement import cache_sharing
     from briarseam.placement import loads as load_module
     from briarseam.placement import mean_sizes
     from briarseam.placement import residency as residencies
@@ -54,6 +56,8 @@
         Regions of stores.
     predictor
         Learned speeds.
+    sharing
+        Who uses whose cached parts.
 
     Attributes
     ----------
@@ -71,6 +75,7 @@
         sizes: mean_sizes.MeanSizes,
         region_map: regions.RegionMap,
         predictor: predictors.Predictor,
+        sharing: cache_sharing.CacheSharing,
     ) -> None:
         self.loads = loads
         self.known_weights = known_weights
@@ -80,6 +85,7 @@
         self.sizes = sizes
         self.region_map = region_map
         self.predictor = predictor
+        self.sharing = sharing
         self.costs: cost.Costs = cost.TokenCosts()
 
     def choose(
@@ -193,7 +199,7 @@
         self, request: requests.Request, version: int
     ) -> cost.VersionPlan:
         """Return the plan for all engines with the same weight version."""
-        salt = requests.salt_of(request, version)
+        salt = self.salt(request, version)
         if not version:
             return cost.VersionPlan(salt, kept_module.NO_TRANSFERS)
         return cost.VersionPlan(
@@ -207,6 +213,15 @@
             ),
         )
 
+    def salt(self, request: requests.Request, version: int) -> str:
+        """Return the salt of a prompt's parts as of now."""
+        organisation = request.organisation
+        scope = self.sharing.scope_of(
+            None if organisation is None else organisation.name
+        )
+        model = requests.prompt_of(request).model
+        return str(salts.Salt(model, version, scope))
+
     def candidate(
         self, query: cost.PlacementQuery, endpoint: discovery.Endpoint
     ) -> cost.Candidate:
@@ -219,10 +234,12 @@
         self, query: cost.PlacementQuery, engines: list[discovery.Endpoint]
     ) -> list[int]:
         """Return the tokens of a prompt in the memory of engines."""
-        salts = {version: plan.salt for version, plan in query.plans.items()}
+        by_version = {
+            version: plan.salt for version, plan in query.plans.items()
+        }
         return self.residency.held_by_all(
             [
-                (engine.id, salts[query.versions[engine.id]])
+                (engine.id, by_version[query.versions[engine.id]])
                 for engine in engines
             ],
             query.parts,
@@ -245,7 +262,9 @@
             waiting_s + times.seconds(chosen.fetched_tokens),
         )
         instructions = dataclasses.replace(
-            requests.instructions_for(query.request, chosen.endpoint, version),
+            requests.instructions_for(
+                query.request, chosen.endpoint, version, chosen.plan.salt
+            ),
             fetch_from=(*stores.fetch_from, ""),
             save_to=(*stores.save_to, ""),
         )
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -8,7 +8,6 @@
 from briarseam.eligibility import regions
 from briarseam.forwarding import calls
 from briarseam.placement import loads as load_module
-from briarseam.placement import salts
 
 if typing.TYPE_CHECKING:
     from briarseam.discovery import model as discovery
@@ -286,18 +285,6 @@
     return shared[-1].id if shared else ""
 
 
-def salt_of(request: Request, version: int) -> str:
-    """Return the salt of a request's parts; empty without a prompt."""
-    prompt = request.call.prompt
-    if prompt is None:
-        return ""
-    organisation = request.organisation
-    owner = ""
-    if organisation is not None and organisation.isolated:
-        owner = organisation.name
-    return str(salts.Salt(prompt.model, version, owner))
-
-
 def prompt_of(request: Request) -> calls.Prompt:
     """Return the prompt of a request that has one.
 
@@ -316,8 +303,19 @@
     request: Request,
     endpoint: discovery.Endpoint,
     version: int = 0,
+    salt: str = "",
 ) -> calls.Instructions:
-    """Return the instructions that an endpoint gets with a request."""
+    """Return the instructions that an endpoint gets with a request.
+
+    Parameters
+    ----------
+    request, endpoint
+        The request, and the endpoint that is to answer it.
+    version
+        Weight version that it must run on; 0 for any.
+    salt
+        Salt of the cached parts of its prompt; empty without a prompt.
+    """
     organisation = request.organisation
     priority = request.route.priority
     if organisation is not None and organisation.priority is not None:
@@ -326,7 +324,7 @@
         endpoint=endpoint.id,
         organisation=organisation.name if organisation else "",
         priority=min(priority, 9),
-        salt=salt_of(request, version),
+        salt=salt,
         version=version or None,
         last_event_id=request.call.last_event_id,
     )
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -1,4 +1,8 @@
-"""Frees stored parts of weight versions that no engine has any more."""
+"""Frees stored parts that no request can use any more.
+
+They are of weight versions that no engine has, or shared by a group of
+organisations of which one has been isolated.
+"""
 
 from __future__ import annotations
 
@@ -21,11 +25,21 @@
 # time.  A fetch started before takes less: one that would have to wait for 2 s
 # is not started.
 GRACE_S = 4.0
+# Parts of a former group are freed after this time.  An instance that has not
+# heard of the change fetches them meanwhile: changes take about two seconds,
+# and longer to one that reaches neither the store nor its peers.
+GROUP_GRACE_S = 60.0
 # Parts freed per call.
 BATCH_SIZE = 500
 log = structlog.get_logger("briarseam.placement")
 
 
+def is_never_superseded(scope: salts.Scope) -> bool:
+    """Return that a group is still in use; the default."""
+    del scope
+    return False
+
+
 class StoreClient(typing.Protocol):
     """Calls that free parts."""
 
@@ -59,6 +73,8 @@
         live instances.
     clock
         Seconds.
+    is_superseded
+        Returns whether no request has the parts of a group any more.
     """
 
     def __init__(
@@ -69,14 +85,19 @@
         local_name: str,
         members: typing.Callable[[], typing.Sequence[str]],
         clock: typing.Callable[[], float] = clocks.boot_clock,
+        is_superseded: typing.Callable[
+            [salts.Scope], bool
+        ] = is_never_superseded,
     ) -> None:
         self.stores = stores
         self.index = index
         self.oldest = oldest
         self.local_name = local_name
         self.members = members
+        self.is_superseded = is_superseded
         self.clock = clock
-        self.stale_at_s: dict[tuple[str, int], float] = {}
+        # Since when weights, by model and version, and groups are unused.
+        self.unused_since_s: dict[typing.Hashable, float] = {}
         self.reviews = repeating.Repeater("sweeper", self.review, REVIEW_S)
 
     def start(self) -> None:
@@ -115,14 +136,35 @@
         log.info("parts_freed", address=address, salts=dict(counts))
 
     def is_stale(self, text: str) -> bool:
-        """Return whether no engine can use parts with a salt."""
+        """Return whether no request can use parts with a salt."""
         salt = salts.parse(text)
         if salt is None:
             return False
         oldest = self.oldest(salt.model)
-        key = (salt.model, salt.version)
-        if oldest is None or salt.version >= oldest:
-            self.stale_at_s.pop(key, None)
-            return False
-        stale_at_s = self.stale_at_s.setdefault(key, self.clock())
-        return self.clock() - stale_at_s >= GRACE_S
+        is_old = oldest is not None and salt.version < oldest
+        weights = (salt.model, salt.version)
+        if self.unused_s(weights, is_old) >= GRACE_S:
+            return True
+        is_superseded = self.is_superseded(salt.scope)
+        return self.unused_s(salt.scope, is_superseded) >= GROUP_GRACE_S
+
+    def unused_s(self, key: typing.Hashable, is_unused: bool) -> float:
+        """Return for how long weights or a group have been unused.
+
+        Parameters
+        ----------
+        key
+            The weights or the group.
+        is_unused
+            Whether they are unused now.
+
+        Returns
+        -------
+        float
+            Seconds; negative if they are in use.
+        """
+        now_s = self.clock()
+        if not is_unused:
+            self.unused_since_s.pop(key, None)
+            return -1.0
+        return now_s - self.unused_since_s.setdefault(key, now_s)
--- a/src/briarseam/platform/configuration.py
+++ b/src/briarseam/platform/configuration.py
@@ -229,7 +229,6 @@
         organisation = model.Organisation(
             tenant.name,
             tenant.priority,
-            tenant.isolated,
             regions_of(tenant.allowed_regions),
         )
         by_key.update(dict.fromkeys(tenant.api_keys, organisation))
--- a/src/briarseam/routes/model.py
+++ b/src/briarseam/routes/model.py
@@ -210,15 +210,12 @@
         Unique in a configuration.
     priority
         Overrides a route's priority unless ``None``.
-    isolated
-        Whether its KV cache is shared with no other organisation.
     regions
         Regions that its requests must not leave.
     """
 
     name: str
     priority: int | None = None
-    isolated: bool = False
     regions: Regions = None
 
 
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -293,12 +293,40 @@
 
 
 def test_isolated_organisation_has_its_own_salt(case):
-    placement = case.place(
-        organisation=routes.Organisation("south", isolated=True)
-    )
+    isolate(case, "south")
+    placement = case.place(organisation=routes.Organisation("south"))
     assert placement.instructions.salt == "m/1/south"
 
 
+def test_organisation_is_isolated_while_its_request_waits(case):
+    """Guards against the salt of the configuration at the arrival."""
+    request = case.request(organisation=routes.Organisation("south"))
+    assert case.chooser.choose(request).instructions.salt == "m/1/"
+    isolate(case, "south")
+    assert case.chooser.choose(request).instructions.salt == "m/1/south"
+
+
+@pytest.mark.parametrize("isolated", ["north", "south"])
+def test_placement_is_outdated_once_anybody_becomes_isolated(case, isolated):
+    """Guards against a prompt that is sent with the salt of before."""
+    request = case.request(organisation=routes.Organisation("north"))
+    placement = case.chooser.choose(request)
+    assert case.chooser.is_current(placement, request)
+    isolate(case, isolated)
+    assert not case.chooser.is_current(placement, request)
+    isolate(case, isolated)
+    assert case.chooser.is_current(case.chooser.choose(request), request)
+
+
+def isolate(case, *names):
+    """Put a configuration in force that isolates organisations."""
+    case.chooser.sharing.apply(
+        routes.Configuration(
+            2, (), {}, {}, routes.CallerLimits(), frozenset(names)
+        )
+    )
+
+
 @pytest.mark.parametrize(
     ("organisation", "priority"),
     [
--- /dev/null
+++ b/tests/platform/test_isolated_organisations.py
@@ -0,0 +1,206 @@
+"""Cached parts of prompts while organisations become isolated."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarseam.placement import sweeping
+from briarseam.testing import http_messages
+from briarseam.testing import waiting
+from tests.platform import caching_engine
+from tests.platform import isolation_case
+from tests.platform import partition
+from tests.platform.isolation_case import Step
+
+CHAIN = ("chain",)
+BOTH = ("chain", "inspectors")
+SERIES = {
+    "becomes isolated": [Step(), Step(CHAIN)],
+    "a second one becomes isolated": [Step(CHAIN), Step(BOTH)],
+    "one in place of another, and back": [
+        Step(CHAIN),
+        Step(("inspectors",)),
+        Step(CHAIN),
+    ],
+    "shared again and isolated again": [
+        Step(),
+        Step(CHAIN),
+        Step(),
+        Step(CHAIN),
+        Step(),
+    ],
+    "loses its keys at the same change": [Step(), Step(CHAIN, keyless=CHAIN)],
+    "loses its keys and gets them back": [
+        Step(),
+        Step(CHAIN),
+        Step(CHAIN, keyless=CHAIN),
+        Step(CHAIN),
+    ],
+    "is removed and comes back shared": [
+        Step(CHAIN),
+        Step(removed=CHAIN),
+        Step(),
+        Step(CHAIN),
+    ],
+    "all instances replaced": [Step(), Step(CHAIN, restart=True)],
+    "all replaced while it is shared again": [
+        Step(),
+        Step(CHAIN),
+        Step(restart=True),
+        Step(CHAIN, restart=True),
+    ],
+    "beside new weights": [Step(), Step(CHAIN, weights=2), Step(weights=3)],
+}
+
+
+@pytest.fixture
+def case(cold_system):
+    return isolation_case.Case(cold_system)
+
+
+@pytest.mark.parametrize("engine_forgets", [False, True])
+@pytest.mark.parametrize("series", SERIES.values(), ids=SERIES.keys())
+def test_no_part_crosses_the_wall_of_an_organisation(
+    case, series, engine_forgets
+):
+    """Guards against KV cache of an organisation that becomes isolated.
+
+    An engine that forgets has to fetch the parts from a store.
+    """
+    for step in series:
+        if engine_forgets:
+            case.cache.clear()
+        case.play(step)
+    assert case.crossings() == []
+    assert caching_engine.foreign_weights(case.uses) == []
+
+
+@pytest.mark.parametrize(
+    "before, after",
+    [
+        pytest.param(Step(), Step(), id="none isolated"),
+        pytest.param(Step(CHAIN), Step(CHAIN), id="none new"),
+        pytest.param(Step(CHAIN), Step(), id="shared again"),
+        pytest.param(Step(BOTH), Step(CHAIN), id="one of two shared again"),
+        pytest.param(
+            Step(CHAIN), Step(CHAIN, keyless=CHAIN), id="keys revoked"
+        ),
+        pytest.param(Step(CHAIN), Step(removed=CHAIN), id="removed"),
+        pytest.param(
+            Step(), Step(keyless=("kitchens",)), id="keys of another revoked"
+        ),
+    ],
+)
+@pytest.mark.parametrize("engine_forgets", [False, True])
+def test_change_that_isolates_nobody_new_keeps_cached_parts(
+    case, before, after, engine_forgets
+):
+    """Guards against prompts that are computed again after each change."""
+    case.play(before)
+    if engine_forgets:
+        case.cache.clear()
+    served = case.play(after)
+    for calls in served.values():
+        assert all(case.used_shared(call) for call in calls)
+
+
+def test_organisations_that_stay_shared_go_on_sharing(case):
+    case.play(Step())
+    served = case.play(Step(CHAIN))
+    (first, *others) = [*served["inspectors"], *served["kitchens"]]
+    assert not case.used_shared(first)
+    assert all(case.used_shared(call) for call in others)
+
+
+def test_former_isolation_is_learned_from_peers(case):
+    """Guards against a replaced instance that shares with nobody."""
+    case.play(Step(CHAIN))
+    case.play(Step())
+    node = case.system.launch_another("late")
+    waiting.until(
+        lambda: (
+            node.is_ready()
+            and node.chooser.sharing.division.former == {"chain"}
+            and node.feeds.registry.all()
+        ),
+        isolation_case.TIMEOUT_S,
+    )
+    assert case.used_shared(case.send("kitchens", node))
+
+
+def once(action):
+    """Return a function that does something when it is first called."""
+    pending = [action]
+
+    def act():
+        if pending:
+            pending.pop()()
+
+    return act
+
+
+def test_request_that_connects_across_the_change_is_placed_anew(
+    case, monkeypatch
+):
+    """Guards against a send with the salt of before the change."""
+    case.play(Step())
+    node = case.nodes[0]
+    acquire = node.pool.acquire
+    change = once(lambda: case.apply(Step(CHAIN)))
+
+    def acquire_late(*target):
+        connection = acquire(*target)
+        change()
+        return connection
+
+    monkeypatch.setattr(node.pool, "acquire", acquire_late)
+    call = case.send("kitchens", node)
+    assert case.crossings() == []
+    assert case.ran(call) == 1
+
+
+@pytest.mark.parametrize("organisation", ["chain", "kitchens"])
+def test_request_that_is_repeated_after_the_change(
+    case, monkeypatch, organisation
+):
+    """Guards against the configuration at the arrival of a request."""
+    case.play(Step())
+    engine = case.system.workers["engine-1"]
+    run = engine.run
+    change = once(lambda: case.apply(Step(CHAIN)))
+
+    def run_and_change(request, call, echo):
+        case.cache.run(request)
+        change()
+        raise http_messages.Dropped
+
+    case.add_engine("engine-2")
+    monkeypatch.setattr(engine, "run", run_and_change)
+    call = case.send(organisation, case.nodes[0])
+    monkeypatch.setattr(engine, "run", run)
+    assert case.crossings() == []
+    assert case.ran(call) == 2
+
+
+@pytest.mark.parametrize("organisation", ["chain", "kitchens"])
+def test_request_that_another_instance_relays_after_the_change(
+    case, organisation
+):
+    case.play(Step())
+    case.apply(Step(CHAIN))
+    with partition.from_endpoints(case.nodes[0]):
+        call = case.send(organisation, case.nodes[0])
+        assert case.ran(call) == 1
+    assert case.crossings() == []
+
+
+def test_stored_parts_that_nobody_can_use_are_freed(case, monkeypatch):
+    """Guards against a store that fills up with former groups' parts."""
+    monkeypatch.setattr(sweeping, "GROUP_GRACE_S", 0.5)
+    case.play(Step())
+    former = set(case.store.held)
+    case.play(Step(CHAIN))
+    waiting.until(
+        lambda: former == set(case.store.freed), isolation_case.TIMEOUT_S
+    )
+    assert case.store.held
