Check prompts of isolated organisations by the others' keys of parts too

Cause: keys of parts hold the name of an isolated organisation. With the change its prompts get new keys, of which no loss is known.

Change: such prompts are checked by both keys. Losses still count against the organisation's own key only, so that they refuse nobody else's prompts; an answer clears both.

Of the unit tests test_losses_before_an_organisation_was_isolated_ refuse_its_prompts pins the cause.

--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -49,6 +49,9 @@
         Key of the request, the same for its repeats.
     parts
         Ids of the shared parts of its prompt, by key.
+    common_parts
+        The same by the keys of all organisations, if the caller's has keys of
+        its own.  They are checked, but its losses don't count against them.
     trial
         The trial that the request is, as long as its end is not told.
     began_s
@@ -61,6 +64,7 @@
     request: str
     digest: bytes
     parts: dict[bytes, str] = dataclasses.field(default_factory=dict)
+    common_parts: dict[bytes, str] = dataclasses.field(default_factory=dict)
     trial: trial_requests.Granted | None = None
     began_s: float | None = None
     is_recorded: bool = False
@@ -68,7 +72,12 @@
     @property
     def keys(self) -> tuple[bytes, ...]:
         """Keys of the request and of the shared parts of its prompt."""
-        return (self.digest, *self.parts)
+        return (self.digest, *self.all_parts)
+
+    @property
+    def all_parts(self) -> dict[bytes, str]:
+        """Ids of the shared parts by any of their keys."""
+        return self.parts | self.common_parts
 
 
 class CrashChecks:
@@ -144,7 +153,8 @@
     ) -> verdict.NotRun:
         """Return the refusal of a request that is suspected, or its parts."""
         self.counts.record_refusal(suspects)
-        parts = [part for part in state.parts if part in suspects]
+        known = state.all_parts
+        parts = [part for part in known if part in suspects]
         if not parts:
             usual = refusing.SUSPECTED
             if self.trials.ledger.has_tried(suspects):
@@ -152,7 +162,7 @@
             return dataclasses.replace(
                 usual, retry_after_s=refused.retry_after_s
             )
-        ids = ", ".join(state.parts[part] for part in parts)
+        ids = ", ".join(dict.fromkeys(known[part] for part in parts))
         endpoints = max(len(self.counts.endpoints_of(one)) for one in parts)
         return verdict.NotRun(
             verdict.Reason.CONDEMNED,
@@ -186,7 +196,7 @@
         crash its endpoint, until it is answered completely.
         """
         state.is_recorded = True
-        self.counts.record_answer(state.parts, began_s)
+        self.counts.record_answer(state.all_parts, began_s)
         if state.trial is None:
             return
         requests = loss_keys.only_requests(state.trial.keys)
@@ -359,7 +369,9 @@
     """Return the ids of a prompt's shared parts, by key.
 
     Keys of an isolated organisation are its own, so that its losses neither
-    refuse the prompts of others nor tell of them.
+    refuse the prompts of others nor tell of them.  Its prompts are checked by
+    the keys of the others as well: what was lost before it was isolated
+    counts against them.
 
     Parameters
     ----------
--- a/src/briarseam/forwarding/preparing.py
+++ b/src/briarseam/forwarding/preparing.py
@@ -56,13 +56,12 @@
     organisation = (
         caller.name if isinstance(caller, tables.KnownCaller) else ""
     )
+    own_name = deps.chooser.sharing.own_name(organisation)
     crash_state = crash_checks.CrashState(
         call.id,
         loss_keys.key_of_request(call.target, organisation, body),
-        crash_checks.keys_of_parts(
-            call.prompt,
-            deps.chooser.sharing.own_name(organisation),
-        ),
+        crash_checks.keys_of_parts(call.prompt, own_name),
+        crash_checks.keys_of_parts(call.prompt, "") if own_name else {},
     )
     refusal = deps.crashes.refusal_on_arrival(crash_state)
     if refusal is not None:
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -23,7 +23,9 @@
 LIMIT = suspicion.LOST_ENDPOINTS_LIMIT
 CRASHING = b"crashing"
 FIRST = b"first"
-IDS = {FIRST: "aa", CRASHING: "cc"}
+# Key of the crashing part for an isolated organisation.
+OWN = b"own"
+IDS = {FIRST: "aa", CRASHING: "cc", OWN: "cc"}
 BROKEN = outcomes.Broken("reset")
 OK = outcomes.Answered(200)
 FAILED = outcomes.Failed(calls.AnswerHead(500, (), ""), (b"failed",))
@@ -119,6 +121,51 @@
     checks.losses.review()
 
 
+def isolated_state_of(number):
+    """Return a prompt of an organisation that has keys of its own."""
+    state = state_of(number, OWN)
+    state.common_parts = {CRASHING: IDS[CRASHING]}
+    return state
+
+
+def test_losses_before_an_organisation_was_isolated_refuse_its_prompts(
+    checks, endpoints
+):
+    """Guards against new keys of parts that forget who crashed endpoints."""
+    lose_at(checks, endpoints[:LIMIT], CRASHING)
+    first = isolated_state_of(99)
+    assert checks.refusal_of_send(first) is None
+    assert first.trial.keys == {CRASHING}
+    refusal = checks.refusal_of_send(isolated_state_of(100))
+    assert refusal.detail.startswith("3 endpoints were lost with part cc,")
+
+
+def test_losses_of_an_isolated_organisation_refuse_no_others_prompts(
+    checks, endpoints
+):
+    for number, endpoint in enumerate(endpoints[:LIMIT]):
+        state = isolated_state_of(number)
+        checks.record_start(state)
+        checks.record_outcome(state, endpoint, BROKEN, checks.clock())
+    checks.clock.now_s += loss_decisions.MAX_PENDING_S
+    checks.losses.review()
+    assert checks.refusal_on_arrival(state_of(99, CRASHING)) is None
+    assert checks.refusal_of_send(state_of(99, CRASHING)) is None
+    assert checks.refusal_of_send(isolated_state_of(100)) is None
+    assert checks.refusal_of_send(isolated_state_of(101)) is not None
+
+
+def test_answer_to_an_isolated_organisation_clears_a_part_for_all(
+    checks, endpoints
+):
+    lose_at(checks, endpoints[:LIMIT], CRASHING)
+    state = isolated_state_of(99)
+    assert checks.refusal_of_send(state) is None
+    checks.record_start(state)
+    checks.record_outcome(state, endpoints[0], OK, checks.clock())
+    assert checks.refusal_of_send(state_of(100, CRASHING)) is None
+
+
 def test_prompt_with_a_part_that_was_lost_elsewhere_is_refused(
     checks, endpoints
 ):
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -9,6 +9,7 @@
 from briarseam.testing import waiting
 from tests.platform import crashing_parts
 from tests.platform import instances
+from tests.platform import system as systems
 
 ENGINES = 8
 SOUND_PER_S = 20
@@ -72,6 +73,17 @@
     check_bounds(fleet, load)
 
 
+def test_part_stays_refused_when_its_organisation_becomes_isolated(
+    cold_system, fleet, load
+):
+    """Guards against new keys of parts that forget who crashed engines."""
+    load.run(8.0, SOUND_PER_S, 0.3)
+    tenant = {"name": "north", "apiKeys": [systems.KEY], "isolated": True}
+    cold_system.configure(version=2, tenants=[tenant])
+    load.run(8.0, SOUND_PER_S, 0.3)
+    check_bounds(fleet, load)
+
+
 def test_part_that_crashes_all_engines_at_once_is_refused(fleet, load):
     """Guards against crashes that look like a loss of power each time."""
     for _wave in range(4):
