Keep repeated requests to the regions of the configuration in force

What callers would see: a request that is repeated after a change of the allowed regions, of its route or its organisation, is sent to a region that is not allowed any more (HOME).

Cause: route and organisation are those of the configuration at the arrival, and a request may be tried until its deadline.

Change: the regions, and the organisation of the key, are looked up when an endpoint is chosen. Time-outs and the like stay as the request found them; a route or key that is gone keeps what it had.

--- a/src/briarseam/forwarding/preparing.py
+++ b/src/briarseam/forwarding/preparing.py
@@ -81,6 +81,7 @@
         sends=usage.sends,
         counted=usage.counted,
         software=usage.software,
+        table=deps.table,
     )
     return with_software(deps, context)
 
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -151,6 +151,11 @@
     waiting: queueing.WaitingQueue | None = None
 
 
+def no_table() -> None:
+    """Return that there is no configuration; the default."""
+    return
+
+
 @dataclasses.dataclass
 class Context:
     """Context of one active request.
@@ -162,7 +167,7 @@
     route, service, caller
         Its route, service and caller in the configuration.
     configuration
-        Version of the configuration.
+        Version of the configuration at the arrival of the request.
     watch
         Ends the request early.
     crash_state
@@ -191,6 +196,8 @@
     counted_load
         Load that was counted when the request was placed, until it is sent;
         ``None`` if it is counted when it is sent.
+    table
+        Returns the configuration in force; ``None`` before the first one.
     """
 
     exchange: server.Exchange
@@ -215,6 +222,7 @@
     failed: outcomes.Failed | None = None
     software: str | None = None
     counted_load: loads.Load | None = None
+    table: typing.Callable[[], tables.RouteTable | None] = no_table
 
     def take_counted_load(self) -> loads.Load | None:
         """Return the load counted in advance, for the send to remove."""
@@ -222,13 +230,23 @@
         return counted
 
     def request(self) -> placements.Request:
-        """Return the request for the endpoint chooser."""
+        """Return the request for the endpoint chooser.
+
+        It may have waited, or have been tried, for so long that the regions
+        that it must not leave have changed since it arrived.
+        """
         organisation = None
         if isinstance(self.caller, tables.KnownCaller):
             organisation = self.caller.organisation
+        route = self.route
+        table = self.table()
+        if table is not None:
+            route = table.with_regions(route)
+            if organisation is not None:
+                organisation = table.newest(organisation, self.call.key)
         return placements.Request(
             self.call,
-            self.route,
+            route,
             self.service,
             organisation,
             self.arrived_s + self.route.target_latency_s - clocks.boot_clock(),
--- a/src/briarseam/routes/table.py
+++ b/src/briarseam/routes/table.py
@@ -50,6 +50,7 @@
     def __init__(self, configuration: model.Configuration) -> None:
         self.configuration = configuration
         self.by_host: dict[str, dict[str, model.Route]] = {}
+        self.by_name = {route.name: route for route in configuration.routes}
         for route in configuration.routes:
             host = self.by_host.setdefault(route.host.lower(), {})
             host[route.prefix] = route
@@ -76,6 +77,28 @@
             end -= 1
         return None
 
+    def with_regions(self, route: model.Route) -> model.Route:
+        """Return a route of an older configuration with its regions now.
+
+        A route that is gone keeps its regions.
+        """
+        now = self.by_name.get(route.name, route)
+        if now.regions == route.regions:
+            return route
+        return dataclasses.replace(route, regions=now.regions)
+
+    def newest(
+        self, organisation: model.Organisation, key: str
+    ) -> model.Organisation:
+        """Return an organisation of an older configuration as it is now.
+
+        One whose key is gone, or has another organisation, stays as it was.
+        """
+        now = (self.configuration.organisations or {}).get(key)
+        if now is None or now.name != organisation.name:
+            return organisation
+        return now
+
     def identify(self, route: model.Route, key: str) -> Caller:
         """Return the caller on a route by its key, empty if it sent none."""
         organisations = self.configuration.organisations
--- a/tests/platform/test_regions.py
+++ b/tests/platform/test_regions.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briarseam.testing import http_messages
 from briarseam.testing import waiting
 from tests.platform import system as systems
 
@@ -70,6 +71,33 @@
     assert reached(zones) == set(expected)
 
 
+@pytest.mark.parametrize(
+    "before, after",
+    [
+        pytest.param((("north",), ()), (("south",), ()), id="route"),
+        pytest.param(((), ("north",)), ((), ("south",)), id="organisation"),
+    ],
+)
+def test_repeated_request_keeps_to_the_regions_of_the_last_change(
+    zones, monkeypatch, before, after
+):
+    """Guards against the regions that were allowed at the arrival."""
+    configure(zones, *before)
+    wait_for_version(zones)
+
+    def change_and_drop(request, call, echo):
+        monkeypatch.undo()
+        configure(zones, *after, version=3)
+        wait_for_version(zones, 3)
+        raise http_messages.Dropped
+
+    for worker in zones.workers.values():
+        monkeypatch.setattr(worker, "run", change_and_drop)
+    assert zones.call("/status/x", "GET").status == 200
+    assert zones.workers["plain-c"].arrived
+    assert len(reached(zones)) == 2
+
+
 def test_request_is_refused_while_its_region_has_no_endpoint(zones):
     """Guards against a request that leaves its regions because all of their
     endpoints are lost.
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -105,3 +105,27 @@
         "split", "/", shares=(model.Share("a", 0), model.Share("b", 1))
     )
     assert {table.select_service(split, str(n)) for n in range(50)} == {"b"}
+
+
+def test_regions_are_those_of_the_configuration_in_force():
+    kept = route("kept", "/kept/", timeout_s=9.0)
+    gone = route("gone", "/gone/", regions=frozenset({"north"}))
+    now = route("kept", "/kept/", regions=frozenset({"south"}))
+    routes = table.RouteTable(configuration(now))
+    assert routes.with_regions(kept).regions == {"south"}
+    assert routes.with_regions(kept).timeout_s == 9.0
+    assert routes.with_regions(gone) == gone
+
+
+def test_organisation_is_that_of_the_configuration_in_force():
+    before = model.Organisation("north", priority=1)
+    now = model.Organisation("north", priority=2)
+    other = model.Organisation("south")
+    routes = table.RouteTable(
+        configuration(organisations={"key": now, "moved": other})
+    )
+    assert routes.newest(before, "key") == now
+    assert routes.newest(before, "revoked") == before
+    assert routes.newest(before, "moved") == before
+    without_keys = table.RouteTable(configuration())
+    assert without_keys.newest(before, "key") == before
