--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -45,7 +45,7 @@
 
 
 def always_current() -> bool:
-    """Return that the headers are current; the default."""
+    """Return that the headers may be sent; the default."""
     return True
 
 
--- a/src/briarseam/placement/cache_sharing.py
+++ b/src/briarseam/placement/cache_sharing.py
@@ -1,10 +1,10 @@
 """Decides which organisations use each other's cached parts of prompts.
 
 An isolated organisation has parts of its own.  All others share theirs, under
-a name that depends on who is kept out.  So whoever uses a shared part knows
-from its name alone that no organisation that is isolated now has computed
-it: an instance needs no memory of what was sent before, and instances that
-disagree for a while share less, never too much.
+a name that depends on who is kept out.  So the name alone says that no
+organisation that is isolated now has computed a shared part.  This needs no
+memory of what was sent before, and an instance that has not read a change yet
+adds nothing to what the others share.
 
 An organisation that was isolated and is so no longer stays on its own parts.
 If it wrote shared ones, isolating it again would have to make all of these
@@ -37,6 +37,7 @@
 # Names in one heartbeat, some 20 bytes each.  Peers know who is isolated from
 # the configuration as well; only the former ones must all be told.
 MAX_PUBLISHED = 200
+NOBODY: frozenset[str] = frozenset()
 log = structlog.get_logger("briarseam.placement")
 
 
@@ -65,9 +66,6 @@
     group: salts.Group
 
 
-NOBODY: frozenset[str] = frozenset()
-
-
 def divide(
     isolated: frozenset[str], former: frozenset[str], configuration: int
 ) -> Division:
