Share no cached parts just after a suspension; soak of isolated organisations

What callers would see: prompts that are sent in the first milliseconds after an instance was suspended run on KV cache of an organisation that became isolated meanwhile.

Found by the new plan of the soak (--isolations): who is isolated changes in series beside pauses, kills, cuts, replaced engines and new weights, some organisations lose their keys, and engines and a store remember who made each part.

The test that suspends an instance fails without the salt of one's own.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -10,6 +10,7 @@
 from briarseam import inflight
 from briarseam import malformed
 from briarseam import repeating
+from briarseam import suspension
 from briarseam.compose import local_handlers
 from briarseam.compose import node_announcements
 from briarseam.compose import node_calls
@@ -45,6 +46,7 @@
 from briarseam.origins import exchange as origin_exchange
 from briarseam.origins import memory as origin_memory
 from briarseam.peers import expiry
+from briarseam.placement import cache_sharing
 from briarseam.placement import cell_loads
 from briarseam.placement import cell_weights
 from briarseam.placement import chooser as choosers
@@ -115,6 +117,7 @@
         self.held = held_bytes.HeldBytes(held_limit(settings))
         self.stopping = threading.Event()
         self.loop = event_loop.EventLoop("peers")
+        self.suspension = suspension.SuspensionWatch()
         self.metrics = metrics.Registry()
         self.malformed_counter = malformed.Tally(
             node_metrics.malformed_counter(self.metrics)
@@ -188,6 +191,7 @@
             reachability=self.reachability,
             software_of=registry.software_of,
             predict=settings.load.predict,
+            sharing=cache_sharing.CacheSharing(self.suspension.is_catching_up),
         )
         self.chooser.bodies.limit = endpoint_limit(settings)
         self.chooser.bodies.instances = self.instances.known_count
@@ -281,6 +285,7 @@
             self.feeds.registrations, self.instances.fresh_names
         )
         self.background: tuple[BackgroundPart, ...] = (
+            self.suspension,
             self.paths,
             self.crashes,
             self.origins,
--- a/src/briarseam/placement/cache_sharing.py
+++ b/src/briarseam/placement/cache_sharing.py
@@ -76,16 +76,30 @@
     )
 
 
+def is_never_outdated() -> bool:
+    """Return that the configuration is up to date; the default."""
+    return False
+
+
 class CacheSharing:
     """Names the parts that a request may use; thread-safe.
 
+    Parameters
+    ----------
+    is_outdated
+        Returns whether the configuration may have changed a while ago, as
+        after a suspension of the process.  Nothing is shared meanwhile.
+
     Attributes
     ----------
     division
         Who uses whose parts now.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_outdated: typing.Callable[[], bool] = is_never_outdated
+    ) -> None:
+        self.is_outdated = is_outdated
         self.lock = threading.Lock()
         self.division = divide(NOBODY, NOBODY, 0)
 
@@ -129,7 +143,9 @@
             Its name; ``None`` for callers without a key.
         """
         division = self.division
-        if organisation is not None and organisation in division.separate:
+        if organisation is None:
+            return division.group
+        if organisation in division.separate or self.is_outdated():
             return salts.Own(organisation)
         return division.group
 
--- a/src/briarseam/placement/prompt_chooser.py
+++ b/src/briarseam/placement/prompt_chooser.py
@@ -200,7 +200,9 @@
     ) -> cost.VersionPlan:
         """Return the plan for all engines with the same weight version."""
         salt = self.salt(request, version)
-        if not version:
+        if not version or self.sharing.is_outdated():
+            # Parts that are not shared for a moment only are not worth their
+            # place in a store.
             return cost.VersionPlan(salt, kept_module.NO_TRANSFERS)
         return cost.VersionPlan(
             salt,
--- a/tests/placement/test_cache_sharing.py
+++ b/tests/placement/test_cache_sharing.py
@@ -104,6 +104,18 @@
     assert scopes(sharing) == before
 
 
+def test_nothing_is_shared_while_the_configuration_may_be_outdated():
+    """Guards against a process that goes on with what it knew before."""
+    outdated = []
+    sharing = cache_sharing.CacheSharing(lambda: bool(outdated))
+    sharing.apply(configuration(1))
+    before = scopes(sharing)
+    outdated.append(True)
+    assert scopes(sharing) == {name: salts.Own(name) for name in NAMES}
+    outdated.clear()
+    assert scopes(sharing) == before
+
+
 def test_former_organisations_are_bounded():
     """Guards against heartbeats that grow without bound."""
     names = [f"o{number}" for number in range(cache_sharing.MAX_FORMER + 1)]
--- a/tests/platform/test_isolated_organisations.py
+++ b/tests/platform/test_isolated_organisations.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 
+from briarseam import clocks
 from briarseam.placement import sweeping
 from briarseam.testing import http_messages
 from briarseam.testing import waiting
@@ -204,3 +207,31 @@
         lambda: former == set(case.store.freed), isolation_case.TIMEOUT_S
     )
     assert case.store.held
+
+
+def test_suspended_instance_shares_nothing_before_it_reads_the_change(
+    case, monkeypatch
+):
+    """Guards against the configuration of before a suspension."""
+    case.play(Step())
+    node = case.nodes[0]
+    resume = threading.Event()
+    read = node.feeds.operators.apply_changes
+
+    def read_late(changes):
+        resume.wait(isolation_case.TIMEOUT_S)
+        read(changes)
+
+    # The threads of a suspended process stand still, those of peers do not.
+    monkeypatch.setattr(node.feeds.operators, "apply_changes", read_late)
+    monkeypatch.setattr(node.chooser.sharing, "consume", lambda *told: None)
+    node.suspension.stop()
+    before_s = clocks.boot_clock() - 3.0
+    node.suspension.ticked_s = before_s
+    case.configure(Step(CHAIN))
+    case.isolation.record(CHAIN)
+    for organisation in ("chain", "kitchens"):
+        case.send(organisation, node)
+    assert case.crossings() == []
+    resume.set()
+    node.suspension.tick()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -308,6 +308,27 @@
     answers: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Isolated:
+    """A configuration changes who is isolated.
+
+    Attributes
+    ----------
+    organisations
+        All that are isolated from then on.
+    keyless
+        Those without a key.
+    """
+
+    organisations: tuple[str, ...]
+    keyless: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightsReplaced:
+    """All engines have the next weights."""
+
+
 Fault = (
     StoreTrouble
     | StoreRestored
@@ -334,6 +355,8 @@
     | InstancesKilled
     | SlowedDown
     | Contended
+    | Isolated
+    | WeightsReplaced
 )
 
 
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -104,7 +104,12 @@
                 worker.set(**{switch: faults.MISBEHAVIOUR[switch]})
             case faults.EnginesEnded(service):
                 self.deployment.end_service(service)
-            case faults.Reconfigured() | faults.Evacuated():
+            case (
+                faults.Reconfigured()
+                | faults.Evacuated()
+                | faults.Isolated()
+                | faults.WeightsReplaced()
+            ):
                 self.change_records(one.fault, one.for_s)
             case (
                 faults.PathsCut()
@@ -211,10 +216,19 @@
         )
 
     def change_records(
-        self, fault: faults.Reconfigured | faults.Evacuated, for_s: float
+        self,
+        fault: faults.Reconfigured
+        | faults.Evacuated
+        | faults.Isolated
+        | faults.WeightsReplaced,
+        for_s: float,
     ) -> None:
         """Change what operators have written."""
         match fault:
+            case faults.Isolated(organisations, keyless):
+                self.deployment.isolate(organisations, keyless)
+            case faults.WeightsReplaced():
+                self.deployment.replace_weights()
             case faults.Reconfigured(toggled):
                 self.deployment.configure(toggled)
             case faults.Evacuated(zone):
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -10,6 +10,7 @@
 from tests.platform import raw_answers
 from tests.soak import deadly
 from tests.soak import faults
+from tests.soak import isolation
 from tests.soak import parts
 from tests.soak import paths
 from tests.soak import releases
@@ -302,6 +303,14 @@
     return sorted(found, key=lambda one: one.at_s)
 
 
+def plan_isolations(
+    seed: int, seconds: float, instances: int
+) -> list[faults.Planned]:
+    """Return changes of who is isolated, beside other faults."""
+    others = plan(seed + 1, seconds, instances)
+    return isolation.plan(seed, seconds, instances, others)
+
+
 def draw_form(random_: random.Random, is_stream: bool) -> raw_answers.Form:
     """Return a form of answers whose cuts callers must not take for ends."""
     forms = [
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -12,6 +12,7 @@
 from tests.soak import crashes
 from tests.soak import deadly
 from tests.soak import faults
+from tests.soak import isolation
 from tests.soak import parts
 from tests.soak import paths
 from tests.soak import processes
@@ -71,6 +72,7 @@
     yield from parts.check(deployment, sent)
     yield from deadly.check(deployment, sent)
     yield from paths.check(deployment.path_cuts, sent)
+    yield from isolation.check(deployment, sent)
     for instance in deployment.instances:
         yield from instance.killed
 
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -13,7 +13,7 @@
     ----------
     seed, seconds, instances, stops, restores, zones, announcements, paths,
     framings, releases, crashes, parts, deadly, contention,
-    ordered_waiting, floods
+    ordered_waiting, floods, isolations
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -33,6 +33,8 @@
         Requests by API key and status.
     crashed
         Endpoints that requests crashed.
+    parts_used
+        How often requests ran on a cached part.
     flooded
         Answers without end that instances have closed.
     growth
@@ -57,6 +59,7 @@
     contention: bool = False
     ordered_waiting: bool = False
     floods: bool = False
+    isolations: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -67,6 +70,7 @@
     taken_up: tuple[int, int] = (0, 0)
     organisations: dict[str, int] = dataclasses.field(default_factory=dict)
     crashed: int = 0
+    parts_used: int = 0
     flooded: int = 0
     growth: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -28,6 +28,7 @@
 from tests.soak import deadly as deadly_requests
 from tests.soak import endless
 from tests.soak import injecting
+from tests.soak import isolation as isolations
 from tests.soak import parts as crashing_parts
 from tests.soak import plans
 from tests.soak import processes
@@ -84,6 +85,7 @@
             deadly_requests.crash_after_s(report.seed) * report.deadly,
             (1 + report.seed % 2) * report.contention,
             report.ordered_waiting or report.contention,
+            report.isolations,
         )
         if report.releases:
             count = len(serving.SERVICES)
@@ -114,6 +116,13 @@
                 self.new_caller(kind=contentions.SlowReader)
                 for _ in range(contentions.SLOW_READERS)
             ]
+        if report.isolations:
+            for one, key in zip(
+                self.callers,
+                itertools.cycle(isolations.KEYS.values()),
+                strict=False,
+            ):
+                one.key, one.kinds = key, isolations.PROMPTS
         self.memory = endless.MemoryWatch(self.deployment.instances)
         self.prober = self.new_caller()
         self.crowds: list[callers.Caller] = []
@@ -213,6 +222,7 @@
             plans.plan_parts: report.parts,
             plans.plan_deadly: report.deadly,
             plans.plan_contention: report.contention,
+            plans.plan_isolations: report.isolations,
             endless.plan: report.floods,
         }
         return next((one for one in chosen if chosen[one]), plans.plan)
@@ -311,6 +321,8 @@
         self.report.unanswered = dict(unanswered)
         self.report.announced = announced.count(self.deployment, sent)
         self.report.cuts = self.deployment.cuts()
+        if self.deployment.kept is not None:
+            self.report.parts_used = len(self.deployment.kept.uses.used)
         self.report.requests = len(sent)
         self.report.runs = sum(map(len, self.deployment.ran().values()))
         self.report.broken = self.broken
@@ -357,6 +369,7 @@
     contention: bool = False,
     ordered_waiting: bool = False,
     floods: bool = False,
+    isolations: bool = False,
 ) -> reports.Report:
     """Run one seed and return what was found."""
     report = reports.Report(
@@ -376,6 +389,7 @@
         contention,
         ordered_waiting,
         floods,
+        isolations,
     )
     Soak(folder, report).run()
     return report
@@ -450,6 +464,12 @@
         help="endpoints that send a part of an answer without end, fast and "
         "by drops",
     )
+    parser.add_argument(
+        "--isolations",
+        action="store_true",
+        help="organisations that become isolated, and parts of prompts that "
+        "engines and a store keep",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -475,6 +495,7 @@
             options.deadly,
             options.contention,
             floods=options.floods,
+            isolations=options.isolations,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -19,6 +19,7 @@
 from tests.platform import worker as workers
 from tests.soak import contention
 from tests.soak import crashes
+from tests.soak import isolation
 from tests.soak import links
 from tests.soak import paths
 from tests.soak import processes
@@ -163,6 +164,9 @@
         plenty, and a single organisation.
     ordered_waiting
         Whether requests wait in the ordered queue.
+    keeps_parts
+        Whether there are several organisations, and engines and a store
+        that keep parts of their prompts.
     """
 
     def __init__(
@@ -177,8 +181,10 @@
         crash_after_s: float = 0.0,
         slots: int = 0,
         ordered_waiting: bool = False,
+        keeps_parts: bool = False,
     ) -> None:
         self.slots = slots
+        self.kept = isolation.Kept() if keeps_parts else None
         self.versions = versions
         self.crash_after_s = crash_after_s
         # When the last fault ended, where a run checks what follows.
@@ -210,6 +216,8 @@
         self.closing = threading.Event()
         self.configured: list[tuple[float, bool]] = []
         self.store = self.stack.enter_context(metadata_store.MetadataStore())
+        if self.kept is not None:
+            self.stack.enter_context(self.kept.store)
         self.store_troubled_until = 0.0
         self.endpoints = [
             self.new_endpoint(name, ZONES[number % len(ZONES)])
@@ -256,7 +264,11 @@
         self, version: str = releases.VERSIONS[0], name: str = ""
     ) -> workers.Worker:
         """Return a started endpoint."""
-        kind = contention.Engine if self.slots else crashes.CrashingWorker
+        kind = crashes.CrashingWorker
+        if self.slots:
+            kind = contention.Engine
+        if self.kept is not None:
+            kind = isolation.Engine
         worker = kind(
             name or f"worker-{next(self.names)}",
             f"{HOST}:0",
@@ -264,6 +276,9 @@
             version,
             self.crash,
         )
+        if self.kept is not None:
+            worker.kept = self.kept
+            worker.cache = self.kept.new_cache()
         worker.names_version = self.versions
         worker.crash_after_s = self.crash_after_s
         worker.set(events=EVENTS)
@@ -292,6 +307,8 @@
             "coldRemainingMs": self.cold_remaining_ms(endpoint.worker.id),
             **endpoint.worker.start_fields(),
         }
+        if self.kept is not None and endpoint.service == "engines":
+            entry["models"] = self.kept.models()
         self.zones[endpoint.worker.id] = endpoint.zone
         self.record_period(endpoint, state)
         self.store.write("keyed.servers", endpoint.worker.id, entry)
@@ -454,6 +471,8 @@
             self.document = system.configuration(self.version, routes=routes)
             if self.slots:
                 self.document["tenants"] = contention.tenants()
+            if self.kept is not None:
+                self.kept.add_to(self.document)
             if self.cold:
                 limits = {"coldStartS": COLD_START_S, "coldPerS": COLD_PER_S}
                 self.document["services"] = [
@@ -461,9 +480,27 @@
                     for service in self.document["services"]
                 ]
             self.store.write("keyed.op", "config", self.document)
+            if self.kept is not None:
+                self.kept.record()
             self.toggled = toggled
             self.configured.append((time.monotonic(), toggled))
 
+    def isolate(
+        self, organisations: tuple[str, ...], keyless: tuple[str, ...]
+    ) -> None:
+        """Change which organisations are isolated, and which have no key."""
+        with self.lock:
+            self.kept.tenants = isolation.tenants_of(organisations, keyless)
+        self.configure(self.toggled)
+
+    def replace_weights(self) -> None:
+        """Let all engines have the next weights."""
+        with self.lock:
+            self.kept.weights += 1
+        for endpoint in self.endpoints:
+            left = endpoint.worker.id in endpoint.left
+            self.write_entry(endpoint, "draining" if left else "ready")
+
     def ran(self) -> dict[str, list[str]]:
         """Return the endpoints that ran each request, by its id."""
         found: dict[str, list[str]] = {}
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 import pytest
+from tests.platform import caching_engine
 from tests.platform import system
 from tests.soak import callers
 from tests.soak import contention
+from tests.soak import isolation
 from tests.soak import plans
 from tests.soak import promises
 from tests.soak import serve_soak
@@ -221,6 +223,45 @@
     )
 
 
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize(
+    "seed, seconds",
+    [
+        pytest.param(71001, 10.0, id="all-killed"),
+        pytest.param(71005, 20.0, id="suspended"),
+    ],
+)
+def test_no_part_crosses_the_wall_of_an_organisation(seed, seconds, tmp_path):
+    """Guards against KV cache of an organisation that becomes isolated."""
+    report = serve_soak.run(seed, seconds, 3, tmp_path, isolations=True)
+    assert report.broken == []
+    assert report.faults["Isolated"] > 1
+    assert report.parts_used > 0
+
+
+def test_part_that_crossed_the_wall_is_noticed(tmp_path):
+    """Guards against a check that passes though a part was used."""
+    deployment = serving.Deployment(tmp_path, 0, keeps_parts=True)
+    kept = deployment.kept
+    kept.tenants = isolation.tenants_of(("south",), ())
+    kept.record()
+    made = caching_engine.Made("south", "1")
+    for at_s in (isolation.APPLY_S - 0.1, isolation.APPLY_S + 0.1):
+        use = caching_engine.Use(
+            kept.isolation.since[0][0] + at_s,
+            "r",
+            "north",
+            "1",
+            "aa",
+            "",
+            made,
+        )
+        kept.uses.note(use)
+    [broken] = isolation.check(deployment, [])
+    assert "of north" in broken and "of south" in broken
+    deployment.close()
+
+
 def test_starved_organisation_is_noticed(tmp_path):
     """Guards against a check that passes though nobody is served."""
     deployment = contended(tmp_path)
@@ -269,6 +310,7 @@
     plans.plan_parts,
     plans.plan_deadly,
     plans.plan_contention,
+    plans.plan_isolations,
 )
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -116,6 +116,7 @@
         "routes.model",
         "settings",
         "sockets",
+        "suspension",
         "status.messages",
         "tokens",
         "transfers",
