--- a/tests/cache/test_names.py
+++ b/tests/cache/test_names.py
@@ -30,6 +30,13 @@
     assert key(*USUAL) != key(*other)
 
 
+def test_each_organisation_has_a_salt_of_its_own():
+    """Guards against prefixes at an engine that two organisations share."""
+    assert NAMES.salt("kitchen") == NAMES.salt("kitchen")
+    salts = {NAMES.salt(name) for name in ("kitchen", "crew", "")}
+    assert len(salts) == 3
+
+
 def test_names_are_unique_and_can_be_parsed():
     """A late write under an old name must not overwrite a new block."""
     made = [
