Grant trials to requests whose callers leave before these begin

What callers would see: a sound request that was suspected, and whose callers always leave soon, stays refused for a minute more.

Cause: a trial goes on for a while after its caller has left, but that time began with the send. A caller who left while the trial was granted, by a call to another instance, or just before the send, ended it. Though it was never sent it then counted as a trial with an unknown end, which puts off the next one, and as sent to its endpoint.

Change: the time begins before a trial is asked for. An attempt that ended before it was sent leaves its trial unused, and is not counted as abandoned. Whether something was sent is told for each attempt, no longer for all.

Evidence: with granting, or the choice of an endpoint, delayed by 0.1 s, two new tests fail on the code before and pass now.

--- a/src/briarseam/forwarding/crash_checks.py
+++ b/src/briarseam/forwarding/crash_checks.py
@@ -127,6 +127,10 @@
             return None
         return self.refuse(state, suspects, refused)
 
+    def is_suspected(self, state: CrashState) -> bool:
+        """Return whether a request or a part of its prompt is suspected."""
+        return bool(self.losses.suspects(state.keys))
+
     def refusal_of_send(self, state: CrashState) -> verdict.NotRun | None:
         """Return the refusal of a request that is about to be sent.
 
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -150,7 +150,7 @@
             if isinstance(placement, verdict.NotRun):
                 context.refusal = context.refusal or placement
                 return self.answers.answer_failure(context)
-            refusal = self.deps.crashes.refusal_of_send(context.crash_state)
+            refusal = self.refusal_of_send(context)
             if refusal is not None:
                 self.release_unsent(context, placement)
                 context.steps.append(f"excluded ({refusal.detail})")
@@ -173,6 +173,24 @@
             if not request_context.may_retry(context):
                 return self.answers.answer_failure(context)
 
+    def refusal_of_send(
+        self, context: request_context.Context
+    ) -> verdict.NotRun | None:
+        """Return the refusal of a request that may crash its endpoint.
+
+        The caller may leave while the trial is granted, which takes a call to
+        another instance: the time that a trial goes on begins before.
+        """
+        crashes = self.deps.crashes
+        if crashes.is_suspected(context.crash_state):
+            context.watch.begin_grace(
+                crash_checks.TRIAL_GRACE_S, context.exchange.discard
+            )
+        refusal = crashes.refusal_of_send(context.crash_state)
+        if refusal is not None:
+            context.watch.end_grace()
+        return refusal
+
     def release_unsent(
         self, context: request_context.Context, placement: placements.Placement
     ) -> None:
@@ -411,10 +429,7 @@
             max_part_s=request_context.max_part_s(context),
         )
         outcome: outcomes.Outcome | None = None
-        if context.crash_state.trial is not None:
-            context.watch.begin_grace(
-                crash_checks.TRIAL_GRACE_S, context.exchange.discard
-            )
+        context.progress.maybe_sent = False
         try:
             outcome = self.deps.sender.send(attempt)
             self.record_heard(placement.endpoint, outcome)
@@ -426,12 +441,14 @@
                 context.crash_state, placement.endpoint, outcome, sent_s
             )
         except supervision.EndedError as error:
-            context.may_have_run = (
-                context.may_have_run or context.progress.maybe_sent
-            )
-            crashes.record_abandoned(
-                context.crash_state, placement.endpoint, error.ending, sent_s
-            )
+            if context.progress.maybe_sent:
+                context.may_have_run = True
+                crashes.record_abandoned(
+                    context.crash_state,
+                    placement.endpoint,
+                    error.ending,
+                    sent_s,
+                )
             raise
         finally:
             context.watch.end_grace()
--- a/tests/platform/test_crashing_repeats.py
+++ b/tests/platform/test_crashing_repeats.py
@@ -136,9 +136,8 @@
             counts.add_loss(key, endpoint, counts.clock() - 60)
 
 
-def test_request_whose_callers_always_leave_is_freed_by_its_trial(start):
-    """Guards against refusing for good what is never waited for."""
-    fleet, nodes = start()
+def check_freed(fleet, nodes):
+    """Check that a request whose callers leave is freed by its trial."""
     for worker in fleet.running():
         worker.set(work_ms=100)
     load = crashing_repeats.Load(nodes, leave_after_s=0.03)
@@ -153,3 +152,39 @@
         node.crashes.counts.endpoints_of(key) == frozenset() for node in nodes
     )
     assert fleet.ended_s() == []
+
+
+def test_request_whose_callers_always_leave_is_freed_by_its_trial(start):
+    """Guards against refusing for good what is never waited for."""
+    check_freed(*start())
+
+
+def delayed(function, times):
+    """Return a function that is called later than callers stay, at first."""
+    left = [0.1] * times
+
+    def call(*args):
+        time.sleep(left.pop() if left else 0.0)
+        return function(*args)
+
+    return call
+
+
+def test_trial_goes_on_if_its_caller_leaves_before_it_is_granted(
+    start, monkeypatch
+):
+    """Guards against trials that end with their callers, one and all."""
+    fleet, nodes = start()
+    for node in nodes:
+        trials = node.forwarding.deps.crashes.trials
+        monkeypatch.setattr(trials, "begin", delayed(trials.begin, 100))
+    check_freed(fleet, nodes)
+
+
+def test_trial_that_is_not_sent_leaves_the_next_one(start, monkeypatch):
+    """Guards against a trial that is used up by a caller who has left."""
+    fleet, nodes = start()
+    for node in nodes:
+        chooser = node.chooser
+        monkeypatch.setattr(chooser, "choose", delayed(chooser.choose, 1))
+    check_freed(fleet, nodes)
