Share no cached parts once a change of the configuration may be missed

What callers would see: while the store answers no instance, or one that has just started and has not met its peers, an organisation becomes isolated, and for up to seconds prompts run on KV cache across its wall.

The logs show more: all three instances had met, the store rejected all their reads for 2.2 s, and acknowledged a change meanwhile.

Cause: isolation is read from a configuration that may be of any age.

Change: an instance knows until when it has all changes: until the last read was asked for, or until the end of its wait if that was in vain. Reads through another instance and heartbeats pass the age on, so one instance that reaches the store is enough for all of its cell. Once that is older than nine tenths of the time in which changes must be in force (new setting configuration_ms), prompts get a salt of their organisation alone, and are neither fetched nor saved. Callers without a key get one of their own too. Polls of the operators' topic last at most 0.4 of that time. The price: in an outage of the store for all, shared parts are computed anew after that time.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -59,6 +59,7 @@
 from briarseam.platform import requests
 from briarseam.platform import store as stores
 from briarseam.reachability import tracker
+from briarseam.routes import currency
 from briarseam.routes import peer_configuration
 from briarseam.wire import event_loop
 
@@ -159,6 +160,10 @@
             self.leaving,
             node_metrics.announcement_counters(self.metrics),
         )
+        self.currency = currency.ConfigurationCurrency(
+            self.feeds.configuration_complete_until_s,
+            settings.bounds.configuration_ms / MS,
+        )
         self.reachability = tracker.Reachability(self.feeds.registry.serving)
         self.weights = node_weights.Weights(
             settings,
@@ -191,7 +196,7 @@
             reachability=self.reachability,
             software_of=registry.software_of,
             predict=settings.load.predict,
-            sharing=cache_sharing.CacheSharing(self.suspension.is_catching_up),
+            sharing=cache_sharing.CacheSharing(self.may_be_outdated),
         )
         self.chooser.bodies.limit = endpoint_limit(settings)
         self.chooser.bodies.instances = self.instances.known_count
@@ -325,6 +330,7 @@
             stores=self.store_sharing,
             topics=self.topic_reads,
             cached_parts=self.chooser.sharing,
+            configuration_age=self.currency,
         )
 
     def forwarding_dependencies(self) -> request_context.Dependencies:
@@ -479,6 +485,7 @@
         budget = self.forwarding.deps.budget
         budget.ratio = bounds.retry_ratio
         budget.slack = bounds.retry_slack
+        self.currency.apply_s = bounds.configuration_ms / MS
         if str(settings.store.address) != self.store.address:
             self.store.move_to(str(settings.store.address))
 
@@ -531,6 +538,12 @@
         self.chooser.predictor.max_pauses = configuration.max_pauses()
         self.store_watches.follow([store.address for store in freeing_stores])
 
+    def may_be_outdated(self) -> bool:
+        """Return whether the configuration in force may be outdated."""
+        return (
+            self.suspension.is_catching_up() or not self.currency.is_current()
+        )
+
     def forget_endpoints(self, ids: frozenset[str]) -> None:
         """Drop the state of endpoint starts that are gone."""
         self.pool.forget(ids)
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -29,6 +29,9 @@
 # An evacuation must be in force in time even if a poll and the one after it
 # are lost.
 OPERATOR_POLL_SHARE = 0.4
+# What a poll has confirmed must not become too old before the next one ends,
+# and before a heartbeat tells it to peers that are cut off from the store.
+CONFIGURATION_POLL_SHARE = 0.4
 ENDPOINT_POLL_S = 1.5
 # Pause between two reads, as a share of the time within which a leaving
 # endpoint must get no new work; the rest is for a failed read and the next
@@ -60,7 +63,7 @@
     registrations
         Instances of this system.
     followers
-        The threads that follow the topics.
+        The threads that follow the topics; the operators' first.
     """
 
     operators: operators.OperatorFeed
@@ -117,10 +120,18 @@
         """Return the configuration version in force; 0 before the first."""
         return self.operators.version()
 
+    def configuration_complete_until_s(self) -> float:
+        """Return until when all of the operators' changes are known."""
+        return self.followers[0].complete_until_s
 
-def operator_poll_s(evacuation_ms: int) -> float:
+
+def operator_poll_s(bounds: serving.Bounds) -> float:
     """Return the length of a long poll of the operators' topic."""
-    return min(OPERATOR_POLL_S, OPERATOR_POLL_SHARE * evacuation_ms / MS)
+    return min(
+        OPERATOR_POLL_S,
+        OPERATOR_POLL_SHARE * bounds.evacuation_ms / MS,
+        CONFIGURATION_POLL_SHARE * bounds.configuration_ms / MS,
+    )
 
 
 def build(
@@ -184,7 +195,7 @@
             reads,
             names.OPERATOR_TOPIC,
             feed,
-            operator_poll_s(settings.bounds.evacuation_ms),
+            operator_poll_s(settings.bounds),
         ),
         following.Follower(
             reads,
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -39,6 +39,7 @@
     from briarseam.placement import store_sharing
     from briarseam.platform import store as stores
     from briarseam.reachability import tracker
+    from briarseam.routes import currency
     from briarseam.settings import serving
     from briarseam.wire import event_loop
 
@@ -69,6 +70,8 @@
         Contents of KV cache stores and topics, read for other instances.
     cached_parts
         Organisations that have cached parts of their own.
+    configuration_age
+        Age of what is known of the configuration.
     """
 
     loads: endpoint_loads.Loads
@@ -87,6 +90,7 @@
     stores: store_sharing.StoreSharing
     topics: sharing.SharedReads
     cached_parts: cache_sharing.CacheSharing
+    configuration_age: currency.ConfigurationCurrency
 
     def sections(self) -> tuple[sections.Section, ...]:
         """Return the sections of heartbeats."""
@@ -103,6 +107,8 @@
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
             "cache-sharing": self.cached_parts,
+            # Must follow the section that tells who is isolated.
+            "configuration-age": self.configuration_age,
         }
         # Must precede the section of the cells' loads.
         included: tuple[sections.Section, ...] = ()
--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -55,6 +55,12 @@
         Length of one long poll, in seconds.
     pause_s
         Pause between two reads, so that a busy topic is read in batches.
+
+    Attributes
+    ----------
+    complete_until_s
+        Until when all changes of the topic are known to be delivered, by the
+        boot clock.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         self.next: int | None = None
         self.available = True
         self.last_batch_empty = False
+        self.complete_until_s = records.NEVER_S
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name=f"follow-{topic}", daemon=True
@@ -161,6 +168,7 @@
             # A record that can't be applied must not block later ones.
             log.exception("records_not_taken", topic=self.topic)
         self.next = batch.next
+        self.complete_until_s = batch.complete_until_s
         self.last_batch_empty = not batch.records
 
     def record_store_lost(self, detail: str) -> None:
--- a/src/briarseam/feeds/packing.py
+++ b/src/briarseam/feeds/packing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import zlib
 
 from briarseam.feeds import records
@@ -17,6 +18,8 @@
 # Limit of a decompressed value.
 MAX_UNPACKED_BYTES = 16 * 1024 * 1024
 COMPRESSED_CACHE_SIZE = 4
+UNKNOWN_AGE_MS = -1
+MS = 1000
 
 
 class UnpackError(Exception):
@@ -24,7 +27,7 @@
 
 
 def pack_batch(
-    batch: records.KeyedBatch, unpacks: bool
+    batch: records.KeyedBatch, unpacks: bool, now_s: float
 ) -> messages.RecordsTold | None:
     """Return the message that carries a batch of records.
 
@@ -34,6 +37,8 @@
         The records.
     unpacks
         Whether the receiving instance can decompress values.
+    now_s
+        The time by the boot clock.
 
     Returns
     -------
@@ -51,13 +56,33 @@
     if sum(len(value or b"") for _key, value in rows) > MAX_MESSAGE_BYTES:
         return None
     return messages.RecordsTold(
-        True, tuple(rows), batch.next, packed=tuple(packed)
+        True,
+        tuple(rows),
+        batch.next,
+        packed=tuple(packed),
+        age_ms=age_ms(batch, now_s),
     )
 
 
-def unpack_batch(message: messages.RecordsTold) -> records.KeyedBatch:
+def age_ms(batch: records.KeyedBatch, now_s: float) -> int:
+    """Return how long ago a batch was complete; negative if not known."""
+    if batch.complete_until_s == records.NEVER_S:
+        return UNKNOWN_AGE_MS
+    return max(0, math.ceil((now_s - batch.complete_until_s) * MS))
+
+
+def unpack_batch(
+    message: messages.RecordsTold, asked_s: float
+) -> records.KeyedBatch:
     """Return the records of a message.
 
+    Parameters
+    ----------
+    message
+        The message.
+    asked_s
+        When it was asked for, by the boot clock.
+
     Raises
     ------
     UnpackError
@@ -71,7 +96,13 @@
         )
         for number, (key, value) in enumerate(message.records)
     )
-    return records.KeyedBatch(unpacked, message.next)
+    # The reader may have answered at once.
+    complete_until_s = (
+        records.NEVER_S
+        if message.age_ms < 0
+        else asked_s - message.age_ms / MS
+    )
+    return records.KeyedBatch(unpacked, message.next, complete_until_s)
 
 
 @functools.lru_cache(maxsize=COMPRESSED_CACHE_SIZE)
--- a/src/briarseam/feeds/record_cache.py
+++ b/src/briarseam/feeds/record_cache.py
@@ -77,6 +77,8 @@
     confirmed_at_s
         When the store last confirmed the content; ``None`` if it has not
         done so since reading started.
+    complete_until_s
+        Until when the topic had no other changes, by the clock.
     """
 
     def __init__(self, clock: typing.Callable[[], float]) -> None:
@@ -88,6 +90,7 @@
         )
         self.store_unavailable = False
         self.confirmed_at_s: float | None = None
+        self.complete_until_s = records.NEVER_S
 
     @property
     def was_confirmed(self) -> bool:
@@ -100,12 +103,14 @@
             self.records.extend(tail.records)
             self.next = tail.next
 
-    def reset(self, start: int) -> None:
+    def reset(
+        self, start: int, complete_until_s: float = records.NEVER_S
+    ) -> None:
         """Drop all records and continue at an offset."""
         with self.changed:
             self.records.clear()
             self.next = start
-            self.mark_confirmed()
+            self.mark_confirmed(complete_until_s)
             self.changed.notify_all()
 
     def append(self, batch: records.KeyedBatch) -> None:
@@ -113,13 +118,14 @@
         with self.changed:
             self.records.extend(batch.records)
             self.next = batch.next
-            self.mark_confirmed()
+            self.mark_confirmed(batch.complete_until_s)
             if batch.records:
                 self.changed.notify_all()
 
-    def mark_confirmed(self) -> None:
+    def mark_confirmed(self, complete_until_s: float) -> None:
         """Record the store's confirmation; call it under the lock."""
         self.store_unavailable = False
+        self.complete_until_s = complete_until_s
         self.confirmed_at_s = self.clock()
 
     def mark_unavailable(self) -> None:
@@ -169,4 +175,4 @@
             if not first <= start <= self.next:
                 return MissReason.UNKNOWN
             newer = tuple(itertools.islice(self.records, start - first, None))
-            return records.KeyedBatch(newer, self.next)
+            return records.KeyedBatch(newer, self.next, self.complete_until_s)
--- a/src/briarseam/feeds/records.py
+++ b/src/briarseam/feeds/records.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+NEVER_S = float("-inf")
 # Bits of an offset or generation within one era.
 ERA_BITS = 40
 
@@ -86,10 +87,14 @@
         Changes in order of their offsets.
     next
         Offset to read from next, combined with its era.
+    complete_until_s
+        Until when the topic had no other changes, by the boot clock;
+        ``NEVER_S`` if that is not known.
     """
 
     records: tuple[KeyedRecord, ...]
     next: int
+    complete_until_s: float = NEVER_S
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/feeds/shared_messages.py
+++ b/src/briarseam/feeds/shared_messages.py
@@ -45,6 +45,9 @@
         Whether the reader gets no answers from the store.
     packed
         Indexes of the records whose value is compressed.
+    age_ms
+        How long ago the topic had no other changes, in ms; negative if that
+        is not known.
     """
 
     known: bool
@@ -52,6 +55,7 @@
     next: int
     away: bool = False
     packed: tuple[int, ...] = ()
+    age_ms: int = -1
 
 
 UNKNOWN = RecordsTold(False, (), 0)
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -236,11 +236,12 @@
     ) -> records.KeyedBatch | record_cache.MissReason | None:
         """Query another instance; ``None`` if it does not answer."""
         query = messages.RecordsAsked(topic, start, wait_s, unpacks=True)
+        asked_s = self.clock()
         try:
             reply = self.readers.read_topic(
                 reader, query, wait_s + READER_SLACK_S
             )
-            batch = packing.unpack_batch(reply)
+            batch = packing.unpack_batch(reply, asked_s)
         except (ReaderUnavailableError, packing.UnpackError) as error:
             log.warning(
                 "topic_reader_silent", reader=reader, detail=str(error)
@@ -276,7 +277,7 @@
         match cache.read(query.start, 0.0):
             case records.KeyedBatch() as batch:
                 return (
-                    packing.pack_batch(batch, query.unpacks)
+                    packing.pack_batch(batch, query.unpacks, self.clock())
                     or messages.UNKNOWN
                 )
             case record_cache.MissReason.STORE_UNAVAILABLE:
--- a/src/briarseam/feeds/topic_reader.py
+++ b/src/briarseam/feeds/topic_reader.py
@@ -129,5 +129,6 @@
 
     def restart(self) -> float:
         """Restart at the topic's end; return the pause before a read."""
-        self.cache.reset(self.store.newest(self.topic).next)
+        newest = self.store.newest(self.topic)
+        self.cache.reset(newest.next, newest.complete_until_s)
         return 0.0
--- a/src/briarseam/placement/cache_sharing.py
+++ b/src/briarseam/placement/cache_sharing.py
@@ -87,8 +87,8 @@
     Parameters
     ----------
     is_outdated
-        Returns whether the configuration may have changed a while ago, as
-        after a suspension of the process.  Nothing is shared meanwhile.
+        Returns whether the configuration may have changed a while ago.
+        Nothing is shared meanwhile.
 
     Attributes
     ----------
@@ -143,8 +143,6 @@
             Its name; ``None`` for callers without a key.
         """
         division = self.division
-        if organisation is None:
-            return division.group
         if organisation in division.separate or self.is_outdated():
             return salts.Own(organisation)
         return division.group
--- a/src/briarseam/placement/salts.py
+++ b/src/briarseam/placement/salts.py
@@ -11,6 +11,7 @@
 MAX_DIGITS = 16
 # Begins what can't be the name of an organisation, in which it is escaped.
 MARK = "*"
+WITHOUT_KEY = f"{MARK}{MARK}"
 # Printable characters that are not escaped.  Spaces are: whoever reads a
 # header drops those at its ends, and two salts would become one.
 LITERAL = "".join(sorted({*string.punctuation} - {"%", MARK}))
@@ -24,13 +25,15 @@
     Attributes
     ----------
     organisation
-        Its name.
+        Its name; ``None`` for all callers without a key.
     """
 
-    organisation: str
+    organisation: str | None
 
     def __str__(self) -> str:
         """Return the encoded form; never empty, and without a slash."""
+        if self.organisation is None:
+            return WITHOUT_KEY
         return quote(self.organisation, LITERAL_IN_NAMES) or MARK
 
 
@@ -118,6 +121,8 @@
         return EVERYBODY
     if text == MARK:
         return Own("")
+    if text == WITHOUT_KEY:
+        return Own(None)
     if not text.startswith(MARK):
         return Own(unquote(text))
     excluded, _, digest = text.removeprefix(MARK).partition("-")
--- a/src/briarseam/platform/framing.py
+++ b/src/briarseam/platform/framing.py
@@ -48,6 +48,12 @@
     return items
 
 
+def end_of(body: bytes) -> int:
+    """Return the end of the topic in a read's body with positions."""
+    end, _first = POSITIONS.unpack_from(body)
+    return typing.cast("int", end)
+
+
 def decode_keyed(data: bytes) -> records.KeyedRecord:
     """Decode a record of a keyed topic: length of the key, key, value.
 
--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from briarseam import bounded_http
+from briarseam import clocks
 from briarseam import malformed
 from briarseam import sockets
 from briarseam.feeds import records
@@ -97,6 +98,7 @@
             If the store gives no valid answer.
         """
         found: list[records.KeyedRecord] = []
+        asked_s = clocks.boot_clock()
         start: int | None = None
         after = ""
         for _page in range(MAX_PAGES):
@@ -119,7 +121,7 @@
             if not page.has_more or last == after:
                 break
             after = last
-        return records.KeyedBatch(tuple(found), start or 0)
+        return records.KeyedBatch(tuple(found), start or 0, asked_s)
 
     def decode_page(
         self, topic: str, page: store_answers.Newest
@@ -172,6 +174,7 @@
             "from": str(records.number_of(start)),
             "waitMs": str(int(wait_s * MS)),
         }
+        asked_s = clocks.boot_clock()
         response = self.call(
             "GET",
             names.READ_PATH,
@@ -194,7 +197,13 @@
                 f"malformed answer: {error}"
             ) from error
         found = tuple(self.decode_record(topic, data) for data in split)
-        return records.KeyedBatch(found, start + len(found))
+        following = start + len(found)
+        if records.number_of(following) < framing.end_of(response.data):
+            return records.KeyedBatch(found, following)
+        # The store waits for the first record, but may answer early.
+        waited = not found and clocks.boot_clock() - asked_s >= wait_s
+        complete_until_s = asked_s + (wait_s if waited else 0.0)
+        return records.KeyedBatch(found, following, complete_until_s)
 
     def decode_record(self, topic: str, data: bytes) -> records.KeyedRecord:
         """Return a record; ``records.UNREADABLE`` if it is malformed."""
--- /dev/null
+++ b/src/briarseam/routes/currency.py
@@ -0,0 +1,94 @@
+"""Decides whether a change of the configuration may have been missed."""
+
+from __future__ import annotations
+
+import math
+import threading
+import typing
+
+import msgspec
+import structlog
+
+from briarseam import clocks
+
+# Share of the time within which a change is in force.  The rest is for a
+# request to reach its endpoint.
+MAX_AGE_SHARE = 0.9
+# How long the content of a heartbeat may have been kept by its sender, and
+# have travelled.
+HEARTBEAT_DELAY_S = 0.2
+NEVER_S = float("-inf")
+MS = 1000
+log = structlog.get_logger("briarseam.routes")
+
+
+class ConfigurationCurrency:
+    """Tells whether the configuration in force is current; thread-safe.
+
+    An instance that hears from nobody goes on with the configuration that it
+    has, maybe for long.  What must not be done on an outdated one has to stop
+    then.  Peers tell each other how old their knowledge is, so that one of
+    them that reaches the store is enough for all.
+
+    Parameters
+    ----------
+    complete_until_s
+        Returns until when all changes at the store are known, by the clock.
+    apply_s
+        Time within which a change is in force, in seconds.
+    clock
+        Seconds; goes on while the process is suspended.
+    """
+
+    def __init__(
+        self,
+        complete_until_s: typing.Callable[[], float],
+        apply_s: float,
+        clock: typing.Callable[[], float] = clocks.boot_clock,
+    ) -> None:
+        self.complete_until_s = complete_until_s
+        self.apply_s = apply_s
+        self.clock = clock
+        self.told_until_s = NEVER_S
+        self.was_current = False
+        self.lock = threading.Lock()
+
+    def age_s(self) -> float:
+        """Return for how long there may have been changes, in seconds."""
+        known_until_s = max(self.complete_until_s(), self.told_until_s)
+        return max(0.0, self.clock() - known_until_s)
+
+    def is_current(self) -> bool:
+        """Return whether a change would be known here by now."""
+        age_s = self.age_s()
+        current = age_s <= MAX_AGE_SHARE * self.apply_s
+        if current is not self.was_current:
+            self.record(current, age_s)
+        return current
+
+    def record(self, current: bool, age_s: float) -> None:
+        """Log that the configuration has become current, or may not be."""
+        with self.lock:
+            if current is self.was_current:
+                return
+            self.was_current = current
+        log.warning(
+            "configuration_confirmed" if current else "configuration_unsure",
+            age_ms=None if age_s == math.inf else round(age_s * MS),
+        )
+
+    def provide(self) -> bytes:
+        """Return the age of what is known, for heartbeats."""
+        age_s = self.age_s()
+        age_ms = None if age_s == math.inf else math.ceil(age_s * MS)
+        return msgspec.msgpack.encode(age_ms)
+
+    def consume(self, member: str, data: bytes) -> None:
+        """Apply the age of what a peer knows, after what it told itself."""
+        del member
+        age_ms = msgspec.msgpack.decode(data, type=int | None)
+        if age_ms is None or age_ms < 0:
+            return
+        until_s = self.clock() - age_ms / MS - HEARTBEAT_DELAY_S
+        with self.lock:
+            self.told_until_s = max(self.told_until_s, until_s)
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -160,6 +160,8 @@
         Maximum time for which callers cache the addresses from a lookup.
     evacuation_ms
         Time within which an evacuation of an availability zone is in force.
+    configuration_ms
+        Time within which a change of the configuration is in force.
     cold_rate_factor, cold_rate_slack
         All instances together send a cold endpoint in any second at most
         the requests that it tolerates times the factor plus the slack.
@@ -176,6 +178,7 @@
     version_ms: sections.Milliseconds = 15_000
     lookup_ttl_max_s: sections.Seconds = 5.0
     evacuation_ms: sections.Milliseconds = 5000
+    configuration_ms: sections.Milliseconds = 2000
     cold_rate_factor: Ratio = 1.5
     cold_rate_slack: SendCount = 5.0
 
--- a/tests/feeds/fakes.py
+++ b/tests/feeds/fakes.py
@@ -23,15 +23,20 @@
         self.records = [record(number) for number in range(3)]
         self.calls = 0
         self.refusing = False
+        self.complete_until_s = records.NEVER_S
 
     def newest(self, topic):
         self.check()
-        return records.KeyedBatch(tuple(self.records), len(self.records))
+        return records.KeyedBatch(
+            tuple(self.records), len(self.records), self.complete_until_s
+        )
 
     def read_keyed(self, topic, start, wait_s):
         self.check()
         newer = tuple(self.records[start:])
-        return records.KeyedBatch(newer, start + len(newer))
+        return records.KeyedBatch(
+            newer, start + len(newer), self.complete_until_s
+        )
 
     def check(self):
         self.calls += 1
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -70,6 +70,22 @@
     assert topic.calls == 0
 
 
+def test_reader_tells_until_when_its_records_are_complete(cell, topic, clock):
+    """Guards against records that seem newer after another instance's read."""
+    clock.now_s = 100.0
+    topic.complete_until_s = 99.5
+    read_on(cell)
+    clock.now_s = 100.3
+    batch = cell["follower"].read_keyed(fakes.TOPIC, 3, 0.0)
+    assert batch.complete_until_s == pytest.approx(99.5, abs=0.01)
+
+
+def test_reader_that_does_not_know_claims_nothing(cell):
+    read_on(cell)
+    batch = cell["follower"].read_keyed(fakes.TOPIC, 3, 0.0)
+    assert batch.complete_until_s == records.NEVER_S
+
+
 def test_instance_that_is_behind_reads_the_store_directly(cell, topic):
     read_on(cell)
     topic.calls = 0
--- a/tests/placement/test_cache_sharing.py
+++ b/tests/placement/test_cache_sharing.py
@@ -112,6 +112,7 @@
     before = scopes(sharing)
     outdated.append(True)
     assert scopes(sharing) == {name: salts.Own(name) for name in NAMES}
+    assert sharing.scope_of(None) == salts.Own(None)
     outdated.clear()
     assert scopes(sharing) == before
 
--- a/tests/placement/test_salts.py
+++ b/tests/placement/test_salts.py
@@ -16,7 +16,7 @@
     salts.Salt,
     NAMES,
     strategies.integers(0, 2**53 - 1),
-    SCOPES | strategies.just(salts.EVERYBODY),
+    SCOPES | strategies.sampled_from([salts.EVERYBODY, salts.Own(None)]),
 )
 
 
--- a/tests/platform/test_isolated_organisations.py
+++ b/tests/platform/test_isolated_organisations.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import threading
+import time
 
 import pytest
 
 from briarseam import clocks
+from briarseam.compose import node_peers
 from briarseam.placement import sweeping
 from briarseam.testing import http_messages
 from briarseam.testing import waiting
@@ -17,6 +19,9 @@
 
 CHAIN = ("chain",)
 BOTH = ("chain", "inspectors")
+APPLY_S = 2.0
+# Nothing listens there.
+NOBODY = "127.0.0.1:1"
 SERIES = {
     "becomes isolated": [Step(), Step(CHAIN)],
     "a second one becomes isolated": [Step(CHAIN), Step(BOTH)],
@@ -235,3 +240,76 @@
     assert case.crossings() == []
     resume.set()
     node.suspension.tick()
+
+
+@pytest.fixture
+def lone(case, monkeypatch):
+    """Return an instance that has not met its peers."""
+    with monkeypatch.context() as patched:
+        patched.setattr(node_peers, "join", lambda *parts: None)
+        node = case.system.launch_another("lone")
+        waiting.until(
+            lambda: node.is_ready() and node.feeds.registry.all(),
+            isolation_case.TIMEOUT_S,
+        )
+    return node
+
+
+def lose_store(node):
+    """Let the store be out of reach of one instance."""
+    node.store.move_to(NOBODY)
+    waiting.until(
+        lambda: not any(one.available for one in node.feeds.followers),
+        isolation_case.TIMEOUT_S,
+    )
+
+
+def test_instance_without_store_and_peers_shares_nothing_once_a_change_is_due(
+    case, lone
+):
+    """Guards against an instance that has just started and is cut off."""
+    case.play(Step())
+    lose_store(lone)
+    case.configure(Step(CHAIN))
+    time.sleep(APPLY_S)
+    case.isolation.record(CHAIN)
+    for organisation in ("chain", "kitchens"):
+        case.send(organisation, lone)
+    assert case.crossings() == []
+
+
+def test_instance_without_peers_goes_on_sharing(case, lone):
+    """Guards against prompts that are computed again between two polls."""
+    case.play(Step())
+    ends_s = time.monotonic() + 2 * APPLY_S
+    while time.monotonic() < ends_s:
+        assert case.used_shared(case.send("kitchens", lone))
+        time.sleep(0.1)
+
+
+def test_instance_that_only_its_peers_tell_goes_on_sharing(case):
+    """Guards against prompts computed again where the store is cut off."""
+    case.play(Step())
+    node = case.nodes[0]
+    lose_store(node)
+    ends_s = time.monotonic() + 2 * APPLY_S
+    while time.monotonic() < ends_s:
+        assert case.used_shared(case.send("kitchens", node))
+        time.sleep(0.1)
+
+
+def test_instances_share_again_after_an_outage_of_the_store(case):
+    """Guards against prompts computed again after each outage."""
+    case.play(Step())
+    case.system.store.set(outage=True)
+    waiting.until(
+        lambda: not any(node.currency.is_current() for node in case.nodes),
+        isolation_case.TIMEOUT_S,
+    )
+    case.system.store.set(outage=False)
+    waiting.until(
+        lambda: all(node.currency.is_current() for node in case.nodes),
+        isolation_case.TIMEOUT_S,
+    )
+    for node in case.nodes:
+        assert case.used_shared(case.send("kitchens", node))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,6 +13,7 @@
 from briarseam.feeds import records
 from briarseam.platform import framing
 from briarseam.platform import store as stores
+from tests import clocks
 
 TOPIC = "keyed.things"
 POSITIONS = struct.pack(">QQ", 9, 0)
@@ -141,3 +142,45 @@
     """
     store = ScriptedStore(page(item(""), more=True))
     assert len(store.newest(TOPIC).records) == 1
+
+
+class SlowStore(ScriptedStore):
+    """Client whose calls take some time."""
+
+    def __init__(self, clock, took_s, *bodies):
+        super().__init__(*bodies)
+        self.clock = clock
+        self.took_s = took_s
+
+    def call(self, *args, **options):
+        self.clock.now_s += self.took_s
+        return super().call(*args, **options)
+
+
+WAIT_S = 0.8
+ASKED_S = 100.0
+
+
+@pytest.mark.parametrize(
+    "took_s, end, items, complete_until_s",
+    [
+        pytest.param(0.81, START, [], ASKED_S + WAIT_S, id="waited in vain"),
+        pytest.param(9.0, START, [], ASKED_S + WAIT_S, id="answer is late"),
+        pytest.param(0.7, START, [], ASKED_S, id="answered early"),
+        pytest.param(0.9, START + 1, [GOOD], ASKED_S, id="record came"),
+        pytest.param(
+            0.0, START + 2, [GOOD], records.NEVER_S, id="more than fits"
+        ),
+    ],
+)
+def test_read_tells_until_when_it_is_complete(
+    monkeypatch, took_s, end, items, complete_until_s
+):
+    """Guards against an answer that is read long after it was given."""
+    clock = clocks.ManualClock()
+    clock.now_s = ASKED_S
+    monkeypatch.setattr(stores.clocks, "boot_clock", clock)
+    body = struct.pack(">QQ", end, 0) + framed(*items)
+    store = SlowStore(clock, took_s, body)
+    batch = store.read_keyed(TOPIC, START, WAIT_S)
+    assert batch.complete_until_s == pytest.approx(complete_until_s)
