Share no cached parts before peers were heard at the start

What callers would see: an instance that starts just after the store has returned from an older copy lets prompts run on KV cache of an organisation whose isolation that copy lacks.

Cause: the configuration that it reads is complete, as far as the store knows. Only its peers know of the change.

Change: for up to three seconds after the start nothing is shared until a heartbeat has come, unless no other instance is registered.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -163,6 +163,7 @@
         self.currency = currency.ConfigurationCurrency(
             self.feeds.configuration_complete_until_s,
             settings.bounds.configuration_ms / MS,
+            self.instances.may_have_peers,
         )
         self.reachability = tracker.Reachability(self.feeds.registry.serving)
         self.weights = node_weights.Weights(
--- a/src/briarseam/compose/node_instances.py
+++ b/src/briarseam/compose/node_instances.py
@@ -75,6 +75,17 @@
             and member.cell != own_cell
         ]
 
+    def may_have_peers(self) -> bool:
+        """Return whether other instances are registered, as far as known."""
+        if (
+            self.registrations is None
+            or not self.registrations.loaded.is_set()
+        ):
+            return True
+        return any(
+            name != self.own_name for name in list(self.registrations.by_name)
+        )
+
     def weight_of(self, name: str) -> float:
         """Return the capacity of an instance relative to others."""
         return (
--- a/src/briarseam/routes/currency.py
+++ b/src/briarseam/routes/currency.py
@@ -17,11 +17,18 @@
 # How long the content of a heartbeat may have been kept by its sender, and
 # have travelled.
 HEARTBEAT_DELAY_S = 0.2
+# Within which an instance that has started hears from peers that are alive.
+PEERS_WAIT_S = 3.0
 NEVER_S = float("-inf")
 MS = 1000
 log = structlog.get_logger("briarseam.routes")
 
 
+def has_no_peers() -> bool:
+    """Return that there are no peers; the default."""
+    return False
+
+
 class ConfigurationCurrency:
     """Tells whether the configuration in force is current; thread-safe.
 
@@ -36,6 +43,9 @@
         Returns until when all changes at the store are known, by the clock.
     apply_s
         Time within which a change is in force, in seconds.
+    has_peers
+        Returns whether there may be peers.  A store that was restored from a
+        backup lacks changes that only they know.
     clock
         Seconds; goes on while the process is suspended.
     """
@@ -44,11 +54,15 @@
         self,
         complete_until_s: typing.Callable[[], float],
         apply_s: float,
+        has_peers: typing.Callable[[], bool] = has_no_peers,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.complete_until_s = complete_until_s
         self.apply_s = apply_s
+        self.has_peers = has_peers
         self.clock = clock
+        self.created_s = clock()
+        self.has_heard_peers = False
         self.told_until_s = NEVER_S
         self.was_current = False
         self.lock = threading.Lock()
@@ -61,11 +75,20 @@
     def is_current(self) -> bool:
         """Return whether a change would be known here by now."""
         age_s = self.age_s()
-        current = age_s <= MAX_AGE_SHARE * self.apply_s
+        is_recent = age_s <= MAX_AGE_SHARE * self.apply_s
+        current = is_recent and not self.awaits_peers()
         if current is not self.was_current:
             self.record(current, age_s)
         return current
 
+    def awaits_peers(self) -> bool:
+        """Return whether peers will tell what they know for the first time."""
+        if self.has_heard_peers:
+            return False
+        if self.clock() - self.created_s >= PEERS_WAIT_S:
+            return False
+        return self.has_peers()
+
     def record(self, current: bool, age_s: float) -> None:
         """Log that the configuration has become current, or may not be."""
         with self.lock:
@@ -86,6 +109,7 @@
     def consume(self, member: str, data: bytes) -> None:
         """Apply the age of what a peer knows, after what it told itself."""
         del member
+        self.has_heard_peers = True
         age_ms = msgspec.msgpack.decode(data, type=int | None)
         if age_ms is None or age_ms < 0:
             return
--- a/tests/platform/test_isolated_organisations.py
+++ b/tests/platform/test_isolated_organisations.py
@@ -278,9 +278,43 @@
     assert case.crossings() == []
 
 
+def test_instance_that_starts_with_a_restored_store_shares_nothing_at_first(
+    case, monkeypatch
+):
+    """Guards against a change that the store has lost and only peers know."""
+    case.play(Step())
+    backup = case.system.store.copy()
+    case.apply(Step(CHAIN))
+    case.system.store.restore(backup)
+    met = threading.Event()
+    join = node_peers.join
+
+    def join_late(*parts):
+        met.wait(isolation_case.TIMEOUT_S)
+        return join(*parts)
+
+    monkeypatch.setattr(node_peers, "join", join_late)
+    node = case.system.launch_another("late")
+    waiting.until(
+        lambda: node.is_ready() and node.feeds.registry.all(),
+        isolation_case.TIMEOUT_S,
+    )
+    for organisation in ("chain", "kitchens"):
+        case.send(organisation, node)
+    assert case.crossings() == []
+    met.set()
+    waiting.until(
+        lambda: "chain" in node.chooser.sharing.division.separate,
+        isolation_case.TIMEOUT_S,
+    )
+
+
 def test_instance_without_peers_goes_on_sharing(case, lone):
     """Guards against prompts that are computed again between two polls."""
     case.play(Step())
+    waiting.until(lone.currency.is_current, isolation_case.TIMEOUT_S)
+    # What it shares from now on was computed before.
+    case.send("kitchens", lone)
     ends_s = time.monotonic() + 2 * APPLY_S
     while time.monotonic() < ends_s:
         assert case.used_shared(case.send("kitchens", lone))
--- a/tests/routes/test_currency.py
+++ b/tests/routes/test_currency.py
@@ -15,8 +15,12 @@
 
     def __init__(self, clock):
         self.read_until_s = currency.NEVER_S
+        self.has_peers = False
         self.currency = currency.ConfigurationCurrency(
-            lambda: self.read_until_s, APPLY_S, clock
+            lambda: self.read_until_s,
+            APPLY_S,
+            lambda: self.has_peers,
+            clock,
         )
 
     def hear(self, other):
@@ -75,6 +79,24 @@
     assert not peer.currency.is_current()
 
 
+def test_word_of_the_store_is_not_enough_before_peers_are_heard(
+    instance, peer
+):
+    """Guards against a store that has lost a change which peers know."""
+    instance.read_until_s = NOW_S
+    instance.has_peers = True
+    assert not instance.currency.is_current()
+    instance.hear(peer)
+    assert instance.currency.is_current()
+
+
+def test_peers_that_are_never_heard_are_not_waited_for(instance, clock):
+    instance.has_peers = True
+    clock.now_s += currency.PEERS_WAIT_S
+    instance.read_until_s = clock.now_s
+    assert instance.currency.is_current()
+
+
 @pytest.mark.parametrize("age_ms", [None, -5000, 10**12])
 def test_peer_that_knows_nothing_changes_nothing(instance, age_ms):
     instance.currency.consume("peer", msgspec.msgpack.encode(age_ms))
