--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -59,7 +59,7 @@
 from briarseam.platform import requests
 from briarseam.platform import store as stores
 from briarseam.reachability import tracker
-from briarseam.routes import currency
+from briarseam.routes import freshness
 from briarseam.routes import peer_configuration
 from briarseam.wire import event_loop
 
@@ -160,7 +160,7 @@
             self.leaving,
             node_metrics.announcement_counters(self.metrics),
         )
-        self.currency = currency.ConfigurationCurrency(
+        self.freshness = freshness.ConfigurationFreshness(
             self.feeds.configuration_complete_until_s,
             settings.bounds.configuration_ms / MS,
             self.instances.may_have_peers,
@@ -197,7 +197,9 @@
             reachability=self.reachability,
             software_of=registry.software_of,
             predict=settings.load.predict,
-            sharing=cache_sharing.CacheSharing(self.may_be_outdated),
+            sharing=cache_sharing.CacheSharing(
+                self.configuration_may_be_outdated
+            ),
         )
         self.chooser.bodies.limit = endpoint_limit(settings)
         self.chooser.bodies.instances = self.instances.known_count
@@ -331,7 +333,7 @@
             stores=self.store_sharing,
             topics=self.topic_reads,
             cached_parts=self.chooser.sharing,
-            configuration_age=self.currency,
+            configuration_age=self.freshness,
         )
 
     def forwarding_dependencies(self) -> request_context.Dependencies:
@@ -486,7 +488,7 @@
         budget = self.forwarding.deps.budget
         budget.ratio = bounds.retry_ratio
         budget.slack = bounds.retry_slack
-        self.currency.apply_s = bounds.configuration_ms / MS
+        self.freshness.apply_s = bounds.configuration_ms / MS
         if str(settings.store.address) != self.store.address:
             self.store.move_to(str(settings.store.address))
 
@@ -539,10 +541,10 @@
         self.chooser.predictor.max_pauses = configuration.max_pauses()
         self.store_watches.follow([store.address for store in freeing_stores])
 
-    def may_be_outdated(self) -> bool:
+    def configuration_may_be_outdated(self) -> bool:
         """Return whether the configuration in force may be outdated."""
         return (
-            self.suspension.is_catching_up() or not self.currency.is_current()
+            self.suspension.is_catching_up() or not self.freshness.is_fresh()
         )
 
     def forget_endpoints(self, ids: frozenset[str]) -> None:
--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -39,7 +39,7 @@
     from briarseam.placement import store_sharing
     from briarseam.platform import store as stores
     from briarseam.reachability import tracker
-    from briarseam.routes import currency
+    from briarseam.routes import freshness
     from briarseam.settings import serving
     from briarseam.wire import event_loop
 
@@ -90,7 +90,7 @@
     stores: store_sharing.StoreSharing
     topics: sharing.SharedReads
     cached_parts: cache_sharing.CacheSharing
-    configuration_age: currency.ConfigurationCurrency
+    configuration_age: freshness.ConfigurationFreshness
 
     def sections(self) -> tuple[sections.Section, ...]:
         """Return the sections of heartbeats."""
--- a/src/briarseam/routes/currency.py
+++ b/src/briarseam/routes/freshness.py
@@ -29,8 +29,8 @@
     return False
 
 
-class ConfigurationCurrency:
-    """Tells whether the configuration in force is current; thread-safe.
+class ConfigurationFreshness:
+    """Tells whether the configuration in force is up to date; thread-safe.
 
     An instance that hears from nobody goes on with the configuration that it
     has, maybe for long.  What must not be done on an outdated one has to stop
@@ -64,7 +64,7 @@
         self.created_s = clock()
         self.has_heard_peers = False
         self.told_until_s = NEVER_S
-        self.was_current = False
+        self.was_fresh = False
         self.lock = threading.Lock()
 
     def age_s(self) -> float:
@@ -72,14 +72,14 @@
         known_until_s = max(self.complete_until_s(), self.told_until_s)
         return max(0.0, self.clock() - known_until_s)
 
-    def is_current(self) -> bool:
+    def is_fresh(self) -> bool:
         """Return whether a change would be known here by now."""
         age_s = self.age_s()
         is_recent = age_s <= MAX_AGE_SHARE * self.apply_s
-        current = is_recent and not self.awaits_peers()
-        if current is not self.was_current:
-            self.record(current, age_s)
-        return current
+        fresh = is_recent and not self.awaits_peers()
+        if fresh is not self.was_fresh:
+            self.record(fresh, age_s)
+        return fresh
 
     def awaits_peers(self) -> bool:
         """Return whether peers will tell what they know for the first time."""
@@ -89,14 +89,14 @@
             return False
         return self.has_peers()
 
-    def record(self, current: bool, age_s: float) -> None:
-        """Log that the configuration has become current, or may not be."""
+    def record(self, fresh: bool, age_s: float) -> None:
+        """Log that the configuration has become fresh or stale."""
         with self.lock:
-            if current is self.was_current:
+            if fresh is self.was_fresh:
                 return
-            self.was_current = current
+            self.was_fresh = fresh
         log.warning(
-            "configuration_confirmed" if current else "configuration_unsure",
+            "configuration_fresh" if fresh else "configuration_stale",
             age_ms=None if age_s == math.inf else round(age_s * MS),
         )
 
