Learn the age of the configuration from the reads for the cell

What callers might see: in a cell of few instances that reads through one of them, shared parts computed anew now and then without any fault.

Cause: an instance that reads through another one is told an age of up to 0.85 s after it has waited 0.8 s, so that it is up to 2.5 s old before the next answer, with 1.8 s allowed. The reader itself learned no more, since its own follower asks like all others.

Change: the reader takes the time from its reads at the store, if its follower has delivered all that they brought; by heartbeats its cell hears of it at least twice a second.

--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -64,12 +64,15 @@
         Instances of this system.
     followers
         The threads that follow the topics; the operators' first.
+    reads
+        Reads the topics, also for other instances.
     """
 
     operators: operators.OperatorFeed
     registry: registries.EndpointRegistry
     registrations: registrations.Registrations
     followers: tuple[following.Follower, ...]
+    reads: sharing.SharedReads
 
     def start(self) -> None:
         """Start following."""
@@ -122,7 +125,15 @@
 
     def configuration_complete_until_s(self) -> float:
         """Return until when all of the operators' changes are known."""
-        return self.followers[0].complete_until_s
+        follower = self.followers[0]
+        if follower.next is None:
+            return follower.complete_until_s
+        # An instance that reads for its cell learns this from each read, but
+        # its own follower only from each answer of that reader.
+        return max(
+            follower.complete_until_s,
+            self.reads.complete_until_s(follower.topic, follower.next),
+        )
 
 
 def operator_poll_s(bounds: serving.Bounds) -> float:
@@ -212,4 +223,4 @@
             REGISTRATION_PAUSE_S,
         ),
     )
-    return Feeds(feed, registry, instances, followers)
+    return Feeds(feed, registry, instances, followers, reads)
--- a/src/briarseam/feeds/record_cache.py
+++ b/src/briarseam/feeds/record_cache.py
@@ -137,6 +137,13 @@
             self.store_unavailable = True
             self.changed.notify_all()
 
+    def complete_until_s_at(self, offset: int) -> float:
+        """Return until when there were no changes from an offset on."""
+        with self.changed:
+            if offset < self.next:
+                return records.NEVER_S
+            return self.complete_until_s
+
     def remaining_s(self) -> float:
         """Return for how many seconds the content is still current."""
         if self.store_unavailable or self.confirmed_at_s is None:
--- a/src/briarseam/feeds/sharing.py
+++ b/src/briarseam/feeds/sharing.py
@@ -253,6 +253,16 @@
             return record_cache.MissReason.UNKNOWN
         return batch
 
+    def complete_until_s(self, topic: str, offset: int) -> float:
+        """Return until when a topic had no changes from an offset on.
+
+        Known from what this instance reads for the cell, if it does.
+        """
+        cache = self.caches.get(topic)
+        if cache is None:
+            return records.NEVER_S
+        return cache.complete_until_s_at(offset)
+
     # Queries from other instances.
 
     async def await_answer(self, query: messages.RecordsAsked) -> None:
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -80,6 +80,18 @@
     assert batch.complete_until_s == pytest.approx(99.5, abs=0.01)
 
 
+def test_reader_knows_from_its_own_reads_until_when_they_are_complete(
+    cell, topic
+):
+    """Guards against records that wait for the reader's own follower."""
+    topic.complete_until_s = 99.5
+    read_on(cell)
+    shared = cell["reader"]
+    assert shared.complete_until_s(fakes.TOPIC, 3) == 99.5
+    assert shared.complete_until_s(fakes.TOPIC, 2) == records.NEVER_S
+    assert cell["follower"].complete_until_s(fakes.TOPIC, 3) == records.NEVER_S
+
+
 def test_reader_that_does_not_know_claims_nothing(cell):
     read_on(cell)
     batch = cell["follower"].read_keyed(fakes.TOPIC, 3, 0.0)
