Soak: replace settings files as a whole

Cause, in the soak: it truncates and writes a settings file while an instance, killed a moment before, starts and reads it. The file is replaced now.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -74,16 +74,18 @@
     ordered_waiting: bool = False
 
     def write_settings(self, extra: str = "") -> None:
-        """Write its settings."""
+        """Replace its settings; it may be reading them as it starts."""
         listen = "\n".join(f"{key} = {at}" for key, at in self.listen.items())
         load = LOAD + ORDERED_WAITING * self.ordered_waiting
-        self.settings.write_text(
+        written = self.settings.with_suffix(".new")
+        written.write_text(
             f"[instance]\nname = {self.name}\nzone = hall-a\nregion = north\n"
             f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
             # Additional settings belong to the last section.
             f"{load}[bounds]\nshutdown_s = {self.shutdown_s:g}\n"
             f"evacuation_ms = {EVACUATION_MS}\n{extra}"
         )
+        written.replace(self.settings)
 
     @property
     def settings(self) -> pathlib.Path:
