Tests: stored parts are freed while they are fetched

An engine whose weights change under a run, and one whose entry lapses while it goes on: the part of weights 1 is freed 4.5 s after weights 2 were named, 2.5 s before the end of its fetch. A removal that is not told: the part is freed at each review, every half second.

--- a/tests/platform/cache_store.py
+++ b/tests/platform/cache_store.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import collections
 import json
+import math
 import threading
+import time
 
 from briarseam.testing import http_messages
 from briarseam.testing import stand_in
 from briarseam.testing import switches
 
 MODEL = "drafts"
+MS = 1000.0
+# The clock of endpoints and stores is not that of instances.
+CLOCK_AHEAD_MS = 7_000_000.0
+STEP_S = 0.02
+
+
+def clock_ms() -> float:
+    """Return what the clock of all endpoints and stores shows."""
+    return time.time() * MS + CLOCK_AHEAD_MS
 
 
 class CacheStore(stand_in.StandIn[switches.Switches]):
@@ -34,6 +46,17 @@
         self.makers: dict[tuple[str, str], str] = {}
         # Parts that were freed on request.
         self.freed: list[tuple[str, str]] = []
+        # Number of times that each part was freed, whether there or not.
+        self.free_calls: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        # How long a fetch takes, in seconds.
+        self.fetch_s = 0.0
+        # Whether no removal is told.
+        self.loses_removals = False
+        # Fetches in progress, by part, and those that took what was freed.
+        self.fetching: list[tuple[str, str]] = []
+        self.broken: list[tuple[str, str]] = []
         self.lock = threading.Lock()
 
     def restart(self, born: int | None, epoch: int) -> None:
@@ -55,20 +78,45 @@
             number = len(self.events)
             self.events.append((number, "+", salt, part, tokens, MODEL))
 
-    def fetch(self, salt: str, part: str) -> str | None:
-        """Return who made a part; ``None`` if it is not there."""
+    def fetch(
+        self, salt: str, part: str, until_ms: float = math.inf
+    ) -> str | None:
+        """Return who made a part; ``None`` if it is not there in time.
+
+        A part that is freed before the end was taken from memory that is
+        not there any more.  The engine doesn't notice.
+        """
+        key = (salt, part)
         with self.lock:
-            return self.makers.get((salt, part))
+            maker = self.makers.get(key)
+            if maker is None:
+                return None
+            self.fetching.append(key)
+            frees = self.freed.count(key)
+        end_s = time.monotonic() + self.fetch_s
+        while time.monotonic() < end_s and clock_ms() < until_ms:
+            time.sleep(STEP_S)
+        with self.lock:
+            self.fetching.remove(key)
+            if clock_ms() >= until_ms:
+                return None
+            if self.freed.count(key) > frees:
+                self.broken.append(key)
+        return maker
 
     def free(self, body: dict) -> http_messages.Response:
         """Drop parts, unless the caller means a former start."""
         if body.get("epoch", self.epoch) != self.epoch:
             return http_messages.json_response(409, {})
+        if body.get("until_ms", math.inf) <= clock_ms():
+            return http_messages.json_response(409, {})
         for salt, part in body["parts"]:
+            self.free_calls[salt, part] += 1
             tokens = self.held.pop((salt, part), None)
             self.makers.pop((salt, part), None)
             if tokens is not None:
                 self.freed.append((salt, part))
+            if tokens is not None and not self.loses_removals:
                 number = len(self.events)
                 self.events.append((number, "-", salt, part, 0, MODEL))
         return http_messages.json_response(200, {})
@@ -79,6 +127,7 @@
             content: dict[str, object] = {
                 "epoch": self.epoch,
                 "next": len(self.events),
+                "clock_ms": clock_ms(),
             }
             if self.born is not None:
                 content["born"] = self.born
--- a/tests/platform/caching_engine.py
+++ b/tests/platform/caching_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 import time
 import typing
@@ -184,7 +185,8 @@
             made = self.held.get(key)
         used_store = ""
         if made is None and source in self.stores:
-            maker = self.stores[source].fetch(*key)
+            until_ms = float(headers.get("kv-until", math.inf))
+            maker = self.stores[source].fetch(*key, until_ms)
             if maker is None:
                 return False
             organisation, _, version = maker.rpartition("@")
--- a/tests/platform/isolation_case.py
+++ b/tests/platform/isolation_case.py
@@ -51,10 +51,18 @@
         Where they run.
     count
         Number of instances.
+    changes
+        Fields of the configuration that replace the usual ones.
     """
 
-    def __init__(self, system: systems.System, count: int = 3) -> None:
+    def __init__(
+        self,
+        system: systems.System,
+        count: int = 3,
+        changes: dict[str, object] | None = None,
+    ) -> None:
         self.system = system
+        self.changes = changes or {}
         self.count = count
         self.store = system.stack.enter_context(cache_store.CacheStore(7))
         self.uses = caching_engine.Uses()
@@ -86,7 +94,7 @@
     def configure(self, step: Step) -> int:
         """Write a configuration; return its version."""
         version = next(self.versions)
-        document = systems.configuration(version)
+        document = systems.configuration(version, **self.changes)
         engines = document["services"][1]["engine"]
         engines |= {"kvTokenBytes": 1000, "linkMbps": 1000.0}
         document["services"].append(
