Free stored parts once no fetch of them can go on

Cause: the one that frees guessed when the last fetch had ended, from what it knew itself: parts of a version were freed 4 s after all engines in its registry had newer weights, those of a former group after 60 s. No fetch had an end; the registry doesn't name all engines that run requests; other instances know other engines, weights and groups; and a suspended instance woke up with a grace that had passed. Class: a time to wait for others that nothing keeps them to.

Now both sides go by time that is kept. An instance fetches parts of a version only while it holds a lease: from when the version was last known not to be replaced (reads of the operators' topic, also told by peers), for as long as replaced weights may be used. Endpoints are told when to discard a fetch (Kv-Until, 5 s from the decision, by their own clock, which stores report and which instances that read through others are told). An instance frees parts when all leases that any may hold and all fetches under them have ended: by what it has itself read from the store, never by the registry; only while that is up to date; and the store rejects a free that arrives late (until_ms). An instance that has started fetches nothing for 2.5 s, longer than a free decided before may take. A group is superseded only by who is isolated now, since former isolation may not be known to all.

Changed tests: those of the sweeper follow its new inputs and ask for more (outdated knowledge, series, a restored store, until_ms). That an entry of another service keeps no parts from being freed was asked of oldest_version, which is gone; it is asked of the whole system now. Tests of isolated organisations wait until instances may fetch, or they would show nothing.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -50,6 +50,7 @@
 from briarseam.placement import cell_loads
 from briarseam.placement import cell_weights
 from briarseam.placement import chooser as choosers
+from briarseam.placement import fetch_leases
 from briarseam.placement import loads
 from briarseam.placement import store_sharing
 from briarseam.placement import store_watches
@@ -187,6 +188,11 @@
             self.announcement_recorder.record,
             self.metrics,
         )
+        self.fetch_leases = fetch_leases.FetchLeases(
+            self.weights.lease_s,
+            lambda: self.weights.goals.newest,
+            self.freshness.known_until_s,
+        )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
             self.weights.required,
@@ -200,6 +206,7 @@
             sharing=cache_sharing.CacheSharing(
                 self.configuration_may_be_outdated
             ),
+            end_of_fetch=self.fetch_leases.end_of_fetch,
         )
         self.chooser.bodies.limit = endpoint_limit(settings)
         self.chooser.bodies.instances = self.instances.known_count
@@ -219,10 +226,15 @@
         self.sweeper = sweeping.Sweeper(
             cache_stores,
             self.chooser.kept_index,
-            self.weights.oldest_version,
+            sweeping.Sources(
+                named=lambda: self.feeds.operators.named,
+                known_until_s=self.feeds.configuration_complete_until_s,
+                lease_s=self.weights.lease_s,
+                max_age_s=self.freshness.max_age_s,
+                is_superseded=self.chooser.sharing.is_superseded,
+            ),
             settings.instance.name,
             self.instances.all_names,
-            is_superseded=self.chooser.sharing.is_superseded,
         )
         self.crashes = node_crashes.Crashes(
             self.reachability,
@@ -297,6 +309,7 @@
             self.paths,
             self.crashes,
             self.origins,
+            self.fetch_leases,
             self.sweeper,
             self.store_watches,
             self.expiry,
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -188,7 +188,13 @@
             # Just after a start the ages of goals are unknown; with another
             # bound, requests would begin on weights replaced long ago.
             return 0.0
-        return self.settings.bounds.version_ms / MS - VERSION_MARGIN_S
+        return self.lease_s()
+
+    def lease_s(self) -> float:
+        """Return how long replaced weights may still be used, in seconds."""
+        return max(
+            0.0, self.settings.bounds.version_ms / MS - VERSION_MARGIN_S
+        )
 
     def remaining_s(self, model: str, version: int) -> float:
         """Return the seconds until weights are excluded."""
@@ -206,23 +212,3 @@
                 times_known=self.goal_times.known.is_set(),
             )
         return oldest
-
-    def oldest_version(self, model: str) -> int | None:
-        """Return the oldest weight version that an engine may have.
-
-        ``None`` if there is no engine or the version of one is unknown: an
-        engine that is restarting returns with the weights that it had.
-        """
-        versions = [
-            self.known_weights.version(
-                endpoint.id, model, endpoint.versions[model]
-            )
-            # Only engines of the model's services count: an entry of another
-            # service may name any model, and would keep the parts of old
-            # weights from being freed.
-            for endpoint in self.feeds.all_engines_of(model)
-            if model in endpoint.versions
-        ]
-        if not versions or not all(versions):
-            return None
-        return min(versions)
--- a/src/briarseam/forwarding/calls.py
+++ b/src/briarseam/forwarding/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from briarseam.discovery import announcements
 
@@ -125,6 +126,9 @@
         Weight version that it must run on; ``None`` for any.
     fetch_from, save_to
         Addresses for the prompt's parts, in order.
+    fetch_until_ms
+        Time by the endpoints' clock at which a fetch that is not complete is
+        discarded; infinite for never.
     last_event_id
         Id of the event after which to continue the stream.
     """
@@ -137,6 +141,7 @@
     version: int | None = None
     fetch_from: tuple[str, ...] = ()
     save_to: tuple[str, ...] = ()
+    fetch_until_ms: float = math.inf
     last_event_id: str | None = None
 
 
--- a/src/briarseam/placement/cache_sharing.py
+++ b/src/briarseam/placement/cache_sharing.py
@@ -150,13 +150,13 @@
     def is_superseded(self, scope: salts.Scope) -> bool:
         """Return whether a group is one that no request can have any more.
 
-        The groups of an instance keep out more and more organisations.  One
-        that keeps out as many as now, or more, may be another instance's that
-        knows better.
+        All instances keep out the organisations that are isolated now, so
+        none has a group that keeps out fewer.  Those that were isolated
+        formerly don't count: an instance that has started may not know them.
         """
         if isinstance(scope, salts.Own):
             return False
-        return scope.excluded < self.division.group.excluded
+        return scope.excluded < len(self.division.isolated)
 
     def provide(self) -> bytes:
         """Return the names of separate organisations, for heartbeats."""
--- a/src/briarseam/placement/chooser.py
+++ b/src/briarseam/placement/chooser.py
@@ -14,6 +14,7 @@
 from briarseam.placement import cache_sharing
 from briarseam.placement import cost
 from briarseam.placement import endpoint_bytes
+from briarseam.placement import fetch_leases
 from briarseam.placement import kept as kept_module
 from briarseam.placement import loads as load_module
 from briarseam.placement import mean_sizes
@@ -103,6 +104,7 @@
         software_of: SoftwareOf = announced_software,
         predict: bool = False,
         sharing: cache_sharing.CacheSharing | None = None,
+        end_of_fetch: fetch_leases.EndOfFetch = fetch_leases.may_always_fetch,
     ) -> None:
         self.sharing = sharing or cache_sharing.CacheSharing()
         self.software_of = software_of
@@ -133,6 +135,7 @@
             self.eligibility.region_map,
             self.predictor,
             self.sharing,
+            end_of_fetch,
         )
         self.compare_by_prediction(predict)
 
--- a/src/briarseam/placement/cost.py
+++ b/src/briarseam/placement/cost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from briarseam.placement import requests
@@ -69,10 +70,13 @@
         Salt of the prompt's cached parts.
     stores
         Stores that the parts are fetched from and saved to.
+    fetch_until_ms
+        Time by the endpoints' clock at which the fetch has to end.
     """
 
     salt: str
     stores: kept_module.TransferPlan
+    fetch_until_ms: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -10,6 +10,7 @@
 from briarseam import clocks
 from briarseam.discovery import starts
 from briarseam.lookup import rank
+from briarseam.placement import endpoint_clocks
 from briarseam.placement import fetching
 from briarseam.placement import store_index
 
@@ -100,6 +101,7 @@
         self.lock = threading.Lock()
         self.changed = changes.Change(self.lock)
         self.health = fetching.StoreHealth(clock)
+        self.endpoint_clocks = endpoint_clocks.EndpointClocks(clock)
 
     def set_stores(
         self, stores: collections.abc.Sequence[routes.StoreTraits]
@@ -115,6 +117,7 @@
                 index.traits = traits
                 self.stores[traits.address] = index
             self.health.keep_only(self.stores)
+            self.endpoint_clocks.keep_only(self.stores)
 
     def apply_content(
         self, address: str, content: store_index.Content, age_s: float = 0.0
@@ -141,6 +144,7 @@
             index.born_ms = content.born_ms or index.born_ms
             index.readable = True
             index.confirmed_s = self.clock() - age_s
+            self.record_clock(address, content.clock_ms)
             for part in content.parts:
                 index.set_part(part)
                 self.pending_saves.pop((part.salt, part.part), None)
@@ -170,6 +174,7 @@
                 return False
             index.born_ms = changes.born_ms or index.born_ms
             index.confirmed_s = self.clock() - age_s
+            self.record_clock(address, changes.clock_ms)
             for event in changes.events:
                 index.record_change(event)
                 self.pending_saves.pop((event.salt, event.part), None)
@@ -177,6 +182,11 @@
                 self.changed.notify_all()
             return True
 
+    def record_clock(self, address: str, shown_ms: float) -> None:
+        """Record what a store's clock showed; requires the lock."""
+        if shown_ms > 0:
+            self.endpoint_clocks.record(address, shown_ms)
+
     def mark_unreadable(
         self, address: str, born_ms: int = starts.UNKNOWN_MS
     ) -> None:
@@ -220,6 +230,7 @@
         salt: str,
         parts: collections.abc.Sequence[calls.PromptPart],
         allows: AllowsStore = allow_all,
+        may_fetch: bool = True,
     ) -> TransferPlan:
         """Plan where a prompt's shared parts are fetched from and saved to.
 
@@ -234,11 +245,13 @@
         allows
             Returns whether the prompt may be transferred from and to a
             store.
+        may_fetch
+            Whether parts may be fetched at all.
         """
         fetch_from: list[str] = []
         save_to: list[str] = []
         fetched = 0
-        contiguous = True
+        contiguous = may_fetch
         with self.lock:
             for part in parts:
                 holder = self.holder_of(salt, part, allows)
--- a/src/briarseam/placement/prompt_chooser.py
+++ b/src/briarseam/placement/prompt_chooser.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from briarseam.lookup import rank
 from briarseam.placement import cost
+from briarseam.placement import fetch_leases
 from briarseam.placement import fetching
 from briarseam.placement import kept as kept_module
 from briarseam.placement import late_costs
@@ -58,6 +60,9 @@
         Learned speeds.
     sharing
         Who uses whose cached parts.
+    end_of_fetch
+        Returns when a fetch of a model's weight version must have ended;
+        ``None`` if none may begin.
 
     Attributes
     ----------
@@ -76,6 +81,7 @@
         region_map: regions.RegionMap,
         predictor: predictors.Predictor,
         sharing: cache_sharing.CacheSharing,
+        end_of_fetch: fetch_leases.EndOfFetch = fetch_leases.may_always_fetch,
     ) -> None:
         self.loads = loads
         self.known_weights = known_weights
@@ -86,6 +92,7 @@
         self.region_map = region_map
         self.predictor = predictor
         self.sharing = sharing
+        self.end_of_fetch = end_of_fetch
         self.costs: cost.Costs = cost.TokenCosts()
 
     def choose(
@@ -199,6 +206,10 @@
         self, request: requests.Request, version: int
     ) -> cost.VersionPlan:
         """Return the plan for all engines with the same weight version."""
+        prompt = requests.prompt_of(request)
+        # First: if the process is suspended from here on, the fetch ends
+        # earlier, and what is checked below was still true when it began.
+        fetch_until_ms = self.fetch_until_ms(prompt.model, version)
         salt = self.salt(request, version)
         if not version or self.sharing.is_outdated():
             # Parts that are not shared for a moment only are not worth their
@@ -208,13 +219,25 @@
             salt,
             self.kept_index.plan(
                 salt,
-                requests.prompt_of(request).shared,
+                prompt.shared,
                 lambda store: self.region_map.allows(
                     request.regions, store.zone
                 ),
+                may_fetch=fetch_until_ms is not None,
             ),
+            math.inf if fetch_until_ms is None else fetch_until_ms,
         )
 
+    def fetch_until_ms(self, model: str, version: int) -> float | None:
+        """Return when a fetch must have ended, by the endpoints' clock.
+
+        ``None`` if none may begin.
+        """
+        end_s = self.end_of_fetch(model, version)
+        if end_s is None:
+            return None
+        return self.kept_index.endpoint_clocks.shown(end_s)
+
     def salt(self, request: requests.Request, version: int) -> str:
         """Return the salt of a prompt's parts as of now."""
         organisation = request.organisation
@@ -269,6 +292,7 @@
             ),
             fetch_from=(*stores.fetch_from, ""),
             save_to=(*stores.save_to, ""),
+            fetch_until_ms=chosen.plan.fetch_until_ms,
         )
         return requests.Placement(
             chosen.endpoint,
--- a/src/briarseam/placement/requests.py
+++ b/src/briarseam/placement/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from briarseam.eligibility import regions
@@ -130,6 +131,10 @@
             fields["tokens_to_read"] = self.prefill_tokens
             fields["fetch_late_ms"] = round(self.fetch_late_s * 1000)
             fields["weights"] = self.instructions.version or 0
+            if math.isfinite(self.instructions.fetch_until_ms):
+                fields["fetch_until_ms"] = round(
+                    self.instructions.fetch_until_ms
+                )
             fields["fetch_from"] = ",".join(
                 filter(None, self.instructions.fetch_from)
             )
--- a/src/briarseam/placement/shared_watch.py
+++ b/src/briarseam/placement/shared_watch.py
@@ -117,12 +117,12 @@
             return
         if store.whole:
             content = store_index.Content(
-                store.epoch, 0, events, store.born_ms
+                store.epoch, 0, events, store.born_ms, store.clock_ms
             )
             self.index.apply_content(store.address, content, store.age_s)
             return
         changes = store_index.Changes(
-            store.epoch, 0, False, events, store.born_ms
+            store.epoch, 0, False, events, store.born_ms, store.clock_ms
         )
         if not self.index.apply_changes(store.address, changes, store.age_s):
             self.cursors[store.address] = ("", 0)
--- a/src/briarseam/placement/store_index.py
+++ b/src/briarseam/placement/store_index.py
@@ -16,6 +16,7 @@
 # complete content.  Covers about 10 s of a busy store.
 HISTORY_LENGTH = 4000
 GENERATION_BYTES = 6
+UNKNOWN_CLOCK_MS = 0.0
 
 PartKey = tuple[str, str]
 
@@ -54,6 +55,8 @@
     born_ms
         Start time of the store, in milliseconds since the Unix epoch by its
         own clock; 0 if not reported.
+    clock_ms
+        What the clock of all endpoints and stores showed; 0 if not reported.
     """
 
     epoch: int
@@ -61,6 +64,7 @@
     lost: bool
     events: tuple[PartEvent, ...]
     born_ms: int = starts.UNKNOWN_MS
+    clock_ms: float = UNKNOWN_CLOCK_MS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,7 +73,7 @@
 
     Attributes
     ----------
-    epoch, next, born_ms
+    epoch, next, born_ms, clock_ms
         As in :class:`Changes`.
     parts
         Complete parts.
@@ -79,6 +83,7 @@
     next: int
     parts: tuple[PartEvent, ...]
     born_ms: int = starts.UNKNOWN_MS
+    clock_ms: float = UNKNOWN_CLOCK_MS
 
 
 @dataclasses.dataclass
--- a/src/briarseam/placement/store_messages.py
+++ b/src/briarseam/placement/store_messages.py
@@ -45,6 +45,9 @@
         Salt, part id and length in tokens; 0 tokens if it was dropped.
     born_ms
         Start time of the store, by its own clock; 0 if not reported.
+    clock_ms
+        What the clock of all endpoints and stores shows at least when this
+        is sent; 0 if not known.
     """
 
     address: str
@@ -56,6 +59,7 @@
     whole: bool
     parts: tuple[tuple[str, str, int], ...]
     born_ms: int = 0
+    clock_ms: float = 0.0
 
 
 @codec.message("stores-told")
--- a/src/briarseam/placement/store_sharing.py
+++ b/src/briarseam/placement/store_sharing.py
@@ -5,13 +5,13 @@
 import itertools
 import typing
 
+from briarseam.placement import store_index
 from briarseam.placement import store_messages as messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
     from briarseam.placement import kept as kept_module
-    from briarseam.placement import store_index
 
 # Longest wait for a change.  It bounds the time to detect a lost reader.
 MAX_WAIT_S = 1.0
@@ -106,6 +106,9 @@
             parts = tuple(
                 (event.salt, event.part, event.tokens) for event in newest
             )
+        clock_ms = self.index.endpoint_clocks.shown_by(
+            index.traits.address, self.index.clock()
+        )
         return messages.StoreUpdate(
             address=index.traits.address,
             readable=index.readable,
@@ -116,4 +119,5 @@
             whole=complete,
             parts=parts,
             born_ms=index.born_ms,
+            clock_ms=clock_ms or store_index.UNKNOWN_CLOCK_MS,
         )
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -1,12 +1,13 @@
 """Frees stored parts that no request can use any more.
 
-They are of weight versions that no engine has, or shared by a group of
-organisations of which one has been isolated.
+They are of replaced weights, or shared by a group of organisations of which
+one has been isolated.
 """
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 import typing
 
 import structlog
@@ -14,6 +15,8 @@
 from briarseam import clocks
 from briarseam import repeating
 from briarseam.lookup import rank
+from briarseam.placement import fetch_leases
+from briarseam.placement import retirement
 from briarseam.placement import salts
 from briarseam.placement import store_watch
 
@@ -21,16 +24,15 @@
     from briarseam.placement import kept as kept_module
 
 REVIEW_S = 0.5
-# Parts of a version are freed once all engines have had newer weights for this
-# time.  A fetch started before takes less: one that would have to wait for 2 s
-# is not started.
-GRACE_S = 4.0
-# Parts of a former group are freed after this time.  An instance that has not
-# heard of the change fetches them meanwhile: changes take about two seconds,
-# and longer to one that reaches neither the store nor its peers.
-GROUP_GRACE_S = 60.0
+# Nothing is freed while the operators' changes of the last moment are unknown,
+# and a store rejects what reaches it later than this.  Together less than
+# `fetch_leases.START_WAIT_S`.
+MAX_AGE_S = 1.0
+MAX_DELAY_S = 1.0
 # Parts freed per call.
 BATCH_SIZE = 500
+# Parts that are named in the log.
+LOGGED_PARTS = 5
 log = structlog.get_logger("briarseam.placement")
 
 
@@ -48,16 +50,44 @@
         address: str,
         epoch: int,
         parts: typing.Sequence[tuple[str, str]],
+        until_ms: float,
     ) -> None:
-        """Free parts, unless the store's epoch has changed."""
+        """Free parts, unless the epoch has changed or the time is over."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Sources:
+    """What decides which parts are freed.
+
+    Attributes
+    ----------
+    named
+        Returns the newest weights by model that the store names.
+    known_until_s
+        Returns until when all changes at the store are known.
+    lease_s
+        Returns how long after it was replaced a version is still in use, in
+        seconds.
+    max_age_s
+        Returns the age of a configuration up to which instances fetch
+        anything, in seconds.
+    is_superseded
+        Returns whether no request has the parts of a group any more.
+    """
+
+    named: typing.Callable[[], typing.Mapping[str, int]]
+    known_until_s: typing.Callable[[], float]
+    lease_s: typing.Callable[[], float]
+    max_age_s: typing.Callable[[], float]
+    is_superseded: typing.Callable[[salts.Scope], bool] = is_never_superseded
 
 
 class Sweeper:
     """Frees stale parts of the stores that this instance owns.
 
-    A part must not be freed while it is fetched.  Requests name the weight
-    version that they must run on, so no fetch of its parts can start once no
-    engine has that version.
+    A part must not be freed while it is fetched.  Whether it is can't be
+    known, so a part is freed when each fetch that any instance may have
+    started has ended; see :mod:`briarseam.placement.fetch_leases`.
 
     Parameters
     ----------
@@ -65,39 +95,33 @@
         Calls to stores.
     index
         Index of all stores.
-    oldest
-        Returns the oldest weight version that any engine of a model may
-        have; ``None`` while unknown.
+    sources
+        What decides which parts are freed.
     local_name, members
         Name of this instance, and a function that returns the names of all
         live instances.
     clock
-        Seconds.
-    is_superseded
-        Returns whether no request has the parts of a group any more.
+        Seconds; goes on while the process is suspended.
     """
 
     def __init__(
         self,
         stores: StoreClient,
         index: kept_module.KeptIndex,
-        oldest: typing.Callable[[str], int | None],
+        sources: Sources,
         local_name: str,
         members: typing.Callable[[], typing.Sequence[str]],
         clock: typing.Callable[[], float] = clocks.boot_clock,
-        is_superseded: typing.Callable[
-            [salts.Scope], bool
-        ] = is_never_superseded,
     ) -> None:
         self.stores = stores
         self.index = index
-        self.oldest = oldest
+        self.sources = sources
         self.local_name = local_name
         self.members = members
-        self.is_superseded = is_superseded
         self.clock = clock
-        # Since when weights, by model and version, and groups are unused.
-        self.unused_since_s: dict[typing.Hashable, float] = {}
+        self.retirement = retirement.Retirement(clock)
+        # Since when groups have been superseded.
+        self.superseded_since_s: dict[salts.Scope, float] = {}
         self.reviews = repeating.Repeater("sweeper", self.review, REVIEW_S)
 
     def start(self) -> None:
@@ -110,9 +134,15 @@
 
     def review(self) -> None:
         """Sweep each store that this instance owns once."""
+        # Read before what depends on it, which may be newer then.
+        known_until_s = self.sources.known_until_s()
+        self.retirement.review(self.sources.named())
+        self.retirement.forget_before(self.weights_wait_s())
+        if self.clock() - known_until_s > MAX_AGE_S:
+            return
         for address in list(self.index.stores):
             if self.owns(address):
-                self.sweep(address)
+                self.sweep(address, known_until_s + MAX_AGE_S + MAX_DELAY_S)
 
     def owns(self, address: str) -> bool:
         """Return whether this instance frees parts of a store."""
@@ -121,50 +151,56 @@
             return False
         return rank.ranked(address, members, str)[0] == self.local_name
 
-    def sweep(self, address: str) -> None:
-        """Free the stale parts of one store."""
+    def sweep(self, address: str, until_s: float) -> None:
+        """Free the stale parts of one store until some time."""
         epoch, parts = self.index.stale_parts(address, self.is_stale)
-        if not parts:
+        until_ms = self.index.endpoint_clocks.shown_by(address, until_s)
+        if not parts or until_ms is None:
             return
         batch = parts[:BATCH_SIZE]
         try:
-            self.stores.free(address, epoch, batch)
+            self.stores.free(address, epoch, batch, until_ms)
         except store_watch.StoreUnavailableError as error:
             log.warning("parts_not_freed", address=address, detail=str(error))
             return
         counts = collections.Counter(salt for salt, _part in batch)
-        log.info("parts_freed", address=address, salts=dict(counts))
+        log.info(
+            "parts_freed",
+            address=address,
+            epoch=epoch,
+            salts=dict(counts),
+            parts=[part for _salt, part in batch[:LOGGED_PARTS]],
+            named=dict(self.sources.named()),
+            until_ms=round(until_ms),
+        )
 
     def is_stale(self, text: str) -> bool:
         """Return whether no request can use parts with a salt."""
         salt = salts.parse(text)
         if salt is None:
             return False
-        oldest = self.oldest(salt.model)
-        is_old = oldest is not None and salt.version < oldest
-        weights = (salt.model, salt.version)
-        if self.unused_s(weights, is_old) >= GRACE_S:
+        replaced_s = self.retirement.replaced_s(salt.model, salt.version)
+        if replaced_s >= self.weights_wait_s():
             return True
-        is_superseded = self.is_superseded(salt.scope)
-        return self.unused_s(salt.scope, is_superseded) >= GROUP_GRACE_S
-
-    def unused_s(self, key: typing.Hashable, is_unused: bool) -> float:
-        """Return for how long weights or a group have been unused.
-
-        Parameters
-        ----------
-        key
-            The weights or the group.
-        is_unused
-            Whether they are unused now.
-
-        Returns
-        -------
-        float
-            Seconds; negative if they are in use.
+        return self.superseded_s(salt.scope) >= self.group_wait_s()
+
+    def weights_wait_s(self) -> float:
+        """Return how long after it was replaced a version's parts are kept."""
+        return fetch_leases.free_after_s(
+            self.sources.lease_s(), self.sources.max_age_s()
+        )
+
+    def group_wait_s(self) -> float:
+        """Return how long a superseded group's parts are kept."""
+        return fetch_leases.free_after_s(0.0, self.sources.max_age_s())
+
+    def superseded_s(self, scope: salts.Scope) -> float:
+        """Return for how long a group has been superseded, in seconds.
+
+        Negative if it is not.
         """
-        now_s = self.clock()
-        if not is_unused:
-            self.unused_since_s.pop(key, None)
+        if not self.sources.is_superseded(scope):
+            self.superseded_since_s.pop(scope, None)
             return -1.0
-        return now_s - self.unused_since_s.setdefault(key, now_s)
+        now_s = self.clock()
+        return now_s - self.superseded_since_s.setdefault(scope, now_s)
--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -47,6 +47,8 @@
     events: list[msgspec.Raw] = []
     # Unix time of the store's start, in ms; older stores omit it.
     born: decoding.Number = starts.UNKNOWN_MS
+    # What the clock of all endpoints and stores shows.
+    clock_ms: decoding.Factor = store_index.UNKNOWN_CLOCK_MS
 
 
 class WirePart(msgspec.Struct, array_like=True):
@@ -66,6 +68,8 @@
     held: list[msgspec.Raw] = []
     # Unix time of the store's start, in ms; older stores omit it.
     born: decoding.Number = starts.UNKNOWN_MS
+    # What the clock of all endpoints and stores shows.
+    clock_ms: decoding.Factor = store_index.UNKNOWN_CLOCK_MS
 
 
 class CacheStoreClient:
@@ -103,7 +107,9 @@
             store_index.PartEvent(row.salt, row.part, row.tokens)
             for row in self.decode_rows(address, wire.held, WirePart)
         )
-        return store_index.Content(wire.epoch, wire.next, parts, wire.born)
+        return store_index.Content(
+            wire.epoch, wire.next, parts, wire.born, wire.clock_ms
+        )
 
     def changes(
         self, address: str, since: int, wait_s: float
@@ -130,7 +136,12 @@
             for row in self.decode_rows(address, wire.events, WireEvent)
         )
         return store_index.Changes(
-            wire.epoch, wire.next, wire.lost, events, wire.born
+            wire.epoch,
+            wire.next,
+            wire.lost,
+            events,
+            wire.born,
+            wire.clock_ms,
         )
 
     def decode_rows(
@@ -150,15 +161,32 @@
         address: str,
         epoch: int,
         parts: typing.Sequence[tuple[str, str]],
+        until_ms: float,
     ) -> None:
-        """Free parts at once, unless the store has restarted.
+        """Free parts at once.
+
+        Parameters
+        ----------
+        address
+            Address of the store.
+        epoch
+            Epoch that the parts belong to; nothing is freed in another one.
+        parts
+            Salt and id of each part.
+        until_ms
+            Time by the endpoints' clock from which nothing is freed: the
+            call may reach the store late.
 
         Raises
         ------
         StoreUnavailableError
             If the store does not confirm it.
         """
-        body = {"parts": [list(part) for part in parts], "epoch": epoch}
+        body = {
+            "parts": [list(part) for part in parts],
+            "epoch": epoch,
+            "until_ms": int(until_ms),
+        }
         try:
             response = self.pool.request(
                 "POST",
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from briarseam.discovery import announcements
@@ -238,6 +239,8 @@
         headers[names.EXPECT_VERSION] = str(instructions.version)
     if any(instructions.fetch_from):
         headers[names.CACHE_FETCH] = join_addresses(instructions.fetch_from)
+        if math.isfinite(instructions.fetch_until_ms):
+            headers[names.CACHE_UNTIL] = str(int(instructions.fetch_until_ms))
     if any(instructions.save_to):
         headers[names.CACHE_SAVE] = join_addresses(instructions.save_to)
     return headers
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -77,6 +77,9 @@
         # threads.
         self.lock = threading.Lock()
         self.goals = goals.GoalHistory()
+        # The newest weights by model that the store names now.  Unlike the
+        # goals they go back if the store is restored from a backup.
+        self.named: dict[str, int] = {}
         self.loaded = threading.Event()
 
     def current(self) -> tables.RouteTable | None:
@@ -97,6 +100,7 @@
         )
         self.evacuations.replace({zone for zone in zones if zone})
         self.has_read_all = True
+        self.named = {}
         self.apply_changes(changes)
 
     def apply_changes(
@@ -177,5 +181,6 @@
     def apply_goal(self, data: bytes) -> None:
         """Apply a model's target weights."""
         goal = self.documents.decode_weight_goal(data)
+        self.named = {**self.named, goal.model: goal.version}
         if self.goals.add(goal):
             log.info("weights_wanted", model=goal.model, version=goal.version)
--- a/tests/placement/test_cache_sharing.py
+++ b/tests/placement/test_cache_sharing.py
@@ -144,6 +144,16 @@
     assert not sharing_of([]).is_superseded(sharing.scope_of("kitchens"))
 
 
+def test_formerly_isolated_organisations_supersede_no_group():
+    """Guards against freeing what an instance that has started still uses.
+
+    It doesn't know who was isolated before.
+    """
+    sharing = sharing_of(["chain"], [])
+    assert sharing.division.former == {"chain"}
+    assert not sharing.is_superseded(salts.EVERYBODY)
+
+
 @hypothesis.settings(
     max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
 )
--- a/tests/placement/test_chooser.py
+++ b/tests/placement/test_chooser.py
@@ -402,6 +402,34 @@
     return case
 
 
+def test_fetch_is_told_when_to_end(case_with_store):
+    """Guards against a part that is freed while it is fetched."""
+    chooser = case_with_store.chooser
+    clocks = chooser.kept_index.endpoint_clocks
+    chooser.prompts.end_of_fetch = lambda model, version: clocks.clock() + 5.0
+    clocks.record(STORE, 100_000.0)
+    instructions = case_with_store.place().instructions
+    assert STORE in instructions.fetch_from
+    assert instructions.fetch_until_ms == pytest.approx(105_000.0)
+
+
+def test_nothing_is_fetched_while_the_clock_of_stores_is_unknown(
+    case_with_store,
+):
+    """Guards against a fetch whose end the endpoint can't be told."""
+    chooser = case_with_store.chooser
+    chooser.prompts.end_of_fetch = lambda model, version: 5.0
+    assert STORE not in case_with_store.place().instructions.fetch_from
+
+
+def test_nothing_is_fetched_without_a_lease(case_with_store):
+    """Guards against a part that another instance is about to free."""
+    chooser = case_with_store.chooser
+    chooser.prompts.end_of_fetch = lambda model, version: None
+    chooser.kept_index.endpoint_clocks.record(STORE, 100_000.0)
+    assert STORE not in case_with_store.place().instructions.fetch_from
+
+
 def record_late_fetch(case):
     placement = case.place()
     assert STORE in placement.instructions.fetch_from
--- a/tests/platform/test_cache.py
+++ b/tests/platform/test_cache.py
@@ -8,6 +8,7 @@
 from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.platform import cache
+from tests.platform import cache_store
 
 BAD_ROWS = [
     pytest.param(7, id="not a row"),
@@ -88,3 +89,36 @@
     client.answers = [answer]
     with pytest.raises(store_watch.StoreUnavailableError):
         client.content("127.0.0.1:1")
+
+
+@pytest.fixture
+def store():
+    with cache_store.CacheStore(1) as made:
+        made.put("m/1/", "a", 100)
+        yield made
+
+
+FREED = [("m/1/", "a")]
+
+
+def test_parts_are_freed(store):
+    until_ms = cache_store.clock_ms() + 1000
+    cache.CacheStoreClient().free(store.address, 1, FREED, until_ms)
+    assert store.freed == FREED
+
+
+def test_call_that_arrives_late_frees_nothing(store):
+    """Guards against parts that have been saved again meanwhile."""
+    until_ms = cache_store.clock_ms() - 1
+    with pytest.raises(store_watch.StoreUnavailableError, match="409"):
+        cache.CacheStoreClient().free(store.address, 1, FREED, until_ms)
+    assert store.freed == []
+
+
+def test_clock_of_a_store_is_read_from_its_list_and_events(store):
+    client = cache.CacheStoreClient()
+    before_ms = cache_store.clock_ms()
+    content = client.content(store.address)
+    changes = client.changes(store.address, content.next, 0.0)
+    after_ms = cache_store.clock_ms()
+    assert before_ms <= content.clock_ms <= changes.clock_ms <= after_ms
--- a/tests/platform/test_parts_freed_while_fetched.py
+++ b/tests/platform/test_parts_freed_while_fetched.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from briarseam.placement import fetch_leases
 from briarseam.placement import sweeping
 from briarseam.testing import waiting
-from tests.platform import cache_store
 from tests.platform import caching_engine
 from tests.platform import isolation_case
 from tests.platform import system as systems
@@ -19,6 +19,8 @@
 SLOW_FETCH_S = 7.0
 TIMEOUT_S = 15.0
 REVIEWS = 6
+# Instances that have started fetch nothing before.
+SETTLE_S = fetch_leases.START_WAIT_S + 4 * fetch_leases.RENEW_S
 
 
 @pytest.fixture
@@ -28,6 +30,7 @@
     made.play(isolation_case.Step())
     made.cache.clear()
     made.store.fetch_s = SLOW_FETCH_S
+    time.sleep(SETTLE_S)
     return made
 
 
@@ -72,6 +75,17 @@
     assert case.store.broken == []
 
 
+def test_parts_of_replaced_weights_are_freed_whatever_entries_say(case):
+    """Guards against a store that fills up with what nobody can use.
+
+    Entries may lag or be of another service.
+    """
+    name_weights(case, 2)
+    key = ("drafts/1/", isolation_case.SHARED_PART)
+    waiting.until(lambda: key in case.store.freed, 2 * TIMEOUT_S)
+    assert key not in case.store.held
+
+
 def test_part_whose_removal_is_never_told_is_freed_once(case):
     """Guards against a free at each review, which may meet a later save."""
     case.store.loses_removals = True
