--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -351,6 +351,22 @@
             stale = [key for key in index.held if is_stale(key[0])]
             return index.epoch, stale
 
+    def record_freed(
+        self,
+        address: str,
+        epoch: int,
+        parts: collections.abc.Iterable[store_index.PartKey],
+    ) -> None:
+        """Drop parts that a store has freed on request."""
+        with self.lock:
+            index = self.stores.get(address)
+            if index is None or index.epoch != epoch:
+                return
+            for key in parts:
+                if key in index.held:
+                    index.record_change(store_index.PartEvent(*key, 0))
+            self.changed.notify_all()
+
     def forget_old(self) -> None:
         """Drop pending saves that have timed out, and old broken ones."""
         now_s = self.clock()
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -163,6 +163,8 @@
         except store_watch.StoreUnavailableError as error:
             log.warning("parts_not_freed", address=address, detail=str(error))
             return
+        # The store's event may be lost, and the part may be saved again.
+        self.index.record_freed(address, epoch, batch)
         counts = collections.Counter(salt for salt, _part in batch)
         log.info(
             "parts_freed",
--- a/tests/placement/test_sweeping.py
+++ b/tests/placement/test_sweeping.py
@@ -170,6 +170,15 @@
     assert case.client.freed == []
 
 
+def test_part_is_freed_once_though_its_removal_is_not_told(case):
+    """Guards against a free that meets a later save of the same part."""
+    case.named = {"m": 2}
+    case.sweeper.review()
+    case.pass_time(WEIGHTS_WAIT_S)
+    case.pass_time(sweeping.REVIEW_S)
+    assert len(case.client.freed) == 1
+
+
 def test_part_that_may_not_have_been_freed_is_freed_again(case):
     case.named = {"m": 2}
     case.sweeper.review()
