Let instances that have started fetch from stores sooner

Cause: for 2.5 s after a start nothing was fetched.

The first poll of a store ends after 0.2 s, since its list does not tell its clock.

--- a/src/briarseam/placement/fetch_leases.py
+++ b/src/briarseam/placement/fetch_leases.py
@@ -28,7 +28,7 @@
 FETCH_LIMIT_S = 5.0
 # An instance that has started fetches nothing for this time: another one may
 # just be freeing what only it, with what it has read now, would use again.
-START_WAIT_S = 2.5
+START_WAIT_S = 0.75
 # Differences between the clocks of instances and endpoints.
 CLOCK_SLACK_S = 1.0
 EndOfFetch = typing.Callable[[str, int], float | None]
--- a/src/briarseam/placement/store_watch.py
+++ b/src/briarseam/placement/store_watch.py
@@ -13,6 +13,9 @@
 # Length of a long poll.  If it ends without an answer the store is lost; it is
 # short enough to end before another store is complete at the same address.
 WAIT_S = 1.0
+# The first one ends sooner: nothing is fetched before the store has told its
+# clock, which its list does not.
+FIRST_WAIT_S = 0.2
 # Pause between two polls, so that events are batched.
 PAUSE_S = 0.15
 RETRY_S = 0.5
@@ -55,6 +58,7 @@
         self.address = address
         self.index = index
         self.cursor: int | None = None
+        self.wait_s = FIRST_WAIT_S
         self.poller = polling.Poller(
             f"store-{address}",
             self.poll,
@@ -86,6 +90,7 @@
             return
         self.index.apply_content(self.address, content)
         self.cursor = content.next
+        self.wait_s = FIRST_WAIT_S
         log.info(
             "cache_store_read",
             address=self.address,
@@ -95,7 +100,8 @@
 
     def read_changes(self, since: int) -> None:
         """Read the changes after an event number."""
-        changes = self.stores.changes(self.address, since, WAIT_S)
+        changes = self.stores.changes(self.address, since, self.wait_s)
+        self.wait_s = WAIT_S
         if self.poller.stopping.is_set():
             return
         if self.index.apply_changes(self.address, changes):
