Save nothing to a KV cache store that has just restarted

An instance that doesn't know of a restart plans fetches of the former content for up to 3 s, and these go on for up to 5 s. A part that is written again meanwhile is taken while it is not complete (MIXED). Found by asking where else the cause of freed parts acts: memory goes away under a fetch which rests on what was known before.

Nothing is saved there until such fetches have ended, 9 s after the restart was seen; other stores get the parts. test_nothing_is_saved_soon_to_a_store_ that_has_restarted failed before.

An instance that starts just after a store does not know of the restart.

--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -11,6 +11,7 @@
 from briarseam.discovery import starts
 from briarseam.lookup import rank
 from briarseam.placement import endpoint_clocks
+from briarseam.placement import fetch_leases
 from briarseam.placement import fetching
 from briarseam.placement import store_index
 
@@ -32,6 +33,12 @@
 # and that are being written again.  A confirmation is at most two long polls
 # of 1 s and their pauses old.
 MAX_AGE_S = 3.0
+# Nothing is saved to a store that has restarted for this time.  Instances that
+# don't know of the restart may plan fetches of its former content, which take
+# what is written there now.
+RESTART_WAIT_S = (
+    MAX_AGE_S + fetch_leases.FETCH_LIMIT_S + fetch_leases.CLOCK_SLACK_S
+)
 # How long a part is rather saved to other stores than to one where saving it
 # broke off: the store keeps what was written and rejects another save.
 BROKEN_SAVE_S = 60.0
@@ -139,6 +146,8 @@
                 return
             if index.is_restart(content):
                 self.forget_saves(address)
+                if index.generation:
+                    index.saves_from_s = self.clock() + RESTART_WAIT_S
             index.clear()
             index.epoch = content.epoch
             index.born_ms = content.born_ms or index.born_ms
@@ -300,6 +309,7 @@
             index
             for index in self.stores.values()
             if self.is_confirmed(index)
+            and now_s >= index.saves_from_s
             and allows(index.traits)
             and not self.health.is_slow(index.traits.address)
             and index.used + part.tokens
--- a/src/briarseam/placement/store_index.py
+++ b/src/briarseam/placement/store_index.py
@@ -104,6 +104,8 @@
         Tokens of each complete part.
     used
         Sum of these.
+    saves_from_s
+        Time from which parts may be saved there, by the index's clock.
     generation
         Random id; replaced whenever the complete content is read or dropped.
     sequence
@@ -119,6 +121,7 @@
     born_ms: int = starts.UNKNOWN_MS
     held: dict[PartKey, int] = dataclasses.field(default_factory=dict)
     used: int = 0
+    saves_from_s: float = 0.0
     generation: str = ""
     sequence: int = 0
     history: collections.deque[PartEvent] = dataclasses.field(
--- a/tests/placement/test_kept.py
+++ b/tests/placement/test_kept.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarseam.forwarding import calls
+from briarseam.placement import fetch_leases
 from briarseam.placement import kept
 from briarseam.placement import store_index
 from briarseam.routes import model
@@ -188,3 +189,29 @@
         )
         assert plan.fetch_from == ("s1" if allowed == "s1" else "", "")
         assert set(plan.save_to) <= {allowed, ""}
+
+
+def test_nothing_is_saved_soon_to_a_store_that_has_restarted(index, clock):
+    """Guards against a fetch that was planned before the restart.
+
+    It would take what is being written now.
+    """
+    index.apply_content("s1", store_index.Content(2, 0, ()))
+    index.apply_content("s2", store_index.Content(2, 0, ()))
+    clock.now_s += kept.RESTART_WAIT_S - 0.1
+    report_parts(index, "s1", epoch=2)
+    report_parts(index, "s2", epoch=2)
+    assert index.plan(SALT, parts("a")).save_to == ("",)
+    clock.now_s += 0.2
+    assert index.plan(SALT, parts("a")).save_to != ("",)
+
+
+def test_store_whose_content_is_read_again_is_saved_to(index):
+    index.apply_content("s1", store_index.Content(1, 9, ()))
+    index.apply_content("s2", store_index.Content(1, 9, ()))
+    assert index.plan(SALT, parts("a")).save_to != ("",)
+
+
+def test_wait_for_a_restarted_store_covers_all_fetches_planned_before():
+    fetches_s = kept.MAX_AGE_S + fetch_leases.FETCH_LIMIT_S
+    assert fetches_s < kept.RESTART_WAIT_S
