Shorten the wait of started instances; own reads renew leases at once

A free needs knowledge of the last 0.15 s and is rejected 0.2 s later, so a started instance waits for 0.4 s. Stores are asked for their clock right after their list. Leases count from own reads at once; only times that peers tell wait for the next renewal.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -191,7 +191,8 @@
         self.fetch_leases = fetch_leases.FetchLeases(
             self.weights.lease_s,
             lambda: self.weights.goals.newest,
-            self.freshness.known_until_s,
+            self.feeds.configuration_complete_until_s,
+            lambda: self.freshness.told_until_s,
         )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
--- a/src/briarseam/placement/fetch_leases.py
+++ b/src/briarseam/placement/fetch_leases.py
@@ -22,13 +22,13 @@
 if typing.TYPE_CHECKING:
     from briarseam.weights import goals
 
-RENEW_S = 0.25
+RENEW_S = 0.1
 # Longest time from the decision to fetch until the end of the fetch.  The
 # endpoint discards a fetch that takes longer, and prefills the prompt.
 FETCH_LIMIT_S = 5.0
 # An instance that has started fetches nothing for this time: another one may
 # just be freeing what only it, with what it has read now, would use again.
-START_WAIT_S = 0.75
+START_WAIT_S = 0.4
 # Differences between the clocks of instances and endpoints.
 CLOCK_SLACK_S = 1.0
 EndOfFetch = typing.Callable[[str, int], float | None]
@@ -84,8 +84,10 @@
         replaced a version is still in use.
     newest
         Returns the newest weights by model; the mapping doesn't change.
-    known_until_s
-        Returns until when all named weights are known.
+    read_until_s
+        Returns until when this instance has read all that was named.
+    told_until_s
+        Returns until when a peer has, which tells it.
     clock
         Seconds; goes on while the process is suspended.
     """
@@ -94,12 +96,14 @@
         self,
         lease_s: typing.Callable[[], float],
         newest: typing.Callable[[], typing.Mapping[str, goals.WeightGoal]],
-        known_until_s: typing.Callable[[], float],
+        read_until_s: typing.Callable[[], float],
+        told_until_s: typing.Callable[[], float],
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.lease_s = lease_s
         self.newest = newest
-        self.known_until_s = known_until_s
+        self.read_until_s = read_until_s
+        self.told_until_s = told_until_s
         self.clock = clock
         self.created_s = clock()
         self.pending_until_s = -math.inf
@@ -119,12 +123,12 @@
         """Renew the leases on all versions that are not replaced.
 
         What a heartbeat tells is applied piece by piece, weights after the
-        time until which they are known.  So a time counts from the next
-        renewal only.
+        time until which they are known.  So a time that was told counts from
+        the next renewal only.
         """
         now_s = self.clock()
-        until_s = self.pending_until_s
-        self.pending_until_s = self.known_until_s()
+        until_s = max(self.read_until_s(), self.pending_until_s)
+        self.pending_until_s = self.told_until_s()
         if now_s - self.created_s < START_WAIT_S:
             return
         earliest_s = now_s - self.lease_s()
--- a/src/briarseam/placement/store_watch.py
+++ b/src/briarseam/placement/store_watch.py
@@ -13,9 +13,6 @@
 # Length of a long poll.  If it ends without an answer the store is lost; it is
 # short enough to end before another store is complete at the same address.
 WAIT_S = 1.0
-# The first one ends sooner: nothing is fetched before the store has told its
-# clock, which its list does not.
-FIRST_WAIT_S = 0.2
 # Pause between two polls, so that events are batched.
 PAUSE_S = 0.15
 RETRY_S = 0.5
@@ -58,7 +55,7 @@
         self.address = address
         self.index = index
         self.cursor: int | None = None
-        self.wait_s = FIRST_WAIT_S
+        self.wait_s = WAIT_S
         self.poller = polling.Poller(
             f"store-{address}",
             self.poll,
@@ -79,8 +76,12 @@
         """Read the content or its changes; return the pause."""
         if self.cursor is None:
             self.read_content()
-        else:
-            self.read_changes(self.cursor)
+            # Nothing is fetched before the store has told its clock, which
+            # its list does not.
+            self.wait_s = 0.0
+            return 0.0
+        self.read_changes(self.cursor)
+        self.wait_s = WAIT_S
         return PAUSE_S
 
     def read_content(self) -> None:
@@ -90,7 +91,6 @@
             return
         self.index.apply_content(self.address, content)
         self.cursor = content.next
-        self.wait_s = FIRST_WAIT_S
         log.info(
             "cache_store_read",
             address=self.address,
@@ -101,7 +101,6 @@
     def read_changes(self, since: int) -> None:
         """Read the changes after an event number."""
         changes = self.stores.changes(self.address, since, self.wait_s)
-        self.wait_s = WAIT_S
         if self.poller.stopping.is_set():
             return
         if self.index.apply_changes(self.address, changes):
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -27,8 +27,8 @@
 # Nothing is freed while the operators' changes of the last moment are unknown,
 # and a store rejects what reaches it later than this.  Together less than
 # `fetch_leases.START_WAIT_S`.
-MAX_AGE_S = 0.3
-MAX_DELAY_S = 0.3
+MAX_AGE_S = 0.15
+MAX_DELAY_S = 0.2
 # Parts freed per call.
 BATCH_SIZE = 500
 # Parts that are named in the log.
