Rest leases and frees on own readings of the store

What callers would see: answers on memory that was freed during its fetch.

(2) A heartbeat that waited for a suspended process, or on a link that was cut, tells an age of 0 s when it arrives: weights that were replaced long ago get a new lease. (3) An instance that follows the topic through another one knows it up to the last 0.8 s only, and would never free anything.

Leases are renewed by what the instance itself has read (the time counts from the request for it), not by what peers tell. The wait of 0.4 s begins with the first reading, after a start or a gap of 5 s. A free rests on a reading of the store made for it, one call when there is something to free; what was known is looked at again after it. Parts of superseded groups are kept as long as those of replaced weights, since the leases now cover both.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -192,7 +192,6 @@
             self.weights.lease_s,
             lambda: self.weights.goals.newest,
             self.feeds.configuration_complete_until_s,
-            lambda: self.freshness.told_until_s,
         )
         self.chooser = choosers.Chooser(
             self.feeds.registry.serving,
@@ -230,9 +229,8 @@
             sweeping.Sources(
                 named=lambda: self.feeds.operators.named,
                 readings=lambda: self.feeds.operators.readings,
-                known_until_s=self.feeds.configuration_complete_until_s,
+                confirm=self.feeds.confirm_operators,
                 lease_s=self.weights.lease_s,
-                max_age_s=self.freshness.max_age_s,
                 is_superseded=self.chooser.sharing.is_superseded,
             ),
             settings.instance.name,
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -5,8 +5,11 @@
 import dataclasses
 import typing
 
+import structlog
+
 from briarseam.discovery import registry as registries
 from briarseam.feeds import following
+from briarseam.feeds import records
 from briarseam.peers import registrations
 from briarseam.platform import documents
 from briarseam.platform import endpoints
@@ -43,6 +46,7 @@
 # other instance: without a pause, 85 instances make some 7,000 calls.
 REGISTRATION_PAUSE_S = 0.5
 MS = 1000.0
+log = structlog.get_logger("briarseam.feeds")
 TOPICS = (
     names.OPERATOR_TOPIC,
     names.ENDPOINTS_TOPIC,
@@ -135,6 +139,28 @@
             self.reads.complete_until_s(follower.topic, follower.next),
         )
 
+    def confirm_operators(self) -> float | None:
+        """Return until when the operators made no other changes.
+
+        Reads the store at once.  ``None`` if it has newer changes, or gives
+        no valid answer.
+        """
+        follower = self.followers[0]
+        position = follower.next
+        if position is None:
+            return None
+        try:
+            batch = self.reads.store.read_keyed(follower.topic, position, 0.0)
+        except (
+            records.RecordsExpiredError,
+            records.StoreUnavailableError,
+        ) as error:
+            log.info("operators_not_confirmed", detail=str(error))
+            return None
+        if batch.records or batch.complete_until_s == records.NEVER_S:
+            return None
+        return batch.complete_until_s
+
 
 def operator_poll_s(bounds: serving.Bounds) -> float:
     """Return the length of a long poll of the operators' topic."""
--- a/src/briarseam/placement/fetch_leases.py
+++ b/src/briarseam/placement/fetch_leases.py
@@ -26,9 +26,13 @@
 # Longest time from the decision to fetch until the end of the fetch.  The
 # endpoint discards a fetch that takes longer, and prefills the prompt.
 FETCH_LIMIT_S = 5.0
-# An instance that has started fetches nothing for this time: another one may
-# just be freeing what only it, with what it has read now, would use again.
+# An instance that has started, or could not read what is named for a while,
+# fetches nothing for this time after its first reading: another one may just
+# be freeing what only it, with what it has read now, would use again.
 START_WAIT_S = 0.4
+# Time between two readings from which this holds.  Parts are only freed after
+# they have been out of use for longer.
+MAX_GAP_S = FETCH_LIMIT_S
 # Differences between the clocks of instances and endpoints.
 CLOCK_SLACK_S = 1.0
 EndOfFetch = typing.Callable[[str, int], float | None]
@@ -40,17 +44,15 @@
     return math.inf
 
 
-def free_after_s(lease_s: float, max_age_s: float) -> float:
-    """Return how long after its end of use a part may be freed, in seconds.
+def free_after_s(lease_s: float) -> float:
+    """Return how long after it was replaced a part may be freed, in seconds.
 
     Parameters
     ----------
     lease_s
-        Duration of a lease; 0 if use ends at once.
-    max_age_s
-        Age of a configuration up to which instances fetch anything.
+        Duration of a lease, in seconds.
     """
-    return max(lease_s, max_age_s) + FETCH_LIMIT_S + CLOCK_SLACK_S
+    return lease_s + FETCH_LIMIT_S + CLOCK_SLACK_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,9 +87,8 @@
     newest
         Returns the newest weights by model; the mapping doesn't change.
     read_until_s
-        Returns until when this instance has read all that was named.
-    told_until_s
-        Returns until when a peer has, which tells it.
+        Returns until when this instance has read all that was named.  What
+        peers tell doesn't count: a message may arrive late.
     clock
         Seconds; goes on while the process is suspended.
     """
@@ -97,16 +98,14 @@
         lease_s: typing.Callable[[], float],
         newest: typing.Callable[[], typing.Mapping[str, goals.WeightGoal]],
         read_until_s: typing.Callable[[], float],
-        told_until_s: typing.Callable[[], float],
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.lease_s = lease_s
         self.newest = newest
         self.read_until_s = read_until_s
-        self.told_until_s = told_until_s
         self.clock = clock
-        self.created_s = clock()
-        self.pending_until_s = -math.inf
+        self.until_s = -math.inf
+        self.resumed_s = math.inf
         # The latest first; replaced as a whole.
         self.confirmations: tuple[Confirmation, ...] = ()
         self.renewals = repeating.Repeater("fetch-leases", self.renew, RENEW_S)
@@ -120,16 +119,15 @@
         self.renewals.stop()
 
     def renew(self) -> None:
-        """Renew the leases on all versions that are not replaced.
-
-        What a heartbeat tells is applied piece by piece, weights after the
-        time until which they are known.  So a time that was told counts from
-        the next renewal only.
-        """
+        """Renew the leases on all versions that are not replaced."""
         now_s = self.clock()
-        until_s = max(self.read_until_s(), self.pending_until_s)
-        self.pending_until_s = self.told_until_s()
-        if now_s - self.created_s < START_WAIT_S:
+        # Read before the weights, which may be newer then.
+        until_s = self.read_until_s()
+        if until_s - self.until_s > MAX_GAP_S:
+            self.resumed_s = now_s
+            self.confirmations = ()
+        self.until_s = max(self.until_s, until_s)
+        if now_s - self.resumed_s < START_WAIT_S:
             return
         earliest_s = now_s - self.lease_s()
         confirmations = collections.deque(
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -24,11 +24,10 @@
     from briarseam.placement import kept as kept_module
 
 REVIEW_S = 0.5
-# Nothing is freed while the operators' changes of the last moment are unknown,
-# and a store rejects what reaches it later than this.  Together less than
+# What is freed is decided on a reading of the operators' changes just before,
+# and a store rejects what reaches it this long after the reading.  Less than
 # `fetch_leases.START_WAIT_S`.
-MAX_AGE_S = 0.15
-MAX_DELAY_S = 0.2
+MAX_DELAY_S = 0.3
 # Parts freed per call.
 BATCH_SIZE = 500
 # Parts that are named in the log.
@@ -65,23 +64,19 @@
         Returns the newest weights by model that the store names.
     readings
         Returns how often all that the store names was read anew.
-    known_until_s
-        Returns until when all changes at the store are known.
+    confirm
+        Reads the store of the operators' changes; returns until when there
+        are no others than those known, or ``None`` if that can't be said.
     lease_s
-        Returns how long after it was replaced a version is still in use, in
-        seconds.
-    max_age_s
-        Returns the age of a configuration up to which instances fetch
-        anything, in seconds.
+        Returns the duration of leases on weight versions, in seconds.
     is_superseded
         Returns whether no request has the parts of a group any more.
     """
 
     named: typing.Callable[[], typing.Mapping[str, int]]
     readings: typing.Callable[[], int]
-    known_until_s: typing.Callable[[], float]
+    confirm: typing.Callable[[], float | None]
     lease_s: typing.Callable[[], float]
-    max_age_s: typing.Callable[[], float]
     is_superseded: typing.Callable[[salts.Scope], bool] = is_never_superseded
 
 
@@ -138,17 +133,17 @@
 
     def review(self) -> None:
         """Sweep each store that this instance owns once."""
-        # Read before what depends on it, which may be newer then.
-        known_until_s = self.sources.known_until_s()
+        self.review_sources()
+        for address in list(self.index.stores):
+            if self.owns(address):
+                self.sweep(address)
+
+    def review_sources(self) -> None:
+        """Apply what the store names now."""
         named = self.sources.named()
         self.review_readings()
         self.retirement.review(named)
-        self.retirement.forget_before(self.weights_wait_s())
-        if self.clock() - known_until_s > MAX_AGE_S:
-            return
-        for address in list(self.index.stores):
-            if self.owns(address):
-                self.sweep(address, known_until_s + MAX_AGE_S + MAX_DELAY_S)
+        self.retirement.forget_before(self.wait_s())
 
     def review_readings(self) -> None:
         """Count all times anew once the store was read anew.
@@ -170,10 +165,19 @@
             return False
         return rank.ranked(address, members, str)[0] == self.local_name
 
-    def sweep(self, address: str, until_s: float) -> None:
-        """Free the stale parts of one store until some time."""
+    def sweep(self, address: str) -> None:
+        """Free the stale parts of one store."""
+        if not self.index.stale_parts(address, self.is_stale)[1]:
+            return
+        confirmed_s = self.sources.confirm()
+        if confirmed_s is None:
+            return
+        # Changes may have been applied just before they were confirmed.
+        self.review_sources()
         epoch, parts = self.index.stale_parts(address, self.is_stale)
-        until_ms = self.index.endpoint_clocks.shown_by(address, until_s)
+        until_ms = self.index.endpoint_clocks.shown_by(
+            address, confirmed_s + MAX_DELAY_S
+        )
         if not parts or until_ms is None:
             return
         batch = parts[:BATCH_SIZE]
@@ -201,19 +205,14 @@
         if salt is None:
             return False
         replaced_s = self.retirement.replaced_s(salt.model, salt.version)
-        if replaced_s >= self.weights_wait_s():
+        wait_s = self.wait_s()
+        if replaced_s >= wait_s:
             return True
-        return self.superseded_s(salt.scope) >= self.group_wait_s()
-
-    def weights_wait_s(self) -> float:
-        """Return how long after it was replaced a version's parts are kept."""
-        return fetch_leases.free_after_s(
-            self.sources.lease_s(), self.sources.max_age_s()
-        )
+        return self.superseded_s(salt.scope) >= wait_s
 
-    def group_wait_s(self) -> float:
-        """Return how long a superseded group's parts are kept."""
-        return fetch_leases.free_after_s(0.0, self.sources.max_age_s())
+    def wait_s(self) -> float:
+        """Return how long parts that were replaced are kept, in seconds."""
+        return fetch_leases.free_after_s(self.sources.lease_s())
 
     def superseded_s(self, scope: salts.Scope) -> float:
         """Return for how long a group has been superseded, in seconds.
--- a/src/briarseam/routes/freshness.py
+++ b/src/briarseam/routes/freshness.py
@@ -67,22 +67,15 @@
         self.was_fresh = False
         self.lock = threading.Lock()
 
-    def known_until_s(self) -> float:
-        """Return until when all changes are known, here or by peers."""
-        return max(self.complete_until_s(), self.told_until_s)
-
     def age_s(self) -> float:
         """Return for how long there may have been changes, in seconds."""
-        return max(0.0, self.clock() - self.known_until_s())
-
-    def max_age_s(self) -> float:
-        """Return the age from which the configuration counts as outdated."""
-        return MAX_AGE_SHARE * self.apply_s
+        known_until_s = max(self.complete_until_s(), self.told_until_s)
+        return max(0.0, self.clock() - known_until_s)
 
     def is_fresh(self) -> bool:
         """Return whether a change would be known here by now."""
         age_s = self.age_s()
-        is_recent = age_s <= self.max_age_s()
+        is_recent = age_s <= MAX_AGE_SHARE * self.apply_s
         fresh = is_recent and not self.awaits_peers()
         if fresh is not self.was_fresh:
             self.record(fresh, age_s)
