Read odd crash records without ending the thread that reads them

What operators would see: after another writer left one record in the topic of crash records, an instance knows of no crash any more and records none; the thread "crash-records" is gone. No process ends.

Cause: the decoder raises RecursionError for a field that is nested too deeply beyond those that are known, and nothing catches it in the thread. Ages of any size were adopted as well; written again, they are beyond what a message can carry (OverflowError, the same thread), and so were ids of any length. An id with more than 4300 digits made starts.parse raise.

Now decoding goes by raised_as_malformed like that of all other records, ages, keys and ids are bounded, losses that are too old are not adopted, and an unexpected error doesn't end the thread.

--- a/src/briarseam/crashes/crash_records.py
+++ b/src/briarseam/crashes/crash_records.py
@@ -49,6 +49,8 @@
 # restored from a backup.
 REFRESH_S = 60.0
 ERA_POLL_S = 2.0
+# Pause after an unexpected error.
+FAILURE_PAUSE_S = 1.0
 # Bounds what one record has, and what is taken from all.
 MAX_LOSSES = 100
 MAX_ANSWERS = 100
@@ -60,6 +62,10 @@
 # restarts endpoints happens within minutes.
 MAX_ATTEMPT_AGE_S = 60.0
 MS = 1000
+# Other writers' rows are told to peers, in messages that carry 64 bits.
+Age = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Key = typing.Annotated[bytes, msgspec.Meta(max_length=64)]
+EndpointId = typing.Annotated[str, msgspec.Meta(max_length=256)]
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -74,9 +80,9 @@
         Time since then, in milliseconds.
     """
 
-    key: bytes
-    endpoint: str
-    age_ms: int
+    key: Key
+    endpoint: EndpointId
+    age_ms: Age
 
 
 class AnswerRow(msgspec.Struct, array_like=True, frozen=True):
@@ -90,8 +96,8 @@
         Time since then, in milliseconds.
     """
 
-    key: bytes
-    age_ms: int
+    key: Key
+    age_ms: Age
 
 
 class CrashRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -249,18 +255,28 @@
 
     def run(self) -> None:
         """Read the records, then write until stopped."""
-        while not self.load():
-            if self.stopping.wait(RETRY_S):
-                return
         while not self.stopping.is_set():
-            self.changed.wait(ERA_POLL_S)
-            if self.changed.is_set():
-                pause_s = self.written_s + self.pause_s() - self.clock()
-                self.stopping.wait(max(self.gather_s(), pause_s))
-                self.changed.clear()
-                self.write()
-            elif self.is_outdated():
-                self.write()
+            try:
+                self.step()
+            except Exception:
+                # Without the thread, nothing would be recorded any more.
+                log.exception("crash_records_failed")
+                self.stopping.wait(FAILURE_PAUSE_S)
+
+    def step(self) -> None:
+        """Read the records if that was not done yet, or write once."""
+        if not self.loaded.is_set():
+            if not self.load():
+                self.stopping.wait(RETRY_S)
+            return
+        self.changed.wait(ERA_POLL_S)
+        if self.changed.is_set():
+            pause_s = self.written_s + self.pause_s() - self.clock()
+            self.stopping.wait(max(self.gather_s(), pause_s))
+            self.changed.clear()
+            self.write()
+        elif self.is_outdated():
+            self.write()
 
     def load(self) -> bool:
         """Read and apply all records; return whether that succeeded."""
@@ -280,8 +296,9 @@
         if row.value is None:
             return None
         try:
-            record = msgspec.msgpack.decode(row.value, type=CrashRecord)
-        except (ValueError, msgspec.MsgspecError) as error:
+            with malformed.raised_as_malformed():
+                record = msgspec.msgpack.decode(row.value, type=CrashRecord)
+        except malformed.MalformedError as error:
             self.malformed_counter.note(
                 malformed.Kind.STORE_RECORD, f"{self.topic}/{row.key}", error
             )
@@ -309,6 +326,7 @@
         lost: loss_times.Lost = {}
         ended: loss_times.Lost = {}
         oldest_s = self.clock() - MAX_ATTEMPT_AGE_S
+        oldest_loss_s = self.clock() - MAX_AGE_S
         for record in found:
             self.add_rows(lost, record, record.losses, answered_s)
             self.add_rows(ended, record, record.attempts, answered_s)
@@ -323,6 +341,7 @@
             ended, MAX_ADOPTED_ATTEMPTS
         ):
             self.known.losses.adopt(key, endpoint, at_s, was_abandoned=True)
+        lost = loss_times.newer_than(lost, oldest_loss_s)
         for (key, endpoint), at_s in loss_times.most_lost(lost, MAX_ADOPTED):
             self.known.losses.adopt(key, endpoint, at_s)
 
--- a/src/briarseam/discovery/starts.py
+++ b/src/briarseam/discovery/starts.py
@@ -12,6 +12,8 @@
 # Names whose newest start is retained, also after their endpoints are gone:
 # a quarter more than the 4,000 endpoints of the largest deployment.
 MAX_NAMES = 5000
+# Of a start time; that of a sound one has 13 digits.
+MAX_DIGITS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,7 +50,7 @@
 def parse(text: str) -> Start:
     """Return the start that an id identifies."""
     name, separator, born = text.rpartition(SEPARATOR)
-    if not separator or not born.isdecimal():
+    if not separator or not born.isdecimal() or len(born) > MAX_DIGITS:
         return Start(text)
     return Start(name, int(born))
 
--- a/tests/crashes/test_crash_records.py
+++ b/tests/crashes/test_crash_records.py
@@ -500,3 +500,84 @@
     successor = successor_of(start)
     assert suspects(successor) == (PART,)
     assert noted == [malformed.Kind.STORE_RECORD] * 2
+
+
+NESTED = b"\x91" * 100_000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(NESTED, id="nested"),
+        pytest.param(b"\x96\x90\x90\x90\x00\x90" + NESTED, id="extra row"),
+        pytest.param(
+            msgspec.msgpack.encode([[], [], [], "soon", []]), id="time as text"
+        ),
+        pytest.param(
+            msgspec.msgpack.encode([[[b"k", "e", 2**64 - 1]], [], [], 0]),
+            id="age beyond 64 bits",
+        ),
+        pytest.param(
+            msgspec.msgpack.encode([[[b"k", "e" * 70_000, 0]], [], [], 0]),
+            id="long endpoint",
+        ),
+    ],
+)
+def test_odd_record_does_not_end_the_thread(start, store, noted, value):
+    """Guards against a thread that ends at a record it can't decode.
+
+    The instance would know of no crash, and record none.
+    """
+    lose(start("one"), store, "e1")
+    store.values["aa"] = value
+    other = start("other")
+    waiting.until(other.loaded.is_set, 5)
+    assert noted == [malformed.Kind.STORE_RECORD]
+    assert set(other.known.losses.undecided()) == {(PART, "e1")}
+    assert other.thread.is_alive()
+
+
+@pytest.mark.parametrize(
+    "endpoint",
+    [
+        pytest.param("", id="empty"),
+        pytest.param("a@" + "9" * 200, id="long number"),
+        pytest.param("a\r\nb/../@", id="control characters"),
+        pytest.param("a@\N{SUPERSCRIPT TWO}", id="digit of another kind"),
+    ],
+)
+def test_odd_loss_is_recorded_no_longer_than_others(
+    start, store, clock, endpoint
+):
+    """Guards against rows of others that this instance can't encode."""
+    store.values["odd"] = msgspec.msgpack.encode(
+        [
+            [[b"k", endpoint, 2**53], [b"k", endpoint + "2", 5]],
+            [],
+            [[b"z", 2**53]],
+            int(clock() * 1000),
+        ]
+    )
+    one = start("one")
+    waiting.until(one.loaded.is_set, 5)
+    lose(one, store, "e1")
+    lost = {name for _key, name in one.known.losses.undecided()}
+    assert endpoint not in lost
+    assert one.thread.is_alive()
+
+
+def test_unexpected_error_does_not_end_the_thread(start, store, monkeypatch):
+    """Guards against an instance that records nothing after one error."""
+    monkeypatch.setattr(crash_records, "FAILURE_PAUSE_S", 0.01)
+    failures = [RecursionError(), KeyError("x")]
+    newest = store.newest
+
+    def fail_first(topic):
+        if failures:
+            raise failures.pop()
+        return newest(topic)
+
+    monkeypatch.setattr(store, "newest", fail_first)
+    one = start("one")
+    waiting.until(one.loaded.is_set, 5)
+    assert not failures
--- a/tests/discovery/test_starts.py
+++ b/tests/discovery/test_starts.py
@@ -67,3 +67,9 @@
     ):
         newest.resolve(start)
     assert set(newest.born_ms) == {"old", "new"}
+
+
+def test_id_with_thousands_of_digits_is_a_name():
+    """Python refuses to convert numbers of so many digits."""
+    text = "a@" + "9" * 5000
+    assert starts.parse(text) == starts.Start(text)
