Let stored times of weights that operators never named exclude none

What callers would see: after another writer left one row in the topic of goal times that names a high version of a model's weights, all requests for that model are refused, for ever and also after restarts; instances tell their peers the age, and these take it for the weights that operators want, and would order them.

Cause: stored times went into the history of goals without a goal. oldest_allowed counted them, provide() published them, and a peer adds what it hears as a goal; more than eight rows displaced the times of sound goals.

Now times above the newest goal are set aside (at most 1000), apply once such a goal is named, and count only until operators' documents were read, as before. They are neither told to peers nor displace others.

Evidence: the four new tests in test_goals.py failed before; test_weights_that_operators_do_not_name_exclude_none as well (2**53 returned). Goal times are decoded by raised_as_malformed now, like all else.

--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -102,6 +102,7 @@
         self.has_read_all = True
         self.named = {}
         self.apply_changes(changes)
+        self.goals.mark_read()
 
     def apply_changes(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
--- a/src/briarseam/weights/goal_times.py
+++ b/src/briarseam/weights/goal_times.py
@@ -181,8 +181,9 @@
     ) -> dict[goals.WeightGoal, float]:
         """Return the times of one model's goals, by the clock."""
         try:
-            rows = msgspec.msgpack.decode(value, type=Rows)
-        except msgspec.DecodeError as error:
+            with malformed.raised_as_malformed():
+                rows = msgspec.msgpack.decode(value, type=Rows)
+        except malformed.MalformedError as error:
             self.tally.note(malformed.Kind.GOAL_TIMES, model, error)
             return {}
         now_s = self.clock()
--- a/src/briarseam/weights/goals.py
+++ b/src/briarseam/weights/goals.py
@@ -11,6 +11,8 @@
 # Newest versions of a model that are remembered.  Each takes effect within
 # about ten seconds, so older ones are no longer in use.
 KEPT_VERSIONS = 8
+# Times of goals that the store has, but operators' documents don't name yet.
+MAX_RESTORED = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +51,9 @@
         self.clock = clock
         self.newest: dict[str, WeightGoal] = {}
         self.first_seen: dict[WeightGoal, float] = {}
+        # Times of goals that are not added yet.
+        self.restored: dict[WeightGoal, float] = {}
+        self.is_read = False
         self.lock = threading.Lock()
 
     def add(self, goal: WeightGoal, age_s: float = 0.0) -> bool:
@@ -60,17 +65,41 @@
             if known is not None and known.version >= goal.version:
                 return False
             self.newest = {**self.newest, goal.model: goal}
+            self.apply_restored(goal)
             return True
 
     def restore(self, goal: WeightGoal, age_s: float) -> None:
         """Add the age of a goal that a former process saw.
 
         It doesn't change the newest goals, which follow from operators'
-        documents alone.
+        documents alone.  Once these are read, a version above them excludes
+        none: requests would be refused until there are engines with it.
         """
         seen_s = self.clock() - age_s
         with self.lock:
-            self.keep_earliest(goal, seen_s)
+            known = self.newest.get(goal.model)
+            if known is not None and goal.version <= known.version:
+                self.keep_earliest(goal, seen_s)
+            elif goal in self.restored or len(self.restored) < MAX_RESTORED:
+                earliest_s = min(seen_s, self.restored.get(goal, seen_s))
+                self.restored[goal] = earliest_s
+
+    def mark_read(self) -> None:
+        """Record that all operators' documents were read and added."""
+        self.is_read = True
+
+    def apply_restored(self, newest: WeightGoal) -> None:
+        """Record the times of a model's goals; the lock is held."""
+        for goal, seen_s in list(self.restored.items()):
+            if goal.model == newest.model and goal.version <= newest.version:
+                del self.restored[goal]
+                self.keep_earliest(goal, seen_s)
+
+    def seen_times(self) -> dict[WeightGoal, float]:
+        """Return the times of all goals that count; the lock is held."""
+        if self.is_read:
+            return self.first_seen
+        return self.restored | self.first_seen
 
     def keep_earliest(self, goal: WeightGoal, seen_s: float) -> None:
         """Record a goal's time if it is the earliest; the lock is held."""
@@ -82,7 +111,7 @@
     def first_seen_times(self) -> dict[WeightGoal, float]:
         """Return when each goal was first seen, by the clock."""
         with self.lock:
-            return dict(self.first_seen)
+            return dict(self.seen_times())
 
     def ages(self) -> list[tuple[str, int, float]]:
         """Return model, version and age in seconds of all goals."""
@@ -108,7 +137,7 @@
             return max(
                 (
                     goal.version
-                    for goal, seen_s in self.first_seen.items()
+                    for goal, seen_s in self.seen_times().items()
                     if goal.model == model and seen_s <= latest_s
                 ),
                 default=0,
@@ -129,7 +158,7 @@
             return min(
                 (
                     seen_s + after_s - now_s
-                    for goal, seen_s in self.first_seen.items()
+                    for goal, seen_s in self.seen_times().items()
                     if goal.model == model and goal.version > version
                 ),
                 default=float("inf"),
--- a/tests/routes/test_following.py
+++ b/tests/routes/test_following.py
@@ -7,6 +7,7 @@
 from briarseam.feeds import records
 from briarseam.platform import documents
 from briarseam.routes import following
+from briarseam.weights import goals
 
 
 @pytest.fixture
@@ -109,3 +110,11 @@
         [records.KeyedRecord(key, value), change("config", version=6)]
     )
     assert feed.current().configuration.version == 6
+
+
+def test_weights_that_operators_do_not_name_exclude_none(feed):
+    """Another writer has left the time of weights that were never set."""
+    feed.goals.restore(goals.WeightGoal("a", 2**53), 1000.0)
+    feed.apply_all([change("version/a", model="a", version=3)])
+    assert feed.goals.oldest_allowed("a", 0.0) == 3
+    assert feed.goals.newest["a"].version == 3
--- a/tests/weights/test_goals.py
+++ b/tests/weights/test_goals.py
@@ -87,3 +87,51 @@
     assert not known_weights.is_changing("e1")
     assert known_weights.version("e2", "m", 1) == 1
     assert history.first_seen_times() == {}
+
+
+def test_restored_time_above_the_newest_goal_excludes_nothing(history, clock):
+    """Guards against one odd row on the store that refuses all requests.
+
+    Another writer names weights that operators never set.
+    """
+    history.restore(goals.WeightGoal("m", 2**53), 10**9)
+    history.mark_read()
+    assert history.oldest_allowed("m", 10.0) == 0
+    history.add(goals.WeightGoal("m", 3))
+    history.restore(goals.WeightGoal("m", 2**53 - 1), 10**9)
+    clock.now_s += 20
+    assert history.oldest_allowed("m", 10.0) == 3
+    assert history.remaining_s("m", 3, 10.0) == float("inf")
+
+
+def test_restored_time_above_the_newest_goal_is_not_told(history, clock):
+    """Guards against peers that take an odd row for operators' weights."""
+    history.add(goals.WeightGoal("m", 3))
+    history.restore(goals.WeightGoal("m", 2**53), 10**9)
+    peer_history = goals.GoalHistory(clock)
+    peer = engine_weights.EngineWeights(peer_history, clock)
+    peer.consume("one", engine_weights.EngineWeights(history, clock).provide())
+    assert peer_history.newest["m"].version == 3
+
+
+def test_many_restored_times_displace_no_sound_one(history, clock):
+    """Guards against a goal that counts as new after a restart."""
+    history.restore(goals.WeightGoal("m", 3), 60.0)
+    for number in range(20_000):
+        history.restore(goals.WeightGoal("m", 100 + number), 60.0)
+    history.add(goals.WeightGoal("m", 3))
+    history.mark_read()
+    assert history.oldest_allowed("m", 10.0) == 3
+    assert len(history.restored) <= goals.MAX_RESTORED
+    history.add(goals.WeightGoal("m", 101))
+    assert history.oldest_allowed("m", 10.0) == 101
+
+
+def test_restored_times_of_former_goals_are_applied(history):
+    """The store names both weights before operators' documents are read."""
+    history.restore(goals.WeightGoal("m", 2), 30.0)
+    history.restore(goals.WeightGoal("m", 3), 5.0)
+    history.add(goals.WeightGoal("m", 3))
+    assert history.oldest_allowed("m", 10.0) == 2
+    assert history.oldest_allowed("m", 4.0) == 3
+    assert history.restored == {}
