--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -37,6 +37,13 @@
 # The platform defines these statuses as "nothing was done".
 NOT_EXECUTED_STATUSES = frozenset({429, 503, 507})
 MAX_PAGES = 1000
+# Of all pages of a topic.
+MAX_TOPIC_BYTES = 64 * 1024 * 1024
+# Positions are combined with the era, and told to peers in 64 bits.
+MAX_ERA = 1 << 22
+# An era that no answer has named for so long, while others named an earlier
+# one, was never in force.  No call takes as long.
+ERA_DISPROVED_S = 10.0
 log = structlog.get_logger("briarseam.platform")
 
 
@@ -70,6 +77,8 @@
         self.tally = tally or malformed.Tally()
         self.calls = 0
         self.latest_era: int | None = None
+        # Since when answers have named an earlier era, by the boot clock.
+        self.earlier_since_s: float | None = None
         self.lock = threading.Lock()
         self.move_to(address)
 
@@ -101,6 +110,8 @@
         asked_s = clocks.boot_clock()
         start: int | None = None
         after = ""
+        passed = {after}
+        size = 0
         for _page in range(MAX_PAGES):
             query = {"topic": topic, "part": "0"}
             if after:
@@ -113,14 +124,21 @@
                 raise records.StoreUnavailableError(
                     f"store was restored between two pages of {topic}"
                 )
+            size += len(response.data)
+            if size > MAX_TOPIC_BYTES:
+                raise records.StoreUnavailableError(
+                    f"{topic} has more than {MAX_TOPIC_BYTES} bytes"
+                )
             readable = self.decode_page(topic, page)
             found += readable
-            # The next page begins after the last valid key.  A page without
-            # one ends the read: it would be repeated endlessly.
-            last = readable[-1].key if readable else after
-            if not page.has_more or last == after:
+            # The next page begins after the last valid record, or after the
+            # last key if there is none.  A page without a new key ends the
+            # read: it would be repeated endlessly.
+            last = readable[-1].key if readable else last_key(page)
+            if not page.has_more or last is None or last in passed:
                 break
             after = last
+            passed.add(after)
         return records.KeyedBatch(tuple(found), start or 0, asked_s)
 
     def decode_page(
@@ -346,6 +364,10 @@
         era = response_era(response)
         if era is not None:
             self.record_era(era)
+        elif names.STORE_ERA in response.headers:
+            self.tally.note(
+                malformed.Kind.STORE_RECORD, names.STORE_ERA, "not an era"
+            )
         if response.status in accepted:
             return response
         raise records.StoreUnavailableError(
@@ -372,7 +394,13 @@
             If the answer is from before the store was restored.
         """
         with self.lock:
-            previous, self.latest_era = self.latest_era, max(era, self.era)
+            previous = self.latest_era
+            if self.is_era_disproved(era):
+                previous = None
+                self.latest_era = era
+                log.warning("store_era_corrected", era=era)
+            else:
+                self.latest_era = max(era, self.era)
         if previous is None or era == previous:
             return
         if era < previous:
@@ -382,6 +410,23 @@
             )
         log.warning("store_restored", era=era, former_era=previous)
 
+    def is_era_disproved(self, era: int) -> bool:
+        """Return whether an answer disproves the latest era.
+
+        Guard: one odd header would make this instance reject all further
+        answers.  Requires the lock.
+        """
+        if era >= self.era:
+            self.earlier_since_s = None
+            return False
+        now_s = clocks.boot_clock()
+        if self.earlier_since_s is None:
+            self.earlier_since_s = now_s
+        if now_s - self.earlier_since_s < ERA_DISPROVED_S:
+            return False
+        self.earlier_since_s = None
+        return True
+
     def decode_body(
         self,
         response: urllib3.BaseHTTPResponse,
@@ -396,6 +441,17 @@
             ) from error
 
 
+def last_key(page: store_answers.Newest) -> str | None:
+    """Return the last key of a page, also if its value is malformed."""
+    for row in reversed(page.items):
+        try:
+            return decoding.decode(bytes(row), store_answers.ItemKey).key
+        except decoding.MalformedError:
+            continue
+    return None
+
+
 def response_era(response: urllib3.BaseHTTPResponse) -> int | None:
-    """Return the era in an answer; ``None`` if it has none."""
-    return decoding.header_integer(response.headers.get(names.STORE_ERA))
+    """Return the era in an answer; ``None`` if it has no valid one."""
+    era = decoding.header_integer(response.headers.get(names.STORE_ERA))
+    return era if era is not None and era <= MAX_ERA else None
