Pause between reads of a store that answers at once

What operators would see: a store that answers all reads with 410, names another era or doesn't wait for a record is called 10,000 to 30,000 times a second by each reader of a cell and each follower, and a processor is busy.

Cause: only empty reads of followers had a pause, not restarts at the end of the topic, nor any read of the cell's readers.

The pause of 50 ms is that of followers; it follows a long poll, so that it delays changes little.

--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -18,7 +18,7 @@
 RETRY_S = 0.2
 MAX_RETRY_S = 0.8
 JITTER = 0.3
-# Minimum pause after a read that returned no records.
+# Minimum pause after a read that returned no records of its position.
 EMPTY_PAUSE_S = 0.05
 log = structlog.get_logger("briarseam.feeds")
 
@@ -116,8 +116,8 @@
     def next_pause_s(self) -> float:
         """Return the pause after a successful read, in seconds.
 
-        Guard: a store or reader that answers an empty read at once would
-        otherwise be polled in a busy loop.
+        Guard: a store or reader that answers an empty read at once, or that
+        any position has expired, would otherwise be polled in a busy loop.
         """
         return max(
             self.pause_s, EMPTY_PAUSE_S if self.last_batch_empty else 0.0
@@ -138,10 +138,12 @@
             # Records written after the backup may be missing for a while.
             self.listener.store_lost()
             self.next = None
+            self.last_batch_empty = True
             return
         except records.RecordsExpiredError as error:
             log.warning("records_expired", topic=self.topic, detail=str(error))
             self.next = None
+            self.last_batch_empty = True
             return
         self.deliver(self.listener.apply_changes, batch)
 
--- a/src/briarseam/feeds/topic_reader.py
+++ b/src/briarseam/feeds/topic_reader.py
@@ -15,6 +15,9 @@
 # Pause after a read that returned records, so that they come in batches.
 BATCH_PAUSE_S = 0.3
 RETRY_S = 0.4
+# Pause after a read without records: a store that doesn't wait for the first
+# one would be read in a busy loop.
+EMPTY_PAUSE_S = 0.05
 # Consecutive failed reads of a topic that count as an outage; a single one
 # may be a lost answer.
 OUTAGE_FAILURES = 2
@@ -125,10 +128,10 @@
             log.warning("records_expired", topic=self.topic, detail=str(error))
             return self.restart()
         self.cache.append(batch)
-        return BATCH_PAUSE_S if batch.records else 0.0
+        return BATCH_PAUSE_S if batch.records else EMPTY_PAUSE_S
 
     def restart(self) -> float:
         """Restart at the topic's end; return the pause before a read."""
         newest = self.store.newest(self.topic)
         self.cache.reset(newest.next, newest.complete_until_s)
-        return 0.0
+        return EMPTY_PAUSE_S
