Keep the parts of a store whose clock is odd

What operators would see: a store that reports clock_ms as text, null, a negative or a very large number counts as unavailable; all its parts are dropped, and engines process these prompts again.

Cause: the field was decoded with the whole answer. Now it is decoded by itself; a malformed one is counted (cache-row), and the store's clock is unknown, so that it doesn't say until when fetches go on and nothing is freed there. A time beyond 1e13 ms (year 2286) is malformed: it is in another unit.

Evidence: 10 cases of test_odd_clock_of_a_store_is_unknown_and_its_parts_hold failed before. Epochs, next numbers, starts and nested answers that are odd were errors of the store before and stay so (test_odd_answer_of_a_store_...): taken for another value they would name parts of another start.

--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -25,6 +25,11 @@
 OK = 200
 OK_BELOW = 300
 REMOVED_SIGN = "-"
+# A later time is not one in ms: it would be in the year 2286.
+MAX_CLOCK_MS = 1e13
+NO_CLOCK = msgspec.Raw(b"0")
+
+ClockMs = typing.Annotated[float, msgspec.Meta(ge=0, lt=MAX_CLOCK_MS)]
 
 
 class WireEvent(msgspec.Struct, array_like=True):
@@ -48,7 +53,7 @@
     # Unix time of the store's start, in ms; older stores omit it.
     born: decoding.Number = starts.UNKNOWN_MS
     # What the clock of all endpoints and stores shows.
-    clock_ms: decoding.Factor = store_index.UNKNOWN_CLOCK_MS
+    clock_ms: msgspec.Raw = NO_CLOCK
 
 
 class WirePart(msgspec.Struct, array_like=True):
@@ -69,7 +74,7 @@
     # Unix time of the store's start, in ms; older stores omit it.
     born: decoding.Number = starts.UNKNOWN_MS
     # What the clock of all endpoints and stores shows.
-    clock_ms: decoding.Factor = store_index.UNKNOWN_CLOCK_MS
+    clock_ms: msgspec.Raw = NO_CLOCK
 
 
 class CacheStoreClient:
@@ -108,7 +113,11 @@
             for row in self.decode_rows(address, wire.held, WirePart)
         )
         return store_index.Content(
-            wire.epoch, wire.next, parts, wire.born, wire.clock_ms
+            wire.epoch,
+            wire.next,
+            parts,
+            wire.born,
+            self.decode_clock(address, wire.clock_ms),
         )
 
     def changes(
@@ -141,9 +150,20 @@
             wire.lost,
             events,
             wire.born,
-            wire.clock_ms,
+            self.decode_clock(address, wire.clock_ms),
         )
 
+    def decode_clock(self, address: str, shown: msgspec.Raw) -> float:
+        """Return what a clock showed; unknown if that is malformed.
+
+        The content of the store is valid all the same.
+        """
+        try:
+            return decoding.decode(bytes(shown), ClockMs)
+        except decoding.MalformedError as error:
+            self.tally.note(malformed.Kind.CACHE_ROW, address, error)
+            return store_index.UNKNOWN_CLOCK_MS
+
     def decode_rows(
         self,
         address: str,
--- a/tests/platform/test_cache.py
+++ b/tests/platform/test_cache.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from briarseam import malformed
 from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.platform import cache
@@ -31,6 +32,15 @@
         self.data = msgspec.json.encode(document)
 
 
+class EncodedAnswer:
+    """Response of a store whose body is given."""
+
+    status = 200
+
+    def __init__(self, data):
+        self.data = data
+
+
 @pytest.fixture
 def client(monkeypatch):
     made = cache.CacheStoreClient()
@@ -122,3 +132,73 @@
     changes = client.changes(store.address, content.next, 0.0)
     after_ms = cache_store.clock_ms()
     assert before_ms <= content.clock_ms <= changes.clock_ms <= after_ms
+
+
+ODD_CLOCKS = [
+    pytest.param(b'"now"', id="text"),
+    pytest.param(b"-1", id="negative"),
+    pytest.param(b"null", id="null"),
+    pytest.param(b"true", id="boolean"),
+    pytest.param(b"[[[1]]]", id="list"),
+    pytest.param(b'{"ms":1}', id="object"),
+    pytest.param(b"1e13", id="beyond the year 2286"),
+    pytest.param(b"1e300", id="far ahead"),
+    pytest.param(b"1e400", id="infinite"),
+    pytest.param(b"9" * 6000, id="6000 digits"),
+]
+
+
+@pytest.mark.parametrize("shown", ODD_CLOCKS)
+def test_odd_clock_of_a_store_is_unknown_and_its_parts_hold(client, shown):
+    """Guards against dropping all parts of a store for a field that is odd."""
+    noted = []
+    client.tally = malformed.Tally(noted.append)
+    listed = b'{"epoch":1,"next":3,"held":[["s","b",100,"m"]],"clock_ms":%s}'
+    changed = (
+        b'{"epoch":1,"next":4,"events":[[3,"+","s","c",7,"m"]],"clock_ms":%s}'
+    )
+    client.answers = [
+        EncodedAnswer(listed % shown),
+        EncodedAnswer(changed % shown),
+    ]
+    content = client.content("127.0.0.1:1")
+    assert content.parts == (store_index.PartEvent("s", "b", 100),)
+    assert content.clock_ms == store_index.UNKNOWN_CLOCK_MS
+    changes = client.changes("127.0.0.1:1", 3, 0.0)
+    assert changes.events == (store_index.PartEvent("s", "c", 7),)
+    assert changes.clock_ms == store_index.UNKNOWN_CLOCK_MS
+    assert noted == [malformed.Kind.CACHE_ROW] * 2
+
+
+def test_store_without_a_clock_is_sound(client):
+    noted = []
+    client.tally = malformed.Tally(noted.append)
+    client.answers = [Answer({"epoch": 1, "next": 3})]
+    content = client.content("127.0.0.1:1")
+    assert content.clock_ms == store_index.UNKNOWN_CLOCK_MS
+    assert not noted
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param(b'"epoch":-1,"next":3', id="epoch negative"),
+        pytest.param(b'"epoch":1e300,"next":3', id="epoch too large"),
+        pytest.param(
+            b'"epoch":1,"next":9007199254740993', id="next too large"
+        ),
+        pytest.param(b'"epoch":1,"next":%s' % (b"9" * 6000), id="digits"),
+        pytest.param(b'"epoch":1,"next":3,"clock_ms":NaN', id="NaN"),
+        pytest.param(b'"epoch":1,"next":3,"born":"x"', id="born as text"),
+        pytest.param(
+            b'"epoch":1,"next":3,"clock_ms":' + b"[" * 10**6, id="nested"
+        ),
+    ],
+)
+def test_odd_answer_of_a_store_is_an_error(client, fields):
+    """Guards against an error that ends the thread following the store."""
+    client.answers = [EncodedAnswer(b"{" + fields + b"}")] * 2
+    with pytest.raises(store_watch.StoreUnavailableError):
+        client.content("127.0.0.1:1")
+    with pytest.raises(store_watch.StoreUnavailableError):
+        client.changes("127.0.0.1:1", 3, 0.0)
