Use sound entries after a start time far in the future

What callers would see: after one entry (or report) of an endpoint with a start time far in the future, say in microseconds, all its sound entries count as those of an earlier start ("entry_outdated"). It is never used at its new address, or gets requests although it is leaving, until the instance is restarted.

Cause: the newest start time that any update named holds for ever, whatever it is. Now one more than a week ahead of this machine's clock counts only while no other is known. Where this clock is wrong, all are alike, and the order is as before.

Evidence: test_start_far_in_the_future_does_not_hide_later_entries failed before (the entry of the odd start was returned).

--- a/src/briarseam/discovery/starts.py
+++ b/src/briarseam/discovery/starts.py
@@ -4,6 +4,8 @@
 
 import collections
 import dataclasses
+import time
+import typing
 
 # Separates name and start time in the id of a start.
 SEPARATOR = "@"
@@ -14,6 +16,9 @@
 MAX_NAMES = 5000
 # Of a start time; that of a sound one has 13 digits.
 MAX_DIGITS = 16
+# Clocks of endpoints may be ahead of that of this machine, but not by more.
+MAX_AHEAD_MS = 7 * 24 * 3600 * 1000
+MS = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +60,19 @@
     return Start(name, int(born))
 
 
+def is_plausible(born_ms: int, wall_s: float) -> bool:
+    """Return whether a start time is not far in the future.
+
+    Parameters
+    ----------
+    born_ms
+        The start time.
+    wall_s
+        Seconds since the epoch.
+    """
+    return born_ms <= wall_s * MS + MAX_AHEAD_MS
+
+
 class RecentIds:
     """Ids of starts, of which the newest are retained; not thread-safe."""
 
@@ -79,9 +97,17 @@
 
     Endpoints that are gone are included, since an entry that a start wrote
     before it died may reach the store seconds later.
+
+    Parameters
+    ----------
+    wall_clock
+        Seconds since the epoch.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, wall_clock: typing.Callable[[], float] = time.time
+    ) -> None:
+        self.wall_clock = wall_clock
         self.born_ms: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -92,14 +118,23 @@
         An update without a start time applies to the newest start: its
         writer does not report start times, so it indicates no restart.
         Returns ``None`` if a newer start is known.
+
+        Guard: after one start time that is far in the future, all others
+        would count as earlier ones.  It counts only while there is no other.
         """
         newest_ms = self.born_ms.get(start.name, UNKNOWN_MS)
         if start.born_ms == UNKNOWN_MS:
             return Start(start.name, newest_ms)
-        if start.born_ms < newest_ms:
+        if self.rank(start.born_ms) < self.rank(newest_ms):
             return None
         self.born_ms[start.name] = start.born_ms
         self.born_ms.move_to_end(start.name)
         while len(self.born_ms) > MAX_NAMES:
             self.born_ms.popitem(last=False)
         return start
+
+    def rank(self, born_ms: int) -> tuple[bool, int]:
+        """Return the order of a start time; plausible ones come last."""
+        if born_ms == UNKNOWN_MS:
+            return False, born_ms
+        return is_plausible(born_ms, self.wall_clock()), born_ms
--- a/tests/discovery/test_foreign_entries.py
+++ b/tests/discovery/test_foreign_entries.py
@@ -176,3 +176,33 @@
 def test_spaces_around_an_address_are_ignored(endpoints):
     endpoints.apply_all([change("a", encoded(address=" 127.0.0.1:8080 "))])
     assert [item.address for item in endpoints.all()] == [GOOD["address"]]
+
+
+@pytest.mark.parametrize("odd", [2**53, 10**16 // 2])
+def test_start_far_in_the_future_does_not_hide_later_entries(endpoints, odd):
+    """Guards against an endpoint that is out for ever after one odd entry.
+
+    Its sound entries would all count as those of an earlier start.
+    """
+    sound = 1_700_000_000_000
+    endpoints.apply_changes([change("a", encoded(born=odd))])
+    endpoints.apply_changes(
+        [change("a", encoded(born=sound, address="127.0.0.1:9"))]
+    )
+    (found,) = endpoints.serving("portal")
+    assert found.start.born_ms == sound
+    assert found.address == "127.0.0.1:9"
+    endpoints.apply_changes(
+        [change("a", encoded(born=sound, state="draining"))]
+    )
+    assert not endpoints.serving("portal")
+
+
+@pytest.mark.parametrize("seq", [2**53, 10**300, -1, 0])
+def test_sequence_number_of_an_entry_hides_no_later_one(endpoints, seq):
+    """Guards against one huge number that outdates all later entries."""
+    endpoints.apply_changes([change("a", encoded(seq=seq))])
+    endpoints.apply_changes([change("a", encoded(seq=1, state="draining"))])
+    assert not endpoints.serving("portal")
+    endpoints.apply_changes([change("a", encoded(seq=2))])
+    assert ids(endpoints) == ["a"]
--- a/tests/discovery/test_starts.py
+++ b/tests/discovery/test_starts.py
@@ -73,3 +73,29 @@
     """Python refuses to convert numbers of so many digits."""
     text = "a@" + "9" * 5000
     assert starts.parse(text) == starts.Start(text)
+
+
+NOW_MS = 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    "odd_ms", [NOW_MS * 1000, 2**53, NOW_MS + 30 * 24 * 3600 * 1000]
+)
+def test_start_far_in_the_future_does_not_hide_later_ones(odd_ms):
+    """Guards against an endpoint that is out for ever after one odd entry."""
+    newest = starts.NewestStarts(lambda: NOW_MS / 1000)
+    sound = starts.Start("a", NOW_MS)
+    assert newest.resolve(starts.Start("a", odd_ms)).born_ms == odd_ms
+    assert newest.resolve(sound) == sound
+    assert newest.resolve(starts.Start("a", odd_ms)) is None
+    assert newest.resolve(starts.Start("a", NOW_MS - 1)) is None
+    assert newest.resolve(starts.Start("a")) == sound
+
+
+def test_starts_are_in_order_where_the_own_clock_is_behind():
+    """Guards against a wrong clock of this machine that changes the order."""
+    newest = starts.NewestStarts(lambda: 0.0)
+    newest.resolve(starts.Start("a", NOW_MS))
+    assert newest.resolve(starts.Start("a", NOW_MS - 1)) is None
+    later = starts.Start("a", NOW_MS + 1)
+    assert newest.resolve(later) == later
