Read a store of KV cache on after a start time far in the future

What operators would see: after one answer of a store with a start time far in the future, all its later answers count as those of a former start; its parts are not known any more until the instance is restarted.

Cause: the index keeps the latest start time that any answer named.

Evidence: test_start_far_in_the_future_does_not_hide_later_answers failed before (no part known). An epoch and next numbers that are huge and go back were taken as another start before (test_numbers_that_go_back_...).

--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import time
 import typing
 
 import msgspec
@@ -116,7 +117,7 @@
             wire.epoch,
             wire.next,
             parts,
-            wire.born,
+            self.check_start(address, wire.born),
             self.decode_clock(address, wire.clock_ms),
         )
 
@@ -149,10 +150,22 @@
             wire.next,
             wire.lost,
             events,
-            wire.born,
+            self.check_start(address, wire.born),
             self.decode_clock(address, wire.clock_ms),
         )
 
+    def check_start(self, address: str, born_ms: int) -> int:
+        """Return the start time of a store; unknown if far in the future.
+
+        Guard: all later answers would count as those of a former start.
+        """
+        if starts.is_plausible(born_ms, time.time()):
+            return born_ms
+        self.tally.note(
+            malformed.Kind.CACHE_ROW, address, f"start at {born_ms} ms"
+        )
+        return starts.UNKNOWN_MS
+
     def decode_clock(self, address: str, shown: msgspec.Raw) -> float:
         """Return what a clock showed; unknown if that is malformed.
 
--- a/tests/platform/test_cache.py
+++ b/tests/platform/test_cache.py
@@ -6,9 +6,11 @@
 import pytest
 
 from briarseam import malformed
+from briarseam.placement import kept
 from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.platform import cache
+from briarseam.routes import model as routes
 from tests.platform import cache_store
 
 BAD_ROWS = [
@@ -202,3 +204,37 @@
         client.content("127.0.0.1:1")
     with pytest.raises(store_watch.StoreUnavailableError):
         client.changes("127.0.0.1:1", 3, 0.0)
+
+
+@pytest.mark.parametrize("odd", [2**53, 1_700_000_000_000_000])
+def test_start_far_in_the_future_does_not_hide_later_answers(client, odd):
+    """Guards against a store that is never read again after one odd answer."""
+    client.answers = [
+        Answer({"epoch": 1, "next": 3, "born": odd}),
+        Answer(
+            {"epoch": 1, "next": 3, "born": 7, "held": [["s", "b", 1, "m"]]}
+        ),
+        Answer({"epoch": 1, "next": 4, "born": 7}),
+    ]
+    index = kept.KeptIndex()
+    index.set_stores([routes.StoreTraits("s1", "a", 1000, 10.0, 0.0, False)])
+    index.apply_content("s1", client.content("s1"))
+    index.apply_content("s1", client.content("s1"))
+    assert index.stores["s1"].held == {("s", "b"): 1}
+    assert index.apply_changes("s1", client.changes("s1", 3, 0.0))
+
+
+def test_numbers_that_go_back_name_another_start(client):
+    """The epoch of a store goes back, and the number to go on from."""
+    client.answers = [
+        Answer({"epoch": 2**53, "next": 2**53, "held": [["s", "b", 1, "m"]]}),
+        Answer({"epoch": 1, "next": 0}),
+        Answer({"epoch": 1, "next": 0, "held": [["s", "c", 1, "m"]]}),
+    ]
+    index = kept.KeptIndex()
+    index.set_stores([routes.StoreTraits("s1", "a", 1000, 10.0, 0.0, False)])
+    index.apply_content("s1", client.content("s1"))
+    assert not index.apply_changes("s1", client.changes("s1", 2**53, 0.0))
+    assert not index.stores["s1"].held
+    index.apply_content("s1", client.content("s1"))
+    assert index.stores["s1"].held == {("s", "c"): 1}
