Refuse weight goals whose model can't be the key of a record

What callers would see: after another writer left a goal for a model whose name has more than 255 bytes in the operators' topic, the times of no goal of a model later in the alphabet are stored ("goal_times_failed", twice a second); after a restart of all instances goals count as new, and requests run on replaced weights again.

Cause: the name is the key of the stored times, and a key has one byte for its length: encode_keyed raised ValueError in the loop over all models. Now such a goal is malformed (operator-document), as one with an empty name.

Evidence: test_goal_whose_model_is_no_key_is_malformed, 4 cases, failed before.

--- a/src/briarseam/platform/configuration.py
+++ b/src/briarseam/platform/configuration.py
@@ -22,6 +22,9 @@
 }
 
 
+# A model is the key of a record as well, which has at most 255 bytes.
+MAX_MODEL_BYTES = 255 - len(names.VERSION_KEY_PREFIX)
+
 # An empty name would exclude every region without saying so.
 Region = typing.Annotated[decoding.Text, msgspec.Meta(min_length=1)]
 
@@ -273,4 +276,6 @@
         If the document does not have its documented form.
     """
     wire = decoding.decode(data, WireVersion)
+    if not 0 < len(wire.model.encode()) <= MAX_MODEL_BYTES:
+        raise decoding.MalformedError("model is empty or too long")
     return goals.WeightGoal(wire.model, wire.version)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -15,6 +15,7 @@
 from briarseam.platform import documents
 from briarseam.platform import endpoints
 from briarseam.platform import engines
+from briarseam.platform import framing
 from briarseam.routes import following
 from tests import clocks
 from tests.platform import damage
@@ -176,3 +177,29 @@
     )
     assert feed.current().configuration.version == decoding.MAX_NUMBER
     assert feed.goals.newest["z"].version == 4
+
+
+@pytest.mark.parametrize(
+    "model",
+    [
+        pytest.param("", id="empty"),
+        pytest.param("m" * 248, id="too long"),
+        pytest.param("\N{SNOWMAN}" * 83, id="too many bytes"),
+        pytest.param("m" * 10**6, id="a megabyte"),
+    ],
+)
+def test_goal_whose_model_is_no_key_is_malformed(model):
+    """Guards against goals whose times can't be stored.
+
+    The attempt would fail before those of all other models are.
+    """
+    with pytest.raises(decoding.MalformedError):
+        configuration.decode_weight_goal(
+            json.dumps({"model": model, "version": 1}).encode()
+        )
+
+
+def test_goal_of_a_model_with_a_long_name_is_decoded():
+    data = json.dumps({"model": "m" * 247, "version": 1}).encode()
+    goal = configuration.decode_weight_goal(data)
+    assert framing.encode_keyed(goal.model, b"1")
