Go on competing for the leadership after an unexpected error

What operators would see: no new weights are ordered any more by an instance whose thread of the election has ended.

Cause: the thread caught StoreUnavailableError only, unlike the others that call the store. No answer is known that raises another one since generations are bounded (30 digits did in the next call); this is the guard of the other threads.

Evidence: test_unexpected_error_does_not_end_the_thread failed before.

--- a/src/briarseam/weights/leader.py
+++ b/src/briarseam/weights/leader.py
@@ -187,6 +187,9 @@
                 self.update_membership()
             except records.StoreUnavailableError as error:
                 log.info("duty_not_renewed", detail=str(error))
+            except Exception:
+                # Without the thread, this instance would never lead again.
+                log.exception("duty_failed")
             self.stopping.wait(JOIN_INTERVAL_S)
 
     def update_membership(self) -> None:
--- a/tests/weights/test_leader.py
+++ b/tests/weights/test_leader.py
@@ -3,6 +3,7 @@
 import pytest
 
 from briarseam.feeds import records
+from briarseam.testing import waiting
 from briarseam.weights import leader
 from tests import clocks
 
@@ -150,3 +151,25 @@
     group.join = stop_during_call
     leadership.join_once()
     assert leadership.grant is None
+
+
+def test_unexpected_error_does_not_end_the_thread(
+    leadership, group, monkeypatch
+):
+    """Guards against weights that nobody orders after one odd answer."""
+    monkeypatch.setattr(leader, "JOIN_INTERVAL_S", 0.01)
+    failures = [RecursionError(), KeyError("x")]
+    join = group.join
+
+    def fail_first(*arguments):
+        if failures:
+            raise failures.pop()
+        return join(*arguments)
+
+    monkeypatch.setattr(group, "join", fail_first)
+    group.share = records.GroupShare(5, OWN_PARTS)
+    leadership.start()
+    try:
+        waiting.until(leadership.is_held, 5)
+    finally:
+        leadership.stop()
