--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import time
 import typing
 
 import msgspec
@@ -25,6 +26,11 @@
 OK = 200
 OK_BELOW = 300
 REMOVED_SIGN = "-"
+# A later time is not one in ms: it would be in the year 2286.
+MAX_CLOCK_MS = 1e13
+NO_CLOCK = msgspec.Raw(b"0")
+
+ClockMs = typing.Annotated[float, msgspec.Meta(ge=0, lt=MAX_CLOCK_MS)]
 
 
 class WireEvent(msgspec.Struct, array_like=True):
@@ -48,7 +54,7 @@
     # Unix time of the store's start, in ms; older stores omit it.
     born: decoding.Number = starts.UNKNOWN_MS
     # What the clock of all endpoints and stores shows.
-    clock_ms: decoding.Factor = store_index.UNKNOWN_CLOCK_MS
+    clock_ms: msgspec.Raw = NO_CLOCK
 
 
 class WirePart(msgspec.Struct, array_like=True):
@@ -69,7 +75,7 @@
     # Unix time of the store's start, in ms; older stores omit it.
     born: decoding.Number = starts.UNKNOWN_MS
     # What the clock of all endpoints and stores shows.
-    clock_ms: decoding.Factor = store_index.UNKNOWN_CLOCK_MS
+    clock_ms: msgspec.Raw = NO_CLOCK
 
 
 class CacheStoreClient:
@@ -108,7 +114,11 @@
             for row in self.decode_rows(address, wire.held, WirePart)
         )
         return store_index.Content(
-            wire.epoch, wire.next, parts, wire.born, wire.clock_ms
+            wire.epoch,
+            wire.next,
+            parts,
+            self.check_start(address, wire.born),
+            self.decode_clock(address, wire.clock_ms),
         )
 
     def changes(
@@ -140,9 +150,32 @@
             wire.next,
             wire.lost,
             events,
-            wire.born,
-            wire.clock_ms,
+            self.check_start(address, wire.born),
+            self.decode_clock(address, wire.clock_ms),
+        )
+
+    def check_start(self, address: str, born_ms: int) -> int:
+        """Return the start time of a store; unknown if far in the future.
+
+        Guard: all later answers would count as those of a former start.
+        """
+        if starts.is_plausible(born_ms, time.time()):
+            return born_ms
+        self.tally.note(
+            malformed.Kind.CACHE_ROW, address, f"start at {born_ms} ms"
         )
+        return starts.UNKNOWN_MS
+
+    def decode_clock(self, address: str, shown: msgspec.Raw) -> float:
+        """Return what a clock showed; unknown if that is malformed.
+
+        The content of the store is valid all the same.
+        """
+        try:
+            return decoding.decode(bytes(shown), ClockMs)
+        except decoding.MalformedError as error:
+            self.tally.note(malformed.Kind.CACHE_ROW, address, error)
+            return store_index.UNKNOWN_CLOCK_MS
 
     def decode_rows(
         self,
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -106,6 +106,7 @@
         self.readings += 1
         self.named = {}
         self.apply_changes(changes)
+        self.goals.mark_read()
 
     def apply_changes(
         self, changes: collections.abc.Sequence[records.KeyedRecord]
--- a/tests/platform/test_cache.py
+++ b/tests/platform/test_cache.py
@@ -5,9 +5,12 @@
 import msgspec
 import pytest
 
+from briarseam import malformed
+from briarseam.placement import kept
 from briarseam.placement import store_index
 from briarseam.placement import store_watch
 from briarseam.platform import cache
+from briarseam.routes import model as routes
 from tests.platform import cache_store
 
 BAD_ROWS = [
@@ -31,6 +34,15 @@
         self.data = msgspec.json.encode(document)
 
 
+class EncodedAnswer:
+    """Response of a store whose body is given."""
+
+    status = 200
+
+    def __init__(self, data):
+        self.data = data
+
+
 @pytest.fixture
 def client(monkeypatch):
     made = cache.CacheStoreClient()
@@ -122,3 +134,107 @@
     changes = client.changes(store.address, content.next, 0.0)
     after_ms = cache_store.clock_ms()
     assert before_ms <= content.clock_ms <= changes.clock_ms <= after_ms
+
+
+ODD_CLOCKS = [
+    pytest.param(b'"now"', id="text"),
+    pytest.param(b"-1", id="negative"),
+    pytest.param(b"null", id="null"),
+    pytest.param(b"true", id="boolean"),
+    pytest.param(b"[[[1]]]", id="list"),
+    pytest.param(b'{"ms":1}', id="object"),
+    pytest.param(b"1e13", id="beyond the year 2286"),
+    pytest.param(b"1e300", id="far ahead"),
+    pytest.param(b"1e400", id="infinite"),
+    pytest.param(b"9" * 6000, id="6000 digits"),
+]
+
+
+@pytest.mark.parametrize("shown", ODD_CLOCKS)
+def test_odd_clock_of_a_store_is_unknown_and_its_parts_hold(client, shown):
+    """Guards against dropping all parts of a store for a field that is odd."""
+    noted = []
+    client.tally = malformed.Tally(noted.append)
+    listed = b'{"epoch":1,"next":3,"held":[["s","b",100,"m"]],"clock_ms":%s}'
+    changed = (
+        b'{"epoch":1,"next":4,"events":[[3,"+","s","c",7,"m"]],"clock_ms":%s}'
+    )
+    client.answers = [
+        EncodedAnswer(listed % shown),
+        EncodedAnswer(changed % shown),
+    ]
+    content = client.content("127.0.0.1:1")
+    assert content.parts == (store_index.PartEvent("s", "b", 100),)
+    assert content.clock_ms == store_index.UNKNOWN_CLOCK_MS
+    changes = client.changes("127.0.0.1:1", 3, 0.0)
+    assert changes.events == (store_index.PartEvent("s", "c", 7),)
+    assert changes.clock_ms == store_index.UNKNOWN_CLOCK_MS
+    assert noted == [malformed.Kind.CACHE_ROW] * 2
+
+
+def test_store_without_a_clock_is_sound(client):
+    noted = []
+    client.tally = malformed.Tally(noted.append)
+    client.answers = [Answer({"epoch": 1, "next": 3})]
+    content = client.content("127.0.0.1:1")
+    assert content.clock_ms == store_index.UNKNOWN_CLOCK_MS
+    assert not noted
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param(b'"epoch":-1,"next":3', id="epoch negative"),
+        pytest.param(b'"epoch":1e300,"next":3', id="epoch too large"),
+        pytest.param(
+            b'"epoch":1,"next":9007199254740993', id="next too large"
+        ),
+        pytest.param(b'"epoch":1,"next":%s' % (b"9" * 6000), id="digits"),
+        pytest.param(b'"epoch":1,"next":3,"clock_ms":NaN', id="NaN"),
+        pytest.param(b'"epoch":1,"next":3,"born":"x"', id="born as text"),
+        pytest.param(
+            b'"epoch":1,"next":3,"clock_ms":' + b"[" * 10**6, id="nested"
+        ),
+    ],
+)
+def test_odd_answer_of_a_store_is_an_error(client, fields):
+    """Guards against an error that ends the thread following the store."""
+    client.answers = [EncodedAnswer(b"{" + fields + b"}")] * 2
+    with pytest.raises(store_watch.StoreUnavailableError):
+        client.content("127.0.0.1:1")
+    with pytest.raises(store_watch.StoreUnavailableError):
+        client.changes("127.0.0.1:1", 3, 0.0)
+
+
+@pytest.mark.parametrize("odd", [2**53, 1_700_000_000_000_000])
+def test_start_far_in_the_future_does_not_hide_later_answers(client, odd):
+    """Guards against a store that is never read again after one odd answer."""
+    client.answers = [
+        Answer({"epoch": 1, "next": 3, "born": odd}),
+        Answer(
+            {"epoch": 1, "next": 3, "born": 7, "held": [["s", "b", 1, "m"]]}
+        ),
+        Answer({"epoch": 1, "next": 4, "born": 7}),
+    ]
+    index = kept.KeptIndex()
+    index.set_stores([routes.StoreTraits("s1", "a", 1000, 10.0, 0.0, False)])
+    index.apply_content("s1", client.content("s1"))
+    index.apply_content("s1", client.content("s1"))
+    assert index.stores["s1"].held == {("s", "b"): 1}
+    assert index.apply_changes("s1", client.changes("s1", 3, 0.0))
+
+
+def test_numbers_that_go_back_name_another_start(client):
+    """The epoch of a store goes back, and the number to go on from."""
+    client.answers = [
+        Answer({"epoch": 2**53, "next": 2**53, "held": [["s", "b", 1, "m"]]}),
+        Answer({"epoch": 1, "next": 0}),
+        Answer({"epoch": 1, "next": 0, "held": [["s", "c", 1, "m"]]}),
+    ]
+    index = kept.KeptIndex()
+    index.set_stores([routes.StoreTraits("s1", "a", 1000, 10.0, 0.0, False)])
+    index.apply_content("s1", client.content("s1"))
+    assert not index.apply_changes("s1", client.changes("s1", 2**53, 0.0))
+    assert not index.stores["s1"].held
+    index.apply_content("s1", client.content("s1"))
+    assert index.stores["s1"].held == {("s", "c"): 1}
--- a/tests/routes/test_following.py
+++ b/tests/routes/test_following.py
@@ -7,6 +7,7 @@
 from briarseam.feeds import records
 from briarseam.platform import documents
 from briarseam.routes import following
+from briarseam.weights import goals
 
 
 @pytest.fixture
@@ -118,3 +119,11 @@
     assert feed.readings == 1
     feed.apply_all([change("config", version=5)])
     assert feed.readings == 2
+
+
+def test_weights_that_operators_do_not_name_exclude_none(feed):
+    """Another writer has left the time of weights that were never set."""
+    feed.goals.restore(goals.WeightGoal("a", 2**53), 1000.0)
+    feed.apply_all([change("version/a", model="a", version=3)])
+    assert feed.goals.oldest_allowed("a", 0.0) == 3
+    assert feed.goals.newest["a"].version == 3
