Continue unknown streams only on entries read since they were asked for

An instance that was cut off from the store or suspended while endpoints of a new software version joined took the version that it had read for the only one. Streams that had begun at the new version through other instances went on there at the former version.

A stream of unknown origin now waits for a read of the endpoints' entries that covers the arrival of the request; whatever began the stream had an entry by then. The wait takes up to 2.5 s, usually the rest of a pause between two reads, and ends at once while the store does not answer. The minute before counts only if each entry in it was read: reading the newest entries alone begins it anew. It is counted back from the arrival, so that a suspension during the wait hides no version.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -247,7 +247,9 @@
             self.metrics,
         )
         self.losses = self.crashes.losses
-        self.software = software.SoftwareHistory(registry.all)
+        self.software = software.SoftwareHistory(
+            registry.all, self.feeds.endpoint_reads
+        )
         self.origins = origin_exchange.OriginExchange(
             origin_memory.OriginMemory(),
             settings.instance.name,
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -63,7 +63,8 @@
     registrations
         Instances of this system.
     followers
-        The threads that follow the topics; the operators' first.
+        The threads that follow the topics; the operators' first, then
+        the endpoints'.
     reads
         Reads the topics, also for other instances.
     """
@@ -84,6 +85,11 @@
         for follower in self.followers:
             follower.stop()
 
+    @property
+    def endpoint_reads(self) -> following.Follower:
+        """The follower of the endpoints' entries."""
+        return self.followers[1]
+
     def engines_of(self, model: str) -> list[discovery.Endpoint]:
         """Return the engines that serve a model and are not leaving."""
         return [
--- a/src/briarseam/discovery/software.py
+++ b/src/briarseam/discovery/software.py
@@ -12,6 +12,23 @@
 
 # Callers take a stream up within such a time of its first event.
 LOOKBACK_S = 60.0
+# A long poll of the entries, the pause after it and one more read.
+CONFIRM_WAIT_S = 2.5
+
+
+class EntryReads(typing.Protocol):
+    """Reads of the endpoints' entries at the store.
+
+    Attributes
+    ----------
+    continuous_since_s
+        Since when each entry that was written was read.
+    """
+
+    continuous_since_s: float
+
+    def await_complete(self, until_s: float, timeout_s: float) -> bool:
+        """Wait for all entries until a time; return whether they are read."""
 
 
 class SoftwareHistory:
@@ -21,16 +38,20 @@
     ----------
     endpoints
         Returns all endpoints that have an entry.
+    reads
+        Reads of the entries; by the same clock.
     clock
-        Seconds.
+        Seconds; goes on while the process is suspended.
     """
 
     def __init__(
         self,
         endpoints: typing.Callable[[], list[model.Endpoint]],
+        reads: EntryReads,
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
         self.endpoints = endpoints
+        self.reads = reads
         self.clock = clock
         self.seen_s: dict[str, dict[str | None, float]] = {}
         self.since_s: dict[str, float] = {}
@@ -52,15 +73,45 @@
             versions.add(endpoint.software)
         return max(map(len, by_service.values()), default=0)
 
-    def is_complete(self, service: str) -> bool:
-        """Return whether a service was observed for the whole time."""
+    def is_complete(self, service: str, at_s: float | None = None) -> bool:
+        """Return whether all entries of a service within the time were read.
+
+        Parameters
+        ----------
+        service
+            The service.
+        at_s
+            When the time ends; now, if it is not given.
+        """
         with self.lock:
             since_s = self.since_s.get(service, float("inf"))
-        return since_s <= self.clock() - LOOKBACK_S
+        since_s = max(since_s, self.reads.continuous_since_s)
+        return since_s <= self.oldest_s(at_s)
+
+    def oldest_s(self, at_s: float | None) -> float:
+        """Return when the time that counts begins."""
+        return (self.clock() if at_s is None else at_s) - LOOKBACK_S
+
+    def await_read(self, until_s: float, time_left_s: float | None) -> bool:
+        """Wait for all entries until a time; return whether they are read."""
+        wait_s = CONFIRM_WAIT_S
+        if time_left_s is not None:
+            wait_s = max(0.0, min(wait_s, time_left_s))
+        return self.reads.await_complete(until_s, wait_s)
+
+    def only_version(
+        self, service: str, at_s: float | None = None
+    ) -> str | None:
+        """Return the only version seen within the time, if there is one.
 
-    def only_version(self, service: str) -> str | None:
-        """Return the only version seen within the time, if there is one."""
-        oldest_s = self.clock() - LOOKBACK_S
+        Parameters
+        ----------
+        service
+            The service.
+        at_s
+            When the time ends; now, if it is not given.
+        """
+        oldest_s = self.oldest_s(at_s)
         with self.lock:
             versions = {
                 version
--- a/src/briarseam/feeds/following.py
+++ b/src/briarseam/feeds/following.py
@@ -8,6 +8,7 @@
 import structlog
 
 from briarseam import backoff
+from briarseam import clocks
 from briarseam.feeds import records
 
 if typing.TYPE_CHECKING:
@@ -59,8 +60,14 @@
     Attributes
     ----------
     complete_until_s
-        Until when all changes of the topic are known to be delivered, by the
-        boot clock.
+        Until when the last batch is known to have all changes, by the boot
+        clock.
+    read_until_s
+        The latest time until which all changes were delivered, by the same
+        clock.
+    continuous_since_s
+        Since when each change was delivered, also those of keys that were
+        deleted later; by the same clock.
     """
 
     def __init__(
@@ -80,6 +87,10 @@
         self.available = True
         self.last_batch_empty = False
         self.complete_until_s = records.NEVER_S
+        self.read_until_s = records.NEVER_S
+        self.continuous_since_s = float("inf")
+        self.waiters = 0
+        self.changed = threading.Condition()
         self.stopping = threading.Event()
         self.thread = threading.Thread(
             target=self.run, name=f"follow-{topic}", daemon=True
@@ -127,6 +138,7 @@
         """Read new records, or all content if no offset is known."""
         if self.next is None:
             batch = self.store.newest(self.topic)
+            self.continuous_since_s = clocks.boot_clock()
             self.deliver(self.listener.apply_all, batch)
             return
         try:
@@ -150,9 +162,36 @@
 
         While the store is unavailable, a read may hang until its timeout.
         A long poll could still hang after the store's return and delay
-        changes by seconds.
+        changes by seconds, as it would a thread that waits for a complete
+        read.
         """
-        return self.wait_s if self.available else 0.0
+        return self.wait_s if self.available and not self.waiters else 0.0
+
+    def await_complete(self, until_s: float, timeout_s: float) -> bool:
+        """Wait until all changes until a time are delivered.
+
+        Parameters
+        ----------
+        until_s
+            The time, by the boot clock.
+        timeout_s
+            How long to wait at most, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether they are; ``False`` at once while the store is away.
+        """
+        with self.changed:
+            self.waiters += 1
+            try:
+                self.changed.wait_for(
+                    lambda: self.read_until_s >= until_s or not self.available,
+                    timeout_s,
+                )
+            finally:
+                self.waiters -= 1
+            return self.read_until_s >= until_s
 
     def deliver(
         self,
@@ -167,15 +206,21 @@
         except Exception:
             # A record that can't be applied must not block later ones.
             log.exception("records_not_taken", topic=self.topic)
+            self.continuous_since_s = clocks.boot_clock()
         self.next = batch.next
-        self.complete_until_s = batch.complete_until_s
         self.last_batch_empty = not batch.records
+        with self.changed:
+            self.complete_until_s = batch.complete_until_s
+            self.read_until_s = max(self.read_until_s, batch.complete_until_s)
+            self.changed.notify_all()
 
     def record_store_lost(self, detail: str) -> None:
         """Record that the store does not answer; log it once."""
         if self.available:
             log.warning("store_lost", topic=self.topic, detail=detail)
-        self.available = False
+        with self.changed:
+            self.available = False
+            self.changed.notify_all()
         self.listener.store_lost()
 
     def record_store_regained(self) -> None:
--- a/src/briarseam/forwarding/stream_origins.py
+++ b/src/briarseam/forwarding/stream_origins.py
@@ -74,7 +74,7 @@
 
     def find(self, call: calls.Call, service: str) -> str | None:
         """Return the software version that began a caller's stream."""
-        version, source = self.look_up(call.resumes, service)
+        version, source = self.look_up(call.resumes, service, call.time_left_s)
         self.taken_up.labelled(source.value).add()
         log.info(
             "stream_taken_up",
@@ -86,23 +86,53 @@
         )
         return version
 
-    def look_up(self, stream: str, service: str) -> tuple[str | None, Source]:
-        """Return the version that began a stream, and how it is known.
-
-        A stream that began before this instance observed the service may
-        have begun at a version that is gone.
-        """
+    def look_up(
+        self, stream: str, service: str, time_left_s: float | None = None
+    ) -> tuple[str | None, Source]:
+        """Return the version that began a stream, and how it is known."""
+        asked_s = self.history.clock()
         if stream:
             origin = self.exchange.find(stream)
             if origin is not None and origin.service == service:
                 return origin.software, Source.ORIGIN
             if origin is not None:
                 return None, Source.OTHER_SERVICE
-            if not self.history.is_complete(service):
-                return None, Source.NONE
-        version = self.history.only_version(service)
+        version = self.only_version(stream, service, asked_s)
+        if version is not None:
+            version = self.confirmed_version(
+                stream, service, asked_s, time_left_s
+            )
         return version, Source.NONE if version is None else Source.ONLY_VERSION
 
+    def only_version(
+        self, stream: str, service: str, at_s: float
+    ) -> str | None:
+        """Return the only version that began a stream, as far as is known.
+
+        A stream that began before this instance observed the service may
+        have begun at a version that is gone.
+        """
+        if stream and not self.history.is_complete(service, at_s):
+            return None
+        return self.history.only_version(service, at_s)
+
+    def confirmed_version(
+        self,
+        stream: str,
+        service: str,
+        asked_s: float,
+        time_left_s: float | None,
+    ) -> str | None:
+        """Return the only version once no other can have begun a stream.
+
+        Endpoints of another version may have joined since the last read, and
+        have begun the stream through another instance.  A later suspension
+        does no harm: what joins after the caller asked did not begin it.
+        """
+        if not self.history.await_read(asked_s, time_left_s):
+            return None
+        return self.only_version(stream, service, asked_s)
+
     def record(
         self, call: calls.Call, endpoint: discovery.Endpoint
     ) -> str | None:
--- a/tests/discovery/test_software.py
+++ b/tests/discovery/test_software.py
@@ -5,6 +5,7 @@
 from briarseam.discovery import model
 from briarseam.discovery import software
 from tests import clocks
+from tests.discovery import fakes
 
 
 @pytest.fixture
@@ -18,8 +19,13 @@
 
 
 @pytest.fixture
-def history(clock, present):
-    return software.SoftwareHistory(lambda: present, clock)
+def reads():
+    return fakes.Reads()
+
+
+@pytest.fixture
+def history(clock, present, reads):
+    return software.SoftwareHistory(lambda: present, reads, clock)
 
 
 def endpoint(version, service="engines"):
@@ -62,3 +68,35 @@
     assert not history.is_complete("engines")
     clock.now_s += software.LOOKBACK_S
     assert history.is_complete("engines")
+
+
+def test_time_that_was_not_read_does_not_count(history, reads, clock):
+    """Guards against entries that were dropped before they were read."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += software.LOOKBACK_S
+    reads.continuous_since_s = clock.now_s - 1
+    assert not history.is_complete("engines")
+    clock.now_s += software.LOOKBACK_S - 1
+    assert history.is_complete("engines")
+
+
+def test_time_that_counts_ends_when_the_caller_asked(history, clock):
+    """Guards against a suspension between two checks of one request."""
+    history.record_entry(endpoint("v1"))
+    history.record_entry(endpoint("v2"))
+    asked_s = clock.now_s + 1
+    clock.now_s += 2 * software.LOOKBACK_S
+    history.record_entry(endpoint("v2"))
+    assert history.only_version("engines", asked_s) is None
+    assert not history.is_complete("engines", asked_s)
+
+
+@pytest.mark.parametrize(
+    "time_left_s, waited_s",
+    [(None, software.CONFIRM_WAIT_S), (1.0, 1.0), (-1.0, 0.0), (60.0, 2.5)],
+)
+def test_wait_for_a_read_ends_with_the_callers_time(
+    history, reads, time_left_s, waited_s
+):
+    assert history.await_read(0.0, time_left_s)
+    assert reads.waits_s == [waited_s]
--- a/tests/feeds/test_following.py
+++ b/tests/feeds/test_following.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarseam import clocks
 from briarseam.feeds import following
 from briarseam.feeds import records
 from briarseam.platform import store as stores
@@ -12,6 +13,7 @@
 from tests.platform import metadata_store
 
 TOPIC = "keyed.things"
+TIMEOUT_S = 10
 
 
 @pytest.fixture
@@ -173,3 +175,69 @@
     time.sleep(0.5)
     follower.stop()
     assert 0 < store.reads <= 0.5 / following.EMPTY_PAUSE_S + 2
+
+
+@pytest.fixture
+def follower(store):
+    """A follower with long polls that has read all content."""
+    listening = fakes.FakeListener()
+    started = following.Follower(
+        stores.StoreClient(store.address), TOPIC, listening, wait_s=0.3
+    )
+    started.start()
+    waiting.until(lambda: listening.snapshots == 1)
+    yield started
+    started.stop()
+
+
+def test_read_that_begins_after_a_time_is_complete_until_then(store, follower):
+    """Guards against a change that was written before someone asked."""
+    store.write_raw(TOPIC, "a", b"1")
+    asked_s = clocks.boot_clock()
+    assert follower.await_complete(asked_s, TIMEOUT_S)
+    assert follower.listener.known == {"a": b"1"}
+    assert follower.read_until_s >= asked_s
+
+
+def test_wait_for_a_read_ends_at_once_while_the_store_is_away(store, follower):
+    """Guards against requests that wait for a store that is gone."""
+    store.set(outage=True)
+    waiting.until(lambda: not follower.available)
+    begin_s = clocks.boot_clock()
+    assert not follower.await_complete(begin_s, TIMEOUT_S)
+    assert clocks.boot_clock() - begin_s < 1.0
+
+
+def test_reads_are_continuous_over_an_outage(store, follower):
+    """Guards against a minute of refusals after each outage."""
+    since_s = follower.continuous_since_s
+    store.set(outage=True)
+    waiting.until(lambda: not follower.available)
+    store.set(outage=False)
+    waiting.until(lambda: follower.available)
+    assert follower.continuous_since_s == since_s
+
+
+def test_reads_are_not_continuous_over_dropped_history(store, follower):
+    """Guards against a key that came and went unread."""
+    since_s = follower.continuous_since_s
+    store.set(outage=True)
+    waiting.until(lambda: not follower.available)
+    store.write_raw(TOPIC, "a", b"1")
+    store.write_raw(TOPIC, "a", b"")
+    store.forget(TOPIC)
+    store.set(outage=False)
+    waiting.until(lambda: follower.available)
+    asked_s = clocks.boot_clock()
+    assert follower.await_complete(asked_s, TIMEOUT_S)
+    assert follower.continuous_since_s > since_s
+
+
+def test_reads_are_not_continuous_over_a_record_that_was_not_applied(
+    store, follower
+):
+    """Guards against a change that is lost with its record."""
+    since_s = follower.continuous_since_s
+    store.write_raw(TOPIC, "bad", b"poison")
+    assert follower.await_complete(clocks.boot_clock(), TIMEOUT_S)
+    assert follower.continuous_since_s > since_s
--- a/tests/forwarding/test_stream_origins.py
+++ b/tests/forwarding/test_stream_origins.py
@@ -9,6 +9,7 @@
 from briarseam.metrics import registry
 from briarseam.origins import memory
 from tests import clocks
+from tests.discovery import fakes
 
 
 class Exchange:
@@ -40,8 +41,13 @@
 
 
 @pytest.fixture
-def history(clock):
-    return software.SoftwareHistory(list, clock)
+def reads():
+    return fakes.Reads()
+
+
+@pytest.fixture
+def history(clock, reads):
+    return software.SoftwareHistory(list, reads, clock)
 
 
 @pytest.fixture
@@ -119,3 +125,60 @@
     assert origins.find(unnamed, "engines") == "v1"
     history.record_entry(endpoint("v2"))
     assert origins.find(unnamed, "engines") is None
+
+
+@pytest.mark.parametrize("resumes", ["lost", ""])
+def test_stream_is_not_continued_before_all_entries_are_read(
+    origins, history, reads, clock, resumes
+):
+    """Guards against a version that has joined since the last read."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += software.LOOKBACK_S
+    history.record_entry(endpoint("v1"))
+    reads.until_s = clock.now_s - 0.001
+    taken_up = call("second", resumes, last_event_id="3")
+    assert origins.find(taken_up, "engines") is None
+    reads.until_s = clock.now_s
+    assert origins.find(taken_up, "engines") == "v1"
+
+
+def test_version_that_is_read_during_the_wait_counts(
+    origins, history, reads, clock, monkeypatch
+):
+    """Guards against the versions that were known before the wait."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += software.LOOKBACK_S
+    history.record_entry(endpoint("v1"))
+
+    def read(until_s, timeout_s):
+        history.record_entry(endpoint("v2"))
+        return True
+
+    monkeypatch.setattr(reads, "await_complete", read)
+    assert origins.find(call("second", "lost"), "engines") is None
+
+
+def test_suspension_during_the_wait_hides_no_version(
+    origins, history, reads, clock, monkeypatch
+):
+    """Guards against a version that is old only once the wait has ended."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += software.LOOKBACK_S
+    history.record_entry(endpoint("v1"))
+
+    def read(until_s, timeout_s):
+        history.record_entry(endpoint("v2"))
+        clock.now_s += 2 * software.LOOKBACK_S
+        history.record_entry(endpoint("v1"))
+        return True
+
+    monkeypatch.setattr(reads, "await_complete", read)
+    assert origins.find(call("second", "lost"), "engines") is None
+
+
+def test_stream_whose_origin_is_known_waits_for_no_read(origins, reads):
+    """Guards against streams that are refused without the store."""
+    reads.until_s = float("-inf")
+    origins.exchange.known["first"] = memory.Origin("engines", "v1")
+    assert origins.find(call("second", "first"), "engines") == "v1"
+    assert reads.waits_s == []
--- a/tests/platform/partition.py
+++ b/tests/platform/partition.py
@@ -1,4 +1,4 @@
-"""Cuts between one instance and all endpoints, in one process."""
+"""Cuts between one instance and other parts, in one process."""
 
 from __future__ import annotations
 
@@ -39,3 +39,21 @@
 def close_idle(pool: connections.Pool) -> None:
     """Close the connections that wait for their next request."""
     pool.keep_only(frozenset())
+
+
+@contextlib.contextmanager
+def from_origins(node: compose.Node) -> typing.Iterator[None]:
+    """Drop the datagrams by which instances exchange origins of streams."""
+    saved = dict(vars(node.origins))
+    vars(node.origins).update(
+        send=lambda message, addresses: True,
+        handle=lambda datagram, sender: None,
+    )
+    try:
+        yield
+    finally:
+        for name in ("send", "handle"):
+            vars(node.origins).pop(name, None)
+        vars(node.origins).update(
+            (name, saved[name]) for name in ("send", "handle") if name in saved
+        )
