Count a software version until its last endpoint has ended

The time within which a version counts began at the last entry of its endpoints. In an outage of the store that lasts as long, entries age, and those that lapsed were dropped at its end before their endpoints wrote them again: for some two seconds the other version seemed to be the only one. The end of a start now counts as its last sight, and a start whose entry lapsed counts as long as it may be running.

test_version_whose_entries_have_just_lapsed_counts fails without it.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -565,6 +565,7 @@
     def forget_endpoints(self, ids: frozenset[str]) -> None:
         """Drop the state of endpoint starts that are gone."""
         self.pool.forget(ids)
+        self.software.record_gone(ids)
         for endpoint_id in ids:
             self.chooser.residency.forget(endpoint_id)
             self.chooser.predictor.rates.forget(endpoint_id)
@@ -586,6 +587,7 @@
         memory would grow without bound.
         """
         self.pool.keep_only(ids)
+        self.software.keep_only(ids)
         self.chooser.forget_old(ids)
         self.eligibility.keep_only(ids)
         self.weights.known_weights.keep_only(ids)
--- a/src/briarseam/discovery/software.py
+++ b/src/briarseam/discovery/software.py
@@ -55,6 +55,8 @@
         self.clock = clock
         self.seen_s: dict[str, dict[str | None, float]] = {}
         self.since_s: dict[str, float] = {}
+        # Newest entries of the starts that may be running.
+        self.running: dict[str, model.Endpoint] = {}
         self.lock = threading.Lock()
 
     def record_entry(self, endpoint: model.Endpoint) -> None:
@@ -62,8 +64,32 @@
         now_s = self.clock()
         with self.lock:
             self.since_s.setdefault(endpoint.service, now_s)
-            versions = self.seen_s.setdefault(endpoint.service, {})
-            versions[endpoint.software] = now_s
+            former = self.running.get(endpoint.id, endpoint)
+            self.running[endpoint.id] = endpoint
+            self.record_seen(former, now_s)
+            self.record_seen(endpoint, now_s)
+
+    def record_gone(self, ids: frozenset[str]) -> None:
+        """Record that starts have ended.
+
+        An outage of the store may have kept their entries from being written
+        for as long as streams are taken up.
+        """
+        now_s = self.clock()
+        with self.lock:
+            for endpoint_id in ids & self.running.keys():
+                self.record_seen(self.running.pop(endpoint_id), now_s)
+
+    def keep_only(self, ids: frozenset[str]) -> None:
+        """Record that all starts but these have ended."""
+        with self.lock:
+            gone = self.running.keys() - ids
+        self.record_gone(frozenset(gone))
+
+    def record_seen(self, endpoint: model.Endpoint, now_s: float) -> None:
+        """Record that an endpoint was running; requires the lock."""
+        versions = self.seen_s.setdefault(endpoint.service, {})
+        versions[endpoint.software] = now_s
 
     def most_versions(self) -> int:
         """Return the most versions that endpoints of one service run."""
@@ -118,6 +144,11 @@
                 for version, seen_s in self.seen_s.get(service, {}).items()
                 if seen_s >= oldest_s
             }
+            versions.update(
+                one.software
+                for one in self.running.values()
+                if one.service == service
+            )
         versions.update(
             one.software for one in self.endpoints() if one.service == service
         )
--- a/tests/discovery/test_software.py
+++ b/tests/discovery/test_software.py
@@ -100,3 +100,43 @@
 ):
     assert history.await_read(0.0, time_left_s)
     assert reads.waits_s == [waited_s]
+
+
+def test_version_of_an_endpoint_that_is_gone_counts_from_its_end(
+    history, clock
+):
+    """Guards against entries that lapsed in a long outage of the store."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += 2 * software.LOOKBACK_S
+    history.record_gone(frozenset({"e"}))
+    assert history.only_version("engines") == "v1"
+    clock.now_s += software.LOOKBACK_S + 1
+    assert history.only_version("engines") is None
+
+
+def test_endpoint_that_may_be_running_counts_without_an_entry(history, clock):
+    """Guards against endpoints whose entries lapsed but that still run."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += 2 * software.LOOKBACK_S
+    assert history.only_version("engines") == "v1"
+
+
+def test_former_version_of_an_endpoint_counts_from_its_next_entry(
+    history, clock
+):
+    """Guards against a version that ended in a long outage of the store."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += 2 * software.LOOKBACK_S
+    history.record_entry(endpoint("v2"))
+    assert history.only_version("engines") is None
+
+
+def test_endpoint_whose_end_was_overtaken_by_its_entry_is_forgotten(
+    history, clock
+):
+    """Guards against a version that counts for ever."""
+    history.record_gone(frozenset({"e"}))
+    history.record_entry(endpoint("v1"))
+    history.keep_only(frozenset())
+    clock.now_s += software.LOOKBACK_S + 1
+    assert history.only_version("engines") is None
--- a/tests/platform/test_instances_out_of_step.py
+++ b/tests/platform/test_instances_out_of_step.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import threading
+import time
 
 import pytest
 
@@ -264,6 +265,19 @@
     assert_refused(nodes[0], streams)
 
 
+def test_version_whose_entries_have_just_lapsed_counts(cold_system, nodes):
+    """Guards against entries that lapse in an outage of the store."""
+    added = release(cold_system, nodes)
+    streams = begin(nodes[1], added)
+    time.sleep(LOOKBACK_S)
+    forget_origins(nodes)
+    for engine in added:
+        cold_system.store.write(ENTRIES, engine.id, None)
+    registry = nodes[0].feeds.registry
+    waiting.until(lambda: len(registry.all()) == 2, TIMEOUT_S)
+    assert_refused(nodes[0], streams)
+
+
 def test_answer_is_not_resumed_at_a_version_that_joined(cold_system, nodes):
     """Guards against the rest of an answer from software that joined."""
     lose_store(nodes[0])
