--- a/src/briarseam/placement/fetch_leases.py
+++ b/src/briarseam/placement/fetch_leases.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import math
 import typing
@@ -106,7 +105,8 @@
         self.clock = clock
         self.until_s = -math.inf
         self.resumed_s = math.inf
-        # The latest first; replaced as a whole.
+        # One for each set of newest weights, the latest first; replaced as a
+        # whole.
         self.confirmations: tuple[Confirmation, ...] = ()
         self.renewals = repeating.Repeater("fetch-leases", self.renew, RENEW_S)
 
@@ -129,15 +129,14 @@
         self.until_s = max(self.until_s, until_s)
         if now_s - self.resumed_s < START_WAIT_S:
             return
+        newest = self.newest()
         earliest_s = now_s - self.lease_s()
-        confirmations = collections.deque(
+        replaced = (
             known
             for known in self.confirmations
-            if known.until_s >= earliest_s
+            if known.newest is not newest and known.until_s >= earliest_s
         )
-        if until_s >= earliest_s:
-            confirmations.appendleft(Confirmation(self.newest(), until_s))
-        self.confirmations = tuple(confirmations)
+        self.confirmations = (Confirmation(newest, self.until_s), *replaced)
 
     def end_of_fetch(self, model: str, version: int) -> float | None:
         """Return when a fetch that is decided on now must have ended.
