Keep the connections of a store's poll and of a free beside it

Instances logged "Connection pool is full" at each free: the long poll of a store holds the only connection that is kept, and one of the two was closed after each call. test_connections_of_a_poll_and_a_free_are_both_kept failed before.

--- a/src/briarseam/platform/cache.py
+++ b/src/briarseam/platform/cache.py
@@ -19,6 +19,8 @@
 from briarseam.platform import names
 
 MS = 1000.0
+# Of one store: a long poll, and a call that frees parts beside it.
+CONNECTIONS = 2
 # Response time that is allowed beyond the requested wait; a store answers
 # within a few ms.
 RESPONSE_SLACK_S = 0.6
@@ -92,7 +94,7 @@
     def __init__(self, tally: malformed.Tally | None = None) -> None:
         self.tally = tally or malformed.Tally()
         self.pool = bounded_http.pool_manager(
-            maxsize=1, retries=False, socket_options=sockets.OPTIONS
+            maxsize=CONNECTIONS, retries=False, socket_options=sockets.OPTIONS
         )
 
     def content(self, address: str) -> store_index.Content:
--- a/tests/platform/test_cache.py
+++ b/tests/platform/test_cache.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 import msgspec
 import pytest
 
@@ -238,3 +240,19 @@
     assert not index.stores["s1"].held
     index.apply_content("s1", client.content("s1"))
     assert index.stores["s1"].held == {("s", "c"): 1}
+
+
+def test_connections_of_a_poll_and_a_free_are_both_kept(store, caplog):
+    """Guards against a connection that is opened anew for each call."""
+    client = cache.CacheStoreClient()
+    polls = [
+        threading.Thread(
+            target=client.changes, args=(store.address, 1, 0.2), daemon=True
+        )
+        for _ in range(2)
+    ]
+    for poll in polls:
+        poll.start()
+    for poll in polls:
+        poll.join()
+    assert "Connection pool is full" not in caplog.text
