Fetch nothing just after the named weights were unknown for a while

What callers would see: answers on memory that was freed during its fetch.

Two sequences. (1) An instance is cut off from the operators' topic, or has not read it yet since it started 2.5 s or longer ago. The topic is restored from a copy that lacks weights 2. The instance reads it at once, takes weights 1 for the newest, and fetches parts of them; another one has not seen the restore, and frees these on what it knew before (a free holds for 2 s). (2) A process is suspended beyond its leases. When it goes on, it finds a heartbeat that was sent before, whose age of 0 s it counts from now, so that its old weights get a new lease.

Cause: the wait after a start counted from the start of the process, but what must be waited for is the first reading after knowledge was interrupted.

Now the wait begins whenever the time until which the weights are known is older than 2.5 s at a renewal, and no lease is held during it. It works for (1) since parts are only freed longer after they were replaced than any gap that goes unnoticed, so the wait begins after the restore and outlasts each free that was decided before. For (2), the time that the message seemed to tell is too old again when the wait ends.

--- a/src/briarseam/placement/fetch_leases.py
+++ b/src/briarseam/placement/fetch_leases.py
@@ -26,9 +26,14 @@
 # Longest time from the decision to fetch until the end of the fetch.  The
 # endpoint discards a fetch that takes longer, and prefills the prompt.
 FETCH_LIMIT_S = 5.0
-# An instance that has started fetches nothing for this time: another one may
-# just be freeing what only it, with what it has read now, would use again.
+# An instance that has started, or has not known the named weights for a while,
+# fetches nothing for this time: another one may just be freeing what only it,
+# with what it has read now, would use again.
 START_WAIT_S = 2.5
+# Age from which knowledge counts as interrupted.  At most `START_WAIT_S`, so
+# that a message that waited for a suspended process has become too old when
+# it might first be used.
+MAX_GAP_S = 2.5
 # Differences between the clocks of instances and endpoints.
 CLOCK_SLACK_S = 1.0
 EndOfFetch = typing.Callable[[str, int], float | None]
@@ -101,7 +106,7 @@
         self.newest = newest
         self.known_until_s = known_until_s
         self.clock = clock
-        self.created_s = clock()
+        self.resumed_s = clock()
         self.pending_until_s = -math.inf
         # The latest first; replaced as a whole.
         self.confirmations: tuple[Confirmation, ...] = ()
@@ -125,7 +130,10 @@
         now_s = self.clock()
         until_s = self.pending_until_s
         self.pending_until_s = self.known_until_s()
-        if now_s - self.created_s < START_WAIT_S:
+        if now_s - until_s > MAX_GAP_S:
+            self.resumed_s = now_s
+        if now_s - self.resumed_s < START_WAIT_S:
+            self.confirmations = ()
             return
         earliest_s = now_s - self.lease_s()
         confirmations = collections.deque(
@@ -146,6 +154,8 @@
             Time by the clock, in seconds; ``None`` if none may begin.
         """
         now_s = self.clock()
+        if now_s - self.pending_until_s > MAX_GAP_S:
+            return None
         earliest_s = now_s - self.lease_s()
         for known in self.confirmations:
             if known.until_s >= earliest_s and known.covers(model, version):
