Count replaced weights anew when the store was read anew

What callers would see: answers on memory that was freed during its fetch.

Sequence: the operators' topic is restored from a copy that names weights 5, and 9 and 10 are named again a second later. An instance that is between two reads, suspended or cut off for that time reads the topic anew and finds 10; it never learns that 5 was the newest for a second, and goes on to count that 8 was replaced by the former 9. Another one has read 5, holds a lease on all weights up to 10, and fetches parts of 8 while the first one frees them. The same holds for groups that an older configuration doesn't supersede.

Cause: a restore was noticed by the weights that were named, and not by being one. A follower reads the whole topic when its offset is of another era, so each such reading now drops all times (also when records have expired, which only delays what is freed).

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -228,6 +228,7 @@
             self.chooser.kept_index,
             sweeping.Sources(
                 named=lambda: self.feeds.operators.named,
+                readings=lambda: self.feeds.operators.readings,
                 known_until_s=self.feeds.configuration_complete_until_s,
                 lease_s=self.weights.lease_s,
                 max_age_s=self.freshness.max_age_s,
--- a/src/briarseam/placement/retirement.py
+++ b/src/briarseam/placement/retirement.py
@@ -25,6 +25,10 @@
         self.clock = clock
         self.named_since_s: dict[str, dict[int, float]] = {}
 
+    def reset(self) -> None:
+        """Drop all times."""
+        self.named_since_s = {}
+
     def review(self, named: typing.Mapping[str, int]) -> None:
         """Apply the weights that the store names now, by model.
 
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -63,6 +63,8 @@
     ----------
     named
         Returns the newest weights by model that the store names.
+    readings
+        Returns how often all that the store names was read anew.
     known_until_s
         Returns until when all changes at the store are known.
     lease_s
@@ -76,6 +78,7 @@
     """
 
     named: typing.Callable[[], typing.Mapping[str, int]]
+    readings: typing.Callable[[], int]
     known_until_s: typing.Callable[[], float]
     lease_s: typing.Callable[[], float]
     max_age_s: typing.Callable[[], float]
@@ -122,6 +125,7 @@
         self.retirement = retirement.Retirement(clock)
         # Since when groups have been superseded.
         self.superseded_since_s: dict[salts.Scope, float] = {}
+        self.readings = 0
         self.reviews = repeating.Repeater("sweeper", self.review, REVIEW_S)
 
     def start(self) -> None:
@@ -136,7 +140,9 @@
         """Sweep each store that this instance owns once."""
         # Read before what depends on it, which may be newer then.
         known_until_s = self.sources.known_until_s()
-        self.retirement.review(self.sources.named())
+        named = self.sources.named()
+        self.review_readings()
+        self.retirement.review(named)
         self.retirement.forget_before(self.weights_wait_s())
         if self.clock() - known_until_s > MAX_AGE_S:
             return
@@ -144,6 +150,19 @@
             if self.owns(address):
                 self.sweep(address, known_until_s + MAX_AGE_S + MAX_DELAY_S)
 
+    def review_readings(self) -> None:
+        """Count all times anew once the store was read anew.
+
+        It may have been restored from a backup, and have named older weights
+        and isolated fewer organisations between two readings.  Instances that
+        read it meanwhile go by that.
+        """
+        readings = self.sources.readings()
+        if readings != self.readings:
+            self.readings = readings
+            self.retirement.reset()
+            self.superseded_since_s.clear()
+
     def owns(self, address: str) -> bool:
         """Return whether this instance frees parts of a store."""
         members = list(self.members())
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -80,6 +80,8 @@
         # The newest weights by model that the store names now.  Unlike the
         # goals they go back if the store is restored from a backup.
         self.named: dict[str, int] = {}
+        # How often the whole topic was read.
+        self.readings = 0
         self.loaded = threading.Event()
 
     def current(self) -> tables.RouteTable | None:
@@ -100,6 +102,8 @@
         )
         self.evacuations.replace({zone for zone in zones if zone})
         self.has_read_all = True
+        # First: whoever sees the new content must not see the old number.
+        self.readings += 1
         self.named = {}
         self.apply_changes(changes)
 
--- a/tests/placement/test_sweeping.py
+++ b/tests/placement/test_sweeping.py
@@ -36,6 +36,7 @@
         self.clock = clocks.ManualClock()
         self.client = Client()
         self.named = {"m": 1}
+        self.readings = 1
         self.known_age_s = 0.0
         self.members = ["local"]
         self.superseded = set()
@@ -54,6 +55,7 @@
             self.index,
             sweeping.Sources(
                 named=lambda: self.named,
+                readings=lambda: self.readings,
                 known_until_s=lambda: self.clock() - self.known_age_s,
                 lease_s=lambda: LEASE_S,
                 max_age_s=lambda: MAX_AGE_S,
@@ -127,6 +129,28 @@
     assert case.client.freed == []
 
 
+@pytest.mark.parametrize("parts", ["weights", "group"])
+def test_delay_restarts_when_the_store_is_read_anew(case, parts):
+    """Guards against an instance that misses that the store was restored.
+
+    Others have read older weights and configurations before these were named
+    again.
+    """
+    if parts == "weights":
+        case.named = {"m": 2}
+    else:
+        case.superseded = {salts.EVERYBODY}
+    case.sweeper.review()
+    wait_s = WEIGHTS_WAIT_S if parts == "weights" else GROUP_WAIT_S
+    case.pass_time(wait_s - 0.1)
+    case.readings += 1
+    case.pass_time(0.2)
+    case.pass_time(wait_s - 0.1)
+    assert case.client.freed == []
+    case.pass_time(0.2)
+    assert len(case.client.freed) == 1
+
+
 @pytest.mark.parametrize("named", [{}, {"other": 9}])
 def test_parts_of_models_without_named_weights_are_kept(case, named):
     case.named = named
--- a/tests/routes/test_following.py
+++ b/tests/routes/test_following.py
@@ -109,3 +109,12 @@
         [records.KeyedRecord(key, value), change("config", version=6)]
     )
     assert feed.current().configuration.version == 6
+
+
+def test_each_reading_of_the_whole_topic_is_counted(feed):
+    """Guards against times that go on though the store was restored."""
+    feed.apply_all([change("config", version=5)])
+    feed.apply_changes([change("config", version=6)])
+    assert feed.readings == 1
+    feed.apply_all([change("config", version=5)])
+    assert feed.readings == 2
