Free a former group's parts by the configuration that the store names

What callers would see: answers on memory that was freed during its fetch.

Sequence: configuration 13 isolates organisations. The operators' topic is restored from a copy that names configuration 1, which isolates none. An instance starts beside it and hears from no peer (the record of the users has one that starts with configuration 1): it uses the group of all organisations. Another one keeps 13 in force, since a version never goes back, reads that the topic is up to date, and frees all parts of that group again and again.

Cause: the configuration in force at one instance stands for those of others.

Whether a group is superseded now follows from the configuration that the store names, like the weights, and its time begins anew with each reading. That is only sound if no instance uses a group that keeps out fewer, so an instance with a newer configuration in force keeps also those separate whom the store's older one isolates; peers are told them with the existing section, before the age of what is known.

The tests of superseded groups ask the same of the function that has taken the place of the method.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -151,6 +151,7 @@
             self.malformed_counter,
             self.eligibility.evacuations,
             self.record_entry,
+            self.configuration_named,
         )
         self.instances.registrations = self.feeds.registrations
         registry = self.feeds.registry
@@ -232,7 +233,9 @@
                 known_until_s=self.feeds.configuration_complete_until_s,
                 lease_s=self.weights.lease_s,
                 max_age_s=self.freshness.max_age_s,
-                is_superseded=self.chooser.sharing.is_superseded,
+                is_superseded=lambda scope: cache_sharing.is_superseded(
+                    scope, self.feeds.operators.named_isolated
+                ),
             ),
             settings.instance.name,
             self.instances.all_names,
@@ -555,6 +558,10 @@
         self.chooser.predictor.max_pauses = configuration.max_pauses()
         self.store_watches.follow([store.address for store in freeing_stores])
 
+    def configuration_named(self, configuration: routes.Configuration) -> None:
+        """Apply a configuration that the store names, also an older one."""
+        self.chooser.sharing.apply_named(configuration)
+
     def configuration_may_be_outdated(self) -> bool:
         """Return whether the configuration in force may be outdated."""
         return (
--- a/src/briarseam/compose/node_feeds.py
+++ b/src/briarseam/compose/node_feeds.py
@@ -154,6 +154,7 @@
     malformed_counter: malformed.Tally,
     evacuations: evacuation.Evacuations,
     on_entry: registries.OnEntry,
+    on_named: typing.Callable[[routes.Configuration], None] = operators.ignore,
 ) -> Feeds:
     """Return the feeds, not yet started.
 
@@ -175,12 +176,16 @@
         Gets the evacuated availability zones.
     on_entry
         Called with each entry of an endpoint.
+    on_named
+        Called with each configuration that the store names, even if a newer
+        one is in force.
     """
     feed = operators.OperatorFeed(
         documents.OperatorDocuments(),
         on_configuration,
         malformed_counter,
         evacuations,
+        on_named,
     )
     registry = registries.EndpointRegistry(
         endpoints.decode_endpoint,
--- a/src/briarseam/placement/cache_sharing.py
+++ b/src/briarseam/placement/cache_sharing.py
@@ -147,17 +147,6 @@
             return salts.Own(organisation)
         return division.group
 
-    def is_superseded(self, scope: salts.Scope) -> bool:
-        """Return whether a group is one that no request can have any more.
-
-        All instances keep out the organisations that are isolated now, so
-        none has a group that keeps out fewer.  Those that were isolated
-        formerly don't count: an instance that has started may not know them.
-        """
-        if isinstance(scope, salts.Own):
-            return False
-        return scope.excluded < len(self.division.isolated)
-
     def provide(self) -> bytes:
         """Return the names of separate organisations, for heartbeats."""
         division = self.division
@@ -167,7 +156,18 @@
     def consume(self, member: str, data: bytes) -> None:
         """Keep the organisations separate that a peer keeps separate."""
         del member
-        names = msgspec.msgpack.decode(data, type=frozenset[str])
+        self.keep_separate(msgspec.msgpack.decode(data, type=frozenset[str]))
+
+    def apply_named(self, configuration: routes.Configuration) -> None:
+        """Keep those separate whom the store names as isolated.
+
+        A store that was restored from a backup may name an older
+        configuration than the one in force, by which others start.
+        """
+        self.keep_separate(configuration.isolated)
+
+    def keep_separate(self, names: frozenset[str]) -> None:
+        """Keep organisations separate that are not isolated here."""
         with self.lock:
             division = self.division
             former = division.former | (names - division.isolated)
@@ -177,6 +177,26 @@
                 )
 
 
+def is_superseded(scope: salts.Scope, isolated: frozenset[str]) -> bool:
+    """Return whether a group is one that no request can have any more.
+
+    All instances keep out the organisations that the store names as isolated,
+    so none has a group that keeps out fewer.  Those that were isolated
+    formerly don't count, nor does a configuration in force that the store has
+    lost: an instance that has started may not know them.
+
+    Parameters
+    ----------
+    scope
+        The group; an organisation's own parts are never superseded.
+    isolated
+        Names of the organisations that the store names as isolated.
+    """
+    if isinstance(scope, salts.Own):
+        return False
+    return scope.excluded < len(isolated)
+
+
 def group_without(
     names: collections.abc.Collection[str],
 ) -> salts.Group:
--- a/src/briarseam/routes/following.py
+++ b/src/briarseam/routes/following.py
@@ -40,6 +40,11 @@
         """Return the availability zone that a key evacuates, if it does."""
 
 
+def ignore(configuration: model.Configuration) -> None:
+    """Do nothing; the default."""
+    del configuration
+
+
 class OperatorFeed:
     """Keeps the newest configuration, target weights and evacuations.
 
@@ -56,6 +61,9 @@
         Counts malformed documents, which are otherwise ignored.
     evacuations
         The evacuated availability zones, which the records determine.
+    on_named
+        Called with each configuration that the store names, even if a newer
+        one is in force.
     """
 
     def __init__(
@@ -64,7 +72,11 @@
         on_change: collections.abc.Callable[[model.Configuration], None],
         malformed_counter: malformed.Tally | None = None,
         evacuations: evacuation.Evacuations | None = None,
+        on_named: collections.abc.Callable[
+            [model.Configuration], None
+        ] = ignore,
     ) -> None:
+        self.on_named = on_named
         self.evacuations = evacuations or evacuation.Evacuations()
         self.has_read_all = False
         self.malformed_counter = malformed_counter or malformed.Tally()
@@ -80,6 +92,8 @@
         # The newest weights by model that the store names now.  Unlike the
         # goals they go back if the store is restored from a backup.
         self.named: dict[str, int] = {}
+        # Who is isolated by the configuration that the store names now.
+        self.named_isolated: frozenset[str] = frozenset()
         # How often the whole topic was read.
         self.readings = 0
         self.loaded = threading.Event()
@@ -105,6 +119,7 @@
         # First: whoever sees the new content must not see the old number.
         self.readings += 1
         self.named = {}
+        self.named_isolated = frozenset()
         self.apply_changes(changes)
 
     def apply_changes(
@@ -156,7 +171,9 @@
     def apply_document(self, key: str, data: bytes) -> None:
         """Apply one document; raises ``MalformedError``."""
         if self.documents.is_configuration(key):
-            self.apply_configuration(data)
+            configuration = self.apply_configuration(data)
+            self.on_named(configuration)
+            self.named_isolated = configuration.isolated
         elif self.documents.is_weight_goal(key):
             self.apply_goal(data)
 
@@ -164,12 +181,12 @@
         """Keep the known configuration and evacuations."""
         self.evacuations.store_lost()
 
-    def apply_configuration(self, data: bytes) -> None:
-        """Put a configuration in force if it is newer."""
+    def apply_configuration(self, data: bytes) -> model.Configuration:
+        """Put a configuration in force if it is newer; return it."""
         configuration = self.documents.decode_configuration(data)
         with self.lock:
             if self.table and configuration.version <= self.version():
-                return
+                return configuration
             self.on_change(configuration)
             self.table = tables.RouteTable(configuration)
             self.content = data
@@ -181,6 +198,7 @@
             services=len(configuration.services),
             isolated=sorted(configuration.isolated),
         )
+        return configuration
 
     def apply_goal(self, data: bytes) -> None:
         """Apply a model's target weights."""
--- a/tests/placement/test_cache_sharing.py
+++ b/tests/placement/test_cache_sharing.py
@@ -137,11 +137,12 @@
 
 def test_only_groups_that_keep_out_fewer_are_superseded():
     """Guards against freeing what an instance that knows more still uses."""
-    sharing = sharing_of(["chain"])
-    assert sharing.is_superseded(salts.EVERYBODY)
-    assert not sharing.is_superseded(sharing.scope_of("kitchens"))
-    assert not sharing.is_superseded(salts.Own("kitchens"))
-    assert not sharing_of([]).is_superseded(sharing.scope_of("kitchens"))
+    isolated = frozenset(["chain"])
+    scope = sharing_of(["chain"]).scope_of("kitchens")
+    assert cache_sharing.is_superseded(salts.EVERYBODY, isolated)
+    assert not cache_sharing.is_superseded(scope, isolated)
+    assert not cache_sharing.is_superseded(salts.Own("kitchens"), isolated)
+    assert not cache_sharing.is_superseded(scope, frozenset())
 
 
 def test_formerly_isolated_organisations_supersede_no_group():
@@ -149,9 +150,21 @@
 
     It doesn't know who was isolated before.
     """
-    sharing = sharing_of(["chain"], [])
+    division = sharing_of(["chain"], []).division
+    assert division.former == {"chain"}
+    assert not cache_sharing.is_superseded(salts.EVERYBODY, division.isolated)
+
+
+def test_older_configuration_that_the_store_names_keeps_separate():
+    """Guards against a group that others, who start by it, take for replaced.
+
+    The store was restored from a backup.
+    """
+    sharing = sharing_of([])
+    sharing.apply_named(configuration(0, ["chain"]))
     assert sharing.division.former == {"chain"}
-    assert not sharing.is_superseded(salts.EVERYBODY)
+    assert sharing.scope_of("kitchens").excluded == 1
+    assert sharing.scope_of("chain") == salts.Own("chain")
 
 
 @hypothesis.settings(
--- a/tests/routes/test_following.py
+++ b/tests/routes/test_following.py
@@ -118,3 +118,37 @@
     assert feed.readings == 1
     feed.apply_all([change("config", version=5)])
     assert feed.readings == 2
+
+
+def configuration_isolating(version, *names):
+    tenants = [
+        {"name": name, "key": f"key-{name}", "isolated": True}
+        for name in names
+    ]
+    return change("config", version=version, tenants=tenants)
+
+
+def test_isolation_that_a_restored_store_names_is_told_apart(announced):
+    """Guards against taking the configuration in force for what instances
+    read that start beside a restored store.
+    """
+    named = []
+    feed = following.OperatorFeed(
+        documents.OperatorDocuments(),
+        announced.append,
+        on_named=lambda configuration: named.append(configuration.version),
+    )
+    feed.apply_all([configuration_isolating(9, "chain", "kitchens")])
+    assert feed.named_isolated == {"chain", "kitchens"}
+    feed.apply_all([configuration_isolating(5, "chain")])
+    assert feed.named_isolated == {"chain"}
+    assert feed.current().configuration.isolated == {"chain", "kitchens"}
+    assert named == [9, 5]
+    feed.apply_all([])
+    assert feed.named_isolated == frozenset()
+
+
+def test_configuration_from_a_peer_is_not_named_by_the_store(feed):
+    data = configuration_isolating(9, "chain").value
+    feed.apply_peer_configuration(data)
+    assert feed.named_isolated == frozenset()
