Simulate in virtual time that no part is freed while it is fetched

Three instances run the real leases, sweepers, indexes, configuration feeds and heartbeat sections; the topic, stores, engines and network are a model. Events are drawn: weights in series, isolation, suspensions, cuts, restarts, lost heartbeats, removals that are not told, frees that arrive late, restores from older copies, fetches that begin late and take long. Each instance takes itself for the owner of all stores.

Each guard that is taken out is noticed: the end of fetches, the wait after a start or a gap, fresh knowledge, the reading anew, times that count from the next renewal, groups by what the store names.

--- /dev/null
+++ b/tests/placement/test_freed_parts_simulation.py
@@ -0,0 +1,118 @@
+"""Drawn events in virtual time: no part is freed while it is fetched."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarseam.placement import fetch_leases
+from briarseam.placement import sweeping
+from tests.placement import freed_parts_model
+
+RUN_S = 60.0
+SETTLE_S = (
+    fetch_leases.free_after_s(freed_parts_model.LEASE_S, 0.0)
+    + fetch_leases.MAX_GAP_S
+    + 5.0
+)
+# Runs within which at least one shows that a guard is missing.
+MAX_RUNS = 150
+NEVER_S = 1e6
+
+
+def violations(seed, variant):
+    world = freed_parts_model.World(seed, variant)
+    world.run(RUN_S)
+    return world.violations
+
+
+def is_needed(variant, first_seed=0):
+    seeds = range(first_seed, first_seed + MAX_RUNS)
+    return any(violations(seed, variant) for seed in seeds)
+
+
+@pytest.fixture(params=["changes", "restores"])
+def intervals_s(request):
+    return {
+        "changes": freed_parts_model.CHANGES,
+        "restores": freed_parts_model.RESTORES,
+    }[request.param]
+
+
+@pytest.mark.parametrize("first_seed", [0, 10])
+def test_no_part_is_freed_while_it_is_fetched(intervals_s, first_seed):
+    """Guards against a free that goes by what one instance believes."""
+    variant = freed_parts_model.Variant(intervals_s)
+    fetched = 0
+    for seed in range(first_seed, first_seed + 10):
+        world = freed_parts_model.World(seed, variant)
+        world.run(RUN_S)
+        assert world.violations == [], seed
+        fetched += world.fetched
+    assert fetched > 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_space_is_given_back_once_all_is_quiet(intervals_s, seed):
+    """Guards against parts of replaced weights that fill the stores."""
+    variant = freed_parts_model.Variant(intervals_s)
+    world = freed_parts_model.World(seed, variant)
+    world.run(RUN_S)
+    world.settle()
+    world.run(SETTLE_S, with_events=False)
+    assert world.freed > 0
+    assert world.stale_parts() == []
+
+
+class LiveTimes(fetch_leases.FetchLeases):
+    """Counts a time at once, not from the next renewal."""
+
+    @property
+    def pending_until_s(self):
+        return self.known_until_s()
+
+    @pending_until_s.setter
+    def pending_until_s(self, until_s):
+        pass
+
+
+def test_fetch_without_end_outlasts_its_part():
+    assert is_needed(freed_parts_model.Variant(ends_fetches=False))
+
+
+def test_times_that_count_at_once_extend_leases():
+    assert is_needed(
+        freed_parts_model.Variant(lease_class=LiveTimes), first_seed=17
+    )
+
+
+@pytest.mark.parametrize(
+    ("module", "name", "value", "first_seed"),
+    [
+        (fetch_leases, "START_WAIT_S", 0.0, 0),
+        (fetch_leases, "MAX_GAP_S", NEVER_S, 0),
+        (sweeping, "MAX_AGE_S", NEVER_S, 18),
+        (
+            sweeping.Sweeper,
+            "review_readings",
+            lambda sweeper: None,
+            45,
+        ),
+    ],
+    ids=["start-wait", "gap", "fresh-knowledge", "read-anew"],
+)
+def test_each_guard_is_needed(monkeypatch, module, name, value, first_seed):
+    """Guards against a model that would not notice a missing guard."""
+    monkeypatch.setattr(module, name, value)
+    variant = freed_parts_model.Variant(freed_parts_model.RESTORES)
+    assert is_needed(variant, first_seed)
+
+
+def test_groups_go_by_what_the_store_names():
+    """Guards against an instance that takes a configuration which the store
+    has lost for the one that others start with.
+    """
+    assert is_needed(
+        freed_parts_model.Variant(
+            freed_parts_model.RESTORES, groups_in_force=True
+        )
+    )
