Count the age of what a peer knows from when its heartbeat was made

What callers would see: answers on memory that was freed during its fetch, and parts that an isolated organisation shares for longer than allowed.

Sequence: an instance that doesn't reach the operators' topic gets a heartbeat that was on its way for seconds (a cut, a full link, or its own suspension). The heartbeat says that all was known 0 s ago, and this was counted from its arrival, less 0.2 s. So the instance holds a lease on weights that have been replaced meanwhile, and takes an outdated configuration for fresh.

Cause: 0.2 s stands for the time that a message takes.

Each heartbeat now carries the time at which it was made, by its sender's clock, in a section of its own that older instances ignore.

--- a/src/briarseam/compose/node_membership.py
+++ b/src/briarseam/compose/node_membership.py
@@ -107,6 +107,8 @@
             "configuration-version": self.configuration,
             "unreachable-services": self.reachability,
             "cache-sharing": self.cached_parts,
+            # Must precede the age, which counts from this time.
+            "heartbeat-time": self.configuration_age.delays,
             # Must follow the section that tells who is isolated.
             "configuration-age": self.configuration_age,
         }
--- a/src/briarseam/routes/freshness.py
+++ b/src/briarseam/routes/freshness.py
@@ -10,12 +10,13 @@
 import structlog
 
 from briarseam import clocks
+from briarseam.routes import heartbeat_delays
 
 # Share of the time within which a change is in force.  The rest is for a
 # request to reach its endpoint.
 MAX_AGE_SHARE = 0.9
 # How long the content of a heartbeat may have been kept by its sender, and
-# have travelled.
+# have travelled, if it was not later than others.
 HEARTBEAT_DELAY_S = 0.2
 # Within which an instance that has started hears from peers that are alive.
 PEERS_WAIT_S = 3.0
@@ -61,6 +62,7 @@
         self.apply_s = apply_s
         self.has_peers = has_peers
         self.clock = clock
+        self.delays = heartbeat_delays.HeartbeatDelays(clock)
         self.created_s = clock()
         self.has_heard_peers = False
         self.told_until_s = NEVER_S
@@ -115,11 +117,11 @@
 
     def consume(self, member: str, data: bytes) -> None:
         """Apply the age of what a peer knows, after what it told itself."""
-        del member
         self.has_heard_peers = True
         age_ms = msgspec.msgpack.decode(data, type=int | None)
         if age_ms is None or age_ms < 0:
             return
-        until_s = self.clock() - age_ms / MS - HEARTBEAT_DELAY_S
+        delay_s = HEARTBEAT_DELAY_S + self.delays.delay_s(member)
+        until_s = self.clock() - age_ms / MS - delay_s
         with self.lock:
             self.told_until_s = max(self.told_until_s, until_s)
--- a/tests/placement/freed_parts_model.py
+++ b/tests/placement/freed_parts_model.py
@@ -273,6 +273,7 @@
     def heartbeat(self):
         """Return the sections of a heartbeat in the order of delivery."""
         return (
+            self.freshness.delays.provide(),
             self.freshness.provide(),
             self.sharing.provide(),
             self.feed.content,
@@ -280,7 +281,8 @@
         )
 
     def hear(self, member, heartbeat):
-        age, separate, configuration, ages = heartbeat
+        made, age, separate, configuration, ages = heartbeat
+        self.freshness.delays.consume(member, made)
         self.freshness.consume(member, age)
         self.sharing.consume(member, separate)
         if configuration:
@@ -433,6 +435,8 @@
     )
     ends_fetches: bool = True
     groups_in_force: bool = False
+    # Of heartbeats that are on their way for seconds.
+    late_share: float = 0.0
     lease_class: type = fetch_leases.FetchLeases
 
 
@@ -494,7 +498,11 @@
                 return
             peer.inbox.append((sender.name, heartbeat))
 
-        self.later(self.random.choice((0.0, 0.1)), arrive)
+        delay_s = 0.0
+        share = self.variant.late_share
+        if share and self.random.random() < share:
+            delay_s = self.random.uniform(0.0, 12.0)
+        self.later(delay_s or self.random.choice((0.0, 0.1)), arrive)
 
     def run_request(self, plan):
         """Run a request at an engine that is busy with others."""
@@ -575,7 +583,12 @@
         self.topic.copy()
 
     def restore(self):
+        """Restore the topic, which instances notice one after another."""
         self.topic.restore(self.random.choice(self.topic.copies))
+        for instance in self.instances.values():
+            instance.topic_cut_until_s = self.now_s + self.random.choice(
+                (0.0, self.random.uniform(0, 4))
+            )
         self.later(self.random.uniform(1, 20), self.topic.write_again)
 
     def draw_event(self):
--- a/tests/placement/test_freed_parts_simulation.py
+++ b/tests/placement/test_freed_parts_simulation.py
@@ -6,6 +6,7 @@
 
 from briarseam.placement import fetch_leases
 from briarseam.placement import sweeping
+from briarseam.routes import heartbeat_delays
 from tests.placement import freed_parts_model
 
 RUN_S = 60.0
@@ -51,6 +52,15 @@
     assert fetched > 0
 
 
+def test_heartbeats_that_take_long_extend_no_lease(intervals_s):
+    """Guards against counting the age of what a peer knew from the arrival
+    of its heartbeat.
+    """
+    variant = freed_parts_model.Variant(intervals_s, late_share=0.2)
+    for seed in (1, 18, 26, 32, 72):
+        assert violations(seed, variant) == [], seed
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_space_is_given_back_once_all_is_quiet(intervals_s, seed):
     """Guards against parts of replaced weights that fill the stores."""
@@ -75,27 +85,37 @@
         pass
 
 
+def test_time_at_which_a_heartbeat_was_made_is_needed(monkeypatch):
+    monkeypatch.setattr(
+        heartbeat_delays.HeartbeatDelays,
+        "delay_s",
+        lambda delays, member: 0.0,
+    )
+    variant = freed_parts_model.Variant(late_share=0.2)
+    assert is_needed(variant, first_seed=18)
+
+
 def test_fetch_without_end_outlasts_its_part():
     assert is_needed(freed_parts_model.Variant(ends_fetches=False))
 
 
 def test_times_that_count_at_once_extend_leases():
     assert is_needed(
-        freed_parts_model.Variant(lease_class=LiveTimes), first_seed=17
+        freed_parts_model.Variant(lease_class=LiveTimes), first_seed=28
     )
 
 
 @pytest.mark.parametrize(
     ("module", "name", "value", "first_seed"),
     [
-        (fetch_leases, "START_WAIT_S", 0.0, 0),
-        (fetch_leases, "MAX_GAP_S", NEVER_S, 0),
-        (sweeping, "MAX_AGE_S", NEVER_S, 18),
+        (fetch_leases, "START_WAIT_S", 0.0, 43),
+        (fetch_leases, "MAX_GAP_S", NEVER_S, 43),
+        (sweeping, "MAX_AGE_S", NEVER_S, 34),
         (
             sweeping.Sweeper,
             "review_readings",
             lambda sweeper: None,
-            45,
+            48,
         ),
     ],
     ids=["start-wait", "gap", "fresh-knowledge", "read-anew"],
--- a/tests/routes/test_freshness.py
+++ b/tests/routes/test_freshness.py
@@ -25,6 +25,9 @@
 
     def hear(self, other):
         """Get a heartbeat of another instance."""
+        self.freshness.delays.consume(
+            "other", other.freshness.delays.provide()
+        )
         self.freshness.consume("other", other.freshness.provide())
 
 
@@ -108,3 +111,30 @@
     with pytest.raises(msgspec.MsgspecError):
         instance.freshness.consume("peer", content)
     assert not instance.freshness.is_fresh()
+
+
+def test_heartbeat_that_arrives_late_counts_from_when_it_was_made(
+    instance, peer, clock
+):
+    """Guards against a message that waited for a suspended process, or for
+    the network, and makes old knowledge look new.
+    """
+    peer.read_until_s = clock()
+    instance.hear(peer)
+    assert instance.freshness.is_fresh()
+    made = peer.freshness.delays.provide()
+    age = peer.freshness.provide()
+    clock.now_s += 12.0
+    instance.freshness.delays.consume("other", made)
+    instance.freshness.consume("other", age)
+    assert not instance.freshness.is_fresh()
+    assert instance.freshness.age_s() >= 12.0
+
+
+def test_clocks_of_instances_may_differ(instance, peer, clock):
+    peer.freshness.delays.clock = lambda: clock() + 5000.0
+    for _ in range(3):
+        clock.now_s += 1.0
+        peer.read_until_s = clock()
+        instance.hear(peer)
+        assert instance.freshness.is_fresh()
