Don't trust the software of restarted endpoints after a suspension

An instance that was suspended for less than three seconds took the software of endpoints that keep their names for what their entries had told before it. An endpoint that had restarted meanwhile with other software continued streams of the former version. Such an endpoint's software is now not sure from a suspension of half a second on, until entries are read that reach to its end.

test_suspended_instance_does_not_know_restarted_software fails without it.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -154,6 +154,7 @@
         )
         self.instances.registrations = self.feeds.registrations
         registry = self.feeds.registry
+        registry.may_be_outdated = self.entries_may_be_outdated
         self.restarts = start_updates.StartUpdates(registry.apply_start)
         self.leaving = start_updates.StartUpdates(registry.apply_leaving)
         self.announcement_recorder = node_announcements.AnnouncementRecorder(
@@ -562,6 +563,12 @@
             self.suspension.is_catching_up() or not self.freshness.is_fresh()
         )
 
+    def entries_may_be_outdated(self) -> bool:
+        """Return whether endpoints may have restarted in a suspension."""
+        return self.suspension.was_suspended_since(
+            self.feeds.endpoint_reads.read_until_s
+        )
+
     def forget_endpoints(self, ids: frozenset[str]) -> None:
         """Drop the state of endpoint starts that are gone."""
         self.pool.forget(ids)
--- a/src/briarseam/discovery/registry.py
+++ b/src/briarseam/discovery/registry.py
@@ -31,6 +31,11 @@
 OnEntry = typing.Callable[[model.Endpoint], None]
 
 
+def never_outdated() -> bool:
+    """Return that entries are up to date; the default."""
+    return False
+
+
 def ignore_entry(endpoint: model.Endpoint) -> None:
     """Ignore that an endpoint has written an entry."""
     del endpoint
@@ -71,6 +76,11 @@
         Counts malformed entries.
     on_entry
         Called with each valid entry, also if it has not changed.
+
+    Attributes
+    ----------
+    may_be_outdated
+        Returns whether the process was suspended since entries were read.
     """
 
     def __init__(
@@ -86,6 +96,7 @@
         self.decode = decode
         self.on_gone = on_gone
         self.clock = clock
+        self.may_be_outdated: typing.Callable[[], bool] = never_outdated
         self.present: dict[str, model.Endpoint] = {}
         self.lapsed: dict[str, LapsedEndpoint] = {}
         self.hold_lapsed_until_s = float("-inf")
@@ -189,6 +200,8 @@
             return None
         if endpoint.start.born_ms == starts.UNKNOWN_MS:
             return endpoint.software
+        if self.may_be_outdated():
+            return None
         is_current = self.last_lost_s < self.last_read_s
         if not is_current or self.age_s() > MAX_SOFTWARE_AGE_S:
             return None
--- a/src/briarseam/suspension.py
+++ b/src/briarseam/suspension.py
@@ -64,6 +64,12 @@
         ticked_s = self.ticked_s
         return 0.0 if ticked_s is None else now_s - ticked_s
 
+    def was_suspended_since(self, time_s: float) -> bool:
+        """Return whether the process was suspended after a time."""
+        if self.resumed_s > time_s:
+            return True
+        return self.late_s(self.clock()) >= SUSPENDED_S
+
     def is_catching_up(self) -> bool:
         """Return whether the process was suspended a moment ago.
 
--- a/tests/platform/test_instances_out_of_step.py
+++ b/tests/platform/test_instances_out_of_step.py
@@ -278,6 +278,38 @@
     assert_refused(nodes[0], streams)
 
 
+def test_suspended_instance_does_not_know_restarted_software(
+    cold_system, nodes, old, monkeypatch
+):
+    """Guards against a name whose software changed during a suspension."""
+    for number, engine in enumerate(old):
+        engine.restart(born=1_600_000_000_000 + number)
+        cold_system.write_entry(engine.id, SERVICE)
+    await_births(nodes)
+    streams = begin(nodes[0], old)
+    with suspended(nodes[0], monkeypatch):
+        nodes[0].suspension.stop()
+        for number, engine in enumerate(old):
+            engine.version = "v1.1"
+            engine.restart(born=1_700_000_000_000 + number)
+        # As right after a suspension of two seconds.
+        nodes[0].suspension.ticked_s = clocks.boot_clock() - 2.0
+        assert take_up(nodes[0], streams) == [503] * STREAMS
+    assert [one.versions() for one in streams] == [{b"v1"}] * STREAMS
+
+
+def await_births(nodes):
+    """Wait until instances know when the endpoints started."""
+    waiting.until(
+        lambda: all(
+            one.start.born_ms > 0
+            for node in nodes
+            for one in node.feeds.registry.all()
+        ),
+        TIMEOUT_S,
+    )
+
+
 def test_answer_is_not_resumed_at_a_version_that_joined(cold_system, nodes):
     """Guards against the rest of an answer from software that joined."""
     lose_store(nodes[0])
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -48,3 +48,16 @@
     watch = suspension.SuspensionWatch(clock)
     clock.now_s += 100.0
     assert not watch.is_catching_up()
+
+
+def test_suspension_shows_until_something_was_read_after_it(watch, clock):
+    """Guards against a read that began before the suspension."""
+    read_s = clock.now_s
+    assert not watch.was_suspended_since(read_s)
+    clock.now_s += 3.0
+    assert watch.was_suspended_since(read_s)
+    watch.tick()
+    assert watch.was_suspended_since(read_s)
+    assert not watch.was_suspended_since(clock.now_s)
+    run_for(watch, 60.0)
+    assert watch.was_suspended_since(read_s)
