Streams go on after a kill of all instances

Cause: the origin of a stream was in the memory of four instances, and the versions that a service had in the last minute in that of each. All of it ended with the processes, and what is not known is refused.

Each instance now writes the origins of its streams that run to the store, all in one record, and reads the records of all instances before it takes requests. The origin of a stream stays true however old or incomplete the records are, so a late, lost, stale or restored record can only leave a stream unknown, which is refused as before. A stream on which two records do not agree is unknown, too. Records are written by a thread of their own; requests wait for the store at most for the first two seconds of a process.

Evidence: test_stream_goes_on_after_all_instances_were_killed failed before (0 of 12, each take-up with known_from=none) and passes.

One more read for each start. Above four instances the pause grows with their number.

The five guards that are added were taken out one at a time: a test misses each.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -45,6 +45,7 @@
 from briarseam.metrics import threads
 from briarseam.origins import exchange as origin_exchange
 from briarseam.origins import memory as origin_memory
+from briarseam.origins import origin_records
 from briarseam.peers import expiry
 from briarseam.placement import cache_sharing
 from briarseam.placement import cell_loads
@@ -57,6 +58,7 @@
 from briarseam.placement import sweeping
 from briarseam.platform import cache
 from briarseam.platform import engines
+from briarseam.platform import names
 from briarseam.platform import requests
 from briarseam.platform import store as stores
 from briarseam.reachability import tracker
@@ -256,6 +258,14 @@
             self.instances.key,
             self.malformed_counter,
         )
+        self.origin_records = origin_records.OriginRecords(
+            self.store,
+            names.ORIGINS_TOPIC,
+            settings.instance.name,
+            self.origins.known,
+            lambda: len(self.feeds.registrations.relay_addresses()),
+            self.malformed_counter,
+        )
         self.supervisor = supervision.Supervisor()
         self.waiting = node_forwarding.waiting_queue(
             settings.load,
@@ -309,6 +319,7 @@
             self.paths,
             self.crashes,
             self.origins,
+            self.origin_records,
             self.fetch_leases,
             self.sweeper,
             self.store_watches,
@@ -367,6 +378,7 @@
                     self.origins,
                     self.software,
                     self.feeds.registry,
+                    self.origin_records,
                     node_metrics.streams_taken_up(self.metrics),
                 ),
                 supervisor=self.supervisor,
@@ -600,4 +612,5 @@
             and self.feeds.operators.current() is not None
             and not self.weights.goal_times.must_wait()
             and self.crashes.records.is_settled()
+            and not self.origin_records.must_wait()
         )
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -168,6 +168,7 @@
                 continue
             context.tried.add(placement.endpoint.id)
             if isinstance(outcome, outcomes.Answered):
+                self.deps.origins.record_end(context.call)
                 return f"answered-{outcome.status}"
             self.handle_failure(context, placement.endpoint, outcome)
             if not request_context.may_retry(context):
--- a/src/briarseam/forwarding/stream_origins.py
+++ b/src/briarseam/forwarding/stream_origins.py
@@ -44,6 +44,16 @@
         """Return where a stream began, if any instance knows it."""
 
 
+class Records(typing.Protocol):
+    """Streams that are recorded at the store while they run."""
+
+    def note_begun(self, stream: str, origin: memory.Origin) -> None:
+        """Have a stream recorded soon."""
+
+    def note_ended(self, stream: str) -> None:
+        """Drop a stream that its caller has received as a whole."""
+
+
 class EndpointEntries(typing.Protocol):
     """What the endpoints' entries at the store tell of their starts."""
 
@@ -63,6 +73,8 @@
         Software versions of each service.
     entries
         Tells the software of endpoints.
+    records
+        Streams that are recorded while they run.
     taken_up
         Counts streams that callers take up, by how the version is known.
     """
@@ -70,6 +82,7 @@
     exchange: Exchange
     history: software.SoftwareHistory
     entries: EndpointEntries
+    records: Records
     taken_up: labels.Family[instruments.Counter]
 
     def find(self, call: calls.Call, service: str) -> str | None:
@@ -118,4 +131,9 @@
         if version is not None and is_short:
             origin = memory.Origin(endpoint.service, version)
             self.exchange.store(call.stream, origin)
+            self.records.note_begun(call.stream, origin)
         return version
+
+    def record_end(self, call: calls.Call) -> None:
+        """Record that a caller has received a stream as a whole."""
+        self.records.note_ended(call.stream)
--- a/tests/forwarding/test_stream_origins.py
+++ b/tests/forwarding/test_stream_origins.py
@@ -24,6 +24,19 @@
         return self.known.get(stream)
 
 
+class Records:
+    """Streams that are recorded while they run."""
+
+    def __init__(self):
+        self.running = {}
+
+    def note_begun(self, stream, origin):
+        self.running[stream] = origin
+
+    def note_ended(self, stream):
+        self.running.pop(stream, None)
+
+
 class Entries:
     """Entries of endpoints whose software is sure, or not."""
 
@@ -48,7 +61,7 @@
 def origins(history):
     counters = registry.Registry().counters("a_total", "", ("known_from",))
     return stream_origins.StreamOrigins(
-        Exchange(), history, Entries(), counters
+        Exchange(), history, Entries(), Records(), counters
     )
 
 
@@ -80,6 +93,15 @@
     origins.entries.sure = False
     assert origins.record(call("first"), endpoint("v1")) is None
     assert origins.exchange.known == {}
+    assert origins.records.running == {}
+
+
+def test_stream_is_recorded_while_it_runs(origins):
+    origins.record(call("first"), endpoint("v1"))
+    origins.record(call("second", "first"), endpoint("v1"))
+    assert origins.records.running == {"first": memory.Origin("engines", "v1")}
+    origins.record_end(call("second", "first"))
+    assert origins.records.running == {}
 
 
 def test_id_that_is_too_long_is_not_stored(origins):
@@ -87,6 +109,7 @@
     stream = "x" * (memory.MAX_ID_CHARACTERS + 1)
     assert origins.record(call(stream), endpoint("v1")) == "v1"
     assert origins.exchange.known == {}
+    assert origins.records.running == {}
 
 
 def test_stream_of_another_service_is_not_continued(origins, history, clock):
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import re
 import time
 
 import pytest
 
+from briarseam.feeds import records
+from briarseam.origins import origin_records
 from briarseam.placement import requests as placements
 from briarseam.testing import waiting
 from tests.platform import instances
@@ -15,6 +18,9 @@
 
 TIMEOUT_S = 10
 EVENTS = 4
+# Events of streams that run until all instances are killed.
+LONG_EVENTS = 1000
+RUN_S = 2.0
 STREAMS = 12
 
 
@@ -71,6 +77,31 @@
     return sum(stream.complete for stream in streams)
 
 
+def kill_all(nodes, engines):
+    """Return streams that run until all instances are killed at once."""
+    set_all(engines, events=LONG_EVENTS, pause_ms=20)
+    streams = [versioned_engines.Stream() for _ in range(STREAMS)]
+    with concurrent.futures.ThreadPoolExecutor(STREAMS) as callers:
+        for number, stream in enumerate(streams):
+            callers.submit(stream.request, nodes[number % len(nodes)])
+        waiting.until(
+            lambda: all(stream.origin for stream in streams), TIMEOUT_S
+        )
+        time.sleep(RUN_S)
+        for node in nodes:
+            node.in_flight.close(0.0)
+            node.stop(0.0)
+    set_all(engines, pause_ms=0)
+    assert not any(stream.complete for stream in streams)
+    return streams
+
+
+def come_back(system):
+    """Start all instances again, with nothing in their memory."""
+    system.start()
+    return instances.start_others(system, 2)
+
+
 def mixed(streams):
     """Return the streams with events of several software versions."""
     return [one for one in streams if len(one.versions()) > 1]
@@ -99,6 +130,98 @@
     assert mixed(streams) == []
 
 
+def test_stream_goes_on_after_all_instances_were_killed(
+    cold_system, nodes, engines
+):
+    """Guards against a version that only killed instances knew."""
+    streams = kill_all(nodes, engines)
+    versions = {version for one in streams for version in one.versions()}
+    assert versions == {b"v1", b"v1.1"}
+    assert take_up(come_back(cold_system), streams) == STREAMS
+    assert mixed(streams) == []
+
+
+def test_stream_is_not_joined_after_a_kill_once_its_software_is_gone(
+    cold_system, nodes, engines
+):
+    """Guards against other software, the only one that instances find."""
+    streams = kill_all(nodes, engines)
+    for engine in engines["v1"]:
+        cold_system.write_entry(
+            engine.id, versioned_engines.SERVICE, "draining"
+        )
+    took_up = take_up(come_back(cold_system), streams)
+    assert took_up == len(of_version(streams, "v1.1"))
+    assert mixed(streams) == []
+
+
+def test_stream_is_refused_after_a_kill_if_its_record_was_lost(
+    cold_system, nodes, engines
+):
+    """Guards against a guess where the store lacks the newest records."""
+    before = cold_system.store.copy()
+    streams = kill_all(nodes, engines)
+    cold_system.store.restore(before)
+    assert take_up(come_back(cold_system), streams) == 0
+    assert {one.statuses[-1] for one in streams} == {503}
+    assert mixed(streams) == []
+
+
+def test_stream_that_its_caller_has_received_is_not_recorded(
+    cold_system, nodes, engines
+):
+    """Guards against a priced call for streams that have ended."""
+    for node in nodes:
+        waiting.until(node.origin_records.loaded.is_set, TIMEOUT_S)
+    streams = [versioned_engines.Stream() for _ in range(STREAMS)]
+    assert take_up(nodes, streams) == STREAMS
+    waiting.until(
+        lambda: not any(node.origin_records.running for node in nodes),
+        TIMEOUT_S,
+    )
+
+
+def refuse_to_load(self):
+    """Fail as if the topic could not be read."""
+    raise records.StoreUnavailableError("the topic is away")
+
+
+def is_otherwise_ready(node):
+    """Return whether an instance is ready but for origins of streams."""
+    return (
+        node.feeds.operators.current() is not None
+        and len(node.feeds.registry.all()) == 4
+        and not node.weights.goal_times.must_wait()
+        and node.crashes.records.is_settled()
+    )
+
+
+def test_instance_is_not_ready_before_the_records_are_read(
+    cold_system, engines, monkeypatch
+):
+    """Guards against take-ups that come before the records do."""
+    monkeypatch.setattr(origin_records, "MAX_WAIT_S", 1000.0)
+    cold_system.configure()
+    with monkeypatch.context() as patched:
+        patched.setattr(origin_records.OriginRecords, "load", refuse_to_load)
+        node = cold_system.launch()
+        waiting.until(lambda: is_otherwise_ready(node), TIMEOUT_S)
+        assert not node.is_ready()
+    waiting.until(node.is_ready, TIMEOUT_S)
+
+
+def test_instance_gets_ready_though_the_records_can_not_be_read(
+    cold_system, engines, monkeypatch
+):
+    """Guards against an outage of one topic that ends all service."""
+    monkeypatch.setattr(origin_records.OriginRecords, "load", refuse_to_load)
+    cold_system.configure()
+    node = cold_system.launch()
+    waiting.until(lambda: is_otherwise_ready(node), TIMEOUT_S)
+    waiting.until(node.is_ready, origin_records.MAX_WAIT_S + 1)
+    assert versioned_engines.Stream().request(node) == 200
+
+
 def of_version(streams, version):
     """Return the streams that one version began."""
     return [one for one in streams if one.versions() == {version.encode()}]
