Soak: free stored parts while they are fetched

The stand-in store judges each fetch by what was freed before it had ended, unless the endpoint discards it. A fetch that a restart of the store breaks off takes nothing. The run fails if hardly any fetch, no slow one or no free happened, or if parts of replaced weights stay.

--- a/tests/platform/cache_store.py
+++ b/tests/platform/cache_store.py
@@ -52,11 +52,19 @@
         )
         # How long a fetch takes, in seconds.
         self.fetch_s = 0.0
-        # Whether no removal is told.
+        # Whether no removal, or no save, is told.
         self.loses_removals = False
+        self.loses_saves = False
+        # Readers of fewer events are told that they have lost some.
+        self.complete_from = 0
         # Fetches in progress, by part, and those that took what was freed.
         self.fetching: list[tuple[str, str]] = []
         self.broken: list[tuple[str, str]] = []
+        # Durations of complete fetches in seconds, and the number of those
+        # that their engine discarded and that a restart broke off.
+        self.fetched_s: list[float] = []
+        self.discarded = 0
+        self.broken_off = 0
         self.lock = threading.Lock()
 
     def restart(self, born: int | None, epoch: int) -> None:
@@ -65,6 +73,7 @@
             self.born = born
             self.epoch = epoch
             self.events = []
+            self.complete_from = 0
             self.held = {}
             self.makers = {}
 
@@ -76,7 +85,16 @@
             self.held[salt, part] = tokens
             self.makers[salt, part] = maker
             number = len(self.events)
-            self.events.append((number, "+", salt, part, tokens, MODEL))
+            if not self.loses_saves:
+                self.events.append((number, "+", salt, part, tokens, MODEL))
+
+    def tell_lost(self) -> None:
+        """Tell all readers that they have lost events."""
+        with self.lock:
+            number = len(self.events)
+            # Only a later event shows them that something happened.
+            self.events.append((number, "-", "", "", 0, MODEL))
+            self.complete_from = number + 1
 
     def fetch(
         self, salt: str, part: str, until_ms: float = math.inf
@@ -92,18 +110,29 @@
             if maker is None:
                 return None
             self.fetching.append(key)
-            frees = self.freed.count(key)
-        end_s = time.monotonic() + self.fetch_s
-        while time.monotonic() < end_s and clock_ms() < until_ms:
-            time.sleep(STEP_S)
+            epoch, frees = self.epoch, self.freed.count(key)
+        begun_s = time.monotonic()
+        self.transfer(self.fetch_s, until_ms)
         with self.lock:
             self.fetching.remove(key)
             if clock_ms() >= until_ms:
+                self.discarded += 1
                 return None
+            if self.epoch != epoch:
+                self.broken_off += 1
+                return None
+            self.fetched_s.append(time.monotonic() - begun_s)
             if self.freed.count(key) > frees:
                 self.broken.append(key)
         return maker
 
+    def transfer(self, seconds: float, until_ms: float) -> None:
+        """Wait until a part is transferred, or its time is over."""
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s and clock_ms() < until_ms:
+            if self.stopping.wait(STEP_S):
+                return
+
     def free(self, body: dict) -> http_messages.Response:
         """Drop parts, unless the caller means a former start."""
         if body.get("epoch", self.epoch) != self.epoch:
@@ -134,7 +163,9 @@
             match request.path:
                 case ("briarseam", "kv-events"):
                     since = request.number("since", 0)
-                    content |= {"lost": False, "events": self.events[since:]}
+                    lost = since < self.complete_from
+                    told = [] if lost else self.events[since:]
+                    content |= {"lost": lost, "events": told}
                 case ("briarseam", "kv-list"):
                     content["held"] = [
                         (*key, tokens, MODEL)
--- a/tests/platform/caching_engine.py
+++ b/tests/platform/caching_engine.py
@@ -230,7 +230,10 @@
             return
         salt = headers.get("cache-salt", "")
         with self.lock:
-            made = self.held[salt, part]
+            made = self.held.get((salt, part))
+        if made is None:
+            # Evicted meanwhile.
+            return
         maker = f"{made.organisation}@{made.version}"
         self.stores[target].put(salt, part, tokens, maker)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 import typing
 
 from tests.platform import raw_answers
+from tests.soak import cache_faults
 from tests.soak import links
 from tests.soak import paths
 
@@ -357,9 +358,15 @@
     | Contended
     | Isolated
     | WeightsReplaced
+    | cache_faults.Freeing
 )
 
 
+def label(fault: Fault) -> str:
+    """Return what a fault is counted as."""
+    return f"{type(fault).__name__} {getattr(fault, 'how', '')}".strip()
+
+
 @dataclasses.dataclass(frozen=True)
 class Planned:
     """A fault with its time, in seconds from the start."""
--- a/tests/soak/injecting.py
+++ b/tests/soak/injecting.py
@@ -9,7 +9,9 @@
 import typing
 
 from tests.platform import worker as workers
+from tests.soak import cache_faults
 from tests.soak import faults
+from tests.soak import freeing
 from tests.soak import links
 from tests.soak import paths
 from tests.soak import processes
@@ -117,6 +119,7 @@
                 | faults.StoppedInTurn()
                 | faults.InstancesKilled()
                 | faults.Contended()
+                | cache_faults.Freeing()
             ):
                 self.strike_many(one.fault, one.for_s)
             case (
@@ -136,7 +139,8 @@
         | faults.ServiceFragile
         | faults.StoppedInTurn
         | faults.InstancesKilled
-        | faults.Contended,
+        | faults.Contended
+        | cache_faults.Freeing,
         for_s: float,
     ) -> None:
         """Strike several instances or endpoints."""
@@ -150,6 +154,9 @@
                 self.stop_in_turn(fault, for_s)
             case faults.InstancesKilled(numbers, gap_s):
                 self.kill(numbers, gap_s, for_s)
+            case cache_faults.Freeing():
+                with self.lock_of(fault):
+                    freeing.strike(self.deployment, fault, for_s)
             case faults.Contended():
                 with self.lock_of("contention"), self.rush():
                     time.sleep(for_s)
--- a/tests/soak/isolation.py
+++ b/tests/soak/isolation.py
@@ -53,8 +53,8 @@
     ----------
     uses
         What requests ran on.
-    store
-        The store of parts.
+    stores
+        The stores of parts.
     isolation
         Who was isolated, and when.
     tenants
@@ -63,32 +63,45 @@
         Weight version of all engines.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, stores: collections.abc.Sequence[cache_store.CacheStore] = ()
+    ) -> None:
         self.uses = caching_engine.Uses()
-        self.store = cache_store.CacheStore(None)
+        self.stores = stores or [cache_store.CacheStore(None)]
         self.isolation = caching_engine.Isolation()
         self.tenants = tenants_of((), ())
         self.weights = 1
 
     def new_cache(self) -> caching_engine.PromptCache:
         """Return the memory of an engine that has just started."""
-        return caching_engine.PromptCache(
-            self.uses, {self.store.address: self.store}
-        )
+        return caching_engine.PromptCache(self.uses, self.by_address())
+
+    def new_engine(self, *args: typing.Any) -> Engine:
+        """Return an endpoint that has just started."""
+        made = Engine(*args)
+        made.kept, made.cache = self, self.new_cache()
+        return made
+
+    def by_address(self) -> dict[str, cache_store.CacheStore]:
+        """Return the stores by their address."""
+        return {store.address: store for store in self.stores}
 
     def add_to(self, document: dict) -> None:
         """Add organisations and the store to a configuration."""
         document["tenants"] = self.tenants
         document["services"] = [
             *document["services"],
-            {
-                "name": "keep",
-                "kvStoreAddr": self.store.address,
-                "zone": "hall-a",
-                "kvCapacityTokens": STORE_TOKENS,
-                "linkMbps": 10000.0,
-                "managed": True,
-            },
+            *(
+                {
+                    "name": f"keep-{number}",
+                    "kvStoreAddr": store.address,
+                    "zone": "hall-a",
+                    "kvCapacityTokens": STORE_TOKENS,
+                    "linkMbps": 10000.0,
+                    "managed": True,
+                }
+                for number, store in enumerate(self.stores)
+            ),
         ]
 
     def record(self) -> None:
@@ -97,10 +110,6 @@
             one["name"] for one in self.tenants if one["isolated"]
         )
 
-    def models(self) -> list[dict[str, object]]:
-        """Return the models in the entry of an engine."""
-        return [{"name": system.MODEL, "version": self.weights}]
-
 
 class Engine(crashes.CrashingWorker):
     """Endpoint that caches parts, and runs on its own weights only."""
@@ -110,6 +119,14 @@
         self.kept: Kept | None = None
         self.cache: caching_engine.PromptCache | None = None
 
+    def weights(self) -> int:
+        """Return the version of the engine's weights."""
+        return self.kept.weights
+
+    def models(self) -> list[dict[str, object]]:
+        """Return the models in its entry."""
+        return [{"name": system.MODEL, "version": self.weights()}]
+
     def run(
         self,
         request: http_messages.Request,
@@ -118,7 +135,7 @@
     ) -> http_messages.Response:
         """Run a request on what is cached of its prompt."""
         expected = request.headers.get("expect-version", "")
-        if expected and expected != str(self.kept.weights):
+        if expected and expected != str(self.weights()):
             return http_messages.Response(MISDIRECTED, headers=echo)
         self.cache.run(request)
         return super().run(request, call, echo)
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -1,16 +1,18 @@
-"""Runs `briarseam serve` with endpoints at addresses of its own.
+"""Runs `briarseam serve` with endpoints or peers at addresses of its own.
 
 usage: launcher.py MAP serve --settings=FILE
 
-MAP is a file with a JSON object of endpoints' addresses and the addresses of
-the links through which this instance alone reaches them.
+MAP is a file with a JSON object of their addresses and the addresses of the
+links through which this instance alone reaches them.
 """
 
 from __future__ import annotations
 
+import asyncio
 import json
 import pathlib
 import runpy
+import socket
 import sys
 
 import urllib3.util.connection
@@ -19,16 +21,28 @@
 def main() -> None:
     """Replace addresses of connections, and run the program."""
     links = json.loads(pathlib.Path(sys.argv.pop(1)).read_text())
-    connect = urllib3.util.connection.create_connection
 
-    def connect_through_link(address, *options, **named):
-        host, port = address
+    def link_of(host, port):
         linked = links.get(f"{host}:{port}")
         if linked is not None:
             host, _, port = linked.rpartition(":")
-        return connect((host, int(port)), *options, **named)
+        return host, int(port)
 
-    urllib3.util.connection.create_connection = connect_through_link
+    def through_links(connect):
+        def connect_through_link(address, *options, **named):
+            return connect(link_of(*address), *options, **named)
+
+        return connect_through_link
+
+    connect_loop = asyncio.BaseEventLoop.create_connection
+
+    def connect_loop_through_link(loop, factory, host, port, **named):
+        return connect_loop(loop, factory, *link_of(host, port), **named)
+
+    of_urllib3 = urllib3.util.connection
+    of_urllib3.create_connection = through_links(of_urllib3.create_connection)
+    socket.create_connection = through_links(socket.create_connection)
+    asyncio.BaseEventLoop.create_connection = connect_loop_through_link
     runpy.run_module("briarseam", run_name="__main__")
 
 
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -10,6 +10,7 @@
 from tests.platform import raw_answers
 from tests.soak import deadly
 from tests.soak import faults
+from tests.soak import freeing
 from tests.soak import isolation
 from tests.soak import parts
 from tests.soak import paths
@@ -311,6 +312,14 @@
     return isolation.plan(seed, seconds, instances, others)
 
 
+def plan_freeing(
+    seed: int, seconds: float, instances: int
+) -> list[faults.Planned]:
+    """Return new weights in series while parts are fetched."""
+    others = plan(seed + 1, seconds, instances)
+    return freeing.plan(seed, seconds, instances, others)
+
+
 def draw_form(random_: random.Random, is_stream: bool) -> raw_answers.Form:
     """Return a form of answers whose cuts callers must not take for ends."""
     forms = [
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -55,6 +55,8 @@
         Its own links to endpoints; ``None`` where runs cut none.
     ordered_waiting
         Whether its requests wait in the ordered queue.
+    bounds
+        More lines of the section of bounds.
     killed
         What is to be said of its processes that did not end in time.
     """
@@ -72,6 +74,7 @@
     killed: list[str] = dataclasses.field(default_factory=list)
     paths: path_links.Paths | None = None
     ordered_waiting: bool = False
+    bounds: str = ""
 
     def write_settings(self, extra: str = "") -> None:
         """Replace its settings; it may be reading them as it starts."""
@@ -83,7 +86,7 @@
             f"[listen]\n{listen}\n[store]\naddress = {self.to_store.address}\n"
             # Additional settings belong to the last section.
             f"{load}[bounds]\nshutdown_s = {self.shutdown_s:g}\n"
-            f"evacuation_ms = {EVACUATION_MS}\n{extra}"
+            f"evacuation_ms = {EVACUATION_MS}\n{self.bounds}{extra}"
         )
         written.replace(self.settings)
 
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -13,7 +13,7 @@
     ----------
     seed, seconds, instances, stops, restores, zones, announcements, paths,
     framings, releases, crashes, parts, deadly, contention,
-    ordered_waiting, floods, isolations
+    ordered_waiting, floods, isolations, freeing
         The run.
     requests, runs
         How many requests were sent, and how often endpoints ran one.
@@ -35,6 +35,8 @@
         Endpoints that requests crashed.
     parts_used
         How often requests ran on a cached part.
+    fetches
+        Fetches of stored parts and calls that free some, by what they were.
     flooded
         Answers without end that instances have closed.
     growth
@@ -60,6 +62,7 @@
     ordered_waiting: bool = False
     floods: bool = False
     isolations: bool = False
+    freeing: bool = False
     requests: int = 0
     runs: int = 0
     answers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -71,6 +74,7 @@
     organisations: dict[str, int] = dataclasses.field(default_factory=dict)
     crashed: int = 0
     parts_used: int = 0
+    fetches: dict[str, int] = dataclasses.field(default_factory=dict)
     flooded: int = 0
     growth: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -27,8 +27,11 @@
 from tests.soak import crashes
 from tests.soak import deadly as deadly_requests
 from tests.soak import endless
+from tests.soak import faults
+from tests.soak import freeing as freeing_checks
 from tests.soak import injecting
 from tests.soak import isolation as isolations
+from tests.soak import kept_parts
 from tests.soak import parts as crashing_parts
 from tests.soak import plans
 from tests.soak import processes
@@ -86,6 +89,7 @@
             (1 + report.seed % 2) * report.contention,
             report.ordered_waiting or report.contention,
             report.isolations,
+            report.freeing,
         )
         if report.releases:
             count = len(serving.SERVICES)
@@ -116,7 +120,7 @@
                 self.new_caller(kind=contentions.SlowReader)
                 for _ in range(contentions.SLOW_READERS)
             ]
-        if report.isolations:
+        if report.isolations or report.freeing:
             for one, key in zip(
                 self.callers,
                 itertools.cycle(isolations.KEYS.values()),
@@ -130,6 +134,8 @@
 
     def caller_count(self) -> int:
         """Return how many callers send one request after the other."""
+        if self.report.freeing:
+            return kept_parts.CALLERS
         if not self.report.stops:
             return CALLERS
         return random.Random(self.report.seed).choice(CALLERS_OF_STOPS)
@@ -146,6 +152,8 @@
             kind = raw_callers.RawCaller
         if self.report.releases:
             kind = releases.TakingUpCaller
+        if self.report.freeing:
+            kind = kept_parts.Caller
         return kind(
             next(self.numbers),
             self.report.seed,
@@ -223,6 +231,7 @@
             plans.plan_deadly: report.deadly,
             plans.plan_contention: report.contention,
             plans.plan_isolations: report.isolations,
+            plans.plan_freeing: report.freeing,
             endless.plan: report.floods,
         }
         return next((one for one in chosen if chosen[one]), plans.plan)
@@ -232,9 +241,7 @@
         planned = self.choose_plan()(
             self.report.seed, self.report.seconds, self.report.instances
         )
-        kinds = collections.Counter(
-            type(one.fault).__name__ for one in planned
-        )
+        kinds = collections.Counter(faults.label(one.fault) for one in planned)
         self.report.faults = dict(sorted(kinds.items()))
         probing = threading.Thread(target=self.probe, daemon=True)
         if self.report.stops:
@@ -245,6 +252,8 @@
             self.deployment.slow_down(
                 contentions.draw_delays(self.report.seed, count)
             )
+        if self.report.freeing:
+            self.deployment.kept.set_calm(False)
         for thread in (probing, *(one.thread for one in self.callers)):
             thread.start()
         if self.report.floods:
@@ -256,6 +265,8 @@
         if self.report.deadly:
             self.deployment.last_fault_s = time.monotonic()
         time.sleep(max(0.0, end_s - time.monotonic()))
+        if self.report.freeing:
+            self.deployment.kept.set_calm(True)
         if not self.report.releases:
             self.deployment.slow_down([0] * len(serving.SERVICES))
         self.stopping.set()
@@ -303,6 +314,8 @@
         everyone = (*self.callers, *self.crowds, self.prober)
         sent = [one for who in everyone for one in who.sent]
         self.broken += promises.check(self.deployment, sent)
+        self.broken += freeing_checks.check(self.deployment)
+        self.report.fetches = freeing_checks.count(self.deployment)
         self.broken += self.deployment.errors()
         self.finish_releases(sent)
         self.finish_floods(sent)
@@ -370,6 +383,7 @@
     ordered_waiting: bool = False,
     floods: bool = False,
     isolations: bool = False,
+    freeing: bool = False,
 ) -> reports.Report:
     """Run one seed and return what was found."""
     report = reports.Report(
@@ -390,6 +404,7 @@
         ordered_waiting,
         floods,
         isolations,
+        freeing,
     )
     Soak(folder, report).run()
     return report
@@ -470,6 +485,11 @@
         help="organisations that become isolated, and parts of prompts that "
         "engines and a store keep",
     )
+    parser.add_argument(
+        "--freeing",
+        action="store_true",
+        help="slow fetches of stored parts while new weights are named",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     options = parser.parse_args()
     first = options.seed or time.time_ns() % 1_000_000
@@ -496,6 +516,7 @@
             options.contention,
             floods=options.floods,
             isolations=options.isolations,
+            freeing=options.freeing,
         )
         print(json.dumps(dataclasses.asdict(report)), flush=True)
         broken += bool(report.broken)
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -20,6 +20,7 @@
 from tests.soak import contention
 from tests.soak import crashes
 from tests.soak import isolation
+from tests.soak import kept_parts
 from tests.soak import links
 from tests.soak import paths
 from tests.soak import processes
@@ -167,6 +168,8 @@
     keeps_parts
         Whether there are several organisations, and engines and a store
         that keep parts of their prompts.
+    freeing
+        Whether engines fetch these for long, and load weights by orders.
     """
 
     def __init__(
@@ -182,9 +185,14 @@
         slots: int = 0,
         ordered_waiting: bool = False,
         keeps_parts: bool = False,
+        freeing: bool = False,
     ) -> None:
         self.slots = slots
         self.kept = isolation.Kept() if keeps_parts else None
+        if freeing:
+            self.kept = kept_parts.Kept(seed, self.renew_entry)
+        # Names of endpoints that go on though their entries have lapsed.
+        self.lapsed: set[str] = set()
         self.versions = versions
         self.crash_after_s = crash_after_s
         # When the last fault ended, where a run checks what follows.
@@ -217,7 +225,8 @@
         self.configured: list[tuple[float, bool]] = []
         self.store = self.stack.enter_context(metadata_store.MetadataStore())
         if self.kept is not None:
-            self.stack.enter_context(self.kept.store)
+            for store in self.kept.stores:
+                self.stack.enter_context(store)
         self.store_troubled_until = 0.0
         self.endpoints = [
             self.new_endpoint(name, ZONES[number % len(ZONES)])
@@ -230,6 +239,9 @@
         if cuts:
             for instance in self.instances:
                 self.add_paths(instance)
+        if freeing:
+            for instance in self.instances:
+                self.add_paths_to_peers(instance)
 
     def new_instance(
         self, name: str, folder: pathlib.Path
@@ -250,6 +262,8 @@
             self.shutdown_s,
             ordered_waiting=self.ordered_waiting,
         )
+        if isinstance(self.kept, kept_parts.Kept):
+            made.bounds = kept_parts.BOUNDS
         made.write_settings()
         self.stack.callback(made.end, signal.SIGKILL)
         return made
@@ -260,6 +274,17 @@
         instance.paths = paths.Paths(addresses, HOST)
         self.stack.callback(instance.paths.stop)
 
+    def add_paths_to_peers(self, instance: processes.Instance) -> None:
+        """Give an instance links of its own to all others."""
+        addresses = [
+            one.listen[kind]
+            for one in self.instances
+            if one is not instance
+            for kind in ("peers", "relays")
+        ]
+        instance.paths = paths.Paths(addresses, HOST)
+        self.stack.callback(instance.paths.stop)
+
     def new_worker(
         self, version: str = releases.VERSIONS[0], name: str = ""
     ) -> workers.Worker:
@@ -268,7 +293,7 @@
         if self.slots:
             kind = contention.Engine
         if self.kept is not None:
-            kind = isolation.Engine
+            kind = self.kept.new_engine
         worker = kind(
             name or f"worker-{next(self.names)}",
             f"{HOST}:0",
@@ -276,9 +301,6 @@
             version,
             self.crash,
         )
-        if self.kept is not None:
-            worker.kept = self.kept
-            worker.cache = self.kept.new_cache()
         worker.names_version = self.versions
         worker.crash_after_s = self.crash_after_s
         worker.set(events=EVENTS)
@@ -308,11 +330,20 @@
             **endpoint.worker.start_fields(),
         }
         if self.kept is not None and endpoint.service == "engines":
-            entry["models"] = self.kept.models()
+            entry["models"] = endpoint.worker.models()
+        if endpoint.worker.id in self.lapsed:
+            return
         self.zones[endpoint.worker.id] = endpoint.zone
         self.record_period(endpoint, state)
         self.store.write("keyed.servers", endpoint.worker.id, entry)
 
+    def renew_entry(self, name: str) -> None:
+        """Write the entry of an endpoint again, if it is still there."""
+        for endpoint in self.endpoints:
+            if endpoint.worker.id == name:
+                left = name in endpoint.left
+                self.write_entry(endpoint, "draining" if left else "ready")
+
     def record_period(self, endpoint: Endpoint, state: str) -> None:
         """Record which version an endpoint runs, while it takes new work."""
         address = endpoint.link.address
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -1,17 +1,23 @@
 from __future__ import annotations
 
+import threading
+
 import pytest
 from tests.platform import caching_engine
 from tests.platform import system
 from tests.soak import callers
 from tests.soak import contention
+from tests.soak import freeing
 from tests.soak import isolation
 from tests.soak import plans
 from tests.soak import promises
 from tests.soak import serve_soak
 from tests.soak import serving
 
+from briarseam.testing import waiting
+
 SECONDS = 8.0
+FETCH_S = 1.0
 
 
 @pytest.mark.timeout(120)
@@ -241,6 +247,45 @@
     assert report.parts_used > 0
 
 
+@pytest.mark.timeout(120)
+def test_no_part_is_freed_while_it_is_fetched(tmp_path):
+    """Guards against prompts that read memory which is not theirs any more."""
+    report = serve_soak.run(75001, 12.0, 3, tmp_path, freeing=True)
+    assert report.broken == []
+    assert report.faults["WeightsNamed"] > 1
+    assert report.fetches["slow fetches"] + report.fetches["discarded"] > 0
+
+
+def test_part_that_is_freed_while_it_is_fetched_is_noticed(tmp_path):
+    """Guards against a check that passes though memory was taken."""
+    deployment = serving.Deployment(tmp_path, 0, freeing=True)
+    store = deployment.kept.stores[0]
+    store.put("drafts/1/", "aa", 400)
+    store.fetch_s = FETCH_S
+    fetch = threading.Thread(target=store.fetch, args=("drafts/1/", "aa"))
+    fetch.start()
+    waiting.until(lambda: store.fetching, FETCH_S)
+    store.free({"parts": [("drafts/1/", "aa")]})
+    fetch.join()
+    broken = list(freeing.check(deployment))
+    assert any("freed aa of drafts/1/ while fetched" in one for one in broken)
+    deployment.close()
+
+
+def test_run_without_fetches_or_with_parts_that_stay_is_noticed(
+    tmp_path, monkeypatch
+):
+    """Guards against a check that passes though it saw nothing."""
+    monkeypatch.setattr(freeing, "FREED_S", 0.0)
+    deployment = serving.Deployment(tmp_path, 0, freeing=True)
+    deployment.kept.stores[0].put("drafts/1/", "aa", 400)
+    freeing.name_weights(deployment)
+    stays, too_few, not_slow = freeing.check(deployment)
+    assert "drafts/1/" in stays
+    assert "too few" in too_few and "slow" in not_slow
+    deployment.close()
+
+
 def test_part_that_crossed_the_wall_is_noticed(tmp_path):
     """Guards against a check that passes though a part was used."""
     deployment = serving.Deployment(tmp_path, 0, keeps_parts=True)
@@ -313,6 +358,7 @@
     plans.plan_deadly,
     plans.plan_contention,
     plans.plan_isolations,
+    plans.plan_freeing,
 )
 
 
