--- a/tests/soak/freeing.py
+++ b/tests/soak/freeing.py
@@ -12,6 +12,7 @@
 from tests.soak import cache_faults
 from tests.soak import faults
 from tests.soak import kept_parts
+from tests.soak import links
 from tests.soak import serving
 
 if typing.TYPE_CHECKING:
@@ -145,26 +146,22 @@
 def cut_from_peers(
     deployment: serving.Deployment,
     number: int,
-    state: typing.Any,
+    state: links.State,
     for_s: float,
 ) -> None:
     """Cut one instance off from all others for a while."""
-    cut = deployment.instances[number].paths.links.values()
-    # Links to the instance are those of the others.
-    own = set(deployment.instances[number].listen.values())
+    struck = deployment.instances[number]
     cut = [
-        *cut,
-        *(
-            link
-            for one in deployment.instances
-            for address, link in one.paths.links.items()
-            if address in own
-        ),
+        link
+        for one in deployment.instances
+        for address, link in one.paths.links.items()
+        if one is struck or address in struck.listen.values()
     ]
     for link in cut:
         link.state = state
     time.sleep(for_s)
     for link in cut:
+        link.state = links.State.PASSING
         link.reset()
 
 
--- a/tests/soak/kept_parts.py
+++ b/tests/soak/kept_parts.py
@@ -25,7 +25,7 @@
 
 # Engines load weights sooner than by default, so that parts of replaced ones
 # are freed within a run.
-VERSION_MS = 5000
+VERSION_MS = 7000
 BOUNDS = f"version_ms = {VERSION_MS}\n"
 STORES = 3
 # Transfers at a time of an engine and of a store.
