Soak: keep entries of replaced endpoints out of the store

An entry that came back, or was renewed once weights were loaded, while its endpoint was being replaced stayed for good.

--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -191,8 +191,10 @@
         self.kept = isolation.Kept() if keeps_parts else None
         if freeing:
             self.kept = kept_parts.Kept(seed, self.renew_entry)
-        # Names of endpoints that go on though their entries have lapsed.
+        # Names of endpoints that go on though their entries have lapsed, and
+        # of those that others have replaced.
         self.lapsed: set[str] = set()
+        self.replaced: set[str] = set()
         self.versions = versions
         self.crash_after_s = crash_after_s
         # When the last fault ended, where a run checks what follows.
@@ -331,7 +333,7 @@
         }
         if self.kept is not None and endpoint.service == "engines":
             entry["models"] = endpoint.worker.models()
-        if endpoint.worker.id in self.lapsed:
+        if endpoint.worker.id in self.lapsed | self.replaced:
             return
         self.zones[endpoint.worker.id] = endpoint.zone
         self.record_period(endpoint, state)
@@ -457,6 +459,7 @@
 
     def replace(self, endpoint: Endpoint, version: str = "") -> None:
         """Let another endpoint take over an address."""
+        self.replaced.add(endpoint.worker.id)
         self.store.write("keyed.servers", endpoint.worker.id, None)
         self.end_period(endpoint)
         worker = self.new_worker(version or endpoint.worker.version)
