Tests: wait until streams are recorded before the kill

The test of a kill of all instances let streams run for two seconds, in which a busy machine may not have written all of them. It now waits until each instance has. What it checks after the kill is the same.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -20,7 +20,6 @@
 EVENTS = 4
 # Events of streams that run until all instances are killed.
 LONG_EVENTS = 1000
-RUN_S = 2.0
 STREAMS = 12
 
 
@@ -87,7 +86,10 @@
         waiting.until(
             lambda: all(stream.origin for stream in streams), TIMEOUT_S
         )
-        time.sleep(RUN_S)
+        waiting.until(
+            lambda: not any(node.origin_records.unwritten for node in nodes),
+            TIMEOUT_S,
+        )
         for node in nodes:
             node.in_flight.close(0.0)
             node.stop(0.0)
