Bound leases by what all instances wait for

What callers would see: answers on memory that was freed during its fetch.

While version_ms is changed, or in a rolling restart with new settings, instances differ: one whose leases are short frees parts that one with longer leases still fetches.

A lease lasts 12 s at most, and parts are kept for 18 s by all, whatever the settings say. The guard that is added is missed by test_parts_are_freed_after_all_fetches_that_may_have_begun.

--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -193,7 +193,7 @@
             self.metrics,
         )
         self.fetch_leases = fetch_leases.FetchLeases(
-            self.weights.lease_s,
+            self.weights.in_use_s,
             lambda: self.weights.goals.newest,
             self.feeds.configuration_complete_until_s,
         )
@@ -234,7 +234,6 @@
                 named=lambda: self.feeds.operators.named,
                 readings=lambda: self.feeds.operators.readings,
                 confirm=self.feeds.confirm_operators,
-                lease_s=self.weights.lease_s,
                 is_superseded=lambda scope: cache_sharing.is_superseded(
                     scope, self.feeds.operators.named_isolated
                 ),
--- a/src/briarseam/compose/node_weights.py
+++ b/src/briarseam/compose/node_weights.py
@@ -188,9 +188,9 @@
             # Just after a start the ages of goals are unknown; with another
             # bound, requests would begin on weights replaced long ago.
             return 0.0
-        return self.lease_s()
+        return self.in_use_s()
 
-    def lease_s(self) -> float:
+    def in_use_s(self) -> float:
         """Return how long replaced weights may still be used, in seconds."""
         return max(
             0.0, self.settings.bounds.version_ms / MS - VERSION_MARGIN_S
--- a/src/briarseam/placement/fetch_leases.py
+++ b/src/briarseam/placement/fetch_leases.py
@@ -22,6 +22,8 @@
     from briarseam.weights import goals
 
 RENEW_S = 0.1
+# Longest duration of a lease, whatever the settings say.
+MAX_LEASE_S = 12.0
 # Longest time from the decision to fetch until the end of the fetch.  The
 # endpoint discards a fetch that takes longer, and prefills the prompt.
 FETCH_LIMIT_S = 5.0
@@ -43,15 +45,12 @@
     return math.inf
 
 
-def free_after_s(lease_s: float) -> float:
+def free_after_s() -> float:
     """Return how long after it was replaced a part may be freed, in seconds.
 
-    Parameters
-    ----------
-    lease_s
-        Duration of a lease, in seconds.
+    The same for all instances, whose settings may differ while they change.
     """
-    return lease_s + FETCH_LIMIT_S + CLOCK_SLACK_S
+    return MAX_LEASE_S + FETCH_LIMIT_S + CLOCK_SLACK_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,9 +79,9 @@
 
     Parameters
     ----------
-    lease_s
-        Returns the duration of a lease in seconds: how long after it was
-        replaced a version is still in use.
+    in_use_s
+        Returns how long replaced weights are still in use, in seconds; a
+        lease is no longer than that.
     newest
         Returns the newest weights by model; the mapping doesn't change.
     read_until_s
@@ -94,12 +93,12 @@
 
     def __init__(
         self,
-        lease_s: typing.Callable[[], float],
+        in_use_s: typing.Callable[[], float],
         newest: typing.Callable[[], typing.Mapping[str, goals.WeightGoal]],
         read_until_s: typing.Callable[[], float],
         clock: typing.Callable[[], float] = clocks.boot_clock,
     ) -> None:
-        self.lease_s = lease_s
+        self.in_use_s = in_use_s
         self.newest = newest
         self.read_until_s = read_until_s
         self.clock = clock
@@ -118,6 +117,10 @@
         """Stop renewing."""
         self.renewals.stop()
 
+    def lease_s(self) -> float:
+        """Return the duration of a lease, in seconds."""
+        return min(self.in_use_s(), MAX_LEASE_S)
+
     def renew(self) -> None:
         """Renew the leases on all versions that are not replaced."""
         now_s = self.clock()
--- a/src/briarseam/placement/sweeping.py
+++ b/src/briarseam/placement/sweeping.py
@@ -67,8 +67,6 @@
     confirm
         Reads the store of the operators' changes; returns until when there
         are no others than those known, or ``None`` if that can't be said.
-    lease_s
-        Returns the duration of leases on weight versions, in seconds.
     is_superseded
         Returns whether no request has the parts of a group any more.
     """
@@ -76,7 +74,6 @@
     named: typing.Callable[[], typing.Mapping[str, int]]
     readings: typing.Callable[[], int]
     confirm: typing.Callable[[], float | None]
-    lease_s: typing.Callable[[], float]
     is_superseded: typing.Callable[[salts.Scope], bool] = is_never_superseded
 
 
@@ -143,7 +140,7 @@
         named = self.sources.named()
         self.review_readings()
         self.retirement.review(named)
-        self.retirement.forget_before(self.wait_s())
+        self.retirement.forget_before(fetch_leases.free_after_s())
 
     def review_readings(self) -> None:
         """Count all times anew once the store was read anew.
@@ -205,15 +202,11 @@
         if salt is None:
             return False
         replaced_s = self.retirement.replaced_s(salt.model, salt.version)
-        wait_s = self.wait_s()
+        wait_s = fetch_leases.free_after_s()
         if replaced_s >= wait_s:
             return True
         return self.superseded_s(salt.scope) >= wait_s
 
-    def wait_s(self) -> float:
-        """Return how long parts that were replaced are kept, in seconds."""
-        return fetch_leases.free_after_s(self.sources.lease_s())
-
     def superseded_s(self, scope: salts.Scope) -> float:
         """Return for how long a group has been superseded, in seconds.
 
