--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -3,7 +3,8 @@
 usage: launcher.py MAP serve --settings=FILE
 
 MAP is a file with a JSON object of their addresses and the addresses of the
-links through which this instance alone reaches them.
+links through which this instance alone reaches them.  Stored parts of replaced
+weights are kept for a shorter time, so that some are freed within a run.
 """
 
 from __future__ import annotations
@@ -17,6 +18,10 @@
 
 import urllib3.util.connection
 
+from briarseam.placement import fetch_leases
+
+MAX_LEASE_S = 5.0
+
 
 def main() -> None:
     """Replace addresses of connections, and run the program."""
@@ -43,6 +48,7 @@
     of_urllib3.create_connection = through_links(of_urllib3.create_connection)
     socket.create_connection = through_links(socket.create_connection)
     asyncio.BaseEventLoop.create_connection = connect_loop_through_link
+    fetch_leases.MAX_LEASE_S = MAX_LEASE_S
     runpy.run_module("briarseam", run_name="__main__")
 
 
