--- a/src/briarseam/platform/store.py
+++ b/src/briarseam/platform/store.py
@@ -12,7 +12,6 @@
 import urllib3
 
 from briarseam import bounded_http
-from briarseam import bounded_reads
 from briarseam import clocks
 from briarseam import malformed
 from briarseam import sockets
@@ -48,10 +47,6 @@
 log = structlog.get_logger("briarseam.platform")
 
 
-class TooLargeError(records.StoreUnavailableError):
-    """An answer has more bytes than are read."""
-
-
 class StoreClient:
     """Client for the platform's metadata store; thread-safe.
 
@@ -185,8 +180,7 @@
         Raises
         ------
         RecordsExpiredError
-            If records from that offset on are no longer retained, or too
-            large to be read at once.
+            If records from that offset on are no longer retained.
         StoreRestoredError
             If the offset belongs to another era.
         StoreUnavailableError
@@ -199,20 +193,13 @@
             "waitMs": str(int(wait_s * MS)),
         }
         asked_s = clocks.boot_clock()
-        try:
-            response = self.call(
-                "GET",
-                names.READ_PATH,
-                query,
-                timeout_s=wait_s + POLL_SLACK_S,
-                accepted=(OK, GONE),
-            )
-        except TooLargeError as error:
-            # The same read would fail again and again, while the newest
-            # records come in pages.
-            raise records.RecordsExpiredError(
-                f"{topic} from {start}: {error}"
-            ) from error
+        response = self.call(
+            "GET",
+            names.READ_PATH,
+            query,
+            timeout_s=wait_s + POLL_SLACK_S,
+            accepted=(OK, GONE),
+        )
         era = self.era_of(response)
         if era != records.era_of(start):
             raise records.StoreRestoredError(
@@ -371,12 +358,7 @@
         except urllib3.exceptions.NewConnectionError as error:
             raise records.StoreUnavailableError(str(error)) from error
         except urllib3.exceptions.HTTPError as error:
-            kind = (
-                TooLargeError
-                if is_too_large(error)
-                else records.StoreUnavailableError
-            )
-            raise kind(
+            raise records.StoreUnavailableError(
                 f"{type(error).__name__}: {error}", may_have_run=True
             ) from error
         era = response_era(response)
@@ -459,14 +441,6 @@
             ) from error
 
 
-def is_too_large(error: BaseException) -> bool:
-    """Return whether a call failed as its answer has too many bytes."""
-    return any(
-        isinstance(each, bounded_reads.TooManyBytesError)
-        for each in (error, *error.args, error.__cause__, error.__context__)
-    )
-
-
 def last_key(page: store_answers.Newest) -> str | None:
     """Return the last key of a page, also if its value is malformed."""
     for row in reversed(page.items):
--- a/tests/platform/metadata_store.py
+++ b/tests/platform/metadata_store.py
@@ -111,8 +111,7 @@
             found = {}
             for record in self.topics[topic]:
                 end = 1 + record[0]
-                # Keys may be any bytes, but are listed in JSON.
-                found[record[1:end].decode(errors="replace")] = record[end:]
+                found[record[1:end].decode()] = record[end:]
         return {key: value for key, value in found.items() if value}
 
     def answer(self, request: http_messages.Request) -> http_messages.Response:
