Install pbr before the packages that it builds

On a machine whose pip has no cached wheel of hdrhistogram, the set-up ended with ResolutionImpossible: built without isolation and without pbr, its source names version 0.0.0 (pip -v: 'installing version 0.0.0'). Where a wheel was cached it worked, so a second try on the same machine could pass. With pbr installed first, the set-up of a new checkout went through here.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -42,12 +42,13 @@
     unset PYTHONHOME PYTHONPATH
 }
 
-# The key is written last, so that a set-up cut short is made anew.
+# The key is written last, so that a set-up cut short is made anew. Without
+# build isolation, what builds hdrhistogram from source is installed first.
 install_packages() {
     echo "setting up $root/.venv (once for these pins)"
     rm -rf "$root/.venv" &&
         "$1" -m venv "$root/.venv" &&
-        pip_install setuptools &&
+        pip_install setuptools pbr &&
         pip_install --no-build-isolation --editable "$root[test,bench]" &&
         echo "$2" >"$root/.venv/.key"
 }
