Write no second answer into one that has begun

What callers saw: a caller that reads slowly, whose request ended while the first event of its stream was still being sent, got a status line with headers and the body of a 504 as data of its stream, on a connection that stayed open.

Cause: whether an answer had begun was taken from the events sent, and an event counts once it was sent in full. In between, a request that ended was answered anew.

Change: the exchange decides. It has one head; a second answer breaks the first one off and closes the connection. All paths to callers write through it.

--- a/src/briarseam/forwarding/final_answers.py
+++ b/src/briarseam/forwarding/final_answers.py
@@ -35,7 +35,7 @@
 
     def answer_failure(self, context: request_context.Context) -> str:
         """Send the caller the final answer when no attempt succeeded."""
-        if context.progress.events_sent:
+        if context.exchange.head_sent:
             context.exchange.abort()
             return "broken-off"
         failed = context.failed
@@ -60,11 +60,11 @@
     def answer_ended(
         self, context: request_context.Context, ending: supervision.Ending
     ) -> str:
-        """Answer a request that was ended early, if still possible."""
-        if (
-            ending is supervision.Ending.CALLER_GONE
-            or context.progress.events_sent
-        ):
+        """Answer a request that was ended early, if still possible.
+
+        An answer that has begun is broken off by its exchange.
+        """
+        if ending is supervision.Ending.CALLER_GONE:
             context.exchange.abort()
         else:
             self.answer(
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -243,7 +243,14 @@
             self.request.conn.wfile.write(*parts)
 
     def answer(self, status: int, headers: Headers, *body: bytes) -> None:
-        """Send a complete answer, whose body may be in pieces."""
+        """Send a complete answer, whose body may be in pieces.
+
+        An answer that has begun is broken off instead: another head would be
+        taken for a part of its body.
+        """
+        if self.head_sent:
+            self.abort()
+            return
         size = sum(map(len, body))
         head = self.head(status, [*headers, ("Content-Length", str(size))])
         self.write(head, *(() if self.method == "HEAD" else body))
