--- a/tests/routes/test_following.py
+++ b/tests/routes/test_following.py
@@ -157,6 +157,13 @@
     assert feed.named_isolated == frozenset()
 
 
+def test_organisation_is_isolated_until_a_change_that_the_store_names(feed):
+    """Guards against parts that are freed while others still share them."""
+    feed.apply_all([configuration_isolating(3, "chain", "kitchens")])
+    feed.apply_changes([configuration_isolating(4, "chain")])
+    assert feed.named_isolated == {"chain"}
+
+
 def test_configuration_from_a_peer_is_not_named_by_the_store(feed):
     data = configuration_isolating(9, "chain").value
     feed.apply_peer_configuration(data)
