Tests of isolation wait until parts are shared after a pause

Cause, by its log: the process got no processor for 0.9 s while it started ('resumed', suspended_ms=899), and shares no parts for a moment then, as promised: all prompts have salts of their organisations. With a pause recorded by hand before the test plays, it fails in the same way, and passes with this change (one run each).

Change: the tests wait until parts are shared, as they do for stores that have not told their clock. No bound and no assertion is changed.

--- a/tests/platform/isolation_case.py
+++ b/tests/platform/isolation_case.py
@@ -207,6 +207,15 @@
             ),
             TIMEOUT_S,
         )
+        # Nothing is shared for a moment after the processor was away.
+        waiting.until(
+            lambda: (
+                not any(
+                    node.chooser.sharing.is_outdated() for node in self.nodes
+                )
+            ),
+            TIMEOUT_S,
+        )
 
     def send(self, organisation: str, node: compose.Node) -> str:
         """Send a prompt of an organisation; return its id."""
