--- a/tests/forwarding/test_stream_origins.py
+++ b/tests/forwarding/test_stream_origins.py
@@ -199,6 +199,22 @@
     assert origins.find(call("second", "lost"), "engines") is None
 
 
+def test_gap_in_the_reads_during_the_wait_hides_no_version(
+    origins, history, reads, clock, monkeypatch
+):
+    """Guards against a version whose entries were missed meanwhile."""
+    history.record_entry(endpoint("v1"))
+    clock.now_s += software.LOOKBACK_S
+    history.record_entry(endpoint("v1"))
+
+    def read(until_s, timeout_s):
+        reads.continuous_since_s = clock.now_s
+        return True
+
+    monkeypatch.setattr(reads, "await_complete", read)
+    assert origins.find(call("second", "lost"), "engines") is None
+
+
 def test_stream_whose_origin_is_known_waits_for_no_read(origins, reads):
     """Guards against streams that are refused without the store."""
     reads.until_s = float("-inf")
