Soak: add measured stalls of the machine to the time of an answer

A thread of the soak, whose process instances cannot delay, now records when it wakes up over 50 ms late; what it has seen during a request is added to the bound, which stays. The new test holds the bound with, without and beside a stall; the check had none before.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -58,7 +58,7 @@
     for request_id in ran.keys() - known:
         yield f"{describe(deployment, request_id)} that no caller sent"
     for one in sent:
-        yield from check_request(one, ran.get(one.id, []))
+        yield from check_request(deployment, one, ran.get(one.id, []))
         if deployment.shutdown_s >= PATIENT_S:
             yield from check_answered(deployment, one)
         if deployment.slots:
@@ -90,7 +90,7 @@
 
 
 def check_request(
-    one: callers.Sent, ran_at: list[str]
+    deployment: serving.Deployment, one: callers.Sent, ran_at: list[str]
 ) -> typing.Iterator[str]:
     """Yield what is broken about one request."""
     name = f"{one.id} ({one.kind.name} at {one.instance.name})"
@@ -108,6 +108,7 @@
         yield from check_part(one, name)
     limit_s = callers.DEADLINE_MS / 1000 + LATE_S
     limit_s += one.read_pause_s
+    limit_s += deployment.stall_watch.stalled_s(one.sent_s, one.ended_s)
     calm = one.instance.troubled_until < one.sent_s
     if calm and one.ended_s - one.sent_s > limit_s:
         took_s = one.ended_s - one.sent_s
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -41,6 +41,8 @@
         Answers without end that instances have closed.
     growth
         The most by which an instance has grown beside them, in bytes.
+    stalled_s
+        How long the machine gave the run no processor time, in seconds.
     broken
         Broken promises.
     """
@@ -77,4 +79,5 @@
     fetches: dict[str, int] = dataclasses.field(default_factory=dict)
     flooded: int = 0
     growth: int = 0
+    stalled_s: float = 0.0
     broken: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/serve_soak.py
+++ b/tests/soak/serve_soak.py
@@ -213,6 +213,7 @@
             self.expect_service("after the last fault", RECOVERY_S)
             self.finish()
         finally:
+            self.deployment.stall_watch.stopping.set()
             self.deployment.close()
 
     def choose_plan(self) -> plans.Plan:
@@ -258,6 +259,7 @@
             thread.start()
         if self.report.floods:
             self.memory.thread.start()
+        self.deployment.stall_watch.thread.start()
         end_s = time.monotonic() + self.report.seconds
         injecting.Injector(
             self.deployment, planned, self.crowd, self.rush
@@ -336,6 +338,9 @@
         self.report.cuts = self.deployment.cuts()
         if self.deployment.kept is not None:
             self.report.parts_used = len(self.deployment.kept.uses.used)
+        self.report.stalled_s = self.deployment.stall_watch.stalled_s(
+            0.0, time.monotonic()
+        )
         self.report.requests = len(sent)
         self.report.runs = sum(map(len, self.deployment.ran().values()))
         self.report.broken = self.broken
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -25,6 +25,7 @@
 from tests.soak import paths
 from tests.soak import processes
 from tests.soak import releases
+from tests.soak import stalls
 
 from briarseam.testing import ports
 from briarseam.testing import stand_in
@@ -188,6 +189,7 @@
         freeing: bool = False,
     ) -> None:
         self.slots = slots
+        self.stall_watch = stalls.StallWatch()
         self.kept = isolation.Kept() if keeps_parts else None
         if freeing:
             self.kept = kept_parts.Kept(seed, self.renew_entry)
--- a/tests/soak/test_serve_soak.py
+++ b/tests/soak/test_serve_soak.py
@@ -13,6 +13,7 @@
 from tests.soak import promises
 from tests.soak import serve_soak
 from tests.soak import serving
+from tests.soak import stalls
 
 from briarseam.testing import waiting
 
@@ -344,6 +345,30 @@
     deployment.close()
 
 
+@pytest.mark.parametrize(
+    ("ended_s", "stall", "noticed"),
+    [
+        (14.1, None, True),
+        (13.9, None, False),
+        (14.5, stalls.Stall(9.0, 10.4), True),
+        (14.5, stalls.Stall(9.0, 10.6), False),
+        (14.5, stalls.Stall(14.1, 16.0), True),
+    ],
+)
+def test_late_answer_is_noticed(ended_s, stall, noticed, tmp_path):
+    """Guards against a check that passes though answers are late.
+
+    Only time in which the machine stalled during the request excuses them.
+    """
+    deployment = contended(tmp_path)
+    if stall is not None:
+        deployment.stall_watch.note(stall.began_s, stall.ended_s)
+    one = sent_by(deployment, system.KEY, 504, ended_s)
+    broken = list(promises.check_request(deployment, one, []))
+    assert bool(broken) == noticed
+    deployment.close()
+
+
 PLANS = (
     plans.plan,
     plans.plan_stops,
