--- a/tests/platform/isolation_case.py
+++ b/tests/platform/isolation_case.py
@@ -161,11 +161,15 @@
 
     def send_all(self, step: Step) -> dict[str, list[str]]:
         """Send prompts of all organisations that have a key."""
-        return {
-            name: [self.send(name, node) for node in self.nodes * 2]
-            for name in ORGANISATIONS
-            if name not in {*step.keyless, *step.removed}
-        }
+        sent: dict[str, list[str]] = {}
+        for name in ORGANISATIONS:
+            if name in {*step.keyless, *step.removed}:
+                continue
+            sent[name] = []
+            for node in self.nodes * 2:
+                self.await_sharing()
+                sent[name].append(self.send(name, node))
+        return sent
 
     def restart(self) -> None:
         """Replace all instances; none of the former ones is left."""
@@ -207,7 +211,13 @@
             ),
             TIMEOUT_S,
         )
-        # Nothing is shared for a moment after the processor was away.
+        self.await_sharing()
+
+    def await_sharing(self) -> None:
+        """Wait until all instances share cached parts.
+
+        They share nothing for a moment after the processor was away.
+        """
         waiting.until(
             lambda: (
                 not any(
