Test crowds of clients that do not behave

The users open their doors to clients that they do not control. On most systems such clients ended a process: it ran out of memory.

They run one at a time, after all other tests: the mark "alone" divides the run of scripts/test in two. Their lines in KNOWN-RED.txt do not count towards its cap.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tests import known_red
+
 pytest_plugins = ["pytester"]
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -151,3 +153,20 @@
     result = run_listed(lines)
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines([message])
+
+
+def test_tests_of_misbehaving_clients_do_not_count_towards_the_cap(tmp_path):
+    entries = [
+        f"tests/clients/test_x.py::test_{number} | fault | 9"
+        for number in range(known_red.MAX_ENTRIES + 1)
+    ]
+    path = tmp_path / "KNOWN-RED.txt"
+    path.write_text("\n".join(entries))
+    assert len(known_red.read(path)) == len(entries)
+
+
+def test_run_of_the_tests_without_workers_knows_all_names(run_listed):
+    result = run_listed([GONE, FAILS], "-m", known_red.WITHOUT_WORKERS)
+    assert result.ret != 0
+    result.stdout.fnmatch_lines(["ERROR: KNOWN-RED.txt names no test: *gone"])
+    assert "names no test: test_suite.py::test_fails" not in str(result.stdout)
