Bound log lines by their characters

Clients choose ids of up to 16,000 characters. Lines name them, and up to 4,000 lines wait for a slow reader of standard output: 64 MB in the worst case, counted nowhere. (By reading; no crowd here has a stalled reader.)

Texts in lines are cut at 400 characters, and lines that wait are bounded to 1,000,000 characters in addition. Both tests failed before.

--- a/src/briarseam/log_writer.py
+++ b/src/briarseam/log_writer.py
@@ -8,8 +8,9 @@
 import time
 import typing
 
-# Lines that wait for a slow reader of standard output: about a MB.
+# Lines that wait for a slow reader of standard output.
 MOST_WAITING = 4000
+MOST_WAITING_CHARACTERS = 1_000_000
 # Lines a second that are written; an instance at its peak of 100 requests a
 # second writes about 120.
 MOST_PER_S = 400
@@ -53,6 +54,7 @@
         self.untold = 0
         self.second = 0
         self.in_second = 0
+        self.waiting_characters = 0
         self.waiting: collections.deque[str] = collections.deque()
         self.changed = threading.Condition()
         self.closing = False
@@ -69,6 +71,7 @@
         with self.changed:
             if self.may_take():
                 self.waiting.append(text)
+                self.waiting_characters += len(text)
                 self.changed.notify()
             else:
                 self.left_out += 1
@@ -85,6 +88,7 @@
         return (
             self.in_second <= self.most_per_s
             and len(self.waiting) < self.most_waiting
+            and self.waiting_characters < MOST_WAITING_CHARACTERS
         )
 
     def flush(self) -> None:
@@ -111,6 +115,7 @@
                     return
                 text = "".join(self.waiting)
                 self.waiting.clear()
+                self.waiting_characters = 0
                 untold, self.untold = self.untold, 0
             self.put(text, untold)
 
--- a/src/briarseam/logs.py
+++ b/src/briarseam/logs.py
@@ -18,6 +18,9 @@
 # What libraries report through the standard module below this level is
 # about single requests, which belongs to the counters.
 LIBRARY_LEVEL = logging.WARNING
+# Longer texts are cut: clients choose ids and paths.
+MAX_CHARACTERS = 400
+CUT = "..."
 
 
 def set_up(
@@ -81,9 +84,20 @@
         structlog.processors.add_log_level,
         structlog.processors.TimeStamper(fmt="iso", utc=True),
         add_process,
+        cut_long_texts,
     ]
 
 
+def cut_long_texts(
+    _logger: typing.Any, _name: str, event: structlog.types.EventDict
+) -> structlog.types.EventDict:
+    """Cut the values of a line that are too long."""
+    for key, value in event.items():
+        if isinstance(value, str) and len(value) > MAX_CHARACTERS:
+            event[key] = value[:MAX_CHARACTERS] + CUT
+    return event
+
+
 def renderer(
     chosen: settings.Logging, stream: typing.TextIO
 ) -> structlog.types.Processor:
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -71,3 +71,13 @@
     writer.write("unheard\n")
     writer.close()
     assert writer.left_out == 1
+
+
+def test_long_lines_that_wait_are_bounded_in_characters():
+    """Guards against memory that grows with texts of clients."""
+    writer = log_writer.BoundedWriter(io.StringIO(), most_per_s=10**6)
+    for _ in range(1000):
+        writer.write("x" * 10_000)
+    waiting_characters = sum(map(len, writer.waiting))
+    assert waiting_characters <= log_writer.MOST_WAITING_CHARACTERS + 10_000
+    assert writer.left_out > 0
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -64,3 +64,12 @@
     assert "peer lost" in stream.getvalue()
     assert "peer=cph-2" in stream.getvalue()
     assert "\x1b" not in stream.getvalue()
+
+
+def test_long_texts_are_cut():
+    """Guards against lines as long as the ids that clients choose."""
+    stream = io.StringIO()
+    logs.set_up(settings.Logging(), "entry", stream)
+    structlog.get_logger().info("refused", request="r" * 16_000)
+    line = json.loads(stream.getvalue())
+    assert len(line["request"]) == logs.MAX_CHARACTERS + len(logs.CUT)
