Bound what is recorded of parts that callers name

Cause: the record of what endpoints hold was bounded by the parts' tokens, which callers choose as well as the ids: parts of no token were never dropped. Saves under way were not bounded at all.

A record now weighs 256 bytes and its id; all endpoints together may weigh 16 MiB, and each at least 128 KiB. 20,000 saves are remembered at most, and parts with ids of over 200 characters are not saved.

--- a/src/briarseam/placement/kept.py
+++ b/src/briarseam/placement/kept.py
@@ -42,6 +42,9 @@
 # How long a part is rather saved to other stores than to one where saving it
 # broke off: the store keeps what was written and rejects another save.
 BROKEN_SAVE_S = 60.0
+# Callers choose the ids of parts, and how many they name.
+MAX_ID_CHARACTERS = 200
+MAX_PENDING_SAVES = 20_000
 
 AllowsStore = typing.Callable[["routes.StoreTraits"], bool]
 
@@ -298,6 +301,8 @@
         allows: AllowsStore = allow_all,
     ) -> str:
         """Return the store to save a part to; empty for none."""
+        if len(part.id) > MAX_ID_CHARACTERS:
+            return ""
         now_s = self.clock()
         key = (salt, part.id)
         saving = self.pending_saves.get(key)
@@ -333,7 +338,8 @@
     def record_broken_save(self, key: store_index.PartKey) -> None:
         """Record that a pending save timed out; requires the lock."""
         address = self.pending_saves.pop(key).address
-        self.broken_saves[key, address] = self.clock() + BROKEN_SAVE_S
+        if len(self.broken_saves) < MAX_PENDING_SAVES:
+            self.broken_saves[key, address] = self.clock() + BROKEN_SAVE_S
 
     def record_saves(
         self,
@@ -349,6 +355,8 @@
                     self.pending_saves[salt, part.id] = PendingSave(
                         address, until_s
                     )
+            while len(self.pending_saves) > MAX_PENDING_SAVES:
+                del self.pending_saves[next(iter(self.pending_saves))]
 
     def stale_parts(
         self, address: str, is_stale: collections.abc.Callable[[str], bool]
--- a/src/briarseam/placement/residency.py
+++ b/src/briarseam/placement/residency.py
@@ -10,6 +10,11 @@
 # need the rest.
 CACHED_SHARE = 0.6
 UNKNOWN_CAPACITY = 100_000
+# Callers choose the ids and lengths of parts.  A part weighs its record and
+# its id; all endpoints together may weigh the first, one the second at least.
+MAX_WEIGHT_BYTES = 16 * 1024 * 1024
+MIN_ENDPOINT_BYTES = 128 * 1024
+RECORD_BYTES = 256
 
 PartKey = tuple[str, str]
 
@@ -23,6 +28,7 @@
     def __init__(self) -> None:
         self.held: dict[str, collections.OrderedDict[PartKey, int]] = {}
         self.totals: dict[str, int] = {}
+        self.weights: dict[str, int] = {}
         self.lock = threading.Lock()
 
     def held_tokens(
@@ -79,22 +85,30 @@
         max_tokens = int((capacity or UNKNOWN_CAPACITY) * CACHED_SHARE)
         with self.lock:
             held = self.held.setdefault(endpoint, collections.OrderedDict())
+            tokens = self.totals.get(endpoint, 0)
+            weight = self.weights.get(endpoint, 0)
+            max_weight = max(
+                MIN_ENDPOINT_BYTES, MAX_WEIGHT_BYTES // len(self.held)
+            )
             for part, length in parts:
                 if (salt, part) not in held:
-                    self.totals[endpoint] = (
-                        self.totals.get(endpoint, 0) + length
-                    )
+                    tokens += length
+                    weight += weight_of(part)
                 held[salt, part] = length
                 held.move_to_end((salt, part))
-            while self.totals[endpoint] > max_tokens and held:
-                _key, length = held.popitem(last=False)
-                self.totals[endpoint] -= length
+            while held and (tokens > max_tokens or weight > max_weight):
+                (_salt, part), length = held.popitem(last=False)
+                tokens -= length
+                weight -= weight_of(part)
+            self.totals[endpoint] = tokens
+            self.weights[endpoint] = weight
 
     def forget(self, endpoint: str) -> None:
         """Drop an endpoint that is gone or has lost its memory."""
         with self.lock:
             self.held.pop(endpoint, None)
             self.totals.pop(endpoint, None)
+            self.weights.pop(endpoint, None)
 
     def keep_only(self, endpoints: typing.Collection[str]) -> None:
         """Drop all endpoints but these.
@@ -108,6 +122,11 @@
             self.forget(name)
 
 
+def weight_of(part: str) -> int:
+    """Return the memory that a part's record takes, in bytes."""
+    return RECORD_BYTES + len(part)
+
+
 def leading_tokens(
     held: typing.Container[PartKey],
     salt: str,
