Return freed memory to the system

Cause: the C library keeps eight arenas a core, and raises the size from which memory is mapped by itself with what is freed. So each arena kept blocks of a megabyte and more.

--- a/src/briarseam/command/daemons.py
+++ b/src/briarseam/command/daemons.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from briarseam import allocator
 from briarseam import logs
 from briarseam.command import options
 from briarseam.command import signals
@@ -51,6 +52,7 @@
     build
         Composes it.
     """
+    allocator.return_freed_memory()
     settings = options.load_settings(args)
     stop = signals.watch()
     daemon = build(settings)
--- a/src/briarseam/command/serve.py
+++ b/src/briarseam/command/serve.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from briarseam import allocator
 from briarseam import clocks
 from briarseam import loading
 from briarseam import log_writer
@@ -42,6 +43,7 @@
 
 def execute(args: argparse.Namespace) -> int:
     """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+    allocator.return_freed_memory()
     settings = serving.load(settings_path(args))
     stop = signals.watch()
     # Until the parts stand a reload has nothing to change.
