Count all that clients make a process hold in one budget

What callers saw: a process ended by its memory, or took no connection any more. Crowds of clients that stop half-way, send without end or read nothing cost little each; the sum was bounded by nothing. On the code before, with 100 MB and 700 descriptors: 528 MB with chunks of 1 MiB without end, 238 MB with bodies of callers who read nothing, 132 MB with heads of 2,200 fields, 104 to 120 MB with bodies that stop short; all 700 descriptors with a thread each for heads that stop half-way and for connections that say nothing, and then a loop that failed to accept and logged a traceback each time.

Causes: - the system lets a receive queue grow to megabytes, and nothing counted it; - a connection had a thread from its first byte, or from the start; - bodies were copied three times, and a refused one lived as long as its error, while the rest of it was drained; - accept failed for good without descriptors; - ports that ignore bodies parsed them as the next request; - threads that decode chunks took the interpreter from all others.

Connections that have held something longest without an end give way; a request that is being processed never does, and what can't give room is refused at once as not run. A loop reads heads, a thread begins with a whole one. Bodies are decoded as they come, small chunks too, and threads with large requests take turns.

--- a/src/briarseam/bounded_requests.py
+++ b/src/briarseam/bounded_requests.py
@@ -7,13 +7,11 @@
 from __future__ import annotations
 
 import dataclasses
-import socket
+import io
 import typing
 
-import cheroot.makefile
-import cheroot.server
-
 from briarseam import bounded_reads
+from briarseam import turns
 
 # A line of framing for each chunk, and chunks of callers may be small.
 FRAMING_FACTOR = 2
@@ -39,30 +37,6 @@
     body_s: float = 15.0
 
 
-class RequestReader(cheroot.makefile.StreamReader):
-    """Reads requests through a meter.
-
-    Parameters
-    ----------
-    sock
-        The connection's socket.
-    buffer_bytes
-        Size of the buffer.
-    meter
-        Counts and bounds what is read.
-    """
-
-    def __init__(
-        self,
-        sock: socket.socket,
-        buffer_bytes: int,
-        meter: bounded_reads.Meter,
-    ) -> None:
-        base: typing.Any = super()
-        base.__init__(sock, "rb", buffer_bytes)
-        self._raw = bounded_reads.MeteredReader(base.detach(), sock, meter)
-
-
 def apply(server: typing.Any, limits: RequestLimits) -> None:
     """Apply limits to a cheroot server whose connections have meters."""
     server.limits = limits
@@ -70,8 +44,14 @@
     server.max_request_body_size = limits.body_bytes
 
 
+def begin_head(meter: bounded_reads.Meter, limits: RequestLimits) -> None:
+    """Begin to read the head of a request within limits."""
+    meter.bounds_silence = True
+    meter.begin(limits.head_bytes + FRAMING_BYTES, limits.head_s)
+
+
 def parse(
-    request: cheroot.server.HTTPRequest,
+    request: typing.Any,
     parse_head: typing.Callable[[], None],
 ) -> None:
     """Read the head of a request within its limits, then begin its body.
@@ -79,15 +59,23 @@
     Parameters
     ----------
     request
-        The request; its connection has a meter, its server limits.
+        Cheroot's request; its connection has a meter, its server limits.
     parse_head
-        Reads the head.
+        Reads a head that may be malformed or too large.
     """
-    meter: bounded_reads.Meter = request.conn.meter
+    connection = request.conn
+    meter: bounded_reads.Meter = connection.meter
     limits: RequestLimits = request.server.limits
-    meter.bounds_silence = True
-    meter.begin(limits.head_bytes + FRAMING_BYTES, limits.head_s)
-    parse_head()
+    head = connection.rfile.take_head(limits.head_bytes)
+    if head is None:
+        parse_head()
+    else:
+        request.rfile = io.BytesIO(head)
+        connection.head_bytes = len(head)
+        with turns.of_head(len(head)):
+            request.ready = (
+                request.read_request_line() and request.read_request_headers()
+            )
     body_bytes = FRAMING_FACTOR * limits.body_bytes + FRAMING_BYTES
     meter.begin(body_bytes, limits.body_s)
     meter.begun_s = meter.clock()
--- /dev/null
+++ b/src/briarseam/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of clients, and what they make the process hold."""
--- a/src/briarseam/compose/entry.py
+++ b/src/briarseam/compose/entry.py
@@ -10,6 +10,7 @@
 from briarseam import inflight
 from briarseam.answers import keeping
 from briarseam.compose import agent as compose_agent
+from briarseam.compose import client_budget
 from briarseam.compose import timeline as compose_timeline
 from briarseam.endpoints import engine
 from briarseam.endpoints import service
@@ -144,11 +145,15 @@
         render_metrics=registry.render,
         max_body_bytes=settings.entry.max_body_bytes,
     )
+    budget = client_budget.of_entry(settings)
+    client_budget.register(registry, budget)
     server = http.build_server(
         (settings.entry.listen.ip, settings.entry.listen.port),
         app.build_application(parts),
         settings.entry.threads,
+        budget,
     )
+    server.max_held_body_bytes = settings.entry.max_body_bytes
     events = compose_timeline.build_ring_feed(
         str(settings.entry.agent), identity, key, ring
     )
--- a/src/briarseam/compose/node.py
+++ b/src/briarseam/compose/node.py
@@ -11,6 +11,7 @@
 from briarseam import malformed
 from briarseam import repeating
 from briarseam import suspension
+from briarseam.compose import client_budget
 from briarseam.compose import local_handlers
 from briarseam.compose import node_announcements
 from briarseam.compose import node_calls
@@ -119,6 +120,7 @@
         self.shutdown = shutdowns.Shutdown(self.serving_bound_s)
         self.in_flight = inflight.InFlight()
         self.held = held_bytes.HeldBytes(held_limit(settings))
+        self.budget = client_budget.build(settings)
         self.stopping = threading.Event()
         self.loop = event_loop.EventLoop("peers")
         self.suspension = suspension.SuspensionWatch()
@@ -337,6 +339,7 @@
             *([] if self.waiting is None else [self.waiting]),
         )
         node_metrics.register(self.metrics, self.readings())
+        client_budget.register(self.metrics, self.budget)
         self.held.on_refused = node_metrics.held_refusals(self.metrics).add
         self.threads = threads.ThreadGauge(self.metrics)
         self.housekeeping = repeating.Repeater(
@@ -417,6 +420,7 @@
             self.forwarding.handle_relayed,
             self.in_flight,
             self.held,
+            self.budget,
             node_metrics.callers_not_reading(self.metrics),
             handlers,
         )
--- a/src/briarseam/compose/node_servers.py
+++ b/src/briarseam/compose/node_servers.py
@@ -13,6 +13,7 @@
     import collections.abc
 
     from briarseam import inflight
+    from briarseam.clients import budget as budgets
     from briarseam.compose import local_handlers
     from briarseam.forwarding import held_bytes
     from briarseam.metrics import instruments
@@ -31,6 +32,7 @@
     forward_relayed: Handler,
     in_flight: inflight.InFlight,
     held: held_bytes.HeldBytes,
+    budget: budgets.Budget,
     not_reading: instruments.Counter,
     local: local_handlers.LocalHandlers,
 ) -> dict[str, http.Server]:
@@ -48,6 +50,8 @@
         Counts both.
     held
         Counts and limits the bytes held for both.
+    budget
+        Counts and limits all that clients make the process hold.
     not_reading
         Counts callers whose connections were closed since they did not read.
     local
@@ -64,14 +68,17 @@
     }
     servers = {
         name: http.Server(
-            name, (address.ip, address.port), handler, in_flight, held
+            name, (address.ip, address.port), handler, in_flight, held, budget
         )
         for name, (address, handler) in forwarding.items()
     }
     for server in servers.values():
         server.on_not_reading = not_reading.add
     for name, (address, handler) in handlers.items():
-        servers[name] = http.Server(name, (address.ip, address.port), handler)
+        servers[name] = http.Server(
+            name, (address.ip, address.port), handler, budget=budget
+        )
+        servers[name].reads_bodies = False
     return servers
 
 
--- a/src/briarseam/connection_threads.py
+++ b/src/briarseam/connection_threads.py
@@ -8,7 +8,6 @@
 
 import functools
 import queue
-import select
 import typing
 
 from briarseam import worker_threads
@@ -16,9 +15,10 @@
 if typing.TYPE_CHECKING:
     from cheroot import server
 
-    from briarseam import inflight
+    from briarseam.clients import connection as connection_types
 
-MS = 1000.0
+# Idle threads beyond so many end at once: each takes memory.
+MAX_IDLE_THREADS = 64
 
 
 class ConnectionThreads:
@@ -30,9 +30,6 @@
     ----------
     owner
         The server that gets connections back between requests.
-    in_flight
-        Counts requests, and keeps them out when the process ends; none if
-        nobody waits for them.
 
     Attributes
     ----------
@@ -40,20 +37,17 @@
         Threads at the start, as cheroot asks.
     """
 
-    def __init__(
-        self,
-        owner: server.HTTPServer,
-        in_flight: inflight.InFlight | None = None,
-    ) -> None:
+    def __init__(self, owner: typing.Any) -> None:
         self.server = owner
-        self.in_flight = in_flight
         self.min = 0
-        self.workers = worker_threads.WorkerThreads("callers")
+        self.workers = worker_threads.WorkerThreads(
+            "callers", max_idle=MAX_IDLE_THREADS
+        )
 
     def start(self) -> None:
         """Start; threads come with the connections."""
 
-    def put(self, connection: server.HTTPConnection) -> None:
+    def put(self, connection: connection_types.Connection) -> None:
         """Hand over a connection with a request to read.
 
         Parameters
@@ -72,48 +66,32 @@
         except worker_threads.NoThreadError as error:
             raise queue.Full from error
 
-    def serve(self, connection: server.HTTPConnection) -> None:
-        """Serve one request, and those that came with it.
-
-        Parameters
-        ----------
-        connection
-            The connection that it comes on.
-        """
-        if self.in_flight is None:
-            self.answer(connection)
-            return
-        idle_s = self.server.timeout
-        if not has_begun(connection, idle_s) or not self.in_flight.enter():
-            # Nothing of a request was read, so its caller may ask again.
-            connection.close()
-            return
-        try:
-            self.answer(connection)
-        finally:
-            self.in_flight.leave()
-
-    def answer(self, connection: server.HTTPConnection) -> None:
+    def serve(self, connection: connection_types.Connection) -> None:
         """Answer what a connection has sent and hand it back, or close it.
 
+        Bytes of a next request may have been read with those of the first;
+        whole ones are answered before the connection is handed back.
+
         Parameters
         ----------
         connection
-            The connection.
+            The connection, which counts as in flight.
         """
-        keep = answer_one(connection)
-        while keep and connection.rfile.has_data():
-            # Bytes of the next request were read with this one's; handed
-            # back with them it would not count until it is served.
-            keep = answer_one(connection)
-        if not keep:
-            connection.close()
-            return
+        manager = self.server.connections
+        keep = False
         try:
-            self.server.put_conn(connection)
+            keep = answer_one(connection)
+            while keep and manager.has_head(connection):
+                manager.begin_next(connection)
+                keep = answer_one(connection)
+            if keep:
+                self.server.put_conn(connection)
         except ValueError:
-            # The server stopped meanwhile and its selector is closed.
-            connection.close()
+            # The server stopped meanwhile and its loop has ended.
+            keep = False
+        finally:
+            if not keep:
+                manager.drop(connection)
 
     def stop(self, timeout_s: float) -> None:
         """End the threads.
@@ -132,26 +110,3 @@
         return bool(connection.communicate())  # type: ignore[no-untyped-call]
     except ConnectionError:
         return False
-
-
-def has_begun(connection: server.HTTPConnection, idle_s: float) -> bool:
-    """Wait for the first byte of a request without reading it.
-
-    Parameters
-    ----------
-    connection
-        A new connection, or one that the server found readable.
-    idle_s
-        Longest wait in seconds.
-
-    Returns
-    -------
-    bool
-        Whether something can be read, the connection's end included.
-    """
-    if connection.last_used is not None:
-        # It was kept, and came back since it is readable.
-        return True
-    poller = select.poll()
-    poller.register(connection.socket, select.POLLIN)
-    return bool(poller.poll(idle_s * MS))
--- a/src/briarseam/entry/server.py
+++ b/src/briarseam/entry/server.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import dataclasses
-import socket
 import typing
 
-import cheroot.makefile
 import cheroot.server
 import cheroot.wsgi
 
-from briarseam import bounded_reads
 from briarseam import bounded_requests
+from briarseam.clients import budget as budgets
+from briarseam.clients import connection
+from briarseam.clients import listening
 
 BACKLOG = 512
 IDLE_TIMEOUT_S = 30
@@ -157,43 +157,52 @@
         return is_valid
 
 
-class StrictConnection(cheroot.server.HTTPConnection):
-    """A connection whose requests are :class:`StrictRequest`.
+class EntryRequest(StrictRequest):
+    """A request whose body has arrived before the application reads it."""
+
+    def respond(self) -> None:
+        """Wait for the body, then answer.
+
+        The application refuses larger bodies without reading them.
+        """
+        length = int(self.inheaders.get(b"Content-Length", 0))
+        if not 0 < length <= self.server.max_held_body_bytes:
+            super().respond()
+            return
+        share = self.conn.share
+        if not share.add(length):
+            self.close_connection = True
+            self.simple_response("503 Service Unavailable")
+            return
+        with share.waiting(budgets.State.BODY):
+            self.conn.rfile.await_bytes(length)
+        super().respond()
+
+
+class EntryConnection(connection.Connection):
+    """A connection whose requests are :class:`EntryRequest`."""
+
+    RequestHandlerClass = EntryRequest
+
+
+class Server(listening.ManagedServer, cheroot.wsgi.Server):
+    """CherryPy's server, whose connections count in a budget.
 
     Attributes
     ----------
-    meter
-        Bounds what is read from the client.
+    max_held_body_bytes
+        Size up to which bodies are held; larger ones are refused.
     """
 
-    RequestHandlerClass = StrictRequest
-
-    def __init__(
-        self,
-        server: cheroot.server.HTTPServer,
-        sock: socket.socket,
-        makefile: typing.Any = cheroot.makefile.MakeFile,
-    ) -> None:
-        self.meter = bounded_reads.Meter()
-
-        def make_file(
-            sock: socket.socket, mode: str, buffer_bytes: int
-        ) -> typing.Any:
-            if "r" not in mode:
-                return makefile(sock, mode, buffer_bytes)
-            return bounded_requests.RequestReader(
-                sock, buffer_bytes, self.meter
-            )
-
-        base: typing.Any = super()
-        base.__init__(server, sock, make_file)
+    max_held_body_bytes = LIMITS.body_bytes
 
 
 def build_server(
     listen: tuple[str, int],
     application: typing.Callable[..., typing.Any],
     threads: int,
-) -> cheroot.wsgi.Server:
+    budget: budgets.Budget | None = None,
+) -> Server:
     """Return a server that is not yet bound to its address.
 
     Parameters
@@ -204,8 +213,11 @@
         WSGI application.
     threads
         Number of threads, and so of requests served concurrently.
+    budget
+        Counts and limits what clients make the process hold; no limit
+        unless given.
     """
-    server = cheroot.wsgi.Server(
+    server = Server(
         listen,
         application,
         numthreads=threads,
@@ -215,7 +227,8 @@
         timeout=IDLE_TIMEOUT_S,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
-    server.ConnectionClass = StrictConnection
+    server.ConnectionClass = EntryConnection
+    server.budget = budget or budgets.Budget()
     bounded_requests.apply(server, LIMITS)
     # The application refuses larger bodies, with a problem document.
     server.max_request_body_size = 0
--- a/src/briarseam/forwarding/caller_writer.py
+++ b/src/briarseam/forwarding/caller_writer.py
@@ -11,6 +11,7 @@
 import typing
 
 from briarseam import clocks
+from briarseam.clients import budget as budgets
 
 if typing.TYPE_CHECKING:
     import socket
@@ -47,9 +48,14 @@
         Time without progress after which sending fails, in seconds.
     on_not_reading
         Called with the number of unsent bytes when that happens.
+    share
+        The part of the connection in the budget of what clients hold.
 
     Attributes
     ----------
+    slow_since_s
+        Since when the caller has read too slowly for what is sent; ``None``
+        if it does not.
     bytes_written
         Number of bytes sent so far.
     check
@@ -61,7 +67,10 @@
         connection: socket.socket,
         stall_timeout_s: float = STALL_TIMEOUT_S,
         on_not_reading: typing.Callable[[int], None] = lambda _: None,
+        share: budgets.Share | None = None,
     ) -> None:
+        self.share = share or budgets.unlimited()
+        self.slow_since_s: float | None = None
         self.connection = connection
         self.stall_timeout_s = stall_timeout_s
         self.on_not_reading = on_not_reading
@@ -81,15 +90,23 @@
         views = [memoryview(part) for part in parts if part]
         size = sum(map(len, views))
         unsent = size
+        waited = False
         while views:
             try:
                 sent = os.writev(self.connection.fileno(), views[:MAX_BUFFERS])
             except BlockingIOError:
-                self.wait_writable(unsent)
+                waited = True
+                if self.slow_since_s is None:
+                    self.slow_since_s = clocks.boot_clock()
+                stalled = budgets.State.STALLED
+                with self.share.waiting(stalled, self.slow_since_s):
+                    self.wait_writable(unsent)
                 continue
             unsent -= sent
             self.bytes_written += sent
             views = skip(views, sent)
+        if not waited:
+            self.slow_since_s = None
         return size
 
     def wait_writable(self, unsent: int) -> None:
--- a/src/briarseam/forwarding/held_bytes.py
+++ b/src/briarseam/forwarding/held_bytes.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import threading
+import time
 import typing
 
 import structlog
 
 from briarseam import bounded_reads
+from briarseam.clients import budget as budgets
 
 MEGABYTE = 1_000_000
 # The rest of the memory is for the interpreter, the state of the parts, and
@@ -22,6 +24,9 @@
 MAX_INCOMPLETE_BYTES = 16 * 1024 * 1024
 # Each answer may have as much, whatever else is held.
 FREE_ANSWER_BYTES = 64 * 1024
+# How long a body waits for others that give way to it.
+MAKE_WAY_S = 0.1
+MAKE_WAY_POLL_S = 0.005
 log = structlog.get_logger("briarseam.forwarding")
 
 
@@ -94,6 +99,17 @@
         with self.lock:
             self.incomplete -= size
 
+    def has_room(self, size: int, own: int) -> bool:
+        """Return whether bytes of a request's body would be counted.
+
+        Parameters
+        ----------
+        size, own
+            As in :meth:`try_add`.
+        """
+        with self.lock:
+            return not self.total + size > self.limit > 0 or self.total <= own
+
     def try_add(self, size: int, own: int) -> bool:
         """Count bytes of a request's body unless they exceed the limit.
 
@@ -136,6 +152,8 @@
     ----------
     held
         Counts the bytes of all requests.
+    share
+        Counts them for the request's connection.
 
     Attributes
     ----------
@@ -147,8 +165,13 @@
         Whether that is the complete answer.
     """
 
-    def __init__(self, held: HeldBytes) -> None:
+    def __init__(
+        self,
+        held: HeldBytes,
+        share: budgets.Share | None = None,
+    ) -> None:
         self.held = held
+        self.share = share or budgets.unlimited()
         self.body_bytes = 0
         self.answer_bytes = 0
         self.is_complete = False
@@ -162,10 +185,21 @@
             If they exceed the limit.
         """
         own = self.body_bytes + self.answer_bytes
+        if not self.held.has_room(size, own) and self.share.make_way(size):
+            self.await_room(size, own)
         if not self.held.try_add(size, own):
             raise OverLimitError
+        if not self.share.add(size):
+            self.held.add(-size)
+            raise OverLimitError
         self.body_bytes += size
 
+    def await_room(self, size: int, own: int) -> None:
+        """Wait for a moment until bodies that gave way have ended."""
+        end_s = time.monotonic() + MAKE_WAY_S
+        while not self.held.has_room(size, own) and time.monotonic() < end_s:
+            time.sleep(MAKE_WAY_POLL_S)
+
     def hold_answer(self, size: int) -> None:
         """Set the number of bytes that are held of an incomplete answer.
 
@@ -181,6 +215,7 @@
             # Of an earlier attempt, whose answer was a failure.
             self.release_answer()
         self.held.add_incomplete(size - self.answer_bytes, size)
+        self.share.force(size - self.answer_bytes)
         self.answer_bytes = size
 
     def complete_answer(self) -> None:
@@ -194,6 +229,7 @@
         if not self.is_complete:
             self.held.complete(self.answer_bytes)
         self.held.add(-self.answer_bytes)
+        self.share.force(-self.answer_bytes)
         self.answer_bytes = 0
         self.is_complete = False
 
@@ -201,6 +237,7 @@
         """Stop counting; the request has ended."""
         self.release_answer()
         self.held.add(-self.body_bytes)
+        self.share.force(-self.body_bytes)
         self.body_bytes = 0
 
 
--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -8,14 +8,15 @@
 import threading
 import typing
 
-import cheroot.makefile
 import cheroot.server
 import structlog
 
-from briarseam import bounded_reads
 from briarseam import bounded_requests
 from briarseam import connection_threads
-from briarseam import resets
+from briarseam import turns
+from briarseam.clients import budget as budgets
+from briarseam.clients import connection
+from briarseam.clients import listening
 from briarseam.entry import server as strict
 from briarseam.forwarding import bodies
 from briarseam.forwarding import caller_writer
@@ -27,15 +28,10 @@
     from briarseam import inflight
 
 BACKLOG = 1024
-# How often idle connections are checked for expiry.
-EXPIRY_INTERVAL_S = 0.5
-# Added to the idle timeout that is announced to callers.  The server measures
-# it by the time of day, which may jump forward by seconds, and closing a
-# connection early loses a request that is just being sent.
+# Added to the idle timeout that is announced to callers: closing a connection
+# early loses a request that is just being sent.
 IDLE_SLACK_S = 8.0
 SHUTDOWN_TIMEOUT_S = 1
-# Effectively unlimited: file descriptors limit the connections.
-MAX_IDLE_CONNECTIONS = 100_000
 CRLF = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -55,39 +51,28 @@
     header_reader = HeaderReader()
 
 
-class Connection(resets.ResettableConnection):
+class Connection(connection.Connection):
     """A connection whose requests may have chunked bodies.
 
     Attributes
     ----------
     request_id
         Id of the current request, for the log; empty if not known.
-    meter
-        Bounds what is read from the caller.
     """
 
     RequestHandlerClass = Request
-
-    def __init__(
-        self,
-        server: Server,
-        sock: socket.socket,
-        makefile: typing.Any = cheroot.makefile.MakeFile,
-    ) -> None:
-        def make_file(
-            sock: socket.socket, mode: str, buffer_bytes: int
-        ) -> typing.Any:
-            if "r" in mode:
-                return bounded_requests.RequestReader(
-                    sock, buffer_bytes, self.meter
-                )
-            return caller_writer.CallerWriter(
-                sock, server.caller_stall_timeout_s, self.record_not_reading
-            )
-
-        self.meter = bounded_reads.Meter()
-        super().__init__(server, sock, make_file)
-        self.request_id = ""
+    request_id = ""
+
+    def make_writer(
+        self, sock: socket.socket, mode: str, size: int
+    ) -> caller_writer.CallerWriter:
+        """Return what sends to the caller."""
+        return caller_writer.CallerWriter(
+            sock,
+            self.server.caller_stall_timeout_s,
+            self.record_not_reading,
+            self.share,
+        )
 
     def record_not_reading(self, unsent: int) -> None:
         """Reset the connection when it is closed, and log why.
@@ -178,6 +163,10 @@
         """Remote address of the connection, without the port."""
         return str(self.request.conn.remote_addr)
 
+    def turn(self) -> typing.ContextManager[typing.Any]:
+        """Return the turn for work that grows with the head."""
+        return turns.of_head(self.request.conn.head_bytes)
+
     def read_body(self) -> bytes:
         """Return the complete body, so that the next request follows it.
 
@@ -335,15 +324,22 @@
     def respond(self) -> None:
         """Call the handler."""
         server = self.req.server
-        holding = held_bytes.Holding(server.held)
+        holding = held_bytes.Holding(server.held, self.req.conn.share)
         self.req.conn.request_id = ""
+        exchange = Exchange(self.req, server.is_leaving, holding)
+        # Otherwise what follows would be parsed as the next request.
+        ignores_body = not server.reads_bodies and exchange.has_unread_body()
+        if ignores_body:
+            exchange.close_after()
         try:
-            server.handler(Exchange(self.req, server.is_leaving, holding))
+            server.handler(exchange)
+            if ignores_body:
+                exchange.drain()
         finally:
             holding.release()
 
 
-class Server(cheroot.server.HTTPServer):
+class Server(listening.ManagedServer):
     """One listening address.
 
     Parameters
@@ -358,6 +354,9 @@
         Counts requests; ``None`` if a shutdown does not wait for them.
     held
         Counts and limits the bytes held for requests; no limit unless given.
+    budget
+        Counts and limits all that clients make the process hold; no limit
+        unless given.
 
     Attributes
     ----------
@@ -366,6 +365,8 @@
         in seconds.
     on_not_reading
         Called when a caller's connection is closed for that.
+    reads_bodies
+        Whether its handler reads the bodies of requests.
     """
 
     ConnectionClass = Connection
@@ -377,19 +378,20 @@
         handler: Handler,
         in_flight: inflight.InFlight | None = None,
         held: held_bytes.HeldBytes | None = None,
+        budget: budgets.Budget | None = None,
     ) -> None:
         super().__init__(listen, Gateway, server_name="briarseam")
+        self.budget = budget or budgets.Budget()
         self.name = name
         self.handler = handler
         self.in_flight = in_flight
         self.held = held or held_bytes.HeldBytes()
         self.caller_stall_timeout_s = caller_writer.STALL_TIMEOUT_S
         self.on_not_reading: typing.Callable[[], None] = lambda: None
+        self.reads_bodies = True
         self.request_queue_size = BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
-        self.expiration_interval = EXPIRY_INTERVAL_S
-        self.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-        self.requests = connection_threads.ConnectionThreads(self, in_flight)
+        self.requests = connection_threads.ConnectionThreads(self)
         self.set_idle_timeout(float(self.timeout))
         self.limits = bounded_requests.RequestLimits()
         bounded_requests.apply(self, self.limits)
--- a/src/briarseam/forwarding/service.py
+++ b/src/briarseam/forwarding/service.py
@@ -91,9 +91,10 @@
             self.answers.refuse_and_close(exchange, str(error))
             return
         try:
-            call = self.deps.codec.decode_call(
-                exchange.method, exchange.target, exchange.headers
-            )
+            with exchange.turn():
+                call = self.deps.codec.decode_call(
+                    exchange.method, exchange.target, exchange.headers
+                )
         except refusing.MalformedCallError as error:
             self.answers.refuse(exchange, "", refusing.malformed(str(error)))
             return
--- a/src/briarseam/settings/sections.py
+++ b/src/briarseam/settings/sections.py
@@ -26,6 +26,8 @@
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=31_536_000)]
 Bytes = typing.Annotated[int, msgspec.Meta(ge=1, le=2**40)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1, le=100_000_000)]
+BytesOrNone = typing.Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+CountOrNone = typing.Annotated[int, msgspec.Meta(ge=0, le=100_000_000)]
 Texts = tuple[str, ...]
 Paths = Texts
 
@@ -124,6 +126,12 @@
     engine_silence_ms
         Time without a token from an engine after which its run counts as
         lost.
+    max_client_bytes
+        Maximum size of all that callers make the process hold; 0 for two
+        fifths of the machine's memory.
+    max_client_descriptors
+        Maximum number of descriptors that they make it hold; 0 for three
+        quarters of those that are not for files.
     """
 
     listen: Address
@@ -132,6 +140,8 @@
     max_body_bytes: Bytes = 2**20
     resume_grace_s: Seconds = 30.0
     engine_silence_ms: Milliseconds = 5000
+    max_client_bytes: BytesOrNone = 0
+    max_client_descriptors: CountOrNone = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/briarseam/settings/serving.py
+++ b/src/briarseam/settings/serving.py
@@ -69,12 +69,16 @@
         Bandwidth of the instance's link, in megabits per second.
     memory_mb
         Memory that the process may use, in MB; 0 if unknown.
+    descriptors
+        Descriptors that the process may use; 0 if only the system limits
+        them.
     """
 
     processor_share: PositiveNumber = 1.0
     processor_speed: PositiveNumber = 1.0
     link_mbps: PositiveNumber = 1000.0
     memory_mb: ByteCount = 0
+    descriptors: ByteCount = 0
 
     def weight(self) -> float:
         """Return the work that the instance can take, relative to others."""
@@ -203,6 +207,12 @@
     endpoint_bytes
         Maximum size of the bodies in flight to one endpoint, over all
         instances, in bytes.
+    client_bytes
+        Maximum size of all that clients make the process hold, in bytes; 0
+        for two fifths of its memory.
+    client_descriptors
+        Maximum number of descriptors that they make it hold; 0 for three
+        quarters of those that are not for files.
     """
 
     ordered_waiting: bool = False
@@ -212,6 +222,8 @@
     tell_at_once: bool = False
     held_bytes: ByteCount = 0
     endpoint_bytes: ByteCount = 67_108_864
+    client_bytes: ByteCount = 0
+    client_descriptors: ByteCount = 0
 
 
 SECTION_TYPES = {
--- a/src/briarseam/testing/http_server.py
+++ b/src/briarseam/testing/http_server.py
@@ -19,8 +19,12 @@
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
+from briarseam import bounded_reads
+from briarseam import bounded_requests
 from briarseam import connection_threads
-from briarseam import resets
+from briarseam.clients import budget as budgets
+from briarseam.clients import connection as client_connection
+from briarseam.clients import listening
 from briarseam.testing import http_messages
 
 LISTEN_BACKLOG = 1024
@@ -45,7 +49,16 @@
 }
 
 
-class Connection(resets.ResettableConnection):
+# Stand-ins take whatever instances send them.
+NO_LIMITS = bounded_requests.RequestLimits(
+    bounded_reads.UNLIMITED_BYTES,
+    bounded_reads.UNLIMITED_BYTES,
+    bounded_reads.UNLIMITED_S,
+    bounded_reads.UNLIMITED_S,
+)
+
+
+class Connection(client_connection.Connection):
     """A connection that the server can find again to cut it."""
 
     def __init__(
@@ -145,7 +158,7 @@
         self.request.conn.resetting = True
 
 
-class Server(wsgi.Server):
+class Server(listening.ManagedServer, wsgi.Server):
     """Cheroot's WSGI server with a thread a connection and a prompt stop.
 
     Parameters
@@ -157,7 +170,6 @@
     """
 
     ConnectionClass = Connection
-    keep_alive_conn_limit: typing.Any = None
 
     def __init__(
         self,
@@ -175,6 +187,8 @@
         )
         self.answer = answer
         self.gateway = Gateway
+        self.budget = budgets.Budget()
+        self.limits = NO_LIMITS
         self.requests = connection_threads.ConnectionThreads(self)
         self.open_connections: weakref.WeakSet[Connection] = weakref.WeakSet()
         self.logger = logging.getLogger(__name__)
--- a/src/briarseam/worker_threads.py
+++ b/src/briarseam/worker_threads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import queue
+import sys
 import threading
 import time
 import typing
@@ -29,6 +30,8 @@
         Of the threads.
     idle_s
         How long a thread waits for another task, in seconds.
+    max_idle
+        Threads beyond so many end when they have no task.
 
     Attributes
     ----------
@@ -38,9 +41,15 @@
         How often a thread could not be had.
     """
 
-    def __init__(self, name: str, idle_s: float = IDLE_S) -> None:
+    def __init__(
+        self,
+        name: str,
+        idle_s: float = IDLE_S,
+        max_idle: int = sys.maxsize,
+    ) -> None:
         self.name = name
         self.idle_s = idle_s
+        self.max_idle = max_idle
         self.lock = threading.Lock()
         self.free = 0
         self.refused = 0
@@ -104,6 +113,9 @@
                 return
             self.do(task)
             with self.lock:
+                if self.free >= self.max_idle:
+                    self.threads.discard(threading.current_thread())
+                    return
                 self.free += 1
 
     def do(self, task: Task) -> None:
--- a/tests/clients/machines.py
+++ b/tests/clients/machines.py
@@ -14,8 +14,10 @@
 
 import urllib3
 
+from briarseam.testing import caller
 from briarseam.testing import ports
 from briarseam.testing import waiting
+from tests.matrix import processes
 from tests.platform import metadata_store
 from tests.platform import system
 from tests.platform import worker as workers
@@ -106,7 +108,59 @@
     return unread
 
 
-class Machine:
+class Judged:
+    """A process that a crowd visits.
+
+    Attributes
+    ----------
+    limits
+        Its limits.
+    process
+        The process.
+    usage
+        What it uses.
+    """
+
+    limits: Limits
+    process: subprocess.Popen[bytes]
+    usage: Usage
+
+    def failure(self) -> str:
+        """Send ordinary requests; return what failed, or nothing."""
+        raise NotImplementedError
+
+    def check(self) -> None:
+        """Check life, service and use after a crowd."""
+        failures = ["not asked"]
+
+        def serves() -> bool:
+            failures.append(self.failure())
+            return not failures[-1] or self.process.poll() is not None
+
+        with contextlib.suppress(TimeoutError, AssertionError):
+            waiting.until(serves, ANSWER_S, "an ordinary answer")
+        assert self.process.poll() is None, "the process has ended"
+        limit_bytes = self.limits.memory_mb * MEGABYTE
+        used = self.describe()
+        assert not failures[-1], f"{failures[-1]}; {used}"
+        assert self.usage.most_bytes <= limit_bytes, used
+        assert self.usage.peak_resident() <= limit_bytes, used
+        most = self.limits.descriptors - FILE_DESCRIPTORS
+        assert self.usage.most_descriptors <= most, used
+
+    def describe(self) -> str:
+        """Return what the process has used at most."""
+        usage = self.usage
+        return (
+            f"{usage.most_bytes / MEGABYTE:.0f} MB with "
+            f"{usage.most_unread / MEGABYTE:.0f} unread, "
+            f"{usage.peak_resident() / MEGABYTE:.0f} MB resident, "
+            f"{usage.most_descriptors} descriptors, "
+            f"{usage.most_threads} threads"
+        )
+
+
+class Machine(Judged):
     """An instance before stand-ins of the platform.
 
     Parameters
@@ -232,32 +286,49 @@
                 return f"{place}: {status}"
         return ""
 
-    def check(self) -> None:
-        """Check life, service and use after a crowd."""
-        failures = ["not asked"]
 
-        def serves() -> bool:
-            failures.append(self.failure())
-            return not failures[-1] or self.process.poll() is not None
+class EntryMachine(Judged):
+    """An entry with its agent, before stand-ins.
 
-        with contextlib.suppress(TimeoutError, AssertionError):
-            waiting.until(serves, ANSWER_S, "an ordinary answer")
-        assert self.process.poll() is None, "the process has ended"
-        limit_bytes = self.limits.memory_mb * MEGABYTE
-        used = self.describe()
-        assert not failures[-1], f"{failures[-1]}; {used}"
-        assert self.usage.most_bytes <= limit_bytes, used
-        assert self.usage.peak_resident() <= limit_bytes, used
-        most = self.limits.descriptors - FILE_DESCRIPTORS
-        assert self.usage.most_descriptors <= most, used
+    Parameters
+    ----------
+    folder
+        Settings and output go there.
+    limits
+        Limits of the process; only that of descriptors is in force.
+    """
 
-    def describe(self) -> str:
-        """Return what the process has used at most."""
-        usage = self.usage
-        return (
-            f"{usage.most_bytes / MEGABYTE:.0f} MB with "
-            f"{usage.most_unread / MEGABYTE:.0f} unread, "
-            f"{usage.peak_resident() / MEGABYTE:.0f} MB resident, "
-            f"{usage.most_descriptors} descriptors, "
-            f"{usage.most_threads} threads"
-        )
+    def __init__(
+        self, folder: pathlib.Path, limits: Limits = Limits()
+    ) -> None:
+        self.limits = limits
+        self.cluster = processes.Cluster(folder, 1)
+
+    def __enter__(self) -> EntryMachine:
+        """Start it under its limit of descriptors."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        most = self.limits.descriptors
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+        try:
+            self.cluster.__enter__()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        entry = self.cluster.machines[0].entry
+        assert entry.process is not None
+        self.process = entry.process
+        host, _, port = self.cluster.machines[0].entry_address.rpartition(":")
+        self.address = host, int(port)
+        self.usage = Usage(self.process.pid, {int(port)})
+        self.usage.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """End everything."""
+        self.usage.ended.set()
+        self.usage.join()
+        self.cluster.__exit__(*exc_info)
+
+    def failure(self) -> str:
+        """Submit a call; return what failed, or nothing."""
+        reply = self.cluster.submit(0, caller.new_key(), ANSWER_S / 3)
+        return "" if reply.status == 200 else f"entry: {reply}"
