Tell callers whose bodies give way that nothing has run

Only its reading side is shut down now. A readable connection without bytes, as after a packet with a bad checksum, stayed in flight and would have held up a stop; it is counted out again. Both tests failed before.

--- a/src/briarseam/clients/connections.py
+++ b/src/briarseam/clients/connections.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import errno
+import functools
 import queue
 import select
 import socket
@@ -195,7 +196,8 @@
 
     def add(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """Watch a new connection, if there is room for it."""
-        account = budgets.Account(lambda: sock.shutdown(socket.SHUT_RDWR))
+        account = budgets.Account()
+        account.interrupt = functools.partial(interrupt, sock, account)
         if not self.budget.add(account, budgets.CONNECTION_BYTES, 1):
             # Its client knows that nothing was read.
             sock.close()
@@ -228,6 +230,8 @@
             self.drop(connection)
             return
         if not has_arrived:
+            if not reader.buffer:
+                self.leave(connection)
             self.watch(connection)
             return
         if not reader.buffer:
@@ -305,3 +309,12 @@
                     self.refuse(connection, TIMED_OUT)
             elif connection.last_used < idle_since_s:
                 self.drop(connection)
+
+
+def interrupt(sock: socket.socket, account: budgets.Account) -> None:
+    """Wake whoever waits for a connection that gives way.
+
+    A caller whose body gives way is still told that nothing has run.
+    """
+    reads_body = account.state is budgets.State.BODY
+    sock.shutdown(socket.SHUT_RD if reads_body else socket.SHUT_RDWR)
--- a/tests/clients/test_connections.py
+++ b/tests/clients/test_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import select
 import socket
 import threading
 
@@ -10,6 +11,7 @@
 from briarseam import bounded_requests
 from briarseam import inflight
 from briarseam.clients import budget as budgets
+from briarseam.forwarding import bodies
 from briarseam.forwarding import server as http
 from briarseam.testing import waiting
 
@@ -30,8 +32,12 @@
     ----------
     go_on
         Requests are answered while it is set.
+    reads
+        Whether it reads bodies.
     """
 
+    reads = False
+
     def __init__(self):
         self.go_on = threading.Event()
         self.go_on.set()
@@ -53,6 +59,13 @@
 
     def answer(self, exchange):
         """Answer, as soon as the test lets it."""
+        if self.reads:
+            try:
+                exchange.read_body()
+            except bodies.BodyNotHeldError:
+                exchange.close_after()
+                exchange.answer(503, (), b"not run")
+                return
         assert self.go_on.wait(TIMEOUT_S)
         exchange.answer(200, (), b"whole")
 
@@ -187,3 +200,40 @@
                 data += more
     assert data.count(b"whole") == 1
     assert b"Connection: close" in data
+
+
+def test_caller_whose_body_gives_way_is_told_that_nothing_ran(served):
+    served.reads = True
+    with contextlib.ExitStack() as stack:
+        clients = [
+            stack.enter_context(served.connect(POST % 100 + b"some"))
+            for _ in range(CONNECTIONS)
+        ]
+        waiting.until(
+            lambda: len(served.budget.waiting[budgets.State.BODY]) >= 2,
+            TIMEOUT_S,
+        )
+
+        def is_answered():
+            with contextlib.suppress(ConnectionError):
+                return b"whole" in served.fetch()
+
+        waiting.until(is_answered, TIMEOUT_S)
+        told = [
+            client.recv(4096)
+            for client in clients
+            if select.select([client], [], [], 0)[0]
+        ]
+    assert any(b"503" in answer for answer in told)
+
+
+def test_readable_connection_without_bytes_is_not_in_flight(served):
+    """Guards against a stop that waits for a request that never began."""
+    manager = served.server.connections
+    with served.connect() as client:
+        waiting.until(lambda: manager.waiting, TIMEOUT_S)
+        (connection,) = manager.waiting.values()
+        manager.handle(connection)
+        assert not served.in_flight.count
+        client.sendall(REQUEST)
+        assert b"whole" in client.recv(4096)
