--- a/tests/clients/test_connections.py
+++ b/tests/clients/test_connections.py
@@ -164,6 +164,8 @@
         waiting.until(
             lambda: served.server.requests.workers.free == 1, TIMEOUT_S
         )
+        # A stop that does not see it ends while the rest is read.
+        assert served.in_flight.count == 1
         client.sendall(REQUEST[9:])
         assert b"whole" in client.recv(4096)
 
@@ -186,9 +188,14 @@
                 return listener.accept()
             raise OSError(error, "no descriptor")
 
+    errors = []
+    monkeypatch.setattr(
+        served.server, "error_log", lambda *words, **_: errors.append(words)
+    )
     monkeypatch.setattr(manager, "listener", Listener())
     assert b"whole" in served.fetch()
     assert next(failures, None) is None
+    assert not errors
 
 
 def test_body_that_is_not_read_is_not_the_next_request(served):
--- a/tests/forwarding/test_endless_requests.py
+++ b/tests/forwarding/test_endless_requests.py
@@ -165,3 +165,16 @@
     """Guards against the same at the project's own protocol."""
     took_s = lasting_s(entry_server, *ALL[name], pace)
     assert took_s <= LIMITS.head_s + LIMITS.body_s + SLACK_S
+
+
+@pytest.mark.parametrize(
+    ("chunks", "ended"),
+    [(bodies.MAX_CHUNKS - 2, "read"), (bodies.MAX_CHUNKS, "BodyError")],
+)
+def test_body_has_a_limit_of_chunks(server, chunks, ended):
+    """Guards against processor time taken by chunks of a byte."""
+    with socket.create_connection(server.bind_addr, TIMEOUT_S) as caller:
+        caller.sendall(CHUNKED + flooding.chunk(b"x") * chunks)
+        caller.sendall(b"0\r\n\r\n")
+        waiting.until(lambda: server.handler.ended, TIMEOUT_S)
+    assert server.handler.ended == [ended]
