Reset stalled callers whose connections give way

Found by reading. A caller who does not read was shut down in an orderly way when others needed its room. To an HTTP/1.0 caller the end of the connection is the end of an answer of unknown length: one cut short looked complete.

The test failed before (a broken pipe in place of NotReadingError).

--- a/src/briarseam/clients/connections.py
+++ b/src/briarseam/clients/connections.py
@@ -314,7 +314,9 @@
 def interrupt(sock: socket.socket, account: budgets.Account) -> None:
     """Wake whoever waits for a connection that gives way.
 
-    A caller whose body gives way is still told that nothing has run.
+    A caller whose body gives way is still told that nothing has run.  One who
+    does not read is reset by the writer: an orderly end would make an answer
+    of unknown length look complete.
     """
-    reads_body = account.state is budgets.State.BODY
-    sock.shutdown(socket.SHUT_RD if reads_body else socket.SHUT_RDWR)
+    is_served = account.state in (budgets.State.BODY, budgets.State.STALLED)
+    sock.shutdown(socket.SHUT_RD if is_served else socket.SHUT_RDWR)
--- a/src/briarseam/forwarding/caller_writer.py
+++ b/src/briarseam/forwarding/caller_writer.py
@@ -129,7 +129,10 @@
             now_queued = unacknowledged(self.connection)
             if now_queued < queued:
                 queued, progress_s = now_queued, now_s
-            elif now_s - progress_s >= self.stall_timeout_s:
+            elif (
+                now_s - progress_s >= self.stall_timeout_s
+                or self.share.account.is_evicted
+            ):
                 self.on_not_reading(unsent)
                 raise NotReadingError(
                     errno.ETIMEDOUT,
--- a/tests/forwarding/test_caller_writer.py
+++ b/tests/forwarding/test_caller_writer.py
@@ -3,9 +3,12 @@
 import random
 import socket
 import threading
+import time
 
 import pytest
 
+from briarseam.clients import budget as budgets
+from briarseam.clients import connections
 from briarseam.forwarding import caller_writer
 
 TIMEOUT_S = 20.0
@@ -60,3 +63,32 @@
     writer = caller_writer.CallerWriter(served, TIMEOUT_S)
     with pytest.raises(ConnectionError):
         writer.write(b"a" * (32 * 2**20))
+
+
+def test_stalled_caller_that_gives_way_sees_no_orderly_end(pair):
+    """Guards against answers of unknown length that look complete."""
+    served, caller = pair
+    budget = budgets.Budget()
+    account = budgets.Account()
+    share = budgets.Share(budget, account)
+    not_reading = []
+    writer = caller_writer.CallerWriter(
+        served, TIMEOUT_S, not_reading.append, share
+    )
+
+    def evict():
+        while account.state is not budgets.State.STALLED:
+            time.sleep(0.01)
+        account.is_evicted = True
+        connections.interrupt(served, account)
+
+    thread = threading.Thread(target=evict)
+    thread.start()
+    with pytest.raises(caller_writer.NotReadingError):
+        writer.write(b"x" * 50_000_000)
+    thread.join(TIMEOUT_S)
+    assert not_reading
+    caller.settimeout(0.2)
+    with pytest.raises(TimeoutError):
+        while caller.recv(1 << 20):
+            pass
