Read heads and framing of answers by a strict grammar

Callers saw answers of endpoints whose head was malformed, complete and with a Content-Length of ours: a body that went on to the end of the connection, with the sizes of its chunks in it, or with the malformed line passed on. Streams were joined from such an answer and a sound one.

Cause: the HTTP library parses heads with its parser of e-mail, which fails on nothing. A line that is no field ends the fields, so that the length, the coding and the signature behind it are lost; int() reads the length, and what it can't read is dropped; every coding but "chunked" to the letter is ignored. No length means "to the end of the connection".

Response.begin, through which every reader gets its answers, reads the head as bytes, by one grammar: status line, field lines, and the framing that they give, or an error. Nothing is dropped, so nothing can be lost; the error closes the connection, and an attempt that ends with it is broken like one that breaks off. Interim answers are read the same way. The error names what is malformed, without bytes of the answer; answer_malformed and transfers_total{end="malformed"} tell of it.

--- a/src/briarseam/bounded_http.py
+++ b/src/briarseam/bounded_http.py
@@ -1,8 +1,9 @@
-"""HTTP clients that bound the answers that they read.
+"""HTTP clients that bound the answers that they read, and refuse broken ones.
 
 The HTTP library reads heads, chunk sizes and trailers in loops of its own, as
 long as something comes, and takes some answers for complete that were cut
-short.  Here its connections read through a meter.
+short or are malformed.  Here its connections read through a meter, and heads
+and framing by a strict grammar.
 """
 
 from __future__ import annotations
@@ -11,13 +12,13 @@
 import functools
 import http.client
 import io
-import re
 import typing
 
 import urllib3
 import urllib3.connection
 
 from briarseam import bounded_reads
+from briarseam import http_heads
 
 # All lines of a head, those of interim answers before it included.
 MAX_HEAD_BYTES = 65536
@@ -30,9 +31,6 @@
 # Parsing one takes some time, however small it is.
 MAX_INTERIM_ANSWERS = 16
 SWITCHING_PROTOCOLS = 101
-FIRST_FINAL = 200
-LINE_ENDS = (b"\r\n", b"\n")
-CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,20 +114,38 @@
 
         Raises
         ------
+        MalformedAnswerError
+            If a head is malformed, also that of an interim answer.
         TooManyBytesError
             If the head, or the announced length, is too large.
         """
+        method = str(self._method)  # type: ignore[attr-defined]
         for _interim in range(MAX_INTERIM_ANSWERS + 1):
-            super().begin()
-            if self.status >= FIRST_FINAL:
+            head = http_heads.read_answer_head(self.fp)
+            framing = http_heads.framing_of(head, method)
+            if head.status >= http_heads.FIRST_FINAL:
+                self.take_head(head, framing)
                 self.begin_body()
                 return
-            if self.status == SWITCHING_PROTOCOLS:
+            if head.status == SWITCHING_PROTOCOLS:
                 break
-            # Otherwise the next call takes the head for read.
-            self.headers = self.msg = None  # type: ignore[assignment]
         raise bounded_reads.TooManyBytesError("no answer after interim ones")
 
+    def take_head(
+        self, head: http_heads.AnswerHead, framing: http_heads.Framing
+    ) -> None:
+        """Set the attributes that the library sets when it reads a head."""
+        self.version = head.version
+        self.code = self.status = head.status
+        self.reason = head.reason
+        self.headers = self.msg = http.client.HTTPMessage()
+        for name, value in head.fields:
+            self.headers.set_raw(name, value)
+        self.chunked = framing.chunked
+        self.chunk_left = None
+        self.length = framing.length
+        self.will_close = not http_heads.stays_open(head, framing)
+
     def begin_body(self) -> None:
         """Begin to count the body; the library may read it at once."""
         self.check_size(self.length or 0)
@@ -155,10 +171,7 @@
         """
         self.meter.add_chunk()
         line = self.fp.readline(MAX_LINE_BYTES)
-        match = CHUNK_SIZE.fullmatch(line)
-        if match is None:
-            raise ValueError(f"malformed chunk size {line[:20]!r}")
-        size = int(match[1], 16)
+        size = http_heads.parse_chunk_size(line)
         self.check_size(size)
         return size
 
@@ -172,7 +185,10 @@
         meter.begin(MAX_TRAILER_BYTES)
         try:
             with meter.waiting(MAX_TRAILER_S):
-                while self.fp.readline(MAX_LINE_BYTES) not in LINE_ENDS:
+                while (
+                    self.fp.readline(MAX_LINE_BYTES)
+                    not in http_heads.LINE_ENDS
+                ):
                     pass
         except (OSError, http.client.HTTPException):
             meter.is_spoiled = True
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -387,6 +387,14 @@
             detail=str(error),
             events_sent=attempt.progress.events_sent,
         )
+    if end is transfers.End.MALFORMED:
+        log.warning(
+            "answer_malformed",
+            request=attempt.call.id,
+            endpoint=attempt.endpoint.id,
+            detail=str(error),
+            events_sent=attempt.progress.events_sent,
+        )
     return outcomes.Broken(f"{type(error).__name__}: {error}", given_up)
 
 
--- a/src/briarseam/forwarding/request_context.py
+++ b/src/briarseam/forwarding/request_context.py
@@ -92,7 +92,8 @@
         """Count a send, and its answer if one has ended."""
         self.sends.labelled(outcomes.name_of(outcome)).add()
         if transfer.end is not None and (
-            transfer.framing is not None or transfer.end in transfers.GIVEN_UP
+            transfer.framing is not None
+            or transfer.end in transfers.ENDED_BY_READER
         ):
             framing = transfer.framing or "none"
             self.body_transfers.labelled(framing, transfer.end).add()
--- a/src/briarseam/transfers.py
+++ b/src/briarseam/transfers.py
@@ -8,6 +8,7 @@
 import typing
 
 from briarseam import bounded_reads
+from briarseam import http_heads
 
 if typing.TYPE_CHECKING:
     import urllib3
@@ -28,6 +29,8 @@
     CLOSED = "closed"
     RESET = "reset"
     ERROR = "error"
+    # Closed by the reader: its head or framing is malformed.
+    MALFORMED = "malformed"
     # Given up by the reader.
     TOO_LONG = "too-long"
     TOO_SLOW = "too-slow"
@@ -69,6 +72,8 @@
 
 
 GIVEN_UP = frozenset({End.TOO_LONG, End.TOO_SLOW})
+# An answer may have come to these ends before its framing was known.
+ENDED_BY_READER = GIVEN_UP | {End.MALFORMED}
 
 
 def framing_of(response: urllib3.BaseHTTPResponse) -> Framing:
@@ -91,6 +96,8 @@
             return End.TOO_LONG
         if isinstance(cause, bounded_reads.TooSlowError):
             return End.TOO_SLOW
+        if isinstance(cause, http_heads.MalformedAnswerError):
+            return End.MALFORMED
         if isinstance(
             cause, http.client.IncompleteRead | http.client.RemoteDisconnected
         ):
--- /dev/null
+++ b/tests/forwarding/test_broken_answers.py
@@ -0,0 +1,127 @@
+"""Attempts at endpoints whose answers have a malformed head or framing."""
+
+from __future__ import annotations
+
+import pytest
+import structlog.testing
+
+from briarseam import transfers
+from briarseam.forwarding import attempts
+from briarseam.forwarding import connections
+from briarseam.forwarding import outcomes
+from briarseam.platform import requests
+from briarseam.routes import model as routes
+from briarseam.testing import waiting
+from tests import broken_answers
+from tests import flooding
+from tests.forwarding import sending
+
+CLOSED_S = 1.0
+KINDS = (routes.Repeat.STREAM, routes.Repeat.ONCE)
+TOLD = b"Server-Limit: 1\r\nServer-Leaving: 1\r\n"
+
+
+class Attempt:
+    """An attempt at an endpoint, and what became of it."""
+
+    def __init__(self, endpoint, watch, repeat):
+        self.pool = connections.Pool()
+        self.exchange = sending.Exchange()
+        self.announced = []
+        sender = attempts.Sender(
+            self.pool,
+            requests.decode_answer,
+            lambda *announced: self.announced.append(announced),
+        )
+        attempt = sending.attempt_to(
+            endpoint.address, watch, self.exchange, repeat
+        )
+        self.outcome = sender.send(attempt)
+        self.transfer = attempt.transfer
+
+    @property
+    def idle(self):
+        """Connections that may serve the next request."""
+        return sum(map(len, self.pool.idle.values()))
+
+
+def encode(answer, repeat):
+    """Return an answer to a plain request or to one for a stream."""
+    if repeat is routes.Repeat.STREAM:
+        return answer.encode(broken_answers.EVENTS, flooding.EVENTS)
+    return answer.encode()
+
+
+def body_of(repeat):
+    """Return the body of an answer."""
+    is_stream = repeat is routes.Repeat.STREAM
+    return broken_answers.EVENTS if is_stream else broken_answers.BODY
+
+
+@pytest.mark.parametrize("repeat", KINDS)
+@pytest.mark.parametrize("name", broken_answers.BROKEN)
+def test_broken_answer_is_not_taken_for_whole(watch, name, repeat):
+    """Guards against a body that is not the endpoint's."""
+    data = encode(broken_answers.BROKEN[name], repeat)
+    with broken_answers.Endpoint(data) as endpoint:
+        attempt = Attempt(endpoint, watch, repeat)
+    assert isinstance(attempt.outcome, outcomes.Broken)
+    assert not attempt.exchange.finished
+    assert not attempt.idle
+
+
+@pytest.mark.parametrize("name", broken_answers.HEADS)
+def test_nothing_in_a_broken_head_is_passed_on_or_believed(watch, name):
+    """Guards against rejections and notices that no endpoint has made."""
+    answer = broken_answers.HEADS[name]
+    told = TOLD + flooding.NOT_RUN
+    for repeat in KINDS:
+        data = answer.encode(broken_answers.EVENTS, told + flooding.EVENTS)
+        with broken_answers.Endpoint(data) as endpoint:
+            attempt = Attempt(endpoint, watch, repeat)
+        assert isinstance(attempt.outcome, outcomes.Broken)
+        assert not attempt.exchange.sent
+        assert not attempt.announced
+
+
+@pytest.mark.parametrize("name", broken_answers.BROKEN)
+def test_connection_of_a_broken_answer_is_closed_at_once(watch, name):
+    """Guards against waiting for an end that a broken head does not name."""
+    data = broken_answers.BROKEN[name].encode()
+    with broken_answers.Endpoint(data, closes=False) as endpoint:
+        attempt = Attempt(endpoint, watch, routes.Repeat.ONCE)
+        assert isinstance(attempt.outcome, outcomes.Broken)
+        waiting.until(lambda: endpoint.closed, CLOSED_S)
+    assert endpoint.requests == 1
+
+
+@pytest.mark.parametrize("repeat", KINDS)
+@pytest.mark.parametrize("name", broken_answers.SOUND)
+def test_sound_answer_arrives_whole(watch, name, repeat):
+    data = encode(broken_answers.SOUND[name], repeat)
+    with broken_answers.Endpoint(data) as endpoint:
+        attempt = Attempt(endpoint, watch, repeat)
+    assert attempt.outcome == outcomes.Answered(200)
+    assert b"".join(attempt.exchange.sent) == body_of(repeat)
+    assert attempt.exchange.finished
+
+
+@pytest.mark.parametrize(
+    ("name", "fault"),
+    [
+        ("field-no-colon", "field"),
+        ("length-word", "Content-Length"),
+        ("chunk-no-size", "chunk size"),
+    ],
+)
+def test_log_tells_what_is_malformed(watch, name, fault):
+    """Guards against log lines in which endpoints could write."""
+    data = broken_answers.BROKEN[name].encode()
+    with (
+        broken_answers.Endpoint(data) as endpoint,
+        structlog.testing.capture_logs() as lines,
+    ):
+        attempt = Attempt(endpoint, watch, routes.Repeat.ONCE)
+    (line,) = [one for one in lines if one["event"] == "answer_malformed"]
+    assert line["detail"].count(f"malformed {fault}")
+    assert attempt.transfer.end is transfers.End.MALFORMED
--- /dev/null
+++ b/tests/test_broken_answers.py
@@ -0,0 +1,65 @@
+"""Readers of answers whose head or framing is malformed."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarseam.testing import waiting
+from tests import answer_readers
+from tests import broken_answers
+
+CLOSED_S = 1.0
+READERS = answer_readers.calls()
+
+
+def read(client, answer):
+    """Return the outcome of a call that gets an answer, or its error."""
+    call, _error, _timeout_s = READERS[client]
+    data = answer.encode(answer_readers.BODIES[client])
+    with broken_answers.Endpoint(data) as endpoint:
+        try:
+            return call(endpoint.address)
+        except Exception as error:  # noqa: B902  # checked by the tests
+            return error
+
+
+def is_readable(client, name):
+    """Return whether a reader takes sound answers of this form."""
+    ends_with_connection = name.startswith("end-of-")
+    needs_framing = client in answer_readers.NEEDS_FRAMING
+    return not (needs_framing and ends_with_connection)
+
+
+@pytest.mark.parametrize("client", READERS)
+def test_no_reader_believes_a_broken_answer(client):
+    """Guards against state that no sound answer has told."""
+    _call, expected, _timeout_s = READERS[client]
+    believed = [
+        name
+        for name, answer in broken_answers.BROKEN.items()
+        if not isinstance(read(client, answer), expected)
+    ]
+    assert not believed
+
+
+@pytest.mark.parametrize("client", READERS)
+def test_every_reader_takes_odd_answers_that_are_sound(client):
+    refused = [
+        name
+        for name, answer in broken_answers.SOUND.items()
+        if is_readable(client, name)
+        and isinstance(read(client, answer), Exception)
+    ]
+    assert not refused
+
+
+@pytest.mark.parametrize("client", READERS)
+def test_readers_close_the_connection_of_a_broken_answer(client):
+    """Guards against reading on until the time is over."""
+    call, expected, _timeout_s = READERS[client]
+    answer = broken_answers.BROKEN["field-no-colon"]
+    data = answer.encode(answer_readers.BODIES[client])
+    with broken_answers.Endpoint(data, closes=False) as endpoint:
+        with pytest.raises(expected):
+            call(endpoint.address)
+        waiting.until(lambda: endpoint.closed == 1, CLOSED_S)
