Check the line end behind the data of each chunk

Callers got an answer as whole whose chunks were longer than their sizes said: the library drops any two bytes behind a chunk.

pytest tests/forwarding/test_broken_answers.py \ tests/platform/test_broken_answers.py \ -k "line_end or line-end or line-feeds"

The two bytes are now compared with CRLF before the next size is read. Events of a stream are still passed on once the data of their chunk has come: a sender may send its line end with the next chunk.

--- a/src/briarseam/bounded_http.py
+++ b/src/briarseam/bounded_http.py
@@ -164,6 +164,21 @@
 
     # These replace methods that the library calls while it reads a body.
 
+    def _get_chunk_left(self) -> int | None:
+        """Return what is left of the chunk, or the size of the next one.
+
+        The library takes any two bytes for the line end behind a chunk.
+        """
+        base: typing.Any = super()
+        if self.chunk_left == 0:
+            if base._safe_read(len(http_heads.CRLF)) != http_heads.CRLF:
+                raise http_heads.MalformedAnswerError(
+                    http_heads.Fault.CHUNK_END
+                )
+            self.chunk_left = None
+        left: int | None = base._get_chunk_left()
+        return left
+
     def _read_next_chunk_size(self) -> int:
         """Return the size of the next chunk.
 
--- a/src/briarseam/http_heads.py
+++ b/src/briarseam/http_heads.py
@@ -55,6 +55,7 @@
     CODING = "Transfer-Encoding"
     LENGTH_AND_CODING = "Content-Length beside Transfer-Encoding"
     CHUNK_SIZE = "chunk size"
+    CHUNK_END = "end of a chunk"
 
 
 class MalformedAnswerError(http.client.HTTPException):
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -156,6 +156,8 @@
     "return-in-reason": b"HTTP/1.1 200 O\rK",
 }
 MALFORMED_CHUNKS = {
+    "no-line-end-behind-data": b"%(size)x\r\n%(body)sxx0\r\n\r\n",
+    "line-feeds-behind-data": b"%(size)x\r\n%(body)s\n\n0\r\n\r\n",
     "control-in-extension": b"%(size)x;a\x01\r\n%(body)s\r\n0\r\n\r\n",
     "return-before-line-end": b"%(size)x\r\r\n%(body)s\r\n0\r\n\r\n",
     "no-size": b";a\r\n%(body)s\r\n0\r\n\r\n",
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -111,7 +111,7 @@
     [
         ("field-no-colon", "field"),
         ("length-word", "Content-Length"),
-        ("chunk-no-size", "chunk size"),
+        ("chunk-no-line-end-behind-data", "end of a chunk"),
     ],
 )
 def test_log_tells_what_is_malformed(watch, name, fault):
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -38,7 +38,7 @@
     "start-status-999",
     "interim-with-a-malformed-field",
 ]
-CHUNKS = ["chunk-no-size"]
+CHUNKS = ["chunk-no-line-end-behind-data", "chunk-no-size"]
 ODD = [
     "coding-between-blanks",
     "equal-lengths",
