Believe no rejection whose body has a malformed framing

Callers were told that a request has not run, on the word of an answer whose chunks were malformed: the body of a rejection is dropped, and errors of that were, too. Such an answer proves nothing, so the request may have run.

The error of a malformed framing is raised on, so that the attempt is broken. A rejection that is cut short or goes on without end is believed as before: its head is sound.

--- a/src/briarseam/forwarding/answer_limits.py
+++ b/src/briarseam/forwarding/answer_limits.py
@@ -83,14 +83,22 @@
 def drop_body(
     connection: bounded_http.Connection, response: urllib3.BaseHTTPResponse
 ) -> None:
-    """Read the body of a rejection; close the connection if it goes on."""
+    """Read the body of a rejection; close the connection if it goes on.
+
+    Raises
+    ------
+    MalformedAnswerError, HTTPError
+        If its framing is malformed: then nothing in the answer counts.
+    """
     meter = connection.meter
     meter.begin(MAX_DROPPED_BYTES)
     try:
         with meter.waiting(MAX_DROPPED_S):
             while response.read1(READ_BYTES):
                 pass
-    except NETWORK_ERRORS:
+    except NETWORK_ERRORS as error:
+        if transfers.end_of(error) is transfers.End.MALFORMED:
+            raise
         connection.close()
         response.close()
 
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -84,6 +84,16 @@
         assert not attempt.announced
 
 
+@pytest.mark.parametrize("name", broken_answers.FRAMINGS)
+def test_rejection_with_a_broken_framing_is_not_believed(watch, name):
+    """Guards against a promise that is not known to hold."""
+    data = broken_answers.FRAMINGS[name].encode(fields=flooding.NOT_RUN)
+    with broken_answers.Endpoint(data) as endpoint:
+        attempt = Attempt(endpoint, watch, routes.Repeat.ONCE)
+    assert isinstance(attempt.outcome, outcomes.Broken)
+    assert not attempt.idle
+
+
 @pytest.mark.parametrize("name", broken_answers.BROKEN)
 def test_connection_of_a_broken_answer_is_closed_at_once(watch, name):
     """Guards against waiting for an end that a broken head does not name."""
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -121,7 +121,7 @@
     check_closed(broken)
 
 
-@pytest.mark.parametrize("name", HEADS)
+@pytest.mark.parametrize("name", HEADS + CHUNKS)
 def test_request_that_may_not_repeat_may_have_run(cold_system, start, name):
     """Guards against repeats, and against rejections that are not true."""
     answer = broken_answers.BROKEN[name]
