Take no broken answer for the death of an engine

A request could be run again that its engine still ran: an engine counts as exited once its connections close without an answer, and a malformed answer ended in the same error, although this side had closed the connection.

Such an answer is no valid one, which shows nothing.

--- a/src/briarseam/endpoints/engine_start.py
+++ b/src/briarseam/endpoints/engine_start.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from briarseam import bounded_http
+from briarseam import http_heads
 
 TIMEOUT_S = 0.5
 MAX_TRIES = 8
@@ -76,6 +77,9 @@
             raise error.__cause__ from error
         return ""
     except urllib3.exceptions.ProtocolError as error:
+        if isinstance(error.args[-1], http_heads.MalformedAnswerError):
+            # This side has closed the connection, not the engine.
+            return ""
         raise ClosedError(str(error)) from error
     except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
         return ""
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarseam.endpoints import engine_start
 from briarseam.testing import waiting
 from tests import answer_readers
 from tests import broken_answers
@@ -63,3 +64,12 @@
         with pytest.raises(expected):
             call(endpoint.address)
         waiting.until(lambda: endpoint.closed == 1, CLOSED_S)
+
+
+@pytest.mark.parametrize("name", ["start-status-000", "length-word"])
+def test_broken_answer_does_not_show_that_an_engine_has_died(name):
+    """Guards against running a request again that an engine still runs."""
+    answer = broken_answers.BROKEN[name]
+    for body in (answer_readers.BODIES["engine-start"], b'{"boot_id":"c"}'):
+        with broken_answers.Endpoint(answer.encode(body)) as endpoint:
+            assert not engine_start.has_died(endpoint.address, "b")
