Take no broken refusal of a run for "not run"

A 409 says in its body that the engine already has the run.

The error of the body now makes the run one that may have started.

--- a/src/briarseam/endpoints/engine.py
+++ b/src/briarseam/endpoints/engine.py
@@ -343,12 +343,15 @@
     Only statuses for which the engine's protocol rules out that the run
     started count as refusals; after any other one it may have started.
     """
+    status = response.status
     try:
         detail = response.read(READ_BYTES, decode_content=True).decode()
-    except (urllib3.exceptions.HTTPError, UnicodeDecodeError):
+    except urllib3.exceptions.HTTPError as error:
+        return LostError(f"the answer {status} is broken: {error}")
+    except UnicodeDecodeError:
         detail = ""
-    response.close()
-    status = response.status
+    finally:
+        response.close()
     if status == HTTP_CONFLICT and is_duplicate(detail):
         return LostError("the engine already knows this run id")
     if status < 500 or status == HTTP_UNAVAILABLE:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
+from briarseam.endpoints import engine
 from briarseam.endpoints import engine_start
 from briarseam.testing import waiting
 from tests import answer_readers
@@ -73,3 +76,16 @@
     for body in (answer_readers.BODIES["engine-start"], b'{"boot_id":"c"}'):
         with broken_answers.Endpoint(answer.encode(body)) as endpoint:
             assert not engine_start.has_died(endpoint.address, "b")
+
+
+@pytest.mark.parametrize("name", broken_answers.FRAMINGS)
+@pytest.mark.parametrize("status", [b"400", b"409", b"503"])
+def test_broken_refusal_of_a_run_is_not_believed(status, name):
+    """Guards against a second run beside one that has started."""
+    answer = dataclasses.replace(
+        broken_answers.FRAMINGS[name], start=b"HTTP/1.1 " + status + b" No"
+    )
+    with broken_answers.Endpoint(answer.encode(b"{}")) as endpoint:
+        call, _error, _timeout_s = READERS["engine-run"]
+        with pytest.raises(engine.LostError):
+            call(endpoint.address)
