End a call whose write was reset

A part of an answer was taken for all of it: an outside system answers a long upload at once with a 200 without a length, sends a part, and resets the connection while the upload is written. An append to the store counted as written.

Cause: urlopen of the HTTP library goes on to read the answer when the write ends with a broken pipe or a reset. The reset was reported to the write, so that the read ends in order.

Connections now raise an error of their own for such a write, which the library does not swallow, however the call was made. What a store or engine may have said before is given up: the call may have run.

--- a/src/briarseam/bounded_http.py
+++ b/src/briarseam/bounded_http.py
@@ -57,6 +57,15 @@
 DEFAULT_LIMITS = Limits()
 
 
+class RequestCutShortError(ConnectionError):
+    """The connection broke while a request was written.
+
+    The library would go on and read the answer after a broken pipe or a
+    reset.  But a reset is reported only once: what came before it would read
+    as an answer that has ended in order.
+    """
+
+
 class LineReader(io.BufferedReader):
     """Reads lines that end; a line cut short is an error.
 
@@ -245,6 +254,21 @@
         """Whether the connection can be used again."""
         return super().is_connected and not self.meter.is_spoiled
 
+    def request(
+        self, *request: typing.Any, **options: typing.Any
+    ) -> None:
+        """Send a request.
+
+        Raises
+        ------
+        RequestCutShortError
+            If the connection broke while it was written.
+        """
+        try:
+            super().request(*request, **options)
+        except (BrokenPipeError, ConnectionResetError) as error:
+            raise RequestCutShortError(str(error)) from error
+
     def getresponse(  # type: ignore[override]
         self,
     ) -> urllib3.BaseHTTPResponse:
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -14,6 +14,7 @@
 from briarseam.testing import waiting
 from tests import broken_answers
 from tests import flooding
+from tests import reset_uploads
 from tests.forwarding import sending
 
 CLOSED_S = 1.0
@@ -24,7 +25,7 @@
 class Attempt:
     """An attempt at an endpoint, and what became of it."""
 
-    def __init__(self, endpoint, watch, repeat):
+    def __init__(self, endpoint, watch, repeat, body=b""):
         self.pool = connections.Pool()
         self.exchange = sending.Exchange()
         self.announced = []
@@ -34,7 +35,7 @@
             lambda *announced: self.announced.append(announced),
         )
         attempt = sending.attempt_to(
-            endpoint.address, watch, self.exchange, repeat
+            endpoint.address, watch, self.exchange, repeat, body
         )
         self.outcome = sender.send(attempt)
         self.transfer = attempt.transfer
@@ -135,3 +136,17 @@
     (line,) = [one for one in lines if one["event"] == "answer_malformed"]
     assert line["detail"].count(f"malformed {fault}")
     assert attempt.transfer.end is transfers.End.MALFORMED
+
+
+@pytest.mark.parametrize("part", reset_uploads.PARTS)
+@pytest.mark.parametrize("repeat", KINDS)
+def test_part_that_comes_while_the_request_is_written_is_no_answer(
+    watch, repeat, part
+):
+    """Guards against a reset that the write has seen, and no read sees."""
+    with reset_uploads.Endpoint(part) as endpoint:
+        attempt = Attempt(endpoint, watch, repeat, reset_uploads.UPLOAD)
+        assert isinstance(attempt.outcome, outcomes.Broken)
+        assert not attempt.exchange.sent
+        assert not attempt.exchange.finished
+        assert endpoint.requests == 1
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -7,6 +7,7 @@
 from briarseam.testing import waiting
 from tests import broken_answers
 from tests import flooding
+from tests import reset_uploads
 from tests.platform import instances
 from tests.platform import partition
 from tests.platform import raw_caller
@@ -47,6 +48,7 @@
     "interim-answers",
 ]
 MAX_REQUESTS = 40
+MAX_BODY_BYTES = 16 * 1024 * 1024
 CLOSED_S = 1.0
 TIMEOUT_S = 10.0
 
@@ -167,3 +169,24 @@
         )
     assert received.status == 502
     assert broken.requests == 1
+
+
+@pytest.mark.parametrize("part", ["plain", "empty"])
+def test_part_that_comes_while_an_upload_is_passed_on_is_no_answer(
+    cold_system, part
+):
+    """Guards against a reset that the write has seen, and no read sees."""
+    resetting = reset_uploads.Endpoint(part)
+    cold_system.add(resetting, "portal")
+    cold_system.add_worker("sound", "portal")
+    cold_system.configure(limits={"maxBodyBytes": MAX_BODY_BYTES})
+    cold_system.start()
+    for number in until_sent_to(resetting):
+        answer = cold_system.call(
+            f"/status/{number}", body=reset_uploads.UPLOAD
+        )
+        assert (answer.status, answer.data) == (200, b"sound did it")
+    assert resetting.requests == 1
+    answer = cold_system.call("/submit/x", body=reset_uploads.UPLOAD)
+    if answer.status == 200:
+        assert answer.data == b"sound did it"
