Close connections on which more than the answer has come

Bytes behind the end of an answer could be taken for the head of the next one, of another request: the connection was kept if they had come in the same packet. They lay in the buffer of the answer's reader, where the check of the socket before the next request does not look, and only their rest arrived there. The same for malformed lines behind the last chunk.

The answers themselves are whole, and arrive.

The reader marks its connection when it is closed with bytes in its buffer, and trailers are read by the grammar of fields. The mark goes with a new connect: before, a pool whose connection had been marked once made a new one for each call.

--- a/src/briarseam/bounded_http.py
+++ b/src/briarseam/bounded_http.py
@@ -71,8 +71,17 @@
 
     Otherwise a head that the other side has cut reads as a shorter one, and a
     chunk size as a smaller one, which may be that of the last chunk.
+
+    Parameters
+    ----------
+    raw
+        Reads from the connection.
     """
 
+    def __init__(self, raw: bounded_reads.MeteredReader) -> None:
+        super().__init__(raw)
+        self.metered = raw
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line, or as much of it as the size allows.
 
@@ -86,6 +95,18 @@
             return line
         raise http.client.RemoteDisconnected("closed within a line")
 
+    def close(self) -> None:
+        """Close; bytes behind the answer spoil its connection.
+
+        They are lost with this buffer, and what follows them would be read
+        as the head of the next answer.
+        """
+        if not self.closed:
+            self.metered.paused = True
+            if self.peek(1):
+                self.metered.meter.is_spoiled = True
+        super().close()
+
 
 class Response(http.client.HTTPResponse):
     """An answer that is read through a meter.
@@ -209,11 +230,7 @@
         meter.begin(MAX_TRAILER_BYTES)
         try:
             with meter.waiting(MAX_TRAILER_S):
-                while (
-                    self.fp.readline(MAX_LINE_BYTES)
-                    not in http_heads.LINE_ENDS
-                ):
-                    pass
+                http_heads.read_fields(self.fp)
         except (OSError, http.client.HTTPException):
             meter.is_spoiled = True
 
@@ -254,9 +271,12 @@
         """Whether the connection can be used again."""
         return super().is_connected and not self.meter.is_spoiled
 
-    def request(
-        self, *request: typing.Any, **options: typing.Any
-    ) -> None:
+    def connect(self) -> None:
+        """Connect; nothing has been read from the new connection."""
+        self.meter.is_spoiled = False
+        super().connect()
+
+    def request(self, *request: typing.Any, **options: typing.Any) -> None:
         """Send a request.
 
         Raises
--- a/src/briarseam/bounded_reads.py
+++ b/src/briarseam/bounded_reads.py
@@ -188,6 +188,11 @@
         The socket.
     meter
         The meter.
+
+    Attributes
+    ----------
+    paused
+        Whether reads return only what is buffered above this reader.
     """
 
     def __init__(
@@ -197,6 +202,7 @@
         self.raw = raw
         self.sock = sock
         self.meter = meter
+        self.paused = False
 
     def readable(self) -> bool:
         """Return that this can be read."""
@@ -212,6 +218,8 @@
         TimeoutError
             If the deadline passes.
         """
+        if self.paused:
+            return None
         meter = self.meter
         meter.check()
         wait_s = meter.wait_s()
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -254,6 +254,26 @@
     ),
     "connection-closes": Answer(b"Connection: Keep-Alive, Close\r\n" + LENGTH),
 }
+# Sound answers, whose connection must not serve another request.
+FOLLOWED = {
+    f"{framing}-then-{name}": dataclasses.replace(
+        SOUND[framing], framed=SOUND[framing].framed + more
+    )
+    for framing in ("length", "chunks")
+    for name, more in {
+        "a-byte": b"x",
+        "a-line-end": CRLF,
+        "half-an-answer": b"HTTP/1.1 200 OK\r\nContent-",
+        "an-answer": b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+    }.items()
+}
+FOLLOWED |= {
+    f"trailer-{name}": Answer(
+        CHUNKED,
+        framed=b"%(size)x\r\n%(body)s\r\n0\r\n" + line + CRLF,
+    )
+    for name, line in MALFORMED_FIELDS.items()
+}
 
 
 class Endpoint(flooding.Endpoint):
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -150,3 +150,16 @@
         assert not attempt.exchange.sent
         assert not attempt.exchange.finished
         assert endpoint.requests == 1
+
+
+@pytest.mark.parametrize("repeat", KINDS)
+@pytest.mark.parametrize("name", broken_answers.FOLLOWED)
+def test_connection_with_more_than_its_answer_is_closed(watch, name, repeat):
+    """Guards against bytes that are read as the next answer."""
+    data = encode(broken_answers.FOLLOWED[name], repeat)
+    with broken_answers.Endpoint(data, closes=False) as endpoint:
+        attempt = Attempt(endpoint, watch, repeat)
+        assert attempt.outcome == outcomes.Answered(200)
+        assert b"".join(attempt.exchange.sent) == body_of(repeat)
+        assert not attempt.idle
+        waiting.until(lambda: endpoint.closed, CLOSED_S)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briarseam import bounded_http
 from briarseam.endpoints import engine
 from briarseam.endpoints import engine_start
 from briarseam.testing import waiting
@@ -89,3 +90,29 @@
         call, _error, _timeout_s = READERS["engine-run"]
         with pytest.raises(engine.LostError):
             call(endpoint.address)
+
+
+@pytest.mark.parametrize("name", broken_answers.FOLLOWED)
+def test_pool_uses_no_connection_with_more_than_its_answer(name):
+    """Guards against bytes that are read as the next answer."""
+    pool = bounded_http.pool_manager(retries=False, maxsize=1)
+    data = broken_answers.FOLLOWED[name].encode()
+    with broken_answers.Endpoint(data, closes=False) as endpoint:
+        url = f"http://{endpoint.address}/"
+        for number in range(3):
+            answer = pool.request("GET", url, timeout=CLOSED_S)
+            assert answer.data == broken_answers.BODY
+            assert endpoint.requests == number + 1
+
+
+def test_pool_uses_a_connection_again_after_a_reconnect():
+    """Guards against a connection for each call after one that was spoiled."""
+    pool = bounded_http.pool_manager(retries=False, maxsize=1)
+    data = broken_answers.FOLLOWED["length-then-a-byte"].encode()
+    with broken_answers.Endpoint(data, closes=False) as endpoint:
+        url = f"http://{endpoint.address}/"
+        pool.request("GET", url, timeout=CLOSED_S)
+        endpoint.answer_bytes = broken_answers.SOUND["length"].encode()
+        pool.request("GET", url, timeout=CLOSED_S)
+        connection = pool.connection_from_url(url)._get_conn()
+        assert connection.is_connected
