Refuse requests whose fields cannot be passed on as they came

Endpoints could get heads that they read in another way than this side: names with blanks, control characters or bytes above 127, and values with NUL, were passed on as the caller had sent them; a return in a value ended the request with 500.

Cause: neither the callers' server nor the HTTP library looks into names, and of control characters the library refuses line ends only.

--- a/src/briarseam/bounded_http.py
+++ b/src/briarseam/bounded_http.py
@@ -276,6 +276,21 @@
         self.meter.is_spoiled = False
         super().connect()
 
+    def putheader(  # type: ignore[override]
+        self, header: str, *values: typing.Any
+    ) -> None:
+        """Add a field to the request.
+
+        Raises
+        ------
+        MalformedFieldError
+            If the grammar does not allow it: the library looks for no other
+            control characters than line ends, and not into names.
+        """
+        name = as_text(header)
+        http_heads.check_fields([(name, as_text(value)) for value in values])
+        super().putheader(header, *values)
+
     def request(self, *request: typing.Any, **options: typing.Any) -> None:
         """Send a request.
 
@@ -329,6 +344,11 @@
         return super().urlopen(*request, **options)
 
 
+def as_text(part: str | bytes | int) -> str:
+    """Return a name or a value of a field as the library writes it."""
+    return part.decode("latin-1") if isinstance(part, bytes) else str(part)
+
+
 def pool_manager(
     limits: Limits = DEFAULT_LIMITS, **options: typing.Any
 ) -> urllib3.PoolManager:
--- a/src/briarseam/http_heads.py
+++ b/src/briarseam/http_heads.py
@@ -30,13 +30,13 @@
 # matching takes linear time.
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+NAME = re.compile(TOKEN.decode())
+VALUE = re.compile(TEXT.decode())
 LINE_END = rb"\r?\n"
 STATUS_LINE = re.compile(
     rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: (" + TEXT + rb"))?" + LINE_END
 )
 FIELD_LINE = re.compile(rb"(" + TOKEN + rb"):(" + TEXT + rb")" + LINE_END)
-NAME = re.compile(TOKEN)
-VALUE = re.compile(TEXT)
 LENGTH = re.compile(r"[0-9]{1,18}")
 CHUNK_SIZE = re.compile(
     rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;" + TEXT + rb")?" + LINE_END
@@ -70,7 +70,7 @@
 
 
 class MalformedFieldError(ValueError):
-    """A field, or a status, cannot be written."""
+    """A field that is to be written violates the grammar."""
 
 
 class Reader(typing.Protocol):
@@ -191,11 +191,7 @@
         check_codings(head, codings)
         if lengths:
             raise MalformedAnswerError(Fault.LENGTH_AND_CODING)
-    if (
-        head.status < FIRST_FINAL
-        or head.status in BODILESS_STATUSES
-        or method == HEAD
-    ):
+    if not may_have_body(method, head.status):
         return Framing(length=0)
     return Framing(chunked=bool(codings), length=length)
 
@@ -256,3 +252,28 @@
     if match is None:
         raise MalformedAnswerError(Fault.CHUNK_SIZE)
     return int(match[1], 16)
+
+
+def is_field(name: str, value: str) -> bool:
+    """Return whether a field can be written."""
+    return bool(NAME.fullmatch(name) and VALUE.fullmatch(value))
+
+
+def check_fields(fields: Fields) -> None:
+    """Check fields that are to be written.
+
+    Raises
+    ------
+    MalformedFieldError
+        If one of them would be read as something else.
+    """
+    for name, value in fields:
+        if not is_field(name, value):
+            raise MalformedFieldError("malformed header field")
+
+
+def may_have_body(method: str, status: int) -> bool:
+    """Return whether the answer to a method may have a body."""
+    return not (
+        status < FIRST_FINAL or status in BODILESS_STATUSES or method == HEAD
+    )
--- a/src/briarseam/platform/requests.py
+++ b/src/briarseam/platform/requests.py
@@ -6,6 +6,7 @@
 import math
 import typing
 
+from briarseam import http_heads
 from briarseam.discovery import announcements
 from briarseam.discovery import starts
 from briarseam.forwarding import calls
@@ -79,9 +80,11 @@
     Raises
     ------
     MalformedCallError
-        If the prompt headers of a request to a model are malformed, or the
-        id of the request that began a stream is too long.
+        If the prompt headers of a request to a model are malformed, the id of
+        the request that began a stream is too long, or a header could not be
+        passed on as it came.
     """
+    check_headers(headers)
     by_name = {name.lower(): value for name, value in headers}
     time_left_ms = decoding.header_number(
         by_name.get(names.TIME_LEFT_MS.lower())
@@ -104,6 +107,14 @@
     )
 
 
+def check_headers(headers: Headers) -> None:
+    """Check that headers can be written as they were read."""
+    try:
+        http_heads.check_fields(headers)
+    except http_heads.MalformedFieldError as error:
+        raise refusing.MalformedCallError(str(error)) from error
+
+
 def decode_resumes(text: str) -> str:
     """Return the id of the request that began a stream; empty for none."""
     stream = text.strip()
--- a/tests/platform/raw_caller.py
+++ b/tests/platform/raw_caller.py
@@ -139,3 +139,11 @@
     with socket.create_connection((host, int(port)), timeout_s) as sock:
         sock.sendall(request_bytes(method, path, headers, version, body))
         return Reader(sock).read()
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """Return all bytes up to the end of a connection."""
+    pieces = []
+    while piece := sock.recv(READ_BYTES):
+        pieces.append(piece)
+    return b"".join(pieces)
--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -101,3 +101,25 @@
         url = f"http://{endpoint.address}/"
         answer = pool.request("GET", url, timeout=5.0)
         assert len(answer.data) == count * size
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        {"X Note": "a"},
+        {"X-Note\0": "a"},
+        {"": "a"},
+        {"X-Note": "a\0b"},
+        {"X-Note": "a\rb"},
+        {"X-Note": "a\r\n b"},
+        {"X-Note": "\u6771"},
+    ],
+)
+def test_request_with_a_malformed_field_is_not_sent(field):
+    """Guards against heads that the other side reads in another way."""
+    pool = bounded_http.pool_manager(retries=False)
+    once = flooding.Flood(flooding.head(), b"")
+    with flooding.Endpoint(once, flooding.Pace.DROPS) as endpoint:
+        with pytest.raises(ValueError):
+            pool.request("GET", f"http://{endpoint.address}/", headers=field)
+        assert not endpoint.sent_bytes
--- a/tests/test_http_heads.py
+++ b/tests/test_http_heads.py
@@ -114,5 +114,16 @@
         return
     http_heads.stays_open(head, framing)
     for name, value in head.fields:
-        assert http_heads.NAME.fullmatch(name.encode())
-        assert http_heads.VALUE.fullmatch(value.encode("latin-1"))
+        assert http_heads.is_field(name, value)
+
+
+@hypothesis.given(strategies.text(max_size=20), strategies.text(max_size=20))
+def test_field_that_is_written_is_read_as_the_same(name, value):
+    """Guards against a writing that this reading would refuse."""
+    if not http_heads.is_field(name, value):
+        with pytest.raises(http_heads.MalformedFieldError):
+            http_heads.check_fields([(name, value)])
+        return
+    line = f"{name}: {value}\r\n\r\n".encode("latin-1")
+    expected = (name, value.strip(http_heads.BLANKS))
+    assert http_heads.read_fields(io.BytesIO(line)) == [expected]
