Write answers by the grammar that they are read by

Callers got "Content-Length: 0" with answers 204 and 304 and with those to HEAD: a field that 204 must not have, and a length that the endpoint had not told. Nothing looked at the fields of an answer before they were written, so that a fault elsewhere could have become a broken answer of our own; none is known.

Fields are checked before the head of an answer counts as sent.

--- a/src/briarseam/forwarding/server.py
+++ b/src/briarseam/forwarding/server.py
@@ -13,6 +13,7 @@
 
 from briarseam import bounded_requests
 from briarseam import connection_threads
+from briarseam import http_heads
 from briarseam import turns
 from briarseam.clients import budget as budgets
 from briarseam.clients import connection
@@ -240,9 +241,12 @@
         if self.head_sent:
             self.abort()
             return
+        if not http_heads.may_have_body(self.method, status):
+            self.write(self.head(status, headers))
+            return
         size = sum(map(len, body))
         head = self.head(status, [*headers, ("Content-Length", str(size))])
-        self.write(head, *(() if self.method == "HEAD" else body))
+        self.write(head, *body)
 
     def begin(self, status: int, headers: Headers, first: bytes) -> None:
         """Send the head and the first bytes of an answer of unknown length.
@@ -289,7 +293,15 @@
         return b"%x\r\n%s\r\n" % (len(data), data)
 
     def head(self, status: int, headers: Headers) -> bytes:
-        """Return the head of an answer and mark it as sent."""
+        """Return the head of an answer and mark it as sent.
+
+        Raises
+        ------
+        MalformedFieldError
+            If its caller could not read it.
+        """
+        fields = (*headers, *self.extra_headers)
+        http_heads.check_fields(fields)
         self.head_sent = True
         self.request.sent_headers = True
         if self.leaving():
@@ -297,10 +309,7 @@
             # just as the process ends.
             self.close_after()
         lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
-        lines.extend(
-            f"{name}: {value}"
-            for name, value in (*headers, *self.extra_headers)
-        )
+        lines.extend(f"{name}: {value}" for name, value in fields)
         if self.request.close_connection:
             lines.append("Connection: close")
         text = "\r\n".join(lines)
--- a/tests/platform/test_written_heads.py
+++ b/tests/platform/test_written_heads.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from briarseam import http_heads
+from briarseam.testing import http_messages
 from tests import broken_answers
 from tests.platform import raw_caller
 from tests.platform import system as systems
+from tests.platform import worker as workers
 
 TIMEOUT_S = 5.0
 # Requests with no colon have always been refused, and returns at the end of a
@@ -58,3 +61,43 @@
     )
     key, _, value = SOUND[name].decode("latin-1").partition(":")
     assert request.headers[key.lower()] == value.strip()
+
+
+class Bodiless(workers.Worker):
+    """Endpoint whose answers have no body."""
+
+    status = 204
+
+    def run(self, request, call, echo):
+        """Answer without a body."""
+        signed = (*echo, ("Response-Signature", workers.SIGNATURE))
+        return http_messages.Response(self.status, headers=signed)
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [(b"POST", 204), (b"POST", 304), (b"HEAD", 200)]
+)
+def test_answer_without_a_body_names_no_length(cold_system, method, status):
+    """Guards against a length that the endpoint has not told."""
+    endpoint = Bodiless("only")
+    endpoint.status = status
+    cold_system.add(endpoint, "portal")
+    cold_system.configure()
+    cold_system.start()
+    head, _, body = call(cold_system, b"", method).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status)
+    assert b"content-length" not in head.lower()
+    assert not body
+
+
+@pytest.mark.parametrize("value", ["a\r\nX-Other: b", "a\0b", "\u6771"])
+def test_instance_answers_with_no_malformed_field(system, value):
+    """Guards against an answer that its caller reads in another way."""
+
+    def answer(exchange):
+        with pytest.raises(http_heads.MalformedFieldError):
+            exchange.answer(200, [("X-Note", value)], b"ok")
+        exchange.answer(200, (), b"ok")
+
+    system.node.servers["callers"].handler = answer
+    assert call(system, b"").endswith(b"\r\n\r\nok")
