Test that no request of the grace is cut without an answer

The report: in a planned stop, requests that came late in the grace were passed on and cut at its end, among them ones that may not be repeated. It does not happen here: eight callers that send on open connections, and on new ones, through all of a stop of a real process got an answer to each request that reached an endpoint, and none that was refused as not run had run; with endpoints that answer, and that answer no more from 2 s or 4.5 s on. No source is changed.

A request that came early and is at its endpoint at the end gets 502.

--- a/tests/platform/test_stopping_process.py
+++ b/tests/platform/test_stopping_process.py
@@ -5,6 +5,7 @@
 import http.client
 import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -20,6 +21,8 @@
 WORK_MS = 400
 SHUTDOWN_S = 8.0
 TIMEOUT_S = 15.0
+SENDERS = 8
+SEND_PAUSE_S = 0.02
 BODY = b"{}"
 HEAD = (
     "POST /submit/x HTTP/1.1\r\n"
@@ -192,3 +195,68 @@
     stop(deployment)
     assert caller.status() == 502
     await_line(deployment, "request_cut_off")
+
+
+class Sender(threading.Thread):
+    """A caller that sends on its connection, or a new one, until refused.
+
+    Attributes
+    ----------
+    statuses
+        Status of each request's answer; 0 if there was none.
+    """
+
+    def __init__(self, listen: str, name: str) -> None:
+        super().__init__(name=name, daemon=True)
+        self.listen = listen
+        self.statuses: dict[str, int] = {}
+        self.start()
+
+    def run(self) -> None:
+        """Send one request after the other."""
+        while True:
+            try:
+                caller = Caller(self.listen)
+            except OSError:
+                return
+            with caller.socket:
+                self.send_on(caller)
+
+    def send_on(self, caller: Caller) -> None:
+        """Send requests on a connection until one has no answer."""
+        status = 1
+        while status:
+            request_id = f"{self.name}-{len(self.statuses)}"
+            status = caller.call(request_id)
+            self.statuses[request_id] = status
+            time.sleep(SEND_PAUSE_S)
+
+
+@pytest.mark.parametrize("held_after_s", [None, 2.0, 4.5])
+def test_no_request_of_the_grace_is_cut_without_an_answer(
+    deployment, held_after_s
+):
+    """Guards against calls that are passed on and cut at the end."""
+    senders = [
+        Sender(address(deployment), f"caller{n}") for n in range(SENDERS)
+    ]
+    time.sleep(WORK_MS / 1000)
+    stop(deployment)
+    if held_after_s is not None:
+        time.sleep(held_after_s)
+        hold(deployment)
+    for sender in senders:
+        sender.join(SHUTDOWN_S + TIMEOUT_S)
+        assert not sender.is_alive()
+    statuses = {
+        request_id: status
+        for sender in senders
+        for request_id, status in sender.statuses.items()
+    }
+    ran = deployment.ran()
+    lost = [one for one, status in statuses.items() if not status]
+    assert not [one for one in lost if one in ran]
+    assert 200 in statuses.values()
+    # What was refused as not run has not run.
+    refused = [one for one, status in statuses.items() if status == 503]
+    assert not [one for one in refused if one in ran]
