Test that a head cut at any byte is no answer

The report: an endpoint stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body, framed as whole. It does not happen here: heads cut at each byte, of answers with a length, in chunks and with neither, plain and as streams, are broken answers; at a whole instance another endpoint answers. No source is changed.

--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -163,3 +163,19 @@
         assert b"".join(attempt.exchange.sent) == body_of(repeat)
         assert not attempt.idle
         waiting.until(lambda: endpoint.closed, CLOSED_S)
+
+
+@pytest.mark.parametrize("repeat", KINDS)
+@pytest.mark.parametrize("name", ["length", "chunks", "end-of-connection"])
+def test_head_that_is_cut_at_any_byte_is_no_answer(watch, name, repeat):
+    """Guards against a short head that reads as that of an empty answer."""
+    whole = encode(broken_answers.SOUND[name], repeat)
+    head = whole[: whole.index(b"\r\n\r\n") + 4]
+    taken = []
+    for size in range(len(head)):
+        with broken_answers.Endpoint(head[:size]) as endpoint:
+            attempt = Attempt(endpoint, watch, repeat)
+        broken = isinstance(attempt.outcome, outcomes.Broken)
+        if not broken or attempt.exchange.sent or attempt.exchange.finished:
+            taken.append(head[:size])
+    assert not taken
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -190,3 +190,19 @@
     answer = cold_system.call("/submit/x", body=reset_uploads.UPLOAD)
     if answer.status == 200:
         assert answer.data == b"sound did it"
+
+
+@pytest.mark.parametrize("size", [0, 12, 20, 39, 60, 77])
+def test_head_that_is_cut_is_no_answer(cold_system, start, size):
+    """Guards against an empty answer that looks whole."""
+    whole = stream(broken_answers.SOUND["end-of-connection"])
+    broken = start(whole[:size], "engines")
+    broken.closes = True
+    for number in until_sent_to(broken):
+        received = cold_system.receive(f"/draft/{number}", **systems.PROMPT)
+        assert (received.status, received.complete) == (200, True)
+        assert received.body == whole_stream(cold_system)
+    received = cold_system.receive("/draft/once/x", **systems.PROMPT)
+    assert (received.status == 502) or (
+        received.body == whole_stream(cold_system)
+    )
