--- a/src/briarseam/forwarding/connections.py
+++ b/src/briarseam/forwarding/connections.py
@@ -211,7 +211,9 @@
     """Return the maximum idle time of a connection before reuse."""
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        # float() refuses some of the digits outside of ASCII.
+        is_number = value.isascii() and value.isdigit()
+        if name.lower() == "timeout" and is_number:
             return max(0.0, float(value) - REUSE_MARGIN_S)
     return DEFAULT_IDLE_S
 
--- a/tests/forwarding/test_connections.py
+++ b/tests/forwarding/test_connections.py
@@ -101,6 +101,9 @@
         pytest.param(
             "timeout=x", connections.DEFAULT_IDLE_S, id="not-a-number"
         ),
+        pytest.param(
+            "timeout=\xb2", connections.DEFAULT_IDLE_S, id="superscript"
+        ),
     ],
 )
 def test_idle_time_is_the_endpoints_timeout_less_a_margin(header, idle_s):
