Tests of streams: chunks in HTTP/1.0 are a broken answer

The tests were wrong there: HTTP/1.0 has no transfer codings, and a reader must take the framing of such an answer as faulty (RFC 9112, 6.1).

In their place: the same cases with chunks in HTTP/1.1, to callers of both versions (also where only the version of the answer was varied before), and a new test by which no byte of chunks in HTTP/1.0 reaches a caller, for each cut and ending. It is as strict: nothing that was checked of a sound answer is left out, and the former whole answer is now checked to be refused.

The soak draws the same forms as before; its endpoints note such an answer as one that broke off.

--- a/tests/platform/raw_answers.py
+++ b/tests/platform/raw_answers.py
@@ -59,6 +59,11 @@
     cut: Cut = Cut.NOWHERE
     ending: Ending = Ending.FIN
 
+    @property
+    def is_malformed(self) -> bool:
+        """Whether its head is malformed: HTTP/1.0 has no chunks."""
+        return self.framing is Framing.CHUNKED and self.version == "1.0"
+
     @property
     def is_marked_complete(self) -> bool:
         """Whether length or last chunk say that the answer is complete."""
--- a/tests/platform/test_broken_off_streams.py
+++ b/tests/platform/test_broken_off_streams.py
@@ -58,10 +58,15 @@
     return system.receive(path, callers_version, **systems.PROMPT)
 
 
+def endpoints_version(framing, version):
+    """Return the version of an answer: HTTP/1.0 has no chunks."""
+    return "1.1" if framing is Framing.CHUNKED else version
+
+
 def forms(framing, version, cuts, endings):
     """Return the forms of a framing and a version of HTTP."""
     return [
-        raw_answers.Form(framing, version, *form)
+        raw_answers.Form(framing, endpoints_version(framing, version), *form)
         for form in itertools.product(cuts, endings)
     ]
 
@@ -162,14 +167,34 @@
 def test_whole_stream_is_complete_with_any_line_end(system, framing, line_end):
     """Guards against taking a whole stream for a truncated one."""
     for version in VERSIONS:
-        form = raw_answers.Form(framing, version)
+        form = raw_answers.Form(framing, endpoints_version(framing, version))
         received = receive(
-            system, "/draft/once/x", form, cuts=0, line_end=line_end
+            system,
+            "/draft/once/x",
+            form,
+            cuts=0,
+            callers_version=version,
+            line_end=line_end,
         )
         assert received.body == whole_stream(system)
         assert received.complete
 
 
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("cut", Cut)
+def test_chunks_in_http_1_0_are_no_answer(system, cut, version):
+    """Guards against a framing that the answer's version does not have."""
+    for ending in Ending:
+        form = raw_answers.Form(Framing.CHUNKED, "1.0", cut, ending)
+        received = receive(
+            system, "/draft/once/x", form, cuts=1, callers_version=version
+        )
+        assert received.status == 502, form
+        assert b"data: " not in received.body, form
+    ran = [call for name in ENGINES for call in system.workers[name].ran]
+    assert len(ran) == len(set(ran))
+
+
 @pytest.mark.parametrize("line_end", ["\n", "\r\n", "\r"])
 def test_events_are_passed_on_as_they_arrive(system, line_end):
     """Guards against holding events back whose lines do not end with LF."""
--- a/tests/platform/worker.py
+++ b/tests/platform/worker.py
@@ -297,7 +297,7 @@
         """Send an answer whose framing is set."""
         form = self.form()
         self.forms.append(form)
-        if form.cut:
+        if form.cut or form.is_malformed:
             self.broke.append(call)
         pieces = [self.plain_body()]
         if "prefix-hash" in request.headers:
