Do not charge the first retry after a refusal for other weights

What callers saw: in a rollout, some requests were answered 502, endpoint-lost, "too many requests are being retried", ran "no", though other engines could serve them.

Cause: an engine refuses (409) all runs that were granted before it loaded other weights. Each retry spent one of the organisation's retry budget (3, and a tenth for each first try) as if the endpoint had been lost. More runs than that can be under way to one engine.

The fix: the entry says which endpoints refused for other weights; the agent does not charge a request's first retry after one, like the first continuation of an answer. Such a refusal cost the engine no work, and the slots of the engine bound the number of them. All other retries, also a second one for the same reason, are charged as before, so nothing is retried without a bound.

--- a/src/briarseam/admission/messages.py
+++ b/src/briarseam/admission/messages.py
@@ -49,6 +49,8 @@
     refused
         Those of ``lost`` that refused it: they are alive and may take it
         later.
+    reloaded
+        Those of ``refused`` that had other weights than the grant.
     attempt
         New name that the entry gives its try of a request with a key; the
         same is sent again when the granted endpoint did not start it.
@@ -75,6 +77,7 @@
     passed_on: int = 0
     lost: tuple[str, ...] = ()
     refused: tuple[str, ...] = ()
+    reloaded: tuple[str, ...] = ()
     attempt: str = ""
     request: str = ""
     prompt_digest: bytes = b""
--- a/src/briarseam/admission/placing.py
+++ b/src/briarseam/admission/placing.py
@@ -237,12 +237,13 @@
         if len(self.runs) >= self.parts.max_in_flight:
             wait_s = self.parts.schedule.assign()
             raise verdict.RefusalError(refusals.overloaded(wait_s))
-        if request.lost and not is_first_continuation(request):
-            if not self.parts.budgets.spend(organisation):
-                wait_s = self.parts.schedule.assign()
-                raise verdict.RefusalError(refusals.retries_spent(wait_s))
-        elif not request.lost:
+        if not request.lost:
             self.parts.budgets.earn(organisation)
+        elif is_charged(request) and not self.parts.budgets.spend(
+            organisation
+        ):
+            wait_s = self.parts.schedule.assign()
+            raise verdict.RefusalError(refusals.retries_spent(wait_s))
         match self.parts.limits.acquire(organisation):
             case organisation_limits.Exceeded(detail, retry_after_s):
                 wait_s = self.parts.schedule.assign(retry_after_s)
@@ -347,14 +348,18 @@
         )
 
 
-def is_first_continuation(request: Request) -> bool:
-    """Return whether a request continues an answer for the first time.
+def is_charged(request: Request) -> bool:
+    """Return whether a retry is charged to the retry budget.
 
     When an endpoint dies, all answers that it was giving are continued
-    elsewhere.  The retry budget is too small for them, and the endpoint's
-    slots already bound their number, so they are not charged to it.
+    elsewhere, and when it loads other weights, it refuses all requests that
+    were granted before.  The retry budget is too small for them, and the
+    endpoint's slots already bound their number, so the first retry of each
+    is not charged.
     """
     match request:
-        case messages.Admit(continues=answer_id, lost=lost):
-            return bool(answer_id) and len(lost) == 1
-    return False
+        case messages.Admit(
+            continues=answer_id, lost=(endpoint,), reloaded=reloaded
+        ):
+            return not answer_id and endpoint not in reloaded
+    return True
--- a/src/briarseam/answers/relay.py
+++ b/src/briarseam/answers/relay.py
@@ -77,6 +77,7 @@
         self.run_keeper = run_keeper
         self.lost_endpoints: tuple[str, ...] = ()
         self.refused_endpoints: tuple[str, ...] = ()
+        self.reloaded_endpoints: tuple[str, ...] = ()
         self.may_have_run = False
 
     def open(self) -> runs.Run | messages.Replayed:
@@ -110,6 +111,7 @@
             self.request.admit,
             lost=self.lost_endpoints,
             refused=self.refused_endpoints,
+            reloaded=self.reloaded_endpoints,
             deadline_ms=remaining_ms,
         )
 
@@ -127,10 +129,12 @@
             self.report_unsent(grant, messages.RunResult.NOT_SENT)
             self.lost_endpoints += (grant.endpoint,)
             return None
-        except engine.RefusedError:
+        except engine.RefusedError as error:
             self.report_unsent(grant, messages.RunResult.REFUSED)
             self.lost_endpoints += (grant.endpoint,)
             self.refused_endpoints += (grant.endpoint,)
+            if error.has_other_weights:
+                self.reloaded_endpoints += (grant.endpoint,)
             return None
         except engine.LostError as error:
             self.report_end(grant, messages.RunResult.LOST_BEFORE_FIRST)
--- a/src/briarseam/endpoints/engine.py
+++ b/src/briarseam/endpoints/engine.py
@@ -129,11 +129,14 @@
     ----------
     status
         HTTP status of the refusal.
+    has_other_weights
+        Whether the weights that the run needs are not loaded.
     """
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(detail)
         self.status = status
+        self.has_other_weights = status == HTTP_CONFLICT
 
 
 class LostError(EngineError):
--- a/tests/admission/test_placing.py
+++ b/tests/admission/test_placing.py
@@ -3,6 +3,10 @@
 import concurrent.futures
 import dataclasses
 
+import pytest
+
+from briarseam.admission import messages
+from briarseam.admission import placing
 from briarseam.testing import deployment
 from briarseam.testing import waiting
 from briarseam.testing import words
@@ -34,3 +38,53 @@
     assert refused.ran == "no"
     assert int(refused.headers["Retry-After"]) >= 1
     assert all(answer.done for answer in answers)
+
+
+@pytest.mark.parametrize(
+    ("lost", "reloaded", "charged"),
+    [
+        (("a",), (), True),
+        (("a",), ("a",), False),
+        (("b", "a"), ("a",), True),
+        (("a", "b"), ("a", "b"), True),
+        (("a", "a"), ("a", "a"), True),
+    ],
+)
+def test_only_the_first_refusal_for_other_weights_is_not_charged(
+    lost, reloaded, charged
+):
+    """Without a charge, a request would be retried without a bound."""
+    request = messages.Admit(
+        token_digest="",
+        model="draft",
+        session="",
+        chain=(),
+        prompt_tokens=1,
+        max_tokens=4,
+        priority=5,
+        deadline_ms=3000,
+        lost=lost,
+        refused=reloaded,
+        reloaded=reloaded,
+    )
+    assert placing.is_charged(request) is charged
+
+
+@pytest.mark.parametrize(
+    ("lost", "charged"), [(("a",), False), (("a", "b"), True)]
+)
+def test_only_the_first_continuation_is_not_charged(lost, charged):
+    """An endpoint's death breaks off more answers than the budget allows."""
+    request = messages.Admit(
+        token_digest="",
+        model="draft",
+        session="",
+        chain=(),
+        prompt_tokens=1,
+        max_tokens=4,
+        priority=5,
+        deadline_ms=3000,
+        continues="answer",
+        lost=lost,
+    )
+    assert placing.is_charged(request) is charged
--- a/tests/orders/test_serving.py
+++ b/tests/orders/test_serving.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
+import concurrent.futures
 import threading
 
 import pytest
 
 from briarseam.testing import answers
 from briarseam.testing import deployment
+from briarseam.testing import engine_messages
 from briarseam.testing import engine_switches
 from briarseam.testing import waiting
 
@@ -84,3 +86,38 @@
     served = [callers.version_of(*one) for one in callers.answers_received]
     assert served[0] == "v1"
     assert set(served[-CALLERS:]) == {"v2"}
+
+
+def test_runs_refused_by_a_reloaded_engine_are_served_elsewhere(tmp_path):
+    """Many requests are granted an engine that has just loaded other weights:
+    more than the retry budget allows to retry.
+    """
+    shape = deployment.Shape(instances=1, engines=2, services=0)
+    switches = engine_switches.Switches(prefill_s_per_piece=0.01, token_s=0)
+    refused = []
+    enough_granted = threading.Event()
+    with deployment.Deployment(tmp_path, shape, switches) as running:
+        reloaded, other = (one.weights for one in running.engines.values())
+        model_of_other = other.model
+
+        def refuse(name):
+            refused.append(name)
+            if len(refused) >= 8:
+                enough_granted.set()
+            enough_granted.wait(5)
+            return engine_messages.ModelState("v2")
+
+        def wait(name):
+            enough_granted.wait(5)
+            return model_of_other(name)
+
+        def send(number):
+            body = deployment.prompt_body(f"caller {number}", session="")
+            return running.caller().ask(body)
+
+        reloaded.model = refuse
+        other.model = wait
+        with concurrent.futures.ThreadPoolExecutor(24) as pool:
+            received = list(pool.map(send, range(24)))
+    assert enough_granted.is_set()
+    assert [answer for answer in received if not answer.done] == []
