Check the deadline more often while a stream is split into lines

Cause: the deadline is checked before each read, and a read of a stream took up to 64 KiB. Splitting so many short lines takes 8 ms of processor time; the threads of a process take turns, so what others have read already is split after the deadline.

The fix: streams are read in pieces of 8 KiB at most.

The new test failed before in 5 cases, on 65,536 bytes in place of 8,192, and passes now.

--- a/src/briarseam/forwarding/answer_limits.py
+++ b/src/briarseam/forwarding/answer_limits.py
@@ -19,6 +19,8 @@
     from briarseam.forwarding import supervision
 
 READ_BYTES = 65536
+# The deadline is checked between reads, and splitting short lines takes time.
+EVENT_READ_BYTES = 8192
 # A plain answer is held as a whole, so that another endpoint can be tried if
 # it is broken off.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
--- a/src/briarseam/forwarding/attempts.py
+++ b/src/briarseam/forwarding/attempts.py
@@ -283,7 +283,7 @@
         """
         splitter = relay.splitter
         meter.begin(self.limits.event_bytes, attempt.max_part_s)
-        while data := response.read1(answer_limits.READ_BYTES):
+        while data := response.read1(answer_limits.EVENT_READ_BYTES):
             attempt.watch.check_time()
             attempt.on_data()
             begun = len(splitter.remainder)
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -15,6 +15,7 @@
 from briarseam.forwarding import answer_limits
 from briarseam.forwarding import attempts
 from briarseam.forwarding import connections
+from briarseam.forwarding import events
 from briarseam.forwarding import held_bytes
 from briarseam.forwarding import outcomes
 from briarseam.forwarding import supervision
@@ -33,6 +34,8 @@
 MAX_PART_S = 0.3
 DEADLINE_S = 1.0
 AT_ONCE = 50
+# How much of a stream may be split between two checks of the deadline.
+MAX_UNCHECKED_BYTES = 8192
 PACES = list(flooding.Pace)
 TIMEOUT_S = 10.0
 
@@ -170,6 +173,38 @@
         check_closed(endpoint, request)
 
 
+@pytest.mark.parametrize(
+    "name", [name for name in flooding.STREAMS if "comments" not in name]
+)
+def test_deadline_is_checked_while_lines_are_split(
+    supervisor, monkeypatch, name
+):
+    """Guards against many such streams that end late, one after another."""
+    split = events.Splitter.feed
+    # Bytes that were split since the last check.
+    unchecked = []
+    most = 0
+
+    def feed(splitter, data):
+        unchecked.append(len(data))
+        return split(splitter, data)
+
+    with flood(name, flooding.Pace.FAST) as endpoint:
+        request = Request.to(supervisor, endpoint)
+        check_time = request.watch.check_time
+
+        def check():
+            nonlocal most
+            most = max(most, sum(unchecked))
+            unchecked.clear()
+            check_time()
+
+        monkeypatch.setattr(events.Splitter, "feed", feed)
+        monkeypatch.setattr(request.watch, "check_time", check)
+        request.send()
+    assert max(most, sum(unchecked)) <= MAX_UNCHECKED_BYTES
+
+
 @pytest.mark.parametrize("pace", PACES)
 @pytest.mark.parametrize("name", flooding.BROKEN)
 def test_attempt_is_closed_when_its_caller_leaves(supervisor, name, pace):
