Check the line end behind a chunk before its data is passed on

What callers saw: a stream in chunks whose data was not followed by a line end was broken off only after the event in that chunk: the event of a broken answer reached the caller, and the stream went on with the events of another endpoint (spliced).

Cause: data of a chunk was passed on as it came, and what is behind it was read with the size of the next chunk.

The fix: when a read has taken a chunk's data to its end, what has already come behind it is checked first. Nothing is waited for: a sound event whose line end comes later is passed on at once, as a test shows.

Evidence: the test of malformed answers now wants that nothing is passed on, and the tests at a whole instance send their malformed chunks in streams too.

--- a/src/briarseam/bounded_http.py
+++ b/src/briarseam/bounded_http.py
@@ -101,12 +101,18 @@
         They are lost with this buffer, and what follows them would be read
         as the head of the next answer.
         """
-        if not self.closed:
-            self.metered.paused = True
-            if self.peek(1):
-                self.metered.meter.is_spoiled = True
+        if not self.closed and self.buffered():
+            self.metered.meter.is_spoiled = True
         super().close()
 
+    def buffered(self) -> bytes:
+        """Return what is buffered; it stays unread."""
+        self.metered.paused = True
+        try:
+            return self.peek(1)
+        finally:
+            self.metered.paused = False
+
 
 class Response(http.client.HTTPResponse):
     """An answer that is read through a meter.
@@ -201,14 +207,24 @@
         """
         base: typing.Any = super()
         if self.chunk_left == 0:
-            if base._safe_read(len(http_heads.CRLF)) != http_heads.CRLF:
-                raise http_heads.MalformedAnswerError(
-                    http_heads.Fault.CHUNK_END
-                )
+            http_heads.check_chunk_end(base._safe_read(len(http_heads.CRLF)))
             self.chunk_left = None
         left: int | None = base._get_chunk_left()
         return left
 
+    def _read1_chunked(self, size: int) -> bytes:
+        """Return some data of a chunk.
+
+        What has come behind the chunk is checked at once, since its data may
+        be passed on before the next read.
+        """
+        base: typing.Any = super()
+        data: bytes = base._read1_chunked(size)
+        if self.chunk_left == 0:
+            buffered = self.fp.buffered()
+            http_heads.check_chunk_end(buffered[: len(http_heads.CRLF)])
+        return data
+
     def _read_next_chunk_size(self) -> int:
         """Return the size of the next chunk.
 
--- a/src/briarseam/http_heads.py
+++ b/src/briarseam/http_heads.py
@@ -255,6 +255,18 @@
     return int(match[1], 16)
 
 
+def check_chunk_end(data: bytes) -> None:
+    """Check the line end behind a chunk's data, or as much as has come.
+
+    Raises
+    ------
+    MalformedAnswerError
+        If it is another one.
+    """
+    if not CRLF.startswith(data):
+        raise MalformedAnswerError(Fault.CHUNK_END)
+
+
 def is_field(name: str, value: str) -> bool:
     """Return whether a field can be written."""
     return bool(NAME.fullmatch(name) and VALUE.fullmatch(value))
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 import structlog.testing
 
@@ -67,10 +69,43 @@
     with broken_answers.Endpoint(data) as endpoint:
         attempt = Attempt(endpoint, watch, repeat)
     assert isinstance(attempt.outcome, outcomes.Broken)
+    assert not attempt.exchange.sent
     assert not attempt.exchange.finished
     assert not attempt.idle
 
 
+class SlowEndpoint(broken_answers.Endpoint):
+    """Waits before it sends the line end behind the data of a chunk."""
+
+    def __init__(self, data):
+        super().__init__(data)
+        self.passed_on = threading.Event()
+
+    def answer(self, connection, end_s):
+        """Answer with the first event, and with the rest once it was sent."""
+        data, rest = self.answer_bytes.split(b"\n\n\r\n", 1)
+        connection.sendall(data + b"\n\n")
+        assert self.passed_on.wait(CLOSED_S)
+        self.answer_bytes = b"\r\n" + rest
+        super().answer(connection, end_s)
+
+
+def test_event_is_passed_on_before_the_line_end_behind_it(watch, monkeypatch):
+    """Guards against events that wait for the next one."""
+    data = encode(broken_answers.SOUND["chunks"], routes.Repeat.STREAM)
+    with SlowEndpoint(data) as endpoint:
+        begin = sending.Exchange.begin
+
+        def begin_and_tell(exchange, *args):
+            begin(exchange, *args)
+            endpoint.passed_on.set()
+
+        monkeypatch.setattr(sending.Exchange, "begin", begin_and_tell)
+        attempt = Attempt(endpoint, watch, routes.Repeat.STREAM)
+    assert isinstance(attempt.outcome, outcomes.Answered)
+    assert b"".join(attempt.exchange.sent) == broken_answers.EVENTS
+
+
 @pytest.mark.parametrize("name", broken_answers.HEADS)
 def test_nothing_in_a_broken_head_is_passed_on_or_believed(watch, name):
     """Guards against rejections and notices that no endpoint has made."""
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -39,7 +39,11 @@
     "start-status-999",
     "interim-with-a-malformed-field",
 ]
-CHUNKS = ["chunk-no-line-end-behind-data", "chunk-no-size"]
+CHUNKS = [
+    "chunk-no-line-end-behind-data",
+    "chunk-line-feeds-behind-data",
+    "chunk-no-size",
+]
 ODD = [
     "coding-between-blanks",
     "equal-lengths",
@@ -111,7 +115,7 @@
     check_closed(broken)
 
 
-@pytest.mark.parametrize("name", HEADS)
+@pytest.mark.parametrize("name", HEADS + CHUNKS)
 def test_stream_is_answered_by_another_endpoint(cold_system, start, name):
     """Guards against events of one run that are joined to another's."""
     broken = start(stream(broken_answers.BROKEN[name]), "engines")
@@ -135,7 +139,7 @@
     check_closed(broken)
 
 
-@pytest.mark.parametrize("name", HEADS)
+@pytest.mark.parametrize("name", HEADS + CHUNKS)
 def test_stream_that_may_not_repeat_may_have_run(cold_system, start, name):
     answer = broken_answers.BROKEN[name]
     broken = start(stream(answer), "engines", sound=False)
