--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -22,7 +22,6 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
-from tests.platform import metadata_store  # noqa: E402
 
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -197,7 +196,12 @@
     """A sound worker of a plain service; cases override what they need."""
 
     def __init__(
-        self, id: str, record: Record, work_s: float = 0.02, slots: int = 6
+        self,
+        id: str,
+        record: Record,
+        work_s: float = 0.02,
+        slots: int = 6,
+        address: str = "127.0.0.1:0",
     ) -> None:
         self.id = id
         self.record = record
@@ -205,9 +209,9 @@
         self.slots = slots
         self.ran: collections.Counter[str] = collections.Counter()
         self.born_ms = time.time_ns() // 1_000_000
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        port = self.listener.getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        host, _, port = address.rpartition(":")
+        self.listener = socket.create_server((host, int(port)), backlog=256)
+        self.address = "{}:{}".format(*self.listener.getsockname())
         self.connections: set[socket.socket] = set()
         self.lock = threading.Lock()
         threading.Thread(target=self.accept, daemon=True).start()
@@ -486,6 +490,9 @@
         self.folder = pathlib.Path(
             self.stack.enter_context(tempfile.TemporaryDirectory())
         )
+        # Only here: workers of their own processes need no store.
+        from tests.platform import metadata_store
+
         self.store = self.stack.enter_context(metadata_store.MetadataStore())
         self.workers: list[tuple[str, Worker]] = []
         self.gone: set[str] = set()
@@ -503,7 +510,9 @@
         self.write_entry(service, worker)
         return worker
 
-    def write_entry(self, service: str, worker: Worker) -> None:
+    def write_entry(
+        self, service: str, worker: Worker, state: str = "ready"
+    ) -> None:
         """Write the entry of a worker, as it does by itself."""
         self.seq += 1
         self.store.write(
@@ -515,7 +524,7 @@
                 "zone": ZONES[self.seq % len(ZONES)],
                 "version": "1",
                 "slots": worker.slots,
-                "state": "ready",
+                "state": state,
                 "coldRemainingMs": 0,
                 "seq": self.seq,
                 "born": worker.born_ms,
--- /dev/null
+++ b/review/worker_2.py
@@ -0,0 +1,184 @@
+"""A sound worker of its own process, whose streams have no length.
+
+usage: worker_2.py ADDRESS ID JOURNAL
+
+A stream ends with its connection.  Each run and each event goes to the
+journal first, so that it shows what was made before a kill.  From SIGUSR1 on
+the worker leaves, and says so in all its answers.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+import harness_2 as harness  # noqa: E402
+
+EVENTS = 80
+PAUSE_S = 0.05
+EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+
+
+class Journal:
+    """Lines that survive the process."""
+
+    def __init__(self, path: str) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self.descriptor = os.open(path, flags)
+
+    def add(self, event: str, **fields: object) -> None:
+        """Add a line."""
+        told = " ".join(str(value) for value in fields.values())
+        os.write(self.descriptor, f"{event} {told}\n".encode())
+
+
+class Worker(harness.Worker):
+    """A worker that sends streams without length and chunks."""
+
+    is_leaving = False
+
+    def leave(self, *_signal: object) -> None:
+        """Say from now on that it leaves."""
+        self.is_leaving = True
+
+    def run(self, sock: socket.socket, request: harness.Request) -> None:
+        """Send the events that the client does not have yet."""
+        head = [
+            "HTTP/1.1 200 OK",
+            f"Request-Id: {request.id}",
+            f"Response-Signature: {harness.SIGNATURE}",
+            "Content-Type: text/event-stream",
+            "Connection: close",
+        ]
+        if self.is_leaving:
+            head.append("Server-Leaving: 1")
+        sock.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
+        first = int(request.fields.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            self.record.add("event", id=request.id, number=number)
+            sock.sendall(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            time.sleep(PAUSE_S)
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+class Remote:
+    """A worker of its own process, as a deployment sees it.
+
+    Parameters
+    ----------
+    name
+        Begin of the id of each of its starts.
+    folder
+        Where its journal is.
+    """
+
+    slots = 128
+
+    def __init__(self, name: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.journal = folder / f"{name}.journal"
+        self.address = f"127.0.0.1:{harness.free_ports(1)[0]}"
+        self.starts = 0
+        self.start()
+
+    @property
+    def id(self) -> str:
+        """Its id; each start has a new one."""
+        return f"{self.name}-{self.starts}"
+
+    def start(self) -> None:
+        """Start it."""
+        self.starts += 1
+        self.born_ms = time.time_ns() // 1_000_000
+        options = [self.address, self.id, str(self.journal)]
+        self.process = subprocess.Popen([sys.executable, __file__, *options])
+
+    def close(self) -> None:
+        """Kill it."""
+        self.process.kill()
+        self.process.wait()
+
+
+def configuration() -> dict:
+    """Return a configuration with a route for streams."""
+    route = harness.route(
+        "draft",
+        "stream",
+        service="engines",
+        timeoutMs=15000,
+        targetLatencyMs=800,
+        gapAimMs=300,
+        sticky=True,
+        resumable=True,
+    )
+    engine = {
+        "slots": 128,
+        "kvCapacityTokens": 213154,
+        "models": [{"name": "drafts"}],
+    }
+    document = harness.configuration([route])
+    document["services"].append({"name": "engines", "engine": engine})
+    return document
+
+
+def take_stream(
+    record: harness.Record, address: str, id: str
+) -> harness.Answer:
+    """Ask for a stream and read it to its end."""
+    prompt = [
+        ("Model", "drafts"),
+        ("Token-Usage", "1000,80"),
+        ("Prefix-Hash", f"aa:100,{id}:500,{id}f:400"),
+    ]
+    data = harness.request_bytes(
+        "POST", "/draft/1", id, b"{}", deadline_ms=15000, fields=prompt
+    )
+    record.add("sent", id=id)
+    answer = harness.ask(address, data, 15.0)
+    last = EVENT_ID.findall(answer.body)[-1:]
+    record.add("answered", id=id, got=answer, last_event=last)
+    return answer
+
+
+def breaches_of(found: dict[str, harness.Answer]) -> list[str]:
+    """Return what is wrong with the streams that ended as complete."""
+    breaches = []
+    for id, answer in found.items():
+        if answer.status != 200 or not answer.whole:
+            continue
+        numbers = [int(number) for number in EVENT_ID.findall(answer.body)]
+        if numbers != list(range(1, EVENTS + 1)):
+            breaches.append(
+                f"ORDER: {id} ended as complete after {len(numbers)} of "
+                f"{EVENTS} pieces, the last one {numbers[-1:]}"
+            )
+    return breaches
+
+
+def record_runs(record: harness.Record, remotes: list[Remote]) -> None:
+    """Take the runs of all workers into the record."""
+    for remote in remotes:
+        for line in remote.journal.read_text().splitlines():
+            if line.startswith("run"):
+                record.add("journal", told=line)
+
+
+def main() -> None:
+    """Serve until killed."""
+    address, id, journal = sys.argv[1:]
+    worker = Worker(id, Journal(journal), address=address)
+    signal.signal(signal.SIGUSR1, worker.leave)
+    while True:
+        time.sleep(1.0)
+
+
+if __name__ == "__main__":
+    main()
