--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -522,7 +522,7 @@
                 "service": service,
                 "address": worker.address,
                 "zone": ZONES[self.seq % len(ZONES)],
-                "version": "1",
+                "version": getattr(worker, "version", "1"),
                 "slots": worker.slots,
                 "state": state,
                 "coldRemainingMs": 0,
@@ -533,8 +533,11 @@
 
     def keep_entries(self) -> None:
         """Write all entries again at each heartbeat."""
-        while not self.closing.wait(HEARTBEAT_S):
-            for service, worker in list(self.workers):
+        while True:
+            known = list(self.workers)
+            for service, worker in known:
+                if self.closing.wait(HEARTBEAT_S / len(known)):
+                    return
                 if worker.id not in self.gone:
                     self.write_entry(service, worker)
 
--- a/review/worker_2.py
+++ b/review/worker_2.py
@@ -1,6 +1,6 @@
 """A sound worker of its own process, whose streams have no length.
 
-usage: worker_2.py ADDRESS ID JOURNAL
+usage: worker_2.py ADDRESS ID JOURNAL VERSION
 
 A stream ends with its connection.  Each run and each event goes to the
 journal first, so that it shows what was made before a kill.  From SIGUSR1 on
@@ -23,6 +23,7 @@
 import harness_2 as harness  # noqa: E402
 
 EVENTS = 80
+FIRST_S = 0.03
 PAUSE_S = 0.05
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
@@ -44,6 +45,7 @@
     """A worker that sends streams without length and chunks."""
 
     is_leaving = False
+    version = "1"
 
     def leave(self, *_signal: object) -> None:
         """Say from now on that it leaves."""
@@ -62,9 +64,11 @@
             head.append("Server-Leaving: 1")
         sock.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
         first = int(request.fields.get("last-event-id", "0")) + 1
+        time.sleep(FIRST_S)
         for number in range(first, EVENTS + 1):
             self.record.add("event", id=request.id, number=number)
-            sock.sendall(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            piece = f"id: {number}\ndata: {number} of {self.version}\n\n"
+            sock.sendall(piece.encode())
             time.sleep(PAUSE_S)
         sock.shutdown(socket.SHUT_RDWR)
 
@@ -86,21 +90,33 @@
         self.name = name
         self.journal = folder / f"{name}.journal"
         self.address = f"127.0.0.1:{harness.free_ports(1)[0]}"
+        self.version = "1"
         self.starts = 0
+        self.keeps_id = False
         self.start()
 
     @property
     def id(self) -> str:
-        """Its id; each start has a new one."""
-        return f"{self.name}-{self.starts}"
+        """Its id; each start has a new one, unless it keeps its id."""
+        return f"{self.name}-{1 if self.keeps_id else self.starts}"
 
     def start(self) -> None:
         """Start it."""
         self.starts += 1
         self.born_ms = time.time_ns() // 1_000_000
-        options = [self.address, self.id, str(self.journal)]
+        journal = str(self.journal)
+        options = [self.address, self.id, journal, self.version]
         self.process = subprocess.Popen([sys.executable, __file__, *options])
 
+    def await_listening(self) -> None:
+        """Wait until it takes connections."""
+        while self.process.poll() is None:
+            health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+            if harness.ask(self.address, health, 1.0).status == 200:
+                return
+            time.sleep(0.005)
+        raise harness.CannotRunError("a worker has ended")
+
     def close(self) -> None:
         """Kill it."""
         self.process.kill()
@@ -129,20 +145,27 @@
     return document
 
 
-def take_stream(
-    record: harness.Record, address: str, id: str
-) -> harness.Answer:
-    """Ask for a stream and read it to its end."""
+def prompt_bytes(
+    stream: str, id: str = "", fields: list[tuple[str, str]] | None = None
+) -> bytes:
+    """Return the request for a stream, or for the rest of it."""
     prompt = [
         ("Model", "drafts"),
         ("Token-Usage", "1000,80"),
-        ("Prefix-Hash", f"aa:100,{id}:500,{id}f:400"),
+        ("Prefix-Hash", f"aa:100,{stream}:500,{stream}f:400"),
+        *(fields or []),
     ]
-    data = harness.request_bytes(
-        "POST", "/draft/1", id, b"{}", deadline_ms=15000, fields=prompt
+    return harness.request_bytes(
+        "POST", "/draft/1", id or stream, b"{}", 15000, prompt
     )
+
+
+def take_stream(
+    record: harness.Record, address: str, id: str
+) -> harness.Answer:
+    """Ask for a stream and read it to its end."""
     record.add("sent", id=id)
-    answer = harness.ask(address, data, 15.0)
+    answer = harness.ask(address, prompt_bytes(id), 15.0)
     last = EVENT_ID.findall(answer.body)[-1:]
     record.add("answered", id=id, got=answer, last_event=last)
     return answer
@@ -173,8 +196,9 @@
 
 def main() -> None:
     """Serve until killed."""
-    address, id, journal = sys.argv[1:]
+    address, id, journal, version = sys.argv[1:]
     worker = Worker(id, Journal(journal), address=address)
+    worker.version = version
     signal.signal(signal.SIGUSR1, worker.leave)
     while True:
         time.sleep(1.0)
