--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -119,6 +119,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.buffer = b""
+        self.all = b""
 
     def line(self) -> bytes:
         """Return the next line without its end."""
@@ -147,6 +148,7 @@
         if not data:
             raise EOFError("the connection has ended")
         self.buffer += data
+        self.all += data
 
     def fields(self) -> list[tuple[str, str]]:
         """Return the fields of a head."""
@@ -292,9 +294,16 @@
         self.status = 0
         self.fields: dict[str, str] = {}
         self.body = b""
+        # All bytes, also of an answer that broke off.
+        self.received = b""
         self.whole = False
         self.error = ""
 
+    @property
+    def reason(self) -> str:
+        """What a refusal says."""
+        return "" if self.status == 200 else self.body[:120].decode("latin-1")
+
     def __str__(self) -> str:
         """Return it for the record."""
         told = f"status={self.status} whole={self.whole}"
@@ -329,6 +338,8 @@
             answer.whole = True
         except (OSError, EOFError, ValueError, IndexError) as error:
             answer.error = f"{type(error).__name__}: {error}"
+        answer.received = self.wire.all
+        self.wire.all = b""
         self.keeps = (
             answer.whole
             and answer.fields.get("connection", "").lower() != "close"
@@ -474,10 +485,14 @@
         )
         return answer.status == 200
 
+    def kill(self) -> None:
+        """Kill it, and don't wait."""
+        self.send(signal.SIGKILL)
+
     def end(self) -> None:
         """Kill it."""
         if self.process is not None:
-            self.send(signal.SIGKILL)
+            self.kill()
             self.process.wait()
 
 
@@ -546,19 +561,27 @@
         self.store.write("keyed.op", "config", document)
         self.record.add("configured", version=document["version"])
 
-    def start(self, timeout_s: float = 30.0) -> None:
-        """Start all instances and wait until they are ready."""
+    def start(self) -> None:
+        """Start all instances and wait until they serve."""
         threading.Thread(target=self.keep_entries, daemon=True).start()
+        self.start_instances()
+        self.await_ready()
+        # Until peers have met.
+        time.sleep(3.0)
+        self.record.add("ready", instances=len(self.instances))
+
+    def start_instances(self) -> None:
+        """Start the processes of all instances."""
         for instance in self.instances:
             instance.start()
+
+    def await_ready(self, timeout_s: float = 30.0) -> None:
+        """Wait until all instances say that they are ready."""
         end_s = time.monotonic() + timeout_s
         while not all(one.is_ready() for one in self.instances):
             if time.monotonic() > end_s:
                 raise CannotRunError("an instance was not ready in time")
             time.sleep(0.1)
-        # Until peers have met.
-        time.sleep(3.0)
-        self.record.add("ready", instances=len(self.instances))
 
     def close(self) -> None:
         """End all processes that were started."""
--- a/review/worker_2.py
+++ b/review/worker_2.py
@@ -22,9 +22,9 @@
 
 import harness_2 as harness  # noqa: E402
 
-EVENTS = 80
+EVENTS = int(os.environ.get("EVENTS", "80"))
 FIRST_S = 0.03
-PAUSE_S = 0.05
+PAUSE_S = float(os.environ.get("PAUSE_S", "0.05"))
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
