--- a/review/worker_2.py
+++ b/review/worker_2.py
@@ -22,12 +22,19 @@
 
 import harness_2 as harness  # noqa: E402
 
+STREAM = "text/event-stream"
+PLAIN = "text/plain"
 EVENTS = int(os.environ.get("EVENTS", "80"))
 FIRST_S = 0.03
 PAUSE_S = float(os.environ.get("PAUSE_S", "0.05"))
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
+def is_stream(request: harness.Request) -> bool:
+    """Return whether a request asks for a stream."""
+    return "prefix-hash" in request.fields
+
+
 class Journal:
     """Lines that survive the process."""
 
@@ -57,7 +64,7 @@
             "HTTP/1.1 200 OK",
             f"Request-Id: {request.id}",
             f"Response-Signature: {harness.SIGNATURE}",
-            "Content-Type: text/event-stream",
+            f"Content-Type: {STREAM if is_stream(request) else PLAIN}",
             "Connection: close",
         ]
         if self.is_leaving:
@@ -124,7 +131,7 @@
 
 
 def configuration() -> dict:
-    """Return a configuration with a route for streams."""
+    """Return a configuration with routes for streams and plain requests."""
     route = harness.route(
         "draft",
         "stream",
@@ -140,7 +147,10 @@
         "kvCapacityTokens": 213154,
         "models": [{"name": "drafts"}],
     }
-    document = harness.configuration([route])
+    plain = harness.route(
+        "file", "unsafe", service="engines", timeoutMs=15000, maxAttempts=1
+    )
+    document = harness.configuration([route, plain])
     document["services"].append({"name": "engines", "engine": engine})
     return document
 
@@ -160,6 +170,18 @@
     )
 
 
+def take_plain(
+    record: harness.Record, address: str, id: str
+) -> harness.Answer:
+    """Send a plain request, whose answer has as many pieces as a stream."""
+    record.add("sent", id=id)
+    data = harness.request_bytes("POST", "/file/1", id, b"{}", 15000)
+    answer = harness.ask(address, data, 15.0)
+    last = EVENT_ID.findall(answer.body)[-1:]
+    record.add("answered", id=id, got=answer, last_piece=last)
+    return answer
+
+
 def take_stream(
     record: harness.Record, address: str, id: str
 ) -> harness.Answer:
@@ -171,8 +193,10 @@
     return answer
 
 
-def breaches_of(found: dict[str, harness.Answer]) -> list[str]:
-    """Return what is wrong with the streams that ended as complete."""
+def breaches_of(
+    found: dict[str, harness.Answer], rule: str = "ORDER"
+) -> list[str]:
+    """Return what is wrong with the answers that ended as complete."""
     breaches = []
     for id, answer in found.items():
         if answer.status != 200 or not answer.whole:
@@ -180,7 +204,7 @@
         numbers = [int(number) for number in EVENT_ID.findall(answer.body)]
         if numbers != list(range(1, EVENTS + 1)):
             breaches.append(
-                f"ORDER: {id} ended as complete after {len(numbers)} of "
+                f"{rule}: {id} ended as complete after {len(numbers)} of "
                 f"{EVENTS} pieces, the last one {numbers[-1:]}"
             )
     return breaches
