--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -10,6 +10,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -31,6 +32,9 @@
 REGION = "dk-east"
 HEARTBEAT_S = 1.2
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
+PORTS = (12000, 32000)
+# Ports that were given out in this run.
+GIVEN: set[int] = set()
 LISTEN = ("callers", "readiness", "lookups", "peers", "metrics", "relays")
 SETTINGS = """\
 [instance]
@@ -394,14 +398,29 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports."""
-    with contextlib.ExitStack() as stack:
-        found = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            found.append(sock.getsockname()[1])
-        return found
+    """Return free ports.
+
+    They are below those that the system gives to connections, so that none
+    takes one of them before it is listened on.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        if port not in GIVEN and is_free(port):
+            GIVEN.add(port)
+            found.append(port)
+    return found
+
+
+def is_free(port: int) -> bool:
+    """Return whether nobody has a port, for TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 class Instance:
